--- /dev/null
+++ b/scripts/build.ts
@@ -0,0 +1,52 @@
+/** Bundles the command line into one file and makes the single binary of it. */
+import { execFileSync } from "node:child_process";
+import { chmodSync, copyFileSync, mkdirSync, writeFileSync } from "node:fs";
+import process from "node:process";
+import { build } from "esbuild";
+import { inject } from "postject";
+
+const BUNDLE = "dist/filbertshore.cjs";
+const BLOB = "dist/filbertshore.blob";
+const BINARY = "dist/filbertshore";
+/** The mark that Node's executable carries for this purpose. */
+const FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
+
+async function bundle(): Promise<void> {
+  await build({
+    entryPoints: ["src/cli/main.ts"],
+    outfile: BUNDLE,
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    format: "cjs",
+    legalComments: "none",
+    logLevel: "warning",
+  });
+}
+
+function makeBlob(): Buffer | Promise<Buffer> {
+  const configuration = "dist/sea.json";
+  writeFileSync(
+    configuration,
+    JSON.stringify({
+      main: BUNDLE,
+      output: BLOB,
+      disableExperimentalSEAWarning: true,
+    }),
+  );
+  execFileSync(process.execPath, ["--experimental-sea-config", configuration]);
+  return import("node:fs/promises").then((files) => files.readFile(BLOB));
+}
+
+async function makeBinary(): Promise<void> {
+  copyFileSync(process.execPath, BINARY);
+  chmodSync(BINARY, 0o755);
+  await inject(BINARY, "NODE_SEA_BLOB", await makeBlob(), {
+    sentinelFuse: FUSE,
+  });
+}
+
+mkdirSync("dist", { recursive: true });
+await bundle();
+await makeBinary();
+console.log(`made ${BINARY}`);
--- /dev/null
+++ b/src/core/errors/mod.ts
@@ -0,0 +1,38 @@
+/**
+ * One catalogue entry: what happened and what the operator can do about it.
+ * `Values` are the facts that the message names.
+ */
+export interface ErrorDefinition<Name extends string, Values> {
+  readonly name: Name;
+  readonly title: string;
+  readonly message: (values: Values) => string;
+  readonly hint: string;
+}
+
+/** A failure as a value; every failure in the system has this form. */
+export interface Failure<Name extends string = string> {
+  readonly name: Name;
+  readonly title: string;
+  readonly message: string;
+  readonly hint: string;
+}
+
+/** Makes a catalogue entry; keeps the name as a literal type. */
+export function defineError<Values>() {
+  return <Name extends string>(
+    definition: ErrorDefinition<Name, Values>,
+  ): ErrorDefinition<Name, Values> => definition;
+}
+
+/** Makes the failure that a catalogue entry describes. */
+export function failure<Name extends string, Values>(
+  definition: ErrorDefinition<Name, Values>,
+  values: Values,
+): Failure<Name> {
+  return {
+    name: definition.name,
+    title: definition.title,
+    message: definition.message(values),
+    hint: definition.hint,
+  };
+}
