--- a/src/core/observation/mod.ts
+++ b/src/core/observation/mod.ts
@@ -42,3 +42,6 @@
   | "trusted";
 
 export type Observe = (event: HistoryEvent) => void;
+
+export type { LogFacts, Logger } from "./logger.ts";
+export { SILENT_LOGGER } from "./logger.ts";
