Say which facts each event of a history carries

Cause: cores, fakes and checker have to agree on an event's facts before any of them is written; the kinds alone leave ids and causes to chance. Change: a table in the module's comment, and kinds for what the checker must know besides: responses, ends, refused orders, the log's own appends, faults, and what the platform says of an endpoint.

--- a/src/core/observation/mod.ts
+++ b/src/core/observation/mod.ts
@@ -1,6 +1,53 @@
 /**
  * Events that the cores tell of, for metrics, traces, logs and the history
  * that a checker reads. Telling costs nothing where nobody listens.
+ *
+ * `process` names who tells: an entry or a side by its process id, an endpoint
+ * by its endpoint id, `log` for the log service, `network` for the faults that
+ * a test brings about. Facts in brackets may be left out. `claim`, `order`,
+ * `record` and `version` are offsets on the log. `target` is the target as
+ * JSON with its keys in the order role, models, weights.
+ *
+ * | kind | told by | facts |
+ * | --- | --- | --- |
+ * | request_received | entry | requestId, idempotent, [key], [workspace], [className] |
+ * | request_placed | entry | requestId, endpoint |
+ * | attempt_sent | entry | requestId, attemptId, endpoint, [record], [key] |
+ * | attempt_accepted | side | requestId, attemptId, endpoint, [record], [key] |
+ * | attempt_refused | side | requestId, attemptId, endpoint, reason |
+ * | endpoint_started | side, as it hands the work over | requestId, attemptId, endpoint, idempotent, [key], [record] |
+ * | endpoint_executed | endpoint, as the call takes effect | requestId, attemptId, endpoint, idempotent, [key], [record] |
+ * | endpoint_finished | side, as the endpoint's work ends by itself | requestId, attemptId, endpoint, result (`answered` or `failed`) |
+ * | endpoint_cancelled | side, as it cuts the work off | requestId, attemptId, endpoint, cause (`caller`, `deadline`, `planned` or `fault`) |
+ * | token_delivered | entry, per token to the caller | requestId, index, text |
+ * | response_delivered | entry | requestId, body, [status] |
+ * | request_finished | entry | requestId, outcome (`answered`, `not_run` or `unknown`), reason, [tokens], [key] |
+ * | retry | entry | requestId, attemptId of the new attempt, [reason] |
+ * | order_sent | side, to its endpoint | endpoint, order, claim, target |
+ * | order_received | endpoint that takes the order | endpoint, order, target, [claim] |
+ * | order_refused | endpoint that checks fencing numbers | endpoint, order |
+ * | order_done | endpoint | endpoint, order, target |
+ * | claim_seen | entry, per claim that it holds valid | stream, claim, holder |
+ * | order_valid | entry, per order of its reading | endpoint, order, claim, target |
+ * | order_void | entry, per order of its reading | endpoint, order, claim, [reason] |
+ * | configuration_accepted | entry, per accepting verdict read | version, publicationId |
+ * | configuration_in_force | entry and side | version |
+ * | side_draining | side | endpoint, cause (`stop`, `order` or `configuration`) |
+ * | entry_draining | entry | cause (`stop`) |
+ * | process_started | entry, side | incarnation, role (`entry` or `side`), [endpoint] |
+ * | process_stopped | entry, side: a planned stop is complete | incarnation |
+ * | process_killed | network; endpoint for its own crash | [incarnation] |
+ * | process_paused, process_resumed | network | process is the one it happens to |
+ * | suspected, trusted | entry | endpoint |
+ * | once_owned | entry, per once record of its reading that is valid | key, record, endpoint, sideIncarnation, replaces |
+ * | once_barred | side | key, record |
+ * | log_appended | log, as the record takes effect | stream, offset, kind, and the record's own plain facts (claim, replaces, number, endpoint, target, holder, key, publication, publicationId, base, accepted) |
+ * | log_outage_began, log_outage_ended | network | [stream] |
+ * | link_cut, link_healed | network | from, to (process ids; one direction) |
+ * | endpoint_leaving | network, as the platform or an operator says so | endpoint, [cause] |
+ * | endpoint_returned | network | endpoint |
+ * | answer_expected | test, before the request | requestId, text |
+ * | run_ended | test: every open request has had time to end | |
  */
 
 /** One event of a run; `at` is timer time in milliseconds. */
@@ -21,12 +68,15 @@
   | "attempt_refused"
   | "endpoint_started"
   | "endpoint_executed"
+  | "endpoint_finished"
   | "endpoint_cancelled"
   | "token_delivered"
+  | "response_delivered"
   | "request_finished"
   | "retry"
   | "order_sent"
   | "order_received"
+  | "order_refused"
   | "order_done"
   | "claim_seen"
   | "order_valid"
@@ -38,7 +88,20 @@
   | "process_started"
   | "process_stopped"
   | "process_killed"
+  | "process_paused"
+  | "process_resumed"
   | "suspected"
-  | "trusted";
+  | "trusted"
+  | "once_owned"
+  | "once_barred"
+  | "log_appended"
+  | "log_outage_began"
+  | "log_outage_ended"
+  | "link_cut"
+  | "link_healed"
+  | "endpoint_leaving"
+  | "endpoint_returned"
+  | "answer_expected"
+  | "run_ended";
 
 export type Observe = (event: HistoryEvent) => void;
