--- /dev/null
+++ b/src/side/attempt_run.ts
@@ -0,0 +1,165 @@
+import type { Result } from "neverthrow";
+import type {
+  EndpointFailure,
+  EndpointLink,
+  GenerationCall,
+} from "../core/links/mod.ts";
+import type { Subscription, TimerService } from "../core/time/mod.ts";
+import type {
+  AttemptFrame,
+  AttemptRequest,
+  EndpointLoad,
+  FailedFrame,
+} from "../generated/messages.ts";
+
+/** How an attempt ended at its endpoint. */
+export type AttemptEnd = "answered" | FailedFrame["reason"];
+
+export interface AttemptRunOptions {
+  readonly timer: TimerService;
+  readonly endpoint: EndpointLink;
+  /** Gives a frame to the entry. */
+  readonly emit: (frame: AttemptFrame) => void;
+  /** Load that goes along with the last frame. */
+  readonly load: () => EndpointLoad;
+  /** Timer time after which the answer is of no use, milliseconds. */
+  readonly deadline: number;
+  /** Longest silence of the endpoint before the first token, milliseconds. */
+  readonly firstTokenSilenceMilliseconds: number;
+  /** Longest silence between two tokens, milliseconds. */
+  readonly tokenSilenceMilliseconds: number;
+  /** A token came; for what the side learns about the endpoint's pace. */
+  readonly onToken?: () => void;
+}
+
+/**
+ * One generation that the endpoint is working on. It ends exactly once, with
+ * an end frame or a failed frame, whatever the endpoint does.
+ *
+ * Guard against an endpoint that falls silent with its connection open: the
+ * caller would hear nothing until its deadline. The silence timers turn that
+ * into a failed attempt while there is time to resume it elsewhere.
+ */
+export class GenerationRun {
+  readonly attempt: AttemptRequest;
+  readonly #options: AttemptRunOptions;
+  readonly #done: (end: AttemptEnd) => void;
+  readonly #deadline: Subscription;
+  readonly #call: GenerationCall;
+  #silence: Subscription;
+  #silenceLimit: number;
+  #lastSign: number;
+  #index: number;
+  #ended = false;
+
+  constructor(
+    attempt: AttemptRequest,
+    options: AttemptRunOptions & { done: (end: AttemptEnd) => void },
+  ) {
+    this.attempt = attempt;
+    this.#options = options;
+    this.#done = options.done;
+    this.#index = attempt.deliveredTokens?.length ?? 0;
+    const timeLeft = Math.max(0, options.deadline - options.timer.now());
+    this.#deadline = options.timer.after(timeLeft, () => this.stop("deadline"));
+    this.#silenceLimit = options.firstTokenSilenceMilliseconds;
+    this.#lastSign = options.timer.now();
+    this.#silence = this.#watchSilence(this.#silenceLimit);
+    this.#call = options.endpoint.generate(
+      attempt,
+      (text) => this.#onToken(text),
+    );
+    void this.#call.finished.then((result) => this.#onFinished(result));
+  }
+
+  /** Ends the attempt early and cancels it at the engine. */
+  stop(reason: FailedFrame["reason"]): void {
+    if (this.#ended) return;
+    this.#call.cancel();
+    this.#end(reason, {
+      kind: "failed",
+      attemptId: this.attempt.attemptId,
+      reason,
+    });
+  }
+
+  pause(): void {
+    this.#silence.cancel();
+    this.#call.pause();
+  }
+
+  resume(): void {
+    if (this.#ended) return;
+    this.#lastSign = this.#options.timer.now();
+    this.#silence = this.#watchSilence(this.#silenceLimit);
+    this.#call.resume();
+  }
+
+  /**
+   * One alarm per stretch of silence instead of one per token: a token only
+   * notes its time, and an alarm that finds a recent token is set again.
+   */
+  #watchSilence(milliseconds: number): Subscription {
+    return this.#options.timer.after(milliseconds, () => {
+      const silent = this.#options.timer.now() - this.#lastSign;
+      if (silent >= this.#silenceLimit) this.stop("endpoint_error");
+      else this.#silence = this.#watchSilence(this.#silenceLimit - silent);
+    });
+  }
+
+  #onToken(text: string): void {
+    if (this.#ended) return;
+    this.#lastSign = this.#options.timer.now();
+    this.#silenceLimit = this.#options.tokenSilenceMilliseconds;
+    this.#options.emit({
+      kind: "token",
+      attemptId: this.attempt.attemptId,
+      index: this.#index++,
+      text,
+    });
+    this.#options.onToken?.();
+  }
+
+  #onFinished(result: Result<"stop" | "length", EndpointFailure>): void {
+    if (this.#ended) return;
+    if (result.isErr()) {
+      const reason = failedReason(result.error.name);
+      this.#end(reason, {
+        kind: "failed",
+        attemptId: this.attempt.attemptId,
+        reason,
+      });
+      return;
+    }
+    this.#end("answered", {
+      kind: "end",
+      attemptId: this.attempt.attemptId,
+      tokens: this.#index,
+      reason: result.value,
+      load: this.#options.load(),
+    });
+  }
+
+  #end(end: AttemptEnd, frame: AttemptFrame): void {
+    this.#ended = true;
+    this.#silence.cancel();
+    this.#deadline.cancel();
+    this.#done(end);
+    this.#options.emit(frame);
+  }
+}
+
+/** The frame's word for what the endpoint did. */
+export function failedReason(
+  name: EndpointFailure["name"],
+): FailedFrame["reason"] {
+  switch (name) {
+    case "endpoint_closed":
+    case "endpoint_unreachable":
+      return "endpoint_closed";
+    case "endpoint_garbage":
+      return "endpoint_garbage";
+    default:
+      return "endpoint_error";
+  }
+}
