Run non-idempotent requests at most once, and put whole answers together

Cause: a retry through another entry, a lost append answer, a paused owner, a doubled dispatch or a restarted side each lead to a second booking or to a false "not run"; late and crossed frames lead to a wrong answer. Ruled out: trusting a lease of the owner (it does not survive a pause); letting the side answer "not run" without barring the record (a second copy of the dispatch could still run it). Change: OnceFold decides ownership by position, forgets by the time that keys carry and takes that time from the key itself; SideOnceTable runs a record once, bars in the same step as it answers, and leaves a floor behind what its limits drop; OnceCoordinator appends, reads and asks until one of four typed results is certain; AnswerAssembler takes frames of the current attempt only and calls an answer whole when its end and every token are there.

--- /dev/null
+++ b/src/core/attempts/mod.ts
@@ -0,0 +1,7 @@
+/** Whole answers, put together from the frames of successive attempts. */
+export {
+  AnswerAssembler,
+  type AnswerAssemblerOptions,
+  type AssembledEnd,
+  type FrameEffect,
+} from "./answer_assembler.ts";
--- /dev/null
+++ b/src/core/once/fold_test.ts
@@ -0,0 +1,99 @@
+import { expect } from "chai";
+import type { OnceRecord } from "../../generated/log_records.ts";
+import { type IdempotencyKey, numbered } from "../identity/mod.ts";
+import { OnceFold, scopedKey, timeOfKey } from "./mod.ts";
+
+const MINUTE_MILLISECONDS = 60_000;
+const START = Date.UTC(2026, 0, 1);
+
+function keyAt(time: number, tail = "000000000001"): IdempotencyKey {
+  const digits = time.toString(16).padStart(12, "0");
+  const uuid = `${digits.slice(0, 8)}-${digits.slice(8)}-7000-8000-${tail}`;
+  return scopedKey("crew", uuid)._unsafeUnwrap();
+}
+
+function record(key: IdempotencyKey, replaces = -1): OnceRecord {
+  return {
+    kind: "once",
+    key,
+    keyTime: timeOfKey(key) as number,
+    fingerprint: "f",
+    endpoint: "portal-1",
+    sideIncarnation: "i1",
+    replaces,
+  };
+}
+
+function fold(records: readonly OnceRecord[], state = new OnceFold()) {
+  records.forEach((body, offset) => state.apply(numbered(offset), body));
+  return state;
+}
+
+describe("OnceFold", () => {
+  const key = keyAt(START);
+
+  describe("ownership", () => {
+    it("gives the key to its first record", () => {
+      // Two entries append for one key at the same moment. If the later one
+      // also owned it, the permit would be booked at both endpoints.
+      const state = fold([record(key), record(key)]);
+      expect(state.owner(key)?.record).to.equal(0);
+    });
+
+    it("lets a takeover through only if it names the current record", () => {
+      // Two entries bar the same record and take over at once. The second
+      // must lose, or both run the booking.
+      const state = fold([record(key), record(key, 0), record(key, 0)]);
+      expect(state.owner(key)?.record).to.equal(1);
+    });
+
+    it("voids a takeover with another body", () => {
+      // The caller reuses its key for other work. A takeover by that work
+      // would answer the first request with the second one's result.
+      const state = fold([record(key), {
+        ...record(key, 0),
+        fingerprint: "g",
+      }]);
+      expect(state.owner(key)?.record).to.equal(0);
+    });
+
+    it("voids a record that states another time than its key", () => {
+      // A faulty writer states a fresh time for an old key. Taken at its
+      // word, a forgotten key would be owned and run again.
+      const state = fold([{ ...record(key), keyTime: START + 1 }]);
+      expect(state.owner(key)).to.equal(undefined);
+    });
+  });
+
+  describe("forgetting", () => {
+    it("voids what is older than the window, and forgets only that", () => {
+      // A record is delayed on its way to the log until its key has been
+      // forgotten. Taken as a first record it would run the work again.
+      const later = keyAt(START + 31 * MINUTE_MILLISECONDS);
+      const state = fold([record(key), record(later), record(key)]);
+      expect(state.owner(key)).to.equal(undefined);
+      expect(state.isExpired(key)).to.equal(true);
+      expect(state.owner(later)?.record).to.equal(1);
+    });
+
+    it("keeps memory bounded by the window", () => {
+      const state = new OnceFold();
+      for (let minute = 0; minute < 200; minute += 1) {
+        const fresh = keyAt(START + minute * MINUTE_MILLISECONDS);
+        state.apply(numbered(minute), record(fresh));
+      }
+      expect(state.size).to.be.at.most(33);
+    });
+  });
+
+  it("comes back from its saved state with the same owners", () => {
+    // A reader that starts from a checkpoint must decide like one that has
+    // read every record, or the two disagree on who runs.
+    const state = fold([record(key), record(key, 0)]);
+    const copy = new OnceFold();
+    copy.load(JSON.parse(JSON.stringify(state.save())));
+    copy.apply(numbered(2), record(key, 0));
+    expect(copy.owner(key)).to.deep.equal(state.owner(key));
+    expect(copy.streamTime).to.equal(state.streamTime);
+  });
+});
--- /dev/null
+++ b/src/core/once/mod.ts
@@ -0,0 +1,23 @@
+/** Non-idempotent requests run at most once, across entries and sides. */
+export { scopedKey, timeOfKey } from "./key.ts";
+export {
+  ONCE_WINDOW_MILLISECONDS,
+  OnceFold,
+  type OnceFoldOptions,
+  type OnceOwner,
+} from "./fold.ts";
+export {
+  type KeptAnswer,
+  SIDE_TABLE_LIMITS,
+  SideOnceTable,
+  type SideOnceTableGuards,
+  type SideOnceTableLimits,
+  type SideOnceTableOptions,
+} from "./side_table.ts";
+export {
+  type AcquireOptions,
+  type AcquireResult,
+  type OnceChoice,
+  OnceCoordinator,
+  type OnceCoordinatorOptions,
+} from "./coordinator.ts";
--- /dev/null
+++ b/src/core/once/results.ts
@@ -0,0 +1,62 @@
+import type { OnceAnswer } from "../../generated/messages.ts";
+import type { Refusal, RefusalReason } from "../requests/mod.ts";
+import type { AcquireResult } from "./coordinator.ts";
+
+export function refused(refusal: Refusal): AcquireResult {
+  return { kind: "refused", refusal };
+}
+
+export function unknown(detail: string): AcquireResult {
+  return { kind: "unknown", outcome: { kind: "unknown", detail } };
+}
+
+/** The first answer; a side that no longer keeps its body can't repeat it. */
+export function answered(answer: OnceAnswer): AcquireResult {
+  if (answer.status === undefined || answer.body === undefined) {
+    return unknown("The work has run, but its answer is no longer kept");
+  }
+  return {
+    kind: "answered",
+    answer: {
+      status: answer.status,
+      contentType: answer.contentType,
+      body: answer.body,
+    },
+  };
+}
+
+export function keyNeeded(): AcquireResult {
+  return because("key_needed", "This work needs an Idempotency-Key");
+}
+
+export function keyInvalid(detail: string): AcquireResult {
+  return because("invalid", detail);
+}
+
+export function keyConflict(): AcquireResult {
+  return because("key_conflict", "The key stands for other work already");
+}
+
+/**
+ * The request itself has not run, unless it was sent before. Whether an
+ * earlier request with the key has run is forgotten, and the text says so.
+ */
+export function expired(mayHaveRun: boolean): AcquireResult {
+  if (mayHaveRun) return unknown("The key expired while the work was out");
+  return because(
+    "key_expired",
+    "This request was not run; what became of earlier ones with its key is no longer known",
+  );
+}
+
+export function logDown(): AcquireResult {
+  return because("log_down", "The log took no record, so nothing was sent");
+}
+
+export function outOfTime(): AcquireResult {
+  return because("late", "No time was left to run the work");
+}
+
+function because(reason: RefusalReason, detail: string): AcquireResult {
+  return refused({ kind: "not_run", reason, detail });
+}
