--- /dev/null
+++ b/src/adapters/callers/caller_door.ts
@@ -0,0 +1,299 @@
+import * as http from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import type { Failure } from "../../core/errors/mod.ts";
+import { failure } from "../../core/errors/mod.ts";
+import type { RequestId } from "../../core/identity/mod.ts";
+import { identifier } from "../../core/identity/mod.ts";
+import type { Logger } from "../../core/observation/mod.ts";
+import type {
+  AnswerSink,
+  CallerRequest,
+  Refusal,
+} from "../../core/requests/mod.ts";
+import type { Work } from "../../generated/messages.ts";
+import {
+  EventStreamSink,
+  ServiceAnswerSink,
+  WholeAnswerSink,
+} from "./answer_sinks.ts";
+import { CALLER_LISTEN_FAILED } from "./errors.ts";
+import { invalid, sendProblem } from "./problem.ts";
+import { readCaller, readChat, readServiceWork } from "./request_reader.ts";
+
+/** The caller's end of a request that the core works on. */
+export interface OpenRequest {
+  /** The caller has hung up. */
+  cancel(): void;
+  /** The caller has taken what was sent; more may come. */
+  drained(): void;
+}
+
+/** What the door asks of the entry's core. */
+export interface CallerService {
+  submit(request: CallerRequest, sink: AnswerSink): OpenRequest;
+  models(): readonly string[];
+  /** Whether a plain service's call may be repeated; nothing: no such route. */
+  routeIsIdempotent(method: string, path: string): boolean | undefined;
+  readonly state: "starting" | "serving" | "draining";
+}
+
+export interface CallerDoorOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly mostBodyBytes: number;
+  readonly service: CallerService;
+  readonly logger: Logger;
+  /** Makes the id of a new request. */
+  readonly newRequestId: () => RequestId;
+  /** Seconds since 1970, for the answers' `created`. */
+  readonly seconds: () => number;
+  readonly metrics: () => Promise<string>;
+}
+
+/** A caller has this long to send its head or its body, milliseconds. */
+const SLOW_REQUEST_MILLISECONDS = 30_000;
+const MOST_HEADER_BYTES = 16 * 1024;
+const CHAT_PATH = "/v1/chat/completions";
+const BAD_REQUEST = "HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n";
+
+/** The HTTP door for callers, behind the platform's balancer. */
+export class CallerDoor {
+  readonly #options: CallerDoorOptions;
+  readonly #server: http.Server;
+
+  constructor(options: CallerDoorOptions) {
+    this.#options = options;
+    this.#server = http.createServer({
+      maxHeaderSize: MOST_HEADER_BYTES,
+      headersTimeout: SLOW_REQUEST_MILLISECONDS,
+      requestTimeout: SLOW_REQUEST_MILLISECONDS,
+    }, (request, response) => void this.#serve(request, response));
+    this.#server.on("clientError", (error, socket) => {
+      this.#onBrokenRequest(error, socket as Socket);
+    });
+  }
+
+  /** Starts to listen; gives the port. */
+  listen(): Promise<Result<number, Failure<"caller_listen_failed">>> {
+    const { host, port } = this.#options;
+    return new Promise((resolve) => {
+      this.#server.once("error", (error) => {
+        resolve(err(failure(CALLER_LISTEN_FAILED, {
+          address: `${host}:${port}`,
+          detail: error.message,
+        })));
+      });
+      this.#server.listen(port, host, () => {
+        resolve(ok((this.#server.address() as AddressInfo).port));
+      });
+    });
+  }
+
+  /** Takes no new connections; open requests go on. */
+  stopListening(): void {
+    this.#server.close();
+    this.#server.closeIdleConnections();
+  }
+
+  /** Drops every connection. */
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  /**
+   * Node's parser has turned the bytes down, for example two lengths that
+   * contradict each other. Answering and closing leaves no second request
+   * hidden behind the first for another party to read differently.
+   */
+  #onBrokenRequest(error: Error, socket: Socket): void {
+    this.#options.logger.warn(
+      { error: error.message, from: socket.remoteAddress },
+      "A caller sent something that is not an HTTP request",
+    );
+    if (socket.writable) socket.end(BAD_REQUEST);
+    else socket.destroy();
+  }
+
+  async #serve(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const path = (request.url ?? "/").split("?")[0];
+    const own = OWN_PAGES[path];
+    if (request.method === "GET" && own !== undefined) {
+      await own(this.#options, response);
+      return;
+    }
+    const body = await readBody(request, this.#options.mostBodyBytes);
+    if (body.isErr()) {
+      this.#refuse(response, { refusal: body.error, request });
+      return;
+    }
+    if (request.method === "POST" && path === CHAT_PATH) {
+      this.#serveChat(request, { response, body: body.value });
+    } else {
+      this.#serveRoute(request, { response, body: body.value });
+    }
+  }
+
+  #serveChat(
+    request: http.IncomingMessage,
+    exchange: { response: http.ServerResponse; body: Buffer },
+  ): void {
+    const chat = readChat(exchange.body);
+    if (chat.isErr()) {
+      const { response } = exchange;
+      this.#refuse(response, { refusal: chat.error, request });
+      return;
+    }
+    const requestId = this.#options.newRequestId();
+    const header = {
+      id: requestId,
+      created: this.#options.seconds(),
+      model: chat.value.work.model,
+    };
+    const sink = chat.value.stream
+      ? new EventStreamSink(exchange.response, header)
+      : new WholeAnswerSink(exchange.response, header);
+    this.#submit(request, {
+      requestId,
+      work: chat.value.work,
+      workspace: chat.value.user,
+      sink,
+      response: exchange.response,
+    });
+  }
+
+  #serveRoute(
+    request: http.IncomingMessage,
+    exchange: { response: http.ServerResponse; body: Buffer },
+  ): void {
+    const { service } = this.#options;
+    const method = request.method ?? "GET";
+    const path = request.url ?? "/";
+    const idempotent = service.routeIsIdempotent(method, path);
+    if (idempotent === undefined) {
+      const refusal: Refusal = service.state === "starting"
+        ? {
+          kind: "not_run",
+          reason: "not_configured",
+          detail: "The entry has no configuration yet",
+          retryAfterMilliseconds: 1000,
+        }
+        : {
+          kind: "not_run",
+          reason: "unknown_route",
+          detail: `No service takes ${method} ${path.split("?")[0]}`,
+        };
+      this.#refuse(exchange.response, { refusal, request });
+      return;
+    }
+    this.#submit(request, {
+      requestId: this.#options.newRequestId(),
+      work: readServiceWork(request, { body: exchange.body, idempotent }),
+      workspace: undefined,
+      sink: new ServiceAnswerSink(exchange.response),
+      response: exchange.response,
+    });
+  }
+
+  #submit(
+    request: http.IncomingMessage,
+    call: {
+      requestId: RequestId;
+      work: Work;
+      workspace: string | undefined;
+      sink: AnswerSink;
+      response: http.ServerResponse;
+    },
+  ): void {
+    const caller = readCaller(request, { workspace: call.workspace });
+    if (caller.isErr()) {
+      this.#refuse(call.response, { refusal: caller.error, request });
+      return;
+    }
+    call.response.setHeader("x-request-id", call.requestId);
+    const open = this.#options.service.submit({
+      ...caller.value,
+      requestId: identifier(call.requestId),
+      work: call.work,
+    }, call.sink);
+    call.response.on("drain", () => open.drained());
+    call.response.on("close", () => {
+      if (!call.response.writableFinished) open.cancel();
+    });
+  }
+
+  #refuse(
+    response: http.ServerResponse,
+    refused: { refusal: Refusal; request: http.IncomingMessage },
+  ): void {
+    this.#options.logger.info(
+      {
+        reason: refused.refusal.reason,
+        detail: refused.refusal.detail,
+        from: refused.request.socket.remoteAddress,
+      },
+      "The door refused a request",
+    );
+    // What is left of a refused body is not read, so the connection ends.
+    if (!refused.request.complete) response.setHeader("connection", "close");
+    sendProblem(response, refused.refusal);
+  }
+}
+
+type OwnPage = (
+  options: CallerDoorOptions,
+  response: http.ServerResponse,
+) => void | Promise<void>;
+
+const OWN_PAGES: Readonly<Record<string, OwnPage>> = {
+  "/health": ({ service }, response) => {
+    const status = service.state === "draining" ? 503 : 200;
+    sendJson(response, { status, body: { state: service.state } });
+  },
+  "/ready": ({ service }, response) => {
+    const status = service.state === "serving" ? 200 : 503;
+    sendJson(response, { status, body: { state: service.state } });
+  },
+  "/metrics": async ({ metrics }, response) => {
+    response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
+    response.end(await metrics());
+  },
+  "/v1/models": ({ service }, response) => {
+    const data = service.models().map((id) => ({ id, object: "model" }));
+    sendJson(response, { status: 200, body: { object: "list", data } });
+  },
+};
+
+function sendJson(
+  response: http.ServerResponse,
+  answer: { status: number; body: unknown },
+): void {
+  response.writeHead(answer.status, { "content-type": "application/json" });
+  response.end(JSON.stringify(answer.body));
+}
+
+function readBody(
+  request: http.IncomingMessage,
+  mostBytes: number,
+): Promise<Result<Buffer, Refusal>> {
+  return new Promise((resolve) => {
+    const pieces: Buffer[] = [];
+    let length = 0;
+    request.on("data", (piece: Buffer) => {
+      length += piece.length;
+      if (length <= mostBytes) pieces.push(piece);
+      else {
+        request.pause();
+        resolve(err(invalid(`The body is longer than ${mostBytes} bytes`)));
+      }
+    });
+    request.on("end", () => resolve(ok(Buffer.concat(pieces))));
+    request.on("error", () => resolve(err(invalid("The body was cut off"))));
+    request.on("close", () => resolve(err(invalid("The body was cut off"))));
+  });
+}
--- /dev/null
+++ b/src/adapters/callers/problem.ts
@@ -0,0 +1,85 @@
+import type { ServerResponse } from "node:http";
+import type {
+  Outcome,
+  Refusal,
+  RefusalReason,
+  UnknownOutcome,
+} from "../../core/requests/mod.ts";
+
+/** A problem detail (RFC 9457) as callers get it. */
+export interface Problem {
+  readonly type: string;
+  readonly title: string;
+  readonly status: number;
+  readonly detail: string;
+  /** Whether the request may have run; callers decide by this alone. */
+  readonly outcome: "not_run" | "unknown";
+  readonly retryAfterMilliseconds?: number;
+}
+
+interface ProblemKind {
+  readonly status: number;
+  readonly title: string;
+}
+
+const REFUSAL_KINDS: Readonly<Record<RefusalReason, ProblemKind>> = {
+  invalid: { status: 400, title: "Request is not valid" },
+  unknown_model: { status: 404, title: "Model is not served" },
+  unknown_route: { status: 404, title: "Route is not served" },
+  impossible_deadline: { status: 422, title: "Deadline can't be met" },
+  saturated: { status: 503, title: "All endpoints are busy" },
+  share_exhausted: { status: 429, title: "Share of capacity is used up" },
+  no_endpoint: { status: 503, title: "No endpoint in service" },
+  overloaded_entry: { status: 503, title: "Entry is overloaded" },
+  draining: { status: 503, title: "Entry is shutting down" },
+  not_configured: { status: 503, title: "No configuration in force yet" },
+  log_down: { status: 503, title: "Log service can't be reached" },
+  key_expired: { status: 422, title: "Idempotency key is too old" },
+  key_conflict: {
+    status: 422,
+    title: "Idempotency key belongs to another request",
+  },
+  key_needed: { status: 400, title: "Idempotency key is not usable" },
+  late: { status: 503, title: "Answer would be late" },
+};
+const UNKNOWN_KIND: ProblemKind = {
+  status: 502,
+  title: "Outcome is not known",
+};
+const TYPE_PREFIX = "urn:filbertshore:problem:";
+
+/** The problem that tells a caller of an outcome without an answer. */
+export function problemOf(outcome: Refusal | UnknownOutcome): Problem {
+  const refused = outcome.kind === "not_run";
+  const kind = refused ? REFUSAL_KINDS[outcome.reason] : UNKNOWN_KIND;
+  return {
+    type: TYPE_PREFIX + (refused ? outcome.reason : "unknown_outcome"),
+    title: kind.title,
+    status: kind.status,
+    detail: outcome.detail,
+    outcome: outcome.kind,
+    retryAfterMilliseconds: outcome.retryAfterMilliseconds,
+  };
+}
+
+/** Sends an outcome without an answer as the whole response. */
+export function sendProblem(
+  response: ServerResponse,
+  outcome: Exclude<Outcome, { kind: "answered" }>,
+): void {
+  const problem = problemOf(outcome);
+  const headers: Record<string, string> = {
+    "content-type": "application/problem+json",
+  };
+  if (outcome.retryAfterMilliseconds !== undefined) {
+    const seconds = Math.ceil(outcome.retryAfterMilliseconds / 1000);
+    headers["retry-after"] = String(Math.max(1, seconds));
+  }
+  response.writeHead(problem.status, headers);
+  response.end(JSON.stringify(problem));
+}
+
+/** A refusal for a request that the door itself turns down. */
+export function invalid(detail: string): Refusal {
+  return { kind: "not_run", reason: "invalid", detail };
+}
--- /dev/null
+++ b/src/adapters/peers/mod.ts
@@ -0,0 +1,9 @@
+/** Links between the system's own processes over HTTP. */
+export { HttpPeers } from "./peer_client.ts";
+export { PeerServer } from "./peer_server.ts";
+export type {
+  PeerMethods,
+  PeerServerOptions,
+  ServedAttempt,
+} from "./peer_server.ts";
+export { PEER_METHODS } from "./protocol.ts";
--- /dev/null
+++ b/src/adapters/peers/peer_client.ts
@@ -0,0 +1,241 @@
+import * as http from "node:http";
+import { JSONRPCClient } from "json-rpc-2.0";
+import type { JSONRPCRequest } from "json-rpc-2.0";
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import { failure } from "../../core/errors/mod.ts";
+import type {
+  AttemptCall,
+  EntryLink,
+  LinkFailure,
+  PeerAddress,
+  SideLink,
+  StreamSnapshot,
+} from "../../core/links/mod.ts";
+import type {
+  AttemptFrame,
+  AttemptRequest,
+  EntryStatus,
+  OnceAnswer,
+  OnceQuestion,
+  SideReport,
+  WatchAnswer,
+  WatchQuestion,
+} from "../../generated/messages.ts";
+import { LINK_LOST, LINK_NOT_SENT } from "./errors.ts";
+import { FrameLineReader } from "./frame_lines.ts";
+import { ATTEMPT_PATH, CALL_PATH, PEER_METHODS } from "./protocol.ts";
+
+/** Answer to a call is overdue after this time, milliseconds. */
+const CALL_TIMEOUT_MILLISECONDS = 2_000;
+/** Idle connections kept per peer; a few serve hundreds of calls a second. */
+const MOST_IDLE_CONNECTIONS = 32;
+
+/** Thrown inside the JSON-RPC client only; `link` is what the core sees. */
+class LinkError extends Error {
+  readonly link: LinkFailure;
+
+  constructor(link: LinkFailure) {
+    super(link.message);
+    this.link = link;
+  }
+}
+
+/** Links to sides and entries over HTTP with connections kept open. */
+export class HttpPeers implements SideLink, EntryLink {
+  readonly #agent = new http.Agent({
+    keepAlive: true,
+    maxFreeSockets: MOST_IDLE_CONNECTIONS,
+    scheduling: "lifo",
+  });
+  readonly #clients = new Map<PeerAddress, JSONRPCClient<number>>();
+
+  report(side: PeerAddress): Promise<Result<SideReport, LinkFailure>> {
+    return this.#call(side, { method: PEER_METHODS.report, parameters: {} });
+  }
+
+  ask(
+    side: PeerAddress,
+    question: OnceQuestion,
+  ): Promise<Result<OnceAnswer, LinkFailure>> {
+    return this.#call(side, {
+      method: PEER_METHODS.ask,
+      parameters: question,
+    });
+  }
+
+  watch(
+    entry: PeerAddress,
+    question: WatchQuestion,
+  ): Promise<Result<WatchAnswer, LinkFailure>> {
+    return this.#call(entry, {
+      method: PEER_METHODS.watch,
+      parameters: question,
+      extraMilliseconds: question.waitMilliseconds,
+    });
+  }
+
+  status(entry: PeerAddress): Promise<Result<EntryStatus, LinkFailure>> {
+    return this.#call(entry, { method: PEER_METHODS.status, parameters: {} });
+  }
+
+  snapshot(
+    entry: PeerAddress,
+    stream: string,
+  ): Promise<Result<StreamSnapshot, LinkFailure>> {
+    return this.#call(entry, {
+      method: PEER_METHODS.snapshot,
+      parameters: { stream },
+    });
+  }
+
+  run(
+    side: PeerAddress,
+    attempt: AttemptRequest,
+    onFrame: (frame: AttemptFrame) => void,
+  ): AttemptCall {
+    return startAttempt(attempt, { side, onFrame, agent: this.#agent });
+  }
+
+  /** Closes the idle connections. */
+  close(): void {
+    this.#agent.destroy();
+  }
+
+  async #call<Answer>(
+    address: PeerAddress,
+    call: { method: string; parameters: object; extraMilliseconds?: number },
+  ): Promise<Result<Answer, LinkFailure>> {
+    const timeout = CALL_TIMEOUT_MILLISECONDS + (call.extraMilliseconds ?? 0);
+    try {
+      return ok(
+        await this.#client(address).request(
+          call.method,
+          call.parameters,
+          timeout,
+        ),
+      );
+    } catch (error) {
+      if (error instanceof LinkError) return err(error.link);
+      return err(failure(LINK_LOST, { address, detail: String(error) }));
+    }
+  }
+
+  #client(address: PeerAddress): JSONRPCClient<number> {
+    const known = this.#clients.get(address);
+    if (known !== undefined) return known;
+    const client: JSONRPCClient<number> = new JSONRPCClient(
+      async (request: JSONRPCRequest, timeoutMilliseconds: number) => {
+        const text = await post(address, {
+          path: CALL_PATH,
+          body: JSON.stringify(request),
+          agent: this.#agent,
+          timeoutMilliseconds,
+        });
+        client.receive(JSON.parse(text));
+      },
+    );
+    this.#clients.set(address, client);
+    return client;
+  }
+}
+
+interface PostOptions {
+  readonly path: string;
+  readonly body: string;
+  readonly agent: http.Agent;
+  readonly timeoutMilliseconds: number;
+}
+
+function openPost(
+  address: PeerAddress,
+  options: Omit<PostOptions, "timeoutMilliseconds">,
+): http.ClientRequest {
+  const separator = address.lastIndexOf(":");
+  return http.request({
+    host: address.slice(0, separator),
+    port: Number(address.slice(separator + 1)),
+    method: "POST",
+    path: options.path,
+    agent: options.agent,
+    headers: {
+      "content-type": "application/json",
+      "content-length": Buffer.byteLength(options.body),
+    },
+  });
+}
+
+function post(address: PeerAddress, options: PostOptions): Promise<string> {
+  return new Promise((resolve, reject) => {
+    const request = openPost(address, options);
+    request.setTimeout(
+      options.timeoutMilliseconds,
+      () => request.destroy(new Error("no answer in time")),
+    );
+    request.on("error", (error) => {
+      reject(new LinkError(linkFailure(address, error)));
+    });
+    request.on("response", (response) => {
+      let text = "";
+      response.setEncoding("utf8");
+      response.on("data", (piece: string) => text += piece);
+      response.on("error", (error) => {
+        reject(new LinkError(linkFailure(address, error)));
+      });
+      response.on("end", () => resolve(text));
+    });
+    request.end(options.body);
+  });
+}
+
+/**
+ * A refused connection proves that nothing was sent. Any other error, a reset
+ * included, may come after the peer has read the message.
+ */
+function linkFailure(address: PeerAddress, error: Error): LinkFailure {
+  const code = (error as NodeJS.ErrnoException).code;
+  const values = { address, detail: error.message };
+  return code === "ECONNREFUSED" || code === "EHOSTUNREACH"
+    ? failure(LINK_NOT_SENT, values)
+    : failure(LINK_LOST, values);
+}
+
+function startAttempt(
+  attempt: AttemptRequest,
+  options: {
+    readonly side: PeerAddress;
+    readonly onFrame: (frame: AttemptFrame) => void;
+    readonly agent: http.Agent;
+  },
+): AttemptCall {
+  const { side, onFrame, agent } = options;
+  const body = JSON.stringify(attempt);
+  const request = openPost(side, { path: ATTEMPT_PATH, body, agent });
+  let response: http.IncomingMessage | undefined;
+  const closed = new Promise<Result<void, LinkFailure>>((resolve) => {
+    const fail = (error: Error) => resolve(err(linkFailure(side, error)));
+    request.on("error", fail);
+    request.on("close", () => resolve(ok(undefined)));
+    request.on("response", (incoming) => {
+      response = incoming;
+      const reader = new FrameLineReader(onFrame);
+      incoming.setEncoding("utf8");
+      incoming.on("data", (text: string) => {
+        try {
+          reader.push(text);
+        } catch (error) {
+          request.destroy(error as Error);
+        }
+      });
+      incoming.on("error", fail);
+      incoming.on("end", () => resolve(ok(undefined)));
+    });
+  });
+  request.end(body);
+  return {
+    closed,
+    cancel: () => void request.destroy(),
+    pause: () => void response?.pause(),
+    resume: () => void response?.resume(),
+  };
+}
--- /dev/null
+++ b/src/entry/errors.ts
@@ -0,0 +1,19 @@
+import { defineError } from "../core/errors/mod.ts";
+
+export const CATALOG_UNKNOWN_MODEL = defineError<{ model: string }>()({
+  name: "unknown_model",
+  title: "Model not served here",
+  message: (values) => `No pool of the inventory serves "${values.model}"`,
+  hint:
+    "Ask for a model that GET /v1/models lists, or publish an inventory that has it",
+});
+
+export const CATALOG_UNKNOWN_ROUTE = defineError<{
+  method: string;
+  path: string;
+}>()({
+  name: "unknown_route",
+  title: "No service for this route",
+  message: (values) => `No pool serves ${values.method} ${values.path}`,
+  hint: "Check the routes of the plain services in the inventory",
+});
--- /dev/null
+++ b/src/entry/request_run.ts
@@ -0,0 +1,305 @@
+import { err } from "neverthrow";
+import type { Result } from "neverthrow";
+import { AnswerAssembler } from "../core/attempts/mod.ts";
+import type { EndpointId } from "../core/identity/mod.ts";
+import type {
+  AnswerSink,
+  CallerRequest,
+  Outcome,
+  Refusal,
+  RequestProfile,
+  UnknownOutcome,
+} from "../core/requests/mod.ts";
+import type {
+  AttemptSummary,
+  Placement,
+  WaitingRequest,
+} from "../core/scheduling/mod.ts";
+import type { Subscription } from "../core/time/mod.ts";
+import type { AttemptRequest, OncePermit } from "../generated/messages.ts";
+import type { WorkClass } from "../generated/rules.ts";
+import { Attempt } from "./attempt.ts";
+import type { AttemptEnd } from "./attempt.ts";
+import type { RunContext } from "./run_context.ts";
+
+export interface RequestRunOptions {
+  readonly context: RunContext;
+  readonly request: CallerRequest;
+  readonly sink: AnswerSink;
+  readonly profile: RequestProfile;
+  readonly workClass: WorkClass;
+  /** Whether a generation that was cut off can go on at another engine. */
+  readonly resumes: boolean;
+  /** The way in which this kind of request is served to its outcome. */
+  readonly serve: (run: RequestRun) => Promise<void>;
+  /**
+   * Whether an attempt is cancelled when nobody waits for it any more. A call
+   * that may have its effect once only is not: cutting it off would hide the
+   * effect, not undo it.
+   */
+  readonly cancelsAttempts: boolean;
+  /** Called once, when the final outcome has been given. */
+  readonly done: (outcome: Outcome) => void;
+}
+
+/**
+ * When a caller should come back after a fault that is no matter of load: a
+ * suspicion or a restart is over in about a second.
+ */
+const RETRY_AFTER_MILLISECONDS = 1_000;
+
+/**
+ * The life of one request at an entry, up to exactly one final outcome: queue,
+ * attempts, resumption, answer. The final outcome is given the moment it is
+ * known; nothing holds it back.
+ */
+export class RequestRun {
+  readonly options: RequestRunOptions;
+  readonly assembler: AnswerAssembler;
+  #attempt: Attempt | undefined;
+  #waiting: WaitingRequest | undefined;
+  /** True once any attempt may have had its effect. */
+  #mayHaveRun = false;
+  readonly #excluded = new Set<EndpointId>();
+  readonly #deadline: Subscription;
+  #attempts = 0;
+  #settled = false;
+
+  constructor(options: RequestRunOptions) {
+    this.options = options;
+    this.assembler = new AnswerAssembler({
+      onToken: (text, index) => this.#deliver(text, index),
+    });
+    const timeLeft = options.profile.deadline - options.context.timer.now();
+    this.#deadline = options.context.timer.after(
+      timeLeft,
+      () => this.#onDeadline(),
+    );
+  }
+
+  /** Serves the request to its outcome. */
+  start(): void {
+    void this.options.serve(this);
+  }
+
+  /** The caller has hung up: nobody is left to answer. */
+  cancel(): void {
+    if (this.#settled) return;
+    this.#waiting?.cancel();
+    this.#abandonAttempt();
+    this.finish(unknownOutcome("The caller has hung up"));
+  }
+
+  /** The caller reads again. */
+  drained(): void {
+    this.#attempt?.resume();
+  }
+
+  /** This entry can't hear the endpoint's side any more. */
+  suspect(endpoint: EndpointId): void {
+    if (this.#attempt?.endpoint === endpoint) this.#attempt.giveUp();
+  }
+
+  /** True once the final outcome has been given. */
+  get settled(): boolean {
+    return this.#settled;
+  }
+
+  get attemptsLeft(): boolean {
+    return this.#attempts < this.options.context.mostAttempts;
+  }
+
+  /**
+   * Waits for a slot. The slot that a settled request gets goes back unused.
+   */
+  async place(
+    submitted: Result<WaitingRequest, Refusal>,
+  ): Promise<Result<Placement, Refusal>> {
+    if (submitted.isErr()) return err(submitted.error);
+    this.#waiting = submitted.value;
+    const placed = await submitted.value.placed;
+    this.#waiting = undefined;
+    if (placed.isErr()) return placed;
+    if (this.#settled) {
+      placed.value.release(UNUSED_SLOT);
+      return err(notPlaced("nobody waits any more"));
+    }
+    this.options.context.tell("request_placed", {
+      requestId: this.options.request.requestId,
+      endpoint: placed.value.endpoint,
+    });
+    return placed;
+  }
+
+  /** The profile as it stands after the attempts so far. */
+  profileNow(): RequestProfile {
+    return {
+      ...this.options.profile,
+      deliveredTokens: this.assembler.deliveredTokens.length,
+      excluded: this.#excluded,
+    };
+  }
+
+  /** Sends one attempt and waits for its end. */
+  async runAttempt(
+    placement: Placement,
+    permit?: OncePermit,
+  ): Promise<AttemptEnd> {
+    const request = this.#attemptRequest(placement.endpoint, permit);
+    this.#tellSent(request);
+    this.#attempt = new Attempt({
+      context: this.options.context,
+      request,
+      placement,
+      assembler: this.assembler,
+    });
+    const end = await this.#attempt.ended;
+    this.#attempt = undefined;
+    if (end.kind !== "complete") this.#excluded.add(placement.endpoint);
+    if (end.kind === "failed") this.#mayHaveRun = true;
+    return end;
+  }
+
+  /** Gives the whole answer's end to the caller. */
+  finishAnswered(): void {
+    const complete = this.assembler.complete;
+    if (complete === undefined) return;
+    if (complete.kind === "generation") {
+      const { tokens, reason } = complete.frame;
+      this.finish({ kind: "answered", tokens, reason });
+    } else {
+      const { status, contentType = "text/plain", body } = complete.frame;
+      this.giveResponse({ status, contentType, body });
+    }
+  }
+
+  giveResponse(
+    answer: { status: number; contentType: string; body: string },
+  ): void {
+    if (this.#settled) return;
+    this.options.context.tell("response_delivered", {
+      requestId: this.options.request.requestId,
+      status: answer.status,
+      body: answer.body,
+    });
+    this.options.sink.response(answer);
+    this.finish({ kind: "answered", tokens: 0, reason: "response" });
+  }
+
+  /** A refusal is only true while no attempt can have run. */
+  finishWithout(refusal: Refusal): void {
+    if (!this.#mayHaveRun) return this.finish(refusal);
+    this.finish({
+      ...unknownOutcome(`The answer could not be completed: ${refusal.detail}`),
+      retryAfterMilliseconds: refusal.retryAfterMilliseconds,
+    });
+  }
+
+  finish(outcome: Outcome): void {
+    if (this.#settled) return;
+    this.#settled = true;
+    this.#deadline.cancel();
+    const { request, context, sink, done } = this.options;
+    context.tell("request_finished", {
+      requestId: request.requestId,
+      outcome: outcome.kind,
+      reason: outcome.kind === "unknown" ? outcome.detail : outcome.reason,
+      tokens: this.assembler.deliveredTokens.length,
+      ...(request.idempotencyKey && { key: request.idempotencyKey }),
+    });
+    sink.finish(outcome);
+    done(outcome);
+  }
+
+  #onDeadline(): void {
+    if (this.#settled) return;
+    this.#waiting?.cancel();
+    if (this.#attempt !== undefined) this.#mayHaveRun = true;
+    this.#abandonAttempt();
+    this.finishWithout({
+      kind: "not_run",
+      reason: "late",
+      detail: "The deadline has passed",
+      retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS,
+    });
+  }
+
+  #abandonAttempt(): void {
+    if (this.options.cancelsAttempts) this.#attempt?.cancel();
+  }
+
+  #deliver(text: string, index: number): void {
+    if (this.#settled) return;
+    const { context, request, sink } = this.options;
+    context.tell("token_delivered", {
+      requestId: request.requestId,
+      index,
+      text,
+    });
+    if (!sink.token(text)) this.#attempt?.pause();
+  }
+
+  #attemptRequest(
+    endpoint: EndpointId,
+    permit: OncePermit | undefined,
+  ): AttemptRequest {
+    const { request, workClass, profile, context } = this.options;
+    this.#attempts += 1;
+    const attempt: AttemptRequest = {
+      attemptId: `${request.requestId}.${this.#attempts}`,
+      requestId: request.requestId,
+      endpoint,
+      className: workClass.name,
+      priority: workClass.priority,
+      deadlineMilliseconds: profile.deadline - context.timer.now(),
+      work: request.work,
+      promptTokens: profile.promptTokens,
+      mayPause: workClass.mayPause ?? false,
+    };
+    const delivered = this.assembler.deliveredTokens;
+    if (delivered.length > 0) attempt.deliveredTokens = [...delivered];
+    if (permit !== undefined) attempt.once = permit;
+    if (request.traceparent) attempt.traceparent = request.traceparent;
+    return attempt;
+  }
+
+  #tellSent(attempt: AttemptRequest): void {
+    const { context } = this.options;
+    const facts: Record<string, string | number | boolean> = {
+      requestId: attempt.requestId,
+      attemptId: attempt.attemptId,
+      endpoint: attempt.endpoint,
+    };
+    if (attempt.once !== undefined) {
+      facts.record = attempt.once.record;
+      facts.key = attempt.once.key;
+    }
+    if (this.#attempts > 1) context.tell("retry", facts);
+    context.tell("attempt_sent", facts);
+  }
+}
+
+/** How a slot that was not used goes back. */
+export const UNUSED_SLOT: AttemptSummary = {
+  result: "cancelled",
+  tokens: 0,
+  totalMilliseconds: 0,
+};
+
+/** No endpoint has taken the request, for the reason that `detail` gives. */
+export function notPlaced(detail: string): Refusal {
+  return {
+    kind: "not_run",
+    reason: "no_endpoint",
+    detail: `No endpoint took the request: ${detail}`,
+    retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS,
+  };
+}
+
+export function unknownOutcome(detail: string): UnknownOutcome {
+  return {
+    kind: "unknown",
+    detail,
+    retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS,
+  };
+}
--- /dev/null
+++ b/src/entry/run_context.ts
@@ -0,0 +1,23 @@
+import type { AvailabilityZoneId } from "../core/identity/mod.ts";
+import type { SideLink } from "../core/links/mod.ts";
+import type { HistoryEventKind } from "../core/observation/mod.ts";
+import type { OnceCoordinator } from "../core/once/mod.ts";
+import type { Scheduler } from "../core/scheduling/mod.ts";
+import type { TimerService } from "../core/time/mod.ts";
+import type { SideDirectory } from "./side_directory.ts";
+
+/** What every request's run at one entry shares. */
+export interface RunContext {
+  readonly timer: TimerService;
+  readonly availabilityZone: AvailabilityZoneId;
+  readonly scheduler: Scheduler;
+  readonly sides: SideLink;
+  readonly directory: SideDirectory;
+  readonly once: OnceCoordinator;
+  /** Most attempts of one request, the first included. */
+  readonly mostAttempts: number;
+  readonly tell: (
+    kind: HistoryEventKind,
+    facts: Record<string, string | number | boolean>,
+  ) => void;
+}
--- a/src/side/side_core.ts
+++ b/src/side/side_core.ts
@@ -28,6 +28,7 @@
   SideReport,
   WatchAnswer,
 } from "../generated/messages.ts";
+import type { AttemptEnd } from "./attempt_run.ts";
 import { GenerationRun } from "./attempt_run.ts";
 import { RecentAttempts } from "./recent_attempts.ts";
 import { ServiceRun } from "./service_run.ts";
@@ -98,10 +99,10 @@
   readonly #recent: RecentAttempts;
   readonly #watches: WatchLoop[] = [];
   readonly #running = new Map<string, RunningAttempt>();
-  readonly #waitingAttempts = new Set<string>();
   #configuration: EndpointConfiguration | undefined;
   #configurationVersion = 0;
   #ordersRead = -1;
+  #orderTaken = -1;
   #observation: EngineObservation | undefined;
   #endpointDown = false;
   #leaving = false;
@@ -119,8 +120,11 @@
     });
     this.#once = new SideOnceTable({
       incarnation: options.incarnation,
-      mostKeptAnswers: options.limits.mostKeptAnswers,
-      mostKeptAnswerBytes: options.limits.mostKeptAnswerBytes,
+      limits: {
+        records: options.limits.mostKeptAnswers,
+        answerBytes: options.limits.mostKeptAnswerBytes,
+      },
+      onBarred: (key, record) => this.#tell("once_barred", { key, record }),
     });
     this.#recent = new RecentAttempts(options.timer);
     this.#orders = new OrderExecutor({
@@ -138,7 +142,7 @@
 
   /** Starts watching entries and observing the endpoint. */
   start(): void {
-    this.#tell("process_started", {});
+    this.#tell("process_started", { role: "side" });
     const addresses = attachments(
       this.#options.endpointId,
       this.#options.entryAddresses,
@@ -155,7 +159,7 @@
    */
   async stop(): Promise<void> {
     this.#leaving = true;
-    this.#tell("side_draining", { endpoint: this.#options.endpointId });
+    this.#tell("side_draining", { cause: "stop" });
     await this.#idleWithin(this.#options.limits.shutdownSeconds * 1000);
     this.halt();
   }
@@ -199,6 +203,7 @@
       load: this.#limiter.load(),
       configurationVersion: this.#configurationVersion,
       ordersRead: this.#ordersRead,
+      orderTaken: this.#orderTaken,
       orderApplied: this.#orders.applied,
     };
   }
@@ -231,17 +236,17 @@
     const closed = this.#closedBecause(attempt);
     if (closed !== undefined) return refuse(closed);
     const deadline = this.#options.timer.now() + attempt.deadlineMilliseconds;
-    const entered = this.#limiter.enter({
+    const entering = this.#limiter.enter({
       priority: attempt.priority,
       className: attempt.className,
       deadlineMilliseconds: attempt.deadlineMilliseconds,
+      mayPause: attempt.mayPause,
+      attemptId: attempt.attemptId,
+      promptTokens: attempt.promptTokens,
     });
-    if (entered.isErr()) return refuse(entered.error.reason);
-    io.pending.onCancel(() => entered.value.cancel());
-    this.#waitingAttempts.add(attempt.attemptId);
-    const slot = await entered.value.granted;
-    this.#waitingAttempts.delete(attempt.attemptId);
-    if (slot.isErr()) return refuse(slot.error.reason);
+    this.#yieldToUrgent();
+    const slot = await entering;
+    if (slot.isErr()) return refuse(slot.error.name);
     this.#start(attempt, { ...io, slot: slot.value, deadline });
   }
 
@@ -265,16 +270,22 @@
     },
   ): void {
     const giveUp = (reason: NotRunFrame["reason"]) => {
-      io.slot.release();
       this.#refuse(attempt, { reason, emit: io.emit });
+      io.slot.release();
     };
     // The state may have changed while the attempt waited for its slot.
     const closed = this.#closedBecause(attempt);
     if (closed !== undefined) return giveUp(closed);
     if (io.pending.cancelled) return giveUp("late");
-    const permitted = this.#permit(attempt);
-    if (permitted !== undefined) return giveUp(permitted);
-    this.#tell("endpoint_started", startedFacts(attempt));
+    if (attempt.once !== undefined) {
+      const begun = this.#once.begin(attempt.once);
+      if (begun === "already") {
+        io.slot.release();
+        return emitAlreadyRun(attempt, io.emit);
+      }
+      if (begun !== "run") return giveUp(begun);
+    }
+    this.#tell("endpoint_started", attemptFacts(attempt));
     io.emit({ kind: "started", attemptId: attempt.attemptId });
     const running = attempt.work.kind === "generation"
       ? this.#startGeneration(attempt, io)
@@ -285,14 +296,14 @@
   }
 
   /**
-   * A call that may have its effect once only needs a permit that this run
-   * of the side has neither used nor barred.
+   * Urgent work waits behind bulk that fills the batch: the bulk attempt goes
+   * back to its entry, which resumes it elsewhere or later from the tokens
+   * that its caller already has.
    */
-  #permit(attempt: AttemptRequest): NotRunFrame["reason"] | undefined {
-    if (attempt.once === undefined) return undefined;
-    const begun = this.#once.begin(attempt.once);
-    if (begun === "run") return undefined;
-    return begun === "already" ? "barred" : begun;
+  #yieldToUrgent(): void {
+    const slot = this.#limiter.toPause();
+    if (slot?.attemptId === undefined) return;
+    this.#running.get(slot.attemptId)?.move();
   }
 
   #startGeneration(
@@ -358,10 +369,15 @@
     return { handle, settled: false };
   }
 
-  #finished(attempt: AttemptRequest, end: string): void {
+  #finished(attempt: AttemptRequest, end: AttemptEnd): void {
     this.#running.delete(attempt.attemptId);
-    const kind = end === "answered" ? "endpoint_executed" : "endpoint_cancelled";
-    this.#tell(kind, { ...startedFacts(attempt), end });
+    const cause = CANCEL_CAUSES[end];
+    if (cause === undefined) {
+      const result = end === "answered" ? "answered" : "failed";
+      this.#tell("endpoint_finished", { ...attemptFacts(attempt), result });
+    } else {
+      this.#tell("endpoint_cancelled", { ...attemptFacts(attempt), cause });
+    }
     if (this.#running.size > 0) return;
     const listeners = this.#idleListeners;
     this.#idleListeners = [];
@@ -370,17 +386,18 @@
 
   /**
    * Says "not run", and makes it stay true: a copy of the message that is
-   * still on its way must not run later, so the permit is barred first.
+   * still on its way must not run later, so the permit is barred first. Where
+   * another copy has run already, "not run" would be a lie.
    */
   #refuse(
     attempt: AttemptRequest,
     io: { reason: NotRunFrame["reason"]; emit: (frame: AttemptFrame) => void },
   ): void {
-    if (attempt.once !== undefined) {
-      this.#once.ask({ ...attempt.once, bar: true });
+    if (attempt.once !== undefined && !this.#once.refuse(attempt.once)) {
+      return emitAlreadyRun(attempt, io.emit);
     }
     this.#tell("attempt_refused", {
-      ...startedFacts(attempt),
+      ...attemptFacts(attempt),
       reason: io.reason,
     });
     io.emit({
@@ -425,6 +442,8 @@
     }
     this.#ordersRead = Math.max(this.#ordersRead, answer.ordersRead);
     if (answer.order === undefined) return;
+    if (answer.order.offset <= this.#orderTaken) return;
+    this.#orderTaken = answer.order.offset;
     if (this.#configuration?.state === "withdrawn") return;
     this.#orders.take(answer.order);
   }
@@ -491,17 +510,36 @@
   }
 }
 
+/** Ends that the side itself brings about, and why. */
+const CANCEL_CAUSES: Partial<Record<AttemptEnd, string>> = {
+  cancelled: "caller",
+  deadline: "deadline",
+  moved: "planned",
+};
+
 const WITHDRAWN: EndpointConfiguration = {
   state: "withdrawn",
   checksFencing: false,
 };
 
-function startedFacts(
+/** The record was used before, so nothing here can say "not run". */
+function emitAlreadyRun(
+  attempt: AttemptRequest,
+  emit: (frame: AttemptFrame) => void,
+): void {
+  emit({
+    kind: "failed",
+    attemptId: attempt.attemptId,
+    reason: "already_run",
+  });
+}
+
+function attemptFacts(
   attempt: AttemptRequest,
 ): Record<string, string | number | boolean> {
   const facts: Record<string, string | number | boolean> = {
-    request: attempt.requestId,
-    attempt: attempt.attemptId,
+    requestId: attempt.requestId,
+    attemptId: attempt.attemptId,
     idempotent: attempt.work.kind === "generation" || attempt.work.idempotent,
   };
   if (attempt.once !== undefined) {
@@ -514,25 +552,19 @@
 /** Stands for an attempt before and after it gets its slot. */
 class PendingAttempt implements AttemptHandle {
   #handle: AttemptHandle | undefined;
-  #onCancel: (() => void) | undefined;
   #cancelled = false;
 
   get cancelled(): boolean {
     return this.#cancelled;
   }
 
-  onCancel(listener: () => void): void {
-    this.#onCancel = listener;
-  }
-
   attach(handle: AttemptHandle): void {
     this.#handle = handle;
   }
 
   cancel(): void {
     this.#cancelled = true;
-    if (this.#handle !== undefined) this.#handle.cancel();
-    else this.#onCancel?.();
+    this.#handle?.cancel();
   }
 
   pause(): void {
