Add clients of the platform and endpoints, and their stand-ins

Cause: the cores know the log service, endpoints and time only as functions passed to them; a process needs them over HTTP and real time.

Change: src/adapters/time, http_client, log_service and endpoint over Node's http; test/stand_ins with a model engine, plain service, log service, VM list and weight store, each a process and a class. What the platform answers stands in src/schema/platform.json, whose validators check it (additive schema).

Decisions: a failure before the connection stood had no effect (log_unavailable, endpoint_refused); one after it may have had one (log_unknown and the others). Calls that may run once only get a connection of their own, since a kept connection that closes at the same moment can't tell the two apart. A stream counts as whole only with a finish reason and the end mark.

Ruled out: a generated validator for each token's chunk; it runs once a token and collects problems nobody reads, so the chunk is checked by hand.

Conclusion: good enough to compose; the engine's late cache events have no reader yet.

--- /dev/null
+++ b/src/adapters/endpoint/generation.ts
@@ -0,0 +1,153 @@
+import type { IncomingMessage } from "node:http";
+import { StringDecoder } from "node:string_decoder";
+import { createParser, type EventSourceParser } from "eventsource-parser";
+import { err, ok, type Result } from "../../core/errors/result.ts";
+import { failure } from "../../core/errors/mod.ts";
+import type { EndpointFailure } from "../../core/links/mod.ts";
+import { ENDPOINT_CLOSED, ENDPOINT_ERROR, ENDPOINT_GARBAGE } from "./errors.ts";
+
+/**
+ * Most characters of one event. A token is a few characters; an engine that
+ * sends megabytes without an end of line would fill the side's memory.
+ */
+const MOST_EVENT_CHARACTERS = 256 * 1024;
+const END_OF_STREAM = "[DONE]";
+
+export interface GenerationReaderOptions {
+  readonly url: string;
+  readonly onToken: (text: string) => void;
+  readonly mostBytes: number;
+}
+
+/** How a stream of tokens ended. */
+export type GenerationEnd = Result<"stop" | "length", EndpointFailure>;
+
+/**
+ * Reads one stream of server-sent events. A stream counts as whole only with
+ * a finish reason and the end mark behind it: an engine that is killed
+ * closes its connection like one that is done, and without this rule the
+ * caller would get a short answer that looks whole.
+ */
+export class GenerationReader {
+  /** Settles when the stream has ended, well or badly. */
+  readonly finished: Promise<GenerationEnd>;
+  readonly #incoming: IncomingMessage;
+  readonly #options: GenerationReaderOptions;
+  readonly #parser: EventSourceParser;
+  readonly #decoder = new StringDecoder("utf8");
+  #settle: (end: GenerationEnd) => void = () => {};
+  #settled = false;
+  #bytes = 0;
+  #reason: "stop" | "length" | undefined;
+
+  constructor(incoming: IncomingMessage, options: GenerationReaderOptions) {
+    this.#incoming = incoming;
+    this.#options = options;
+    this.finished = new Promise((resolve) => this.#settle = resolve);
+    this.#parser = createParser({
+      onEvent: (event) => this.#onEvent(event.data),
+      onError: (error) => {
+        if (error.type === "max-buffer-size-exceeded") {
+          this.#garbage("an event without an end");
+        }
+      },
+      maxBufferSize: MOST_EVENT_CHARACTERS,
+    });
+    incoming.on("data", (piece: Buffer) => this.#onPiece(piece));
+    const cutOff = () => this.#closed();
+    incoming.on("end", cutOff);
+    incoming.on("error", cutOff);
+    incoming.on("close", cutOff);
+  }
+
+  #onPiece(piece: Buffer): void {
+    if (this.#settled) return;
+    this.#bytes += piece.length;
+    if (this.#bytes > this.#options.mostBytes) {
+      this.#garbage(`more than ${this.#options.mostBytes} bytes`);
+      return;
+    }
+    this.#parser.feed(this.#decoder.write(piece));
+  }
+
+  #onEvent(data: string): void {
+    if (this.#settled) return;
+    if (data === END_OF_STREAM) {
+      if (this.#reason === undefined) {
+        this.#garbage("the end mark came without a finish reason");
+      } else this.#end(ok(this.#reason));
+      return;
+    }
+    const chunk = parseChunk(data);
+    if (chunk === undefined) {
+      this.#garbage("an event is no completion chunk");
+      return;
+    }
+    if (chunk.error !== undefined) {
+      this.#end(err(failure(ENDPOINT_ERROR, this.#facts(chunk.error))));
+      return;
+    }
+    if (chunk.text !== undefined && chunk.text !== "") {
+      if (this.#reason !== undefined) {
+        this.#garbage("a token came behind the finish reason");
+        return;
+      }
+      this.#options.onToken(chunk.text);
+    }
+    if (chunk.reason !== undefined) this.#reason = chunk.reason;
+  }
+
+  #closed(): void {
+    const reason = "the stream ended without its end mark";
+    this.#end(err(failure(ENDPOINT_CLOSED, this.#facts(reason))));
+  }
+
+  #garbage(reason: string): void {
+    this.#end(err(failure(ENDPOINT_GARBAGE, this.#facts(reason))));
+    this.#incoming.destroy();
+  }
+
+  #facts(reason: string): { url: string; reason: string } {
+    return { url: this.#options.url, reason };
+  }
+
+  #end(end: GenerationEnd): void {
+    if (this.#settled) return;
+    this.#settled = true;
+    this.#settle(end);
+  }
+}
+
+interface Chunk {
+  readonly text?: string;
+  readonly reason?: "stop" | "length";
+  readonly error?: string;
+}
+
+/**
+ * Takes what is needed from one chunk. Written by hand as it runs once for
+ * every token; a validator that collects problems costs several times more.
+ */
+function parseChunk(data: string): Chunk | undefined {
+  let value;
+  try {
+    value = JSON.parse(data);
+  } catch {
+    return undefined;
+  }
+  if (typeof value !== "object" || value === null) return undefined;
+  if (value.error !== undefined) {
+    return { error: String(value.error?.message ?? "no reason given") };
+  }
+  const choice = value.choices?.[0];
+  if (typeof choice !== "object" || choice === null) return undefined;
+  const text = choice.delta?.content;
+  if (text !== undefined && text !== null && typeof text !== "string") {
+    return undefined;
+  }
+  const reason = choice.finish_reason ?? undefined;
+  if (reason !== undefined && reason !== "stop" && reason !== "length") {
+    return undefined;
+  }
+  return { text: text ?? undefined, reason };
+}
--- /dev/null
+++ b/src/adapters/endpoint/mod_test.ts
@@ -0,0 +1,217 @@
+import { expect } from "chai";
+import { expectedAnswer } from "../../../test/stand_ins/engine_answers.ts";
+import { ModelEngineStandIn } from "../../../test/stand_ins/model_engine.ts";
+import { PlainServiceStandIn } from "../../../test/stand_ins/plain_service.ts";
+import type { AttemptRequest } from "../../generated/messages.ts";
+import { SystemTimerService } from "../time/mod.ts";
+import { HttpEndpointLink } from "./mod.ts";
+
+const MESSAGES = [{ role: "user", content: "Dumping by the river" }];
+
+describe("HttpEndpointLink", () => {
+  const timer = new SystemTimerService();
+
+  describe("a model engine", () => {
+    let engine: ModelEngineStandIn;
+    let link: HttpEndpointLink;
+
+    beforeEach(async () => {
+      engine = new ModelEngineStandIn({
+        slots: 4,
+        millisecondsBetweenTokens: 1,
+        checksFencing: true,
+        roleChangeMilliseconds: 60,
+      });
+      const port = await engine.listen();
+      link = new HttpEndpointLink(`http://127.0.0.1:${port}`, {
+        timer,
+        mostResponseBytes: 1024 * 1024,
+      });
+    });
+
+    afterEach(async () => {
+      link.close();
+      await engine.close();
+    });
+
+    it("gives every token once and the reason of the end", async () => {
+      const tokens: string[] = [];
+      const call = link.generate(generation(), (text) => tokens.push(text));
+      const end = await call.finished;
+      const expected = expectedAnswer("triage-llm", MESSAGES);
+      expect(end._unsafeUnwrap()).to.equal(expected.reason);
+      expect(tokens).to.deep.equal(expected.tokens);
+    });
+
+    it("goes on behind the tokens that were delivered", async () => {
+      const whole = expectedAnswer("triage-llm", MESSAGES).tokens;
+      const tokens: string[] = [];
+      const attempt = { ...generation(), deliveredTokens: whole.slice(0, 5) };
+      const call = link.generate(attempt, (text) => tokens.push(text));
+      expect((await call.finished).isOk()).to.equal(true);
+      expect(tokens).to.deep.equal(whole.slice(5));
+    });
+
+    it("cancels at the engine", async () => {
+      let tokens = 0;
+      const call = link.generate(generation("answer-tokens=5000"), () => {
+        if (++tokens === 3) call.cancel();
+      });
+      expect((await call.finished).isErr()).to.equal(true);
+      await sleep(30);
+      expect(tokens).to.equal(3);
+      expect(engine.counts.cancelled).to.equal(1);
+    });
+
+    // A caller reads slowly. If the side went on reading, the whole answer
+    // would pile up in its memory; paused, the engine itself is held back.
+    it("holds the engine back while paused", async () => {
+      let tokens = 0;
+      const call = link.generate(generation("answer-tokens=100000"), () => {
+        if (++tokens === 10) call.pause();
+      });
+      await sleep(400);
+      const paused = tokens;
+      await sleep(100);
+      expect(tokens).to.equal(paused);
+      call.resume();
+      await sleep(50);
+      expect(tokens).to.be.greaterThan(paused);
+      call.cancel();
+    });
+
+    const brokenStreams = [
+      ["closes in mid-token", { closeAfterTokens: 3 }, "endpoint_closed"],
+      ["sends garbage", { garbageAfterTokens: 3 }, "endpoint_garbage"],
+      ["ends without its end mark", { shortAfterTokens: 3 }, "endpoint_closed"],
+      ["sends without end", { floodAfterTokens: 3 }, "endpoint_garbage"],
+      ["refuses", { refuseStatus: 503 }, "endpoint_refused"],
+      ["fails", { refuseStatus: 500 }, "endpoint_error"],
+    ] as const;
+    for (const [what, faults, name] of brokenStreams) {
+      // The engine misbehaves in the middle of an answer. Taken for an end,
+      // the caller would get a short answer that looks whole.
+      it(`gives a typed failure where the engine ${what}`, async () => {
+        Object.assign(engine.faults, faults);
+        let tokens = 0;
+        const call = link.generate(generation(), () => tokens++);
+        const end = await call.finished;
+        expect(end._unsafeUnwrapErr().name).to.equal(name);
+        expect(tokens).to.equal("refuseStatus" in faults ? 0 : 3);
+      });
+    }
+
+    it("knows that a refused connection started nothing", async () => {
+      await engine.close();
+      const end = await link.generate(generation(), () => {}).finished;
+      expect(end._unsafeUnwrapErr().name).to.equal("endpoint_refused");
+    });
+
+    it("gives orders and sees the change", async () => {
+      const target = { role: "decode" as const };
+      expect((await link.order(target, 7)).isOk()).to.equal(true);
+      const during = (await link.observe())._unsafeUnwrap();
+      await sleep(100);
+      const after = (await link.observe())._unsafeUnwrap();
+      expect([during.changing, after.changing]).to.deep.equal([true, false]);
+      expect(after.role).to.equal("decode");
+    });
+
+    // A planner that was paused wakes and orders with its old number. Where
+    // the engine checks, the order has to come back as fenced.
+    it("tells that an order was fenced", async () => {
+      await link.order({ role: "decode" }, 7);
+      const late = await link.order({ role: "prefill" }, 6);
+      expect(late._unsafeUnwrapErr().name).to.equal("order_fenced");
+    });
+  });
+
+  describe("a plain service", () => {
+    let service: PlainServiceStandIn;
+    let link: HttpEndpointLink;
+
+    beforeEach(async () => {
+      service = new PlainServiceStandIn();
+      const port = await service.listen();
+      link = new HttpEndpointLink(`http://127.0.0.1:${port}`, {
+        timer,
+        mostResponseBytes: 10_000,
+      });
+    });
+
+    afterEach(async () => {
+      link.close();
+      await service.close();
+    });
+
+    it("passes the call on with its key", async () => {
+      const answer = (await link.call(serviceCall()))._unsafeUnwrap();
+      const body = JSON.parse(answer.body);
+      expect(answer.status).to.equal(201);
+      expect(answer.contentType).to.equal("application/json");
+      expect(body.method).to.equal("POST");
+      expect(body.path).to.equal("/case-numbers");
+      expect(body.received).to.equal('{"pile":1}');
+      expect(service.runs.get("key-1")).to.equal(1);
+    });
+
+    const brokenAnswers = [
+      ["loses its answer", { lostAnswers: 1 }, "endpoint_unreachable"],
+      ["breaks off", { cutAnswers: 1 }, "endpoint_closed"],
+      ["answers too much", { paddingBytes: 20_000 }, "endpoint_garbage"],
+      ["hangs", { delayMilliseconds: 900 }, "endpoint_unreachable"],
+    ] as const;
+    for (const [what, faults, name] of brokenAnswers) {
+      // The permit is booked and its answer does not come through. None of
+      // these may pass for "not run", or it is booked twice.
+      it(`says that work may have run where it ${what}`, async () => {
+        Object.assign(service.faults, faults);
+        const answer = await link.call(serviceCall());
+        expect(answer._unsafeUnwrapErr().name).to.equal(name);
+        expect(service.runs.get("key-1")).to.equal(1);
+      });
+    }
+  });
+});
+
+function generation(content = MESSAGES[0].content): AttemptRequest {
+  return {
+    ...attempt(),
+    work: {
+      kind: "generation",
+      model: "triage-llm",
+      messages: [{ role: "user", content }],
+      mostOutputTokens: 4096 * 100,
+    },
+  };
+}
+
+function serviceCall(): AttemptRequest {
+  return {
+    ...attempt(),
+    once: { key: "key-1", record: 3, sideIncarnation: "one" },
+    work: {
+      kind: "service",
+      method: "POST",
+      path: "/case-numbers",
+      contentType: "application/json",
+      body: '{"pile":1}',
+      idempotent: false,
+    },
+  };
+}
+
+function attempt(): Omit<AttemptRequest, "work"> {
+  return {
+    attemptId: "attempt-1",
+    requestId: "request-1",
+    endpoint: "triage-llm-01",
+    className: "urgent",
+    priority: 0,
+    deadlineMilliseconds: 500,
+  };
+}
+
+function sleep(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
--- /dev/null
+++ b/src/adapters/http_client/mod.ts
@@ -0,0 +1,184 @@
+/** Calls to the platform and to endpoints over Node's http. */
+import { Agent, type IncomingMessage, request } from "node:http";
+import { err, ok, type Result } from "../../core/errors/result.ts";
+import { type Failure, failure } from "../../core/errors/mod.ts";
+import type { TimerService } from "../../core/time/mod.ts";
+import {
+  HTTP_CLOSED,
+  HTTP_NO_ANSWER,
+  HTTP_NOT_SENT,
+  HTTP_TOO_LARGE,
+} from "./errors.ts";
+
+/** `http_not_sent`: no byte left. The others: the call may have its effect. */
+export type HttpFailure = Failure<
+  "http_not_sent" | "http_no_answer" | "http_closed" | "http_too_large"
+>;
+
+/** A whole answer. */
+export interface HttpAnswer {
+  readonly status: number;
+  readonly contentType: string;
+  readonly body: string;
+}
+
+/** What is sent. */
+export interface HttpRequestOptions {
+  readonly method: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+  /**
+   * True: a connection of its own. On a kept connection that the service
+   * closes at the same moment, a request that was never read looks like one
+   * whose answer was lost; work that may run once only would then end as
+   * "unknown" for no reason.
+   */
+  readonly ownConnection?: boolean;
+}
+
+export interface HttpCallOptions extends HttpRequestOptions {
+  readonly timeoutMilliseconds: number;
+  readonly mostResponseBytes: number;
+}
+
+/** A request that is under way. */
+export interface HttpExchange {
+  /** Settles when the head of the answer is there. */
+  readonly response: Promise<Result<IncomingMessage, HttpFailure>>;
+  /** Closes the connection. */
+  abort(reason: string): void;
+}
+
+export interface HttpClientOptions {
+  readonly timer: TimerService;
+  /** Most connections at once; further calls wait for one. */
+  readonly mostConnections?: number;
+}
+
+/** A service at one base URL, with kept connections. */
+export class HttpClient {
+  readonly #baseUrl: URL;
+  readonly #timer: TimerService;
+  readonly #agent: Agent;
+
+  constructor(baseUrl: string, options: HttpClientOptions) {
+    this.#baseUrl = new URL(baseUrl);
+    this.#timer = options.timer;
+    this.#agent = new Agent({
+      keepAlive: true,
+      noDelay: true,
+      maxSockets: options.mostConnections ?? Infinity,
+    });
+  }
+
+  /** Sends a request; the answer's body is the caller's to read. */
+  open(path: string, options: HttpRequestOptions): HttpExchange {
+    const url = this.#url(path);
+    let connected = false;
+    let abortReason: string | undefined;
+    const outgoing = request(url, {
+      method: options.method,
+      agent: options.ownConnection ? false : this.#agent,
+      headers: headersFor(options),
+    });
+    const response = new Promise<Result<IncomingMessage, HttpFailure>>(
+      (resolve) => {
+        outgoing.on("socket", (socket) => {
+          if (!socket.connecting) connected = true;
+          else socket.once("connect", () => connected = true);
+        });
+        outgoing.on("response", (incoming) => resolve(ok(incoming)));
+        outgoing.on("error", (cause) => {
+          const definition = connected ? HTTP_NO_ANSWER : HTTP_NOT_SENT;
+          const reason = abortReason ?? reasonOf(cause);
+          resolve(err(failure(definition, { url: url.href, reason })));
+        });
+      },
+    );
+    outgoing.end(options.body);
+    return {
+      response,
+      abort(reason) {
+        abortReason = reason;
+        outgoing.destroy();
+      },
+    };
+  }
+
+  /** Sends a request and reads the whole answer, within time and size. */
+  async call(
+    path: string,
+    options: HttpCallOptions,
+  ): Promise<Result<HttpAnswer, HttpFailure>> {
+    const exchange = this.open(path, options);
+    const limit = this.#timer.after(
+      options.timeoutMilliseconds,
+      () => exchange.abort(`no answer in ${options.timeoutMilliseconds} ms`),
+    );
+    const response = await exchange.response;
+    const answer = response.isErr()
+      ? err(response.error)
+      : await readAnswer(response.value, {
+        url: this.#url(path).href,
+        mostBytes: options.mostResponseBytes,
+      });
+    limit.cancel();
+    return answer;
+  }
+
+  /** Closes kept connections. */
+  close(): void {
+    this.#agent.destroy();
+  }
+
+  #url(path: string): URL {
+    const prefix = this.#baseUrl.pathname.replace(/\/$/, "");
+    return new URL(prefix + path, this.#baseUrl);
+  }
+}
+
+function headersFor(options: HttpRequestOptions): Record<string, string> {
+  const headers: Record<string, string> = { ...options.headers };
+  if (options.body !== undefined) {
+    headers["content-length"] = String(Buffer.byteLength(options.body));
+  }
+  return headers;
+}
+
+function reasonOf(cause: Error): string {
+  const code = (cause as NodeJS.ErrnoException).code;
+  return code === undefined ? cause.message : `${code} ${cause.message}`.trim();
+}
+
+function readAnswer(
+  incoming: IncomingMessage,
+  options: { url: string; mostBytes: number },
+): Promise<Result<HttpAnswer, HttpFailure>> {
+  const { url, mostBytes } = options;
+  const pieces: Buffer[] = [];
+  let size = 0;
+  return new Promise((resolve) => {
+    incoming.on("data", (piece: Buffer) => {
+      size += piece.length;
+      if (size > mostBytes) {
+        resolve(err(failure(HTTP_TOO_LARGE, { url, limit: mostBytes })));
+        incoming.destroy();
+        return;
+      }
+      pieces.push(piece);
+    });
+    incoming.on("end", () => {
+      resolve(ok({
+        status: incoming.statusCode ?? 0,
+        contentType: incoming.headers["content-type"] ??
+          "application/octet-stream",
+        body: Buffer.concat(pieces).toString("utf8"),
+      }));
+    });
+    const cutOff = () => {
+      resolve(err(failure(HTTP_CLOSED, { url })));
+    };
+    incoming.on("error", cutOff);
+    incoming.on("close", cutOff);
+  });
+}
--- /dev/null
+++ b/src/adapters/time/mod_test.ts
@@ -0,0 +1,44 @@
+import { expect } from "chai";
+import { SystemTimerService } from "./mod.ts";
+
+describe("SystemTimerService", () => {
+  const timer = new SystemTimerService();
+
+  describe("after", () => {
+    it("calls once, not before the delay", async () => {
+      const started = timer.now();
+      await new Promise<void>((resolve) => timer.after(20, resolve));
+      expect(timer.now() - started).to.be.at.least(19);
+    });
+
+    it("does not fire what was cancelled", async () => {
+      let fired = false;
+      timer.after(1, () => fired = true).cancel();
+      await new Promise<void>((resolve) => timer.after(15, resolve));
+      expect(fired).to.equal(false);
+    });
+
+    // Node's timers take 31 bits. A time limit of a month would lapse after a
+    // millisecond, and with it a key that still protects a booking.
+    it("waits through delays longer than Node's timers take", async () => {
+      let fired = false;
+      const alarm = timer.after(2 ** 31 + 1000, () => fired = true);
+      await new Promise<void>((resolve) => timer.after(15, resolve));
+      alarm.cancel();
+      expect(fired).to.equal(false);
+    });
+  });
+
+  describe("every", () => {
+    it("calls until cancelled", async () => {
+      let calls = 0;
+      const ticks = timer.every(3, () => calls++);
+      await new Promise<void>((resolve) => timer.after(30, resolve));
+      ticks.cancel();
+      const seen = calls;
+      await new Promise<void>((resolve) => timer.after(15, resolve));
+      expect(seen).to.be.at.least(2);
+      expect(calls).to.equal(seen);
+    });
+  });
+});
--- /dev/null
+++ b/test/stand_ins/engine_cache.ts
@@ -0,0 +1,76 @@
+/** The stand-in engine's prefix cache. */
+
+/** Characters of a block; about sixteen tokens. */
+const BLOCK_CHARACTERS = 64;
+
+/** What the cache tells of itself, late and with gaps. */
+export interface CacheEvent {
+  readonly sequence: number;
+  readonly at: number;
+  readonly added: readonly string[];
+  readonly dropped: readonly string[];
+}
+
+/** Names of a prompt's leading blocks, shortest prefix first. */
+export function prefixBlocks(text: string): string[] {
+  const blocks: string[] = [];
+  let value = 0x811c9dc5;
+  for (let index = 0; index < text.length; index++) {
+    value = Math.imul(value ^ text.charCodeAt(index), 0x01000193);
+    if ((index + 1) % BLOCK_CHARACTERS === 0) {
+      blocks.push((value >>> 0).toString(16));
+    }
+  }
+  return blocks;
+}
+
+/** Least recently used blocks go first; every third event is lost. */
+export class PrefixCache {
+  readonly #mostBlocks: number;
+  readonly #blocks = new Set<string>();
+  readonly #events: CacheEvent[] = [];
+  #sequence = 0;
+
+  constructor(options: { mostTokens: number }) {
+    this.#mostBlocks = Math.max(1, Math.floor(options.mostTokens / 16));
+  }
+
+  /** Share of the prompt that is there already, 0 to 1; keeps the rest. */
+  use(text: string): number {
+    const blocks = prefixBlocks(text);
+    let known = 0;
+    while (known < blocks.length && this.#blocks.has(blocks[known])) known++;
+    this.keep(blocks);
+    return text.length === 0 ? 0 : known * BLOCK_CHARACTERS / text.length;
+  }
+
+  keep(blocks: readonly string[]): void {
+    const added = blocks.filter((block) => !this.#blocks.has(block));
+    for (const block of blocks) {
+      this.#blocks.delete(block);
+      this.#blocks.add(block);
+    }
+    const dropped: string[] = [];
+    for (const block of this.#blocks) {
+      if (this.#blocks.size <= this.#mostBlocks) break;
+      this.#blocks.delete(block);
+      dropped.push(block);
+    }
+    if (added.length + dropped.length > 0) this.#tell(added, dropped);
+  }
+
+  /** Events older than the lag, without the lost ones. */
+  events(options: { from: number; lagMilliseconds: number }): CacheEvent[] {
+    const newest = performance.now() - options.lagMilliseconds;
+    return this.#events.filter((event) =>
+      event.sequence >= options.from && event.at <= newest
+    );
+  }
+
+  #tell(added: readonly string[], dropped: readonly string[]): void {
+    const sequence = this.#sequence++;
+    if (sequence % 3 === 2) return;
+    this.#events.push({ sequence, at: performance.now(), added, dropped });
+    if (this.#events.length > 1000) this.#events.shift();
+  }
+}
--- /dev/null
+++ b/test/stand_ins/engine_orders.ts
@@ -0,0 +1,85 @@
+/** How the stand-in engine takes orders. */
+import type { ServerResponse } from "node:http";
+import { sendJson } from "./stand_in_server.ts";
+
+export interface EngineState {
+  role: "mixed" | "prefill" | "decode";
+  models: string[];
+  weights: string;
+}
+
+/** One order as it came. */
+export interface ReceivedOrder {
+  readonly at: number;
+  readonly fencing: number;
+  readonly target: Partial<EngineState>;
+  readonly taken: boolean;
+}
+
+export interface EngineOrdersOptions {
+  readonly checksFencing: boolean;
+  readonly changeMilliseconds: number;
+  onChangeStart(): void;
+  onHalfDone(): void;
+}
+
+/** Target states, changes that take their time, and fencing where it checks. */
+export class EngineOrders {
+  state: EngineState;
+  changing = false;
+  readonly received: ReceivedOrder[] = [];
+  /** Orders that came while a different one was being carried out. */
+  conflicts = 0;
+  readonly #options: EngineOrdersOptions;
+  #newest = -1;
+  #wanted: EngineState;
+  #timers: NodeJS.Timeout[] = [];
+
+  constructor(state: EngineState, options: EngineOrdersOptions) {
+    this.state = state;
+    this.#wanted = state;
+    this.#options = options;
+  }
+
+  onRequest(response: ServerResponse, body: Record<string, unknown>): void {
+    const target = (body.target ?? {}) as Partial<EngineState>;
+    const fencing = Number(body.fencing);
+    const stale = this.#options.checksFencing && fencing < this.#newest;
+    this.received.push({
+      at: performance.now(),
+      fencing,
+      target,
+      taken: !stale,
+    });
+    if (stale) return sendJson(response, 409, { newest: this.#newest });
+    this.#newest = Math.max(this.#newest, fencing);
+    this.#take({ ...this.#wanted, ...target });
+    sendJson(response, 202, { changing: this.changing });
+  }
+
+  stop(): void {
+    for (const timer of this.#timers) clearTimeout(timer);
+  }
+
+  #take(wanted: EngineState): void {
+    if (isSame(wanted, this.#wanted)) return;
+    if (this.changing) this.conflicts += 1;
+    this.stop();
+    this.#wanted = wanted;
+    this.changing = true;
+    this.#options.onChangeStart();
+    const whole = this.#options.changeMilliseconds;
+    this.#timers = [
+      setTimeout(() => this.#options.onHalfDone(), whole / 2),
+      setTimeout(() => {
+        this.state = wanted;
+        this.changing = false;
+      }, whole),
+    ];
+  }
+}
+
+function isSame(one: EngineState, other: EngineState): boolean {
+  return one.role === other.role && one.weights === other.weights &&
+    one.models.join("\n") === other.models.join("\n");
+}
--- /dev/null
+++ b/test/stand_ins/log_service.ts
@@ -0,0 +1,239 @@
+/** Stand-in of the platform's log service. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import {
+  delay,
+  readJson,
+  runAsProgram,
+  sendJson,
+  StandInServer,
+} from "./stand_in_server.ts";
+
+/** Faults that can be switched while it runs; absent ones keep their value. */
+export interface LogServiceFaults {
+  /** `refuse`: status 503 without effect. `cut`: connections are closed. */
+  down: "no" | "refuse" | "cut";
+  /** Every call takes this much longer. */
+  delayMilliseconds: number;
+  /** So many of the next appends take effect and lose their answer. */
+  lostAnswers: number;
+  /** Readers see a record only when it is this old. */
+  headLagMilliseconds: number;
+}
+
+export interface LogServiceOptions {
+  /** Records that a stream keeps; older ones expire. */
+  readonly mostRecords?: number;
+  readonly appendsPerSecond?: number;
+}
+
+interface Stored {
+  readonly value: unknown;
+  readonly at: number;
+}
+
+class Stream {
+  oldest = 0;
+  readonly records: Stored[] = [];
+
+  get head(): number {
+    return this.oldest + this.records.length;
+  }
+}
+
+/** Offsets, long poll, retention, and faults by `POST /control`. */
+export class LogServiceStandIn {
+  readonly faults: LogServiceFaults = {
+    down: "no",
+    delayMilliseconds: 0,
+    lostAnswers: 0,
+    headLagMilliseconds: 0,
+  };
+  readonly #mostRecords: number;
+  readonly #appendsPerSecond: number;
+  readonly #streams = new Map<string, Stream>();
+  readonly #waiting = new Set<() => void>();
+  readonly #server = new StandInServer((request, response, url) =>
+    this.#handle(request, response, url)
+  );
+  #allowance: number;
+  #allowanceAt = performance.now();
+  #appends = 0;
+
+  constructor(options: LogServiceOptions = {}) {
+    this.#mostRecords = options.mostRecords ?? 100_000;
+    this.#appendsPerSecond = options.appendsPerSecond ?? 400;
+    this.#allowance = this.#appendsPerSecond;
+  }
+
+  listen(port?: number): Promise<number> {
+    return this.#server.listen(port);
+  }
+
+  close(): Promise<void> {
+    this.#wake();
+    return this.#server.close();
+  }
+
+  /** Appends without a socket, as another operator's tool would. */
+  append(name: string, records: readonly unknown[]): number {
+    const stream = this.#stream(name);
+    const offset = stream.head;
+    const at = performance.now();
+    for (const value of records) stream.records.push({ value, at });
+    const excess = stream.records.length - this.#mostRecords;
+    if (excess > 0) {
+      stream.records.splice(0, excess);
+      stream.oldest += excess;
+    }
+    this.#appends += 1;
+    this.#wake();
+    return offset;
+  }
+
+  /** All records that a stream keeps. */
+  records(name: string): unknown[] {
+    return this.#stream(name).records.map((record) => record.value);
+  }
+
+  async #handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+    url: URL,
+  ): Promise<void> {
+    if (url.pathname === "/control") {
+      return await this.#control(request, response);
+    }
+    const faults = this.faults;
+    if (faults.delayMilliseconds > 0) await delay(faults.delayMilliseconds);
+    if (faults.down === "cut") return void response.destroy();
+    if (faults.down === "refuse") return sendJson(response, 503, {});
+    const name = /^\/streams\/([^/]+)\/records$/.exec(url.pathname)?.[1];
+    if (name === undefined) return sendJson(response, 404, {});
+    const stream = decodeURIComponent(name);
+    if (request.method === "POST") {
+      return await this.#onAppend(request, response, stream);
+    }
+    await this.#onRead(response, stream, url.searchParams);
+  }
+
+  async #onAppend(
+    request: IncomingMessage,
+    response: ServerResponse,
+    name: string,
+  ): Promise<void> {
+    const { records } = await readJson(request);
+    if (!Array.isArray(records) || records.length === 0) {
+      return sendJson(response, 400, {});
+    }
+    if (!this.#takeAllowance()) return sendJson(response, 429, {});
+    const offset = this.append(name, records);
+    if (this.faults.lostAnswers > 0) {
+      this.faults.lostAnswers -= 1;
+      response.destroy();
+      return;
+    }
+    sendJson(response, 200, { offset });
+  }
+
+  async #onRead(
+    response: ServerResponse,
+    name: string,
+    query: URLSearchParams,
+  ): Promise<void> {
+    const from = Number(query.get("from") ?? 0);
+    const limit = Math.min(Number(query.get("limit") ?? 1000), 10_000);
+    const until = performance.now() + Number(query.get("wait") ?? 0);
+    const stream = this.#stream(name);
+    while (this.#visibleHead(stream) <= from && this.faults.down === "no") {
+      const left = until - performance.now();
+      if (left <= 0 || response.destroyed) break;
+      await this.#waitForRecord(left);
+    }
+    if (this.faults.down !== "no") return void response.destroy();
+    const head = this.#visibleHead(stream);
+    const first = Math.max(from, stream.oldest);
+    const records = stream.records
+      .slice(first - stream.oldest, Math.max(0, head - stream.oldest))
+      .slice(0, limit)
+      .map((record, index) => ({
+        offset: first + index,
+        value: record.value,
+      }));
+    sendJson(response, 200, { records, oldest: stream.oldest, head });
+  }
+
+  async #control(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (request.method === "POST") {
+      Object.assign(this.faults, await readJson(request));
+      if (this.faults.down !== "no") this.#wake();
+    }
+    const streams = [...this.#streams].map(([name, stream]) => ({
+      name,
+      oldest: stream.oldest,
+      head: stream.head,
+    }));
+    sendJson(response, 200, {
+      faults: this.faults,
+      appends: this.#appends,
+      streams,
+    });
+  }
+
+  #stream(name: string): Stream {
+    let stream = this.#streams.get(name);
+    if (stream === undefined) {
+      stream = new Stream();
+      this.#streams.set(name, stream);
+    }
+    return stream;
+  }
+
+  #visibleHead(stream: Stream): number {
+    const lag = this.faults.headLagMilliseconds;
+    if (lag === 0) return stream.head;
+    const newest = performance.now() - lag;
+    let visible = stream.records.length;
+    while (visible > 0 && stream.records[visible - 1].at > newest) visible--;
+    return stream.oldest + visible;
+  }
+
+  #takeAllowance(): boolean {
+    const now = performance.now();
+    const refill = (now - this.#allowanceAt) / 1000 * this.#appendsPerSecond;
+    this.#allowance = Math.min(
+      this.#appendsPerSecond,
+      this.#allowance + refill,
+    );
+    this.#allowanceAt = now;
+    if (this.#allowance < 1) return false;
+    this.#allowance -= 1;
+    return true;
+  }
+
+  /** Wakes at the next append; a lagging head is looked at now and then. */
+  #waitForRecord(milliseconds: number): Promise<void> {
+    const lag = this.faults.headLagMilliseconds;
+    const longest = lag > 0 ? Math.min(milliseconds, 10) : milliseconds;
+    return new Promise((resolve) => {
+      const wake = () => {
+        clearTimeout(handle);
+        this.#waiting.delete(wake);
+        resolve();
+      };
+      const handle = setTimeout(wake, longest);
+      this.#waiting.add(wake);
+    });
+  }
+
+  #wake(): void {
+    for (const wake of [...this.#waiting]) wake();
+  }
+}
+
+await runAsProgram(
+  import.meta.url,
+  (options) => new LogServiceStandIn(options as LogServiceOptions),
+);
--- /dev/null
+++ b/test/stand_ins/stand_in_server.ts
@@ -0,0 +1,132 @@
+/** What the stand-ins share: a small HTTP server and a command line. */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import process from "node:process";
+import { pathToFileURL } from "node:url";
+
+/** Answers one request; the path is without its query. */
+export type Handler = (
+  request: IncomingMessage,
+  response: ServerResponse,
+  url: URL,
+) => Promise<void> | void;
+
+/** An HTTP server on a free port of the loopback that can also crash. */
+export class StandInServer {
+  readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+
+  constructor(handler: Handler) {
+    this.#server = createServer({ noDelay: true }, (request, response) => {
+      response.on("error", () => {});
+      const url = new URL(request.url ?? "/", "http://stand-in");
+      Promise.resolve(handler(request, response, url)).catch(() => {
+        response.destroy();
+      });
+    });
+    this.#server.keepAliveTimeout = 60_000;
+    this.#server.on("connection", (socket) => {
+      this.#sockets.add(socket);
+      socket.on("close", () => this.#sockets.delete(socket));
+      socket.on("error", () => {});
+    });
+  }
+
+  /** Listens on the port, or on a free one for 0; gives the port. */
+  listen(port = 0): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, "127.0.0.1", () => {
+        resolve((this.#server.address() as AddressInfo).port);
+      });
+    });
+  }
+
+  /** Stops listening and cuts every connection, as a crash does. */
+  close(): Promise<void> {
+    const closed = new Promise<void>((resolve) => {
+      this.#server.close(() => resolve());
+    });
+    for (const socket of this.#sockets) socket.destroy();
+    return closed;
+  }
+}
+
+/** Reads a whole body; stand-ins are not meant for hostile callers. */
+export async function readBody(request: IncomingMessage): Promise<string> {
+  let body = "";
+  request.setEncoding("utf8");
+  for await (const piece of request) body += piece;
+  return body;
+}
+
+export async function readJson(
+  request: IncomingMessage,
+): Promise<Record<string, unknown>> {
+  const body = await readBody(request);
+  return body === "" ? {} : JSON.parse(body);
+}
+
+export function sendJson(
+  response: ServerResponse,
+  status: number,
+  value: unknown,
+): void {
+  const body = JSON.stringify(value);
+  response.writeHead(status, {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(body),
+  });
+  response.end(body);
+}
+
+/** What a stand-in's own process needs of its class. */
+export interface StandIn {
+  listen(port?: number): Promise<number>;
+  close(): Promise<void>;
+}
+
+/**
+ * Runs the stand-in where its module is the program that was started:
+ * `--port N` and options as `--name value`, which are read as JSON where they
+ * are JSON. Prints `{"listening": PORT}` when it listens.
+ */
+export async function runAsProgram(
+  moduleUrl: string,
+  make: (options: Record<string, unknown>) => StandIn,
+): Promise<void> {
+  const program = process.argv[1];
+  if (program === undefined || pathToFileURL(program).href !== moduleUrl) {
+    return;
+  }
+  const options = readArguments(process.argv.slice(2));
+  const standIn = make(options);
+  const port = await standIn.listen(Number(options.port ?? 0));
+  console.log(JSON.stringify({ listening: port }));
+  process.on("SIGTERM", () => {
+    void standIn.close().then(() => process.exit(0));
+  });
+  process.on("disconnect", () => process.exit(0));
+}
+
+function readArguments(words: readonly string[]): Record<string, unknown> {
+  const options: Record<string, unknown> = {};
+  for (let index = 0; index + 1 < words.length; index += 2) {
+    const name = words[index].replace(/^--/, "");
+    try {
+      options[name] = JSON.parse(words[index + 1]);
+    } catch {
+      options[name] = words[index + 1];
+    }
+  }
+  return options;
+}
+
+export function delay(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
--- /dev/null
+++ b/test/stand_ins/vm_list.ts
@@ -0,0 +1,70 @@
+/** Stand-in of the platform's list of VMs. */
+import {
+  readJson,
+  runAsProgram,
+  sendJson,
+  StandInServer,
+} from "./stand_in_server.ts";
+
+/** One VM as the platform tells of it. */
+export interface StandInVm {
+  readonly id: string;
+  readonly address: string;
+  readonly role: "entry" | "side";
+  readonly availability_zone: string;
+  readonly leaving: boolean;
+}
+
+export interface VmListOptions {
+  readonly lagMilliseconds?: number;
+}
+
+/** Shows the list as it was some time ago; `POST /control` changes it. */
+export class VmListStandIn {
+  /** True: answers with status 503. */
+  down = false;
+  lagMilliseconds: number;
+  readonly #versions: { at: number; vms: readonly StandInVm[] }[] = [];
+  readonly #server = new StandInServer(async (request, response, url) => {
+    if (url.pathname === "/control") {
+      const change = await readJson(request);
+      if (Array.isArray(change.vms)) this.set(change.vms);
+      if (typeof change.down === "boolean") this.down = change.down;
+      if (typeof change.lagMilliseconds === "number") {
+        this.lagMilliseconds = change.lagMilliseconds;
+      }
+      return sendJson(response, 200, { vms: this.#visible() });
+    }
+    if (this.down) return sendJson(response, 503, {});
+    if (url.pathname !== "/vms") return sendJson(response, 404, {});
+    sendJson(response, 200, { vms: this.#visible() });
+  });
+
+  constructor(options: VmListOptions = {}) {
+    this.lagMilliseconds = options.lagMilliseconds ?? 0;
+  }
+
+  listen(port?: number): Promise<number> {
+    return this.#server.listen(port);
+  }
+
+  close(): Promise<void> {
+    return this.#server.close();
+  }
+
+  /** Replaces the list; readers see it when the lag has passed. */
+  set(vms: readonly StandInVm[]): void {
+    this.#versions.push({ at: performance.now(), vms });
+  }
+
+  #visible(): readonly StandInVm[] {
+    const newest = performance.now() - this.lagMilliseconds;
+    return this.#versions.findLast((version) => version.at <= newest)?.vms ??
+      [];
+  }
+}
+
+await runAsProgram(
+  import.meta.url,
+  (options) => new VmListStandIn(options as VmListOptions),
+);
