Decide under load: rules, admission, queue, placement, limits, retries, roles

Cause: entries and sides need one set of decisions without sockets or clocks. The contract of the scheduler grows by Placement.priority, AttemptSummary.load and PoolDemand.classes; nothing else in it changes.

--- /dev/null
+++ b/src/core/admission/mod.ts
@@ -0,0 +1,5 @@
+/** Which requests are let in, by whether their answer can be on time. */
+export { LoopGuard } from "./loop_guard.ts";
+export { OutputLengths } from "./output_lengths.ts";
+export { PredictionError } from "./prediction_error.ts";
+export { refusal } from "./refusals.ts";
--- /dev/null
+++ b/src/core/placement/endpoint_health.ts
@@ -0,0 +1,107 @@
+/** Limits of the ejection of endpoints that fail or are slow. */
+export interface HealthLimits {
+  /** Share of failures, of the recent attempts, that ejects. */
+  readonly mostFailureShare: number;
+  /** Attempts before an endpoint is judged at all. */
+  readonly fewestAttempts: number;
+  /** Slowness against the pool's median that ejects. */
+  readonly mostSlowness: number;
+  readonly firstEjectionMilliseconds: number;
+  readonly longestEjectionMilliseconds: number;
+}
+
+/** Weight of one attempt in the means: about the last ten attempts count. */
+const ATTEMPT_WEIGHT = 0.1;
+/** Bounds of the slowness that placement reckons with. */
+const LEAST_SLOWNESS = 0.5;
+const MOST_SLOWNESS = 8;
+
+/**
+ * How an endpoint has treated this entry's attempts. Load: one endpoint that
+ * is slow, or that is fast because it fails. Harm prevented: least-loaded
+ * placement sends an endpoint that fails at once nearly everything, since it
+ * always looks idle.
+ */
+export class EndpointHealth {
+  readonly #limits: HealthLimits;
+  #attempts = 0;
+  #failureShare = 0;
+  #slowness = 1;
+  #ejections = 0;
+  #ejectedUntil = -Infinity;
+  #probing = false;
+
+  constructor(limits: HealthLimits) {
+    this.#limits = limits;
+  }
+
+  get failureShare(): number {
+    return this.#failureShare;
+  }
+
+  /** Observed time of answers against the expected one. */
+  get slowness(): number {
+    return Math.min(MOST_SLOWNESS, Math.max(LEAST_SLOWNESS, this.#slowness));
+  }
+
+  get ejected(): boolean {
+    return this.#ejectedUntil > -Infinity;
+  }
+
+  /** True: a single attempt may find out whether the endpoint is well again. */
+  mayProbe(now: number): boolean {
+    return this.ejected && !this.#probing && now >= this.#ejectedUntil;
+  }
+
+  probeStarted(): void {
+    this.#probing = true;
+  }
+
+  succeeded(observedOverExpected: number): void {
+    this.#attempts += 1;
+    this.#failureShare *= 1 - ATTEMPT_WEIGHT;
+    this.#slowness += ATTEMPT_WEIGHT *
+      (Math.min(MOST_SLOWNESS, observedOverExpected) - this.#slowness);
+    if (this.#probing) this.#readmit();
+  }
+
+  failed(now: number): void {
+    this.#attempts += 1;
+    this.#failureShare += ATTEMPT_WEIGHT * (1 - this.#failureShare);
+    if (this.#probing) this.eject(now);
+  }
+
+  /** The attempt told nothing (it was cancelled or not run). */
+  untold(): void {
+    this.#probing = false;
+  }
+
+  /** True: it ought to be ejected, if the ceiling allows. */
+  isBad(medianSlowness: number): boolean {
+    if (this.ejected || this.#attempts < this.#limits.fewestAttempts) {
+      return false;
+    }
+    return this.#failureShare > this.#limits.mostFailureShare ||
+      this.slowness > this.#limits.mostSlowness * medianSlowness;
+  }
+
+  eject(now: number): void {
+    const wait = Math.min(
+      this.#limits.longestEjectionMilliseconds,
+      this.#limits.firstEjectionMilliseconds * 2 ** this.#ejections,
+    );
+    this.#ejections += 1;
+    this.#ejectedUntil = now + wait;
+    this.#probing = false;
+  }
+
+  /** Back in use; its past is halved, not forgotten. */
+  #readmit(): void {
+    this.#ejectedUntil = -Infinity;
+    this.#probing = false;
+    this.#attempts = 0;
+    this.#failureShare /= 2;
+    this.#slowness = 1 + (this.#slowness - 1) / 2;
+    this.#ejections = Math.max(0, this.#ejections - 1);
+  }
+}
--- /dev/null
+++ b/src/core/placement/mod.ts
@@ -0,0 +1,20 @@
+/** Where a request goes. */
+export { EndpointHealth, type HealthLimits } from "./endpoint_health.ts";
+export {
+  type EndpointFacts,
+  EndpointPicture,
+  type OwnAttempt,
+  type PictureOptions,
+} from "./endpoint_picture.ts";
+export {
+  type Candidate,
+  type PlacementQuestion,
+  Placer,
+  type PlacerOptions,
+} from "./placer.ts";
+export { PrefixIndex } from "./prefix_index.ts";
+export {
+  chooseSubset,
+  type SubsetCandidate,
+  type SubsetOptions,
+} from "./subset.ts";
--- /dev/null
+++ b/src/core/placement/subset.ts
@@ -0,0 +1,57 @@
+/** An endpoint that may become part of an entry's subset. */
+export interface SubsetCandidate {
+  readonly endpoint: string;
+  readonly availabilityZone: string;
+}
+
+export interface SubsetOptions {
+  /** Distinguishes entries, so that their subsets differ. */
+  readonly salt: string;
+  readonly availabilityZone: string;
+  readonly mostEndpoints: number;
+  /** Share of the subset that lies in the entry's own availability zone. */
+  readonly ownZoneShare: number;
+}
+
+/**
+ * Endpoints that one entry uses: its own availability zone first, the rest as
+ * spill, each chosen by rendezvous hash. Load: 12,000 replicas behind 410
+ * nodes. Harm prevented: state, connections and report traffic at each entry
+ * that grow with the fleet. A replica that comes or goes moves only the
+ * subsets that it is part of.
+ */
+export function chooseSubset<Candidate extends SubsetCandidate>(
+  candidates: readonly Candidate[],
+  options: SubsetOptions,
+): Candidate[] {
+  if (candidates.length <= options.mostEndpoints) return [...candidates];
+  const ranked = candidates
+    .map((candidate) => ({
+      candidate,
+      weight: hash(`${options.salt}/${candidate.endpoint}`),
+    }))
+    .sort((one, other) => other.weight - one.weight)
+    .map(({ candidate }) => candidate);
+  const isOwn = (candidate: Candidate) =>
+    candidate.availabilityZone === options.availabilityZone;
+  const own = ranked.filter(isOwn);
+  const others = ranked.filter((candidate) => !isOwn(candidate));
+  const mostOwn = Math.round(options.mostEndpoints * options.ownZoneShare);
+  const chosen = own.slice(0, mostOwn);
+  chosen.push(...others.slice(0, options.mostEndpoints - chosen.length));
+  chosen.push(
+    ...own.slice(mostOwn, mostOwn + options.mostEndpoints - chosen.length),
+  );
+  return chosen;
+}
+
+/** FNV-1a with a final mix (murmur3), 32 bits; no security rests on it. */
+function hash(text: string): number {
+  let value = 0x811c9dc5;
+  for (let index = 0; index < text.length; index++) {
+    value = Math.imul(value ^ text.charCodeAt(index), 0x01000193);
+  }
+  value = Math.imul(value ^ (value >>> 16), 0x85ebca6b);
+  value = Math.imul(value ^ (value >>> 13), 0xc2b2ae35);
+  return (value ^ (value >>> 16)) >>> 0;
+}
--- /dev/null
+++ b/src/core/roles/linear_program.ts
@@ -0,0 +1,84 @@
+/** Maximise `objective · x` with `rows · x <= limits` and `x >= 0`. */
+export interface LinearProgram {
+  readonly objective: readonly number[];
+  readonly rows: readonly (readonly number[])[];
+  /** None negative, so that x = 0 is a start. */
+  readonly limits: readonly number[];
+}
+
+const TOLERANCE = 1e-9;
+
+/**
+ * Largest value of the objective, by the simplex method on a dense tableau.
+ * The programs here have some dozens of columns and rows; each pivot costs
+ * their product. `mostPivots` ends a degenerate program early, with a value
+ * that can be reached though it may not be the largest.
+ */
+export function maximise(program: LinearProgram, mostPivots = 500): number {
+  const tableau = tableauOf(program);
+  const columns = program.objective.length + program.rows.length;
+  const cost = tableau[tableau.length - 1];
+  for (let pivots = 0; pivots < mostPivots; pivots++) {
+    const column = enteringColumn(cost, columns);
+    if (column === -1) break;
+    const row = leavingRow(tableau, column, columns);
+    if (row === -1) return Infinity;
+    pivot(tableau, row, column);
+  }
+  return cost[columns];
+}
+
+function tableauOf({ objective, rows, limits }: LinearProgram): number[][] {
+  const tableau = rows.map((row, index) => [
+    ...row,
+    ...rows.map((_, other) => (other === index ? 1 : 0)),
+    limits[index],
+  ]);
+  tableau.push([...objective.map((value) => -value), ...rows.map(() => 0), 0]);
+  return tableau;
+}
+
+function enteringColumn(cost: readonly number[], columns: number): number {
+  let chosen = -1;
+  let lowest = -TOLERANCE;
+  for (let column = 0; column < columns; column++) {
+    if (cost[column] >= lowest) continue;
+    lowest = cost[column];
+    chosen = column;
+  }
+  return chosen;
+}
+
+function leavingRow(
+  tableau: readonly (readonly number[])[],
+  column: number,
+  last: number,
+): number {
+  let chosen = -1;
+  let lowest = Infinity;
+  for (let row = 0; row < tableau.length - 1; row++) {
+    const factor = tableau[row][column];
+    if (factor <= TOLERANCE) continue;
+    const ratio = tableau[row][last] / factor;
+    if (ratio >= lowest) continue;
+    lowest = ratio;
+    chosen = row;
+  }
+  return chosen;
+}
+
+function pivot(tableau: number[][], row: number, column: number): void {
+  const pivotRow = tableau[row];
+  const divisor = pivotRow[column];
+  for (let index = 0; index < pivotRow.length; index++) {
+    pivotRow[index] /= divisor;
+  }
+  for (const other of tableau) {
+    if (other === pivotRow) continue;
+    const factor = other[column];
+    if (factor === 0) continue;
+    for (let index = 0; index < other.length; index++) {
+      other[index] -= factor * pivotRow[index];
+    }
+  }
+}
--- /dev/null
+++ b/src/core/roles/role_profile.ts
@@ -0,0 +1,53 @@
+import type { EngineCharacteristics } from "../../generated/inventory.ts";
+
+export type Role = "mixed" | "prefill" | "decode";
+export const ROLES: readonly Role[] = ["mixed", "prefill", "decode"];
+
+/** What a role leaves of an engine's rated figures. */
+export interface RoleProfile {
+  /** Share of the rated prefill rate. */
+  readonly prefillShare: number;
+  /** Share of the rated slots. */
+  readonly slotShare: number;
+  /** Factor on the rated time between tokens while prompts are processed. */
+  readonly decodeFactor: number;
+}
+
+/**
+ * A role fixes how an engine divides its steps and its memory between prompts
+ * and outputs; every role runs whole requests. These are starting points until
+ * reports tell more: placement goes by the reported time between tokens, limit
+ * and backlog wherever an engine has told them.
+ */
+export const ROLE_PROFILES: Readonly<Record<Role, RoleProfile>> = {
+  prefill: { prefillShare: 1, slotShare: 0.3, decodeFactor: 1.5 },
+  mixed: { prefillShare: 0.55, slotShare: 0.6, decodeFactor: 1.25 },
+  decode: { prefillShare: 0.15, slotShare: 1, decodeFactor: 1 },
+};
+
+/** Rates of one engine in one role. */
+export interface RoleRates {
+  readonly prefillTokensPerSecond: number;
+  readonly outputTokensPerSecond: number;
+  readonly slots: number;
+  readonly millisecondsBetweenTokens: number;
+}
+
+export type RoleProfiles = Readonly<Record<Role, RoleProfile>>;
+
+/** Rates of an engine in a role, from what the asset register says of it. */
+export function roleRates(
+  engine: EngineCharacteristics,
+  profile: RoleProfile,
+): RoleRates {
+  const slots = Math.max(1, Math.round(engine.slots * profile.slotShare));
+  const millisecondsBetweenTokens = engine.millisecondsBetweenTokens *
+    profile.decodeFactor;
+  return {
+    prefillTokensPerSecond: engine.prefillTokensPerSecond *
+      profile.prefillShare,
+    outputTokensPerSecond: slots * 1_000 / millisecondsBetweenTokens,
+    slots,
+    millisecondsBetweenTokens,
+  };
+}
--- /dev/null
+++ b/src/core/scheduling/entry_scheduler.ts
@@ -0,0 +1,174 @@
+import { err, type Result } from "neverthrow";
+import { LoopGuard, refusal } from "../admission/mod.ts";
+import type { EndpointId } from "../identity/mod.ts";
+import type { Observe } from "../observation/mod.ts";
+import type { Random } from "../random/mod.ts";
+import type { Refusal, RequestProfile } from "../requests/mod.ts";
+import { RetryBudget } from "../retry/mod.ts";
+import type { TimerService } from "../time/mod.ts";
+import type { Inventory } from "../../generated/inventory.ts";
+import type { SideReport } from "../../generated/messages.ts";
+import type { Rules } from "../../generated/rules.ts";
+import { DEFAULT_POLICY, type SchedulingPolicy } from "./policy.ts";
+import { PoolScheduler } from "./pool_scheduler.ts";
+import type {
+  AttemptSummary,
+  Placement,
+  PoolDemand,
+  Scheduler,
+  WaitingRequest,
+} from "./scheduler.ts";
+
+export interface SchedulerLimits {
+  /** Requests that may wait at this entry. */
+  readonly mostQueued: number;
+  /** Requests of one workspace that may wait at this entry. */
+  readonly mostQueuedPerWorkspace: number;
+}
+
+export interface SchedulerOptions {
+  readonly timer: TimerService;
+  readonly random: Random;
+  readonly availabilityZone: string;
+  readonly limits: SchedulerLimits;
+  /** Distinguishes this entry from others, for its subset of endpoints. */
+  readonly name?: string;
+  /** Entries that place on the same endpoints, this one included. */
+  readonly entriesSharing?: () => number;
+  readonly policy?: SchedulingPolicy;
+  readonly observe?: Observe;
+}
+
+/** Makes the scheduler of one entry. */
+export function createScheduler(options: SchedulerOptions): Scheduler {
+  return new EntryScheduler(options);
+}
+
+class EntryScheduler implements Scheduler {
+  readonly #options: SchedulerOptions;
+  readonly #pools = new Map<string, PoolScheduler>();
+  readonly #poolOf = new Map<string, PoolScheduler>();
+  readonly #budget = new RetryBudget();
+  readonly #loop = new LoopGuard();
+
+  constructor(options: SchedulerOptions) {
+    this.#options = options;
+  }
+
+  get waiting(): number {
+    return this.#sum((pool) => pool.waiting);
+  }
+
+  get running(): number {
+    return this.#sum((pool) => pool.running);
+  }
+
+  configure(inventory: Inventory, rules: Rules): void {
+    this.#poolOf.clear();
+    for (const pool of inventory.pools) {
+      const known = this.#pools.get(pool.name);
+      known?.configure(pool, rules);
+      const scheduler = known ?? new PoolScheduler(pool, rules, {
+        timer: this.#options.timer,
+        random: this.#options.random,
+        availabilityZone: this.#options.availabilityZone,
+        salt: this.#options.name ?? this.#options.availabilityZone,
+        policy: this.#options.policy ?? DEFAULT_POLICY,
+      });
+      this.#pools.set(pool.name, scheduler);
+      for (const { id } of pool.endpoints) this.#poolOf.set(id, scheduler);
+    }
+    this.#dropPoolsBut(inventory);
+  }
+
+  submit(profile: RequestProfile): Result<WaitingRequest, Refusal> {
+    const pool = this.#pools.get(profile.pool);
+    if (pool === undefined) return err(refusal("not_configured"));
+    pool.arrived(profile);
+    const rank = pool.rank(profile.className);
+    if (this.#loop.sheds(rank, pool.ranks)) {
+      return err(pool.refuse(profile, "overloaded_entry"));
+    }
+    const { mostQueued, mostQueuedPerWorkspace } = this.#options.limits;
+    if (pool.waitingOf(profile.workspace) >= mostQueuedPerWorkspace) {
+      return err(pool.refuse(profile, "share_exhausted"));
+    }
+    if (this.waiting >= mostQueued && !pool.giveUpLessUrgent(profile)) {
+      return err(pool.refuse(profile, "saturated"));
+    }
+    return this.#counted(pool.submit(profile));
+  }
+
+  resubmit(profile: RequestProfile): Result<WaitingRequest, Refusal> {
+    const pool = this.#pools.get(profile.pool);
+    if (pool === undefined) return err(refusal("not_configured"));
+    if (!this.#budget.take()) return err(pool.refuse(profile, "saturated"));
+    return this.#counted(pool.submit(profile));
+  }
+
+  report(report: SideReport, receivedAt: number): void {
+    const pool = this.#poolOf.get(report.endpoint);
+    const picture = pool?.picture(report.endpoint as EndpointId);
+    picture?.report(report, receivedAt);
+    pool?.changed();
+  }
+
+  suspect(endpoint: EndpointId, suspected: boolean): void {
+    const pool = this.#poolOf.get(endpoint);
+    pool?.picture(endpoint)?.suspect(suspected);
+    pool?.changed();
+  }
+
+  cacheEvent(
+    endpoint: EndpointId,
+    event: { added: readonly string[]; dropped: readonly string[] },
+  ): void {
+    this.#poolOf.get(endpoint)?.cacheEvent(endpoint, event);
+  }
+
+  loopDelay(milliseconds: number): void {
+    this.#loop.measured(milliseconds);
+  }
+
+  demand(): readonly PoolDemand[] {
+    return [...this.#pools].map(([name, pool]) => pool.demand(name));
+  }
+
+  #sum(count: (pool: PoolScheduler) => number): number {
+    let sum = 0;
+    for (const pool of this.#pools.values()) sum += count(pool);
+    return sum;
+  }
+
+  #dropPoolsBut(inventory: Inventory): void {
+    const names = new Set(inventory.pools.map((pool) => pool.name));
+    for (const [name, pool] of this.#pools) {
+      if (names.has(name)) continue;
+      pool.refuseAll();
+      this.#pools.delete(name);
+    }
+  }
+
+  /** Successes pay for later retries. */
+  #counted(
+    submitted: Result<WaitingRequest, Refusal>,
+  ): Result<WaitingRequest, Refusal> {
+    return submitted.map((waiting) => ({
+      cancel: () => waiting.cancel(),
+      placed: waiting.placed.then((placed) =>
+        placed.map((placement) => this.#countedPlacement(placement))
+      ),
+    }));
+  }
+
+  #countedPlacement(placement: Placement): Placement {
+    return {
+      endpoint: placement.endpoint,
+      priority: placement.priority,
+      release: (summary: AttemptSummary) => {
+        if (summary.result === "answered") this.#budget.succeeded();
+        placement.release(summary);
+      },
+    };
+  }
+}
--- /dev/null
+++ b/src/core/scheduling/entry_scheduler_test.ts
@@ -0,0 +1,172 @@
+import { expect } from "chai";
+import { describe, it } from "mocha";
+import {
+  type AvailabilityZoneId,
+  type EndpointId,
+  identifier,
+  type RequestId,
+  type WorkClassName,
+  type WorkspaceId,
+} from "../identity/mod.ts";
+import { seededRandom } from "../random/mod.ts";
+import type { RequestProfile } from "../requests/mod.ts";
+import { ManualTimerService } from "../time/mod.ts";
+import type { Inventory } from "../../generated/inventory.ts";
+import type { Rules } from "../../generated/rules.ts";
+import { createScheduler, type Placement } from "./mod.ts";
+
+const INVENTORY: Inventory = {
+  region: "region",
+  availabilityZones: ["a"],
+  pools: [{
+    name: "pool",
+    kind: "engine",
+    models: ["model"],
+    engine: {
+      slots: 2,
+      prefillTokensPerSecond: 1_000,
+      millisecondsBetweenTokens: 10,
+      keyValueCacheTokens: 10_000,
+      roleChangeSeconds: 5,
+    },
+    endpoints: [{
+      id: "one",
+      availabilityZone: "a",
+      side: "127.0.0.1:1",
+      role: "decode",
+    }],
+  }],
+};
+
+const RULES: Rules = {
+  defaultClass: "bulk",
+  classes: [
+    { name: "bulk", priority: 5, deadlineSeconds: 20 },
+    { name: "urgent", priority: 0, deadlineSeconds: 5 },
+  ],
+};
+
+let requests = 0;
+
+function profile(changes: Partial<RequestProfile> = {}): RequestProfile {
+  return {
+    requestId: identifier<RequestId>(`request-${requests++}`),
+    workspace: identifier<WorkspaceId>("workspace"),
+    className: identifier<WorkClassName>("bulk"),
+    pool: "pool",
+    kind: "generation",
+    promptTokens: 10,
+    mostOutputTokens: 100,
+    deliveredTokens: 0,
+    deadline: 20_000,
+    prefixHashes: [],
+    idempotent: true,
+    excluded: new Set<EndpointId>(),
+    availabilityZone: identifier<AvailabilityZoneId>("a"),
+    ...changes,
+  };
+}
+
+function started(limits = { mostQueued: 10, mostQueuedPerWorkspace: 10 }) {
+  const timer = new ManualTimerService();
+  const scheduler = createScheduler({
+    timer,
+    random: seededRandom(1),
+    availabilityZone: "a",
+    limits,
+  });
+  scheduler.configure(INVENTORY, RULES);
+  return { timer, scheduler };
+}
+
+const ANSWERED = {
+  result: "answered",
+  tokens: 100,
+  totalMilliseconds: 1_000,
+} as const;
+
+describe("createScheduler", () => {
+  describe("submit", () => {
+    it("places at once where there is room", async () => {
+      const { scheduler } = started();
+      const placed = await scheduler.submit(profile())._unsafeUnwrap().placed;
+      expect(placed._unsafeUnwrap().endpoint).to.equal("one");
+    });
+
+    it("refuses what no inventory names a pool for", () => {
+      const { scheduler } = started();
+      const submitted = scheduler.submit(profile({ pool: "other" }));
+      expect(submitted._unsafeUnwrapErr().reason).to.equal("not_configured");
+    });
+
+    // Both slots are taken and more work waits than can be finished before
+    // the deadline. Without the refusal the caller waits for an answer that
+    // comes too late, and the time spent on it is lost to others.
+    it("refuses at once what would be late, with a time to return", () => {
+      const { scheduler } = started({
+        mostQueued: 100,
+        mostQueuedPerWorkspace: 100,
+      });
+      const outcomes = Array.from(
+        { length: 60 },
+        () => scheduler.submit(profile({ deadline: 8_000 })),
+      );
+      const refused = outcomes.filter((one) => one.isErr());
+      expect(refused.length).to.be.greaterThan(10);
+      const first = refused[0]._unsafeUnwrapErr();
+      expect(first.reason).to.equal("saturated");
+      expect(first.retryAfterMilliseconds).to.be.greaterThan(0);
+    });
+
+    it("lets urgent work overtake bulk that waits", async () => {
+      const { scheduler } = started();
+      const running: Placement[] = [];
+      for (let index = 0; index < 2; index++) {
+        const { placed } = scheduler.submit(profile())._unsafeUnwrap();
+        if (index === 0) running.push((await placed)._unsafeUnwrap());
+      }
+      const urgent = scheduler.submit(
+        profile({
+          className: identifier<WorkClassName>("urgent"),
+          deadline: 5_000,
+        }),
+      )._unsafeUnwrap();
+      running[0].release(ANSWERED);
+      expect((await urgent.placed).isOk()).to.equal(true);
+    });
+
+    it("gives a waiting request its final answer once it can't be on time", async () => {
+      const { scheduler, timer } = started();
+      for (let index = 0; index < 2; index++) {
+        scheduler.submit(profile({ deadline: 1e6 }));
+      }
+      const late = scheduler.submit(profile({ deadline: 6_000 }));
+      await timer.advance(6_000);
+      const placed = await late._unsafeUnwrap().placed;
+      expect(placed._unsafeUnwrapErr().reason).to.equal("late");
+      expect(scheduler.waiting).to.be.lessThan(2);
+    });
+  });
+
+  describe("a full queue", () => {
+    it("gives up bulk for urgent work", async () => {
+      const { scheduler } = started({
+        mostQueued: 1,
+        mostQueuedPerWorkspace: 5,
+      });
+      scheduler.submit(profile({ deadline: 1e6 }));
+      scheduler.submit(profile({ deadline: 1e6 }));
+      const bulk = scheduler.submit(profile({ deadline: 1e6 }));
+      expect(scheduler.waiting).to.equal(1);
+      const urgent = scheduler.submit(
+        profile({
+          className: identifier<WorkClassName>("urgent"),
+          deadline: 1e6,
+        }),
+      );
+      expect(urgent.isOk()).to.equal(true);
+      const given = bulk.isErr() ? bulk : await bulk.value.placed;
+      expect(given.isErr()).to.equal(true);
+    });
+  });
+});
--- a/src/core/scheduling/scheduler.ts
+++ b/src/core/scheduling/scheduler.ts
@@ -1,7 +1,7 @@
 import type { Result } from "neverthrow";
 import type { EndpointId } from "../identity/mod.ts";
 import type { Refusal, RequestProfile } from "../requests/mod.ts";
-import type { SideReport } from "../../generated/messages.ts";
+import type { EndpointLoad, SideReport } from "../../generated/messages.ts";
 import type { Inventory } from "../../generated/inventory.ts";
 import type { Rules } from "../../generated/rules.ts";
 
@@ -12,11 +12,15 @@
   /** From placement to the first token; absent where none came. */
   readonly firstTokenMilliseconds?: number;
   readonly totalMilliseconds: number;
+  /** Load that came with the last frame, where one did. */
+  readonly load?: EndpointLoad;
 }
 
 /** A slot at an endpoint, held until `release`. */
 export interface Placement {
   readonly endpoint: EndpointId;
+  /** Priority of the request's class, for the side and the engine. */
+  readonly priority: number;
   /** Gives the slot back; a second call does nothing. */
   release(summary: AttemptSummary): void;
 }
@@ -68,4 +72,15 @@
   readonly outputTokensPerSecond: number;
   readonly waiting: number;
   readonly refusedPerSecond: number;
+  /** The same demand by class, for the planner. */
+  readonly classes?: readonly ClassArrivals[];
+}
+
+/** Arrivals of one class over the last window, refused ones included. */
+export interface ClassArrivals {
+  readonly className: string;
+  readonly arrivalsPerSecond: number;
+  /** Mean tokens of a request; outputs as expected. */
+  readonly promptTokens: number;
+  readonly outputTokens: number;
 }
