Read settings: checked, filled with defaults, frozen

Cause: a process that starts with a mistyped key runs with a default that its operator did not mean.

Change: src/adapters/settings reads TOML, checks it with the generated validators, names every problem with file, path, what was found and what was expected, and fills defaults, each with its reason, from one file. Addresses and the relation of report and suspicion times are checked as well.

Ruled out: Ajv's own texts; they name neither the value nor the keys that would be right.

Conclusion: the checked types hold no optional limits, so that no default stands anywhere else.

--- /dev/null
+++ b/src/adapters/settings/defaults.ts
@@ -0,0 +1,84 @@
+/**
+ * Values of the settings that a file leaves out. Each names the load that it
+ * is made for and the harm that it prevents.
+ */
+import type {
+  CoordinationTimes,
+  EntryLimits,
+  LogOutput,
+  SideLimits,
+} from "../../generated/settings.ts";
+
+export const DEFAULT_LOG_OUTPUT: Required<LogOutput> = {
+  // Per-request lines stand at debug: at the peak they would cost more than
+  // the requests.
+  level: "info",
+};
+
+/**
+ * Share of requests that are traced where an output is set: enough to see a
+ * shift of the mix within a minute at ten requests a second, and too little to
+ * load the collector at the peak.
+ */
+export const DEFAULT_TRACE_SHARE = 0.1;
+
+export const DEFAULT_ENTRY_LIMITS: Required<EntryLimits> = {
+  // A long camera-inspection log is some hundred kilobytes. A larger body
+  // holds a thin VM's memory for one caller.
+  mostBodyBytes: 1024 * 1024,
+  // About ten seconds of a busy region's arrivals at one entry; who would wait
+  // longer is late anyway and is better refused at once.
+  mostQueued: 2_000,
+  // A tenth of the queue: one customer's burst leaves room for the others.
+  mostQueuedPerWorkspace: 200,
+  // At 30 KB for an open stream this bounds an entry at 120 MB.
+  mostOpenRequests: 4_000,
+  // A second of tokens at the fastest engines; a caller that reads more slowly
+  // is held back at the endpoint and not buffered.
+  mostBufferedTokensPerCaller: 256,
+  // The longest summary ends within it; what is left is told to callers.
+  shutdownSeconds: 30,
+};
+
+export const DEFAULT_SIDE_LIMITS: Required<SideLimits> = {
+  // Above the slots of today's engines; the limit that adapts to the observed
+  // time between tokens lies below it.
+  mostRunning: 64,
+  // The queue belongs to the entries, which know classes and deadlines. A few
+  // places here bridge the way from entry to side.
+  mostWaiting: 16,
+  // Answers of once-only work for repeated calls: ten minutes at sixteen a
+  // second, far above what one member-portal gives.
+  mostKeptAnswers: 10_000,
+  // A quarter of the side's 128 MB.
+  mostKeptAnswerBytes: 32 * 1024 * 1024,
+  // Hundred thousand tokens as events; more is an endpoint gone wild.
+  mostResponseBytes: 16 * 1024 * 1024,
+  // As for entries.
+  shutdownSeconds: 30,
+};
+
+export const DEFAULT_COORDINATION_TIMES: Required<CoordinationTimes> = {
+  // A report of 400 bytes to two entries each second stays under a fifth of
+  // the 5 KB a second that a node may spend on control.
+  reportMilliseconds: 1_000,
+  // Three reports lost in a row; one late report takes no endpoint out of use.
+  suspectMilliseconds: 3_500,
+  // Gathers the appends of a burst into one, and adds a hundredth of the
+  // shortest deadline at most.
+  appendDelayMilliseconds: 20,
+  // Several plans and a slow append; a shorter silence would make claims flap
+  // whenever the log is slow.
+  claimSilenceMilliseconds: 15_000,
+  // The mix turns within minutes; load reports are a second or two old, and a
+  // planner that is faster than its reports reacts to its own change.
+  planMilliseconds: 2_000,
+  // A process that starts reads at most this many records behind a checkpoint.
+  checkpointRecords: 500,
+  // Twice the longest change of role that the asset registers name. A side
+  // that restarts waits it out before it orders an engine that does not check.
+  longestOrderMilliseconds: 20_000,
+  // A caller's retries come within minutes. Records of live keys are kept in
+  // memory for this long: at ten a second, six thousand of them.
+  keyWindowMilliseconds: 600_000,
+};
--- /dev/null
+++ b/src/adapters/settings/mod_test.ts
@@ -0,0 +1,90 @@
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { expect } from "chai";
+import { formatProblem, loadSettings } from "./mod.ts";
+
+const GOOD_SIDE = `
+name = "side-triage-llm-01"
+region = "klang-valley"
+availabilityZone = "klang-port"
+endpoint = "triage-llm-01"
+target = "http://127.0.0.1:8000"
+entries = ["10.0.0.1:7100"]
+peers = { host = "0.0.0.0", port = 7200 }
+`;
+
+describe("loadSettings", () => {
+  let folder: string;
+
+  beforeEach(() => {
+    folder = mkdtempSync(join(tmpdir(), "filbertshore-settings-"));
+  });
+
+  afterEach(() => rmSync(folder, { recursive: true }));
+
+  function fileWith(text: string): string {
+    const file = join(folder, "side.toml");
+    writeFileSync(file, text);
+    return file;
+  }
+
+  function problemsOf(text: string): string[] {
+    const file = fileWith(text);
+    const result = loadSettings(file, "side");
+    return result._unsafeUnwrapErr().problems.map((problem) =>
+      formatProblem(problem).replace(file, "side.toml")
+    );
+  }
+
+  it("fills what the file leaves out and freezes the value", () => {
+    const file = fileWith(`${GOOD_SIDE}\n[limits]\nmostWaiting = 3\n`);
+    const settings = loadSettings(file, "side")._unsafeUnwrap();
+    expect(settings.kind).to.equal("engine");
+    expect(settings.limits.mostWaiting).to.equal(3);
+    expect(settings.limits.mostRunning).to.equal(64);
+    expect(settings.coordination.reportMilliseconds).to.equal(1000);
+    expect(Object.isFrozen(settings.limits)).to.equal(true);
+  });
+
+  // An operator mends one line, starts again and meets the next problem, with
+  // the endpoint out of service all the while. All of them come at once.
+  it("tells every problem at once", () => {
+    const text = GOOD_SIDE.replace("port = 7200", 'prot = 7200, port = "x"')
+      .replace('region = "klang-valley"', "").replace("http:", "ftp:");
+    expect(problemsOf(text)).to.have.members([
+      "side.toml: region: found nothing, expected a value, as the key is required",
+      "side.toml: peers.prot: found an unknown key, expected one of host, port",
+      'side.toml: peers.port: found "x", expected a value of type integer',
+      'side.toml: target: found "ftp://127.0.0.1:8000", expected text that fits ^http://',
+    ]);
+  });
+
+  it("tells where the file is no TOML", () => {
+    const problems = problemsOf("name = \n");
+    expect(problems).to.have.length(1);
+    expect(problems[0]).to.match(/line 1, column \d+/);
+  });
+
+  it("tells that the file is missing", () => {
+    const result = loadSettings(join(folder, "none.toml"), "entry");
+    expect(result._unsafeUnwrapErr().problems[0].found).to.equal("ENOENT");
+  });
+
+  it("refuses addresses without a port", () => {
+    const text = GOOD_SIDE.replace("10.0.0.1:7100", "10.0.0.1");
+    expect(problemsOf(text)).to.deep.equal([
+      'side.toml: entries[0]: found "10.0.0.1", expected an address as host:port',
+    ]);
+  });
+
+  // Suspicion comes faster than reports: the endpoint would be in use for one
+  // moment of each second, and callers would be refused in the others.
+  it("refuses times that suspect a healthy process", () => {
+    const text = `${GOOD_SIDE}\n[coordination]\nsuspectMilliseconds = 900\n`;
+    expect(problemsOf(text)).to.deep.equal([
+      "side.toml: coordination.suspectMilliseconds: found 900, " +
+      "expected at least twice reportMilliseconds (1000)",
+    ]);
+  });
+});
--- /dev/null
+++ b/src/adapters/settings/toml_file.ts
@@ -0,0 +1,65 @@
+/** Reads TOML files and checks them against their schema. */
+import { readFileSync } from "node:fs";
+import { parse, TomlError } from "smol-toml";
+import { err, ok, type Result } from "../../core/errors/result.ts";
+import { type Failure, failure } from "../../core/errors/mod.ts";
+import type { Validator } from "../../generated/validators.js";
+import { FILE_INVALID, type FileProblem } from "./errors.ts";
+import { describeProblems, type SchemaDocument } from "./problems.ts";
+
+/** A file can't be used; `problems` says all that is wrong with it. */
+export interface FileFailure extends Failure<"file_invalid"> {
+  readonly problems: readonly FileProblem[];
+}
+
+export interface FileCheck {
+  readonly validator: Validator;
+  readonly document: SchemaDocument;
+  readonly definition?: string;
+}
+
+/** Reads the file as TOML; a value that fits the schema or every problem. */
+export function readTomlFile(
+  file: string,
+  check: FileCheck,
+): Result<unknown, FileFailure> {
+  return readToml(file).andThen((value) => {
+    if (check.validator(value)) return ok(value);
+    const findings = check.validator.errors ?? [];
+    const { document, definition } = check;
+    return err(fileFailure(
+      file,
+      describeProblems(findings, { file, value, document, definition }),
+    ));
+  });
+}
+
+export function fileFailure(
+  file: string,
+  problems: readonly FileProblem[],
+): FileFailure {
+  return { ...failure(FILE_INVALID, { file, problems }), problems };
+}
+
+function readToml(file: string): Result<unknown, FileFailure> {
+  let text;
+  try {
+    text = readFileSync(file, "utf8");
+  } catch (cause) {
+    const code = (cause as NodeJS.ErrnoException).code ?? String(cause);
+    return err(fileFailure(file, [
+      { file, path: "", found: code, expected: "a file that can be read" },
+    ]));
+  }
+  try {
+    return ok(parse(text));
+  } catch (cause) {
+    if (!(cause instanceof TomlError)) throw cause;
+    return err(fileFailure(file, [{
+      file,
+      path: `line ${cause.line}, column ${cause.column}`,
+      found: cause.message.split("\n")[0],
+      expected: "TOML",
+    }]));
+  }
+}
