--- /dev/null
+++ b/src/cli/entry/command.ts
@@ -0,0 +1,20 @@
+import process from "node:process";
+import type { CommandModule } from "yargs";
+
+/** `filbertshore entry`: the process of an entry VM. */
+export const entryCommand: CommandModule<unknown, { settings: string }> = {
+  command: "entry",
+  describe: "Run an entry: takes callers' requests and places them",
+  builder: (arguments_) =>
+    arguments_.option("settings", {
+      type: "string",
+      demandOption: true,
+      describe: "Settings file of the entry (TOML)",
+    }).epilogue(
+      "Exit codes: 0 stopped as asked, 2 bad settings, 3 an address is taken",
+    ),
+  handler: async (arguments_) => {
+    const { runEntry } = await import("./run_entry.ts");
+    process.exitCode = await runEntry(arguments_.settings);
+  },
+};
--- /dev/null
+++ b/src/cli/entry/run_entry.ts
@@ -0,0 +1,169 @@
+import { CallerDoor } from "../../adapters/callers/mod.ts";
+import { HttpLogService } from "../../adapters/log_service/mod.ts";
+import {
+  HttpPeers,
+  PEER_METHODS,
+  PeerServer,
+} from "../../adapters/peers/mod.ts";
+import {
+  hashText,
+  newIncarnation,
+  systemRandom,
+} from "../../adapters/random/mod.ts";
+import {
+  type CheckedEntrySettings,
+  EXIT_CODE_BAD_SETTINGS,
+  loadSettings,
+} from "../../adapters/settings/mod.ts";
+import {
+  createLogger,
+  type LabelledLogger,
+  Metrics,
+} from "../../adapters/telemetry/mod.ts";
+import { SystemTimerService } from "../../adapters/time/mod.ts";
+import { identifier } from "../../core/identity/mod.ts";
+import type { WatchQuestion } from "../../generated/messages.ts";
+import { EntryCore } from "../../entry/mod.ts";
+import { EXIT_CODE_CANNOT_LISTEN } from "../exit_codes.ts";
+import { onTerminate, reportBadSettings } from "../process_life.ts";
+
+/** Endpoints of one pool that one entry uses; see docs/CAPACITY.md. */
+const MOST_ENDPOINTS_PER_POOL = 64;
+/** A request that four endpoints have failed is not saved by a fifth. */
+const MOST_ATTEMPTS = 4;
+/** A side's question carries its report, an operator's nothing. */
+const MOST_PEER_BODY_BYTES = 1024 * 1024;
+
+/** Runs an entry until it is told to stop; gives the exit code. */
+export async function runEntry(settingsFile: string): Promise<number> {
+  const settings = loadSettings(settingsFile, "entry");
+  if (settings.isErr()) {
+    reportBadSettings(settings.error);
+    return EXIT_CODE_BAD_SETTINGS;
+  }
+  return await new EntryProgram(settings.value).run();
+}
+
+/** The entry's core with its sockets, log and metrics. */
+class EntryProgram {
+  readonly #settings: CheckedEntrySettings;
+  readonly #logger: LabelledLogger;
+  readonly #metrics = new Metrics({ processMetrics: true });
+  readonly #timer = new SystemTimerService();
+  readonly #peers = new HttpPeers();
+  readonly #core: EntryCore;
+  readonly #callerDoor: CallerDoor;
+  readonly #peerServer: PeerServer;
+  #requests = 0;
+
+  constructor(settings: CheckedEntrySettings) {
+    this.#settings = settings;
+    this.#logger = createLogger({
+      level: settings.log.level,
+      process: settings.name,
+    });
+    this.#core = this.#makeCore();
+    this.#callerDoor = this.#makeCallerDoor();
+    this.#peerServer = this.#makePeerServer();
+  }
+
+  async run(): Promise<number> {
+    const peerPort = await this.#peerServer.listen();
+    const callerPort = await this.#callerDoor.listen();
+    if (peerPort.isErr()) return this.#cannotListen(peerPort.error);
+    if (callerPort.isErr()) return this.#cannotListen(callerPort.error);
+    this.#core.start();
+    this.#logger.info(
+      { callers: callerPort.value, peers: peerPort.value },
+      "The entry listens",
+    );
+    await onTerminate();
+    await this.#shutDown();
+    return 0;
+  }
+
+  async #shutDown(): Promise<void> {
+    this.#logger.info(
+      { open: this.#core.openRequests },
+      "The entry shuts down",
+    );
+    const stopped = this.#core.stop();
+    this.#callerDoor.stopListening();
+    await stopped;
+    this.#callerDoor.close();
+    this.#peerServer.close();
+    this.#peers.close();
+    this.#logger.info({}, "The entry has stopped");
+  }
+
+  #cannotListen(error: { message: string; hint: string }): number {
+    this.#logger.error({ hint: error.hint }, error.message);
+    this.#callerDoor.close();
+    this.#peerServer.close();
+    return EXIT_CODE_CANNOT_LISTEN;
+  }
+
+  #makeCore(): EntryCore {
+    const { name, region, availabilityZone, platform, limits, coordination } =
+      this.#settings;
+    return new EntryCore({
+      name: identifier(name),
+      incarnation: newIncarnation(),
+      region: identifier(region),
+      availabilityZone: identifier(availabilityZone),
+      timer: this.#timer,
+      random: systemRandom,
+      log: new HttpLogService(platform.logService, { timer: this.#timer }),
+      sides: this.#peers,
+      entries: this.#peers,
+      peerAddresses: this.#settings.peerAddresses.map((each) =>
+        identifier(each)
+      ),
+      hash: hashText,
+      limits: {
+        ...limits,
+        mostEndpointsPerPool: MOST_ENDPOINTS_PER_POOL,
+        mostAttempts: MOST_ATTEMPTS,
+      },
+      times: coordination,
+      observe: this.#metrics.observe,
+      logger: this.#logger.labelled("entry"),
+    });
+  }
+
+  #makeCallerDoor(): CallerDoor {
+    const { callers, limits, name } = this.#settings;
+    const run = newIncarnation();
+    return new CallerDoor({
+      host: callers.host,
+      port: callers.port,
+      mostBodyBytes: limits.mostBodyBytes,
+      service: this.#core,
+      logger: this.#logger.labelled("callers"),
+      newRequestId: () => identifier(`${name}-${run}-${this.#requests++}`),
+      seconds: () => Math.floor(this.#timer.wallClock() / 1000),
+      metrics: () => this.#renderMetrics(),
+    });
+  }
+
+  #makePeerServer(): PeerServer {
+    const { peers } = this.#settings;
+    return new PeerServer({
+      host: peers.host,
+      port: peers.port,
+      mostBodyBytes: MOST_PEER_BODY_BYTES,
+      metrics: () => this.#renderMetrics(),
+      methods: {
+        [PEER_METHODS.watch]: (question: WatchQuestion) =>
+          this.#core.watch(question),
+        [PEER_METHODS.status]: () => this.#core.status(),
+        [PEER_METHODS.snapshot]: ({ stream }: { stream: string }) =>
+          this.#core.snapshot(stream),
+      },
+    });
+  }
+
+  async #renderMetrics(): Promise<string> {
+    return (await this.#metrics.render()).body;
+  }
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,6 +1,8 @@
 import process from "node:process";
 import { hideBin } from "yargs/helpers";
 import yargs from "yargs";
+import { entryCommand } from "./entry/command.ts";
+import { sideCommand } from "./side/command.ts";
 
 const VERSION = "0.1.0";
 
@@ -8,7 +10,8 @@
 function main(): Promise<unknown> {
   return Promise.resolve(
     yargs(hideBin(process.argv)).scriptName("filbertshore").version(VERSION)
-      .demandCommand(1).strict().help().parse(),
+      .command(entryCommand).command(sideCommand).demandCommand(1).strict()
+      .help().parse(),
   );
 }
 
--- a/src/entry/endpoint_subset.ts
+++ b/src/entry/endpoint_subset.ts
@@ -10,6 +10,12 @@
   readonly mostPerPool: number;
 }
 
+/**
+ * Share of the subset that lies in other availability zones, so that an entry
+ * has somewhere to spill to in the moment when its own zone is lost.
+ */
+const SPILL_SHARE = 0.25;
+
 /** The part of the inventory that one entry uses. */
 export interface EndpointSubset {
   readonly inventory: Inventory;
@@ -34,15 +40,19 @@
       sides.set(identifier(endpoint.id), identifier(endpoint.side));
     }
   }
-  return { inventory: { ...inventory, pools }, sides };
+  return {
+    inventory: { ...inventory, pools: pools as Inventory["pools"] },
+    sides,
+  };
 }
 
 function choosePool(pool: Pool, options: EndpointSubsetOptions): Pool {
   if (pool.endpoints.length <= options.mostPerPool) return pool;
   const chosen = new Set(rendezvousSubset(pool.endpoints, {
-    entry: options.entry,
+    picker: options.entry,
     availabilityZone: options.availabilityZone,
-    most: options.mostPerPool,
+    size: options.mostPerPool,
+    spill: Math.ceil(options.mostPerPool * SPILL_SHARE),
   }));
   const endpoints = pool.endpoints.filter((each) => chosen.has(each));
   return { ...pool, endpoints };
--- a/src/side/side_core.ts
+++ b/src/side/side_core.ts
@@ -1,4 +1,8 @@
-import type { Incarnation, ProcessId } from "../core/identity/mod.ts";
+import type {
+  AvailabilityZoneId,
+  Incarnation,
+  ProcessId,
+} from "../core/identity/mod.ts";
 import type {
   EndpointLink,
   EngineObservation,
@@ -58,6 +62,7 @@
   readonly name: ProcessId;
   readonly incarnation: Incarnation;
   readonly endpointId: string;
+  readonly availabilityZone: AvailabilityZoneId;
   readonly kind: "engine" | "service";
   readonly timer: TimerService;
   readonly random: Random;
@@ -83,9 +88,6 @@
   move(): void;
 }
 
-/** A side is attached to two entries, so that losing one delays nothing. */
-const ATTACHED_ENTRIES = 2;
-
 /**
  * The only door to one endpoint. Every request and every order passes it, so
  * it knows the true work in flight, and what it refuses has not run.
@@ -95,7 +97,7 @@
   readonly #logger: Logger;
   readonly #limiter: SideLimiter;
   readonly #once: SideOnceTable;
-  readonly #orders: OrderExecutor;
+  #orders: OrderExecutor | undefined;
   readonly #recent: RecentAttempts;
   readonly #watches: WatchLoop[] = [];
   readonly #running = new Map<string, RunningAttempt>();
@@ -127,28 +129,12 @@
       onBarred: (key, record) => this.#tell("once_barred", { key, record }),
     });
     this.#recent = new RecentAttempts(options.timer);
-    this.#orders = new OrderExecutor({
-      endpoint: options.endpoint,
-      timer: options.timer,
-      checksFencing: () => this.#configuration?.checksFencing ?? false,
-      incarnation: options.incarnation,
-      longestOrderMilliseconds: options.times.longestOrderMilliseconds,
-      drain: () => this.#drainForChange(),
-      resume: () => this.#resumeAfterChange(),
-      observe: options.observe,
-      process: options.name,
-    });
   }
 
   /** Starts watching entries and observing the endpoint. */
   start(): void {
     this.#tell("process_started", { role: "side" });
-    const addresses = attachments(
-      this.#options.endpointId,
-      this.#options.entryAddresses,
-      { count: ATTACHED_ENTRIES },
-    );
-    for (const entry of addresses) this.#watch(entry);
+    for (const entry of this.#attachedEntries()) this.#watch(entry);
     if (this.#options.kind === "engine") this.#startObserving();
   }
 
@@ -169,7 +155,7 @@
     this.#leaving = true;
     for (const watch of this.#watches) watch.stop();
     this.#observing?.cancel();
-    this.#orders.stop();
+    this.#orders?.stop();
     for (const running of [...this.#running.values()]) running.move();
     this.#tell("process_stopped", {});
   }
@@ -204,7 +190,7 @@
       configurationVersion: this.#configurationVersion,
       ordersRead: this.#ordersRead,
       orderTaken: this.#orderTaken,
-      orderApplied: this.#orders.applied,
+      orderApplied: this.#orders?.applied ?? -1,
     };
   }
 
@@ -408,6 +394,13 @@
     });
   }
 
+  #attachedEntries(): PeerAddress[] {
+    const { endpointId, entryAddresses, availabilityZone } = this.#options;
+    const entries = entryAddresses.map((id) => ({ id, availabilityZone }));
+    return attachments(entries, { side: endpointId, availabilityZone })
+      .map((entry) => entry.id);
+  }
+
   #watch(entry: PeerAddress): void {
     const watch = new WatchLoop({
       timer: this.#options.timer,
@@ -445,9 +438,30 @@
     if (answer.order.offset <= this.#orderTaken) return;
     this.#orderTaken = answer.order.offset;
     if (this.#configuration?.state === "withdrawn") return;
+    this.#orders ??= this.#makeOrderExecutor();
     this.#orders.take(answer.order);
   }
 
+  /**
+   * Made with the first order and not before: only then it is known whether
+   * the engine checks fencing numbers.
+   */
+  #makeOrderExecutor(): OrderExecutor {
+    const { endpoint, timer, incarnation, times, observe, name } =
+      this.#options;
+    return new OrderExecutor({
+      endpoint,
+      timer,
+      checksFencing: this.#configuration?.checksFencing ?? false,
+      incarnation,
+      longestOrderMilliseconds: times.longestOrderMilliseconds,
+      drain: () => this.#drainForChange(),
+      resume: () => this.#resumeAfterChange(),
+      observe,
+      process: name,
+    });
+  }
+
   async #drainForChange(): Promise<void> {
     this.#changing = true;
     await this.#idleWithin(this.#options.times.drainMilliseconds);
