--- a/scripts/test.ts
+++ b/scripts/test.ts
@@ -26,6 +26,7 @@
   ["generated code", "check:generated"],
   ["build", "build"],
 ];
+const TEST_FILES = ["src/**/*_test.ts", "test/**/*_test.ts"];
 const KNOWN_RED_FILE = "KNOWN-RED.txt";
 const MOST_KNOWN_RED = 3;
 
@@ -59,6 +60,7 @@
   const output = join(folder, "report.json");
   const run = spawnSync("npx", [
     "mocha",
+    ...TEST_FILES,
     "--reporter",
     "json",
     "--reporter-option",
--- /dev/null
+++ b/test/support/small_deployment.ts
@@ -0,0 +1,214 @@
+import { uuidv7 } from "./uuid.ts";
+import { freePort } from "./free_port.ts";
+import { ProcessFleet, type StartedProcess, waitFor } from "./process_fleet.ts";
+
+export interface SmallDeploymentOptions {
+  readonly entries?: number;
+  readonly engines?: number;
+  readonly services?: number;
+  /** Options of every engine stand-in. */
+  readonly engine?: Record<string, unknown>;
+  readonly coordination?: Record<string, number>;
+}
+
+/** An endpoint of the deployment with the processes that stand for it. */
+export interface DeployedEndpoint {
+  readonly id: string;
+  readonly url: string;
+  readonly endpoint: StartedProcess;
+  readonly side: StartedProcess;
+  readonly sideAddress: string;
+}
+
+export interface DeployedEntry {
+  readonly url: string;
+  readonly peers: string;
+  readonly process: StartedProcess;
+}
+
+const ZONES = ["shah-alam", "petaling", "klang-port"];
+const REGION = "klang-valley";
+
+/** The whole system as processes on the loopback, with stand-ins around it. */
+export class SmallDeployment {
+  readonly fleet = new ProcessFleet();
+  readonly engines: DeployedEndpoint[] = [];
+  readonly services: DeployedEndpoint[] = [];
+  readonly entries: DeployedEntry[] = [];
+  logUrl = "";
+
+  /** Starts everything and publishes the inventory. */
+  async start(options: SmallDeploymentOptions = {}): Promise<void> {
+    this.logUrl = (await this.fleet.startStandIn("log_service")).url;
+    await this.#startEntries(options);
+    await Promise.all([
+      ...range(options.engines ?? 2).map((index) =>
+        this.#startEndpoint("engine", { index, options })
+      ),
+      ...range(options.services ?? 1).map((index) =>
+        this.#startEndpoint("service", { index, options })
+      ),
+    ]);
+    await this.publishRaw(this.content(), 0);
+    await this.waitUntilReady();
+  }
+
+  /** Appends a publication as another tool would, without our command. */
+  async publishRaw(content: unknown, base: number): Promise<void> {
+    const record = {
+      writer: "test",
+      incarnation: uuidv7(),
+      sequence: 0,
+      body: { kind: "publication", publicationId: uuidv7(), base, content },
+    };
+    await fetch(`${this.logUrl}/streams/configuration.${REGION}/records`, {
+      method: "POST",
+      body: JSON.stringify({ records: [record] }),
+    });
+  }
+
+  /** Inventory and rules of the deployment, with the endpoints' states. */
+  content(states: Readonly<Record<string, string>> = {}): unknown {
+    const endpointsOf = (endpoints: DeployedEndpoint[]) =>
+      endpoints.map((each, index) => ({
+        id: each.id,
+        availabilityZone: ZONES[index % ZONES.length],
+        side: each.sideAddress,
+        state: states[each.id] ?? "serving",
+      }));
+    return {
+      inventory: {
+        region: REGION,
+        availabilityZones: ZONES,
+        pools: [{
+          name: "triage-llm",
+          kind: "engine",
+          models: ["triage-llm"],
+          engine: ENGINE,
+          endpoints: endpointsOf(this.engines),
+        }, {
+          name: "member-portal",
+          kind: "service",
+          routes: [
+            { method: "POST", path: "/cases", idempotent: false },
+            { method: "GET", path: "/cases", idempotent: true },
+          ],
+          endpoints: endpointsOf(this.services),
+        }],
+      },
+      rules: RULES,
+    };
+  }
+
+  async waitUntilReady(): Promise<void> {
+    for (const entry of this.entries) {
+      await waitFor(async () => {
+        const answer = await fetch(`${entry.url}/ready`).catch(() => undefined);
+        return answer?.status === 200;
+      }, { what: `${entry.url} to be ready` });
+    }
+    // Sides report once a second; work goes to those that have.
+    const endpoints = [...this.engines, ...this.services];
+    for (const { id, side } of endpoints) {
+      await waitFor(() => side.output().includes("Configuration is in force"), {
+        what: `the configuration at ${id}`,
+      });
+    }
+    await new Promise((resolve) => setTimeout(resolve, 300));
+  }
+
+  async close(): Promise<void> {
+    await this.fleet.close();
+  }
+
+  async #startEntries(options: SmallDeploymentOptions): Promise<void> {
+    const count = options.entries ?? 2;
+    const ports = await Promise.all(range(2 * count).map(() => freePort()));
+    const peers = range(count).map((index) =>
+      `127.0.0.1:${ports[2 * index + 1]}`
+    );
+    for (const index of range(count)) {
+      const name = `entry-${index}`;
+      const file = this.fleet.writeToml(`${name}.toml`, {
+        name,
+        region: REGION,
+        availabilityZone: ZONES[index % ZONES.length],
+        callers: { host: "127.0.0.1", port: ports[2 * index] },
+        peers: { host: "127.0.0.1", port: ports[2 * index + 1] },
+        peerAddresses: peers.filter((_, other) => other !== index),
+        platform: { logService: this.logUrl },
+        coordination: { ...FAST_TIMES, ...options.coordination },
+      });
+      this.entries.push({
+        url: `http://127.0.0.1:${ports[2 * index]}`,
+        peers: peers[index],
+        process: this.fleet.startProgram(["entry", "--settings", file]),
+      });
+    }
+  }
+
+  async #startEndpoint(
+    kind: "engine" | "service",
+    given: { index: number; options: SmallDeploymentOptions },
+  ): Promise<void> {
+    const { index, options } = given;
+    const engine = kind === "engine";
+    const id = engine ? `triage-${index}` : `portal-${index}`;
+    const standIn = await this.fleet.startStandIn(
+      engine ? "model_engine" : "plain_service",
+      engine ? options.engine : { prefix: `${id}-case` },
+    );
+    const port = await freePort();
+    const sideAddress = `127.0.0.1:${port}`;
+    const file = this.fleet.writeToml(`${id}.toml`, {
+      name: `side-${id}`,
+      region: REGION,
+      availabilityZone: ZONES[index % ZONES.length],
+      endpoint: id,
+      kind,
+      target: standIn.url,
+      peers: { host: "127.0.0.1", port },
+      entries: this.entries.map((entry) => entry.peers),
+      coordination: { ...FAST_TIMES, ...options.coordination },
+    });
+    const deployed = {
+      id,
+      url: standIn.url,
+      endpoint: standIn.started,
+      side: this.fleet.startProgram(["side", "--settings", file]),
+      sideAddress,
+    };
+    (engine ? this.engines : this.services)[index] = deployed;
+  }
+}
+
+const FAST_TIMES = {
+  reportMilliseconds: 200,
+  suspectMilliseconds: 1_000,
+  appendDelayMilliseconds: 5,
+  claimSilenceMilliseconds: 1_000,
+  longestOrderMilliseconds: 1_000,
+};
+
+const ENGINE = {
+  slots: 8,
+  prefillTokensPerSecond: 8000,
+  millisecondsBetweenTokens: 20,
+  keyValueCacheTokens: 100_000,
+  roleChangeSeconds: 1,
+  resumesStreams: true,
+};
+
+const RULES = {
+  classes: [
+    { name: "urgent", priority: 0, deadlineSeconds: 10, share: 0.3 },
+    { name: "bulk", priority: 5, deadlineSeconds: 60, mayPause: true },
+  ],
+  defaultClass: "urgent",
+  matches: [{ class: "bulk", workspace: "council" }],
+  planner: { enabled: false },
+};
+
+function range(count: number): number[] {
+  return Array.from({ length: count }, (_, index) => index);
+}
