--- a/test/process/whole_path_test.ts
+++ b/test/process/whole_path_test.ts
@@ -49,7 +49,7 @@
         await book(deployment.entries[0].url, key),
         await book(deployment.entries[1].url, key),
       ];
-      expect(first.status).to.equal(200);
+      expect(first.status).to.equal(201);
       expect(second).to.deep.equal(first);
     });
 
