Add logs, metrics and traces

Cause: operators have to see what the fleet does, and the cores may know no library for it.

The cores' own types stand in src/core/observation (Tracer and Span are new).

Ruled out: spans handed through the cores as library objects; a parent is a traceparent text, which goes over the wire anyway.

--- /dev/null
+++ b/src/adapters/telemetry/mod.ts
@@ -0,0 +1,8 @@
+/** Logs, metrics and traces of a process. */
+export {
+  createLogger,
+  type LabelledLogger,
+  type LoggerOptions,
+} from "./logger.ts";
+export { Metrics, type MetricsOptions } from "./metrics.ts";
+export { createTracing, type Tracing, type TracingOptions } from "./tracing.ts";
--- /dev/null
+++ b/src/adapters/telemetry/span_file.ts
@@ -0,0 +1,56 @@
+import { createWriteStream, type WriteStream } from "node:fs";
+import { type ExportResult, ExportResultCode } from "@opentelemetry/core";
+import type { ReadableSpan, SpanExporter } from "@opentelemetry/sdk-trace-base";
+
+/**
+ * Most that one process writes. The VMs have no disks, so that a file lies in
+ * memory and would crowd out the process itself.
+ */
+const MOST_FILE_BYTES = 64 * 1024 * 1024;
+
+/** Writes each span as one line of JSON, up to a bound. */
+export class SpanFile implements SpanExporter {
+  readonly #stream: WriteStream;
+  #written = 0;
+  #failed = false;
+
+  constructor(file: string) {
+    this.#stream = createWriteStream(file, { flags: "a" });
+    this.#stream.on("error", () => this.#failed = true);
+  }
+
+  export(spans: ReadableSpan[], done: (result: ExportResult) => void): void {
+    const text = spans.map((span) => `${JSON.stringify(lineOf(span))}\n`)
+      .join("");
+    if (this.#failed || this.#written + text.length > MOST_FILE_BYTES) {
+      done({ code: ExportResultCode.FAILED });
+      return;
+    }
+    this.#written += text.length;
+    this.#stream.write(text, () => done({ code: ExportResultCode.SUCCESS }));
+  }
+
+  shutdown(): Promise<void> {
+    if (this.#failed) return Promise.resolve();
+    return new Promise((resolve) => this.#stream.end(() => resolve()));
+  }
+}
+
+function lineOf(span: ReadableSpan): Record<string, unknown> {
+  const { traceId, spanId } = span.spanContext();
+  return {
+    traceId,
+    spanId,
+    parentSpanId: span.parentSpanContext?.spanId,
+    name: span.name,
+    process: span.resource.attributes["service.instance.id"],
+    startMilliseconds: milliseconds(span.startTime),
+    durationMilliseconds: milliseconds(span.duration),
+    facts: span.attributes,
+    failure: span.status.message,
+  };
+}
+
+function milliseconds([seconds, nanoseconds]: [number, number]): number {
+  return seconds * 1000 + nanoseconds / 1e6;
+}
--- /dev/null
+++ b/src/adapters/telemetry/tracing.ts
@@ -0,0 +1,128 @@
+/** Traces by OpenTelemetry: over HTTP to a collector or to a file of lines. */
+import {
+  type Context,
+  ROOT_CONTEXT,
+  type Span as OtelSpan,
+  SpanStatusCode,
+  trace,
+  TraceFlags,
+  type Tracer as OtelTracer,
+} from "@opentelemetry/api";
+import { parseTraceParent } from "@opentelemetry/core";
+import { OTLPTraceExporter } from "@opentelemetry/exporter-trace-otlp-http";
+import { resourceFromAttributes } from "@opentelemetry/resources";
+import {
+  BasicTracerProvider,
+  BatchSpanProcessor,
+  ParentBasedSampler,
+  type SpanExporter,
+  TraceIdRatioBasedSampler,
+} from "@opentelemetry/sdk-trace-base";
+import {
+  NO_TRACER,
+  type Span,
+  type SpanFacts,
+  type SpanName,
+  type SpanOptions,
+  type Tracer,
+} from "../../core/observation/mod.ts";
+import { SpanFile } from "./span_file.ts";
+
+/** Spans that may wait for the collector; beyond it they are dropped. */
+const MOST_WAITING_SPANS = 4_096;
+
+export interface TracingOptions {
+  /** Name of the process on each span. */
+  readonly process: string;
+  /** Address of a collector; goes before the file. */
+  readonly otlpUrl?: string;
+  readonly file?: string;
+  /** Share of traces that start here and are kept, 0 to 1. */
+  readonly share: number;
+}
+
+export interface Tracing {
+  readonly tracer: Tracer;
+  /** Writes what waits and ends. */
+  shutdown(): Promise<void>;
+}
+
+/** Makes the tracing of a process; with no output set it is a null object. */
+export function createTracing(options: TracingOptions): Tracing {
+  const exporter = exporterFor(options);
+  if (exporter === undefined) {
+    return { tracer: NO_TRACER, shutdown: () => Promise.resolve() };
+  }
+  const provider = new BasicTracerProvider({
+    resource: resourceFromAttributes({
+      "service.name": "filbertshore",
+      "service.instance.id": options.process,
+    }),
+    sampler: new ParentBasedSampler({
+      root: new TraceIdRatioBasedSampler(options.share),
+    }),
+    spanProcessors: [
+      new BatchSpanProcessor(exporter, { maxQueueSize: MOST_WAITING_SPANS }),
+    ],
+  });
+  return {
+    tracer: new OpenTelemetryTracer(provider.getTracer("filbertshore")),
+    shutdown: () => provider.shutdown(),
+  };
+}
+
+function exporterFor(options: TracingOptions): SpanExporter | undefined {
+  if (options.otlpUrl !== undefined) {
+    return new OTLPTraceExporter({ url: options.otlpUrl });
+  }
+  return options.file === undefined ? undefined : new SpanFile(options.file);
+}
+
+class OpenTelemetryTracer implements Tracer {
+  readonly #tracer: OtelTracer;
+
+  constructor(tracer: OtelTracer) {
+    this.#tracer = tracer;
+  }
+
+  start(name: SpanName, options: SpanOptions): Span {
+    const span = this.#tracer.startSpan(
+      name,
+      { attributes: options.facts },
+      parentContext(options.traceparent),
+    );
+    return new OpenTelemetrySpan(span);
+  }
+}
+
+class OpenTelemetrySpan implements Span {
+  readonly traceparent: string;
+  readonly #span: OtelSpan;
+
+  constructor(span: OtelSpan) {
+    this.#span = span;
+    const { traceId, spanId, traceFlags } = span.spanContext();
+    const flags = traceFlags & TraceFlags.SAMPLED ? "01" : "00";
+    this.traceparent = `00-${traceId}-${spanId}-${flags}`;
+  }
+
+  add(facts: SpanFacts): void {
+    this.#span.setAttributes(facts);
+  }
+
+  fail(reason: string): void {
+    this.#span.setStatus({ code: SpanStatusCode.ERROR, message: reason });
+  }
+
+  end(): void {
+    this.#span.end();
+  }
+}
+
+/** A caller's header that makes no sense starts a new trace. */
+function parentContext(traceparent: string | undefined): Context {
+  if (traceparent === undefined) return ROOT_CONTEXT;
+  const parent = parseTraceParent(traceparent);
+  if (parent === null) return ROOT_CONTEXT;
+  return trace.setSpanContext(ROOT_CONTEXT, { ...parent, isRemote: true });
+}
--- a/src/core/observation/mod.ts
+++ b/src/core/observation/mod.ts
@@ -108,3 +108,11 @@
 
 export type { LogFacts, Logger } from "./logger.ts";
 export { SILENT_LOGGER } from "./logger.ts";
+export type {
+  Span,
+  SpanFacts,
+  SpanName,
+  SpanOptions,
+  Tracer,
+} from "./tracer.ts";
+export { NO_TRACER } from "./tracer.ts";
