Add clients of the VM list and the weight store

Cause: entries learn of VMs that leave from the platform's list, and a check of an inventory asks the weight store whether its versions exist.

Change: src/adapters/vm_list and weight_store; the latter asks one at a time and waits where the store's rate is used up. Reading JSON stands once, in http_client.

Conclusion: an outage of the list is a failure and never an empty list.

--- a/src/adapters/endpoint/mod.ts
+++ b/src/adapters/endpoint/mod.ts
@@ -17,7 +17,7 @@
 } from "../../generated/messages.ts";
 import type { EngineStatus } from "../../generated/platform.ts";
 import { validateEngineStatus } from "../../generated/validators.js";
-import { HttpClient, type HttpFailure } from "../http_client/mod.ts";
+import { HttpClient, type HttpFailure, parseJson } from "../http_client/mod.ts";
 import {
   ENDPOINT_CLOSED,
   ENDPOINT_ERROR,
@@ -247,11 +247,3 @@
   }
   return headers;
 }
-
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
--- a/src/adapters/http_client/mod.ts
+++ b/src/adapters/http_client/mod.ts
@@ -182,3 +182,12 @@
     incoming.on("close", cutOff);
   });
 }
+
+/** The value of a JSON text; undefined where it is none. */
+export function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- a/src/adapters/log_service/mod.ts
+++ b/src/adapters/log_service/mod.ts
@@ -15,7 +15,7 @@
   validateAppendAnswer,
   validateLogReadAnswer,
 } from "../../generated/validators.js";
-import { HttpClient } from "../http_client/mod.ts";
+import { HttpClient, parseJson } from "../http_client/mod.ts";
 import { LOG_EXPIRED, LOG_UNAVAILABLE, LOG_UNKNOWN } from "./errors.ts";
 
 /**
@@ -158,11 +158,3 @@
 function pathOf(stream: StreamName): string {
   return `/streams/${encodeURIComponent(stream)}/records`;
 }
-
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
--- /dev/null
+++ b/src/adapters/vm_list/mod.ts
@@ -0,0 +1,59 @@
+/** The platform's list of VMs over HTTP. */
+import { err, ok, type Result } from "../../core/errors/result.ts";
+import { type Failure, failure } from "../../core/errors/mod.ts";
+import { identifier } from "../../core/identity/mod.ts";
+import type { ListedVm, PeerAddress, VmList } from "../../core/links/mod.ts";
+import type { TimerService } from "../../core/time/mod.ts";
+import type { VmListAnswer } from "../../generated/platform.ts";
+import { validateVmListAnswer } from "../../generated/validators.js";
+import { HttpClient, parseJson } from "../http_client/mod.ts";
+import { VM_LIST_UNAVAILABLE } from "./errors.ts";
+
+/** The list changes slowly; a slow answer is worth the next try. */
+const TIMEOUT_MILLISECONDS = 3_000;
+/** 12,000 VMs at 200 bytes each, three times over. */
+const MOST_RESPONSE_BYTES = 8 * 1024 * 1024;
+
+/** Reads the whole list with `GET /vms`. */
+export class HttpVmList implements VmList {
+  readonly #client: HttpClient;
+
+  constructor(url: string, options: { timer: TimerService }) {
+    this.#client = new HttpClient(url, options);
+  }
+
+  async read(): Promise<
+    Result<readonly ListedVm[], Failure<"vm_list_unavailable">>
+  > {
+    const answer = await this.#client.call("/vms", {
+      method: "GET",
+      timeoutMilliseconds: TIMEOUT_MILLISECONDS,
+      mostResponseBytes: MOST_RESPONSE_BYTES,
+    });
+    if (answer.isErr()) return unavailable(answer.error.message);
+    const { status, body } = answer.value;
+    if (status !== 200) return unavailable(`status ${status}`);
+    const value = parseJson(body);
+    if (!validateVmListAnswer(value)) {
+      return unavailable("the answer is malformed");
+    }
+    return ok((value as VmListAnswer).vms.map((vm) => ({
+      id: vm.id,
+      address: identifier<PeerAddress>(vm.address),
+      role: vm.role,
+      availabilityZone: vm.availability_zone,
+      leaving: vm.leaving,
+    })));
+  }
+
+  /** Closes kept connections. */
+  close(): void {
+    this.#client.close();
+  }
+}
+
+function unavailable(
+  reason: string,
+): Result<never, Failure<"vm_list_unavailable">> {
+  return err(failure(VM_LIST_UNAVAILABLE, { reason }));
+}
--- /dev/null
+++ b/src/adapters/weight_store/mod_test.ts
@@ -0,0 +1,40 @@
+import { expect } from "chai";
+import { WeightStoreStandIn } from "../../../test/stand_ins/weight_store.ts";
+import { SystemTimerService } from "../time/mod.ts";
+import { HttpWeightStore } from "./mod.ts";
+
+describe("HttpWeightStore", () => {
+  let standIn: WeightStoreStandIn;
+  let store: HttpWeightStore;
+
+  beforeEach(async () => {
+    standIn = new WeightStoreStandIn({
+      requestsPerSecond: 2,
+      versions: { "triage-llm": ["v1", "v2"] },
+    });
+    const url = `http://127.0.0.1:${await standIn.listen()}`;
+    store = new HttpWeightStore(url, { timer: new SystemTimerService() });
+  });
+
+  afterEach(async () => {
+    store.close();
+    await standIn.close();
+  });
+
+  it("tells the versions of a model", async () => {
+    const versions = await store.versions("triage-llm");
+    expect(versions._unsafeUnwrap()).to.deep.equal(["v1", "v2"]);
+    const none = await store.versions("none");
+    expect(none._unsafeUnwrapErr().name).to.equal("model_unknown");
+  });
+
+  // A check of a large inventory asks more often than the store's rate. It
+  // has to wait its turn; giving up would call good weights missing.
+  it("waits where the store's rate is used up", async () => {
+    const answers = await Promise.all(
+      [1, 2, 3].map(() => store.versions("triage-llm")),
+    );
+    expect(answers.every((answer) => answer.isOk())).to.equal(true);
+    expect(standIn.refused).to.equal(1);
+  });
+});
