Check histories for the nine conditions

Cause: each condition has to be checked by one function on any run, whether in one process or many, or a proof is only the opinion of a test. Ruled out: taking the readers' own word for what is valid; the checker folds the log's records itself. Change: one checker per condition, 32 wrong histories that each break one condition and no other, 25 near misses that must pass. The first version lost sight of a process whose pause outlasted its limit; the history that shows it failed and passes now.

--- /dev/null
+++ b/test/history/history_test.ts
@@ -0,0 +1,416 @@
+import { expect } from "chai";
+import type {
+  HistoryEvent,
+  HistoryEventKind,
+} from "../../src/core/observation/mod.ts";
+import { checkHistory, type Condition, CONDITIONS } from "./mod.ts";
+
+type Facts = HistoryEvent["facts"];
+
+function event(
+  at: number,
+  kind: HistoryEventKind,
+  facts: Facts & { by?: string } = {},
+): HistoryEvent {
+  const { by, ...others } = facts;
+  return { at, process: by ?? "entry-1", kind, facts: others };
+}
+
+function order(at: number, number: number, facts: Facts = {}): HistoryEvent {
+  return event(at, "order_received", {
+    by: "e1",
+    endpoint: "e1",
+    order: number,
+    target: "decode",
+    ...facts,
+  });
+}
+
+function done(at: number, number: number): HistoryEvent {
+  return event(at, "order_done", {
+    by: "e1",
+    endpoint: "e1",
+    order: number,
+    target: "decode",
+  });
+}
+
+function appended(offset: number, kind: string, facts: Facts): HistoryEvent {
+  const stream = kind === "publication" || kind === "verdict"
+    ? "configuration"
+    : "orders.r";
+  return event(0, "log_appended", {
+    by: "log",
+    stream,
+    offset,
+    kind,
+    ...facts,
+  });
+}
+
+const CLAIM = appended(0, "claim", { replaces: -1, holder: "entry-1" });
+/** Orders 1 to 3 of the claim at 0, all valid. */
+const ORDERS = [
+  CLAIM,
+  ...[1, 2, 3].map((offset) =>
+    appended(offset, "order", {
+      claim: 0,
+      number: offset,
+      endpoint: "e1",
+      target: "decode",
+    })
+  ),
+];
+
+const SIDE = event(0, "process_started", {
+  by: "side-1",
+  role: "side",
+  endpoint: "e1",
+});
+const ATTEMPT = { requestId: "r", attemptId: "a", endpoint: "e1" };
+
+function started(at: number, facts: Facts = {}): HistoryEvent {
+  return event(at, "endpoint_started", { by: "side-1", ...ATTEMPT, ...facts });
+}
+
+function executed(at: number, facts: Facts = {}): HistoryEvent {
+  const work = { ...ATTEMPT, idempotent: false };
+  return event(at, "endpoint_executed", { by: "e1", ...work, ...facts });
+}
+
+function finished(at: number, outcome: string, facts: Facts = {}) {
+  return event(at, "request_finished", { requestId: "r", outcome, ...facts });
+}
+
+function token(at: number, index: number, text = "x"): HistoryEvent {
+  return event(at, "token_delivered", { requestId: "r", index, text });
+}
+
+const RECEIVED = event(0, "request_received", { requestId: "r" });
+const EXPECTED = event(0, "answer_expected", { requestId: "r", text: "xx" });
+const RUN_ENDED = event(60_000, "run_ended");
+
+function inForce(at: number, version: number, by = "entry-1"): HistoryEvent {
+  return event(at, "configuration_in_force", { by, version });
+}
+
+const CONFIGURATION = [
+  event(0, "process_started", { role: "entry" }),
+  {
+    ...appended(0, "claim", { replaces: -1 }),
+    facts: {
+      ...appended(0, "claim", { replaces: -1 }).facts,
+      stream: "configuration",
+    },
+  },
+  appended(1, "publication", { base: 0, publicationId: "p" }),
+  appended(2, "verdict", { claim: 0, publication: 1, accepted: true }),
+];
+
+/** Histories that break exactly one condition. */
+const WRONG: Readonly<Record<Condition, Record<string, HistoryEvent[]>>> = {
+  conflicting_orders: {
+    "a second order under way": [...ORDERS, order(1, 1), order(2, 2)],
+    "an older order late": [...ORDERS, order(1, 2), done(2, 2), order(3, 1)],
+    "an older order after a crash": [
+      ...ORDERS,
+      order(1, 2),
+      event(2, "process_killed", { by: "e1" }),
+      order(3, 1),
+    ],
+  },
+  cut_by_change: {
+    "an order at an engine at work": [SIDE, ...ORDERS, started(1), order(2, 1)],
+    "work moved and not taken up": [
+      started(1),
+      event(2, "endpoint_cancelled", { ...ATTEMPT, cause: "planned" }),
+      finished(3, "unknown"),
+    ],
+  },
+  order_without_authority: {
+    "an order that is not on the log": [order(1, 1)],
+    "an order behind a newer claim": [
+      CLAIM,
+      appended(1, "claim", { replaces: 0, holder: "entry-2" }),
+      appended(2, "order", {
+        claim: 0,
+        number: 1,
+        endpoint: "e1",
+        target: "decode",
+      }),
+      order(1, 2),
+    ],
+    "a number given twice": [
+      CLAIM,
+      ...[1, 2].map((offset) =>
+        appended(offset, "order", {
+          claim: 0,
+          number: 1,
+          endpoint: "e1",
+          target: "decode",
+        })
+      ),
+      order(1, 2),
+    ],
+    "another target than on the log": [
+      ...ORDERS,
+      order(1, 1, { target: "prefill" }),
+    ],
+  },
+  wrong_answer: {
+    "a token twice": [token(1, 0), token(2, 0)],
+    "a token left out": [token(1, 0), token(2, 2)],
+    "a token of another request": [EXPECTED, token(1, 0, "y")],
+    "a shorter answer that looks whole": [
+      EXPECTED,
+      token(1, 0),
+      finished(2, "answered", { tokens: 1 }),
+    ],
+    "a token behind the end": [
+      token(1, 0),
+      finished(2, "answered", { tokens: 1 }),
+      token(3, 1),
+    ],
+    "the response to another": [
+      EXPECTED,
+      event(1, "response_delivered", { requestId: "r", body: "yy" }),
+    ],
+    "two outcomes": [finished(1, "unknown"), finished(2, "unknown")],
+    "an answer without content": [finished(1, "answered")],
+    "no outcome": [RECEIVED, RUN_ENDED],
+  },
+  false_not_run: {
+    "work started before": [started(1), finished(2, "not_run")],
+    "work executed after": [finished(1, "not_run"), executed(2)],
+  },
+  ran_twice: {
+    "a key twice": [
+      executed(1, { key: "k" }),
+      executed(2, { key: "k", requestId: "r2", endpoint: "e2" }),
+    ],
+    "a request without a key twice": [executed(1), executed(2)],
+    "a repeat with another answer": ["r", "r2"].flatMap((requestId, index) => [
+      event(1, "request_received", { requestId, key: "k" }),
+      event(2, "response_delivered", { requestId, body: `case ${index}` }),
+    ]),
+  },
+  leaving_endpoint_used: {
+    "new work six seconds later": [
+      event(0, "endpoint_leaving", { by: "network", endpoint: "e1" }),
+      started(6_000),
+    ],
+  },
+  cut_by_stop: {
+    "an entry stops with a request open": [
+      RECEIVED,
+      event(1, "process_stopped"),
+      finished(2, "unknown"),
+    ],
+    "a side stops with work under way": [
+      SIDE,
+      started(1),
+      event(2, "process_stopped", { by: "side-1" }),
+      finished(3, "unknown"),
+    ],
+  },
+  configuration_reverted: {
+    "a version that goes back": [
+      ...CONFIGURATION,
+      inForce(1, 3),
+      inForce(2, 0),
+    ],
+    "a version that goes back over a restart": [
+      ...CONFIGURATION,
+      inForce(1, 3),
+      event(2, "process_killed"),
+      event(3, "process_started"),
+      inForce(4, 0),
+    ],
+    "a version that nobody accepted": [...CONFIGURATION, inForce(1, 4)],
+    "a second publication on the same base": [
+      ...CONFIGURATION,
+      appended(3, "publication", { base: 0, publicationId: "q" }),
+      appended(4, "verdict", { claim: 0, publication: 3, accepted: true }),
+      inForce(1, 5),
+    ],
+    "a process that never gets it": [...CONFIGURATION, RUN_ENDED],
+    "a process that gets it late after a pause": [
+      ...CONFIGURATION,
+      event(1, "process_paused"),
+      event(20_000, "process_resumed"),
+      inForce(29_001, 3),
+    ],
+  },
+};
+
+/** Histories that come near a violation and are allowed. */
+const ALLOWED: Readonly<Record<Condition, Record<string, HistoryEvent[]>>> = {
+  conflicting_orders: {
+    "one order twice": [...ORDERS, order(1, 1), order(2, 1)],
+    "the next order after a crash in mid-change": [
+      ...ORDERS,
+      order(1, 1),
+      event(2, "process_killed", { by: "e1" }),
+      order(3, 1),
+      done(4, 1),
+      order(5, 2),
+    ],
+    "an older order refused by the engine": [
+      ...ORDERS,
+      order(1, 2),
+      event(2, "order_refused", { by: "e1", endpoint: "e1", order: 1 }),
+    ],
+  },
+  cut_by_change: {
+    "an order behind the end of the work": [
+      SIDE,
+      ...ORDERS,
+      started(1),
+      event(2, "endpoint_finished", { ...ATTEMPT, result: "answered" }),
+      order(3, 1),
+    ],
+    "work moved and taken up": [
+      started(1),
+      event(2, "endpoint_cancelled", { ...ATTEMPT, cause: "planned" }),
+      started(3, { attemptId: "b", endpoint: "e2" }),
+    ],
+    "the same target again under work": [
+      SIDE,
+      ...ORDERS,
+      order(1, 1),
+      done(2, 1),
+      started(3),
+      order(4, 2),
+    ],
+  },
+  order_without_authority: {
+    "an order before a newer claim, delivered after it": [
+      ...ORDERS,
+      appended(4, "claim", { replaces: 0, holder: "entry-2" }),
+      order(1, 3),
+    ],
+    "a claim that lost its race": [
+      CLAIM,
+      appended(1, "claim", { replaces: -1, holder: "entry-2" }),
+      appended(2, "order", {
+        claim: 0,
+        number: 1,
+        endpoint: "e1",
+        target: "decode",
+      }),
+      order(1, 2),
+    ],
+  },
+  wrong_answer: {
+    "the whole answer": [
+      RECEIVED,
+      EXPECTED,
+      token(1, 0),
+      token(2, 1),
+      finished(3, "answered", { tokens: 2 }),
+      RUN_ENDED,
+    ],
+    "a part with an explicit error": [
+      EXPECTED,
+      token(1, 0),
+      finished(2, "unknown"),
+    ],
+    "no outcome at an entry that was killed": [
+      RECEIVED,
+      event(1, "process_killed"),
+      RUN_ENDED,
+    ],
+  },
+  false_not_run: {
+    "work that its endpoint refused": [
+      started(1),
+      event(2, "attempt_refused", ATTEMPT),
+      finished(3, "not_run"),
+    ],
+    "another request of the key": [
+      started(1, { key: "k" }),
+      finished(2, "not_run", { requestId: "r2", key: "k" }),
+    ],
+  },
+  ran_twice: {
+    "idempotent work twice": [
+      executed(1, { idempotent: true }),
+      executed(2, { idempotent: true }),
+    ],
+    "two keys of one body": [
+      executed(1, { key: "k" }),
+      executed(2, { key: "l" }),
+    ],
+    "a repeat with the first answer": ["r", "r2"].flatMap((requestId) => [
+      event(1, "request_received", { requestId, key: "k" }),
+      event(2, "response_delivered", { requestId, body: "case 1" }),
+    ]),
+  },
+  leaving_endpoint_used: {
+    "new work within a few seconds": [
+      event(0, "endpoint_leaving", { by: "network", endpoint: "e1" }),
+      started(4_000),
+    ],
+    "new work after it is back": [
+      event(0, "endpoint_leaving", { by: "network", endpoint: "e1" }),
+      event(5_500, "endpoint_returned", { by: "network", endpoint: "e1" }),
+      started(6_000),
+    ],
+  },
+  cut_by_stop: {
+    "an entry that stops behind its last outcome": [
+      RECEIVED,
+      finished(1, "unknown"),
+      event(2, "process_stopped"),
+    ],
+    "a side that stops with work that goes on elsewhere": [
+      SIDE,
+      started(1),
+      event(2, "process_stopped", { by: "side-1" }),
+      started(3, { attemptId: "b", endpoint: "e2" }),
+      token(4, 0),
+      finished(5, "answered", { tokens: 1 }),
+    ],
+    "a kill": [RECEIVED, event(1, "process_killed")],
+  },
+  configuration_reverted: {
+    "in force in time": [...CONFIGURATION, inForce(8_000, 3), RUN_ENDED],
+    "in force in time after a pause": [
+      ...CONFIGURATION,
+      event(1, "process_paused"),
+      event(20_000, "process_resumed"),
+      inForce(28_000, 3),
+      RUN_ENDED,
+    ],
+    "a loser of a race that was never in force": [
+      ...CONFIGURATION,
+      appended(3, "publication", { base: 0, publicationId: "q" }),
+      appended(4, "verdict", { claim: 0, publication: 3, accepted: true }),
+      inForce(1, 3),
+      RUN_ENDED,
+    ],
+    "a process that was stopped": [
+      ...CONFIGURATION,
+      event(1, "process_stopped"),
+      RUN_ENDED,
+    ],
+  },
+};
+
+describe("checkHistory", () => {
+  for (const condition of CONDITIONS) {
+    describe(condition, () => {
+      for (const [name, events] of Object.entries(WRONG[condition])) {
+        it(`reports ${name}`, () => {
+          const found = checkHistory(events).map((one) => one.condition);
+          expect([...new Set(found)]).to.deep.equal([condition]);
+        });
+      }
+      for (const [name, events] of Object.entries(ALLOWED[condition])) {
+        it(`allows ${name}`, () => {
+          expect(checkHistory(events)).to.deep.equal([]);
+        });
+      }
+    });
+  }
+});
