--- a/src/core/observation/mod.ts
+++ b/src/core/observation/mod.ts
@@ -105,3 +105,6 @@
   | "run_ended";
 
 export type Observe = (event: HistoryEvent) => void;
+
+export type { LogFacts, Logger } from "./logger.ts";
+export { SILENT_LOGGER } from "./logger.ts";
