Name the limits of a side's once table one by one

Cause: a side's settings give the number of kept answers and their bytes; the table took them under other names and had no count of answers. Change: mostKeptAnswers, mostKeptAnswerBytes, mostBytesPerAnswer and mostRecords as options of their own. Conclusion: the tests of the bounded memory pass unchanged in what they ask.

--- a/src/core/once/mod.ts
+++ b/src/core/once/mod.ts
@@ -8,10 +8,8 @@
 } from "./fold.ts";
 export {
   type KeptAnswer,
-  SIDE_TABLE_LIMITS,
   SideOnceTable,
   type SideOnceTableGuards,
-  type SideOnceTableLimits,
   type SideOnceTableOptions,
 } from "./side_table.ts";
 export {
--- a/src/core/once/side_table.ts
+++ b/src/core/once/side_table.ts
@@ -27,17 +27,10 @@
  * 16 MB of answers keep 4,000 of 4 kB; one answer above 1 MB would push out
  * hundreds of others, so it is told once and not kept.
  */
-export const SIDE_TABLE_LIMITS = {
-  records: 20_000,
-  answerBytes: 16 * 1024 * 1024,
-  bytesPerAnswer: 1024 * 1024,
-} as const;
-
-export interface SideOnceTableLimits {
-  readonly records: number;
-  readonly answerBytes: number;
-  readonly bytesPerAnswer: number;
-}
+const MOST_RECORDS = 20_000;
+const MOST_KEPT_ANSWERS = 4_000;
+const MOST_KEPT_ANSWER_BYTES = 16 * 1024 * 1024;
+const MOST_BYTES_PER_ANSWER = 1024 * 1024;
 
 /** Guards that a test may take out; the product never passes them. */
 export interface SideOnceTableGuards {
@@ -48,7 +41,11 @@
 
 export interface SideOnceTableOptions {
   readonly incarnation: string;
-  readonly limits?: Partial<SideOnceTableLimits>;
+  readonly mostKeptAnswers?: number;
+  readonly mostKeptAnswerBytes?: number;
+  readonly mostBytesPerAnswer?: number;
+  /** Records whose fate is remembered, with or without an answer. */
+  readonly mostRecords?: number;
   /** Told when a record is barred for good. */
   readonly onBarred?: (key: string, record: number) => void;
   readonly guards?: Partial<SideOnceTableGuards>;
@@ -66,7 +63,10 @@
  */
 export class SideOnceTable {
   readonly #incarnation: string;
-  readonly #limits: SideOnceTableLimits;
+  readonly #mostRecords: number;
+  readonly #mostAnswers: number;
+  readonly #mostAnswerBytes: number;
+  readonly #mostBytesPerAnswer: number;
   readonly #guards: SideOnceTableGuards;
   readonly #onBarred: (key: string, record: number) => void;
   readonly #records = new Map<number, RecordState>();
@@ -79,7 +79,12 @@
 
   constructor(options: SideOnceTableOptions) {
     this.#incarnation = options.incarnation;
-    this.#limits = { ...SIDE_TABLE_LIMITS, ...options.limits };
+    this.#mostRecords = options.mostRecords ?? MOST_RECORDS;
+    this.#mostAnswers = options.mostKeptAnswers ?? MOST_KEPT_ANSWERS;
+    this.#mostAnswerBytes = options.mostKeptAnswerBytes ??
+      MOST_KEPT_ANSWER_BYTES;
+    this.#mostBytesPerAnswer = options.mostBytesPerAnswer ??
+      MOST_BYTES_PER_ANSWER;
     this.#onBarred = options.onBarred ?? (() => {});
     this.#guards = {
       bars: true,
@@ -143,7 +148,7 @@
       return;
     }
     const size = 2 * answer.body.length;
-    const kept = size <= this.#limits.bytesPerAnswer;
+    const kept = size <= this.#mostBytesPerAnswer;
     this.#set(permit.record, {
       key: known.key,
       state: "answered",
@@ -197,13 +202,15 @@
 
   #set(record: number, state: RecordState): void {
     this.#records.set(record, state);
-    if (this.#records.size > this.#limits.records) this.#dropRecords();
+    if (this.#records.size > this.#mostRecords) this.#dropRecords();
   }
 
   /** Bodies go first: without one a repeat still learns that the call ran. */
   #dropAnswers(): void {
     for (const record of this.#answers) {
-      if (this.#answerBytes <= this.#limits.answerBytes) return;
+      const fits = this.#answerBytes <= this.#mostAnswerBytes &&
+        this.#answers.size <= this.#mostAnswers;
+      if (fits) return;
       const known = this.#records.get(record);
       this.#answers.delete(record);
       if (known === undefined) continue;
@@ -218,7 +225,7 @@
    * stays: its answer is still to come.
    */
   #dropRecords(): void {
-    const count = Math.ceil(this.#limits.records / 10);
+    const count = Math.ceil(this.#mostRecords / 10);
     const settled = [...this.#records.entries()]
       .filter(([, known]) => known.state !== "running")
       .sort(([one], [other]) => one - other)
--- a/src/core/once/side_table_test.ts
+++ b/src/core/once/side_table_test.ts
@@ -58,8 +58,8 @@
   });
 
   it("keeps answers within its memory and still tells that they ran", () => {
-    const limits = { answerBytes: 40, bytesPerAnswer: 30 };
-    const table = new SideOnceTable({ incarnation: "i1", limits });
+    const limits = { mostKeptAnswerBytes: 40, mostBytesPerAnswer: 30 };
+    const table = new SideOnceTable({ incarnation: "i1", ...limits });
     for (const record of [1, 2, 3, 4]) {
       table.begin(permit(record));
       table.finish(permit(record), { status: 200, body: "twelve chars" });
@@ -82,8 +82,8 @@
     });
     fc.assert(
       fc.property(fc.array(step, { maxLength: 200 }), (steps) => {
-        const limits = { records: 5, answerBytes: 20 };
-        const table = new SideOnceTable({ incarnation: "i1", limits });
+        const limits = { mostRecords: 5, mostKeptAnswerBytes: 20 };
+        const table = new SideOnceTable({ incarnation: "i1", ...limits });
         const ran = new Set<number>();
         const promised = new Set<number>();
         for (const { record, action } of steps) {
--- a/src/side/side_core.ts
+++ b/src/side/side_core.ts
@@ -360,7 +360,9 @@
 
   #finished(attempt: AttemptRequest, end: string): void {
     this.#running.delete(attempt.attemptId);
-    const kind = end === "answered" ? "endpoint_executed" : "endpoint_cancelled";
+    const kind = end === "answered"
+      ? "endpoint_executed"
+      : "endpoint_cancelled";
     this.#tell(kind, { ...startedFacts(attempt), end });
     if (this.#running.size > 0) return;
     const listeners = this.#idleListeners;
