--- /dev/null
+++ b/src/core/authority/claim_keeper.ts
@@ -0,0 +1,205 @@
+import type { Incarnation, ProcessId } from "../identity/mod.ts";
+import type { Journal } from "../journal/mod.ts";
+import { type Random, withJitter } from "../random/mod.ts";
+import type { Subscription, TimerService } from "../time/mod.ts";
+import { type Claim, NO_HOLDER } from "./claim.ts";
+
+/** What a keeper looks at; the folds of claims give it. */
+export interface ClaimView {
+  readonly claim: Claim | undefined;
+  /** Offset of the last record that shows the claim's holder alive. */
+  readonly lastSign: number;
+}
+
+export interface ClaimKeeperOptions {
+  readonly journal: Journal;
+  readonly view: ClaimView;
+  readonly timer: TimerService;
+  readonly random: Random;
+  readonly process: ProcessId;
+  readonly incarnation: Incarnation;
+  /** Silence of the holder after which others claim. */
+  readonly claimSilenceMilliseconds: number;
+  /** False where this process must not hold the claim, as when it leaves. */
+  readonly eligible?: () => boolean;
+  /** Timer time at which the holder last spoke to this process directly. */
+  readonly heardDirectly?: (holder: string) => number | undefined;
+  readonly onGained?: (claim: Claim) => void;
+  readonly onLost?: (claim: Claim | undefined) => void;
+}
+
+/**
+ * Renewals in one span of allowed silence. Load: 11 regions with two claims
+ * each, at 3 s of silence, make 22 renewals a second for the whole platform,
+ * of several hundred appends. Three, so that one lost append is no takeover.
+ */
+const RENEWALS_IN_SILENCE = 3;
+const LOOKS_IN_SILENCE = 10;
+/**
+ * Share of the silence over which claimants spread. Load: the 40 entries of a
+ * region that all see the same silence. Harm prevented: 40 claims of which 39
+ * are void; at half the silence one claim stands before the next is due.
+ */
+const JITTER_SHARE = 0.5;
+/** Spread of the claims on an authority that has been handed over. */
+const HANDOVER_JITTER_SHARE = 0.1;
+
+/**
+ * Holds a claim while its process can, and takes one over from a holder that
+ * has fallen silent. It serves liveness alone: whoever holds the claim is
+ * decided by the log, so a wrong guess here costs a takeover and no safety.
+ *
+ * Silence counts only while this process reads the log without delay. What
+ * goes wrong otherwise: after an outage or while the log is slow every
+ * entry takes the missing renewals for a dead holder, and the claim flaps.
+ */
+export class ClaimKeeper {
+  readonly #options: ClaimKeeperOptions;
+  readonly #self: string;
+  #look: Subscription | undefined;
+  #seenSign = -1;
+  #silentSince: number;
+  #patience: number;
+  #lastRenewal = -Infinity;
+  #appending = false;
+  #held: number | undefined;
+  #stopped = true;
+
+  constructor(options: ClaimKeeperOptions) {
+    this.#options = options;
+    this.#self = holderName(options.process, options.incarnation);
+    this.#silentSince = options.timer.now();
+    this.#patience = this.#drawPatience();
+  }
+
+  /** The claim of this run of the process, while it is in force. */
+  get held(): Claim | undefined {
+    const { claim } = this.#options.view;
+    return claim?.holder === this.#self ? claim : undefined;
+  }
+
+  start(): void {
+    this.#stopped = false;
+    this.#silentSince = this.#options.timer.now();
+    this.#look = this.#options.timer.every(
+      this.#options.claimSilenceMilliseconds / LOOKS_IN_SILENCE,
+      () => this.#consider(),
+    );
+  }
+
+  /** Call after each record, so that a change of holder is told at once. */
+  changed(): void {
+    const held = this.held?.offset;
+    if (held === this.#held) return;
+    const wasHeld = this.#held !== undefined;
+    this.#held = held;
+    if (wasHeld) this.#options.onLost?.(this.#options.view.claim);
+    if (this.held !== undefined) this.#options.onGained?.(this.held);
+  }
+
+  /** Hands the claim over, so that a planned stop leaves no pause. */
+  async stop(): Promise<void> {
+    this.#stopped = true;
+    this.#look?.cancel();
+    const held = this.held;
+    if (held === undefined) return;
+    await this.#options.journal.append({
+      kind: "claim",
+      holder: NO_HOLDER,
+      replaces: held.offset,
+    });
+  }
+
+  #consider(): void {
+    this.changed();
+    this.#noteSigns();
+    if (this.#appending || this.#options.eligible?.() === false) return;
+    if (this.held !== undefined) this.#renew();
+    else if (this.#mayClaim()) void this.#claim();
+  }
+
+  #noteSigns(): void {
+    const { journal, timer, view } = this.#options;
+    const heard = this.#heardDirectly();
+    if (heard > this.#silentSince) this.#silentSince = heard;
+    const quiet = journal.reachable && journal.caughtUp;
+    if (quiet && view.lastSign === this.#seenSign) return;
+    this.#seenSign = view.lastSign;
+    this.#silentSince = timer.now();
+    this.#patience = this.#drawPatience();
+  }
+
+  #heardDirectly(): number {
+    const holder = this.#options.view.claim?.holder;
+    if (holder === undefined || holder === NO_HOLDER) return -Infinity;
+    return this.#options.heardDirectly?.(holder) ?? -Infinity;
+  }
+
+  #mayClaim(): boolean {
+    const silent = this.#options.timer.now() - this.#silentSince;
+    return silent >= this.#patience;
+  }
+
+  /**
+   * A claim that nobody holds, or that an earlier run of this very process
+   * held, needs no wait for signs of life.
+   */
+  #drawPatience(): number {
+    const { claimSilenceMilliseconds, process, random, view } = this.#options;
+    const holder = view.claim?.holder;
+    const free = holder === undefined || holder === NO_HOLDER ||
+      holder.startsWith(`${process}${HOLDER_SEPARATOR}`);
+    if (free) {
+      return claimSilenceMilliseconds * HANDOVER_JITTER_SHARE * random();
+    }
+    return withJitter(claimSilenceMilliseconds, {
+      random,
+      share: JITTER_SHARE,
+    });
+  }
+
+  async #claim(): Promise<void> {
+    const { journal, timer, view } = this.#options;
+    this.#appending = true;
+    await journal.append({
+      kind: "claim",
+      holder: this.#self,
+      replaces: view.claim?.offset ?? -1,
+    });
+    this.#appending = false;
+    // Also after a failure: a log that takes no appends hides the holder's
+    // renewals as well, so the silence counts anew.
+    this.#silentSince = timer.now();
+    this.#patience = this.#drawPatience();
+    if (!this.#stopped) this.changed();
+  }
+
+  #renew(): void {
+    const { claimSilenceMilliseconds, timer, view } = this.#options;
+    const now = timer.now();
+    const period = claimSilenceMilliseconds / RENEWALS_IN_SILENCE;
+    if (now - Math.max(this.#silentSince, this.#lastRenewal) < period) return;
+    this.#lastRenewal = now;
+    void this.#appendRenewal(view.claim?.offset ?? -1);
+  }
+
+  async #appendRenewal(claim: number): Promise<void> {
+    this.#appending = true;
+    await this.#options.journal.append({ kind: "renewal", claim });
+    this.#appending = false;
+  }
+}
+
+const HOLDER_SEPARATOR = "#";
+
+/**
+ * Name under which one run of a process holds claims. The incarnation belongs
+ * to it: a restarted process must not take its earlier run's claim for its
+ * own, as it knows nothing of what that run had under way.
+ */
+export function holderName(
+  process: ProcessId,
+  incarnation: Incarnation,
+): string {
+  return `${process}${HOLDER_SEPARATOR}${incarnation}`;
+}
--- /dev/null
+++ b/src/core/authority/orders_fold.ts
@@ -0,0 +1,132 @@
+import type {
+  EngineTarget,
+  OrderRecord,
+  RecordBody,
+} from "../../generated/log_records.ts";
+import type { StandingOrder } from "../../generated/messages.ts";
+import type { LogOffset } from "../identity/mod.ts";
+import type { StreamFold } from "../journal/mod.ts";
+import { type Claim, loadClaim, nextClaim } from "./claim.ts";
+
+/** The last valid order of an endpoint. */
+export interface EndpointOrder {
+  readonly offset: number;
+  readonly claim: number;
+  readonly number: number;
+  readonly target: EngineTarget;
+}
+
+export interface OrdersFoldOptions {
+  /** A valid order has been applied. */
+  readonly onOrder?: (endpoint: string, order: EndpointOrder) => void;
+  readonly onClaim?: (claim: Claim) => void;
+  /** An order has no effect, because its claim or number is superseded. */
+  readonly onVoid?: (offset: number, record: OrderRecord) => void;
+}
+
+/**
+ * Claims and orders of one region. An order counts only under the claim in
+ * force where it stands and with a number above its endpoint's last one.
+ *
+ * What goes wrong without the position check: a planner that was paused or cut
+ * off wakes up, still believes in its claim and moves engines that the new
+ * planner has moved elsewhere. One would notice two planners' orders in turn
+ * at one engine. Here its records stand behind the new claim and are void for
+ * every reader; no clock takes part.
+ */
+export class OrdersFold implements StreamFold {
+  readonly #options: OrdersFoldOptions;
+  #claim: Claim | undefined;
+  #orders = new Map<string, EndpointOrder>();
+  #lastSign = -1;
+  #voidOrders = 0;
+
+  constructor(options: OrdersFoldOptions = {}) {
+    this.#options = options;
+  }
+
+  get claim(): Claim | undefined {
+    return this.#claim;
+  }
+
+  /** Offset of the last record that its claim's holder can have written. */
+  get lastSign(): number {
+    return this.#lastSign;
+  }
+
+  /** Orders without effect that this reader has seen; not part of the state. */
+  get voidOrders(): number {
+    return this.#voidOrders;
+  }
+
+  /** The order that the endpoint is to follow, if there is one. */
+  standingOrder(endpoint: string): StandingOrder | undefined {
+    const order = this.#orders.get(endpoint);
+    if (order === undefined) return undefined;
+    const { offset, claim, target } = order;
+    return { offset, claim, target };
+  }
+
+  /** Number of the endpoint's last valid order; -1 before the first. */
+  lastNumber(endpoint: string): number {
+    return this.#orders.get(endpoint)?.number ?? -1;
+  }
+
+  /** Every endpoint's last valid order, which a new planner continues from. */
+  get orders(): ReadonlyMap<string, EndpointOrder> {
+    return this.#orders;
+  }
+
+  apply(offset: LogOffset, body: RecordBody): void {
+    if (body.kind === "claim") this.#applyClaim(offset, body);
+    else if (body.kind === "order") this.#applyOrder(offset, body);
+    else if (body.kind === "renewal" && body.claim === this.#claim?.offset) {
+      this.#lastSign = offset;
+    }
+  }
+
+  save(): Record<string, unknown> {
+    return {
+      claim: this.#claim ?? null,
+      lastSign: this.#lastSign,
+      orders: [...this.#orders],
+    };
+  }
+
+  load(state: Record<string, unknown>): void {
+    this.#claim = loadClaim(state.claim);
+    this.#lastSign = typeof state.lastSign === "number" ? state.lastSign : -1;
+    this.#orders = new Map(
+      (state.orders ?? []) as Iterable<[string, EndpointOrder]>,
+    );
+  }
+
+  #applyClaim(
+    offset: number,
+    record: Extract<RecordBody, { kind: "claim" }>,
+  ): void {
+    const next = nextClaim(this.#claim, { offset, record });
+    if (next === this.#claim || next === undefined) return;
+    this.#claim = next;
+    this.#lastSign = offset;
+    this.#options.onClaim?.(next);
+  }
+
+  #applyOrder(offset: number, record: OrderRecord): void {
+    if (!this.#isValid(record)) {
+      this.#voidOrders += 1;
+      this.#options.onVoid?.(offset, record);
+      return;
+    }
+    const { claim, number, target } = record;
+    const order = { offset, claim, number, target };
+    this.#orders.set(record.endpoint, order);
+    this.#lastSign = offset;
+    this.#options.onOrder?.(record.endpoint, order);
+  }
+
+  #isValid(record: OrderRecord): boolean {
+    return record.claim === this.#claim?.offset &&
+      record.number > this.lastNumber(record.endpoint);
+  }
+}
--- /dev/null
+++ b/src/core/configuration/errors.ts
@@ -0,0 +1,41 @@
+import { defineError } from "../errors/mod.ts";
+import type { Failure } from "../errors/mod.ts";
+
+/**
+ * `publication_rejected`: it is not in force and never will be.
+ * `publication_not_made`: it does not stand on the log and never will.
+ * `publication_unknown`: it may come into force; ask again by its id.
+ */
+export type PublicationFailure = Failure<
+  "publication_rejected" | "publication_not_made" | "publication_unknown"
+>;
+
+export const PUBLICATION_REJECTED = defineError<
+  { publicationId: string; reasons: readonly string[] }
+>()({
+  name: "publication_rejected",
+  title: "Publication rejected",
+  message: ({ publicationId, reasons }) =>
+    `Publication "${publicationId}" was rejected: ${reasons.join("; ")}`,
+  hint: "Look at the version in force, make the change on top of it, publish.",
+});
+
+export const PUBLICATION_NOT_MADE = defineError<
+  { publicationId: string; reason: string }
+>()({
+  name: "publication_not_made",
+  title: "Publication not made",
+  message: ({ publicationId, reason }) =>
+    `Publication "${publicationId}" was not appended: ${reason}`,
+  hint: "Nothing has changed; publish again when the log service is reachable.",
+});
+
+export const PUBLICATION_UNKNOWN = defineError<
+  { publicationId: string; reason: string }
+>()({
+  name: "publication_unknown",
+  title: "Publication in doubt",
+  message: ({ publicationId, reason }) =>
+    `Cannot tell yet what became of publication "${publicationId}": ${reason}`,
+  hint: "Run the command again with the same publication id.",
+});
--- /dev/null
+++ b/src/core/configuration/mod.ts
@@ -0,0 +1,13 @@
+/** Publishing, judging and following the operators' configuration. */
+export { checkConfiguration } from "./check.ts";
+export type { ConfigurationContent, ConfigurationProblem } from "./check.ts";
+export { ConfigurationFold } from "./configuration_fold.ts";
+export type {
+  PendingPublication,
+  PublicationOutcome,
+} from "./configuration_fold.ts";
+export { ConfigurationJudge } from "./configuration_judge.ts";
+export type { ConfigurationJudgeOptions } from "./configuration_judge.ts";
+export type { PublicationFailure } from "./errors.ts";
+export { Publisher } from "./publisher.ts";
+export type { PublicationOptions, PublisherOptions } from "./publisher.ts";
--- /dev/null
+++ b/src/core/configuration/publisher.ts
@@ -0,0 +1,130 @@
+import { err, ok, type Result } from "neverthrow";
+import { failure } from "../errors/mod.ts";
+import type { Journal } from "../journal/mod.ts";
+import { pause, type TimerService } from "../time/mod.ts";
+import type { ConfigurationContent } from "./check.ts";
+import type {
+  ConfigurationFold,
+  PublicationOutcome,
+} from "./configuration_fold.ts";
+import {
+  PUBLICATION_NOT_MADE,
+  PUBLICATION_REJECTED,
+  PUBLICATION_UNKNOWN,
+  type PublicationFailure,
+} from "./errors.ts";
+
+export interface PublisherOptions {
+  readonly journal: Journal;
+  readonly fold: ConfigurationFold;
+  readonly timer: TimerService;
+  /** How long a verdict is waited for. */
+  readonly verdictMilliseconds: number;
+}
+
+export interface PublicationOptions {
+  /** Chosen once for each change; the same again never acts twice. */
+  readonly publicationId: string;
+  /** Version that the change was made on. */
+  readonly base: number;
+  readonly publisher?: string;
+}
+
+const LOOK_EVERY_MILLISECONDS = 50;
+
+/** Publishes a configuration for an operator and learns what became of it. */
+export class Publisher {
+  readonly #options: PublisherOptions;
+
+  constructor(options: PublisherOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Appends the publication, unless it is known already from a try whose
+   * answer was lost, and waits for its verdict. Gives the accepted outcome.
+   */
+  async publish(
+    content: ConfigurationContent,
+    options: PublicationOptions,
+  ): Promise<Result<PublicationOutcome, PublicationFailure>> {
+    const { publicationId } = options;
+    if (!await this.#waitUntil(() => this.#options.journal.caughtUp)) {
+      const reason = "the configuration stream could not be read";
+      return err(failure(PUBLICATION_UNKNOWN, { publicationId, reason }));
+    }
+    if (!this.#isKnown(publicationId)) {
+      const refused = await this.#append(content, options);
+      if (refused !== undefined) return err(refused);
+    }
+    return this.#verdict(publicationId);
+  }
+
+  async #append(
+    content: ConfigurationContent,
+    options: PublicationOptions,
+  ): Promise<PublicationFailure | undefined> {
+    const { publicationId } = options;
+    const result = await this.#options.journal.append({
+      kind: "publication",
+      publicationId,
+      base: options.base,
+      publisher: options.publisher ?? "",
+      content: { ...content },
+    });
+    if (this.#isKnown(publicationId)) return undefined;
+    if (result.isOk()) {
+      const reasons = [
+        "too many publications wait, or its base is no version yet",
+      ];
+      return failure(PUBLICATION_REJECTED, { publicationId, reasons });
+    }
+    const definition = result.error.name === "append_not_made"
+      ? PUBLICATION_NOT_MADE
+      : PUBLICATION_UNKNOWN;
+    const reason = result.error.message;
+    return failure(definition, { publicationId, reason });
+  }
+
+  async #verdict(
+    publicationId: string,
+  ): Promise<Result<PublicationOutcome, PublicationFailure>> {
+    const { fold } = this.#options;
+    await this.#waitUntil(() => fold.outcome(publicationId) !== undefined);
+    const outcome = fold.outcome(publicationId);
+    if (outcome?.accepted) return ok(outcome);
+    if (outcome !== undefined) {
+      const reasons = explain(outcome);
+      return err(failure(PUBLICATION_REJECTED, { publicationId, reasons }));
+    }
+    const reason = "no verdict came in time";
+    return err(failure(PUBLICATION_UNKNOWN, { publicationId, reason }));
+  }
+
+  #isKnown(publicationId: string): boolean {
+    const { fold } = this.#options;
+    return fold.outcome(publicationId) !== undefined ||
+      fold.pending.some((other) => other.publicationId === publicationId);
+  }
+
+  async #waitUntil(condition: () => boolean): Promise<boolean> {
+    const { timer, verdictMilliseconds } = this.#options;
+    const deadline = timer.now() + verdictMilliseconds;
+    while (!condition()) {
+      if (timer.now() >= deadline) return false;
+      await pause(timer, LOOK_EVERY_MILLISECONDS);
+    }
+    return true;
+  }
+}
+
+/** Reasons of a rejection, with the publication that came first. */
+function explain(outcome: PublicationOutcome): readonly string[] {
+  const { beatenBy, reasons } = outcome;
+  if (beatenBy === undefined) return reasons;
+  const by = beatenBy.publisher === "" ? "" : ` by ${beatenBy.publisher}`;
+  return [
+    ...reasons,
+    `publication "${beatenBy.publicationId}"${by} came first`,
+  ];
+}
--- /dev/null
+++ b/src/core/journal/journal_test.ts
@@ -0,0 +1,371 @@
+import { expect } from "chai";
+import {
+  makeJournal,
+  ORDERS,
+  type TestProcessOptions,
+} from "../../../test/support/coordination.ts";
+import { FakeLog } from "../../../test/support/fake_log.ts";
+import type { RecordBody } from "../../generated/log_records.ts";
+import type { LogOffset } from "../identity/mod.ts";
+import { ManualTimerService } from "../time/mod.ts";
+import type { JournalFailure, StreamFold } from "./mod.ts";
+import type { Result } from "neverthrow";
+
+/** Remembers which claims it was given, in order. */
+class ListFold implements StreamFold {
+  taken: string[] = [];
+
+  apply(_offset: LogOffset, body: RecordBody): void {
+    if (body.kind === "claim") this.taken.push(body.holder);
+  }
+
+  save(): Record<string, unknown> {
+    return { taken: this.taken };
+  }
+
+  load(state: Record<string, unknown>): void {
+    this.taken = [...state.taken as string[]];
+  }
+}
+
+function body(holder: string): RecordBody {
+  return { kind: "claim", holder, replaces: -1 };
+}
+
+function record(holder: string, sequence: number): unknown {
+  return { writer: "w", incarnation: "i", sequence, body: body(holder) };
+}
+
+describe("Journal", () => {
+  let timer: ManualTimerService;
+  let log: FakeLog;
+
+  beforeEach(() => {
+    timer = new ManualTimerService();
+    log = new FakeLog({ timer });
+  });
+
+  function start(
+    name: string,
+    journal: TestProcessOptions["journal"] = {},
+  ) {
+    const options = { log, timer, name, stream: ORDERS, journal };
+    const parts = makeJournal(new ListFold(), options);
+    parts.journal.start();
+    return parts;
+  }
+
+  function watch(promise: Promise<Result<LogOffset, JournalFailure>>) {
+    const seen: { outcome?: string } = {};
+    void promise.then((result) => {
+      seen.outcome = result.isOk() ? `at ${result.value}` : result.error.name;
+    });
+    return seen;
+  }
+
+  describe("appending", () => {
+    it("shares one append among records that come together", async () => {
+      const one = start("one");
+      await timer.advance(50);
+      const outcomes = ["a", "b", "c"].map((name) =>
+        watch(one.journal.append(body(name)))
+      );
+      await timer.advance(100);
+      expect(outcomes.map((seen) => seen.outcome)).to.deep.equal([
+        "at 0",
+        "at 1",
+        "at 2",
+      ]);
+      expect(one.journal.counts.appendCalls).to.equal(1);
+    });
+
+    // The log takes a record and its answer is lost on the way back. Without
+    // reading forward the writer would append a second one, and a publication
+    // would act twice.
+    it("finds its record again after a lost answer", async () => {
+      const one = start("one");
+      await timer.advance(50);
+      one.faults.lostAnswers = 1;
+      const seen = watch(one.journal.append(body("a")));
+      await timer.advance(2_000);
+      expect(seen.outcome).to.equal("at 0");
+      expect(log.head(ORDERS)).to.equal(1);
+    });
+
+    // The request is lost and the append sent again; then the first one, held
+    // up somewhere, lands as well. Without dropping it the record counts twice.
+    it("counts a record once that lands a second time", async () => {
+      const one = start("one");
+      const two = start("two");
+      await timer.advance(50);
+      one.faults.lateAppends = 1;
+      one.faults.lateMilliseconds = 3_000;
+      const seen = watch(one.journal.append(body("a")));
+      await timer.advance(10_000);
+      expect(seen.outcome).to.equal("at 0");
+      expect(log.head(ORDERS)).to.equal(2);
+      expect(two.fold.taken).to.deep.equal(["a"]);
+      expect(two.journal.counts.repeated).to.equal(1);
+    });
+
+    // A writer gives a record up and goes on; the record lands after a later
+    // one of the same writer. Readers would follow an order that its planner
+    // has long replaced, if they let it count.
+    it("voids a given-up record that lands behind a later one", async () => {
+      const one = start("one", { giveUpMilliseconds: 100 });
+      await timer.advance(50);
+      one.faults.lateAppends = 1;
+      one.faults.lateMilliseconds = 5_000;
+      const first = watch(one.journal.append(body("old")));
+      await timer.advance(1_000);
+      const second = watch(one.journal.append(body("new")));
+      await timer.advance(10_000);
+      expect(first.outcome).to.equal("append_unknown");
+      expect(second.outcome).to.equal("at 0");
+      expect(one.fold.taken).to.deep.equal(["new"]);
+    });
+
+    // The log is down when a record is to be written. A caller that is told
+    // "unknown" here could not be told truthfully that its request has not run.
+    it("says that nothing was appended while the log is down", async () => {
+      const one = start("one", { giveUpMilliseconds: 500 });
+      await timer.advance(50);
+      one.faults.down = true;
+      const first = watch(one.journal.append(body("a")));
+      await timer.advance(1_000);
+      expect(first.outcome).to.equal("append_not_made");
+      await timer.advance(15_000);
+      expect(one.journal.reachable).to.equal(false);
+      const second = watch(one.journal.append(body("b")));
+      await timer.advance(0);
+      expect(second.outcome).to.equal("append_not_made");
+    });
+
+    it("settles what is open when it stops", async () => {
+      const one = start("one");
+      await timer.advance(50);
+      const queued = watch(one.journal.append(body("a")));
+      one.journal.stop();
+      await timer.advance(100);
+      expect(queued.outcome).to.equal("append_not_made");
+    });
+  });
+
+  describe("reading", () => {
+    // Another replica of the log answers with an older head. A reader that
+    // believed it would go back to a configuration that it has left already.
+    it("stays where it is when a replica answers an older head", async () => {
+      const one = start("one");
+      log.put(ORDERS, [record("a", 0), record("b", 1), record("c", 2)]);
+      await timer.advance(1_000);
+      one.faults.lagRecords = 2;
+      await timer.advance(30_000);
+      expect(one.journal.position).to.equal(2);
+      expect(one.fold.taken).to.deep.equal(["a", "b", "c"]);
+    });
+
+    // A replica that is behind answers at once instead of holding the read
+    // open. Without a pause the reader asks it again as fast as it can.
+    it("does not ask a replica that is behind without pause", async () => {
+      const one = start("one");
+      log.put(ORDERS, [record("a", 0), record("b", 1)]);
+      await timer.advance(100);
+      one.faults.lagRecords = 2;
+      const before = log.readCalls;
+      await timer.advance(10_000);
+      expect(log.readCalls - before).to.be.below(120);
+    });
+
+    // Someone appends what no version of the software knows. The reader must
+    // go on behind it.
+    it("passes over records that do not fit the schema", async () => {
+      const one = start("one");
+      log.put(ORDERS, ["garbage", record("a", 0), {
+        ...record("b", 1) as object,
+        body: { kind: "something newer" },
+      }, record("c", 2)]);
+      await timer.advance(1_000);
+      expect(one.fold.taken).to.deep.equal(["a", "c"]);
+      expect(one.journal.counts.unreadable).to.equal(2);
+    });
+
+    // A newer version writes a kind of record that this one does not know, and
+    // an older record of the same writer lands late behind it. If only newer
+    // readers remembered the sequence number, the versions would differ.
+    it("remembers the sequence number of records it can't read", async () => {
+      const one = start("one");
+      const newer = { ...record("b", 5) as object, body: { kind: "newer" } };
+      log.put(ORDERS, [newer, record("late", 4)]);
+      await timer.advance(1_000);
+      expect(one.fold.taken).to.deep.equal([]);
+    });
+
+    it("tells when the log goes and comes back", async () => {
+      const states: boolean[] = [];
+      const one = start("one", { onState: (state) => states.push(state) });
+      await timer.advance(100);
+      one.faults.down = true;
+      log.put(ORDERS, [record("a", 0)]);
+      await timer.advance(5_000);
+      one.faults.down = false;
+      log.put(ORDERS, [record("b", 1)]);
+      await timer.advance(5_000);
+      expect(states.filter((state, index) => state !== states[index - 1])).to
+        .deep.equal([false, true]);
+      expect(one.fold.taken).to.deep.equal(["a", "b"]);
+    });
+
+    // The connection hangs without an answer and without an error. A reader
+    // that waits for it forever misses every later change.
+    it("asks again after a read that never comes back", async () => {
+      const one = start("one");
+      await timer.advance(100);
+      one.faults.silent = true;
+      await timer.advance(15_000);
+      log.put(ORDERS, [record("a", 0)]);
+      one.faults.silent = false;
+      await timer.advance(20_000);
+      expect(one.fold.taken).to.deep.equal(["a"]);
+    });
+  });
+
+  describe("expired records", () => {
+    // A process was paused for so long that the records it needs next have
+    // expired. If it went on at the oldest one, it would miss claims and
+    // orders without a sign and differ from all others for good.
+    it("goes on from a checkpoint after a gap", async () => {
+      const writer = start("writer", { checkpointRecords: 5 });
+      const late = start("late", { writesCheckpoints: false });
+      await timer.advance(100);
+      late.faults.down = true;
+      for (let index = 0; index < 12; index += 1) {
+        void writer.journal.append(body(`r${index}`));
+        await timer.advance(2_000);
+      }
+      await timer.advance(30_000);
+      expect(writer.journal.counts.checkpointsWritten).to.be.above(0);
+      log.expire(ORDERS, 8);
+      late.faults.down = false;
+      await timer.advance(5_000);
+      expect(late.journal.counts.gaps).to.equal(1);
+      expect(late.fold.taken).to.deep.equal(writer.fold.taken);
+      expect(late.journal.position).to.equal(writer.journal.position);
+    });
+
+    it("never skips silently where there is no checkpoint", async () => {
+      const one = start("one", { writesCheckpoints: false });
+      log.put(ORDERS, ["a", "b", "c", "d"].map(record));
+      log.expire(ORDERS, 2);
+      await timer.advance(20_000);
+      expect(one.fold.taken).to.deep.equal([]);
+      expect(one.journal.missingRecords).to.equal(true);
+      expect(one.journal.caughtUp).to.equal(false);
+    });
+
+    // A checkpoint ends before the oldest record that is left. Between the two
+    // a record is missing, so a reader that took it would lose a claim.
+    it("passes over a checkpoint that leaves a hole", async () => {
+      const one = start("one", { writesCheckpoints: false });
+      log.put(ORDERS, ["a", "b", "c", "d"].map(record));
+      const state = { fold: { taken: ["a"] }, writers: [] };
+      log.put(ORDERS, [{
+        writer: "x",
+        incarnation: "x",
+        sequence: 0,
+        body: { kind: "checkpoint", upTo: 0, state },
+      }]);
+      log.expire(ORDERS, 2);
+      await timer.advance(20_000);
+      expect(one.journal.missingRecords).to.equal(true);
+      expect(one.fold.taken).to.deep.equal([]);
+    });
+
+    // A process starts when the records it would need have expired, and no
+    // checkpoint stands on the stream yet; its peers still know the state.
+    it("takes a peer's state after a gap", async () => {
+      const peer = start("peer", { writesCheckpoints: false });
+      log.put(ORDERS, ["a", "b", "c", "d"].map(record));
+      await timer.advance(100);
+      log.expire(ORDERS, 3);
+      const late = start("late", {
+        peers: () => Promise.resolve(peer.journal.snapshot()),
+      });
+      await timer.advance(1_000);
+      expect(late.fold.taken).to.deep.equal(["a", "b", "c", "d"]);
+      expect(late.journal.caughtUp).to.equal(true);
+    });
+
+    // All 40 entries of a region see at the same moment that a checkpoint is
+    // due. Without spreading them the log gets 40 copies of the whole state.
+    it("writes one checkpoint for many processes, seldom two", async () => {
+      const all = Array.from(
+        { length: 40 },
+        (_, index) => start(`entry-${index}`, { checkpointRecords: 10 }),
+      );
+      await timer.advance(100);
+      log.put(ORDERS, Array.from({ length: 10 }, (_, i) => record(`r${i}`, i)));
+      await timer.advance(20_000);
+      const written = all.reduce(
+        (sum, one) => sum + one.journal.counts.checkpointsWritten,
+        0,
+      );
+      expect(written).to.be.within(1, 3);
+    });
+
+    // Hardly anything is published for days, and the log keeps records for a
+    // limited time. Without a checkpoint by time the last claim expires.
+    it("writes the state again by time where records are few", async () => {
+      const one = start("one", { checkpointMilliseconds: 60_000 });
+      log.put(ORDERS, [record("a", 0)]);
+      await timer.advance(200_000);
+      expect(one.journal.counts.checkpointsWritten).to.be.within(2, 3);
+    });
+  });
+
+  describe("starting", () => {
+    // The log is in an outage while a VM is replaced. Its new process would
+    // have no configuration and could serve nobody.
+    it("takes a peer's state while the log is down", async () => {
+      const peer = start("peer");
+      log.put(ORDERS, ["a", "b"].map(record));
+      await timer.advance(100);
+      const options = {
+        log,
+        timer,
+        name: "fresh",
+        stream: ORDERS,
+        journal: { peers: () => Promise.resolve(peer.journal.snapshot()) },
+      };
+      const fresh = makeJournal(new ListFold(), options);
+      fresh.faults.down = true;
+      fresh.journal.start();
+      await timer.advance(3_000);
+      expect(fresh.fold.taken).to.deep.equal(["a", "b"]);
+      expect(fresh.journal.caughtUp).to.equal(false);
+      fresh.faults.down = false;
+      log.put(ORDERS, [record("c", 2)]);
+      await timer.advance(5_000);
+      expect(fresh.fold.taken).to.deep.equal(["a", "b", "c"]);
+    });
+
+    // A restarted process reads from a replica that is behind. Without asking
+    // its peers it would follow an older configuration than before.
+    it("starts at the highest of log and peers", async () => {
+      const peer = start("peer");
+      log.put(ORDERS, ["a", "b", "c"].map(record));
+      await timer.advance(100);
+      const options = {
+        log,
+        timer,
+        name: "fresh",
+        stream: ORDERS,
+        journal: { peers: () => Promise.resolve(peer.journal.snapshot()) },
+      };
+      const fresh = makeJournal(new ListFold(), options);
+      fresh.faults.lagRecords = 2;
+      fresh.journal.start();
+      await timer.advance(1_000);
+      expect(fresh.journal.position).to.equal(2);
+    });
+  });
+});
--- a/src/core/journal/mod.ts
+++ b/src/core/journal/mod.ts
@@ -7,3 +7,7 @@
   LogService,
   StreamName,
 } from "./log_service.ts";
+export type { JournalFailure } from "./errors.ts";
+export { Journal } from "./journal.ts";
+export type { JournalCounts, JournalOptions } from "./journal.ts";
+export type { StreamFold } from "./stream_fold.ts";
--- /dev/null
+++ b/src/core/membership/rendezvous.ts
@@ -0,0 +1,88 @@
+import { hashToUnit } from "./hash.ts";
+
+/** Something that can be picked, such as an endpoint or an entry. */
+export interface RendezvousMember {
+  readonly id: string;
+  readonly availabilityZone: string;
+  /** Share of picks relative to others; 1 where it is left out. */
+  readonly weight?: number;
+}
+
+export interface SubsetOptions {
+  /** Who picks; another picker gets another subset. */
+  readonly picker: string;
+  readonly availabilityZone: string;
+  /** Members to pick in all. */
+  readonly size: number;
+  /**
+   * Of these, how many to take from other zones even where the own zone has
+   * enough, so that there is somewhere to spill to when the own zone fails.
+   */
+  readonly spill?: number;
+}
+
+/**
+ * A bounded subset of the members for one picker: own zone first, the rest
+ * from the other zones. Load: 12,000 endpoints before 410 entries; each entry
+ * keeps state and reports for its subset only, so both stay flat as the fleet
+ * grows. Rendezvous hashing with weights moves only the picks of a member that
+ * comes or goes, so that a replaced VM does not make every entry connect anew.
+ */
+export function rendezvousSubset<Member extends RendezvousMember>(
+  members: readonly Member[],
+  options: SubsetOptions,
+): readonly Member[] {
+  const ranked = rank(members, options.picker);
+  const own = ranked.filter((member) => isOwnZone(member, options));
+  const others = ranked.filter((member) => !isOwnZone(member, options));
+  const spill = Math.min(options.spill ?? 0, options.size, others.length);
+  const fromOwn = own.slice(0, options.size - spill);
+  return [...fromOwn, ...others.slice(0, options.size - fromOwn.length)];
+}
+
+export interface AttachmentOptions {
+  /** Name of the side that attaches. */
+  readonly side: string;
+  readonly availabilityZone: string;
+  /** Entries to attach to; two where it is left out. */
+  readonly count?: number;
+}
+
+const DEFAULT_ATTACHMENTS = 2;
+
+/**
+ * The entries that a side watches: two of its own zone, others only where the
+ * zone has too few. With one entry a paused relay would hold its sides back.
+ */
+export function attachments<Member extends RendezvousMember>(
+  entries: readonly Member[],
+  options: AttachmentOptions,
+): readonly Member[] {
+  return rendezvousSubset(entries, {
+    picker: options.side,
+    availabilityZone: options.availabilityZone,
+    size: options.count ?? DEFAULT_ATTACHMENTS,
+  });
+}
+
+function isOwnZone(member: RendezvousMember, options: SubsetOptions): boolean {
+  return member.availabilityZone === options.availabilityZone;
+}
+
+function rank<Member extends RendezvousMember>(
+  members: readonly Member[],
+  picker: string,
+): Member[] {
+  return members
+    .map((member) => ({ member, score: score(member, picker) }))
+    .sort((one, other) =>
+      other.score - one.score || (one.member.id < other.member.id ? -1 : 1)
+    )
+    .map(({ member }) => member);
+}
+
+/** The weighted rendezvous score: the highest of a set wins. */
+function score(member: RendezvousMember, picker: string): number {
+  const unit = hashToUnit(`${picker}\u0000${member.id}`);
+  return -(member.weight ?? 1) / Math.log(unit);
+}
--- /dev/null
+++ b/src/core/orders/engine_state.ts
@@ -0,0 +1,37 @@
+import type { EngineTarget } from "../../generated/log_records.ts";
+import type { EngineObservation } from "../links/mod.ts";
+
+/** True where the engine stands in the wanted state with nothing under way. */
+export function isReached(
+  observation: EngineObservation,
+  target: EngineTarget,
+): boolean {
+  return !observation.changing && hasTargetState(observation, target);
+}
+
+function hasTargetState(
+  observation: EngineObservation,
+  target: EngineTarget,
+): boolean {
+  if (observation.role !== target.role) return false;
+  return !needsLoading(observation, target);
+}
+
+/** True where the target asks for weights that the engine does not hold. */
+export function needsLoading(
+  observation: EngineObservation,
+  target: EngineTarget,
+): boolean {
+  const loaded = new Set(observation.models);
+  const models = target.models ?? [];
+  if (models.some((model) => !loaded.has(model))) return true;
+  return target.weights !== undefined &&
+    target.weights !== observation.weights;
+}
+
+/** True where two orders want the same state. */
+export function isSameTarget(one: EngineTarget, other: EngineTarget): boolean {
+  return one.role === other.role && one.weights === other.weights &&
+    JSON.stringify([...one.models ?? []].sort()) ===
+      JSON.stringify([...other.models ?? []].sort());
+}
--- /dev/null
+++ b/test/support/coordination.ts
@@ -0,0 +1,172 @@
+/** One entry's coordination parts over a log in memory, as tests need them. */
+import {
+  type Claim,
+  ClaimKeeper,
+  OrdersFold,
+  type OrdersFoldOptions,
+} from "../../src/core/authority/mod.ts";
+import {
+  type ConfigurationContent,
+  ConfigurationFold,
+  ConfigurationJudge,
+} from "../../src/core/configuration/mod.ts";
+import { identifier } from "../../src/core/identity/mod.ts";
+import type { Incarnation, ProcessId } from "../../src/core/identity/mod.ts";
+import {
+  Journal,
+  type JournalOptions,
+  type StreamFold,
+  type StreamName,
+} from "../../src/core/journal/mod.ts";
+import { hashToUnit } from "../../src/core/membership/mod.ts";
+import { seededRandom } from "../../src/core/random/mod.ts";
+import type { TimerService } from "../../src/core/time/mod.ts";
+import { type FakeLog, type LogFaults, noFaults } from "./fake_log.ts";
+
+export const CONFIGURATION: StreamName = identifier("configuration");
+export const ORDERS: StreamName = identifier("orders.klang-valley");
+export const CLAIM_SILENCE_MILLISECONDS = 3_000;
+
+export interface TestProcessOptions {
+  readonly log: FakeLog;
+  readonly timer: TimerService;
+  readonly name: string;
+  readonly run?: number;
+  readonly journal?: Partial<JournalOptions>;
+}
+
+/** A journal with its own connection, whose faults a test can set. */
+export interface TestJournal<Fold extends StreamFold> {
+  readonly journal: Journal;
+  readonly fold: Fold;
+  readonly faults: LogFaults;
+  readonly process: ProcessId;
+  readonly incarnation: Incarnation;
+}
+
+export function makeJournal<Fold extends StreamFold>(
+  fold: Fold,
+  options: TestProcessOptions & { stream: StreamName },
+): TestJournal<Fold> {
+  const faults = noFaults();
+  const process = identifier<ProcessId>(options.name);
+  const run = options.run ?? 1;
+  const incarnation = identifier<Incarnation>(`${options.name}-run-${run}`);
+  const journal = new Journal({
+    log: options.log.connect(faults),
+    stream: options.stream,
+    fold,
+    timer: options.timer,
+    random: seededRandom(seedOf(`${options.name} ${run}`)),
+    writer: process,
+    incarnation,
+    appendDelayMilliseconds: 5,
+    checkpointRecords: 1_000,
+    ...options.journal,
+  });
+  return { journal, fold, faults, process, incarnation };
+}
+
+export type TestJudge = TestJournal<ConfigurationFold> & {
+  readonly keeper: ClaimKeeper;
+};
+
+/** An entry that follows the configuration and judges while it may. */
+export function makeJudge(options: TestProcessOptions): TestJudge {
+  const fold = new ConfigurationFold();
+  const parts = makeJournal(fold, {
+    ...options,
+    stream: CONFIGURATION,
+    journal: {
+      onApplied: () => {
+        keeper.changed();
+        judge.consider();
+      },
+      ...options.journal,
+    },
+  });
+  const keeper = makeKeeper(parts, {
+    timer: options.timer,
+    onGained: () => judge.consider(),
+  });
+  const judge = new ConfigurationJudge({
+    journal: parts.journal,
+    fold,
+    heldClaim: () => keeper.held?.offset,
+  });
+  parts.journal.start();
+  keeper.start();
+  return { ...parts, keeper };
+}
+
+export type TestPlanner = TestJournal<OrdersFold> & {
+  readonly keeper: ClaimKeeper;
+};
+
+/** An entry that follows the orders and holds the claim while it may. */
+export function makePlanner(
+  options: TestProcessOptions & { fold?: OrdersFoldOptions },
+): TestPlanner {
+  const parts = makeJournal(new OrdersFold(options.fold), {
+    ...options,
+    stream: ORDERS,
+    journal: { onApplied: () => keeper.changed(), ...options.journal },
+  });
+  const keeper = makeKeeper(parts, { timer: options.timer });
+  parts.journal.start();
+  keeper.start();
+  return { ...parts, keeper };
+}
+
+function makeKeeper(
+  parts: TestJournal<ConfigurationFold | OrdersFold>,
+  options: { timer: TimerService; onGained?: (claim: Claim) => void },
+): ClaimKeeper {
+  return new ClaimKeeper({
+    journal: parts.journal,
+    view: parts.fold,
+    timer: options.timer,
+    random: seededRandom(seedOf(parts.incarnation)),
+    process: parts.process,
+    incarnation: parts.incarnation,
+    claimSilenceMilliseconds: CLAIM_SILENCE_MILLISECONDS,
+    onGained: options.onGained,
+  });
+}
+
+/** A small configuration that passes every check. */
+export function sampleContent(weights = "v1"): ConfigurationContent {
+  return {
+    inventory: {
+      region: "klang-valley",
+      availabilityZones: ["shah-alam", "petaling"],
+      pools: [{
+        name: "triage-llm",
+        kind: "engine",
+        models: ["triage"],
+        weights,
+        engine: {
+          slots: 8,
+          prefillTokensPerSecond: 8_000,
+          millisecondsBetweenTokens: 25,
+          keyValueCacheTokens: 100_000,
+          roleChangeSeconds: 5,
+        },
+        endpoints: [{
+          id: "triage-1",
+          availabilityZone: "shah-alam",
+          side: "10.0.0.1:7000",
+        }],
+      }],
+    },
+    rules: {
+      classes: [{ name: "urgent", priority: 0, deadlineSeconds: 5 }],
+      defaultClass: "urgent",
+    },
+  };
+}
+
+/** Names that differ little must not draw the same numbers. */
+function seedOf(name: string): number {
+  return hashToUnit(name) * 2 ** 32 | 0;
+}
