Plan roles and orders in the entry that holds the claim

Cause: orders to engines had a fold, a claim and an executor, and nobody who gave them. Change: the planner of a region asks its peers for demand and sides' reports, merges what the inventory and the mix want into one target per engine, and appends the orders that are missing under its claim. The region's streams, folds and claims move into a part of their own.

--- a/src/entry/entry_core.ts
+++ b/src/entry/entry_core.ts
@@ -1,9 +1,4 @@
 import { classify, CompiledRules } from "../core/rules/mod.ts";
-import { ClaimKeeper, OrdersFold } from "../core/authority/mod.ts";
-import {
-  ConfigurationFold,
-  ConfigurationJudge,
-} from "../core/configuration/mod.ts";
 import type {
   AvailabilityZoneId,
   EndpointId,
@@ -12,8 +7,7 @@
   RegionId,
 } from "../core/identity/mod.ts";
 import { identifier } from "../core/identity/mod.ts";
-import { Journal } from "../core/journal/mod.ts";
-import type { LogService, StreamFold } from "../core/journal/mod.ts";
+import type { LogService } from "../core/journal/mod.ts";
 import type {
   EntryLink,
   PeerAddress,
@@ -26,7 +20,7 @@
   Observe,
 } from "../core/observation/mod.ts";
 import { SILENT_LOGGER } from "../core/observation/mod.ts";
-import { OnceCoordinator, OnceFold } from "../core/once/mod.ts";
+import { OnceCoordinator } from "../core/once/mod.ts";
 import type { Random } from "../core/random/mod.ts";
 import type {
   AnswerSink,
@@ -36,7 +30,7 @@
 } from "../core/requests/mod.ts";
 import { createScheduler } from "../core/scheduling/mod.ts";
 import type { Scheduler } from "../core/scheduling/mod.ts";
-import type { Subscription, TimerService } from "../core/time/mod.ts";
+import type { TimerService } from "../core/time/mod.ts";
 import type {
   EntryStatus,
   WatchAnswer,
@@ -45,7 +39,9 @@
 import type { Rules } from "../generated/rules.ts";
 import { Catalog } from "./catalog.ts";
 import { chooseEndpoints } from "./endpoint_subset.ts";
+import { Planner } from "./planner.ts";
 import { profileOf } from "./profile.ts";
+import { RegionLog } from "./region_log.ts";
 import { serveRepeatable } from "./repeatable_run.ts";
 import { RequestRun } from "./request_run.ts";
 import type { RunContext } from "./run_context.ts";
@@ -72,6 +68,7 @@
   readonly appendDelayMilliseconds: number;
   readonly claimSilenceMilliseconds: number;
   readonly checkpointRecords: number;
+  readonly planMilliseconds: number;
 }
 
 export interface EntryOptions {
@@ -121,12 +118,8 @@
 export class EntryCore {
   readonly #options: EntryOptions;
   readonly #logger: Logger;
-  readonly #configuration = new ConfigurationFold();
-  readonly #orders: OrdersFold;
-  readonly #once: OnceFold;
-  readonly #journals: Readonly<Record<StreamKind, Journal>>;
-  readonly #judgeClaim: ClaimKeeper;
-  readonly #judge: ConfigurationJudge;
+  readonly #log: RegionLog;
+  readonly #planner: Planner;
   readonly #scheduler: Scheduler;
   readonly #directory: SideDirectory;
   readonly #desk: WatchDesk;
@@ -136,53 +129,17 @@
   #told = 0;
   #draining = false;
   #idleListeners: (() => void)[] = [];
-  #housekeeping: Subscription | undefined;
 
   constructor(options: EntryOptions) {
     this.#options = options;
     this.#logger = options.logger ?? SILENT_LOGGER;
-    this.#orders = new OrdersFold({
-      onClaim: (claim) =>
-        this.#tell("claim_seen", {
-          stream: this.#streamName("orders"),
-          claim: claim.offset,
-          holder: claim.holder,
-        }),
-      onOrder: (endpoint, order) =>
-        this.#tell("order_valid", {
-          endpoint,
-          order: order.offset,
-          claim: order.claim,
-          target: targetText(order.target),
-        }),
-      onVoid: (offset, record) =>
-        this.#tell("order_void", {
-          endpoint: record.endpoint,
-          order: offset,
-          claim: record.claim,
-          target: targetText(record.target),
-        }),
-    });
-    this.#once = new OnceFold({
-      onOwner: (owner, replaces) =>
-        this.#tell("once_owned", {
-          key: owner.key,
-          record: owner.record,
-          endpoint: owner.endpoint,
-          sideIncarnation: owner.sideIncarnation,
-          replaces,
-        }),
-    });
-    this.#journals = {
-      configuration: this.#openJournal("configuration", this.#configuration),
-      orders: this.#openJournal("orders", this.#orders),
-      once: this.#openJournal("once", this.#once),
-    };
-    this.#judgeClaim = this.#makeJudgeClaim();
-    this.#judge = new ConfigurationJudge({
-      journal: this.#journals.configuration,
-      fold: this.#configuration,
-      heldClaim: () => this.#judgeClaim.held?.offset,
+    this.#log = new RegionLog({
+      ...options,
+      logger: this.#logger,
+      tell: (kind, facts) => this.#tell(kind, facts),
+      eligible: () => !this.#draining,
+      onConfiguration: () => this.#onConfiguration(),
+      onOrders: () => this.#desk.changed(),
     });
     this.#scheduler = createScheduler({
       timer: options.timer,
@@ -197,17 +154,14 @@
       answerFor: (endpoint) => this.#answerFor(endpoint),
     });
     this.#context = this.#makeContext();
+    this.#planner = this.#makePlanner();
   }
 
   start(): void {
     this.#tell("process_started", { role: "entry" });
-    for (const journal of Object.values(this.#journals)) journal.start();
-    this.#judgeClaim.start();
+    this.#log.start();
     this.#directory.start();
-    this.#housekeeping = this.#options.timer.every(
-      this.#options.times.claimSilenceMilliseconds,
-      () => this.#judge.consider(),
-    );
+    this.#planner.start();
   }
 
   /**
@@ -219,7 +173,7 @@
   async stop(): Promise<void> {
     this.#draining = true;
     this.#tell("entry_draining", { cause: "stop" });
-    await this.#judgeClaim.stop();
+    await this.#log.handOver();
     await this.#idleWithin(this.#options.limits.shutdownSeconds * 1000);
     for (const run of [...this.#open]) run.giveUp("The entry is shutting down");
     this.halt();
@@ -228,10 +182,10 @@
   /** Ends everything at once, as far as this process can. */
   halt(): void {
     this.#draining = true;
-    this.#housekeeping?.cancel();
+    this.#planner.stop();
     this.#directory.stop();
     this.#desk.closeAll();
-    for (const journal of Object.values(this.#journals)) journal.stop();
+    this.#log.stop();
     this.#tell("process_stopped", {});
   }
 
@@ -247,7 +201,7 @@
 
   /** Version of the configuration that this entry follows; 0 for none. */
   get configurationVersion(): number {
-    return this.#configuration.appliedVersion;
+    return this.#log.configuration.appliedVersion;
   }
 
   get scheduler(): Scheduler {
@@ -308,7 +262,7 @@
 
   status(): EntryStatus {
     const { name, incarnation, region, availabilityZone } = this.#options;
-    const claim = this.#orders.claim;
+    const claim = this.#log.orders.claim;
     return {
       entry: name,
       incarnation,
@@ -316,22 +270,21 @@
       availabilityZone,
       state: this.state,
       configurationVersion: this.configurationVersion,
-      ordersRead: this.#journals.orders.position,
+      ordersRead: this.#log.journals.orders.position,
       ...(claim && { claim: { offset: claim.offset, holder: claim.holder } }),
-      logReachable: this.#journals.configuration.reachable,
+      logReachable: this.#log.journals.configuration.reachable,
       openRequests: this.#open.size,
       sides: this.#directory.reports(),
+      demand: this.#scheduler.demand().map(({ pool, classes }) => ({
+        pool,
+        classes: [...classes ?? []],
+      })),
     };
   }
 
   /** This entry's state of a stream, for a peer that can't read the log. */
   snapshot(stream: string): StreamSnapshot | undefined {
-    for (const kind of STREAM_KINDS) {
-      if (this.#streamName(kind) === stream) {
-        return this.#journals[kind].snapshot();
-      }
-    }
-    return undefined;
+    return this.#log.snapshot(stream);
   }
 
   #closedBecause(): Refusal | undefined {
@@ -401,9 +354,7 @@
 
   /** A record of the configuration stream has been read. */
   #onConfiguration(): void {
-    this.#judgeClaim.changed();
-    this.#judge.consider();
-    const { appliedVersion, inventory, rules } = this.#configuration;
+    const { appliedVersion, inventory, rules } = this.#log.configuration;
     if (appliedVersion <= this.#told) return;
     if (inventory === undefined || rules === undefined) return;
     this.#told = appliedVersion;
@@ -438,7 +389,7 @@
     const inventoried = catalog?.endpoint(id);
     const answer: WatchAnswer = {
       configurationVersion: this.configurationVersion,
-      ordersRead: this.#journals.orders.position,
+      ordersRead: this.#log.journals.orders.position,
     };
     if (inventoried !== undefined) {
       const engine = catalog?.engineOf(id);
@@ -450,70 +401,11 @@
         ...(engine && { roleChangeSeconds: engine.roleChangeSeconds }),
       };
     }
-    const order = this.#orders.standingOrder(endpoint);
+    const order = this.#log.orders.standingOrder(endpoint);
     if (order !== undefined) answer.order = order;
     return answer;
   }
 
-  #openJournal(kind: StreamKind, fold: StreamFold): Journal {
-    const { log, timer, random, name, incarnation, times } = this.#options;
-    const stream = this.#streamName(kind);
-    return new Journal({
-      log,
-      stream: identifier(stream),
-      fold,
-      timer,
-      random,
-      writer: name,
-      incarnation,
-      appendDelayMilliseconds: times.appendDelayMilliseconds,
-      checkpointRecords: times.checkpointRecords,
-      peers: () => this.#askPeers(stream),
-      onApplied: () => this.#onRecord(kind),
-      onRestored: () => this.#onRecord(kind),
-      onState: (reachable) => this.#onLogState(stream, reachable),
-    });
-  }
-
-  #onRecord(kind: StreamKind): void {
-    if (kind === "configuration") this.#onConfiguration();
-    if (kind === "orders") this.#desk.changed();
-  }
-
-  #onLogState(stream: string, reachable: boolean): void {
-    if (reachable) this.#logger.info({ stream }, "The log can be read");
-    else this.#logger.warn({ stream }, "The log can't be read");
-  }
-
-  /** The furthest state of a stream that any peer offers. */
-  async #askPeers(stream: string): Promise<StreamSnapshot | undefined> {
-    const { entries, peerAddresses } = this.#options;
-    const answers = await Promise.all(
-      peerAddresses.map((peer) => entries.snapshot(peer, stream)),
-    );
-    let best: StreamSnapshot | undefined;
-    for (const answer of answers) {
-      if (answer.isErr()) continue;
-      if (answer.value.upTo > (best?.upTo ?? -1)) best = answer.value;
-    }
-    return best;
-  }
-
-  #makeJudgeClaim(): ClaimKeeper {
-    const { timer, random, name, incarnation, times } = this.#options;
-    return new ClaimKeeper({
-      journal: this.#journals.configuration,
-      view: this.#configuration,
-      timer,
-      random,
-      process: name,
-      incarnation,
-      claimSilenceMilliseconds: times.claimSilenceMilliseconds,
-      eligible: () => !this.#draining,
-      onGained: () => this.#judge.consider(),
-    });
-  }
-
   #makeDirectory(): SideDirectory {
     const { timer, sides, times } = this.#options;
     return new SideDirectory({
@@ -544,8 +436,8 @@
       sides,
       directory: this.#directory,
       once: new OnceCoordinator({
-        fold: this.#once,
-        append: (body) => this.#journals.once.append(body),
+        fold: this.#log.once,
+        append: (body) => this.#log.journals.once.append(body),
         ask: (endpoint, question) => this.#askSide(endpoint, question),
         timer,
       }),
@@ -562,8 +454,24 @@
     return this.#options.sides.ask(side ?? UNKNOWN_ADDRESS, question);
   }
 
-  #streamName(kind: StreamKind): string {
-    return `${kind}.${this.#options.region}`;
+  #makePlanner(): Planner {
+    const { timer, times, entries, peerAddresses } = this.#options;
+    return new Planner({
+      timer,
+      planMilliseconds: times.planMilliseconds,
+      journal: this.#log.journals.orders,
+      orders: this.#log.orders,
+      claim: this.#log.plannerClaim,
+      entries,
+      peers: () => peerAddresses,
+      status: () => this.status(),
+      inForce: () =>
+        this.#inForce && {
+          inventory: this.#inForce.catalog.inventory,
+          rules: this.#inForce.rules,
+        },
+      logger: this.#logger,
+    });
   }
 
   #tell(
@@ -579,9 +487,6 @@
   }
 }
 
-type StreamKind = "configuration" | "orders" | "once";
-
-const STREAM_KINDS: readonly StreamKind[] = ["configuration", "orders", "once"];
 /** Port 0 of the own machine: nobody listens there, so nothing is sent. */
 const UNKNOWN_ADDRESS = identifier<PeerAddress>("127.0.0.1:0");
 
@@ -605,11 +510,3 @@
     ...(idempotencyKey && { key: idempotencyKey }),
   };
 }
-
-/** A target as JSON with its keys in a fixed order. */
-function targetText(
-  target: { role: string; models?: string[]; weights?: string },
-): string {
-  const { role, models, weights } = target;
-  return JSON.stringify({ role, models, weights });
-}
