Keep every byte of bodies that a side passes on

Cause: a body was read as UTF-8 text on its way through the side; a name with accents in another encoding or a photo came out changed.

Change: bodies of plain services travel as latin1 text, as the callers' door already makes them; requests to endpoints carry the attempt's id as x-request-id, for endpoints' own logs.

Conclusion: model engines are JSON in UTF-8 as before.

--- a/src/adapters/endpoint/mod.ts
+++ b/src/adapters/endpoint/mod.ts
@@ -123,6 +123,7 @@
       headers: headersFor(attempt, work.contentType),
       body: work.body === "" ? undefined : work.body,
       ownConnection: !work.idempotent,
+      encoding: "latin1",
       timeoutMilliseconds: attempt.deadlineMilliseconds,
       mostResponseBytes: this.#mostResponseBytes,
     });
@@ -239,6 +240,7 @@
 ): Record<string, string> {
   const headers: Record<string, string> = {};
   if (contentType !== undefined) headers["content-type"] = contentType;
+  headers["x-request-id"] = attempt.attemptId;
   if (attempt.once !== undefined) {
     headers["idempotency-key"] = attempt.once.key;
   }
--- a/src/adapters/endpoint/mod_test.ts
+++ b/src/adapters/endpoint/mod_test.ts
@@ -155,6 +155,17 @@
       expect(service.runs.get("key-1")).to.equal(1);
     });
 
+    // A crew's check-in carries a name with accents or a photo. Read as text
+    // on the way, its bytes would come out as others.
+    it("keeps every byte of bodies that it passes on", async () => {
+      const bytes = Buffer.from("Piet Müller, Zoë – ✓", "utf8");
+      const call = serviceCall();
+      Object.assign(call.work, { body: bytes.toString("latin1") });
+      const answer = (await link.call(call))._unsafeUnwrap();
+      const body = Buffer.from(answer.body, "latin1").toString("utf8");
+      expect(JSON.parse(body).received).to.equal(bytes.toString("utf8"));
+    });
+
     const brokenAnswers = [
       ["loses its answer", { lostAnswers: 1 }, "endpoint_unreachable"],
       ["breaks off", { cutAnswers: 1 }, "endpoint_closed"],
--- a/src/adapters/http_client/mod.ts
+++ b/src/adapters/http_client/mod.ts
@@ -27,6 +27,11 @@
   readonly method: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: string;
+  /**
+   * How text stands for bytes, both ways; UTF-8 where absent. Bodies that are
+   * passed on and never read travel as latin1, which keeps every byte.
+   */
+  readonly encoding?: "utf8" | "latin1";
   /**
    * True: a connection of its own. On a kept connection that the service
    * closes at the same moment, a request that was never read looks like one
@@ -95,7 +100,7 @@
         });
       },
     );
-    outgoing.end(options.body);
+    outgoing.end(options.body, options.encoding ?? "utf8");
     return {
       response,
       abort(reason) {
@@ -121,6 +126,7 @@
       : await readAnswer(response.value, {
         url: this.#url(path).href,
         mostBytes: options.mostResponseBytes,
+        encoding: options.encoding ?? "utf8",
       });
     limit.cancel();
     return answer;
@@ -140,7 +146,9 @@
 function headersFor(options: HttpRequestOptions): Record<string, string> {
   const headers: Record<string, string> = { ...options.headers };
   if (options.body !== undefined) {
-    headers["content-length"] = String(Buffer.byteLength(options.body));
+    headers["content-length"] = String(
+      Buffer.byteLength(options.body, options.encoding ?? "utf8"),
+    );
   }
   return headers;
 }
@@ -152,9 +160,9 @@
 
 function readAnswer(
   incoming: IncomingMessage,
-  options: { url: string; mostBytes: number },
+  options: { url: string; mostBytes: number; encoding: BufferEncoding },
 ): Promise<Result<HttpAnswer, HttpFailure>> {
-  const { url, mostBytes } = options;
+  const { url, mostBytes, encoding } = options;
   const pieces: Buffer[] = [];
   let size = 0;
   return new Promise((resolve) => {
@@ -172,7 +180,7 @@
         status: incoming.statusCode ?? 0,
         contentType: incoming.headers["content-type"] ??
           "application/octet-stream",
-        body: Buffer.concat(pieces).toString("utf8"),
+        body: Buffer.concat(pieces).toString(encoding),
       }));
     });
     const cutOff = () => {
