--- a/src/side/side_core.ts
+++ b/src/side/side_core.ts
@@ -122,10 +122,8 @@
     });
     this.#once = new SideOnceTable({
       incarnation: options.incarnation,
-      limits: {
-        records: options.limits.mostKeptAnswers,
-        answerBytes: options.limits.mostKeptAnswerBytes,
-      },
+      mostKeptAnswers: options.limits.mostKeptAnswers,
+      mostKeptAnswerBytes: options.limits.mostKeptAnswerBytes,
       onBarred: (key, record) => this.#tell("once_barred", { key, record }),
     });
     this.#recent = new RecentAttempts(options.timer);
