Add the operators' commands: publish, status, check

Cause: operators drive the system by publishing inventory and rules, and need to see what is in force where.

Change: publish reads the configuration stream, publishes by compare-and-set with an identity of its own and counts the processes that have the version in force; status asks the entries and keeps the newest report of each side; check tells every problem of all files at once and asks the weight store whether the weights exist.

--- /dev/null
+++ b/src/adapters/settings/configuration_files.ts
@@ -0,0 +1,62 @@
+/** Reads the operators' inventory and rules. */
+import { err, ok, type Result } from "../../core/errors/result.ts";
+import {
+  checkConfiguration,
+  type ConfigurationContent,
+  type ConfigurationProblem,
+} from "../../core/configuration/mod.ts";
+import type { Inventory } from "../../generated/inventory.ts";
+import type { Rules } from "../../generated/rules.ts";
+import {
+  validateInventory,
+  validateRules,
+} from "../../generated/validators.js";
+import inventorySchema from "../../schema/inventory.json" with { type: "json" };
+import rulesSchema from "../../schema/rules.json" with { type: "json" };
+import type { FileProblem } from "./errors.ts";
+import { formatPath, type SchemaDocument } from "./problems.ts";
+import { readTomlFile } from "./toml_file.ts";
+
+export interface ConfigurationFiles {
+  readonly inventory: string;
+  readonly rules: string;
+}
+
+/** Inventory and rules that can be published, or every problem of both. */
+export function loadConfiguration(
+  files: ConfigurationFiles,
+): Result<ConfigurationContent, readonly FileProblem[]> {
+  const inventory = readTomlFile(files.inventory, {
+    validator: validateInventory,
+    document: inventorySchema as SchemaDocument,
+  });
+  const rules = readTomlFile(files.rules, {
+    validator: validateRules,
+    document: rulesSchema as SchemaDocument,
+  });
+  if (inventory.isErr() || rules.isErr()) {
+    return err(
+      [inventory, rules].flatMap((each) =>
+        each.isErr() ? each.error.problems : []
+      ),
+    );
+  }
+  const content = {
+    inventory: inventory.value as Inventory,
+    rules: rules.value as Rules,
+  };
+  const problems = checkConfiguration(content);
+  if (problems.length === 0) return ok(content);
+  return err(problems.map((problem) => inFile(problem, files)));
+}
+
+/** The judge's problems name a place in the content; operators know files. */
+function inFile(
+  problem: ConfigurationProblem,
+  files: ConfigurationFiles,
+): FileProblem {
+  const [, part, ...steps] = problem.path.split("/");
+  const file = part === "rules" ? files.rules : files.inventory;
+  const { found, expected } = problem;
+  return { file, path: formatPath(steps), found, expected };
+}
--- a/src/adapters/settings/mod.ts
+++ b/src/adapters/settings/mod.ts
@@ -28,6 +28,10 @@
 import type { SchemaDocument } from "./problems.ts";
 import { type FileFailure, fileFailure, readTomlFile } from "./toml_file.ts";
 
+export {
+  type ConfigurationFiles,
+  loadConfiguration,
+} from "./configuration_files.ts";
 export { type FileProblem, formatProblem } from "./errors.ts";
 export type { SchemaDocument } from "./problems.ts";
 export {
--- a/src/adapters/settings/problems.ts
+++ b/src/adapters/settings/problems.ts
@@ -98,7 +98,7 @@
 }
 
 /** `pools[2].endpoints[0].side`, as an operator would write it. */
-function formatPath(steps: readonly string[]): string {
+export function formatPath(steps: readonly string[]): string {
   return steps.map((step, index) => {
     if (/^\d+$/.test(step)) return `[${step}]`;
     return index === 0 ? step : `.${step}`;
--- /dev/null
+++ b/src/cli/check/run_check.ts
@@ -0,0 +1,91 @@
+import process from "node:process";
+import {
+  type FileProblem,
+  formatProblem,
+  loadConfiguration,
+  loadSettings,
+  type SettingsKind,
+} from "../../adapters/settings/mod.ts";
+import { SystemTimerService } from "../../adapters/time/mod.ts";
+import { HttpWeightStore } from "../../adapters/weight_store/mod.ts";
+import type { Inventory } from "../../generated/inventory.ts";
+import { EXIT_CODE_BAD_SETTINGS, EXIT_CODE_SUCCESS } from "../exit_codes.ts";
+import type { CheckArguments } from "./command.ts";
+
+/** Checks the files and prints every problem; gives the exit code. */
+export async function runCheck(files: CheckArguments): Promise<number> {
+  const problems = [
+    ...settingsProblems(files.entry ?? [], "entry"),
+    ...settingsProblems(files.side ?? [], "side"),
+    ...settingsProblems(
+      files.operator === undefined ? [] : [files.operator],
+      "operator",
+    ),
+    ...await configurationProblems(files),
+  ];
+  for (const problem of problems) {
+    process.stdout.write(`${formatProblem(problem)}\n`);
+  }
+  const count = problems.length;
+  process.stdout.write(
+    count === 0
+      ? "No problems\n"
+      : `${count} problem${count === 1 ? "" : "s"}\n`,
+  );
+  return count === 0 ? EXIT_CODE_SUCCESS : EXIT_CODE_BAD_SETTINGS;
+}
+
+function settingsProblems(
+  files: readonly string[],
+  kind: SettingsKind,
+): FileProblem[] {
+  return files.flatMap((file) => {
+    const settings = loadSettings(file, kind);
+    return settings.isErr() ? [...settings.error.problems] : [];
+  });
+}
+
+async function configurationProblems(
+  files: CheckArguments,
+): Promise<readonly FileProblem[]> {
+  const { inventory, rules, operator } = files;
+  if (inventory === undefined || rules === undefined) return [];
+  const content = loadConfiguration({ inventory, rules });
+  if (content.isErr()) return content.error;
+  if (operator === undefined) return [];
+  const settings = loadSettings(operator, "operator");
+  const url = settings.isOk() ? settings.value.platform.weightStore : undefined;
+  if (url === undefined) return [];
+  return await weightProblems(inventory, {
+    inventory: content.value.inventory,
+    url,
+  });
+}
+
+/**
+ * Engines that are ordered to load weights that do not exist go out of service
+ * one after the other; the store knows beforehand.
+ */
+async function weightProblems(
+  file: string,
+  options: { inventory: Inventory; url: string },
+): Promise<FileProblem[]> {
+  const store = new HttpWeightStore(options.url, {
+    timer: new SystemTimerService(),
+  });
+  const problems: FileProblem[] = [];
+  for (const [index, pool] of options.inventory.pools.entries()) {
+    if (pool.weights === undefined) continue;
+    const path = `pools[${index}].weights`;
+    const found = JSON.stringify(pool.weights);
+    const versions = await store.versions(pool.name);
+    if (versions.isErr()) {
+      problems.push({ file, path, found, expected: versions.error.message });
+    } else if (!versions.value.includes(pool.weights)) {
+      const expected = `one of ${versions.value.join(", ")}`;
+      problems.push({ file, path, found, expected });
+    }
+  }
+  store.close();
+  return problems;
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,18 +1,31 @@
 import process from "node:process";
 import { hideBin } from "yargs/helpers";
 import yargs from "yargs";
+import { EXIT_CODE_BAD_SETTINGS } from "./exit_codes.ts";
+import { checkCommand } from "./check/command.ts";
 import { entryCommand } from "./entry/command.ts";
+import { publishCommand } from "./publish/command.ts";
 import { sideCommand } from "./side/command.ts";
+import { statusCommand } from "./status/command.ts";
 
 const VERSION = "0.1.0";
 
 /** Runs the command that the arguments name. */
-function main(): Promise<unknown> {
-  return Promise.resolve(
-    yargs(hideBin(process.argv)).scriptName("filbertshore").version(VERSION)
-      .command(entryCommand).command(sideCommand).demandCommand(1).strict()
-      .help().parse(),
-  );
+async function main(): Promise<void> {
+  const parser = yargs(hideBin(process.argv)).scriptName("filbertshore")
+    .usage("$0 <command>: serves a help line on language models")
+    .version(VERSION)
+    .command(entryCommand).command(sideCommand)
+    .command(publishCommand).command(statusCommand).command(checkCommand)
+    .demandCommand(1, "Name a command").strict().help()
+    .wrap(Math.min(100, process.stdout.columns ?? 100))
+    .epilogue("Exit code 2 stands for arguments or files that can't be used")
+    .fail((message, error) => {
+      if (error) throw error;
+      process.stderr.write(`${message}\nSee filbertshore --help\n`);
+      process.exit(EXIT_CODE_BAD_SETTINGS);
+    });
+  await parser.parseAsync();
 }
 
 void main();
--- /dev/null
+++ b/src/cli/publish/run_publish.ts
@@ -0,0 +1,197 @@
+import { userInfo } from "node:os";
+import process from "node:process";
+import { v7 as newTimeOrderedId } from "uuid";
+import { HttpLogService } from "../../adapters/log_service/mod.ts";
+import { HttpPeers } from "../../adapters/peers/mod.ts";
+import { newIncarnation, systemRandom } from "../../adapters/random/mod.ts";
+import {
+  type CheckedOperatorSettings,
+  formatProblem,
+  loadConfiguration,
+  loadSettings,
+} from "../../adapters/settings/mod.ts";
+import { SystemTimerService } from "../../adapters/time/mod.ts";
+import {
+  ConfigurationFold,
+  type PublicationFailure,
+  Publisher,
+} from "../../core/configuration/mod.ts";
+import { identifier } from "../../core/identity/mod.ts";
+import { Journal } from "../../core/journal/mod.ts";
+import {
+  EXIT_CODE_BAD_SETTINGS,
+  EXIT_CODE_FAILURE,
+  EXIT_CODE_IN_DOUBT,
+  EXIT_CODE_NOT_EVERYWHERE,
+  EXIT_CODE_SUCCESS,
+} from "../exit_codes.ts";
+import { reportBadSettings } from "../process_life.ts";
+import { askFleet, countInForce } from "../status/fleet_status.ts";
+import type { PublishArguments } from "./command.ts";
+
+const LOOK_EVERY_MILLISECONDS = 200;
+/** More than a fleet ever has between two checkpoints: an operator writes none. */
+const NO_CHECKPOINTS = Number.MAX_SAFE_INTEGER;
+
+/** Publishes, waits until in force, and says so; gives the exit code. */
+export async function runPublish(options: PublishArguments): Promise<number> {
+  const settings = loadSettings(options.settings, "operator");
+  if (settings.isErr()) {
+    reportBadSettings(settings.error);
+    return EXIT_CODE_BAD_SETTINGS;
+  }
+  const content = loadConfiguration(options);
+  if (content.isErr()) {
+    for (const problem of content.error) {
+      process.stderr.write(`${formatProblem(problem)}\n`);
+    }
+    return EXIT_CODE_BAD_SETTINGS;
+  }
+  const publication = new Publication(settings.value, {
+    region: content.value.inventory.region,
+    arguments: options,
+  });
+  return await publication.run(content.value);
+}
+
+interface PublicationTask {
+  readonly region: string;
+  readonly arguments: PublishArguments;
+}
+
+/** One run of the command: its journal, its links and what it prints. */
+class Publication {
+  readonly #arguments: PublishArguments;
+  readonly #settings: CheckedOperatorSettings;
+  readonly #timer = new SystemTimerService();
+  readonly #peers = new HttpPeers();
+  readonly #fold = new ConfigurationFold();
+  readonly #log: HttpLogService;
+  readonly #journal: Journal;
+  readonly #id: string;
+
+  constructor(settings: CheckedOperatorSettings, task: PublicationTask) {
+    this.#arguments = task.arguments;
+    this.#settings = settings;
+    this.#id = task.arguments["publication-id"] ?? newTimeOrderedId();
+    this.#log = new HttpLogService(settings.platform.logService, {
+      timer: this.#timer,
+    });
+    this.#journal = this.#openJournal(task.region);
+  }
+
+  async run(
+    content: Parameters<Publisher["publish"]>[0],
+  ): Promise<number> {
+    this.#journal.start();
+    const exitCode = await this.#publish(content);
+    this.#journal.stop();
+    this.#log.close();
+    this.#peers.close();
+    return exitCode;
+  }
+
+  async #publish(
+    content: Parameters<Publisher["publish"]>[0],
+  ): Promise<number> {
+    const verdictMilliseconds = this.#arguments["wait-seconds"] * 1000;
+    if (!await this.#readLog(verdictMilliseconds)) {
+      this.#print({ outcome: "not_made" }, "Cannot read the log service");
+      return EXIT_CODE_FAILURE;
+    }
+    const base = this.#arguments.base ?? this.#fold.version;
+    this.#say(`Publishing ${this.#id} on version ${base}`);
+    const publisher = new Publisher({
+      journal: this.#journal,
+      fold: this.#fold,
+      timer: this.#timer,
+      verdictMilliseconds,
+    });
+    const published = await publisher.publish(content, {
+      publicationId: this.#id,
+      base,
+      publisher: this.#arguments.publisher ?? userInfo().username,
+    });
+    if (published.isErr()) return this.#onFailure(published.error);
+    return await this.#waitUntilInForce(published.value.version);
+  }
+
+  #onFailure(error: PublicationFailure): number {
+    const inDoubt = error.name === "publication_unknown";
+    const text = inDoubt
+      ? `${error.message}\n${error.hint}: --publication-id ${this.#id}`
+      : `${error.message}\n${error.hint}`;
+    const version = this.#fold.version;
+    this.#print({ outcome: error.name, reason: error.message, version }, text);
+    return inDoubt ? EXIT_CODE_IN_DOUBT : EXIT_CODE_FAILURE;
+  }
+
+  /** Asks the entries until every process has told of the version. */
+  async #waitUntilInForce(version: number): Promise<number> {
+    const until = this.#timer.now() + this.#arguments["wait-seconds"] * 1000;
+    const addresses = this.#settings.entries.map((each) =>
+      identifier<Parameters<HttpPeers["status"]>[0]>(each)
+    );
+    this.#say(`Accepted as version ${version}`);
+    let shown = "";
+    for (;;) {
+      const fleet = await askFleet(this.#peers, addresses);
+      const { have, all } = countInForce(fleet, version);
+      const facts = { outcome: "accepted", version, have, all };
+      const line = `In force in ${have} of ${all} processes`;
+      if (have === all && all > 0) {
+        this.#print(facts, line);
+        return EXIT_CODE_SUCCESS;
+      }
+      if (this.#timer.now() >= until) {
+        this.#print(facts, `${line}; see filbertshore status`);
+        return EXIT_CODE_NOT_EVERYWHERE;
+      }
+      if (line !== shown) this.#say(line);
+      shown = line;
+      await this.#pause();
+    }
+  }
+
+  async #readLog(milliseconds: number): Promise<boolean> {
+    const until = this.#timer.now() + milliseconds;
+    while (!this.#journal.caughtUp) {
+      if (this.#timer.now() >= until) return false;
+      await this.#pause();
+    }
+    return true;
+  }
+
+  #pause(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#timer.after(LOOK_EVERY_MILLISECONDS, resolve);
+    });
+  }
+
+  #openJournal(region: string): Journal {
+    return new Journal({
+      log: this.#log,
+      stream: identifier(`configuration.${region}`),
+      fold: this.#fold,
+      timer: this.#timer,
+      random: systemRandom,
+      writer: identifier(`operator-${this.#id}`),
+      incarnation: newIncarnation(),
+      appendDelayMilliseconds: 0,
+      checkpointRecords: NO_CHECKPOINTS,
+      writesCheckpoints: false,
+    });
+  }
+
+  /** Progress, for a person; none where JSON is asked for. */
+  #say(line: string): void {
+    if (!this.#arguments.json) process.stdout.write(`${line}\n`);
+  }
+
+  #print(facts: Record<string, unknown>, text: string): void {
+    const line = this.#arguments.json
+      ? JSON.stringify({ publicationId: this.#id, ...facts })
+      : text;
+    process.stdout.write(`${line}\n`);
+  }
+}
--- /dev/null
+++ b/src/cli/status/fleet_status.ts
@@ -0,0 +1,80 @@
+/** What the entries know together. */
+import type { EntryLink, PeerAddress } from "../../core/links/mod.ts";
+import type { EntryStatus, SideReport } from "../../generated/messages.ts";
+
+/** One entry's answer, or why there is none. */
+export interface EntryAnswer {
+  readonly address: PeerAddress;
+  readonly status?: EntryStatus;
+  readonly failure?: string;
+}
+
+/** The fleet as the entries see it. */
+export interface FleetStatus {
+  readonly entries: readonly EntryAnswer[];
+  /** Newest report of each side, by endpoint. */
+  readonly sides: readonly SideReport[];
+  /** Highest version that any process has in force. */
+  readonly version: number;
+}
+
+/** Asks every entry at once; one that is down delays nobody. */
+export async function askFleet(
+  link: Pick<EntryLink, "status">,
+  addresses: readonly PeerAddress[],
+): Promise<FleetStatus> {
+  const entries = await Promise.all(
+    addresses.map((address) => askEntry(link, address)),
+  );
+  const sides = newestReports(entries);
+  const versions = [
+    ...entries.map((entry) => entry.status?.configurationVersion ?? 0),
+    ...sides.map((side) => side.configurationVersion),
+  ];
+  return { entries, sides, version: Math.max(0, ...versions) };
+}
+
+/** How many processes have at least this version in force. */
+export function countInForce(
+  fleet: FleetStatus,
+  version: number,
+): { have: number; all: number } {
+  const versions = [
+    ...fleet.entries.map((entry) => entry.status?.configurationVersion ?? 0),
+    ...fleet.sides.map((side) => side.configurationVersion),
+  ];
+  return {
+    have: versions.filter((each) => each >= version).length,
+    all: versions.length,
+  };
+}
+
+async function askEntry(
+  link: Pick<EntryLink, "status">,
+  address: PeerAddress,
+): Promise<EntryAnswer> {
+  const answer = await link.status(address);
+  return answer.isOk()
+    ? { address, status: answer.value }
+    : { address, failure: answer.error.message };
+}
+
+/** Entries hear a side at different times; its positions only rise. */
+function newestReports(entries: readonly EntryAnswer[]): SideReport[] {
+  const byEndpoint = new Map<string, SideReport>();
+  for (const report of entries.flatMap((entry) => entry.status?.sides ?? [])) {
+    const known = byEndpoint.get(report.endpoint);
+    if (known === undefined || isNewer(report, known)) {
+      byEndpoint.set(report.endpoint, report);
+    }
+  }
+  return [...byEndpoint.values()].sort((one, other) =>
+    one.endpoint < other.endpoint ? -1 : 1
+  );
+}
+
+function isNewer(one: SideReport, other: SideReport): boolean {
+  return one.configurationVersion > other.configurationVersion ||
+    (one.configurationVersion === other.configurationVersion &&
+      one.ordersRead > other.ordersRead);
+}
--- /dev/null
+++ b/src/cli/status/run_status.ts
@@ -0,0 +1,36 @@
+import process from "node:process";
+import { HttpPeers } from "../../adapters/peers/mod.ts";
+import { loadSettings } from "../../adapters/settings/mod.ts";
+import { identifier } from "../../core/identity/mod.ts";
+import {
+  EXIT_CODE_BAD_SETTINGS,
+  EXIT_CODE_FAILURE,
+  EXIT_CODE_SUCCESS,
+} from "../exit_codes.ts";
+import { reportBadSettings } from "../process_life.ts";
+import type { StatusArguments } from "./command.ts";
+import { askFleet } from "./fleet_status.ts";
+import { renderStatus } from "./status_tables.ts";
+
+/** Asks the entries and prints what they know; gives the exit code. */
+export async function runStatus(
+  options: StatusArguments,
+): Promise<number> {
+  const settings = loadSettings(options.settings, "operator");
+  if (settings.isErr()) {
+    reportBadSettings(settings.error);
+    return EXIT_CODE_BAD_SETTINGS;
+  }
+  const peers = new HttpPeers();
+  const fleet = await askFleet(
+    peers,
+    settings.value.entries.map((each) => identifier(each)),
+  );
+  peers.close();
+  process.stdout.write(
+    `${options.json ? JSON.stringify(fleet) : renderStatus(fleet)}\n`,
+  );
+  const complete = fleet.entries.length > 0 &&
+    fleet.entries.every((entry) => entry.status !== undefined);
+  return complete ? EXIT_CODE_SUCCESS : EXIT_CODE_FAILURE;
+}
