Let the single binary start

Cause: the bundle has no import.meta, and the command-line library asks it for its own place when it loads; the binary ended before it had read its arguments. The bundle run from sources did not show it.

Conclusion: test/process/binary_test.ts starts the binary itself.

--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -11,6 +11,12 @@
 /** The mark that Node's executable carries for this purpose. */
 const FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 
+/**
+ * A bundle has no `import.meta`, yet libraries ask it for their own place when
+ * they load: without this the binary ends before it has read its arguments.
+ */
+const MODULE_URL = "moduleUrl";
+
 async function bundle(): Promise<void> {
   await build({
     entryPoints: ["src/cli/main.ts"],
@@ -19,6 +25,11 @@
     platform: "node",
     target: "node20",
     format: "cjs",
+    define: { "import.meta.url": MODULE_URL },
+    banner: {
+      js:
+        `const ${MODULE_URL} = require("node:url").pathToFileURL(__filename).href;`,
+    },
     legalComments: "none",
     logLevel: "warning",
   });
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -20,8 +20,9 @@
     .demandCommand(1, "Name a command").strict().help()
     .wrap(Math.min(100, process.stdout.columns ?? 100))
     .epilogue("Exit code 2 stands for arguments or files that can't be used")
-    .fail((message, error) => {
-      if (error) throw error;
+    .fail((message: string | null, error) => {
+      // Without a message the error is the program's own, not the operator's.
+      if (message === null) throw error;
       process.stderr.write(`${message}\nSee filbertshore --help\n`);
       process.exit(EXIT_CODE_BAD_SETTINGS);
     });
--- /dev/null
+++ b/test/process/binary_test.ts
@@ -0,0 +1,60 @@
+import { spawnSync } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { expect } from "chai";
+import { builtBinary } from "../support/built_binary.ts";
+
+const COMMANDS = ["entry", "side", "publish", "status", "check"];
+
+describe("The single binary", () => {
+  let binary: string;
+  let folder: string;
+
+  before(function () {
+    this.timeout(60_000);
+    binary = builtBinary();
+    folder = mkdtempSync(join(tmpdir(), "filbertshore-binary-"));
+  });
+
+  after(() => rmSync(folder, { recursive: true }));
+
+  function run(...arguments_: string[]) {
+    return spawnSync(binary, arguments_, { encoding: "utf8", timeout: 10_000 });
+  }
+
+  // The bundle works from its sources and the binary made of it does not: a
+  // library asks for the place of its own file, which a binary has none of.
+  it("starts, tells its version and helps with every command", () => {
+    expect(run("--version").stdout.trim()).to.equal("0.1.0");
+    for (const command of COMMANDS) {
+      const help = run(command, "--help");
+      expect(help.status, help.stderr).to.equal(0);
+      expect(help.stdout).to.include("Exit codes");
+    }
+  });
+
+  // A unit file names a command or an option wrongly. Exit code 2 tells the
+  // operator that no restart will help.
+  it("ends with code 2 on arguments that can't be used", () => {
+    for (const words of [["nonsense"], ["check"], ["entry"], []]) {
+      const result = run(...words);
+      expect(result.status, words.join(" ")).to.equal(2);
+      expect(result.stderr).to.not.include("    at ");
+    }
+  });
+
+  for (const command of ["entry", "side"]) {
+    // An operator mistypes a key. A process that started with a default in its
+    // place would run with a limit that nobody meant.
+    it(`ends with code 2 and every problem of an ${command}'s settings`, () => {
+      const file = join(folder, `${command}.toml`);
+      writeFileSync(file, 'name = "X!"\nregoin = "klang-valley"\n');
+      const result = run(command, "--settings", file);
+      expect(result.status).to.equal(2);
+      expect(result.stderr).to.include(`${file}: regoin: found an unknown key`);
+      expect(result.stderr).to.include(`${file}: region: found nothing`);
+      expect(result.stderr).to.include(`${file}: name: found "X!"`);
+    });
+  }
+});
--- /dev/null
+++ b/test/support/built_binary.ts
@@ -0,0 +1,29 @@
+import { spawnSync } from "node:child_process";
+import { existsSync, readdirSync, statSync } from "node:fs";
+import { join } from "node:path";
+import process from "node:process";
+
+const BINARY = "dist/filbertshore";
+
+/** Path of the single binary; built anew where a source is newer. */
+export function builtBinary(): string {
+  if (existsSync(BINARY) && newest("src") <= statSync(BINARY).mtimeMs) {
+    return BINARY;
+  }
+  const build = spawnSync(process.execPath, [
+    "--import",
+    "tsx",
+    "scripts/build.ts",
+  ], { encoding: "utf8" });
+  if (build.status !== 0) throw new Error(build.stderr);
+  return BINARY;
+}
+
+/** Time of the last change below a folder, milliseconds. */
+function newest(folder: string): number {
+  const times = readdirSync(folder, { withFileTypes: true }).map((entry) => {
+    const path = join(folder, entry.name);
+    return entry.isDirectory() ? newest(path) : statSync(path).mtimeMs;
+  });
+  return Math.max(0, ...times);
+}
