--- a/test/process/whole_path_test.ts
+++ b/test/process/whole_path_test.ts
@@ -69,7 +69,7 @@
         { method: "POST", body: JSON.stringify({ ...CHAT, model: "none" }) },
       );
       expect(answer.status).to.equal(404);
-      expect((await answer.json()).outcome).to.equal("not_run");
+      expect(await answer.json()).to.include({ outcome: "not_run" });
     });
   });
 });
