Test configuration, authority and orders against their hazards

Cause: each hazard needs a test that fails without its guard. Ruled out: a longer fixed silence, which would delay every takeover.

--- /dev/null
+++ b/src/core/authority/authority_test.ts
@@ -0,0 +1,207 @@
+import { expect } from "chai";
+import {
+  makePlanner,
+  ORDERS,
+  type TestPlanner,
+} from "../../../test/support/coordination.ts";
+import { FakeLog } from "../../../test/support/fake_log.ts";
+import type { RecordBody } from "../../generated/log_records.ts";
+import { numbered } from "../identity/mod.ts";
+import { ManualTimerService } from "../time/mod.ts";
+import { OrdersFold } from "./mod.ts";
+
+function claim(holder: string, replaces: number): RecordBody {
+  return { kind: "claim", holder, replaces };
+}
+
+function order(
+  claimOffset: number,
+  number: number,
+  role: "prefill" | "decode" = "decode",
+): RecordBody {
+  return {
+    kind: "order",
+    claim: claimOffset,
+    number,
+    endpoint: "triage-1",
+    target: { role },
+  };
+}
+
+function foldOf(bodies: readonly RecordBody[]): OrdersFold {
+  const fold = new OrdersFold();
+  bodies.forEach((body, offset) => fold.apply(numbered(offset), body));
+  return fold;
+}
+
+describe("OrdersFold", () => {
+  // Two entries claim at the same moment. If both held the claim, their orders
+  // would contradict each other at the engines.
+  it("lets the first of two racing claims win", () => {
+    const fold = foldOf([claim("a", -1), claim("b", -1)]);
+    expect(fold.claim).to.deep.equal({ offset: 0, holder: "a" });
+  });
+
+  // A planner is paused, another takes over, and the first wakes up and
+  // appends what it had in hand. Without the check its order would move an
+  // engine that the new planner has moved elsewhere.
+  it("voids orders behind a newer claim", () => {
+    const fold = foldOf([
+      claim("a", -1),
+      claim("b", 0),
+      order(1, 0, "prefill"),
+      order(0, 1, "decode"),
+    ]);
+    expect(fold.standingOrder("triage-1")?.target.role).to.equal("prefill");
+    expect(fold.voidOrders).to.equal(1);
+  });
+
+  // A claim lands late, after others have held the claim. Its writer would
+  // take the authority back without knowing it.
+  it("passes over a claim that replaces an old one", () => {
+    const fold = foldOf([claim("a", -1), claim("b", 0), claim("late", 0)]);
+    expect(fold.claim?.holder).to.equal("b");
+  });
+
+  // An order lands twice, the second time behind its successor. The engine
+  // would be sent back to where it was.
+  it("passes over an order whose number is not above the last", () => {
+    const fold = foldOf([
+      claim("a", -1),
+      order(0, 0, "prefill"),
+      order(0, 1, "decode"),
+      order(0, 0, "prefill"),
+    ]);
+    expect(fold.standingOrder("triage-1")).to.deep.equal({
+      offset: 2,
+      claim: 0,
+      target: { role: "decode" },
+    });
+  });
+
+  it("keeps the orders under way through a takeover", () => {
+    const fold = foldOf([claim("a", -1), order(0, 3), claim("b", 0)]);
+    expect(fold.standingOrder("triage-1")?.offset).to.equal(1);
+    expect(fold.lastNumber("triage-1")).to.equal(3);
+  });
+
+  it("is the same after saving and loading", () => {
+    const fold = foldOf([claim("a", -1), order(0, 0), order(0, 1)]);
+    const copy = new OrdersFold();
+    copy.load(JSON.parse(JSON.stringify(fold.save())));
+    expect(copy.save()).to.deep.equal(fold.save());
+    copy.apply(numbered(3), order(0, 1, "prefill"));
+    expect(copy.voidOrders).to.equal(1);
+  });
+});
+
+describe("ClaimKeeper", () => {
+  let timer: ManualTimerService;
+  let log: FakeLog;
+  let planners: TestPlanner[];
+
+  beforeEach(() => {
+    timer = new ManualTimerService();
+    log = new FakeLog({ timer });
+    planners = Array.from(
+      { length: 10 },
+      (_, index) => makePlanner({ log, timer, name: `entry-${index}` }),
+    );
+  });
+
+  function holders(): TestPlanner[] {
+    return planners.filter((planner) => planner.keeper.held !== undefined);
+  }
+
+  function claims(): number {
+    return log.records(ORDERS).filter((item) =>
+      JSON.stringify(item.value).includes('"kind":"claim"')
+    ).length;
+  }
+
+  it("finds one holder and keeps it", async () => {
+    await timer.advance(5_000);
+    const [holder] = holders();
+    expect(holders()).to.have.length(1);
+    const before = claims();
+    await timer.advance(120_000);
+    expect(holders()).to.deep.equal([holder]);
+    expect(claims()).to.equal(before);
+  });
+
+  // The planner's VM is killed. Nobody shifts roles until another takes over.
+  it("takes over from a holder that is killed", async () => {
+    await timer.advance(5_000);
+    const [holder] = holders();
+    holder.faults.silent = true;
+    holder.journal.stop();
+    await timer.advance(8_000);
+    const next = holders().filter((planner) => planner !== holder);
+    expect(next).to.have.length(1);
+  });
+
+  // One holder after the other is killed. If each takeover's silence were
+  // taken for a living holder's habit, every further one would take longer.
+  it("takes over as fast after several kills", async () => {
+    await timer.advance(5_000);
+    for (let kill = 0; kill < 5; kill += 1) {
+      const killed = holders().find((planner) => planner.journal.reachable);
+      killed!.faults.silent = true;
+      killed!.journal.stop();
+      planners = planners.filter((planner) => planner !== killed);
+      await timer.advance(7_000);
+      expect(holders()).to.have.length(1);
+    }
+  });
+
+  // A planned stop without handover would leave the region without a planner
+  // for the whole allowed silence.
+  it("hands over at once on a planned stop", async () => {
+    await timer.advance(5_000);
+    const [holder] = holders();
+    void holder.keeper.stop();
+    await timer.advance(1_000);
+    expect(holders()).to.have.length(1);
+    expect(holders()[0]).to.not.equal(holder);
+  });
+
+  // The log is down for minutes. No renewal can be read, and every entry
+  // would take that for the holder's death and claim when the log is back.
+  it("does not claim because of an outage of the log", async () => {
+    await timer.advance(5_000);
+    const [holder] = holders();
+    const before = claims();
+    for (const { faults } of planners) faults.down = true;
+    await timer.advance(180_000);
+    for (const { faults } of planners) faults.down = false;
+    await timer.advance(30_000);
+    expect(holders()).to.deep.equal([holder]);
+    expect(claims()).to.equal(before);
+  });
+
+  // The log turns slow: every call takes 4 s, more than the allowed silence.
+  // The claim would go from entry to entry, each time with a new number.
+  it("does not pass the claim about while the log is slow", async () => {
+    await timer.advance(5_000);
+    const before = claims();
+    for (const { faults } of planners) faults.slowMilliseconds = 4_000;
+    await timer.advance(180_000);
+    expect(claims() - before).to.be.at.most(1);
+  });
+
+  // The holder's process restarts and reads its own name on the claim. It
+  // knows nothing of what its earlier run had under way, so it must not go on
+  // under the old number as if nothing had happened.
+  it("does not take its earlier run's claim for its own", async () => {
+    await timer.advance(5_000);
+    const [holder] = holders();
+    holder.faults.silent = true;
+    holder.journal.stop();
+    const old = holder.keeper.held!.offset;
+    const again = makePlanner({ log, timer, name: holder.process, run: 2 });
+    await timer.advance(200);
+    expect(again.keeper.held?.offset).to.not.equal(old);
+    await timer.advance(5_000);
+    expect(again.keeper.held?.offset ?? Infinity).to.be.above(old);
+  });
+});
--- a/src/core/authority/claim_keeper.ts
+++ b/src/core/authority/claim_keeper.ts
@@ -1,6 +1,6 @@
 import type { Incarnation, ProcessId } from "../identity/mod.ts";
 import type { Journal } from "../journal/mod.ts";
-import { type Random, withJitter } from "../random/mod.ts";
+import type { Random } from "../random/mod.ts";
 import type { Subscription, TimerService } from "../time/mod.ts";
 import { type Claim, NO_HOLDER } from "./claim.ts";
 
@@ -36,13 +36,23 @@
 const RENEWALS_IN_SILENCE = 3;
 const LOOKS_IN_SILENCE = 10;
 /**
- * Share of the silence over which claimants spread. Load: the 40 entries of a
+ * Share of the patience over which claimants spread. Load: the 40 entries of a
  * region that all see the same silence. Harm prevented: 40 claims of which 39
- * are void; at half the silence one claim stands before the next is due.
+ * are void; at half the patience one claim mostly stands before the next is due.
  */
 const JITTER_SHARE = 0.5;
 /** Spread of the claims on an authority that has been handed over. */
 const HANDOVER_JITTER_SHARE = 0.1;
+/**
+ * Round trips to the log that are added to the allowed silence. A renewal
+ * waits for the one before it, takes a round trip itself, and one may be lost
+ * and sent again; the fourth is margin.
+ */
+const ROUND_TRIPS_OF_PATIENCE = 4;
+/** Patience against the longest recent pause between signs of life. */
+const PATIENCE_TO_LONGEST_PAUSE = 2;
+/** What each sign of life takes off the longest pause that is remembered. */
+const PAUSE_DECAY = 0.9;
 
 /**
  * Holds a claim while its process can, and takes one over from a holder that
@@ -58,8 +68,12 @@
   readonly #self: string;
   #look: Subscription | undefined;
   #seenSign = -1;
+  #seenClaim: number | undefined;
   #silentSince: number;
-  #patience: number;
+  /** Drawn anew after each sign of life, so that claimants differ. */
+  #draw: number;
+  #roundTrip = 0;
+  #longestPause = 0;
   #lastRenewal = -Infinity;
   #appending = false;
   #held: number | undefined;
@@ -69,7 +83,7 @@
     this.#options = options;
     this.#self = holderName(options.process, options.incarnation);
     this.#silentSince = options.timer.now();
-    this.#patience = this.#drawPatience();
+    this.#draw = options.random();
   }
 
   /** The claim of this run of the process, while it is in force. */
@@ -115,7 +129,7 @@
     this.#noteSigns();
     if (this.#appending || this.#options.eligible?.() === false) return;
     if (this.held !== undefined) this.#renew();
-    else if (this.#mayClaim()) void this.#claim();
+    else if (this.#isSilent()) void this.#claimAfterProbe();
   }
 
   #noteSigns(): void {
@@ -124,9 +138,22 @@
     if (heard > this.#silentSince) this.#silentSince = heard;
     const quiet = journal.reachable && journal.caughtUp;
     if (quiet && view.lastSign === this.#seenSign) return;
+    const pause = timer.now() - this.#silentSince;
+    const decayed = this.#longestPause * PAUSE_DECAY;
+    // The pause before another holder's first sign is a takeover, which says
+    // nothing about how far apart a living holder's signs are.
+    const isSameHolder = view.claim?.offset === this.#seenClaim;
+    this.#longestPause = quiet && isSameHolder
+      ? Math.max(decayed, pause)
+      : decayed;
     this.#seenSign = view.lastSign;
-    this.#silentSince = timer.now();
-    this.#patience = this.#drawPatience();
+    this.#seenClaim = view.claim?.offset;
+    this.#countAnew();
+  }
+
+  #countAnew(): void {
+    this.#silentSince = this.#options.timer.now();
+    this.#draw = this.#options.random();
   }
 
   #heardDirectly(): number {
@@ -135,42 +162,59 @@
     return this.#options.heardDirectly?.(holder) ?? -Infinity;
   }
 
-  #mayClaim(): boolean {
-    const silent = this.#options.timer.now() - this.#silentSince;
-    return silent >= this.#patience;
+  /** Silence, milliseconds, after which this process claims. */
+  #patience(): number {
+    const { claimSilenceMilliseconds } = this.#options;
+    if (this.#isFree()) {
+      return claimSilenceMilliseconds * HANDOVER_JITTER_SHARE * this.#draw;
+    }
+    const allowed = Math.max(
+      claimSilenceMilliseconds + ROUND_TRIPS_OF_PATIENCE * this.#roundTrip,
+      PATIENCE_TO_LONGEST_PAUSE * this.#longestPause,
+    );
+    return allowed * (1 + JITTER_SHARE * this.#draw);
   }
 
   /**
    * A claim that nobody holds, or that an earlier run of this very process
    * held, needs no wait for signs of life.
    */
-  #drawPatience(): number {
-    const { claimSilenceMilliseconds, process, random, view } = this.#options;
-    const holder = view.claim?.holder;
-    const free = holder === undefined || holder === NO_HOLDER ||
-      holder.startsWith(`${process}${HOLDER_SEPARATOR}`);
-    if (free) {
-      return claimSilenceMilliseconds * HANDOVER_JITTER_SHARE * random();
-    }
-    return withJitter(claimSilenceMilliseconds, {
-      random,
-      share: JITTER_SHARE,
-    });
+  #isFree(): boolean {
+    const holder = this.#options.view.claim?.holder;
+    return holder === undefined || holder === NO_HOLDER ||
+      holder.startsWith(`${this.#options.process}${HOLDER_SEPARATOR}`);
   }
 
-  async #claim(): Promise<void> {
-    const { journal, timer, view } = this.#options;
+  #isSilent(): boolean {
+    return this.#options.timer.now() - this.#silentSince >= this.#patience();
+  }
+
+  /**
+   * Claims after a look at how long the log takes to answer now. What goes
+   * wrong without it: the log turns slow, the holder's renewals come late, and
+   * the claim goes from entry to entry, each time with a new number.
+   */
+  async #claimAfterProbe(): Promise<void> {
     this.#appending = true;
+    const roundTrip = await this.#options.journal.probe();
+    if (roundTrip === undefined) this.#countAnew();
+    else this.#roundTrip = roundTrip;
+    // Signs of life, or another's claim, may have come during the probe.
+    this.#noteSigns();
+    if (this.#isSilent() && !this.#stopped) await this.#claim();
+    this.#appending = false;
+  }
+
+  async #claim(): Promise<void> {
+    const { journal, view } = this.#options;
     await journal.append({
       kind: "claim",
       holder: this.#self,
       replaces: view.claim?.offset ?? -1,
     });
-    this.#appending = false;
     // Also after a failure: a log that takes no appends hides the holder's
     // renewals as well, so the silence counts anew.
-    this.#silentSince = timer.now();
-    this.#patience = this.#drawPatience();
+    this.#countAnew();
     if (!this.#stopped) this.changed();
   }
 
--- /dev/null
+++ b/src/core/configuration/configuration_test.ts
@@ -0,0 +1,365 @@
+import { expect } from "chai";
+import {
+  CONFIGURATION,
+  makeJournal,
+  makeJudge,
+  sampleContent,
+} from "../../../test/support/coordination.ts";
+import { FakeLog } from "../../../test/support/fake_log.ts";
+import type { RecordBody } from "../../generated/log_records.ts";
+import { numbered } from "../identity/mod.ts";
+import { ManualTimerService } from "../time/mod.ts";
+import {
+  checkConfiguration,
+  type ConfigurationContent,
+  ConfigurationFold,
+  Publisher,
+} from "./mod.ts";
+
+function publication(publicationId: string, base: number): RecordBody {
+  const content = { ...sampleContent(publicationId) };
+  return { kind: "publication", publicationId, base, content };
+}
+
+function claim(holder: string, replaces: number): RecordBody {
+  return { kind: "claim", holder, replaces };
+}
+
+function accept(claimOffset: number, publicationOffset: number): RecordBody {
+  return {
+    kind: "verdict",
+    claim: claimOffset,
+    publication: publicationOffset,
+    accepted: true,
+  };
+}
+
+function foldOf(bodies: readonly RecordBody[]): ConfigurationFold {
+  const fold = new ConfigurationFold();
+  bodies.forEach((body, offset) => fold.apply(numbered(offset), body));
+  return fold;
+}
+
+describe("ConfigurationFold", () => {
+  it("puts a publication in force by the first valid verdict", () => {
+    const fold = foldOf([
+      claim("judge", -1),
+      publication("a", 0),
+      accept(0, 1),
+    ]);
+    expect(fold.version).to.equal(3);
+    expect(fold.inventory?.pools[0].weights).to.equal("a");
+    expect(fold.outcome("a")?.accepted).to.equal(true);
+  });
+
+  // Two operators change the same version at the same time. If both came into
+  // force, the second would silently undo the first one's change.
+  it("lets one of two racing publications win and tells which", () => {
+    const fold = foldOf([
+      claim("judge", -1),
+      publication("a", 0),
+      publication("b", 0),
+      accept(0, 1),
+      accept(0, 2),
+    ]);
+    expect(fold.version).to.equal(4);
+    expect(fold.outcome("b")?.accepted).to.equal(false);
+    expect(fold.outcome("b")?.beatenBy?.publicationId).to.equal("a");
+  });
+
+  // A judge is paused after it has looked at a publication, loses its claim,
+  // wakes up and appends its verdict. Readers that took it would follow a
+  // process that has no authority any more.
+  it("passes over the verdict of a judge that has lost its claim", () => {
+    const fold = foldOf([
+      claim("old", -1),
+      publication("a", 0),
+      claim("new", 0),
+      accept(0, 1),
+    ]);
+    expect(fold.version).to.equal(0);
+    expect(fold.pending).to.have.length(1);
+  });
+
+  // A verdict whose answer was lost is appended twice. The second must not
+  // make a new version of the same content.
+  it("keeps the version when a verdict stands twice", () => {
+    const fold = foldOf([
+      claim("judge", -1),
+      publication("a", 0),
+      accept(0, 1),
+      accept(0, 1),
+    ]);
+    expect(fold.version).to.equal(3);
+  });
+
+  // A publication lands a second time, long after it was accepted. The change
+  // that came after it would be reverted.
+  it("passes over a publication that lands again", () => {
+    const fold = foldOf([
+      claim("judge", -1),
+      publication("a", 0),
+      accept(0, 1),
+      publication("b", 3),
+      accept(0, 3),
+      publication("a", 0),
+      accept(0, 5),
+    ]);
+    expect(fold.version).to.equal(5);
+    expect(fold.inventory?.pools[0].weights).to.equal("b");
+  });
+
+  // A tool writes a base far ahead. Should a version with just this number
+  // come later, the old publication would revert it.
+  it("passes over a base that is no version yet", () => {
+    const fold = foldOf([claim("judge", -1), publication("ahead", 4)]);
+    expect(fold.pending).to.deep.equal([]);
+  });
+
+  // A tool publishes without end while nobody judges. Every process of the
+  // fleet would hold every publication in memory.
+  it("holds a bounded number of publications that wait", () => {
+    const bodies = Array.from(
+      { length: 200 },
+      (_, i) => publication(`p${i}`, 0),
+    );
+    expect(foldOf(bodies).pending).to.have.length(64);
+  });
+
+  // A newer version of the software accepts content that this one can't
+  // read. If this one decided for itself, it would have another base for every
+  // later publication and the fleet would split for good.
+  it("follows a verdict on content that it can't apply, and says so", () => {
+    const fold = foldOf([
+      claim("judge", -1),
+      publication("a", 0),
+      accept(0, 1),
+      {
+        kind: "publication",
+        publicationId: "newer",
+        base: 3,
+        content: { inventory: "in a new form" },
+      },
+      accept(0, 3),
+    ]);
+    expect(fold.version).to.equal(5);
+    expect(fold.appliedVersion).to.equal(3);
+    expect(fold.inventory?.pools[0].weights).to.equal("a");
+    expect(fold.unapplied).to.not.have.length(0);
+  });
+
+  it("is the same after saving and loading", () => {
+    const fold = foldOf([
+      claim("judge", -1),
+      publication("a", 0),
+      accept(0, 1),
+      publication("b", 3),
+    ]);
+    const saved = JSON.parse(JSON.stringify(fold.save()));
+    const copy = new ConfigurationFold();
+    copy.load(saved);
+    expect(copy.save()).to.deep.equal(fold.save());
+    expect(copy.inventory).to.deep.equal(fold.inventory);
+  });
+});
+
+describe("checkConfiguration", () => {
+  function changed(
+    change: (content: ConfigurationContent) => void,
+  ): ConfigurationContent {
+    const content = structuredClone(sampleContent());
+    change(content);
+    return content;
+  }
+
+  it("finds nothing wrong with a good configuration", () => {
+    expect(checkConfiguration(sampleContent())).to.deep.equal([]);
+  });
+
+  it("names place, finding and expectation", () => {
+    const content = changed(({ inventory }) => {
+      inventory.pools[0].endpoints[0].availabilityZone = "nowhere";
+    });
+    expect(checkConfiguration(content)).to.deep.equal([{
+      path: "/inventory/pools/0/endpoints/0/availabilityZone",
+      found: "nowhere",
+      expected: "one of shah-alam, petaling",
+    }]);
+  });
+
+  const wrong: Record<string, (content: ConfigurationContent) => void> = {
+    "/inventory/pools/0/endpoints/1/id": ({ inventory }) => {
+      const [first] = inventory.pools[0].endpoints;
+      inventory.pools[0].endpoints.push({ ...first, side: "10.0.0.2:7000" });
+    },
+    "/inventory/pools/0/endpoints/1/side": ({ inventory }) => {
+      const [first] = inventory.pools[0].endpoints;
+      inventory.pools[0].endpoints.push({ ...first, id: "triage-2" });
+    },
+    "/inventory/pools/1/models/0": ({ inventory }) => {
+      inventory.pools.push({ ...inventory.pools[0], name: "b", endpoints: [] });
+    },
+    "/inventory/pools/1/routes/1": ({ inventory }) => {
+      const route = { method: "GET" as const, path: "/a", idempotent: true };
+      inventory.pools.push({
+        name: "portal",
+        kind: "service",
+        routes: [route, { ...route, path: "/a/" }],
+        endpoints: [],
+      });
+    },
+    "/rules/defaultClass": ({ rules }) => rules.defaultClass = "none",
+    "/rules/classes": ({ rules }) => {
+      rules.classes[0].share = 0.6;
+      (rules.classes as unknown[]).push({
+        ...rules.classes[0],
+        name: "bulk",
+      });
+    },
+    "/rules/matches/0/class": ({ rules }) => rules.matches = [{ class: "no" }],
+  };
+  for (const [path, change] of Object.entries(wrong)) {
+    it(`finds what is wrong at ${path}`, () => {
+      const problems = checkConfiguration(changed(change));
+      expect(problems.map((problem) => problem.path)).to.include(path);
+    });
+  }
+
+  it("stands content of any kind", () => {
+    for (const content of [undefined, null, 3, "text", [], {}]) {
+      expect(checkConfiguration(content)).to.not.have.length(0);
+    }
+  });
+});
+
+describe("Publisher and ConfigurationJudge", () => {
+  let timer: ManualTimerService;
+  let log: FakeLog;
+
+  beforeEach(() => {
+    timer = new ManualTimerService();
+    log = new FakeLog({ timer });
+  });
+
+  function operator(name: string) {
+    const fold = new ConfigurationFold();
+    const options = { log, timer, name, stream: CONFIGURATION };
+    const parts = makeJournal(fold, options);
+    parts.journal.start();
+    const publisher = new Publisher({
+      journal: parts.journal,
+      fold,
+      timer,
+      verdictMilliseconds: 10_000,
+    });
+    return { ...parts, publisher };
+  }
+
+  function publish(
+    publisher: Publisher,
+    publicationId: string,
+    base = 0,
+  ): { outcome?: string; message?: string } {
+    const seen: { outcome?: string; message?: string } = {};
+    void publisher.publish(sampleContent(publicationId), {
+      publicationId,
+      base,
+      publisher: `operator of ${publicationId}`,
+    }).then((result) => {
+      seen.outcome = result.isOk() ? "accepted" : result.error.name;
+      if (result.isErr()) seen.message = result.error.message;
+    });
+    return seen;
+  }
+
+  it("brings a publication into force at every reader", async () => {
+    const entries = ["a", "b", "c"].map((name) =>
+      makeJudge({ log, timer, name })
+    );
+    const one = operator("one");
+    await timer.advance(5_000);
+    const seen = publish(one.publisher, "first");
+    await timer.advance(1_000);
+    expect(seen.outcome).to.equal("accepted");
+    for (const entry of entries) {
+      expect(entry.fold.inventory?.pools[0].weights).to.equal("first");
+    }
+  });
+
+  // Two operators publish at the same moment. The one that loses must learn
+  // which change it has to look at before it tries again.
+  it("tells the operator that lost which change came first", async () => {
+    makeJudge({ log, timer, name: "a" });
+    const one = operator("one");
+    const two = operator("two");
+    await timer.advance(5_000);
+    const outcomes = [
+      publish(one.publisher, "first"),
+      publish(two.publisher, "second"),
+    ];
+    await timer.advance(2_000);
+    const won = outcomes.filter((seen) => seen.outcome === "accepted");
+    const lost = outcomes.find((seen) => seen.outcome !== "accepted");
+    expect(won).to.have.length(1);
+    expect(lost?.outcome).to.equal("publication_rejected");
+    expect(lost?.message).to.match(
+      /publication ".*" by operator of .* came first/,
+    );
+  });
+
+  // The log takes the publication and the answer is lost; the operator runs
+  // the command again. It must find the first try and not publish twice.
+  it("finds a publication whose answer was lost", async () => {
+    makeJudge({ log, timer, name: "a" });
+    const one = operator("one");
+    await timer.advance(5_000);
+    one.faults.lostAnswers = 1;
+    const first = publish(one.publisher, "first");
+    await timer.advance(3_000);
+    const again = publish(operator("again").publisher, "first");
+    await timer.advance(3_000);
+    expect(first.outcome).to.equal("accepted");
+    expect(again.outcome).to.equal("accepted");
+    const publications = log.records(CONFIGURATION).filter((item) =>
+      JSON.stringify(item.value).includes('"kind":"publication"')
+    );
+    expect(publications).to.have.length(1);
+  });
+
+  // The judge is killed after the publication stands on the log. Without a
+  // takeover the operator waits forever.
+  it("gets a verdict although the judge is killed", async () => {
+    const entries = ["a", "b"].map((name) => makeJudge({ log, timer, name }));
+    const one = operator("one");
+    await timer.advance(5_000);
+    const judge = entries.find((entry) => entry.keeper.held !== undefined);
+    judge!.faults.silent = true;
+    const seen = publish(one.publisher, "first");
+    await timer.advance(9_000);
+    expect(seen.outcome).to.equal("accepted");
+  });
+
+  it("tells the operator what is wrong with the content", async () => {
+    makeJudge({ log, timer, name: "a" });
+    const one = operator("one");
+    await timer.advance(5_000);
+    const content = structuredClone(sampleContent());
+    content.rules.defaultClass = "none";
+    let message = "";
+    void one.publisher.publish(content, { publicationId: "bad", base: 0 })
+      .then((result) => message = result.isErr() ? result.error.message : "");
+    await timer.advance(2_000);
+    expect(message).to.include("/rules/defaultClass: found none");
+  });
+
+  // The log is down before the publication reaches it. The operator must not
+  // be left in doubt where nothing has happened.
+  it("says that nothing was published while the log is down", async () => {
+    const one = operator("one");
+    await timer.advance(1_000);
+    one.faults.down = true;
+    const seen = publish(one.publisher, "first");
+    await timer.advance(20_000);
+    expect(seen.outcome).to.equal("publication_not_made");
+  });
+});
--- a/src/core/journal/appender.ts
+++ b/src/core/journal/appender.ts
@@ -52,8 +52,12 @@
  * bound; beyond the limit the caller learns at once that nothing was appended.
  */
 const MOST_WAITING_RECORDS = 5_000;
-/** An append without an answer for this long counts as lost. */
-const ANSWER_MILLISECONDS = 1_500;
+/**
+ * An append without an answer for this long counts as lost; doubled for each
+ * further try. Harm prevented: a log that is slow gets every record several
+ * times and becomes slower.
+ */
+const FIRST_ANSWER_MILLISECONDS = 1_500;
 /** How long the record of a lost answer is looked for before a resend. */
 const READ_BACK_MILLISECONDS = 300;
 const FIRST_RETRY_MILLISECONDS = 50;
@@ -159,10 +163,12 @@
   /** Returns when the batch stands on the log or has been given up. */
   async #send(batch: readonly Waiting[]): Promise<void> {
     let retry = FIRST_RETRY_MILLISECONDS;
+    let patience = FIRST_ANSWER_MILLISECONDS;
     for (;;) {
       const open = batch.filter((waiting) => this.#isOpen(waiting));
       if (open.length === 0) return;
-      const outcome = await this.#tryOnce(open);
+      const outcome = await this.#tryOnce(open, patience);
+      patience *= 2;
       if (outcome === "stands") return;
       const wait = outcome === "lost"
         ? Math.max(READ_BACK_MILLISECONDS, retry)
@@ -176,6 +182,7 @@
 
   async #tryOnce(
     open: readonly Waiting[],
+    answerMilliseconds: number,
   ): Promise<"stands" | "no_effect" | "lost"> {
     const before = open.map((waiting) => waiting.inDoubt);
     for (const waiting of open) waiting.inDoubt = true;
@@ -185,7 +192,7 @@
         this.#options.stream,
         open.map((waiting) => waiting.record),
       ),
-      { timer: this.#options.timer, milliseconds: ANSWER_MILLISECONDS },
+      { timer: this.#options.timer, milliseconds: answerMilliseconds },
     );
     if (answer === undefined) return "lost";
     if (answer.isOk()) return "stands";
--- /dev/null
+++ b/src/core/orders/order_executor_test.ts
@@ -0,0 +1,341 @@
+import { expect } from "chai";
+import fc from "fast-check";
+import { FakeEngine } from "../../../test/support/fake_engine.ts";
+import type { EngineTarget } from "../../generated/log_records.ts";
+import { identifier } from "../identity/mod.ts";
+import { ManualTimerService } from "../time/mod.ts";
+import { OrderExecutor, type OrderExecutorOptions } from "./mod.ts";
+
+const LONGEST_ORDER_MILLISECONDS = 20_000;
+
+describe("OrderExecutor", () => {
+  let timer: ManualTimerService;
+
+  beforeEach(() => {
+    timer = new ManualTimerService();
+  });
+
+  function makeEngine(checksFencing: boolean): FakeEngine {
+    return new FakeEngine({ timer, checksFencing, changeMilliseconds: 3_000 });
+  }
+
+  function makeSide(
+    engine: FakeEngine,
+    options: Partial<OrderExecutorOptions> = {},
+  ) {
+    const calls: string[] = [];
+    const executor = new OrderExecutor({
+      endpoint: engine.link(),
+      timer,
+      checksFencing: true,
+      incarnation: identifier("run"),
+      longestOrderMilliseconds: LONGEST_ORDER_MILLISECONDS,
+      drain: () => {
+        calls.push("drain");
+        return Promise.resolve();
+      },
+      resume: () => calls.push("resume"),
+      observe: (event) => calls.push(event.kind),
+      ...options,
+    });
+    return { executor, calls };
+  }
+
+  function order(offset: number, role: EngineTarget["role"]) {
+    return { offset, claim: 0, target: { role } };
+  }
+
+  it("drains, changes, confirms and takes work again", async () => {
+    const engine = makeEngine(true);
+    const { executor, calls } = makeSide(engine);
+    executor.take(order(5, "decode"));
+    await timer.advance(10_000);
+    expect(calls).to.deep.equal([
+      "drain",
+      "order_sent",
+      "order_done",
+      "resume",
+    ]);
+    expect(executor.applied).to.equal(5);
+    expect(engine.state.role).to.equal("decode");
+  });
+
+  // Long streams run at the engine when its role is to change. An order that
+  // did not wait for them would cut their answers off.
+  it("sends nothing before the drain is over", async () => {
+    const engine = makeEngine(true);
+    let drained = () => {};
+    const { executor } = makeSide(engine, {
+      drain: () => new Promise((resolve) => drained = resolve),
+    });
+    executor.take(order(5, "decode"));
+    await timer.advance(60_000);
+    expect(engine.received).to.deep.equal([]);
+    drained();
+    await timer.advance(10_000);
+    expect(executor.applied).to.equal(5);
+  });
+
+  // Two orders come while the drain lasts. The older one is obsolete; giving
+  // it anyway would take the engine out twice.
+  it("gives the newest order only", async () => {
+    const engine = makeEngine(true);
+    let drained = () => {};
+    const { executor } = makeSide(engine, {
+      drain: () => new Promise((resolve) => drained = resolve),
+    });
+    executor.take(order(5, "decode"));
+    await timer.advance(1_000);
+    executor.take(order(7, "prefill"));
+    executor.take(order(6, "mixed"));
+    drained();
+    await timer.advance(10_000);
+    expect(engine.received).to.deep.equal([7]);
+    expect(executor.applied).to.equal(7);
+  });
+
+  // A newer order comes while the engine is in the middle of a change. Sent at
+  // once, the two would conflict inside the engine.
+  it("waits for the change under way before the next order", async () => {
+    const engine = makeEngine(false);
+    const { executor } = makeSide(engine, { checksFencing: false });
+    executor.take(order(5, "decode"));
+    await timer.advance(LONGEST_ORDER_MILLISECONDS + 1_000);
+    executor.take(order(6, "prefill"));
+    await timer.advance(30_000);
+    expect(engine.received).to.deep.equal([5, 6]);
+    expect(engine.conflicts).to.deep.equal([]);
+    expect(executor.applied).to.equal(6);
+  });
+
+  // The engine reports its state with a lag of seconds: right after an order
+  // it still seems at rest in its old state. A newer order that wants this
+  // state would count as reached while the older one is being carried out.
+  it("does not believe figures from before its last order", async () => {
+    const engine = makeEngine(true);
+    const { executor } = makeSide(engine);
+    await timer.advance(LONGEST_ORDER_MILLISECONDS);
+    executor.take(order(5, "decode"));
+    await timer.advance(300);
+    engine.faults.ageMilliseconds = 2_000;
+    executor.take(order(6, "mixed"));
+    await timer.advance(1_000);
+    expect(executor.applied).to.equal(-1);
+    await timer.advance(30_000);
+    expect(executor.applied).to.equal(6);
+    expect(engine.state.role).to.equal("mixed");
+    expect(engine.conflicts).to.deep.equal([]);
+  });
+
+  // The engine crashes in the middle of a change and comes back in its first
+  // state. Taking work then would run it in the wrong role; a new order would
+  // be a second one for the same wish.
+  it("gives the same order again after a crash in mid-change", async () => {
+    const engine = makeEngine(true);
+    const { executor, calls } = makeSide(engine);
+    executor.take(order(5, "decode"));
+    await timer.advance(1_000);
+    engine.crash(4_000);
+    await timer.advance(30_000);
+    expect(engine.received).to.deep.equal([5, 5]);
+    expect(engine.state.role).to.equal("decode");
+    expect(calls.filter((call) => call === "resume")).to.have.length(1);
+  });
+
+  // The engine crashes long after its change and comes back in another role;
+  // no new order is on the log, as the wish is the same.
+  it("notices that an engine has lost its state", async () => {
+    const engine = makeEngine(true);
+    const { executor } = makeSide(engine);
+    executor.take(order(5, "decode"));
+    await timer.advance(10_000);
+    engine.crash(1_000);
+    await timer.advance(20_000);
+    expect(engine.state.role).to.equal("decode");
+    expect(engine.received).to.deep.equal([5, 5]);
+  });
+
+  // The order is carried out and its answer lost. The side must find out by
+  // looking and not take the engine out a second time.
+  it("finds an order done whose answer was lost", async () => {
+    const engine = makeEngine(true);
+    const { executor } = makeSide(engine);
+    engine.faults.lostAnswers = 1;
+    executor.take(order(5, "decode"));
+    await timer.advance(30_000);
+    expect(executor.applied).to.equal(5);
+    expect(engine.received).to.deep.equal([5]);
+  });
+
+  // An order is held up on its way to an engine that ignores fencing, and a
+  // newer one overtakes it. The old one would undo the new one when it lands.
+  it("sends no other order while an earlier one can still land", async () => {
+    const engine = makeEngine(false);
+    const { executor } = makeSide(engine, { checksFencing: false });
+    await timer.advance(LONGEST_ORDER_MILLISECONDS);
+    engine.faults.lateOrders = 1;
+    engine.faults.lateMilliseconds = 15_000;
+    executor.take(order(5, "decode"));
+    await timer.advance(1_000);
+    executor.take(order(6, "prefill"));
+    await timer.advance(60_000);
+    expect(engine.conflicts).to.deep.equal([]);
+    expect(engine.received).to.deep.equal([5, 6]);
+    expect(executor.applied).to.equal(6);
+  });
+
+  // The side is killed right after it has sent an order, and its next run gets
+  // a newer one. An engine that ignores fencing would get both.
+  it("waits after its start for what its earlier run may have sent", async () => {
+    const engine = makeEngine(false);
+    engine.faults.lateOrders = 1;
+    engine.faults.lateMilliseconds = 15_000;
+    const first = makeSide(engine, { checksFencing: false });
+    void engine.link().order({ role: "decode" }, 5);
+    first.executor.stop();
+    await timer.advance(100);
+    const second = makeSide(engine, { checksFencing: false });
+    second.executor.take(order(6, "prefill"));
+    await timer.advance(60_000);
+    expect(engine.conflicts).to.deep.equal([]);
+    expect(engine.received).to.deep.equal([5, 6]);
+    expect(second.executor.applied).to.equal(6);
+  });
+
+  // The side restarts while its engine is in the middle of an order. Sending
+  // at once would give the engine two orders at the same time.
+  it("lets a change under way finish after its own restart", async () => {
+    const engine = makeEngine(true);
+    const first = makeSide(engine);
+    first.executor.take(order(5, "decode"));
+    await timer.advance(500);
+    first.executor.stop();
+    const second = makeSide(engine);
+    second.executor.take(order(6, "prefill"));
+    await timer.advance(30_000);
+    expect(engine.received).to.deep.equal([5, 6]);
+    expect(engine.conflicts).to.deep.equal([]);
+  });
+
+  // The side restarts, its relay is behind, and it gives an order that the
+  // engine knows to be old. It must not be given again and again.
+  it("leaves an order alone that the engine refuses as old", async () => {
+    const engine = makeEngine(true);
+    void engine.link().order({ role: "prefill" }, 9);
+    await timer.advance(5_000);
+    const { executor, calls } = makeSide(engine);
+    executor.take(order(5, "decode"));
+    await timer.advance(30_000);
+    expect(executor.state).to.equal("fenced");
+    expect(engine.received).to.deep.equal([9]);
+    expect(calls.filter((call) => call === "order_sent")).to.have.length(1);
+    executor.take(order(9, "prefill"));
+    await timer.advance(30_000);
+    expect(executor.applied).to.equal(9);
+  });
+
+  // The weight store is at its limit and the engine refuses the order. Staying
+  // drained would take a working engine away for nothing.
+  it("takes work again while the engine refuses the order", async () => {
+    const engine = makeEngine(true);
+    const { executor, calls } = makeSide(engine);
+    engine.faults.refusals = 1;
+    executor.take(order(5, "decode"));
+    await timer.advance(1_000);
+    expect(calls).to.deep.equal(["drain", "order_sent", "resume"]);
+    expect(executor.outOfService).to.equal(false);
+    await timer.advance(20_000);
+    expect(executor.applied).to.equal(5);
+  });
+
+  // Every engine of a pool is to load new weights. Draining before there is a
+  // place at the weight store would empty the pool.
+  it("waits for the loading budget before it drains", async () => {
+    const engine = makeEngine(true);
+    let grant: (release: () => void) => void = () => {};
+    let released = 0;
+    const { executor, calls } = makeSide(engine, {
+      acquireWeights: () => new Promise((resolve) => grant = resolve),
+    });
+    const target = { role: "mixed" as const, weights: "v2" };
+    executor.take({ offset: 5, claim: 0, target });
+    await timer.advance(60_000);
+    expect(calls).to.deep.equal([]);
+    grant(() => released += 1);
+    await timer.advance(10_000);
+    expect(executor.applied).to.equal(5);
+    expect(released).to.equal(1);
+  });
+
+  it("goes on waiting while the engine is down", async () => {
+    const engine = makeEngine(true);
+    const { executor } = makeSide(engine);
+    engine.faults.down = true;
+    executor.take(order(5, "decode"));
+    await timer.advance(120_000);
+    engine.faults.down = false;
+    await timer.advance(10_000);
+    expect(executor.applied).to.equal(5);
+  });
+
+  // Orders, lost and late deliveries, crashes and restarts of the side come in
+  // any sequence. At no time may an engine get an older order after a
+  // newer one or two at once, and in the end it stands where the last order
+  // wants it.
+  for (const checksFencing of [true, false]) {
+    const kind = checksFencing ? "checks" : "ignores";
+    it(`never conflicts at an engine that ${kind} fencing`, async () => {
+      const step = fc.record({
+        wait: fc.integer({ min: 0, max: 15_000 }),
+        kind: fc.constantFrom(
+          "order",
+          "order",
+          "lostAnswers",
+          "lostOrders",
+          "lateOrders",
+          "refusals",
+          "crash",
+          "restart",
+          "age",
+        ),
+        role: fc.constantFrom<EngineTarget["role"]>(
+          "mixed",
+          "prefill",
+          "decode",
+        ),
+      });
+      await fc.assert(
+        fc.asyncProperty(fc.array(step, { maxLength: 14 }), async (steps) => {
+          timer = new ManualTimerService();
+          const engine = makeEngine(checksFencing);
+          const options = { checksFencing };
+          let { executor } = makeSide(engine, options);
+          let newest = order(1, "decode");
+          executor.take(newest);
+          for (const { kind, role, wait } of steps) {
+            if (kind === "order") {
+              newest = order(newest.offset + 1, role);
+              executor.take(newest);
+            } else if (kind === "crash") engine.crash(wait);
+            else if (kind === "age") {
+              engine.faults.ageMilliseconds = wait % 3_000;
+            } else if (kind === "restart") {
+              executor.stop();
+              executor = makeSide(engine, options).executor;
+              executor.take(newest);
+            } else {
+              engine.faults[kind] = 1;
+              engine.faults.lateMilliseconds = wait;
+            }
+            await timer.advance(wait);
+          }
+          await timer.advance(200_000);
+          expect(engine.conflicts).to.deep.equal([]);
+          expect(engine.state.role).to.equal(newest.target.role);
+          expect(executor.applied).to.equal(newest.offset);
+        }),
+        { numRuns: 150, seed: 20 },
+      );
+    });
+  }
+});
