Split a key's acquisition into plain state and pure transitions

Cause: a search over all interleavings has to drive the transitions that the product runs; they sat inside an async loop. Change: decide, takeAppended, takeAnswer and giveUp over plain data; the coordinator carries their decisions out. No change of behaviour. Conclusion: the coordinator's tests pass unchanged.

--- a/src/core/once/mod.ts
+++ b/src/core/once/mod.ts
@@ -13,9 +13,21 @@
   type SideOnceTableOptions,
 } from "./side_table.ts";
 export {
-  type AcquireOptions,
-  type AcquireResult,
+  type Acquisition,
+  BAR_GRACE_MILLISECONDS,
+  beginAcquisition,
+  decide,
+  type Decision,
+  giveUp,
+  noteAppend,
   type OnceChoice,
+  takeAnswer,
+  takeAppended,
+  whenLogDown,
+} from "./acquisition.ts";
+export {
+  type AcquireOptions,
   OnceCoordinator,
   type OnceCoordinatorOptions,
 } from "./coordinator.ts";
+export type { AcquireResult } from "./results.ts";
--- a/src/core/once/results.ts
+++ b/src/core/once/results.ts
@@ -1,6 +1,39 @@
-import type { OnceAnswer } from "../../generated/messages.ts";
-import type { Refusal, RefusalReason } from "../requests/mod.ts";
-import type { AcquireResult } from "./coordinator.ts";
+import type { OnceAnswer, OncePermit } from "../../generated/messages.ts";
+import type { EndpointId } from "../identity/mod.ts";
+import type {
+  Refusal,
+  RefusalReason,
+  UnknownOutcome,
+} from "../requests/mod.ts";
+import type { OnceOwner } from "./fold.ts";
+import type { KeptAnswer } from "./side_table.ts";
+
+/**
+ * `run`: send the work with this permit, once. `answered`: the key has run,
+ * this was its answer. `refused`: this request has not run and will not.
+ * `unknown`: the key's work may have run.
+ */
+export type AcquireResult =
+  | {
+    readonly kind: "run";
+    readonly permit: OncePermit;
+    readonly endpoint: EndpointId;
+  }
+  | { readonly kind: "answered"; readonly answer: KeptAnswer }
+  | { readonly kind: "refused"; readonly refusal: Refusal }
+  | { readonly kind: "unknown"; readonly outcome: UnknownOutcome };
+
+export function run(owner: OnceOwner): AcquireResult {
+  return {
+    kind: "run",
+    endpoint: owner.endpoint,
+    permit: {
+      key: owner.key,
+      record: owner.record,
+      sideIncarnation: owner.sideIncarnation,
+    },
+  };
+}
 
 export function refused(refusal: Refusal): AcquireResult {
   return { kind: "refused", refusal };
