Measure the decisions under load on virtual time

Cause: no figure said how far the first policy is from the possible. Load 1.0 is the largest rate of the mean mix for which that bound serves everything with the best fixed roles.

--- /dev/null
+++ b/bench/load_bound.ts
@@ -0,0 +1,130 @@
+/** What could be reached with the mix known beforehand and changes free. */
+import { type RoleCounts, servedPerSecond } from "../src/core/roles/mod.ts";
+import type { Pool } from "../src/generated/inventory.ts";
+import { ENGINE_ROLES, SINGLE_STREAM_SHARE } from "./engine_model.ts";
+import {
+  type ClassShape,
+  type Deployment,
+  SWING_PERIOD_SECONDS,
+  swingFactor,
+} from "./load_deployments.ts";
+
+/** Share of a shared document in the prompts that have one. */
+export const DOCUMENT_SHARE = 0.5;
+
+/** The engine's own figures at full batch, without any interference. */
+const BEST_PROFILES = {
+  prefill: bestProfile("prefill"),
+  mixed: bestProfile("mixed"),
+  decode: bestProfile("decode"),
+};
+
+function bestProfile(role: keyof typeof ENGINE_ROLES) {
+  const { prefillShare, slotShare } = ENGINE_ROLES[role];
+  const decodeFactor = SINGLE_STREAM_SHARE +
+    (1 - SINGLE_STREAM_SHARE) * slotShare;
+  return { prefillShare, slotShare, decodeFactor };
+}
+
+function compositions(engines: number): RoleCounts[] {
+  const all: RoleCounts[] = [];
+  for (let prefill = 0; prefill <= engines; prefill++) {
+    for (let decode = 0; decode + prefill <= engines; decode++) {
+      all.push({ prefill, decode, mixed: engines - prefill - decode });
+    }
+  }
+  return all;
+}
+
+function demandOf(shapes: readonly ClassShape[], rates: readonly number[]) {
+  return shapes.map((shape, index) => ({
+    className: shape.workClass.name,
+    arrivalsPerSecond: rates[index],
+    promptTokens: shape.promptTokens *
+      (shape.documents ? 1 - DOCUMENT_SHARE : 1),
+    outputTokens: shape.outputTokens,
+    value: 1,
+  }));
+}
+
+/** Best answers per second at these rates, and the roles that give them. */
+export function bestServed(
+  pool: Pool,
+  shapes: readonly ClassShape[],
+  rates: readonly number[],
+): { served: number; counts: RoleCounts } {
+  const engine = pool.engine;
+  if (engine === undefined) throw new Error(`${pool.name} is no engine pool`);
+  const options = { engine, profiles: BEST_PROFILES, usableShare: 1 };
+  const demand = demandOf(shapes, rates);
+  const offered = rates.reduce((sum, rate) => sum + rate, 0);
+  let best = { served: -1, counts: { mixed: 0, prefill: 0, decode: 0 } };
+  for (const counts of compositions(pool.endpoints.length)) {
+    const served = servedPerSecond(demand, counts, options);
+    if (served > best.served + 1e-9) best = { served, counts };
+    if (served >= offered - 1e-9) break;
+  }
+  return best;
+}
+
+/** Requests per second of the mean mix that can just be served. */
+export function capacityPerSecond(deployment: Deployment, pool: Pool): number {
+  const shapes = shapesOf(deployment, pool.name);
+  if (pool.engine === undefined) {
+    const milliseconds = shapes[0].callMilliseconds ?? 1;
+    return pool.endpoints.length * deployment.serviceSlots * 1_000 /
+      milliseconds;
+  }
+  let low = 0;
+  let high = 1_000;
+  while (high - low > 0.01) {
+    const middle = (low + high) / 2;
+    const rates = shapes.map((shape) => shape.share * middle);
+    if (bestServed(pool, shapes, rates).served >= middle * 0.9999) low = middle;
+    else high = middle;
+  }
+  return low;
+}
+
+/** Roles that serve the mean mix best; every policy starts from them. */
+export function bestStaticRoles(
+  deployment: Deployment,
+  pool: Pool,
+  capacity: number,
+): RoleCounts {
+  const shapes = shapesOf(deployment, pool.name);
+  const rates = shapes.map((shape) => shape.share * capacity * 1.02);
+  return bestServed(pool, shapes, rates).counts;
+}
+
+/** Share of all requests that could be answered over one period of the swing. */
+export function goodputBound(
+  deployment: Deployment,
+  options: { load: number; capacities: ReadonlyMap<string, number> },
+): number {
+  const STEP_SECONDS = 5;
+  let served = 0;
+  let offered = 0;
+  for (const pool of deployment.inventory.pools) {
+    const shapes = shapesOf(deployment, pool.name);
+    const base = (options.capacities.get(pool.name) ?? 0) * options.load;
+    for (let at = 0; at < SWING_PERIOD_SECONDS; at += STEP_SECONDS) {
+      const rates = shapes.map((shape) =>
+        base * shape.share * swingFactor(shape, at)
+      );
+      const total = rates.reduce((sum, rate) => sum + rate, 0);
+      offered += total;
+      served += pool.engine === undefined
+        ? Math.min(total, base / options.load)
+        : bestServed(pool, shapes, rates).served;
+    }
+  }
+  return served / offered;
+}
+
+export function shapesOf(
+  deployment: Deployment,
+  pool: string,
+): readonly ClassShape[] {
+  return deployment.shapes.filter((shape) => shape.pool === pool);
+}
--- /dev/null
+++ b/bench/load_job.ts
@@ -0,0 +1,122 @@
+/** Runs of the load bench, spread over two processes. */
+import { fork } from "node:child_process";
+import process from "node:process";
+import { fileURLToPath } from "node:url";
+import type { RoleCounts } from "../src/core/roles/mod.ts";
+import * as baselines from "./load_baselines.ts";
+import { bestStaticRoles, capacityPerSecond } from "./load_bound.ts";
+import { type Deployment, DEPLOYMENTS } from "./load_deployments.ts";
+import { type PlainFigures, RunFigures } from "./load_figures.ts";
+import { LoadRun, type Variant } from "./load_run.ts";
+
+/** Rates and starting roles of a deployment's pools. */
+export interface Scale {
+  readonly capacities: ReadonlyMap<string, number>;
+  readonly roles: ReadonlyMap<string, RoleCounts>;
+}
+
+/** One cell of the bench: a deployment, a load, a variant, some seeds. */
+export interface Cell {
+  readonly deployment: string;
+  readonly load: number;
+  readonly variant: string;
+  readonly seeds: readonly number[];
+}
+
+export interface CellResult {
+  readonly cell: Cell;
+  readonly figures: PlainFigures;
+}
+
+export const VARIANTS: readonly Variant[] = [
+  baselines.PRESENT,
+  baselines.LEAST_IN_FLIGHT,
+  baselines.STATIC_ROLES,
+  baselines.FIRST_VERSION,
+  baselines.THRESHOLD_ROLES,
+  baselines.FORECAST_ROLES,
+];
+
+export function deploymentNamed(name: string): Deployment {
+  const found = DEPLOYMENTS.find((one) => one.name === name);
+  if (found === undefined) throw new Error(`No deployment is named ${name}`);
+  return found;
+}
+
+export function scaleOf(deployment: Deployment): Scale {
+  const capacities = new Map<string, number>();
+  const roles = new Map<string, RoleCounts>();
+  for (const pool of deployment.inventory.pools) {
+    const capacity = capacityPerSecond(deployment, pool);
+    capacities.set(pool.name, capacity);
+    if (pool.engine === undefined) continue;
+    roles.set(pool.name, bestStaticRoles(deployment, pool, capacity));
+  }
+  return { capacities, roles };
+}
+
+/** All seeds of one cell, one after the other. */
+export async function runCell(cell: Cell): Promise<RunFigures> {
+  const deployment = deploymentNamed(cell.deployment);
+  const variant = VARIANTS.find((one) => one.name === cell.variant);
+  if (variant === undefined) throw new Error(`No variant ${cell.variant}`);
+  const scale = scaleOf(deployment);
+  const sum = new RunFigures();
+  for (const seed of cell.seeds) {
+    const run = new LoadRun(deployment, variant, {
+      ...scale,
+      seed,
+      load: cell.load,
+    });
+    sum.merge(await run.go());
+  }
+  return sum;
+}
+
+const PROCESSES = 2;
+const WORKER_ARGUMENT = "load-worker";
+
+/** Runs the cells in two processes, whichever is free taking the next. */
+export async function runCells(cells: readonly Cell[]): Promise<CellResult[]> {
+  const left = [...cells];
+  const results: CellResult[] = [];
+  const workers = Array.from(
+    { length: PROCESSES },
+    () => runWorker(left, results),
+  );
+  await Promise.all(workers);
+  return results;
+}
+
+function runWorker(left: Cell[], results: CellResult[]): Promise<void> {
+  return new Promise((resolve, reject) => {
+    const worker = fork(fileURLToPath(import.meta.url), [WORKER_ARGUMENT], {
+      execArgv: ["--import", "tsx"],
+      serialization: "advanced",
+    });
+    const next = () => {
+      const cell = left.shift();
+      if (cell === undefined) worker.disconnect();
+      else worker.send(cell);
+    };
+    worker.on("message", (result) => {
+      results.push(result as CellResult);
+      next();
+    });
+    worker.on("error", reject);
+    worker.on("exit", (code) => {
+      if (code === 0) resolve();
+      else reject(new Error(`A worker of the bench ended with code ${code}`));
+    });
+    next();
+  });
+}
+
+if (process.argv[2] === WORKER_ARGUMENT) {
+  process.on("message", (message) => {
+    const cell = message as Cell;
+    void runCell(cell).then((figures) =>
+      process.send?.({ cell, figures: figures.plain() })
+    );
+  });
+}
--- /dev/null
+++ b/bench/load_run.ts
@@ -0,0 +1,436 @@
+/** One run: arrivals, entries, sides, engines and the planner on virtual time. */
+import {
+  type AvailabilityZoneId,
+  type EndpointId,
+  identifier,
+  type RequestId,
+  type WorkClassName,
+  type WorkspaceId,
+} from "../src/core/identity/mod.ts";
+import { seededRandom } from "../src/core/random/mod.ts";
+import type { RequestProfile } from "../src/core/requests/mod.ts";
+import {
+  type ClassDemand,
+  type RoleCounts,
+  RolePlanner,
+  type RolePolicy,
+} from "../src/core/roles/mod.ts";
+import {
+  type AttemptSummary,
+  createScheduler,
+  type Placement,
+  type Scheduler,
+  type SchedulerOptions,
+  type SchedulingPolicy,
+  type WaitingRequest,
+} from "../src/core/scheduling/mod.ts";
+import { ManualTimerService } from "../src/core/time/mod.ts";
+import type { Inventory, Pool } from "../src/generated/inventory.ts";
+import { type Arrival, makeArrivals } from "./load_arrivals.ts";
+import { DOCUMENT_SHARE } from "./load_bound.ts";
+import type { Deployment } from "./load_deployments.ts";
+import { RunFigures } from "./load_figures.ts";
+import { SideModel } from "./load_side.ts";
+
+/** One policy that is measured. */
+export interface Variant {
+  readonly name: string;
+  readonly scheduling?: SchedulingPolicy;
+  /** Replaces the scheduler, for baselines. */
+  readonly makeScheduler?: (options: SchedulerOptions) => Scheduler;
+  /** No priorities and no bound at the side. */
+  readonly plain?: boolean;
+  readonly roles: () => RolePolicy;
+  readonly sideWaiting?: number;
+}
+
+export interface RunOptions {
+  readonly seed: number;
+  readonly load: number;
+  readonly capacities: ReadonlyMap<string, number>;
+  readonly roles: ReadonlyMap<string, RoleCounts>;
+  /** Time from a side's report to its use by the entries. */
+  readonly reportLagMilliseconds?: number;
+  readonly seconds?: number;
+  readonly arrivals?: readonly Arrival[];
+  /** Called once all is set up, to bring about faults. */
+  readonly prepare?: (run: LoadRun) => void;
+}
+
+const WARM_UP_SECONDS = 20;
+const MEASURED_SECONDS = 200;
+const REPORT_MILLISECONDS = 500;
+const REPORT_LAG_MILLISECONDS = 300;
+const PLAN_MILLISECONDS = 2_000;
+/** From a plan to the side's receipt of the order: append and relay. */
+const ORDER_MILLISECONDS = 300;
+/** One way, entry to side, the same zone and another (brief: one or two). */
+const SAME_ZONE_MILLISECONDS = 0.5;
+const OTHER_ZONE_MILLISECONDS = 1.5;
+const MOST_TRIES = 3;
+const SIDE_WAITING = 8;
+
+interface Open {
+  readonly arrival: Arrival;
+  readonly entry: Scheduler;
+  readonly zone: string;
+  readonly profile: RequestProfile;
+  tries: number;
+  done: boolean;
+  stop: () => void;
+}
+
+export class LoadRun {
+  readonly timer = new ManualTimerService();
+  readonly figures = new RunFigures();
+  readonly sides = new Map<string, SideModel>();
+  readonly entries: Scheduler[] = [];
+  /** False: no plan is made, as while the log is out or no planner lives. */
+  plannerAlive = true;
+  reportsAlive = true;
+  reportLagMilliseconds: number;
+  readonly #deployment: Deployment;
+  readonly #variant: Variant;
+  readonly #options: RunOptions;
+  readonly #inventory: Inventory;
+  readonly #planner: RolePlanner;
+  readonly #zoneOf = new Map<string, string>();
+  #sequence = 0;
+
+  constructor(deployment: Deployment, variant: Variant, options: RunOptions) {
+    this.#deployment = deployment;
+    this.#variant = variant;
+    this.#options = options;
+    this.reportLagMilliseconds = options.reportLagMilliseconds ??
+      REPORT_LAG_MILLISECONDS;
+    this.#inventory = withRoles(deployment.inventory, options.roles);
+    this.#planner = new RolePlanner({ policy: variant.roles });
+    for (const pool of this.#inventory.pools) this.#addSides(pool);
+    deployment.inventory.availabilityZones.forEach((zone, index) =>
+      this.#addEntry(zone, index)
+    );
+  }
+
+  get measuredFrom(): number {
+    return WARM_UP_SECONDS * 1_000;
+  }
+
+  async go(): Promise<RunFigures> {
+    const seconds = this.#options.seconds ??
+      WARM_UP_SECONDS + MEASURED_SECONDS;
+    const arrivals = this.#options.arrivals ??
+      makeArrivals(this.#deployment, {
+        ...this.#options,
+        seconds,
+        entries: this.entries.length,
+      });
+    this.#arrive(arrivals, 0);
+    this.timer.every(REPORT_MILLISECONDS, () => this.#report());
+    this.timer.every(PLAN_MILLISECONDS, () => this.#plan());
+    this.#options.prepare?.(this);
+    const longest = Math.max(
+      ...this.#deployment.rules.classes.map((one) => one.deadlineSeconds),
+    );
+    await this.timer.advance((seconds + longest + 1) * 1_000);
+    for (const side of this.sides.values()) this.figures.pauses += side.pauses;
+    this.figures.runs = 1;
+    return this.figures;
+  }
+
+  #addSides(pool: Pool): void {
+    for (const listed of pool.endpoints) {
+      this.#zoneOf.set(listed.id, listed.availabilityZone);
+      this.sides.set(
+        listed.id,
+        new SideModel({
+          timer: this.timer,
+          endpoint: listed.id,
+          role: listed.role ?? "mixed",
+          engine: pool.engine,
+          serviceSlots: this.#deployment.serviceSlots,
+          plain: this.#variant.plain ?? false,
+          mostWaiting: this.#variant.sideWaiting ?? SIDE_WAITING,
+        }),
+      );
+    }
+  }
+
+  #addEntry(zone: string, index: number): void {
+    const make = this.#variant.makeScheduler ?? createScheduler;
+    const entry = make({
+      timer: this.timer,
+      random: seededRandom(this.#options.seed * 104_729 + index),
+      availabilityZone: zone,
+      name: `entry-${index}`,
+      limits: { mostQueued: 1_000, mostQueuedPerWorkspace: 300 },
+      entriesSharing: () => this.#inventory.availabilityZones.length,
+      policy: this.#variant.scheduling,
+    });
+    entry.configure(this.#inventory, this.#deployment.rules);
+    this.entries.push(entry);
+  }
+
+  #arrive(arrivals: readonly Arrival[], index: number): void {
+    const arrival = arrivals[index];
+    if (arrival === undefined) return;
+    this.timer.after(arrival.at - this.timer.now(), () => {
+      this.#arrive(arrivals, index + 1);
+      this.#submit(arrival);
+    });
+  }
+
+  #report(): void {
+    if (!this.reportsAlive) return;
+    for (const side of this.sides.values()) {
+      if (!side.reachable) continue;
+      const report = side.report();
+      this.timer.after(this.reportLagMilliseconds, () => {
+        for (const entry of this.entries) {
+          entry.report(report, this.timer.now() - this.reportLagMilliseconds);
+        }
+      });
+    }
+  }
+
+  #plan(): void {
+    if (!this.plannerAlive) return;
+    const changes = this.#planner.plan({
+      now: this.timer.now(),
+      rules: this.#deployment.rules.planner ?? {},
+      logAvailable: true,
+      pools: this.#inventory.pools.filter((pool) => pool.engine)
+        .map((pool) => this.#poolPicture(pool)),
+    });
+    for (const change of changes) {
+      if (this.timer.now() >= this.measuredFrom) this.figures.roleChanges += 1;
+      this.timer.after(ORDER_MILLISECONDS, () => {
+        this.sides.get(change.endpoint)?.changeRole(change.to, () => {});
+      });
+    }
+  }
+
+  #poolPicture(pool: Pool) {
+    const demand = new Map<string, ClassDemand>();
+    for (const entry of this.entries) {
+      const seen = entry.demand().find((one) => one.pool === pool.name);
+      for (const one of seen?.classes ?? []) addDemand(demand, one);
+    }
+    return {
+      pool: pool.name,
+      engine: pool.engine as NonNullable<Pool["engine"]>,
+      demand: [...demand.values()],
+      demandAgeMilliseconds: 0,
+      endpoints: pool.endpoints.map((listed) => {
+        const side = this.sides.get(listed.id) as SideModel;
+        return {
+          endpoint: identifier<EndpointId>(listed.id),
+          availabilityZone: listed.availabilityZone,
+          role: side.presentRole,
+          changingTo: side.changingTo,
+          serving: side.serving,
+        };
+      }),
+    };
+  }
+
+  #submit(arrival: Arrival): void {
+    const { workClass } = arrival.shape;
+    const index = arrival.entry;
+    const zone = this.#inventory.availabilityZones[index];
+    const open: Open = {
+      arrival,
+      entry: this.entries[index],
+      zone,
+      profile: this.#profile(arrival, zone),
+      tries: 0,
+      done: false,
+      stop: () => {},
+    };
+    if (arrival.at >= this.measuredFrom) {
+      this.figures.of(workClass.name).offered += 1;
+    }
+    const alarm = this.timer.after(workClass.deadlineSeconds * 1_000, () => {
+      if (open.done) return;
+      open.stop();
+      this.#finish(open, "late");
+    });
+    this.#try(open, open.profile);
+    if (open.done) alarm.cancel();
+  }
+
+  #profile(arrival: Arrival, zone: string): RequestProfile {
+    const { shape } = arrival;
+    const id = `request-${this.#sequence++}`;
+    return {
+      requestId: identifier<RequestId>(id),
+      workspace: identifier<WorkspaceId>(arrival.workspace),
+      className: identifier<WorkClassName>(shape.workClass.name),
+      pool: shape.pool,
+      kind: shape.callMilliseconds === undefined ? "generation" : "service",
+      promptTokens: arrival.promptTokens,
+      mostOutputTokens: 2_000,
+      deliveredTokens: 0,
+      deadline: this.timer.now() + shape.workClass.deadlineSeconds * 1_000,
+      prefixHashes: arrival.document ? [arrival.document, id] : [],
+      idempotent: shape.idempotent,
+      excluded: new Set(),
+      availabilityZone: identifier<AvailabilityZoneId>(zone),
+    };
+  }
+
+  #try(open: Open, profile: RequestProfile): void {
+    const submitted = open.tries === 0
+      ? open.entry.submit(profile)
+      : open.entry.resubmit(profile);
+    open.tries += 1;
+    if (submitted.isErr()) return this.#finish(open, "refused");
+    void this.#place(open, submitted.value);
+  }
+
+  async #place(open: Open, waiting: WaitingRequest): Promise<void> {
+    open.stop = () => waiting.cancel();
+    const placed = await waiting.placed;
+    if (placed.isErr()) return this.#finish(open, "refused");
+    if (open.done) return placed.value.release(cancelledSummary());
+    this.#attempt(open, placed.value);
+  }
+
+  #attempt(open: Open, placement: Placement): void {
+    const { arrival } = open;
+    const side = this.sides.get(placement.endpoint) as SideModel;
+    const delay = this.#zoneOf.get(placement.endpoint) === open.zone
+      ? SAME_ZONE_MILLISECONDS
+      : OTHER_ZONE_MILLISECONDS;
+    const placedAt = this.timer.now();
+    let firstTokenAt: number | undefined;
+    let cancelAtSide: (() => void) | undefined;
+    const attemptId = `${open.profile.requestId}/${open.tries}`;
+    open.stop = () => {
+      placement.release(cancelledSummary());
+      this.timer.after(delay, () => cancelAtSide?.());
+      cancelAtSide ??= () => {};
+    };
+    this.timer.after(delay, () => {
+      if (open.done) return;
+      if (!side.reachable) {
+        return this.timer.after(delay, () => {
+          this.#attemptEnded(open, placement, {
+            result: "failed",
+            tokens: 0,
+            totalMilliseconds: 2 * delay,
+          });
+        });
+      }
+      cancelAtSide = side.run({
+        attemptId,
+        className: open.profile.className,
+        priority: arrival.shape.workClass.priority,
+        mayPause: arrival.shape.workClass.mayPause ?? false,
+        deadlineMilliseconds: open.profile.deadline - this.timer.now(),
+        promptTokens: arrival.promptTokens,
+        outputTokens: arrival.outputTokens,
+        callMilliseconds: arrival.callMilliseconds,
+        prefix: arrival.document
+          ? { hash: arrival.document, share: DOCUMENT_SHARE }
+          : undefined,
+        onFirstToken: () => firstTokenAt = this.timer.now() + delay,
+        onEnd: (result, load) => {
+          this.timer.after(delay, () => {
+            const now = this.timer.now();
+            if (result === "answered") this.#told(open, firstTokenAt, now);
+            this.#attemptEnded(open, placement, {
+              result,
+              tokens: result === "answered" ? arrival.outputTokens : 0,
+              totalMilliseconds: now - placedAt,
+              firstTokenMilliseconds: firstTokenAt === undefined
+                ? undefined
+                : firstTokenAt - placedAt,
+              load,
+            });
+          });
+        },
+      });
+    });
+  }
+
+  #attemptEnded(
+    open: Open,
+    placement: Placement,
+    summary: AttemptSummary,
+  ): void {
+    if (open.done) return;
+    placement.release(summary);
+    if (summary.result === "answered") return this.#finish(open, "onTime");
+    this.figures.sentBack += 1;
+    const again = summary.result === "not_run" || open.profile.idempotent;
+    if (!again || open.tries >= MOST_TRIES) {
+      return this.#finish(open, "refused");
+    }
+    const excluded = new Set(open.profile.excluded);
+    excluded.add(placement.endpoint);
+    this.#try(open, { ...open.profile, excluded });
+  }
+
+  #told(open: Open, firstTokenAt: number | undefined, now: number): void {
+    const { arrival } = open;
+    if (open.done || firstTokenAt === undefined) return;
+    if (arrival.at < this.measuredFrom) return;
+    const figures = this.figures.of(arrival.shape.workClass.name);
+    figures.firstToken.add(firstTokenAt - arrival.at);
+    figures.betweenTokens.add((now - firstTokenAt) / arrival.outputTokens);
+  }
+
+  #finish(open: Open, result: "onTime" | "late" | "refused"): void {
+    if (open.done) return;
+    open.done = true;
+    const { arrival } = open;
+    if (arrival.at < this.measuredFrom) return;
+    this.figures.of(arrival.shape.workClass.name)[result] += 1;
+  }
+}
+
+function cancelledSummary(): AttemptSummary {
+  return { result: "cancelled", tokens: 0, totalMilliseconds: 0 };
+}
+
+function addDemand(
+  sums: Map<string, ClassDemand>,
+  seen: Omit<ClassDemand, "value">,
+): void {
+  const known = sums.get(seen.className);
+  if (known === undefined) {
+    sums.set(seen.className, { ...seen, value: 1 });
+    return;
+  }
+  const rate = known.arrivalsPerSecond + seen.arrivalsPerSecond;
+  const mean = (one: number, other: number) =>
+    (one * known.arrivalsPerSecond + other * seen.arrivalsPerSecond) / rate;
+  sums.set(seen.className, {
+    ...known,
+    arrivalsPerSecond: rate,
+    promptTokens: mean(known.promptTokens, seen.promptTokens),
+    outputTokens: mean(known.outputTokens, seen.outputTokens),
+  });
+}
+
+/** The inventory with its engines in the given roles, spread over the zones. */
+function withRoles(
+  inventory: Inventory,
+  roles: ReadonlyMap<string, RoleCounts>,
+): Inventory {
+  const pools = inventory.pools.map((pool) => {
+    const counts = roles.get(pool.name);
+    if (counts === undefined) return pool;
+    const list = [
+      ...Array(counts.prefill).fill("prefill"),
+      ...Array(counts.decode).fill("decode"),
+      ...Array(counts.mixed).fill("mixed"),
+    ];
+    const endpoints = pool.endpoints.map((one, index) => ({
+      ...one,
+      role: list[index],
+    }));
+    return { ...pool, endpoints };
+  });
+  return { ...inventory, pools: pools as Inventory["pools"] };
+}
--- /dev/null
+++ b/bench/load_side.ts
@@ -0,0 +1,225 @@
+/** One endpoint of a run: the side's limiter before the engine or service. */
+import { SideLimiter, type Slot } from "../src/core/limits/mod.ts";
+import type { Role } from "../src/core/roles/mod.ts";
+import type { TimerService } from "../src/core/time/mod.ts";
+import type { EngineCharacteristics } from "../src/generated/inventory.ts";
+import type { EndpointLoad, SideReport } from "../src/generated/messages.ts";
+import { EngineModel, type RunningJob } from "./engine_model.ts";
+
+export interface SideModelOptions {
+  readonly timer: TimerService;
+  readonly endpoint: string;
+  readonly role: Role;
+  readonly engine?: EngineCharacteristics;
+  readonly serviceSlots: number;
+  /** True: the side and the engine know no priorities and no bound. */
+  readonly plain: boolean;
+  readonly speed?: number;
+  readonly mostWaiting: number;
+}
+
+export interface SideAttempt {
+  readonly attemptId: string;
+  readonly priority: number;
+  readonly className: string;
+  readonly mayPause: boolean;
+  readonly deadlineMilliseconds: number;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  readonly callMilliseconds: number;
+  readonly prefix?: { hash: string; share: number };
+  readonly onFirstToken: () => void;
+  /** `failed`: it broke at the endpoint. */
+  readonly onEnd: (
+    result: "answered" | "not_run" | "failed",
+    load: EndpointLoad,
+  ) => void;
+}
+
+export class SideModel {
+  readonly endpoint: string;
+  readonly engine?: EngineModel;
+  readonly limiter: SideLimiter;
+  /** Share of the attempts that fail at once. */
+  failureShare = 0;
+  reachable = true;
+  pauses = 0;
+  readonly #options: SideModelOptions;
+  readonly #jobs = new Map<string, RunningJob>();
+  #state: SideReport["state"] = "serving";
+  #open = 0;
+  #target: Role | undefined;
+  #onChanged: (() => void) | undefined;
+
+  constructor(options: SideModelOptions) {
+    this.#options = options;
+    this.endpoint = options.endpoint;
+    if (options.engine !== undefined) {
+      this.engine = new EngineModel({
+        timer: options.timer,
+        engine: options.engine,
+        role: options.role,
+        speed: options.speed,
+      });
+    }
+    this.limiter = new SideLimiter({
+      timer: options.timer,
+      mostRunning: this.engine?.slots ?? options.serviceSlots,
+      mostWaiting: options.plain ? Infinity : options.mostWaiting,
+      toleratedSlowdown: options.plain ? Infinity : undefined,
+    });
+  }
+
+  get role(): Role {
+    return this.#target ?? this.engine?.role ?? "mixed";
+  }
+
+  get presentRole(): Role {
+    return this.engine?.role ?? "mixed";
+  }
+
+  get changingTo(): Role | undefined {
+    return this.#target;
+  }
+
+  get serving(): boolean {
+    return this.#state === "serving" && this.reachable;
+  }
+
+  report(): SideReport {
+    return {
+      side: this.endpoint,
+      incarnation: "1",
+      endpoint: this.endpoint,
+      state: this.#state,
+      role: this.engine?.role,
+      load: this.load(),
+      configurationVersion: 1,
+      ordersRead: 0,
+    };
+  }
+
+  load(): EndpointLoad {
+    if (this.engine === undefined) return this.limiter.load();
+    this.limiter.observeBetweenTokens(this.engine.millisecondsBetweenTokens);
+    return {
+      ...this.limiter.load(),
+      prefillBacklogTokens: this.engine.prefillBacklogTokens,
+    };
+  }
+
+  /** Drains, changes, and takes work again. */
+  changeRole(role: Role, onChanged: () => void): void {
+    if (this.#target !== undefined) return;
+    this.#target = role;
+    this.#state = "changing";
+    this.#onChanged = onChanged;
+    this.#changeWhenDrained();
+  }
+
+  /** Everything at the endpoint breaks off; nothing comes back. */
+  lose(): void {
+    this.reachable = false;
+    for (const job of this.#jobs.values()) job.cancel();
+    this.#jobs.clear();
+  }
+
+  /** Returns what gives the attempt up. */
+  run(attempt: SideAttempt): () => void {
+    let slot: Slot | undefined;
+    let job: RunningJob | undefined;
+    let over = false;
+    const end = (result: "answered" | "not_run" | "failed") => {
+      if (over) return;
+      over = true;
+      this.#leave(attempt, slot);
+      attempt.onEnd(result, this.load());
+    };
+    if (this.#state !== "serving") {
+      over = true;
+      attempt.onEnd("not_run", this.load());
+      return () => {};
+    }
+    this.#open += 1;
+    void this.limiter.enter({
+      ...attempt,
+      priority: this.#options.plain ? 0 : attempt.priority,
+      mayPause: attempt.mayPause && !this.#options.plain,
+    }).then((entered) => {
+      if (entered.isErr()) return end("not_run");
+      slot = entered.value;
+      if (over) return slot.release();
+      job = this.#start(attempt, end);
+      this.#jobs.set(attempt.attemptId, job);
+    });
+    this.#pauseForUrgent();
+    return () => {
+      if (over) return;
+      over = true;
+      job?.cancel();
+      this.#leave(attempt, slot);
+    };
+  }
+
+  #start(
+    attempt: SideAttempt,
+    end: (result: "answered" | "failed") => void,
+  ): RunningJob {
+    const { timer } = this.#options;
+    if (this.failureShare > 0) {
+      const alarm = timer.after(5, () => end("failed"));
+      return { cancel: () => alarm.cancel(), pause() {}, resume() {} };
+    }
+    if (this.engine === undefined) {
+      const speed = this.#options.speed ?? 1;
+      const alarm = timer.after(
+        attempt.callMilliseconds / speed,
+        () => end("answered"),
+      );
+      return { cancel: () => alarm.cancel(), pause() {}, resume() {} };
+    }
+    return this.engine.start({
+      promptTokens: attempt.promptTokens,
+      outputTokens: attempt.outputTokens,
+      priority: this.#options.plain ? 0 : attempt.priority,
+      prefix: attempt.prefix,
+      onFirstToken: attempt.onFirstToken,
+      onEnd: () => end("answered"),
+    });
+  }
+
+  #leave(attempt: SideAttempt, slot: Slot | undefined): void {
+    this.#open -= 1;
+    this.#jobs.delete(attempt.attemptId);
+    slot?.release();
+    this.#resumeOne();
+    this.#changeWhenDrained();
+  }
+
+  #pauseForUrgent(): void {
+    const slot = this.limiter.toPause();
+    if (slot === undefined) return;
+    this.pauses += 1;
+    this.#jobs.get(slot.attemptId as string)?.pause();
+    slot.pause();
+  }
+
+  #resumeOne(): void {
+    const slot = this.limiter.toResume();
+    if (slot === undefined) return;
+    slot.resume();
+    this.#jobs.get(slot.attemptId as string)?.resume();
+  }
+
+  #changeWhenDrained(): void {
+    if (this.#target === undefined || this.#open > 0) return;
+    if (this.engine === undefined || this.engine.outOfService) return;
+    const role = this.#target;
+    this.engine.changeRole(role, () => {
+      this.#target = undefined;
+      this.#state = "serving";
+      this.limiter.useCeiling(this.engine?.slots ?? 1);
+      this.#onChanged?.();
+    });
+  }
+}
--- a/src/core/limits/adaptive_limit.ts
+++ b/src/core/limits/adaptive_limit.ts
@@ -32,7 +32,7 @@
  * tenth down when they do not.
  */
 export class AdaptiveLimit {
-  readonly #mostRunning: number;
+  #mostRunning: number;
   readonly #targetMilliseconds?: number;
   readonly #toleratedSlowdown: number;
   #limit: number;
@@ -56,6 +56,14 @@
     return this.#mean;
   }
 
+  /** Starts again from a new ceiling; the best time may differ there. */
+  useCeiling(mostRunning: number): void {
+    this.#mostRunning = mostRunning;
+    this.#limit = mostRunning;
+    this.#mean = 0;
+    this.#best = Infinity;
+  }
+
   /** One observed time between two tokens of a stream. */
   observe(milliseconds: number): void {
     this.#mean = this.#mean === 0
--- a/src/core/limits/side_limiter.ts
+++ b/src/core/limits/side_limiter.ts
@@ -105,6 +105,12 @@
     return new Promise((settle) => this.#wait(options, settle));
   }
 
+  /** Takes a new ceiling, such as the slots of the engine's new role. */
+  useCeiling(mostRunning: number): void {
+    this.#limit.useCeiling(mostRunning);
+    this.#letIn();
+  }
+
   /** One observed time between tokens, where no slot tells its tokens. */
   observeBetweenTokens(milliseconds: number): void {
     this.#limit.observe(milliseconds);
--- a/src/core/roles/role_profile.ts
+++ b/src/core/roles/role_profile.ts
@@ -9,7 +9,7 @@
   readonly prefillShare: number;
   /** Share of the rated slots. */
   readonly slotShare: number;
-  /** Factor on the rated time between tokens while prompts are processed. */
+  /** Factor on the rated time between tokens with all of the role's slots in use. */
   readonly decodeFactor: number;
 }
 
@@ -20,9 +20,9 @@
  * and backlog wherever an engine has told them.
  */
 export const ROLE_PROFILES: Readonly<Record<Role, RoleProfile>> = {
-  prefill: { prefillShare: 1, slotShare: 0.3, decodeFactor: 1.5 },
-  mixed: { prefillShare: 0.55, slotShare: 0.6, decodeFactor: 1.25 },
-  decode: { prefillShare: 0.15, slotShare: 1, decodeFactor: 1 },
+  prefill: { prefillShare: 1, slotShare: 0.3, decodeFactor: 1.08 },
+  mixed: { prefillShare: 0.55, slotShare: 0.6, decodeFactor: 1.05 },
+  decode: { prefillShare: 0.15, slotShare: 1, decodeFactor: 1.05 },
 };
 
 /** Rates of one engine in one role. */
