--- /dev/null
+++ b/src/core/once/mod.ts
@@ -0,0 +1,21 @@
+/** Non-idempotent requests run at most once, across entries and sides. */
+export { scopedKey, timeOfKey } from "./key.ts";
+export {
+  ONCE_WINDOW_MILLISECONDS,
+  OnceFold,
+  type OnceFoldOptions,
+  type OnceOwner,
+} from "./fold.ts";
+export {
+  type KeptAnswer,
+  SideOnceTable,
+  type SideOnceTableGuards,
+  type SideOnceTableOptions,
+} from "./side_table.ts";
+export {
+  type AcquireOptions,
+  type AcquireResult,
+  type OnceChoice,
+  OnceCoordinator,
+  type OnceCoordinatorOptions,
+} from "./coordinator.ts";
