--- a/bench/load_side.ts
+++ b/bench/load_side.ts
@@ -96,6 +96,7 @@
       load: this.load(),
       configurationVersion: 1,
       ordersRead: 0,
+      orderTaken: -1,
     };
   }
 
