--- a/src/adapters/peers/peer_server.ts
+++ b/src/adapters/peers/peer_server.ts
@@ -40,6 +40,15 @@
   readonly metrics?: () => Promise<string>;
 }
 
+/** The process can't answer at present, for example because it leaves. */
+class NoAnswer extends Error {
+  override readonly name = "NoAnswer";
+
+  constructor(method: string) {
+    super(`This process has no answer to ${method} at present`);
+  }
+}
+
 const PARAMETER_CHECKS: Readonly<Record<string, Validator>> = {
   [PEER_METHODS.ask]: validateOnceQuestion,
   [PEER_METHODS.watch]: validateWatchQuestion,
@@ -55,7 +64,8 @@
 export class PeerServer {
   readonly #options: PeerServerOptions;
   readonly #server: http.Server;
-  readonly #calls = new JSONRPCServer();
+  // An error goes to the asking process, which logs it with its reason.
+  readonly #calls = new JSONRPCServer({ errorListener: () => {} });
 
   constructor(options: PeerServerOptions) {
     this.#options = options;
@@ -93,11 +103,13 @@
 
   #addMethod(name: string, method: (parameters: never) => unknown): void {
     const check = PARAMETER_CHECKS[name];
-    this.#calls.addMethod(name, (parameters) => {
+    this.#calls.addMethod(name, async (parameters) => {
       if (check !== undefined && !check(parameters)) {
         throw new TypeError(`Parameters of ${name} do not fit the schema`);
       }
-      return method(parameters as never);
+      const answer = await method(parameters as never);
+      if (answer === undefined) throw new NoAnswer(name);
+      return answer;
     });
   }
 
--- a/src/cli/entry/run_entry.ts
+++ b/src/cli/entry/run_entry.ts
@@ -17,10 +17,13 @@
 } from "../../adapters/settings/mod.ts";
 import {
   createLogger,
+  createTracing,
   type LabelledLogger,
   Metrics,
+  type Tracing,
 } from "../../adapters/telemetry/mod.ts";
 import { SystemTimerService } from "../../adapters/time/mod.ts";
+import { HttpVmList } from "../../adapters/vm_list/mod.ts";
 import { identifier } from "../../core/identity/mod.ts";
 import type { WatchQuestion } from "../../generated/messages.ts";
 import { EntryCore } from "../../entry/mod.ts";
@@ -49,6 +52,7 @@
   readonly #settings: CheckedEntrySettings;
   readonly #logger: LabelledLogger;
   readonly #metrics = new Metrics({ processMetrics: true });
+  readonly #tracing: Tracing;
   readonly #timer = new SystemTimerService();
   readonly #peers = new HttpPeers();
   readonly #core: EntryCore;
@@ -62,6 +66,10 @@
       level: settings.log.level,
       process: settings.name,
     });
+    this.#tracing = createTracing({
+      process: settings.name,
+      ...settings.traces,
+    });
     this.#core = this.#makeCore();
     this.#callerDoor = this.#makeCallerDoor();
     this.#peerServer = this.#makePeerServer();
@@ -93,6 +101,7 @@
     this.#callerDoor.close();
     this.#peerServer.close();
     this.#peers.close();
+    await this.#tracing.shutdown();
     this.#logger.info({}, "The entry has stopped");
   }
 
@@ -114,6 +123,9 @@
       timer: this.#timer,
       random: systemRandom,
       log: new HttpLogService(platform.logService, { timer: this.#timer }),
+      ...(platform.vmList !== undefined && {
+        vmList: new HttpVmList(platform.vmList, { timer: this.#timer }),
+      }),
       sides: this.#peers,
       entries: this.#peers,
       peerAddresses: this.#settings.peerAddresses.map((each) =>
@@ -127,6 +139,7 @@
       },
       times: coordination,
       observe: this.#metrics.observe,
+      tracer: this.#tracing.tracer,
       logger: this.#logger.labelled("entry"),
     });
   }
--- a/src/cli/side/run_side.ts
+++ b/src/cli/side/run_side.ts
@@ -12,8 +12,10 @@
 } from "../../adapters/settings/mod.ts";
 import {
   createLogger,
+  createTracing,
   type LabelledLogger,
   Metrics,
+  type Tracing,
 } from "../../adapters/telemetry/mod.ts";
 import { SystemTimerService } from "../../adapters/time/mod.ts";
 import { identifier } from "../../core/identity/mod.ts";
@@ -51,6 +53,7 @@
   readonly #settings: CheckedSideSettings;
   readonly #logger: LabelledLogger;
   readonly #metrics = new Metrics({ processMetrics: true });
+  readonly #tracing: Tracing;
   readonly #timer = new SystemTimerService();
   readonly #peers = new HttpPeers();
   readonly #core: SideCore;
@@ -62,6 +65,10 @@
       level: settings.log.level,
       process: settings.name,
     });
+    this.#tracing = createTracing({
+      process: settings.name,
+      ...settings.traces,
+    });
     this.#core = this.#makeCore();
     this.#server = this.#makeServer();
   }
@@ -79,6 +86,7 @@
     await this.#core.stop();
     this.#server.close();
     this.#peers.close();
+    await this.#tracing.shutdown();
     this.#logger.info({}, "The side has stopped");
     return 0;
   }
@@ -109,6 +117,7 @@
         tokenSilenceMilliseconds: TOKEN_SILENCE_MILLISECONDS,
       },
       observe: this.#metrics.observe,
+      tracer: this.#tracing.tracer,
       logger: this.#logger.labelled("side"),
     });
   }
--- a/src/core/once/side_table.ts
+++ b/src/core/once/side_table.ts
@@ -161,6 +161,17 @@
     this.#dropAnswers();
   }
 
+  /**
+   * The endpoint turned the work down before it started, for example because
+   * nobody listened there: the record is barred, and "not run" is true.
+   */
+  turnedDown(permit: OncePermit): void {
+    const known = this.#records.get(permit.record);
+    if (known === undefined || known.state !== "running") return;
+    this.#ranUnder.delete(known.key);
+    this.#bar(known.key, permit.record);
+  }
+
   /** What became of a record; with `bar`, it will not run if it has not. */
   ask(question: OnceQuestion): OnceAnswer {
     if (this.#isForeign(question.sideIncarnation)) {
--- a/src/entry/entry_core.ts
+++ b/src/entry/entry_core.ts
@@ -1,4 +1,3 @@
-import { classify, CompiledRules } from "../core/rules/mod.ts";
 import type {
   AvailabilityZoneId,
   EndpointId,
@@ -13,21 +12,18 @@
   PeerAddress,
   SideLink,
   StreamSnapshot,
+  VmList,
 } from "../core/links/mod.ts";
 import type {
   HistoryEventKind,
   Logger,
   Observe,
+  Tracer,
 } from "../core/observation/mod.ts";
-import { SILENT_LOGGER } from "../core/observation/mod.ts";
+import { NO_TRACER, SILENT_LOGGER } from "../core/observation/mod.ts";
 import { OnceCoordinator } from "../core/once/mod.ts";
 import type { Random } from "../core/random/mod.ts";
-import type {
-  AnswerSink,
-  CallerRequest,
-  Outcome,
-  Refusal,
-} from "../core/requests/mod.ts";
+import type { AnswerSink, CallerRequest } from "../core/requests/mod.ts";
 import { createScheduler } from "../core/scheduling/mod.ts";
 import type { Scheduler } from "../core/scheduling/mod.ts";
 import type { TimerService } from "../core/time/mod.ts";
@@ -36,17 +32,16 @@
   WatchAnswer,
   WatchQuestion,
 } from "../generated/messages.ts";
-import type { Rules } from "../generated/rules.ts";
 import { Catalog } from "./catalog.ts";
 import { chooseEndpoints } from "./endpoint_subset.ts";
+import type { EndpointSubset } from "./endpoint_subset.ts";
+import { inForceOf, Intake } from "./intake.ts";
+import type { InForce, RequestHandle } from "./intake.ts";
+import { Neighbours } from "./neighbours.ts";
 import { Planner } from "./planner.ts";
-import { profileOf } from "./profile.ts";
 import { RegionLog } from "./region_log.ts";
-import { serveRepeatable } from "./repeatable_run.ts";
-import { RequestRun } from "./request_run.ts";
 import type { RunContext } from "./run_context.ts";
 import { SideDirectory } from "./side_directory.ts";
-import { serveKeyed, serveUnkeyed } from "./single_run.ts";
 import { WatchDesk } from "./watch_desk.ts";
 
 /** Limits of one entry; every one of them bounds its memory or its waiting. */
@@ -69,6 +64,8 @@
   readonly claimSilenceMilliseconds: number;
   readonly checkpointRecords: number;
   readonly planMilliseconds: number;
+  /** How long an idempotency key is remembered, milliseconds. */
+  readonly keyWindowMilliseconds: number;
 }
 
 export interface EntryOptions {
@@ -81,36 +78,19 @@
   readonly log: LogService;
   readonly sides: SideLink;
   readonly entries: EntryLink;
-  /** Other entries of the region, to take state from while the log is down. */
+  /** The platform's list of VMs, where there is one. */
+  readonly vmList?: VmList;
+  /** Other entries of the region by the settings. */
   readonly peerAddresses: readonly PeerAddress[];
-  /** A hash of text, short and even; not secret. */
+  /** A hash of text on which two requests never agree by chance. */
   readonly hash: (text: string) => string;
   readonly limits: EntryLimits;
   readonly times: EntryTimes;
   readonly observe?: Observe;
   readonly logger?: Logger;
+  readonly tracer?: Tracer;
 }
 
-/** A caller's hold on its request. */
-export interface RequestHandle {
-  /** The caller has hung up. */
-  cancel(): void;
-  /** The caller takes tokens again after a sink said no. */
-  drained(): void;
-}
-
-interface InForce {
-  readonly catalog: Catalog;
-  readonly rules: Rules;
-  readonly compiled: CompiledRules;
-}
-
-const NOTHING: RequestHandle = { cancel() {}, drained() {} };
-/** When a caller may come back to an entry that has just started. */
-const STARTING_RETRY_MILLISECONDS = 1_000;
-/** When a caller turned away at a full entry may come back. */
-const FULL_RETRY_MILLISECONDS = 2_000;
-
 /**
  * One entry: admits, queues and places callers' requests, reads the log, and
  * relays what is in force to the sides. It holds no socket and no clock.
@@ -118,47 +98,46 @@
 export class EntryCore {
   readonly #options: EntryOptions;
   readonly #logger: Logger;
+  readonly #neighbours: Neighbours;
   readonly #log: RegionLog;
-  readonly #planner: Planner;
   readonly #scheduler: Scheduler;
   readonly #directory: SideDirectory;
   readonly #desk: WatchDesk;
-  readonly #context: RunContext;
-  readonly #open = new Set<RequestRun>();
+  readonly #intake: Intake;
+  readonly #planner: Planner;
   #inForce: InForce | undefined;
-  #told = 0;
+  #subset: EndpointSubset | undefined;
   #draining = false;
-  #idleListeners: (() => void)[] = [];
 
   constructor(options: EntryOptions) {
     this.#options = options;
     this.#logger = options.logger ?? SILENT_LOGGER;
-    this.#log = new RegionLog({
+    this.#neighbours = new Neighbours({
       ...options,
-      logger: this.#logger,
-      tell: (kind, facts) => this.#tell(kind, facts),
-      eligible: () => !this.#draining,
-      onConfiguration: () => this.#onConfiguration(),
-      onOrders: () => this.#desk.changed(),
+      suspectMilliseconds: options.times.suspectMilliseconds,
+      onChange: () => this.#useSides(),
     });
+    this.#log = this.#makeLog();
     this.#scheduler = createScheduler({
       timer: options.timer,
       random: options.random,
       availabilityZone: options.availabilityZone,
       limits: options.limits,
-      entriesSharing: () => options.peerAddresses.length + 1,
+      name: options.name,
+      entriesSharing: () => this.#neighbours.entryCount,
     });
     this.#directory = this.#makeDirectory();
     this.#desk = new WatchDesk({
       timer: options.timer,
       answerFor: (endpoint) => this.#answerFor(endpoint),
     });
-    this.#context = this.#makeContext();
+    this.#intake = this.#makeIntake();
     this.#planner = this.#makePlanner();
   }
 
   start(): void {
     this.#tell("process_started", { role: "entry" });
+    this.#neighbours.start();
     this.#log.start();
     this.#directory.start();
     this.#planner.start();
@@ -172,10 +151,15 @@
    */
   async stop(): Promise<void> {
     this.#draining = true;
+    this.#intake.close();
     this.#tell("entry_draining", { cause: "stop" });
-    await this.#log.handOver();
-    await this.#idleWithin(this.#options.limits.shutdownSeconds * 1000);
-    for (const run of [...this.#open]) run.giveUp("The entry is shutting down");
+    this.#desk.closeAll();
+    const limit = this.#options.limits.shutdownSeconds * 1000;
+    await Promise.all([
+      this.#log.handOver(),
+      this.#intake.idleWithin(limit),
+    ]);
+    this.#intake.giveUp("The entry is shutting down");
     this.halt();
   }
 
@@ -184,6 +168,7 @@
     this.#draining = true;
     this.#planner.stop();
     this.#directory.stop();
+    this.#neighbours.stop();
     this.#desk.closeAll();
     this.#log.stop();
     this.#tell("process_stopped", {});
@@ -196,7 +181,7 @@
 
   /** Requests that are not finished yet. */
   get openRequests(): number {
-    return this.#open.size;
+    return this.#intake.open;
   }
 
   /** Version of the configuration that this entry follows; 0 for none. */
@@ -204,6 +189,7 @@
     return this.#log.configuration.appliedVersion;
   }
 
+  /** For what the embedder feeds in besides: loop delay, cache events. */
   get scheduler(): Scheduler {
     return this.#scheduler;
   }
@@ -219,44 +205,16 @@
 
   /** Takes a request; the sink gets exactly one final outcome. */
   submit(request: CallerRequest, sink: AnswerSink): RequestHandle {
-    this.#tell("request_received", receivedFacts(request));
-    const refusal = this.#closedBecause();
-    if (refusal !== undefined) return this.#refuse(request, { sink, refusal });
-    const inForce = this.#inForce as InForce;
-    const workClass = classify(request, inForce.rules, {
-      compiled: inForce.compiled,
-    });
-    const profiled = profileOf(request, {
-      catalog: inForce.catalog,
-      workClass,
-      now: this.#options.timer.now(),
-      availabilityZone: this.#options.availabilityZone,
-      hash: this.#options.hash,
-    });
-    if (profiled.isErr()) {
-      return this.#refuse(request, { sink, refusal: profiled.error });
-    }
-    const run: RequestRun = new RequestRun({
-      context: this.#context,
-      request,
-      sink,
-      profile: profiled.value.profile,
-      workClass,
-      resumes: profiled.value.resumes,
-      ...this.#serving(request),
-      done: (outcome) => this.#onDone(run, outcome),
-    });
-    this.#open.add(run);
-    run.start();
-    return run;
+    return this.#intake.submit(request, sink);
   }
 
-  /** Answers a side's long poll. */
-  watch(question: WatchQuestion): Promise<WatchAnswer> {
+  /**
+   * Answers a side's long poll; nothing while this entry leaves, so that the
+   * side turns to another one.
+   */
+  watch(question: WatchQuestion): Promise<WatchAnswer> | undefined {
+    if (this.#draining) return undefined;
     this.#directory.heard(question.report);
-    if (this.#draining) {
-      return Promise.resolve(this.#answerFor(question.report.endpoint));
-    }
     return this.#desk.watch(question);
   }
 
@@ -273,7 +231,7 @@
       ordersRead: this.#log.journals.orders.position,
       ...(claim && { claim: { offset: claim.offset, holder: claim.holder } }),
       logReachable: this.#log.journals.configuration.reachable,
-      openRequests: this.#open.size,
+      openRequests: this.#intake.open,
       sides: this.#directory.reports(),
       demand: this.#scheduler.demand().map(({ pool, classes }) => ({
         pool,
@@ -287,83 +245,20 @@
     return this.#log.snapshot(stream);
   }
 
-  #closedBecause(): Refusal | undefined {
-    if (this.#draining) {
-      return refusalFor("draining", "This entry is shutting down");
-    }
-    if (this.#inForce === undefined) {
-      return refusalFor("not_configured", "No configuration is in force yet");
-    }
-    if (this.#open.size >= this.#options.limits.mostOpenRequests) {
-      return {
-        ...refusalFor("overloaded_entry", "The entry has no room left"),
-        retryAfterMilliseconds: FULL_RETRY_MILLISECONDS,
-      };
-    }
-    return undefined;
-  }
-
-  #refuse(
-    request: CallerRequest,
-    refused: { sink: AnswerSink; refusal: Refusal },
-  ): RequestHandle {
-    this.#tell("request_finished", {
-      requestId: request.requestId,
-      outcome: "not_run",
-      reason: refused.refusal.reason,
-    });
-    refused.sink.finish(refused.refusal);
-    return NOTHING;
-  }
-
-  /** How a kind of work is served; what may run once only is not cancelled. */
-  #serving(request: CallerRequest) {
-    const { work } = request;
-    if (work.kind === "generation" || work.idempotent) {
-      return { serve: serveRepeatable, cancelsAttempts: true };
-    }
-    if (request.idempotencyKey === undefined) {
-      return { serve: serveUnkeyed, cancelsAttempts: false };
-    }
-    const text = `${work.method} ${work.path}\n${work.body}`;
-    const fingerprint = this.#options.hash(text);
-    return {
-      serve: (run: RequestRun) => serveKeyed(run, { fingerprint }),
-      cancelsAttempts: false,
-    };
-  }
-
-  #onDone(run: RequestRun, _outcome: Outcome): void {
-    this.#open.delete(run);
-    if (this.#open.size > 0) return;
-    const listeners = this.#idleListeners;
-    this.#idleListeners = [];
-    for (const listener of listeners) listener();
-  }
-
-  #idleWithin(milliseconds: number): Promise<void> {
-    if (this.#open.size === 0) return Promise.resolve();
-    return new Promise((resolve) => {
-      const limit = this.#options.timer.after(milliseconds, resolve);
-      this.#idleListeners.push(() => {
-        limit.cancel();
-        resolve();
-      });
-    });
-  }
-
   /** A record of the configuration stream has been read. */
   #onConfiguration(): void {
     const { appliedVersion, inventory, rules } = this.#log.configuration;
-    if (appliedVersion <= this.#told) return;
     if (inventory === undefined || rules === undefined) return;
-    this.#told = appliedVersion;
-    this.#inForce = {
-      catalog: new Catalog(inventory),
-      rules,
-      compiled: new CompiledRules(rules),
-    };
-    this.#apply(this.#inForce);
+    if (this.#inForce?.catalog.inventory === inventory) return;
+    this.#inForce = inForceOf(new Catalog(inventory), rules);
+    this.#subset = chooseEndpoints(inventory, {
+      entry: this.#options.name,
+      availabilityZone: this.#options.availabilityZone,
+      mostPerPool: this.#options.limits.mostEndpointsPerPool,
+    });
+    this.#scheduler.configure(this.#subset.inventory, rules);
+    this.#useSides();
+    this.#desk.changed();
     this.#tell("configuration_in_force", { version: appliedVersion });
     this.#logger.info(
       { version: appliedVersion },
@@ -371,41 +266,68 @@
     );
   }
 
-  #apply(inForce: InForce): void {
-    const { name, availabilityZone, limits } = this.#options;
-    const chosen = chooseEndpoints(inForce.catalog.inventory, {
-      entry: name,
-      availabilityZone,
-      mostPerPool: limits.mostEndpointsPerPool,
-    });
-    this.#scheduler.configure(chosen.inventory, inForce.rules);
-    this.#directory.use(chosen.sides);
-    this.#desk.changed();
+  /** Inventory or VM list have changed: who is used, and at which address. */
+  #useSides(): void {
+    const sides = new Map<EndpointId, PeerAddress>();
+    for (const [endpoint, inventoried] of this.#subset?.sides ?? []) {
+      sides.set(
+        endpoint,
+        this.#neighbours.sideAddress(endpoint, inventoried),
+      );
+      this.#judgeUse(endpoint);
+    }
+    this.#directory.use(sides);
+  }
+
+  /** New work goes to sides that this entry hears and that are not leaving. */
+  #judgeUse(endpoint: EndpointId): void {
+    const unusable = this.#directory.isSuspected(endpoint) ||
+      this.#neighbours.isLeaving(endpoint);
+    this.#scheduler.suspect(endpoint, unusable);
+  }
+
+  #onSuspicion(endpoint: EndpointId, suspected: boolean): void {
+    this.#tell(suspected ? "suspected" : "trusted", { endpoint });
+    this.#logger.warn({ endpoint, suspected }, "Suspicion of a side changed");
+    this.#judgeUse(endpoint);
+    if (suspected) this.#intake.suspect(endpoint);
   }
 
   #answerFor(endpoint: string): WatchAnswer {
     const id = identifier<EndpointId>(endpoint);
     const catalog = this.#inForce?.catalog;
     const inventoried = catalog?.endpoint(id);
+    const order = this.#log.orders.standingOrder(endpoint);
     const answer: WatchAnswer = {
       configurationVersion: this.configurationVersion,
       ordersRead: this.#log.journals.orders.position,
+      entries: this.#neighbours.entriesFor(endpoint),
+      ...(order && { order }),
+    };
+    if (inventoried === undefined) return answer;
+    const engine = catalog?.engineOf(id);
+    answer.endpoint = {
+      state: inventoried.state ?? "serving",
+      checksFencing: engine?.checksFencing ?? false,
+      resumesStreams: engine?.resumesStreams ?? false,
+      ...(engine && { slots: engine.slots }),
+      ...(engine && { roleChangeSeconds: engine.roleChangeSeconds }),
     };
-    if (inventoried !== undefined) {
-      const engine = catalog?.engineOf(id);
-      answer.endpoint = {
-        state: inventoried.state ?? "serving",
-        checksFencing: engine?.checksFencing ?? false,
-        resumesStreams: engine?.resumesStreams ?? false,
-        ...(engine && { slots: engine.slots }),
-        ...(engine && { roleChangeSeconds: engine.roleChangeSeconds }),
-      };
-    }
-    const order = this.#log.orders.standingOrder(endpoint);
-    if (order !== undefined) answer.order = order;
     return answer;
   }
 
+  #makeLog(): RegionLog {
+    return new RegionLog({
+      ...this.#options,
+      peers: () => this.#neighbours.entries(),
+      logger: this.#logger,
+      tell: (kind, facts) => this.#tell(kind, facts),
+      eligible: () => !this.#draining,
+      onConfiguration: () => this.#onConfiguration(),
+      onOrders: () => this.#desk.changed(),
+    });
+  }
+
   #makeDirectory(): SideDirectory {
     const { timer, sides, times } = this.#options;
     return new SideDirectory({
@@ -413,49 +335,63 @@
       sides,
       reportMilliseconds: times.reportMilliseconds,
       suspectMilliseconds: times.suspectMilliseconds,
+      accepts: (report) => this.#neighbours.accepts(report),
       onReport: (report, at) => this.#scheduler.report(report, at),
       onSuspicion: (endpoint, suspected) =>
         this.#onSuspicion(endpoint, suspected),
     });
   }
 
-  #onSuspicion(endpoint: EndpointId, suspected: boolean): void {
-    this.#tell(suspected ? "suspected" : "trusted", { endpoint });
-    this.#logger.warn({ endpoint, suspected }, "Suspicion of a side changed");
-    this.#scheduler.suspect(endpoint, suspected);
-    if (!suspected) return;
-    for (const run of [...this.#open]) run.suspect(endpoint);
+  #makeIntake(): Intake {
+    const { timer, availabilityZone, hash, limits } = this.#options;
+    return new Intake({
+      timer,
+      availabilityZone,
+      hash,
+      mostOpenRequests: limits.mostOpenRequests,
+      context: this.#makeContext(),
+      tracer: this.#options.tracer ?? NO_TRACER,
+      inForce: () => this.#inForce,
+      tell: (kind, facts) => this.#tell(kind, facts),
+    });
   }
 
   #makeContext(): RunContext {
-    const { timer, sides, availabilityZone, limits } = this.#options;
+    const { timer, sides, availabilityZone, limits, tracer } = this.#options;
     return {
       timer,
       availabilityZone,
       scheduler: this.#scheduler,
       sides,
       directory: this.#directory,
-      once: new OnceCoordinator({
-        fold: this.#log.once,
-        append: (body) => this.#log.journals.once.append(body),
-        ask: (endpoint, question) => this.#askSide(endpoint, question),
-        timer,
-      }),
+      once: this.#makeOnce(),
       mostAttempts: limits.mostAttempts,
+      tracer: tracer ?? NO_TRACER,
       tell: (kind, facts) => this.#tell(kind, facts),
     };
   }
 
-  #askSide(
-    endpoint: EndpointId,
-    question: Parameters<SideLink["ask"]>[1],
-  ): ReturnType<SideLink["ask"]> {
-    const side = this.#inForce?.catalog.sideOf(endpoint);
-    return this.#options.sides.ask(side ?? UNKNOWN_ADDRESS, question);
+  #makeOnce(): OnceCoordinator {
+    return new OnceCoordinator({
+      fold: this.#log.once,
+      append: (body) => this.#log.journals.once.append(body),
+      ask: (endpoint, question) =>
+        this.#options.sides.ask(this.#sideOf(endpoint), question),
+      timer: this.#options.timer,
+    });
+  }
+
+  /** Also for endpoints outside the subset: a record may name any of them. */
+  #sideOf(endpoint: EndpointId): PeerAddress {
+    const inventoried = this.#inForce?.catalog.sideOf(endpoint);
+    return this.#neighbours.sideAddress(
+      endpoint,
+      inventoried ?? UNKNOWN_ADDRESS,
+    );
   }
 
   #makePlanner(): Planner {
-    const { timer, times, entries, peerAddresses } = this.#options;
+    const { timer, times, entries } = this.#options;
     return new Planner({
       timer,
       planMilliseconds: times.planMilliseconds,
@@ -463,7 +399,7 @@
       orders: this.#log.orders,
       claim: this.#log.plannerClaim,
       entries,
-      peers: () => peerAddresses,
+      peers: () => this.#neighbours.entries(),
       status: () => this.status(),
       inForce: () =>
         this.#inForce && {
@@ -489,24 +425,3 @@
 
 /** Port 0 of the own machine: nobody listens there, so nothing is sent. */
 const UNKNOWN_ADDRESS = identifier<PeerAddress>("127.0.0.1:0");
-
-function refusalFor(reason: Refusal["reason"], detail: string): Refusal {
-  return {
-    kind: "not_run",
-    reason,
-    detail,
-    retryAfterMilliseconds: STARTING_RETRY_MILLISECONDS,
-  };
-}
-
-function receivedFacts(
-  request: CallerRequest,
-): Record<string, string | number | boolean> {
-  const { work, idempotencyKey } = request;
-  return {
-    requestId: request.requestId,
-    idempotent: work.kind === "generation" || work.idempotent,
-    workspace: request.workspace,
-    ...(idempotencyKey && { key: idempotencyKey }),
-  };
-}
--- a/src/entry/errors.ts
+++ b/src/entry/errors.ts
@@ -17,3 +17,11 @@
   message: (values) => `No pool serves ${values.method} ${values.path}`,
   hint: "Check the routes of the plain services in the inventory",
 });
+
+export const NO_VM_LIST_SET = defineError<Record<never, never>>()({
+  name: "vm_list_unavailable",
+  title: "No VM list",
+  message: () => "The settings name no VM list",
+  hint:
+    "Set platform.vmList, or keep addresses current in settings and inventory",
+});
--- a/src/entry/mod.ts
+++ b/src/entry/mod.ts
@@ -1,8 +1,4 @@
 /** The entry: between callers and sides. */
 export { EntryCore } from "./entry_core.ts";
-export type {
-  EntryLimits,
-  EntryOptions,
-  EntryTimes,
-  RequestHandle,
-} from "./entry_core.ts";
+export type { EntryLimits, EntryOptions, EntryTimes } from "./entry_core.ts";
+export type { RequestHandle } from "./intake.ts";
--- a/src/entry/region_log.ts
+++ b/src/entry/region_log.ts
@@ -23,6 +23,9 @@
 
 const STREAM_KINDS: readonly StreamKind[] = ["configuration", "orders", "once"];
 
+/** Some peers are enough; asking all 40 of a region would be a storm. */
+const MOST_PEERS_ASKED = 5;
+
 export interface RegionLogOptions {
   readonly name: ProcessId;
   readonly incarnation: Incarnation;
@@ -31,11 +34,13 @@
   readonly random: Random;
   readonly log: LogService;
   readonly entries: EntryLink;
-  readonly peerAddresses: readonly PeerAddress[];
+  /** The region's other entries, to take state from while the log is down. */
+  readonly peers: () => readonly PeerAddress[];
   readonly times: {
     readonly appendDelayMilliseconds: number;
     readonly claimSilenceMilliseconds: number;
     readonly checkpointRecords: number;
+    readonly keyWindowMilliseconds: number;
   };
   readonly logger: Logger;
   readonly tell: (
@@ -156,9 +161,11 @@
 
   /** The furthest state of a stream that any peer offers. */
   async #askPeers(stream: string): Promise<StreamSnapshot | undefined> {
-    const { entries, peerAddresses } = this.#options;
+    const { entries, peers } = this.#options;
     const answers = await Promise.all(
-      peerAddresses.map((peer) => entries.snapshot(peer, stream)),
+      peers().slice(0, MOST_PEERS_ASKED).map((peer) =>
+        entries.snapshot(peer, stream)
+      ),
     );
     let best: StreamSnapshot | undefined;
     for (const answer of answers) {
@@ -222,6 +229,7 @@
 
   #makeOnceFold(): OnceFold {
     return new OnceFold({
+      windowMilliseconds: this.#options.times.keyWindowMilliseconds,
       onOwner: (owner, replaces) =>
         this.#options.tell("once_owned", {
           key: owner.key,
--- a/src/entry/request_run.ts
+++ b/src/entry/request_run.ts
@@ -15,6 +15,7 @@
   Placement,
   WaitingRequest,
 } from "../core/scheduling/mod.ts";
+import type { Span, SpanFacts, SpanName } from "../core/observation/mod.ts";
 import type { Subscription } from "../core/time/mod.ts";
 import type { AttemptRequest, OncePermit } from "../generated/messages.ts";
 import type { WorkClass } from "../generated/rules.ts";
@@ -131,7 +132,9 @@
   ): Promise<Result<Placement, Refusal>> {
     if (submitted.isErr()) return err(submitted.error);
     this.#waiting = submitted.value;
+    const queued = this.#startSpan("entry.queue");
     const placed = await submitted.value.placed;
+    queued.end();
     this.#waiting = undefined;
     if (placed.isErr()) return placed;
     if (this.#settled) {
@@ -159,7 +162,14 @@
     placement: Placement,
     permit?: OncePermit,
   ): Promise<AttemptEnd> {
-    const request = this.#attemptRequest(placement.endpoint, permit);
+    const resumed = this.assembler.deliveredTokens.length > 0;
+    const span = this.#startSpan(resumed ? "entry.resume" : "entry.dispatch", {
+      endpoint: placement.endpoint,
+    });
+    const request = this.#attemptRequest(placement.endpoint, {
+      permit,
+      traceparent: span.traceparent ?? this.options.request.traceparent,
+    });
     this.#tellSent(request);
     this.#attempt = new Attempt({
       context: this.options.context,
@@ -169,7 +179,11 @@
     });
     const end = await this.#attempt.ended;
     this.#attempt = undefined;
-    if (end.kind !== "complete") this.#excluded.add(placement.endpoint);
+    if (end.kind !== "complete") {
+      this.#excluded.add(placement.endpoint);
+      span.fail(end.reason);
+    }
+    span.end();
     if (end.kind === "failed") this.#mayHaveRun = true;
     return end;
   }
@@ -255,7 +269,7 @@
 
   #attemptRequest(
     endpoint: EndpointId,
-    permit: OncePermit | undefined,
+    given: { permit: OncePermit | undefined; traceparent: string | undefined },
   ): AttemptRequest {
     const { request, workClass, profile, context } = this.options;
     this.#attempts += 1;
@@ -272,11 +286,21 @@
     };
     const delivered = this.assembler.deliveredTokens;
     if (delivered.length > 0) attempt.deliveredTokens = [...delivered];
-    if (permit !== undefined) attempt.once = permit;
-    if (request.traceparent) attempt.traceparent = request.traceparent;
+    if (given.permit !== undefined) attempt.once = given.permit;
+    if (given.traceparent !== undefined) {
+      attempt.traceparent = given.traceparent;
+    }
     return attempt;
   }
 
+  #startSpan(name: SpanName, facts: SpanFacts = {}): Span {
+    const { context, request } = this.options;
+    return context.tracer.start(name, {
+      traceparent: request.traceparent,
+      facts: { requestId: request.requestId, ...facts },
+    });
+  }
+
   #tellSent(attempt: AttemptRequest): void {
     const { context } = this.options;
     const facts: Record<string, string | number | boolean> = {
--- a/src/entry/side_directory.ts
+++ b/src/entry/side_directory.ts
@@ -10,6 +10,8 @@
   readonly reportMilliseconds: number;
   /** Silence after which this entry stops using a side, milliseconds. */
   readonly suspectMilliseconds: number;
+  /** False for a report that a newer run of the side has overtaken. */
+  readonly accepts: (report: SideReport) => boolean;
   readonly onReport: (report: SideReport, receivedAt: number) => void;
   readonly onSuspicion: (endpoint: EndpointId, suspected: boolean) => void;
 }
@@ -68,6 +70,10 @@
     return this.#sides.get(endpoint)?.report;
   }
 
+  isSuspected(endpoint: EndpointId): boolean {
+    return this.#sides.get(endpoint)?.suspected ?? false;
+  }
+
   reports(): SideReport[] {
     const reports: SideReport[] = [];
     for (const side of this.#sides.values()) {
@@ -120,6 +126,7 @@
 
   #take(side: KnownSide, report: SideReport): void {
     if (report.endpoint !== side.endpoint) return;
+    if (!this.#options.accepts(report)) return;
     side.report = report;
     side.lastHeard = this.#options.timer.now();
     this.#judge(side);
--- a/src/side/attempt_run.ts
+++ b/src/side/attempt_run.ts
@@ -12,8 +12,11 @@
   FailedFrame,
 } from "../generated/messages.ts";
 
-/** How an attempt ended at its endpoint. */
-export type AttemptEnd = "answered" | FailedFrame["reason"];
+/**
+ * How an attempt ended at its endpoint. `turned_down`: the endpoint did not
+ * start it.
+ */
+export type AttemptEnd = "answered" | "turned_down" | FailedFrame["reason"];
 
 export interface AttemptRunOptions {
   readonly timer: TimerService;
@@ -123,13 +126,11 @@
   #onFinished(result: Result<"stop" | "length", EndpointFailure>): void {
     if (this.#ended) return;
     if (result.isErr()) {
-      const reason = failedReason(result.error.name);
-      this.#end(reason, {
-        kind: "failed",
-        attemptId: this.attempt.attemptId,
-        reason,
+      const { end, frame } = failureEnd(this.attempt, {
+        name: result.error.name,
+        load: this.#options.load(),
       });
-      return;
+      return this.#end(end, frame);
     }
     this.#end("answered", {
       kind: "end",
@@ -149,17 +150,31 @@
   }
 }
 
-/** The frame's word for what the endpoint did. */
-export function failedReason(
-  name: EndpointFailure["name"],
-): FailedFrame["reason"] {
-  switch (name) {
-    case "endpoint_closed":
-    case "endpoint_unreachable":
-      return "endpoint_closed";
-    case "endpoint_garbage":
-      return "endpoint_garbage";
-    default:
-      return "endpoint_error";
+/** What an endpoint's failure means for the attempt, and its last frame. */
+export function failureEnd(
+  attempt: AttemptRequest,
+  failure: { name: EndpointFailure["name"]; load: EndpointLoad },
+): { end: AttemptEnd; frame: AttemptFrame } {
+  const { attemptId } = attempt;
+  if (failure.name === "endpoint_refused") {
+    const { load } = failure;
+    return {
+      end: "turned_down",
+      frame: { kind: "not_run", attemptId, reason: "endpoint_down", load },
+    };
   }
+  const reason = FAILED_REASONS[failure.name];
+  return { end: reason, frame: { kind: "failed", attemptId, reason } };
 }
+
+const FAILED_REASONS: Readonly<
+  Record<
+    Exclude<EndpointFailure["name"], "endpoint_refused">,
+    FailedFrame["reason"]
+  >
+> = {
+  endpoint_closed: "endpoint_closed",
+  endpoint_unreachable: "endpoint_closed",
+  endpoint_garbage: "endpoint_garbage",
+  endpoint_error: "endpoint_error",
+};
--- a/src/side/service_run.ts
+++ b/src/side/service_run.ts
@@ -9,9 +9,10 @@
   AttemptFrame,
   AttemptRequest,
   EndpointLoad,
+  FailedFrame,
 } from "../generated/messages.ts";
+import { failureEnd } from "./attempt_run.ts";
 import type { AttemptEnd } from "./attempt_run.ts";
-import { failedReason } from "./attempt_run.ts";
 
 export interface ServiceRunOptions {
   readonly timer: TimerService;
@@ -42,7 +43,10 @@
     this.#attempt = attempt;
     this.#options = options;
     const timeLeft = Math.max(0, options.deadline - options.timer.now());
-    this.#deadline = options.timer.after(timeLeft, () => this.#onDeadline());
+    this.#deadline = options.timer.after(
+      timeLeft,
+      () => this.#leaveAlone("deadline"),
+    );
     void options.endpoint.call(attempt).then((result) =>
       this.#onResult(result)
     );
@@ -50,33 +54,28 @@
 
   /** The entry no longer listens; the call goes on. */
   abandon(): void {
-    this.#fail("moved");
-  }
-
-  #onDeadline(): void {
-    this.#fail("deadline");
+    this.#leaveAlone("moved");
   }
 
   #onResult(result: Result<ServiceResponse, EndpointFailure>): void {
     this.#deadline.cancel();
+    const load = this.#options.load();
     if (result.isErr()) {
-      const reason = failedReason(result.error.name);
-      this.#options.done(reason, undefined);
-      this.#fail(reason);
-      return;
+      const { name } = result.error;
+      const { end, frame } = failureEnd(this.#attempt, { name, load });
+      this.#options.done(end, undefined);
+      return this.#emit(frame);
     }
     this.#options.done("answered", result.value);
     this.#emit({
       kind: "response",
       attemptId: this.#attempt.attemptId,
-      status: result.value.status,
-      contentType: result.value.contentType,
-      body: result.value.body,
-      load: this.#options.load(),
+      ...result.value,
+      load,
     });
   }
 
-  #fail(reason: Exclude<AttemptEnd, "answered">): void {
+  #leaveAlone(reason: FailedFrame["reason"]): void {
     this.#emit({ kind: "failed", attemptId: this.#attempt.attemptId, reason });
     this.#silent = true;
   }
--- a/src/side/side_core.ts
+++ b/src/side/side_core.ts
@@ -3,22 +3,21 @@
   Incarnation,
   ProcessId,
 } from "../core/identity/mod.ts";
+import { identifier } from "../core/identity/mod.ts";
 import type {
   EndpointLink,
   EngineObservation,
   EntryLink,
   PeerAddress,
 } from "../core/links/mod.ts";
-import { SideLimiter } from "../core/limits/mod.ts";
-import type { Slot } from "../core/limits/mod.ts";
 import { attachments } from "../core/membership/mod.ts";
 import type {
   HistoryEventKind,
   Logger,
   Observe,
+  Tracer,
 } from "../core/observation/mod.ts";
-import { SILENT_LOGGER } from "../core/observation/mod.ts";
-import { SideOnceTable } from "../core/once/mod.ts";
+import { NO_TRACER, SILENT_LOGGER } from "../core/observation/mod.ts";
 import { OrderExecutor } from "../core/orders/mod.ts";
 import type { Random } from "../core/random/mod.ts";
 import type { Subscription, TimerService } from "../core/time/mod.ts";
@@ -32,10 +31,8 @@
   SideReport,
   WatchAnswer,
 } from "../generated/messages.ts";
-import type { AttemptEnd } from "./attempt_run.ts";
-import { GenerationRun } from "./attempt_run.ts";
-import { RecentAttempts } from "./recent_attempts.ts";
-import { ServiceRun } from "./service_run.ts";
+import { AttemptDesk } from "./attempt_desk.ts";
+import type { AttemptHandle } from "./attempt_desk.ts";
 import { WatchLoop } from "./watch_loop.ts";
 
 /** Limits of one side; every one of them bounds its memory or its waiting. */
@@ -68,25 +65,17 @@
   readonly random: Random;
   readonly endpoint: EndpointLink;
   readonly entries: EntryLink;
+  /** Entries to attach to at first; later ones are told by the entries. */
   readonly entryAddresses: readonly PeerAddress[];
   readonly limits: SideLimits;
   readonly times: SideTimes;
   readonly observe?: Observe;
   readonly logger?: Logger;
+  readonly tracer?: Tracer;
 }
 
-/** An entry's hold on an attempt that it has sent. */
-export interface AttemptHandle {
-  cancel(): void;
-  pause(): void;
-  resume(): void;
-}
-
-interface RunningAttempt extends AttemptHandle {
-  readonly attempt: AttemptRequest;
-  /** Ends the attempt at this endpoint so that the entry resumes it elsewhere. */
-  move(): void;
-}
+/** A side is attached to two entries, so that losing one delays nothing. */
+const ATTACHED_ENTRIES = 2;
 
 /**
  * The only door to one endpoint. Every request and every order passes it, so
@@ -95,44 +84,41 @@
 export class SideCore {
   readonly #options: SideOptions;
   readonly #logger: Logger;
-  readonly #limiter: SideLimiter;
-  readonly #once: SideOnceTable;
+  readonly #desk: AttemptDesk;
+  readonly #watches: readonly WatchLoop[];
   #orders: OrderExecutor | undefined;
-  readonly #recent: RecentAttempts;
-  readonly #watches: WatchLoop[] = [];
-  readonly #running = new Map<string, RunningAttempt>();
   #configuration: EndpointConfiguration | undefined;
   #configurationVersion = 0;
   #ordersRead = -1;
   #orderTaken = -1;
+  #toldEntries: readonly PeerAddress[] = [];
   #observation: EngineObservation | undefined;
   #endpointDown = false;
   #leaving = false;
   #changing = false;
   #observing: Subscription | undefined;
-  #idleListeners: (() => void)[] = [];
 
   constructor(options: SideOptions) {
     this.#options = options;
     this.#logger = options.logger ?? SILENT_LOGGER;
-    this.#limiter = new SideLimiter({
-      timer: options.timer,
-      mostRunning: options.limits.mostRunning,
-      mostWaiting: options.limits.mostWaiting,
+    this.#desk = new AttemptDesk({
+      ...options,
+      ...options.limits,
+      ...options.times,
+      tracer: options.tracer ?? NO_TRACER,
+      closedBecause: () => this.#closedBecause(),
+      tell: (kind, facts) => this.#tell(kind, facts),
     });
-    this.#once = new SideOnceTable({
-      incarnation: options.incarnation,
-      mostKeptAnswers: options.limits.mostKeptAnswers,
-      mostKeptAnswerBytes: options.limits.mostKeptAnswerBytes,
-      onBarred: (key, record) => this.#tell("once_barred", { key, record }),
-    });
-    this.#recent = new RecentAttempts(options.timer);
+    this.#watches = Array.from(
+      { length: ATTACHED_ENTRIES },
+      (_, place) => this.#makeWatch(place),
+    );
   }
 
   /** Starts watching entries and observing the endpoint. */
   start(): void {
     this.#tell("process_started", { role: "side" });
-    for (const entry of this.#attachedEntries()) this.#watch(entry);
+    for (const watch of this.#watches) watch.start();
     if (this.#options.kind === "engine") this.#startObserving();
   }
 
@@ -144,7 +130,7 @@
   async stop(): Promise<void> {
     this.#leaving = true;
     this.#tell("side_draining", { cause: "stop" });
-    await this.#idleWithin(this.#options.limits.shutdownSeconds * 1000);
+    await this.#desk.idleWithin(this.#options.limits.shutdownSeconds * 1000);
     this.halt();
   }
 
@@ -154,7 +140,7 @@
     for (const watch of this.#watches) watch.stop();
     this.#observing?.cancel();
     this.#orders?.stop();
-    for (const running of [...this.#running.values()]) running.move();
+    this.#desk.moveAll();
     this.#tell("process_stopped", {});
   }
 
@@ -166,14 +152,12 @@
     attempt: AttemptRequest,
     emit: (frame: AttemptFrame) => void,
   ): AttemptHandle {
-    const pending = new PendingAttempt();
-    void this.#admit(attempt, { emit, pending });
-    return pending;
+    return this.#desk.run(attempt, emit);
   }
 
   /** What became of a record of the `once` stream. */
   ask(question: OnceQuestion): OnceAnswer {
-    return this.#once.ask(question);
+    return this.#desk.ask(question);
   }
 
   report(): SideReport {
@@ -184,7 +168,7 @@
       state: this.#state(),
       role: this.#observation?.role,
       weights: this.#observation?.weights,
-      load: this.#limiter.load(),
+      load: this.#desk.load(),
       configurationVersion: this.#configurationVersion,
       ordersRead: this.#ordersRead,
       orderTaken: this.#orderTaken,
@@ -194,7 +178,7 @@
 
   /** Number of attempts that the endpoint is working on. */
   get running(): number {
-    return this.#running.size;
+    return this.#desk.running;
   }
 
   #state(): SideReport["state"] {
@@ -210,207 +194,34 @@
     return state === "draining" || state === "withdrawn";
   }
 
-  async #admit(
-    attempt: AttemptRequest,
-    io: { emit: (frame: AttemptFrame) => void; pending: PendingAttempt },
-  ): Promise<void> {
-    if (!this.#recent.add(attempt.attemptId)) return;
-    const refuse = (reason: NotRunFrame["reason"]) =>
-      this.#refuse(attempt, { reason, emit: io.emit });
-    const closed = this.#closedBecause(attempt);
-    if (closed !== undefined) return refuse(closed);
-    const deadline = this.#options.timer.now() + attempt.deadlineMilliseconds;
-    const entering = this.#limiter.enter({
-      priority: attempt.priority,
-      className: attempt.className,
-      deadlineMilliseconds: attempt.deadlineMilliseconds,
-      mayPause: attempt.mayPause,
-      attemptId: attempt.attemptId,
-      promptTokens: attempt.promptTokens,
-    });
-    this.#yieldToUrgent();
-    const slot = await entering;
-    if (slot.isErr()) return refuse(slot.error.name);
-    this.#start(attempt, { ...io, slot: slot.value, deadline });
-  }
-
   /** Why the endpoint takes no new work, or nothing where it does. */
-  #closedBecause(attempt: AttemptRequest): NotRunFrame["reason"] | undefined {
-    if (attempt.endpoint !== this.#options.endpointId) return "wrong_endpoint";
-    if (this.#leaving) return "draining";
-    if (this.#endpointDown) return "endpoint_down";
-    if (this.#changing) return "changing_role";
-    if (this.#isDraining()) return "draining";
-    return undefined;
-  }
-
-  #start(
-    attempt: AttemptRequest,
-    io: {
-      emit: (frame: AttemptFrame) => void;
-      pending: PendingAttempt;
-      slot: Slot;
-      deadline: number;
-    },
-  ): void {
-    const giveUp = (reason: NotRunFrame["reason"]) => {
-      this.#refuse(attempt, { reason, emit: io.emit });
-      io.slot.release();
-    };
-    // The state may have changed while the attempt waited for its slot.
-    const closed = this.#closedBecause(attempt);
-    if (closed !== undefined) return giveUp(closed);
-    if (io.pending.cancelled) return giveUp("late");
-    if (attempt.once !== undefined) {
-      const begun = this.#once.begin(attempt.once);
-      if (begun === "already") {
-        io.slot.release();
-        return emitAlreadyRun(attempt, io.emit);
-      }
-      if (begun !== "run") return giveUp(begun);
-    }
-    this.#tell("endpoint_started", attemptFacts(attempt));
-    io.emit({ kind: "started", attemptId: attempt.attemptId });
-    const running = attempt.work.kind === "generation"
-      ? this.#startGeneration(attempt, io)
-      : this.#startService(attempt, io);
-    if (running.settled) return;
-    this.#running.set(attempt.attemptId, running.handle);
-    io.pending.attach(running.handle);
-  }
-
-  /**
-   * Urgent work waits behind bulk that fills the batch: the bulk attempt goes
-   * back to its entry, which resumes it elsewhere or later from the tokens
-   * that its caller already has.
-   */
-  #yieldToUrgent(): void {
-    const slot = this.#limiter.toPause();
-    if (slot?.attemptId === undefined) return;
-    this.#running.get(slot.attemptId)?.move();
+  #closedBecause(): NotRunFrame["reason"] | undefined {
+    return CLOSED_REASONS[this.#state()];
   }
 
-  #startGeneration(
-    attempt: AttemptRequest,
-    io: {
-      emit: (frame: AttemptFrame) => void;
-      slot: Slot;
-      deadline: number;
-    },
-  ): { handle: RunningAttempt; settled: boolean } {
-    const { timer, endpoint, times } = this.#options;
-    let settled = false;
-    const run = new GenerationRun(attempt, {
-      timer,
-      endpoint,
-      emit: io.emit,
-      load: () => this.#limiter.load(),
-      deadline: io.deadline,
-      firstTokenSilenceMilliseconds: times.firstTokenSilenceMilliseconds,
-      tokenSilenceMilliseconds: times.tokenSilenceMilliseconds,
-      onToken: () => io.slot.token(),
-      done: (end) => {
-        settled = true;
-        io.slot.release();
-        this.#finished(attempt, end);
-      },
-    });
-    const handle: RunningAttempt = {
-      attempt,
-      cancel: () => run.stop("cancelled"),
-      pause: () => run.pause(),
-      resume: () => run.resume(),
-      move: () => run.stop("moved"),
-    };
-    return { handle, settled };
-  }
-
-  #startService(
-    attempt: AttemptRequest,
-    io: { emit: (frame: AttemptFrame) => void; slot: Slot; deadline: number },
-  ): { handle: RunningAttempt; settled: boolean } {
-    const run = new ServiceRun(attempt, {
-      timer: this.#options.timer,
-      endpoint: this.#options.endpoint,
-      emit: io.emit,
-      load: () => this.#limiter.load(),
-      deadline: io.deadline,
-      done: (end, answer) => {
-        if (attempt.once !== undefined) {
-          this.#once.finish(attempt.once, answer);
-        }
-        io.slot.release();
-        this.#finished(attempt, end);
-      },
-    });
-    const handle: RunningAttempt = {
-      attempt,
-      cancel: () => run.abandon(),
-      pause: () => {},
-      resume: () => {},
-      move: () => run.abandon(),
-    };
-    return { handle, settled: false };
-  }
-
-  #finished(attempt: AttemptRequest, end: AttemptEnd): void {
-    this.#running.delete(attempt.attemptId);
-    const cause = CANCEL_CAUSES[end];
-    if (cause === undefined) {
-      const result = end === "answered" ? "answered" : "failed";
-      this.#tell("endpoint_finished", { ...attemptFacts(attempt), result });
-    } else {
-      this.#tell("endpoint_cancelled", { ...attemptFacts(attempt), cause });
-    }
-    if (this.#running.size > 0) return;
-    const listeners = this.#idleListeners;
-    this.#idleListeners = [];
-    for (const listener of listeners) listener();
-  }
-
-  /**
-   * Says "not run", and makes it stay true: a copy of the message that is
-   * still on its way must not run later, so the permit is barred first. Where
-   * another copy has run already, "not run" would be a lie.
-   */
-  #refuse(
-    attempt: AttemptRequest,
-    io: { reason: NotRunFrame["reason"]; emit: (frame: AttemptFrame) => void },
-  ): void {
-    if (attempt.once !== undefined && !this.#once.refuse(attempt.once)) {
-      return emitAlreadyRun(attempt, io.emit);
-    }
-    this.#tell("attempt_refused", {
-      ...attemptFacts(attempt),
-      reason: io.reason,
-    });
-    io.emit({
-      kind: "not_run",
-      attemptId: attempt.attemptId,
-      reason: io.reason,
-      load: this.#limiter.load(),
+  #makeWatch(place: number): WatchLoop {
+    return new WatchLoop({
+      ...this.#options,
+      candidates: () => this.#candidates(),
+      place,
+      loops: ATTACHED_ENTRIES,
+      report: () => this.report(),
+      onAnswer: (answer) => this.#onWatchAnswer(answer),
+      waitMilliseconds: this.#options.times.watchMilliseconds,
     });
   }
 
-  #attachedEntries(): PeerAddress[] {
+  /** Entries that were told last come first; the settings' may be gone. */
+  #candidates(): PeerAddress[] {
     const { endpointId, entryAddresses, availabilityZone } = this.#options;
     const entries = entryAddresses.map((id) => ({ id, availabilityZone }));
-    return attachments(entries, { side: endpointId, availabilityZone })
-      .map((entry) => entry.id);
-  }
-
-  #watch(entry: PeerAddress): void {
-    const watch = new WatchLoop({
-      timer: this.#options.timer,
-      random: this.#options.random,
-      entries: this.#options.entries,
-      entry,
-      report: () => this.report(),
-      onAnswer: (answer) => this.#onWatchAnswer(answer),
-      waitMilliseconds: this.#options.times.watchMilliseconds,
+    const ranked = attachments(entries, {
+      side: endpointId,
+      availabilityZone,
+      count: entries.length,
     });
-    this.#watches.push(watch);
-    watch.start();
+    const own = ranked.map((entry) => entry.id);
+    return [...new Set([...this.#toldEntries, ...own])];
   }
 
   /**
@@ -419,25 +230,36 @@
    * withdrawn endpoint back into service. Positions only rise here.
    */
   #onWatchAnswer(answer: WatchAnswer): void {
-    if (answer.configurationVersion > this.#configurationVersion) {
-      this.#configurationVersion = answer.configurationVersion;
-      this.#configuration = answer.endpoint ?? WITHDRAWN;
-      this.#tell("configuration_in_force", {
-        version: answer.configurationVersion,
-        state: this.#configuration.state,
-      });
-      this.#logger.info({
-        version: answer.configurationVersion,
-        state: this.#configuration.state,
-      }, "Configuration is in force");
+    if (answer.entries !== undefined && answer.entries.length > 0) {
+      this.#toldEntries = answer.entries.map((each) => identifier(each));
     }
+    this.#takeConfiguration(answer);
     this.#ordersRead = Math.max(this.#ordersRead, answer.ordersRead);
-    if (answer.order === undefined) return;
-    if (answer.order.offset <= this.#orderTaken) return;
-    this.#orderTaken = answer.order.offset;
+    this.#takeOrder(answer);
+  }
+
+  #takeConfiguration(answer: WatchAnswer): void {
+    if (answer.configurationVersion <= this.#configurationVersion) return;
+    const wasDraining = this.#isDraining();
+    this.#configurationVersion = answer.configurationVersion;
+    this.#configuration = answer.endpoint ?? WITHDRAWN;
+    const facts = {
+      version: answer.configurationVersion,
+      state: this.#configuration.state,
+    };
+    this.#tell("configuration_in_force", facts);
+    this.#logger.info(facts, "Configuration is in force");
+    if (this.#isDraining() && !wasDraining) {
+      this.#tell("side_draining", { cause: "configuration" });
+    }
+  }
+
+  #takeOrder({ order }: WatchAnswer): void {
+    if (order === undefined || order.offset <= this.#orderTaken) return;
+    this.#orderTaken = order.offset;
     if (this.#configuration?.state === "withdrawn") return;
     this.#orders ??= this.#makeOrderExecutor();
-    this.#orders.take(answer.order);
+    this.#orders.take(order);
   }
 
   /**
@@ -462,9 +284,10 @@
 
   async #drainForChange(): Promise<void> {
     this.#changing = true;
-    await this.#idleWithin(this.#options.times.drainMilliseconds);
-    for (const running of [...this.#running.values()]) running.move();
-    await this.#idle();
+    this.#tell("side_draining", { cause: "order" });
+    await this.#desk.idleWithin(this.#options.times.drainMilliseconds);
+    this.#desk.moveAll();
+    await this.#desk.idle();
   }
 
   #resumeAfterChange(): void {
@@ -472,21 +295,6 @@
     void this.#observe();
   }
 
-  #idle(): Promise<void> {
-    if (this.#running.size === 0) return Promise.resolve();
-    return new Promise((resolve) => this.#idleListeners.push(resolve));
-  }
-
-  #idleWithin(milliseconds: number): Promise<void> {
-    return new Promise((resolve) => {
-      const limit = this.#options.timer.after(milliseconds, resolve);
-      void this.#idle().then(() => {
-        limit.cancel();
-        resolve();
-      });
-    });
-  }
-
   #startObserving(): void {
     void this.#observe();
     this.#observing = this.#options.timer.every(
@@ -522,68 +330,17 @@
   }
 }
 
-/** Ends that the side itself brings about, and why. */
-const CANCEL_CAUSES: Partial<Record<AttemptEnd, string>> = {
-  cancelled: "caller",
-  deadline: "deadline",
-  moved: "planned",
+const CLOSED_REASONS: Readonly<
+  Record<SideReport["state"], NotRunFrame["reason"] | undefined>
+> = {
+  serving: undefined,
+  leaving: "draining",
+  draining: "draining",
+  down: "endpoint_down",
+  changing: "changing_role",
 };
 
 const WITHDRAWN: EndpointConfiguration = {
   state: "withdrawn",
   checksFencing: false,
 };
-
-/** The record was used before, so nothing here can say "not run". */
-function emitAlreadyRun(
-  attempt: AttemptRequest,
-  emit: (frame: AttemptFrame) => void,
-): void {
-  emit({
-    kind: "failed",
-    attemptId: attempt.attemptId,
-    reason: "already_run",
-  });
-}
-
-function attemptFacts(
-  attempt: AttemptRequest,
-): Record<string, string | number | boolean> {
-  const facts: Record<string, string | number | boolean> = {
-    requestId: attempt.requestId,
-    attemptId: attempt.attemptId,
-    idempotent: attempt.work.kind === "generation" || attempt.work.idempotent,
-  };
-  if (attempt.once !== undefined) {
-    facts.key = attempt.once.key;
-    facts.record = attempt.once.record;
-  }
-  return facts;
-}
-
-/** Stands for an attempt before and after it gets its slot. */
-class PendingAttempt implements AttemptHandle {
-  #handle: AttemptHandle | undefined;
-  #cancelled = false;
-
-  get cancelled(): boolean {
-    return this.#cancelled;
-  }
-
-  attach(handle: AttemptHandle): void {
-    this.#handle = handle;
-  }
-
-  cancel(): void {
-    this.#cancelled = true;
-    this.#handle?.cancel();
-  }
-
-  pause(): void {
-    this.#handle?.pause();
-  }
-
-  resume(): void {
-    this.#handle?.resume();
-  }
-}
--- a/src/side/watch_loop.ts
+++ b/src/side/watch_loop.ts
@@ -8,7 +8,12 @@
   readonly timer: TimerService;
   readonly random: Random;
   readonly entries: EntryLink;
-  readonly entry: PeerAddress;
+  /** Entries to attach to, best first; may change at any time. */
+  readonly candidates: () => readonly PeerAddress[];
+  /** This loop's place among the side's loops, from 0. */
+  readonly place: number;
+  /** Number of loops, so that two loops never share an entry. */
+  readonly loops: number;
   readonly report: () => SideReport;
   readonly onAnswer: (answer: WatchAnswer) => void;
   /** How long the entry may hold the question open, milliseconds. */
@@ -21,12 +26,14 @@
 const RETRY_JITTER_SHARE = 1;
 
 /**
- * Asks one entry over and over for what is in force for the endpoint. A side
+ * Asks an entry over and over for what is in force for the endpoint. A side
  * keeps two of these, on two entries, so that the loss of one entry delays
- * nothing.
+ * nothing. After a failure the loop turns to its next candidate: entry VMs are
+ * replaced, and a side that stayed with a lost one would never hear again.
  */
 export class WatchLoop {
   readonly #options: WatchLoopOptions;
+  #failures = 0;
   #stopped = false;
   #pause: Subscription | undefined;
 
@@ -44,18 +51,28 @@
   }
 
   async #ask(): Promise<void> {
-    const { entries, entry, report, waitMilliseconds } = this.#options;
+    const { entries, report, waitMilliseconds } = this.#options;
+    const entry = this.#entry();
+    if (entry === undefined) return this.#askLater();
     const answer = await entries.watch(entry, {
       report: report(),
       waitMilliseconds,
     });
     if (this.#stopped) return;
-    if (answer.isOk()) {
-      this.#options.onAnswer(answer.value);
-      void this.#ask();
-      return;
+    if (answer.isErr()) {
+      this.#failures += 1;
+      return this.#askLater();
     }
-    this.#askLater();
+    this.#options.onAnswer(answer.value);
+    void this.#ask();
+  }
+
+  /** The loops step through the candidates by their number, so they never meet. */
+  #entry(): PeerAddress | undefined {
+    const { candidates, place, loops } = this.#options;
+    const all = candidates();
+    if (all.length === 0) return undefined;
+    return all[(place + loops * this.#failures) % all.length];
   }
 
   #askLater(): void {
