--- /dev/null
+++ b/scripts/demo/callers.ts
@@ -0,0 +1,145 @@
+/** Callers of the demo: what each sends and what it got. */
+import { createParser } from "eventsource-parser";
+import { v7 as newTimeOrderedId } from "uuid";
+import { expectedAnswer } from "../../test/stand_ins/engine_answers.ts";
+
+/** What one caller got, in words and for the count. */
+export interface CallerResult {
+  readonly caller: string;
+  readonly result: "complete" | "refused" | "lost";
+  readonly detail: string;
+  /** Key of a call that may run once only. */
+  readonly key?: string;
+}
+
+/** A caller that waits longer than this has lost its answer. */
+const PATIENCE_MILLISECONDS = 40_000;
+
+export interface StreamCall {
+  readonly caller: string;
+  readonly entryUrl: string;
+  readonly prompt: string;
+  readonly headers: Readonly<Record<string, string>>;
+}
+
+/** Asks the model for a stream and compares it with the whole answer. */
+export async function callStream(call: StreamCall): Promise<CallerResult> {
+  const messages = [{ role: "user", content: call.prompt }];
+  const started = performance.now();
+  try {
+    const response = await fetch(`${call.entryUrl}/v1/chat/completions`, {
+      method: "POST",
+      headers: call.headers,
+      body: JSON.stringify({
+        model: "triage-llm",
+        messages,
+        max_tokens: 2_000,
+        stream: true,
+      }),
+      signal: AbortSignal.timeout(PATIENCE_MILLISECONDS),
+    });
+    if (response.status !== 200) return await refusal(call.caller, response);
+    const got = await readStream(response);
+    const expected = expectedAnswer("triage-llm", messages, 2_000).tokens;
+    const seconds = ((performance.now() - started) / 1000).toFixed(1);
+    if (!got.ended) return lost(call.caller, "the stream had no end");
+    if (got.text !== expected.join("")) {
+      return lost(call.caller, "the answer is not the whole answer");
+    }
+    const detail = `whole answer, ${expected.length} tokens in ${seconds} s`;
+    return { caller: call.caller, result: "complete", detail };
+  } catch (error) {
+    return lost(call.caller, String(error));
+  }
+}
+
+export interface BookingCall {
+  readonly caller: string;
+  /** The first entry gets the call, the second a repeat of it meanwhile. */
+  readonly entryUrls: readonly [string, string];
+  readonly body: string;
+}
+
+/**
+ * Asks for a case number and repeats the call through the other entry before
+ * the first answer is there, as a caller on a bad line does.
+ */
+export async function callBooking(call: BookingCall): Promise<CallerResult> {
+  const key = newTimeOrderedId();
+  try {
+    const [first, repeat] = await Promise.all(
+      call.entryUrls.map((url) => book(url, { key, body: call.body })),
+    );
+    const answers = [first, repeat].filter((each) => each.status === 201);
+    if (answers.length === 0) {
+      return { ...problemResult(call.caller, first), key };
+    }
+    const numbers = new Set(
+      answers.map((each) => JSON.parse(each.body).number),
+    );
+    const detail = `case number ${[...numbers].join(" and ")}`;
+    const result = numbers.size === 1 ? "complete" : "lost";
+    return { caller: call.caller, result, detail, key };
+  } catch (error) {
+    return { ...lost(call.caller, String(error)), key };
+  }
+}
+
+interface Answer {
+  readonly status: number;
+  readonly body: string;
+}
+
+async function book(
+  url: string,
+  call: { key: string; body: string },
+): Promise<Answer> {
+  const response = await fetch(`${url}/case-numbers`, {
+    method: "POST",
+    headers: {
+      "content-type": "application/json",
+      "idempotency-key": call.key,
+    },
+    body: call.body,
+    signal: AbortSignal.timeout(PATIENCE_MILLISECONDS),
+  });
+  return { status: response.status, body: await response.text() };
+}
+
+async function readStream(
+  response: Response,
+): Promise<{ text: string; ended: boolean }> {
+  let text = "";
+  let ended = false;
+  const parser = createParser({
+    onEvent({ data }) {
+      if (data === "[DONE]") ended = true;
+      else text += JSON.parse(data).choices?.[0]?.delta?.content ?? "";
+    },
+  });
+  const decoder = new TextDecoder();
+  for await (const piece of response.body as AsyncIterable<Uint8Array>) {
+    parser.feed(decoder.decode(piece, { stream: true }));
+  }
+  return { text, ended };
+}
+
+async function refusal(
+  caller: string,
+  response: Response,
+): Promise<CallerResult> {
+  const body = await response.text();
+  return problemResult(caller, { status: response.status, body });
+}
+
+/** Only a refusal that says "not run" is one; all else is a lost answer. */
+function problemResult(caller: string, answer: Answer): CallerResult {
+  const problem = JSON.parse(answer.body);
+  const detail = `${answer.status} ${problem.title}: ${problem.detail}`;
+  const result = problem.outcome === "not_run" ? "refused" : "lost";
+  return { caller, result, detail };
+}
+
+function lost(caller: string, detail: string): CallerResult {
+  return { caller, result: "lost", detail };
+}
