--- a/src/adapters/telemetry/mod_test.ts
+++ b/src/adapters/telemetry/mod_test.ts
@@ -95,6 +95,30 @@
     ) expect(body).to.include(line);
   });
 
+  // A caller puts a new class into its header with each request. Every name
+  // would stay as a series for good and fill the entry's memory.
+  it("does not let callers make series without end", async () => {
+    const metrics = new Metrics();
+    for (let count = 0; count < 200; count++) {
+      const requestId = String(count);
+      const className = `class-${count}`;
+      tell(metrics, 0, "request_received", { requestId, className });
+      tell(metrics, 1, "request_finished", {
+        requestId,
+        outcome: "not_run",
+        reason: "saturated",
+      });
+    }
+    const { body } = await metrics.render();
+    const series = body.split("\n").filter((line) =>
+      line.startsWith("filbertshore_requests_total{")
+    );
+    expect(series).to.have.length(33);
+    expect(body).to.include(
+      'filbertshore_requests_total{class="other",outcome="not_run"} 168',
+    );
+  });
+
   // A core that is embedded wrongly never tells of ends. Without a bound the
   // entry's memory would grow with each request until it is killed.
   it("forgets the oldest request where ends are never told", () => {
--- a/src/adapters/telemetry/request_times.ts
+++ b/src/adapters/telemetry/request_times.ts
@@ -20,9 +20,10 @@
 }
 
 interface OpenRequest {
-  readonly className: string;
+  className: string;
   readonly receivedAt: number;
-  readonly deadlineSeconds: number;
+  /** Time that the caller itself still waits. */
+  readonly ownDeadlineSeconds: number;
   placed: boolean;
   lastTokenAt: number | undefined;
   tokens: number;
@@ -35,11 +36,19 @@
  */
 const MOST_FOLLOWED = 20_000;
 const NO_CLASS = "unnamed";
+/**
+ * Names of classes that metrics tell apart; the rules allow 16. A caller may
+ * ask for a class of any name, and each new one would add a dozen series that
+ * stay for good: one caller could fill the entry's memory.
+ */
+const MOST_CLASSES = 32;
+const OTHER_CLASS = "other";
 
 /** Works out the times of each request from the events of an entry. */
 export class RequestTimes {
   readonly #listener: RequestTimesListener;
   readonly #open = new Map<string, OpenRequest>();
+  readonly #classes = new Set<string>();
   #deadlineSeconds: ReadonlyMap<string, number> = new Map();
 
   constructor(listener: RequestTimesListener) {
@@ -72,15 +81,10 @@
   }
 
   #onReceived({ at, facts }: HistoryEvent): void {
-    const className = String(facts.className ?? NO_CLASS);
-    const own = facts.deadlineMilliseconds;
-    const byClass = this.#deadlineSeconds.get(className) ?? Infinity;
     this.#open.set(String(facts.requestId), {
-      className,
+      className: this.#classOf(facts) ?? NO_CLASS,
       receivedAt: at,
-      deadlineSeconds: own === undefined
-        ? byClass
-        : Math.min(byClass, Number(own) / 1000),
+      ownDeadlineSeconds: Number(facts.deadlineMilliseconds ?? Infinity) / 1000,
       placed: false,
       lastTokenAt: undefined,
       tokens: 0,
@@ -94,6 +98,7 @@
     const request = this.#open.get(String(facts.requestId));
     if (request === undefined || request.placed) return;
     request.placed = true;
+    request.className = this.#classOf(facts) ?? request.className;
     this.#listener.queued(
       request.className,
       (at - request.receivedAt) / 1000,
@@ -119,13 +124,30 @@
     if (request === undefined) return;
     this.#open.delete(requestId);
     const seconds = (at - request.receivedAt) / 1000;
+    const className = this.#classOf(facts) ?? request.className;
     this.#listener.ended({
-      className: request.className,
+      className,
       outcome: facts.outcome as RequestEnd["outcome"],
       reason: String(facts.reason ?? "unnamed"),
       tokens: request.tokens,
       seconds,
-      onTime: seconds <= request.deadlineSeconds,
+      onTime: seconds <= this.#deadlineOf(request, className),
     });
   }
+
+  #deadlineOf(request: OpenRequest, className: string): number {
+    const byClass = this.#deadlineSeconds.get(className) ?? Infinity;
+    return Math.min(byClass, request.ownDeadlineSeconds);
+  }
+
+  /** The class that an event names; the rules decide it after the arrival. */
+  #classOf(facts: HistoryEvent["facts"]): string | undefined {
+    if (facts.className === undefined) return undefined;
+    const className = String(facts.className);
+    if (this.#deadlineSeconds.has(className)) return className;
+    if (this.#classes.has(className)) return className;
+    if (this.#classes.size >= MOST_CLASSES) return OTHER_CLASS;
+    this.#classes.add(className);
+    return className;
+  }
 }
