Give embedders one face, a package with types and a worked example

Cause: the cores run without input and output, but nothing exported them together, and no package could be made that another project installs.

Ruled out: an example that imports from src, because it would not show that the package works; a second in-process wiring for tests, because the links of the example do for both. Type bundles by a further tool were left out: the compiler's own declarations resolve as they are.

--- /dev/null
+++ b/examples/embedding/fleet.ts
@@ -0,0 +1,224 @@
+import {
+  type AnswerSink,
+  type CallerRequest,
+  type ConfigurationContent,
+  ConfigurationFold,
+  type EndpointLink,
+  EntryCore,
+  type EntryOptions,
+  hashToUnit,
+  identifier,
+  Journal,
+  type LogService,
+  type Observe,
+  type PeerAddress,
+  Publisher,
+  type Random,
+  type RequestHandle,
+  seededRandom,
+  SideCore,
+  type SideOptions,
+  type TimerService,
+} from "filbertshore";
+import { InProcessNetwork, type NetworkMessage } from "./network.ts";
+
+/** An endpoint with the pool that it belongs to. */
+export interface FleetEndpoint {
+  readonly id: string;
+  readonly pool: string;
+  readonly availabilityZone: string;
+  readonly link: EndpointLink;
+}
+
+export interface FleetOptions {
+  readonly timer: TimerService;
+  /** A 32-bit integer; the same seed gives the same run. */
+  readonly seed: number;
+  /** The log as the process of that name reaches it. */
+  readonly logOf: (process: string) => LogService;
+  readonly region: string;
+  readonly availabilityZones: readonly string[];
+  readonly entries: number;
+  readonly endpoints: readonly FleetEndpoint[];
+  readonly fewestDelayMilliseconds?: number;
+  readonly observe?: Observe;
+  readonly onMessage?: (message: NetworkMessage) => void;
+  /** Settings of entries and sides other than the ones below. */
+  readonly entry?: Partial<EntryOptions>;
+  readonly side?: Partial<SideOptions>;
+}
+
+const ENTRY_LIMITS: EntryOptions["limits"] = {
+  mostQueued: 2_000,
+  mostQueuedPerWorkspace: 2_000,
+  mostOpenRequests: 4_000,
+  shutdownSeconds: 30,
+  mostEndpointsPerPool: 64,
+  mostAttempts: 4,
+};
+
+const ENTRY_TIMES: EntryOptions["times"] = {
+  reportMilliseconds: 1_000,
+  suspectMilliseconds: 3_500,
+  appendDelayMilliseconds: 20,
+  claimSilenceMilliseconds: 15_000,
+  checkpointRecords: 500,
+  planMilliseconds: 2_000,
+};
+
+const SIDE_LIMITS: SideOptions["limits"] = {
+  mostRunning: 64,
+  mostWaiting: 16,
+  mostKeptAnswers: 10_000,
+  mostKeptAnswerBytes: 32 * 1024 * 1024,
+  shutdownSeconds: 30,
+};
+
+const SIDE_TIMES: SideOptions["times"] = {
+  reportMilliseconds: 1_000,
+  longestOrderMilliseconds: 20_000,
+  watchMilliseconds: 15_000,
+  drainMilliseconds: 10_000,
+  firstTokenSilenceMilliseconds: 15_000,
+  tokenSilenceMilliseconds: 5_000,
+};
+
+/** Several entries and sides in one process, and an operator's publisher. */
+export class Fleet {
+  readonly entries: EntryCore[] = [];
+  readonly sides: SideCore[] = [];
+  readonly network: InProcessNetwork;
+  readonly #options: FleetOptions;
+  readonly #publisher: Publisher;
+
+  constructor(options: FleetOptions) {
+    this.#options = options;
+    this.network = new InProcessNetwork({
+      timer: options.timer,
+      random: this.#randomOf("network"),
+      fewestDelayMilliseconds: options.fewestDelayMilliseconds ?? 1,
+      onMessage: options.onMessage,
+    });
+    for (let index = 0; index < options.entries; index += 1) {
+      this.entries.push(this.#makeEntry(index));
+    }
+    for (const endpoint of options.endpoints) {
+      this.sides.push(this.#makeSide(endpoint));
+    }
+    this.#publisher = this.#makePublisher();
+  }
+
+  start(): void {
+    for (const entry of this.entries) entry.start();
+    for (const side of this.sides) side.start();
+  }
+
+  /** Ends all timers; the fleet can't be started again. */
+  halt(): void {
+    for (const each of [...this.entries, ...this.sides]) each.halt();
+  }
+
+  /** Publishes for an operator; settles with the verdict. */
+  publish(content: ConfigurationContent, base: number) {
+    const publicationId = `change-on-${base}`;
+    return this.#publisher.publish(content, { publicationId, base });
+  }
+
+  submit(
+    entry: number,
+    request: CallerRequest,
+    sink: AnswerSink,
+  ): RequestHandle {
+    return this.entries[entry].submit(request, sink);
+  }
+
+  #makeEntry(index: number): EntryCore {
+    const { region, availabilityZones, timer, observe } = this.#options;
+    const address = entryAddress(index);
+    const name = `entry-${index}`;
+    const entry = new EntryCore({
+      name: identifier(name),
+      incarnation: identifier(`${name}-run-0`),
+      region: identifier(region),
+      availabilityZone: identifier(
+        availabilityZones[index % availabilityZones.length],
+      ),
+      timer,
+      random: this.#randomOf(name),
+      log: this.#options.logOf(name),
+      ...this.network.linksOf(address),
+      peerAddresses: this.#entryAddresses().filter((each) => each !== address),
+      hash: (text) => hashToUnit(text).toString(36),
+      limits: ENTRY_LIMITS,
+      times: ENTRY_TIMES,
+      observe,
+      ...this.#options.entry,
+    });
+    this.network.addEntry(address, entry);
+    return entry;
+  }
+
+  #makeSide(endpoint: FleetEndpoint): SideCore {
+    const { timer, observe } = this.#options;
+    const address = sideAddress(endpoint.id);
+    const side = new SideCore({
+      name: identifier(`side-${endpoint.id}`),
+      incarnation: identifier(`side-${endpoint.id}-run-0`),
+      endpointId: endpoint.id,
+      availabilityZone: identifier(endpoint.availabilityZone),
+      kind: "engine",
+      timer,
+      random: this.#randomOf(endpoint.id),
+      endpoint: endpoint.link,
+      entries: this.network.linksOf(address).entries,
+      entryAddresses: this.#entryAddresses(),
+      limits: SIDE_LIMITS,
+      times: SIDE_TIMES,
+      observe,
+      ...this.#options.side,
+    });
+    this.network.addSide(address, side);
+    return side;
+  }
+
+  #makePublisher(): Publisher {
+    const { timer, region } = this.#options;
+    const fold = new ConfigurationFold();
+    const journal = new Journal({
+      log: this.#options.logOf("publisher"),
+      stream: identifier(`configuration.${region}`),
+      fold,
+      timer,
+      random: this.#randomOf("publisher"),
+      writer: identifier("publisher"),
+      incarnation: identifier("publisher-run-0"),
+      appendDelayMilliseconds: 5,
+      checkpointRecords: Infinity,
+      writesCheckpoints: false,
+    });
+    journal.start();
+    return new Publisher({ journal, fold, timer, verdictMilliseconds: 30_000 });
+  }
+
+  #entryAddresses(): PeerAddress[] {
+    return Array.from(
+      { length: this.#options.entries },
+      (_, index) => entryAddress(index),
+    );
+  }
+
+  /** A source of its own for each process: one's draws move no other's. */
+  #randomOf(name: string): Random {
+    return seededRandom(hashToUnit(`${this.#options.seed} ${name}`) * 2 ** 32);
+  }
+}
+
+/** Where the entry of that number listens. */
+export function entryAddress(index: number): PeerAddress {
+  return identifier(`entry-${index}:7000`);
+}
+
+/** Where the side of that endpoint listens. */
+export function sideAddress(endpoint: string): PeerAddress {
+  return identifier(`${endpoint}:7001`);
+}
--- /dev/null
+++ b/examples/embedding/memory_log.ts
@@ -0,0 +1,67 @@
+import {
+  type LogItem,
+  type LogOffset,
+  type LogPage,
+  type LogReadOptions,
+  type LogService,
+  numbered,
+  ok,
+  type StreamName,
+  type TimerService,
+} from "filbertshore";
+
+/** A log service in memory: append and read with offsets, and long polls. */
+export class MemoryLog implements LogService {
+  readonly #timer: TimerService;
+  readonly #streams = new Map<StreamName, LogItem[]>();
+  readonly #waiting = new Set<() => void>();
+
+  constructor(timer: TimerService) {
+    this.#timer = timer;
+  }
+
+  append(stream: StreamName, records: readonly unknown[]) {
+    const items = this.#items(stream);
+    const first = numbered<LogOffset>(items.length);
+    for (const value of records) {
+      const text = JSON.stringify(value);
+      items.push({ offset: numbered(items.length), value: JSON.parse(text) });
+    }
+    for (const wake of [...this.#waiting]) wake();
+    return Promise.resolve(ok(first));
+  }
+
+  async read(stream: StreamName, options: LogReadOptions) {
+    const items = this.#items(stream);
+    if (items.length <= options.from) {
+      await this.#newRecord(options.waitMilliseconds);
+    }
+    const page: LogPage = {
+      records: items.slice(options.from, options.from + options.limit),
+      oldest: numbered(0),
+      head: numbered(items.length),
+    };
+    return ok(page);
+  }
+
+  #items(stream: StreamName): LogItem[] {
+    let items = this.#streams.get(stream);
+    if (items === undefined) {
+      items = [];
+      this.#streams.set(stream, items);
+    }
+    return items;
+  }
+
+  #newRecord(mostMilliseconds: number): Promise<void> {
+    return new Promise((resolve) => {
+      const wake = () => {
+        this.#waiting.delete(wake);
+        alarm.cancel();
+        resolve();
+      };
+      const alarm = this.#timer.after(mostMilliseconds, wake);
+      this.#waiting.add(wake);
+    });
+  }
+}
--- /dev/null
+++ b/examples/embedding/run.ts
@@ -0,0 +1,153 @@
+import {
+  type CallerRequest,
+  type ConfigurationContent,
+  type HistoryEvent,
+  identifier,
+  ManualTimerService,
+  type Outcome,
+} from "filbertshore";
+import { Fleet, type FleetEndpoint, sideAddress } from "./fleet.ts";
+import { MemoryEngine } from "./memory_engine.ts";
+import { MemoryLog } from "./memory_log.ts";
+
+const ZONES: [string, ...string[]] = ["shah-alam", "petaling", "klang-port"];
+const REGION = "klang-valley";
+const POOL = "triage-llm";
+const ENTRIES = 3;
+const ENDPOINTS = 6;
+const REQUESTS = 30;
+/** Claim, publication, verdict and the sides' reports are through by then. */
+const START_MILLISECONDS = 30_000;
+const RUN_MILLISECONDS = 30_000;
+
+/** What came of a run; two runs with one seed give equal ones. */
+export interface ExampleResult {
+  readonly outcomes: readonly Outcome[];
+  readonly answers: readonly string[];
+  readonly history: readonly HistoryEvent[];
+  readonly configurationVersions: readonly number[];
+}
+
+/**
+ * Three entries, six engines with their sides and a log in one process, on
+ * virtual time: publishes an inventory, sends thirty requests, and drains an
+ * engine by a second publication while they run.
+ */
+export async function runExample(seed: number): Promise<ExampleResult> {
+  const timer = new ManualTimerService();
+  const log = new MemoryLog(timer);
+  const history: HistoryEvent[] = [];
+  const endpoints = makeEndpoints(timer);
+  const fleet = new Fleet({
+    timer,
+    seed,
+    logOf: () => log,
+    region: REGION,
+    availabilityZones: ZONES,
+    entries: ENTRIES,
+    endpoints,
+    observe: (event) => history.push(event),
+  });
+  fleet.start();
+  void fleet.publish(makeContent(endpoints, []), 0);
+  await timer.advance(START_MILLISECONDS);
+
+  const callers = sendRequests(fleet);
+  const version = fleet.entries[0].configurationVersion;
+  void fleet.publish(makeContent(endpoints, [endpoints[0].id]), version);
+  await timer.advance(RUN_MILLISECONDS);
+  fleet.halt();
+  return {
+    outcomes: callers.outcomes,
+    answers: callers.answers,
+    history,
+    configurationVersions: fleet.entries.map((each) =>
+      each.configurationVersion
+    ),
+  };
+}
+
+function makeEndpoints(timer: ManualTimerService): FleetEndpoint[] {
+  return Array.from({ length: ENDPOINTS }, (_, index) => ({
+    id: `triage-${index}`,
+    pool: POOL,
+    availabilityZone: ZONES[index % ZONES.length],
+    link: new MemoryEngine({
+      timer,
+      models: [POOL],
+      prefillMilliseconds: 80,
+      millisecondsBetweenTokens: 20,
+      tokens: 40,
+    }),
+  }));
+}
+
+/** The inventory, with some of the endpoints draining. */
+function makeContent(
+  endpoints: readonly FleetEndpoint[],
+  draining: readonly string[],
+): ConfigurationContent {
+  return {
+    inventory: {
+      region: REGION,
+      availabilityZones: ZONES,
+      pools: [{
+        name: POOL,
+        kind: "engine",
+        models: [POOL],
+        engine: {
+          slots: 8,
+          prefillTokensPerSecond: 8_000,
+          millisecondsBetweenTokens: 20,
+          keyValueCacheTokens: 100_000,
+          roleChangeSeconds: 5,
+          resumesStreams: true,
+        },
+        endpoints: endpoints.map(({ id, availabilityZone }) => ({
+          id,
+          availabilityZone,
+          side: sideAddress(id),
+          state: draining.includes(id) ? "draining" : "serving",
+        })),
+      }],
+    },
+    rules: {
+      classes: [{ name: "urgent", priority: 0, deadlineSeconds: 10 }],
+      defaultClass: "urgent",
+      planner: { enabled: false },
+    },
+  };
+}
+
+function sendRequests(fleet: Fleet) {
+  const outcomes: Outcome[] = [];
+  const answers: string[] = [];
+  for (let index = 0; index < REQUESTS; index += 1) {
+    answers[index] = "";
+    fleet.submit(index % ENTRIES, makeRequest(index), {
+      token: (text) => {
+        answers[index] += text;
+        return true;
+      },
+      response: () => {},
+      finish: (outcome) => {
+        outcomes[index] = outcome;
+      },
+    });
+  }
+  return { outcomes, answers };
+}
+
+function makeRequest(index: number): CallerRequest {
+  return {
+    requestId: identifier(`request-${index}`),
+    workspace: identifier(`workspace-${index % 5}`),
+    headers: {},
+    work: {
+      kind: "generation",
+      model: POOL,
+      messages: [{ role: "user", content: `Lorry ${index} at the river` }],
+      mostOutputTokens: 40,
+    },
+  };
+}
