Let the embedding example follow the entry's face

Cause: a leaving entry answers no long poll, and the window of idempotency keys became a setting; the worked example did not know either.

--- a/examples/embedding/fleet.ts
+++ b/examples/embedding/fleet.ts
@@ -64,6 +64,7 @@
   claimSilenceMilliseconds: 15_000,
   checkpointRecords: 500,
   planMilliseconds: 2_000,
+  keyWindowMilliseconds: 600_000,
 };
 
 const SIDE_LIMITS: SideOptions["limits"] = {
--- a/examples/embedding/network.ts
+++ b/examples/embedding/network.ts
@@ -121,12 +121,14 @@
 
   #entryLink(from: PeerAddress): EntryLink {
     return {
-      watch: (to, question) =>
-        this.#call({ from, to }, {
+      watch: async (to, question) => {
+        const answer = await this.#call({ from, to }, {
           kind: "watch",
           question,
           answer: () => this.#entry(to).watch(question),
-        }),
+        });
+        return answered(answer, to);
+      },
       status: (to) =>
         this.#call({ from, to }, {
           kind: "status",
@@ -139,9 +141,7 @@
           question: { stream },
           answer: () => this.#entry(to).snapshot(stream),
         });
-        if (answer.isErr()) return err(answer.error);
-        if (answer.value === undefined) return err(lost(to));
-        return ok(answer.value);
+        return answered(answer, to);
       },
     };
   }
@@ -253,3 +253,12 @@
 function copy<Value>(value: Value): Value {
   return value === undefined ? value : JSON.parse(JSON.stringify(value));
 }
+
+/** An entry that has no answer at present is like one that gives none. */
+function answered<Answer>(
+  answer: Result<Answer | undefined, LinkFailure>,
+  to: PeerAddress,
+): Result<Answer, LinkFailure> {
+  if (answer.isErr()) return err(answer.error);
+  return answer.value === undefined ? err(lost(to)) : ok(answer.value);
+}
