--- a/examples/embedding/fleet.ts
+++ b/examples/embedding/fleet.ts
@@ -65,6 +65,7 @@
   checkpointRecords: 500,
   planMilliseconds: 2_000,
   keyWindowMilliseconds: 600_000,
+  vmListMilliseconds: 2_000,
 };
 
 const SIDE_LIMITS: SideOptions["limits"] = {
--- a/src/adapters/http_client/mod.ts
+++ b/src/adapters/http_client/mod.ts
@@ -20,6 +20,8 @@
   readonly status: number;
   readonly contentType: string;
   readonly body: string;
+  /** Names this state of what was asked for, where the service gives it. */
+  readonly entityTag?: string;
 }
 
 /** What is sent. */
@@ -181,6 +183,7 @@
         contentType: incoming.headers["content-type"] ??
           "application/octet-stream",
         body: Buffer.concat(pieces).toString(encoding),
+        entityTag: incoming.headers.etag,
       }));
     });
     const cutOff = () => {
--- a/src/adapters/settings/defaults.ts
+++ b/src/adapters/settings/defaults.ts
@@ -38,6 +38,11 @@
   mostBufferedTokensPerCaller: 256,
   // The longest summary ends within it; what is left is told to callers.
   shutdownSeconds: 30,
+  // Reports, connections and state of an entry stay the same for any fleet;
+  // two random choices among 64 are as good as among thousands.
+  mostEndpointsPerPool: 64,
+  // What four endpoints have failed is not saved by a fifth.
+  mostAttempts: 4,
 };
 
 export const DEFAULT_SIDE_LIMITS: Required<SideLimits> = {
@@ -67,9 +72,10 @@
   // Gathers the appends of a burst into one, and adds a hundredth of the
   // shortest deadline at most.
   appendDelayMilliseconds: 20,
-  // Several plans and a slow append; a shorter silence would make claims flap
-  // whenever the log is slow.
-  claimSilenceMilliseconds: 15_000,
+  // A judge that is killed delays a publication by this and half as much
+  // again, of the nine seconds that it may take. Silence counts only while the
+  // log is read without delay, so a slow log makes no claim flap.
+  claimSilenceMilliseconds: 3_000,
   // The mix turns within minutes; load reports are a second or two old, and a
   // planner that is faster than its reports reacts to its own change.
   planMilliseconds: 2_000,
@@ -81,4 +87,15 @@
   // A caller's retries come within minutes. Records of live keys are kept in
   // memory for this long: at ten a second, six thousand of them.
   keyWindowMilliseconds: 600_000,
+  // A VM that leaves without a word to its side gets no new work after this
+  // and the list's own lag. An unchanged list is answered without a body.
+  vmListMilliseconds: 2_000,
+  // An idle side costs its two entries eight messages a minute.
+  watchMilliseconds: 15_000,
+  // Most answers end within it; the rest is resumed elsewhere, uncut.
+  drainMilliseconds: 10_000,
+  // A long log's prefill ends within it; a longer silence is a fault.
+  firstTokenSilenceMilliseconds: 15_000,
+  // Two hundred times the promised time between tokens.
+  tokenSilenceMilliseconds: 5_000,
 };
--- a/src/adapters/time/mod.ts
+++ b/src/adapters/time/mod.ts
@@ -1,4 +1,5 @@
 /** Real time for the programs; tests use the manual service of the core. */
+import { monitorEventLoopDelay } from "node:perf_hooks";
 import type { Subscription, TimerService } from "../../core/time/mod.ts";
 
 /**
@@ -45,3 +46,40 @@
     return { cancel: () => clearInterval(handle) };
   }
 }
+
+export interface LoopDelayOptions {
+  readonly timer: TimerService;
+  /** Takes how late the loop's turns were of late, milliseconds. */
+  readonly onDelay: (milliseconds: number) => void;
+}
+
+/** How often the delay is told: an overload builds up within a second. */
+const LOOP_DELAY_PERIOD_MILLISECONDS = 250;
+const LOOP_DELAY_RESOLUTION_MILLISECONDS = 10;
+const NANOSECONDS_PER_MILLISECOND = 1e6;
+/** The share of turns that may be later than what is told. */
+const LOOP_DELAY_PERCENTILE = 90;
+
+/**
+ * Tells how late this process's own loop runs, so that the entry refuses the
+ * least urgent work before its tokens come late for everybody.
+ */
+export function watchLoopDelay(options: LoopDelayOptions): Subscription {
+  const histogram = monitorEventLoopDelay({
+    resolution: LOOP_DELAY_RESOLUTION_MILLISECONDS,
+  });
+  histogram.enable();
+  const telling = options.timer.every(LOOP_DELAY_PERIOD_MILLISECONDS, () => {
+    const nanoseconds = histogram.percentile(LOOP_DELAY_PERCENTILE);
+    histogram.reset();
+    const late = nanoseconds / NANOSECONDS_PER_MILLISECOND -
+      LOOP_DELAY_RESOLUTION_MILLISECONDS;
+    options.onDelay(Math.max(0, late));
+  });
+  return {
+    cancel() {
+      telling.cancel();
+      histogram.disable();
+    },
+  };
+}
--- a/src/adapters/vm_list/mod.ts
+++ b/src/adapters/vm_list/mod.ts
@@ -14,9 +14,14 @@
 /** 12,000 VMs at 200 bytes each, three times over. */
 const MOST_RESPONSE_BYTES = 8 * 1024 * 1024;
 
-/** Reads the whole list with `GET /vms`. */
+/**
+ * Reads the whole list with `GET /vms`. Where the platform names its answers
+ * with entity tags, a list that has not changed costs a few hundred bytes:
+ * leaving VMs are noticed within seconds without moving the list each time.
+ */
 export class HttpVmList implements VmList {
   readonly #client: HttpClient;
+  #last: { entityTag: string; vms: readonly ListedVm[] } | undefined;
 
   constructor(url: string, options: { timer: TimerService }) {
     this.#client = new HttpClient(url, options);
@@ -27,23 +32,29 @@
   > {
     const answer = await this.#client.call("/vms", {
       method: "GET",
+      ...(this.#last && {
+        headers: { "if-none-match": this.#last.entityTag },
+      }),
       timeoutMilliseconds: TIMEOUT_MILLISECONDS,
       mostResponseBytes: MOST_RESPONSE_BYTES,
     });
     if (answer.isErr()) return unavailable(answer.error.message);
-    const { status, body } = answer.value;
+    const { status, body, entityTag } = answer.value;
+    if (status === 304 && this.#last !== undefined) return ok(this.#last.vms);
     if (status !== 200) return unavailable(`status ${status}`);
     const value = parseJson(body);
     if (!validateVmListAnswer(value)) {
       return unavailable("the answer is malformed");
     }
-    return ok((value as VmListAnswer).vms.map((vm) => ({
+    const vms = (value as VmListAnswer).vms.map((vm) => ({
       id: vm.id,
       address: identifier<PeerAddress>(vm.address),
       role: vm.role,
       availabilityZone: vm.availability_zone,
       leaving: vm.leaving,
-    })));
+    }));
+    this.#last = entityTag === undefined ? undefined : { entityTag, vms };
+    return ok(vms);
   }
 
   /** Closes kept connections. */
--- a/src/adapters/vm_list/mod_test.ts
+++ b/src/adapters/vm_list/mod_test.ts
@@ -35,6 +35,20 @@
     }]);
   });
 
+  it("gives the same list where the platform says that nothing changed", async () => {
+    const first = (await list.read())._unsafeUnwrap();
+    expect((await list.read())._unsafeUnwrap()).to.equal(first);
+  });
+
+  // A VM begins to leave between two reads. A reader that kept to its copy
+  // would go on sending it work.
+  it("reads the list anew once it has changed", async () => {
+    const [vm] = (await list.read())._unsafeUnwrap();
+    standIn.set([]);
+    expect(vm.leaving).to.equal(true);
+    expect((await list.read())._unsafeUnwrap()).to.deep.equal([]);
+  });
+
   // The list is down. Taken for an empty list, every side would look gone and
   // all work would be refused.
   it("does not take an outage for an empty list", async () => {
--- a/src/cli/entry/run_entry.ts
+++ b/src/cli/entry/run_entry.ts
@@ -22,6 +22,7 @@
   Metrics,
   type Tracing,
 } from "../../adapters/telemetry/mod.ts";
+import { watchLoopDelay } from "../../adapters/time/mod.ts";
 import { SystemTimerService } from "../../adapters/time/mod.ts";
 import { HttpVmList } from "../../adapters/vm_list/mod.ts";
 import { identifier } from "../../core/identity/mod.ts";
@@ -30,10 +31,6 @@
 import { EXIT_CODE_CANNOT_LISTEN } from "../exit_codes.ts";
 import { onTerminate, reportBadSettings } from "../process_life.ts";
 
-/** Endpoints of one pool that one entry uses; see docs/CAPACITY.md. */
-const MOST_ENDPOINTS_PER_POOL = 64;
-/** A request that four endpoints have failed is not saved by a fifth. */
-const MOST_ATTEMPTS = 4;
 /** A side's question carries its report, an operator's nothing. */
 const MOST_PEER_BODY_BYTES = 1024 * 1024;
 
@@ -81,6 +78,10 @@
     if (peerPort.isErr()) return this.#cannotListen(peerPort.error);
     if (callerPort.isErr()) return this.#cannotListen(callerPort.error);
     this.#core.start();
+    watchLoopDelay({
+      timer: this.#timer,
+      onDelay: (milliseconds) => this.#core.scheduler.loopDelay(milliseconds),
+    });
     this.#logger.info(
       { callers: callerPort.value, peers: peerPort.value },
       "The entry listens",
@@ -132,11 +133,7 @@
         identifier(each)
       ),
       hash: hashText,
-      limits: {
-        ...limits,
-        mostEndpointsPerPool: MOST_ENDPOINTS_PER_POOL,
-        mostAttempts: MOST_ATTEMPTS,
-      },
+      limits,
       times: coordination,
       observe: this.#metrics.observe,
       tracer: this.#tracing.tracer,
--- a/src/cli/side/run_side.ts
+++ b/src/cli/side/run_side.ts
@@ -26,18 +26,6 @@
 
 /** A body that an entry lets in, with the tokens of a cut-off answer. */
 const MOST_ATTEMPT_BYTES = 8 * 1024 * 1024;
-/** A long poll this long costs a side four messages a minute when idle. */
-const WATCH_MILLISECONDS = 15_000;
-/**
- * Time that running answers have to finish before a role change moves them:
- * most answers end within it, and the rest is resumed elsewhere uncut.
- */
-const DRAIN_MILLISECONDS = 10_000;
-/** A long prompt's prefill ends within it; a longer silence is a fault. */
-const FIRST_TOKEN_SILENCE_MILLISECONDS = 15_000;
-/** Two hundred times the promised time between tokens. */
-const TOKEN_SILENCE_MILLISECONDS = 5_000;
-
 /** Runs a side until it is told to stop; gives the exit code. */
 export async function runSide(settingsFile: string): Promise<number> {
   const settings = loadSettings(settingsFile, "side");
@@ -109,13 +97,7 @@
       entries: this.#peers,
       entryAddresses: settings.entries.map((each) => identifier(each)),
       limits,
-      times: {
-        ...coordination,
-        watchMilliseconds: WATCH_MILLISECONDS,
-        drainMilliseconds: DRAIN_MILLISECONDS,
-        firstTokenSilenceMilliseconds: FIRST_TOKEN_SILENCE_MILLISECONDS,
-        tokenSilenceMilliseconds: TOKEN_SILENCE_MILLISECONDS,
-      },
+      times: coordination,
       observe: this.#metrics.observe,
       tracer: this.#tracing.tracer,
       logger: this.#logger.labelled("side"),
--- a/src/entry/entry_core.ts
+++ b/src/entry/entry_core.ts
@@ -66,6 +66,7 @@
   readonly planMilliseconds: number;
   /** How long an idempotency key is remembered, milliseconds. */
   readonly keyWindowMilliseconds: number;
+  readonly vmListMilliseconds: number;
 }
 
 export interface EntryOptions {
@@ -114,7 +115,7 @@
     this.#logger = options.logger ?? SILENT_LOGGER;
     this.#neighbours = new Neighbours({
       ...options,
-      suspectMilliseconds: options.times.suspectMilliseconds,
+      ...options.times,
       onChange: () => this.#useSides(),
     });
     this.#log = this.#makeLog();
@@ -301,7 +302,10 @@
     const answer: WatchAnswer = {
       configurationVersion: this.configurationVersion,
       ordersRead: this.#log.journals.orders.position,
-      entries: this.#neighbours.entriesFor(endpoint),
+      entries: this.#neighbours.entriesFor(
+        endpoint,
+        inventoried?.availabilityZone ?? this.#options.availabilityZone,
+      ),
       ...(order && { order }),
     };
     if (inventoried === undefined) return answer;
--- a/src/entry/neighbours.ts
+++ b/src/entry/neighbours.ts
@@ -10,7 +10,6 @@
 
 export interface NeighboursOptions {
   readonly name: string;
-  readonly availabilityZone: string;
   readonly timer: TimerService;
   readonly random: Random;
   /** Absent: the settings and the inventory alone say who is there. */
@@ -18,15 +17,11 @@
   /** Other entries by the settings. */
   readonly peerAddresses: readonly PeerAddress[];
   readonly suspectMilliseconds: number;
+  /** How often the VM list is read. */
+  readonly vmListMilliseconds: number;
   readonly onChange: () => void;
 }
 
-/**
- * How often the VM list is read. It lags by itself; a shorter period would
- * only move more bytes: 2,000 VMs of a region at 100 bytes each in 60 s are
- * 3.3 KB/s, the largest part of a node's allowance.
- */
-const READ_VM_LIST_MILLISECONDS = 60_000;
 /** Addresses of entries that a side is told: two to use, the rest in reserve. */
 const ENTRIES_TOLD = 6;
 
@@ -45,7 +40,7 @@
       vmList: options.vmList ?? NO_VM_LIST,
       timer: options.timer,
       random: options.random,
-      readMilliseconds: READ_VM_LIST_MILLISECONDS,
+      readMilliseconds: options.vmListMilliseconds,
       suspectMilliseconds: options.suspectMilliseconds,
       onChange: options.onChange,
     });
@@ -74,7 +69,7 @@
   }
 
   /** Entries for a side to attach to, best first; none without a VM list. */
-  entriesFor(endpoint: string): string[] {
+  entriesFor(endpoint: string, availabilityZone: string): string[] {
     const listed = this.#listedEntries(true).map((member) => ({
       id: member.id,
       availabilityZone: member.vm?.availabilityZone ?? "",
@@ -82,7 +77,7 @@
     }));
     return attachments(listed, {
       side: endpoint,
-      availabilityZone: this.#options.availabilityZone,
+      availabilityZone,
       count: ENTRIES_TOLD,
     }).map((entry) => entry.address);
   }
--- a/src/side/attempt_run.ts
+++ b/src/side/attempt_run.ts
@@ -113,7 +113,7 @@
   #onToken(text: string): void {
     if (this.#ended) return;
     this.#lastSign = this.#options.timer.now();
-    this.#silenceLimit = this.#options.tokenSilenceMilliseconds;
+    this.#expectNextToken();
     this.#options.emit({
       kind: "token",
       attemptId: this.attempt.attemptId,
@@ -123,6 +123,15 @@
     this.#options.onToken?.();
   }
 
+  /** From the first token on, a shorter silence counts as a fault. */
+  #expectNextToken(): void {
+    const { tokenSilenceMilliseconds } = this.#options;
+    if (this.#silenceLimit === tokenSilenceMilliseconds) return;
+    this.#silenceLimit = tokenSilenceMilliseconds;
+    this.#silence.cancel();
+    this.#silence = this.#watchSilence(tokenSilenceMilliseconds);
+  }
+
   #onFinished(result: Result<"stop" | "length", EndpointFailure>): void {
     if (this.#ended) return;
     if (result.isErr()) {
--- a/test/stand_ins/vm_list.ts
+++ b/test/stand_ins/vm_list.ts
@@ -37,7 +37,16 @@
     }
     if (this.down) return sendJson(response, 503, {});
     if (url.pathname !== "/vms") return sendJson(response, 404, {});
-    sendJson(response, 200, { vms: this.#visible() });
+    const vms = this.#visible();
+    const entityTag = `"${
+      this.#versions.findIndex((each) => each.vms === vms)
+    }"`;
+    response.setHeader("etag", entityTag);
+    if (request.headers["if-none-match"] === entityTag) {
+      response.writeHead(304).end();
+      return;
+    }
+    sendJson(response, 200, { vms });
   });
 
   constructor(options: VmListOptions = {}) {
