--- a/src/core/journal/appender.ts
+++ b/src/core/journal/appender.ts
@@ -109,17 +109,6 @@
     this.#settle(waiting, ok(offset));
   }
 
-  /**
-   * The reader has jumped to a snapshot that holds records of this run up to
-   * `sequence`: they stand on the log, but where is not known any more.
-   */
-  passed(sequence: number): void {
-    for (const waiting of [...this.#unread.values()]) {
-      if (waiting.record.sequence > sequence) continue;
-      this.#giveUp(waiting, "the record was passed over by a snapshot");
-    }
-  }
-
   stop(): void {
     this.#stopped = true;
     for (const waiting of [...this.#queue, ...this.#unread.values()]) {
--- a/src/core/journal/checkpoint_search.ts
+++ b/src/core/journal/checkpoint_search.ts
@@ -25,10 +25,6 @@
     this.#oldest = oldest;
   }
 
-  get oldest(): number {
-    return this.#oldest;
-  }
-
   /** Offset of the next record to look at. */
   get next(): number {
     return this.#oldest + this.#items.length;
@@ -39,6 +35,7 @@
     item: LogItem,
     body: RecordBody | undefined,
   ): FoundCheckpoint | undefined {
+    if (item.offset !== this.next) return undefined;
     this.#items.push(item);
     if (body?.kind !== "checkpoint") return undefined;
     if (body.upTo + 1 < this.#oldest || body.upTo >= item.offset) {
--- a/src/core/journal/journal.ts
+++ b/src/core/journal/journal.ts
@@ -246,7 +246,6 @@
     const found = this.#search?.look(item, body);
     if (found === undefined) return;
     const { checkpoint, following } = found;
-    if (checkpoint.upTo <= this.#position) return;
     this.#restore(checkpoint.upTo, checkpoint.state);
     for (const next of following) this.#apply(next);
   }
@@ -257,8 +256,6 @@
     this.#options.fold.load((state.fold ?? {}) as Record<string, unknown>);
     this.#filter.load(state.writers);
     this.#position = upTo;
-    const { writer, incarnation } = this.#options;
-    this.#appender.passed(this.#filter.lastSequence(writer, incarnation));
     this.#options.onRestored?.(numbered(upTo));
   }
 
@@ -273,10 +270,9 @@
       timer,
       milliseconds: PEERS_ANSWER_MILLISECONDS,
     });
-    if (snapshot === undefined || snapshot.upTo <= this.#position) return;
-    // A snapshot from before the gap would leave the gap open.
-    const needed = this.#search?.oldest ?? 0;
-    if (this.#search !== undefined && snapshot.upTo + 1 < needed) return;
+    if (snapshot === undefined) return;
+    // Where the peer's state ends before the gap as well, the next read finds
+    // the rest of the gap.
     this.#restore(snapshot.upTo, snapshot.state);
   }
 
--- a/src/core/journal/journal_test.ts
+++ b/src/core/journal/journal_test.ts
@@ -5,29 +5,13 @@
   type TestProcessOptions,
 } from "../../../test/support/coordination.ts";
 import { FakeLog } from "../../../test/support/fake_log.ts";
+import { ListFold } from "../../../test/support/list_fold.ts";
 import type { RecordBody } from "../../generated/log_records.ts";
 import type { LogOffset } from "../identity/mod.ts";
 import { ManualTimerService } from "../time/mod.ts";
-import type { JournalFailure, StreamFold } from "./mod.ts";
+import type { JournalFailure } from "./mod.ts";
 import type { Result } from "neverthrow";
 
-/** Remembers which claims it was given, in order. */
-class ListFold implements StreamFold {
-  taken: string[] = [];
-
-  apply(_offset: LogOffset, body: RecordBody): void {
-    if (body.kind === "claim") this.taken.push(body.holder);
-  }
-
-  save(): Record<string, unknown> {
-    return { taken: this.taken };
-  }
-
-  load(state: Record<string, unknown>): void {
-    this.taken = [...state.taken as string[]];
-  }
-}
-
 function body(holder: string): RecordBody {
   return { kind: "claim", holder, replaces: -1 };
 }
@@ -141,6 +125,23 @@
       expect(second.outcome).to.equal("append_not_made");
     });
 
+    // The first try gets no answer, and then the log goes down. The record of
+    // the first try is still on its way and lands when the caller has gone.
+    it("stays in doubt when the log goes down after a lost answer", async () => {
+      const one = start("one", { giveUpMilliseconds: 2_000 });
+      await timer.advance(50);
+      one.faults.lateAppends = 1;
+      one.faults.lateMilliseconds = 5_000;
+      const seen = watch(one.journal.append(body("a")));
+      await timer.advance(100);
+      one.faults.down = true;
+      await timer.advance(4_000);
+      expect(seen.outcome).to.equal("append_unknown");
+      one.faults.down = false;
+      await timer.advance(10_000);
+      expect(one.fold.taken).to.deep.equal(["a"]);
+    });
+
     it("settles what is open when it stops", async () => {
       const one = start("one");
       await timer.advance(50);
@@ -350,6 +351,20 @@
 
     // A restarted process reads from a replica that is behind. Without asking
     // its peers it would follow an older configuration than before.
+    // A peer that is far behind answers a process that has read more itself.
+    it("does not go back to a peer's older state", async () => {
+      const one = start("one", {
+        peers: () =>
+          Promise.resolve({ upTo: 0, state: { fold: { taken: ["a"] } } }),
+      });
+      log.put(ORDERS, ["a", "b", "c"].map(record));
+      await timer.advance(1_000);
+      one.faults.down = true;
+      await timer.advance(30_000);
+      expect(one.journal.position).to.equal(2);
+      expect(one.fold.taken).to.deep.equal(["a", "b", "c"]);
+    });
+
     it("starts at the highest of log and peers", async () => {
       const peer = start("peer");
       log.put(ORDERS, ["a", "b", "c"].map(record));
--- a/src/core/journal/sequence_filter.ts
+++ b/src/core/journal/sequence_filter.ts
@@ -47,11 +47,6 @@
     return true;
   }
 
-  /** Last sequence number of a writer's run; -1 where none is known. */
-  lastSequence(writer: string, incarnation: string): number {
-    return this.#writers.get(writerKey(writer, incarnation))?.sequence ?? -1;
-  }
-
   save(): WriterPosition[] {
     return [...this.#writers.values()];
   }
--- a/src/core/orders/order_executor_test.ts
+++ b/src/core/orders/order_executor_test.ts
@@ -15,8 +15,11 @@
     timer = new ManualTimerService();
   });
 
-  function makeEngine(checksFencing: boolean): FakeEngine {
-    return new FakeEngine({ timer, checksFencing, changeMilliseconds: 3_000 });
+  function makeEngine(
+    checksFencing: boolean,
+    changeMilliseconds = 3_000,
+  ): FakeEngine {
+    return new FakeEngine({ timer, checksFencing, changeMilliseconds });
   }
 
   function makeSide(
@@ -112,14 +115,14 @@
   // it still seems at rest in its old state. A newer order that wants this
   // state would count as reached while the older one is being carried out.
   it("does not believe figures from before its last order", async () => {
-    const engine = makeEngine(true);
+    const engine = makeEngine(true, 8_000);
     const { executor } = makeSide(engine);
     await timer.advance(LONGEST_ORDER_MILLISECONDS);
     executor.take(order(5, "decode"));
     await timer.advance(300);
-    engine.faults.ageMilliseconds = 2_000;
+    engine.faults.ageMilliseconds = 5_000;
     executor.take(order(6, "mixed"));
-    await timer.advance(1_000);
+    await timer.advance(4_000);
     expect(executor.applied).to.equal(-1);
     await timer.advance(30_000);
     expect(executor.applied).to.equal(6);
@@ -184,6 +187,23 @@
     expect(executor.applied).to.equal(6);
   });
 
+  // An order is held up on its way, and the newest one wants the state that the
+  // engine is still in. Taking that for done would let the older order land
+  // afterwards and win.
+  it("does not take a state for reached that an order can undo", async () => {
+    const engine = makeEngine(true);
+    const { executor } = makeSide(engine);
+    await timer.advance(LONGEST_ORDER_MILLISECONDS);
+    engine.faults.lateOrders = 1;
+    engine.faults.lateMilliseconds = 15_000;
+    executor.take(order(5, "decode"));
+    await timer.advance(1_000);
+    executor.take(order(6, "mixed"));
+    await timer.advance(60_000);
+    expect(engine.received).to.deep.equal([6]);
+    expect(executor.applied).to.equal(6);
+  });
+
   // The side is killed right after it has sent an order, and its next run gets
   // a newer one. An engine that ignores fencing would get both.
   it("waits after its start for what its earlier run may have sent", async () => {
@@ -318,7 +338,7 @@
               executor.take(newest);
             } else if (kind === "crash") engine.crash(wait);
             else if (kind === "age") {
-              engine.faults.ageMilliseconds = wait % 3_000;
+              engine.faults.ageMilliseconds = wait % 8_000;
             } else if (kind === "restart") {
               executor.stop();
               executor = makeSide(engine, options).executor;
