--- /dev/null
+++ b/src/side/side_core.ts
@@ -0,0 +1,346 @@
+import type {
+  AvailabilityZoneId,
+  Incarnation,
+  ProcessId,
+} from "../core/identity/mod.ts";
+import { identifier } from "../core/identity/mod.ts";
+import type {
+  EndpointLink,
+  EngineObservation,
+  EntryLink,
+  PeerAddress,
+} from "../core/links/mod.ts";
+import { attachments } from "../core/membership/mod.ts";
+import type {
+  HistoryEventKind,
+  Logger,
+  Observe,
+  Tracer,
+} from "../core/observation/mod.ts";
+import { NO_TRACER, SILENT_LOGGER } from "../core/observation/mod.ts";
+import { OrderExecutor } from "../core/orders/mod.ts";
+import type { Random } from "../core/random/mod.ts";
+import type { Subscription, TimerService } from "../core/time/mod.ts";
+import type {
+  AttemptFrame,
+  AttemptRequest,
+  EndpointConfiguration,
+  NotRunFrame,
+  OnceAnswer,
+  OnceQuestion,
+  SideReport,
+  WatchAnswer,
+} from "../generated/messages.ts";
+import { AttemptDesk } from "./attempt_desk.ts";
+import type { AttemptHandle } from "./attempt_desk.ts";
+import { WatchLoop } from "./watch_loop.ts";
+
+/** Limits of one side; every one of them bounds its memory or its waiting. */
+export interface SideLimits {
+  readonly mostRunning: number;
+  readonly mostWaiting: number;
+  readonly mostKeptAnswers: number;
+  readonly mostKeptAnswerBytes: number;
+  /** Time that a planned stop leaves to running work, seconds. */
+  readonly shutdownSeconds: number;
+}
+
+export interface SideTimes {
+  readonly reportMilliseconds: number;
+  readonly longestOrderMilliseconds: number;
+  readonly watchMilliseconds: number;
+  /** Time that running work has before a role change moves it, milliseconds. */
+  readonly drainMilliseconds: number;
+  readonly firstTokenSilenceMilliseconds: number;
+  readonly tokenSilenceMilliseconds: number;
+}
+
+export interface SideOptions {
+  readonly name: ProcessId;
+  readonly incarnation: Incarnation;
+  readonly endpointId: string;
+  readonly availabilityZone: AvailabilityZoneId;
+  readonly kind: "engine" | "service";
+  readonly timer: TimerService;
+  readonly random: Random;
+  readonly endpoint: EndpointLink;
+  readonly entries: EntryLink;
+  /** Entries to attach to at first; later ones are told by the entries. */
+  readonly entryAddresses: readonly PeerAddress[];
+  readonly limits: SideLimits;
+  readonly times: SideTimes;
+  readonly observe?: Observe;
+  readonly logger?: Logger;
+  readonly tracer?: Tracer;
+}
+
+/** A side is attached to two entries, so that losing one delays nothing. */
+const ATTACHED_ENTRIES = 2;
+
+/**
+ * The only door to one endpoint. Every request and every order passes it, so
+ * it knows the true work in flight, and what it refuses has not run.
+ */
+export class SideCore {
+  readonly #options: SideOptions;
+  readonly #logger: Logger;
+  readonly #desk: AttemptDesk;
+  readonly #watches: readonly WatchLoop[];
+  #orders: OrderExecutor | undefined;
+  #configuration: EndpointConfiguration | undefined;
+  #configurationVersion = 0;
+  #ordersRead = -1;
+  #orderTaken = -1;
+  #toldEntries: readonly PeerAddress[] = [];
+  #observation: EngineObservation | undefined;
+  #endpointDown = false;
+  #leaving = false;
+  #changing = false;
+  #observing: Subscription | undefined;
+
+  constructor(options: SideOptions) {
+    this.#options = options;
+    this.#logger = options.logger ?? SILENT_LOGGER;
+    this.#desk = new AttemptDesk({
+      ...options,
+      ...options.limits,
+      ...options.times,
+      tracer: options.tracer ?? NO_TRACER,
+      closedBecause: () => this.#closedBecause(),
+      tell: (kind, facts) => this.#tell(kind, facts),
+    });
+    this.#watches = Array.from(
+      { length: ATTACHED_ENTRIES },
+      (_, place) => this.#makeWatch(place),
+    );
+  }
+
+  /** Starts watching entries and observing the endpoint. */
+  start(): void {
+    this.#tell("process_started", { role: "side" });
+    for (const watch of this.#watches) watch.start();
+    if (this.#options.kind === "engine") this.#startObserving();
+  }
+
+  /**
+   * Graceful shutdown: refuses new work at once, lets running work finish
+   * within the limit, and has what is left resumed elsewhere. Calls that may
+   * have their effect once only are waited for to the end of the limit.
+   */
+  async stop(): Promise<void> {
+    this.#leaving = true;
+    this.#tell("side_draining", { cause: "stop" });
+    await this.#desk.idleWithin(this.#options.limits.shutdownSeconds * 1000);
+    this.halt();
+  }
+
+  /** Ends all timers and running work at once. */
+  halt(): void {
+    this.#leaving = true;
+    for (const watch of this.#watches) watch.stop();
+    this.#observing?.cancel();
+    this.#orders?.stop();
+    this.#desk.moveAll();
+    this.#tell("process_stopped", {});
+  }
+
+  /**
+   * Takes an attempt. Frames go to `emit`; the last is one of end, response,
+   * not run or failed, unless the entry cancels.
+   */
+  run(
+    attempt: AttemptRequest,
+    emit: (frame: AttemptFrame) => void,
+  ): AttemptHandle {
+    return this.#desk.run(attempt, emit);
+  }
+
+  /** What became of a record of the `once` stream. */
+  ask(question: OnceQuestion): OnceAnswer {
+    return this.#desk.ask(question);
+  }
+
+  report(): SideReport {
+    return {
+      side: this.#options.name,
+      incarnation: this.#options.incarnation,
+      endpoint: this.#options.endpointId,
+      state: this.#state(),
+      role: this.#observation?.role,
+      weights: this.#observation?.weights,
+      load: this.#desk.load(),
+      configurationVersion: this.#configurationVersion,
+      ordersRead: this.#ordersRead,
+      orderTaken: this.#orderTaken,
+      orderApplied: this.#orders?.applied ?? -1,
+    };
+  }
+
+  /** Number of attempts that the endpoint is working on. */
+  get running(): number {
+    return this.#desk.running;
+  }
+
+  #state(): SideReport["state"] {
+    if (this.#leaving) return "leaving";
+    if (this.#endpointDown) return "down";
+    if (this.#changing) return "changing";
+    if (this.#isDraining()) return "draining";
+    return "serving";
+  }
+
+  #isDraining(): boolean {
+    const state = this.#configuration?.state;
+    return state === "draining" || state === "withdrawn";
+  }
+
+  /** Why the endpoint takes no new work, or nothing where it does. */
+  #closedBecause(): NotRunFrame["reason"] | undefined {
+    return CLOSED_REASONS[this.#state()];
+  }
+
+  #makeWatch(place: number): WatchLoop {
+    return new WatchLoop({
+      ...this.#options,
+      candidates: () => this.#candidates(),
+      place,
+      loops: ATTACHED_ENTRIES,
+      report: () => this.report(),
+      onAnswer: (answer) => this.#onWatchAnswer(answer),
+      waitMilliseconds: this.#options.times.watchMilliseconds,
+    });
+  }
+
+  /** Entries that were told last come first; the settings' may be gone. */
+  #candidates(): PeerAddress[] {
+    const { endpointId, entryAddresses, availabilityZone } = this.#options;
+    const entries = entryAddresses.map((id) => ({ id, availabilityZone }));
+    const ranked = attachments(entries, {
+      side: endpointId,
+      availabilityZone,
+      count: entries.length,
+    });
+    const own = ranked.map((entry) => entry.id);
+    return [...new Set([...this.#toldEntries, ...own])];
+  }
+
+  /**
+   * Takes what an entry says is in force. An entry that has read less of the
+   * log than another answers with older positions; taking them would bring a
+   * withdrawn endpoint back into service. Positions only rise here.
+   */
+  #onWatchAnswer(answer: WatchAnswer): void {
+    if (answer.entries !== undefined && answer.entries.length > 0) {
+      this.#toldEntries = answer.entries.map((each) => identifier(each));
+    }
+    this.#takeConfiguration(answer);
+    this.#ordersRead = Math.max(this.#ordersRead, answer.ordersRead);
+    this.#takeOrder(answer);
+  }
+
+  #takeConfiguration(answer: WatchAnswer): void {
+    if (answer.configurationVersion <= this.#configurationVersion) return;
+    const wasDraining = this.#isDraining();
+    this.#configurationVersion = answer.configurationVersion;
+    this.#configuration = answer.endpoint ?? WITHDRAWN;
+    const facts = {
+      version: answer.configurationVersion,
+      state: this.#configuration.state,
+    };
+    this.#tell("configuration_in_force", facts);
+    this.#logger.info(facts, "Configuration is in force");
+    if (this.#isDraining() && !wasDraining) {
+      this.#tell("side_draining", { cause: "configuration" });
+    }
+  }
+
+  #takeOrder({ order }: WatchAnswer): void {
+    if (order === undefined || order.offset <= this.#orderTaken) return;
+    this.#orderTaken = order.offset;
+    if (this.#configuration?.state === "withdrawn") return;
+    this.#orders ??= this.#makeOrderExecutor();
+    this.#orders.take(order);
+  }
+
+  /**
+   * Made with the first order and not before: only then it is known whether
+   * the engine checks fencing numbers.
+   */
+  #makeOrderExecutor(): OrderExecutor {
+    const { endpoint, timer, incarnation, times, observe, name } =
+      this.#options;
+    return new OrderExecutor({
+      endpoint,
+      timer,
+      checksFencing: this.#configuration?.checksFencing ?? false,
+      incarnation,
+      longestOrderMilliseconds: times.longestOrderMilliseconds,
+      drain: () => this.#drainForChange(),
+      resume: () => this.#resumeAfterChange(),
+      observe,
+      process: name,
+    });
+  }
+
+  async #drainForChange(): Promise<void> {
+    this.#changing = true;
+    this.#tell("side_draining", { cause: "order" });
+    await this.#desk.idleWithin(this.#options.times.drainMilliseconds);
+    this.#desk.moveAll();
+    await this.#desk.idle();
+  }
+
+  #resumeAfterChange(): void {
+    this.#changing = false;
+    void this.#observe();
+  }
+
+  #startObserving(): void {
+    void this.#observe();
+    this.#observing = this.#options.timer.every(
+      this.#options.times.reportMilliseconds,
+      () => void this.#observe(),
+    );
+  }
+
+  async #observe(): Promise<void> {
+    const observed = await this.#options.endpoint.observe();
+    const down = observed.isErr();
+    if (down !== this.#endpointDown) {
+      this.#logger.warn({ down }, "The endpoint's reachability changed");
+    }
+    this.#endpointDown = down;
+    if (observed.isOk()) this.#observation = observed.value;
+  }
+
+  #tell(
+    kind: HistoryEventKind,
+    facts: Record<string, string | number | boolean>,
+  ): void {
+    this.#options.observe?.({
+      at: this.#options.timer.now(),
+      process: this.#options.name,
+      kind,
+      facts: {
+        ...facts,
+        endpoint: this.#options.endpointId,
+        incarnation: this.#options.incarnation,
+      },
+    });
+  }
+}
+
+const CLOSED_REASONS: Readonly<
+  Record<SideReport["state"], NotRunFrame["reason"] | undefined>
+> = {
+  serving: undefined,
+  leaving: "draining",
+  draining: "draining",
+  down: "endpoint_down",
+  changing: "changing_role",
+};
+
+const WITHDRAWN: EndpointConfiguration = {
+  state: "withdrawn",
+  checksFencing: false,
+};
