Refuse a booking at once when the log is out, and see the log come back

An append in doubt held its caller to the deadline (10 s of silence), and a reader's first read after an outage was a long poll, so a log that was back stayed unused for up to 10 s on a quiet stream. Ruled out: the stand-in (it refuses at once), the retry pause (2 s at most). Change: an append in doubt is refused as not run after 1.5 s, which stays true because its permit is never sent; while the log is out, reads don't wait.

--- a/src/core/journal/stream_reader.ts
+++ b/src/core/journal/stream_reader.ts
@@ -101,8 +101,10 @@
 
   async #read(from: LogOffset): Promise<LogPage | "failed" | "expired"> {
     // The first read does not wait: a starting process wants to know at once
-    // whether the log answers.
-    const waitMilliseconds = this.#highestHead < 0 ? 0 : LONG_POLL_MILLISECONDS;
+    // whether the log answers. Nor does a read after an outage: a long poll on
+    // a quiet stream would hide for its whole length that the log is back.
+    const asksWhetherUp = this.#highestHead < 0 || !this.#reachable;
+    const waitMilliseconds = asksWhetherUp ? 0 : LONG_POLL_MILLISECONDS;
     const answer = await beforeDeadline(
       this.#options.log.read(this.#options.stream, {
         from,
--- a/src/core/once/acquisition.ts
+++ b/src/core/once/acquisition.ts
@@ -149,7 +149,12 @@
   acquisition.inDoubt = true;
 }
 
-/** Takes the append's outcome; gives a result where the log is down. */
+/**
+ * Takes the append's outcome; gives a result where the log is down. An append
+ * in doubt ends the request as well: holding the caller until its deadline
+ * would gain nothing, since a record that lands later names a permit that was
+ * never sent, and whoever reads it bars it first.
+ */
 export function takeAppended(
   acquisition: Acquisition,
   outcome: { offset: LogOffset } | { failure: JournalFailure["name"] },
@@ -159,8 +164,7 @@
     acquisition.inDoubt = false;
     return undefined;
   }
-  if (outcome.failure === "append_unknown") return undefined;
-  acquisition.inDoubt = false;
+  acquisition.inDoubt = outcome.failure === "append_unknown";
   return "log_down";
 }
 
--- a/src/core/once/results.ts
+++ b/src/core/once/results.ts
@@ -35,6 +35,9 @@
   };
 }
 
+/** A short outage of the log is over in seconds; see the readers' retries. */
+const LOG_RETRY_MILLISECONDS = 3_000;
+
 export function refused(refusal: Refusal): AcquireResult {
   return { kind: "refused", refusal };
 }
@@ -83,7 +86,12 @@
 }
 
 export function logDown(): AcquireResult {
-  return because("log_down", "The log took no record, so nothing was sent");
+  return refused({
+    kind: "not_run",
+    reason: "log_down",
+    detail: "The log has not confirmed the key's record, so nothing was sent",
+    retryAfterMilliseconds: LOG_RETRY_MILLISECONDS,
+  });
 }
 
 export function outOfTime(): AcquireResult {
--- a/src/entry/region_log.ts
+++ b/src/entry/region_log.ts
@@ -26,6 +26,13 @@
 /** Some peers are enough; asking all 40 of a region would be a storm. */
 const MOST_PEERS_ASKED = 5;
 
+/**
+ * How long a caller's key may wait for its place on the log. Load: an outage
+ * or a slow log. Harm prevented: a booking that can't be made holds its caller
+ * on a silent line. An append takes some tens of milliseconds.
+ */
+const ONCE_APPEND_MILLISECONDS = 1_500;
+
 export interface RegionLogOptions {
   readonly name: ProcessId;
   readonly incarnation: Incarnation;
@@ -69,6 +76,7 @@
   readonly plannerClaim: ClaimKeeper;
   readonly #options: RegionLogOptions;
   readonly #judge: ConfigurationJudge;
+  readonly #reachable = new Map<string, boolean>();
   #judging: Subscription | undefined;
 
   constructor(options: RegionLogOptions) {
@@ -135,6 +143,7 @@
       incarnation,
       appendDelayMilliseconds: times.appendDelayMilliseconds,
       checkpointRecords: times.checkpointRecords,
+      ...(kind === "once" && { giveUpMilliseconds: ONCE_APPEND_MILLISECONDS }),
       peers: () => this.#askPeers(stream),
       onApplied: () => this.#onRecord(kind),
       onRestored: () => this.#onRecord(kind),
@@ -155,6 +164,8 @@
 
   #onReachable(stream: string, reachable: boolean): void {
     const { logger } = this.#options;
+    if (this.#reachable.get(stream) === reachable) return;
+    this.#reachable.set(stream, reachable);
     if (reachable) logger.info({ stream }, "The log can be read");
     else logger.warn({ stream }, "The log can't be read");
   }
--- /dev/null
+++ b/test/process/platform_faults_test.ts
@@ -0,0 +1,247 @@
+import { expect } from "chai";
+import { waitFor } from "../support/process_fleet.ts";
+import {
+  type DeployedEntry,
+  SmallDeployment,
+} from "../support/small_deployment.ts";
+import { uuidv7 } from "../support/uuid.ts";
+
+/** Time within which an accepted configuration is in force everywhere. */
+const IN_FORCE_MILLISECONDS = 9_000;
+
+interface Status {
+  readonly configurationVersion: number;
+  readonly sides: readonly {
+    readonly endpoint: string;
+    readonly state: string;
+    readonly configurationVersion: number;
+  }[];
+}
+
+interface Answer {
+  readonly status: number;
+  readonly body: string;
+}
+
+describe("Faults of the platform and of VMs, as processes", () => {
+  let deployment: SmallDeployment;
+
+  beforeEach(async function () {
+    this.timeout(60_000);
+    deployment = new SmallDeployment();
+    await deployment.start({ engines: 2, services: 2 });
+  });
+
+  afterEach(() => deployment.close());
+
+  async function status(entry: DeployedEntry): Promise<Status> {
+    const answer = await fetch(`http://${entry.peers}/rpc`, {
+      method: "POST",
+      body: JSON.stringify({ jsonrpc: "2.0", id: 1, method: "entry.status" }),
+    });
+    return (await answer.json() as { result: Status }).result;
+  }
+
+  async function book(
+    entry: DeployedEntry,
+    key: string | undefined,
+  ): Promise<Answer> {
+    const answer = await fetch(`${entry.url}/cases`, {
+      method: "POST",
+      headers: key === undefined ? {} : { "idempotency-key": key },
+      body: "Klang",
+    });
+    return { status: answer.status, body: await answer.text() };
+  }
+
+  async function runsOf(key: string): Promise<number> {
+    const counts = await Promise.all(
+      deployment.services.map(async ({ url }) => {
+        const answer = await fetch(`${url}/control`, {
+          method: "POST",
+          body: "{}",
+        });
+        const { runs } = await answer.json() as {
+          runs: Record<string, number>;
+        };
+        const own = Object.keys(runs).filter((each) => each.endsWith(key));
+        return own.reduce((sum, each) => sum + runs[each], 0);
+      }),
+    );
+    return counts.reduce((sum, count) => sum + count, 0);
+  }
+
+  async function setLog(faults: Record<string, unknown>): Promise<void> {
+    await fetch(`${deployment.logUrl}/control`, {
+      method: "POST",
+      body: JSON.stringify(faults),
+    });
+  }
+
+  /** True once every entry and every side has a version above the given. */
+  async function inForceAbove(
+    version: number,
+    entries: readonly DeployedEntry[],
+  ): Promise<boolean> {
+    for (const entry of entries) {
+      const { configurationVersion, sides } = await status(entry);
+      if (configurationVersion <= version) return false;
+      if (sides.some((side) => side.configurationVersion <= version)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  // The log service is down. A booking whose key can't be recorded must not be
+  // sent; generations need no log and go on.
+  it("an outage of the log refuses bookings as not run and nothing else", async () => {
+    await setLog({ down: "refuse" });
+    const key = uuidv7();
+    const booking = await book(deployment.entries[0], key);
+    expect(booking.status).to.equal(503);
+    expect(JSON.parse(booking.body)).to.include({ outcome: "not_run" });
+    const chat = await fetch(
+      `${deployment.entries[0].url}/v1/chat/completions`,
+      {
+        method: "POST",
+        body: JSON.stringify({
+          model: "triage-llm",
+          messages: [{ role: "user", content: "Lorry at the river" }],
+        }),
+      },
+    );
+    expect(chat.status).to.equal(200);
+    await setLog({ down: "no" });
+    await waitFor(
+      async () => (await book(deployment.entries[0], key)).status < 300,
+      {
+        what: "the log to be used again",
+      },
+    );
+    expect(await runsOf(key)).to.equal(1);
+  });
+
+  // The log takes the record and its answer is lost on the way back. Appending
+  // it again or giving up would book twice or not at all.
+  it("a lost answer of the log is found again and books once", async () => {
+    await setLog({ lostAnswers: 1 });
+    const key = uuidv7();
+    const booking = await book(deployment.entries[0], key);
+    expect(booking.status).to.equal(201);
+    expect(await runsOf(key)).to.equal(1);
+  });
+
+  // The entry that judges publications is killed. Nobody hands its claim over,
+  // and an operator publishes in the same moment.
+  it("a publication comes into force although its judge was killed", async function () {
+    this.timeout(30_000);
+    const judge = deployment.entries.find((entry) =>
+      /"stream":"configuration[^}]*has the claim/.test(entry.process.output())
+    ) as DeployedEntry;
+    const rest = deployment.entries.filter((entry) => entry !== judge);
+    const before = await status(rest[0]);
+    judge.process.child.kill("SIGKILL");
+    const published = performance.now();
+    await deployment.publishRaw(
+      deployment.content({ [deployment.engines[0].id]: "draining" }),
+      before.configurationVersion,
+    );
+    await waitFor(() => inForceAbove(before.configurationVersion, rest), {
+      what: "the publication to be in force",
+      milliseconds: IN_FORCE_MILLISECONDS,
+    });
+    expect(performance.now() - published).to.be.below(IN_FORCE_MILLISECONDS);
+  });
+
+  // Two operators publish against the same version. If both were taken, the
+  // second would silently undo the first.
+  it("of two racing publications exactly one comes into force", async () => {
+    const [entry] = deployment.entries;
+    const before = (await status(entry)).configurationVersion;
+    const [one, other] = deployment.engines.map((each) => each.id);
+    await Promise.all([
+      deployment.publishRaw(deployment.content({ [one]: "draining" }), before),
+      deployment.publishRaw(
+        deployment.content({ [other]: "draining" }),
+        before,
+      ),
+    ]);
+    await waitFor(() => inForceAbove(before, deployment.entries), {
+      what: "one of them to be in force",
+    });
+    const { sides } = await status(entry);
+    const draining = sides.filter((side) => side.state === "draining");
+    expect(draining).to.have.length(1);
+  });
+
+  // An operator publishes that an endpoint is draining. It finishes what it
+  // has; new bookings after a few seconds would be lost when it goes.
+  it("a draining endpoint gets no new work after a few seconds", async () => {
+    const [leaving] = deployment.services;
+    const { configurationVersion } = await status(deployment.entries[0]);
+    await deployment.publishRaw(
+      deployment.content({ [leaving.id]: "draining" }),
+      configurationVersion,
+    );
+    await waitFor(
+      () => inForceAbove(configurationVersion, deployment.entries),
+      { what: "the drain to be in force" },
+    );
+    for (let index = 0; index < 10; index++) {
+      const entry = deployment.entries[index % deployment.entries.length];
+      const booking = await book(entry, uuidv7());
+      expect(booking.status, booking.body).to.equal(201);
+      expect(booking.body).not.to.include(leaving.id);
+    }
+  });
+
+  // The entry dies between sending a booking and answering. The caller repeats
+  // the key through another entry and must get the one booking that was made.
+  it("a booking whose entry was killed is made once", async function () {
+    this.timeout(30_000);
+    const [first, second] = deployment.entries;
+    for (const { url } of deployment.services) {
+      await fetch(`${url}/control`, {
+        method: "POST",
+        body: JSON.stringify({ delayMilliseconds: 600 }),
+      });
+    }
+    const key = uuidv7();
+    const cut = book(first, key).catch(() => undefined);
+    await waitFor(async () => await runsOf(key) === 1, {
+      what: "the booking to run",
+    });
+    first.process.child.kill("SIGKILL");
+    await cut;
+    const repeat = await book(second, key);
+    expect(repeat.status, repeat.body).to.equal(201);
+    expect(await runsOf(key)).to.equal(1);
+  });
+
+  // A side is frozen past every limit while it works on a booking, and wakes
+  // up. The repeat must not run it on the other endpoint meanwhile.
+  it("a booking whose side was frozen is made once", async function () {
+    this.timeout(40_000);
+    const key = uuidv7();
+    for (const { url } of deployment.services) {
+      await fetch(`${url}/control`, {
+        method: "POST",
+        body: JSON.stringify({ delayMilliseconds: 400 }),
+      });
+    }
+    const booking = book(deployment.entries[0], key);
+    await waitFor(async () => await runsOf(key) === 1, {
+      what: "the booking to run",
+    });
+    for (const { side } of deployment.services) side.child.kill("SIGSTOP");
+    await new Promise((resolve) => setTimeout(resolve, 2_500));
+    for (const { side } of deployment.services) side.child.kill("SIGCONT");
+    await booking;
+    await waitFor(
+      async () => (await book(deployment.entries[1], key)).status === 201,
+      { what: "the repeat to get the first answer" },
+    );
+    expect(await runsOf(key)).to.equal(1);
+  });
+});
