--- a/src/core/orders/order_executor.ts
+++ b/src/core/orders/order_executor.ts
@@ -16,8 +16,11 @@
 export interface OrderExecutorOptions {
   readonly endpoint: EndpointLink;
   readonly timer: TimerService;
-  /** True where the engine refuses an order with an old fencing number. */
-  readonly checksFencing: boolean;
+  /**
+   * True where the engine refuses an order with an old fencing number. A
+   * function where the configuration may correct it while the side runs.
+   */
+  readonly checksFencing: boolean | (() => boolean);
   readonly incarnation: Incarnation;
   /**
    * Longest time, milliseconds, for which an order that was sent can be under
@@ -204,13 +207,20 @@
    * this one, so there is nothing to wait for.
    */
   async #waitForEarlierOrders(order: StandingOrder): Promise<void> {
-    if (this.#options.checksFencing) return;
+    if (this.#engineChecksFencing()) return;
     while (!this.#nothingElseCanLand(order) && this.#isNewest(order)) {
       this.#state = "settling";
       await pause(this.#options.timer, OBSERVE_CHANGE_MILLISECONDS);
     }
   }
 
+  #engineChecksFencing(): boolean {
+    const { checksFencing } = this.#options;
+    return typeof checksFencing === "function"
+      ? checksFencing()
+      : checksFencing;
+  }
+
   /** True where no other order than this one can reach the engine any more. */
   #nothingElseCanLand(order: StandingOrder): boolean {
     if (this.#lastSentOffset === order.offset) return true;
