--- a/src/core/authority/claim_keeper.ts
+++ b/src/core/authority/claim_keeper.ts
@@ -41,8 +41,12 @@
  * are void; at half the patience one claim mostly stands before the next is due.
  */
 const JITTER_SHARE = 0.5;
-/** Spread of the claims on an authority that has been handed over. */
-const HANDOVER_JITTER_SHARE = 0.1;
+/**
+ * Share of the silence over which claims on a free authority spread: 1 s at
+ * 3 s of silence, against about 40 ms until a claim has been read by all, so
+ * that of 40 entries two or three claim.
+ */
+const FREE_SPREAD_SHARE = 1 / 3;
 /** Patience against the longest recent pause between signs of life. */
 const PATIENCE_TO_LONGEST_PAUSE = 2;
 /** What each sign of life takes off the longest pause that is remembered. */
@@ -88,10 +92,7 @@
   start(): void {
     this.#stopped = false;
     this.#silentSince = this.#options.timer.now();
-    this.#look = this.#options.timer.every(
-      this.#options.claimSilenceMilliseconds / LOOKS_IN_SILENCE,
-      () => this.#consider(),
-    );
+    this.#planLook();
   }
 
   /** Call after each record, so that a change of holder is told at once. */
@@ -117,6 +118,16 @@
     });
   }
 
+  /** Looks at uneven times, so that entries started together drift apart. */
+  #planLook(): void {
+    const { claimSilenceMilliseconds, random, timer } = this.#options;
+    const period = claimSilenceMilliseconds / LOOKS_IN_SILENCE;
+    this.#look = timer.after(2 * period * random(), () => {
+      this.#planLook();
+      this.#consider();
+    });
+  }
+
   #consider(): void {
     this.changed();
     this.#noteSigns();
@@ -159,7 +170,7 @@
   #patience(): number {
     const { claimSilenceMilliseconds } = this.#options;
     if (this.#isFree()) {
-      return claimSilenceMilliseconds * HANDOVER_JITTER_SHARE * this.#draw;
+      return claimSilenceMilliseconds * FREE_SPREAD_SHARE * this.#draw;
     }
     const allowed = Math.max(
       claimSilenceMilliseconds,
--- a/test/support/coordination.ts
+++ b/test/support/coordination.ts
@@ -15,6 +15,7 @@
 import {
   Journal,
   type JournalOptions,
+  type LogService,
   type StreamFold,
   type StreamName,
 } from "../../src/core/journal/mod.ts";
@@ -33,6 +34,8 @@
   readonly name: string;
   readonly run?: number;
   readonly journal?: Partial<JournalOptions>;
+  /** Makes the connection; the log's own where it is left out. */
+  readonly connect?: (faults: LogFaults) => LogService;
 }
 
 /** A journal with its own connection, whose faults a test can set. */
@@ -53,7 +56,7 @@
   const run = options.run ?? 1;
   const incarnation = identifier<Incarnation>(`${options.name}-run-${run}`);
   const journal = new Journal({
-    log: options.log.connect(faults),
+    log: (options.connect ?? ((own) => options.log.connect(own)))(faults),
     stream: options.stream,
     fold,
     timer: options.timer,
