--- a/src/side/side_core.ts
+++ b/src/side/side_core.ts
@@ -1,20 +1,23 @@
-import type { Incarnation, ProcessId } from "../core/identity/mod.ts";
+import type {
+  AvailabilityZoneId,
+  Incarnation,
+  ProcessId,
+} from "../core/identity/mod.ts";
+import { identifier } from "../core/identity/mod.ts";
 import type {
   EndpointLink,
   EngineObservation,
   EntryLink,
   PeerAddress,
 } from "../core/links/mod.ts";
-import { SideLimiter } from "../core/limits/mod.ts";
-import type { Slot } from "../core/limits/mod.ts";
 import { attachments } from "../core/membership/mod.ts";
 import type {
   HistoryEventKind,
   Logger,
   Observe,
+  Tracer,
 } from "../core/observation/mod.ts";
-import { SILENT_LOGGER } from "../core/observation/mod.ts";
-import { SideOnceTable } from "../core/once/mod.ts";
+import { NO_TRACER, SILENT_LOGGER } from "../core/observation/mod.ts";
 import { OrderExecutor } from "../core/orders/mod.ts";
 import type { Random } from "../core/random/mod.ts";
 import type { Subscription, TimerService } from "../core/time/mod.ts";
@@ -28,9 +31,8 @@
   SideReport,
   WatchAnswer,
 } from "../generated/messages.ts";
-import { GenerationRun } from "./attempt_run.ts";
-import { RecentAttempts } from "./recent_attempts.ts";
-import { ServiceRun } from "./service_run.ts";
+import { AttemptDesk } from "./attempt_desk.ts";
+import type { AttemptHandle } from "./attempt_desk.ts";
 import { WatchLoop } from "./watch_loop.ts";
 
 /** Limits of one side; every one of them bounds its memory or its waiting. */
@@ -57,29 +59,19 @@
   readonly name: ProcessId;
   readonly incarnation: Incarnation;
   readonly endpointId: string;
+  readonly availabilityZone: AvailabilityZoneId;
   readonly kind: "engine" | "service";
   readonly timer: TimerService;
   readonly random: Random;
   readonly endpoint: EndpointLink;
   readonly entries: EntryLink;
+  /** Entries to attach to at first; later ones are told by the entries. */
   readonly entryAddresses: readonly PeerAddress[];
   readonly limits: SideLimits;
   readonly times: SideTimes;
   readonly observe?: Observe;
   readonly logger?: Logger;
-}
-
-/** An entry's hold on an attempt that it has sent. */
-export interface AttemptHandle {
-  cancel(): void;
-  pause(): void;
-  resume(): void;
-}
-
-interface RunningAttempt extends AttemptHandle {
-  readonly attempt: AttemptRequest;
-  /** Ends the attempt at this endpoint so that the entry resumes it elsewhere. */
-  move(): void;
+  readonly tracer?: Tracer;
 }
 
 /** A side is attached to two entries, so that losing one delays nothing. */
@@ -92,59 +84,41 @@
 export class SideCore {
   readonly #options: SideOptions;
   readonly #logger: Logger;
-  readonly #limiter: SideLimiter;
-  readonly #once: SideOnceTable;
-  readonly #orders: OrderExecutor;
-  readonly #recent: RecentAttempts;
-  readonly #watches: WatchLoop[] = [];
-  readonly #running = new Map<string, RunningAttempt>();
-  readonly #waitingAttempts = new Set<string>();
+  readonly #desk: AttemptDesk;
+  readonly #watches: readonly WatchLoop[];
+  #orders: OrderExecutor | undefined;
   #configuration: EndpointConfiguration | undefined;
   #configurationVersion = 0;
   #ordersRead = -1;
+  #orderTaken = -1;
+  #toldEntries: readonly PeerAddress[] = [];
   #observation: EngineObservation | undefined;
   #endpointDown = false;
   #leaving = false;
   #changing = false;
   #observing: Subscription | undefined;
-  #idleListeners: (() => void)[] = [];
 
   constructor(options: SideOptions) {
     this.#options = options;
     this.#logger = options.logger ?? SILENT_LOGGER;
-    this.#limiter = new SideLimiter({
-      timer: options.timer,
-      mostRunning: options.limits.mostRunning,
-      mostWaiting: options.limits.mostWaiting,
-    });
-    this.#once = new SideOnceTable({
-      incarnation: options.incarnation,
-      mostKeptAnswers: options.limits.mostKeptAnswers,
-      mostKeptAnswerBytes: options.limits.mostKeptAnswerBytes,
-    });
-    this.#recent = new RecentAttempts(options.timer);
-    this.#orders = new OrderExecutor({
-      endpoint: options.endpoint,
-      timer: options.timer,
-      checksFencing: () => this.#configuration?.checksFencing ?? false,
-      incarnation: options.incarnation,
-      longestOrderMilliseconds: options.times.longestOrderMilliseconds,
-      drain: () => this.#drainForChange(),
-      resume: () => this.#resumeAfterChange(),
-      observe: options.observe,
-      process: options.name,
+    this.#desk = new AttemptDesk({
+      ...options,
+      ...options.limits,
+      ...options.times,
+      tracer: options.tracer ?? NO_TRACER,
+      closedBecause: () => this.#closedBecause(),
+      tell: (kind, facts) => this.#tell(kind, facts),
     });
+    this.#watches = Array.from(
+      { length: ATTACHED_ENTRIES },
+      (_, place) => this.#makeWatch(place),
+    );
   }
 
   /** Starts watching entries and observing the endpoint. */
   start(): void {
-    this.#tell("process_started", {});
-    const addresses = attachments(
-      this.#options.endpointId,
-      this.#options.entryAddresses,
-      { count: ATTACHED_ENTRIES },
-    );
-    for (const entry of addresses) this.#watch(entry);
+    this.#tell("process_started", { role: "side" });
+    for (const watch of this.#watches) watch.start();
     if (this.#options.kind === "engine") this.#startObserving();
   }
 
@@ -155,8 +129,8 @@
    */
   async stop(): Promise<void> {
     this.#leaving = true;
-    this.#tell("side_draining", { endpoint: this.#options.endpointId });
-    await this.#idleWithin(this.#options.limits.shutdownSeconds * 1000);
+    this.#tell("side_draining", { cause: "stop" });
+    await this.#desk.idleWithin(this.#options.limits.shutdownSeconds * 1000);
     this.halt();
   }
 
@@ -165,8 +139,8 @@
     this.#leaving = true;
     for (const watch of this.#watches) watch.stop();
     this.#observing?.cancel();
-    this.#orders.stop();
-    for (const running of [...this.#running.values()]) running.move();
+    this.#orders?.stop();
+    this.#desk.moveAll();
     this.#tell("process_stopped", {});
   }
 
@@ -178,14 +152,12 @@
     attempt: AttemptRequest,
     emit: (frame: AttemptFrame) => void,
   ): AttemptHandle {
-    const pending = new PendingAttempt();
-    void this.#admit(attempt, { emit, pending });
-    return pending;
+    return this.#desk.run(attempt, emit);
   }
 
   /** What became of a record of the `once` stream. */
   ask(question: OnceQuestion): OnceAnswer {
-    return this.#once.ask(question);
+    return this.#desk.ask(question);
   }
 
   report(): SideReport {
@@ -196,16 +168,17 @@
       state: this.#state(),
       role: this.#observation?.role,
       weights: this.#observation?.weights,
-      load: this.#limiter.load(),
+      load: this.#desk.load(),
       configurationVersion: this.#configurationVersion,
       ordersRead: this.#ordersRead,
-      orderApplied: this.#orders.applied,
+      orderTaken: this.#orderTaken,
+      orderApplied: this.#orders?.applied ?? -1,
     };
   }
 
   /** Number of attempts that the endpoint is working on. */
   get running(): number {
-    return this.#running.size;
+    return this.#desk.running;
   }
 
   #state(): SideReport["state"] {
@@ -221,190 +194,34 @@
     return state === "draining" || state === "withdrawn";
   }
 
-  async #admit(
-    attempt: AttemptRequest,
-    io: { emit: (frame: AttemptFrame) => void; pending: PendingAttempt },
-  ): Promise<void> {
-    if (!this.#recent.add(attempt.attemptId)) return;
-    const refuse = (reason: NotRunFrame["reason"]) =>
-      this.#refuse(attempt, { reason, emit: io.emit });
-    const closed = this.#closedBecause(attempt);
-    if (closed !== undefined) return refuse(closed);
-    const deadline = this.#options.timer.now() + attempt.deadlineMilliseconds;
-    const entered = this.#limiter.enter({
-      priority: attempt.priority,
-      className: attempt.className,
-      deadlineMilliseconds: attempt.deadlineMilliseconds,
-    });
-    if (entered.isErr()) return refuse(entered.error.reason);
-    io.pending.onCancel(() => entered.value.cancel());
-    this.#waitingAttempts.add(attempt.attemptId);
-    const slot = await entered.value.granted;
-    this.#waitingAttempts.delete(attempt.attemptId);
-    if (slot.isErr()) return refuse(slot.error.reason);
-    this.#start(attempt, { ...io, slot: slot.value, deadline });
-  }
-
   /** Why the endpoint takes no new work, or nothing where it does. */
-  #closedBecause(attempt: AttemptRequest): NotRunFrame["reason"] | undefined {
-    if (attempt.endpoint !== this.#options.endpointId) return "wrong_endpoint";
-    if (this.#leaving) return "draining";
-    if (this.#endpointDown) return "endpoint_down";
-    if (this.#changing) return "changing_role";
-    if (this.#isDraining()) return "draining";
-    return undefined;
-  }
-
-  #start(
-    attempt: AttemptRequest,
-    io: {
-      emit: (frame: AttemptFrame) => void;
-      pending: PendingAttempt;
-      slot: Slot;
-      deadline: number;
-    },
-  ): void {
-    const giveUp = (reason: NotRunFrame["reason"]) => {
-      io.slot.release();
-      this.#refuse(attempt, { reason, emit: io.emit });
-    };
-    // The state may have changed while the attempt waited for its slot.
-    const closed = this.#closedBecause(attempt);
-    if (closed !== undefined) return giveUp(closed);
-    if (io.pending.cancelled) return giveUp("late");
-    const permitted = this.#permit(attempt);
-    if (permitted !== undefined) return giveUp(permitted);
-    this.#tell("endpoint_started", startedFacts(attempt));
-    io.emit({ kind: "started", attemptId: attempt.attemptId });
-    const running = attempt.work.kind === "generation"
-      ? this.#startGeneration(attempt, io)
-      : this.#startService(attempt, io);
-    if (running.settled) return;
-    this.#running.set(attempt.attemptId, running.handle);
-    io.pending.attach(running.handle);
-  }
-
-  /**
-   * A call that may have its effect once only needs a permit that this run
-   * of the side has neither used nor barred.
-   */
-  #permit(attempt: AttemptRequest): NotRunFrame["reason"] | undefined {
-    if (attempt.once === undefined) return undefined;
-    const begun = this.#once.begin(attempt.once);
-    if (begun === "run") return undefined;
-    return begun === "already" ? "barred" : begun;
-  }
-
-  #startGeneration(
-    attempt: AttemptRequest,
-    io: {
-      emit: (frame: AttemptFrame) => void;
-      slot: Slot;
-      deadline: number;
-    },
-  ): { handle: RunningAttempt; settled: boolean } {
-    const { timer, endpoint, times } = this.#options;
-    let settled = false;
-    const run = new GenerationRun(attempt, {
-      timer,
-      endpoint,
-      emit: io.emit,
-      load: () => this.#limiter.load(),
-      deadline: io.deadline,
-      firstTokenSilenceMilliseconds: times.firstTokenSilenceMilliseconds,
-      tokenSilenceMilliseconds: times.tokenSilenceMilliseconds,
-      onToken: () => io.slot.token(),
-      done: (end) => {
-        settled = true;
-        io.slot.release();
-        this.#finished(attempt, end);
-      },
-    });
-    const handle: RunningAttempt = {
-      attempt,
-      cancel: () => run.stop("cancelled"),
-      pause: () => run.pause(),
-      resume: () => run.resume(),
-      move: () => run.stop("moved"),
-    };
-    return { handle, settled };
-  }
-
-  #startService(
-    attempt: AttemptRequest,
-    io: { emit: (frame: AttemptFrame) => void; slot: Slot; deadline: number },
-  ): { handle: RunningAttempt; settled: boolean } {
-    const run = new ServiceRun(attempt, {
-      timer: this.#options.timer,
-      endpoint: this.#options.endpoint,
-      emit: io.emit,
-      load: () => this.#limiter.load(),
-      deadline: io.deadline,
-      done: (end, answer) => {
-        if (attempt.once !== undefined) {
-          this.#once.finish(attempt.once, answer);
-        }
-        io.slot.release();
-        this.#finished(attempt, end);
-      },
-    });
-    const handle: RunningAttempt = {
-      attempt,
-      cancel: () => run.abandon(),
-      pause: () => {},
-      resume: () => {},
-      move: () => run.abandon(),
-    };
-    return { handle, settled: false };
-  }
-
-  #finished(attempt: AttemptRequest, end: string): void {
-    this.#running.delete(attempt.attemptId);
-    const kind = end === "answered"
-      ? "endpoint_executed"
-      : "endpoint_cancelled";
-    this.#tell(kind, { ...startedFacts(attempt), end });
-    if (this.#running.size > 0) return;
-    const listeners = this.#idleListeners;
-    this.#idleListeners = [];
-    for (const listener of listeners) listener();
-  }
-
-  /**
-   * Says "not run", and makes it stay true: a copy of the message that is
-   * still on its way must not run later, so the permit is barred first.
-   */
-  #refuse(
-    attempt: AttemptRequest,
-    io: { reason: NotRunFrame["reason"]; emit: (frame: AttemptFrame) => void },
-  ): void {
-    if (attempt.once !== undefined) {
-      this.#once.ask({ ...attempt.once, bar: true });
-    }
-    this.#tell("attempt_refused", {
-      ...startedFacts(attempt),
-      reason: io.reason,
-    });
-    io.emit({
-      kind: "not_run",
-      attemptId: attempt.attemptId,
-      reason: io.reason,
-      load: this.#limiter.load(),
-    });
+  #closedBecause(): NotRunFrame["reason"] | undefined {
+    return CLOSED_REASONS[this.#state()];
   }
 
-  #watch(entry: PeerAddress): void {
-    const watch = new WatchLoop({
-      timer: this.#options.timer,
-      random: this.#options.random,
-      entries: this.#options.entries,
-      entry,
+  #makeWatch(place: number): WatchLoop {
+    return new WatchLoop({
+      ...this.#options,
+      candidates: () => this.#candidates(),
+      place,
+      loops: ATTACHED_ENTRIES,
       report: () => this.report(),
       onAnswer: (answer) => this.#onWatchAnswer(answer),
       waitMilliseconds: this.#options.times.watchMilliseconds,
     });
-    this.#watches.push(watch);
-    watch.start();
+  }
+
+  /** Entries that were told last come first; the settings' may be gone. */
+  #candidates(): PeerAddress[] {
+    const { endpointId, entryAddresses, availabilityZone } = this.#options;
+    const entries = entryAddresses.map((id) => ({ id, availabilityZone }));
+    const ranked = attachments(entries, {
+      side: endpointId,
+      availabilityZone,
+      count: entries.length,
+    });
+    const own = ranked.map((entry) => entry.id);
+    return [...new Set([...this.#toldEntries, ...own])];
   }
 
   /**
@@ -413,29 +230,64 @@
    * withdrawn endpoint back into service. Positions only rise here.
    */
   #onWatchAnswer(answer: WatchAnswer): void {
-    if (answer.configurationVersion > this.#configurationVersion) {
-      this.#configurationVersion = answer.configurationVersion;
-      this.#configuration = answer.endpoint ?? WITHDRAWN;
-      this.#tell("configuration_in_force", {
-        version: answer.configurationVersion,
-        state: this.#configuration.state,
-      });
-      this.#logger.info({
-        version: answer.configurationVersion,
-        state: this.#configuration.state,
-      }, "Configuration is in force");
+    if (answer.entries !== undefined && answer.entries.length > 0) {
+      this.#toldEntries = answer.entries.map((each) => identifier(each));
     }
+    this.#takeConfiguration(answer);
     this.#ordersRead = Math.max(this.#ordersRead, answer.ordersRead);
-    if (answer.order === undefined) return;
+    this.#takeOrder(answer);
+  }
+
+  #takeConfiguration(answer: WatchAnswer): void {
+    if (answer.configurationVersion <= this.#configurationVersion) return;
+    const wasDraining = this.#isDraining();
+    this.#configurationVersion = answer.configurationVersion;
+    this.#configuration = answer.endpoint ?? WITHDRAWN;
+    const facts = {
+      version: answer.configurationVersion,
+      state: this.#configuration.state,
+    };
+    this.#tell("configuration_in_force", facts);
+    this.#logger.info(facts, "Configuration is in force");
+    if (this.#isDraining() && !wasDraining) {
+      this.#tell("side_draining", { cause: "configuration" });
+    }
+  }
+
+  #takeOrder({ order }: WatchAnswer): void {
+    if (order === undefined || order.offset <= this.#orderTaken) return;
+    this.#orderTaken = order.offset;
     if (this.#configuration?.state === "withdrawn") return;
-    this.#orders.take(answer.order);
+    this.#orders ??= this.#makeOrderExecutor();
+    this.#orders.take(order);
+  }
+
+  /**
+   * Made with the first order and not before: only then it is known whether
+   * the engine checks fencing numbers.
+   */
+  #makeOrderExecutor(): OrderExecutor {
+    const { endpoint, timer, incarnation, times, observe, name } =
+      this.#options;
+    return new OrderExecutor({
+      endpoint,
+      timer,
+      checksFencing: this.#configuration?.checksFencing ?? false,
+      incarnation,
+      longestOrderMilliseconds: times.longestOrderMilliseconds,
+      drain: () => this.#drainForChange(),
+      resume: () => this.#resumeAfterChange(),
+      observe,
+      process: name,
+    });
   }
 
   async #drainForChange(): Promise<void> {
     this.#changing = true;
-    await this.#idleWithin(this.#options.times.drainMilliseconds);
-    for (const running of [...this.#running.values()]) running.move();
-    await this.#idle();
+    this.#tell("side_draining", { cause: "order" });
+    await this.#desk.idleWithin(this.#options.times.drainMilliseconds);
+    this.#desk.moveAll();
+    await this.#desk.idle();
   }
 
   #resumeAfterChange(): void {
@@ -443,21 +295,6 @@
     void this.#observe();
   }
 
-  #idle(): Promise<void> {
-    if (this.#running.size === 0) return Promise.resolve();
-    return new Promise((resolve) => this.#idleListeners.push(resolve));
-  }
-
-  #idleWithin(milliseconds: number): Promise<void> {
-    return new Promise((resolve) => {
-      const limit = this.#options.timer.after(milliseconds, resolve);
-      void this.#idle().then(() => {
-        limit.cancel();
-        resolve();
-      });
-    });
-  }
-
   #startObserving(): void {
     void this.#observe();
     this.#observing = this.#options.timer.every(
@@ -493,55 +330,17 @@
   }
 }
 
+const CLOSED_REASONS: Readonly<
+  Record<SideReport["state"], NotRunFrame["reason"] | undefined>
+> = {
+  serving: undefined,
+  leaving: "draining",
+  draining: "draining",
+  down: "endpoint_down",
+  changing: "changing_role",
+};
+
 const WITHDRAWN: EndpointConfiguration = {
   state: "withdrawn",
   checksFencing: false,
 };
-
-function startedFacts(
-  attempt: AttemptRequest,
-): Record<string, string | number | boolean> {
-  const facts: Record<string, string | number | boolean> = {
-    request: attempt.requestId,
-    attempt: attempt.attemptId,
-    idempotent: attempt.work.kind === "generation" || attempt.work.idempotent,
-  };
-  if (attempt.once !== undefined) {
-    facts.key = attempt.once.key;
-    facts.record = attempt.once.record;
-  }
-  return facts;
-}
-
-/** Stands for an attempt before and after it gets its slot. */
-class PendingAttempt implements AttemptHandle {
-  #handle: AttemptHandle | undefined;
-  #onCancel: (() => void) | undefined;
-  #cancelled = false;
-
-  get cancelled(): boolean {
-    return this.#cancelled;
-  }
-
-  onCancel(listener: () => void): void {
-    this.#onCancel = listener;
-  }
-
-  attach(handle: AttemptHandle): void {
-    this.#handle = handle;
-  }
-
-  cancel(): void {
-    this.#cancelled = true;
-    if (this.#handle !== undefined) this.#handle.cancel();
-    else this.#onCancel?.();
-  }
-
-  pause(): void {
-    this.#handle?.pause();
-  }
-
-  resume(): void {
-    this.#handle?.resume();
-  }
-}
