Tell a repeat of a key truthfully when its time is up

Cause: a side is killed after it has passed a booking on. A repeat of the key waits for what the side would say; at its deadline, or when the entry stops, the run itself ended first with "not run", although the first call had run. Found by killing the side of a portal in test/process.

Ruled out: leaving the deadline to the once coordinator alone, which would have said it rightly; a stopping entry needs an answer at once as well.

Change: a request whose key has a record on the log ends as unknown when its time is up (RequestRun asks OnceCoordinator.isOwned, both small additions). Process tests of planned and unplanned stops; the demo and the tests count a portal's runs by the caller's key, before which the system puts the workspace, so that no count is empty by mistake.

Conclusion: while the side is gone the caller still waits until its deadline for the unknown; a suspected side could end the wait earlier.

--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -109,19 +109,19 @@
   deployment: DemoDeployment,
 ): Tally {
   const runsOf = (key: string) =>
-    deployment.portals.reduce(
-      (sum, portal) => sum + (portal.runs.get(key) ?? 0),
-      0,
-    );
+    deployment.portals.reduce((sum, portal) => sum + portal.runsOf(key), 0);
   const withResult = (wanted: CallerResult["result"]) =>
     results.filter(({ result }) => result === wanted);
   const falselyRefused = withResult("refused").filter(({ key }) =>
     key !== undefined && runsOf(key) > 0
   );
+  const neverRan = withResult("complete").filter(({ key }) =>
+    key !== undefined && runsOf(key) === 0
+  );
   return {
     requests: results.length,
-    complete: withResult("complete").length,
-    lost: withResult("lost").length + falselyRefused.length,
+    complete: withResult("complete").length - neverRan.length,
+    lost: withResult("lost").length + falselyRefused.length + neverRan.length,
     doubled: results.filter(({ key }) => key !== undefined && runsOf(key) > 1)
       .length,
     refused: withResult("refused").length - falselyRefused.length,
--- a/src/core/once/coordinator.ts
+++ b/src/core/once/coordinator.ts
@@ -114,6 +114,16 @@
     return await this.#carryOut(run);
   }
 
+  /**
+   * True where a record stands for the key: its work may have run, also where
+   * the request that asks has sent nothing.
+   */
+  isOwned(key: string, workspace: string): boolean {
+    const scoped = scopedKey(workspace, key);
+    return scoped.isOk() &&
+      this.#options.fold.owner(scoped.value) !== undefined;
+  }
+
   async #carryOut(run: Run): Promise<AcquireResult> {
     const { fold, timer } = this.#options;
     for (;;) {
--- a/src/entry/request_run.ts
+++ b/src/entry/request_run.ts
@@ -93,11 +93,7 @@
 
   /** The entry is leaving and can't wait for the answer any longer. */
   giveUp(detail: string): void {
-    if (this.#settled) return;
-    this.#waiting?.cancel();
-    if (this.#attempt !== undefined) this.#mayHaveRun = true;
-    this.#abandonAttempt();
-    this.finishWithout({
+    this.#endWaiting({
       kind: "not_run",
       reason: "draining",
       detail,
@@ -240,11 +236,7 @@
   }
 
   #onDeadline(): void {
-    if (this.#settled) return;
-    this.#waiting?.cancel();
-    if (this.#attempt !== undefined) this.#mayHaveRun = true;
-    this.#abandonAttempt();
-    this.finishWithout({
+    this.#endWaiting({
       kind: "not_run",
       reason: "late",
       detail: "The deadline has passed",
@@ -252,6 +244,28 @@
     });
   }
 
+  #endWaiting(refusal: Refusal): void {
+    if (this.#settled) return;
+    this.#waiting?.cancel();
+    if (this.#attempt !== undefined || this.#isKeyOwned()) {
+      this.#mayHaveRun = true;
+    }
+    this.#abandonAttempt();
+    this.finishWithout(refusal);
+  }
+
+  /**
+   * A repeat has sent nothing itself while the first call with its key may
+   * have run. Told "not run", the caller would send the call with a new key,
+   * and it would take effect twice.
+   */
+  #isKeyOwned(): boolean {
+    const { context, request } = this.options;
+    const { idempotencyKey, workspace } = request;
+    if (idempotencyKey === undefined) return false;
+    return context.once.isOwned(idempotencyKey, workspace);
+  }
+
   #abandonAttempt(): void {
     if (this.options.cancelsAttempts) this.#attempt?.cancel();
   }
--- /dev/null
+++ b/test/process/planned_and_unplanned_stops_test.ts
@@ -0,0 +1,163 @@
+import process from "node:process";
+import { expect } from "chai";
+import { countRuns } from "../stand_ins/plain_service.ts";
+import { builtBinary } from "../support/built_binary.ts";
+import { promptFor, streamChat, wholeAnswer } from "../support/chat_caller.ts";
+import { waitFor } from "../support/process_fleet.ts";
+import { SmallDeployment } from "../support/small_deployment.ts";
+import { uuidv7 } from "../support/uuid.ts";
+
+const TOKENS = 150;
+
+describe("Stops of processes while callers wait", function () {
+  this.timeout(60_000);
+  let deployment: SmallDeployment;
+
+  beforeEach(async () => {
+    process.env.FILBERTSHORE_BINARY = builtBinary();
+    deployment = new SmallDeployment();
+    await deployment.start({
+      engines: 3,
+      services: 2,
+      engine: { millisecondsBetweenTokens: 10, roleChangeMilliseconds: 300 },
+    });
+  });
+
+  afterEach(async () => {
+    delete process.env.FILBERTSHORE_BINARY;
+    await deployment.close();
+  });
+
+  /** Starts streams; `underWay` settles when each has some of its tokens. */
+  function startStreams(count: number, entryUrl: string) {
+    const prompts = Array.from(
+      { length: count },
+      (_, index) => promptFor(`report ${index}`, TOKENS),
+    );
+    let ready = 0;
+    const answers = prompts.map((prompt) =>
+      streamChat(entryUrl, {
+        prompt,
+        onToken: (tokens) => {
+          if (tokens === 20) ready += 1;
+        },
+      })
+    );
+    const underWay = waitFor(() => ready === count, {
+      what: "the streams to be under way",
+    });
+    return { prompts, answers: Promise.all(answers), underWay };
+  }
+
+  async function expectWhole(streams: ReturnType<typeof startStreams>) {
+    const answers = await streams.answers;
+    answers.forEach((answer, index) => {
+      expect(answer.problem).to.equal(undefined);
+      expect(answer.ended).to.equal(true);
+      expect(answer.tokens).to.deep.equal(
+        wholeAnswer(streams.prompts[index]).tokens,
+      );
+    });
+  }
+
+  // The platform replaces an entry VM. Cut off there, every caller on it would
+  // hear silence in the middle of an answer.
+  it("an entry that is told to stop finishes its streams first", async () => {
+    const [entry] = deployment.entries;
+    const streams = startStreams(6, entry.url);
+    await streams.underWay;
+    entry.process.child.kill("SIGTERM");
+    await waitFor(async () => {
+      const health = await fetch(`${entry.url}/health`)
+        .then((answer) => answer.status, () => 0);
+      return health !== 200;
+    }, { what: "the balancer to see that the entry drains" });
+    await expectWhole(streams);
+    expect(await entry.process.exited).to.equal(0);
+  });
+
+  // The platform replaces an endpoint VM. Its side has to finish what runs or
+  // hand it on, and take nothing new.
+  it("a side that is told to stop cuts no stream", async () => {
+    const streams = startStreams(9, deployment.entries[0].url);
+    await streams.underWay;
+    const [engine] = deployment.engines;
+    engine.side.child.kill("SIGTERM");
+    await expectWhole(streams);
+    expect(await engine.side.exited).to.equal(0);
+  });
+
+  // A side's process dies in the middle of answers. The entry goes on at
+  // another engine behind the tokens that callers already have.
+  it("a side that is killed costs no token and repeats none", async () => {
+    const streams = startStreams(9, deployment.entries[0].url);
+    await streams.underWay;
+    deployment.engines[0].side.child.kill("SIGKILL");
+    await expectWhole(streams);
+  });
+
+  // An engine dies in the middle of answers while its side lives.
+  it("an engine that crashes costs no token and repeats none", async () => {
+    const streams = startStreams(9, deployment.entries[0].url);
+    await streams.underWay;
+    deployment.engines[1].endpoint.child.kill("SIGKILL");
+    await expectWhole(streams);
+  });
+
+  // The side beside the portal dies after the booking has been passed on.
+  // Whether it took effect nobody can tell, and "not run" would make the
+  // caller book a second time.
+  it("a killed side never makes a booking run twice", async () => {
+    await Promise.all(
+      deployment.services.map(({ url }) =>
+        control(url, { delayMilliseconds: 1_500 })
+      ),
+    );
+    const key = uuidv7();
+    const [one, other] = deployment.entries;
+    const first = book(one.url, key);
+    let running: string | undefined;
+    await waitFor(async () => {
+      for (const service of deployment.services) {
+        if ((await runsOf(service.url, key)) > 0) running = service.id;
+      }
+      return running !== undefined;
+    }, { what: "the booking to run" });
+    deployment.services.find(({ id }) => id === running)?.side.child
+      .kill("SIGKILL");
+    expect((await first).outcome).to.equal("unknown");
+    const repeat = await book(other.url, key);
+    expect(repeat.outcome).to.equal("unknown");
+    const runs = await Promise.all(
+      deployment.services.map(({ url }) => runsOf(url, key)),
+    );
+    expect(runs.reduce((sum, each) => sum + each, 0)).to.equal(1);
+  });
+});
+
+async function book(
+  url: string,
+  key: string,
+): Promise<{ status: number; outcome?: string }> {
+  const answer = await fetch(`${url}/cases`, {
+    method: "POST",
+    headers: { "idempotency-key": key, "x-deadline-milliseconds": "4000" },
+    body: "Klang",
+    signal: AbortSignal.timeout(20_000),
+  });
+  const { outcome } = await answer.json() as { outcome?: string };
+  return { status: answer.status, outcome };
+}
+
+async function control(url: string, change: unknown): Promise<void> {
+  await fetch(`${url}/control`, {
+    method: "POST",
+    body: JSON.stringify(change),
+  });
+}
+
+async function runsOf(url: string, key: string): Promise<number> {
+  const answer = await fetch(`${url}/control`);
+  const { runs } = await answer.json() as { runs: Record<string, number> };
+  return countRuns(runs, key);
+}
--- a/test/stand_ins/plain_service.ts
+++ b/test/stand_ins/plain_service.ts
@@ -47,6 +47,11 @@
     this.faults.delayMilliseconds = options.delayMilliseconds ?? 0;
   }
 
+  /** Runs of a caller's key; the system puts the workspace before it. */
+  runsOf(callerKey: string): number {
+    return countRuns(Object.fromEntries(this.runs), callerKey);
+  }
+
   listen(port?: number): Promise<number> {
     return this.#server.listen(port);
   }
@@ -98,6 +103,16 @@
   }
 }
 
+/** Runs of a caller's key among runs by the key that the service was given. */
+export function countRuns(
+  runs: Readonly<Record<string, number>>,
+  callerKey: string,
+): number {
+  return Object.entries(runs)
+    .filter(([key]) => key === callerKey || key.endsWith(`/${callerKey}`))
+    .reduce((sum, [, count]) => sum + count, 0);
+}
+
 await runAsProgram(
   import.meta.url,
   (options) => new PlainServiceStandIn(options as PlainServiceOptions),
