Ask sides for reports at a bounded rate

Cause: an entry asked every side that it uses every second. At the size of two years (14 pools of 8 used sides) that is 112 questions of about 600 bytes a second, 67 KB/s of a node's 5. Ruled out: a longer period for all; a frozen side with work in it would be noticed as late as an idle one. Change: four questions a second in turn; a silent side with attempts in it is asked every period; a lost message asks at once and an unanswered question then suspects; the load that ends an answer counts as a report.

--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -43,6 +43,7 @@
   readonly #options: AttemptOptions;
   readonly #call: AttemptCall | undefined;
   readonly #sentAt: number;
+  readonly #attemptEnds: () => void;
   #settle!: (end: AttemptEnd) => void;
   #firstTokenAt: number | undefined;
   #tokens = 0;
@@ -54,6 +55,7 @@
     this.#sentAt = options.context.timer.now();
     this.ended = new Promise((resolve) => this.#settle = resolve);
     options.assembler.begin(options.request.attemptId);
+    this.#attemptEnds = options.context.directory.attemptBegins(this.endpoint);
     this.#call = this.#send();
   }
 
@@ -97,7 +99,10 @@
 
   #onFrame(frame: AttemptFrame): void {
     if (this.#over) return;
-    this.#options.context.directory.signOfLife(this.endpoint);
+    this.#options.context.directory.signOfLife(
+      this.endpoint,
+      "load" in frame ? frame.load : undefined,
+    );
     if (frame.kind === "token") this.#noteToken();
     this.#onEffect(this.#options.assembler.receive(frame), frame);
   }
@@ -126,6 +131,7 @@
    */
   #onClosed(result: Result<void, LinkFailure>): void {
     if (this.#over) return;
+    this.#options.context.directory.messageLost(this.endpoint);
     const notSent = result.isErr() && result.error.name === "link_not_sent";
     if (notSent && !this.#options.assembler.started) {
       this.#end({ kind: "not_run", reason: "not_sent" }, "not_run");
@@ -137,6 +143,7 @@
   #end(end: AttemptEnd, result: AttemptSummary["result"]): void {
     if (this.#over) return;
     this.#over = true;
+    this.#attemptEnds();
     const now = this.#options.context.timer.now();
     this.#options.placement.release({
       result,
--- a/src/entry/side_directory.ts
+++ b/src/entry/side_directory.ts
@@ -2,7 +2,7 @@
 import { identifier } from "../core/identity/mod.ts";
 import type { PeerAddress, SideLink } from "../core/links/mod.ts";
 import type { Subscription, TimerService } from "../core/time/mod.ts";
-import type { SideReport } from "../generated/messages.ts";
+import type { EndpointLoad, SideReport } from "../generated/messages.ts";
 
 export interface SideDirectoryOptions {
   readonly timer: TimerService;
@@ -23,10 +23,26 @@
   lastHeard: number;
   suspected: boolean;
   asking: boolean;
+  /** Attempts of this entry that are under way at the side. */
+  attempts: number;
 }
 
 /**
- * What this entry knows of the sides that it uses, by asking each of them.
+ * Questions for a report that one entry sends in a second. Load: an entry that
+ * uses a hundred sides. Harm prevented: asking each of them every second would
+ * cost 60 KB/s, twelve times what a node may spend on control. Limit: four
+ * questions of about 600 bytes are half of that allowance. What is rarer than a
+ * second for an idle side is made up for by the load that ends every answer.
+ */
+const MOST_ASKED_PER_SECOND = 4;
+/** Rounds of asking that an idle side may miss before it is suspected. */
+const ROUNDS_UNTIL_SUSPECTED = 2.5;
+/** A side that is attached here and has not spoken for this long is gone. */
+const FORGET_ATTACHED_MILLISECONDS = 60_000;
+
+/**
+ * What this entry knows of the sides that it uses: by asking them, by the
+ * frames of its own attempts, and by the long polls of attached sides.
  *
  * Suspicion is this entry's own: an entry that is cut off from a side stops
  * using it and tells nobody, because the cut may be on the entry's own end.
@@ -34,7 +50,12 @@
 export class SideDirectory {
   readonly #options: SideDirectoryOptions;
   readonly #sides = new Map<EndpointId, KnownSide>();
+  /** Reports of sides that are attached here and not used by this entry. */
+  readonly #attached = new Map<string, { report: SideReport; at: number }>();
   #asking: Subscription | undefined;
+  /** Sides whose turn to be asked has not come yet in this round. */
+  #round: Iterator<KnownSide> | undefined;
+  #allowance = 0;
 
   constructor(options: SideDirectoryOptions) {
     this.#options = options;
@@ -43,7 +64,7 @@
   start(): void {
     this.#asking = this.#options.timer.every(
       this.#options.reportMilliseconds,
-      () => this.#askAll(),
+      () => this.#tick(),
     );
   }
 
@@ -59,7 +80,6 @@
       }
     }
     for (const [endpoint, address] of sides) this.#add(endpoint, address);
-    this.#askAll();
   }
 
   addressOf(endpoint: EndpointId): PeerAddress | undefined {
@@ -74,53 +94,124 @@
     return this.#sides.get(endpoint)?.suspected ?? false;
   }
 
+  /** The newest report of each side that is used or attached here. */
   reports(): SideReport[] {
     const reports: SideReport[] = [];
-    for (const side of this.#sides.values()) {
-      if (side.report !== undefined) reports.push(side.report);
+    for (const { report } of this.#sides.values()) {
+      if (report !== undefined) reports.push(report);
+    }
+    const oldest = this.#options.timer.now() - FORGET_ATTACHED_MILLISECONDS;
+    for (const [endpoint, { report, at }] of this.#attached) {
+      if (at < oldest) this.#attached.delete(endpoint);
+      else if (!this.#sides.has(identifier(endpoint))) reports.push(report);
     }
     return reports;
   }
 
-  /** A report that came by another way than this directory's own asking. */
+  /** A report that came with a side's long poll. */
   heard(report: SideReport): void {
     const side = this.#sides.get(identifier(report.endpoint));
-    if (side !== undefined) this.#take(side, report);
+    if (side !== undefined) return this.#take(side, report);
+    const at = this.#options.timer.now();
+    this.#attached.set(report.endpoint, { report, at });
   }
 
-  /** A frame came: the side lives, whatever its reports do. */
-  signOfLife(endpoint: EndpointId): void {
+  /** A frame came: the side lives; its last one tells the load as well. */
+  signOfLife(endpoint: EndpointId, load?: EndpointLoad): void {
     const side = this.#sides.get(endpoint);
     if (side === undefined) return;
     side.lastHeard = this.#options.timer.now();
     this.#judge(side);
+    if (load === undefined || side.report === undefined) return;
+    side.report = { ...side.report, load };
+    this.#options.onReport(side.report, side.lastHeard);
+  }
+
+  /** An attempt begins or ends at the side; while it runs, silence counts. */
+  attemptBegins(endpoint: EndpointId): () => void {
+    const side = this.#sides.get(endpoint);
+    if (side === undefined) return () => {};
+    if (side.attempts === 0) side.lastHeard = this.#options.timer.now();
+    side.attempts += 1;
+    let ended = false;
+    return () => {
+      if (!ended) side.attempts -= 1;
+      ended = true;
+    };
+  }
+
+  /**
+   * A message to the side was lost. It is asked at once: where the question
+   * fails as well, waiting for the usual silence would send more work there.
+   */
+  messageLost(endpoint: EndpointId): void {
+    const side = this.#sides.get(endpoint);
+    if (side !== undefined && !side.asking) {
+      void this.#ask(side, { suspectIfLost: true });
+    }
   }
 
   #add(endpoint: EndpointId, address: PeerAddress): void {
     if (this.#sides.has(endpoint)) return;
-    this.#sides.set(endpoint, {
+    const side: KnownSide = {
       endpoint,
       address,
       report: undefined,
       lastHeard: this.#options.timer.now(),
       suspected: false,
       asking: false,
-    });
+      attempts: 0,
+    };
+    this.#sides.set(endpoint, side);
+    // New sides are asked at once: without a report they get no work.
+    void this.#ask(side);
   }
 
-  #askAll(): void {
+  #tick(): void {
+    const { timer, reportMilliseconds } = this.#options;
+    const now = timer.now();
     for (const side of this.#sides.values()) {
       this.#judge(side);
+      const silent = now - side.lastHeard >= reportMilliseconds;
+      const matters = side.attempts > 0 || side.report === undefined;
+      if (silent && matters && !side.asking) void this.#ask(side);
+    }
+    this.#askNextInRound();
+  }
+
+  /** Goes round all sides within the rate; a round may take many ticks. */
+  #askNextInRound(): void {
+    const perTick = MOST_ASKED_PER_SECOND * this.#options.reportMilliseconds /
+      1000;
+    this.#allowance = Math.min(
+      this.#allowance + perTick,
+      Math.max(1, perTick),
+    );
+    for (; this.#allowance >= 1; this.#allowance -= 1) {
+      const side = this.#nextInRound();
+      if (side === undefined) return;
       if (!side.asking) void this.#ask(side);
     }
   }
 
-  async #ask(side: KnownSide): Promise<void> {
+  #nextInRound(): KnownSide | undefined {
+    const next = this.#round?.next();
+    if (next !== undefined && !next.done) return next.value;
+    this.#round = [...this.#sides.values()].values();
+    const first = this.#round.next();
+    return first.done ? undefined : first.value;
+  }
+
+  async #ask(
+    side: KnownSide,
+    options: { suspectIfLost: boolean } = { suspectIfLost: false },
+  ): Promise<void> {
     side.asking = true;
     const report = await this.#options.sides.report(side.address);
     side.asking = false;
     if (this.#sides.get(side.endpoint) !== side) return;
     if (report.isOk()) this.#take(side, report.value);
+    else if (options.suspectIfLost) this.#setSuspected(side, true);
     else this.#judge(side);
   }
 
@@ -135,8 +226,25 @@
 
   #judge(side: KnownSide): void {
     const silent = this.#options.timer.now() - side.lastHeard;
-    const suspected = silent > this.#options.suspectMilliseconds;
-    if (suspected === side.suspected) return;
+    const patience = side.attempts > 0
+      ? this.#options.suspectMilliseconds
+      : this.#idlePatience();
+    if (silent > patience) this.#setSuspected(side, true);
+    else if (silent === 0) this.#setSuspected(side, false);
+  }
+
+  /** An idle side is asked once in a round only, so its silence means less. */
+  #idlePatience(): number {
+    const { reportMilliseconds, suspectMilliseconds } = this.#options;
+    const round = Math.max(
+      reportMilliseconds,
+      this.#sides.size * 1000 / MOST_ASKED_PER_SECOND,
+    );
+    return Math.max(suspectMilliseconds, ROUNDS_UNTIL_SUSPECTED * round);
+  }
+
+  #setSuspected(side: KnownSide, suspected: boolean): void {
+    if (side.suspected === suspected) return;
     side.suspected = suspected;
     this.#options.onSuspicion(side.endpoint, suspected);
   }
