Plan from what has changed at the peers, at a bounded rate

Cause: the planner asked every peer every two seconds for all its sides' reports: 36 peers with 112 sides of 300 bytes are 600 KB/s at the size of two years, of the 5 a node may spend. Change: a status can be asked for the sides that have changed since; an entry tells attached sides too, so that none is missed; one peer a second is asked on average, so 36 peers are planned with every 36 s, today's few every 2 s.

--- a/src/adapters/peers/peer_client.ts
+++ b/src/adapters/peers/peer_client.ts
@@ -19,6 +19,7 @@
   OnceAnswer,
   OnceQuestion,
   SideReport,
+  StatusQuestion,
   WatchAnswer,
   WatchQuestion,
 } from "../../generated/messages.ts";
@@ -75,8 +76,14 @@
     });
   }
 
-  status(entry: PeerAddress): Promise<Result<EntryStatus, LinkFailure>> {
-    return this.#call(entry, { method: PEER_METHODS.status, parameters: {} });
+  status(
+    entry: PeerAddress,
+    question: StatusQuestion = {},
+  ): Promise<Result<EntryStatus, LinkFailure>> {
+    return this.#call(entry, {
+      method: PEER_METHODS.status,
+      parameters: question,
+    });
   }
 
   snapshot(
--- a/src/cli/entry/run_entry.ts
+++ b/src/cli/entry/run_entry.ts
@@ -26,7 +26,10 @@
 import { SystemTimerService } from "../../adapters/time/mod.ts";
 import { HttpVmList } from "../../adapters/vm_list/mod.ts";
 import { identifier } from "../../core/identity/mod.ts";
-import type { WatchQuestion } from "../../generated/messages.ts";
+import type {
+  StatusQuestion,
+  WatchQuestion,
+} from "../../generated/messages.ts";
 import { EntryCore } from "../../entry/mod.ts";
 import { EXIT_CODE_CANNOT_LISTEN } from "../exit_codes.ts";
 import { onTerminate, reportBadSettings } from "../process_life.ts";
@@ -166,7 +169,8 @@
       methods: {
         [PEER_METHODS.watch]: (question: WatchQuestion) =>
           this.#core.watch(question),
-        [PEER_METHODS.status]: () => this.#core.status(),
+        [PEER_METHODS.status]: (question: StatusQuestion) =>
+          this.#core.status(question),
         [PEER_METHODS.snapshot]: ({ stream }: { stream: string }) =>
           this.#core.snapshot(stream),
       },
--- a/src/core/links/mod.ts
+++ b/src/core/links/mod.ts
@@ -12,6 +12,7 @@
   OnceAnswer,
   OnceQuestion,
   SideReport,
+  StatusQuestion,
   WatchAnswer,
   WatchQuestion,
 } from "../../generated/messages.ts";
@@ -67,7 +68,11 @@
     entry: PeerAddress,
     question: WatchQuestion,
   ): Promise<Result<WatchAnswer, LinkFailure>>;
-  status(entry: PeerAddress): Promise<Result<EntryStatus, LinkFailure>>;
+  /** Without a question: the whole status. */
+  status(
+    entry: PeerAddress,
+    question?: StatusQuestion,
+  ): Promise<Result<EntryStatus, LinkFailure>>;
   /** The peer's state of a stream; used where the log itself can't be read. */
   snapshot(
     entry: PeerAddress,
--- a/src/entry/entry_core.ts
+++ b/src/entry/entry_core.ts
@@ -29,6 +29,7 @@
 import type { TimerService } from "../core/time/mod.ts";
 import type {
   EntryStatus,
+  StatusQuestion,
   WatchAnswer,
   WatchQuestion,
 } from "../generated/messages.ts";
@@ -219,7 +220,8 @@
     return this.#desk.watch(question);
   }
 
-  status(): EntryStatus {
+  /** What this entry knows; with a cursor, the sides that have changed since. */
+  status(question: StatusQuestion = {}): EntryStatus {
     const { name, incarnation, region, availabilityZone } = this.#options;
     const claim = this.#log.orders.claim;
     return {
@@ -233,7 +235,8 @@
       ...(claim && { claim: { offset: claim.offset, holder: claim.holder } }),
       logReachable: this.#log.journals.configuration.reachable,
       openRequests: this.#intake.open,
-      sides: this.#directory.reports(),
+      sides: this.#directory.reports(this.#changesAfter(question)),
+      change: this.#directory.change,
       demand: this.#scheduler.demand().map(({ pool, classes }) => ({
         pool,
         classes: [...classes ?? []],
@@ -241,6 +244,12 @@
     };
   }
 
+  /** A cursor of an earlier run of this entry counts its changes, not ours. */
+  #changesAfter({ changedSince }: StatusQuestion): number {
+    const own = changedSince?.incarnation === this.#options.incarnation;
+    return own ? changedSince?.change ?? 0 : 0;
+  }
+
   /** This entry's state of a stream, for a peer that can't read the log. */
   snapshot(stream: string): StreamSnapshot | undefined {
     return this.#log.snapshot(stream);
--- a/src/entry/planner.ts
+++ b/src/entry/planner.ts
@@ -13,7 +13,11 @@
 } from "../core/roles/mod.ts";
 import type { Subscription, TimerService } from "../core/time/mod.ts";
 import type { Inventory, Pool } from "../generated/inventory.ts";
-import type { EntryStatus, SideReport } from "../generated/messages.ts";
+import type {
+  EntryStatus,
+  SideReport,
+  StatusQuestion,
+} from "../generated/messages.ts";
 import type { Rules } from "../generated/rules.ts";
 import { missingOrders } from "./order_plan.ts";
 import type { WantedOrder } from "./order_plan.ts";
@@ -43,8 +47,18 @@
 /** A peer that has been silent this long no longer counts in the demand. */
 const FORGET_PEER_MILLISECONDS = 60_000;
 
-interface HeardStatus {
+/**
+ * Questions for a status that the planner sends in a second. Load: 36 other
+ * entries in a region. Harm prevented: the entry that plans spends more on
+ * control than a node may. Limit: at about 3 KB for an answer with the demand
+ * on 14 pools, one question a second is 3 KB/s.
+ */
+const MOST_ASKED_PER_SECOND = 1;
+
+/** What a peer has told, its answers put together. */
+interface HeardPeer {
   readonly status: EntryStatus;
+  readonly sides: ReadonlyMap<string, SideReport>;
   readonly at: number;
 }
 
@@ -56,9 +70,10 @@
 export class Planner {
   readonly #options: PlannerOptions;
   readonly #roles = new RolePlanner();
-  readonly #heard = new Map<PeerAddress, HeardStatus>();
+  readonly #heard = new Map<PeerAddress, HeardPeer>();
   #planning: Subscription | undefined;
   #busy = false;
+  #lastPlan = -Infinity;
 
   constructor(options: PlannerOptions) {
     this.#options = options;
@@ -79,6 +94,7 @@
   async plan(): Promise<void> {
     if (this.#busy || !this.#mayPlan()) return;
     this.#busy = true;
+    this.#lastPlan = this.#options.timer.now();
     await this.#askPeers();
     await this.#appendMissing();
     this.#busy = false;
@@ -90,16 +106,29 @@
    */
   #mayPlan(): boolean {
     const { claim, journal } = this.#options;
-    return claim.held !== undefined && journal.reachable && journal.caughtUp;
+    return claim.held !== undefined && journal.reachable &&
+      journal.caughtUp && this.#isDue();
+  }
+
+  /** With many peers a plan is made more rarely, as each has to be asked. */
+  #isDue(): boolean {
+    const { timer, peers } = this.#options;
+    const period = peers().length * 1000 / MOST_ASKED_PER_SECOND;
+    return timer.now() - this.#lastPlan >= period;
   }
 
   async #askPeers(): Promise<void> {
     const { entries, peers, timer } = this.#options;
     await Promise.all(
       peers().map(async (peer) => {
-        const answer = await entries.status(peer);
+        const before = this.#heard.get(peer);
+        const answer = await entries.status(peer, questionAfter(before));
         if (answer.isErr()) return;
-        this.#heard.set(peer, { status: answer.value, at: timer.now() });
+        this.#heard.set(peer, {
+          status: answer.value,
+          sides: mergedSides(before, answer.value),
+          at: timer.now(),
+        });
       }),
     );
     for (const [peer, { at }] of this.#heard) {
@@ -148,9 +177,9 @@
   /** The region's newest report of each endpoint's side, own ones first. */
   #reports(): Map<string, SideReport> {
     const reports = new Map<string, SideReport>();
-    const heard = [...this.#heard.values()].map(({ status }) => status);
-    for (const status of [this.#options.status(), ...heard]) {
-      for (const report of status.sides) {
+    const heard = [...this.#heard.values()].map(({ sides }) => sides.values());
+    for (const sides of [this.#options.status().sides, ...heard]) {
+      for (const report of sides) {
         const known = reports.get(report.endpoint);
         if (isNewer(report, known)) reports.set(report.endpoint, report);
       }
@@ -226,6 +255,24 @@
   }
 }
 
+/** Asks for what has changed only, where this peer has answered before. */
+function questionAfter(before: HeardPeer | undefined): StatusQuestion {
+  const { incarnation, change } = before?.status ?? {};
+  if (incarnation === undefined || change === undefined) return {};
+  return { changedSince: { incarnation, change } };
+}
+
+/** A restarted peer tells everything anew, so nothing of before is kept. */
+function mergedSides(
+  before: HeardPeer | undefined,
+  status: EntryStatus,
+): Map<string, SideReport> {
+  const isSameRun = before?.status.incarnation === status.incarnation;
+  const sides = new Map(isSameRun ? before?.sides : []);
+  for (const report of status.sides) sides.set(report.endpoint, report);
+  return sides;
+}
+
 function isNewer(report: SideReport, known: SideReport | undefined): boolean {
   if (known === undefined) return true;
   return report.configurationVersion > known.configurationVersion ||
--- a/src/entry/side_directory.ts
+++ b/src/entry/side_directory.ts
@@ -20,6 +20,8 @@
   readonly endpoint: EndpointId;
   readonly address: PeerAddress;
   report: SideReport | undefined;
+  /** Number of the change in which its planning facts were last new. */
+  changed: number;
   lastHeard: number;
   suspected: boolean;
   asking: boolean;
@@ -40,6 +42,12 @@
 /** A side that is attached here and has not spoken for this long is gone. */
 const FORGET_ATTACHED_MILLISECONDS = 60_000;
 
+interface AttachedSide {
+  readonly report: SideReport;
+  readonly at: number;
+  readonly changed: number;
+}
+
 /**
  * What this entry knows of the sides that it uses: by asking them, by the
  * frames of its own attempts, and by the long polls of attached sides.
@@ -51,11 +59,12 @@
   readonly #options: SideDirectoryOptions;
   readonly #sides = new Map<EndpointId, KnownSide>();
   /** Reports of sides that are attached here and not used by this entry. */
-  readonly #attached = new Map<string, { report: SideReport; at: number }>();
+  readonly #attached = new Map<string, AttachedSide>();
   #asking: Subscription | undefined;
   /** Sides whose turn to be asked has not come yet in this round. */
   #round: Iterator<KnownSide> | undefined;
   #allowance = 0;
+  #change = 0;
 
   constructor(options: SideDirectoryOptions) {
     this.#options = options;
@@ -94,18 +103,20 @@
     return this.#sides.get(endpoint)?.suspected ?? false;
   }
 
-  /** The newest report of each side that is used or attached here. */
-  reports(): SideReport[] {
-    const reports: SideReport[] = [];
-    for (const { report } of this.#sides.values()) {
-      if (report !== undefined) reports.push(report);
-    }
-    const oldest = this.#options.timer.now() - FORGET_ATTACHED_MILLISECONDS;
-    for (const [endpoint, { report, at }] of this.#attached) {
-      if (at < oldest) this.#attached.delete(endpoint);
-      else if (!this.#sides.has(identifier(endpoint))) reports.push(report);
-    }
-    return reports;
+  /** Number of the newest change in what a planner looks at. */
+  get change(): number {
+    return this.#change;
+  }
+
+  /**
+   * The newest report of each side that is used or attached here, of those
+   * whose planning facts have changed after the given change.
+   */
+  reports(afterChange = 0): SideReport[] {
+    this.#forgetAttached();
+    const known = [...this.#sides.values(), ...this.#attached.values()];
+    return known.filter((side) => side.changed > afterChange)
+      .map((side) => side.report as SideReport);
   }
 
   /** A report that came with a side's long poll. */
@@ -113,7 +124,9 @@
     const side = this.#sides.get(identifier(report.endpoint));
     if (side !== undefined) return this.#take(side, report);
     const at = this.#options.timer.now();
-    this.#attached.set(report.endpoint, { report, at });
+    const before = this.#attached.get(report.endpoint);
+    const changed = this.#changeOf(report, before);
+    this.#attached.set(report.endpoint, { report, at, changed });
   }
 
   /** A frame came: the side lives; its last one tells the load as well. */
@@ -157,12 +170,14 @@
       endpoint,
       address,
       report: undefined,
+      changed: 0,
       lastHeard: this.#options.timer.now(),
       suspected: false,
       asking: false,
       attempts: 0,
     };
     this.#sides.set(endpoint, side);
+    this.#attached.delete(endpoint);
     // New sides are asked at once: without a report they get no work.
     void this.#ask(side);
   }
@@ -218,12 +233,32 @@
   #take(side: KnownSide, report: SideReport): void {
     if (report.endpoint !== side.endpoint) return;
     if (!this.#options.accepts(report)) return;
+    side.changed = this.#changeOf(report, side);
     side.report = report;
     side.lastHeard = this.#options.timer.now();
     this.#judge(side);
     this.#options.onReport(report, side.lastHeard);
   }
 
+  /** Number of the change that a report brings; the former one without news. */
+  #changeOf(
+    report: SideReport,
+    before: { report: SideReport | undefined; changed: number } | undefined,
+  ): number {
+    if (before?.report !== undefined && isSamePlan(before.report, report)) {
+      return before.changed;
+    }
+    this.#change += 1;
+    return this.#change;
+  }
+
+  #forgetAttached(): void {
+    const oldest = this.#options.timer.now() - FORGET_ATTACHED_MILLISECONDS;
+    for (const [endpoint, { at }] of this.#attached) {
+      if (at < oldest) this.#attached.delete(endpoint);
+    }
+  }
+
   #judge(side: KnownSide): void {
     const silent = this.#options.timer.now() - side.lastHeard;
     const patience = side.attempts > 0
@@ -249,3 +284,12 @@
     this.#options.onSuspicion(side.endpoint, suspected);
   }
 }
+
+/** Whether a planner would plan the same by both reports. */
+function isSamePlan(one: SideReport, other: SideReport): boolean {
+  return one.incarnation === other.incarnation && one.state === other.state &&
+    one.role === other.role && one.weights === other.weights &&
+    one.orderTaken === other.orderTaken &&
+    one.orderApplied === other.orderApplied &&
+    one.configurationVersion === other.configurationVersion;
+}
--- a/test/process/platform_faults_test.ts
+++ b/test/process/platform_faults_test.ts
@@ -32,7 +32,14 @@
     await deployment.start({ engines: 2, services: 2 });
   });
 
-  afterEach(() => deployment.close());
+  afterEach(async function () {
+    if (this.currentTest?.state === "failed") {
+      for (const { process } of deployment.entries) {
+        console.log(process.output().slice(-2_000));
+      }
+    }
+    await deployment.close();
+  });
 
   async function status(entry: DeployedEntry): Promise<Status> {
     const answer = await fetch(`http://${entry.peers}/rpc`, {
