Measure appends and claims; keep an entry that is behind from old orders

Cause: the delay before an append was set without figures; a restarted side beside an engine that ignores fencing can be told an older order by an entry that is behind on the log.

--- a/src/core/orders/mod.ts
+++ b/src/core/orders/mod.ts
@@ -12,3 +12,4 @@
   LoadPickOptions,
   LoadSpreadOptions,
 } from "./load_budget.ts";
+export { TakenOrders } from "./taken_orders.ts";
--- /dev/null
+++ b/src/core/orders/taken_orders_test.ts
@@ -0,0 +1,47 @@
+import { expect } from "chai";
+import type { SideReport, StandingOrder } from "../../generated/messages.ts";
+import { TakenOrders } from "./mod.ts";
+
+function report(incarnation: string, orderTaken: number): SideReport {
+  return {
+    side: "triage-1",
+    incarnation,
+    endpoint: "triage-1",
+    state: "serving",
+    load: { running: 0, waiting: 0, limit: 4, millisecondsBetweenTokens: 25 },
+    configurationVersion: 1,
+    ordersRead: orderTaken,
+    orderTaken,
+  };
+}
+
+function order(offset: number): StandingOrder {
+  return { offset, claim: 0, target: { role: "decode" } };
+}
+
+describe("TakenOrders", () => {
+  // A side is killed after order 9, and its next run asks an entry that has
+  // read the log up to order 5 only. Given that order, an engine that ignores
+  // fencing goes back to a state that the planner has left.
+  it("gives no order older than an earlier run of the side had", () => {
+    const taken = new TakenOrders();
+    taken.note(report("run-1", 9));
+    taken.note(report("run-2", -1));
+    expect(taken.answerWith("triage-1", order(5))).to.equal(undefined);
+    expect(taken.answerWith("triage-1", order(9))?.offset).to.equal(9);
+    expect(taken.answerWith("triage-1", order(12))?.offset).to.equal(12);
+  });
+
+  it("gives what it has to a side that it has never heard", () => {
+    const taken = new TakenOrders();
+    expect(taken.answerWith("triage-1", order(5))?.offset).to.equal(5);
+    expect(taken.answerWith("triage-1", undefined)).to.equal(undefined);
+  });
+
+  it("forgets endpoints that are gone", () => {
+    const taken = new TakenOrders();
+    taken.note(report("run-1", 9));
+    taken.keepOnly(new Set());
+    expect(taken.answerWith("triage-1", order(5))?.offset).to.equal(5);
+  });
+});
--- a/test/support/fake_log.ts
+++ b/test/support/fake_log.ts
@@ -51,6 +51,8 @@
   readonly timer: TimerService;
   /** Time that an append or read takes, milliseconds. */
   readonly latencyMilliseconds?: number;
+  /** Appends that the service takes in a second; further ones queue. */
+  readonly appendsPerSecond?: number;
   /** Records that each stream keeps; older ones expire. */
   readonly keepRecords?: number;
 }
@@ -77,6 +79,7 @@
   readonly appendCalls = new Map<string, number>();
   /** Calls that reached the service. */
   readCalls = 0;
+  #appendsDoneAt = 0;
 
   constructor(options: FakeLogOptions) {
     this.#options = options;
@@ -156,6 +159,7 @@
       });
       return err(failure(UNKNOWN, {}));
     }
+    await this.#takeTurn();
     const first = this.put(call.stream, records);
     await this.#pass(this.#latency / 2);
     if (take(faults, "lostAnswers")) return err(failure(UNKNOWN, {}));
@@ -218,6 +222,15 @@
     });
   }
 
+  /** Waits until the service has taken the appends before this one. */
+  #takeTurn(): Promise<void> {
+    const { appendsPerSecond, timer } = this.#options;
+    if (appendsPerSecond === undefined) return Promise.resolve();
+    const start = Math.max(timer.now(), this.#appendsDoneAt);
+    this.#appendsDoneAt = start + 1_000 / appendsPerSecond;
+    return this.#pass(this.#appendsDoneAt - timer.now());
+  }
+
   get #latency(): number {
     return this.#options.latencyMilliseconds ?? DEFAULT_LATENCY_MILLISECONDS;
   }
