--- /dev/null
+++ b/scripts/matrix.ts
@@ -0,0 +1,112 @@
+/**
+ * Runs the fault matrix: every fault at every step, on virtual time, and
+ * prints the table. `--cell` and `--seed` repeat one case with its trace.
+ */
+import process from "node:process";
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import {
+  allCells,
+  type Cell,
+  cellName,
+  cellOf,
+  FAULTS,
+  STEPS,
+} from "../test/matrix/table.ts";
+import { type CellRun, runCell } from "../test/matrix/run.ts";
+
+const options = await yargs(hideBin(process.argv))
+  .option("seed", { type: "number", default: 1 })
+  .option("runs", { type: "number", default: 1, describe: "Runs per cell" })
+  .option("cell", { type: "string", describe: "One cell, as step/fault" })
+  .option("step", { type: "string", describe: "One step's cells" })
+  .strict()
+  .parse();
+
+interface CellTally {
+  runs: number;
+  violations: number;
+  reached: number;
+}
+
+async function runAll(cells: readonly Cell[]): Promise<boolean> {
+  const tallies = new Map<string, CellTally>();
+  for (const cell of cells) {
+    const tally: CellTally = { runs: 0, violations: 0, reached: 0 };
+    for (let run = 0; run < options.runs; run += 1) {
+      count(tally, await runCell(cell, { seed: options.seed + run }));
+    }
+    tallies.set(cellName(cell), tally);
+  }
+  printTable(tallies);
+  return printSum([...tallies.values()]);
+}
+
+function count(tally: CellTally, run: CellRun): void {
+  tally.runs += 1;
+  if (run.reached) tally.reached += 1;
+  if (run.violations.length === 0) return;
+  tally.violations += 1;
+  const { condition, detail } = run.violations[0];
+  const name = cellName(run.cell);
+  console.log(`violated: ${condition}: ${detail}`);
+  console.log(`  npm run matrix -- --cell "${name}" --seed ${run.seed}`);
+}
+
+/** A number is runs in which the fault took hold; `!` marks violations. */
+function printTable(tallies: ReadonlyMap<string, CellTally>): void {
+  FAULTS.forEach((fault, index) => console.log(`${index + 1}: ${fault}`));
+  const head = FAULTS.map((_, index) => String(index + 1).padStart(4)).join("");
+  console.log("step".padEnd(20) + head);
+  for (const step of STEPS) {
+    const row = FAULTS.map((fault) => {
+      const tally = tallies.get(cellName({ step, fault }));
+      if (tally === undefined) return "   .";
+      const mark = tally.violations > 0 ? "!" : "";
+      return `${mark}${tally.reached}`.padStart(4);
+    });
+    console.log(step.name.padEnd(20) + row.join(""));
+  }
+}
+
+function printSum(tallies: readonly CellTally[]): boolean {
+  const sum = (value: (tally: CellTally) => number) =>
+    tallies.reduce((total, tally) => total + value(tally), 0);
+  const violations = sum((tally) => tally.violations);
+  const matrix = {
+    cells: tallies.length,
+    runs: sum((tally) => tally.runs),
+    violations,
+    unreached: tallies.filter((tally) => tally.reached === 0).length,
+  };
+  console.log(JSON.stringify({ matrix }));
+  return violations === 0;
+}
+
+async function repeat(name: string): Promise<boolean> {
+  const cell = cellOf(name);
+  if (cell === undefined) {
+    console.error(`Cannot find cell "${name}"`);
+    return false;
+  }
+  const run = await runCell(cell, { seed: options.seed });
+  console.log(run.trace);
+  for (const violation of run.violations) console.log(violation);
+  const matrix = {
+    cells: 1,
+    runs: 1,
+    violations: run.violations.length === 0 ? 0 : 1,
+    unreached: run.reached ? 0 : 1,
+  };
+  console.log(JSON.stringify({ matrix }));
+  return run.violations.length === 0;
+}
+
+const good = options.cell === undefined
+  ? await runAll(
+    allCells().filter((cell) =>
+      options.step === undefined || cell.step.name === options.step
+    ),
+  )
+  : await repeat(options.cell);
+process.exitCode = good ? 0 : 1;
