Divide the classes of work among the roles by a linear program

Cause: long prompts went to engines in the decode role and held their slots while they waited for their prefill; urgent answers came late behind them. Change: each entry divides its classes among the roles every second; no less urgent work goes to an endpoint whose prompts already wait; the wait of a queue is predicted from its measured drain; a paused attempt goes on before new bulk work; a prompt that waits takes no place in the batch.

--- a/bench/load_job.ts
+++ b/bench/load_job.ts
@@ -43,7 +43,11 @@
   return found;
 }
 
+const scales = new Map<string, Scale>();
+
 export function scaleOf(deployment: Deployment): Scale {
+  const known = scales.get(deployment.name);
+  if (known !== undefined) return known;
   const capacities = new Map<string, number>();
   const roles = new Map<string, RoleCounts>();
   for (const pool of deployment.inventory.pools) {
@@ -52,7 +56,9 @@
     if (pool.engine === undefined) continue;
     roles.set(pool.name, bestStaticRoles(deployment, pool, capacity));
   }
-  return { capacities, roles };
+  const scale = { capacities, roles };
+  scales.set(deployment.name, scale);
+  return scale;
 }
 
 /** All seeds of one cell, one after the other. */
--- a/bench/load_run.ts
+++ b/bench/load_run.ts
@@ -271,7 +271,7 @@
       mostOutputTokens: 2_000,
       deliveredTokens: 0,
       deadline: this.timer.now() + shape.workClass.deadlineSeconds * 1_000,
-      prefixHashes: arrival.document ? [arrival.document, id] : [],
+      prefixHashes: arrival.document ? prefixesOf(arrival.document, id) : [],
       idempotent: shape.idempotent,
       excluded: new Set(),
       availabilityZone: identifier<AvailabilityZoneId>(zone),
@@ -389,6 +389,17 @@
   }
 }
 
+const PREFIX_BLOCKS = 10;
+
+/** Hashes of the prompt's blocks: the document's first, then its own. */
+function prefixesOf(document: string, id: string): string[] {
+  const shared = Math.round(DOCUMENT_SHARE * PREFIX_BLOCKS);
+  return Array.from(
+    { length: PREFIX_BLOCKS },
+    (_, block) => `${block < shared ? document : id}/${block}`,
+  );
+}
+
 function cancelledSummary(): AttemptSummary {
   return { result: "cancelled", tokens: 0, totalMilliseconds: 0 };
 }
--- a/bench/load_side.ts
+++ b/bench/load_side.ts
@@ -66,6 +66,7 @@
       timer: options.timer,
       mostRunning: this.engine?.slots ?? options.serviceSlots,
       mostWaiting: options.plain ? Infinity : options.mostWaiting,
+      mostBeforeFirstToken: options.engine === undefined ? 0 : 2,
       toleratedSlowdown: options.plain ? Infinity : undefined,
     });
   }
@@ -96,6 +97,7 @@
       load: this.load(),
       configurationVersion: 1,
       ordersRead: 0,
+      orderTaken: 0,
     };
   }
 
@@ -149,7 +151,7 @@
       if (entered.isErr()) return end("not_run");
       slot = entered.value;
       if (over) return slot.release();
-      job = this.#start(attempt, end);
+      job = this.#start(attempt, slot, end);
       this.#jobs.set(attempt.attemptId, job);
     });
     this.#pauseForUrgent();
@@ -163,6 +165,7 @@
 
   #start(
     attempt: SideAttempt,
+    slot: Slot,
     end: (result: "answered" | "failed") => void,
   ): RunningJob {
     const { timer } = this.#options;
@@ -183,7 +186,10 @@
       outputTokens: attempt.outputTokens,
       priority: this.#options.plain ? 0 : attempt.priority,
       prefix: attempt.prefix,
-      onFirstToken: attempt.onFirstToken,
+      onFirstToken: () => {
+        slot.token();
+        attempt.onFirstToken();
+      },
       onEnd: () => end("answered"),
     });
   }
@@ -192,7 +198,7 @@
     this.#open -= 1;
     this.#jobs.delete(attempt.attemptId);
     slot?.release();
-    this.#resumeOne();
+    this.#resumePaused();
     this.#changeWhenDrained();
   }
 
@@ -204,11 +210,13 @@
     slot.pause();
   }
 
-  #resumeOne(): void {
-    const slot = this.limiter.toResume();
-    if (slot === undefined) return;
-    slot.resume();
-    this.#jobs.get(slot.attemptId as string)?.resume();
+  #resumePaused(): void {
+    for (;;) {
+      const slot = this.limiter.toResume();
+      if (slot === undefined) return;
+      slot.resume();
+      this.#jobs.get(slot.attemptId as string)?.resume();
+    }
   }
 
   #changeWhenDrained(): void {
--- a/src/core/limits/side_limiter.ts
+++ b/src/core/limits/side_limiter.ts
@@ -11,6 +11,12 @@
   readonly timer: TimerService;
   readonly mostRunning: number;
   readonly mostWaiting: number;
+  /**
+   * Attempts without a first token that are let in beyond the limit. Engines
+   * process prompts one after the other, and a prompt that waits takes no place
+   * of the batch; without any, the batch runs short while a prompt is read.
+   */
+  readonly mostBeforeFirstToken?: number;
   /** Aim for the time between tokens; without it the limit finds its own. */
   readonly targetMillisecondsBetweenTokens?: number;
   readonly toleratedSlowdown?: number;
@@ -57,6 +63,7 @@
   readonly slot: Slot;
   lastTokenAt?: number;
   paused: boolean;
+  hasToken: boolean;
   backlogTokens: number;
 }
 
@@ -69,16 +76,22 @@
 export class SideLimiter {
   readonly #timer: TimerService;
   readonly #mostWaiting: number;
+  readonly #mostBeforeFirstToken: number;
   readonly #limit: AdaptiveLimit;
   readonly #held = new Set<Held>();
   /** Sorted, most urgent first; short by its bound. */
   readonly #waiting: Waiter[] = [];
+  /** Held and not paused. */
   #running = 0;
+  /** Of those, without a first token. */
+  #beforeFirstToken = 0;
+  #paused = 0;
   #order = 0;
 
   constructor(options: SideLimiterOptions) {
     this.#timer = options.timer;
     this.#mostWaiting = options.mostWaiting;
+    this.#mostBeforeFirstToken = options.mostBeforeFirstToken ?? 0;
     this.#limit = new AdaptiveLimit({
       mostRunning: options.mostRunning,
       targetMilliseconds: options.targetMillisecondsBetweenTokens,
@@ -96,7 +109,7 @@
         err(failure(LateError, { waitedMilliseconds: 0 })),
       );
     }
-    if (this.#running < this.#limit.limit && this.#waiting.length === 0) {
+    if (this.#waiting.length === 0 && this.#hasPlaceFor(options.priority)) {
       return Promise.resolve(ok(this.#hold(options)));
     }
     if (!this.#makeRoomFor(options)) {
@@ -138,14 +151,8 @@
 
   /** Paused attempt that may go on, because there is room and nobody waits. */
   toResume(): Slot | undefined {
-    if (this.#running >= this.#limit.limit) return undefined;
-    let chosen: Held | undefined;
-    for (const held of this.#held) {
-      if (!held.paused) continue;
-      if (!chosen || held.options.priority < chosen.options.priority) {
-        chosen = held;
-      }
-    }
+    if (!this.#hasPlace) return undefined;
+    const chosen = this.#mostUrgentPaused();
     if (chosen === undefined) return undefined;
     const first = this.#waiting[0];
     if (first && first.options.priority < chosen.options.priority) {
@@ -163,7 +170,7 @@
     return {
       running: this.#held.size,
       waiting: this.#waiting.length,
-      limit: this.#limit.limit,
+      limit: this.#limit.limit + this.#mostBeforeFirstToken,
       millisecondsBetweenTokens: this.#limit.millisecondsBetweenTokens,
       prefillBacklogTokens: backlog,
     };
@@ -173,6 +180,7 @@
     const held: Held = {
       options,
       paused: false,
+      hasToken: false,
       backlogTokens: options.promptTokens ?? 0,
       slot: {
         attemptId: options.attemptId,
@@ -184,37 +192,77 @@
       },
     };
     this.#held.add(held);
-    this.#running += 1;
+    this.#count(held, 1);
     this.#limit.adjust(this.#timer.now(), this.#running);
     return held.slot;
   }
 
   #token(held: Held): void {
     const now = this.#timer.now();
-    if (held.lastTokenAt === undefined) held.backlogTokens = 0;
-    else this.observeBetweenTokens(now - held.lastTokenAt);
+    if (held.lastTokenAt !== undefined) {
+      this.observeBetweenTokens(now - held.lastTokenAt);
+    }
     held.lastTokenAt = now;
+    if (held.hasToken || !this.#held.has(held)) return;
+    held.backlogTokens = 0;
+    held.hasToken = true;
+    if (held.paused) return;
+    this.#beforeFirstToken -= 1;
+    this.#letIn();
+  }
+
+  #count(held: Held, change: 1 | -1): void {
+    this.#running += change;
+    if (!held.hasToken) this.#beforeFirstToken += change;
   }
 
   #setPaused(held: Held, paused: boolean): void {
     if (!this.#held.has(held) || held.paused === paused) return;
     held.paused = paused;
     held.lastTokenAt = undefined;
-    this.#running += paused ? -1 : 1;
+    this.#count(held, paused ? -1 : 1);
+    this.#paused += paused ? 1 : -1;
     this.#letIn();
   }
 
   #release(held: Held): void {
     if (!this.#held.delete(held)) return;
-    if (!held.paused) this.#running -= 1;
+    if (held.paused) this.#paused -= 1;
+    else this.#count(held, -1);
     this.#limit.adjust(this.#timer.now(), this.#running);
     this.#letIn();
   }
 
+  get #hasPlace(): boolean {
+    const extra = Math.min(this.#beforeFirstToken, this.#mostBeforeFirstToken);
+    return this.#running - extra < this.#limit.limit;
+  }
+
+  /** A paused attempt goes on before anything that is not more urgent. */
+  #hasPlaceFor(priority: number): boolean {
+    if (!this.#hasPlace) return false;
+    const paused = this.#mostUrgentPaused();
+    return paused === undefined || priority < paused.options.priority;
+  }
+
+  #mostUrgentPaused(): Held | undefined {
+    if (this.#paused === 0) return undefined;
+    let chosen: Held | undefined;
+    for (const held of this.#held) {
+      if (!held.paused) continue;
+      if (!chosen || held.options.priority < chosen.options.priority) {
+        chosen = held;
+      }
+    }
+    return chosen;
+  }
+
   #letIn(): void {
-    while (this.#running < this.#limit.limit) {
-      const waiter = this.#waiting.shift();
+    for (;;) {
+      const waiter = this.#waiting[0];
       if (waiter === undefined) return;
+      if (!this.#hasPlaceFor(waiter.options.priority)) return;
+      this.#waiting.shift();
       waiter.alarm?.cancel();
       waiter.settle(ok(this.#hold(waiter.options)));
     }
--- a/src/core/placement/endpoint_picture.ts
+++ b/src/core/placement/endpoint_picture.ts
@@ -5,6 +5,9 @@
 import { roleRates } from "../roles/mod.ts";
 import { EndpointHealth, type HealthLimits } from "./endpoint_health.ts";
 
+/** Weight of the older placements: the last twenty count most. */
+const PLACED_DECAY = 0.95;
+
 /** What is known of an endpoint before it has reported. */
 export interface EndpointFacts {
   readonly endpoint: EndpointId;
@@ -20,6 +23,10 @@
   readonly health: HealthLimits;
   /** Time in which half of a report's foreign load is taken to be gone. */
   readonly reportHalfLifeMilliseconds: number;
+  /** Prompts waiting above which less urgent classes find no room. */
+  readonly mostPrefillWaitMilliseconds: number;
+  /** Requests sent beyond the limit, to wait at the side. */
+  readonly extraPlaces: number;
   /** Share of the limit that less urgent classes may hold. */
   readonly lessUrgentShare: number;
 }
@@ -54,6 +61,8 @@
   #ownLessUrgent = 0;
   /** For each rank of class: when the prompts up to that rank are done. */
   readonly #prefillDoneAt: number[] = [];
+  /** Prompts placed here lately by rank, with a decaying weight. */
+  readonly #placedTokens: number[] = [];
 
   constructor(
     facts: EndpointFacts,
@@ -121,15 +130,26 @@
     this.#reportedAt = receivedAt - (load.ageMilliseconds ?? 0);
     this.#foreign = Math.max(0, load.running + load.waiting - this.#own);
     if (load.prefillBacklogTokens === undefined) return;
-    const last = this.#ranks - 1;
-    const before = Math.max(1, this.prefillWait(last, receivedAt));
     const wait = this.#prefillMilliseconds(load.prefillBacklogTokens);
-    for (let rank = 0; rank <= last; rank++) {
-      const share = Math.min(1, this.prefillWait(rank, receivedAt) / before);
+    for (let rank = 0; rank < this.#ranks; rank++) {
+      const share = this.#shareUpTo(rank);
       this.#prefillDoneAt[rank] = receivedAt + wait * share;
     }
   }
 
+  /** Share of the prompts placed here lately that are of the rank or above. */
+  #shareUpTo(rank: number): number {
+    if (rank === this.#ranks - 1) return 1;
+    let upTo = 0;
+    let all = 0;
+    for (let other = 0; other < this.#ranks; other++) {
+      const tokens = this.#placedTokens[other] ?? 0;
+      all += tokens;
+      if (other <= rank) upTo += tokens;
+    }
+    return all === 0 ? 1 : upTo / all;
+  }
+
   /** Work of others at the endpoint, as far as it is still there. */
   foreign(now: number): number {
     const age = Math.max(0, now - this.#reportedAt);
@@ -139,9 +159,13 @@
 
   /** Free places for a request of the rank; the most urgent rank is 0. */
   room(rank: number, now: number): number {
-    const free = this.#limit - this.#own - this.foreign(now);
+    const free = this.#limit + this.#options.extraPlaces - this.#own -
+      this.foreign(now);
     if (rank === 0) return free;
-    const most = Math.max(1, this.#limit * this.#options.lessUrgentShare);
+    const wait = this.prefillWait(rank, now);
+    if (wait > this.#options.mostPrefillWaitMilliseconds) return 0;
+    const most = Math.max(1, this.#limit * this.#options.lessUrgentShare) +
+      this.#options.extraPlaces;
     return Math.min(free, most - this.#ownLessUrgent);
   }
 
@@ -183,15 +207,33 @@
     this.#reportedAt = now;
   }
 
+  /** Time of the whole engine that the work takes, milliseconds. */
+  engineMilliseconds(
+    work: { promptTokens: number; outputTokens: number },
+  ): number {
+    return this.health.slowness *
+      (this.#prefillMilliseconds(work.promptTokens) +
+        work.outputTokens * 1_000 / this.#rates.outputTokensPerSecond);
+  }
+
   started(attempt: OwnAttempt, now: number): void {
     this.#own += 1;
     if (attempt.rank > 0) this.#ownLessUrgent += 1;
+    this.#notePlaced(attempt);
     const cost = this.#prefillMilliseconds(attempt.promptTokens);
     for (let rank = attempt.rank; rank < this.#ranks; rank++) {
       this.#prefillDoneAt[rank] = now + this.prefillWait(rank, now) + cost;
     }
   }
 
+  #notePlaced(attempt: OwnAttempt): void {
+    for (let rank = 0; rank < this.#ranks; rank++) {
+      const added = rank === attempt.rank ? attempt.promptTokens : 0;
+      this.#placedTokens[rank] = PLACED_DECAY *
+          (this.#placedTokens[rank] ?? 0) + added;
+    }
+  }
+
   ended(attempt: OwnAttempt): void {
     this.#own -= 1;
     if (attempt.rank > 0) this.#ownLessUrgent -= 1;
--- a/src/core/placement/mod.ts
+++ b/src/core/placement/mod.ts
@@ -13,6 +13,7 @@
   type PlacerOptions,
 } from "./placer.ts";
 export { PrefixIndex } from "./prefix_index.ts";
+export { type RoutingOptions, RoutingPlan } from "./routing_plan.ts";
 export {
   chooseSubset,
   type SubsetCandidate,
--- a/src/core/placement/placer.ts
+++ b/src/core/placement/placer.ts
@@ -1,8 +1,10 @@
 import type { EndpointId } from "../identity/mod.ts";
 import type { Random } from "../random/mod.ts";
 import type { RequestProfile } from "../requests/mod.ts";
+import type { RoleCounts } from "../roles/mod.ts";
 import type { EndpointPicture } from "./endpoint_picture.ts";
 import { PrefixIndex } from "./prefix_index.ts";
+import type { RoutingPlan } from "./routing_plan.ts";
 
 export interface PlacerOptions {
   readonly random: Random;
@@ -14,6 +16,8 @@
   /** Load above the pool's mean up to which a cached prefix is followed. */
   readonly mostAffinityLoad: number;
   readonly mostPrefixes: number;
+  /** Weight of the engine's time against the finish. */
+  readonly engineCostWeight: number;
   /** Share of the endpoints that may be ejected at once. */
   readonly mostEjectedShare: number;
 }
@@ -30,6 +34,10 @@
 export interface Candidate {
   readonly picture: EndpointPicture;
   readonly milliseconds: number;
+  /** Tokens of the prompt that the endpoint has to process. */
+  readonly promptTokens: number;
+  /** What candidates are compared by; smaller is better. */
+  readonly score: number;
 }
 
 /**
@@ -42,6 +50,7 @@
   readonly #options: PlacerOptions;
   readonly #prefixes: PrefixIndex;
   #pictures: readonly EndpointPicture[] = [];
+  #plan: RoutingPlan | undefined;
   #byId = new Map<EndpointId, EndpointPicture>();
 
   constructor(options: PlacerOptions) {
@@ -70,13 +79,33 @@
     this.#prefixes.learn(endpoint, event.added);
   }
 
-  /** True where a request of the rank finds a free place. */
-  hasRoom(rank: number, now: number): boolean {
+  /** Takes a new division of the classes among the roles. */
+  follow(plan: RoutingPlan): void {
+    plan.continueFrom(this.#plan);
+    this.#plan = plan;
+  }
+
+  /** True where a request of the class finds a free place. */
+  hasRoom(className: string, options: { rank: number; now: number }): boolean {
+    const { rank, now } = options;
     return this.#pictures.some((picture) =>
-      isOpen(picture, now) && picture.room(rank, now) >= 1
+      isOpen(picture, now) && picture.room(rank, now) >= 1 &&
+      (rank === 0 || this.#suits(picture, className))
     );
   }
 
+  /**
+   * True where the plan gives the class to the endpoint's role. The most
+   * urgent class takes another role as well: for it a free place in the wrong
+   * one is better than a wait.
+   */
+  #suits(picture: EndpointPicture, className: string): boolean {
+    const plan = this.#plan;
+    if (plan === undefined || !plan.serves(className)) return true;
+    return plan.share(className, picture.role) > 0 &&
+      !plan.hasHadEnough(className, picture.role);
+  }
+
   /** Places that the pool offers to this entry, free or taken by it. */
   places(now: number): number {
     let places = 0;
@@ -87,6 +116,15 @@
     return places;
   }
 
+  /** Number of endpoints that get work, by role. */
+  usable(now: number): RoleCounts {
+    const counts = { mixed: 0, prefill: 0, decode: 0 };
+    for (const picture of this.#pictures) {
+      if (isOpen(picture, now)) counts[picture.role] += 1;
+    }
+    return counts;
+  }
+
   /** Any endpoint that could serve now or soon. */
   hasUsable(now: number): boolean {
     return this.#pictures.some((picture) => isOpen(picture, now));
@@ -117,7 +155,26 @@
     const milliseconds = zone +
       picture.firstTokenMilliseconds({ promptTokens, rank }, now) +
       picture.decodeMilliseconds(question.outputTokens);
-    return { picture, milliseconds };
+    const cost = picture.engineMilliseconds({
+      promptTokens,
+      outputTokens: question.outputTokens,
+    });
+    const score = milliseconds + this.#options.engineCostWeight * cost;
+    return { picture, milliseconds, promptTokens, score };
+  }
+
+  /** Least time of a whole engine that the request takes anywhere. */
+  leastEngineMilliseconds(question: PlacementQuestion): number {
+    let least = Infinity;
+    for (const picture of this.#pictures) {
+      if (!isOpen(picture, question.now)) continue;
+      const cost = picture.engineMilliseconds({
+        promptTokens: question.profile.promptTokens,
+        outputTokens: question.outputTokens,
+      });
+      least = Math.min(least, cost);
+    }
+    return least;
   }
 
   /** The shortest finish that any healthy endpoint offers now. */
@@ -133,6 +190,8 @@
 
   learnPlacement(endpoint: EndpointId, profile: RequestProfile): void {
     this.#prefixes.learn(endpoint, profile.prefixHashes);
+    const role = this.#byId.get(endpoint)?.role;
+    if (role !== undefined) this.#plan?.placed(profile.className, role);
   }
 
   /** Ejects what is bad, as far as the ceiling allows. */
@@ -161,18 +220,36 @@
     open: readonly EndpointPicture[],
     question: PlacementQuestion,
   ): Candidate {
-    const roomy = open.filter((one) =>
-      one.room(question.rank, question.now) >= 1
-    );
-    const from = roomy.length > 0 ? roomy : open;
+    const { rank, now, profile } = question;
+    const roomy = open.filter((one) => one.room(rank, now) >= 1);
+    const suited = roomy.filter((one) => this.#suits(one, profile.className));
+    const usable = suited.length > 0 ? suited : roomy;
+    const from = this.#ofOneRole(usable.length > 0 ? usable : open, question);
     let best = this.#judge(this.#draw(from), question);
     for (let drawn = 1; drawn < this.#options.choices; drawn++) {
       const other = this.#judge(this.#draw(from), question);
-      if (other.milliseconds < best.milliseconds) best = other;
+      if (other.score < best.score) best = other;
     }
     return this.#withAffinity(best, from, question);
   }
 
+  /** Endpoints of one role, drawn by the shares of the plan. */
+  #ofOneRole(
+    from: readonly EndpointPicture[],
+    { profile }: PlacementQuestion,
+  ): readonly EndpointPicture[] {
+    const plan = this.#plan;
+    if (plan === undefined) return from;
+    const roles = [...new Set(from.map((one) => one.role))];
+    if (roles.length === 1) return from;
+    const shares = roles.map((role) => plan.share(profile.className, role));
+    const total = shares.reduce((sum, share) => sum + share, 0);
+    let drawn = this.#options.random() * total;
+    const role = roles.find((_, index) => (drawn -= shares[index]) < 0);
+    if (role === undefined) return from;
+    return from.filter((one) => one.role === role);
+  }
+
   #draw(from: readonly EndpointPicture[]): EndpointPicture {
     return from[Math.floor(this.#options.random() * from.length)];
   }
@@ -191,7 +268,7 @@
       meanOccupancy(from, question.now);
     if (holder.occupancy(question.now) > Math.max(bound, 0.1)) return best;
     const candidate = this.#judge(holder, question);
-    return candidate.milliseconds <= best.milliseconds ? candidate : best;
+    return candidate.score <= best.score ? candidate : best;
   }
 
   #cachedShare(picture: EndpointPicture, profile: RequestProfile): number {
--- a/src/core/roles/capacity.ts
+++ b/src/core/roles/capacity.ts
@@ -28,49 +28,95 @@
   readonly usableShare: number;
 }
 
+/** How the work of a pool is best divided among its roles. */
+export interface WorkDivision {
+  /** Value of the answers per second that the pool can give. */
+  readonly value: number;
+  /** Share of the rates that the busiest role needs, at most 1. */
+  readonly utilisation: number;
+  /** Requests per second of each class (by place) in each of `ROLES`. */
+  readonly rates: readonly (readonly number[])[];
+}
+
+/** Weight of the utilisation against one unit of value: only breaks ties. */
+const UTILISATION_WEIGHT = 1e-3;
+
 /**
- * Value of the answers per second that a pool can give, with the work divided
- * among the roles as well as it can be: a linear program over classes and
- * roles, with the prompt and the output rate of each role as limits.
+ * Divides the work among the roles: a linear program over classes and roles,
+ * with the prompt and the output rate of each role as limits; prompts take
+ * their part of the output rate as well, since both share the steps. Of the divisions
+ * with the same value it takes one whose busiest role is the least busy, so
+ * that spare capacity is spread and waits stay short.
  */
-export function servedPerSecond(
+export function divideWork(
   demand: readonly ClassDemand[],
   counts: RoleCounts,
   options: CapacityOptions,
-): number {
-  const objective: number[] = [];
-  const prompts: number[][] = ROLES.map(() => []);
-  const outputs: number[][] = ROLES.map(() => []);
-  const arrivals: number[][] = demand.map(() => []);
+): WorkDivision {
+  const columns = demand.length * ROLES.length + 1;
+  const total = demand.reduce((sum, one) => sum + one.arrivalsPerSecond, 0);
+  const objective = demand.flatMap((one) => ROLES.map(() => one.value));
+  objective.push(-UTILISATION_WEIGHT * Math.max(total, TINY_RATE));
+  const rows: number[][] = [];
+  const limits: number[] = [];
+  for (const [place, role] of ROLES.entries()) {
+    const rates = roleRates(options.engine, options.profiles[role]);
+    const drag = rates.promptDrag * rates.outputTokensPerSecond /
+      rates.prefillTokensPerSecond;
+    const engines = counts[role] * options.usableShare;
+    rows.push(
+      resourceRow(demand, place, {
+        limit: engines * rates.prefillTokensPerSecond,
+        need: (one) => one.promptTokens,
+      }),
+      resourceRow(demand, place, {
+        limit: engines * rates.outputTokensPerSecond,
+        need: (one) => one.outputTokens + drag * one.promptTokens,
+      }),
+    );
+    limits.push(0, 0);
+  }
   for (const [index, one] of demand.entries()) {
-    for (const [place] of ROLES.entries()) {
-      objective.push(one.value);
-      prompts.forEach((row, other) =>
-        row.push(other === place ? one.promptTokens : 0)
-      );
-      outputs.forEach((row, other) =>
-        row.push(other === place ? one.outputTokens : 0)
-      );
-      arrivals.forEach((row, other) => row.push(other === index ? 1 : 0));
-    }
+    const row = new Array<number>(columns).fill(0);
+    row.fill(1, index * ROLES.length, (index + 1) * ROLES.length);
+    rows.push(row);
+    limits.push(one.arrivalsPerSecond);
   }
-  const rates = ROLES.map((role) =>
-    roleRates(options.engine, options.profiles[role])
+  rows.push([...new Array<number>(columns - 1).fill(0), 1]);
+  limits.push(1);
+  const { solution } = maximise({ objective, rows, limits });
+  const rates = demand.map((_, index) =>
+    solution.slice(index * ROLES.length, (index + 1) * ROLES.length)
   );
-  const usable = (role: Role) => counts[role] * options.usableShare;
-  return maximise({
-    objective,
-    rows: [...prompts, ...outputs, ...arrivals],
-    limits: [
-      ...ROLES.map((role, index) =>
-        usable(role) * rates[index].prefillTokensPerSecond
-      ),
-      ...ROLES.map((role, index) =>
-        usable(role) * rates[index].outputTokensPerSecond
-      ),
-      ...demand.map((one) => one.arrivalsPerSecond),
-    ],
-  });
+  let value = 0;
+  for (const [index, one] of demand.entries()) {
+    for (const rate of rates[index]) value += rate * one.value;
+  }
+  return { value, utilisation: solution[columns - 1], rates };
+}
+
+const TINY_RATE = 1e-6;
+
+/** Row of one role's resource: what is used, less the utilised limit, <= 0. */
+function resourceRow(
+  demand: readonly ClassDemand[],
+  place: number,
+  resource: { limit: number; need: (one: ClassDemand) => number },
+): number[] {
+  const row = demand.flatMap((one) =>
+    ROLES.map((_, other) => (other === place ? resource.need(one) : 0))
+  );
+  row.push(-resource.limit);
+  return row;
+}
+
+/** Value of the answers per second that a pool can give; see `divideWork`. */
+export function servedPerSecond(
+  demand: readonly ClassDemand[],
+  counts: RoleCounts,
+  options: CapacityOptions,
+): number {
+  return divideWork(demand, counts, options).value;
 }
 
 /** The counts after one engine has gone from one role to another. */
--- a/src/core/roles/linear_program.ts
+++ b/src/core/roles/linear_program.ts
@@ -6,26 +6,38 @@
   readonly limits: readonly number[];
 }
 
+export interface Optimum {
+  readonly value: number;
+  readonly solution: readonly number[];
+}
+
 const TOLERANCE = 1e-9;
 
 /**
- * Largest value of the objective, by the simplex method on a dense tableau.
+ * Largest value of the objective and where it lies, by the simplex method on a dense tableau.
  * The programs here have some dozens of columns and rows; each pivot costs
  * their product. `mostPivots` ends a degenerate program early, with a value
- * that can be reached though it may not be the largest.
+ * that can be reached though it may not be the largest; a program without an
+ * upper limit ends the same way.
  */
-export function maximise(program: LinearProgram, mostPivots = 500): number {
+export function maximise(program: LinearProgram, mostPivots = 500): Optimum {
   const tableau = tableauOf(program);
+  const basis = program.rows.map((_, row) => program.objective.length + row);
   const columns = program.objective.length + program.rows.length;
   const cost = tableau[tableau.length - 1];
   for (let pivots = 0; pivots < mostPivots; pivots++) {
     const column = enteringColumn(cost, columns);
     if (column === -1) break;
     const row = leavingRow(tableau, column, columns);
-    if (row === -1) return Infinity;
+    if (row === -1) break;
     pivot(tableau, row, column);
+    basis[row] = column;
   }
-  return cost[columns];
+  const solution = program.objective.map((_, column) => {
+    const row = basis.indexOf(column);
+    return row === -1 ? 0 : tableau[row][columns];
+  });
+  return { value: cost[columns], solution };
 }
 
 function tableauOf({ objective, rows, limits }: LinearProgram): number[][] {
--- a/src/core/roles/mod.ts
+++ b/src/core/roles/mod.ts
@@ -2,9 +2,11 @@
 export {
   type CapacityOptions,
   type ClassDemand,
+  divideWork,
   moved,
   type RoleCounts,
   servedPerSecond,
+  type WorkDivision,
 } from "./capacity.ts";
 export type {
   PlannedEndpoint,
--- a/src/core/roles/role_profile.ts
+++ b/src/core/roles/role_profile.ts
@@ -9,8 +9,13 @@
   readonly prefillShare: number;
   /** Share of the rated slots. */
   readonly slotShare: number;
-  /** Factor on the rated time between tokens with all of the role's slots in use. */
+  /**
+   * Factor on the rated time between tokens with all of the role's slots in
+   * use and no prompt processed.
+   */
   readonly decodeFactor: number;
+  /** Share of the output rate that is lost while prompts are processed. */
+  readonly promptDrag: number;
 }
 
 /**
@@ -20,15 +25,32 @@
  * and backlog wherever an engine has told them.
  */
 export const ROLE_PROFILES: Readonly<Record<Role, RoleProfile>> = {
-  prefill: { prefillShare: 1, slotShare: 0.3, decodeFactor: 1.08 },
-  mixed: { prefillShare: 0.55, slotShare: 0.6, decodeFactor: 1.05 },
-  decode: { prefillShare: 0.15, slotShare: 1, decodeFactor: 1.05 },
+  prefill: {
+    prefillShare: 1,
+    slotShare: 0.3,
+    decodeFactor: 0.72,
+    promptDrag: 0.33,
+  },
+  mixed: {
+    prefillShare: 0.55,
+    slotShare: 0.6,
+    decodeFactor: 0.84,
+    promptDrag: 0.2,
+  },
+  decode: {
+    prefillShare: 0.15,
+    slotShare: 1,
+    decodeFactor: 1,
+    promptDrag: 0.05,
+  },
 };
 
 /** Rates of one engine in one role. */
 export interface RoleRates {
   readonly prefillTokensPerSecond: number;
+  /** While no prompt is processed. */
   readonly outputTokensPerSecond: number;
+  readonly promptDrag: number;
   readonly slots: number;
   readonly millisecondsBetweenTokens: number;
 }
@@ -47,6 +69,7 @@
     prefillTokensPerSecond: engine.prefillTokensPerSecond *
       profile.prefillShare,
     outputTokensPerSecond: slots * 1_000 / millisecondsBetweenTokens,
+    promptDrag: profile.promptDrag,
     slots,
     millisecondsBetweenTokens,
   };
--- a/src/core/scheduling/entry_scheduler.ts
+++ b/src/core/scheduling/entry_scheduler.ts
@@ -74,6 +74,7 @@
         availabilityZone: this.#options.availabilityZone,
         salt: this.#options.name ?? this.#options.availabilityZone,
         policy: this.#options.policy ?? DEFAULT_POLICY,
+        entriesSharing: this.#options.entriesSharing ?? (() => 1),
       });
       this.#pools.set(pool.name, scheduler);
       for (const { id } of pool.endpoints) this.#poolOf.set(id, scheduler);
--- a/src/core/scheduling/pool_scheduler.ts
+++ b/src/core/scheduling/pool_scheduler.ts
@@ -1,18 +1,25 @@
 import PQueue from "p-queue";
 import { err, ok, type Result } from "neverthrow";
-import { OutputLengths, PredictionError, refusal } from "../admission/mod.ts";
+import {
+  DrainMeter,
+  OutputLengths,
+  PredictionError,
+  refusal,
+} from "../admission/mod.ts";
 import type { EndpointId } from "../identity/mod.ts";
 import {
   EndpointPicture,
   type PlacementQuestion,
   Placer,
+  RoutingPlan,
 } from "../placement/mod.ts";
 import { type QueueOptions, RequestQueue } from "../queueing/mod.ts";
 import type { Random } from "../random/mod.ts";
 import type { Refusal, RequestProfile } from "../requests/mod.ts";
 import { retryAfterMilliseconds } from "../retry/mod.ts";
+import { ROLE_PROFILES } from "../roles/mod.ts";
 import type { Subscription, TimerService } from "../time/mod.ts";
-import type { Pool } from "../../generated/inventory.ts";
+import type { EngineCharacteristics, Pool } from "../../generated/inventory.ts";
 import type { Rules, WorkClass } from "../../generated/rules.ts";
 import { DemandWindow } from "./demand_window.ts";
 import type { SchedulingPolicy } from "./policy.ts";
@@ -30,13 +37,14 @@
   readonly availabilityZone: string;
   readonly salt: string;
   readonly policy: SchedulingPolicy;
+  readonly entriesSharing: () => number;
 }
 
 /** A request from its admission to the end of its attempt. */
 interface Admitted {
   readonly profile: RequestProfile;
   readonly rank: number;
-  readonly outputTokens: number;
+  readonly cost: number;
   readonly submittedAt: number;
   /** Predicted time to the whole answer, without the learned factor. */
   readonly predictedMilliseconds: number;
@@ -45,6 +53,12 @@
   alarm?: Subscription;
 }
 
+/** Time after which the classes are divided among the roles anew. */
+const DIVIDE_MILLISECONDS = 1_000;
+/** An urgent answer counts as much as this many others in the division. */
+const URGENT_VALUE = 10;
+/** Weight of one placement in the mean share of prompts not cached. */
+const UNCACHED_WEIGHT = 0.05;
 /** Least time between two reviews of the endpoints' health. */
 const REVIEW_MILLISECONDS = 200;
 
@@ -55,11 +69,15 @@
   readonly #outputs = new OutputLengths();
   readonly #errors = new PredictionError();
   readonly #window = new DemandWindow();
+  readonly #drain = new DrainMeter();
   readonly #queue: RequestQueue;
   readonly #dispatch: PQueue<RequestQueue, QueueOptions>;
+  readonly #uncached = new Map<string, number>();
   readonly #waitingById = new Map<string, Admitted>();
   #classes: readonly WorkClass[];
   #isService = false;
+  #engine: EngineCharacteristics | undefined;
+  #dividedAt = -Infinity;
   #reviewedAt = -Infinity;
   #running = 0;
 
@@ -76,7 +94,10 @@
       classes: rules.classes,
       defaultShare: policy.defaultShare,
       hasRoom: (workClass) =>
-        this.#placer.hasRoom(this.#rankOf(workClass), this.#now()),
+        this.#placer.hasRoom(workClass.name, {
+          rank: this.#rankOf(workClass),
+          now: this.#now(),
+        }),
     });
     this.#dispatch = new PQueue({ queueClass: queueClassOf(this.#queue) });
     this.configure(pool, rules);
@@ -92,6 +113,7 @@
 
   configure(pool: Pool, rules: Rules): void {
     this.#isService = pool.kind === "service";
+    this.#engine = pool.engine;
     this.#classes = sorted(rules.classes);
     this.#queue.useClasses(this.#classes);
     for (const one of this.#classes) {
@@ -144,9 +166,11 @@
 
   /** Notes the demand, whatever becomes of the request. */
   arrived(profile: RequestProfile): void {
+    this.#divide();
     this.#window.arrived(this.#now(), {
       className: profile.className,
-      promptTokens: profile.promptTokens,
+      promptTokens: profile.promptTokens *
+        (this.#uncached.get(profile.className) ?? 1),
       outputTokens: this.#expectedOutput(profile),
     });
   }
@@ -236,11 +260,22 @@
   /** Wait for a slot: what goes before, over the places that serve it. */
   #expectedWait(question: PlacementQuestion, service: number): number {
     const { rank, now } = question;
-    const ahead = this.#queue.costBefore(question.profile.className);
-    if (ahead === 0 && this.#placer.hasRoom(rank, now)) return 0;
+    const { className } = question.profile;
+    const ahead = this.#queue.costBefore(className);
+    if (ahead === 0 && this.#placer.hasRoom(className, { rank, now })) return 0;
     const share = rank === 0 ? 1 : this.#options.policy.lessUrgentShare;
     const places = Math.max(1, this.#placer.places(now) * share);
-    return (ahead + service) / places;
+    if (!this.#options.policy.learnsDrain) return (ahead + service) / places;
+    const counts = this.#placer.usable(now);
+    const expected = (counts.mixed + counts.prefill + counts.decode) /
+      this.#sharing();
+    return ahead / this.#drain.ratePerMillisecond(rank, { expected, now });
+  }
+
+  /** What a request takes of the pool, in the unit that the queue counts in. */
+  #cost(question: PlacementQuestion, service: number): number {
+    if (!this.#options.policy.learnsDrain) return service;
+    return this.#placer.leastEngineMilliseconds(question);
   }
 
   /** Requests of such service that the pool's places finish in a second. */
@@ -257,6 +292,7 @@
     service: number,
   ): WaitingRequest {
     const { profile, now } = question;
+    const cost = this.#cost(question, service);
     let settle!: (result: Result<Placement, Refusal>) => void;
     const placed = new Promise<Result<Placement, Refusal>>((resolve) => {
       settle = resolve;
@@ -264,7 +300,7 @@
     const admitted: Admitted = {
       profile,
       rank: question.rank,
-      outputTokens: question.outputTokens,
+      cost,
       submittedAt: now,
       predictedMilliseconds,
       settle,
@@ -272,12 +308,13 @@
     };
     this.#waitingById.set(profile.requestId, admitted);
     const latestStart = profile.deadline - service;
+    this.#drain.admitted(question.rank, { cost, now });
     void this.#dispatch.add(() => this.#run(admitted), {
       id: profile.requestId,
       className: profile.className,
       workspace: profile.workspace,
       latestStart,
-      cost: service,
+      cost,
     });
     if (!admitted.settled) {
       admitted.alarm = this.#options.timer.after(
@@ -305,6 +342,11 @@
   /** The job that `p-queue` runs: it ends when the slot is given back. */
   #run(admitted: Admitted): Promise<void> {
     const now = this.#now();
+    this.#drain.dispatched({
+      cost: admitted.cost,
+      now,
+      othersWait: this.#queue.waiting > 0,
+    });
     const candidate = this.#placer.choose(this.#question(admitted.profile));
     if (candidate === undefined) {
       this.#settle(admitted, err(this.refuse(admitted.profile, "no_endpoint")));
@@ -313,8 +355,9 @@
     const { picture } = candidate;
     const attempt = {
       rank: admitted.rank,
-      promptTokens: admitted.profile.promptTokens,
+      promptTokens: candidate.promptTokens,
     };
+    this.#learnCached(admitted.profile, candidate.promptTokens);
     picture.started(attempt, now);
     if (picture.health.mayProbe(now)) picture.health.probeStarted();
     this.#placer.learnPlacement(picture.facts.endpoint, admitted.profile);
@@ -374,6 +417,38 @@
     );
   }
 
+  /** Learns which share of a class's prompts has to be processed. */
+  #learnCached(profile: RequestProfile, promptTokens: number): void {
+    const { className } = profile;
+    const mean = this.#uncached.get(className) ?? 1;
+    const share = promptTokens / Math.max(1, profile.promptTokens);
+    this.#uncached.set(className, mean + UNCACHED_WEIGHT * (share - mean));
+  }
+
+  #sharing(): number {
+    return Math.max(1, this.#options.entriesSharing());
+  }
+
+  /** Divides the classes among the roles, from what this entry sees. */
+  #divide(): void {
+    const now = this.#now();
+    const { policy } = this.#options;
+    if (this.#engine === undefined || !policy.dividesByRole) return;
+    if (now - this.#dividedAt < DIVIDE_MILLISECONDS) return;
+    this.#dividedAt = now;
+    const { classes = [] } = this.#window.read("", { now, waiting: 0 });
+    const demand = classes.map((one) => ({
+      ...one,
+      arrivalsPerSecond: one.arrivalsPerSecond * this.#sharing(),
+      value: this.rank(one.className) === 0 ? URGENT_VALUE : 1,
+    }));
+    const plan = new RoutingPlan(demand, this.#placer.usable(now), {
+      engine: this.#engine,
+      profiles: ROLE_PROFILES,
+    });
+    this.#placer.follow(plan);
+  }
+
   #review(): void {
     const now = this.#now();
     if (now - this.#reviewedAt < REVIEW_MILLISECONDS) return;
