Keep bad input at the doors from ending a process

Cause: a body of [null] at the door between processes ended entry and side: the JSON-RPC library answers a batch with a promise that nobody holds, and its failure ends Node.

Change: the door takes single calls only, as our processes send no batches (src/adapters/peers/peer_server.ts). Process tests with raw sockets and generated bytes: malformed and oversized bodies, contradicting lengths, a caller that hangs up at any byte, one that reads nothing, generated JSON and parameters at the processes' doors, engines that misbehave in mid-stream. After each, another caller still gets its whole answer and every process lives.

--- a/src/adapters/peers/peer_server.ts
+++ b/src/adapters/peers/peer_server.ts
@@ -1,6 +1,6 @@
 import * as http from "node:http";
 import type { AddressInfo } from "node:net";
-import { JSONRPCServer } from "json-rpc-2.0";
+import { type JSONRPCRequest, JSONRPCServer } from "json-rpc-2.0";
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
 import type { Failure } from "../../core/errors/mod.ts";
@@ -132,7 +132,12 @@
   }
 
   async #serveCall(body: string, response: http.ServerResponse): Promise<void> {
-    const answer = await this.#calls.receiveJSON(body);
+    const call = parseCall(body);
+    if (call === undefined) {
+      response.writeHead(400).end();
+      return;
+    }
+    const answer = await this.#calls.receive(call);
     response.setHeader("content-type", "application/json");
     response.end(JSON.stringify(answer));
   }
@@ -194,6 +199,21 @@
   }
 }
 
+/**
+ * One call, never a batch: the library answers a batch with a promise that
+ * nobody holds, so that `[null]` from any process ended this one.
+ */
+function parseCall(body: string): JSONRPCRequest | undefined {
+  try {
+    const value: unknown = JSON.parse(body);
+    const single = typeof value === "object" && value !== null &&
+      !Array.isArray(value);
+    return single ? value as JSONRPCRequest : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
 function parseAttempt(body: string): AttemptRequest | undefined {
   try {
     const value: unknown = JSON.parse(body);
