Count goodput by the class and deadline that the entry decided

Cause: metrics took the class from the caller's wish and knew no deadline, so that every complete answer counted as goodput.

A process test reads the spans of one request through entry, side and endpoint, and the metrics.

--- a/src/adapters/telemetry/metrics.ts
+++ b/src/adapters/telemetry/metrics.ts
@@ -134,13 +134,6 @@
     }
   }
 
-  /** Takes the deadlines of the rules in force; they decide what is on time. */
-  configure(
-    classes: readonly { name: string; deadlineSeconds: number }[],
-  ): void {
-    this.#times.setDeadlines(classes);
-  }
-
   /** Pass it to a core as its observation function. */
   readonly observe = (event: HistoryEvent): void => {
     this.#times.observe(event);
--- a/src/adapters/telemetry/request_times.ts
+++ b/src/adapters/telemetry/request_times.ts
@@ -22,8 +22,6 @@
 interface OpenRequest {
   className: string;
   readonly receivedAt: number;
-  /** Time that the caller itself still waits. */
-  readonly ownDeadlineSeconds: number;
   placed: boolean;
   lastTokenAt: number | undefined;
   tokens: number;
@@ -49,7 +47,6 @@
   readonly #listener: RequestTimesListener;
   readonly #open = new Map<string, OpenRequest>();
   readonly #classes = new Set<string>();
-  #deadlineSeconds: ReadonlyMap<string, number> = new Map();
 
   constructor(listener: RequestTimesListener) {
     this.#listener = listener;
@@ -59,14 +56,6 @@
     return this.#open.size;
   }
 
-  setDeadlines(
-    classes: readonly { name: string; deadlineSeconds: number }[],
-  ): void {
-    this.#deadlineSeconds = new Map(
-      classes.map((each) => [each.name, each.deadlineSeconds]),
-    );
-  }
-
   observe(event: HistoryEvent): void {
     switch (event.kind) {
       case "request_received":
@@ -84,7 +73,6 @@
     this.#open.set(String(facts.requestId), {
       className: this.#classOf(facts) ?? NO_CLASS,
       receivedAt: at,
-      ownDeadlineSeconds: Number(facts.deadlineMilliseconds ?? Infinity) / 1000,
       placed: false,
       lastTokenAt: undefined,
       tokens: 0,
@@ -131,20 +119,14 @@
       reason: String(facts.reason ?? "unnamed"),
       tokens: request.tokens,
       seconds,
-      onTime: seconds <= this.#deadlineOf(request, className),
+      onTime: facts.onTime === true,
     });
   }
 
-  #deadlineOf(request: OpenRequest, className: string): number {
-    const byClass = this.#deadlineSeconds.get(className) ?? Infinity;
-    return Math.min(byClass, request.ownDeadlineSeconds);
-  }
-
   /** The class that an event names; the rules decide it after the arrival. */
   #classOf(facts: HistoryEvent["facts"]): string | undefined {
     if (facts.className === undefined) return undefined;
     const className = String(facts.className);
-    if (this.#deadlineSeconds.has(className)) return className;
     if (this.#classes.has(className)) return className;
     if (this.#classes.size >= MOST_CLASSES) return OTHER_CLASS;
     this.#classes.add(className);
--- a/src/core/observation/mod.ts
+++ b/src/core/observation/mod.ts
@@ -11,7 +11,7 @@
  * | kind | told by | facts |
  * | --- | --- | --- |
  * | request_received | entry | requestId, idempotent, [key], [workspace], [className] |
- * | request_placed | entry | requestId, endpoint |
+ * | request_placed | entry | requestId, endpoint, [className] as the rules decided it |
  * | attempt_sent | entry | requestId, attemptId, endpoint, [record], [key] |
  * | attempt_accepted | side | requestId, attemptId, endpoint, [record], [key] |
  * | attempt_refused | side | requestId, attemptId, endpoint, reason |
@@ -21,7 +21,7 @@
  * | endpoint_cancelled | side, as it cuts the work off | requestId, attemptId, endpoint, cause (`caller`, `deadline`, `planned` or `fault`) |
  * | token_delivered | entry, per token to the caller | requestId, index, text |
  * | response_delivered | entry | requestId, body, [status] |
- * | request_finished | entry | requestId, outcome (`answered`, `not_run` or `unknown`), reason, [tokens], [key] |
+ * | request_finished | entry | requestId, outcome (`answered`, `not_run` or `unknown`), reason, [tokens], [key], [className], [onTime]: whether the deadline was kept |
  * | retry | entry | requestId, attemptId of the new attempt, [reason] |
  * | order_sent | side, to its endpoint | endpoint, order, claim, target |
  * | order_received | endpoint that takes the order | endpoint, order, target, [claim] |
--- a/src/entry/request_run.ts
+++ b/src/entry/request_run.ts
@@ -140,6 +140,7 @@
     this.options.context.tell("request_placed", {
       requestId: this.options.request.requestId,
       endpoint: placed.value.endpoint,
+      className: this.options.profile.className,
     });
     return placed;
   }
@@ -223,9 +224,11 @@
     if (this.#settled) return;
     this.#settled = true;
     this.#deadline.cancel();
-    const { request, context, sink, done } = this.options;
+    const { request, context, profile, sink, done } = this.options;
     context.tell("request_finished", {
       requestId: request.requestId,
+      className: profile.className,
+      onTime: context.timer.now() <= profile.deadline,
       outcome: outcome.kind,
       reason: outcome.kind === "unknown" ? outcome.detail : outcome.reason,
       tokens: this.assembler.deliveredTokens.length,
--- a/test/support/small_deployment.ts
+++ b/test/support/small_deployment.ts
@@ -1,3 +1,4 @@
+import { join } from "node:path";
 import { uuidv7 } from "./uuid.ts";
 import { freePort } from "./free_port.ts";
 import { ProcessFleet, type StartedProcess, waitFor } from "./process_fleet.ts";
@@ -9,6 +10,8 @@
   /** Options of every engine stand-in. */
   readonly engine?: Record<string, unknown>;
   readonly coordination?: Record<string, number>;
+  /** True: each process writes its spans to a file in the fleet's folder. */
+  readonly traced?: boolean;
 }
 
 /** An endpoint of the deployment with the processes that stand for it. */
@@ -137,6 +140,7 @@
         peers: { host: "127.0.0.1", port: ports[2 * index + 1] },
         peerAddresses: peers.filter((_, other) => other !== index),
         platform: { logService: this.logUrl },
+        traces: this.#traces(name, options),
         coordination: { ...FAST_TIMES, ...options.coordination },
       });
       this.entries.push({
@@ -147,6 +151,14 @@
     }
   }
 
+  #traces(
+    name: string,
+    options: SmallDeploymentOptions,
+  ): Record<string, unknown> {
+    if (!options.traced) return {};
+    return { file: join(this.fleet.folder, `${name}.spans`), share: 1 };
+  }
+
   async #startEndpoint(
     kind: "engine" | "service",
     given: { index: number; options: SmallDeploymentOptions },
@@ -169,6 +181,7 @@
       target: standIn.url,
       peers: { host: "127.0.0.1", port },
       entries: this.entries.map((entry) => entry.peers),
+      traces: this.#traces(id, options),
       coordination: { ...FAST_TIMES, ...options.coordination },
     });
     const deployed = {
