Ask operators which version their files were made on

Cause: publish took the version in force as the base where none was given; that always fits, so an operator with an old file undid another's change and nobody was told.

At the end of its wait it names processes that have not told of the version. The exit code for bad settings stands once, with the others.

Ruled out: keeping the base beside the files; operators copy files and the note would lie.

Conclusion: scripts that replace whatever is in force say so.

--- a/scripts/demo/deployment.ts
+++ b/scripts/demo/deployment.ts
@@ -89,7 +89,7 @@
     writeFileSync(file, stringify(this.#inventory));
     return await this.#command("publish", [
       ...["--inventory", file, "--rules", `${EXAMPLE}/rules.toml`],
-      ...["--publisher", "demo", "--wait-seconds", "15"],
+      ...["--base", "latest", "--publisher", "demo", "--wait-seconds", "15"],
     ]);
   }
 
--- a/src/adapters/settings/mod.ts
+++ b/src/adapters/settings/mod.ts
@@ -41,9 +41,6 @@
   readTomlFile,
 } from "./toml_file.ts";
 
-/** Exit code of a program whose settings or arguments can't be used. */
-export const EXIT_CODE_BAD_SETTINGS = 2;
-
 /** Where traces go; neither `otlpUrl` nor `file`: none are made. */
 export type CheckedTraceOutput = Readonly<TraceOutput & { share: number }>;
 
--- a/src/cli/entry/run_entry.ts
+++ b/src/cli/entry/run_entry.ts
@@ -12,7 +12,6 @@
 } from "../../adapters/random/mod.ts";
 import {
   type CheckedEntrySettings,
-  EXIT_CODE_BAD_SETTINGS,
   loadSettings,
 } from "../../adapters/settings/mod.ts";
 import {
@@ -28,7 +27,10 @@
 import { identifier } from "../../core/identity/mod.ts";
 import type { WatchQuestion } from "../../generated/messages.ts";
 import { EntryCore } from "../../entry/mod.ts";
-import { EXIT_CODE_CANNOT_LISTEN } from "../exit_codes.ts";
+import {
+  EXIT_CODE_BAD_SETTINGS,
+  EXIT_CODE_CANNOT_LISTEN,
+} from "../exit_codes.ts";
 import { onTerminate, reportBadSettings } from "../process_life.ts";
 
 /** A side's question carries its report, an operator's nothing. */
--- a/src/cli/publish/command.ts
+++ b/src/cli/publish/command.ts
@@ -5,7 +5,7 @@
   readonly settings: string;
   readonly inventory: string;
   readonly rules: string;
-  readonly base?: number;
+  readonly base?: string;
   readonly "publication-id"?: string;
   readonly publisher?: string;
   readonly "wait-seconds": number;
@@ -34,9 +34,9 @@
         describe: "Rules (TOML)",
       })
       .option("base", {
-        type: "number",
+        type: "string",
         describe:
-          "Version that the change was made on; the one in force where absent",
+          "Version that the files were made on, or `latest` to replace whatever is in force; needed once there is one",
       })
       .option("publication-id", {
         type: "string",
@@ -57,6 +57,10 @@
         default: false,
         describe: "One JSON object at the end in place of text",
       })
+      .check(({ base }) => {
+        if (base === undefined || /^(\d+|latest)$/.test(base)) return true;
+        throw new Error("--base takes a version or `latest`");
+      })
       .epilogue(
         "Exit codes: 0 in force everywhere, 1 not made or rejected, 2 files can't be used, 4 in doubt, 5 in force and not yet seen everywhere",
       ),
--- a/src/cli/publish/run_publish.ts
+++ b/src/cli/publish/run_publish.ts
@@ -1,4 +1,3 @@
-import { userInfo } from "node:os";
 import process from "node:process";
 import { v7 as newTimeOrderedId } from "uuid";
 import { HttpLogService } from "../../adapters/log_service/mod.ts";
@@ -99,7 +98,8 @@
       this.#print({ outcome: "not_made" }, "Cannot read the log service");
       return EXIT_CODE_FAILURE;
     }
-    const base = this.#arguments.base ?? this.#fold.version;
+    const base = this.#base();
+    if (base === undefined) return this.#baseMissing();
     this.#say(`Publishing ${this.#id} on version ${base}`);
     const publisher = new Publisher({
       journal: this.#journal,
@@ -110,12 +110,35 @@
     const published = await publisher.publish(content, {
       publicationId: this.#id,
       base,
-      publisher: this.#arguments.publisher ?? userInfo().username,
+      publisher: this.#arguments.publisher ?? process.env.USER,
     });
     if (published.isErr()) return this.#onFailure(published.error);
     return await this.#waitUntilInForce(published.value.version);
   }
 
+  /**
+   * The version that the files were made on. Taken from the log instead, it
+   * would always fit: an operator whose file is an hour old would undo what
+   * another has published meanwhile, and nobody would be told.
+   */
+  #base(): number | undefined {
+    const { base } = this.#arguments;
+    const { version } = this.#fold;
+    if (base === "latest") return version;
+    if (base !== undefined) return Number(base);
+    const isRepeat = this.#fold.outcome(this.#id) !== undefined;
+    return version === 0 || isRepeat ? version : undefined;
+  }
+
+  #baseMissing(): number {
+    const { version } = this.#fold;
+    this.#print(
+      { outcome: "not_made", version },
+      `Version ${version} is in force. Give --base ${version} if the files were made on it, or --base latest to replace whatever is in force`,
+    );
+    return EXIT_CODE_BAD_SETTINGS;
+  }
+
   #onFailure(error: PublicationFailure): number {
     const inDoubt = error.name === "publication_unknown";
     const text = inDoubt
@@ -136,15 +159,15 @@
     let shown = "";
     for (;;) {
       const fleet = await askFleet(this.#peers, addresses);
-      const { have, all } = countInForce(fleet, version);
-      const facts = { outcome: "accepted", version, have, all };
+      const { have, all, missing } = countInForce(fleet, version);
+      const facts = { outcome: "accepted", version, have, all, missing };
       const line = `In force in ${have} of ${all} processes`;
       if (have === all && all > 0) {
         this.#print(facts, line);
         return EXIT_CODE_SUCCESS;
       }
       if (this.#timer.now() >= until) {
-        this.#print(facts, `${line}; see filbertshore status`);
+        this.#print(facts, `${line}; not in ${missing.join(", ")}`);
         return EXIT_CODE_NOT_EVERYWHERE;
       }
       if (line !== shown) this.#say(line);
--- a/src/cli/side/run_side.ts
+++ b/src/cli/side/run_side.ts
@@ -7,7 +7,6 @@
 import { newIncarnation, systemRandom } from "../../adapters/random/mod.ts";
 import {
   type CheckedSideSettings,
-  EXIT_CODE_BAD_SETTINGS,
   loadSettings,
 } from "../../adapters/settings/mod.ts";
 import {
@@ -21,7 +20,10 @@
 import { identifier } from "../../core/identity/mod.ts";
 import type { OnceQuestion } from "../../generated/messages.ts";
 import { SideCore } from "../../side/mod.ts";
-import { EXIT_CODE_CANNOT_LISTEN } from "../exit_codes.ts";
+import {
+  EXIT_CODE_BAD_SETTINGS,
+  EXIT_CODE_CANNOT_LISTEN,
+} from "../exit_codes.ts";
 import { onTerminate, reportBadSettings } from "../process_life.ts";
 
 /** A body that an entry lets in, with the tokens of a cut-off answer. */
--- a/src/cli/status/fleet_status.ts
+++ b/src/cli/status/fleet_status.ts
@@ -34,18 +34,37 @@
   return { entries, sides, version: Math.max(0, ...versions) };
 }
 
-/** How many processes have at least this version in force. */
+/** Which processes have a version in force. */
+export interface InForceCount {
+  readonly have: number;
+  readonly all: number;
+  /** Some of those that have not told of it. */
+  readonly missing: readonly string[];
+}
+
+/** Names that a line on a terminal can hold. */
+const MOST_MISSING_NAMES = 10;
+
+/** How many processes have at least this version in force, and who has not. */
 export function countInForce(
   fleet: FleetStatus,
   version: number,
-): { have: number; all: number } {
-  const versions = [
-    ...fleet.entries.map((entry) => entry.status?.configurationVersion ?? 0),
-    ...fleet.sides.map((side) => side.configurationVersion),
+): InForceCount {
+  const versions: [name: string, version: number][] = [
+    ...fleet.entries.map(({ address, status }): [string, number] => [
+      status?.entry ?? address,
+      status?.configurationVersion ?? 0,
+    ]),
+    ...fleet.sides.map((side): [string, number] => [
+      side.side,
+      side.configurationVersion,
+    ]),
   ];
+  const missing = versions.filter(([, each]) => each < version);
   return {
-    have: versions.filter((each) => each >= version).length,
+    have: versions.length - missing.length,
     all: versions.length,
+    missing: missing.slice(0, MOST_MISSING_NAMES).map(([name]) => name),
   };
 }
 
--- a/test/process/operator_commands_test.ts
+++ b/test/process/operator_commands_test.ts
@@ -96,13 +96,17 @@
   it("goes on after garbage on the configuration stream", async () => {
     await deployment.publishRaw({ inventory: "none" }, 3);
     await deployment.publishRaw(17, 3);
+    await fetch(
+      `${deployment.logUrl}/streams/configuration.klang-valley/records`,
+      { method: "POST", body: JSON.stringify({ records: [null, "x", {}] }) },
+    );
     const end = await operator.publish({ "triage-0": "draining" });
     expect(end.code, end.output).to.equal(0);
   });
 
   it("says that nothing was made while the log is down", async () => {
     await logControl({ down: "refuse" });
-    const words = ["--wait-seconds", "2"];
+    const words = ["--base", "latest", "--wait-seconds", "2"];
     const end = await operator.publish({ "triage-0": "draining" }, words);
     expect(end.code, end.output).to.equal(1);
     expect(JSON.parse(end.output).outcome).to.equal("not_made");
@@ -113,6 +117,36 @@
     }, { what: "the change to go through once the log is back" });
   });
 
+  // The operator's shell dies before it has seen the verdict. Asked again by
+  // its id, the command tells what became of it and appends nothing.
+  it("finds out by its id what became of a publication", async () => {
+    const id = ["--base", "latest", "--publication-id", "drain-triage-0"];
+    const first = await operator.publish({ "triage-0": "draining" }, id);
+    const before = await publications();
+    const again = await operator.publish({ "triage-0": "draining" }, id);
+    expect([first.code, again.code]).to.deep.equal([0, 0]);
+    expect(JSON.parse(again.output)).to.deep.equal(JSON.parse(first.output));
+    expect(await publications()).to.equal(before);
+  });
+
+  // An operator's file was made an hour ago and somebody has published since.
+  // A base that the command looks up itself would always fit and undo that.
+  it("asks which version the files were made on", async () => {
+    const before = await publications();
+    const end = await operator.publish({ "triage-0": "draining" }, []);
+    expect(end.code).to.equal(2);
+    expect(JSON.parse(end.output).version).to.be.above(0);
+    expect(await publications()).to.equal(before);
+  });
+
+  it("names the processes that have not told of a version", async () => {
+    deployment.engines[1].side.child.kill("SIGKILL");
+    const words = ["--base", "latest", "--wait-seconds", "2"];
+    const end = await operator.publish({ "triage-0": "draining" }, words);
+    expect(end.code).to.equal(5);
+    expect(JSON.parse(end.output).missing).to.deep.equal(["side-triage-1"]);
+  });
+
   it("status tells of an entry that does not answer", async () => {
     deployment.entries[1].process.child.kill("SIGKILL");
     await deployment.entries[1].process.exited;
--- a/test/support/operator_commands.ts
+++ b/test/support/operator_commands.ts
@@ -32,10 +32,13 @@
     });
   }
 
-  /** Publishes the deployment's content with states of endpoints changed. */
+  /**
+   * Publishes the deployment's content with states of endpoints changed, on
+   * whatever is in force unless the extra words name a base.
+   */
   publish(
     states: Readonly<Record<string, string>>,
-    extra: readonly string[] = [],
+    extra: readonly string[] = ["--base", "latest"],
   ): Promise<CommandEnd> {
     const { inventory, rules } = this.#deployment.content(states) as Record<
       "inventory" | "rules",
