--- a/src/adapters/settings/mod_test.ts
+++ b/src/adapters/settings/mod_test.ts
@@ -2,6 +2,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { expect } from "chai";
+import * as fc from "fast-check";
 import { formatProblem, loadSettings } from "./mod.ts";
 
 const GOOD_SIDE = `
@@ -71,6 +72,33 @@
     expect(result._unsafeUnwrapErr().problems[0].found).to.equal("ENOENT");
   });
 
+  // A file is cut off while it is copied, or is no settings file at all. The
+  // program has to say so and end with its code, not with a stack.
+  it("takes any text and any values", () => {
+    const lines = GOOD_SIDE.trim().split("\n");
+    fc.assert(
+      fc.property(
+        fc.oneof(
+          fc.string(),
+          fc.nat(GOOD_SIDE.length).map((end) => GOOD_SIDE.slice(0, end)),
+          fc.tuple(fc.nat(lines.length - 1), fc.string()).map(([index, text]) =>
+            lines.with(index, `${lines[index].split(" = ")[0]} = ${text}`)
+              .join("\n")
+          ),
+        ),
+        (text) => {
+          const result = loadSettings(fileWith(text), "side");
+          if (result.isOk()) return;
+          expect(result.error.problems).to.have.length.above(0);
+          for (const problem of result.error.problems) {
+            expect(formatProblem(problem)).to.include("expected");
+          }
+        },
+      ),
+      { numRuns: 300 },
+    );
+  });
+
   it("refuses addresses without a port", () => {
     const text = GOOD_SIDE.replace("10.0.0.1:7100", "10.0.0.1");
     expect(problemsOf(text)).to.deep.equal([
