Measure slopes of messages, memory and processor time

Cause: sizes far above today's must be worked out from measured slopes, and nothing measured them.

Ruled out: hundreds of processes for every size, because sides at 75 MB each fill the machine; sides on real sockets inside the bench leave only the entry to be measured. Ticks of /proc/stat as the clock of processor time: ten milliseconds are a tenth of what an idle entry uses in a window, so the scheduler's nanoseconds are read instead.

--- /dev/null
+++ b/bench/process_figures.ts
@@ -0,0 +1,84 @@
+import { readdirSync, readFileSync } from "node:fs";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import process from "node:process";
+
+const NANOSECONDS_PER_SECOND = 1e9;
+
+/** What the kernel has counted for a process so far. */
+export interface ProcessFigures {
+  readonly processorSeconds: number;
+  readonly residentBytes: number;
+  /** Bytes read and written by system calls; sockets are nearly all of it. */
+  readonly bytes: number;
+}
+
+export function readProcess(pid: number): ProcessFigures {
+  const status = readFileSync(`/proc/${pid}/status`, "utf8");
+  const io = readFileSync(`/proc/${pid}/io`, "utf8");
+  return {
+    processorSeconds: processorSeconds(pid),
+    residentBytes: 1024 * numberAfter(status, "VmRSS:"),
+    bytes: numberAfter(io, "rchar:") + numberAfter(io, "wchar:"),
+  };
+}
+
+/** Over all threads, counted in nanoseconds where `stat` counts in ticks. */
+function processorSeconds(pid: number): number {
+  const folder = `/proc/${pid}/task`;
+  let nanoseconds = 0;
+  for (const thread of readdirSync(folder)) {
+    const text = readFileSync(`${folder}/${thread}/schedstat`, "utf8");
+    nanoseconds += Number(text.split(" ")[0]);
+  }
+  return nanoseconds / NANOSECONDS_PER_SECOND;
+}
+
+/** Rates of a process over a stretch of time. */
+export interface ProcessRates {
+  /** Share of one core. */
+  readonly processorShare: number;
+  readonly bytesPerSecond: number;
+  /** At the end of the stretch. */
+  readonly residentBytes: number;
+}
+
+export async function measureProcess(
+  pid: number,
+  milliseconds: number,
+): Promise<ProcessRates> {
+  const start = performance.now();
+  const before = readProcess(pid);
+  await sleep(milliseconds);
+  const after = readProcess(pid);
+  const seconds = (performance.now() - start) / 1000;
+  return {
+    processorShare: (after.processorSeconds - before.processorSeconds) /
+      seconds,
+    bytesPerSecond: (after.bytes - before.bytes) / seconds,
+    residentBytes: after.residentBytes,
+  };
+}
+
+/**
+ * Bytes of live objects in this process. One collection leaves what the loop's
+ * current turn still refers to, hence three with turns between them.
+ */
+export async function liveHeapBytes(): Promise<number> {
+  setFlagsFromString("--expose-gc");
+  const collect: () => void = runInNewContext("gc");
+  for (let turn = 0; turn < 3; turn += 1) {
+    collect();
+    await sleep(5);
+  }
+  return process.memoryUsage().heapUsed;
+}
+
+export function sleep(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+function numberAfter(text: string, label: string): number {
+  const match = text.match(new RegExp(`${label}\\s+(\\d+)`));
+  return Number(match?.[1] ?? 0);
+}
--- /dev/null
+++ b/bench/slopes_binary.ts
@@ -0,0 +1,118 @@
+/** Slopes of the built binary: processor time and resident memory. */
+import process from "node:process";
+import { builtBinary } from "../test/support/built_binary.ts";
+import { ENDPOINTS_PER_POOL } from "./bench_region.ts";
+import { EntryHost } from "./entry_host.ts";
+import { EntryUnderTest } from "./entry_under_test.ts";
+import { measureProcess, type ProcessRates, sleep } from "./process_figures.ts";
+import type { Series } from "./slope_fit.ts";
+
+const WINDOW_MILLISECONDS = 6_000;
+/** Start-up, claims and the first compilation are over by then. */
+const SETTLE_MILLISECONDS = 6_000;
+
+type Measured = readonly { x: number; rates: ProcessRates }[];
+
+function seriesOf(
+  name: string,
+  variable: string,
+  measured: Measured,
+): Series[] {
+  const points = (value: (rates: ProcessRates) => number) =>
+    measured.map(({ x, rates }) => ({ x, y: value(rates) }));
+  return [
+    {
+      value: `${name} processor`,
+      variable,
+      unit: "share of a core",
+      points: points((rates) => rates.processorShare),
+    },
+    {
+      value: `${name} resident memory`,
+      variable,
+      unit: "B",
+      points: points((rates) => rates.residentBytes),
+    },
+    {
+      value: `${name} traffic`,
+      variable,
+      unit: "B/s",
+      points: points((rates) => rates.bytesPerSecond),
+    },
+  ];
+}
+
+async function byEndpoints(): Promise<Series[]> {
+  const measured: { x: number; rates: ProcessRates }[] = [];
+  for (const x of [16, 64, 128, 256]) {
+    const entry = new EntryUnderTest();
+    await entry.start(x);
+    await sleep(SETTLE_MILLISECONDS);
+    const rates = await measureProcess(entry.pid, WINDOW_MILLISECONDS);
+    measured.push({ x, rates });
+    await entry.close();
+  }
+  return seriesOf("entry", "endpoints", measured);
+}
+
+async function byStreams(): Promise<Series[]> {
+  const measured: { x: number; rates: ProcessRates }[] = [];
+  const entry = new EntryUnderTest();
+  await entry.start(ENDPOINTS_PER_POOL);
+  await sleep(SETTLE_MILLISECONDS);
+  let open = 0;
+  for (const x of [100, 200, 400, 800]) {
+    await entry.openStreams(x - open);
+    open = x;
+    await sleep(SETTLE_MILLISECONDS / 2);
+    const rates = await measureProcess(entry.pid, WINDOW_MILLISECONDS);
+    measured.push({ x, rates });
+  }
+  await entry.close();
+  return seriesOf("entry", "open streams", measured);
+}
+
+async function byChanges(): Promise<Series[]> {
+  const measured: { x: number; rates: ProcessRates }[] = [];
+  const entry = new EntryUnderTest();
+  await entry.start(64);
+  await sleep(SETTLE_MILLISECONDS);
+  for (const x of [0, 30, 60, 120]) {
+    const measuring = measureProcess(entry.pid, WINDOW_MILLISECONDS);
+    const changes = Math.round(x * WINDOW_MILLISECONDS / 60_000);
+    for (let change = 0; change < changes; change += 1) {
+      const started = performance.now();
+      await entry.publish(change % 2 ? {} : { "engine-1": "draining" });
+      const left = WINDOW_MILLISECONDS / changes -
+        (performance.now() - started);
+      await sleep(Math.max(0, left));
+    }
+    measured.push({ x, rates: await measuring });
+  }
+  await entry.close();
+  return seriesOf("entry", "configuration changes a minute", measured);
+}
+
+/** Sides of the binary, each with a region of its own with more entries. */
+async function sideByEntries(): Promise<Series[]> {
+  const runs = [2, 4, 8, 16].map(async (x) => {
+    const region = new EntryHost();
+    const pid = await region.start(x);
+    await sleep(2 * SETTLE_MILLISECONDS);
+    const rates = await measureProcess(pid, WINDOW_MILLISECONDS);
+    await region.close();
+    return { x, rates };
+  });
+  return seriesOf("side", "entries", await Promise.all(runs));
+}
+
+/** All slopes of the binary; bounded to about two minutes. */
+export async function measureBinary(): Promise<Series[]> {
+  process.env.FILBERTSHORE_BINARY = builtBinary();
+  return [
+    ...await byEndpoints(),
+    ...await byStreams(),
+    ...await byChanges(),
+    ...await sideByEntries(),
+  ];
+}
--- /dev/null
+++ b/bench/slopes_in_process.ts
@@ -0,0 +1,250 @@
+/** Slopes through the embedding face: messages, live memory, time in force. */
+import { entryAddress, sideAddress } from "../examples/embedding/fleet.ts";
+import type { NetworkMessage } from "../examples/embedding/network.ts";
+import {
+  type InProcessOptions,
+  InProcessRegion,
+} from "../test/support/in_process.ts";
+import type { PeerAddress } from "../src/core/links/mod.ts";
+import { liveHeapBytes } from "./process_figures.ts";
+import type { Point, Series } from "./slope_fit.ts";
+
+const IDLE_SECONDS = 30;
+const ENDPOINTS_PER_POOL = 16;
+/** Deadlines and the sides' memory of attempts have lapsed by then. */
+const FORGET_MILLISECONDS = 150_000;
+const NO_SINK = { token: () => true, response() {}, finish() {} };
+
+/** Bytes and messages of processes, while counting is on. */
+class Traffic {
+  readonly #bytes = new Map<PeerAddress, number>();
+  on = false;
+  messages = 0;
+
+  readonly count = (message: NetworkMessage): void => {
+    if (!this.on) return;
+    this.messages += 1;
+    for (const each of [message.from, message.to]) {
+      this.#bytes.set(each, (this.#bytes.get(each) ?? 0) + message.bytes);
+    }
+  };
+
+  bytesOf(address: PeerAddress): number {
+    return this.#bytes.get(address) ?? 0;
+  }
+}
+
+interface IdleFigures {
+  readonly heapBytes: number;
+  readonly entryBytesPerSecond: number;
+  readonly sideBytesPerSecond: number;
+}
+
+async function startRegion(options: InProcessOptions) {
+  const before = await liveHeapBytes();
+  const traffic = new Traffic();
+  const region = new InProcessRegion({
+    ...options,
+    fleet: { onMessage: traffic.count, ...options.fleet },
+  });
+  await region.start();
+  return { region, traffic, before };
+}
+
+async function measureIdle(options: InProcessOptions): Promise<IdleFigures> {
+  const { region, traffic, before } = await startRegion(options);
+  traffic.on = true;
+  await region.timer.advance(IDLE_SECONDS * 1000);
+  const heapBytes = await liveHeapBytes() - before;
+  region.fleet.halt();
+  return {
+    heapBytes,
+    entryBytesPerSecond: traffic.bytesOf(entryAddress(0)) / IDLE_SECONDS,
+    sideBytesPerSecond: traffic.bytesOf(sideAddress("engine-0")) /
+      IDLE_SECONDS,
+  };
+}
+
+/** Two entries; more endpoints, in pools of sixteen. */
+async function byEndpoints(): Promise<Series[]> {
+  const variable = "endpoints";
+  const heap: Point[] = [];
+  const entry: Point[] = [];
+  for (const x of [16, 32, 64, 128, 256]) {
+    const models = x / ENDPOINTS_PER_POOL;
+    const idle = await measureIdle({ entries: 2, endpoints: x, models });
+    heap.push({ x, y: idle.heapBytes });
+    entry.push({ x, y: idle.entryBytesPerSecond });
+  }
+  return [
+    { value: "heap of region", variable, unit: "B", points: heap },
+    { value: "entry control", variable, unit: "B/s", points: entry },
+  ];
+}
+
+/** The content of one publication, which names every endpoint. */
+function publicationByEndpoints(): Series {
+  const points = [32, 128, 512, 1_100].map((x) => {
+    const models = Math.ceil(x / ENDPOINTS_PER_POOL);
+    const region = new InProcessRegion({ entries: 1, endpoints: x, models });
+    return { x, y: JSON.stringify(region.content()).length };
+  });
+  return { value: "publication", variable: "endpoints", unit: "B", points };
+}
+
+/** Thirty-two endpoints; more entries, each of which uses all of them. */
+async function byEntries(): Promise<Series[]> {
+  const variable = "entries";
+  const heap: Point[] = [];
+  const side: Point[] = [];
+  for (const x of [2, 4, 8, 16]) {
+    const idle = await measureIdle({ entries: x, endpoints: 32 });
+    heap.push({ x, y: idle.heapBytes });
+    side.push({ x, y: idle.sideBytesPerSecond });
+  }
+  return [
+    { value: "heap of region", variable, unit: "B", points: heap },
+    { value: "side control", variable, unit: "B/s", points: side },
+  ];
+}
+
+/** One entry and sixty-four endpoints, dealt out to more models. */
+async function byModels(): Promise<Series[]> {
+  const variable = "models";
+  const heap: Point[] = [];
+  for (const x of [2, 4, 8, 16, 32]) {
+    const idle = await measureIdle({ entries: 1, endpoints: 64, models: x });
+    heap.push({ x, y: idle.heapBytes });
+  }
+  return [{ value: "heap of region", variable, unit: "B", points: heap }];
+}
+
+/** Each workspace has sent one request, which is answered. */
+async function byWorkspaces(): Promise<Series[]> {
+  const variable = "workspaces";
+  const heap: Point[] = [];
+  for (const x of [400, 800, 1600, 3400]) {
+    const { region, before } = await startRegion({
+      entries: 1,
+      endpoints: 16,
+      tokens: 2,
+    });
+    for (let workspace = 0; workspace < x; workspace += 1) {
+      const sender = { entry: 0, workspace: `workspace-${workspace}` };
+      region.generate(sender, NO_SINK);
+      if (workspace % 100 === 99) await region.timer.advance(500);
+    }
+    await region.timer.advance(FORGET_MILLISECONDS);
+    heap.push({ x, y: await liveHeapBytes() - before });
+    region.fleet.halt();
+  }
+  return [{ value: "heap of region", variable, unit: "B", points: heap }];
+}
+
+/** Open generations, each a token every 20 ms. */
+async function byStreams(): Promise<Series[]> {
+  const variable = "open streams";
+  const heap: Point[] = [];
+  const open: Point[] = [];
+  for (const x of [100, 200, 400, 800]) {
+    const { region, before } = await startRegion({
+      entries: 1,
+      endpoints: 20,
+      engineSlots: 64,
+      tokens: 1_000,
+    });
+    for (let stream = 0; stream < x; stream += 1) {
+      const sender = { entry: 0, workspace: `workspace-${stream % 50}` };
+      region.generate(sender, NO_SINK);
+    }
+    await region.timer.advance(3_000);
+    open.push({ x, y: running(region) });
+    heap.push({ x, y: await liveHeapBytes() - before });
+    region.fleet.halt();
+  }
+  return [
+    { value: "heap of region", variable, unit: "B", points: heap },
+    { value: "generations at the engines", variable, unit: "", points: open },
+  ];
+}
+
+function running(region: InProcessRegion): number {
+  return region.engines.reduce((sum, each) => sum + each.generations, 0);
+}
+
+/** Publications at an even pace over a minute, with the log 20 ms away. */
+async function byChanges(): Promise<Series[]> {
+  const variable = "configuration changes a minute";
+  const appends: Point[] = [];
+  const entryBytes: Point[] = [];
+  const inForce: Point[] = [];
+  for (const x of [2, 6, 12, 30]) {
+    const run = await runChanges(x);
+    appends.push({ x, y: run.appendsPerSecond });
+    entryBytes.push({ x, y: run.entryBytesPerSecond });
+    inForce.push({ x, y: run.slowestMilliseconds });
+  }
+  return [
+    { value: "appends", variable, unit: "1/s", points: appends },
+    { value: "entry control", variable, unit: "B/s", points: entryBytes },
+    { value: "slowest in force", variable, unit: "ms", points: inForce },
+  ];
+}
+
+async function runChanges(changes: number) {
+  let lastInForce = 0;
+  const { region, traffic } = await startRegion({
+    entries: 4,
+    endpoints: 64,
+    logLatencyMilliseconds: 20,
+    fleet: {
+      observe: ({ kind, at }) => {
+        if (kind === "configuration_in_force") lastInForce = at;
+      },
+    },
+  });
+  const { timer, log, fleet } = region;
+  const appendsBefore = total(log.appendCalls.values());
+  traffic.on = true;
+  let slowestMilliseconds = 0;
+  for (let change = 0; change < changes; change += 1) {
+    const asked = timer.now();
+    const content = region.content(
+      change % 2 ? {} : { "engine-0": "draining" },
+    );
+    const published = fleet.publish(
+      content,
+      fleet.entries[0].configurationVersion,
+    );
+    await timer.advance(60_000 / changes);
+    if ((await published).isErr()) throw new Error("A change was not accepted");
+    slowestMilliseconds = Math.max(slowestMilliseconds, lastInForce - asked);
+  }
+  fleet.halt();
+  return {
+    slowestMilliseconds,
+    appendsPerSecond: (total(log.appendCalls.values()) - appendsBefore) / 60,
+    entryBytesPerSecond: traffic.bytesOf(entryAddress(0)) / 60,
+  };
+}
+
+function total(values: Iterable<number>): number {
+  let sum = 0;
+  for (const value of values) sum += value;
+  return sum;
+}
+
+/** All slopes that need no processes. */
+export async function measureInProcess(): Promise<Series[]> {
+  // Code that runs for the first time leaves compiled code on the heap.
+  await measureIdle({ entries: 4, endpoints: 64, models: 4 });
+  return [
+    ...await byEndpoints(),
+    publicationByEndpoints(),
+    ...await byEntries(),
+    ...await byModels(),
+    ...await byWorkspaces(),
+    ...await byStreams(),
+    ...await byChanges(),
+  ];
+}
