--- a/src/cli/entry/run_entry.ts
+++ b/src/cli/entry/run_entry.ts
@@ -17,20 +17,20 @@
 } from "../../adapters/settings/mod.ts";
 import {
   createLogger,
+  createTracing,
   type LabelledLogger,
   Metrics,
+  type Tracing,
 } from "../../adapters/telemetry/mod.ts";
+import { watchLoopDelay } from "../../adapters/time/mod.ts";
 import { SystemTimerService } from "../../adapters/time/mod.ts";
+import { HttpVmList } from "../../adapters/vm_list/mod.ts";
 import { identifier } from "../../core/identity/mod.ts";
 import type { WatchQuestion } from "../../generated/messages.ts";
 import { EntryCore } from "../../entry/mod.ts";
 import { EXIT_CODE_CANNOT_LISTEN } from "../exit_codes.ts";
 import { onTerminate, reportBadSettings } from "../process_life.ts";
 
-/** Endpoints of one pool that one entry uses; see docs/CAPACITY.md. */
-const MOST_ENDPOINTS_PER_POOL = 64;
-/** A request that four endpoints have failed is not saved by a fifth. */
-const MOST_ATTEMPTS = 4;
 /** A side's question carries its report, an operator's nothing. */
 const MOST_PEER_BODY_BYTES = 1024 * 1024;
 
@@ -49,6 +49,7 @@
   readonly #settings: CheckedEntrySettings;
   readonly #logger: LabelledLogger;
   readonly #metrics = new Metrics({ processMetrics: true });
+  readonly #tracing: Tracing;
   readonly #timer = new SystemTimerService();
   readonly #peers = new HttpPeers();
   readonly #core: EntryCore;
@@ -62,6 +63,10 @@
       level: settings.log.level,
       process: settings.name,
     });
+    this.#tracing = createTracing({
+      process: settings.name,
+      ...settings.traces,
+    });
     this.#core = this.#makeCore();
     this.#callerDoor = this.#makeCallerDoor();
     this.#peerServer = this.#makePeerServer();
@@ -73,6 +78,10 @@
     if (peerPort.isErr()) return this.#cannotListen(peerPort.error);
     if (callerPort.isErr()) return this.#cannotListen(callerPort.error);
     this.#core.start();
+    watchLoopDelay({
+      timer: this.#timer,
+      onDelay: (milliseconds) => this.#core.scheduler.loopDelay(milliseconds),
+    });
     this.#logger.info(
       { callers: callerPort.value, peers: peerPort.value },
       "The entry listens",
@@ -93,6 +102,7 @@
     this.#callerDoor.close();
     this.#peerServer.close();
     this.#peers.close();
+    await this.#tracing.shutdown();
     this.#logger.info({}, "The entry has stopped");
   }
 
@@ -114,19 +124,19 @@
       timer: this.#timer,
       random: systemRandom,
       log: new HttpLogService(platform.logService, { timer: this.#timer }),
+      ...(platform.vmList !== undefined && {
+        vmList: new HttpVmList(platform.vmList, { timer: this.#timer }),
+      }),
       sides: this.#peers,
       entries: this.#peers,
       peerAddresses: this.#settings.peerAddresses.map((each) =>
         identifier(each)
       ),
       hash: hashText,
-      limits: {
-        ...limits,
-        mostEndpointsPerPool: MOST_ENDPOINTS_PER_POOL,
-        mostAttempts: MOST_ATTEMPTS,
-      },
+      limits,
       times: coordination,
       observe: this.#metrics.observe,
+      tracer: this.#tracing.tracer,
       logger: this.#logger.labelled("entry"),
     });
   }
--- a/src/core/authority/claim_keeper.ts
+++ b/src/core/authority/claim_keeper.ts
@@ -41,14 +41,12 @@
  * are void; at half the patience one claim mostly stands before the next is due.
  */
 const JITTER_SHARE = 0.5;
-/** Spread of the claims on an authority that has been handed over. */
-const HANDOVER_JITTER_SHARE = 0.1;
 /**
- * Round trips to the log that are added to the allowed silence. A renewal
- * waits for the one before it, takes a round trip itself, and one may be lost
- * and sent again; the fourth is margin.
+ * Share of the silence over which claims on a free authority spread: 1 s at
+ * 3 s of silence, against about 40 ms until a claim has been read by all, so
+ * that of 40 entries two or three claim.
  */
-const ROUND_TRIPS_OF_PATIENCE = 4;
+const FREE_SPREAD_SHARE = 1 / 3;
 /** Patience against the longest recent pause between signs of life. */
 const PATIENCE_TO_LONGEST_PAUSE = 2;
 /** What each sign of life takes off the longest pause that is remembered. */
@@ -72,7 +70,6 @@
   #silentSince: number;
   /** Drawn anew after each sign of life, so that claimants differ. */
   #draw: number;
-  #roundTrip = 0;
   #longestPause = 0;
   #lastRenewal = -Infinity;
   #appending = false;
@@ -95,10 +92,7 @@
   start(): void {
     this.#stopped = false;
     this.#silentSince = this.#options.timer.now();
-    this.#look = this.#options.timer.every(
-      this.#options.claimSilenceMilliseconds / LOOKS_IN_SILENCE,
-      () => this.#consider(),
-    );
+    this.#planLook();
   }
 
   /** Call after each record, so that a change of holder is told at once. */
@@ -124,12 +118,22 @@
     });
   }
 
+  /** Looks at uneven times, so that entries started together drift apart. */
+  #planLook(): void {
+    const { claimSilenceMilliseconds, random, timer } = this.#options;
+    const period = claimSilenceMilliseconds / LOOKS_IN_SILENCE;
+    this.#look = timer.after(2 * period * random(), () => {
+      this.#planLook();
+      this.#consider();
+    });
+  }
+
   #consider(): void {
     this.changed();
     this.#noteSigns();
     if (this.#appending || this.#options.eligible?.() === false) return;
     if (this.held !== undefined) this.#renew();
-    else if (this.#isSilent()) void this.#claimAfterProbe();
+    else if (this.#isSilent()) void this.#claimAfterRead();
   }
 
   #noteSigns(): void {
@@ -166,10 +170,10 @@
   #patience(): number {
     const { claimSilenceMilliseconds } = this.#options;
     if (this.#isFree()) {
-      return claimSilenceMilliseconds * HANDOVER_JITTER_SHARE * this.#draw;
+      return claimSilenceMilliseconds * FREE_SPREAD_SHARE * this.#draw;
     }
     const allowed = Math.max(
-      claimSilenceMilliseconds + ROUND_TRIPS_OF_PATIENCE * this.#roundTrip,
+      claimSilenceMilliseconds,
       PATIENCE_TO_LONGEST_PAUSE * this.#longestPause,
     );
     return allowed * (1 + JITTER_SHARE * this.#draw);
@@ -190,16 +194,16 @@
   }
 
   /**
-   * Claims after a look at how long the log takes to answer now. What goes
-   * wrong without it: the log turns slow, the holder's renewals come late, and
-   * the claim goes from entry to entry, each time with a new number.
+   * Claims after a fresh read of the log. What goes wrong without it: the log
+   * turns slow, the holder's renewals come late, and the claim goes from
+   * entry to entry, each time with a new number. The read takes as long as the
+   * log is slow, and what was on its way arrives meanwhile.
    */
-  async #claimAfterProbe(): Promise<void> {
+  async #claimAfterRead(): Promise<void> {
     this.#appending = true;
-    const roundTrip = await this.#options.journal.probe();
-    if (roundTrip === undefined) this.#countAnew();
-    else this.#roundTrip = roundTrip;
-    // Signs of life, or another's claim, may have come during the probe.
+    const isFresh = await this.#options.journal.isFresh();
+    if (!isFresh) this.#countAnew();
+    // Signs of life, or another's claim, may have come meanwhile.
     this.#noteSigns();
     if (this.#isSilent() && !this.#stopped) await this.#claim();
     this.#appending = false;
--- a/src/core/journal/journal.ts
+++ b/src/core/journal/journal.ts
@@ -68,7 +68,7 @@
 /** Peers are asked again after this long while the log can't be read. */
 const ASK_PEERS_MILLISECONDS = 5_000;
 const PEERS_ANSWER_MILLISECONDS = 3_000;
-const PROBE_ANSWER_MILLISECONDS = 15_000;
+const FRESH_READ_MILLISECONDS = 15_000;
 
 /**
  * One process's view of one stream: reads it without holes into a fold and
@@ -151,24 +151,19 @@
     return this.#reader.lastAnswer;
   }
 
-  /**
-   * How long the log takes to answer now, milliseconds; nothing where it does
-   * not answer or holds records that have not been read here.
-   */
-  async probe(): Promise<number | undefined> {
+  /** Asks the log now whether everything on it has been read here. */
+  async isFresh(): Promise<boolean> {
     const { log, stream, timer } = this.#options;
-    const asked = timer.now();
     const answer = await beforeDeadline(
       log.read(stream, {
         from: numbered(this.#position + 1),
         limit: 1,
         waitMilliseconds: 0,
       }),
-      { timer, milliseconds: PROBE_ANSWER_MILLISECONDS },
+      { timer, milliseconds: FRESH_READ_MILLISECONDS },
     );
-    if (answer === undefined || answer.isErr()) return undefined;
-    if (answer.value.head > this.#position + 1) return undefined;
-    return timer.now() - asked;
+    if (answer === undefined || answer.isErr()) return false;
+    return answer.value.head <= this.#position + 1;
   }
 
   get counts(): JournalCounts {
@@ -246,7 +241,6 @@
     const found = this.#search?.look(item, body);
     if (found === undefined) return;
     const { checkpoint, following } = found;
-    if (checkpoint.upTo <= this.#position) return;
     this.#restore(checkpoint.upTo, checkpoint.state);
     for (const next of following) this.#apply(next);
   }
@@ -257,8 +251,6 @@
     this.#options.fold.load((state.fold ?? {}) as Record<string, unknown>);
     this.#filter.load(state.writers);
     this.#position = upTo;
-    const { writer, incarnation } = this.#options;
-    this.#appender.passed(this.#filter.lastSequence(writer, incarnation));
     this.#options.onRestored?.(numbered(upTo));
   }
 
@@ -273,10 +265,9 @@
       timer,
       milliseconds: PEERS_ANSWER_MILLISECONDS,
     });
-    if (snapshot === undefined || snapshot.upTo <= this.#position) return;
-    // A snapshot from before the gap would leave the gap open.
-    const needed = this.#search?.oldest ?? 0;
-    if (this.#search !== undefined && snapshot.upTo + 1 < needed) return;
+    if (snapshot === undefined) return;
+    // Where the peer's state ends before the gap as well, the next read finds
+    // the rest of the gap.
     this.#restore(snapshot.upTo, snapshot.state);
   }
 
--- a/src/entry/region_log.ts
+++ b/src/entry/region_log.ts
@@ -23,6 +23,16 @@
 
 const STREAM_KINDS: readonly StreamKind[] = ["configuration", "orders", "once"];
 
+/** Some peers are enough; asking all 40 of a region would be a storm. */
+const MOST_PEERS_ASKED = 5;
+
+/**
+ * How long a caller's key may wait for its place on the log. Load: an outage
+ * or a slow log. Harm prevented: a booking that can't be made holds its caller
+ * on a silent line. An append takes some tens of milliseconds.
+ */
+const ONCE_APPEND_MILLISECONDS = 1_500;
+
 export interface RegionLogOptions {
   readonly name: ProcessId;
   readonly incarnation: Incarnation;
@@ -31,11 +41,13 @@
   readonly random: Random;
   readonly log: LogService;
   readonly entries: EntryLink;
-  readonly peerAddresses: readonly PeerAddress[];
+  /** The region's other entries, to take state from while the log is down. */
+  readonly peers: () => readonly PeerAddress[];
   readonly times: {
     readonly appendDelayMilliseconds: number;
     readonly claimSilenceMilliseconds: number;
     readonly checkpointRecords: number;
+    readonly keyWindowMilliseconds: number;
   };
   readonly logger: Logger;
   readonly tell: (
@@ -64,6 +76,7 @@
   readonly plannerClaim: ClaimKeeper;
   readonly #options: RegionLogOptions;
   readonly #judge: ConfigurationJudge;
+  readonly #reachable = new Map<string, boolean>();
   #judging: Subscription | undefined;
 
   constructor(options: RegionLogOptions) {
@@ -130,6 +143,7 @@
       incarnation,
       appendDelayMilliseconds: times.appendDelayMilliseconds,
       checkpointRecords: times.checkpointRecords,
+      ...(kind === "once" && { giveUpMilliseconds: ONCE_APPEND_MILLISECONDS }),
       peers: () => this.#askPeers(stream),
       onApplied: () => this.#onRecord(kind),
       onRestored: () => this.#onRecord(kind),
@@ -150,15 +164,19 @@
 
   #onReachable(stream: string, reachable: boolean): void {
     const { logger } = this.#options;
+    if (this.#reachable.get(stream) === reachable) return;
+    this.#reachable.set(stream, reachable);
     if (reachable) logger.info({ stream }, "The log can be read");
     else logger.warn({ stream }, "The log can't be read");
   }
 
   /** The furthest state of a stream that any peer offers. */
   async #askPeers(stream: string): Promise<StreamSnapshot | undefined> {
-    const { entries, peerAddresses } = this.#options;
+    const { entries, peers } = this.#options;
     const answers = await Promise.all(
-      peerAddresses.map((peer) => entries.snapshot(peer, stream)),
+      peers().slice(0, MOST_PEERS_ASKED).map((peer) =>
+        entries.snapshot(peer, stream)
+      ),
     );
     let best: StreamSnapshot | undefined;
     for (const answer of answers) {
@@ -222,6 +240,7 @@
 
   #makeOnceFold(): OnceFold {
     return new OnceFold({
+      windowMilliseconds: this.#options.times.keyWindowMilliseconds,
       onOwner: (owner, replaces) =>
         this.#options.tell("once_owned", {
           key: owner.key,
--- a/src/entry/request_run.ts
+++ b/src/entry/request_run.ts
@@ -15,6 +15,7 @@
   Placement,
   WaitingRequest,
 } from "../core/scheduling/mod.ts";
+import type { Span, SpanFacts, SpanName } from "../core/observation/mod.ts";
 import type { Subscription } from "../core/time/mod.ts";
 import type { AttemptRequest, OncePermit } from "../generated/messages.ts";
 import type { WorkClass } from "../generated/rules.ts";
@@ -92,11 +93,7 @@
 
   /** The entry is leaving and can't wait for the answer any longer. */
   giveUp(detail: string): void {
-    if (this.#settled) return;
-    this.#waiting?.cancel();
-    if (this.#attempt !== undefined) this.#mayHaveRun = true;
-    this.#abandonAttempt();
-    this.finishWithout({
+    this.#endWaiting({
       kind: "not_run",
       reason: "draining",
       detail,
@@ -131,7 +128,9 @@
   ): Promise<Result<Placement, Refusal>> {
     if (submitted.isErr()) return err(submitted.error);
     this.#waiting = submitted.value;
+    const queued = this.#startSpan("entry.queue");
     const placed = await submitted.value.placed;
+    queued.end();
     this.#waiting = undefined;
     if (placed.isErr()) return placed;
     if (this.#settled) {
@@ -159,7 +158,14 @@
     placement: Placement,
     permit?: OncePermit,
   ): Promise<AttemptEnd> {
-    const request = this.#attemptRequest(placement.endpoint, permit);
+    const resumed = this.assembler.deliveredTokens.length > 0;
+    const span = this.#startSpan(resumed ? "entry.resume" : "entry.dispatch", {
+      endpoint: placement.endpoint,
+    });
+    const request = this.#attemptRequest(placement.endpoint, {
+      permit,
+      traceparent: span.traceparent ?? this.options.request.traceparent,
+    });
     this.#tellSent(request);
     this.#attempt = new Attempt({
       context: this.options.context,
@@ -169,7 +175,11 @@
     });
     const end = await this.#attempt.ended;
     this.#attempt = undefined;
-    if (end.kind !== "complete") this.#excluded.add(placement.endpoint);
+    if (end.kind !== "complete") {
+      this.#excluded.add(placement.endpoint);
+      span.fail(end.reason);
+    }
+    span.end();
     if (end.kind === "failed") this.#mayHaveRun = true;
     return end;
   }
@@ -226,11 +236,7 @@
   }
 
   #onDeadline(): void {
-    if (this.#settled) return;
-    this.#waiting?.cancel();
-    if (this.#attempt !== undefined) this.#mayHaveRun = true;
-    this.#abandonAttempt();
-    this.finishWithout({
+    this.#endWaiting({
       kind: "not_run",
       reason: "late",
       detail: "The deadline has passed",
@@ -238,6 +244,28 @@
     });
   }
 
+  #endWaiting(refusal: Refusal): void {
+    if (this.#settled) return;
+    this.#waiting?.cancel();
+    if (this.#attempt !== undefined || this.#isKeyOwned()) {
+      this.#mayHaveRun = true;
+    }
+    this.#abandonAttempt();
+    this.finishWithout(refusal);
+  }
+
+  /**
+   * A repeat has sent nothing itself while the first call with its key may
+   * have run. Told "not run", the caller would send the call with a new key,
+   * and it would take effect twice.
+   */
+  #isKeyOwned(): boolean {
+    const { context, request } = this.options;
+    const { idempotencyKey, workspace } = request;
+    if (idempotencyKey === undefined) return false;
+    return context.once.isOwned(idempotencyKey, workspace);
+  }
+
   #abandonAttempt(): void {
     if (this.options.cancelsAttempts) this.#attempt?.cancel();
   }
@@ -255,7 +283,7 @@
 
   #attemptRequest(
     endpoint: EndpointId,
-    permit: OncePermit | undefined,
+    given: { permit: OncePermit | undefined; traceparent: string | undefined },
   ): AttemptRequest {
     const { request, workClass, profile, context } = this.options;
     this.#attempts += 1;
@@ -272,11 +300,21 @@
     };
     const delivered = this.assembler.deliveredTokens;
     if (delivered.length > 0) attempt.deliveredTokens = [...delivered];
-    if (permit !== undefined) attempt.once = permit;
-    if (request.traceparent) attempt.traceparent = request.traceparent;
+    if (given.permit !== undefined) attempt.once = given.permit;
+    if (given.traceparent !== undefined) {
+      attempt.traceparent = given.traceparent;
+    }
     return attempt;
   }
 
+  #startSpan(name: SpanName, facts: SpanFacts = {}): Span {
+    const { context, request } = this.options;
+    return context.tracer.start(name, {
+      traceparent: request.traceparent,
+      facts: { requestId: request.requestId, ...facts },
+    });
+  }
+
   #tellSent(attempt: AttemptRequest): void {
     const { context } = this.options;
     const facts: Record<string, string | number | boolean> = {
