Follow the entry's new settings in the slopes bench

Cause: the entry's times have two more members, which the bench's own entry lacked, so that it did not compile. Ruled out: optional members, because a forgotten one would go unnoticed. Change: the bench gives both, at their defaults.

--- a/bench/entry_host.ts
+++ b/bench/entry_host.ts
@@ -77,6 +77,8 @@
         appendDelayMilliseconds: 20,
         claimSilenceMilliseconds: 15_000,
         planMilliseconds: 2_000,
+        keyWindowMilliseconds: 600_000,
+        vmListMilliseconds: 5_000,
         checkpointRecords: 500,
       },
     });
