--- a/test/process/platform_faults_test.ts
+++ b/test/process/platform_faults_test.ts
@@ -120,11 +120,13 @@
     );
     expect(chat.status).to.equal(200);
     await setLog({ down: "no" });
+    let last: Answer | undefined;
     await waitFor(
-      async () => (await book(deployment.entries[0], key)).status < 300,
-      {
-        what: "the log to be used again",
+      async () => {
+        last = await book(deployment.entries[0], key);
+        return last.status < 300;
       },
+      { what: "the log to be used again", found: () => last },
     );
     expect(await runsOf(key)).to.equal(1);
   });
--- a/test/support/process_fleet.ts
+++ b/test/support/process_fleet.ts
@@ -93,13 +93,19 @@
 /** Waits until the condition holds; throws what was waited for otherwise. */
 export async function waitFor(
   condition: () => boolean | Promise<boolean>,
-  options: { what: string; milliseconds?: number },
+  options: {
+    what: string;
+    milliseconds?: number;
+    /** What was there in the end, for the error. */
+    found?: () => unknown;
+  },
 ): Promise<void> {
   const limit = options.milliseconds ?? DEFAULT_WAIT_MILLISECONDS;
   const end = performance.now() + limit;
   while (!(await condition())) {
     if (performance.now() > end) {
-      throw new Error(`Waited ${limit} ms for ${options.what}`);
+      const found = JSON.stringify(options.found?.());
+      throw new Error(`Waited ${limit} ms for ${options.what}: ${found}`);
     }
     await new Promise((resolve) => setTimeout(resolve, POLL_MILLISECONDS));
   }
