--- a/test/process/platform_faults_test.ts
+++ b/test/process/platform_faults_test.ts
@@ -145,9 +145,7 @@
   // and an operator publishes in the same moment.
   it("a publication comes into force although its judge was killed", async function () {
     this.timeout(30_000);
-    const judge = deployment.entries.find((entry) =>
-      /"stream":"configuration[^}]*has the claim/.test(entry.process.output())
-    ) as DeployedEntry;
+    const judge = judgeOf(deployment);
     const rest = deployment.entries.filter((entry) => entry !== judge);
     const before = await status(rest[0]);
     judge.process.child.kill("SIGKILL");
@@ -163,6 +161,35 @@
     expect(performance.now() - published).to.be.below(IN_FORCE_MILLISECONDS);
   });
 
+  // The entry that judges is frozen past every limit. Another takes over and a
+  // publication comes into force. Then the frozen one wakes up and still
+  // believes in its claim; what it writes must have no effect, and it must
+  // come to what the others have.
+  it("an entry that wakes from a long freeze changes nothing", async function () {
+    this.timeout(60_000);
+    const judge = judgeOf(deployment);
+    const [other] = deployment.entries.filter((entry) => entry !== judge);
+    const before = (await status(other)).configurationVersion;
+    judge.process.child.kill("SIGSTOP");
+    await deployment.publishRaw(
+      deployment.content({ [deployment.engines[0].id]: "draining" }),
+      before,
+    );
+    await waitFor(
+      async () => (await status(other)).configurationVersion > before,
+      { what: "the publication to be in force without the judge" },
+    );
+    const after = (await status(other)).configurationVersion;
+    judge.process.child.kill("SIGCONT");
+    await waitFor(
+      async () => (await status(judge)).configurationVersion === after,
+      { what: "the woken entry to follow" },
+    );
+    await new Promise((resolve) => setTimeout(resolve, 2_000));
+    expect((await status(other)).configurationVersion).to.equal(after);
+    expect((await status(judge)).configurationVersion).to.equal(after);
+  });
+
   // Two operators publish against the same version. If both were taken, the
   // second would silently undo the first.
   it("of two racing publications exactly one comes into force", async () => {
@@ -254,3 +281,10 @@
     expect(await runsOf(key)).to.equal(1);
   });
 });
+
+/** The entry that has the claim on the configuration's stream. */
+function judgeOf(deployment: SmallDeployment): DeployedEntry {
+  return deployment.entries.find((entry) =>
+    /"stream":"configuration[^}]*has the claim/.test(entry.process.output())
+  ) as DeployedEntry;
+}
