Let tests take each guard of the coordination out

Cause: a run with a guard off must fail, which edits of the source showed so far and nothing in the repository did.

--- a/src/core/authority/claim.ts
+++ b/src/core/authority/claim.ts
@@ -19,10 +19,11 @@
  */
 export function nextClaim(
   current: Claim | undefined,
-  options: { offset: number; record: ClaimRecord },
+  options: { offset: number; record: ClaimRecord; unchecked?: boolean },
 ): Claim | undefined {
   const replaced = current?.offset ?? -1;
-  if (options.record.replaces !== replaced) return current;
+  const isFitting = options.record.replaces === replaced;
+  if (!isFitting && options.unchecked !== true) return current;
   return { offset: options.offset, holder: options.record.holder };
 }
 
--- a/src/core/authority/mod.ts
+++ b/src/core/authority/mod.ts
@@ -4,4 +4,8 @@
 export { ClaimKeeper, holderName } from "./claim_keeper.ts";
 export type { ClaimKeeperOptions, ClaimView } from "./claim_keeper.ts";
 export { OrdersFold } from "./orders_fold.ts";
-export type { EndpointOrder, OrdersFoldOptions } from "./orders_fold.ts";
+export type {
+  EndpointOrder,
+  OrdersFoldOptions,
+  OrdersGuards,
+} from "./orders_fold.ts";
--- a/src/core/authority/orders_fold.ts
+++ b/src/core/authority/orders_fold.ts
@@ -16,7 +16,18 @@
   readonly target: EngineTarget;
 }
 
+/** Guards that a test may take out; the product never passes them. */
+export interface OrdersGuards {
+  /** A claim counts only if it replaces the one in force. */
+  readonly replacesInForce: boolean;
+  /** An order counts only under the claim in force. */
+  readonly checksClaim: boolean;
+  /** An order counts only with a number above its endpoint's last. */
+  readonly checksNumber: boolean;
+}
+
 export interface OrdersFoldOptions {
+  readonly guards?: Partial<OrdersGuards>;
   /** A valid order has been applied. */
   readonly onOrder?: (endpoint: string, order: EndpointOrder) => void;
   readonly onClaim?: (claim: Claim) => void;
@@ -36,6 +47,7 @@
  */
 export class OrdersFold implements StreamFold {
   readonly #options: OrdersFoldOptions;
+  readonly #guards: OrdersGuards;
   #claim: Claim | undefined;
   #orders = new Map<string, EndpointOrder>();
   #lastSign = -1;
@@ -43,6 +55,12 @@
 
   constructor(options: OrdersFoldOptions = {}) {
     this.#options = options;
+    this.#guards = {
+      replacesInForce: true,
+      checksClaim: true,
+      checksNumber: true,
+      ...options.guards,
+    };
   }
 
   get claim(): Claim | undefined {
@@ -105,7 +123,8 @@
     offset: number,
     record: Extract<RecordBody, { kind: "claim" }>,
   ): void {
-    const next = nextClaim(this.#claim, { offset, record });
+    const unchecked = !this.#guards.replacesInForce;
+    const next = nextClaim(this.#claim, { offset, record, unchecked });
     if (next === this.#claim || next === undefined) return;
     this.#claim = next;
     this.#lastSign = offset;
@@ -126,7 +145,8 @@
   }
 
   #isValid(record: OrderRecord): boolean {
-    return record.claim === this.#claim?.offset &&
-      record.number > this.lastNumber(record.endpoint);
+    const { checksClaim, checksNumber } = this.#guards;
+    if (checksClaim && record.claim !== this.#claim?.offset) return false;
+    return !checksNumber || record.number > this.lastNumber(record.endpoint);
   }
 }
--- a/src/core/configuration/configuration_fold.ts
+++ b/src/core/configuration/configuration_fold.ts
@@ -45,6 +45,22 @@
   };
 }
 
+/** Guards that a test may take out; the product never passes them. */
+export interface ConfigurationGuards {
+  /** A claim counts only if it replaces the one in force. */
+  readonly replacesInForce: boolean;
+  /** A verdict counts only under the claim in force. */
+  readonly checksClaim: boolean;
+  /** A publication comes into force only on the version that it replaces. */
+  readonly checksBase: boolean;
+  /** A publication that stands again does not count again. */
+  readonly dropsRepeats: boolean;
+}
+
+export interface ConfigurationFoldOptions {
+  readonly guards?: Partial<ConfigurationGuards>;
+}
+
 interface InForce {
   readonly version: number;
   readonly publicationId: string;
@@ -77,6 +93,7 @@
  * the last content that it could and says so in `unapplied`.
  */
 export class ConfigurationFold implements StreamFold {
+  readonly #guards: ConfigurationGuards;
   readonly #listeners = new Set<() => void>();
   #claim: Claim | undefined;
   #lastSign = -1;
@@ -87,6 +104,16 @@
   #appliedVersion = 0;
   #unapplied: readonly ConfigurationProblem[] = [];
 
+  constructor(options: ConfigurationFoldOptions = {}) {
+    this.#guards = {
+      replacesInForce: true,
+      checksClaim: true,
+      checksBase: true,
+      dropsRepeats: true,
+      ...options.guards,
+    };
+  }
+
   /** Offset of the accepting verdict plus one; 0 before the first. */
   get version(): ConfigurationVersion {
     return numbered(this.#inForce?.version ?? 0);
@@ -182,7 +209,8 @@
       this.pending.some((other) => other.publicationId === publicationId);
     // A base at or above the publication's own place is no version that its
     // publisher can have seen; it must not match one that comes later.
-    if (isRepeat || base > offset) return;
+    if (isRepeat && this.#guards.dropsRepeats) return;
+    if (base > offset) return;
     if (this.#pending.size >= MOST_PENDING_PUBLICATIONS) return;
     const publisher = record.publisher ?? "";
     this.#pending.set(offset, {
@@ -198,19 +226,21 @@
     offset: number,
     record: Extract<RecordBody, { kind: "claim" }>,
   ): void {
-    const next = nextClaim(this.#claim, { offset, record });
+    const unchecked = !this.#guards.replacesInForce;
+    const next = nextClaim(this.#claim, { offset, record, unchecked });
     if (next === this.#claim) return;
     this.#claim = next;
     this.#lastSign = offset;
   }
 
   #applyVerdict(offset: number, record: VerdictRecord): void {
-    if (record.claim !== this.#claim?.offset) return;
+    const isUnderClaim = record.claim === this.#claim?.offset;
+    if (!isUnderClaim && this.#guards.checksClaim) return;
     this.#lastSign = offset;
     const publication = this.#pending.get(record.publication);
     if (publication === undefined) return;
     this.#pending.delete(record.publication);
-    const fits = publication.base === this.version;
+    const fits = publication.base === this.version || !this.#guards.checksBase;
     const accepted = record.accepted && fits;
     const beaten = fits ? undefined : this.#inForce;
     if (accepted) this.#accept(offset, publication);
--- a/src/core/configuration/mod.ts
+++ b/src/core/configuration/mod.ts
@@ -3,6 +3,8 @@
 export type { ConfigurationContent, ConfigurationProblem } from "./check.ts";
 export { ConfigurationFold } from "./configuration_fold.ts";
 export type {
+  ConfigurationFoldOptions,
+  ConfigurationGuards,
   PendingPublication,
   PublicationOutcome,
 } from "./configuration_fold.ts";
--- a/src/core/journal/journal.ts
+++ b/src/core/journal/journal.ts
@@ -24,7 +24,16 @@
 import type { StreamFold } from "./stream_fold.ts";
 import { StreamReader } from "./stream_reader.ts";
 
+/** Guards that a test may take out; the product never passes them. */
+export interface JournalGuards {
+  /** A record that lands again, or behind a later one, does not count. */
+  readonly dropsRepeats: boolean;
+  /** Expired records are made up for by a state from behind them. */
+  readonly closesGaps: boolean;
+}
+
 export interface JournalOptions {
+  readonly guards?: Partial<JournalGuards>;
   readonly log: LogService;
   readonly stream: StreamName;
   readonly fold: StreamFold;
@@ -206,7 +215,8 @@
       this.#unreadable += 1;
       return;
     }
-    if (!this.#filter.admit(envelope)) {
+    const isNew = this.#filter.admit(envelope);
+    if (!isNew && this.#options.guards?.dropsRepeats !== false) {
       this.#repeated += 1;
       return;
     }
@@ -238,6 +248,10 @@
     // A peer's state may have come while the read was under way.
     if (this.#position + 1 >= oldest) return;
     this.#gaps += 1;
+    if (this.#options.guards?.closesGaps === false) {
+      this.#position = oldest - 1;
+      return;
+    }
     this.#search = new CheckpointSearch(oldest);
     await this.#peers.ask();
   }
--- a/src/core/journal/schedules_test.ts
+++ b/src/core/journal/schedules_test.ts
@@ -9,6 +9,7 @@
 import { ListFold } from "../../../test/support/list_fold.ts";
 import type { StreamSnapshot } from "../links/mod.ts";
 import { ManualTimerService } from "../time/mod.ts";
+import type { JournalGuards } from "./mod.ts";
 
 const PROCESSES = 4;
 
@@ -41,12 +42,18 @@
   readonly log = new FakeLog({ timer: this.timer });
   readonly outcomes = new Map<string, string>();
   readonly runs: number[] = Array(PROCESSES).fill(0);
-  readonly parts: TestJournal<ListFold>[] = Array.from(
-    { length: PROCESSES },
-    (_, index) => this.start(index),
-  );
+  readonly guards: Partial<JournalGuards>;
+  readonly parts: TestJournal<ListFold>[];
   #appended = 0;
 
+  constructor(guards: Partial<JournalGuards>) {
+    this.guards = guards;
+    this.parts = Array.from(
+      { length: PROCESSES },
+      (_, index) => this.start(index),
+    );
+  }
+
   start(index: number): TestJournal<ListFold> {
     const parts = makeJournal(new ListFold(), {
       log: this.log,
@@ -56,6 +63,7 @@
       stream: ORDERS,
       journal: {
         checkpointRecords: 6,
+        guards: this.guards,
         peers: () => Promise.resolve(this.highestSnapshot(index)),
       },
     });
@@ -127,37 +135,68 @@
   // may ever differ but by how far they have read; what a writer was told must
   // be true, and nothing may count twice.
   it("agree on one history, and writers are told the truth", async () => {
-    await fc.assert(
-      fc.asyncProperty(fc.array(step, { maxLength: 25 }), async (steps) => {
-        const fleet = new Fleet();
-        let positions = fleet.parts.map(() => -1);
-        for (const next of steps) {
-          await fleet.take(next);
-          expectPrefixes(fleet.parts.map(({ fold }) => fold.taken));
-          const now = fleet.parts.map(({ journal }) => journal.position);
-          if (next.kind === "restart") positions[next.process] = -1;
-          now.forEach((position, index) => {
-            expect(position).to.be.at.least(positions[index]);
-          });
-          positions = now;
-        }
-        await fleet.heal();
-        const [{ fold, journal }] = fleet.parts;
-        for (const other of fleet.parts) {
-          expect(other.journal.position).to.equal(journal.position);
-          expect(other.journal.snapshot()).to.deep.equal(journal.snapshot());
-        }
-        expect(new Set(fold.taken).size).to.equal(fold.taken.length);
-        for (const [marker, outcome] of fleet.outcomes) {
-          expect(outcome).to.not.equal("open");
-          const stands = fold.taken.includes(marker);
-          if (outcome === "made") expect(stands, marker).to.equal(true);
-          if (outcome === "append_not_made") {
-            expect(stands, marker).to.equal(false);
-          }
-        }
-      }),
-      { numRuns: 300, seed: 4 },
-    );
+    const found = await searchSchedules({});
+    expect(found.counterexample).to.equal(null);
   });
+
+  // A search that can't see what a guard prevents proves nothing.
+  const guards: readonly (keyof JournalGuards)[] = [
+    "dropsRepeats",
+    "closesGaps",
+  ];
+  for (const guard of guards) {
+    it(`differ in some schedule without ${guard}`, async () => {
+      const found = await searchSchedules({ [guard]: false });
+      expect(found.failed).to.equal(true);
+    });
+  }
 });
+
+function searchSchedules(guards: Partial<JournalGuards>) {
+  return fc.check(
+    fc.asyncProperty(
+      fc.array(step, { maxLength: 25 }),
+      (steps) => runSchedule(new Fleet(guards), steps),
+    ),
+    { numRuns: 300, seed: 4 },
+  );
+}
+
+async function runSchedule(
+  fleet: Fleet,
+  steps: readonly Step[],
+): Promise<void> {
+  let positions = fleet.parts.map(() => -1);
+  for (const next of steps) {
+    await fleet.take(next);
+    expectPrefixes(fleet.parts.map(({ fold }) => fold.taken));
+    const now = fleet.parts.map(({ journal }) => journal.position);
+    if (next.kind === "restart") positions[next.process] = -1;
+    now.forEach((position, index) => {
+      expect(position).to.be.at.least(positions[index]);
+    });
+    positions = now;
+  }
+  await fleet.heal();
+  expectOneHistory(fleet);
+  expectTruth(fleet);
+}
+
+function expectOneHistory({ parts }: Fleet): void {
+  const [{ fold, journal }] = parts;
+  for (const other of parts) {
+    expect(other.journal.position).to.equal(journal.position);
+    expect(other.journal.snapshot()).to.deep.equal(journal.snapshot());
+  }
+  expect(new Set(fold.taken).size).to.equal(fold.taken.length);
+}
+
+function expectTruth({ outcomes, parts }: Fleet): void {
+  const [{ fold }] = parts;
+  for (const [marker, outcome] of outcomes) {
+    expect(outcome).to.not.equal("open");
+    const stands = fold.taken.includes(marker);
+    if (outcome === "made") expect(stands, marker).to.equal(true);
+    if (outcome === "append_not_made") expect(stands, marker).to.equal(false);
+  }
+}
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -7,7 +7,14 @@
   type TimerService,
 } from "../time/mod.ts";
 
+/** Guards that a test may take out; the product never passes them. */
+export interface MembershipGuards {
+  /** A late report of an earlier run does not count. */
+  readonly checksIncarnation: boolean;
+}
+
 export interface MembershipOptions {
+  readonly guards?: Partial<MembershipGuards>;
   readonly vmList: VmList;
   readonly timer: TimerService;
   readonly random: Random;
@@ -210,6 +217,7 @@
    * have been set back, that order counts only while the other run is heard.
    */
   #isOlderRun(state: MemberState, incarnation: string): boolean {
+    if (this.#options.guards?.checksIncarnation === false) return false;
     if (state.superseded.has(incarnation)) return true;
     if (state.incarnation === undefined) return false;
     if (incarnation >= state.incarnation) return false;
--- a/src/core/membership/membership_test.ts
+++ b/src/core/membership/membership_test.ts
@@ -143,6 +143,20 @@
     expect(membership.isUsable("a")).to.equal(true);
   });
 
+  it("would let an older run speak without the check", () => {
+    const unguarded = new Membership({
+      vmList: { read: () => Promise.resolve(err(failure(UNAVAILABLE, {}))) },
+      timer,
+      random: seededRandom(1),
+      readMilliseconds: READ_MILLISECONDS,
+      suspectMilliseconds: 3_000,
+      guards: { checksIncarnation: false },
+    });
+    unguarded.sideReported(report("a", "run-2"));
+    unguarded.sideReported(report("a", "run-1", "leaving"));
+    expect(unguarded.isUsable("a")).to.equal(false);
+  });
+
   // The same, at an entry that has never heard of the earlier run.
   it("does not take an older run for a new one", () => {
     membership.sideReported(report("a", "run-2"));
--- a/src/core/membership/mod.ts
+++ b/src/core/membership/mod.ts
@@ -1,7 +1,11 @@
 /** Who is there, who leaves, and which of them this process uses. */
 export { hashToUnit } from "./hash.ts";
 export { Membership } from "./membership.ts";
-export type { Member, MembershipOptions } from "./membership.ts";
+export type {
+  Member,
+  MembershipGuards,
+  MembershipOptions,
+} from "./membership.ts";
 export { attachments, rendezvousSubset } from "./rendezvous.ts";
 export type {
   AttachmentOptions,
--- a/src/core/orders/mod.ts
+++ b/src/core/orders/mod.ts
@@ -2,6 +2,7 @@
 export { isReached, isSameTarget, needsLoading } from "./engine_state.ts";
 export { OrderExecutor } from "./order_executor.ts";
 export type {
+  OrderExecutorGuards,
   OrderExecutorOptions,
   OrderExecutorState,
   ReleaseWeights,
--- a/src/core/orders/order_executor.ts
+++ b/src/core/orders/order_executor.ts
@@ -13,7 +13,20 @@
 /** Gives a place in the loading budget back. */
 export type ReleaseWeights = () => void;
 
+/** Guards that a test may take out; the product never passes them. */
+export interface OrderExecutorGuards {
+  /** The engine is drained before an order is sent. */
+  readonly drains: boolean;
+  /** No other order is sent while an earlier one can still land. */
+  readonly waitsForEarlierOrders: boolean;
+  /** No order is sent while the engine is changing. */
+  readonly waitsForChanges: boolean;
+  /** Figures older than the last order are not believed. */
+  readonly checksAge: boolean;
+}
+
 export interface OrderExecutorOptions {
+  readonly guards?: Partial<OrderExecutorGuards>;
   readonly endpoint: EndpointLink;
   readonly timer: TimerService;
   /**
@@ -86,6 +99,7 @@
  */
 export class OrderExecutor {
   readonly #options: OrderExecutorOptions;
+  readonly #guards: OrderExecutorGuards;
   readonly #idleCheck: Subscription;
   #wanted: StandingOrder | undefined;
   #applied = -1;
@@ -102,6 +116,13 @@
 
   constructor(options: OrderExecutorOptions) {
     this.#options = options;
+    this.#guards = {
+      drains: true,
+      waitsForEarlierOrders: true,
+      waitsForChanges: true,
+      checksAge: true,
+      ...options.guards,
+    };
     // An earlier run of this side may have sent an order right before it
     // ended; this run can't know, so it waits the longest way of an order.
     this.#mayLandUntil = options.timer.now() + options.longestOrderMilliseconds;
@@ -173,7 +194,8 @@
     for (;;) {
       const observation = await this.#observeEngine();
       if (this.#stopped) return observation ?? NOTHING_OBSERVED;
-      if (observation !== undefined && !observation.changing) {
+      const ignores = !this.#guards.waitsForChanges;
+      if (observation !== undefined && (!observation.changing || ignores)) {
         return observation;
       }
       this.#state = "settling";
@@ -223,6 +245,7 @@
 
   /** True where no other order than this one can reach the engine any more. */
   #nothingElseCanLand(order: StandingOrder): boolean {
+    if (!this.#guards.waitsForEarlierOrders) return true;
     if (this.#lastSentOffset === order.offset) return true;
     return this.#options.timer.now() >= this.#mayLandUntil;
   }
@@ -244,6 +267,7 @@
     if (this.#drained) return;
     this.#state = "draining";
     this.#drained = true;
+    if (!this.#guards.drains) return;
     await this.#options.drain();
   }
 
@@ -333,7 +357,8 @@
     });
     if (answer === undefined || answer.isErr()) return undefined;
     const taken = asked - answer.value.ageMilliseconds;
-    return taken < this.#lastSentAt ? undefined : answer.value;
+    const isOld = taken < this.#lastSentAt && this.#guards.checksAge;
+    return isOld ? undefined : answer.value;
   }
 
   #tell(kind: HistoryEventKind, order: StandingOrder): void {
--- a/src/core/orders/order_executor_test.ts
+++ b/src/core/orders/order_executor_test.ts
@@ -4,7 +4,11 @@
 import type { EngineTarget } from "../../generated/log_records.ts";
 import { identifier } from "../identity/mod.ts";
 import { ManualTimerService } from "../time/mod.ts";
-import { OrderExecutor, type OrderExecutorOptions } from "./mod.ts";
+import {
+  OrderExecutor,
+  type OrderExecutorGuards,
+  type OrderExecutorOptions,
+} from "./mod.ts";
 
 const LONGEST_ORDER_MILLISECONDS = 20_000;
 
@@ -300,62 +304,101 @@
 
   // Orders, lost and late deliveries, crashes and restarts of the side come in
   // any sequence. At no time may an engine get an older order after a
-  // newer one or two at once, and in the end it stands where the last order
-  // wants it.
+  // newer one, two at once, or one before it is drained, and in the end it
+  // stands where the last order wants it.
   for (const checksFencing of [true, false]) {
     const kind = checksFencing ? "checks" : "ignores";
     it(`never conflicts at an engine that ${kind} fencing`, async () => {
-      const step = fc.record({
-        wait: fc.integer({ min: 0, max: 15_000 }),
-        kind: fc.constantFrom(
-          "order",
-          "order",
-          "lostAnswers",
-          "lostOrders",
-          "lateOrders",
-          "refusals",
-          "crash",
-          "restart",
-          "age",
-        ),
-        role: fc.constantFrom<EngineTarget["role"]>(
-          "mixed",
-          "prefill",
-          "decode",
-        ),
+      const found = await searchSchedules({ checksFencing });
+      expect(found.counterexample).to.equal(null);
+    });
+  }
+
+  // A search that can't see what a guard prevents proves nothing. An engine
+  // that ignores fencing is safe from a change under way by the longer wait.
+  const guards: Record<keyof OrderExecutorGuards, boolean> = {
+    drains: false,
+    waitsForEarlierOrders: false,
+    waitsForChanges: true,
+    checksAge: false,
+  };
+  for (const [guard, checksFencing] of Object.entries(guards)) {
+    it(`conflicts in some schedule without ${guard}`, async () => {
+      const found = await searchSchedules({
+        checksFencing,
+        guards: { [guard]: false },
       });
-      await fc.assert(
-        fc.asyncProperty(fc.array(step, { maxLength: 14 }), async (steps) => {
-          timer = new ManualTimerService();
-          const engine = makeEngine(checksFencing);
-          const options = { checksFencing };
-          let { executor } = makeSide(engine, options);
-          let newest = order(1, "decode");
-          executor.take(newest);
-          for (const { kind, role, wait } of steps) {
-            if (kind === "order") {
-              newest = order(newest.offset + 1, role);
-              executor.take(newest);
-            } else if (kind === "crash") engine.crash(wait);
-            else if (kind === "age") {
-              engine.faults.ageMilliseconds = wait % 8_000;
-            } else if (kind === "restart") {
-              executor.stop();
-              executor = makeSide(engine, options).executor;
-              executor.take(newest);
-            } else {
-              engine.faults[kind] = 1;
-              engine.faults.lateMilliseconds = wait;
-            }
-            await timer.advance(wait);
-          }
-          await timer.advance(200_000);
-          expect(engine.conflicts).to.deep.equal([]);
-          expect(engine.state.role).to.equal(newest.target.role);
-          expect(executor.applied).to.equal(newest.offset);
-        }),
-        { numRuns: 150, seed: 20 },
-      );
+      expect(found.failed).to.equal(true);
     });
   }
+
+  const step = fc.record({
+    wait: fc.integer({ min: 0, max: 15_000 }),
+    kind: fc.constantFrom(
+      "order",
+      "order",
+      "order",
+      "lostAnswers",
+      "lostOrders",
+      "lateOrders",
+      "refusals",
+      "crash",
+      "restart",
+      "age",
+    ),
+    role: fc.constantFrom<EngineTarget["role"]>("mixed", "prefill", "decode"),
+  });
+
+  type Step = typeof step extends fc.Arbitrary<infer Value> ? Value : never;
+  type Searched = Pick<OrderExecutorOptions, "checksFencing" | "guards">;
+
+  function searchSchedules(options: Searched) {
+    return fc.check(
+      fc.asyncProperty(
+        fc.array(step, { maxLength: 14 }),
+        (steps) => runSchedule(steps, options),
+      ),
+      { numRuns: 200, seed: 20 },
+    );
+  }
+
+  async function runSchedule(steps: readonly Step[], options: Searched) {
+    timer = new ManualTimerService();
+    const engine = makeEngine(options.checksFencing === true, 6_000);
+    let { calls, executor } = makeSide(engine, options);
+    let newest = order(1, "decode");
+    executor.take(newest);
+    for (const { kind, role, wait } of steps) {
+      if (kind === "order") {
+        newest = order(newest.offset + 1, role);
+        executor.take(newest);
+      } else if (kind === "crash") engine.crash(wait);
+      else if (kind === "age") engine.faults.ageMilliseconds = wait % 8_000;
+      else if (kind === "restart") {
+        executor.stop();
+        expectDrained(calls);
+        ({ calls, executor } = makeSide(engine, options));
+        executor.take(newest);
+      } else {
+        engine.faults[kind] = 1;
+        engine.faults.lateMilliseconds = wait;
+      }
+      await timer.advance(wait);
+    }
+    await timer.advance(200_000);
+    expectDrained(calls);
+    expect(engine.conflicts).to.deep.equal([]);
+    expect(engine.state.role).to.equal(newest.target.role);
+    expect(executor.applied).to.equal(newest.offset);
+  }
+
+  /** Every order was sent between a drain and the next resume. */
+  function expectDrained(calls: readonly string[]): void {
+    let drained = false;
+    for (const call of calls) {
+      if (call === "drain") drained = true;
+      else if (call === "resume") drained = false;
+      else if (call === "order_sent") expect(drained).to.equal(true);
+    }
+  }
 });
