--- /dev/null
+++ b/src/core/configuration/check_inventory.ts
@@ -0,0 +1,142 @@
+import type {
+  Inventory,
+  InventoryEndpoint,
+  Pool,
+  Route,
+} from "../../generated/inventory.ts";
+import { type ConfigurationProblem, duplicates, problem } from "./problem.ts";
+
+/** What the schema can't say of an inventory. */
+export function checkInventory(inventory: Inventory): ConfigurationProblem[] {
+  const zones = new Set<string>(inventory.availabilityZones);
+  const problems = [
+    ...duplicates(inventory.availabilityZones, {
+      path: (index) => `/inventory/availabilityZones/${index}`,
+      what: "availability zone",
+    }),
+    ...duplicates(inventory.pools.map((pool) => pool.name), {
+      path: (index) => `/inventory/pools/${index}/name`,
+      what: "pool name",
+    }),
+    ...checkRepeatedEndpoints(inventory),
+    ...checkRepeatedModels(inventory),
+    ...checkRoutes(inventory),
+  ];
+  inventory.pools.forEach((pool, index) => {
+    problems.push(
+      ...checkPool(pool, { path: `/inventory/pools/${index}`, zones }),
+    );
+  });
+  return problems;
+}
+
+function checkPool(
+  pool: Pool,
+  options: { path: string; zones: ReadonlySet<string> },
+): ConfigurationProblem[] {
+  const problems: ConfigurationProblem[] = [];
+  const { path } = options;
+  if (pool.kind === "engine" && (pool.models ?? []).length === 0) {
+    problems.push(problem(`${path}/models`, {
+      found: pool.models,
+      expected: "at least one model for a pool of engines",
+    }));
+  }
+  if (pool.kind === "engine" && pool.engine === undefined) {
+    problems.push(problem(`${path}/engine`, {
+      found: undefined,
+      expected: "the characteristics of the pool's engines",
+    }));
+  }
+  if (pool.kind === "engine" && pool.routes !== undefined) {
+    problems.push(problem(`${path}/routes`, {
+      found: pool.routes,
+      expected: "no routes for a pool of engines",
+    }));
+  }
+  if (pool.kind === "service" && (pool.routes ?? []).length === 0) {
+    problems.push(problem(`${path}/routes`, {
+      found: pool.routes,
+      expected: "at least one route for a pool of plain services",
+    }));
+  }
+  pool.endpoints.forEach((endpoint, index) => {
+    problems.push(...checkEndpoint(endpoint, {
+      path: `${path}/endpoints/${index}`,
+      zones: options.zones,
+      kind: pool.kind,
+    }));
+  });
+  return problems;
+}
+
+function checkEndpoint(
+  endpoint: InventoryEndpoint,
+  options: { path: string; zones: ReadonlySet<string>; kind: Pool["kind"] },
+): ConfigurationProblem[] {
+  const problems: ConfigurationProblem[] = [];
+  if (!options.zones.has(endpoint.availabilityZone)) {
+    problems.push(problem(`${options.path}/availabilityZone`, {
+      found: endpoint.availabilityZone,
+      expected: `one of ${[...options.zones].join(", ")}`,
+    }));
+  }
+  if (options.kind === "service" && endpoint.role !== undefined) {
+    problems.push(problem(`${options.path}/role`, {
+      found: endpoint.role,
+      expected: "no role for a plain service",
+    }));
+  }
+  return problems;
+}
+
+function checkRepeatedEndpoints(inventory: Inventory): ConfigurationProblem[] {
+  const places = inventory.pools.flatMap((pool, poolIndex) =>
+    pool.endpoints.map((endpoint, index) => ({
+      endpoint,
+      path: `/inventory/pools/${poolIndex}/endpoints/${index}`,
+    }))
+  );
+  return [
+    ...duplicates(places.map(({ endpoint }) => endpoint.id), {
+      path: (index) => `${places[index].path}/id`,
+      what: "endpoint id",
+    }),
+    ...duplicates(places.map(({ endpoint }) => endpoint.side), {
+      path: (index) => `${places[index].path}/side`,
+      what: "address of a side process",
+    }),
+  ];
+}
+
+/** A model in two pools would leave it open which engines answer for it. */
+function checkRepeatedModels(inventory: Inventory): ConfigurationProblem[] {
+  const places = inventory.pools.flatMap((pool, poolIndex) =>
+    (pool.models ?? []).map((model, index) => ({
+      model,
+      path: `/inventory/pools/${poolIndex}/models/${index}`,
+    }))
+  );
+  return duplicates(places.map(({ model }) => model), {
+    path: (index) => places[index].path,
+    what: "model",
+  });
+}
+
+function checkRoutes(inventory: Inventory): ConfigurationProblem[] {
+  const places = inventory.pools.flatMap((pool, poolIndex) =>
+    (pool.routes ?? []).map((route, index) => ({
+      key: routeKey(route),
+      path: `/inventory/pools/${poolIndex}/routes/${index}`,
+    }))
+  );
+  return duplicates(places.map(({ key }) => key), {
+    path: (index) => places[index].path,
+    what: "route",
+  });
+}
+
+function routeKey(route: Route): string {
+  const path = route.path.replace(/\/+$/, "");
+  return `${route.method} ${path === "" ? "/" : path}`;
+}
--- a/src/core/configuration/configuration_fold.ts
+++ b/src/core/configuration/configuration_fold.ts
@@ -12,11 +12,8 @@
   numbered,
 } from "../identity/mod.ts";
 import type { StreamFold } from "../journal/mod.ts";
-import {
-  checkConfiguration,
-  type ConfigurationContent,
-  type ConfigurationProblem,
-} from "./check.ts";
+import { checkConfiguration, type ConfigurationContent } from "./check.ts";
+import type { ConfigurationProblem } from "./problem.ts";
 
 /** A publication that waits for its verdict. */
 export interface PendingPublication {
--- a/src/core/configuration/configuration_judge.ts
+++ b/src/core/configuration/configuration_judge.ts
@@ -1,5 +1,6 @@
 import type { Journal } from "../journal/mod.ts";
-import { checkConfiguration, type ConfigurationProblem } from "./check.ts";
+import { checkConfiguration } from "./check.ts";
+import type { ConfigurationProblem } from "./problem.ts";
 import type {
   ConfigurationFold,
   PendingPublication,
--- a/src/core/configuration/mod.ts
+++ b/src/core/configuration/mod.ts
@@ -1,6 +1,7 @@
 /** Publishing, judging and following the operators' configuration. */
 export { checkConfiguration } from "./check.ts";
-export type { ConfigurationContent, ConfigurationProblem } from "./check.ts";
+export type { ConfigurationContent } from "./check.ts";
+export type { ConfigurationProblem } from "./problem.ts";
 export { ConfigurationFold } from "./configuration_fold.ts";
 export type {
   ConfigurationFoldOptions,
--- /dev/null
+++ b/src/core/configuration/problem.ts
@@ -0,0 +1,40 @@
+/** Something in a configuration that keeps it from being accepted. */
+export interface ConfigurationProblem {
+  /** Place in the content, such as `/inventory/pools/0/endpoints/2/id`. */
+  readonly path: string;
+  readonly found: string;
+  readonly expected: string;
+}
+
+/** A problem for each value that has come before. */
+export function duplicates(
+  values: readonly string[],
+  options: { path: (index: number) => string; what: string },
+): ConfigurationProblem[] {
+  const seen = new Set<string>();
+  const problems: ConfigurationProblem[] = [];
+  values.forEach((value, index) => {
+    if (seen.has(value)) {
+      problems.push(problem(options.path(index), {
+        found: value,
+        expected: `a ${options.what} that is used once`,
+      }));
+    }
+    seen.add(value);
+  });
+  return problems;
+}
+
+export function problem(
+  path: string,
+  options: { found: unknown; expected: string },
+): ConfigurationProblem {
+  return { path, found: describe(options.found), expected: options.expected };
+}
+
+/** A value as an operator would write it. */
+export function describe(value: unknown): string {
+  if (value === undefined) return "nothing";
+  if (typeof value === "string") return value;
+  return JSON.stringify(value);
+}
