Look at the engine again after a drain; drain while an order may land

Cause: two hazards around a side's restart. An order of its earlier run lands during a long drain, and the newer order was sent into the middle of that change (seen: '6 while 5 is under way'). Or it lands while the next run serves, and cuts what runs at the engine. Ruled out: waiting out the longest order at engines that check fencing too; they refuse the older order by themselves once they have seen the newer. Change: settle after the drain; drain first while anything can land. The way to the engine is a class of its own. The test of the loading budget starts after the longest order now, as before it the drain comes first; the new test beside it holds that. Conclusion: at the first start of a zone whose engines ignore fencing and stand in another role, they are out for up to the longest order.

--- /dev/null
+++ b/src/core/orders/engine_channel.ts
@@ -0,0 +1,80 @@
+import type { StandingOrder } from "../../generated/messages.ts";
+import type { EndpointLink, EngineObservation } from "../links/mod.ts";
+import { beforeDeadline, type TimerService } from "../time/mod.ts";
+
+export interface EngineChannelOptions {
+  readonly endpoint: EndpointLink;
+  readonly timer: TimerService;
+  /** Longest time for which an order can be under way, milliseconds. */
+  readonly longestOrderMilliseconds: number;
+  /** False only in tests that take the guard out. */
+  readonly checksAge: boolean;
+}
+
+/** What became of an order, as far as the sender can know. */
+export type SendOutcome = "may_have_started" | "not_started" | "fenced";
+
+/** An order or observation without an answer for this long counts as lost. */
+const ANSWER_MILLISECONDS = 5_000;
+
+/**
+ * One run of a side's way to its engine: which order it sent last, until when
+ * one without an answer can still arrive, and which figures are new enough.
+ */
+export class EngineChannel {
+  readonly #options: EngineChannelOptions;
+  /** Until then an order without an answer may still reach the engine. */
+  #mayLandUntil: number;
+  #lastSentOffset = -1;
+  #lastSentAt = -Infinity;
+
+  constructor(options: EngineChannelOptions) {
+    this.#options = options;
+    // An earlier run of this side may have sent an order right before it
+    // ended; this run can't know, so it waits the longest way of an order.
+    this.#mayLandUntil = options.timer.now() + options.longestOrderMilliseconds;
+  }
+
+  /** True where no order but the given one can reach the engine any more. */
+  nothingElseCanLand(order: StandingOrder): boolean {
+    if (this.#lastSentOffset === order.offset) return true;
+    return this.#options.timer.now() >= this.#mayLandUntil;
+  }
+
+  async send(order: StandingOrder): Promise<SendOutcome> {
+    const { endpoint, longestOrderMilliseconds, timer } = this.#options;
+    this.#lastSentOffset = order.offset;
+    this.#lastSentAt = timer.now();
+    const answer = await beforeDeadline(
+      endpoint.order(order.target, order.offset),
+      { timer, milliseconds: ANSWER_MILLISECONDS },
+    );
+    if (answer?.isOk()) return "may_have_started";
+    if (answer !== undefined && answer.isErr()) {
+      if (answer.error.name === "order_fenced") return "fenced";
+      if (answer.error.name === "endpoint_refused") return "not_started";
+    }
+    this.#mayLandUntil = Math.max(
+      this.#mayLandUntil,
+      this.#lastSentAt + longestOrderMilliseconds,
+    );
+    return "may_have_started";
+  }
+
+  /**
+   * What the engine tells, unless its figures are older than the last order:
+   * those would show the engine at rest while the order is under way.
+   */
+  async observe(): Promise<EngineObservation | undefined> {
+    const { checksAge, endpoint, timer } = this.#options;
+    const asked = timer.now();
+    const answer = await beforeDeadline(endpoint.observe(), {
+      timer,
+      milliseconds: ANSWER_MILLISECONDS,
+    });
+    if (answer === undefined || answer.isErr()) return undefined;
+    const taken = asked - answer.value.ageMilliseconds;
+    const isOld = taken < this.#lastSentAt && checksAge;
+    return isOld ? undefined : answer.value;
+  }
+}
--- a/src/core/orders/order_executor.ts
+++ b/src/core/orders/order_executor.ts
@@ -2,12 +2,8 @@
 import { type Incarnation, type LogOffset, numbered } from "../identity/mod.ts";
 import type { EndpointLink, EngineObservation } from "../links/mod.ts";
 import type { HistoryEventKind, Observe } from "../observation/mod.ts";
-import {
-  beforeDeadline,
-  pause,
-  type Subscription,
-  type TimerService,
-} from "../time/mod.ts";
+import { pause, type Subscription, type TimerService } from "../time/mod.ts";
+import { EngineChannel } from "./engine_channel.ts";
 import { isReached, needsLoading } from "./engine_state.ts";
 
 /** Gives a place in the loading budget back. */
@@ -68,8 +64,6 @@
 const OBSERVE_CHANGE_MILLISECONDS = 250;
 /** How often the engine is observed while nothing is to be done. */
 const OBSERVE_IDLE_MILLISECONDS = 5_000;
-/** An order or observation without an answer for this long counts as lost. */
-const ENGINE_ANSWER_MILLISECONDS = 5_000;
 /**
  * An engine that neither changes nor has reached the target this long after an
  * order gets the same order again.
@@ -83,8 +77,6 @@
  */
 const LONGEST_REFUSAL_PAUSE_MILLISECONDS = 30_000;
 
-type SendOutcome = "may_have_started" | "not_started" | "fenced";
-
 /**
  * Carries out the newest valid order at one engine: drain, change, confirm by
  * observing, take work again. One order is outstanding at any time.
@@ -100,6 +92,7 @@
 export class OrderExecutor {
   readonly #options: OrderExecutorOptions;
   readonly #guards: OrderExecutorGuards;
+  readonly #engine: EngineChannel;
   readonly #idleCheck: Subscription;
   #wanted: StandingOrder | undefined;
   #applied = -1;
@@ -107,10 +100,6 @@
   #drained = false;
   #running = false;
   #stopped = false;
-  /** Until then an order without an answer may still reach the engine. */
-  #mayLandUntil: number;
-  #lastSentOffset = -1;
-  #lastSentAt = -Infinity;
   #fencedBy = -1;
   #refusalPause = FIRST_REFUSAL_PAUSE_MILLISECONDS;
 
@@ -123,9 +112,10 @@
       checksAge: true,
       ...options.guards,
     };
-    // An earlier run of this side may have sent an order right before it
-    // ended; this run can't know, so it waits the longest way of an order.
-    this.#mayLandUntil = options.timer.now() + options.longestOrderMilliseconds;
+    this.#engine = new EngineChannel({
+      ...options,
+      checksAge: this.#guards.checksAge,
+    });
     this.#idleCheck = options.timer.every(
       OBSERVE_IDLE_MILLISECONDS,
       () => this.#run(),
@@ -192,7 +182,7 @@
   /** Waits until the engine answers and has nothing under way. */
   async #settle(): Promise<EngineObservation> {
     for (;;) {
-      const observation = await this.#observeEngine();
+      const observation = await this.#engine.observe();
       if (this.#stopped) return observation ?? NOTHING_OBSERVED;
       const ignores = !this.#guards.waitsForChanges;
       if (observation !== undefined && (!observation.changing || ignores)) {
@@ -208,12 +198,18 @@
     order: StandingOrder,
     observation: EngineObservation,
   ): Promise<void> {
+    // An earlier order that lands now would cut what runs at the engine; one
+    // would notice answers that break off right after a side has restarted.
+    if (!this.#nothingElseCanLand(order)) await this.#drain();
     await this.#waitForEarlierOrders(order);
     if (!this.#isNewest(order)) return;
     const release = await this.#acquireWeights(order, observation);
     try {
       if (!this.#isNewest(order)) return;
       await this.#drain();
+      // The drain may take long, and an order of this side's earlier run may
+      // have landed meanwhile.
+      await this.#settle();
       if (this.#isNewest(order)) await this.#change(order);
     } finally {
       release?.();
@@ -243,11 +239,9 @@
       : checksFencing;
   }
 
-  /** True where no other order than this one can reach the engine any more. */
   #nothingElseCanLand(order: StandingOrder): boolean {
     if (!this.#guards.waitsForEarlierOrders) return true;
-    if (this.#lastSentOffset === order.offset) return true;
-    return this.#options.timer.now() >= this.#mayLandUntil;
+    return this.#engine.nothingElseCanLand(order);
   }
 
   /**
@@ -273,7 +267,8 @@
 
   async #change(order: StandingOrder): Promise<void> {
     this.#state = "changing";
-    const outcome = await this.#send(order);
+    this.#tell("order_sent", order);
+    const outcome = await this.#engine.send(order);
     if (outcome === "fenced") {
       // The engine knows a later order, which will come here too.
       this.#fencedBy = order.offset;
@@ -282,6 +277,7 @@
       this.#takeWorkAgain("settling");
       await this.#pauseAfterRefusal();
     } else {
+      this.#refusalPause = FIRST_REFUSAL_PAUSE_MILLISECONDS;
       await this.#waitForRest(order);
     }
   }
@@ -291,7 +287,7 @@
     const { timer } = this.#options;
     const sentAt = timer.now();
     while (!this.#stopped) {
-      const observation = await this.#observeEngine();
+      const observation = await this.#engine.observe();
       if (observation !== undefined && !observation.changing) {
         if (isReached(observation, order.target)) return;
         if (timer.now() - sentAt >= REISSUE_MILLISECONDS) return;
@@ -300,30 +296,6 @@
     }
   }
 
-  async #send(order: StandingOrder): Promise<SendOutcome> {
-    const { endpoint, longestOrderMilliseconds, timer } = this.#options;
-    this.#tell("order_sent", order);
-    this.#lastSentOffset = order.offset;
-    this.#lastSentAt = timer.now();
-    const answer = await beforeDeadline(
-      endpoint.order(order.target, order.offset),
-      { timer, milliseconds: ENGINE_ANSWER_MILLISECONDS },
-    );
-    if (answer?.isOk()) {
-      this.#refusalPause = FIRST_REFUSAL_PAUSE_MILLISECONDS;
-      return "may_have_started";
-    }
-    if (answer !== undefined && answer.isErr()) {
-      if (answer.error.name === "order_fenced") return "fenced";
-      if (answer.error.name === "endpoint_refused") return "not_started";
-    }
-    this.#mayLandUntil = Math.max(
-      this.#mayLandUntil,
-      this.#lastSentAt + longestOrderMilliseconds,
-    );
-    return "may_have_started";
-  }
-
   async #pauseAfterRefusal(): Promise<void> {
     const wait = this.#refusalPause;
     this.#refusalPause = Math.min(wait * 2, LONGEST_REFUSAL_PAUSE_MILLISECONDS);
@@ -344,23 +316,6 @@
     this.#options.resume();
   }
 
-  /**
-   * What the engine tells, unless its figures are older than the last order:
-   * those would show the engine at rest while the order is under way.
-   */
-  async #observeEngine(): Promise<EngineObservation | undefined> {
-    const { endpoint, timer } = this.#options;
-    const asked = timer.now();
-    const answer = await beforeDeadline(endpoint.observe(), {
-      timer,
-      milliseconds: ENGINE_ANSWER_MILLISECONDS,
-    });
-    if (answer === undefined || answer.isErr()) return undefined;
-    const taken = asked - answer.value.ageMilliseconds;
-    const isOld = taken < this.#lastSentAt && this.#guards.checksAge;
-    return isOld ? undefined : answer.value;
-  }
-
   #tell(kind: HistoryEventKind, order: StandingOrder): void {
     this.#options.observe?.({
       at: this.#options.timer.now(),
--- a/src/core/orders/order_executor_test.ts
+++ b/src/core/orders/order_executor_test.ts
@@ -3,7 +3,7 @@
 import { FakeEngine } from "../../../test/support/fake_engine.ts";
 import type { EngineTarget } from "../../generated/log_records.ts";
 import { identifier } from "../identity/mod.ts";
-import { ManualTimerService } from "../time/mod.ts";
+import { ManualTimerService, pause } from "../time/mod.ts";
 import {
   OrderExecutor,
   type OrderExecutorGuards,
@@ -208,6 +208,25 @@
     expect(executor.applied).to.equal(6);
   });
 
+  // An order of a side's earlier run lands while the next run drains for a
+  // newer one, which takes long. Sent right after the drain, the newer order
+  // would reach the engine in the middle of the older change.
+  it("looks at the engine again after a long drain", async () => {
+    const engine = makeEngine(true, 10_000);
+    engine.faults.lateOrders = 1;
+    engine.faults.lateMilliseconds = 4_000;
+    void engine.link().order({ role: "decode" }, 5);
+    await timer.advance(100);
+    const { executor } = makeSide(engine, {
+      drain: () => pause(timer, 8_000),
+    });
+    executor.take(order(6, "prefill"));
+    await timer.advance(90_000);
+    expect(engine.received).to.deep.equal([5, 6]);
+    expect(engine.conflicts).to.deep.equal([]);
+    expect(executor.applied).to.equal(6);
+  });
+
   // The side is killed right after it has sent an order, and its next run gets
   // a newer one. An engine that ignores fencing would get both.
   it("waits after its start for what its earlier run may have sent", async () => {
@@ -226,6 +245,23 @@
     expect(second.executor.applied).to.equal(6);
   });
 
+  // The side is killed right after it has sent an order. Its next run would
+  // take requests, and the order would land in the middle of them.
+  it("takes no work while its earlier run's order may land", async () => {
+    const engine = makeEngine(false);
+    engine.faults.lateOrders = 1;
+    engine.faults.lateMilliseconds = 15_000;
+    void engine.link().order({ role: "decode" }, 5);
+    await timer.advance(100);
+    const { calls, executor } = makeSide(engine, { checksFencing: false });
+    executor.take(order(5, "decode"));
+    await timer.advance(14_000);
+    expect(calls).to.deep.equal(["drain"]);
+    await timer.advance(30_000);
+    expect(calls.at(-1)).to.equal("resume");
+    expect(engine.conflicts).to.deep.equal([]);
+  });
+
   // The side restarts while its engine is in the middle of an order. Sending
   // at once would give the engine two orders at the same time.
   it("lets a change under way finish after its own restart", async () => {
@@ -281,6 +317,7 @@
     const { executor, calls } = makeSide(engine, {
       acquireWeights: () => new Promise((resolve) => grant = resolve),
     });
+    await timer.advance(LONGEST_ORDER_MILLISECONDS);
     const target = { role: "mixed" as const, weights: "v2" };
     executor.take({ offset: 5, claim: 0, target });
     await timer.advance(60_000);
