--- a/src/core/journal/journal.ts
+++ b/src/core/journal/journal.ts
@@ -10,28 +10,14 @@
 import type { Random } from "../random/mod.ts";
 import { beforeDeadline, type TimerService } from "../time/mod.ts";
 import { Appender } from "./appender.ts";
-import { CheckpointSearch } from "./checkpoint_search.ts";
 import { CheckpointWriter } from "./checkpoint_writer.ts";
 import type { JournalFailure } from "./errors.ts";
-import type { LogItem, LogService, StreamName } from "./log_service.ts";
-import {
-  readBody,
-  readEnvelope,
-  type RecordEnvelope,
-} from "./record_reading.ts";
+import type { LogService, StreamName } from "./log_service.ts";
 import { PeerSource } from "./peer_source.ts";
-import { SequenceFilter } from "./sequence_filter.ts";
 import type { StreamFold } from "./stream_fold.ts";
+import { type JournalGuards, StreamPrefix } from "./stream_prefix.ts";
 import { StreamReader } from "./stream_reader.ts";
 
-/** Guards that a test may take out; the product never passes them. */
-export interface JournalGuards {
-  /** A record that lands again, or behind a later one, does not count. */
-  readonly dropsRepeats: boolean;
-  /** Expired records are made up for by a state from behind them. */
-  readonly closesGaps: boolean;
-}
-
 export interface JournalOptions {
   readonly guards?: Partial<JournalGuards>;
   readonly log: LogService;
@@ -90,18 +76,14 @@
   readonly #appender: Appender;
   readonly #checkpoints: CheckpointWriter;
   readonly #peers: PeerSource;
-  readonly #filter = new SequenceFilter();
-  #search: CheckpointSearch | undefined;
+  readonly #prefix: StreamPrefix;
   #askingAtStart = false;
-  #position = -1;
   #toldReachable = true;
-  #unreadable = 0;
-  #repeated = 0;
-  #gaps = 0;
   #checkpointsWritten = 0;
 
   constructor(options: JournalOptions) {
     this.#options = options;
+    this.#prefix = this.#makePrefix();
     this.#reader = this.#makeReader();
     this.#appender = this.#makeAppender();
     this.#checkpoints = this.#makeCheckpoints();
@@ -110,7 +92,7 @@
       peers: options.peers,
       // Where the peer's state ends before a gap as well, the next read finds
       // the rest of the gap.
-      onSnapshot: ({ state, upTo }) => this.#restore(upTo, state),
+      onSnapshot: (snapshot) => this.#prefix.restore(snapshot),
     });
   }
 
@@ -143,7 +125,7 @@
 
   /** Offset of the last record that the fold stands for; -1 at first. */
   get position(): LogOffset {
-    return numbered(this.#position);
+    return this.#prefix.position;
   }
 
   /** False while the log service can't be read. */
@@ -154,13 +136,13 @@
   /** True once everything that any replica has told of has been read. */
   get caughtUp(): boolean {
     const head = this.#reader.highestHead;
-    if (this.#askingAtStart || this.#search !== undefined) return false;
-    return head >= 0 && this.#position + 1 >= head;
+    if (this.#askingAtStart || this.missingRecords) return false;
+    return head >= 0 && this.position + 1 >= head;
   }
 
   /** True while records are missing and no state after them has been found. */
   get missingRecords(): boolean {
-    return this.#search !== undefined;
+    return this.#prefix.missingRecords;
   }
 
   /** Timer time of the log's last answer. */
@@ -173,21 +155,21 @@
     const { log, stream, timer } = this.#options;
     const answer = await beforeDeadline(
       log.read(stream, {
-        from: numbered(this.#position + 1),
+        from: numbered(this.position + 1),
         limit: 1,
         waitMilliseconds: 0,
       }),
       { timer, milliseconds: FRESH_READ_MILLISECONDS },
     );
     if (answer === undefined || answer.isErr()) return false;
-    return answer.value.head <= this.#position + 1;
+    return answer.value.head <= this.position + 1;
   }
 
   get counts(): JournalCounts {
     return {
-      unreadable: this.#unreadable,
-      repeated: this.#repeated,
-      gaps: this.#gaps,
+      unreadable: this.#prefix.unreadable,
+      repeated: this.#prefix.repeated,
+      gaps: this.#prefix.gaps,
       checkpointsWritten: this.#checkpointsWritten,
       appendCalls: this.#appender.calls,
     };
@@ -195,94 +177,38 @@
 
   /** The state at `position`, for a peer that can't read the log. */
   snapshot(): StreamSnapshot {
-    return { upTo: this.#position, state: this.#state() };
-  }
-
-  #state(): Record<string, unknown> {
-    return { fold: this.#options.fold.save(), writers: this.#filter.save() };
-  }
-
-  #takeItems(items: readonly LogItem[]): void {
-    for (const item of items) {
-      if (this.#search !== undefined) this.#lookForCheckpoint(item);
-      else this.#apply(item);
-    }
-    this.#options.onPage?.();
-  }
-
-  #apply(item: LogItem): void {
-    if (item.offset !== this.#position + 1) return;
-    this.#position = item.offset;
-    const envelope = readEnvelope(item.value);
-    if (envelope === undefined) {
-      this.#unreadable += 1;
-      return;
-    }
-    const isNew = this.#filter.admit(envelope);
-    if (!isNew && this.#options.guards?.dropsRepeats !== false) {
-      this.#repeated += 1;
-      return;
-    }
-    const body = readBody(envelope.body);
-    if (body === undefined) this.#unreadable += 1;
-    else this.#applyBody(item.offset, body);
-    if (this.#isOwn(envelope)) {
-      this.#appender.seen(item.offset, envelope.sequence);
-    }
-  }
-
-  #applyBody(offset: LogOffset, body: RecordBody): void {
-    if (body.kind === "checkpoint") this.#checkpoints.seen(body.upTo);
-    else this.#options.fold.apply(offset, body);
-    this.#options.onApplied?.(offset, body);
-  }
-
-  #isOwn(envelope: RecordEnvelope): boolean {
-    return envelope.writer === this.#options.writer &&
-      envelope.incarnation === this.#options.incarnation;
-  }
-
-  /**
-   * Records between the position and `oldest` have expired. What goes wrong
-   * without this: the fold goes on without them, and this process differs from
-   * all others for good. Instead it takes a peer's state or a checkpoint.
-   */
-  async #closeGap(oldest: LogOffset): Promise<void> {
-    // A peer's state may have come while the read was under way.
-    if (this.#position + 1 >= oldest) return;
-    this.#gaps += 1;
-    if (this.#options.guards?.closesGaps === false) {
-      this.#position = oldest - 1;
-      return;
-    }
-    this.#search = new CheckpointSearch(oldest);
-    await this.#peers.ask();
+    return this.#prefix.save();
   }
 
-  #lookForCheckpoint(item: LogItem): void {
-    const body = readBody(readEnvelope(item.value)?.body);
-    const found = this.#search?.look(item, body);
-    if (found === undefined) return;
-    const { checkpoint, following } = found;
-    this.#restore(checkpoint.upTo, checkpoint.state);
-    for (const next of following) this.#apply(next);
-  }
-
-  #restore(upTo: number, state: Readonly<Record<string, unknown>>): void {
-    if (upTo <= this.#position) return;
-    this.#search = undefined;
-    this.#options.fold.load((state.fold ?? {}) as Record<string, unknown>);
-    this.#filter.load(state.writers);
-    this.#position = upTo;
-    this.#options.onRestored?.(numbered(upTo));
+  #makePrefix(): StreamPrefix {
+    const { fold, guards, incarnation, writer } = this.#options;
+    return new StreamPrefix({
+      fold,
+      guards,
+      onApplied: (offset, body) => {
+        if (body.kind === "checkpoint") this.#checkpoints.seen(body.upTo);
+        this.#options.onApplied?.(offset, body);
+      },
+      onRead: (offset, envelope) => {
+        const isOwn = envelope.writer === writer &&
+          envelope.incarnation === incarnation;
+        if (isOwn) this.#appender.seen(offset, envelope.sequence);
+      },
+      onRestored: (position) => this.#options.onRestored?.(position),
+    });
   }
 
   #makeReader(): StreamReader {
     return new StreamReader({
       ...this.#options,
-      next: () => numbered(this.#search?.next ?? this.#position + 1),
-      onItems: (items) => this.#takeItems(items),
-      onGap: (oldest) => this.#closeGap(oldest),
+      next: () => this.#prefix.next,
+      onItems: (items) => {
+        this.#prefix.take(items);
+        this.#options.onPage?.();
+      },
+      onGap: async (oldest) => {
+        if (this.#prefix.openGap(oldest)) await this.#peers.ask();
+      },
       onReachable: (reachable) => this.#reachability(reachable),
       onIdle: () => this.#idle(),
     });
@@ -297,12 +223,12 @@
   }
 
   #hasState(): boolean {
-    return this.#position >= 0 && this.#search === undefined;
+    return this.position >= 0 && !this.missingRecords;
   }
 
   /** Nothing new on the stream; a search that found nothing asks again. */
   async #idle(): Promise<void> {
-    if (this.#search !== undefined) await this.#peers.ask();
+    if (this.missingRecords) await this.#peers.ask();
   }
 
   #makeAppender(): Appender {
@@ -322,7 +248,7 @@
       records: this.#options.checkpointRecords,
       milliseconds: this.#options.checkpointMilliseconds ??
         DEFAULT_CHECKPOINT_MILLISECONDS,
-      position: () => this.#position,
+      position: () => this.position,
       ready: () => this.reachable && this.caughtUp,
       write: () => this.#writeCheckpoint(),
     });
--- a/src/core/journal/mod.ts
+++ b/src/core/journal/mod.ts
@@ -9,9 +9,6 @@
 } from "./log_service.ts";
 export type { JournalFailure } from "./errors.ts";
 export { Journal } from "./journal.ts";
-export type {
-  JournalCounts,
-  JournalGuards,
-  JournalOptions,
-} from "./journal.ts";
+export type { JournalCounts, JournalOptions } from "./journal.ts";
+export type { JournalGuards } from "./stream_prefix.ts";
 export type { StreamFold } from "./stream_fold.ts";
--- /dev/null
+++ b/src/core/journal/stream_prefix.ts
@@ -0,0 +1,159 @@
+import type { RecordBody } from "../../generated/log_records.ts";
+import type { LogOffset } from "../identity/mod.ts";
+import { numbered } from "../identity/mod.ts";
+import type { StreamSnapshot } from "../links/mod.ts";
+import { CheckpointSearch } from "./checkpoint_search.ts";
+import type { LogItem } from "./log_service.ts";
+import {
+  readBody,
+  readEnvelope,
+  type RecordEnvelope,
+} from "./record_reading.ts";
+import { SequenceFilter } from "./sequence_filter.ts";
+import type { StreamFold } from "./stream_fold.ts";
+
+/** Guards that a test may take out; the product never passes them. */
+export interface JournalGuards {
+  /** A record that lands again, or behind a later one, does not count. */
+  readonly dropsRepeats: boolean;
+  /** Expired records are made up for by a state from behind them. */
+  readonly closesGaps: boolean;
+}
+
+export interface StreamPrefixOptions {
+  readonly fold: StreamFold;
+  readonly guards?: Partial<JournalGuards>;
+  /** A record counts and the fold has it. */
+  readonly onApplied: (offset: LogOffset, body: RecordBody) => void;
+  /** A record has been read and is new, whether its body is known or not. */
+  readonly onRead: (offset: LogOffset, envelope: RecordEnvelope) => void;
+  /** The state has jumped to a snapshot or checkpoint. */
+  readonly onRestored: (position: LogOffset) => void;
+}
+
+/**
+ * The contiguous prefix of a stream that a process stands for: position, fold
+ * and filter, which only move forward and only together.
+ */
+export class StreamPrefix {
+  readonly #options: StreamPrefixOptions;
+  readonly #filter = new SequenceFilter();
+  #search: CheckpointSearch | undefined;
+  #position = -1;
+  #unreadable = 0;
+  #repeated = 0;
+  #gaps = 0;
+
+  constructor(options: StreamPrefixOptions) {
+    this.#options = options;
+  }
+
+  /** Offset of the last record that the fold stands for; -1 at first. */
+  get position(): LogOffset {
+    return numbered(this.#position);
+  }
+
+  /** Offset of the record to read next. */
+  get next(): LogOffset {
+    return numbered(this.#search?.next ?? this.#position + 1);
+  }
+
+  /** True while records are missing and no state after them has been found. */
+  get missingRecords(): boolean {
+    return this.#search !== undefined;
+  }
+
+  /** Records that do not fit the schema. */
+  get unreadable(): number {
+    return this.#unreadable;
+  }
+
+  /** Records that landed again, or after a later one of their writer. */
+  get repeated(): number {
+    return this.#repeated;
+  }
+
+  /** Times that records had expired before they were read. */
+  get gaps(): number {
+    return this.#gaps;
+  }
+
+  /** The whole state; what another process needs to go on from here. */
+  save(): StreamSnapshot {
+    const state = {
+      fold: this.#options.fold.save(),
+      writers: this.#filter.save(),
+    };
+    return { upTo: this.#position, state };
+  }
+
+  /** Jumps forward to a saved state; one that is not ahead changes nothing. */
+  restore({ state, upTo }: StreamSnapshot): void {
+    if (upTo <= this.#position) return;
+    this.#search = undefined;
+    this.#options.fold.load((state.fold ?? {}) as Record<string, unknown>);
+    this.#filter.load(state.writers);
+    this.#position = upTo;
+    this.#options.onRestored(numbered(upTo));
+  }
+
+  /** Takes records that were read from `next` on. */
+  take(items: readonly LogItem[]): void {
+    for (const item of items) {
+      if (this.#search !== undefined) this.#lookForCheckpoint(item);
+      else this.#apply(item);
+    }
+  }
+
+  /**
+   * Records between the position and `oldest` have expired. What goes wrong
+   * without this: the fold goes on without them, and this process differs from
+   * all others for good. Instead nothing counts until there is a state from
+   * behind the gap. False where there is no gap any more.
+   */
+  openGap(oldest: LogOffset): boolean {
+    // A peer's state may have come while the read was under way.
+    if (this.#position + 1 >= oldest) return false;
+    this.#gaps += 1;
+    if (this.#options.guards?.closesGaps === false) {
+      this.#position = oldest - 1;
+      return false;
+    }
+    this.#search = new CheckpointSearch(oldest);
+    return true;
+  }
+
+  #lookForCheckpoint(item: LogItem): void {
+    const body = readBody(readEnvelope(item.value)?.body);
+    const found = this.#search?.look(item, body);
+    if (found === undefined) return;
+    this.restore(found.checkpoint);
+    for (const next of found.following) this.#apply(next);
+  }
+
+  #apply(item: LogItem): void {
+    if (item.offset !== this.#position + 1) return;
+    this.#position = item.offset;
+    const envelope = readEnvelope(item.value);
+    if (envelope === undefined) {
+      this.#unreadable += 1;
+      return;
+    }
+    const isNew = this.#filter.admit(envelope);
+    if (!isNew && this.#options.guards?.dropsRepeats !== false) {
+      this.#repeated += 1;
+      return;
+    }
+    this.#applyBody(item.offset, readBody(envelope.body));
+    this.#options.onRead(item.offset, envelope);
+  }
+
+  #applyBody(offset: LogOffset, body: RecordBody | undefined): void {
+    if (body === undefined) {
+      this.#unreadable += 1;
+      return;
+    }
+    if (body.kind !== "checkpoint") this.#options.fold.apply(offset, body);
+    this.#options.onApplied(offset, body);
+  }
+}
