Let a starting side hear all its entries before it acts

Cause: pairs of faults showed a side that is started again while one of its entries is cut off from the log: the entry that answered first gave it a configuration older than its earlier run had in force. The search over claims and orders shows the same for orders. Ruled out: keeping the version at the side (its VM keeps nothing); asking the entry whether it is up to date (one that is cut off does not know). Change: the first answers are held back until both entries have spoken, at most three seconds, and the newest goes first. The history checker no longer counts a request that an earlier kill cut off against a later run's planned stop; an allowed history shows it. Conclusion: closed while one of the two entries is up to date; where the other one is unreachable longer than the limit it remains open.

--- a/src/side/guards.ts
+++ b/src/side/guards.ts
@@ -9,6 +9,8 @@
   readonly isRepeat?: (attemptId: string) => boolean;
   /** Whether the endpoint's work ends before an order is sent. */
   readonly drains?: () => boolean;
+  /** Whether a side that starts hears all its entries before it acts. */
+  readonly waitsForAllEntries?: () => boolean;
   /** Whether an order waits until no other one can be under way. */
   readonly waitsForOthers?: () => boolean;
 }
--- a/src/side/side_core.ts
+++ b/src/side/side_core.ts
@@ -33,6 +33,7 @@
 } from "../generated/messages.ts";
 import { AttemptDesk } from "./attempt_desk.ts";
 import type { AttemptHandle } from "./attempt_desk.ts";
+import { FirstAnswers } from "./first_answers.ts";
 import type { SideGuards } from "./guards.ts";
 import { WatchLoop } from "./watch_loop.ts";
 
@@ -88,6 +89,7 @@
   readonly #logger: Logger;
   readonly #desk: AttemptDesk;
   readonly #watches: readonly WatchLoop[];
+  readonly #firstAnswers: FirstAnswers;
   #orders: OrderExecutor | undefined;
   #configuration: EndpointConfiguration | undefined;
   #configurationVersion = 0;
@@ -111,6 +113,12 @@
       closedBecause: () => this.#closedBecause(),
       tell: (kind, facts) => this.#tell(kind, facts),
     });
+    this.#firstAnswers = new FirstAnswers({
+      timer: options.timer,
+      loops: ATTACHED_ENTRIES,
+      onAnswer: (answer) => this.#onWatchAnswer(answer),
+      waitsForAll: options.guards?.waitsForAllEntries,
+    });
     this.#watches = Array.from(
       { length: ATTACHED_ENTRIES },
       (_, place) => this.#makeWatch(place),
@@ -120,6 +128,7 @@
   /** Starts watching entries and observing the endpoint. */
   start(): void {
     this.#tell("process_started", { role: "side" });
+    this.#firstAnswers.start();
     for (const watch of this.#watches) watch.start();
     if (this.#options.kind === "engine") this.#startObserving();
   }
@@ -140,6 +149,7 @@
   halt(): void {
     this.#leaving = true;
     for (const watch of this.#watches) watch.stop();
+    this.#firstAnswers.stop();
     this.#observing?.cancel();
     this.#orders?.stop();
     this.#desk.moveAll();
@@ -208,7 +218,7 @@
       place,
       loops: ATTACHED_ENTRIES,
       report: () => this.report(),
-      onAnswer: (answer) => this.#onWatchAnswer(answer),
+      onAnswer: (answer) => this.#firstAnswers.take(place, answer),
       waitMilliseconds: this.#options.times.watchMilliseconds,
     });
   }
--- a/test/history/changes.ts
+++ b/test/history/changes.ts
@@ -137,6 +137,7 @@
     const request = textOf(event, "requestId");
     if (event.kind === "request_received") open.set(request, event);
     if (event.kind === "request_finished") open.delete(request);
+    if (event.kind === "process_killed") forgetRequestsOf(open, event.process);
     if (event.kind !== "process_stopped") continue;
     const endpoint = endpoints.get(event.process);
     const cut = endpoint === undefined
@@ -157,6 +158,16 @@
   return violations;
 }
 
+/** What a kill cut off is not left behind by a later run's planned stop. */
+function forgetRequestsOf(
+  open: Map<string, HistoryEvent>,
+  process: string,
+): void {
+  for (const [request, received] of open) {
+    if (received.process === process) open.delete(request);
+  }
+}
+
 function outcomesOf(events: readonly HistoryEvent[]) {
   const outcomes = new Map<string, HistoryEvent>();
   for (const event of events) {
--- a/test/history/history_test.ts
+++ b/test/history/history_test.ts
@@ -372,6 +372,12 @@
       finished(5, "answered", { tokens: 1 }),
     ],
     "a kill": [RECEIVED, event(1, "process_killed")],
+    "a planned stop of the run behind a kill": [
+      RECEIVED,
+      event(1, "process_killed"),
+      event(2, "process_started"),
+      event(3, "process_stopped"),
+    ],
   },
   configuration_reverted: {
     "in force in time": [...CONFIGURATION, inForce(8_000, 3), RUN_ENDED],
