--- a/test/matrix/guards.ts
+++ b/test/matrix/guards.ts
@@ -97,6 +97,11 @@
   onCells("monotonic version", ["append renewal/cut_both"], {
     side: { guards: { isNewer: (offered, inForce) => offered !== inForce } },
   }),
+  onCells(
+    "hearing all entries at the start",
+    ["append once/cut_both", "watch/restart_sender"],
+    { side: { guards: { waitsForAllEntries: () => false } }, seed: 14 },
+  ),
   onCells("duplicate drop", ["attempt unkeyed/duplicate"], {
     side: { guards: { isRepeat: () => false } },
   }),
