Let the history checker void records that land out of sequence

Change: the log tells writer, incarnation and sequence of each record, and the checker drops what comes out of sequence; an allowed history shows it.

--- a/src/core/observation/mod.ts
+++ b/src/core/observation/mod.ts
@@ -41,7 +41,7 @@
  * | suspected, trusted | entry | endpoint |
  * | once_owned | entry, per once record of its reading that is valid | key, record, endpoint, sideIncarnation, replaces |
  * | once_barred | side | key, record |
- * | log_appended | log, as the record takes effect | stream, offset, kind, and the record's own plain facts (claim, replaces, number, endpoint, target, holder, key, publication, publicationId, base, accepted) |
+ * | log_appended | log, as the record takes effect | stream, offset, kind, writer, incarnation, sequence, and the record's own plain facts (claim, replaces, number, endpoint, target, holder, key, publication, publicationId, base, accepted) |
  * | log_outage_began, log_outage_ended | network | [stream] |
  * | link_cut, link_healed | network | from, to (process ids; one direction) |
  * | endpoint_leaving | network, as the platform or an operator says so | endpoint, [cause] |
--- a/test/history/history_test.ts
+++ b/test/history/history_test.ts
@@ -62,6 +62,8 @@
   ),
 ];
 
+const LATE_WRITER = { writer: "entry-2", incarnation: "i" };
+
 const SIDE = event(0, "process_started", {
   by: "side-1",
   role: "side",
@@ -289,6 +291,18 @@
       appended(4, "claim", { replaces: 0, holder: "entry-2" }),
       order(1, 3),
     ],
+    "a claim that landed behind a later record of its writer": [
+      ...ORDERS,
+      appended(4, "renewal", { ...LATE_WRITER, sequence: 7 }),
+      appended(5, "claim", { ...LATE_WRITER, sequence: 6, replaces: 0 }),
+      appended(6, "order", {
+        claim: 0,
+        number: 6,
+        endpoint: "e1",
+        target: "decode",
+      }),
+      order(1, 6),
+    ],
     "a claim that lost its race": [
       CLAIM,
       appended(1, "claim", { replaces: -1, holder: "entry-2" }),
--- a/test/history/orders.ts
+++ b/test/history/orders.ts
@@ -112,7 +112,10 @@
     );
 }
 
-/** What the log took on streams with this name's beginning, by offset. */
+/**
+ * What counts on streams with this name's beginning, by offset. A record that
+ * landed behind a later one of its writer's run is void, whatever it says.
+ */
 export function inLogOrder(
   events: readonly HistoryEvent[],
   stream: string,
@@ -122,7 +125,21 @@
       event.kind === "log_appended" &&
       textOf(event, "stream").startsWith(stream)
     )
-    .sort((one, other) => numberOf(one, "offset") - numberOf(other, "offset"));
+    .sort((one, other) => numberOf(one, "offset") - numberOf(other, "offset"))
+    .filter(inSequence());
+}
+
+function inSequence(): (event: HistoryEvent) => boolean {
+  const last = new Map<string, number>();
+  return (event) => {
+    const sequence = numberOf(event, "sequence");
+    if (Number.isNaN(sequence)) return true;
+    const writer = ["stream", "writer", "incarnation"]
+      .map((fact) => textOf(event, fact)).join(" ");
+    if (sequence <= (last.get(writer) ?? -1)) return false;
+    last.set(writer, sequence);
+    return true;
+  };
 }
 
 function takeClaim(stream: StreamState, event: HistoryEvent): void {
--- a/test/matrix/region.ts
+++ b/test/matrix/region.ts
@@ -15,6 +15,7 @@
 import { ManualTimerService } from "../../src/core/time/mod.ts";
 import { EntryCore, type EntryOptions } from "../../src/entry/mod.ts";
 import { SideCore, type SideOptions } from "../../src/side/mod.ts";
+import type { LogRecord } from "../../src/generated/log_records.ts";
 import { FakeLog } from "../support/fake_log.ts";
 import { FakeEngine, FakeService, textOf } from "./endpoints.ts";
 import {
@@ -372,8 +373,13 @@
     stream: string,
     appended: { offset: number; record: unknown },
   ): void {
-    const { body } = appended.record as { body: Record<string, unknown> };
-    const facts: Record<string, string | number | boolean> = {};
+    const { body, writer, incarnation, sequence } = appended
+      .record as LogRecord & { body: Record<string, unknown> };
+    const facts: Record<string, string | number | boolean> = {
+      writer,
+      incarnation,
+      sequence,
+    };
     for (const [name, value] of Object.entries(body)) {
       if (typeof value !== "object") facts[name] = value as string;
     }
