Let a saved state of keys say how far its writer has forgotten

Cause: the time for which keys are remembered is a setting. A process with a longer time that starts from the checkpoint of one with a shorter time took the keys forgotten there for never seen, owned them anew and ran the work a second time. Ruled out: fixing the time in the code (operators size their memory by it). Change: the state carries a horizon that only rises; a key before it is void and expired for whoever loads the state. Conclusion: processes with different settings stay safe, at the price of the shorter time.

--- a/src/core/once/fold.ts
+++ b/src/core/once/fold.ts
@@ -27,7 +27,7 @@
  * until the entry dies. Limit: half an hour covers retries by people and
  * machines; docs/ONCE.md gives the memory per key that was measured.
  * Two readers with other windows stay safe: each takes a record either by the
- * same rule or as void.
+ * same rule or as void, and a saved state says how far its writer has forgotten.
  */
 export const ONCE_WINDOW_MILLISECONDS = 30 * 60_000;
 
@@ -69,6 +69,8 @@
   readonly #texts = new Map<string, string>();
   readonly #listeners = new Set<() => void>();
   #streamTime = 0;
+  /** Keys of an earlier time are void; it only rises. */
+  #horizon = 0;
   #upTo = -1;
 
   constructor(options: OnceFoldOptions = {}) {
@@ -100,7 +102,7 @@
   /** True where every record of this key is void from here on. */
   isExpired(key: IdempotencyKey): boolean {
     const time = timeOfKey(key);
-    return time === undefined || time < this.#streamTime - this.#window;
+    return time === undefined || time < this.#horizon;
   }
 
   /** Calls the listener after each change of position; gives the way to stop. */
@@ -119,7 +121,12 @@
     const owners = [...this.#owners.values()]
       .filter((owner) => !this.isExpired(owner.key))
       .sort((one, other) => one.record - other.record);
-    return { upTo: this.#upTo, streamTime: this.#streamTime, owners };
+    return {
+      upTo: this.#upTo,
+      streamTime: this.#streamTime,
+      horizon: this.#horizon,
+      owners,
+    };
   }
 
   load(state: Record<string, unknown>): void {
@@ -127,6 +134,7 @@
     this.#groups.clear();
     this.#upTo = Number(state.upTo ?? -1);
     this.#streamTime = Number(state.streamTime ?? 0);
+    this.#horizon = horizonOf(state, this.#window);
     for (const owner of (state.owners ?? []) as OnceOwner[]) this.#keep(owner);
     for (const listener of [...this.#listeners]) listener();
   }
@@ -134,7 +142,7 @@
   #applyOnce(offset: LogOffset, record: OnceRecord): void {
     const time = timeOfKey(record.key);
     if (time === undefined || time !== record.keyTime) return;
-    if (time < this.#streamTime - this.#window) return;
+    if (time < this.#horizon) return;
     this.#advance(time);
     const key = identifier<IdempotencyKey>(record.key);
     const current = this.#owners.get(key);
@@ -163,7 +171,8 @@
   #advance(time: number): void {
     if (time <= this.#streamTime) return;
     this.#streamTime = time;
-    const oldest = groupOf(time - this.#window);
+    this.#horizon = Math.max(this.#horizon, time - this.#window);
+    const oldest = groupOf(this.#horizon);
     for (const [group, keys] of this.#groups) {
       if (group >= oldest) continue;
       for (const key of keys) this.#owners.delete(key);
@@ -183,6 +192,17 @@
 /** Twice the 12,000 endpoints of the largest fleet, each with one incarnation. */
 const MOST_SHARED_TEXTS = 24_000;
 
+/**
+ * A state may come from a process with a shorter window, which has forgotten
+ * keys that this one would still remember. Taken for never seen, such a key
+ * would be owned anew and its work done twice, so what the writer has
+ * forgotten counts as expired here too.
+ */
+function horizonOf(state: Record<string, unknown>, window: number): number {
+  const streamTime = Number(state.streamTime ?? 0);
+  return Math.max(Number(state.horizon ?? 0), streamTime - window);
+}
+
 function groupOf(time: number): number {
   return Math.floor(time / GROUP_WIDTH_MILLISECONDS);
 }
--- a/src/core/once/fold_test.ts
+++ b/src/core/once/fold_test.ts
@@ -86,6 +86,20 @@
     });
   });
 
+  it("forgets what the writer of a loaded state had forgotten", () => {
+    // During a roll-out two processes remember keys for different times. The
+    // one with the shorter time writes a checkpoint, the other starts from it
+    // and would book the permit of a forgotten key again.
+    const short = new OnceFold({ windowMilliseconds: MINUTE_MILLISECONDS });
+    const later = keyAt(START + 2 * MINUTE_MILLISECONDS);
+    fold([record(key), record(later)], short);
+    const long = new OnceFold();
+    long.load(JSON.parse(JSON.stringify(short.save())));
+    expect(long.isExpired(key)).to.equal(true);
+    long.apply(numbered(2), record(key));
+    expect(long.owner(key)).to.equal(undefined);
+  });
+
   it("comes back from its saved state with the same owners", () => {
     // A reader that starts from a checkpoint must decide like one that has
     // read every record, or the two disagree on who runs.
