--- a/src/side/side_core.ts
+++ b/src/side/side_core.ts
@@ -33,6 +33,8 @@
 } from "../generated/messages.ts";
 import { AttemptDesk } from "./attempt_desk.ts";
 import type { AttemptHandle } from "./attempt_desk.ts";
+import { FirstAnswers } from "./first_answers.ts";
+import type { SideGuards } from "./guards.ts";
 import { WatchLoop } from "./watch_loop.ts";
 
 /** Limits of one side; every one of them bounds its memory or its waiting. */
@@ -72,6 +74,7 @@
   readonly observe?: Observe;
   readonly logger?: Logger;
   readonly tracer?: Tracer;
+  readonly guards?: SideGuards;
 }
 
 /** A side is attached to two entries, so that losing one delays nothing. */
@@ -86,6 +89,7 @@
   readonly #logger: Logger;
   readonly #desk: AttemptDesk;
   readonly #watches: readonly WatchLoop[];
+  readonly #firstAnswers: FirstAnswers;
   #orders: OrderExecutor | undefined;
   #configuration: EndpointConfiguration | undefined;
   #configurationVersion = 0;
@@ -109,6 +113,12 @@
       closedBecause: () => this.#closedBecause(),
       tell: (kind, facts) => this.#tell(kind, facts),
     });
+    this.#firstAnswers = new FirstAnswers({
+      timer: options.timer,
+      loops: ATTACHED_ENTRIES,
+      onAnswer: (answer) => this.#onWatchAnswer(answer),
+      waitsForAll: options.guards?.waitsForAllEntries,
+    });
     this.#watches = Array.from(
       { length: ATTACHED_ENTRIES },
       (_, place) => this.#makeWatch(place),
@@ -118,6 +128,7 @@
   /** Starts watching entries and observing the endpoint. */
   start(): void {
     this.#tell("process_started", { role: "side" });
+    this.#firstAnswers.start();
     for (const watch of this.#watches) watch.start();
     if (this.#options.kind === "engine") this.#startObserving();
   }
@@ -138,6 +149,7 @@
   halt(): void {
     this.#leaving = true;
     for (const watch of this.#watches) watch.stop();
+    this.#firstAnswers.stop();
     this.#observing?.cancel();
     this.#orders?.stop();
     this.#desk.moveAll();
@@ -206,7 +218,7 @@
       place,
       loops: ATTACHED_ENTRIES,
       report: () => this.report(),
-      onAnswer: (answer) => this.#onWatchAnswer(answer),
+      onAnswer: (answer) => this.#firstAnswers.take(place, answer),
       waitMilliseconds: this.#options.times.watchMilliseconds,
     });
   }
@@ -239,7 +251,7 @@
   }
 
   #takeConfiguration(answer: WatchAnswer): void {
-    if (answer.configurationVersion <= this.#configurationVersion) return;
+    if (!this.#isNewer(answer.configurationVersion)) return;
     const wasDraining = this.#isDraining();
     this.#configurationVersion = answer.configurationVersion;
     this.#configuration = answer.endpoint ?? WITHDRAWN;
@@ -254,6 +266,11 @@
     }
   }
 
+  #isNewer(version: number): boolean {
+    const isNewer = this.#options.guards?.isNewer ?? isAbove;
+    return isNewer(version, this.#configurationVersion);
+  }
+
   #takeOrder({ order }: WatchAnswer): void {
     if (order === undefined || order.offset <= this.#orderTaken) return;
     this.#orderTaken = order.offset;
@@ -279,10 +296,12 @@
       resume: () => this.#resumeAfterChange(),
       observe,
       process: name,
+      guards: this.#options.guards?.orders,
     });
   }
 
   async #drainForChange(): Promise<void> {
+    if (this.#options.guards?.drains?.() === false) return;
     this.#changing = true;
     this.#tell("side_draining", { cause: "order" });
     await this.#desk.idleWithin(this.#options.times.drainMilliseconds);
@@ -344,3 +363,7 @@
   state: "withdrawn",
   checksFencing: false,
 };
+
+function isAbove(version: number, inForce: number): boolean {
+  return version > inForce;
+}
