Judge endpoints by the register's figures and urgent placements by deadline

Cause: an engine five times slower than its register entry was never ejected, because its own reports made its slowness the expected one; callers who gave up there taught nothing; a probe that came back slow let it in again, and an urgent request could be the probe. Change: ejection compares with the asset register; a caller that goes counts as a lower bound; probes take idempotent work that is not urgent; an urgent request goes to an endpoint that makes room rather than to a free one that can't be in time. A class that the pool can't serve whole is let in by its share. Conclusion: twelve outcome tests hold, from bursts to the loss of a zone.

--- a/bench/load_run.ts
+++ b/bench/load_run.ts
@@ -53,6 +53,11 @@
   readonly reportLagMilliseconds?: number;
   readonly seconds?: number;
   readonly arrivals?: readonly Arrival[];
+  /** Told of the end of every measured request. */
+  readonly onFinished?: (
+    arrival: Arrival,
+    result: "onTime" | "late" | "refused",
+  ) => void;
   /** Called once all is set up, to bring about faults. */
   readonly prepare?: (run: LoadRun) => void;
 }
@@ -385,6 +390,7 @@
     open.done = true;
     const { arrival } = open;
     if (arrival.at < this.measuredFrom) return;
+    this.#options.onFinished?.(arrival, result);
     this.figures.of(arrival.shape.workClass.name)[result] += 1;
   }
 }
--- a/bench/load_side.ts
+++ b/bench/load_side.ts
@@ -47,7 +47,7 @@
   readonly #options: SideModelOptions;
   readonly #jobs = new Map<string, RunningJob>();
   #state: SideReport["state"] = "serving";
-  #open = 0;
+  readonly #open = new Set<() => void>();
   #target: Role | undefined;
   #onChanged: (() => void) | undefined;
 
@@ -119,11 +119,11 @@
     this.#changeWhenDrained();
   }
 
-  /** Everything at the endpoint breaks off; nothing comes back. */
+  /** Everything at the endpoint breaks off, and its links with it. */
   lose(): void {
     this.reachable = false;
     for (const job of this.#jobs.values()) job.cancel();
-    this.#jobs.clear();
+    for (const breakOff of [...this.#open]) breakOff();
   }
 
   /** Returns what gives the attempt up. */
@@ -131,9 +131,11 @@
     let slot: Slot | undefined;
     let job: RunningJob | undefined;
     let over = false;
+    const breakOff = () => end("failed");
     const end = (result: "answered" | "not_run" | "failed") => {
       if (over) return;
       over = true;
+      this.#open.delete(breakOff);
       this.#leave(attempt, slot);
       attempt.onEnd(result, this.load());
     };
@@ -142,7 +144,7 @@
       attempt.onEnd("not_run", this.load());
       return () => {};
     }
-    this.#open += 1;
+    this.#open.add(breakOff);
     void this.limiter.enter({
       ...attempt,
       priority: this.#options.plain ? 0 : attempt.priority,
@@ -159,6 +161,7 @@
       if (over) return;
       over = true;
       job?.cancel();
+      this.#open.delete(breakOff);
       this.#leave(attempt, slot);
     };
   }
@@ -195,7 +198,6 @@
   }
 
   #leave(attempt: SideAttempt, slot: Slot | undefined): void {
-    this.#open -= 1;
     this.#jobs.delete(attempt.attemptId);
     slot?.release();
     this.#resumePaused();
@@ -220,7 +222,7 @@
   }
 
   #changeWhenDrained(): void {
-    if (this.#target === undefined || this.#open > 0) return;
+    if (this.#target === undefined || this.#open.size > 0) return;
     if (this.engine === undefined || this.engine.outOfService) return;
     const role = this.#target;
     this.engine.changeRole(role, () => {
--- a/src/core/admission/mod.ts
+++ b/src/core/admission/mod.ts
@@ -1,4 +1,5 @@
 /** Which requests are let in, by whether their answer can be on time. */
+export { ClassThinning } from "./class_thinning.ts";
 export { DrainMeter } from "./drain_meter.ts";
 export { LoopGuard } from "./loop_guard.ts";
 export { OutputLengths } from "./output_lengths.ts";
--- a/src/core/placement/endpoint_health.ts
+++ b/src/core/placement/endpoint_health.ts
@@ -10,6 +10,14 @@
   readonly longestEjectionMilliseconds: number;
 }
 
+/** How long an attempt took, against two expectations. */
+export interface AttemptTimes {
+  /** Against the prediction, which knows what the endpoint reports. */
+  readonly overExpected: number;
+  /** Against the asset register's figures alone. */
+  readonly overRated: number;
+}
+
 /** Weight of one attempt in the means: about the last ten attempts count. */
 const ATTEMPT_WEIGHT = 0.1;
 /** Bounds of the slowness that placement reckons with. */
@@ -27,6 +35,7 @@
   #attempts = 0;
   #failureShare = 0;
   #slowness = 1;
+  #overRated = 1;
   #ejections = 0;
   #ejectedUntil = -Infinity;
   #probing = false;
@@ -44,6 +53,11 @@
     return Math.min(MOST_SLOWNESS, Math.max(LEAST_SLOWNESS, this.#slowness));
   }
 
+  /** Observed time of answers against the register's figures. */
+  get overRated(): number {
+    return this.#overRated;
+  }
+
   get ejected(): boolean {
     return this.#ejectedUntil > -Infinity;
   }
@@ -57,12 +71,21 @@
     this.#probing = true;
   }
 
-  succeeded(observedOverExpected: number): void {
-    this.#attempts += 1;
+  /** A probe that comes back slow sends the endpoint away again. */
+  succeeded(times: AttemptTimes, now: number): void {
     this.#failureShare *= 1 - ATTEMPT_WEIGHT;
+    this.#learn(times);
+    if (!this.#probing) return;
+    if (times.overRated > this.#limits.mostSlowness) this.eject(now);
+    else this.#readmit();
+  }
+
+  #learn(times: AttemptTimes): void {
+    this.#attempts += 1;
     this.#slowness += ATTEMPT_WEIGHT *
-      (Math.min(MOST_SLOWNESS, observedOverExpected) - this.#slowness);
-    if (this.#probing) this.#readmit();
+      (Math.min(MOST_SLOWNESS, times.overExpected) - this.#slowness);
+    this.#overRated += ATTEMPT_WEIGHT *
+      (Math.min(MOST_SLOWNESS, times.overRated) - this.#overRated);
   }
 
   failed(now: number): void {
@@ -71,18 +94,30 @@
     if (this.#probing) this.eject(now);
   }
 
-  /** The attempt told nothing (it was cancelled or not run). */
+  /**
+   * The caller went, or its deadline passed. What it waited is a lower bound:
+   * without it an endpoint so slow that nothing ends there looks untried.
+   */
+  cancelled(times: AttemptTimes, now: number): void {
+    if (this.#probing && times.overRated > this.#limits.mostSlowness) {
+      this.eject(now);
+    }
+    this.#probing = false;
+    if (times.overRated > this.#overRated) this.#learn(times);
+  }
+
+  /** The attempt told nothing (it was not run). */
   untold(): void {
     this.#probing = false;
   }
 
   /** True: it ought to be ejected, if the ceiling allows. */
-  isBad(medianSlowness: number): boolean {
+  isBad(medianOverRated: number): boolean {
     if (this.ejected || this.#attempts < this.#limits.fewestAttempts) {
       return false;
     }
     return this.#failureShare > this.#limits.mostFailureShare ||
-      this.slowness > this.#limits.mostSlowness * medianSlowness;
+      this.#overRated > this.#limits.mostSlowness * medianOverRated;
   }
 
   eject(now: number): void {
@@ -102,6 +137,7 @@
     this.#attempts = 0;
     this.#failureShare /= 2;
     this.#slowness = 1 + (this.#slowness - 1) / 2;
+    this.#overRated = 1 + (this.#overRated - 1) / 2;
     this.#ejections = Math.max(0, this.#ejections - 1);
   }
 }
--- a/src/core/placement/endpoint_picture.ts
+++ b/src/core/placement/endpoint_picture.ts
@@ -196,6 +196,14 @@
         this.#prefillMilliseconds(work.promptTokens));
   }
 
+  /** Time that the register's figures would give an endpoint to itself. */
+  ratedMilliseconds(
+    work: { promptTokens: number; outputTokens: number },
+  ): number {
+    return this.#prefillMilliseconds(work.promptTokens) +
+      work.outputTokens * this.#rates.millisecondsBetweenTokens;
+  }
+
   decodeMilliseconds(outputTokens: number): number {
     return this.health.slowness * outputTokens *
       this.millisecondsBetweenTokens();
--- a/src/core/placement/placer.ts
+++ b/src/core/placement/placer.ts
@@ -85,6 +85,11 @@
     this.#plan = plan;
   }
 
+  /** Share of the class's arrivals that the pool has room for. */
+  servedShare(className: string): number {
+    return this.#plan?.servedShare(className) ?? 1;
+  }
+
   /** True where a request of the class finds a free place. */
   hasRoom(className: string, options: { rank: number; now: number }): boolean {
     const { rank, now } = options;
@@ -135,7 +140,8 @@
     const open = this.#openFor(question);
     if (open.length === 0) return undefined;
     const probe = open.find((picture) => picture.health.mayProbe(question.now));
-    if (probe !== undefined && question.profile.idempotent) {
+    const mayFail = question.profile.idempotent && question.rank > 0;
+    if (probe !== undefined && mayFail) {
       return this.#judge(probe, question);
     }
     const healthy = open.filter((picture) => !picture.health.ejected);
@@ -199,7 +205,7 @@
     const judged = this.#pictures.filter((picture) => picture.usable);
     const most = Math.floor(judged.length * this.#options.mostEjectedShare);
     let ejected = judged.filter((one) => one.health.ejected).length;
-    const median = medianOf(judged.map((one) => one.health.slowness));
+    const median = medianOf(judged.map((one) => one.health.overRated));
     for (const picture of judged) {
       if (ejected >= most) return;
       if (!picture.health.isBad(median)) continue;
@@ -230,7 +236,27 @@
       const other = this.#judge(this.#draw(from), question);
       if (other.score < best.score) best = other;
     }
-    return this.#withAffinity(best, from, question);
+    const found = this.#withAffinity(best, from, question);
+    return rank === 0 ? this.#inTime(found, open, question) : found;
+  }
+
+  /**
+   * For urgent work: an endpoint that has no free place but makes room at its
+   * side goes before a free one that can't be in time.
+   */
+  #inTime(
+    found: Candidate,
+    open: readonly EndpointPicture[],
+    question: PlacementQuestion,
+  ): Candidate {
+    const left = question.profile.deadline - question.now;
+    if (found.milliseconds <= left) return found;
+    let best = found;
+    for (const picture of open) {
+      const other = this.#judge(picture, question);
+      if (other.milliseconds < best.milliseconds) best = other;
+    }
+    return best;
   }
 
   /** Endpoints of one role, drawn by the shares of the plan. */
--- a/src/core/placement/routing_plan.ts
+++ b/src/core/placement/routing_plan.ts
@@ -18,6 +18,7 @@
 const QUIET_UTILISATION = 0.5;
 /** Weight of the older placements: about the last fifty count. */
 const PLACED_DECAY = 0.98;
+const TINY_RATE = 1e-6;
 /** Placements by which a role may be ahead of its share. */
 const SLACK_PLACEMENTS = 1;
 /** Share of the rated rates that the plan uses. */
@@ -37,6 +38,8 @@
  */
 export class RoutingPlan {
   readonly #shares = new Map<string, readonly number[]>();
+  /** Share of each class's arrivals that the pool can serve. */
+  readonly #served = new Map<string, number>();
   readonly #placed = new Map<string, number[]>();
   readonly #quiet: boolean;
 
@@ -52,6 +55,10 @@
     this.#quiet = division.utilisation < QUIET_UTILISATION;
     for (const [index, one] of demand.entries()) {
       const total = division.rates[index].reduce((sum, rate) => sum + rate, 0);
+      this.#served.set(
+        one.className,
+        Math.min(1, total / Math.max(TINY_RATE, one.arrivalsPerSecond)),
+      );
       const shares = division.rates[index].map((rate) => rate / total);
       this.#shares.set(one.className, total > 0 ? shares : []);
     }
@@ -65,6 +72,11 @@
     return share < LEAST_SHARE ? 0 : share;
   }
 
+  /** Share of the class's arrivals that fits beside all other work. */
+  servedShare(className: string): number {
+    return this.#served.get(className) ?? 1;
+  }
+
   /** Notes a placement; older ones count less and less. */
   placed(className: string, role: Role): void {
     const known = this.#placed.get(className);
--- a/src/core/scheduling/entry_scheduler_test.ts
+++ b/src/core/scheduling/entry_scheduler_test.ts
@@ -46,6 +46,9 @@
   ],
 };
 
+/** Both slots of the endpoint, and the one place that waits at its side. */
+const PLACES = 3;
+
 let requests = 0;
 
 function profile(changes: Partial<RequestProfile> = {}): RequestProfile {
@@ -121,7 +124,7 @@
     it("lets urgent work overtake bulk that waits", async () => {
       const { scheduler } = started();
       const running: Placement[] = [];
-      for (let index = 0; index < 2; index++) {
+      for (let index = 0; index < PLACES; index++) {
         const { placed } = scheduler.submit(profile())._unsafeUnwrap();
         if (index === 0) running.push((await placed)._unsafeUnwrap());
       }
@@ -137,7 +140,7 @@
 
     it("gives a waiting request its final answer once it can't be on time", async () => {
       const { scheduler, timer } = started();
-      for (let index = 0; index < 2; index++) {
+      for (let index = 0; index < PLACES; index++) {
         scheduler.submit(profile({ deadline: 1e6 }));
       }
       const late = scheduler.submit(profile({ deadline: 6_000 }));
@@ -154,8 +157,9 @@
         mostQueued: 1,
         mostQueuedPerWorkspace: 5,
       });
-      scheduler.submit(profile({ deadline: 1e6 }));
-      scheduler.submit(profile({ deadline: 1e6 }));
+      for (let index = 0; index < PLACES; index++) {
+        scheduler.submit(profile({ deadline: 1e6 }));
+      }
       const bulk = scheduler.submit(profile({ deadline: 1e6 }));
       expect(scheduler.waiting).to.equal(1);
       const urgent = scheduler.submit(
--- /dev/null
+++ b/src/core/scheduling/outcomes_test.ts
@@ -0,0 +1,215 @@
+import { expect } from "chai";
+import { describe, it } from "mocha";
+import { LEAST_IN_FLIGHT, PRESENT } from "../../../bench/load_baselines.ts";
+import { type Arrival, makeArrivals } from "../../../bench/load_arrivals.ts";
+import { KOPERASI } from "../../../bench/load_deployments.ts";
+import type { RunFigures } from "../../../bench/load_figures.ts";
+import { scaleOf } from "../../../bench/load_job.ts";
+import {
+  LoadRun,
+  type RunOptions,
+  type Variant,
+} from "../../../bench/load_run.ts";
+
+const SECONDS = 60;
+const FAULT_AT_MILLISECONDS = 25_000;
+const ENTRIES = KOPERASI.inventory.availabilityZones.length;
+
+function run(
+  load: number,
+  options: Partial<RunOptions> = {},
+  variant: Variant = PRESENT,
+): Promise<RunFigures> {
+  return new LoadRun(KOPERASI, variant, {
+    ...scaleOf(KOPERASI),
+    seed: 5,
+    load,
+    seconds: SECONDS,
+    ...options,
+  }).go();
+}
+
+function arrivalsAt(load: number): Arrival[] {
+  const { capacities } = scaleOf(KOPERASI);
+  return makeArrivals(KOPERASI, {
+    seed: 5,
+    load,
+    seconds: SECONDS,
+    capacities,
+    entries: ENTRIES,
+  });
+}
+
+/** More requests like one of the class, from one workspace, evenly spread. */
+function extra(
+  className: string,
+  options: { count: number; from: number; every: number; workspace: string },
+): Arrival[] {
+  const model = arrivalsAt(0.5).find((one) =>
+    one.shape.workClass.name === className
+  ) as Arrival;
+  return Array.from({ length: options.count }, (_, index) => ({
+    ...model,
+    at: options.from + index * options.every,
+    entry: index % ENTRIES,
+    workspace: options.workspace,
+  }));
+}
+
+function inOrder(...lists: readonly Arrival[][]): Arrival[] {
+  return lists.flat().sort((one, other) => one.at - other.at);
+}
+
+describe("Decisions under load, by what callers get", () => {
+  // A hundred alerts come within two seconds while bulk holds most places.
+  // Without the precedence of urgent work each of them waits for a long
+  // summary to end, and the officer has gone home.
+  it("answers a burst of urgent requests on time", async () => {
+    const burst = extra("alert", {
+      count: 100,
+      from: 30_000,
+      every: 20,
+      workspace: "workspace-1",
+    });
+    const arrivals = inOrder(arrivalsAt(0.8), burst);
+    const figures = await run(0.8, { arrivals });
+    expect(figures.of("alert").goodput).to.be.greaterThan(0.98);
+  });
+
+  // One workspace sends as many reports as the fleet can carry. Without fair
+  // queues and a bound per workspace the others wait behind its burst.
+  it("serves other workspaces while one sends far too much", async () => {
+    const flood = extra("report", {
+      count: 1_200,
+      from: 20_000,
+      every: 30,
+      workspace: "flood",
+    });
+    const onTime = { flood: 0, others: 0 };
+    const all = { flood: 0, others: 0 };
+    await run(0.5, {
+      arrivals: inOrder(arrivalsAt(0.5), flood),
+      onFinished: (arrival, result) => {
+        if (arrival.shape.workClass.name !== "report") return;
+        const who = arrival.workspace === "flood" ? "flood" : "others";
+        all[who] += 1;
+        if (result === "onTime") onTime[who] += 1;
+      },
+    });
+    expect(onTime.others / all.others).to.be.greaterThan(0.9);
+    expect(onTime.flood / all.flood).to.be.greaterThan(0.3);
+  });
+
+  // One engine runs five times slower than its register entry says. Callers
+  // whose request it gets would wait far beyond their deadline.
+  it("keeps away from an endpoint that has become slow", async () => {
+    const figures = await run(0.6, {
+      prepare: ({ sides }) => {
+        const { engine } = sides.get("triage-llm-1") ?? {};
+        if (engine !== undefined) engine.speed = 0.2;
+      },
+    });
+    expect(figures.of("alert").goodput).to.be.greaterThan(0.98);
+    expect(figures.all().goodput).to.be.greaterThan(0.95);
+  });
+
+  // One engine fails everything within milliseconds, so it always looks idle.
+  // Placement by load alone sends it nearly all requests, and callers see
+  // errors from a fleet that is well but for one VM.
+  it("keeps away from an endpoint that is fast because it fails", async () => {
+    const prepare = ({ sides }: LoadRun) => {
+      const side = sides.get("triage-llm-1");
+      if (side !== undefined) side.failureShare = 1;
+    };
+    const figures = await run(0.6, { prepare });
+    const plain = await run(0.6, { prepare }, LEAST_IN_FLIGHT);
+    expect(figures.all().goodput).to.be.greaterThan(0.95);
+    expect(figures.sentBack).to.be.lessThan(plain.sentBack / 4);
+  });
+
+  // Short alerts and long summaries share the engines at full load. An alert
+  // that waits for a summary's slot or prompt has its first token too late.
+  it("gives urgent first tokens soon beside long prompts", async () => {
+    const figures = await run(1);
+    const { firstToken, goodput } = figures.of("alert");
+    expect(goodput).to.be.greaterThan(0.99);
+    expect(firstToken.percentile(0.95)).to.be.lessThan(2_000);
+  });
+
+  // Twice the work that the fleet can carry comes in. Without admission every
+  // answer is late, and goodput falls to almost nothing as load rises.
+  it("gives no fewer answers at twice the load", async () => {
+    const full = await run(1);
+    const twice = await run(2);
+    expect(twice.all().onTime).to.be.greaterThan(0.97 * full.all().onTime);
+    expect(twice.of("alert").goodput).to.be.greaterThan(0.98);
+    expect(twice.all().late / twice.all().offered).to.be.lessThan(0.05);
+  });
+
+  // Load reports arrive late. If placement trusted them, all entries would
+  // send to the endpoint that looked idle seconds ago.
+  for (const lag of [0, 2_000, 10_000]) {
+    it(`holds up with reports that are ${lag} ms old`, async () => {
+      const figures = await run(0.7, { reportLagMilliseconds: lag });
+      expect(figures.of("alert").goodput).to.be.greaterThan(0.98);
+      expect(figures.all().goodput).to.be.greaterThan(0.9);
+    });
+  }
+
+  // The engine's cache events are lost or wrong: it announces every document
+  // and holds none. Followed blindly, all summaries would go to one engine.
+  it("takes cache events as hints only", async () => {
+    const prefixes = Array.from(
+      { length: 24 },
+      (_, index) => [0, 1, 2].map((block) => `summary-${index}/${block}`),
+    ).flat();
+    const figures = await run(0.7, {
+      prepare: ({ timer, entries }) =>
+        timer.every(1_000, () => {
+          for (const entry of entries) {
+            entry.cacheEvent("triage-llm-1" as never, {
+              added: prefixes,
+              dropped: [],
+            });
+          }
+        }),
+    });
+    expect(figures.all().goodput).to.be.greaterThan(0.95);
+  });
+
+  // An availability zone is lost with a third of the engines. Requests under
+  // way there fail; without a retry elsewhere their callers get errors, and
+  // without suspicion the zone goes on getting work.
+  it("carries urgent work through the loss of a zone", async () => {
+    const figures = await run(0.6, {
+      prepare: ({ timer, sides, entries }) => {
+        const lost = KOPERASI.inventory.pools.flatMap((pool) =>
+          pool.endpoints.filter((one) => one.availabilityZone === "petaling")
+        );
+        timer.after(FAULT_AT_MILLISECONDS, () => {
+          for (const { id } of lost) sides.get(id)?.lose();
+        });
+        timer.after(FAULT_AT_MILLISECONDS + 2_000, () => {
+          for (const { id } of lost) {
+            for (const entry of entries) entry.suspect(id as never, true);
+          }
+        });
+      },
+    });
+    expect(figures.of("alert").goodput).to.be.greaterThan(0.97);
+    expect(figures.all().goodput).to.be.greaterThan(0.9);
+  });
+
+  // The planner dies or the log is out: roles stay as they are. Admission and
+  // placement have to go on by themselves.
+  it("goes on without a planner", async () => {
+    const figures = await run(0.8, {
+      prepare: (load) => {
+        load.plannerAlive = false;
+      },
+    });
+    expect(figures.roleChanges).to.equal(0);
+    expect(figures.of("alert").goodput).to.be.greaterThan(0.99);
+    expect(figures.all().goodput).to.be.greaterThan(0.9);
+  });
+});
--- a/src/core/scheduling/policy.ts
+++ b/src/core/scheduling/policy.ts
@@ -34,6 +34,13 @@
   readonly mostPrefillWaitMilliseconds: number;
   /** True: classes go to the roles that the pool's division gives them. */
   readonly dividesByRole: boolean;
+  /** True: a class that the pool can't serve whole is let in by its share. */
+  readonly thinsClasses: boolean;
+  /**
+   * Part of the time left that a wait has to take before a class is thinned.
+   * Harm prevented: work refused for a shortage that its deadline outlasts.
+   */
+  readonly thinningWaitShare: number;
   /** True: waits are predicted from the measured drain of the queue. */
   readonly learnsDrain: boolean;
   /** Deviations of the prediction's error added for the most urgent class. */
@@ -59,6 +66,8 @@
   engineCostWeight: 0,
   mostPrefillWaitMilliseconds: Infinity,
   dividesByRole: false,
+  thinsClasses: false,
+  thinningWaitShare: 0,
   learnsDrain: false,
   urgentDeviations: 0,
   otherDeviations: 1,
@@ -81,7 +90,9 @@
   lessUrgentShare: 1,
   extraPlaces: 1,
   engineCostWeight: 2,
-  mostPrefillWaitMilliseconds: 1_500,
+  mostPrefillWaitMilliseconds: 2_500,
   dividesByRole: true,
+  thinsClasses: true,
+  thinningWaitShare: 0.1,
   learnsDrain: true,
 };
--- /dev/null
+++ b/src/core/scheduling/pool_learning.ts
@@ -0,0 +1,105 @@
+import { OutputLengths, PredictionError } from "../admission/mod.ts";
+import type { Candidate } from "../placement/mod.ts";
+import type { RequestProfile } from "../requests/mod.ts";
+import type { WorkClass } from "../../generated/rules.ts";
+import type { AttemptSummary } from "./scheduler.ts";
+
+/** Weight of one placement in the mean share of prompts not cached. */
+const UNCACHED_WEIGHT = 0.05;
+
+/** One attempt that has ended, with what had been expected of it. */
+export interface EndedAttempt {
+  readonly profile: RequestProfile;
+  readonly candidate: Candidate;
+  readonly summary: AttemptSummary;
+  /** Output that was expected at the placement, tokens. */
+  readonly outputTokens: number;
+  readonly submittedAt: number;
+  readonly placedAt: number;
+  /** Predicted time from the submission to the whole answer. */
+  readonly predictedMilliseconds: number;
+}
+
+/** What a pool's answers teach about its classes and endpoints. */
+export class PoolLearning {
+  readonly #outputs = new OutputLengths();
+  readonly #errors = new PredictionError();
+  readonly #uncached = new Map<string, number>();
+  /** Plain services: a call's "output" is its time in milliseconds. */
+  readonly #isService: boolean;
+
+  constructor(isService: boolean) {
+    this.#isService = isService;
+  }
+
+  expectInitially(classes: readonly WorkClass[]): void {
+    for (const one of classes) {
+      this.#outputs.expectInitially(one.name, one.expectedOutputTokens);
+    }
+  }
+
+  expectedOutput(profile: RequestProfile): number {
+    return this.#outputs.expected(profile.className, {
+      most: this.#isService ? Infinity : profile.mostOutputTokens,
+      delivered: profile.deliveredTokens,
+    });
+  }
+
+  /** Tokens of the prompt that are likely not to be cached anywhere. */
+  uncachedTokens({ className, promptTokens }: RequestProfile): number {
+    return promptTokens * (this.#uncached.get(className) ?? 1);
+  }
+
+  /** Factor on a predicted finish of the class. */
+  errorFactor(className: string, deviations: number): number {
+    return this.#errors.factor(className, deviations);
+  }
+
+  /** Learns which share of a class's prompts has to be processed. */
+  placed(profile: RequestProfile, promptTokens: number): void {
+    const { className } = profile;
+    const mean = this.#uncached.get(className) ?? 1;
+    const share = promptTokens / Math.max(1, profile.promptTokens);
+    this.#uncached.set(className, mean + UNCACHED_WEIGHT * (share - mean));
+  }
+
+  ended(attempt: EndedAttempt, now: number): void {
+    const { candidate, summary, profile } = attempt;
+    const { picture } = candidate;
+    if (summary.load !== undefined) picture.takeLoad(summary.load, now);
+    switch (summary.result) {
+      case "failed":
+        return picture.health.failed(now);
+      case "cancelled":
+        return picture.health.cancelled(times(attempt, now), now);
+      case "not_run":
+        picture.health.untold();
+        if (summary.load === undefined) picture.foundFull(now);
+        return;
+      case "answered":
+        this.#outputs.learn(
+          profile.className,
+          this.#isService ? summary.totalMilliseconds : summary.tokens,
+        );
+        this.#errors.learn(
+          profile.className,
+          (now - attempt.submittedAt) / attempt.predictedMilliseconds,
+        );
+        picture.health.succeeded(times(attempt, now), now);
+    }
+  }
+}
+
+/** Observed time of an attempt over what was predicted and over the rated. */
+function times(attempt: EndedAttempt, now: number) {
+  const { picture, milliseconds } = attempt.candidate;
+  const taken = now - attempt.placedAt;
+  const rated = picture.ratedMilliseconds({
+    promptTokens: attempt.profile.promptTokens,
+    outputTokens: attempt.summary.tokens || attempt.outputTokens,
+  });
+  return {
+    overExpected: taken * picture.health.slowness / Math.max(1, milliseconds),
+    overRated: taken / Math.max(1, rated),
+  };
+}
--- a/src/core/scheduling/pool_scheduler.ts
+++ b/src/core/scheduling/pool_scheduler.ts
@@ -1,29 +1,24 @@
 import PQueue from "p-queue";
 import { err, ok, type Result } from "neverthrow";
-import {
-  DrainMeter,
-  OutputLengths,
-  PredictionError,
-  refusal,
-} from "../admission/mod.ts";
+import { ClassThinning, DrainMeter, refusal } from "../admission/mod.ts";
 import type { EndpointId } from "../identity/mod.ts";
 import {
   EndpointPicture,
   type PlacementQuestion,
   Placer,
-  RoutingPlan,
 } from "../placement/mod.ts";
 import { type QueueOptions, RequestQueue } from "../queueing/mod.ts";
 import type { Random } from "../random/mod.ts";
 import type { Refusal, RequestProfile } from "../requests/mod.ts";
 import { retryAfterMilliseconds } from "../retry/mod.ts";
-import { ROLE_PROFILES } from "../roles/mod.ts";
 import type { Subscription, TimerService } from "../time/mod.ts";
 import type { EngineCharacteristics, Pool } from "../../generated/inventory.ts";
 import type { Rules, WorkClass } from "../../generated/rules.ts";
 import { DemandWindow } from "./demand_window.ts";
 import type { SchedulingPolicy } from "./policy.ts";
 import { picturesOf } from "./pool_endpoints.ts";
+import { PoolLearning } from "./pool_learning.ts";
+import { RoleDivision } from "./role_division.ts";
 import type {
   AttemptSummary,
   Placement,
@@ -45,6 +40,7 @@
   readonly profile: RequestProfile;
   readonly rank: number;
   readonly cost: number;
+  readonly outputTokens: number;
   readonly submittedAt: number;
   /** Predicted time to the whole answer, without the learned factor. */
   readonly predictedMilliseconds: number;
@@ -53,12 +49,6 @@
   alarm?: Subscription;
 }
 
-/** Time after which the classes are divided among the roles anew. */
-const DIVIDE_MILLISECONDS = 1_000;
-/** An urgent answer counts as much as this many others in the division. */
-const URGENT_VALUE = 10;
-/** Weight of one placement in the mean share of prompts not cached. */
-const UNCACHED_WEIGHT = 0.05;
 /** Least time between two reviews of the endpoints' health. */
 const REVIEW_MILLISECONDS = 200;
 
@@ -66,18 +56,16 @@
 export class PoolScheduler {
   readonly #options: PoolSchedulerOptions;
   readonly #placer: Placer;
-  readonly #outputs = new OutputLengths();
-  readonly #errors = new PredictionError();
+  readonly #learning: PoolLearning;
+  readonly #division = new RoleDivision();
   readonly #window = new DemandWindow();
   readonly #drain = new DrainMeter();
+  readonly #thinning = new ClassThinning();
   readonly #queue: RequestQueue;
   readonly #dispatch: PQueue<RequestQueue, QueueOptions>;
-  readonly #uncached = new Map<string, number>();
   readonly #waitingById = new Map<string, Admitted>();
   #classes: readonly WorkClass[];
-  #isService = false;
   #engine: EngineCharacteristics | undefined;
-  #dividedAt = -Infinity;
   #reviewedAt = -Infinity;
   #running = 0;
 
@@ -89,6 +77,7 @@
     const { policy } = options;
     this.#options = options;
     this.#classes = sorted(rules.classes);
+    this.#learning = new PoolLearning(pool.kind === "service");
     this.#placer = new Placer({ ...policy, ...options });
     this.#queue = new RequestQueue({
       classes: rules.classes,
@@ -112,13 +101,10 @@
   }
 
   configure(pool: Pool, rules: Rules): void {
-    this.#isService = pool.kind === "service";
     this.#engine = pool.engine;
     this.#classes = sorted(rules.classes);
     this.#queue.useClasses(this.#classes);
-    for (const one of this.#classes) {
-      this.#outputs.expectInitially(one.name, one.expectedOutputTokens);
-    }
+    this.#learning.expectInitially(this.#classes);
     this.#placer.use(picturesOf(pool, {
       ...this.#options,
       ranks: this.#classes.length,
@@ -169,9 +155,8 @@
     this.#divide();
     this.#window.arrived(this.#now(), {
       className: profile.className,
-      promptTokens: profile.promptTokens *
-        (this.#uncached.get(profile.className) ?? 1),
-      outputTokens: this.#expectedOutput(profile),
+      promptTokens: this.#learning.uncachedTokens(profile),
+      outputTokens: this.#learning.expectedOutput(profile),
     });
   }
 
@@ -205,7 +190,7 @@
     const deviations = question.rank === 0
       ? this.#options.policy.urgentDeviations
       : this.#options.policy.otherDeviations;
-    const factor = this.#errors.factor(profile.className, deviations);
+    const factor = this.#learning.errorFactor(profile.className, deviations);
     const left = profile.deadline - now;
     if (service > left && wait === 0 && this.#running === 0) {
       return err(this.refuse(profile, "impossible_deadline"));
@@ -213,6 +198,9 @@
     if ((wait + service) * factor > left) {
       return err(this.refuse(profile, "saturated"));
     }
+    if (this.#isThinnedOut(question, wait)) {
+      return err(this.refuse(profile, "saturated"));
+    }
     return ok(this.#admit(question, wait + service, service));
   }
 
@@ -241,22 +229,29 @@
     return this.#classes.indexOf(workClass);
   }
 
-  #expectedOutput(profile: RequestProfile): number {
-    return this.#outputs.expected(profile.className, {
-      most: this.#isService ? Infinity : profile.mostOutputTokens,
-      delivered: profile.deliveredTokens,
-    });
-  }
-
   #question(profile: RequestProfile): PlacementQuestion {
     return {
       profile,
       rank: this.rank(profile.className),
-      outputTokens: this.#expectedOutput(profile),
+      outputTokens: this.#learning.expectedOutput(profile),
       now: this.#now(),
     };
   }
 
+  /** True where the class has had its share of a pool that is short. */
+  #isThinnedOut(question: PlacementQuestion, wait: number): boolean {
+    const { profile, rank, now } = question;
+    if (rank === 0 || !this.#options.policy.thinsClasses) return false;
+    const share = this.#placer.servedShare(profile.className);
+    const isOver = this.#thinning.isOver(profile.className, share);
+    const left = profile.deadline - now;
+    if (wait > left * this.#options.policy.thinningWaitShare && isOver) {
+      return true;
+    }
+    this.#thinning.admitted(profile.className);
+    return false;
+  }
+
   /** Wait for a slot: what goes before, over the places that serve it. */
   #expectedWait(question: PlacementQuestion, service: number): number {
     const { rank, now } = question;
@@ -301,6 +296,7 @@
       profile,
       rank: question.rank,
       cost,
+      outputTokens: question.outputTokens,
       submittedAt: now,
       predictedMilliseconds,
       settle,
@@ -357,7 +353,7 @@
       rank: admitted.rank,
       promptTokens: candidate.promptTokens,
     };
-    this.#learnCached(admitted.profile, candidate.promptTokens);
+    this.#learning.placed(admitted.profile, candidate.promptTokens);
     picture.started(attempt, now);
     if (picture.health.mayProbe(now)) picture.health.probeStarted();
     this.#placer.learnPlacement(picture.facts.endpoint, admitted.profile);
@@ -369,10 +365,10 @@
         released = true;
         this.#running -= 1;
         picture.ended(attempt);
-        this.#learn(admitted, picture, {
-          summary,
-          expected: candidate.milliseconds,
-        });
+        this.#learning.ended(
+          { ...admitted, candidate, summary, placedAt: now },
+          now,
+        );
         this.changed();
         free();
       };
@@ -387,44 +383,6 @@
     });
   }
 
-  #learn(
-    admitted: Admitted,
-    picture: EndpointPicture,
-    outcome: { summary: AttemptSummary; expected: number },
-  ): void {
-    const { summary, expected } = outcome;
-    const now = this.#now();
-    const { className } = admitted.profile;
-    if (summary.load !== undefined) picture.takeLoad(summary.load, now);
-    if (summary.result === "failed") picture.health.failed(now);
-    if (summary.result === "cancelled") picture.health.untold();
-    if (summary.result === "not_run") {
-      picture.health.untold();
-      if (summary.load === undefined) picture.foundFull(now);
-    }
-    if (summary.result !== "answered") return;
-    const learned = this.#isService
-      ? summary.totalMilliseconds
-      : summary.tokens;
-    this.#outputs.learn(className, learned);
-    this.#errors.learn(
-      className,
-      (now - admitted.submittedAt) / admitted.predictedMilliseconds,
-    );
-    picture.health.succeeded(
-      summary.totalMilliseconds * picture.health.slowness /
-        Math.max(1, expected),
-    );
-  }
-
-  /** Learns which share of a class's prompts has to be processed. */
-  #learnCached(profile: RequestProfile, promptTokens: number): void {
-    const { className } = profile;
-    const mean = this.#uncached.get(className) ?? 1;
-    const share = promptTokens / Math.max(1, profile.promptTokens);
-    this.#uncached.set(className, mean + UNCACHED_WEIGHT * (share - mean));
-  }
-
   #sharing(): number {
     return Math.max(1, this.#options.entriesSharing());
   }
@@ -434,19 +392,15 @@
     const now = this.#now();
     const { policy } = this.#options;
     if (this.#engine === undefined || !policy.dividesByRole) return;
-    if (now - this.#dividedAt < DIVIDE_MILLISECONDS) return;
-    this.#dividedAt = now;
+    if (!this.#division.isDue(now)) return;
     const { classes = [] } = this.#window.read("", { now, waiting: 0 });
-    const demand = classes.map((one) => ({
-      ...one,
-      arrivalsPerSecond: one.arrivalsPerSecond * this.#sharing(),
-      value: this.rank(one.className) === 0 ? URGENT_VALUE : 1,
-    }));
-    const plan = new RoutingPlan(demand, this.#placer.usable(now), {
+    this.#division.divide(this.#placer, {
+      now,
       engine: this.#engine,
-      profiles: ROLE_PROFILES,
+      classes,
+      sharing: this.#sharing(),
+      mostUrgent: this.#classes[0].name,
     });
-    this.#placer.follow(plan);
   }
 
   #review(): void {
