--- a/src/adapters/settings/mod.ts
+++ b/src/adapters/settings/mod.ts
@@ -28,6 +28,10 @@
 import type { SchemaDocument } from "./problems.ts";
 import { type FileFailure, fileFailure, readTomlFile } from "./toml_file.ts";
 
+export {
+  type ConfigurationFiles,
+  loadConfiguration,
+} from "./configuration_files.ts";
 export { type FileProblem, formatProblem } from "./errors.ts";
 export type { SchemaDocument } from "./problems.ts";
 export {
@@ -37,9 +41,6 @@
   readTomlFile,
 } from "./toml_file.ts";
 
-/** Exit code of a program whose settings or arguments can't be used. */
-export const EXIT_CODE_BAD_SETTINGS = 2;
-
 /** Where traces go; neither `otlpUrl` nor `file`: none are made. */
 export type CheckedTraceOutput = Readonly<TraceOutput & { share: number }>;
 
--- a/src/core/once/results.ts
+++ b/src/core/once/results.ts
@@ -1,6 +1,42 @@
-import type { OnceAnswer } from "../../generated/messages.ts";
-import type { Refusal, RefusalReason } from "../requests/mod.ts";
-import type { AcquireResult } from "./coordinator.ts";
+import type { OnceAnswer, OncePermit } from "../../generated/messages.ts";
+import type { EndpointId } from "../identity/mod.ts";
+import type {
+  Refusal,
+  RefusalReason,
+  UnknownOutcome,
+} from "../requests/mod.ts";
+import type { OnceOwner } from "./fold.ts";
+import type { KeptAnswer } from "./side_table.ts";
+
+/**
+ * `run`: send the work with this permit, once. `answered`: the key has run,
+ * this was its answer. `refused`: this request has not run and will not.
+ * `unknown`: the key's work may have run.
+ */
+export type AcquireResult =
+  | {
+    readonly kind: "run";
+    readonly permit: OncePermit;
+    readonly endpoint: EndpointId;
+  }
+  | { readonly kind: "answered"; readonly answer: KeptAnswer }
+  | { readonly kind: "refused"; readonly refusal: Refusal }
+  | { readonly kind: "unknown"; readonly outcome: UnknownOutcome };
+
+export function run(owner: OnceOwner): AcquireResult {
+  return {
+    kind: "run",
+    endpoint: owner.endpoint,
+    permit: {
+      key: owner.key,
+      record: owner.record,
+      sideIncarnation: owner.sideIncarnation,
+    },
+  };
+}
+
+/** A short outage of the log is over in seconds; see the readers' retries. */
+const LOG_RETRY_MILLISECONDS = 3_000;
 
 export function refused(refusal: Refusal): AcquireResult {
   return { kind: "refused", refusal };
@@ -50,7 +86,12 @@
 }
 
 export function logDown(): AcquireResult {
-  return because("log_down", "The log took no record, so nothing was sent");
+  return refused({
+    kind: "not_run",
+    reason: "log_down",
+    detail: "The log has not confirmed the key's record, so nothing was sent",
+    retryAfterMilliseconds: LOG_RETRY_MILLISECONDS,
+  });
 }
 
 export function outOfTime(): AcquireResult {
