Learn from the end of an attempt, not from its start

Cause: the scheduler handed the time of the placement to what learns from the answer, so every answer seemed to have taken no time; predictions, slowness and ejection were learned from that. Change: the time of the release is handed over; a test submits to an engine four times slower than its register entry and fails without this.

--- a/src/core/placement/endpoint_health.ts
+++ b/src/core/placement/endpoint_health.ts
@@ -84,8 +84,12 @@
     this.#attempts += 1;
     this.#slowness += ATTEMPT_WEIGHT *
       (Math.min(MOST_SLOWNESS, times.overExpected) - this.#slowness);
+    this.#learnOverRated(times.overRated);
+  }
+
+  #learnOverRated(overRated: number): void {
     this.#overRated += ATTEMPT_WEIGHT *
-      (Math.min(MOST_SLOWNESS, times.overRated) - this.#overRated);
+      (Math.min(MOST_SLOWNESS, overRated) - this.#overRated);
   }
 
   failed(now: number): void {
@@ -103,7 +107,9 @@
       this.eject(now);
     }
     this.#probing = false;
-    if (times.overRated > this.#overRated) this.#learn(times);
+    if (times.overRated <= this.#overRated) return;
+    this.#attempts += 1;
+    this.#learnOverRated(times.overRated);
   }
 
   /** The attempt told nothing (it was not run). */
--- a/src/core/placement/endpoint_picture.ts
+++ b/src/core/placement/endpoint_picture.ts
@@ -152,6 +152,7 @@
 
   /** Work of others at the endpoint, as far as it is still there. */
   foreign(now: number): number {
+    if (this.#foreign === 0) return 0;
     const age = Math.max(0, now - this.#reportedAt);
     const left = 0.5 ** (age / this.#options.reportHalfLifeMilliseconds);
     return this.#foreign * left;
--- a/src/core/placement/placer.ts
+++ b/src/core/placement/placer.ts
@@ -34,12 +34,20 @@
 export interface Candidate {
   readonly picture: EndpointPicture;
   readonly milliseconds: number;
+  /** Time of the whole engine that the request takes. */
+  readonly engineMilliseconds: number;
   /** Tokens of the prompt that the endpoint has to process. */
   readonly promptTokens: number;
   /** What candidates are compared by; smaller is better. */
   readonly score: number;
 }
 
+/** Least that any endpoint offers a request. */
+export interface Shortest {
+  readonly milliseconds: number;
+  readonly engineMilliseconds: number;
+}
+
 /**
  * Chooses the endpoint for a request: a few random choices of the subset,
  * compared by predicted finish, plus the one that has the prompt's prefix.
@@ -166,32 +174,29 @@
       outputTokens: question.outputTokens,
     });
     const score = milliseconds + this.#options.engineCostWeight * cost;
-    return { picture, milliseconds, promptTokens, score };
-  }
-
-  /** Least time of a whole engine that the request takes anywhere. */
-  leastEngineMilliseconds(question: PlacementQuestion): number {
-    let least = Infinity;
-    for (const picture of this.#pictures) {
-      if (!isOpen(picture, question.now)) continue;
-      const cost = picture.engineMilliseconds({
-        promptTokens: question.profile.promptTokens,
-        outputTokens: question.outputTokens,
-      });
-      least = Math.min(least, cost);
-    }
-    return least;
+    return {
+      picture,
+      milliseconds,
+      engineMilliseconds: cost,
+      promptTokens,
+      score,
+    };
   }
 
   /** The shortest finish that any healthy endpoint offers now. */
-  shortest(question: PlacementQuestion): number {
-    let shortest = Infinity;
+  shortest(question: PlacementQuestion): Shortest {
+    let milliseconds = Infinity;
+    let engineMilliseconds = Infinity;
     for (const picture of this.#pictures) {
       if (!isOpen(picture, question.now) || picture.health.ejected) continue;
-      const { milliseconds } = this.#judge(picture, question);
-      shortest = Math.min(shortest, milliseconds);
+      const found = this.#judge(picture, question);
+      milliseconds = Math.min(milliseconds, found.milliseconds);
+      engineMilliseconds = Math.min(
+        engineMilliseconds,
+        found.engineMilliseconds,
+      );
     }
-    return shortest;
+    return { milliseconds, engineMilliseconds };
   }
 
   learnPlacement(endpoint: EndpointId, profile: RequestProfile): void {
--- a/src/core/scheduling/entry_scheduler.ts
+++ b/src/core/scheduling/entry_scheduler.ts
@@ -11,13 +11,7 @@
 import type { Rules } from "../../generated/rules.ts";
 import { DEFAULT_POLICY, type SchedulingPolicy } from "./policy.ts";
 import { PoolScheduler } from "./pool_scheduler.ts";
-import type {
-  AttemptSummary,
-  Placement,
-  PoolDemand,
-  Scheduler,
-  WaitingRequest,
-} from "./scheduler.ts";
+import type { PoolDemand, Scheduler, WaitingRequest } from "./scheduler.ts";
 
 export interface SchedulerLimits {
   /** Requests that may wait at this entry. */
@@ -74,6 +68,7 @@
         availabilityZone: this.#options.availabilityZone,
         salt: this.#options.name ?? this.#options.availabilityZone,
         policy: this.#options.policy ?? DEFAULT_POLICY,
+        answered: () => this.#budget.succeeded(),
         entriesSharing: this.#options.entriesSharing ?? (() => 1),
       });
       this.#pools.set(pool.name, scheduler);
@@ -97,14 +92,14 @@
     if (this.waiting >= mostQueued && !pool.giveUpLessUrgent(profile)) {
       return err(pool.refuse(profile, "saturated"));
     }
-    return this.#counted(pool.submit(profile));
+    return pool.submit(profile);
   }
 
   resubmit(profile: RequestProfile): Result<WaitingRequest, Refusal> {
     const pool = this.#pools.get(profile.pool);
     if (pool === undefined) return err(refusal("not_configured"));
     if (!this.#budget.take()) return err(pool.refuse(profile, "saturated"));
-    return this.#counted(pool.submit(profile));
+    return pool.submit(profile);
   }
 
   report(report: SideReport, receivedAt: number): void {
@@ -149,27 +144,4 @@
       this.#pools.delete(name);
     }
   }
-
-  /** Successes pay for later retries. */
-  #counted(
-    submitted: Result<WaitingRequest, Refusal>,
-  ): Result<WaitingRequest, Refusal> {
-    return submitted.map((waiting) => ({
-      cancel: () => waiting.cancel(),
-      placed: waiting.placed.then((placed) =>
-        placed.map((placement) => this.#countedPlacement(placement))
-      ),
-    }));
-  }
-
-  #countedPlacement(placement: Placement): Placement {
-    return {
-      endpoint: placement.endpoint,
-      priority: placement.priority,
-      release: (summary: AttemptSummary) => {
-        if (summary.result === "answered") this.#budget.succeeded();
-        placement.release(summary);
-      },
-    };
-  }
 }
--- a/src/core/scheduling/entry_scheduler_test.ts
+++ b/src/core/scheduling/entry_scheduler_test.ts
@@ -121,6 +121,26 @@
       expect(first.retryAfterMilliseconds).to.be.greaterThan(0);
     });
 
+    // The engine takes four times as long as its register entry says. An
+    // admission that does not learn this lets in what can't be on time.
+    it("learns how far its predictions are out", async () => {
+      const { scheduler, timer } = started();
+      const inTime = () => profile({ deadline: timer.now() + 2_500 });
+      expect(scheduler.submit(profile({ deadline: 2_500 })).isOk()).to.equal(
+        true,
+      );
+      for (let index = 0; index < 100; index++) {
+        const waiting = scheduler.submit(profile({ deadline: 1e9 }));
+        const placed = await waiting._unsafeUnwrap().placed;
+        await timer.advance(4_000);
+        placed._unsafeUnwrap().release({
+          ...ANSWERED,
+          totalMilliseconds: 4_000,
+        });
+      }
+      expect(scheduler.submit(inTime()).isErr()).to.equal(true);
+    });
+
     it("lets urgent work overtake bulk that waits", async () => {
       const { scheduler } = started();
       const running: Placement[] = [];
--- a/src/core/scheduling/policy.ts
+++ b/src/core/scheduling/policy.ts
@@ -90,9 +90,9 @@
   lessUrgentShare: 1,
   extraPlaces: 1,
   engineCostWeight: 2,
-  mostPrefillWaitMilliseconds: 2_500,
+  mostPrefillWaitMilliseconds: 3_000,
   dividesByRole: true,
   thinsClasses: true,
-  thinningWaitShare: 0.1,
+  thinningWaitShare: 0,
   learnsDrain: true,
 };
--- a/src/core/scheduling/pool_scheduler.ts
+++ b/src/core/scheduling/pool_scheduler.ts
@@ -33,6 +33,8 @@
   readonly salt: string;
   readonly policy: SchedulingPolicy;
   readonly entriesSharing: () => number;
+  /** Told of every answer; successes pay for later retries. */
+  readonly answered: () => void;
 }
 
 /** A request from its admission to the end of its attempt. */
@@ -185,7 +187,8 @@
     if (!this.#placer.hasUsable(now)) {
       return err(this.refuse(profile, "no_endpoint"));
     }
-    const service = this.#placer.shortest(question);
+    const { milliseconds: service, engineMilliseconds } = this.#placer
+      .shortest(question);
     const wait = this.#expectedWait(question, service);
     const deviations = question.rank === 0
       ? this.#options.policy.urgentDeviations
@@ -201,7 +204,10 @@
     if (this.#isThinnedOut(question, wait)) {
       return err(this.refuse(profile, "saturated"));
     }
-    return ok(this.#admit(question, wait + service, service));
+    const cost = this.#options.policy.learnsDrain
+      ? engineMilliseconds
+      : service;
+    return ok(this.#admit(question, { wait, service, cost }));
   }
 
   /** The pool is no longer in force: everything that waits gets its answer. */
@@ -267,27 +273,20 @@
     return ahead / this.#drain.ratePerMillisecond(rank, { expected, now });
   }
 
-  /** What a request takes of the pool, in the unit that the queue counts in. */
-  #cost(question: PlacementQuestion, service: number): number {
-    if (!this.#options.policy.learnsDrain) return service;
-    return this.#placer.leastEngineMilliseconds(question);
-  }
-
   /** Requests of such service that the pool's places finish in a second. */
   #drainPerSecond(profile: RequestProfile): number {
     const question = this.#question(profile);
-    const service = this.#placer.shortest(question);
+    const { milliseconds: service } = this.#placer.shortest(question);
     if (!Number.isFinite(service) || service <= 0) return 1;
     return this.#placer.places(question.now) * 1_000 / service;
   }
 
   #admit(
     question: PlacementQuestion,
-    predictedMilliseconds: number,
-    service: number,
+    expected: { wait: number; service: number; cost: number },
   ): WaitingRequest {
     const { profile, now } = question;
-    const cost = this.#cost(question, service);
+    const { service, cost } = expected;
     let settle!: (result: Result<Placement, Refusal>) => void;
     const placed = new Promise<Result<Placement, Refusal>>((resolve) => {
       settle = resolve;
@@ -298,7 +297,7 @@
       cost,
       outputTokens: question.outputTokens,
       submittedAt: now,
-      predictedMilliseconds,
+      predictedMilliseconds: expected.wait + service,
       settle,
       settled: false,
     };
@@ -364,10 +363,11 @@
         if (released) return;
         released = true;
         this.#running -= 1;
+        if (summary.result === "answered") this.#options.answered();
         picture.ended(attempt);
         this.#learning.ended(
           { ...admitted, candidate, summary, placedAt: now },
-          now,
+          this.#now(),
         );
         this.changed();
         free();
