--- a/src/core/placement/placer.ts
+++ b/src/core/placement/placer.ts
@@ -34,12 +34,20 @@
 export interface Candidate {
   readonly picture: EndpointPicture;
   readonly milliseconds: number;
+  /** Time of the whole engine that the request takes. */
+  readonly engineMilliseconds: number;
   /** Tokens of the prompt that the endpoint has to process. */
   readonly promptTokens: number;
   /** What candidates are compared by; smaller is better. */
   readonly score: number;
 }
 
+/** Least that any endpoint offers a request. */
+export interface Shortest {
+  readonly milliseconds: number;
+  readonly engineMilliseconds: number;
+}
+
 /**
  * Chooses the endpoint for a request: a few random choices of the subset,
  * compared by predicted finish, plus the one that has the prompt's prefix.
@@ -85,6 +93,11 @@
     this.#plan = plan;
   }
 
+  /** Share of the class's arrivals that the pool has room for. */
+  servedShare(className: string): number {
+    return this.#plan?.servedShare(className) ?? 1;
+  }
+
   /** True where a request of the class finds a free place. */
   hasRoom(className: string, options: { rank: number; now: number }): boolean {
     const { rank, now } = options;
@@ -135,7 +148,8 @@
     const open = this.#openFor(question);
     if (open.length === 0) return undefined;
     const probe = open.find((picture) => picture.health.mayProbe(question.now));
-    if (probe !== undefined && question.profile.idempotent) {
+    const mayFail = question.profile.idempotent && question.rank > 0;
+    if (probe !== undefined && mayFail) {
       return this.#judge(probe, question);
     }
     const healthy = open.filter((picture) => !picture.health.ejected);
@@ -160,32 +174,29 @@
       outputTokens: question.outputTokens,
     });
     const score = milliseconds + this.#options.engineCostWeight * cost;
-    return { picture, milliseconds, promptTokens, score };
-  }
-
-  /** Least time of a whole engine that the request takes anywhere. */
-  leastEngineMilliseconds(question: PlacementQuestion): number {
-    let least = Infinity;
-    for (const picture of this.#pictures) {
-      if (!isOpen(picture, question.now)) continue;
-      const cost = picture.engineMilliseconds({
-        promptTokens: question.profile.promptTokens,
-        outputTokens: question.outputTokens,
-      });
-      least = Math.min(least, cost);
-    }
-    return least;
+    return {
+      picture,
+      milliseconds,
+      engineMilliseconds: cost,
+      promptTokens,
+      score,
+    };
   }
 
   /** The shortest finish that any healthy endpoint offers now. */
-  shortest(question: PlacementQuestion): number {
-    let shortest = Infinity;
+  shortest(question: PlacementQuestion): Shortest {
+    let milliseconds = Infinity;
+    let engineMilliseconds = Infinity;
     for (const picture of this.#pictures) {
       if (!isOpen(picture, question.now) || picture.health.ejected) continue;
-      const { milliseconds } = this.#judge(picture, question);
-      shortest = Math.min(shortest, milliseconds);
+      const found = this.#judge(picture, question);
+      milliseconds = Math.min(milliseconds, found.milliseconds);
+      engineMilliseconds = Math.min(
+        engineMilliseconds,
+        found.engineMilliseconds,
+      );
     }
-    return shortest;
+    return { milliseconds, engineMilliseconds };
   }
 
   learnPlacement(endpoint: EndpointId, profile: RequestProfile): void {
@@ -199,7 +210,7 @@
     const judged = this.#pictures.filter((picture) => picture.usable);
     const most = Math.floor(judged.length * this.#options.mostEjectedShare);
     let ejected = judged.filter((one) => one.health.ejected).length;
-    const median = medianOf(judged.map((one) => one.health.slowness));
+    const median = medianOf(judged.map((one) => one.health.overRated));
     for (const picture of judged) {
       if (ejected >= most) return;
       if (!picture.health.isBad(median)) continue;
@@ -230,7 +241,27 @@
       const other = this.#judge(this.#draw(from), question);
       if (other.score < best.score) best = other;
     }
-    return this.#withAffinity(best, from, question);
+    const found = this.#withAffinity(best, from, question);
+    return rank === 0 ? this.#inTime(found, open, question) : found;
+  }
+
+  /**
+   * For urgent work: an endpoint that has no free place but makes room at its
+   * side goes before a free one that can't be in time.
+   */
+  #inTime(
+    found: Candidate,
+    open: readonly EndpointPicture[],
+    question: PlacementQuestion,
+  ): Candidate {
+    const left = question.profile.deadline - question.now;
+    if (found.milliseconds <= left) return found;
+    let best = found;
+    for (const picture of open) {
+      const other = this.#judge(picture, question);
+      if (other.milliseconds < best.milliseconds) best = other;
+    }
+    return best;
   }
 
   /** Endpoints of one role, drawn by the shares of the plan. */
