Never fire a timer before its time

Cause: Node drops fractions of a delay and its loop counts whole milliseconds; an alarm of 20 ms fired after 18.4 ms on a busy machine, and a test failed.

Change: an alarm that comes early is set again for the rest. The test is stricter: forty alarms with fractions, none early. The stand-in engine's faults stand in a file of their own.

Conclusion: a deadline lapses at the earliest when it is due.

--- a/src/adapters/time/mod.ts
+++ b/src/adapters/time/mod.ts
@@ -25,15 +25,23 @@
   after(delayMilliseconds: number, listener: () => void): Subscription {
     const due = this.now() + Math.max(0, delayMilliseconds);
     let handle: NodeJS.Timeout;
-    const arm = () => {
+    // Node drops fractions and its loop counts whole milliseconds, so that a
+    // timer fires up to two milliseconds early; it is set again for the rest.
+    const wait = () => {
       const left = due - this.now();
-      if (left > LONGEST_DELAY_MILLISECONDS) {
-        handle = setTimeout(arm, LONGEST_DELAY_MILLISECONDS);
-        return;
-      }
-      handle = setTimeout(listener, Math.max(0, left));
+      if (left <= 0) return listener();
+      handle = setTimeout(
+        wait,
+        Math.min(Math.ceil(left), LONGEST_DELAY_MILLISECONDS),
+      );
     };
-    arm();
+    handle = setTimeout(
+      wait,
+      Math.min(
+        Math.max(0, Math.ceil(delayMilliseconds)),
+        LONGEST_DELAY_MILLISECONDS,
+      ),
+    );
     return { cancel: () => clearTimeout(handle) };
   }
 
--- a/src/adapters/time/mod_test.ts
+++ b/src/adapters/time/mod_test.ts
@@ -5,10 +5,17 @@
   const timer = new SystemTimerService();
 
   describe("after", () => {
-    it("calls once, not before the delay", async () => {
-      const started = timer.now();
-      await new Promise<void>((resolve) => timer.after(20, resolve));
-      expect(timer.now() - started).to.be.at.least(19);
+    // A time limit that lapses early refuses a request that was still on time.
+    it("calls once, never before the delay", async () => {
+      const waits = Array.from({ length: 40 }, async (_, index) => {
+        const delay = 5 + index * 0.37;
+        const started = timer.now();
+        await new Promise<void>((resolve) => timer.after(delay, resolve));
+        return timer.now() - started - delay;
+      });
+      for (const late of await Promise.all(waits)) {
+        expect(late).to.be.at.least(0);
+      }
     });
 
     it("does not fire what was cancelled", async () => {
--- a/test/stand_ins/model_engine.ts
+++ b/test/stand_ins/model_engine.ts
@@ -8,6 +8,12 @@
   type Sequence,
 } from "./engine_batch.ts";
 import { prefixBlocks, PrefixCache } from "./engine_cache.ts";
+import {
+  chunkOf,
+  failStream,
+  type ModelEngineFaults,
+  NO_ENGINE_FAULTS,
+} from "./engine_faults.ts";
 import { EngineOrders, type EngineState } from "./engine_orders.ts";
 import {
   readJson,
@@ -27,24 +33,6 @@
   readonly cacheEventLagMilliseconds?: number;
 }
 
-/** Faults that can be switched while it runs; -1 switches one off. */
-export interface ModelEngineFaults {
-  /** The next stream is cut in mid-token behind so many tokens. */
-  closeAfterTokens: number;
-  /** The next stream turns into garbage behind so many tokens. */
-  garbageAfterTokens: number;
-  /** The next stream ends without reason and end mark. */
-  shortAfterTokens: number;
-  /** The next stream sends without end behind so many tokens. */
-  floodAfterTokens: number;
-  /** New generations get this status; 0 for none. */
-  refuseStatus: number;
-  /** New generations are taken and never answered. */
-  silent: boolean;
-  /** The process ends when the next order's change is half done. */
-  crashInChange: boolean;
-}
-
 interface CompletionRequest {
   readonly model?: string;
   readonly messages?: readonly Record<string, unknown>[];
@@ -61,15 +49,7 @@
 
 /** A replica that batches, caches, resumes, cancels, and takes orders. */
 export class ModelEngineStandIn {
-  readonly faults: ModelEngineFaults = {
-    closeAfterTokens: -1,
-    garbageAfterTokens: -1,
-    shortAfterTokens: -1,
-    floodAfterTokens: -1,
-    refuseStatus: 0,
-    silent: false,
-    crashInChange: false,
-  };
+  readonly faults: ModelEngineFaults = { ...NO_ENGINE_FAULTS };
   /** What it has done, for tests. */
   readonly counts = {
     generations: 0,
@@ -201,7 +181,9 @@
       arrival: this.#arrivals++,
       blocked: () => response.writableNeedDrain,
       onToken: (text) => {
-        if (this.#fail(response, given)) return void this.#drop(sequence);
+        if (failStream(response, { given, faults: this.faults })) {
+          return void this.#drop(sequence);
+        }
         given += 1;
         this.counts.tokens += 1;
         response.write(chunkOf(text, null));
@@ -226,33 +208,6 @@
     this.#open.delete(sequence);
   }
 
-  /** Brings a fault about in one stream; each fault hits one stream. */
-  #fail(response: ServerResponse, given: number): boolean {
-    const faults = this.faults;
-    if (given === faults.closeAfterTokens) {
-      faults.closeAfterTokens = -1;
-      response.write('data: {"choices":[{"delta":{"con');
-      setTimeout(() => response.destroy(), 5);
-      return true;
-    }
-    if (given === faults.garbageAfterTokens) {
-      faults.garbageAfterTokens = -1;
-      response.end("data: {]garbage\n\n");
-      return true;
-    }
-    if (given === faults.shortAfterTokens) {
-      faults.shortAfterTokens = -1;
-      response.end();
-      return true;
-    }
-    if (given === faults.floodAfterTokens) {
-      faults.floodAfterTokens = -1;
-      flood(response);
-      return true;
-    }
-    return false;
-  }
-
   /** A change of role ends whatever still runs: the side has to drain. */
   #cutByChange(): void {
     for (const [sequence, response] of [...this.#open]) {
@@ -325,22 +280,6 @@
   }
 }
 
-function chunkOf(content: string, reason: string | null): string {
-  const choice = { index: 0, delta: { content }, finish_reason: reason };
-  return `data: ${JSON.stringify({ choices: [choice] })}\n\n`;
-}
-
-/** Sends one event without an end until the other side has had enough. */
-function flood(response: ServerResponse): void {
-  const piece = "x".repeat(64 * 1024);
-  response.write("data: ");
-  const push = () => {
-    while (!response.destroyed && response.write(piece)) { /* go on */ }
-  };
-  response.on("drain", push);
-  push();
-}
-
 await runAsProgram(import.meta.url, (options) => {
   const engine = new ModelEngineStandIn(options as ModelEngineOptions);
   engine.onCrash = () => process.exit(1);
