--- a/src/core/orders/engine_state.ts
+++ b/src/core/orders/engine_state.ts
@@ -35,3 +35,8 @@
     JSON.stringify([...one.models ?? []].sort()) ===
       JSON.stringify([...other.models ?? []].sort());
 }
+
+/** A target as JSON with its keys in a fixed order, for events. */
+export function targetText({ role, models, weights }: EngineTarget): string {
+  return JSON.stringify({ role, models, weights });
+}
--- a/src/core/orders/mod.ts
+++ b/src/core/orders/mod.ts
@@ -1,5 +1,10 @@
 /** Carrying out orders at an engine, from its side process. */
-export { isReached, isSameTarget, needsLoading } from "./engine_state.ts";
+export {
+  isReached,
+  isSameTarget,
+  needsLoading,
+  targetText,
+} from "./engine_state.ts";
 export { OrderExecutor } from "./order_executor.ts";
 export type {
   OrderExecutorGuards,
--- a/src/core/orders/order_executor.ts
+++ b/src/core/orders/order_executor.ts
@@ -4,7 +4,7 @@
 import type { HistoryEventKind, Observe } from "../observation/mod.ts";
 import { pause, type Subscription, type TimerService } from "../time/mod.ts";
 import { EngineChannel } from "./engine_channel.ts";
-import { isReached, needsLoading } from "./engine_state.ts";
+import { isReached, needsLoading, targetText } from "./engine_state.ts";
 
 /** Gives a place in the loading budget back. */
 export type ReleaseWeights = () => void;
@@ -22,6 +22,7 @@
 }
 
 export interface OrderExecutorOptions {
+  readonly endpointId: string;
   readonly guards?: Partial<OrderExecutorGuards>;
   readonly endpoint: EndpointLink;
   readonly timer: TimerService;
@@ -323,9 +324,10 @@
       process: this.#options.process ?? "side",
       kind,
       facts: {
-        offset: order.offset,
+        endpoint: this.#options.endpointId,
+        order: order.offset,
         claim: order.claim,
-        role: order.target.role,
+        target: targetText(order.target),
         incarnation: this.#options.incarnation,
       },
     });
--- a/src/core/orders/order_executor_test.ts
+++ b/src/core/orders/order_executor_test.ts
@@ -32,6 +32,7 @@
   ) {
     const calls: string[] = [];
     const executor = new OrderExecutor({
+      endpointId: "triage-1",
       endpoint: engine.link(),
       timer,
       checksFencing: true,
--- a/src/entry/region_log.ts
+++ b/src/entry/region_log.ts
@@ -15,9 +15,9 @@
 } from "../core/links/mod.ts";
 import type { HistoryEventKind, Logger } from "../core/observation/mod.ts";
 import { OnceFold } from "../core/once/mod.ts";
+import { targetText } from "../core/orders/mod.ts";
 import type { Random } from "../core/random/mod.ts";
 import type { Subscription, TimerService } from "../core/time/mod.ts";
-import type { EngineTarget } from "../generated/log_records.ts";
 
 import type { EntryGuards } from "./guards.ts";
 
@@ -262,8 +262,3 @@
     });
   }
 }
-
-/** A target as JSON with its keys in a fixed order. */
-function targetText({ role, models, weights }: EngineTarget): string {
-  return JSON.stringify({ role, models, weights });
-}
--- a/src/side/side_core.ts
+++ b/src/side/side_core.ts
@@ -287,6 +287,7 @@
     const { endpoint, timer, incarnation, times, observe, name } =
       this.#options;
     return new OrderExecutor({
+      endpointId: this.#options.endpointId,
       endpoint,
       timer,
       checksFencing: this.#configuration?.checksFencing ?? false,
