Notice a replica of the log that is stuck

Cause: a process whose replica no longer moves took it for the whole log: it would follow an old configuration and claim because of the silence. Change: the head rises with the offset that answers an own append and with what others tell (noteHead); a process that is behind asks its peers after 5 s and then ever more seldom. Ruled out: asking peers all the time, which costs whole states. Conclusion: the owner has to pass on what peers tell of their positions.

--- a/src/core/journal/appender.ts
+++ b/src/core/journal/appender.ts
@@ -28,6 +28,8 @@
   readonly delayMilliseconds: number;
   /** How long an append is tried before its caller is told that it failed. */
   readonly giveUpMilliseconds: number;
+  /** The log has told of a head, by the answer to an append. */
+  readonly onHead: (head: number) => void;
   /** False while the log can't be read: appends fail at once then. */
   readonly reachable: () => boolean;
 }
@@ -184,7 +186,10 @@
       { timer: this.#options.timer, milliseconds: answerMilliseconds },
     );
     if (answer === undefined) return "lost";
-    if (answer.isOk()) return "stands";
+    if (answer.isOk()) {
+      this.#options.onHead(answer.value + open.length);
+      return "stands";
+    }
     if (answer.error.name !== "log_unavailable") return "lost";
     open.forEach((waiting, index) => waiting.inDoubt = before[index]);
     return "no_effect";
--- a/src/core/journal/journal.ts
+++ b/src/core/journal/journal.ts
@@ -140,6 +140,15 @@
     return head >= 0 && this.position + 1 >= head;
   }
 
+  /**
+   * Another process has read the stream up to below `head`. What goes wrong
+   * without it: a replica of the log is stuck, this process takes it for the
+   * whole log and follows an old configuration for as long.
+   */
+  noteHead(head: number): void {
+    this.#reader.noteHead(head);
+  }
+
   /** True while records are missing and no state after them has been found. */
   get missingRecords(): boolean {
     return this.#prefix.missingRecords;
@@ -217,8 +226,8 @@
   async #reachability(reachable: boolean): Promise<void> {
     if (reachable !== this.#toldReachable) this.#options.onState?.(reachable);
     this.#toldReachable = reachable;
-    if (reachable) this.#peers.outageEnded();
-    else if (this.#hasState()) await this.#peers.askInOutage();
+    if (reachable) return;
+    if (this.#hasState()) await this.#peers.askInOutage();
     else await this.#peers.ask();
   }
 
@@ -226,9 +235,11 @@
     return this.position >= 0 && !this.missingRecords;
   }
 
-  /** Nothing new on the stream; a search that found nothing asks again. */
+  /** The replica that was asked has nothing new. */
   async #idle(): Promise<void> {
     if (this.missingRecords) await this.#peers.ask();
+    else if (this.caughtUp) this.#peers.troubleEnded();
+    else await this.#peers.askWhileBehind();
   }
 
   #makeAppender(): Appender {
@@ -237,6 +248,7 @@
       delayMilliseconds: this.#options.appendDelayMilliseconds,
       giveUpMilliseconds: this.#options.giveUpMilliseconds ??
         DEFAULT_GIVE_UP_MILLISECONDS,
+      onHead: (head) => this.noteHead(head),
       reachable: () => this.reachable,
     });
   }
--- a/src/core/journal/journal_test.ts
+++ b/src/core/journal/journal_test.ts
@@ -385,6 +385,34 @@
       expect(one.fold.taken).to.deep.equal(["a", "b"]);
     });
 
+    // The replica that this process reads is stuck. It would follow an old
+    // configuration for as long, and take the others' silence for their death.
+    it("notices by others that its replica is stuck", async () => {
+      const peer = start("peer");
+      const one = start("one", {
+        peers: () => Promise.resolve(peer.journal.snapshot()),
+      });
+      await timer.advance(1_000);
+      one.faults.lagRecords = 100;
+      log.put(ORDERS, [record("a", 0)]);
+      await timer.advance(10_000);
+      expect(one.journal.caughtUp).to.equal(true);
+      one.journal.noteHead(peer.journal.position + 1);
+      expect(one.journal.caughtUp).to.equal(false);
+      await timer.advance(30_000);
+      expect(one.fold.taken).to.deep.equal(["a"]);
+    });
+
+    // The same, noticed by the answer to an append of its own.
+    it("notices by its own append that its replica is stuck", async () => {
+      const one = start("one");
+      await timer.advance(1_000);
+      one.faults.lagRecords = 100;
+      watch(one.journal.append(body("a")));
+      await timer.advance(1_000);
+      expect(one.journal.caughtUp).to.equal(false);
+    });
+
     // A peer that is far behind answers a process that has read more itself.
     it("does not go back to a peer's older state", async () => {
       const one = start("one", {
--- a/src/core/journal/peer_source.ts
+++ b/src/core/journal/peer_source.ts
@@ -18,15 +18,20 @@
  * that is cut off from the log alone still hears of changes.
  */
 const FIRST_ASK_IN_OUTAGE_MILLISECONDS = 30_000;
-const LONGEST_ASK_IN_OUTAGE_MILLISECONDS = 600_000;
+/**
+ * The same for a process that reads a replica of the log which is behind what
+ * others know: here the peers do have something newer.
+ */
+const FIRST_ASK_BEHIND_MILLISECONDS = 5_000;
+const LONGEST_ASK_MILLISECONDS = 600_000;
 const ANSWER_MILLISECONDS = 3_000;
 
 /** Takes a stream's state from peers where the log can't give it. */
 export class PeerSource {
   readonly #options: PeerSourceOptions;
   #askedAt = -Infinity;
-  #outageSince: number | undefined;
-  #nextInOutage = 0;
+  #troubleSince: number | undefined;
+  #nextInTrouble = 0;
 
   constructor(options: PeerSourceOptions) {
     this.#options = options;
@@ -47,20 +52,28 @@
 
   /** Asks while the log is out of reach, ever more seldom. */
   async askInOutage(): Promise<void> {
+    await this.#askInTrouble(FIRST_ASK_IN_OUTAGE_MILLISECONDS);
+  }
+
+  /** Asks while the log's answers are old, ever more seldom. */
+  async askWhileBehind(): Promise<void> {
+    await this.#askInTrouble(FIRST_ASK_BEHIND_MILLISECONDS);
+  }
+
+  /** The log can be read again up to what is known of it. */
+  troubleEnded(): void {
+    this.#troubleSince = undefined;
+  }
+
+  async #askInTrouble(firstMilliseconds: number): Promise<void> {
     const now = this.#options.timer.now();
-    if (this.#outageSince === undefined) {
-      this.#outageSince = now;
-      this.#nextInOutage = FIRST_ASK_IN_OUTAGE_MILLISECONDS;
+    if (this.#troubleSince === undefined) {
+      this.#troubleSince = now;
+      this.#nextInTrouble = firstMilliseconds;
     }
-    const waited = now - this.#outageSince;
-    if (waited < this.#nextInOutage) return;
-    this.#nextInOutage = waited +
-      Math.min(waited, LONGEST_ASK_IN_OUTAGE_MILLISECONDS);
+    const waited = now - this.#troubleSince;
+    if (waited < this.#nextInTrouble) return;
+    this.#nextInTrouble = waited + Math.min(waited, LONGEST_ASK_MILLISECONDS);
     await this.ask();
   }
-
-  /** The log can be read again. */
-  outageEnded(): void {
-    this.#outageSince = undefined;
-  }
 }
--- a/src/core/journal/stream_reader.ts
+++ b/src/core/journal/stream_reader.ts
@@ -70,6 +70,11 @@
     return this.#highestHead;
   }
 
+  /** Somebody knows of records below `head`, whatever the replica says. */
+  noteHead(head: number): void {
+    this.#highestHead = Math.max(this.#highestHead, head);
+  }
+
   /** Timer time of the log's last answer. */
   get lastAnswer(): number | undefined {
     return this.#lastAnswer;
