Test the reading of a log that fails where records have expired

Cause: the contract allows a failure log_expired in place of a page with a higher oldest offset; no adapter or fake gave it, so that way was not tested. Change: a test with such a log service. Conclusion: the way works; nothing else changed.

--- a/src/core/journal/journal_test.ts
+++ b/src/core/journal/journal_test.ts
@@ -9,8 +9,9 @@
 import type { RecordBody } from "../../generated/log_records.ts";
 import type { LogOffset } from "../identity/mod.ts";
 import { ManualTimerService } from "../time/mod.ts";
-import type { JournalFailure } from "./mod.ts";
-import type { Result } from "neverthrow";
+import { defineError, failure } from "../errors/mod.ts";
+import type { JournalFailure, LogService } from "./mod.ts";
+import { err, type Result } from "neverthrow";
 
 function body(holder: string): RecordBody {
   return { kind: "claim", holder, replaces: -1 };
@@ -20,6 +21,25 @@
   return { writer: "w", incarnation: "i", sequence, body: body(holder) };
 }
 
+const EXPIRED = defineError<Record<never, never>>()({
+  name: "log_expired",
+  title: "Records expired",
+  message: () => "The wanted records have expired",
+  hint: "Start from a checkpoint.",
+});
+
+/** A log service that does not give pages without the wanted record. */
+function failsWhereExpired(log: LogService): LogService {
+  return {
+    append: (stream, records) => log.append(stream, records),
+    read: async (stream, options) => {
+      const answer = await log.read(stream, options);
+      const isExpired = answer.isOk() && answer.value.oldest > options.from;
+      return isExpired ? err(failure(EXPIRED, {})) : answer;
+    },
+  };
+}
+
 describe("Journal", () => {
   let timer: ManualTimerService;
   let log: FakeLog;
@@ -295,6 +315,27 @@
       expect(late.journal.caughtUp).to.equal(true);
     });
 
+    // Another log service answers a read of expired records with a failure
+    // instead of its oldest offset. The reader would fail over and over.
+    it("finds the oldest record where an expired read fails", async () => {
+      const peer = start("peer", { writesCheckpoints: false });
+      log.put(ORDERS, ["a", "b", "c", "d"].map(record));
+      await timer.advance(100);
+      log.expire(ORDERS, 3);
+      let asked = 0;
+      const late = start("late", {
+        log: failsWhereExpired(log),
+        peers: () =>
+          Promise.resolve(
+            asked++ === 0 ? undefined : peer.journal.snapshot(),
+          ),
+        writesCheckpoints: false,
+      });
+      await timer.advance(30_000);
+      expect(late.journal.counts.gaps).to.equal(1);
+      expect(late.fold.taken).to.deep.equal(["a", "b", "c", "d"]);
+    });
+
     // All 40 entries of a region see at the same moment that a checkpoint is
     // due. Without spreading them the log gets 40 copies of the whole state.
     it("writes one checkpoint for many processes, seldom two", async () => {
