Mend what the review of the coordination parts found in their wiring

Cause: an order that stood while an endpoint was withdrawn was dropped for good; the fencing setting was read once; a restarted side could be told an older order by an entry behind; a stuck replica of the log went unnoticed; a zone that comes back loads all its weights at once. Change: the side keeps the standing order and carries it out when it serves again, and spreads the loads that stood when it started; entries keep what sides have taken and the heads that sides have heard of. Appends wait for nobody (the curve in docs/COORDINATION.md).

--- a/src/adapters/settings/defaults.ts
+++ b/src/adapters/settings/defaults.ts
@@ -69,9 +69,10 @@
   reportMilliseconds: 1_000,
   // Three reports lost in a row; one late report takes no endpoint out of use.
   suspectMilliseconds: 3_500,
-  // Gathers the appends of a burst into one, and adds a hundredth of the
-  // shortest deadline at most.
-  appendDelayMilliseconds: 20,
+  // One append is under way at a time and what comes meanwhile shares the next,
+  // which gathers enough: a wait besides costs its own length at 100 records a
+  // second and gains nothing (bench/append.ts, docs/COORDINATION.md).
+  appendDelayMilliseconds: 0,
   // A judge that is killed delays a publication by this and half as much
   // again, of the nine seconds that it may take. Silence counts only while the
   // log is read without delay, so a slow log makes no claim flap.
--- a/src/entry/entry_core.ts
+++ b/src/entry/entry_core.ts
@@ -22,6 +22,7 @@
 } from "../core/observation/mod.ts";
 import { NO_TRACER, SILENT_LOGGER } from "../core/observation/mod.ts";
 import { OnceCoordinator } from "../core/once/mod.ts";
+import { TakenOrders } from "../core/orders/mod.ts";
 import type { Random } from "../core/random/mod.ts";
 import type { AnswerSink, CallerRequest } from "../core/requests/mod.ts";
 import { createScheduler } from "../core/scheduling/mod.ts";
@@ -29,6 +30,7 @@
 import type { TimerService } from "../core/time/mod.ts";
 import type {
   EntryStatus,
+  SideReport,
   StatusQuestion,
   WatchAnswer,
   WatchQuestion,
@@ -107,6 +109,7 @@
   readonly #scheduler: Scheduler;
   readonly #directory: SideDirectory;
   readonly #desk: WatchDesk;
+  readonly #takenOrders = new TakenOrders();
   readonly #intake: Intake;
   readonly #planner: Planner;
   #inForce: InForce | undefined;
@@ -218,10 +221,22 @@
    */
   watch(question: WatchQuestion): Promise<WatchAnswer> | undefined {
     if (this.#draining) return undefined;
-    this.#directory.heard(question.report);
+    this.#hear(question.report);
     return this.#desk.watch(question);
   }
 
+  /**
+   * A side that is attached to another entry too may have been told more than
+   * this entry has read: a replica of the log may be stuck.
+   */
+  #hear(report: SideReport): void {
+    this.#directory.heard(report);
+    this.#takenOrders.note(report);
+    const { journals } = this.#log;
+    journals.configuration.noteHead(report.configurationVersion);
+    journals.orders.noteHead(report.ordersRead + 1);
+  }
+
   /** What this entry knows; with a cursor, the sides that have changed since. */
   status(question: StatusQuestion = {}): EntryStatus {
     const { name, incarnation, region, availabilityZone } = this.#options;
@@ -269,6 +284,7 @@
       availabilityZone: this.#options.availabilityZone,
       mostPerPool: this.#options.limits.mostEndpointsPerPool,
     });
+    this.#takenOrders.keepOnly(new Set(this.#inForce.catalog.endpoints()));
     this.#scheduler.configure(this.#subset.inventory, rules);
     this.#useSides();
     this.#desk.changed();
@@ -322,7 +338,12 @@
     const id = identifier<EndpointId>(endpoint);
     const catalog = this.#inForce?.catalog;
     const inventoried = catalog?.endpoint(id);
-    const order = this.#log.orders.standingOrder(endpoint);
+    const order = inventoried?.state === "withdrawn"
+      ? undefined
+      : this.#takenOrders.answerWith(
+        endpoint,
+        this.#log.orders.standingOrder(endpoint),
+      );
     const answer: WatchAnswer = {
       configurationVersion: this.configurationVersion,
       ordersRead: this.#log.journals.orders.position,
@@ -339,6 +360,8 @@
       checksFencing: engine?.checksFencing ?? false,
       resumesStreams: engine?.resumesStreams ?? false,
       ...(engine && { slots: engine.slots }),
+      ...(engine &&
+        { poolEngines: catalog?.poolOfEndpoint(id)?.endpoints.length }),
       ...(engine && { roleChangeSeconds: engine.roleChangeSeconds }),
     };
     return answer;
--- a/src/side/side_core.ts
+++ b/src/side/side_core.ts
@@ -10,7 +10,7 @@
   EntryLink,
   PeerAddress,
 } from "../core/links/mod.ts";
-import { attachments } from "../core/membership/mod.ts";
+import { attachments, hashToUnit } from "../core/membership/mod.ts";
 import type {
   HistoryEventKind,
   Logger,
@@ -18,8 +18,9 @@
   Tracer,
 } from "../core/observation/mod.ts";
 import { NO_TRACER, SILENT_LOGGER } from "../core/observation/mod.ts";
-import { OrderExecutor } from "../core/orders/mod.ts";
+import { loadSpread, OrderExecutor } from "../core/orders/mod.ts";
 import type { Random } from "../core/random/mod.ts";
+import { pause } from "../core/time/mod.ts";
 import type { Subscription, TimerService } from "../core/time/mod.ts";
 import type {
   AttemptFrame,
@@ -29,6 +30,7 @@
   OnceAnswer,
   OnceQuestion,
   SideReport,
+  StandingOrder,
   WatchAnswer,
 } from "../generated/messages.ts";
 import { AttemptDesk } from "./attempt_desk.ts";
@@ -77,6 +79,11 @@
   readonly guards?: SideGuards;
 }
 
+/** Engines of a pool that load weights together where no planner paces them. */
+const MOST_LOADS_AT_ONCE = 2;
+/** How long a load of weights is reckoned to take for the spread. */
+const EXPECTED_LOAD_MILLISECONDS = 30_000;
+
 /** A side is attached to two entries, so that losing one delays nothing. */
 const ATTACHED_ENTRIES = 2;
 
@@ -95,6 +102,10 @@
   #configurationVersion = 0;
   #ordersRead = -1;
   #orderTaken = -1;
+  #order: StandingOrder | undefined;
+  /** Offset of the order that stood when this side started; -1 for none. */
+  #standingAtStart = -1;
+  #hasHeard = false;
   #toldEntries: readonly PeerAddress[] = [];
   #observation: EngineObservation | undefined;
   #endpointDown = false;
@@ -248,6 +259,7 @@
     this.#takeConfiguration(answer);
     this.#ordersRead = Math.max(this.#ordersRead, answer.ordersRead);
     this.#takeOrder(answer);
+    this.#hasHeard = true;
   }
 
   #takeConfiguration(answer: WatchAnswer): void {
@@ -264,6 +276,7 @@
     if (this.#isDraining() && !wasDraining) {
       this.#tell("side_draining", { cause: "configuration" });
     }
+    this.#carryOutOrder();
   }
 
   #isNewer(version: number): boolean {
@@ -274,9 +287,20 @@
   #takeOrder({ order }: WatchAnswer): void {
     if (order === undefined || order.offset <= this.#orderTaken) return;
     this.#orderTaken = order.offset;
+    this.#order = order;
+    if (!this.#hasHeard) this.#standingAtStart = order.offset;
+    this.#carryOutOrder();
+  }
+
+  /**
+   * Gives the newest order to the executor. A withdrawn endpoint gets none; it
+   * gets the order that stands once it serves again, since nobody repeats it.
+   */
+  #carryOutOrder(): void {
+    if (this.#order === undefined) return;
     if (this.#configuration?.state === "withdrawn") return;
     this.#orders ??= this.#makeOrderExecutor();
-    this.#orders.take(order);
+    this.#orders.take(this.#order);
   }
 
   /**
@@ -290,17 +314,37 @@
       endpointId: this.#options.endpointId,
       endpoint,
       timer,
-      checksFencing: this.#configuration?.checksFencing ?? false,
+      checksFencing: () => this.#configuration?.checksFencing ?? false,
       incarnation,
       longestOrderMilliseconds: times.longestOrderMilliseconds,
       drain: () => this.#drainForChange(),
       resume: () => this.#resumeAfterChange(),
+      acquireWeights: (order) => this.#waitForWeights(order),
       observe,
       process: name,
       guards: this.#options.guards?.orders,
     });
   }
 
+  /**
+   * Spreads loads that no planner paces: a zone comes back with empty engines,
+   * and the orders of all of them stand on the log already. An order that came
+   * while this side ran was paced by its planner and waits for nobody.
+   */
+  async #waitForWeights(order: StandingOrder): Promise<() => void> {
+    const { timer, endpointId } = this.#options;
+    if (order.offset <= this.#standingAtStart) {
+      const milliseconds = loadSpread({
+        engines: this.#configuration?.poolEngines ?? 1,
+        mostAtOnce: MOST_LOADS_AT_ONCE,
+        loadMilliseconds: EXPECTED_LOAD_MILLISECONDS,
+        place: hashToUnit(endpointId),
+      });
+      await pause(timer, milliseconds);
+    }
+    return () => {};
+  }
+
   async #drainForChange(): Promise<void> {
     if (this.#options.guards?.drains?.() === false) return;
     this.#changing = true;
