--- a/bench/load_arrivals.ts
+++ b/bench/load_arrivals.ts
@@ -25,6 +25,8 @@
   readonly capacities: ReadonlyMap<string, number>;
   readonly entries: number;
   readonly workspaces?: number;
+  /** Time from one turn of the mix to the second next. */
+  readonly periodSeconds?: number;
 }
 
 /** Spread of lengths: deviation of the logarithm. */
@@ -39,7 +41,7 @@
   options: ArrivalOptions,
 ): Arrival[] {
   const random = seededRandom(options.seed * 7_919 + 17);
-  const phase = random() * SWING_PERIOD_SECONDS;
+  const phase = random() * (options.periodSeconds ?? SWING_PERIOD_SECONDS);
   const arrivals: Arrival[] = [];
   for (const shape of deployment.shapes) {
     const capacity = options.capacities.get(shape.pool) ?? 0;
@@ -60,7 +62,7 @@
   for (;;) {
     seconds -= Math.log(1 - random()) / highest;
     if (seconds >= options.seconds) return arrivals;
-    const factor = swingFactor(shape, seconds + options.phase);
+    const factor = swingFactor(shape, seconds + options.phase, options);
     if (random() * highest > rate * factor) continue;
     arrivals.push(arrivalAt(seconds * 1_000, shape, options));
   }
--- a/bench/load_deployments.ts
+++ b/bench/load_deployments.ts
@@ -303,8 +303,13 @@
 export const DEPLOYMENTS: readonly Deployment[] = [KOPERASI, FEDERATIE];
 
 /** Factor on a class's rate at a time: a trapezoid with quick turns. */
-export function swingFactor(shape: ClassShape, seconds: number): number {
-  const phase = (seconds % SWING_PERIOD_SECONDS) / SWING_PERIOD_SECONDS;
+export function swingFactor(
+  shape: ClassShape,
+  seconds: number,
+  options: { periodSeconds?: number } = {},
+): number {
+  const period = options.periodSeconds ?? SWING_PERIOD_SECONDS;
+  const phase = (seconds % period) / period;
   const wave = Math.max(-1, Math.min(1, 3 * Math.sin(2 * Math.PI * phase)));
   return 1 + SWING_SHARE * shape.swing * wave;
 }
--- a/bench/load_job.ts
+++ b/bench/load_job.ts
@@ -2,7 +2,15 @@
 import { fork } from "node:child_process";
 import process from "node:process";
 import { fileURLToPath } from "node:url";
-import type { RoleCounts } from "../src/core/roles/mod.ts";
+import {
+  type CostBasedOptions,
+  costBasedPolicy,
+  type RoleCounts,
+} from "../src/core/roles/mod.ts";
+import {
+  DEFAULT_POLICY,
+  type SchedulingPolicy,
+} from "../src/core/scheduling/mod.ts";
 import * as baselines from "./load_baselines.ts";
 import { bestStaticRoles, capacityPerSecond } from "./load_bound.ts";
 import { type Deployment, DEPLOYMENTS } from "./load_deployments.ts";
@@ -21,6 +29,19 @@
   readonly load: number;
   readonly variant: string;
   readonly seeds: readonly number[];
+  /** Changes to the variant, for sweeps. */
+  readonly changes?: CellChanges;
+}
+
+export interface CellChanges {
+  readonly scheduling?: Partial<SchedulingPolicy>;
+  readonly planner?: Partial<CostBasedOptions>;
+  readonly roleChangeWeight?: number;
+  readonly sideWaiting?: number;
+  readonly toleratedSlowdown?: number;
+  readonly reportLagMilliseconds?: number;
+  readonly periodSeconds?: number;
+  readonly seconds?: number;
 }
 
 export interface CellResult {
@@ -61,16 +82,37 @@
   return scale;
 }
 
+function changed(variant: Variant, changes: CellChanges): Variant {
+  const { scheduling, planner, ...rest } = changes;
+  return {
+    ...variant,
+    ...rest,
+    scheduling: scheduling && { ...DEFAULT_POLICY, ...scheduling },
+    roles: planner ? () => costBasedPolicy(planner) : variant.roles,
+  };
+}
+
+function weighted(deployment: Deployment, weight?: number): Deployment {
+  if (weight === undefined) return deployment;
+  const planner = { ...deployment.rules.planner, roleChangeWeight: weight };
+  return { ...deployment, rules: { ...deployment.rules, planner } };
+}
+
 /** All seeds of one cell, one after the other. */
 export async function runCell(cell: Cell): Promise<RunFigures> {
-  const deployment = deploymentNamed(cell.deployment);
+  const { changes = {} } = cell;
+  const deployment = weighted(
+    deploymentNamed(cell.deployment),
+    changes.roleChangeWeight,
+  );
   const variant = VARIANTS.find((one) => one.name === cell.variant);
   if (variant === undefined) throw new Error(`No variant ${cell.variant}`);
   const scale = scaleOf(deployment);
   const sum = new RunFigures();
   for (const seed of cell.seeds) {
-    const run = new LoadRun(deployment, variant, {
+    const run = new LoadRun(deployment, changed(variant, changes), {
       ...scale,
+      ...changes,
       seed,
       load: cell.load,
     });
--- a/bench/load_run.ts
+++ b/bench/load_run.ts
@@ -42,6 +42,7 @@
   readonly plain?: boolean;
   readonly roles: () => RolePolicy;
   readonly sideWaiting?: number;
+  readonly toleratedSlowdown?: number;
 }
 
 export interface RunOptions {
@@ -52,6 +53,7 @@
   /** Time from a side's report to its use by the entries. */
   readonly reportLagMilliseconds?: number;
   readonly seconds?: number;
+  readonly periodSeconds?: number;
   readonly arrivals?: readonly Arrival[];
   /** Told of the end of every measured request. */
   readonly onFinished?: (
@@ -92,6 +94,7 @@
   readonly entries: Scheduler[] = [];
   /** False: no plan is made, as while the log is out or no planner lives. */
   plannerAlive = true;
+  #arrivalsEnd = 0;
   reportsAlive = true;
   reportLagMilliseconds: number;
   readonly #deployment: Deployment;
@@ -129,6 +132,7 @@
         seconds,
         entries: this.entries.length,
       });
+    this.#arrivalsEnd = seconds * 1_000;
     this.#arrive(arrivals, 0);
     this.timer.every(REPORT_MILLISECONDS, () => this.#report());
     this.timer.every(PLAN_MILLISECONDS, () => this.#plan());
@@ -155,6 +159,7 @@
           serviceSlots: this.#deployment.serviceSlots,
           plain: this.#variant.plain ?? false,
           mostWaiting: this.#variant.sideWaiting ?? SIDE_WAITING,
+          toleratedSlowdown: this.#variant.toleratedSlowdown,
         }),
       );
     }
@@ -198,7 +203,7 @@
   }
 
   #plan(): void {
-    if (!this.plannerAlive) return;
+    if (!this.plannerAlive || this.timer.now() > this.#arrivalsEnd) return;
     const changes = this.#planner.plan({
       now: this.timer.now(),
       rules: this.#deployment.rules.planner ?? {},
--- a/bench/load_side.ts
+++ b/bench/load_side.ts
@@ -16,6 +16,7 @@
   readonly plain: boolean;
   readonly speed?: number;
   readonly mostWaiting: number;
+  readonly toleratedSlowdown?: number;
 }
 
 export interface SideAttempt {
@@ -67,7 +68,7 @@
       mostRunning: this.engine?.slots ?? options.serviceSlots,
       mostWaiting: options.plain ? Infinity : options.mostWaiting,
       mostBeforeFirstToken: options.engine === undefined ? 0 : 2,
-      toleratedSlowdown: options.plain ? Infinity : undefined,
+      toleratedSlowdown: options.plain ? Infinity : options.toleratedSlowdown,
     });
   }
 
--- /dev/null
+++ b/bench/load_sweeps.ts
@@ -0,0 +1,132 @@
+/**
+ * Sweeps that the constants of the decisions come from. Prints one table in
+ * Markdown for each constant: `npm run bench:sweeps [-- --only NAME]`.
+ */
+import { parseArgs } from "node:util";
+import { DEPLOYMENTS } from "./load_deployments.ts";
+import { RunFigures } from "./load_figures.ts";
+import { type Cell, type CellChanges, runCells } from "./load_job.ts";
+
+interface Sweep {
+  readonly name: string;
+  readonly variant?: string;
+  readonly settings:
+    readonly (readonly [label: string, changes: CellChanges])[];
+}
+
+const LOADS = [1, 2];
+const SEEDS = [1, 2];
+/** The mix turns every quarter of an hour instead of every hundred seconds. */
+const SLOW_SWING: CellChanges = { periodSeconds: 1_800, seconds: 1_200 };
+
+function scheduling(
+  name: keyof NonNullable<CellChanges["scheduling"]>,
+  values: readonly (number | boolean)[],
+): Sweep {
+  return {
+    name,
+    settings: values.map((value) =>
+      [String(value), { scheduling: { [name]: value } }] as const
+    ),
+  };
+}
+
+function planner(
+  name: keyof NonNullable<CellChanges["planner"]>,
+  values: readonly number[],
+): Sweep {
+  return {
+    name,
+    settings: values.map((value) =>
+      [String(value), { planner: { [name]: value } }] as const
+    ),
+  };
+}
+
+const SWEEPS: readonly Sweep[] = [
+  scheduling("choices", [2, 8, 24]),
+  scheduling("engineCostWeight", [0, 2, 6]),
+  scheduling("dividesByRole", [false, true]),
+  scheduling("learnsDrain", [false, true]),
+  scheduling("thinsClasses", [false, true]),
+  scheduling("thinningWaitShare", [0, 0.1, 0.5]),
+  scheduling("mostPrefillWaitMilliseconds", [500, 1_500, 3_000, 10_000]),
+  scheduling("extraPlaces", [0, 1, 2]),
+  scheduling("lessUrgentShare", [0.7, 0.85, 1]),
+  scheduling("reportHalfLifeMilliseconds", [300, 1_000, 4_000]),
+  scheduling("urgentDeviations", [0, 1]),
+  scheduling("otherDeviations", [0, 1, 2]),
+  scheduling("defaultShare", [0, 0.03, 0.1]),
+  scheduling("mostAffinityLoad", [1, 1.25, 2]),
+  {
+    name: "sideWaiting",
+    settings: [2, 8, 16].map((value) =>
+      [String(value), { sideWaiting: value }] as const
+    ),
+  },
+  {
+    name: "toleratedSlowdown",
+    settings: [1.5, 2.5, 4].map((value) =>
+      [String(value), { toleratedSlowdown: value }] as const
+    ),
+  },
+  planner("noiseDeviations", [0, 0.3, 1]),
+  planner("usableShare", [0.7, 0.8, 0.95]),
+  {
+    name: "roleChangeWeight",
+    settings: [0, 0.5, 4].map((value) =>
+      [String(value), { roleChangeWeight: value }] as const
+    ),
+  },
+  ...["static", "threshold", "present", "forecast"].map((variant) => ({
+    name: `slow swing, ${variant} roles`,
+    variant,
+    settings: [["turn every 900 s", SLOW_SWING] as const],
+  })),
+];
+
+async function print(sweep: Sweep): Promise<void> {
+  const cells: Cell[] = sweep.settings.flatMap(([, changes]) =>
+    DEPLOYMENTS.flatMap(({ name }) =>
+      LOADS.map((load) => ({
+        deployment: name,
+        load,
+        variant: sweep.variant ?? "present",
+        seeds: SEEDS,
+        changes,
+      }))
+    )
+  );
+  const results = await runCells(cells);
+  const heads = DEPLOYMENTS.flatMap(({ name }) =>
+    LOADS.map((load) => `${name} ${load}`)
+  );
+  console.log(`\n| ${[sweep.name, ...heads].join(" | ")} |`);
+  console.log(`| ${["---", ...heads.map(() => "---")].join(" | ")} |`);
+  for (const [label, changes] of sweep.settings) {
+    const columns = DEPLOYMENTS.flatMap((deployment) =>
+      LOADS.map((load) => {
+        const found = results.find(({ cell }) =>
+          cell.deployment === deployment.name && cell.load === load &&
+          JSON.stringify(cell.changes) === JSON.stringify(changes)
+        );
+        const figures = new RunFigures();
+        if (found !== undefined) figures.add(found.figures);
+        const urgent = deployment.shapes[0].workClass.name;
+        return [
+          figures.all().goodput.toFixed(4),
+          figures.of(urgent).goodput.toFixed(4),
+          (figures.roleChanges / Math.max(1, figures.runs)).toFixed(1),
+        ].join(" / ");
+      })
+    );
+    console.log(`| ${[label, ...columns].join(" | ")} |`);
+  }
+}
+
+const { values } = parseArgs({ options: { only: { type: "string" } } });
+console.log("Goodput / goodput of the most urgent class / role changes a run.");
+for (const sweep of SWEEPS) {
+  if (values.only !== undefined && !sweep.name.includes(values.only)) continue;
+  await print(sweep);
+}
--- a/src/core/roles/policies.ts
+++ b/src/core/roles/policies.ts
@@ -101,7 +101,7 @@
 export const COST_BASED_OPTIONS: CostBasedOptions = {
   usableShare: 0.8,
   smoothing: 0.3,
-  noiseDeviations: 1,
+  noiseDeviations: 0.3,
   shortestShiftMilliseconds: 20_000,
   longestShiftMilliseconds: 300_000,
   drainMilliseconds: 4_000,
@@ -237,10 +237,27 @@
       }
       this.#tracks.set(one.className, track);
     }
+    this.#fadeAbsent(demand);
     const noise = difference / Math.max(1e-9, total);
     this.#noise += 0.1 * (noise - this.#noise);
   }
 
+  /**
+   * A class that is no longer reported has no arrivals. Kept at its last rate
+   * it would go on drawing engines after its work has ended.
+   */
+  #fadeAbsent(demand: readonly ClassDemand[]): void {
+    const present = new Set(demand.map((one) => one.className));
+    for (const [className, track] of this.#tracks) {
+      if (present.has(className)) continue;
+      track.trend = 0;
+      track.mean = this.#blend(track.mean, {
+        ...track.mean,
+        arrivalsPerSecond: 0,
+      });
+    }
+  }
+
   /** Mean deviation of one observation, as a share of the demand. */
   noise(): number {
     return this.#noise * Math.sqrt(this.#options.smoothing);
