--- a/src/core/placement/endpoint_picture.ts
+++ b/src/core/placement/endpoint_picture.ts
@@ -57,6 +57,9 @@
   #reportedAt = -Infinity;
   /** Work of other entries at the time of the report. */
   #foreign = 0;
+  /** Part of the foreign work that is left, reckoned once for each time. */
+  #decay = 1;
+  #decayedAt = -Infinity;
   #own = 0;
   #ownLessUrgent = 0;
   /** For each rank of class: when the prompts up to that rank are done. */
@@ -128,6 +131,7 @@
     this.#limit = load.limit;
     this.#millisecondsBetweenTokens = load.millisecondsBetweenTokens;
     this.#reportedAt = receivedAt - (load.ageMilliseconds ?? 0);
+    this.#decayedAt = -Infinity;
     this.#foreign = Math.max(0, load.running + load.waiting - this.#own);
     if (load.prefillBacklogTokens === undefined) return;
     const wait = this.#prefillMilliseconds(load.prefillBacklogTokens);
@@ -153,9 +157,12 @@
   /** Work of others at the endpoint, as far as it is still there. */
   foreign(now: number): number {
     if (this.#foreign === 0) return 0;
-    const age = Math.max(0, now - this.#reportedAt);
-    const left = 0.5 ** (age / this.#options.reportHalfLifeMilliseconds);
-    return this.#foreign * left;
+    if (now !== this.#decayedAt) {
+      const age = Math.max(0, now - this.#reportedAt);
+      this.#decay = 0.5 ** (age / this.#options.reportHalfLifeMilliseconds);
+      this.#decayedAt = now;
+    }
+    return this.#foreign * this.#decay;
   }
 
   /** Free places for a request of the rank; the most urgent rank is 0. */
@@ -214,6 +221,7 @@
   foundFull(now: number): void {
     this.#foreign = Math.max(this.foreign(now), this.#limit - this.#own);
     this.#reportedAt = now;
+    this.#decayedAt = -Infinity;
   }
 
   /** Time of the whole engine that the work takes, milliseconds. */
--- /dev/null
+++ b/src/core/placement/placement_test.ts
@@ -0,0 +1,123 @@
+import { expect } from "chai";
+import { describe, it } from "mocha";
+import { type EndpointId, identifier } from "../identity/mod.ts";
+import { chooseSubset, EndpointHealth, PrefixIndex } from "./mod.ts";
+
+const LIMITS = {
+  mostFailureShare: 0.4,
+  fewestAttempts: 8,
+  mostSlowness: 3,
+  firstEjectionMilliseconds: 2_000,
+  longestEjectionMilliseconds: 60_000,
+};
+
+describe("chooseSubset", () => {
+  const candidates = Array.from({ length: 1_000 }, (_, index) => ({
+    endpoint: `endpoint-${index}`,
+    availabilityZone: `zone-${index % 4}`,
+  }));
+  const options = {
+    salt: "entry-1",
+    availabilityZone: "zone-2",
+    mostEndpoints: 24,
+    ownZoneShare: 0.67,
+  };
+
+  it("stays small and lies mostly in the own zone", () => {
+    const subset = chooseSubset(candidates, options);
+    const own = subset.filter((one) => one.availabilityZone === "zone-2");
+    expect(subset.length).to.equal(24);
+    expect(own.length).to.equal(16);
+  });
+
+  // A replica is replaced. If that moved every entry's subset, all of them
+  // would lose what they know of their endpoints at the same moment.
+  it("keeps the rest when one endpoint goes", () => {
+    const before = chooseSubset(candidates, options);
+    const left = candidates.filter((one) => one !== before[3]);
+    const after = new Set(chooseSubset(left, options));
+    expect(before.filter((one) => !after.has(one)).length).to.equal(1);
+  });
+
+  it("fills up from the own zone where others have too few", () => {
+    const own = candidates.filter((one) => one.availabilityZone === "zone-2");
+    expect(chooseSubset(own, options).length).to.equal(24);
+  });
+});
+
+describe("PrefixIndex", () => {
+  const one = identifier<EndpointId>("one");
+  const other = identifier<EndpointId>("other");
+
+  it("finds the endpoint of the longest known prefix", () => {
+    const index = new PrefixIndex(10);
+    index.learn(one, ["a", "ab"]);
+    index.learn(other, ["a"]);
+    expect(index.find(["a", "ab", "abc", "abcd"])).to.deep.equal({
+      endpoint: one,
+      share: 0.5,
+    });
+  });
+
+  it("forgets what its endpoint has dropped, and nothing of others", () => {
+    const index = new PrefixIndex(10);
+    index.learn(one, ["a"]);
+    index.forget(other, ["a"]);
+    expect(index.find(["a"])?.endpoint).to.equal(one);
+    index.forget(one, ["a"]);
+    expect(index.find(["a"])).to.equal(undefined);
+  });
+
+  it("is bounded", () => {
+    const index = new PrefixIndex(3);
+    index.learn(one, ["a", "b", "c", "d", "e"]);
+    expect(index.size).to.equal(3);
+  });
+});
+
+describe("EndpointHealth", () => {
+  const fast = { overExpected: 1, overRated: 1 };
+  const slow = { overExpected: 1, overRated: 6 };
+
+  it("finds an endpoint bad that fails", () => {
+    const health = new EndpointHealth(LIMITS);
+    for (let index = 0; index < 10; index++) health.failed(0);
+    expect(health.isBad(1)).to.equal(true);
+  });
+
+  it("finds an endpoint bad that is slow though its reports say so", () => {
+    const health = new EndpointHealth(LIMITS);
+    for (let index = 0; index < 20; index++) health.succeeded(slow, 0);
+    expect(health.isBad(1)).to.equal(true);
+  });
+
+  // The whole pool is slow, because all of it is loaded. Ejecting endpoints
+  // then would make the others slower still.
+  it("finds none bad that is like the others", () => {
+    const health = new EndpointHealth(LIMITS);
+    for (let index = 0; index < 20; index++) health.succeeded(slow, 0);
+    expect(health.isBad(5)).to.equal(false);
+  });
+
+  // Nothing ever ends there: callers give up at their deadlines.
+  it("learns from callers that gave up", () => {
+    const health = new EndpointHealth(LIMITS);
+    for (let index = 0; index < 20; index++) health.cancelled(slow, 0);
+    expect(health.isBad(1)).to.equal(true);
+  });
+
+  it("probes one attempt at a time and goes by its outcome", () => {
+    const health = new EndpointHealth(LIMITS);
+    health.eject(0);
+    expect(health.mayProbe(1_999)).to.equal(false);
+    expect(health.mayProbe(2_000)).to.equal(true);
+    health.probeStarted();
+    expect(health.mayProbe(2_000)).to.equal(false);
+    health.succeeded(slow, 2_500);
+    expect(health.mayProbe(6_000)).to.equal(false);
+    expect(health.mayProbe(6_500)).to.equal(true);
+    health.probeStarted();
+    health.succeeded(fast, 7_000);
+    expect(health.ejected).to.equal(false);
+  });
+});
--- /dev/null
+++ b/src/core/roles/role_planner_test.ts
@@ -0,0 +1,161 @@
+import { expect } from "chai";
+import { describe, it } from "mocha";
+import { type EndpointId, identifier } from "../identity/mod.ts";
+import {
+  type ClassDemand,
+  costBasedPolicy,
+  divideWork,
+  type PlannedEndpoint,
+  type PlannerPicture,
+  type Role,
+  ROLE_PROFILES,
+  type RoleChange,
+  RolePlanner,
+  thresholdPolicy,
+} from "./mod.ts";
+
+const ENGINE = {
+  slots: 16,
+  prefillTokensPerSecond: 8_000,
+  millisecondsBetweenTokens: 20,
+  keyValueCacheTokens: 120_000,
+  roleChangeSeconds: 8,
+};
+
+const LONG_PROMPTS: ClassDemand[] = [{
+  className: "verdict",
+  arrivalsPerSecond: 6,
+  promptTokens: 9_000,
+  outputTokens: 30,
+  value: 1,
+}];
+
+function endpoints(roles: readonly Role[]): PlannedEndpoint[] {
+  return roles.map((role, index) => ({
+    endpoint: identifier<EndpointId>(`engine-${index}`),
+    availabilityZone: `zone-${index % 3}`,
+    role,
+    serving: true,
+  }));
+}
+
+const DECODERS = endpoints(Array<Role>(9).fill("decode"));
+
+function picture(
+  now: number,
+  changes: {
+    endpoints?: readonly PlannedEndpoint[];
+    demandAgeMilliseconds?: number;
+    rules?: PlannerPicture["rules"];
+    logAvailable?: boolean;
+  } = {},
+): PlannerPicture {
+  return {
+    now,
+    rules: changes.rules ?? {},
+    logAvailable: changes.logAvailable ?? true,
+    pools: [{
+      pool: "pool",
+      engine: ENGINE,
+      endpoints: changes.endpoints ?? DECODERS,
+      demand: LONG_PROMPTS,
+      demandAgeMilliseconds: changes.demandAgeMilliseconds ?? 0,
+    }],
+  };
+}
+
+/** Plans every two seconds and returns all changes. */
+function planFor(
+  seconds: number,
+  changes: Parameters<typeof picture>[1] = {},
+  planner = new RolePlanner(),
+): RoleChange[] {
+  const all: RoleChange[] = [];
+  for (let now = 0; now < seconds * 1_000; now += 2_000) {
+    all.push(...planner.plan(picture(now, changes)));
+  }
+  return all;
+}
+
+describe("RolePlanner", () => {
+  it("moves engines towards what the mix needs", () => {
+    const [first] = planFor(60);
+    expect(first.from).to.equal("decode");
+    expect(first.to).to.be.oneOf(["prefill", "mixed"]);
+  });
+
+  // The entries can't reach the planner, or the log takes no orders. Planned
+  // on old demand, engines would go out of service for a mix that is gone.
+  it("plans nothing on old demand, without the log, or when switched off", () => {
+    expect(planFor(60, { demandAgeMilliseconds: 20_000 })).to.deep.equal([]);
+    expect(planFor(60, { logAvailable: false })).to.deep.equal([]);
+    expect(planFor(60, { rules: { enabled: false } })).to.deep.equal([]);
+  });
+
+  // The order is given and the engine still drains, so nothing in the reports
+  // has changed. A planner that reacts to the missing effect orders engine
+  // after engine until the whole zone is out.
+  it("counts changes under way as done and as out of service", () => {
+    const underWay = DECODERS.map((one, index) => ({
+      ...one,
+      changingTo: index < 1 ? "prefill" as const : undefined,
+    }));
+    const rules = { mostOutAtOnceShare: 0.1 };
+    expect(planFor(60, { endpoints: underWay, rules })).to.deep.equal([]);
+  });
+
+  it("keeps the floor of a role and leaves fixed engines alone", () => {
+    const fixed = DECODERS.map((one) => ({ ...one, fixedRole: true }));
+    expect(planFor(60, { endpoints: fixed })).to.deep.equal([]);
+    expect(planFor(60, { rules: { fewestPerRole: 9 } })).to.deep.equal([]);
+  });
+
+  it("changes less the more a change weighs", () => {
+    const light = planFor(60, { rules: { roleChangeWeight: 0 } });
+    const heavy = planFor(60, { rules: { roleChangeWeight: 1_000 } });
+    expect(light.length).to.be.greaterThan(0);
+    expect(heavy).to.deep.equal([]);
+  });
+
+  it("takes other policies", () => {
+    const planner = new RolePlanner({ policy: () => thresholdPolicy() });
+    expect(planFor(4, {}, planner)[0].to).to.equal("mixed");
+  });
+
+  // A class ends. Kept at its last rate it would draw engines for ever.
+  it("lets a class fade that is no longer reported", () => {
+    const policy = costBasedPolicy();
+    const planner = new RolePlanner({ policy: () => policy });
+    planFor(6, {}, planner);
+    const later = Array.from({ length: 40 }, (_, index) => {
+      const { pools, ...rest } = picture(10_000 + index * 2_000);
+      return planner.plan({
+        ...rest,
+        pools: pools.map((pool) => ({ ...pool, demand: [] })),
+      });
+    });
+    expect(later.slice(20).flat()).to.deep.equal([]);
+  });
+});
+
+describe("divideWork", () => {
+  it("gives each class to the roles that suit it", () => {
+    const letters = {
+      ...LONG_PROMPTS[0],
+      className: "letter",
+      promptTokens: 100,
+      outputTokens: 600,
+    };
+    const { rates, value } = divideWork(
+      [{ ...LONG_PROMPTS[0], arrivalsPerSecond: 1.5 }, {
+        ...letters,
+        arrivalsPerSecond: 2,
+      }],
+      { mixed: 0, prefill: 2, decode: 2 },
+      { engine: ENGINE, profiles: ROLE_PROFILES, usableShare: 1 },
+    );
+    expect(value).to.be.closeTo(3.5, 1e-6);
+    expect(rates[0][1]).to.be.greaterThan(1.2);
+    expect(rates[1][2]).to.be.greaterThan(1.2);
+  });
+});
