--- a/test/support/process_fleet.ts
+++ b/test/support/process_fleet.ts
@@ -93,13 +93,19 @@
 /** Waits until the condition holds; throws what was waited for otherwise. */
 export async function waitFor(
   condition: () => boolean | Promise<boolean>,
-  options: { what: string; milliseconds?: number },
+  options: {
+    what: string;
+    milliseconds?: number;
+    /** What the process that is waited for has printed. */
+    output?: () => string;
+  },
 ): Promise<void> {
   const limit = options.milliseconds ?? DEFAULT_WAIT_MILLISECONDS;
   const end = performance.now() + limit;
   while (!(await condition())) {
     if (performance.now() > end) {
-      throw new Error(`Waited ${limit} ms for ${options.what}`);
+      const output = options.output?.() ?? "";
+      throw new Error(`Waited ${limit} ms for ${options.what}\n${output}`);
     }
     await new Promise((resolve) => setTimeout(resolve, POLL_MILLISECONDS));
   }
--- a/test/support/small_deployment.ts
+++ b/test/support/small_deployment.ts
@@ -108,13 +108,17 @@
       await waitFor(async () => {
         const answer = await fetch(`${entry.url}/ready`).catch(() => undefined);
         return answer?.status === 200;
-      }, { what: `${entry.url} to be ready` });
+      }, {
+        what: `${entry.url} to be ready`,
+        output: () => entry.process.output(),
+      });
     }
     // Sides report once a second; work goes to those that have.
     const endpoints = [...this.engines, ...this.services];
     for (const { id, side } of endpoints) {
       await waitFor(() => side.output().includes("Configuration is in force"), {
         what: `the configuration at ${id}`,
+        output: () => side.output(),
       });
     }
     await new Promise((resolve) => setTimeout(resolve, 300));
