--- a/src/core/placement/endpoint_picture.ts
+++ b/src/core/placement/endpoint_picture.ts
@@ -152,6 +152,7 @@
 
   /** Work of others at the endpoint, as far as it is still there. */
   foreign(now: number): number {
+    if (this.#foreign === 0) return 0;
     const age = Math.max(0, now - this.#reportedAt);
     const left = 0.5 ** (age / this.#options.reportHalfLifeMilliseconds);
     return this.#foreign * left;
@@ -196,6 +197,14 @@
         this.#prefillMilliseconds(work.promptTokens));
   }
 
+  /** Time that the register's figures would give an endpoint to itself. */
+  ratedMilliseconds(
+    work: { promptTokens: number; outputTokens: number },
+  ): number {
+    return this.#prefillMilliseconds(work.promptTokens) +
+      work.outputTokens * this.#rates.millisecondsBetweenTokens;
+  }
+
   decodeMilliseconds(outputTokens: number): number {
     return this.health.slowness * outputTokens *
       this.millisecondsBetweenTokens();
--- a/src/core/scheduling/entry_scheduler_test.ts
+++ b/src/core/scheduling/entry_scheduler_test.ts
@@ -46,6 +46,9 @@
   ],
 };
 
+/** Both slots of the endpoint, and the one place that waits at its side. */
+const PLACES = 3;
+
 let requests = 0;
 
 function profile(changes: Partial<RequestProfile> = {}): RequestProfile {
@@ -118,10 +121,30 @@
       expect(first.retryAfterMilliseconds).to.be.greaterThan(0);
     });
 
+    // The engine takes four times as long as its register entry says. An
+    // admission that does not learn this lets in what can't be on time.
+    it("learns how far its predictions are out", async () => {
+      const { scheduler, timer } = started();
+      const inTime = () => profile({ deadline: timer.now() + 2_500 });
+      expect(scheduler.submit(profile({ deadline: 2_500 })).isOk()).to.equal(
+        true,
+      );
+      for (let index = 0; index < 100; index++) {
+        const waiting = scheduler.submit(profile({ deadline: 1e9 }));
+        const placed = await waiting._unsafeUnwrap().placed;
+        await timer.advance(4_000);
+        placed._unsafeUnwrap().release({
+          ...ANSWERED,
+          totalMilliseconds: 4_000,
+        });
+      }
+      expect(scheduler.submit(inTime()).isErr()).to.equal(true);
+    });
+
     it("lets urgent work overtake bulk that waits", async () => {
       const { scheduler } = started();
       const running: Placement[] = [];
-      for (let index = 0; index < 2; index++) {
+      for (let index = 0; index < PLACES; index++) {
         const { placed } = scheduler.submit(profile())._unsafeUnwrap();
         if (index === 0) running.push((await placed)._unsafeUnwrap());
       }
@@ -137,7 +160,7 @@
 
     it("gives a waiting request its final answer once it can't be on time", async () => {
       const { scheduler, timer } = started();
-      for (let index = 0; index < 2; index++) {
+      for (let index = 0; index < PLACES; index++) {
         scheduler.submit(profile({ deadline: 1e6 }));
       }
       const late = scheduler.submit(profile({ deadline: 6_000 }));
@@ -154,8 +177,9 @@
         mostQueued: 1,
         mostQueuedPerWorkspace: 5,
       });
-      scheduler.submit(profile({ deadline: 1e6 }));
-      scheduler.submit(profile({ deadline: 1e6 }));
+      for (let index = 0; index < PLACES; index++) {
+        scheduler.submit(profile({ deadline: 1e6 }));
+      }
       const bulk = scheduler.submit(profile({ deadline: 1e6 }));
       expect(scheduler.waiting).to.equal(1);
       const urgent = scheduler.submit(
--- a/test/support/process_fleet.ts
+++ b/test/support/process_fleet.ts
@@ -96,16 +96,16 @@
   options: {
     what: string;
     milliseconds?: number;
-    /** What the process that is waited for has printed. */
-    output?: () => string;
+    /** What was there in the end, for the error. */
+    found?: () => unknown;
   },
 ): Promise<void> {
   const limit = options.milliseconds ?? DEFAULT_WAIT_MILLISECONDS;
   const end = performance.now() + limit;
   while (!(await condition())) {
     if (performance.now() > end) {
-      const output = options.output?.() ?? "";
-      throw new Error(`Waited ${limit} ms for ${options.what}\n${output}`);
+      const found = JSON.stringify(options.found?.());
+      throw new Error(`Waited ${limit} ms for ${options.what}: ${found}`);
     }
     await new Promise((resolve) => setTimeout(resolve, POLL_MILLISECONDS));
   }
--- a/test/support/small_deployment.ts
+++ b/test/support/small_deployment.ts
@@ -110,7 +110,7 @@
         return answer?.status === 200;
       }, {
         what: `${entry.url} to be ready`,
-        output: () => entry.process.output(),
+        found: () => entry.process.output(),
       });
     }
     // Sides report once a second; work goes to those that have.
@@ -118,7 +118,7 @@
     for (const { id, side } of endpoints) {
       await waitFor(() => side.output().includes("Configuration is in force"), {
         what: `the configuration at ${id}`,
-        output: () => side.output(),
+        found: () => side.output(),
       });
     }
     await new Promise((resolve) => setTimeout(resolve, 300));
