Take an answer's cache along on a planned move

Cause: an answer that a role change or a planned stop moves was made anew from its prompt on the next engine: a log of 5,000 tokens is half a second of silence at 9,000 tokens a second. Ruled out: always taking it along; on a thin network the transfer takes longer than making the cache, so the register's figures decide from which length on. Change: the side asks its engine for the cache, at most a second, while the engine goes on; the frame that ends the attempt carries the reference, and the next side hands it to its engine before it generates. What can't be taken in is made anew. Work that yields to urgent work goes at once without it.

--- a/src/adapters/endpoint/mod.ts
+++ b/src/adapters/endpoint/mod.ts
@@ -2,6 +2,7 @@
 import { err, ok, type Result } from "../../core/errors/result.ts";
 import { type Failure, failure } from "../../core/errors/mod.ts";
 import type {
+  CacheReference,
   EndpointFailure,
   EndpointLink,
   EngineObservation,
@@ -12,6 +13,7 @@
 import type { EngineTarget } from "../../generated/log_records.ts";
 import type {
   AttemptRequest,
+  CacheHandover,
   GenerationWork,
   ServiceWork,
 } from "../../generated/messages.ts";
@@ -59,6 +61,44 @@
   generate(
     attempt: AttemptRequest,
     onToken: (text: string) => void,
+  ): GenerationCall {
+    const { cache } = attempt;
+    if (cache === undefined) return this.#generate(attempt, onToken);
+    return startLater(
+      this.#importCache(cache),
+      () => this.#generate(attempt, onToken),
+    );
+  }
+
+  async exportCache(
+    attempt: AttemptRequest,
+    tokens: readonly string[],
+  ): Promise<Result<CacheReference, EndpointFailure>> {
+    const work = attempt.work as GenerationWork;
+    const answer = await this.#control(
+      "POST",
+      "/kv/export",
+      JSON.stringify({
+        model: work.model,
+        messages: work.messages,
+        resume_tokens: tokens,
+      }),
+    );
+    if (answer.isErr()) return err(answer.error);
+    const value = parseJson(answer.value.body);
+    if (answer.value.status === 200 && isRecord(value)) return ok(value);
+    const reason = `status ${answer.value.status} to a cache export`;
+    return err(failure(ENDPOINT_ERROR, { url: this.#url, reason }));
+  }
+
+  /** What can't be taken in is made anew by the engine itself. */
+  async #importCache(cache: CacheHandover): Promise<void> {
+    await this.#control("POST", "/kv/import", JSON.stringify(cache.reference));
+  }
+
+  #generate(
+    attempt: AttemptRequest,
+    onToken: (text: string) => void,
   ): GenerationCall {
     const exchange = this.#client.open("/v1/chat/completions", {
       method: "POST",
@@ -249,3 +289,38 @@
   }
   return headers;
 }
+
+function isRecord(value: unknown): value is Record<string, unknown> {
+  return typeof value === "object" && value !== null;
+}
+
+/** A generation that begins once something else is done. */
+function startLater(
+  ready: Promise<void>,
+  start: () => GenerationCall,
+): GenerationCall {
+  let call: GenerationCall | undefined;
+  let cancelled = false;
+  let paused = false;
+  const finished = ready.then(() => {
+    call = start();
+    if (paused) call.pause();
+    if (cancelled) call.cancel();
+    return call.finished;
+  });
+  return {
+    finished,
+    cancel() {
+      cancelled = true;
+      call?.cancel();
+    },
+    pause() {
+      paused = true;
+      call?.pause();
+    },
+    resume() {
+      paused = false;
+      call?.resume();
+    },
+  };
+}
--- a/src/adapters/endpoint/mod_test.ts
+++ b/src/adapters/endpoint/mod_test.ts
@@ -107,6 +107,35 @@
       expect(end._unsafeUnwrapErr().name).to.equal("endpoint_refused");
     });
 
+    // An engine that is drained hands its cache to another one. The caller's
+    // next token must not wait for the whole prompt to be read again.
+    it("takes another engine's cache along", async () => {
+      const long = "The log of the camera says that all is well. ".repeat(40);
+      const source = new ModelEngineStandIn({ prefillTokensPerSecond: 2_000 });
+      const target = new ModelEngineStandIn({ prefillTokensPerSecond: 2_000 });
+      const [from, to] = await Promise.all(
+        [source, target].map(async (each) =>
+          new HttpEndpointLink(`http://127.0.0.1:${await each.listen()}`, {
+            timer,
+          })
+        ),
+      );
+      const reference = await from.exportCache(generation(long), []);
+      const cache = {
+        source: "triage-1",
+        tokens: 500,
+        reference: reference._unsafeUnwrap(),
+      };
+      const withCache = await firstTokenAfter(to, {
+        ...generation(long),
+        cache,
+      });
+      const anew = await firstTokenAfter(from, generation(long));
+      expect(withCache).to.be.below(anew / 2);
+      for (const each of [from, to]) each.close();
+      await Promise.all([source.close(), target.close()]);
+    });
+
     it("gives orders and sees the change", async () => {
       const target = { role: "decode" as const };
       expect((await link.order(target, 7)).isOk()).to.equal(true);
@@ -226,3 +255,17 @@
 function sleep(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
+
+/** Milliseconds to the first token; the rest is cancelled. */
+function firstTokenAfter(
+  link: HttpEndpointLink,
+  attempt: AttemptRequest,
+): Promise<number> {
+  const start = performance.now();
+  return new Promise((resolve) => {
+    const call = link.generate(attempt, () => {
+      call.cancel();
+      resolve(performance.now() - start);
+    });
+  });
+}
--- a/src/core/links/mod.ts
+++ b/src/core/links/mod.ts
@@ -117,7 +117,13 @@
   resume(): void;
 }
 
-/** What a side asks of the endpoint that it stands beside. */
+/** What an engine gave out for another engine to take in. */
+export type CacheReference = Readonly<Record<string, unknown>>;
+
+/**
+ * What a side asks of the endpoint that it stands beside. An attempt may bring
+ * another engine's cache; an engine that can't take it in makes it anew.
+ */
 export interface EndpointLink {
   generate(
     attempt: AttemptRequest,
@@ -127,6 +133,14 @@
     attempt: AttemptRequest,
   ): Promise<Result<ServiceResponse, EndpointFailure>>;
   observe(): Promise<Result<EngineObservation, EndpointFailure>>;
+  /**
+   * Gives out the cache of an answer under way, with the tokens it has made so
+   * far. Absent where the endpoint can't.
+   */
+  exportCache?(
+    attempt: AttemptRequest,
+    tokens: readonly string[],
+  ): Promise<Result<CacheReference, EndpointFailure>>;
   /** Gives the engine its target state with a fencing number (log offset). */
   order(
     target: EngineTarget,
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -6,6 +6,7 @@
 import type {
   AttemptFrame,
   AttemptRequest,
+  CacheHandover,
   FailedFrame,
   NotRunFrame,
 } from "../generated/messages.ts";
@@ -24,6 +25,8 @@
   | {
     readonly kind: "failed";
     readonly reason: FailedFrame["reason"] | "link_lost" | "broken";
+    /** What the engine made so far, for the one that goes on. */
+    readonly cache?: CacheHandover;
   };
 
 export interface AttemptOptions {
@@ -118,7 +121,8 @@
     } else if (effect === "not_run" && frame.kind === "not_run") {
       this.#end({ kind: "not_run", reason: frame.reason }, "not_run");
     } else if (effect === "failed" && frame.kind === "failed") {
-      this.#end({ kind: "failed", reason: frame.reason }, "failed");
+      const { reason, cache } = frame;
+      this.#end({ kind: "failed", reason, cache }, "failed");
     } else if (effect === "broken") {
       this.#call?.cancel();
       this.#end({ kind: "failed", reason: "broken" }, "failed");
--- a/src/entry/profile.ts
+++ b/src/entry/profile.ts
@@ -1,5 +1,6 @@
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
+import { fewestTokensToHandOver } from "../core/handover/mod.ts";
 import type { AvailabilityZoneId } from "../core/identity/mod.ts";
 import { identifier } from "../core/identity/mod.ts";
 import type {
@@ -25,6 +26,8 @@
   readonly profile: RequestProfile;
   /** Whether the pool's engines resume a stream behind given tokens. */
   readonly resumes: boolean;
+  /** Tokens from which on a moved answer takes its cache along, if ever. */
+  readonly fewestTokensToHandOver?: number;
 }
 
 /**
@@ -58,6 +61,7 @@
   const deadline = deadlineOf(request, options);
   return ok({
     resumes: pool.value.engine?.resumesStreams ?? false,
+    fewestTokensToHandOver: fewestTokensToHandOver(pool.value.engine),
     profile: {
       requestId: request.requestId,
       workspace: request.workspace,
--- a/src/entry/request_run.ts
+++ b/src/entry/request_run.ts
@@ -17,7 +17,11 @@
 } from "../core/scheduling/mod.ts";
 import type { Span, SpanFacts, SpanName } from "../core/observation/mod.ts";
 import type { Subscription } from "../core/time/mod.ts";
-import type { AttemptRequest, OncePermit } from "../generated/messages.ts";
+import type {
+  AttemptRequest,
+  CacheHandover,
+  OncePermit,
+} from "../generated/messages.ts";
 import type { WorkClass } from "../generated/rules.ts";
 import { Attempt } from "./attempt.ts";
 import type { AttemptEnd } from "./attempt.ts";
@@ -31,6 +35,8 @@
   readonly workClass: WorkClass;
   /** Whether a generation that was cut off can go on at another engine. */
   readonly resumes: boolean;
+  /** Tokens from which on a moved answer takes its cache along, if ever. */
+  readonly fewestTokensToHandOver?: number;
   /** The way in which this kind of request is served to its outcome. */
   readonly serve: (run: RequestRun) => Promise<void>;
   /**
@@ -61,6 +67,8 @@
   #waiting: WaitingRequest | undefined;
   /** True once any attempt may have had its effect. */
   #mayHaveRun = false;
+  /** Cache of the attempt that was moved last. */
+  #cache: CacheHandover | undefined;
   readonly #excluded = new Set<EndpointId>();
   readonly #deadline: Subscription;
   #attempts = 0;
@@ -181,7 +189,10 @@
       span.fail(end.reason);
     }
     span.end();
-    if (end.kind === "failed") this.#mayHaveRun = true;
+    if (end.kind === "failed") {
+      this.#mayHaveRun = true;
+      this.#cache = end.cache;
+    }
     return end;
   }
 
@@ -303,6 +314,11 @@
     };
     const delivered = this.assembler.deliveredTokens;
     if (delivered.length > 0) attempt.deliveredTokens = [...delivered];
+    if (this.#cache !== undefined) attempt.cache = this.#cache;
+    const { fewestTokensToHandOver } = this.options;
+    if (fewestTokensToHandOver !== undefined) {
+      attempt.fewestTokensToHandOver = fewestTokensToHandOver;
+    }
     if (given.permit !== undefined) attempt.once = given.permit;
     if (given.traceparent !== undefined) {
       attempt.traceparent = given.traceparent;
--- a/src/side/attempt_desk.ts
+++ b/src/side/attempt_desk.ts
@@ -51,8 +51,10 @@
 }
 
 interface RunningAttempt extends AttemptHandle {
-  /** Ends the attempt here so that its entry resumes it elsewhere. */
-  move(): void;
+  /** Has the attempt resumed elsewhere, with its cache where that pays. */
+  move(): Promise<void>;
+  /** The same at once, without the cache. */
+  cut(): void;
 }
 
 /** An attempt on its way through the desk. */
@@ -130,8 +132,14 @@
   }
 
   /** Has everything that still runs resumed elsewhere. */
-  moveAll(): void {
-    for (const running of [...this.#running.values()]) running.move();
+  async moveAll(): Promise<void> {
+    const running = [...this.#running.values()];
+    await Promise.all(running.map((each) => each.move()));
+  }
+
+  /** The same at once, as the process ends. */
+  cutAll(): void {
+    for (const running of [...this.#running.values()]) running.cut();
   }
 
   /** Settles when nothing runs any more. */
@@ -234,7 +242,8 @@
       cancel: () => run.stop("cancelled"),
       pause: () => run.pause(),
       resume: () => run.resume(),
-      move: () => run.stop("moved"),
+      move: () => run.move(),
+      cut: () => run.stop("moved"),
     };
   }
 
@@ -253,7 +262,8 @@
       cancel: () => run.abandon(),
       pause() {},
       resume() {},
-      move: () => run.abandon(),
+      move: () => Promise.resolve(run.abandon()),
+      cut: () => run.abandon(),
     };
   }
 
@@ -295,7 +305,7 @@
   #yieldToUrgent(): void {
     const slot = this.#limiter.toPause();
     if (slot?.attemptId === undefined) return;
-    this.#running.get(slot.attemptId)?.move();
+    this.#running.get(slot.attemptId)?.cut();
   }
 
   /**
--- a/src/side/attempt_desk_test.ts
+++ b/src/side/attempt_desk_test.ts
@@ -54,6 +54,13 @@
     return new Promise((resolve) => this.answer = resolve);
   }
 
+  exported: readonly string[] | undefined;
+
+  exportCache(_attempt: AttemptRequest, tokens: readonly string[]) {
+    this.exported = tokens;
+    return Promise.resolve(ok({ handle: "kv-1" }));
+  }
+
   observe(): never {
     throw new TypeError("Not part of these tests");
   }
@@ -236,6 +243,56 @@
     });
   });
 
+  describe("a planned move", () => {
+    function moved(): AttemptFrame | undefined {
+      return frames.find((frame) => frame.kind === "failed");
+    }
+
+    // An engine is drained for a role change while it answers on a long log.
+    // Without its cache the next engine would read the whole log again.
+    it("takes the cache along where that is worth it", async () => {
+      await send(generation("a", {
+        promptTokens: 5_000,
+        fewestTokensToHandOver: 1_000,
+        deliveredTokens: ["x"],
+      }));
+      endpoint.token("y");
+      await desk.moveAll();
+      expect(endpoint.exported).to.deep.equal(["x", "y"]);
+      expect(moved()).to.deep.include({
+        reason: "moved",
+        cache: {
+          source: "portal-0",
+          tokens: 5_002,
+          reference: { handle: "kv-1" },
+        },
+      });
+    });
+
+    it("leaves a short prompt's cache behind", async () => {
+      await send(generation("a", {
+        promptTokens: 100,
+        fewestTokensToHandOver: 1_000,
+      }));
+      await desk.moveAll();
+      expect(endpoint.exported).to.equal(undefined);
+      expect(moved()).not.to.have.property("cache");
+    });
+
+    // The engine does not answer the request for its cache. The move must not
+    // wait for it longer than the caller can bear.
+    it("does not wait long for a cache that does not come", async () => {
+      endpoint.exportCache = () => new Promise(() => {});
+      await send(generation("a", {
+        promptTokens: 5_000,
+        fewestTokensToHandOver: 1_000,
+      }));
+      void desk.moveAll();
+      await timer.advance(1_100);
+      expect(moved()).to.include({ reason: "moved" });
+    });
+  });
+
   describe("a planned stop", () => {
     it("waits for what runs", async () => {
       await send(generation("a"));
--- a/src/side/attempt_run.ts
+++ b/src/side/attempt_run.ts
@@ -4,10 +4,12 @@
   EndpointLink,
   GenerationCall,
 } from "../core/links/mod.ts";
+import { beforeDeadline } from "../core/time/mod.ts";
 import type { Subscription, TimerService } from "../core/time/mod.ts";
 import type {
   AttemptFrame,
   AttemptRequest,
+  CacheHandover,
   EndpointLoad,
   FailedFrame,
 } from "../generated/messages.ts";
@@ -35,6 +37,10 @@
   readonly onToken?: () => void;
 }
 
+/** A planned move does not wait longer than this for the engine's cache. */
+const EXPORT_MILLISECONDS = 1_000;
+const NO_EXPORT = Promise.resolve(undefined);
+
 /**
  * One generation that the endpoint is working on. It ends exactly once, with
  * an end frame or a failed frame, whatever the endpoint does.
@@ -53,6 +59,8 @@
   #silenceLimit: number;
   #lastSign: number;
   #index: number;
+  /** Tokens of this attempt; kept only where the cache may be handed over. */
+  readonly #made: string[] = [];
   #ended = false;
 
   constructor(
@@ -76,16 +84,43 @@
   }
 
   /** Ends the attempt early and cancels it at the engine. */
-  stop(reason: FailedFrame["reason"]): void {
+  stop(reason: FailedFrame["reason"], cache?: CacheHandover): void {
     if (this.#ended) return;
     this.#call.cancel();
     this.#end(reason, {
       kind: "failed",
       attemptId: this.attempt.attemptId,
       reason,
+      ...(cache && { cache }),
     });
   }
 
+  /**
+   * Ends the attempt so that its entry resumes it elsewhere, with its cache
+   * where taking that along is worth it. The engine goes on while the cache is
+   * given out, so the caller hears no pause.
+   */
+  async move(): Promise<void> {
+    if (this.#ended) return;
+    this.stop("moved", await this.#exportCache());
+  }
+
+  async #exportCache(): Promise<CacheHandover | undefined> {
+    const { endpoint, timer } = this.#options;
+    const { fewestTokensToHandOver, promptTokens = 0 } = this.attempt;
+    const tokens = promptTokens + this.#index;
+    if (fewestTokensToHandOver === undefined) return undefined;
+    if (tokens < fewestTokensToHandOver) return undefined;
+    const made = [...this.attempt.deliveredTokens ?? [], ...this.#made];
+    const exported = await beforeDeadline(
+      endpoint.exportCache?.(this.attempt, made) ?? NO_EXPORT,
+      { timer, milliseconds: EXPORT_MILLISECONDS },
+    );
+    if (exported === undefined || exported.isErr()) return undefined;
+    const { endpoint: source } = this.attempt;
+    return { source, tokens, reference: exported.value };
+  }
+
   pause(): void {
     this.#silence.cancel();
     this.#call.pause();
@@ -114,6 +149,9 @@
     if (this.#ended) return;
     this.#lastSign = this.#options.timer.now();
     this.#expectNextToken();
+    if (this.attempt.fewestTokensToHandOver !== undefined) {
+      this.#made.push(text);
+    }
     this.#options.emit({
       kind: "token",
       attemptId: this.attempt.attemptId,
--- a/src/side/side_core.ts
+++ b/src/side/side_core.ts
@@ -153,6 +153,7 @@
     this.#leaving = true;
     this.#tell("side_draining", { cause: "stop" });
     await this.#desk.idleWithin(this.#options.limits.shutdownSeconds * 1000);
+    await this.#desk.moveAll();
     this.halt();
   }
 
@@ -163,7 +164,7 @@
     this.#firstAnswers.stop();
     this.#observing?.cancel();
     this.#orders?.stop();
-    this.#desk.moveAll();
+    this.#desk.cutAll();
     this.#tell("process_stopped", {});
   }
 
@@ -350,7 +351,7 @@
     this.#changing = true;
     this.#tell("side_draining", { cause: "order" });
     await this.#desk.idleWithin(this.#options.times.drainMilliseconds);
-    this.#desk.moveAll();
+    await this.#desk.moveAll();
     await this.#desk.idle();
   }
 
