Look for room again while requests wait; part the prediction from the queue

Cause: room appears without an event as prompts are read and foreign work fades; without reports a queue stood still before an idle endpoint. Change: a look every 50 ms while something waits, with a test that fails without it; the prediction of a finish is a module of its own.

--- a/bench/load_sweeps.ts
+++ b/bench/load_sweeps.ts
@@ -45,6 +45,15 @@
 
 const SWEEPS: readonly Sweep[] = [
   scheduling("choices", [2, 8, 24]),
+  {
+    name: "choices, reports 5 s old",
+    settings: [2, 8, 24].map((value) =>
+      [
+        String(value),
+        { scheduling: { choices: value }, reportLagMilliseconds: 5_000 },
+      ] as const
+    ),
+  },
   scheduling("engineCostWeight", [0, 2, 6]),
   scheduling("dividesByRole", [false, true]),
   scheduling("learnsDrain", [false, true]),
--- a/src/core/scheduling/entry_scheduler_test.ts
+++ b/src/core/scheduling/entry_scheduler_test.ts
@@ -171,6 +171,33 @@
     });
   });
 
+  // The last report said that the endpoint is full, and no further one comes.
+  // Without another look the request waits before an idle endpoint until it
+  // is late.
+  it("does not stand still while reports are missing", async () => {
+    const { scheduler, timer } = started();
+    scheduler.report({
+      side: "one",
+      incarnation: "1",
+      endpoint: "one",
+      state: "serving",
+      load: {
+        running: 4,
+        waiting: 4,
+        limit: 2,
+        millisecondsBetweenTokens: 10,
+      },
+      configurationVersion: 1,
+      ordersRead: 0,
+      orderTaken: 0,
+    }, 0);
+    const waiting = scheduler.submit(profile({ deadline: 60_000 }));
+    expect(scheduler.waiting).to.equal(1);
+    await timer.advance(5_000);
+    expect(scheduler.waiting).to.equal(0);
+    expect((await waiting._unsafeUnwrap().placed).isOk()).to.equal(true);
+  });
+
   describe("a full queue", () => {
     it("gives up bulk for urgent work", async () => {
       const { scheduler } = started({
--- a/src/core/scheduling/pool_scheduler.ts
+++ b/src/core/scheduling/pool_scheduler.ts
@@ -1,6 +1,6 @@
 import PQueue from "p-queue";
 import { err, ok, type Result } from "neverthrow";
-import { ClassThinning, DrainMeter, refusal } from "../admission/mod.ts";
+import { refusal } from "../admission/mod.ts";
 import type { EndpointId } from "../identity/mod.ts";
 import {
   EndpointPicture,
@@ -15,6 +15,7 @@
 import type { EngineCharacteristics, Pool } from "../../generated/inventory.ts";
 import type { Rules, WorkClass } from "../../generated/rules.ts";
 import { DemandWindow } from "./demand_window.ts";
+import { type Expectation, FinishPredictor } from "./finish_predictor.ts";
 import type { SchedulingPolicy } from "./policy.ts";
 import { picturesOf } from "./pool_endpoints.ts";
 import { PoolLearning } from "./pool_learning.ts";
@@ -51,6 +52,11 @@
   alarm?: Subscription;
 }
 
+/**
+ * Time between two looks at the room while requests wait. Limit: well under
+ * the time to the first token that callers expect, and few timers.
+ */
+const LOOK_AGAIN_MILLISECONDS = 50;
 /** Least time between two reviews of the endpoints' health. */
 const REVIEW_MILLISECONDS = 200;
 
@@ -61,8 +67,7 @@
   readonly #learning: PoolLearning;
   readonly #division = new RoleDivision();
   readonly #window = new DemandWindow();
-  readonly #drain = new DrainMeter();
-  readonly #thinning = new ClassThinning();
+  readonly #predictor: FinishPredictor;
   readonly #queue: RequestQueue;
   readonly #dispatch: PQueue<RequestQueue, QueueOptions>;
   readonly #waitingById = new Map<string, Admitted>();
@@ -70,6 +75,7 @@
   #engine: EngineCharacteristics | undefined;
   #reviewedAt = -Infinity;
   #running = 0;
+  #looksAgain = false;
 
   constructor(
     pool: Pool,
@@ -90,6 +96,12 @@
           now: this.#now(),
         }),
     });
+    this.#predictor = new FinishPredictor({
+      ...options,
+      placer: this.#placer,
+      queue: this.#queue,
+      learning: this.#learning,
+    });
     this.#dispatch = new PQueue({ queueClass: queueClassOf(this.#queue) });
     this.configure(pool, rules);
   }
@@ -170,44 +182,23 @@
       reason,
       retryAfterMilliseconds(this.#queue.waitingIn(profile.className), {
         random: this.#options.random,
-        drainPerSecond: this.#drainPerSecond(profile),
+        drainPerSecond: this.#predictor.drainPerSecond(
+          this.#question(profile),
+        ),
       }),
     );
   }
 
-  /**
-   * Admits what can be on time. Load: more work than the pool can finish.
-   * Harm prevented: time spent on answers that come too late, which makes the
-   * next ones late as well. Limit: the predicted finish times the learned
-   * error of such predictions, against the deadline.
-   */
+  /** Admits the request to the queue, or refuses it with a final answer. */
   submit(profile: RequestProfile): Result<WaitingRequest, Refusal> {
-    const now = this.#now();
     const question = this.#question(profile);
-    if (!this.#placer.hasUsable(now)) {
+    if (!this.#placer.hasUsable(question.now)) {
       return err(this.refuse(profile, "no_endpoint"));
     }
-    const { milliseconds: service, engineMilliseconds } = this.#placer
-      .shortest(question);
-    const wait = this.#expectedWait(question, service);
-    const deviations = question.rank === 0
-      ? this.#options.policy.urgentDeviations
-      : this.#options.policy.otherDeviations;
-    const factor = this.#learning.errorFactor(profile.className, deviations);
-    const left = profile.deadline - now;
-    if (service > left && wait === 0 && this.#running === 0) {
-      return err(this.refuse(profile, "impossible_deadline"));
-    }
-    if ((wait + service) * factor > left) {
-      return err(this.refuse(profile, "saturated"));
-    }
-    if (this.#isThinnedOut(question, wait)) {
-      return err(this.refuse(profile, "saturated"));
-    }
-    const cost = this.#options.policy.learnsDrain
-      ? engineMilliseconds
-      : service;
-    return ok(this.#admit(question, { wait, service, cost }));
+    const expected = this.#predictor.expect(question);
+    const verdict = this.#predictor.judge(question, expected);
+    if (verdict !== "admit") return err(this.refuse(profile, verdict));
+    return ok(this.#admit(question, expected));
   }
 
   /** The pool is no longer in force: everything that waits gets its answer. */
@@ -244,46 +235,9 @@
     };
   }
 
-  /** True where the class has had its share of a pool that is short. */
-  #isThinnedOut(question: PlacementQuestion, wait: number): boolean {
-    const { profile, rank, now } = question;
-    if (rank === 0 || !this.#options.policy.thinsClasses) return false;
-    const share = this.#placer.servedShare(profile.className);
-    const isOver = this.#thinning.isOver(profile.className, share);
-    const left = profile.deadline - now;
-    if (wait > left * this.#options.policy.thinningWaitShare && isOver) {
-      return true;
-    }
-    this.#thinning.admitted(profile.className);
-    return false;
-  }
-
-  /** Wait for a slot: what goes before, over the places that serve it. */
-  #expectedWait(question: PlacementQuestion, service: number): number {
-    const { rank, now } = question;
-    const { className } = question.profile;
-    const ahead = this.#queue.costBefore(className);
-    if (ahead === 0 && this.#placer.hasRoom(className, { rank, now })) return 0;
-    const share = rank === 0 ? 1 : this.#options.policy.lessUrgentShare;
-    const places = Math.max(1, this.#placer.places(now) * share);
-    if (!this.#options.policy.learnsDrain) return (ahead + service) / places;
-    const counts = this.#placer.usable(now);
-    const expected = (counts.mixed + counts.prefill + counts.decode) /
-      this.#sharing();
-    return ahead / this.#drain.ratePerMillisecond(rank, { expected, now });
-  }
-
-  /** Requests of such service that the pool's places finish in a second. */
-  #drainPerSecond(profile: RequestProfile): number {
-    const question = this.#question(profile);
-    const { milliseconds: service } = this.#placer.shortest(question);
-    if (!Number.isFinite(service) || service <= 0) return 1;
-    return this.#placer.places(question.now) * 1_000 / service;
-  }
-
   #admit(
     question: PlacementQuestion,
-    expected: { wait: number; service: number; cost: number },
+    expected: Expectation,
   ): WaitingRequest {
     const { profile, now } = question;
     const { service, cost } = expected;
@@ -303,7 +257,7 @@
     };
     this.#waitingById.set(profile.requestId, admitted);
     const latestStart = profile.deadline - service;
-    this.#drain.admitted(question.rank, { cost, now });
+    this.#predictor.admitted(question, cost);
     void this.#dispatch.add(() => this.#run(admitted), {
       id: profile.requestId,
       className: profile.className,
@@ -312,6 +266,7 @@
       cost,
     });
     if (!admitted.settled) {
+      this.#lookAgain();
       admitted.alarm = this.#options.timer.after(
         latestStart - now,
         () => this.#giveUp(admitted, "late"),
@@ -337,11 +292,7 @@
   /** The job that `p-queue` runs: it ends when the slot is given back. */
   #run(admitted: Admitted): Promise<void> {
     const now = this.#now();
-    this.#drain.dispatched({
-      cost: admitted.cost,
-      now,
-      othersWait: this.#queue.waiting > 0,
-    });
+    this.#predictor.dispatched(admitted.cost, now);
     const candidate = this.#placer.choose(this.#question(admitted.profile));
     if (candidate === undefined) {
       this.#settle(admitted, err(this.refuse(admitted.profile, "no_endpoint")));
@@ -383,10 +334,6 @@
     });
   }
 
-  #sharing(): number {
-    return Math.max(1, this.#options.entriesSharing());
-  }
-
   /** Divides the classes among the roles, from what this entry sees. */
   #divide(): void {
     const now = this.#now();
@@ -398,7 +345,7 @@
       now,
       engine: this.#engine,
       classes,
-      sharing: this.#sharing(),
+      sharing: Math.max(1, this.#options.entriesSharing()),
       mostUrgent: this.#classes[0].name,
     });
   }
@@ -410,6 +357,21 @@
     this.#placer.review(now);
   }
 
+  /**
+   * Room appears as prompts are read and foreign work fades, without any
+   * event. While reports are missing, a queue that waited for one would stand
+   * still before idle endpoints until its requests are late.
+   */
+  #lookAgain(): void {
+    if (this.#looksAgain || this.#queue.waiting === 0) return;
+    this.#looksAgain = true;
+    this.#options.timer.after(LOOK_AGAIN_MILLISECONDS, () => {
+      this.#looksAgain = false;
+      this.changed();
+      this.#lookAgain();
+    });
+  }
+
   /** Setting the concurrency makes `p-queue` start all that it can. */
   #dispatchMore(): void {
     this.#dispatch.concurrency = Infinity;
