--- a/src/entry/region_log.ts
+++ b/src/entry/region_log.ts
@@ -15,9 +15,11 @@
 } from "../core/links/mod.ts";
 import type { HistoryEventKind, Logger } from "../core/observation/mod.ts";
 import { OnceFold } from "../core/once/mod.ts";
+import { targetText } from "../core/orders/mod.ts";
 import type { Random } from "../core/random/mod.ts";
 import type { Subscription, TimerService } from "../core/time/mod.ts";
-import type { EngineTarget } from "../generated/log_records.ts";
+
+import type { EntryGuards } from "./guards.ts";
 
 type StreamKind = "configuration" | "orders" | "once";
 
@@ -50,6 +52,7 @@
     readonly keyWindowMilliseconds: number;
   };
   readonly logger: Logger;
+  readonly guards?: EntryGuards;
   readonly tell: (
     kind: HistoryEventKind,
     facts: Record<string, string | number | boolean>,
@@ -68,7 +71,7 @@
  * delays neither a publication nor an order.
  */
 export class RegionLog {
-  readonly configuration = new ConfigurationFold();
+  readonly configuration: ConfigurationFold;
   readonly orders: OrdersFold;
   readonly once: OnceFold;
   readonly journals: Readonly<Record<StreamKind, Journal>>;
@@ -81,6 +84,10 @@
 
   constructor(options: RegionLogOptions) {
     this.#options = options;
+    const { guards } = options;
+    this.configuration = new ConfigurationFold({
+      guards: guards?.configuration,
+    });
     this.orders = this.#makeOrdersFold();
     this.once = this.#makeOnceFold();
     this.journals = {
@@ -217,6 +224,7 @@
   #makeOrdersFold(): OrdersFold {
     const { tell } = this.#options;
     return new OrdersFold({
+      guards: this.#options.guards?.orders,
       onClaim: (claim) =>
         tell("claim_seen", {
           stream: this.#streamName("orders"),
@@ -254,8 +262,3 @@
     });
   }
 }
-
-/** A target as JSON with its keys in a fixed order. */
-function targetText({ role, models, weights }: EngineTarget): string {
-  return JSON.stringify({ role, models, weights });
-}
