Share what every process has, and name runs by their time

Cause: the wiring of entry and side stood twice, as did the telling of events; and a run's name was random although membership takes a name that sorts before another for an earlier run, so a restarted side could be passed over for as long as its earlier run counted as heard (3.5 s). Change: ProcessParts and makeTell; incarnations are UUIDs of version 7. Seen: tests of both cores, region, matrix and whole path pass.

--- a/src/adapters/random/mod.ts
+++ b/src/adapters/random/mod.ts
@@ -1,10 +1,10 @@
 /** Randomness and hashes of the machine; tests use seeded ones. */
-import { createHash, randomBytes, randomInt } from "node:crypto";
+import { createHash, randomInt } from "node:crypto";
+import { v7 as uuidv7 } from "uuid";
 import type { Incarnation } from "../../core/identity/mod.ts";
 import { identifier } from "../../core/identity/mod.ts";
 
 const RANDOM_RANGE = 2 ** 47;
-const INCARNATION_BYTES = 6;
 const HASH_CHARACTERS = 22;
 
 /** A number in [0, 1) from the machine's own source. */
@@ -12,9 +12,13 @@
   return randomInt(RANDOM_RANGE) / RANDOM_RANGE;
 }
 
-/** A name for this run of a process that no other run has. */
+/**
+ * A name for this run of a process that no other run has. Names of later runs
+ * sort behind those of earlier ones, as far as the machine's clock goes on: so
+ * a late report of an earlier run is told from one of the present run.
+ */
 export function newIncarnation(): Incarnation {
-  return identifier(randomBytes(INCARNATION_BYTES).toString("hex"));
+  return identifier(uuidv7());
 }
 
 /** 132 bits of SHA-256 as text: two requests never share a fingerprint. */
--- a/src/cli/entry/run_entry.ts
+++ b/src/cli/entry/run_entry.ts
@@ -1,28 +1,12 @@
 import { CallerDoor } from "../../adapters/callers/mod.ts";
 import { HttpLogService } from "../../adapters/log_service/mod.ts";
-import {
-  HttpPeers,
-  PEER_METHODS,
-  PeerServer,
-} from "../../adapters/peers/mod.ts";
-import {
-  hashText,
-  newIncarnation,
-  systemRandom,
-} from "../../adapters/random/mod.ts";
+import { PEER_METHODS, PeerServer } from "../../adapters/peers/mod.ts";
+import { hashText, systemRandom } from "../../adapters/random/mod.ts";
 import {
   type CheckedEntrySettings,
   loadSettings,
 } from "../../adapters/settings/mod.ts";
-import {
-  createLogger,
-  createTracing,
-  type LabelledLogger,
-  Metrics,
-  type Tracing,
-} from "../../adapters/telemetry/mod.ts";
 import { watchLoopDelay } from "../../adapters/time/mod.ts";
-import { SystemTimerService } from "../../adapters/time/mod.ts";
 import { HttpVmList } from "../../adapters/vm_list/mod.ts";
 import { identifier } from "../../core/identity/mod.ts";
 import type {
@@ -35,6 +19,7 @@
   EXIT_CODE_CANNOT_LISTEN,
 } from "../exit_codes.ts";
 import { onTerminate, reportBadSettings } from "../process_life.ts";
+import { ProcessParts } from "../process_parts.ts";
 
 /** A side's question carries its report, an operator's nothing. */
 const MOST_PEER_BODY_BYTES = 1024 * 1024;
@@ -52,11 +37,7 @@
 /** The entry's core with its sockets, log and metrics. */
 class EntryProgram {
   readonly #settings: CheckedEntrySettings;
-  readonly #logger: LabelledLogger;
-  readonly #metrics = new Metrics({ processMetrics: true });
-  readonly #tracing: Tracing;
-  readonly #timer = new SystemTimerService();
-  readonly #peers = new HttpPeers();
+  readonly #parts: ProcessParts;
   readonly #core: EntryCore;
   readonly #callerDoor: CallerDoor;
   readonly #peerServer: PeerServer;
@@ -64,14 +45,7 @@
 
   constructor(settings: CheckedEntrySettings) {
     this.#settings = settings;
-    this.#logger = createLogger({
-      level: settings.log.level,
-      process: settings.name,
-    });
-    this.#tracing = createTracing({
-      process: settings.name,
-      ...settings.traces,
-    });
+    this.#parts = new ProcessParts(settings);
     this.#core = this.#makeCore();
     this.#callerDoor = this.#makeCallerDoor();
     this.#peerServer = this.#makePeerServer();
@@ -84,10 +58,10 @@
     if (callerPort.isErr()) return this.#cannotListen(callerPort.error);
     this.#core.start();
     watchLoopDelay({
-      timer: this.#timer,
+      timer: this.#parts.timer,
       onDelay: (milliseconds) => this.#core.scheduler.loopDelay(milliseconds),
     });
-    this.#logger.info(
+    this.#parts.logger.info(
       { callers: callerPort.value, peers: peerPort.value },
       "The entry listens",
     );
@@ -97,7 +71,7 @@
   }
 
   async #shutDown(): Promise<void> {
-    this.#logger.info(
+    this.#parts.logger.info(
       { open: this.#core.openRequests },
       "The entry shuts down",
     );
@@ -106,13 +80,12 @@
     await stopped;
     this.#callerDoor.close();
     this.#peerServer.close();
-    this.#peers.close();
-    await this.#tracing.shutdown();
-    this.#logger.info({}, "The entry has stopped");
+    await this.#parts.close();
+    this.#parts.logger.info({}, "The entry has stopped");
   }
 
   #cannotListen(error: { message: string; hint: string }): number {
-    this.#logger.error({ hint: error.hint }, error.message);
+    this.#parts.logger.error({ hint: error.hint }, error.message);
     this.#callerDoor.close();
     this.#peerServer.close();
     return EXIT_CODE_CANNOT_LISTEN;
@@ -123,41 +96,43 @@
       this.#settings;
     return new EntryCore({
       name: identifier(name),
-      incarnation: newIncarnation(),
+      incarnation: this.#parts.incarnation,
       region: identifier(region),
       availabilityZone: identifier(availabilityZone),
-      timer: this.#timer,
+      timer: this.#parts.timer,
       random: systemRandom,
-      log: new HttpLogService(platform.logService, { timer: this.#timer }),
+      log: new HttpLogService(platform.logService, {
+        timer: this.#parts.timer,
+      }),
       ...(platform.vmList !== undefined && {
-        vmList: new HttpVmList(platform.vmList, { timer: this.#timer }),
+        vmList: new HttpVmList(platform.vmList, { timer: this.#parts.timer }),
       }),
-      sides: this.#peers,
-      entries: this.#peers,
+      sides: this.#parts.peers,
+      entries: this.#parts.peers,
       peerAddresses: this.#settings.peerAddresses.map((each) =>
         identifier(each)
       ),
       hash: hashText,
       limits,
       times: coordination,
-      observe: this.#metrics.observe,
-      tracer: this.#tracing.tracer,
-      logger: this.#logger.labelled("entry"),
+      observe: this.#parts.metrics.observe,
+      tracer: this.#parts.tracing.tracer,
+      logger: this.#parts.logger.labelled("entry"),
     });
   }
 
   #makeCallerDoor(): CallerDoor {
     const { callers, limits, name } = this.#settings;
-    const run = newIncarnation();
+    const run = this.#parts.incarnation;
     return new CallerDoor({
       host: callers.host,
       port: callers.port,
       mostBodyBytes: limits.mostBodyBytes,
       service: this.#core,
-      logger: this.#logger.labelled("callers"),
+      logger: this.#parts.logger.labelled("callers"),
       newRequestId: () => identifier(`${name}-${run}-${this.#requests++}`),
-      seconds: () => Math.floor(this.#timer.wallClock() / 1000),
-      metrics: () => this.#renderMetrics(),
+      seconds: () => Math.floor(this.#parts.timer.wallClock() / 1000),
+      metrics: () => this.#parts.renderMetrics(),
     });
   }
 
@@ -167,7 +142,7 @@
       host: peers.host,
       port: peers.port,
       mostBodyBytes: MOST_PEER_BODY_BYTES,
-      metrics: () => this.#renderMetrics(),
+      metrics: () => this.#parts.renderMetrics(),
       methods: {
         [PEER_METHODS.watch]: (question: WatchQuestion) =>
           this.#core.watch(question),
@@ -178,8 +153,4 @@
       },
     });
   }
-
-  async #renderMetrics(): Promise<string> {
-    return (await this.#metrics.render()).body;
-  }
 }
--- /dev/null
+++ b/src/cli/process_parts.ts
@@ -0,0 +1,47 @@
+import { HttpPeers } from "../adapters/peers/mod.ts";
+import { newIncarnation } from "../adapters/random/mod.ts";
+import type {
+  CheckedEntrySettings,
+  CheckedSideSettings,
+} from "../adapters/settings/mod.ts";
+import {
+  createLogger,
+  createTracing,
+  type LabelledLogger,
+  Metrics,
+  type Tracing,
+} from "../adapters/telemetry/mod.ts";
+import { SystemTimerService } from "../adapters/time/mod.ts";
+import type { Incarnation } from "../core/identity/mod.ts";
+
+type ProcessSettings = Pick<
+  CheckedEntrySettings | CheckedSideSettings,
+  "name" | "log" | "traces"
+>;
+
+/** What every process of the system has: time, log, metrics, traces, links. */
+export class ProcessParts {
+  readonly incarnation: Incarnation = newIncarnation();
+  readonly timer = new SystemTimerService();
+  readonly metrics = new Metrics({ processMetrics: true });
+  readonly peers = new HttpPeers();
+  readonly logger: LabelledLogger;
+  readonly tracing: Tracing;
+
+  constructor(settings: ProcessSettings) {
+    const process = settings.name;
+    this.logger = createLogger({ level: settings.log.level, process });
+    this.tracing = createTracing({ process, ...settings.traces });
+  }
+
+  /** The text of the metrics page. */
+  async renderMetrics(): Promise<string> {
+    return (await this.metrics.render()).body;
+  }
+
+  /** Closes links and sends the last spans. */
+  async close(): Promise<void> {
+    this.peers.close();
+    await this.tracing.shutdown();
+  }
+}
--- /dev/null
+++ b/src/core/observation/tell.ts
@@ -0,0 +1,24 @@
+import type { TimerService } from "../time/mod.ts";
+import type { HistoryEventKind, Observe } from "./mod.ts";
+
+/** Facts of an event; plain JSON values. */
+export type EventFacts = Readonly<Record<string, string | number | boolean>>;
+
+/** Tells of an event of one process. */
+export type Tell = (kind: HistoryEventKind, facts: EventFacts) => void;
+
+export interface TellOptions {
+  readonly observe: Observe | undefined;
+  readonly timer: TimerService;
+  readonly process: string;
+  /** Facts that go with every event of the process, such as its incarnation. */
+  readonly always: EventFacts;
+}
+
+/** What a process tells its events with; nothing where nobody listens. */
+export function makeTell(options: TellOptions): Tell {
+  const { observe, timer, process, always } = options;
+  if (observe === undefined) return () => {};
+  return (kind, facts) =>
+    observe({ at: timer.now(), process, kind, facts: { ...facts, ...always } });
+}
--- a/src/entry/entry_core.ts
+++ b/src/entry/entry_core.ts
@@ -14,13 +14,8 @@
   StreamSnapshot,
   VmList,
 } from "../core/links/mod.ts";
-import type {
-  HistoryEventKind,
-  Logger,
-  Observe,
-  Tracer,
-} from "../core/observation/mod.ts";
-import { NO_TRACER, SILENT_LOGGER } from "../core/observation/mod.ts";
+import type { Logger, Observe, Tell, Tracer } from "../core/observation/mod.ts";
+import { makeTell, NO_TRACER, SILENT_LOGGER } from "../core/observation/mod.ts";
 import { OnceCoordinator } from "../core/once/mod.ts";
 import { TakenOrders } from "../core/orders/mod.ts";
 import type { Random } from "../core/random/mod.ts";
@@ -104,6 +99,7 @@
 export class EntryCore {
   readonly #options: EntryOptions;
   readonly #logger: Logger;
+  readonly #tell: Tell;
   readonly #neighbours: Neighbours;
   readonly #log: RegionLog;
   readonly #scheduler: Scheduler;
@@ -119,6 +115,14 @@
   constructor(options: EntryOptions) {
     this.#options = options;
     this.#logger = options.logger ?? SILENT_LOGGER;
+    this.#tell = makeTell({
+      observe: options.observe,
+      timer: options.timer,
+      process: options.name,
+      always: {
+        incarnation: options.incarnation,
+      },
+    });
     this.#neighbours = new Neighbours({
       ...options,
       ...options.times,
@@ -372,7 +376,7 @@
       ...this.#options,
       peers: () => this.#neighbours.entries(),
       logger: this.#logger,
-      tell: (kind, facts) => this.#tell(kind, facts),
+      tell: this.#tell,
       eligible: () => !this.#draining,
       onConfiguration: () => this.#onConfiguration(),
       onOrders: () => this.#desk.changed(),
@@ -403,7 +407,7 @@
       context: this.#makeContext(),
       tracer: this.#options.tracer ?? NO_TRACER,
       inForce: () => this.#inForce,
-      tell: (kind, facts) => this.#tell(kind, facts),
+      tell: this.#tell,
     });
   }
 
@@ -418,7 +422,7 @@
       once: this.#makeOnce(),
       mostAttempts: limits.mostAttempts,
       tracer: tracer ?? NO_TRACER,
-      tell: (kind, facts) => this.#tell(kind, facts),
+      tell: this.#tell,
     };
   }
 
@@ -460,18 +464,6 @@
       logger: this.#logger,
     });
   }
-
-  #tell(
-    kind: HistoryEventKind,
-    facts: Record<string, string | number | boolean>,
-  ): void {
-    this.#options.observe?.({
-      at: this.#options.timer.now(),
-      process: this.#options.name,
-      kind,
-      facts: { ...facts, incarnation: this.#options.incarnation },
-    });
-  }
 }
 
 /** Port 0 of the own machine: nobody listens there, so nothing is sent. */
--- a/src/entry/intake.ts
+++ b/src/entry/intake.ts
@@ -1,5 +1,5 @@
 import type { AvailabilityZoneId, EndpointId } from "../core/identity/mod.ts";
-import type { HistoryEventKind, Tracer } from "../core/observation/mod.ts";
+import type { Tell, Tracer } from "../core/observation/mod.ts";
 import type {
   AnswerSink,
   CallerRequest,
@@ -43,10 +43,7 @@
   readonly context: RunContext;
   readonly tracer: Tracer;
   readonly inForce: () => InForce | undefined;
-  readonly tell: (
-    kind: HistoryEventKind,
-    facts: Record<string, string | number | boolean>,
-  ) => void;
+  readonly tell: Tell;
 }
 
 const NOTHING: RequestHandle = { cancel() {}, drained() {} };
--- a/src/entry/region_log.ts
+++ b/src/entry/region_log.ts
@@ -13,7 +13,7 @@
   PeerAddress,
   StreamSnapshot,
 } from "../core/links/mod.ts";
-import type { HistoryEventKind, Logger } from "../core/observation/mod.ts";
+import type { Logger, Tell } from "../core/observation/mod.ts";
 import { OnceFold } from "../core/once/mod.ts";
 import { targetText } from "../core/orders/mod.ts";
 import type { Random } from "../core/random/mod.ts";
@@ -53,10 +53,7 @@
   };
   readonly logger: Logger;
   readonly guards?: EntryGuards;
-  readonly tell: (
-    kind: HistoryEventKind,
-    facts: Record<string, string | number | boolean>,
-  ) => void;
+  readonly tell: Tell;
   /** False while this process must not take a claim, as when it leaves. */
   readonly eligible: () => boolean;
   /** The configuration stream has moved on. */
--- a/src/entry/run_context.ts
+++ b/src/entry/run_context.ts
@@ -1,6 +1,6 @@
 import type { AvailabilityZoneId } from "../core/identity/mod.ts";
 import type { SideLink } from "../core/links/mod.ts";
-import type { HistoryEventKind, Tracer } from "../core/observation/mod.ts";
+import type { Tell, Tracer } from "../core/observation/mod.ts";
 import type { OnceCoordinator } from "../core/once/mod.ts";
 import type { Scheduler } from "../core/scheduling/mod.ts";
 import type { TimerService } from "../core/time/mod.ts";
@@ -17,8 +17,5 @@
   /** Most attempts of one request, the first included. */
   readonly mostAttempts: number;
   readonly tracer: Tracer;
-  readonly tell: (
-    kind: HistoryEventKind,
-    facts: Record<string, string | number | boolean>,
-  ) => void;
+  readonly tell: Tell;
 }
--- a/src/side/attempt_desk.ts
+++ b/src/side/attempt_desk.ts
@@ -1,11 +1,7 @@
 import { SideLimiter } from "../core/limits/mod.ts";
 import type { Slot } from "../core/limits/mod.ts";
 import type { EndpointLink, ServiceResponse } from "../core/links/mod.ts";
-import type {
-  HistoryEventKind,
-  Span,
-  Tracer,
-} from "../core/observation/mod.ts";
+import type { Span, Tell, Tracer } from "../core/observation/mod.ts";
 import { SideOnceTable } from "../core/once/mod.ts";
 import type { TimerService } from "../core/time/mod.ts";
 import type {
@@ -37,10 +33,7 @@
   readonly guards?: SideGuards;
   /** Why the endpoint takes no new work at present, or nothing. */
   readonly closedBecause: () => NotRunFrame["reason"] | undefined;
-  readonly tell: (
-    kind: HistoryEventKind,
-    facts: Record<string, string | number | boolean>,
-  ) => void;
+  readonly tell: Tell;
 }
 
 /** An entry's hold on an attempt that it has sent. */
--- a/src/side/side_core.ts
+++ b/src/side/side_core.ts
@@ -11,13 +11,8 @@
   PeerAddress,
 } from "../core/links/mod.ts";
 import { attachments, hashToUnit } from "../core/membership/mod.ts";
-import type {
-  HistoryEventKind,
-  Logger,
-  Observe,
-  Tracer,
-} from "../core/observation/mod.ts";
-import { NO_TRACER, SILENT_LOGGER } from "../core/observation/mod.ts";
+import type { Logger, Observe, Tell, Tracer } from "../core/observation/mod.ts";
+import { makeTell, NO_TRACER, SILENT_LOGGER } from "../core/observation/mod.ts";
 import { loadSpread, OrderExecutor } from "../core/orders/mod.ts";
 import type { Random } from "../core/random/mod.ts";
 import { pause } from "../core/time/mod.ts";
@@ -94,6 +89,7 @@
 export class SideCore {
   readonly #options: SideOptions;
   readonly #logger: Logger;
+  readonly #tell: Tell;
   readonly #desk: AttemptDesk;
   readonly #watches: readonly WatchLoop[];
   readonly #firstAnswers: FirstAnswers;
@@ -116,13 +112,22 @@
   constructor(options: SideOptions) {
     this.#options = options;
     this.#logger = options.logger ?? SILENT_LOGGER;
+    this.#tell = makeTell({
+      observe: options.observe,
+      timer: options.timer,
+      process: options.name,
+      always: {
+        endpoint: options.endpointId,
+        incarnation: options.incarnation,
+      },
+    });
     this.#desk = new AttemptDesk({
       ...options,
       ...options.limits,
       ...options.times,
       tracer: options.tracer ?? NO_TRACER,
       closedBecause: () => this.#closedBecause(),
-      tell: (kind, facts) => this.#tell(kind, facts),
+      tell: this.#tell,
     });
     this.#firstAnswers = new FirstAnswers({
       timer: options.timer,
@@ -377,22 +382,6 @@
     this.#endpointDown = down;
     if (observed.isOk()) this.#observation = observed.value;
   }
-
-  #tell(
-    kind: HistoryEventKind,
-    facts: Record<string, string | number | boolean>,
-  ): void {
-    this.#options.observe?.({
-      at: this.#options.timer.now(),
-      process: this.#options.name,
-      kind,
-      facts: {
-        ...facts,
-        endpoint: this.#options.endpointId,
-        incarnation: this.#options.incarnation,
-      },
-    });
-  }
 }
 
 const CLOSED_REASONS: Readonly<
