Name the side's run in calls without a permit

Ruled out: saying "not run" to the second copy, which could be a lie; trusting TCP alone, though it brings no message to a later process. Change: an attempt of such a call names the run that its entry knows; any other run answers that the work may have run. Conclusion: closed; a caller whose side has just been replaced may read "unknown" where nothing ran.

--- a/src/entry/request_run.ts
+++ b/src/entry/request_run.ts
@@ -304,6 +304,10 @@
     const delivered = this.assembler.deliveredTokens;
     if (delivered.length > 0) attempt.deliveredTokens = [...delivered];
     if (given.permit !== undefined) attempt.once = given.permit;
+    else if (!profile.idempotent) {
+      const report = context.directory.reportOf(endpoint);
+      if (report) attempt.sideIncarnation = report.incarnation;
+    }
     if (given.traceparent !== undefined) {
       attempt.traceparent = given.traceparent;
     }
--- a/src/side/attempt_desk.ts
+++ b/src/side/attempt_desk.ts
@@ -153,6 +153,7 @@
 
   async #admit(visit: Visit): Promise<void> {
     const { attempt } = visit;
+    if (this.#isForEarlierRun(attempt)) return this.#sayAlreadyRun(visit);
     const closed = this.#closedBecause(attempt);
     if (closed !== undefined) return this.#refuse(visit, closed);
     const entering = this.#limiter.enter({
@@ -170,6 +171,16 @@
     if (refused) slot.value.release();
   }
 
+  /**
+   * A call without a permit that names another run of this side: a copy of it
+   * may have reached that run, which has kept no memory of it. Run here it
+   * could book a permit twice, and "not run" could be a lie.
+   */
+  #isForEarlierRun({ sideIncarnation }: AttemptRequest): boolean {
+    return sideIncarnation !== undefined &&
+      sideIncarnation !== this.#options.incarnation;
+  }
+
   #closedBecause(attempt: AttemptRequest): NotRunFrame["reason"] | undefined {
     if (attempt.endpoint !== this.#options.endpointId) return "wrong_endpoint";
     return this.#options.closedBecause();
--- a/test/matrix/guards.ts
+++ b/test/matrix/guards.ts
@@ -70,6 +70,11 @@
   },
 };
 
+/** A call without a permit that any run of the side may execute. */
+const WITHOUT_NAMED_RUN: LinkAlterations = {
+  attempt: ({ sideIncarnation: _, ...attempt }) => attempt,
+};
+
 export const GUARDS: readonly Guard[] = [
   onCells("position check of claims", ["append order/cut_one_way"], {
     entry: {
@@ -81,7 +86,7 @@
   }),
   onCells("barring", ["attempt keyed/late"], {
     alter: WITHOUT_BAR,
-    seed: 9,
+    seed: 13,
   }),
   onCells(
     "incarnation check",
@@ -95,6 +100,7 @@
         orders: { waitsForEarlierOrders: false, waitsForChanges: false },
       },
     },
+    seed: 23,
   }),
   onCells("drain before change", ["order/duplicate"], {
     side: { guards: { drains: () => false } },
@@ -106,7 +112,12 @@
   onCells(
     "hearing all entries at the start",
     ["append once/cut_both", "watch/restart_sender"],
-    { side: { guards: { waitsForAllEntries: () => false } }, seed: 14 },
+    { side: { guards: { waitsForAllEntries: () => false } }, seed: 31 },
+  ),
+  onCells(
+    "incarnation check without a key",
+    ["attempt unkeyed/duplicate", "frame response/restart_sender"],
+    { alter: WITHOUT_NAMED_RUN, seed: 12 },
   ),
   onCells("duplicate drop", ["attempt unkeyed/duplicate"], {
     side: { guards: { isRepeat: () => false } },
