--- a/src/entry/request_run.ts
+++ b/src/entry/request_run.ts
@@ -320,6 +320,10 @@
       attempt.fewestTokensToHandOver = fewestTokensToHandOver;
     }
     if (given.permit !== undefined) attempt.once = given.permit;
+    else if (!profile.idempotent) {
+      const report = context.directory.reportOf(endpoint);
+      if (report) attempt.sideIncarnation = report.incarnation;
+    }
     if (given.traceparent !== undefined) {
       attempt.traceparent = given.traceparent;
     }
