Look at the subset once for each placement

Cause: a decision filtered the subset five times and asked for the cached prefix once for each endpoint. Change: one pass sorts the endpoints by what they offer; the prefix is asked for once; judging endpoints is a module of its own.

--- a/src/core/placement/endpoint_picture.ts
+++ b/src/core/placement/endpoint_picture.ts
@@ -196,12 +196,12 @@
 
   /** Time to the first token, without a wait for a slot. */
   firstTokenMilliseconds(
-    work: { promptTokens: number; rank: number },
-    now: number,
+    promptTokens: number,
+    at: { rank: number; now: number },
   ): number {
     return this.health.slowness *
-      (this.prefillWait(work.rank, now) +
-        this.#prefillMilliseconds(work.promptTokens));
+      (this.prefillWait(at.rank, at.now) +
+        this.#prefillMilliseconds(promptTokens));
   }
 
   /** Time that the register's figures would give an endpoint to itself. */
@@ -225,12 +225,10 @@
   }
 
   /** Time of the whole engine that the work takes, milliseconds. */
-  engineMilliseconds(
-    work: { promptTokens: number; outputTokens: number },
-  ): number {
+  engineMilliseconds(promptTokens: number, outputTokens: number): number {
     return this.health.slowness *
-      (this.#prefillMilliseconds(work.promptTokens) +
-        work.outputTokens * 1_000 / this.#rates.outputTokensPerSecond);
+      (this.#prefillMilliseconds(promptTokens) +
+        outputTokens * 1_000 / this.#rates.outputTokensPerSecond);
   }
 
   started(attempt: OwnAttempt, now: number): void {
--- a/src/core/placement/mod.ts
+++ b/src/core/placement/mod.ts
@@ -6,12 +6,8 @@
   type OwnAttempt,
   type PictureOptions,
 } from "./endpoint_picture.ts";
-export {
-  type Candidate,
-  type PlacementQuestion,
-  Placer,
-  type PlacerOptions,
-} from "./placer.ts";
+export type { Candidate, PlacementQuestion } from "./candidate.ts";
+export { Placer, type PlacerOptions } from "./placer.ts";
 export { PrefixIndex } from "./prefix_index.ts";
 export { type RoutingOptions, RoutingPlan } from "./routing_plan.ts";
 export {
--- a/src/core/placement/placer.ts
+++ b/src/core/placement/placer.ts
@@ -1,45 +1,50 @@
 import type { EndpointId } from "../identity/mod.ts";
 import type { Random } from "../random/mod.ts";
 import type { RequestProfile } from "../requests/mod.ts";
+import {
+  type CachedPrefix,
+  type Candidate,
+  CandidateJudge,
+  finishAt,
+  type JudgeOptions,
+  type PlacementQuestion,
+  promptTokensAt,
+} from "./candidate.ts";
 import type { RoleCounts } from "../roles/mod.ts";
 import type { EndpointPicture } from "./endpoint_picture.ts";
 import { PrefixIndex } from "./prefix_index.ts";
 import type { RoutingPlan } from "./routing_plan.ts";
 
-export interface PlacerOptions {
+export interface PlacerOptions extends JudgeOptions {
   readonly random: Random;
-  readonly availabilityZone: string;
   /** Endpoints drawn at random for one decision. */
   readonly choices: number;
-  /** Time that a placement in another availability zone is held to cost. */
-  readonly otherZoneMilliseconds: number;
   /** Load above the pool's mean up to which a cached prefix is followed. */
   readonly mostAffinityLoad: number;
   readonly mostPrefixes: number;
-  /** Weight of the engine's time against the finish. */
-  readonly engineCostWeight: number;
   /** Share of the endpoints that may be ejected at once. */
   readonly mostEjectedShare: number;
 }
 
-/** What placement needs to know beside the profile. */
-export interface PlacementQuestion {
-  readonly profile: RequestProfile;
-  readonly rank: number;
-  readonly outputTokens: number;
-  readonly now: number;
+/**
+ * Occupancy up to which a prefix is followed whatever the mean. Harm
+ * prevented: in a quiet hour the mean is near zero and no prefix would be.
+ */
+const LEAST_AFFINITY_OCCUPANCY = 0.1;
+
+/** The subset as one request finds it. */
+interface Field {
+  /** Usable, with ejected ones that may be probed. */
+  readonly open: EndpointPicture[];
+  readonly healthy: EndpointPicture[];
+  readonly roomy: EndpointPicture[];
+  readonly suited: EndpointPicture[];
+  probe?: EndpointPicture;
 }
 
-/** An endpoint with the finish that is expected there. */
-export interface Candidate {
-  readonly picture: EndpointPicture;
-  readonly milliseconds: number;
-  /** Time of the whole engine that the request takes. */
-  readonly engineMilliseconds: number;
-  /** Tokens of the prompt that the endpoint has to process. */
-  readonly promptTokens: number;
-  /** What candidates are compared by; smaller is better. */
-  readonly score: number;
+interface Asked {
+  readonly question: PlacementQuestion;
+  readonly cached: CachedPrefix | undefined;
 }
 
 /** Least that any endpoint offers a request. */
@@ -56,6 +61,7 @@
  */
 export class Placer {
   readonly #options: PlacerOptions;
+  readonly #judge: CandidateJudge;
   readonly #prefixes: PrefixIndex;
   #pictures: readonly EndpointPicture[] = [];
   #plan: RoutingPlan | undefined;
@@ -63,6 +69,7 @@
 
   constructor(options: PlacerOptions) {
     this.#options = options;
+    this.#judge = new CandidateJudge(options);
     this.#prefixes = new PrefixIndex(options.mostPrefixes);
   }
 
@@ -145,55 +152,36 @@
 
   /** The best place, or nothing where no endpoint is usable at all. */
   choose(question: PlacementQuestion): Candidate | undefined {
-    const open = this.#openFor(question);
-    if (open.length === 0) return undefined;
-    const probe = open.find((picture) => picture.health.mayProbe(question.now));
+    const field = this.#survey(question);
+    const cached = this.#prefixes.find(question.profile.prefixHashes);
     const mayFail = question.profile.idempotent && question.rank > 0;
-    if (probe !== undefined && mayFail) {
-      return this.#judge(probe, question);
+    if (field.probe !== undefined && mayFail) {
+      return this.#judge.judge(field.probe, question, cached);
     }
-    const healthy = open.filter((picture) => !picture.health.ejected);
-    return this.#best(healthy.length > 0 ? healthy : open, question);
-  }
-
-  /** Finish on an endpoint, from the placement on, milliseconds. */
-  #judge(picture: EndpointPicture, question: PlacementQuestion): Candidate {
-    const { profile, rank, now } = question;
-    const cached = this.#cachedShare(picture, profile);
-    const promptTokens = (profile.promptTokens + profile.deliveredTokens) *
-      (1 - cached);
-    const zone =
-      picture.facts.availabilityZone === this.#options.availabilityZone
-        ? 0
-        : this.#options.otherZoneMilliseconds;
-    const milliseconds = zone +
-      picture.firstTokenMilliseconds({ promptTokens, rank }, now) +
-      picture.decodeMilliseconds(question.outputTokens);
-    const cost = picture.engineMilliseconds({
-      promptTokens,
-      outputTokens: question.outputTokens,
-    });
-    const score = milliseconds + this.#options.engineCostWeight * cost;
-    return {
-      picture,
-      milliseconds,
-      engineMilliseconds: cost,
-      promptTokens,
-      score,
-    };
+    const usable = [field.suited, field.roomy, field.healthy, field.open]
+      .find((list) => list.length > 0);
+    if (usable === undefined) return undefined;
+    const from = this.#ofOneRole(usable, question);
+    const best = this.#best(from, question, cached);
+    if (question.rank > 0) return best;
+    return this.#inTime(best, field.healthy, { question, cached });
   }
 
   /** The shortest finish that any healthy endpoint offers now. */
   shortest(question: PlacementQuestion): Shortest {
+    const cached = this.#prefixes.find(question.profile.prefixHashes);
     let milliseconds = Infinity;
     let engineMilliseconds = Infinity;
     for (const picture of this.#pictures) {
-      if (!isOpen(picture, question.now) || picture.health.ejected) continue;
-      const found = this.#judge(picture, question);
-      milliseconds = Math.min(milliseconds, found.milliseconds);
+      if (!picture.usable || picture.health.ejected) continue;
+      const promptTokens = promptTokensAt(picture, question, cached);
+      milliseconds = Math.min(
+        milliseconds,
+        finishAt(picture, question, promptTokens),
+      );
       engineMilliseconds = Math.min(
         engineMilliseconds,
-        found.engineMilliseconds,
+        picture.engineMilliseconds(promptTokens, question.outputTokens),
       );
     }
     return { milliseconds, engineMilliseconds };
@@ -219,30 +207,38 @@
     }
   }
 
-  #openFor(question: PlacementQuestion): EndpointPicture[] {
-    const open = this.#pictures.filter((one) => isOpen(one, question.now));
-    const { excluded } = question.profile;
-    if (excluded.size === 0) return open;
-    const others = open.filter((one) => !excluded.has(one.facts.endpoint));
-    return others.length > 0 ? others : open;
+  /** One pass over the subset, from the best endpoints to the last resort. */
+  #survey(question: PlacementQuestion): Field {
+    const { profile, rank, now } = question;
+    const field: Field = { open: [], healthy: [], roomy: [], suited: [] };
+    for (const picture of this.#pictures) {
+      if (!isOpen(picture, now)) continue;
+      field.open.push(picture);
+      if (profile.excluded.has(picture.facts.endpoint)) continue;
+      if (picture.health.ejected) {
+        field.probe ??= picture;
+        continue;
+      }
+      field.healthy.push(picture);
+      if (picture.room(rank, now) < 1) continue;
+      field.roomy.push(picture);
+      if (this.#suits(picture, profile.className)) field.suited.push(picture);
+    }
+    return field;
   }
 
   #best(
-    open: readonly EndpointPicture[],
+    from: readonly EndpointPicture[],
     question: PlacementQuestion,
+    cached: CachedPrefix | undefined,
   ): Candidate {
-    const { rank, now, profile } = question;
-    const roomy = open.filter((one) => one.room(rank, now) >= 1);
-    const suited = roomy.filter((one) => this.#suits(one, profile.className));
-    const usable = suited.length > 0 ? suited : roomy;
-    const from = this.#ofOneRole(usable.length > 0 ? usable : open, question);
-    let best = this.#judge(this.#draw(from), question);
-    for (let drawn = 1; drawn < this.#options.choices; drawn++) {
-      const other = this.#judge(this.#draw(from), question);
+    let best = this.#judge.judge(this.#draw(from), question, cached);
+    const draws = Math.min(this.#options.choices, from.length * 2);
+    for (let drawn = 1; drawn < draws; drawn++) {
+      const other = this.#judge.judge(this.#draw(from), question, cached);
       if (other.score < best.score) best = other;
     }
-    const found = this.#withAffinity(best, from, question);
-    return rank === 0 ? this.#inTime(found, open, question) : found;
+    return this.#withAffinity(best, from, { question, cached });
   }
 
   /**
@@ -251,14 +247,16 @@
    */
   #inTime(
     found: Candidate,
-    open: readonly EndpointPicture[],
-    question: PlacementQuestion,
+    healthy: readonly EndpointPicture[],
+    asked: Asked,
   ): Candidate {
-    const left = question.profile.deadline - question.now;
-    if (found.milliseconds <= left) return found;
+    const { question, cached } = asked;
+    if (found.milliseconds <= question.profile.deadline - question.now) {
+      return found;
+    }
     let best = found;
-    for (const picture of open) {
-      const other = this.#judge(picture, question);
+    for (const picture of healthy) {
+      const other = this.#judge.judge(picture, question, cached);
       if (other.milliseconds < best.milliseconds) best = other;
     }
     return best;
@@ -271,8 +269,9 @@
   ): readonly EndpointPicture[] {
     const plan = this.#plan;
     if (plan === undefined) return from;
+    const isMixed = from.some((one) => one.role !== from[0].role);
+    if (!isMixed) return from;
     const roles = [...new Set(from.map((one) => one.role))];
-    if (roles.length === 1) return from;
     const shares = roles.map((role) => plan.share(profile.className, role));
     const total = shares.reduce((sum, share) => sum + share, 0);
     let drawn = this.#options.random() * total;
@@ -289,24 +288,18 @@
   #withAffinity(
     best: Candidate,
     from: readonly EndpointPicture[],
-    question: PlacementQuestion,
+    { question, cached }: Asked,
   ): Candidate {
-    const found = this.#prefixes.find(question.profile.prefixHashes);
-    if (found === undefined) return best;
-    const holder = this.#byId.get(found.endpoint);
+    if (cached === undefined) return best;
+    const holder = this.#byId.get(cached.endpoint);
     if (holder === undefined || !from.includes(holder)) return best;
     const bound = this.#options.mostAffinityLoad *
       meanOccupancy(from, question.now);
-    if (holder.occupancy(question.now) > Math.max(bound, 0.1)) return best;
-    const candidate = this.#judge(holder, question);
+    const most = Math.max(bound, LEAST_AFFINITY_OCCUPANCY);
+    if (holder.occupancy(question.now) > most) return best;
+    const candidate = this.#judge.judge(holder, question, cached);
     return candidate.score <= best.score ? candidate : best;
   }
-
-  #cachedShare(picture: EndpointPicture, profile: RequestProfile): number {
-    if (profile.prefixHashes.length === 0) return 0;
-    const found = this.#prefixes.find(profile.prefixHashes);
-    return found?.endpoint === picture.facts.endpoint ? found.share : 0;
-  }
 }
 
 function isOpen(picture: EndpointPicture, now: number): boolean {
