Measure the path's added time, tokens, requests and memory

Cause: what entry and side add to an engine was not measured, and the slopes lacked the planner's messages, the folds and a window that holds every long poll.

--- a/bench/entry_under_test.ts
+++ b/bench/entry_under_test.ts
@@ -13,8 +13,10 @@
   ZONE,
 } from "./bench_region.ts";
 import { sleep } from "./process_figures.ts";
-import { SideHost } from "./side_host.ts";
+import { SideHost, TOKEN_MILLISECONDS } from "./side_host.ts";
 
+/** Time in which streams get their first tokens. */
+const OPEN_MILLISECONDS = 5_000;
 /** A judge's first claim and its verdict take a few seconds at most. */
 const FOLLOW_MILLISECONDS = 40_000;
 
@@ -26,6 +28,7 @@
   readonly #links = new HttpPeers();
   readonly #agent = new http.Agent({ keepAlive: true });
   #version = 0;
+  #streams = 0;
   #logUrl = "";
   #callerUrl = "";
   #peers = "";
@@ -75,7 +78,8 @@
   /** Opens generations that go on until `close`. */
   async openStreams(count: number): Promise<void> {
     const opened = Array.from({ length: count }, () => this.#openStream());
-    await Promise.all(opened);
+    // A stream that waits behind a full endpoint is open as well.
+    await Promise.race([Promise.all(opened), sleep(OPEN_MILLISECONDS)]);
   }
 
   async close(): Promise<void> {
@@ -108,7 +112,7 @@
         model: MODEL,
         stream: true,
         max_tokens: 1_000,
-        messages: [{ role: "user", content: "Lorry dumping by the river" }],
+        messages: [{ role: "user", content: `Lorry ${this.#streams++}` }],
       }));
     });
   }
@@ -157,7 +161,7 @@
         engine: {
           slots: SLOTS,
           prefillTokensPerSecond: 20_000,
-          millisecondsBetweenTokens: 20,
+          millisecondsBetweenTokens: TOKEN_MILLISECONDS,
           keyValueCacheTokens: 100_000,
           roleChangeSeconds: 1,
           resumesStreams: true,
--- a/bench/side_host.ts
+++ b/bench/side_host.ts
@@ -12,7 +12,7 @@
 import { MODEL, SLOTS, timer, ZONE } from "./bench_region.ts";
 
 /** A token a second: memory of a stream, with little work for it. */
-const TOKEN_MILLISECONDS = 1_000;
+export const TOKEN_MILLISECONDS = 1_000;
 
 /** Sides on real sockets in this process, so that only the entry is measured. */
 export class SideHost {
--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -5,6 +5,7 @@
  * JSON with every line's figures.
  */
 import { measureBinary } from "./slopes_binary.ts";
+import { measureFolds } from "./slopes_folds.ts";
 import { measureInProcess } from "./slopes_in_process.ts";
 import { reportSeries, type Series } from "./slope_fit.ts";
 
@@ -14,7 +15,10 @@
 
 const start = performance.now();
 console.log("In one process, on virtual time:");
-const inProcess = report("in process", await measureInProcess());
+const inProcess = report("in process", [
+  ...await measureInProcess(),
+  ...await measureFolds(),
+]);
 console.log("The binary, as processes:");
 const binary = report("binary", await measureBinary());
 const seconds = Math.round((performance.now() - start) / 1000);
--- a/bench/slopes_binary.ts
+++ b/bench/slopes_binary.ts
@@ -8,6 +8,8 @@
 import type { Series } from "./slope_fit.ts";
 
 const WINDOW_MILLISECONDS = 6_000;
+/** Every attached side ends one long poll within it. */
+const WATCH_MILLISECONDS = 15_000;
 /** Start-up, claims and the first compilation are over by then. */
 const SETTLE_MILLISECONDS = 6_000;
 
@@ -42,17 +44,17 @@
   ];
 }
 
+/** All sizes at once: an idle entry takes a few hundredths of a core. */
 async function byEndpoints(): Promise<Series[]> {
-  const measured: { x: number; rates: ProcessRates }[] = [];
-  for (const x of [16, 64, 128, 256]) {
+  const runs = [16, 64, 128, 256].map(async (x) => {
     const entry = new EntryUnderTest();
     await entry.start(x);
     await sleep(SETTLE_MILLISECONDS);
-    const rates = await measureProcess(entry.pid, WINDOW_MILLISECONDS);
-    measured.push({ x, rates });
+    const rates = await measureProcess(entry.pid, WATCH_MILLISECONDS);
     await entry.close();
-  }
-  return seriesOf("entry", "endpoints", measured);
+    return { x, rates };
+  });
+  return seriesOf("entry", "endpoints", await Promise.all(runs));
 }
 
 async function byStreams(): Promise<Series[]> {
@@ -99,7 +101,7 @@
     const region = new EntryHost();
     const pid = await region.start(x);
     await sleep(2 * SETTLE_MILLISECONDS);
-    const rates = await measureProcess(pid, WINDOW_MILLISECONDS);
+    const rates = await measureProcess(pid, WATCH_MILLISECONDS);
     await region.close();
     return { x, rates };
   });
--- a/bench/slopes_in_process.ts
+++ b/bench/slopes_in_process.ts
@@ -36,7 +36,9 @@
 
 interface IdleFigures {
   readonly heapBytes: number;
+  /** The entry that plans and judges nothing; the second of the two. */
   readonly entryBytesPerSecond: number;
+  readonly plannerBytesPerSecond: number;
   readonly sideBytesPerSecond: number;
 }
 
@@ -56,29 +58,43 @@
   traffic.on = true;
   await region.timer.advance(IDLE_SECONDS * 1000);
   const heapBytes = await liveHeapBytes() - before;
+  const rates = region.fleet.entries.map((_, index) =>
+    traffic.bytesOf(entryAddress(index)) / IDLE_SECONDS
+  );
+  const planner = plannerOf(region);
   region.fleet.halt();
   return {
     heapBytes,
-    entryBytesPerSecond: traffic.bytesOf(entryAddress(0)) / IDLE_SECONDS,
+    entryBytesPerSecond: rates[planner === 0 ? rates.length - 1 : 0],
+    plannerBytesPerSecond: rates[planner],
     sideBytesPerSecond: traffic.bytesOf(sideAddress("engine-0")) /
       IDLE_SECONDS,
   };
 }
 
+/** Number of the entry that holds the planner's claim. */
+function plannerOf(region: InProcessRegion): number {
+  const holder = region.fleet.entries[0].status().claim?.holder ?? "";
+  return Number(/^entry-(\d+)/.exec(holder)?.[1] ?? 0);
+}
+
 /** Two entries; more endpoints, in pools of sixteen. */
 async function byEndpoints(): Promise<Series[]> {
   const variable = "endpoints";
   const heap: Point[] = [];
   const entry: Point[] = [];
+  const planner: Point[] = [];
   for (const x of [16, 32, 64, 128, 256]) {
     const models = x / ENDPOINTS_PER_POOL;
     const idle = await measureIdle({ entries: 2, endpoints: x, models });
     heap.push({ x, y: idle.heapBytes });
     entry.push({ x, y: idle.entryBytesPerSecond });
+    planner.push({ x, y: idle.plannerBytesPerSecond });
   }
   return [
     { value: "heap of region", variable, unit: "B", points: heap },
     { value: "entry control", variable, unit: "B/s", points: entry },
+    { value: "planner control", variable, unit: "B/s", points: planner },
   ];
 }
 
@@ -97,14 +113,17 @@
   const variable = "entries";
   const heap: Point[] = [];
   const side: Point[] = [];
+  const planner: Point[] = [];
   for (const x of [2, 4, 8, 16]) {
     const idle = await measureIdle({ entries: x, endpoints: 32 });
     heap.push({ x, y: idle.heapBytes });
     side.push({ x, y: idle.sideBytesPerSecond });
+    planner.push({ x, y: idle.plannerBytesPerSecond });
   }
   return [
     { value: "heap of region", variable, unit: "B", points: heap },
     { value: "side control", variable, unit: "B/s", points: side },
+    { value: "planner control", variable, unit: "B/s", points: planner },
   ];
 }
 
--- a/examples/embedding/network.ts
+++ b/examples/embedding/network.ts
@@ -129,11 +129,11 @@
         });
         return answered(answer, to);
       },
-      status: (to) =>
+      status: (to, question) =>
         this.#call({ from, to }, {
           kind: "status",
-          question: {},
-          answer: () => this.#entry(to).status(),
+          question: question ?? {},
+          answer: () => this.#entry(to).status(question),
         }),
       snapshot: async (to, stream) => {
         const answer = await this.#call({ from, to }, {
