--- a/bench/load_side.ts
+++ b/bench/load_side.ts
@@ -16,6 +16,7 @@
   readonly plain: boolean;
   readonly speed?: number;
   readonly mostWaiting: number;
+  readonly toleratedSlowdown?: number;
 }
 
 export interface SideAttempt {
@@ -47,7 +48,7 @@
   readonly #options: SideModelOptions;
   readonly #jobs = new Map<string, RunningJob>();
   #state: SideReport["state"] = "serving";
-  #open = 0;
+  readonly #open = new Set<() => void>();
   #target: Role | undefined;
   #onChanged: (() => void) | undefined;
 
@@ -67,7 +68,7 @@
       mostRunning: this.engine?.slots ?? options.serviceSlots,
       mostWaiting: options.plain ? Infinity : options.mostWaiting,
       mostBeforeFirstToken: options.engine === undefined ? 0 : 2,
-      toleratedSlowdown: options.plain ? Infinity : undefined,
+      toleratedSlowdown: options.plain ? Infinity : options.toleratedSlowdown,
     });
   }
 
@@ -119,11 +120,11 @@
     this.#changeWhenDrained();
   }
 
-  /** Everything at the endpoint breaks off; nothing comes back. */
+  /** Everything at the endpoint breaks off, and its links with it. */
   lose(): void {
     this.reachable = false;
     for (const job of this.#jobs.values()) job.cancel();
-    this.#jobs.clear();
+    for (const breakOff of [...this.#open]) breakOff();
   }
 
   /** Returns what gives the attempt up. */
@@ -131,9 +132,11 @@
     let slot: Slot | undefined;
     let job: RunningJob | undefined;
     let over = false;
+    const breakOff = () => end("failed");
     const end = (result: "answered" | "not_run" | "failed") => {
       if (over) return;
       over = true;
+      this.#open.delete(breakOff);
       this.#leave(attempt, slot);
       attempt.onEnd(result, this.load());
     };
@@ -142,7 +145,7 @@
       attempt.onEnd("not_run", this.load());
       return () => {};
     }
-    this.#open += 1;
+    this.#open.add(breakOff);
     void this.limiter.enter({
       ...attempt,
       priority: this.#options.plain ? 0 : attempt.priority,
@@ -159,6 +162,7 @@
       if (over) return;
       over = true;
       job?.cancel();
+      this.#open.delete(breakOff);
       this.#leave(attempt, slot);
     };
   }
@@ -195,7 +199,6 @@
   }
 
   #leave(attempt: SideAttempt, slot: Slot | undefined): void {
-    this.#open -= 1;
     this.#jobs.delete(attempt.attemptId);
     slot?.release();
     this.#resumePaused();
@@ -220,7 +223,7 @@
   }
 
   #changeWhenDrained(): void {
-    if (this.#target === undefined || this.#open > 0) return;
+    if (this.#target === undefined || this.#open.size > 0) return;
     if (this.engine === undefined || this.engine.outOfService) return;
     const role = this.#target;
     this.engine.changeRole(role, () => {
--- a/src/core/configuration/configuration_judge.ts
+++ b/src/core/configuration/configuration_judge.ts
@@ -1,5 +1,6 @@
 import type { Journal } from "../journal/mod.ts";
-import { checkConfiguration, type ConfigurationProblem } from "./check.ts";
+import { checkConfiguration } from "./check.ts";
+import type { ConfigurationProblem } from "./problem.ts";
 import type {
   ConfigurationFold,
   PendingPublication,
@@ -61,8 +62,9 @@
   }
 
   #reasonsAgainst(publication: PendingPublication): string[] {
-    const { version } = this.#options.fold;
-    if (publication.base !== version) {
+    const { fold } = this.#options;
+    const { version } = fold;
+    if (!fold.fits(publication.base)) {
       return [
         `it replaces version ${publication.base}, in force is ${version}`,
       ];
--- a/src/core/journal/mod.ts
+++ b/src/core/journal/mod.ts
@@ -10,4 +10,5 @@
 export type { JournalFailure } from "./errors.ts";
 export { Journal } from "./journal.ts";
 export type { JournalCounts, JournalOptions } from "./journal.ts";
+export type { JournalGuards } from "./stream_prefix.ts";
 export type { StreamFold } from "./stream_fold.ts";
--- a/src/side/attempt_desk.ts
+++ b/src/side/attempt_desk.ts
@@ -18,6 +18,7 @@
 } from "../generated/messages.ts";
 import { GenerationRun } from "./attempt_run.ts";
 import type { AttemptEnd } from "./attempt_run.ts";
+import type { SideGuards } from "./guards.ts";
 import { RecentAttempts } from "./recent_attempts.ts";
 import { ServiceRun } from "./service_run.ts";
 
@@ -33,6 +34,7 @@
   readonly mostKeptAnswerBytes: number;
   readonly firstTokenSilenceMilliseconds: number;
   readonly tokenSilenceMilliseconds: number;
+  readonly guards?: SideGuards;
   /** Why the endpoint takes no new work at present, or nothing. */
   readonly closedBecause: () => NotRunFrame["reason"] | undefined;
   readonly tell: (
@@ -49,8 +51,10 @@
 }
 
 interface RunningAttempt extends AttemptHandle {
-  /** Ends the attempt here so that its entry resumes it elsewhere. */
-  move(): void;
+  /** Has the attempt resumed elsewhere, with its cache where that pays. */
+  move(): Promise<void>;
+  /** The same at once, without the cache. */
+  cut(): void;
 }
 
 /** An attempt on its way through the desk. */
@@ -107,7 +111,7 @@
     emit: (frame: AttemptFrame) => void,
   ): AttemptHandle {
     const pending = new PendingAttempt();
-    if (!this.#recent.add(attempt.attemptId)) return pending;
+    if (this.#isRepeat(attempt)) return pending;
     const { timer, tracer } = this.#options;
     void this.#admit({
       attempt,
@@ -122,9 +126,20 @@
     return pending;
   }
 
+  #isRepeat({ attemptId }: AttemptRequest): boolean {
+    const isRepeat = !this.#recent.add(attemptId);
+    return this.#options.guards?.isRepeat?.(attemptId) ?? isRepeat;
+  }
+
   /** Has everything that still runs resumed elsewhere. */
-  moveAll(): void {
-    for (const running of [...this.#running.values()]) running.move();
+  async moveAll(): Promise<void> {
+    const running = [...this.#running.values()];
+    await Promise.all(running.map((each) => each.move()));
+  }
+
+  /** The same at once, as the process ends. */
+  cutAll(): void {
+    for (const running of [...this.#running.values()]) running.cut();
   }
 
   /** Settles when nothing runs any more. */
@@ -227,7 +242,8 @@
       cancel: () => run.stop("cancelled"),
       pause: () => run.pause(),
       resume: () => run.resume(),
-      move: () => run.stop("moved"),
+      move: () => run.move(),
+      cut: () => run.stop("moved"),
     };
   }
 
@@ -246,7 +262,8 @@
       cancel: () => run.abandon(),
       pause() {},
       resume() {},
-      move: () => run.abandon(),
+      move: () => Promise.resolve(run.abandon()),
+      cut: () => run.abandon(),
     };
   }
 
@@ -288,7 +305,7 @@
   #yieldToUrgent(): void {
     const slot = this.#limiter.toPause();
     if (slot?.attemptId === undefined) return;
-    this.#running.get(slot.attemptId)?.move();
+    this.#running.get(slot.attemptId)?.cut();
   }
 
   /**
--- a/src/side/side_core.ts
+++ b/src/side/side_core.ts
@@ -10,7 +10,7 @@
   EntryLink,
   PeerAddress,
 } from "../core/links/mod.ts";
-import { attachments } from "../core/membership/mod.ts";
+import { attachments, hashToUnit } from "../core/membership/mod.ts";
 import type {
   HistoryEventKind,
   Logger,
@@ -18,8 +18,9 @@
   Tracer,
 } from "../core/observation/mod.ts";
 import { NO_TRACER, SILENT_LOGGER } from "../core/observation/mod.ts";
-import { OrderExecutor } from "../core/orders/mod.ts";
+import { loadSpread, OrderExecutor } from "../core/orders/mod.ts";
 import type { Random } from "../core/random/mod.ts";
+import { pause } from "../core/time/mod.ts";
 import type { Subscription, TimerService } from "../core/time/mod.ts";
 import type {
   AttemptFrame,
@@ -29,10 +30,13 @@
   OnceAnswer,
   OnceQuestion,
   SideReport,
+  StandingOrder,
   WatchAnswer,
 } from "../generated/messages.ts";
 import { AttemptDesk } from "./attempt_desk.ts";
 import type { AttemptHandle } from "./attempt_desk.ts";
+import { FirstAnswers } from "./first_answers.ts";
+import type { SideGuards } from "./guards.ts";
 import { WatchLoop } from "./watch_loop.ts";
 
 /** Limits of one side; every one of them bounds its memory or its waiting. */
@@ -72,8 +76,14 @@
   readonly observe?: Observe;
   readonly logger?: Logger;
   readonly tracer?: Tracer;
+  readonly guards?: SideGuards;
 }
 
+/** Engines of a pool that load weights together where no planner paces them. */
+const MOST_LOADS_AT_ONCE = 2;
+/** How long a load of weights is reckoned to take for the spread. */
+const EXPECTED_LOAD_MILLISECONDS = 30_000;
+
 /** A side is attached to two entries, so that losing one delays nothing. */
 const ATTACHED_ENTRIES = 2;
 
@@ -86,11 +96,16 @@
   readonly #logger: Logger;
   readonly #desk: AttemptDesk;
   readonly #watches: readonly WatchLoop[];
+  readonly #firstAnswers: FirstAnswers;
   #orders: OrderExecutor | undefined;
   #configuration: EndpointConfiguration | undefined;
   #configurationVersion = 0;
   #ordersRead = -1;
   #orderTaken = -1;
+  #order: StandingOrder | undefined;
+  /** Offset of the order that stood when this side started; -1 for none. */
+  #standingAtStart = -1;
+  #hasHeard = false;
   #toldEntries: readonly PeerAddress[] = [];
   #observation: EngineObservation | undefined;
   #endpointDown = false;
@@ -109,6 +124,12 @@
       closedBecause: () => this.#closedBecause(),
       tell: (kind, facts) => this.#tell(kind, facts),
     });
+    this.#firstAnswers = new FirstAnswers({
+      timer: options.timer,
+      loops: ATTACHED_ENTRIES,
+      onAnswer: (answer) => this.#onWatchAnswer(answer),
+      waitsForAll: options.guards?.waitsForAllEntries,
+    });
     this.#watches = Array.from(
       { length: ATTACHED_ENTRIES },
       (_, place) => this.#makeWatch(place),
@@ -118,6 +139,7 @@
   /** Starts watching entries and observing the endpoint. */
   start(): void {
     this.#tell("process_started", { role: "side" });
+    this.#firstAnswers.start();
     for (const watch of this.#watches) watch.start();
     if (this.#options.kind === "engine") this.#startObserving();
   }
@@ -131,6 +153,7 @@
     this.#leaving = true;
     this.#tell("side_draining", { cause: "stop" });
     await this.#desk.idleWithin(this.#options.limits.shutdownSeconds * 1000);
+    await this.#desk.moveAll();
     this.halt();
   }
 
@@ -138,9 +161,10 @@
   halt(): void {
     this.#leaving = true;
     for (const watch of this.#watches) watch.stop();
+    this.#firstAnswers.stop();
     this.#observing?.cancel();
     this.#orders?.stop();
-    this.#desk.moveAll();
+    this.#desk.cutAll();
     this.#tell("process_stopped", {});
   }
 
@@ -206,7 +230,7 @@
       place,
       loops: ATTACHED_ENTRIES,
       report: () => this.report(),
-      onAnswer: (answer) => this.#onWatchAnswer(answer),
+      onAnswer: (answer) => this.#firstAnswers.take(place, answer),
       waitMilliseconds: this.#options.times.watchMilliseconds,
     });
   }
@@ -236,10 +260,11 @@
     this.#takeConfiguration(answer);
     this.#ordersRead = Math.max(this.#ordersRead, answer.ordersRead);
     this.#takeOrder(answer);
+    this.#hasHeard = true;
   }
 
   #takeConfiguration(answer: WatchAnswer): void {
-    if (answer.configurationVersion <= this.#configurationVersion) return;
+    if (!this.#isNewer(answer.configurationVersion)) return;
     const wasDraining = this.#isDraining();
     this.#configurationVersion = answer.configurationVersion;
     this.#configuration = answer.endpoint ?? WITHDRAWN;
@@ -252,14 +277,31 @@
     if (this.#isDraining() && !wasDraining) {
       this.#tell("side_draining", { cause: "configuration" });
     }
+    this.#carryOutOrder();
+  }
+
+  #isNewer(version: number): boolean {
+    const isNewer = this.#options.guards?.isNewer ?? isAbove;
+    return isNewer(version, this.#configurationVersion);
   }
 
   #takeOrder({ order }: WatchAnswer): void {
     if (order === undefined || order.offset <= this.#orderTaken) return;
     this.#orderTaken = order.offset;
+    this.#order = order;
+    if (!this.#hasHeard) this.#standingAtStart = order.offset;
+    this.#carryOutOrder();
+  }
+
+  /**
+   * Gives the newest order to the executor. A withdrawn endpoint gets none; it
+   * gets the order that stands once it serves again, since nobody repeats it.
+   */
+  #carryOutOrder(): void {
+    if (this.#order === undefined) return;
     if (this.#configuration?.state === "withdrawn") return;
     this.#orders ??= this.#makeOrderExecutor();
-    this.#orders.take(order);
+    this.#orders.take(this.#order);
   }
 
   /**
@@ -270,23 +312,46 @@
     const { endpoint, timer, incarnation, times, observe, name } =
       this.#options;
     return new OrderExecutor({
+      endpointId: this.#options.endpointId,
       endpoint,
       timer,
-      checksFencing: this.#configuration?.checksFencing ?? false,
+      checksFencing: () => this.#configuration?.checksFencing ?? false,
       incarnation,
       longestOrderMilliseconds: times.longestOrderMilliseconds,
       drain: () => this.#drainForChange(),
       resume: () => this.#resumeAfterChange(),
+      acquireWeights: (order) => this.#waitForWeights(order),
       observe,
       process: name,
+      guards: this.#options.guards?.orders,
     });
   }
 
+  /**
+   * Spreads loads that no planner paces: a zone comes back with empty engines,
+   * and the orders of all of them stand on the log already. An order that came
+   * while this side ran was paced by its planner and waits for nobody.
+   */
+  async #waitForWeights(order: StandingOrder): Promise<() => void> {
+    const { timer, endpointId } = this.#options;
+    if (order.offset <= this.#standingAtStart) {
+      const milliseconds = loadSpread({
+        engines: this.#configuration?.poolEngines ?? 1,
+        mostAtOnce: MOST_LOADS_AT_ONCE,
+        loadMilliseconds: EXPECTED_LOAD_MILLISECONDS,
+        place: hashToUnit(endpointId),
+      });
+      await pause(timer, milliseconds);
+    }
+    return () => {};
+  }
+
   async #drainForChange(): Promise<void> {
+    if (this.#options.guards?.drains?.() === false) return;
     this.#changing = true;
     this.#tell("side_draining", { cause: "order" });
     await this.#desk.idleWithin(this.#options.times.drainMilliseconds);
-    this.#desk.moveAll();
+    await this.#desk.moveAll();
     await this.#desk.idle();
   }
 
@@ -344,3 +409,7 @@
   state: "withdrawn",
   checksFencing: false,
 };
+
+function isAbove(version: number, inForce: number): boolean {
+  return version > inForce;
+}
--- a/test/matrix/scenario.ts
+++ b/test/matrix/scenario.ts
@@ -3,7 +3,7 @@
 import type { HistoryEvent } from "../../src/core/observation/mod.ts";
 import { checkHistory, type Violation } from "../history/mod.ts";
 import { tokenOf } from "./endpoints.ts";
-import { contentOf, ENTRIES, Region, type RegionOptions } from "./region.ts";
+import { ENTRIES, Region, type RegionOptions } from "./region.ts";
 
 export interface RunResult {
   readonly violations: readonly Violation[];
@@ -39,22 +39,23 @@
 /**
  * One run: a region starts and gets its first configuration; callers send
  * work of every kind while a publication drains a service and brings new
- * weights to all engines; a further one takes the drain back.
+ * weights to all engines; a further one takes the drain back and brings other
+ * weights, while the engines are still on the way to the first.
  */
 export async function runScenario(options: RegionOptions): Promise<RunResult> {
   const region = new Region(options);
   region.start();
   const callers = new Callers(region);
   const { timer } = region;
-  timer.after(200, () => void region.publish("operator", contentOf()));
-  const draining = contentOf({ weights: "v2", draining: ["portal-1"] });
+  timer.after(200, () => void region.publish("operator", {}));
+  const draining = { weights: "v2", draining: ["portal-1"] };
   timer.after(
     CHANGE_AT_MILLISECONDS,
     () => void region.publish("operator", draining),
   );
   timer.after(
     RETURN_AT_MILLISECONDS,
-    () => void region.publish("operator", contentOf({ weights: "v2" })),
+    () => void region.publish("operator", { weights: "v3" }),
   );
   for (
     let at = TRAFFIC_FROM_MILLISECONDS;
