Trust a side again once it is heard, and blame none for the entry's own pause

Cause: a soak of the processes under random kills and freezes found bookings refused for want of an endpoint while two of three services were up. A suspicion ended only where a report was exactly as old as the clock's next look, which virtual time gives and real time never does. And an entry that was frozen took every side for silent when it woke up. Ruled out: the scheduler's ejection (its health was good); the poll rate. Change: hearing a side ends the suspicion; the time for which the entry's own ticks stood still is left out of every side's silence.

--- a/src/entry/side_directory.ts
+++ b/src/entry/side_directory.ts
@@ -65,12 +65,14 @@
   #round: Iterator<KnownSide> | undefined;
   #allowance = 0;
   #change = 0;
+  #lastTick = 0;
 
   constructor(options: SideDirectoryOptions) {
     this.#options = options;
   }
 
   start(): void {
+    this.#lastTick = this.#options.timer.now();
     this.#asking = this.#options.timer.every(
       this.#options.reportMilliseconds,
       () => this.#tick(),
@@ -134,7 +136,7 @@
     const side = this.#sides.get(endpoint);
     if (side === undefined) return;
     side.lastHeard = this.#options.timer.now();
-    this.#judge(side);
+    this.#setSuspected(side, false);
     if (load === undefined || side.report === undefined) return;
     side.report = { ...side.report, load };
     this.#options.onReport(side.report, side.lastHeard);
@@ -185,6 +187,7 @@
   #tick(): void {
     const { timer, reportMilliseconds } = this.#options;
     const now = timer.now();
+    this.#forgiveOwnPause(now);
     for (const side of this.#sides.values()) {
       this.#judge(side);
       const silent = now - side.lastHeard >= reportMilliseconds;
@@ -194,6 +197,20 @@
     this.#askNextInRound();
   }
 
+  /**
+   * Leaves out the time in which this process itself stood still. What goes
+   * wrong without it: an entry whose VM was paused wakes up, takes every side
+   * for silent, and gives up all its healthy streams at once with nowhere left
+   * to resume them.
+   */
+  #forgiveOwnPause(now: number): void {
+    const { reportMilliseconds } = this.#options;
+    const late = now - this.#lastTick - reportMilliseconds;
+    this.#lastTick = now;
+    if (late < reportMilliseconds) return;
+    for (const side of this.#sides.values()) side.lastHeard += late;
+  }
+
   /** Goes round all sides within the rate; a round may take many ticks. */
   #askNextInRound(): void {
     const perTick = MOST_ASKED_PER_SECOND * this.#options.reportMilliseconds /
@@ -236,7 +253,7 @@
     side.changed = this.#changeOf(report, side);
     side.report = report;
     side.lastHeard = this.#options.timer.now();
-    this.#judge(side);
+    this.#setSuspected(side, false);
     this.#options.onReport(report, side.lastHeard);
   }
 
@@ -265,7 +282,6 @@
       ? this.#options.suspectMilliseconds
       : this.#idlePatience();
     if (silent > patience) this.#setSuspected(side, true);
-    else if (silent === 0) this.#setSuspected(side, false);
   }
 
   /** An idle side is asked once in a round only, so its silence means less. */
--- a/src/entry/side_directory_test.ts
+++ b/src/entry/side_directory_test.ts
@@ -28,15 +28,26 @@
   };
 }
 
+/** Time that passes a little between any two looks, as real time does. */
+class PassingTimerService extends ManualTimerService {
+  #looks = 0;
+  /** Alarms stand still, as in a process that is paused. */
+  pausedMilliseconds = 0;
+
+  override now(): number {
+    return super.now() + this.pausedMilliseconds + this.#looks++ / 1_000;
+  }
+}
+
 describe("SideDirectory", () => {
-  let timer: ManualTimerService;
+  let timer: PassingTimerService;
   let asked: number;
   let silent: Set<string>;
   let suspicions: string[];
   let directory: SideDirectory;
 
   beforeEach(() => {
-    timer = new ManualTimerService();
+    timer = new PassingTimerService();
     asked = 0;
     silent = new Set();
     suspicions = [];
@@ -110,6 +121,27 @@
     expect(suspicions.at(-1)).to.equal(`${endpoint} false`);
   });
 
+  // A side restarts. Left suspected, it would get no work for good.
+  it("trusts a side again once it reports", async () => {
+    const [endpoint] = use(3);
+    silent.add(endpoint);
+    await timer.advance(20_000);
+    silent.delete(endpoint);
+    await timer.advance(5_000);
+    expect(suspicions).to.deep.equal([`${endpoint} true`, `${endpoint} false`]);
+  });
+
+  // The entry's own VM is paused for half a minute. When it wakes up, the sides
+  // have been silent for it only; their streams are healthy.
+  it("blames no side for its own pause", async () => {
+    const [endpoint] = use(3);
+    directory.attemptBegins(endpoint);
+    await timer.advance(2_000);
+    timer.pausedMilliseconds = 30_000;
+    await timer.advance(3_000);
+    expect(suspicions).to.deep.equal([]);
+  });
+
   it("suspects an idle side that stays silent for some rounds", async () => {
     const [endpoint] = use(8);
     silent.add(endpoint);
