Bring the VM list and a log replica that is behind into the matrix

Cause: an endpoint whose VM the platform marks as leaving, and a replica of the log with an older head, were in no run.

--- a/scripts/matrix.ts
+++ b/scripts/matrix.ts
@@ -21,7 +21,8 @@
 const options = await yargs(hideBin(process.argv))
   .option("seed", { type: "number" })
   .option("runs", { type: "number", default: 1, describe: "Runs per cell" })
-  .option("cell", { type: "string", describe: "One cell, as step/fault" })
+  .option("cell", { type: "string", describe: "One cell, step/fault" })
+  .option("fault", { type: "string", describe: "One fault's cells" })
   .option("step", { type: "string", describe: "One step's cells" })
   .option("pairs", { type: "number", describe: "Pairs of cells, drawn" })
   .option("without-guards", { type: "boolean", default: false })
@@ -151,9 +152,11 @@
   if (options.withoutGuards) return runWithoutGuards();
   if (options.pairs !== undefined) return runPairs(options.pairs);
   if (options.cell !== undefined) return repeat(options.cell);
-  const { step } = options;
+  const { step, fault } = options;
   return runAll(
-    allCells().filter((cell) => step === undefined || cell.step.name === step),
+    allCells()
+      .filter((cell) => step === undefined || cell.step.name === step)
+      .filter((cell) => fault === undefined || cell.fault === fault),
   );
 }
 
--- a/test/matrix/injector.ts
+++ b/test/matrix/injector.ts
@@ -71,6 +71,8 @@
         return this.#do(region, () => region.logOutage("down"));
       case "log_slow":
         return this.#do(region, () => region.logOutage("slow"));
+      case "log_behind":
+        return this.#do(region, () => region.logOutage("behind"));
       case "operator_race":
         return this.#do(region, () => race(region));
       case "endpoint_crash":
@@ -96,6 +98,7 @@
       if (fault.startsWith("kill")) region.kill(name);
       else if (fault.startsWith("restart")) region.restart(name);
       else if (fault.startsWith("pause")) region.pause(name);
+      else if (fault.startsWith("leave")) region.leave(name);
       else void region.stop(name);
     });
   }
--- a/test/matrix/region.ts
+++ b/test/matrix/region.ts
@@ -25,6 +25,7 @@
   nameOf,
   type RunningProcess,
 } from "./links.ts";
+import { ListedVms } from "./listed_vms.ts";
 import { ProcessGate } from "./process_gate.ts";
 import { type Parcel, type Treatment, Wire } from "./wire.ts";
 
@@ -80,9 +81,13 @@
   tokenSilenceMilliseconds: 2_000,
 };
 
+/** Records by which another replica of the log may be behind. */
+const LAG_RECORDS = 4;
 const PAUSE_MILLISECONDS = 12_000;
 const CUT_MILLISECONDS = 15_000;
 const RESTART_MILLISECONDS = 500;
+/** From the mark on the VM list to SIGTERM. */
+const LEAVE_MILLISECONDS = 9_000;
 
 /** A region in one process on virtual time, with every fault at hand. */
 export class Region {
@@ -99,6 +104,8 @@
   readonly #endpoints = new Map<string, FakeEngine | FakeService>();
   readonly #runs = new Map<string, number>();
   readonly #draining = new Set<string>();
+  readonly #vms: ListedVms;
+  readonly #leaving = new Set<string>();
   readonly #operators = new Map<
     string,
     { publisher: Publisher; fold: ConfigurationFold }
@@ -108,6 +115,7 @@
     this.#options = options;
     this.random = this.#randomOf("faults");
     this.#variant = variantOf(options.seed);
+    this.#vms = new ListedVms(this.timer);
     this.log = new FakeLog({
       timer: this.timer,
       latencyMilliseconds: 2,
@@ -202,15 +210,19 @@
   async stop(name: string): Promise<void> {
     const process = this.#processes(name);
     if (process === undefined || !process.gate.running) return;
-    const endpoint = name.startsWith("side-") ? name.slice(5) : undefined;
-    if (endpoint) this.tell("endpoint_leaving", "network", { endpoint });
+    this.#isLeaving(name);
     await process.core.stop();
     if (!process.gate.alive) return;
     this.#remove(name, process.gate);
-    this.timer.after(RESTART_MILLISECONDS, () => {
-      if (endpoint) this.tell("endpoint_returned", "network", { endpoint });
-      this.startAgain(name);
-    });
+    this.timer.after(RESTART_MILLISECONDS, () => this.startAgain(name));
+  }
+
+  /** The platform marks the VM as leaving and stops it some time later. */
+  leave(name: string): void {
+    if (!this.isProcess(name)) return;
+    this.#isLeaving(name);
+    this.#vms.leave(name);
+    this.timer.after(LEAVE_MILLISECONDS, () => void this.stop(name));
   }
 
   cut(from: string, to: string): void {
@@ -222,14 +234,16 @@
     });
   }
 
-  logOutage(fault: "down" | "slow"): void {
+  logOutage(fault: "down" | "slow" | "behind"): void {
     const { faults } = this.log;
     this.tell("log_outage_began", "network", {});
     if (fault === "down") faults.down = true;
-    else faults.slowMilliseconds = 2_500;
+    else if (fault === "slow") faults.slowMilliseconds = 2_500;
+    else faults.lagRecords = LAG_RECORDS;
     this.timer.after(CUT_MILLISECONDS, () => {
       faults.down = false;
       faults.slowMilliseconds = 0;
+      faults.lagRecords = 0;
       this.tell("log_outage_ended", "network", {});
     });
   }
@@ -252,12 +266,21 @@
     this.history.push({ at: this.timer.now(), process, kind, facts });
   }
 
+  /** Its VM goes; until a new run starts, the endpoint gets no new work. */
+  #isLeaving(name: string): void {
+    const endpoint = this.endpointNear(name);
+    if (endpoint === undefined || this.#leaving.has(name)) return;
+    this.#leaving.add(name);
+    this.tell("endpoint_leaving", "network", { endpoint });
+  }
+
   #processes(name: string) {
     return this.#entries.get(name) ?? this.#sides.get(name);
   }
 
   #remove(name: string, gate: ProcessGate): void {
     gate.kill();
+    this.#vms.remove(name);
     this.#entries.delete(name);
     this.#sides.delete(name);
     this.#links.closeAll(name);
@@ -268,6 +291,10 @@
   /** Starts a new run of a process that has gone. */
   startAgain(name: string): void {
     if (this.#processes(name) !== undefined) return;
+    const endpoint = this.endpointNear(name);
+    if (this.#leaving.delete(name) && endpoint !== undefined) {
+      this.tell("endpoint_returned", "network", { endpoint });
+    }
     if (name.startsWith("entry-")) this.#startEntry(name);
     else this.#startSide(name);
   }
@@ -285,6 +312,7 @@
       log: this.#links.logOf(name, gate),
       sides: this.#links.sides(name, gate),
       entries: this.#links.entries(name, gate),
+      vmList: this.#variant.listsVms ? this.#vms.list() : undefined,
       peerAddresses: ENTRIES.filter((each) => each !== name).map(addressOf),
       hash: (text) => hashToUnit(text).toString(36),
       limits: ENTRY_LIMITS,
@@ -293,6 +321,7 @@
       ...this.#options.entry,
     });
     this.#entries.set(name, { name, gate, core });
+    this.#vms.add(name, ZONES[ENTRIES.indexOf(name)]);
     core.start();
   }
 
@@ -318,6 +347,7 @@
       ...this.#options.side,
     });
     this.#sides.set(name, { name, gate, core });
+    this.#vms.add(name, zoneOf(id));
     core.start();
   }
 
@@ -414,6 +444,8 @@
 interface Variant {
   /** Whether the engines refuse orders with an old fencing number. */
   readonly checksFencing: boolean;
+  /** Whether the entries have the platform's list of VMs. */
+  readonly listsVms: boolean;
   /** Records that the log keeps of each stream. */
   readonly keepRecords: number;
 }
@@ -422,6 +454,7 @@
 function variantOf(seed: number): Variant {
   return {
     checksFencing: seed % 2 === 0,
+    listsVms: seed % 5 !== 0,
     keepRecords: seed % 3 === 0 ? 15 : Infinity,
   };
 }
--- a/test/matrix/table.ts
+++ b/test/matrix/table.ts
@@ -61,6 +61,8 @@
   "pause_receiver",
   "stop_sender",
   "stop_receiver",
+  "leave_sender",
+  "leave_receiver",
   "cut_one_way",
   "cut_answers",
   "cut_both",
@@ -71,6 +73,7 @@
   "endpoint_crash",
   "log_outage",
   "log_slow",
+  "log_behind",
   "operator_race",
 ] as const;
 
@@ -110,6 +113,10 @@
     case "pause_receiver":
     case "stop_receiver":
       return isProcess(step.to);
+    case "leave_sender":
+      return step.from === "side";
+    case "leave_receiver":
+      return step.to === "side";
     case "cut_one_way":
     case "cut_answers":
     case "cut_both":
