Refuse appends at once while the log turns them away

Cause: a cell with a log outage showed callers of keyed work waiting 1.5 seconds for each refusal during the first ten seconds: the reader learns of the outage only when its long poll ends, and until then every append was tried for its whole time. Ruled out: a shorter try for all (a slow log would lose appends that land). Change: after two calls in a row without effect, what comes behind the one being tried is refused at once; that one goes on as the probe. Conclusion: one caller in 1.5 seconds still waits, as the probe.

--- a/src/core/journal/appender.ts
+++ b/src/core/journal/appender.ts
@@ -63,6 +63,8 @@
 /** How long the record of a lost answer is looked for before a resend. */
 const READ_BACK_MILLISECONDS = 300;
 const FIRST_RETRY_MILLISECONDS = 50;
+/** One refused call may be chance; the second one in a row is an outage. */
+const REFUSALS_UNTIL_OUTAGE = 2;
 const LONGEST_RETRY_MILLISECONDS = 1_000;
 
 /**
@@ -81,6 +83,8 @@
   #sequence = 0;
   #running = false;
   #stopped = false;
+  /** Calls in a row that the log service turned away without effect. */
+  #turnedAway = 0;
   #wakeSender: (() => void) | undefined;
   /** Calls of the log service's append, for measurements. */
   calls = 0;
@@ -94,6 +98,9 @@
     if (!this.#options.reachable()) {
       return this.#refused("the log service can't be reached");
     }
+    if (this.#isTurnedAway()) {
+      return this.#refused("the log service turns appends away");
+    }
     if (this.#queue.length >= MOST_WAITING_RECORDS) {
       return this.#refused("too many records wait for the log service");
     }
@@ -119,6 +126,16 @@
     this.#queue = [];
   }
 
+  /**
+   * The reader learns of an outage when its long poll ends, seconds later.
+   * Until then each append would be tried for its whole time, and a caller
+   * would wait for a refusal that is certain. What is being sent goes on as
+   * the probe; what comes behind it meanwhile is refused at once.
+   */
+  #isTurnedAway(): boolean {
+    return this.#running && this.#turnedAway >= REFUSALS_UNTIL_OUTAGE;
+  }
+
   #wait(body: RecordBody, settle: Waiting["settle"]): Waiting {
     const waiting: Waiting = {
       record: {
@@ -159,6 +176,7 @@
       const open = batch.filter((waiting) => this.#isOpen(waiting));
       if (open.length === 0) return;
       const outcome = await this.#tryOnce(open, patience);
+      this.#turnedAway = outcome === "no_effect" ? this.#turnedAway + 1 : 0;
       patience *= 2;
       if (outcome === "stands") return;
       const wait = outcome === "lost"
