--- /dev/null
+++ b/test/soak/callers.ts
@@ -0,0 +1,114 @@
+import type { Random } from "../../src/core/random/mod.ts";
+import { promptFor, streamChat, wholeAnswer } from "../support/chat_caller.ts";
+import { uuidv7 } from "../support/uuid.ts";
+
+export interface CallerOptions {
+  readonly random: Random;
+  /** URL of an entry that the balancer would send a caller to. */
+  readonly entryUrl: () => string;
+  readonly tally: Tally;
+}
+
+/** Counts of what callers got. */
+export class Tally {
+  readonly counts = new Map<string, number>();
+
+  add(what: string): void {
+    this.counts.set(what, (this.counts.get(what) ?? 0) + 1);
+  }
+
+  of(what: string): number {
+    return this.counts.get(what) ?? 0;
+  }
+}
+
+const MOST_TOKENS = 170;
+const RETRY_MILLISECONDS = 200;
+const MOST_TRIES = 8;
+const ANSWER_TIMEOUT_MILLISECONDS = 15_000;
+
+/** Asks for streams and holds each against the whole answer. */
+export async function askUntil(
+  end: number,
+  options: CallerOptions & { readonly name: string },
+): Promise<void> {
+  for (let index = 0; performance.now() < end; index++) {
+    const tokens = 20 + Math.floor(options.random() * (MOST_TOKENS - 20));
+    const prompt = promptFor(`${options.name}-${index}`, tokens);
+    options.tally.add(await askOnce(prompt, options));
+  }
+}
+
+async function askOnce(
+  prompt: string,
+  options: CallerOptions,
+): Promise<string> {
+  const whole = wholeAnswer(prompt).tokens;
+  try {
+    const answer = await streamChat(options.entryUrl(), { prompt });
+    if (answer.status !== 200) {
+      await pause(RETRY_MILLISECONDS);
+      return `stream refused as ${answer.problem?.outcome}`;
+    }
+    const given = answer.tokens.join("");
+    if (!whole.join("").startsWith(given)) return "stream wrong";
+    if (!answer.ended) return "stream cut and said so";
+    return answer.tokens.length === whole.length
+      ? "stream whole"
+      : "stream wrong";
+  } catch {
+    await pause(RETRY_MILLISECONDS);
+    return "stream lost its connection";
+  }
+}
+
+/** Keys of bookings with the answer that each got, if it got one. */
+export type Bookings = Map<string, string | undefined>;
+
+/** Books with a new key each time and repeats the key until it is answered. */
+export async function bookUntil(
+  end: number,
+  options: CallerOptions & { readonly bookings: Bookings },
+): Promise<void> {
+  while (performance.now() < end) {
+    const key = uuidv7();
+    options.bookings.set(key, undefined);
+    for (let tries = 0; tries < MOST_TRIES; tries++) {
+      if (await bookOnce(key, options)) break;
+      if (performance.now() >= end) return;
+      await pause(RETRY_MILLISECONDS);
+    }
+  }
+}
+
+/** True where there is no use in repeating the key. */
+async function bookOnce(
+  key: string,
+  options: CallerOptions & { readonly bookings: Bookings },
+): Promise<boolean> {
+  const { tally, bookings } = options;
+  try {
+    const answer = await fetch(`${options.entryUrl()}/cases`, {
+      method: "POST",
+      headers: { "idempotency-key": key },
+      body: "Klang",
+      signal: AbortSignal.timeout(ANSWER_TIMEOUT_MILLISECONDS),
+    });
+    const body = await answer.text();
+    if (answer.status === 201) {
+      tally.add("booking made");
+      bookings.set(key, body);
+      return true;
+    }
+    const { outcome, detail } = JSON.parse(body);
+    tally.add(`booking ${outcome}: ${detail}`);
+    return String(detail).includes("is gone");
+  } catch {
+    tally.add("booking lost its connection");
+    return false;
+  }
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
--- /dev/null
+++ b/test/soak/faults.ts
@@ -0,0 +1,111 @@
+import type { Random } from "../../src/core/random/mod.ts";
+import type { StartedProcess } from "../support/process_fleet.ts";
+import type {
+  DeployedEndpoint,
+  DeployedEntry,
+  SmallDeployment,
+} from "../support/small_deployment.ts";
+
+export interface FaultOptions {
+  readonly deployment: SmallDeployment;
+  readonly random: Random;
+  /** Told of each fault as it begins. */
+  readonly onFault: (name: string) => void;
+}
+
+const SHORTEST_PAUSE_MILLISECONDS = 300;
+const LONGEST_PAUSE_MILLISECONDS = 1_500;
+const LONGEST_FAULT_MILLISECONDS = 2_800;
+/** An entry that has just started is not asked before it can know anything. */
+const ENTRY_START_MILLISECONDS = 1_500;
+
+/** Breaks one thing after another and mends it, as drawn from the seed. */
+export class FaultInjector {
+  readonly #options: FaultOptions;
+  /** Entries that the platform's balancer would have taken out. */
+  readonly unhealthy = new Set<DeployedEntry>();
+
+  constructor(options: FaultOptions) {
+    this.#options = options;
+  }
+
+  async runUntil(end: number): Promise<void> {
+    while (performance.now() < end) {
+      await this.#wait(SHORTEST_PAUSE_MILLISECONDS, LONGEST_PAUSE_MILLISECONDS);
+      const [name, fault] = this.#pick(this.#faults);
+      this.#options.onFault(name);
+      await fault();
+    }
+  }
+
+  readonly #faults: readonly [string, () => Promise<void>][] = [
+    ["side killed", () => this.#endSide("SIGKILL")],
+    ["side stopped", () => this.#endSide("SIGTERM")],
+    ["side frozen", () => this.#freeze(this.#pickEndpoint().side)],
+    ["entry killed", () => this.#endEntry("SIGKILL")],
+    ["entry stopped", () => this.#endEntry("SIGTERM")],
+    ["entry frozen", () => this.#freezeEntry()],
+    ["log refuses", () => this.#breakLog({ down: "refuse" })],
+    ["log cuts", () => this.#breakLog({ down: "cut" })],
+    ["log loses answers", () => this.#breakLog({ lostAnswers: 3 })],
+  ];
+
+  async #endSide(signal: NodeJS.Signals): Promise<void> {
+    const endpoint = this.#pickEndpoint();
+    endpoint.side.child.kill(signal);
+    await endpoint.side.exited;
+    await this.#wait(0, SHORTEST_PAUSE_MILLISECONDS);
+    this.#options.deployment.restartSide(endpoint);
+  }
+
+  async #endEntry(signal: NodeJS.Signals): Promise<void> {
+    const entry = this.#pick(this.#options.deployment.entries);
+    this.unhealthy.add(entry);
+    entry.process.child.kill(signal);
+    await entry.process.exited;
+    this.#options.deployment.restartEntry(entry);
+    await this.#wait(ENTRY_START_MILLISECONDS, ENTRY_START_MILLISECONDS);
+    this.unhealthy.delete(entry);
+  }
+
+  async #freezeEntry(): Promise<void> {
+    const entry = this.#pick(this.#options.deployment.entries);
+    this.unhealthy.add(entry);
+    await this.#freeze(entry.process);
+    this.unhealthy.delete(entry);
+  }
+
+  async #freeze({ child }: StartedProcess): Promise<void> {
+    child.kill("SIGSTOP");
+    await this.#wait(SHORTEST_PAUSE_MILLISECONDS, LONGEST_FAULT_MILLISECONDS);
+    child.kill("SIGCONT");
+  }
+
+  async #breakLog(faults: Record<string, unknown>): Promise<void> {
+    await this.#setLog(faults);
+    await this.#wait(SHORTEST_PAUSE_MILLISECONDS, LONGEST_FAULT_MILLISECONDS);
+    await this.#setLog({ down: "no", lostAnswers: 0 });
+  }
+
+  async #setLog(faults: Record<string, unknown>): Promise<void> {
+    await fetch(`${this.#options.deployment.logUrl}/control`, {
+      method: "POST",
+      body: JSON.stringify(faults),
+    });
+  }
+
+  #pickEndpoint(): DeployedEndpoint {
+    const { engines, services } = this.#options.deployment;
+    return this.#pick([...engines, ...services]);
+  }
+
+  #pick<Item>(items: readonly Item[]): Item {
+    return items[Math.floor(this.#options.random() * items.length)];
+  }
+
+  #wait(shortest: number, longest: number): Promise<void> {
+    const milliseconds = shortest +
+      (longest - shortest) * this.#options.random();
+    return new Promise((resolve) => setTimeout(resolve, milliseconds));
+  }
+}
--- /dev/null
+++ b/test/soak/soak.ts
@@ -0,0 +1,127 @@
+import { seededRandom } from "../../src/core/random/mod.ts";
+import { SmallDeployment } from "../support/small_deployment.ts";
+import { askUntil, type Bookings, bookUntil, Tally } from "./callers.ts";
+import { FaultInjector } from "./faults.ts";
+
+export interface SoakOptions {
+  readonly seed: number;
+  readonly seconds: number;
+  readonly entries: number;
+  readonly engines: number;
+  readonly services: number;
+}
+
+export interface SoakResult {
+  readonly counts: ReadonlyMap<string, number>;
+  readonly faults: number;
+  /** Streams that were no beginning of the right answer, or short of it. */
+  readonly wrong: number;
+  /** Keys whose booking ran more than once. */
+  readonly doubled: number;
+  /** Keys that got an answer without having run. */
+  readonly invented: number;
+  /** Output of processes that ended by a bug. */
+  readonly crashes: readonly string[];
+}
+
+const ASKING_CALLERS = 8;
+const BOOKING_CALLERS = 4;
+/** Time without faults at the end, so that what is open can end. */
+const CALM_SECONDS = 8;
+const KEY_LENGTH = 36;
+const CRASH = /TypeError|ReferenceError|Unhandled|ERR_[A-Z_]+\b/;
+
+/**
+ * Callers against the whole system as processes, while one thing after another
+ * breaks: sides and entries are killed, stopped and frozen, the log goes out.
+ */
+export async function soak(options: SoakOptions): Promise<SoakResult> {
+  const deployment = new SmallDeployment();
+  try {
+    await deployment.start({
+      ...options,
+      engine: { millisecondsBetweenTokens: 10 },
+    });
+    return await run(deployment, options);
+  } finally {
+    await deployment.close();
+  }
+}
+
+async function run(
+  deployment: SmallDeployment,
+  options: SoakOptions,
+): Promise<SoakResult> {
+  const random = seededRandom(options.seed);
+  const tally = new Tally();
+  const bookings: Bookings = new Map();
+  const injector = new FaultInjector({
+    deployment,
+    random,
+    onFault: (name) => tally.add(`fault: ${name}`),
+  });
+  const entryUrl = () => {
+    const { entries } = deployment;
+    const healthy = entries.filter((each) => !injector.unhealthy.has(each));
+    const all = healthy.length > 0 ? healthy : entries;
+    return all[Math.floor(random() * all.length)].url;
+  };
+  const end = performance.now() + options.seconds * 1000;
+  const caller = { random, entryUrl, tally };
+  await Promise.all([
+    injector.runUntil(end - CALM_SECONDS * 1000),
+    ...Array.from(
+      { length: ASKING_CALLERS },
+      (_, index) => askUntil(end, { ...caller, name: `caller-${index}` }),
+    ),
+    ...Array.from(
+      { length: BOOKING_CALLERS },
+      () => bookUntil(end, { ...caller, bookings }),
+    ),
+  ]);
+  return await judge(deployment, { tally, bookings });
+}
+
+async function judge(
+  deployment: SmallDeployment,
+  given: { tally: Tally; bookings: Bookings },
+): Promise<SoakResult> {
+  const { tally, bookings } = given;
+  const runs = await runsByKey(deployment);
+  const keys = [...bookings.keys()];
+  const faults = [...tally.counts].filter(([name]) => name.startsWith("fault"));
+  return {
+    counts: tally.counts,
+    faults: faults.reduce((sum, [, count]) => sum + count, 0),
+    wrong: tally.of("stream wrong"),
+    doubled: keys.filter((key) => (runs.get(key) ?? 0) > 1).length,
+    invented: keys.filter((key) => bookings.get(key) && !runs.has(key)).length,
+    crashes: crashesOf(deployment),
+  };
+}
+
+/** How often each key ran, counted by the services themselves. */
+async function runsByKey(
+  deployment: SmallDeployment,
+): Promise<Map<string, number>> {
+  const counts = new Map<string, number>();
+  for (const { url } of deployment.services) {
+    const answer = await fetch(`${url}/control`);
+    const { runs } = await answer.json() as { runs: Record<string, number> };
+    for (const [scoped, count] of Object.entries(runs)) {
+      const key = scoped.slice(-KEY_LENGTH);
+      counts.set(key, (counts.get(key) ?? 0) + count);
+    }
+  }
+  return counts;
+}
+
+function crashesOf(deployment: SmallDeployment): string[] {
+  const sides = [...deployment.engines, ...deployment.services].map((each) =>
+    each.side
+  );
+  const entries = deployment.entries.map((each) => each.process);
+  return [...sides, ...entries].map((each) => each.output())
+    .filter((output) => CRASH.test(output))
+    .map((output) => output.slice(-2_000));
+}
--- a/test/support/small_deployment.ts
+++ b/test/support/small_deployment.ts
@@ -19,14 +19,16 @@
   readonly id: string;
   readonly url: string;
   readonly endpoint: StartedProcess;
-  readonly side: StartedProcess;
+  readonly settings: string;
+  side: StartedProcess;
   readonly sideAddress: string;
 }
 
 export interface DeployedEntry {
   readonly url: string;
   readonly peers: string;
-  readonly process: StartedProcess;
+  readonly settings: string;
+  process: StartedProcess;
 }
 
 const ZONES = ["shah-alam", "petaling", "klang-port"];
@@ -124,6 +126,23 @@
     await new Promise((resolve) => setTimeout(resolve, 300));
   }
 
+  /** Starts the side of an endpoint again, as its VM's platform would. */
+  restartSide(endpoint: DeployedEndpoint): void {
+    endpoint.side = this.fleet.startProgram([
+      "side",
+      "--settings",
+      endpoint.settings,
+    ]);
+  }
+
+  restartEntry(entry: DeployedEntry): void {
+    entry.process = this.fleet.startProgram([
+      "entry",
+      "--settings",
+      entry.settings,
+    ]);
+  }
+
   async close(): Promise<void> {
     await this.fleet.close();
   }
@@ -150,6 +169,7 @@
       this.entries.push({
         url: `http://127.0.0.1:${ports[2 * index]}`,
         peers: peers[index],
+        settings: file,
         process: this.fleet.startProgram(["entry", "--settings", file]),
       });
     }
@@ -192,6 +212,7 @@
       id,
       url: standIn.url,
       endpoint: standIn.started,
+      settings: file,
       side: this.fleet.startProgram(["side", "--settings", file]),
       sideAddress,
     };
