Do not take one's own pause for the claim holder's silence

Cause: a pair of faults: one entry is paused, the holder of the claim is killed. When the first one woke it took its own pause of 12 seconds for the longest pause of the holder, doubled it, and a publication waited 28 seconds for its verdict. Ruled out: a shorter patience for all (the claim would flap while the log is slow). Change: a look that comes later than the allowed silence starts the count anew and teaches nothing about the holder.

--- a/src/core/authority/claim_keeper.ts
+++ b/src/core/authority/claim_keeper.ts
@@ -72,6 +72,7 @@
   #draw: number;
   #longestPause = 0;
   #lastRenewal = -Infinity;
+  #lastLook: number;
   #appending = false;
   #held: number | undefined;
   #stopped = true;
@@ -80,6 +81,7 @@
     this.#options = options;
     this.#self = holderName(options.process, options.incarnation);
     this.#silentSince = options.timer.now();
+    this.#lastLook = options.timer.now();
     this.#draw = options.random();
   }
 
@@ -92,6 +94,7 @@
   start(): void {
     this.#stopped = false;
     this.#silentSince = this.#options.timer.now();
+    this.#lastLook = this.#options.timer.now();
     this.#planLook();
   }
 
@@ -130,12 +133,27 @@
 
   #consider(): void {
     this.changed();
+    this.#noteOwnPause();
     this.#noteSigns();
     if (this.#appending || this.#options.eligible?.() === false) return;
     if (this.held !== undefined) this.#renew();
     else if (this.#isSilent()) void this.#claimAfterRead();
   }
 
+  /**
+   * A pause of this very process says nothing about the holder. Taken for the
+   * holder's it would stretch the patience to a multiple of the pause, and a
+   * dead holder's claim would stay untaken that long: a publication would
+   * wait for its verdict meanwhile.
+   */
+  #noteOwnPause(): void {
+    const now = this.#options.timer.now();
+    const slept = now - this.#lastLook >= this.#options
+      .claimSilenceMilliseconds;
+    this.#lastLook = now;
+    if (slept) this.#countAnew();
+  }
+
   #noteSigns(): void {
     const { journal, timer, view } = this.#options;
     const heard = this.#heardDirectly();
