Ask no side for a configuration that no entry could have told it

Ruled out: leaving sides out where one entry runs; only a time in which every entry is paused or gone counts, and the limit starts at its end. Change: the rule, a wrong history and an allowed one. Conclusion: the checker's own fault.

--- a/test/history/configuration.ts
+++ b/test/history/configuration.ts
@@ -88,6 +88,8 @@
 
 interface Process {
   readonly name: string;
+  /** Ends of the times in which no entry ran that a side could hear. */
+  readonly relayless: readonly Span[];
   readonly events: readonly HistoryEvent[];
 }
 
@@ -99,9 +101,13 @@
     events.filter((event) => event.kind === "process_started")
       .map((event) => event.process),
   );
+  const entries = entriesOf(events);
   const processes = [...names].map((name) => ({
     name,
     events: events.filter((event) => concerns(event, name)),
+    relayless: entries.includes(name)
+      ? []
+      : timesWithoutEntries(events, entries),
   }));
   const end = events.length === 0 ? 0 : events[events.length - 1].at;
   const violations: Violation[] = [];
@@ -121,6 +127,48 @@
   return violations;
 }
 
+interface Span {
+  readonly from: number;
+  readonly to: number;
+}
+
+function entriesOf(events: readonly HistoryEvent[]): string[] {
+  const started = events.filter((event) =>
+    event.kind === "process_started" && textOf(event, "role") === "entry"
+  );
+  return [...new Set(started.map((event) => event.process))];
+}
+
+/**
+ * Sides hear of a configuration from entries. While every entry is paused or
+ * has gone there is nobody who could have told them.
+ */
+function timesWithoutEntries(
+  events: readonly HistoryEvent[],
+  entries: readonly string[],
+): Span[] {
+  const spans: Span[] = [];
+  const hindered = new Map(entries.map((name) => [name, new Set(["process"])]));
+  let from: number | undefined;
+  for (const event of events) {
+    const hindrances = hindered.get(event.process);
+    if (hindrances === undefined) continue;
+    if (HINDRANCE_BEGINS.includes(event.kind)) {
+      hindrances.add(hindranceOf(event));
+    } else if (HINDRANCE_ENDS.includes(event.kind)) {
+      hindrances.delete(hindranceOf(event));
+    } else continue;
+    const none = [...hindered.values()].every((each) => each.size > 0);
+    if (none) from ??= event.at;
+    else if (from !== undefined) {
+      spans.push({ from, to: event.at });
+      from = undefined;
+    }
+  }
+  if (from !== undefined) spans.push({ from, to: Infinity });
+  return spans;
+}
+
 function concerns(event: HistoryEvent, name: string): boolean {
   if (event.kind === "link_cut" || event.kind === "link_healed") {
     return textOf(event, "from") === name || textOf(event, "to") === name;
@@ -163,6 +211,10 @@
     hindrances.delete(hindranceOf(event));
     due = Math.max(due, event.at + options.limit);
   }
+  for (const span of process.relayless) {
+    if (span.from > due) break;
+    due = Math.max(due, span.to + options.limit);
+  }
   return hindrances.size === 0 ? due : undefined;
 }
 
--- a/test/history/history_test.ts
+++ b/test/history/history_test.ts
@@ -236,6 +236,14 @@
       inForce(1, 5),
     ],
     "a process that never gets it": [...CONFIGURATION, RUN_ENDED],
+    "a side that gets it late after its only entry's pause": [
+      ...CONFIGURATION,
+      SIDE,
+      event(1, "process_paused"),
+      event(20_000, "process_resumed"),
+      inForce(20_001, 3),
+      inForce(29_001, 3, "side-1"),
+    ],
     "a process that gets it late after a pause": [
       ...CONFIGURATION,
       event(1, "process_paused"),
@@ -409,6 +417,15 @@
       inForce(1, 3),
       RUN_ENDED,
     ],
+    "a side in time after its only entry's pause": [
+      ...CONFIGURATION,
+      SIDE,
+      event(1, "process_paused"),
+      event(20_000, "process_resumed"),
+      inForce(20_001, 3),
+      inForce(28_000, 3, "side-1"),
+      RUN_ENDED,
+    ],
     "a process that was stopped": [
       ...CONFIGURATION,
       event(1, "process_stopped"),
