--- a/bench/once.ts
+++ b/bench/once.ts
@@ -7,10 +7,10 @@
  */
 import process from "node:process";
 import { ok } from "neverthrow";
-import { identifier } from "../src/core/identity/mod.ts";
+import { identifier, numbered } from "../src/core/identity/mod.ts";
 import type { LogService } from "../src/core/journal/mod.ts";
 import { hashToUnit } from "../src/core/membership/mod.ts";
-import { OnceCoordinator, OnceFold } from "../src/core/once/mod.ts";
+import { OnceCoordinator, OnceFold, timeOfKey } from "../src/core/once/mod.ts";
 import { type Random, seededRandom } from "../src/core/random/mod.ts";
 import { ManualTimerService } from "../src/core/time/mod.ts";
 import { makeJournal } from "../test/support/coordination.ts";
@@ -196,6 +196,31 @@
   return { entries, sticky, recordsPerRequest: round(records / requests) };
 }
 
+const KEYS_HELD = 200_000;
+
+/** Heap that each remembered key takes at an entry, bytes. */
+function bytesPerKey(): number {
+  const fold = new OnceFold();
+  const before = process.memoryUsage().heapUsed;
+  for (let number = 0; number < KEYS_HELD; number += 1) {
+    const key = `crew-${number % 3_400}/${KEY_BEGIN}` +
+      String(number).padStart(12, "0");
+    // As a reader gets it: every text is a new one.
+    const body = JSON.parse(JSON.stringify({
+      kind: "once",
+      key,
+      keyTime: timeOfKey(key),
+      fingerprint: hashToUnit(key).toString(36),
+      endpoint: `portal-${number % 100}`,
+      sideIncarnation: `019b76da-a800-7000-8000-${number % 100}`,
+      replaces: -1,
+    }));
+    fold.apply(numbered(number), body);
+  }
+  const bytes = (process.memoryUsage().heapUsed - before) / fold.size;
+  return Math.round(bytes);
+}
+
 function round(value: number): number {
   return Math.round(value * 100) / 100;
 }
@@ -221,5 +246,9 @@
   [0, 0.5, 0.9].map((sticky) => carryOver(entries, sticky))
 );
 for (const each of carried) console.log(JSON.stringify(each));
-console.log(JSON.stringify({ once: { points, carryOver: carried } }));
+const memory = { keys: KEYS_HELD, bytesPerKey: bytesPerKey() };
+console.log(JSON.stringify(memory));
+console.log(
+  JSON.stringify({ once: { points, carryOver: carried, memory } }),
+);
 process.exitCode = 0;
