--- a/src/entry/entry_core.ts
+++ b/src/entry/entry_core.ts
@@ -17,7 +17,6 @@
 import type { Logger, Observe, Tell, Tracer } from "../core/observation/mod.ts";
 import { makeTell, NO_TRACER, SILENT_LOGGER } from "../core/observation/mod.ts";
 import { OnceCoordinator } from "../core/once/mod.ts";
-import { TakenOrders } from "../core/orders/mod.ts";
 import type { Random } from "../core/random/mod.ts";
 import type { AnswerSink, CallerRequest } from "../core/requests/mod.ts";
 import { createScheduler } from "../core/scheduling/mod.ts";
@@ -25,7 +24,6 @@
 import type { TimerService } from "../core/time/mod.ts";
 import type {
   EntryStatus,
-  SideReport,
   StatusQuestion,
   WatchAnswer,
   WatchQuestion,
@@ -38,10 +36,10 @@
 import type { InForce, RequestHandle } from "./intake.ts";
 import { Neighbours } from "./neighbours.ts";
 import { Planner } from "./planner.ts";
+import { Relay } from "./relay.ts";
 import { RegionLog } from "./region_log.ts";
 import type { RunContext } from "./run_context.ts";
 import { SideDirectory } from "./side_directory.ts";
-import { WatchDesk } from "./watch_desk.ts";
 
 /** Limits of one entry; every one of them bounds its memory or its waiting. */
 export interface EntryLimits {
@@ -104,8 +102,7 @@
   readonly #log: RegionLog;
   readonly #scheduler: Scheduler;
   readonly #directory: SideDirectory;
-  readonly #desk: WatchDesk;
-  readonly #takenOrders = new TakenOrders();
+  readonly #relay: Relay;
   readonly #intake: Intake;
   readonly #planner: Planner;
   #inForce: InForce | undefined;
@@ -138,9 +135,12 @@
       entriesSharing: () => this.#neighbours.entryCount,
     });
     this.#directory = this.#makeDirectory();
-    this.#desk = new WatchDesk({
+    this.#relay = new Relay({
       timer: options.timer,
-      answerFor: (endpoint) => this.#answerFor(endpoint),
+      availabilityZone: options.availabilityZone,
+      log: this.#log,
+      neighbours: this.#neighbours,
+      catalog: () => this.#inForce?.catalog,
     });
     this.#intake = this.#makeIntake();
     this.#planner = this.#makePlanner();
@@ -164,7 +164,7 @@
     this.#draining = true;
     this.#intake.close();
     this.#tell("entry_draining", { cause: "stop" });
-    this.#desk.closeAll();
+    this.#relay.close();
     const limit = this.#options.limits.shutdownSeconds * 1000;
     await Promise.all([
       this.#log.handOver(),
@@ -180,7 +180,7 @@
     this.#planner.stop();
     this.#directory.stop();
     this.#neighbours.stop();
-    this.#desk.closeAll();
+    this.#relay.close();
     this.#log.stop();
     this.#tell("process_stopped", {});
   }
@@ -225,20 +225,8 @@
    */
   watch(question: WatchQuestion): Promise<WatchAnswer> | undefined {
     if (this.#draining) return undefined;
-    this.#hear(question.report);
-    return this.#desk.watch(question);
-  }
-
-  /**
-   * A side that is attached to another entry too may have been told more than
-   * this entry has read: a replica of the log may be stuck.
-   */
-  #hear(report: SideReport): void {
-    this.#directory.heard(report);
-    this.#takenOrders.note(report);
-    const { journals } = this.#log;
-    journals.configuration.noteHead(report.configurationVersion);
-    journals.orders.noteHead(report.ordersRead + 1);
+    this.#directory.heard(question.report);
+    return this.#relay.watch(question);
   }
 
   /** What this entry knows; with a cursor, the sides that have changed since. */
@@ -288,10 +276,9 @@
       availabilityZone: this.#options.availabilityZone,
       mostPerPool: this.#options.limits.mostEndpointsPerPool,
     });
-    this.#takenOrders.keepOnly(new Set(this.#inForce.catalog.endpoints()));
     this.#scheduler.configure(this.#subset.inventory, rules);
     this.#useSides();
-    this.#desk.changed();
+    this.#relay.configured(this.#inForce.catalog);
     this.#tell("configuration_in_force", { version: appliedVersion });
     this.#logger.info(
       { version: appliedVersion },
@@ -338,39 +325,6 @@
     if (suspected) this.#intake.suspect(endpoint);
   }
 
-  #answerFor(endpoint: string): WatchAnswer {
-    const id = identifier<EndpointId>(endpoint);
-    const catalog = this.#inForce?.catalog;
-    const inventoried = catalog?.endpoint(id);
-    const order = inventoried?.state === "withdrawn"
-      ? undefined
-      : this.#takenOrders.answerWith(
-        endpoint,
-        this.#log.orders.standingOrder(endpoint),
-      );
-    const answer: WatchAnswer = {
-      configurationVersion: this.configurationVersion,
-      ordersRead: this.#log.journals.orders.position,
-      entries: this.#neighbours.entriesFor(
-        endpoint,
-        inventoried?.availabilityZone ?? this.#options.availabilityZone,
-      ),
-      ...(order && { order }),
-    };
-    if (inventoried === undefined) return answer;
-    const engine = catalog?.engineOf(id);
-    answer.endpoint = {
-      state: inventoried.state ?? "serving",
-      checksFencing: engine?.checksFencing ?? false,
-      resumesStreams: engine?.resumesStreams ?? false,
-      ...(engine && { slots: engine.slots }),
-      ...(engine &&
-        { poolEngines: catalog?.poolOfEndpoint(id)?.endpoints.length }),
-      ...(engine && { roleChangeSeconds: engine.roleChangeSeconds }),
-    };
-    return answer;
-  }
-
   #makeLog(): RegionLog {
     return new RegionLog({
       ...this.#options,
@@ -379,7 +333,7 @@
       tell: this.#tell,
       eligible: () => !this.#draining,
       onConfiguration: () => this.#onConfiguration(),
-      onOrders: () => this.#desk.changed(),
+      onOrders: () => this.#relay.changed(),
     });
   }
 
