Trust a side again as soon as it speaks

Cause: a suspected side was trusted only where no time at all lay between its report and the look at it. That holds on a test's clock and never on a real one: an entry gave a side that it had suspected once no work again. After each engine's side had been killed or replaced once under load, every request was refused with "No endpoint of the pool can be used now".

Ruled out: the endpoints' ejection after failures, which ends by itself; stale reports, since status showed the sides as serving.

Change: a report or a frame ends the suspicion by itself (src/entry/side_directory.ts). The directory's tests run on a clock that moves with every look, and a process test replaces every side under load.

Conclusion: tests of the cores on virtual time can't show this; a clock that moves should be the default there.

--- a/src/entry/side_directory.ts
+++ b/src/entry/side_directory.ts
@@ -133,8 +133,7 @@
   signOfLife(endpoint: EndpointId, load?: EndpointLoad): void {
     const side = this.#sides.get(endpoint);
     if (side === undefined) return;
-    side.lastHeard = this.#options.timer.now();
-    this.#judge(side);
+    this.#heardFrom(side);
     if (load === undefined || side.report === undefined) return;
     side.report = { ...side.report, load };
     this.#options.onReport(side.report, side.lastHeard);
@@ -235,8 +234,7 @@
     if (!this.#options.accepts(report)) return;
     side.changed = this.#changeOf(report, side);
     side.report = report;
-    side.lastHeard = this.#options.timer.now();
-    this.#judge(side);
+    this.#heardFrom(side);
     this.#options.onReport(report, side.lastHeard);
   }
 
@@ -259,13 +257,22 @@
     }
   }
 
+  /**
+   * The side has spoken just now. It is trusted by this alone and not by the
+   * time since: on a real clock some microseconds always lie between, so that
+   * a side that was suspected once would get no work from this entry again.
+   */
+  #heardFrom(side: KnownSide): void {
+    side.lastHeard = this.#options.timer.now();
+    this.#setSuspected(side, false);
+  }
+
   #judge(side: KnownSide): void {
     const silent = this.#options.timer.now() - side.lastHeard;
     const patience = side.attempts > 0
       ? this.#options.suspectMilliseconds
       : this.#idlePatience();
     if (silent > patience) this.#setSuspected(side, true);
-    else if (silent === 0) this.#setSuspected(side, false);
   }
 
   /** An idle side is asked once in a round only, so its silence means less. */
--- a/src/entry/side_directory_test.ts
+++ b/src/entry/side_directory_test.ts
@@ -28,6 +28,16 @@
   };
 }
 
+/** A clock as a machine has it: no two looks at it give the same time. */
+class MovingTimerService extends ManualTimerService {
+  #looks = 0;
+
+  override now(): number {
+    this.#looks += 1;
+    return super.now() + this.#looks / 1000;
+  }
+}
+
 describe("SideDirectory", () => {
   let timer: ManualTimerService;
   let asked: number;
@@ -36,7 +46,7 @@
   let directory: SideDirectory;
 
   beforeEach(() => {
-    timer = new ManualTimerService();
+    timer = new MovingTimerService();
     asked = 0;
     silent = new Set();
     suspicions = [];
@@ -116,4 +126,18 @@
     await timer.advance(30_000);
     expect(suspicions).to.deep.equal([`${endpoint} true`]);
   });
+
+  // A side is replaced while it works. On a clock that moves between the
+  // report and the look at it, the new run was never trusted: after each side
+  // had been replaced once, the entry had no endpoint left.
+  it("trusts a side again as soon as it speaks", async () => {
+    const [id] = use(1);
+    await timer.advance(10);
+    silent.add(id);
+    directory.messageLost(id);
+    await timer.advance(10);
+    silent.clear();
+    directory.heard(reportOf(id));
+    expect(suspicions).to.deep.equal([`${id} true`, `${id} false`]);
+  });
 });
--- a/test/process/planned_and_unplanned_stops_test.ts
+++ b/test/process/planned_and_unplanned_stops_test.ts
@@ -1,3 +1,4 @@
+import { join } from "node:path";
 import process from "node:process";
 import { expect } from "chai";
 import { countRuns } from "../stand_ins/plain_service.ts";
@@ -104,6 +105,56 @@
     await expectWhole(streams);
   });
 
+  // The platform replaces all VMs one after the other while callers keep on
+  // asking. Each new side has to get work again, or the last replacement
+  // leaves nobody to answer.
+  it("sides are replaced one after the other under load", async () => {
+    let over = false;
+    const callers = deployment.entries.flatMap(({ url }) =>
+      [1, 2, 3].map(
+        async (caller) => {
+          for (let count = 0; !over; count++) {
+            const prompt = promptFor(`${url} ${caller} ${count}`, 40);
+            const answer = await streamChat(url, { prompt });
+            expect(answer.problem).to.equal(undefined);
+            expect(answer.tokens).to.deep.equal(wholeAnswer(prompt).tokens);
+          }
+        },
+      )
+    );
+    for (const { id, side } of deployment.engines) {
+      await pause(600);
+      side.child.kill("SIGKILL");
+      await side.exited;
+      await pause(300);
+      deployment.fleet.startProgram([
+        "side",
+        "--settings",
+        join(deployment.fleet.folder, `${id}.toml`),
+      ]);
+      await pause(1_500);
+    }
+    over = true;
+    await Promise.all(callers);
+    const before = await generations();
+    // An endpoint that has failed is taken back step by step.
+    await waitFor(async () => {
+      await expectWhole(startStreams(24, deployment.entries[0].url));
+      const after = await generations();
+      return after.every((count, index) => count > before[index]);
+    }, { what: "every replaced side to get work" });
+  });
+
+  function generations(): Promise<number[]> {
+    return Promise.all(deployment.engines.map(async ({ url }) => {
+      const answer = await fetch(`${url}/control`);
+      const { counts } = await answer.json() as {
+        counts: { generations: number };
+      };
+      return counts.generations;
+    }));
+  }
+
   // The side beside the portal dies after the booking has been passed on.
   // Whether it took effect nobody can tell, and "not run" would make the
   // caller book a second time.
@@ -135,6 +186,10 @@
   });
 });
 
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
 async function book(
   url: string,
   key: string,
