--- a/src/entry/side_directory.ts
+++ b/src/entry/side_directory.ts
@@ -65,12 +65,14 @@
   #round: Iterator<KnownSide> | undefined;
   #allowance = 0;
   #change = 0;
+  #lastTick = 0;
 
   constructor(options: SideDirectoryOptions) {
     this.#options = options;
   }
 
   start(): void {
+    this.#lastTick = this.#options.timer.now();
     this.#asking = this.#options.timer.every(
       this.#options.reportMilliseconds,
       () => this.#tick(),
@@ -133,7 +135,8 @@
   signOfLife(endpoint: EndpointId, load?: EndpointLoad): void {
     const side = this.#sides.get(endpoint);
     if (side === undefined) return;
-    this.#heardFrom(side);
+    side.lastHeard = this.#options.timer.now();
+    this.#setSuspected(side, false);
     if (load === undefined || side.report === undefined) return;
     side.report = { ...side.report, load };
     this.#options.onReport(side.report, side.lastHeard);
@@ -184,6 +187,7 @@
   #tick(): void {
     const { timer, reportMilliseconds } = this.#options;
     const now = timer.now();
+    this.#forgiveOwnPause(now);
     for (const side of this.#sides.values()) {
       this.#judge(side);
       const silent = now - side.lastHeard >= reportMilliseconds;
@@ -193,6 +197,20 @@
     this.#askNextInRound();
   }
 
+  /**
+   * Leaves out the time in which this process itself stood still. What goes
+   * wrong without it: an entry whose VM was paused wakes up, takes every side
+   * for silent, and gives up all its healthy streams at once with nowhere left
+   * to resume them.
+   */
+  #forgiveOwnPause(now: number): void {
+    const { reportMilliseconds } = this.#options;
+    const late = now - this.#lastTick - reportMilliseconds;
+    this.#lastTick = now;
+    if (late < reportMilliseconds) return;
+    for (const side of this.#sides.values()) side.lastHeard += late;
+  }
+
   /** Goes round all sides within the rate; a round may take many ticks. */
   #askNextInRound(): void {
     const perTick = MOST_ASKED_PER_SECOND * this.#options.reportMilliseconds /
@@ -234,7 +252,8 @@
     if (!this.#options.accepts(report)) return;
     side.changed = this.#changeOf(report, side);
     side.report = report;
-    this.#heardFrom(side);
+    side.lastHeard = this.#options.timer.now();
+    this.#setSuspected(side, false);
     this.#options.onReport(report, side.lastHeard);
   }
 
@@ -257,16 +276,6 @@
     }
   }
 
-  /**
-   * The side has spoken just now. It is trusted by this alone and not by the
-   * time since: on a real clock some microseconds always lie between, so that
-   * a side that was suspected once would get no work from this entry again.
-   */
-  #heardFrom(side: KnownSide): void {
-    side.lastHeard = this.#options.timer.now();
-    this.#setSuspected(side, false);
-  }
-
   #judge(side: KnownSide): void {
     const silent = this.#options.timer.now() - side.lastHeard;
     const patience = side.attempts > 0
