Count only the entries that meet at an endpoint as sharing it

Cause: an entry reckoned that every entry of its region places on its endpoints. With 37 entries that each use 16 of 78 endpoints about eight meet at one; the others' load was taken for five times what it is. Change: the number of entries is scaled by the share of the inventory that an entry uses; for today's fleets, which are used whole, nothing changes. Seen: the subset's tests pass.

--- a/src/entry/endpoint_subset.ts
+++ b/src/entry/endpoint_subset.ts
@@ -20,6 +20,8 @@
 export interface EndpointSubset {
   readonly inventory: Inventory;
   readonly sides: ReadonlyMap<EndpointId, PeerAddress>;
+  /** Share of the inventory's endpoints that this entry uses, 0 to 1. */
+  readonly share: number;
 }
 
 /**
@@ -43,9 +45,14 @@
   return {
     inventory: { ...inventory, pools: pools as Inventory["pools"] },
     sides,
+    share: countEndpoints(pools) / Math.max(1, countEndpoints(inventory.pools)),
   };
 }
 
+function countEndpoints(pools: readonly Pool[]): number {
+  return pools.reduce((sum, pool) => sum + pool.endpoints.length, 0);
+}
+
 function choosePool(pool: Pool, options: EndpointSubsetOptions): Pool {
   if (pool.endpoints.length <= options.mostPerPool) return pool;
   const chosen = new Set(rendezvousSubset(pool.endpoints, {
--- a/src/entry/entry_core.ts
+++ b/src/entry/entry_core.ts
@@ -132,7 +132,7 @@
       availabilityZone: options.availabilityZone,
       limits: options.limits,
       name: options.name,
-      entriesSharing: () => this.#neighbours.entryCount,
+      entriesSharing: () => this.#entriesSharing(),
     });
     this.#directory = this.#makeDirectory();
     this.#relay = new Relay({
@@ -298,6 +298,15 @@
     return configuration.reachable && !configuration.caughtUp;
   }
 
+  /**
+   * Entries that place work on the same endpoints, this one included: where
+   * each uses a part of the fleet only, as many fewer meet at one endpoint.
+   */
+  #entriesSharing(): number {
+    const share = this.#subset?.share ?? 1;
+    return Math.max(1, this.#neighbours.entryCount * share);
+  }
+
   /** Inventory or VM list have changed: who is used, and at which address. */
   #useSides(): void {
     const sides = new Map<EndpointId, PeerAddress>();
