Bring random faults about between processes while callers ask

Cause: each fault alone passed, and the pool was lost after several in a row; only a run with many of them showed it.

Change: a process test with a seeded choice of killed, stopped and paused sides, engines that break off, and a log that is down, slow or loses answers, while fourteen callers ask for streams and case numbers. Parts of answers have to be right, whole answers whole, no key runs twice, no refused first call has run, and everything works afterwards.

Conclusion: timing is real, so the seed repeats the choice of faults and not the run.

--- /dev/null
+++ b/test/process/random_faults_test.ts
@@ -0,0 +1,218 @@
+import { join } from "node:path";
+import process from "node:process";
+import { expect } from "chai";
+import { type Random, seededRandom } from "../../src/core/random/mod.ts";
+import { countRuns } from "../stand_ins/plain_service.ts";
+import { builtBinary } from "../support/built_binary.ts";
+import { promptFor, streamChat, wholeAnswer } from "../support/chat_caller.ts";
+import type { StartedProcess } from "../support/process_fleet.ts";
+import { SmallDeployment } from "../support/small_deployment.ts";
+import { uuidv7 } from "../support/uuid.ts";
+
+const SEED = 20261202;
+const RUN_MILLISECONDS = 12_000;
+/** The last faults come so long before the end that all have passed by then. */
+const QUIET_MILLISECONDS = 3_500;
+/** Sides that are away at once, of seven. */
+const MOST_AWAY = 2;
+
+interface Booking {
+  readonly key: string;
+  readonly outcome: "answered" | "not_run" | "unknown";
+}
+
+describe("Random faults while callers ask", function () {
+  this.timeout(90_000);
+  const deployment = new SmallDeployment();
+  const sides = new Map<string, StartedProcess>();
+  const away = new Set<string>();
+  const random = seededRandom(SEED);
+
+  before(async () => {
+    process.env.FILBERTSHORE_BINARY = builtBinary();
+    await deployment.start({
+      engines: 4,
+      services: 3,
+      engine: { millisecondsBetweenTokens: 10 },
+    });
+    for (
+      const { id, side } of [...deployment.engines, ...deployment.services]
+    ) {
+      sides.set(id, side);
+    }
+  });
+
+  after(async () => {
+    delete process.env.FILBERTSHORE_BINARY;
+    await deployment.close();
+  });
+
+  // Sides die, stop and pause, engines break off, the log is down, slow and
+  // loses answers, several of these at once. Callers may be refused or told
+  // that the outcome is unknown; what they are told has to be true.
+  it("no answer is cut short, nothing runs twice, every refusal is true", async () => {
+    const end = performance.now() + RUN_MILLISECONDS;
+    const bookings: Booking[] = [];
+    const [streams] = await Promise.all([
+      Promise.all(range(8).map((caller) => streamUntil(end, caller))),
+      Promise.all(range(6).map(() => bookUntil(end, bookings))),
+      bringFaults(end - QUIET_MILLISECONDS),
+    ]);
+    expect(streams.flat()).to.include(true);
+    const runs = await allRuns();
+    for (const { key, outcome } of bookings) {
+      const count = countRuns(runs, key);
+      if (outcome === "answered") expect(count, key).to.equal(1);
+      if (outcome === "not_run") expect(count, key).to.equal(0);
+      expect(count, key).to.be.at.most(1);
+    }
+    for (const { process: entry } of deployment.entries) {
+      expect(entry.child.exitCode, entry.output()).to.equal(null);
+    }
+    const last = promptFor("afterwards", 40);
+    const answer = await streamChat(deployment.entries[0].url, {
+      prompt: last,
+    });
+    expect(answer.tokens).to.deep.equal(wholeAnswer(last).tokens);
+  });
+
+  /** For each stream, whether it was whole; a part of one has to be right. */
+  async function streamUntil(end: number, caller: number): Promise<boolean[]> {
+    const whole: boolean[] = [];
+    for (let count = 0; performance.now() < end; count++) {
+      const prompt = promptFor(`caller ${caller} asks ${count}`, 60);
+      const entry = pick(deployment.entries, random);
+      const answer = await streamChat(entry.url, { prompt });
+      const { tokens } = wholeAnswer(prompt);
+      expect(answer.tokens).to.deep.equal(
+        tokens.slice(0, answer.tokens.length),
+      );
+      if (answer.ended) expect(answer.tokens).to.deep.equal(tokens);
+      else expect(answer.problem).to.not.equal(undefined);
+      whole.push(answer.ended);
+      await pause(20);
+    }
+    return whole;
+  }
+
+  async function bookUntil(end: number, bookings: Booking[]): Promise<void> {
+    while (performance.now() < end) {
+      const key = uuidv7();
+      const first = await book(key);
+      bookings.push({ key, outcome: first });
+      // A caller repeats what it does not know, and now and then what it does.
+      if (first !== "not_run") await book(key);
+      await pause(20);
+    }
+  }
+
+  async function book(key: string): Promise<Booking["outcome"]> {
+    const { url } = pick(deployment.entries, random);
+    const response = await fetch(`${url}/cases`, {
+      method: "POST",
+      headers: { "idempotency-key": key, "x-deadline-milliseconds": "3000" },
+      body: "Klang",
+    });
+    const answer = await response.json() as { outcome?: Booking["outcome"] };
+    return answer.outcome ?? "answered";
+  }
+
+  async function bringFaults(end: number): Promise<void> {
+    const faults = [killSide, stopSide, pauseSide, breakEngine, troubleLog];
+    const open: Promise<void>[] = [];
+    while (performance.now() < end) {
+      open.push(pick(faults, random)());
+      await pause(200 + 400 * random());
+    }
+    await Promise.all(open);
+  }
+
+  function killSide(): Promise<void> {
+    return whileAway(async (id, side) => {
+      side.child.kill("SIGKILL");
+      await pause(500);
+      startAgain(id);
+    });
+  }
+
+  function stopSide(): Promise<void> {
+    return whileAway(async (id, side) => {
+      side.child.kill("SIGTERM");
+      expect(await side.exited).to.equal(0);
+      startAgain(id);
+    });
+  }
+
+  function pauseSide(): Promise<void> {
+    return whileAway(async (_, side) => {
+      side.child.kill("SIGSTOP");
+      await pause(1_500);
+      side.child.kill("SIGCONT");
+    });
+  }
+
+  async function whileAway(
+    act: (id: string, side: StartedProcess) => Promise<void>,
+  ): Promise<void> {
+    const id = pick([...sides.keys()], random);
+    if (away.has(id) || away.size >= MOST_AWAY) return;
+    away.add(id);
+    await act(id, sides.get(id) as StartedProcess);
+    await pause(600);
+    away.delete(id);
+  }
+
+  function startAgain(id: string): void {
+    const file = join(deployment.fleet.folder, `${id}.toml`);
+    sides.set(id, deployment.fleet.startProgram(["side", "--settings", file]));
+  }
+
+  async function breakEngine(): Promise<void> {
+    const fault = pick(
+      [{ closeAfterTokens: 7 }, { garbageAfterTokens: 7 }],
+      random,
+    );
+    await control(pick(deployment.engines, random).url, fault);
+  }
+
+  async function troubleLog(): Promise<void> {
+    const trouble = pick(
+      [{ down: "refuse" }, { delayMilliseconds: 200 }, { lostAnswers: 2 }],
+      random,
+    );
+    await control(deployment.logUrl, trouble);
+    await pause(700);
+    await control(deployment.logUrl, { down: "no", delayMilliseconds: 0 });
+  }
+
+  async function allRuns(): Promise<Record<string, number>> {
+    const all: Record<string, number> = {};
+    for (const { url } of deployment.services) {
+      const answer = await fetch(`${url}/control`);
+      const { runs } = await answer.json() as { runs: Record<string, number> };
+      for (const [key, count] of Object.entries(runs)) {
+        all[key] = (all[key] ?? 0) + count;
+      }
+    }
+    return all;
+  }
+});
+
+async function control(url: string, change: unknown): Promise<void> {
+  await fetch(`${url}/control`, {
+    method: "POST",
+    body: JSON.stringify(change),
+  });
+}
+
+function pick<Value>(values: readonly Value[], random: Random): Value {
+  return values[Math.floor(random() * values.length)];
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+function range(length: number): number[] {
+  return Array.from({ length }, (_, index) => index);
+}
