Tell a caller soon when the side of its key can't be asked any more

Cause: where the side that may have run a call was gone, the caller was held to its deadline before it was told that the outcome is not known. Ruled out: telling it at the first lost question; a frozen or restarting side is back in seconds and then has the answer. Change: after four seconds in which every question was lost the answer is given. Before: with 60 s left the caller was told after 60 s; after: within 5 s.

--- a/src/core/once/coordinator.ts
+++ b/src/core/once/coordinator.ts
@@ -77,11 +77,20 @@
 /** A repeat of a running call asks this often; a call takes seconds. */
 const ASK_AGAIN_MILLISECONDS = 100;
 
+/**
+ * How long a side may stay away before its caller is told that the outcome is
+ * not known: a frozen or restarting side is back within it, as is a link that
+ * was cut for a moment.
+ */
+const UNHEARD_MILLISECONDS = 4_000;
+
 /** One call of `acquire` on its way. */
 interface Run {
   readonly acquisition: Acquisition;
   readonly choose: AcquireOptions["choose"];
   readonly deadline: number;
+  /** Timer time from which on every question to the side was lost. */
+  unheardSince?: number;
 }
 
 /**
@@ -191,7 +200,8 @@
       this.#options.ask(owner.endpoint, question),
     );
     if (answer === undefined) return undefined;
-    if (answer.isErr()) return await this.#askLater(run);
+    if (answer.isErr()) return await this.#afterLostQuestion(run);
+    run.unheardSince = undefined;
     const taken = takeAnswer(run.acquisition, {
       record: owner.record,
       answer: answer.value,
@@ -201,6 +211,20 @@
     return taken === "later" ? await this.#askLater(run) : taken;
   }
 
+  /**
+   * The side can't be asked. It may be back in a moment; a side that stays away
+   * does not answer before the deadline either, and holding the caller on the
+   * line until then would change nothing of what it is told.
+   */
+  async #afterLostQuestion(run: Run): Promise<AcquireResult | undefined> {
+    const now = this.#options.timer.now();
+    run.unheardSince ??= now;
+    if (now - run.unheardSince >= UNHEARD_MILLISECONDS) {
+      return giveUp(run.acquisition, this.#options.fold);
+    }
+    return await this.#askLater(run);
+  }
+
   async #askLater(run: Run): Promise<undefined> {
     const again = this.#options.timer.now() + ASK_AGAIN_MILLISECONDS;
     await this.#waiting.change(Math.min(again, run.deadline));
--- a/src/core/once/coordinator_test.ts
+++ b/src/core/once/coordinator_test.ts
@@ -159,6 +159,21 @@
       expect(bench.side.begin(second)).to.equal("run");
     });
 
+    // The VM of the side that ran the call is gone. The caller is told so while
+    // it still has most of its time, and can turn to a person.
+    it("is told unknown soon where the side can't be asked any more", async () => {
+      const bench = new Bench();
+      await bench.settle();
+      bench.ask = () => err(failure(LOST, {}));
+      let result: AcquireResult | undefined;
+      void bench.acquire({ deadline: bench.timer.now() + 60_000 })
+        .then((value) => result = value);
+      await bench.timer.advance(3_000);
+      expect(result).to.equal(undefined);
+      await bench.timer.advance(2_000);
+      expect(result?.kind).to.equal("unknown");
+    });
+
     it("is told unknown where the side is gone", async () => {
       // The side died with the call. Nobody can tell whether it ran, so a
       // second run would risk a doubled case number.
