--- a/src/core/roles/mod.ts
+++ b/src/core/roles/mod.ts
@@ -34,4 +34,5 @@
   type RoleRates,
   roleRates,
   ROLES,
+  roleSlots,
 } from "./role_profile.ts";
--- a/src/core/roles/role_profile.ts
+++ b/src/core/roles/role_profile.ts
@@ -57,6 +57,11 @@
 
 export type RoleProfiles = Readonly<Record<Role, RoleProfile>>;
 
+/** Answers that an engine with that many places makes at once in a role. */
+export function roleSlots(slots: number, role: Role): number {
+  return Math.max(1, Math.round(slots * ROLE_PROFILES[role].slotShare));
+}
+
 /** Rates of an engine in a role, from what the asset register says of it. */
 export function roleRates(
   engine: EngineCharacteristics,
--- a/src/side/attempt_desk.ts
+++ b/src/side/attempt_desk.ts
@@ -24,6 +24,7 @@
   readonly timer: TimerService;
   readonly endpoint: EndpointLink;
   readonly tracer: Tracer;
+  readonly kind: "engine" | "service";
   readonly mostRunning: number;
   readonly mostWaiting: number;
   readonly mostKeptAnswers: number;
@@ -36,6 +37,12 @@
   readonly tell: Tell;
 }
 
+/**
+ * Prompts that an engine may have ahead beyond its places, so that its batch
+ * does not run short while a prompt is read; measured in bench/load.ts.
+ */
+const PROMPTS_AHEAD = 2;
+
 /** An entry's hold on an attempt that it has sent. */
 export interface AttemptHandle {
   cancel(): void;
@@ -74,7 +81,10 @@
 
   constructor(options: AttemptDeskOptions) {
     this.#options = options;
-    this.#limiter = new SideLimiter(options);
+    this.#limiter = new SideLimiter({
+      ...options,
+      mostBeforeFirstToken: options.kind === "engine" ? PROMPTS_AHEAD : 0,
+    });
     this.#once = new SideOnceTable({
       incarnation: options.incarnation,
       mostKeptAnswers: options.mostKeptAnswers,
@@ -89,6 +99,11 @@
     return this.#running.size;
   }
 
+  /** Places that the endpoint has in its present role. */
+  useCeiling(mostRunning: number): void {
+    this.#limiter.useCeiling(Math.min(mostRunning, this.#options.mostRunning));
+  }
+
   load(): EndpointLoad {
     return this.#limiter.load();
   }
--- a/src/side/attempt_desk_test.ts
+++ b/src/side/attempt_desk_test.ts
@@ -121,6 +121,7 @@
     desk = new AttemptDesk({
       endpointId: "portal-0",
       incarnation: "run-1",
+      kind: "service",
       timer,
       endpoint,
       tracer: NO_TRACER,
--- a/src/side/side_core.ts
+++ b/src/side/side_core.ts
@@ -15,6 +15,7 @@
 import { makeTell, NO_TRACER, SILENT_LOGGER } from "../core/observation/mod.ts";
 import { loadSpread, OrderExecutor } from "../core/orders/mod.ts";
 import type { Random } from "../core/random/mod.ts";
+import { roleSlots } from "../core/roles/mod.ts";
 import { pause } from "../core/time/mod.ts";
 import type { Subscription, TimerService } from "../core/time/mod.ts";
 import type {
@@ -380,7 +381,11 @@
       this.#logger.warn({ down }, "The endpoint's reachability changed");
     }
     this.#endpointDown = down;
-    if (observed.isOk()) this.#observation = observed.value;
+    if (observed.isErr()) return;
+    this.#observation = observed.value;
+    const slots = this.#configuration?.slots;
+    if (slots === undefined) return;
+    this.#desk.useCeiling(roleSlots(slots, observed.value.role));
   }
 }
 
