--- a/src/adapters/callers/answer_sinks.ts
+++ b/src/adapters/callers/answer_sinks.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from "node:http";
 import type { AnswerSink, Outcome } from "../../core/requests/mod.ts";
+import { TurnWriter } from "../turn_writer/mod.ts";
 import { problemOf, sendProblem } from "./problem.ts";
 
 /** What every answer to a chat completion names. */
@@ -22,10 +23,11 @@
   readonly #response: ServerResponse;
   readonly #header: CompletionHeader;
   readonly #prefix: string;
-  #pending = "";
+  readonly #writer: TurnWriter;
 
   constructor(response: ServerResponse, header: CompletionHeader) {
     this.#response = response;
+    this.#writer = new TurnWriter(response);
     this.#header = header;
     // All but the token's text is the same for every event of the stream.
     const chunk = JSON.stringify({
@@ -40,7 +42,8 @@
   }
 
   token(text: string): boolean {
-    this.#write(`${this.#prefix}${JSON.stringify(text)}}}]}\n\n`);
+    this.#sendHead();
+    this.#writer.write(`${this.#prefix}${JSON.stringify(text)}}}]}\n\n`);
     return !this.#response.writableNeedDrain;
   }
 
@@ -50,15 +53,17 @@
 
   finish(outcome: Outcome): void {
     if (outcome.kind === "answered") {
-      this.#write(this.#lastChunk(outcome.reason));
-      this.#end("data: [DONE]\n\n");
+      this.#sendHead();
+      this.#writer.end(`${this.#lastChunk(outcome.reason)}data: [DONE]\n\n`);
       return;
     }
     if (!this.#response.headersSent) {
       sendProblem(this.#response, outcome);
       return;
     }
-    this.#end(`event: error\ndata: ${JSON.stringify(problemOf(outcome))}\n\n`);
+    this.#writer.end(
+      `event: error\ndata: ${JSON.stringify(problemOf(outcome))}\n\n`,
+    );
   }
 
   #lastChunk(reason: string): string {
@@ -72,29 +77,12 @@
     return `data: ${JSON.stringify(chunk)}\n\n`;
   }
 
-  #write(text: string): void {
-    if (!this.#response.headersSent) {
-      this.#response.writeHead(200, {
-        "content-type": "text/event-stream; charset=utf-8",
-        "cache-control": "no-store",
-      });
-    }
-    // Tokens of one turn of the loop leave in one write.
-    if (this.#pending === "") setImmediate(() => this.#flush());
-    this.#pending += text;
-  }
-
-  #flush(): void {
-    if (this.#pending === "" || this.#response.writableEnded) return;
-    const text = this.#pending;
-    this.#pending = "";
-    this.#response.write(text);
-  }
-
-  #end(text: string): void {
-    const rest = this.#pending + text;
-    this.#pending = "";
-    this.#response.end(rest);
+  #sendHead(): void {
+    if (this.#response.headersSent) return;
+    this.#response.writeHead(200, {
+      "content-type": "text/event-stream; charset=utf-8",
+      "cache-control": "no-store",
+    });
   }
 }
 
--- a/src/adapters/callers/caller_door.ts
+++ b/src/adapters/callers/caller_door.ts
@@ -109,10 +109,12 @@
    * hidden behind the first for another party to read differently.
    */
   #onBrokenRequest(error: Error, socket: Socket): void {
-    this.#options.logger.warn(
-      { error: error.message, from: socket.remoteAddress },
-      "A caller sent something that is not an HTTP request",
-    );
+    const facts = { error: error.message, from: socket.remoteAddress };
+    const { logger } = this.#options;
+    if (hasHungUp(error)) logger.debug(facts, "A caller hung up");
+    else {
+      logger.warn(facts, "A caller sent something that is not an HTTP request");
+    }
     if (socket.writable) socket.end(BAD_REQUEST);
     else socket.destroy();
   }
@@ -245,6 +247,12 @@
   }
 }
 
+/** A connection that was dropped is no fault that an operator can mend. */
+function hasHungUp(error: Error): boolean {
+  const { code } = error as NodeJS.ErrnoException;
+  return code === "ECONNRESET" || code === "EPIPE";
+}
+
 type OwnPage = (
   options: CallerDoorOptions,
   response: http.ServerResponse,
--- a/src/adapters/peers/peer_server.ts
+++ b/src/adapters/peers/peer_server.ts
@@ -13,6 +13,7 @@
   validateWatchQuestion,
 } from "../../generated/validators.js";
 import type { Validator } from "../../generated/validators.js";
+import { TurnWriter } from "../turn_writer/mod.ts";
 import { CANNOT_LISTEN } from "./errors.ts";
 import { ATTEMPT_PATH, CALL_PATH, PEER_METHODS } from "./protocol.ts";
 
@@ -162,18 +163,14 @@
   }
 }
 
-/**
- * Writes frames to the entry. Frames of one turn of the loop leave in one
- * write, so that a burst of tokens costs one system call.
- */
+/** Writes frames to the entry up to the last one. */
 class FrameWriter {
   onFull: (() => void) | undefined;
-  readonly #response: http.ServerResponse;
-  #pending = "";
+  readonly #writer: TurnWriter;
   #ended = false;
 
   constructor(response: http.ServerResponse) {
-    this.#response = response;
+    this.#writer = new TurnWriter(response, () => this.onFull?.());
   }
 
   get ended(): boolean {
@@ -183,21 +180,9 @@
   write(frame: AttemptFrame): void {
     if (this.#ended) return;
     const line = `${JSON.stringify(frame)}\n`;
-    if (LAST_FRAME_KINDS.has(frame.kind)) {
-      this.#ended = true;
-      this.#response.end(this.#pending + line);
-      this.#pending = "";
-      return;
-    }
-    if (this.#pending === "") setImmediate(() => this.#flush());
-    this.#pending += line;
-  }
-
-  #flush(): void {
-    if (this.#ended || this.#pending === "") return;
-    const text = this.#pending;
-    this.#pending = "";
-    if (!this.#response.write(text)) this.onFull?.();
+    this.#ended = LAST_FRAME_KINDS.has(frame.kind);
+    if (this.#ended) this.#writer.end(line);
+    else this.#writer.write(line);
   }
 }
 
