--- a/src/entry/entry_core.ts
+++ b/src/entry/entry_core.ts
@@ -381,10 +381,9 @@
   }
 
   #makeContext(): RunContext {
-    const { timer, sides, availabilityZone, limits, tracer } = this.#options;
+    const { timer, sides, limits, tracer } = this.#options;
     return {
       timer,
-      availabilityZone,
       scheduler: this.#scheduler,
       sides,
       directory: this.#directory,
--- a/src/entry/run_context.ts
+++ b/src/entry/run_context.ts
@@ -1,4 +1,3 @@
-import type { AvailabilityZoneId } from "../core/identity/mod.ts";
 import type { SideLink } from "../core/links/mod.ts";
 import type { Tell, Tracer } from "../core/observation/mod.ts";
 import type { OnceCoordinator } from "../core/once/mod.ts";
@@ -9,7 +8,6 @@
 /** What every request's run at one entry shares. */
 export interface RunContext {
   readonly timer: TimerService;
-  readonly availabilityZone: AvailabilityZoneId;
   readonly scheduler: Scheduler;
   readonly sides: SideLink;
   readonly directory: SideDirectory;
