Take a call without parameters as one with none

Cause: the check of a status question, added with the shorter list of validators, refused a JSON-RPC call that leaves its parameters out, as an operator's own tool makes it. Change: left-out parameters are an empty object.

--- a/src/adapters/peers/peer_server.ts
+++ b/src/adapters/peers/peer_server.ts
@@ -106,7 +106,9 @@
 
   #addMethod(name: string, method: (parameters: never) => unknown): void {
     const check = PARAMETER_CHECKS[name];
-    this.#calls.addMethod(name, async (parameters) => {
+    this.#calls.addMethod(name, async (given) => {
+      // JSON-RPC lets a call without parameters leave them out.
+      const parameters = given ?? {};
       if (check !== undefined && !check(parameters)) {
         throw new TypeError(`Parameters of ${name} do not fit the schema`);
       }
