--- a/src/entry/relay.ts
+++ b/src/entry/relay.ts
@@ -109,7 +109,6 @@
       resumesStreams: engine?.resumesStreams ?? false,
       ...(engine && {
         slots: engine.slots,
-        roleChangeSeconds: engine.roleChangeSeconds,
         poolEngines: catalog?.poolOfEndpoint(id)?.endpoints.length,
       }),
     };
