--- /dev/null
+++ b/src/adapters/forwarding/caller_server.ts
@@ -0,0 +1,167 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { ForwardedRequest } from "../../core/forwarding/mod.ts";
+import type { Subscription, TimerService } from "../../core/time/mod.ts";
+import type { CallerSink, Refusal } from "../../entry/forwarding/links.ts";
+import { CallerResponse } from "./caller_response.ts";
+
+/** Longest head that is read at all, bytes; the configuration's is smaller. */
+const MOST_HEADER_BYTES = 64 * 1024;
+/**
+ * Bodies that all open requests may hold together, bytes. Harm prevented: a
+ * burst of the largest allowed bodies exceeds a small VM's memory and the
+ * process is killed, with every request that it had open.
+ */
+const MOST_OPEN_BODY_BYTES = 48 * 1024 * 1024;
+/**
+ * How long after a stop was asked for idle connections stay open. Load: the
+ * balancer notices within two of its questions, a second apart. Harm
+ * prevented: a request crosses the closing of its connection.
+ */
+const IDLE_AFTER_STOP_MILLISECONDS = 2_500;
+
+/** Limits on what callers may send; they follow the configuration. */
+export interface CallerServerLimits {
+  readonly mostBodyBytes: number;
+  readonly headerMilliseconds: number;
+  readonly idleMilliseconds: number;
+}
+
+/** What the server needs of a request's head. */
+export type DecodeRequest = (incoming: {
+  readonly method: string;
+  readonly target: string;
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+}) => ForwardedRequest;
+
+export interface CallerServerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly timer: TimerService;
+  readonly limits: () => CallerServerLimits;
+  readonly decode: DecodeRequest;
+  readonly handle: (request: ForwardedRequest, sink: CallerSink) => void;
+  /** Status of the system's own answer, where it is not the usual one. */
+  readonly onProtocolError: (reason: string) => void;
+}
+
+/** Takes callers' requests whole and hands them on. */
+export class CallerServer {
+  readonly #options: CallerServerOptions;
+  readonly #server: Server;
+  #openBodyBytes = 0;
+  #open = 0;
+  #stopping = false;
+  #idleClosing: Subscription | undefined;
+  #onIdle: (() => void) | undefined;
+
+  constructor(options: CallerServerOptions) {
+    this.#options = options;
+    this.#server = createServer({
+      keepAlive: true,
+      noDelay: true,
+      maxHeaderSize: MOST_HEADER_BYTES,
+      requestTimeout: 0,
+      requireHostHeader: true,
+    }, (incoming, outgoing) => this.#take(incoming, outgoing));
+    this.#server.on("clientError", (cause, socket) => {
+      options.onProtocolError(cause.message);
+      if (!socket.writable) return socket.destroy();
+      socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n");
+    });
+  }
+
+  get open(): number {
+    return this.#open;
+  }
+
+  listen(): Promise<void> {
+    const { host, port } = this.#options;
+    this.applyLimits();
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen({ host, port, backlog: 1_024 }, () => resolve());
+    });
+  }
+
+  /** Takes over limits that the configuration has changed. */
+  applyLimits(): void {
+    const { headerMilliseconds, idleMilliseconds } = this.#options.limits();
+    this.#server.headersTimeout = headerMilliseconds;
+    this.#server.keepAliveTimeout = idleMilliseconds;
+  }
+
+  /**
+   * Answers what is open and closes each connection behind its answer. Settles
+   * when nothing is open any more.
+   */
+  stop(): Promise<void> {
+    this.#stopping = true;
+    return new Promise((resolve) => {
+      this.#idleClosing = this.#options.timer.after(
+        IDLE_AFTER_STOP_MILLISECONDS,
+        () => {
+          this.#server.close();
+          this.#server.closeIdleConnections();
+          this.#onIdle = resolve;
+          if (this.#open === 0) resolve();
+        },
+      );
+    });
+  }
+
+  close(): void {
+    this.#idleClosing?.cancel();
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  #take(incoming: IncomingMessage, outgoing: ServerResponse): void {
+    this.#open += 1;
+    const pieces: Buffer[] = [];
+    let size = 0;
+    let refused = false;
+    const sink = new CallerResponse(outgoing, () => this.#stopping);
+    outgoing.on("close", () => this.#closed(size));
+    incoming.on("data", (piece: Buffer) => {
+      size += piece.length;
+      this.#openBodyBytes += piece.length;
+      if (refused) return;
+      const refusal = this.#refusalOf(size);
+      if (refusal === undefined) return void pieces.push(piece);
+      refused = true;
+      pieces.length = 0;
+      sink.refuse(refusal);
+    });
+    incoming.on("error", () => {});
+    incoming.on("end", () => {
+      if (refused || sink.gone) return;
+      const request = this.#options.decode({
+        method: incoming.method ?? "GET",
+        target: incoming.url ?? "/",
+        headers: incoming.rawHeaders,
+        body: Buffer.concat(pieces),
+      });
+      this.#options.handle(request, sink);
+    });
+  }
+
+  #refusalOf(size: number): Refusal | undefined {
+    if (size > this.#options.limits().mostBodyBytes) {
+      return { status: 413, reason: "body_too_large" };
+    }
+    if (this.#openBodyBytes <= MOST_OPEN_BODY_BYTES) return undefined;
+    return { status: 503, reason: "memory", retryAfterMilliseconds: 500 };
+  }
+
+  #closed(size: number): void {
+    this.#open -= 1;
+    this.#openBodyBytes -= size;
+    if (this.#open === 0) this.#onIdle?.();
+  }
+}
--- /dev/null
+++ b/src/adapters/forwarding/endpoint_exchanges.ts
@@ -0,0 +1,176 @@
+import { type IncomingMessage, request as openRequest } from "node:http";
+import { err, ok, type Result } from "../../core/errors/result.ts";
+import { failure } from "../../core/errors/mod.ts";
+import type { AnswerHead } from "../../core/forwarding/mod.ts";
+import type { TimerService } from "../../core/time/mod.ts";
+import type {
+  EndpointAnswer,
+  Exchange,
+  ExchangeFailure,
+} from "../../entry/forwarding/links.ts";
+import {
+  EXCHANGE_FOREIGN,
+  EXCHANGE_LOST,
+  EXCHANGE_NOT_SENT,
+} from "./errors.ts";
+import { KeptConnections } from "./kept_connections.ts";
+
+/**
+ * How long a connection may take to open. Load: an endpoint that went dark.
+ * A packet that is lost at the opening is sent again after a second, which is
+ * more than most callers have; a healthy network needs a few milliseconds.
+ */
+const CONNECT_MILLISECONDS = 400;
+
+export interface OutgoingRequest {
+  readonly address: string;
+  readonly method: string;
+  readonly target: string;
+  /** Names and values in turn. */
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+  /** An answer that names another request is not this one's. */
+  readonly requestId: string;
+}
+
+export interface EndpointExchangesOptions {
+  readonly timer: TimerService;
+  /** Most connections to the endpoint at the address. */
+  readonly mostConnections: (address: string) => number;
+  /** Decodes an answer's status and headers. */
+  readonly decodeHead: (
+    status: number,
+    headers: readonly string[],
+  ) => AnswerHead;
+}
+
+/** Requests to endpoints over kept connections. */
+export class EndpointExchanges {
+  readonly #options: EndpointExchangesOptions;
+  readonly #agents = new Map<string, KeptConnections>();
+
+  constructor(options: EndpointExchangesOptions) {
+    this.#options = options;
+  }
+
+  send(outgoing: OutgoingRequest): Exchange {
+    const { address, body } = outgoing;
+    let connected = false;
+    let reason: string | undefined;
+    const clientRequest = openRequest({
+      host: hostOf(address),
+      port: portOf(address),
+      method: outgoing.method,
+      path: outgoing.target,
+      headers: [...outgoing.headers] as never,
+      setHost: false,
+      agent: this.#agentOf(address),
+    });
+    const opening = this.#options.timer.after(CONNECT_MILLISECONDS, () => {
+      if (connected) return;
+      reason = `no connection in ${CONNECT_MILLISECONDS} ms`;
+      clientRequest.destroy();
+    });
+    clientRequest.on("socket", (socket) => {
+      const opened = () => {
+        connected = true;
+        opening.cancel();
+      };
+      if (socket.connecting) socket.once("connect", opened);
+      else opened();
+    });
+    const answer = new Promise<Result<EndpointAnswer, ExchangeFailure>>(
+      (resolve) => {
+        clientRequest.on("response", (incoming) => {
+          const taken = this.#take(incoming, outgoing);
+          if (taken.isErr()) clientRequest.destroy();
+          resolve(taken);
+        });
+        clientRequest.on("error", (cause) => {
+          opening.cancel();
+          const definition = connected ? EXCHANGE_LOST : EXCHANGE_NOT_SENT;
+          const facts = { address, reason: reason ?? cause.message };
+          resolve(err(failure(definition, facts)));
+        });
+      },
+    );
+    clientRequest.end(body.length > 0 ? body : undefined);
+    return {
+      answer,
+      abort() {
+        opening.cancel();
+        reason = "given up";
+        clientRequest.destroy();
+      },
+    };
+  }
+
+  /** Drops the connections to an address that is no longer used. */
+  forget(address: string): void {
+    this.#agents.get(address)?.destroy();
+    this.#agents.delete(address);
+  }
+
+  close(): void {
+    for (const agent of this.#agents.values()) agent.destroy();
+    this.#agents.clear();
+  }
+
+  #agentOf(address: string): KeptConnections {
+    let agent = this.#agents.get(address);
+    if (agent === undefined) {
+      agent = new KeptConnections(this.#options.mostConnections(address));
+      this.#agents.set(address, agent);
+    }
+    return agent;
+  }
+
+  #take(
+    incoming: IncomingMessage,
+    outgoing: OutgoingRequest,
+  ): Result<EndpointAnswer, ExchangeFailure> {
+    const head = this.#options.decodeHead(
+      incoming.statusCode ?? 0,
+      incoming.rawHeaders,
+    );
+    const isForeign = head.requestId !== undefined &&
+      head.requestId !== outgoing.requestId;
+    if (isForeign) {
+      const reason = `it names "${head.requestId}"`;
+      const facts = { address: outgoing.address, reason };
+      return err(failure(EXCHANGE_FOREIGN, facts));
+    }
+    return ok(answerOf(head, incoming));
+  }
+}
+
+function answerOf(
+  head: AnswerHead,
+  incoming: IncomingMessage,
+): EndpointAnswer {
+  return {
+    head,
+    read(onPiece, onEnd) {
+      let ended = false;
+      const end = (how: "whole" | "cut") => {
+        if (ended) return;
+        ended = true;
+        onEnd(how);
+      };
+      incoming.on("data", onPiece);
+      incoming.on("end", () => end(incoming.complete ? "whole" : "cut"));
+      incoming.on("error", () => end("cut"));
+      incoming.on("close", () => end("cut"));
+    },
+    pause: () => void incoming.pause(),
+    resume: () => void incoming.resume(),
+  };
+}
+
+function hostOf(address: string): string {
+  return address.slice(0, address.lastIndexOf(":"));
+}
+
+function portOf(address: string): number {
+  return Number(address.slice(address.lastIndexOf(":") + 1));
+}
--- /dev/null
+++ b/src/adapters/forwarding/mod.ts
@@ -0,0 +1,11 @@
+/** Sockets of the forwarding path: callers on one side, endpoints on the other. */
+export {
+  CallerServer,
+  type CallerServerLimits,
+  type CallerServerOptions,
+} from "./caller_server.ts";
+export {
+  EndpointExchanges,
+  type OutgoingRequest,
+} from "./endpoint_exchanges.ts";
+export { PeerDatagrams } from "./peer_datagrams.ts";
--- /dev/null
+++ b/src/adapters/telemetry/forwarding_record.ts
@@ -0,0 +1,108 @@
+/** Log lines and metrics of forwarded requests. */
+import { Counter, Histogram, type Registry } from "prom-client";
+import type { Logger } from "../../core/observation/mod.ts";
+import type { TimerService } from "../../core/time/mod.ts";
+import type { ObserveForwarding } from "../../entry/forwarding/mod.ts";
+
+/**
+ * Decisions that are logged in one second. Load: a burst of several thousand
+ * requests. Harm prevented: the log takes the processor that answers need.
+ * Limit: four lines for each of the hundred requests a second that an entry
+ * serves when it is busy; the rest is counted and the count is logged.
+ */
+const MOST_LINES_PER_SECOND = 400;
+const SECOND_MILLISECONDS = 1_000;
+const BUCKETS_SECONDS = [
+  0.005,
+  0.01,
+  0.025,
+  0.05,
+  0.1,
+  0.15,
+  0.2,
+  0.3,
+  0.5,
+  1,
+  2,
+  5,
+  15,
+];
+
+export interface ForwardingRecordOptions {
+  readonly registry: Registry;
+  readonly logger: Logger;
+  readonly timer: TimerService;
+}
+
+/** Gives the function that the forwarding path tells its decisions to. */
+export function recordForwarding(
+  options: ForwardingRecordOptions,
+): ObserveForwarding {
+  const { registry, logger, timer } = options;
+  const decisions = new Counter({
+    name: "filbertshore_forwarding_decisions_total",
+    help: "Decisions on forwarded requests, by route and reason",
+    labelNames: ["decision", "reason"],
+    registers: [registry],
+  });
+  const firstByte = new Histogram({
+    name: "filbertshore_forwarding_first_byte_seconds",
+    help: "Time from a request's arrival to its answer's first byte",
+    labelNames: ["route"],
+    buckets: BUCKETS_SECONDS,
+    registers: [registry],
+  });
+  const whole = new Histogram({
+    name: "filbertshore_forwarding_answer_seconds",
+    help: "Time from a request's arrival to the end of its answer",
+    labelNames: ["route"],
+    buckets: BUCKETS_SECONDS,
+    registers: [registry],
+  });
+  const lines = new LineLimit(timer, logger);
+  return (decision, facts) => {
+    decisions.inc({ decision, reason: String(facts.reason ?? "") });
+    if (decision === "answered") {
+      const { route } = facts;
+      firstByte.observe({ route }, seconds(facts.firstByteMilliseconds));
+      whole.observe({ route }, seconds(facts.milliseconds));
+    }
+    if (lines.take()) logger.info({ decision, ...facts }, "Request");
+  };
+}
+
+function seconds(milliseconds: unknown): number {
+  return Number(milliseconds) / SECOND_MILLISECONDS;
+}
+
+/** Counts the lines of each second and tells how many were left out. */
+class LineLimit {
+  readonly #timer: TimerService;
+  readonly #logger: Logger;
+  #second = 0;
+  #lines = 0;
+  #leftOut = 0;
+
+  constructor(timer: TimerService, logger: Logger) {
+    this.#timer = timer;
+    this.#logger = logger;
+  }
+
+  take(): boolean {
+    const second = Math.floor(this.#timer.now() / SECOND_MILLISECONDS);
+    if (second !== this.#second) this.#begin(second);
+    this.#lines += 1;
+    if (this.#lines <= MOST_LINES_PER_SECOND) return true;
+    this.#leftOut += 1;
+    return false;
+  }
+
+  #begin(second: number): void {
+    if (this.#leftOut > 0) {
+      this.#logger.warn({ lines: this.#leftOut }, "Log lines were left out");
+    }
+    this.#second = second;
+    this.#lines = 0;
+    this.#leftOut = 0;
+  }
+}
--- /dev/null
+++ b/src/core/forwarding/endpoint_outcomes.ts
@@ -0,0 +1,126 @@
+import type { EndpointId } from "../identity/mod.ts";
+import { EndpointHealth, type HealthLimits } from "../placement/mod.ts";
+import type { TimerService } from "../time/mod.ts";
+
+/**
+ * Limits of the ejection by outcomes. Load: replicas that fail part of their
+ * requests while they report good health. Harm prevented: callers of work that
+ * may run once get the failure, and repeats use up the fleet's allowance.
+ * Limits: plain services fail up to 0.14 of some work when they are well, so
+ * 0.3 tells a bad one apart within about a dozen attempts; a second is short
+ * against a bad spell of several, and doubles while probes fail.
+ */
+const LIMITS: HealthLimits = {
+  mostFailureShare: 0.3,
+  fewestAttempts: 8,
+  mostSlowness: 4,
+  firstEjectionMilliseconds: 1_000,
+  longestEjectionMilliseconds: 8_000,
+};
+/** Connections refused in a row after which an endpoint is taken for dead. */
+const REFUSALS_UNTIL_EJECTION = 2;
+/**
+ * Silence with work open after which an endpoint gets no new work. Load: a
+ * machine that went dark and swallows what it is sent. Limit: well above the
+ * longest healthy wait for any answer at all from an endpoint with open work.
+ */
+const SILENCE_MILLISECONDS = 600;
+/** Share of a pool that may be passed over at a time. */
+const MOST_EJECTED_SHARE = 0.5;
+/** An attempt whose time says nothing of the endpoint's speed. */
+const UNJUDGED_TIMES = { overExpected: 1, overRated: 1 };
+
+interface Known {
+  readonly health: EndpointHealth;
+  refusals: number;
+  open: number;
+  /** Since when work is open and nothing has been heard. */
+  silentSince: number;
+}
+
+/** Passes over endpoints that fail, refuse connections or say nothing. */
+export class EndpointOutcomes {
+  readonly #timer: TimerService;
+  readonly #known = new Map<EndpointId, Known>();
+
+  constructor(timer: TimerService) {
+    this.#timer = timer;
+  }
+
+  /** Of the candidates those that look well; all where too few do. */
+  wellAmong<Endpoint extends { readonly id: EndpointId }>(
+    endpoints: readonly Endpoint[],
+  ): readonly Endpoint[] {
+    const well = endpoints.filter((endpoint) => this.#isWell(endpoint.id));
+    const fewest = endpoints.length * (1 - MOST_EJECTED_SHARE);
+    return well.length >= fewest ? well : endpoints;
+  }
+
+  started(id: EndpointId): void {
+    const known = this.#of(id);
+    if (known.open === 0) known.silentSince = this.#timer.now();
+    known.open += 1;
+    if (known.health.mayProbe(this.#timer.now())) known.health.probeStarted();
+  }
+
+  /** Anything came from the endpoint. */
+  heard(id: EndpointId): void {
+    const known = this.#of(id);
+    known.silentSince = this.#timer.now();
+    known.refusals = 0;
+  }
+
+  /** The attempt is over, however it went. */
+  ended(id: EndpointId): void {
+    const known = this.#of(id);
+    known.open = Math.max(0, known.open - 1);
+  }
+
+  succeeded(id: EndpointId): void {
+    this.#of(id).health.succeeded(UNJUDGED_TIMES, this.#timer.now());
+  }
+
+  failed(id: EndpointId): void {
+    const { health } = this.#of(id);
+    const now = this.#timer.now();
+    health.failed(now);
+    if (health.isBad(1)) health.eject(now);
+  }
+
+  refusedConnection(id: EndpointId): void {
+    const known = this.#of(id);
+    known.refusals += 1;
+    if (known.refusals < REFUSALS_UNTIL_EJECTION) return;
+    known.refusals = 0;
+    known.health.eject(this.#timer.now());
+  }
+
+  /** The attempt was turned away or given up by the caller. */
+  untold(id: EndpointId): void {
+    this.#of(id).health.untold();
+  }
+
+  forget(id: EndpointId): void {
+    this.#known.delete(id);
+  }
+
+  #isWell(id: EndpointId): boolean {
+    const known = this.#known.get(id);
+    if (known === undefined) return true;
+    const now = this.#timer.now();
+    const isSilent = known.open > 0 &&
+      now - known.silentSince > SILENCE_MILLISECONDS;
+    if (isSilent) return false;
+    return !known.health.ejected || known.health.mayProbe(now);
+  }
+
+  #of(id: EndpointId): Known {
+    let known = this.#known.get(id);
+    if (known === undefined) {
+      const health = new EndpointHealth(LIMITS);
+      known = { health, refusals: 0, open: 0, silentSince: 0 };
+      this.#known.set(id, known);
+    }
+    return known;
+  }
+}
--- /dev/null
+++ b/src/core/forwarding/engine_placement.ts
@@ -0,0 +1,126 @@
+import type { AvailabilityZoneId } from "../identity/mod.ts";
+import type { Random } from "../random/mod.ts";
+import type { Pool, RegisteredEndpoint } from "./configuration.ts";
+import type { EndpointOutcomes } from "./endpoint_outcomes.ts";
+import {
+  inlinePrefillMilliseconds,
+  prefillMilliseconds,
+} from "./engine_speed.ts";
+import type { LoadPicture } from "./load_picture.ts";
+import type { PrefixDirectory } from "./prefix_directory.ts";
+import type { Prompt } from "./requests.ts";
+
+/**
+ * Prompts with at least so many tokens to read go through a prefill engine.
+ * Load: short urgent prompts and long summaries on the same engines. Harm
+ * prevented: an engine that decodes reads a long prompt in many chunks between
+ * the tokens of its streams, which then pause. Limit: a hand-over costs two
+ * calls, about 6 ms; an engine that decodes reads 1,000 tokens in as long.
+ */
+const HANDOVER_TOKENS = 1_000;
+/**
+ * What a hand-over to another availability zone counts for, in slots: the
+ * cache travels twice as long there.
+ */
+const OTHER_ZONE_SLOTS = 1;
+/** Equal candidates differ by up to so much at random, in slots. */
+const TIE_BREAK_SLOTS = 0.5;
+
+/** Where a prompt is to be read. */
+export interface PrefillChoice {
+  readonly endpoint: RegisteredEndpoint;
+  /** Work that the engine has to do for the prompt. */
+  readonly workMilliseconds: number;
+  /** Work that stands before it there. */
+  readonly backlogMilliseconds: number;
+  readonly keptTokens: number;
+}
+
+/** Where a request is to decode. */
+export interface DecodeChoice {
+  readonly endpoint: RegisteredEndpoint;
+  /** Prompt reading that it costs the engine, 0 after a hand-over. */
+  readonly workMilliseconds: number;
+  /** Requests that all entries have open there. */
+  readonly openRequests: number;
+}
+
+export interface EnginePlacementOptions {
+  readonly load: LoadPicture;
+  readonly prefixes: PrefixDirectory;
+  readonly outcomes: EndpointOutcomes;
+  readonly random: Random;
+}
+
+/** Chooses engines for prompts and for answers. */
+export class EnginePlacement {
+  readonly #options: EnginePlacementOptions;
+
+  constructor(options: EnginePlacementOptions) {
+    this.#options = options;
+  }
+
+  /** True where the prompt is long enough for an engine of its own. */
+  wantsHandover(prompt: Prompt): boolean {
+    return prompt.inputTokens >= HANDOVER_TOKENS;
+  }
+
+  /** The prefill engine that would be done first. */
+  choosePrefill(
+    prompt: Prompt,
+    engines: readonly RegisteredEndpoint[],
+  ): PrefillChoice | undefined {
+    const { load, outcomes, prefixes } = this.#options;
+    const readers = engines.filter((engine) => engine.role === "prefill");
+    let best: PrefillChoice | undefined;
+    let bestFinish = Infinity;
+    for (const endpoint of outcomes.wellAmong(readers)) {
+      const keptTokens = prefixes.keptTokens(endpoint.id, prompt.parts);
+      const workMilliseconds = prefillMilliseconds(
+        prompt.inputTokens,
+        keptTokens,
+      );
+      const backlogMilliseconds = load.total(endpoint.id).prefillMilliseconds;
+      const finish = backlogMilliseconds + workMilliseconds;
+      if (finish >= bestFinish) continue;
+      bestFinish = finish;
+      best = { endpoint, workMilliseconds, backlogMilliseconds, keptTokens };
+    }
+    return best;
+  }
+
+  /** The decoding engine with the fewest open requests for its slots. */
+  chooseDecode(
+    engines: readonly RegisteredEndpoint[],
+    options: {
+      readonly prompt: Prompt;
+      readonly pool: Pool;
+      /** Where the prompt's cache is, after a hand-over. */
+      readonly keptIn?: AvailabilityZoneId;
+    },
+  ): DecodeChoice | undefined {
+    const { load, outcomes, prefixes, random } = this.#options;
+    const { prompt, keptIn } = options;
+    const makers = engines.filter((engine) => engine.role !== "prefill");
+    let best: RegisteredEndpoint | undefined;
+    let bestCost = Infinity;
+    for (const endpoint of outcomes.wellAmong(makers)) {
+      const isFar = keptIn !== undefined &&
+        endpoint.availabilityZone !== keptIn;
+      const cost = load.total(endpoint.id).requests +
+        (isFar ? OTHER_ZONE_SLOTS : 0) + TIE_BREAK_SLOTS * random();
+      if (cost >= bestCost) continue;
+      bestCost = cost;
+      best = endpoint;
+    }
+    if (best === undefined) return undefined;
+    const keptTokens = prefixes.keptTokens(best.id, prompt.parts);
+    return {
+      endpoint: best,
+      workMilliseconds: keptIn !== undefined
+        ? 0
+        : inlinePrefillMilliseconds(prompt.inputTokens, keptTokens),
+      openRequests: load.total(best.id).requests,
+    };
+  }
+}
--- /dev/null
+++ b/src/core/forwarding/load_picture.ts
@@ -0,0 +1,141 @@
+import type { EndpointId } from "../identity/mod.ts";
+import type { TimerService } from "../time/mod.ts";
+
+/**
+ * How long a peer's report counts. Load: entries that tell of their work some
+ * tens of times a second. Harm prevented: the work of an entry that died would
+ * keep its endpoints looking busy. Limit: longer than several lost datagrams
+ * in a row, shorter than the streams of a dead entry last at their engines.
+ */
+const REPORT_MILLISECONDS = 1_000;
+
+/** Work of one entry that an endpoint has not finished. */
+export interface OpenWork {
+  readonly requests: number;
+  /** Prompt reading that is ahead, milliseconds of the engine. */
+  readonly prefillMilliseconds: number;
+}
+
+/** One entry's open work by endpoint, as it goes to its peers. */
+export type WorkReport = readonly (readonly [
+  endpoint: string,
+  requests: number,
+  prefillMilliseconds: number,
+])[];
+
+interface PeerReport {
+  readonly incarnation: string;
+  readonly sequence: number;
+  readonly at: number;
+  readonly work: ReadonlyMap<string, OpenWork>;
+}
+
+/** Held while an endpoint works on something. */
+export interface WorkTicket {
+  /** The work has ended; further calls do nothing. */
+  end(): void;
+}
+
+const NO_WORK: OpenWork = { requests: 0, prefillMilliseconds: 0 };
+
+/**
+ * What every entry has under way at each endpoint. Load: several entries that
+ * place work on the same engines at the same moment. Harm prevented: an
+ * endpoint's own report is as old as its last answer, so that all entries
+ * follow it to the same engine; here each entry's sends count at once.
+ */
+export class LoadPicture {
+  readonly #timer: TimerService;
+  readonly #own = new Map<EndpointId, OpenWork>();
+  readonly #peers = new Map<string, PeerReport>();
+
+  constructor(timer: TimerService) {
+    this.#timer = timer;
+  }
+
+  started(endpoint: EndpointId, prefillMilliseconds = 0): WorkTicket {
+    this.#add(endpoint, { requests: 1, prefillMilliseconds });
+    let open = true;
+    return {
+      end: () => {
+        if (!open) return;
+        open = false;
+        this.#add(endpoint, {
+          requests: -1,
+          prefillMilliseconds: -prefillMilliseconds,
+        });
+      },
+    };
+  }
+
+  /** Own work at the endpoint. */
+  own(endpoint: EndpointId): OpenWork {
+    return this.#own.get(endpoint) ?? NO_WORK;
+  }
+
+  /** Work of all entries at the endpoint. */
+  total(endpoint: EndpointId): OpenWork {
+    const oldest = this.#timer.now() - REPORT_MILLISECONDS;
+    let { requests, prefillMilliseconds } = this.own(endpoint);
+    for (const report of this.#peers.values()) {
+      if (report.at < oldest) continue;
+      const work = report.work.get(endpoint);
+      if (work === undefined) continue;
+      requests += work.requests;
+      prefillMilliseconds += work.prefillMilliseconds;
+    }
+    return { requests, prefillMilliseconds };
+  }
+
+  /** Peers whose reports are fresh. */
+  get freshPeers(): number {
+    const oldest = this.#timer.now() - REPORT_MILLISECONDS;
+    let count = 0;
+    for (const report of this.#peers.values()) {
+      if (report.at >= oldest) count += 1;
+    }
+    return count;
+  }
+
+  /** Own open work, for the peers. */
+  report(): WorkReport {
+    return [...this.#own].map(([endpoint, work]) => [
+      endpoint,
+      work.requests,
+      Math.round(work.prefillMilliseconds),
+    ]);
+  }
+
+  /** Takes a peer's report; an older one that comes late changes nothing. */
+  peerReported(
+    peer: string,
+    options: { incarnation: string; sequence: number; work: WorkReport },
+  ): void {
+    const { incarnation, sequence } = options;
+    const known = this.#peers.get(peer);
+    const isOld = known?.incarnation === incarnation &&
+      sequence <= known.sequence;
+    if (isOld) return;
+    const work = new Map<string, OpenWork>();
+    for (const [endpoint, requests, prefillMilliseconds] of options.work) {
+      work.set(endpoint, { requests, prefillMilliseconds });
+    }
+    const at = this.#timer.now();
+    this.#peers.set(peer, { incarnation, sequence, at, work });
+  }
+
+  peerGone(peer: string): void {
+    this.#peers.delete(peer);
+  }
+
+  #add(endpoint: EndpointId, change: OpenWork): void {
+    const known = this.own(endpoint);
+    const requests = known.requests + change.requests;
+    const prefillMilliseconds = Math.max(
+      0,
+      known.prefillMilliseconds + change.prefillMilliseconds,
+    );
+    if (requests <= 0) this.#own.delete(endpoint);
+    else this.#own.set(endpoint, { requests, prefillMilliseconds });
+  }
+}
--- /dev/null
+++ b/src/core/forwarding/mod.ts
@@ -0,0 +1,29 @@
+/** Decisions on requests that are forwarded byte by byte. */
+export type * from "./configuration.ts";
+export type * from "./requests.ts";
+export { drawPool, RouteTable } from "./route_table.ts";
+export { EndpointRegistry, type RegistryChange } from "./endpoint_registry.ts";
+export { RetryAllowance } from "./retry_allowance.ts";
+export { EventSplitter } from "./event_splitter.ts";
+export {
+  LoadPicture,
+  type OpenWork,
+  type WorkReport,
+  type WorkTicket,
+} from "./load_picture.ts";
+export {
+  PrefixDirectory,
+  type PromptPart,
+  sharedParts,
+} from "./prefix_directory.ts";
+export { EndpointOutcomes } from "./endpoint_outcomes.ts";
+export { EnginePlacement } from "./engine_placement.ts";
+export { chooseService } from "./service_placement.ts";
+export {
+  type KeyedRecord,
+  type KeyedRecords,
+  type KeyedTopic,
+  type StoreFailure,
+  TopicReader,
+} from "./topic_reader.ts";
+export type { PrefillChoice } from "./engine_placement.ts";
--- /dev/null
+++ b/src/core/forwarding/prefix_directory.ts
@@ -0,0 +1,92 @@
+import type { EndpointId } from "../identity/mod.ts";
+
+/** One part of a prompt; requests that share it name the same id. */
+export interface PromptPart {
+  readonly id: string;
+  readonly tokens: number;
+}
+
+/**
+ * Share of an engine's memory that is taken to hold shared parts. Running
+ * requests and caches that wait for their hand-over need the rest.
+ */
+const CACHE_SHARE = 0.7;
+
+/** The parts that one engine is taken to keep, the oldest first. */
+class EngineParts {
+  readonly #parts = new Map<string, number>();
+  #tokens = 0;
+
+  has(id: string): boolean {
+    return this.#parts.has(id);
+  }
+
+  touch(part: PromptPart, mostTokens: number): void {
+    const known = this.#parts.get(part.id);
+    if (known !== undefined) {
+      this.#parts.delete(part.id);
+      this.#tokens -= known;
+    }
+    this.#parts.set(part.id, part.tokens);
+    this.#tokens += part.tokens;
+    while (this.#tokens > mostTokens) this.#dropOldest();
+  }
+
+  #dropOldest(): void {
+    for (const [id, tokens] of this.#parts) {
+      this.#parts.delete(id);
+      this.#tokens -= tokens;
+      return;
+    }
+  }
+}
+
+/**
+ * Which shared parts of prompts each engine has read lately, from what this
+ * entry and its peers have sent there. Load: long prompts of which two thirds
+ * are shared by a few hundred subjects. Harm prevented: each engine reads the
+ * same part again, and the fleet's memory works as one engine's. It is a
+ * guess: a wrong one costs a read of the part, nothing else.
+ */
+export class PrefixDirectory {
+  readonly #engines = new Map<EndpointId, EngineParts>();
+
+  /** Tokens at the prompt's start that the engine need not read again. */
+  keptTokens(engine: EndpointId, parts: readonly PromptPart[]): number {
+    const kept = this.#engines.get(engine);
+    if (kept === undefined) return 0;
+    let tokens = 0;
+    for (const part of sharedParts(parts)) {
+      if (!kept.has(part.id)) return tokens;
+      tokens += part.tokens;
+    }
+    return tokens;
+  }
+
+  /** A prompt was sent to the engine. */
+  sent(
+    engine: EndpointId,
+    options: { parts: readonly PromptPart[]; memoryTokens: number },
+  ): void {
+    let kept = this.#engines.get(engine);
+    if (kept === undefined) {
+      kept = new EngineParts();
+      this.#engines.set(engine, kept);
+    }
+    for (const part of sharedParts(options.parts)) {
+      kept.touch(part, CACHE_SHARE * options.memoryTokens);
+    }
+  }
+
+  /** The engine has ended or lost its memory. */
+  forget(engine: EndpointId): void {
+    this.#engines.delete(engine);
+  }
+}
+
+/** All but the last part, which belongs to the request itself. */
+export function sharedParts(
+  parts: readonly PromptPart[],
+): readonly PromptPart[] {
+  return parts.slice(0, -1);
+}
--- /dev/null
+++ b/src/core/forwarding/retry_allowance.ts
@@ -0,0 +1,75 @@
+import type { TimerService } from "../time/mod.ts";
+
+/**
+ * Share of its part that an entry uses. Load: several entries that each see a
+ * part of the traffic. Harm prevented: the fleet's limit counts any span of
+ * the window's length, while an entry's count of its peers may be late by a
+ * heartbeat; a tenth left free covers one entry in ten that is not yet known.
+ */
+const USED_SHARE = 0.8;
+
+export interface RetryAllowanceOptions {
+  readonly timer: TimerService;
+  /** Repeats allowed for each request in the window, by the whole fleet. */
+  readonly ratio: number;
+  readonly windowMilliseconds: number;
+  /** Repeats allowed in each window whatever the traffic, by the fleet. */
+  readonly minimum: number;
+  /** Entries that share the minimum, this one included. */
+  readonly entries: () => number;
+}
+
+/** What one pool has had in one window. */
+interface PoolWindow {
+  readonly requests: number[];
+  readonly repeats: number[];
+}
+
+/**
+ * Allows sends beyond the first of a request, as this entry's part of a limit
+ * that the whole fleet shares. Load: an engine of ten fails while everything
+ * else is full. Harm prevented: retries multiply the load of a pool that
+ * fails because it is overloaded. Limit: the operators' ratio on the requests
+ * that this entry itself got, plus its part of their minimum.
+ */
+export class RetryAllowance {
+  readonly #options: RetryAllowanceOptions;
+  readonly #pools = new Map<string, PoolWindow>();
+
+  constructor(options: RetryAllowanceOptions) {
+    this.#options = options;
+  }
+
+  requestArrived(pool: string): void {
+    this.#window(pool).requests.push(this.#options.timer.now());
+  }
+
+  /** Takes one repeat; false where the window's part is used up. */
+  take(pool: string): boolean {
+    const window = this.#window(pool);
+    const { ratio, minimum, entries } = this.#options;
+    const shared = minimum / Math.max(1, entries());
+    const allowed = USED_SHARE * (ratio * window.requests.length + shared);
+    if (window.repeats.length + 1 > allowed) return false;
+    window.repeats.push(this.#options.timer.now());
+    return true;
+  }
+
+  #window(pool: string): PoolWindow {
+    let window = this.#pools.get(pool);
+    if (window === undefined) {
+      window = { requests: [], repeats: [] };
+      this.#pools.set(pool, window);
+    }
+    const oldest = this.#options.timer.now() - this.#options.windowMilliseconds;
+    dropBefore(window.requests, oldest);
+    dropBefore(window.repeats, oldest);
+    return window;
+  }
+}
+
+function dropBefore(times: number[], oldest: number): void {
+  let count = 0;
+  while (count < times.length && times[count] < oldest) count++;
+  if (count > 0) times.splice(0, count);
+}
--- /dev/null
+++ b/src/core/forwarding/topic_reader.ts
@@ -0,0 +1,127 @@
+import type { Result } from "neverthrow";
+import type { Failure } from "../errors/mod.ts";
+import type { Random } from "../random/mod.ts";
+import { backoffMilliseconds } from "../retry/mod.ts";
+import type { Subscription, TimerService } from "../time/mod.ts";
+
+/** The newest record of a key; without a value the key is gone. */
+export interface KeyedRecord {
+  readonly key: string;
+  readonly value: Buffer | undefined;
+}
+
+/** Records and the position behind them. */
+export interface KeyedRecords {
+  readonly records: readonly KeyedRecord[];
+  readonly next: number;
+}
+
+/** `store_expired`: the wanted records are gone; start from the newest. */
+export type StoreFailure = Failure<"store_unavailable" | "store_expired">;
+
+/** A topic of which the newest record of each key matters. */
+export interface KeyedTopic {
+  /** The newest record of every key. */
+  newest(): Promise<Result<KeyedRecords, StoreFailure>>;
+  /** Records from a position on; waits for one, at most so long. */
+  since(
+    position: number,
+    waitMilliseconds: number,
+  ): Promise<Result<KeyedRecords, StoreFailure>>;
+}
+
+export interface TopicReaderOptions {
+  readonly topic: KeyedTopic;
+  readonly timer: TimerService;
+  readonly random: Random;
+  /** How long a read waits at the store for a record, milliseconds. */
+  readonly waitMilliseconds: number;
+  /** Pause between two reads, milliseconds. */
+  readonly pauseMilliseconds: number;
+  /** Every key's newest record; what it doesn't name is gone. */
+  readonly onSnapshot: (records: readonly KeyedRecord[]) => void;
+  readonly onRecords: (records: readonly KeyedRecord[]) => void;
+  readonly onFailure: (failure: StoreFailure) => void;
+  /** A read has succeeded; `lost` tells whether the one before had failed. */
+  readonly onReached: (options: { readonly lost: boolean }) => void;
+}
+
+/**
+ * Longest wait between reads while the store fails: its return is to be
+ * noticed well before configurations and leaving endpoints have to be known.
+ */
+const LONGEST_RETRY_MILLISECONDS = 800;
+const FIRST_RETRY_MILLISECONDS = 100;
+
+/**
+ * Follows a keyed topic: the newest of every key first, then record by record.
+ * Where the store has dropped the records in between, it starts again from the
+ * newest, so that a gap is never taken for "nothing has changed".
+ */
+export class TopicReader {
+  readonly #options: TopicReaderOptions;
+  #position: number | undefined;
+  #failures = 0;
+  #stopped = false;
+  #next: Subscription | undefined;
+
+  constructor(options: TopicReaderOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    void this.#read();
+  }
+
+  stop(): void {
+    this.#stopped = true;
+    this.#next?.cancel();
+  }
+
+  async #read(): Promise<void> {
+    const { topic, waitMilliseconds } = this.#options;
+    const position = this.#position;
+    const result = position === undefined
+      ? await topic.newest()
+      : await topic.since(position, waitMilliseconds);
+    if (this.#stopped) return;
+    if (result.isErr()) this.#failed(result.error);
+    else this.#take(result.value, position === undefined);
+  }
+
+  #take(read: KeyedRecords, isSnapshot: boolean): void {
+    const { onReached, onRecords, onSnapshot, pauseMilliseconds } =
+      this.#options;
+    onReached({ lost: this.#failures > 0 });
+    this.#failures = 0;
+    this.#position = read.next;
+    if (isSnapshot) onSnapshot(read.records);
+    else if (read.records.length > 0) onRecords(read.records);
+    this.#readAfter(pauseMilliseconds);
+  }
+
+  #failed(failure: StoreFailure): void {
+    const { onFailure, random } = this.#options;
+    if (failure.name === "store_expired") {
+      this.#position = undefined;
+      return this.#readAfter(0);
+    }
+    this.#failures += 1;
+    onFailure(failure);
+    this.#readAfter(
+      FIRST_RETRY_MILLISECONDS +
+        backoffMilliseconds(this.#failures, {
+          random,
+          firstMilliseconds: FIRST_RETRY_MILLISECONDS,
+          longestMilliseconds: LONGEST_RETRY_MILLISECONDS,
+        }),
+    );
+  }
+
+  #readAfter(milliseconds: number): void {
+    this.#next = this.#options.timer.after(
+      milliseconds,
+      () => void this.#read(),
+    );
+  }
+}
--- /dev/null
+++ b/src/entry/forwarding/attempt.ts
@@ -0,0 +1,95 @@
+import type { Result } from "neverthrow";
+import type {
+  AttemptOptions,
+  ForwardedRequest,
+  RegisteredEndpoint,
+} from "../../core/forwarding/mod.ts";
+import type { BodyEnd, EndpointAnswer, ExchangeFailure } from "./links.ts";
+import type { ForwardingParts } from "./parts.ts";
+
+/** Another replica has the endpoint's address now. */
+const MISDIRECTED_STATUS = 421;
+
+export interface AttemptPlan {
+  readonly endpoint: RegisteredEndpoint;
+  readonly options: Omit<AttemptOptions, "endpoint">;
+  /** Prompt reading that it costs the endpoint, milliseconds. */
+  readonly workMilliseconds: number;
+}
+
+/**
+ * One send of a request to one endpoint. It keeps the books: what is open at
+ * the endpoint, and how the endpoint has treated it, each exactly once.
+ */
+export class Attempt {
+  readonly endpoint: RegisteredEndpoint;
+  readonly answer: Promise<Result<EndpointAnswer, ExchangeFailure>>;
+  readonly #parts: ForwardingParts;
+  readonly #abort: () => void;
+  readonly #endWork: () => void;
+  #closed = false;
+
+  constructor(
+    parts: ForwardingParts,
+    context: { request: ForwardedRequest; plan: AttemptPlan },
+  ) {
+    const { request, plan } = context;
+    const { endpoint } = plan;
+    this.#parts = parts;
+    this.endpoint = endpoint;
+    const ticket = parts.load.started(endpoint.id, plan.workMilliseconds);
+    this.#endWork = () => ticket.end();
+    parts.outcomes.started(endpoint.id);
+    const exchange = parts.door.send(request, {
+      ...plan.options,
+      endpoint: endpoint.id,
+      address: endpoint.address,
+    });
+    this.#abort = () => exchange.abort();
+    this.answer = exchange.answer.then((answer) => {
+      this.#noteHead(answer);
+      return answer;
+    });
+  }
+
+  /** The answer's body has ended. */
+  ended(end: BodyEnd, status: number): void {
+    if (this.#closed) return;
+    const { outcomes } = this.#parts;
+    if (end === "whole" && status < 500) outcomes.succeeded(this.endpoint.id);
+    else outcomes.failed(this.endpoint.id);
+    this.#close();
+  }
+
+  /** The caller or the system has given it up; the endpoint ends its work. */
+  abort(): void {
+    if (this.#closed) return;
+    this.#parts.outcomes.untold(this.endpoint.id);
+    this.#close();
+    this.#abort();
+  }
+
+  #noteHead(answer: Result<EndpointAnswer, ExchangeFailure>): void {
+    if (this.#closed) return;
+    const { outcomes } = this.#parts;
+    const { id } = this.endpoint;
+    if (answer.isOk()) {
+      outcomes.heard(id);
+      const { notRun, status } = answer.value.head;
+      if (!notRun) return;
+      if (status === MISDIRECTED_STATUS) outcomes.refusedConnection(id);
+      else outcomes.untold(id);
+    } else if (answer.error.name === "exchange_not_sent") {
+      outcomes.refusedConnection(id);
+    } else {
+      outcomes.failed(id);
+    }
+    this.#close();
+  }
+
+  #close(): void {
+    this.#closed = true;
+    this.#parts.outcomes.ended(this.endpoint.id);
+    this.#endWork();
+  }
+}
--- /dev/null
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -0,0 +1,133 @@
+import {
+  EndpointOutcomes,
+  EndpointRegistry,
+  EnginePlacement,
+  type ForwardedRequest,
+  type ForwardingConfiguration,
+  LoadPicture,
+  PrefixDirectory,
+  RetryAllowance,
+  RouteTable,
+} from "../../core/forwarding/mod.ts";
+import type { AvailabilityZoneId } from "../../core/identity/mod.ts";
+import type { Logger } from "../../core/observation/mod.ts";
+import type { Random } from "../../core/random/mod.ts";
+import type { TimerService } from "../../core/time/mod.ts";
+import { forward } from "./forward_run.ts";
+import type { CallerSink, EndpointDoor } from "./links.ts";
+import type { ObserveForwarding } from "./observer.ts";
+import type { ForwardingParts } from "./parts.ts";
+import { PeerExchange, type SendToPeers } from "./peer_exchange.ts";
+
+export interface ForwardingEntryOptions {
+  readonly process: string;
+  readonly incarnation: string;
+  readonly availabilityZone: AvailabilityZoneId;
+  readonly timer: TimerService;
+  readonly random: Random;
+  readonly door: EndpointDoor;
+  readonly sendToPeers: SendToPeers;
+  readonly observe: ObserveForwarding;
+  readonly logger: Logger;
+  readonly retry: {
+    readonly ratio: number;
+    readonly windowMilliseconds: number;
+    readonly minimum: number;
+  };
+  /** The endpoint's connections are no longer needed. */
+  readonly onEndpointGone: (address: string) => void;
+}
+
+/** Entries that share the retry limit while none but this one is known. */
+const ASSUMED_ENTRIES = 8;
+
+/** An entry that forwards requests to endpoints which register themselves. */
+export class ForwardingEntry {
+  readonly registry: EndpointRegistry;
+  readonly peers: PeerExchange;
+  readonly #options: ForwardingEntryOptions;
+  readonly #parts: ForwardingParts;
+  #routes: RouteTable | undefined;
+  #stopping = false;
+
+  constructor(options: ForwardingEntryOptions) {
+    this.#options = options;
+    const { timer, random } = options;
+    const load = new LoadPicture(timer);
+    const prefixes = new PrefixDirectory();
+    const outcomes = new EndpointOutcomes(timer);
+    this.registry = new EndpointRegistry({
+      timer,
+      onChange: (change, endpoint) => {
+        options.logger.info({ change, ...endpoint }, "An endpoint changed");
+        if (change !== "removed") return;
+        outcomes.forget(endpoint.id);
+        prefixes.forget(endpoint.id);
+        options.onEndpointGone(endpoint.address);
+      },
+    });
+    this.peers = new PeerExchange({ ...options, load, prefixes });
+    this.#parts = {
+      timer,
+      random,
+      availabilityZone: options.availabilityZone,
+      registry: this.registry,
+      load,
+      prefixes,
+      outcomes,
+      placement: new EnginePlacement({ load, prefixes, outcomes, random }),
+      allowance: new RetryAllowance({
+        timer,
+        ...options.retry,
+        entries: () => this.peers.knownEntries ?? ASSUMED_ENTRIES,
+      }),
+      door: options.door,
+      observe: options.observe,
+      routes: () => this.#routes,
+    };
+  }
+
+  /** The configuration in force; undefined while none is known. */
+  get configuration(): ForwardingConfiguration | undefined {
+    return this.#routes?.configuration;
+  }
+
+  /** True while the balancer should send callers here. */
+  get ready(): boolean {
+    return this.#routes !== undefined && this.registry.size > 0 &&
+      !this.#stopping;
+  }
+
+  start(): void {
+    this.peers.start();
+  }
+
+  /** Takes no new callers; what is open goes on. */
+  stop(): void {
+    this.#stopping = true;
+  }
+
+  close(): void {
+    this.peers.stop();
+  }
+
+  /**
+   * Puts a configuration in force. A version that is not newer is passed over:
+   * a late read would else take back what callers have already seen.
+   */
+  takeConfiguration(configuration: ForwardingConfiguration): boolean {
+    const known = this.configuration?.version ?? -Infinity;
+    if (configuration.version <= known) return false;
+    this.#routes = new RouteTable(configuration);
+    this.#options.logger.info({
+      version: configuration.version,
+      replaces: Number.isFinite(known) ? known : null,
+      routes: configuration.routes.length,
+    }, "A configuration is in force");
+    return true;
+  }
+
+  handle(request: ForwardedRequest, sink: CallerSink): void {
+    void forward(this.#parts, { request, sink });
+  }
+}
--- /dev/null
+++ b/src/entry/forwarding/mod.ts
@@ -0,0 +1,10 @@
+/** The entry's path for requests that are forwarded byte by byte. */
+export type * from "./links.ts";
+export type { ForwardingDecision, ObserveForwarding } from "./observer.ts";
+export type { ForwardingParts } from "./parts.ts";
+export { forward } from "./forward_run.ts";
+export {
+  ForwardingEntry,
+  type ForwardingEntryOptions,
+} from "./forwarding_entry.ts";
+export { PeerExchange, WORK_METHOD } from "./peer_exchange.ts";
--- /dev/null
+++ b/src/entry/forwarding/parts.ts
@@ -0,0 +1,31 @@
+/** What all forwarded requests of an entry share. */
+import type {
+  EndpointOutcomes,
+  EndpointRegistry,
+  EnginePlacement,
+  LoadPicture,
+  PrefixDirectory,
+  RetryAllowance,
+  RouteTable,
+} from "../../core/forwarding/mod.ts";
+import type { AvailabilityZoneId } from "../../core/identity/mod.ts";
+import type { Random } from "../../core/random/mod.ts";
+import type { TimerService } from "../../core/time/mod.ts";
+import type { EndpointDoor } from "./links.ts";
+import type { ObserveForwarding } from "./observer.ts";
+
+export interface ForwardingParts {
+  readonly timer: TimerService;
+  readonly random: Random;
+  readonly availabilityZone: AvailabilityZoneId;
+  readonly registry: EndpointRegistry;
+  readonly load: LoadPicture;
+  readonly prefixes: PrefixDirectory;
+  readonly outcomes: EndpointOutcomes;
+  readonly placement: EnginePlacement;
+  readonly allowance: RetryAllowance;
+  readonly door: EndpointDoor;
+  readonly observe: ObserveForwarding;
+  /** The routes in force; undefined while no configuration is known. */
+  readonly routes: () => RouteTable | undefined;
+}
--- /dev/null
+++ b/src/entry/forwarding/prefill_step.ts
@@ -0,0 +1,114 @@
+import type {
+  ForwardedRequest,
+  KeptPrompt,
+  Pool,
+  PrefillChoice,
+  Prompt,
+} from "../../core/forwarding/mod.ts";
+import { beforeDeadline } from "../../core/time/mod.ts";
+import { Attempt } from "./attempt.ts";
+import type { EndpointAnswer } from "./links.ts";
+import type { ForwardingParts } from "./parts.ts";
+
+/**
+ * How much longer than predicted an engine may take to read a prompt before
+ * another one is asked. Reading a prompt runs nothing, so it may be repeated;
+ * an engine that went dark would else hold the caller for its whole deadline.
+ */
+const PATIENCE_TO_PREDICTION = 4;
+const LEAST_PATIENCE_MILLISECONDS = 400;
+/** Longest answer to a call that only reads a prompt. */
+const MOST_ANSWER_BYTES = 64 * 1024;
+
+/** `failed`: nothing has run, and another way may be tried. */
+export type PrefillOutcome =
+  | { readonly kind: "kept"; readonly kept: KeptPrompt }
+  | { readonly kind: "failed"; readonly reason: string };
+
+export interface PrefillStepOptions {
+  readonly request: ForwardedRequest;
+  readonly prompt: Prompt;
+  readonly pool: Pool;
+  readonly choice: PrefillChoice;
+  readonly priority: number;
+  readonly deadlineMilliseconds: number;
+  /** Takes the attempt, so that it can be aborted from outside. */
+  readonly onAttempt: (attempt: Attempt) => void;
+}
+
+/** Has an engine read a prompt and keep its cache for a hand-over. */
+export async function readPrompt(
+  parts: ForwardingParts,
+  options: PrefillStepOptions,
+): Promise<PrefillOutcome> {
+  const { request, prompt, choice, pool } = options;
+  const { endpoint } = choice;
+  parts.prefixes.sent(endpoint.id, {
+    parts: prompt.parts,
+    memoryTokens: pool.engine?.memoryTokens ?? 0,
+  });
+  const attempt = new Attempt(parts, {
+    request,
+    plan: {
+      endpoint,
+      workMilliseconds: choice.workMilliseconds,
+      options: {
+        deadlineMilliseconds: options.deadlineMilliseconds,
+        priority: options.priority,
+        prefillOnly: true,
+      },
+    },
+  });
+  options.onAttempt(attempt);
+  const predicted = choice.backlogMilliseconds + choice.workMilliseconds;
+  const patience = Math.min(
+    options.deadlineMilliseconds,
+    Math.max(LEAST_PATIENCE_MILLISECONDS, PATIENCE_TO_PREDICTION * predicted),
+  );
+  const read = await beforeDeadline(readHandle(parts, attempt), {
+    timer: parts.timer,
+    milliseconds: patience,
+  });
+  if (read === undefined) {
+    attempt.abort();
+    return { kind: "failed", reason: "silent" };
+  }
+  if (read.handle === undefined) {
+    return { kind: "failed", reason: read.reason };
+  }
+  const { id: engine, address } = endpoint;
+  return { kind: "kept", kept: { engine, address, handle: read.handle } };
+}
+
+interface HandleRead {
+  readonly handle: string | undefined;
+  readonly reason: string;
+}
+
+async function readHandle(
+  parts: ForwardingParts,
+  attempt: Attempt,
+): Promise<HandleRead> {
+  const answer = await attempt.answer;
+  if (answer.isErr()) return { handle: undefined, reason: answer.error.name };
+  const { head } = answer.value;
+  const body = await readSmallBody(answer.value);
+  attempt.ended(body === undefined ? "cut" : "whole", head.status);
+  if (body === undefined) return { handle: undefined, reason: "cut" };
+  const handle = head.status === 200 ? parts.door.keptHandle(body) : undefined;
+  return { handle, reason: `status ${head.status}` };
+}
+
+function readSmallBody(answer: EndpointAnswer): Promise<Buffer | undefined> {
+  const pieces: Buffer[] = [];
+  let size = 0;
+  return new Promise((resolve) => {
+    answer.read((piece) => {
+      size += piece.length;
+      if (size <= MOST_ANSWER_BYTES) pieces.push(piece);
+    }, (end) => {
+      const isUsable = end === "whole" && size <= MOST_ANSWER_BYTES;
+      resolve(isUsable ? Buffer.concat(pieces) : undefined);
+    });
+  });
+}
