Admit prompts by predicted finish; read what is late anyhow behind the rest

Cause: prefill engines took every prompt in turn, so that two seconds of backlog made every answer late, and what they turned away was read by the engines that decode.

--- a/src/core/forwarding/engine_placement.ts
+++ b/src/core/forwarding/engine_placement.ts
@@ -31,8 +31,10 @@
   readonly endpoint: RegisteredEndpoint;
   /** Work that the engine has to do for the prompt. */
   readonly workMilliseconds: number;
-  /** Work that stands before it there. */
+  /** Work that stands before it there and can be on time. */
   readonly backlogMilliseconds: number;
+  /** All work that stands before it there. */
+  readonly wholeBacklogMilliseconds: number;
   readonly keptTokens: number;
 }
 
@@ -65,30 +67,62 @@
     return prompt.inputTokens >= HANDOVER_TOKENS;
   }
 
-  /** The prefill engine that would be done first. */
+  /** The prefill engine that would be done first, behind what is on time. */
   choosePrefill(
     prompt: Prompt,
     engines: readonly RegisteredEndpoint[],
   ): PrefillChoice | undefined {
-    const { load, outcomes, prefixes } = this.#options;
-    const readers = engines.filter((engine) => engine.role === "prefill");
+    return this.#fastest(prompt, {
+      engines,
+      backlog: (choice) => choice.backlogMilliseconds,
+    });
+  }
+
+  /** The prefill engine that would be done first, behind all its work. */
+  chooseLatePrefill(
+    prompt: Prompt,
+    engines: readonly RegisteredEndpoint[],
+  ): PrefillChoice | undefined {
+    return this.#fastest(prompt, {
+      engines,
+      backlog: (choice) => choice.wholeBacklogMilliseconds,
+    });
+  }
+
+  #fastest(
+    prompt: Prompt,
+    options: {
+      readonly engines: readonly RegisteredEndpoint[];
+      readonly backlog: (choice: PrefillChoice) => number;
+    },
+  ): PrefillChoice | undefined {
+    const readers = options.engines.filter((each) => each.role === "prefill");
     let best: PrefillChoice | undefined;
     let bestFinish = Infinity;
-    for (const endpoint of outcomes.wellAmong(readers)) {
-      const keptTokens = prefixes.keptTokens(endpoint.id, prompt.parts);
-      const workMilliseconds = prefillMilliseconds(
-        prompt.inputTokens,
-        keptTokens,
-      );
-      const backlogMilliseconds = load.total(endpoint.id).prefillMilliseconds;
-      const finish = backlogMilliseconds + workMilliseconds;
+    for (const endpoint of this.#options.outcomes.wellAmong(readers)) {
+      const choice = this.#prefillAt(endpoint, prompt);
+      const finish = options.backlog(choice) + choice.workMilliseconds;
       if (finish >= bestFinish) continue;
       bestFinish = finish;
-      best = { endpoint, workMilliseconds, backlogMilliseconds, keptTokens };
+      best = choice;
     }
     return best;
   }
 
+  #prefillAt(endpoint: RegisteredEndpoint, prompt: Prompt): PrefillChoice {
+    const { load, prefixes } = this.#options;
+    const keptTokens = prefixes.keptTokens(endpoint.id, prompt.parts);
+    const open = load.total(endpoint.id);
+    return {
+      endpoint,
+      workMilliseconds: prefillMilliseconds(prompt.inputTokens, keptTokens),
+      backlogMilliseconds: open.prefillMilliseconds,
+      wholeBacklogMilliseconds: open.prefillMilliseconds +
+        open.lateMilliseconds,
+      keptTokens,
+    };
+  }
+
   /** The decoding engine with the fewest open requests for its slots. */
   chooseDecode(
     engines: readonly RegisteredEndpoint[],
--- a/src/core/forwarding/load_picture.ts
+++ b/src/core/forwarding/load_picture.ts
@@ -14,6 +14,8 @@
   readonly requests: number;
   /** Prompt reading that is ahead, milliseconds of the engine. */
   readonly prefillMilliseconds: number;
+  /** Prompt reading of answers that are late anyhow; it stands behind. */
+  readonly lateMilliseconds: number;
 }
 
 /** One entry's open work by endpoint, as it goes to its peers. */
@@ -21,6 +23,7 @@
   endpoint: string,
   requests: number,
   prefillMilliseconds: number,
+  lateMilliseconds: number,
 ])[];
 
 interface PeerReport {
@@ -36,7 +39,20 @@
   end(): void;
 }
 
-const NO_WORK: OpenWork = { requests: 0, prefillMilliseconds: 0 };
+const NO_WORK: OpenWork = {
+  requests: 0,
+  prefillMilliseconds: 0,
+  lateMilliseconds: 0,
+};
+
+/** Prompt reading that a request brings to an endpoint. */
+export interface PromptWork {
+  readonly milliseconds: number;
+  /** True: it is read behind what can be on time. */
+  readonly late: boolean;
+}
+
+const NO_PROMPT: PromptWork = { milliseconds: 0, late: false };
 
 /**
  * What every entry has under way at each endpoint. Load: several entries that
@@ -53,8 +69,10 @@
     this.#timer = timer;
   }
 
-  started(endpoint: EndpointId, prefillMilliseconds = 0): WorkTicket {
-    this.#add(endpoint, { requests: 1, prefillMilliseconds });
+  started(endpoint: EndpointId, prompt: PromptWork = NO_PROMPT): WorkTicket {
+    const prefillMilliseconds = prompt.late ? 0 : prompt.milliseconds;
+    const lateMilliseconds = prompt.late ? prompt.milliseconds : 0;
+    this.#add(endpoint, { requests: 1, prefillMilliseconds, lateMilliseconds });
     let open = true;
     return {
       end: () => {
@@ -63,6 +81,7 @@
         this.#add(endpoint, {
           requests: -1,
           prefillMilliseconds: -prefillMilliseconds,
+          lateMilliseconds: -lateMilliseconds,
         });
       },
     };
@@ -76,15 +95,12 @@
   /** Work of all entries at the endpoint. */
   total(endpoint: EndpointId): OpenWork {
     const oldest = this.#timer.now() - REPORT_MILLISECONDS;
-    let { requests, prefillMilliseconds } = this.own(endpoint);
+    let sum = this.own(endpoint);
     for (const report of this.#peers.values()) {
-      if (report.at < oldest) continue;
       const work = report.work.get(endpoint);
-      if (work === undefined) continue;
-      requests += work.requests;
-      prefillMilliseconds += work.prefillMilliseconds;
+      if (report.at >= oldest && work !== undefined) sum = plus(sum, work);
     }
-    return { requests, prefillMilliseconds };
+    return sum;
   }
 
   /** Peers whose reports are fresh. */
@@ -103,6 +119,7 @@
       endpoint,
       work.requests,
       Math.round(work.prefillMilliseconds),
+      Math.round(work.lateMilliseconds),
     ]);
   }
 
@@ -117,8 +134,12 @@
       sequence <= known.sequence;
     if (isOld) return;
     const work = new Map<string, OpenWork>();
-    for (const [endpoint, requests, prefillMilliseconds] of options.work) {
-      work.set(endpoint, { requests, prefillMilliseconds });
+    for (const [endpoint, requests, prefill, late] of options.work) {
+      work.set(endpoint, {
+        requests,
+        prefillMilliseconds: prefill,
+        lateMilliseconds: late,
+      });
     }
     const at = this.#timer.now();
     this.#peers.set(peer, { incarnation, sequence, at, work });
@@ -129,13 +150,16 @@
   }
 
   #add(endpoint: EndpointId, change: OpenWork): void {
-    const known = this.own(endpoint);
-    const requests = known.requests + change.requests;
-    const prefillMilliseconds = Math.max(
-      0,
-      known.prefillMilliseconds + change.prefillMilliseconds,
-    );
-    if (requests <= 0) this.#own.delete(endpoint);
-    else this.#own.set(endpoint, { requests, prefillMilliseconds });
+    const next = plus(this.own(endpoint), change);
+    if (next.requests <= 0) this.#own.delete(endpoint);
+    else this.#own.set(endpoint, next);
   }
 }
+
+function plus(one: OpenWork, other: OpenWork): OpenWork {
+  return {
+    requests: one.requests + other.requests,
+    prefillMilliseconds: one.prefillMilliseconds + other.prefillMilliseconds,
+    lateMilliseconds: one.lateMilliseconds + other.lateMilliseconds,
+  };
+}
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -8,6 +8,7 @@
 export {
   LoadPicture,
   type OpenWork,
+  type PromptWork,
   type WorkReport,
   type WorkTicket,
 } from "./load_picture.ts";
@@ -27,3 +28,4 @@
   TopicReader,
 } from "./topic_reader.ts";
 export type { PrefillChoice } from "./engine_placement.ts";
+export { type Admission, judgeAdmission } from "./engine_admission.ts";
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -2,6 +2,7 @@
 import type {
   AttemptOptions,
   ForwardedRequest,
+  PromptWork,
   RegisteredEndpoint,
 } from "../../core/forwarding/mod.ts";
 import type { BodyEnd, EndpointAnswer, ExchangeFailure } from "./links.ts";
@@ -13,8 +14,7 @@
 export interface AttemptPlan {
   readonly endpoint: RegisteredEndpoint;
   readonly options: Omit<AttemptOptions, "endpoint">;
-  /** Prompt reading that it costs the endpoint, milliseconds. */
-  readonly workMilliseconds: number;
+  readonly work: PromptWork;
 }
 
 /**
@@ -37,7 +37,7 @@
     const { endpoint } = plan;
     this.#parts = parts;
     this.endpoint = endpoint;
-    const ticket = parts.load.started(endpoint.id, plan.workMilliseconds);
+    const ticket = parts.load.started(endpoint.id, plan.work);
     this.#endWork = () => ticket.end();
     parts.outcomes.started(endpoint.id);
     const exchange = parts.door.send(request, {
--- a/src/entry/forwarding/forward_run.ts
+++ b/src/entry/forwarding/forward_run.ts
@@ -3,8 +3,10 @@
   drawPool,
   type EngineRole,
   type ForwardedRequest,
+  judgeAdmission,
   type KeptPrompt,
   type Pool,
+  type PrefillChoice,
   type Prompt,
   type RegisteredEndpoint,
   type Route,
@@ -34,6 +36,10 @@
 /** Priorities that engines know, the last one for what may wait longest. */
 const LOWEST_PRIORITY = 9;
 
+/** Priority of prompts that are read for late answers. */
+const LATE_PRIORITY = 8;
+const NO_PROMPT_WORK = { milliseconds: 0, late: false };
+
 /** What comes next after an attempt. */
 type NextStep = "delivered" | "again" | "refuse" | "unknown";
 
@@ -129,7 +135,7 @@
     if (endpoint === undefined) return undefined;
     return {
       endpoint,
-      workMilliseconds: 0,
+      work: NO_PROMPT_WORK,
       options: {
         deadlineMilliseconds: this.#left,
         lastEventId: this.#resumeFrom(),
@@ -159,7 +165,7 @@
     if (choice === undefined) return undefined;
     return {
       endpoint: choice.endpoint,
-      workMilliseconds: choice.workMilliseconds,
+      work: { milliseconds: choice.workMilliseconds, late: false },
       options: {
         deadlineMilliseconds: this.#left,
         priority: this.#priority,
@@ -173,21 +179,26 @@
     prompt: Prompt,
     endpoints: readonly RegisteredEndpoint[],
   ): Promise<KeptPrompt | undefined> {
-    const choice = this.#parts.placement.choosePrefill(prompt, endpoints);
-    if (choice === undefined) return undefined;
+    const admitted = this.#admit(prompt, endpoints);
+    if (admitted === undefined) return undefined;
+    const { choice, late } = admitted;
     this.#tell("placed", {
       step: "prefill",
       endpoint: choice.endpoint.id,
+      late,
       backlogMilliseconds: Math.round(choice.backlogMilliseconds),
+      wholeBacklogMilliseconds: Math.round(choice.wholeBacklogMilliseconds),
       workMilliseconds: Math.round(choice.workMilliseconds),
       keptTokens: choice.keptTokens,
     });
+    const sent = this.#parts.timer.now();
     const outcome = await readPrompt(this.#parts, {
       request: this.#request,
       prompt,
       pool: this.#pool,
       choice,
-      priority: this.#priority,
+      late,
+      priority: late ? LATE_PRIORITY : this.#priority,
       deadlineMilliseconds: this.#left,
       onAttempt: (attempt) => this.#attempt = attempt,
     });
@@ -197,10 +208,38 @@
       return undefined;
     }
     this.#kept = outcome.kept;
+    this.#tell("prompt_read", {
+      endpoint: outcome.kept.engine,
+      milliseconds: Math.round(this.#parts.timer.now() - sent),
+    });
     if (this.#settled) this.#releaseKept();
     return outcome.kept;
   }
 
+  /** Undefined: no engine reads prompts only, or the request was refused. */
+  #admit(
+    prompt: Prompt,
+    endpoints: readonly RegisteredEndpoint[],
+  ): { choice: PrefillChoice; late: boolean } | undefined {
+    const { placement, timer } = this.#parts;
+    const soonest = placement.choosePrefill(prompt, endpoints);
+    const later = placement.chooseLatePrefill(prompt, endpoints);
+    if (soonest === undefined || later === undefined) return undefined;
+    const admission = judgeAdmission({
+      onTimeMilliseconds: soonest.backlogMilliseconds +
+        soonest.workMilliseconds,
+      lateMilliseconds: later.wholeBacklogMilliseconds +
+        later.workMilliseconds,
+      elapsedMilliseconds: timer.now() - this.#arrived,
+      targetMilliseconds: this.#route.targetMilliseconds,
+      leftMilliseconds: this.#left,
+    });
+    if (admission === "on_time") return { choice: soonest, late: false };
+    if (admission === "late") return { choice: later, late: true };
+    this.#refuse("engines_full");
+    return undefined;
+  }
+
   async #send(plan: AttemptPlan): Promise<NextStep> {
     this.#sends += 1;
     this.#mayRun = true;
--- a/src/entry/forwarding/observer.ts
+++ b/src/entry/forwarding/observer.ts
@@ -4,6 +4,7 @@
 /** Kinds of decision; each is one log line. */
 export type ForwardingDecision =
   | "placed"
+  | "prompt_read"
   | "resent"
   | "resumed"
   | "refused"
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -113,5 +113,5 @@
   >;
   return typeof entry === "string" && typeof incarnation === "string" &&
     typeof sequence === "number" && Array.isArray(work) &&
-    work.every((each) => Array.isArray(each) && each.length === 3);
+    work.every((each) => Array.isArray(each) && each.length === 4);
 }
--- a/src/entry/forwarding/prefill_step.ts
+++ b/src/entry/forwarding/prefill_step.ts
@@ -30,6 +30,8 @@
   readonly prompt: Prompt;
   readonly pool: Pool;
   readonly choice: PrefillChoice;
+  /** True: read behind everything that can be on time. */
+  readonly late: boolean;
   readonly priority: number;
   readonly deadlineMilliseconds: number;
   /** Takes the attempt, so that it can be aborted from outside. */
@@ -51,7 +53,7 @@
     request,
     plan: {
       endpoint,
-      workMilliseconds: choice.workMilliseconds,
+      work: { milliseconds: choice.workMilliseconds, late: options.late },
       options: {
         deadlineMilliseconds: options.deadlineMilliseconds,
         priority: options.priority,
@@ -60,7 +62,7 @@
     },
   });
   options.onAttempt(attempt);
-  const predicted = choice.backlogMilliseconds + choice.workMilliseconds;
+  const predicted = choice.wholeBacklogMilliseconds + choice.workMilliseconds;
   const patience = Math.min(
     options.deadlineMilliseconds,
     Math.max(LEAST_PATIENCE_MILLISECONDS, PATIENCE_TO_PREDICTION * predicted),
