--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -29,3 +29,5 @@
 } from "./topic_reader.ts";
 export type { PrefillChoice } from "./engine_placement.ts";
 export { type Admission, judgeAdmission } from "./engine_admission.ts";
+export { planRoles, type RoleChange } from "./role_plan.ts";
+export { RoleClaim, type StandingClaim } from "./role_claim.ts";
--- /dev/null
+++ b/src/core/forwarding/role_plan.ts
@@ -0,0 +1,93 @@
+import type { EndpointId } from "../identity/mod.ts";
+import type { RegisteredEndpoint } from "./configuration.ts";
+
+/**
+ * Share of a pool's engines that read prompts while no demand is known. Load:
+ * long prompts with short answers beside short prompts with long answers. A
+ * prompt of 9,200 tokens takes an engine about 25 ms, of which it reads one at
+ * a time; an answer of some thousand tokens takes one of 32 slots for some
+ * seconds.
+ */
+const PRIOR_PREFILL_SHARE = 0.6;
+
+/** A change of one engine's role. */
+export interface RoleChange {
+  readonly endpoint: RegisteredEndpoint;
+  readonly role: "prefill" | "decode";
+}
+
+export interface RolePlanOptions {
+  /** Engines of one pool that may get work. */
+  readonly engines: readonly RegisteredEndpoint[];
+  /** Requests that all entries have open at the engine. */
+  readonly openRequests: (endpoint: EndpointId) => number;
+  /** Engines whose change is under way, with the role they will have. */
+  readonly changing: ReadonlyMap<EndpointId, "prefill" | "decode">;
+  readonly prefillShare?: number;
+}
+
+/**
+ * Which engines are to change their role. Few changes: each takes an engine
+ * away for seconds, so nothing is changed while the count fits.
+ */
+export function planRoles(options: RolePlanOptions): RoleChange[] {
+  const { engines, openRequests, changing } = options;
+  if (engines.length < 2) return [];
+  const roleOf = (engine: RegisteredEndpoint) =>
+    changing.get(engine.id) ?? engine.role;
+  const share = options.prefillShare ?? PRIOR_PREFILL_SHARE;
+  const wanted = Math.min(
+    engines.length - 1,
+    Math.max(1, Math.round(share * engines.length)),
+  );
+  const readers = engines.filter((engine) => roleOf(engine) === "prefill");
+  const missing = wanted - readers.length;
+  const role = missing > 0 ? "prefill" : "decode";
+  const candidates = engines.filter((engine) =>
+    roleOf(engine) !== role && !changing.has(engine.id)
+  );
+  return spreadOverZones(candidates, { engines, role, roleOf, openRequests })
+    .slice(0, Math.abs(missing))
+    .map((endpoint) => ({ endpoint, role }));
+}
+
+interface SpreadOptions {
+  readonly engines: readonly RegisteredEndpoint[];
+  readonly role: string;
+  readonly roleOf: (engine: RegisteredEndpoint) => string | undefined;
+  readonly openRequests: (endpoint: EndpointId) => number;
+}
+
+/**
+ * Orders the candidates: zones with the fewest engines of the role first, so
+ * that the loss of a zone does not take all of them, then the least busy.
+ */
+function spreadOverZones(
+  candidates: readonly RegisteredEndpoint[],
+  options: SpreadOptions,
+): RegisteredEndpoint[] {
+  const { engines, role, roleOf, openRequests } = options;
+  const count = new Map<string, number>();
+  for (const engine of engines) {
+    const zone = engine.availabilityZone;
+    const one = roleOf(engine) === role ? 1 : 0;
+    count.set(zone, (count.get(zone) ?? 0) + one);
+  }
+  const rest = [...candidates];
+  const ordered: RegisteredEndpoint[] = [];
+  while (rest.length > 0) {
+    rest.sort((one, other) =>
+      (count.get(one.availabilityZone) ?? 0) -
+        (count.get(other.availabilityZone) ?? 0) ||
+      openRequests(one.id) - openRequests(other.id) ||
+      (one.id < other.id ? -1 : 1)
+    );
+    const next = rest.shift() as RegisteredEndpoint;
+    count.set(
+      next.availabilityZone,
+      (count.get(next.availabilityZone) ?? 0) + 1,
+    );
+    ordered.push(next);
+  }
+  return ordered;
+}
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -17,6 +17,7 @@
 import type { CallerSink, EndpointDoor } from "./links.ts";
 import type { ObserveForwarding } from "./observer.ts";
 import type { ForwardingParts } from "./parts.ts";
+import { RoleKeeper, type RoleLink } from "./role_keeper.ts";
 import { PeerExchange, type SendToPeers } from "./peer_exchange.ts";
 
 export interface ForwardingEntryOptions {
@@ -34,6 +35,11 @@
     readonly windowMilliseconds: number;
     readonly minimum: number;
   };
+  /** Absent: engines keep the roles that they have. */
+  readonly roles?: {
+    readonly link: RoleLink;
+    readonly leaseMilliseconds: number;
+  };
   /** The endpoint's connections are no longer needed. */
   readonly onEndpointGone: (address: string) => void;
 }
@@ -47,6 +53,7 @@
   readonly peers: PeerExchange;
   readonly #options: ForwardingEntryOptions;
   readonly #parts: ForwardingParts;
+  readonly #roles: RoleKeeper | undefined;
   #routes: RouteTable | undefined;
   #stopping = false;
 
@@ -60,6 +67,7 @@
       timer,
       onChange: (change, endpoint) => {
         options.logger.info({ change, ...endpoint }, "An endpoint changed");
+        this.#roles?.engineChanged(endpoint);
         if (change !== "removed") return;
         outcomes.forget(endpoint.id);
         prefixes.forget(endpoint.id);
@@ -67,6 +75,16 @@
       },
     });
     this.peers = new PeerExchange({ ...options, load, prefixes });
+    this.#roles = options.roles === undefined ? undefined : new RoleKeeper({
+      ...options.roles,
+      self: `${options.process}#${options.incarnation}`,
+      timer,
+      random,
+      registry: this.registry,
+      load,
+      logger: options.logger,
+      pools: () => this.configuration?.pools.values() ?? [],
+    });
     this.#parts = {
       timer,
       random,
@@ -100,11 +118,13 @@
 
   start(): void {
     this.peers.start();
+    this.#roles?.start();
   }
 
   /** Takes no new callers; what is open goes on. */
   stop(): void {
     this.#stopping = true;
+    this.#roles?.stop();
   }
 
   close(): void {
--- a/src/entry/forwarding/mod.ts
+++ b/src/entry/forwarding/mod.ts
@@ -8,3 +8,4 @@
   type ForwardingEntryOptions,
 } from "./forwarding_entry.ts";
 export { PeerExchange, WORK_METHOD } from "./peer_exchange.ts";
+export type { OrderOutcome, RoleLink } from "./role_keeper.ts";
--- /dev/null
+++ b/src/entry/forwarding/role_keeper.ts
@@ -0,0 +1,185 @@
+import type { Result } from "neverthrow";
+import {
+  type EndpointRegistry,
+  type LoadPicture,
+  planRoles,
+  type Pool,
+  type RegisteredEndpoint,
+  type RoleChange,
+  RoleClaim,
+  type StandingClaim,
+  type StoreFailure,
+} from "../../core/forwarding/mod.ts";
+import type { EndpointId } from "../../core/identity/mod.ts";
+import type { Logger } from "../../core/observation/mod.ts";
+import { type Random, withJitter } from "../../core/random/mod.ts";
+import type { Subscription, TimerService } from "../../core/time/mod.ts";
+
+/** How often the roles are looked at. */
+const LOOK_MILLISECONDS = 500;
+/**
+ * Spread of the entries' looks. Load: all entries see the same need in the
+ * same second. Harm prevented: claims of which all but one are void.
+ */
+const LOOK_JITTER_SHARE = 1;
+/**
+ * How long the engines must not have changed before roles are planned: at a
+ * start they register one after another within about a heartbeat.
+ */
+const SETTLED_MILLISECONDS = 2_000;
+/** A change that has not shown by then has failed and is planned anew. */
+const CHANGE_MILLISECONDS = 12_000;
+
+/**
+ * What became of an order. `refused`: an engine has seen a higher number.
+ * `unknown`: it may be carried out, now or seconds later.
+ */
+export type OrderOutcome = "accepted" | "busy" | "refused" | "unknown";
+
+/** The log that claims stand on, and the engines' door for orders. */
+export interface RoleLink {
+  /** The newest claim, and where the log ends. */
+  readClaim(): Promise<
+    Result<{ claim: StandingClaim | undefined; end: number }, StoreFailure>
+  >;
+  /** Appends a claim if the log ends at `at`; gives its offset. */
+  appendClaim(
+    holder: string,
+    at: number,
+  ): Promise<Result<number | undefined, StoreFailure>>;
+  order(
+    change: RoleChange,
+    options: { readonly holder: string; readonly fencing: number },
+  ): Promise<OrderOutcome>;
+}
+
+export interface RoleKeeperOptions {
+  readonly self: string;
+  readonly timer: TimerService;
+  readonly random: Random;
+  readonly registry: EndpointRegistry;
+  readonly load: LoadPicture;
+  readonly link: RoleLink;
+  readonly logger: Logger;
+  readonly leaseMilliseconds: number;
+  /** Pools of the configuration in force. */
+  readonly pools: () => Iterable<Pool>;
+}
+
+/** Brings engines into the roles that the work needs, one holder at a time. */
+export class RoleKeeper {
+  readonly #options: RoleKeeperOptions;
+  readonly #claim: RoleClaim;
+  readonly #changing = new Map<EndpointId, "prefill" | "decode">();
+  readonly #changeDue = new Map<EndpointId, number>();
+  #settledSince = 0;
+  #next: Subscription | undefined;
+  #stopped = false;
+
+  constructor(options: RoleKeeperOptions) {
+    this.#options = options;
+    this.#claim = new RoleClaim(options);
+    this.#settledSince = options.timer.now();
+  }
+
+  start(): void {
+    this.#plan();
+  }
+
+  stop(): void {
+    this.#stopped = true;
+    this.#next?.cancel();
+  }
+
+  /** An engine has come, gone or changed. */
+  engineChanged(endpoint: RegisteredEndpoint): void {
+    if (endpoint.role === undefined) return;
+    this.#settledSince = this.#options.timer.now();
+    if (this.#changing.get(endpoint.id) === endpoint.role) {
+      this.#forget(endpoint.id);
+    }
+  }
+
+  #plan(): void {
+    const { random, timer } = this.#options;
+    const wait = withJitter(LOOK_MILLISECONDS, {
+      random,
+      share: LOOK_JITTER_SHARE,
+    });
+    this.#next = timer.after(wait, () => void this.#look());
+  }
+
+  async #look(): Promise<void> {
+    this.#dropOverdue();
+    const now = this.#options.timer.now();
+    const isSettled = now - this.#settledSince >= SETTLED_MILLISECONDS;
+    const changes = isSettled ? this.#wanted() : [];
+    if (changes.length > 0) await this.#carryOut(changes);
+    if (!this.#stopped) this.#plan();
+  }
+
+  #wanted(): RoleChange[] {
+    const { load, pools, registry } = this.#options;
+    const changes: RoleChange[] = [];
+    for (const pool of pools()) {
+      if (pool.engine === undefined) continue;
+      changes.push(...planRoles({
+        engines: registry.inPool(pool.name),
+        openRequests: (endpoint) => load.total(endpoint).requests,
+        changing: this.#changing,
+      }));
+    }
+    return changes;
+  }
+
+  async #carryOut(changes: readonly RoleChange[]): Promise<void> {
+    if (!await this.#takeClaim()) return;
+    const { link, logger, self, timer } = this.#options;
+    for (const change of changes) {
+      const fencing = this.#claim.fencing;
+      if (fencing === undefined) return;
+      const outcome = await link.order(change, { holder: self, fencing });
+      const { id, role: previous } = change.endpoint;
+      logger.info({
+        endpoint: id,
+        role: change.role,
+        previous,
+        fencing,
+        outcome,
+      }, "An engine was told to change its role");
+      if (outcome === "refused") return this.#claim.refused();
+      if (outcome === "busy") continue;
+      this.#changing.set(id, change.role);
+      this.#changeDue.set(id, timer.now() + CHANGE_MILLISECONDS);
+    }
+  }
+
+  /** A claim of its own for this round; false where it can't be had now. */
+  async #takeClaim(): Promise<boolean> {
+    const { link, logger, self, timer } = this.#options;
+    const read = await link.readClaim();
+    if (read.isErr()) return false;
+    const { claim, end } = read.value;
+    if (claim !== undefined) this.#claim.saw(claim);
+    if (!this.#claim.mayClaim()) return false;
+    const sentAt = timer.now();
+    const appended = await link.appendClaim(self, end);
+    // A lost answer may hide a claim that stands; the next look reads it.
+    if (appended.isErr() || appended.value === undefined) return false;
+    this.#claim.gained(appended.value, sentAt);
+    logger.info({ fencing: appended.value }, "This entry gives orders now");
+    return true;
+  }
+
+  #dropOverdue(): void {
+    const now = this.#options.timer.now();
+    for (const [id, due] of this.#changeDue) {
+      if (now >= due) this.#forget(id);
+    }
+  }
+
+  #forget(id: EndpointId): void {
+    this.#changing.delete(id);
+    this.#changeDue.delete(id);
+  }
+}
