--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -15,6 +15,7 @@
 export {
   PrefixDirectory,
   type PromptPart,
+  type SentPrompt,
   sharedParts,
 } from "./prefix_directory.ts";
 export { EndpointOutcomes } from "./endpoint_outcomes.ts";
--- a/src/core/forwarding/prefix_directory.ts
+++ b/src/core/forwarding/prefix_directory.ts
@@ -12,6 +12,19 @@
  */
 const CACHE_SHARE = 0.7;
 
+/** A prompt that was sent to an engine to be read, as peers tell of it. */
+export interface SentPrompt {
+  readonly engine: EndpointId;
+  readonly parts: readonly PromptPart[];
+  readonly memoryTokens: number;
+}
+
+/**
+ * Prompts that wait to be told to peers. Harm prevented: an entry without
+ * peers would gather them for ever; what is dropped costs a part read twice.
+ */
+const MOST_UNTOLD = 200;
+
 /** The parts that one engine is taken to keep, the oldest first. */
 class EngineParts {
   readonly #parts = new Map<string, number>();
@@ -50,6 +63,7 @@
  */
 export class PrefixDirectory {
   readonly #engines = new Map<EndpointId, EngineParts>();
+  #untold: SentPrompt[] = [];
 
   /** Tokens at the prompt's start that the engine need not read again. */
   keptTokens(engine: EndpointId, parts: readonly PromptPart[]): number {
@@ -63,21 +77,31 @@
     return tokens;
   }
 
-  /** A prompt was sent to the engine. */
-  sent(
-    engine: EndpointId,
-    options: { parts: readonly PromptPart[]; memoryTokens: number },
-  ): void {
+  /** This entry has sent a prompt. */
+  sent(prompt: SentPrompt): void {
+    this.peerSent(prompt);
+    if (this.#untold.length < MOST_UNTOLD) this.#untold.push(prompt);
+  }
+
+  /** A peer has sent a prompt. */
+  peerSent({ engine, parts, memoryTokens }: SentPrompt): void {
     let kept = this.#engines.get(engine);
     if (kept === undefined) {
       kept = new EngineParts();
       this.#engines.set(engine, kept);
     }
-    for (const part of sharedParts(options.parts)) {
-      kept.touch(part, CACHE_SHARE * options.memoryTokens);
+    for (const part of sharedParts(parts)) {
+      kept.touch(part, CACHE_SHARE * memoryTokens);
     }
   }
 
+  /** What this entry has sent since the last call, for its peers. */
+  takeUntold(): readonly SentPrompt[] {
+    const untold = this.#untold;
+    this.#untold = [];
+    return untold;
+  }
+
   /** The engine has ended or lost its memory. */
   forget(engine: EndpointId): void {
     this.#engines.delete(engine);
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -1,6 +1,7 @@
 import type {
   LoadPicture,
   PrefixDirectory,
+  SentPrompt,
   WorkReport,
 } from "../../core/forwarding/mod.ts";
 import type { Subscription, TimerService } from "../../core/time/mod.ts";
@@ -30,6 +31,8 @@
   readonly incarnation: string;
   readonly sequence: number;
   readonly work: WorkReport;
+  /** Prompts sent since the last report; a lost one costs a part read twice. */
+  readonly prompts: readonly SentPrompt[];
 }
 
 export interface PeerExchangeOptions {
@@ -82,10 +85,14 @@
     if (!isWorkNotification(params)) return;
     if (params.entry === this.#options.process) return;
     this.#options.load.peerReported(params.entry, params);
+    for (const prompt of params.prompts) {
+      this.#options.prefixes.peerSent(prompt);
+    }
   }
 
   #tell(): void {
-    const { incarnation, load, process, sendToPeers, timer } = this.#options;
+    const { incarnation, load, prefixes, process, sendToPeers, timer } =
+      this.#options;
     if (this.#addresses.length === 0) return;
     const work = load.report();
     const text = JSON.stringify(work);
@@ -95,11 +102,13 @@
     this.#lastText = text;
     this.#lastTold = now;
     this.#sequence += 1;
+    const prompts = prefixes.takeUntold();
     const params: WorkNotification = {
       entry: process,
       incarnation,
       sequence: this.#sequence,
       work,
+      prompts,
     };
     sendToPeers(this.#addresses, { method: WORK_METHOD, params });
   }
@@ -107,11 +116,19 @@
 
 function isWorkNotification(value: unknown): value is WorkNotification {
   if (typeof value !== "object" || value === null) return false;
-  const { entry, incarnation, sequence, work } = value as Record<
+  const { entry, incarnation, sequence, work, prompts } = value as Record<
     string,
     unknown
   >;
   return typeof entry === "string" && typeof incarnation === "string" &&
     typeof sequence === "number" && Array.isArray(work) &&
+    Array.isArray(prompts) && prompts.every(isSentPrompt) &&
     work.every((each) => Array.isArray(each) && each.length === 4);
 }
+
+function isSentPrompt(value: unknown): value is SentPrompt {
+  if (typeof value !== "object" || value === null) return false;
+  const { engine, parts, memoryTokens } = value as Record<string, unknown>;
+  return typeof engine === "string" && Array.isArray(parts) &&
+    typeof memoryTokens === "number";
+}
--- a/src/entry/forwarding/prefill_step.ts
+++ b/src/entry/forwarding/prefill_step.ts
@@ -45,7 +45,8 @@
 ): Promise<PrefillOutcome> {
   const { request, prompt, choice, pool } = options;
   const { endpoint } = choice;
-  parts.prefixes.sent(endpoint.id, {
+  parts.prefixes.sent({
+    engine: endpoint.id,
     parts: prompt.parts,
     memoryTokens: pool.engine?.memoryTokens ?? 0,
   });
