Keep long prompts off engines that decode; tell a reset from an answer's end

Causes: (1) a prompt whose prefill failed was read by an engine that decodes; its streams paused beyond what callers bear.

--- a/src/adapters/forwarding/endpoint_exchanges.ts
+++ b/src/adapters/forwarding/endpoint_exchanges.ts
@@ -144,10 +144,20 @@
   }
 }
 
+/**
+ * An answer without a length ends with its connection. Node takes a reset for
+ * that end too, so that half an answer would pass for a whole one; the
+ * socket's own error tells the two apart.
+ */
 function answerOf(
   head: AnswerHead,
   incoming: IncomingMessage,
 ): EndpointAnswer {
+  let broken = false;
+  // A connection that is kept would gather a listener for each answer.
+  if (endsWithConnection(incoming)) {
+    incoming.socket.once("error", () => broken = true);
+  }
   return {
     head,
     read(onPiece, onEnd) {
@@ -158,7 +168,9 @@
         onEnd(how);
       };
       incoming.on("data", onPiece);
-      incoming.on("end", () => end(incoming.complete ? "whole" : "cut"));
+      incoming.on("end", () => {
+        end(incoming.complete && !broken ? "whole" : "cut");
+      });
       incoming.on("error", () => end("cut"));
       incoming.on("close", () => end("cut"));
     },
@@ -167,6 +179,12 @@
   };
 }
 
+function endsWithConnection(incoming: IncomingMessage): boolean {
+  const { headers } = incoming;
+  return headers["content-length"] === undefined &&
+    headers["transfer-encoding"] === undefined;
+}
+
 function hostOf(address: string): string {
   return address.slice(0, address.lastIndexOf(":"));
 }
--- a/src/core/forwarding/retry_allowance.ts
+++ b/src/core/forwarding/retry_allowance.ts
@@ -46,13 +46,23 @@
 
   /** Takes one repeat; false where the window's part is used up. */
   take(pool: string): boolean {
+    if (this.left(pool) < 1) return false;
+    this.note(pool);
+    return true;
+  }
+
+  /** Counts a repeat that has happened unasked, as a send that was rejected. */
+  note(pool: string): void {
+    this.#window(pool).repeats.push(this.#options.timer.now());
+  }
+
+  /** Repeats that are left of this entry's part. */
+  left(pool: string): number {
     const window = this.#window(pool);
     const { ratio, minimum, entries } = this.#options;
     const shared = minimum / Math.max(1, entries());
     const allowed = USED_SHARE * (ratio * window.requests.length + shared);
-    if (window.repeats.length + 1 > allowed) return false;
-    window.repeats.push(this.#options.timer.now());
-    return true;
+    return allowed - window.repeats.length;
   }
 
   #window(pool: string): PoolWindow {
--- a/src/entry/forwarding/forward_run.ts
+++ b/src/entry/forwarding/forward_run.ts
@@ -17,13 +17,15 @@
 import type { CallerSink, EndpointAnswer, Refusal } from "./links.ts";
 import type { ForwardingDecision } from "./observer.ts";
 import type { ForwardingParts } from "./parts.ts";
-import { readPrompt } from "./prefill_step.ts";
+import { type PrefillOutcome, readPrompt } from "./prefill_step.ts";
 
 /**
  * Sends of one request in all, whatever the allowance. Harm prevented: a
  * request that every endpoint turns away goes round until its deadline.
  */
 const MOST_SENDS = 4;
+/** Engines that are asked to read a request's prompt in one round. */
+const MOST_PREFILLS = 2;
 /** When a caller that found no room should come back, milliseconds. */
 const RETRY_AFTER_MILLISECONDS = 250;
 /** Spread of the returns, so that a refused burst does not return as one. */
@@ -38,6 +40,12 @@
 
 /** Priority of prompts that are read for late answers. */
 const LATE_PRIORITY = 8;
+/**
+ * What has to be left of the allowance for a late prompt to be sent. Harm
+ * prevented: those that are overtaken until their deadline are rejected, each
+ * counts as a repeat, and nothing is left for requests whose engine failed.
+ */
+const LATE_ALLOWANCE_LEFT = 8;
 const NO_PROMPT_WORK = { milliseconds: 0, late: false };
 
 /** What comes next after an attempt. */
@@ -57,6 +65,7 @@
   #attempt: Attempt | undefined;
   #kept: KeptPrompt | undefined;
   #sends = 0;
+  #prefills = 0;
   /** Runs that may have begun. */
   #runs = 0;
   /** True while a send is out that may be running. */
@@ -148,10 +157,16 @@
     endpoints: readonly RegisteredEndpoint[],
   ): Promise<AttemptPlan | undefined> {
     const { placement } = this.#parts;
-    const kept = this.#sends === 0 && placement.wantsHandover(prompt)
+    const needsHandover = placement.wantsHandover(prompt) &&
+      endpoints.some((endpoint) => endpoint.role === "prefill");
+    const kept = needsHandover
       ? await this.#handOver(prompt, endpoints)
       : undefined;
     if (this.#settled) return undefined;
+    if (needsHandover && kept === undefined) {
+      this.#refuse("prompt_not_read");
+      return undefined;
+    }
     const keptIn = endpoints.find((each) => each.id === kept?.engine)
       ?.availabilityZone;
     const makers = this.#untried(
@@ -175,10 +190,33 @@
     };
   }
 
+  /**
+   * Has a prefill engine read the prompt, a second one where the first fails.
+   * Load: prefill engines that are full or failing. Harm prevented: engines
+   * that decode would read the prompt between the tokens of their streams,
+   * each of which then pauses for longer than callers bear.
+   */
   async #handOver(
     prompt: Prompt,
     endpoints: readonly RegisteredEndpoint[],
   ): Promise<KeptPrompt | undefined> {
+    for (;;) {
+      const outcome = await this.#readPrompt(prompt, endpoints);
+      if (outcome === undefined || this.#settled) return undefined;
+      if (outcome.kind === "kept") return outcome.kept;
+      const { reason } = outcome;
+      this.#prefills += 1;
+      const mayRepeat = this.#prefills < MOST_PREFILLS &&
+        this.#parts.allowance.left(this.#pool.name) >= 1 &&
+        this.#mayResend(`prefill ${reason}`, { counts: false });
+      if (!mayRepeat) return undefined;
+    }
+  }
+
+  async #readPrompt(
+    prompt: Prompt,
+    endpoints: readonly RegisteredEndpoint[],
+  ): Promise<PrefillOutcome | undefined> {
     const admitted = this.#admit(prompt, endpoints);
     if (admitted === undefined) return undefined;
     const { choice, late } = admitted;
@@ -202,10 +240,10 @@
       deadlineMilliseconds: this.#left,
       onAttempt: (attempt) => this.#attempt = attempt,
     });
-    this.#attempt = undefined;
     if (outcome.kind === "failed") {
-      this.#tell("resent", { step: "prefill", reason: outcome.reason });
-      return undefined;
+      // Only a prompt's first accepted reading is free of the allowance.
+      this.#parts.allowance.note(this.#pool.name);
+      return outcome;
     }
     this.#kept = outcome.kept;
     this.#tell("prompt_read", {
@@ -213,7 +251,7 @@
       milliseconds: Math.round(this.#parts.timer.now() - sent),
     });
     if (this.#settled) this.#releaseKept();
-    return outcome.kept;
+    return outcome;
   }
 
   /** Undefined: no engine reads prompts only, or the request was refused. */
@@ -235,7 +273,9 @@
       leftMilliseconds: this.#left,
     });
     if (admission === "on_time") return { choice: soonest, late: false };
-    if (admission === "late") return { choice: later, late: true };
+    const mayBeLate = admission === "late" &&
+      this.#parts.allowance.left(this.#pool.name) >= LATE_ALLOWANCE_LEFT;
+    if (mayBeLate) return { choice: later, late: true };
     this.#refuse("engines_full");
     return undefined;
   }
--- a/src/entry/forwarding/prefill_step.ts
+++ b/src/entry/forwarding/prefill_step.ts
@@ -17,6 +17,12 @@
  */
 const PATIENCE_TO_PREDICTION = 4;
 const LEAST_PATIENCE_MILLISECONDS = 400;
+/**
+ * Time of the deadline that is left to the answer itself. Harm prevented: an
+ * engine reads a prompt whose answer can't be whole by the deadline. Limit:
+ * hand-over and a short answer's tokens took 60 to 150 ms.
+ */
+const ANSWER_MILLISECONDS = 120;
 /** Longest answer to a call that only reads a prompt. */
 const MOST_ANSWER_BYTES = 64 * 1024;
 
@@ -45,6 +51,8 @@
 ): Promise<PrefillOutcome> {
   const { request, prompt, choice, pool } = options;
   const { endpoint } = choice;
+  const deadlineMilliseconds = options.deadlineMilliseconds -
+    ANSWER_MILLISECONDS;
   parts.prefixes.sent({
     engine: endpoint.id,
     parts: prompt.parts,
@@ -56,7 +64,7 @@
       endpoint,
       work: { milliseconds: choice.workMilliseconds, late: options.late },
       options: {
-        deadlineMilliseconds: options.deadlineMilliseconds,
+        deadlineMilliseconds,
         priority: options.priority,
         prefillOnly: true,
       },
@@ -64,8 +72,10 @@
   });
   options.onAttempt(attempt);
   const predicted = choice.wholeBacklogMilliseconds + choice.workMilliseconds;
-  const patience = Math.min(
-    options.deadlineMilliseconds,
+  // What is late anyhow is overtaken by everything else: its silence says
+  // nothing about the engine.
+  const patience = options.late ? deadlineMilliseconds : Math.min(
+    deadlineMilliseconds,
     Math.max(LEAST_PATIENCE_MILLISECONDS, PATIENCE_TO_PREDICTION * predicted),
   );
   const read = await beforeDeadline(readHandle(parts, attempt), {
