--- a/scripts/test.ts
+++ b/scripts/test.ts
@@ -26,7 +26,11 @@
   ["generated code", "check:generated"],
   ["build", "build"],
 ];
-const TEST_FILES = ["src/**/*_test.ts", "test/**/*_test.ts"];
+const TEST_FILES = [
+  "src/**/*_test.ts",
+  "test/**/*_test.ts",
+  "platform/**/*_test.ts",
+];
 const KNOWN_RED_FILE = "KNOWN-RED.txt";
 const MOST_KNOWN_RED = 3;
 
--- a/src/core/forwarding/endpoint_outcomes.ts
+++ b/src/core/forwarding/endpoint_outcomes.ts
@@ -95,6 +95,15 @@
     known.health.eject(this.#timer.now());
   }
 
+  /**
+   * Another replica has its address, or it has another role by now. Its
+   * registration tells so within seconds; until then every request that is
+   * sent there is turned away and counts as a repeat.
+   */
+  misdirected(id: EndpointId): void {
+    this.#of(id).health.eject(this.#timer.now());
+  }
+
   /** The attempt was turned away or given up by the caller. */
   untold(id: EndpointId): void {
     this.#of(id).health.untold();
--- a/src/core/forwarding/engine_placement.ts
+++ b/src/core/forwarding/engine_placement.ts
@@ -18,6 +18,14 @@
  * calls, about 6 ms; an engine that decodes reads 1,000 tokens in as long.
  */
 const HANDOVER_TOKENS = 1_000;
+/**
+ * What a millisecond of an engine's own work counts against one of waiting.
+ * Load: more long prompts than the engines can read whole. Harm prevented: the
+ * soonest engine is often one that has to read the shared parts again, which
+ * takes capacity from the prompts behind it. Limit: see the table of weights
+ * in docs/ROUNDS.md.
+ */
+const WORK_WEIGHT = 2;
 /**
  * What a hand-over to another availability zone counts for, in slots: the
  * cache travels twice as long there.
@@ -67,7 +75,7 @@
     return prompt.inputTokens >= HANDOVER_TOKENS;
   }
 
-  /** The prefill engine that would be done first, behind what is on time. */
+  /** The prefill engine that is best behind what can be on time. */
   choosePrefill(
     prompt: Prompt,
     engines: readonly RegisteredEndpoint[],
@@ -78,7 +86,7 @@
     });
   }
 
-  /** The prefill engine that would be done first, behind all its work. */
+  /** The prefill engine that is best behind all its work. */
   chooseLatePrefill(
     prompt: Prompt,
     engines: readonly RegisteredEndpoint[],
@@ -98,12 +106,13 @@
   ): PrefillChoice | undefined {
     const readers = options.engines.filter((each) => each.role === "prefill");
     let best: PrefillChoice | undefined;
-    let bestFinish = Infinity;
+    let bestCost = Infinity;
     for (const endpoint of this.#options.outcomes.wellAmong(readers)) {
       const choice = this.#prefillAt(endpoint, prompt);
-      const finish = options.backlog(choice) + choice.workMilliseconds;
-      if (finish >= bestFinish) continue;
-      bestFinish = finish;
+      const cost = options.backlog(choice) +
+        WORK_WEIGHT * choice.workMilliseconds;
+      if (cost >= bestCost) continue;
+      bestCost = cost;
       best = choice;
     }
     return best;
--- /dev/null
+++ b/src/core/forwarding/load_picture_test.ts
@@ -0,0 +1,65 @@
+import { expect } from "chai";
+import { type EndpointId, identifier } from "../identity/mod.ts";
+import { ManualTimerService } from "../time/mod.ts";
+import { LoadPicture } from "./mod.ts";
+
+describe("LoadPicture", () => {
+  const engine = identifier<EndpointId>("engine");
+  let timer: ManualTimerService;
+  let load: LoadPicture;
+
+  beforeEach(() => {
+    timer = new ManualTimerService();
+    load = new LoadPicture(timer);
+  });
+
+  function report(sequence: number, prefill: number, incarnation = "a"): void {
+    load.peerReported("peer", {
+      incarnation,
+      sequence,
+      work: [[engine, 1, prefill, 0]],
+    });
+  }
+
+  it("adds its own work to that of its peers", () => {
+    load.started(engine, { milliseconds: 30, late: false });
+    load.started(engine, { milliseconds: 50, late: true });
+    report(1, 20);
+    expect(load.total(engine)).to.deep.equal({
+      requests: 3,
+      prefillMilliseconds: 50,
+      lateMilliseconds: 50,
+    });
+  });
+
+  it("takes off what has ended, once", () => {
+    const ticket = load.started(engine, { milliseconds: 30, late: false });
+    ticket.end();
+    ticket.end();
+    expect(load.total(engine).requests).to.equal(0);
+    expect(load.report()).to.deep.equal([]);
+  });
+
+  // Datagrams overtake each other. Taken in the order of their arrival, an old
+  // report would show an engine as busy that has been free for a while.
+  it("passes over a report that is older than the last one", () => {
+    report(2, 10);
+    report(1, 500);
+    expect(load.total(engine).prefillMilliseconds).to.equal(10);
+  });
+
+  it("takes a restarted peer's reports, which count from the beginning", () => {
+    report(70, 10);
+    report(1, 20, "b");
+    expect(load.total(engine).prefillMilliseconds).to.equal(20);
+  });
+
+  // A peer is killed while it has work open. Its last report would keep the
+  // engine out of use for good.
+  it("forgets a peer that has fallen silent", async () => {
+    report(1, 500);
+    await timer.advance(1_100);
+    expect(load.total(engine).prefillMilliseconds).to.equal(0);
+    expect(load.freshPeers).to.equal(0);
+  });
+});
--- /dev/null
+++ b/src/core/forwarding/prefix_directory_test.ts
@@ -0,0 +1,54 @@
+import { expect } from "chai";
+import { makePrompt } from "../../../test/support/forwarding_values.ts";
+import { type EndpointId, identifier } from "../identity/mod.ts";
+import { PrefixDirectory } from "./mod.ts";
+
+describe("PrefixDirectory", () => {
+  const engine = identifier<EndpointId>("engine");
+  let prefixes: PrefixDirectory;
+
+  beforeEach(() => {
+    prefixes = new PrefixDirectory();
+  });
+
+  function send(subject: string, memoryTokens = 100_000): void {
+    const { parts } = makePrompt(subject);
+    prefixes.sent({ engine, parts, memoryTokens });
+  }
+
+  it("knows the parts that two prompts share", () => {
+    send("river");
+    expect(prefixes.keptTokens(engine, makePrompt("river").parts))
+      .to.equal(6_000);
+    expect(prefixes.keptTokens(engine, makePrompt("hill").parts))
+      .to.equal(3_000);
+  });
+
+  it("counts nothing behind a part that is missing", () => {
+    send("river");
+    const [, subject, own] = makePrompt("river").parts;
+    const parts = [{ id: "other", tokens: 3_000 }, subject, own];
+    expect(prefixes.keptTokens(engine, parts)).to.equal(0);
+  });
+
+  // An engine's memory holds some tens of subjects. Without a bound the entry
+  // would send prompts after parts that the engine dropped long ago.
+  it("forgets the part that was used longest ago", () => {
+    for (const subject of ["one", "two", "three"]) send(subject, 13_000);
+    expect(prefixes.keptTokens(engine, makePrompt("one").parts))
+      .to.equal(3_000);
+    expect(prefixes.keptTokens(engine, makePrompt("three").parts))
+      .to.equal(6_000);
+  });
+
+  it("tells each prompt of its own once, and none of its peers'", () => {
+    send("river");
+    prefixes.peerSent({
+      engine,
+      parts: makePrompt("hill").parts,
+      memoryTokens: 100_000,
+    });
+    expect(prefixes.takeUntold()).to.have.length(1);
+    expect(prefixes.takeUntold()).to.have.length(0);
+  });
+});
--- /dev/null
+++ b/src/core/forwarding/role_plan_test.ts
@@ -0,0 +1,71 @@
+import { expect } from "chai";
+import { makeEngine } from "../../../test/support/forwarding_values.ts";
+import { type AvailabilityZoneId, identifier } from "../identity/mod.ts";
+import { planRoles, type RegisteredEndpoint } from "./mod.ts";
+
+const NOTHING_CHANGES = new Map();
+const IDLE = () => 0;
+
+function zoned(id: string, role: "prefill" | "decode", zone: string) {
+  return makeEngine(id, role, {
+    availabilityZone: identifier<AvailabilityZoneId>(zone),
+  });
+}
+
+function roles(engines: readonly RegisteredEndpoint[]) {
+  return planRoles({
+    engines,
+    openRequests: IDLE,
+    changing: NOTHING_CHANGES,
+    prefillShare: 0.5,
+  });
+}
+
+describe("planRoles", () => {
+  it("changes nothing while the count fits", () => {
+    expect(roles([makeEngine("a", "prefill"), makeEngine("b", "decode")]))
+      .to.deep.equal([]);
+  });
+
+  it("leaves the only engine alone", () => {
+    expect(roles([makeEngine("a", "decode")])).to.deep.equal([]);
+  });
+
+  // All engines that read prompts stand in one zone. When that zone is lost,
+  // every long prompt is refused until roles have changed.
+  it("takes engines of the zone that has none of the role", () => {
+    const changes = roles([
+      zoned("a", "prefill", "one"),
+      zoned("b", "decode", "one"),
+      zoned("c", "decode", "two"),
+      zoned("d", "decode", "two"),
+    ]);
+    expect(changes.map(({ endpoint, role }) => [endpoint.id, role]))
+      .to.deep.equal([["c", "prefill"]]);
+  });
+
+  it("counts engines whose change is under way by their new role", () => {
+    const engines = ["a", "b", "c", "d"].map((id) => makeEngine(id, "decode"));
+    const changes = planRoles({
+      engines,
+      openRequests: IDLE,
+      changing: new Map([[engines[0].id, "prefill"], [
+        engines[1].id,
+        "prefill",
+      ]]),
+      prefillShare: 0.5,
+    });
+    expect(changes).to.deep.equal([]);
+  });
+
+  it("takes the least busy engine, which drains soonest", () => {
+    const engines = ["a", "b"].map((id) => makeEngine(id, "decode"));
+    const [change] = planRoles({
+      engines,
+      openRequests: (id) => id === "a" ? 9 : 1,
+      changing: NOTHING_CHANGES,
+      prefillShare: 0.5,
+    });
+    expect(change.endpoint.id).to.equal("b");
+  });
+});
--- /dev/null
+++ b/src/core/forwarding/route_table_test.ts
@@ -0,0 +1,50 @@
+import { expect } from "chai";
+import { identifier, type ServiceName } from "../identity/mod.ts";
+import {
+  makeConfiguration,
+  makeRoute,
+} from "../../../test/support/forwarding_values.ts";
+import { drawPool, RouteTable } from "./mod.ts";
+
+describe("RouteTable", () => {
+  const table = new RouteTable(makeConfiguration({
+    routes: [
+      makeRoute({ name: "short", pathPrefix: "/a/" }),
+      makeRoute({ name: "long", pathPrefix: "/a/b/" }),
+      makeRoute({ name: "other host", host: "two.example", pathPrefix: "/" }),
+    ],
+  }));
+
+  it("takes the longest prefix of the host", () => {
+    expect(table.find("one.example", "/a/b/c")?.name).to.equal("long");
+    expect(table.find("one.example", "/a/x")?.name).to.equal("short");
+  });
+
+  it("looks at neither port, case nor query", () => {
+    expect(table.find("ONE.example:80", "/a/x?to=/a/b/")?.name)
+      .to.equal("short");
+  });
+
+  it("finds nothing beside the prefixes", () => {
+    expect(table.find("one.example", "/ab")).to.equal(undefined);
+    expect(table.find("three.example", "/a/")).to.equal(undefined);
+  });
+});
+
+describe("drawPool", () => {
+  const route = makeRoute({
+    shares: [
+      { pool: identifier<ServiceName>("most"), weight: 90 },
+      { pool: identifier<ServiceName>("few"), weight: 10 },
+    ],
+  });
+
+  it("follows the weights", () => {
+    expect(drawPool(route, () => 0.89)).to.equal("most");
+    expect(drawPool(route, () => 0.91)).to.equal("few");
+  });
+
+  it("names no pool where the route has none", () => {
+    expect(drawPool(makeRoute({ shares: [] }), () => 0)).to.equal(undefined);
+  });
+});
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -8,7 +8,7 @@
 import type { BodyEnd, EndpointAnswer, ExchangeFailure } from "./links.ts";
 import type { ForwardingParts } from "./parts.ts";
 
-/** Another replica has the endpoint's address now. */
+/** Another replica has the endpoint's address, or its role has changed. */
 const MISDIRECTED_STATUS = 421;
 
 export interface AttemptPlan {
@@ -77,7 +77,7 @@
       outcomes.heard(id);
       const { notRun, status } = answer.value.head;
       if (!notRun) return;
-      if (status === MISDIRECTED_STATUS) outcomes.refusedConnection(id);
+      if (status === MISDIRECTED_STATUS) outcomes.misdirected(id);
       else outcomes.untold(id);
     } else if (answer.error.name === "exchange_not_sent") {
       outcomes.refusedConnection(id);
--- a/src/entry/forwarding/forward_run.ts
+++ b/src/entry/forwarding/forward_run.ts
@@ -11,6 +11,7 @@
   type RegisteredEndpoint,
   type Route,
 } from "../../core/forwarding/mod.ts";
+import type { EndpointId } from "../../core/identity/mod.ts";
 import type { Subscription } from "../../core/time/mod.ts";
 import { AnswerRelay } from "./answer_relay.ts";
 import { Attempt, type AttemptPlan } from "./attempt.ts";
@@ -26,6 +27,12 @@
 const MOST_SENDS = 4;
 /** Engines that are asked to read a request's prompt in one round. */
 const MOST_PREFILLS = 2;
+/**
+ * Engines that a kept prompt is offered to. One that is full or has changed
+ * its role leaves the cache where it is; where a second one turns it away too,
+ * the cache itself is likely gone.
+ */
+const MOST_KEPT_TRIES = 2;
 /** When a caller that found no room should come back, milliseconds. */
 const RETRY_AFTER_MILLISECONDS = 250;
 /** Spread of the returns, so that a refused burst does not return as one. */
@@ -66,6 +73,8 @@
   #kept: KeptPrompt | undefined;
   #sends = 0;
   #prefills = 0;
+  #keptTries = 0;
+  readonly #turnedAway = new Set<EndpointId>();
   /** Runs that may have begun. */
   #runs = 0;
   /** True while a send is out that may be running. */
@@ -160,7 +169,7 @@
     const needsHandover = placement.wantsHandover(prompt) &&
       endpoints.some((endpoint) => endpoint.role === "prefill");
     const kept = needsHandover
-      ? await this.#handOver(prompt, endpoints)
+      ? this.#kept ?? await this.#handOver(prompt, endpoints)
       : undefined;
     if (this.#settled) return undefined;
     if (needsHandover && kept === undefined) {
@@ -206,6 +215,7 @@
       if (outcome.kind === "kept") return outcome.kept;
       const { reason } = outcome;
       this.#prefills += 1;
+      this.#turnedAway.add(outcome.engine);
       const mayRepeat = this.#prefills < MOST_PREFILLS &&
         this.#parts.allowance.left(this.#pool.name) >= 1 &&
         this.#mayResend(`prefill ${reason}`, { counts: false });
@@ -260,8 +270,9 @@
     endpoints: readonly RegisteredEndpoint[],
   ): { choice: PrefillChoice; late: boolean } | undefined {
     const { placement, timer } = this.#parts;
-    const soonest = placement.choosePrefill(prompt, endpoints);
-    const later = placement.chooseLatePrefill(prompt, endpoints);
+    const untried = this.#untried(endpoints);
+    const soonest = placement.choosePrefill(prompt, untried);
+    const later = placement.chooseLatePrefill(prompt, untried);
     if (soonest === undefined || later === undefined) return undefined;
     const admission = judgeAdmission({
       onTimeMilliseconds: soonest.backlogMilliseconds +
@@ -293,10 +304,13 @@
     this.#attempt = attempt;
     const answer = await attempt.answer;
     if (this.#settled) return "delivered";
-    if (answer.isErr()) return this.#afterFailure(answer.error.name);
+    if (answer.isErr()) {
+      this.#turnedAway.add(plan.endpoint.id);
+      return this.#afterFailure(answer.error.name);
+    }
     if (answer.value.head.notRun) {
       discard(answer.value, attempt);
-      return this.#afterNotRun();
+      return this.#afterNotRun(plan.endpoint.id);
     }
     this.#kept = undefined;
     return await this.#deliver(answer.value, attempt);
@@ -313,9 +327,11 @@
     return this.#mayResend(name, { counts: true }) ? "again" : "unknown";
   }
 
-  #afterNotRun(): NextStep {
+  #afterNotRun(endpoint: EndpointId): NextStep {
     this.#mayRun = this.#runs > 0;
-    this.#releaseKept();
+    this.#turnedAway.add(endpoint);
+    this.#keptTries += 1;
+    if (this.#keptTries >= MOST_KEPT_TRIES) this.#releaseKept();
     return this.#mayResend("not_run", { counts: true }) ? "again" : "refuse";
   }
 
@@ -463,12 +479,11 @@
     return Math.min(LOWEST_PRIORITY, this.#route.rank);
   }
 
-  /** Prefers endpoints other than the one that was tried last. */
+  /** Prefers endpoints that have not turned this request away. */
   #untried(
     endpoints: readonly RegisteredEndpoint[],
   ): readonly RegisteredEndpoint[] {
-    const last = this.#attempt?.endpoint.id;
-    const others = endpoints.filter((endpoint) => endpoint.id !== last);
+    const others = endpoints.filter((each) => !this.#turnedAway.has(each.id));
     return others.length > 0 ? others : endpoints;
   }
 
--- a/src/entry/forwarding/prefill_step.ts
+++ b/src/entry/forwarding/prefill_step.ts
@@ -5,6 +5,7 @@
   PrefillChoice,
   Prompt,
 } from "../../core/forwarding/mod.ts";
+import type { EndpointId } from "../../core/identity/mod.ts";
 import { beforeDeadline } from "../../core/time/mod.ts";
 import { Attempt } from "./attempt.ts";
 import type { EndpointAnswer } from "./links.ts";
@@ -29,7 +30,11 @@
 /** `failed`: nothing has run, and another way may be tried. */
 export type PrefillOutcome =
   | { readonly kind: "kept"; readonly kept: KeptPrompt }
-  | { readonly kind: "failed"; readonly reason: string };
+  | {
+    readonly kind: "failed";
+    readonly reason: string;
+    readonly engine: EndpointId;
+  };
 
 export interface PrefillStepOptions {
   readonly request: ForwardedRequest;
@@ -84,10 +89,10 @@
   });
   if (read === undefined) {
     attempt.abort();
-    return { kind: "failed", reason: "silent" };
+    return { kind: "failed", reason: "silent", engine: endpoint.id };
   }
   if (read.handle === undefined) {
-    return { kind: "failed", reason: read.reason };
+    return { kind: "failed", reason: read.reason, engine: endpoint.id };
   }
   const { id: engine, address } = endpoint;
   return { kind: "kept", kept: { engine, address, handle: read.handle } };
--- /dev/null
+++ b/test/support/forwarding_values.ts
@@ -0,0 +1,122 @@
+/** Values for tests of the forwarding decisions. */
+import {
+  type AvailabilityZoneId,
+  type EndpointId,
+  identifier,
+  type ModelName,
+  type RequestId,
+  type ServiceName,
+} from "../../src/core/identity/mod.ts";
+import type {
+  ForwardedRequest,
+  ForwardingConfiguration,
+  Pool,
+  Prompt,
+  RegisteredEndpoint,
+  Route,
+} from "../../src/core/forwarding/mod.ts";
+
+export const ENGINES = identifier<ServiceName>("engines");
+export const PORTAL = identifier<ServiceName>("portal");
+
+export function makeRoute(values: Partial<Route> = {}): Route {
+  return {
+    name: "route",
+    host: "one.example",
+    pathPrefix: "/",
+    repeat: "idempotent",
+    resumable: false,
+    timeoutMilliseconds: 2_000,
+    targetMilliseconds: 150,
+    rank: 0,
+    mostAttempts: 2,
+    longestPauseMilliseconds: 0,
+    shares: [{ pool: PORTAL, weight: 1 }],
+    ...values,
+  };
+}
+
+export function makePool(values: Partial<Pool> = {}): Pool {
+  return { name: PORTAL, mostConnections: 100, ...values };
+}
+
+export const ENGINE_POOL: Pool = makePool({
+  name: ENGINES,
+  engine: { slots: 32, memoryTokens: 200_000, roleChangeMilliseconds: 3_000 },
+});
+
+export function makeConfiguration(
+  values: Partial<ForwardingConfiguration> = {},
+): ForwardingConfiguration {
+  return {
+    version: 1,
+    routes: [makeRoute()],
+    pools: new Map([[PORTAL, makePool()], [ENGINES, ENGINE_POOL]]),
+    limits: {
+      mostHeaderBytes: 16_384,
+      mostBodyBytes: 4_000_000,
+      headerMilliseconds: 3_000,
+      idleMilliseconds: 15_000,
+    },
+    ...values,
+  };
+}
+
+export function makeEndpoint(
+  id: string,
+  values: Partial<RegisteredEndpoint> = {},
+): RegisteredEndpoint {
+  return {
+    id: identifier<EndpointId>(id),
+    pool: PORTAL,
+    address: `${id}:1`,
+    availabilityZone: identifier<AvailabilityZoneId>("zone-1"),
+    slots: 6,
+    leaving: false,
+    ...values,
+  };
+}
+
+export function makeEngine(
+  id: string,
+  role: "prefill" | "decode",
+  values: Partial<RegisteredEndpoint> = {},
+): RegisteredEndpoint {
+  return makeEndpoint(id, { pool: ENGINES, slots: 32, role, ...values });
+}
+
+/** A prompt of two shared parts and one of its own. */
+export function makePrompt(
+  subject: string,
+  tokens: { readonly shared?: number; readonly own?: number } = {},
+): Prompt {
+  const shared = tokens.shared ?? 6_000;
+  const own = tokens.own ?? 3_000;
+  return {
+    model: identifier<ModelName>("m"),
+    inputTokens: shared + own,
+    mostOutputTokens: 100,
+    parts: [
+      { id: "all", tokens: shared / 2 },
+      { id: subject, tokens: shared / 2 },
+      { id: `${subject}-own`, tokens: own },
+    ],
+  };
+}
+
+export function makeRequest(
+  values: Partial<ForwardedRequest> = {},
+): ForwardedRequest {
+  return {
+    id: identifier<RequestId>("request-1"),
+    method: "POST",
+    target: "/x",
+    host: "one.example",
+    headers: ["Host", "one.example"],
+    body: Buffer.from("body"),
+    deadlineMilliseconds: 1_000,
+    lastEventId: undefined,
+    prompt: undefined,
+    ...values,
+  };
+}
