--- a/src/adapters/forwarding/caller_server.ts
+++ b/src/adapters/forwarding/caller_server.ts
@@ -24,6 +24,13 @@
  */
 const IDLE_AFTER_STOP_MILLISECONDS = 2_500;
 
+/**
+ * How long a connection stays open behind an answer that began before the
+ * stop and so did not announce it. Harm prevented: the caller sends its next
+ * request on it seconds later, and the process ends in the middle of that one.
+ */
+const KEPT_AFTER_STOP_MILLISECONDS = 50;
+
 /** Limits on what callers may send; they follow the configuration. */
 export interface CallerServerLimits {
   readonly mostBodyBytes: number;
@@ -91,6 +98,7 @@
 
   /** Takes over limits that the configuration has changed. */
   applyLimits(): void {
+    if (this.#stopping) return;
     const { headerMilliseconds, idleMilliseconds } = this.#options.limits();
     this.#server.headersTimeout = headerMilliseconds;
     this.#server.keepAliveTimeout = idleMilliseconds;
@@ -102,6 +110,7 @@
    */
   stop(): Promise<void> {
     this.#stopping = true;
+    this.#server.keepAliveTimeout = KEPT_AFTER_STOP_MILLISECONDS;
     return new Promise((resolve) => {
       this.#idleClosing = this.#options.timer.after(
         IDLE_AFTER_STOP_MILLISECONDS,
--- /dev/null
+++ b/src/adapters/forwarding/caller_server_test.ts
@@ -0,0 +1,180 @@
+import { expect } from "chai";
+import { Agent, request } from "node:http";
+import { connect } from "node:net";
+import { freePort } from "../../../test/support/free_port.ts";
+import {
+  rawRequest,
+  sendRaw,
+  statusCodes,
+} from "../../../test/support/raw_http.ts";
+import type { ForwardedRequest } from "../../core/forwarding/mod.ts";
+import { identifier } from "../../core/identity/mod.ts";
+import type { CallerSink } from "../../entry/forwarding/links.ts";
+import { SystemTimerService } from "../time/mod.ts";
+import { CallerServer } from "./mod.ts";
+
+const LIMITS = {
+  mostBodyBytes: 1_000,
+  headerMilliseconds: 2_000,
+  idleMilliseconds: 5_000,
+};
+
+describe("CallerServer", () => {
+  let server: CallerServer;
+  let port: number;
+  let taken: { request: ForwardedRequest; sink: CallerSink }[];
+
+  beforeEach(async () => {
+    taken = [];
+    port = await freePort();
+    server = new CallerServer({
+      host: "127.0.0.1",
+      port,
+      timer: new SystemTimerService(),
+      limits: () => LIMITS,
+      decode: ({ method, target, headers, body }) => ({
+        id: identifier("r"),
+        method,
+        target,
+        host: "h",
+        headers,
+        body,
+        deadlineMilliseconds: undefined,
+        lastEventId: undefined,
+        prompt: undefined,
+      }),
+      handle: (request, sink) => taken.push({ request, sink }),
+      onProtocolError: () => {},
+    });
+    await server.listen();
+  });
+
+  afterEach(() => server.close());
+
+  async function untilTaken(count: number): Promise<void> {
+    while (taken.length < count) {
+      await new Promise((resolve) => setTimeout(resolve, 5));
+    }
+  }
+
+  function answerAll(): void {
+    const answering = setInterval(() => {
+      for (const { sink } of taken.splice(0)) {
+        sink.head(200, ["Content-Length", "2"]);
+        sink.write(Buffer.from("ok"));
+        sink.finish();
+      }
+    }, 5);
+    answering.unref();
+  }
+
+  it("hands on a body that comes in chunks as one", async () => {
+    void sendRaw(
+      rawRequest("POST /a", ["Host: h", "Transfer-Encoding: chunked"]) +
+        "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+      { port },
+    );
+    await untilTaken(1);
+    expect(taken[0].request.body.toString()).to.equal("abc");
+  });
+
+  it("refuses a body beyond the limit and hands on nothing", async () => {
+    const body = "x".repeat(1_001);
+    const received = await sendRaw(
+      rawRequest("POST /a", ["Host: h", "Content-Length: 1001"], body),
+      { port, waitMilliseconds: 200 },
+    );
+    expect(statusCodes(received)).to.deep.equal([413]);
+    expect(taken).to.have.length(0);
+  });
+
+  // Two lengths that disagree: what one side takes for the body, the other
+  // takes for a second request that no caller has sent.
+  it("refuses a request with two lengths", async () => {
+    const received = await sendRaw(
+      rawRequest("POST /a", [
+        "Host: h",
+        "Content-Length: 4",
+        "Transfer-Encoding: chunked",
+      ], "0\r\n\r\nGET /hidden HTTP/1.1\r\nHost: h\r\n\r\n"),
+      { port, waitMilliseconds: 200 },
+    );
+    expect(statusCodes(received)).to.deep.equal([400]);
+    expect(taken).to.have.length(0);
+  });
+
+  // An endpoint breaks off; the caller must not take the half for the whole.
+  it("leaves a cut answer without its end mark", async () => {
+    const received = sendRaw(rawRequest("GET /a", ["Host: h"]), { port });
+    await untilTaken(1);
+    const { sink } = taken[0];
+    sink.head(200, []);
+    sink.write(Buffer.from("half"));
+    await new Promise((resolve) => setTimeout(resolve, 30));
+    sink.cut();
+    const bytes = await received;
+    expect(bytes).to.contain("half");
+    expect(bytes.endsWith("0\r\n\r\n")).to.equal(false);
+  });
+
+  it("tells when the caller has gone", async () => {
+    const socket = connect(port, "127.0.0.1");
+    socket.write(rawRequest("GET /a", ["Host: h"]));
+    await untilTaken(1);
+    const gone = new Promise<void>((resolve) => taken[0].sink.onGone(resolve));
+    socket.destroy();
+    await gone;
+    expect(taken[0].sink.gone).to.equal(true);
+  });
+
+  it("gives the time to come back with a refusal", async () => {
+    const received = sendRaw(rawRequest("GET /a", ["Host: h"]), {
+      port,
+      waitMilliseconds: 200,
+    });
+    await untilTaken(1);
+    taken[0].sink.refuse({
+      status: 503,
+      reason: "full",
+      retryAfterMilliseconds: 250,
+    });
+    expect(await received).to.match(/Retry-After: 0\.250/i);
+  });
+
+  describe("a planned stop", () => {
+    // A long answer began before the stop, so its head did not say that the
+    // connection closes. The caller would send its next request on it seconds
+    // later, and the process would end in the middle of that one.
+    it("closes a kept connection behind an answer that was under way", async () => {
+      const agent = new Agent({ keepAlive: true });
+      const answer = new Promise<void>((resolve) => {
+        request({ port, host: "127.0.0.1", agent }, (incoming) => {
+          incoming.resume();
+          incoming.on("end", resolve);
+          incoming.socket.on("close", () => closed = true);
+        }).end();
+      });
+      let closed = false;
+      await untilTaken(1);
+      const { sink } = taken[0];
+      sink.head(200, ["Content-Length", "2"]);
+      void server.stop();
+      sink.write(Buffer.from("ok"));
+      sink.finish();
+      await answer;
+      await new Promise((resolve) => setTimeout(resolve, 1_500));
+      agent.destroy();
+      expect(closed).to.equal(true);
+    });
+
+    it("answers requests that still come, and announces the close", async () => {
+      void server.stop();
+      answerAll();
+      const received = await sendRaw(rawRequest("GET /a", ["Host: h"]), {
+        port,
+      });
+      expect(received).to.match(/Connection: close/i);
+      expect(statusCodes(received)).to.deep.equal([200]);
+    });
+  });
+});
