--- /dev/null
+++ b/test/boundaries/platform_names_test.ts
@@ -0,0 +1,28 @@
+import { expect } from "chai";
+import { readdirSync, readFileSync } from "node:fs";
+import { join } from "node:path";
+
+/** Names of the platform's protocol, as they stand on its wire. */
+const PLATFORM_NAMES =
+  /x-(response-seal|kv-source|request-priority|expect-instance|not-executed|server-load|token-count|prompt-prefix|deadline-ms)|filbertshore\/(order|report|readyz|log-|kv-)|log-(append|newest|read)|keyed\.|path_prefix|fencing_token|handle_id/i;
+const FOLDERS = ["src", "test", "bench", "scripts", "examples"];
+/** This file has to name them. */
+const OWN_NAME = "platform_names_test.ts";
+
+function filesIn(folder: string): string[] {
+  return readdirSync(folder, { withFileTypes: true }).flatMap((entry) => {
+    const path = join(folder, entry.name);
+    if (entry.isDirectory()) return filesIn(path);
+    return /\.(ts|js|json|mjs)$/.test(entry.name) ? [path] : [];
+  });
+}
+
+describe("the boundary around the platform", () => {
+  it("keeps the platform's names in one folder", () => {
+    const outside = FOLDERS.flatMap(filesIn).filter((path) =>
+      !path.endsWith(OWN_NAME) &&
+      PLATFORM_NAMES.test(readFileSync(path, "utf8"))
+    );
+    expect(outside).to.deep.equal([]);
+  });
+});
