--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -17,6 +17,7 @@
 import type { CallerSink, EndpointDoor } from "./links.ts";
 import type { ObserveForwarding } from "./observer.ts";
 import type { ForwardingParts } from "./parts.ts";
+import { StateRelay, type StateRelayOptions } from "./state_relay.ts";
 import { RoleKeeper, type RoleLink } from "./role_keeper.ts";
 import { PeerExchange, type SendToPeers } from "./peer_exchange.ts";
 
@@ -40,6 +41,8 @@
     readonly link: RoleLink;
     readonly leaseMilliseconds: number;
   };
+  /** How peers are asked for what the store does not tell. */
+  readonly relay: Pick<StateRelayOptions, "ask" | "peers">;
   /** The endpoint's connections are no longer needed. */
   readonly onEndpointGone: (address: string) => void;
 }
@@ -51,6 +54,7 @@
 export class ForwardingEntry {
   readonly registry: EndpointRegistry;
   readonly peers: PeerExchange;
+  readonly relay: StateRelay;
   readonly #options: ForwardingEntryOptions;
   readonly #parts: ForwardingParts;
   readonly #roles: RoleKeeper | undefined;
@@ -75,6 +79,17 @@
       },
     });
     this.peers = new PeerExchange({ ...options, load, prefixes });
+    this.relay = new StateRelay({
+      ...options.relay,
+      timer,
+      random,
+      logger: options.logger,
+      registry: this.registry,
+      configuration: () => this.configuration,
+      takeConfiguration: (configuration) => {
+        this.takeConfiguration(configuration);
+      },
+    });
     this.#roles = options.roles === undefined ? undefined : new RoleKeeper({
       ...options.roles,
       self: `${options.process}#${options.incarnation}`,
@@ -119,6 +134,7 @@
   start(): void {
     this.peers.start();
     this.#roles?.start();
+    this.relay.start();
   }
 
   /** Takes no new callers; what is open goes on. */
@@ -129,6 +145,7 @@
 
   close(): void {
     this.peers.stop();
+    this.relay.stop();
   }
 
   /**
--- a/src/entry/forwarding/mod.ts
+++ b/src/entry/forwarding/mod.ts
@@ -9,3 +9,4 @@
 } from "./forwarding_entry.ts";
 export { PeerExchange, WORK_METHOD } from "./peer_exchange.ts";
 export type { OrderOutcome, RoleLink } from "./role_keeper.ts";
+export { FORWARDING_STATE, StateRelay } from "./state_relay.ts";
