--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -31,3 +31,4 @@
 export { type Admission, judgeAdmission } from "./engine_admission.ts";
 export { planRoles, type RoleChange } from "./role_plan.ts";
 export { RoleClaim, type StandingClaim } from "./role_claim.ts";
+export { CallerPatience } from "./caller_patience.ts";
--- a/src/entry/forwarding/forward_run.ts
+++ b/src/entry/forwarding/forward_run.ts
@@ -67,6 +67,8 @@
   readonly #route: Route;
   readonly #pool: Pool;
   readonly #deadline: number;
+  /** How long the caller had waited before, in earlier attempts. */
+  readonly #waited: number;
   readonly #relay: AnswerRelay;
   readonly #limit: Subscription;
   #attempt: Attempt | undefined;
@@ -103,6 +105,10 @@
       route.timeoutMilliseconds,
     );
     this.#deadline = this.#arrived + allowed;
+    this.#waited = parts.patience.waited(
+      route.name,
+      request.deadlineMilliseconds,
+    );
     this.#relay = new AnswerRelay({
       sink,
       wholeEvents: route.repeat === "stream" && route.resumable,
@@ -280,7 +286,7 @@
       lateMilliseconds: later === undefined
         ? Infinity
         : later.wholeBacklogMilliseconds + later.workMilliseconds,
-      elapsedMilliseconds: timer.now() - this.#arrived,
+      elapsedMilliseconds: this.#waited + timer.now() - this.#arrived,
       targetMilliseconds: this.#route.targetMilliseconds,
       leftMilliseconds: this.#left,
     });
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -1,4 +1,5 @@
 import {
+  CallerPatience,
   EndpointOutcomes,
   EndpointRegistry,
   EnginePlacement,
@@ -114,6 +115,7 @@
         ...options.retry,
         entries: () => this.peers.knownEntries ?? ASSUMED_ENTRIES,
       }),
+      patience: new CallerPatience(timer),
       door: options.door,
       observe: options.observe,
       routes: () => this.#routes,
--- a/src/entry/forwarding/parts.ts
+++ b/src/entry/forwarding/parts.ts
@@ -1,5 +1,6 @@
 /** What all forwarded requests of an entry share. */
 import type {
+  CallerPatience,
   EndpointOutcomes,
   EndpointRegistry,
   EnginePlacement,
@@ -24,6 +25,7 @@
   readonly outcomes: EndpointOutcomes;
   readonly placement: EnginePlacement;
   readonly allowance: RetryAllowance;
+  readonly patience: CallerPatience;
   readonly door: EndpointDoor;
   readonly observe: ObserveForwarding;
   /** The routes in force; undefined while no configuration is known. */
--- a/test/support/forwarding_bench.ts
+++ b/test/support/forwarding_bench.ts
@@ -3,6 +3,7 @@
 import {
   type AnswerHead,
   type AttemptOptions,
+  CallerPatience,
   EndpointOutcomes,
   EndpointRegistry,
   EnginePlacement,
@@ -194,6 +195,7 @@
         minimum: options.repeats ?? 100,
         entries: () => 1,
       }),
+      patience: new CallerPatience(timer),
       door,
       observe: (decision, facts) => {
         this.decisions.push({ decision, ...facts });
