--- a/src/core/forwarding/role_plan.ts
+++ b/src/core/forwarding/role_plan.ts
@@ -11,6 +11,19 @@
  */
 const PRIOR_PREFILL_SHARE = 0.7;
 
+/**
+ * How far the engines of a role may be from their share. Load: one engine of
+ * six crashes and is back five seconds later. Harm prevented: another one
+ * changes its role meanwhile, takes three seconds for it, and then one has to
+ * change back. Limit: with 0.75 the loss of one engine changes nothing.
+ */
+const TOLERATED_ENGINES = 0.75;
+/**
+ * Share of slots that may be taken on the engines that are left to decode.
+ * Harm prevented: an engine is taken from answers that need it.
+ */
+const MOST_TAKEN_SLOTS = 0.6;
+
 /** A change of one engine's role. */
 export interface RoleChange {
   readonly endpoint: RegisteredEndpoint;
@@ -37,21 +50,37 @@
   const roleOf = (engine: RegisteredEndpoint) =>
     changing.get(engine.id) ?? engine.role;
   const share = options.prefillShare ?? PRIOR_PREFILL_SHARE;
+  const exact = share * engines.length;
   const wanted = Math.min(
     engines.length - 1,
     Math.max(1, Math.round(share * engines.length)),
   );
   const readers = engines.filter((engine) => roleOf(engine) === "prefill");
   const missing = wanted - readers.length;
+  const isNear = Math.abs(exact - readers.length) <= TOLERATED_ENGINES &&
+    readers.length > 0 && readers.length < engines.length;
+  if (isNear) return [];
   const role = missing > 0 ? "prefill" : "decode";
   const candidates = engines.filter((engine) =>
     roleOf(engine) !== role && !changing.has(engine.id)
   );
   return spreadOverZones(candidates, { engines, role, roleOf, openRequests })
     .slice(0, Math.abs(missing))
+    .filter((_, index) => role === "decode" || leavesSlots(options, index + 1))
     .map((endpoint) => ({ endpoint, role }));
 }
 
+/** True where so many engines fewer still have slots for what is open. */
+function leavesSlots(options: RolePlanOptions, fewer: number): boolean {
+  const { changing, engines, openRequests } = options;
+  const makers = engines.filter((engine) =>
+    (changing.get(engine.id) ?? engine.role) !== "prefill"
+  );
+  const open = makers.reduce((sum, maker) => sum + openRequests(maker.id), 0);
+  const slots = makers.slice(fewer).reduce((sum, { slots }) => sum + slots, 0);
+  return open <= MOST_TAKEN_SLOTS * slots;
+}
+
 interface SpreadOptions {
   readonly engines: readonly RegisteredEndpoint[];
   readonly role: string;
--- a/src/core/forwarding/role_plan_test.ts
+++ b/src/core/forwarding/role_plan_test.ts
@@ -69,3 +69,46 @@
     expect(change.endpoint.id).to.equal("b");
   });
 });
+
+describe("planRoles after a loss", () => {
+  // One of six engines crashes for five seconds. Another one was told to
+  // change its role, and urgent streams waited for slots on the one that was
+  // left to decode.
+  it("leaves the others as they are", () => {
+    const engines = [
+      ...["a", "b", "c"].map((id) => makeEngine(id, "prefill")),
+      ...["d", "e"].map((id) => makeEngine(id, "decode")),
+    ];
+    const changes = planRoles({
+      engines,
+      openRequests: IDLE,
+      changing: NOTHING_CHANGES,
+      prefillShare: 0.7,
+    });
+    expect(changes).to.deep.equal([]);
+  });
+
+  // Every engine that reads prompts is lost. Without a change each long
+  // prompt would be refused until they are back.
+  it("replaces a role that has no engine left", () => {
+    const engines = ["d", "e"].map((id) => makeEngine(id, "decode"));
+    const changes = planRoles({
+      engines,
+      openRequests: IDLE,
+      changing: NOTHING_CHANGES,
+      prefillShare: 0.7,
+    });
+    expect(changes).to.have.length(1);
+  });
+
+  it("takes no engine from answers that need its slots", () => {
+    const engines = ["a", "b", "c", "d"].map((id) => makeEngine(id, "decode"));
+    const changes = planRoles({
+      engines,
+      openRequests: () => 20,
+      changing: NOTHING_CHANGES,
+      prefillShare: 0.7,
+    });
+    expect(changes).to.deep.equal([]);
+  });
+});
--- a/src/entry/forwarding/role_keeper.ts
+++ b/src/entry/forwarding/role_keeper.ts
@@ -23,10 +23,15 @@
  */
 const LOOK_JITTER_SHARE = 1;
 /**
- * How long the engines must not have changed before roles are planned: at a
- * start they register one after another within about a heartbeat.
+ * How long the engines must not have changed before roles are first planned:
+ * at a start they register one after another within about a heartbeat.
  */
-const SETTLED_MILLISECONDS = 2_000;
+const FIRST_SETTLED_MILLISECONDS = 2_000;
+/**
+ * The same later on. Load: engines that crash and come back, each with the
+ * role that it had, within five seconds and a heartbeat.
+ */
+const SETTLED_MILLISECONDS = 7_000;
 /** A change that has not shown by then has failed and is planned anew. */
 const CHANGE_MILLISECONDS = 12_000;
 
@@ -73,6 +78,7 @@
   readonly #changing = new Map<EndpointId, "prefill" | "decode">();
   readonly #changeDue = new Map<EndpointId, number>();
   #settledSince = 0;
+  #hasPlanned = false;
   #next: Subscription | undefined;
   #stopped = false;
 
@@ -112,8 +118,14 @@
   async #look(): Promise<void> {
     this.#dropOverdue();
     const now = this.#options.timer.now();
-    const isSettled = now - this.#settledSince >= SETTLED_MILLISECONDS;
+    const needed = this.#hasPlanned
+      ? SETTLED_MILLISECONDS
+      : FIRST_SETTLED_MILLISECONDS;
+    const isSettled = now - this.#settledSince >= needed;
     const changes = isSettled ? this.#wanted() : [];
+    // Engines that fit already were planned for as well: from then on a
+    // change is the exception.
+    if (isSettled && this.#options.registry.size > 0) this.#hasPlanned = true;
     if (changes.length > 0) await this.#carryOut(changes);
     if (!this.#stopped) this.#plan();
   }
