--- a/src/core/forwarding/endpoint_outcomes.ts
+++ b/src/core/forwarding/endpoint_outcomes.ts
@@ -27,12 +27,26 @@
 const SILENCE_MILLISECONDS = 600;
 /** Share of a pool that may be passed over at a time. */
 const MOST_EJECTED_SHARE = 0.5;
+/**
+ * Requests in a row that an endpoint turns away unrun before it is passed
+ * over. Load: an engine that changes its role, or a replica that is full. Harm
+ * prevented: every request asks it first, and each rejection uses up a repeat
+ * of the whole fleet. The wait doubles from a quarter of a second up to two,
+ * the time within which registrations tell what has changed.
+ */
+const REJECTIONS_UNTIL_CLOSED = 2;
+const FIRST_CLOSED_MILLISECONDS = 250;
+const LONGEST_CLOSED_MILLISECONDS = 2_000;
+
 /** An attempt whose time says nothing of the endpoint's speed. */
 const UNJUDGED_TIMES = { overExpected: 1, overRated: 1 };
 
 interface Known {
   readonly health: EndpointHealth;
   refusals: number;
+  /** Requests turned away in a row. */
+  rejections: number;
+  closedUntil: number;
   open: number;
   /** Since when work is open and nothing has been heard. */
   silentSince: number;
@@ -51,9 +65,11 @@
   wellAmong<Endpoint extends { readonly id: EndpointId }>(
     endpoints: readonly Endpoint[],
   ): readonly Endpoint[] {
-    const well = endpoints.filter((endpoint) => this.#isWell(endpoint.id));
-    const fewest = endpoints.length * (1 - MOST_EJECTED_SHARE);
-    return well.length >= fewest ? well : endpoints;
+    const open = endpoints.filter((endpoint) => !this.#isClosed(endpoint.id));
+    const candidates = open.length > 0 ? open : endpoints;
+    const well = candidates.filter((endpoint) => this.#isWell(endpoint.id));
+    const fewest = candidates.length * (1 - MOST_EJECTED_SHARE);
+    return well.length >= fewest ? well : candidates;
   }
 
   started(id: EndpointId): void {
@@ -77,6 +93,7 @@
   }
 
   succeeded(id: EndpointId): void {
+    this.#of(id).rejections = 0;
     this.#of(id).health.succeeded(UNJUDGED_TIMES, this.#timer.now());
   }
 
@@ -101,10 +118,24 @@
    * sent there is turned away and counts as a repeat.
    */
   misdirected(id: EndpointId): void {
-    this.#of(id).health.eject(this.#timer.now());
+    this.#of(id).closedUntil = this.#timer.now() + LONGEST_CLOSED_MILLISECONDS;
   }
 
-  /** The attempt was turned away or given up by the caller. */
+  /** The endpoint vouches that it did not run the attempt. */
+  rejected(id: EndpointId): void {
+    const known = this.#of(id);
+    known.health.untold();
+    known.rejections += 1;
+    const beyond = known.rejections - REJECTIONS_UNTIL_CLOSED;
+    if (beyond < 0) return;
+    const wait = Math.min(
+      LONGEST_CLOSED_MILLISECONDS,
+      FIRST_CLOSED_MILLISECONDS * 2 ** beyond,
+    );
+    known.closedUntil = this.#timer.now() + wait;
+  }
+
+  /** The attempt was given up; it tells nothing of the endpoint. */
   untold(id: EndpointId): void {
     this.#of(id).health.untold();
   }
@@ -113,6 +144,11 @@
     this.#known.delete(id);
   }
 
+  #isClosed(id: EndpointId): boolean {
+    const known = this.#known.get(id);
+    return known !== undefined && this.#timer.now() < known.closedUntil;
+  }
+
   #isWell(id: EndpointId): boolean {
     const known = this.#known.get(id);
     if (known === undefined) return true;
@@ -127,7 +163,14 @@
     let known = this.#known.get(id);
     if (known === undefined) {
       const health = new EndpointHealth(LIMITS);
-      known = { health, refusals: 0, open: 0, silentSince: 0 };
+      known = {
+        health,
+        refusals: 0,
+        rejections: 0,
+        closedUntil: -Infinity,
+        open: 0,
+        silentSince: 0,
+      };
       this.#known.set(id, known);
     }
     return known;
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -78,7 +78,7 @@
       const { notRun, status } = answer.value.head;
       if (!notRun) return;
       if (status === MISDIRECTED_STATUS) outcomes.misdirected(id);
-      else outcomes.untold(id);
+      else outcomes.rejected(id);
     } else if (answer.error.name === "exchange_not_sent") {
       outcomes.refusedConnection(id);
     } else {
--- a/src/entry/forwarding/forward_run.ts
+++ b/src/entry/forwarding/forward_run.ts
@@ -136,7 +136,7 @@
   }
 
   async #plan(): Promise<AttemptPlan | undefined> {
-    const endpoints = this.#parts.registry.inPool(this.#pool.name);
+    const endpoints = this.#endpoints();
     const { prompt } = this.#request;
     const isEngineWork = this.#pool.engine !== undefined &&
       prompt !== undefined;
@@ -144,6 +144,12 @@
     return await this.#planEngines(prompt, endpoints);
   }
 
+  /** Endpoints of the pool that take new work. */
+  #endpoints(): RegisteredEndpoint[] {
+    const { isChanging, registry } = this.#parts;
+    return registry.inPool(this.#pool.name).filter(({ id }) => !isChanging(id));
+  }
+
   #planService(
     endpoints: readonly RegisteredEndpoint[],
   ): AttemptPlan | undefined {
@@ -185,7 +191,7 @@
     const keptIn = endpoints.find((each) => each.id === kept?.engine)
       ?.availabilityZone;
     const makers = this.#untried(
-      this.#parts.registry.inPool(this.#pool.name).filter(canDecode),
+      this.#endpoints().filter(canDecode),
     );
     const choice = placement.chooseDecode(makers, {
       prompt,
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -20,7 +20,12 @@
 import type { ForwardingParts } from "./parts.ts";
 import { StateRelay, type StateRelayOptions } from "./state_relay.ts";
 import { RoleKeeper, type RoleLink } from "./role_keeper.ts";
-import { PeerExchange, type SendToPeers } from "./peer_exchange.ts";
+import {
+  PeerExchange,
+  ROLES_METHOD,
+  type SendToPeers,
+  WORK_METHOD,
+} from "./peer_exchange.ts";
 
 export interface ForwardingEntryOptions {
   readonly process: string;
@@ -100,6 +105,7 @@
       load,
       logger: options.logger,
       pools: () => this.configuration?.pools.values() ?? [],
+      tellPeers: (orders) => this.peers.tell(ROLES_METHOD, { orders }),
     });
     this.#parts = {
       timer,
@@ -119,6 +125,7 @@
       door: options.door,
       observe: options.observe,
       routes: () => this.#routes,
+      isChanging: (endpoint) => this.#roles?.isChanging(endpoint) ?? false,
     };
   }
 
@@ -166,6 +173,14 @@
     return true;
   }
 
+  /** Takes a peer's notification. */
+  takeNotification(method: string, params: unknown): void {
+    if (method === WORK_METHOD) this.peers.take(params);
+    if (method !== ROLES_METHOD) return;
+    const orders = (params as { readonly orders?: unknown }).orders;
+    if (Array.isArray(orders)) this.#roles?.peerOrdered(orders);
+  }
+
   handle(request: ForwardedRequest, sink: CallerSink): void {
     void forward(this.#parts, { request, sink });
   }
--- a/src/entry/forwarding/mod.ts
+++ b/src/entry/forwarding/mod.ts
@@ -7,6 +7,6 @@
   ForwardingEntry,
   type ForwardingEntryOptions,
 } from "./forwarding_entry.ts";
-export { PeerExchange, WORK_METHOD } from "./peer_exchange.ts";
+export { PeerExchange } from "./peer_exchange.ts";
 export type { OrderOutcome, RoleLink } from "./role_keeper.ts";
 export { FORWARDING_STATE, StateRelay } from "./state_relay.ts";
--- a/src/entry/forwarding/parts.ts
+++ b/src/entry/forwarding/parts.ts
@@ -9,7 +9,10 @@
   RetryAllowance,
   RouteTable,
 } from "../../core/forwarding/mod.ts";
-import type { AvailabilityZoneId } from "../../core/identity/mod.ts";
+import type {
+  AvailabilityZoneId,
+  EndpointId,
+} from "../../core/identity/mod.ts";
 import type { Random } from "../../core/random/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
 import type { EndpointDoor } from "./links.ts";
@@ -28,6 +31,8 @@
   readonly patience: CallerPatience;
   readonly door: EndpointDoor;
   readonly observe: ObserveForwarding;
+  /** True while an engine changes its role and takes no new work. */
+  readonly isChanging: (endpoint: EndpointId) => boolean;
   /** The routes in force; undefined while no configuration is known. */
   readonly routes: () => RouteTable | undefined;
 }
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -18,6 +18,8 @@
 const IDLE_TELL_MILLISECONDS = 300;
 /** Notification that carries an entry's open work. */
 export const WORK_METHOD = "entry.work";
+/** Notification that carries orders to engines. */
+export const ROLES_METHOD = "entry.roles";
 
 /** Sends a notification to peers. */
 export type SendToPeers = (
@@ -80,6 +82,11 @@
     this.#knownEntries = addresses.length + 1;
   }
 
+  /** Tells peers of something that does not wait for the next report. */
+  tell(method: string, params: unknown): void {
+    this.#options.sendToPeers(this.#addresses, { method, params });
+  }
+
   /** Takes a peer's notification; anything malformed is passed over. */
   take(params: unknown): void {
     if (!isWorkNotification(params)) return;
--- a/src/entry/forwarding/role_keeper.ts
+++ b/src/entry/forwarding/role_keeper.ts
@@ -41,6 +41,12 @@
  */
 export type OrderOutcome = "accepted" | "busy" | "refused" | "unknown";
 
+/** Engines that have been told to change, with their new roles. */
+export type RoleOrders = readonly (readonly [
+  endpoint: EndpointId,
+  role: "prefill" | "decode",
+])[];
+
 /** The log that claims stand on, and the engines' door for orders. */
 export interface RoleLink {
   /** The newest claim, and where the log ends. */
@@ -69,6 +75,8 @@
   readonly leaseMilliseconds: number;
   /** Pools of the configuration in force. */
   readonly pools: () => Iterable<Pool>;
+  /** Tells peers which engines are about to change. */
+  readonly tellPeers: (changes: RoleOrders) => void;
 }
 
 /** Brings engines into the roles that the work needs, one holder at a time. */
@@ -97,13 +105,22 @@
     this.#next?.cancel();
   }
 
+  /** True from the order until the engine shows its new role. */
+  isChanging(endpoint: EndpointId): boolean {
+    return this.#changing.has(endpoint);
+  }
+
+  /** A peer has given orders: the engines take no new work for a while. */
+  peerOrdered(orders: RoleOrders): void {
+    for (const [endpoint, role] of orders) this.#ordered(endpoint, role);
+  }
+
   /** An engine has come, gone or changed. */
   engineChanged(endpoint: RegisteredEndpoint): void {
     if (endpoint.role === undefined) return;
     this.#settledSince = this.#options.timer.now();
-    if (this.#changing.get(endpoint.id) === endpoint.role) {
-      this.#forget(endpoint.id);
-    }
+    const isDone = this.#changing.get(endpoint.id) === endpoint.role;
+    if (isDone || endpoint.leaving) this.#forget(endpoint.id);
   }
 
   #plan(): void {
@@ -146,7 +163,7 @@
 
   async #carryOut(changes: readonly RoleChange[]): Promise<void> {
     if (!await this.#takeClaim()) return;
-    const { link, logger, self, timer } = this.#options;
+    const { link, logger, self } = this.#options;
     for (const change of changes) {
       const fencing = this.#claim.fencing;
       if (fencing === undefined) return;
@@ -161,11 +178,19 @@
       }, "An engine was told to change its role");
       if (outcome === "refused") return this.#claim.refused();
       if (outcome === "busy") continue;
-      this.#changing.set(id, change.role);
-      this.#changeDue.set(id, timer.now() + CHANGE_MILLISECONDS);
+      this.#ordered(id, change.role);
+      this.#options.tellPeers([[id, change.role]]);
     }
   }
 
+  #ordered(id: EndpointId, role: "prefill" | "decode"): void {
+    this.#changing.set(id, role);
+    this.#changeDue.set(
+      id,
+      this.#options.timer.now() + CHANGE_MILLISECONDS,
+    );
+  }
+
   /** A claim of its own for this round; false where it can't be had now. */
   async #takeClaim(): Promise<boolean> {
     const { link, logger, self, timer } = this.#options;
--- a/test/support/forwarding_bench.ts
+++ b/test/support/forwarding_bench.ts
@@ -201,6 +201,7 @@
         this.decisions.push({ decision, ...facts });
       },
       routes: () => routes,
+      isChanging: () => false,
     };
   }
 
