--- a/src/adapters/forwarding/endpoint_exchanges_test.ts
+++ b/src/adapters/forwarding/endpoint_exchanges_test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import process from "node:process";
 import {
   answerBytes,
   type Script,
@@ -76,6 +77,20 @@
     expect(replica.connections).to.equal(1);
   });
 
+  // Each idle spell left a listener on the connection: a process that serves
+  // for days would slow down and fill its memory.
+  it("leaves no listeners on a connection that is used again and again", async () => {
+    await begin((socket) => socket.write(answerBytes("hello")));
+    const warnings: Error[] = [];
+    const note = (warning: Error) => warnings.push(warning);
+    process.on("warning", note);
+    for (let count = 0; count < 30; count++) await ask();
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    process.off("warning", note);
+    expect(warnings.map(({ name }) => name)).to.deep.equal([]);
+    expect(replica.connections).to.equal(1);
+  });
+
   describe("an answer without a length", () => {
     it("is whole when its connection ends", async () => {
       await begin((socket) => {
--- a/src/adapters/forwarding/kept_connections.ts
+++ b/src/adapters/forwarding/kept_connections.ts
@@ -11,10 +11,12 @@
 const DEFAULT_IDLE_MILLISECONDS = 2_000;
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/;
 
-interface AgentInternals {
+/** What Node's agent calls as a connection falls idle and is taken again. */
+interface IdleHooks {
   keepSocketAlive(socket: Socket): boolean;
   reuseSocket(socket: Socket, request: ClientRequest): void;
 }
+const HOOKS = Agent.prototype as unknown as IdleHooks;
 
 /** A socket that stands idle and must stay silent. */
 interface IdleSocket extends Socket {
@@ -40,9 +42,9 @@
       maxSockets: mostConnections,
       maxFreeSockets: mostConnections,
     });
-    const internals = this as unknown as AgentInternals;
-    internals.keepSocketAlive = (socket) => this.#keep(socket);
-    internals.reuseSocket = (socket, request) => this.#reuse(socket, request);
+    const hooks = this as unknown as IdleHooks;
+    hooks.keepSocketAlive = (socket) => this.#keep(socket);
+    hooks.reuseSocket = (socket, request) => this.#reuse(socket, request);
   }
 
   #keep(socket: IdleSocket): boolean {
@@ -69,7 +71,6 @@
       socket.off("timeout", destroy);
     }
     socket.setTimeout(0);
-    socket.ref();
-    request.reusedSocket = true;
+    HOOKS.reuseSocket.call(this, socket, request);
   }
 }
