--- /dev/null
+++ b/src/entry/forwarding/overload_test.ts
@@ -0,0 +1,165 @@
+import { expect } from "chai";
+import {
+  ForwardingBench,
+  type RecordingSink,
+} from "../../../test/support/forwarding_bench.ts";
+import { PlayedEngines } from "../../../test/support/forwarding_engines.ts";
+import {
+  ENGINES,
+  makeConfiguration,
+  makeEngine,
+  makePrompt,
+  makeRequest,
+  makeRoute,
+} from "../../../test/support/forwarding_values.ts";
+import type { ForwardedRequest } from "../../core/forwarding/mod.ts";
+import { seededRandom } from "../../core/random/mod.ts";
+
+const TARGET_MILLISECONDS = 150;
+const SUMMARY_DEADLINE_MILLISECONDS = 2_000;
+
+/** What became of the requests of one kind. */
+interface Outcomes {
+  onTime: number;
+  late: number;
+  refused: number;
+  /** Refusals that came later than a tenth of a second. */
+  refusedLate: number;
+}
+
+function none(): Outcomes {
+  return { onTime: 0, late: 0, refused: 0, refusedLate: 0 };
+}
+
+/**
+ * Plays arrivals of long summaries and short urgent prompts against seven
+ * engines that read and three that decode.
+ */
+class Play {
+  readonly bench: ForwardingBench;
+  readonly engines: PlayedEngines;
+  readonly summaries = none();
+  readonly urgent = none();
+  readonly #random = seededRandom(5);
+
+  constructor() {
+    const shares = [{ pool: ENGINES, weight: 1 }];
+    this.bench = new ForwardingBench(makeConfiguration({
+      routes: [
+        makeRoute({
+          name: "summary",
+          pathPrefix: "/summary/",
+          repeat: "stream",
+          mostAttempts: 1,
+          shares,
+        }),
+        makeRoute({
+          name: "urgent",
+          pathPrefix: "/urgent/",
+          repeat: "stream",
+          rank: 1,
+          timeoutMilliseconds: 15_000,
+          shares,
+        }),
+      ],
+    }));
+    this.engines = new PlayedEngines(this.bench);
+    const { registry } = this.bench.parts;
+    for (let index = 0; index < 10; index++) {
+      const role = index < 7 ? "prefill" : "decode";
+      registry.put(makeEngine(`engine-${index}`, role));
+    }
+  }
+
+  /** `perSecond` of summaries for so long, with 20 urgent prompts a second. */
+  async run(options: {
+    readonly perSecond: number;
+    readonly seconds: number;
+  }): Promise<void> {
+    const { perSecond, seconds } = options;
+    const steps = seconds * 100;
+    for (let step = 0; step < steps; step++) {
+      const due = Math.floor((step + 1) * perSecond / 100) -
+        Math.floor(step * perSecond / 100);
+      for (let index = 0; index < due; index++) await this.#ask("summary");
+      if (step % 5 === 0) await this.#ask("urgent");
+      await this.bench.timer.advance(10);
+    }
+    await this.bench.timer.advance(SUMMARY_DEADLINE_MILLISECONDS);
+  }
+
+  async #ask(kind: "summary" | "urgent"): Promise<void> {
+    const outcomes = kind === "summary" ? this.summaries : this.urgent;
+    const at = this.bench.timer.now();
+    const sink = await this.bench.take(this.#request(kind));
+    const told = { refused: false, headed: false };
+    const look = () => {
+      this.#note(sink, { outcomes, after: this.bench.timer.now() - at, told });
+    };
+    look();
+    const looking = this.bench.timer.every(5, () => {
+      look();
+      if (told.headed || told.refused) looking.cancel();
+    });
+  }
+
+  #request(kind: "summary" | "urgent"): ForwardedRequest {
+    const subject = `s${Math.floor(600 * this.#random())}`;
+    const isSummary = kind === "summary";
+    const prompt = makePrompt(
+      isSummary ? subject : "urgent",
+      isSummary ? {} : { shared: 80, own: 140 },
+    );
+    return makeRequest({
+      target: `/${kind}/x`,
+      deadlineMilliseconds: isSummary ? SUMMARY_DEADLINE_MILLISECONDS : 15_000,
+      prompt,
+    });
+  }
+
+  #note(
+    sink: RecordingSink,
+    context: {
+      readonly outcomes: Outcomes;
+      readonly after: number;
+      readonly told: { refused: boolean; headed: boolean };
+    },
+  ): void {
+    const { outcomes, after, told } = context;
+    if (told.refused || told.headed) return;
+    if (sink.refusal !== undefined) {
+      told.refused = true;
+      outcomes.refused += 1;
+      if (after > 100) outcomes.refusedLate += 1;
+    } else if (sink.body !== "") {
+      told.headed = true;
+      if (after <= TARGET_MILLISECONDS) outcomes.onTime += 1;
+      else outcomes.late += 1;
+    }
+  }
+}
+
+describe("forward under load", () => {
+  it("answers everything on time at half of what the engines can read", async () => {
+    const play = new Play();
+    await play.run({ perSecond: 150, seconds: 2 });
+    expect(play.summaries).to.deep.equal({ ...none(), onTime: 300 });
+    expect(play.urgent).to.deep.equal({ ...none(), onTime: 40 });
+  });
+
+  // Twice as many summaries come as the engines can read. Read in turn, every
+  // answer would be late after a second; the village head's urgent report
+  // would wait behind them.
+  it("goes on answering on time in an overload, and refuses the rest at once", async () => {
+    const play = new Play();
+    await play.run({ perSecond: 700, seconds: 3 });
+    const { summaries, urgent, engines } = play;
+    const asked = 700 * 3;
+    expect(urgent).to.deep.equal({ ...none(), onTime: 60 });
+    expect(summaries.onTime).to.be.greaterThan(0.4 * asked);
+    expect(summaries.refused).to.be.greaterThan(0);
+    expect(summaries.refusedLate).to.be.lessThan(0.02 * asked);
+    // The engines are not left idle by what is refused.
+    expect(engines.readMilliseconds).to.be.greaterThan(0.85 * 7 * 3_000);
+  });
+});
--- /dev/null
+++ b/test/support/forwarding_engines.ts
@@ -0,0 +1,89 @@
+import type { ManualTimerService } from "../../src/core/time/mod.ts";
+import type { ForwardingBench, SentAttempt } from "./forwarding_bench.ts";
+
+/** Figures of the engines that the tests play. */
+const TOKENS_PER_MILLISECOND = 310;
+const DECODE_MILLISECONDS = 50;
+const URGENT_DECODE_MILLISECONDS = 2_000;
+const SLOTS = 32;
+
+interface Reading {
+  readonly attempt: SentAttempt;
+  readonly priority: number;
+}
+
+/**
+ * Engines as small as the decisions need them: one that reads takes prompts
+ * one after another, the most urgent first, and reads kept parts for free; one
+ * that decodes has slots and rejects what finds none.
+ */
+export class PlayedEngines {
+  readonly #timer: ManualTimerService;
+  readonly #queues = new Map<string, Reading[]>();
+  readonly #busy = new Set<string>();
+  readonly #kept = new Map<string, Set<string>>();
+  readonly #running = new Map<string, number>();
+  readMilliseconds = 0;
+
+  constructor(bench: ForwardingBench) {
+    this.#timer = bench.timer;
+    bench.onSend = (attempt) => this.#take(attempt);
+  }
+
+  #take(attempt: SentAttempt): void {
+    const { prompt } = attempt.request;
+    if (prompt === undefined) return;
+    if (attempt.options.prefillOnly) this.#queue(attempt);
+    else this.#decode(attempt, prompt.inputTokens < 1_000);
+  }
+
+  #queue(attempt: SentAttempt): void {
+    const engine = String(attempt.options.endpoint);
+    const queue = this.#queues.get(engine) ?? [];
+    this.#queues.set(engine, queue);
+    queue.push({
+      attempt,
+      priority: attempt.options.priority ?? 5,
+    });
+    this.#next(engine);
+  }
+
+  #next(engine: string): void {
+    const queue = this.#queues.get(engine) ?? [];
+    if (this.#busy.has(engine) || queue.length === 0) return;
+    queue.sort((one, other) => one.priority - other.priority);
+    const { attempt } = queue.shift() as Reading;
+    if (attempt.aborted) return this.#next(engine);
+    this.#busy.add(engine);
+    const kept = this.#kept.get(engine) ?? new Set();
+    this.#kept.set(engine, kept);
+    const parts = attempt.request.prompt?.parts ?? [];
+    let tokens = 0;
+    for (const part of parts) {
+      if (!kept.has(part.id)) tokens += part.tokens;
+      kept.add(part.id);
+    }
+    const milliseconds = tokens / TOKENS_PER_MILLISECOND;
+    this.readMilliseconds += milliseconds;
+    this.#timer.after(milliseconds, () => {
+      this.#busy.delete(engine);
+      void attempt.answer("handle");
+      this.#next(engine);
+    });
+  }
+
+  #decode(attempt: SentAttempt, isUrgent: boolean): void {
+    const engine = String(attempt.options.endpoint);
+    const running = this.#running.get(engine) ?? 0;
+    if (running >= SLOTS) return void attempt.notRun();
+    this.#running.set(engine, running + 1);
+    void attempt.head().then(() => attempt.piece("id: 1\ndata: x\n\n"));
+    const milliseconds = isUrgent
+      ? URGENT_DECODE_MILLISECONDS
+      : DECODE_MILLISECONDS;
+    this.#timer.after(milliseconds, () => {
+      this.#running.set(engine, (this.#running.get(engine) ?? 1) - 1);
+      void attempt.end();
+    });
+  }
+}
