--- a/src/core/forwarding/endpoint_registry.ts
+++ b/src/core/forwarding/endpoint_registry.ts
@@ -52,6 +52,11 @@
     return this.#endpoints.size;
   }
 
+  /** The endpoint as it is known, also while it leaves. */
+  get(id: EndpointId): RegisteredEndpoint | undefined {
+    return this.#endpoints.get(id);
+  }
+
   /** The endpoint while it may get new work. */
   usable(id: EndpointId): RegisteredEndpoint | undefined {
     this.#expire();
--- a/src/core/forwarding/load_picture.ts
+++ b/src/core/forwarding/load_picture.ts
@@ -26,11 +26,21 @@
   lateMilliseconds: number,
 ])[];
 
-interface PeerReport {
+/** What a peer tells of its open work. */
+export interface PeerWork {
+  /** Start of the peer's run; a restarted peer counts from the beginning. */
   readonly incarnation: string;
   readonly sequence: number;
-  readonly at: number;
-  readonly work: ReadonlyMap<string, OpenWork>;
+  /** False: only what has changed since the report before. */
+  readonly whole: boolean;
+  readonly work: WorkReport;
+}
+
+interface PeerReport {
+  readonly incarnation: string;
+  sequence: number;
+  at: number;
+  readonly work: Map<string, OpenWork>;
 }
 
 /** Held while an endpoint works on something. */
@@ -64,6 +74,8 @@
   readonly #timer: TimerService;
   readonly #own = new Map<EndpointId, OpenWork>();
   readonly #peers = new Map<string, PeerReport>();
+  /** Endpoints whose open work has changed since the last report. */
+  readonly #changed = new Set<EndpointId>();
 
   constructor(timer: TimerService) {
     this.#timer = timer;
@@ -113,36 +125,55 @@
     return count;
   }
 
-  /** Own open work, for the peers. */
-  report(): WorkReport {
-    return [...this.#own].map(([endpoint, work]) => [
-      endpoint,
-      work.requests,
-      Math.round(work.prefillMilliseconds),
-      Math.round(work.lateMilliseconds),
-    ]);
+  /**
+   * Own open work, for the peers: all of it, or what has changed since the
+   * last report. Load: dozens of entries before as many engines, some of them
+   * on links of a few megabits; whole reports took half of such a link.
+   */
+  report(options: { readonly whole: boolean }): WorkReport {
+    const endpoints = options.whole ? this.#own.keys() : this.#changed;
+    const report = [...endpoints].map((endpoint) => {
+      const work = this.own(endpoint);
+      return [
+        endpoint,
+        work.requests,
+        Math.round(work.prefillMilliseconds),
+        Math.round(work.lateMilliseconds),
+      ] as const;
+    });
+    this.#changed.clear();
+    return report;
+  }
+
+  /** True where there is something to tell peers. */
+  get hasChanged(): boolean {
+    return this.#changed.size > 0;
   }
 
   /** Takes a peer's report; an older one that comes late changes nothing. */
-  peerReported(
-    peer: string,
-    options: { incarnation: string; sequence: number; work: WorkReport },
-  ): void {
-    const { incarnation, sequence } = options;
+  peerReported(peer: string, told: PeerWork): void {
     const known = this.#peers.get(peer);
-    const isOld = known?.incarnation === incarnation &&
-      sequence <= known.sequence;
-    if (isOld) return;
-    const work = new Map<string, OpenWork>();
-    for (const [endpoint, requests, prefill, late] of options.work) {
-      work.set(endpoint, {
-        requests,
-        prefillMilliseconds: prefill,
-        lateMilliseconds: late,
-      });
+    const isSameRun = known?.incarnation === told.incarnation;
+    if (isSameRun && told.sequence <= known.sequence) return;
+    const report: PeerReport = isSameRun && !told.whole ? known : {
+      incarnation: told.incarnation,
+      sequence: 0,
+      at: 0,
+      work: new Map(),
+    };
+    report.sequence = told.sequence;
+    report.at = this.#timer.now();
+    for (const [endpoint, requests, prefill, late] of told.work) {
+      if (requests <= 0) report.work.delete(endpoint);
+      else {
+        report.work.set(endpoint, {
+          requests,
+          prefillMilliseconds: prefill,
+          lateMilliseconds: late,
+        });
+      }
     }
-    const at = this.#timer.now();
-    this.#peers.set(peer, { incarnation, sequence, at, work });
+    this.#peers.set(peer, report);
   }
 
   peerGone(peer: string): void {
@@ -150,6 +181,7 @@
   }
 
   #add(endpoint: EndpointId, change: OpenWork): void {
+    this.#changed.add(endpoint);
     const next = plus(this.own(endpoint), change);
     if (next.requests <= 0) this.#own.delete(endpoint);
     else this.#own.set(endpoint, next);
--- a/src/core/forwarding/load_picture_test.ts
+++ b/src/core/forwarding/load_picture_test.ts
@@ -17,6 +17,7 @@
     load.peerReported("peer", {
       incarnation,
       sequence,
+      whole: true,
       work: [[engine, 1, prefill, 0]],
     });
   }
@@ -37,7 +38,7 @@
     ticket.end();
     ticket.end();
     expect(load.total(engine).requests).to.equal(0);
-    expect(load.report()).to.deep.equal([]);
+    expect(load.report({ whole: true })).to.deep.equal([]);
   });
 
   // Datagrams overtake each other. Taken in the order of their arrival, an old
@@ -54,6 +55,35 @@
     expect(load.total(engine).prefillMilliseconds).to.equal(20);
   });
 
+  // One datagram is lost. What it told of stays as it was until the peer tells
+  // of everything again; the rest must not be forgotten with it.
+  it("adds what has changed to what a peer told before", () => {
+    report(1, 500);
+    const other = identifier<EndpointId>("other");
+    const told = { incarnation: "a", whole: false };
+    load.peerReported("peer", {
+      ...told,
+      sequence: 2,
+      work: [[other, 2, 7, 0]],
+    });
+    expect(load.total(engine).prefillMilliseconds).to.equal(500);
+    expect(load.total(other).requests).to.equal(2);
+    load.peerReported("peer", {
+      ...told,
+      sequence: 3,
+      work: [[other, 0, 0, 0]],
+    });
+    expect(load.total(other).requests).to.equal(0);
+  });
+
+  it("tells of each change once, and of what has ended", () => {
+    const ticket = load.started(engine);
+    expect(load.report({ whole: false })).to.have.length(1);
+    expect(load.hasChanged).to.equal(false);
+    ticket.end();
+    expect(load.report({ whole: false })).to.deep.equal([[engine, 0, 0, 0]]);
+  });
+
   // A peer is killed while it has work open. Its last report would keep the
   // engine out of use for good.
   it("forgets a peer that has fallen silent", async () => {
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -8,6 +8,7 @@
 export {
   LoadPicture,
   type OpenWork,
+  type PeerWork,
   type PromptWork,
   type WorkReport,
   type WorkTicket,
--- a/src/core/forwarding/topic_reader.ts
+++ b/src/core/forwarding/topic_reader.ts
@@ -36,8 +36,8 @@
   readonly random: Random;
   /** How long a read waits at the store for a record, milliseconds. */
   readonly waitMilliseconds: number;
-  /** Pause between two reads, milliseconds. */
-  readonly pauseMilliseconds: number;
+  /** Pause between two reads, milliseconds; asked anew each time. */
+  readonly pauseMilliseconds: () => number;
   /** Every key's newest record; what it doesn't name is gone. */
   readonly onSnapshot: (records: readonly KeyedRecord[]) => void;
   readonly onRecords: (records: readonly KeyedRecord[]) => void;
@@ -97,7 +97,7 @@
     this.#position = read.next;
     if (isSnapshot) onSnapshot(read.records);
     else if (read.records.length > 0) onRecords(read.records);
-    this.#readAfter(pauseMilliseconds);
+    this.#readAfter(pauseMilliseconds());
   }
 
   #failed(failure: StoreFailure): void {
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -7,10 +7,14 @@
   type ForwardingConfiguration,
   LoadPicture,
   PrefixDirectory,
+  type RegisteredEndpoint,
   RetryAllowance,
   RouteTable,
 } from "../../core/forwarding/mod.ts";
-import type { AvailabilityZoneId } from "../../core/identity/mod.ts";
+import type {
+  AvailabilityZoneId,
+  EndpointId,
+} from "../../core/identity/mod.ts";
 import type { Logger } from "../../core/observation/mod.ts";
 import type { Random } from "../../core/random/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
@@ -22,6 +26,7 @@
 import { RoleKeeper, type RoleLink } from "./role_keeper.ts";
 import {
   PeerExchange,
+  REGISTRATIONS_METHOD,
   ROLES_METHOD,
   type SendToPeers,
   WORK_METHOD,
@@ -53,6 +58,12 @@
   readonly onEndpointGone: (address: string) => void;
 }
 
+/** What has become of a registration; without an endpoint it is gone. */
+export interface RegistrationChange {
+  readonly id: EndpointId;
+  readonly endpoint?: RegisteredEndpoint;
+}
+
 /** Entries that share the retry limit while none but this one is known. */
 const ASSUMED_ENTRIES = 8;
 
@@ -176,9 +187,42 @@
   /** Takes a peer's notification. */
   takeNotification(method: string, params: unknown): void {
     if (method === WORK_METHOD) this.peers.take(params);
-    if (method !== ROLES_METHOD) return;
-    const orders = (params as { readonly orders?: unknown }).orders;
-    if (Array.isArray(orders)) this.#roles?.peerOrdered(orders);
+    if (typeof params !== "object" || params === null) return;
+    const { orders, changes } = params as {
+      readonly orders?: unknown;
+      readonly changes?: unknown;
+    };
+    if (method === ROLES_METHOD && Array.isArray(orders)) {
+      this.#roles?.peerOrdered(orders);
+    }
+    if (method === REGISTRATIONS_METHOD && Array.isArray(changes)) {
+      for (const change of changes) this.#takeRegistration(change);
+    }
+  }
+
+  /**
+   * Takes registrations that the store has shown to this entry, and tells
+   * peers of those that matter at once. Load: dozens of entries that each read
+   * every second or so; whoever reads first tells the others, so that a
+   * leaving endpoint is known everywhere within a fraction of that.
+   */
+  takeRegistrations(changes: readonly RegistrationChange[]): void {
+    const news = changes.filter((change) => this.#takeRegistration(change));
+    if (news.length === 0) return;
+    this.peers.tell(REGISTRATIONS_METHOD, { changes: news });
+  }
+
+  /** True where it was news. */
+  #takeRegistration({ id, endpoint }: RegistrationChange): boolean {
+    const known = this.registry.get(id);
+    if (endpoint === undefined) {
+      this.registry.remove(id);
+      return known !== undefined;
+    }
+    const isNews = known === undefined || endpoint.role !== known.role ||
+      endpoint.leaving !== known.leaving;
+    this.registry.put(endpoint);
+    return isNews;
   }
 
   handle(request: ForwardedRequest, sink: CallerSink): void {
--- a/src/entry/forwarding/mod.ts
+++ b/src/entry/forwarding/mod.ts
@@ -6,6 +6,7 @@
 export {
   ForwardingEntry,
   type ForwardingEntryOptions,
+  type RegistrationChange,
 } from "./forwarding_entry.ts";
 export { PeerExchange } from "./peer_exchange.ts";
 export type { OrderOutcome, RoleLink } from "./role_keeper.ts";
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -1,25 +1,29 @@
 import type {
   LoadPicture,
+  PeerWork,
   PrefixDirectory,
   ReadPrompt,
-  WorkReport,
 } from "../../core/forwarding/mod.ts";
 import type { Subscription, TimerService } from "../../core/time/mod.ts";
 
 /**
- * How often an entry tells its peers of its open work. Load: five entries that
- * each place a prompt every ten milliseconds, on engines that read one in
- * thirty. Harm prevented: entries that don't know of each other's last sends
- * pick the same engine. Limit: shorter than one prompt's reading, long enough
- * that a busy entry sends a few tens of datagrams a second to each peer.
+ * How often an entry tells its peers of its open work, for each peer that it
+ * tells. Load: five entries that each place a prompt every ten milliseconds,
+ * on engines that read one in thirty. Harm prevented: entries that don't know
+ * of each other's last sends pick the same engine. Limit: 15 ms among five
+ * entries; in larger fleets the interval grows so that a thin machine sends
+ * some 330 datagrams a second at most.
  */
-const TELL_MILLISECONDS = 15;
-/** An idle entry still shows that it lives. */
-const IDLE_TELL_MILLISECONDS = 300;
+const TELL_MILLISECONDS_PER_PEER = 3;
+const SHORTEST_TELL_MILLISECONDS = 15;
+/** Everything is told again so often: a lost datagram is made up for. */
+const WHOLE_TELL_MILLISECONDS = 700;
 /** Notification that carries an entry's open work. */
 export const WORK_METHOD = "entry.work";
 /** Notification that carries orders to engines. */
 export const ROLES_METHOD = "entry.roles";
+/** Notification that carries registrations that have changed. */
+export const REGISTRATIONS_METHOD = "entry.registrations";
 
 /** Sends a notification to peers. */
 export type SendToPeers = (
@@ -27,12 +31,9 @@
   notification: { readonly method: string; readonly params: unknown },
 ) => void;
 
-/** What an entry tells its peers; each report replaces the one before. */
-export interface WorkNotification {
+/** What an entry tells its peers. */
+export interface WorkNotification extends PeerWork {
   readonly entry: string;
-  readonly incarnation: string;
-  readonly sequence: number;
-  readonly work: WorkReport;
   /** Prompts read since the last report; a lost one costs a part read twice. */
   readonly prompts: readonly ReadPrompt[];
 }
@@ -53,8 +54,7 @@
   #knownEntries: number | undefined;
   #telling: Subscription | undefined;
   #sequence = 0;
-  #lastText = "";
-  #lastTold = -Infinity;
+  #lastWhole = -Infinity;
 
   constructor(options: PeerExchangeOptions) {
     this.#options = options;
@@ -66,10 +66,14 @@
   }
 
   start(): void {
-    this.#telling = this.#options.timer.every(
-      TELL_MILLISECONDS,
-      () => this.#tell(),
+    const interval = Math.max(
+      SHORTEST_TELL_MILLISECONDS,
+      TELL_MILLISECONDS_PER_PEER * this.#addresses.length,
     );
+    this.#telling = this.#options.timer.after(interval, () => {
+      this.#tellWork();
+      this.start();
+    });
   }
 
   stop(): void {
@@ -84,6 +88,7 @@
 
   /** Tells peers of something that does not wait for the next report. */
   tell(method: string, params: unknown): void {
+    if (this.#addresses.length === 0) return;
     this.#options.sendToPeers(this.#addresses, { method, params });
   }
 
@@ -97,27 +102,22 @@
     }
   }
 
-  #tell(): void {
-    const { incarnation, load, prefixes, process, sendToPeers, timer } =
-      this.#options;
-    if (this.#addresses.length === 0) return;
-    const work = load.report();
-    const text = JSON.stringify(work);
+  #tellWork(): void {
+    const { incarnation, load, prefixes, process, timer } = this.#options;
     const now = timer.now();
-    const isDue = now - this.#lastTold >= IDLE_TELL_MILLISECONDS;
-    if (text === this.#lastText && !isDue) return;
-    this.#lastText = text;
-    this.#lastTold = now;
+    const whole = now - this.#lastWhole >= WHOLE_TELL_MILLISECONDS;
+    if (!whole && !load.hasChanged) return;
+    if (whole) this.#lastWhole = now;
     this.#sequence += 1;
-    const prompts = prefixes.takeUntold();
-    const params: WorkNotification = {
+    const notification: WorkNotification = {
       entry: process,
       incarnation,
       sequence: this.#sequence,
-      work,
-      prompts,
+      whole,
+      work: load.report({ whole }),
+      prompts: prefixes.takeUntold(),
     };
-    sendToPeers(this.#addresses, { method: WORK_METHOD, params });
+    this.tell(WORK_METHOD, notification);
   }
 }
 
