--- a/src/core/forwarding/engine_placement.ts
+++ b/src/core/forwarding/engine_placement.ts
@@ -25,7 +25,7 @@
  * takes capacity from the prompts behind it. Limit: see the table of weights
  * in docs/ROUNDS.md.
  */
-const WORK_WEIGHT = 2;
+const WORK_WEIGHT = 4;
 /**
  * What a hand-over to another availability zone counts for, in slots: the
  * cache travels twice as long there.
