--- /dev/null
+++ b/src/entry/forwarding/forward.ts
@@ -0,0 +1,36 @@
+import { drawPool, type ForwardedRequest } from "../../core/forwarding/mod.ts";
+import { ForwardRun, RETRY_AFTER_MILLISECONDS } from "./forward_run.ts";
+import type { CallerSink, Refusal } from "./links.ts";
+import type { ForwardingParts } from "./parts.ts";
+
+/** Takes a request: finds its route and runs it, or answers at once. */
+export async function forward(
+  parts: ForwardingParts,
+  options: { readonly request: ForwardedRequest; readonly sink: CallerSink },
+): Promise<void> {
+  const { request, sink } = options;
+  const routes = parts.routes();
+  const refuse = (refusal: Refusal) => {
+    const { reason, status } = refusal;
+    const version = routes?.configuration.version;
+    const requestId = request.id;
+    parts.observe("refused", { requestId, route: "", status, reason, version });
+    sink.refuse(refusal);
+  };
+  if (routes === undefined) {
+    return refuse({
+      status: 503,
+      reason: "no_configuration",
+      retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS,
+    });
+  }
+  const route = routes.find(request.host, request.target);
+  if (route === undefined) return refuse({ status: 404, reason: "no_route" });
+  const name = drawPool(route, parts.random);
+  const pool = name === undefined
+    ? undefined
+    : routes.configuration.pools.get(name);
+  if (pool === undefined) return refuse({ status: 503, reason: "no_pool" });
+  const task = { request, route, pool };
+  await new ForwardRun(parts, { task, sink }).run();
+}
--- /dev/null
+++ b/src/entry/forwarding/forward_context.ts
@@ -0,0 +1,113 @@
+import type {
+  ForwardedRequest,
+  Pool,
+  RegisteredEndpoint,
+  Route,
+} from "../../core/forwarding/mod.ts";
+import type { EndpointId } from "../../core/identity/mod.ts";
+import type { ForwardingDecision } from "./observer.ts";
+import type { ForwardingParts } from "./parts.ts";
+
+/**
+ * Sends of one request in all, whatever the allowance. Harm prevented: a
+ * request that every endpoint turns away goes round until its deadline.
+ */
+const MOST_SENDS = 4;
+/**
+ * Time under which another send is not worth it: the way to an endpoint and
+ * back, and the shortest work there.
+ */
+const LEAST_USEFUL_MILLISECONDS = 20;
+
+/** What is being forwarded, and where it may go. */
+export interface ForwardTask {
+  readonly request: ForwardedRequest;
+  readonly route: Route;
+  readonly pool: Pool;
+}
+
+/** One request's facts and books, shared by the steps of its run. */
+export class ForwardContext {
+  readonly parts: ForwardingParts;
+  readonly request: ForwardedRequest;
+  readonly route: Route;
+  readonly pool: Pool;
+  readonly arrived: number;
+  /** Time that the caller and the route allow, milliseconds. */
+  readonly allowedMilliseconds: number;
+  /** How long the caller had waited before, in earlier attempts. */
+  readonly waitedMilliseconds: number;
+  /** Runs that were sent to endpoints. */
+  sends = 0;
+  /** True once the caller has its answer or has gone. */
+  settled = false;
+  readonly #turnedAway = new Set<EndpointId>();
+
+  constructor(parts: ForwardingParts, task: ForwardTask) {
+    const { request, route } = task;
+    this.parts = parts;
+    this.request = request;
+    this.route = route;
+    this.pool = task.pool;
+    this.arrived = parts.timer.now();
+    this.allowedMilliseconds = Math.min(
+      request.deadlineMilliseconds ?? Infinity,
+      route.timeoutMilliseconds,
+    );
+    this.waitedMilliseconds = parts.patience.waited(
+      route.name,
+      request.deadlineMilliseconds,
+    );
+  }
+
+  /** Time until the deadline, milliseconds. */
+  get left(): number {
+    return this.arrived + this.allowedMilliseconds - this.parts.timer.now();
+  }
+
+  /** Time since the request's arrival, milliseconds. */
+  get elapsed(): number {
+    return this.parts.timer.now() - this.arrived;
+  }
+
+  /** Endpoints of the pool that take new work. */
+  endpoints(): RegisteredEndpoint[] {
+    const { isChanging, registry } = this.parts;
+    return registry.inPool(this.pool.name).filter(({ id }) => !isChanging(id));
+  }
+
+  /** The endpoint has turned this request away or lost it. */
+  turnedAwayBy(endpoint: EndpointId): void {
+    this.#turnedAway.add(endpoint);
+  }
+
+  /** Prefers endpoints that have not turned this request away. */
+  untried(
+    endpoints: readonly RegisteredEndpoint[],
+  ): readonly RegisteredEndpoint[] {
+    const others = endpoints.filter((each) => !this.#turnedAway.has(each.id));
+    return others.length > 0 ? others : endpoints;
+  }
+
+  /** Asks the shared allowance, for what reaches the pool once more. */
+  mayResend(reason: string, options: { readonly counts: boolean }): boolean {
+    if (this.sends >= MOST_SENDS) return false;
+    if (this.left < LEAST_USEFUL_MILLISECONDS) return false;
+    const allowed = !options.counts ||
+      this.parts.allowance.take(this.pool.name);
+    if (allowed) this.tell("resent", { reason });
+    return allowed;
+  }
+
+  /** Tells of a decision on this request. */
+  tell(
+    decision: ForwardingDecision,
+    facts: Readonly<Record<string, unknown>>,
+  ): void {
+    this.parts.observe(decision, {
+      requestId: this.request.id,
+      route: this.route.name,
+      ...facts,
+    });
+  }
+}
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -18,7 +18,7 @@
 import type { Logger } from "../../core/observation/mod.ts";
 import type { Random } from "../../core/random/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
-import { forward } from "./forward_run.ts";
+import { forward } from "./forward.ts";
 import type { CallerSink, EndpointDoor } from "./links.ts";
 import type { ObserveForwarding } from "./observer.ts";
 import type { ForwardingParts } from "./parts.ts";
--- /dev/null
+++ b/src/entry/forwarding/handover.ts
@@ -0,0 +1,171 @@
+import {
+  judgeAdmission,
+  type KeptPrompt,
+  type PrefillChoice,
+  type Prompt,
+  type RegisteredEndpoint,
+} from "../../core/forwarding/mod.ts";
+import type { Attempt } from "./attempt.ts";
+import type { ForwardContext } from "./forward_context.ts";
+import { type PrefillOutcome, readPrompt } from "./prefill_step.ts";
+
+/** Engines that are asked to read a request's prompt in one round. */
+const MOST_PREFILLS = 2;
+/**
+ * Engines that a kept prompt is offered to. One that is full or has changed
+ * its role leaves the cache where it is; where a second one turns it away too,
+ * the cache itself is likely gone.
+ */
+const MOST_OFFERS = 2;
+/** Priority of prompts that are read for late answers. */
+const LATE_PRIORITY = 8;
+/**
+ * What has to be left of the allowance for a late prompt to be sent. Harm
+ * prevented: those that are overtaken until their deadline are rejected, each
+ * counts as a repeat, and nothing is left for requests whose engine failed.
+ */
+const LATE_ALLOWANCE_LEFT = 8;
+
+/** Why a long prompt has no cache to go on from. */
+export type HandoverRefusal = "engines_full" | "prompt_not_read";
+
+/** What became of a hand-over. */
+export type HandoverOutcome =
+  | { readonly kind: "kept"; readonly kept: KeptPrompt }
+  | { readonly kind: "refused"; readonly reason: HandoverRefusal };
+
+/**
+ * The cache of one request's prompt on its way from the engine that reads to
+ * the one that decodes; it is freed on every way out.
+ */
+export class Handover {
+  readonly #context: ForwardContext;
+  readonly #onAttempt: (attempt: Attempt) => void;
+  #kept: KeptPrompt | undefined;
+  #prefills = 0;
+  #offers = 0;
+
+  /** `onAttempt` takes each reading, so that it can be aborted. */
+  constructor(
+    context: ForwardContext,
+    onAttempt: (attempt: Attempt) => void,
+  ) {
+    this.#context = context;
+    this.#onAttempt = onAttempt;
+  }
+
+  /**
+   * Has a prefill engine read the prompt, a second one where the first fails.
+   * Load: prefill engines that are full or failing. Harm prevented: engines
+   * that decode would read the prompt between the tokens of their streams,
+   * each of which then pauses for longer than callers bear.
+   */
+  async keep(
+    prompt: Prompt,
+    endpoints: readonly RegisteredEndpoint[],
+  ): Promise<HandoverOutcome> {
+    if (this.#kept !== undefined) return { kind: "kept", kept: this.#kept };
+    const { allowance } = this.#context.parts;
+    for (;;) {
+      const admitted = this.#admit(prompt, endpoints);
+      if (admitted === undefined) {
+        return { kind: "refused", reason: "engines_full" };
+      }
+      const outcome = await this.#read(prompt, admitted);
+      if (outcome.kind === "kept") return outcome;
+      this.#prefills += 1;
+      this.#context.turnedAwayBy(outcome.engine);
+      const mayRepeat = !this.#context.settled &&
+        this.#prefills < MOST_PREFILLS &&
+        allowance.left(this.#context.pool.name) >= 1 &&
+        this.#context.mayResend(`prefill ${outcome.reason}`, { counts: false });
+      if (!mayRepeat) return { kind: "refused", reason: "prompt_not_read" };
+    }
+  }
+
+  /** An engine has turned the cache away without running the request. */
+  turnedAway(): void {
+    this.#offers += 1;
+    if (this.#offers >= MOST_OFFERS) this.release();
+  }
+
+  /** An engine has taken the cache over. */
+  taken(): void {
+    this.#kept = undefined;
+  }
+
+  /** Frees the cache, if there is one. */
+  release(): void {
+    const kept = this.#kept;
+    this.#kept = undefined;
+    if (kept === undefined) return;
+    this.#context.parts.door.release(kept.address, kept.handle);
+  }
+
+  async #read(
+    prompt: Prompt,
+    admitted: { readonly choice: PrefillChoice; readonly late: boolean },
+  ): Promise<PrefillOutcome> {
+    const { choice, late } = admitted;
+    const { parts, pool, request, route } = this.#context;
+    this.#context.tell("placed", {
+      step: "prefill",
+      endpoint: choice.endpoint.id,
+      late,
+      backlogMilliseconds: Math.round(choice.backlogMilliseconds),
+      wholeBacklogMilliseconds: Math.round(choice.wholeBacklogMilliseconds),
+      workMilliseconds: Math.round(choice.workMilliseconds),
+      keptTokens: choice.keptTokens,
+    });
+    const sent = parts.timer.now();
+    const outcome = await readPrompt(parts, {
+      request,
+      prompt,
+      pool,
+      choice,
+      late,
+      priority: late ? LATE_PRIORITY : route.rank,
+      deadlineMilliseconds: this.#context.left,
+      onAttempt: this.#onAttempt,
+    });
+    if (outcome.kind === "failed") {
+      // Only a prompt's first accepted reading is free of the allowance.
+      parts.allowance.note(pool.name);
+      return outcome;
+    }
+    this.#kept = outcome.kept;
+    this.#context.tell("prompt_read", {
+      endpoint: outcome.kept.engine,
+      milliseconds: Math.round(parts.timer.now() - sent),
+    });
+    // The caller may have gone meanwhile, and nobody would free the cache.
+    if (this.#context.settled) this.release();
+    return outcome;
+  }
+
+  /** Undefined where no engine can read the prompt in time. */
+  #admit(
+    prompt: Prompt,
+    endpoints: readonly RegisteredEndpoint[],
+  ): { choice: PrefillChoice; late: boolean } | undefined {
+    const { parts, pool, route, waitedMilliseconds } = this.#context;
+    const untried = this.#context.untried(endpoints);
+    const soonest = parts.placement.choosePrefill(prompt, untried);
+    const later = parts.placement.chooseLatePrefill(prompt, untried);
+    if (soonest === undefined) return undefined;
+    const admission = judgeAdmission({
+      onTimeMilliseconds: soonest.backlogMilliseconds +
+        soonest.workMilliseconds,
+      lateMilliseconds: later === undefined
+        ? Infinity
+        : later.wholeBacklogMilliseconds + later.workMilliseconds,
+      elapsedMilliseconds: waitedMilliseconds + this.#context.elapsed,
+      targetMilliseconds: route.targetMilliseconds,
+      leftMilliseconds: this.#context.left,
+    });
+    if (admission === "on_time") return { choice: soonest, late: false };
+    const mayBeLate = admission === "late" && later !== undefined &&
+      parts.allowance.left(pool.name) >= LATE_ALLOWANCE_LEFT;
+    return mayBeLate ? { choice: later, late: true } : undefined;
+  }
+}
--- a/src/entry/forwarding/mod.ts
+++ b/src/entry/forwarding/mod.ts
@@ -2,7 +2,7 @@
 export type * from "./links.ts";
 export type { ForwardingDecision, ObserveForwarding } from "./observer.ts";
 export type { ForwardingParts } from "./parts.ts";
-export { forward } from "./forward_run.ts";
+export { forward } from "./forward.ts";
 export {
   ForwardingEntry,
   type ForwardingEntryOptions,
