--- a/src/adapters/forwarding/caller_server.ts
+++ b/src/adapters/forwarding/caller_server.ts
@@ -33,6 +33,7 @@
 
 /** Limits on what callers may send; they follow the configuration. */
 export interface CallerServerLimits {
+  readonly mostHeaderBytes: number;
   readonly mostBodyBytes: number;
   readonly headerMilliseconds: number;
   readonly idleMilliseconds: number;
@@ -53,7 +54,7 @@
   readonly limits: () => CallerServerLimits;
   readonly decode: DecodeRequest;
   readonly handle: (request: ForwardedRequest, sink: CallerSink) => void;
-  /** Status of the system's own answer, where it is not the usual one. */
+  /** Bytes came that are no request; the connection is closed. */
   readonly onProtocolError: (reason: string) => void;
 }
 
@@ -137,6 +138,10 @@
     let refused = false;
     const sink = new CallerResponse(outgoing, () => this.#stopping);
     outgoing.on("close", () => this.#closed(size));
+    if (headerBytes(incoming) > this.#options.limits().mostHeaderBytes) {
+      refused = true;
+      sink.refuse({ status: 431, reason: "header_too_large" });
+    }
     incoming.on("data", (piece: Buffer) => {
       size += piece.length;
       this.#openBodyBytes += piece.length;
@@ -174,3 +179,13 @@
     if (this.#open === 0) this.#onIdle?.();
   }
 }
+
+/** Size of the request's line and headers as they came, about. */
+function headerBytes(incoming: IncomingMessage): number {
+  const { method, rawHeaders, url } = incoming;
+  return rawHeaders.reduce(
+    // Each name or value has two bytes behind it.
+    (sum, text) => sum + text.length + 2,
+    (method ?? "").length + (url ?? "").length,
+  );
+}
--- a/src/adapters/forwarding/caller_server_test.ts
+++ b/src/adapters/forwarding/caller_server_test.ts
@@ -14,6 +14,7 @@
 import { CallerServer } from "./mod.ts";
 
 const LIMITS = {
+  mostHeaderBytes: 2_000,
   mostBodyBytes: 1_000,
   headerMilliseconds: 2_000,
   idleMilliseconds: 5_000,
@@ -88,6 +89,15 @@
     expect(taken).to.have.length(0);
   });
 
+  it("refuses a head beyond the limit and hands on nothing", async () => {
+    const received = await sendRaw(
+      rawRequest("GET /a", ["Host: h", `X-Long: ${"x".repeat(2_000)}`]),
+      { port, waitMilliseconds: 200 },
+    );
+    expect(statusCodes(received)).to.deep.equal([431]);
+    expect(taken).to.have.length(0);
+  });
+
   // Two lengths that disagree: what one side takes for the body, the other
   // takes for a second request that no caller has sent.
   it("refuses a request with two lengths", async () => {
--- a/src/adapters/forwarding/endpoint_exchanges_test.ts
+++ b/src/adapters/forwarding/endpoint_exchanges_test.ts
@@ -17,7 +17,6 @@
     headers,
     requestId: index < 0 ? undefined : headers[index + 1],
     notRun: false,
-    load: undefined,
   };
 }
 
--- a/src/core/forwarding/configuration.ts
+++ b/src/core/forwarding/configuration.ts
@@ -34,18 +34,13 @@
   readonly rank: number;
   /** Most endpoints that may run one attempt of a caller. */
   readonly mostAttempts: number;
-  /** Longest pause between events of a stream that is on time; 0: none set. */
-  readonly longestPauseMilliseconds: number;
   readonly shares: readonly PoolShare[];
 }
 
 /** What an engine can do; absent on pools of plain services. */
 export interface EngineLimits {
-  readonly slots: number;
   /** Tokens that an engine's memory holds. */
   readonly memoryTokens: number;
-  /** How long a change of an engine's role takes, milliseconds. */
-  readonly roleChangeMilliseconds: number;
 }
 
 /** Replicas that serve the same work. */
--- a/src/core/forwarding/load_picture.ts
+++ b/src/core/forwarding/load_picture.ts
@@ -115,16 +115,6 @@
     return sum;
   }
 
-  /** Peers whose reports are fresh. */
-  get freshPeers(): number {
-    const oldest = this.#timer.now() - REPORT_MILLISECONDS;
-    let count = 0;
-    for (const report of this.#peers.values()) {
-      if (report.at >= oldest) count += 1;
-    }
-    return count;
-  }
-
   /**
    * Own open work, for the peers: all of it, or what has changed since the
    * last report. Load: dozens of entries before as many engines, some of them
@@ -176,10 +166,6 @@
     this.#peers.set(peer, report);
   }
 
-  peerGone(peer: string): void {
-    this.#peers.delete(peer);
-  }
-
   #add(endpoint: EndpointId, change: OpenWork): void {
     this.#changed.add(endpoint);
     const next = plus(this.own(endpoint), change);
--- a/src/core/forwarding/load_picture_test.ts
+++ b/src/core/forwarding/load_picture_test.ts
@@ -90,6 +90,5 @@
     report(1, 500);
     await timer.advance(1_100);
     expect(load.total(engine).prefillMilliseconds).to.equal(0);
-    expect(load.freshPeers).to.equal(0);
   });
 });
--- a/src/core/forwarding/requests.ts
+++ b/src/core/forwarding/requests.ts
@@ -46,13 +46,6 @@
   readonly lastEventId?: string;
 }
 
-/** Load as an endpoint tells it with an answer. */
-export interface ToldLoad {
-  readonly running: number;
-  readonly waiting: number;
-  readonly slots: number;
-}
-
 /** The head of an endpoint's answer, decoded. */
 export interface AnswerHead {
   readonly status: number;
@@ -62,5 +55,4 @@
   readonly requestId: string | undefined;
   /** The endpoint vouches that it did not run the request, and never will. */
   readonly notRun: boolean;
-  readonly load: ToldLoad | undefined;
 }
--- a/test/support/forwarding_bench.ts
+++ b/test/support/forwarding_bench.ts
@@ -66,7 +66,6 @@
       headers: ["Seal", String(this.options.endpoint)],
       requestId: this.request.id,
       notRun: false,
-      load: undefined,
       ...values,
     };
     this.#settle(ok({
--- a/test/support/forwarding_values.ts
+++ b/test/support/forwarding_values.ts
@@ -30,7 +30,6 @@
     targetMilliseconds: 150,
     rank: 0,
     mostAttempts: 2,
-    longestPauseMilliseconds: 0,
     shares: [{ pool: PORTAL, weight: 1 }],
     ...values,
   };
@@ -42,7 +41,7 @@
 
 export const ENGINE_POOL: Pool = makePool({
   name: ENGINES,
-  engine: { slots: 32, memoryTokens: 200_000, roleChangeMilliseconds: 3_000 },
+  engine: { memoryTokens: 200_000 },
 });
 
 export function makeConfiguration(
