--- a/src/adapters/forwarding/endpoint_exchanges_test.ts
+++ b/src/adapters/forwarding/endpoint_exchanges_test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { type AddressInfo, createServer } from "node:net";
 import process from "node:process";
 import {
   answerBytes,
@@ -66,7 +67,7 @@
 
   afterEach(() => {
     exchanges.close();
-    replica.close();
+    replica?.close();
   });
 
   it("gives the whole body and keeps the connection", async () => {
@@ -181,6 +182,44 @@
     expect(await ask()).to.deep.equal({ failure: "exchange_not_sent" });
   });
 
+  // A replica refuses a long request before it has read it and keeps the
+  // connection. If the rest of the body were left out, the next request would
+  // be taken for that rest.
+  it("sends the rest of a body that was answered early", async () => {
+    const body = Buffer.alloc(3_000_000, "x");
+    let received = 0;
+    const server = createServer((socket) => {
+      let answered = false;
+      socket.on("data", (piece) => {
+        received += piece.length;
+        if (answered) return;
+        answered = true;
+        socket.write(answerBytes("early"));
+      });
+      socket.on("error", () => {});
+    });
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve)
+    );
+    const { port } = server.address() as AddressInfo;
+    const exchange = exchanges.send({
+      address: `127.0.0.1:${port}`,
+      method: "POST",
+      target: "/x",
+      headers: ["Host", "h", "Content-Length", String(body.length)],
+      body,
+      requestId: "r",
+    });
+    const answer = (await exchange.answer)._unsafeUnwrap();
+    await new Promise<void>((resolve) =>
+      answer.read(() => {}, () => resolve())
+    );
+    await new Promise((resolve) => setTimeout(resolve, 300));
+    server.close();
+    exchanges.close();
+    expect(received).to.be.greaterThan(body.length);
+  });
+
   // A replica tells that it closes idle connections after a second. A request
   // that is sent on one as it is being closed may have run or not.
   it("leaves a connection that is near its idle timeout", async () => {
--- /dev/null
+++ b/src/entry/forwarding/role_keeper_test.ts
@@ -0,0 +1,148 @@
+import { expect } from "chai";
+import { err, ok } from "neverthrow";
+import { settled } from "../../../test/support/forwarding_bench.ts";
+import {
+  ENGINE_POOL,
+  makeEngine,
+} from "../../../test/support/forwarding_values.ts";
+import {
+  EndpointRegistry,
+  LoadPicture,
+  type StandingClaim,
+  type StoreFailure,
+} from "../../core/forwarding/mod.ts";
+import { SILENT_LOGGER } from "../../core/observation/mod.ts";
+import { seededRandom } from "../../core/random/mod.ts";
+import { ManualTimerService } from "../../core/time/mod.ts";
+import { type OrderOutcome, RoleKeeper } from "./role_keeper.ts";
+
+const UNAVAILABLE: StoreFailure = {
+  name: "store_unavailable",
+  title: "",
+  message: "",
+  hint: "",
+};
+
+/** The log of claims and the engines, as all keepers see them. */
+class Platform {
+  claims: StandingClaim[] = [];
+  orders: { holder: string; fencing: number; endpoint: string; at: number }[] =
+    [];
+  answer: OrderOutcome = "accepted";
+  /** Appends take effect, and their answers are lost. */
+  losesAnswers = false;
+  readonly #timer: ManualTimerService;
+
+  constructor(timer: ManualTimerService) {
+    this.#timer = timer;
+  }
+
+  readonly link = {
+    readClaim: () =>
+      Promise.resolve(
+        ok({ claim: this.claims.at(-1), end: this.claims.length }),
+      ),
+    appendClaim: (holder: string, at: number) => {
+      if (at !== this.claims.length) return Promise.resolve(ok(undefined));
+      this.claims.push({ holder, offset: at });
+      return Promise.resolve(this.losesAnswers ? err(UNAVAILABLE) : ok(at));
+    },
+    order: (
+      change: { readonly endpoint: { readonly id: string } },
+      options: { readonly holder: string; readonly fencing: number },
+    ) => {
+      const endpoint = String(change.endpoint.id);
+      this.orders.push({ ...options, endpoint, at: this.#timer.now() });
+      return Promise.resolve(this.answer);
+    },
+  };
+}
+
+describe("RoleKeeper", () => {
+  let timer: ManualTimerService;
+  let platform: Platform;
+  let keepers: RoleKeeper[];
+
+  function startKeepers(count: number, tellsPeers = true): void {
+    keepers = Array.from({ length: count }, (_, index) => {
+      const registry = new EndpointRegistry({ timer });
+      for (let engine = 0; engine < 10; engine++) {
+        const role = engine < 6 ? "prefill" : "decode";
+        registry.put(makeEngine(`engine-${engine}`, role));
+      }
+      return new RoleKeeper({
+        self: `entry-${index}`,
+        timer,
+        random: seededRandom(index + 1),
+        registry,
+        load: new LoadPicture(timer),
+        link: platform.link,
+        logger: SILENT_LOGGER,
+        leaseMilliseconds: 3_000,
+        pools: () => [ENGINE_POOL],
+        tellPeers: (orders) => {
+          if (!tellsPeers) return;
+          for (const keeper of keepers) keeper.peerOrdered(orders);
+        },
+      });
+    });
+    for (const keeper of keepers) keeper.start();
+  }
+
+  async function advance(milliseconds: number): Promise<void> {
+    for (let passed = 0; passed < milliseconds; passed += 50) {
+      await timer.advance(50);
+      await settled();
+    }
+  }
+
+  beforeEach(() => {
+    timer = new ManualTimerService();
+    platform = new Platform(timer);
+  });
+
+  afterEach(() => {
+    for (const keeper of keepers) keeper.stop();
+  });
+
+  it("gives the order that is missing, once, whoever is first", async () => {
+    startKeepers(5);
+    await advance(10_000);
+    expect(platform.orders).to.have.length(1);
+    expect(keepers.every((keeper) => keeper.isChanging("engine-6" as never)))
+      .to.equal(true);
+  });
+
+  // The word to the peers is lost, and the engine takes long to change. Another
+  // entry gives the order again: never within the lease of the first, and
+  // never with its number.
+  it("keeps two holders apart by lease and number", async () => {
+    startKeepers(3, false);
+    await advance(40_000);
+    const { orders } = platform;
+    for (let index = 1; index < orders.length; index++) {
+      const [one, next] = [orders[index - 1], orders[index]];
+      expect(next.fencing).to.be.greaterThan(one.fencing);
+      if (next.holder === one.holder) continue;
+      expect(next.at - one.at).to.be.greaterThan(3_000);
+    }
+  });
+
+  // The claim took effect and its answer was lost. An order with a guessed
+  // number could be another holder's; the next look reads the claim.
+  it("gives no order under a claim whose answer was lost", async () => {
+    platform.losesAnswers = true;
+    startKeepers(1);
+    await advance(4_000);
+    expect(platform.claims.length).to.be.greaterThan(0);
+    expect(platform.orders).to.deep.equal([]);
+  });
+
+  // An engine has seen a higher number: somebody else holds the claim now.
+  it("gives up when an engine refuses its number", async () => {
+    platform.answer = "refused";
+    startKeepers(1);
+    await advance(6_000);
+    expect(platform.orders).to.have.length(1);
+  });
+});
