Cut no answer when an endpoint's registration goes; take no old news from peers

Found by reading the change: (1) forgetting an endpoint's address closed its connections in use too, also those of a new endpoint at the address; (2) a peer that is behind could bring back an endpoint that had left. Both tests fail without the change.

--- a/src/adapters/forwarding/endpoint_exchanges.ts
+++ b/src/adapters/forwarding/endpoint_exchanges.ts
@@ -106,10 +106,13 @@
     };
   }
 
-  /** Drops the connections to an address that is no longer used. */
+  /**
+   * Drops the idle connections to an address that an endpoint has left. Those
+   * in use go on: an endpoint serves what it has begun beyond its own
+   * registration, and another one may have the address already.
+   */
   forget(address: string): void {
-    this.#agents.get(address)?.destroy();
-    this.#agents.delete(address);
+    this.#agents.get(address)?.dropIdle();
   }
 
   close(): void {
--- a/src/adapters/forwarding/endpoint_exchanges_test.ts
+++ b/src/adapters/forwarding/endpoint_exchanges_test.ts
@@ -220,6 +220,23 @@
     expect(received).to.be.greaterThan(body.length);
   });
 
+  // An endpoint's registration is gone while it still streams an answer, or a
+  // new endpoint has its address. Closing every connection to the address
+  // would cut answers that nothing is wrong with.
+  it("goes on with what is under way when an endpoint is forgotten", async () => {
+    await begin((socket) => {
+      socket.write(answerBytes("", { headers: "Content-Length: 5\r\n" }));
+      setTimeout(() => socket.write("hello"), 60);
+    });
+    const asking = ask();
+    await new Promise((resolve) => setTimeout(resolve, 30));
+    exchanges.forget(address);
+    expect(await asking).to.deep.equal({ body: "hello", end: "whole" });
+    exchanges.forget(address);
+    await ask();
+    expect(replica.connections).to.equal(2);
+  });
+
   // A replica tells that it closes idle connections after a second. A request
   // that is sent on one as it is being closed may have run or not.
   it("leaves a connection that is near its idle timeout", async () => {
--- a/src/adapters/forwarding/kept_connections.ts
+++ b/src/adapters/forwarding/kept_connections.ts
@@ -47,6 +47,13 @@
     hooks.reuseSocket = (socket, request) => this.#reuse(socket, request);
   }
 
+  /** Closes the connections that nobody uses. */
+  dropIdle(): void {
+    for (const sockets of Object.values(this.freeSockets)) {
+      for (const socket of sockets ?? []) socket.destroy();
+    }
+  }
+
   #keep(socket: IdleSocket): boolean {
     const header = socket._httpMessage?.res?.headers["keep-alive"];
     const told = KEEP_ALIVE_TIMEOUT.exec(String(header ?? ""));
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -196,13 +196,26 @@
       this.#roles?.peerOrdered(orders);
     }
     if (method === REGISTRATIONS_METHOD && Array.isArray(changes)) {
-      for (const change of changes) this.#takeRegistration(change);
+      this.#takePeerChanges(changes);
+    }
+  }
+
+  /**
+   * Takes from a peer that endpoints leave or are gone, of those known here. A
+   * peer that is behind may tell of old registrations: taken over, they would
+   * bring back endpoints that have left, which no later record takes away.
+   */
+  #takePeerChanges(changes: readonly RegistrationChange[]): void {
+    for (const { id, endpoint } of changes) {
+      if (this.registry.get(id) === undefined) continue;
+      if (endpoint === undefined) this.registry.remove(id);
+      else if (endpoint.leaving) this.registry.put(endpoint);
     }
   }
 
   /**
    * Takes registrations that the store has shown to this entry, and tells
-   * peers of those that matter at once. Load: dozens of entries that each read
+   * peers which endpoints leave or are gone. Load: dozens of entries that each read
    * every second or so; whoever reads first tells the others, so that a
    * leaving endpoint is known everywhere within a fraction of that.
    */
@@ -212,17 +225,15 @@
     this.peers.tell(REGISTRATIONS_METHOD, { changes: news });
   }
 
-  /** True where it was news. */
+  /** True where peers are to know at once. */
   #takeRegistration({ id, endpoint }: RegistrationChange): boolean {
     const known = this.registry.get(id);
     if (endpoint === undefined) {
       this.registry.remove(id);
       return known !== undefined;
     }
-    const isNews = known === undefined || endpoint.role !== known.role ||
-      endpoint.leaving !== known.leaving;
     this.registry.put(endpoint);
-    return isNews;
+    return endpoint.leaving && known?.leaving === false;
   }
 
   handle(request: ForwardedRequest, sink: CallerSink): void {
--- /dev/null
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -0,0 +1,81 @@
+import { expect } from "chai";
+import { err } from "neverthrow";
+import {
+  makeEndpoint,
+  PORTAL,
+} from "../../../test/support/forwarding_values.ts";
+import {
+  type AvailabilityZoneId,
+  identifier,
+} from "../../core/identity/mod.ts";
+import { SILENT_LOGGER } from "../../core/observation/mod.ts";
+import { ManualTimerService } from "../../core/time/mod.ts";
+import { ForwardingEntry } from "./mod.ts";
+
+/** Entries that hear each other at once. */
+function makeEntries(count: number): ForwardingEntry[] {
+  const timer = new ManualTimerService();
+  const entries: ForwardingEntry[] = Array.from(
+    { length: count },
+    (_, index) =>
+      new ForwardingEntry({
+        process: `entry-${index}`,
+        incarnation: "1",
+        availabilityZone: identifier<AvailabilityZoneId>("zone-1"),
+        timer,
+        random: () => 0.5,
+        door: {
+          send: () => ({ answer: new Promise(() => {}), abort() {} }),
+          keptHandle: () => undefined,
+          release() {},
+        },
+        sendToPeers: (_, { method, params }) => {
+          for (const entry of entries) {
+            if (entry === entries[index]) continue;
+            entry.takeNotification(method, JSON.parse(JSON.stringify(params)));
+          }
+        },
+        observe() {},
+        logger: SILENT_LOGGER,
+        retry: { ratio: 0.2, windowMilliseconds: 10_000, minimum: 50 },
+        relay: {
+          peers: () => [],
+          ask: () =>
+            Promise.resolve(
+              err({ name: "link_lost", title: "", message: "", hint: "" }),
+            ),
+        },
+        onEndpointGone() {},
+      }),
+  );
+  for (const entry of entries) entry.peers.setPeers(["peer:1"]);
+  return entries;
+}
+
+describe("ForwardingEntry", () => {
+  const endpoint = makeEndpoint("a");
+  const { id } = endpoint;
+
+  // One entry of many has read that an endpoint leaves; the next reading of the
+  // others is a second away. Without its word they send there until then.
+  it("tells peers of an endpoint that leaves", () => {
+    const [first, second] = makeEntries(2);
+    for (const entry of [first, second]) {
+      entry.takeRegistrations([{ id, endpoint }]);
+    }
+    first.takeRegistrations([{ id, endpoint: { ...endpoint, leaving: true } }]);
+    expect(second.registry.inPool(PORTAL)).to.deep.equal([]);
+  });
+
+  // An entry that is behind reads the registration of an endpoint that the
+  // others know to be gone. Told of it, they would send there for good: the
+  // record that took it away lies behind them.
+  it("does not bring back an endpoint through a peer that is behind", () => {
+    const [late, ahead] = makeEntries(2);
+    ahead.takeRegistrations([{ id, endpoint }]);
+    ahead.takeRegistrations([{ id }]);
+    late.takeRegistrations([{ id, endpoint }]);
+    expect(ahead.registry.size).to.equal(0);
+    expect(late.registry.size).to.equal(1);
+  });
+});
