--- a/src/adapters/forwarding/caller_server.ts
+++ b/src/adapters/forwarding/caller_server.ts
@@ -24,6 +24,8 @@
  */
 const IDLE_AFTER_STOP_MILLISECONDS = 2_500;
 
+/** When a caller that was refused by a stopping entry should come back. */
+const STOPPING_RETRY_MILLISECONDS = 50;
 /**
  * How long a connection stays open behind an answer that began before the
  * stop and so did not announce it. Harm prevented: the caller sends its next
@@ -42,6 +44,17 @@
  */
 const LATE_LOOP_MILLISECONDS = 100;
 
+/**
+ * The answer to what still comes on a connection that was busy until now. Harm
+ * prevented: a long answer begins three seconds after the stop and is cut when
+ * the process ends.
+ */
+const STOPPING: Refusal = {
+  status: 503,
+  reason: "stopping",
+  retryAfterMilliseconds: STOPPING_RETRY_MILLISECONDS,
+};
+
 /** Limits on what callers may send; they follow the configuration. */
 export interface CallerServerLimits {
   readonly mostHeaderBytes: number;
@@ -76,6 +89,8 @@
   #openBodyBytes = 0;
   #open = 0;
   #stopping = false;
+  /** True once the balancer has had its time: nothing more is handed on. */
+  #closing = false;
   #idleClosing: Subscription | undefined;
   #onIdle: (() => void) | undefined;
   #lastTurn = 0;
@@ -130,6 +145,7 @@
       this.#idleClosing = this.#options.timer.after(
         IDLE_AFTER_STOP_MILLISECONDS,
         () => {
+          this.#closing = true;
           this.#server.close();
           this.#server.closeIdleConnections();
           this.#onIdle = resolve;
@@ -169,6 +185,7 @@
     incoming.on("error", () => {});
     incoming.on("end", () => {
       if (refused || sink.gone) return;
+      if (this.#closing) return sink.refuse(STOPPING);
       const request = this.#options.decode({
         method: incoming.method ?? "GET",
         target: incoming.url ?? "/",
--- a/src/adapters/forwarding/caller_server_test.ts
+++ b/src/adapters/forwarding/caller_server_test.ts
@@ -209,6 +209,31 @@
       expect(closed).to.equal(true);
     });
 
+    // A long answer ends three seconds after the stop, and its caller sends the
+    // next request at once. Taken on, it would be cut when the process ends.
+    it("hands on nothing once the balancer has had its time", async () => {
+      const agent = new Agent({ keepAlive: true });
+      const ask = () =>
+        new Promise<number>((resolve) => {
+          request({ port, host: "127.0.0.1", agent }, (incoming) => {
+            incoming.resume();
+            incoming.on("end", () => resolve(incoming.statusCode ?? 0));
+          }).end();
+        });
+      const first = ask();
+      await untilTaken(1);
+      const { sink } = taken[0];
+      sink.head(200, ["Content-Length", "2"]);
+      void server.stop();
+      await new Promise((resolve) => setTimeout(resolve, 2_700));
+      sink.write(Buffer.from("ok"));
+      sink.finish();
+      expect(await first).to.equal(200);
+      expect(await ask()).to.equal(503);
+      agent.destroy();
+      expect(taken).to.have.length(1);
+    });
+
     it("answers requests that still come, and announces the close", async () => {
       void server.stop();
       answerAll();
