Tell why a stream never began, and end the test's replacements with it

A caller that failed in the test of replaced sides threw out of turn: mocha ended the test while its replacements went on, and these started sides with the next test's settings. What the caller had got was not printed; it is now.

--- a/test/process/planned_and_unplanned_stops_test.ts
+++ b/test/process/planned_and_unplanned_stops_test.ts
@@ -35,19 +35,30 @@
       { length: count },
       (_, index) => promptFor(`report ${index}`, TOKENS),
     );
-    let ready = 0;
-    const answers = prompts.map((prompt) =>
-      streamChat(entryUrl, {
-        prompt,
-        onToken: (tokens) => {
-          if (tokens === 20) ready += 1;
-        },
-      })
+    const tokensOf = new Array<number>(count).fill(0);
+    const answers = Promise.all(
+      prompts.map((prompt, index) =>
+        streamChat(entryUrl, {
+          prompt,
+          onToken: (tokens) => tokensOf[index] = tokens,
+        })
+      ),
     );
-    const underWay = waitFor(() => ready === count, {
+    // An answer that ends before it is under way tells why; waiting on for it
+    // would only say that time has passed.
+    let over: unknown;
+    void answers.then((all) => over = all, (cause) => over = String(cause));
+    const underWay = waitFor(() => {
+      const ready = tokensOf.every((tokens) => tokens >= 20);
+      if (!ready && over !== undefined) {
+        throw new Error(`Streams ended early: ${JSON.stringify(over)}`);
+      }
+      return ready;
+    }, {
       what: "the streams to be under way",
+      found: () => ({ tokensOf, log: deployment.entries[0].process.output() }),
     });
-    return { prompts, answers: Promise.all(answers), underWay };
+    return { prompts, answers, underWay };
   }
 
   async function expectWhole(streams: ReturnType<typeof startStreams>) {
@@ -111,17 +122,22 @@
   it("sides are replaced one after the other under load", async () => {
     let over = false;
     const callers = deployment.entries.flatMap(({ url }) =>
-      [1, 2, 3].map(
-        async (caller) => {
-          for (let count = 0; !over; count++) {
-            const prompt = promptFor(`${url} ${caller} ${count}`, 40);
-            const answer = await streamChat(url, { prompt });
-            expect(answer.problem).to.equal(undefined);
-            expect(answer.tokens).to.deep.equal(wholeAnswer(prompt).tokens);
-          }
-        },
-      )
+      [1, 2, 3].map(async (caller) => {
+        const wrong: unknown[] = [];
+        for (let count = 0; !over; count++) {
+          const prompt = promptFor(`${url} ${caller} ${count}`, 40);
+          const answer = await streamChat(url, { prompt });
+          const { tokens } = wholeAnswer(prompt);
+          const isWhole = answer.problem === undefined &&
+            answer.tokens.join("") === tokens.join("");
+          if (!isWhole) wrong.push({ url, prompt, ...answer });
+        }
+        return wrong;
+      })
     );
+    // A caller that fails while the sides are replaced is told below: thrown
+    // at once, it would end the test while its replacements go on.
+    const failures = Promise.allSettled(callers);
     for (const { id, side } of deployment.engines) {
       await pause(600);
       side.child.kill("SIGKILL");
@@ -135,7 +151,9 @@
       await pause(1_500);
     }
     over = true;
-    await Promise.all(callers);
+    for (const caller of await failures) {
+      expect(caller).to.deep.equal({ status: "fulfilled", value: [] });
+    }
     const before = await generations();
     // An endpoint that has failed is taken back step by step.
     await waitFor(async () => {
--- a/test/support/small_deployment.ts
+++ b/test/support/small_deployment.ts
@@ -112,7 +112,7 @@
         return answer?.status === 200;
       }, {
         what: `${entry.url} to be ready`,
-        found: () => entry.process.output(),
+        found: () => this.#outputs(),
       });
     }
     // Sides report once a second; work goes to those that have.
@@ -147,6 +147,18 @@
     await this.fleet.close();
   }
 
+  /** What every process of the system has printed, for a failure's report. */
+  #outputs(): Record<string, string> {
+    const named = [
+      ...this.entries.map((each) => [each.url, each.process] as const),
+      ...[...this.engines, ...this.services]
+        .map((each) => [each.id, each.side] as const),
+    ];
+    return Object.fromEntries(
+      named.map(([name, started]) => [name, started.output()]),
+    );
+  }
+
   async #startEntries(options: SmallDeploymentOptions): Promise<void> {
     const count = options.entries ?? 2;
     const ports = await Promise.all(range(2 * count).map(() => freePort()));
