--- /dev/null
+++ b/scripts/soak_platform.ts
@@ -0,0 +1,74 @@
+/**
+ * `npm run soak:platform -- [--seed N] [--seeds N] [--seconds N]`: callers
+ * against entries as processes on the platform's protocol, under random faults.
+ * Each seed ends with a line of JSON; the exit code is 0 only if every promise
+ * held under every seed. `--logs FOLDER` keeps the entries' logs of a seed that
+ * broke one; `--regressions` runs the seeds that once did.
+ */
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import process from "node:process";
+import { parseArgs } from "node:util";
+import { REGRESSION_SEEDS } from "../platform/test/soak/regression_seeds.ts";
+import { soak, type SoakResult } from "../platform/test/soak/soak.ts";
+import "./build_platform.ts";
+
+const { values } = parseArgs({
+  options: {
+    seed: { type: "string", default: "1" },
+    seeds: { type: "string", default: "1" },
+    seconds: { type: "string", default: "20" },
+    entries: { type: "string", default: "4" },
+    engines: { type: "string", default: "5" },
+    callers: { type: "string", default: "20" },
+    logs: { type: "string" },
+    regressions: { type: "boolean", default: false },
+  },
+});
+
+function keepLogs(folder: string, seed: number, result: SoakResult): void {
+  mkdirSync(folder, { recursive: true });
+  for (const [name, text] of result.logs) {
+    writeFileSync(join(folder, `${seed}-${name}.log`), text);
+  }
+  const violations = JSON.stringify(result.violations, undefined, 2);
+  writeFileSync(join(folder, `${seed}-violations.json`), violations);
+}
+
+interface Run {
+  readonly seed: number;
+  readonly seconds: number;
+}
+
+function wantedRuns(): readonly Run[] {
+  if (values.regressions) return REGRESSION_SEEDS;
+  const first = Number(values.seed);
+  const seconds = Number(values.seconds);
+  return Array.from(
+    { length: Number(values.seeds) },
+    (_, index) => ({ seed: first + index, seconds }),
+  );
+}
+
+let bad = 0;
+for (const { seed, seconds } of wantedRuns()) {
+  const result = await soak({
+    seed,
+    seconds,
+    entries: Number(values.entries),
+    engines: Number(values.engines),
+    callers: Number(values.callers),
+  });
+  const { faults, outcomes, violations } = result;
+  console.log(JSON.stringify({
+    seed,
+    faults: Object.fromEntries(faults),
+    outcomes: Object.fromEntries([...outcomes].sort()),
+    violations: violations.length,
+    first: violations.slice(0, 3),
+  }));
+  if (violations.length === 0) continue;
+  bad += 1;
+  if (values.logs !== undefined) keepLogs(values.logs, seed, result);
+}
+process.exit(bad === 0 ? 0 : 1);
