Log what decided a refusal; keep admission apart from the hand-over

A refusal of a long prompt named its reason only. Its line now has the predictions that decided, with the entry's own share. The decision stands in a module of its own.

--- a/src/entry/forwarding/forward_run.ts
+++ b/src/entry/forwarding/forward_run.ts
@@ -11,6 +11,7 @@
 import { Handover } from "./handover.ts";
 import type { CallerSink, EndpointAnswer, Refusal } from "./links.ts";
 import type { ForwardingParts } from "./parts.ts";
+import type { AdmissionFacts } from "./prompt_admission.ts";
 
 /** When a caller that found no room should come back, milliseconds. */
 export const RETRY_AFTER_MILLISECONDS = 250;
@@ -116,7 +117,7 @@
       : undefined;
     if (this.#context.settled) return undefined;
     if (handover?.kind === "refused") {
-      this.#refuse(handover.reason);
+      this.#refuse(handover.reason, handover.facts);
       return undefined;
     }
     const keptIn = endpoints.find((each) => each.id === handover?.kept.engine)
@@ -268,7 +269,7 @@
     this.#context.tell("caller_gone", { sends: this.#context.sends });
   }
 
-  #refuse(reason: string): void {
+  #refuse(reason: string, facts: AdmissionFacts = {}): void {
     // A run that was lost before may still be under way: then a refusal that
     // says "not run" would be a lie.
     if (this.#runs > 0) return this.#answerUnknown();
@@ -280,7 +281,7 @@
       ? ELSEWHERE_AFTER_MILLISECONDS + ELSEWHERE_SPREAD_MILLISECONDS * random()
       : RETRY_AFTER_MILLISECONDS +
         RETRY_AFTER_SPREAD_MILLISECONDS * random();
-    this.#answerOwn({ status: 503, reason, retryAfterMilliseconds });
+    this.#answerOwn({ status: 503, reason, retryAfterMilliseconds }, facts);
   }
 
   #answerUnknown(): void {
@@ -293,11 +294,12 @@
     this.#answerOwn({ status: 502, reason: "unknown" });
   }
 
-  #answerOwn(refusal: Refusal): void {
+  #answerOwn(refusal: Refusal, facts: AdmissionFacts = {}): void {
     this.#sink.refuse(refusal);
     this.#context.tell("refused", {
       status: refusal.status,
       reason: refusal.reason,
+      ...facts,
       milliseconds: Math.round(this.#context.elapsed),
       sends: this.#context.sends,
     });
--- a/src/entry/forwarding/forward_run_test.ts
+++ b/src/entry/forwarding/forward_run_test.ts
@@ -351,6 +351,11 @@
       expect(bench.sent).to.have.length.within(4, 10);
       expect(refused).to.have.length(30 - bench.sent.length);
       expect(refused[0].refusal?.reason).to.equal("entry_full");
+      // The line that tells of it has what decided: the engines alone would
+      // have been in time for the target of 150 ms.
+      const line = bench.decisions.find((each) => each.decision === "refused");
+      expect(line?.entryMilliseconds).to.be.greaterThan(75);
+      expect(line?.onTimeMilliseconds).to.be.lessThan(0.85 * 150);
       // Soon enough that another entry can still answer on time.
       expect(refused[0].refusal?.retryAfterMilliseconds).to.be.within(20, 50);
       await bench.timer.advance(200);
--- a/src/entry/forwarding/handover.ts
+++ b/src/entry/forwarding/handover.ts
@@ -1,13 +1,17 @@
-import {
-  judgeAdmission,
-  type KeptPrompt,
-  type PrefillChoice,
-  type Prompt,
-  type RegisteredEndpoint,
+import type {
+  KeptPrompt,
+  PrefillChoice,
+  Prompt,
+  RegisteredEndpoint,
 } from "../../core/forwarding/mod.ts";
 import type { EndpointId } from "../../core/identity/mod.ts";
-import { type Attempt, HEAD_BYTES } from "./attempt.ts";
+import type { Attempt } from "./attempt.ts";
 import type { ForwardContext } from "./forward_context.ts";
+import {
+  type AdmissionFacts,
+  type AdmissionRefusal,
+  admitPrompt,
+} from "./prompt_admission.ts";
 import { type PrefillOutcome, readPrompt } from "./prefill_step.ts";
 
 /** Engines that are asked to read a request's prompt in one round. */
@@ -20,39 +24,15 @@
 const MOST_OFFERS = 2;
 /** Priority of prompts that are read for late answers. */
 const LATE_PRIORITY = 8;
-/**
- * Share of the allowance that has to be left for a late prompt to be sent.
- * Harm prevented: those that are overtaken until their deadline are rejected,
- * each counts as a repeat, and nothing is left for requests whose engine
- * failed. Limit: 8 of the 27 repeats that an entry of five has on a calm day;
- * as a number it left an entry of 24 nothing for its first seconds.
- */
-const LATE_ALLOWANCE_SHARE = 0.3;
-
-/** A long prompt goes to the engine that reads and to the one that decodes. */
-const SENDS_OF_A_PROMPT = 2;
-/** The request's arrival and the head of either engine's answer. */
-const LOOP_TURNS_OF_A_PROMPT = 3;
-
-/**
- * Why a long prompt has no cache to go on from. `repeats_used_up`: it would
- * have been late, and a rejection could not be made up for.
- */
-export type HandoverRefusal =
-  | "engines_full"
-  | "entry_full"
-  | "repeats_used_up"
-  | "prompt_not_read";
-
-/** Where a prompt is to be read, or why nowhere. */
-type Admitted =
-  | { readonly choice: PrefillChoice; readonly late: boolean }
-  | { readonly refused: HandoverRefusal };
-
 /** What became of a hand-over. */
 export type HandoverOutcome =
   | { readonly kind: "kept"; readonly kept: KeptPrompt }
-  | { readonly kind: "refused"; readonly reason: HandoverRefusal };
+  | {
+    readonly kind: "refused";
+    readonly reason: AdmissionRefusal | "prompt_not_read";
+    /** What decided, for the log. */
+    readonly facts: AdmissionFacts;
+  };
 
 /**
  * The cache of one request's prompt on its way from the engine that reads to
@@ -87,10 +67,11 @@
     if (this.#kept !== undefined) return { kind: "kept", kept: this.#kept };
     const { allowance } = this.#context.parts;
     for (;;) {
-      const admitted = this.#admit(prompt, endpoints);
-      if ("refused" in admitted) {
-        return { kind: "refused", reason: admitted.refused };
-      }
+      const admitted = admitPrompt(this.#context, {
+        prompt,
+        engines: endpoints,
+      });
+      if (admitted.kind === "refused") return admitted;
       const outcome = await this.#read(prompt, admitted);
       if (outcome.kind === "kept") return outcome;
       this.#prefills += 1;
@@ -99,7 +80,10 @@
         this.#prefills < MOST_PREFILLS &&
         allowance.left(this.#context.pool.name) >= 1 &&
         this.#context.mayResend(`prefill ${outcome.reason}`, { counts: false });
-      if (!mayRepeat) return { kind: "refused", reason: "prompt_not_read" };
+      if (!mayRepeat) {
+        const facts = { readings: this.#prefills };
+        return { kind: "refused", reason: "prompt_not_read", facts };
+      }
     }
   }
 
@@ -178,46 +162,4 @@
     if (this.#context.settled) this.release();
     return outcome;
   }
-
-  #admit(
-    prompt: Prompt,
-    endpoints: readonly RegisteredEndpoint[],
-  ): Admitted {
-    const { parts, pool, route, waitedMilliseconds } = this.#context;
-    const untried = this.#context.untried(endpoints);
-    const among = { engines: untried, pool };
-    const soonest = parts.placement.choosePrefill(prompt, among);
-    const later = parts.placement.chooseLatePrefill(prompt, among);
-    if (soonest === undefined) return { refused: "engines_full" };
-    const admission = judgeAdmission({
-      onTimeMilliseconds: soonest.backlogMilliseconds +
-        soonest.workMilliseconds,
-      lateMilliseconds: later === undefined
-        ? Infinity
-        : parts.lateOverrun.factor *
-          (later.wholeBacklogMilliseconds + later.workMilliseconds),
-      entryMilliseconds: this.#entryMilliseconds(),
-      elapsedMilliseconds: waitedMilliseconds + this.#context.elapsed,
-      targetMilliseconds: route.targetMilliseconds,
-      leftMilliseconds: this.#context.left,
-    });
-    if (admission === "on_time") return { choice: soonest, late: false };
-    if (admission === "entry_full") return { refused: "entry_full" };
-    if (admission === "engines_full" || later === undefined) {
-      return { refused: "engines_full" };
-    }
-    const left = parts.allowance.left(pool.name);
-    const needed = LATE_ALLOWANCE_SHARE * parts.allowance.allowed(pool.name);
-    return left >= Math.max(1, needed)
-      ? { choice: later, late: true }
-      : { refused: "repeats_used_up" };
-  }
-
-  /** Time that this entry's link and processor add to the answer. */
-  #entryMilliseconds(): number {
-    const { parts, request } = this.#context;
-    const bytes = SENDS_OF_A_PROMPT * (request.body.length + HEAD_BYTES);
-    return parts.link.waitMilliseconds + parts.link.carryMilliseconds(bytes) +
-      LOOP_TURNS_OF_A_PROMPT * parts.loopDelay();
-  }
 }
