Take nothing from a peer's reading that was overtaken

Found by reading the change: datagrams may overtake each other. One that tells of an endpoint's lapse, taken after the endpoint is back, would remove it for good, as the record that brought it back lies behind the reader. Spans older than the reader are passed over; a stopped reader begins no read any more.

--- a/src/core/forwarding/topic_reader.ts
+++ b/src/core/forwarding/topic_reader.ts
@@ -40,9 +40,9 @@
 /**
  * How a peer's reading fits to one's own. `ahead`: it went on from here, and
  * this reader now stands behind it. `same`: there is nothing new. `apart`: it
- * leaves out what this reader has not seen, or is older.
+ * leaves out what this reader has not seen. `older`: this reader is further.
  */
-export type PeerReading = "ahead" | "same" | "apart";
+export type PeerReading = "ahead" | "same" | "apart" | "older";
 
 export interface TopicReaderOptions {
   readonly topic: KeyedTopic;
@@ -83,6 +83,7 @@
   /** Counts the reads; the answer to an earlier one is passed over. */
   #run = 0;
   #isReading = false;
+  #stopped = false;
   #next: Subscription | undefined;
 
   constructor(options: TopicReaderOptions) {
@@ -94,6 +95,12 @@
   }
 
   stop(): void {
+    this.#stopped = true;
+    this.#giveUp();
+  }
+
+  /** Passes over what is waited for. */
+  #giveUp(): void {
     this.#run += 1;
     this.#isReading = false;
     this.#next?.cancel();
@@ -104,7 +111,8 @@
    * silent holds a waiting read; a peer's word tells that there is something.
    */
   readNow(): void {
-    this.stop();
+    if (this.#stopped) return;
+    this.#giveUp();
     void this.#read();
   }
 
@@ -115,12 +123,13 @@
    */
   peerRead({ from, to }: TopicSpan): PeerReading {
     const position = this.#position;
-    if (position === undefined || position < from || position > to) {
+    if (position === undefined || position < from || this.#stopped) {
       return "apart";
     }
+    if (position > to) return "older";
     if (position < to) {
       // An answer that is on its way may be older than the span.
-      this.stop();
+      this.#giveUp();
       this.#position = to;
       this.#readAfter(this.#options.pauseMilliseconds());
       return "ahead";
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -253,6 +253,10 @@
     reading: PeerReading,
     changes: readonly RegistrationChange[],
   ): void {
+    // A datagram that was overtaken may name an endpoint as gone that has
+    // come back since; its record lies behind this entry, which would not see
+    // it again.
+    if (reading === "older") return;
     if (reading === "apart") return this.#takePeerChanges(changes);
     // It goes on where this entry's reading ended and counts as its own.
     this.relay.storeReached();
