--- a/scripts/soak_platform.ts
+++ b/scripts/soak_platform.ts
@@ -50,6 +50,12 @@
   );
 }
 
+// Without a handler the signal ends this process without its "exit" event, by
+// which the soak ends the processes that it has started.
+for (const signal of ["SIGINT", "SIGTERM"] as const) {
+  process.once(signal, () => process.exit(1));
+}
+
 let bad = 0;
 for (const { seed, seconds } of wantedRuns()) {
   const result = await soak({
