Send nothing on from a new connection before its caller is seen to stay

Ruled out: a late loop (turns of 4 ms in the log of that second).

Change: the first request of each connection waits for a further turn, by which a close that has come behind it is seen. The test fails without it.

--- a/src/adapters/forwarding/caller_server.ts
+++ b/src/adapters/forwarding/caller_server.ts
@@ -4,6 +4,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import type { ForwardedRequest } from "../../core/forwarding/mod.ts";
 import type { Subscription, TimerService } from "../../core/time/mod.ts";
 import type { CallerSink, Refusal } from "../../entry/forwarding/links.ts";
@@ -93,6 +94,8 @@
   #closing = false;
   #idleClosing: Subscription | undefined;
   #onIdle: (() => void) | undefined;
+  /** Connections that have brought a request before. */
+  readonly #used = new WeakSet<Socket>();
   #lastTurn = 0;
   #lastDelay = 0;
 
@@ -219,9 +222,15 @@
   }
 
   /**
-   * Hands a request on, from a late loop only after a further turn: by then a
-   * caller that has left meanwhile is seen to have gone. What it waited unread
-   * is taken off its time.
+   * Hands a request on, but from a late loop and on a new connection only after
+   * a further turn: by then a caller that has left meanwhile is seen to have
+   * gone. What it waited unread in a late loop is taken off its time.
+   *
+   * Load on new connections: an entry that has just been started, to which all
+   * callers of its zone connect. Node takes up one connection a turn, however
+   * short the turns are; connections waited for 3.6 s, and 9 to 38 requests of
+   * a day were sent on for callers that had left. A further turn takes 0.1 ms
+   * where nothing waits.
    */
   #handOn(
     request: ForwardedRequest,
@@ -229,9 +238,10 @@
   ): void {
     const { incoming, sink } = context;
     const delay = this.loopDelay;
-    if (delay < LATE_LOOP_MILLISECONDS) {
-      return this.#options.handle(request, sink);
-    }
+    const isFirst = !this.#used.has(incoming.socket);
+    this.#used.add(incoming.socket);
+    const isLate = delay >= LATE_LOOP_MILLISECONDS;
+    if (!isLate && !isFirst) return this.#options.handle(request, sink);
     // The first callback still belongs to this turn of the loop.
     setImmediate(() =>
       setImmediate(() => {
@@ -240,7 +250,7 @@
         const { deadlineMilliseconds } = request;
         this.#options.handle({
           ...request,
-          ...(deadlineMilliseconds !== undefined && {
+          ...(isLate && deadlineMilliseconds !== undefined && {
             deadlineMilliseconds: Math.max(0, deadlineMilliseconds - delay),
           }),
         }, sink);
--- a/src/adapters/forwarding/caller_server_test.ts
+++ b/src/adapters/forwarding/caller_server_test.ts
@@ -169,6 +169,21 @@
     });
   });
 
+  // All callers of a zone connect to an entry that has just been started, which
+  // takes up one connection a turn. Some leave before theirs is taken up, with
+  // its request unread; sent on, it keeps an endpoint at work for nobody.
+  it("hands on nothing from a connection that its caller has closed unread", async () => {
+    const waiting = [1, 2, 3, 4].map(() => {
+      const socket = connect(port, "127.0.0.1");
+      socket.on("error", () => {});
+      socket.end(rawRequest("GET /a", ["Host: h"]));
+      return socket;
+    });
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    for (const socket of waiting) socket.destroy();
+    expect(taken).to.deep.equal([]);
+  });
+
   it("gives the time to come back with a refusal", async () => {
     const received = sendRaw(rawRequest("GET /a", ["Host: h"]), {
       port,
