--- a/test/process/platform_faults_test.ts
+++ b/test/process/platform_faults_test.ts
@@ -118,7 +118,7 @@
         }),
       },
     );
-    expect(chat.status).to.equal(200);
+    expect(chat.status, await chat.text()).to.equal(200);
     await setLog({ down: "no" });
     let last: Answer | undefined;
     await waitFor(
