--- a/test/support/free_port.ts
+++ b/test/support/free_port.ts
@@ -12,8 +12,8 @@
 /**
  * Ports that have been given out. A program listens some time after its port
  * was drawn, so that nobody holds it yet when the next one is drawn: of the
- * fifteen ports of a deployment two were the same in one of 200, and a whole
- * run of the tests met it one time in four.
+ * fifteen ports of a deployment two are the same in one of 200 by reckoning,
+ * and a whole run of the tests starts some fifty deployments.
  */
 const given = new Set<number>();
 
