--- a/src/core/forwarding/configuration.ts
+++ b/src/core/forwarding/configuration.ts
@@ -2,6 +2,7 @@
 import type {
   AvailabilityZoneId,
   EndpointId,
+  ReplicaStart,
   ServiceName,
 } from "../identity/mod.ts";
 
@@ -76,8 +77,10 @@
 
 /** A replica as it has registered itself. */
 export interface RegisteredEndpoint {
-  /** New at each start of the replica. */
+  /** May be the same after a restart of the replica. */
   readonly id: EndpointId;
+  /** Tells one run of the replica from the next; absent where it tells none. */
+  readonly startedAt?: ReplicaStart;
   readonly pool: ServiceName;
   /** `host:port`; may belong to another replica later. */
   readonly address: string;
--- a/src/core/forwarding/endpoint_outcomes.ts
+++ b/src/core/forwarding/endpoint_outcomes.ts
@@ -140,7 +140,7 @@
     this.#of(id).health.untold();
   }
 
-  forget(id: EndpointId): void {
+  forget({ id }: { readonly id: EndpointId }): void {
     this.#known.delete(id);
   }
 
--- a/src/core/forwarding/endpoint_registry.ts
+++ b/src/core/forwarding/endpoint_registry.ts
@@ -1,6 +1,7 @@
 import type { EndpointId, ServiceName } from "../identity/mod.ts";
 import type { TimerService } from "../time/mod.ts";
 import type { RegisteredEndpoint } from "./configuration.ts";
+import { EndpointRuns, type RunOrder } from "./endpoint_runs.ts";
 
 /**
  * How long an endpoint stays usable whose registration vanished around an
@@ -22,13 +23,27 @@
 export type RegistryChange =
   | "registered"
   | "updated"
+  | "restarted"
   | "leaving"
   | "removed"
   | "lapsed"
   | "back";
 
+/** Something that remembers an endpoint from one request to the next. */
+export interface EndpointMemory {
+  /** The run of the endpoint that was known is over. */
+  forget(endpoint: RegisteredEndpoint): void;
+}
+
 export interface EndpointRegistryOptions {
   readonly timer: TimerService;
+  /**
+   * All that remembers something of an endpoint. Load: a replica that crashes
+   * and starts again under its id before anyone has seen it gone. Harm
+   * prevented: caches, open work, failures and orders of its former run are
+   * taken for those of the new one, which holds nothing.
+   */
+  readonly memories?: readonly EndpointMemory[];
   readonly onChange?: (
     change: RegistryChange,
     endpoint: RegisteredEndpoint,
@@ -41,6 +56,7 @@
   readonly #endpoints = new Map<EndpointId, RegisteredEndpoint>();
   /** Lapsed registrations and the time until which they stay usable. */
   readonly #lapsed = new Map<EndpointId, number>();
+  readonly #runs = new EndpointRuns();
   #lastOutage = -Infinity;
 
   constructor(options: EndpointRegistryOptions) {
@@ -78,6 +94,13 @@
     return found;
   }
 
+  /** True while the endpoint is known in the same run. */
+  isSameRun(
+    { id, startedAt }: Pick<RegisteredEndpoint, "id" | "startedAt">,
+  ): boolean {
+    return this.#endpoints.get(id)?.startedAt === startedAt;
+  }
+
   /** The store did not answer: what vanishes soon after may only be a lapse. */
   storeFailed(): void {
     this.#lastOutage = this.#options.timer.now();
@@ -86,18 +109,21 @@
   /** True where this has changed anything. */
   put(endpoint: RegisteredEndpoint): boolean {
     const known = this.#endpoints.get(endpoint.id);
+    const order = this.#runs.saw(endpoint);
+    if (order === "older") return false;
     const wasLapsed = this.#lapsed.delete(endpoint.id);
-    // A replica that has begun to leave does not change its mind; an older
-    // record that is read late must not bring it back.
-    const leaving = endpoint.leaving || known?.leaving === true;
-    const next = { ...endpoint, leaving };
+    const next = this.#runs.hasLeft(endpoint)
+      ? { ...endpoint, leaving: true }
+      : endpoint;
     this.#endpoints.set(endpoint.id, next);
-    const change = changeBetween(known, next);
-    if (wasLapsed) this.#options.onChange?.("back", next);
-    else if (change !== undefined) this.#options.onChange?.(change, next);
+    const change = changeBetween(known, next, order);
+    if (change === "restarted" && known !== undefined) this.#forget(known);
+    if (wasLapsed && change !== "restarted") this.#tell("back", next);
+    else if (change !== undefined) this.#tell(change, next);
     return wasLapsed || change !== undefined;
   }
 
+  /** The registration has vanished; around an outage it may only lapse. */
   remove(id: EndpointId): void {
     const endpoint = this.#endpoints.get(id);
     if (endpoint === undefined || this.#lapsed.has(id)) return;
@@ -105,12 +131,21 @@
     const afterOutage = now - this.#lastOutage < OUTAGE_MEMORY_MILLISECONDS;
     if (afterOutage && !endpoint.leaving) {
       this.#lapsed.set(id, now + LAPSE_GRACE_MILLISECONDS);
-      this.#options.onChange?.("lapsed", endpoint);
+      this.#tell("lapsed", endpoint);
       return;
     }
     this.#drop(endpoint);
   }
 
+  /**
+   * What stands under the endpoint's key names no replica any more. This is no
+   * lapse: the store has answered, so that no grace is owed.
+   */
+  withdraw(id: EndpointId): void {
+    const endpoint = this.#endpoints.get(id);
+    if (endpoint !== undefined) this.#drop(endpoint);
+  }
+
   /** Takes a complete listing: what it doesn't name has vanished. */
   replaceAll(endpoints: readonly RegisteredEndpoint[]): void {
     const named = new Set(endpoints.map((endpoint) => endpoint.id));
@@ -132,15 +167,27 @@
   #drop(endpoint: RegisteredEndpoint): void {
     this.#lapsed.delete(endpoint.id);
     this.#endpoints.delete(endpoint.id);
-    this.#options.onChange?.("removed", endpoint);
+    this.#runs.ended(endpoint.id);
+    this.#forget(endpoint);
+    this.#tell("removed", endpoint);
+  }
+
+  #forget(endpoint: RegisteredEndpoint): void {
+    for (const memory of this.#options.memories ?? []) memory.forget(endpoint);
+  }
+
+  #tell(change: RegistryChange, endpoint: RegisteredEndpoint): void {
+    this.#options.onChange?.(change, endpoint);
   }
 }
 
 function changeBetween(
   known: RegisteredEndpoint | undefined,
   next: RegisteredEndpoint,
+  order: RunOrder,
 ): RegistryChange | undefined {
   if (known === undefined) return "registered";
+  if (order === "newer") return "restarted";
   if (next.leaving && !known.leaving) return "leaving";
   const isSame = known.address === next.address && known.role === next.role &&
     known.slots === next.slots;
--- a/src/core/forwarding/endpoint_registry_test.ts
+++ b/src/core/forwarding/endpoint_registry_test.ts
@@ -3,8 +3,13 @@
   makeEndpoint,
   PORTAL,
 } from "../../../test/support/forwarding_values.ts";
+import { numbered, type ReplicaStart } from "../identity/mod.ts";
 import { ManualTimerService } from "../time/mod.ts";
-import { EndpointRegistry, type RegistryChange } from "./mod.ts";
+import {
+  EndpointRegistry,
+  type RegisteredEndpoint,
+  type RegistryChange,
+} from "./mod.ts";
 
 describe("EndpointRegistry", () => {
   let timer: ManualTimerService;
@@ -90,4 +95,85 @@
       expect(registry.size).to.equal(0);
     });
   });
+
+  // A replica crashes and starts again under its id before anyone has seen it
+  // gone, or leaves and comes back. Taken for the former run it gets no work
+  // for as long as the entry lives, or is trusted with caches it has not got.
+  describe("a replica that starts again under its id", () => {
+    const startedAt = (time: number) => numbered<ReplicaStart>(time);
+    const first = { ...endpoint, startedAt: startedAt(1_000) };
+    const second = { ...endpoint, startedAt: startedAt(2_000) };
+    let forgotten: RegisteredEndpoint[];
+
+    beforeEach(() => {
+      forgotten = [];
+      registry = new EndpointRegistry({
+        timer,
+        memories: [{ forget: (each) => forgotten.push(each) }],
+        onChange: (change) => changes.push(change),
+      });
+    });
+
+    it("gets work although its former run had begun to leave", () => {
+      registry.put({ ...first, leaving: true });
+      registry.put(second);
+      expect(registry.inPool(PORTAL)).to.deep.equal([second]);
+    });
+
+    it("gets work after its former run has left and is gone", () => {
+      registry.put({ ...first, leaving: true });
+      registry.remove(endpoint.id);
+      registry.put(second);
+      expect(registry.inPool(PORTAL)).to.deep.equal([second]);
+    });
+
+    it("begins with nothing remembered", () => {
+      registry.put(first);
+      registry.put(first);
+      expect(forgotten).to.deep.equal([]);
+      registry.put(second);
+      expect(forgotten).to.deep.equal([first]);
+      expect(changes).to.deep.equal(["registered", "restarted"]);
+    });
+
+    // A peer or an old page tells of the former run after the new one is known.
+    it("is not replaced by an older record of its former run", () => {
+      registry.put(second);
+      expect(registry.put({ ...first, leaving: true })).to.equal(false);
+      expect(registry.inPool(PORTAL)).to.deep.equal([second]);
+    });
+
+    it("is not brought back by its former run once it is gone", () => {
+      registry.put(second);
+      registry.remove(endpoint.id);
+      registry.put(first);
+      expect(registry.size).to.equal(0);
+    });
+
+    it("stays leaving where its own run comes back after it was gone", () => {
+      registry.put({ ...second, leaving: true });
+      registry.remove(endpoint.id);
+      registry.put(second);
+      expect(registry.inPool(PORTAL)).to.deep.equal([]);
+    });
+
+    it("is not the lapsed run that comes back after an outage", async () => {
+      registry.put(first);
+      registry.storeFailed();
+      registry.remove(endpoint.id);
+      registry.put(second);
+      expect(changes).to.deep.equal(["registered", "lapsed", "restarted"]);
+      await timer.advance(5_000);
+      expect(registry.inPool(PORTAL)).to.deep.equal([second]);
+    });
+  });
+
+  // Another writer overwrites a replica's entry during an outage of the store.
+  // The grace for lapsed registrations would keep it in use for 1.8 s.
+  it("drops at once what an unreadable entry stands for", () => {
+    registry.put(endpoint);
+    registry.storeFailed();
+    registry.withdraw(endpoint.id);
+    expect(registry.size).to.equal(0);
+  });
 });
--- a/src/core/forwarding/load_picture.ts
+++ b/src/core/forwarding/load_picture.ts
@@ -49,6 +49,11 @@
   end(): void;
 }
 
+/** Own work at one run of an endpoint; its tickets write to no other. */
+interface Ledger {
+  work: OpenWork;
+}
+
 const NO_WORK: OpenWork = {
   requests: 0,
   prefillMilliseconds: 0,
@@ -72,7 +77,7 @@
  */
 export class LoadPicture {
   readonly #timer: TimerService;
-  readonly #own = new Map<EndpointId, OpenWork>();
+  readonly #own = new Map<EndpointId, Ledger>();
   readonly #peers = new Map<string, PeerReport>();
   /** Endpoints whose open work has changed since the last report. */
   readonly #changed = new Set<EndpointId>();
@@ -84,13 +89,19 @@
   started(endpoint: EndpointId, prompt: PromptWork = NO_PROMPT): WorkTicket {
     const prefillMilliseconds = prompt.late ? 0 : prompt.milliseconds;
     const lateMilliseconds = prompt.late ? prompt.milliseconds : 0;
-    this.#add(endpoint, { requests: 1, prefillMilliseconds, lateMilliseconds });
+    const ledger = this.#own.get(endpoint) ?? { work: NO_WORK };
+    this.#own.set(endpoint, ledger);
+    this.#add(endpoint, ledger, {
+      requests: 1,
+      prefillMilliseconds,
+      lateMilliseconds,
+    });
     let open = true;
     return {
       end: () => {
         if (!open) return;
         open = false;
-        this.#add(endpoint, {
+        this.#add(endpoint, ledger, {
           requests: -1,
           prefillMilliseconds: -prefillMilliseconds,
           lateMilliseconds: -lateMilliseconds,
@@ -101,7 +112,7 @@
 
   /** Own work at the endpoint. */
   own(endpoint: EndpointId): OpenWork {
-    return this.#own.get(endpoint) ?? NO_WORK;
+    return this.#own.get(endpoint)?.work ?? NO_WORK;
   }
 
   /** Work of all entries at the endpoint. */
@@ -166,11 +177,20 @@
     this.#peers.set(peer, report);
   }
 
-  #add(endpoint: EndpointId, change: OpenWork): void {
+  /**
+   * The endpoint's run is over, and with it all work there. Work that was
+   * begun before ends without a trace; peers' reports of it are dropped.
+   */
+  forget({ id }: { readonly id: EndpointId }): void {
+    if (this.#own.delete(id)) this.#changed.add(id);
+    for (const report of this.#peers.values()) report.work.delete(id);
+  }
+
+  #add(endpoint: EndpointId, ledger: Ledger, change: OpenWork): void {
+    ledger.work = plus(ledger.work, change);
+    if (this.#own.get(endpoint) !== ledger) return;
     this.#changed.add(endpoint);
-    const next = plus(this.own(endpoint), change);
-    if (next.requests <= 0) this.#own.delete(endpoint);
-    else this.#own.set(endpoint, next);
+    if (ledger.work.requests <= 0) this.#own.delete(endpoint);
   }
 }
 
--- a/src/core/forwarding/load_picture_test.ts
+++ b/src/core/forwarding/load_picture_test.ts
@@ -91,4 +91,20 @@
     await timer.advance(1_100);
     expect(load.total(engine).prefillMilliseconds).to.equal(0);
   });
+
+  // The engine starts again while requests to its former run are still open
+  // here. Counted on, they make an idle engine look busy; taken off when they
+  // end, they make a busy one look idle.
+  it("forgets the work at an engine's former run for good", () => {
+    const former = load.started(engine, { milliseconds: 30, late: false });
+    report(1, 20);
+    load.forget({ id: engine });
+    load.started(engine, { milliseconds: 5, late: false });
+    former.end();
+    expect(load.total(engine)).to.deep.equal({
+      requests: 1,
+      prefillMilliseconds: 5,
+      lateMilliseconds: 0,
+    });
+  });
 });
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -2,7 +2,11 @@
 export type * from "./configuration.ts";
 export type * from "./requests.ts";
 export { drawPool, RouteTable } from "./route_table.ts";
-export { EndpointRegistry, type RegistryChange } from "./endpoint_registry.ts";
+export {
+  type EndpointMemory,
+  EndpointRegistry,
+  type RegistryChange,
+} from "./endpoint_registry.ts";
 export { RetryAllowance } from "./retry_allowance.ts";
 export { EventSplitter } from "./event_splitter.ts";
 export {
--- a/src/core/forwarding/prefix_directory.ts
+++ b/src/core/forwarding/prefix_directory.ts
@@ -1,4 +1,4 @@
-import type { EndpointId } from "../identity/mod.ts";
+import type { EndpointId, ReplicaStart } from "../identity/mod.ts";
 
 /** One part of a prompt; requests that share it name the same id. */
 export interface PromptPart {
@@ -15,6 +15,8 @@
 /** A prompt that an engine has read, as peers tell of it. */
 export interface ReadPrompt {
   readonly engine: EndpointId;
+  /** Run of the engine that has read it; absent where it tells none. */
+  readonly engineStartedAt?: ReplicaStart;
   readonly parts: readonly PromptPart[];
   readonly memoryTokens: number;
 }
@@ -106,7 +108,7 @@
   }
 
   /** The engine has ended or lost its memory. */
-  forget(engine: EndpointId): void {
-    this.#engines.delete(engine);
+  forget({ id }: { readonly id: EndpointId }): void {
+    this.#engines.delete(id);
   }
 }
--- a/src/core/forwarding/requests.ts
+++ b/src/core/forwarding/requests.ts
@@ -1,5 +1,10 @@
 /** A request as the forwarding path sees it. */
-import type { EndpointId, ModelName, RequestId } from "../identity/mod.ts";
+import type {
+  EndpointId,
+  ModelName,
+  ReplicaStart,
+  RequestId,
+} from "../identity/mod.ts";
 import type { PromptPart } from "./prefix_directory.ts";
 
 /** What a request for a model says of its prompt. */
@@ -29,6 +34,8 @@
 /** A cache of a prompt that an engine keeps for a hand-over. */
 export interface KeptPrompt {
   readonly engine: EndpointId;
+  /** Run of the engine that keeps it; a later one has nothing of it. */
+  readonly engineStartedAt?: ReplicaStart;
   /** `host:port` of the engine. */
   readonly address: string;
   readonly handle: string;
--- a/src/core/identity/mod.ts
+++ b/src/core/identity/mod.ts
@@ -12,6 +12,11 @@
 
 /** An endpoint of the inventory: one replica of a model engine or plain service. */
 export type EndpointId = Branded<string, "EndpointId">;
+/**
+ * When a replica started, Unix milliseconds of its own clock. A replica may
+ * start again under its id; the id and this time together name one run of it.
+ */
+export type ReplicaStart = Branded<number, "ReplicaStart">;
 /** A process of the system, entry or side, as its settings name it. */
 export type ProcessId = Branded<string, "ProcessId">;
 /** One run of a process; a restarted process has a new one. */
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -60,40 +60,52 @@
   ended(end: BodyEnd, status: number): void {
     if (this.#closed) return;
     const { outcomes } = this.#parts;
-    if (end === "whole" && status < 500) outcomes.succeeded(this.endpoint.id);
-    else outcomes.failed(this.endpoint.id);
+    if (this.#tellsOfEndpoint) {
+      if (end === "whole" && status < 500) outcomes.succeeded(this.endpoint.id);
+      else outcomes.failed(this.endpoint.id);
+    }
     this.#close();
   }
 
   /** The caller or the system has given it up; the endpoint ends its work. */
   abort(): void {
     if (this.#closed) return;
-    this.#parts.outcomes.untold(this.endpoint.id);
+    if (this.#tellsOfEndpoint) this.#parts.outcomes.untold(this.endpoint.id);
     this.#close();
     this.#abort();
   }
 
+  /**
+   * False once the endpoint has started again under its id: the connections to
+   * its former run break then, and the new one would be passed over for it.
+   */
+  get #tellsOfEndpoint(): boolean {
+    return this.#parts.registry.isSameRun(this.endpoint);
+  }
+
   #noteHead(answer: Result<EndpointAnswer, ExchangeFailure>): void {
     if (this.#closed) return;
+    if (this.#tellsOfEndpoint) this.#tellHead(answer);
+    if (answer.isErr() || answer.value.head.notRun) this.#close();
+  }
+
+  #tellHead(answer: Result<EndpointAnswer, ExchangeFailure>): void {
     const { outcomes } = this.#parts;
     const { id } = this.endpoint;
-    if (answer.isOk()) {
-      outcomes.heard(id);
-      const { notRun, status } = answer.value.head;
-      if (!notRun) return;
-      if (status === MISDIRECTED_STATUS) outcomes.misdirected(id);
-      else outcomes.rejected(id);
-    } else if (answer.error.name === "exchange_not_sent") {
-      outcomes.refusedConnection(id);
-    } else {
-      outcomes.failed(id);
+    if (answer.isErr()) {
+      if (answer.error.name !== "exchange_not_sent") return outcomes.failed(id);
+      return outcomes.refusedConnection(id);
     }
-    this.#close();
+    outcomes.heard(id);
+    const { notRun, status } = answer.value.head;
+    if (!notRun) return;
+    if (status === MISDIRECTED_STATUS) outcomes.misdirected(id);
+    else outcomes.rejected(id);
   }
 
   #close(): void {
     this.#closed = true;
-    this.#parts.outcomes.ended(this.endpoint.id);
+    if (this.#tellsOfEndpoint) this.#parts.outcomes.ended(this.endpoint.id);
     this.#endWork();
   }
 }
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -83,7 +83,10 @@
   /** Endpoints of the pool that take new work. */
   endpoints(): RegisteredEndpoint[] {
     const { isChanging, registry } = this.parts;
-    return registry.inPool(this.pool.name).filter(({ id }) => !isChanging(id));
+    const isEnginePool = this.pool.engine !== undefined;
+    return registry.inPool(this.pool.name).filter(({ id, role }) =>
+      !isChanging(id) && (!isEnginePool || role !== undefined)
+    );
   }
 
   /** The endpoint has turned this request away or lost it. */
--- a/src/entry/forwarding/forward_run.ts
+++ b/src/entry/forwarding/forward_run.ts
@@ -167,7 +167,7 @@
       discard(answer.value, attempt);
       return this.#afterNotRun(endpoint.id);
     }
-    this.#handover.taken(endpoint.id);
+    this.#handover.taken(endpoint);
     return await this.#deliver(answer.value, attempt);
   }
 
--- a/src/entry/forwarding/forward_run_test.ts
+++ b/src/entry/forwarding/forward_run_test.ts
@@ -10,6 +10,7 @@
   makeRoute,
 } from "../../../test/support/forwarding_values.ts";
 import type { Route } from "../../core/forwarding/mod.ts";
+import { numbered, type ReplicaStart } from "../../core/identity/mod.ts";
 
 function benchWith(
   route: Partial<Route>,
@@ -57,6 +58,41 @@
 
     // A booking was sent, and its connection broke. Nobody knows whether it
     // ran; sent again, the permit is booked twice.
+    // The replica crashes while it works on a booking and starts again under
+    // its id. Nobody can tell whether the booking was made; sent once more or
+    // called "not run", it would be made twice.
+    it("has an unknown outcome where its replica has started again", async () => {
+      const bench = portal({ repeat: "once" });
+      const caller = await bench.take(makeRequest());
+      const [first] = bench.sent;
+      const startedAt = numbered<ReplicaStart>(1_000);
+      bench.parts.registry.put(
+        makeEndpoint(first.options.endpoint, { startedAt }),
+      );
+      await first.fail("exchange_lost");
+      expect(bench.sent).to.have.length(1);
+      expect(caller.refusal).to.deep.include({
+        status: 502,
+        reason: "unknown",
+      });
+    });
+
+    // The connections to the former run break after the new one has registered.
+    // Counted against it, a healthy replica would be passed over.
+    it("does not count a former run's failures against the new one", async () => {
+      const bench = portal({ repeat: "idempotent", mostAttempts: 1 });
+      const startedAt = numbered<ReplicaStart>(1_000);
+      for (let count = 0; count < 12; count++) {
+        await bench.take(makeRequest());
+      }
+      for (const id of ["a", "b", "c"]) {
+        bench.parts.registry.put(makeEndpoint(id, { startedAt }));
+      }
+      for (const attempt of bench.sent) await attempt.fail("exchange_lost");
+      const { outcomes, registry } = bench.parts;
+      expect(outcomes.wellAmong([...registry.all])).to.have.length(3);
+    });
+
     it("is not sent again where it may run once only", async () => {
       const bench = portal({ repeat: "once" });
       const caller = await bench.take(makeRequest());
@@ -274,6 +310,21 @@
       expect(caller.refusal?.status).to.equal(503);
     });
 
+    // The engine that has read the prompt crashes and starts again under its
+    // id while the answer is turned away elsewhere. Its cache is gone: an answer
+    // that is sent after it is turned away until the caller gives up.
+    it("is read anew where its cache was lost with the engine's run", async () => {
+      const bench = fleet();
+      const { registry } = bench.parts;
+      await ask(bench);
+      await bench.sent[0].answer("handle-1");
+      const reader = bench.sent[0].options.endpoint;
+      const startedAt = numbered<ReplicaStart>(1_000);
+      registry.put(makeEngine(reader, "prefill", { startedAt }));
+      await bench.sent[1].notRun(503);
+      expect(bench.sent[2].options.prefillOnly).to.equal(true);
+    });
+
     // An engine whose role has just changed turns the answer away. Reading the
     // prompt again would cost an engine 25 ms for nothing.
     it("keeps its cache when an engine turns the answer away", async () => {
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -1,4 +1,5 @@
 import {
+  type EndpointMemory,
   EndpointOutcomes,
   EndpointRegistry,
   EnginePlacement,
@@ -7,6 +8,7 @@
   LateOverrun,
   LinkQueue,
   LoadPicture,
+  type OpenWork,
   type PeerReading,
   PrefixDirectory,
   type RegisteredEndpoint,
@@ -74,6 +76,8 @@
 export interface RegistrationChange {
   readonly id: EndpointId;
   readonly endpoint?: RegisteredEndpoint;
+  /** True: something stands under the key that names no replica. */
+  readonly unreadable?: boolean;
 }
 
 /**
@@ -106,19 +110,23 @@
     const prefixes = new PrefixDirectory();
     const returning = new ReturningCallers(timer);
     const outcomes = new EndpointOutcomes(timer);
+    const connections: EndpointMemory = {
+      forget: ({ address }) => options.onEndpointGone(address),
+    };
+    const orders: EndpointMemory = {
+      forget: (endpoint) => this.#roles?.forget(endpoint),
+    };
     this.registry = new EndpointRegistry({
       timer,
+      memories: [load, prefixes, outcomes, connections, orders],
       onChange: (change, endpoint) => {
         options.logger.info({ change, ...endpoint }, "An endpoint changed");
         this.#roles?.engineChanged(endpoint);
-        if (change !== "removed") return;
-        outcomes.forget(endpoint.id);
-        prefixes.forget(endpoint.id);
-        options.onEndpointGone(endpoint.address);
       },
     });
     this.peers = new PeerExchange({
       ...options,
+      registry: this.registry,
       load,
       prefixes,
       returning,
@@ -190,6 +198,11 @@
     return age < YOUNG_MILLISECONDS ? Math.max(known, ASSUMED_ENTRIES) : known;
   }
 
+  /** Work of all entries at the endpoint. */
+  openWorkAt(endpoint: EndpointId): OpenWork {
+    return this.#parts.load.total(endpoint);
+  }
+
   /** True while the balancer should send callers here. */
   get ready(): boolean {
     return this.#routes !== undefined && this.registry.size > 0 &&
@@ -270,10 +283,12 @@
    * bring back endpoints that have left, which no later record takes away.
    */
   #takePeerChanges(changes: readonly RegistrationChange[]): void {
-    for (const { id, endpoint } of changes) {
+    for (const change of changes) {
+      const { endpoint, id } = change;
       if (this.registry.get(id) === undefined) continue;
-      if (endpoint === undefined) this.registry.remove(id);
-      else if (endpoint.leaving) this.registry.put(endpoint);
+      if (endpoint === undefined || endpoint.leaving) {
+        this.#takeRegistration(change);
+      }
     }
   }
 
@@ -303,10 +318,13 @@
   }
 
   /** True where it has changed anything. */
-  #takeRegistration({ id, endpoint }: RegistrationChange): boolean {
+  #takeRegistration(
+    { endpoint, id, unreadable = false }: RegistrationChange,
+  ): boolean {
     if (endpoint !== undefined) return this.registry.put(endpoint);
     const isKnown = this.registry.get(id) !== undefined;
-    this.registry.remove(id);
+    if (unreadable) this.registry.withdraw(id);
+    else this.registry.remove(id);
     return isKnown;
   }
 
--- a/src/entry/forwarding/forwarding_entry_test.ts
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -2,20 +2,41 @@
 import { err } from "neverthrow";
 import {
   makeEndpoint,
+  makeEngine,
   PORTAL,
 } from "../../../test/support/forwarding_values.ts";
+import {
+  EndpointOutcomes,
+  LoadPicture,
+  PrefixDirectory,
+  type RegisteredEndpoint,
+} from "../../core/forwarding/mod.ts";
 import {
   type AvailabilityZoneId,
   identifier,
+  numbered,
+  type ReplicaStart,
 } from "../../core/identity/mod.ts";
 import { SILENT_LOGGER } from "../../core/observation/mod.ts";
 import { ManualTimerService } from "../../core/time/mod.ts";
-import { ForwardingEntry } from "./mod.ts";
+import { ForwardingEntry, type RoleLink } from "./mod.ts";
+import { RoleKeeper } from "./role_keeper.ts";
+
+/** A log that never answers: no order is given. */
+const SILENT_ROLE_LINK: RoleLink = {
+  readClaim: () => new Promise(() => {}),
+  appendClaim: () => new Promise(() => {}),
+  order: () => new Promise(() => {}),
+};
 
 /** Entries that hear each other at once; all readers stand at `position`. */
 function makeEntries(
   count: number,
-  { position = 0, timer = new ManualTimerService() } = {},
+  {
+    position = 0,
+    timer = new ManualTimerService(),
+    onEndpointGone = () => {},
+  } = {},
 ): ForwardingEntry[] {
   const entries: ForwardingEntry[] = Array.from(
     { length: count },
@@ -49,7 +70,8 @@
               err({ name: "link_lost", title: "", message: "", hint: "" }),
             ),
         },
-        onEndpointGone() {},
+        onEndpointGone,
+        roles: { link: SILENT_ROLE_LINK, leaseMilliseconds: 3_000 },
         peerReadRegistrations: ({ from, to }) => {
           if (position > to) return "older";
           return from === position ? "ahead" : "apart";
@@ -63,6 +85,27 @@
   return entries;
 }
 
+/** Everything that remembers endpoints; a new part belongs on this list. */
+const FORGETTING = {
+  "open work": LoadPicture,
+  "kept prompts": PrefixDirectory,
+  outcomes: EndpointOutcomes,
+  orders: RoleKeeper,
+} as const;
+const FORGETTING_PARTS = [...Object.keys(FORGETTING), "connections"];
+
+/** Calls back when the part forgets an endpoint; gives what ends that. */
+function spyOnForget(part: string, onForget: () => void): () => void {
+  if (!(part in FORGETTING)) return () => {};
+  const { prototype } = FORGETTING[part as keyof typeof FORGETTING];
+  const { forget } = prototype;
+  prototype.forget = function (...given: Parameters<typeof forget>) {
+    onForget();
+    return forget.apply(this as never, given as never);
+  };
+  return () => prototype.forget = forget;
+}
+
 describe("ForwardingEntry", () => {
   const endpoint = makeEndpoint("a");
   const { id } = endpoint;
@@ -142,4 +185,48 @@
     await timer.advance(5_000);
     expect(entry.entriesSharingLimits).to.equal(1);
   });
+
+  // An engine crashes with caches, open prompts and failures to its name and
+  // starts again under its id. What an entry still believes of the former run
+  // sends callers to caches that are gone, or passes over a healthy engine.
+  describe("an engine that starts again under its id", () => {
+    const startedAt = (time: number) => numbered<ReplicaStart>(time);
+    const first = makeEngine("e", "prefill", { startedAt: startedAt(1_000) });
+    const second = { ...first, startedAt: startedAt(2_000) };
+    const workAt = (run: RegisteredEndpoint) => ({
+      entry: "other",
+      incarnation: "1",
+      sequence: run.startedAt,
+      whole: true,
+      work: [[run.id, 3, 100, 0, run.startedAt]],
+      prompts: [[run.id, 200_000, run.startedAt, "part", 5_000]],
+      refusals: [],
+    });
+
+    for (const memory of FORGETTING_PARTS) {
+      it(`is forgotten by ${memory}`, () => {
+        const forgotten: string[] = [];
+        const restore = spyOnForget(memory, () => forgotten.push(memory));
+        try {
+          const [entry] = makeEntries(1, {
+            onEndpointGone: () => forgotten.push("connections"),
+          });
+          entry.registry.put(first);
+          entry.registry.put(second);
+        } finally {
+          restore();
+        }
+        expect(forgotten).to.include(memory);
+      });
+    }
+
+    it("takes nothing from a peer that knows only the former run", () => {
+      const [entry] = makeEntries(1);
+      entry.registry.put(second);
+      entry.takeNotification("entry.work", workAt(first));
+      expect(entry.openWorkAt(second.id).requests).to.equal(0);
+      entry.takeNotification("entry.work", workAt(second));
+      expect(entry.openWorkAt(second.id).requests).to.equal(3);
+    });
+  });
 });
--- a/src/entry/forwarding/handover.ts
+++ b/src/entry/forwarding/handover.ts
@@ -4,7 +4,6 @@
   Prompt,
   RegisteredEndpoint,
 } from "../../core/forwarding/mod.ts";
-import type { EndpointId } from "../../core/identity/mod.ts";
 import type { Attempt } from "./attempt.ts";
 import type { ForwardContext } from "./forward_context.ts";
 import {
@@ -64,7 +63,10 @@
     prompt: Prompt,
     endpoints: readonly RegisteredEndpoint[],
   ): Promise<HandoverOutcome> {
-    if (this.#kept !== undefined) return { kind: "kept", kept: this.#kept };
+    if (this.#kept !== undefined && !this.#isLost(this.#kept)) {
+      return { kind: "kept", kept: this.#kept };
+    }
+    this.#kept = undefined;
     const { allowance } = this.#context.parts;
     for (;;) {
       const admitted = admitPrompt(this.#context, {
@@ -87,6 +89,12 @@
     }
   }
 
+  /** True where the engine has started again since and holds nothing. */
+  #isLost({ engine, engineStartedAt }: KeptPrompt): boolean {
+    const now = this.#context.parts.registry.get(engine);
+    return now !== undefined && now.startedAt !== engineStartedAt;
+  }
+
   /** An engine has turned the cache away without running the request. */
   turnedAway(): void {
     this.#offers += 1;
@@ -94,12 +102,13 @@
   }
 
   /** An engine has taken the cache over, and keeps its parts as its own. */
-  taken(engine: EndpointId): void {
+  taken({ id, startedAt }: RegisteredEndpoint): void {
     if (this.#kept === undefined) return;
     this.#kept = undefined;
     const { parts, pool, request } = this.#context;
     parts.prefixes.read({
-      engine,
+      engine: id,
+      engineStartedAt: startedAt,
       parts: request.prompt?.parts ?? [],
       memoryTokens: pool.engine?.memoryTokens ?? 0,
     });
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -1,10 +1,17 @@
 import type {
+  EndpointRegistry,
   LoadPicture,
   PeerWork,
   PrefixDirectory,
   ReturningCallers,
   ToldRefusal,
+  WorkReport,
 } from "../../core/forwarding/mod.ts";
+import {
+  type EndpointId,
+  identifier,
+  type ReplicaStart,
+} from "../../core/identity/mod.ts";
 import type { Subscription, TimerService } from "../../core/time/mod.ts";
 import { decodePrompt, encodePrompt, type ToldPrompt } from "./told_prompt.ts";
 
@@ -37,8 +44,9 @@
 ) => void;
 
 /** What an entry tells its peers. */
-export interface WorkNotification extends PeerWork {
+export interface WorkNotification extends Omit<PeerWork, "work"> {
   readonly entry: string;
+  readonly work: readonly ToldWork[];
   /** Version of the configuration in force there; absent while there is none. */
   readonly version?: number;
   /** Prompts read since the last report; a lost one costs a part read twice. */
@@ -51,6 +59,7 @@
   readonly process: string;
   readonly incarnation: string;
   readonly timer: TimerService;
+  readonly registry: EndpointRegistry;
   readonly load: LoadPicture;
   readonly prefixes: PrefixDirectory;
   readonly returning: ReturningCallers;
@@ -115,10 +124,18 @@
     if (params.entry === this.#options.process) return;
     if (!this.#names.has(params.entry)) this.#options.onUnlistedPeer();
     if (params.version !== undefined) this.#options.onVersion(params.version);
-    this.#options.load.peerReported(params.entry, params);
+    const { load, prefixes, registry } = this.#options;
+    load.peerReported(params.entry, {
+      ...params,
+      work: workHere(registry, params.work),
+    });
     for (const told of params.prompts) {
       const prompt = decodePrompt(told);
-      if (prompt !== undefined) this.#options.prefixes.peerRead(prompt);
+      const isHere = prompt !== undefined && registry.isSameRun({
+        id: prompt.engine,
+        startedAt: prompt.engineStartedAt,
+      });
+      if (isHere) prefixes.peerRead(prompt);
     }
     for (const refusal of params.refusals) {
       this.#options.returning.peerRefused(refusal);
@@ -131,6 +148,7 @@
       load,
       prefixes,
       process,
+      registry,
       returning,
       timer,
       version,
@@ -146,7 +164,7 @@
       sequence: this.#sequence,
       whole,
       version: version(),
-      work: load.report({ whole }),
+      work: workWithRuns(registry, load.report({ whole })),
       prompts: prefixes.takeUntold().map(encodePrompt),
       refusals: returning.takeUntold(),
     };
@@ -154,6 +172,37 @@
   }
 }
 
+/**
+ * Work as it goes to peers: with the start of each endpoint's run, where it
+ * tells one. A replica that starts again under its id has none of it.
+ */
+type ToldWork = readonly [...WorkReport[number], startedAt?: ReplicaStart];
+const LEAST_WORK_VALUES = 4;
+
+function workWithRuns(
+  registry: EndpointRegistry,
+  report: WorkReport,
+): ToldWork[] {
+  return report.map((work) => {
+    const startedAt = registry.get(identifier<EndpointId>(work[0]))?.startedAt;
+    return startedAt === undefined ? work : [...work, startedAt];
+  });
+}
+
+/** A peer's work at endpoints that it knows in the same run as this entry. */
+function workHere(
+  registry: EndpointRegistry,
+  told: readonly ToldWork[],
+): WorkReport {
+  return told
+    .filter(([endpoint, , , , startedAt]) =>
+      registry.isSameRun({ id: identifier<EndpointId>(endpoint), startedAt })
+    )
+    .map(([endpoint, requests, prefill, late]) =>
+      [endpoint, requests, prefill, late] as const
+    );
+}
+
 function isWorkNotification(value: unknown): value is WorkNotification {
   if (typeof value !== "object" || value === null) return false;
   const { entry, incarnation, sequence, version, work, prompts, refusals } =
@@ -164,7 +213,9 @@
     typeof sequence === "number" && Array.isArray(work) &&
     Array.isArray(prompts) &&
     Array.isArray(refusals) && refusals.every(isToldRefusal) &&
-    work.every((each) => Array.isArray(each) && each.length === 4);
+    work.every((each) =>
+      Array.isArray(each) && each.length >= LEAST_WORK_VALUES
+    );
 }
 
 function isToldRefusal(value: unknown): value is ToldRefusal {
--- a/src/entry/forwarding/prefill_step.ts
+++ b/src/entry/forwarding/prefill_step.ts
@@ -90,15 +90,22 @@
   if (read.handle === undefined) {
     return { kind: "failed", reason: read.reason, engine: endpoint.id };
   }
-  const { id: engine, address } = endpoint;
+  const { id: engine, address, startedAt } = endpoint;
   // Not before: an engine looks for kept parts when it takes a prompt in, and
   // finds none that another prompt is still having read.
-  parts.prefixes.read({
-    engine,
-    parts: prompt.parts,
-    memoryTokens: pool.engine?.memoryTokens ?? 0,
-  });
-  return { kind: "kept", kept: { engine, address, handle: read.handle } };
+  if (parts.registry.isSameRun(endpoint)) {
+    parts.prefixes.read({
+      engine,
+      engineStartedAt: startedAt,
+      parts: prompt.parts,
+      memoryTokens: pool.engine?.memoryTokens ?? 0,
+    });
+  }
+  const { handle } = read;
+  return {
+    kind: "kept",
+    kept: { engine, engineStartedAt: startedAt, address, handle },
+  };
 }
 
 interface HandleRead {
--- a/src/entry/forwarding/role_keeper.ts
+++ b/src/entry/forwarding/role_keeper.ts
@@ -120,7 +120,7 @@
     if (endpoint.role === undefined) return;
     this.#settledSince = this.#options.timer.now();
     const isDone = this.#changing.get(endpoint.id) === endpoint.role;
-    if (isDone || endpoint.leaving) this.#forget(endpoint.id);
+    if (isDone || endpoint.leaving) this.forget(endpoint);
   }
 
   #plan(): void {
@@ -211,11 +211,12 @@
   #dropOverdue(): void {
     const now = this.#options.timer.now();
     for (const [id, due] of this.#changeDue) {
-      if (now >= due) this.#forget(id);
+      if (now >= due) this.forget({ id });
     }
   }
 
-  #forget(id: EndpointId): void {
+  /** No change is under way at the engine any more. */
+  forget({ id }: { readonly id: EndpointId }): void {
     this.#changing.delete(id);
     this.#changeDue.delete(id);
   }
--- a/src/entry/forwarding/told_prompt.ts
+++ b/src/entry/forwarding/told_prompt.ts
@@ -1,22 +1,30 @@
 import type { PromptPart, ReadPrompt } from "../../core/forwarding/mod.ts";
-import { type EndpointId, identifier } from "../../core/identity/mod.ts";
+import {
+  type EndpointId,
+  identifier,
+  numbered,
+  type ReplicaStart,
+} from "../../core/identity/mod.ts";
 
 /**
  * A prompt that was read, as it goes to peers: the engine, its memory in
- * tokens, then id and tokens of each part in turn. Load: some dozens a second
+ * tokens, the start of its run (0 where it tells none), then id and tokens of
+ * each part in turn. Load: some dozens a second
  * to two dozen peers over links of a few megabits; with names for each value
  * they took 2.7 times as many bytes.
  */
 export type ToldPrompt = readonly (string | number)[];
 
 /** The values before those of the parts. */
-const LEADING_VALUES = 2;
+const LEADING_VALUES = 3;
+const NO_START = 0;
 const VALUES_PER_PART = 2;
 
 export function encodePrompt(prompt: ReadPrompt): ToldPrompt {
   return [
     prompt.engine,
     prompt.memoryTokens,
+    prompt.engineStartedAt ?? NO_START,
     ...prompt.parts.flatMap(({ id, tokens }) => [id, tokens]),
   ];
 }
@@ -24,9 +32,9 @@
 /** Undefined where the value is no such prompt. */
 export function decodePrompt(value: unknown): ReadPrompt | undefined {
   if (!Array.isArray(value)) return undefined;
-  const [engine, memoryTokens, ...rest] = value;
+  const [engine, memoryTokens, startedAt, ...rest] = value;
   const hasEngine = typeof engine === "string" &&
-    typeof memoryTokens === "number" &&
+    typeof memoryTokens === "number" && typeof startedAt === "number" &&
     value.length >= LEADING_VALUES && rest.length % VALUES_PER_PART === 0;
   if (!hasEngine) return undefined;
   const parts: PromptPart[] = [];
@@ -35,5 +43,12 @@
     if (typeof id !== "string" || typeof tokens !== "number") return undefined;
     parts.push({ id, tokens });
   }
-  return { engine: identifier<EndpointId>(engine), memoryTokens, parts };
+  return {
+    engine: identifier<EndpointId>(engine),
+    ...(startedAt !== NO_START && {
+      engineStartedAt: numbered<ReplicaStart>(startedAt),
+    }),
+    memoryTokens,
+    parts,
+  };
 }
