--- a/src/core/forwarding/engine_placement.ts
+++ b/src/core/forwarding/engine_placement.ts
@@ -6,10 +6,7 @@
   RegisteredEndpoint,
 } from "./configuration.ts";
 import type { EndpointOutcomes } from "./endpoint_outcomes.ts";
-import {
-  inlinePrefillMilliseconds,
-  prefillMilliseconds,
-} from "./engine_speed.ts";
+import type { EngineEstimates, ReadingSpeed } from "./estimates/mod.ts";
 import type { LoadPicture } from "./load_picture.ts";
 import type { PrefixDirectory } from "./prefix_directory.ts";
 import {
@@ -68,6 +65,12 @@
  */
 const LEAST_FETCHED_TOKENS = 1_000;
 
+/**
+ * An engine that decodes reads prompts at half the speed, between the tokens of
+ * its streams; the platform tells so of every kind of engine.
+ */
+const DECODE_ENGINE_SLOWDOWN = 2;
+
 /** Where a prompt is to be read. */
 export interface PrefillChoice {
   readonly endpoint: RegisteredEndpoint;
@@ -77,6 +80,8 @@
   readonly backlogMilliseconds: number;
   /** All work that stands before it there. */
   readonly wholeBacklogMilliseconds: number;
+  /** Requests that all entries have open there. */
+  readonly openRequests: number;
   readonly keptTokens: number;
   /** The engine that more of the prompt is fetched from first. */
   readonly fetchFrom?: RegisteredEndpoint;
@@ -103,6 +108,7 @@
   readonly load: LoadPicture;
   readonly prefixes: PrefixDirectory;
   readonly outcomes: EndpointOutcomes;
+  readonly estimates: EngineEstimates;
   readonly random: Random;
 }
 
@@ -181,16 +187,26 @@
       readonly sources: readonly PrefixSource[];
     },
   ): PrefillChoice {
-    const { load, prefixes } = this.#options;
+    const { estimates, load, prefixes } = this.#options;
     const { pool, prompt, sources } = options;
+    const { reading } = estimates.of(pool.name);
     const keptTokens = prefixes.keptTokens(endpoint.id, prompt.parts);
     const open = load.total(endpoint.id);
     const alone = {
-      workMilliseconds: prefillMilliseconds(prompt.inputTokens, keptTokens),
+      workMilliseconds: reading.readMilliseconds(
+        prompt.inputTokens,
+        keptTokens,
+      ),
       keptTokens,
     };
     const ways = sources.flatMap((source) =>
-      wayThrough(source, { endpoint, prompt, keptTokens, engine: pool.engine })
+      wayThrough(source, {
+        endpoint,
+        prompt,
+        keptTokens,
+        reading,
+        engine: pool.engine,
+      })
     );
     const quickest = ways.reduce(
       (one, other) =>
@@ -203,6 +219,7 @@
       backlogMilliseconds: open.prefillMilliseconds,
       wholeBacklogMilliseconds: open.prefillMilliseconds +
         open.lateMilliseconds,
+      openRequests: open.requests,
     };
   }
 
@@ -216,8 +233,8 @@
       readonly keptIn?: AvailabilityZoneId;
     },
   ): DecodeChoice | undefined {
-    const { load, outcomes, prefixes, random } = this.#options;
-    const { prompt, keptIn } = options;
+    const { estimates, load, outcomes, prefixes, random } = this.#options;
+    const { keptIn, pool, prompt } = options;
     const makers = engines.filter((engine) => engine.role !== "prefill");
     let best: RegisteredEndpoint | undefined;
     let bestCost = Infinity;
@@ -234,9 +251,11 @@
     const keptTokens = prefixes.keptTokens(best.id, prompt.parts);
     return {
       endpoint: best,
-      workMilliseconds: keptIn !== undefined
-        ? 0
-        : inlinePrefillMilliseconds(prompt.inputTokens, keptTokens),
+      workMilliseconds: keptIn !== undefined ? 0 : DECODE_ENGINE_SLOWDOWN *
+        estimates.of(pool.name).reading.readMilliseconds(
+          prompt.inputTokens,
+          keptTokens,
+        ),
       openRequests: load.total(best.id).requests,
     };
   }
@@ -249,16 +268,17 @@
     readonly endpoint: RegisteredEndpoint;
     readonly prompt: Prompt;
     readonly keptTokens: number;
+    readonly reading: ReadingSpeed;
     readonly engine: EngineLimits | undefined;
   },
 ): Pick<PrefillChoice, "workMilliseconds" | "keptTokens" | "fetchFrom">[] {
-  const { endpoint, engine, keptTokens, prompt } = options;
+  const { endpoint, engine, keptTokens, prompt, reading } = options;
   const fetched = source.keptTokens - keptTokens;
   if (engine === undefined || fetched < LEAST_FETCHED_TOKENS) return [];
   const isFar = source.endpoint.availabilityZone !== endpoint.availabilityZone;
   return [{
     workMilliseconds: transferMilliseconds(fetched, { engine, isFar }) +
-      prefillMilliseconds(prompt.inputTokens, source.keptTokens),
+      reading.readMilliseconds(prompt.inputTokens, source.keptTokens),
     keptTokens: source.keptTokens,
     fetchFrom: source.endpoint,
   }];
--- a/src/core/forwarding/engine_placement_test.ts
+++ b/src/core/forwarding/engine_placement_test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import {
   ENGINE_POOL,
+  knownEstimates,
   makeEngine,
   makePool,
   makePrompt,
@@ -33,6 +34,7 @@
       load,
       prefixes,
       outcomes: new EndpointOutcomes(timer),
+      estimates: knownEstimates(),
       random: () => 0.5,
     });
     engines = ["one", "two"].map((id) => makeEngine(id, "prefill"));
--- /dev/null
+++ b/src/core/forwarding/estimates/mod.ts
@@ -0,0 +1,11 @@
+/** What is learned of engines from their answers. */
+export {
+  EngineEstimates,
+  type PoolEstimates,
+  type ToldSpeed,
+} from "./pool_estimates.ts";
+export {
+  type ReadingCosts,
+  type ReadingSample,
+  ReadingSpeed,
+} from "./reading_speed.ts";
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -8,6 +8,7 @@
   type RegistryChange,
 } from "./endpoint_registry.ts";
 export { RetryAllowance } from "./retry_allowance.ts";
+export { EngineEstimates, type ToldSpeed } from "./estimates/mod.ts";
 export { EventSplitter } from "./event_splitter.ts";
 export {
   LoadPicture,
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -2,6 +2,7 @@
   type EndpointMemory,
   EndpointOutcomes,
   EndpointRegistry,
+  EngineEstimates,
   EnginePlacement,
   type ForwardedRequest,
   type ForwardingConfiguration,
@@ -108,6 +109,7 @@
     this.#startedAt = timer.now();
     const load = new LoadPicture(timer);
     const prefixes = new PrefixDirectory();
+    const estimates = new EngineEstimates();
     const returning = new ReturningCallers(timer);
     const outcomes = new EndpointOutcomes(timer);
     const connections: EndpointMemory = {
@@ -129,6 +131,7 @@
       registry: this.registry,
       load,
       prefixes,
+      estimates,
       returning,
       version: () => this.configuration?.version,
       onVersion: (version) => this.relay.heardOf(version),
@@ -168,8 +171,10 @@
         load,
         prefixes,
         outcomes,
+        estimates,
         random,
       }),
+      estimates,
       allowance: new RetryAllowance({
         timer,
         ...options.retry,
--- a/src/entry/forwarding/handover.ts
+++ b/src/entry/forwarding/handover.ts
@@ -122,6 +122,18 @@
     this.#context.parts.door.release(kept.address, kept.handle);
   }
 
+  /** Only a reading that waited for nothing tells of the engines' speed. */
+  #learnSpeed(prompt: Prompt, choice: PrefillChoice, took: number): void {
+    const { fetchFrom, keptTokens, openRequests } = choice;
+    if (openRequests > 0 || fetchFrom !== undefined) return;
+    const { parts, pool } = this.#context;
+    parts.estimates.of(pool.name).reading.took({
+      promptTokens: prompt.inputTokens,
+      keptTokens,
+      milliseconds: took,
+    });
+  }
+
   async #read(
     prompt: Prompt,
     admitted: { readonly choice: PrefillChoice; readonly late: boolean },
@@ -162,6 +174,7 @@
       parts.allowance.note(pool.name);
       return outcome;
     }
+    this.#learnSpeed(prompt, choice, took);
     this.#kept = outcome.kept;
     this.#context.tell("prompt_read", {
       endpoint: outcome.kept.engine,
--- a/src/entry/forwarding/parts.ts
+++ b/src/entry/forwarding/parts.ts
@@ -2,6 +2,7 @@
 import type {
   EndpointOutcomes,
   EndpointRegistry,
+  EngineEstimates,
   EnginePlacement,
   LateOverrun,
   LinkQueue,
@@ -29,6 +30,7 @@
   readonly prefixes: PrefixDirectory;
   readonly outcomes: EndpointOutcomes;
   readonly placement: EnginePlacement;
+  readonly estimates: EngineEstimates;
   readonly allowance: RetryAllowance;
   readonly returning: ReturningCallers;
   readonly lateOverrun: LateOverrun;
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -1,10 +1,12 @@
 import type {
   EndpointRegistry,
+  EngineEstimates,
   LoadPicture,
   PeerWork,
   PrefixDirectory,
   ReturningCallers,
   ToldRefusal,
+  ToldSpeed,
   WorkReport,
 } from "../../core/forwarding/mod.ts";
 import {
@@ -51,6 +53,8 @@
   readonly version?: number;
   /** Prompts read since the last report; a lost one costs a part read twice. */
   readonly prompts: readonly ToldPrompt[];
+  /** What was learned of engines; comes with whole reports. */
+  readonly speeds?: readonly ToldSpeed[];
   /** Prompts refused since the last report; their callers may come to others. */
   readonly refusals: readonly ToldRefusal[];
 }
@@ -62,6 +66,7 @@
   readonly registry: EndpointRegistry;
   readonly load: LoadPicture;
   readonly prefixes: PrefixDirectory;
+  readonly estimates: EngineEstimates;
   readonly returning: ReturningCallers;
   readonly sendToPeers: SendToPeers;
   /** Version of the configuration in force here. */
@@ -124,7 +129,8 @@
     if (params.entry === this.#options.process) return;
     if (!this.#names.has(params.entry)) this.#options.onUnlistedPeer();
     if (params.version !== undefined) this.#options.onVersion(params.version);
-    const { load, prefixes, registry } = this.#options;
+    const { estimates, load, prefixes, registry } = this.#options;
+    for (const speed of params.speeds ?? []) estimates.peerTold(speed);
     load.peerReported(params.entry, {
       ...params,
       work: workHere(registry, params.work),
@@ -144,6 +150,7 @@
 
   #tellWork(): void {
     const {
+      estimates,
       incarnation,
       load,
       prefixes,
@@ -167,6 +174,7 @@
       work: workWithRuns(registry, load.report({ whole })),
       prompts: prefixes.takeUntold().map(encodePrompt),
       refusals: returning.takeUntold(),
+      ...(whole && { speeds: estimates.tell() }),
     };
     this.tell(WORK_METHOD, notification);
   }
@@ -205,10 +213,19 @@
 
 function isWorkNotification(value: unknown): value is WorkNotification {
   if (typeof value !== "object" || value === null) return false;
-  const { entry, incarnation, sequence, version, work, prompts, refusals } =
-    value as Record<string, unknown>;
+  const {
+    entry,
+    incarnation,
+    prompts,
+    refusals,
+    sequence,
+    speeds,
+    version,
+    work,
+  } = value as Record<string, unknown>;
   const isVersion = version === undefined || typeof version === "number";
-  return isVersion && typeof entry === "string" &&
+  const hasSpeeds = speeds === undefined || Array.isArray(speeds);
+  return isVersion && hasSpeeds && typeof entry === "string" &&
     typeof incarnation === "string" &&
     typeof sequence === "number" && Array.isArray(work) &&
     Array.isArray(prompts) &&
--- a/test/support/forwarding_bench.ts
+++ b/test/support/forwarding_bench.ts
@@ -5,6 +5,7 @@
   type AttemptOptions,
   EndpointOutcomes,
   EndpointRegistry,
+  type EngineEstimates,
   EnginePlacement,
   type ForwardedRequest,
   type ForwardingConfiguration,
@@ -21,6 +22,7 @@
   identifier,
 } from "../../src/core/identity/mod.ts";
 import { seededRandom } from "../../src/core/random/mod.ts";
+import { knownEstimates } from "./forwarding_values.ts";
 import { ManualTimerService } from "../../src/core/time/mod.ts";
 import {
   type BodyEnd,
@@ -172,6 +174,7 @@
     options: {
       readonly repeats?: number;
       readonly linkMegabitsPerSecond?: number;
+      readonly estimates?: EngineEstimates;
     } = {},
   ) {
     const { timer } = this;
@@ -179,6 +182,7 @@
     const load = new LoadPicture(timer);
     const prefixes = new PrefixDirectory();
     const outcomes = new EndpointOutcomes(timer);
+    const { estimates = knownEstimates() } = options;
     const routes = new RouteTable(configuration);
     const door: EndpointDoor = {
       send: (request, attempt) => this.#send(request, attempt),
@@ -199,8 +203,10 @@
         load,
         prefixes,
         outcomes,
+        estimates,
         random,
       }),
+      estimates,
       allowance: new RetryAllowance({
         timer,
         ratio: 0.2,
--- a/test/support/forwarding_values.ts
+++ b/test/support/forwarding_values.ts
@@ -7,13 +7,14 @@
   type RequestId,
   type ServiceName,
 } from "../../src/core/identity/mod.ts";
-import type {
-  ForwardedRequest,
-  ForwardingConfiguration,
-  Pool,
-  Prompt,
-  RegisteredEndpoint,
-  Route,
+import {
+  EngineEstimates,
+  type ForwardedRequest,
+  type ForwardingConfiguration,
+  type Pool,
+  type Prompt,
+  type RegisteredEndpoint,
+  type Route,
 } from "../../src/core/forwarding/mod.ts";
 
 export const ENGINES = identifier<ServiceName>("engines");
@@ -48,6 +49,13 @@
   },
 });
 
+/** What entries have learned of engines that read 310 tokens a ms. */
+export function knownEstimates(): EngineEstimates {
+  const estimates = new EngineEstimates();
+  estimates.peerTold([ENGINES, 96, 0, 1 / 310, 0.0921]);
+  return estimates;
+}
+
 export function makeConfiguration(
   values: Partial<ForwardingConfiguration> = {},
 ): ForwardingConfiguration {
