--- a/src/core/forwarding/endpoint_outcomes.ts
+++ b/src/core/forwarding/endpoint_outcomes.ts
@@ -17,8 +17,16 @@
   firstEjectionMilliseconds: 1_000,
   longestEjectionMilliseconds: 8_000,
 };
-/** Connections refused in a row after which an endpoint is taken for dead. */
-const REFUSALS_UNTIL_EJECTION = 2;
+/**
+ * Connections refused in a row after which an endpoint is unreachable, and how
+ * often one request may find out whether it is back. Load: all engines that
+ * decode crash at once. Harm prevented: every request asks each of them in
+ * turn, 644 connections in four seconds, and is then refused although an
+ * engine was back before its caller would have left. Limit: a start takes
+ * seconds; five questions a second find it within a tenth of callers' patience.
+ */
+const REFUSALS_UNTIL_UNREACHABLE = 2;
+const REACH_MILLISECONDS = 200;
 /**
  * Silence with work open after which an endpoint gets no new work. Load: a
  * machine that went dark and swallows what it is sent. Limit: well above the
@@ -43,7 +51,10 @@
 
 interface Known {
   readonly health: EndpointHealth;
+  /** Connections refused in a row. */
   refusals: number;
+  /** When a request may next find out whether it takes connections. */
+  reachableFrom: number;
   /** Requests turned away in a row. */
   rejections: number;
   closedUntil: number;
@@ -61,12 +72,16 @@
     this.#timer = timer;
   }
 
-  /** Of the candidates those that look well; all where too few do. */
+  /**
+   * Of the candidates those that look well; all that can be reached where too
+   * few do.
+   */
   wellAmong<Endpoint extends { readonly id: EndpointId }>(
     endpoints: readonly Endpoint[],
   ): readonly Endpoint[] {
-    const open = endpoints.filter((endpoint) => !this.#isClosed(endpoint.id));
-    const candidates = open.length > 0 ? open : endpoints;
+    const reachable = endpoints.filter(({ id }) => !this.#isUnreachable(id));
+    const open = reachable.filter(({ id }) => !this.#isClosed(id));
+    const candidates = open.length > 0 ? open : reachable;
     const well = candidates.filter((endpoint) => this.#isWell(endpoint.id));
     const fewest = candidates.length * (1 - MOST_EJECTED_SHARE);
     return well.length >= fewest ? well : candidates;
@@ -76,6 +91,7 @@
     const known = this.#of(id);
     if (known.open === 0) known.silentSince = this.#timer.now();
     known.open += 1;
+    known.reachableFrom = this.#timer.now() + REACH_MILLISECONDS;
     if (known.health.mayProbe(this.#timer.now())) known.health.probeStarted();
   }
 
@@ -107,9 +123,7 @@
   refusedConnection(id: EndpointId): void {
     const known = this.#of(id);
     known.refusals += 1;
-    if (known.refusals < REFUSALS_UNTIL_EJECTION) return;
-    known.refusals = 0;
-    known.health.eject(this.#timer.now());
+    known.reachableFrom = this.#timer.now() + REACH_MILLISECONDS;
   }
 
   /**
@@ -144,6 +158,13 @@
     this.#known.delete(id);
   }
 
+  #isUnreachable(id: EndpointId): boolean {
+    const known = this.#known.get(id);
+    return known !== undefined &&
+      known.refusals >= REFUSALS_UNTIL_UNREACHABLE &&
+      this.#timer.now() < known.reachableFrom;
+  }
+
   #isClosed(id: EndpointId): boolean {
     const known = this.#known.get(id);
     return known !== undefined && this.#timer.now() < known.closedUntil;
@@ -166,6 +187,7 @@
       known = {
         health,
         refusals: 0,
+        reachableFrom: -Infinity,
         rejections: 0,
         closedUntil: -Infinity,
         open: 0,
--- a/src/core/forwarding/engine_admission.ts
+++ b/src/core/forwarding/engine_admission.ts
@@ -6,14 +6,12 @@
  * 5 to 15 ms short of the measured times of 40 to 100 ms.
  */
 const TARGET_SHARE = 0.85;
-/** From the end of the prompt's reading to the first byte at the caller. */
-const HANDOVER_MILLISECONDS = 15;
 /**
  * Share of the time until the caller leaves that the prediction of an answer
  * that is late anyhow may take up. The rest is for the error of a long
  * prediction and for the answer itself: 300 ms of two seconds.
  */
-const LEFT_SHARE = 0.85;
+export const LEFT_SHARE = 0.85;
 
 /**
  * Time that the entry itself may add to an answer that is late anyhow. Load: a
@@ -33,10 +31,12 @@
 export type Admission = "on_time" | "late" | "engines_full" | "entry_full";
 
 export interface AdmissionQuestion {
-  /** Predicted time until the prompt is read, behind work that is on time. */
+  /** Predicted time until the prompt is read, if it is sent now. */
   readonly onTimeMilliseconds: number;
-  /** The same behind all work. */
+  /** The same for a prompt that is held until an engine is nearly idle. */
   readonly lateMilliseconds: number;
+  /** From the end of the prompt's reading to the first byte at the caller. */
+  readonly handoverMilliseconds: number;
   /** Time that the request and its answer wait in this entry. */
   readonly entryMilliseconds: number;
   /** Time since the request's arrival. */
@@ -55,9 +55,10 @@
     targetMilliseconds,
   } = question;
   const firstByte = elapsedMilliseconds + entryMilliseconds +
-    question.onTimeMilliseconds + HANDOVER_MILLISECONDS;
+    question.onTimeMilliseconds + question.handoverMilliseconds;
   if (firstByte <= TARGET_SHARE * targetMilliseconds) return "on_time";
   if (entryMilliseconds > MOST_ENTRY_FOR_LATE_MILLISECONDS) return "entry_full";
-  const needed = entryMilliseconds + question.lateMilliseconds;
+  const needed = entryMilliseconds + question.lateMilliseconds +
+    question.handoverMilliseconds;
   return needed <= LEFT_SHARE * leftMilliseconds ? "late" : "engines_full";
 }
--- a/src/core/forwarding/engine_admission_test.ts
+++ b/src/core/forwarding/engine_admission_test.ts
@@ -4,6 +4,7 @@
 const IDLE: AdmissionQuestion = {
   onTimeMilliseconds: 20,
   lateMilliseconds: 20,
+  handoverMilliseconds: 15,
   entryMilliseconds: 5,
   elapsedMilliseconds: 0,
   targetMilliseconds: 150,
--- a/src/core/forwarding/engine_placement.ts
+++ b/src/core/forwarding/engine_placement.ts
@@ -6,8 +6,13 @@
   RegisteredEndpoint,
 } from "./configuration.ts";
 import type { EndpointOutcomes } from "./endpoint_outcomes.ts";
-import type { EngineEstimates, ReadingSpeed } from "./estimates/mod.ts";
-import type { LoadPicture } from "./load_picture.ts";
+import type {
+  EngineEstimates,
+  EngineSlowness,
+  ReadingSpeed,
+} from "./estimates/mod.ts";
+import { LOOK_MILLISECONDS } from "./held_prompts.ts";
+import type { LoadPicture, PromptWork } from "./load_picture.ts";
 import type { PrefixDirectory } from "./prefix_directory.ts";
 import {
   bestSources,
@@ -16,14 +21,6 @@
 } from "./prefix_sources.ts";
 import type { Prompt } from "./requests.ts";
 
-/**
- * Prompts with at least so many tokens to read go through a prefill engine.
- * Load: short urgent prompts and long summaries on the same engines. Harm
- * prevented: an engine that decodes reads a long prompt in many chunks between
- * the tokens of its streams, which then pause. Limit: a hand-over costs two
- * calls, about 6 ms; an engine that decodes reads 1,000 tokens in as long.
- */
-const HANDOVER_TOKENS = 1_000;
 /**
  * What a millisecond of an engine's own work counts against one of waiting.
  * Load: more long prompts than the engines can read whole. Harm prevented: the
@@ -41,12 +38,12 @@
 const TIE_BREAK_SLOTS = 0.5;
 
 /**
- * Prompts that may be open at an engine while one that is late anyhow is sent
- * there. Load: an overload of seconds. Harm prevented: prompts that wait at an
- * engine hold its memory, which then keeps no shared parts: engines read 20 ms
- * a prompt where 11 were predicted, and half of their time was lost.
+ * Work before a prompt at an engine that is nearly idle: what is done by the
+ * time the next look at the held prompts could bring it another. More would
+ * stand before the next prompt that can be on time, less would leave the engine
+ * idle between two looks.
  */
-const MOST_OPEN_FOR_LATE = 8;
+const NEARLY_IDLE_MILLISECONDS = 2 * LOOK_MILLISECONDS;
 
 /**
  * What an engine in another availability zone than the entry's counts against
@@ -71,15 +68,34 @@
  */
 const DECODE_ENGINE_SLOWDOWN = 2;
 
+/**
+ * Share of its target that a prompt's reading may take at an engine that
+ * decodes; longer ones go to an engine that only reads. Load: short urgent
+ * prompts and long summaries on the same engines. Harm prevented: an engine
+ * that decodes reads a long prompt in many chunks between the tokens of its
+ * streams, which then pause. Limit: what a hand-over takes, 15 to 30 ms of
+ * targets of 150 to 500 ms, is as much; a short prompt gains nothing by it.
+ */
+const INLINE_TARGET_SHARE = 0.1;
+
+/**
+ * Share of an engine's memory that open requests may take before it gets no
+ * more. Load: engines that decode come back after a crash while a hundred read
+ * prompts wait for them. Harm prevented: all are sent at once, the engine turns
+ * away what finds no memory, and callers are refused whose turn would have come
+ * within their time (200 of a day's 3,900). Limit: answers grow while they run.
+ */
+const MOST_TAKEN_MEMORY = 0.9;
+
 /** Where a prompt is to be read. */
 export interface PrefillChoice {
   readonly endpoint: RegisteredEndpoint;
   /** Work that the engine has to do for the prompt. */
   readonly workMilliseconds: number;
-  /** Work that stands before it there and can be on time. */
+  /** Work that stands before it there. */
   readonly backlogMilliseconds: number;
-  /** All work that stands before it there. */
-  readonly wholeBacklogMilliseconds: number;
+  /** How many times as long the engine takes as its kind. */
+  readonly slowness: number;
   /** Requests that all entries have open there. */
   readonly openRequests: number;
   readonly keptTokens: number;
@@ -90,10 +106,7 @@
 /** Where a request is to decode. */
 export interface DecodeChoice {
   readonly endpoint: RegisteredEndpoint;
-  /** Prompt reading that it costs the engine, 0 after a hand-over. */
-  readonly workMilliseconds: number;
-  /** Requests that all entries have open there. */
-  readonly openRequests: number;
+  readonly work: PromptWork;
 }
 
 /** Engines of one pool that a prompt may go to. */
@@ -109,6 +122,7 @@
   readonly prefixes: PrefixDirectory;
   readonly outcomes: EndpointOutcomes;
   readonly estimates: EngineEstimates;
+  readonly slowness: EngineSlowness;
   readonly random: Random;
 }
 
@@ -120,32 +134,51 @@
     this.#options = options;
   }
 
-  /** True where the prompt is long enough for an engine of its own. */
-  wantsHandover(prompt: Prompt): boolean {
-    return prompt.inputTokens >= HANDOVER_TOKENS;
+  /** True where the prompt is long enough for an engine that only reads. */
+  wantsHandover(
+    prompt: Prompt,
+    { pool, targetMilliseconds }: {
+      readonly pool: Pool;
+      readonly targetMilliseconds: number;
+    },
+  ): boolean {
+    const { reading } = this.#options.estimates.of(pool.name);
+    const inline = DECODE_ENGINE_SLOWDOWN *
+      reading.freshMilliseconds(prompt.inputTokens, 0);
+    return inline > INLINE_TARGET_SHARE * targetMilliseconds;
+  }
+
+  /** From the end of the prompt's reading to the first byte, for most. */
+  handoverMilliseconds(prompt: Prompt, pool: Pool): number {
+    const { handover } = this.#options.estimates.of(pool.name);
+    return handover.cautiousMilliseconds +
+      handoverTransfer(prompt, pool);
+  }
+
+  /** An answer came so long after it was asked for behind a hand-over. */
+  handedOver(prompt: Prompt, pool: Pool, milliseconds: number): void {
+    const { handover } = this.#options.estimates.of(pool.name);
+    handover.took(milliseconds, handoverTransfer(prompt, pool));
   }
 
-  /** The prefill engine that is best behind what can be on time. */
+  /** The prefill engine that is best behind all its work. */
   choosePrefill(
     prompt: Prompt,
     among: PrefillCandidates,
   ): PrefillChoice | undefined {
-    return this.#fastest(prompt, {
-      ...among,
-      backlog: (choice) => choice.backlogMilliseconds,
-    });
+    return this.#fastest(prompt, among);
   }
 
-  /** The prefill engine that is best behind all its work, if one has room. */
-  chooseLatePrefill(
+  /** The best prefill engine of those that have next to nothing to do. */
+  chooseIdlePrefill(
     prompt: Prompt,
     among: PrefillCandidates,
   ): PrefillChoice | undefined {
     const { load } = this.#options;
     return this.#fastest(prompt, {
       ...among,
-      hasRoom: (engine) => load.total(engine.id).requests < MOST_OPEN_FOR_LATE,
-      backlog: (choice) => choice.wholeBacklogMilliseconds,
+      hasRoom: ({ id }) =>
+        load.total(id).prefillMilliseconds <= NEARLY_IDLE_MILLISECONDS,
     });
   }
 
@@ -153,10 +186,9 @@
     prompt: Prompt,
     options: PrefillCandidates & {
       readonly hasRoom?: (engine: RegisteredEndpoint) => boolean;
-      readonly backlog: (choice: PrefillChoice) => number;
     },
   ): PrefillChoice | undefined {
-    const { backlog, engines, hasRoom = () => true, pool } = options;
+    const { engines, hasRoom = () => true, pool } = options;
     const { availabilityZone, outcomes, prefixes } = this.#options;
     const readers = engines.filter((each) =>
       each.role === "prefill" && hasRoom(each)
@@ -170,7 +202,8 @@
     for (const endpoint of outcomes.wellAmong(readers)) {
       const choice = this.#prefillAt(endpoint, { prompt, pool, sources });
       const isFar = endpoint.availabilityZone !== availabilityZone;
-      const cost = backlog(choice) + WORK_WEIGHT * choice.workMilliseconds +
+      const cost = choice.backlogMilliseconds +
+        WORK_WEIGHT * choice.workMilliseconds +
         (isFar ? OTHER_ZONE_MILLISECONDS : 0);
       if (cost >= bestCost) continue;
       bestCost = cost;
@@ -187,8 +220,9 @@
       readonly sources: readonly PrefixSource[];
     },
   ): PrefillChoice {
-    const { estimates, load, prefixes } = this.#options;
+    const { estimates, load, prefixes, slowness } = this.#options;
     const { pool, prompt, sources } = options;
+    const slow = slowness.factor(endpoint.id);
     const { reading } = estimates.of(pool.name);
     const keptTokens = prefixes.keptTokens(endpoint.id, prompt.parts);
     const open = load.total(endpoint.id);
@@ -216,9 +250,9 @@
     return {
       endpoint,
       ...quickest,
-      backlogMilliseconds: open.prefillMilliseconds,
-      wholeBacklogMilliseconds: open.prefillMilliseconds +
-        open.lateMilliseconds,
+      workMilliseconds: slow * quickest.workMilliseconds,
+      backlogMilliseconds: slow * open.prefillMilliseconds,
+      slowness: slow,
       openRequests: open.requests,
     };
   }
@@ -236,9 +270,11 @@
     const { estimates, load, outcomes, prefixes, random } = this.#options;
     const { keptIn, pool, prompt } = options;
     const makers = engines.filter((engine) => engine.role !== "prefill");
+    const tokens = prompt.inputTokens + prompt.mostOutputTokens;
     let best: RegisteredEndpoint | undefined;
     let bestCost = Infinity;
     for (const endpoint of outcomes.wellAmong(makers)) {
+      if (!hasRoom(endpoint, { load, pool, tokens })) continue;
       const isFar = keptIn !== undefined &&
         endpoint.availabilityZone !== keptIn;
       const cost = load.total(endpoint.id).requests +
@@ -251,16 +287,44 @@
     const keptTokens = prefixes.keptTokens(best.id, prompt.parts);
     return {
       endpoint: best,
-      workMilliseconds: keptIn !== undefined ? 0 : DECODE_ENGINE_SLOWDOWN *
-        estimates.of(pool.name).reading.readMilliseconds(
-          prompt.inputTokens,
-          keptTokens,
-        ),
-      openRequests: load.total(best.id).requests,
+      work: {
+        milliseconds: keptIn !== undefined ? 0 : DECODE_ENGINE_SLOWDOWN *
+          estimates.of(pool.name).reading.freshMilliseconds(
+            prompt.inputTokens,
+            keptTokens,
+          ),
+        tokens,
+      },
     };
   }
 }
 
+/**
+ * True while the engine has a slot for one more request, and memory for what it
+ * would have open with it. One request alone always fits: an engine refuses what
+ * is larger than its memory by itself.
+ */
+function hasRoom(
+  { id, slots }: RegisteredEndpoint,
+  options: {
+    readonly load: LoadPicture;
+    readonly pool: Pool;
+    readonly tokens: number;
+  },
+): boolean {
+  const { load, pool, tokens } = options;
+  const open = load.total(id);
+  const memoryTokens = pool.engine?.memoryTokens ?? Infinity;
+  const fits = open.tokens + tokens <= MOST_TAKEN_MEMORY * memoryTokens;
+  return open.requests < slots && (fits || open.requests === 0);
+}
+
+/** Engines that decode are few, so that most prompts cross zones. */
+function handoverTransfer(prompt: Prompt, { engine }: Pool): number {
+  if (engine === undefined) return 0;
+  return transferMilliseconds(prompt.inputTokens, { engine, isFar: true });
+}
+
 /** Reading a prompt with what another engine keeps of it, if that pays. */
 function wayThrough(
   source: PrefixSource,
--- /dev/null
+++ b/src/core/forwarding/estimates/engine_slowness.ts
@@ -0,0 +1,75 @@
+import type { EndpointId } from "../../identity/mod.ts";
+import type { TimerService } from "../../time/mod.ts";
+
+/** Weight of one reading in an engine's mean. */
+const READING_WEIGHT = 0.3;
+/**
+ * Bounds of one reading's ratio. What is slower than the upper one is as bad
+ * for placing; without it a single silence would count for dozens of readings.
+ */
+const LEAST_RATIO = 0.5;
+const MOST_RATIO = 8;
+/**
+ * Ratio up to which an engine passes for one of its kind: predictions are out
+ * by as much from one prompt to the next. Engines that turn slow do so by a
+ * factor of four or more.
+ */
+const ORDINARY_RATIO = 1.6;
+/**
+ * Time in which what was seen of an engine counts for half. Load: an engine
+ * that is slow for some seconds. Harm prevented: once it is passed over nothing
+ * is seen of it any more, and it would be passed over for good.
+ */
+const HALF_LIFE_MILLISECONDS = 2_000;
+
+interface Seen {
+  /** Mean of the logarithms of measured by predicted time. */
+  logarithm: number;
+  at: number;
+}
+
+/**
+ * Engines that read slower than their kind. Load: one engine of several turns
+ * slow while its health is good. Harm prevented: it looks as free as the others
+ * for its open work is reckoned at their speed, so that its share of the
+ * prompts is late.
+ */
+export class EngineSlowness {
+  readonly #timer: TimerService;
+  readonly #seen = new Map<EndpointId, Seen>();
+
+  constructor(timer: TimerService) {
+    this.#timer = timer;
+  }
+
+  /** What to multiply the time of work at the engine with; 1 for most. */
+  factor(engine: EndpointId): number {
+    const ratio = Math.exp(this.#logarithm(engine));
+    return ratio > ORDINARY_RATIO ? ratio : 1;
+  }
+
+  /** A reading took so long, against what the engine's kind would take. */
+  took(
+    engine: EndpointId,
+    times: { readonly milliseconds: number; readonly predicted: number },
+  ): void {
+    const ratio = Math.min(
+      MOST_RATIO,
+      Math.max(LEAST_RATIO, times.milliseconds / times.predicted),
+    );
+    const known = this.#logarithm(engine);
+    const logarithm = known + READING_WEIGHT * (Math.log(ratio) - known);
+    this.#seen.set(engine, { logarithm, at: this.#timer.now() });
+  }
+
+  forget({ id }: { readonly id: EndpointId }): void {
+    this.#seen.delete(id);
+  }
+
+  #logarithm(engine: EndpointId): number {
+    const seen = this.#seen.get(engine);
+    if (seen === undefined) return 0;
+    const age = this.#timer.now() - seen.at;
+    return seen.logarithm * 2 ** (-age / HALF_LIFE_MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/src/core/forwarding/estimates/engine_slowness_test.ts
@@ -0,0 +1,47 @@
+import { expect } from "chai";
+import { type EndpointId, identifier } from "../../identity/mod.ts";
+import { ManualTimerService } from "../../time/mod.ts";
+import { EngineSlowness } from "./engine_slowness.ts";
+
+describe("EngineSlowness", () => {
+  const engine = identifier<EndpointId>("engine");
+  let timer: ManualTimerService;
+  let slowness: EngineSlowness;
+
+  beforeEach(() => {
+    timer = new ManualTimerService();
+    slowness = new EngineSlowness(timer);
+  });
+
+  function read(ratio: number, times: number): void {
+    for (let count = 0; count < times; count++) {
+      slowness.took(engine, { milliseconds: 100 * ratio, predicted: 100 });
+    }
+  }
+
+  // An engine takes five times as long for some seconds. Reckoned at the speed
+  // of its kind it gets its full share of the prompts, and each of them late.
+  it("tells an engine that has turned slow within a few readings", () => {
+    read(5, 4);
+    expect(slowness.factor(engine)).to.be.within(2.5, 5.5);
+  });
+
+  it("leaves ordinary errors of prediction alone", () => {
+    for (let count = 0; count < 30; count++) {
+      read(count % 3 === 0 ? 1.9 : 0.9, 1);
+    }
+    expect(slowness.factor(engine)).to.equal(1);
+  });
+
+  it("gives an engine another chance that nothing is seen of", async () => {
+    read(5, 6);
+    await timer.advance(4_000);
+    expect(slowness.factor(engine)).to.equal(1);
+  });
+
+  it("knows nothing of an engine that has started anew", () => {
+    read(5, 6);
+    slowness.forget({ id: engine });
+    expect(slowness.factor(engine)).to.equal(1);
+  });
+});
--- /dev/null
+++ b/src/core/forwarding/estimates/handover_time.ts
@@ -0,0 +1,50 @@
+/**
+ * From a prompt's end to the answer's first byte, beyond the transfer of its
+ * cache, before anything was seen: a call to the engine and some tokens' time.
+ */
+const PRIOR_MILLISECONDS = 15;
+const PRIOR_DEVIATION_MILLISECONDS = 5;
+/** Weight of one answer: about the last thirty count. */
+const ANSWER_WEIGHT = 0.03;
+/** The first answers weigh as much as all before them together. */
+const FIRST_ANSWERS = 1 / ANSWER_WEIGHT;
+/**
+ * One answer moves the mean as if it had taken at most so many times as long.
+ * An engine that has gone dark answers after seconds, and tells of itself only.
+ */
+const MOST_RATIO = 4;
+
+/**
+ * How long engines take from a prompt that was read elsewhere to the first byte
+ * of its answer. Load: engines whose steps take from a part of a millisecond to
+ * some dozens. Harm prevented: a fixed time promises answers on time that come
+ * late, or refuses what would have been in time.
+ */
+export class HandoverTime {
+  #mean = PRIOR_MILLISECONDS;
+  #deviation = PRIOR_DEVIATION_MILLISECONDS;
+  #answers = 1;
+
+  /** Time to the first byte beyond the transfer, milliseconds. */
+  get meanMilliseconds(): number {
+    return this.#mean;
+  }
+
+  /** The same for most answers, not only for half of them. */
+  get cautiousMilliseconds(): number {
+    return this.#mean + this.#deviation;
+  }
+
+  /** An answer's first byte came so long after its send. */
+  took(milliseconds: number, transferMilliseconds: number): void {
+    this.#answers += 1;
+    const weight = Math.max(ANSWER_WEIGHT, 1 / this.#answers);
+    const most = this.#answers <= FIRST_ANSWERS
+      ? Infinity
+      : MOST_RATIO * this.#mean;
+    const beyond = Math.max(0, milliseconds - transferMilliseconds);
+    const error = Math.min(beyond, most) - this.#mean;
+    this.#mean += weight * error;
+    this.#deviation += weight * (Math.abs(error) - this.#deviation);
+  }
+}
--- /dev/null
+++ b/src/core/forwarding/estimates/handover_time_test.ts
@@ -0,0 +1,33 @@
+import { expect } from "chai";
+import { HandoverTime } from "./handover_time.ts";
+
+describe("HandoverTime", () => {
+  // Engines with long steps answer 60 ms after the prompt is read. Promised by
+  // the time of faster ones, every answer near its target is late.
+  for (const milliseconds of [2, 15, 60]) {
+    it(`learns that engines take ${milliseconds} ms`, () => {
+      const handover = new HandoverTime();
+      for (let count = 0; count < 40; count++) {
+        handover.took(milliseconds + 20, 20);
+      }
+      expect(handover.meanMilliseconds)
+        .to.be.closeTo(milliseconds, 0.1 * milliseconds + 0.5);
+    });
+  }
+
+  it("is moved little by an engine that has gone dark", () => {
+    const handover = new HandoverTime();
+    for (let count = 0; count < 60; count++) handover.took(20, 0);
+    for (let count = 0; count < 3; count++) handover.took(3_000, 0);
+    expect(handover.cautiousMilliseconds).to.be.below(35);
+  });
+
+  it("allows for answers that differ", () => {
+    const handover = new HandoverTime();
+    for (let count = 0; count < 100; count++) {
+      handover.took(count % 2 === 0 ? 10 : 30, 0);
+    }
+    expect(handover.meanMilliseconds).to.be.closeTo(20, 3);
+    expect(handover.cautiousMilliseconds).to.be.closeTo(30, 5);
+  });
+});
--- a/src/core/forwarding/estimates/mod.ts
+++ b/src/core/forwarding/estimates/mod.ts
@@ -4,6 +4,8 @@
   type PoolEstimates,
   type ToldSpeed,
 } from "./pool_estimates.ts";
+export { EngineSlowness } from "./engine_slowness.ts";
+export { WorkRate } from "./work_rate.ts";
 export {
   type ReadingCosts,
   type ReadingSample,
--- a/src/core/forwarding/estimates/pool_estimates.ts
+++ b/src/core/forwarding/estimates/pool_estimates.ts
@@ -1,9 +1,11 @@
 import type { ServiceName } from "../../identity/mod.ts";
+import { HandoverTime } from "./handover_time.ts";
 import { ReadingSpeed } from "./reading_speed.ts";
 
 /** What is learned of the engines of one pool, which are of one kind. */
 export interface PoolEstimates {
   readonly reading: ReadingSpeed;
+  readonly handover: HandoverTime;
 }
 
 /** What peers are told of a pool's engines: samples, then the three costs. */
@@ -23,7 +25,7 @@
   of(pool: ServiceName): PoolEstimates {
     let known = this.#pools.get(pool);
     if (known === undefined) {
-      known = { reading: new ReadingSpeed() };
+      known = { reading: new ReadingSpeed(), handover: new HandoverTime() };
       this.#pools.set(pool, known);
     }
     return known;
--- a/src/core/forwarding/estimates/reading_speed.ts
+++ b/src/core/forwarding/estimates/reading_speed.ts
@@ -74,11 +74,15 @@
 
   /** Time in which an idle engine reads a prompt, milliseconds. */
   readMilliseconds(promptTokens: number, keptTokens: number): number {
-    const costs = this.costs;
-    return costs.callMilliseconds +
-      costs.millisecondsPerToken * freshTokens(promptTokens, keptTokens) +
-      costs.millisecondsPerMillionPairs *
-        millionPairs(promptTokens, keptTokens);
+    return this.costs.callMilliseconds +
+      this.freshMilliseconds(promptTokens, keptTokens);
+  }
+
+  /** The same without what the call itself takes. */
+  freshMilliseconds(promptTokens: number, keptTokens: number): number {
+    const { millisecondsPerMillionPairs, millisecondsPerToken } = this.costs;
+    return millisecondsPerToken * freshTokens(promptTokens, keptTokens) +
+      millisecondsPerMillionPairs * millionPairs(promptTokens, keptTokens);
   }
 
   /** The costs in use: those of whoever has seen more, up to a full window. */
--- /dev/null
+++ b/src/core/forwarding/held_prompts.ts
@@ -0,0 +1,100 @@
+import type { Subscription, TimerService } from "../time/mod.ts";
+
+/** How often held prompts are looked at. */
+export const LOOK_MILLISECONDS = 20;
+
+/** A prompt that waits in its entry until an engine is nearly idle. */
+export interface HeldPrompt<Choice> {
+  /** 0 is the most urgent. */
+  readonly rank: number;
+  /** When it is no longer worth reading, on the timer's clock. */
+  readonly expiresAt: number;
+  /** Work that an engine will have with it. */
+  readonly workMilliseconds: number;
+  /** The engine that can begin with it now, if there is one. */
+  readonly choose: () => Choice | undefined;
+  /** True once its caller has gone. */
+  readonly isOver: () => boolean;
+}
+
+interface Waiting<Choice> extends HeldPrompt<Choice> {
+  readonly resolve: (choice: Choice | undefined) => void;
+}
+
+/**
+ * Prompts whose answers are late anyhow, held back until an engine has next to
+ * nothing to do. Load: bursts of seconds in which more prompts come than the
+ * engines can read in time. Harm prevented: engines take prompts in as they
+ * come and finish them in that order, so that late ones that were sent ahead
+ * make those behind them late as well. The most urgent goes first, then the
+ * one whose caller leaves first.
+ */
+export class HeldPrompts<Choice> {
+  readonly #timer: TimerService;
+  #waiting: Waiting<Choice>[] = [];
+  #look: Subscription | undefined;
+
+  constructor(timer: TimerService) {
+    this.#timer = timer;
+  }
+
+  get count(): number {
+    return this.#waiting.length;
+  }
+
+  /** Work of the prompts that go before one of this rank and expiry. */
+  workAhead(than: { readonly rank: number; readonly expiresAt: number }) {
+    return this.#waiting.reduce(
+      (sum, each) => goesBefore(each, than) ? sum + each.workMilliseconds : sum,
+      0,
+    );
+  }
+
+  /** Gives the engine once there is one; undefined where time has run out. */
+  hold(prompt: HeldPrompt<Choice>): Promise<Choice | undefined> {
+    return new Promise((resolve) => {
+      this.#waiting.push({ ...prompt, resolve });
+      this.#waiting.sort(byUrgency);
+      if (this.#look === undefined) this.#lookNow();
+    });
+  }
+
+  #lookAfter(milliseconds: number): void {
+    this.#look ??= this.#timer.after(milliseconds, () => {
+      this.#look = undefined;
+      this.#lookNow();
+    });
+  }
+
+  #lookNow(): void {
+    this.#dropExpired();
+    const [first] = this.#waiting;
+    if (first === undefined) return;
+    const choice = first.choose();
+    if (choice === undefined) return this.#lookAfter(LOOK_MILLISECONDS);
+    this.#waiting.shift();
+    first.resolve(choice);
+    // Its work has to stand at the engine before the next one is chosen for.
+    this.#lookAfter(0);
+  }
+
+  #dropExpired(): void {
+    const now = this.#timer.now();
+    const isDropped = (each: Waiting<Choice>) =>
+      now >= each.expiresAt || each.isOver();
+    const dropped = this.#waiting.filter(isDropped);
+    if (dropped.length === 0) return;
+    this.#waiting = this.#waiting.filter((each) => !isDropped(each));
+    for (const each of dropped) each.resolve(undefined);
+  }
+}
+
+type Urgency = Pick<HeldPrompt<unknown>, "rank" | "expiresAt">;
+
+function byUrgency(one: Urgency, other: Urgency): number {
+  return one.rank - other.rank || one.expiresAt - other.expiresAt;
+}
+
+function goesBefore(one: Urgency, other: Urgency): boolean {
+  return byUrgency(one, other) <= 0;
+}
--- a/src/core/forwarding/load_picture.ts
+++ b/src/core/forwarding/load_picture.ts
@@ -14,8 +14,8 @@
   readonly requests: number;
   /** Prompt reading that is ahead, milliseconds of the engine. */
   readonly prefillMilliseconds: number;
-  /** Prompt reading of answers that are late anyhow; it stands behind. */
-  readonly lateMilliseconds: number;
+  /** Memory that the requests take up at an engine, tokens. */
+  readonly tokens: number;
 }
 
 /** One entry's open work by endpoint, as it goes to its peers. */
@@ -23,7 +23,7 @@
   endpoint: string,
   requests: number,
   prefillMilliseconds: number,
-  lateMilliseconds: number,
+  tokens: number,
 ])[];
 
 /** What a peer tells of its open work. */
@@ -57,17 +57,19 @@
 const NO_WORK: OpenWork = {
   requests: 0,
   prefillMilliseconds: 0,
-  lateMilliseconds: 0,
+  tokens: 0,
 };
 
-/** Prompt reading that a request brings to an endpoint. */
+/** What a request for a model brings to an engine. */
 export interface PromptWork {
+  /** Prompt reading. */
   readonly milliseconds: number;
-  /** True: it is read behind what can be on time. */
-  readonly late: boolean;
+  /** Memory that it takes up there while it is open. */
+  readonly tokens: number;
 }
 
-const NO_PROMPT: PromptWork = { milliseconds: 0, late: false };
+/** A request that brings no prompt. */
+export const NO_PROMPT: PromptWork = { milliseconds: 0, tokens: 0 };
 
 /**
  * What every entry has under way at each endpoint. Load: several entries that
@@ -87,14 +89,13 @@
   }
 
   started(endpoint: EndpointId, prompt: PromptWork = NO_PROMPT): WorkTicket {
-    const prefillMilliseconds = prompt.late ? 0 : prompt.milliseconds;
-    const lateMilliseconds = prompt.late ? prompt.milliseconds : 0;
+    const { milliseconds, tokens } = prompt;
     const ledger = this.#own.get(endpoint) ?? { work: NO_WORK };
     this.#own.set(endpoint, ledger);
     this.#add(endpoint, ledger, {
       requests: 1,
-      prefillMilliseconds,
-      lateMilliseconds,
+      prefillMilliseconds: milliseconds,
+      tokens,
     });
     let open = true;
     return {
@@ -103,8 +104,8 @@
         open = false;
         this.#add(endpoint, ledger, {
           requests: -1,
-          prefillMilliseconds: -prefillMilliseconds,
-          lateMilliseconds: -lateMilliseconds,
+          prefillMilliseconds: -milliseconds,
+          tokens: -tokens,
         });
       },
     };
@@ -139,7 +140,7 @@
         endpoint,
         work.requests,
         Math.round(work.prefillMilliseconds),
-        Math.round(work.lateMilliseconds),
+        Math.round(work.tokens),
       ] as const;
     });
     this.#changed.clear();
@@ -164,13 +165,13 @@
     };
     report.sequence = told.sequence;
     report.at = this.#timer.now();
-    for (const [endpoint, requests, prefill, late] of told.work) {
+    for (const [endpoint, requests, prefill, tokens] of told.work) {
       if (requests <= 0) report.work.delete(endpoint);
       else {
         report.work.set(endpoint, {
           requests,
           prefillMilliseconds: prefill,
-          lateMilliseconds: late,
+          tokens,
         });
       }
     }
@@ -198,6 +199,6 @@
   return {
     requests: one.requests + other.requests,
     prefillMilliseconds: one.prefillMilliseconds + other.prefillMilliseconds,
-    lateMilliseconds: one.lateMilliseconds + other.lateMilliseconds,
+    tokens: one.tokens + other.tokens,
   };
 }
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -8,10 +8,16 @@
   type RegistryChange,
 } from "./endpoint_registry.ts";
 export { RetryAllowance } from "./retry_allowance.ts";
-export { EngineEstimates, type ToldSpeed } from "./estimates/mod.ts";
+export {
+  EngineEstimates,
+  EngineSlowness,
+  type ToldSpeed,
+  WorkRate,
+} from "./estimates/mod.ts";
 export { EventSplitter } from "./event_splitter.ts";
 export {
   LoadPicture,
+  NO_PROMPT,
   type OpenWork,
   type PeerWork,
   type PromptWork,
@@ -40,7 +46,9 @@
   type Admission,
   type AdmissionQuestion,
   judgeAdmission,
+  LEFT_SHARE,
 } from "./engine_admission.ts";
+export { type HeldPrompt, HeldPrompts } from "./held_prompts.ts";
 export { LinkQueue } from "./link_queue.ts";
 export { LateOverrun } from "./late_overrun.ts";
 export { planRoles, type RoleChange } from "./role_plan.ts";
--- a/src/entry/forwarding/forward_run.ts
+++ b/src/entry/forwarding/forward_run.ts
@@ -1,6 +1,7 @@
 import {
   chooseService,
   type EngineRole,
+  NO_PROMPT,
   type Prompt,
 } from "../../core/forwarding/mod.ts";
 import type { EndpointId } from "../../core/identity/mod.ts";
@@ -26,7 +27,15 @@
 const RETRY_AFTER_SPREAD_MILLISECONDS = 250;
 /** Priorities that engines know, the last one for what may wait longest. */
 const LOWEST_PRIORITY = 9;
-const NO_PROMPT_WORK = { milliseconds: 0, late: false };
+
+/** How often a request that waits for an engine looks for one. */
+const LOOK_AGAIN_MILLISECONDS = 25;
+/**
+ * Share of its time that a request has left when it is told that no engine is
+ * back. Harm prevented: the caller leaves unanswered, and comes back later than
+ * it was told to. Limit: what an answer needs that still goes through.
+ */
+const REFUSED_WITH_SHARE_LEFT = 0.15;
 
 /** What comes next after an attempt. */
 type NextStep = "delivered" | "again" | "refuse" | "unknown";
@@ -75,7 +84,7 @@
     for (;;) {
       const plan = await this.#plan();
       if (this.#context.settled) return;
-      if (plan === undefined) return this.#refuse("no_endpoint");
+      if (plan === undefined) return this.#refuse("no_endpoint_reachable");
       const next = await this.#send(plan);
       if (this.#context.settled || next === "delivered") return;
       if (next === "refuse") return this.#refuse("endpoints_full");
@@ -98,7 +107,7 @@
     if (endpoint === undefined) return undefined;
     return {
       endpoint,
-      work: NO_PROMPT_WORK,
+      work: NO_PROMPT,
       options: {
         deadlineMilliseconds: left,
         lastEventId: this.#resumeFrom(),
@@ -110,7 +119,10 @@
   async #planEngines(prompt: Prompt): Promise<AttemptPlan | undefined> {
     const { parts, pool, route } = this.#context;
     const endpoints = this.#context.endpoints();
-    const needsHandover = parts.placement.wantsHandover(prompt) &&
+    const needsHandover = parts.placement.wantsHandover(prompt, {
+      pool,
+      targetMilliseconds: route.targetMilliseconds,
+    }) &&
       endpoints.some((endpoint) => endpoint.role === "prefill");
     const handover = needsHandover
       ? await this.#handover.keep(prompt, endpoints)
@@ -122,19 +134,21 @@
     }
     const keptIn = endpoints.find((each) => each.id === handover?.kept.engine)
       ?.availabilityZone;
-    // The engines may have changed while the prompt was read.
-    const makers = this.#context.untried(
-      this.#context.endpoints().filter(canDecode),
-    );
-    const choice = parts.placement.chooseDecode(makers, {
-      prompt,
-      pool,
-      keptIn,
-    });
+    const choose = () => {
+      // The engines may have changed while the prompt was read.
+      const makers = this.#context.endpoints().filter(canDecode);
+      return parts.placement.chooseDecode(this.#context.untried(makers), {
+        prompt,
+        pool,
+        keptIn,
+      });
+    };
+    const choice = choose() ??
+      (endpoints.length > 0 ? await this.#waitFor(choose) : undefined);
     if (choice === undefined) return undefined;
     return {
       endpoint: choice.endpoint,
-      work: { milliseconds: choice.workMilliseconds, late: false },
+      work: choice.work,
       options: {
         deadlineMilliseconds: this.#context.left,
         priority: Math.min(LOWEST_PRIORITY, route.rank),
@@ -144,6 +158,36 @@
     };
   }
 
+  /**
+   * Asks again until there is a choice, as long as the caller can still get a
+   * first byte. Load: every engine that decodes is down for some seconds. Harm
+   * prevented: callers are refused whose prompts are read and who would have
+   * been answered in time; nothing is sent in vain meanwhile.
+   */
+  async #waitFor<Choice>(
+    choose: () => Choice | undefined,
+  ): Promise<Choice | undefined> {
+    const { parts } = this.#context;
+    let choice: Choice | undefined;
+    while (choice === undefined && this.#mayStillWait) {
+      await new Promise<void>((resolve) => {
+        parts.timer.after(LOOK_AGAIN_MILLISECONDS, resolve);
+      });
+      if (this.#context.settled) return undefined;
+      choice = choose();
+    }
+    return choice;
+  }
+
+  get #mayStillWait(): boolean {
+    const { allowedMilliseconds, leftToFirstByte, route } = this.#context;
+    const whole = Math.min(
+      allowedMilliseconds,
+      route.patienceMilliseconds ?? Infinity,
+    );
+    return leftToFirstByte > REFUSED_WITH_SHARE_LEFT * whole;
+  }
+
   async #send(plan: AttemptPlan): Promise<NextStep> {
     const { parts, request } = this.#context;
     const { endpoint } = plan;
@@ -157,6 +201,7 @@
     });
     const attempt = new Attempt(parts, { request, plan });
     this.#attempt = attempt;
+    const sentAt = parts.timer.now();
     const answer = await attempt.answer;
     if (this.#context.settled) return "delivered";
     if (answer.isErr()) {
@@ -167,12 +212,17 @@
       discard(answer.value, attempt);
       return this.#afterNotRun(endpoint.id);
     }
-    this.#handover.taken(endpoint);
+    if (plan.options.keptPrompt !== undefined) {
+      this.#handover.taken(endpoint, parts.timer.now() - sentAt);
+    }
     return await this.#deliver(answer.value, attempt);
   }
 
   #afterFailure(name: string): NextStep {
     if (name === "exchange_not_sent") {
+      // Nothing has left: it is no send, however often it happens. How often
+      // an endpoint is asked that takes no connection is limited elsewhere.
+      this.#context.sends -= 1;
       this.#mayRun = this.#runs > 0;
       const maySend = this.#context.mayResend(name, { counts: false });
       return maySend ? "again" : "refuse";
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -4,9 +4,10 @@
   EndpointRegistry,
   EngineEstimates,
   EnginePlacement,
+  EngineSlowness,
   type ForwardedRequest,
   type ForwardingConfiguration,
-  LateOverrun,
+  HeldPrompts,
   LinkQueue,
   LoadPicture,
   type OpenWork,
@@ -17,6 +18,7 @@
   ReturningCallers,
   RouteTable,
   type TopicSpan,
+  WorkRate,
 } from "../../core/forwarding/mod.ts";
 import type {
   AvailabilityZoneId,
@@ -29,6 +31,7 @@
 import type { CallerSink, EndpointDoor } from "./links.ts";
 import type { ObserveForwarding } from "./observer.ts";
 import type { ForwardingParts } from "./parts.ts";
+import { KeptPartsSurvey } from "./kept_parts_survey.ts";
 import { StateRelay, type StateRelayOptions } from "./state_relay.ts";
 import { RoleKeeper, type RoleLink } from "./role_keeper.ts";
 import {
@@ -49,6 +52,8 @@
   readonly sendToPeers: SendToPeers;
   readonly observe: ObserveForwarding;
   readonly logger: Logger;
+  /** True: the whole fleet starts for the first time; engines keep nothing. */
+  readonly isFirstStart: boolean;
   readonly retry: {
     readonly ratio: number;
     readonly windowMilliseconds: number;
@@ -99,6 +104,7 @@
   readonly #options: ForwardingEntryOptions;
   readonly #parts: ForwardingParts;
   readonly #roles: RoleKeeper | undefined;
+  readonly #survey: KeptPartsSurvey;
   readonly #startedAt: number;
   #routes: RouteTable | undefined;
   #stopping = false;
@@ -110,6 +116,7 @@
     const load = new LoadPicture(timer);
     const prefixes = new PrefixDirectory();
     const estimates = new EngineEstimates();
+    const slowness = new EngineSlowness(timer);
     const returning = new ReturningCallers(timer);
     const outcomes = new EndpointOutcomes(timer);
     const connections: EndpointMemory = {
@@ -120,12 +127,23 @@
     };
     this.registry = new EndpointRegistry({
       timer,
-      memories: [load, prefixes, outcomes, connections, orders],
+      memories: [load, prefixes, outcomes, slowness, connections, orders],
       onChange: (change, endpoint) => {
         options.logger.info({ change, ...endpoint }, "An endpoint changed");
         this.#roles?.engineChanged(endpoint);
+        if (change === "registered") this.#survey.engineSeen(endpoint);
       },
     });
+    this.#survey = new KeptPartsSurvey({
+      timer,
+      random,
+      logger: options.logger,
+      door: options.door,
+      prefixes,
+      configuration: () => this.configuration,
+      entries: () => this.entriesSharingLimits,
+      isNeeded: !options.isFirstStart,
+    });
     this.peers = new PeerExchange({
       ...options,
       registry: this.registry,
@@ -172,16 +190,20 @@
         prefixes,
         outcomes,
         estimates,
+        slowness,
         random,
       }),
       estimates,
+      slowness,
       allowance: new RetryAllowance({
         timer,
         ...options.retry,
         entries: () => this.entriesSharingLimits,
       }),
       returning,
-      lateOverrun: new LateOverrun(timer),
+      onTimeWork: new WorkRate(timer),
+      held: new HeldPrompts(timer),
+      entries: () => this.peers.knownEntries ?? 1,
       link: new LinkQueue(timer, options.linkMegabitsPerSecond),
       loopDelay: options.loopDelay,
       door: options.door,
--- a/src/entry/forwarding/forwarding_entry_test.ts
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -7,6 +7,7 @@
 } from "../../../test/support/forwarding_values.ts";
 import {
   EndpointOutcomes,
+  EngineSlowness,
   LoadPicture,
   PrefixDirectory,
   type RegisteredEndpoint,
@@ -52,6 +53,7 @@
         door: {
           send: () => ({ answer: new Promise(() => {}), abort() {} }),
           keptHandle: () => undefined,
+          listKept: () => Promise.resolve(undefined),
           release() {},
         },
         sendToPeers: (_, { method, params }) => {
@@ -62,6 +64,7 @@
         },
         observe() {},
         logger: SILENT_LOGGER,
+        isFirstStart: true,
         retry: { ratio: 0.2, windowMilliseconds: 10_000, minimum: 50 },
         relay: {
           peers: () => [],
@@ -90,6 +93,7 @@
   "open work": LoadPicture,
   "kept prompts": PrefixDirectory,
   outcomes: EndpointOutcomes,
+  slowness: EngineSlowness,
   orders: RoleKeeper,
 } as const;
 const FORGETTING_PARTS = [...Object.keys(FORGETTING), "connections"];
--- a/src/entry/forwarding/handover.ts
+++ b/src/entry/forwarding/handover.ts
@@ -33,6 +33,13 @@
     readonly facts: AdmissionFacts;
   };
 
+/** No engine became free while the caller could still be answered. */
+const ENGINES_FULL: HandoverOutcome = {
+  kind: "refused",
+  reason: "engines_full",
+  facts: {},
+};
+
 /**
  * The cache of one request's prompt on its way from the engine that reads to
  * the one that decodes; it is freed on every way out.
@@ -74,7 +81,12 @@
         engines: endpoints,
       });
       if (admitted.kind === "refused") return admitted;
-      const outcome = await this.#read(prompt, admitted);
+      const late = admitted.kind === "held";
+      const choice = late
+        ? await this.#context.parts.held.hold(admitted.prompt)
+        : admitted.choice;
+      if (choice === undefined) return ENGINES_FULL;
+      const outcome = await this.#read(prompt, { choice, late });
       if (outcome.kind === "kept") return outcome;
       this.#prefills += 1;
       this.#context.turnedAwayBy(outcome.engine);
@@ -101,11 +113,17 @@
     if (this.#offers >= MOST_OFFERS) this.release();
   }
 
-  /** An engine has taken the cache over, and keeps its parts as its own. */
-  taken({ id, startedAt }: RegisteredEndpoint): void {
+  /**
+   * An engine has taken the cache over and keeps its parts as its own; its
+   * first byte came so long after it was asked.
+   */
+  taken({ id, startedAt }: RegisteredEndpoint, milliseconds: number): void {
     if (this.#kept === undefined) return;
     this.#kept = undefined;
     const { parts, pool, request } = this.#context;
+    if (request.prompt !== undefined) {
+      parts.placement.handedOver(request.prompt, pool, milliseconds);
+    }
     parts.prefixes.read({
       engine: id,
       engineStartedAt: startedAt,
@@ -122,6 +140,23 @@
     this.#context.parts.door.release(kept.address, kept.handle);
   }
 
+  /** An engine that turns a prompt away at once says nothing of its speed. */
+  #learnSlowness(
+    choice: PrefillChoice,
+    { outcome, took }: {
+      readonly outcome: PrefillOutcome;
+      readonly took: number;
+    },
+  ): void {
+    const { backlogMilliseconds, endpoint, slowness, workMilliseconds } =
+      choice;
+    const predicted = (backlogMilliseconds + workMilliseconds) / slowness;
+    if (outcome.kind === "failed" && took < predicted) return;
+    const { parts } = this.#context;
+    if (!parts.registry.isSameRun(endpoint)) return;
+    parts.slowness.took(endpoint.id, { milliseconds: took, predicted });
+  }
+
   /** Only a reading that waited for nothing tells of the engines' speed. */
   #learnSpeed(prompt: Prompt, choice: PrefillChoice, took: number): void {
     const { fetchFrom, keptTokens, openRequests } = choice;
@@ -147,7 +182,6 @@
       waitedMilliseconds: Math.round(waitedMilliseconds),
       leftMilliseconds: Math.round(this.#context.leftToFirstByte),
       backlogMilliseconds: Math.round(choice.backlogMilliseconds),
-      wholeBacklogMilliseconds: Math.round(choice.wholeBacklogMilliseconds),
       workMilliseconds: Math.round(choice.workMilliseconds),
       keptTokens: choice.keptTokens,
       fetchFrom: choice.fetchFrom?.id,
@@ -158,17 +192,12 @@
       prompt,
       pool,
       choice,
-      late,
       priority: late ? LATE_PRIORITY : route.rank,
       deadlineMilliseconds: this.#context.leftToFirstByte,
       onAttempt: this.#onAttempt,
     });
     const took = parts.timer.now() - sent;
-    const predicted = choice.wholeBacklogMilliseconds +
-      choice.workMilliseconds;
-    // An engine that turns a prompt away at once says nothing of its speed.
-    const tells = outcome.kind === "kept" || took > predicted;
-    if (late && tells) parts.lateOverrun.took(took, predicted);
+    this.#learnSlowness(choice, { outcome, took });
     if (outcome.kind === "failed") {
       // Only a prompt's first accepted reading is free of the allowance.
       parts.allowance.note(pool.name);
--- /dev/null
+++ b/src/entry/forwarding/kept_parts_survey.ts
@@ -0,0 +1,85 @@
+import type {
+  ForwardingConfiguration,
+  PrefixDirectory,
+  RegisteredEndpoint,
+} from "../../core/forwarding/mod.ts";
+import type { EndpointId } from "../../core/identity/mod.ts";
+import type { Logger } from "../../core/observation/mod.ts";
+import type { Random } from "../../core/random/mod.ts";
+import type { TimerService } from "../../core/time/mod.ts";
+import type { EndpointDoor } from "./links.ts";
+
+/**
+ * How long after its start an entry asks engines for what they keep. Later an
+ * engine that appears has just been started and keeps nothing.
+ */
+const SURVEY_MILLISECONDS = 4_000;
+/** Spread of the questions, so that a fleet that starts does not ask as one. */
+const SPREAD_MILLISECONDS = 50;
+/**
+ * Entries of a fleet that ask the same engine. Each question delays the
+ * engine's work and costs a call; in larger fleets those that did not ask learn
+ * from what the others read. Limit: a fleet of up to eight learns everything
+ * at once, one of four hundred asks an engine eight times and not four hundred.
+ */
+const ASKING_ENTRIES = 8;
+
+export interface KeptPartsSurveyOptions {
+  readonly timer: TimerService;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly door: Pick<EndpointDoor, "listKept">;
+  readonly prefixes: PrefixDirectory;
+  readonly configuration: () => ForwardingConfiguration | undefined;
+  /** Entries of the fleet, this one included. */
+  readonly entries: () => number;
+  /** False: the engines have been started with the fleet and keep nothing. */
+  readonly isNeeded: boolean;
+}
+
+/**
+ * Asks engines which parts of prompts they keep, once, while this entry is
+ * young. Load: all entries are killed at once and start again while callers go
+ * on asking. Harm prevented: nobody knows which engine keeps what, prompts go
+ * to engines that have to read the shared parts again, and the seconds after a
+ * restart are lost to it.
+ */
+export class KeptPartsSurvey {
+  readonly #options: KeptPartsSurveyOptions;
+  readonly #startedAt: number;
+  readonly #asked = new Set<EndpointId>();
+
+  constructor(options: KeptPartsSurveyOptions) {
+    this.#options = options;
+    this.#startedAt = options.timer.now();
+  }
+
+  /** An engine has become known. */
+  engineSeen(engine: RegisteredEndpoint): void {
+    const { isNeeded, random, timer } = this.#options;
+    const age = timer.now() - this.#startedAt;
+    const isDue = isNeeded && engine.role !== undefined && !engine.leaving &&
+      age <= SURVEY_MILLISECONDS && !this.#asked.has(engine.id);
+    if (!isDue) return;
+    this.#asked.add(engine.id);
+    timer.after(SPREAD_MILLISECONDS * random(), () => void this.#ask(engine));
+  }
+
+  async #ask(engine: RegisteredEndpoint): Promise<void> {
+    const { door, entries, logger, prefixes, random } = this.#options;
+    if (random() >= ASKING_ENTRIES / entries()) return;
+    const parts = await door.listKept(engine);
+    const memoryTokens = this.#memoryOf(engine);
+    if (parts === undefined || memoryTokens === undefined) return;
+    prefixes.peerRead({ engine: engine.id, parts, memoryTokens });
+    logger.info(
+      { endpoint: engine.id, parts: parts.length },
+      "An engine told what it keeps",
+    );
+  }
+
+  #memoryOf({ pool }: RegisteredEndpoint): number | undefined {
+    return this.#options.configuration()?.pools.get(pool)?.engine
+      ?.memoryTokens;
+  }
+}
--- /dev/null
+++ b/src/entry/forwarding/kept_parts_survey_test.ts
@@ -0,0 +1,104 @@
+import { expect } from "chai";
+import {
+  makeConfiguration,
+  makeEndpoint,
+  makeEngine,
+} from "../../../test/support/forwarding_values.ts";
+import { PrefixDirectory, type PromptPart } from "../../core/forwarding/mod.ts";
+import { SILENT_LOGGER } from "../../core/observation/mod.ts";
+import { seededRandom } from "../../core/random/mod.ts";
+import { ManualTimerService } from "../../core/time/mod.ts";
+import { KeptPartsSurvey } from "./kept_parts_survey.ts";
+
+const PARTS: readonly PromptPart[] = [{ id: "catalogue", tokens: 6_000 }];
+
+describe("KeptPartsSurvey", () => {
+  const engine = makeEngine("reader", "prefill");
+  let timer: ManualTimerService;
+  let prefixes: PrefixDirectory;
+  let asked: string[];
+
+  function makeSurvey(
+    { entries = 4, isNeeded = true, answers = true } = {},
+  ): KeptPartsSurvey {
+    return new KeptPartsSurvey({
+      timer,
+      random: seededRandom(77),
+      logger: SILENT_LOGGER,
+      door: {
+        listKept: ({ id }) => {
+          asked.push(id);
+          return Promise.resolve(answers ? PARTS : undefined);
+        },
+      },
+      prefixes,
+      configuration: () => makeConfiguration(),
+      entries: () => entries,
+      isNeeded,
+    });
+  }
+
+  beforeEach(() => {
+    timer = new ManualTimerService();
+    prefixes = new PrefixDirectory();
+    asked = [];
+  });
+
+  // All entries are killed at once and start again. Without the engines' lists
+  // every prompt goes to an engine that has to read its shared parts again.
+  it("learns what an engine keeps when the entry has been restarted", async () => {
+    const survey = makeSurvey();
+    survey.engineSeen(engine);
+    survey.engineSeen(engine);
+    await timer.advance(100);
+    expect(asked).to.deep.equal(["reader"]);
+    expect(prefixes.keptTokens(engine.id, PARTS)).to.equal(6_000);
+  });
+
+  it("asks nobody where the engines have just been started as well", async () => {
+    makeSurvey({ isNeeded: false }).engineSeen(engine);
+    await timer.advance(100);
+    expect(asked).to.deep.equal([]);
+  });
+
+  it("asks no engine that appears later, and no plain service", async () => {
+    const survey = makeSurvey();
+    survey.engineSeen(makeEndpoint("portal"));
+    await timer.advance(5_000);
+    survey.engineSeen(engine);
+    await timer.advance(100);
+    expect(asked).to.deep.equal([]);
+  });
+
+  it("goes on without an answer", async () => {
+    makeSurvey({ answers: false }).engineSeen(engine);
+    await timer.advance(100);
+    expect(prefixes.keptTokens(engine.id, PARTS)).to.equal(0);
+  });
+
+  // Four hundred entries start again at once. Asked by each of them, an engine
+  // does nothing else for as long.
+  it("asks an engine from few entries of a large fleet", async () => {
+    for (let entry = 0; entry < 400; entry++) {
+      const random = seededRandom(1_000 + 7_919 * entry);
+      const survey = new KeptPartsSurvey({
+        timer,
+        random,
+        logger: SILENT_LOGGER,
+        door: {
+          listKept: ({ id }) => {
+            asked.push(id);
+            return Promise.resolve(PARTS);
+          },
+        },
+        prefixes,
+        configuration: () => makeConfiguration(),
+        entries: () => 400,
+        isNeeded: true,
+      });
+      survey.engineSeen(engine);
+    }
+    await timer.advance(100);
+    expect(asked.length).to.be.within(1, 25);
+  });
+});
--- a/src/entry/forwarding/links.ts
+++ b/src/entry/forwarding/links.ts
@@ -5,6 +5,8 @@
   AnswerHead,
   AttemptOptions,
   ForwardedRequest,
+  PromptPart,
+  RegisteredEndpoint,
 } from "../../core/forwarding/mod.ts";
 
 /**
@@ -45,6 +47,10 @@
   ): Exchange;
   /** Reads the handle of a kept prompt out of the answer to a prefill. */
   keptHandle(body: Buffer): string | undefined;
+  /** The parts of prompts that an engine keeps; undefined: it did not tell. */
+  listKept(
+    engine: Pick<RegisteredEndpoint, "id" | "address">,
+  ): Promise<readonly PromptPart[] | undefined>;
   /** Frees a kept prompt that nobody will take. */
   release(address: string, handle: string): void;
 }
--- a/src/entry/forwarding/mod.ts
+++ b/src/entry/forwarding/mod.ts
@@ -10,4 +10,5 @@
 } from "./forwarding_entry.ts";
 export { PeerExchange } from "./peer_exchange.ts";
 export type { OrderOutcome, RoleLink } from "./role_keeper.ts";
+export { readWhole } from "./whole_body.ts";
 export { FORWARDING_STATE, StateRelay } from "./state_relay.ts";
--- a/src/entry/forwarding/parts.ts
+++ b/src/entry/forwarding/parts.ts
@@ -4,13 +4,16 @@
   EndpointRegistry,
   EngineEstimates,
   EnginePlacement,
-  LateOverrun,
+  EngineSlowness,
+  HeldPrompts,
   LinkQueue,
   LoadPicture,
+  PrefillChoice,
   PrefixDirectory,
   RetryAllowance,
   ReturningCallers,
   RouteTable,
+  WorkRate,
 } from "../../core/forwarding/mod.ts";
 import type {
   AvailabilityZoneId,
@@ -31,9 +34,15 @@
   readonly outcomes: EndpointOutcomes;
   readonly placement: EnginePlacement;
   readonly estimates: EngineEstimates;
+  readonly slowness: EngineSlowness;
   readonly allowance: RetryAllowance;
   readonly returning: ReturningCallers;
-  readonly lateOverrun: LateOverrun;
+  /** Readings that this entry has begun for answers on time. */
+  readonly onTimeWork: WorkRate;
+  /** Prompts that wait here for an engine. */
+  readonly held: HeldPrompts<PrefillChoice>;
+  /** Entries of the fleet, this one included. */
+  readonly entries: () => number;
   /** The link over which this entry sends. */
   readonly link: LinkQueue;
   /** How late this process is in taking up what comes, milliseconds. */
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -206,8 +206,8 @@
     .filter(([endpoint, , , , startedAt]) =>
       registry.isSameRun({ id: identifier<EndpointId>(endpoint), startedAt })
     )
-    .map(([endpoint, requests, prefill, late]) =>
-      [endpoint, requests, prefill, late] as const
+    .map(([endpoint, requests, prefill, tokens]) =>
+      [endpoint, requests, prefill, tokens] as const
     );
 }
 
--- a/src/entry/forwarding/prefill_step.ts
+++ b/src/entry/forwarding/prefill_step.ts
@@ -8,8 +8,8 @@
 import type { EndpointId } from "../../core/identity/mod.ts";
 import { beforeDeadline } from "../../core/time/mod.ts";
 import { Attempt } from "./attempt.ts";
-import type { EndpointAnswer } from "./links.ts";
 import type { ForwardingParts } from "./parts.ts";
+import { readWhole } from "./whole_body.ts";
 
 /**
  * How much longer than predicted an engine may take to read a prompt before
@@ -41,8 +41,6 @@
   readonly prompt: Prompt;
   readonly pool: Pool;
   readonly choice: PrefillChoice;
-  /** True: read behind everything that can be on time. */
-  readonly late: boolean;
   readonly priority: number;
   readonly deadlineMilliseconds: number;
   /** Takes the attempt, so that it can be aborted from outside. */
@@ -62,7 +60,10 @@
     request,
     plan: {
       endpoint,
-      work: { milliseconds: choice.workMilliseconds, late: options.late },
+      work: {
+        milliseconds: choice.workMilliseconds,
+        tokens: prompt.inputTokens,
+      },
       options: {
         deadlineMilliseconds,
         priority: options.priority,
@@ -72,10 +73,8 @@
     },
   });
   options.onAttempt(attempt);
-  const predicted = choice.wholeBacklogMilliseconds + choice.workMilliseconds;
-  // What is late anyhow is overtaken by everything else: its silence says
-  // nothing about the engine.
-  const patience = options.late ? deadlineMilliseconds : Math.min(
+  const predicted = choice.backlogMilliseconds + choice.workMilliseconds;
+  const patience = Math.min(
     deadlineMilliseconds,
     Math.max(LEAST_PATIENCE_MILLISECONDS, PATIENCE_TO_PREDICTION * predicted),
   );
@@ -120,23 +119,9 @@
   const answer = await attempt.answer;
   if (answer.isErr()) return { handle: undefined, reason: answer.error.name };
   const { head } = answer.value;
-  const body = await readSmallBody(answer.value);
+  const body = await readWhole(answer.value, MOST_ANSWER_BYTES);
   attempt.ended(body === undefined ? "cut" : "whole", head.status);
   if (body === undefined) return { handle: undefined, reason: "cut" };
   const handle = head.status === 200 ? parts.door.keptHandle(body) : undefined;
   return { handle, reason: `status ${head.status}` };
 }
-
-function readSmallBody(answer: EndpointAnswer): Promise<Buffer | undefined> {
-  const pieces: Buffer[] = [];
-  let size = 0;
-  return new Promise((resolve) => {
-    answer.read((piece) => {
-      size += piece.length;
-      if (size <= MOST_ANSWER_BYTES) pieces.push(piece);
-    }, (end) => {
-      const isUsable = end === "whole" && size <= MOST_ANSWER_BYTES;
-      resolve(isUsable ? Buffer.concat(pieces) : undefined);
-    });
-  });
-}
--- a/src/entry/forwarding/prompt_admission.ts
+++ b/src/entry/forwarding/prompt_admission.ts
@@ -1,5 +1,7 @@
 import {
+  type HeldPrompt,
   judgeAdmission,
+  LEFT_SHARE,
   type PrefillChoice,
   type Prompt,
   type RegisteredEndpoint,
@@ -7,27 +9,13 @@
 import { HEAD_BYTES } from "./attempt.ts";
 import type { ForwardContext } from "./forward_context.ts";
 
-/**
- * Share of the allowance that has to be left for a late prompt to be sent.
- * Harm prevented: those that are overtaken until their deadline are rejected,
- * each counts as a repeat, and nothing is left for requests whose engine
- * failed. Limit: 8 of the 27 repeats that an entry of five has on a calm day;
- * as a number it left an entry of 24 nothing for its first seconds.
- */
-const LATE_ALLOWANCE_SHARE = 0.3;
 /** A long prompt goes to the engine that reads and to the one that decodes. */
 const SENDS_OF_A_PROMPT = 2;
 /** The request's arrival and the head of either engine's answer. */
 const LOOP_TURNS_OF_A_PROMPT = 3;
 
-/**
- * Why a prompt is not sent to any engine. `repeats_used_up`: it would have
- * been late, and a rejection could not be made up for.
- */
-export type AdmissionRefusal =
-  | "engines_full"
-  | "entry_full"
-  | "repeats_used_up";
+/** Why a prompt is not sent to any engine. */
+export type AdmissionRefusal = "engines_full" | "entry_full";
 
 /** What decided, for the log. */
 export type AdmissionFacts = Readonly<Record<string, number | undefined>>;
@@ -37,7 +25,11 @@
   | {
     readonly kind: "admitted";
     readonly choice: PrefillChoice;
-    readonly late: boolean;
+  }
+  | {
+    /** Late anyhow; it waits until an engine is nearly idle. */
+    readonly kind: "held";
+    readonly prompt: HeldPrompt<PrefillChoice>;
   }
   | {
     readonly kind: "refused";
@@ -54,55 +46,101 @@
   },
 ): PromptAdmission {
   const { parts, pool, route, waitedMilliseconds } = context;
-  const { lateOverrun, placement } = parts;
   const among = { engines: context.untried(asked.engines), pool };
-  const soonest = placement.choosePrefill(asked.prompt, among);
-  const later = placement.chooseLatePrefill(asked.prompt, among);
+  const soonest = parts.placement.choosePrefill(asked.prompt, among);
+  const held = holdable(context, asked.prompt, soonest);
+  const onTimeMilliseconds = soonest === undefined
+    ? Infinity
+    : soonest.backlogMilliseconds + soonest.workMilliseconds;
   const question = {
-    onTimeMilliseconds: soonest === undefined
-      ? Infinity
-      : soonest.backlogMilliseconds + soonest.workMilliseconds,
-    lateMilliseconds: later === undefined ? Infinity : lateOverrun.factor *
-      (later.wholeBacklogMilliseconds + later.workMilliseconds),
+    onTimeMilliseconds,
+    lateMilliseconds: onTimeMilliseconds +
+      heldMilliseconds(context, { held, engines: among.engines }),
+    handoverMilliseconds: parts.placement.handoverMilliseconds(
+      asked.prompt,
+      pool,
+    ),
     entryMilliseconds: entryMilliseconds(context),
     elapsedMilliseconds: waitedMilliseconds + context.elapsed,
     targetMilliseconds: route.targetMilliseconds,
     leftMilliseconds: context.leftToFirstByte,
   };
-  const refused = (reason: AdmissionRefusal): PromptAdmission => ({
-    kind: "refused",
-    reason,
-    facts: {
-      ...rounded(question),
-      lateOverrun: Number(lateOverrun.factor.toFixed(1)),
-      repeatsLeft: Math.floor(parts.allowance.left(pool.name)),
-    },
-  });
   const admission = judgeAdmission(question);
   if (admission === "on_time" && soonest !== undefined) {
-    return { kind: "admitted", choice: soonest, late: false };
+    parts.onTimeWork.begun(soonest.workMilliseconds);
+    return { kind: "admitted", choice: soonest };
   }
-  if (admission === "entry_full") return refused("entry_full");
-  if (admission !== "late" || later === undefined) {
-    return refused("engines_full");
-  }
-  return hasRepeatsForLate(context)
-    ? { kind: "admitted", choice: later, late: true }
-    : refused("repeats_used_up");
+  if (admission === "late") return { kind: "held", prompt: held };
+  return {
+    kind: "refused",
+    reason: admission === "entry_full" ? "entry_full" : "engines_full",
+    facts: rounded(question),
+  };
+}
+
+/** The prompt as it waits here for an engine that is nearly idle. */
+function holdable(
+  context: ForwardContext,
+  prompt: Prompt,
+  soonest: PrefillChoice | undefined,
+): HeldPrompt<PrefillChoice> {
+  const { parts, pool, route } = context;
+  const workMilliseconds = soonest?.workMilliseconds ?? 0;
+  return {
+    rank: route.rank,
+    expiresAt: parts.timer.now() + LEFT_SHARE * context.leftToFirstByte -
+      workMilliseconds,
+    workMilliseconds,
+    choose: () =>
+      parts.placement.chooseIdlePrefill(prompt, {
+        engines: context.untried(context.endpoints()),
+        pool,
+      }),
+    isOver: () => context.settled,
+  };
 }
 
-/** Time that this entry's link and processor add to the answer. */
+/**
+ * Share of the reading engines that is taken to be left for held prompts at
+ * the least; what can be on time goes before them.
+ */
+const LEAST_LEFT_SHARE = 0.05;
+
+/**
+ * How long the prompt would be held. What is held before it waits for the
+ * engines that on-time work leaves free; other entries are taken to have as
+ * much of both as this one. Without it callers are held in an overload until
+ * their time runs out, and only then refused.
+ */
+function heldMilliseconds(
+  { parts }: ForwardContext,
+  options: {
+    readonly held: HeldPrompt<PrefillChoice>;
+    readonly engines: readonly RegisteredEndpoint[];
+  },
+): number {
+  const { held, engines } = options;
+  const readers = engines.filter(({ role }) => role === "prefill").length;
+  const entries = parts.entries();
+  const free = Math.max(
+    LEAST_LEFT_SHARE * readers,
+    readers - entries * parts.onTimeWork.busyEngines,
+  );
+  return entries * parts.held.workAhead(held) /
+    Math.max(LEAST_LEFT_SHARE, free);
+}
+
+/**
+ * Time that this entry's link and processor add to the answer. What is held
+ * here has yet to cross the link; it is taken to be as long as this request.
+ */
 function entryMilliseconds({ parts, request }: ForwardContext): number {
   const bytes = SENDS_OF_A_PROMPT * (request.body.length + HEAD_BYTES);
-  return parts.link.waitMilliseconds + parts.link.carryMilliseconds(bytes) +
+  const carried = (1 + parts.held.count) * parts.link.carryMilliseconds(bytes);
+  return parts.link.waitMilliseconds + carried +
     LOOP_TURNS_OF_A_PROMPT * parts.loopDelay();
 }
 
-function hasRepeatsForLate({ parts, pool }: ForwardContext): boolean {
-  const needed = LATE_ALLOWANCE_SHARE * parts.allowance.allowed(pool.name);
-  return parts.allowance.left(pool.name) >= Math.max(1, needed);
-}
-
 /** Whole numbers; what is infinite is left out. */
 function rounded(facts: Readonly<Record<string, number>>): AdmissionFacts {
   return Object.fromEntries(
