--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -52,5 +52,6 @@
 export { LinkQueue } from "./link_queue.ts";
 export { LateOverrun } from "./late_overrun.ts";
 export { planRoles, type RoleChange } from "./role_plan.ts";
+export { RoleDemand } from "./role_demand.ts";
 export { RoleClaim, type StandingClaim } from "./role_claim.ts";
 export { ReturningCallers, type ToldRefusal } from "./returning_callers.ts";
