--- a/src/entry/entry_core.ts
+++ b/src/entry/entry_core.ts
@@ -146,7 +146,7 @@
       availabilityZone: options.availabilityZone,
       log: this.#log,
       neighbours: this.#neighbours,
-      catalog: () => this.#inForce?.catalog,
+      inForce: () => this.#inForce,
     });
     this.#intake = this.#makeIntake();
     this.#planner = this.#makePlanner();
@@ -203,7 +203,7 @@
 
   /** Version of the configuration that this entry follows; 0 for none. */
   get configurationVersion(): number {
-    return this.#log.configuration.appliedVersion;
+    return this.#inForce?.version ?? 0;
   }
 
   /** For what the embedder feeds in besides: loop delay, cache events. */
@@ -276,7 +276,9 @@
     if (inventory === undefined || rules === undefined) return;
     if (this.#inForce?.catalog.inventory === inventory) return;
     if (this.#isStillReadingIn()) return;
-    this.#inForce = inForceOf(new Catalog(inventory), rules);
+    this.#inForce = inForceOf(new Catalog(inventory), rules, {
+      version: appliedVersion,
+    });
     this.#subset = chooseEndpoints(inventory, {
       entry: this.#options.name,
       availabilityZone: this.#options.availabilityZone,
--- a/src/entry/intake.ts
+++ b/src/entry/intake.ts
@@ -18,13 +18,18 @@
 
 /** Inventory and rules that requests are served by. */
 export interface InForce {
+  readonly version: number;
   readonly catalog: Catalog;
   readonly rules: Rules;
   readonly compiled: CompiledRules;
 }
 
-export function inForceOf(catalog: Catalog, rules: Rules): InForce {
-  return { catalog, rules, compiled: new CompiledRules(rules) };
+export function inForceOf(
+  catalog: Catalog,
+  rules: Rules,
+  { version }: { readonly version: number },
+): InForce {
+  return { version, catalog, rules, compiled: new CompiledRules(rules) };
 }
 
 /** A caller's hold on its request. */
--- a/src/entry/relay.ts
+++ b/src/entry/relay.ts
@@ -19,9 +19,19 @@
   readonly availabilityZone: string;
   readonly log: RegionLog;
   readonly neighbours: Neighbours;
-  readonly catalog: () => Catalog | undefined;
+  /** The inventory in force and its version; undefined while none is. */
+  readonly inForce: () => RelayedConfiguration | undefined;
 }
 
+/** What sides are told of: an inventory and the version that it belongs to. */
+export interface RelayedConfiguration {
+  readonly catalog: Catalog;
+  readonly version: number;
+}
+
+/** Version that is told while no configuration is in force. */
+const NO_VERSION = 0;
+
 /**
  * Relays what is in force from the log to the sides that are attached to this
  * entry. Load: 12,000 sides. Harm prevented: each of them reading the log, which
@@ -74,14 +84,20 @@
     orders.noteHead(report.ordersRead + 1);
   }
 
+  /**
+   * Version and endpoint come from the same inventory. The log may have applied
+   * a version that is not in force here yet: a side that is told it without its
+   * endpoint takes itself for withdrawn and gets no work until the next one.
+   */
   #answerFor(endpoint: string): WatchAnswer {
-    const { log, neighbours, catalog, availabilityZone } = this.#options;
-    const inventoried = catalog()?.endpoint(identifier(endpoint));
+    const { availabilityZone, inForce, log, neighbours } = this.#options;
+    const { catalog, version = NO_VERSION } = inForce() ?? {};
+    const inventoried = catalog?.endpoint(identifier(endpoint));
     const zone = inventoried?.availabilityZone ?? availabilityZone;
     const order = this.#orderFor(endpoint);
     const configuration = this.#configurationOf(identifier(endpoint));
     return {
-      configurationVersion: log.configuration.appliedVersion,
+      configurationVersion: version,
       ordersRead: log.journals.orders.position,
       entries: neighbours.entriesFor(endpoint, zone),
       ...(order && { order }),
@@ -91,15 +107,15 @@
 
   /** A withdrawn endpoint gets nothing, not even orders. */
   #orderFor(endpoint: string): StandingOrder | undefined {
-    const { log, catalog } = this.#options;
-    const state = catalog()?.endpoint(identifier(endpoint))?.state;
+    const { inForce, log } = this.#options;
+    const state = inForce()?.catalog.endpoint(identifier(endpoint))?.state;
     if (state === "withdrawn") return undefined;
     const standing = log.orders.standingOrder(endpoint);
     return this.#takenOrders.answerWith(endpoint, standing);
   }
 
   #configurationOf(id: EndpointId): EndpointConfiguration | undefined {
-    const catalog = this.#options.catalog();
+    const catalog = this.#options.inForce()?.catalog;
     const inventoried = catalog?.endpoint(id);
     if (inventoried === undefined) return undefined;
     const engine = catalog?.engineOf(id);
