--- a/src/entry/forwarding/forward_run.ts
+++ b/src/entry/forwarding/forward_run.ts
@@ -132,7 +132,8 @@
       this.#refuse(handover.reason, handover.facts);
       return undefined;
     }
-    const keptIn = endpoints.find((each) => each.id === handover?.kept.engine)
+    const kept = handover?.kind === "kept" ? handover.kept : undefined;
+    const keptIn = endpoints.find((each) => each.id === kept?.engine)
       ?.availabilityZone;
     const choose = () => {
       // The engines may have changed while the prompt was read.
@@ -143,7 +144,8 @@
         keptIn,
       });
     };
-    const choice = choose() ??
+    const isInline = handover?.kind === "inline";
+    const choice = (isInline ? handover.choice : choose()) ??
       (endpoints.length > 0 ? await this.#waitFor(choose) : undefined);
     if (choice === undefined) return undefined;
     return {
@@ -152,7 +154,7 @@
       options: {
         deadlineMilliseconds: this.#context.left,
         priority: Math.min(LOWEST_PRIORITY, route.rank),
-        keptPrompt: handover?.kept,
+        keptPrompt: kept,
         lastEventId: this.#resumeFrom(),
       },
     };
--- a/src/entry/forwarding/handover.ts
+++ b/src/entry/forwarding/handover.ts
@@ -1,4 +1,5 @@
 import type {
+  InlineChoice,
   KeptPrompt,
   PrefillChoice,
   Prompt,
@@ -26,6 +27,11 @@
 /** What became of a hand-over. */
 export type HandoverOutcome =
   | { readonly kind: "kept"; readonly kept: KeptPrompt }
+  | {
+    /** No hand-over: the engine that answers reads the prompt as well. */
+    readonly kind: "inline";
+    readonly choice: InlineChoice;
+  }
   | {
     readonly kind: "refused";
     readonly reason: AdmissionRefusal | "prompt_not_read";
@@ -80,7 +86,9 @@
         prompt,
         engines: endpoints,
       });
-      if (admitted.kind === "refused") return admitted;
+      if (admitted.kind === "refused" || admitted.kind === "inline") {
+        return admitted;
+      }
       const late = admitted.kind === "held";
       const choice = late
         ? await this.#context.parts.held.hold(admitted.prompt)
