--- a/src/core/forwarding/engine_placement.ts
+++ b/src/core/forwarding/engine_placement.ts
@@ -87,14 +87,6 @@
  */
 const MOST_TAKEN_MEMORY = 0.9;
 
-/**
- * Share of its slots up to which an engine that decodes may read long prompts
- * as well. Load: a burst that the engines which only read can't take in time,
- * while those that decode are all but idle. Harm prevented: its streams pause
- * while it reads, so that one with many streams is spared.
- */
-const FEW_TAKEN_SLOTS = 0.2;
-
 /** Where a prompt is to be read. */
 export interface PrefillChoice {
   readonly endpoint: RegisteredEndpoint;
@@ -117,12 +109,6 @@
   readonly work: PromptWork;
 }
 
-/** Where a prompt is read by the engine that answers it. */
-export interface InlineChoice extends DecodeChoice {
-  /** Time until it is read. */
-  readonly predictedMilliseconds: number;
-}
-
 /** Engines of one pool that a prompt may go to. */
 export interface PrefillCandidates {
   readonly engines: readonly RegisteredEndpoint[];
@@ -281,7 +267,7 @@
       readonly keptIn?: AvailabilityZoneId;
     },
   ): DecodeChoice | undefined {
-    const { load, outcomes, random } = this.#options;
+    const { estimates, load, outcomes, prefixes, random } = this.#options;
     const { keptIn, pool, prompt } = options;
     const makers = engines.filter((engine) => engine.role !== "prefill");
     const tokens = prompt.inputTokens + prompt.mostOutputTokens;
@@ -298,58 +284,18 @@
       best = endpoint;
     }
     if (best === undefined) return undefined;
-    const milliseconds = keptIn === undefined
-      ? this.#inlineMilliseconds(best, { prompt, pool })
-      : 0;
-    return { endpoint: best, work: { milliseconds, tokens } };
-  }
-
-  /**
-   * The decoding engine that reads the prompt soonest itself, of those that
-   * have few requests open.
-   */
-  chooseInline(
-    engines: readonly RegisteredEndpoint[],
-    options: { readonly prompt: Prompt; readonly pool: Pool },
-  ): InlineChoice | undefined {
-    const { estimates, load, outcomes } = this.#options;
-    const { pool, prompt } = options;
-    const makers = engines.filter((engine) => engine.role !== "prefill");
-    const tokens = prompt.inputTokens + prompt.mostOutputTokens;
-    const { callMilliseconds } = estimates.of(pool.name).reading.costs;
-    let best: InlineChoice | undefined;
-    for (const endpoint of outcomes.wellAmong(makers)) {
-      const open = load.total(endpoint.id);
-      const isIdle = open.requests < FEW_TAKEN_SLOTS * endpoint.slots &&
-        hasRoom(endpoint, { load, pool, tokens });
-      if (!isIdle) continue;
-      const milliseconds = this.#inlineMilliseconds(endpoint, options);
-      const predictedMilliseconds = callMilliseconds +
-        open.prefillMilliseconds + milliseconds;
-      const isSooner = predictedMilliseconds <
-        (best?.predictedMilliseconds ?? Infinity);
-      if (!isSooner) continue;
-      best = {
-        endpoint,
-        work: { milliseconds, tokens },
-        predictedMilliseconds,
-      };
-    }
-    return best;
-  }
-
-  /** Time in which an engine that decodes reads the prompt. */
-  #inlineMilliseconds(
-    { id }: RegisteredEndpoint,
-    { pool, prompt }: { readonly pool: Pool; readonly prompt: Prompt },
-  ): number {
-    const { estimates, prefixes } = this.#options;
-    const keptTokens = prefixes.keptTokens(id, prompt.parts);
-    return DECODE_ENGINE_SLOWDOWN *
-      estimates.of(pool.name).reading.freshMilliseconds(
-        prompt.inputTokens,
-        keptTokens,
-      );
+    const keptTokens = prefixes.keptTokens(best.id, prompt.parts);
+    return {
+      endpoint: best,
+      work: {
+        milliseconds: keptIn !== undefined ? 0 : DECODE_ENGINE_SLOWDOWN *
+          estimates.of(pool.name).reading.freshMilliseconds(
+            prompt.inputTokens,
+            keptTokens,
+          ),
+        tokens,
+      },
+    };
   }
 }
 
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -41,7 +41,7 @@
   TopicReader,
   type TopicSpan,
 } from "./topic_reader.ts";
-export type { InlineChoice, PrefillChoice } from "./engine_placement.ts";
+export type { PrefillChoice } from "./engine_placement.ts";
 export {
   type Admission,
   type AdmissionQuestion,
--- a/src/entry/forwarding/forward_run.ts
+++ b/src/entry/forwarding/forward_run.ts
@@ -132,8 +132,7 @@
       this.#refuse(handover.reason, handover.facts);
       return undefined;
     }
-    const kept = handover?.kind === "kept" ? handover.kept : undefined;
-    const keptIn = endpoints.find((each) => each.id === kept?.engine)
+    const keptIn = endpoints.find((each) => each.id === handover?.kept.engine)
       ?.availabilityZone;
     const choose = () => {
       // The engines may have changed while the prompt was read.
@@ -144,8 +143,7 @@
         keptIn,
       });
     };
-    const isInline = handover?.kind === "inline";
-    const choice = (isInline ? handover.choice : choose()) ??
+    const choice = choose() ??
       (endpoints.length > 0 ? await this.#waitFor(choose) : undefined);
     if (choice === undefined) return undefined;
     return {
@@ -154,7 +152,7 @@
       options: {
         deadlineMilliseconds: this.#context.left,
         priority: Math.min(LOWEST_PRIORITY, route.rank),
-        keptPrompt: kept,
+        keptPrompt: handover?.kept,
         lastEventId: this.#resumeFrom(),
       },
     };
--- a/src/entry/forwarding/forward_run_test.ts
+++ b/src/entry/forwarding/forward_run_test.ts
@@ -267,15 +267,6 @@
       return bench;
     }
 
-    /** Streams at the engines that decode, so that these read no prompts. */
-    function fillDecoders(bench: ForwardingBench): void {
-      for (const maker of ["maker-1", "maker-2"]) {
-        for (let count = 0; count < 8; count++) {
-          bench.parts.load.started(identifier<EndpointId>(maker));
-        }
-      }
-    }
-
     const BODY_BYTES = 9_200;
     /** Tokens of a prompt that takes an engine longer than the target. */
     const LONGEST_PROMPT = { shared: 1_000, own: 55_000 };
@@ -373,24 +364,6 @@
       }
     });
 
-    // The engines that read are busy for longer than the target while those
-    // that decode have next to nothing to do. Kept for engines that only read,
-    // the prompt is late beside idle ones.
-    it("is read where it decodes if only that is in time", async () => {
-      const bench = fleet();
-      for (const reader of ["reader-1", "reader-2"]) {
-        bench.parts.load.started(identifier<EndpointId>(reader), {
-          milliseconds: 400,
-          tokens: 0,
-        });
-      }
-      await ask(bench);
-      expect(bench.sent[0].options.prefillOnly).to.equal(undefined);
-      expect(String(bench.sent[0].options.endpoint)).to.match(/^maker/);
-      expect(bench.parts.load.total(bench.sent[0].options.endpoint))
-        .to.have.property("prefillMilliseconds").that.is.above(50);
-    });
-
     // Both engines that decode crash at once and are back after 1.2 s. Asked
     // again by every request in turn, they cost hundreds of connections, and
     // callers are refused whose prompts are read and who would have waited.
@@ -522,7 +495,6 @@
           tokens: 0,
         });
       }
-      fillDecoders(bench);
       const caller = await ask(bench);
       expect(caller.refusal).to.equal(undefined);
       await bench.timer.advance(1_750);
@@ -541,7 +513,6 @@
           tokens: 0,
         })
       );
-      fillDecoders(bench);
       await ask(bench, "first");
       await ask(bench, "second");
       await bench.timer.advance(300);
--- a/src/entry/forwarding/handover.ts
+++ b/src/entry/forwarding/handover.ts
@@ -1,5 +1,4 @@
 import type {
-  InlineChoice,
   KeptPrompt,
   PrefillChoice,
   Prompt,
@@ -27,11 +26,6 @@
 /** What became of a hand-over. */
 export type HandoverOutcome =
   | { readonly kind: "kept"; readonly kept: KeptPrompt }
-  | {
-    /** No hand-over: the engine that answers reads the prompt as well. */
-    readonly kind: "inline";
-    readonly choice: InlineChoice;
-  }
   | {
     readonly kind: "refused";
     readonly reason: AdmissionRefusal | "prompt_not_read";
@@ -86,9 +80,7 @@
         prompt,
         engines: endpoints,
       });
-      if (admitted.kind === "refused" || admitted.kind === "inline") {
-        return admitted;
-      }
+      if (admitted.kind === "refused") return admitted;
       const late = admitted.kind === "held";
       const choice = late
         ? await this.#context.parts.held.hold(admitted.prompt)
--- a/src/entry/forwarding/prompt_admission.ts
+++ b/src/entry/forwarding/prompt_admission.ts
@@ -1,6 +1,5 @@
 import {
   type HeldPrompt,
-  type InlineChoice,
   judgeAdmission,
   LEFT_SHARE,
   type PrefillChoice,
@@ -27,11 +26,6 @@
     readonly kind: "admitted";
     readonly choice: PrefillChoice;
   }
-  | {
-    /** Only an engine that decodes can read it in time. */
-    readonly kind: "inline";
-    readonly choice: InlineChoice;
-  }
   | {
     /** Late anyhow; it waits until an engine is nearly idle. */
     readonly kind: "held";
@@ -76,16 +70,6 @@
     parts.onTimeWork.begun(soonest.workMilliseconds);
     return { kind: "admitted", choice: soonest };
   }
-  const inline = parts.placement.chooseInline(among.engines, {
-    prompt: asked.prompt,
-    pool,
-  });
-  const isInlineOnTime = inline !== undefined && judgeAdmission({
-        ...question,
-        onTimeMilliseconds: inline.predictedMilliseconds,
-        handoverMilliseconds: 0,
-      }) === "on_time";
-  if (isInlineOnTime) return { kind: "inline", choice: inline };
   if (admission === "late") return { kind: "held", prompt: held };
   return {
     kind: "refused",
@@ -120,7 +104,7 @@
  * Share of the reading engines that is taken to be left for held prompts at
  * the least; what can be on time goes before them.
  */
-const LEAST_LEFT_SHARE = 0.02;
+const LEAST_LEFT_SHARE = 0.05;
 
 /**
  * How long the prompt would be held. What is held before it waits for the
