--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -50,7 +50,6 @@
 } from "./engine_admission.ts";
 export { type HeldPrompt, HeldPrompts } from "./held_prompts.ts";
 export { LinkQueue } from "./link_queue.ts";
-export { LateOverrun } from "./late_overrun.ts";
 export { planRoles, type RoleChange } from "./role_plan.ts";
 export { RoleDemand } from "./role_demand.ts";
 export { RoleClaim, type StandingClaim } from "./role_claim.ts";
--- a/src/entry/forwarding/handover.ts
+++ b/src/entry/forwarding/handover.ts
@@ -48,7 +48,9 @@
   readonly #context: ForwardContext;
   readonly #onAttempt: (attempt: Attempt) => void;
   #kept: KeptPrompt | undefined;
+  /** Readings that have failed. */
   #prefills = 0;
+  #hasRead = false;
   #offers = 0;
 
   /** `onAttempt` takes each reading, so that it can be aborted. */
@@ -199,11 +201,14 @@
     const took = parts.timer.now() - sent;
     this.#learnSlowness(choice, { outcome, took });
     if (outcome.kind === "failed") {
-      // Only a prompt's first accepted reading is free of the allowance.
       parts.allowance.note(pool.name);
       return outcome;
     }
     this.#learnSpeed(prompt, choice, took);
+    // Only the first accepted reading is free of the allowance: a cache that
+    // was lost with its engine is read once more at the fleet's expense.
+    if (this.#hasRead) parts.allowance.note(pool.name);
+    this.#hasRead = true;
     this.#kept = outcome.kept;
     this.#context.tell("prompt_read", {
       endpoint: outcome.kept.engine,
