--- a/src/adapters/telemetry/forwarding_record.ts
+++ b/src/adapters/telemetry/forwarding_record.ts
@@ -34,6 +34,16 @@
   readonly timer: TimerService;
 }
 
+/** Gives the function that counts registrations that became unreadable. */
+export function countUnreadable(registry: Registry): () => void {
+  const counter = new Counter({
+    name: "filbertshore_unreadable_registrations_total",
+    help: "Keys among the registrations that became unreadable",
+    registers: [registry],
+  });
+  return () => counter.inc();
+}
+
 /** Gives the function that the forwarding path tells its decisions to. */
 export function recordForwarding(
   options: ForwardingRecordOptions,
--- a/test/operations/operations_test.ts
+++ b/test/operations/operations_test.ts
@@ -1,6 +1,10 @@
 import { expect } from "chai";
 import { existsSync, readdirSync, readFileSync } from "node:fs";
-import { Metrics, recordForwarding } from "../../src/adapters/telemetry/mod.ts";
+import {
+  countUnreadable,
+  Metrics,
+  recordForwarding,
+} from "../../src/adapters/telemetry/mod.ts";
 import { SystemTimerService } from "../../src/adapters/time/mod.ts";
 import { SILENT_LOGGER } from "../../src/core/observation/mod.ts";
 import { runCommand } from "../support/operator_commands.ts";
@@ -34,6 +38,7 @@
     logger: SILENT_LOGGER,
     timer: new SystemTimerService(),
   });
+  countUnreadable(metrics.registry);
   return (await metrics.render()).body;
 }
 
