--- a/src/core/forwarding/engine_placement.ts
+++ b/src/core/forwarding/engine_placement.ts
@@ -1,16 +1,9 @@
 import type { AvailabilityZoneId } from "../identity/mod.ts";
 import type { Random } from "../random/mod.ts";
-import type {
-  EngineLimits,
-  Pool,
-  RegisteredEndpoint,
-} from "./configuration.ts";
+import type { Pool, RegisteredEndpoint } from "./configuration.ts";
+import { hasRoom } from "./decode_room.ts";
 import type { EndpointOutcomes } from "./endpoint_outcomes.ts";
-import type {
-  EngineEstimates,
-  EngineSlowness,
-  ReadingSpeed,
-} from "./estimates/mod.ts";
+import type { EngineEstimates, EngineSlowness } from "./estimates/mod.ts";
 import { LOOK_MILLISECONDS } from "./held_prompts.ts";
 import type { LoadPicture, PromptWork } from "./load_picture.ts";
 import type { PrefixDirectory } from "./prefix_directory.ts";
@@ -19,6 +12,7 @@
   type PrefixSource,
   transferMilliseconds,
 } from "./prefix_sources.ts";
+import { type PromptReading, quickestReading } from "./prompt_reading.ts";
 import type { Prompt } from "./requests.ts";
 
 /**
@@ -54,14 +48,6 @@
  */
 const OTHER_ZONE_MILLISECONDS = 3;
 
-/**
- * Tokens from which on a part is fetched from the engine that keeps it. Load:
- * several hundred shared parts, more than one engine's memory holds. Harm
- * prevented: an engine reads again for 20 ms what a link carries in 2 to 4 ms.
- * Limit: a fetch of 1,000 tokens saves 3 ms and costs a wait on both links.
- */
-const LEAST_FETCHED_TOKENS = 1_000;
-
 /**
  * An engine that decodes reads prompts at half the speed, between the tokens of
  * its streams; the platform tells so of every kind of engine.
@@ -78,29 +64,15 @@
  */
 const INLINE_TARGET_SHARE = 0.1;
 
-/**
- * Share of an engine's memory that open requests may take before it gets no
- * more. Load: engines that decode come back after a crash while a hundred read
- * prompts wait for them. Harm prevented: all are sent at once, the engine turns
- * away what finds no memory, and callers are refused whose turn would have come
- * within their time (200 of a day's 3,900). Limit: answers grow while they run.
- */
-const MOST_TAKEN_MEMORY = 0.9;
-
 /** Where a prompt is to be read. */
-export interface PrefillChoice {
+export interface PrefillChoice extends PromptReading {
   readonly endpoint: RegisteredEndpoint;
-  /** Work that the engine has to do for the prompt. */
-  readonly workMilliseconds: number;
   /** Work that stands before it there. */
   readonly backlogMilliseconds: number;
   /** How many times as long the engine takes as its kind. */
   readonly slowness: number;
   /** Requests that all entries have open there. */
   readonly openRequests: number;
-  readonly keptTokens: number;
-  /** The engine that more of the prompt is fetched from first. */
-  readonly fetchFrom?: RegisteredEndpoint;
 }
 
 /** Where a request is to decode. */
@@ -226,27 +198,13 @@
     const { reading } = estimates.of(pool.name);
     const keptTokens = prefixes.keptTokens(endpoint.id, prompt.parts);
     const open = load.total(endpoint.id);
-    const alone = {
-      workMilliseconds: reading.readMilliseconds(
-        prompt.inputTokens,
-        keptTokens,
-      ),
+    const quickest = quickestReading(prompt, {
+      endpoint,
+      pool,
+      reading,
       keptTokens,
-    };
-    const ways = sources.flatMap((source) =>
-      wayThrough(source, {
-        endpoint,
-        prompt,
-        keptTokens,
-        reading,
-        engine: pool.engine,
-      })
-    );
-    const quickest = ways.reduce(
-      (one, other) =>
-        other.workMilliseconds < one.workMilliseconds ? other : one,
-      alone,
-    );
+      sources,
+    });
     return {
       endpoint,
       ...quickest,
@@ -299,51 +257,8 @@
   }
 }
 
-/**
- * True while the engine has a slot for one more request, and memory for what it
- * would have open with it. One request alone always fits: an engine refuses what
- * is larger than its memory by itself.
- */
-function hasRoom(
-  { id, slots }: RegisteredEndpoint,
-  options: {
-    readonly load: LoadPicture;
-    readonly pool: Pool;
-    readonly tokens: number;
-  },
-): boolean {
-  const { load, pool, tokens } = options;
-  const open = load.total(id);
-  const memoryTokens = pool.engine?.memoryTokens ?? Infinity;
-  const fits = open.tokens + tokens <= MOST_TAKEN_MEMORY * memoryTokens;
-  return open.requests < slots && (fits || open.requests === 0);
-}
-
 /** Engines that decode are few, so that most prompts cross zones. */
 function handoverTransfer(prompt: Prompt, { engine }: Pool): number {
   if (engine === undefined) return 0;
   return transferMilliseconds(prompt.inputTokens, { engine, isFar: true });
 }
-
-/** Reading a prompt with what another engine keeps of it, if that pays. */
-function wayThrough(
-  source: PrefixSource,
-  options: {
-    readonly endpoint: RegisteredEndpoint;
-    readonly prompt: Prompt;
-    readonly keptTokens: number;
-    readonly reading: ReadingSpeed;
-    readonly engine: EngineLimits | undefined;
-  },
-): Pick<PrefillChoice, "workMilliseconds" | "keptTokens" | "fetchFrom">[] {
-  const { endpoint, engine, keptTokens, prompt, reading } = options;
-  const fetched = source.keptTokens - keptTokens;
-  if (engine === undefined || fetched < LEAST_FETCHED_TOKENS) return [];
-  const isFar = source.endpoint.availabilityZone !== endpoint.availabilityZone;
-  return [{
-    workMilliseconds: transferMilliseconds(fetched, { engine, isFar }) +
-      reading.readMilliseconds(prompt.inputTokens, source.keptTokens),
-    keptTokens: source.keptTokens,
-    fetchFrom: source.endpoint,
-  }];
-}
--- /dev/null
+++ b/src/core/forwarding/prompt_reading.ts
@@ -0,0 +1,69 @@
+import type { Pool, RegisteredEndpoint } from "./configuration.ts";
+import type { ReadingSpeed } from "./estimates/mod.ts";
+import { type PrefixSource, transferMilliseconds } from "./prefix_sources.ts";
+import type { Prompt } from "./requests.ts";
+
+/**
+ * Tokens from which on a part is fetched from the engine that keeps it. Load:
+ * several hundred shared parts, more than one engine's memory holds. Harm
+ * prevented: an engine reads again for 20 ms what a link carries in 2 to 4 ms.
+ * Limit: a fetch of 1,000 tokens saves 3 ms and costs a wait on both links.
+ */
+const LEAST_FETCHED_TOKENS = 1_000;
+
+/** How an engine reads a prompt. */
+export interface PromptReading {
+  /** Work that the engine has to do for it. */
+  readonly workMilliseconds: number;
+  /** Tokens at its start that the engine need not read. */
+  readonly keptTokens: number;
+  /** The engine that more of the prompt is fetched from first. */
+  readonly fetchFrom?: RegisteredEndpoint;
+}
+
+export interface PromptReadingOptions {
+  readonly endpoint: RegisteredEndpoint;
+  readonly pool: Pool;
+  readonly reading: ReadingSpeed;
+  /** Tokens at the prompt's start that the engine itself keeps. */
+  readonly keptTokens: number;
+  /** Engines that keep the start of the prompt as well. */
+  readonly sources: readonly PrefixSource[];
+}
+
+/** The quickest way: with what the engine keeps itself, or fetching more. */
+export function quickestReading(
+  prompt: Prompt,
+  options: PromptReadingOptions,
+): PromptReading {
+  const { keptTokens, reading, sources } = options;
+  const alone: PromptReading = {
+    workMilliseconds: reading.readMilliseconds(prompt.inputTokens, keptTokens),
+    keptTokens,
+  };
+  return sources
+    .flatMap((source) => readingThrough(source, prompt, options))
+    .reduce(
+      (one, other) =>
+        other.workMilliseconds < one.workMilliseconds ? other : one,
+      alone,
+    );
+}
+
+/** Nothing where a fetch from the source does not pay. */
+function readingThrough(
+  source: PrefixSource,
+  prompt: Prompt,
+  options: PromptReadingOptions,
+): PromptReading[] {
+  const { endpoint, keptTokens, pool: { engine }, reading } = options;
+  const fetched = source.keptTokens - keptTokens;
+  if (engine === undefined || fetched < LEAST_FETCHED_TOKENS) return [];
+  const isFar = source.endpoint.availabilityZone !== endpoint.availabilityZone;
+  return [{
+    workMilliseconds: transferMilliseconds(fetched, { engine, isFar }) +
+      reading.readMilliseconds(prompt.inputTokens, source.keptTokens),
+    keptTokens: source.keptTokens,
+    fetchFrom: source.endpoint,
+  }];
+}
--- a/src/entry/forwarding/forward_run.ts
+++ b/src/entry/forwarding/forward_run.ts
@@ -13,6 +13,7 @@
 import type { CallerSink, EndpointAnswer, Refusal } from "./links.ts";
 import type { ForwardingParts } from "./parts.ts";
 import type { AdmissionFacts } from "./prompt_admission.ts";
+import { waitForChoice } from "./wait_for_choice.ts";
 
 /** When a caller that found no room should come back, milliseconds. */
 export const RETRY_AFTER_MILLISECONDS = 250;
@@ -28,15 +29,6 @@
 /** Priorities that engines know, the last one for what may wait longest. */
 const LOWEST_PRIORITY = 9;
 
-/** How often a request that waits for an engine looks for one. */
-const LOOK_AGAIN_MILLISECONDS = 25;
-/**
- * Share of its time that a request has left when it is told that no engine is
- * back. Harm prevented: the caller leaves unanswered, and comes back later than
- * it was told to. Limit: what an answer needs that still goes through.
- */
-const REFUSED_WITH_SHARE_LEFT = 0.15;
-
 /** What comes next after an attempt. */
 type NextStep = "delivered" | "again" | "refuse" | "unknown";
 
@@ -144,7 +136,9 @@
       });
     };
     const choice = choose() ??
-      (endpoints.length > 0 ? await this.#waitFor(choose) : undefined);
+      (endpoints.length > 0
+        ? await waitForChoice(this.#context, choose)
+        : undefined);
     if (choice === undefined) return undefined;
     return {
       endpoint: choice.endpoint,
@@ -158,36 +152,6 @@
     };
   }
 
-  /**
-   * Asks again until there is a choice, as long as the caller can still get a
-   * first byte. Load: every engine that decodes is down for some seconds. Harm
-   * prevented: callers are refused whose prompts are read and who would have
-   * been answered in time; nothing is sent in vain meanwhile.
-   */
-  async #waitFor<Choice>(
-    choose: () => Choice | undefined,
-  ): Promise<Choice | undefined> {
-    const { parts } = this.#context;
-    let choice: Choice | undefined;
-    while (choice === undefined && this.#mayStillWait) {
-      await new Promise<void>((resolve) => {
-        parts.timer.after(LOOK_AGAIN_MILLISECONDS, resolve);
-      });
-      if (this.#context.settled) return undefined;
-      choice = choose();
-    }
-    return choice;
-  }
-
-  get #mayStillWait(): boolean {
-    const { allowedMilliseconds, leftToFirstByte, route } = this.#context;
-    const whole = Math.min(
-      allowedMilliseconds,
-      route.patienceMilliseconds ?? Infinity,
-    );
-    return leftToFirstByte > REFUSED_WITH_SHARE_LEFT * whole;
-  }
-
   async #send(plan: AttemptPlan): Promise<NextStep> {
     const { parts, request } = this.#context;
     const { endpoint } = plan;
--- /dev/null
+++ b/src/entry/forwarding/wait_for_choice.ts
@@ -0,0 +1,41 @@
+import type { ForwardContext } from "./forward_context.ts";
+
+/** How often a request that waits for an engine looks for one. */
+const LOOK_AGAIN_MILLISECONDS = 25;
+/**
+ * Share of its time that a request has left when it is told that no engine is
+ * back. Harm prevented: the caller leaves unanswered, and comes back later than
+ * it was told to. Limit: what an answer needs that still goes through.
+ */
+const REFUSED_WITH_SHARE_LEFT = 0.15;
+
+/**
+ * Asks again until there is a choice, as long as the caller can still get a
+ * first byte. Load: every engine that decodes is down for some seconds. Harm
+ * prevented: callers are refused whose prompts are read and who would have been
+ * answered in time; nothing is sent in vain meanwhile.
+ */
+export async function waitForChoice<Choice>(
+  context: ForwardContext,
+  choose: () => Choice | undefined,
+): Promise<Choice | undefined> {
+  const { timer } = context.parts;
+  let choice: Choice | undefined;
+  while (choice === undefined && mayStillWait(context)) {
+    await new Promise<void>((resolve) => {
+      timer.after(LOOK_AGAIN_MILLISECONDS, resolve);
+    });
+    if (context.settled) return undefined;
+    choice = choose();
+  }
+  return choice;
+}
+
+function mayStillWait(context: ForwardContext): boolean {
+  const { allowedMilliseconds, leftToFirstByte, route } = context;
+  const whole = Math.min(
+    allowedMilliseconds,
+    route.patienceMilliseconds ?? Infinity,
+  );
+  return leftToFirstByte > REFUSED_WITH_SHARE_LEFT * whole;
+}
