--- a/src/core/forwarding/engine_admission_test.ts
+++ b/src/core/forwarding/admission/engine_admission_test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { type AdmissionQuestion, judgeAdmission } from "./mod.ts";
+import { type AdmissionQuestion, judgeAdmission } from "../mod.ts";
 
 const IDLE: AdmissionQuestion = {
   onTimeMilliseconds: 20,
--- a/src/core/forwarding/held_prompts.ts
+++ b/src/core/forwarding/admission/held_prompts.ts
@@ -1,4 +1,4 @@
-import type { Subscription, TimerService } from "../time/mod.ts";
+import type { Subscription, TimerService } from "../../time/mod.ts";
 
 /** How often held prompts are looked at. */
 export const LOOK_MILLISECONDS = 20;
--- a/src/core/forwarding/held_prompts_test.ts
+++ b/src/core/forwarding/admission/held_prompts_test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { ManualTimerService } from "../time/mod.ts";
+import { ManualTimerService } from "../../time/mod.ts";
 import { HeldPrompts } from "./held_prompts.ts";
 
 describe("HeldPrompts", () => {
--- a/src/core/forwarding/link_queue.ts
+++ b/src/core/forwarding/admission/link_queue.ts
@@ -1,4 +1,4 @@
-import type { TimerService } from "../time/mod.ts";
+import type { TimerService } from "../../time/mod.ts";
 
 /**
  * Share of the link that requests and answers may take. The rest is for what
--- a/src/core/forwarding/link_queue_test.ts
+++ b/src/core/forwarding/admission/link_queue_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
-import { ManualTimerService } from "../time/mod.ts";
-import { LinkQueue } from "./mod.ts";
+import { ManualTimerService } from "../../time/mod.ts";
+import { LinkQueue } from "../mod.ts";
 
 describe("LinkQueue", () => {
   let timer: ManualTimerService;
--- a/src/core/forwarding/retry_allowance.ts
+++ b/src/core/forwarding/admission/retry_allowance.ts
@@ -1,4 +1,4 @@
-import type { TimerService } from "../time/mod.ts";
+import type { TimerService } from "../../time/mod.ts";
 
 /**
  * Share of its part that an entry uses. Load: several entries that each see a
--- a/src/core/forwarding/retry_allowance_test.ts
+++ b/src/core/forwarding/admission/retry_allowance_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
-import { ManualTimerService } from "../time/mod.ts";
-import { RetryAllowance } from "./mod.ts";
+import { ManualTimerService } from "../../time/mod.ts";
+import { RetryAllowance } from "../mod.ts";
 
 describe("RetryAllowance", () => {
   let timer: ManualTimerService;
--- a/src/core/forwarding/returning_callers.ts
+++ b/src/core/forwarding/admission/returning_callers.ts
@@ -1,4 +1,4 @@
-import type { TimerService } from "../time/mod.ts";
+import type { TimerService } from "../../time/mod.ts";
 
 /**
  * How long a refusal is remembered. Callers come back within a third of the
--- a/src/core/forwarding/returning_callers_test.ts
+++ b/src/core/forwarding/admission/returning_callers_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
-import { ManualTimerService } from "../time/mod.ts";
-import { ReturningCallers } from "./mod.ts";
+import { ManualTimerService } from "../../time/mod.ts";
+import { ReturningCallers } from "../mod.ts";
 
 describe("ReturningCallers", () => {
   let timer: ManualTimerService;
--- a/src/core/forwarding/prefix_directory.ts
+++ b/src/core/forwarding/caches/prefix_directory.ts
@@ -1,4 +1,4 @@
-import type { EndpointId, ReplicaStart } from "../identity/mod.ts";
+import type { EndpointId, ReplicaStart } from "../../identity/mod.ts";
 
 /** One part of a prompt; requests that share it name the same id. */
 export interface PromptPart {
--- a/src/core/forwarding/prefix_directory_test.ts
+++ b/src/core/forwarding/caches/prefix_directory_test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
-import { makePrompt } from "../../../test/support/forwarding_values.ts";
-import { type EndpointId, identifier } from "../identity/mod.ts";
-import { PrefixDirectory } from "./mod.ts";
+import { makePrompt } from "../../../../test/support/forwarding_values.ts";
+import { type EndpointId, identifier } from "../../identity/mod.ts";
+import { PrefixDirectory } from "../mod.ts";
 
 describe("PrefixDirectory", () => {
   const engine = identifier<EndpointId>("engine");
--- a/src/core/forwarding/prefix_sources.ts
+++ b/src/core/forwarding/caches/prefix_sources.ts
@@ -1,5 +1,5 @@
-import type { AvailabilityZoneId } from "../identity/mod.ts";
-import type { EngineLimits, RegisteredEndpoint } from "./configuration.ts";
+import type { AvailabilityZoneId } from "../../identity/mod.ts";
+import type { EngineLimits, RegisteredEndpoint } from "../configuration.ts";
 import type { PrefixDirectory, PromptPart } from "./prefix_directory.ts";
 
 /** A transfer to another availability zone takes so many times as long. */
--- a/src/core/forwarding/prompt_reading.ts
+++ b/src/core/forwarding/caches/prompt_reading.ts
@@ -1,7 +1,7 @@
-import type { Pool, RegisteredEndpoint } from "./configuration.ts";
-import type { ReadingSpeed } from "./estimates/mod.ts";
+import type { Pool, RegisteredEndpoint } from "../configuration.ts";
+import type { ReadingSpeed } from "../estimates/mod.ts";
 import { type PrefixSource, transferMilliseconds } from "./prefix_sources.ts";
-import type { Prompt } from "./requests.ts";
+import type { Prompt } from "../requests.ts";
 
 /**
  * Tokens from which on a part is fetched from the engine that keeps it. Load:
--- a/src/core/forwarding/endpoint_outcomes.ts
+++ b/src/core/forwarding/endpoints/endpoint_outcomes.ts
@@ -1,6 +1,6 @@
-import type { EndpointId } from "../identity/mod.ts";
-import { EndpointHealth, type HealthLimits } from "../placement/mod.ts";
-import type { TimerService } from "../time/mod.ts";
+import type { EndpointId } from "../../identity/mod.ts";
+import { EndpointHealth, type HealthLimits } from "../../placement/mod.ts";
+import type { TimerService } from "../../time/mod.ts";
 
 /**
  * Limits of the ejection by outcomes. Load: replicas that fail part of their
--- a/src/core/forwarding/endpoint_outcomes_test.ts
+++ b/src/core/forwarding/endpoints/endpoint_outcomes_test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
-import { makeEndpoint } from "../../../test/support/forwarding_values.ts";
-import { ManualTimerService } from "../time/mod.ts";
-import { EndpointOutcomes } from "./mod.ts";
+import { makeEndpoint } from "../../../../test/support/forwarding_values.ts";
+import { ManualTimerService } from "../../time/mod.ts";
+import { EndpointOutcomes } from "../mod.ts";
 
 describe("EndpointOutcomes", () => {
   const endpoints = ["a", "b", "c"].map((id) => makeEndpoint(id));
--- a/src/core/forwarding/endpoint_registry.ts
+++ b/src/core/forwarding/endpoints/endpoint_registry.ts
@@ -1,6 +1,6 @@
-import type { EndpointId, ServiceName } from "../identity/mod.ts";
-import type { TimerService } from "../time/mod.ts";
-import type { RegisteredEndpoint } from "./configuration.ts";
+import type { EndpointId, ServiceName } from "../../identity/mod.ts";
+import type { TimerService } from "../../time/mod.ts";
+import type { RegisteredEndpoint } from "../configuration.ts";
 import { EndpointRuns, type RunOrder } from "./endpoint_runs.ts";
 
 /**
--- a/src/core/forwarding/endpoint_registry_test.ts
+++ b/src/core/forwarding/endpoints/endpoint_registry_test.ts
@@ -2,14 +2,14 @@
 import {
   makeEndpoint,
   PORTAL,
-} from "../../../test/support/forwarding_values.ts";
-import { numbered, type ReplicaStart } from "../identity/mod.ts";
-import { ManualTimerService } from "../time/mod.ts";
+} from "../../../../test/support/forwarding_values.ts";
+import { numbered, type ReplicaStart } from "../../identity/mod.ts";
+import { ManualTimerService } from "../../time/mod.ts";
 import {
   EndpointRegistry,
   type RegisteredEndpoint,
   type RegistryChange,
-} from "./mod.ts";
+} from "../mod.ts";
 
 describe("EndpointRegistry", () => {
   let timer: ManualTimerService;
--- a/src/core/forwarding/endpoint_runs.ts
+++ b/src/core/forwarding/endpoints/endpoint_runs.ts
@@ -1,5 +1,5 @@
-import type { EndpointId, ReplicaStart } from "../identity/mod.ts";
-import type { RegisteredEndpoint } from "./configuration.ts";
+import type { EndpointId, ReplicaStart } from "../../identity/mod.ts";
+import type { RegisteredEndpoint } from "../configuration.ts";
 
 /**
  * Ended endpoints of which the last start is remembered. Load: replicas that
--- a/src/core/forwarding/load_picture.ts
+++ b/src/core/forwarding/endpoints/load_picture.ts
@@ -1,5 +1,5 @@
-import type { EndpointId } from "../identity/mod.ts";
-import type { TimerService } from "../time/mod.ts";
+import type { EndpointId } from "../../identity/mod.ts";
+import type { TimerService } from "../../time/mod.ts";
 
 /**
  * How long a peer's report counts. Load: entries that tell of their work some
--- a/src/core/forwarding/load_picture_test.ts
+++ b/src/core/forwarding/endpoints/load_picture_test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
-import { type EndpointId, identifier } from "../identity/mod.ts";
-import { ManualTimerService } from "../time/mod.ts";
-import { LoadPicture } from "./mod.ts";
+import { type EndpointId, identifier } from "../../identity/mod.ts";
+import { ManualTimerService } from "../../time/mod.ts";
+import { LoadPicture } from "../mod.ts";
 
 describe("LoadPicture", () => {
   const engine = identifier<EndpointId>("engine");
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -6,8 +6,8 @@
   type EndpointMemory,
   EndpointRegistry,
   type RegistryChange,
-} from "./endpoint_registry.ts";
-export { RetryAllowance } from "./retry_allowance.ts";
+} from "./endpoints/endpoint_registry.ts";
+export { RetryAllowance } from "./admission/retry_allowance.ts";
 export {
   EngineEstimates,
   EngineSlowness,
@@ -23,15 +23,15 @@
   type PromptWork,
   type WorkReport,
   type WorkTicket,
-} from "./load_picture.ts";
+} from "./endpoints/load_picture.ts";
 export {
   PrefixDirectory,
   type PromptPart,
   type ReadPrompt,
-} from "./prefix_directory.ts";
-export { EndpointOutcomes } from "./endpoint_outcomes.ts";
-export { EnginePlacement } from "./engine_placement.ts";
-export { chooseService } from "./service_placement.ts";
+} from "./caches/prefix_directory.ts";
+export { EndpointOutcomes } from "./endpoints/endpoint_outcomes.ts";
+export { EnginePlacement } from "./placement/engine_placement.ts";
+export { chooseService } from "./placement/service_placement.ts";
 export {
   type KeyedRecord,
   type KeyedRecords,
@@ -40,17 +40,20 @@
   type StoreFailure,
   TopicReader,
   type TopicSpan,
-} from "./topic_reader.ts";
-export type { PrefillChoice } from "./engine_placement.ts";
+} from "./store/topic_reader.ts";
+export type { PrefillChoice } from "./placement/engine_placement.ts";
 export {
   type Admission,
   type AdmissionQuestion,
   judgeAdmission,
   LEFT_SHARE,
-} from "./engine_admission.ts";
-export { type HeldPrompt, HeldPrompts } from "./held_prompts.ts";
-export { LinkQueue } from "./link_queue.ts";
-export { planRoles, type RoleChange } from "./role_plan.ts";
-export { RoleDemand } from "./role_demand.ts";
-export { RoleClaim, type StandingClaim } from "./role_claim.ts";
-export { ReturningCallers, type ToldRefusal } from "./returning_callers.ts";
+} from "./admission/engine_admission.ts";
+export { type HeldPrompt, HeldPrompts } from "./admission/held_prompts.ts";
+export { LinkQueue } from "./admission/link_queue.ts";
+export { planRoles, type RoleChange } from "./roles/role_plan.ts";
+export { RoleDemand } from "./roles/role_demand.ts";
+export { RoleClaim, type StandingClaim } from "./roles/role_claim.ts";
+export {
+  ReturningCallers,
+  type ToldRefusal,
+} from "./admission/returning_callers.ts";
--- a/src/core/forwarding/decode_room.ts
+++ b/src/core/forwarding/placement/decode_room.ts
@@ -1,5 +1,5 @@
-import type { Pool, RegisteredEndpoint } from "./configuration.ts";
-import type { LoadPicture } from "./load_picture.ts";
+import type { Pool, RegisteredEndpoint } from "../configuration.ts";
+import type { LoadPicture } from "../endpoints/load_picture.ts";
 
 /**
  * Share of an engine's memory that open requests may take before it gets no
--- a/src/core/forwarding/engine_placement.ts
+++ b/src/core/forwarding/placement/engine_placement.ts
@@ -1,19 +1,22 @@
-import type { AvailabilityZoneId } from "../identity/mod.ts";
-import type { Random } from "../random/mod.ts";
-import type { Pool, RegisteredEndpoint } from "./configuration.ts";
+import type { AvailabilityZoneId } from "../../identity/mod.ts";
+import type { Random } from "../../random/mod.ts";
+import type { Pool, RegisteredEndpoint } from "../configuration.ts";
 import { hasRoom } from "./decode_room.ts";
-import type { EndpointOutcomes } from "./endpoint_outcomes.ts";
-import type { EngineEstimates, EngineSlowness } from "./estimates/mod.ts";
-import { LOOK_MILLISECONDS } from "./held_prompts.ts";
-import type { LoadPicture, PromptWork } from "./load_picture.ts";
-import type { PrefixDirectory } from "./prefix_directory.ts";
+import type { EndpointOutcomes } from "../endpoints/endpoint_outcomes.ts";
+import type { EngineEstimates, EngineSlowness } from "../estimates/mod.ts";
+import { LOOK_MILLISECONDS } from "../admission/held_prompts.ts";
+import type { LoadPicture, PromptWork } from "../endpoints/load_picture.ts";
+import type { PrefixDirectory } from "../caches/prefix_directory.ts";
 import {
   bestSources,
   type PrefixSource,
   transferMilliseconds,
-} from "./prefix_sources.ts";
-import { type PromptReading, quickestReading } from "./prompt_reading.ts";
-import type { Prompt } from "./requests.ts";
+} from "../caches/prefix_sources.ts";
+import {
+  type PromptReading,
+  quickestReading,
+} from "../caches/prompt_reading.ts";
+import type { Prompt } from "../requests.ts";
 
 /**
  * What a millisecond of an engine's own work counts against one of waiting.
--- a/src/core/forwarding/engine_placement_test.ts
+++ b/src/core/forwarding/placement/engine_placement_test.ts
@@ -5,9 +5,9 @@
   makeEngine,
   makePool,
   makePrompt,
-} from "../../../test/support/forwarding_values.ts";
-import { type AvailabilityZoneId, identifier } from "../identity/mod.ts";
-import { ManualTimerService } from "../time/mod.ts";
+} from "../../../../test/support/forwarding_values.ts";
+import { type AvailabilityZoneId, identifier } from "../../identity/mod.ts";
+import { ManualTimerService } from "../../time/mod.ts";
 import {
   EndpointOutcomes,
   EnginePlacement,
@@ -15,7 +15,7 @@
   LoadPicture,
   PrefixDirectory,
   type RegisteredEndpoint,
-} from "./mod.ts";
+} from "../mod.ts";
 
 const PROMPT = makePrompt("subject");
 const SHARED = PROMPT.parts.slice(0, 2);
--- a/src/core/forwarding/service_placement.ts
+++ b/src/core/forwarding/placement/service_placement.ts
@@ -1,7 +1,7 @@
-import type { AvailabilityZoneId } from "../identity/mod.ts";
-import type { Random } from "../random/mod.ts";
-import type { RegisteredEndpoint } from "./configuration.ts";
-import type { LoadPicture } from "./load_picture.ts";
+import type { AvailabilityZoneId } from "../../identity/mod.ts";
+import type { Random } from "../../random/mod.ts";
+import type { RegisteredEndpoint } from "../configuration.ts";
+import type { LoadPicture } from "../endpoints/load_picture.ts";
 
 /**
  * What another availability zone counts for, in busy slots: less than one
--- a/src/core/forwarding/requests.ts
+++ b/src/core/forwarding/requests.ts
@@ -5,7 +5,7 @@
   ReplicaStart,
   RequestId,
 } from "../identity/mod.ts";
-import type { PromptPart } from "./prefix_directory.ts";
+import type { PromptPart } from "./caches/prefix_directory.ts";
 
 /** What a request for a model says of its prompt. */
 export interface Prompt {
--- a/src/core/forwarding/role_claim.ts
+++ b/src/core/forwarding/roles/role_claim.ts
@@ -1,4 +1,4 @@
-import type { TimerService } from "../time/mod.ts";
+import type { TimerService } from "../../time/mod.ts";
 
 /**
  * How long after its append a claim may be used for orders. Harm prevented: a
--- a/src/core/forwarding/role_claim_test.ts
+++ b/src/core/forwarding/roles/role_claim_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
-import { ManualTimerService } from "../time/mod.ts";
-import { RoleClaim } from "./mod.ts";
+import { ManualTimerService } from "../../time/mod.ts";
+import { RoleClaim } from "../mod.ts";
 
 describe("RoleClaim", () => {
   let timer: ManualTimerService;
--- a/src/core/forwarding/role_demand.ts
+++ b/src/core/forwarding/roles/role_demand.ts
@@ -1,6 +1,6 @@
-import type { EndpointId } from "../identity/mod.ts";
-import type { TimerService } from "../time/mod.ts";
-import type { RegisteredEndpoint } from "./configuration.ts";
+import type { EndpointId } from "../../identity/mod.ts";
+import type { TimerService } from "../../time/mod.ts";
+import type { RegisteredEndpoint } from "../configuration.ts";
 
 /**
  * Share of a pool's engines that decode before anything is known of the mix.
--- a/src/core/forwarding/role_demand_test.ts
+++ b/src/core/forwarding/roles/role_demand_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
-import { makeEngine } from "../../../test/support/forwarding_values.ts";
-import { ManualTimerService } from "../time/mod.ts";
+import { makeEngine } from "../../../../test/support/forwarding_values.ts";
+import { ManualTimerService } from "../../time/mod.ts";
 import { RoleDemand } from "./role_demand.ts";
 
 describe("RoleDemand", () => {
--- a/src/core/forwarding/role_plan.ts
+++ b/src/core/forwarding/roles/role_plan.ts
@@ -1,5 +1,5 @@
-import type { EndpointId } from "../identity/mod.ts";
-import type { RegisteredEndpoint } from "./configuration.ts";
+import type { EndpointId } from "../../identity/mod.ts";
+import type { RegisteredEndpoint } from "../configuration.ts";
 
 /**
  * How far the engines of a role may be from their share. Load: one engine of
--- a/src/core/forwarding/role_plan_test.ts
+++ b/src/core/forwarding/roles/role_plan_test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
-import { makeEngine } from "../../../test/support/forwarding_values.ts";
-import { type AvailabilityZoneId, identifier } from "../identity/mod.ts";
-import { planRoles, type RegisteredEndpoint } from "./mod.ts";
+import { makeEngine } from "../../../../test/support/forwarding_values.ts";
+import { type AvailabilityZoneId, identifier } from "../../identity/mod.ts";
+import { planRoles, type RegisteredEndpoint } from "../mod.ts";
 
 const NOTHING_CHANGES = new Map();
 const IDLE = () => 0;
--- a/src/core/forwarding/topic_reader.ts
+++ b/src/core/forwarding/store/topic_reader.ts
@@ -1,8 +1,8 @@
 import type { Result } from "neverthrow";
-import type { Failure } from "../errors/mod.ts";
-import type { Random } from "../random/mod.ts";
-import { backoffMilliseconds } from "../retry/mod.ts";
-import type { Subscription, TimerService } from "../time/mod.ts";
+import type { Failure } from "../../errors/mod.ts";
+import type { Random } from "../../random/mod.ts";
+import { backoffMilliseconds } from "../../retry/mod.ts";
+import type { Subscription, TimerService } from "../../time/mod.ts";
 
 /** The newest record of a key; without a value the key is gone. */
 export interface KeyedRecord {
--- a/src/core/forwarding/topic_reader_test.ts
+++ b/src/core/forwarding/store/topic_reader_test.ts
@@ -1,8 +1,8 @@
 import { expect } from "chai";
 import { ok, type Result } from "neverthrow";
-import { settled } from "../../../test/support/forwarding_bench.ts";
-import { ManualTimerService } from "../time/mod.ts";
-import { type KeyedRecords, type StoreFailure, TopicReader } from "./mod.ts";
+import { settled } from "../../../../test/support/forwarding_bench.ts";
+import { ManualTimerService } from "../../time/mod.ts";
+import { type KeyedRecords, type StoreFailure, TopicReader } from "../mod.ts";
 
 const PAUSE_MILLISECONDS = 500;
 
--- a/src/entry/relay_test.ts
+++ b/src/entry/relay_test.ts
@@ -4,7 +4,7 @@
 import { Catalog } from "./catalog.ts";
 import type { Neighbours } from "./neighbours.ts";
 import type { RegionLog } from "./region_log.ts";
-import { Relay } from "./relay.ts";
+import { Relay, type RelayedConfiguration } from "./relay.ts";
 
 const REPORT: SideReport = {
   side: "side-portal",
@@ -53,20 +53,21 @@
   // publication, and callers are refused beside engines that are idle.
   it("names no version before the inventory of it is in force", async () => {
     const timer = new ManualTimerService();
-    let catalog: Catalog | undefined;
+    const inForce: { now?: RelayedConfiguration } = {};
     const relay = new Relay({
       timer,
       availabilityZone: "shah-alam",
       log: LOG,
       neighbours: NEIGHBOURS,
-      inForce: () => catalog && { catalog, version: 3 },
+      inForce: () => inForce.now,
     });
     let answer: WatchAnswer | undefined;
     void relay.watch({ report: REPORT, waitMilliseconds: 1_000 })
       .then((given) => answer = given);
     await timer.advance(100);
     expect(answer).to.equal(undefined);
-    catalog = new Catalog(INVENTORY);
+    const catalog = new Catalog(INVENTORY);
+    inForce.now = { catalog, version: 3 };
     relay.configured(catalog);
     await timer.advance(0);
     expect(answer).to.deep.include({ configurationVersion: 3 });
