--- a/src/core/forwarding/placement/decode_room.ts
+++ b/src/core/forwarding/placement/decode_room.ts
@@ -25,7 +25,8 @@
 ): boolean {
   const { load, pool, tokens } = options;
   const open = load.total(id);
-  const memoryTokens = pool.engine?.memoryTokens ?? Infinity;
+  // Where nobody has told the engines' memory, their slots alone decide.
+  const memoryTokens = pool.engine?.memoryTokens || Infinity;
   const fits = open.tokens + tokens <= MOST_TAKEN_MEMORY * memoryTokens;
   return open.requests < slots && (fits || open.requests === 0);
 }
--- a/src/core/forwarding/placement/engine_placement.ts
+++ b/src/core/forwarding/placement/engine_placement.ts
@@ -260,8 +260,12 @@
   }
 }
 
-/** Engines that decode are few, so that most prompts cross zones. */
+/**
+ * Engines that decode are few, so that most prompts cross zones. Where nobody
+ * has told the links' speed, the transfer is part of what is learned: taken for
+ * endless, every long prompt would be refused.
+ */
 function handoverTransfer(prompt: Prompt, { engine }: Pool): number {
-  if (engine === undefined) return 0;
+  if (engine === undefined || engine.linkMegabitsPerSecond <= 0) return 0;
   return transferMilliseconds(prompt.inputTokens, { engine, isFar: true });
 }
--- a/src/core/forwarding/placement/engine_placement_test.ts
+++ b/src/core/forwarding/placement/engine_placement_test.ts
@@ -53,6 +53,56 @@
   const choose = () =>
     placement.choosePrefill(PROMPT, { engines, pool: ENGINE_POOL });
 
+  // Operators name no speed of the engines' links. Taken for endless, the
+  // hand-over is never in time and every caller with a long prompt is refused
+  // while all engines stand idle.
+  it("predicts a hand-over where no link speed is told", () => {
+    const { engine } = ENGINE_POOL;
+    const pool = makePool({
+      ...ENGINE_POOL,
+      engine: engine && { ...engine, linkMegabitsPerSecond: 0 },
+    });
+    expect(placement.handoverMilliseconds(PROMPT, pool)).to.be.within(1, 100);
+  });
+
+  describe("of engines that decode", () => {
+    const maker = makeEngine("maker", "decode", { slots: 4 });
+
+    function fill(requests: number, tokens: number): void {
+      for (let count = 0; count < requests; count++) {
+        load.started(maker.id, { milliseconds: 0, tokens });
+      }
+    }
+
+    const chooseMaker = (pool = ENGINE_POOL) =>
+      placement.chooseDecode([maker], { prompt: PROMPT, pool });
+
+    // All engines that decode were down and one is back while a hundred read
+    // prompts wait. Sent at once they find no memory and their callers are
+    // refused.
+    it("gives no engine more than its slots and memory hold", () => {
+      fill(3, 1_000);
+      expect(chooseMaker()?.endpoint.id).to.equal("maker");
+      fill(1, 1_000);
+      expect(chooseMaker()).to.equal(undefined);
+    });
+
+    it("counts the memory that open requests take", () => {
+      fill(1, 175_000);
+      expect(chooseMaker()).to.equal(undefined);
+    });
+
+    it("goes by slots where nobody has told the memory", () => {
+      const { engine } = ENGINE_POOL;
+      fill(2, 175_000);
+      const pool = makePool({
+        ...ENGINE_POOL,
+        engine: engine && { ...engine, memoryTokens: 0 },
+      });
+      expect(chooseMaker(pool)?.endpoint.id).to.equal("maker");
+    });
+  });
+
   describe("where the parts are kept by an engine that is free", () => {
     it("has that engine read the rest, and fetches nothing", () => {
       keep(engines[1]);
