--- a/src/core/forwarding/estimates/engine_slowness.ts
+++ b/src/core/forwarding/estimates/engine_slowness.ts
@@ -44,7 +44,9 @@
 
   /** What to multiply the time of work at the engine with; 1 for most. */
   factor(engine: EndpointId): number {
-    const ratio = Math.exp(this.#logarithm(engine));
+    const own = this.#logarithm(engine);
+    if (own <= Math.log(ORDINARY_RATIO)) return 1;
+    const ratio = Math.exp(own - this.#median());
     return ratio > ORDINARY_RATIO ? ratio : 1;
   }
 
@@ -66,6 +68,17 @@
     this.#seen.delete(id);
   }
 
+  /**
+   * The engine in the middle. Predictions may be out for all engines alike, as
+   * where parts that are taken for kept have been dropped: that makes none of
+   * them slow, and taken so, a fleet refuses a third of what it could read.
+   */
+  #median(): number {
+    const all = [...this.#seen.keys()].map((each) => this.#logarithm(each));
+    all.sort((one, other) => one - other);
+    return Math.max(0, all[(all.length - 1) >> 1] ?? 0);
+  }
+
   #logarithm(engine: EndpointId): number {
     const seen = this.#seen.get(engine);
     if (seen === undefined) return 0;
--- a/src/core/forwarding/estimates/engine_slowness_test.ts
+++ b/src/core/forwarding/estimates/engine_slowness_test.ts
@@ -5,12 +5,16 @@
 
 describe("EngineSlowness", () => {
   const engine = identifier<EndpointId>("engine");
+  const others = ["second", "third"].map((id) => identifier<EndpointId>(id));
   let timer: ManualTimerService;
   let slowness: EngineSlowness;
 
   beforeEach(() => {
     timer = new ManualTimerService();
     slowness = new EngineSlowness(timer);
+    for (const other of others) {
+      slowness.took(other, { milliseconds: 100, predicted: 100 });
+    }
   });
 
   function read(ratio: number, times: number): void {
@@ -26,6 +30,19 @@
     expect(slowness.factor(engine)).to.be.within(2.5, 5.5);
   });
 
+  // Engines drop the parts of prompts that are taken for kept, and every reading
+  // takes three times as long as predicted. Taken for slow, all of them seem
+  // full and callers are refused beside engines that have room.
+  it("takes no engine for slow where all take as much longer", () => {
+    for (let count = 0; count < 10; count++) {
+      read(3, 1);
+      for (const other of others) {
+        slowness.took(other, { milliseconds: 300, predicted: 100 });
+      }
+    }
+    expect(slowness.factor(engine)).to.equal(1);
+  });
+
   it("leaves ordinary errors of prediction alone", () => {
     for (let count = 0; count < 30; count++) {
       read(count % 3 === 0 ? 1.9 : 0.9, 1);
--- a/src/core/forwarding/placement/engine_placement.ts
+++ b/src/core/forwarding/placement/engine_placement.ts
@@ -226,16 +226,18 @@
       readonly pool: Pool;
       /** Where the prompt's cache is, after a hand-over. */
       readonly keptIn?: AvailabilityZoneId;
+      /** True: only an engine that has room for it now. */
+      readonly withRoom?: boolean;
     },
   ): DecodeChoice | undefined {
     const { estimates, load, outcomes, prefixes, random } = this.#options;
-    const { keptIn, pool, prompt } = options;
+    const { keptIn, pool, prompt, withRoom = false } = options;
     const makers = engines.filter((engine) => engine.role !== "prefill");
     const tokens = prompt.inputTokens + prompt.mostOutputTokens;
     let best: RegisteredEndpoint | undefined;
     let bestCost = Infinity;
     for (const endpoint of outcomes.wellAmong(makers)) {
-      if (!hasRoom(endpoint, { load, pool, tokens })) continue;
+      if (withRoom && !hasRoom(endpoint, { load, pool, tokens })) continue;
       const isFar = keptIn !== undefined &&
         endpoint.availabilityZone !== keptIn;
       const cost = load.total(endpoint.id).requests +
--- a/src/core/forwarding/placement/engine_placement_test.ts
+++ b/src/core/forwarding/placement/engine_placement_test.ts
@@ -74,8 +74,15 @@
       }
     }
 
-    const chooseMaker = (pool = ENGINE_POOL) =>
-      placement.chooseDecode([maker], { prompt: PROMPT, pool });
+    const chooseMaker = (pool = ENGINE_POOL, withRoom = true) =>
+      placement.chooseDecode([maker], { prompt: PROMPT, pool, withRoom });
+
+    // An engine queues a few requests itself and takes them up at once as
+    // others end. Held back here an urgent answer would wait for the next look.
+    it("sends on what has not waited, whatever the engine has open", () => {
+      fill(9, 100_000);
+      expect(chooseMaker(ENGINE_POOL, false)?.endpoint.id).to.equal("maker");
+    });
 
     // All engines that decode were down and one is back while a hundred read
     // prompts wait. Sent at once they find no memory and their callers are
--- a/src/entry/forwarding/forward_run.ts
+++ b/src/entry/forwarding/forward_run.ts
@@ -126,18 +126,22 @@
     }
     const keptIn = endpoints.find((each) => each.id === handover?.kept.engine)
       ?.availabilityZone;
-    const choose = () => {
+    const choose = ({ withRoom } = { withRoom: false }) => {
       // The engines may have changed while the prompt was read.
       const makers = this.#context.endpoints().filter(canDecode);
       return parts.placement.chooseDecode(this.#context.untried(makers), {
         prompt,
         pool,
         keptIn,
+        withRoom,
       });
     };
     const choice = choose() ??
       (endpoints.length > 0
-        ? await waitForChoice(this.#context, choose)
+        ? await waitForChoice(
+          this.#context,
+          () => choose({ withRoom: true }),
+        )
         : undefined);
     if (choice === undefined) return undefined;
     return {
