--- a/src/core/forwarding/placement/engine_placement.ts
+++ b/src/core/forwarding/placement/engine_placement.ts
@@ -152,7 +152,7 @@
     const { load } = this.#options;
     return this.#fastest(prompt, {
       ...among,
-      hasRoom: ({ id }) =>
+      isWanted: ({ id }) =>
         load.total(id).prefillMilliseconds <= NEARLY_IDLE_MILLISECONDS,
     });
   }
@@ -160,13 +160,13 @@
   #fastest(
     prompt: Prompt,
     options: PrefillCandidates & {
-      readonly hasRoom?: (engine: RegisteredEndpoint) => boolean;
+      readonly isWanted?: (engine: RegisteredEndpoint) => boolean;
     },
   ): PrefillChoice | undefined {
-    const { engines, hasRoom = () => true, pool } = options;
+    const { engines, isWanted = () => true, pool } = options;
     const { availabilityZone, outcomes, prefixes } = this.#options;
     const readers = engines.filter((each) =>
-      each.role === "prefill" && hasRoom(each)
+      each.role === "prefill" && isWanted(each)
     );
     const sources = bestSources(prompt.parts, {
       engines: outcomes.wellAmong(engines),
--- a/src/entry/forwarding/prompt_admission.ts
+++ b/src/entry/forwarding/prompt_admission.ts
@@ -14,6 +14,12 @@
 /** The request's arrival and the head of either engine's answer. */
 const LOOP_TURNS_OF_A_PROMPT = 3;
 
+/**
+ * Share of the reading engines that is taken to be left for held prompts at
+ * the least; what can be on time goes before them.
+ */
+const LEAST_LEFT_SHARE = 0.05;
+
 /** Why a prompt is not sent to any engine. */
 export type AdmissionRefusal = "engines_full" | "entry_full";
 
@@ -100,12 +106,6 @@
   };
 }
 
-/**
- * Share of the reading engines that is taken to be left for held prompts at
- * the least; what can be on time goes before them.
- */
-const LEAST_LEFT_SHARE = 0.05;
-
 /**
  * How long the prompt would be held. What is held before it waits for the
  * engines that on-time work leaves free; other entries are taken to have as
