--- a/src/entry/forwarding/forward_run.ts
+++ b/src/entry/forwarding/forward_run.ts
@@ -13,7 +13,7 @@
 import type { CallerSink, EndpointAnswer, Refusal } from "./links.ts";
 import type { ForwardingParts } from "./parts.ts";
 import type { AdmissionFacts } from "./prompt_admission.ts";
-import { waitForChoice } from "./wait_for_choice.ts";
+import { pacedByRoom, waitForChoice } from "./wait_for_choice.ts";
 
 /** When a caller that found no room should come back, milliseconds. */
 export const RETRY_AFTER_MILLISECONDS = 250;
@@ -138,10 +138,7 @@
     };
     const choice = choose() ??
       (endpoints.length > 0
-        ? await waitForChoice(
-          this.#context,
-          () => choose({ withRoom: true }),
-        )
+        ? await waitForChoice(this.#context, pacedByRoom(choose))
         : undefined);
     if (choice === undefined) return undefined;
     return {
--- a/src/entry/forwarding/wait_for_choice.ts
+++ b/src/entry/forwarding/wait_for_choice.ts
@@ -9,6 +9,29 @@
  */
 const REFUSED_WITH_SHARE_LEFT = 0.15;
 
+/**
+ * Looks in a row at engines that can be reached and have no room, after which
+ * one is taken as it is. Harm prevented: what has waited goes on waiting while
+ * newer requests, which ask for no room, take it all (159 more of a day's 9,300
+ * refused, 491 of its worth held to the end). Limit: a fifth of a second lets a
+ * hundred that waited for a crashed engine follow each other.
+ */
+const MOST_LOOKS_FOR_ROOM = 8;
+
+/** Chooses an engine that has room, for a while, and then any. */
+export function pacedByRoom<Choice>(
+  choose: (options: { readonly withRoom: boolean }) => Choice | undefined,
+): () => Choice | undefined {
+  let looks = 0;
+  return () => {
+    const roomy = choose({ withRoom: true });
+    if (roomy !== undefined) return roomy;
+    const any = choose({ withRoom: false });
+    if (any !== undefined) looks += 1;
+    return looks > MOST_LOOKS_FOR_ROOM ? any : undefined;
+  };
+}
+
 /**
  * Asks again until there is a choice, as long as the caller can still get a
  * first byte. Load: every engine that decodes is down for some seconds. Harm
