--- a/src/core/forwarding/caches/prompt_reading.ts
+++ b/src/core/forwarding/caches/prompt_reading.ts
@@ -13,7 +13,11 @@
 
 /** How an engine reads a prompt. */
 export interface PromptReading {
-  /** Work that the engine has to do for it. */
+  /**
+   * Work that the engine has to do for it, without the time of the call: calls
+   * to one engine overlap. Counted with each prompt that stands before it, they
+   * had 84 ms predicted at the median where 65 were taken.
+   */
   readonly workMilliseconds: number;
   /** Tokens at its start that the engine need not read. */
   readonly keptTokens: number;
@@ -38,7 +42,7 @@
 ): PromptReading {
   const { keptTokens, reading, sources } = options;
   const alone: PromptReading = {
-    workMilliseconds: reading.readMilliseconds(prompt.inputTokens, keptTokens),
+    workMilliseconds: reading.freshMilliseconds(prompt.inputTokens, keptTokens),
     keptTokens,
   };
   return sources
@@ -62,7 +66,7 @@
   const isFar = source.endpoint.availabilityZone !== endpoint.availabilityZone;
   return [{
     workMilliseconds: transferMilliseconds(fetched, { engine, isFar }) +
-      reading.readMilliseconds(prompt.inputTokens, source.keptTokens),
+      reading.freshMilliseconds(prompt.inputTokens, source.keptTokens),
     keptTokens: source.keptTokens,
     fetchFrom: source.endpoint,
   }];
--- a/src/core/forwarding/placement/engine_placement.ts
+++ b/src/core/forwarding/placement/engine_placement.ts
@@ -72,6 +72,8 @@
   readonly endpoint: RegisteredEndpoint;
   /** Work that stands before it there. */
   readonly backlogMilliseconds: number;
+  /** Time until it is read: what stands before it, its own, and the call's. */
+  readonly predictedMilliseconds: number;
   /** How many times as long the engine takes as its kind. */
   readonly slowness: number;
   /** Requests that all entries have open there. */
@@ -208,11 +210,15 @@
       keptTokens,
       sources,
     });
+    const workMilliseconds = slow * quickest.workMilliseconds;
+    const backlogMilliseconds = slow * open.prefillMilliseconds;
     return {
       endpoint,
       ...quickest,
-      workMilliseconds: slow * quickest.workMilliseconds,
-      backlogMilliseconds: slow * open.prefillMilliseconds,
+      workMilliseconds,
+      backlogMilliseconds,
+      predictedMilliseconds: backlogMilliseconds + workMilliseconds +
+        reading.costs.callMilliseconds,
       slowness: slow,
       openRequests: open.requests,
     };
--- a/src/entry/forwarding/handover.ts
+++ b/src/entry/forwarding/handover.ts
@@ -150,9 +150,8 @@
       readonly took: number;
     },
   ): void {
-    const { backlogMilliseconds, endpoint, slowness, workMilliseconds } =
-      choice;
-    const predicted = (backlogMilliseconds + workMilliseconds) / slowness;
+    const { endpoint, predictedMilliseconds, slowness } = choice;
+    const predicted = predictedMilliseconds / slowness;
     if (outcome.kind === "failed" && took < predicted) return;
     const { parts } = this.#context;
     if (!parts.registry.isSameRun(endpoint)) return;
--- a/src/entry/forwarding/prefill_step.ts
+++ b/src/entry/forwarding/prefill_step.ts
@@ -73,7 +73,7 @@
     },
   });
   options.onAttempt(attempt);
-  const predicted = choice.backlogMilliseconds + choice.workMilliseconds;
+  const predicted = choice.predictedMilliseconds;
   const patience = Math.min(
     deadlineMilliseconds,
     Math.max(LEAST_PATIENCE_MILLISECONDS, PATIENCE_TO_PREDICTION * predicted),
--- a/src/entry/forwarding/prompt_admission.ts
+++ b/src/entry/forwarding/prompt_admission.ts
@@ -55,9 +55,7 @@
   const among = { engines: context.untried(asked.engines), pool };
   const soonest = parts.placement.choosePrefill(asked.prompt, among);
   const held = holdable(context, asked.prompt, soonest);
-  const onTimeMilliseconds = soonest === undefined
-    ? Infinity
-    : soonest.backlogMilliseconds + soonest.workMilliseconds;
+  const onTimeMilliseconds = soonest?.predictedMilliseconds ?? Infinity;
   const question = {
     onTimeMilliseconds,
     lateMilliseconds: onTimeMilliseconds +
