Tell how far an entry's part of the limit on repeats is used up

Each decision to send once more or not now has what is counted and allowed, and two gauges show both by pool. Nothing decides otherwise.

--- a/src/adapters/telemetry/forwarding_record.ts
+++ b/src/adapters/telemetry/forwarding_record.ts
@@ -1,5 +1,6 @@
 /** Log lines and metrics of forwarded requests. */
-import { Counter, Histogram, type Registry } from "prom-client";
+import { Counter, Gauge, Histogram, type Registry } from "prom-client";
+import type { RepeatUse } from "../../core/forwarding/mod.ts";
 import type { Logger } from "../../core/observation/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
 import type { ObserveForwarding } from "../../entry/forwarding/mod.ts";
@@ -44,6 +45,31 @@
   return () => counter.inc();
 }
 
+/** Shows how far the repeats of each pool have used up this entry's part. */
+export function showRepeats(
+  registry: Registry,
+  uses: () => readonly RepeatUse[],
+): void {
+  new Gauge({
+    name: "filbertshore_repeats",
+    help: "Arrivals beyond the first of a request that count now, by pool",
+    labelNames: ["pool"],
+    registers: [registry],
+    collect() {
+      for (const { pool, counted } of uses()) this.set({ pool }, counted);
+    },
+  });
+  new Gauge({
+    name: "filbertshore_repeats_allowed",
+    help: "This entry's part of the fleet's limit on repeats, by pool",
+    labelNames: ["pool"],
+    registers: [registry],
+    collect() {
+      for (const { pool, allowed } of uses()) this.set({ pool }, allowed);
+    },
+  });
+}
+
 /** Gives the function that the forwarding path tells its decisions to. */
 export function recordForwarding(
   options: ForwardingRecordOptions,
--- a/src/adapters/telemetry/mod.ts
+++ b/src/adapters/telemetry/mod.ts
@@ -5,5 +5,9 @@
   type LoggerOptions,
 } from "./logger.ts";
 export { Metrics, type MetricsOptions } from "./metrics.ts";
-export { countUnreadable, recordForwarding } from "./forwarding_record.ts";
+export {
+  countUnreadable,
+  recordForwarding,
+  showRepeats,
+} from "./forwarding_record.ts";
 export { createTracing, type Tracing, type TracingOptions } from "./tracing.ts";
--- a/src/core/forwarding/admission/retry_allowance.ts
+++ b/src/core/forwarding/admission/retry_allowance.ts
@@ -19,6 +19,14 @@
   readonly entries: () => number;
 }
 
+/** How far one pool's repeats have used up this entry's part. */
+export interface RepeatUse {
+  readonly pool: string;
+  /** Repeats that count in the window that ends now. */
+  readonly counted: number;
+  readonly allowed: number;
+}
+
 /** What one pool has had in one window. */
 interface PoolWindow {
   readonly requests: number[];
@@ -69,6 +77,16 @@
     return USED_SHARE * (ratio * requests + shared);
   }
 
+  /** The use of every pool that has had requests. */
+  uses(): RepeatUse[] {
+    return [...this.#pools.keys()].map((pool) => this.use(pool));
+  }
+
+  use(pool: string): RepeatUse {
+    const counted = this.#window(pool).repeats.length;
+    return { pool, counted, allowed: this.allowed(pool) };
+  }
+
   #window(pool: string): PoolWindow {
     let window = this.#pools.get(pool);
     if (window === undefined) {
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -7,7 +7,7 @@
   EndpointRegistry,
   type RegistryChange,
 } from "./endpoints/endpoint_registry.ts";
-export { RetryAllowance } from "./admission/retry_allowance.ts";
+export { type RepeatUse, RetryAllowance } from "./admission/retry_allowance.ts";
 export {
   EngineEstimates,
   EngineSlowness,
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -119,7 +119,12 @@
     if (this.left < LEAST_USEFUL_MILLISECONDS) return false;
     const allowed = !options.counts ||
       this.parts.allowance.take(this.pool.name);
-    if (allowed) this.tell("resent", { reason });
+    const { counted, allowed: most } = this.parts.allowance.use(this.pool.name);
+    this.tell(allowed ? "resent" : "not_resent", {
+      reason,
+      repeatsCounted: counted,
+      repeatsAllowed: Math.floor(most),
+    });
     return allowed;
   }
 
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -14,6 +14,7 @@
   type PeerReading,
   PrefixDirectory,
   type RegisteredEndpoint,
+  type RepeatUse,
   RetryAllowance,
   ReturningCallers,
   RouteTable,
@@ -225,6 +226,11 @@
     return age < YOUNG_MILLISECONDS ? Math.max(known, ASSUMED_ENTRIES) : known;
   }
 
+  /** How far each pool's repeats have used up this entry's part. */
+  repeatUses(): RepeatUse[] {
+    return this.#parts.allowance.uses();
+  }
+
   /** Work of all entries at the endpoint. */
   openWorkAt(endpoint: EndpointId): OpenWork {
     return this.#parts.load.total(endpoint);
--- a/src/entry/forwarding/observer.ts
+++ b/src/entry/forwarding/observer.ts
@@ -6,6 +6,7 @@
   | "placed"
   | "prompt_read"
   | "resent"
+  | "not_resent"
   | "resumed"
   | "refused"
   | "answered"
--- a/test/operations/operations_test.ts
+++ b/test/operations/operations_test.ts
@@ -4,6 +4,7 @@
   countUnreadable,
   Metrics,
   recordForwarding,
+  showRepeats,
 } from "../../src/adapters/telemetry/mod.ts";
 import { SystemTimerService } from "../../src/adapters/time/mod.ts";
 import { SILENT_LOGGER } from "../../src/core/observation/mod.ts";
@@ -39,6 +40,7 @@
     timer: new SystemTimerService(),
   });
   countUnreadable(metrics.registry);
+  showRepeats(metrics.registry, () => []);
   return (await metrics.render()).body;
 }
 
