Ask for every repeat before it is sent, and count it when it is sent

Cause: what reaches a pool was counted in three ways: taken from the allowance when a further send was allowed, noted afterwards for readings that failed or were made anew, and not at all where it waited. So a limit held for sends and not for arrivals.

Ruled out for the incident: restarted entries (both had started again before the span, and the count alone explains the figure); entries counted wrongly (0.2 of the limit is left free for it; the minimum is a fifth of the limit).

Change: one book for each request counts its arrivals as the pool does, and gets a permit for each that costs one before anything is sent or an answer is dropped for it; a permit counts from its grant, and for a whole window from its sending.

--- a/src/core/forwarding/admission/retry_allowance.ts
+++ b/src/core/forwarding/admission/retry_allowance.ts
@@ -22,23 +22,39 @@
 /** How far one pool's repeats have used up this entry's part. */
 export interface RepeatUse {
   readonly pool: string;
-  /** Repeats that count in the window that ends now. */
+  /** Repeats that count in the window that ends now, and those to come. */
   readonly counted: number;
   readonly allowed: number;
 }
 
-/** What one pool has had in one window. */
+/** The right to one repeat, from its grant until it is sent or given back. */
+export interface RepeatPermit {
+  /** The repeat is sent now; it counts for a window from here. */
+  use(): void;
+  /** It is not sent, or it never reached the pool. */
+  giveBack(): void;
+}
+
 interface PoolWindow {
+  /** Times at which requests arrived. */
   readonly requests: number[];
+  /** Times at which repeats were sent. */
   readonly repeats: number[];
+  /** Repeats that are granted and not sent yet. */
+  granted: number;
 }
 
 /**
- * Allows sends beyond the first of a request, as this entry's part of a limit
- * that the whole fleet shares. Load: an engine of ten fails while everything
- * else is full. Harm prevented: retries multiply the load of a pool that
- * fails because it is overloaded. Limit: the operators' ratio on the requests
- * that this entry itself got, plus its part of their minimum.
+ * Allows arrivals beyond the first of a request, as this entry's part of a
+ * limit that the whole fleet shares. Load: an engine of ten fails while
+ * everything else is full. Harm prevented: retries multiply the load of a pool
+ * that fails because it is overloaded. Limit: the operators' ratio on the
+ * requests that this entry itself got, plus its part of their minimum.
+ *
+ * A repeat counts from its grant and for a whole window from its sending: what
+ * is granted may wait seconds for an engine. Counted from the grant alone, two
+ * crashes of an engine within ten seconds gave the pool 317 repeats above a
+ * limit of 320.
  */
 export class RetryAllowance {
   readonly #options: RetryAllowanceOptions;
@@ -52,45 +68,41 @@
     this.#window(pool).requests.push(this.#options.timer.now());
   }
 
-  /** Takes one repeat; false where the window's part is used up. */
-  take(pool: string): boolean {
-    if (this.left(pool) < 1) return false;
-    this.note(pool);
-    return true;
+  /** Grants one repeat; undefined where the window's part is used up. */
+  grant(pool: string): RepeatPermit | undefined {
+    const { allowed, counted } = this.use(pool);
+    if (allowed - counted < 1) return undefined;
+    const window = this.#window(pool);
+    window.granted += 1;
+    return new GrantedRepeat(window, this.#options.timer);
   }
 
-  /** Counts a repeat that has happened unasked, as a send that was rejected. */
-  note(pool: string): void {
-    this.#window(pool).repeats.push(this.#options.timer.now());
+  /** The use of every pool that has had requests. */
+  uses(): RepeatUse[] {
+    return [...this.#pools.keys()].map((pool) => this.use(pool));
   }
 
-  /** Repeats that are left of this entry's part. */
-  left(pool: string): number {
-    return this.allowed(pool) - this.#window(pool).repeats.length;
+  use(pool: string): RepeatUse {
+    const { granted, repeats } = this.#window(pool);
+    return {
+      pool,
+      counted: repeats.length + granted,
+      allowed: this.#allowed(pool),
+    };
   }
 
   /** This entry's part in the window that ends now, used or not. */
-  allowed(pool: string): number {
+  #allowed(pool: string): number {
     const { ratio, minimum, entries } = this.#options;
     const requests = this.#window(pool).requests.length;
     const shared = minimum / Math.max(1, entries());
     return USED_SHARE * (ratio * requests + shared);
   }
 
-  /** The use of every pool that has had requests. */
-  uses(): RepeatUse[] {
-    return [...this.#pools.keys()].map((pool) => this.use(pool));
-  }
-
-  use(pool: string): RepeatUse {
-    const counted = this.#window(pool).repeats.length;
-    return { pool, counted, allowed: this.allowed(pool) };
-  }
-
   #window(pool: string): PoolWindow {
     let window = this.#pools.get(pool);
     if (window === undefined) {
-      window = { requests: [], repeats: [] };
+      window = { requests: [], repeats: [], granted: 0 };
       this.#pools.set(pool, window);
     }
     const oldest = this.#options.timer.now() - this.#options.windowMilliseconds;
@@ -100,6 +112,39 @@
   }
 }
 
+class GrantedRepeat implements RepeatPermit {
+  readonly #window: PoolWindow;
+  readonly #timer: TimerService;
+  #state: "granted" | "used" | "given back" = "granted";
+  #usedAt = 0;
+
+  constructor(window: PoolWindow, timer: TimerService) {
+    this.#window = window;
+    this.#timer = timer;
+  }
+
+  use(): void {
+    if (this.#state !== "granted") return;
+    this.#state = "used";
+    this.#usedAt = this.#timer.now();
+    this.#window.granted -= 1;
+    this.#window.repeats.push(this.#usedAt);
+  }
+
+  giveBack(): void {
+    if (this.#state === "granted") this.#window.granted -= 1;
+    if (this.#state === "used") this.#takeBackUse();
+    this.#state = "given back";
+  }
+
+  #takeBackUse(): void {
+    const { repeats } = this.#window;
+    const index = repeats.lastIndexOf(this.#usedAt);
+    // A use that is older than the window is no longer there.
+    if (index >= 0) repeats.splice(index, 1);
+  }
+}
+
 function dropBefore(times: number[], oldest: number): void {
   let count = 0;
   while (count < times.length && times[count] < oldest) count++;
--- a/src/core/forwarding/admission/retry_allowance_test.ts
+++ b/src/core/forwarding/admission/retry_allowance_test.ts
@@ -21,8 +21,12 @@
 
   function takeAll(pool: string): number {
     let taken = 0;
-    while (allowance.take(pool)) taken += 1;
-    return taken;
+    for (;;) {
+      const permit = allowance.grant(pool);
+      if (permit === undefined) return taken;
+      permit.use();
+      taken += 1;
+    }
   }
 
   // Every engine fails, and five entries resend what they get. Without a
@@ -38,7 +42,7 @@
 
   it("counts each pool by itself", () => {
     takeAll("engines");
-    expect(allowance.take("portal")).to.equal(true);
+    expect(allowance.grant("portal")).to.not.equal(undefined);
   });
 
   it("gives back what is older than the window", async () => {
@@ -47,11 +51,39 @@
     expect(takeAll("engines")).to.equal(first);
   });
 
-  // Engines reject readings of prompts that were sent unasked. Left out of the
-  // count, the fleet exceeds its limit by as many.
-  it("counts what was rejected against what may be repeated", () => {
-    const before = allowance.left("engines");
-    allowance.note("engines");
-    expect(allowance.left("engines")).to.equal(before - 1);
+  // What is granted waits for an engine. Not counted meanwhile, it would be
+  // granted to others as well, and all are sent when the engine is back.
+  it("counts a repeat from its grant on, however long it waits", async () => {
+    const before = takeAll("engines");
+    await timer.advance(10_001);
+    const waiting = allowance.grant("engines");
+    await timer.advance(10_001);
+    expect(takeAll("engines")).to.equal(before - 1);
+    waiting?.giveBack();
+    expect(allowance.grant("engines")).to.not.equal(undefined);
+  });
+
+  // Counted from its grant alone, a repeat that has waited for nine seconds is
+  // forgotten a second after it was sent.
+  it("counts a repeat for a whole window from its sending", async () => {
+    const permit = allowance.grant("engines");
+    await timer.advance(9_000);
+    permit?.use();
+    await timer.advance(9_000);
+    expect(allowance.use("engines").counted).to.equal(1);
+    await timer.advance(1_001);
+    expect(allowance.use("engines").counted).to.equal(0);
+  });
+
+  it("takes back a repeat that has not reached its endpoint, once", () => {
+    const [one, other] = [
+      allowance.grant("engines"),
+      allowance.grant("engines"),
+    ];
+    one?.use();
+    other?.use();
+    one?.giveBack();
+    one?.giveBack();
+    expect(allowance.use("engines").counted).to.equal(1);
   });
 });
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -7,7 +7,15 @@
   EndpointRegistry,
   type RegistryChange,
 } from "./endpoints/endpoint_registry.ts";
-export { type RepeatUse, RetryAllowance } from "./admission/retry_allowance.ts";
+export {
+  type NextSends,
+  RequestArrivals,
+} from "./admission/request_arrivals.ts";
+export {
+  type RepeatPermit,
+  type RepeatUse,
+  RetryAllowance,
+} from "./admission/retry_allowance.ts";
 export {
   EngineEstimates,
   EngineSlowness,
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -1,8 +1,10 @@
-import type {
-  ForwardedRequest,
-  Pool,
-  RegisteredEndpoint,
-  Route,
+import {
+  type ForwardedRequest,
+  type NextSends,
+  type Pool,
+  type RegisteredEndpoint,
+  RequestArrivals,
+  type Route,
 } from "../../core/forwarding/mod.ts";
 import type { EndpointId } from "../../core/identity/mod.ts";
 import type { ForwardingDecision } from "./observer.ts";
@@ -37,6 +39,8 @@
   readonly allowedMilliseconds: number;
   /** How long the caller had waited before, in earlier attempts. */
   readonly waitedMilliseconds: number;
+  /** What has reached the pool of this request. */
+  readonly arrivals: RequestArrivals;
   /** Runs that were sent to endpoints. */
   sends = 0;
   /** True once the caller has its answer or has gone. */
@@ -50,6 +54,7 @@
     this.route = route;
     this.pool = task.pool;
     this.arrived = parts.timer.now();
+    this.arrivals = new RequestArrivals(parts.allowance, task.pool.name);
     this.allowedMilliseconds = Math.min(
       request.deadlineMilliseconds ?? Infinity,
       route.timeoutMilliseconds,
@@ -114,11 +119,10 @@
   }
 
   /** Asks the shared allowance, for what reaches the pool once more. */
-  mayResend(reason: string, options: { readonly counts: boolean }): boolean {
-    if (this.sends >= MOST_SENDS) return false;
-    if (this.left < LEAST_USEFUL_MILLISECONDS) return false;
-    const allowed = !options.counts ||
-      this.parts.allowance.take(this.pool.name);
+  mayResend(reason: string, next: NextSends): boolean {
+    const allowed = this.sends < MOST_SENDS &&
+      this.left >= LEAST_USEFUL_MILLISECONDS &&
+      this.arrivals.cover(next);
     const { counted, allowed: most } = this.parts.allowance.use(this.pool.name);
     this.tell(allowed ? "resent" : "not_resent", {
       reason,
--- a/src/entry/forwarding/forward_run.ts
+++ b/src/entry/forwarding/forward_run.ts
@@ -156,6 +156,8 @@
   async #send(plan: AttemptPlan): Promise<NextStep> {
     const { parts, request } = this.#context;
     const { endpoint } = plan;
+    if (!this.#context.arrivals.cover({ reading: false })) return "refuse";
+    this.#context.arrivals.sent();
     this.#context.sends += 1;
     this.#mayRun = true;
     this.#context.tell("placed", {
@@ -189,21 +191,25 @@
       // an endpoint is asked that takes no connection is limited elsewhere.
       this.#context.sends -= 1;
       this.#mayRun = this.#runs > 0;
-      const maySend = this.#context.mayResend(name, { counts: false });
-      return maySend ? "again" : "refuse";
+      this.#context.arrivals.notArrived();
+      return this.#mayResend(name) ? "again" : "refuse";
     }
     this.#runs += 1;
     if (!this.#mayRunAgain()) return "unknown";
-    const maySend = this.#context.mayResend(name, { counts: true });
-    return maySend ? "again" : "unknown";
+    return this.#mayResend(name) ? "again" : "unknown";
   }
 
   #afterNotRun(endpoint: EndpointId): NextStep {
     this.#mayRun = this.#runs > 0;
     this.#context.turnedAwayBy(endpoint);
     this.#handover.turnedAway();
-    const maySend = this.#context.mayResend("not_run", { counts: true });
-    return maySend ? "again" : "refuse";
+    return this.#mayResend("not_run") ? "again" : "refuse";
+  }
+
+  /** Asked before anything of an answer that may be passed on is dropped. */
+  #mayResend(reason: string): boolean {
+    const reading = this.#handover.readsAnew;
+    return this.#context.mayResend(reason, { reading });
   }
 
   /** True where a further run does no harm and the route allows one. */
@@ -221,7 +227,7 @@
     const { head } = answer;
     this.#runs += 1;
     const mayRepeat = head.status >= 500 && this.#mayRunAgain() &&
-      this.#context.mayResend(`status ${head.status}`, { counts: true });
+      this.#mayResend(`status ${head.status}`);
     if (mayRepeat) {
       discard(answer, attempt);
       return "again";
@@ -237,7 +243,7 @@
   #afterCut(): NextStep {
     const { repeat } = this.#context.route;
     const mayResume = repeat === "stream" && this.#mayRunAgain() &&
-      this.#context.mayResend("cut", { counts: true });
+      this.#mayResend("cut");
     if (mayResume) {
       this.#context.tell("resumed", {
         lastEventId: this.#relay.lastEventId ?? "",
@@ -324,6 +330,7 @@
     this.#context.settled = true;
     this.#limit.cancel();
     this.#handover.release();
+    this.#context.arrivals.release();
   }
 
   /** A caller's own position, or that behind the last event passed on. */
--- a/src/entry/forwarding/handover.ts
+++ b/src/entry/forwarding/handover.ts
@@ -28,7 +28,7 @@
   | { readonly kind: "kept"; readonly kept: KeptPrompt }
   | {
     readonly kind: "refused";
-    readonly reason: AdmissionRefusal | "prompt_not_read";
+    readonly reason: AdmissionRefusal | "prompt_not_read" | "no_repeats_left";
     /** What decided, for the log. */
     readonly facts: AdmissionFacts;
   };
@@ -40,6 +40,13 @@
   facts: {},
 };
 
+/** The prompt would be read anew, and the fleet's limit allows no more. */
+const NO_REPEATS: HandoverOutcome = {
+  kind: "refused",
+  reason: "no_repeats_left",
+  facts: {},
+};
+
 /**
  * The cache of one request's prompt on its way from the engine that reads to
  * the one that decodes; it is freed on every way out.
@@ -50,7 +57,6 @@
   #kept: KeptPrompt | undefined;
   /** Readings that have failed. */
   #prefills = 0;
-  #hasRead = false;
   #offers = 0;
 
   /** `onAttempt` takes each reading, so that it can be aborted. */
@@ -76,8 +82,8 @@
       return { kind: "kept", kept: this.#kept };
     }
     this.#kept = undefined;
-    const { allowance } = this.#context.parts;
     for (;;) {
+      if (!this.#context.arrivals.cover({ reading: true })) return NO_REPEATS;
       const admitted = admitPrompt(this.#context, {
         prompt,
         engines: endpoints,
@@ -94,8 +100,7 @@
       this.#context.turnedAwayBy(outcome.engine);
       const mayRepeat = !this.#context.settled &&
         this.#prefills < MOST_PREFILLS &&
-        allowance.left(this.#context.pool.name) >= 1 &&
-        this.#context.mayResend(`prefill ${outcome.reason}`, { counts: false });
+        this.#context.mayResend(`prefill ${outcome.reason}`, { reading: true });
       if (!mayRepeat) {
         const facts = { readings: this.#prefills };
         return { kind: "refused", reason: "prompt_not_read", facts };
@@ -103,6 +108,13 @@
     }
   }
 
+  /** True where the prompt has to be read once more before the next send. */
+  get readsAnew(): boolean {
+    const kept = this.#kept;
+    const isMissing = kept === undefined || this.#isLost(kept);
+    return isMissing && this.#context.arrivals.hasRead;
+  }
+
   /** True where the engine has started again since and holds nothing. */
   #isLost({ engine, engineStartedAt }: KeptPrompt): boolean {
     const now = this.#context.parts.registry.get(engine);
@@ -175,7 +187,8 @@
     admitted: { readonly choice: PrefillChoice; readonly late: boolean },
   ): Promise<PrefillOutcome> {
     const { choice, late } = admitted;
-    const { parts, pool, request, route, waitedMilliseconds } = this.#context;
+    const { arrivals, parts, pool, request, route, waitedMilliseconds } =
+      this.#context;
     this.#context.tell("placed", {
       step: "prefill",
       endpoint: choice.endpoint.id,
@@ -188,6 +201,7 @@
       fetchFrom: choice.fetchFrom?.id,
     });
     const sent = parts.timer.now();
+    arrivals.readingSent();
     const outcome = await readPrompt(parts, {
       request,
       prompt,
@@ -199,15 +213,9 @@
     });
     const took = parts.timer.now() - sent;
     this.#learnSlowness(choice, { outcome, took });
-    if (outcome.kind === "failed") {
-      parts.allowance.note(pool.name);
-      return outcome;
-    }
+    arrivals.readingEnded({ accepted: outcome.kind === "kept" });
+    if (outcome.kind === "failed") return outcome;
     this.#learnSpeed(prompt, choice, took);
-    // Only the first accepted reading is free of the allowance: a cache that
-    // was lost with its engine is read once more at the fleet's expense.
-    if (this.#hasRead) parts.allowance.note(pool.name);
-    this.#hasRead = true;
     this.#kept = outcome.kept;
     this.#context.tell("prompt_read", {
       endpoint: outcome.kept.engine,
