--- a/src/entry/forwarding/repeat_limit_test.ts
+++ b/src/entry/forwarding/repeat_limit_test.ts
@@ -79,7 +79,7 @@
 /** An entry before engines of which those that decode are played by a test. */
 class RepeatPlay {
   readonly arrivals = new ArrivalCount();
-  readonly bench = this.#makeBench();
+  bench = this.#makeBench();
   /** What an engine that decodes does with a request. */
   decode: (attempt: SentAttempt) => void = (attempt) => void attempt.notRun();
   /** How long a prompt is read. */
@@ -100,6 +100,12 @@
     }
   }
 
+  /** The entry's process is killed, and another one starts in its place. */
+  restart(): void {
+    this.bench.onSend = undefined;
+    this.bench = this.#makeBench();
+  }
+
   #makeBench(): ForwardingBench {
     const bench = new ForwardingBench(
       makeConfiguration({
@@ -155,6 +161,16 @@
     expect(play.arrivals.worstExcess).to.be.at.most(0);
   });
 
+  // Every request that an engine turns away is sent to it once more within a
+  // few milliseconds, while the engine is as full as before. It takes repeats
+  // that requests of a crashed engine need, and helps nobody.
+  it("are not made at an engine that has just turned the request away", async () => {
+    const play = new RepeatPlay();
+    await play.run({ perSecond: 110, milliseconds: 3_000 });
+    // One of ten requests, where the fleet's limit allows 256 in ten seconds.
+    expect(play.arrivals.repeats.length).to.be.below(0.1 * 330);
+  });
+
   // The engine that decodes crashes with streams on it and is back at once. Each
   // stream goes on there once its prompt has been read anew, since the crashed
   // engine has taken the first cache over: two arrivals, of which the entry
@@ -191,6 +207,17 @@
     expect(play.arrivals.repeats.length).to.be.greaterThan(0);
     expect(play.arrivals.worstExcess).to.be.at.most(0);
   });
+
+  // An entry uses up its part of the limit at a full engine and is killed. The
+  // process that starts in its place knows nothing of that and has a part of
+  // its own; an engine that is in trouble gets both.
+  it("are not forgotten with the process that made them", async () => {
+    const play = new RepeatPlay();
+    await play.run({ perSecond: 110, milliseconds: 4_000 });
+    play.restart();
+    await play.run({ perSecond: 110, milliseconds: 6_000 });
+    expect(play.arrivals.worstExcess).to.be.at.most(0);
+  });
 });
 
 /** An engine takes the request and goes on working on it. */
