Ask an engine that has turned a request away again only with room

Cause: where every engine that decodes has turned a request away, the next one to ask was chosen among all of them again, so a full engine got each request up to four times within a tenth of a second. The repeats were lost to requests that could have used them.

--- a/src/core/forwarding/endpoints/endpoint_outcomes.ts
+++ b/src/core/forwarding/endpoints/endpoint_outcomes.ts
@@ -87,6 +87,13 @@
     return well.length >= fewest ? well : candidates;
   }
 
+  /** Of the candidates those that don't turn away whatever is sent to them. */
+  openAmong<Endpoint extends { readonly id: EndpointId }>(
+    endpoints: readonly Endpoint[],
+  ): readonly Endpoint[] {
+    return endpoints.filter(({ id }) => !this.#isClosed(id));
+  }
+
   started(id: EndpointId): void {
     const known = this.#of(id);
     if (known.open === 0) known.silentSince = this.#timer.now();
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -114,10 +114,17 @@
   untried(
     endpoints: readonly RegisteredEndpoint[],
   ): readonly RegisteredEndpoint[] {
-    const others = endpoints.filter((each) => !this.#turnedAway.has(each.id));
+    const others = this.notTurnedAway(endpoints);
     return others.length > 0 ? others : endpoints;
   }
 
+  /** Endpoints that have not turned this request away. */
+  notTurnedAway(
+    endpoints: readonly RegisteredEndpoint[],
+  ): readonly RegisteredEndpoint[] {
+    return endpoints.filter(({ id }) => !this.#turnedAway.has(id));
+  }
+
   /** Asks the shared allowance, for what reaches the pool once more. */
   mayResend(reason: string, next: NextSends): boolean {
     const allowed = this.sends < MOST_SENDS &&
--- a/src/entry/forwarding/forward_run.ts
+++ b/src/entry/forwarding/forward_run.ts
@@ -3,6 +3,7 @@
   type EngineRole,
   NO_PROMPT,
   type Prompt,
+  type RegisteredEndpoint,
 } from "../../core/forwarding/mod.ts";
 import type { EndpointId } from "../../core/identity/mod.ts";
 import type { Subscription } from "../../core/time/mod.ts";
@@ -129,7 +130,7 @@
     const choose = ({ withRoom } = { withRoom: false }) => {
       // The engines may have changed while the prompt was read.
       const makers = this.#context.endpoints().filter(canDecode);
-      return parts.placement.chooseDecode(this.#context.untried(makers), {
+      return parts.placement.chooseDecode(this.#decoders(makers, withRoom), {
         prompt,
         pool,
         keptIn,
@@ -153,6 +154,22 @@
     };
   }
 
+  /**
+   * The engines that may be asked to decode. One that has turned the request
+   * away is asked again only once it has room and takes what others send it.
+   * Load: one engine that decodes is left, and it is full. Harm prevented: each
+   * request is sent there four times within a tenth of a second, is refused all
+   * the same, and uses up the repeats of requests whose engine has crashed.
+   */
+  #decoders(
+    makers: readonly RegisteredEndpoint[],
+    withRoom: boolean,
+  ): readonly RegisteredEndpoint[] {
+    const others = this.#context.notTurnedAway(makers);
+    if (others.length > 0) return others;
+    return withRoom ? this.#context.parts.outcomes.openAmong(makers) : [];
+  }
+
   async #send(plan: AttemptPlan): Promise<NextStep> {
     const { parts, request } = this.#context;
     const { endpoint } = plan;
