Tell that an endpoint drains, also while an order is carried out

The side's log has the drain in force; its report said changing, since an order that was under way went before it.

Change: the operator's word goes before an order that is under way. An operator would else wait for a drain that is in force, and callers are told that the endpoint will soon be back. Test first, without processes: it failed with changing in place of draining.

--- a/src/side/side_core.ts
+++ b/src/side/side_core.ts
@@ -214,8 +214,10 @@
   #state(): SideReport["state"] {
     if (this.#leaving) return "leaving";
     if (this.#endpointDown) return "down";
-    if (this.#changing) return "changing";
+    // An order can take minutes; told first, it would hide from the operator
+    // that a drain is in force, and callers would wait for the endpoint.
     if (this.#isDraining()) return "draining";
+    if (this.#changing) return "changing";
     return "serving";
   }
 
--- a/src/side/side_core_test.ts
+++ b/src/side/side_core_test.ts
@@ -44,6 +44,10 @@
 
 class OneEngine {
   readonly orders: EngineTarget[] = [];
+  /** What an order answers; one that never settles is under way for good. */
+  orderOutcome: Promise<Result<undefined, never>> = Promise.resolve(
+    ok(undefined),
+  );
   role: "mixed" | "prefill" | "decode" = "mixed";
   weights = "v1";
 
@@ -62,12 +66,13 @@
       this.orders.push(target);
       this.role = target.role;
       this.weights = target.weights ?? this.weights;
-      return Promise.resolve(ok(undefined));
+      return this.orderOutcome;
     },
   } as unknown as EndpointLink;
 }
 
 const SERVING = { state: "serving", checksFencing: true } as const;
+const DRAINING = { state: "draining", checksFencing: true } as const;
 const WITHDRAWN = { state: "withdrawn", checksFencing: true } as const;
 
 describe("SideCore", () => {
@@ -131,6 +136,22 @@
     expect(engine.orders).to.deep.equal([{ role: "decode" }]);
   });
 
+  // An operator drains an endpoint while its engine loads weights, which takes
+  // minutes. Told that the endpoint only changes, the operator waits for a drain
+  // that has long been in force, and callers hear that it will soon be back.
+  it("tells that it drains, also while it carries out an order", async () => {
+    engine.orderOutcome = new Promise(() => {});
+    tell(1, { endpoint: SERVING });
+    const order = { offset: 5, claim: 1, target: { role: "decode" as const } };
+    tell(1, { endpoint: SERVING, order });
+    await timer.advance(500);
+    expect(engine.orders).to.have.length(1);
+    expect(side.report().state).to.equal("changing");
+    tell(2, { endpoint: DRAINING, order });
+    await timer.advance(500);
+    expect(side.report().state).to.equal("draining");
+  });
+
   // A zone comes back with empty engines, and the order of each stands on the
   // log. Without a spread all of them ask the weight store at once.
   it("spreads the loads that stood when it started", async () => {
