Look anew at the engines before a prompt is read once more

The entry's log has the leaving 0.03 s after the request's arrival and 1.8 s before the send: the list of engines was taken at the arrival and used again for the second reading, after the first had failed at its deadline. The code as it was still did so. Ruled out: a late reading of the registrations.

Change: each look for an engine that reads asks the registry; nothing keeps a list over a wait. The waits for an engine that decodes and held prompts did so already. Test first, on virtual time: the prompt went to the leaving engine.

--- a/src/entry/forwarding/forward_run.ts
+++ b/src/entry/forwarding/forward_run.ts
@@ -118,15 +118,16 @@
     }) &&
       endpoints.some((endpoint) => endpoint.role === "prefill");
     const handover = needsHandover
-      ? await this.#handover.keep(prompt, endpoints)
+      ? await this.#handover.keep(prompt)
       : undefined;
     if (this.#context.settled) return undefined;
     if (handover?.kind === "refused") {
       this.#refuse(handover.reason, handover.facts);
       return undefined;
     }
-    const keptIn = endpoints.find((each) => each.id === handover?.kept.engine)
-      ?.availabilityZone;
+    const keptIn = handover === undefined
+      ? undefined
+      : parts.registry.get(handover.kept.engine)?.availabilityZone;
     const choose = ({ withRoom } = { withRoom: false }) => {
       // The engines may have changed while the prompt was read.
       const makers = this.#context.endpoints().filter(canDecode);
--- a/src/entry/forwarding/forward_run_test.ts
+++ b/src/entry/forwarding/forward_run_test.ts
@@ -320,6 +320,21 @@
       expect(caller.refusal?.status).to.equal(503);
     });
 
+    // One engine is silent while the other one begins to leave. Two seconds
+    // later the first one fails, and the prompt is sent to the other by what was
+    // known at its arrival; that engine ends, and the caller's answer with it.
+    it("is not read by an engine that has begun to leave meanwhile", async () => {
+      const bench = fleet();
+      const caller = await ask(bench);
+      const asked = bench.sent[0].options.endpoint;
+      const other = asked === "reader-1" ? "reader-2" : "reader-1";
+      bench.parts.registry.put(makeEngine(other, "prefill", { leaving: true }));
+      await bench.sent[0].notRun();
+      expect(bench.sent.map(({ options }) => options.endpoint))
+        .to.not.include(other);
+      expect(caller.refusal?.status).to.equal(503);
+    });
+
     // The engine that has read the prompt crashes and starts again under its
     // id while the answer is turned away elsewhere. Its cache is gone: an answer
     // that is sent after it is turned away until the caller gives up.
--- a/src/entry/forwarding/handover.ts
+++ b/src/entry/forwarding/handover.ts
@@ -74,20 +74,14 @@
    * that decode would read the prompt between the tokens of their streams,
    * each of which then pauses for longer than callers bear.
    */
-  async keep(
-    prompt: Prompt,
-    endpoints: readonly RegisteredEndpoint[],
-  ): Promise<HandoverOutcome> {
+  async keep(prompt: Prompt): Promise<HandoverOutcome> {
     if (this.#kept !== undefined && !this.#isLost(this.#kept)) {
       return { kind: "kept", kept: this.#kept };
     }
     this.#kept = undefined;
     for (;;) {
       if (!this.#context.arrivals.cover({ reading: true })) return NO_REPEATS;
-      const admitted = admitPrompt(this.#context, {
-        prompt,
-        engines: endpoints,
-      });
+      const admitted = admitPrompt(this.#context, prompt);
       if (admitted.kind === "refused") return admitted;
       const late = admitted.kind === "held";
       const choice = late
--- a/src/entry/forwarding/prompt_admission.ts
+++ b/src/entry/forwarding/prompt_admission.ts
@@ -43,27 +43,26 @@
     readonly facts: AdmissionFacts;
   };
 
-/** Decides whether and where engines read a request's prompt. */
+/**
+ * Decides whether and where engines read a request's prompt, by the engines of
+ * this moment. A reading that fails may have taken seconds: by what was known at
+ * the request's arrival, the next one went to an engine that had begun to leave
+ * 2.2 s before.
+ */
 export function admitPrompt(
   context: ForwardContext,
-  asked: {
-    readonly prompt: Prompt;
-    readonly engines: readonly RegisteredEndpoint[];
-  },
+  prompt: Prompt,
 ): PromptAdmission {
   const { parts, pool, route, waitedMilliseconds } = context;
-  const among = { engines: context.untried(asked.engines), pool };
-  const soonest = parts.placement.choosePrefill(asked.prompt, among);
-  const held = holdable(context, asked.prompt, soonest);
+  const among = { engines: context.untried(context.endpoints()), pool };
+  const soonest = parts.placement.choosePrefill(prompt, among);
+  const held = holdable(context, prompt, soonest);
   const onTimeMilliseconds = soonest?.predictedMilliseconds ?? Infinity;
   const question = {
     onTimeMilliseconds,
     lateMilliseconds: onTimeMilliseconds +
       heldMilliseconds(context, { held, engines: among.engines }),
-    handoverMilliseconds: parts.placement.handoverMilliseconds(
-      asked.prompt,
-      pool,
-    ),
+    handoverMilliseconds: parts.placement.handoverMilliseconds(prompt, pool),
     entryMilliseconds: entryMilliseconds(context),
     elapsedMilliseconds: waitedMilliseconds + context.elapsed,
     targetMilliseconds: route.targetMilliseconds,
