--- a/src/core/forwarding/admission/retry_allowance.ts
+++ b/src/core/forwarding/admission/retry_allowance.ts
@@ -4,7 +4,7 @@
  * Share of its part that an entry uses. Load: several entries that each see a
  * part of the traffic. Harm prevented: the fleet's limit counts any span of
  * the window's length, while an entry's count of its peers may be late by a
- * heartbeat; a tenth left free covers one entry in ten that is not yet known.
+ * heartbeat; a fifth left free covers one entry in five that is not yet known.
  */
 const USED_SHARE = 0.8;
 /**
@@ -44,6 +44,7 @@
   giveBack(): void;
 }
 
+/** What one pool has had in the window that ends now. */
 interface PoolWindow {
   /** Times at which requests arrived. */
   readonly requests: number[];
