--- a/src/core/forwarding/admission/held_prompts.ts
+++ b/src/core/forwarding/admission/held_prompts.ts
@@ -12,7 +12,7 @@
   /** Work that an engine will have with it. */
   readonly workMilliseconds: number;
   /** The engine that can begin with it now, if there is one. */
-  readonly choose: () => Choice | undefined;
+  readonly choose: () => Promise<Choice | undefined>;
   /** True once its caller has gone. */
   readonly isOver: () => boolean;
 }
@@ -33,6 +33,7 @@
   readonly #timer: TimerService;
   #waiting: Waiting<Choice>[] = [];
   #look: Subscription | undefined;
+  #isLooking = false;
 
   constructor(timer: TimerService) {
     this.#timer = timer;
@@ -55,24 +56,28 @@
     return new Promise((resolve) => {
       this.#waiting.push({ ...prompt, resolve });
       this.#waiting.sort(byUrgency);
-      if (this.#look === undefined) this.#lookNow();
+      if (this.#look === undefined) void this.#lookNow();
     });
   }
 
   #lookAfter(milliseconds: number): void {
     this.#look ??= this.#timer.after(milliseconds, () => {
       this.#look = undefined;
-      this.#lookNow();
+      void this.#lookNow();
     });
   }
 
-  #lookNow(): void {
+  async #lookNow(): Promise<void> {
+    if (this.#isLooking) return;
     this.#dropExpired();
     const [first] = this.#waiting;
     if (first === undefined) return;
-    const choice = first.choose();
+    this.#isLooking = true;
+    const choice = await first.choose();
+    this.#isLooking = false;
     if (choice === undefined) return this.#lookAfter(LOOK_MILLISECONDS);
-    this.#waiting.shift();
+    // A more urgent one may have come meanwhile, and stands before it.
+    this.#waiting = this.#waiting.filter((each) => each !== first);
     first.resolve(choice);
     // Its work has to stand at the engine before the next one is chosen for.
     this.#lookAfter(0);
--- a/src/core/forwarding/admission/held_prompts_test.ts
+++ b/src/core/forwarding/admission/held_prompts_test.ts
@@ -31,7 +31,7 @@
       rank,
       expiresAt,
       workMilliseconds: 50,
-      choose: () => idle.shift(),
+      choose: () => Promise.resolve(idle.shift()),
       isOver,
     }).then((engine) => {
       if (engine === undefined) refused.push(name);
--- /dev/null
+++ b/src/core/forwarding/endpoints/load_owners.ts
@@ -0,0 +1,107 @@
+import type { EndpointId, ProcessId } from "../../identity/mod.ts";
+import { rendezvousOrder } from "../../membership/mod.ts";
+import type { TimerService } from "../../time/mod.ts";
+
+/**
+ * Silence after which an entry no longer owns anything. Every entry tells of
+ * itself once in 0.7 s; a dead owner leaves its endpoints to what everyone's
+ * reports tell until then, and two lost datagrams move nothing.
+ */
+const SILENCE_MILLISECONDS = 1_600;
+/**
+ * Questions in a row without an answer after which an owner is not asked for a
+ * while. Harm prevented: every request waits in vain for an owner that is
+ * frozen or cut off. Limit: one datagram is lost now and then.
+ */
+const UNANSWERED_UNTIL_PASSED_OVER = 3;
+const PASSED_OVER_MILLISECONDS = 500;
+
+interface Entry {
+  heardAt: number;
+  unanswered: number;
+  passedOverUntil: number;
+}
+
+/**
+ * Which entry keeps the whole of an endpoint's open work: one for each
+ * endpoint, by rendezvous hashing over the entries that are heard of. Load:
+ * dozens of entries before as many engines that read a prompt in 30 ms. Harm
+ * prevented: where each entry tells each other, its word is ten readings old by
+ * the time that it comes round, or the links are full of such words. Entries
+ * that disagree on an owner for a while each tell another one of their work;
+ * both then know a part, which is what they know without owners.
+ */
+export class LoadOwners {
+  readonly #self: ProcessId;
+  readonly #timer: TimerService;
+  #listed: ReadonlySet<ProcessId> = new Set();
+  readonly #heard = new Map<ProcessId, Entry>();
+  /** Known entries for each endpoint, the best owner first. */
+  readonly #rankings = new Map<EndpointId, readonly ProcessId[]>();
+
+  constructor(options: {
+    readonly self: ProcessId;
+    readonly timer: TimerService;
+  }) {
+    this.#self = options.self;
+    this.#timer = options.timer;
+  }
+
+  /** Takes the fleet's list; an entry that is not on it owns nothing. */
+  setMembers(names: Iterable<ProcessId>): void {
+    this.#listed = new Set(names);
+    for (const name of this.#heard.keys()) {
+      if (!this.#listed.has(name)) this.#heard.delete(name);
+    }
+    this.#rankings.clear();
+  }
+
+  /** Something has come from the entry. */
+  heard(name: ProcessId): void {
+    if (!this.#listed.has(name)) return;
+    const known = this.#heard.get(name);
+    const heardAt = this.#timer.now();
+    if (known !== undefined) {
+      known.heardAt = heardAt;
+      return;
+    }
+    this.#heard.set(name, {
+      heardAt,
+      unanswered: 0,
+      passedOverUntil: -Infinity,
+    });
+    this.#rankings.clear();
+  }
+
+  /** The entry that keeps the endpoint's open work; it may be this one. */
+  ownerOf(endpoint: EndpointId): ProcessId {
+    const oldest = this.#timer.now() - SILENCE_MILLISECONDS;
+    const isAlive = (name: ProcessId) =>
+      name === this.#self || (this.#heard.get(name)?.heardAt ?? 0) >= oldest;
+    return this.#ranking(endpoint).find(isAlive) ?? this.#self;
+  }
+
+  /** True while it is worth asking this owner. */
+  mayAsk(owner: ProcessId): boolean {
+    const known = this.#heard.get(owner);
+    return known !== undefined && this.#timer.now() >= known.passedOverUntil;
+  }
+
+  /** The owner has answered a question, or not in time. */
+  asked(owner: ProcessId, { answered }: { readonly answered: boolean }): void {
+    const known = this.#heard.get(owner);
+    if (known === undefined) return;
+    known.unanswered = answered ? 0 : known.unanswered + 1;
+    if (known.unanswered < UNANSWERED_UNTIL_PASSED_OVER) return;
+    known.passedOverUntil = this.#timer.now() + PASSED_OVER_MILLISECONDS;
+  }
+
+  #ranking(endpoint: EndpointId): readonly ProcessId[] {
+    let ranking = this.#rankings.get(endpoint);
+    if (ranking === undefined) {
+      ranking = rendezvousOrder(endpoint, [this.#self, ...this.#heard.keys()]);
+      this.#rankings.set(endpoint, ranking);
+    }
+    return ranking;
+  }
+}
--- a/src/core/forwarding/endpoints/load_picture.ts
+++ b/src/core/forwarding/endpoints/load_picture.ts
@@ -9,6 +9,12 @@
  */
 const REPORT_MILLISECONDS = 1_000;
 
+/**
+ * How long an owner's word goes before what peers report. It is asked for right
+ * before something is placed, and own work since then is added to it.
+ */
+const OWNERS_WORD_MILLISECONDS = 100;
+
 /** Work of one entry that an endpoint has not finished. */
 export interface OpenWork {
   readonly requests: number;
@@ -43,6 +49,12 @@
   readonly work: Map<string, OpenWork>;
 }
 
+/** What an endpoint's owner told of the other entries' work there. */
+interface OwnersWord {
+  readonly work: OpenWork;
+  readonly at: number;
+}
+
 /** Held while an endpoint works on something. */
 export interface WorkTicket {
   /** The work has ended; further calls do nothing. */
@@ -81,8 +93,11 @@
   readonly #timer: TimerService;
   readonly #own = new Map<EndpointId, Ledger>();
   readonly #peers = new Map<string, PeerReport>();
+  /** Others' work as the endpoints' owners have told it. */
+  readonly #owners = new Map<EndpointId, OwnersWord>();
   /** Endpoints whose open work has changed since the last report. */
   readonly #changed = new Set<EndpointId>();
+  #onOwnChange: (endpoint: EndpointId) => void = () => {};
 
   constructor(timer: TimerService) {
     this.#timer = timer;
@@ -118,15 +133,36 @@
 
   /** Work of all entries at the endpoint. */
   total(endpoint: EndpointId): OpenWork {
+    const told = this.#owners.get(endpoint);
+    const isFresh = told !== undefined &&
+      this.#timer.now() - told.at <= OWNERS_WORD_MILLISECONDS;
+    const others = isFresh ? told.work : this.others(endpoint);
+    return addWork(this.own(endpoint), others);
+  }
+
+  /** Work of the peers at the endpoint, by their reports; without that of one. */
+  others(endpoint: EndpointId, except?: string): OpenWork {
     const oldest = this.#timer.now() - REPORT_MILLISECONDS;
-    let sum = this.own(endpoint);
-    for (const report of this.#peers.values()) {
+    let sum = NO_WORK;
+    for (const [peer, report] of this.#peers) {
       const work = report.work.get(endpoint);
-      if (report.at >= oldest && work !== undefined) sum = plus(sum, work);
+      const counts = work !== undefined && peer !== except &&
+        report.at >= oldest;
+      if (counts) sum = addWork(sum, work);
     }
     return sum;
   }
 
+  /** The endpoint's owner has told of the others' work there. */
+  ownerTold(endpoint: EndpointId, others: OpenWork): void {
+    this.#owners.set(endpoint, { work: others, at: this.#timer.now() });
+  }
+
+  /** Takes who is told at once of an endpoint at which own work changes. */
+  onOwnChange(listener: (endpoint: EndpointId) => void): void {
+    this.#onOwnChange = listener;
+  }
+
   /**
    * Own open work, for the peers: all of it, or what has changed since the
    * last report. Load: dozens of entries before as many engines, some of them
@@ -134,19 +170,18 @@
    */
   report(options: { readonly whole: boolean }): WorkReport {
     const endpoints = options.whole ? this.#own.keys() : this.#changed;
-    const report = [...endpoints].map((endpoint) => {
-      const work = this.own(endpoint);
-      return [
-        endpoint,
-        work.requests,
-        Math.round(work.prefillMilliseconds),
-        Math.round(work.tokens),
-      ] as const;
-    });
+    const report = this.reportOf(endpoints);
     this.#changed.clear();
     return report;
   }
 
+  /** Own open work at these endpoints. */
+  reportOf(endpoints: Iterable<EndpointId>): WorkReport {
+    return [...endpoints].map((endpoint) =>
+      workRow(endpoint, this.own(endpoint))
+    );
+  }
+
   /** True where there is something to tell peers. */
   get hasChanged(): boolean {
     return this.#changed.size > 0;
@@ -184,18 +219,34 @@
    */
   forget({ id }: { readonly id: EndpointId }): void {
     if (this.#own.delete(id)) this.#changed.add(id);
+    this.#owners.delete(id);
     for (const report of this.#peers.values()) report.work.delete(id);
   }
 
   #add(endpoint: EndpointId, ledger: Ledger, change: OpenWork): void {
-    ledger.work = plus(ledger.work, change);
+    ledger.work = addWork(ledger.work, change);
     if (this.#own.get(endpoint) !== ledger) return;
     this.#changed.add(endpoint);
     if (ledger.work.requests <= 0) this.#own.delete(endpoint);
+    this.#onOwnChange(endpoint);
   }
 }
 
-function plus(one: OpenWork, other: OpenWork): OpenWork {
+/** Work as it is told between entries. */
+export function workRow(
+  endpoint: EndpointId,
+  { prefillMilliseconds, requests, tokens }: OpenWork,
+): WorkReport[number] {
+  return [
+    endpoint,
+    requests,
+    Math.round(prefillMilliseconds),
+    Math.round(tokens),
+  ];
+}
+
+/** The work of both together. */
+export function addWork(one: OpenWork, other: OpenWork): OpenWork {
   return {
     requests: one.requests + other.requests,
     prefillMilliseconds: one.prefillMilliseconds + other.prefillMilliseconds,
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -23,13 +23,16 @@
   WorkRate,
 } from "./estimates/mod.ts";
 export { EventSplitter } from "./event_splitter.ts";
+export { LoadOwners } from "./endpoints/load_owners.ts";
 export {
+  addWork,
   LoadPicture,
   NO_PROMPT,
   type OpenWork,
   type PeerWork,
   type PromptWork,
   type WorkReport,
+  workRow,
   type WorkTicket,
 } from "./endpoints/load_picture.ts";
 export {
@@ -49,7 +52,10 @@
   TopicReader,
   type TopicSpan,
 } from "./store/topic_reader.ts";
-export type { PrefillChoice } from "./placement/engine_placement.ts";
+export type {
+  PrefillCandidates,
+  PrefillChoice,
+} from "./placement/engine_placement.ts";
 export {
   type Admission,
   type AdmissionQuestion,
--- a/src/core/forwarding/placement/engine_placement.ts
+++ b/src/core/forwarding/placement/engine_placement.ts
@@ -2,6 +2,7 @@
 import type { Random } from "../../random/mod.ts";
 import type { Pool, RegisteredEndpoint } from "../configuration.ts";
 import { hasRoom } from "./decode_room.ts";
+import { sampleDecoders, sampleReaders } from "./engine_sample.ts";
 import type { EndpointOutcomes } from "../endpoints/endpoint_outcomes.ts";
 import type { EngineEstimates, EngineSlowness } from "../estimates/mod.ts";
 import { LOOK_MILLISECONDS } from "../admission/held_prompts.ts";
@@ -90,6 +91,8 @@
 export interface PrefillCandidates {
   readonly engines: readonly RegisteredEndpoint[];
   readonly pool: Pool;
+  /** Of these, the ones that may read it; all where it is left out. */
+  readonly readers?: readonly RegisteredEndpoint[];
 }
 
 export interface EnginePlacementOptions {
@@ -138,6 +141,27 @@
     handover.took(milliseconds, handoverTransfer(prompt, pool));
   }
 
+  /** Engines whose load is to be known before the prompt is placed. */
+  readersToAsk(
+    prompt: Prompt,
+    engines: readonly RegisteredEndpoint[],
+  ): readonly RegisteredEndpoint[] {
+    const readers = this.#options.outcomes.wellAmong(engines.filter(isReader));
+    return sampleReaders(prompt, { ...this.#options, readers });
+  }
+
+  /** The same before an answer is placed; `keptIn`: where its cache is. */
+  decodersToAsk(
+    engines: readonly RegisteredEndpoint[],
+    { keptIn }: { readonly keptIn?: AvailabilityZoneId },
+  ): readonly RegisteredEndpoint[] {
+    const { availabilityZone, outcomes, random } = this.#options;
+    return sampleDecoders(outcomes.wellAmong(engines), {
+      random,
+      availabilityZone: keptIn ?? availabilityZone,
+    });
+  }
+
   /** The prefill engine that is best behind all its work. */
   choosePrefill(
     prompt: Prompt,
@@ -167,8 +191,8 @@
   ): PrefillChoice | undefined {
     const { engines, isWanted = () => true, pool } = options;
     const { availabilityZone, outcomes, prefixes } = this.#options;
-    const readers = engines.filter((each) =>
-      each.role === "prefill" && isWanted(each)
+    const readers = (options.readers ?? engines).filter((each) =>
+      isReader(each) && isWanted(each)
     );
     const sources = bestSources(prompt.parts, {
       engines: outcomes.wellAmong(engines),
@@ -268,6 +292,10 @@
   }
 }
 
+function isReader({ role }: RegisteredEndpoint): boolean {
+  return role === "prefill";
+}
+
 /**
  * Engines that decode are few, so that most prompts cross zones. Where nobody
  * has told the links' speed, the transfer is part of what is learned: taken for
--- /dev/null
+++ b/src/core/forwarding/placement/engine_sample.ts
@@ -0,0 +1,93 @@
+/** Which engines are looked at before something is placed. */
+import type { AvailabilityZoneId } from "../../identity/mod.ts";
+import { rendezvousOrder } from "../../membership/mod.ts";
+import type { Random } from "../../random/mod.ts";
+import type { RegisteredEndpoint } from "../configuration.ts";
+import type { Prompt } from "../requests.ts";
+
+/**
+ * Engines on which a shared part of prompts is gathered. Load: more shared
+ * parts than the memory of all engines holds. Harm prevented: each part is kept
+ * by whichever engine was free, most of them twice, and pushes others out. With
+ * two there is somewhere to go when the first is busy.
+ */
+const HOME_ENGINES = 2;
+/** Engines looked at beside the homes: any of them may happen to be free. */
+const OTHER_READERS = 3;
+/** Engines looked at in the zone that is best, and elsewhere. */
+const NEAR_DECODERS = 3;
+const OTHER_DECODERS = 3;
+
+export interface SampleOptions {
+  readonly random: Random;
+  /** Zone in which an engine is best. */
+  readonly availabilityZone: AvailabilityZoneId;
+}
+
+/**
+ * Engines that a prompt may be read by: the homes of its shared parts first,
+ * the others at random, half of them from the zone. A few are enough: of four
+ * the least busy is nearly as free as the least busy of all, and entries that
+ * look at different ones don't all follow the same picture to one engine.
+ */
+export function sampleReaders(
+  prompt: Prompt,
+  options: SampleOptions & { readonly readers: readonly RegisteredEndpoint[] },
+): readonly RegisteredEndpoint[] {
+  const { readers } = options;
+  const homes = homesOf(prompt, readers);
+  const others = readers.filter((each) => !homes.includes(each));
+  return [...homes, ...sampleNear(others, OTHER_READERS, options)];
+}
+
+/** Engines that an answer may be made by. */
+export function sampleDecoders(
+  makers: readonly RegisteredEndpoint[],
+  options: SampleOptions,
+): readonly RegisteredEndpoint[] {
+  const isNear = (each: RegisteredEndpoint) =>
+    each.availabilityZone === options.availabilityZone;
+  const near = shuffled(makers.filter(isNear), options.random);
+  const far = shuffled(makers.filter((each) => !isNear(each)), options.random);
+  const nearest = near.slice(0, NEAR_DECODERS);
+  return [
+    ...nearest,
+    ...far.slice(0, NEAR_DECODERS + OTHER_DECODERS - nearest.length),
+  ];
+}
+
+/** The engines that the prompt's shared parts are gathered on. */
+function homesOf(
+  prompt: Prompt,
+  readers: readonly RegisteredEndpoint[],
+): readonly RegisteredEndpoint[] {
+  // The last part is the request's own.
+  const shared = prompt.parts.at(-2);
+  if (shared === undefined) return [];
+  const byId = new Map(readers.map((each) => [each.id, each]));
+  return rendezvousOrder(shared.id, [...byId.keys()])
+    .slice(0, HOME_ENGINES)
+    .flatMap((id) => byId.get(id) ?? []);
+}
+
+/** So many at random, one of them from the zone where there is one. */
+function sampleNear(
+  engines: readonly RegisteredEndpoint[],
+  count: number,
+  { availabilityZone, random }: SampleOptions,
+): readonly RegisteredEndpoint[] {
+  const mixed = shuffled(engines, random);
+  const near = mixed.find((each) => each.availabilityZone === availabilityZone);
+  if (near === undefined) return mixed.slice(0, count);
+  const others = mixed.filter((each) => each !== near);
+  return [near, ...others.slice(0, count - 1)];
+}
+
+function shuffled<Item>(items: readonly Item[], random: Random): Item[] {
+  const mixed = [...items];
+  for (let last = mixed.length - 1; last > 0; last--) {
+    const other = Math.floor(random() * (last + 1));
+    [mixed[last], mixed[other]] = [mixed[other], mixed[last]];
+  }
+  return mixed;
+}
--- a/src/core/membership/mod.ts
+++ b/src/core/membership/mod.ts
@@ -6,7 +6,11 @@
   MembershipGuards,
   MembershipOptions,
 } from "./membership.ts";
-export { attachments, rendezvousSubset } from "./rendezvous.ts";
+export {
+  attachments,
+  rendezvousOrder,
+  rendezvousSubset,
+} from "./rendezvous.ts";
 export type {
   AttachmentOptions,
   RendezvousMember,
--- a/src/core/membership/rendezvous.ts
+++ b/src/core/membership/rendezvous.ts
@@ -86,3 +86,14 @@
   const unit = hashToUnit(`${picker}\u0000${member.id}`);
   return -(member.weight ?? 1) / Math.log(unit);
 }
+
+/** The names with the best for the key first; one that goes moves no other. */
+export function rendezvousOrder<Name extends string>(
+  key: string,
+  names: readonly Name[],
+): readonly Name[] {
+  return names
+    .map((name) => ({ name, score: hashToUnit(`${key}\u0000${name}`) }))
+    .sort((one, other) => other.score - one.score)
+    .map(({ name }) => name);
+}
--- a/src/entry/forwarding/forward_run.ts
+++ b/src/entry/forwarding/forward_run.ts
@@ -5,7 +5,10 @@
   type Prompt,
   type RegisteredEndpoint,
 } from "../../core/forwarding/mod.ts";
-import type { EndpointId } from "../../core/identity/mod.ts";
+import type {
+  AvailabilityZoneId,
+  EndpointId,
+} from "../../core/identity/mod.ts";
 import type { Subscription } from "../../core/time/mod.ts";
 import { AnswerRelay } from "./answer_relay.ts";
 import { Attempt, type AttemptPlan } from "./attempt.ts";
@@ -128,10 +131,14 @@
     const keptIn = handover === undefined
       ? undefined
       : parts.registry.get(handover.kept.engine)?.availabilityZone;
+    const asked = await this.#askDecoders(keptIn);
+    if (this.#context.settled) return undefined;
     const choose = ({ withRoom } = { withRoom: false }) => {
       // The engines may have changed while the prompt was read.
       const makers = this.#context.endpoints().filter(canDecode);
-      return parts.placement.chooseDecode(this.#decoders(makers, withRoom), {
+      const decoders = this.#decoders(makers, withRoom);
+      const known = decoders.filter(({ id }) => asked.has(id));
+      return parts.placement.chooseDecode(known.length > 0 ? known : decoders, {
         prompt,
         pool,
         keptIn,
@@ -155,6 +162,20 @@
     };
   }
 
+  /** Brings the load of some that may decode up to date; gives which. */
+  async #askDecoders(
+    keptIn: AvailabilityZoneId | undefined,
+  ): Promise<ReadonlySet<EndpointId>> {
+    const { parts } = this.#context;
+    if (!parts.asksOwners()) return new Set();
+    const makers = this.#context.endpoints().filter(canDecode);
+    const asked = parts.placement
+      .decodersToAsk(this.#context.notTurnedAway(makers), { keptIn })
+      .map(({ id }) => id);
+    await parts.askOwners(asked);
+    return new Set(asked);
+  }
+
   /**
    * The engines that may be asked to decode. One that has turned the request
    * away is asked again only once it has room and takes what others send it.
--- a/src/entry/forwarding/forward_run_test.ts
+++ b/src/entry/forwarding/forward_run_test.ts
@@ -415,6 +415,8 @@
         void attempt.fail("exchange_not_sent");
       };
       const caller = await ask(bench);
+      // The stand-in answers piece by piece, a turn of the loop each.
+      await settled();
       await bench.timer.advance(1_600);
       expect(caller.refusal).to.equal(undefined);
       await bench.timer.advance(150);
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -9,6 +9,7 @@
   type ForwardingConfiguration,
   HeldPrompts,
   LinkQueue,
+  LoadOwners,
   LoadPicture,
   type OpenWork,
   type PeerReading,
@@ -21,9 +22,11 @@
   type TopicSpan,
   WorkRate,
 } from "../../core/forwarding/mod.ts";
-import type {
-  AvailabilityZoneId,
-  EndpointId,
+import {
+  type AvailabilityZoneId,
+  type EndpointId,
+  identifier,
+  type ProcessId,
 } from "../../core/identity/mod.ts";
 import type { Logger } from "../../core/observation/mod.ts";
 import type { Random } from "../../core/random/mod.ts";
@@ -40,8 +43,13 @@
   REGISTRATIONS_METHOD,
   ROLES_METHOD,
   type SendToPeers,
-  WORK_METHOD,
 } from "./peer_exchange.ts";
+import {
+  LOAD_ANSWER_METHOD,
+  LOAD_QUESTION_METHOD,
+  LoadQuestions,
+} from "./load_questions.ts";
+import { WORK_METHOD } from "./work_notification.ts";
 
 export interface ForwardingEntryOptions {
   readonly process: string;
@@ -106,6 +114,7 @@
   readonly #parts: ForwardingParts;
   readonly #roles: RoleKeeper | undefined;
   readonly #survey: KeptPartsSurvey;
+  readonly #questions: LoadQuestions;
   readonly #startedAt: number;
   #routes: RouteTable | undefined;
   #stopping = false;
@@ -145,10 +154,21 @@
       entries: () => this.entriesSharingLimits,
       isNeeded: !options.isFirstStart,
     });
+    const self = identifier<ProcessId>(options.process);
+    const owners = new LoadOwners({ self, timer });
+    this.#questions = new LoadQuestions({
+      self,
+      timer,
+      registry: this.registry,
+      load,
+      owners,
+      send: (peer, notification) => this.peers.tellOne(peer, notification),
+    });
     this.peers = new PeerExchange({
       ...options,
       registry: this.registry,
       load,
+      owners,
       prefixes,
       estimates,
       returning,
@@ -207,6 +227,8 @@
       entries: () => this.peers.knownEntries ?? 1,
       link: new LinkQueue(timer, options.linkMegabitsPerSecond),
       loopDelay: options.loopDelay,
+      askOwners: (endpoints) => this.#questions.ask(endpoints),
+      asksOwners: () => this.peers.asksOwners,
       door: options.door,
       observe: options.observe,
       routes: () => this.#routes,
@@ -278,6 +300,8 @@
   /** Takes a peer's notification. */
   takeNotification(method: string, params: unknown): void {
     if (method === WORK_METHOD) this.peers.take(params);
+    if (method === LOAD_QUESTION_METHOD) this.#questions.takeQuestion(params);
+    if (method === LOAD_ANSWER_METHOD) this.#questions.takeAnswer(params);
     if (typeof params !== "object" || params === null) return;
     const { orders, changes, span } = params as {
       readonly orders?: unknown;
--- a/src/entry/forwarding/handover.ts
+++ b/src/entry/forwarding/handover.ts
@@ -81,7 +81,8 @@
     this.#kept = undefined;
     for (;;) {
       if (!this.#context.arrivals.cover({ reading: true })) return NO_REPEATS;
-      const admitted = admitPrompt(this.#context, prompt);
+      const admitted = await admitPrompt(this.#context, prompt);
+      if (this.#context.settled) return ENGINES_FULL;
       if (admitted.kind === "refused") return admitted;
       const late = admitted.kind === "held";
       const choice = late
--- /dev/null
+++ b/src/entry/forwarding/load_questions.ts
@@ -0,0 +1,179 @@
+import {
+  addWork,
+  type EndpointRegistry,
+  type LoadOwners,
+  type LoadPicture,
+  workRow,
+} from "../../core/forwarding/mod.ts";
+import {
+  type EndpointId,
+  identifier,
+  type ProcessId,
+} from "../../core/identity/mod.ts";
+import type { Subscription, TimerService } from "../../core/time/mod.ts";
+import {
+  isToldWork,
+  type ToldWork,
+  workHere,
+  workWithRuns,
+} from "./work_notification.ts";
+
+/** Notification that asks an owner for the work at its endpoints. */
+export const LOAD_QUESTION_METHOD = "entry.loadQuestion";
+/** Notification that answers one. */
+export const LOAD_ANSWER_METHOD = "entry.loadAnswer";
+
+/**
+ * How long an owner's answer is waited for. Load: a datagram there and back
+ * within a region, and the loop of a thin machine. Harm prevented: an owner
+ * that is frozen or cut off would hold every request up. Limit: a twentieth of
+ * the tightest targets.
+ */
+const ANSWER_MILLISECONDS = 6;
+
+/** Tells one entry something; a datagram that is lost is nobody's concern. */
+export type SendToPeer = (
+  peer: ProcessId,
+  notification: { readonly method: string; readonly params: unknown },
+) => void;
+
+export interface LoadQuestionsOptions {
+  readonly self: ProcessId;
+  readonly timer: TimerService;
+  readonly registry: EndpointRegistry;
+  readonly load: LoadPicture;
+  readonly owners: LoadOwners;
+  readonly send: SendToPeer;
+}
+
+interface OpenQuestion {
+  /** Owners that have not answered yet. */
+  readonly waiting: Set<ProcessId>;
+  readonly settle: () => void;
+}
+
+/** Asks the owners of endpoints for the work there, and answers as one. */
+export class LoadQuestions {
+  readonly #options: LoadQuestionsOptions;
+  readonly #open = new Map<number, OpenQuestion>();
+  #lastId = 0;
+
+  constructor(options: LoadQuestionsOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Brings the picture of these endpoints up to date; over once every owner has
+   * answered, or those that are left have had their time.
+   */
+  async ask(endpoints: readonly EndpointId[]): Promise<void> {
+    const byOwner = this.#byOwner(endpoints);
+    if (byOwner.size === 0) return;
+    const { owners, self, send, timer } = this.#options;
+    this.#lastId += 1;
+    const id = this.#lastId;
+    const waiting = new Set(byOwner.keys());
+    let limit: Subscription | undefined;
+    await new Promise<void>((settle) => {
+      this.#open.set(id, { waiting, settle });
+      limit = timer.after(ANSWER_MILLISECONDS, settle);
+      for (const [owner, asked] of byOwner) {
+        send(owner, {
+          method: LOAD_QUESTION_METHOD,
+          params: { entry: self, id, endpoints: asked },
+        });
+      }
+    });
+    limit?.cancel();
+    this.#open.delete(id);
+    for (const owner of waiting) owners.asked(owner, { answered: false });
+  }
+
+  /** Answers a peer's question; one that can't be read is passed over. */
+  takeQuestion(params: unknown): void {
+    if (!isQuestion(params)) return;
+    const { load, owners, registry, self, send } = this.#options;
+    const asker = identifier<ProcessId>(params.entry);
+    owners.heard(asker);
+    const work = params.endpoints.map((name) => {
+      const endpoint = identifier<EndpointId>(name);
+      const others = addWork(load.own(endpoint), load.others(endpoint, asker));
+      return workRow(endpoint, others);
+    });
+    send(asker, {
+      method: LOAD_ANSWER_METHOD,
+      params: {
+        entry: self,
+        id: params.id,
+        work: workWithRuns(registry, work),
+      },
+    });
+  }
+
+  /** Takes an owner's answer; one to no open question changes nothing. */
+  takeAnswer(params: unknown): void {
+    if (!isAnswer(params)) return;
+    const owner = identifier<ProcessId>(params.entry);
+    const question = this.#open.get(params.id);
+    if (question?.waiting.delete(owner) !== true) return;
+    const { load, owners, registry } = this.#options;
+    owners.heard(owner);
+    owners.asked(owner, { answered: true });
+    for (
+      const [endpoint, requests, prefillMilliseconds, tokens] of workHere(
+        registry,
+        params.work,
+      )
+    ) {
+      load.ownerTold(identifier(endpoint), {
+        requests,
+        prefillMilliseconds,
+        tokens,
+      });
+    }
+    if (question.waiting.size === 0) question.settle();
+  }
+
+  /** What is to be asked of whom; what this entry owns it knows. */
+  #byOwner(
+    endpoints: readonly EndpointId[],
+  ): ReadonlyMap<ProcessId, EndpointId[]> {
+    const { owners, self } = this.#options;
+    const byOwner = new Map<ProcessId, EndpointId[]>();
+    for (const endpoint of endpoints) {
+      const owner = owners.ownerOf(endpoint);
+      if (owner === self || !owners.mayAsk(owner)) continue;
+      const known = byOwner.get(owner);
+      if (known === undefined) byOwner.set(owner, [endpoint]);
+      else known.push(endpoint);
+    }
+    return byOwner;
+  }
+}
+
+interface Question {
+  readonly entry: string;
+  readonly id: number;
+  readonly endpoints: readonly string[];
+}
+
+function isQuestion(value: unknown): value is Question {
+  if (typeof value !== "object" || value === null) return false;
+  const { endpoints, entry, id } = value as Record<string, unknown>;
+  return typeof entry === "string" && typeof id === "number" &&
+    Array.isArray(endpoints) &&
+    endpoints.every((each) => typeof each === "string");
+}
+
+interface Answer {
+  readonly entry: string;
+  readonly id: number;
+  readonly work: readonly ToldWork[];
+}
+
+function isAnswer(value: unknown): value is Answer {
+  if (typeof value !== "object" || value === null) return false;
+  const { entry, id, work } = value as Record<string, unknown>;
+  return typeof entry === "string" && typeof id === "number" &&
+    isToldWork(work);
+}
--- a/src/entry/forwarding/overload_test.ts
+++ b/src/entry/forwarding/overload_test.ts
@@ -81,7 +81,7 @@
       }),
       { estimates },
     );
-    this.engines = new PlayedEngines(this.bench, options.tokensPerMillisecond);
+    this.engines = new PlayedEngines(this.bench, options);
     const { registry } = this.bench.parts;
     for (let index = 0; index < 10; index++) {
       const role = index < 7 ? "prefill" : "decode";
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -1,21 +1,25 @@
 import type {
   EndpointRegistry,
   EngineEstimates,
+  LoadOwners,
   LoadPicture,
-  PeerWork,
   PrefixDirectory,
   ReturningCallers,
-  ToldRefusal,
-  ToldSpeed,
-  WorkReport,
 } from "../../core/forwarding/mod.ts";
 import {
   type EndpointId,
   identifier,
-  type ReplicaStart,
+  type ProcessId,
 } from "../../core/identity/mod.ts";
 import type { Subscription, TimerService } from "../../core/time/mod.ts";
-import { decodePrompt, encodePrompt, type ToldPrompt } from "./told_prompt.ts";
+import { decodePrompt, encodePrompt } from "./told_prompt.ts";
+import {
+  isWorkNotification,
+  WORK_METHOD,
+  workHere,
+  type WorkNotification,
+  workWithRuns,
+} from "./work_notification.ts";
 
 /**
  * How often an entry tells its peers of its open work, for each peer that it
@@ -32,8 +36,15 @@
 const FEW_PEERS = 5;
 /** Everything is told again so often: a lost datagram is made up for. */
 const WHOLE_TELL_MILLISECONDS = 700;
-/** Notification that carries an entry's open work. */
-export const WORK_METHOD = "entry.work";
+/**
+ * Interval of the reports beyond which the owners of endpoints are told of work
+ * at once, and asked for it. Load: an engine that reads a prompt in some 10 ms.
+ * Limit: with reports each 30 ms few entries stand before an engine, and what
+ * they don't know of each other is less than one prompt.
+ */
+const FRESH_MILLISECONDS = 30;
+/** How long changes of work are gathered before owners are told. */
+const OWNERS_TELL_MILLISECONDS = 1;
 /** Notification that carries orders to engines. */
 export const ROLES_METHOD = "entry.roles";
 /** Notification that carries registrations that have changed. */
@@ -45,26 +56,13 @@
   notification: { readonly method: string; readonly params: unknown },
 ) => void;
 
-/** What an entry tells its peers. */
-export interface WorkNotification extends Omit<PeerWork, "work"> {
-  readonly entry: string;
-  readonly work: readonly ToldWork[];
-  /** Version of the configuration in force there; absent while there is none. */
-  readonly version?: number;
-  /** Prompts read since the last report; a lost one costs a part read twice. */
-  readonly prompts: readonly ToldPrompt[];
-  /** What was learned of engines; comes with whole reports. */
-  readonly speeds?: readonly ToldSpeed[];
-  /** Prompts refused since the last report; their callers may come to others. */
-  readonly refusals: readonly ToldRefusal[];
-}
-
 export interface PeerExchangeOptions {
   readonly process: string;
   readonly incarnation: string;
   readonly timer: TimerService;
   readonly registry: EndpointRegistry;
   readonly load: LoadPicture;
+  readonly owners: LoadOwners;
   readonly prefixes: PrefixDirectory;
   readonly estimates: EngineEstimates;
   readonly returning: ReturningCallers;
@@ -81,7 +79,10 @@
 export class PeerExchange {
   readonly #options: PeerExchangeOptions;
   #addresses: readonly string[] = [];
-  #names: ReadonlySet<string> = new Set();
+  #peers: ReadonlyMap<string, string> = new Map();
+  /** Endpoints whose owners are to be told of changed work. */
+  readonly #changed = new Set<EndpointId>();
+  #tellingOwners: Subscription | undefined;
   #knownEntries: number | undefined;
   #telling: Subscription | undefined;
   #sequence = 0;
@@ -89,6 +90,7 @@
 
   constructor(options: PeerExchangeOptions) {
     this.#options = options;
+    options.load.onOwnChange((endpoint) => this.#noteChange(endpoint));
   }
 
   /** Entries of the fleet, this one included; undefined while unknown. */
@@ -96,11 +98,19 @@
     return this.#knownEntries;
   }
 
-  start(): void {
+  /** How often peers are told of this entry's work, milliseconds. */
+  get #interval(): number {
     const beyondFew = Math.max(0, this.#addresses.length - FEW_PEERS);
-    const interval = SHORTEST_TELL_MILLISECONDS +
-      TELL_MILLISECONDS_PER_PEER * beyondFew;
-    this.#telling = this.#options.timer.after(interval, () => {
+    return SHORTEST_TELL_MILLISECONDS + TELL_MILLISECONDS_PER_PEER * beyondFew;
+  }
+
+  /** True where reports come too seldom to place work by them alone. */
+  get asksOwners(): boolean {
+    return this.#interval > FRESH_MILLISECONDS;
+  }
+
+  start(): void {
+    this.#telling = this.#options.timer.after(this.#interval, () => {
       this.#tellWork();
       this.start();
     });
@@ -108,13 +118,16 @@
 
   stop(): void {
     this.#telling?.cancel();
+    this.#tellingOwners?.cancel();
   }
 
   /** Takes the fleet's list: the others' addresses by their names. */
   setPeers(peers: ReadonlyMap<string, string>): void {
-    this.#names = new Set(peers.keys());
+    this.#peers = peers;
     this.#addresses = [...peers.values()];
     this.#knownEntries = peers.size + 1;
+    const names = [...peers.keys()].map((name) => identifier<ProcessId>(name));
+    this.#options.owners.setMembers(names);
   }
 
   /** Tells peers of something that does not wait for the next report. */
@@ -123,11 +136,22 @@
     this.#options.sendToPeers(this.#addresses, { method, params });
   }
 
+  /** Tells one peer. */
+  tellOne(
+    peer: ProcessId,
+    notification: { readonly method: string; readonly params: unknown },
+  ): void {
+    const address = this.#peers.get(peer);
+    if (address === undefined) return;
+    this.#options.sendToPeers([address], notification);
+  }
+
   /** Takes a peer's notification; anything malformed is passed over. */
   take(params: unknown): void {
     if (!isWorkNotification(params)) return;
     if (params.entry === this.#options.process) return;
-    if (!this.#names.has(params.entry)) this.#options.onUnlistedPeer();
+    if (!this.#peers.has(params.entry)) this.#options.onUnlistedPeer();
+    this.#options.owners.heard(identifier(params.entry));
     if (params.version !== undefined) this.#options.onVersion(params.version);
     const { estimates, load, prefixes, registry } = this.#options;
     for (const speed of params.speeds ?? []) estimates.peerTold(speed);
@@ -149,93 +173,62 @@
   }
 
   #tellWork(): void {
-    const {
-      estimates,
-      incarnation,
-      load,
-      prefixes,
-      process,
-      registry,
-      returning,
-      timer,
-      version,
-    } = this.#options;
+    const { estimates, load, prefixes, registry, returning, timer } =
+      this.#options;
     const now = timer.now();
     const whole = now - this.#lastWhole >= WHOLE_TELL_MILLISECONDS;
     if (!whole && !load.hasChanged && !returning.hasUntold) return;
     if (whole) this.#lastWhole = now;
+    this.tell(WORK_METHOD, {
+      ...this.#notification(whole),
+      version: this.#options.version(),
+      work: workWithRuns(registry, load.report({ whole })),
+      prompts: prefixes.takeUntold().map(encodePrompt),
+      refusals: returning.takeUntold(),
+      ...(whole && { speeds: estimates.tell() }),
+    });
+  }
+
+  /** What tells nothing yet, with the next number in turn. */
+  #notification(whole: boolean): WorkNotification {
+    const { incarnation, process } = this.#options;
     this.#sequence += 1;
-    const notification: WorkNotification = {
+    return {
       entry: process,
       incarnation,
       sequence: this.#sequence,
       whole,
-      version: version(),
-      work: workWithRuns(registry, load.report({ whole })),
-      prompts: prefixes.takeUntold().map(encodePrompt),
-      refusals: returning.takeUntold(),
-      ...(whole && { speeds: estimates.tell() }),
+      work: [],
+      prompts: [],
+      refusals: [],
     };
-    this.tell(WORK_METHOD, notification);
   }
-}
 
-/**
- * Work as it goes to peers: with the start of each endpoint's run, where it
- * tells one. A replica that starts again under its id has none of it.
- */
-type ToldWork = readonly [...WorkReport[number], startedAt?: ReplicaStart];
-const LEAST_WORK_VALUES = 4;
-
-function workWithRuns(
-  registry: EndpointRegistry,
-  report: WorkReport,
-): ToldWork[] {
-  return report.map((work) => {
-    const startedAt = registry.get(identifier<EndpointId>(work[0]))?.startedAt;
-    return startedAt === undefined ? work : [...work, startedAt];
-  });
-}
-
-/** A peer's work at endpoints that it knows in the same run as this entry. */
-function workHere(
-  registry: EndpointRegistry,
-  told: readonly ToldWork[],
-): WorkReport {
-  return told
-    .filter(([endpoint, , , , startedAt]) =>
-      registry.isSameRun({ id: identifier<EndpointId>(endpoint), startedAt })
-    )
-    .map(([endpoint, requests, prefill, tokens]) =>
-      [endpoint, requests, prefill, tokens] as const
+  #noteChange(endpoint: EndpointId): void {
+    if (!this.asksOwners) return;
+    this.#changed.add(endpoint);
+    this.#tellingOwners ??= this.#options.timer.after(
+      OWNERS_TELL_MILLISECONDS,
+      () => {
+        this.#tellingOwners = undefined;
+        this.#tellOwners();
+      },
     );
-}
-
-function isWorkNotification(value: unknown): value is WorkNotification {
-  if (typeof value !== "object" || value === null) return false;
-  const {
-    entry,
-    incarnation,
-    prompts,
-    refusals,
-    sequence,
-    speeds,
-    version,
-    work,
-  } = value as Record<string, unknown>;
-  const isVersion = version === undefined || typeof version === "number";
-  const hasSpeeds = speeds === undefined || Array.isArray(speeds);
-  return isVersion && hasSpeeds && typeof entry === "string" &&
-    typeof incarnation === "string" &&
-    typeof sequence === "number" && Array.isArray(work) &&
-    Array.isArray(prompts) &&
-    Array.isArray(refusals) && refusals.every(isToldRefusal) &&
-    work.every((each) =>
-      Array.isArray(each) && each.length >= LEAST_WORK_VALUES
-    );
-}
+  }
 
-function isToldRefusal(value: unknown): value is ToldRefusal {
-  return Array.isArray(value) && typeof value[0] === "string" &&
-    typeof value[1] === "number";
+  #tellOwners(): void {
+    const { load, owners, process, registry } = this.#options;
+    const byOwner = new Map<ProcessId, EndpointId[]>();
+    for (const endpoint of this.#changed) {
+      const owner = owners.ownerOf(endpoint);
+      if (owner === process) continue;
+      byOwner.set(owner, [...byOwner.get(owner) ?? [], endpoint]);
+    }
+    this.#changed.clear();
+    for (const [owner, endpoints] of byOwner) {
+      const work = workWithRuns(registry, load.reportOf(endpoints));
+      const params = { ...this.#notification(false), work };
+      this.tellOne(owner, { method: WORK_METHOD, params });
+    }
+  }
 }
--- a/src/entry/forwarding/prompt_admission.ts
+++ b/src/entry/forwarding/prompt_admission.ts
@@ -2,6 +2,7 @@
   type HeldPrompt,
   judgeAdmission,
   LEFT_SHARE,
+  type PrefillCandidates,
   type PrefillChoice,
   type Prompt,
   type RegisteredEndpoint,
@@ -49,12 +50,12 @@
  * the request's arrival, the next one went to an engine that had begun to leave
  * 2.2 s before.
  */
-export function admitPrompt(
+export async function admitPrompt(
   context: ForwardContext,
   prompt: Prompt,
-): PromptAdmission {
+): Promise<PromptAdmission> {
   const { parts, pool, route, waitedMilliseconds } = context;
-  const among = { engines: context.untried(context.endpoints()), pool };
+  const among = await candidatesFor(context, prompt);
   const soonest = parts.placement.choosePrefill(prompt, among);
   const held = holdable(context, prompt, soonest);
   const onTimeMilliseconds = soonest?.predictedMilliseconds ?? Infinity;
@@ -81,24 +82,44 @@
   };
 }
 
+/**
+ * Engines that the prompt may go to. Where the picture of the load is old, only
+ * those that may read it whose owners were just asked: any other would look as
+ * free to all entries at once, for as long as a report takes to come round.
+ */
+async function candidatesFor(
+  context: ForwardContext,
+  prompt: Prompt,
+): Promise<PrefillCandidates> {
+  const { parts, pool } = context;
+  const engines = context.untried(context.endpoints());
+  if (!parts.asksOwners()) return { engines, pool };
+  const asked = parts.placement.readersToAsk(prompt, engines)
+    .map(({ id }) => id);
+  await parts.askOwners(asked);
+  // An engine may have begun to leave while the owners answered.
+  const still = context.untried(context.endpoints());
+  const readers = still.filter(({ id }) => asked.includes(id));
+  return { engines: still, pool, readers };
+}
+
 /** The prompt as it waits here for an engine that is nearly idle. */
 function holdable(
   context: ForwardContext,
   prompt: Prompt,
   soonest: PrefillChoice | undefined,
 ): HeldPrompt<PrefillChoice> {
-  const { parts, pool, route } = context;
+  const { parts, route } = context;
   const workMilliseconds = soonest?.workMilliseconds ?? 0;
   return {
     rank: route.rank,
     expiresAt: parts.timer.now() + LEFT_SHARE * context.leftToFirstByte -
       workMilliseconds,
     workMilliseconds,
-    choose: () =>
-      parts.placement.chooseIdlePrefill(prompt, {
-        engines: context.untried(context.endpoints()),
-        pool,
-      }),
+    choose: async () => {
+      const among = await candidatesFor(context, prompt);
+      return parts.placement.chooseIdlePrefill(prompt, among);
+    },
     isOver: () => context.settled,
   };
 }
--- /dev/null
+++ b/src/entry/forwarding/work_notification.ts
@@ -0,0 +1,102 @@
+/** What an entry tells its peers of its work, encoded and decoded. */
+import type {
+  EndpointRegistry,
+  PeerWork,
+  ToldRefusal,
+  ToldSpeed,
+  WorkReport,
+} from "../../core/forwarding/mod.ts";
+import {
+  type EndpointId,
+  identifier,
+  type ReplicaStart,
+} from "../../core/identity/mod.ts";
+import type { ToldPrompt } from "./told_prompt.ts";
+
+/** Notification that carries an entry's open work. */
+export const WORK_METHOD = "entry.work";
+
+/** What an entry tells its peers. */
+export interface WorkNotification extends Omit<PeerWork, "work"> {
+  readonly entry: string;
+  readonly work: readonly ToldWork[];
+  /** Version of the configuration in force there; absent while there is none. */
+  readonly version?: number;
+  /** Prompts read since the last report; a lost one costs a part read twice. */
+  readonly prompts: readonly ToldPrompt[];
+  /** What was learned of engines; comes with whole reports. */
+  readonly speeds?: readonly ToldSpeed[];
+  /** Prompts refused since the last report; their callers may come to others. */
+  readonly refusals: readonly ToldRefusal[];
+}
+
+/**
+ * Work as it goes to peers: with the start of each endpoint's run, where it
+ * tells one. A replica that starts again under its id has none of it.
+ */
+export type ToldWork = readonly [
+  ...WorkReport[number],
+  startedAt?: ReplicaStart,
+];
+const LEAST_WORK_VALUES = 4;
+
+export function workWithRuns(
+  registry: EndpointRegistry,
+  report: WorkReport,
+): ToldWork[] {
+  return report.map((work) => {
+    const startedAt = registry.get(identifier<EndpointId>(work[0]))?.startedAt;
+    return startedAt === undefined ? work : [...work, startedAt];
+  });
+}
+
+/** A peer's work at endpoints that it knows in the same run as this entry. */
+export function workHere(
+  registry: EndpointRegistry,
+  told: readonly ToldWork[],
+): WorkReport {
+  return told
+    .filter(([endpoint, , , , startedAt]) =>
+      registry.isSameRun({ id: identifier<EndpointId>(endpoint), startedAt })
+    )
+    .map(([endpoint, requests, prefill, tokens]) =>
+      [endpoint, requests, prefill, tokens] as const
+    );
+}
+
+export function isWorkNotification(value: unknown): value is WorkNotification {
+  if (typeof value !== "object" || value === null) return false;
+  const {
+    entry,
+    incarnation,
+    prompts,
+    refusals,
+    sequence,
+    speeds,
+    version,
+    work,
+  } = value as Record<string, unknown>;
+  const isVersion = version === undefined || typeof version === "number";
+  const hasSpeeds = speeds === undefined || Array.isArray(speeds);
+  return isVersion && hasSpeeds && typeof entry === "string" &&
+    typeof incarnation === "string" &&
+    typeof sequence === "number" &&
+    Array.isArray(prompts) &&
+    Array.isArray(refusals) && refusals.every(isToldRefusal) &&
+    isToldWork(work);
+}
+
+/** True where the value is a list of work at endpoints. */
+export function isToldWork(value: unknown): value is readonly ToldWork[] {
+  return Array.isArray(value) &&
+    value.every((each) =>
+      Array.isArray(each) && each.length >= LEAST_WORK_VALUES &&
+      typeof each[0] === "string" &&
+      each.slice(1, LEAST_WORK_VALUES).every(Number.isFinite)
+    );
+}
+
+function isToldRefusal(value: unknown): value is ToldRefusal {
+  return Array.isArray(value) && typeof value[0] === "string" &&
+    typeof value[1] === "number";
+}
--- /dev/null
+++ b/test/support/entry_fleet.ts
@@ -0,0 +1,138 @@
+import { err } from "neverthrow";
+import {
+  type ForwardingConfiguration,
+  type RegisteredEndpoint,
+} from "../../src/core/forwarding/mod.ts";
+import {
+  type AvailabilityZoneId,
+  identifier,
+} from "../../src/core/identity/mod.ts";
+import { SILENT_LOGGER } from "../../src/core/observation/mod.ts";
+import { type Random, seededRandom } from "../../src/core/random/mod.ts";
+import { ManualTimerService } from "../../src/core/time/mod.ts";
+import {
+  type Exchange,
+  ForwardingEntry,
+} from "../../src/entry/forwarding/mod.ts";
+import { RecordingSink, SentAttempt } from "./forwarding_bench.ts";
+
+/** One way between two entries, milliseconds. */
+const LEAST_WAY_MILLISECONDS = 0.5;
+const WAY_SPREAD_MILLISECONDS = 1;
+const LINK_LOST = { name: "link_lost", title: "", message: "", hint: "" };
+
+export interface EntryFleetOptions {
+  readonly entries: number;
+  readonly zones: number;
+  readonly configuration: ForwardingConfiguration;
+  readonly endpoints: readonly RegisteredEndpoint[];
+  /** Share of datagrams that are lost. */
+  readonly lostShare?: number;
+}
+
+/**
+ * Whole entries on virtual time that hear each other by datagrams, which take
+ * their time, overtake each other and get lost.
+ */
+export class EntryFleet {
+  readonly timer = new ManualTimerService();
+  readonly entries: readonly ForwardingEntry[];
+  /** Entries whose datagrams go nowhere and come from nowhere. */
+  readonly cutOff = new Set<number>();
+  onSend: ((attempt: SentAttempt) => void) | undefined;
+  /** Datagrams that were sent. */
+  datagrams = 0;
+  readonly #random: Random = seededRandom(3);
+  readonly #lostShare: number;
+
+  constructor(options: EntryFleetOptions) {
+    this.#lostShare = options.lostShare ?? 0;
+    const indexes = Array.from({ length: options.entries }, (_, each) => each);
+    this.entries = indexes.map((index) => this.#makeEntry(index, options));
+    for (const index of indexes) this.#introduce(index);
+    for (const entry of this.entries) {
+      entry.takeConfiguration(options.configuration);
+      for (const endpoint of options.endpoints) entry.registry.put(endpoint);
+      entry.start();
+    }
+  }
+
+  #introduce(index: number): void {
+    const others = this.entries.flatMap((_, other) =>
+      other === index ? [] : [[`entry-${other}`, `${other}`] as const]
+    );
+    this.entries[index].peers.setPeers(new Map(others));
+  }
+
+  #makeEntry(
+    index: number,
+    { zones }: EntryFleetOptions,
+  ): ForwardingEntry {
+    return new ForwardingEntry({
+      process: `entry-${index}`,
+      incarnation: "1",
+      linkMegabitsPerSecond: undefined,
+      loopDelay: () => 0,
+      availabilityZone: identifier<AvailabilityZoneId>(
+        `zone-${index % zones}`,
+      ),
+      timer: this.timer,
+      random: seededRandom(index),
+      door: {
+        send: (request, attempt) => this.#send(request, attempt),
+        keptHandle: (body) => body.length > 0 ? body.toString() : undefined,
+        listKept: () => Promise.resolve(undefined),
+        release() {},
+      },
+      sendToPeers: (addresses, { method, params }) => {
+        for (const address of addresses) {
+          this.#carry(index, Number(address), method, params);
+        }
+      },
+      observe() {},
+      logger: SILENT_LOGGER,
+      isFirstStart: true,
+      retry: { ratio: 0.2, windowMilliseconds: 10_000, minimum: 200 },
+      relay: {
+        peers: () => [],
+        ask: () => Promise.resolve(err(LINK_LOST)) as never,
+      },
+      onEndpointGone() {},
+      peerReadRegistrations: () => "apart",
+      onUnlistedPeer() {},
+    });
+  }
+
+  #carry(from: number, to: number, method: string, params: unknown): void {
+    this.datagrams += 1;
+    const isLost = this.cutOff.has(from) || this.cutOff.has(to) ||
+      this.#random() < this.#lostShare;
+    if (isLost) return;
+    const text = JSON.stringify(params);
+    const way = LEAST_WAY_MILLISECONDS +
+      WAY_SPREAD_MILLISECONDS * this.#random();
+    this.timer.after(way, () => {
+      this.entries[to].takeNotification(method, JSON.parse(text));
+    });
+  }
+
+  #send(
+    request: SentAttempt["request"],
+    options: SentAttempt["options"],
+  ): Exchange {
+    let attempt: SentAttempt | undefined;
+    const answer = new Promise<Awaited<Exchange["answer"]>>((resolve) => {
+      attempt = new SentAttempt(request, options, resolve);
+    });
+    const made = attempt as unknown as SentAttempt;
+    this.onSend?.(made);
+    return { answer, abort: () => made.aborted = true };
+  }
+
+  /** Hands a request to an entry; gives what its caller gets. */
+  ask(entry: number, request: SentAttempt["request"]): RecordingSink {
+    const sink = new RecordingSink();
+    this.entries[entry].handle(request, sink);
+    return sink;
+  }
+}
--- a/test/support/forwarding_engines.ts
+++ b/test/support/forwarding_engines.ts
@@ -1,11 +1,23 @@
 import type { ManualTimerService } from "../../src/core/time/mod.ts";
-import type { ForwardingBench, SentAttempt } from "./forwarding_bench.ts";
+import type { SentAttempt } from "./forwarding_bench.ts";
 
 /** Figures of the engines that the tests play. */
 const DEFAULT_TOKENS_PER_MILLISECOND = 310;
 const DECODE_MILLISECONDS = 50;
 const URGENT_DECODE_MILLISECONDS = 2_000;
-const SLOTS = 32;
+const DEFAULT_SLOTS = 32;
+
+/** What attempts are sent to. */
+export interface EnginesHost {
+  readonly timer: ManualTimerService;
+  onSend: ((attempt: SentAttempt) => void) | undefined;
+}
+
+export interface PlayedEnginesOptions {
+  readonly tokensPerMillisecond?: number;
+  /** Answers that an engine makes at once. */
+  readonly slots?: number;
+}
 
 interface Reading {
   readonly attempt: SentAttempt;
@@ -20,19 +32,19 @@
 export class PlayedEngines {
   readonly #timer: ManualTimerService;
   readonly #tokensPerMillisecond: number;
+  readonly #slots: number;
   readonly #queues = new Map<string, Reading[]>();
   readonly #busy = new Set<string>();
   readonly #kept = new Map<string, Set<string>>();
   readonly #running = new Map<string, number>();
   readMilliseconds = 0;
 
-  constructor(
-    bench: ForwardingBench,
-    tokensPerMillisecond = DEFAULT_TOKENS_PER_MILLISECOND,
-  ) {
-    this.#timer = bench.timer;
-    this.#tokensPerMillisecond = tokensPerMillisecond;
-    bench.onSend = (attempt) => this.#take(attempt);
+  constructor(host: EnginesHost, options: PlayedEnginesOptions = {}) {
+    this.#timer = host.timer;
+    this.#tokensPerMillisecond = options.tokensPerMillisecond ??
+      DEFAULT_TOKENS_PER_MILLISECOND;
+    this.#slots = options.slots ?? DEFAULT_SLOTS;
+    host.onSend = (attempt) => this.#take(attempt);
   }
 
   #take(attempt: SentAttempt): void {
@@ -80,7 +92,7 @@
   #decode(attempt: SentAttempt, isUrgent: boolean): void {
     const engine = String(attempt.options.endpoint);
     const running = this.#running.get(engine) ?? 0;
-    if (running >= SLOTS) return void attempt.notRun();
+    if (running >= this.#slots) return void attempt.notRun();
     this.#running.set(engine, running + 1);
     void attempt.head().then(() => attempt.piece("id: 1\ndata: x\n\n"));
     const milliseconds = isUrgent
