--- a/src/core/forwarding/roles/role_plan.ts
+++ b/src/core/forwarding/roles/role_plan.ts
@@ -2,14 +2,38 @@
 import type { RegisteredEndpoint } from "../configuration.ts";
 
 /**
- * Share of a pool's engines that read prompts. Load: 157 long prompts a second,
- * of which an engine reads one in 20 ms, beside 11 short prompts a second whose
- * answers take one of 32 slots for 3.4 s: 3.1 engines against 1.2. Harm
- * prevented: with 0.6 prompts wait while slots stand empty, with 0.8 answers
- * wait for slots and are late by their pauses (worth of a calm day 0.572,
- * 0.627 and 0.492 at 0.6, 0.7 and 0.8 with ten engines).
+ * Share of a pool's engines that read prompts, where an engine makes many
+ * answers at once. Load: 157 long prompts a second, of which an engine reads
+ * one in 20 ms, beside 11 short prompts a second whose answers take one of 32
+ * slots for 3.4 s: 3.1 engines against 1.2. Harm prevented: with 0.6 prompts
+ * wait while slots stand empty, with 0.8 answers wait for slots and are late by
+ * their pauses.
  */
-const PRIOR_PREFILL_SHARE = 0.7;
+const MOST_PREFILL_SHARE = 0.7;
+/** Slots of an engine from which on that share fits. */
+const MANY_SLOTS = 32;
+/**
+ * Share of the engines that go from reading to answers each time that their
+ * slots are half as many. Load: engines that make eight answers at once, each of
+ * some seconds, beside long prompts. Harm prevented: every slot is taken, and
+ * urgent answers wait for one beside engines that read nothing. Limit: by the
+ * slots alone it would be several times as many, which leaves too few engines
+ * for a burst of prompts; how the work is mixed is not known beforehand.
+ */
+const SHARE_FOR_HALF_THE_SLOTS = 0.04;
+/** Share that goes on reading, however few slots the engines have. */
+const LEAST_PREFILL_SHARE = 0.5;
+
+/** Share of the engines that are to read prompts, by their slots. */
+export function prefillShareOf(engines: readonly RegisteredEndpoint[]): number {
+  const sum = engines.reduce((slots, engine) => slots + engine.slots, 0);
+  const slots = Math.max(1, sum / engines.length);
+  const halvings = Math.max(0, Math.log2(MANY_SLOTS / slots));
+  return Math.max(
+    LEAST_PREFILL_SHARE,
+    MOST_PREFILL_SHARE - SHARE_FOR_HALF_THE_SLOTS * halvings,
+  );
+}
 
 /**
  * How far the engines of a role may be from their share. Load: one engine of
@@ -50,7 +74,7 @@
   if (engines.length < 2) return [];
   const roleOf = (engine: RegisteredEndpoint) =>
     changing.get(engine.id) ?? engine.role;
-  const share = options.prefillShare ?? PRIOR_PREFILL_SHARE;
+  const share = options.prefillShare ?? prefillShareOf(engines);
   const exact = share * engines.length;
   const wanted = Math.min(
     engines.length - 1,
--- a/src/core/forwarding/roles/role_plan_test.ts
+++ b/src/core/forwarding/roles/role_plan_test.ts
@@ -2,6 +2,7 @@
 import { makeEngine } from "../../../../test/support/forwarding_values.ts";
 import { type AvailabilityZoneId, identifier } from "../../identity/mod.ts";
 import { planRoles, type RegisteredEndpoint } from "../mod.ts";
+import { prefillShareOf } from "./role_plan.ts";
 
 const NOTHING_CHANGES = new Map();
 const IDLE = () => 0;
@@ -112,3 +113,34 @@
     expect(changes).to.deep.equal([]);
   });
 });
+
+describe("prefillShareOf", () => {
+  function engines(count: number, slots: number) {
+    return Array.from(
+      { length: count },
+      (_, index) => makeEngine(`engine-${index}`, "decode", { slots }),
+    );
+  }
+
+  it("leaves seven of ten to prompts where slots are many", () => {
+    expect(prefillShareOf(engines(10, 32))).to.equal(0.7);
+    expect(prefillShareOf(engines(8, 64))).to.equal(0.7);
+  });
+
+  // Engines make eight answers at once, and ninety urgent ones of three seconds
+  // each are open. With three of ten engines for them urgent callers wait for a
+  // second, while the engines that read stand idle for four fifths of theirs.
+  it("gives answers more engines where each makes few at once", () => {
+    const share = prefillShareOf(engines(34, 8));
+    expect(Math.round((1 - share) * 34) * 8).to.be.at.least(100);
+  });
+
+  it("falls with the slots, and leaves half to prompts", () => {
+    let before = 0;
+    for (const slots of [1, 4, 8, 16, 24, 32, 64]) {
+      const share = prefillShareOf(engines(34, slots));
+      expect(share).to.be.within(Math.max(0.5, before), 0.7);
+      before = share;
+    }
+  });
+});
