--- a/src/adapters/telemetry/forwarding_record.ts
+++ b/src/adapters/telemetry/forwarding_record.ts
@@ -3,7 +3,10 @@
 import type { RepeatUse } from "../../core/forwarding/mod.ts";
 import type { Logger } from "../../core/observation/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
-import type { ObserveForwarding } from "../../entry/forwarding/mod.ts";
+import type {
+  LoadQuestionOutcome,
+  ObserveForwarding,
+} from "../../entry/forwarding/mod.ts";
 
 /**
  * Decisions that are logged in one second. Load: a burst of several thousand
@@ -45,6 +48,19 @@
   return () => counter.inc();
 }
 
+/** Counts questions for an endpoint's load by what became of them. */
+export function countLoadQuestions(
+  registry: Registry,
+): (outcome: LoadQuestionOutcome) => void {
+  const questions = new Counter({
+    name: "filbertshore_load_questions_total",
+    help: "Questions to other entries for an endpoint's load, by outcome",
+    labelNames: ["outcome"],
+    registers: [registry],
+  });
+  return (outcome) => questions.inc({ outcome });
+}
+
 /** Shows how far the repeats of each pool have used up this entry's part. */
 export function showRepeats(
   registry: Registry,
--- a/src/adapters/telemetry/mod.ts
+++ b/src/adapters/telemetry/mod.ts
@@ -6,6 +6,7 @@
 } from "./logger.ts";
 export { Metrics, type MetricsOptions } from "./metrics.ts";
 export {
+  countLoadQuestions,
   countUnreadable,
   recordForwarding,
   showRepeats,
--- a/src/core/forwarding/admission/held_prompts.ts
+++ b/src/core/forwarding/admission/held_prompts.ts
@@ -11,7 +11,7 @@
   readonly expiresAt: number;
   /** Work that an engine will have with it. */
   readonly workMilliseconds: number;
-  /** The engine that can begin with it now, if there is one. */
+  /** Looks for the engine that can begin with it now; must not fail. */
   readonly choose: () => Promise<Choice | undefined>;
   /** True once its caller has gone. */
   readonly isOver: () => boolean;
--- a/src/entry/forwarding/forward_run_test.ts
+++ b/src/entry/forwarding/forward_run_test.ts
@@ -459,6 +459,28 @@
       });
     });
 
+    // The caller hangs up while the owners of engines are asked for their load.
+    // An engine would read its prompt for nobody, and callers behind it wait.
+    for (const kind of ["on time", "late"]) {
+      it(`is not sent on for a caller that leaves meanwhile, ${kind}`, async () => {
+        const bench = fleet();
+        Object.assign(bench.parts, {
+          asksOwners: () => true,
+          askOwners: () =>
+            new Promise<void>((resolve) => {
+              bench.timer.after(3, resolve);
+            }),
+        });
+        if (kind === "late") bench.parts.returning.refused("river-own", 400);
+        const caller = await ask(bench);
+        await bench.timer.advance(kind === "late" ? 4 : 1);
+        caller.leave();
+        await bench.timer.advance(100);
+        await settled();
+        expect(bench.sent).to.deep.equal([]);
+      });
+    }
+
     // A burst comes to an entry on a thin link; the engines have room. Sent on
     // as they come, the last ones reach an engine after half a second, when
     // each of them is late, and the engine reads them for nothing.
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -14,7 +14,6 @@
   type OpenWork,
   type PeerReading,
   PrefixDirectory,
-  type RegisteredEndpoint,
   type RepeatUse,
   RetryAllowance,
   ReturningCallers,
@@ -36,6 +35,7 @@
 import type { ObserveForwarding } from "./observer.ts";
 import type { ForwardingParts } from "./parts.ts";
 import { KeptPartsSurvey } from "./kept_parts_survey.ts";
+import { RegistrationIntake } from "./registration_intake.ts";
 import { StateRelay, type StateRelayOptions } from "./state_relay.ts";
 import { RoleKeeper, type RoleLink } from "./role_keeper.ts";
 import {
@@ -47,6 +47,7 @@
 import {
   LOAD_ANSWER_METHOD,
   LOAD_QUESTION_METHOD,
+  type LoadQuestionOutcome,
   LoadQuestions,
 } from "./load_questions.ts";
 import { WORK_METHOD } from "./work_notification.ts";
@@ -83,18 +84,12 @@
   readonly onEndpointGone: (address: string) => void;
   /** A peer has read this span of the registrations. */
   readonly peerReadRegistrations: (span: TopicSpan) => PeerReading;
+  /** A question for an endpoint's load has been answered, or not. */
+  readonly onLoadQuestion: (outcome: LoadQuestionOutcome) => void;
   /** An entry has told of itself that is not on the fleet's list yet. */
   readonly onUnlistedPeer: () => void;
 }
 
-/** What has become of a registration; without an endpoint it is gone. */
-export interface RegistrationChange {
-  readonly id: EndpointId;
-  readonly endpoint?: RegisteredEndpoint;
-  /** True: something stands under the key that names no replica. */
-  readonly unreadable?: boolean;
-}
-
 /**
  * Entries that are taken to share the retry limit while this one is young.
  * Load: all entries are started again at once while callers go on asking. Harm
@@ -110,6 +105,7 @@
   readonly registry: EndpointRegistry;
   readonly peers: PeerExchange;
   readonly relay: StateRelay;
+  readonly registrations: RegistrationIntake;
   readonly #options: ForwardingEntryOptions;
   readonly #parts: ForwardingParts;
   readonly #roles: RoleKeeper | undefined;
@@ -163,6 +159,7 @@
       load,
       owners,
       send: (peer, notification) => this.peers.tellOne(peer, notification),
+      onOutcome: options.onLoadQuestion,
     });
     this.peers = new PeerExchange({
       ...options,
@@ -186,6 +183,12 @@
         this.takeConfiguration(configuration);
       },
     });
+    this.registrations = new RegistrationIntake({
+      registry: this.registry,
+      peerReadRegistrations: options.peerReadRegistrations,
+      onReached: () => this.relay.storeReached(),
+      tellPeers: (told) => this.peers.tell(REGISTRATIONS_METHOD, told),
+    });
     this.#roles = options.roles === undefined ? undefined : new RoleKeeper({
       ...options.roles,
       self: `${options.process}#${options.incarnation}`,
@@ -312,86 +315,11 @@
       this.#roles?.peerOrdered(orders);
     }
     if (method === REGISTRATIONS_METHOD && Array.isArray(changes)) {
-      const reading = isSpan(span)
-        ? this.#options.peerReadRegistrations(span)
-        : "apart";
-      this.#takePeerReading(reading, changes);
-    }
-  }
-
-  #takePeerReading(
-    reading: PeerReading,
-    changes: readonly RegistrationChange[],
-  ): void {
-    // A datagram that was overtaken may name an endpoint as gone that has
-    // come back since; its record lies behind this entry, which would not see
-    // it again.
-    if (reading === "older") return;
-    if (reading === "apart") return this.#takePeerChanges(changes);
-    // It goes on where this entry's reading ended and counts as its own.
-    this.relay.storeReached();
-    if (reading === "same") return;
-    for (const change of changes) this.#takeRegistration(change);
-  }
-
-  /**
-   * Takes from a peer that endpoints leave or are gone, of those known here. A
-   * peer that is behind may tell of old registrations: taken over, they would
-   * bring back endpoints that have left, which no later record takes away.
-   */
-  #takePeerChanges(changes: readonly RegistrationChange[]): void {
-    for (const change of changes) {
-      const { endpoint, id } = change;
-      if (this.registry.get(id) === undefined) continue;
-      if (endpoint === undefined || endpoint.leaving) {
-        this.#takeRegistration(change);
-      }
+      this.registrations.peerRead(changes, span);
     }
   }
 
-  /**
-   * Takes the registrations of a span that the store has shown to this entry,
-   * the older first, and tells peers what has changed in it. Load: dozens of
-   * entries that each read about once a second; one reads for all, and the
-   * others go on behind it. A fleet of 24 made 18 reads a second, one of 5
-   * eight; both make about two.
-   */
-  takeRegistrations(
-    changes: readonly RegistrationChange[],
-    span?: TopicSpan,
-  ): void {
-    const news = new Map<EndpointId, RegistrationChange>();
-    for (const change of changes) {
-      const isNews = this.#takeRegistration(change);
-      // Of a key that has changed the last state counts, also where that is
-      // what it was: a peer may stand in between.
-      if (isNews || news.has(change.id)) news.set(change.id, change);
-    }
-    if (news.size === 0 && span === undefined) return;
-    this.peers.tell(REGISTRATIONS_METHOD, {
-      changes: [...news.values()],
-      span,
-    });
-  }
-
-  /** True where it has changed anything. */
-  #takeRegistration(
-    { endpoint, id, unreadable = false }: RegistrationChange,
-  ): boolean {
-    if (endpoint !== undefined) return this.registry.put(endpoint);
-    const isKnown = this.registry.get(id) !== undefined;
-    if (unreadable) this.registry.withdraw(id);
-    else this.registry.remove(id);
-    return isKnown;
-  }
-
   handle(request: ForwardedRequest, sink: CallerSink): void {
     void forward(this.#parts, { request, sink });
   }
 }
-
-function isSpan(value: unknown): value is TopicSpan {
-  if (typeof value !== "object" || value === null) return false;
-  const { from, to } = value as Partial<TopicSpan>;
-  return typeof from === "number" && typeof to === "number";
-}
--- a/src/entry/forwarding/forwarding_entry_test.ts
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -80,6 +80,7 @@
           return from === position ? "ahead" : "apart";
         },
         onUnlistedPeer() {},
+        onLoadQuestion() {},
       }),
   );
   for (const entry of entries) {
@@ -119,9 +120,12 @@
   it("tells peers of an endpoint that leaves", () => {
     const [first, second] = makeEntries(2);
     for (const entry of [first, second]) {
-      entry.takeRegistrations([{ id, endpoint }]);
+      entry.registrations.read([{ id, endpoint }]);
     }
-    first.takeRegistrations([{ id, endpoint: { ...endpoint, leaving: true } }]);
+    first.registrations.read([{
+      id,
+      endpoint: { ...endpoint, leaving: true },
+    }]);
     expect(second.registry.inPool(PORTAL)).to.deep.equal([]);
   });
 
@@ -130,9 +134,9 @@
   // record that took it away lies behind them.
   it("does not bring back an endpoint through a peer that is behind", () => {
     const [late, ahead] = makeEntries(2);
-    ahead.takeRegistrations([{ id, endpoint }]);
-    ahead.takeRegistrations([{ id }]);
-    late.takeRegistrations([{ id, endpoint }]);
+    ahead.registrations.read([{ id, endpoint }]);
+    ahead.registrations.read([{ id }]);
+    late.registrations.read([{ id, endpoint }]);
     expect(ahead.registry.size).to.equal(0);
     expect(late.registry.size).to.equal(1);
   });
@@ -144,13 +148,13 @@
     // callers wait at endpoints that are full beside one that is free.
     it("takes a new endpoint from a peer whose reading goes on from its own", () => {
       const [first, second] = makeEntries(2, { position: 10 });
-      first.takeRegistrations([{ id, endpoint }], span);
+      first.registrations.read([{ id, endpoint }], span);
       expect(second.registry.get(id)).to.deep.equal(endpoint);
     });
 
     it("takes nothing new where records lie between", () => {
       const [first, second] = makeEntries(2, { position: 9 });
-      first.takeRegistrations([{ id, endpoint }], span);
+      first.registrations.read([{ id, endpoint }], span);
       expect(second.registry.get(id)).to.equal(undefined);
     });
 
@@ -160,7 +164,7 @@
     it("takes nothing from a span that it is ahead of", () => {
       const [first, second] = makeEntries(2, { position: 20 });
       for (const entry of [first, second]) entry.registry.put(endpoint);
-      first.takeRegistrations([{ id }], span);
+      first.registrations.read([{ id }], span);
       expect(second.registry.get(id)).to.deep.equal(endpoint);
     });
 
@@ -168,10 +172,10 @@
     // read nothing has changed, as the second takes back the first.
     it("tells of what has changed and changed back", () => {
       const [first, second] = makeEntries(2, { position: 10 });
-      first.takeRegistrations([{ id, endpoint }], span);
+      first.registrations.read([{ id, endpoint }], span);
       const other = { ...endpoint, slots: 99 };
       second.registry.put(other);
-      first.takeRegistrations(
+      first.registrations.read(
         [{ id, endpoint: other }, { id, endpoint }],
         { from: 10, to: 16 },
       );
--- a/src/entry/forwarding/handover.ts
+++ b/src/entry/forwarding/handover.ts
@@ -88,7 +88,7 @@
       const choice = late
         ? await this.#context.parts.held.hold(admitted.prompt)
         : admitted.choice;
-      if (choice === undefined) return ENGINES_FULL;
+      if (choice === undefined || this.#context.settled) return ENGINES_FULL;
       const outcome = await this.#read(prompt, { choice, late });
       if (outcome.kind === "kept") return outcome;
       this.#prefills += 1;
--- a/src/entry/forwarding/load_questions.ts
+++ b/src/entry/forwarding/load_questions.ts
@@ -37,6 +37,12 @@
   notification: { readonly method: string; readonly params: unknown },
 ) => void;
 
+/**
+ * What became of a question to one owner, or of a peer's: `unreadable` bytes
+ * change nothing.
+ */
+export type LoadQuestionOutcome = "answered" | "unanswered" | "unreadable";
+
 export interface LoadQuestionsOptions {
   readonly self: ProcessId;
   readonly timer: TimerService;
@@ -44,6 +50,7 @@
   readonly load: LoadPicture;
   readonly owners: LoadOwners;
   readonly send: SendToPeer;
+  readonly onOutcome: (outcome: LoadQuestionOutcome) => void;
 }
 
 interface OpenQuestion {
@@ -86,12 +93,15 @@
     });
     limit?.cancel();
     this.#open.delete(id);
-    for (const owner of waiting) owners.asked(owner, { answered: false });
+    for (const owner of waiting) {
+      owners.asked(owner, { answered: false });
+      this.#options.onOutcome("unanswered");
+    }
   }
 
   /** Answers a peer's question; one that can't be read is passed over. */
   takeQuestion(params: unknown): void {
-    if (!isQuestion(params)) return;
+    if (!isQuestion(params)) return this.#options.onOutcome("unreadable");
     const { load, owners, registry, self, send } = this.#options;
     const asker = identifier<ProcessId>(params.entry);
     owners.heard(asker);
@@ -112,13 +122,14 @@
 
   /** Takes an owner's answer; one to no open question changes nothing. */
   takeAnswer(params: unknown): void {
-    if (!isAnswer(params)) return;
+    if (!isAnswer(params)) return this.#options.onOutcome("unreadable");
     const owner = identifier<ProcessId>(params.entry);
     const question = this.#open.get(params.id);
     if (question?.waiting.delete(owner) !== true) return;
     const { load, owners, registry } = this.#options;
     owners.heard(owner);
     owners.asked(owner, { answered: true });
+    this.#options.onOutcome("answered");
     for (
       const [endpoint, requests, prefillMilliseconds, tokens] of workHere(
         registry,
--- a/src/entry/forwarding/load_questions_test.ts
+++ b/src/entry/forwarding/load_questions_test.ts
@@ -16,6 +16,7 @@
 import {
   LOAD_ANSWER_METHOD,
   LOAD_QUESTION_METHOD,
+  type LoadQuestionOutcome,
   LoadQuestions,
 } from "./load_questions.ts";
 
@@ -29,6 +30,7 @@
   readonly load: LoadPicture;
   readonly owners: LoadOwners;
   readonly questions: LoadQuestions;
+  readonly outcomes: LoadQuestionOutcome[] = [];
 
   constructor(
     readonly name: ProcessId,
@@ -46,6 +48,7 @@
       load: this.load,
       owners: this.owners,
       send: (peer, { method, params }) => send(peer, method, params),
+      onOutcome: (outcome) => this.outcomes.push(outcome),
     });
   }
 }
@@ -113,6 +116,7 @@
       work: [[ENGINE.id, 1, 10, 100]],
     });
     expect(await ask()).to.equal(2 * ONE_WAY_MILLISECONDS);
+    expect(asker.outcomes).to.deep.equal(["answered"]);
     expect(asker.load.total(ENGINE.id).prefillMilliseconds).to.equal(40);
     begin(asker, 5);
     expect(asker.load.total(ENGINE.id).prefillMilliseconds).to.equal(45);
@@ -168,6 +172,8 @@
         begin(owner, 30);
         onTheWay = (params) => spoil(params as Record<string, unknown>);
         expect(await ask()).to.equal(6);
+        expect(owner.outcomes).to.deep.equal(["unreadable"]);
+        expect(asker.outcomes).to.deep.equal(["unanswered"]);
         expect(asker.load.total(ENGINE.id).requests).to.equal(0);
       });
     }
--- a/src/entry/forwarding/mod.ts
+++ b/src/entry/forwarding/mod.ts
@@ -6,8 +6,9 @@
 export {
   ForwardingEntry,
   type ForwardingEntryOptions,
-  type RegistrationChange,
 } from "./forwarding_entry.ts";
+export type { LoadQuestionOutcome } from "./load_questions.ts";
+export type { RegistrationChange } from "./registration_intake.ts";
 export { PeerExchange } from "./peer_exchange.ts";
 export type { OrderOutcome, RoleLink } from "./role_keeper.ts";
 export { readWhole } from "./whole_body.ts";
--- /dev/null
+++ b/src/entry/forwarding/registration_intake.ts
@@ -0,0 +1,100 @@
+import type {
+  EndpointRegistry,
+  PeerReading,
+  RegisteredEndpoint,
+  TopicSpan,
+} from "../../core/forwarding/mod.ts";
+import type { EndpointId } from "../../core/identity/mod.ts";
+
+/** What has become of a registration; without an endpoint it is gone. */
+export interface RegistrationChange {
+  readonly id: EndpointId;
+  readonly endpoint?: RegisteredEndpoint;
+  /** True: something stands under the key that names no replica. */
+  readonly unreadable?: boolean;
+}
+
+export interface RegistrationIntakeOptions {
+  readonly registry: EndpointRegistry;
+  /** A peer has read this span of the registrations. */
+  readonly peerReadRegistrations: (span: TopicSpan) => PeerReading;
+  /** The store was reached, by this entry or by a peer for it. */
+  readonly onReached: () => void;
+  readonly tellPeers: (told: {
+    readonly changes: readonly RegistrationChange[];
+    readonly span: TopicSpan | undefined;
+  }) => void;
+}
+
+/** Brings registrations that this entry or a peer has read into the registry. */
+export class RegistrationIntake {
+  readonly #options: RegistrationIntakeOptions;
+
+  constructor(options: RegistrationIntakeOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Takes the registrations of a span that the store has shown to this entry,
+   * the older first, and tells peers what has changed in it. Load: dozens of
+   * entries that each read about once a second; one reads for all, and the
+   * others go on behind it. A fleet of 24 made 18 reads a second, one of 5
+   * eight; both make about two.
+   */
+  read(changes: readonly RegistrationChange[], span?: TopicSpan): void {
+    const news = new Map<EndpointId, RegistrationChange>();
+    for (const change of changes) {
+      const isNews = this.#take(change);
+      // Of a key that has changed the last state counts, also where that is
+      // what it was: a peer may stand in between.
+      if (isNews || news.has(change.id)) news.set(change.id, change);
+    }
+    if (news.size === 0 && span === undefined) return;
+    this.#options.tellPeers({ changes: [...news.values()], span });
+  }
+
+  /** A peer tells what it has read, and of which span, where it is known. */
+  peerRead(changes: readonly RegistrationChange[], span: unknown): void {
+    const reading = isSpan(span)
+      ? this.#options.peerReadRegistrations(span)
+      : "apart";
+    // A datagram that was overtaken may name an endpoint as gone that has
+    // come back since; its record lies behind this entry, which would not see
+    // it again.
+    if (reading === "older") return;
+    if (reading === "apart") return this.#takeLeaving(changes);
+    // It goes on where this entry's reading ended and counts as its own.
+    this.#options.onReached();
+    if (reading === "same") return;
+    for (const change of changes) this.#take(change);
+  }
+
+  /**
+   * Takes from a peer that endpoints leave or are gone, of those known here. A
+   * peer that is behind may tell of old registrations: taken over, they would
+   * bring back endpoints that have left, which no later record takes away.
+   */
+  #takeLeaving(changes: readonly RegistrationChange[]): void {
+    for (const change of changes) {
+      const { endpoint, id } = change;
+      if (this.#options.registry.get(id) === undefined) continue;
+      if (endpoint === undefined || endpoint.leaving) this.#take(change);
+    }
+  }
+
+  /** True where it has changed anything. */
+  #take({ endpoint, id, unreadable = false }: RegistrationChange): boolean {
+    const { registry } = this.#options;
+    if (endpoint !== undefined) return registry.put(endpoint);
+    const isKnown = registry.get(id) !== undefined;
+    if (unreadable) registry.withdraw(id);
+    else registry.remove(id);
+    return isKnown;
+  }
+}
+
+function isSpan(value: unknown): value is TopicSpan {
+  if (typeof value !== "object" || value === null) return false;
+  const { from, to } = value as Partial<TopicSpan>;
+  return typeof from === "number" && typeof to === "number";
+}
--- a/test/operations/operations_test.ts
+++ b/test/operations/operations_test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { existsSync, readdirSync, readFileSync } from "node:fs";
 import {
+  countLoadQuestions,
   countUnreadable,
   Metrics,
   recordForwarding,
@@ -40,6 +41,7 @@
     timer: new SystemTimerService(),
   });
   countUnreadable(metrics.registry);
+  countLoadQuestions(metrics.registry);
   showRepeats(metrics.registry, () => []);
   return (await metrics.render()).body;
 }
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -100,6 +100,7 @@
       onEndpointGone() {},
       peerReadRegistrations: () => "apart",
       onUnlistedPeer() {},
+      onLoadQuestion() {},
     });
   }
 
