--- a/src/core/forwarding/admission/request_arrivals.ts
+++ b/src/core/forwarding/admission/request_arrivals.ts
@@ -76,6 +76,11 @@
     if (!isFree) this.#count();
   }
 
+  /** The reading has not reached the engine, which takes no connection. */
+  readingNotSent(): void {
+    this.#isReading = false;
+  }
+
   /** The request is over. A reading that is given up has arrived all the same. */
   release(): void {
     this.readingEnded({ accepted: false });
--- a/src/core/forwarding/admission/request_arrivals_test.ts
+++ b/src/core/forwarding/admission/request_arrivals_test.ts
@@ -37,6 +37,20 @@
     arrivals.readingEnded({ accepted });
   }
 
+  // Engines of a zone that has died refuse their connections. Counted as
+  // arrivals they use up the repeats that other requests need.
+  it("cost nothing where readings found no connection", () => {
+    for (let reading = 0; reading < 3; reading++) {
+      expect(arrivals.cover({ reading: true })).to.equal(true);
+      arrivals.readingSent();
+      arrivals.readingNotSent();
+    }
+    read(true);
+    arrivals.sent();
+    arrivals.release();
+    expect(counted()).to.equal(0);
+  });
+
   describe("without a reading", () => {
     it("are free once", () => {
       expect(arrivals.cover({ reading: false })).to.equal(true);
--- a/src/entry/forwarding/handover.ts
+++ b/src/entry/forwarding/handover.ts
@@ -6,6 +6,7 @@
 } from "../../core/forwarding/mod.ts";
 import type { Attempt } from "./attempt.ts";
 import type { ForwardContext } from "./forward_context.ts";
+import type { ExchangeFailure } from "./links.ts";
 import {
   type AdmissionFacts,
   type AdmissionRefusal,
@@ -15,6 +16,14 @@
 
 /** Engines that are asked to read a request's prompt in one round. */
 const MOST_PREFILLS = 2;
+/**
+ * Engines that may refuse the connection beside them. Load: a zone dies with a
+ * fifth of the engines, and every entry has to find that out by itself. Harm
+ * prevented: counted like readings that were turned away, refused connections
+ * use up the fleet's repeats within a second, and one prompt in five is refused
+ * beside engines that have room. Limit: each costs a way there and back.
+ */
+const MOST_UNREACHED = 3;
 /**
  * Engines that a kept prompt is offered to. One that is full or has changed
  * its role leaves the cache where it is; where a second one turns it away too,
@@ -23,6 +32,8 @@
 const MOST_OFFERS = 2;
 /** Priority of prompts that are read for late answers. */
 const LATE_PRIORITY = 8;
+/** Why a reading failed that has not reached its engine. */
+const NOT_SENT: ExchangeFailure["name"] = "exchange_not_sent";
 /** What became of a hand-over. */
 export type HandoverOutcome =
   | { readonly kind: "kept"; readonly kept: KeptPrompt }
@@ -57,6 +68,8 @@
   #kept: KeptPrompt | undefined;
   /** Readings that have failed. */
   #prefills = 0;
+  /** Readings that found no connection. */
+  #unreached = 0;
   #offers = 0;
 
   /** `onAttempt` takes each reading, so that it can be aborted. */
@@ -91,13 +104,17 @@
       if (choice === undefined || this.#context.settled) return ENGINES_FULL;
       const outcome = await this.#read(prompt, { choice, late });
       if (outcome.kind === "kept") return outcome;
-      this.#prefills += 1;
+      if (outcome.reason === NOT_SENT) this.#unreached += 1;
+      else this.#prefills += 1;
       this.#context.turnedAwayBy(outcome.engine);
       const mayRepeat = !this.#context.settled &&
-        this.#prefills < MOST_PREFILLS &&
+        this.#prefills < MOST_PREFILLS && this.#unreached <= MOST_UNREACHED &&
         this.#context.mayResend(`prefill ${outcome.reason}`, { reading: true });
       if (!mayRepeat) {
-        const facts = { readings: this.#prefills };
+        const facts = {
+          readings: this.#prefills,
+          unreached: this.#unreached,
+        };
         return { kind: "refused", reason: "prompt_not_read", facts };
       }
     }
@@ -208,7 +225,9 @@
     });
     const took = parts.timer.now() - sent;
     this.#learnSlowness(choice, { outcome, took });
-    arrivals.readingEnded({ accepted: outcome.kind === "kept" });
+    if (outcome.kind === "failed" && outcome.reason === NOT_SENT) {
+      arrivals.readingNotSent();
+    } else arrivals.readingEnded({ accepted: outcome.kind === "kept" });
     if (outcome.kind === "failed") return outcome;
     this.#learnSpeed(prompt, choice, took);
     this.#kept = outcome.kept;
--- a/test/support/forwarding_engines.ts
+++ b/test/support/forwarding_engines.ts
@@ -37,6 +37,13 @@
   readonly #busy = new Set<string>();
   readonly #kept = new Map<string, Set<string>>();
   readonly #running = new Map<string, number>();
+  /** Attempts that an engine has taken and not ended. */
+  readonly #open = new Map<string, Set<SentAttempt>>();
+  readonly #down = new Set<string>();
+  /** How often each request has begun to run, by its id. */
+  readonly runs = new Map<string, number>();
+  /** Most readings that stood at an engine at once, by engine. */
+  readonly mostReadings = new Map<string, number>();
   readMilliseconds = 0;
 
   constructor(host: EnginesHost, options: PlayedEnginesOptions = {}) {
@@ -47,7 +54,24 @@
     host.onSend = (attempt) => this.#take(attempt);
   }
 
+  /** The engine dies: it takes no connection, and what it had open is lost. */
+  kill(engine: string): void {
+    this.#down.add(engine);
+    for (const attempt of this.#open.get(engine) ?? []) {
+      void attempt.fail("exchange_lost");
+      void attempt.end("cut");
+    }
+    this.#open.delete(engine);
+    this.#queues.delete(engine);
+    this.#kept.delete(engine);
+    this.#running.delete(engine);
+  }
+
   #take(attempt: SentAttempt): void {
+    const engine = String(attempt.options.endpoint);
+    if (this.#down.has(engine)) {
+      return void attempt.fail("exchange_not_sent");
+    }
     const { prompt } = attempt.request;
     if (prompt === undefined) return;
     if (attempt.options.prefillOnly) this.#queue(attempt);
@@ -62,6 +86,9 @@
       attempt,
       priority: attempt.options.priority ?? 5,
     });
+    this.#opened(engine, attempt);
+    const most = this.mostReadings.get(engine) ?? 0;
+    this.mostReadings.set(engine, Math.max(most, queue.length));
     this.#next(engine);
   }
 
@@ -84,21 +111,36 @@
     this.readMilliseconds += milliseconds;
     this.#timer.after(milliseconds, () => {
       this.#busy.delete(engine);
+      if (!this.#closed(engine, attempt)) return;
       void attempt.answer("handle");
       this.#next(engine);
     });
   }
 
+  #opened(engine: string, attempt: SentAttempt): void {
+    const open = this.#open.get(engine) ?? new Set();
+    this.#open.set(engine, open.add(attempt));
+  }
+
+  /** False where the engine has died meanwhile. */
+  #closed(engine: string, attempt: SentAttempt): boolean {
+    return this.#open.get(engine)?.delete(attempt) === true;
+  }
+
   #decode(attempt: SentAttempt, isUrgent: boolean): void {
     const engine = String(attempt.options.endpoint);
     const running = this.#running.get(engine) ?? 0;
     if (running >= this.#slots) return void attempt.notRun();
     this.#running.set(engine, running + 1);
+    this.#opened(engine, attempt);
+    const { id } = attempt.request;
+    this.runs.set(id, (this.runs.get(id) ?? 0) + 1);
     void attempt.head().then(() => attempt.piece("id: 1\ndata: x\n\n"));
     const milliseconds = isUrgent
       ? URGENT_DECODE_MILLISECONDS
       : DECODE_MILLISECONDS;
     this.#timer.after(milliseconds, () => {
+      if (!this.#closed(engine, attempt)) return;
       this.#running.set(engine, (this.#running.get(engine) ?? 1) - 1);
       void attempt.end();
     });
