--- a/src/entry/forwarding/role_keeper_test.ts
+++ b/src/entry/forwarding/role_keeper_test.ts
@@ -11,6 +11,12 @@
   type StandingClaim,
   type StoreFailure,
 } from "../../core/forwarding/mod.ts";
+import {
+  type EndpointId,
+  identifier,
+  numbered,
+  type ReplicaStart,
+} from "../../core/identity/mod.ts";
 import { SILENT_LOGGER } from "../../core/observation/mod.ts";
 import { seededRandom } from "../../core/random/mod.ts";
 import { ManualTimerService } from "../../core/time/mod.ts";
@@ -62,10 +68,13 @@
   let timer: ManualTimerService;
   let platform: Platform;
   let keepers: RoleKeeper[];
+  let registries: EndpointRegistry[];
 
   function startKeepers(count: number, tellsPeers = true): void {
+    registries = [];
     keepers = Array.from({ length: count }, (_, index) => {
       const registry = new EndpointRegistry({ timer });
+      registries.push(registry);
       for (let engine = 0; engine < 10; engine++) {
         const role = engine < 6 ? "prefill" : "decode";
         registry.put(makeEngine(`engine-${engine}`, role));
@@ -145,4 +154,45 @@
     await advance(6_000);
     expect(platform.orders).to.have.length(1);
   });
+
+  describe("an engine that starts again while its change is under way", () => {
+    const id = identifier<EndpointId>("engine-6");
+
+    /** The engine registers anew, in this role, as a run of its own. */
+    function restart(role: "prefill" | "decode", startedAt: number): void {
+      const engine = makeEngine(id, role, {
+        startedAt: numbered<ReplicaStart>(startedAt),
+      });
+      registries[0].put(engine);
+      keepers[0].forget(engine);
+      keepers[0].engineChanged(engine);
+    }
+
+    // The order went to the former run and ended with it. Taken for under way,
+    // the engine would get no work for twelve seconds, and no order either.
+    it("gets work at once, and a new order with a number of its own", async () => {
+      startKeepers(1);
+      await advance(6_000);
+      expect(platform.orders).to.have.length(1);
+      restart("decode", 2);
+      expect(keepers[0].isChanging(id)).to.equal(false);
+      await advance(12_000);
+      const [first, second] = platform.orders;
+      expect(second.endpoint).to.equal(id);
+      expect(second.fencing).to.be.greaterThan(first.fencing);
+    });
+
+    // The former run's order reaches the new one, and is carried out there. The
+    // engine is what was wanted; one more order would only take it away again.
+    it("gets no further order where the late one is carried out", async () => {
+      startKeepers(1);
+      await advance(6_000);
+      restart("decode", 2);
+      await advance(2_000);
+      restart("prefill", 2);
+      await advance(20_000);
+      expect(platform.orders).to.have.length(1);
+      expect(keepers[0].isChanging(id)).to.equal(false);
+    });
+  });
 });
