--- a/src/core/forwarding/placement/engine_sample.ts
+++ b/src/core/forwarding/placement/engine_sample.ts
@@ -12,9 +12,12 @@
  * two there is somewhere to go when the first is busy.
  */
 const HOME_ENGINES = 2;
-/** Engines looked at beside the homes: any of them may happen to be free. */
+/** Engines looked at beside the homes, for when these are busy. */
 const OTHER_READERS = 3;
-/** Engines looked at in the zone that is best, and elsewhere. */
+/**
+ * Engines looked at where the cache is, as a transfer within a zone takes half
+ * the time, and elsewhere.
+ */
 const NEAR_DECODERS = 3;
 const OTHER_DECODERS = 3;
 
@@ -26,9 +29,9 @@
 
 /**
  * Engines that a prompt may be read by: the homes of its shared parts first,
- * the others at random, half of them from the zone. A few are enough: of four
- * the least busy is nearly as free as the least busy of all, and entries that
- * look at different ones don't all follow the same picture to one engine.
+ * the others at random, one of them from the zone. A few are enough: the least
+ * busy of five is nearly as free as the least busy of all, and entries that look
+ * at different ones don't all follow the same picture to one engine.
  */
 export function sampleReaders(
   prompt: Prompt,
@@ -40,7 +43,7 @@
   return [...homes, ...sampleNear(others, OTHER_READERS, options)];
 }
 
-/** Engines that an answer may be made by. */
+/** Engines that an answer may be made by, those of the zone first. */
 export function sampleDecoders(
   makers: readonly RegisteredEndpoint[],
   options: SampleOptions,
--- a/src/entry/forwarding/work_notification.ts
+++ b/src/entry/forwarding/work_notification.ts
@@ -40,6 +40,7 @@
 ];
 const LEAST_WORK_VALUES = 4;
 
+/** Adds to work at endpoints which run of each it stands at. */
 export function workWithRuns(
   registry: EndpointRegistry,
   report: WorkReport,
@@ -64,6 +65,7 @@
     );
 }
 
+/** True where a peer's notification can be taken in. */
 export function isWorkNotification(value: unknown): value is WorkNotification {
   if (typeof value !== "object" || value === null) return false;
   const {
