--- a/src/core/forwarding/endpoints/load_owners.ts
+++ b/src/core/forwarding/endpoints/load_owners.ts
@@ -81,6 +81,21 @@
     return this.#ranking(endpoint).find(isAlive) ?? this.#self;
   }
 
+  /** The endpoints by the other entries that own them; own ones are left out. */
+  byOtherOwner(
+    endpoints: Iterable<EndpointId>,
+  ): ReadonlyMap<ProcessId, readonly EndpointId[]> {
+    const byOwner = new Map<ProcessId, EndpointId[]>();
+    for (const endpoint of endpoints) {
+      const owner = this.ownerOf(endpoint);
+      if (owner === this.#self) continue;
+      const known = byOwner.get(owner);
+      if (known === undefined) byOwner.set(owner, [endpoint]);
+      else known.push(endpoint);
+    }
+    return byOwner;
+  }
+
   /** True while it is worth asking this owner. */
   mayAsk(owner: ProcessId): boolean {
     const known = this.#heard.get(owner);
@@ -99,7 +114,9 @@
   #ranking(endpoint: EndpointId): readonly ProcessId[] {
     let ranking = this.#rankings.get(endpoint);
     if (ranking === undefined) {
-      ranking = rendezvousOrder(endpoint, [this.#self, ...this.#heard.keys()]);
+      const entries = [this.#self, ...this.#heard.keys()];
+      ranking = rendezvousOrder(entries.map((id) => ({ id })), endpoint)
+        .map(({ id }) => id);
       this.#rankings.set(endpoint, ranking);
     }
     return ranking;
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -53,6 +53,7 @@
   type TopicSpan,
 } from "./store/topic_reader.ts";
 export type {
+  DecodeChoice,
   PrefillCandidates,
   PrefillChoice,
 } from "./placement/engine_placement.ts";
--- a/src/core/forwarding/placement/engine_sample.ts
+++ b/src/core/forwarding/placement/engine_sample.ts
@@ -67,10 +67,7 @@
   // The last part is the request's own.
   const shared = prompt.parts.at(-2);
   if (shared === undefined) return [];
-  const byId = new Map(readers.map((each) => [each.id, each]));
-  return rendezvousOrder(shared.id, [...byId.keys()])
-    .slice(0, HOME_ENGINES)
-    .flatMap((id) => byId.get(id) ?? []);
+  return rendezvousOrder(readers, shared.id).slice(0, HOME_ENGINES);
 }
 
 /** So many at random, one of them from the zone where there is one. */
--- a/src/core/membership/rendezvous.ts
+++ b/src/core/membership/rendezvous.ts
@@ -1,13 +1,17 @@
 import { hashToUnit } from "./hash.ts";
 
-/** Something that can be picked, such as an endpoint or an entry. */
-export interface RendezvousMember {
+/** Something that can be ranked, such as an endpoint or an entry. */
+export interface RankedMember {
   readonly id: string;
-  readonly availabilityZone: string;
   /** Share of picks relative to others; 1 where it is left out. */
   readonly weight?: number;
 }
 
+/** Something that can be picked by where it stands. */
+export interface RendezvousMember extends RankedMember {
+  readonly availabilityZone: string;
+}
+
 export interface SubsetOptions {
   /** Who picks; another picker gets another subset. */
   readonly picker: string;
@@ -32,7 +36,7 @@
   members: readonly Member[],
   options: SubsetOptions,
 ): readonly Member[] {
-  const ranked = rank(members, options.picker);
+  const ranked = rendezvousOrder(members, options.picker);
   const own = ranked.filter((member) => isOwnZone(member, options));
   const others = ranked.filter((member) => !isOwnZone(member, options));
   const spill = Math.min(options.spill ?? 0, options.size, others.length);
@@ -69,7 +73,8 @@
   return member.availabilityZone === options.availabilityZone;
 }
 
-function rank<Member extends RendezvousMember>(
+/** The members, the picker's best first; one that goes moves no other. */
+export function rendezvousOrder<Member extends RankedMember>(
   members: readonly Member[],
   picker: string,
 ): Member[] {
@@ -82,18 +87,7 @@
 }
 
 /** The weighted rendezvous score: the highest of a set wins. */
-function score(member: RendezvousMember, picker: string): number {
+function score(member: RankedMember, picker: string): number {
   const unit = hashToUnit(`${picker}\u0000${member.id}`);
   return -(member.weight ?? 1) / Math.log(unit);
 }
-
-/** The names with the best for the key first; one that goes moves no other. */
-export function rendezvousOrder<Name extends string>(
-  key: string,
-  names: readonly Name[],
-): readonly Name[] {
-  return names
-    .map((name) => ({ name, score: hashToUnit(`${key}\u0000${name}`) }))
-    .sort((one, other) => other.score - one.score)
-    .map(({ name }) => name);
-}
--- a/src/entry/forwarding/forward_run.ts
+++ b/src/entry/forwarding/forward_run.ts
@@ -1,5 +1,6 @@
 import {
   chooseService,
+  type DecodeChoice,
   type EngineRole,
   NO_PROMPT,
   type Prompt,
@@ -115,6 +116,7 @@
   async #planEngines(prompt: Prompt): Promise<AttemptPlan | undefined> {
     const { parts, pool, route } = this.#context;
     const endpoints = this.#context.endpoints();
+    if (endpoints.length === 0) return undefined;
     const needsHandover = parts.placement.wantsHandover(prompt, {
       pool,
       targetMilliseconds: route.targetMilliseconds,
@@ -131,6 +133,26 @@
     const keptIn = handover === undefined
       ? undefined
       : parts.registry.get(handover.kept.engine)?.availabilityZone;
+    const choice = await this.#chooseDecoder(prompt, keptIn);
+    if (choice === undefined) return undefined;
+    return {
+      endpoint: choice.endpoint,
+      work: choice.work,
+      options: {
+        deadlineMilliseconds: this.#context.left,
+        priority: Math.min(LOWEST_PRIORITY, route.rank),
+        keptPrompt: handover?.kept,
+        lastEventId: this.#resumeFrom(),
+      },
+    };
+  }
+
+  /** Undefined where there is none until the caller leaves. */
+  async #chooseDecoder(
+    prompt: Prompt,
+    keptIn: AvailabilityZoneId | undefined,
+  ): Promise<DecodeChoice | undefined> {
+    const { parts, pool } = this.#context;
     const asked = await this.#askDecoders(keptIn);
     if (this.#context.settled) return undefined;
     const choose = ({ withRoom } = { withRoom: false }) => {
@@ -145,21 +167,7 @@
         withRoom,
       });
     };
-    const choice = choose() ??
-      (endpoints.length > 0
-        ? await waitForChoice(this.#context, pacedByRoom(choose))
-        : undefined);
-    if (choice === undefined) return undefined;
-    return {
-      endpoint: choice.endpoint,
-      work: choice.work,
-      options: {
-        deadlineMilliseconds: this.#context.left,
-        priority: Math.min(LOWEST_PRIORITY, route.rank),
-        keptPrompt: handover?.kept,
-        lastEventId: this.#resumeFrom(),
-      },
-    };
+    return choose() ?? await waitForChoice(this.#context, pacedByRoom(choose));
   }
 
   /** Brings the load of some that may decode up to date; gives which. */
@@ -167,12 +175,12 @@
     keptIn: AvailabilityZoneId | undefined,
   ): Promise<ReadonlySet<EndpointId>> {
     const { parts } = this.#context;
-    if (!parts.asksOwners()) return new Set();
+    if (!parts.isLoadStale()) return new Set();
     const makers = this.#context.endpoints().filter(canDecode);
     const asked = parts.placement
       .decodersToAsk(this.#context.notTurnedAway(makers), { keptIn })
       .map(({ id }) => id);
-    await parts.askOwners(asked);
+    await parts.refreshLoad(asked);
     return new Set(asked);
   }
 
--- a/src/entry/forwarding/forward_run_test.ts
+++ b/src/entry/forwarding/forward_run_test.ts
@@ -465,8 +465,8 @@
       it(`is not sent on for a caller that leaves meanwhile, ${kind}`, async () => {
         const bench = fleet();
         Object.assign(bench.parts, {
-          asksOwners: () => true,
-          askOwners: () =>
+          isLoadStale: () => true,
+          refreshLoad: () =>
             new Promise<void>((resolve) => {
               bench.timer.after(3, resolve);
             }),
--- a/src/entry/forwarding/handover.ts
+++ b/src/entry/forwarding/handover.ts
@@ -6,7 +6,6 @@
 } from "../../core/forwarding/mod.ts";
 import type { Attempt } from "./attempt.ts";
 import type { ForwardContext } from "./forward_context.ts";
-import type { ExchangeFailure } from "./links.ts";
 import {
   type AdmissionFacts,
   type AdmissionRefusal,
@@ -32,8 +31,6 @@
 const MOST_OFFERS = 2;
 /** Priority of prompts that are read for late answers. */
 const LATE_PRIORITY = 8;
-/** Why a reading failed that has not reached its engine. */
-const NOT_SENT: ExchangeFailure["name"] = "exchange_not_sent";
 /** What became of a hand-over. */
 export type HandoverOutcome =
   | { readonly kind: "kept"; readonly kept: KeptPrompt }
@@ -66,7 +63,7 @@
   readonly #context: ForwardContext;
   readonly #onAttempt: (attempt: Attempt) => void;
   #kept: KeptPrompt | undefined;
-  /** Readings that have failed. */
+  /** Readings that have failed at an engine. */
   #prefills = 0;
   /** Readings that found no connection. */
   #unreached = 0;
@@ -104,8 +101,8 @@
       if (choice === undefined || this.#context.settled) return ENGINES_FULL;
       const outcome = await this.#read(prompt, { choice, late });
       if (outcome.kind === "kept") return outcome;
-      if (outcome.reason === NOT_SENT) this.#unreached += 1;
-      else this.#prefills += 1;
+      if (outcome.arrived) this.#prefills += 1;
+      else this.#unreached += 1;
       this.#context.turnedAwayBy(outcome.engine);
       const mayRepeat = !this.#context.settled &&
         this.#prefills < MOST_PREFILLS && this.#unreached <= MOST_UNREACHED &&
@@ -225,9 +222,9 @@
     });
     const took = parts.timer.now() - sent;
     this.#learnSlowness(choice, { outcome, took });
-    if (outcome.kind === "failed" && outcome.reason === NOT_SENT) {
-      arrivals.readingNotSent();
-    } else arrivals.readingEnded({ accepted: outcome.kind === "kept" });
+    const accepted = outcome.kind === "kept";
+    if (accepted || outcome.arrived) arrivals.readingEnded({ accepted });
+    else arrivals.readingNotSent();
     if (outcome.kind === "failed") return outcome;
     this.#learnSpeed(prompt, choice, took);
     this.#kept = outcome.kept;
--- a/src/entry/forwarding/load_questions.ts
+++ b/src/entry/forwarding/load_questions.ts
@@ -74,12 +74,13 @@
    * answered, or those that are left have had their time.
    */
   async ask(endpoints: readonly EndpointId[]): Promise<void> {
-    const byOwner = this.#byOwner(endpoints);
-    if (byOwner.size === 0) return;
     const { owners, self, send, timer } = this.#options;
+    const byOwner = [...owners.byOtherOwner(endpoints)]
+      .filter(([owner]) => owners.mayAsk(owner));
+    if (byOwner.length === 0) return;
     this.#lastId += 1;
     const id = this.#lastId;
-    const waiting = new Set(byOwner.keys());
+    const waiting = new Set(byOwner.map(([owner]) => owner));
     let limit: Subscription | undefined;
     await new Promise<void>((settle) => {
       this.#open.set(id, { waiting, settle });
@@ -144,22 +145,6 @@
     }
     if (question.waiting.size === 0) question.settle();
   }
-
-  /** What is to be asked of whom; what this entry owns it knows. */
-  #byOwner(
-    endpoints: readonly EndpointId[],
-  ): ReadonlyMap<ProcessId, EndpointId[]> {
-    const { owners, self } = this.#options;
-    const byOwner = new Map<ProcessId, EndpointId[]>();
-    for (const endpoint of endpoints) {
-      const owner = owners.ownerOf(endpoint);
-      if (owner === self || !owners.mayAsk(owner)) continue;
-      const known = byOwner.get(owner);
-      if (known === undefined) byOwner.set(owner, [endpoint]);
-      else known.push(endpoint);
-    }
-    return byOwner;
-  }
 }
 
 interface Question {
--- a/src/entry/forwarding/parts.ts
+++ b/src/entry/forwarding/parts.ts
@@ -44,9 +44,9 @@
   /** Entries of the fleet, this one included. */
   readonly entries: () => number;
   /** True where the picture of the load is too old to place work by. */
-  readonly asksOwners: () => boolean;
+  readonly isLoadStale: () => boolean;
   /** Brings the picture of these endpoints' load up to date. */
-  readonly askOwners: (endpoints: readonly EndpointId[]) => Promise<void>;
+  readonly refreshLoad: (endpoints: readonly EndpointId[]) => Promise<void>;
   /** The link over which this entry sends. */
   readonly link: LinkQueue;
   /** How late this process is in taking up what comes, milliseconds. */
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -105,7 +105,7 @@
   }
 
   /** True where reports come too seldom to place work by them alone. */
-  get asksOwners(): boolean {
+  get isLoadStale(): boolean {
     return this.#interval > FRESH_MILLISECONDS;
   }
 
@@ -205,7 +205,7 @@
   }
 
   #noteChange(endpoint: EndpointId): void {
-    if (!this.asksOwners) return;
+    if (!this.isLoadStale) return;
     this.#changed.add(endpoint);
     this.#tellingOwners ??= this.#options.timer.after(
       OWNERS_TELL_MILLISECONDS,
@@ -217,18 +217,12 @@
   }
 
   #tellOwners(): void {
-    const { load, owners, process, registry } = this.#options;
-    const byOwner = new Map<ProcessId, EndpointId[]>();
-    for (const endpoint of this.#changed) {
-      const owner = owners.ownerOf(endpoint);
-      if (owner === process) continue;
-      byOwner.set(owner, [...byOwner.get(owner) ?? [], endpoint]);
-    }
-    this.#changed.clear();
-    for (const [owner, endpoints] of byOwner) {
+    const { load, owners, registry } = this.#options;
+    for (const [owner, endpoints] of owners.byOtherOwner(this.#changed)) {
       const work = workWithRuns(registry, load.reportOf(endpoints));
       const params = { ...this.#notification(false), work };
       this.tellOne(owner, { method: WORK_METHOD, params });
     }
+    this.#changed.clear();
   }
 }
--- a/src/entry/forwarding/prefill_step.ts
+++ b/src/entry/forwarding/prefill_step.ts
@@ -4,6 +4,7 @@
   Pool,
   PrefillChoice,
   Prompt,
+  RegisteredEndpoint,
 } from "../../core/forwarding/mod.ts";
 import type { EndpointId } from "../../core/identity/mod.ts";
 import { beforeDeadline } from "../../core/time/mod.ts";
@@ -34,6 +35,8 @@
     readonly kind: "failed";
     readonly reason: string;
     readonly engine: EndpointId;
+    /** False: it took no connection, and nothing has arrived there. */
+    readonly arrived: boolean;
   };
 
 export interface PrefillStepOptions {
@@ -84,10 +87,10 @@
   });
   if (read === undefined) {
     attempt.abort();
-    return { kind: "failed", reason: "silent", engine: endpoint.id };
+    return failedAt(endpoint, { reason: "silent" });
   }
   if (read.handle === undefined) {
-    return { kind: "failed", reason: read.reason, engine: endpoint.id };
+    return failedAt(endpoint, read);
   }
   const { id: engine, address, startedAt } = endpoint;
   // Not before: an engine looks for kept parts when it takes a prompt in, and
@@ -107,9 +110,18 @@
   };
 }
 
+function failedAt(
+  { id }: RegisteredEndpoint,
+  { reason, arrived = true }: Pick<HandleRead, "reason" | "arrived">,
+): PrefillOutcome {
+  return { kind: "failed", reason, engine: id, arrived };
+}
+
 interface HandleRead {
-  readonly handle: string | undefined;
+  readonly handle?: string;
   readonly reason: string;
+  /** False: no byte has left; true where it is left out. */
+  readonly arrived?: boolean;
 }
 
 async function readHandle(
@@ -117,11 +129,14 @@
   attempt: Attempt,
 ): Promise<HandleRead> {
   const answer = await attempt.answer;
-  if (answer.isErr()) return { handle: undefined, reason: answer.error.name };
+  if (answer.isErr()) {
+    const { name } = answer.error;
+    return { reason: name, arrived: name !== "exchange_not_sent" };
+  }
   const { head } = answer.value;
   const body = await readWhole(answer.value, MOST_ANSWER_BYTES);
   attempt.ended(body === undefined ? "cut" : "whole", head.status);
-  if (body === undefined) return { handle: undefined, reason: "cut" };
+  if (body === undefined) return { reason: "cut" };
   const handle = head.status === 200 ? parts.door.keptHandle(body) : undefined;
   return { handle, reason: `status ${head.status}` };
 }
--- a/src/entry/forwarding/prompt_admission.ts
+++ b/src/entry/forwarding/prompt_admission.ts
@@ -93,10 +93,10 @@
 ): Promise<PrefillCandidates> {
   const { parts, pool } = context;
   const engines = context.untried(context.endpoints());
-  if (!parts.asksOwners()) return { engines, pool };
+  if (!parts.isLoadStale()) return { engines, pool };
   const asked = parts.placement.readersToAsk(prompt, engines)
     .map(({ id }) => id);
-  await parts.askOwners(asked);
+  await parts.refreshLoad(asked);
   // An engine may have begun to leave while the owners answered.
   const still = context.untried(context.endpoints());
   const readers = still.filter(({ id }) => asked.includes(id));
--- a/test/support/forwarding_bench.ts
+++ b/test/support/forwarding_bench.ts
@@ -226,8 +226,8 @@
       entries: () => 1,
       link: new LinkQueue(timer, options.linkMegabitsPerSecond),
       loopDelay: () => this.loopDelay,
-      asksOwners: () => false,
-      askOwners: () => Promise.resolve(),
+      isLoadStale: () => false,
+      refreshLoad: () => Promise.resolve(),
       door,
       observe: (decision, facts) => {
         this.decisions.push({ decision, ...facts });
