Log what a request asks when an endpoint is lost with it

Callers saw answers broken off by endpoints that crashed one after the other. The entries' logs could not tell a request that crashes endpoints from one that was beside it: no line said what a request asks, and a retry has a new id.

An entry now writes an endpoint_lost line for each request that an endpoint loses, with the endpoint, the start of its run and a digest of method, host, target, credentials and body. The digest is only computed at a loss.

--- a/src/adapters/forwarding/mod.ts
+++ b/src/adapters/forwarding/mod.ts
@@ -9,3 +9,4 @@
   type OutgoingRequest,
 } from "./endpoint_exchanges.ts";
 export { PeerDatagrams } from "./peer_datagrams.ts";
+export { digestOf } from "./request_digest.ts";
--- /dev/null
+++ b/src/adapters/forwarding/request_digest.ts
@@ -0,0 +1,32 @@
+import { createHash } from "node:crypto";
+import type { ForwardedRequest } from "../../core/forwarding/mod.ts";
+import { identifier, type RequestDigest } from "../../core/identity/mod.ts";
+
+/** Length of a digest, bytes. */
+const DIGEST_BYTES = 12;
+/** Names the caller to an endpoint, where anything does. */
+const CREDENTIALS_HEADER = "authorization";
+
+/**
+ * The digest of everything that decides what an endpoint runs: method, host,
+ * target, credentials and body. Ids and deadlines differ with each retry, and
+ * an endpoint never sees the caller's address.
+ */
+export function digestOf(request: ForwardedRequest): RequestDigest {
+  const { body, host, method, target } = request;
+  const hash = createHash("sha256");
+  for (const text of [method, host, target, credentialsOf(request)]) {
+    hash.update(`${text.length}:${text}`);
+  }
+  const digest = hash.update(body).digest().subarray(0, DIGEST_BYTES);
+  return identifier<RequestDigest>(digest.toString("base64url"));
+}
+
+function credentialsOf({ headers }: ForwardedRequest): string {
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    if (headers[index].toLowerCase() === CREDENTIALS_HEADER) {
+      return headers[index + 1];
+    }
+  }
+  return "";
+}
--- /dev/null
+++ b/src/adapters/forwarding/request_digest_test.ts
@@ -0,0 +1,37 @@
+import { expect } from "chai";
+import { makeRequest } from "../../../test/support/forwarding_values.ts";
+import { identifier, type RequestId } from "../../core/identity/mod.ts";
+import { digestOf } from "./request_digest.ts";
+
+describe("digestOf", () => {
+  const known = makeRequest();
+
+  it("is the same for a retry with a new id and deadline", () => {
+    const retry = makeRequest({
+      id: identifier<RequestId>("request-2"),
+      deadlineMilliseconds: 400,
+      lastEventId: "7",
+      headers: ["host", "one.example", "X-Request-Id", "request-2"],
+    });
+    expect(digestOf(retry)).to.equal(digestOf(known));
+  });
+
+  const others = {
+    method: { method: "PUT" },
+    host: { host: "two.example" },
+    target: { target: "/x?page=2" },
+    body: { body: Buffer.from("another body") },
+    credentials: { headers: ["Authorization", "Bearer key"] },
+  };
+  for (const [name, values] of Object.entries(others)) {
+    it(`differs with the ${name}`, () => {
+      expect(digestOf(makeRequest(values))).not.to.equal(digestOf(known));
+    });
+  }
+
+  it("does not mix up where one field ends and the next begins", () => {
+    const one = makeRequest({ host: "ab", target: "c" });
+    const other = makeRequest({ host: "a", target: "bc" });
+    expect(digestOf(one)).not.to.equal(digestOf(other));
+  });
+});
--- a/src/core/identity/mod.ts
+++ b/src/core/identity/mod.ts
@@ -30,6 +30,8 @@
 export type ServiceName = Branded<string, "ServiceName">;
 /** One request of a caller at one entry. */
 export type RequestId = Branded<string, "RequestId">;
+/** What a request asks for, whatever its id: requests of the same bytes share it. */
+export type RequestDigest = Branded<string, "RequestDigest">;
 /** One try of a request on one endpoint; frames carry it. */
 export type AttemptId = Branded<string, "AttemptId">;
 /** A caller's `Idempotency-Key`. */
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -20,6 +20,13 @@
   readonly work: PromptWork;
 }
 
+export interface AttemptContext {
+  readonly request: ForwardedRequest;
+  /** Name of the request's route. */
+  readonly route: string;
+  readonly plan: AttemptPlan;
+}
+
 /**
  * One send of a request to one endpoint. It keeps the books: what is open at
  * the endpoint, and how the endpoint has treated it, each exactly once.
@@ -28,17 +35,21 @@
   readonly endpoint: RegisteredEndpoint;
   readonly answer: Promise<Result<EndpointAnswer, ExchangeFailure>>;
   readonly #parts: ForwardingParts;
+  readonly #context: AttemptContext;
+  readonly #sentAt: number;
   readonly #abort: () => void;
   readonly #endWork: () => void;
   #closed = false;
 
   constructor(
     parts: ForwardingParts,
-    context: { request: ForwardedRequest; plan: AttemptPlan },
+    context: AttemptContext,
   ) {
     const { request, plan } = context;
     const { endpoint } = plan;
     this.#parts = parts;
+    this.#context = context;
+    this.#sentAt = parts.timer.now();
     this.endpoint = endpoint;
     const ticket = parts.load.started(endpoint.id, plan.work);
     this.#endWork = () => ticket.end();
@@ -60,6 +71,7 @@
   ended(end: BodyEnd, status: number): void {
     if (this.#closed) return;
     const { outcomes } = this.#parts;
+    if (end === "cut") this.#noteLoss();
     if (this.#tellsOfEndpoint) {
       if (end === "whole" && status < 500) outcomes.succeeded(this.endpoint.id);
       else outcomes.failed(this.endpoint.id);
@@ -85,10 +97,27 @@
 
   #noteHead(answer: Result<EndpointAnswer, ExchangeFailure>): void {
     if (this.#closed) return;
+    const isLost = answer.isErr() && answer.error.name === "exchange_lost";
+    if (isLost) this.#noteLoss();
     if (this.#tellsOfEndpoint) this.#tellHead(answer);
     if (answer.isErr() || answer.value.head.notRun) this.#close();
   }
 
+  /** The endpoint has broken the connection off with the request on it. */
+  #noteLoss(): void {
+    const { digestOf, observe, timer } = this.#parts;
+    const { plan, request, route } = this.#context;
+    observe("endpoint_lost", {
+      requestId: request.id,
+      route,
+      digest: digestOf(request),
+      endpoint: this.endpoint.id,
+      startedAt: this.endpoint.startedAt,
+      step: plan.options.prefillOnly ? "prefill" : "run",
+      milliseconds: Math.round(timer.now() - this.#sentAt),
+    });
+  }
+
   #tellHead(answer: Result<EndpointAnswer, ExchangeFailure>): void {
     const { outcomes } = this.#parts;
     const { id } = this.endpoint;
--- a/src/entry/forwarding/forward_run.ts
+++ b/src/entry/forwarding/forward_run.ts
@@ -213,7 +213,8 @@
       openRequests: parts.load.total(endpoint.id).requests,
       handover: plan.options.keptPrompt !== undefined,
     });
-    const attempt = new Attempt(parts, { request, plan });
+    const route = this.#context.route.name;
+    const attempt = new Attempt(parts, { request, route, plan });
     this.#attempt = attempt;
     const sentAt = parts.timer.now();
     const answer = await attempt.answer;
--- a/src/entry/forwarding/forward_run_test.ts
+++ b/src/entry/forwarding/forward_run_test.ts
@@ -103,6 +103,23 @@
       expect(outcomes.wellAmong([...registry.all])).to.have.length(3);
     });
 
+    it("names the endpoint that it was lost with, and what it asked", async () => {
+      const bench = portal({ repeat: "once" });
+      const request = makeRequest();
+      await bench.take(request);
+      await bench.sent[0].fail("exchange_lost");
+      const lost = bench.decisions.find((each) =>
+        each.decision === "endpoint_lost"
+      );
+      expect(lost).to.deep.include({
+        requestId: request.id,
+        route: "route",
+        digest: bench.parts.digestOf(request),
+        endpoint: bench.sent[0].options.endpoint,
+        step: "run",
+      });
+    });
+
     it("is not sent again where it may run once only", async () => {
       const bench = portal({ repeat: "once" });
       const caller = await bench.take(makeRequest());
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -26,6 +26,7 @@
   type EndpointId,
   identifier,
   type ProcessId,
+  type RequestDigest,
 } from "../../core/identity/mod.ts";
 import type { Logger } from "../../core/observation/mod.ts";
 import type { Random } from "../../core/random/mod.ts";
@@ -59,6 +60,8 @@
   readonly timer: TimerService;
   readonly random: Random;
   readonly door: EndpointDoor;
+  /** By what a request is known again when its caller sends it once more. */
+  readonly digestOf: (request: ForwardedRequest) => RequestDigest;
   readonly sendToPeers: SendToPeers;
   readonly observe: ObserveForwarding;
   readonly logger: Logger;
@@ -233,6 +236,7 @@
       refreshLoad: (endpoints) => this.#questions.ask(endpoints),
       isLoadStale: () => this.peers.isLoadStale,
       door: options.door,
+      digestOf: options.digestOf,
       observe: options.observe,
       routes: () => this.#routes,
       isChanging: (endpoint) => this.#roles?.isChanging(endpoint) ?? false,
--- a/src/entry/forwarding/forwarding_entry_test.ts
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { err } from "neverthrow";
+import { digestOf } from "../../adapters/forwarding/mod.ts";
 import {
   makeEndpoint,
   makeEngine,
@@ -56,6 +57,7 @@
           listKept: () => Promise.resolve(undefined),
           release() {},
         },
+        digestOf,
         sendToPeers: (_, { method, params }) => {
           for (const entry of entries) {
             if (entry === entries[index]) continue;
--- a/src/entry/forwarding/handover.ts
+++ b/src/entry/forwarding/handover.ts
@@ -213,6 +213,7 @@
     arrivals.readingSent();
     const outcome = await readPrompt(parts, {
       request,
+      route: route.name,
       prompt,
       pool,
       choice,
--- a/src/entry/forwarding/observer.ts
+++ b/src/entry/forwarding/observer.ts
@@ -8,6 +8,7 @@
   | "resent"
   | "not_resent"
   | "resumed"
+  | "endpoint_lost"
   | "refused"
   | "answered"
   | "cut"
--- a/src/entry/forwarding/parts.ts
+++ b/src/entry/forwarding/parts.ts
@@ -5,6 +5,7 @@
   EngineEstimates,
   EnginePlacement,
   EngineSlowness,
+  ForwardedRequest,
   HeldPrompts,
   LinkQueue,
   LoadPicture,
@@ -18,6 +19,7 @@
 import type {
   AvailabilityZoneId,
   EndpointId,
+  RequestDigest,
 } from "../../core/identity/mod.ts";
 import type { Random } from "../../core/random/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
@@ -52,6 +54,8 @@
   /** How late this process is in taking up what comes, milliseconds. */
   readonly loopDelay: () => number;
   readonly door: EndpointDoor;
+  /** By what a request is known again when its caller sends it once more. */
+  readonly digestOf: (request: ForwardedRequest) => RequestDigest;
   readonly observe: ObserveForwarding;
   /** True while an engine changes its role and takes no new work. */
   readonly isChanging: (endpoint: EndpointId) => boolean;
--- a/src/entry/forwarding/prefill_step.ts
+++ b/src/entry/forwarding/prefill_step.ts
@@ -41,6 +41,8 @@
 
 export interface PrefillStepOptions {
   readonly request: ForwardedRequest;
+  /** Name of the request's route. */
+  readonly route: string;
   readonly prompt: Prompt;
   readonly pool: Pool;
   readonly choice: PrefillChoice;
@@ -61,6 +63,7 @@
     ANSWER_MILLISECONDS;
   const attempt = new Attempt(parts, {
     request,
+    route: options.route,
     plan: {
       endpoint,
       work: {
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -1,4 +1,5 @@
 import { err } from "neverthrow";
+import { digestOf } from "../../src/adapters/forwarding/mod.ts";
 import {
   type ForwardingConfiguration,
   type RegisteredEndpoint,
@@ -84,6 +85,7 @@
         listKept: () => Promise.resolve(undefined),
         release() {},
       },
+      digestOf,
       sendToPeers: (addresses, { method, params }) => {
         for (const address of addresses) {
           this.#carry(index, Number(address), method, params);
--- a/test/support/forwarding_bench.ts
+++ b/test/support/forwarding_bench.ts
@@ -24,6 +24,7 @@
   identifier,
 } from "../../src/core/identity/mod.ts";
 import { seededRandom } from "../../src/core/random/mod.ts";
+import { digestOf } from "../../src/adapters/forwarding/mod.ts";
 import { knownEstimates } from "./forwarding_values.ts";
 import { ManualTimerService } from "../../src/core/time/mod.ts";
 import {
@@ -229,6 +230,7 @@
       isLoadStale: () => false,
       refreshLoad: () => Promise.resolve(),
       door,
+      digestOf,
       observe: (decision, facts) => {
         this.decisions.push({ decision, ...facts });
       },
