Failing tests: a request that has crashed three endpoints is sent on

Five entries before replicas, and one caller whose request crashes each replica that begins to run it, on virtual time.

--- /dev/null
+++ b/src/entry/forwarding/crashing_requests_test.ts
@@ -0,0 +1,138 @@
+import { expect } from "chai";
+import {
+  CrashingReplicas,
+  type CrashingReplicasOptions,
+} from "../../../test/support/crashing_replicas.ts";
+import { EntryFleet } from "../../../test/support/entry_fleet.ts";
+import type { RecordingSink } from "../../../test/support/forwarding_bench.ts";
+import {
+  ENGINES,
+  makeConfiguration,
+  makeEndpoint,
+  makeEngine,
+  makePrompt,
+  makeRequest,
+  makeRoute,
+  PORTAL,
+} from "../../../test/support/forwarding_values.ts";
+import type { ForwardedRequest, Route } from "../../core/forwarding/mod.ts";
+import { identifier, type RequestId } from "../../core/identity/mod.ts";
+
+/** Retries that may still reach endpoints once a third one has crashed. */
+const MOST_RETRIES = 3;
+/** Time after the third crash from which they count. */
+const STABLE_MILLISECONDS = 3_000;
+const RETRY_MILLISECONDS = 700;
+const BESIDE_MILLISECONDS = 20;
+const CRASHING_BODY = Buffer.from("crashes what runs it");
+
+interface PlayOptions extends Pick<CrashingReplicasOptions, "keepsId"> {
+  readonly entries?: number;
+  readonly lostShare?: number;
+  readonly route?: Partial<Route>;
+  /** True: long prompts, which one engine reads and another answers. */
+  readonly isPrompt?: boolean;
+}
+
+/** Entries before replicas; one caller's request crashes what runs it. */
+class CrashPlay {
+  readonly fleet: EntryFleet;
+  readonly replicas: CrashingReplicas;
+  /** What the callers of all other requests got. */
+  readonly others: RecordingSink[] = [];
+  readonly #isPrompt: boolean;
+  #count = 0;
+
+  constructor(options: PlayOptions = {}) {
+    const { entries = 5, isPrompt = false, keepsId, lostShare } = options;
+    this.#isPrompt = isPrompt;
+    const pool = isPrompt ? ENGINES : PORTAL;
+    this.fleet = new EntryFleet({
+      entries,
+      zones: 1,
+      lostShare,
+      configuration: makeConfiguration({
+        routes: [makeRoute({
+          shares: [{ pool, weight: 1 }],
+          ...options.route,
+        })],
+      }),
+      endpoints: isPrompt ? engines() : portals(),
+    });
+    this.replicas = new CrashingReplicas(this.fleet, {
+      crashes: ({ body }) => body.equals(CRASHING_BODY),
+      keepsId,
+    });
+  }
+
+  /** The request comes again and again, each time at the next entry. */
+  async retry(times: number): Promise<RecordingSink[]> {
+    const callers: RecordingSink[] = [];
+    for (let time = 0; time < times; time++) {
+      callers.push(this.#ask({ body: CRASHING_BODY }, "crashing"));
+      await this.#goOn(RETRY_MILLISECONDS);
+    }
+    return callers;
+  }
+
+  /** Lets other requests come for so long. */
+  async #goOn(milliseconds: number): Promise<void> {
+    for (let at = 0; at < milliseconds; at += BESIDE_MILLISECONDS) {
+      const body = Buffer.from(`other ${this.#count}`);
+      this.others.push(this.#ask({ body }, `own-${this.#count}`));
+      await this.fleet.timer.advance(BESIDE_MILLISECONDS);
+    }
+  }
+
+  #ask(values: Partial<ForwardedRequest>, subject: string): RecordingSink {
+    this.#count += 1;
+    const entry = this.#count % this.fleet.entries.length;
+    return this.fleet.ask(
+      entry,
+      makeRequest({
+        id: identifier<RequestId>(`request-${this.#count}`),
+        prompt: this.#isPrompt ? makePrompt(subject) : undefined,
+        ...values,
+      }),
+    );
+  }
+}
+
+function portals() {
+  return ["a", "b", "c", "d"].map((id) => makeEndpoint(id));
+}
+
+function engines() {
+  return [
+    ...["r1", "r2", "r3"].map((id) => makeEngine(id, "prefill")),
+    ...["d1", "d2", "d3"].map((id) => makeEngine(id, "decode")),
+  ];
+}
+
+function expectFewRetries({ replicas }: CrashPlay): void {
+  expect(replicas.crashTimes.length).to.be.greaterThan(2);
+  expect(replicas.retriesAfter(3, STABLE_MILLISECONDS))
+    .to.be.at.most(MOST_RETRIES);
+}
+
+describe("a request that crashes the endpoints that run it", function () {
+  this.timeout(60_000);
+
+  const kinds: Readonly<Record<string, PlayOptions>> = {
+    "that may be repeated": {},
+    "that may run once": { route: { repeat: "once" } },
+    "that is a resumable stream": {
+      isPrompt: true,
+      route: { repeat: "stream", resumable: true },
+    },
+  };
+  for (const [kind, options] of Object.entries(kinds)) {
+    describe(kind, () => {
+      it("is not sent on once it has crashed three", async () => {
+        const play = new CrashPlay(options);
+        await play.retry(30);
+        expectFewRetries(play);
+      });
+    });
+  }
+});
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -37,16 +37,20 @@
  */
 export class EntryFleet {
   readonly timer = new ManualTimerService();
-  readonly entries: readonly ForwardingEntry[];
+  readonly entries: ForwardingEntry[];
   /** Entries whose datagrams go nowhere and come from nowhere. */
   readonly cutOff = new Set<number>();
   onSend: ((attempt: SentAttempt) => void) | undefined;
   /** Datagrams that were sent. */
   datagrams = 0;
+  readonly #options: EntryFleetOptions;
   readonly #random: Random = seededRandom(3);
   readonly #lostShare: number;
+  /** How often entries have been started again. */
+  #restarts = 0;
 
   constructor(options: EntryFleetOptions) {
+    this.#options = options;
     this.#lostShare = options.lostShare ?? 0;
     const indexes = Array.from({ length: options.entries }, (_, each) => each);
     this.entries = indexes.map((index) => this.#makeEntry(index, options));
@@ -58,6 +62,19 @@
     }
   }
 
+  /** A new process takes the entry's place and knows what the store tells. */
+  restart(index: number): void {
+    const endpoints = [...this.entries[index].registry.all];
+    this.entries[index].close();
+    this.#restarts += 1;
+    const entry = this.#makeEntry(index, this.#options);
+    this.entries[index] = entry;
+    this.#introduce(index);
+    entry.takeConfiguration(this.#options.configuration);
+    for (const endpoint of endpoints) entry.registry.put(endpoint);
+    entry.start();
+  }
+
   #introduce(index: number): void {
     const others = this.entries.flatMap((_, other) =>
       other === index ? [] : [[`entry-${other}`, `${other}`] as const]
@@ -71,7 +88,7 @@
   ): ForwardingEntry {
     return new ForwardingEntry({
       process: `entry-${index}`,
-      incarnation: "1",
+      incarnation: `${1 + this.#restarts}`,
       linkMegabitsPerSecond: undefined,
       loopDelay: () => 0,
       availabilityZone: identifier<AvailabilityZoneId>(
