Block a request that has crashed three endpoints, at every entry

What callers saw: a request under which engines end is sent to one engine after another; each crash breaks off all answers beside it, and for seconds a tenth of the summaries or of the urgent requests is not served.

Cause: nothing knew a request again. An entry forgot it with its answer and knew it by its id, which a retry has anew, so that the request that had crashed three engines was placed like any other, at any entry.

Ruled out: the entries' own repeats (the reported request is cut off after one run), and an outage or a change of the configuration (none falls on the crashes).

Change: a request is known by a digest of what an endpoint gets of it. Entries record which digest was lost with which run of an endpoint and tell each other with their reports. Three runs block a digest for ten minutes. It is refused as not run, at once and before each further send. Cleared is what an endpoint runs to its end or answers right after, and what a heavier suspect explains.

--- a/src/adapters/telemetry/forwarding_record.ts
+++ b/src/adapters/telemetry/forwarding_record.ts
@@ -86,6 +86,21 @@
   });
 }
 
+/** Shows how many requests are refused because they crash endpoints. */
+export function showBlockedRequests(
+  registry: Registry,
+  blocked: () => number,
+): void {
+  new Gauge({
+    name: "filbertshore_blocked_requests",
+    help: "Requests that are refused because endpoints crash under them",
+    registers: [registry],
+    collect() {
+      this.set(blocked());
+    },
+  });
+}
+
 /** Gives the function that the forwarding path tells its decisions to. */
 export function recordForwarding(
   options: ForwardingRecordOptions,
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -16,6 +16,12 @@
   type RepeatUse,
   RetryAllowance,
 } from "./admission/retry_allowance.ts";
+export {
+  CrashSuspects,
+  type EndpointRun,
+  isToldLoss,
+  type ToldLoss,
+} from "./admission/crash_suspects.ts";
 export {
   EngineEstimates,
   EngineSlowness,
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -72,6 +72,7 @@
     if (this.#closed) return;
     const { outcomes } = this.#parts;
     if (end === "cut") this.#noteLoss();
+    else if (status < 500) this.#noteCompletion();
     if (this.#tellsOfEndpoint) {
       if (end === "whole" && status < 500) outcomes.succeeded(this.endpoint.id);
       else outcomes.failed(this.endpoint.id);
@@ -97,20 +98,29 @@
 
   #noteHead(answer: Result<EndpointAnswer, ExchangeFailure>): void {
     if (this.#closed) return;
-    const isLost = answer.isErr() && answer.error.name === "exchange_lost";
-    if (isLost) this.#noteLoss();
+    this.#noteSignOfLife(answer);
     if (this.#tellsOfEndpoint) this.#tellHead(answer);
     if (answer.isErr() || answer.value.head.notRun) this.#close();
   }
 
+  #noteSignOfLife(answer: Result<EndpointAnswer, ExchangeFailure>): void {
+    const { crashes } = this.#parts;
+    if (answer.isOk()) return crashes.answered(this.endpoint, this.#sentAt);
+    const { name } = answer.error;
+    if (name === "exchange_lost") this.#noteLoss();
+    if (name === "exchange_not_sent") crashes.refusedConnection(this.endpoint);
+  }
+
   /** The endpoint has broken the connection off with the request on it. */
   #noteLoss(): void {
-    const { digestOf, observe, timer } = this.#parts;
+    const { crashes, digestOf, observe, timer } = this.#parts;
     const { plan, request, route } = this.#context;
+    const digest = digestOf(request);
     observe("endpoint_lost", {
       requestId: request.id,
       route,
-      digest: digestOf(request),
+      digest,
+      crashes: crashes.lost(this.endpoint, digest),
       endpoint: this.endpoint.id,
       startedAt: this.endpoint.startedAt,
       step: plan.options.prefillOnly ? "prefill" : "run",
@@ -118,6 +128,14 @@
     });
   }
 
+  /** A reading alone runs nothing, so that it clears nobody. */
+  #noteCompletion(): void {
+    const { crashes, digestOf } = this.#parts;
+    const { plan, request } = this.#context;
+    if (crashes.size === 0 || plan.options.prefillOnly) return;
+    crashes.completed(digestOf(request));
+  }
+
   #tellHead(answer: Result<EndpointAnswer, ExchangeFailure>): void {
     const { outcomes } = this.#parts;
     const { id } = this.endpoint;
--- a/src/entry/forwarding/crashing_requests_test.ts
+++ b/src/entry/forwarding/crashing_requests_test.ts
@@ -125,6 +125,7 @@
       isPrompt: true,
       route: { repeat: "stream", resumable: true },
     },
+    "whose endpoints are back under their ids": { keepsId: true },
   };
   for (const [kind, options] of Object.entries(kinds)) {
     describe(kind, () => {
@@ -135,4 +136,46 @@
       });
     });
   }
+
+  describe("and callers beside it", () => {
+    it("leaves them served while its endpoints crash", async () => {
+      const play = new CrashPlay();
+      await play.retry(30);
+      const reasons = play.others.map(({ refusal }) => refusal?.reason);
+      expect(reasons).not.to.include("crashes_endpoints");
+      const answered = play.others.filter(({ ended }) => ended === "whole");
+      expect(answered.length).to.be.greaterThan(0.95 * play.others.length);
+    });
+
+    it("is refused as not run, with the time until its block ends", async () => {
+      const play = new CrashPlay();
+      const callers = await play.retry(12);
+      const { refusal } = callers[11];
+      expect(refusal).to.deep.include({
+        status: 503,
+        reason: "crashes_endpoints",
+      });
+      expect(refusal?.retryAfterMilliseconds).to.be.greaterThan(500_000);
+    });
+  });
+
+  describe("in a large fleet", () => {
+    it("is known to all entries, also where datagrams are lost", async () => {
+      const play = new CrashPlay({ entries: 68, lostShare: 0.1 });
+      await play.retry(30);
+      expectFewRetries(play);
+    });
+  });
+
+  describe("after its block", () => {
+    it("is known to entries that have started since", async () => {
+      const play = new CrashPlay();
+      await play.retry(10);
+      for (const index of play.fleet.entries.keys()) {
+        play.fleet.restart(index);
+        await play.retry(5);
+      }
+      expectFewRetries(play);
+    });
+  });
 });
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -6,7 +6,7 @@
   RequestArrivals,
   type Route,
 } from "../../core/forwarding/mod.ts";
-import type { EndpointId } from "../../core/identity/mod.ts";
+import type { EndpointId, RequestDigest } from "../../core/identity/mod.ts";
 import type { ForwardingDecision } from "./observer.ts";
 import type { ForwardingParts } from "./parts.ts";
 
@@ -46,6 +46,7 @@
   /** True once the caller has its answer or has gone. */
   settled = false;
   readonly #turnedAway = new Set<EndpointId>();
+  #digest: RequestDigest | undefined;
 
   constructor(parts: ForwardingParts, task: ForwardTask) {
     const { request, route } = task;
@@ -67,6 +68,14 @@
     return this.request.prompt?.parts.at(-1)?.id;
   }
 
+  /** How long the request is refused for crashing endpoints, milliseconds. */
+  get blockedMilliseconds(): number {
+    const { crashes, digestOf } = this.parts;
+    if (crashes.size === 0) return 0;
+    this.#digest ??= digestOf(this.request);
+    return crashes.blockedMilliseconds(this.#digest);
+  }
+
   /** The request is refused; its caller may come back to any entry. */
   noteRefusal(): void {
     const part = this.#ownPart;
--- a/src/entry/forwarding/forward_run.ts
+++ b/src/entry/forwarding/forward_run.ts
@@ -35,7 +35,7 @@
 const LOWEST_PRIORITY = 9;
 
 /** What comes next after an attempt. */
-type NextStep = "delivered" | "again" | "refuse" | "unknown";
+type NextStep = "delivered" | "again" | "refuse" | "blocked" | "unknown";
 
 /** One caller's request from its arrival to its answer. */
 export class ForwardRun {
@@ -79,12 +79,14 @@
     const { parts, pool } = this.#context;
     parts.allowance.requestArrived(pool.name);
     for (;;) {
+      if (this.#context.blockedMilliseconds > 0) return this.#refuseBlocked();
       const plan = await this.#plan();
       if (this.#context.settled) return;
       if (plan === undefined) return this.#refuse("no_endpoint_reachable");
       const next = await this.#send(plan);
       if (this.#context.settled || next === "delivered") return;
       if (next === "refuse") return this.#refuse("endpoints_full");
+      if (next === "blocked") return this.#refuseBlocked();
       if (next === "unknown") return this.#answerUnknown();
     }
   }
@@ -126,6 +128,10 @@
       ? await this.#handover.keep(prompt)
       : undefined;
     if (this.#context.settled) return undefined;
+    if (handover?.kind === "blocked") {
+      this.#refuseBlocked();
+      return undefined;
+    }
     if (handover?.kind === "refused") {
       this.#refuse(handover.reason, handover.facts);
       return undefined;
@@ -203,6 +209,8 @@
   async #send(plan: AttemptPlan): Promise<NextStep> {
     const { parts, request } = this.#context;
     const { endpoint } = plan;
+    // Endpoints may have crashed under it while it waited for this one.
+    if (this.#context.blockedMilliseconds > 0) return "blocked";
     if (!this.#context.arrivals.cover({ reading: false })) return "refuse";
     this.#context.arrivals.sent();
     this.#context.sends += 1;
@@ -353,6 +361,18 @@
     this.#answerOwn({ status: 503, reason, retryAfterMilliseconds }, facts);
   }
 
+  /** Endpoints have crashed under requests of these bytes. */
+  #refuseBlocked(): void {
+    if (this.#runs > 0) return this.#answerUnknown();
+    this.#settle();
+    if (this.#relay.headSent) return this.#sink.cut();
+    this.#answerOwn({
+      status: 503,
+      reason: "crashes_endpoints",
+      retryAfterMilliseconds: this.#context.blockedMilliseconds,
+    });
+  }
+
   #answerUnknown(): void {
     this.#settle();
     if (this.#relay.headSent) {
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -1,4 +1,5 @@
 import {
+  CrashSuspects,
   type EndpointMemory,
   EndpointOutcomes,
   EndpointRegistry,
@@ -40,6 +41,7 @@
 import { StateRelay, type StateRelayOptions } from "./state_relay.ts";
 import { RoleKeeper, type RoleLink } from "./role_keeper.ts";
 import {
+  CRASHES_METHOD,
   PeerExchange,
   REGISTRATIONS_METHOD,
   ROLES_METHOD,
@@ -127,6 +129,14 @@
     const estimates = new EngineEstimates();
     const slowness = new EngineSlowness(timer);
     const returning = new ReturningCallers(timer);
+    const crashes = new CrashSuspects({
+      timer,
+      onBlocked: (suspect) =>
+        options.logger.warn(
+          suspect,
+          "A request crashes endpoints and is blocked",
+        ),
+    });
     const outcomes = new EndpointOutcomes(timer);
     const connections: EndpointMemory = {
       forget: ({ address }) => options.onEndpointGone(address),
@@ -136,7 +146,15 @@
     };
     this.registry = new EndpointRegistry({
       timer,
-      memories: [load, prefixes, outcomes, slowness, connections, orders],
+      memories: [
+        load,
+        prefixes,
+        outcomes,
+        slowness,
+        crashes,
+        connections,
+        orders,
+      ],
       onChange: (change, endpoint) => {
         options.logger.info({ change, ...endpoint }, "An endpoint changed");
         this.#roles?.engineChanged(endpoint);
@@ -172,6 +190,7 @@
       prefixes,
       estimates,
       returning,
+      crashes,
       version: () => this.configuration?.version,
       onVersion: (version) => this.relay.heardOf(version),
     });
@@ -228,6 +247,7 @@
         entries: () => this.entriesSharingLimits,
       }),
       returning,
+      crashes,
       onTimeWork: new WorkRate(timer),
       held: new HeldPrompts(timer),
       entries: () => this.peers.knownEntries ?? 1,
@@ -260,6 +280,11 @@
     return this.#parts.allowance.uses();
   }
 
+  /** Requests that are refused for crashing endpoints. */
+  get blockedRequests(): number {
+    return this.#parts.crashes.blocked;
+  }
+
   /** Work of all entries at the endpoint. */
   openWorkAt(endpoint: EndpointId): OpenWork {
     return this.#parts.load.total(endpoint);
@@ -307,6 +332,7 @@
   /** Takes a peer's notification. */
   takeNotification(method: string, params: unknown): void {
     if (method === WORK_METHOD) this.peers.take(params);
+    if (method === CRASHES_METHOD) this.peers.takeLosses(params);
     if (method === LOAD_QUESTION_METHOD) this.#questions.takeQuestion(params);
     if (method === LOAD_ANSWER_METHOD) this.#questions.takeAnswer(params);
     if (typeof params !== "object" || params === null) return;
--- a/src/entry/forwarding/forwarding_entry_test.ts
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -7,6 +7,7 @@
   PORTAL,
 } from "../../../test/support/forwarding_values.ts";
 import {
+  CrashSuspects,
   EndpointOutcomes,
   EngineSlowness,
   LoadPicture,
@@ -97,6 +98,7 @@
   "kept prompts": PrefixDirectory,
   outcomes: EndpointOutcomes,
   slowness: EngineSlowness,
+  crashes: CrashSuspects,
   orders: RoleKeeper,
 } as const;
 const FORGETTING_PARTS = [...Object.keys(FORGETTING), "connections"];
--- a/src/entry/forwarding/handover.ts
+++ b/src/entry/forwarding/handover.ts
@@ -34,6 +34,8 @@
 /** What became of a hand-over. */
 export type HandoverOutcome =
   | { readonly kind: "kept"; readonly kept: KeptPrompt }
+  /** Endpoints have crashed under the request. */
+  | { readonly kind: "blocked" }
   | {
     readonly kind: "refused";
     readonly reason: AdmissionRefusal | "prompt_not_read" | "no_repeats_left";
@@ -99,6 +101,7 @@
         ? await this.#context.parts.held.hold(admitted.prompt)
         : admitted.choice;
       if (choice === undefined || this.#context.settled) return ENGINES_FULL;
+      if (this.#context.blockedMilliseconds > 0) return { kind: "blocked" };
       const outcome = await this.#read(prompt, { choice, late });
       if (outcome.kind === "kept") return outcome;
       if (outcome.arrived) this.#prefills += 1;
--- a/src/entry/forwarding/parts.ts
+++ b/src/entry/forwarding/parts.ts
@@ -1,5 +1,6 @@
 /** What all forwarded requests of an entry share. */
 import type {
+  CrashSuspects,
   EndpointOutcomes,
   EndpointRegistry,
   EngineEstimates,
@@ -38,6 +39,8 @@
   readonly estimates: EngineEstimates;
   readonly slowness: EngineSlowness;
   readonly allowance: RetryAllowance;
+  /** Requests under which endpoints have crashed. */
+  readonly crashes: CrashSuspects;
   readonly returning: ReturningCallers;
   /** Readings that this entry has begun for answers on time. */
   readonly onTimeWork: WorkRate;
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -1,10 +1,12 @@
-import type {
-  EndpointRegistry,
-  EngineEstimates,
-  LoadOwners,
-  LoadPicture,
-  PrefixDirectory,
-  ReturningCallers,
+import {
+  type CrashSuspects,
+  type EndpointRegistry,
+  type EngineEstimates,
+  isToldLoss,
+  type LoadOwners,
+  type LoadPicture,
+  type PrefixDirectory,
+  type ReturningCallers,
 } from "../../core/forwarding/mod.ts";
 import {
   type EndpointId,
@@ -50,6 +52,9 @@
 /** Notification that carries registrations that have changed. */
 export const REGISTRATIONS_METHOD = "entry.registrations";
 
+/** Notification that tells a peer that has started of blocked requests. */
+export const CRASHES_METHOD = "entry.crashes";
+
 /** Sends a notification to peers. */
 export type SendToPeers = (
   addresses: readonly string[],
@@ -66,6 +71,7 @@
   readonly prefixes: PrefixDirectory;
   readonly estimates: EngineEstimates;
   readonly returning: ReturningCallers;
+  readonly crashes: CrashSuspects;
   readonly sendToPeers: SendToPeers;
   /** Version of the configuration in force here. */
   readonly version: () => number | undefined;
@@ -83,6 +89,8 @@
   /** Endpoints whose owners are to be told of changed work. */
   readonly #changed = new Set<EndpointId>();
   #tellingOwners: Subscription | undefined;
+  /** The last run of each peer that has told of itself. */
+  readonly #incarnations = new Map<string, string>();
   #knownEntries: number | undefined;
   #telling: Subscription | undefined;
   #sequence = 0;
@@ -125,6 +133,9 @@
   setPeers(peers: ReadonlyMap<string, string>): void {
     this.#peers = peers;
     this.#addresses = [...peers.values()];
+    for (const name of this.#incarnations.keys()) {
+      if (!peers.has(name)) this.#incarnations.delete(name);
+    }
     this.#knownEntries = peers.size + 1;
     const names = [...peers.keys()].map((name) => identifier<ProcessId>(name));
     this.#options.owners.setMembers(names);
@@ -170,21 +181,55 @@
     for (const refusal of params.refusals) {
       this.#options.returning.peerRefused(refusal);
     }
+    for (const loss of params.losses ?? []) {
+      this.#options.crashes.peerLost(loss);
+    }
+    this.#welcome(params);
+  }
+
+  /** Takes what a peer tells of requests that crash endpoints. */
+  takeLosses(params: unknown): void {
+    if (typeof params !== "object" || params === null) return;
+    const { losses } = params as { readonly losses?: unknown };
+    if (!Array.isArray(losses)) return;
+    for (const loss of losses.filter(isToldLoss)) {
+      this.#options.crashes.peerLost(loss);
+    }
+  }
+
+  /** Tells a peer that has started which requests crash endpoints. */
+  #welcome({ entry, incarnation }: WorkNotification): void {
+    if (this.#incarnations.get(entry) === incarnation) return;
+    this.#incarnations.set(entry, incarnation);
+    const losses = this.#options.crashes.lossesOfBlocked();
+    if (losses.length === 0) return;
+    const peer = identifier<ProcessId>(entry);
+    this.tellOne(peer, { method: CRASHES_METHOD, params: { losses } });
   }
 
   #tellWork(): void {
-    const { estimates, load, prefixes, registry, returning, timer } =
-      this.#options;
+    const {
+      crashes,
+      estimates,
+      load,
+      prefixes,
+      registry,
+      returning,
+      timer,
+    } = this.#options;
     const now = timer.now();
     const whole = now - this.#lastWhole >= WHOLE_TELL_MILLISECONDS;
-    if (!whole && !load.hasChanged && !returning.hasUntold) return;
+    const hasNews = load.hasChanged || returning.hasUntold || crashes.hasUntold;
+    if (!whole && !hasNews) return;
     if (whole) this.#lastWhole = now;
+    const losses = crashes.takeUntold({ again: whole });
     this.tell(WORK_METHOD, {
       ...this.#notification(whole),
       version: this.#options.version(),
       work: workWithRuns(registry, load.report({ whole })),
       prompts: prefixes.takeUntold().map(encodePrompt),
       refusals: returning.takeUntold(),
+      ...(losses.length > 0 && { losses }),
       ...(whole && { speeds: estimates.tell() }),
     });
   }
--- a/src/entry/forwarding/work_notification.ts
+++ b/src/entry/forwarding/work_notification.ts
@@ -1,10 +1,12 @@
 /** What an entry tells its peers of its work, encoded and decoded. */
-import type {
-  EndpointRegistry,
-  PeerWork,
-  ToldRefusal,
-  ToldSpeed,
-  WorkReport,
+import {
+  type EndpointRegistry,
+  isToldLoss,
+  type PeerWork,
+  type ToldLoss,
+  type ToldRefusal,
+  type ToldSpeed,
+  type WorkReport,
 } from "../../core/forwarding/mod.ts";
 import {
   type EndpointId,
@@ -28,6 +30,8 @@
   readonly speeds?: readonly ToldSpeed[];
   /** Prompts refused since the last report; their callers may come to others. */
   readonly refusals: readonly ToldRefusal[];
+  /** Requests lost with endpoints; absent where there were none. */
+  readonly losses?: readonly ToldLoss[];
 }
 
 /**
@@ -71,6 +75,7 @@
   const {
     entry,
     incarnation,
+    losses,
     prompts,
     refusals,
     sequence,
@@ -80,7 +85,9 @@
   } = value as Record<string, unknown>;
   const isVersion = version === undefined || typeof version === "number";
   const hasSpeeds = speeds === undefined || Array.isArray(speeds);
-  return isVersion && hasSpeeds && typeof entry === "string" &&
+  const hasLosses = losses === undefined ||
+    (Array.isArray(losses) && losses.every(isToldLoss));
+  return isVersion && hasSpeeds && hasLosses && typeof entry === "string" &&
     typeof incarnation === "string" &&
     typeof sequence === "number" &&
     Array.isArray(prompts) &&
--- a/test/support/forwarding_bench.ts
+++ b/test/support/forwarding_bench.ts
@@ -3,6 +3,7 @@
 import {
   type AnswerHead,
   type AttemptOptions,
+  CrashSuspects,
   EndpointOutcomes,
   EndpointRegistry,
   type EngineEstimates,
@@ -222,6 +223,7 @@
         entries: () => 1,
       }),
       returning: new ReturningCallers(timer),
+      crashes: new CrashSuspects({ timer }),
       onTimeWork: new WorkRate(timer),
       held: new HeldPrompts(timer),
       entries: () => 1,
