Count crashes under a request one after another, not endpoints

What callers would see: a hall dies with a page on each of its endpoints that many callers ask for. The page has the same bytes for all of them, was on three endpoints that ended, and is refused for ten minutes though nothing is wrong with it; refused, it can't be cleared by an answer either.

Cause: a block counted endpoints. A request that crashes what runs it comes again after each crash; what dies together has one cause of its own.

Evidence: a test with 20 callers of one page at five entries before four replicas that die at once failed: all five later callers were refused.

Change: an attempt notes how many crashes under its digest were known when it was sent; its loss is the next one. The third in a row blocks. Entries tell each other of losses within milliseconds and no longer with the next report, since in a fleet of 68 a report comes each 0.4 s and a retry sooner.

--- a/src/core/forwarding/admission/crash_suspects.ts
+++ b/src/core/forwarding/admission/crash_suspects.ts
@@ -8,7 +8,7 @@
 import type { RegisteredEndpoint } from "../configuration.ts";
 import type { EndpointMemory } from "../endpoints/endpoint_registry.ts";
 
-/** Endpoints that crash under a request before it is blocked. */
+/** Crashes under a request, one after another, before it is blocked. */
 const CRASHES_UNTIL_BLOCKED = 3;
 /** How long a request is blocked after the last crash under it. */
 const BLOCK_MILLISECONDS = 10 * 60_000;
@@ -30,19 +30,25 @@
 /** One run of an endpoint. */
 export type EndpointRun = Pick<RegisteredEndpoint, "id" | "startedAt">;
 
-/** A request that was lost with a run of an endpoint, as peers tell of it. */
+/**
+ * A request that was lost with a run of an endpoint, as peers tell of it. What
+ * has the same `crash` number was lost at once: nobody who sent it knew of the
+ * others. Endpoints that die together do not count as often as they are many.
+ */
 export type ToldLoss = readonly [
   digest: string,
   endpoint: string,
   startedAt: number | null,
+  crash: number,
 ];
 
 /** True where a peer's value is a loss. */
 export function isToldLoss(value: unknown): value is ToldLoss {
   if (!Array.isArray(value)) return false;
-  const [digest, endpoint, startedAt] = value;
+  const [digest, endpoint, startedAt, crash] = value;
   return typeof digest === "string" && typeof endpoint === "string" &&
-    (startedAt === null || Number.isFinite(startedAt));
+    (startedAt === null || Number.isFinite(startedAt)) &&
+    Number.isInteger(crash);
 }
 
 export interface CrashSuspectsOptions {
@@ -79,7 +85,8 @@
   /** Runs lost so lately that they may turn out to be alive. */
   readonly #lostRuns = new Map<string, LostRun>();
   readonly #own: { readonly loss: ToldLoss; readonly at: number }[] = [];
-  #untold: ToldLoss[] = [];
+  readonly #untold: ToldLoss[] = [];
+  #onUntold: () => void = () => {};
 
   constructor(options: CrashSuspectsOptions) {
     this.#options = options;
@@ -104,15 +111,39 @@
     return this.#untold.length > 0;
   }
 
-  /** A run has broken off with the request on it; gives its crashes so far. */
-  lost(run: EndpointRun, digest: RequestDigest): number {
-    const loss: ToldLoss = [digest, run.id, run.startedAt ?? null];
+  /** Calls back each time that there is something new to tell peers. */
+  onUntold(listener: () => void): void {
+    this.#onUntold = listener;
+  }
+
+  /**
+   * A run has broken off with the request on it. `knownBefore` is what
+   * `crashesUnder` gave when the request was sent there.
+   */
+  lost(
+    run: EndpointRun,
+    { digest, knownBefore }: {
+      readonly digest: RequestDigest;
+      readonly knownBefore: number;
+    },
+  ): void {
+    const loss: ToldLoss = [
+      digest,
+      run.id,
+      run.startedAt ?? null,
+      knownBefore + 1,
+    ];
     const at = this.#options.timer.now();
     if (this.#take(loss)) {
       this.#tell([loss]);
       if (this.#own.length < MOST_TOLD) this.#own.push({ loss, at });
     }
-    return this.#suspects.get(digest)?.losses.size ?? 0;
+  }
+
+  /** Crashes under the request, one after another; 0 where none is known. */
+  crashesUnder(digest: RequestDigest): number {
+    const suspect = this.#suspects.get(digest);
+    return suspect === undefined ? 0 : crashesIn(suspect);
   }
 
   /** A peer has lost a request with a run of an endpoint. */
@@ -158,14 +189,16 @@
     return suspect === undefined ? 0 : this.#blockedMilliseconds(suspect);
   }
 
-  /** Losses for the next report to peers; `again`: those told lately too. */
-  takeUntold({ again }: { readonly again: boolean }): readonly ToldLoss[] {
+  /** Losses that peers have not been told, as many as a report carries. */
+  takeUntold(): readonly ToldLoss[] {
+    return this.#untold.splice(0, MOST_TOLD);
+  }
+
+  /** Own losses of the last seconds, for peers that missed the first report. */
+  recentLosses(): readonly ToldLoss[] {
     const since = this.#options.timer.now() - TOLD_AGAIN_MILLISECONDS;
     while (this.#own.length > 0 && this.#own[0].at < since) this.#own.shift();
-    const told = new Set(this.#untold.slice(0, MOST_TOLD));
-    this.#untold = this.#untold.slice(MOST_TOLD);
-    if (again) { for (const { loss } of this.#own) told.add(loss); }
-    return [...told];
+    return this.#own.map(({ loss }) => loss);
   }
 
   /** What a peer has to know that has just started. */
@@ -180,6 +213,7 @@
     for (const loss of losses) {
       if (this.#untold.length < MOST_UNTOLD) this.#untold.push(loss);
     }
+    this.#onUntold();
   }
 
   /** False where the loss was known. */
@@ -197,8 +231,8 @@
     this.#suspects.set(digest, suspect);
     this.#noteRun(key, { at, digest });
     this.#dropOld(at);
-    const isBlockedNow = suspect.losses.size >= CRASHES_UNTIL_BLOCKED &&
-      !suspect.wasBlocked && this.#blockedMilliseconds(suspect) > 0;
+    const isBlockedNow = !suspect.wasBlocked &&
+      this.#blockedMilliseconds(suspect) > 0;
     if (isBlockedNow) {
       suspect.wasBlocked = true;
       const endpoints = [...suspect.losses.values()].map(([, id]) => id);
@@ -238,7 +272,7 @@
   }
 
   #blockedMilliseconds(suspect: Suspect): number {
-    if (suspect.losses.size < CRASHES_UNTIL_BLOCKED) return 0;
+    if (crashesIn(suspect) < CRASHES_UNTIL_BLOCKED) return 0;
     if (this.#isExplained(suspect)) return 0;
     const until = suspect.lastLossAt + BLOCK_MILLISECONDS;
     return Math.max(0, until - this.#options.timer.now());
@@ -254,6 +288,13 @@
   }
 }
 
+/** No more than the runs that are known, whatever a peer has counted. */
+function crashesIn({ losses }: Suspect): number {
+  let last = 0;
+  for (const [, , , crash] of losses.values()) last = Math.max(last, crash);
+  return Math.min(last, losses.size);
+}
+
 function digestOf([digest]: ToldLoss): RequestDigest {
   return identifier<RequestDigest>(digest);
 }
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -1,10 +1,10 @@
 import type { Result } from "neverthrow";
 import type {
   AttemptOptions,
-  ForwardedRequest,
   PromptWork,
   RegisteredEndpoint,
 } from "../../core/forwarding/mod.ts";
+import type { ForwardContext } from "./forward_context.ts";
 import type { BodyEnd, EndpointAnswer, ExchangeFailure } from "./links.ts";
 import type { ForwardingParts } from "./parts.ts";
 
@@ -20,13 +20,6 @@
   readonly work: PromptWork;
 }
 
-export interface AttemptContext {
-  readonly request: ForwardedRequest;
-  /** Name of the request's route. */
-  readonly route: string;
-  readonly plan: AttemptPlan;
-}
-
 /**
  * One send of a request to one endpoint. It keeps the books: what is open at
  * the endpoint, and how the endpoint has treated it, each exactly once.
@@ -35,21 +28,23 @@
   readonly endpoint: RegisteredEndpoint;
   readonly answer: Promise<Result<EndpointAnswer, ExchangeFailure>>;
   readonly #parts: ForwardingParts;
-  readonly #context: AttemptContext;
+  readonly #context: ForwardContext;
+  readonly #plan: AttemptPlan;
   readonly #sentAt: number;
+  /** Crashes under the request that were known when it was sent. */
+  readonly #knownCrashes: number;
   readonly #abort: () => void;
   readonly #endWork: () => void;
   #closed = false;
 
-  constructor(
-    parts: ForwardingParts,
-    context: AttemptContext,
-  ) {
-    const { request, plan } = context;
+  constructor(context: ForwardContext, plan: AttemptPlan) {
+    const { parts, request } = context;
     const { endpoint } = plan;
     this.#parts = parts;
     this.#context = context;
+    this.#plan = plan;
     this.#sentAt = parts.timer.now();
+    this.#knownCrashes = context.knownCrashes;
     this.endpoint = endpoint;
     const ticket = parts.load.started(endpoint.id, plan.work);
     this.#endWork = () => ticket.end();
@@ -113,27 +108,24 @@
 
   /** The endpoint has broken the connection off with the request on it. */
   #noteLoss(): void {
-    const { crashes, digestOf, observe, timer } = this.#parts;
-    const { plan, request, route } = this.#context;
-    const digest = digestOf(request);
-    observe("endpoint_lost", {
-      requestId: request.id,
-      route,
+    const { crashes, timer } = this.#parts;
+    const { digest } = this.#context;
+    crashes.lost(this.endpoint, { digest, knownBefore: this.#knownCrashes });
+    this.#context.tell("endpoint_lost", {
       digest,
-      crashes: crashes.lost(this.endpoint, digest),
+      crashes: crashes.crashesUnder(digest),
       endpoint: this.endpoint.id,
       startedAt: this.endpoint.startedAt,
-      step: plan.options.prefillOnly ? "prefill" : "run",
+      step: this.#plan.options.prefillOnly ? "prefill" : "run",
       milliseconds: Math.round(timer.now() - this.#sentAt),
     });
   }
 
   /** A reading alone runs nothing, so that it clears nobody. */
   #noteCompletion(): void {
-    const { crashes, digestOf } = this.#parts;
-    const { plan, request } = this.#context;
-    if (crashes.size === 0 || plan.options.prefillOnly) return;
-    crashes.completed(digestOf(request));
+    const { crashes } = this.#parts;
+    if (crashes.size === 0 || this.#plan.options.prefillOnly) return;
+    crashes.completed(this.#context.digest);
   }
 
   #tellHead(answer: Result<EndpointAnswer, ExchangeFailure>): void {
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -70,10 +70,20 @@
 
   /** How long the request is refused for crashing endpoints, milliseconds. */
   get blockedMilliseconds(): number {
-    const { crashes, digestOf } = this.parts;
-    if (crashes.size === 0) return 0;
-    this.#digest ??= digestOf(this.request);
-    return crashes.blockedMilliseconds(this.#digest);
+    const { crashes } = this.parts;
+    return crashes.size === 0 ? 0 : crashes.blockedMilliseconds(this.digest);
+  }
+
+  /** Crashes under the request one after another, as far as known here. */
+  get knownCrashes(): number {
+    const { crashes } = this.parts;
+    return crashes.size === 0 ? 0 : crashes.crashesUnder(this.digest);
+  }
+
+  /** By what the request is known when it comes again; hashes its body. */
+  get digest(): RequestDigest {
+    this.#digest ??= this.parts.digestOf(this.request);
+    return this.#digest;
   }
 
   /** The request is refused; its caller may come back to any entry. */
--- a/src/entry/forwarding/forward_run.ts
+++ b/src/entry/forwarding/forward_run.ts
@@ -207,7 +207,7 @@
   }
 
   async #send(plan: AttemptPlan): Promise<NextStep> {
-    const { parts, request } = this.#context;
+    const { parts } = this.#context;
     const { endpoint } = plan;
     // Endpoints may have crashed under it while it waited for this one.
     if (this.#context.blockedMilliseconds > 0) return "blocked";
@@ -221,8 +221,7 @@
       openRequests: parts.load.total(endpoint.id).requests,
       handover: plan.options.keptPrompt !== undefined,
     });
-    const route = this.#context.route.name;
-    const attempt = new Attempt(parts, { request, route, plan });
+    const attempt = new Attempt(this.#context, plan);
     this.#attempt = attempt;
     const sentAt = parts.timer.now();
     const answer = await attempt.answer;
--- a/src/entry/forwarding/handover.ts
+++ b/src/entry/forwarding/handover.ts
@@ -199,8 +199,7 @@
     admitted: { readonly choice: PrefillChoice; readonly late: boolean },
   ): Promise<PrefillOutcome> {
     const { choice, late } = admitted;
-    const { arrivals, parts, pool, request, route, waitedMilliseconds } =
-      this.#context;
+    const { arrivals, parts, route, waitedMilliseconds } = this.#context;
     this.#context.tell("placed", {
       step: "prefill",
       endpoint: choice.endpoint.id,
@@ -214,11 +213,8 @@
     });
     const sent = parts.timer.now();
     arrivals.readingSent();
-    const outcome = await readPrompt(parts, {
-      request,
-      route: route.name,
+    const outcome = await readPrompt(this.#context, {
       prompt,
-      pool,
       choice,
       priority: late ? LATE_PRIORITY : route.rank,
       deadlineMilliseconds: this.#context.leftToFirstByte,
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -52,7 +52,9 @@
 /** Notification that carries registrations that have changed. */
 export const REGISTRATIONS_METHOD = "entry.registrations";
 
-/** Notification that tells a peer that has started of blocked requests. */
+/** How long losses are gathered: those of one crash come together. */
+const LOSSES_TELL_MILLISECONDS = 5;
+/** Notification that carries requests lost with endpoints. */
 export const CRASHES_METHOD = "entry.crashes";
 
 /** Sends a notification to peers. */
@@ -89,6 +91,7 @@
   /** Endpoints whose owners are to be told of changed work. */
   readonly #changed = new Set<EndpointId>();
   #tellingOwners: Subscription | undefined;
+  #tellingLosses: Subscription | undefined;
   /** The last run of each peer that has told of itself. */
   readonly #incarnations = new Map<string, string>();
   #knownEntries: number | undefined;
@@ -99,6 +102,7 @@
   constructor(options: PeerExchangeOptions) {
     this.#options = options;
     options.load.onOwnChange((endpoint) => this.#noteChange(endpoint));
+    options.crashes.onUntold(() => this.#tellLossesSoon());
   }
 
   /** Entries of the fleet, this one included; undefined while unknown. */
@@ -127,6 +131,7 @@
   stop(): void {
     this.#telling?.cancel();
     this.#tellingOwners?.cancel();
+    this.#tellingLosses?.cancel();
   }
 
   /** Takes the fleet's list: the others' addresses by their names. */
@@ -187,7 +192,7 @@
     this.#welcome(params);
   }
 
-  /** Takes what a peer tells of requests that crash endpoints. */
+  /** Takes what a peer tells of requests lost with endpoints. */
   takeLosses(params: unknown): void {
     if (typeof params !== "object" || params === null) return;
     const { losses } = params as { readonly losses?: unknown };
@@ -219,10 +224,9 @@
     } = this.#options;
     const now = timer.now();
     const whole = now - this.#lastWhole >= WHOLE_TELL_MILLISECONDS;
-    const hasNews = load.hasChanged || returning.hasUntold || crashes.hasUntold;
-    if (!whole && !hasNews) return;
+    if (!whole && !load.hasChanged && !returning.hasUntold) return;
     if (whole) this.#lastWhole = now;
-    const losses = crashes.takeUntold({ again: whole });
+    const losses = whole ? crashes.recentLosses() : [];
     this.tell(WORK_METHOD, {
       ...this.#notification(whole),
       version: this.#options.version(),
@@ -249,6 +253,22 @@
     };
   }
 
+  /**
+   * A retry may come to another entry within milliseconds; sent on there in
+   * ignorance of the crash before, it does not count as one more.
+   */
+  #tellLossesSoon(): void {
+    this.#tellingLosses ??= this.#options.timer.after(
+      LOSSES_TELL_MILLISECONDS,
+      () => {
+        this.#tellingLosses = undefined;
+        const losses = this.#options.crashes.takeUntold();
+        if (losses.length > 0) this.tell(CRASHES_METHOD, { losses });
+        if (this.#options.crashes.hasUntold) this.#tellLossesSoon();
+      },
+    );
+  }
+
   #noteChange(endpoint: EndpointId): void {
     if (!this.isLoadStale) return;
     this.#changed.add(endpoint);
--- a/src/entry/forwarding/prefill_step.ts
+++ b/src/entry/forwarding/prefill_step.ts
@@ -1,7 +1,5 @@
 import type {
-  ForwardedRequest,
   KeptPrompt,
-  Pool,
   PrefillChoice,
   Prompt,
   RegisteredEndpoint,
@@ -9,6 +7,7 @@
 import type { EndpointId } from "../../core/identity/mod.ts";
 import { beforeDeadline } from "../../core/time/mod.ts";
 import { Attempt } from "./attempt.ts";
+import type { ForwardContext } from "./forward_context.ts";
 import type { ForwardingParts } from "./parts.ts";
 import { readWhole } from "./whole_body.ts";
 
@@ -40,11 +39,7 @@
   };
 
 export interface PrefillStepOptions {
-  readonly request: ForwardedRequest;
-  /** Name of the request's route. */
-  readonly route: string;
   readonly prompt: Prompt;
-  readonly pool: Pool;
   readonly choice: PrefillChoice;
   readonly priority: number;
   readonly deadlineMilliseconds: number;
@@ -54,28 +49,25 @@
 
 /** Has an engine read a prompt and keep its cache for a hand-over. */
 export async function readPrompt(
-  parts: ForwardingParts,
+  context: ForwardContext,
   options: PrefillStepOptions,
 ): Promise<PrefillOutcome> {
-  const { request, prompt, choice, pool } = options;
+  const { parts, pool } = context;
+  const { prompt, choice } = options;
   const { endpoint } = choice;
   const deadlineMilliseconds = options.deadlineMilliseconds -
     ANSWER_MILLISECONDS;
-  const attempt = new Attempt(parts, {
-    request,
-    route: options.route,
-    plan: {
-      endpoint,
-      work: {
-        milliseconds: choice.workMilliseconds,
-        tokens: prompt.inputTokens,
-      },
-      options: {
-        deadlineMilliseconds,
-        priority: options.priority,
-        prefillOnly: true,
-        fetchFrom: choice.fetchFrom?.address,
-      },
+  const attempt = new Attempt(context, {
+    endpoint,
+    work: {
+      milliseconds: choice.workMilliseconds,
+      tokens: prompt.inputTokens,
+    },
+    options: {
+      deadlineMilliseconds,
+      priority: options.priority,
+      prefillOnly: true,
+      fetchFrom: choice.fetchFrom?.address,
     },
   });
   options.onAttempt(attempt);
--- a/src/entry/forwarding/work_notification.ts
+++ b/src/entry/forwarding/work_notification.ts
@@ -30,7 +30,7 @@
   readonly speeds?: readonly ToldSpeed[];
   /** Prompts refused since the last report; their callers may come to others. */
   readonly refusals: readonly ToldRefusal[];
-  /** Requests lost with endpoints; absent where there were none. */
+  /** Requests lost with endpoints of late; comes with whole reports. */
   readonly losses?: readonly ToldLoss[];
 }
 
