Decode and log what an endpoint says of itself beside its answer

An answer's head now tells whether the endpoint leaves, and for how long an overloaded one wants nothing; both leave a line. Nothing acts on them yet. A 421 tells of another replica, and nothing of it is taken.

--- a/src/core/forwarding/requests.ts
+++ b/src/core/forwarding/requests.ts
@@ -64,4 +64,11 @@
   readonly requestId: string | undefined;
   /** The endpoint vouches that it did not run the request, and never will. */
   readonly notRun: boolean;
+  /** The endpoint says that it leaves. */
+  readonly leaving?: boolean;
+  /**
+   * The endpoint is overloaded and wants nothing from this process for so
+   * long, milliseconds.
+   */
+  readonly retryAfterMilliseconds?: number;
 }
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -1,5 +1,6 @@
 import type { Result } from "neverthrow";
 import type {
+  AnswerHead,
   AttemptOptions,
   PromptWork,
   RegisteredEndpoint,
@@ -137,11 +138,23 @@
     }
     outcomes.heard(id);
     const { notRun, status } = answer.value.head;
+    this.#tellSigns(answer.value.head);
     if (!notRun) return;
     if (status === MISDIRECTED_STATUS) outcomes.misdirected(id);
     else outcomes.rejected(id);
   }
 
+  /** What the endpoint says of itself beside its answer. */
+  #tellSigns({ leaving, retryAfterMilliseconds }: AnswerHead): void {
+    const endpoint = this.endpoint.id;
+    if (leaving) this.#context.tell("endpoint_leaving", { endpoint });
+    if (retryAfterMilliseconds === undefined) return;
+    this.#context.tell("endpoint_overloaded", {
+      endpoint,
+      retryAfterMilliseconds,
+    });
+  }
+
   #close(): void {
     this.#closed = true;
     if (this.#tellsOfEndpoint) this.#parts.outcomes.ended(this.endpoint.id);
--- a/src/entry/forwarding/observer.ts
+++ b/src/entry/forwarding/observer.ts
@@ -9,6 +9,8 @@
   | "not_resent"
   | "resumed"
   | "endpoint_lost"
+  | "endpoint_leaving"
+  | "endpoint_overloaded"
   | "refused"
   | "answered"
   | "cut"
