Heed an endpoint that says in its answers that it leaves

What callers saw: lookups went to a replica up to 3.3 s after it had said that it leaves. One that serves no longer takes the answer with it, and a booking may not be sent again.

Cause: an entry learned of a leaving from registrations alone. The store was away for 13 s around it, so that it took up the leaving 12 s late; what the replica said in each answer was read by nobody. The class: a fact that has two sources is read from one, and the other is passed on unread.

Ruled out: an older registration that brings it back (no such line), and a choice made before the answer (it gets requests for seconds at its usual rate).

Change: the run that says so gets nothing more, and no registration of that run brings it back, also one that lapses and returns. The entry tells its peers, which would else learn it from answers of their own. Another run under the same id is not bound by it.

--- a/src/core/forwarding/admission/crash_suspects.ts
+++ b/src/core/forwarding/admission/crash_suspects.ts
@@ -7,6 +7,7 @@
 import type { TimerService } from "../../time/mod.ts";
 import type { RegisteredEndpoint } from "../configuration.ts";
 import type { EndpointMemory } from "../endpoints/endpoint_registry.ts";
+import type { EndpointRun } from "../endpoints/endpoint_runs.ts";
 
 /** Crashes under a request, one after another, before it is blocked. */
 const CRASHES_UNTIL_BLOCKED = 3;
@@ -27,9 +28,6 @@
 /** Suspects that an entry that has just started is told of. */
 const MOST_BLOCKED_TOLD = 16;
 
-/** One run of an endpoint. */
-export type EndpointRun = Pick<RegisteredEndpoint, "id" | "startedAt">;
-
 /**
  * A request that was lost with a run of an endpoint, as peers tell of it. What
  * has the same `crash` number was lost at once: nobody who sent it knew of the
--- a/src/core/forwarding/endpoints/endpoint_registry.ts
+++ b/src/core/forwarding/endpoints/endpoint_registry.ts
@@ -1,7 +1,11 @@
 import type { EndpointId, ServiceName } from "../../identity/mod.ts";
 import type { TimerService } from "../../time/mod.ts";
 import type { RegisteredEndpoint } from "../configuration.ts";
-import { EndpointRuns, type RunOrder } from "./endpoint_runs.ts";
+import {
+  type EndpointRun,
+  EndpointRuns,
+  type RunOrder,
+} from "./endpoint_runs.ts";
 
 /**
  * How long an endpoint stays usable whose registration vanished around an
@@ -95,9 +99,7 @@
   }
 
   /** True while the endpoint is known in the same run. */
-  isSameRun(
-    { id, startedAt }: Pick<RegisteredEndpoint, "id" | "startedAt">,
-  ): boolean {
+  isSameRun({ id, startedAt }: EndpointRun): boolean {
     return this.#endpoints.get(id)?.startedAt === startedAt;
   }
 
@@ -123,6 +125,22 @@
     return wasLapsed || change !== undefined;
   }
 
+  /**
+   * The endpoint itself says that this run of it leaves. No registration of
+   * the run brings it back, even if it has vanished meanwhile. Gives the
+   * endpoint where this is news.
+   */
+  saidLeaving(run: EndpointRun): RegisteredEndpoint | undefined {
+    if (!this.#runs.leaves(run)) return undefined;
+    const endpoint = this.#endpoints.get(run.id);
+    if (endpoint === undefined || endpoint.leaving) return undefined;
+    const leaving = { ...endpoint, leaving: true };
+    this.#endpoints.set(run.id, leaving);
+    this.#lapsed.delete(run.id);
+    this.#tell("leaving", leaving);
+    return leaving;
+  }
+
   /** The registration has vanished; around an outage it may only lapse. */
   remove(id: EndpointId): void {
     const endpoint = this.#endpoints.get(id);
--- a/src/core/forwarding/endpoints/endpoint_runs.ts
+++ b/src/core/forwarding/endpoints/endpoint_runs.ts
@@ -9,6 +9,9 @@
  */
 const MOST_ENDED = 1_000;
 
+/** One run of an endpoint. */
+export type EndpointRun = Pick<RegisteredEndpoint, "id" | "startedAt">;
+
 /** How a registration's run stands to the last one known. */
 export type RunOrder = "same" | "newer" | "older";
 
@@ -43,6 +46,14 @@
     return known === undefined ? "same" : order;
   }
 
+  /** This run has said that it leaves; false where it is not the last one. */
+  leaves({ id, startedAt }: EndpointRun): boolean {
+    const known = this.#known.get(id);
+    if (known === undefined || known.startedAt !== startedAt) return false;
+    known.leaving = true;
+    return true;
+  }
+
   /** True where this run of the endpoint has said that it leaves. */
   hasLeft({ id }: Pick<RegisteredEndpoint, "id">): boolean {
     return this.#known.get(id)?.leaving === true;
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -7,6 +7,7 @@
   EndpointRegistry,
   type RegistryChange,
 } from "./endpoints/endpoint_registry.ts";
+export type { EndpointRun } from "./endpoints/endpoint_runs.ts";
 export {
   type NextSends,
   RequestArrivals,
@@ -18,7 +19,6 @@
 } from "./admission/retry_allowance.ts";
 export {
   CrashSuspects,
-  type EndpointRun,
   isToldLoss,
   type ToldLoss,
 } from "./admission/crash_suspects.ts";
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -95,6 +95,7 @@
   #noteHead(answer: Result<EndpointAnswer, ExchangeFailure>): void {
     if (this.#closed) return;
     this.#noteSignOfLife(answer);
+    if (answer.isOk() && answer.value.head.leaving) this.#noteLeaving();
     if (this.#tellsOfEndpoint) this.#tellHead(answer);
     if (answer.isErr() || answer.value.head.notRun) this.#close();
   }
@@ -144,10 +145,14 @@
     else outcomes.rejected(id);
   }
 
+  #noteLeaving(): void {
+    if (!this.#parts.saidLeaving(this.endpoint)) return;
+    this.#context.tell("endpoint_leaving", { endpoint: this.endpoint.id });
+  }
+
   /** What the endpoint says of itself beside its answer. */
-  #tellSigns({ leaving, retryAfterMilliseconds }: AnswerHead): void {
+  #tellSigns({ retryAfterMilliseconds }: AnswerHead): void {
     const endpoint = this.endpoint.id;
-    if (leaving) this.#context.tell("endpoint_leaving", { endpoint });
     if (retryAfterMilliseconds === undefined) return;
     this.#context.tell("endpoint_overloaded", {
       endpoint,
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -259,6 +259,7 @@
       digestOf: options.digestOf,
       observe: options.observe,
       routes: () => this.#routes,
+      saidLeaving: (run) => this.registrations.saidLeaving(run),
       isChanging: (endpoint) => this.#roles?.isChanging(endpoint) ?? false,
     };
   }
--- a/src/entry/forwarding/parts.ts
+++ b/src/entry/forwarding/parts.ts
@@ -3,6 +3,7 @@
   CrashSuspects,
   EndpointOutcomes,
   EndpointRegistry,
+  EndpointRun,
   EngineEstimates,
   EnginePlacement,
   EngineSlowness,
@@ -60,6 +61,8 @@
   /** By what a request is known again when its caller sends it once more. */
   readonly digestOf: (request: ForwardedRequest) => RequestDigest;
   readonly observe: ObserveForwarding;
+  /** An answer says that this run leaves; true where this is news. */
+  readonly saidLeaving: (run: EndpointRun) => boolean;
   /** True while an engine changes its role and takes no new work. */
   readonly isChanging: (endpoint: EndpointId) => boolean;
   /** The routes in force; undefined while no configuration is known. */
--- a/src/entry/forwarding/registration_intake.ts
+++ b/src/entry/forwarding/registration_intake.ts
@@ -1,5 +1,6 @@
 import type {
   EndpointRegistry,
+  EndpointRun,
   PeerReading,
   RegisteredEndpoint,
   TopicSpan,
@@ -53,6 +54,18 @@
     this.#options.tellPeers({ changes: [...news.values()], span });
   }
 
+  /**
+   * The endpoint itself says that this run of it leaves: peers learn of it at
+   * once, as the store may be away. True where this is news.
+   */
+  saidLeaving(run: EndpointRun): boolean {
+    const endpoint = this.#options.registry.saidLeaving(run);
+    if (endpoint === undefined) return false;
+    const changes = [{ id: endpoint.id, endpoint }];
+    this.#options.tellPeers({ changes, span: undefined });
+    return true;
+  }
+
   /** A peer tells what it has read, and of which span, where it is known. */
   peerRead(changes: readonly RegistrationChange[], span: unknown): void {
     const reading = isSpan(span)
--- a/test/support/forwarding_bench.ts
+++ b/test/support/forwarding_bench.ts
@@ -196,11 +196,12 @@
       release: (_, handle) => void this.released.push(handle),
     };
     const availabilityZone = identifier<AvailabilityZoneId>("zone-1");
+    const registry = new EndpointRegistry({ timer });
     this.parts = {
       timer,
       random,
       availabilityZone,
-      registry: new EndpointRegistry({ timer }),
+      registry,
       load,
       prefixes,
       outcomes,
@@ -237,6 +238,7 @@
         this.decisions.push({ decision, ...facts });
       },
       routes: () => routes,
+      saidLeaving: (run) => registry.saidLeaving(run) !== undefined,
       isChanging: () => false,
     };
   }
