Leave an overloaded endpoint alone for the time that it names

What callers would see: a replica that is overloaded turns requests away and asks for a pause. It gets as many as before, each of which uses up a repeat of the fleet and the caller's time, and it stays overloaded.

Cause: a 503 of an endpoint was read as one rejection among others, whatever it said: two in a row closed the endpoint for a quarter of a second to two seconds, and not at all where the whole pool did the same.

Change: an endpoint is out of service at this entry until the time is over, for requests and readings of prompts; freeing a kept prompt waits too. A caller waits where an endpoint will take work while it can still be answered, else it is refused at once, with the time after which coming back is worth it. No prompt is read that no engine could answer in time.

--- a/src/core/forwarding/endpoints/endpoint_outcomes.ts
+++ b/src/core/forwarding/endpoints/endpoint_outcomes.ts
@@ -58,6 +58,8 @@
   /** Requests turned away in a row. */
   rejections: number;
   closedUntil: number;
+  /** It has said that it wants nothing until then. */
+  overloadedUntil: number;
   open: number;
   /** Since when work is open and nothing has been heard. */
   silentSince: number;
@@ -156,6 +158,21 @@
     known.closedUntil = this.#timer.now() + wait;
   }
 
+  /** The endpoint wants nothing for so long, and has said so. */
+  overloaded(id: EndpointId, milliseconds: number): void {
+    const known = this.#of(id);
+    known.health.untold();
+    known.rejections = 0;
+    const until = this.#timer.now() + milliseconds;
+    known.overloadedUntil = Math.max(known.overloadedUntil, until);
+  }
+
+  /** How long the endpoint still wants nothing, milliseconds; 0: it does. */
+  overloadMilliseconds(id: EndpointId): number {
+    const until = this.#known.get(id)?.overloadedUntil ?? -Infinity;
+    return Math.max(0, until - this.#timer.now());
+  }
+
   /** The attempt was given up; it tells nothing of the endpoint. */
   untold(id: EndpointId): void {
     this.#of(id).health.untold();
@@ -197,6 +214,7 @@
         reachableFrom: -Infinity,
         rejections: 0,
         closedUntil: -Infinity,
+        overloadedUntil: -Infinity,
         open: 0,
         silentSince: 0,
       };
--- a/src/core/forwarding/endpoints/endpoint_outcomes_test.ts
+++ b/src/core/forwarding/endpoints/endpoint_outcomes_test.ts
@@ -43,6 +43,31 @@
     expect(well()).to.contain("a");
   });
 
+  describe("overloaded", () => {
+    it("holds for the longest time that the endpoint has named", async () => {
+      outcomes.overloaded(a.id, 3_000);
+      outcomes.overloaded(a.id, 500);
+      expect(outcomes.overloadMilliseconds(a.id)).to.equal(3_000);
+      await timer.advance(2_000);
+      expect(outcomes.overloadMilliseconds(a.id)).to.equal(1_000);
+      await timer.advance(1_000);
+      expect(outcomes.overloadMilliseconds(a.id)).to.equal(0);
+    });
+
+    it("holds for one endpoint alone, and for one run of it", () => {
+      outcomes.overloaded(a.id, 3_000);
+      expect(outcomes.overloadMilliseconds(b.id)).to.equal(0);
+      outcomes.forget(a);
+      expect(outcomes.overloadMilliseconds(a.id)).to.equal(0);
+    });
+
+    it("does not pass over the endpoint any longer than that", async () => {
+      for (let count = 0; count < 5; count++) outcomes.overloaded(a.id, 200);
+      await timer.advance(200);
+      expect(well()).to.contain("a");
+    });
+  });
+
   it("leaves one alone whose address another replica has", () => {
     outcomes.misdirected(b.id);
     expect(well()).to.deep.equal(["a", "c"]);
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -1,6 +1,5 @@
 import type { Result } from "neverthrow";
 import type {
-  AnswerHead,
   AttemptOptions,
   PromptWork,
   RegisteredEndpoint,
@@ -138,8 +137,10 @@
       return outcomes.refusedConnection(id);
     }
     outcomes.heard(id);
-    const { notRun, status } = answer.value.head;
-    this.#tellSigns(answer.value.head);
+    const { notRun, retryAfterMilliseconds, status } = answer.value.head;
+    if (retryAfterMilliseconds !== undefined) {
+      return this.#noteOverload(retryAfterMilliseconds);
+    }
     if (!notRun) return;
     if (status === MISDIRECTED_STATUS) outcomes.misdirected(id);
     else outcomes.rejected(id);
@@ -150,13 +151,11 @@
     this.#context.tell("endpoint_leaving", { endpoint: this.endpoint.id });
   }
 
-  /** What the endpoint says of itself beside its answer. */
-  #tellSigns({ retryAfterMilliseconds }: AnswerHead): void {
-    const endpoint = this.endpoint.id;
-    if (retryAfterMilliseconds === undefined) return;
+  #noteOverload(milliseconds: number): void {
+    this.#parts.outcomes.overloaded(this.endpoint.id, milliseconds);
     this.#context.tell("endpoint_overloaded", {
-      endpoint,
-      retryAfterMilliseconds,
+      endpoint: this.endpoint.id,
+      retryAfterMilliseconds: milliseconds,
     });
   }
 
--- a/src/entry/forwarding/endpoint_signs_test.ts
+++ b/src/entry/forwarding/endpoint_signs_test.ts
@@ -188,17 +188,91 @@
   describe("that it is overloaded", () => {
     it("stops requests to it until the time is over", async () => {
       const play = new SignsPlay();
-      const overloaded = {
-        status: 503,
-        notRun: true,
-        retryAfterMilliseconds: 3_000,
-      };
-      for (const id of REPLICAS) play.signs.set(id, overloaded);
+      for (const id of REPLICAS) play.signs.set(id, overloadedFor(3_000));
       await play.run(200);
       play.signs.clear();
       expect(await play.run(2_500)).to.deep.equal([]);
       await play.bench.timer.advance(500);
       expect(new Set(await play.run(1_000))).to.have.keys(REPLICAS);
     });
+
+    it("leaves its requests to the others", async () => {
+      const play = new SignsPlay();
+      play.signs.set("a", overloadedFor(2_000));
+      await play.run(500);
+      const callers = [await play.ask(), await play.ask(), await play.ask()];
+      expect(callers.map(({ status }) => status)).to.deep.equal([
+        200,
+        200,
+        200,
+      ]);
+      expect(await play.run(1_000)).not.to.include("a");
+    });
+
+    it("refuses a caller at once who would have left before its end", async () => {
+      const play = new SignsPlay();
+      for (const id of REPLICAS) play.signs.set(id, overloadedFor(3_000));
+      await play.run(200);
+      const sentBefore = play.bench.sent.length;
+      const { refusal } = await play.ask();
+      expect(refusal?.status).to.equal(503);
+      expect(refusal?.retryAfterMilliseconds).to.be.within(2_700, 3_300);
+      expect(play.bench.sent).to.have.length(sentBefore);
+    });
+
+    it("lets a caller wait for its end who can still be answered", async () => {
+      const play = new SignsPlay();
+      for (const id of REPLICAS) play.signs.set(id, overloadedFor(400));
+      await play.run(100);
+      play.signs.clear();
+      const caller = await play.ask();
+      expect(caller.status).to.equal(undefined);
+      await play.bench.timer.advance(500);
+      expect(caller.status).to.equal(200);
+    });
+
+    it("stops readings of prompts at an engine", async () => {
+      const play = promptPlay();
+      play.signs.set("r1", overloadedFor(2_000));
+      expect(await play.run(500)).to.include("r1");
+      expect(await play.run(1_000)).not.to.include("r1");
+    });
+
+    it("stops answers by an engine", async () => {
+      const play = promptPlay();
+      play.signs.set("d1", overloadedFor(2_000));
+      expect(await play.run(500)).to.include("d1");
+      expect(await play.run(1_000)).not.to.include("d1");
+    });
+
+    it("has no prompt read that nobody could answer in time", async () => {
+      const play = promptPlay();
+      for (const id of ["d1", "d2"]) play.signs.set(id, overloadedFor(9_000));
+      await play.run(500);
+      const sentBefore = play.bench.sent.length;
+      const { refusal } = await play.ask();
+      expect(refusal?.status).to.equal(503);
+      expect(play.bench.sent).to.have.length(sentBefore);
+    });
+
+    it("puts off freeing a kept prompt at the engine", async () => {
+      const { bench } = promptPlay();
+      const run = bench.take(makeRequest({ prompt: makePrompt("subject") }));
+      bench.onSend = undefined;
+      await run;
+      const [reading] = bench.sent;
+      await reading.answer("handle");
+      bench.parts.outcomes.overloaded(reading.options.endpoint, 3_000);
+      (await run).leave();
+      await bench.timer.advance(2_900);
+      expect(bench.released).to.deep.equal([]);
+      await bench.timer.advance(200);
+      expect(bench.released).to.deep.equal(["handle"]);
+    });
   });
 });
+
+/** The head by which an overloaded endpoint turns a request away. */
+function overloadedFor(milliseconds: number): Partial<AnswerHead> {
+  return { status: 503, notRun: true, retryAfterMilliseconds: milliseconds };
+}
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -117,6 +117,26 @@
 
   /** Endpoints of the pool that take new work. */
   endpoints(): RegisteredEndpoint[] {
+    const { outcomes } = this.parts;
+    return this.#inService().filter(({ id }) =>
+      outcomes.overloadMilliseconds(id) === 0
+    );
+  }
+
+  /**
+   * Time until one of these takes work that has said that it is overloaded,
+   * milliseconds; 0 where one does now, infinite where there is none.
+   */
+  overloadMilliseconds(
+    isWanted: (endpoint: RegisteredEndpoint) => boolean = () => true,
+  ): number {
+    const { outcomes } = this.parts;
+    const waits = this.#inService().filter(isWanted)
+      .map(({ id }) => outcomes.overloadMilliseconds(id));
+    return Math.min(Infinity, ...waits);
+  }
+
+  #inService(): RegisteredEndpoint[] {
     const { isChanging, registry } = this.parts;
     const isEnginePool = this.pool.engine !== undefined;
     return registry.inPool(this.pool.name).filter(({ id, role }) =>
--- a/src/entry/forwarding/forward_run.ts
+++ b/src/entry/forwarding/forward_run.ts
@@ -18,7 +18,7 @@
 import type { CallerSink, EndpointAnswer, Refusal } from "./links.ts";
 import type { ForwardingParts } from "./parts.ts";
 import type { AdmissionFacts } from "./prompt_admission.ts";
-import { pacedByRoom, waitForChoice } from "./wait_for_choice.ts";
+import { mayStillWait, pacedByRoom, waitForChoice } from "./wait_for_choice.ts";
 
 /** When a caller that found no room should come back, milliseconds. */
 export const RETRY_AFTER_MILLISECONDS = 250;
@@ -95,30 +95,58 @@
     const { pool, request } = this.#context;
     const { prompt } = request;
     const isEngineWork = pool.engine !== undefined && prompt !== undefined;
-    if (!isEngineWork) return this.#planService();
+    if (!isEngineWork) return await this.#planService();
     return await this.#planEngines(prompt);
   }
 
-  #planService(): AttemptPlan | undefined {
-    const { left, parts } = this.#context;
-    const well = parts.outcomes.wellAmong(this.#context.endpoints());
-    const endpoint = chooseService(this.#context.untried(well), parts);
+  async #planService(): Promise<AttemptPlan | undefined> {
+    const endpoint = this.#chooseService() ?? await this.#waitForService();
     if (endpoint === undefined) return undefined;
     return {
       endpoint,
       work: NO_PROMPT,
       options: {
-        deadlineMilliseconds: left,
+        deadlineMilliseconds: this.#context.left,
         lastEventId: this.#resumeFrom(),
       },
     };
   }
 
+  #chooseService(): RegisteredEndpoint | undefined {
+    const { parts } = this.#context;
+    const well = parts.outcomes.wellAmong(this.#context.endpoints());
+    return chooseService(this.#context.untried(well), parts);
+  }
+
+  /** Waits where every replica is overloaded, and one is not for much longer. */
+  async #waitForService(): Promise<RegisteredEndpoint | undefined> {
+    if (!this.#isWorthWaiting()) return undefined;
+    return await waitForChoice(this.#context, () => this.#chooseService());
+  }
+
+  /** True where these have all said that they are overloaded. */
+  #isOverloaded(isWanted: (endpoint: RegisteredEndpoint) => boolean): boolean {
+    const wait = this.#context.overloadMilliseconds(isWanted);
+    return wait > 0 && Number.isFinite(wait);
+  }
+
+  /** False where the caller would have left before one of these takes work. */
+  #isWorthWaiting(
+    isWanted?: (endpoint: RegisteredEndpoint) => boolean,
+  ): boolean {
+    const wait = this.#context.overloadMilliseconds(isWanted);
+    return mayStillWait(this.#context, wait);
+  }
+
   /** Undefined where no engine is left, or where the request was refused. */
   async #planEngines(prompt: Prompt): Promise<AttemptPlan | undefined> {
     const { parts, pool, route } = this.#context;
     const endpoints = this.#context.endpoints();
     if (endpoints.length === 0) return undefined;
+    // A prompt that is read for an answer nobody can make is read in vain.
+    if (this.#isOverloaded(canDecode) && !this.#isWorthWaiting(canDecode)) {
+      return undefined;
+    }
     const needsHandover = parts.placement.wantsHandover(prompt, {
       pool,
       targetMilliseconds: route.targetMilliseconds,
@@ -352,14 +380,23 @@
     this.#settle();
     if (this.#relay.headSent) return this.#sink.cut();
     this.#context.noteRefusal();
-    const { random } = this.#context.parts;
-    const retryAfterMilliseconds = reason === "entry_full"
-      ? ELSEWHERE_AFTER_MILLISECONDS + ELSEWHERE_SPREAD_MILLISECONDS * random()
-      : RETRY_AFTER_MILLISECONDS +
-        RETRY_AFTER_SPREAD_MILLISECONDS * random();
+    const retryAfterMilliseconds = this.#retryAfter(reason);
     this.#answerOwn({ status: 503, reason, retryAfterMilliseconds }, facts);
   }
 
+  /** When coming back is worth it, milliseconds. */
+  #retryAfter(reason: string): number {
+    const { random } = this.#context.parts;
+    if (reason === "entry_full") {
+      return ELSEWHERE_AFTER_MILLISECONDS +
+        ELSEWHERE_SPREAD_MILLISECONDS * random();
+    }
+    const overload = this.#context.overloadMilliseconds();
+    const wait = Number.isFinite(overload) ? overload : 0;
+    return Math.max(RETRY_AFTER_MILLISECONDS, wait) +
+      RETRY_AFTER_SPREAD_MILLISECONDS * random();
+  }
+
   /** Endpoints have crashed under requests of these bytes. */
   #refuseBlocked(): void {
     if (this.#runs > 0) return this.#answerUnknown();
--- a/src/entry/forwarding/handover.ts
+++ b/src/entry/forwarding/handover.ts
@@ -31,6 +31,11 @@
 const MOST_OFFERS = 2;
 /** Priority of prompts that are read for late answers. */
 const LATE_PRIORITY = 8;
+/**
+ * An overloaded engine wants no call; a cache is freed behind that time, or
+ * by the engine itself where that comes first.
+ */
+const LONGEST_RELEASE_DELAY_MILLISECONDS = 5_000;
 /** What became of a hand-over. */
 export type HandoverOutcome =
   | { readonly kind: "kept"; readonly kept: KeptPrompt }
@@ -163,7 +168,11 @@
     const kept = this.#kept;
     this.#kept = undefined;
     if (kept === undefined) return;
-    this.#context.parts.door.release(kept.address, kept.handle);
+    const { door, outcomes, timer } = this.#context.parts;
+    const free = () => door.release(kept.address, kept.handle);
+    const wait = outcomes.overloadMilliseconds(kept.engine);
+    if (wait === 0) return free();
+    if (wait <= LONGEST_RELEASE_DELAY_MILLISECONDS) timer.after(wait, free);
   }
 
   /** An engine that turns a prompt away at once says nothing of its speed. */
--- a/src/entry/forwarding/wait_for_choice.ts
+++ b/src/entry/forwarding/wait_for_choice.ts
@@ -54,11 +54,16 @@
   return choice;
 }
 
-function mayStillWait(context: ForwardContext): boolean {
+/** True where the caller can still be answered in so long, milliseconds. */
+export function mayStillWait(
+  context: ForwardContext,
+  milliseconds = 0,
+): boolean {
   const { allowedMilliseconds, leftToFirstByte, route } = context;
   const whole = Math.min(
     allowedMilliseconds,
     route.patienceMilliseconds ?? Infinity,
   );
-  return leftToFirstByte > REFUSED_WITH_SHARE_LEFT * whole;
+  const left = leftToFirstByte - milliseconds;
+  return left > REFUSED_WITH_SHARE_LEFT * whole;
 }
