Keep blocked requests in the store, for entries that all start at once

Cause: what is blocked lived in the entries' memories alone. Peers tell an entry that starts, but only while one is left.

Change: the entry that saw the last crash puts the digest and its crashes into a keyed topic. An entry reads it once at its start and takes what is younger than ten minutes.

--- a/src/core/forwarding/admission/crash_suspects.ts
+++ b/src/core/forwarding/admission/crash_suspects.ts
@@ -49,13 +49,19 @@
     Number.isInteger(crash);
 }
 
+/** A request that is refused because endpoints crash under it. */
+export interface BlockedRequest {
+  readonly digest: RequestDigest;
+  readonly losses: readonly ToldLoss[];
+}
+
 export interface CrashSuspectsOptions {
   readonly timer: TimerService;
-  /** A request is refused from now on. */
-  readonly onBlocked?: (suspect: {
-    readonly digest: RequestDigest;
-    readonly endpoints: readonly string[];
-  }) => void;
+  /** A request is refused from now on; `isOwn`: for a loss of this entry. */
+  readonly onBlocked?: (
+    blocked: BlockedRequest,
+    options: { readonly isOwn: boolean },
+  ) => void;
 }
 
 interface Suspect {
@@ -132,7 +138,7 @@
       knownBefore + 1,
     ];
     const at = this.#options.timer.now();
-    if (this.#take(loss)) {
+    if (this.#take(loss, { isOwn: true })) {
       this.#tell([loss]);
       if (this.#own.length < MOST_TOLD) this.#own.push({ loss, at });
     }
@@ -149,7 +155,7 @@
     const suspect = this.#suspects.get(digestOf(loss));
     const wasBlocked = suspect !== undefined &&
       this.#blockedMilliseconds(suspect) > 0;
-    const isNew = this.#take(loss);
+    const isNew = this.#take(loss, { isOwn: false });
     // The peer has sent on what is blocked here: it does not know all of it.
     if (isNew && wasBlocked) this.#tell(suspect.losses.values());
   }
@@ -214,8 +220,21 @@
     this.#onUntold();
   }
 
+  /**
+   * Takes what an entry has kept that may not run any more, blocked so long
+   * ago. False where its block is over.
+   */
+  restore(
+    losses: readonly ToldLoss[],
+    { ageMilliseconds }: { readonly ageMilliseconds: number },
+  ): boolean {
+    if (ageMilliseconds >= BLOCK_MILLISECONDS) return false;
+    for (const loss of losses) this.peerLost(loss);
+    return true;
+  }
+
   /** False where the loss was known. */
-  #take(loss: ToldLoss): boolean {
+  #take(loss: ToldLoss, { isOwn }: { readonly isOwn: boolean }): boolean {
     const digest = digestOf(loss);
     const key = keyOf(runOf(loss));
     const at = this.#options.timer.now();
@@ -233,8 +252,8 @@
       this.#blockedMilliseconds(suspect) > 0;
     if (isBlockedNow) {
       suspect.wasBlocked = true;
-      const endpoints = [...suspect.losses.values()].map(([, id]) => id);
-      this.#options.onBlocked?.({ digest, endpoints });
+      const losses = [...suspect.losses.values()];
+      this.#options.onBlocked?.({ digest, losses }, { isOwn });
     }
     return true;
   }
--- a/src/core/forwarding/admission/crash_suspects_test.ts
+++ b/src/core/forwarding/admission/crash_suspects_test.ts
@@ -180,6 +180,25 @@
     });
   });
 
+  describe("restore", () => {
+    it("blocks what was blocked less than ten minutes ago", () => {
+      const losses = ["a", "b", "c"].map((endpoint, index) =>
+        [CRASHING, endpoint, null, index + 1] as const
+      );
+      const age = 9 * MINUTE_MILLISECONDS;
+      expect(suspects.restore(losses, { ageMilliseconds: age })).to.equal(true);
+      expect(isBlocked(CRASHING)).to.equal(true);
+    });
+
+    it("takes nothing whose block is over", () => {
+      const losses = [[CRASHING, "a", null, 1]] as const;
+      const age = 10 * MINUTE_MILLISECONDS;
+      expect(suspects.restore(losses, { ageMilliseconds: age }))
+        .to.equal(false);
+      expect(suspects.size).to.equal(0);
+    });
+  });
+
   describe("what peers are told", () => {
     it("is each loss once", () => {
       let calls = 0;
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -18,6 +18,7 @@
   RetryAllowance,
 } from "./admission/retry_allowance.ts";
 export {
+  type BlockedRequest,
   CrashSuspects,
   isToldLoss,
   type ToldLoss,
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -1,4 +1,5 @@
 import {
+  type BlockedRequest,
   CrashSuspects,
   type EndpointMemory,
   EndpointOutcomes,
@@ -19,6 +20,7 @@
   RetryAllowance,
   ReturningCallers,
   RouteTable,
+  type ToldLoss,
   type TopicSpan,
   WorkRate,
 } from "../../core/forwarding/mod.ts";
@@ -91,6 +93,8 @@
   readonly peerReadRegistrations: (span: TopicSpan) => PeerReading;
   /** A question for an endpoint's load has been answered, or not. */
   readonly onLoadQuestion: (outcome: LoadQuestionOutcome) => void;
+  /** Keeps a blocked request for entries that start when no other runs. */
+  readonly keepBlocked: (blocked: BlockedRequest) => void;
   /** An entry has told of itself that is not on the fleet's list yet. */
   readonly onUnlistedPeer: () => void;
 }
@@ -131,11 +135,15 @@
     const returning = new ReturningCallers(timer);
     const crashes = new CrashSuspects({
       timer,
-      onBlocked: (suspect) =>
+      onBlocked: (blocked, { isOwn }) => {
+        const { digest, losses } = blocked;
+        const endpoints = losses.map(([, endpoint]) => endpoint);
         options.logger.warn(
-          suspect,
+          { digest, endpoints },
           "A request crashes endpoints and is blocked",
-        ),
+        );
+        if (isOwn) options.keepBlocked(blocked);
+      },
     });
     const outcomes = new EndpointOutcomes(timer);
     const connections: EndpointMemory = {
@@ -330,6 +338,14 @@
     return true;
   }
 
+  /** Takes a request that was kept as blocked; false where that is over. */
+  restoreBlocked(
+    losses: readonly ToldLoss[],
+    options: { readonly ageMilliseconds: number },
+  ): boolean {
+    return this.#parts.crashes.restore(losses, options);
+  }
+
   /** Takes a peer's notification. */
   takeNotification(method: string, params: unknown): void {
     if (method === WORK_METHOD) this.peers.take(params);
--- a/src/entry/forwarding/forwarding_entry_test.ts
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -83,6 +83,7 @@
           return from === position ? "ahead" : "apart";
         },
         onUnlistedPeer() {},
+        keepBlocked() {},
         onLoadQuestion() {},
       }),
   );
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -119,6 +119,7 @@
       onEndpointGone() {},
       peerReadRegistrations: () => "apart",
       onUnlistedPeer() {},
+      keepBlocked() {},
       onLoadQuestion() {},
     });
   }
