Let an answered request be cleared at all entries, and split the crash record

What callers would see: a request that ran beside crashes and was answered is cleared at the entry that answered it. The others keep what they have counted, and one of them may refuse it for ten minutes.

Change: entries tell each other of a suspect that an endpoint has run to its end, and the store drops it where it was kept as blocked. Whoever has seen one of the losses keeps the block, since the third may have come from a peer. Only a request that is blocked itself explains the crashes of another: long answers that began before the first crash must not hide the one that brings them about. The record is now three modules: losses as they are told, what is to be told, and who is suspected.

--- a/src/core/forwarding/crashes/crash_suspects.ts
+++ b/src/core/forwarding/crashes/crash_suspects.ts
@@ -1,13 +1,15 @@
-import type {
-  EndpointId,
-  ReplicaStart,
-  RequestDigest,
-} from "../../identity/mod.ts";
-import { identifier } from "../../identity/mod.ts";
+import type { RequestDigest } from "../../identity/mod.ts";
 import type { TimerService } from "../../time/mod.ts";
 import type { RegisteredEndpoint } from "../configuration.ts";
 import type { EndpointMemory } from "../endpoints/endpoint_registry.ts";
 import type { EndpointRun } from "../endpoints/endpoint_runs.ts";
+import { CrashReports } from "./crash_reports.ts";
+import {
+  digestOfLoss,
+  keyOfRun,
+  runOfLoss,
+  type ToldLoss,
+} from "./told_loss.ts";
 
 /** Crashes under a request, one after another, before it is blocked. */
 const CRASHES_UNTIL_BLOCKED = 3;
@@ -17,38 +19,11 @@
 const MEMORY_MILLISECONDS = 2 * BLOCK_MILLISECONDS;
 /** An endpoint that answers sooner than any process starts has not crashed. */
 const ALIVE_MILLISECONDS = 1_000;
-/** Suspects that are remembered, about 300 bytes each. */
+/** Suspects that are remembered. */
 const MOST_SUSPECTS = 4_096;
-/** Losses that one report to peers carries, about 60 bytes each. */
-const MOST_TOLD = 64;
-/** Losses that wait for the next reports. */
-const MOST_UNTOLD = 512;
-/** How long a loss is told again, in case its datagram was lost. */
-const TOLD_AGAIN_MILLISECONDS = 3_000;
 /** Suspects that an entry that has just started is told of. */
 const MOST_BLOCKED_TOLD = 16;
 
-/**
- * A request that was lost with a run of an endpoint, as peers tell of it. What
- * has the same `crash` number was lost at once: nobody who sent it knew of the
- * others. Endpoints that die together do not count as often as they are many.
- */
-export type ToldLoss = readonly [
-  digest: string,
-  endpoint: string,
-  startedAt: number | null,
-  crash: number,
-];
-
-/** True where a peer's value is a loss. */
-export function isToldLoss(value: unknown): value is ToldLoss {
-  if (!Array.isArray(value)) return false;
-  const [digest, endpoint, startedAt, crash] = value;
-  return typeof digest === "string" && typeof endpoint === "string" &&
-    (startedAt === null || Number.isFinite(startedAt)) &&
-    Number.isInteger(crash);
-}
-
 /** A request that is refused because endpoints crash under it. */
 export interface BlockedRequest {
   readonly digest: RequestDigest;
@@ -57,17 +32,21 @@
 
 export interface CrashSuspectsOptions {
   readonly timer: TimerService;
-  /** A request is refused from now on; `isOwn`: for a loss of this entry. */
+  /** A request is refused from now on; `isOwn`: also for losses seen here. */
   readonly onBlocked?: (
     blocked: BlockedRequest,
     options: { readonly isOwn: boolean },
   ) => void;
+  /** An endpoint has run a request to its end here that was blocked. */
+  readonly onCleared?: (digest: RequestDigest) => void;
 }
 
 interface Suspect {
   /** Losses by the run of the endpoint that they came with. */
   readonly losses: Map<string, ToldLoss>;
   lastLossAt: number;
+  /** True where this entry has seen one of the losses. */
+  isOwn: boolean;
   /** True once it has been blocked. */
   wasBlocked: boolean;
 }
@@ -88,12 +67,12 @@
   readonly #suspects = new Map<RequestDigest, Suspect>();
   /** Runs lost so lately that they may turn out to be alive. */
   readonly #lostRuns = new Map<string, LostRun>();
-  readonly #own: { readonly loss: ToldLoss; readonly at: number }[] = [];
-  readonly #untold: ToldLoss[] = [];
-  #onUntold: () => void = () => {};
+  /** What peers are to be told. */
+  readonly reports: CrashReports;
 
   constructor(options: CrashSuspectsOptions) {
     this.#options = options;
+    this.reports = new CrashReports(options.timer);
   }
 
   /** Digests need not be computed where this is 0. */
@@ -110,16 +89,6 @@
     return count;
   }
 
-  /** True where there is something to tell peers. */
-  get hasUntold(): boolean {
-    return this.#untold.length > 0;
-  }
-
-  /** Calls back each time that there is something new to tell peers. */
-  onUntold(listener: () => void): void {
-    this.#onUntold = listener;
-  }
-
   /**
    * A run has broken off with the request on it. `knownBefore` is what
    * `crashesUnder` gave when the request was sent there.
@@ -137,11 +106,7 @@
       run.startedAt ?? null,
       knownBefore + 1,
     ];
-    const at = this.#options.timer.now();
-    if (this.#take(loss, { isOwn: true })) {
-      this.#tell([loss]);
-      if (this.#own.length < MOST_TOLD) this.#own.push({ loss, at });
-    }
+    if (this.#take(loss, { isOwn: true })) this.reports.addOwn(loss);
   }
 
   /** Crashes under the request, one after another; 0 where none is known. */
@@ -152,18 +117,31 @@
 
   /** A peer has lost a request with a run of an endpoint. */
   peerLost(loss: ToldLoss): void {
-    const suspect = this.#suspects.get(digestOf(loss));
+    const suspect = this.#suspects.get(digestOfLoss(loss));
     const wasBlocked = suspect !== undefined &&
       this.#blockedMilliseconds(suspect) > 0;
     const isNew = this.#take(loss, { isOwn: false });
     // The peer has sent on what is blocked here: it does not know all of it.
-    if (isNew && wasBlocked) this.#tell(suspect.losses.values());
+    if (isNew && wasBlocked) this.reports.add(suspect.losses.values());
+  }
+
+  /**
+   * Takes what an entry has kept that may not run any more, blocked so long
+   * ago. False where its block is over.
+   */
+  restore(
+    losses: readonly ToldLoss[],
+    { ageMilliseconds }: { readonly ageMilliseconds: number },
+  ): boolean {
+    if (ageMilliseconds >= BLOCK_MILLISECONDS) return false;
+    for (const loss of losses) this.peerLost(loss);
+    return true;
   }
 
   /** The run has answered a request that was sent to it then. */
   answered(run: EndpointRun, sentAt: number): void {
     if (this.#lostRuns.size === 0) return;
-    const key = keyOf(run);
+    const key = keyOfRun(run);
     const lostRun = this.#lostRuns.get(key);
     if (lostRun === undefined || sentAt < lostRun.at) return;
     this.#lostRuns.delete(key);
@@ -174,17 +152,27 @@
 
   /** The run takes no connections: it has ended, whatever answers later. */
   refusedConnection(run: EndpointRun): void {
-    this.#lostRuns.delete(keyOf(run));
+    this.#lostRuns.delete(keyOfRun(run));
   }
 
   /** The run is over. */
   forget(endpoint: RegisteredEndpoint): void {
-    this.#lostRuns.delete(keyOf(endpoint));
+    this.#lostRuns.delete(keyOfRun(endpoint));
   }
 
   /** An endpoint has run the request to its end and lives. */
   completed(digest: RequestDigest): void {
+    const suspect = this.#suspects.get(digest);
+    if (suspect === undefined) return;
+    this.peerCompleted(digest);
+    this.reports.addCleared(digest);
+    if (suspect.wasBlocked) this.#options.onCleared?.(digest);
+  }
+
+  /** The same, at a peer. */
+  peerCompleted(digest: RequestDigest): void {
     this.#suspects.delete(digest);
+    this.reports.drop(digest);
   }
 
   /** How long the request is still refused, milliseconds; 0: it is not. */
@@ -193,18 +181,6 @@
     return suspect === undefined ? 0 : this.#blockedMilliseconds(suspect);
   }
 
-  /** Losses that peers have not been told, as many as a report carries. */
-  takeUntold(): readonly ToldLoss[] {
-    return this.#untold.splice(0, MOST_TOLD);
-  }
-
-  /** Own losses of the last seconds, for peers that missed the first report. */
-  recentLosses(): readonly ToldLoss[] {
-    const since = this.#options.timer.now() - TOLD_AGAIN_MILLISECONDS;
-    while (this.#own.length > 0 && this.#own[0].at < since) this.#own.shift();
-    return this.#own.map(({ loss }) => loss);
-  }
-
   /** What a peer has to know that has just started. */
   lossesOfBlocked(): readonly ToldLoss[] {
     return [...this.#suspects.values()]
@@ -213,35 +189,16 @@
       .flatMap(({ losses }) => [...losses.values()]);
   }
 
-  #tell(losses: Iterable<ToldLoss>): void {
-    for (const loss of losses) {
-      if (this.#untold.length < MOST_UNTOLD) this.#untold.push(loss);
-    }
-    this.#onUntold();
-  }
-
-  /**
-   * Takes what an entry has kept that may not run any more, blocked so long
-   * ago. False where its block is over.
-   */
-  restore(
-    losses: readonly ToldLoss[],
-    { ageMilliseconds }: { readonly ageMilliseconds: number },
-  ): boolean {
-    if (ageMilliseconds >= BLOCK_MILLISECONDS) return false;
-    for (const loss of losses) this.peerLost(loss);
-    return true;
-  }
-
   /** False where the loss was known. */
   #take(loss: ToldLoss, { isOwn }: { readonly isOwn: boolean }): boolean {
-    const digest = digestOf(loss);
-    const key = keyOf(runOf(loss));
+    const digest = digestOfLoss(loss);
+    const key = keyOfRun(runOfLoss(loss));
     const at = this.#options.timer.now();
     const known = this.#suspects.get(digest);
     if (known?.losses.has(key)) return false;
     const suspect = known ??
-      { losses: new Map(), lastLossAt: at, wasBlocked: false };
+      { losses: new Map(), lastLossAt: at, isOwn, wasBlocked: false };
+    suspect.isOwn ||= isOwn;
     suspect.losses.set(key, loss);
     suspect.lastLossAt = at;
     this.#suspects.delete(digest);
@@ -253,7 +210,7 @@
     if (isBlockedNow) {
       suspect.wasBlocked = true;
       const losses = [...suspect.losses.values()];
-      this.#options.onBlocked?.({ digest, losses }, { isOwn });
+      this.#options.onBlocked?.({ digest, losses }, { isOwn: suspect.isOwn });
     }
     return true;
   }
@@ -295,11 +252,14 @@
     return Math.max(0, until - this.#options.timer.now());
   }
 
-  /** True where another request was on all these runs, and on more. */
+  /** True where another crashing request was on all these runs, and on more. */
   #isExplained({ losses }: Suspect): boolean {
-    for (const { losses: others } of this.#suspects.values()) {
-      if (others.size <= losses.size) continue;
-      if ([...losses.keys()].every((key) => others.has(key))) return true;
+    for (const other of this.#suspects.values()) {
+      const mayExplain = other.losses.size > losses.size &&
+        crashesIn(other) >= CRASHES_UNTIL_BLOCKED;
+      if (!mayExplain) continue;
+      const keys = [...losses.keys()];
+      if (keys.every((key) => other.losses.has(key))) return true;
     }
     return false;
   }
@@ -311,18 +271,3 @@
   for (const [, , , crash] of losses.values()) last = Math.max(last, crash);
   return Math.min(last, losses.size);
 }
-
-function digestOf([digest]: ToldLoss): RequestDigest {
-  return identifier<RequestDigest>(digest);
-}
-
-function runOf([, endpoint, startedAt]: ToldLoss): EndpointRun {
-  return {
-    id: identifier<EndpointId>(endpoint),
-    startedAt: startedAt === null ? undefined : startedAt as ReplicaStart,
-  };
-}
-
-function keyOf({ id, startedAt }: EndpointRun): string {
-  return `${id}@${startedAt ?? ""}`;
-}
--- a/src/core/forwarding/crashes/crash_suspects_test.ts
+++ b/src/core/forwarding/crashes/crash_suspects_test.ts
@@ -18,13 +18,18 @@
   let timer: ManualTimerService;
   let suspects: CrashSuspects;
   let blocked: string[];
+  let kept: string[];
 
   beforeEach(() => {
     timer = new ManualTimerService();
     blocked = [];
+    kept = [];
     suspects = new CrashSuspects({
       timer,
-      onBlocked: ({ digest }) => blocked.push(digest),
+      onBlocked: ({ digest }, { isOwn }) => {
+        blocked.push(digest);
+        if (isOwn) kept.push(digest);
+      },
     });
   });
 
@@ -110,6 +115,19 @@
       expect(blocked).to.deep.equal([CRASHING]);
     });
 
+    it("does not hide the crashing one behind its own losses", () => {
+      // Long answers that began before the first crash and end with the last.
+      for (const endpoint of ["a", "b", "c", "d"]) {
+        suspects.lost(makeEndpoint(endpoint), {
+          digest: BESIDE,
+          knownBefore: 0,
+        });
+      }
+      for (const endpoint of ["a", "b", "c"]) crash(endpoint, CRASHING);
+      expect(isBlocked(CRASHING)).to.equal(true);
+      expect(isBlocked(BESIDE)).to.equal(false);
+    });
+
     it("is cleared when an endpoint has run it to its end", () => {
       crash("a", CRASHING, BESIDE);
       crash("b", CRASHING, BESIDE);
@@ -202,19 +220,42 @@
   describe("what peers are told", () => {
     it("is each loss once", () => {
       let calls = 0;
-      suspects.onUntold(() => calls += 1);
+      suspects.reports.onNews(() => calls += 1);
       crash("a", CRASHING);
       expect(calls).to.equal(1);
-      expect(suspects.takeUntold()).to.deep.equal([[CRASHING, "a", null, 1]]);
-      expect(suspects.hasUntold).to.equal(false);
+      expect(suspects.reports.take()).to.deep.equal({
+        losses: [[CRASHING, "a", null, 1]],
+        cleared: [],
+      });
+      expect(suspects.reports.take()).to.equal(undefined);
     });
 
     it("is each own loss again for some seconds", async () => {
       crash("a", CRASHING);
       suspects.peerLost([CRASHING, "b", null, 2]);
-      expect(suspects.recentLosses()).to.have.length(1);
+      expect(suspects.reports.recentLosses()).to.have.length(1);
       await timer.advance(4_000);
-      expect(suspects.recentLosses()).to.deep.equal([]);
+      expect(suspects.reports.recentLosses()).to.deep.equal([]);
+    });
+
+    it("is that a request was answered, and nothing more of its losses", () => {
+      crash("a", BESIDE);
+      suspects.reports.take();
+      suspects.completed(BESIDE);
+      expect(suspects.reports.take()).to.deep.equal({
+        losses: [],
+        cleared: [BESIDE],
+      });
+      expect(suspects.reports.recentLosses()).to.deep.equal([]);
+      suspects.completed(BESIDE);
+      expect(suspects.reports.take()).to.equal(undefined);
+    });
+
+    it("ends a block with a peer's answer", () => {
+      for (const endpoint of ["a", "b", "c"]) crash(endpoint, BESIDE);
+      suspects.peerCompleted(BESIDE);
+      expect(isBlocked(BESIDE)).to.equal(false);
+      expect(suspects.reports.recentLosses()).to.deep.equal([]);
     });
 
     it("adds up with what this entry has seen", () => {
@@ -226,11 +267,24 @@
       expect(isBlocked(CRASHING)).to.equal(true);
     });
 
+    it("leaves keeping a block to those who have seen a loss", () => {
+      const peerLost = (digest: RequestDigest) => {
+        suspects.peerLost([digest, "b", null, 2]);
+        suspects.peerLost([digest, "c", null, 3]);
+      };
+      lose("a", CRASHING);
+      peerLost(CRASHING);
+      suspects.peerLost([BESIDE, "d", null, 1]);
+      peerLost(BESIDE);
+      expect(blocked).to.deep.equal([CRASHING, BESIDE]);
+      expect(kept).to.deep.equal([CRASHING]);
+    });
+
     it("is all that is known of a request that a peer still sends", () => {
       for (const endpoint of ["a", "b", "c"]) crash(endpoint, CRASHING);
-      suspects.takeUntold();
+      suspects.reports.take();
       suspects.peerLost([CRASHING, "d", null, 1]);
-      expect(suspects.takeUntold()).to.have.length(4);
+      expect(suspects.reports.take()?.losses).to.have.length(4);
     });
 
     it("names what is blocked to one that has just started", () => {
@@ -244,8 +298,8 @@
       for (let index = 0; index < 200; index++) {
         crash("a", identifier<RequestDigest>(`request-${index}`));
       }
-      expect(suspects.takeUntold()).to.have.length(64);
-      expect(suspects.hasUntold).to.equal(true);
+      expect(suspects.reports.take()?.losses).to.have.length(64);
+      expect(suspects.reports.take()?.losses).to.have.length(64);
     });
   });
 });
--- /dev/null
+++ b/src/core/forwarding/crashes/told_loss.ts
@@ -0,0 +1,47 @@
+import {
+  type EndpointId,
+  identifier,
+  numbered,
+  type ReplicaStart,
+  type RequestDigest,
+} from "../../identity/mod.ts";
+import type { EndpointRun } from "../endpoints/endpoint_runs.ts";
+
+/**
+ * A request that was lost with a run of an endpoint, as peers tell of it. What
+ * has the same `crash` number was lost at once: nobody who sent it knew of the
+ * others. Endpoints that die together do not count as often as they are many.
+ */
+export type ToldLoss = readonly [
+  digest: string,
+  endpoint: string,
+  startedAt: number | null,
+  crash: number,
+];
+
+/** True where a peer's value is a loss. */
+export function isToldLoss(value: unknown): value is ToldLoss {
+  if (!Array.isArray(value)) return false;
+  const [digest, endpoint, startedAt, crash] = value;
+  return typeof digest === "string" && typeof endpoint === "string" &&
+    (startedAt === null || Number.isFinite(startedAt)) &&
+    Number.isInteger(crash);
+}
+
+export function digestOfLoss([digest]: ToldLoss): RequestDigest {
+  return identifier<RequestDigest>(digest);
+}
+
+export function runOfLoss([, endpoint, startedAt]: ToldLoss): EndpointRun {
+  return {
+    id: identifier<EndpointId>(endpoint),
+    startedAt: startedAt === null
+      ? undefined
+      : numbered<ReplicaStart>(startedAt),
+  };
+}
+
+/** Names one run of an endpoint. */
+export function keyOfRun({ id, startedAt }: EndpointRun): string {
+  return `${id}@${startedAt ?? ""}`;
+}
--- a/src/core/forwarding/endpoints/endpoint_outcomes.ts
+++ b/src/core/forwarding/endpoints/endpoint_outcomes.ts
@@ -58,8 +58,6 @@
   /** Requests turned away in a row. */
   rejections: number;
   closedUntil: number;
-  /** It has said that it wants nothing until then. */
-  overloadedUntil: number;
   open: number;
   /** Since when work is open and nothing has been heard. */
   silentSince: number;
@@ -69,6 +67,8 @@
 export class EndpointOutcomes {
   readonly #timer: TimerService;
   readonly #known = new Map<EndpointId, Known>();
+  /** Until when endpoints want nothing that have said so. */
+  readonly #overloadedUntil = new Map<EndpointId, number>();
 
   constructor(timer: TimerService) {
     this.#timer = timer;
@@ -164,13 +164,17 @@
     known.health.untold();
     known.rejections = 0;
     const until = this.#timer.now() + milliseconds;
-    known.overloadedUntil = Math.max(known.overloadedUntil, until);
+    const before = this.#overloadedUntil.get(id) ?? -Infinity;
+    this.#overloadedUntil.set(id, Math.max(before, until));
   }
 
   /** How long the endpoint still wants nothing, milliseconds; 0: it does. */
   overloadMilliseconds(id: EndpointId): number {
-    const until = this.#known.get(id)?.overloadedUntil ?? -Infinity;
-    return Math.max(0, until - this.#timer.now());
+    const until = this.#overloadedUntil.get(id);
+    if (until === undefined) return 0;
+    const left = until - this.#timer.now();
+    if (left <= 0) this.#overloadedUntil.delete(id);
+    return Math.max(0, left);
   }
 
   /** The attempt was given up; it tells nothing of the endpoint. */
@@ -180,6 +184,7 @@
 
   forget({ id }: { readonly id: EndpointId }): void {
     this.#known.delete(id);
+    this.#overloadedUntil.delete(id);
   }
 
   #isUnreachable(id: EndpointId): boolean {
@@ -214,7 +219,6 @@
         reachableFrom: -Infinity,
         rejections: 0,
         closedUntil: -Infinity,
-        overloadedUntil: -Infinity,
         open: 0,
         silentSince: 0,
       };
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -20,9 +20,9 @@
 export {
   type BlockedRequest,
   CrashSuspects,
-  isToldLoss,
-  type ToldLoss,
-} from "./admission/crash_suspects.ts";
+} from "./crashes/crash_suspects.ts";
+export type { CrashReport } from "./crashes/crash_reports.ts";
+export { isToldLoss, type ToldLoss } from "./crashes/told_loss.ts";
 export {
   EngineEstimates,
   EngineSlowness,
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -93,13 +93,13 @@
 
   #noteHead(answer: Result<EndpointAnswer, ExchangeFailure>): void {
     if (this.#closed) return;
-    this.#noteSignOfLife(answer);
+    this.#noteCrashSigns(answer);
     if (answer.isOk() && answer.value.head.leaving) this.#noteLeaving();
     if (this.#tellsOfEndpoint) this.#tellHead(answer);
     if (answer.isErr() || answer.value.head.notRun) this.#close();
   }
 
-  #noteSignOfLife(answer: Result<EndpointAnswer, ExchangeFailure>): void {
+  #noteCrashSigns(answer: Result<EndpointAnswer, ExchangeFailure>): void {
     const { crashes } = this.#parts;
     if (answer.isOk()) return crashes.answered(this.endpoint, this.#sentAt);
     const { name } = answer.error;
--- a/src/entry/forwarding/crashing_requests_test.ts
+++ b/src/entry/forwarding/crashing_requests_test.ts
@@ -78,6 +78,12 @@
     return callers;
   }
 
+  askAt(entry: number, values: Partial<ForwardedRequest>): RecordingSink {
+    this.#count += 1;
+    const id = identifier<RequestId>(`request-${this.#count}`);
+    return this.fleet.ask(entry, makeRequest({ id, ...values }));
+  }
+
   /** So many callers ask for the same at once, at entries in turn. */
   askAtOnce(values: Partial<ForwardedRequest>, count: number): RecordingSink[] {
     return Array.from({ length: count }, () => this.#ask(values, "popular"));
@@ -184,6 +190,24 @@
     });
   });
 
+  describe("beside a request that many callers ask for", () => {
+    it("does not have that one blocked at any entry", async () => {
+      const play = new CrashPlay({ entries: 5 });
+      const popular = { method: "GET", body: Buffer.alloc(0) };
+      // Each caller of it keeps to one entry; the last one hears of it only.
+      const asking = play.fleet.timer.every(10, () => {
+        for (const entry of [0, 1, 2, 3]) play.askAt(entry, popular);
+      });
+      await play.retry(20);
+      asking.cancel();
+      await play.fleet.timer.advance(3_000);
+      const caller = play.askAt(4, popular);
+      await play.fleet.timer.advance(200);
+      expectFewRetries(play);
+      expect(caller.ended).to.equal("whole");
+    });
+  });
+
   describe("in a large fleet", () => {
     it("is known to all entries, also where datagrams are lost", async () => {
       const play = new CrashPlay({ entries: 68, lostShare: 0.1 });
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -95,6 +95,8 @@
   readonly onLoadQuestion: (outcome: LoadQuestionOutcome) => void;
   /** Keeps a blocked request for entries that start when no other runs. */
   readonly keepBlocked: (blocked: BlockedRequest) => void;
+  /** A request that was blocked has been run to its end. */
+  readonly dropBlocked: (digest: RequestDigest) => void;
   /** An entry has told of itself that is not on the fleet's list yet. */
   readonly onUnlistedPeer: () => void;
 }
@@ -144,6 +146,7 @@
         );
         if (isOwn) options.keepBlocked(blocked);
       },
+      onCleared: (digest) => options.dropBlocked(digest),
     });
     const outcomes = new EndpointOutcomes(timer);
     const connections: EndpointMemory = {
@@ -349,7 +352,7 @@
   /** Takes a peer's notification. */
   takeNotification(method: string, params: unknown): void {
     if (method === WORK_METHOD) this.peers.take(params);
-    if (method === CRASHES_METHOD) this.peers.takeLosses(params);
+    if (method === CRASHES_METHOD) this.peers.takeCrashes(params);
     if (method === LOAD_QUESTION_METHOD) this.#questions.takeQuestion(params);
     if (method === LOAD_ANSWER_METHOD) this.#questions.takeAnswer(params);
     if (typeof params !== "object" || params === null) return;
--- a/src/entry/forwarding/forwarding_entry_test.ts
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -84,6 +84,7 @@
         },
         onUnlistedPeer() {},
         keepBlocked() {},
+        dropBlocked() {},
         onLoadQuestion() {},
       }),
   );
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -1,12 +1,12 @@
-import {
-  type CrashSuspects,
-  type EndpointRegistry,
-  type EngineEstimates,
-  isToldLoss,
-  type LoadOwners,
-  type LoadPicture,
-  type PrefixDirectory,
-  type ReturningCallers,
+import type {
+  CrashReport,
+  CrashSuspects,
+  EndpointRegistry,
+  EngineEstimates,
+  LoadOwners,
+  LoadPicture,
+  PrefixDirectory,
+  ReturningCallers,
 } from "../../core/forwarding/mod.ts";
 import {
   type EndpointId,
@@ -16,6 +16,7 @@
 import type { Subscription, TimerService } from "../../core/time/mod.ts";
 import { decodePrompt, encodePrompt } from "./told_prompt.ts";
 import {
+  isCrashReport,
   isWorkNotification,
   WORK_METHOD,
   workHere,
@@ -53,7 +54,7 @@
 export const REGISTRATIONS_METHOD = "entry.registrations";
 
 /** How long losses are gathered: those of one crash come together. */
-const LOSSES_TELL_MILLISECONDS = 5;
+const CRASHES_TELL_MILLISECONDS = 5;
 /** Notification that carries requests lost with endpoints. */
 export const CRASHES_METHOD = "entry.crashes";
 
@@ -91,7 +92,7 @@
   /** Endpoints whose owners are to be told of changed work. */
   readonly #changed = new Set<EndpointId>();
   #tellingOwners: Subscription | undefined;
-  #tellingLosses: Subscription | undefined;
+  #tellingCrashes: Subscription | undefined;
   /** The last run of each peer that has told of itself. */
   readonly #incarnations = new Map<string, string>();
   #knownEntries: number | undefined;
@@ -102,7 +103,7 @@
   constructor(options: PeerExchangeOptions) {
     this.#options = options;
     options.load.onOwnChange((endpoint) => this.#noteChange(endpoint));
-    options.crashes.onUntold(() => this.#tellLossesSoon());
+    options.crashes.reports.onNews(() => this.#tellCrashesSoon());
   }
 
   /** Entries of the fleet, this one included; undefined while unknown. */
@@ -131,7 +132,7 @@
   stop(): void {
     this.#telling?.cancel();
     this.#tellingOwners?.cancel();
-    this.#tellingLosses?.cancel();
+    this.#tellingCrashes?.cancel();
   }
 
   /** Takes the fleet's list: the others' addresses by their names. */
@@ -193,13 +194,11 @@
   }
 
   /** Takes what a peer tells of requests lost with endpoints. */
-  takeLosses(params: unknown): void {
-    if (typeof params !== "object" || params === null) return;
-    const { losses } = params as { readonly losses?: unknown };
-    if (!Array.isArray(losses)) return;
-    for (const loss of losses.filter(isToldLoss)) {
-      this.#options.crashes.peerLost(loss);
-    }
+  takeCrashes(params: unknown): void {
+    if (!isCrashReport(params)) return;
+    const { crashes } = this.#options;
+    for (const loss of params.losses) crashes.peerLost(loss);
+    for (const digest of params.cleared) crashes.peerCompleted(digest);
   }
 
   /** Tells a peer that has started which requests crash endpoints. */
@@ -209,7 +208,8 @@
     const losses = this.#options.crashes.lossesOfBlocked();
     if (losses.length === 0) return;
     const peer = identifier<ProcessId>(entry);
-    this.tellOne(peer, { method: CRASHES_METHOD, params: { losses } });
+    const report: CrashReport = { losses, cleared: [] };
+    this.tellOne(peer, { method: CRASHES_METHOD, params: report });
   }
 
   #tellWork(): void {
@@ -226,7 +226,7 @@
     const whole = now - this.#lastWhole >= WHOLE_TELL_MILLISECONDS;
     if (!whole && !load.hasChanged && !returning.hasUntold) return;
     if (whole) this.#lastWhole = now;
-    const losses = whole ? crashes.recentLosses() : [];
+    const losses = whole ? crashes.reports.recentLosses() : [];
     this.tell(WORK_METHOD, {
       ...this.#notification(whole),
       version: this.#options.version(),
@@ -257,14 +257,15 @@
    * A retry may come to another entry within milliseconds; sent on there in
    * ignorance of the crash before, it does not count as one more.
    */
-  #tellLossesSoon(): void {
-    this.#tellingLosses ??= this.#options.timer.after(
-      LOSSES_TELL_MILLISECONDS,
+  #tellCrashesSoon(): void {
+    this.#tellingCrashes ??= this.#options.timer.after(
+      CRASHES_TELL_MILLISECONDS,
       () => {
-        this.#tellingLosses = undefined;
-        const losses = this.#options.crashes.takeUntold();
-        if (losses.length > 0) this.tell(CRASHES_METHOD, { losses });
-        if (this.#options.crashes.hasUntold) this.#tellLossesSoon();
+        this.#tellingCrashes = undefined;
+        const report = this.#options.crashes.reports.take();
+        if (report === undefined) return;
+        this.tell(CRASHES_METHOD, report);
+        this.#tellCrashesSoon();
       },
     );
   }
--- a/src/entry/forwarding/work_notification.ts
+++ b/src/entry/forwarding/work_notification.ts
@@ -1,5 +1,6 @@
 /** What an entry tells its peers of its work, encoded and decoded. */
 import {
+  type CrashReport,
   type EndpointRegistry,
   isToldLoss,
   type PeerWork,
@@ -109,3 +110,12 @@
   return Array.isArray(value) && typeof value[0] === "string" &&
     typeof value[1] === "number";
 }
+
+/** True where the value tells of requests lost with endpoints. */
+export function isCrashReport(value: unknown): value is CrashReport {
+  if (typeof value !== "object" || value === null) return false;
+  const { cleared, losses } = value as Partial<CrashReport>;
+  return Array.isArray(losses) && losses.every(isToldLoss) &&
+    Array.isArray(cleared) &&
+    cleared.every((digest) => typeof digest === "string");
+}
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -120,6 +120,7 @@
       peerReadRegistrations: () => "apart",
       onUnlistedPeer() {},
       keepBlocked() {},
+      dropBlocked() {},
       onLoadQuestion() {},
     });
   }
