--- a/src/core/forwarding/endpoints/endpoint_outcomes.ts
+++ b/src/core/forwarding/endpoints/endpoint_outcomes.ts
@@ -3,12 +3,9 @@
 import type { TimerService } from "../../time/mod.ts";
 
 /**
- * Limits of the ejection by outcomes. Load: replicas that fail part of their
- * requests while they report good health. Harm prevented: callers of work that
- * may run once get the failure, and repeats use up the fleet's allowance.
- * Limits: plain services fail up to 0.14 of some work when they are well, so
- * 0.3 tells a bad one apart within about a dozen attempts; a second is short
- * against a bad spell of several, and doubles while probes fail.
+ * Limits of the ejection by outcomes. A replica may fail part of its requests
+ * while its health check passes; well ones fail some of their work too, so that
+ * the share is well above theirs.
  */
 const LIMITS: HealthLimits = {
   mostFailureShare: 0.3,
@@ -19,28 +16,22 @@
 };
 /**
  * Connections refused in a row after which an endpoint is unreachable, and how
- * often one request may find out whether it is back. Load: all engines that
- * decode crash at once. Harm prevented: every request asks each of them in
- * turn, 644 connections in four seconds, and is then refused although an
- * engine was back before its caller would have left. Limit: a start takes
- * seconds; five questions a second find it within a tenth of callers' patience.
+ * often one request may probe whether it is back. Without the pause every
+ * request tries each endpoint of a pool that has crashed.
  */
 const REFUSALS_UNTIL_UNREACHABLE = 2;
 const REACH_MILLISECONDS = 200;
 /**
- * Silence with work open after which an endpoint gets no new work. Load: a
- * machine that went dark and swallows what it is sent. Limit: well above the
- * longest healthy wait for any answer at all from an endpoint with open work.
+ * Silence with work open after which an endpoint gets no new work: its machine
+ * may have gone dark.
  */
 const SILENCE_MILLISECONDS = 600;
 /** Share of a pool that may be passed over at a time. */
 const MOST_EJECTED_SHARE = 0.5;
 /**
- * Requests in a row that an endpoint turns away unrun before it is passed
- * over. Load: an engine that changes its role, or a replica that is full. Harm
- * prevented: every request asks it first, and each rejection uses up a repeat
- * of the whole fleet. The wait doubles from a quarter of a second up to two,
- * the time within which registrations tell what has changed.
+ * Rejections in a row after which an endpoint is skipped. The wait doubles with
+ * each further one; otherwise every request tries it first and uses up a retry
+ * of the whole fleet.
  */
 const REJECTIONS_UNTIL_CLOSED = 2;
 const FIRST_CLOSED_MILLISECONDS = 250;
--- a/src/core/forwarding/endpoints/endpoint_registry.ts
+++ b/src/core/forwarding/endpoints/endpoint_registry.ts
@@ -9,17 +9,13 @@
 
 /**
  * How long an endpoint stays usable whose registration vanished around an
- * outage of the store. What goes wrong without it: registrations lapse while
- * the store is away, and right after its return every healthy endpoint looks
- * gone. Limit: replicas that live are back about two seconds after the
- * store's return, and a leaving one must get nothing after two seconds.
+ * outage of the store. Registrations expire during an outage, so that every
+ * healthy endpoint looks gone right after it.
  */
 const LAPSE_GRACE_MILLISECONDS = 1_800;
 /**
- * How long after a failed read a vanished registration may be a lapse. What
- * lapsed during an outage shows in the first reads after it. Harm prevented by
- * the limit: an endpoint that leaves three seconds after an outage would be
- * kept for the grace, and get work later than two seconds after its leaving.
+ * How long after a failed read a vanished registration may have expired. Later
+ * it is a real removal, which gets no grace.
  */
 const OUTAGE_MEMORY_MILLISECONDS = 1_500;
 
@@ -42,10 +38,8 @@
 export interface EndpointRegistryOptions {
   readonly timer: TimerService;
   /**
-   * All that remembers something of an endpoint. Load: a replica that crashes
-   * and starts again under its id before anyone has seen it gone. Harm
-   * prevented: caches, open work, failures and orders of its former run are
-   * taken for those of the new one, which holds nothing.
+   * All that remembers something of an endpoint. It must not be taken for the
+   * state of the next run when a replica restarts under its id.
    */
   readonly memories?: readonly EndpointMemory[];
   readonly onChange?: (
--- a/src/core/forwarding/endpoints/endpoint_runs.ts
+++ b/src/core/forwarding/endpoints/endpoint_runs.ts
@@ -2,10 +2,8 @@
 import type { RegisteredEndpoint } from "../configuration.ts";
 
 /**
- * Ended endpoints of which the last start is remembered. Load: replicas that
- * are replaced by the hundred. Harm prevented: a page of old records that is
- * read late brings a former run back; without a limit the memory of a fleet
- * that is replaced daily would grow for ever. Limit: some ten bytes each.
+ * Ended endpoints of which the last start is remembered, so that an old record
+ * that is read late does not bring a former run back.
  */
 const MOST_ENDED = 1_000;
 
@@ -22,9 +20,9 @@
 }
 
 /**
- * The newest run of each endpoint. Load: replicas that start again under their
- * id, while pages of the store, peers and snapshots still tell of the run
- * before. The order of starts decides, not the order in which they are read.
+ * The newest run of each endpoint. Pages of the store, peers and snapshots may
+ * still report the run before: the order of starts decides, not the order in
+ * which they are read.
  */
 export class EndpointRuns {
   readonly #known = new Map<EndpointId, KnownRun>();
--- a/src/core/forwarding/endpoints/load_owners.ts
+++ b/src/core/forwarding/endpoints/load_owners.ts
@@ -10,8 +10,7 @@
 const SILENCE_MILLISECONDS = 1_600;
 /**
  * Questions in a row without an answer after which an owner is not asked for a
- * while. Harm prevented: every request waits in vain for an owner that is
- * frozen or cut off. Limit: one datagram is lost now and then.
+ * while: it may be frozen or cut off.
  */
 const UNANSWERED_UNTIL_PASSED_OVER = 3;
 const PASSED_OVER_MILLISECONDS = 500;
@@ -24,12 +23,9 @@
 
 /**
  * Which entry keeps the whole of an endpoint's open work: one for each
- * endpoint, by rendezvous hashing over the entries that are heard of. Load:
- * dozens of entries before as many engines that read a prompt in 30 ms. Harm
- * prevented: where each entry tells each other, its word is ten readings old by
- * the time that it comes round, or the links are full of such words. Entries
- * that disagree on an owner for a while each tell another one of their work;
- * both then know a part, which is what they know without owners.
+ * endpoint, by rendezvous hashing over the live entries. In a large fleet
+ * reports from every entry to every other come too late to place work by.
+ * Entries that disagree on an owner for a while each know a part of the work.
  */
 export class LoadOwners {
   readonly #self: ProcessId;
--- a/src/core/forwarding/endpoints/load_picture.ts
+++ b/src/core/forwarding/endpoints/load_picture.ts
@@ -2,10 +2,9 @@
 import type { TimerService } from "../../time/mod.ts";
 
 /**
- * How long a peer's report counts. Load: entries that tell of their work some
- * tens of times a second. Harm prevented: the work of an entry that died would
- * keep its endpoints looking busy. Limit: longer than several lost datagrams
- * in a row, shorter than the streams of a dead entry last at their engines.
+ * How long a peer's report counts: longer than several lost datagrams in a row,
+ * and short enough that a dead entry's work does not keep its endpoints looking
+ * busy.
  */
 const REPORT_MILLISECONDS = 1_000;
 
@@ -84,10 +83,9 @@
 export const NO_PROMPT: PromptWork = { milliseconds: 0, tokens: 0 };
 
 /**
- * What every entry has under way at each endpoint. Load: several entries that
- * place work on the same engines at the same moment. Harm prevented: an
- * endpoint's own report is as old as its last answer, so that all entries
- * follow it to the same engine; here each entry's sends count at once.
+ * What every entry has under way at each endpoint. An endpoint's own report is
+ * as old as its last answer, and all entries would follow it to the same
+ * engine.
  */
 export class LoadPicture {
   readonly #timer: TimerService;
@@ -164,9 +162,8 @@
   }
 
   /**
-   * Own open work, for the peers: all of it, or what has changed since the
-   * last report. Load: dozens of entries before as many engines, some of them
-   * on links of a few megabits; whole reports took half of such a link.
+   * Own open work, for the peers: all of it, or what has changed since the last
+   * report.
    */
   report(options: { readonly whole: boolean }): WorkReport {
     const endpoints = options.whole ? this.#own.keys() : this.#changed;
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -11,8 +11,8 @@
 import type { ForwardingParts } from "./parts.ts";
 
 /**
- * Sends of one request in all, whatever the allowance. Harm prevented: a
- * request that every endpoint turns away goes round until its deadline.
+ * Sends of one request in all, whatever the retry budget, so that one that
+ * every endpoint rejects ends before its deadline.
  */
 const MOST_SENDS = 4;
 /**
@@ -99,12 +99,7 @@
     return this.arrived + this.allowedMilliseconds - this.parts.timer.now();
   }
 
-  /**
-   * Time until the caller leaves if nothing has come by then, milliseconds.
-   * Load: prompts that wait at full engines. Harm prevented: they are read for
-   * callers that have gone (156 of 3,900 requests of a day, each held for two
-   * of the five seconds of its deadline).
-   */
+  /** Time until the caller leaves if nothing has come by then, milliseconds. */
   get leftToFirstByte(): number {
     const { patienceMilliseconds = Infinity } = this.route;
     return Math.min(this.left, patienceMilliseconds - this.elapsed);
--- a/src/entry/forwarding/forward_run.ts
+++ b/src/entry/forwarding/forward_run.ts
@@ -23,9 +23,8 @@
 /** When a caller that found no room should come back, milliseconds. */
 export const RETRY_AFTER_MILLISECONDS = 250;
 /**
- * The same where only this entry is full: the caller comes back to another
- * one, which can still answer on time. Limit: shorter than the tightest target
- * by what an answer takes.
+ * The same where only this entry is full: the caller comes back to another one,
+ * which can still answer on time.
  */
 const ELSEWHERE_AFTER_MILLISECONDS = 20;
 const ELSEWHERE_SPREAD_MILLISECONDS = 30;
@@ -219,11 +218,9 @@
   }
 
   /**
-   * The engines that may be asked to decode. One that has turned the request
-   * away is asked again only once it has room and takes what others send it.
-   * Load: one engine that decodes is left, and it is full. Harm prevented: each
-   * request is sent there four times within a tenth of a second, is refused all
-   * the same, and uses up the repeats of requests whose engine has crashed.
+   * The engines that may be asked to decode. One that has rejected the request
+   * is asked again only once it has room; otherwise the request uses up its
+   * retries at one full engine within milliseconds.
    */
   #decoders(
     makers: readonly RegisteredEndpoint[],
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -102,10 +102,9 @@
 }
 
 /**
- * Entries that are taken to share the retry limit while this one is young.
- * Load: all entries are started again at once while callers go on asking. Harm
- * prevented: each finds itself alone on the list, takes the whole minimum for
- * itself, and together they send several times what the fleet may.
+ * Entries that are assumed to share the retry budget while this one is young.
+ * After a restart of the whole fleet each finds itself alone on the list and
+ * would take the whole minimum.
  */
 const ASSUMED_ENTRIES = 8;
 /** By then entries that started together know each other. */
--- a/src/entry/forwarding/handover.ts
+++ b/src/entry/forwarding/handover.ts
@@ -16,11 +16,8 @@
 /** Engines that are asked to read a request's prompt in one round. */
 const MOST_PREFILLS = 2;
 /**
- * Engines that may refuse the connection beside them. Load: a zone dies with a
- * fifth of the engines, and every entry has to find that out by itself. Harm
- * prevented: counted like readings that were turned away, refused connections
- * use up the fleet's repeats within a second, and one prompt in five is refused
- * beside engines that have room. Limit: each costs a way there and back.
+ * Engines that may refuse the connection besides. They are not counted like
+ * rejections: when a zone dies, every entry finds that out by itself.
  */
 const MOST_UNREACHED = 3;
 /**
@@ -86,10 +83,9 @@
   }
 
   /**
-   * Has a prefill engine read the prompt, a second one where the first fails.
-   * Load: prefill engines that are full or failing. Harm prevented: engines
-   * that decode would read the prompt between the tokens of their streams,
-   * each of which then pauses for longer than callers bear.
+   * Has a prefill engine read the prompt, a second one where the first fails. A
+   * decode engine would read it between the tokens of its streams, which then
+   * pause.
    */
   async keep(prompt: Prompt): Promise<HandoverOutcome> {
     if (this.#kept !== undefined && !this.#isLost(this.#kept)) {
--- a/src/entry/forwarding/kept_parts_survey.ts
+++ b/src/entry/forwarding/kept_parts_survey.ts
@@ -18,9 +18,7 @@
 const SPREAD_MILLISECONDS = 50;
 /**
  * Entries of a fleet that ask the same engine. Each question delays the
- * engine's work and costs a call; in larger fleets those that did not ask learn
- * from what the others read. Limit: a fleet of up to eight learns everything
- * at once, one of four hundred asks an engine eight times and not four hundred.
+ * engine's work; in larger fleets the others learn from what these read.
  */
 const ASKING_ENTRIES = 8;
 
@@ -39,10 +37,8 @@
 
 /**
  * Asks engines which parts of prompts they keep, once, while this entry is
- * young. Load: all entries are killed at once and start again while callers go
- * on asking. Harm prevented: nobody knows which engine keeps what, prompts go
- * to engines that have to read the shared parts again, and the seconds after a
- * restart are lost to it.
+ * young. After a restart of all entries nobody else knows, and shared parts
+ * would be read again.
  */
 export class KeptPartsSurvey {
   readonly #options: KeptPartsSurveyOptions;
--- a/src/entry/forwarding/load_questions.ts
+++ b/src/entry/forwarding/load_questions.ts
@@ -24,10 +24,8 @@
 export const LOAD_ANSWER_METHOD = "entry.loadAnswer";
 
 /**
- * How long an owner's answer is waited for. Load: a datagram there and back
- * within a region, and the loop of a thin machine. Harm prevented: an owner
- * that is frozen or cut off would hold every request up. Limit: a twentieth of
- * the tightest targets.
+ * How long to wait for an owner's answer; one that is frozen or cut off must
+ * not hold requests up.
  */
 const ANSWER_MILLISECONDS = 6;
 
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -25,13 +25,8 @@
 } from "./work_notification.ts";
 
 /**
- * How often an entry tells its peers of its open work, for each peer that it
- * tells. Load: five entries that each place a prompt every ten milliseconds,
- * on engines that read one in thirty. Harm prevented: entries that don't know
- * of each other's last sends pick the same engine. Limit: 15 ms among five
- * entries; in larger fleets the interval grows so that a thin machine sends
- * some 170 datagrams a second at most. Twice as many took a fifth of a link of
- * 7 Mbit/s, and a tenth of the processor time of an entry under load.
+ * Interval between reports of open work, for each peer. It grows with the
+ * fleet, so that the datagrams of a thin machine stay bounded.
  */
 const TELL_MILLISECONDS_PER_PEER = 6;
 const SHORTEST_TELL_MILLISECONDS = 15;
@@ -41,9 +36,8 @@
 const WHOLE_TELL_MILLISECONDS = 700;
 /**
  * Interval of the reports beyond which the owners of endpoints are told of work
- * at once, and asked for it. Load: an engine that reads a prompt in some 10 ms.
- * Limit: with reports each 30 ms few entries stand before an engine, and what
- * they don't know of each other is less than one prompt.
+ * at once, and asked for it. With shorter ones entries miss less than one
+ * prompt of each other's work.
  */
 const FRESH_MILLISECONDS = 30;
 /** How long changes of work are gathered before owners are told. */
--- a/src/entry/forwarding/prefill_step.ts
+++ b/src/entry/forwarding/prefill_step.ts
@@ -19,9 +19,8 @@
 const PATIENCE_TO_PREDICTION = 4;
 const LEAST_PATIENCE_MILLISECONDS = 400;
 /**
- * Time of the deadline that is left to the answer itself. Harm prevented: an
- * engine reads a prompt whose answer can't be whole by the deadline. Limit:
- * hand-over and a short answer's tokens took 60 to 150 ms.
+ * Time of the deadline that is left to the answer itself: a prompt whose answer
+ * can't be whole by then is not read.
  */
 const ANSWER_MILLISECONDS = 120;
 /** Longest answer to a call that only reads a prompt. */
--- a/src/entry/forwarding/registration_intake.ts
+++ b/src/entry/forwarding/registration_intake.ts
@@ -37,10 +37,8 @@
 
   /**
    * Takes the registrations of a span that the store has shown to this entry,
-   * the older first, and tells peers what has changed in it. Load: dozens of
-   * entries that each read about once a second; one reads for all, and the
-   * others go on behind it. A fleet of 24 made 18 reads a second, one of 5
-   * eight; both make about two.
+   * the older first, and tells peers what has changed in it: one entry reads
+   * for all.
    */
   read(changes: readonly RegistrationChange[], span?: TopicSpan): void {
     const news = new Map<EndpointId, RegistrationChange>();
--- a/src/entry/forwarding/role_keeper.ts
+++ b/src/entry/forwarding/role_keeper.ts
@@ -18,8 +18,8 @@
 /** How often the roles are looked at. */
 const LOOK_MILLISECONDS = 500;
 /**
- * Spread of the entries' looks. Load: all entries see the same need in the
- * same second. Harm prevented: claims of which all but one are void.
+ * Jitter of the checks: entries that see the same need in the same second would
+ * all claim, and all claims but one are void.
  */
 const LOOK_JITTER_SHARE = 1;
 /**
@@ -27,10 +27,7 @@
  * at a start they register one after another within about a heartbeat.
  */
 const FIRST_SETTLED_MILLISECONDS = 2_000;
-/**
- * The same later on. Load: engines that crash and come back, each with the
- * role that it had, within five seconds and a heartbeat.
- */
+/** The same later on: an engine that crashes is back with its role by then. */
 const SETTLED_MILLISECONDS = 7_000;
 /** A change that has not shown by then has failed and is planned anew. */
 const CHANGE_MILLISECONDS = 12_000;
--- a/src/entry/forwarding/state_relay.ts
+++ b/src/entry/forwarding/state_relay.ts
@@ -17,17 +17,14 @@
 /** Name under which peers ask for what an entry knows. */
 export const FORWARDING_STATE = "forwarding";
 /**
- * How long nothing may be heard of the store before peers are asked. Limit:
- * the longest pause between two looks and an answer that is given up; a fleet
- * whose store answers asked each other once a second with 0.6 s.
+ * How long the store may be silent before peers are asked: a pause between two
+ * reads and an answer that times out.
  */
 const PATIENCE_MILLISECONDS = 1_500;
 /**
- * How long after a peer's word of a newer configuration this entry waits for
- * its own reading. Load: all entries read a new one within some milliseconds
- * of each other, and their reports cross it. Harm prevented: a question for
- * each change. Limit: with the next look at it well below the two seconds
- * after which a configuration has to be in force.
+ * How long after a peer's report of a newer configuration this entry waits for
+ * its own read. All entries read a new one within milliseconds of each other,
+ * and their reports cross.
  */
 const OWN_READING_MILLISECONDS = 250;
 /** How often peers are asked while the store fails. */
@@ -65,11 +62,9 @@
 }
 
 /**
- * Takes configuration and endpoints from a peer while this entry can't read
- * the store. Load: the store turns some machines away and serves the others,
- * or an entry starts while the store is down. Harm prevented: an entry goes on
- * sending to endpoints that have left, or refuses all callers for want of a
- * configuration that its peers know.
+ * Takes configuration and endpoints from a peer while this entry can't read the
+ * store: the store may reject some machines and serve the others, or be down
+ * when an entry starts.
  */
 export class StateRelay {
   readonly #options: StateRelayOptions;
@@ -104,9 +99,8 @@
   }
 
   /**
-   * A peer has a configuration of this version. Load: the connection on which
-   * this entry waits for the next one has gone silent, or the store turns just
-   * this machine away. Harm prevented: callers get 404 for a new route.
+   * A peer has a configuration of this version. The connection on which this
+   * entry waits for the next one may have gone silent.
    */
   heardOf(version: number): void {
     if (version <= this.#heardVersion) return;
--- a/src/entry/forwarding/told_prompt.ts
+++ b/src/entry/forwarding/told_prompt.ts
@@ -9,9 +9,8 @@
 /**
  * A prompt that was read, as it goes to peers: the engine, its memory in
  * tokens, the start of its run (0 where it tells none), then id and tokens of
- * each part in turn. Load: some dozens a second
- * to two dozen peers over links of a few megabits; with names for each value
- * they took 2.7 times as many bytes.
+ * each part in turn. Without names for the values, as some dozens go out each
+ * second.
  */
 export type ToldPrompt = readonly (string | number)[];
 
--- a/src/entry/forwarding/wait_for_choice.ts
+++ b/src/entry/forwarding/wait_for_choice.ts
@@ -3,18 +3,14 @@
 /** How often a request that waits for an engine looks for one. */
 const LOOK_AGAIN_MILLISECONDS = 25;
 /**
- * Share of its time that a request has left when it is told that no engine is
- * back. Harm prevented: the caller leaves unanswered, and comes back later than
- * it was told to. Limit: what an answer needs that still goes through.
+ * Share of its time that a request has left when it is refused because no
+ * engine is back. Later, the caller would leave unanswered.
  */
 const REFUSED_WITH_SHARE_LEFT = 0.15;
 
 /**
- * Looks in a row at engines that can be reached and have no room, after which
- * one is taken as it is. Harm prevented: what has waited goes on waiting while
- * newer requests, which ask for no room, take it all (159 more of a day's 9,300
- * refused, 491 of its worth held to the end). Limit: a fifth of a second lets a
- * hundred that waited for a crashed engine follow each other.
+ * Checks for an engine with room after which one is taken as it is. Otherwise
+ * newer requests, which ask for no room, overtake what has waited.
  */
 const MOST_LOOKS_FOR_ROOM = 8;
 
@@ -34,9 +30,7 @@
 
 /**
  * Asks again until there is a choice, as long as the caller can still get a
- * first byte. Load: every engine that decodes is down for some seconds. Harm
- * prevented: callers are refused whose prompts are read and who would have been
- * answered in time; nothing is sent in vain meanwhile.
+ * first byte. Nothing is sent meanwhile.
  */
 export async function waitForChoice<Choice>(
   context: ForwardContext,
