Refuse at once where no replica of a service takes connections

Cause: the wait for overloaded replicas asked only whether the caller has time, not whether overload is the reason that there is none.

--- a/src/entry/forwarding/endpoint_signs_test.ts
+++ b/src/entry/forwarding/endpoint_signs_test.ts
@@ -220,6 +220,14 @@
       expect(play.bench.sent).to.have.length(sentBefore);
     });
 
+    it("is not taken for replicas that refuse connections", async () => {
+      const play = new SignsPlay();
+      play.bench.onSend = (attempt) => void attempt.fail("exchange_not_sent");
+      await play.run(200);
+      const { refusal } = await play.ask();
+      expect(refusal?.reason).to.equal("no_endpoint_reachable");
+    });
+
     it("lets a caller wait for its end who can still be answered", async () => {
       const play = new SignsPlay();
       for (const id of REPLICAS) play.signs.set(id, overloadedFor(400));
--- a/src/entry/forwarding/forward_run.ts
+++ b/src/entry/forwarding/forward_run.ts
@@ -119,12 +119,14 @@
 
   /** Waits where every replica is overloaded, and one is not for much longer. */
   async #waitForService(): Promise<RegisteredEndpoint | undefined> {
-    if (!this.#isWorthWaiting()) return undefined;
+    if (!this.#isOverloaded() || !this.#isWorthWaiting()) return undefined;
     return await waitForChoice(this.#context, () => this.#chooseService());
   }
 
   /** True where these have all said that they are overloaded. */
-  #isOverloaded(isWanted: (endpoint: RegisteredEndpoint) => boolean): boolean {
+  #isOverloaded(
+    isWanted?: (endpoint: RegisteredEndpoint) => boolean,
+  ): boolean {
     const wait = this.#context.overloadMilliseconds(isWanted);
     return wait > 0 && Number.isFinite(wait);
   }
