Register the gauge of blocked requests where the operators' page is checked

The page names filbertshore_blocked_requests; the test that compares it with what is exported registers each gauge by itself and lacked this one.

--- a/src/adapters/telemetry/mod.ts
+++ b/src/adapters/telemetry/mod.ts
@@ -9,6 +9,7 @@
   countLoadQuestions,
   countUnreadable,
   recordForwarding,
+  showBlockedRequests,
   showRepeats,
 } from "./forwarding_record.ts";
 export { createTracing, type Tracing, type TracingOptions } from "./tracing.ts";
--- a/test/operations/operations_test.ts
+++ b/test/operations/operations_test.ts
@@ -5,6 +5,7 @@
   countUnreadable,
   Metrics,
   recordForwarding,
+  showBlockedRequests,
   showRepeats,
 } from "../../src/adapters/telemetry/mod.ts";
 import { SystemTimerService } from "../../src/adapters/time/mod.ts";
@@ -42,6 +43,7 @@
   });
   countUnreadable(metrics.registry);
   countLoadQuestions(metrics.registry);
+  showBlockedRequests(metrics.registry, () => 0);
   showRepeats(metrics.registry, () => []);
   return (await metrics.render()).body;
 }
