Drop a lapsed endpoint that says that it leaves once its grace is over

What would be seen: an endpoint whose registration expired around an outage of the store, and which says in an answer that it leaves, stays in the registry for ever.

Cause: the answer ended its grace, and no registration is left whose removal would take the endpoint away.

Change: the grace runs on. The new test failed before.

--- a/src/core/forwarding/endpoints/endpoint_registry.ts
+++ b/src/core/forwarding/endpoints/endpoint_registry.ts
@@ -130,7 +130,6 @@
     if (endpoint === undefined || endpoint.leaving) return undefined;
     const leaving = { ...endpoint, leaving: true };
     this.#endpoints.set(run.id, leaving);
-    this.#lapsed.delete(run.id);
     this.#tell("leaving", leaving);
     return leaving;
   }
--- a/src/core/forwarding/endpoints/endpoint_registry_test.ts
+++ b/src/core/forwarding/endpoints/endpoint_registry_test.ts
@@ -177,4 +177,17 @@
     registry.withdraw(endpoint.id);
     expect(registry.size).to.equal(0);
   });
+
+  it("drops a lapsed endpoint that says that it leaves once its grace is over", async () => {
+    const timer = new ManualTimerService();
+    const registry = new EndpointRegistry({ timer });
+    const endpoint = makeEndpoint("lapsed");
+    registry.put(endpoint);
+    registry.storeFailed();
+    registry.remove(endpoint.id);
+    registry.saidLeaving(endpoint);
+    expect(registry.usable(endpoint.id)).to.equal(undefined);
+    await timer.advance(2_000);
+    expect([...registry.all]).to.deep.equal([]);
+  });
 });
