Refuse a blocked request on the one way of all refusals

The refusal of a request that crashes endpoints repeated the steps of every other one, and its hand-over had a kind of its own. It is a reason now, with its time to come back where the others have theirs.

--- a/src/entry/forwarding/forward_run.ts
+++ b/src/entry/forwarding/forward_run.ts
@@ -33,6 +33,9 @@
 /** Priorities that engines know, the last one for what may wait longest. */
 const LOWEST_PRIORITY = 9;
 
+/** Endpoints have crashed under requests of these bytes. */
+const BLOCKED = "crashes_endpoints";
+
 /** What comes next after an attempt. */
 type NextStep = "delivered" | "again" | "refuse" | "blocked" | "unknown";
 
@@ -78,14 +81,14 @@
     const { parts, pool } = this.#context;
     parts.allowance.requestArrived(pool.name);
     for (;;) {
-      if (this.#context.blockedMilliseconds > 0) return this.#refuseBlocked();
+      if (this.#context.blockedMilliseconds > 0) return this.#refuse(BLOCKED);
       const plan = await this.#plan();
       if (this.#context.settled) return;
       if (plan === undefined) return this.#refuse("no_endpoint_reachable");
       const next = await this.#send(plan);
       if (this.#context.settled || next === "delivered") return;
       if (next === "refuse") return this.#refuse("endpoints_full");
-      if (next === "blocked") return this.#refuseBlocked();
+      if (next === "blocked") return this.#refuse(BLOCKED);
       if (next === "unknown") return this.#answerUnknown();
     }
   }
@@ -157,10 +160,6 @@
       ? await this.#handover.keep(prompt)
       : undefined;
     if (this.#context.settled) return undefined;
-    if (handover?.kind === "blocked") {
-      this.#refuseBlocked();
-      return undefined;
-    }
     if (handover?.kind === "refused") {
       this.#refuse(handover.reason, handover.facts);
       return undefined;
@@ -378,7 +377,8 @@
     if (this.#runs > 0) return this.#answerUnknown();
     this.#settle();
     if (this.#relay.headSent) return this.#sink.cut();
-    this.#context.noteRefusal();
+    // A caller that comes back finds it blocked at any entry.
+    if (reason !== BLOCKED) this.#context.noteRefusal();
     const retryAfterMilliseconds = this.#retryAfter(reason);
     this.#answerOwn({ status: 503, reason, retryAfterMilliseconds }, facts);
   }
@@ -390,24 +390,13 @@
       return ELSEWHERE_AFTER_MILLISECONDS +
         ELSEWHERE_SPREAD_MILLISECONDS * random();
     }
+    if (reason === BLOCKED) return this.#context.blockedMilliseconds;
     const overload = this.#context.overloadMilliseconds();
     const wait = Number.isFinite(overload) ? overload : 0;
     return Math.max(RETRY_AFTER_MILLISECONDS, wait) +
       RETRY_AFTER_SPREAD_MILLISECONDS * random();
   }
 
-  /** Endpoints have crashed under requests of these bytes. */
-  #refuseBlocked(): void {
-    if (this.#runs > 0) return this.#answerUnknown();
-    this.#settle();
-    if (this.#relay.headSent) return this.#sink.cut();
-    this.#answerOwn({
-      status: 503,
-      reason: "crashes_endpoints",
-      retryAfterMilliseconds: this.#context.blockedMilliseconds,
-    });
-  }
-
   #answerUnknown(): void {
     this.#settle();
     if (this.#relay.headSent) {
--- a/src/entry/forwarding/handover.ts
+++ b/src/entry/forwarding/handover.ts
@@ -36,11 +36,13 @@
 /** What became of a hand-over. */
 export type HandoverOutcome =
   | { readonly kind: "kept"; readonly kept: KeptPrompt }
-  /** Endpoints have crashed under the request. */
-  | { readonly kind: "blocked" }
   | {
     readonly kind: "refused";
-    readonly reason: AdmissionRefusal | "prompt_not_read" | "no_repeats_left";
+    readonly reason:
+      | AdmissionRefusal
+      | "prompt_not_read"
+      | "no_repeats_left"
+      | "crashes_endpoints";
     /** What decided, for the log. */
     readonly facts: AdmissionFacts;
   };
@@ -52,6 +54,13 @@
   facts: {},
 };
 
+/** Endpoints have crashed under the request while it waited. */
+const CRASHES_ENDPOINTS: HandoverOutcome = {
+  kind: "refused",
+  reason: "crashes_endpoints",
+  facts: {},
+};
+
 /** The prompt would be read anew, and the fleet's limit allows no more. */
 const NO_REPEATS: HandoverOutcome = {
   kind: "refused",
@@ -102,7 +111,7 @@
         ? await this.#context.parts.held.hold(admitted.prompt)
         : admitted.choice;
       if (choice === undefined || this.#context.settled) return ENGINES_FULL;
-      if (this.#context.blockedMilliseconds > 0) return { kind: "blocked" };
+      if (this.#context.blockedMilliseconds > 0) return CRASHES_ENDPOINTS;
       const outcome = await this.#read(prompt, { choice, late });
       if (outcome.kind === "kept") return outcome;
       if (outcome.arrived) this.#prefills += 1;
