--- a/src/core/forwarding/crashes/crash_suspects.ts
+++ b/src/core/forwarding/crashes/crash_suspects.ts
@@ -7,9 +7,9 @@
 import {
   digestOfLoss,
   keyOfRun,
+  type ReportedLoss,
   runOfLoss,
-  type ToldLoss,
-} from "./told_loss.ts";
+} from "./reported_loss.ts";
 
 /** Crashes under a request, one after another, before it is blocked. */
 const CRASHES_UNTIL_BLOCKED = 3;
@@ -21,13 +21,13 @@
 const ALIVE_MILLISECONDS = 1_000;
 /** Suspects that are remembered. */
 const MOST_SUSPECTS = 4_096;
-/** Suspects that an entry that has just started is told of. */
-const MOST_BLOCKED_TOLD = 16;
+/** Suspects reported to an entry that has just started. */
+const MOST_BLOCKED_REPORTED = 16;
 
 /** A request that is refused because endpoints crash under it. */
 export interface BlockedRequest {
   readonly digest: RequestDigest;
-  readonly losses: readonly ToldLoss[];
+  readonly losses: readonly ReportedLoss[];
 }
 
 export interface CrashSuspectsOptions {
@@ -43,7 +43,7 @@
 
 interface Suspect {
   /** Losses by the run of the endpoint that they came with. */
-  readonly losses: Map<string, ToldLoss>;
+  readonly losses: Map<string, ReportedLoss>;
   lastLossAt: number;
   /** True where this entry has seen one of the losses. */
   isOwn: boolean;
@@ -58,7 +58,7 @@
 
 /**
  * Requests under which endpoints have crashed, of all entries. A request is
- * known by its digest, as each retry has a new id. One that was beside it when
+ * known by its digest, as each retry has a new id. One in flight with it when
  * an endpoint crashed is a suspect too, until it is answered elsewhere.
  */
 export class CrashSuspects implements EndpointMemory {
@@ -67,7 +67,7 @@
   readonly #suspects = new Map<RequestDigest, Suspect>();
   /** Runs lost so lately that they may turn out to be alive. */
   readonly #lostRuns = new Map<string, LostRun>();
-  /** What peers are to be told. */
+  /** Pending reports to peers. */
   readonly reports: CrashReports;
 
   constructor(options: CrashSuspectsOptions) {
@@ -100,7 +100,7 @@
       readonly knownBefore: number;
     },
   ): void {
-    const loss: ToldLoss = [
+    const loss: ReportedLoss = [
       digest,
       run.id,
       run.startedAt ?? null,
@@ -116,7 +116,7 @@
   }
 
   /** A peer has lost a request with a run of an endpoint. */
-  peerLost(loss: ToldLoss): void {
+  peerLost(loss: ReportedLoss): void {
     const suspect = this.#suspects.get(digestOfLoss(loss));
     const wasBlocked = suspect !== undefined &&
       this.#blockedMilliseconds(suspect) > 0;
@@ -130,7 +130,7 @@
    * ago. False where its block is over.
    */
   restore(
-    losses: readonly ToldLoss[],
+    losses: readonly ReportedLoss[],
     { ageMilliseconds }: { readonly ageMilliseconds: number },
   ): boolean {
     if (ageMilliseconds >= BLOCK_MILLISECONDS) return false;
@@ -182,15 +182,15 @@
   }
 
   /** What a peer has to know that has just started. */
-  lossesOfBlocked(): readonly ToldLoss[] {
+  lossesOfBlocked(): readonly ReportedLoss[] {
     return [...this.#suspects.values()]
       .filter((suspect) => this.#blockedMilliseconds(suspect) > 0)
-      .slice(-MOST_BLOCKED_TOLD)
+      .slice(-MOST_BLOCKED_REPORTED)
       .flatMap(({ losses }) => [...losses.values()]);
   }
 
   /** False where the loss was known. */
-  #take(loss: ToldLoss, { isOwn }: { readonly isOwn: boolean }): boolean {
+  #take(loss: ReportedLoss, { isOwn }: { readonly isOwn: boolean }): boolean {
     const digest = digestOfLoss(loss);
     const key = keyOfRun(runOfLoss(loss));
     const at = this.#options.timer.now();
--- a/src/core/forwarding/crashes/crash_suspects_test.ts
+++ b/src/core/forwarding/crashes/crash_suspects_test.ts
@@ -12,7 +12,7 @@
 
 const MINUTE_MILLISECONDS = 60_000;
 const CRASHING = identifier<RequestDigest>("crashing");
-const BESIDE = identifier<RequestDigest>("beside");
+const BYSTANDER = identifier<RequestDigest>("bystander");
 
 describe("CrashSuspects", () => {
   let timer: ManualTimerService;
@@ -73,12 +73,12 @@
     it("counts endpoints that die together once", () => {
       for (const endpoint of ["a", "b", "c", "d"]) {
         suspects.lost(makeEndpoint(endpoint), {
-          digest: BESIDE,
+          digest: BYSTANDER,
           knownBefore: 0,
         });
       }
-      expect(suspects.crashesUnder(BESIDE)).to.equal(1);
-      expect(isBlocked(BESIDE)).to.equal(false);
+      expect(suspects.crashesUnder(BYSTANDER)).to.equal(1);
+      expect(isBlocked(BYSTANDER)).to.equal(false);
     });
 
     it("counts each run of an endpoint that keeps its id", () => {
@@ -109,9 +109,11 @@
   describe("a request that was beside the crashing one", () => {
     it("is not blocked for crashes that the other explains", () => {
       crash("a", CRASHING);
-      for (const endpoint of ["b", "c", "d"]) crash(endpoint, CRASHING, BESIDE);
+      for (const endpoint of ["b", "c", "d"]) {
+        crash(endpoint, CRASHING, BYSTANDER);
+      }
       expect(isBlocked(CRASHING)).to.equal(true);
-      expect(isBlocked(BESIDE)).to.equal(false);
+      expect(isBlocked(BYSTANDER)).to.equal(false);
       expect(blocked).to.deep.equal([CRASHING]);
     });
 
@@ -119,22 +121,22 @@
       // Long answers that began before the first crash and end with the last.
       for (const endpoint of ["a", "b", "c", "d"]) {
         suspects.lost(makeEndpoint(endpoint), {
-          digest: BESIDE,
+          digest: BYSTANDER,
           knownBefore: 0,
         });
       }
       for (const endpoint of ["a", "b", "c"]) crash(endpoint, CRASHING);
       expect(isBlocked(CRASHING)).to.equal(true);
-      expect(isBlocked(BESIDE)).to.equal(false);
+      expect(isBlocked(BYSTANDER)).to.equal(false);
     });
 
     it("is cleared when an endpoint has run it to its end", () => {
-      crash("a", CRASHING, BESIDE);
-      crash("b", CRASHING, BESIDE);
-      suspects.completed(BESIDE);
-      crash("c", CRASHING, BESIDE);
+      crash("a", CRASHING, BYSTANDER);
+      crash("b", CRASHING, BYSTANDER);
+      suspects.completed(BYSTANDER);
+      crash("c", CRASHING, BYSTANDER);
       expect(isBlocked(CRASHING)).to.equal(true);
-      expect(isBlocked(BESIDE)).to.equal(false);
+      expect(isBlocked(BYSTANDER)).to.equal(false);
     });
   });
 
@@ -239,22 +241,22 @@
     });
 
     it("is that a request was answered, and nothing more of its losses", () => {
-      crash("a", BESIDE);
+      crash("a", BYSTANDER);
       suspects.reports.take();
-      suspects.completed(BESIDE);
+      suspects.completed(BYSTANDER);
       expect(suspects.reports.take()).to.deep.equal({
         losses: [],
-        cleared: [BESIDE],
+        cleared: [BYSTANDER],
       });
       expect(suspects.reports.recentLosses()).to.deep.equal([]);
-      suspects.completed(BESIDE);
+      suspects.completed(BYSTANDER);
       expect(suspects.reports.take()).to.equal(undefined);
     });
 
     it("ends a block with a peer's answer", () => {
-      for (const endpoint of ["a", "b", "c"]) crash(endpoint, BESIDE);
-      suspects.peerCompleted(BESIDE);
-      expect(isBlocked(BESIDE)).to.equal(false);
+      for (const endpoint of ["a", "b", "c"]) crash(endpoint, BYSTANDER);
+      suspects.peerCompleted(BYSTANDER);
+      expect(isBlocked(BYSTANDER)).to.equal(false);
       expect(suspects.reports.recentLosses()).to.deep.equal([]);
     });
 
@@ -274,9 +276,9 @@
       };
       lose("a", CRASHING);
       peerLost(CRASHING);
-      suspects.peerLost([BESIDE, "d", null, 1]);
-      peerLost(BESIDE);
-      expect(blocked).to.deep.equal([CRASHING, BESIDE]);
+      suspects.peerLost([BYSTANDER, "d", null, 1]);
+      peerLost(BYSTANDER);
+      expect(blocked).to.deep.equal([CRASHING, BYSTANDER]);
       expect(kept).to.deep.equal([CRASHING]);
     });
 
@@ -288,7 +290,7 @@
     });
 
     it("names what is blocked to one that has just started", () => {
-      crash("a", BESIDE);
+      crash("a", BYSTANDER);
       expect(suspects.lossesOfBlocked()).to.deep.equal([]);
       for (const endpoint of ["a", "b", "c"]) crash(endpoint, CRASHING);
       expect(suspects.lossesOfBlocked()).to.have.length(3);
--- a/src/core/forwarding/crashes/told_loss.ts
+++ b/src/core/forwarding/crashes/reported_loss.ts
@@ -8,11 +8,11 @@
 import type { EndpointRun } from "../endpoints/endpoint_runs.ts";
 
 /**
- * A request that was lost with a run of an endpoint, as peers tell of it. What
+ * A request that was lost with a run of an endpoint, as peers report it. What
  * has the same `crash` number was lost at once: nobody who sent it knew of the
  * others. Endpoints that die together do not count as often as they are many.
  */
-export type ToldLoss = readonly [
+export type ReportedLoss = readonly [
   digest: string,
   endpoint: string,
   startedAt: number | null,
@@ -20,7 +20,7 @@
 ];
 
 /** True where a peer's value is a loss. */
-export function isToldLoss(value: unknown): value is ToldLoss {
+export function isReportedLoss(value: unknown): value is ReportedLoss {
   if (!Array.isArray(value)) return false;
   const [digest, endpoint, startedAt, crash] = value;
   return typeof digest === "string" && typeof endpoint === "string" &&
@@ -28,11 +28,11 @@
     Number.isInteger(crash);
 }
 
-export function digestOfLoss([digest]: ToldLoss): RequestDigest {
+export function digestOfLoss([digest]: ReportedLoss): RequestDigest {
   return identifier<RequestDigest>(digest);
 }
 
-export function runOfLoss([, endpoint, startedAt]: ToldLoss): EndpointRun {
+export function runOfLoss([, endpoint, startedAt]: ReportedLoss): EndpointRun {
   return {
     id: identifier<EndpointId>(endpoint),
     startedAt: startedAt === null
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -22,7 +22,7 @@
   CrashSuspects,
 } from "./crashes/crash_suspects.ts";
 export type { CrashReport } from "./crashes/crash_reports.ts";
-export { isToldLoss, type ToldLoss } from "./crashes/told_loss.ts";
+export { isReportedLoss, type ReportedLoss } from "./crashes/reported_loss.ts";
 export {
   EngineEstimates,
   EngineSlowness,
--- a/src/entry/forwarding/forward_run.ts
+++ b/src/entry/forwarding/forward_run.ts
@@ -147,7 +147,7 @@
     const { parts, pool, route } = this.#context;
     const endpoints = this.#context.endpoints();
     if (endpoints.length === 0) return undefined;
-    // A prompt that is read for an answer nobody can make is read in vain.
+    // Reading a prompt is wasted where no engine can decode in time.
     if (this.#isOverloaded(canDecode) && !this.#isWorthWaiting(canDecode)) {
       return undefined;
     }
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -17,10 +17,10 @@
   type PeerReading,
   PrefixDirectory,
   type RepeatUse,
+  type ReportedLoss,
   RetryAllowance,
   ReturningCallers,
   RouteTable,
-  type ToldLoss,
   type TopicSpan,
   WorkRate,
 } from "../../core/forwarding/mod.ts";
@@ -342,7 +342,7 @@
 
   /** Takes a request that was kept as blocked; false where that is over. */
   restoreBlocked(
-    losses: readonly ToldLoss[],
+    losses: readonly ReportedLoss[],
     options: { readonly ageMilliseconds: number },
   ): boolean {
     return this.#parts.crashes.restore(losses, options);
--- a/src/entry/forwarding/work_notification.ts
+++ b/src/entry/forwarding/work_notification.ts
@@ -2,9 +2,9 @@
 import {
   type CrashReport,
   type EndpointRegistry,
-  isToldLoss,
+  isReportedLoss,
   type PeerWork,
-  type ToldLoss,
+  type ReportedLoss,
   type ToldRefusal,
   type ToldSpeed,
   type WorkReport,
@@ -32,7 +32,7 @@
   /** Prompts refused since the last report; their callers may come to others. */
   readonly refusals: readonly ToldRefusal[];
   /** Requests lost with endpoints of late; comes with whole reports. */
-  readonly losses?: readonly ToldLoss[];
+  readonly losses?: readonly ReportedLoss[];
 }
 
 /**
@@ -87,7 +87,7 @@
   const isVersion = version === undefined || typeof version === "number";
   const hasSpeeds = speeds === undefined || Array.isArray(speeds);
   const hasLosses = losses === undefined ||
-    (Array.isArray(losses) && losses.every(isToldLoss));
+    (Array.isArray(losses) && losses.every(isReportedLoss));
   return isVersion && hasSpeeds && hasLosses && typeof entry === "string" &&
     typeof incarnation === "string" &&
     typeof sequence === "number" &&
@@ -115,7 +115,7 @@
 export function isCrashReport(value: unknown): value is CrashReport {
   if (typeof value !== "object" || value === null) return false;
   const { cleared, losses } = value as Partial<CrashReport>;
-  return Array.isArray(losses) && losses.every(isToldLoss) &&
+  return Array.isArray(losses) && losses.every(isReportedLoss) &&
     Array.isArray(cleared) &&
     cleared.every((digest) => typeof digest === "string");
 }
