Let in callers by their workspace's key, and pass no key on

Change: a directory from the digest of a key to its workspace, built once a version; a caller without one of its keys gets 401 before anything is placed. The key and a workspace named by the caller are dropped on every route, public ones too, and the endpoint gets the key's workspace. A workspace's rank goes before its route's at engines and among held prompts. A key is checked once more before each run. The digest by which a crashing request is known takes the key's digest in place of the header, which the request no longer carries: its test names the key and the caller's other headers as two cases now.

Without workspaces in the configuration nothing changes.

The new tests fail on the code before (no directory, headers passed on).

--- a/src/adapters/forwarding/caller_response.ts
+++ b/src/adapters/forwarding/caller_response.ts
@@ -1,6 +1,10 @@
 import type { ServerResponse } from "node:http";
 import type { CallerSink, Refusal } from "../../entry/forwarding/links.ts";
 
+const UNAUTHORIZED = 401;
+/** The scheme by which callers name their keys. */
+const KEY_SCHEME = "Bearer";
+
 /** The answer to one caller's request. */
 export class CallerResponse implements CallerSink {
   readonly #response: ServerResponse;
@@ -65,6 +69,9 @@
       "Content-Length",
       String(Buffer.byteLength(body)),
     ];
+    if (refusal.status === UNAUTHORIZED) {
+      headers.push("WWW-Authenticate", KEY_SCHEME);
+    }
     const wait = refusal.retryAfterMilliseconds;
     if (wait !== undefined) {
       headers.push("Retry-After", (wait / 1_000).toFixed(3));
--- a/src/adapters/forwarding/caller_server_test.ts
+++ b/src/adapters/forwarding/caller_server_test.ts
@@ -39,6 +39,8 @@
         target,
         host: "h",
         headers,
+        identityHeaders: [],
+        credentials: { kind: "none" },
         body,
         deadlineMilliseconds: 1_000,
         lastEventId: undefined,
--- a/src/adapters/forwarding/request_digest.ts
+++ b/src/adapters/forwarding/request_digest.ts
@@ -4,9 +4,6 @@
 
 /** Length of a digest, bytes. */
 const DIGEST_BYTES = 12;
-/** Names the caller to an endpoint, where anything does. */
-const CREDENTIALS_HEADER = "authorization";
-
 /**
  * The digest of everything that decides what an endpoint runs: method, host,
  * target, credentials and body. Ids and deadlines differ with each retry, and
@@ -22,11 +19,10 @@
   return identifier<RequestDigest>(digest.toString("base64url"));
 }
 
-function credentialsOf({ headers }: ForwardedRequest): string {
-  for (let index = 0; index + 1 < headers.length; index += 2) {
-    if (headers[index].toLowerCase() === CREDENTIALS_HEADER) {
-      return headers[index + 1];
-    }
-  }
-  return "";
+/** By what the caller is told from others: its key, or what it says itself. */
+function credentialsOf(
+  { credentials, identityHeaders }: ForwardedRequest,
+): string {
+  if (credentials.kind === "key") return credentials.digest;
+  return identityHeaders.join("\n");
 }
--- a/src/adapters/forwarding/request_digest_test.ts
+++ b/src/adapters/forwarding/request_digest_test.ts
@@ -1,6 +1,11 @@
 import { expect } from "chai";
 import { makeRequest } from "../../../test/support/forwarding_values.ts";
-import { identifier, type RequestId } from "../../core/identity/mod.ts";
+import type { ForwardedRequest } from "../../core/forwarding/mod.ts";
+import {
+  identifier,
+  type KeyDigest,
+  type RequestId,
+} from "../../core/identity/mod.ts";
 import { digestOf } from "./request_digest.ts";
 
 describe("digestOf", () => {
@@ -16,12 +21,17 @@
     expect(digestOf(retry)).to.equal(digestOf(known));
   });
 
-  const others = {
+  const others: Readonly<Record<string, Partial<ForwardedRequest>>> = {
     method: { method: "PUT" },
     host: { host: "two.example" },
     target: { target: "/x?page=2" },
     body: { body: Buffer.from("another body") },
-    credentials: { headers: ["Authorization", "Bearer key"] },
+    key: {
+      credentials: { kind: "key", digest: identifier<KeyDigest>("digest") },
+    },
+    "caller's own headers": {
+      identityHeaders: ["Authorization", "Basic name"],
+    },
   };
   for (const [name, values] of Object.entries(others)) {
     it(`differs with the ${name}`, () => {
--- a/src/core/forwarding/configuration.ts
+++ b/src/core/forwarding/configuration.ts
@@ -5,6 +5,7 @@
   ReplicaStart,
   ServiceName,
 } from "../identity/mod.ts";
+import type { WorkspaceKeys } from "./callers/key_directory.ts";
 
 /**
  * What may be repeated. `idempotent`: any number of runs. `once`: one run at
@@ -25,6 +26,8 @@
   readonly host: string;
   /** Begins and ends with a slash. */
   readonly pathPrefix: string;
+  /** True: callers need no key. */
+  readonly isPublic?: boolean;
   readonly repeat: RepeatRule;
   readonly resumable: boolean;
   /** Longest time that a caller is kept waiting, milliseconds. */
@@ -75,6 +78,8 @@
   readonly routes: readonly Route[];
   readonly pools: ReadonlyMap<ServiceName, Pool>;
   readonly limits: CallerLimits;
+  /** Whose callers are let in; absent: everyone is, and keys mean nothing. */
+  readonly workspaces?: readonly WorkspaceKeys[];
 }
 
 /** The part of a model engine's work that it takes. */
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -2,6 +2,16 @@
 export type * from "./configuration.ts";
 export type * from "./requests.ts";
 export { drawPool, RouteTable } from "./route_table.ts";
+export {
+  authenticate,
+  type AuthenticationFailure,
+  type Credentials,
+} from "./callers/authentication.ts";
+export {
+  KeyDirectory,
+  type Workspace,
+  type WorkspaceKeys,
+} from "./callers/key_directory.ts";
 export {
   type EndpointMemory,
   EndpointRegistry,
--- a/src/core/forwarding/requests.ts
+++ b/src/core/forwarding/requests.ts
@@ -4,7 +4,9 @@
   ModelName,
   ReplicaStart,
   RequestId,
+  WorkspaceId,
 } from "../identity/mod.ts";
+import type { Credentials } from "./callers/authentication.ts";
 import type { PromptPart } from "./caches/prefix_directory.ts";
 
 /** What a request for a model says of its prompt. */
@@ -24,6 +26,12 @@
   readonly host: string;
   /** Names and values in turn, as they came; only those to pass on. */
   readonly headers: readonly string[];
+  /**
+   * The headers by which the caller names itself, as they came; passed on only
+   * where the system itself lets everyone in.
+   */
+  readonly identityHeaders: readonly string[];
+  readonly credentials: Credentials;
   readonly body: Buffer;
   /** How long the caller waits, milliseconds from its arrival. */
   readonly deadlineMilliseconds: number | undefined;
@@ -44,6 +52,8 @@
 /** What is added to a request when it is sent to an endpoint. */
 export interface AttemptOptions {
   readonly endpoint: EndpointId;
+  /** Whose key the caller has; absent where callers need none. */
+  readonly workspace?: WorkspaceId;
   readonly deadlineMilliseconds: number;
   /** 0 is admitted first, 9 last. */
   readonly priority?: number;
--- a/src/core/forwarding/route_table.ts
+++ b/src/core/forwarding/route_table.ts
@@ -1,15 +1,23 @@
 import type { ServiceName } from "../identity/mod.ts";
 import type { Random } from "../random/mod.ts";
+import { KeyDirectory } from "./callers/key_directory.ts";
 import type { ForwardingConfiguration, Route } from "./configuration.ts";
 
-/** Finds the route of a request: the longest matching prefix of its host. */
+/**
+ * What a configuration says of callers: the route of a request, by the longest
+ * matching prefix of its host, and whose key is whose.
+ */
 export class RouteTable {
   readonly configuration: ForwardingConfiguration;
+  /** Undefined where callers need no keys. */
+  readonly keys: KeyDirectory | undefined;
   /** By host, the longest prefix first. */
   readonly #byHost = new Map<string, Route[]>();
 
   constructor(configuration: ForwardingConfiguration) {
     this.configuration = configuration;
+    const { workspaces } = configuration;
+    this.keys = workspaces && new KeyDirectory(workspaces);
     for (const route of configuration.routes) {
       const host = route.host.toLowerCase();
       const routes = this.#byHost.get(host);
--- a/src/core/identity/mod.ts
+++ b/src/core/identity/mod.ts
@@ -32,6 +32,10 @@
 export type RequestId = Branded<string, "RequestId">;
 /** What a request asks for, whatever its id: requests of the same bytes share it. */
 export type RequestDigest = Branded<string, "RequestDigest">;
+/** What a caller's key is known by; the key itself is kept nowhere. */
+export type KeyDigest = Branded<string, "KeyDigest">;
+/** A span of the wall clock in which usage is counted, by its number. */
+export type UsageWindow = Branded<number, "UsageWindow">;
 /** One try of a request on one endpoint; frames carry it. */
 export type AttemptId = Branded<string, "AttemptId">;
 /** A caller's `Idempotency-Key`. */
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -53,6 +53,7 @@
     const exchange = parts.door.send(request, {
       ...plan.options,
       endpoint: endpoint.id,
+      workspace: context.workspace?.id,
       address: endpoint.address,
     });
     this.#abort = () => exchange.abort();
--- /dev/null
+++ b/src/entry/forwarding/caller_keys_test.ts
@@ -0,0 +1,135 @@
+import { expect } from "chai";
+import { ForwardingBench } from "../../../test/support/forwarding_bench.ts";
+import {
+  ENGINES,
+  makeConfiguration,
+  makeEndpoint,
+  makeEngine,
+  makePrompt,
+  makeRequest,
+  makeRoute,
+} from "../../../test/support/forwarding_values.ts";
+import type {
+  Credentials,
+  ForwardingConfiguration,
+  Route,
+  WorkspaceKeys,
+} from "../../core/forwarding/mod.ts";
+import { identifier, type WorkspaceId } from "../../core/identity/mod.ts";
+
+const KEY: Credentials = { kind: "key", digest: identifier("digest") };
+const IDENTITY = ["Authorization", "Bearer secret", "X-Tenant", "forged"];
+
+function makeWorkspace(values: Partial<WorkspaceKeys> = {}): WorkspaceKeys {
+  return {
+    id: identifier<WorkspaceId>("workspace"),
+    keys: [identifier("digest")],
+    ...values,
+  };
+}
+
+function configurationFor(
+  workspaces: readonly WorkspaceKeys[] | undefined,
+  route: Partial<Route> = {},
+): ForwardingConfiguration {
+  return makeConfiguration({ routes: [makeRoute(route)], workspaces });
+}
+
+describe("callers' keys", () => {
+  function portal(configuration: ForwardingConfiguration): ForwardingBench {
+    const bench = new ForwardingBench(configuration);
+    bench.parts.registry.put(makeEndpoint("a"));
+    return bench;
+  }
+
+  it("name the workspace to the endpoint, and go no further", async () => {
+    const bench = portal(configurationFor([makeWorkspace()]));
+    await bench.take(
+      makeRequest({ credentials: KEY, identityHeaders: IDENTITY }),
+    );
+    const [{ options, request }] = bench.sent;
+    expect(options.workspace).to.equal("workspace");
+    expect(request.identityHeaders).to.deep.equal([]);
+  });
+
+  it("are refused where no workspace has them, without a send", async () => {
+    const bench = portal(configurationFor([makeWorkspace({ keys: [] })]));
+    const caller = await bench.take(makeRequest({ credentials: KEY }));
+    expect(caller.refusal).to.deep.equal({
+      status: 401,
+      reason: "unknown_key",
+    });
+    expect(bench.sent).to.deep.equal([]);
+    expect(bench.decisions).to.deep.include({
+      decision: "refused",
+      requestId: "request-1",
+      route: "",
+      status: 401,
+      reason: "unknown_key",
+      version: 1,
+    });
+  });
+
+  it("answers 404 before any key is looked at", async () => {
+    const bench = portal(configurationFor([], { pathPrefix: "/other/" }));
+    const caller = await bench.take(makeRequest());
+    expect(caller.status).to.equal(404);
+  });
+
+  it("are not needed on a public route, and dropped there too", async () => {
+    const bench = portal(configurationFor([], { isPublic: true }));
+    await bench.take(
+      makeRequest({ credentials: KEY, identityHeaders: IDENTITY }),
+    );
+    const [{ options, request }] = bench.sent;
+    expect(options.workspace).to.equal(undefined);
+    expect(request.identityHeaders).to.deep.equal([]);
+  });
+
+  it("mean nothing where no workspaces are configured", async () => {
+    const bench = portal(configurationFor(undefined));
+    await bench.take(makeRequest({ identityHeaders: IDENTITY }));
+    expect(bench.sent[0].request.identityHeaders).to.deep.equal(IDENTITY);
+  });
+
+  it("let no further send out once they are taken away", async () => {
+    const bench = portal(configurationFor([makeWorkspace()]));
+    bench.parts.registry.put(makeEndpoint("b"));
+    const caller = await bench.take(makeRequest({ credentials: KEY }));
+    bench.takeConfiguration(configurationFor([makeWorkspace({ keys: [] })]));
+    await bench.sent[0].notRun();
+    expect(bench.sent).to.have.length(1);
+    expect(caller.refusal).to.deep.equal({
+      status: 401,
+      reason: "key_removed",
+    });
+  });
+
+  it("leave an answer alone that has begun when they are taken away", async () => {
+    const bench = portal(configurationFor([makeWorkspace()]));
+    const caller = await bench.take(makeRequest({ credentials: KEY }));
+    bench.takeConfiguration(configurationFor([]));
+    await bench.sent[0].answer("case 7");
+    expect(caller).to.deep.include({ status: 200, body: "case 7" });
+  });
+
+  describe("of a workspace with a rank", () => {
+    it("put the workspace's rank before the route's at engines", async () => {
+      const bench = new ForwardingBench(configurationFor(
+        [makeWorkspace({ rank: 1 })],
+        { rank: 4, repeat: "stream", shares: [{ pool: ENGINES, weight: 1 }] },
+      ));
+      bench.parts.registry.put(makeEngine("reader", "prefill"));
+      bench.parts.registry.put(makeEngine("maker", "decode"));
+      await bench.take(
+        makeRequest({ credentials: KEY, prompt: makePrompt("a") }),
+      );
+      expect(bench.sent[0].options.priority).to.equal(1);
+      await bench.sent[0].answer("handle");
+      expect(bench.sent[1].options).to.deep.include({
+        priority: 1,
+        workspace: "workspace",
+      });
+    });
+  });
+});
--- a/src/entry/forwarding/forward.ts
+++ b/src/entry/forwarding/forward.ts
@@ -1,4 +1,13 @@
-import { drawPool, type ForwardedRequest } from "../../core/forwarding/mod.ts";
+import {
+  authenticate,
+  type AuthenticationFailure,
+  drawPool,
+  type ForwardedRequest,
+  type Route,
+  type RouteTable,
+  type Workspace,
+} from "../../core/forwarding/mod.ts";
+import { err, ok, type Result } from "neverthrow";
 import { ForwardRun, RETRY_AFTER_MILLISECONDS } from "./forward_run.ts";
 import type { CallerSink, Refusal } from "./links.ts";
 import type { ForwardingParts } from "./parts.ts";
@@ -26,11 +35,37 @@
   }
   const route = routes.find(request.host, request.target);
   if (route === undefined) return refuse({ status: 404, reason: "no_route" });
+  const caller = identify(routes, { request, route });
+  if (caller.isErr()) return refuse({ status: 401, reason: caller.error });
   const name = drawPool(route, parts.random);
   const pool = name === undefined
     ? undefined
     : routes.configuration.pools.get(name);
   if (pool === undefined) return refuse({ status: 503, reason: "no_pool" });
-  const task = { request, route, pool };
+  const task = { ...caller.value, route, pool };
   await new ForwardRun(parts, { task, sink }).run();
 }
+
+/** A caller that is let in, and its request without the key. */
+interface IdentifiedRequest {
+  readonly request: ForwardedRequest;
+  readonly workspace?: Workspace;
+}
+
+function identify(
+  { keys }: RouteTable,
+  { request, route }: {
+    readonly request: ForwardedRequest;
+    readonly route: Route;
+  },
+): Result<IdentifiedRequest, AuthenticationFailure> {
+  if (keys === undefined) return ok({ request });
+  const { credentials } = request;
+  const isPublic = route.isPublic === true;
+  const workspace = authenticate(keys, { credentials, isPublic });
+  if (workspace.isErr()) return err(workspace.error);
+  return ok({
+    request: { ...request, identityHeaders: [] },
+    workspace: workspace.value,
+  });
+}
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -5,6 +5,7 @@
   type RegisteredEndpoint,
   RequestArrivals,
   type Route,
+  type Workspace,
 } from "../../core/forwarding/mod.ts";
 import type { EndpointId, RequestDigest } from "../../core/identity/mod.ts";
 import type { ForwardingDecision } from "./observer.ts";
@@ -26,6 +27,8 @@
   readonly request: ForwardedRequest;
   readonly route: Route;
   readonly pool: Pool;
+  /** Absent where the caller needs no key. */
+  readonly workspace?: Workspace;
 }
 
 /** One request's facts and books, shared by the steps of its run. */
@@ -34,6 +37,7 @@
   readonly request: ForwardedRequest;
   readonly route: Route;
   readonly pool: Pool;
+  readonly workspace: Workspace | undefined;
   readonly arrived: number;
   /** Time that the caller and the route allow, milliseconds. */
   readonly allowedMilliseconds: number;
@@ -55,6 +59,7 @@
     this.route = route;
     this.pool = task.pool;
     this.arrived = parts.timer.now();
+    this.workspace = task.workspace;
     this.arrivals = new RequestArrivals(parts.allowance, task.pool.name);
     this.allowedMilliseconds = Math.min(
       request.deadlineMilliseconds ?? Infinity,
@@ -64,6 +69,20 @@
   }
 
   /** The part of the prompt by which its caller is known again. */
+  /** How urgent the request is; 0 is the most urgent. */
+  get rank(): number {
+    return this.workspace?.rank ?? this.route.rank;
+  }
+
+  /** True once the key that let the caller in has been taken away. */
+  get isKeyRemoved(): boolean {
+    if (this.workspace === undefined) return false;
+    const keys = this.parts.routes()?.keys;
+    const { credentials } = this.request;
+    return keys !== undefined && credentials.kind === "key" &&
+      keys.find(credentials.digest) === undefined;
+  }
+
   get #ownPart(): string | undefined {
     return this.request.prompt?.parts.at(-1)?.id;
   }
--- a/src/entry/forwarding/forward_run.ts
+++ b/src/entry/forwarding/forward_run.ts
@@ -35,9 +35,17 @@
 
 /** Endpoints have crashed under requests of these bytes. */
 const BLOCKED = "crashes_endpoints";
+/** The caller's key was taken away while its request waited. */
+const KEY_REMOVED = "key_removed";
 
 /** What comes next after an attempt. */
-type NextStep = "delivered" | "again" | "refuse" | "blocked" | "unknown";
+type NextStep =
+  | "delivered"
+  | "again"
+  | "refuse"
+  | "blocked"
+  | "key_removed"
+  | "unknown";
 
 /** One caller's request from its arrival to its answer. */
 export class ForwardRun {
@@ -89,6 +97,7 @@
       if (this.#context.settled || next === "delivered") return;
       if (next === "refuse") return this.#refuse("endpoints_full");
       if (next === "blocked") return this.#refuse(BLOCKED);
+      if (next === KEY_REMOVED) return this.#refuse(KEY_REMOVED);
       if (next === "unknown") return this.#answerUnknown();
     }
   }
@@ -174,7 +183,7 @@
       work: choice.work,
       options: {
         deadlineMilliseconds: this.#context.left,
-        priority: Math.min(LOWEST_PRIORITY, route.rank),
+        priority: Math.min(LOWEST_PRIORITY, this.#context.rank),
         keptPrompt: handover?.kept,
         lastEventId: this.#resumeFrom(),
       },
@@ -237,6 +246,7 @@
     const { endpoint } = plan;
     // Endpoints may have crashed under it while it waited for this one.
     if (this.#context.blockedMilliseconds > 0) return "blocked";
+    if (this.#context.isKeyRemoved) return KEY_REMOVED;
     if (!this.#context.arrivals.cover({ reading: false })) return "refuse";
     this.#context.arrivals.sent();
     this.#context.sends += 1;
@@ -377,6 +387,7 @@
     if (this.#runs > 0) return this.#answerUnknown();
     this.#settle();
     if (this.#relay.headSent) return this.#sink.cut();
+    if (reason === KEY_REMOVED) return this.#answerOwn({ status: 401, reason });
     // A caller that comes back finds it blocked at any entry.
     if (reason !== BLOCKED) this.#context.noteRefusal();
     const retryAfterMilliseconds = this.#retryAfter(reason);
--- a/src/entry/forwarding/handover.ts
+++ b/src/entry/forwarding/handover.ts
@@ -213,7 +213,7 @@
     admitted: { readonly choice: PrefillChoice; readonly late: boolean },
   ): Promise<PrefillOutcome> {
     const { choice, late } = admitted;
-    const { arrivals, parts, route, waitedMilliseconds } = this.#context;
+    const { arrivals, parts, rank, waitedMilliseconds } = this.#context;
     this.#context.tell("placed", {
       step: "prefill",
       endpoint: choice.endpoint.id,
@@ -230,7 +230,7 @@
     const outcome = await readPrompt(this.#context, {
       prompt,
       choice,
-      priority: late ? LATE_PRIORITY : route.rank,
+      priority: late ? LATE_PRIORITY : rank,
       deadlineMilliseconds: this.#context.leftToFirstByte,
       onAttempt: this.#onAttempt,
     });
--- a/src/entry/forwarding/links.ts
+++ b/src/entry/forwarding/links.ts
@@ -73,7 +73,7 @@
 
 /** Why the system itself answers, in place of an endpoint. */
 export interface Refusal {
-  readonly status: 404 | 413 | 431 | 502 | 503 | 504;
+  readonly status: 401 | 404 | 413 | 431 | 502 | 503 | 504;
   readonly reason: string;
   /** When coming back is worth it; only with 503. */
   readonly retryAfterMilliseconds?: number;
--- a/src/entry/forwarding/prompt_admission.ts
+++ b/src/entry/forwarding/prompt_admission.ts
@@ -109,10 +109,10 @@
   prompt: Prompt,
   soonest: PrefillChoice | undefined,
 ): HeldPrompt<PrefillChoice> {
-  const { parts, route } = context;
+  const { parts } = context;
   const workMilliseconds = soonest?.workMilliseconds ?? 0;
   return {
-    rank: route.rank,
+    rank: context.rank,
     expiresAt: parts.timer.now() + LEFT_SHARE * context.leftToFirstByte -
       workMilliseconds,
     workMilliseconds,
--- a/test/support/forwarding_bench.ts
+++ b/test/support/forwarding_bench.ts
@@ -172,6 +172,7 @@
   loopDelay = 0;
   /** Called for each send; without it the test answers by itself. */
   onSend: ((attempt: SentAttempt) => void) | undefined;
+  #routes: RouteTable;
 
   constructor(
     configuration: ForwardingConfiguration,
@@ -188,7 +189,7 @@
     const outcomes = new EndpointOutcomes(timer);
     const { estimates = knownEstimates() } = options;
     const slowness = new EngineSlowness(timer);
-    const routes = new RouteTable(configuration);
+    this.#routes = new RouteTable(configuration);
     const door: EndpointDoor = {
       send: (request, attempt) => this.#send(request, attempt),
       keptHandle: (body) => body.length > 0 ? body.toString() : undefined,
@@ -237,12 +238,17 @@
       observe: (decision, facts) => {
         this.decisions.push({ decision, ...facts });
       },
-      routes: () => routes,
+      routes: () => this.#routes,
       saidLeaving: (run) => registry.saidLeaving(run) !== undefined,
       isChanging: () => false,
     };
   }
 
+  /** Puts another configuration in force. */
+  takeConfiguration(configuration: ForwardingConfiguration): void {
+    this.#routes = new RouteTable(configuration);
+  }
+
   /** Takes a request; gives what its caller gets. */
   async take(request: ForwardedRequest): Promise<RecordingSink> {
     const sink = new RecordingSink();
--- a/test/support/forwarding_values.ts
+++ b/test/support/forwarding_values.ts
@@ -124,6 +124,8 @@
     target: "/x",
     host: "one.example",
     headers: ["Host", "one.example"],
+    identityHeaders: [],
+    credentials: { kind: "none" },
     body: Buffer.from("body"),
     deadlineMilliseconds: 1_000,
     lastEventId: undefined,
