Report what workspaces use, once a window and by one entry at a time

Change: each entry counts requests that began to run by workspace and window of true time (the median of the fleet's clocks, so that a clock that jumps moves no window), and copies its counts to three keepers. The first keeper alive claims the duty by a conditional append that carries the reports themselves: what a window's counts are is fixed in the store before the first call, and a successor repeats the same ones. The claim is that of orders to engines, with another name (ExclusiveClaim). A window that no run has counted whole is not reported, and the log says so.

Two ways were weighed to gather the counts: an append of each entry in each window (22 entries: 22 calls a window, and a kill loses up to a window of the entry's counts) and copies at keepers (no call but the claim, a kill loses 200 ms). The first was not built.

--- a/src/adapters/telemetry/forwarding_record.ts
+++ b/src/adapters/telemetry/forwarding_record.ts
@@ -6,6 +6,7 @@
 import type {
   LoadQuestionOutcome,
   ObserveForwarding,
+  ReportOutcome,
 } from "../../entry/forwarding/mod.ts";
 
 /**
@@ -61,6 +62,34 @@
   return (outcome) => questions.inc({ outcome });
 }
 
+/** Counts reports of usage by what became of them. */
+export function countUsageReports(
+  registry: Registry,
+): (outcome: ReportOutcome | "given_up") => void {
+  const reports = new Counter({
+    name: "filbertshore_usage_reports_total",
+    help: "Reports of what workspaces use, by outcome",
+    labelNames: ["outcome"],
+    registers: [registry],
+  });
+  return (outcome) => reports.inc({ outcome });
+}
+
+/** Shows the fencing token of usage reports where this entry sends them. */
+export function showUsageFencing(
+  registry: Registry,
+  fencing: () => number | undefined,
+): void {
+  new Gauge({
+    name: "filbertshore_usage_fencing_token",
+    help: "Fencing token of usage reports; -1 where another entry sends them",
+    registers: [registry],
+    collect() {
+      this.set(fencing() ?? -1);
+    },
+  });
+}
+
 /** Shows how far the repeats of each pool have used up this entry's part. */
 export function showRepeats(
   registry: Registry,
--- a/src/core/forwarding/roles/role_claim.ts
+++ b/src/core/forwarding/claims/exclusive_claim.ts
@@ -1,47 +1,47 @@
 import type { TimerService } from "../../time/mod.ts";
 
 /**
- * How long after its append a claim may be used for orders. Harm prevented: a
- * holder that was slow gives orders after another has taken over; engines that
- * check fencing numbers refuse them, others would carry them out.
+ * How long after its append a claim may be used. A holder that was slow or
+ * frozen would otherwise act after another has taken over, and not every
+ * receiver checks fencing tokens.
  */
 const USABLE_MILLISECONDS = 1_500;
 /** Spare time beyond the lease before a claim of another is replaced. */
 const TAKEOVER_MARGIN_MILLISECONDS = 1_000;
 
-/** The newest claim on giving orders, as it stands on the log. */
+/** The newest claim on what only one holder at a time may do. */
 export interface StandingClaim {
   readonly holder: string;
-  /** Offset of its record: the fencing number of its orders. */
+  /** Offset of its record in the store: the fencing token of its calls. */
   readonly offset: number;
 }
 
-export interface RoleClaimOptions {
+export interface ExclusiveClaimOptions {
   readonly timer: TimerService;
   /** Name of this run of this process. */
   readonly self: string;
-  /** Time that has to lie between the orders of two holders. */
+  /** Time that has to lie between the calls of two holders. */
   readonly leaseMilliseconds: number;
 }
 
 /**
- * Who may give orders to engines. A claim is a record that is appended only
- * if the log still ends where the claimant last saw its end; its offset is the
- * fencing number. Each round of orders has a claim of its own, so that an
- * order of an earlier round that is carried out late is refused for its lower
- * number.
+ * Whose turn it is to do what only one holder at a time may do. A claim is a
+ * record that is appended only if the log still ends where the claimant last
+ * saw its end; its offset is the fencing token. Each round has a claim of its
+ * own, so that a call of an earlier round that is carried out late is refused
+ * for its lower token.
  */
-export class RoleClaim {
-  readonly #options: RoleClaimOptions;
+export class ExclusiveClaim {
+  readonly #options: ExclusiveClaimOptions;
   #standing: StandingClaim | undefined;
   #seenAt = -Infinity;
   #usableUntil = -Infinity;
 
-  constructor(options: RoleClaimOptions) {
+  constructor(options: ExclusiveClaimOptions) {
     this.#options = options;
   }
 
-  /** The log has shown its newest claim. */
+  /** The store or a peer has shown its newest claim. */
   saw(claim: StandingClaim): void {
     if (claim.offset <= (this.#standing?.offset ?? -1)) return;
     this.#standing = claim;
@@ -66,7 +66,7 @@
     this.#usableUntil = sentAt + USABLE_MILLISECONDS;
   }
 
-  /** An engine has seen a higher number: somebody else holds the claim. */
+  /** A receiver has seen a higher token: somebody else holds the claim. */
   refused(): void {
     this.#usableUntil = -Infinity;
     this.#seenAt = this.#options.timer.now();
@@ -75,9 +75,14 @@
     }
   }
 
-  /** Fencing number for an order that is sent now. */
+  /** Fencing token for a call that is sent now. */
   get fencing(): number | undefined {
     const isUsable = this.#options.timer.now() < this.#usableUntil;
     return isUsable ? this.#standing?.offset : undefined;
   }
+
+  /** Who had the claim when it was last seen. */
+  get holder(): string | undefined {
+    return this.#standing?.holder;
+  }
 }
--- a/src/core/forwarding/roles/role_claim_test.ts
+++ b/src/core/forwarding/claims/exclusive_claim_test.ts
@@ -1,14 +1,14 @@
 import { expect } from "chai";
 import { ManualTimerService } from "../../time/mod.ts";
-import { RoleClaim } from "../mod.ts";
+import { ExclusiveClaim } from "../mod.ts";
 
-describe("RoleClaim", () => {
+describe("ExclusiveClaim", () => {
   let timer: ManualTimerService;
-  let claim: RoleClaim;
+  let claim: ExclusiveClaim;
 
   beforeEach(() => {
     timer = new ManualTimerService();
-    claim = new RoleClaim({ timer, self: "me", leaseMilliseconds: 3_000 });
+    claim = new ExclusiveClaim({ timer, self: "me", leaseMilliseconds: 3_000 });
   });
 
   it("may be had where nobody has claimed", () => {
--- a/src/core/forwarding/endpoints/load_owners.ts
+++ b/src/core/forwarding/endpoints/load_owners.ts
@@ -32,8 +32,8 @@
   readonly #timer: TimerService;
   #listed: ReadonlySet<ProcessId> = new Set();
   readonly #heard = new Map<ProcessId, Entry>();
-  /** Known entries for each endpoint, the best owner first. */
-  readonly #rankings = new Map<EndpointId, readonly ProcessId[]>();
+  /** Known entries for each subject, the best owner first. */
+  readonly #rankings = new Map<string, readonly ProcessId[]>();
 
   constructor(options: {
     readonly self: ProcessId;
@@ -71,10 +71,19 @@
 
   /** The entry that keeps the endpoint's open work; it may be this one. */
   ownerOf(endpoint: EndpointId): ProcessId {
-    const oldest = this.#timer.now() - SILENCE_MILLISECONDS;
-    const isAlive = (name: ProcessId) =>
-      name === this.#self || (this.#heard.get(name)?.heardAt ?? 0) >= oldest;
-    return this.#ranking(endpoint).find(isAlive) ?? this.#self;
+    return this.#ranking(endpoint).find((name) => this.#isAlive(name)) ??
+      this.#self;
+  }
+
+  /** The live entries, this one included, the best owner first. */
+  liveRanking(subject: string): readonly ProcessId[] {
+    return this.#ranking(subject).filter((name) => this.#isAlive(name));
+  }
+
+  #isAlive(name: ProcessId): boolean {
+    if (name === this.#self) return true;
+    const heardAt = this.#heard.get(name)?.heardAt ?? -Infinity;
+    return heardAt >= this.#timer.now() - SILENCE_MILLISECONDS;
   }
 
   /** The endpoints by the other entries that own them; own ones are left out. */
@@ -107,13 +116,13 @@
     known.passedOverUntil = this.#timer.now() + PASSED_OVER_MILLISECONDS;
   }
 
-  #ranking(endpoint: EndpointId): readonly ProcessId[] {
-    let ranking = this.#rankings.get(endpoint);
+  #ranking(subject: string): readonly ProcessId[] {
+    let ranking = this.#rankings.get(subject);
     if (ranking === undefined) {
       const entries = [this.#self, ...this.#heard.keys()];
-      ranking = rendezvousOrder(entries.map((id) => ({ id })), endpoint)
+      ranking = rendezvousOrder(entries.map((id) => ({ id })), subject)
         .map(({ id }) => id);
-      this.#rankings.set(endpoint, ranking);
+      this.#rankings.set(subject, ranking);
     }
     return ranking;
   }
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -83,7 +83,21 @@
 export { type HeldPrompt, HeldPrompts } from "./admission/held_prompts.ts";
 export { LinkQueue } from "./admission/link_queue.ts";
 export { planRoles, type RoleChange } from "./roles/role_plan.ts";
-export { RoleClaim, type StandingClaim } from "./roles/role_claim.ts";
+export {
+  ExclusiveClaim,
+  type StandingClaim,
+} from "./claims/exclusive_claim.ts";
+export { FleetClock } from "./usage/fleet_clock.ts";
+export {
+  type ToldUsage,
+  UsageLedger,
+  type WorkspaceCounts,
+} from "./usage/usage_ledger.ts";
+export {
+  nextReports,
+  type UsageClaim,
+  type UsageReport,
+} from "./usage/usage_reports.ts";
 export {
   ReturningCallers,
   type ToldRefusal,
--- a/src/entry/forwarding/caller_keys_test.ts
+++ b/src/entry/forwarding/caller_keys_test.ts
@@ -132,4 +132,58 @@
       });
     });
   });
+
+  describe("count a request that began to run", () => {
+    function keyed(values: Partial<Route> = {}): ForwardingBench {
+      return portal(configurationFor([makeWorkspace()], values));
+    }
+
+    it("at a plain service when it was sent", async () => {
+      const bench = keyed();
+      await bench.take(makeRequest({ credentials: KEY }));
+      await bench.timer.advance(40);
+      await bench.sent[0].answer("case 7");
+      expect(bench.began).to.deep.equal([["workspace", 0]]);
+    });
+
+    it("at an engine with its first byte", async () => {
+      const bench = keyed({
+        repeat: "stream",
+        shares: [{ pool: ENGINES, weight: 1 }],
+      });
+      bench.parts.registry.put(makeEngine("maker", "decode"));
+      const prompt = makePrompt("a", { shared: 20, own: 10 });
+      await bench.take(makeRequest({ credentials: KEY, prompt }));
+      await bench.timer.advance(40);
+      await bench.sent[0].answer("token");
+      expect(bench.began).to.deep.equal([["workspace", 40]]);
+    });
+
+    it("once, where it was sent twice", async () => {
+      const bench = keyed({ repeat: "idempotent" });
+      bench.parts.registry.put(makeEndpoint("b"));
+      await bench.take(makeRequest({ credentials: KEY }));
+      await bench.sent[0].answer("", { status: 500 });
+      await bench.sent[1].answer("case 7");
+      expect(bench.began).to.deep.equal([["workspace", 0]]);
+    });
+
+    it("where its answer was lost or its caller left", async () => {
+      const bench = keyed({ repeat: "once" });
+      await bench.take(makeRequest({ credentials: KEY }));
+      await bench.sent[0].fail("exchange_lost");
+      const caller = await bench.take(makeRequest({ credentials: KEY }));
+      caller.leave();
+      expect(bench.began).to.have.length(2);
+    });
+
+    it("never where no endpoint has run it", async () => {
+      const bench = keyed({ repeat: "once" });
+      await bench.take(makeRequest({ credentials: KEY }));
+      await bench.sent[0].notRun();
+      await bench.take(makeRequest({ credentials: KEY }));
+      await bench.sent.at(-1)?.fail("exchange_not_sent");
+      expect(bench.began).to.deep.equal([]);
+    });
+  });
 });
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -51,6 +51,7 @@
   settled = false;
   readonly #turnedAway = new Set<EndpointId>();
   #digest: RequestDigest | undefined;
+  #hasBegun = false;
 
   constructor(parts: ForwardingParts, task: ForwardTask) {
     const { request, route } = task;
@@ -58,8 +59,8 @@
     this.request = request;
     this.route = route;
     this.pool = task.pool;
-    this.arrived = parts.timer.now();
     this.workspace = task.workspace;
+    this.arrived = parts.timer.now();
     this.arrivals = new RequestArrivals(parts.allowance, task.pool.name);
     this.allowedMilliseconds = Math.min(
       request.deadlineMilliseconds ?? Infinity,
@@ -68,7 +69,6 @@
     this.waitedMilliseconds = parts.returning.waited(this.#ownPart);
   }
 
-  /** The part of the prompt by which its caller is known again. */
   /** How urgent the request is; 0 is the most urgent. */
   get rank(): number {
     return this.workspace?.rank ?? this.route.rank;
@@ -83,6 +83,7 @@
       keys.find(credentials.digest) === undefined;
   }
 
+  /** The part of the prompt by which its caller is known again. */
   get #ownPart(): string | undefined {
     return this.request.prompt?.parts.at(-1)?.id;
   }
@@ -192,6 +193,13 @@
     return allowed;
   }
 
+  /** An endpoint began to run the request at this moment; counts once. */
+  noteBegan(at: number): void {
+    if (this.#hasBegun || this.workspace === undefined) return;
+    this.#hasBegun = true;
+    this.parts.began(this.workspace.id, at);
+  }
+
   /** Tells of a decision on this request. */
   tell(
     decision: ForwardingDecision,
--- a/src/entry/forwarding/forward_run.ts
+++ b/src/entry/forwarding/forward_run.ts
@@ -59,6 +59,8 @@
   #runs = 0;
   /** True while a send is out that may be running. */
   #mayRun = false;
+  /** When the send that is out was sent. */
+  #sentAt = 0;
   #firstByte: number | undefined;
 
   constructor(
@@ -110,6 +112,11 @@
     return await this.#planEngines(prompt);
   }
 
+  get #isEngineWork(): boolean {
+    const { pool, request } = this.#context;
+    return pool.engine !== undefined && request.prompt !== undefined;
+  }
+
   async #planService(): Promise<AttemptPlan | undefined> {
     const endpoint = this.#chooseService() ?? await this.#waitForService();
     if (endpoint === undefined) return undefined;
@@ -259,7 +266,7 @@
     });
     const attempt = new Attempt(this.#context, plan);
     this.#attempt = attempt;
-    const sentAt = parts.timer.now();
+    this.#sentAt = parts.timer.now();
     const answer = await attempt.answer;
     if (this.#context.settled) return "delivered";
     if (answer.isErr()) {
@@ -271,7 +278,7 @@
       return this.#afterNotRun(endpoint.id);
     }
     if (plan.options.keptPrompt !== undefined) {
-      this.#handover.taken(endpoint, parts.timer.now() - sentAt);
+      this.#handover.taken(endpoint, parts.timer.now() - this.#sentAt);
     }
     return await this.#deliver(answer.value, attempt);
   }
@@ -286,6 +293,7 @@
       return this.#mayResend(name) ? "again" : "refuse";
     }
     this.#runs += 1;
+    this.#noteServiceBegan();
     if (!this.#mayRunAgain()) return "unknown";
     return this.#mayResend(name) ? "again" : "unknown";
   }
@@ -317,6 +325,7 @@
   ): Promise<NextStep> {
     const { head } = answer;
     this.#runs += 1;
+    this.#noteBegan();
     const mayRepeat = head.status >= 500 && this.#mayRunAgain() &&
       this.#mayResend(`status ${head.status}`);
     if (mayRepeat) {
@@ -330,6 +339,21 @@
     return this.#afterCut();
   }
 
+  /** An answer has begun: the request has, too. */
+  #noteBegan(): void {
+    if (this.#isEngineWork) {
+      this.#context.noteBegan(this.#context.parts.timer.now());
+    } else this.#noteServiceBegan();
+  }
+
+  /**
+   * A plain service begins a request when it arrives, and answers at its end;
+   * an engine that has not answered is taken not to have begun.
+   */
+  #noteServiceBegan(): void {
+    if (!this.#isEngineWork) this.#context.noteBegan(this.#sentAt);
+  }
+
   /** The endpoint broke off in the middle of its answer. */
   #afterCut(): NextStep {
     const { repeat } = this.#context.route;
@@ -364,6 +388,7 @@
   #onLimit(): void {
     if (this.#context.settled) return;
     this.#settle();
+    if (this.#mayRun) this.#noteServiceBegan();
     this.#attempt?.abort();
     if (this.#relay.headSent) {
       this.#sink.cut();
@@ -377,6 +402,7 @@
   #onGone(): void {
     if (this.#context.settled) return;
     this.#settle();
+    if (this.#mayRun) this.#noteServiceBegan();
     this.#attempt?.abort();
     this.#context.tell("caller_gone", { sends: this.#context.sends });
   }
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -42,6 +42,8 @@
 import { RegistrationIntake } from "./registration_intake.ts";
 import { StateRelay, type StateRelayOptions } from "./state_relay.ts";
 import { RoleKeeper, type RoleLink } from "./role_keeper.ts";
+import { UsageKeeper, type UsageKeeperOptions } from "./usage_keeper.ts";
+import { USAGE_METHOD, USAGE_REPORTS_METHOD } from "./usage_notification.ts";
 import {
   CRASHES_METHOD,
   PeerExchange,
@@ -85,6 +87,15 @@
     readonly link: RoleLink;
     readonly leaseMilliseconds: number;
   };
+  /** Absent: nobody wants to know what workspaces use. */
+  readonly usage?: Pick<
+    UsageKeeperOptions,
+    | "dueMilliseconds"
+    | "leaseMilliseconds"
+    | "link"
+    | "onOutcome"
+    | "windowMilliseconds"
+  >;
   /** How peers are asked for what the store does not tell. */
   readonly relay: Pick<StateRelayOptions, "ask" | "peers">;
   /** The endpoint's connections are no longer needed. */
@@ -119,6 +130,7 @@
   readonly #options: ForwardingEntryOptions;
   readonly #parts: ForwardingParts;
   readonly #roles: RoleKeeper | undefined;
+  readonly #usage: UsageKeeper | undefined;
   readonly #survey: KeptPartsSurvey;
   readonly #questions: LoadQuestions;
   readonly #startedAt: number;
@@ -192,8 +204,22 @@
       send: (peer, notification) => this.peers.tellOne(peer, notification),
       onOutcome: options.onLoadQuestion,
     });
+    this.#usage = options.usage && new UsageKeeper({
+      ...options.usage,
+      self,
+      incarnation: options.incarnation,
+      timer,
+      logger: options.logger,
+      isFirstStart: options.isFirstStart,
+      ranking: () => owners.liveRanking(USAGE_METHOD),
+      listed: () => this.peers.listed,
+      tellOne: (peer, notification) => this.peers.tellOne(peer, notification),
+      tellAll: (method, params) => this.peers.tell(method, params),
+    });
+    const clock = this.#usage?.clock;
     this.peers = new PeerExchange({
       ...options,
+      ...(clock && { onClock: (peer, time) => clock.peerSaid(peer, time) }),
       registry: this.registry,
       load,
       owners,
@@ -270,6 +296,7 @@
       observe: options.observe,
       routes: () => this.#routes,
       saidLeaving: (run) => this.registrations.saidLeaving(run),
+      began: (workspace, at) => this.#usage?.began(workspace, at),
       isChanging: (endpoint) => this.#roles?.isChanging(endpoint) ?? false,
     };
   }
@@ -296,6 +323,11 @@
     return this.#parts.crashes.blocked;
   }
 
+  /** Fencing token of this entry's usage reports; absent: another reports. */
+  get usageFencing(): number | undefined {
+    return this.#usage?.fencing;
+  }
+
   /** Work of all entries at the endpoint. */
   openWorkAt(endpoint: EndpointId): OpenWork {
     return this.#parts.load.total(endpoint);
@@ -310,6 +342,7 @@
   start(): void {
     this.peers.start();
     this.#roles?.start();
+    this.#usage?.start();
     this.relay.start();
   }
 
@@ -320,6 +353,7 @@
   }
 
   close(): void {
+    this.#usage?.stop();
     this.peers.stop();
     this.relay.stop();
   }
@@ -352,6 +386,9 @@
   takeNotification(method: string, params: unknown): void {
     if (method === WORK_METHOD) this.peers.take(params);
     if (method === CRASHES_METHOD) this.peers.takeCrashes(params);
+    if (method === USAGE_METHOD || method === USAGE_REPORTS_METHOD) {
+      this.#usage?.take(method, params);
+    }
     if (method === LOAD_QUESTION_METHOD) this.#questions.takeQuestion(params);
     if (method === LOAD_ANSWER_METHOD) this.#questions.takeAnswer(params);
     if (typeof params !== "object" || params === null) return;
--- a/src/entry/forwarding/mod.ts
+++ b/src/entry/forwarding/mod.ts
@@ -11,5 +11,6 @@
 export type { RegistrationChange } from "./registration_intake.ts";
 export { PeerExchange } from "./peer_exchange.ts";
 export type { OrderOutcome, RoleLink } from "./role_keeper.ts";
+export type { ReportOutcome, UsageLink } from "./usage_keeper.ts";
 export { readWhole } from "./whole_body.ts";
 export { FORWARDING_STATE, StateRelay } from "./state_relay.ts";
--- a/src/entry/forwarding/parts.ts
+++ b/src/entry/forwarding/parts.ts
@@ -22,6 +22,7 @@
   AvailabilityZoneId,
   EndpointId,
   RequestDigest,
+  WorkspaceId,
 } from "../../core/identity/mod.ts";
 import type { Random } from "../../core/random/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
@@ -63,6 +64,8 @@
   readonly observe: ObserveForwarding;
   /** An answer says that this run leaves; true where this is news. */
   readonly saidLeaving: (run: EndpointRun) => boolean;
+  /** A request of the workspace began to run at this moment. */
+  readonly began: (workspace: WorkspaceId, at: number) => void;
   /** True while an engine changes its role and takes no new work. */
   readonly isChanging: (endpoint: EndpointId) => boolean;
   /** The routes in force; undefined while no configuration is known. */
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -74,6 +74,8 @@
   readonly version: () => number | undefined;
   /** A peer has a configuration of this version. */
   readonly onVersion: (version: number) => void;
+  /** A peer's wall clock shows this; absent where clocks don't matter. */
+  readonly onClock?: (peer: ProcessId, wallClock: number) => void;
   /** An entry has told of itself that the fleet's list does not name yet. */
   readonly onUnlistedPeer: () => void;
 }
@@ -141,6 +143,11 @@
     this.#options.owners.setMembers(names);
   }
 
+  /** The others on the fleet's list. */
+  get listed(): readonly ProcessId[] {
+    return [...this.#peers.keys()].map((name) => identifier<ProcessId>(name));
+  }
+
   /** Tells peers of something that does not wait for the next report. */
   tell(method: string, params: unknown): void {
     if (this.#addresses.length === 0) return;
@@ -163,6 +170,9 @@
     if (params.entry === this.#options.process) return;
     if (!this.#peers.has(params.entry)) this.#options.onUnlistedPeer();
     this.#options.owners.heard(identifier(params.entry));
+    if (params.clock !== undefined) {
+      this.#options.onClock?.(identifier(params.entry), params.clock);
+    }
     if (params.version !== undefined) this.#options.onVersion(params.version);
     const { estimates, load, prefixes, registry } = this.#options;
     for (const speed of params.speeds ?? []) estimates.peerTold(speed);
@@ -228,7 +238,10 @@
       prompts: prefixes.takeUntold().map(encodePrompt),
       refusals: returning.takeUntold(),
       ...(losses.length > 0 && { losses }),
-      ...(whole && { speeds: estimates.tell() }),
+      ...(whole && {
+        speeds: estimates.tell(),
+        ...(this.#options.onClock && { clock: timer.wallClock() }),
+      }),
     });
   }
 
--- a/src/entry/forwarding/role_keeper.ts
+++ b/src/entry/forwarding/role_keeper.ts
@@ -1,12 +1,12 @@
 import type { Result } from "neverthrow";
 import {
   type EndpointRegistry,
+  ExclusiveClaim,
   type LoadPicture,
   planRoles,
   type Pool,
   type RegisteredEndpoint,
   type RoleChange,
-  RoleClaim,
   type StandingClaim,
   type StoreFailure,
 } from "../../core/forwarding/mod.ts";
@@ -79,7 +79,7 @@
 /** Brings engines into the roles that the work needs, one holder at a time. */
 export class RoleKeeper {
   readonly #options: RoleKeeperOptions;
-  readonly #claim: RoleClaim;
+  readonly #claim: ExclusiveClaim;
   readonly #changing = new Map<EndpointId, "prefill" | "decode">();
   readonly #changeDue = new Map<EndpointId, number>();
   #settledSince = 0;
@@ -89,7 +89,7 @@
 
   constructor(options: RoleKeeperOptions) {
     this.#options = options;
-    this.#claim = new RoleClaim(options);
+    this.#claim = new ExclusiveClaim(options);
     this.#settledSince = options.timer.now();
   }
 
--- /dev/null
+++ b/src/entry/forwarding/usage_keeper.ts
@@ -0,0 +1,369 @@
+import type { Result } from "neverthrow";
+import {
+  ExclusiveClaim,
+  FleetClock,
+  nextReports,
+  type StandingClaim,
+  type StoreFailure,
+  type UsageClaim,
+  UsageLedger,
+  type UsageReport,
+} from "../../core/forwarding/mod.ts";
+import {
+  identifier,
+  numbered,
+  type ProcessId,
+  type UsageWindow,
+  type WorkspaceId,
+} from "../../core/identity/mod.ts";
+import type { Logger } from "../../core/observation/mod.ts";
+import type { Subscription, TimerService } from "../../core/time/mod.ts";
+import {
+  isReportsNotification,
+  isUsageNotification,
+  type ReportsNotification,
+  USAGE_METHOD,
+  USAGE_REPORTS_METHOD,
+  type UsageNotification,
+} from "./usage_notification.ts";
+
+/** Entries that keep the whole fleet's counts, so that one may be lost. */
+const KEEPERS = 3;
+/** How often counts that have changed go to the keepers. */
+const TELL_MILLISECONDS = 200;
+/** How often all counts that are not reported yet go to them once more. */
+const WHOLE_TELL_MILLISECONDS = 1_000;
+/** How often a keeper checks for windows that are due. */
+const LOOK_MILLISECONDS = 250;
+/** Time behind a window's end until requests that began in it are counted. */
+const COUNTED_MILLISECONDS = 1_200;
+/** How long behind a window's end entries are waited for that are silent. */
+const SILENT_ENTRY_MILLISECONDS = 5_000;
+/** How much later each further keeper takes a window up. */
+const NEXT_KEEPER_MILLISECONDS = 1_500;
+/** Time between two tries to report. */
+const RETRY_MILLISECONDS = 1_000;
+
+/**
+ * What became of a report. `refused`: a higher fencing token was seen.
+ * `limited`: too many calls. `unknown`: it may be carried out, now or later.
+ */
+export type ReportOutcome = "accepted" | "refused" | "limited" | "unknown";
+
+/** The log that claims on reporting stand on, and the receiver of reports. */
+export interface UsageLink {
+  /** The newest claim, and where the log ends. */
+  readClaim(): Promise<
+    Result<{ claim: UsageClaim | undefined; end: number }, StoreFailure>
+  >;
+  /** Appends a claim if the log ends at `at`; gives its offset. */
+  appendClaim(
+    claim: Omit<UsageClaim, "offset">,
+    at: number,
+  ): Promise<Result<number | undefined, StoreFailure>>;
+  report(
+    report: UsageReport,
+    options: { readonly holder: ProcessId; readonly fencing: number },
+  ): Promise<ReportOutcome>;
+}
+
+export interface UsageKeeperOptions {
+  readonly self: ProcessId;
+  readonly incarnation: string;
+  readonly timer: TimerService;
+  readonly logger: Logger;
+  readonly link: UsageLink;
+  readonly leaseMilliseconds: number;
+  /** Length of a window. */
+  readonly windowMilliseconds: number;
+  /** Time behind a window's end by which its report is due. */
+  readonly dueMilliseconds: number;
+  /** True: no entry has run before, so that no earlier count is missing. */
+  readonly isFirstStart: boolean;
+  /** Live entries, this one included, in the order in which they keep counts. */
+  readonly ranking: () => readonly ProcessId[];
+  /** Entries on the fleet's list, this one left out. */
+  readonly listed: () => Iterable<ProcessId>;
+  readonly tellOne: (
+    peer: ProcessId,
+    notification: { readonly method: string; readonly params: unknown },
+  ) => void;
+  readonly tellAll: (method: string, params: unknown) => void;
+  readonly onOutcome?: (outcome: ReportOutcome | "given_up") => void;
+}
+
+/**
+ * Counts the requests of each workspace that began to run, and reports them
+ * once a window. Each entry counts its own and copies its counts to a few
+ * keepers; the first keeper that is alive reports.
+ */
+export class UsageKeeper {
+  readonly clock: FleetClock;
+  readonly #options: UsageKeeperOptions;
+  readonly #ledger: UsageLedger;
+  readonly #claim: ExclusiveClaim;
+  readonly #since: number;
+  /** The last run of each entry that has told its counts. */
+  readonly #runs = new Map<ProcessId, string>();
+  readonly #subscriptions: Subscription[] = [];
+  /** The newest window that is reported or given up. */
+  #closedThrough: number;
+  #acceptedThrough = -Infinity;
+  #toldWholeAt = -Infinity;
+  #retryAt = -Infinity;
+  #isReporting = false;
+
+  constructor(options: UsageKeeperOptions) {
+    const { isFirstStart, timer, windowMilliseconds } = options;
+    this.#options = options;
+    this.clock = new FleetClock(timer);
+    const now = this.clock.now();
+    // Nothing ran earlier in the window in which the fleet first starts.
+    this.#since = isFirstStart ? now - now % windowMilliseconds : now;
+    this.#ledger = new UsageLedger({
+      self: this.#run,
+      windowMilliseconds,
+      since: this.#since,
+    });
+    this.#claim = new ExclusiveClaim({ ...options, self: this.#run });
+    this.#closedThrough = this.#oldest - 1;
+  }
+
+  /** Fencing token of the reports that this entry sends; absent: another's. */
+  get fencing(): number | undefined {
+    return this.#claim.fencing;
+  }
+
+  start(): void {
+    const { timer } = this.#options;
+    this.#subscriptions.push(
+      timer.every(TELL_MILLISECONDS, () => this.#tell()),
+      timer.every(LOOK_MILLISECONDS, () => void this.#look()),
+    );
+  }
+
+  /** Hands the last counts on. */
+  stop(): void {
+    for (const each of this.#subscriptions) each.cancel();
+    this.#subscriptions.length = 0;
+    this.#tell();
+  }
+
+  /** A request began to run at this moment of the steady clock. */
+  began(workspace: WorkspaceId, at: number): void {
+    this.#ledger.began(workspace, this.clock.timeAt(at));
+  }
+
+  /** Takes a peer's notification; anything malformed is dropped. */
+  take(method: string, params: unknown): void {
+    if (method === USAGE_METHOD && isUsageNotification(params)) {
+      this.#takeCounts(params);
+    }
+    if (method === USAGE_REPORTS_METHOD && isReportsNotification(params)) {
+      this.#takeReports(params);
+    }
+  }
+
+  get #run(): string {
+    return `${this.#options.self}#${this.#options.incarnation}`;
+  }
+
+  /** The oldest window whose report is not overdue. */
+  get #oldest(): UsageWindow {
+    const { dueMilliseconds, windowMilliseconds } = this.#options;
+    const time = this.clock.now() - dueMilliseconds;
+    return numbered(Math.ceil(time / windowMilliseconds) - 1);
+  }
+
+  #endOf(window: UsageWindow): number {
+    return (window + 1) * this.#options.windowMilliseconds;
+  }
+
+  #takeCounts(told: UsageNotification): void {
+    this.#runs.set(identifier(told.entry), runOf(told));
+    this.#ledger.peerCounted(runOf(told), told);
+  }
+
+  #takeReports({ claim, acceptedThrough }: ReportsNotification): void {
+    this.#claim.saw(claim);
+    if (acceptedThrough !== undefined) this.#accepted(acceptedThrough);
+  }
+
+  #accepted(window: number): void {
+    this.#acceptedThrough = Math.max(this.#acceptedThrough, window);
+    this.#closedThrough = Math.max(this.#closedThrough, window);
+  }
+
+  /** Copies this entry's counts to the keepers. */
+  #tell(): void {
+    const { incarnation, ranking, self, tellOne, timer } = this.#options;
+    const now = timer.now();
+    const all = now - this.#toldWholeAt >= WHOLE_TELL_MILLISECONDS;
+    if (!all && !this.#ledger.hasUntold) return;
+    if (all) {
+      this.#toldWholeAt = now;
+      this.#ledger.forgetBefore(
+        numbered(Math.max(this.#oldest, this.#closedThrough + 1)),
+      );
+    }
+    const params: UsageNotification = {
+      entry: self,
+      incarnation,
+      since: this.#since,
+      until: all ? this.clock.now() : 0,
+      usage: this.#ledger.takeOwn({ all }),
+    };
+    for (const keeper of ranking().slice(0, KEEPERS)) {
+      if (keeper !== self) tellOne(keeper, { method: USAGE_METHOD, params });
+    }
+  }
+
+  async #look(): Promise<void> {
+    if (this.#isReporting) return;
+    this.#giveUpOverdue();
+    const due = this.#dueWindows();
+    if (due.length === 0 || !this.#isOwnTurn(due[0])) return;
+    const now = this.#options.timer.now();
+    if (now < this.#retryAt) return;
+    this.#retryAt = now + RETRY_MILLISECONDS;
+    this.#isReporting = true;
+    await this.#report(due);
+    this.#isReporting = false;
+  }
+
+  #giveUpOverdue(): void {
+    for (
+      let window = this.#closedThrough + 1;
+      window < this.#oldest;
+      window++
+    ) {
+      this.#closedThrough = window;
+      const isKnown = this.#ledger.covers(numbered(window));
+      this.#options.onOutcome?.("given_up");
+      this.#options.logger.warn(
+        { window, reason: isKnown ? "overdue" : "counts_unknown" },
+        "Usage of a window is not reported",
+      );
+    }
+  }
+
+  #dueWindows(): UsageWindow[] {
+    const { windowMilliseconds } = this.#options;
+    const time = this.clock.now() - COUNTED_MILLISECONDS;
+    const running = Math.floor(time / windowMilliseconds);
+    const due: UsageWindow[] = [];
+    for (let window = this.#closedThrough + 1; window < running; window++) {
+      due.push(numbered(window));
+    }
+    return due.filter((window) => this.#ledger.covers(window));
+  }
+
+  #isOwnTurn(window: UsageWindow): boolean {
+    const { ranking, self } = this.#options;
+    const place = ranking().indexOf(self);
+    if (place < 0 || place >= KEEPERS) return false;
+    // A keeper that started later knows nothing of entries that are gone.
+    const hasCounted = this.#ledger.isCountedBySelf(window);
+    const rank = hasCounted ? place : KEEPERS;
+    if (rank === 0 && this.#isWhole(window)) return true;
+    const wait = SILENT_ENTRY_MILLISECONDS + NEXT_KEEPER_MILLISECONDS * rank;
+    return this.clock.now() >= this.#endOf(window) + wait;
+  }
+
+  /** True where every entry that ran in the window has told all its counts. */
+  #isWhole(window: UsageWindow): boolean {
+    const { listed, windowMilliseconds } = this.#options;
+    const end = this.#endOf(window);
+    for (const entry of listed()) {
+      const run = this.#runs.get(entry);
+      if (run === undefined) continue;
+      const isOver = !this.#ledger.isKnownUntil(run, end - windowMilliseconds);
+      const isTold = this.#ledger.isKnownUntil(
+        run,
+        end + COUNTED_MILLISECONDS,
+      );
+      if (!isOver && !isTold) return false;
+    }
+    return true;
+  }
+
+  async #report(due: readonly UsageWindow[]): Promise<void> {
+    const reports = await this.#takeClaim(due);
+    for (const report of reports ?? []) {
+      if (report.accepted) continue;
+      if (!await this.#send(report)) return;
+    }
+  }
+
+  /** Claims the duty and fixes what is reported; undefined: not now. */
+  async #takeClaim(
+    due: readonly UsageWindow[],
+  ): Promise<readonly UsageReport[] | undefined> {
+    const { link, logger, timer } = this.#options;
+    const read = await link.readClaim();
+    if (read.isErr()) return undefined;
+    const { claim, end } = read.value;
+    if (claim !== undefined) this.#claim.saw(claim);
+    if (!this.#claim.mayClaim()) return undefined;
+    const reports = nextReports({
+      ledger: this.#ledger,
+      fixed: claim?.reports ?? [],
+      due,
+      oldest: this.#oldest,
+      isAccepted: (window) => window <= this.#acceptedThrough,
+    });
+    if (reports.every(({ accepted }) => accepted)) {
+      this.#closedThrough = Math.max(this.#closedThrough, ...due);
+      return undefined;
+    }
+    const sentAt = timer.now();
+    const appended = await link.appendClaim(
+      { holder: this.#run, reports },
+      end,
+    );
+    // A lost answer may hide a claim that stands; the next try reads it.
+    if (appended.isErr() || appended.value === undefined) return undefined;
+    const offset = appended.value;
+    this.#claim.gained(offset, sentAt);
+    this.#tellReports({ holder: this.#run, offset });
+    const windows = reports.map(({ window }) => window);
+    logger.info({ fencing: offset, windows }, "This entry reports usage now");
+    return reports;
+  }
+
+  /** False where nothing more may be sent under this claim. */
+  async #send(report: UsageReport): Promise<boolean> {
+    const { link, logger, onOutcome, self } = this.#options;
+    const fencing = this.#claim.fencing;
+    if (fencing === undefined) return false;
+    const outcome = await link.report(report, { holder: self, fencing });
+    onOutcome?.(outcome);
+    const { counts, window } = report;
+    const requests = [...counts.values()].reduce((sum, each) => sum + each, 0);
+    logger.info(
+      { window, fencing, outcome, workspaces: counts.size, requests },
+      "Usage was reported",
+    );
+    if (outcome === "refused") this.#claim.refused();
+    if (outcome !== "accepted") return false;
+    this.#accepted(window);
+    this.#tellReports({ holder: this.#run, offset: fencing });
+    return true;
+  }
+
+  #tellReports(claim: StandingClaim): void {
+    const params: ReportsNotification = {
+      claim,
+      ...(Number.isFinite(this.#acceptedThrough) && {
+        acceptedThrough: this.#acceptedThrough,
+      }),
+    };
+    this.#options.tellAll(USAGE_REPORTS_METHOD, params);
+  }
+}
+
+function runOf(
+  { entry, incarnation }: Pick<UsageNotification, "entry" | "incarnation">,
+): string {
+  return `${entry}#${incarnation}`;
+}
--- /dev/null
+++ b/src/entry/forwarding/usage_notification.ts
@@ -0,0 +1,58 @@
+/** What entries tell each other of usage, encoded and decoded. */
+import type { StandingClaim, ToldUsage } from "../../core/forwarding/mod.ts";
+
+/** Notification that carries an entry's counts. */
+export const USAGE_METHOD = "entry.usage";
+/** Notification that carries what was reported, and by whom. */
+export const USAGE_REPORTS_METHOD = "entry.usage_reports";
+
+/** An entry's own counts; times are Unix milliseconds. */
+export interface UsageNotification {
+  readonly entry: string;
+  readonly incarnation: string;
+  readonly since: number;
+  /** Up to then all counts are here; 0 where only what changed is. */
+  readonly until: number;
+  readonly usage: readonly ToldUsage[];
+}
+
+export interface ReportsNotification {
+  /** The claim that the reports were sent under. */
+  readonly claim: StandingClaim;
+  /** The newest window whose report was confirmed. */
+  readonly acceptedThrough?: number;
+}
+
+/** True where a peer's counts can be taken in. */
+export function isUsageNotification(
+  value: unknown,
+): value is UsageNotification {
+  if (typeof value !== "object" || value === null) return false;
+  const { entry, incarnation, since, until, usage } = value as Partial<
+    UsageNotification
+  >;
+  return typeof entry === "string" && typeof incarnation === "string" &&
+    Number.isFinite(since) && Number.isFinite(until) &&
+    Array.isArray(usage) && usage.every(isToldUsage);
+}
+
+function isToldUsage(value: unknown): value is ToldUsage {
+  return Array.isArray(value) && Number.isInteger(value[0]) &&
+    Array.isArray(value[1]) &&
+    value[1].every((each) =>
+      Array.isArray(each) && typeof each[0] === "string" &&
+      Number.isFinite(each[1])
+    );
+}
+
+/** True where what a peer tells of reports can be taken in. */
+export function isReportsNotification(
+  value: unknown,
+): value is ReportsNotification {
+  if (typeof value !== "object" || value === null) return false;
+  const { acceptedThrough, claim } = value as Partial<ReportsNotification>;
+  const isThrough = acceptedThrough === undefined ||
+    Number.isInteger(acceptedThrough);
+  return isThrough && typeof claim?.holder === "string" &&
+    Number.isFinite(claim.offset);
+}
--- a/src/entry/forwarding/work_notification.ts
+++ b/src/entry/forwarding/work_notification.ts
@@ -31,6 +31,8 @@
   readonly speeds?: readonly ToldSpeed[];
   /** Prompts refused since the last report; their callers may come to others. */
   readonly refusals: readonly ToldRefusal[];
+  /** The wall clock there, Unix milliseconds; comes with whole reports. */
+  readonly clock?: number;
   /** Requests lost with endpoints of late; comes with whole reports. */
   readonly losses?: readonly ReportedLoss[];
 }
@@ -74,6 +76,7 @@
 export function isWorkNotification(value: unknown): value is WorkNotification {
   if (typeof value !== "object" || value === null) return false;
   const {
+    clock,
     entry,
     incarnation,
     losses,
@@ -88,7 +91,9 @@
   const hasSpeeds = speeds === undefined || Array.isArray(speeds);
   const hasLosses = losses === undefined ||
     (Array.isArray(losses) && losses.every(isReportedLoss));
-  return isVersion && hasSpeeds && hasLosses && typeof entry === "string" &&
+  const isClock = clock === undefined || Number.isFinite(clock);
+  return isVersion && isClock && hasSpeeds && hasLosses &&
+    typeof entry === "string" &&
     typeof incarnation === "string" &&
     typeof sequence === "number" &&
     Array.isArray(prompts) &&
--- a/test/support/forwarding_bench.ts
+++ b/test/support/forwarding_bench.ts
@@ -166,6 +166,8 @@
   readonly timer = new ManualTimerService();
   readonly sent: SentAttempt[] = [];
   readonly released: string[] = [];
+  /** Workspaces of requests that began to run, and when. */
+  readonly began: (readonly [workspace: string, at: number])[] = [];
   readonly decisions: Record<string, unknown>[] = [];
   readonly parts: ForwardingParts;
   /** How late the entry's loop is, milliseconds. */
@@ -240,6 +242,7 @@
       },
       routes: () => this.#routes,
       saidLeaving: (run) => registry.saidLeaving(run) !== undefined,
+      began: (workspace, at) => void this.began.push([workspace, at]),
       isChanging: () => false,
     };
   }
--- /dev/null
+++ b/test/support/usage_platform.ts
@@ -0,0 +1,132 @@
+import { err, ok } from "neverthrow";
+import type {
+  StoreFailure,
+  UsageClaim,
+} from "../../src/core/forwarding/mod.ts";
+import type { ManualTimerService } from "../../src/core/time/mod.ts";
+import type {
+  ReportOutcome,
+  UsageLink,
+} from "../../src/entry/forwarding/mod.ts";
+
+const UNAVAILABLE: StoreFailure = {
+  name: "store_unavailable",
+  title: "",
+  message: "",
+  hint: "",
+};
+
+export interface TakenReport {
+  readonly window: number;
+  readonly counts: Readonly<Record<string, number>>;
+  readonly holder: string;
+  readonly fencing: number;
+  readonly at: number;
+}
+
+/** The store's log of claims and the receiver of reports, as all entries see them. */
+export class UsagePlatform {
+  readonly claims: UsageClaim[] = [];
+  /** Reports that were accepted, repeats too. */
+  readonly taken: TakenReport[] = [];
+  /** What the receiver answers while it is not well. */
+  failsWith: ReportOutcome | undefined;
+  /** Reports take effect, and their answers are lost. */
+  losesAnswers = false;
+  /** True: higher fencing tokens than the call's are not looked at. */
+  checksNoFencing = false;
+  readonly #timer: ManualTimerService;
+  #highest = -1;
+
+  constructor(timer: ManualTimerService) {
+    this.#timer = timer;
+  }
+
+  /** The platform as one entry reaches it; `isCut` cuts the entry off. */
+  linkOf(isCut: () => boolean): UsageLink {
+    return {
+      readClaim: () => {
+        if (isCut()) return Promise.resolve(err(UNAVAILABLE));
+        const claim = this.claims.at(-1);
+        return Promise.resolve(ok({ claim, end: this.claims.length }));
+      },
+      appendClaim: (claim, at) => {
+        if (isCut()) return Promise.resolve(err(UNAVAILABLE));
+        if (at !== this.claims.length) return Promise.resolve(ok(undefined));
+        this.claims.push({ ...claim, offset: at });
+        return Promise.resolve(ok(at));
+      },
+      report: ({ counts, window }, { fencing, holder }) => {
+        if (isCut()) return Promise.resolve("unknown");
+        if (this.failsWith) return Promise.resolve(this.failsWith);
+        if (!this.checksNoFencing && fencing < this.#highest) {
+          return Promise.resolve("refused");
+        }
+        this.#highest = Math.max(this.#highest, fencing);
+        this.taken.push({
+          window,
+          counts: Object.fromEntries(counts),
+          holder,
+          fencing,
+          at: this.#timer.now(),
+        });
+        return Promise.resolve(this.losesAnswers ? "unknown" : "accepted");
+      },
+    };
+  }
+
+  /** Windows that were reported, each with its counts. */
+  get reported(): ReadonlyMap<number, Readonly<Record<string, number>>> {
+    return new Map(this.taken.map(({ window, counts }) => [window, counts]));
+  }
+
+  /** What breaks the rules on calls of one holder at a time. */
+  violations(leaseMilliseconds: number): string[] {
+    return [
+      ...this.#differingRepeats(),
+      ...this.#sharedTokens(),
+      ...this.#fallingTokens(),
+      ...this.#alternatingHolders(leaseMilliseconds),
+    ];
+  }
+
+  #differingRepeats(): string[] {
+    const first = new Map<number, string>();
+    return this.taken.flatMap(({ counts, window }) => {
+      const text = JSON.stringify(counts);
+      const known = first.get(window) ?? text;
+      first.set(window, known);
+      return known === text ? [] : [`window ${window}: ${known}, then ${text}`];
+    });
+  }
+
+  #sharedTokens(): string[] {
+    const holders = new Map<number, string>();
+    return this.taken.flatMap(({ fencing, holder }) => {
+      const known = holders.get(fencing) ?? holder;
+      holders.set(fencing, known);
+      return known === holder ? [] : [`token ${fencing}: ${known}, ${holder}`];
+    });
+  }
+
+  #fallingTokens(): string[] {
+    return this.taken.flatMap(({ fencing }, index) => {
+      const before = this.taken[index - 1]?.fencing ?? -1;
+      return fencing >= before ? [] : [`token ${fencing} after ${before}`];
+    });
+  }
+
+  #alternatingHolders(lease: number): string[] {
+    return this.taken.flatMap((call, index) => {
+      const other = this.taken.slice(0, index)
+        .findLast(({ holder }) => holder !== call.holder);
+      if (other === undefined) return [];
+      const earlier = this.taken.slice(0, this.taken.indexOf(other))
+        .findLast(({ holder }) => holder === call.holder);
+      const span = earlier === undefined ? Infinity : call.at - earlier.at;
+      return span >= lease
+        ? []
+        : [`${call.holder}, ${other.holder}, ${call.holder} in ${span} ms`];
+    });
+  }
+}
