Order candidates for a change of role in one pass

Cause: the order of engines for a change of role sorted all that were left once for each engine, and the slots that are left were summed once for each change. Every entry plans each half second once the engines have settled.

Change: candidates are sorted once in each zone, and the zones are merged.

--- a/src/core/forwarding/roles/role_plan.ts
+++ b/src/core/forwarding/roles/role_plan.ts
@@ -1,4 +1,4 @@
-import type { EndpointId } from "../../identity/mod.ts";
+import type { AvailabilityZoneId, EndpointId } from "../../identity/mod.ts";
 import type { RegisteredEndpoint } from "../configuration.ts";
 
 /**
@@ -90,20 +90,28 @@
     roleOf(engine) !== role && !changing.has(engine.id)
   );
   return spreadOverZones(candidates, { engines, role, roleOf, openRequests })
-    .slice(0, Math.abs(missing))
-    .filter((_, index) => role === "decode" || leavesSlots(options, index + 1))
+    .slice(
+      0,
+      role === "decode" ? -missing : Math.min(missing, spareMakers(options)),
+    )
     .map((endpoint) => ({ endpoint, role }));
 }
 
-/** True where so many engines fewer still have slots for what is open. */
-function leavesSlots(options: RolePlanOptions, fewer: number): boolean {
+/** How many engines fewer still have slots for the answers that are open. */
+function spareMakers(options: RolePlanOptions): number {
   const { changing, engines, openRequests } = options;
   const makers = engines.filter((engine) =>
     (changing.get(engine.id) ?? engine.role) !== "prefill"
   );
   const open = makers.reduce((sum, maker) => sum + openRequests(maker.id), 0);
-  const slots = makers.slice(fewer).reduce((sum, { slots }) => sum + slots, 0);
-  return open <= MOST_TAKEN_SLOTS * slots;
+  let slots = makers.reduce((sum, maker) => sum + maker.slots, 0);
+  let spare = 0;
+  for (const maker of makers) {
+    slots -= maker.slots;
+    if (open > MOST_TAKEN_SLOTS * slots) break;
+    spare += 1;
+  }
+  return spare;
 }
 
 interface SpreadOptions {
@@ -121,28 +129,65 @@
   candidates: readonly RegisteredEndpoint[],
   options: SpreadOptions,
 ): RegisteredEndpoint[] {
-  const { engines, role, roleOf, openRequests } = options;
-  const count = new Map<string, number>();
-  for (const engine of engines) {
-    const zone = engine.availabilityZone;
-    const one = roleOf(engine) === role ? 1 : 0;
-    count.set(zone, (count.get(zone) ?? 0) + one);
-  }
-  const rest = [...candidates];
+  const zones = zonesOf(candidates, options);
   const ordered: RegisteredEndpoint[] = [];
-  while (rest.length > 0) {
-    rest.sort((one, other) =>
-      (count.get(one.availabilityZone) ?? 0) -
-        (count.get(other.availabilityZone) ?? 0) ||
-      openRequests(one.id) - openRequests(other.id) ||
-      (one.id < other.id ? -1 : 1)
-    );
-    const next = rest.shift() as RegisteredEndpoint;
-    count.set(
-      next.availabilityZone,
-      (count.get(next.availabilityZone) ?? 0) + 1,
+  while (zones.length > 0) {
+    const next = zones.reduce((best, zone) =>
+      goesBefore(zone, best) ? zone : best
     );
-    ordered.push(next);
+    ordered.push(next.waiting[next.taken].endpoint);
+    next.taken += 1;
+    next.ofRole += 1;
+    if (next.taken === next.waiting.length) {
+      zones.splice(zones.indexOf(next), 1);
+    }
   }
   return ordered;
 }
+
+interface Candidate {
+  readonly endpoint: RegisteredEndpoint;
+  readonly open: number;
+}
+
+/** Candidates of a zone, the least busy first. */
+interface ZoneCandidates {
+  readonly waiting: readonly Candidate[];
+  /** How many of them are ordered already. */
+  taken: number;
+  /** Engines that have the role, those included. */
+  ofRole: number;
+}
+
+function zonesOf(
+  candidates: readonly RegisteredEndpoint[],
+  { engines, openRequests, role, roleOf }: SpreadOptions,
+): ZoneCandidates[] {
+  const byZone = new Map<AvailabilityZoneId, Candidate[]>();
+  for (const endpoint of candidates) {
+    const zone = byZone.get(endpoint.availabilityZone) ?? [];
+    zone.push({ endpoint, open: openRequests(endpoint.id) });
+    byZone.set(endpoint.availabilityZone, zone);
+  }
+  const ofRole = new Map<AvailabilityZoneId, number>();
+  for (const engine of engines) {
+    if (roleOf(engine) !== role) continue;
+    const zone = engine.availabilityZone;
+    ofRole.set(zone, (ofRole.get(zone) ?? 0) + 1);
+  }
+  return [...byZone].map(([zone, waiting]) => ({
+    waiting: waiting.sort(byBusiness),
+    taken: 0,
+    ofRole: ofRole.get(zone) ?? 0,
+  }));
+}
+
+function goesBefore(zone: ZoneCandidates, other: ZoneCandidates): boolean {
+  if (zone.ofRole !== other.ofRole) return zone.ofRole < other.ofRole;
+  return byBusiness(zone.waiting[zone.taken], other.waiting[other.taken]) < 0;
+}
+
+function byBusiness(one: Candidate, other: Candidate): number {
+  return one.open - other.open ||
+    (one.endpoint.id < other.endpoint.id ? -1 : 1);
+}
--- a/src/core/forwarding/roles/role_plan_test.ts
+++ b/src/core/forwarding/roles/role_plan_test.ts
@@ -45,6 +45,25 @@
       .to.deep.equal([["c", "prefill"]]);
   });
 
+  it("looks at each of 3,000 engines once to order them by zone", () => {
+    const engines = Array.from(
+      { length: 3_000 },
+      (_, index) => zoned(`i-${index}`, "decode", `zone-${index % 5}`),
+    );
+    let looks = 0;
+    const changes = planRoles({
+      engines,
+      openRequests: () => {
+        looks += 1;
+        return 0;
+      },
+      changing: NOTHING_CHANGES,
+      prefillShare: 0.5,
+    });
+    expect(changes).to.have.length(1_500);
+    expect(looks).to.be.at.most(2 * engines.length);
+  });
+
   it("counts engines whose change is under way by their new role", () => {
     const engines = ["a", "b", "c", "d"].map((id) => makeEngine(id, "decode"));
     const changes = planRoles({
