--- a/test/support/usage_platform.ts
+++ b/test/support/usage_platform.ts
@@ -2,8 +2,9 @@
 import type {
   StoreFailure,
   UsageClaim,
+  UsageReport,
 } from "../../src/core/forwarding/mod.ts";
-import type { ManualTimerService } from "../../src/core/time/mod.ts";
+import { type ManualTimerService, pause } from "../../src/core/time/mod.ts";
 import type {
   ReportOutcome,
   UsageLink,
@@ -16,6 +17,9 @@
   hint: "",
 };
 
+/** How soon a thawed entry goes on. */
+const THAW_MILLISECONDS = 50;
+
 export interface TakenReport {
   readonly window: number;
   readonly counts: Readonly<Record<string, number>>;
@@ -33,6 +37,10 @@
   failsWith: ReportOutcome | undefined;
   /** Reports take effect, and their answers are lost. */
   losesAnswers = false;
+  /** Answers of the store come so late. */
+  storeMilliseconds = 0;
+  /** Reports get no answer and take effect so much later; 0: at once. */
+  lateMilliseconds = 0;
   /** True: higher fencing tokens than the call's are not looked at. */
   checksNoFencing = false;
   readonly #timer: ManualTimerService;
@@ -42,39 +50,67 @@
     this.#timer = timer;
   }
 
-  /** The platform as one entry reaches it; `isCut` cuts the entry off. */
-  linkOf(isCut: () => boolean): UsageLink {
+  /**
+   * The platform as one entry reaches it: not at all while it is cut off, and
+   * with answers that it takes up only once it is thawed.
+   */
+  linkOf(
+    { isCut, isFrozen }: {
+      readonly isCut: () => boolean;
+      readonly isFrozen: () => boolean;
+    },
+  ): UsageLink {
+    const thaw = async () => {
+      while (isFrozen()) await this.#wait(THAW_MILLISECONDS);
+    };
     return {
-      readClaim: () => {
-        if (isCut()) return Promise.resolve(err(UNAVAILABLE));
+      readClaim: async () => {
+        if (isCut()) return err(UNAVAILABLE);
         const claim = this.claims.at(-1);
-        return Promise.resolve(ok({ claim, end: this.claims.length }));
+        const end = this.claims.length;
+        await this.#wait(this.storeMilliseconds);
+        await thaw();
+        return ok({ claim, end });
       },
-      appendClaim: (claim, at) => {
-        if (isCut()) return Promise.resolve(err(UNAVAILABLE));
-        if (at !== this.claims.length) return Promise.resolve(ok(undefined));
+      appendClaim: async (claim, at) => {
+        if (isCut()) return err(UNAVAILABLE);
+        if (at !== this.claims.length) return ok(undefined);
         this.claims.push({ ...claim, offset: at });
-        return Promise.resolve(ok(at));
+        await this.#wait(this.storeMilliseconds);
+        await thaw();
+        return ok(at);
       },
-      report: ({ counts, window }, { fencing, holder }) => {
-        if (isCut()) return Promise.resolve("unknown");
-        if (this.failsWith) return Promise.resolve(this.failsWith);
-        if (!this.checksNoFencing && fencing < this.#highest) {
-          return Promise.resolve("refused");
-        }
-        this.#highest = Math.max(this.#highest, fencing);
-        this.taken.push({
-          window,
-          counts: Object.fromEntries(counts),
-          holder,
-          fencing,
-          at: this.#timer.now(),
-        });
-        return Promise.resolve(this.losesAnswers ? "unknown" : "accepted");
+      report: async (report, options) => {
+        if (isCut()) return "unknown";
+        if (this.failsWith) return this.failsWith;
+        if (this.lateMilliseconds === 0) return this.#take(report, options);
+        void this.#wait(this.lateMilliseconds)
+          .then(() => this.#take(report, options));
+        return await Promise.resolve("unknown");
       },
     };
   }
 
+  async #wait(milliseconds: number): Promise<void> {
+    if (milliseconds > 0) await pause(this.#timer, milliseconds);
+  }
+
+  #take(
+    { counts, window }: UsageReport,
+    { fencing, holder }: { readonly fencing: number; readonly holder: string },
+  ): ReportOutcome {
+    if (!this.checksNoFencing && fencing < this.#highest) return "refused";
+    this.#highest = Math.max(this.#highest, fencing);
+    this.taken.push({
+      window,
+      counts: Object.fromEntries(counts),
+      holder,
+      fencing,
+      at: this.#timer.now(),
+    });
+    return this.losesAnswers ? "unknown" : "accepted";
+  }
+
   /** Windows that were reported, each with its counts. */
   get reported(): ReadonlyMap<number, Readonly<Record<string, number>>> {
     return new Map(this.taken.map(({ window, counts }) => [window, counts]));
