Look up engines, owners and open work without going over the whole fleet

Cause: for each prompt an entry sorted all reading engines by rendezvous hash for two homes, listed its pool's endpoints several times, asked three times of each how it had fared, and summed the reports of all peers for each engine that it compared.

Change: homes are the first two of one pass, with the part's hash taken once; the registry keeps a pool's list until a registration changes; endpoints that nothing was sent to are not judged; reports are found by endpoint. What is chosen is the same.

--- /dev/null
+++ b/bench/fleet_cost.ts
@@ -0,0 +1,95 @@
+/**
+ * Processor time of an entry by the size of the fleet, on virtual time: ten
+ * engines an entry, and the same requests at each entry.
+ */
+import process from "node:process";
+import { EntryFleet } from "../test/support/entry_fleet.ts";
+import { PlayedEngines } from "../test/support/forwarding_engines.ts";
+import {
+  ENGINES,
+  makeConfiguration,
+  makeEngine,
+  makePrompt,
+  makeRequest,
+  makeRoute,
+} from "../test/support/forwarding_values.ts";
+import {
+  type AvailabilityZoneId,
+  identifier,
+  type RequestId,
+} from "../src/core/identity/mod.ts";
+import { seededRandom } from "../src/core/random/mod.ts";
+
+const ENGINES_PER_ENTRY = 10;
+const READING_SHARE = 0.7;
+const REQUESTS_PER_SECOND_AND_ENTRY = 20;
+const ZONES = 5;
+const SUBJECTS_PER_ENTRY = 50;
+const DEFAULT_SIZES = [30, 100];
+const SETTLE_MILLISECONDS = 1_000;
+const PLAYED_MILLISECONDS = 1_000;
+
+function makeFleet(entries: number): EntryFleet {
+  const count = ENGINES_PER_ENTRY * entries;
+  const fleet = new EntryFleet({
+    entries,
+    zones: ZONES,
+    configuration: makeConfiguration({
+      routes: [makeRoute({
+        repeat: "stream",
+        shares: [{ pool: ENGINES, weight: 1 }],
+      })],
+    }),
+    endpoints: Array.from({ length: count }, (_, index) =>
+      makeEngine(
+        `engine-${index}`,
+        index < READING_SHARE * count ? "prefill" : "decode",
+        {
+          availabilityZone: identifier<AvailabilityZoneId>(
+            `zone-${index % ZONES}`,
+          ),
+        },
+      )),
+  });
+  new PlayedEngines(fleet);
+  return fleet;
+}
+
+async function play(fleet: EntryFleet, milliseconds: number): Promise<number> {
+  const { entries, timer } = fleet;
+  const random = seededRandom(1);
+  const share = REQUESTS_PER_SECOND_AND_ENTRY / 1_000;
+  let requests = 0;
+  for (let passed = 0; passed < milliseconds; passed += 1) {
+    for (let entry = 0; entry < entries.length; entry++) {
+      if (random() >= share) continue;
+      requests += 1;
+      const subject = Math.floor(
+        random() * SUBJECTS_PER_ENTRY * entries.length,
+      );
+      fleet.ask(
+        entry,
+        makeRequest({
+          id: identifier<RequestId>(`request-${timer.now()}-${requests}`),
+          prompt: makePrompt(`subject-${subject}`),
+        }),
+      );
+    }
+    await timer.advance(1);
+  }
+  return requests;
+}
+
+const sizes = process.argv.slice(2).map(Number);
+console.log("entries  requests  processor of an entry, % of a core");
+for (const size of sizes.length > 0 ? sizes : DEFAULT_SIZES) {
+  const fleet = makeFleet(size);
+  await fleet.timer.advance(SETTLE_MILLISECONDS);
+  const before = process.cpuUsage();
+  const requests = await play(fleet, PLAYED_MILLISECONDS);
+  const { system, user } = process.cpuUsage(before);
+  const milliseconds = (system + user) / 1_000 / size;
+  const share = 100 * milliseconds / PLAYED_MILLISECONDS;
+  console.log(`${size}  ${requests}  ${share.toFixed(1)}`);
+  for (const entry of fleet.entries) entry.close();
+}
--- a/src/core/forwarding/endpoints/endpoint_outcomes.ts
+++ b/src/core/forwarding/endpoints/endpoint_outcomes.ts
@@ -72,6 +72,9 @@
   wellAmong<Endpoint extends { readonly id: EndpointId }>(
     endpoints: readonly Endpoint[],
   ): readonly Endpoint[] {
+    // Most endpoints of a large pool have never been sent anything from here.
+    const isAnyKnown = endpoints.some(({ id }) => this.#known.has(id));
+    if (!isAnyKnown) return endpoints;
     const reachable = endpoints.filter(({ id }) => !this.#isUnreachable(id));
     const open = reachable.filter(({ id }) => !this.#isClosed(id));
     const candidates = open.length > 0 ? open : reachable;
--- a/src/core/forwarding/endpoints/endpoint_registry.ts
+++ b/src/core/forwarding/endpoints/endpoint_registry.ts
@@ -52,6 +52,8 @@
 export class EndpointRegistry {
   readonly #options: EndpointRegistryOptions;
   readonly #endpoints = new Map<EndpointId, RegisteredEndpoint>();
+  /** Endpoints of a pool that may get new work, until one changes. */
+  readonly #byPool = new Map<ServiceName, readonly RegisteredEndpoint[]>();
   /** Lapsed registrations and the time until which they stay usable. */
   readonly #lapsed = new Map<EndpointId, number>();
   readonly #runs = new EndpointRuns();
@@ -84,10 +86,14 @@
   }
 
   /** Endpoints of a pool that may get new work. */
-  inPool(pool: ServiceName): RegisteredEndpoint[] {
-    const found: RegisteredEndpoint[] = [];
-    for (const endpoint of this.all) {
-      if (endpoint.pool === pool && !endpoint.leaving) found.push(endpoint);
+  inPool(pool: ServiceName): readonly RegisteredEndpoint[] {
+    this.#expire();
+    let found = this.#byPool.get(pool);
+    if (found === undefined) {
+      found = [...this.#endpoints.values()].filter((endpoint) =>
+        endpoint.pool === pool && !endpoint.leaving
+      );
+      this.#byPool.set(pool, found);
     }
     return found;
   }
@@ -111,8 +117,14 @@
     const next = this.#runs.hasLeft(endpoint)
       ? { ...endpoint, leaving: true }
       : endpoint;
-    this.#endpoints.set(endpoint.id, next);
     const change = changeBetween(known, next, order);
+    const isSamePlace = known?.pool === next.pool &&
+      known.availabilityZone === next.availabilityZone;
+    if (change === undefined && isSamePlace) {
+      if (wasLapsed) this.#tell("back", known);
+      return wasLapsed;
+    }
+    this.#set(next);
     if (change === "restarted" && known !== undefined) this.#forget(known);
     if (wasLapsed && change !== "restarted") this.#tell("back", next);
     else if (change !== undefined) this.#tell(change, next);
@@ -129,7 +141,7 @@
     const endpoint = this.#endpoints.get(run.id);
     if (endpoint === undefined || endpoint.leaving) return undefined;
     const leaving = { ...endpoint, leaving: true };
-    this.#endpoints.set(run.id, leaving);
+    this.#set(leaving);
     this.#tell("leaving", leaving);
     return leaving;
   }
@@ -178,11 +190,17 @@
   #drop(endpoint: RegisteredEndpoint): void {
     this.#lapsed.delete(endpoint.id);
     this.#endpoints.delete(endpoint.id);
+    this.#byPool.clear();
     this.#runs.ended(endpoint.id);
     this.#forget(endpoint);
     this.#tell("removed", endpoint);
   }
 
+  #set(endpoint: RegisteredEndpoint): void {
+    this.#endpoints.set(endpoint.id, endpoint);
+    this.#byPool.clear();
+  }
+
   #forget(endpoint: RegisteredEndpoint): void {
     for (const memory of this.#options.memories ?? []) memory.forget(endpoint);
   }
--- a/src/core/forwarding/endpoints/load_picture.ts
+++ b/src/core/forwarding/endpoints/load_picture.ts
@@ -42,6 +42,7 @@
 }
 
 interface PeerReport {
+  readonly peer: string;
   readonly incarnation: string;
   sequence: number;
   at: number;
@@ -91,6 +92,8 @@
   readonly #timer: TimerService;
   readonly #own = new Map<EndpointId, Ledger>();
   readonly #peers = new Map<string, PeerReport>();
+  /** The reports that name an endpoint; most name few of a large fleet's. */
+  readonly #reportsAt = new Map<string, Set<PeerReport>>();
   /** Others' work as the endpoints' owners have told it. */
   readonly #owners = new Map<EndpointId, OwnersWord>();
   /** Endpoints whose open work has changed since the last report. */
@@ -142,9 +145,9 @@
   others(endpoint: EndpointId, except?: string): OpenWork {
     const oldest = this.#timer.now() - REPORT_MILLISECONDS;
     let sum = NO_WORK;
-    for (const [peer, report] of this.#peers) {
+    for (const report of this.#reportsAt.get(endpoint) ?? []) {
       const work = report.work.get(endpoint);
-      const counts = work !== undefined && peer !== except &&
+      const counts = work !== undefined && report.peer !== except &&
         report.at >= oldest;
       if (counts) sum = addWork(sum, work);
     }
@@ -189,7 +192,11 @@
     const known = this.#peers.get(peer);
     const isSameRun = known?.incarnation === told.incarnation;
     if (isSameRun && told.sequence <= known.sequence) return;
+    if (known !== undefined && (!isSameRun || told.whole)) {
+      for (const endpoint of known.work.keys()) this.#leaveOut(known, endpoint);
+    }
     const report: PeerReport = isSameRun && !told.whole ? known : {
+      peer,
       incarnation: told.incarnation,
       sequence: 0,
       at: 0,
@@ -198,8 +205,10 @@
     report.sequence = told.sequence;
     report.at = this.#timer.now();
     for (const [endpoint, requests, prefill, tokens] of told.work) {
-      if (requests <= 0) report.work.delete(endpoint);
+      if (requests <= 0) this.#leaveOut(report, endpoint);
       else {
+        const reports = this.#reportsAt.get(endpoint) ?? new Set();
+        this.#reportsAt.set(endpoint, reports.add(report));
         report.work.set(endpoint, {
           requests,
           prefillMilliseconds: prefill,
@@ -217,7 +226,15 @@
   forget({ id }: { readonly id: EndpointId }): void {
     if (this.#own.delete(id)) this.#changed.add(id);
     this.#owners.delete(id);
-    for (const report of this.#peers.values()) report.work.delete(id);
+    for (const report of this.#reportsAt.get(id) ?? []) report.work.delete(id);
+    this.#reportsAt.delete(id);
+  }
+
+  #leaveOut(report: PeerReport, endpoint: string): void {
+    report.work.delete(endpoint);
+    const reports = this.#reportsAt.get(endpoint);
+    reports?.delete(report);
+    if (reports?.size === 0) this.#reportsAt.delete(endpoint);
   }
 
   #add(endpoint: EndpointId, ledger: Ledger, change: OpenWork): void {
--- a/src/core/forwarding/placement/engine_sample.ts
+++ b/src/core/forwarding/placement/engine_sample.ts
@@ -1,6 +1,6 @@
 /** Which engines are looked at before something is placed. */
 import type { AvailabilityZoneId } from "../../identity/mod.ts";
-import { rendezvousOrder } from "../../membership/mod.ts";
+import { rendezvousFirst } from "../../membership/mod.ts";
 import type { Random } from "../../random/mod.ts";
 import type { RegisteredEndpoint } from "../configuration.ts";
 import type { Prompt } from "../requests.ts";
@@ -67,7 +67,7 @@
   // The last part is the request's own.
   const shared = prompt.parts.at(-2);
   if (shared === undefined) return [];
-  return rendezvousOrder(readers, shared.id).slice(0, HOME_ENGINES);
+  return rendezvousFirst(readers, { picker: shared.id, count: HOME_ENGINES });
 }
 
 /** So many at random, one of them from the zone where there is one. */
--- a/src/core/membership/hash.ts
+++ b/src/core/membership/hash.ts
@@ -10,10 +10,27 @@
  * a few thousand names, where 32 bits are enough.
  */
 export function hashToUnit(text: string): number {
-  let hash = FNV_OFFSET_BASIS;
+  return unitOf(hashOn(FNV_OFFSET_BASIS, text));
+}
+
+/**
+ * Gives the function that hashes the prefix with a text behind it: the value
+ * of `hashToUnit` for both, without hashing the prefix each time.
+ */
+export function hashBehind(prefix: string): (text: string) => number {
+  const hash = hashOn(FNV_OFFSET_BASIS, prefix);
+  return (text) => unitOf(hashOn(hash, text));
+}
+
+function hashOn(start: number, text: string): number {
+  let hash = start;
   for (let index = 0; index < text.length; index += 1) {
     hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
   }
+  return hash;
+}
+
+function unitOf(hash: number): number {
   return ((mix(hash) >>> 0) + 0.5) / TWO_TO_THE_32;
 }
 
--- a/src/core/membership/mod.ts
+++ b/src/core/membership/mod.ts
@@ -8,6 +8,7 @@
 } from "./membership.ts";
 export {
   attachments,
+  rendezvousFirst,
   rendezvousOrder,
   rendezvousSubset,
 } from "./rendezvous.ts";
--- a/src/core/membership/rendezvous.ts
+++ b/src/core/membership/rendezvous.ts
@@ -1,4 +1,4 @@
-import { hashToUnit } from "./hash.ts";
+import { hashBehind } from "./hash.ts";
 
 /** Something that can be ranked, such as an endpoint or an entry. */
 export interface RankedMember {
@@ -78,16 +78,49 @@
   members: readonly Member[],
   picker: string,
 ): Member[] {
-  return members
-    .map((member) => ({ member, score: score(member, picker) }))
-    .sort((one, other) =>
-      other.score - one.score || (one.member.id < other.member.id ? -1 : 1)
-    )
-    .map(({ member }) => member);
+  return scored(members, picker).sort(byScore).map(({ member }) => member);
 }
 
-/** The weighted rendezvous score: the highest of a set wins. */
-function score(member: RankedMember, picker: string): number {
-  const unit = hashToUnit(`${picker}\u0000${member.id}`);
-  return -(member.weight ?? 1) / Math.log(unit);
+/**
+ * The first of the members in the picker's order. Many members are not sorted
+ * for a few.
+ */
+export function rendezvousFirst<Member extends RankedMember>(
+  members: readonly Member[],
+  { count, picker }: { readonly picker: string; readonly count: number },
+): Member[] {
+  const first: Scored<Member>[] = [];
+  for (const each of scored(members, picker)) {
+    const isAmong = first.length < count ||
+      byScore(each, first[first.length - 1]) < 0;
+    if (!isAmong) continue;
+    first.push(each);
+    first.sort(byScore);
+    first.length = Math.min(first.length, count);
+  }
+  return first.map(({ member }) => member);
+}
+
+interface Scored<Member> {
+  readonly member: Member;
+  readonly score: number;
+}
+
+/** Each member with its weighted rendezvous score: the highest wins. */
+function scored<Member extends RankedMember>(
+  members: readonly Member[],
+  picker: string,
+): Scored<Member>[] {
+  const unitOf = hashBehind(`${picker}\u0000`);
+  return members.map((member) => ({
+    member,
+    score: -(member.weight ?? 1) / Math.log(unitOf(member.id)),
+  }));
+}
+
+function byScore(
+  one: Scored<RankedMember>,
+  other: Scored<RankedMember>,
+): number {
+  return other.score - one.score || (one.member.id < other.member.id ? -1 : 1);
 }
