Tell positions of a restored store from those before

Cause: a store that comes back from an older copy gives offsets out again. An offset stood alone as a reader's position (records skipped without a 410), as the order of two claims (a new claim never accepted) and as a fencing token (falling, or shared by two holders).

Change: a position holds the store's epoch above the offset; the client of the store is the one place that reads the epoch and parts the two. A read or a conditional append of a former epoch fails, answers of a former epoch are dropped, readers begin again from the newest records. Claims and tokens follow by themselves. The counts that a claim on usage reports has fixed also go to peers, since the claim may be lost behind a report that was accepted.

The client's tests fail on the code before (records skipped, positions that fall, an append that fits by chance).

--- a/src/adapters/http_client/mod.ts
+++ b/src/adapters/http_client/mod.ts
@@ -20,6 +20,7 @@
   readonly status: number;
   readonly contentType: string;
   readonly body: string;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
   /** Names this state of what was asked for, where the service gives it. */
   readonly entityTag?: string;
 }
@@ -183,6 +184,7 @@
         contentType: incoming.headers["content-type"] ??
           "application/octet-stream",
         body: Buffer.concat(pieces).toString(encoding),
+        headers: incoming.headers,
         entityTag: incoming.headers.etag,
       }));
     });
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -60,6 +60,7 @@
 export { EndpointOutcomes } from "./endpoints/endpoint_outcomes.ts";
 export { EnginePlacement } from "./placement/engine_placement.ts";
 export { chooseService } from "./placement/service_placement.ts";
+export { placeOf, positionOf } from "./store/log_position.ts";
 export {
   type KeyedRecord,
   type KeyedRecords,
--- a/src/core/forwarding/store/topic_reader_test.ts
+++ b/src/core/forwarding/store/topic_reader_test.ts
@@ -2,7 +2,12 @@
 import { ok, type Result } from "neverthrow";
 import { settled } from "../../../../test/support/forwarding_bench.ts";
 import { ManualTimerService } from "../../time/mod.ts";
-import { type KeyedRecords, type StoreFailure, TopicReader } from "../mod.ts";
+import {
+  type KeyedRecords,
+  positionOf,
+  type StoreFailure,
+  TopicReader,
+} from "../mod.ts";
 
 const PAUSE_MILLISECONDS = 500;
 
@@ -54,6 +59,17 @@
     expect(reads.map(({ from }) => from)).to.deep.equal([14]);
   });
 
+  it("takes no span of another epoch for its own", async () => {
+    const next = positionOf({ epoch: 2, offset: 10 });
+    await timer.advance(PAUSE_MILLISECONDS);
+    await answer({ records: [], next });
+    expect(reader.peerRead({ from: 8, to: 14 })).to.equal("older");
+    expect(reader.peerRead({
+      from: positionOf({ epoch: 3, offset: 8 }),
+      to: positionOf({ epoch: 3, offset: 14 }),
+    })).to.equal("apart");
+  });
+
   it("waits its pause anew, so that one entry reads for all", async () => {
     await timer.advance(PAUSE_MILLISECONDS - 1);
     reader.peerRead({ from: 10, to: 14 });
--- a/src/core/forwarding/usage/usage_ledger.ts
+++ b/src/core/forwarding/usage/usage_ledger.ts
@@ -107,6 +107,7 @@
     return (this.#runs.get(run)?.until ?? -Infinity) >= time;
   }
 
+  /** By the workspaces' names, so that every entry writes them alike. */
   totals(window: UsageWindow): WorkspaceCounts {
     const totals = new Map<WorkspaceId, number>();
     for (const { windows } of this.#runs.values()) {
@@ -114,7 +115,7 @@
         totals.set(workspace, (totals.get(workspace) ?? 0) + count);
       }
     }
-    return totals;
+    return new Map([...totals].sort(([one], [other]) => one < other ? -1 : 1));
   }
 
   /** Forgets all windows before this one, and runs that have no later one. */
--- a/src/entry/forwarding/usage_keeper.ts
+++ b/src/entry/forwarding/usage_keeper.ts
@@ -5,9 +5,11 @@
   nextReports,
   type StandingClaim,
   type StoreFailure,
+  type ToldUsage,
   type UsageClaim,
   UsageLedger,
   type UsageReport,
+  type WorkspaceCounts,
 } from "../../core/forwarding/mod.ts";
 import {
   identifier,
@@ -105,6 +107,11 @@
   readonly #since: number;
   /** The last run of each entry that has told its counts. */
   readonly #runs = new Map<ProcessId, string>();
+  /**
+   * Reports that claims have fixed. The store may lose a claim when it is
+   * restored from a copy; the receiver has the counts nevertheless.
+   */
+  readonly #fixed = new Map<UsageWindow, WorkspaceCounts>();
   readonly #subscriptions: Subscription[] = [];
   /** The newest window that is reported or given up. */
   #closedThrough: number;
@@ -184,11 +191,22 @@
     this.#ledger.peerCounted(runOf(told), told);
   }
 
-  #takeReports({ claim, acceptedThrough }: ReportsNotification): void {
+  #takeReports(
+    { acceptedThrough, claim, fixed }: ReportsNotification,
+  ): void {
     this.#claim.saw(claim);
+    for (const [window, counts] of fixed ?? []) {
+      this.#fixed.set(numbered(window), decodeCounts(counts));
+    }
     if (acceptedThrough !== undefined) this.#accepted(acceptedThrough);
   }
 
+  #forgetOverdue(): void {
+    for (const window of this.#fixed.keys()) {
+      if (window < this.#oldest) this.#fixed.delete(window);
+    }
+  }
+
   #accepted(window: number): void {
     this.#acceptedThrough = Math.max(this.#acceptedThrough, window);
     this.#closedThrough = Math.max(this.#closedThrough, window);
@@ -220,6 +238,7 @@
 
   async #look(): Promise<void> {
     if (this.#isReporting) return;
+    this.#forgetOverdue();
     this.#giveUpOverdue();
     const due = this.#dueWindows();
     if (due.length === 0 || !this.#isOwnTurn(due[0])) return;
@@ -307,7 +326,7 @@
     if (!this.#claim.mayClaim()) return undefined;
     const reports = nextReports({
       ledger: this.#ledger,
-      fixed: claim?.reports ?? [],
+      fixed: this.#fixedWith(claim?.reports ?? []),
       due,
       oldest: this.#oldest,
       isAccepted: (window) => window <= this.#acceptedThrough,
@@ -325,7 +344,8 @@
     if (appended.isErr() || appended.value === undefined) return undefined;
     const offset = appended.value;
     this.#claim.gained(offset, sentAt);
-    this.#tellReports({ holder: this.#run, offset });
+    for (const { counts, window } of reports) this.#fixed.set(window, counts);
+    this.#tellReports({ holder: this.#run, offset }, reports);
     const windows = reports.map(({ window }) => window);
     logger.info({ fencing: offset, windows }, "This entry reports usage now");
     return reports;
@@ -351,17 +371,43 @@
     return true;
   }
 
-  #tellReports(claim: StandingClaim): void {
+  /** The reports of the newest claim, and those that the store has lost. */
+  #fixedWith(standing: readonly UsageReport[]): UsageReport[] {
+    const known = new Set(standing.map(({ window }) => window));
+    const lost = [...this.#fixed]
+      .filter(([window]) => !known.has(window))
+      .map(([window, counts]) => ({ window, counts, accepted: false }));
+    return [...standing, ...lost].sort((one, other) =>
+      one.window - other.window
+    );
+  }
+
+  #tellReports(
+    claim: StandingClaim,
+    fixed: readonly UsageReport[] = [],
+  ): void {
     const params: ReportsNotification = {
       claim,
       ...(Number.isFinite(this.#acceptedThrough) && {
         acceptedThrough: this.#acceptedThrough,
       }),
+      ...(fixed.length > 0 && {
+        fixed: fixed.map(({ counts, window }) =>
+          [window, [...counts]] as const
+        ),
+      }),
     };
     this.#options.tellAll(USAGE_REPORTS_METHOD, params);
   }
 }
 
+function decodeCounts(counts: ToldUsage[1]): WorkspaceCounts {
+  return new Map(counts.map(([workspace, count]) => [
+    identifier<WorkspaceId>(workspace),
+    count,
+  ]));
+}
+
 function runOf(
   { entry, incarnation }: Pick<UsageNotification, "entry" | "incarnation">,
 ): string {
--- a/src/entry/forwarding/usage_notification.ts
+++ b/src/entry/forwarding/usage_notification.ts
@@ -21,6 +21,8 @@
   readonly claim: StandingClaim;
   /** The newest window whose report was confirmed. */
   readonly acceptedThrough?: number;
+  /** What the claim has fixed; comes with a new claim. */
+  readonly fixed?: readonly ToldUsage[];
 }
 
 /** True where a peer's counts can be taken in. */
@@ -50,9 +52,13 @@
   value: unknown,
 ): value is ReportsNotification {
   if (typeof value !== "object" || value === null) return false;
-  const { acceptedThrough, claim } = value as Partial<ReportsNotification>;
+  const { acceptedThrough, claim, fixed } = value as Partial<
+    ReportsNotification
+  >;
+  const isFixed = fixed === undefined ||
+    (Array.isArray(fixed) && fixed.every(isToldUsage));
   const isThrough = acceptedThrough === undefined ||
     Number.isInteger(acceptedThrough);
-  return isThrough && typeof claim?.holder === "string" &&
+  return isThrough && isFixed && typeof claim?.holder === "string" &&
     Number.isFinite(claim.offset);
 }
--- a/src/entry/forwarding/usage_schedules_test.ts
+++ b/src/entry/forwarding/usage_schedules_test.ts
@@ -27,6 +27,7 @@
   }
   | { readonly kind: "store"; readonly milliseconds: number }
   | { readonly kind: "late"; readonly milliseconds: number }
+  | { readonly kind: "restored"; readonly lost: number }
   | { readonly kind: "loses"; readonly answers: boolean }
   | { readonly kind: "fails"; readonly outcome: ReportOutcome | undefined };
 
@@ -56,6 +57,7 @@
     kind: fc.constant("late"),
     milliseconds: fc.constantFrom(0, 2_000, 6_000),
   }),
+  fc.record({ kind: fc.constant("restored"), lost: fc.nat(3) }),
   fc.record({ kind: fc.constant("loses"), answers: fc.boolean() }),
   fc.record({
     kind: fc.constant("fails"),
@@ -96,6 +98,8 @@
         platform.lateMilliseconds = fault.milliseconds;
       }
       return;
+    case "restored":
+      return platform.restore({ lost: fault.lost });
     case "loses":
       platform.losesAnswers = fault.answers;
       return;
--- a/test/support/usage_platform.ts
+++ b/test/support/usage_platform.ts
@@ -1,8 +1,9 @@
 import { err, ok } from "neverthrow";
-import type {
-  StoreFailure,
-  UsageClaim,
-  UsageReport,
+import {
+  positionOf,
+  type StoreFailure,
+  type UsageClaim,
+  type UsageReport,
 } from "../../src/core/forwarding/mod.ts";
 import { type ManualTimerService, pause } from "../../src/core/time/mod.ts";
 import type {
@@ -45,11 +46,22 @@
   checksNoFencing = false;
   readonly #timer: ManualTimerService;
   #highest = -1;
+  #epoch = 0;
 
   constructor(timer: ManualTimerService) {
     this.#timer = timer;
   }
 
+  /** The store comes back from a copy without the newest claims. */
+  restore({ lost }: { readonly lost: number }): void {
+    this.claims.length = Math.max(0, this.claims.length - lost);
+    this.#epoch += 1;
+  }
+
+  #positionOf(offset: number): number {
+    return positionOf({ epoch: this.#epoch, offset });
+  }
+
   /**
    * The platform as one entry reaches it: not at all while it is cut off, and
    * with answers that it takes up only once it is thawed.
@@ -66,15 +78,17 @@
     return {
       readClaim: async () => {
         if (isCut()) return err(UNAVAILABLE);
-        const claim = this.claims.at(-1);
-        const end = this.claims.length;
+        const newest = this.claims.at(-1);
+        const offset = this.#positionOf(this.claims.length - 1);
+        const claim = newest && { ...newest, offset };
+        const end = this.#positionOf(this.claims.length);
         await this.#wait(this.storeMilliseconds);
         await thaw();
         return ok({ claim, end });
       },
       appendClaim: async (claim, at) => {
         if (isCut()) return err(UNAVAILABLE);
-        if (at !== this.claims.length) return ok(undefined);
+        if (at !== this.#positionOf(this.claims.length)) return ok(undefined);
         this.claims.push({ ...claim, offset: at });
         await this.#wait(this.storeMilliseconds);
         await thaw();
