Plan roles from the answers that are open and the readers that are busy

Cause: seven of ten engines read prompts wherever an engine makes 32 answers at once, whatever callers ask.

Change: six of ten at first (seven at 64 slots, where a few engines hold many answers), then the share follows what was seen over half a minute: nine tenths of the time answers have slots to spare, as far as those that read are busy for less than 0.6 of theirs, between five and seven of ten. Answers may take engines two seconds after the last change of any; reading waits for seven.

RoleDemand's tests turn the mix each 3 and 15 s.

--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -83,7 +83,12 @@
 } from "./admission/engine_admission.ts";
 export { type HeldPrompt, HeldPrompts } from "./admission/held_prompts.ts";
 export { LinkQueue } from "./admission/link_queue.ts";
-export { planRoles, type RoleChange } from "./roles/role_plan.ts";
+export { RoleDemand } from "./roles/role_demand.ts";
+export {
+  planRoles,
+  prefillShareFor,
+  type RoleChange,
+} from "./roles/role_plan.ts";
 export {
   ExclusiveClaim,
   type StandingClaim,
--- /dev/null
+++ b/src/core/forwarding/roles/role_demand_test.ts
@@ -0,0 +1,90 @@
+import { expect } from "chai";
+import { makeEngine } from "../../../../test/support/forwarding_values.ts";
+import { ManualTimerService } from "../../time/mod.ts";
+import { prefillShareFor, RoleDemand } from "../mod.ts";
+import { prefillShareOf } from "./role_plan.ts";
+
+const SAMPLE_MILLISECONDS = 250;
+
+function engines(count: number, slots = 32) {
+  return Array.from(
+    { length: count },
+    (_, index) => makeEngine(`engine-${index}`, "decode", { slots }),
+  );
+}
+
+describe("RoleDemand", () => {
+  let timer: ManualTimerService;
+  let demand: RoleDemand;
+
+  beforeEach(() => {
+    timer = new ManualTimerService();
+    demand = new RoleDemand(timer);
+  });
+
+  /** Prompts and answers that take turns, `swing` milliseconds each. */
+  async function turn(swing: number, milliseconds: number): Promise<void> {
+    for (let at = 0; at < milliseconds; at += SAMPLE_MILLISECONDS) {
+      const isForPrompts = Math.floor(at / swing) % 2 === 0;
+      demand.note(
+        isForPrompts
+          ? { answers: 60, busyReaders: 18 }
+          : { answers: 260, busyReaders: 2 },
+      );
+      await timer.advance(SAMPLE_MILLISECONDS);
+    }
+  }
+
+  it("concludes nothing from a few samples", async () => {
+    await turn(3_000, 2_000);
+    expect(demand.usual).to.equal(undefined);
+  });
+
+  for (const swing of [3_000, 15_000]) {
+    it(`does not follow a mix that turns each ${swing} ms`, async () => {
+      await turn(swing, 30_000);
+      const first = demand.usual;
+      await turn(swing, swing);
+      expect(first).to.deep.include({ answers: 260 });
+      expect(demand.usual?.answers).to.equal(260);
+      expect(demand.usual?.busyReaders)
+        .to.be.closeTo(first?.busyReaders ?? 0, 5);
+    });
+  }
+
+  it("forgets what was asked for more than half a minute ago", async () => {
+    await turn(15_000, 30_000);
+    for (let at = 0; at < 31_000; at += SAMPLE_MILLISECONDS) {
+      demand.note({ answers: 20, busyReaders: 5 });
+      await timer.advance(SAMPLE_MILLISECONDS);
+    }
+    expect(demand.usual).to.deep.equal({ answers: 20, busyReaders: 5 });
+  });
+});
+
+describe("prefillShareFor", () => {
+  it("goes by the slots while nothing was seen", () => {
+    expect(prefillShareFor(engines(29), undefined))
+      .to.equal(prefillShareOf(engines(29)));
+  });
+
+  it("gives answers the engines that readers can spare", () => {
+    const share = prefillShareFor(engines(29), {
+      answers: 260,
+      busyReaders: 9,
+    });
+    expect(Math.round((1 - share) * 29) * 32).to.be.at.least(400);
+  });
+
+  it("takes no reader away where they are busy", () => {
+    const usual = { answers: 160, busyReaders: 5 };
+    expect(prefillShareFor(engines(8, 64), usual)).to.equal(0.7);
+  });
+
+  it("leaves half to prompts and no more than the slots allow", () => {
+    for (const answers of [0, 100, 1_000, 100_000]) {
+      const usual = { answers, busyReaders: 0 };
+      expect(prefillShareFor(engines(10), usual)).to.be.within(0.5, 0.7);
+    }
+  });
+});
--- a/src/core/forwarding/roles/role_plan.ts
+++ b/src/core/forwarding/roles/role_plan.ts
@@ -1,27 +1,22 @@
 import type { AvailabilityZoneId, EndpointId } from "../../identity/mod.ts";
 import type { RegisteredEndpoint } from "../configuration.ts";
+import type { RoleSample } from "./role_demand.ts";
 
-/**
- * Share of a pool's engines that read prompts, where an engine makes many
- * answers at once. Load: 157 long prompts a second, of which an engine reads
- * one in 20 ms, beside 11 short prompts a second whose answers take one of 32
- * slots for 3.4 s: 3.1 engines against 1.2. Harm prevented: with 0.6 prompts
- * wait while slots stand empty, with 0.8 answers wait for slots and are late by
- * their pauses.
- */
+/** Share of a pool's engines that read prompts, where each has many slots. */
 const MOST_PREFILL_SHARE = 0.7;
 /** Slots of an engine from which on that share fits. */
-const MANY_SLOTS = 32;
+const MANY_SLOTS = 64;
 /**
  * Share of the engines that go from reading to answers each time that their
- * slots are half as many. Load: engines that make eight answers at once, each of
- * some seconds, beside long prompts. Harm prevented: every slot is taken, and
- * urgent answers wait for one beside engines that read nothing. Limit: by the
- * slots alone it would be several times as many, which leaves too few engines
- * for a burst of prompts; how the work is mixed is not known beforehand.
+ * slots are half as many: answers that find no slot wait for seconds.
  */
-const SHARE_FOR_HALF_THE_SLOTS = 0.04;
-/** Share that goes on reading, however few slots the engines have. */
+const SHARE_FOR_HALF_THE_SLOTS = 0.1;
+/**
+ * Share that goes on reading, however few slots the engines have: how the work
+ * is mixed is not known beforehand, and a burst of prompts needs them.
+ */
+const LEAST_SHARE_BY_SLOTS = 0.6;
+/** The same where the work was seen. */
 const LEAST_PREFILL_SHARE = 0.5;
 
 /** Share of the engines that are to read prompts, by their slots. */
@@ -30,11 +25,33 @@
   const slots = Math.max(1, sum / engines.length);
   const halvings = Math.max(0, Math.log2(MANY_SLOTS / slots));
   return Math.max(
-    LEAST_PREFILL_SHARE,
+    LEAST_SHARE_BY_SLOTS,
     MOST_PREFILL_SHARE - SHARE_FOR_HALF_THE_SLOTS * halvings,
   );
 }
 
+/** Share of the time for which engines that read may be busy on average. */
+const MOST_BUSY_READERS = 0.6;
+
+/**
+ * The share for what the engines had to do: those that decode have slots to
+ * spare for the answers, as far as the others can be spared from reading.
+ */
+export function prefillShareFor(
+  engines: readonly RegisteredEndpoint[],
+  usual: RoleSample | undefined,
+): number {
+  const bySlots = prefillShareOf(engines);
+  if (usual === undefined || engines.length === 0) return bySlots;
+  const slots = engines.reduce((sum, engine) => sum + engine.slots, 0);
+  const leftByAnswers = 1 - usual.answers / (MOST_TAKEN_SLOTS * slots);
+  const needed = usual.busyReaders / (MOST_BUSY_READERS * engines.length);
+  return Math.min(
+    bySlots,
+    Math.max(LEAST_PREFILL_SHARE, leftByAnswers, needed),
+  );
+}
+
 /**
  * How far the engines of a role may be from their share. Load: one engine of
  * six crashes and is back five seconds later. Harm prevented: another one
--- a/src/entry/forwarding/role_keeper.ts
+++ b/src/entry/forwarding/role_keeper.ts
@@ -5,12 +5,14 @@
   type LoadPicture,
   planRoles,
   type Pool,
+  prefillShareFor,
   type RegisteredEndpoint,
   type RoleChange,
+  RoleDemand,
   type StandingClaim,
   type StoreFailure,
 } from "../../core/forwarding/mod.ts";
-import type { EndpointId } from "../../core/identity/mod.ts";
+import type { EndpointId, ServiceName } from "../../core/identity/mod.ts";
 import type { Logger } from "../../core/observation/mod.ts";
 import { type Random, withJitter } from "../../core/random/mod.ts";
 import type { Subscription, TimerService } from "../../core/time/mod.ts";
@@ -29,6 +31,8 @@
 const FIRST_SETTLED_MILLISECONDS = 2_000;
 /** The same later on: an engine that crashes is back with its role by then. */
 const SETTLED_MILLISECONDS = 7_000;
+/** How often what the engines have to do is counted. */
+const DEMAND_MILLISECONDS = 250;
 /** A change that has not shown by then has failed and is planned anew. */
 const CHANGE_MILLISECONDS = 12_000;
 
@@ -82,8 +86,10 @@
   readonly #claim: ExclusiveClaim;
   readonly #changing = new Map<EndpointId, "prefill" | "decode">();
   readonly #changeDue = new Map<EndpointId, number>();
+  readonly #demands = new Map<ServiceName, RoleDemand>();
   #settledSince = 0;
   #hasPlanned = false;
+  #counting: Subscription | undefined;
   #next: Subscription | undefined;
   #stopped = false;
 
@@ -94,12 +100,17 @@
   }
 
   start(): void {
+    this.#counting = this.#options.timer.every(
+      DEMAND_MILLISECONDS,
+      () => this.#countWork(),
+    );
     this.#plan();
   }
 
   stop(): void {
     this.#stopped = true;
     this.#next?.cancel();
+    this.#counting?.cancel();
   }
 
   /** True from the order until the engine shows its new role. */
@@ -131,12 +142,16 @@
 
   async #look(): Promise<void> {
     this.#dropOverdue();
-    const now = this.#options.timer.now();
-    const needed = this.#hasPlanned
-      ? SETTLED_MILLISECONDS
-      : FIRST_SETTLED_MILLISECONDS;
-    const isSettled = now - this.#settledSince >= needed;
-    const changes = isSettled ? this.#wanted() : [];
+    const settledFor = this.#options.timer.now() - this.#settledSince;
+    const isSettled = settledFor >=
+      (this.#hasPlanned ? SETTLED_MILLISECONDS : FIRST_SETTLED_MILLISECONDS);
+    // What callers ask for does not come back by itself, as a crashed engine.
+    const mayFollowDemand = settledFor >= FIRST_SETTLED_MILLISECONDS;
+    const changes = isSettled
+      ? this.#wanted()
+      : mayFollowDemand
+      ? this.#wanted().filter(({ role }) => role === "decode")
+      : [];
     // Engines that fit already were planned for as well: from then on a
     // change is the exception.
     if (isSettled && this.#options.registry.size > 0) this.#hasPlanned = true;
@@ -153,11 +168,32 @@
         engines: registry.inPool(pool.name),
         openRequests: (endpoint) => load.total(endpoint).requests,
         changing: this.#changing,
+        prefillShare: prefillShareFor(
+          registry.inPool(pool.name),
+          this.#demands.get(pool.name)?.usual,
+        ),
       }));
     }
     return changes;
   }
 
+  #countWork(): void {
+    const { load, pools, registry, timer } = this.#options;
+    for (const { engine, name } of pools()) {
+      if (engine === undefined) continue;
+      const demand = this.#demands.get(name) ?? new RoleDemand(timer);
+      this.#demands.set(name, demand);
+      let answers = 0;
+      let busyReaders = 0;
+      for (const { id, role } of registry.inPool(name)) {
+        const { requests } = load.total(id);
+        if (role !== "prefill") answers += requests;
+        else if (requests > 0) busyReaders += 1;
+      }
+      demand.note({ answers, busyReaders });
+    }
+  }
+
   async #carryOut(changes: readonly RoleChange[]): Promise<void> {
     if (!await this.#takeClaim()) return;
     const { link, logger, self } = this.#options;
@@ -172,6 +208,7 @@
         previous,
         fencing,
         outcome,
+        ...this.#demands.get(change.endpoint.pool)?.usual,
       }, "An engine was told to change its role");
       if (outcome === "refused") return this.#claim.refused();
       if (outcome === "busy") continue;
