--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -95,8 +95,8 @@
 } from "./claims/exclusive_claim.ts";
 export { FleetClock } from "./usage/fleet_clock.ts";
 export {
-  type ToldUsage,
   UsageLedger,
+  type WindowCounts,
   type WorkspaceCounts,
 } from "./usage/usage_ledger.ts";
 export {
--- a/src/core/forwarding/usage/usage_ledger.ts
+++ b/src/core/forwarding/usage/usage_ledger.ts
@@ -12,7 +12,7 @@
 export type EntryRunName = string;
 
 /** A run's counts in a window, as they go to peers. */
-export type ToldUsage = readonly [
+export type WindowCounts = readonly [
   window: number,
   counts: readonly (readonly [workspace: string, count: number])[],
 ];
@@ -34,14 +34,14 @@
 
 /**
  * Requests that began to run, by workspace and window, as far as this entry
- * knows them of every run of every entry. Counts of a run only rise, so that
- * what a peer tells may come late, twice or out of order.
+ * knows them of every run of every entry. Counts of a run only rise, so that a
+ * peer's may come late, twice or out of order.
  */
 export class UsageLedger {
   readonly #options: UsageLedgerOptions;
   readonly #runs = new Map<EntryRunName, RunCounts>();
-  /** Windows of this run whose counts have changed since they were told. */
-  readonly #untold = new Set<UsageWindow>();
+  /** Windows of this run whose counts have changed since they were sent. */
+  readonly #unsent = new Set<UsageWindow>();
 
   constructor(options: UsageLedgerOptions) {
     this.#options = options;
@@ -54,34 +54,34 @@
     const window = numbered<UsageWindow>(Math.floor(at / windowMilliseconds));
     const counts = countsOf(this.#run(self, since), window);
     counts.set(workspace, (counts.get(workspace) ?? 0) + 1);
-    this.#untold.add(window);
+    this.#unsent.add(window);
   }
 
-  get hasUntold(): boolean {
-    return this.#untold.size > 0;
+  get hasUnsent(): boolean {
+    return this.#unsent.size > 0;
   }
 
-  /** This run's counts; with `all` also those that were told before. */
-  takeOwn({ all }: { readonly all: boolean }): ToldUsage[] {
+  /** This run's counts; with `all` also those that were sent before. */
+  takeOwn({ all }: { readonly all: boolean }): WindowCounts[] {
     const { self, since } = this.#options;
     const { windows } = this.#run(self, since);
-    const wanted = all ? [...windows.keys()] : [...this.#untold];
-    this.#untold.clear();
+    const wanted = all ? [...windows.keys()] : [...this.#unsent];
+    this.#unsent.clear();
     return wanted.map((window) => [window, [...windows.get(window) ?? []]]);
   }
 
-  /** A peer's run tells what it has counted up to `until`. */
+  /** Takes what a peer's run has counted up to `until`. */
   peerCounted(
     run: EntryRunName,
-    told: {
+    counted: {
       readonly since: number;
       readonly until: number;
-      readonly usage: readonly ToldUsage[];
+      readonly usage: readonly WindowCounts[];
     },
   ): void {
-    const known = this.#run(run, told.since);
-    known.until = Math.max(known.until, told.until);
-    for (const [window, counts] of told.usage) {
+    const known = this.#run(run, counted.since);
+    known.until = Math.max(known.until, counted.until);
+    for (const [window, counts] of counted.usage) {
       const all = countsOf(known, numbered(window));
       for (const [name, count] of counts) {
         const workspace = identifier<WorkspaceId>(name);
@@ -128,8 +128,8 @@
       const isOver = run !== this.#options.self && until < oldestTime;
       if (isOver && windows.size === 0) this.#runs.delete(run);
     }
-    for (const window of this.#untold) {
-      if (window < oldest) this.#untold.delete(window);
+    for (const window of this.#unsent) {
+      if (window < oldest) this.#unsent.delete(window);
     }
   }
 
--- a/src/entry/forwarding/caller_keys_test.ts
+++ b/src/entry/forwarding/caller_keys_test.ts
@@ -18,7 +18,7 @@
 import { identifier, type WorkspaceId } from "../../core/identity/mod.ts";
 
 const KEY: Credentials = { kind: "key", digest: identifier("digest") };
-const IDENTITY = ["Authorization", "Bearer secret", "X-Tenant", "forged"];
+const IDENTITY = ["Authorization", "Bearer secret", "X-Workspace", "forged"];
 
 function makeWorkspace(values: Partial<WorkspaceKeys> = {}): WorkspaceKeys {
   return {
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -213,8 +213,8 @@
       isFirstStart: options.isFirstStart,
       ranking: () => owners.liveRanking(USAGE_METHOD),
       listed: () => this.peers.listed,
-      tellOne: (peer, notification) => this.peers.tellOne(peer, notification),
-      tellAll: (method, params) => this.peers.tell(method, params),
+      send: (peer, notification) => this.peers.tellOne(peer, notification),
+      broadcast: (method, params) => this.peers.tell(method, params),
     });
     const clock = this.#usage?.clock;
     this.peers = new PeerExchange({
--- a/src/entry/forwarding/usage_keeper.ts
+++ b/src/entry/forwarding/usage_keeper.ts
@@ -5,10 +5,10 @@
   nextReports,
   type StandingClaim,
   type StoreFailure,
-  type ToldUsage,
   type UsageClaim,
   UsageLedger,
   type UsageReport,
+  type WindowCounts,
   type WorkspaceCounts,
 } from "../../core/forwarding/mod.ts";
 import {
@@ -32,9 +32,9 @@
 /** Entries that keep the whole fleet's counts, so that one may be lost. */
 const KEEPERS = 3;
 /** How often counts that have changed go to the keepers. */
-const TELL_MILLISECONDS = 200;
+const COPY_MILLISECONDS = 200;
 /** How often all counts that are not reported yet go to them once more. */
-const WHOLE_TELL_MILLISECONDS = 1_000;
+const WHOLE_COPY_MILLISECONDS = 1_000;
 /** How often a keeper checks for windows that are due. */
 const LOOK_MILLISECONDS = 250;
 /** Time behind a window's end until requests that began in it are counted. */
@@ -52,7 +52,7 @@
  */
 export type ReportOutcome = "accepted" | "refused" | "limited" | "unknown";
 
-/** The log that claims on reporting stand on, and the receiver of reports. */
+/** The log of claims on reporting, and the receiver of reports. */
 export interface UsageLink {
   /** The newest claim, and where the log ends. */
   readClaim(): Promise<
@@ -86,11 +86,11 @@
   readonly ranking: () => readonly ProcessId[];
   /** Entries on the fleet's list, this one left out. */
   readonly listed: () => Iterable<ProcessId>;
-  readonly tellOne: (
+  readonly send: (
     peer: ProcessId,
     notification: { readonly method: string; readonly params: unknown },
   ) => void;
-  readonly tellAll: (method: string, params: unknown) => void;
+  readonly broadcast: (method: string, params: unknown) => void;
   readonly onOutcome?: (outcome: ReportOutcome | "given_up") => void;
 }
 
@@ -105,7 +105,7 @@
   readonly #ledger: UsageLedger;
   readonly #claim: ExclusiveClaim;
   readonly #since: number;
-  /** The last run of each entry that has told its counts. */
+  /** The last run of each entry that has sent its counts. */
   readonly #runs = new Map<ProcessId, string>();
   /**
    * Reports that claims have fixed. The store may lose a claim when it is
@@ -116,7 +116,7 @@
   /** The newest window that is reported or given up. */
   #closedThrough: number;
   #acceptedThrough = -Infinity;
-  #toldWholeAt = -Infinity;
+  #copiedWholeAt = -Infinity;
   #retryAt = -Infinity;
   #isReporting = false;
 
@@ -133,7 +133,10 @@
       since: this.#since,
     });
     this.#claim = new ExclusiveClaim({ ...options, self: this.#run });
-    this.#closedThrough = this.#oldest - 1;
+    const oldest = isFirstStart
+      ? Math.floor(now / windowMilliseconds)
+      : this.#oldest;
+    this.#closedThrough = oldest - 1;
   }
 
   /** Fencing token of the reports that this entry sends; absent: another's. */
@@ -144,7 +147,7 @@
   start(): void {
     const { timer } = this.#options;
     this.#subscriptions.push(
-      timer.every(TELL_MILLISECONDS, () => this.#tell()),
+      timer.every(COPY_MILLISECONDS, () => this.#copyCounts()),
       timer.every(LOOK_MILLISECONDS, () => void this.#look()),
     );
   }
@@ -153,7 +156,7 @@
   stop(): void {
     for (const each of this.#subscriptions) each.cancel();
     this.#subscriptions.length = 0;
-    this.#tell();
+    this.#copyCounts();
   }
 
   /** A request began to run at this moment of the steady clock. */
@@ -186,9 +189,9 @@
     return (window + 1) * this.#options.windowMilliseconds;
   }
 
-  #takeCounts(told: UsageNotification): void {
-    this.#runs.set(identifier(told.entry), runOf(told));
-    this.#ledger.peerCounted(runOf(told), told);
+  #takeCounts(counts: UsageNotification): void {
+    this.#runs.set(identifier(counts.entry), runOf(counts));
+    this.#ledger.peerCounted(runOf(counts), counts);
   }
 
   #takeReports(
@@ -213,13 +216,13 @@
   }
 
   /** Copies this entry's counts to the keepers. */
-  #tell(): void {
-    const { incarnation, ranking, self, tellOne, timer } = this.#options;
+  #copyCounts(): void {
+    const { incarnation, ranking, self, send, timer } = this.#options;
     const now = timer.now();
-    const all = now - this.#toldWholeAt >= WHOLE_TELL_MILLISECONDS;
-    if (!all && !this.#ledger.hasUntold) return;
+    const all = now - this.#copiedWholeAt >= WHOLE_COPY_MILLISECONDS;
+    if (!all && !this.#ledger.hasUnsent) return;
     if (all) {
-      this.#toldWholeAt = now;
+      this.#copiedWholeAt = now;
       this.#ledger.forgetBefore(
         numbered(Math.max(this.#oldest, this.#closedThrough + 1)),
       );
@@ -232,7 +235,7 @@
       usage: this.#ledger.takeOwn({ all }),
     };
     for (const keeper of ranking().slice(0, KEEPERS)) {
-      if (keeper !== self) tellOne(keeper, { method: USAGE_METHOD, params });
+      if (keeper !== self) send(keeper, { method: USAGE_METHOD, params });
     }
   }
 
@@ -289,7 +292,7 @@
     return this.clock.now() >= this.#endOf(window) + wait;
   }
 
-  /** True where every entry that ran in the window has told all its counts. */
+  /** True where every entry that ran in the window has sent all its counts. */
   #isWhole(window: UsageWindow): boolean {
     const { listed, windowMilliseconds } = this.#options;
     const end = this.#endOf(window);
@@ -297,11 +300,11 @@
       const run = this.#runs.get(entry);
       if (run === undefined) continue;
       const isOver = !this.#ledger.isKnownUntil(run, end - windowMilliseconds);
-      const isTold = this.#ledger.isKnownUntil(
+      const isComplete = this.#ledger.isKnownUntil(
         run,
         end + COUNTED_MILLISECONDS,
       );
-      if (!isOver && !isTold) return false;
+      if (!isOver && !isComplete) return false;
     }
     return true;
   }
@@ -320,7 +323,11 @@
   ): Promise<readonly UsageReport[] | undefined> {
     const { link, logger, timer } = this.#options;
     const read = await link.readClaim();
-    if (read.isErr()) return undefined;
+    if (read.isErr()) {
+      const reason = read.error.message;
+      logger.warn({ reason }, "The claim on usage reports cannot be read");
+      return undefined;
+    }
     const { claim, end } = read.value;
     if (claim !== undefined) this.#claim.saw(claim);
     if (!this.#claim.mayClaim()) return undefined;
@@ -341,11 +348,15 @@
       end,
     );
     // A lost answer may hide a claim that stands; the next try reads it.
-    if (appended.isErr() || appended.value === undefined) return undefined;
-    const offset = appended.value;
+    const offset = appended.unwrapOr(undefined);
+    if (offset === undefined) {
+      const reason = appended.isErr() ? appended.error.message : "overtaken";
+      logger.info({ reason }, "No claim on usage reports was gained");
+      return undefined;
+    }
     this.#claim.gained(offset, sentAt);
     for (const { counts, window } of reports) this.#fixed.set(window, counts);
-    this.#tellReports({ holder: this.#run, offset }, reports);
+    this.#announceReports({ holder: this.#run, offset }, reports);
     const windows = reports.map(({ window }) => window);
     logger.info({ fencing: offset, windows }, "This entry reports usage now");
     return reports;
@@ -367,7 +378,7 @@
     if (outcome === "refused") this.#claim.refused();
     if (outcome !== "accepted") return false;
     this.#accepted(window);
-    this.#tellReports({ holder: this.#run, offset: fencing });
+    this.#announceReports({ holder: this.#run, offset: fencing });
     return true;
   }
 
@@ -382,7 +393,7 @@
     );
   }
 
-  #tellReports(
+  #announceReports(
     claim: StandingClaim,
     fixed: readonly UsageReport[] = [],
   ): void {
@@ -397,11 +408,11 @@
         ),
       }),
     };
-    this.#options.tellAll(USAGE_REPORTS_METHOD, params);
+    this.#options.broadcast(USAGE_REPORTS_METHOD, params);
   }
 }
 
-function decodeCounts(counts: ToldUsage[1]): WorkspaceCounts {
+function decodeCounts(counts: WindowCounts[1]): WorkspaceCounts {
   return new Map(counts.map(([workspace, count]) => [
     identifier<WorkspaceId>(workspace),
     count,
--- a/src/entry/forwarding/usage_notification.ts
+++ b/src/entry/forwarding/usage_notification.ts
@@ -1,5 +1,5 @@
-/** What entries tell each other of usage, encoded and decoded. */
-import type { StandingClaim, ToldUsage } from "../../core/forwarding/mod.ts";
+/** What entries send each other of usage, encoded and decoded. */
+import type { StandingClaim, WindowCounts } from "../../core/forwarding/mod.ts";
 
 /** Notification that carries an entry's counts. */
 export const USAGE_METHOD = "entry.usage";
@@ -13,7 +13,7 @@
   readonly since: number;
   /** Up to then all counts are here; 0 where only what changed is. */
   readonly until: number;
-  readonly usage: readonly ToldUsage[];
+  readonly usage: readonly WindowCounts[];
 }
 
 export interface ReportsNotification {
@@ -22,7 +22,7 @@
   /** The newest window whose report was confirmed. */
   readonly acceptedThrough?: number;
   /** What the claim has fixed; comes with a new claim. */
-  readonly fixed?: readonly ToldUsage[];
+  readonly fixed?: readonly WindowCounts[];
 }
 
 /** True where a peer's counts can be taken in. */
@@ -35,10 +35,10 @@
   >;
   return typeof entry === "string" && typeof incarnation === "string" &&
     Number.isFinite(since) && Number.isFinite(until) &&
-    Array.isArray(usage) && usage.every(isToldUsage);
+    Array.isArray(usage) && usage.every(isWindowCounts);
 }
 
-function isToldUsage(value: unknown): value is ToldUsage {
+function isWindowCounts(value: unknown): value is WindowCounts {
   return Array.isArray(value) && Number.isInteger(value[0]) &&
     Array.isArray(value[1]) &&
     value[1].every((each) =>
@@ -47,7 +47,7 @@
     );
 }
 
-/** True where what a peer tells of reports can be taken in. */
+/** True where a peer's notification of reports can be taken in. */
 export function isReportsNotification(
   value: unknown,
 ): value is ReportsNotification {
@@ -56,7 +56,7 @@
     ReportsNotification
   >;
   const isFixed = fixed === undefined ||
-    (Array.isArray(fixed) && fixed.every(isToldUsage));
+    (Array.isArray(fixed) && fixed.every(isWindowCounts));
   const isThrough = acceptedThrough === undefined ||
     Number.isInteger(acceptedThrough);
   return isThrough && isFixed && typeof claim?.holder === "string" &&
--- a/test/support/usage_fleet.ts
+++ b/test/support/usage_fleet.ts
@@ -84,9 +84,9 @@
       listed: () =>
         this.members.map(({ name }) => name)
           .filter((name) => name !== member.name),
-      tellOne: (peer, { method, params }) =>
+      send: (peer, { method, params }) =>
         isThisRun() && this.#carry(peer, method, params),
-      tellAll: (method, params) => {
+      broadcast: (method, params) => {
         if (!isThisRun()) return;
         for (const { name } of this.members) {
           if (name !== member.name) this.#carry(name, method, params);
