--- a/src/adapters/forwarding/caller_server.ts
+++ b/src/adapters/forwarding/caller_server.ts
@@ -13,42 +13,35 @@
 /** Longest head that is read at all, bytes; the configuration's is smaller. */
 const MOST_HEADER_BYTES = 64 * 1024;
 /**
- * Bodies that all open requests may hold together, bytes. Harm prevented: a
- * burst of the largest allowed bodies exceeds a small VM's memory and the
- * process is killed, with every request that it had open.
+ * Bodies that all open requests may hold together, bytes. A burst of the largest
+ * bodies would exceed a small VM's memory.
  */
 const MOST_OPEN_BODY_BYTES = 48 * 1024 * 1024;
 /**
- * How long after a stop was asked for idle connections stay open. Load: the
- * balancer notices within two of its questions, a second apart. Harm
- * prevented: a request crosses the closing of its connection.
+ * How long idle connections stay open after a stop was requested. The balancer
+ * takes up to two health checks to notice, and requests must not cross the close.
  */
 const IDLE_AFTER_STOP_MILLISECONDS = 2_500;
 
 /** When a caller that was refused by a stopping entry should come back. */
 const STOPPING_RETRY_MILLISECONDS = 50;
 /**
- * How long a connection stays open behind an answer that began before the
- * stop and so did not announce it. Harm prevented: the caller sends its next
- * request on it seconds later, and the process ends in the middle of that one.
+ * How long a connection stays open behind an answer that began before the stop and
+ * so did not announce it: the caller may send its next request on it.
  */
 const KEPT_AFTER_STOP_MILLISECONDS = 50;
 
 /** How often the loop is seen to turn. */
 const LOOP_TICK_MILLISECONDS = 50;
 /**
- * Delay of the loop from which on a request may have waited unread for as
- * long. Load: the only entry of its zone, with more requests than its part of
- * a core can take. Harm prevented: its caller has left, which shows only in
- * the loop's next turn, and endpoints work for nobody: requests were sent on
- * 1.1 s after their callers had gone. Limit: twice the tick.
+ * Delay of the event loop from which on a request may have waited unread as long.
+ * Whether its caller has left shows only in the next turn of the loop.
  */
 const LATE_LOOP_MILLISECONDS = 100;
 
 /**
- * The answer to what still comes on a connection that was busy until now. Harm
- * prevented: a long answer begins three seconds after the stop and is cut when
- * the process ends.
+ * The answer to requests on a connection that was busy when the balancer had had
+ * its time: a long answer that begins now would be cut when the process ends.
  */
 const STOPPING: Refusal = {
   status: 503,
--- a/src/core/forwarding/admission/engine_admission.ts
+++ b/src/core/forwarding/admission/engine_admission.ts
@@ -1,9 +1,7 @@
 /**
- * Share of a route's target that an answer's predicted first byte may take up.
- * Load: prompts that arrive faster than the engines read them. Harm prevented:
- * a prediction that is a little short turns an answer late that took the
- * engine's time from one that would have been on time. Limit: predictions were
- * 5 to 15 ms short of the measured times of 40 to 100 ms.
+ * Share of a route's target that an answer's predicted first byte may take up. A
+ * prediction that is a little short would turn the answer late, and the engine's
+ * time would be lost to one that could be on time.
  */
 const TARGET_SHARE = 0.85;
 /**
@@ -14,11 +12,8 @@
 export const LEFT_SHARE = 0.85;
 
 /**
- * Time that the entry itself may add to an answer that is late anyhow. Load: a
- * burst at an entry whose link or processor is full while the engines have
- * room. Harm prevented: late answers take the link from those that can be on
- * time, until all are late. Limit: half of the tightest target of 150 ms is
- * left to engines and network.
+ * Time that the entry itself may add to an answer that is late anyhow. Beyond it,
+ * late answers would take the link from those that can be on time.
  */
 const MOST_ENTRY_FOR_LATE_MILLISECONDS = 75;
 
--- a/src/core/forwarding/admission/held_prompts.ts
+++ b/src/core/forwarding/admission/held_prompts.ts
@@ -22,12 +22,10 @@
 }
 
 /**
- * Prompts whose answers are late anyhow, held back until an engine has next to
- * nothing to do. Load: bursts of seconds in which more prompts come than the
- * engines can read in time. Harm prevented: engines take prompts in as they
- * come and finish them in that order, so that late ones that were sent ahead
- * make those behind them late as well. The most urgent goes first, then the
- * one whose caller leaves first.
+ * Prompts whose answers are late anyhow, held back until an engine is nearly idle.
+ * Engines process prompts in order of arrival, so late ones that were sent ahead
+ * would delay those behind them. The most urgent goes first, then the one whose
+ * caller leaves first.
  */
 export class HeldPrompts<Choice> {
   readonly #timer: TimerService;
--- a/src/core/forwarding/admission/link_queue.ts
+++ b/src/core/forwarding/admission/link_queue.ts
@@ -10,13 +10,11 @@
 const BITS_PER_MEGABIT_MILLISECOND = 1_000;
 
 /**
- * How much of what this entry sends still waits for its link. Load: a burst of
- * long prompts at an entry whose link carries some megabits a second; each
- * prompt of 9 KB leaves it twice and takes 21 ms of 7 Mbit/s. Harm prevented:
- * prompts that were admitted by the engines' backlog alone reached an engine
- * half a second later, each of them too late, and engines read them in vain.
+ * How much of what this entry sends still waits for its link. On a link of a few
+ * megabits a second a burst of prompts takes longer to leave than engines take to
+ * read it.
  *
- * It is reckoned from what was sent, as the kernel does not tell.
+ * It is derived from what was sent, as the kernel does not report it.
  */
 export class LinkQueue {
   readonly #timer: TimerService;
--- a/src/core/forwarding/admission/retry_allowance.ts
+++ b/src/core/forwarding/admission/retry_allowance.ts
@@ -1,19 +1,14 @@
 import type { TimerService } from "../../time/mod.ts";
 
 /**
- * Share of its part that an entry uses. Load: several entries that each see a
- * part of the traffic. Harm prevented: the fleet's limit counts any span of
- * the window's length, while an entry's count of its peers may be late by a
- * heartbeat; a fifth left free covers one entry in five that is not yet known.
+ * Share of its part that an entry uses. The fleet's limit counts any span of the
+ * window's length, while the number of entries is known a heartbeat late.
  */
 const USED_SHARE = 0.8;
 /**
- * The same while the process is younger than a window. Load: an entry is killed
- * in an overload once its part is used up. Harm prevented: the process that
- * starts in its place counts from nothing, and an engine in trouble gets both
- * parts (16 repeats above a limit of 320 by a restart within ten seconds).
- * Limit: what every entry leaves free, so that both together stay within the
- * part; a second restart within a window is not covered.
+ * The same while the process is younger than a window: the process before it may
+ * have used up its part. Both together stay within it; a second restart within one
+ * window is not covered.
  */
 const YOUNG_USED_SHARE = 1 - USED_SHARE;
 
@@ -55,16 +50,13 @@
 }
 
 /**
- * Allows arrivals beyond the first of a request, as this entry's part of a
- * limit that the whole fleet shares. Load: an engine of ten fails while
- * everything else is full. Harm prevented: retries multiply the load of a pool
- * that fails because it is overloaded. Limit: the operators' ratio on the
- * requests that this entry itself got, plus its part of their minimum.
+ * Allows arrivals beyond the first of a request, as this entry's part of a limit
+ * that the whole fleet shares: retries multiply the load of a pool that fails
+ * because it is overloaded. The part is the operators' ratio on the requests that
+ * this entry got, and its part of their minimum.
  *
- * A repeat counts from its grant and for a whole window from its sending: what
- * is granted may wait seconds for an engine. Counted from the grant alone, two
- * crashes of an engine within ten seconds gave the pool 317 repeats above a
- * limit of 320.
+ * A repeat counts from its grant, and for a whole window from its send: a granted
+ * one may wait for seconds.
  */
 export class RetryAllowance {
   readonly #options: RetryAllowanceOptions;
--- a/src/core/forwarding/admission/returning_callers.ts
+++ b/src/core/forwarding/admission/returning_callers.ts
@@ -18,14 +18,12 @@
 export type ToldRefusal = readonly [prompt: string, waitedMilliseconds: number];
 
 /**
- * How long callers have waited before this attempt. Load: refused callers that
- * return into the same overload, each time at another entry. Harm prevented:
- * their answers are late anyhow, counted from the first attempt, and would
- * take the engines' time from callers who can still be answered on time.
+ * How long callers have waited before this attempt. Targets count from the first
+ * attempt, so that a caller that was refused before can often be answered late
+ * only, whichever entry it comes back to.
  *
- * A caller is known again by its own part of the prompt, which it sends again.
- * What is left of its deadline tells less: where callers' time budgets differ
- * by a fifth, a third of the new ones passed for returning ones.
+ * A caller is recognized by its own part of the prompt, which it sends again. The
+ * rest of its deadline is ambiguous, since callers' deadlines differ.
  */
 export class ReturningCallers {
   readonly #timer: TimerService;
--- a/src/core/forwarding/caches/prefix_directory.ts
+++ b/src/core/forwarding/caches/prefix_directory.ts
@@ -22,8 +22,8 @@
 }
 
 /**
- * Prompts that wait to be told to peers. Harm prevented: an entry without
- * peers would gather them for ever; what is dropped costs a part read twice.
+ * Most prompts that wait for the next report to peers. An entry without peers would
+ * collect them without end; a dropped one costs a part that is read twice.
  */
 const MOST_UNTOLD = 200;
 
@@ -57,11 +57,9 @@
 }
 
 /**
- * Which shared parts of prompts each engine has read lately, from what this
- * entry and its peers have sent there. Load: long prompts of which two thirds
- * are shared by a few hundred subjects. Harm prevented: each engine reads the
- * same part again, and the fleet's memory works as one engine's. It is a
- * guess: a wrong one costs a read of the part, nothing else.
+ * Which shared parts of prompts each engine has read lately, from what this entry
+ * and its peers have sent there. It is an estimate: a wrong entry costs one read of
+ * the part.
  */
 export class PrefixDirectory {
   readonly #engines = new Map<EndpointId, EngineParts>();
--- a/src/core/forwarding/estimates/engine_slowness.ts
+++ b/src/core/forwarding/estimates/engine_slowness.ts
@@ -16,9 +16,8 @@
  */
 const ORDINARY_RATIO = 1.6;
 /**
- * Time in which what was seen of an engine counts for half. Load: an engine
- * that is slow for some seconds. Harm prevented: once it is passed over nothing
- * is seen of it any more, and it would be passed over for good.
+ * Time in which what was seen of an engine counts for half. An engine that is
+ * avoided shows nothing new, and has to be tried again at some point.
  */
 const HALF_LIFE_MILLISECONDS = 2_000;
 
@@ -29,10 +28,8 @@
 }
 
 /**
- * Engines that read slower than their kind. Load: one engine of several turns
- * slow while its health is good. Harm prevented: it looks as free as the others
- * for its open work is reckoned at their speed, so that its share of the
- * prompts is late.
+ * Engines that read slower than their kind. Their open work is estimated at the
+ * pool's speed, so that a slow engine would look as free as the others.
  */
 export class EngineSlowness {
   readonly #timer: TimerService;
--- a/src/core/forwarding/estimates/handover_time.ts
+++ b/src/core/forwarding/estimates/handover_time.ts
@@ -15,10 +15,8 @@
 const MOST_RATIO = 4;
 
 /**
- * How long engines take from a prompt that was read elsewhere to the first byte
- * of its answer. Load: engines whose steps take from a part of a millisecond to
- * some dozens. Harm prevented: a fixed time promises answers on time that come
- * late, or refuses what would have been in time.
+ * How long engines take from a prompt that was read elsewhere to the first byte of
+ * its answer. It depends on the engines' step time, so it is learned.
  */
 export class HandoverTime {
   #mean = PRIOR_MILLISECONDS;
--- a/src/core/forwarding/estimates/reading_speed.ts
+++ b/src/core/forwarding/estimates/reading_speed.ts
@@ -59,11 +59,8 @@
 }
 
 /**
- * How fast the engines of a pool read prompts, learned from their answers.
- * Load: fleets of any engines; their speeds differ by a factor of fifty and no
- * register names them. Harm prevented: with another engine's speed everything
- * is promised on time and comes late: on a fleet that reads five times slower the
- * worth of a calm day was 0.678, and 0.806 once the speed was learned.
+ * How fast the engines of a pool read prompts, learned from their answers: engines
+ * differ widely, and no registration states their speed.
  */
 export class ReadingSpeed {
   readonly #samples: ReadingSample[] = [];
--- a/src/core/forwarding/estimates/work_rate.ts
+++ b/src/core/forwarding/estimates/work_rate.ts
@@ -1,11 +1,8 @@
 import type { TimerService } from "../../time/mod.ts";
 
 /**
- * Time in which what was counted fades to a third. Load: a burst that begins
- * from one moment to the next. Harm prevented: until the burst shows, prompts
- * are held that nothing will be left for. Limit: of 2,100 callers of a played
- * overload 105, 78, 45 and 25 were refused later than a tenth of a second with
- * 700, 400, 250 and 150 ms, and 1,316, 1,331, 1,362 and 1,491 answered on time.
+ * Time in which what was counted fades to a third. A burst has to show early:
+ * prompts would be held that nothing will be left for.
  */
 const MEMORY_MILLISECONDS = 150;
 
--- a/src/core/forwarding/event_splitter.ts
+++ b/src/core/forwarding/event_splitter.ts
@@ -1,7 +1,6 @@
 /**
- * Cuts a stream of server-sent events into whole events. Load: engines that
- * crash in the middle of an event. Harm prevented: half an event followed by
- * the next engine's bytes would reach the caller as one garbled event.
+ * Cuts a stream of server-sent events into whole events. An engine may crash in
+ * the middle of one, and another engine's bytes must not follow half an event.
  */
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
--- a/src/core/forwarding/placement/decode_room.ts
+++ b/src/core/forwarding/placement/decode_room.ts
@@ -2,14 +2,10 @@
 import type { LoadPicture } from "../endpoints/load_picture.ts";
 
 /**
- * Share of an engine's memory that open requests may take before it gets one
- * that has waited for an engine. Load: engines that decode come back after a crash while a hundred read
- * prompts wait for them. Harm prevented: all are sent at once, the engine turns
- * away what finds no memory, and callers are refused whose turn would have come
- * within their time (200 of a day's 3,900). Limit: answers grow while they run.
- * What has not waited is sent on at once: engines keep a short queue of their
- * own, and held back for room urgent answers were late by their wait (238 of
- * 423 on time, all of them without).
+ * Share of an engine's memory that open requests may take before it gets one that
+ * has waited. Answers grow while they run, and an engine that comes back after a
+ * crash would otherwise be sent more than it can hold. Requests that have not
+ * waited are not held back: engines keep a short queue of their own.
  */
 const MOST_TAKEN_MEMORY = 0.9;
 
--- a/src/core/forwarding/placement/engine_placement.ts
+++ b/src/core/forwarding/placement/engine_placement.ts
@@ -20,11 +20,9 @@
 import type { Prompt } from "../requests.ts";
 
 /**
- * What a millisecond of an engine's own work counts against one of waiting.
- * Load: more long prompts than the engines can read whole. Harm prevented: the
- * soonest engine is often one that has to read the shared parts again, which
- * takes capacity from the prompts behind it. Limit: see the table of weights
- * in docs/ROUNDS.md.
+ * What a millisecond of an engine's own work counts against one of waiting. The
+ * soonest engine often has to read shared parts again, which takes capacity from
+ * the prompts behind.
  */
 const WORK_WEIGHT = 4;
 /**
@@ -44,11 +42,9 @@
 const NEARLY_IDLE_MILLISECONDS = 2 * LOOK_MILLISECONDS;
 
 /**
- * What an engine in another availability zone than the entry's counts against
- * one of its own. Load: prompts of some kilobytes that cross to the engine that
- * reads and to the one that decodes. Harm prevented: traffic between zones that
- * gains nothing. Limit: the way there and back, 1.4 ms each; less than what a
- * kept part saves, so that parts are not read once a zone.
+ * What an engine in another availability zone than the entry's counts for: the
+ * round trip. It is less than a kept part saves, so that parts are not read once
+ * in each zone.
  */
 const OTHER_ZONE_MILLISECONDS = 3;
 
@@ -59,12 +55,9 @@
 const DECODE_ENGINE_SLOWDOWN = 2;
 
 /**
- * Share of its target that a prompt's reading may take at an engine that
- * decodes; longer ones go to an engine that only reads. Load: short urgent
- * prompts and long summaries on the same engines. Harm prevented: an engine
- * that decodes reads a long prompt in many chunks between the tokens of its
- * streams, which then pause. Limit: what a hand-over takes, 15 to 30 ms of
- * targets of 150 to 500 ms, is as much; a short prompt gains nothing by it.
+ * Share of its target that a prompt's reading may take at an engine that decodes.
+ * A longer prompt would be read in many chunks between the tokens of the engine's
+ * streams; for a shorter one a hand-over takes as long as the reading.
  */
 const INLINE_TARGET_SHARE = 0.1;
 
--- a/src/core/forwarding/placement/engine_sample.ts
+++ b/src/core/forwarding/placement/engine_sample.ts
@@ -6,10 +6,8 @@
 import type { Prompt } from "../requests.ts";
 
 /**
- * Engines on which a shared part of prompts is gathered. Load: more shared
- * parts than the memory of all engines holds. Harm prevented: each part is kept
- * by whichever engine was free, most of them twice, and pushes others out. With
- * two there is somewhere to go when the first is busy.
+ * Engines on which a shared part of prompts is gathered: kept everywhere, each part
+ * would evict others. The second is for when the first is busy.
  */
 const HOME_ENGINES = 2;
 /** Engines looked at beside the homes, for when these are busy. */
--- a/src/core/forwarding/roles/role_plan.ts
+++ b/src/core/forwarding/roles/role_plan.ts
@@ -53,15 +53,12 @@
 }
 
 /**
- * How far the engines of a role may be from their share. Load: one engine of
- * six crashes and is back five seconds later. Harm prevented: another one
- * changes its role meanwhile, takes three seconds for it, and then one has to
- * change back. Limit: with 0.75 the loss of one engine changes nothing.
+ * How far the engines of a role may be from their share. An engine that crashes is
+ * back within seconds; replacing it would take two changes of role.
  */
 const TOLERATED_ENGINES = 0.75;
 /**
- * Share of slots that may be taken on the engines that are left to decode.
- * Harm prevented: an engine is taken from answers that need it.
+ * Share of the slots that answers may take on the engines that decode.
  */
 const MOST_TAKEN_SLOTS = 0.6;
 
