Take no reader for answers because engines that decode were lost

Cause: the early change of roles (two seconds behind the last change of an engine) was meant for answers that callers ask for, and also followed the loss of engines that decode, which are back within seconds. On six engines with four readers the loss of one of two that decode took a reader away for three seconds.

Change: the early change is made only where the answers that were open ask for more engines than the pool starts with. The test gives one order too many on the code before.

--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -87,6 +87,7 @@
 export {
   planRoles,
   prefillShareFor,
+  prefillShareOf,
   type RoleChange,
 } from "./roles/role_plan.ts";
 export {
--- a/src/core/forwarding/roles/role_demand_test.ts
+++ b/src/core/forwarding/roles/role_demand_test.ts
@@ -1,8 +1,7 @@
 import { expect } from "chai";
 import { makeEngine } from "../../../../test/support/forwarding_values.ts";
 import { ManualTimerService } from "../../time/mod.ts";
-import { prefillShareFor, RoleDemand } from "../mod.ts";
-import { prefillShareOf } from "./role_plan.ts";
+import { prefillShareFor, prefillShareOf, RoleDemand } from "../mod.ts";
 
 const SAMPLE_MILLISECONDS = 250;
 
--- a/src/entry/forwarding/role_keeper.ts
+++ b/src/entry/forwarding/role_keeper.ts
@@ -6,6 +6,7 @@
   planRoles,
   type Pool,
   prefillShareFor,
+  prefillShareOf,
   type RegisteredEndpoint,
   type RoleChange,
   RoleDemand,
@@ -150,7 +151,7 @@
     const changes = isSettled
       ? this.#wanted()
       : mayFollowDemand
-      ? this.#wanted().filter(({ role }) => role === "decode")
+      ? this.#wantedForAnswers()
       : [];
     // Engines that fit already were planned for as well: from then on a
     // change is the exception.
@@ -160,21 +161,40 @@
   }
 
   #wanted(): RoleChange[] {
-    const { load, pools, registry } = this.#options;
-    const changes: RoleChange[] = [];
-    for (const pool of pools()) {
-      if (pool.engine === undefined) continue;
-      changes.push(...planRoles({
-        engines: registry.inPool(pool.name),
-        openRequests: (endpoint) => load.total(endpoint).requests,
-        changing: this.#changing,
-        prefillShare: prefillShareFor(
-          registry.inPool(pool.name),
-          this.#demands.get(pool.name)?.usual,
-        ),
-      }));
-    }
-    return changes;
+    return [...this.#options.pools()].flatMap((pool) => this.#wantedIn(pool));
+  }
+
+  /**
+   * Engines for answers where callers ask for more than a pool starts with. The
+   * loss of an engine alone changes nothing so soon.
+   */
+  #wantedForAnswers(): RoleChange[] {
+    return [...this.#options.pools()]
+      .filter(({ name }) => {
+        const engines = this.#options.registry.inPool(name);
+        return this.#shareIn(name, engines) < prefillShareOf(engines);
+      })
+      .flatMap((pool) => this.#wantedIn(pool))
+      .filter(({ role }) => role === "decode");
+  }
+
+  #wantedIn({ engine, name }: Pool): RoleChange[] {
+    if (engine === undefined) return [];
+    const { load, registry } = this.#options;
+    const engines = registry.inPool(name);
+    return planRoles({
+      engines,
+      openRequests: (endpoint) => load.total(endpoint).requests,
+      changing: this.#changing,
+      prefillShare: this.#shareIn(name, engines),
+    });
+  }
+
+  #shareIn(
+    pool: ServiceName,
+    engines: readonly RegisteredEndpoint[],
+  ): number {
+    return prefillShareFor(engines, this.#demands.get(pool)?.usual);
   }
 
   #countWork(): void {
--- a/src/entry/forwarding/role_keeper_test.ts
+++ b/src/entry/forwarding/role_keeper_test.ts
@@ -155,6 +155,19 @@
     expect(platform.orders).to.have.length(1);
   });
 
+  it("gives no orders for seconds when engines that decode are lost", async () => {
+    startKeepers(1);
+    await advance(6_000);
+    const before = platform.orders.length;
+    for (const lost of ["engine-8", "engine-9"]) {
+      const engine = makeEngine(lost, "decode", { leaving: true });
+      registries[0].put(engine);
+      keepers[0].engineChanged(engine);
+    }
+    await advance(5_000);
+    expect(platform.orders).to.have.length(before);
+  });
+
   describe("an engine that starts again while its change is under way", () => {
     const id = identifier<EndpointId>("engine-5");
 
