--- a/src/adapters/telemetry/forwarding_record.ts
+++ b/src/adapters/telemetry/forwarding_record.ts
@@ -81,7 +81,7 @@
   fencing: () => number | undefined,
 ): void {
   new Gauge({
-    name: "filbertshore_usage_fencing_token",
+    name: "filbertshore_usage_fencing",
     help: "Fencing token of usage reports; -1 where another entry sends them",
     registers: [registry],
     collect() {
--- a/test/boundaries/platform_names_test.ts
+++ b/test/boundaries/platform_names_test.ts
@@ -4,7 +4,7 @@
 
 /** Names of the platform's protocol, as they stand on its wire. */
 const PLATFORM_NAMES =
-  /server-leaving|x-(response-seal|kv-source|request-priority|expect-instance|not-executed|server-load|token-count|prompt-prefix|deadline-ms)|filbertshore\/(order|report|readyz|log-|kv-)|log-(append|newest|read)|keyed\.|path_prefix|fencing_token|handle_id/i;
+  /server-leaving|x-(response-seal|kv-source|request-priority|expect-instance|not-executed|server-load|token-count|prompt-prefix|deadline-ms)|filbertshore\/(order|report|readyz|log-|kv-)|log-(append|newest|read)|keyed\.|path_prefix|fencing_token|handle_id|x-tenant|x-duty-holder|x-fencing-token|api_keys|store-era|window_seq/i;
 const FOLDERS = ["src", "test", "bench", "scripts", "examples"];
 /** This file has to name them. */
 const OWN_NAME = "platform_names_test.ts";
--- a/test/operations/operations_test.ts
+++ b/test/operations/operations_test.ts
@@ -3,10 +3,12 @@
 import {
   countLoadQuestions,
   countUnreadable,
+  countUsageReports,
   Metrics,
   recordForwarding,
   showBlockedRequests,
   showRepeats,
+  showUsageFencing,
 } from "../../src/adapters/telemetry/mod.ts";
 import { SystemTimerService } from "../../src/adapters/time/mod.ts";
 import { SILENT_LOGGER } from "../../src/core/observation/mod.ts";
@@ -43,6 +45,8 @@
   });
   countUnreadable(metrics.registry);
   countLoadQuestions(metrics.registry);
+  countUsageReports(metrics.registry);
+  showUsageFencing(metrics.registry, () => undefined);
   showBlockedRequests(metrics.registry, () => 0);
   showRepeats(metrics.registry, () => []);
   return (await metrics.render()).body;
