--- /dev/null
+++ b/src/core/membership/rendezvous_first_test.ts
@@ -0,0 +1,34 @@
+import { expect } from "chai";
+import { hashBehind, hashToUnit } from "./hash.ts";
+import { rendezvousFirst, rendezvousOrder } from "./mod.ts";
+
+describe("rendezvousFirst", () => {
+  const members = Array.from({ length: 200 }, (_, index) => ({
+    id: `engine-${index}`,
+    weight: 1 + index % 3,
+  }));
+
+  it("gives the first of the whole order", () => {
+    for (const picker of ["a", "part-17", ""]) {
+      for (const count of [1, 2, 5]) {
+        expect(rendezvousFirst(members, { picker, count }))
+          .to.deep.equal(rendezvousOrder(members, picker).slice(0, count));
+      }
+    }
+  });
+
+  it("gives all members where there are fewer", () => {
+    const few = members.slice(0, 2);
+    expect(rendezvousFirst(few, { picker: "a", count: 5 }))
+      .to.have.deep.members(few);
+  });
+});
+
+describe("hashBehind", () => {
+  it("hashes the prefix and the text as one", () => {
+    for (const text of ["", "engine-1", "part\u00e9"]) {
+      expect(hashBehind("picker\u0000")(text))
+        .to.equal(hashToUnit(`picker\u0000${text}`));
+    }
+  });
+});
