Log the request limits that endpoints name in their responses

Cause: nothing in an entry decoded the limit, so neither logs nor metrics could tell whether entries know a limit and divide it wrongly, or don't know it at all.

Change: the head's limit is decoded in platform/; EndpointLimits keeps the one in force for each run of an endpoint, also when responses overtake each other. A change is logged (endpoint_limit_changed) and counted (filbertshore_limited_endpoints). Placement doesn't use it yet.

--- a/src/adapters/telemetry/forwarding_telemetry.ts
+++ b/src/adapters/telemetry/forwarding_telemetry.ts
@@ -137,6 +137,21 @@
   });
 }
 
+/** Exports the number of endpoints that have named a request limit. */
+export function registerLimitedEndpointsGauge(
+  registry: Registry,
+  limitedEndpoints: () => number,
+): void {
+  new Gauge({
+    name: "filbertshore_limited_endpoints",
+    help: "Endpoints with a request limit in force, as known to this entry",
+    registers: [registry],
+    collect() {
+      this.set(limitedEndpoints());
+    },
+  });
+}
+
 /** Returns a function that logs and counts decisions of the forwarding path. */
 export function createForwardingObserver(
   options: ForwardingObserverOptions,
--- a/src/adapters/telemetry/mod.ts
+++ b/src/adapters/telemetry/mod.ts
@@ -11,6 +11,7 @@
   createUnreadableRegistrationCounter,
   createUsageReportCounter,
   registerBlockedRequestsGauge,
+  registerLimitedEndpointsGauge,
   registerRetryGauges,
   registerUsageFencingGauge,
 } from "./forwarding_telemetry.ts";
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -90,6 +90,11 @@
   prefillShareBySlots,
   prefillShareForDemand,
 } from "./roles/role_plan.ts";
+export {
+  EndpointLimits,
+  type LimitChange,
+  type LimitObservation,
+} from "./limits/endpoint_limits.ts";
 export { type CurrentClaim, ExclusiveClaim } from "./claims/exclusive_claim.ts";
 export { FleetClock } from "./usage/fleet_clock.ts";
 export {
--- a/src/core/forwarding/requests.ts
+++ b/src/core/forwarding/requests.ts
@@ -81,4 +81,9 @@
    * time, milliseconds.
    */
   readonly retryAfterMilliseconds?: number;
+  /**
+   * Requests per second that the endpoint accepts from the whole fleet; absent
+   * if it names no limit, "unknown" if the response does not tell.
+   */
+  readonly requestsPerSecondLimit?: number | "unknown";
 }
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -3,6 +3,7 @@
   ForwardAttemptOptions,
   PromptWork,
   RegisteredEndpoint,
+  ResponseHead,
 } from "../../core/forwarding/mod.ts";
 import type { ForwardContext } from "./forward_context.ts";
 import type {
@@ -110,7 +111,10 @@
     if (this.#closed) return;
     this.#recordCrashSignals(result);
     if (result.isOk() && result.value.head.leaving) this.#reportLeaving();
-    if (this.#isSameRun) this.#recordOutcome(result);
+    if (this.#isSameRun) {
+      this.#recordOutcome(result);
+      if (result.isOk()) this.#recordLimit(result.value.head);
+    }
     if (result.isErr() || result.value.head.notExecuted) this.#close();
   }
 
@@ -168,6 +172,22 @@
     else availability.recordRejection(id);
   }
 
+  #recordLimit({ requestsPerSecondLimit }: ResponseHead): void {
+    if (requestsPerSecondLimit === "unknown") return;
+    const { limits, timer } = this.#dependencies;
+    const change = limits.record(this.endpoint.id, {
+      requestsPerSecond: requestsPerSecondLimit,
+      sentAt: this.#sentAt,
+      receivedAt: timer.now(),
+    });
+    if (change === undefined) return;
+    this.#context.report("endpoint_limit_changed", {
+      endpoint: this.endpoint.id,
+      requestsPerSecond: change.after,
+      before: change.before,
+    });
+  }
+
   #reportLeaving(): void {
     if (!this.#dependencies.reportLeaving(this.endpoint)) return;
     this.#context.report("endpoint_leaving", { endpoint: this.endpoint.id });
--- a/src/entry/forwarding/forwarding_dependencies.ts
+++ b/src/entry/forwarding/forwarding_dependencies.ts
@@ -2,6 +2,7 @@
 import type {
   CrashTracker,
   EndpointAvailability,
+  EndpointLimits,
   EndpointRegistry,
   EndpointRun,
   EngineEstimates,
@@ -43,6 +44,8 @@
   readonly retryBudget: SharedRetryBudget;
   /** Requests that endpoints have crashed on. */
   readonly crashes: CrashTracker;
+  /** Request limits that endpoints have named. */
+  readonly limits: EndpointLimits;
   readonly returningCallers: ReturningCallers;
   /** Prefills that this entry has started for responses within their target. */
   readonly onTimeWork: WorkRate;
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -2,6 +2,7 @@
   type BlockedRequest,
   CrashTracker,
   EndpointAvailability,
+  EndpointLimits,
   EndpointRegistry,
   type EndpointStateHolder,
   EngineEstimates,
@@ -166,6 +167,7 @@
       onCleared: (digest) => options.removeBlocked(digest),
     });
     const availability = new EndpointAvailability(timer);
+    const limits = new EndpointLimits();
     const connections: EndpointStateHolder = {
       forget: ({ address }) => options.onEndpointRemoved(address),
     };
@@ -180,6 +182,7 @@
         availability,
         slowness,
         crashes,
+        limits,
         connections,
         orders,
       ],
@@ -294,6 +297,7 @@
       }),
       returningCallers,
       crashes,
+      limits,
       onTimeWork: new WorkRate(timer),
       held: new HeldPromptQueue(timer),
       entries: () => this.peers.fleetSize ?? 1,
@@ -337,6 +341,11 @@
     return this.#dependencies.crashes.blocked;
   }
 
+  /** Number of endpoints with a request limit in force, as known here. */
+  get limitedEndpoints(): number {
+    return this.#dependencies.limits.size;
+  }
+
   /**
    * Fencing token of this entry's usage reports; absent if another entry
    * reports.
--- a/src/entry/forwarding/observer.ts
+++ b/src/entry/forwarding/observer.ts
@@ -11,6 +11,7 @@
   | "endpoint_lost"
   | "endpoint_leaving"
   | "endpoint_overloaded"
+  | "endpoint_limit_changed"
   | "refused"
   | "answered"
   | "cut"
--- a/test/operations/operations_test.ts
+++ b/test/operations/operations_test.ts
@@ -7,6 +7,7 @@
   createUsageReportCounter,
   Metrics,
   registerBlockedRequestsGauge,
+  registerLimitedEndpointsGauge,
   registerRetryGauges,
   registerUsageFencingGauge,
 } from "../../src/adapters/telemetry/mod.ts";
@@ -50,6 +51,7 @@
   createUsageReportCounter(metrics.registry);
   registerUsageFencingGauge(metrics.registry, () => undefined);
   registerBlockedRequestsGauge(metrics.registry, () => 0);
+  registerLimitedEndpointsGauge(metrics.registry, () => 0);
   registerRetryGauges(metrics.registry, () => []);
   return (await metrics.render()).body;
 }
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -3,6 +3,7 @@
 import {
   CrashTracker,
   EndpointAvailability,
+  EndpointLimits,
   EndpointRegistry,
   type EngineEstimates,
   EnginePlacement,
@@ -233,6 +234,7 @@
       }),
       returningCallers: new ReturningCallers(timer),
       crashes: new CrashTracker({ timer }),
+      limits: new EndpointLimits(),
       onTimeWork: new WorkRate(timer),
       held: new HeldPromptQueue(timer),
       entries: () => 1,
