--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -99,7 +99,7 @@
       timer: this.timer,
       random: seededRandom(index),
       endpointClient: {
-        send: (request, attempt) => this.#send(request, attempt),
+        send: (request, attempt) => this.#send(index, request, attempt),
         parseCacheHandle: (body) =>
           body.length > 0 ? body.toString() : undefined,
         listCachedParts: () => Promise.resolve(undefined),
@@ -142,6 +142,7 @@
   }
 
   #send(
+    entry: number,
     request: SentAttempt["request"],
     options: SentAttempt["options"],
   ): Exchange {
@@ -150,6 +151,7 @@
       attempt = new SentAttempt(request, options, resolve);
     });
     const sentAttempt = attempt as unknown as SentAttempt;
+    sentAttempt.entry = entry;
     this.onSend?.(sentAttempt);
     return { answer, abort: () => sentAttempt.aborted = true };
   }
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -53,6 +53,8 @@
   readonly request: ForwardedRequest;
   readonly options: ForwardAttemptOptions & { readonly address: string };
   aborted = false;
+  /** Index of the entry that sent it, where there are several. */
+  entry = 0;
   #onChunk: (chunk: Buffer) => void = () => {};
   #onEnd: (end: BodyEnd) => void = () => {};
   #settle: (answer: Result<EndpointResponse, ExchangeFailure>) => void;
