Issue permits for endpoints that name a request limit

Cause: a limit that an endpoint names was forwarded to callers and used by nobody. The only rates that the forwarding core divided among entries were the retry budget, in equal parts; open requests were counted, arrivals were not.

Change: an endpoint's owner issues permits from one token bucket, one for each arrival (prefill, run, retry) from any entry. Groups of entries that can't hear each other give out their share of the limit; a new owner gives out half for two seconds. A request waits for a permit only if the predicted wait fits what its caller has left; else it is refused at once, with that wait as Retry-After. More urgent requests come first, within an entry and across entries. Long prompts don't fall back to decode engines when all prefill engines are at their limit, and are prefilled only with a permit to be decoded.

Why this works: the sum over entries is that of one bucket and does not depend on their number, their traffic or who restarts. Where owners overlap, the parts add up to the limit or to one and a half times of it for two seconds.

--- a/src/adapters/telemetry/forwarding_telemetry.ts
+++ b/src/adapters/telemetry/forwarding_telemetry.ts
@@ -6,6 +6,7 @@
 import type {
   LoadQueryOutcome,
   ObserveForwarding,
+  PermitOutcome,
   ReportOutcome,
 } from "../../entry/forwarding/mod.ts";
 
@@ -65,6 +66,19 @@
   return (outcome) => queries.inc({ outcome });
 }
 
+/** Returns a function that counts permits for limited endpoints by outcome. */
+export function createPermitCounter(
+  registry: Registry,
+): (outcome: PermitOutcome) => void {
+  const permits = new Counter({
+    name: "filbertshore_permits_total",
+    help: "Requests for a permit at an endpoint with a limit, by outcome",
+    labelNames: ["outcome"],
+    registers: [registry],
+  });
+  return (outcome) => permits.inc({ outcome });
+}
+
 /** Returns a function that counts usage reports by outcome. */
 export function createUsageReportCounter(
   registry: Registry,
--- a/src/adapters/telemetry/mod.ts
+++ b/src/adapters/telemetry/mod.ts
@@ -8,6 +8,7 @@
 export {
   createForwardingObserver,
   createLoadQueryCounter,
+  createPermitCounter,
   createUnreadableRegistrationCounter,
   createUsageReportCounter,
   registerBlockedRequestsGauge,
--- a/src/core/forwarding/endpoints/load_owners.ts
+++ b/src/core/forwarding/endpoints/load_owners.ts
@@ -80,6 +80,12 @@
     return this.#ranking(subject).filter((name) => this.#isLive(name));
   }
 
+  /** Number of live entries, including this one. */
+  get liveCount(): number {
+    const live = [...this.#peers.keys()].filter((name) => this.#isLive(name));
+    return 1 + live.length;
+  }
+
   #isLive(name: ProcessId): boolean {
     if (name === this.#self) return true;
     const receivedAt = this.#peers.get(name)?.lastReceivedAt ?? -Infinity;
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -55,7 +55,10 @@
   type PromptPart,
 } from "./caches/prefix_directory.ts";
 export { EndpointAvailability } from "./endpoints/endpoint_availability.ts";
-export { EnginePlacement } from "./placement/engine_placement.ts";
+export {
+  EnginePlacement,
+  isPrefillEngine,
+} from "./placement/engine_placement.ts";
 export { chooseServiceReplica } from "./placement/service_placement.ts";
 export { decodePosition, encodePosition } from "./store/log_position.ts";
 export {
@@ -95,6 +98,20 @@
   type LimitChange,
   type LimitObservation,
 } from "./limits/endpoint_limits.ts";
+export {
+  decodeLimit,
+  encodeLimit,
+  isLimitReport,
+  type LimitReport,
+} from "./limits/limit_reports.ts";
+export {
+  MIN_REQUESTS_PER_SECOND,
+  type PermitAnswer,
+  type PermitDemand,
+  PermitIssuer,
+  type PermitRequest,
+} from "./limits/permit_issuer.ts";
+export { PermitQueue, type QueuePlace } from "./limits/permit_queue.ts";
 export { type CurrentClaim, ExclusiveClaim } from "./claims/exclusive_claim.ts";
 export { FleetClock } from "./usage/fleet_clock.ts";
 export {
--- a/src/core/forwarding/placement/engine_placement.ts
+++ b/src/core/forwarding/placement/engine_placement.ts
@@ -307,7 +307,10 @@
   }
 }
 
-function isPrefillEngine({ role }: RegisteredEndpoint): boolean {
+/** True for an engine that prefills prompts for others. */
+export function isPrefillEngine(
+  { role }: Pick<RegisteredEndpoint, "role">,
+): boolean {
   return role === "prefill";
 }
 
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -10,6 +10,7 @@
 import type { EndpointId, RequestDigest } from "../../core/identity/mod.ts";
 import type { ForwardingDecision } from "./observer.ts";
 import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
+import { LimitAdmission } from "./limit_admission.ts";
 
 /**
  * Maximum number of sends of one request regardless of the retry budget, so
@@ -50,6 +51,7 @@
   /** True once the caller has its response or has disconnected. */
   settled = false;
   readonly #rejectedBy = new Set<EndpointId>();
+  readonly #admission: LimitAdmission;
   #digest: RequestDigest | undefined;
   #hasStarted = false;
 
@@ -69,6 +71,10 @@
       request.deadlineMilliseconds ?? Infinity,
       route.timeoutMilliseconds,
     );
+    this.#admission = new LimitAdmission(dependencies, {
+      pool: task.pool.name,
+      rank: this.rank,
+    });
     this.waitedMilliseconds = dependencies.returningCallers
       .elapsedSinceFirstAttempt(
         this.#lastPartId,
@@ -152,24 +158,90 @@
   /** Endpoints of the pool that accept new work. */
   endpoints(): RegisteredEndpoint[] {
     const { availability } = this.dependencies;
-    return this.#inService().filter(({ id }) =>
+    const ready = this.#inService().filter(({ id }) =>
       availability.remainingOverloadMilliseconds(id) === 0
     );
+    return this.#admission.filterAdmitting(ready);
   }
 
   /**
-   * Time in milliseconds until one of the matching endpoints that reported
-   * overload accepts work; 0 if one does now, infinite if there is none.
+   * Time in milliseconds until one of the matching endpoints that are
+   * overloaded or at their request limit accepts work; 0 if one does now,
+   * infinite if there is none.
    */
   overloadMilliseconds(
     matches: (endpoint: RegisteredEndpoint) => boolean = () => true,
   ): number {
     const { availability } = this.dependencies;
-    const waits = this.#inService().filter(matches)
-      .map(({ id }) => availability.remainingOverloadMilliseconds(id));
+    const matching = this.#inService().filter(matches);
+    const limitWaits = this.#admission.predictWaits(matching);
+    const waits = matching.map(({ id }, index) =>
+      Math.max(
+        limitWaits[index],
+        availability.remainingOverloadMilliseconds(id),
+      )
+    );
+    return Math.min(Infinity, ...waits);
+  }
+
+  /**
+   * Time in milliseconds before which none of the matching endpoints accepts
+   * work, however few requests wait for it; infinite if there is none.
+   */
+  earliestMilliseconds(
+    matches: (endpoint: RegisteredEndpoint) => boolean,
+  ): number {
+    const { availability } = this.dependencies;
+    const waits = this.#inService().filter(matches).map((endpoint) =>
+      Math.max(
+        this.#admission.earliestMilliseconds(endpoint),
+        availability.remainingOverloadMilliseconds(endpoint.id),
+      )
+    );
     return Math.min(Infinity, ...waits);
   }
 
+  /** True if all of the matching endpoints have a request limit. */
+  isLimited(matches: (endpoint: RegisteredEndpoint) => boolean): boolean {
+    const { limits, permits } = this.dependencies;
+    if (limits.isEmpty) return false;
+    const matching = this.#inService().filter(matches);
+    return matching.length > 0 &&
+      matching.every(({ id }) => permits.isLimited(id));
+  }
+
+  /** Takes a permit where the endpoint has a request limit. */
+  takePermit(endpoint: RegisteredEndpoint): Promise<boolean> {
+    return this.#admission.takePermit(endpoint);
+  }
+
+  /** Returns the permit of a request that was not sent. */
+  releasePermit(endpoint: RegisteredEndpoint): void {
+    this.dependencies.permits.release(endpoint);
+  }
+
+  /** True if the endpoint may get the request for which it has a permit. */
+  isInService({ id, startedAt }: RegisteredEndpoint): boolean {
+    const { availability } = this.dependencies;
+    return availability.remainingOverloadMilliseconds(id) === 0 &&
+      this.#inService().some((each) =>
+        each.id === id && each.startedAt === startedAt
+      );
+  }
+
+  /** Starts a new check for permits, after an earlier one was denied. */
+  resetPermitDenials(): void {
+    this.#admission.resetDenials();
+  }
+
+  /** Runs a wait for a permit of the matching endpoints, in order of rank. */
+  queueForPermit<Outcome>(
+    endpoint: Pick<RegisteredEndpoint, "role">,
+    wait: () => Promise<Outcome>,
+  ): Promise<Outcome> {
+    return this.#admission.queue(endpoint, wait);
+  }
+
   #inService(): RegisteredEndpoint[] {
     const { isChanging, registry } = this.dependencies;
     const isEnginePool = this.pool.engine !== undefined;
--- a/src/entry/forwarding/forwarding_dependencies.ts
+++ b/src/entry/forwarding/forwarding_dependencies.ts
@@ -12,6 +12,7 @@
   ForwardedRequest,
   HeldPromptQueue,
   LinkBacklog,
+  PermitQueue,
   PrefillChoice,
   PrefixDirectory,
   ReturningCallers,
@@ -29,6 +30,7 @@
 import type { TimerService } from "../../core/time/mod.ts";
 import type { EndpointClient } from "./network_interfaces.ts";
 import type { ObserveForwarding } from "./observer.ts";
+import type { RequestPermits } from "./request_permits.ts";
 
 export interface ForwardingDependencies {
   readonly timer: TimerService;
@@ -46,6 +48,10 @@
   readonly crashes: CrashTracker;
   /** Request limits that endpoints have named. */
   readonly limits: EndpointLimits;
+  /** Permits for requests to endpoints with a limit. */
+  readonly permits: RequestPermits;
+  /** Requests of this entry that wait for a permit. */
+  readonly permitQueue: PermitQueue;
   readonly returningCallers: ReturningCallers;
   /** Prefills that this entry has started for responses within their target. */
   readonly onTimeWork: WorkRate;
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -16,6 +16,7 @@
   LoadOwners,
   type OpenWork,
   type PeerReadResult,
+  PermitQueue,
   PrefixDirectory,
   type ReportedLoss,
   type RetryBudgetUsage,
@@ -61,6 +62,12 @@
   LoadQueries,
   type LoadQueryOutcome,
 } from "./load_queries.ts";
+import {
+  PERMIT_ANSWER_METHOD,
+  PERMIT_REQUEST_METHOD,
+  type PermitOutcome,
+  RequestPermits,
+} from "./request_permits.ts";
 import { WORK_METHOD } from "./work_notification.ts";
 
 export interface ForwardingEntryOptions {
@@ -111,6 +118,8 @@
   readonly recordPeerRead: (span: TopicSpan) => PeerReadResult;
   /** Called with the outcome of each load query. */
   readonly onLoadQuery: (outcome: LoadQueryOutcome) => void;
+  /** Called with the outcome of each request for a permit. */
+  readonly onPermit: (outcome: PermitOutcome) => void;
   /** Persists a blocked request for entries that start while no other runs. */
   readonly persistBlocked: (blocked: BlockedRequest) => void;
   /** Removes a persisted request that has completed since it was blocked. */
@@ -140,6 +149,7 @@
   readonly #usageReporter: UsageReporter | undefined;
   readonly #survey: PrefixCacheSurvey;
   readonly #loadQueries: LoadQueries;
+  readonly #permits: RequestPermits;
   readonly #startedAt: number;
   #routes: RouteTable | undefined;
   #stopping = false;
@@ -174,6 +184,9 @@
     const orders: EndpointStateHolder = {
       forget: (endpoint) => this.#roleController?.forget(endpoint),
     };
+    const permitState: EndpointStateHolder = {
+      forget: (endpoint) => this.#permits.forget(endpoint),
+    };
     this.registry = new EndpointRegistry({
       timer,
       stateHolders: [
@@ -183,6 +196,7 @@
         slowness,
         crashes,
         limits,
+        permitState,
         connections,
         orders,
       ],
@@ -213,6 +227,16 @@
       send: (peer, notification) => this.peers.sendTo(peer, notification),
       onOutcome: options.onLoadQuery,
     });
+    this.#permits = new RequestPermits({
+      self,
+      timer,
+      limits,
+      registry: this.registry,
+      owners,
+      send: (peer, notification) => this.peers.sendTo(peer, notification),
+      share: () => owners.liveCount / Math.max(owners.liveCount, this.#members),
+      onOutcome: options.onPermit,
+    });
     this.#usageReporter = options.usage && new UsageReporter({
       ...options.usage,
       self,
@@ -237,6 +261,7 @@
       estimates,
       returningCallers,
       crashes,
+      limits,
       version: () => this.configuration?.version,
       onVersion: (version) => this.peerStateFallback.onPeerVersion(version),
     });
@@ -298,6 +323,8 @@
       returningCallers,
       crashes,
       limits,
+      permits: this.#permits,
+      permitQueue: new PermitQueue(),
       onTimeWork: new WorkRate(timer),
       held: new HeldPromptQueue(timer),
       entries: () => this.peers.fleetSize ?? 1,
@@ -331,6 +358,16 @@
       : known;
   }
 
+  /**
+   * Number of entries among which endpoints' request limits are divided. While
+   * the list of the fleet is unknown, peers that can't be reached may exist.
+   */
+  get #members(): number {
+    return this.peers.fleetSize === undefined
+      ? ASSUMED_STARTUP_ENTRIES
+      : this.entriesSharingLimits;
+  }
+
   /** Use of this entry's share of the retry budget, by pool. */
   retryBudgetUses(): RetryBudgetUsage[] {
     return this.#dependencies.retryBudget.usageByPool();
@@ -418,6 +455,8 @@
     if (method === USAGE_METHOD || method === USAGE_REPORTS_METHOD) {
       this.#usageReporter?.onNotification(method, params);
     }
+    if (method === PERMIT_REQUEST_METHOD) this.#permits.onRequest(params);
+    if (method === PERMIT_ANSWER_METHOD) this.#permits.onAnswer(params);
     if (method === LOAD_QUERY_METHOD) this.#loadQueries.onQuery(params);
     if (method === LOAD_ANSWER_METHOD) this.#loadQueries.onAnswer(params);
     if (typeof params !== "object" || params === null) return;
--- a/src/entry/forwarding/forwarding_entry_test.ts
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -89,6 +89,7 @@
         persistBlocked() {},
         removeBlocked() {},
         onLoadQuery() {},
+        onPermit() {},
       }),
   );
   for (const entry of entries) {
--- a/src/entry/forwarding/handover.ts
+++ b/src/entry/forwarding/handover.ts
@@ -1,8 +1,9 @@
-import type {
-  PrefillChoice,
-  PrefilledPrompt,
-  Prompt,
-  RegisteredEndpoint,
+import {
+  isPrefillEngine,
+  type PrefillChoice,
+  type PrefilledPrompt,
+  type Prompt,
+  type RegisteredEndpoint,
 } from "../../core/forwarding/mod.ts";
 import type { ForwardAttempt } from "./attempt.ts";
 import type { ForwardContext } from "./forward_context.ts";
@@ -44,6 +45,7 @@
       | AdmissionRefusal
       | "prompt_not_read"
       | "no_repeats_left"
+      | "request_limit"
       | "crashes_endpoints";
     /** Figures that led to the refusal, for the log. */
     readonly facts: AdmissionFacts;
@@ -56,6 +58,13 @@
   facts: {},
 };
 
+/** The request limits of the prefill engines are used up. */
+export const AT_REQUEST_LIMIT: HandoverOutcome = {
+  kind: "refused",
+  reason: "request_limit",
+  facts: {},
+};
+
 /** Endpoints crashed on the request while it was waiting. */
 const CRASHES_ENDPOINTS: HandoverOutcome = {
   kind: "refused",
@@ -114,6 +123,15 @@
         : admitted.choice;
       if (choice === undefined || this.#context.settled) return ENGINES_FULL;
       if (this.#context.blockedMilliseconds > 0) return CRASHES_ENDPOINTS;
+      const isGranted = await this.#context.takePermit(choice.endpoint);
+      if (this.#context.settled) {
+        if (isGranted) this.#context.releasePermit(choice.endpoint);
+        return ENGINES_FULL;
+      }
+      if (!isGranted) {
+        if (this.#context.endpoints().some(isPrefillEngine)) continue;
+        return AT_REQUEST_LIMIT;
+      }
       const outcome = await this.#sendPrefill(prompt, { choice, late });
       if (outcome.kind === "kept") return outcome;
       if (outcome.arrived) this.#failedPrefills += 1;
@@ -259,7 +277,10 @@
     this.#recordSlowness(choice, { outcome, took });
     const accepted = outcome.kind === "kept";
     if (accepted || outcome.arrived) arrivals.prefillEnded({ accepted });
-    else arrivals.prefillNotSent();
+    else {
+      arrivals.prefillNotSent();
+      this.#context.releasePermit(choice.endpoint);
+    }
     if (outcome.kind === "failed") return outcome;
     this.#recordPrefillSpeed(prompt, choice, took);
     this.#kept = outcome.kept;
--- a/src/entry/forwarding/mod.ts
+++ b/src/entry/forwarding/mod.ts
@@ -8,6 +8,11 @@
   type ForwardingEntryOptions,
 } from "./forwarding_entry.ts";
 export type { LoadQueryOutcome } from "./load_queries.ts";
+export {
+  type PermitOutcome,
+  RequestPermits,
+  type RequestPermitsOptions,
+} from "./request_permits.ts";
 export type { RegistrationChange } from "./registration_sync.ts";
 export { PeerExchange } from "./peer_exchange.ts";
 export type { OrderOutcome, RoleLink } from "./role_controller.ts";
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -1,12 +1,17 @@
-import type {
-  CrashReport,
-  CrashTracker,
-  EndpointRegistry,
-  EngineEstimates,
-  FleetLoad,
-  LoadOwners,
-  PrefixDirectory,
-  ReturningCallers,
+import {
+  type CrashReport,
+  type CrashTracker,
+  decodeLimit,
+  encodeLimit,
+  type EndpointLimits,
+  type EndpointRegistry,
+  type EngineEstimates,
+  type FleetLoad,
+  type LimitObservation,
+  type LimitReport,
+  type LoadOwners,
+  type PrefixDirectory,
+  type ReturningCallers,
 } from "../../core/forwarding/mod.ts";
 import {
   type EndpointId,
@@ -69,6 +74,7 @@
   readonly estimates: EngineEstimates;
   readonly returningCallers: ReturningCallers;
   readonly crashes: CrashTracker;
+  readonly limits: EndpointLimits;
   readonly sendToPeers: SendToPeers;
   /** Version of the configuration in force here. */
   readonly version: () => number | undefined;
@@ -200,7 +206,8 @@
     for (const loss of params.losses ?? []) {
       this.#options.crashes.recordPeerLoss(loss);
     }
-    this.#syncBlockedRequests(params);
+    for (const limit of params.limits ?? []) this.#applyLimit(limit);
+    if (this.#isNewProcess(params)) this.#onPeerStart(identifier(params.entry));
   }
 
   /** Applies a peer's report of requests that were lost with endpoints. */
@@ -211,21 +218,57 @@
     for (const digest of params.cleared) crashes.recordPeerCompletion(digest);
   }
 
-  /** Sends the blocked requests to a peer that has started or restarted. */
-  #syncBlockedRequests({ entry, incarnation }: WorkNotification): void {
-    if (this.#incarnations.get(entry) === incarnation) return;
+  /** True for the first report of a peer that has started or restarted. */
+  #isNewProcess({ entry, incarnation }: WorkNotification): boolean {
+    if (this.#incarnations.get(entry) === incarnation) return false;
     this.#incarnations.set(entry, incarnation);
+    return true;
+  }
+
+  /** Sends a peer what it can't know yet. */
+  #onPeerStart(peer: ProcessId): void {
     const losses = this.#options.crashes.blockedLosses();
-    if (losses.length === 0) return;
-    const peer = identifier<ProcessId>(entry);
-    const report: CrashReport = { losses, cleared: [] };
-    this.sendTo(peer, { method: CRASHES_METHOD, params: report });
+    if (losses.length > 0) {
+      const report: CrashReport = { losses, cleared: [] };
+      this.sendTo(peer, { method: CRASHES_METHOD, params: report });
+    }
+    const limits = this.#encodeLimits(this.#ownedLimits());
+    if (limits.length === 0) return;
+    const params = { ...this.#baseNotification(false), limits };
+    this.sendTo(peer, { method: WORK_METHOD, params });
+  }
+
+  /** Limits of the endpoints that this entry owns. */
+  #ownedLimits(): Iterable<readonly [EndpointId, LimitObservation]> {
+    const { limits, owners, process } = this.#options;
+    return [...limits.observations]
+      .filter(([id]) => owners.ownerOf(id) === process);
+  }
+
+  #applyLimit(report: LimitReport): void {
+    const { limits, registry, timer } = this.#options;
+    const { run, observation } = decodeLimit(report, timer.now());
+    if (registry.isSameRun(run)) limits.recordPeer(run.id, observation);
+  }
+
+  #encodeLimits(
+    observations: Iterable<readonly [EndpointId, LimitObservation]>,
+  ): readonly LimitReport[] {
+    const { registry, timer } = this.#options;
+    const now = timer.now();
+    return [...observations].flatMap(([id, observation]) => {
+      const endpoint = registry.get(id);
+      return endpoint === undefined
+        ? []
+        : [encodeLimit(endpoint, { observation, now })];
+    });
   }
 
   #reportWork(): void {
     const {
       crashes,
       estimates,
+      limits,
       load,
       prefixes,
       registry,
@@ -235,9 +278,9 @@
     const now = timer.now();
     const isFull =
       now - this.#lastFullReportAt >= FULL_REPORT_INTERVAL_MILLISECONDS;
-    if (
-      !isFull && !load.hasUnreported && !returningCallers.hasUnreported
-    ) return;
+    const hasUnreported = load.hasUnreported ||
+      returningCallers.hasUnreported || limits.hasUnreported;
+    if (!isFull && !hasUnreported) return;
     if (isFull) this.#lastFullReportAt = now;
     const losses = isFull ? crashes.reports.recentLosses() : [];
     this.broadcast(WORK_METHOD, {
@@ -247,6 +290,8 @@
       prompts: prefixes.takeUnreported().map(encodePrompt),
       refusals: returningCallers.takeUnreported(),
       ...(losses.length > 0 && { losses }),
+      ...(limits.hasUnreported &&
+        { limits: this.#encodeLimits(limits.takeUnreported()) }),
       ...(isFull && {
         speeds: estimates.report(),
         ...(this.#options.onClock && { clock: timer.wallClock() }),
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -1,8 +1,9 @@
 import {
   chooseServiceReplica,
   type DecodeChoice,
-  type EngineRole,
+  isPrefillEngine,
   NO_PROMPT_WORK,
+  type PrefilledPrompt,
   type Prompt,
   type RegisteredEndpoint,
 } from "../../core/forwarding/mod.ts";
@@ -14,7 +15,11 @@
 import { ResponseRelay } from "./response_relay.ts";
 import { type AttemptPlan, ForwardAttempt } from "./attempt.ts";
 import { ForwardContext, type ForwardTask } from "./forward_context.ts";
-import { Handover } from "./handover.ts";
+import {
+  AT_REQUEST_LIMIT,
+  Handover,
+  type HandoverOutcome,
+} from "./handover.ts";
 import type {
   CallerSink,
   EndpointResponse,
@@ -23,6 +28,8 @@
 import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
 import type { AdmissionFacts } from "./prompt_admission.ts";
 import {
+  type CapacityOptions,
+  chooseWithPermit,
   mayStillWait,
   preferCapacity,
   waitForChoice,
@@ -41,6 +48,11 @@
  * time.
  */
 const RETRY_AFTER_SPREAD_MILLISECONDS = 250;
+/**
+ * Longest retry delay for a caller that is refused because of endpoints'
+ * request limits, which may end at any time.
+ */
+const MAX_LIMIT_RETRY_AFTER_MILLISECONDS = 3_000;
 /** Lowest of the priorities that engines support. */
 const LOWEST_PRIORITY = 9;
 
@@ -49,6 +61,12 @@
 /** The caller's key was removed while its request was waiting. */
 const KEY_REMOVED = "key_removed";
 
+type EndpointMatch = (endpoint: RegisteredEndpoint) => boolean;
+
+interface ServiceChoice {
+  readonly endpoint: RegisteredEndpoint;
+}
+
 /** Next step after an attempt. */
 type NextStep =
   | "delivered"
@@ -66,6 +84,8 @@
   readonly #relay: ResponseRelay;
   readonly #deadline: Subscription;
   #attempt: ForwardAttempt | undefined;
+  /** True once the prompt has turned out to need a separate prefill engine. */
+  #needsHandover = false;
   /** Number of sends that may have started to run. */
   #runs = 0;
   /** True while a send is outstanding that may be running. */
@@ -105,7 +125,7 @@
       if (this.#context.blockedMilliseconds > 0) return this.#refuse(BLOCKED);
       const plan = await this.#plan();
       if (this.#context.settled) return;
-      if (plan === undefined) return this.#refuse("no_endpoint_reachable");
+      if (plan === undefined) return this.#refuse(this.#unavailableReason);
       const next = await this.#send(plan);
       if (this.#context.settled || next === "delivered") return;
       if (next === "refuse") return this.#refuse("endpoints_full");
@@ -129,10 +149,10 @@
   }
 
   async #planService(): Promise<AttemptPlan | undefined> {
-    const endpoint = this.#chooseService() ?? await this.#waitForService();
-    if (endpoint === undefined) return undefined;
+    const choice = await this.#chooseService() ?? await this.#waitForService();
+    if (choice === undefined) return undefined;
     return {
-      endpoint,
+      endpoint: choice.endpoint,
       work: NO_PROMPT_WORK,
       options: {
         deadlineMilliseconds: this.#context.remainingMilliseconds,
@@ -141,26 +161,65 @@
     };
   }
 
-  #chooseService(): RegisteredEndpoint | undefined {
+  #chooseService(): Promise<ServiceChoice | undefined> {
     const { dependencies } = this.#context;
-    const healthy = dependencies.availability.filterHealthy(
-      this.#context.endpoints(),
+    return chooseWithPermit(this.#context, () => {
+      const healthy = dependencies.availability.filterHealthy(
+        this.#context.endpoints(),
+      );
+      const endpoint = chooseServiceReplica(
+        this.#context.preferUntried(healthy),
+        dependencies,
+      );
+      return endpoint && { endpoint };
+    });
+  }
+
+  /** Waits if every replica is overloaded and one becomes available in time. */
+  async #waitForService(): Promise<ServiceChoice | undefined> {
+    const mayBecomeReady = this.#isOverloaded() ||
+      this.#context.isLimited(() => true);
+    if (!mayBecomeReady || !this.#isWorthWaiting()) return undefined;
+    return await this.#waitInQueue({}, () => this.#chooseService());
+  }
+
+  /** Waits for a choice; in a queue if permits are what it waits for. */
+  async #waitInQueue<Choice>(
+    endpoint: Pick<RegisteredEndpoint, "role">,
+    choose: () => Choice | undefined | Promise<Choice | undefined>,
+  ): Promise<Choice | undefined> {
+    const matches = (other: RegisteredEndpoint) =>
+      isPrefillEngine(other) === isPrefillEngine(endpoint);
+    if (!this.#context.isLimited(matches)) {
+      return await waitForChoice(this.#context, choose);
+    }
+    const earliestMilliseconds = () =>
+      this.#context.earliestMilliseconds(matches);
+    return await this.#context.queueForPermit(
+      endpoint,
+      () => waitForChoice(this.#context, choose, { earliestMilliseconds }),
     );
-    return chooseServiceReplica(
-      this.#context.preferUntried(healthy),
-      dependencies,
+  }
+
+  /** Why there is no endpoint to send the request to. */
+  get #unavailableReason(): "request_limit" | "no_endpoint_reachable" {
+    const isAtLimit = this.#requiredEndpoints.some((matches) =>
+      this.#context.isLimited(matches) && this.#isOverloaded(matches)
     );
+    return isAtLimit ? "request_limit" : "no_endpoint_reachable";
   }
 
-  /** Waits if every replica is overloaded and one becomes available in time. */
-  async #waitForService(): Promise<RegisteredEndpoint | undefined> {
-    if (!this.#isOverloaded() || !this.#isWorthWaiting()) return undefined;
-    return await waitForChoice(this.#context, () => this.#chooseService());
+  /** Matches of the endpoints that the request needs, one of each. */
+  get #requiredEndpoints(): readonly EndpointMatch[] {
+    if (!this.#isEngineWork) return [() => true];
+    const hasPrefillEngines = this.#needsHandover &&
+      this.#context.overloadMilliseconds(isPrefillEngine) < Infinity;
+    return hasPrefillEngines ? [isPrefillEngine, canDecode] : [canDecode];
   }
 
-  /** True if all matching endpoints have reported overload. */
+  /** True if all matching endpoints are overloaded or at their limit. */
   #isOverloaded(
-    matches?: (endpoint: RegisteredEndpoint) => boolean,
+    matches?: EndpointMatch,
   ): boolean {
     const wait = this.#context.overloadMilliseconds(matches);
     return wait > 0 && Number.isFinite(wait);
@@ -170,7 +229,7 @@
    * False if the caller would give up before a matching endpoint accepts work.
    */
   #isWorthWaiting(
-    matches?: (endpoint: RegisteredEndpoint) => boolean,
+    matches?: EndpointMatch,
   ): boolean {
     const wait = this.#context.overloadMilliseconds(matches);
     return mayStillWait(this.#context, wait);
@@ -179,51 +238,99 @@
   /** Undefined if no engine is left or the request was refused. */
   async #planEngines(prompt: Prompt): Promise<AttemptPlan | undefined> {
     const { dependencies, pool, route } = this.#context;
-    const endpoints = this.#context.endpoints();
-    if (endpoints.length === 0) return undefined;
+    const isDecodeLimited = this.#context.isLimited(canDecode);
+    const hasEngine = this.#context.endpoints().length > 0;
+    if (!hasEngine && !isDecodeLimited) return undefined;
     // A prefill is wasted if no engine can decode in time.
     if (this.#isOverloaded(canDecode) && !this.#isWorthWaiting(canDecode)) {
       return undefined;
     }
-    const needsHandover = dependencies.placement.needsHandover(prompt, {
+    this.#needsHandover = dependencies.placement.needsHandover(prompt, {
       pool,
       targetMilliseconds: route.targetMilliseconds,
-    }) &&
-      endpoints.some((endpoint) => endpoint.role === "prefill");
-    const handover = needsHandover
-      ? await this.#handover.prefill(prompt)
+    });
+    const reserved = isDecodeLimited
+      ? await this.#chooseDecodeEngine(prompt)
       : undefined;
-    if (this.#context.settled) return undefined;
-    if (handover?.kind === "refused") {
-      this.#refuse(handover.reason, handover.facts);
+    if (this.#context.settled || (isDecodeLimited && reserved === undefined)) {
+      return undefined;
+    }
+    const hasPrefillEngine = this.#context.endpoints().some(isPrefillEngine) ||
+      this.#context.isLimited(isPrefillEngine);
+    const handover = this.#needsHandover && hasPrefillEngine
+      ? await this.#prefill(prompt)
+      : undefined;
+    const isRefused = handover?.kind === "refused";
+    if (this.#context.settled || isRefused) {
+      if (reserved !== undefined) {
+        this.#context.releasePermit(reserved.endpoint);
+      }
+      if (isRefused && !this.#context.settled) {
+        this.#refuse(handover.reason, handover.facts);
+      }
       return undefined;
     }
-    const cacheZone = handover === undefined
-      ? undefined
-      : dependencies.registry.get(handover.kept.engine)?.availabilityZone;
-    const choice = await this.#chooseDecodeEngine(prompt, cacheZone);
+    return await this.#planDecode(prompt, { kept: handover?.kept, reserved });
+  }
+
+  async #planDecode(
+    prompt: Prompt,
+    { kept, reserved }: {
+      readonly kept: PrefilledPrompt | undefined;
+      /** Engine with a permit for the request, chosen before the prefill. */
+      readonly reserved: DecodeChoice | undefined;
+    },
+  ): Promise<AttemptPlan | undefined> {
+    const isUsable = reserved !== undefined &&
+      this.#context.isInService(reserved.endpoint);
+    const choice = isUsable
+      ? reserved
+      : await this.#chooseDecodeEngine(prompt, kept);
     if (choice === undefined) return undefined;
+    const { milliseconds, tokens } = choice.work;
     return {
       endpoint: choice.endpoint,
-      work: choice.work,
+      work: { milliseconds: kept === undefined ? milliseconds : 0, tokens },
       options: {
         deadlineMilliseconds: this.#context.remainingMilliseconds,
         priority: Math.min(LOWEST_PRIORITY, this.#context.rank),
-        prefilledPrompt: handover?.kept,
+        prefilledPrompt: kept,
         lastEventId: this.#resumeEventId(),
       },
     };
   }
 
+  /**
+   * Prefills the prompt on a prefill engine, and waits for one while the request
+   * limits of all are used up. Decode engines don't replace them: long prompts
+   * would slow down the streams there.
+   */
+  async #prefill(prompt: Prompt): Promise<HandoverOutcome> {
+    const tryPrefill = async () => {
+      if (!this.#context.endpoints().some(isPrefillEngine)) return undefined;
+      const outcome = await this.#handover.prefill(prompt);
+      return outcome === AT_REQUEST_LIMIT ? undefined : outcome;
+    };
+    const outcome = await tryPrefill();
+    if (outcome !== undefined || this.#context.settled) {
+      return outcome ?? AT_REQUEST_LIMIT;
+    }
+    if (!this.#isWorthWaiting(isPrefillEngine)) return AT_REQUEST_LIMIT;
+    const waited = await this.#waitInQueue({ role: "prefill" }, tryPrefill);
+    return waited ?? AT_REQUEST_LIMIT;
+  }
+
   /** Undefined if no engine becomes available before the caller gives up. */
   async #chooseDecodeEngine(
     prompt: Prompt,
-    cacheZone: AvailabilityZoneId | undefined,
+    kept?: PrefilledPrompt,
   ): Promise<DecodeChoice | undefined> {
     const { dependencies, pool } = this.#context;
+    const cacheZone = kept &&
+      dependencies.registry.get(kept.engine)?.availabilityZone;
     const refreshed = await this.#refreshDecodeEngineLoad(cacheZone);
     if (this.#context.settled) return undefined;
-    const choose = ({ requiresCapacity } = { requiresCapacity: false }) => {
+    const choose = ({ requiresCapacity }: CapacityOptions) => {
       // The engines may have changed during the prefill.
       const decodeEngines = this.#context.endpoints().filter(canDecode);
       const decodeCandidates = this.#decodeCandidates(
@@ -243,8 +350,19 @@
         },
       );
     };
-    return choose() ??
-      await waitForChoice(this.#context, preferCapacity(choose));
+    const chosen = await chooseWithPermit(
+      this.#context,
+      () => choose({ requiresCapacity: false }),
+    );
+    if (chosen !== undefined || this.#context.settled) return chosen;
+    if (this.#isOverloaded(canDecode) && !this.#isWorthWaiting(canDecode)) {
+      return undefined;
+    }
+    const chooseWaiting = preferCapacity(choose);
+    return await this.#waitInQueue(
+      { role: "decode" },
+      () => chooseWithPermit(this.#context, chooseWaiting),
+    );
   }
 
   /** Refreshes the load of some decode engines; returns their ids. */
@@ -282,10 +400,11 @@
   async #send(plan: AttemptPlan): Promise<NextStep> {
     const { dependencies } = this.#context;
     const { endpoint } = plan;
-    // Endpoints may have crashed on the request while it was waiting.
-    if (this.#context.blockedMilliseconds > 0) return "blocked";
-    if (this.#context.isKeyRemoved) return KEY_REMOVED;
-    if (!this.#context.arrivals.reserve({ prefill: false })) return "refuse";
+    const obstacle = this.#obstacle;
+    if (obstacle !== undefined) {
+      this.#context.releasePermit(endpoint);
+      return obstacle;
+    }
     this.#context.arrivals.recordSend();
     this.#context.sends += 1;
     this.#mayBeRunning = true;
@@ -302,7 +421,7 @@
     if (this.#context.settled) return "delivered";
     if (response.isErr()) {
       this.#context.noteRejection(endpoint.id);
-      return this.#afterFailure(response.error.name);
+      return this.#afterFailure(response.error.name, endpoint);
     }
     if (response.value.head.notExecuted) {
       discard(response.value, attempt);
@@ -317,11 +436,20 @@
     return await this.#deliver(response.value, attempt);
   }
 
-  #afterFailure(name: string): NextStep {
+  /** Why the request may no longer be sent; it may have waited meanwhile. */
+  get #obstacle(): NextStep | undefined {
+    if (this.#context.blockedMilliseconds > 0) return "blocked";
+    if (this.#context.isKeyRemoved) return KEY_REMOVED;
+    const hasPermit = this.#context.arrivals.reserve({ prefill: false });
+    return hasPermit ? undefined : "refuse";
+  }
+
+  #afterFailure(name: string, endpoint: RegisteredEndpoint): NextStep {
     if (name === "exchange_not_sent") {
       // No byte was sent, so this does not count as a send. Connection attempts
       // to an unreachable endpoint are limited by its recorded outcomes.
       this.#context.sends -= 1;
+      this.#context.releasePermit(endpoint);
       this.#mayBeRunning = this.#runs > 0;
       this.#context.arrivals.revertSend();
       return this.#mayResend(name) ? "again" : "refuse";
@@ -463,8 +591,13 @@
         OTHER_ENTRY_RETRY_SPREAD_MILLISECONDS * random();
     }
     if (reason === BLOCKED) return this.#context.blockedMilliseconds;
-    const overload = this.#context.overloadMilliseconds();
-    const wait = Number.isFinite(overload) ? overload : 0;
+    const waits = this.#requiredEndpoints
+      .map((matches) => this.#context.overloadMilliseconds(matches))
+      .filter(Number.isFinite);
+    const longest = reason === "request_limit"
+      ? MAX_LIMIT_RETRY_AFTER_MILLISECONDS
+      : Infinity;
+    const wait = Math.min(longest, Math.max(0, ...waits));
     return Math.max(RETRY_AFTER_MILLISECONDS, wait) +
       RETRY_AFTER_SPREAD_MILLISECONDS * random();
   }
@@ -511,6 +644,6 @@
   response.read(() => {}, (end) => attempt.onEnd(end, response.head.status));
 }
 
-function canDecode(endpoint: { readonly role?: EngineRole }): boolean {
-  return endpoint.role !== "prefill";
+function canDecode(endpoint: Pick<RegisteredEndpoint, "role">): boolean {
+  return !isPrefillEngine(endpoint);
 }
--- a/src/entry/forwarding/wait_for_choice.ts
+++ b/src/entry/forwarding/wait_for_choice.ts
@@ -1,3 +1,4 @@
+import type { RegisteredEndpoint } from "../../core/forwarding/mod.ts";
 import type { ForwardContext } from "./forward_context.ts";
 
 /** Polling interval of a request that waits for an engine. */
@@ -16,13 +17,16 @@
  */
 const MAX_CAPACITY_CHECKS = 8;
 
+export interface CapacityOptions {
+  /** True: considers only engines that have capacity now. */
+  readonly requiresCapacity: boolean;
+}
+
 /**
  * Chooses only engines with capacity for a limited number of checks, then any.
  */
 export function preferCapacity<Choice>(
-  choose: (
-    options: { readonly requiresCapacity: boolean },
-  ) => Choice | undefined,
+  choose: (options: CapacityOptions) => Choice | undefined,
 ): () => Choice | undefined {
   let fullChecks = 0;
   return () => {
@@ -34,26 +38,55 @@
   };
 }
 
+export interface WaitForChoiceOptions {
+  /** Time before which there can be no choice, in milliseconds. */
+  readonly earliestMilliseconds?: () => number;
+}
+
 /**
  * Polls until there is a choice, as long as the caller can still receive a
  * first byte. Nothing is sent meanwhile.
  */
 export async function waitForChoice<Choice>(
   context: ForwardContext,
-  choose: () => Choice | undefined,
+  choose: () => Choice | undefined | Promise<Choice | undefined>,
+  { earliestMilliseconds = () => 0 }: WaitForChoiceOptions = {},
 ): Promise<Choice | undefined> {
   const { timer } = context.dependencies;
   let choice: Choice | undefined;
-  while (choice === undefined && mayStillWait(context)) {
+  while (
+    choice === undefined && mayStillWait(context, earliestMilliseconds())
+  ) {
     await new Promise<void>((resolve) => {
       timer.after(POLL_INTERVAL_MILLISECONDS, resolve);
     });
     if (context.settled) return undefined;
-    choice = choose();
+    context.resetPermitDenials();
+    choice = await choose();
   }
   return choice;
 }
 
+/**
+ * Chooses an endpoint and takes a permit there if it has a request limit;
+ * chooses another one if there is no permit.
+ */
+export async function chooseWithPermit<
+  Choice extends { readonly endpoint: RegisteredEndpoint },
+>(
+  context: ForwardContext,
+  choose: () => Choice | undefined,
+): Promise<Choice | undefined> {
+  for (;;) {
+    const choice = choose();
+    if (choice === undefined) return undefined;
+    const isGranted = await context.takePermit(choice.endpoint);
+    if (isGranted && !context.settled) return choice;
+    if (isGranted) context.releasePermit(choice.endpoint);
+    if (context.settled) return undefined;
+  }
+}
+
 /** True if the caller can still be answered after this many milliseconds. */
 export function mayStillWait(
   context: ForwardContext,
--- a/src/entry/forwarding/work_notification.ts
+++ b/src/entry/forwarding/work_notification.ts
@@ -2,7 +2,9 @@
 import {
   type CrashReport,
   type EndpointRegistry,
+  isLimitReport,
   isReportedLoss,
+  type LimitReport,
   type PeerWork,
   type PrefillSpeedReport,
   type RefusalReport,
@@ -40,6 +42,11 @@
   readonly clock?: number;
   /** Requests recently lost with endpoints; sent with full reports. */
   readonly losses?: readonly ReportedLoss[];
+  /**
+   * Request limits of endpoints that have changed since the last report. If one
+   * is lost, its receivers learn the limit from the endpoint's next response.
+   */
+  readonly limits?: readonly LimitReport[];
 }
 
 /**
@@ -85,6 +92,7 @@
     clock,
     entry,
     incarnation,
+    limits,
     losses,
     prompts,
     refusals,
@@ -97,8 +105,10 @@
   const hasSpeeds = speeds === undefined || Array.isArray(speeds);
   const hasLosses = losses === undefined ||
     (Array.isArray(losses) && losses.every(isReportedLoss));
+  const hasLimits = limits === undefined ||
+    (Array.isArray(limits) && limits.every(isLimitReport));
   const isClock = clock === undefined || Number.isFinite(clock);
-  return isVersion && isClock && hasSpeeds && hasLosses &&
+  return isVersion && isClock && hasSpeeds && hasLosses && hasLimits &&
     typeof entry === "string" &&
     typeof incarnation === "string" &&
     typeof sequence === "number" &&
--- a/test/operations/operations_test.ts
+++ b/test/operations/operations_test.ts
@@ -3,6 +3,7 @@
 import {
   createForwardingObserver,
   createLoadQueryCounter,
+  createPermitCounter,
   createUnreadableRegistrationCounter,
   createUsageReportCounter,
   Metrics,
@@ -48,6 +49,7 @@
   });
   createUnreadableRegistrationCounter(metrics.registry);
   createLoadQueryCounter(metrics.registry);
+  createPermitCounter(metrics.registry);
   createUsageReportCounter(metrics.registry);
   registerUsageFencingGauge(metrics.registry, () => undefined);
   registerBlockedRequestsGauge(metrics.registry, () => 0);
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -125,6 +125,7 @@
       persistBlocked() {},
       removeBlocked() {},
       onLoadQuery() {},
+      onPermit() {},
     });
   }
 
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -14,6 +14,8 @@
   type ForwardingConfiguration,
   HeldPromptQueue,
   LinkBacklog,
+  LoadOwners,
+  PermitQueue,
   PrefixDirectory,
   type ResponseHead,
   ReturningCallers,
@@ -24,6 +26,7 @@
 import {
   type AvailabilityZoneId,
   identifier,
+  type ProcessId,
 } from "../../src/core/identity/mod.ts";
 import { seededRandom } from "../../src/core/random/mod.ts";
 import { digestOf } from "../../src/adapters/forwarding/mod.ts";
@@ -39,6 +42,7 @@
   forward,
   type ForwardingDependencies,
   type ForwardingRefusal,
+  RequestPermits,
 } from "../../src/entry/forwarding/mod.ts";
 
 const EXCHANGE_FAILURE = defineError<{ name: ExchangeFailure["name"] }>()({
@@ -208,6 +212,8 @@
     };
     const availabilityZone = identifier<AvailabilityZoneId>("zone-1");
     const registry = new EndpointRegistry({ timer });
+    const limits = new EndpointLimits();
+    const self = identifier<ProcessId>("entry-0");
     this.dependencies = {
       timer,
       random,
@@ -236,7 +242,18 @@
       }),
       returningCallers: new ReturningCallers(timer),
       crashes: new CrashTracker({ timer }),
-      limits: new EndpointLimits(),
+      limits,
+      permits: new RequestPermits({
+        self,
+        timer,
+        limits,
+        registry,
+        owners: new LoadOwners({ self, timer }),
+        send() {},
+        share: () => 1,
+        onOutcome() {},
+      }),
+      permitQueue: new PermitQueue(),
       onTimeWork: new WorkRate(timer),
       held: new HeldPromptQueue(timer),
       entries: () => 1,
--- a/test/support/limited_endpoints.ts
+++ b/test/support/limited_endpoints.ts
@@ -46,6 +46,8 @@
   readonly #arrivals = new Map<string, LimitedArrival[]>();
   /** When each entry first passed on an endpoint's limit. */
   readonly #passedOnAt = new Map<string, number>();
+  /** Number of runs whose prompt no other engine had prefilled. */
+  countPrefillsAtDecode = 0;
   /** Number of arrivals by endpoint. */
   readonly counts = new Map<string, number>();
 
@@ -62,13 +64,6 @@
     spans.push({ from: this.#fleet.timer.now(), requestsPerSecond });
   }
 
-  /** Forgets what the entry has passed on, as its process has ended. */
-  onRestart(entry: number): void {
-    for (const key of this.#passedOnAt.keys()) {
-      if (key.startsWith(`${entry} `)) this.#passedOnAt.delete(key);
-    }
-  }
-
   /** The window with the most arrivals relative to its allowance. */
   worstWindow(endpoint: string): WorstWindow {
     const limitedFrom = this.#limits.get(endpoint)?.[0].from ?? Infinity;
@@ -118,6 +113,12 @@
       at: timer.now(),
       counts: timer.now() >= passedOnAt + REACTION_MILLISECONDS,
     });
+    const { options, request } = attempt;
+    const isPrefilled = options.prefillOnly === true ||
+      options.prefilledPrompt !== undefined;
+    if (request.prompt !== undefined && !isPrefilled) {
+      this.countPrefillsAtDecode += 1;
+    }
     this.counts.set(endpoint, (this.counts.get(endpoint) ?? 0) + 1);
     timer.after(this.#workMilliseconds, () => {
       const requestsPerSecondLimit = this.#limitOf(endpoint);
