Bound the wait for a permit by the route's target

Callers of a pool whose endpoints all name a limit waited in a queue as long as they had patience: whoever was served was late.

Cause: a request was queued if the predicted wait fitted its deadline. A queue of that length serves no more callers than a short one.

Change: a request waits for a permit only while it can still be answered on time; else it is refused at once with a Retry-After, as before.

--- a/src/entry/forwarding/endpoint_limits_test.ts
+++ b/src/entry/forwarding/endpoint_limits_test.ts
@@ -24,6 +24,8 @@
 const URGENT_PATH = "/urgent/";
 /** Share of a limit that must be used while callers wait for more. */
 const MIN_USED_SHARE = 0.75;
+/** Target of the routes, milliseconds. */
+const TARGET_MILLISECONDS = 150;
 /** Time in which a refusal counts as immediate. */
 const IMMEDIATE_MILLISECONDS = 150;
 
@@ -315,6 +317,17 @@
       expect(servedShare(others)).to.be.within(0.1, 0.5);
     });
 
+    // Guards against a queue for permits that makes every served caller late.
+    it("are answered on time if they are served", async () => {
+      const scenario = new LimitScenario();
+      await scenario.limit(REPLICAS, 20);
+      const served = withStatus(await scenario.run(load), 200);
+      const onTime = served.filter(({ milliseconds = Infinity }) =>
+        milliseconds <= TARGET_MILLISECONDS
+      );
+      expect(onTime.length).to.be.at.least(served.length / 2);
+    });
+
     it("wait for a permit that they can get in time", async () => {
       const scenario = new LimitScenario();
       await scenario.limit(REPLICAS, 35);
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -48,6 +48,12 @@
  * time.
  */
 const RETRY_AFTER_SPREAD_MILLISECONDS = 250;
+/**
+ * Longest predicted wait for a permit, as a share of the route's target; the
+ * rest is for the endpoint. Routes with a short target may wait the minimum.
+ */
+const MAX_PERMIT_WAIT_TARGET_SHARE = 0.7;
+const MIN_PERMIT_WAIT_MILLISECONDS = 50;
 /**
  * Longest retry delay for a caller that is refused because of endpoints'
  * request limits, which may end at any time.
@@ -226,13 +232,22 @@
   }
 
   /**
-   * False if the caller would give up before a matching endpoint accepts work.
+   * False if the caller would give up before a matching endpoint accepts work,
+   * or if a wait for a permit would make its response late. A longer queue
+   * serves no more callers, and all of them late.
    */
-  #isWorthWaiting(
-    matches?: EndpointMatch,
-  ): boolean {
+  #isWorthWaiting(matches: EndpointMatch = () => true): boolean {
     const wait = this.#context.overloadMilliseconds(matches);
-    return mayStillWait(this.#context, wait);
+    const isForPermit = this.#context.isLimited(matches);
+    return mayStillWait(this.#context, wait) &&
+      (!isForPermit || wait <= this.#maxPermitWaitMilliseconds);
+  }
+
+  get #maxPermitWaitMilliseconds(): number {
+    const { elapsedMilliseconds, route } = this.#context;
+    const left = MAX_PERMIT_WAIT_TARGET_SHARE * route.targetMilliseconds -
+      elapsedMilliseconds;
+    return Math.max(MIN_PERMIT_WAIT_MILLISECONDS, left);
   }
 
   /** Undefined if no engine is left or the request was refused. */
