Order nothing for an engine that its side has not observed yet

Callers of a fleet that had just started were refused for up to a second: 503 no_endpoint, "No endpoint of the pool can be used now" or "the last attempt ended with changing_role".

Cause: a side reports as soon as it listens, and its report names no role until it has observed its engine. The planner compared the missing role with the inventory's and ordered the engine to the role that it already had; the side drained it for that. Class: a value that is not known yet, compared as if it were known.

Evidence: a trace of a start shows "Order appended" for an engine 0.5 s after its side's first report, and the state "changing" at the first request. Of 12 starts beside 12 busy processes 4 had such an order. With the engines stopped until the sides had reported, both were ordered in some starts, and callers got both messages, each as listed.

Change: without an order on the log, one is created only from a report that names the engine's role.

Result: the new test failed before (one order for t-0).

--- a/src/entry/order_plan.ts
+++ b/src/entry/order_plan.ts
@@ -64,7 +64,9 @@
   }
   const currentOrder = options.currentOrders.get(endpoint.id);
   const report = options.reports.get(endpoint.id);
-  if (currentOrder === undefined && report === undefined) return undefined;
+  // An engine that its side has not observed may be in the target state.
+  const isObserved = report?.role !== undefined;
+  if (currentOrder === undefined && !isObserved) return undefined;
   const target = desiredTarget(endpoint, {
     ...options,
     order: currentOrder,
--- a/src/entry/order_plan_test.ts
+++ b/src/entry/order_plan_test.ts
@@ -70,6 +70,17 @@
     expect(plan({})).to.deep.equal([]);
   });
 
+  // Guards against a role change of an engine whose state is only unknown yet,
+  // which takes it out of service.
+  it("creates no order for an engine that its side has not observed", () => {
+    const unobserved = report("t-0", { role: undefined });
+    const reports = new Map([["t-0", unobserved]]);
+    expect(plan({ reports })).to.deep.equal([]);
+    expect(plan({ reports, roleChanges: [TO_PREFILL] })).to.deep.equal([]);
+    const loaded = inventory({ weights: "w-2" });
+    expect(plan({ reports, inventory: loaded })).to.deep.equal([]);
+  });
+
   it("orders a requested role change", () => {
     expect(plan({ roleChanges: [TO_PREFILL] })).to.deep.equal([
       { endpoint: "t-1", number: 0, target: { role: "prefill" } },
