Issue half of a limit after a pause, and settle disagreements on limits

A report of an older limit than the known one was dropped without an answer, so two entries could disagree until the endpoint's next response. A permit request without a wish made the expected rate not a number.

Change: an issuer that was not asked for two seconds starts like a new one; an entry that knows a newer limit reports it again; a request without a wish is malformed.

--- a/src/core/forwarding/limits/endpoint_limits.ts
+++ b/src/core/forwarding/limits/endpoint_limits.ts
@@ -53,10 +53,7 @@
     this.#observations.set(endpoint, observation);
     const before = known?.requestsPerSecond;
     const after = observation.requestsPerSecond;
-    const reported = this.#reported.get(endpoint) ?? Infinity;
-    if (isWorthReporting(reported, after ?? Infinity)) {
-      this.#unreported.add(endpoint);
-    }
+    this.#checkReported(endpoint);
     return before === after ? undefined : { before, after };
   }
 
@@ -65,6 +62,15 @@
     const { requestsPerSecond = Infinity } = observation;
     this.#reported.set(endpoint, requestsPerSecond);
     this.record(endpoint, observation);
+    this.#checkReported(endpoint);
+  }
+
+  /** Notes whether peers have to be informed of the limit. */
+  #checkReported(endpoint: EndpointId): void {
+    const reported = this.#reported.get(endpoint) ?? Infinity;
+    const limit = this.requestsPerSecond(endpoint) ?? Infinity;
+    if (isWorthReporting(reported, limit)) this.#unreported.add(endpoint);
+    else this.#unreported.delete(endpoint);
   }
 
   /** Last observation of an endpoint that has ever named a limit. */
--- a/src/core/forwarding/limits/endpoint_limits_test.ts
+++ b/src/core/forwarding/limits/endpoint_limits_test.ts
@@ -64,6 +64,35 @@
     expect(limits.size).to.equal(0);
   });
 
+  describe("for peers", () => {
+    it("reports a limit once, and again after a change of a tenth", () => {
+      const limits = new EndpointLimits();
+      limits.record(ENDPOINT, observation(10, [0, 1]));
+      expect([...limits.takeUnreported().keys()]).to.deep.equal([ENDPOINT]);
+      limits.record(ENDPOINT, observation(10.5, [1, 2]));
+      expect(limits.hasUnreported).to.equal(false);
+      limits.record(ENDPOINT, observation(12, [2, 3]));
+      expect(limits.hasUnreported).to.equal(true);
+    });
+
+    it("does not report what a peer has reported", () => {
+      const limits = new EndpointLimits();
+      limits.recordPeer(ENDPOINT, observation(10, [0, 1]));
+      limits.record(ENDPOINT, observation(10, [1, 2]));
+      expect(limits.hasUnreported).to.equal(false);
+    });
+
+    // Guards against entries that disagree on a limit for good.
+    it("contradicts an older report of a peer", () => {
+      const limits = new EndpointLimits();
+      limits.record(ENDPOINT, observation(20, [50, 60]));
+      limits.takeUnreported();
+      limits.recordPeer(ENDPOINT, observation(5, [0, 40]));
+      expect(limits.takeUnreported().get(ENDPOINT)?.requestsPerSecond)
+        .to.equal(20);
+    });
+  });
+
   it("reports changes only", () => {
     const limits = new EndpointLimits();
     const record = (
--- a/src/core/forwarding/limits/permit_issuer.ts
+++ b/src/core/forwarding/limits/permit_issuer.ts
@@ -12,9 +12,9 @@
 /** And this number at least, or entries would ask too late for the few. */
 const MIN_BURST = 2;
 /**
- * Time for which a new issuer gives out only a part of the limit. Entries take
- * this long to agree that the issuer before it has ended; until then both may
- * give out permits.
+ * Time for which an issuer gives out only a part of the limit after it was not
+ * asked for as long. Entries take this long to agree that the issuer before it
+ * has ended; until then both may give out permits.
  */
 const TAKEOVER_MILLISECONDS = 2_000;
 const TAKEOVER_SHARE = 0.5;
@@ -63,7 +63,8 @@
 }
 
 interface Bucket {
-  readonly createdAt: number;
+  /** When the issuer was first asked after a pause. */
+  startedAt: number;
   permits: number;
   updatedAt: number;
   /** Unmet demand by entry. */
@@ -120,7 +121,8 @@
     { requestsPerSecond, share }: PermitRequest,
   ): number {
     const now = this.#timer.now();
-    const isTakeover = now - bucket.createdAt < TAKEOVER_MILLISECONDS;
+    if (now - bucket.updatedAt > TAKEOVER_MILLISECONDS) bucket.startedAt = now;
+    const isTakeover = now - bucket.startedAt < TAKEOVER_MILLISECONDS;
     const rate = Math.max(MIN_REQUESTS_PER_SECOND, requestsPerSecond) * share *
       (isTakeover ? TAKEOVER_SHARE : 1);
     const added = rate * (now - bucket.updatedAt) / MILLISECONDS_PER_SECOND;
@@ -140,7 +142,7 @@
     let bucket = this.#buckets.get(endpoint);
     if (bucket === undefined) {
       const now = this.#timer.now();
-      bucket = { createdAt: now, permits: 0, updatedAt: now, unmet: new Map() };
+      bucket = { startedAt: now, permits: 0, updatedAt: now, unmet: new Map() };
       this.#buckets.set(endpoint, bucket);
     }
     return bucket;
--- a/src/entry/forwarding/request_permits.ts
+++ b/src/entry/forwarding/request_permits.ts
@@ -343,7 +343,8 @@
     unknown
   >;
   return typeof entry === "string" && typeof id === "number" &&
-    isLimitReport(limit) && isDemand(wanted) && isDemand(waiting);
+    isLimitReport(limit) && isDemand(wanted) && wanted.length > 0 &&
+    isDemand(waiting);
 }
 
 function isDemand(value: unknown): value is PermitDemand {
--- a/src/entry/forwarding/request_permits_test.ts
+++ b/src/entry/forwarding/request_permits_test.ts
@@ -196,6 +196,7 @@
         undefined,
         "text",
         {},
+        request("a", { wanted: [] }),
         request("a", { wanted: [[0]] }),
         request("a", { waiting: 3 }),
         request("a", { limit: ["a", -1, 0, 0] }),
