Split the plan for engines, and name permits by the field's terms

Read as a newcomer would: the plan for engines did not fit on a screen, requests for permits were called wishes, and two counts of the test's endpoints did not say what they count.

--- a/src/core/forwarding/limits/permit_issuer.ts
+++ b/src/core/forwarding/limits/permit_issuer.ts
@@ -39,7 +39,7 @@
   readonly wanted: PermitDemand;
   /**
    * Requests at the entry that wait because no other endpoint accepts them.
-   * Permits are kept back for them if they are more urgent than others' wishes.
+   * Permits are kept back for them from less urgent requests of other entries.
    */
   readonly waiting: PermitDemand;
   /** Limit of the endpoint, in requests per second. */
--- a/src/core/forwarding/limits/permit_issuer_test.ts
+++ b/src/core/forwarding/limits/permit_issuer_test.ts
@@ -96,7 +96,7 @@
     expect(await scenario.grantedIn(20_000, limit)).to.be.within(3, 5);
   });
 
-  it("grants the most urgent wishes first", async () => {
+  it("grants permits to the most urgent requests first", async () => {
     const scenario = new IssuerScenario();
     await scenario.settle();
     await scenario.timer.advance(100);
--- a/src/entry/forwarding/endpoint_limits_test.ts
+++ b/src/entry/forwarding/endpoint_limits_test.ts
@@ -106,9 +106,9 @@
 
   /** Arrivals per second at an endpoint under this load. */
   async arrivalsPerSecond(id: string, load: Load): Promise<number> {
-    const before = this.endpoints.counts.get(id) ?? 0;
+    const before = this.endpoints.arrivalCounts.get(id) ?? 0;
     await this.run(load);
-    const arrivals = (this.endpoints.counts.get(id) ?? 0) - before;
+    const arrivals = (this.endpoints.arrivalCounts.get(id) ?? 0) - before;
     return arrivals / (load.milliseconds / 1_000);
   }
 
@@ -369,10 +369,10 @@
     it("is not evaded by prefills at decode engines", async () => {
       const scenario = new LimitScenario(engines);
       await scenario.limit(["p1", "p2"], 5);
-      const decodesBefore = scenario.endpoints.countPrefillsAtDecode;
+      const before = scenario.endpoints.prefillsAtDecodeEngines;
       const callers = await scenario.run(load);
       for (const id of ["p1", "p2"]) scenario.expectWithinLimit(id);
-      expect(scenario.endpoints.countPrefillsAtDecode).to.equal(decodesBefore);
+      expect(scenario.endpoints.prefillsAtDecodeEngines).to.equal(before);
       expect(withStatus(callers, 200).length).to.be.at.least(
         5 * 2 * 5 * MIN_USED_SHARE,
       );
@@ -384,7 +384,7 @@
       await scenario.limit(["d1", "d2"], 2);
       const prefillsOf = () =>
         ["p1", "p2"].reduce(
-          (sum, id) => sum + (scenario.endpoints.counts.get(id) ?? 0),
+          (sum, id) => sum + (scenario.endpoints.arrivalCounts.get(id) ?? 0),
           0,
         );
       const before = prefillsOf();
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -215,7 +215,7 @@
     return isAtLimit ? "request_limit" : "no_endpoint_reachable";
   }
 
-  /** Matches of the endpoints that the request needs, one of each. */
+  /** The request needs one endpoint of each match. */
   get #requiredEndpoints(): readonly EndpointMatch[] {
     if (!this.#isEngineWork) return [() => true];
     const hasPrefillEngines = this.#needsHandover &&
@@ -224,9 +224,7 @@
   }
 
   /** True if all matching endpoints are overloaded or at their limit. */
-  #isOverloaded(
-    matches?: EndpointMatch,
-  ): boolean {
+  #isOverloaded(matches?: EndpointMatch): boolean {
     const wait = this.#context.overloadMilliseconds(matches);
     return wait > 0 && Number.isFinite(wait);
   }
@@ -270,24 +268,28 @@
     if (this.#context.settled || (isDecodeLimited && reserved === undefined)) {
       return undefined;
     }
-    const hasPrefillEngine = this.#context.endpoints().some(isPrefillEngine) ||
-      this.#context.isLimited(isPrefillEngine);
-    const handover = this.#needsHandover && hasPrefillEngine
+    const handover = this.#needsHandover && this.#hasPrefillEngine
       ? await this.#prefill(prompt)
       : undefined;
-    const isRefused = handover?.kind === "refused";
-    if (this.#context.settled || isRefused) {
+    if (!this.#context.settled && handover?.kind === "refused") {
+      this.#refuse(handover.reason, handover.facts);
+    }
+    if (this.#context.settled || handover?.kind === "refused") {
       if (reserved !== undefined) {
         this.#context.releasePermit(reserved.endpoint);
       }
-      if (isRefused && !this.#context.settled) {
-        this.#refuse(handover.reason, handover.facts);
-      }
       return undefined;
     }
     return await this.#planDecode(prompt, { kept: handover?.kept, reserved });
   }
 
+  /** True if an engine prefills for others, now or after a wait for a permit. */
+  get #hasPrefillEngine(): boolean {
+    return this.#context.endpoints().some(isPrefillEngine) ||
+      this.#context.isLimited(isPrefillEngine);
+  }
+
+  /** Plans the send to the reserved engine, or to another if it has gone. */
   async #planDecode(
     prompt: Prompt,
     { kept, reserved }: {
--- a/src/entry/forwarding/request_permits.ts
+++ b/src/entry/forwarding/request_permits.ts
@@ -47,7 +47,7 @@
   expectedPerSecond: Infinity,
 };
 
-/** Outcome of one request's wish for a permit. */
+/** Outcome of a request for a permit. */
 export type PermitOutcome = "granted" | "denied" | "unanswered";
 
 export interface RequestPermitsOptions {
--- a/test/support/limited_endpoints.ts
+++ b/test/support/limited_endpoints.ts
@@ -47,9 +47,9 @@
   /** When each entry first passed on an endpoint's limit. */
   readonly #passedOnAt = new Map<string, number>();
   /** Number of runs whose prompt no other engine had prefilled. */
-  countPrefillsAtDecode = 0;
+  prefillsAtDecodeEngines = 0;
   /** Number of arrivals by endpoint. */
-  readonly counts = new Map<string, number>();
+  readonly arrivalCounts = new Map<string, number>();
 
   constructor(fleet: EntryFleet, options: LimitedEndpointsOptions = {}) {
     this.#fleet = fleet;
@@ -117,9 +117,12 @@
     const isPrefilled = options.prefillOnly === true ||
       options.prefilledPrompt !== undefined;
     if (request.prompt !== undefined && !isPrefilled) {
-      this.countPrefillsAtDecode += 1;
+      this.prefillsAtDecodeEngines += 1;
     }
-    this.counts.set(endpoint, (this.counts.get(endpoint) ?? 0) + 1);
+    this.arrivalCounts.set(
+      endpoint,
+      (this.arrivalCounts.get(endpoint) ?? 0) + 1,
+    );
     timer.after(this.#workMilliseconds, () => {
       const requestsPerSecondLimit = this.#limitOf(endpoint);
       const isFirst = requestsPerSecondLimit !== undefined &&
