Share the allowance of a request limit between its tests and the soak

The window, its tolerance and the count stood twice, in the stand-in of limited endpoints and in the checks of the soak. No check changes.

--- a/test/support/limited_endpoints.ts
+++ b/test/support/limited_endpoints.ts
@@ -1,15 +1,12 @@
 import type { SentAttempt } from "./forwarding_harness.ts";
 import type { EntryFleet } from "./entry_fleet.ts";
-
-/** Window in which arrivals at a limited endpoint are counted. */
-const WINDOW_MILLISECONDS = 4_000;
-/** Arrivals in a window that are allowed: this share of the limit, and more. */
-const TOLERATED_SHARE = 1.5;
-const TOLERATED_ARRIVALS = 5;
-/** Time after its first naming from which a limit holds. */
-const SETTLING_MILLISECONDS = 3_000;
-/** Time after which an entry that has passed on a limit must keep to it. */
-const REACTION_MILLISECONDS = 500;
+import {
+  allowedArrivals,
+  countArrivals,
+  type LimitSpan,
+  REACTION_MILLISECONDS,
+  SETTLING_MILLISECONDS,
+} from "./limit_allowance.ts";
 
 interface LimitedArrival {
   readonly at: number;
@@ -17,12 +14,6 @@
   readonly counts: boolean;
 }
 
-/** Limit that an endpoint names from a time on; undefined: none. */
-interface LimitSpan {
-  readonly from: number;
-  readonly requestsPerSecond: number | undefined;
-}
-
 /** Arrivals in the window that exceeds its allowance the most. */
 export interface WorstWindow {
   readonly until: number;
@@ -67,15 +58,14 @@
   /** The window with the most arrivals relative to its allowance. */
   worstWindow(endpoint: string): WorstWindow {
     const limitedFrom = this.#limits.get(endpoint)?.[0].from ?? Infinity;
-    const arrivals = (this.#arrivals.get(endpoint) ?? [])
-      .filter(({ counts }) => counts);
+    const spans = this.#limits.get(endpoint) ?? [];
+    const times = (this.#arrivals.get(endpoint) ?? [])
+      .filter(({ counts }) => counts).map(({ at }) => at);
     let worst: WorstWindow = { until: 0, arrivals: 0, allowed: Infinity };
-    for (const { at } of arrivals) {
+    for (const at of times) {
       if (at < limitedFrom + SETTLING_MILLISECONDS) continue;
-      const count = arrivals.filter((each) =>
-        each.at > at - WINDOW_MILLISECONDS && each.at <= at
-      ).length;
-      const allowed = this.#allowedUntil(endpoint, at);
+      const count = countArrivals(times, at);
+      const allowed = allowedArrivals(spans, at);
       if (count / allowed < worst.arrivals / worst.allowed) {
         continue;
       }
@@ -84,20 +74,6 @@
     return worst;
   }
 
-  #allowedUntil(endpoint: string, until: number): number {
-    const spans = this.#limits.get(endpoint) ?? [];
-    let requests = 0;
-    for (const [index, { from, requestsPerSecond }] of spans.entries()) {
-      const start = index === 0 ? -Infinity : from;
-      const end = spans.at(index + 1)?.from ?? Infinity;
-      const overlap = Math.min(end, until) -
-        Math.max(start, until - WINDOW_MILLISECONDS);
-      if (overlap <= 0) continue;
-      requests += (requestsPerSecond ?? Infinity) * overlap / 1_000;
-    }
-    return TOLERATED_SHARE * requests + TOLERATED_ARRIVALS;
-  }
-
   #limitOf(endpoint: string): number | undefined {
     return this.#limits.get(endpoint)?.at(-1)?.requestsPerSecond;
   }
