Break off a resumed stream that the second endpoint does not continue

Cause: RequestForwarder#deliver looked at the status only to decide whether another run is allowed. Where none was, it piped the response, whatever it was, behind the head of the first run, and ended it as complete.

A further run now has to match the status and media type that the caller received, and its first event id has to follow the last one. The prefix stays that of the first run; otherwise the stream is resumed elsewhere or broken off, and the decision stream_mismatch is logged. A response that was not a success is no longer resumed either.

Evidence: the new tests (12 of them failed before the change: error, 404, unproven 503, 204, another type, repeated events, gap, no ids, incomplete event, empty body, a 404 that is cut).

The other request path is not affected: it takes a generation as complete only with its finish reason and end marker, from a 200 of the right type.

--- /dev/null
+++ b/src/core/forwarding/event_sequence.ts
@@ -0,0 +1,48 @@
+const DECIMAL_INTEGER = /^\d{1,15}$/;
+
+/**
+ * The ids of the events of a stream that the caller has received. A further run
+ * of the stream may only add the events after them.
+ */
+export class EventSequence {
+  #lastEventId: string | undefined;
+  /** False once two successive ids differed by more than one. */
+  #isConsecutive = true;
+
+  /** `lastEventId`: id of the last event that the caller had before. */
+  constructor(lastEventId?: string) {
+    this.#lastEventId = lastEventId;
+  }
+
+  /** Id of the last event that the caller has received. */
+  get lastEventId(): string | undefined {
+    return this.#lastEventId;
+  }
+
+  /** Records the ids of events that were passed on. */
+  record(eventIds: readonly string[]): void {
+    for (const eventId of eventIds) {
+      const step = stepBetween(this.#lastEventId, eventId);
+      if (step !== undefined && step !== 1) this.#isConsecutive = false;
+      this.#lastEventId = eventId;
+    }
+  }
+
+  /** False if the event would repeat one, or leave one out. */
+  isNext(eventId: string): boolean {
+    if (this.#lastEventId === undefined) return true;
+    const step = stepBetween(this.#lastEventId, eventId);
+    if (step === undefined) return eventId !== this.#lastEventId;
+    return this.#isConsecutive ? step === 1 : step > 0;
+  }
+}
+
+/** Difference of two ids; undefined if they are not both integers. */
+function stepBetween(
+  before: string | undefined,
+  after: string,
+): number | undefined {
+  const areIntegers = before !== undefined && DECIMAL_INTEGER.test(before) &&
+    DECIMAL_INTEGER.test(after);
+  return areIntegers ? Number(after) - Number(before) : undefined;
+}
--- a/src/core/forwarding/event_splitter.ts
+++ b/src/core/forwarding/event_splitter.ts
@@ -8,10 +8,10 @@
 /** Maximum size of an event that is buffered until it is complete, bytes. */
 const MAX_EVENT_BYTES = 1024 * 1024;
 
-/** Complete events and the id of the last one. */
+/** Complete events and their ids, in order. */
 export interface CompleteEvents {
   readonly bytes: Buffer;
-  readonly lastEventId: string | undefined;
+  readonly eventIds: readonly string[];
 }
 
 /** Buffers the bytes of an event until it is complete. */
@@ -36,11 +36,11 @@
       this.#buffered = bytes;
       if (bytes.length <= MAX_EVENT_BYTES) return undefined;
       this.#buffered = Buffer.alloc(0);
-      return { bytes, lastEventId: undefined };
+      return { bytes, eventIds: [] };
     }
     const complete = bytes.subarray(0, end);
     this.#buffered = bytes.subarray(end);
-    return { bytes: complete, lastEventId: lastEventIdIn(complete) };
+    return { bytes: complete, eventIds: eventIdsIn(complete) };
   }
 }
 
@@ -57,9 +57,9 @@
   return 0;
 }
 
-function lastEventIdIn(events: Buffer): string | undefined {
+function eventIdsIn(events: Buffer): string[] {
   const matches = events.toString("latin1").matchAll(
     /(?:^|\n)id: ?([^\r\n]*)/g,
   );
-  return [...matches].at(-1)?.[1];
+  return [...matches].map((match) => match[1]);
 }
--- a/src/core/forwarding/event_splitter_test.ts
+++ b/src/core/forwarding/event_splitter_test.ts
@@ -30,7 +30,7 @@
           const complete = splitter.push(bytes.subarray(from, to));
           from = to;
           passed += complete?.bytes.toString() ?? "";
-          lastId = complete?.lastEventId ?? lastId;
+          lastId = complete?.eventIds.at(-1) ?? lastId;
           const isComplete = events.some((_, index) =>
             passed === events.slice(0, index + 1).join("")
           );
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -36,6 +36,7 @@
   type PrefillSpeedReport,
   WorkRate,
 } from "./estimates/mod.ts";
+export { EventSequence } from "./event_sequence.ts";
 export { EventSplitter } from "./event_splitter.ts";
 export { LoadOwners } from "./endpoints/load_owners.ts";
 export {
--- a/src/entry/forwarding/observer.ts
+++ b/src/entry/forwarding/observer.ts
@@ -8,6 +8,7 @@
   | "resent"
   | "not_resent"
   | "resumed"
+  | "stream_mismatch"
   | "endpoint_lost"
   | "endpoint_leaving"
   | "endpoint_overloaded"
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -115,6 +115,7 @@
     this.#relay = new ResponseRelay({
       sink,
       wholeEventsOnly: repeat === "stream" && resumable,
+      lastEventId: task.request.lastEventId,
       onBytes: (count) => dependencies.link.recordSent(count),
     });
     this.#deadline = dependencies.timer.after(
@@ -162,7 +163,7 @@
       work: NO_PROMPT_WORK,
       options: {
         deadlineMilliseconds: this.#context.remainingMilliseconds,
-        lastEventId: this.#resumeEventId(),
+        lastEventId: this.#relay.lastEventId,
       },
     };
   }
@@ -312,7 +313,7 @@
         deadlineMilliseconds: this.#context.remainingMilliseconds,
         priority: Math.min(LOWEST_PRIORITY, this.#context.rank),
         prefilledPrompt: kept,
-        lastEventId: this.#resumeEventId(),
+        lastEventId: this.#relay.lastEventId,
       },
     };
   }
@@ -505,6 +506,9 @@
     const { head } = response;
     this.#runs += 1;
     this.#noteStarted();
+    if (!this.#relay.accepts(head)) {
+      return this.#afterMismatch(response, attempt);
+    }
     const mayRetry = head.status >= 500 && this.#mayRunAgain() &&
       this.#mayResend(`status ${head.status}`);
     if (mayRetry) {
@@ -515,9 +519,28 @@
     const end = await this.#relay.pipe(response, attempt);
     if (this.#context.settled) return "delivered";
     if (end === "whole") return this.#finish(head.status);
+    if (end === "mismatch") this.#reportMismatch(response);
+    return this.#afterBrokenResponse();
+  }
+
+  /** Handles a response that can't follow what the caller has received. */
+  #afterMismatch(
+    response: EndpointResponse,
+    attempt: ForwardAttempt,
+  ): NextStep {
+    this.#reportMismatch(response);
+    if (response.head.status >= 500) discard(response, attempt);
+    else attempt.abort();
     return this.#afterBrokenResponse();
   }
 
+  #reportMismatch({ head }: EndpointResponse): void {
+    this.#context.report("stream_mismatch", {
+      status: head.status,
+      lastEventId: this.#relay.lastEventId ?? "",
+    });
+  }
+
   /** Records that the request has started, as its response has begun. */
   #noteStarted(): void {
     if (this.#isEngineWork) {
@@ -536,8 +559,8 @@
   /** Handles a response that the endpoint broke off. */
   #afterBrokenResponse(): NextStep {
     const { repeat } = this.#context.route;
-    const mayResume = repeat === "stream" && this.#mayRunAgain() &&
-      this.#mayResend("cut");
+    const mayResume = repeat === "stream" && this.#relay.isResumable &&
+      this.#mayRunAgain() && this.#mayResend("cut");
     if (mayResume) {
       this.#context.report("resumed", {
         lastEventId: this.#relay.lastEventId ?? "",
@@ -646,11 +669,6 @@
     this.#handover.release();
     this.#context.arrivals.release();
   }
-
-  /** The id of the last event passed on, or else the caller's own position. */
-  #resumeEventId(): string | undefined {
-    return this.#relay.lastEventId ?? this.#context.request.lastEventId;
-  }
 }
 
 /**
--- a/src/entry/forwarding/request_forwarder_test.ts
+++ b/src/entry/forwarding/request_forwarder_test.ts
@@ -261,6 +261,85 @@
       expect(caller.ended).to.equal("whole");
     });
 
+    // The response of the second engine is not the rest of the stream. Passed
+    // on, it would end the stream as complete, and the caller would take a part
+    // for the whole response.
+    describe("whose second run doesn't continue the first", () => {
+      const EVENT_STREAM = ["Content-Type", "text/event-stream"];
+      const received = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+      async function resumedStream() {
+        const harness = engines();
+        const caller = await harness.submit(makeRequest({ prompt }));
+        const [first] = harness.sent;
+        await first.head({ headers: EVENT_STREAM });
+        await first.chunk(received);
+        await first.end("cut");
+        return { harness, caller, second: harness.sent[1] };
+      }
+
+      const responses: readonly {
+        readonly what: string;
+        readonly body: string;
+        readonly status?: number;
+        readonly type?: string;
+      }[] = [
+        { what: "an error of the endpoint", body: "broken", status: 500 },
+        { what: "a missing resource", body: "nothing here", status: 404 },
+        { what: "an unproven rejection", body: "full", status: 503 },
+        { what: "another status of success", body: "", status: 204 },
+        {
+          what: "a body of another type",
+          body: "{}",
+          type: "application/json",
+        },
+        { what: "a repeated event", body: "id: 2\ndata: b\n\n" },
+        { what: "the stream from its start", body: received },
+        { what: "a gap", body: "id: 4\ndata: d\n\n" },
+        { what: "events without ids", body: "data: c\n\n" },
+        { what: "an incomplete event", body: "id: 3\nda" },
+        { what: "an empty body", body: "" },
+      ];
+      for (const { what, body, status = 200, type } of responses) {
+        it(`is cut after ${what}`, async () => {
+          const { harness, caller, second } = await resumedStream();
+          await second.respond(body, {
+            status,
+            headers: type === undefined ? EVENT_STREAM : ["Content-Type", type],
+          });
+          expect(caller.ended).to.equal("cut");
+          expect(caller.body).to.equal(received);
+          expect(harness.decisions.map(({ decision }) => decision))
+            .to.include("stream_mismatch");
+        });
+      }
+
+      it("is not resumed after an error response that was cut", async () => {
+        const harness = engines();
+        const caller = await harness.submit(makeRequest({ prompt }));
+        const [first] = harness.sent;
+        await first.head({ status: 404 });
+        await first.chunk("not fo");
+        await first.end("cut");
+        expect(harness.sent).to.have.length(1);
+        expect(caller.ended).to.equal("cut");
+      });
+
+      it("continues if the first run had ids with gaps", async () => {
+        const harness = engines();
+        const caller = await harness.submit(makeRequest({ prompt }));
+        const [first] = harness.sent;
+        await first.head();
+        await first.chunk("id: 2\ndata: a\n\nid: 5\ndata: b\n\n");
+        await first.end("cut");
+        await harness.sent[1].respond(": comment\n\nid: 7\ndata: c\n\n");
+        expect(caller.ended).to.equal("whole");
+        expect(caller.body).to.equal(
+          "id: 2\ndata: a\n\nid: 5\ndata: b\n\n: comment\n\nid: 7\ndata: c\n\n",
+        );
+      });
+    });
+
     it("is cut if no further run is allowed", async () => {
       const harness = engines();
       const caller = await harness.submit(makeRequest({ prompt }));
--- a/src/entry/forwarding/response_relay.ts
+++ b/src/entry/forwarding/response_relay.ts
@@ -1,4 +1,8 @@
-import { EventSplitter } from "../../core/forwarding/mod.ts";
+import {
+  EventSequence,
+  EventSplitter,
+  type ResponseHead,
+} from "../../core/forwarding/mod.ts";
 import type { ForwardAttempt } from "./attempt.ts";
 import type {
   BodyEnd,
@@ -6,10 +10,24 @@
   EndpointResponse,
 } from "./network_interfaces.ts";
 
+/**
+ * Maximum size of the events that are held back while a further run has not
+ * shown where it continues, bytes.
+ */
+const MAX_UNVERIFIED_BYTES = 64 * 1024;
+
+/**
+ * How a relayed response ended. `mismatch`: the response does not continue the
+ * stream that the caller has received, and nothing of it was passed on.
+ */
+export type RelayEnd = BodyEnd | "mismatch";
+
 export interface ResponseRelayOptions {
   readonly sink: CallerSink;
   /** True: only whole events are passed on, so that another run can resume. */
   readonly wholeEventsOnly: boolean;
+  /** Id of the last event that the caller received before this request. */
+  readonly lastEventId: string | undefined;
   /** Called with the number of bytes written to the caller. */
   readonly onBytes: (count: number) => void;
 }
@@ -23,37 +41,73 @@
   readonly #sink: CallerSink;
   readonly #wholeEventsOnly: boolean;
   readonly #onBytes: (count: number) => void;
+  readonly #sequence: EventSequence;
   #splitter = new EventSplitter();
-  #headSent = false;
-  #lastEventId: string | undefined;
+  #firstHead: ResponseHead | undefined;
+  /**
+   * Events of a further run that has not shown where it continues; undefined
+   * once it has, and in the first run.
+   */
+  #unverified: Buffer[] | undefined;
   #current: EndpointResponse | undefined;
 
   constructor(options: ResponseRelayOptions) {
     this.#sink = options.sink;
     this.#wholeEventsOnly = options.wholeEventsOnly;
     this.#onBytes = options.onBytes;
+    this.#sequence = new EventSequence(options.lastEventId);
     options.sink.onDrain(() => this.#current?.resume());
   }
 
   get headSent(): boolean {
-    return this.#headSent;
+    return this.#firstHead !== undefined;
   }
 
-  /** Id of the last event written to the caller. */
+  /** Id of the last event that the caller has received. */
   get lastEventId(): string | undefined {
-    return this.#lastEventId;
+    return this.#sequence.lastEventId;
+  }
+
+  /** False once the caller has received bytes that no other run can continue. */
+  get isResumable(): boolean {
+    return this.#firstHead === undefined || isSuccess(this.#firstHead);
+  }
+
+  /**
+   * True if the response may be passed on. Its status and type must be those
+   * that the caller has received: the body of an error would otherwise end the
+   * stream as if it were complete.
+   */
+  accepts(head: ResponseHead): boolean {
+    const first = this.#firstHead;
+    if (first === undefined) return true;
+    return this.isResumable && head.status === first.status &&
+      mediaTypeOf(head) === mediaTypeOf(first);
   }
 
   /** Settles when the response body has ended. */
-  pipe(response: EndpointResponse, attempt: ForwardAttempt): Promise<BodyEnd> {
+  pipe(response: EndpointResponse, attempt: ForwardAttempt): Promise<RelayEnd> {
     const { head } = response;
     // A resumed run continues under the response head of the first run.
-    if (!this.#headSent) this.#sink.head(head.status, head.headers);
-    this.#headSent = true;
+    if (this.#firstHead === undefined) {
+      this.#sink.head(head.status, head.headers);
+      this.#firstHead = head;
+    } else this.#unverified = [];
     this.#current = response;
     this.#splitter = new EventSplitter();
     return new Promise((resolve) => {
-      response.read((chunk) => this.#writeChunk(chunk), (end) => {
+      let isRejected = false;
+      const reject = () => {
+        isRejected = true;
+        this.#current = undefined;
+        attempt.abort();
+        resolve("mismatch");
+      };
+      response.read((chunk) => {
+        if (!isRejected && !this.#writeChunk(chunk)) reject();
+      }, (end) => {
+        if (isRejected) return;
+        if (end === "whole" && this.#unverified !== undefined) return reject();
         if (end === "whole") this.#flushPending();
         this.#current = undefined;
         attempt.onEnd(end, head.status);
@@ -62,12 +116,29 @@
     });
   }
 
-  #writeChunk(chunk: Buffer): void {
-    if (!this.#wholeEventsOnly) return this.#write(chunk);
+  /** False if the chunk does not continue the stream. */
+  #writeChunk(chunk: Buffer): boolean {
+    if (!this.#wholeEventsOnly) {
+      this.#write(chunk);
+      return true;
+    }
     const events = this.#splitter.push(chunk);
-    if (events === undefined) return;
-    this.#lastEventId = events.lastEventId ?? this.#lastEventId;
-    this.#write(events.bytes);
+    if (events === undefined) return true;
+    if (this.#unverified !== undefined) {
+      this.#unverified.push(events.bytes);
+      const [first] = events.eventIds;
+      if (first === undefined) {
+        return byteLength(this.#unverified) <= MAX_UNVERIFIED_BYTES;
+      }
+      if (!this.#sequence.isNext(first)) return false;
+    }
+    const bytes = this.#unverified === undefined
+      ? events.bytes
+      : Buffer.concat(this.#unverified);
+    this.#unverified = undefined;
+    this.#sequence.record(events.eventIds);
+    this.#write(bytes);
+    return true;
   }
 
   #flushPending(): void {
@@ -80,3 +151,20 @@
     if (!this.#sink.write(chunk)) this.#current?.pause();
   }
 }
+
+function isSuccess({ status }: ResponseHead): boolean {
+  return status >= 200 && status < 300;
+}
+
+/** The media type without parameters; undefined if the head has none. */
+function mediaTypeOf({ headers }: ResponseHead): string | undefined {
+  const index = headers.findIndex((name, position) =>
+    position % 2 === 0 && name.toLowerCase() === "content-type"
+  );
+  if (index < 0) return undefined;
+  return headers[index + 1].split(";")[0].trim().toLowerCase();
+}
+
+function byteLength(buffers: readonly Buffer[]): number {
+  return buffers.reduce((sum, { length }) => sum + length, 0);
+}
