--- a/src/core/forwarding/configuration.ts
+++ b/src/core/forwarding/configuration.ts
@@ -42,6 +42,11 @@
    * milliseconds; absent if they wait until their deadline.
    */
   readonly patienceMilliseconds?: number;
+  /**
+   * Longest pause between two events of a stream that is on time, milliseconds;
+   * absent if the route names none.
+   */
+  readonly maxPauseMilliseconds?: number;
   /** 0 is the most urgent. */
   readonly rank: number;
   /** Maximum number of endpoints that may run one attempt of a caller. */
--- /dev/null
+++ b/src/core/forwarding/endpoints/load_reports.ts
@@ -0,0 +1,63 @@
+import type { EndpointId, ServiceName } from "../../identity/mod.ts";
+import type { RegisteredEndpoint } from "../configuration.ts";
+
+/** Load that an endpoint reports in a response. */
+export interface EndpointLoadReport {
+  /** Requests that it runs at the same time. */
+  readonly running: number;
+  /** Requests that wait for a slot. */
+  readonly waiting: number;
+  readonly slots: number;
+  /**
+   * How long work takes on the endpoint's machine at this moment, relative to
+   * usual; 1 is usual. Absent if the endpoint does not report it.
+   */
+  readonly workFactor?: number;
+}
+
+/** A load report and when it was made. */
+export interface LoadObservation extends EndpointLoadReport {
+  /** The endpoint wrote the report between these two times. */
+  readonly sentAt: number;
+  readonly receivedAt: number;
+}
+
+/**
+ * Newest load report of each endpoint's run. Responses on different connections
+ * overtake each other, so reports are ordered by the time of their requests.
+ */
+export class EndpointLoadReports {
+  readonly #observations = new Map<EndpointId, LoadObservation>();
+  /** Pools of which an endpoint has reported a work factor. */
+  readonly #poolsWithFactor = new Set<ServiceName>();
+
+  /** Records a report; returns false if a newer one is known. */
+  record(
+    { id, pool }: Pick<RegisteredEndpoint, "id" | "pool">,
+    observation: LoadObservation,
+  ): boolean {
+    if (observation.workFactor !== undefined) this.#poolsWithFactor.add(pool);
+    const known = this.#observations.get(id);
+    if (known !== undefined && observation.sentAt < known.sentAt) return false;
+    this.#observations.set(id, observation);
+    return true;
+  }
+
+  /** The newest report of the endpoint. */
+  current(endpoint: EndpointId): LoadObservation | undefined {
+    return this.#observations.get(endpoint);
+  }
+
+  /**
+   * True if endpoints of the pool report a work factor. Their operator asks for
+   * placement by load reports with that.
+   */
+  hasWorkFactor(pool: ServiceName): boolean {
+    return this.#poolsWithFactor.has(pool);
+  }
+
+  /** Discards the report, as the run of the endpoint is over. */
+  forget({ id }: { readonly id: EndpointId }): void {
+    this.#observations.delete(id);
+  }
+}
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -39,6 +39,11 @@
 export { EventSequence } from "./event_sequence.ts";
 export { EventSplitter } from "./event_splitter.ts";
 export { LoadOwners } from "./endpoints/load_owners.ts";
+export {
+  type EndpointLoadReport,
+  EndpointLoadReports,
+  type LoadObservation,
+} from "./endpoints/load_reports.ts";
 export {
   addWork,
   encodeWork,
--- a/src/core/forwarding/requests.ts
+++ b/src/core/forwarding/requests.ts
@@ -8,6 +8,7 @@
 } from "../identity/mod.ts";
 import type { Credentials } from "./callers/authentication.ts";
 import type { PromptPart } from "./caches/prefix_directory.ts";
+import type { EndpointLoadReport } from "./endpoints/load_reports.ts";
 
 /** The prompt of a request for a model. */
 export interface Prompt {
@@ -86,4 +87,6 @@
    * if it names no limit, "unknown" if the response does not tell.
    */
   readonly requestsPerSecondLimit?: number | "unknown";
+  /** Load that the endpoint reports; absent if it reports none. */
+  readonly load?: EndpointLoadReport;
 }
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -113,7 +113,10 @@
     if (result.isOk() && result.value.head.leaving) this.#reportLeaving();
     if (this.#isSameRun) {
       this.#recordOutcome(result);
-      if (result.isOk()) this.#recordLimit(result.value.head);
+      if (result.isOk()) {
+        this.#recordLimit(result.value.head);
+        this.#recordLoad(result.value.head);
+      }
     }
     if (result.isErr() || result.value.head.notExecuted) this.#close();
   }
@@ -188,6 +191,16 @@
     });
   }
 
+  #recordLoad({ load }: ResponseHead): void {
+    if (load === undefined) return;
+    const { loadReports, timer } = this.#dependencies;
+    loadReports.record(this.endpoint, {
+      ...load,
+      sentAt: this.#sentAt,
+      receivedAt: timer.now(),
+    });
+  }
+
   #reportLeaving(): void {
     if (!this.#dependencies.reportLeaving(this.endpoint)) return;
     this.#context.report("endpoint_leaving", { endpoint: this.endpoint.id });
--- a/src/entry/forwarding/forwarding_dependencies.ts
+++ b/src/entry/forwarding/forwarding_dependencies.ts
@@ -3,6 +3,7 @@
   CrashTracker,
   EndpointAvailability,
   EndpointLimits,
+  EndpointLoadReports,
   EndpointRegistry,
   EndpointRun,
   EngineEstimates,
@@ -48,6 +49,8 @@
   readonly crashes: CrashTracker;
   /** Request limits that endpoints have named. */
   readonly limits: EndpointLimits;
+  /** Load that endpoints have reported in their responses. */
+  readonly loadReports: EndpointLoadReports;
   /** Permits for requests to endpoints with a limit. */
   readonly permits: RequestPermits;
   /** Requests of this entry that wait for a permit. */
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -3,6 +3,7 @@
   CrashTracker,
   EndpointAvailability,
   EndpointLimits,
+  EndpointLoadReports,
   EndpointRegistry,
   type EndpointStateHolder,
   EngineEstimates,
@@ -178,6 +179,7 @@
     });
     const availability = new EndpointAvailability(timer);
     const limits = new EndpointLimits();
+    const loadReports = new EndpointLoadReports();
     const connections: EndpointStateHolder = {
       forget: ({ address }) => options.onEndpointRemoved(address),
     };
@@ -196,6 +198,7 @@
         slowness,
         crashes,
         limits,
+        loadReports,
         permitState,
         connections,
         orders,
@@ -323,6 +326,7 @@
       returningCallers,
       crashes,
       limits,
+      loadReports,
       permits: this.#permits,
       permitQueue: new PermitQueue(),
       onTimeWork: new WorkRate(timer),
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -4,6 +4,7 @@
   CrashTracker,
   EndpointAvailability,
   EndpointLimits,
+  EndpointLoadReports,
   EndpointRegistry,
   type EngineEstimates,
   EnginePlacement,
@@ -243,6 +244,7 @@
       returningCallers: new ReturningCallers(timer),
       crashes: new CrashTracker({ timer }),
       limits,
+      loadReports: new EndpointLoadReports(),
       permits: new RequestPermits({
         self,
         timer,
