Refuse for a late event loop only if the delay lasts

An entry that was alone and idle refused callers with entry_full: one sample of its event-loop delay was 26 ms or more late, and three times the last sample was above the 75 ms that a late response may wait in the entry.

The admission now uses the median of the last three samples, of which two have to be late. Samples are 50 ms apart, so a lasting delay shows within two intervals and the delay itself. The check for callers that have disconnected still uses the last sample, where a false positive costs 0.1 ms.

--- a/src/adapters/forwarding/caller_server.ts
+++ b/src/adapters/forwarding/caller_server.ts
@@ -5,7 +5,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import type { ForwardedRequest } from "../../core/forwarding/mod.ts";
+import { type ForwardedRequest, LoopDelay } from "../../core/forwarding/mod.ts";
 import type { Subscription, TimerService } from "../../core/time/mod.ts";
 import type {
   CallerSink,
@@ -103,6 +103,7 @@
   readonly #usedConnections = new WeakSet<Socket>();
   #lastSampleAt = 0;
   #lastSampledDelay = 0;
+  readonly #loopDelay = new LoopDelay();
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
@@ -210,6 +211,7 @@
     this.#lastSampleAt = timer.now();
     timer.every(LOOP_SAMPLE_INTERVAL_MILLISECONDS, () => {
       this.#lastSampledDelay = this.#currentDelay;
+      this.#loopDelay.record(this.#lastSampledDelay);
       this.#lastSampleAt = timer.now();
     });
   }
@@ -227,6 +229,11 @@
     return Math.max(this.#currentDelay, this.#lastSampledDelay);
   }
 
+  /** Event-loop delay that has lasted for several samples. */
+  get lastingLoopDelayMilliseconds(): number {
+    return this.#loopDelay.lastingMilliseconds(this.#currentDelay);
+  }
+
   /**
    * Passes a request to the handler. If the event loop is late or the
    * connection is new, it waits for one more event-loop iteration, in which a
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -22,6 +22,7 @@
   type NextAttempt,
   RequestArrivals,
 } from "./admission/request_arrivals.ts";
+export { LoopDelay } from "./admission/loop_delay.ts";
 export {
   type RetryBudgetUsage,
   type RetryPermit,
