Buffer responses for callers that read slowly

A caller that read slowly paused its endpoint at once. The endpoint keeps a slot for the response meanwhile, and cuts it off when it stays unread for some seconds, so that the caller loses a response that was ready.

What a caller has not read of a finished response by its deadline is dropped. filbertshore_buffered_response_bytes shows the size of the buffers.

--- a/src/adapters/forwarding/caller_response.ts
+++ b/src/adapters/forwarding/caller_response.ts
@@ -37,6 +37,10 @@
     this.#response.flushHeaders();
   }
 
+  get bufferedBytes(): number {
+    return this.#response.writableLength;
+  }
+
   write(chunk: Buffer): boolean {
     if (this.#isDisconnected || this.#isFinished) return true;
     return this.#response.write(chunk);
@@ -66,6 +70,14 @@
     });
   }
 
+  onClosed(listener: () => void): void {
+    this.#response.on("close", listener);
+  }
+
+  discardUnread(): void {
+    if (!this.#response.writableFinished) this.#response.destroy();
+  }
+
   refuse(refusal: ForwardingRefusal): void {
     if (this.#isDisconnected || this.#isFinished) return;
     this.#isFinished = true;
--- a/src/adapters/telemetry/forwarding_telemetry.ts
+++ b/src/adapters/telemetry/forwarding_telemetry.ts
@@ -166,6 +166,21 @@
   });
 }
 
+/** Exports the size of the responses that callers have not read yet. */
+export function registerResponseBufferGauge(
+  registry: Registry,
+  bufferedBytes: () => number,
+): void {
+  new Gauge({
+    name: "filbertshore_buffered_response_bytes",
+    help: "Bytes of responses that callers have not read yet",
+    registers: [registry],
+    collect() {
+      this.set(bufferedBytes());
+    },
+  });
+}
+
 /** Returns a function that logs and counts decisions of the forwarding path. */
 export function createForwardingObserver(
   options: ForwardingObserverOptions,
--- a/src/adapters/telemetry/mod.ts
+++ b/src/adapters/telemetry/mod.ts
@@ -13,6 +13,7 @@
   createUsageReportCounter,
   registerBlockedRequestsGauge,
   registerLimitedEndpointsGauge,
+  registerResponseBufferGauge,
   registerRetryGauges,
   registerUsageFencingGauge,
 } from "./forwarding_telemetry.ts";
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -22,6 +22,10 @@
   type NextAttempt,
   RequestArrivals,
 } from "./admission/request_arrivals.ts";
+export {
+  type BufferedResponse,
+  ResponseBuffers,
+} from "./admission/response_buffers.ts";
 export { LoopDelay } from "./admission/loop_delay.ts";
 export {
   type RetryBudgetUsage,
--- a/src/entry/forwarding/forwarding_dependencies.ts
+++ b/src/entry/forwarding/forwarding_dependencies.ts
@@ -16,6 +16,7 @@
   PermitQueue,
   PrefillChoice,
   PrefixDirectory,
+  ResponseBuffers,
   ReturningCallers,
   RouteTable,
   SharedRetryBudget,
@@ -68,6 +69,8 @@
   readonly isLoadStale: () => boolean;
   /** Refreshes the load of these endpoints from their owners. */
   readonly refreshLoad: (endpoints: readonly EndpointId[]) => Promise<void>;
+  /** Memory for responses that callers read slowly. */
+  readonly responseBuffers: ResponseBuffers;
   /** Estimated backlog of this entry's network link. */
   readonly link: LinkBacklog;
   /** Event loop delay of this process, in milliseconds. */
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -20,6 +20,7 @@
   PermitQueue,
   PrefixDirectory,
   type ReportedLoss,
+  ResponseBuffers,
   type RetryBudgetUsage,
   ReturningCallers,
   RouteTable,
@@ -95,6 +96,11 @@
   };
   /** Bandwidth of this machine's link; absent if unknown. */
   readonly linkMegabitsPerSecond: number | undefined;
+  /**
+   * Memory for responses that callers read slowly, in bytes; if absent, such
+   * callers pause their endpoint.
+   */
+  readonly responseBufferBytes?: number;
   /** Event loop delay of this process, in milliseconds. */
   readonly loopDelayMilliseconds: () => number;
   /** Absent: engines keep their current roles. */
@@ -332,6 +338,7 @@
       onTimeWork: new WorkRate(timer),
       held: new HeldPromptQueue(timer),
       entries: () => this.peers.fleetSize ?? 1,
+      responseBuffers: new ResponseBuffers(options.responseBufferBytes ?? 0),
       link: new LinkBacklog(timer, options.linkMegabitsPerSecond),
       loopDelayMilliseconds: options.loopDelayMilliseconds,
       refreshLoad: (endpoints) => this.#loadQueries.refresh(endpoints),
@@ -400,6 +407,11 @@
     return this.#dependencies.load.total(endpoint);
   }
 
+  /** Bytes of responses that callers have not read yet. */
+  get bufferedResponseBytes(): number {
+    return this.#dependencies.responseBuffers.totalBytes;
+  }
+
   /** True while the load balancer should send callers here. */
   get isReady(): boolean {
     return this.#routes !== undefined && this.registry.size > 0 &&
--- a/src/entry/forwarding/network_interfaces.ts
+++ b/src/entry/forwarding/network_interfaces.ts
@@ -65,6 +65,8 @@
    */
   readonly isDisconnected: boolean;
   head(status: number, headers: readonly string[]): void;
+  /** Bytes that were written and that the caller has not read yet. */
+  readonly bufferedBytes: number;
   /** False while the caller reads slowly; `onDrain` signals when to resume. */
   write(chunk: Buffer): boolean;
   finish(): void;
@@ -72,6 +74,10 @@
   abort(): void;
   onDrain(listener: () => void): void;
   onDisconnect(listener: () => void): void;
+  /** Called once nothing of the response is buffered any more. */
+  onClosed(listener: () => void): void;
+  /** Drops what the caller has not read of a finished response. */
+  discardUnread(): void;
   /** Sends a response of the system itself. */
   refuse(refusal: ForwardingRefusal): void;
 }
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -116,6 +116,7 @@
       sink,
       wholeEventsOnly: repeat === "stream" && resumable,
       lastEventId: task.request.lastEventId,
+      buffers: dependencies.responseBuffers,
       onBytes: (count) => dependencies.link.recordSent(count),
     });
     this.#deadline = dependencies.timer.after(
@@ -574,8 +575,16 @@
   }
 
   #finish(status: number): NextStep {
+    const { remainingMilliseconds } = this.#context;
     this.#settle();
     this.#sink.finish();
+    if (this.#sink.bufferedBytes > 0) {
+      // A caller that reads nothing more would otherwise keep the memory.
+      this.#context.dependencies.timer.after(
+        remainingMilliseconds,
+        () => this.#sink.discardUnread(),
+      );
+    }
     const { arrived, elapsedMilliseconds, sends } = this.#context;
     this.#context.report("answered", {
       status,
--- a/src/entry/forwarding/request_forwarder_test.ts
+++ b/src/entry/forwarding/request_forwarder_test.ts
@@ -34,7 +34,10 @@
   describe("a request to a plain service", () => {
     function portal(
       route: Partial<Route>,
-      options: { readonly repeats?: number } = {},
+      options: {
+        readonly repeats?: number;
+        readonly bufferBytes?: number;
+      } = {},
     ): ForwardingHarness {
       const harness = makeHarness(route, options);
       for (const id of ["a", "b", "c"]) {
@@ -218,6 +221,48 @@
       caller.drain();
       expect(harness.sent[0].paused).to.equal(false);
     });
+
+    describe("where the entry has memory for slow callers", () => {
+      async function slowCaller() {
+        const harness = portal({ repeat: "once" }, { bufferBytes: 4_000 });
+        const caller = await harness.submit(makeRequest());
+        caller.acceptsWrites = false;
+        await harness.sent[0].head();
+        await harness.sent[0].chunk("x".repeat(500));
+        return { harness, caller, attempt: harness.sent[0] };
+      }
+
+      // An endpoint cuts off a response that stays unread for some seconds.
+      it("is read to its end", async () => {
+        const { caller, attempt } = await slowCaller();
+        expect(attempt.paused).to.equal(false);
+        await attempt.end();
+        expect(caller.ended).to.equal("whole");
+      });
+
+      it("pauses the endpoint at the share of one response", async () => {
+        const { attempt, caller } = await slowCaller();
+        await attempt.chunk("x".repeat(600));
+        expect(attempt.paused).to.equal(true);
+        caller.drain();
+        expect(attempt.paused).to.equal(false);
+      });
+
+      it("drops what is unread at the deadline", async () => {
+        const { harness, caller, attempt } = await slowCaller();
+        await attempt.end();
+        expect(caller.isUnreadDiscarded).to.equal(false);
+        await harness.timer.advance(60_000);
+        expect(caller.isUnreadDiscarded).to.equal(true);
+      });
+
+      it("frees the memory when the caller leaves", async () => {
+        const { harness, caller } = await slowCaller();
+        expect(harness.dependencies.responseBuffers.totalBytes).to.equal(500);
+        caller.disconnect();
+        expect(harness.dependencies.responseBuffers.totalBytes).to.equal(0);
+      });
+    });
   });
 
   describe("a resumable stream", () => {
--- a/src/entry/forwarding/response_relay.ts
+++ b/src/entry/forwarding/response_relay.ts
@@ -1,6 +1,8 @@
 import {
+  type BufferedResponse,
   EventSequence,
   EventSplitter,
+  type ResponseBuffers,
   type ResponseHead,
 } from "../../core/forwarding/mod.ts";
 import type { ForwardAttempt } from "./attempt.ts";
@@ -28,20 +30,26 @@
   readonly wholeEventsOnly: boolean;
   /** Id of the last event that the caller received before this request. */
   readonly lastEventId: string | undefined;
+  /** Memory for bytes that callers have not read yet. */
+  readonly buffers: ResponseBuffers;
   /** Called with the number of bytes written to the caller. */
   readonly onBytes: (count: number) => void;
 }
 
 /**
  * Streams response bytes to the caller, across the runs of a resumable stream.
- * A caller that reads slowly pauses the endpoint, so that responses are not
- * buffered in the entry's memory.
+ * A caller that reads slowly pauses the endpoint once the buffers for such
+ * callers are full.
  */
 export class ResponseRelay {
   readonly #sink: CallerSink;
   readonly #wholeEventsOnly: boolean;
   readonly #onBytes: (count: number) => void;
   readonly #sequence: EventSequence;
+  readonly #buffers: ResponseBuffers;
+  readonly #buffered: BufferedResponse = {
+    pause: () => this.#current?.pause(),
+  };
   #splitter = new EventSplitter();
   #firstHead: ResponseHead | undefined;
   /**
@@ -56,7 +64,12 @@
     this.#wholeEventsOnly = options.wholeEventsOnly;
     this.#onBytes = options.onBytes;
     this.#sequence = new EventSequence(options.lastEventId);
-    options.sink.onDrain(() => this.#current?.resume());
+    this.#buffers = options.buffers;
+    options.sink.onDrain(() => {
+      this.#buffers.drained(this.#buffered);
+      this.#current?.resume();
+    });
+    options.sink.onClosed(() => this.#buffers.drained(this.#buffered));
   }
 
   get headSent(): boolean {
@@ -148,7 +161,8 @@
 
   #write(chunk: Buffer): void {
     this.#onBytes(chunk.length);
-    if (!this.#sink.write(chunk)) this.#current?.pause();
+    if (this.#sink.write(chunk)) return;
+    this.#buffers.update(this.#buffered, this.#sink.bufferedBytes);
   }
 }
 
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -18,6 +18,7 @@
   LoadOwners,
   PermitQueue,
   PrefixDirectory,
+  ResponseBuffers,
   type ResponseHead,
   ReturningCallers,
   RouteTable,
@@ -137,7 +138,12 @@
   /** Result of `write`; false simulates a caller that reads slowly. */
   acceptsWrites = true;
   #onDisconnect: (() => void)[] = [];
+  /** Bytes that a caller that reads slowly has not read. */
+  bufferedBytes = 0;
+  /** True once the unread rest of a finished response was dropped. */
+  isUnreadDiscarded = false;
   #onDrain: (() => void)[] = [];
+  #onClosed: (() => void)[] = [];
 
   head(status: number, headers: readonly string[]): void {
     this.status = status;
@@ -145,6 +151,7 @@
   }
   write(chunk: Buffer): boolean {
     this.body += chunk.toString();
+    if (!this.acceptsWrites) this.bufferedBytes += chunk.length;
     return this.acceptsWrites;
   }
   finish(): void {
@@ -159,16 +166,24 @@
   onDisconnect(listener: () => void): void {
     this.#onDisconnect.push(listener);
   }
+  onClosed(listener: () => void): void {
+    this.#onClosed.push(listener);
+  }
+  discardUnread(): void {
+    this.isUnreadDiscarded = true;
+  }
   refuse(refusal: ForwardingRefusal): void {
     this.refusal = refusal;
     this.status = refusal.status;
   }
   drain(): void {
+    this.bufferedBytes = 0;
     for (const listener of this.#onDrain) listener();
   }
   disconnect(): void {
     this.isDisconnected = true;
     for (const listener of this.#onDisconnect) listener();
+    for (const listener of this.#onClosed) listener();
   }
 }
 
@@ -194,6 +209,8 @@
     options: {
       readonly repeats?: number;
       readonly linkMegabitsPerSecond?: number;
+      /** Memory for responses to callers that read slowly, bytes. */
+      readonly bufferBytes?: number;
       readonly estimates?: EngineEstimates;
     } = {},
   ) {
@@ -259,6 +276,7 @@
       onTimeWork: new WorkRate(timer),
       held: new HeldPromptQueue(timer),
       entries: () => 1,
+      responseBuffers: new ResponseBuffers(options.bufferBytes ?? 0),
       link: new LinkBacklog(timer, options.linkMegabitsPerSecond),
       loopDelayMilliseconds: () => this.loopDelay,
       isLoadStale: () => false,
