Serve pools by their observed load where capacity is scarce

The engines and services of the competing deployment report three figures and no work factor, so that none of the new parts would take effect there. Its settings name pressure among the contracts, which no earlier deployment does; the entry reads that and treats all pools like those with work factors.

--- a/src/core/forwarding/endpoints/load_reports.ts
+++ b/src/core/forwarding/endpoints/load_reports.ts
@@ -30,6 +30,15 @@
   readonly #observations = new Map<EndpointId, LoadObservation>();
   /** Pools of which an endpoint has reported a work factor. */
   readonly #poolsWithFactor = new Set<ServiceName>();
+  readonly #isCapacityScarce: boolean;
+
+  /**
+   * `isCapacityScarce`: true if the settings say that callers compete for
+   * capacity; all pools are then treated like those with work factors.
+   */
+  constructor(options: { readonly isCapacityScarce?: boolean } = {}) {
+    this.#isCapacityScarce = options.isCapacityScarce === true;
+  }
 
   /** Records a report; returns false if a newer one is known. */
   record(
@@ -49,11 +58,11 @@
   }
 
   /**
-   * True if endpoints of the pool report a work factor. Their operator asks for
-   * placement by load reports with that.
+   * True if the pool is served by its observed load: its endpoints report a
+   * work factor, or capacity is scarce in the whole deployment.
    */
   hasWorkFactor(pool: ServiceName): boolean {
-    return this.#poolsWithFactor.has(pool);
+    return this.#isCapacityScarce || this.#poolsWithFactor.has(pool);
   }
 
   /** Discards the report, as the run of the endpoint is over. */
--- a/src/core/forwarding/endpoints/load_reports_test.ts
+++ b/src/core/forwarding/endpoints/load_reports_test.ts
@@ -30,6 +30,11 @@
     expect(reports.hasWorkFactor(endpoint.pool)).to.equal(true);
   });
 
+  it("serves every pool by its load where capacity is scarce", () => {
+    const reports = new EndpointLoadReports({ isCapacityScarce: true });
+    expect(reports.hasWorkFactor(endpoint.pool)).to.equal(true);
+  });
+
   it("drops the report of a run that is over", () => {
     const reports = new EndpointLoadReports();
     reports.record(endpoint, { ...report, sentAt: 0, receivedAt: 1 });
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -101,6 +101,8 @@
    * callers pause their endpoint.
    */
   readonly responseBufferBytes?: number;
+  /** True if callers of this deployment compete for scarce capacity. */
+  readonly isCapacityScarce?: boolean;
   /** Event loop delay of this process, in milliseconds. */
   readonly loopDelayMilliseconds: () => number;
   /** Absent: engines keep their current roles. */
@@ -185,7 +187,7 @@
     });
     const availability = new EndpointAvailability(timer);
     const limits = new EndpointLimits();
-    const loadReports = new EndpointLoadReports();
+    const loadReports = new EndpointLoadReports(options);
     const connections: EndpointStateHolder = {
       forget: ({ address }) => options.onEndpointRemoved(address),
     };
