Hand over prompts whose inline prefill would pause open streams

A decode engine prefilled a prompt itself if that took up to a tenth of the prompt's own target, regardless of the streams that the engine interrupts for it. In the competing deployment these prefills of up to 50 ms caused most of the pauses above 200 ms.

In pools with work factors, an inline prefill of a route with a maximum pause may now also take at most 5 % of the shortest pause that the routes of the pool allow: 10 ms at 200 ms. Other pools and routes are unchanged. Tested in unit tests only; no deployment was run.

--- a/src/core/forwarding/placement/engine_placement.ts
+++ b/src/core/forwarding/placement/engine_placement.ts
@@ -62,6 +62,14 @@
  */
 const MAX_INLINE_PREFILL_TARGET_SHARE = 0.1;
 
+/**
+ * Share of the allowed stream pause that a prefill on a decode engine may take.
+ * Prefills of up to a tenth of a 514 ms target caused most pauses above 200 ms
+ * among some 20 streams, which need most of the allowed pause for their own
+ * tokens.
+ */
+const MAX_INLINE_PREFILL_PAUSE_SHARE = 0.05;
+
 /** A prefill engine for a prompt, and the predicted cost there. */
 export interface PrefillChoice extends PrefillPlan {
   readonly endpoint: RegisteredEndpoint;
@@ -113,16 +121,23 @@
   /** True where the prompt is long enough for a separate prefill engine. */
   needsHandover(
     prompt: Prompt,
-    { pool, targetMilliseconds }: {
+    { maxPauseMilliseconds = Infinity, pool, targetMilliseconds }: {
       readonly pool: Pool;
       readonly targetMilliseconds: number;
+      /**
+       * Longest pause that the open streams of the pool allow; absent where
+       * pauses are not bounded.
+       */
+      readonly maxPauseMilliseconds?: number;
     },
   ): boolean {
     const { prefill } = this.#options.estimates.forPool(pool.name);
     const inlineMilliseconds = DECODE_ENGINE_PREFILL_SLOWDOWN *
       prefill.predictWorkMilliseconds(prompt.inputTokens, 0);
-    return inlineMilliseconds >
-      MAX_INLINE_PREFILL_TARGET_SHARE * targetMilliseconds;
+    return inlineMilliseconds > Math.min(
+      MAX_INLINE_PREFILL_TARGET_SHARE * targetMilliseconds,
+      MAX_INLINE_PREFILL_PAUSE_SHARE * maxPauseMilliseconds,
+    );
   }
 
   /** Conservative time from the end of the prefill to the first byte. */
--- a/src/core/forwarding/placement/engine_placement_test.ts
+++ b/src/core/forwarding/placement/engine_placement_test.ts
@@ -64,6 +64,27 @@
     expect(placement.handoverMilliseconds(PROMPT, pool)).to.be.within(1, 100);
   });
 
+  describe("choosing between an inline prefill and a handover", () => {
+    const needsHandover = (inputTokens: number, maxPause?: number) =>
+      placement.needsHandover({ ...PROMPT, inputTokens }, {
+        pool: ENGINE_POOL,
+        targetMilliseconds: 514,
+        maxPauseMilliseconds: maxPause,
+      });
+
+    // Prefills of 40 ms on a decode engine caused most pauses above 200 ms in
+    // the streams there.
+    it("hands over a prompt that would add to the pauses of open streams", () => {
+      expect(needsHandover(6_000, 200)).to.equal(true);
+      expect(needsHandover(220, 200)).to.equal(false);
+    });
+
+    it("is limited by the target alone where pauses are not bounded", () => {
+      expect(needsHandover(6_000)).to.equal(false);
+      expect(needsHandover(9_000)).to.equal(true);
+    });
+  });
+
   describe("choosing a decode engine", () => {
     const decodeEngine = makeEngine("maker", "decode", { slots: 4 });
 
--- a/src/core/forwarding/route_table.ts
+++ b/src/core/forwarding/route_table.ts
@@ -13,6 +13,7 @@
   readonly keys: KeyDirectory | undefined;
   /** Routes by host, the longest prefix first. */
   readonly #byHost = new Map<string, Route[]>();
+  readonly #shortestPauses = new Map<ServiceName, number>();
 
   constructor(configuration: ForwardingConfiguration) {
     this.configuration = configuration;
@@ -23,6 +24,7 @@
       const routes = this.#byHost.get(host);
       if (routes === undefined) this.#byHost.set(host, [route]);
       else routes.push(route);
+      this.#recordPause(route);
     }
     for (const routes of this.#byHost.values()) {
       routes.sort((left, right) =>
@@ -41,6 +43,22 @@
       path.startsWith(route.pathPrefix)
     );
   }
+
+  /**
+   * Shortest of the longest pauses that the routes of the pool allow,
+   * milliseconds; undefined if none of them names one.
+   */
+  shortestMaxPauseMilliseconds(pool: ServiceName): number | undefined {
+    return this.#shortestPauses.get(pool);
+  }
+
+  #recordPause({ maxPauseMilliseconds, shares }: Route): void {
+    if (maxPauseMilliseconds === undefined) return;
+    for (const { pool } of shares) {
+      const known = this.#shortestPauses.get(pool) ?? Infinity;
+      this.#shortestPauses.set(pool, Math.min(known, maxPauseMilliseconds));
+    }
+  }
 }
 
 function pathOf(target: string): string {
--- a/src/core/forwarding/route_table_test.ts
+++ b/src/core/forwarding/route_table_test.ts
@@ -1,8 +1,10 @@
 import { expect } from "chai";
 import { identifier, type ServiceName } from "../identity/mod.ts";
 import {
+  ENGINES,
   makeConfiguration,
   makeRoute,
+  PORTAL,
 } from "../../../test/support/forwarding_fixtures.ts";
 import { RouteTable, selectPool } from "./mod.ts";
 
@@ -29,6 +31,20 @@
     expect(table.find("one.example", "/ab")).to.equal(undefined);
     expect(table.find("three.example", "/a/")).to.equal(undefined);
   });
+
+  // A prompt of the route that allows long pauses slows down the streams of the
+  // others on the same engine.
+  it("knows the shortest pause that the routes of a pool allow", () => {
+    const bounded = new RouteTable(makeConfiguration({
+      routes: [
+        makeRoute({ maxPauseMilliseconds: 200 }),
+        makeRoute({ maxPauseMilliseconds: 150 }),
+        makeRoute(),
+      ],
+    }));
+    expect(bounded.shortestMaxPauseMilliseconds(PORTAL)).to.equal(150);
+    expect(bounded.shortestMaxPauseMilliseconds(ENGINES)).to.equal(undefined);
+  });
 });
 
 describe("selectPool", () => {
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -97,6 +97,20 @@
       keys.find(credentials.digest) === undefined;
   }
 
+  /**
+   * Longest pause between two events that the streams of the pool allow,
+   * milliseconds; undefined where placement does not bound pauses.
+   */
+  get maxPauseMilliseconds(): number | undefined {
+    const { loadReports, routes } = this.dependencies;
+    const own = this.route.maxPauseMilliseconds;
+    if (own === undefined || !loadReports.hasWorkFactor(this.pool.name)) {
+      return undefined;
+    }
+    const shortest = routes()?.shortestMaxPauseMilliseconds(this.pool.name);
+    return Math.min(own, shortest ?? Infinity);
+  }
+
   /** Id of the last part of the prompt, which identifies a returning caller. */
   get #lastPartId(): string | undefined {
     return this.request.prompt?.parts.at(-1)?.id;
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -262,6 +262,7 @@
     this.#needsHandover = dependencies.placement.needsHandover(prompt, {
       pool,
       targetMilliseconds: route.targetMilliseconds,
+      maxPauseMilliseconds: this.#context.maxPauseMilliseconds,
     });
     const reserved = isDecodeLimited
       ? await this.#chooseDecodeEngine(prompt)
