Move the planning of engine requests out of the request forwarder

Choosing engines and prefilling on the way is now in engine_planner.ts, and the waits that plain services and engines share are functions in wait_for_choice.ts.

--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -1,25 +1,15 @@
 import {
   chooseServiceReplica,
-  type DecodeChoice,
-  isPrefillEngine,
   NO_PROMPT_WORK,
-  type PrefilledPrompt,
-  type Prompt,
   type RegisteredEndpoint,
 } from "../../core/forwarding/mod.ts";
-import type {
-  AvailabilityZoneId,
-  EndpointId,
-} from "../../core/identity/mod.ts";
+import type { EndpointId } from "../../core/identity/mod.ts";
 import type { Subscription } from "../../core/time/mod.ts";
 import { ResponseRelay } from "./response_relay.ts";
 import { type AttemptPlan, ForwardAttempt } from "./attempt.ts";
 import { ForwardContext, type ForwardTask } from "./forward_context.ts";
-import {
-  AT_REQUEST_LIMIT,
-  Handover,
-  type HandoverOutcome,
-} from "./handover.ts";
+import { EnginePlanner } from "./engine_planner.ts";
+import { Handover } from "./handover.ts";
 import type {
   CallerSink,
   EndpointResponse,
@@ -28,11 +18,11 @@
 import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
 import type { AdmissionFacts } from "./prompt_admission.ts";
 import {
-  type CapacityOptions,
   chooseWithPermit,
-  mayStillWait,
-  preferCapacity,
-  waitForChoice,
+  type EndpointMatch,
+  isOverloaded,
+  isWorthWaiting,
+  waitInQueue,
 } from "./wait_for_choice.ts";
 
 /** Retry delay for a caller that is refused for lack of capacity. */
@@ -48,27 +38,17 @@
  * time.
  */
 const RETRY_AFTER_SPREAD_MILLISECONDS = 250;
-/**
- * Longest predicted wait for a permit, as a share of the route's target; the
- * rest is for the endpoint. Routes with a short target may wait the minimum.
- */
-const MAX_PERMIT_WAIT_TARGET_SHARE = 0.7;
-const MIN_PERMIT_WAIT_MILLISECONDS = 50;
 /**
  * Longest retry delay for a caller that is refused because of endpoints'
  * request limits, which may end at any time.
  */
 const MAX_LIMIT_RETRY_AFTER_MILLISECONDS = 3_000;
-/** Lowest of the priorities that engines support. */
-const LOWEST_PRIORITY = 9;
 
 /** Endpoints have crashed on requests with this digest. */
 const BLOCKED = "crashes_endpoints";
 /** The caller's key was removed while its request was waiting. */
 const KEY_REMOVED = "key_removed";
 
-type EndpointMatch = (endpoint: RegisteredEndpoint) => boolean;
-
 interface ServiceChoice {
   readonly endpoint: RegisteredEndpoint;
 }
@@ -87,11 +67,10 @@
   readonly #context: ForwardContext;
   readonly #sink: CallerSink;
   readonly #handover: Handover;
+  readonly #enginePlanner: EnginePlanner;
   readonly #relay: ResponseRelay;
   readonly #deadline: Subscription;
   #attempt: ForwardAttempt | undefined;
-  /** True once the prompt has turned out to need a separate prefill engine. */
-  #needsHandover = false;
   /** Number of sends that may have started to run. */
   #runs = 0;
   /** True while a send is outstanding that may be running. */
@@ -118,6 +97,11 @@
       lastEventId: task.request.lastEventId,
       onBytes: (count) => dependencies.link.recordSent(count),
     });
+    this.#enginePlanner = new EnginePlanner(this.#context, {
+      handover: this.#handover,
+      lastEventId: () => this.#relay.lastEventId,
+      onRefused: (reason, facts) => this.#refuse(reason, facts),
+    });
     this.#deadline = dependencies.timer.after(
       this.#context.allowedMilliseconds,
       () => this.#onDeadline(),
@@ -147,7 +131,7 @@
     const { prompt } = request;
     const isEngineWork = pool.engine !== undefined && prompt !== undefined;
     if (!isEngineWork) return await this.#planService();
-    return await this.#planEngines(prompt);
+    return await this.#enginePlanner.plan(prompt);
   }
 
   get #isEngineWork(): boolean {
@@ -184,236 +168,25 @@
 
   /** Waits if every replica is overloaded and one becomes available in time. */
   async #waitForService(): Promise<ServiceChoice | undefined> {
-    const mayBecomeReady = this.#isOverloaded() ||
+    const mayBecomeReady = isOverloaded(this.#context) ||
       this.#context.isLimited(() => true);
-    if (!mayBecomeReady || !this.#isWorthWaiting()) return undefined;
-    return await this.#waitInQueue({}, () => this.#chooseService());
-  }
-
-  /** Waits for a choice; in a queue if permits are what it waits for. */
-  async #waitInQueue<Choice>(
-    endpoint: Pick<RegisteredEndpoint, "role">,
-    choose: () => Choice | undefined | Promise<Choice | undefined>,
-  ): Promise<Choice | undefined> {
-    const matches = (other: RegisteredEndpoint) =>
-      isPrefillEngine(other) === isPrefillEngine(endpoint);
-    if (!this.#context.isLimited(matches)) {
-      return await waitForChoice(this.#context, choose);
-    }
-    const earliestMilliseconds = () =>
-      this.#context.earliestMilliseconds(matches);
-    return await this.#context.queueForPermit(
-      endpoint,
-      () => waitForChoice(this.#context, choose, { earliestMilliseconds }),
-    );
+    if (!mayBecomeReady || !isWorthWaiting(this.#context)) return undefined;
+    return await waitInQueue(this.#context, () => this.#chooseService());
   }
 
   /** Why there is no endpoint to send the request to. */
   get #unavailableReason(): "request_limit" | "no_endpoint_reachable" {
     const isAtLimit = this.#requiredEndpoints.some((matches) =>
-      this.#context.isLimited(matches) && this.#isOverloaded(matches)
+      this.#context.isLimited(matches) && isOverloaded(this.#context, matches)
     );
     return isAtLimit ? "request_limit" : "no_endpoint_reachable";
   }
 
   /** The request needs one endpoint of each match. */
   get #requiredEndpoints(): readonly EndpointMatch[] {
-    if (!this.#isEngineWork) return [() => true];
-    const hasPrefillEngines = this.#needsHandover &&
-      this.#context.overloadMilliseconds(isPrefillEngine) < Infinity;
-    return hasPrefillEngines ? [isPrefillEngine, canDecode] : [canDecode];
-  }
-
-  /** True if all matching endpoints are overloaded or at their limit. */
-  #isOverloaded(matches?: EndpointMatch): boolean {
-    const wait = this.#context.overloadMilliseconds(matches);
-    return wait > 0 && Number.isFinite(wait);
-  }
-
-  /**
-   * False if the caller would give up before a matching endpoint accepts work,
-   * or if a wait for a permit would make its response late. A longer queue
-   * serves no more callers, and all of them late.
-   */
-  #isWorthWaiting(matches: EndpointMatch = () => true): boolean {
-    const wait = this.#context.overloadMilliseconds(matches);
-    const isForPermit = this.#context.isLimited(matches);
-    return mayStillWait(this.#context, wait) &&
-      (!isForPermit || wait <= this.#maxPermitWaitMilliseconds);
-  }
-
-  get #maxPermitWaitMilliseconds(): number {
-    const { elapsedMilliseconds, route } = this.#context;
-    const left = MAX_PERMIT_WAIT_TARGET_SHARE * route.targetMilliseconds -
-      elapsedMilliseconds;
-    return Math.max(MIN_PERMIT_WAIT_MILLISECONDS, left);
-  }
-
-  /** Undefined if no engine is left or the request was refused. */
-  async #planEngines(prompt: Prompt): Promise<AttemptPlan | undefined> {
-    const { dependencies, pool, route } = this.#context;
-    const isDecodeLimited = this.#context.isLimited(canDecode);
-    const hasEngine = this.#context.endpoints().length > 0;
-    if (!hasEngine && !isDecodeLimited) return undefined;
-    // A prefill is wasted if no engine can decode in time.
-    if (this.#isOverloaded(canDecode) && !this.#isWorthWaiting(canDecode)) {
-      return undefined;
-    }
-    this.#needsHandover = dependencies.placement.needsHandover(prompt, {
-      pool,
-      targetMilliseconds: route.targetMilliseconds,
-      maxPauseMilliseconds: this.#context.maxPauseMilliseconds,
-    });
-    const reserved = isDecodeLimited
-      ? await this.#chooseDecodeEngine(prompt)
-      : undefined;
-    if (this.#context.settled || (isDecodeLimited && reserved === undefined)) {
-      return undefined;
-    }
-    const handover = this.#needsHandover && this.#hasPrefillEngine
-      ? await this.#prefill(prompt)
-      : undefined;
-    if (!this.#context.settled && handover?.kind === "refused") {
-      this.#refuse(handover.reason, handover.facts);
-    }
-    if (this.#context.settled || handover?.kind === "refused") {
-      if (reserved !== undefined) {
-        this.#context.releasePermit(reserved.endpoint);
-      }
-      return undefined;
-    }
-    return await this.#planDecode(prompt, { kept: handover?.kept, reserved });
-  }
-
-  /** True if an engine prefills for others, now or after a wait for a permit. */
-  get #hasPrefillEngine(): boolean {
-    return this.#context.endpoints().some(isPrefillEngine) ||
-      this.#context.isLimited(isPrefillEngine);
-  }
-
-  /** Plans the send to the reserved engine, or to another if it has gone. */
-  async #planDecode(
-    prompt: Prompt,
-    { kept, reserved }: {
-      readonly kept: PrefilledPrompt | undefined;
-      /** Engine with a permit for the request, chosen before the prefill. */
-      readonly reserved: DecodeChoice | undefined;
-    },
-  ): Promise<AttemptPlan | undefined> {
-    const isUsable = reserved !== undefined &&
-      this.#context.isInService(reserved.endpoint);
-    const choice = isUsable
-      ? reserved
-      : await this.#chooseDecodeEngine(prompt, kept);
-    if (choice === undefined) return undefined;
-    const { milliseconds, tokens } = choice.work;
-    return {
-      endpoint: choice.endpoint,
-      work: { milliseconds: kept === undefined ? milliseconds : 0, tokens },
-      options: {
-        deadlineMilliseconds: this.#context.remainingMilliseconds,
-        priority: Math.min(LOWEST_PRIORITY, this.#context.rank),
-        prefilledPrompt: kept,
-        lastEventId: this.#relay.lastEventId,
-      },
-    };
-  }
-
-  /**
-   * Prefills the prompt on a prefill engine, and waits for one while the request
-   * limits of all are used up. Decode engines don't replace them: long prompts
-   * would slow down the streams there.
-   */
-  async #prefill(prompt: Prompt): Promise<HandoverOutcome> {
-    const tryPrefill = async () => {
-      if (!this.#context.endpoints().some(isPrefillEngine)) return undefined;
-      const outcome = await this.#handover.prefill(prompt);
-      return outcome === AT_REQUEST_LIMIT ? undefined : outcome;
-    };
-    const outcome = await tryPrefill();
-    if (outcome !== undefined || this.#context.settled) {
-      return outcome ?? AT_REQUEST_LIMIT;
-    }
-    if (!this.#isWorthWaiting(isPrefillEngine)) return AT_REQUEST_LIMIT;
-    const waited = await this.#waitInQueue({ role: "prefill" }, tryPrefill);
-    return waited ?? AT_REQUEST_LIMIT;
-  }
-
-  /** Undefined if no engine becomes available before the caller gives up. */
-  async #chooseDecodeEngine(
-    prompt: Prompt,
-    kept?: PrefilledPrompt,
-  ): Promise<DecodeChoice | undefined> {
-    const { dependencies, pool } = this.#context;
-    const cacheZone = kept &&
-      dependencies.registry.get(kept.engine)?.availabilityZone;
-    const refreshed = await this.#refreshDecodeEngineLoad(cacheZone);
-    if (this.#context.settled) return undefined;
-    const choose = ({ requiresCapacity }: CapacityOptions) => {
-      // The engines may have changed during the prefill.
-      const decodeEngines = this.#context.endpoints().filter(canDecode);
-      const decodeCandidates = this.#decodeCandidates(
-        decodeEngines,
-        requiresCapacity,
-      );
-      const withFreshLoad = decodeCandidates.filter(({ id }) =>
-        refreshed.has(id)
-      );
-      return dependencies.placement.chooseDecode(
-        withFreshLoad.length > 0 ? withFreshLoad : decodeCandidates,
-        {
-          prompt,
-          pool,
-          cacheZone,
-          requiresCapacity,
-        },
-      );
-    };
-    const chosen = await chooseWithPermit(
-      this.#context,
-      () => choose({ requiresCapacity: false }),
-    );
-    if (chosen !== undefined || this.#context.settled) return chosen;
-    if (this.#isOverloaded(canDecode) && !this.#isWorthWaiting(canDecode)) {
-      return undefined;
-    }
-    const chooseWaiting = preferCapacity(choose);
-    return await this.#waitInQueue(
-      { role: "decode" },
-      () => chooseWithPermit(this.#context, chooseWaiting),
-    );
-  }
-
-  /** Refreshes the load of some decode engines; returns their ids. */
-  async #refreshDecodeEngineLoad(
-    cacheZone: AvailabilityZoneId | undefined,
-  ): Promise<ReadonlySet<EndpointId>> {
-    const { dependencies } = this.#context;
-    if (!dependencies.isLoadStale()) return new Set();
-    const decodeEngines = this.#context.endpoints().filter(canDecode);
-    const refreshed = dependencies.placement
-      .decodeEnginesToRefresh(this.#context.withoutRejecting(decodeEngines), {
-        cacheZone,
-      })
-      .map(({ id }) => id);
-    await dependencies.refreshLoad(refreshed);
-    return new Set(refreshed);
-  }
-
-  /**
-   * Engines that may be asked to decode. One that has rejected the request is
-   * asked again only once it has capacity; otherwise the request uses up its
-   * retries at one full engine within milliseconds.
-   */
-  #decodeCandidates(
-    decodeEngines: readonly RegisteredEndpoint[],
-    requiresCapacity: boolean,
-  ): readonly RegisteredEndpoint[] {
-    const others = this.#context.withoutRejecting(decodeEngines);
-    if (others.length > 0) return others;
-    return requiresCapacity
-      ? this.#context.dependencies.availability.filterAccepting(decodeEngines)
-      : [];
+    return this.#isEngineWork
+      ? this.#enginePlanner.requiredEndpoints
+      : [() => true];
   }
 
   async #send(plan: AttemptPlan): Promise<NextStep> {
@@ -679,7 +452,3 @@
 function discard(response: EndpointResponse, attempt: ForwardAttempt): void {
   response.read(() => {}, (end) => attempt.onEnd(end, response.head.status));
 }
-
-function canDecode(endpoint: Pick<RegisteredEndpoint, "role">): boolean {
-  return !isPrefillEngine(endpoint);
-}
--- a/src/entry/forwarding/wait_for_choice.ts
+++ b/src/entry/forwarding/wait_for_choice.ts
@@ -1,4 +1,7 @@
-import type { RegisteredEndpoint } from "../../core/forwarding/mod.ts";
+import {
+  isPrefillEngine,
+  type RegisteredEndpoint,
+} from "../../core/forwarding/mod.ts";
 import type { ForwardContext } from "./forward_context.ts";
 
 /** Polling interval of a request that waits for an engine. */
@@ -17,6 +20,15 @@
  */
 const MAX_CAPACITY_CHECKS = 8;
 
+/**
+ * Longest predicted wait for a permit, as a share of the route's target; the
+ * rest is for the endpoint. Routes with a short target may wait the minimum.
+ */
+const MAX_PERMIT_WAIT_TARGET_SHARE = 0.7;
+const MIN_PERMIT_WAIT_MILLISECONDS = 50;
+/** Selects the endpoints of one kind. */
+export type EndpointMatch = (endpoint: RegisteredEndpoint) => boolean;
+
 export interface CapacityOptions {
   /** True: considers only engines that have capacity now. */
   readonly requiresCapacity: boolean;
@@ -104,3 +116,54 @@
   const remainingMilliseconds = remainingToFirstByteMilliseconds - milliseconds;
   return remainingMilliseconds > MIN_REMAINING_SHARE * totalMilliseconds;
 }
+
+/** Waits for a choice; in a queue if permits are what it waits for. */
+export async function waitInQueue<Choice>(
+  context: ForwardContext,
+  choose: () => Choice | undefined | Promise<Choice | undefined>,
+  { endpoint = {} }: {
+    /** Kind of endpoint that the request waits for. */
+    readonly endpoint?: Pick<RegisteredEndpoint, "role">;
+  } = {},
+): Promise<Choice | undefined> {
+  const matches = (other: RegisteredEndpoint) =>
+    isPrefillEngine(other) === isPrefillEngine(endpoint);
+  if (!context.isLimited(matches)) return await waitForChoice(context, choose);
+  const earliestMilliseconds = () => context.earliestMilliseconds(matches);
+  return await context.queueForPermit(
+    endpoint,
+    () => waitForChoice(context, choose, { earliestMilliseconds }),
+  );
+}
+
+/** True if all matching endpoints are overloaded or at their limit. */
+export function isOverloaded(
+  context: ForwardContext,
+  matches?: EndpointMatch,
+): boolean {
+  const wait = context.overloadMilliseconds(matches);
+  return wait > 0 && Number.isFinite(wait);
+}
+
+/**
+ * False if the caller would give up before a matching endpoint accepts work,
+ * or if a wait for a permit would make its response late. A longer queue
+ * serves no more callers, and all of them late.
+ */
+export function isWorthWaiting(
+  context: ForwardContext,
+  matches: EndpointMatch = () => true,
+): boolean {
+  const wait = context.overloadMilliseconds(matches);
+  const isForPermit = context.isLimited(matches);
+  return mayStillWait(context, wait) &&
+    (!isForPermit || wait <= maxPermitWaitMilliseconds(context));
+}
+
+function maxPermitWaitMilliseconds(
+  { elapsedMilliseconds, route }: ForwardContext,
+): number {
+  const left = MAX_PERMIT_WAIT_TARGET_SHARE * route.targetMilliseconds -
+    elapsedMilliseconds;
+  return Math.max(MIN_PERMIT_WAIT_MILLISECONDS, left);
+}
