Choose decode engines by the predicted pause of their streams

chooseDecode counted open requests of all kinds alike. Where pauses are bounded (pools with work factors, routes with a maximum pause), the engine with the shortest predicted pause is chosen; among engines within 10 % of it, open requests and distance decide as before. Attempts measure the pauses of their responses, and the inline prefill work of a request is no longer reported as open once its response has begun. The prediction is in the `placed` decision.

All tests of core/forwarding, request_forwarder_test, overload_test and stream_pauses_test pass.

--- a/src/core/forwarding/endpoints/fleet_load.ts
+++ b/src/core/forwarding/endpoints/fleet_load.ts
@@ -60,6 +60,8 @@
 
 /** Handle of an endpoint's open work. */
 export interface WorkHandle {
+  /** Ends the prompt processing; the rest of the work stays open. */
+  endPrefill(): void;
   /** Ends the work; further calls do nothing. */
   end(): void;
 }
@@ -125,13 +127,23 @@
       tokens,
     });
     let isOpen = true;
+    let openMilliseconds = milliseconds;
     return {
+      endPrefill: () => {
+        if (!isOpen || openMilliseconds === 0) return;
+        this.#add(endpoint, ownWork, {
+          requests: 0,
+          prefillMilliseconds: -openMilliseconds,
+          tokens: 0,
+        });
+        openMilliseconds = 0;
+      },
       end: () => {
         if (!isOpen) return;
         isOpen = false;
         this.#add(endpoint, ownWork, {
           requests: -1,
-          prefillMilliseconds: -milliseconds,
+          prefillMilliseconds: -openMilliseconds,
           tokens: -tokens,
         });
       },
--- a/src/core/forwarding/estimates/stream_pauses.ts
+++ b/src/core/forwarding/estimates/stream_pauses.ts
@@ -27,49 +27,43 @@
  */
 export class StreamPauses {
   readonly #options: StreamPausesOptions;
-  /** Undefined before the first event and after the entry stopped reading. */
-  #lastEventAt: number | undefined;
+  /** `waiting`: for the first event, or the first since the entry reads again. */
+  #state: "waiting" | "read" | "suspended" | "ended" = "waiting";
+  #lastEventAt = 0;
   /** The last pause, until the next event shows what caused it. */
   #unverified: number | undefined;
-  #isRead = false;
 
   constructor(options: StreamPausesOptions) {
     this.#options = options;
-    this.resume();
   }
 
   /** Records one event, or several that arrived together. */
   received({ several = false }: { readonly several?: boolean } = {}): void {
     const { onPause, open, timer } = this.#options;
     const now = timer.now();
-    open.lastEventAt = now;
-    const pause = this.#lastEventAt === undefined || several
-      ? undefined
-      : now - this.#lastEventAt;
-    const unverified = this.#unverified;
-    const isDelayed = unverified !== undefined && pause !== undefined &&
-      pause < MAX_DELAYED_RATIO * unverified;
-    if (unverified !== undefined && !isDelayed && !several) onPause(unverified);
-    this.#unverified = isDelayed ? undefined : pause;
+    if (this.#state === "waiting") {
+      this.#state = "read";
+      open.count += 1;
+    } else if (this.#state === "read") {
+      const pause = several ? 0 : now - this.#lastEventAt;
+      const unverified = this.#unverified;
+      const isDelayed = several || unverified !== undefined &&
+          pause < MAX_DELAYED_RATIO * unverified;
+      if (unverified !== undefined && !isDelayed) onPause(unverified);
+      this.#unverified = isDelayed ? undefined : pause;
+    } else return;
     this.#lastEventAt = now;
+    open.lastEventAt = now;
   }
 
   /** The entry stops reading, as the caller reads slowly. */
   suspend(): void {
-    if (!this.#isRead) return;
-    this.#isRead = false;
-    this.#options.open.count -= 1;
-    this.#lastEventAt = undefined;
-    this.#unverified = undefined;
+    this.#stop("suspended");
   }
 
   /** The entry reads again. */
   resume(): void {
-    if (this.#isRead) return;
-    this.#isRead = true;
-    const { open, timer } = this.#options;
-    open.count += 1;
-    open.lastEventAt = timer.now();
+    if (this.#state === "suspended") this.#state = "waiting";
   }
 
   /** The response has ended; `whole` is false if it was cut. */
@@ -77,6 +71,12 @@
     if (whole && this.#unverified !== undefined) {
       this.#options.onPause(this.#unverified);
     }
-    this.suspend();
+    this.#stop("ended");
+  }
+
+  #stop(state: "suspended" | "ended"): void {
+    if (this.#state === "read") this.#options.open.count -= 1;
+    if (this.#state !== "ended") this.#state = state;
+    this.#unverified = undefined;
   }
 }
--- a/src/core/forwarding/placement/engine_placement.ts
+++ b/src/core/forwarding/placement/engine_placement.ts
@@ -2,9 +2,14 @@
 import type { Random } from "../../random/mod.ts";
 import type { Pool, RegisteredEndpoint } from "../configuration.ts";
 import { hasCapacity } from "./decode_capacity.ts";
+import { bestCandidate, type DecodeCandidate } from "./decode_candidate.ts";
 import { sampleDecodeEngines, samplePrefillEngines } from "./engine_sample.ts";
 import type { EndpointAvailability } from "../endpoints/endpoint_availability.ts";
-import type { EngineEstimates, EngineSlowness } from "../estimates/mod.ts";
+import type {
+  DecodePace,
+  EngineEstimates,
+  EngineSlowness,
+} from "../estimates/mod.ts";
 import { POLL_MILLISECONDS } from "../admission/held_prompt_queue.ts";
 import type { FleetLoad, PromptWork } from "../endpoints/fleet_load.ts";
 import type { PrefixDirectory } from "../caches/prefix_directory.ts";
@@ -87,6 +92,18 @@
 export interface DecodeChoice {
   readonly endpoint: RegisteredEndpoint;
   readonly work: PromptWork;
+  /**
+   * Predicted pause of the engine's streams with the response, milliseconds;
+   * absent where it did not decide.
+   */
+  readonly pauseMilliseconds?: number;
+}
+
+interface DecodeWorkOptions {
+  readonly prompt: Prompt;
+  readonly pool: Pool;
+  /** Zone of the prompt's cache after a handover. */
+  readonly cacheZone?: AvailabilityZoneId;
 }
 
 /** Engines of one pool that are considered for a prompt. */
@@ -107,6 +124,7 @@
   readonly availability: EndpointAvailability;
   readonly estimates: EngineEstimates;
   readonly slowness: EngineSlowness;
+  readonly pace: DecodePace;
   readonly random: Random;
 }
 
@@ -268,57 +286,77 @@
     };
   }
 
-  /** The decode engine with the fewest open requests, weighted by distance. */
+  /**
+   * The decode engine with the shortest predicted pause where pauses are
+   * bounded, otherwise and among similar ones that with the fewest open
+   * requests, weighted by distance.
+   */
   chooseDecode(
     engines: readonly RegisteredEndpoint[],
-    options: {
-      readonly prompt: Prompt;
-      readonly pool: Pool;
-      /** Zone of the prompt's cache after a handover. */
-      readonly cacheZone?: AvailabilityZoneId;
+    options: DecodeWorkOptions & {
       /** True: considers only engines that have capacity now. */
       readonly requiresCapacity?: boolean;
+      /** Longest allowed pause; absent where pauses are not bounded. */
+      readonly maxPauseMilliseconds?: number;
     },
   ): DecodeChoice | undefined {
-    const { estimates, load, availability, prefixes, random } = this.#options;
+    const { load, availability, random } = this.#options;
     const {
       cacheZone,
+      maxPauseMilliseconds,
       pool,
       prompt,
       requiresCapacity = false,
     } = options;
     const decodeEngines = engines.filter((engine) => engine.role !== "prefill");
     const tokens = prompt.inputTokens + prompt.mostOutputTokens;
-    let best: RegisteredEndpoint | undefined;
-    let bestCost = Infinity;
+    const candidates: DecodeCandidate[] = [];
     for (const endpoint of availability.filterHealthy(decodeEngines)) {
       if (
         requiresCapacity && !hasCapacity(endpoint, { load, pool, tokens })
       ) continue;
       const isOtherZone = cacheZone !== undefined &&
         endpoint.availabilityZone !== cacheZone;
-      const cost = load.total(endpoint.id).requests +
+      const slots = load.total(endpoint.id).requests +
         (isOtherZone ? CROSS_ZONE_HANDOVER_SLOTS : 0) +
         TIE_BREAK_JITTER_SLOTS * random();
-      if (cost >= bestCost) continue;
-      bestCost = cost;
-      best = endpoint;
+      const pauseMilliseconds = maxPauseMilliseconds === undefined
+        ? undefined
+        : this.#predictPause(endpoint, options);
+      candidates.push({ endpoint, slots, pauseMilliseconds });
     }
+    const best = bestCandidate(candidates);
     if (best === undefined) return undefined;
-    const keptTokens = prefixes.keptTokens(best.id, prompt.parts);
-    return {
-      endpoint: best,
-      work: {
-        milliseconds: cacheZone !== undefined
-          ? 0
-          : DECODE_ENGINE_PREFILL_SLOWDOWN *
-            estimates.forPool(pool.name).prefill.predictWorkMilliseconds(
-              prompt.inputTokens,
-              keptTokens,
-            ),
-        tokens,
-      },
-    };
+    const { endpoint, pauseMilliseconds } = best;
+    const milliseconds = this.#inlineMilliseconds(endpoint, options);
+    return { endpoint, work: { milliseconds, tokens }, pauseMilliseconds };
+  }
+
+  /** Predicted pause of the engine's streams with the response. */
+  #predictPause(
+    endpoint: RegisteredEndpoint,
+    options: DecodeWorkOptions,
+  ): number | undefined {
+    const { inputTokens, mostOutputTokens } = options.prompt;
+    return this.#options.pace.predictPause(endpoint, {
+      requests: 1,
+      tokens: inputTokens + mostOutputTokens,
+      prefillMilliseconds: this.#inlineMilliseconds(endpoint, options),
+    });
+  }
+
+  /** Prefill work of the response at the decode engine; 0 after a handover. */
+  #inlineMilliseconds(
+    { id }: RegisteredEndpoint,
+    { cacheZone, pool, prompt }: DecodeWorkOptions,
+  ): number {
+    if (cacheZone !== undefined) return 0;
+    const { estimates, prefixes } = this.#options;
+    return DECODE_ENGINE_PREFILL_SLOWDOWN *
+      estimates.forPool(pool.name).prefill.predictWorkMilliseconds(
+        prompt.inputTokens,
+        prefixes.keptTokens(id, prompt.parts),
+      );
   }
 }
 
--- a/src/core/forwarding/placement/engine_placement_test.ts
+++ b/src/core/forwarding/placement/engine_placement_test.ts
@@ -9,6 +9,7 @@
 import { type AvailabilityZoneId, identifier } from "../../identity/mod.ts";
 import { ManualTimerService } from "../../time/mod.ts";
 import {
+  DecodePace,
   EndpointAvailability,
   EnginePlacement,
   EngineSlowness,
@@ -37,6 +38,7 @@
       availability: new EndpointAvailability(timer),
       estimates: knownEstimates(),
       slowness: new EngineSlowness(timer),
+      pace: new DecodePace(timer, load),
       random: () => 0.5,
     });
     engines = ["one", "two"].map((id) => makeEngine(id, "prefill"));
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -4,6 +4,8 @@
   PromptWork,
   RegisteredEndpoint,
   ResponseHead,
+  StreamPauses,
+  WorkHandle,
 } from "../../core/forwarding/mod.ts";
 import type { ForwardContext } from "./forward_context.ts";
 import type {
@@ -12,6 +14,7 @@
   ExchangeFailure,
 } from "./network_interfaces.ts";
 import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
+import { measurePauses } from "./measure_pauses.ts";
 
 /**
  * Status by which an endpoint rejects a request that was addressed to another
@@ -26,6 +29,8 @@
   readonly endpoint: RegisteredEndpoint;
   readonly options: Omit<ForwardAttemptOptions, "endpoint">;
   readonly work: PromptWork;
+  /** Predicted pause of the engine's streams, milliseconds. */
+  readonly predictedPauseMilliseconds?: number;
 }
 
 /**
@@ -42,7 +47,9 @@
   /** Crashes attributed to the request at the time it was sent. */
   readonly #knownCrashes: number;
   readonly #abort: () => void;
-  readonly #endWork: () => void;
+  readonly #work: WorkHandle;
+  /** Measures the response of a decode engine whose pauses are bounded. */
+  #pauses: StreamPauses | undefined;
   #closed = false;
 
   constructor(context: ForwardContext, plan: AttemptPlan) {
@@ -54,8 +61,7 @@
     this.#sentAt = dependencies.timer.now();
     this.#knownCrashes = context.knownCrashes;
     this.endpoint = endpoint;
-    const workHandle = dependencies.load.started(endpoint.id, plan.work);
-    this.#endWork = () => workHandle.end();
+    this.#work = dependencies.load.started(endpoint.id, plan.work);
     dependencies.availability.started(endpoint.id);
     dependencies.link.recordSent(request.body.length + REQUEST_HEAD_BYTES);
     const exchange = dependencies.endpointClient.send(request, {
@@ -67,7 +73,7 @@
     this.#abort = () => exchange.abort();
     this.answer = exchange.answer.then((result) => {
       this.#onHead(result);
-      return result;
+      return result.map((response) => this.#measurePauses(response));
     });
   }
 
@@ -75,6 +81,7 @@
   onEnd(end: BodyEnd, status: number): void {
     if (this.#closed) return;
     const { availability } = this.#dependencies;
+    this.#pauses?.end({ whole: end === "whole" });
     if (end === "cut") this.#recordLoss();
     else if (status < 500) this.#recordCompletion();
     if (this.#isSameRun) {
@@ -121,6 +128,23 @@
     if (result.isErr() || result.value.head.notExecuted) this.#close();
   }
 
+  /**
+   * Measures the pauses of a response that decodes. From its first event on,
+   * its prefill does not delay the other streams of the engine any more.
+   */
+  #measurePauses(response: EndpointResponse): EndpointResponse {
+    const { prefillOnly } = this.#plan.options;
+    const isMeasured = !this.#closed && !prefillOnly && this.#isSameRun &&
+      response.head.status < 300 &&
+      this.#context.maxPauseMilliseconds !== undefined;
+    if (!isMeasured) return response;
+    this.#pauses = this.#dependencies.pace.openStream(this.endpoint);
+    return measurePauses(response, {
+      pauses: this.#pauses,
+      onEvent: () => this.#work.endPrefill(),
+    });
+  }
+
   #recordCrashSignals(result: Result<EndpointResponse, ExchangeFailure>): void {
     const { crashes } = this.#dependencies;
     if (result.isOk()) return crashes.answered(this.endpoint, this.#sentAt);
@@ -222,6 +246,7 @@
     if (this.#isSameRun) {
       this.#dependencies.availability.ended(this.endpoint.id);
     }
-    this.#endWork();
+    this.#pauses?.end({ whole: false });
+    this.#work.end();
   }
 }
--- a/src/entry/forwarding/engine_planner.ts
+++ b/src/entry/forwarding/engine_planner.ts
@@ -126,6 +126,7 @@
     if (choice === undefined) return undefined;
     const { milliseconds, tokens } = choice.work;
     return {
+      predictedPauseMilliseconds: choice.pauseMilliseconds,
       endpoint: choice.endpoint,
       work: { milliseconds: kept === undefined ? milliseconds : 0, tokens },
       options: {
@@ -188,6 +189,7 @@
           pool,
           cacheZone,
           requiresCapacity,
+          maxPauseMilliseconds: this.#context.maxPauseMilliseconds,
         },
       );
     };
--- a/src/entry/forwarding/forwarding_dependencies.ts
+++ b/src/entry/forwarding/forwarding_dependencies.ts
@@ -1,6 +1,7 @@
 /** Dependencies and state that all forwarded requests of an entry share. */
 import type {
   CrashTracker,
+  DecodePace,
   EndpointAvailability,
   EndpointLimits,
   EndpointLoadReports,
@@ -44,6 +45,8 @@
   readonly placement: EnginePlacement;
   readonly estimates: EngineEstimates;
   readonly slowness: EngineSlowness;
+  /** Stream pauses of decode engines. */
+  readonly pace: DecodePace;
   readonly retryBudget: SharedRetryBudget;
   /** Requests that endpoints have crashed on. */
   readonly crashes: CrashTracker;
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -1,6 +1,7 @@
 import {
   type BlockedRequest,
   CrashTracker,
+  DecodePace,
   EndpointAvailability,
   EndpointLimits,
   EndpointLoadReports,
@@ -163,6 +164,7 @@
     const prefixes = new PrefixDirectory();
     const estimates = new EngineEstimates();
     const slowness = new EngineSlowness(timer);
+    const pace = new DecodePace(timer, load);
     const returningCallers = new ReturningCallers(timer);
     const crashes = new CrashTracker({
       timer,
@@ -196,6 +198,7 @@
         prefixes,
         availability,
         slowness,
+        pace,
         crashes,
         limits,
         loadReports,
@@ -314,10 +317,12 @@
         availability,
         estimates,
         slowness,
+        pace,
         random,
       }),
       estimates,
       slowness,
+      pace,
       retryBudget: new SharedRetryBudget({
         timer,
         ...options.retry,
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -205,6 +205,7 @@
       endpoint: endpoint.id,
       openRequests: dependencies.load.total(endpoint.id).requests,
       handover: plan.options.prefilledPrompt !== undefined,
+      predictedPauseMilliseconds: roundPause(plan),
     });
     const attempt = new ForwardAttempt(this.#context, plan);
     this.#attempt = attempt;
@@ -445,6 +446,13 @@
   }
 }
 
+/** Rounded for the log; undefined where pauses are not predicted. */
+function roundPause(
+  { predictedPauseMilliseconds: milliseconds }: AttemptPlan,
+): number | undefined {
+  return milliseconds === undefined ? undefined : Math.round(milliseconds);
+}
+
 /**
  * Reads a response to its end without using it, so that the connection can be
  * reused.
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -2,6 +2,7 @@
 import { defineError, failure } from "../../src/core/errors/mod.ts";
 import {
   CrashTracker,
+  DecodePace,
   EndpointAvailability,
   EndpointLimits,
   EndpointLoadReports,
@@ -204,6 +205,7 @@
     const availability = new EndpointAvailability(timer);
     const { estimates = knownEstimates() } = options;
     const slowness = new EngineSlowness(timer);
+    const pace = new DecodePace(timer, load);
     this.#routes = new RouteTable(configuration);
     const endpointClient: EndpointClient = {
       send: (request, attempt) => this.#send(request, attempt),
@@ -230,10 +232,12 @@
         availability,
         estimates,
         slowness,
+        pace,
         random,
       }),
       estimates,
       slowness,
+      pace,
       retryBudget: new SharedRetryBudget({
         timer,
         ratio: 0.2,
