Limit the time that decode engines spend on inline prefills

A fixed limit of 5 % of the allowed pause hands over short prompts of slow engines, which then wait behind long ones, and lets many prompts of fast engines through. Inline prefills of bounded pools may now take up to a tenth of the allowed pause each, and together a tenth of the decode engines' time, of which short prompts get theirs first.

--- a/src/core/forwarding/estimates/decode_pace.ts
+++ b/src/core/forwarding/estimates/decode_pace.ts
@@ -6,11 +6,19 @@
   type FleetLoad,
   type OpenWork,
 } from "../endpoints/fleet_load.ts";
+import { InlinePrefillWork } from "./inline_prefill_work.ts";
 import { PauseModel } from "./pause_model.ts";
 import { type OpenStreams, StreamPauses } from "./stream_pauses.ts";
 
-/** Weight of one pause in an engine's ratio. */
-const RATIO_WEIGHT = 0.2;
+/**
+ * Weight of one pause in an engine's ratio. It is higher for pauses that are
+ * far from the ratio: with the higher weight for all pauses, noise moved
+ * responses between equal engines; with the lower one an engine that had become
+ * slow kept getting responses for seconds.
+ */
+const ORDINARY_WEIGHT = 0.05;
+const FAR_WEIGHT = 0.2;
+const MIN_FAR_LOGARITHM = Math.log(1.6);
 /**
  * Bounds of one pause's ratio to the prediction. They are symmetric, so that a
  * delayed event and the early one behind it cancel out.
@@ -42,6 +50,7 @@
 
 interface PoolPace {
   readonly model: PauseModel;
+  readonly inlineWork: InlinePrefillWork;
   count: number;
   measuredMilliseconds: number;
   predictedMilliseconds: number;
@@ -87,7 +96,11 @@
       Math.max(1 / MAX_RATIO, milliseconds / predicted),
     );
     const previous = this.#decayedLogarithm(pace);
-    pace.logarithm = previous + RATIO_WEIGHT * (Math.log(ratio) - previous);
+    const change = Math.log(ratio) - previous;
+    const weight = Math.abs(change) > MIN_FAR_LOGARITHM
+      ? FAR_WEIGHT
+      : ORDINARY_WEIGHT;
+    pace.logarithm = previous + weight * change;
     pace.recordedAt = this.#timer.now();
   }
 
@@ -117,6 +130,11 @@
     return 1 + DEVIATIONS * deviation;
   }
 
+  /** Recent work of this entry's prompts that could be prefilled inline. */
+  inlineWork(pool: ServiceName): InlinePrefillWork {
+    return this.#pool(pool).inlineWork;
+  }
+
   /** Starts to measure the pauses of a response from the engine. */
   openStream(engine: Engine): StreamPauses {
     const pace = this.#engine(engine.id);
@@ -150,6 +168,7 @@
     if (pool === undefined) {
       pool = {
         model: new PauseModel(),
+        inlineWork: new InlinePrefillWork(this.#timer),
         count: 0,
         measuredMilliseconds: 0,
         predictedMilliseconds: 0,
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -81,6 +81,7 @@
 } from "./store/topic_reader.ts";
 export type {
   DecodeChoice,
+  InlinePrefillLimits,
   PrefillCandidates,
   PrefillChoice,
 } from "./placement/engine_placement.ts";
--- a/src/core/forwarding/placement/decode_candidate.ts
+++ b/src/core/forwarding/placement/decode_candidate.ts
@@ -1,8 +1,9 @@
 import type { RegisteredEndpoint } from "../configuration.ts";
 
 /**
- * Ratio of predicted pauses up to which engines count as equal. Predictions
- * differ by as much between entries, which would all choose the same engine.
+ * Ratio of predicted pauses up to which engines count as equal. Without it, all
+ * entries choose the same engine until they hear of each other's choice; from
+ * 1.25 on, engines of different speeds get too much the same load.
  */
 const MAX_EQUAL_PAUSE_RATIO = 1.1;
 
--- a/src/core/forwarding/placement/engine_placement.ts
+++ b/src/core/forwarding/placement/engine_placement.ts
@@ -69,11 +69,24 @@
 
 /**
  * Share of the allowed stream pause that a prefill on a decode engine may take.
- * Prefills of up to a tenth of a 514 ms target caused most pauses above 200 ms
- * among some 20 streams, which need most of the allowed pause for their own
- * tokens.
+ * The streams need the rest for their own tokens and for other prefills.
  */
-const MAX_INLINE_PREFILL_PAUSE_SHARE = 0.05;
+const MAX_INLINE_PREFILL_PAUSE_SHARE = 0.1;
+/**
+ * Share of the decode engines' time that inline prefills may take. Prefills of
+ * up to a tenth of a 514 ms target took up to half of it and caused most pauses
+ * above 200 ms. With 0.07, slow engines hand over short prompts, which then
+ * wait behind long ones.
+ */
+const MAX_INLINE_PREFILL_TIME_SHARE = 0.1;
+
+/** Limits on inline prefills where the pauses of streams are bounded. */
+export interface InlinePrefillLimits {
+  /** Longest pause that the open streams of the pool allow. */
+  readonly maxPauseMilliseconds: number;
+  /** Decode engines of the pool for each entry. */
+  readonly decodeEngines: number;
+}
 
 /** A prefill engine for a prompt, and the predicted cost there. */
 export interface PrefillChoice extends PrefillPlan {
@@ -139,23 +152,41 @@
   /** True where the prompt is long enough for a separate prefill engine. */
   needsHandover(
     prompt: Prompt,
-    { maxPauseMilliseconds = Infinity, pool, targetMilliseconds }: {
+    { inlineLimits, pool, targetMilliseconds }: {
       readonly pool: Pool;
       readonly targetMilliseconds: number;
-      /**
-       * Longest pause that the open streams of the pool allow; absent where
-       * pauses are not bounded.
-       */
-      readonly maxPauseMilliseconds?: number;
+      /** Absent where pauses are not bounded. */
+      readonly inlineLimits?: InlinePrefillLimits;
     },
   ): boolean {
     const { prefill } = this.#options.estimates.forPool(pool.name);
     const inlineMilliseconds = DECODE_ENGINE_PREFILL_SLOWDOWN *
       prefill.predictWorkMilliseconds(prompt.inputTokens, 0);
-    return inlineMilliseconds > Math.min(
-      MAX_INLINE_PREFILL_TARGET_SHARE * targetMilliseconds,
-      MAX_INLINE_PREFILL_PAUSE_SHARE * maxPauseMilliseconds,
-    );
+    const maxMilliseconds = MAX_INLINE_PREFILL_TARGET_SHARE *
+      targetMilliseconds;
+    if (inlineMilliseconds > maxMilliseconds) return true;
+    return inlineLimits !== undefined &&
+      this.#exceedsLimits(inlineMilliseconds, { pool, inlineLimits });
+  }
+
+  /**
+   * True if the inline prefill would lengthen the pauses of open streams too
+   * much: by itself, or together with others, of which the short ones go first.
+   */
+  #exceedsLimits(
+    milliseconds: number,
+    { inlineLimits, pool }: {
+      readonly pool: Pool;
+      readonly inlineLimits: InlinePrefillLimits;
+    },
+  ): boolean {
+    const { decodeEngines, maxPauseMilliseconds } = inlineLimits;
+    const work = this.#options.pace.inlineWork(pool.name);
+    work.record(milliseconds);
+    return milliseconds >
+        MAX_INLINE_PREFILL_PAUSE_SHARE * maxPauseMilliseconds ||
+      work.busyEngines(milliseconds) >
+        MAX_INLINE_PREFILL_TIME_SHARE * decodeEngines;
   }
 
   /** Conservative time from the end of the prefill to the first byte. */
--- a/src/core/forwarding/placement/engine_placement_test.ts
+++ b/src/core/forwarding/placement/engine_placement_test.ts
@@ -67,11 +67,14 @@
   });
 
   describe("choosing between an inline prefill and a handover", () => {
+    /** Engines that prefill 310 tokens per millisecond, and decode one half. */
     const needsHandover = (inputTokens: number, maxPause?: number) =>
       placement.needsHandover({ ...PROMPT, inputTokens }, {
         pool: ENGINE_POOL,
         targetMilliseconds: 514,
-        maxPauseMilliseconds: maxPause,
+        inlineLimits: maxPause === undefined
+          ? undefined
+          : { maxPauseMilliseconds: maxPause, decodeEngines: 1 },
       });
 
     // Prefills of 40 ms on a decode engine caused most pauses above 200 ms in
@@ -81,6 +84,16 @@
       expect(needsHandover(220, 200)).to.equal(false);
     });
 
+    // Each of these takes 13 ms only, but a hundred of them a second would leave
+    // the engine no time for its streams.
+    it("hands over the longer prompts where there are too many", () => {
+      const first = needsHandover(2_000, 200);
+      for (let count = 0; count < 20; count++) needsHandover(2_000, 200);
+      expect(first).to.equal(false);
+      expect(needsHandover(2_000, 200)).to.equal(true);
+      expect(needsHandover(220, 200)).to.equal(false);
+    });
+
     it("is limited by the target alone where pauses are not bounded", () => {
       expect(needsHandover(6_000)).to.equal(false);
       expect(needsHandover(9_000)).to.equal(true);
--- a/src/entry/forwarding/engine_planner.ts
+++ b/src/entry/forwarding/engine_planner.ts
@@ -1,5 +1,6 @@
 import {
   type DecodeChoice,
+  type InlinePrefillLimits,
   isPrefillEngine,
   type PrefilledPrompt,
   type Prompt,
@@ -73,7 +74,7 @@
     this.#needsHandover = dependencies.placement.needsHandover(prompt, {
       pool,
       targetMilliseconds: route.targetMilliseconds,
-      maxPauseMilliseconds: this.#context.maxPauseMilliseconds,
+      inlineLimits: this.#inlineLimits,
     });
     const reserved = isDecodeLimited
       ? await this.#chooseDecodeEngine(prompt)
@@ -96,6 +97,18 @@
     return await this.#planDecode(prompt, { kept: handover?.kept, reserved });
   }
 
+  /** Undefined where the pauses of streams are not bounded. */
+  get #inlineLimits(): InlinePrefillLimits | undefined {
+    const { dependencies, maxPauseMilliseconds } = this.#context;
+    if (maxPauseMilliseconds === undefined) return undefined;
+    const decodeEngines = this.#context.endpoints().filter(canDecode).length;
+    return {
+      maxPauseMilliseconds,
+      // The other entries are assumed to have as many prompts as this one.
+      decodeEngines: decodeEngines / dependencies.entries(),
+    };
+  }
+
   /** The request needs one endpoint of each match. */
   get requiredEndpoints(): readonly EndpointMatch[] {
     const hasPrefillEngines = this.#needsHandover &&
