--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -86,6 +86,7 @@
 } from "./store/topic_reader.ts";
 export type {
   DecodeChoice,
+  InlinePrefillLimits,
   PrefillCandidates,
   PrefillChoice,
 } from "./placement/engine_placement.ts";
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -1,6 +1,7 @@
 import {
   type BlockedRequest,
   CrashTracker,
+  DecodePace,
   EndpointAvailability,
   EndpointLimits,
   EndpointLoadReports,
@@ -171,6 +172,7 @@
     const prefixes = new PrefixDirectory();
     const estimates = new EngineEstimates();
     const slowness = new EngineSlowness(timer);
+    const pace = new DecodePace(timer, load);
     const returningCallers = new ReturningCallers(timer);
     const crashes = new CrashTracker({
       timer,
@@ -204,6 +206,7 @@
         prefixes,
         availability,
         slowness,
+        pace,
         crashes,
         limits,
         loadReports,
@@ -322,10 +325,12 @@
         availability,
         estimates,
         slowness,
+        pace,
         random,
       }),
       estimates,
       slowness,
+      pace,
       retryBudget: new SharedRetryBudget({
         timer,
         ...options.retry,
