Learn how fast the work factors of replicas become stale

Work factors change many times per second, and how long a report stays useful differs between deployments. Nothing said how much an old one is worth.

WorkFactorStaleness learns, by pool, the correlation of successive logarithms of a replica's factor by the time between them. A factor is predicted as its report to the power of that weight, and a report that is older than the useful time no longer keeps out others. Own reports are kept apart from those of other entries, so that the owner gets each report once.

--- a/src/core/forwarding/endpoints/load_reports.ts
+++ b/src/core/forwarding/endpoints/load_reports.ts
@@ -1,5 +1,6 @@
 import type { EndpointId, ServiceName } from "../../identity/mod.ts";
 import type { RegisteredEndpoint } from "../configuration.ts";
+import { WorkFactorStaleness } from "./work_factor_staleness.ts";
 
 /** Load that an endpoint reports in a response. */
 export interface EndpointLoadReport {
@@ -22,6 +23,13 @@
   readonly receivedAt: number;
 }
 
+/** The work factor that is expected of an endpoint at present. */
+export interface PredictedWorkFactor {
+  readonly factor: number;
+  /** Time since the report was received; absent if there is none. */
+  readonly ageMilliseconds?: number;
+}
+
 /**
  * Newest load report of each endpoint's run. Responses on different connections
  * overtake each other, so reports are ordered by the time of their requests.
@@ -29,35 +37,114 @@
 export class EndpointLoadReports {
   readonly #observations = new Map<EndpointId, LoadObservation>();
   /** Pools of which an endpoint has reported a work factor. */
-  readonly #poolsWithFactor = new Set<ServiceName>();
+  readonly #staleness = new Map<ServiceName, WorkFactorStaleness>();
+  /** Endpoints whose newest report is from a response to this entry. */
+  readonly #unreported = new Set<EndpointId>();
 
-  /** Records a report; returns false if a newer one is known. */
+  /**
+   * Records a report from a response to this entry; returns false if a newer
+   * one is known.
+   */
   record(
+    endpoint: Pick<RegisteredEndpoint, "id" | "pool">,
+    observation: LoadObservation,
+  ): boolean {
+    const isNewer = this.recordPeer(endpoint, observation);
+    if (isNewer) this.#unreported.add(endpoint.id);
+    return isNewer;
+  }
+
+  /** Records another entry's report; returns false if a newer one is known. */
+  recordPeer(
     { id, pool }: Pick<RegisteredEndpoint, "id" | "pool">,
     observation: LoadObservation,
   ): boolean {
-    if (observation.workFactor !== undefined) this.#poolsWithFactor.add(pool);
+    const staleness = this.#stalenessOf(pool, observation);
     const known = this.#observations.get(id);
-    if (known !== undefined && observation.sentAt < known.sentAt) return false;
+    if (known !== undefined) {
+      const isSuperseded = observation.receivedAt - known.receivedAt <=
+        (staleness?.usefulMilliseconds ?? Infinity);
+      if (observation.sentAt < known.sentAt && isSuperseded) return false;
+      this.#learn(staleness, { known, observation });
+    }
     this.#observations.set(id, observation);
+    this.#unreported.delete(id);
     return true;
   }
 
+  /** The newest report, if it is one that the owner has not received yet. */
+  unreported(endpoint: EndpointId): LoadObservation | undefined {
+    return this.#unreported.has(endpoint)
+      ? this.#observations.get(endpoint)
+      : undefined;
+  }
+
+  /** Records that the endpoint's owner was sent the newest report. */
+  markReported(endpoint: EndpointId): void {
+    this.#unreported.delete(endpoint);
+  }
+
   /** The newest report of the endpoint. */
   current(endpoint: EndpointId): LoadObservation | undefined {
     return this.#observations.get(endpoint);
   }
 
+  /**
+   * The endpoint's work factor at this time. It approaches 1 with the age of
+   * the report, at the rate at which the pool's factors become stale.
+   */
+  predictWorkFactor(
+    { id, pool }: Pick<RegisteredEndpoint, "id" | "pool">,
+    now: number,
+  ): PredictedWorkFactor {
+    const observation = this.#observations.get(id);
+    if (observation === undefined) return { factor: 1 };
+    const ageMilliseconds = Math.max(0, now - observation.receivedAt);
+    const { workFactor = 1 } = observation;
+    const weight = this.#staleness.get(pool)?.weight(ageMilliseconds) ?? 0;
+    return { factor: workFactor ** weight, ageMilliseconds };
+  }
+
   /**
    * True if endpoints of the pool report a work factor. Their operator asks for
    * placement by load reports with that.
    */
   hasWorkFactor(pool: ServiceName): boolean {
-    return this.#poolsWithFactor.has(pool);
+    return this.#staleness.has(pool);
   }
 
   /** Discards the report, as the run of the endpoint is over. */
   forget({ id }: { readonly id: EndpointId }): void {
     this.#observations.delete(id);
+    this.#unreported.delete(id);
+  }
+
+  #stalenessOf(
+    pool: ServiceName,
+    { workFactor }: LoadObservation,
+  ): WorkFactorStaleness | undefined {
+    let staleness = this.#staleness.get(pool);
+    if (staleness === undefined && workFactor !== undefined) {
+      staleness = new WorkFactorStaleness();
+      this.#staleness.set(pool, staleness);
+    }
+    return staleness;
+  }
+
+  #learn(
+    staleness: WorkFactorStaleness | undefined,
+    { known, observation }: {
+      readonly known: LoadObservation;
+      readonly observation: LoadObservation;
+    },
+  ): void {
+    const milliseconds = observation.receivedAt - known.receivedAt;
+    const isUsable = known.workFactor !== undefined &&
+      observation.workFactor !== undefined && milliseconds > 0;
+    if (!isUsable) return;
+    staleness?.record({
+      before: known.workFactor,
+      after: observation.workFactor,
+    }, milliseconds);
   }
 }
