Predict how long a request takes at each replica of a plain service

The replicas of a plain service differ in speed, and a replica with few open requests may be the slowest one. Nothing predicted the time of a request.

ExpectedTimes multiplies the replica's own mean service time, learned from completions, with its present work factor and the queue for its slots. The work ahead is the larger of the fleet's open requests and the report, corrected by what this entry has sent and seen end since; the excess of a report decreases as the replica works it off. The time is never less than that for which an own request has been open, since a replica that stalls may report that it is idle.

--- a/src/core/forwarding/estimates/mod.ts
+++ b/src/core/forwarding/estimates/mod.ts
@@ -11,3 +11,4 @@
   type PrefillSample,
   PrefillSpeed,
 } from "./prefill_speed.ts";
+export { type CompletedService, ServiceTimes } from "./service_time.ts";
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -34,6 +34,7 @@
   EngineEstimates,
   EngineSlowness,
   type PrefillSpeedReport,
+  ServiceTimes,
   WorkRate,
 } from "./estimates/mod.ts";
 export { EventSequence } from "./event_sequence.ts";
@@ -44,6 +45,10 @@
   EndpointLoadReports,
   type LoadObservation,
 } from "./endpoints/load_reports.ts";
+export {
+  type SentRequestHandle,
+  SentRequests,
+} from "./endpoints/sent_requests.ts";
 export {
   addWork,
   encodeWork,
@@ -65,6 +70,11 @@
   EnginePlacement,
   isPrefillEngine,
 } from "./placement/engine_placement.ts";
+export {
+  type ExpectedTime,
+  ExpectedTimes,
+  queueFactor,
+} from "./placement/expected_times.ts";
 export { chooseServiceReplica } from "./placement/service_placement.ts";
 export { decodePosition, encodePosition } from "./store/log_position.ts";
 export {
