Pass load reports on through the endpoints' owners

An entry of a fleet of 23 sees each replica about once a second, while work factors change many times per second.

Rows of open work to an endpoint's owner, and the owner's answers, may have a sixth value: the report and its ages. It is added for plain services with work factors and a known run only, at most ten times a second for each endpoint from the whole fleet. Rows without it, or with a malformed one, are read as before.

--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -57,6 +57,7 @@
   ROLES_METHOD,
   type SendToPeers,
 } from "./peer_exchange.ts";
+import { LoadReportExchange } from "./load_report_exchange.ts";
 import {
   LOAD_ANSWER_METHOD,
   LOAD_QUERY_METHOD,
@@ -186,6 +187,9 @@
     const orders: EndpointStateHolder = {
       forget: (endpoint) => this.#roleController?.forget(endpoint),
     };
+    const reportState: EndpointStateHolder = {
+      forget: (endpoint) => reportExchange.forget(endpoint),
+    };
     const permitState: EndpointStateHolder = {
       forget: (endpoint) => this.#permits.forget(endpoint),
     };
@@ -199,6 +203,7 @@
         crashes,
         limits,
         loadReports,
+        reportState,
         permitState,
         connections,
         orders,
@@ -221,12 +226,19 @@
     });
     const self = identifier<ProcessId>(options.process);
     const owners = new LoadOwners({ self, timer });
+    const reportExchange = new LoadReportExchange({
+      timer,
+      registry: this.registry,
+      loadReports,
+      entries: () => owners.liveCount,
+    });
     this.#loadQueries = new LoadQueries({
       self,
       timer,
       registry: this.registry,
       load,
       owners,
+      reportExchange,
       send: (peer, notification) => this.peers.sendTo(peer, notification),
       onOutcome: options.onLoadQuery,
     });
@@ -260,6 +272,7 @@
       registry: this.registry,
       load,
       owners,
+      reportExchange,
       prefixes,
       estimates,
       returningCallers,
--- a/src/entry/forwarding/load_queries.ts
+++ b/src/entry/forwarding/load_queries.ts
@@ -11,6 +11,7 @@
   type ProcessId,
 } from "../../core/identity/mod.ts";
 import type { Subscription, TimerService } from "../../core/time/mod.ts";
+import type { LoadReportExchange } from "./load_report_exchange.ts";
 import {
   isWorkRows,
   withRuns,
@@ -47,6 +48,7 @@
   readonly registry: EndpointRegistry;
   readonly load: FleetLoad;
   readonly owners: LoadOwners;
+  readonly reportExchange: LoadReportExchange;
   readonly send: SendToPeer;
   readonly onOutcome: (outcome: LoadQueryOutcome) => void;
 }
@@ -103,7 +105,8 @@
   /** Answers a peer's query; ignores a malformed one. */
   onQuery(params: unknown): void {
     if (!isLoadQuery(params)) return this.#options.onOutcome("unreadable");
-    const { load, owners, registry, self, send } = this.#options;
+    const { load, owners, registry, reportExchange, self, send } =
+      this.#options;
     const asker = identifier<ProcessId>(params.entry);
     owners.recordMessage(asker);
     const work = params.endpoints.map((name) => {
@@ -116,7 +119,7 @@
       params: {
         entry: self,
         id: params.id,
-        work: withRuns(registry, work),
+        work: reportExchange.addToAnswer(withRuns(registry, work)),
       },
     });
   }
@@ -127,7 +130,8 @@
     const owner = identifier<ProcessId>(params.entry);
     const query = this.#pending.get(params.id);
     if (query?.waiting.delete(owner) !== true) return;
-    const { load, owners, registry } = this.#options;
+    const { load, owners, registry, reportExchange } = this.#options;
+    reportExchange.apply(params.work);
     owners.recordMessage(owner);
     owners.recordQuery(owner, { answered: true });
     this.#options.onOutcome("answered");
--- a/src/entry/forwarding/load_queries_test.ts
+++ b/src/entry/forwarding/load_queries_test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { makeEngine } from "../../../test/support/forwarding_fixtures.ts";
 import {
+  EndpointLoadReports,
   EndpointRegistry,
   FleetLoad,
   LoadOwners,
@@ -13,6 +14,7 @@
   type ReplicaStartTime,
 } from "../../core/identity/mod.ts";
 import { ManualTimerService } from "../../core/time/mod.ts";
+import { LoadReportExchange } from "./load_report_exchange.ts";
 import {
   LOAD_ANSWER_METHOD,
   LOAD_QUERY_METHOD,
@@ -28,6 +30,7 @@
 /** One entry with its load state, connected to other entries. */
 class Member {
   readonly load: FleetLoad;
+  readonly loadReports = new EndpointLoadReports();
   readonly owners: LoadOwners;
   readonly queries: LoadQueries;
   readonly outcomes: LoadQueryOutcome[] = [];
@@ -47,6 +50,12 @@
       registry,
       load: this.load,
       owners: this.owners,
+      reportExchange: new LoadReportExchange({
+        timer,
+        registry,
+        loadReports: this.loadReports,
+        entries: () => 3,
+      }),
       send: (peer, { method, params }) => send(peer, method, params),
       onOutcome: (outcome) => this.outcomes.push(outcome),
     });
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -19,6 +19,7 @@
   type ProcessId,
 } from "../../core/identity/mod.ts";
 import type { Subscription, TimerService } from "../../core/time/mod.ts";
+import type { LoadReportExchange } from "./load_report_exchange.ts";
 import { decodePrompt, encodePrompt } from "./prompt_encoding.ts";
 import {
   isCrashReport,
@@ -75,6 +76,7 @@
   readonly returningCallers: ReturningCallers;
   readonly crashes: CrashTracker;
   readonly limits: EndpointLimits;
+  readonly reportExchange: LoadReportExchange;
   readonly sendToPeers: SendToPeers;
   /** Version of the configuration in force here. */
   readonly version: () => number | undefined;
@@ -192,6 +194,7 @@
       ...params,
       work: workOfSameRuns(registry, params.work),
     });
+    this.#options.reportExchange.apply(params.work);
     for (const encoded of params.prompts) {
       const prompt = decodePrompt(encoded);
       const isSameRun = prompt !== undefined && registry.isSameRun({
@@ -345,13 +348,15 @@
   }
 
   #updateOwners(): void {
-    const { load, owners, registry } = this.#options;
+    const { load, owners, registry, reportExchange } = this.#options;
     for (
       const [owner, endpoints] of owners.groupByOtherOwner(
         this.#changedEndpoints,
       )
     ) {
-      const work = withRuns(registry, load.reportOf(endpoints));
+      const work = reportExchange.addToUpdate(
+        withRuns(registry, load.reportOf(endpoints)),
+      );
       const params = { ...this.#baseNotification(false), work };
       this.sendTo(owner, { method: WORK_METHOD, params });
     }
--- a/src/entry/forwarding/work_notification.ts
+++ b/src/entry/forwarding/work_notification.ts
@@ -16,6 +16,7 @@
   identifier,
   type ReplicaStartTime,
 } from "../../core/identity/mod.ts";
+import type { LoadReportValues } from "./load_report_exchange.ts";
 import type { EncodedPrompt } from "./prompt_encoding.ts";
 
 /** Notification that carries an entry's open work. */
@@ -52,11 +53,12 @@
 /**
  * Work at an endpoint as sent to peers, with the start time of the endpoint's
  * run if known. A replica that restarts under the same id has none of this
- * work.
+ * work. Rows to and from the endpoint's owner may have a load report.
  */
 export type WorkRowWithRun = readonly [
   ...WorkReport[number],
   startedAt?: ReplicaStartTime,
+  load?: LoadReportValues,
 ];
 const MIN_WORK_VALUES = 4;
 
