Place plain services with work factors by expected time

Cause: chooseServiceReplica compares open requests alone, whatever the speed of the replicas, and other entries' requests are known 120 ms late, four times as long as a request takes.

Pools with work factors are now placed by the expected time, comparing two replicas drawn by capacity and the best one of the own zone. Where the best of these is expected to have few free slots, their owners are asked for the open requests and reports first, within an allowance of 600 bytes a second for each endpoint. The decisions placed and answered have the report's age and the expected time, and two histograms show them by pool. Pools without work factors are placed as before.

Load and failure tests pass (15), as do those of the forwarding path that were touched.

--- a/src/adapters/telemetry/forwarding_telemetry.ts
+++ b/src/adapters/telemetry/forwarding_telemetry.ts
@@ -1,7 +1,7 @@
 /** Logs and metrics of the forwarding path. */
 import { Counter, Gauge, Histogram, type Registry } from "prom-client";
 import type { RetryBudgetUsage } from "../../core/forwarding/mod.ts";
-import type { Logger } from "../../core/observation/mod.ts";
+import type { LogFields, Logger } from "../../core/observation/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
 import type {
   LoadQueryOutcome,
@@ -34,6 +34,9 @@
   15,
 ];
 
+/** Bounds of the ratio of measured to expected time, around 1. */
+const RATIO_BUCKETS = [0.25, 0.5, 0.7, 0.85, 1, 1.2, 1.5, 2, 4, 8];
+
 /** Options of `createForwardingObserver`. */
 export interface ForwardingObserverOptions {
   readonly registry: Registry;
@@ -191,6 +194,7 @@
     buckets: LATENCY_BUCKETS_SECONDS,
     registers: [registry],
   });
+  const observeReplica = createReplicaTimeObserver(registry);
   const limiter = new LogRateLimiter(timer, logger);
   return (decision, fields) => {
     decisions.inc({ decision, reason: String(fields.reason ?? "") });
@@ -198,11 +202,52 @@
       const { route } = fields;
       firstByteTime.observe({ route }, toSeconds(fields.firstByteMilliseconds));
       responseTime.observe({ route }, toSeconds(fields.milliseconds));
+      observeReplica(fields);
     }
     if (limiter.tryAcquire()) logger.info({ decision, ...fields }, "Request");
   };
 }
 
+/**
+ * Returns a function that records how well the time at a replica was predicted,
+ * for requests that were placed by it.
+ */
+function createReplicaTimeObserver(
+  registry: Registry,
+): (fields: LogFields) => void {
+  const ratio = new Histogram({
+    name: "filbertshore_replica_time_ratio",
+    help: "Measured time at a replica by the time expected there, by pool",
+    labelNames: ["pool"],
+    buckets: RATIO_BUCKETS,
+    registers: [registry],
+  });
+  const reportAge = new Histogram({
+    name: "filbertshore_load_report_age_seconds",
+    help: "Age of the load report by which a replica was chosen, by pool",
+    labelNames: ["pool"],
+    buckets: LATENCY_BUCKETS_SECONDS,
+    registers: [registry],
+  });
+  return (fields) => {
+    const {
+      attemptMilliseconds,
+      expectedMilliseconds,
+      pool,
+      reportAgeMilliseconds,
+    } = fields;
+    if (typeof pool !== "string") return;
+    if (reportAgeMilliseconds !== undefined) {
+      reportAge.observe({ pool }, toSeconds(reportAgeMilliseconds));
+    }
+    if (expectedMilliseconds === undefined) return;
+    ratio.observe(
+      { pool },
+      Number(attemptMilliseconds) / Math.max(1, Number(expectedMilliseconds)),
+    );
+  };
+}
+
 function toSeconds(milliseconds: unknown): number {
   return Number(milliseconds) / MILLISECONDS_PER_SECOND;
 }
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -75,7 +75,11 @@
   ExpectedTimes,
   queueFactor,
 } from "./placement/expected_times.ts";
-export { chooseServiceReplica } from "./placement/service_placement.ts";
+export {
+  chooseServiceReplica,
+  fastestReplica,
+  replicasToRefresh,
+} from "./placement/service_placement.ts";
 export { decodePosition, encodePosition } from "./store/log_position.ts";
 export {
   type KeyedRecord,
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -1,9 +1,12 @@
 import type { Result } from "neverthrow";
-import type {
-  ForwardAttemptOptions,
-  PromptWork,
-  RegisteredEndpoint,
-  ResponseHead,
+import {
+  type ExpectedTime,
+  type ForwardAttemptOptions,
+  type PromptWork,
+  queueFactor,
+  type RegisteredEndpoint,
+  type ResponseHead,
+  type SentRequestHandle,
 } from "../../core/forwarding/mod.ts";
 import type { ForwardContext } from "./forward_context.ts";
 import type {
@@ -21,11 +24,15 @@
 
 /** Approximate size of a request's head, in bytes. */
 export const REQUEST_HEAD_BYTES = 700;
+/** Lowest status of a response that is not the result of the work. */
+const FIRST_ERROR_STATUS = 400;
 
 export interface AttemptPlan {
   readonly endpoint: RegisteredEndpoint;
   readonly options: Omit<ForwardAttemptOptions, "endpoint">;
   readonly work: PromptWork;
+  /** Present if the replica was chosen by its expected time. */
+  readonly expected?: ExpectedTime;
 }
 
 /**
@@ -43,7 +50,9 @@
   readonly #knownCrashes: number;
   readonly #abort: () => void;
   readonly #endWork: () => void;
+  readonly #sentRequest: SentRequestHandle | undefined;
   #closed = false;
+  #hasHead = false;
 
   constructor(context: ForwardContext, plan: AttemptPlan) {
     const { dependencies, request } = context;
@@ -56,6 +65,8 @@
     this.endpoint = endpoint;
     const workHandle = dependencies.load.started(endpoint.id, plan.work);
     this.#endWork = () => workHandle.end();
+    this.#sentRequest = plan.expected &&
+      dependencies.sentRequests.started(endpoint.id);
     dependencies.availability.started(endpoint.id);
     dependencies.link.recordSent(request.body.length + REQUEST_HEAD_BYTES);
     const exchange = dependencies.endpointClient.send(request, {
@@ -93,6 +104,7 @@
     if (this.#closed) return;
     if (this.#isSameRun) {
       this.#dependencies.availability.recordAbandoned(this.endpoint.id);
+      this.#recordAbandonedService();
     }
     this.#close();
     this.#abort();
@@ -109,6 +121,7 @@
 
   #onHead(result: Result<EndpointResponse, ExchangeFailure>): void {
     if (this.#closed) return;
+    this.#hasHead = result.isOk();
     this.#recordCrashSignals(result);
     if (result.isOk() && result.value.head.leaving) this.#reportLeaving();
     if (this.#isSameRun) {
@@ -116,6 +129,7 @@
       if (result.isOk()) {
         this.#recordLimit(result.value.head);
         this.#recordLoad(result.value.head);
+        this.#recordServiceTime(result.value.head);
       }
     }
     if (result.isErr() || result.value.head.notExecuted) this.#close();
@@ -201,6 +215,41 @@
     });
   }
 
+  /**
+   * Records how long the replica took, without the time that the request had to
+   * wait for a slot. The smaller one of the two estimates of the queue is used,
+   * so that an overestimate does not make the replica look fast.
+   */
+  #recordServiceTime({ load, status }: ResponseHead): void {
+    const { expected } = this.#plan;
+    if (expected === undefined) return;
+    this.#sentRequest?.end();
+    if (status >= FIRST_ERROR_STATUS) return;
+    const { slots } = this.endpoint;
+    const reported = load === undefined
+      ? Infinity
+      : load.running + load.waiting;
+    const workAhead = Math.min(expected.workAhead, reported);
+    const { serviceTimes, timer } = this.#dependencies;
+    serviceTimes.record(this.endpoint, {
+      milliseconds: (timer.now() - this.#sentAt) /
+        queueFactor(workAhead, slots),
+      workFactor: load?.workFactor ?? expected.workFactor,
+    });
+  }
+
+  /** Records that the replica has not responded until now. */
+  #recordAbandonedService(): void {
+    const { expected } = this.#plan;
+    if (expected === undefined || this.#hasHead) return;
+    const { serviceTimes, timer } = this.#dependencies;
+    serviceTimes.recordIncomplete(this.endpoint, {
+      milliseconds: (timer.now() - this.#sentAt) /
+        queueFactor(expected.workAhead, this.endpoint.slots),
+      workFactor: expected.workFactor,
+    });
+  }
+
   #reportLeaving(): void {
     if (!this.#dependencies.reportLeaving(this.endpoint)) return;
     this.#context.report("endpoint_leaving", { endpoint: this.endpoint.id });
@@ -222,6 +271,7 @@
     if (this.#isSameRun) {
       this.#dependencies.availability.ended(this.endpoint.id);
     }
+    this.#sentRequest?.end();
     this.#endWork();
   }
 }
--- a/src/entry/forwarding/endpoint_signals_test.ts
+++ b/src/entry/forwarding/endpoint_signals_test.ts
@@ -104,6 +104,58 @@
 }
 
 describe("signals in an endpoint's responses", () => {
+  describe("load", () => {
+    const load = { running: 1, waiting: 0, slots: 6 };
+
+    async function placements(workFactor?: number) {
+      const setup = new SignalScenario();
+      for (const id of REPLICAS) {
+        setup.heads.set(id, {
+          load: { ...load, ...(workFactor !== undefined && { workFactor }) },
+        });
+      }
+      await setup.run(400);
+      const placed = setup.harness.decisions.filter(({ decision }) =>
+        decision === "placed"
+      );
+      return { placed, last: placed.at(-1) ?? {} };
+    }
+
+    // Operators compare the predicted with the measured time.
+    it("is logged with its age and the expected time of the request", async () => {
+      const { last } = await placements(1);
+      expect(last.reportAgeMilliseconds).to.be.a("number");
+      expect(last.expectedMilliseconds).to.be.a("number");
+    });
+
+    it("changes nothing where the replicas report no work factor", async () => {
+      const { last } = await placements();
+      expect(last).not.to.include.any.keys(
+        "reportAgeMilliseconds",
+        "expectedMilliseconds",
+      );
+    });
+
+    // A replica that fails quickly would look like the fastest one.
+    it("makes no replica attractive that fails", async () => {
+      const setup = new SignalScenario({ route: { repeat: "once" } });
+      const report = { ...load, workFactor: 1 };
+      for (const id of REPLICAS) setup.heads.set(id, { load: report });
+      setup.harness.onSend = (attempt) => {
+        const isFailing = attempt.options.endpoint === "a";
+        const head = { load: report, status: isFailing ? 500 : 200 };
+        const milliseconds = isFailing ? 1 : 15;
+        setup.harness.timer.after(
+          milliseconds,
+          () => void attempt.respond("done", head),
+        );
+      };
+      const endpoints = await setup.run(4_000);
+      const failing = endpoints.filter((each) => each === "a").length;
+      expect(failing / endpoints.length).to.be.lessThan(0.4);
+    });
+  });
+
   describe("leaving", () => {
     it("stops requests to it before the store reports it", async () => {
       const setup = new SignalScenario();
--- a/src/entry/forwarding/forwarding_dependencies.ts
+++ b/src/entry/forwarding/forwarding_dependencies.ts
@@ -9,6 +9,7 @@
   EngineEstimates,
   EnginePlacement,
   EngineSlowness,
+  ExpectedTimes,
   FleetLoad,
   ForwardedRequest,
   HeldPromptQueue,
@@ -18,6 +19,8 @@
   PrefixDirectory,
   ReturningCallers,
   RouteTable,
+  SentRequests,
+  ServiceTimes,
   SharedRetryBudget,
   WorkRate,
 } from "../../core/forwarding/mod.ts";
@@ -31,6 +34,7 @@
 import type { TimerService } from "../../core/time/mod.ts";
 import type { EndpointClient } from "./network_interfaces.ts";
 import type { ObserveForwarding } from "./observer.ts";
+import type { QueryAllowance } from "./query_allowance.ts";
 import type { RequestPermits } from "./request_permits.ts";
 
 export interface ForwardingDependencies {
@@ -51,6 +55,11 @@
   readonly limits: EndpointLimits;
   /** Load that endpoints have reported in their responses. */
   readonly loadReports: EndpointLoadReports;
+  /** Requests of this entry at replicas that report their load. */
+  readonly sentRequests: SentRequests;
+  /** Service times of replicas that report their load. */
+  readonly serviceTimes: ServiceTimes;
+  readonly expectedTimes: ExpectedTimes;
   /** Permits for requests to endpoints with a limit. */
   readonly permits: RequestPermits;
   /** Requests of this entry that wait for a permit. */
@@ -68,6 +77,8 @@
   readonly isLoadStale: () => boolean;
   /** Refreshes the load of these endpoints from their owners. */
   readonly refreshLoad: (endpoints: readonly EndpointId[]) => Promise<void>;
+  /** Limits the queries for the load of plain services. */
+  readonly queryAllowance: QueryAllowance;
   /** Estimated backlog of this entry's network link. */
   readonly link: LinkBacklog;
   /** Event loop delay of this process, in milliseconds. */
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -9,6 +9,7 @@
   EngineEstimates,
   EnginePlacement,
   EngineSlowness,
+  ExpectedTimes,
   FleetLoad,
   type ForwardedRequest,
   type ForwardingConfiguration,
@@ -23,6 +24,8 @@
   type RetryBudgetUsage,
   ReturningCallers,
   RouteTable,
+  SentRequests,
+  ServiceTimes,
   SharedRetryBudget,
   type TopicSpan,
   WorkRate,
@@ -47,6 +50,7 @@
   PeerStateFallback,
   type PeerStateFallbackOptions,
 } from "./peer_state_fallback.ts";
+import { QueryAllowance } from "./query_allowance.ts";
 import { RoleController, type RoleLink } from "./role_controller.ts";
 import { UsageReporter, type UsageReporterOptions } from "./usage_reporter.ts";
 import { USAGE_METHOD, USAGE_REPORTS_METHOD } from "./usage_notification.ts";
@@ -181,6 +185,8 @@
     const availability = new EndpointAvailability(timer);
     const limits = new EndpointLimits();
     const loadReports = new EndpointLoadReports();
+    const sentRequests = new SentRequests(timer);
+    const serviceTimes = new ServiceTimes(timer);
     const connections: EndpointStateHolder = {
       forget: ({ address }) => options.onEndpointRemoved(address),
     };
@@ -203,6 +209,8 @@
         crashes,
         limits,
         loadReports,
+        sentRequests,
+        serviceTimes,
         reportState,
         permitState,
         connections,
@@ -340,6 +348,15 @@
       crashes,
       limits,
       loadReports,
+      sentRequests,
+      serviceTimes,
+      expectedTimes: new ExpectedTimes({
+        timer,
+        load,
+        loadReports,
+        sentRequests,
+        serviceTimes,
+      }),
       permits: this.#permits,
       permitQueue: new PermitQueue(),
       onTimeWork: new WorkRate(timer),
@@ -349,6 +366,11 @@
       loopDelayMilliseconds: options.loopDelayMilliseconds,
       refreshLoad: (endpoints) => this.#loadQueries.refresh(endpoints),
       isLoadStale: () => this.peers.isLoadStale,
+      queryAllowance: new QueryAllowance({
+        timer,
+        entries: () => owners.liveCount,
+        endpoints: () => this.registry.size,
+      }),
       endpointClient: options.endpointClient,
       digestOf: options.digestOf,
       observe: options.observe,
--- a/src/entry/forwarding/mod.ts
+++ b/src/entry/forwarding/mod.ts
@@ -14,6 +14,7 @@
   type RequestPermitsOptions,
 } from "./request_permits.ts";
 export type { RegistrationChange } from "./registration_sync.ts";
+export { QueryAllowance } from "./query_allowance.ts";
 export { PeerExchange } from "./peer_exchange.ts";
 export type { OrderOutcome, RoleLink } from "./role_controller.ts";
 export type { ReportOutcome, UsageLink } from "./usage_reporter.ts";
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -1,11 +1,14 @@
 import {
   chooseServiceReplica,
   type DecodeChoice,
+  type ExpectedTime,
+  fastestReplica,
   isPrefillEngine,
   NO_PROMPT_WORK,
   type PrefilledPrompt,
   type Prompt,
   type RegisteredEndpoint,
+  replicasToRefresh,
 } from "../../core/forwarding/mod.ts";
 import type {
   AvailabilityZoneId,
@@ -71,6 +74,8 @@
 
 interface ServiceChoice {
   readonly endpoint: RegisteredEndpoint;
+  /** Present if the replica was chosen by its expected time. */
+  readonly expected?: ExpectedTime;
 }
 
 /** Next step after an attempt. */
@@ -99,6 +104,10 @@
   /** Time of the last send. */
   #sentAt = 0;
   #firstByteAt: number | undefined;
+  /** Measured and expected time of the last attempt at a replica. */
+  #service:
+    | { readonly milliseconds: number; readonly expected: ExpectedTime }
+    | undefined;
 
   constructor(
     dependencies: ForwardingDependencies,
@@ -159,7 +168,7 @@
     const choice = await this.#chooseService() ?? await this.#waitForService();
     if (choice === undefined) return undefined;
     return {
-      endpoint: choice.endpoint,
+      ...choice,
       work: NO_PROMPT_WORK,
       options: {
         deadlineMilliseconds: this.#context.remainingMilliseconds,
@@ -168,20 +177,51 @@
     };
   }
 
-  #chooseService(): Promise<ServiceChoice | undefined> {
+  async #chooseService(): Promise<ServiceChoice | undefined> {
+    const refreshed = await this.#refreshServiceLoad();
+    if (this.#context.settled) return undefined;
     const { dependencies } = this.#context;
-    return chooseWithPermit(this.#context, () => {
-      const healthy = dependencies.availability.filterHealthy(
-        this.#context.endpoints(),
-      );
-      const endpoint = chooseServiceReplica(
-        this.#context.preferUntried(healthy),
-        dependencies,
-      );
-      return endpoint && { endpoint };
+    return await chooseWithPermit(this.#context, () => {
+      const candidates = this.#serviceCandidates;
+      const withFreshLoad = candidates.filter(({ id }) => refreshed.has(id));
+      const endpoint = withFreshLoad.length > 0
+        ? fastestReplica(withFreshLoad, dependencies)
+        : chooseServiceReplica(candidates, dependencies);
+      return endpoint && { endpoint, ...this.#expectedTimeAt(endpoint) };
     });
   }
 
+  get #serviceCandidates(): readonly RegisteredEndpoint[] {
+    const { availability } = this.#context.dependencies;
+    return this.#context.preferUntried(
+      availability.filterHealthy(this.#context.endpoints()),
+    );
+  }
+
+  /** Refreshes the load of some replicas if it matters; returns their ids. */
+  async #refreshServiceLoad(): Promise<ReadonlySet<EndpointId>> {
+    const { dependencies, pool } = this.#context;
+    const mayRefresh = dependencies.loadReports.hasWorkFactor(pool.name) &&
+      dependencies.isLoadStale();
+    if (!mayRefresh) return new Set();
+    const refreshed = replicasToRefresh(this.#serviceCandidates, dependencies)
+      .map(({ id }) => id);
+    const isRefreshed = refreshed.length > 0 &&
+      dependencies.queryAllowance.take(refreshed.length);
+    if (!isRefreshed) return new Set();
+    await dependencies.refreshLoad(refreshed);
+    return new Set(refreshed);
+  }
+
+  #expectedTimeAt(
+    endpoint: RegisteredEndpoint,
+  ): Pick<ServiceChoice, "expected"> {
+    const { expectedTimes, loadReports } = this.#context.dependencies;
+    return loadReports.hasWorkFactor(endpoint.pool)
+      ? { expected: expectedTimes.predict(endpoint) }
+      : {};
+  }
+
   /** Waits if every replica is overloaded and one becomes available in time. */
   async #waitForService(): Promise<ServiceChoice | undefined> {
     const mayBecomeReady = this.#isOverloaded() ||
@@ -431,11 +471,14 @@
       endpoint: endpoint.id,
       openRequests: dependencies.load.total(endpoint.id).requests,
       handover: plan.options.prefilledPrompt !== undefined,
+      ...(plan.expected && placementFacts(plan.expected)),
     });
     const attempt = new ForwardAttempt(this.#context, plan);
     this.#attempt = attempt;
     this.#sentAt = dependencies.timer.now();
     const response = await attempt.answer;
+    const milliseconds = dependencies.timer.now() - this.#sentAt;
+    this.#service = plan.expected && { milliseconds, expected: plan.expected };
     if (this.#context.settled) return "delivered";
     if (response.isErr()) {
       this.#context.noteRejection(endpoint.id);
@@ -582,6 +625,11 @@
       firstByteMilliseconds: Math.round((this.#firstByteAt ?? 0) - arrived),
       milliseconds: Math.round(elapsedMilliseconds),
       sends,
+      ...(this.#service && {
+        pool: this.#context.pool.name,
+        attemptMilliseconds: Math.round(this.#service.milliseconds),
+        ...placementFacts(this.#service.expected),
+      }),
     });
     return "delivered";
   }
@@ -682,3 +730,13 @@
 function canDecode(endpoint: Pick<RegisteredEndpoint, "role">): boolean {
   return !isPrefillEngine(endpoint);
 }
+
+/** Facts about the choice of a replica by its expected time. */
+function placementFacts(expected: ExpectedTime): Record<string, unknown> {
+  const { isLearned, milliseconds, reportAgeMilliseconds } = expected;
+  return {
+    ...(isLearned && { expectedMilliseconds: Math.round(milliseconds) }),
+    ...(reportAgeMilliseconds !== undefined &&
+      { reportAgeMilliseconds: Math.round(reportAgeMilliseconds) }),
+  };
+}
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -9,6 +9,7 @@
   type EngineEstimates,
   EnginePlacement,
   EngineSlowness,
+  ExpectedTimes,
   FleetLoad,
   type ForwardAttemptOptions,
   type ForwardedRequest,
@@ -21,6 +22,8 @@
   type ResponseHead,
   ReturningCallers,
   RouteTable,
+  SentRequests,
+  ServiceTimes,
   SharedRetryBudget,
   WorkRate,
 } from "../../src/core/forwarding/mod.ts";
@@ -43,6 +46,7 @@
   forward,
   type ForwardingDependencies,
   type ForwardingRefusal,
+  QueryAllowance,
   RequestPermits,
 } from "../../src/entry/forwarding/mod.ts";
 
@@ -214,6 +218,9 @@
     const availabilityZone = identifier<AvailabilityZoneId>("zone-1");
     const registry = new EndpointRegistry({ timer });
     const limits = new EndpointLimits();
+    const loadReports = new EndpointLoadReports();
+    const sentRequests = new SentRequests(timer);
+    const serviceTimes = new ServiceTimes(timer);
     const self = identifier<ProcessId>("entry-0");
     this.dependencies = {
       timer,
@@ -244,7 +251,16 @@
       returningCallers: new ReturningCallers(timer),
       crashes: new CrashTracker({ timer }),
       limits,
-      loadReports: new EndpointLoadReports(),
+      loadReports,
+      sentRequests,
+      serviceTimes,
+      expectedTimes: new ExpectedTimes({
+        timer,
+        load,
+        loadReports,
+        sentRequests,
+        serviceTimes,
+      }),
       permits: new RequestPermits({
         self,
         timer,
@@ -263,6 +279,11 @@
       loopDelayMilliseconds: () => this.loopDelay,
       isLoadStale: () => false,
       refreshLoad: () => Promise.resolve(),
+      queryAllowance: new QueryAllowance({
+        timer,
+        entries: () => 1,
+        endpoints: () => registry.size,
+      }),
       endpointClient,
       digestOf,
       observe: (decision, facts) => {
