--- a/src/core/forwarding/estimates/mod.ts
+++ b/src/core/forwarding/estimates/mod.ts
@@ -17,3 +17,4 @@
   type PrefillSample,
   PrefillSpeed,
 } from "./prefill_speed.ts";
+export { type CompletedService, ServiceTimes } from "./service_time.ts";
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -41,6 +41,7 @@
   EngineSlowness,
   type PauseTotals,
   type PrefillSpeedReport,
+  ServiceTimes,
   type StreamPauses,
   WorkRate,
 } from "./estimates/mod.ts";
@@ -52,6 +53,10 @@
   EndpointLoadReports,
   type LoadObservation,
 } from "./endpoints/load_reports.ts";
+export {
+  type SentRequestHandle,
+  SentRequests,
+} from "./endpoints/sent_requests.ts";
 export {
   addWork,
   encodeWork,
@@ -73,7 +78,16 @@
   EnginePlacement,
   isPrefillEngine,
 } from "./placement/engine_placement.ts";
-export { chooseServiceReplica } from "./placement/service_placement.ts";
+export {
+  type ExpectedTime,
+  ExpectedTimes,
+  queueFactor,
+} from "./placement/expected_times.ts";
+export {
+  chooseServiceReplica,
+  fastestReplica,
+  replicasToRefresh,
+} from "./placement/service_placement.ts";
 export { decodePosition, encodePosition } from "./store/log_position.ts";
 export {
   type KeyedRecord,
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -10,6 +10,7 @@
   EngineEstimates,
   EnginePlacement,
   EngineSlowness,
+  ExpectedTimes,
   FleetLoad,
   type ForwardedRequest,
   type ForwardingConfiguration,
@@ -25,6 +26,8 @@
   type RetryBudgetUsage,
   ReturningCallers,
   RouteTable,
+  SentRequests,
+  ServiceTimes,
   SharedRetryBudget,
   type TopicSpan,
   WorkRate,
@@ -49,6 +52,7 @@
   PeerStateFallback,
   type PeerStateFallbackOptions,
 } from "./peer_state_fallback.ts";
+import { QueryAllowance } from "./query_allowance.ts";
 import { RoleController, type RoleLink } from "./role_controller.ts";
 import { UsageReporter, type UsageReporterOptions } from "./usage_reporter.ts";
 import { USAGE_METHOD, USAGE_REPORTS_METHOD } from "./usage_notification.ts";
@@ -59,6 +63,7 @@
   ROLES_METHOD,
   type SendToPeers,
 } from "./peer_exchange.ts";
+import { LoadReportExchange } from "./load_report_exchange.ts";
 import {
   LOAD_ANSWER_METHOD,
   LOAD_QUERY_METHOD,
@@ -190,12 +195,17 @@
     const availability = new EndpointAvailability(timer);
     const limits = new EndpointLimits();
     const loadReports = new EndpointLoadReports(options);
+    const sentRequests = new SentRequests(timer);
+    const serviceTimes = new ServiceTimes(timer);
     const connections: EndpointStateHolder = {
       forget: ({ address }) => options.onEndpointRemoved(address),
     };
     const orders: EndpointStateHolder = {
       forget: (endpoint) => this.#roleController?.forget(endpoint),
     };
+    const reportState: EndpointStateHolder = {
+      forget: (endpoint) => reportExchange.forget(endpoint),
+    };
     const permitState: EndpointStateHolder = {
       forget: (endpoint) => this.#permits.forget(endpoint),
     };
@@ -210,6 +220,9 @@
         crashes,
         limits,
         loadReports,
+        sentRequests,
+        serviceTimes,
+        reportState,
         permitState,
         connections,
         orders,
@@ -232,12 +245,19 @@
     });
     const self = identifier<ProcessId>(options.process);
     const owners = new LoadOwners({ self, timer });
+    const reportExchange = new LoadReportExchange({
+      timer,
+      registry: this.registry,
+      loadReports,
+      entries: () => owners.liveCount,
+    });
     this.#loadQueries = new LoadQueries({
       self,
       timer,
       registry: this.registry,
       load,
       owners,
+      reportExchange,
       send: (peer, notification) => this.peers.sendTo(peer, notification),
       onOutcome: options.onLoadQuery,
     });
@@ -271,6 +291,7 @@
       registry: this.registry,
       load,
       owners,
+      reportExchange,
       prefixes,
       estimates,
       returningCallers,
@@ -340,6 +361,15 @@
       crashes,
       limits,
       loadReports,
+      sentRequests,
+      serviceTimes,
+      expectedTimes: new ExpectedTimes({
+        timer,
+        load,
+        loadReports,
+        sentRequests,
+        serviceTimes,
+      }),
       permits: this.#permits,
       permitQueue: new PermitQueue(),
       onTimeWork: new WorkRate(timer),
@@ -350,6 +380,11 @@
       loopDelayMilliseconds: options.loopDelayMilliseconds,
       refreshLoad: (endpoints) => this.#loadQueries.refresh(endpoints),
       isLoadStale: () => this.peers.isLoadStale,
+      queryAllowance: new QueryAllowance({
+        timer,
+        entries: () => owners.liveCount,
+        endpoints: () => this.registry.size,
+      }),
       endpointClient: options.endpointClient,
       digestOf: options.digestOf,
       observe: options.observe,
