Judge endpoints by the outcomes of all entries

29 entries in front of 42 replicas rarely see eight attempts of one replica in time: five failing replicas cost 130 responses in 9 s. Adds the counts that an entry reports, a sequential test that weighs failures against the usual failure rate of their kind of request, verdicts with one probe, and the bound of a third. EndpointAvailability applies verdicts; without them it works as before.

--- a/src/core/forwarding/endpoints/endpoint_availability.ts
+++ b/src/core/forwarding/endpoints/endpoint_availability.ts
@@ -1,6 +1,7 @@
 import type { EndpointId } from "../../identity/mod.ts";
 import { EndpointHealth, type HealthLimits } from "../../placement/mod.ts";
 import type { TimerService } from "../../time/mod.ts";
+import type { FleetVerdicts } from "./fleet_verdicts.ts";
 
 /**
  * Limits of the ejection by outcomes. A replica may fail some of its requests
@@ -54,20 +55,34 @@
   silentSince: number;
 }
 
+/** The fleet's judgement of endpoints, for pools that use it. */
+export interface FleetJudgement {
+  readonly verdicts: FleetVerdicts;
+  /**
+   * True if an owner that was heard recently judges the endpoint for all
+   * entries.
+   */
+  readonly isJudged: (endpoint: EndpointId) => boolean;
+}
+
 /**
  * Tracks the outcomes of attempts, and skips endpoints that fail, refuse
- * connections, reject requests or do not respond.
+ * connections, reject requests or do not respond. Failures of an endpoint that
+ * the fleet judges are left to its verdicts.
  */
 export class EndpointAvailability {
   readonly #timer: TimerService;
+  readonly #fleet: FleetJudgement | undefined;
   readonly #states = new Map<EndpointId, EndpointState>();
   /**
    * Time until which an endpoint accepts no requests, as announced by itself.
    */
   readonly #overloadedUntil = new Map<EndpointId, number>();
 
-  constructor(timer: TimerService) {
+  /** Without the fleet's judgement, this entry judges by itself. */
+  constructor(timer: TimerService, fleet?: FleetJudgement) {
     this.#timer = timer;
+    this.#fleet = fleet;
   }
 
   /**
@@ -75,8 +90,9 @@
    * healthy.
    */
   filterHealthy<Endpoint extends { readonly id: EndpointId }>(
-    endpoints: readonly Endpoint[],
+    all: readonly Endpoint[],
   ): readonly Endpoint[] {
+    const endpoints = this.#fleet?.verdicts.filterAdmitted(all) ?? all;
     // Most endpoints of a large pool have received no request from this entry.
     const isAnyKnown = endpoints.some(({ id }) => this.#states.has(id));
     if (!isAnyKnown) return endpoints;
@@ -215,7 +231,8 @@
     const isSilent = state.openAttempts > 0 &&
       now - state.silentSince > RESPONSE_TIMEOUT_MILLISECONDS;
     if (isSilent) return false;
-    return !state.health.ejected || state.health.mayProbe(now);
+    return !state.health.ejected || state.health.mayProbe(now) ||
+      this.#fleet?.isJudged(id) === true;
   }
 
   #stateOf(id: EndpointId): EndpointState {
--- a/src/core/forwarding/endpoints/load_owners.ts
+++ b/src/core/forwarding/endpoints/load_owners.ts
@@ -75,6 +75,13 @@
       this.#self;
   }
 
+  /** True if the entry is this one or has sent a message within this time. */
+  wasHeardWithin(name: ProcessId, milliseconds: number): boolean {
+    if (name === this.#self) return true;
+    const receivedAt = this.#peers.get(name)?.lastReceivedAt ?? -Infinity;
+    return receivedAt >= this.#timer.now() - milliseconds;
+  }
+
   /** The live entries including this one, the best owner first. */
   liveRanking(subject: string): readonly ProcessId[] {
     return this.#ranking(subject).filter((name) => this.#isLive(name));
@@ -87,9 +94,7 @@
   }
 
   #isLive(name: ProcessId): boolean {
-    if (name === this.#self) return true;
-    const receivedAt = this.#peers.get(name)?.lastReceivedAt ?? -Infinity;
-    return receivedAt >= this.#timer.now() - LIVENESS_TIMEOUT_MILLISECONDS;
+    return this.wasHeardWithin(name, LIVENESS_TIMEOUT_MILLISECONDS);
   }
 
   /**
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -60,7 +60,31 @@
   PrefixDirectory,
   type PromptPart,
 } from "./caches/prefix_directory.ts";
-export { EndpointAvailability } from "./endpoints/endpoint_availability.ts";
+export {
+  EndpointAvailability,
+  type FleetJudgement,
+} from "./endpoints/endpoint_availability.ts";
+export { FailureEvidence } from "./endpoints/failure_evidence.ts";
+export { FleetVerdicts } from "./endpoints/fleet_verdicts.ts";
+export {
+  OutcomeJudge,
+  type VerdictChange,
+  type VerdictEvent,
+} from "./endpoints/outcome_judge.ts";
+export {
+  type AttemptResult,
+  kindOfRequest,
+  type OutcomeCounts,
+  OutcomeReports,
+} from "./endpoints/outcome_reports.ts";
+export {
+  decodeOutcomes,
+  encodeOutcomes,
+  isOutcomeRows,
+  isVerdictRows,
+  type OutcomeRow,
+  type VerdictRow,
+} from "./endpoints/outcome_rows.ts";
 export {
   EnginePlacement,
   isPrefillEngine,
