Report outcomes to the owners of endpoints and apply their verdicts

Entries add the outcomes of their attempts to the reports of open work, owners broadcast verdicts and probe, and a retry avoids the replica that failed the request. Takes effect for pools whose replicas send a work factor.

--- a/src/adapters/telemetry/forwarding_telemetry.ts
+++ b/src/adapters/telemetry/forwarding_telemetry.ts
@@ -1,6 +1,9 @@
 /** Logs and metrics of the forwarding path. */
 import { Counter, Gauge, Histogram, type Registry } from "prom-client";
-import type { RetryBudgetUsage } from "../../core/forwarding/mod.ts";
+import type {
+  RetryBudgetUsage,
+  VerdictChange,
+} from "../../core/forwarding/mod.ts";
 import type { Logger } from "../../core/observation/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
 import type {
@@ -166,6 +169,34 @@
   });
 }
 
+/** Returns a function that counts changes of verdicts on endpoints. */
+export function createVerdictCounter(
+  registry: Registry,
+): (change: VerdictChange) => void {
+  const verdicts = new Counter({
+    name: "filbertshore_endpoint_verdicts_total",
+    help: "Changes of verdicts on failing endpoints that this entry formed",
+    labelNames: ["change"],
+    registers: [registry],
+  });
+  return (change) => verdicts.inc({ change });
+}
+
+/** Exports the number of endpoints that get no work because they fail. */
+export function registerTakenOutEndpointsGauge(
+  registry: Registry,
+  endpointsTakenOut: () => number,
+): void {
+  new Gauge({
+    name: "filbertshore_endpoints_taken_out",
+    help: "Endpoints with a verdict in force, as known to this entry",
+    registers: [registry],
+    collect() {
+      this.set(endpointsTakenOut());
+    },
+  });
+}
+
 /** Returns a function that logs and counts decisions of the forwarding path. */
 export function createForwardingObserver(
   options: ForwardingObserverOptions,
--- a/src/adapters/telemetry/mod.ts
+++ b/src/adapters/telemetry/mod.ts
@@ -11,9 +11,11 @@
   createPermitCounter,
   createUnreadableRegistrationCounter,
   createUsageReportCounter,
+  createVerdictCounter,
   registerBlockedRequestsGauge,
   registerLimitedEndpointsGauge,
   registerRetryGauges,
+  registerTakenOutEndpointsGauge,
   registerUsageFencingGauge,
 } from "./forwarding_telemetry.ts";
 export { createTracing, type Tracing, type TracingOptions } from "./tracing.ts";
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -11,6 +11,7 @@
   EndpointResponse,
   ExchangeFailure,
 } from "./network_interfaces.ts";
+import type { AttemptOutcome } from "./fleet_outcomes.ts";
 import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
 
 /**
@@ -43,6 +44,7 @@
   readonly #knownCrashes: number;
   readonly #abort: () => void;
   readonly #endWork: () => void;
+  readonly #outcome: AttemptOutcome;
   #closed = false;
 
   constructor(context: ForwardContext, plan: AttemptPlan) {
@@ -57,6 +59,10 @@
     const workHandle = dependencies.load.started(endpoint.id, plan.work);
     this.#endWork = () => workHandle.end();
     dependencies.availability.started(endpoint.id);
+    this.#outcome = dependencies.outcomes.started(endpoint, {
+      route: context.route.name,
+      isPrefill: plan.options.prefillOnly === true,
+    });
     dependencies.link.recordSent(request.body.length + REQUEST_HEAD_BYTES);
     const exchange = dependencies.endpointClient.send(request, {
       ...plan.options,
@@ -81,6 +87,9 @@
       if (end === "whole" && status < 500) {
         availability.recordSuccess(this.endpoint.id);
       } else availability.failed(this.endpoint.id);
+      const hasCompleted = end === "whole" && status < 500;
+      const lostOrFailed = end === "cut" ? "lost" : "failed";
+      this.#outcome.end(hasCompleted ? "completed" : lostOrFailed);
     }
     this.#close();
   }
@@ -160,6 +169,7 @@
     const { availability } = this.#dependencies;
     const { id } = this.endpoint;
     if (result.isErr()) {
+      this.#outcome.end("lost");
       if (result.error.name !== "exchange_not_sent") {
         return availability.failed(id);
       }
@@ -170,7 +180,10 @@
     if (retryAfterMilliseconds !== undefined) {
       return this.#recordOverload(retryAfterMilliseconds);
     }
-    if (!notExecuted) return;
+    if (!notExecuted) {
+      if (status < 500) this.#outcome.recordResponse();
+      return;
+    }
     if (status === MISDIRECTED_STATUS) availability.recordMisdirected(id);
     else availability.recordRejection(id);
   }
@@ -219,6 +232,7 @@
 
   #close(): void {
     this.#closed = true;
+    this.#outcome.end("inconclusive");
     if (this.#isSameRun) {
       this.#dependencies.availability.ended(this.endpoint.id);
     }
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -255,6 +255,31 @@
     this.#rejectedBy.add(endpoint);
   }
 
+  /**
+   * Records that the endpoint failed this request. In pools whose outcomes are
+   * judged across the fleet, a retry avoids it.
+   */
+  noteFailure(endpoint: RegisteredEndpoint): void {
+    if (this.dependencies.outcomes.isInUse(endpoint)) {
+      this.noteRejection(endpoint.id);
+    }
+  }
+
+  /** Returns the endpoint that this request has to probe, if one is due. */
+  claimProbe(
+    endpoints: readonly RegisteredEndpoint[],
+  ): RegisteredEndpoint | undefined {
+    const { availability, outcomes } = this.dependencies;
+    if (!outcomes.hasOwnVerdicts) return undefined;
+    const { mostAttempts, repeat, resumable } = this.route;
+    const isRepeatable = mostAttempts > 1 &&
+      (repeat === "idempotent" || (repeat === "stream" && resumable));
+    const reachable = this.withoutRejecting(endpoints).filter((each) =>
+      availability.filterHealthy([each]).length > 0
+    );
+    return outcomes.claimProbe(reachable, { isRepeatable });
+  }
+
   /** Prefers endpoints that have not rejected this request. */
   preferUntried(
     endpoints: readonly RegisteredEndpoint[],
--- a/src/entry/forwarding/forwarding_dependencies.ts
+++ b/src/entry/forwarding/forwarding_dependencies.ts
@@ -29,6 +29,7 @@
 } from "../../core/identity/mod.ts";
 import type { Random } from "../../core/random/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
+import type { FleetOutcomes } from "./fleet_outcomes.ts";
 import type { EndpointClient } from "./network_interfaces.ts";
 import type { ObserveForwarding } from "./observer.ts";
 import type { RequestPermits } from "./request_permits.ts";
@@ -41,6 +42,8 @@
   readonly load: FleetLoad;
   readonly prefixes: PrefixDirectory;
   readonly availability: EndpointAvailability;
+  /** Outcomes of attempts that the endpoints' owners judge for all entries. */
+  readonly outcomes: FleetOutcomes;
   readonly placement: EnginePlacement;
   readonly estimates: EngineEstimates;
   readonly slowness: EngineSlowness;
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -25,6 +25,7 @@
   RouteTable,
   SharedRetryBudget,
   type TopicSpan,
+  type VerdictChange,
   WorkRate,
 } from "../../core/forwarding/mod.ts";
 import {
@@ -37,6 +38,7 @@
 import type { Logger } from "../../core/observation/mod.ts";
 import type { Random } from "../../core/random/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
+import { FleetOutcomes } from "./fleet_outcomes.ts";
 import { forward } from "./forward.ts";
 import type { CallerSink, EndpointClient } from "./network_interfaces.ts";
 import type { ObserveForwarding } from "./observer.ts";
@@ -121,6 +123,8 @@
   readonly onLoadQuery: (outcome: LoadQueryOutcome) => void;
   /** Called with the outcome of each request for a permit. */
   readonly onPermit: (outcome: PermitOutcome) => void;
+  /** Called for each change of a verdict on an endpoint formed here. */
+  readonly onVerdict?: (change: VerdictChange) => void;
   /** Persists a blocked request for entries that start while no other runs. */
   readonly persistBlocked: (blocked: BlockedRequest) => void;
   /** Removes a persisted request that has completed since it was blocked. */
@@ -177,9 +181,10 @@
       },
       onCleared: (digest) => options.removeBlocked(digest),
     });
-    const availability = new EndpointAvailability(timer);
     const limits = new EndpointLimits();
     const loadReports = new EndpointLoadReports();
+    const self = identifier<ProcessId>(options.process);
+    const owners = new LoadOwners({ self, timer });
     const connections: EndpointStateHolder = {
       forget: ({ address }) => options.onEndpointRemoved(address),
     };
@@ -189,12 +194,18 @@
     const permitState: EndpointStateHolder = {
       forget: (endpoint) => this.#permits.forget(endpoint),
     };
+    const outcomeState: EndpointStateHolder = {
+      forget: (endpoint) => {
+        availability.forget(endpoint);
+        outcomes.forget(endpoint);
+      },
+    };
     this.registry = new EndpointRegistry({
       timer,
       stateHolders: [
         load,
         prefixes,
-        availability,
+        outcomeState,
         slowness,
         crashes,
         limits,
@@ -209,6 +220,20 @@
         if (change === "registered") this.#survey.onEngineSeen(endpoint);
       },
     });
+    const outcomes = new FleetOutcomes({
+      self,
+      timer,
+      registry: this.registry,
+      loadReports,
+      owners,
+      logger: options.logger,
+      broadcast: (verdicts) => this.peers.broadcastVerdicts(verdicts),
+      onVerdict: (change) => options.onVerdict?.(change),
+    });
+    const availability = new EndpointAvailability(timer, {
+      verdicts: outcomes.verdicts,
+      isJudged: (endpoint) => outcomes.isJudged(endpoint),
+    });
     this.#survey = new PrefixCacheSurvey({
       timer,
       random,
@@ -219,8 +244,6 @@
       entries: () => this.entriesSharingLimits,
       isNeeded: !options.isFirstStart,
     });
-    const self = identifier<ProcessId>(options.process);
-    const owners = new LoadOwners({ self, timer });
     this.#loadQueries = new LoadQueries({
       self,
       timer,
@@ -265,6 +288,7 @@
       returningCallers,
       crashes,
       limits,
+      outcomes,
       version: () => this.configuration?.version,
       onVersion: (version) => this.peerStateFallback.onPeerVersion(version),
     });
@@ -307,6 +331,7 @@
       load,
       prefixes,
       availability,
+      outcomes,
       placement: new EnginePlacement({
         availabilityZone: options.availabilityZone,
         load,
@@ -387,6 +412,11 @@
     return this.#dependencies.limits.size;
   }
 
+  /** Number of verdicts on endpoints that are in force here. */
+  get endpointsTakenOut(): number {
+    return this.#dependencies.outcomes.verdicts.size;
+  }
+
   /**
    * Fencing token of this entry's usage reports; absent if another entry
    * reports.
--- a/src/entry/forwarding/forwarding_entry_test.ts
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -23,6 +23,7 @@
 import { NOOP_LOGGER } from "../../core/observation/mod.ts";
 import { ManualTimerService } from "../../core/time/mod.ts";
 import { ForwardingEntry, type RoleLink } from "./mod.ts";
+import { FleetOutcomes } from "./fleet_outcomes.ts";
 import { RoleController } from "./role_controller.ts";
 
 /** A log that never responds, so that no order is given. */
@@ -103,6 +104,7 @@
   "open work": FleetLoad,
   "cached prefixes": PrefixDirectory,
   outcomes: EndpointAvailability,
+  "fleet outcomes": FleetOutcomes,
   slowness: EngineSlowness,
   crashes: CrashTracker,
   orders: RoleController,
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -12,6 +12,8 @@
   type LoadOwners,
   type PrefixDirectory,
   type ReturningCallers,
+  type VerdictRow,
+  type WorkReport,
 } from "../../core/forwarding/mod.ts";
 import {
   type EndpointId,
@@ -19,6 +21,7 @@
   type ProcessId,
 } from "../../core/identity/mod.ts";
 import type { Subscription, TimerService } from "../../core/time/mod.ts";
+import type { FleetOutcomes } from "./fleet_outcomes.ts";
 import { decodePrompt, encodePrompt } from "./prompt_encoding.ts";
 import {
   isCrashReport,
@@ -75,6 +78,7 @@
   readonly returningCallers: ReturningCallers;
   readonly crashes: CrashTracker;
   readonly limits: EndpointLimits;
+  readonly outcomes: FleetOutcomes;
   readonly sendToPeers: SendToPeers;
   /** Version of the configuration in force here. */
   readonly version: () => number | undefined;
@@ -166,6 +170,11 @@
     this.#options.sendToPeers(this.#addresses, { method, params });
   }
 
+  /** Sends verdicts on endpoints to all peers. */
+  broadcastVerdicts(verdicts: readonly VerdictRow[]): void {
+    this.broadcast(WORK_METHOD, { ...this.#baseNotification(false), verdicts });
+  }
+
   /** Sends a notification to one peer. */
   sendTo(
     peer: ProcessId,
@@ -181,12 +190,13 @@
     if (!isWorkNotification(params)) return;
     if (params.entry === this.#options.process) return;
     if (!this.#peers.has(params.entry)) this.#options.onUnlistedPeer();
-    this.#options.owners.recordMessage(identifier(params.entry));
+    const sender = identifier<ProcessId>(params.entry);
+    this.#options.owners.recordMessage(sender);
     if (params.clock !== undefined) {
-      this.#options.onClock?.(identifier(params.entry), params.clock);
+      this.#options.onClock?.(sender, params.clock);
     }
     if (params.version !== undefined) this.#options.onVersion(params.version);
-    const { estimates, load, prefixes, registry } = this.#options;
+    const { estimates, load, outcomes, prefixes, registry } = this.#options;
     for (const speed of params.speeds ?? []) estimates.recordPeerReport(speed);
     load.applyPeerReport(params.entry, {
       ...params,
@@ -207,7 +217,12 @@
       this.#options.crashes.recordPeerLoss(loss);
     }
     for (const limit of params.limits ?? []) this.#applyLimit(limit);
-    if (this.#isNewProcess(params)) this.#onPeerStart(identifier(params.entry));
+    if (params.outcomes !== undefined) {
+      const { work } = params;
+      outcomes.onReport(sender, { work, outcomes: params.outcomes });
+    }
+    outcomes.applyVerdicts(sender, params.verdicts ?? []);
+    if (this.#isNewProcess(params)) this.#onPeerStart(sender);
   }
 
   /** Applies a peer's report of requests that were lost with endpoints. */
@@ -270,6 +285,7 @@
       estimates,
       limits,
       load,
+      outcomes,
       prefixes,
       registry,
       returningCallers,
@@ -279,14 +295,22 @@
     const isFull =
       now - this.#lastFullReportAt >= FULL_REPORT_INTERVAL_MILLISECONDS;
     const hasUnreported = load.hasUnreported ||
-      returningCallers.hasUnreported || limits.hasUnreported;
+      returningCallers.hasUnreported || limits.hasUnreported ||
+      outcomes.hasUnrepeatedVerdicts;
     if (!isFull && !hasUnreported) return;
     if (isFull) this.#lastFullReportAt = now;
+    const work = withRuns(
+      registry,
+      this.#withUnreportedOutcomes(load.report({ whole: isFull })),
+    );
+    const verdicts = outcomes.takeVerdicts({ isFull });
     const losses = isFull ? crashes.reports.recentLosses() : [];
     this.broadcast(WORK_METHOD, {
       ...this.#baseNotification(isFull),
       version: this.#options.version(),
-      work: withRuns(registry, load.report({ whole: isFull })),
+      work,
+      ...(!this.isLoadStale && this.#outcomesAt(work)),
+      ...(verdicts.length > 0 && { verdicts }),
       prompts: prefixes.takeUnreported().map(encodePrompt),
       refusals: returningCallers.takeUnreported(),
       ...(losses.length > 0 && { losses }),
@@ -299,6 +323,26 @@
     });
   }
 
+  /**
+   * Adds the endpoints with outcomes to a report of open work, where no other
+   * report goes to their owners.
+   */
+  #withUnreportedOutcomes(report: WorkReport): WorkReport {
+    if (this.isLoadStale) return report;
+    const { load, outcomes } = this.#options;
+    const reported = new Set(report.map(([endpoint]) => endpoint));
+    const others = [...outcomes.unreported].filter((id) => !reported.has(id));
+    return others.length === 0 ? report : [...report, ...load.reportOf(others)];
+  }
+
+  /** Takes the outcomes at the endpoints of these rows, if there are any. */
+  #outcomesAt(
+    work: WorkNotification["work"],
+  ): Pick<WorkNotification, "outcomes"> {
+    const outcomes = this.#options.outcomes.takeRows(work);
+    return outcomes.length === 0 ? {} : { outcomes };
+  }
+
   /** An empty notification with the next sequence number. */
   #baseNotification(isFull: boolean): WorkNotification {
     const { incarnation, process } = this.#options;
@@ -352,7 +396,11 @@
       )
     ) {
       const work = withRuns(registry, load.reportOf(endpoints));
-      const params = { ...this.#baseNotification(false), work };
+      const params = {
+        ...this.#baseNotification(false),
+        work,
+        ...this.#outcomesAt(work),
+      };
       this.sendTo(owner, { method: WORK_METHOD, params });
     }
     this.#changedEndpoints.clear();
--- a/src/entry/forwarding/prompt_admission.ts
+++ b/src/entry/forwarding/prompt_admission.ts
@@ -1,6 +1,7 @@
 import {
   decideAdmission,
   type HeldPrompt,
+  isPrefillEngine,
   type PrefillCandidates,
   type PrefillChoice,
   type Prompt,
@@ -97,6 +98,8 @@
 ): Promise<PrefillCandidates> {
   const { dependencies, pool } = context;
   const engines = context.preferUntried(context.endpoints());
+  const probed = context.claimProbe(engines.filter(isPrefillEngine));
+  if (probed !== undefined) return { engines, pool, prefillEngines: [probed] };
   if (!dependencies.isLoadStale()) return { engines, pool };
   const refreshed = dependencies.placement.prefillEnginesToRefresh(
     prompt,
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -171,9 +171,10 @@
   #chooseService(): Promise<ServiceChoice | undefined> {
     const { dependencies } = this.#context;
     return chooseWithPermit(this.#context, () => {
-      const healthy = dependencies.availability.filterHealthy(
-        this.#context.endpoints(),
-      );
+      const endpoints = this.#context.endpoints();
+      const probed = this.#context.claimProbe(endpoints);
+      if (probed !== undefined) return { endpoint: probed };
+      const healthy = dependencies.availability.filterHealthy(endpoints);
       const endpoint = chooseServiceReplica(
         this.#context.preferUntried(healthy),
         dependencies,
@@ -355,9 +356,10 @@
         decodeEngines,
         requiresCapacity,
       );
-      const withFreshLoad = decodeCandidates.filter(({ id }) =>
-        refreshed.has(id)
-      );
+      const probed = this.#context.claimProbe(decodeCandidates);
+      const withFreshLoad = probed !== undefined
+        ? [probed]
+        : decodeCandidates.filter(({ id }) => refreshed.has(id));
       return dependencies.placement.chooseDecode(
         withFreshLoad.length > 0 ? withFreshLoad : decodeCandidates,
         {
@@ -512,6 +514,7 @@
     const mayRetry = head.status >= 500 && this.#mayRunAgain() &&
       this.#mayResend(`status ${head.status}`);
     if (mayRetry) {
+      this.#context.noteFailure(attempt.endpoint);
       discard(response, attempt);
       return "again";
     }
@@ -520,6 +523,7 @@
     if (this.#context.settled) return "delivered";
     if (end === "whole") return this.#finish(head.status);
     if (end === "mismatch") this.#reportMismatch(response);
+    this.#context.noteFailure(attempt.endpoint);
     return this.#afterBrokenResponse();
   }
 
@@ -531,6 +535,7 @@
     this.#reportMismatch(response);
     if (response.head.status >= 500) discard(response, attempt);
     else attempt.abort();
+    this.#context.noteFailure(attempt.endpoint);
     return this.#afterBrokenResponse();
   }
 
--- a/src/entry/forwarding/work_notification.ts
+++ b/src/entry/forwarding/work_notification.ts
@@ -3,12 +3,16 @@
   type CrashReport,
   type EndpointRegistry,
   isLimitReport,
+  isOutcomeRows,
   isReportedLoss,
+  isVerdictRows,
   type LimitReport,
+  type OutcomeRow,
   type PeerWork,
   type PrefillSpeedReport,
   type RefusalReport,
   type ReportedLoss,
+  type VerdictRow,
   type WorkReport,
 } from "../../core/forwarding/mod.ts";
 import {
@@ -47,6 +51,10 @@
    * is lost, its receivers learn the limit from the endpoint's next response.
    */
   readonly limits?: readonly LimitReport[];
+  /** Outcomes since the last report at endpoints that the receiver owns. */
+  readonly outcomes?: readonly OutcomeRow[];
+  /** Changes of the sender's verdicts, or all with a full report. */
+  readonly verdicts?: readonly VerdictRow[];
 }
 
 /**
@@ -94,10 +102,12 @@
     incarnation,
     limits,
     losses,
+    outcomes,
     prompts,
     refusals,
     sequence,
     speeds,
+    verdicts,
     version,
     work,
   } = value as Record<string, unknown>;
@@ -108,7 +118,10 @@
   const hasLimits = limits === undefined ||
     (Array.isArray(limits) && limits.every(isLimitReport));
   const isClock = clock === undefined || Number.isFinite(clock);
+  const hasOutcomes = outcomes === undefined || isOutcomeRows(outcomes);
+  const hasVerdicts = verdicts === undefined || isVerdictRows(verdicts);
   return isVersion && isClock && hasSpeeds && hasLosses && hasLimits &&
+    hasOutcomes && hasVerdicts &&
     typeof entry === "string" &&
     typeof incarnation === "string" &&
     typeof sequence === "number" &&
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -29,6 +29,7 @@
   identifier,
   type ProcessId,
 } from "../../src/core/identity/mod.ts";
+import { NOOP_LOGGER } from "../../src/core/observation/mod.ts";
 import { seededRandom } from "../../src/core/random/mod.ts";
 import { digestOf } from "../../src/adapters/forwarding/mod.ts";
 import { knownEstimates } from "./forwarding_fixtures.ts";
@@ -40,6 +41,7 @@
   type EndpointResponse,
   type Exchange,
   type ExchangeFailure,
+  FleetOutcomes,
   forward,
   type ForwardingDependencies,
   type ForwardingRefusal,
@@ -215,6 +217,8 @@
     const registry = new EndpointRegistry({ timer });
     const limits = new EndpointLimits();
     const self = identifier<ProcessId>("entry-0");
+    const owners = new LoadOwners({ self, timer });
+    const loadReports = new EndpointLoadReports();
     this.dependencies = {
       timer,
       random,
@@ -244,13 +248,23 @@
       returningCallers: new ReturningCallers(timer),
       crashes: new CrashTracker({ timer }),
       limits,
-      loadReports: new EndpointLoadReports(),
+      loadReports,
+      outcomes: new FleetOutcomes({
+        self,
+        timer,
+        registry,
+        loadReports,
+        owners,
+        logger: NOOP_LOGGER,
+        broadcast() {},
+        onVerdict() {},
+      }),
       permits: new RequestPermits({
         self,
         timer,
         limits,
         registry,
-        owners: new LoadOwners({ self, timer }),
+        owners,
         send() {},
         share: () => 1,
         onOutcome() {},
