--- a/src/entry/forwarding/fleet_outcomes_test.ts
+++ b/src/entry/forwarding/fleet_outcomes_test.ts
@@ -280,7 +280,7 @@
   }).timeout(60_000);
 
   // A verdict arrives after the replica has restarted under its id.
-  it("do not count for another run of the endpoint", async () => {
+  it("do not count for another run of the endpoint", () => {
     const scenario = new Scenario({ entries: 2, replicas: 6 });
     const [entry] = scenario.fleet.entries;
     const startedAt = numbered<ReplicaStartTime>(2_000);
