--- a/src/adapters/telemetry/mod.ts
+++ b/src/adapters/telemetry/mod.ts
@@ -11,10 +11,12 @@
   createPermitCounter,
   createUnreadableRegistrationCounter,
   createUsageReportCounter,
+  createVerdictCounter,
   registerBlockedRequestsGauge,
   registerLimitedEndpointsGauge,
   registerResponseBufferGauge,
   registerRetryGauges,
+  registerTakenOutEndpointsGauge,
   registerUsageFencingGauge,
 } from "./forwarding_telemetry.ts";
 export { createTracing, type Tracing, type TracingOptions } from "./tracing.ts";
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -16,6 +16,7 @@
   EndpointResponse,
   ExchangeFailure,
 } from "./network_interfaces.ts";
+import type { AttemptOutcome } from "./fleet_outcomes.ts";
 import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
 import { measurePauses } from "./measure_pauses.ts";
 
@@ -56,6 +57,7 @@
   readonly #abort: () => void;
   readonly #work: WorkHandle;
   readonly #sentRequest: SentRequestHandle | undefined;
+  readonly #outcome: AttemptOutcome;
   /** Measures the response of a decode engine whose pauses are bounded. */
   #pauses: StreamPauses | undefined;
   #closed = false;
@@ -74,6 +76,10 @@
     this.#sentRequest = plan.expected &&
       dependencies.sentRequests.started(endpoint.id);
     dependencies.availability.started(endpoint.id);
+    this.#outcome = dependencies.outcomes.started(endpoint, {
+      route: context.route.name,
+      isPrefill: plan.options.prefillOnly === true,
+    });
     dependencies.link.recordSent(request.body.length + REQUEST_HEAD_BYTES);
     const exchange = dependencies.endpointClient.send(request, {
       ...plan.options,
@@ -99,6 +105,9 @@
       if (end === "whole" && status < 500) {
         availability.recordSuccess(this.endpoint.id);
       } else availability.failed(this.endpoint.id);
+      const hasCompleted = end === "whole" && status < 500;
+      const lostOrFailed = end === "cut" ? "lost" : "failed";
+      this.#outcome.end(hasCompleted ? "completed" : lostOrFailed);
     }
     this.#close();
   }
@@ -198,6 +207,7 @@
     const { availability } = this.#dependencies;
     const { id } = this.endpoint;
     if (result.isErr()) {
+      this.#outcome.end("lost");
       if (result.error.name !== "exchange_not_sent") {
         return availability.failed(id);
       }
@@ -208,7 +218,10 @@
     if (retryAfterMilliseconds !== undefined) {
       return this.#recordOverload(retryAfterMilliseconds);
     }
-    if (!notExecuted) return;
+    if (!notExecuted) {
+      if (status < 500) this.#outcome.recordResponse();
+      return;
+    }
     if (status === MISDIRECTED_STATUS) availability.recordMisdirected(id);
     else availability.recordRejection(id);
   }
@@ -292,6 +305,7 @@
 
   #close(): void {
     this.#closed = true;
+    this.#outcome.end("inconclusive");
     if (this.#isSameRun) {
       this.#dependencies.availability.ended(this.endpoint.id);
     }
--- a/src/entry/forwarding/engine_planner.ts
+++ b/src/entry/forwarding/engine_planner.ts
@@ -192,9 +192,10 @@
         decodeEngines,
         requiresCapacity,
       );
-      const withFreshLoad = decodeCandidates.filter(({ id }) =>
-        refreshed.has(id)
-      );
+      const probed = this.#context.claimProbe(decodeCandidates);
+      const withFreshLoad = probed !== undefined
+        ? [probed]
+        : decodeCandidates.filter(({ id }) => refreshed.has(id));
       return dependencies.placement.chooseDecode(
         withFreshLoad.length > 0 ? withFreshLoad : decodeCandidates,
         {
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -167,6 +167,10 @@
     if (this.#context.settled) return undefined;
     const { dependencies } = this.#context;
     return await chooseWithPermit(this.#context, () => {
+      const probed = this.#context.claimProbe(this.#context.endpoints());
+      if (probed !== undefined) {
+        return { endpoint: probed, ...this.#expectedTimeAt(probed) };
+      }
       const candidates = this.#serviceCandidates;
       const withFreshLoad = candidates.filter(({ id }) => refreshed.has(id));
       const endpoint = withFreshLoad.length > 0
@@ -331,6 +335,7 @@
     const mayRetry = head.status >= 500 && this.#mayRunAgain() &&
       this.#mayResend(`status ${head.status}`);
     if (mayRetry) {
+      this.#context.noteFailure(attempt.endpoint);
       discard(response, attempt);
       return "again";
     }
@@ -339,6 +344,7 @@
     if (this.#context.settled) return "delivered";
     if (end === "whole") return this.#finish(head.status);
     if (end === "mismatch") this.#reportMismatch(response);
+    this.#context.noteFailure(attempt.endpoint);
     return this.#afterBrokenResponse();
   }
 
@@ -350,6 +356,7 @@
     this.#reportMismatch(response);
     if (response.head.status >= 500) discard(response, attempt);
     else attempt.abort();
+    this.#context.noteFailure(attempt.endpoint);
     return this.#afterBrokenResponse();
   }
 
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -34,6 +34,7 @@
   identifier,
   type ProcessId,
 } from "../../src/core/identity/mod.ts";
+import { NOOP_LOGGER } from "../../src/core/observation/mod.ts";
 import { seededRandom } from "../../src/core/random/mod.ts";
 import { digestOf } from "../../src/adapters/forwarding/mod.ts";
 import { knownEstimates } from "./forwarding_fixtures.ts";
@@ -45,6 +46,7 @@
   type EndpointResponse,
   type Exchange,
   type ExchangeFailure,
+  FleetOutcomes,
   forward,
   type ForwardingDependencies,
   type ForwardingRefusal,
@@ -241,6 +243,7 @@
     const sentRequests = new SentRequests(timer);
     const serviceTimes = new ServiceTimes(timer);
     const self = identifier<ProcessId>("entry-0");
+    const owners = new LoadOwners({ self, timer });
     this.dependencies = {
       timer,
       random,
@@ -282,12 +285,22 @@
         sentRequests,
         serviceTimes,
       }),
+      outcomes: new FleetOutcomes({
+        self,
+        timer,
+        registry,
+        loadReports,
+        owners,
+        logger: NOOP_LOGGER,
+        broadcast() {},
+        onVerdict() {},
+      }),
       permits: new RequestPermits({
         self,
         timer,
         limits,
         registry,
-        owners: new LoadOwners({ self, timer }),
+        owners,
         send() {},
         share: () => 1,
         onOutcome() {},
