Delay short responses while every decode engine exceeds its pause bound

A burst of handed-over prompts adds their contexts to the steps of all decode engines at once. Delayed responses of an entry are sent 15 ms apart. A response is not delayed if its rank is more urgent than that of another bounded route of the pool.

--- a/src/core/forwarding/estimates/decode_pace.ts
+++ b/src/core/forwarding/estimates/decode_pace.ts
@@ -29,6 +29,12 @@
  * pauses and has to be tried again.
  */
 const HALF_LIFE_MILLISECONDS = 1_000;
+/**
+ * Time between two delayed responses of an entry, in which the other entries
+ * hear of the first. Sent at once, they all went to the first engine within its
+ * bound.
+ */
+const RELEASE_INTERVAL_MILLISECONDS = 15;
 /**
  * Mean errors to add to a prediction that most pauses have to stay below. A
  * stream is late after one long pause.
@@ -51,6 +57,8 @@
 interface PoolPace {
   readonly model: PauseModel;
   readonly inlineWork: InlinePrefillWork;
+  /** Time of the last delayed response that was sent. */
+  releasedAt: number;
   count: number;
   measuredMilliseconds: number;
   predictedMilliseconds: number;
@@ -130,6 +138,15 @@
     return 1 + DEVIATIONS * deviation;
   }
 
+  /** True if another delayed response may be sent now; counts it as sent. */
+  tryRelease(name: ServiceName): boolean {
+    const pool = this.#pool(name);
+    const now = this.#timer.now();
+    if (now - pool.releasedAt < RELEASE_INTERVAL_MILLISECONDS) return false;
+    pool.releasedAt = now;
+    return true;
+  }
+
   /** Recent work of this entry's prompts that could be prefilled inline. */
   inlineWork(pool: ServiceName): InlinePrefillWork {
     return this.#pool(pool).inlineWork;
@@ -169,6 +186,7 @@
       pool = {
         model: new PauseModel(),
         inlineWork: new InlinePrefillWork(this.#timer),
+        releasedAt: -Infinity,
         count: 0,
         measuredMilliseconds: 0,
         predictedMilliseconds: 0,
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -1,7 +1,7 @@
 /** Decisions on requests whose bodies are forwarded unchanged. */
 export type * from "./configuration.ts";
 export type * from "./requests.ts";
-export { RouteTable, selectPool } from "./route_table.ts";
+export { type PauseBound, RouteTable, selectPool } from "./route_table.ts";
 export {
   authenticate,
   type AuthenticationFailure,
@@ -68,6 +68,7 @@
   EnginePlacement,
   isPrefillEngine,
 } from "./placement/engine_placement.ts";
+export { maxDecodeDelayMilliseconds } from "./placement/decode_delay.ts";
 export { chooseServiceReplica } from "./placement/service_placement.ts";
 export { decodePosition, encodePosition } from "./store/log_position.ts";
 export {
--- a/src/core/forwarding/placement/engine_placement.ts
+++ b/src/core/forwarding/placement/engine_placement.ts
@@ -110,6 +110,8 @@
    * absent where it did not decide.
    */
   readonly pauseMilliseconds?: number;
+  /** True if some of these pauses would be longer than allowed. */
+  readonly exceedsMaxPause?: boolean;
 }
 
 interface DecodeWorkOptions {
@@ -331,7 +333,7 @@
       readonly maxPauseMilliseconds?: number;
     },
   ): DecodeChoice | undefined {
-    const { load, availability, random } = this.#options;
+    const { load, availability, pace, random } = this.#options;
     const {
       cacheZone,
       maxPauseMilliseconds,
@@ -360,7 +362,17 @@
     if (best === undefined) return undefined;
     const { endpoint, pauseMilliseconds } = best;
     const milliseconds = this.#inlineMilliseconds(endpoint, options);
-    return { endpoint, work: { milliseconds, tokens }, pauseMilliseconds };
+    const work = { milliseconds, tokens };
+    if (pauseMilliseconds === undefined) return { endpoint, work };
+    return {
+      endpoint,
+      work,
+      pauseMilliseconds,
+      exceedsMaxPause: maxPauseMilliseconds !== undefined &&
+        pace.conservativeFactor(pool.name) *
+              pauseMilliseconds >
+          maxPauseMilliseconds,
+    };
   }
 
   /** Predicted pause of the engine's streams with the response. */
--- a/src/core/forwarding/route_table.ts
+++ b/src/core/forwarding/route_table.ts
@@ -3,6 +3,14 @@
 import { KeyDirectory } from "./callers/key_directory.ts";
 import type { ForwardingConfiguration, Route } from "./configuration.ts";
 
+/** Bound on the pauses in the streams of a pool. */
+export interface PauseBound {
+  /** Shortest of the longest pauses that the pool's routes allow. */
+  readonly maxPauseMilliseconds: number;
+  /** The least urgent rank of the routes that name a longest pause. */
+  readonly leastUrgentRank: number;
+}
+
 /**
  * Lookup of routes, by host and longest matching path prefix, and of callers'
  * keys in one version of the configuration.
@@ -13,7 +21,7 @@
   readonly keys: KeyDirectory | undefined;
   /** Routes by host, the longest prefix first. */
   readonly #byHost = new Map<string, Route[]>();
-  readonly #shortestPauses = new Map<ServiceName, number>();
+  readonly #pauseBounds = new Map<ServiceName, PauseBound>();
 
   constructor(configuration: ForwardingConfiguration) {
     this.configuration = configuration;
@@ -44,19 +52,22 @@
     );
   }
 
-  /**
-   * Shortest of the longest pauses that the routes of the pool allow,
-   * milliseconds; undefined if none of them names one.
-   */
-  shortestMaxPauseMilliseconds(pool: ServiceName): number | undefined {
-    return this.#shortestPauses.get(pool);
+  /** Undefined if no route of the pool names a longest pause. */
+  pauseBound(pool: ServiceName): PauseBound | undefined {
+    return this.#pauseBounds.get(pool);
   }
 
-  #recordPause({ maxPauseMilliseconds, shares }: Route): void {
+  #recordPause({ maxPauseMilliseconds, rank, shares }: Route): void {
     if (maxPauseMilliseconds === undefined) return;
     for (const { pool } of shares) {
-      const known = this.#shortestPauses.get(pool) ?? Infinity;
-      this.#shortestPauses.set(pool, Math.min(known, maxPauseMilliseconds));
+      const known = this.#pauseBounds.get(pool);
+      this.#pauseBounds.set(pool, {
+        maxPauseMilliseconds: Math.min(
+          known?.maxPauseMilliseconds ?? Infinity,
+          maxPauseMilliseconds,
+        ),
+        leastUrgentRank: Math.max(known?.leastUrgentRank ?? 0, rank),
+      });
     }
   }
 }
--- a/src/core/forwarding/route_table_test.ts
+++ b/src/core/forwarding/route_table_test.ts
@@ -37,13 +37,16 @@
   it("knows the shortest pause that the routes of a pool allow", () => {
     const bounded = new RouteTable(makeConfiguration({
       routes: [
-        makeRoute({ maxPauseMilliseconds: 200 }),
+        makeRoute({ maxPauseMilliseconds: 200, rank: 2 }),
         makeRoute({ maxPauseMilliseconds: 150 }),
         makeRoute(),
       ],
     }));
-    expect(bounded.shortestMaxPauseMilliseconds(PORTAL)).to.equal(150);
-    expect(bounded.shortestMaxPauseMilliseconds(ENGINES)).to.equal(undefined);
+    expect(bounded.pauseBound(PORTAL)).to.deep.equal({
+      maxPauseMilliseconds: 150,
+      leastUrgentRank: 2,
+    });
+    expect(bounded.pauseBound(ENGINES)).to.equal(undefined);
   });
 });
 
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -31,6 +31,8 @@
   readonly work: PromptWork;
   /** Predicted pause of the engine's streams, milliseconds. */
   readonly predictedPauseMilliseconds?: number;
+  /** Time for which the response was delayed, to shorten pauses there. */
+  readonly delayMilliseconds?: number;
 }
 
 /**
@@ -136,7 +138,7 @@
     const { prefillOnly } = this.#plan.options;
     const isMeasured = !this.#closed && !prefillOnly && this.#isSameRun &&
       response.head.status < 300 &&
-      this.#context.maxPauseMilliseconds !== undefined;
+      this.#context.pauseBound !== undefined;
     if (!isMeasured) return response;
     this.#pauses = this.#dependencies.pace.openStream(this.endpoint);
     return measurePauses(response, {
--- a/src/entry/forwarding/engine_planner.ts
+++ b/src/entry/forwarding/engine_planner.ts
@@ -2,6 +2,7 @@
   type DecodeChoice,
   type InlinePrefillLimits,
   isPrefillEngine,
+  maxDecodeDelayMilliseconds,
   type PrefilledPrompt,
   type Prompt,
   type RegisteredEndpoint,
@@ -28,6 +29,8 @@
   waitInQueue,
 } from "./wait_for_choice.ts";
 
+/** Longest time between two checks of a delayed response. */
+const MAX_DELAY_INTERVAL_MILLISECONDS = 20;
 /** Lowest of the priorities that engines support. */
 const LOWEST_PRIORITY = 9;
 
@@ -50,6 +53,8 @@
   readonly #onRefused: EnginePlannerOptions["onRefused"];
   /** True once the prompt has turned out to need a separate prefill engine. */
   #needsHandover = false;
+  /** Time for which the response was delayed before it was sent. */
+  #delayMilliseconds = 0;
 
   constructor(context: ForwardContext, options: EnginePlannerOptions) {
     this.#context = context;
@@ -99,11 +104,11 @@
 
   /** Undefined where the pauses of streams are not bounded. */
   get #inlineLimits(): InlinePrefillLimits | undefined {
-    const { dependencies, maxPauseMilliseconds } = this.#context;
-    if (maxPauseMilliseconds === undefined) return undefined;
+    const { dependencies, pauseBound } = this.#context;
+    if (pauseBound === undefined) return undefined;
     const decodeEngines = this.#context.endpoints().filter(canDecode).length;
     return {
-      maxPauseMilliseconds,
+      maxPauseMilliseconds: pauseBound.maxPauseMilliseconds,
       // The other entries are assumed to have as many prompts as this one.
       decodeEngines: decodeEngines / dependencies.entries(),
     };
@@ -140,6 +145,7 @@
     const { milliseconds, tokens } = choice.work;
     return {
       predictedPauseMilliseconds: choice.pauseMilliseconds,
+      delayMilliseconds: Math.round(this.#delayMilliseconds),
       endpoint: choice.endpoint,
       work: { milliseconds: kept === undefined ? milliseconds : 0, tokens },
       options: {
@@ -202,10 +208,12 @@
           pool,
           cacheZone,
           requiresCapacity,
-          maxPauseMilliseconds: this.#context.maxPauseMilliseconds,
+          maxPauseMilliseconds: this.#context.pauseBound?.maxPauseMilliseconds,
         },
       );
     };
+    if (kept !== undefined) await this.#delayDecode(prompt, choose);
+    if (this.#context.settled) return undefined;
     const chosen = await chooseWithPermit(
       this.#context,
       () => choose({ requiresCapacity: false }),
@@ -225,6 +233,39 @@
     );
   }
 
+  /**
+   * Waits for some milliseconds while a short response would exceed the bound
+   * on pauses at every decode engine.
+   */
+  async #delayDecode(
+    prompt: Prompt,
+    choose: (options: CapacityOptions) => DecodeChoice | undefined,
+  ): Promise<void> {
+    const { dependencies, pauseBound, pool, rank, route } = this.#context;
+    if (pauseBound === undefined) return;
+    const { pace, placement, random, timer } = dependencies;
+    const maxMilliseconds = maxDecodeDelayMilliseconds({
+      ...pauseBound,
+      prompt,
+      rank,
+      slackMilliseconds: route.targetMilliseconds -
+        this.#context.elapsedMilliseconds -
+        placement.handoverMilliseconds(prompt, pool),
+    });
+    const arrived = timer.now();
+    const mayWait = () =>
+      !this.#context.settled && timer.now() - arrived < maxMilliseconds;
+    const isTooEarly = () =>
+      choose({ requiresCapacity: false })?.exceedsMaxPause === true ||
+      (timer.now() > arrived && !pace.tryRelease(pool.name));
+    while (mayWait() && isTooEarly()) {
+      // Random, so that delayed responses are not all sent at the same time.
+      const milliseconds = MAX_DELAY_INTERVAL_MILLISECONDS * random();
+      await new Promise<void>((resolve) => timer.after(milliseconds, resolve));
+    }
+    this.#delayMilliseconds += timer.now() - arrived;
+  }
+
   /** Refreshes the load of some decode engines; returns their ids. */
   async #refreshDecodeEngineLoad(
     cacheZone: AvailabilityZoneId | undefined,
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -1,6 +1,7 @@
 import {
   type ForwardedRequest,
   type NextAttempt,
+  type PauseBound,
   type Pool,
   type RegisteredEndpoint,
   RequestArrivals,
@@ -98,17 +99,14 @@
   }
 
   /**
-   * Longest pause between two events that the streams of the pool allow,
-   * milliseconds; undefined where placement does not bound pauses.
+   * Bound on the pauses in the streams of the pool; undefined where placement
+   * does not bound them.
    */
-  get maxPauseMilliseconds(): number | undefined {
+  get pauseBound(): PauseBound | undefined {
     const { loadReports, routes } = this.dependencies;
-    const own = this.route.maxPauseMilliseconds;
-    if (own === undefined || !loadReports.hasWorkFactor(this.pool.name)) {
-      return undefined;
-    }
-    const shortest = routes()?.shortestMaxPauseMilliseconds(this.pool.name);
-    return Math.min(own, shortest ?? Infinity);
+    const isBounded = this.route.maxPauseMilliseconds !== undefined &&
+      loadReports.hasWorkFactor(this.pool.name);
+    return isBounded ? routes()?.pauseBound(this.pool.name) : undefined;
   }
 
   /** Id of the last part of the prompt, which identifies a returning caller. */
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -205,7 +205,7 @@
       endpoint: endpoint.id,
       openRequests: dependencies.load.total(endpoint.id).requests,
       handover: plan.options.prefilledPrompt !== undefined,
-      predictedPauseMilliseconds: roundPause(plan),
+      ...pauseFacts(plan),
     });
     const attempt = new ForwardAttempt(this.#context, plan);
     this.#attempt = attempt;
@@ -446,11 +446,15 @@
   }
 }
 
-/** Rounded for the log; undefined where pauses are not predicted. */
-function roundPause(
-  { predictedPauseMilliseconds: milliseconds }: AttemptPlan,
-): number | undefined {
-  return milliseconds === undefined ? undefined : Math.round(milliseconds);
+/** Figures for the log; empty where pauses are not predicted. */
+function pauseFacts(
+  { delayMilliseconds, predictedPauseMilliseconds }: AttemptPlan,
+): Readonly<Record<string, number | undefined>> {
+  if (predictedPauseMilliseconds === undefined) return {};
+  return {
+    predictedPauseMilliseconds: Math.round(predictedPauseMilliseconds),
+    delayMilliseconds,
+  };
 }
 
 /**
