--- a/src/core/forwarding/placement/engine_placement_test.ts
+++ b/src/core/forwarding/placement/engine_placement_test.ts
@@ -16,6 +16,7 @@
   FleetLoad,
   PrefixDirectory,
   type RegisteredEndpoint,
+  type StreamPauses,
 } from "../mod.ts";
 
 const PROMPT = makePrompt("subject");
@@ -24,13 +25,16 @@
 describe("EnginePlacement", () => {
   let load: FleetLoad;
   let prefixes: PrefixDirectory;
+  let timer: ManualTimerService;
+  let pace: DecodePace;
   let placement: EnginePlacement;
   let engines: RegisteredEndpoint[];
 
   beforeEach(() => {
-    const timer = new ManualTimerService();
+    timer = new ManualTimerService();
     load = new FleetLoad(timer);
     prefixes = new PrefixDirectory();
+    pace = new DecodePace(timer, load);
     placement = new EnginePlacement({
       availabilityZone: identifier<AvailabilityZoneId>("zone-1"),
       load,
@@ -38,7 +42,7 @@
       availability: new EndpointAvailability(timer),
       estimates: knownEstimates(),
       slowness: new EngineSlowness(timer),
-      pace: new DecodePace(timer, load),
+      pace,
       random: () => 0.5,
     });
     engines = ["one", "two"].map((id) => makeEngine(id, "prefill"));
@@ -148,6 +152,60 @@
     });
   });
 
+  describe("choosing a decode engine under a bound on pauses", () => {
+    const decodeEngines = ["one", "two"].map((id) => makeEngine(id, "decode"));
+    const USUAL_MILLISECONDS = 20;
+
+    const chosen = (maxPauseMilliseconds?: number) =>
+      placement.chooseDecode(decodeEngines, {
+        prompt: PROMPT,
+        pool: ENGINE_POOL,
+        cacheZone: decodeEngines[0].availabilityZone,
+        maxPauseMilliseconds,
+      });
+
+    /** Both engines deliver events, except for the silent ones. */
+    async function run(milliseconds: number, silent?: string): Promise<void> {
+      const end = timer.now() + milliseconds;
+      while (timer.now() < end) {
+        await timer.advance(USUAL_MILLISECONDS);
+        for (const [index, stream] of streams.entries()) {
+          if (decodeEngines[index].id !== silent) stream.received();
+        }
+      }
+    }
+
+    let streams: StreamPauses[];
+
+    beforeEach(async () => {
+      streams = decodeEngines.map((engine) => pace.openStream(engine));
+      await run(1_000);
+    });
+
+    // An engine is slow for 200 ms and then another one. Responses sent to it
+    // meanwhile would have their first pause there.
+    it("moves away from an engine that stalls, and comes back", async () => {
+      load.started(decodeEngines[1].id);
+      for (const [silent, other] of [["one", "two"], ["two", "one"]]) {
+        await run(200, silent);
+        expect(chosen(200)?.endpoint.id).to.equal(other);
+        await run(200);
+        expect(chosen(200)?.endpoint.id).to.equal("one");
+      }
+    });
+
+    it("counts open requests where pauses are not bounded", async () => {
+      load.started(decodeEngines[1].id);
+      await run(200, "one");
+      expect(chosen()?.endpoint.id).to.equal("one");
+    });
+
+    it("tells which engines would exceed the bound", () => {
+      expect(chosen(200)).to.deep.include({ exceedsMaxPause: false });
+      expect(chosen(15)).to.deep.include({ exceedsMaxPause: true });
+    });
+  });
+
   describe("where a free engine has the shared parts cached", () => {
     it("chooses that engine and fetches nothing", () => {
       cachePrefix(engines[1]);
