--- a/src/adapters/telemetry/forwarding_telemetry.ts
+++ b/src/adapters/telemetry/forwarding_telemetry.ts
@@ -1,6 +1,9 @@
 /** Logs and metrics of the forwarding path. */
 import { Counter, Gauge, Histogram, type Registry } from "prom-client";
-import type { RetryBudgetUsage } from "../../core/forwarding/mod.ts";
+import type {
+  PauseTotals,
+  RetryBudgetUsage,
+} from "../../core/forwarding/mod.ts";
 import type { Logger } from "../../core/observation/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
 import type {
@@ -166,6 +169,39 @@
   });
 }
 
+/** Exports the measured and the predicted stream pauses of each pool. */
+export function registerPauseCounters(
+  registry: Registry,
+  totals: () => readonly PauseTotals[],
+): void {
+  const register = (
+    name: string,
+    help: string,
+    { valueOf }: { readonly valueOf: (totals: PauseTotals) => number },
+  ) =>
+    new Counter({
+      name: `filbertshore_stream_${name}_total`,
+      help,
+      labelNames: ["pool"],
+      registers: [registry],
+      collect() {
+        this.reset();
+        for (const each of totals()) {
+          this.inc({ pool: each.pool }, valueOf(each));
+        }
+      },
+    });
+  register("pauses", "Measured pauses between the events of streams, by pool", {
+    valueOf: ({ count }) => count,
+  });
+  register("pause_seconds", "Sum of the measured pauses, by pool", {
+    valueOf: ({ measuredMilliseconds }) => toSeconds(measuredMilliseconds),
+  });
+  register("predicted_pause_seconds", "Sum of their predictions, by pool", {
+    valueOf: ({ predictedMilliseconds }) => toSeconds(predictedMilliseconds),
+  });
+}
+
 /** Returns a function that logs and counts decisions of the forwarding path. */
 export function createForwardingObserver(
   options: ForwardingObserverOptions,
--- a/src/adapters/telemetry/forwarding_telemetry_test.ts
+++ b/src/adapters/telemetry/forwarding_telemetry_test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { Registry } from "prom-client";
-import { registerRetryGauges } from "./mod.ts";
+import { identifier, type ServiceName } from "../../core/identity/mod.ts";
+import { registerPauseCounters, registerRetryGauges } from "./mod.ts";
 
 describe("registerRetryGauges", () => {
   // When engines receive more retries than the fleet allows, on-call engineers
@@ -20,3 +21,26 @@
     );
   });
 });
+
+describe("registerPauseCounters", () => {
+  // Placement by wrong predictions is worse than by the count of requests, and
+  // operators have to see that they are wrong.
+  it("exports the measured and predicted pauses of each pool", async () => {
+    const registry = new Registry();
+    registerPauseCounters(registry, () => [{
+      pool: identifier<ServiceName>("engines"),
+      count: 20,
+      measuredMilliseconds: 1_500,
+      predictedMilliseconds: 1_250,
+    }]);
+    await registry.metrics();
+    const output = await registry.metrics();
+    for (
+      const line of [
+        'stream_pauses_total{pool="engines"} 20',
+        'stream_pause_seconds_total{pool="engines"} 1.5',
+        'stream_predicted_pause_seconds_total{pool="engines"} 1.25',
+      ]
+    ) expect(output).to.include(`filbertshore_${line}`);
+  });
+});
--- a/src/adapters/telemetry/mod.ts
+++ b/src/adapters/telemetry/mod.ts
@@ -13,6 +13,7 @@
   createUsageReportCounter,
   registerBlockedRequestsGauge,
   registerLimitedEndpointsGauge,
+  registerPauseCounters,
   registerRetryGauges,
   registerUsageFencingGauge,
 } from "./forwarding_telemetry.ts";
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -17,6 +17,7 @@
   LinkBacklog,
   LoadOwners,
   type OpenWork,
+  type PauseTotals,
   type PeerReadResult,
   PermitQueue,
   PrefixDirectory,
@@ -382,6 +383,11 @@
     return this.#dependencies.retryBudget.usageByPool();
   }
 
+  /** Measured and predicted pauses of the streams of this entry, by pool. */
+  pauseTotals(): PauseTotals[] {
+    return this.#dependencies.pace.totals();
+  }
+
   /** Number of requests that are blocked for crashing endpoints. */
   get blockedRequests(): number {
     return this.#dependencies.crashes.blocked;
