--- a/src/adapters/telemetry/forwarding_telemetry_test.ts
+++ b/src/adapters/telemetry/forwarding_telemetry_test.ts
@@ -1,8 +1,13 @@
 import { expect } from "chai";
 import { Registry } from "prom-client";
+import { identifier, type ServiceName } from "../../core/identity/mod.ts";
 import { NOOP_LOGGER } from "../../core/observation/mod.ts";
 import { ManualTimerService } from "../../core/time/mod.ts";
-import { createForwardingObserver, registerRetryGauges } from "./mod.ts";
+import {
+  createForwardingObserver,
+  registerPauseCounters,
+  registerRetryGauges,
+} from "./mod.ts";
 
 describe("createForwardingObserver", () => {
   // If predictions are wrong, requests queue at some replicas while others are
@@ -59,3 +64,26 @@
     );
   });
 });
+
+describe("registerPauseCounters", () => {
+  // Placement by wrong predictions is worse than by the count of requests, and
+  // operators have to see that they are wrong.
+  it("exports the measured and predicted pauses of each pool", async () => {
+    const registry = new Registry();
+    registerPauseCounters(registry, () => [{
+      pool: identifier<ServiceName>("engines"),
+      count: 20,
+      measuredMilliseconds: 1_500,
+      predictedMilliseconds: 1_250,
+    }]);
+    await registry.metrics();
+    const output = await registry.metrics();
+    for (
+      const line of [
+        'stream_pauses_total{pool="engines"} 20',
+        'stream_pause_seconds_total{pool="engines"} 1.5',
+        'stream_predicted_pause_seconds_total{pool="engines"} 1.25',
+      ]
+    ) expect(output).to.include(`filbertshore_${line}`);
+  });
+});
--- a/src/adapters/telemetry/mod.ts
+++ b/src/adapters/telemetry/mod.ts
@@ -14,6 +14,7 @@
   createVerdictCounter,
   registerBlockedRequestsGauge,
   registerLimitedEndpointsGauge,
+  registerPauseCounters,
   registerResponseBufferGauge,
   registerRetryGauges,
   registerTakenOutEndpointsGauge,
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -1,7 +1,7 @@
 /** Decisions on requests whose bodies are forwarded unchanged. */
 export type * from "./configuration.ts";
 export type * from "./requests.ts";
-export { RouteTable, selectPool } from "./route_table.ts";
+export { type PauseBound, RouteTable, selectPool } from "./route_table.ts";
 export {
   authenticate,
   type AuthenticationFailure,
@@ -102,6 +102,7 @@
   EnginePlacement,
   isPrefillEngine,
 } from "./placement/engine_placement.ts";
+export { maxDecodeDelayMilliseconds } from "./placement/decode_delay.ts";
 export {
   type ExpectedTime,
   ExpectedTimes,
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -39,6 +39,8 @@
   readonly predictedPauseMilliseconds?: number;
   /** Present if the replica was chosen by its expected time. */
   readonly expected?: ExpectedTime;
+  /** Time for which the response was delayed, to shorten pauses there. */
+  readonly delayMilliseconds?: number;
 }
 
 /**
@@ -159,7 +161,7 @@
     const { prefillOnly } = this.#plan.options;
     const isMeasured = !this.#closed && !prefillOnly && this.#isSameRun &&
       response.head.status < 300 &&
-      this.#context.maxPauseMilliseconds !== undefined;
+      this.#context.pauseBound !== undefined;
     if (!isMeasured) return response;
     this.#pauses = this.#dependencies.pace.openStream(this.endpoint);
     return measurePauses(response, {
