Use the mean of other entries' open requests where it is known late

Cause: peers' reports of open work are 120 to 600 ms old, several times as long as a request takes. What was open then says no more about the present than the mean does, but all entries chose the replica that was idle in the same report.

OpenRequests takes the mean over a second where peers report that infrequently and no owner has answered.

--- a/src/core/forwarding/endpoints/fleet_load.ts
+++ b/src/core/forwarding/endpoints/fleet_load.ts
@@ -145,13 +145,15 @@
 
   /** Work of all entries at the endpoint. */
   total(endpoint: EndpointId): OpenWork {
-    const ownerReport = this.#ownerReports.get(endpoint);
-    const isFresh = ownerReport !== undefined &&
-      this.#timer.now() - ownerReport.at <= OWNER_REPORT_VALIDITY_MILLISECONDS;
-    const others = isFresh ? ownerReport.work : this.others(endpoint);
+    const others = this.#freshOwnerReport(endpoint) ?? this.others(endpoint);
     return addWork(this.own(endpoint), others);
   }
 
+  /** True if the total is by a recent report of the endpoint's owner. */
+  hasOwnerReport(endpoint: EndpointId): boolean {
+    return this.#freshOwnerReport(endpoint) !== undefined;
+  }
+
   /**
    * Work of the peers at the endpoint by their reports, except for one peer.
    */
@@ -247,6 +249,13 @@
     this.#reportsAt.delete(id);
   }
 
+  #freshOwnerReport(endpoint: EndpointId): OpenWork | undefined {
+    const report = this.#ownerReports.get(endpoint);
+    const isFresh = report !== undefined &&
+      this.#timer.now() - report.at <= OWNER_REPORT_VALIDITY_MILLISECONDS;
+    return isFresh ? report.work : undefined;
+  }
+
   #remove(report: PeerReport, endpoint: string): void {
     report.work.delete(endpoint);
     const reports = this.#reportsAt.get(endpoint);
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -45,6 +45,7 @@
   EndpointLoadReports,
   type LoadObservation,
 } from "./endpoints/load_reports.ts";
+export { OpenRequests } from "./endpoints/open_requests.ts";
 export {
   type SentRequestHandle,
   SentRequests,
--- a/src/core/forwarding/placement/expected_times.ts
+++ b/src/core/forwarding/placement/expected_times.ts
@@ -1,13 +1,13 @@
 import type { RegisteredEndpoint } from "../configuration.ts";
-import type { FleetLoad } from "../endpoints/fleet_load.ts";
 import type { EndpointLoadReports } from "../endpoints/load_reports.ts";
+import type { OpenRequests } from "../endpoints/open_requests.ts";
 import type { SentRequests } from "../endpoints/sent_requests.ts";
 import type { ServiceTimes } from "../estimates/mod.ts";
 import type { TimerService } from "../../time/mod.ts";
 
 export interface ExpectedTimesOptions {
   readonly timer: TimerService;
-  readonly load: FleetLoad;
+  readonly openRequests: OpenRequests;
   readonly loadReports: EndpointLoadReports;
   readonly sentRequests: SentRequests;
   readonly serviceTimes: ServiceTimes;
@@ -77,8 +77,8 @@
     { id, slots }: RegisteredEndpoint,
     serviceMilliseconds: number,
   ): number {
-    const { load, loadReports, sentRequests, timer } = this.#options;
-    const open = load.total(id).requests;
+    const { loadReports, openRequests, sentRequests, timer } = this.#options;
+    const open = openRequests.at(id);
     const report = loadReports.current(id);
     if (report === undefined) return open;
     const reported = report.running + report.waiting +
--- a/src/core/forwarding/placement/expected_times_test.ts
+++ b/src/core/forwarding/placement/expected_times_test.ts
@@ -5,6 +5,7 @@
   EndpointLoadReports,
   ExpectedTimes,
   FleetLoad,
+  OpenRequests,
   SentRequests,
   ServiceTimes,
 } from "../mod.ts";
@@ -27,8 +28,8 @@
     serviceTimes.record(REPLICA, { milliseconds: 30, workFactor: 1 });
     expectedTimes = new ExpectedTimes({
       timer,
-      load,
       loadReports,
+      openRequests: new OpenRequests({ timer, load, isLoadStale: () => false }),
       sentRequests,
       serviceTimes,
     });
--- a/src/core/forwarding/placement/service_placement_test.ts
+++ b/src/core/forwarding/placement/service_placement_test.ts
@@ -8,6 +8,7 @@
   EndpointLoadReports,
   ExpectedTimes,
   FleetLoad,
+  OpenRequests,
   replicasToRefresh,
   SentRequests,
   ServiceTimes,
@@ -44,8 +45,12 @@
       availabilityZone: identifier<AvailabilityZoneId>("zone-0"),
       expectedTimes: new ExpectedTimes({
         timer,
-        load,
         loadReports,
+        openRequests: new OpenRequests({
+          timer,
+          load,
+          isLoadStale: () => false,
+        }),
         sentRequests: new SentRequests(timer),
         serviceTimes,
       }),
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -16,6 +16,7 @@
   HeldPromptQueue,
   LinkBacklog,
   LoadOwners,
+  OpenRequests,
   type OpenWork,
   type PeerReadResult,
   PermitQueue,
@@ -187,6 +188,11 @@
     const loadReports = new EndpointLoadReports();
     const sentRequests = new SentRequests(timer);
     const serviceTimes = new ServiceTimes(timer);
+    const openRequests = new OpenRequests({
+      timer,
+      load,
+      isLoadStale: () => this.peers.isLoadStale,
+    });
     const connections: EndpointStateHolder = {
       forget: ({ address }) => options.onEndpointRemoved(address),
     };
@@ -211,6 +217,7 @@
         loadReports,
         sentRequests,
         serviceTimes,
+        openRequests,
         reportState,
         permitState,
         connections,
@@ -352,8 +359,8 @@
       serviceTimes,
       expectedTimes: new ExpectedTimes({
         timer,
-        load,
         loadReports,
+        openRequests,
         sentRequests,
         serviceTimes,
       }),
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -17,6 +17,7 @@
   HeldPromptQueue,
   LinkBacklog,
   LoadOwners,
+  OpenRequests,
   PermitQueue,
   PrefixDirectory,
   type ResponseHead,
@@ -256,8 +257,12 @@
       serviceTimes,
       expectedTimes: new ExpectedTimes({
         timer,
-        load,
         loadReports,
+        openRequests: new OpenRequests({
+          timer,
+          load,
+          isLoadStale: () => false,
+        }),
         sentRequests,
         serviceTimes,
       }),
