--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -17,6 +17,7 @@
   HeldPromptQueue,
   LinkBacklog,
   LoadOwners,
+  OpenRequests,
   type OpenWork,
   type PauseTotals,
   type PeerReadResult,
@@ -203,6 +204,11 @@
     const serviceTimes = new ServiceTimes(timer);
     const self = identifier<ProcessId>(options.process);
     const owners = new LoadOwners({ self, timer });
+    const openRequests = new OpenRequests({
+      timer,
+      load,
+      isLoadStale: () => this.peers.isLoadStale,
+    });
     const connections: EndpointStateHolder = {
       forget: ({ address }) => options.onEndpointRemoved(address),
     };
@@ -234,6 +240,7 @@
         loadReports,
         sentRequests,
         serviceTimes,
+        openRequests,
         reportState,
         permitState,
         connections,
@@ -391,8 +398,8 @@
       serviceTimes,
       expectedTimes: new ExpectedTimes({
         timer,
-        load,
         loadReports,
+        openRequests,
         sentRequests,
         serviceTimes,
       }),
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -18,6 +18,7 @@
   HeldPromptQueue,
   LinkBacklog,
   LoadOwners,
+  OpenRequests,
   PermitQueue,
   PrefixDirectory,
   ResponseBuffers,
@@ -280,8 +281,12 @@
       serviceTimes,
       expectedTimes: new ExpectedTimes({
         timer,
-        load,
         loadReports,
+        openRequests: new OpenRequests({
+          timer,
+          load,
+          isLoadStale: () => false,
+        }),
         sentRequests,
         serviceTimes,
       }),
