Plan the share of prefill engines from observed work

Today the share follows slots and open responses, with a lower bound of a half. Where decode engines are short because of inline prefills and long contexts, the plan does not see it.

RoleWork adds up what callers ask of a pool, over all entries, and learns the costs of decode steps from the times between events. planPrefillShare compares the load of both roles and changes roles only where that serves more than the change costs. Nothing uses them yet.

--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -93,6 +93,18 @@
 } from "./admission/held_prompt_queue.ts";
 export { LinkBacklog } from "./admission/link_backlog.ts";
 export { RoleDemand } from "./roles/role_demand.ts";
+export type { StepCosts, StepSample } from "./roles/decode_step_costs.ts";
+export {
+  type ObservedWork,
+  type PlannedEngine,
+  planPrefillShare,
+} from "./roles/prefill_share.ts";
+export {
+  isRoleWorkReport,
+  type PromptDemand,
+  RoleWork,
+  type RoleWorkReport,
+} from "./roles/role_work.ts";
 export {
   type EngineRoleChange,
   planRoles,
