--- a/src/core/forwarding/roles/prefill_share.ts
+++ b/src/core/forwarding/roles/prefill_share.ts
@@ -11,6 +11,8 @@
   readonly decodeEngines: number;
   /** Steps per millisecond that the responses need, as a sum over them. */
   readonly responseSteps: number;
+  /** Share of the steps that follow a handover, 0 to 1. */
+  readonly handoverShare: number;
   /** Open responses at decode engines. */
   readonly openResponses: number;
   /** Time of a decode step without any response. */
@@ -33,11 +35,11 @@
  * Target for the utilization of prefill engines at a high quantile of the work.
  * The wait in their queues grows steeply above it.
  */
-const PREFILL_UTILIZATION = 0.8;
+const PREFILL_UTILIZATION = 0.9;
 /** How much faster than the load the share of responses on time falls. */
 const DECODE_OVERLOAD_EXPONENT = 1.5;
 /** Target for the share of the decode slots that open responses use. */
-const SLOT_UTILIZATION = 0.8;
+const SLOT_UTILIZATION = 0.85;
 /**
  * Ratio of the longest pause of a stream to its mean time between events. At a
  * ratio of 2.6 a third of the urgent responses were late because of pauses.
@@ -156,7 +158,14 @@
   const [prefillCapacity, decodeCapacity] = capacitiesAfter(split);
   const prefill = work.prefillEngines /
     (PREFILL_UTILIZATION * prefillCapacity);
-  const decode = work.responseSteps * slotFactor(work, split) /
+  // Prompts that are not prefilled are not decoded either.
+  const handedOver = Math.min(
+    1,
+    prefillCapacity / Math.max(MIN_RATE, work.prefillEngines),
+  );
+  const responseSteps = work.responseSteps *
+    (1 - work.handoverShare * (1 - handedOver));
+  const decode = responseSteps * slotFactor(work, split) /
     (stepsPerMillisecond(work, split) * decodeCapacity);
   return { prefill, decode };
 }
--- a/src/core/forwarding/roles/role_split_test.ts
+++ b/src/core/forwarding/roles/role_split_test.ts
@@ -10,6 +10,8 @@
 const BURST_MILLISECONDS = 2_800;
 const BURST_FACTORS = [1.6, 0.4];
 const MAX_PAUSE = 200;
+/** Time that admission reserves for the steps after the prefill. */
+const HANDOVER = 100;
 const URGENT_WORTH = 9;
 const PROMPT = { tokens: 9_000, output: 2, target: 514, prefill: 40 };
 const URGENT = { tokens: 220, output: 72, target: 155, prefill: 2 };
@@ -102,7 +104,7 @@
       else {
         const engine = freeAt.indexOf(Math.min(...freeAt));
         const ends = Math.max(now, freeAt[engine]) + kindOf.prefill;
-        if (ends > stream.dueAt) continue;
+        if (ends + HANDOVER > stream.dueAt) continue;
         freeAt[engine] = ends;
         (handovers[ends] ??= []).push(stream);
       }
--- a/src/core/forwarding/roles/role_work.ts
+++ b/src/core/forwarding/roles/role_work.ts
@@ -28,8 +28,8 @@
 /**
  * What an entry's callers have asked of a pool since the entry started: number
  * of prompts, prefill milliseconds, inline prefill milliseconds, output tokens,
- * and thousands of output tokens times context tokens. Running totals make up
- * for lost reports.
+ * thousands of output tokens times context tokens, and output tokens of prompts
+ * that are handed over. Running totals make up for lost reports.
  */
 export type RoleWorkReport = readonly [
   pool: string,
@@ -38,8 +38,9 @@
   inlineMilliseconds: number,
   outputTokens: number,
   contextThousands: number,
+  handoverTokens: number,
 ];
-const TOTALS = 5;
+const TOTALS = 6;
 
 type Totals = readonly number[];
 
@@ -85,6 +86,7 @@
       outputTokens,
       // The context grows by a token with each step.
       outputTokens * (inputTokens + outputTokens / 2) / THOUSAND,
+      demand.prefillMilliseconds > 0 ? outputTokens : 0,
     ];
     const known = this.#own.get(pool);
     this.#own.set(pool, known === undefined ? work : sum(known, work));
@@ -167,6 +169,7 @@
         ),
       ),
       responseSteps: highQuantile(rates.map(([, , , tokens]) => tokens)),
+      handoverShare: shareOf(rates, { part: 5, whole: 3 }),
       openResponses: highQuantile(work.open.map(({ responses }) => responses)),
       stepMilliseconds: costs.stepMilliseconds,
       observedMilliseconds: rates.length * THOUSAND,
@@ -208,6 +211,16 @@
   );
 }
 
+/** Share of one value in another, over all seconds. */
+function shareOf(
+  rates: readonly Totals[],
+  { part, whole }: { readonly part: number; readonly whole: number },
+): number {
+  const total = (index: number) =>
+    rates.reduce((sum, rate) => sum + rate[index], 0);
+  return total(whole) === 0 ? 0 : total(part) / total(whole);
+}
+
 function highQuantile(values: readonly number[]): number {
   const sorted = [...values].sort((one, other) => one - other);
   return sorted[Math.floor(HIGH_QUANTILE * (sorted.length - 1))] ?? 0;
