Give role orders by observed work in pools with work factors

Entries record what their callers ask of such pools, also when it is held or refused, and learn the engines' step times from the events of their streams. Full reports carry the running totals. RoleController asks WorkRolePlanner for the changes of these pools; all others keep their plan. Before the first orders by slots the holder of the claim asks the health path of an engine, as no caller's request has been answered yet. Metrics and a log line show the work and the plan.

--- a/src/adapters/telemetry/forwarding_telemetry.ts
+++ b/src/adapters/telemetry/forwarding_telemetry.ts
@@ -7,6 +7,7 @@
   LoadQueryOutcome,
   ObserveForwarding,
   PermitOutcome,
+  PlannedRoles,
   ReportOutcome,
 } from "../../entry/forwarding/mod.ts";
 
@@ -166,6 +167,56 @@
   });
 }
 
+/**
+ * Exports the work behind the planned roles of each pool, in engines that it
+ * keeps busy, and the planned number of prefill engines.
+ */
+export function registerPlannedRolesGauges(
+  registry: Registry,
+  plannedRoles: () => Iterable<PlannedRoles>,
+): void {
+  const gauges: readonly [string, string, (plan: PlannedRoles) => number][] = [
+    [
+      "filbertshore_role_prefill_work_engines",
+      "Engines that the prefill work asked of a pool keeps busy",
+      ({ prefillEngines }) => prefillEngines,
+    ],
+    [
+      "filbertshore_role_decode_work_engines",
+      "Engines that the decode work asked of a pool keeps busy",
+      ({ decodeEngines }) => decodeEngines,
+    ],
+    [
+      "filbertshore_role_open_responses",
+      "High quantile of the responses open at a pool's decode engines",
+      ({ openResponses }) => openResponses,
+    ],
+    [
+      "filbertshore_role_empty_step_seconds",
+      "Learned time of a decode step without any response",
+      ({ stepMilliseconds }) => toSeconds(stepMilliseconds),
+    ],
+    [
+      "filbertshore_role_planned_prefill_engines",
+      "Prefill engines that a pool should have, as planned by this entry",
+      ({ plannedPrefillEngines }) => plannedPrefillEngines,
+    ],
+  ];
+  for (const [name, help, valueOf] of gauges) {
+    new Gauge({
+      name,
+      help,
+      labelNames: ["pool"],
+      registers: [registry],
+      collect() {
+        for (const plan of plannedRoles()) {
+          this.set({ pool: plan.pool }, valueOf(plan));
+        }
+      },
+    });
+  }
+}
+
 /** Returns a function that logs and counts decisions of the forwarding path. */
 export function createForwardingObserver(
   options: ForwardingObserverOptions,
--- a/src/core/forwarding/configuration.ts
+++ b/src/core/forwarding/configuration.ts
@@ -71,6 +71,8 @@
    * Maximum number of connections to one replica, from all processes together.
    */
   readonly mostConnections: number;
+  /** Path at which a replica reports its health; absent if there is none. */
+  readonly healthPath?: string;
   readonly engine?: EngineLimits;
 }
 
--- a/src/core/forwarding/estimates/engine_slowness.ts
+++ b/src/core/forwarding/estimates/engine_slowness.ts
@@ -49,6 +49,15 @@
     return ratio > MAX_ORDINARY_RATIO ? ratio : 1;
   }
 
+  /**
+   * Speed of the engine relative to its pool; undefined while there is no sign
+   * that it differs.
+   */
+  speed(engine: EndpointId): number | undefined {
+    const factor = this.factor(engine);
+    return factor === 1 ? undefined : 1 / factor;
+  }
+
   /** Records a prefill's measured time and the time predicted for the pool. */
   record(
     engine: EndpointId,
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -2,6 +2,7 @@
   type ForwardedRequest,
   type NextAttempt,
   type Pool,
+  type PromptDemand,
   type RegisteredEndpoint,
   RequestArrivals,
   type Route,
@@ -54,6 +55,7 @@
   readonly #admission: LimitAdmission;
   #digest: RequestDigest | undefined;
   #hasStarted = false;
+  #hasNotedDemand = false;
 
   constructor(dependencies: ForwardingDependencies, task: ForwardTask) {
     const { request, route } = task;
@@ -296,6 +298,28 @@
     this.dependencies.noteStarted(this.workspace.id, at);
   }
 
+  /**
+   * Records once what the caller asks of an engine pool with work factors. A
+   * caller that returns after a refusal was counted then.
+   */
+  noteDemand(
+    work: Pick<PromptDemand, "prefillMilliseconds" | "inlineMilliseconds">,
+  ): void {
+    const { loadReports, roleWork } = this.dependencies;
+    const { prompt } = this.request;
+    const isCounted = this.#hasNotedDemand || this.waitedMilliseconds > 0;
+    const { name } = this.pool;
+    if (isCounted || prompt === undefined || !loadReports.hasWorkFactor(name)) {
+      return;
+    }
+    this.#hasNotedDemand = true;
+    roleWork.recordPrompt(name, {
+      ...work,
+      inputTokens: prompt.inputTokens,
+      outputTokens: prompt.mostOutputTokens,
+    });
+  }
+
   /** Reports a decision on this request. */
   report(
     decision: ForwardingDecision,
--- a/src/entry/forwarding/forwarding_dependencies.ts
+++ b/src/entry/forwarding/forwarding_dependencies.ts
@@ -17,6 +17,7 @@
   PrefillChoice,
   PrefixDirectory,
   ReturningCallers,
+  RoleWork,
   RouteTable,
   SharedRetryBudget,
   WorkRate,
@@ -51,6 +52,8 @@
   readonly limits: EndpointLimits;
   /** Load that endpoints have reported in their responses. */
   readonly loadReports: EndpointLoadReports;
+  /** What callers ask of pools with work factors. */
+  readonly roleWork: RoleWork;
   /** Permits for requests to endpoints with a limit. */
   readonly permits: RequestPermits;
   /** Requests of this entry that wait for a permit. */
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -22,6 +22,7 @@
   type ReportedLoss,
   type RetryBudgetUsage,
   ReturningCallers,
+  RoleWork,
   RouteTable,
   SharedRetryBudget,
   type TopicSpan,
@@ -33,6 +34,7 @@
   identifier,
   type ProcessId,
   type RequestDigest,
+  type ServiceName,
 } from "../../core/identity/mod.ts";
 import type { Logger } from "../../core/observation/mod.ts";
 import type { Random } from "../../core/random/mod.ts";
@@ -48,6 +50,7 @@
   type PeerStateFallbackOptions,
 } from "./peer_state_fallback.ts";
 import { RoleController, type RoleLink } from "./role_controller.ts";
+import { type PlannedRoles, WorkRolePlanner } from "./work_role_planner.ts";
 import { UsageReporter, type UsageReporterOptions } from "./usage_reporter.ts";
 import { USAGE_METHOD, USAGE_REPORTS_METHOD } from "./usage_notification.ts";
 import {
@@ -147,6 +150,7 @@
   readonly #options: ForwardingEntryOptions;
   readonly #dependencies: ForwardingDependencies;
   readonly #roleController: RoleController | undefined;
+  readonly #workRolePlanner: WorkRolePlanner;
   readonly #usageReporter: UsageReporter | undefined;
   readonly #survey: PrefixCacheSurvey;
   readonly #loadQueries: LoadQueries;
@@ -180,6 +184,7 @@
     const availability = new EndpointAvailability(timer);
     const limits = new EndpointLimits();
     const loadReports = new EndpointLoadReports();
+    const roleWork = new RoleWork(timer);
     const connections: EndpointStateHolder = {
       forget: ({ address }) => options.onEndpointRemoved(address),
     };
@@ -205,7 +210,7 @@
       ],
       onChange: (change, endpoint) => {
         options.logger.info({ change, ...endpoint }, "An endpoint changed");
-        this.#roleController?.onEngineChange(endpoint);
+        this.#roleController?.onEngineChange(endpoint, change);
         if (change === "registered") this.#survey.onEngineSeen(endpoint);
       },
     });
@@ -265,6 +270,7 @@
       returningCallers,
       crashes,
       limits,
+      roleWork,
       version: () => this.configuration?.version,
       onVersion: (version) => this.peerStateFallback.onPeerVersion(version),
     });
@@ -285,6 +291,17 @@
       onStoreReached: () => this.peerStateFallback.onStoreRead(),
       broadcast: (update) => this.peers.broadcast(REGISTRATIONS_METHOD, update),
     });
+    this.#workRolePlanner = new WorkRolePlanner({
+      timer,
+      registry: this.registry,
+      load,
+      logger: options.logger,
+      roleWork,
+      loadReports,
+      endpointClient: options.endpointClient,
+      maxPauseMilliseconds: (pool) => this.#maxPauseMilliseconds(pool),
+      speedOf: (engine) => slowness.speed(engine),
+    });
     this.#roleController = options.roles === undefined
       ? undefined
       : new RoleController({
@@ -298,6 +315,7 @@
         pools: () => this.configuration?.pools.values() ?? [],
         broadcastOrders: (orders) =>
           this.peers.broadcast(ROLES_METHOD, { orders }),
+        workPlanner: this.#workRolePlanner,
       });
     this.#dependencies = {
       timer,
@@ -327,6 +345,7 @@
       crashes,
       limits,
       loadReports,
+      roleWork,
       permits: this.#permits,
       permitQueue: new PermitQueue(),
       onTimeWork: new WorkRate(timer),
@@ -372,6 +391,19 @@
       : this.entriesSharingLimits;
   }
 
+  /** Shortest of the pauses that the pool's routes allow. */
+  #maxPauseMilliseconds(pool: ServiceName): number | undefined {
+    const pauses = (this.configuration?.routes ?? [])
+      .filter(({ shares }) => shares.some((share) => share.pool === pool))
+      .flatMap(({ maxPauseMilliseconds }) => maxPauseMilliseconds ?? []);
+    return pauses.length === 0 ? undefined : Math.min(...pauses);
+  }
+
+  /** Roles planned by observed work, by pool, as planned by this entry. */
+  get plannedRoles(): Iterable<PlannedRoles> {
+    return this.#workRolePlanner.planned;
+  }
+
   /** Use of this entry's share of the retry budget, by pool. */
   retryBudgetUses(): RetryBudgetUsage[] {
     return this.#dependencies.retryBudget.usageByPool();
--- a/src/entry/forwarding/forwarding_entry_test.ts
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -59,6 +59,7 @@
           send: () => ({ answer: new Promise(() => {}), abort() {} }),
           parseCacheHandle: () => undefined,
           listCachedParts: () => Promise.resolve(undefined),
+          checkHealth: () => Promise.resolve(undefined),
           release() {},
         },
         digestOf,
--- a/src/entry/forwarding/mod.ts
+++ b/src/entry/forwarding/mod.ts
@@ -16,6 +16,7 @@
 export type { RegistrationChange } from "./registration_sync.ts";
 export { PeerExchange } from "./peer_exchange.ts";
 export type { OrderOutcome, RoleLink } from "./role_controller.ts";
+export type { PlannedRoles } from "./work_role_planner.ts";
 export type { ReportOutcome, UsageLink } from "./usage_reporter.ts";
 export { readEntireBody } from "./read_body.ts";
 export {
--- a/src/entry/forwarding/network_interfaces.ts
+++ b/src/entry/forwarding/network_interfaces.ts
@@ -2,6 +2,7 @@
 import type { Result } from "neverthrow";
 import type { Failure } from "../../core/errors/mod.ts";
 import type {
+  EndpointLoadReport,
   ForwardAttemptOptions,
   ForwardedRequest,
   PromptPart,
@@ -54,10 +55,24 @@
   listCachedParts(
     engine: Pick<RegisteredEndpoint, "id" | "address">,
   ): Promise<readonly PromptPart[] | undefined>;
+  /**
+   * Requests the health path of an endpoint; undefined if it did not answer as
+   * a healthy one.
+   */
+  checkHealth(
+    endpoint: Pick<RegisteredEndpoint, "id" | "address">,
+    path: string,
+  ): Promise<EndpointHealthAnswer | undefined>;
   /** Releases a cached prompt that will not be used. */
   release(address: string, handle: string): void;
 }
 
+/** Answer of a healthy endpoint to a request to its health path. */
+export interface EndpointHealthAnswer {
+  /** Absent if the endpoint reports no load. */
+  readonly load?: EndpointLoadReport;
+}
+
 /** The response stream to a caller. */
 export interface CallerSink {
   /**
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -12,6 +12,7 @@
   type LoadOwners,
   type PrefixDirectory,
   type ReturningCallers,
+  type RoleWork,
 } from "../../core/forwarding/mod.ts";
 import {
   type EndpointId,
@@ -75,6 +76,7 @@
   readonly returningCallers: ReturningCallers;
   readonly crashes: CrashTracker;
   readonly limits: EndpointLimits;
+  readonly roleWork: RoleWork;
   readonly sendToPeers: SendToPeers;
   /** Version of the configuration in force here. */
   readonly version: () => number | undefined;
@@ -150,6 +152,7 @@
     for (const name of this.#incarnations.keys()) {
       if (!peers.has(name)) this.#incarnations.delete(name);
     }
+    this.#options.roleWork.retainPeers(new Set(peers.keys()));
     this.#fleetSize = peers.size + 1;
     const names = [...peers.keys()].map((name) => identifier<ProcessId>(name));
     this.#options.owners.setMembers(names);
@@ -207,6 +210,9 @@
       this.#options.crashes.recordPeerLoss(loss);
     }
     for (const limit of params.limits ?? []) this.#applyLimit(limit);
+    if (params.poolWork !== undefined) {
+      this.#options.roleWork.recordPeerReport(params, params.poolWork);
+    }
     if (this.#isNewProcess(params)) this.#onPeerStart(identifier(params.entry));
   }
 
@@ -273,6 +279,7 @@
       prefixes,
       registry,
       returningCallers,
+      roleWork,
       timer,
     } = this.#options;
     const now = timer.now();
@@ -283,6 +290,7 @@
     if (!isFull && !hasUnreported) return;
     if (isFull) this.#lastFullReportAt = now;
     const losses = isFull ? crashes.reports.recentLosses() : [];
+    const poolWork = isFull ? roleWork.report() : [];
     this.broadcast(WORK_METHOD, {
       ...this.#baseNotification(isFull),
       version: this.#options.version(),
@@ -290,6 +298,7 @@
       prompts: prefixes.takeUnreported().map(encodePrompt),
       refusals: returningCallers.takeUnreported(),
       ...(losses.length > 0 && { losses }),
+      ...(poolWork.length > 0 && { poolWork }),
       ...(limits.hasUnreported &&
         { limits: this.#encodeLimits(limits.takeUnreported()) }),
       ...(isFull && {
--- a/src/entry/forwarding/prompt_admission.ts
+++ b/src/entry/forwarding/prompt_admission.ts
@@ -58,6 +58,10 @@
   const { dependencies, pool, route, waitedMilliseconds } = context;
   const candidates = await candidatesFor(context, prompt);
   const soonest = dependencies.placement.choosePrefill(prompt, candidates);
+  context.noteDemand({
+    prefillMilliseconds: prefillMilliseconds(context, { prompt, soonest }),
+    inlineMilliseconds: 0,
+  });
   const held = makeHeldPrompt(context, prompt, soonest);
   const onTimeMilliseconds = soonest?.predictedMilliseconds ?? Infinity;
   const estimate = {
@@ -110,6 +114,19 @@
   return { engines: remaining, pool, prefillEngines };
 }
 
+/** Prefill work of the prompt at an engine of the pool's usual speed. */
+function prefillMilliseconds(
+  { dependencies, pool }: ForwardContext,
+  { prompt, soonest }: {
+    readonly prompt: Prompt;
+    readonly soonest: PrefillChoice | undefined;
+  },
+): number {
+  if (soonest !== undefined) return soonest.workMilliseconds / soonest.slowdown;
+  const { prefill } = dependencies.estimates.forPool(pool.name);
+  return prefill.predictWorkMilliseconds(prompt.inputTokens, 0);
+}
+
 /** Queue entry for a prompt that waits here for a nearly idle engine. */
 function makeHeldPrompt(
   context: ForwardContext,
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -12,6 +12,7 @@
   EndpointId,
 } from "../../core/identity/mod.ts";
 import type { Subscription } from "../../core/time/mod.ts";
+import { observePace } from "./response_pace.ts";
 import { ResponseRelay } from "./response_relay.ts";
 import { type AttemptPlan, ForwardAttempt } from "./attempt.ts";
 import { ForwardContext, type ForwardTask } from "./forward_context.ts";
@@ -306,6 +307,12 @@
       : await this.#chooseDecodeEngine(prompt, kept);
     if (choice === undefined) return undefined;
     const { milliseconds, tokens } = choice.work;
+    if (kept === undefined) {
+      this.#context.noteDemand({
+        prefillMilliseconds: 0,
+        inlineMilliseconds: milliseconds,
+      });
+    }
     return {
       endpoint: choice.endpoint,
       work: { milliseconds: kept === undefined ? milliseconds : 0, tokens },
@@ -516,13 +523,32 @@
       return "again";
     }
     this.#firstByteAt ??= this.#context.dependencies.timer.now();
-    const end = await this.#relay.pipe(response, attempt);
+    const observed = this.#observePace(response, attempt);
+    const end = await this.#relay.pipe(observed, attempt);
     if (this.#context.settled) return "delivered";
     if (end === "whole") return this.#finish(head.status);
     if (end === "mismatch") this.#reportMismatch(response);
     return this.#afterBrokenResponse();
   }
 
+  /** Learns the engine's steps from the response, in pools with work factors. */
+  #observePace(
+    response: EndpointResponse,
+    { endpoint }: ForwardAttempt,
+  ): EndpointResponse {
+    const { dependencies, pool, route } = this.#context;
+    const { load, loadReports, roleWork, timer } = dependencies;
+    const isObserved = this.#isEngineWork && route.repeat === "stream" &&
+      response.head.status === 200 && loadReports.hasWorkFactor(pool.name);
+    if (!isObserved) return response;
+    return observePace(response, {
+      timer,
+      openWork: () => load.total(endpoint.id),
+      workFactor: () => loadReports.current(endpoint.id)?.workFactor ?? 1,
+      onSteps: (sample) => roleWork.recordSteps(pool.name, sample),
+    });
+  }
+
   /** Handles a response that can't follow what the caller has received. */
   #afterMismatch(
     response: EndpointResponse,
--- a/src/entry/forwarding/role_controller.ts
+++ b/src/entry/forwarding/role_controller.ts
@@ -10,6 +10,7 @@
   prefillShareBySlots,
   prefillShareForDemand,
   type RegisteredEndpoint,
+  type RegistryChange,
   RoleDemand,
   type StoreFailure,
 } from "../../core/forwarding/mod.ts";
@@ -17,6 +18,7 @@
 import type { Logger } from "../../core/observation/mod.ts";
 import { type Random, withJitter } from "../../core/random/mod.ts";
 import type { Subscription, TimerService } from "../../core/time/mod.ts";
+import type { WorkRolePlanner } from "./work_role_planner.ts";
 
 /** Interval of the role checks. */
 const CHECK_INTERVAL_MILLISECONDS = 500;
@@ -85,6 +87,8 @@
   readonly pools: () => Iterable<Pool>;
   /** Informs peers of engines that are about to change. */
   readonly broadcastOrders: (changes: RoleOrders) => void;
+  /** Plans pools with work factors; absent: all are planned by their slots. */
+  readonly workPlanner?: WorkRolePlanner;
 }
 
 /**
@@ -134,8 +138,12 @@
   }
 
   /** Handles an engine that was added, removed or changed. */
-  onEngineChange(endpoint: RegisteredEndpoint): void {
+  onEngineChange(
+    endpoint: RegisteredEndpoint,
+    change: RegistryChange = "updated",
+  ): void {
     if (endpoint.role === undefined) return;
+    this.#options.workPlanner?.onEngineChange(endpoint, change);
     this.#lastChangeAt = this.#options.timer.now();
     const isDone = this.#changing.get(endpoint.id) === endpoint.role;
     if (isDone || endpoint.leaving) this.forget(endpoint);
@@ -158,11 +166,12 @@
     // Demand does not revert by itself, unlike an engine that crashes and
     // restarts.
     const mayFollowDemand = settledFor >= INITIAL_SETTLE_MILLISECONDS;
-    const changes = isSettled
+    const changesBySlots = isSettled
       ? this.#plannedChanges()
       : mayFollowDemand
       ? this.#plannedDecodeChanges()
       : [];
+    const changes = [...changesBySlots, ...this.#plannedWorkChanges()];
     // Engines that already match the plan count as planned: from then on a role
     // change is the exception.
     if (isSettled && this.#options.registry.size > 0) this.#hasPlanned = true;
@@ -171,9 +180,19 @@
   }
 
   #plannedChanges(): EngineRoleChange[] {
-    return [...this.#options.pools()].flatMap((pool) =>
-      this.#plannedChangesIn(pool)
-    );
+    return this.#poolsBySlots.flatMap((pool) => this.#plannedChangesIn(pool));
+  }
+
+  #plannedWorkChanges(): EngineRoleChange[] {
+    const { pools, workPlanner } = this.#options;
+    if (workPlanner === undefined) return [];
+    return [...pools()].filter((pool) => workPlanner.isResponsibleFor(pool))
+      .flatMap((pool) => workPlanner.plan(pool, this.#changing));
+  }
+
+  get #poolsBySlots(): Pool[] {
+    const { pools, workPlanner } = this.#options;
+    return [...pools()].filter((pool) => !workPlanner?.isResponsibleFor(pool));
   }
 
   /**
@@ -181,7 +200,7 @@
    * of an engine alone does not trigger a change this early.
    */
   #plannedDecodeChanges(): EngineRoleChange[] {
-    return [...this.#options.pools()]
+    return this.#poolsBySlots
       .filter(({ name }) => {
         const engines = this.#options.registry.inPool(name);
         return this.#prefillShareIn(name, engines) <
@@ -211,9 +230,11 @@
   }
 
   #sampleDemand(): void {
-    const { load, pools, registry, timer } = this.#options;
-    for (const { engine, name } of pools()) {
+    const { load, pools, registry, timer, workPlanner } = this.#options;
+    for (const pool of pools()) {
+      const { engine, name } = pool;
       if (engine === undefined) continue;
+      if (workPlanner?.isResponsibleFor(pool)) workPlanner.sample(pool);
       const demand = this.#demands.get(name) ?? new RoleDemand(timer);
       this.#demands.set(name, demand);
       let answers = 0;
@@ -230,7 +251,7 @@
   async #issueOrders(changes: readonly EngineRoleChange[]): Promise<void> {
     if (!await this.#acquireClaim()) return;
     const { link, logger, self } = this.#options;
-    for (const change of changes) {
+    for (const change of await this.#confirmed(changes)) {
       const fencing = this.#claim.fencing;
       if (fencing === undefined) return;
       const outcome = await link.order(change, { holder: self, fencing });
@@ -250,6 +271,24 @@
     }
   }
 
+  /** Leaves out orders by slots to pools that turn out to report their work. */
+  async #confirmed(
+    changes: readonly EngineRoleChange[],
+  ): Promise<readonly EngineRoleChange[]> {
+    const { workPlanner } = this.#options;
+    if (workPlanner === undefined) return changes;
+    const unconfirmed = new Set<ServiceName>();
+    for (const pool of this.#poolsBySlots) {
+      const isChanged = changes.some(({ endpoint }) =>
+        endpoint.pool === pool.name
+      );
+      if (isChanged && !await workPlanner.mayOrderBySlots(pool)) {
+        unconfirmed.add(pool.name);
+      }
+    }
+    return changes.filter(({ endpoint }) => !unconfirmed.has(endpoint.pool));
+  }
+
   #noteOrder(id: EndpointId, role: "prefill" | "decode"): void {
     this.#changing.set(id, role);
     this.#changeDeadlines.set(
--- a/src/entry/forwarding/work_notification.ts
+++ b/src/entry/forwarding/work_notification.ts
@@ -4,11 +4,13 @@
   type EndpointRegistry,
   isLimitReport,
   isReportedLoss,
+  isRoleWorkReport,
   type LimitReport,
   type PeerWork,
   type PrefillSpeedReport,
   type RefusalReport,
   type ReportedLoss,
+  type RoleWorkReport,
   type WorkReport,
 } from "../../core/forwarding/mod.ts";
 import {
@@ -47,6 +49,11 @@
    * is lost, its receivers learn the limit from the endpoint's next response.
    */
   readonly limits?: readonly LimitReport[];
+  /**
+   * What the sender's callers have asked of pools with work factors; sent with
+   * full reports.
+   */
+  readonly poolWork?: readonly RoleWorkReport[];
 }
 
 /**
@@ -94,6 +101,7 @@
     incarnation,
     limits,
     losses,
+    poolWork,
     prompts,
     refusals,
     sequence,
@@ -107,8 +115,11 @@
     (Array.isArray(losses) && losses.every(isReportedLoss));
   const hasLimits = limits === undefined ||
     (Array.isArray(limits) && limits.every(isLimitReport));
+  const hasPoolWork = poolWork === undefined ||
+    (Array.isArray(poolWork) && poolWork.every(isRoleWorkReport));
   const isClock = clock === undefined || Number.isFinite(clock);
   return isVersion && isClock && hasSpeeds && hasLosses && hasLimits &&
+    hasPoolWork &&
     typeof entry === "string" &&
     typeof incarnation === "string" &&
     typeof sequence === "number" &&
--- /dev/null
+++ b/src/entry/forwarding/work_role_planner.ts
@@ -0,0 +1,201 @@
+import {
+  type EndpointLoadReports,
+  type EndpointRegistry,
+  type EngineRoleChange,
+  type FleetLoad,
+  type ObservedWork,
+  planPrefillShare,
+  planRoles,
+  type Pool,
+  type RegisteredEndpoint,
+  type RegistryChange,
+  type RoleWork,
+} from "../../core/forwarding/mod.ts";
+import type { EndpointId, ServiceName } from "../../core/identity/mod.ts";
+import type { Logger } from "../../core/observation/mod.ts";
+import { type TimerService, withTimeout } from "../../core/time/mod.ts";
+import type { EndpointClient } from "./network_interfaces.ts";
+
+/** How long the engines must be unchanged before a plan. */
+const SETTLE_MILLISECONDS = 2_000;
+/**
+ * How long a lost engine is expected to come back with its role. Replacing it
+ * meanwhile would cost a role change, and another one when it is back.
+ */
+const RETURN_MILLISECONDS = 7_000;
+/**
+ * Limits on the requests to health paths before the first plan of a pool. They
+ * end within the validity of the claim on role orders, so that orders can
+ * follow them.
+ */
+const MAX_ASKED_ENGINES = 3;
+const ANSWER_TIMEOUT_MILLISECONDS = 300;
+/**
+ * Number of times that no engine answers until a pool is planned by its slots.
+ */
+const MAX_UNANSWERED = 3;
+
+/** What the planner needs to know; see `RoleControllerOptions`. */
+export interface WorkRolePlannerOptions {
+  readonly timer: TimerService;
+  readonly registry: EndpointRegistry;
+  readonly load: FleetLoad;
+  readonly logger: Logger;
+  readonly roleWork: RoleWork;
+  readonly loadReports: EndpointLoadReports;
+  readonly endpointClient: Pick<EndpointClient, "checkHealth">;
+  /** Longest pause that the pool's routes allow; undefined if none names one. */
+  readonly maxPauseMilliseconds: (pool: ServiceName) => number | undefined;
+  /** Speed of an engine relative to its pool; undefined if unknown. */
+  readonly speedOf: (engine: EndpointId) => number | undefined;
+}
+
+/** A pool's observed work and plan, for logs and metrics. */
+export interface PlannedRoles extends ObservedWork {
+  readonly pool: ServiceName;
+  readonly plannedPrefillEngines: number;
+}
+
+/** Plans the roles of pools with work factors by their observed work. */
+export class WorkRolePlanner {
+  readonly #options: WorkRolePlannerOptions;
+  readonly #planned = new Map<ServiceName, PlannedRoles>();
+  /** Engines that were lost, and when. */
+  readonly #lost = new Map<EndpointId, number>();
+  /** Pools that have shown whether they report work factors. */
+  readonly #known = new Set<ServiceName>();
+  readonly #unanswered = new Map<ServiceName, number>();
+  #changedAt: number;
+
+  constructor(options: WorkRolePlannerOptions) {
+    this.#options = options;
+    this.#changedAt = options.timer.now();
+  }
+
+  /** The latest plan of each pool. */
+  get planned(): Iterable<PlannedRoles> {
+    return this.#planned.values();
+  }
+
+  /** True if the pool's roles are planned by its work. */
+  isResponsibleFor({ engine, name }: Pool): boolean {
+    return engine !== undefined &&
+      this.#options.loadReports.hasWorkFactor(name);
+  }
+
+  /** Handles an engine that was added, removed or changed. */
+  onEngineChange({ id }: RegisteredEndpoint, change: RegistryChange): void {
+    const now = this.#options.timer.now();
+    this.#changedAt = now;
+    if (change === "removed" || change === "leaving") this.#lost.set(id, now);
+    else this.#lost.delete(id);
+  }
+
+  /** Records the present load of the pool's decode engines. */
+  sample({ name }: Pool): void {
+    const { load, registry, roleWork } = this.#options;
+    const responses = registry.inPool(name)
+      .filter(({ role }) => role !== "prefill")
+      .reduce((sum, { id }) => sum + load.total(id).requests, 0);
+    roleWork.recordOpen(name, responses);
+  }
+
+  /**
+   * Role changes for the pool; none while its work is unknown, or while engines
+   * that were just lost may come back.
+   */
+  plan(
+    { name }: Pool,
+    changing: ReadonlyMap<EndpointId, "prefill" | "decode">,
+  ): EngineRoleChange[] {
+    const { load, registry, roleWork, speedOf } = this.#options;
+    const work = roleWork.observed(name);
+    if (work === undefined || !this.#isSettled()) return [];
+    const observed = {
+      ...work,
+      maxPauseMilliseconds: this.#options.maxPauseMilliseconds(name),
+    };
+    const engines = registry.inPool(name);
+    const prefillShare = planPrefillShare(
+      observed,
+      engines.map(({ id, role, slots }) => ({
+        role: changing.get(id) ?? role,
+        slots,
+        speed: speedOf(id),
+      })),
+    );
+    if (prefillShare === undefined) return [];
+    this.#notePlan({
+      ...observed,
+      pool: name,
+      plannedPrefillEngines: Math.round(prefillShare * engines.length),
+    });
+    return planRoles({
+      engines,
+      openRequests: (endpoint) => load.total(endpoint).requests,
+      changing,
+      prefillShare,
+    });
+  }
+
+  /**
+   * Finds out whether the pool reports work factors, before the first orders to
+   * its engines. Returns false while the orders have to wait.
+   */
+  async mayOrderBySlots({ healthPath, name }: Pool): Promise<boolean> {
+    const { loadReports } = this.#options;
+    if (healthPath === undefined || this.#known.has(name)) return true;
+    if (!await this.#ask(name, healthPath)) {
+      const unanswered = 1 + (this.#unanswered.get(name) ?? 0);
+      this.#unanswered.set(name, unanswered);
+      if (unanswered < MAX_UNANSWERED) return false;
+    }
+    this.#known.add(name);
+    return !loadReports.hasWorkFactor(name);
+  }
+
+  /** Asks one engine after another; false if none answers. */
+  async #ask(pool: ServiceName, healthPath: string): Promise<boolean> {
+    const { endpointClient, loadReports, logger, registry, timer } =
+      this.#options;
+    for (const engine of registry.inPool(pool).slice(0, MAX_ASKED_ENGINES)) {
+      const sentAt = timer.now();
+      const answer = await withTimeout(
+        endpointClient.checkHealth(engine, healthPath),
+        { timer, milliseconds: ANSWER_TIMEOUT_MILLISECONDS },
+      );
+      if (answer === undefined) continue;
+      const { load } = answer;
+      const receivedAt = timer.now();
+      if (load !== undefined && registry.isSameRun(engine)) {
+        loadReports.record(engine, { ...load, sentAt, receivedAt });
+      }
+      logger.info({
+        pool,
+        endpoint: engine.id,
+        hasWorkFactor: load?.workFactor !== undefined,
+      }, "Asked an engine whether its pool reports work factors");
+      return true;
+    }
+    return false;
+  }
+
+  #isSettled(): boolean {
+    const now = this.#options.timer.now();
+    for (const [id, at] of this.#lost) {
+      if (now - at >= RETURN_MILLISECONDS) this.#lost.delete(id);
+    }
+    return this.#lost.size === 0 &&
+      now - this.#changedAt >= SETTLE_MILLISECONDS;
+  }
+
+  #notePlan(plan: PlannedRoles): void {
+    const before = this.#planned.get(plan.pool)?.plannedPrefillEngines;
+    this.#planned.set(plan.pool, plan);
+    if (before === plan.plannedPrefillEngines) return;
+    this.#options.logger.info(
+      { ...plan, before },
+      "Planned the roles of a pool by its observed work",
+    );
+  }
+}
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -103,6 +103,7 @@
         parseCacheHandle: (body) =>
           body.length > 0 ? body.toString() : undefined,
         listCachedParts: () => Promise.resolve(undefined),
+        checkHealth: () => Promise.resolve(undefined),
         release() {},
       },
       digestOf,
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -20,6 +20,7 @@
   PrefixDirectory,
   type ResponseHead,
   ReturningCallers,
+  RoleWork,
   RouteTable,
   SharedRetryBudget,
   WorkRate,
@@ -209,6 +210,7 @@
       send: (request, attempt) => this.#send(request, attempt),
       parseCacheHandle: (body) => body.length > 0 ? body.toString() : undefined,
       listCachedParts: () => Promise.resolve(undefined),
+      checkHealth: () => Promise.resolve(undefined),
       release: (_, handle) => void this.released.push(handle),
     };
     const availabilityZone = identifier<AvailabilityZoneId>("zone-1");
@@ -245,6 +247,7 @@
       crashes: new CrashTracker({ timer }),
       limits,
       loadReports: new EndpointLoadReports(),
+      roleWork: new RoleWork(timer),
       permits: new RequestPermits({
         self,
         timer,
