Prefer the split with the fewest role changes that copes with the work

The plan moved a dozen of 40 engines where one was short, because it took the split with the same headroom in both roles whenever that gained anything. Role orders are costly. It now takes the nearest split in which both roles stay below 0.85 of their targets, and the balanced one only if there is none. The gain is counted in engines that the work needs, and load is expected to go on for at least 15 s, as a new fleet has not observed it for long.

--- a/src/core/forwarding/roles/prefill_share.ts
+++ b/src/core/forwarding/roles/prefill_share.ts
@@ -60,8 +60,18 @@
 const MAX_SLOT_FACTOR = 2;
 /** Keeps quotients finite where there is no work of a kind. */
 const MIN_RATE = 1e-9;
+/**
+ * Load up to which a split that takes fewer role changes is preferred to the
+ * one with the same headroom in both roles.
+ */
+const COMFORTABLE_LOAD = 0.85;
 /** Time for which an engine does no work while it changes its role. */
 const CHANGE_MILLISECONDS = 5_000;
+/**
+ * Shortest time for which the load is expected to go on. Load that has been
+ * observed for longer is expected to go on for as long again.
+ */
+const MIN_EXPECTED_MILLISECONDS = 15_000;
 
 /**
  * Share of the engines that should prefill; undefined while the work is unknown
@@ -84,11 +94,23 @@
   );
   if (prefill === 0 || prefill === count) return balanced / count;
   const present = servedShare(loadsOf(prefill));
+  const expected = Math.max(
+    MIN_EXPECTED_MILLISECONDS,
+    work.observedMilliseconds,
+  );
+  const neededEngines = loadsOf(balanced).prefill * balanced +
+    loadsOf(balanced).decode * (count - balanced);
   const netGainOf = (candidate: number) =>
-    count * (servedShare(loadsOf(candidate)) - present) -
-    Math.abs(candidate - prefill) * CHANGE_MILLISECONDS /
-      work.observedMilliseconds;
-  if (netGainOf(balanced) > 0) return balanced / count;
+    neededEngines * (servedShare(loadsOf(candidate)) - present) -
+    Math.abs(candidate - prefill) * CHANGE_MILLISECONDS / expected;
+  const target = candidates.filter((candidate) =>
+    higherLoad(loadsOf(candidate)) <= COMFORTABLE_LOAD
+  ).reduce(
+    (best, each) =>
+      Math.abs(each - prefill) < Math.abs(best - prefill) ? each : best,
+    balanced,
+  );
+  if (netGainOf(target) > 0) return target / count;
   const best = candidates.reduce(
     (best, each) => netGainOf(each) > netGainOf(best) ? each : best,
     prefill,
@@ -106,8 +128,11 @@
 function isBetter(loads: RelativeLoads, than: RelativeLoads): boolean {
   const gain = servedShare(loads) - servedShare(than);
   if (gain !== 0) return gain > 0;
-  return Math.max(loads.prefill, loads.decode) <
-    Math.max(than.prefill, than.decode);
+  return higherLoad(loads) < higherLoad(than);
+}
+
+function higherLoad({ decode, prefill }: RelativeLoads): number {
+  return Math.max(prefill, decode);
 }
 
 /**
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -14,6 +14,7 @@
 import {
   type Exchange,
   ForwardingEntry,
+  type ForwardingEntryOptions,
 } from "../../src/entry/forwarding/mod.ts";
 import { RecordingSink, SentAttempt } from "./forwarding_harness.ts";
 
@@ -29,6 +30,8 @@
   readonly endpoints: readonly RegisteredEndpoint[];
   /** Share of datagrams that are lost, 0 to 1. */
   readonly lossRate?: number;
+  /** How entries give role orders; absent: engines keep their roles. */
+  readonly roles?: ForwardingEntryOptions["roles"];
 }
 
 /**
@@ -86,7 +89,7 @@
 
   #makeEntry(
     index: number,
-    { zones }: EntryFleetOptions,
+    { roles, zones }: EntryFleetOptions,
   ): ForwardingEntry {
     return new ForwardingEntry({
       process: `entry-${index}`,
@@ -113,6 +116,7 @@
         }
       },
       observe() {},
+      roles,
       logger: NOOP_LOGGER,
       isFirstStart: true,
       retry: { ratio: 0.2, windowMilliseconds: 10_000, minimum: 200 },
