--- a/src/core/forwarding/roles/role_work.ts
+++ b/src/core/forwarding/roles/role_work.ts
@@ -12,6 +12,8 @@
  * time.
  */
 const HIGH_QUANTILE = 0.9;
+/** Weight of earlier responses at each new one; about the last 200 count. */
+const RETAINED_RESPONSES = 0.995;
 const THOUSAND = 1_000;
 
 /** Work that one prompt asks of a pool. */
@@ -55,6 +57,9 @@
 interface PoolWork {
   readonly asked: WorkSeries;
   readonly steps: DecodeStepCosts;
+  /** Events of responses and the tokens asked for; old responses fade. */
+  events: number;
+  askedTokens: number;
   /** Times and numbers of open responses at decode engines, oldest first. */
   open: { readonly at: number; readonly responses: number }[];
 }
@@ -99,6 +104,19 @@
     this.#poolWork(pool).steps.record(sample);
   }
 
+  /**
+   * Records a response that has ended whole. Callers name the most tokens that
+   * they accept; responses may have fewer.
+   */
+  recordResponse(
+    pool: ServiceName,
+    { asked, events }: { readonly asked: number; readonly events: number },
+  ): void {
+    const work = this.#poolWork(pool);
+    work.events = RETAINED_RESPONSES * work.events + events;
+    work.askedTokens = RETAINED_RESPONSES * work.askedTokens + asked;
+  }
+
   /** Records the present number of open responses at decode engines. */
   recordOpen(pool: ServiceName, responses: number): void {
     const work = this.#poolWork(pool);
@@ -160,15 +178,21 @@
       rates.some(([prompts]) => prompts > 0);
     const costs = work?.steps.costs;
     if (!isKnown || costs === undefined) return undefined;
+    const eventsPerToken = work.askedTokens > 0
+      ? Math.min(1, work.events / work.askedTokens)
+      : 1;
     return {
       prefillEngines: highQuantile(rates.map(([, prefill]) => prefill)),
       decodeEngines: highQuantile(
         rates.map(([, , inline, tokens, contextThousands]) =>
-          inline + tokens * costs.millisecondsPerResponse +
-          contextThousands * costs.millisecondsPerThousandTokens
+          inline + eventsPerToken * (
+              tokens * costs.millisecondsPerResponse +
+              contextThousands * costs.millisecondsPerThousandTokens
+            )
         ),
       ),
-      responseSteps: highQuantile(rates.map(([, , , tokens]) => tokens)),
+      responseSteps: eventsPerToken *
+        highQuantile(rates.map(([, , , tokens]) => tokens)),
       handoverShare: shareOf(rates, { part: 5, whole: 3 }),
       openResponses: highQuantile(work.open.map(({ responses }) => responses)),
       stepMilliseconds: costs.stepMilliseconds,
@@ -182,6 +206,8 @@
       work = {
         asked: new WorkSeries(TOTALS),
         steps: new DecodeStepCosts(),
+        events: 0,
+        askedTokens: 0,
         open: [],
       };
       this.#pools.set(pool, work);
--- a/src/core/forwarding/roles/role_work_test.ts
+++ b/src/core/forwarding/roles/role_work_test.ts
@@ -69,6 +69,15 @@
     expect(observed?.handoverShare).to.equal(1);
   });
 
+  // Callers ask for up to a thousand tokens and get ten. By the tokens asked
+  // for, the plan would give nearly all engines to answers.
+  it("counts the tokens that responses have, not those asked for", async () => {
+    for (let count = 0; count < 50; count++) {
+      work.recordResponse(ENGINES, { asked: 2, events: 1 });
+    }
+    expect((await ask(12))?.responseSteps).to.be.closeTo(0.02, 0.002);
+  });
+
   // Reports are datagrams. If the work of a lost one were missing, a fleet that
   // loses a fifth of them would plan for a fifth less.
   it("loses no work with a lost or late report", async () => {
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -536,8 +536,9 @@
     response: EndpointResponse,
     { endpoint }: ForwardAttempt,
   ): EndpointResponse {
-    const { dependencies, pool, route } = this.#context;
+    const { dependencies, pool, request, route } = this.#context;
     const { load, loadReports, roleWork, timer } = dependencies;
+    const asked = request.prompt?.mostOutputTokens ?? 0;
     const isObserved = this.#isEngineWork && route.repeat === "stream" &&
       response.head.status === 200 && loadReports.hasWorkFactor(pool.name);
     if (!isObserved) return response;
@@ -546,6 +547,8 @@
       openWork: () => load.total(endpoint.id),
       workFactor: () => loadReports.current(endpoint.id)?.workFactor ?? 1,
       onSteps: (sample) => roleWork.recordSteps(pool.name, sample),
+      onWhole: (events) =>
+        roleWork.recordResponse(pool.name, { events, asked }),
     });
   }
 
--- a/src/entry/forwarding/response_pace.ts
+++ b/src/entry/forwarding/response_pace.ts
@@ -17,6 +17,8 @@
   /** How long work takes at the endpoint now, relative to usual. */
   readonly workFactor: () => number;
   readonly onSteps: (sample: StepSample) => void;
+  /** Called with the number of events of a response that has ended whole. */
+  readonly onWhole: (events: number) => void;
 }
 
 /** Events counted since the last sample. */
@@ -32,8 +34,9 @@
   response: EndpointResponse,
   options: PaceOptions,
 ): EndpointResponse {
-  const { onSteps, openWork, timer, workFactor } = options;
+  const { onSteps, onWhole, openWork, timer, workFactor } = options;
   let segment: Segment | undefined;
+  let total = 0;
   const sample = () => {
     if (segment === undefined || segment.steps === 0) return;
     const { lastAt, startedAt, steps, work } = segment;
@@ -52,6 +55,7 @@
     segment = { startedAt: now, work: openWork(), steps: 0, lastAt: now };
   };
   const onEvents = (events: number) => {
+    total += events;
     if (segment === undefined) return start();
     segment.steps += events;
     segment.lastAt = timer.now();
@@ -68,6 +72,7 @@
         onChunk(chunk);
       }, (end) => {
         sample();
+        if (end === "whole") onWhole(total);
         onEnd(end);
       });
     },
--- a/src/entry/forwarding/response_pace_test.ts
+++ b/src/entry/forwarding/response_pace_test.ts
@@ -12,12 +12,14 @@
   let onEnd: (end: BodyEnd) => void;
   let received: string;
   let requests: number;
+  let wholeEvents: number | undefined;
 
   beforeEach(() => {
     timer = new ManualTimerService();
     samples = [];
     received = "";
     requests = 4;
+    wholeEvents = undefined;
     observed = observePace({
       head: { status: 200, headers: [], requestId: "1", notExecuted: false },
       read: (chunk, end) => [onChunk, onEnd] = [chunk, end],
@@ -28,6 +30,7 @@
       openWork: () => ({ requests, prefillMilliseconds: 0, tokens: 100 }),
       workFactor: () => 2,
       onSteps: (sample) => samples.push(sample),
+      onWhole: (events) => wholeEvents = events,
     });
     observed.read((chunk) => received += chunk, (end) => received += end);
   });
@@ -51,6 +54,7 @@
       tokens: 100,
       prefillMilliseconds: 0,
     }]);
+    expect(wholeEvents).to.equal(4);
     expect(received).to.match(/^data: 1[^]*data: 4\n\nwhole$/);
   });
 
@@ -79,5 +83,6 @@
     await timer.advance(2_000);
     onEnd("cut");
     expect(samples.map(({ milliseconds }) => milliseconds)).to.deep.equal([10]);
+    expect(wholeEvents).to.equal(undefined);
   });
 });
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -12,6 +12,7 @@
 import { type Random, seededRandom } from "../../src/core/random/mod.ts";
 import { ManualTimerService } from "../../src/core/time/mod.ts";
 import {
+  type EndpointClient,
   type Exchange,
   ForwardingEntry,
   type ForwardingEntryOptions,
@@ -32,6 +33,8 @@
   readonly lossRate?: number;
   /** How entries give role orders; absent: engines keep their roles. */
   readonly roles?: ForwardingEntryOptions["roles"];
+  /** Answers of engines' health paths; absent: none answers. */
+  readonly checkHealth?: EndpointClient["checkHealth"];
 }
 
 /**
@@ -89,7 +92,7 @@
 
   #makeEntry(
     index: number,
-    { roles, zones }: EntryFleetOptions,
+    { checkHealth, roles, zones }: EntryFleetOptions,
   ): ForwardingEntry {
     return new ForwardingEntry({
       process: `entry-${index}`,
@@ -106,7 +109,7 @@
         parseCacheHandle: (body) =>
           body.length > 0 ? body.toString() : undefined,
         listCachedParts: () => Promise.resolve(undefined),
-        checkHealth: () => Promise.resolve(undefined),
+        checkHealth: checkHealth ?? (() => Promise.resolve(undefined)),
         release() {},
       },
       digestOf,
