--- a/src/entry/forwarding/forwarding_entry_test.ts
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -246,6 +246,16 @@
       });
     }
 
+    it("ignores a notification with malformed work of pools", () => {
+      const [entry] = makeEntries(1);
+      entry.registry.upsert(second);
+      for (const poolWork of [5, [["engines", 1]], [["engines", -1]]]) {
+        const params = { ...workAt(second), poolWork };
+        entry.onNotification("entry.work", params);
+      }
+      expect(entry.openWorkAt(second.id).requests).to.equal(0);
+    });
+
     it("ignores work of a peer that only knows the previous run", () => {
       const [entry] = makeEntries(1);
       entry.registry.upsert(second);
