--- a/src/entry/forwarding/engine_planner.ts
+++ b/src/entry/forwarding/engine_planner.ts
@@ -143,6 +143,12 @@
       : await this.#chooseDecodeEngine(prompt, kept);
     if (choice === undefined) return undefined;
     const { milliseconds, tokens } = choice.work;
+    if (kept === undefined) {
+      this.#context.noteDemand({
+        prefillMilliseconds: 0,
+        inlineMilliseconds: milliseconds,
+      });
+    }
     return {
       predictedPauseMilliseconds: choice.pauseMilliseconds,
       delayMilliseconds: Math.round(this.#delayMilliseconds),
--- a/src/entry/forwarding/forwarding_dependencies.ts
+++ b/src/entry/forwarding/forwarding_dependencies.ts
@@ -20,6 +20,7 @@
   PrefixDirectory,
   ResponseBuffers,
   ReturningCallers,
+  RoleWork,
   RouteTable,
   SentRequests,
   ServiceTimes,
@@ -67,6 +68,8 @@
   /** Service times of replicas that report their load. */
   readonly serviceTimes: ServiceTimes;
   readonly expectedTimes: ExpectedTimes;
+  /** What callers ask of pools with work factors. */
+  readonly roleWork: RoleWork;
   /** Permits for requests to endpoints with a limit. */
   readonly permits: RequestPermits;
   /** Requests of this entry that wait for a permit. */
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -27,6 +27,7 @@
   ResponseBuffers,
   type RetryBudgetUsage,
   ReturningCallers,
+  RoleWork,
   RouteTable,
   SentRequests,
   ServiceTimes,
@@ -41,6 +42,7 @@
   identifier,
   type ProcessId,
   type RequestDigest,
+  type ServiceName,
 } from "../../core/identity/mod.ts";
 import type { Logger } from "../../core/observation/mod.ts";
 import type { Random } from "../../core/random/mod.ts";
@@ -58,6 +60,7 @@
 } from "./peer_state_fallback.ts";
 import { QueryAllowance } from "./query_allowance.ts";
 import { RoleController, type RoleLink } from "./role_controller.ts";
+import { type PlannedRoles, WorkRolePlanner } from "./work_role_planner.ts";
 import { UsageReporter, type UsageReporterOptions } from "./usage_reporter.ts";
 import { USAGE_METHOD, USAGE_REPORTS_METHOD } from "./usage_notification.ts";
 import {
@@ -167,6 +170,7 @@
   readonly #options: ForwardingEntryOptions;
   readonly #dependencies: ForwardingDependencies;
   readonly #roleController: RoleController | undefined;
+  readonly #workRolePlanner: WorkRolePlanner;
   readonly #usageReporter: UsageReporter | undefined;
   readonly #survey: PrefixCacheSurvey;
   readonly #loadQueries: LoadQueries;
@@ -209,6 +213,7 @@
       load,
       isLoadStale: () => this.peers.isLoadStale,
     });
+    const roleWork = new RoleWork(timer);
     const connections: EndpointStateHolder = {
       forget: ({ address }) => options.onEndpointRemoved(address),
     };
@@ -248,7 +253,7 @@
       ],
       onChange: (change, endpoint) => {
         options.logger.info({ change, ...endpoint }, "An endpoint changed");
-        this.#roleController?.onEngineChange(endpoint);
+        this.#roleController?.onEngineChange(endpoint, change);
         if (change === "registered") this.#survey.onEngineSeen(endpoint);
       },
     });
@@ -329,6 +334,7 @@
       crashes,
       limits,
       outcomes,
+      roleWork,
       version: () => this.configuration?.version,
       onVersion: (version) => this.peerStateFallback.onPeerVersion(version),
     });
@@ -349,6 +355,17 @@
       onStoreReached: () => this.peerStateFallback.onStoreRead(),
       broadcast: (update) => this.peers.broadcast(REGISTRATIONS_METHOD, update),
     });
+    this.#workRolePlanner = new WorkRolePlanner({
+      timer,
+      registry: this.registry,
+      load,
+      logger: options.logger,
+      roleWork,
+      loadReports,
+      endpointClient: options.endpointClient,
+      maxPauseMilliseconds: (pool) => this.#maxPauseMilliseconds(pool),
+      speedOf: (engine) => slowness.speed(engine),
+    });
     this.#roleController = options.roles === undefined
       ? undefined
       : new RoleController({
@@ -362,6 +379,7 @@
         pools: () => this.configuration?.pools.values() ?? [],
         broadcastOrders: (orders) =>
           this.peers.broadcast(ROLES_METHOD, { orders }),
+        workPlanner: this.#workRolePlanner,
       });
     this.#dependencies = {
       timer,
@@ -403,6 +421,7 @@
         sentRequests,
         serviceTimes,
       }),
+      roleWork,
       permits: this.#permits,
       permitQueue: new PermitQueue(),
       onTimeWork: new WorkRate(timer),
@@ -454,6 +473,19 @@
       : this.entriesSharingLimits;
   }
 
+  /** Shortest of the pauses that the pool's routes allow. */
+  #maxPauseMilliseconds(pool: ServiceName): number | undefined {
+    const pauses = (this.configuration?.routes ?? [])
+      .filter(({ shares }) => shares.some((share) => share.pool === pool))
+      .flatMap(({ maxPauseMilliseconds }) => maxPauseMilliseconds ?? []);
+    return pauses.length === 0 ? undefined : Math.min(...pauses);
+  }
+
+  /** Roles planned by observed work, by pool, as planned by this entry. */
+  get plannedRoles(): Iterable<PlannedRoles> {
+    return this.#workRolePlanner.planned;
+  }
+
   /** Use of this entry's share of the retry budget, by pool. */
   retryBudgetUses(): RetryBudgetUsage[] {
     return this.#dependencies.retryBudget.usageByPool();
--- a/src/entry/forwarding/forwarding_entry_test.ts
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -60,6 +60,7 @@
           send: () => ({ answer: new Promise(() => {}), abort() {} }),
           parseCacheHandle: () => undefined,
           listCachedParts: () => Promise.resolve(undefined),
+          checkHealth: () => Promise.resolve(undefined),
           release() {},
         },
         digestOf,
@@ -247,6 +248,16 @@
       });
     }
 
+    it("ignores a notification with malformed work of pools", () => {
+      const [entry] = makeEntries(1);
+      entry.registry.upsert(second);
+      for (const poolWork of [5, [["engines", 1]], [["engines", -1]]]) {
+        const params = { ...workAt(second), poolWork };
+        entry.onNotification("entry.work", params);
+      }
+      expect(entry.openWorkAt(second.id).requests).to.equal(0);
+    });
+
     it("ignores work of a peer that only knows the previous run", () => {
       const [entry] = makeEntries(1);
       entry.registry.upsert(second);
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -12,6 +12,7 @@
   type LoadOwners,
   type PrefixDirectory,
   type ReturningCallers,
+  type RoleWork,
   type VerdictRow,
   type WorkReport,
 } from "../../core/forwarding/mod.ts";
@@ -81,6 +82,7 @@
   readonly limits: EndpointLimits;
   readonly reportExchange: LoadReportExchange;
   readonly outcomes: FleetOutcomes;
+  readonly roleWork: RoleWork;
   readonly sendToPeers: SendToPeers;
   /** Version of the configuration in force here. */
   readonly version: () => number | undefined;
@@ -156,6 +158,7 @@
     for (const name of this.#incarnations.keys()) {
       if (!peers.has(name)) this.#incarnations.delete(name);
     }
+    this.#options.roleWork.retainPeers(new Set(peers.keys()));
     this.#fleetSize = peers.size + 1;
     const names = [...peers.keys()].map((name) => identifier<ProcessId>(name));
     this.#options.owners.setMembers(names);
@@ -225,6 +228,9 @@
       outcomes.onReport(sender, { work, outcomes: params.outcomes });
     }
     outcomes.applyVerdicts(sender, params.verdicts ?? []);
+    if (params.poolWork !== undefined) {
+      this.#options.roleWork.recordPeerReport(params, params.poolWork);
+    }
     if (this.#isNewProcess(params)) this.#onPeerStart(sender);
   }
 
@@ -292,6 +298,7 @@
       prefixes,
       registry,
       returningCallers,
+      roleWork,
       timer,
     } = this.#options;
     const now = timer.now();
@@ -308,6 +315,7 @@
     );
     const verdicts = outcomes.takeVerdicts({ isFull });
     const losses = isFull ? crashes.reports.recentLosses() : [];
+    const poolWork = isFull ? roleWork.report() : [];
     this.broadcast(WORK_METHOD, {
       ...this.#baseNotification(isFull),
       version: this.#options.version(),
@@ -317,6 +325,7 @@
       prompts: prefixes.takeUnreported().map(encodePrompt),
       refusals: returningCallers.takeUnreported(),
       ...(losses.length > 0 && { losses }),
+      ...(poolWork.length > 0 && { poolWork }),
       ...(limits.hasUnreported &&
         { limits: this.#encodeLimits(limits.takeUnreported()) }),
       ...(isFull && {
--- a/src/entry/forwarding/work_notification.ts
+++ b/src/entry/forwarding/work_notification.ts
@@ -5,6 +5,7 @@
   isLimitReport,
   isOutcomeRows,
   isReportedLoss,
+  isRoleWorkReport,
   isVerdictRows,
   type LimitReport,
   type OutcomeRow,
@@ -12,6 +13,7 @@
   type PrefillSpeedReport,
   type RefusalReport,
   type ReportedLoss,
+  type RoleWorkReport,
   type VerdictRow,
   type WorkReport,
 } from "../../core/forwarding/mod.ts";
@@ -56,6 +58,11 @@
   readonly outcomes?: readonly OutcomeRow[];
   /** Changes of the sender's verdicts, or all with a full report. */
   readonly verdicts?: readonly VerdictRow[];
+  /**
+   * What the sender's callers have asked of pools with work factors; sent with
+   * full reports.
+   */
+  readonly poolWork?: readonly RoleWorkReport[];
 }
 
 /**
@@ -105,6 +112,7 @@
     limits,
     losses,
     outcomes,
+    poolWork,
     prompts,
     refusals,
     sequence,
@@ -119,11 +127,13 @@
     (Array.isArray(losses) && losses.every(isReportedLoss));
   const hasLimits = limits === undefined ||
     (Array.isArray(limits) && limits.every(isLimitReport));
+  const hasPoolWork = poolWork === undefined ||
+    (Array.isArray(poolWork) && poolWork.every(isRoleWorkReport));
   const isClock = clock === undefined || Number.isFinite(clock);
   const hasOutcomes = outcomes === undefined || isOutcomeRows(outcomes);
   const hasVerdicts = verdicts === undefined || isVerdictRows(verdicts);
   return isVersion && isClock && hasSpeeds && hasLosses && hasLimits &&
-    hasOutcomes && hasVerdicts &&
+    hasPoolWork && hasOutcomes && hasVerdicts &&
     typeof entry === "string" &&
     typeof incarnation === "string" &&
     typeof sequence === "number" &&
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -12,8 +12,10 @@
 import { type Random, seededRandom } from "../../src/core/random/mod.ts";
 import { ManualTimerService } from "../../src/core/time/mod.ts";
 import {
+  type EndpointClient,
   type Exchange,
   ForwardingEntry,
+  type ForwardingEntryOptions,
 } from "../../src/entry/forwarding/mod.ts";
 import { RecordingSink, SentAttempt } from "./forwarding_harness.ts";
 
@@ -29,6 +31,10 @@
   readonly endpoints: readonly RegisteredEndpoint[];
   /** Share of datagrams that are lost, 0 to 1. */
   readonly lossRate?: number;
+  /** How entries give role orders; absent: engines keep their roles. */
+  readonly roles?: ForwardingEntryOptions["roles"];
+  /** Answers of engines' health paths; absent: none answers. */
+  readonly checkHealth?: EndpointClient["checkHealth"];
 }
 
 /**
@@ -88,7 +94,7 @@
 
   #makeEntry(
     index: number,
-    { zones }: EntryFleetOptions,
+    { checkHealth, roles, zones }: EntryFleetOptions,
   ): ForwardingEntry {
     return new ForwardingEntry({
       process: `entry-${index}`,
@@ -105,6 +111,7 @@
         parseCacheHandle: (body) =>
           body.length > 0 ? body.toString() : undefined,
         listCachedParts: () => Promise.resolve(undefined),
+        checkHealth: checkHealth ?? (() => Promise.resolve(undefined)),
         release() {},
       },
       digestOf,
@@ -114,6 +121,7 @@
         }
       },
       observe() {},
+      roles,
       logger: NOOP_LOGGER,
       isFirstStart: true,
       retry: { ratio: 0.2, windowMilliseconds: 10_000, minimum: 200 },
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -24,6 +24,7 @@
   ResponseBuffers,
   type ResponseHead,
   ReturningCallers,
+  RoleWork,
   RouteTable,
   SentRequests,
   ServiceTimes,
@@ -235,6 +236,7 @@
       send: (request, attempt) => this.#send(request, attempt),
       parseCacheHandle: (body) => body.length > 0 ? body.toString() : undefined,
       listCachedParts: () => Promise.resolve(undefined),
+      checkHealth: () => Promise.resolve(undefined),
       release: (_, handle) => void this.released.push(handle),
     };
     const availabilityZone = identifier<AvailabilityZoneId>("zone-1");
@@ -300,6 +302,7 @@
         broadcast() {},
         onVerdict() {},
       }),
+      roleWork: new RoleWork(timer),
       permits: new RequestPermits({
         self,
         timer,
