Count the work of workspaces and their max-min fair shares

Entries know nothing of workspaces when they refuse prompts, so a large workspace takes capacity from small ones. FairShares counts what each workspace asked for and got, decaying over seconds, and finds which ones are above the max-min level while capacity is scarce. Nothing uses it yet.

--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -91,6 +91,13 @@
   type HeldPrompt,
   HeldPromptQueue,
 } from "./admission/held_prompt_queue.ts";
+export { FairShares, type ShareRow } from "./admission/fair_shares.ts";
+export {
+  isPoolShareRows,
+  type PoolShareRows,
+  PoolShares,
+} from "./admission/pool_shares.ts";
+export { maxMinLevel } from "./admission/max_min_level.ts";
 export { LinkBacklog } from "./admission/link_backlog.ts";
 export { RoleDemand } from "./roles/role_demand.ts";
 export {
