Exchange the work of workspaces in full reports, and show the largest

Each entry sees only its own callers' work, so its shares were those of its own traffic. Full reports now carry increments for at most 16 workspaces, and fewer in large fleets. The metric filbertshore_workspace_share shows the 8 largest workspaces of each pool.

--- a/src/adapters/telemetry/forwarding_telemetry.ts
+++ b/src/adapters/telemetry/forwarding_telemetry.ts
@@ -166,6 +166,32 @@
   });
 }
 
+/** Workspaces of each pool in the metrics, which bounds their number. */
+const MAX_SHARE_LABELS = 8;
+
+/** Exports the shares of the workspaces with the most work in each pool. */
+export function registerShareGauge(
+  registry: Registry,
+  largest: (count: number) => readonly {
+    readonly pool: string;
+    readonly workspace: string;
+    readonly share: number;
+  }[],
+): void {
+  new Gauge({
+    name: "filbertshore_workspace_share",
+    help: "Share of a pool's recent work, for the largest workspaces",
+    labelNames: ["pool", "workspace"],
+    registers: [registry],
+    collect() {
+      this.reset();
+      for (const { pool, workspace, share } of largest(MAX_SHARE_LABELS)) {
+        this.set({ pool, workspace }, share);
+      }
+    },
+  });
+}
+
 /** Returns a function that logs and counts decisions of the forwarding path. */
 export function createForwardingObserver(
   options: ForwardingObserverOptions,
--- a/src/adapters/telemetry/forwarding_telemetry_test.ts
+++ b/src/adapters/telemetry/forwarding_telemetry_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { Registry } from "prom-client";
-import { registerRetryGauges } from "./mod.ts";
+import { registerRetryGauges, registerShareGauge } from "./mod.ts";
 
 describe("registerRetryGauges", () => {
   // When engines receive more retries than the fleet allows, on-call engineers
@@ -20,3 +20,23 @@
     );
   });
 });
+
+describe("registerShareGauge", () => {
+  // Workspaces that are no longer among the largest must leave the output, or
+  // its size grows with every workspace of the day.
+  it("exports only the workspaces that are the largest now", async () => {
+    const registry = new Registry();
+    let workspace = "first";
+    registerShareGauge(
+      registry,
+      () => [{ pool: "engines", workspace, share: 0.5 }],
+    );
+    await registry.metrics();
+    workspace = "second";
+    const output = await registry.metrics();
+    expect(output).to.include(
+      'filbertshore_workspace_share{pool="engines",workspace="second"} 0.5',
+    );
+    expect(output).to.not.include("first");
+  });
+});
--- a/src/adapters/telemetry/mod.ts
+++ b/src/adapters/telemetry/mod.ts
@@ -14,6 +14,7 @@
   registerBlockedRequestsGauge,
   registerLimitedEndpointsGauge,
   registerRetryGauges,
+  registerShareGauge,
   registerUsageFencingGauge,
 } from "./forwarding_telemetry.ts";
 export { createTracing, type Tracing, type TracingOptions } from "./tracing.ts";
--- a/src/entry/forwarding/forwarding_dependencies.ts
+++ b/src/entry/forwarding/forwarding_dependencies.ts
@@ -14,6 +14,7 @@
   HeldPromptQueue,
   LinkBacklog,
   PermitQueue,
+  PoolShares,
   PrefillChoice,
   PrefixDirectory,
   ReturningCallers,
@@ -60,6 +61,8 @@
   readonly onTimeWork: WorkRate;
   /** Prompts that are queued at this entry until an engine is nearly idle. */
   readonly held: HeldPromptQueue<PrefillChoice>;
+  /** Work of workspaces, for pools that ask for fair shares. */
+  readonly shares: PoolShares;
   /** Number of entries in the fleet, including this one. */
   readonly entries: () => number;
   /**
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -18,6 +18,7 @@
   type OpenWork,
   type PeerReadResult,
   PermitQueue,
+  PoolShares,
   PrefixDirectory,
   type ReportedLoss,
   type RetryBudgetUsage,
@@ -180,6 +181,7 @@
     const availability = new EndpointAvailability(timer);
     const limits = new EndpointLimits();
     const loadReports = new EndpointLoadReports();
+    const shares = new PoolShares(timer);
     const connections: EndpointStateHolder = {
       forget: ({ address }) => options.onEndpointRemoved(address),
     };
@@ -265,6 +267,7 @@
       returningCallers,
       crashes,
       limits,
+      shares,
       version: () => this.configuration?.version,
       onVersion: (version) => this.peerStateFallback.onPeerVersion(version),
     });
@@ -331,6 +334,7 @@
       permitQueue: new PermitQueue(),
       onTimeWork: new WorkRate(timer),
       held: new HeldPromptQueue(timer),
+      shares,
       entries: () => this.peers.fleetSize ?? 1,
       link: new LinkBacklog(timer, options.linkMegabitsPerSecond),
       loopDelayMilliseconds: options.loopDelayMilliseconds,
@@ -382,6 +386,11 @@
     return this.#dependencies.crashes.blocked;
   }
 
+  /** The workspaces with the most recent work in each pool. */
+  largestShares(count: number): ReturnType<PoolShares["largest"]> {
+    return this.#dependencies.shares.largest(count);
+  }
+
   /** Number of endpoints with a request limit in force, as known here. */
   get limitedEndpoints(): number {
     return this.#dependencies.limits.size;
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -10,6 +10,7 @@
   type LimitObservation,
   type LimitReport,
   type LoadOwners,
+  type PoolShares,
   type PrefixDirectory,
   type ReturningCallers,
 } from "../../core/forwarding/mod.ts";
@@ -47,6 +48,13 @@
 const MAX_FRESH_INTERVAL_MILLISECONDS = 30;
 /** How long changes of load are batched before owners are updated. */
 const OWNER_UPDATE_DELAY_MILLISECONDS = 1;
+/** Maximum number of workspaces' rows in a full report. */
+const MAX_SHARE_ROWS = 16;
+/**
+ * Rows in the full reports of all entries together. It bounds the rows that an
+ * entry receives; what does not fit is sent with a later report.
+ */
+const FLEET_SHARE_ROWS = 240;
 /** Notification that carries role orders to engines. */
 export const ROLES_METHOD = "entry.roles";
 /** Notification that carries changed registrations. */
@@ -75,6 +83,7 @@
   readonly returningCallers: ReturningCallers;
   readonly crashes: CrashTracker;
   readonly limits: EndpointLimits;
+  readonly shares: PoolShares;
   readonly sendToPeers: SendToPeers;
   /** Version of the configuration in force here. */
   readonly version: () => number | undefined;
@@ -125,6 +134,12 @@
       REPORT_MILLISECONDS_PER_PEER * additionalPeers;
   }
 
+  /** Rows of workspaces in one full report of this entry. */
+  get #maxShareRows(): number {
+    const share = Math.floor(FLEET_SHARE_ROWS / (this.#addresses.length + 1));
+    return Math.min(MAX_SHARE_ROWS, Math.max(1, share));
+  }
+
   /** True if reports are too infrequent to place work by them alone. */
   get isLoadStale(): boolean {
     return this.#interval > MAX_FRESH_INTERVAL_MILLISECONDS;
@@ -207,6 +222,9 @@
       this.#options.crashes.recordPeerLoss(loss);
     }
     for (const limit of params.limits ?? []) this.#applyLimit(limit);
+    for (const rows of params.shares ?? []) {
+      this.#options.shares.recordPeer(rows);
+    }
     if (this.#isNewProcess(params)) this.#onPeerStart(identifier(params.entry));
   }
 
@@ -273,6 +291,7 @@
       prefixes,
       registry,
       returningCallers,
+      shares,
       timer,
     } = this.#options;
     const now = timer.now();
@@ -283,6 +302,7 @@
     if (!isFull && !hasUnreported) return;
     if (isFull) this.#lastFullReportAt = now;
     const losses = isFull ? crashes.reports.recentLosses() : [];
+    const shareRows = isFull ? shares.takeUnreported(this.#maxShareRows) : [];
     this.broadcast(WORK_METHOD, {
       ...this.#baseNotification(isFull),
       version: this.#options.version(),
@@ -292,6 +312,7 @@
       ...(losses.length > 0 && { losses }),
       ...(limits.hasUnreported &&
         { limits: this.#encodeLimits(limits.takeUnreported()) }),
+      ...(shareRows.length > 0 && { shares: shareRows }),
       ...(isFull && {
         speeds: estimates.report(),
         ...(this.#options.onClock && { clock: timer.wallClock() }),
--- a/src/entry/forwarding/work_notification.ts
+++ b/src/entry/forwarding/work_notification.ts
@@ -3,9 +3,11 @@
   type CrashReport,
   type EndpointRegistry,
   isLimitReport,
+  isPoolShareRows,
   isReportedLoss,
   type LimitReport,
   type PeerWork,
+  type PoolShareRows,
   type PrefillSpeedReport,
   type RefusalReport,
   type ReportedLoss,
@@ -47,6 +49,11 @@
    * is lost, its receivers learn the limit from the endpoint's next response.
    */
   readonly limits?: readonly LimitReport[];
+  /**
+   * Work of workspaces since their last rows; sent with full reports. If one is
+   * lost, the receiver's counters are too low until they have decayed.
+   */
+  readonly shares?: readonly PoolShareRows[];
 }
 
 /**
@@ -97,6 +104,7 @@
     prompts,
     refusals,
     sequence,
+    shares,
     speeds,
     version,
     work,
@@ -107,8 +115,11 @@
     (Array.isArray(losses) && losses.every(isReportedLoss));
   const hasLimits = limits === undefined ||
     (Array.isArray(limits) && limits.every(isLimitReport));
+  const hasShares = shares === undefined ||
+    (Array.isArray(shares) && shares.every(isPoolShareRows));
   const isClock = clock === undefined || Number.isFinite(clock);
   return isVersion && isClock && hasSpeeds && hasLosses && hasLimits &&
+    hasShares &&
     typeof entry === "string" &&
     typeof incarnation === "string" &&
     typeof sequence === "number" &&
