Let workspaces above their share yield scarce prefill capacity

While engines were overloaded, prompts were admitted in proportion to demand, so one workspace with a flood of prompts had most prompts of the others refused. In pools with work factors, a prompt of a workspace above its max-min share now waits for a nearly idle engine, for at most an eighth of its target, and held prompts are ordered by the use of their workspaces. Held prompts that can't start in time behind one of a smaller workspace are refused at once, and so are those whose key is removed.

--- a/src/core/forwarding/admission/held_prompt_queue.ts
+++ b/src/core/forwarding/admission/held_prompt_queue.ts
@@ -1,4 +1,5 @@
 import type { Subscription, TimerService } from "../../time/mod.ts";
+import type { RequestShare } from "./request_share.ts";
 
 /** Interval at which held prompts are checked for an idle engine. */
 export const POLL_MILLISECONDS = 20;
@@ -9,6 +10,8 @@
   readonly rank: number;
   /** Time at which the prompt is dropped, on the timer's clock. */
   readonly expiresAt: number;
+  /** Absent where the pool has no fair shares, or the caller no workspace. */
+  readonly share?: RequestShare;
   /** Predicted prefill work of the prompt. */
   readonly workMilliseconds: number;
   /** Chooses an engine that can start now, if there is one; must not reject. */
@@ -17,6 +20,12 @@
   readonly isCancelled: () => boolean;
 }
 
+/** What decides the place of a prompt in the queue. */
+export type HeldPlace = Pick<
+  HeldPrompt<unknown>,
+  "rank" | "share" | "expiresAt"
+>;
+
 interface WaitingPrompt<Choice> extends HeldPrompt<Choice> {
   readonly resolve: (choice: Choice | undefined) => void;
 }
@@ -24,7 +33,8 @@
 /**
  * Priority queue of prompts whose responses will be late, held until an engine
  * is nearly idle. Engines process prompts in order of arrival, so late prompts
- * sent early would delay those behind them. Ordered by rank, then by expiry.
+ * sent early would delay those behind them. Ordered by rank, then by the use of
+ * the workspaces where they have fair shares, then by expiry.
  */
 export class HeldPromptQueue<Choice> {
   readonly #timer: TimerService;
@@ -40,24 +50,63 @@
     return this.#waiting.length;
   }
 
-  /**
-   * Total work of the held prompts that run before one of this rank and expiry.
-   */
-  workAhead(prompt: { readonly rank: number; readonly expiresAt: number }) {
+  /** Total work of the held prompts that run before one with this place. */
+  workAhead(prompt: HeldPlace): number {
+    const place = urgencyOf(prompt);
     return this.#waiting.reduce(
       (sum, each) =>
-        isServedBefore(each, prompt) ? sum + each.workMilliseconds : sum,
+        compareUrgency(urgencyOf(each), place) <= 0
+          ? sum + each.workMilliseconds
+          : sum,
       0,
     );
   }
 
+  /** The held prompt that runs next. */
+  get first(): HeldPlace | undefined {
+    return this.#first();
+  }
+
+  /**
+   * Drops the prompts of workspaces above their share that can't start in time
+   * once this prompt is held as well. Their callers need not wait in vain.
+   */
+  displaceFor(
+    prompt: Omit<HeldPrompt<Choice>, "choose" | "isCancelled">,
+    waitMilliseconds: (workAhead: number) => number,
+  ): void {
+    const { share } = prompt;
+    if (share === undefined || share.isAboveShare) return;
+    const own = urgencyOf(prompt);
+    const now = this.#timer.now();
+    const behind = this.#waiting.map((each) => ({
+      each,
+      urgency: urgencyOf(each),
+    })).sort((one, other) => compareUrgency(one.urgency, other.urgency));
+    let workAhead = 0;
+    const displaced = new Set<WaitingPrompt<Choice>>();
+    for (const { each, urgency } of behind) {
+      const start = now +
+        waitMilliseconds(workAhead + prompt.workMilliseconds);
+      const isDisplaced = each.share !== undefined && urgency.isAboveShare &&
+        compareUrgency(own, urgency) < 0 && start > each.expiresAt;
+      if (!isDisplaced) workAhead += each.workMilliseconds;
+      else displaced.add(each);
+    }
+    if (displaced.size === 0) return;
+    this.#waiting = this.#waiting.filter((each) => !displaced.has(each));
+    for (const each of displaced) {
+      each.share?.displace(share.workspace);
+      each.resolve(undefined);
+    }
+  }
+
   /**
    * Resolves with the chosen engine, or undefined once the prompt is dropped.
    */
   enqueue(prompt: HeldPrompt<Choice>): Promise<Choice | undefined> {
     return new Promise((resolve) => {
       this.#waiting.push({ ...prompt, resolve });
-      this.#waiting.sort(byUrgency);
       if (this.#nextPoll === undefined) void this.#poll();
     });
   }
@@ -72,7 +121,7 @@
   async #poll(): Promise<void> {
     if (this.#isPolling) return;
     this.#dropObsolete();
-    const [first] = this.#waiting;
+    const first = this.#first();
     if (first === undefined) return;
     this.#isPolling = true;
     const choice = await first.choose();
@@ -85,6 +134,20 @@
     this.#pollAfter(0);
   }
 
+  #first(): WaitingPrompt<Choice> | undefined {
+    let first: WaitingPrompt<Choice> | undefined;
+    let firstUrgency: Urgency | undefined;
+    for (const each of this.#waiting) {
+      const urgency = urgencyOf(each);
+      if (
+        firstUrgency !== undefined && compareUrgency(firstUrgency, urgency) <= 0
+      ) continue;
+      first = each;
+      firstUrgency = urgency;
+    }
+    return first;
+  }
+
   #dropObsolete(): void {
     const now = this.#timer.now();
     const isObsolete = (each: WaitingPrompt<Choice>) =>
@@ -96,12 +159,26 @@
   }
 }
 
-type Urgency = Pick<HeldPrompt<unknown>, "rank" | "expiresAt">;
+/** Current place of a prompt; the use of workspaces changes while it waits. */
+interface Urgency {
+  readonly rank: number;
+  readonly isAboveShare: boolean;
+  readonly used: number;
+  readonly expiresAt: number;
+}
 
-function byUrgency(one: Urgency, other: Urgency): number {
-  return one.rank - other.rank || one.expiresAt - other.expiresAt;
+function urgencyOf({ rank, share, expiresAt }: HeldPlace): Urgency {
+  return {
+    rank,
+    isAboveShare: share?.isAboveShare ?? false,
+    used: share?.used ?? 0,
+    expiresAt,
+  };
 }
 
-function isServedBefore(one: Urgency, other: Urgency): boolean {
-  return byUrgency(one, other) <= 0;
+function compareUrgency(one: Urgency, other: Urgency): number {
+  return one.rank - other.rank ||
+    Number(one.isAboveShare) - Number(other.isAboveShare) ||
+    one.used - other.used ||
+    one.expiresAt - other.expiresAt;
 }
--- a/src/core/forwarding/admission/held_prompt_queue_test.ts
+++ b/src/core/forwarding/admission/held_prompt_queue_test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
+import { identifier, type WorkspaceId } from "../../identity/mod.ts";
 import { ManualTimerService } from "../../time/mod.ts";
-import { HeldPromptQueue } from "./held_prompt_queue.ts";
+import { FairShares, HeldPromptQueue, RequestShare } from "../mod.ts";
 
 describe("HeldPromptQueue", () => {
   let timer: ManualTimerService;
@@ -24,12 +25,14 @@
       readonly rank?: number;
       readonly expiresAt?: number;
       readonly isCancelled?: () => boolean;
+      readonly share?: RequestShare;
     } = {},
   ): void {
     const { rank = 1, expiresAt = 1_000, isCancelled = () => false } = values;
     void queue.enqueue({
       rank,
       expiresAt,
+      share: values.share,
       workMilliseconds: 50,
       choose: () => Promise.resolve(idleEngines.shift()),
       isCancelled,
@@ -88,4 +91,71 @@
     expect(queue.workAhead({ rank: 0, expiresAt: 2_000 })).to.equal(50);
     expect(queue.workAhead({ rank: 1, expiresAt: 2_000 })).to.equal(100);
   });
+
+  describe("with fair shares", () => {
+    let shares: FairShares;
+
+    beforeEach(() => {
+      shares = new FairShares(timer);
+      shares.recordAsked(identifier("large"), 900);
+      shares.record(identifier("large"), 90);
+      shares.recordAsked(identifier("small"), 10);
+    });
+
+    function shareOf(workspace: string): RequestShare {
+      return new RequestShare(shares, {
+        workspace: identifier<WorkspaceId>(workspace),
+        isReturning: false,
+      });
+    }
+
+    // A flood of one workspace is held. By expiry alone, prompts of the others
+    // would wait behind all of it.
+    it("starts the workspace with the least work first, within a rank", async () => {
+      enqueue("flood", { share: shareOf("large"), expiresAt: 500 });
+      enqueue("single", { share: shareOf("small") });
+      enqueue("urgent flood", { share: shareOf("large"), rank: 0 });
+      idleEngines = ["one", "two", "three"];
+      await timer.advance(30);
+      expect(started).to.deep.equal([
+        "urgent flood at one",
+        "single at two",
+        "flood at three",
+      ]);
+    });
+
+    function displace(waitMilliseconds: (work: number) => number): void {
+      queue.displaceFor({
+        rank: 1,
+        expiresAt: 1_000,
+        share: shareOf("small"),
+        workMilliseconds: 50,
+      }, waitMilliseconds);
+    }
+
+    it("drops at once what can't start in time behind a new prompt", async () => {
+      const share = shareOf("large");
+      enqueue("flood", { share, expiresAt: 200 });
+      enqueue("patient flood", { share: shareOf("large") });
+      displace((work) => 5 * work);
+      await timer.advance(0);
+      expect(dropped).to.deep.equal(["flood"]);
+      expect(share.displacedBy).to.equal("small");
+    });
+
+    // A prompt that would still start in time must not lose its place, and
+    // neither must one that is more urgent or below its share.
+    it("drops nothing else", async () => {
+      enqueue("flood", { share: shareOf("large") });
+      enqueue("urgent flood", {
+        share: shareOf("large"),
+        rank: 0,
+        expiresAt: 9,
+      });
+      enqueue("other", { share: shareOf("other"), expiresAt: 9 });
+      displace((work) => 5 * work);
+      await timer.advance(0);
+      expect(dropped).to.deep.equal([]);
+    });
+  });
 });
--- /dev/null
+++ b/src/core/forwarding/admission/request_share.ts
@@ -0,0 +1,62 @@
+import type { WorkspaceId } from "../../identity/mod.ts";
+import type { FairShares } from "./fair_shares.ts";
+
+export interface RequestShareOptions {
+  readonly workspace: WorkspaceId;
+  /**
+   * True if the caller was refused before; its work has been counted as asked
+   * for by then.
+   */
+  readonly isReturning: boolean;
+}
+
+/** One request's claim to its workspace's share of a pool. */
+export class RequestShare {
+  readonly workspace: WorkspaceId;
+  readonly #shares: FairShares;
+  readonly #isReturning: boolean;
+  #workMilliseconds: number | undefined;
+  #isAdmitted = false;
+  #displacedBy: WorkspaceId | undefined;
+
+  constructor(shares: FairShares, options: RequestShareOptions) {
+    this.#shares = shares;
+    this.workspace = options.workspace;
+    this.#isReturning = options.isReturning;
+  }
+
+  /** Records the request's work; only the first call counts. */
+  ask(workMilliseconds: number): void {
+    if (this.#workMilliseconds !== undefined) return;
+    this.#workMilliseconds = workMilliseconds;
+    if (this.#isReturning) return;
+    this.#shares.recordAsked(this.workspace, workMilliseconds);
+  }
+
+  /** Records that the request's work was sent; only the first call counts. */
+  admit(): void {
+    if (this.#isAdmitted) return;
+    this.#isAdmitted = true;
+    this.#shares.record(this.workspace, this.#workMilliseconds ?? 0);
+  }
+
+  /** Records that a prompt of this workspace takes the request's place. */
+  displace(by: WorkspaceId): void {
+    this.#displacedBy = by;
+  }
+
+  /** The workspace whose prompt took the request's place, if one did. */
+  get displacedBy(): WorkspaceId | undefined {
+    return this.#displacedBy;
+  }
+
+  /** True while the workspace has more than its share of scarce capacity. */
+  get isAboveShare(): boolean {
+    return this.#shares.isAboveShare(this.workspace);
+  }
+
+  /** Share of the pool's recent work that the workspace got, 0 to 1. */
+  get used(): number {
+    return this.#shares.usedShare(this.workspace);
+  }
+}
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -88,8 +88,10 @@
   REMAINING_TIME_SHARE,
 } from "./admission/engine_admission.ts";
 export {
+  type HeldPlace,
   type HeldPrompt,
   HeldPromptQueue,
+  POLL_MILLISECONDS,
 } from "./admission/held_prompt_queue.ts";
 export { FairShares, type ShareRow } from "./admission/fair_shares.ts";
 export {
@@ -97,6 +99,7 @@
   type PoolShareRows,
   PoolShares,
 } from "./admission/pool_shares.ts";
+export { RequestShare } from "./admission/request_share.ts";
 export { maxMinLevel } from "./admission/max_min_level.ts";
 export { LinkBacklog } from "./admission/link_backlog.ts";
 export { RoleDemand } from "./roles/role_demand.ts";
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -4,6 +4,7 @@
   type Pool,
   type RegisteredEndpoint,
   RequestArrivals,
+  RequestShare,
   type Route,
   type Workspace,
 } from "../../core/forwarding/mod.ts";
@@ -46,6 +47,8 @@
   readonly waitedMilliseconds: number;
   /** Arrivals of this request at its pool, counted for the retry budget. */
   readonly arrivals: RequestArrivals;
+  /** Absent unless the pool has fair shares and the caller a workspace. */
+  readonly share: RequestShare | undefined;
   /** Number of sends to endpoints that run the request. */
   sends = 0;
   /** True once the caller has its response or has disconnected. */
@@ -79,6 +82,19 @@
       .elapsedSinceFirstAttempt(
         this.#lastPartId,
       );
+    this.share = this.#makeShare();
+  }
+
+  #makeShare(): RequestShare | undefined {
+    const { dependencies, pool, request, workspace } = this;
+    const hasShares = workspace !== undefined && pool.engine !== undefined &&
+      request.prompt !== undefined &&
+      dependencies.loadReports.hasWorkFactor(pool.name);
+    if (!hasShares) return undefined;
+    return new RequestShare(dependencies.shares.forPool(pool.name), {
+      workspace: workspace.id,
+      isReturning: this.waitedMilliseconds > 0,
+    });
   }
 
   /** Priority of the request; 0 is the most urgent. */
--- a/src/entry/forwarding/handover.ts
+++ b/src/entry/forwarding/handover.ts
@@ -11,6 +11,7 @@
   type AdmissionFacts,
   type AdmissionRefusal,
   admitPrompt,
+  shareFacts,
 } from "./prompt_admission.ts";
 import { type PrefillOutcome, prefillPrompt } from "./prefill_step.ts";
 
@@ -46,7 +47,9 @@
       | "prompt_not_read"
       | "no_repeats_left"
       | "request_limit"
-      | "crashes_endpoints";
+      | "crashes_endpoints"
+      | "displaced"
+      | "key_removed";
     /** Figures that led to the refusal, for the log. */
     readonly facts: AdmissionFacts;
   };
@@ -65,6 +68,9 @@
   facts: {},
 };
 
+/** The caller's key was removed while its request was waiting. */
+export const KEY_REMOVED = "key_removed";
+
 /** Endpoints crashed on the request while it was waiting. */
 const CRASHES_ENDPOINTS: HandoverOutcome = {
   kind: "refused",
@@ -121,6 +127,9 @@
       const choice = late
         ? await this.#context.dependencies.held.enqueue(admitted.prompt)
         : admitted.choice;
+      if (choice === undefined && late && !this.#context.settled) {
+        return this.#droppedOutcome(admitted.reason);
+      }
       if (choice === undefined || this.#context.settled) return ENGINES_FULL;
       if (this.#context.blockedMilliseconds > 0) return CRASHES_ENDPOINTS;
       const isGranted = await this.#context.takePermit(choice.endpoint);
@@ -151,6 +160,20 @@
     }
   }
 
+  /** Why a prompt was dropped while it was held. */
+  #droppedOutcome(reason: AdmissionRefusal): HandoverOutcome {
+    const { isKeyRemoved, share } = this.#context;
+    if (share === undefined) return ENGINES_FULL;
+    if (isKeyRemoved) {
+      return { kind: "refused", reason: KEY_REMOVED, facts: {} };
+    }
+    return {
+      kind: "refused",
+      reason: share.displacedBy === undefined ? reason : "displaced",
+      facts: shareFacts(this.#context),
+    };
+  }
+
   /** True if the prompt needs another prefill before the next send. */
   get needsAnotherPrefill(): boolean {
     const kept = this.#kept;
@@ -264,6 +287,7 @@
       keptTokens: choice.keptTokens,
       fetchFrom: choice.fetchFrom?.id,
     });
+    this.#context.share?.admit();
     const sent = dependencies.timer.now();
     arrivals.prefillSent();
     const outcome = await prefillPrompt(this.#context, {
--- a/src/entry/forwarding/prompt_admission.ts
+++ b/src/entry/forwarding/prompt_admission.ts
@@ -1,6 +1,7 @@
 import {
   decideAdmission,
   type HeldPrompt,
+  POLL_MILLISECONDS,
   type PrefillCandidates,
   type PrefillChoice,
   type Prompt,
@@ -21,11 +22,34 @@
  */
 const MIN_FREE_SHARE = 0.05;
 
-/** Why a prompt is not sent to any engine. */
-export type AdmissionRefusal = "engines_full" | "entry_full";
+/**
+ * Cost of an output token relative to an input token, as in the Virtual Token
+ * Counter.
+ */
+const OUTPUT_TOKEN_WEIGHT = 2;
+/**
+ * Longest time that a prompt yields to others, as a share of the route's
+ * target. A caller that is refused then can still be answered on time elsewhere.
+ */
+const MAX_YIELD_TARGET_SHARE = 1 / 8;
+/** Shortest time that a prompt yields; every idle engine is seen by a poll. */
+const MIN_YIELD_MILLISECONDS = 2 * POLL_MILLISECONDS;
+
+/**
+ * Why a prompt is not sent to any engine. `above_share`: others wait for the
+ * capacity, and their workspaces have less of it. `more_urgent`: prompts of a
+ * more urgent rank wait for it.
+ */
+export type AdmissionRefusal =
+  | "engines_full"
+  | "entry_full"
+  | "above_share"
+  | "more_urgent";
 
 /** Figures that led to the decision, for the log. */
-export type AdmissionFacts = Readonly<Record<string, number | undefined>>;
+export type AdmissionFacts = Readonly<
+  Record<string, number | string | undefined>
+>;
 
 /** Admission decision for a prompt. */
 export type PromptAdmission =
@@ -39,6 +63,8 @@
      */
     readonly kind: "held";
     readonly prompt: HeldPrompt<PrefillChoice>;
+    /** Why it is refused if no engine becomes nearly idle in time. */
+    readonly reason: AdmissionRefusal;
   }
   | {
     readonly kind: "refused";
@@ -60,10 +86,15 @@
   const soonest = dependencies.placement.choosePrefill(prompt, candidates);
   const held = makeHeldPrompt(context, prompt, soonest);
   const onTimeMilliseconds = soonest?.predictedMilliseconds ?? Infinity;
+  context.share?.ask(shareWorkMilliseconds(context, prompt, {
+    prefillMilliseconds: soonest?.workMilliseconds ?? 0,
+  }));
+  const waitMilliseconds = (workAhead: number) =>
+    heldMilliseconds(context, { workAhead, engines: candidates.engines });
+  const predictedWait = waitMilliseconds(dependencies.held.workAhead(held));
   const estimate = {
     onTimeMilliseconds,
-    lateMilliseconds: onTimeMilliseconds +
-      heldMilliseconds(context, { held, engines: candidates.engines }),
+    lateMilliseconds: onTimeMilliseconds + predictedWait,
     handoverMilliseconds: dependencies.placement.handoverMilliseconds(
       prompt,
       pool,
@@ -75,14 +106,92 @@
   };
   const admission = decideAdmission(estimate);
   if (admission === "on_time" && soonest !== undefined) {
+    const reason = yieldReason(context);
+    if (reason !== undefined) {
+      return yieldToOthers(context, { held, reason, predictedWait });
+    }
     dependencies.onTimeWork.recordStarted(soonest.workMilliseconds);
     return { kind: "admitted", choice: soonest };
   }
-  if (admission === "late") return { kind: "held", prompt: held };
+  if (admission === "late") {
+    dependencies.held.displaceFor(held, waitMilliseconds);
+    return { kind: "held", prompt: held, reason: "engines_full" };
+  }
   return {
     kind: "refused",
     reason: admission === "entry_full" ? "entry_full" : "engines_full",
-    facts: roundFinite(estimate),
+    facts: { ...roundFinite(estimate), ...shareFacts(context) },
+  };
+}
+
+/** Why a prompt that could be on time leaves the capacity to others. */
+function yieldReason(
+  { dependencies, rank, share }: ForwardContext,
+): "above_share" | "more_urgent" | undefined {
+  if (share === undefined) return undefined;
+  if (share.isAboveShare) return "above_share";
+  const first = dependencies.held.first;
+  return first !== undefined && first.rank < rank ? "more_urgent" : undefined;
+}
+
+/**
+ * Holds a prompt for a nearly idle engine, so that the engines have room for
+ * those whose turn it is; refuses it if others wait for longer than it may.
+ */
+function yieldToOthers(
+  context: ForwardContext,
+  options: {
+    readonly held: HeldPrompt<PrefillChoice>;
+    readonly reason: AdmissionRefusal;
+    readonly predictedWait: number;
+  },
+): PromptAdmission {
+  const { held, predictedWait, reason } = options;
+  const { timer } = context.dependencies;
+  const allowedMilliseconds = Math.max(
+    MIN_YIELD_MILLISECONDS,
+    MAX_YIELD_TARGET_SHARE * context.route.targetMilliseconds -
+      context.elapsedMilliseconds,
+  );
+  if (predictedWait > allowedMilliseconds) {
+    const facts = { ...roundFinite({ predictedWait }), ...shareFacts(context) };
+    return { kind: "refused", reason, facts };
+  }
+  const expiresAt = timer.now() + allowedMilliseconds;
+  return { kind: "held", prompt: { ...held, expiresAt }, reason };
+}
+
+/** Records the work of a prompt that its decode engine prefills as well. */
+export function recordInlineWork(
+  context: ForwardContext,
+  prompt: Prompt,
+  options: { readonly prefillMilliseconds: number },
+): void {
+  context.share?.ask(shareWorkMilliseconds(context, prompt, options));
+  context.share?.admit();
+}
+
+/** Engine work by which the prompt counts for its workspace. */
+function shareWorkMilliseconds(
+  { dependencies, pool }: ForwardContext,
+  prompt: Prompt,
+  { prefillMilliseconds }: { readonly prefillMilliseconds: number },
+): number {
+  const { prefill } = dependencies.estimates.forPool(pool.name);
+  return prefillMilliseconds +
+    OUTPUT_TOKEN_WEIGHT * prompt.mostOutputTokens *
+      prefill.costs.millisecondsPerToken;
+}
+
+/** Whose turn it is, and the share of the request's workspace, for the log. */
+export function shareFacts(
+  { dependencies, share }: ForwardContext,
+): AdmissionFacts {
+  if (share === undefined) return {};
+  return {
+    turn: share.displacedBy ?? dependencies.held.first?.share?.workspace,
+    workspace: share.workspace,
+    workspacePercent: Math.round(100 * share.used),
   };
 }
 
@@ -120,6 +229,7 @@
   const workMilliseconds = soonest?.workMilliseconds ?? 0;
   return {
     rank: context.rank,
+    share: context.share,
     expiresAt: dependencies.timer.now() +
       REMAINING_TIME_SHARE * context.remainingToFirstByteMilliseconds -
       workMilliseconds,
@@ -128,7 +238,8 @@
       const candidates = await candidatesFor(context, prompt);
       return dependencies.placement.chooseNearlyIdlePrefill(prompt, candidates);
     },
-    isCancelled: () => context.settled,
+    isCancelled: () =>
+      context.settled || (context.share !== undefined && context.isKeyRemoved),
   };
 }
 
@@ -141,11 +252,11 @@
 function heldMilliseconds(
   { dependencies }: ForwardContext,
   options: {
-    readonly held: HeldPrompt<PrefillChoice>;
+    readonly workAhead: number;
     readonly engines: readonly RegisteredEndpoint[];
   },
 ): number {
-  const { held, engines } = options;
+  const { workAhead, engines } = options;
   const prefillEngines =
     engines.filter(({ role }) => role === "prefill").length;
   const entries = dependencies.entries();
@@ -153,7 +264,7 @@
     MIN_FREE_SHARE * prefillEngines,
     prefillEngines - entries * dependencies.onTimeWork.busyEngines,
   );
-  return entries * dependencies.held.workAhead(held) /
+  return entries * workAhead /
     Math.max(MIN_FREE_SHARE, free);
 }
 
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -19,6 +19,7 @@
   AT_REQUEST_LIMIT,
   Handover,
   type HandoverOutcome,
+  KEY_REMOVED,
 } from "./handover.ts";
 import type {
   CallerSink,
@@ -26,7 +27,7 @@
   ForwardingRefusal,
 } from "./network_interfaces.ts";
 import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
-import type { AdmissionFacts } from "./prompt_admission.ts";
+import { type AdmissionFacts, recordInlineWork } from "./prompt_admission.ts";
 import {
   type CapacityOptions,
   chooseWithPermit,
@@ -64,8 +65,6 @@
 
 /** Endpoints have crashed on requests with this digest. */
 const BLOCKED = "crashes_endpoints";
-/** The caller's key was removed while its request was waiting. */
-const KEY_REMOVED = "key_removed";
 
 type EndpointMatch = (endpoint: RegisteredEndpoint) => boolean;
 
@@ -306,6 +305,11 @@
       : await this.#chooseDecodeEngine(prompt, kept);
     if (choice === undefined) return undefined;
     const { milliseconds, tokens } = choice.work;
+    if (kept === undefined) {
+      recordInlineWork(this.#context, prompt, {
+        prefillMilliseconds: milliseconds,
+      });
+    }
     return {
       endpoint: choice.endpoint,
       work: { milliseconds: kept === undefined ? milliseconds : 0, tokens },
