--- a/test/support/simulated_engines.ts
+++ b/test/support/simulated_engines.ts
@@ -1,3 +1,4 @@
+import type { ResponseHead } from "../../src/core/forwarding/mod.ts";
 import type { ManualTimerService } from "../../src/core/time/mod.ts";
 import type { SentAttempt } from "./forwarding_harness.ts";
 
@@ -16,6 +17,8 @@
   readonly tokensPerMillisecond?: number;
   /** Number of answers that an engine decodes concurrently. */
   readonly slots?: number;
+  /** Added to the head of each response, such as a load report. */
+  readonly head?: Partial<ResponseHead>;
 }
 
 interface QueuedPrefill {
@@ -32,6 +35,7 @@
   readonly #timer: ManualTimerService;
   readonly #tokensPerMillisecond: number;
   readonly #slots: number;
+  readonly #head: Partial<ResponseHead> | undefined;
   readonly #queues = new Map<string, QueuedPrefill[]>();
   readonly #prefilling = new Set<string>();
   readonly #cachedParts = new Map<string, Set<string>>();
@@ -51,6 +55,7 @@
     this.#tokensPerMillisecond = options.tokensPerMillisecond ??
       DEFAULT_TOKENS_PER_MILLISECOND;
     this.#slots = options.slots ?? DEFAULT_SLOTS;
+    this.#head = options.head;
     source.onSend = (attempt) => this.#handleAttempt(attempt);
   }
 
@@ -114,7 +119,7 @@
     this.#timer.after(milliseconds, () => {
       this.#prefilling.delete(engine);
       if (!this.#markClosed(engine, attempt)) return;
-      void attempt.respond("handle");
+      void attempt.respond("handle", this.#head);
       this.#startNextPrefill(engine);
     });
   }
@@ -137,7 +142,9 @@
     this.#markOpen(engine, attempt);
     const { id } = attempt.request;
     this.runs.set(id, (this.runs.get(id) ?? 0) + 1);
-    void attempt.head().then(() => attempt.chunk("id: 1\ndata: x\n\n"));
+    void attempt.head(this.#head).then(() =>
+      attempt.chunk("id: 1\ndata: x\n\n")
+    );
     const milliseconds = isUrgent
       ? URGENT_DECODE_MILLISECONDS
       : DECODE_MILLISECONDS;
