--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -54,7 +54,7 @@
  * Rows in the full reports of all entries together. It bounds the rows that an
  * entry receives; what does not fit is sent with a later report.
  */
-const FLEET_SHARE_ROWS = 240;
+const FLEET_SHARE_ROWS = 960;
 /** Notification that carries role orders to engines. */
 export const ROLES_METHOD = "entry.roles";
 /** Notification that carries changed registrations. */
