Derive retry times of refused prompts from a calendar of spare capacity

Refused callers retried after a constant time with jitter, whatever capacity was expected, and were treated like new callers when they came back. In pools with fair shares, a calendar now gives them successive times at which spare prefill work covers them, urgent ranks earlier. A caller that keeps its time is served before new callers of its rank on the same side of the share.

Only times at which the response can still be on time are reserved.

--- a/src/core/forwarding/admission/engine_admission.ts
+++ b/src/core/forwarding/admission/engine_admission.ts
@@ -3,7 +3,7 @@
  * use. A slightly optimistic prediction would make the response late and spend
  * engine time that another request could have used to be on time.
  */
-const ON_TIME_TARGET_SHARE = 0.85;
+export const ON_TIME_TARGET_SHARE = 0.85;
 /**
  * Share of the caller's remaining time that the predicted first byte of a late
  * response may use. The rest covers the error of a long prediction and the
--- a/src/core/forwarding/admission/fair_shares_test.ts
+++ b/src/core/forwarding/admission/fair_shares_test.ts
@@ -81,7 +81,7 @@
     for (const rows of [[["w", -1, 2]], [["w", 1]], [[1, 1, 2]], "x"]) {
       expect(isPoolShareRows(["a", rows])).to.equal(false);
     }
-    const shares = new PoolShares(new ManualTimerService());
+    const shares = new PoolShares(new ManualTimerService(), () => 0);
     shares.recordPeer(["a", [["w", 1, 2]]]);
     expect(shares.largest(8)).to.deep.equal([
       { pool: "a", workspace: "w", share: 1 },
--- a/src/core/forwarding/admission/held_prompt_queue.ts
+++ b/src/core/forwarding/admission/held_prompt_queue.ts
@@ -33,8 +33,9 @@
 /**
  * Priority queue of prompts whose responses will be late, held until an engine
  * is nearly idle. Engines process prompts in order of arrival, so late prompts
- * sent early would delay those behind them. Ordered by rank, then by the use of
- * the workspaces where they have fair shares, then by expiry.
+ * sent early would delay those behind them. Ordered by rank, then by expiry.
+ * Where workspaces have fair shares, those above theirs come last in their rank,
+ * callers that retry at their time come first, and then the least used.
  */
 export class HeldPromptQueue<Choice> {
   readonly #timer: TimerService;
@@ -163,6 +164,7 @@
 interface Urgency {
   readonly rank: number;
   readonly isAboveShare: boolean;
+  readonly isDue: boolean;
   readonly used: number;
   readonly expiresAt: number;
 }
@@ -171,6 +173,7 @@
   return {
     rank,
     isAboveShare: share?.isAboveShare ?? false,
+    isDue: share?.isDue ?? false,
     used: share?.used ?? 0,
     expiresAt,
   };
@@ -179,6 +182,7 @@
 function compareUrgency(one: Urgency, other: Urgency): number {
   return one.rank - other.rank ||
     Number(one.isAboveShare) - Number(other.isAboveShare) ||
+    Number(other.isDue) - Number(one.isDue) ||
     one.used - other.used ||
     one.expiresAt - other.expiresAt;
 }
--- a/src/core/forwarding/admission/pool_shares.ts
+++ b/src/core/forwarding/admission/pool_shares.ts
@@ -1,17 +1,22 @@
 import type { ServiceName, WorkspaceId } from "../../identity/mod.ts";
+import type { Random } from "../../random/mod.ts";
 import type { TimerService } from "../../time/mod.ts";
 import { FairShares, type ShareRow } from "./fair_shares.ts";
+import { ReturnCalendar } from "./return_calendar.ts";
 
 /** Rows of one pool, as sent to peers. */
 export type PoolShareRows = readonly [pool: string, rows: readonly ShareRow[]];
 
-/** Fair shares by pool; empty unless a pool asks for them. */
+/** Fair shares and calendars by pool; empty unless a pool asks for them. */
 export class PoolShares {
   readonly #timer: TimerService;
+  readonly #random: Random;
   readonly #pools = new Map<ServiceName, FairShares>();
+  readonly #calendars = new Map<ServiceName, ReturnCalendar>();
 
-  constructor(timer: TimerService) {
+  constructor(timer: TimerService, random: Random) {
     this.#timer = timer;
+    this.#random = random;
   }
 
   /** The pool's shares, created on first use. */
@@ -24,6 +29,16 @@
     return shares;
   }
 
+  /** The pool's calendar for refused callers, created on first use. */
+  calendarOf(pool: ServiceName): ReturnCalendar {
+    let calendar = this.#calendars.get(pool);
+    if (calendar === undefined) {
+      calendar = new ReturnCalendar(this.#timer, this.#random);
+      this.#calendars.set(pool, calendar);
+    }
+    return calendar;
+  }
+
   /** Records the rows of a peer. */
   recordPeer([pool, rows]: PoolShareRows): void {
     const shares = this.forPool(pool as ServiceName);
--- a/src/core/forwarding/admission/request_share.ts
+++ b/src/core/forwarding/admission/request_share.ts
@@ -8,11 +8,15 @@
    * for by then.
    */
   readonly isReturning: boolean;
+  /** True if the caller retries at the time for which it has a reservation. */
+  readonly isDue?: boolean;
 }
 
 /** One request's claim to its workspace's share of a pool. */
 export class RequestShare {
   readonly workspace: WorkspaceId;
+  /** True if the caller retries at the time for which it has a reservation. */
+  readonly isDue: boolean;
   readonly #shares: FairShares;
   readonly #isReturning: boolean;
   #workMilliseconds: number | undefined;
@@ -23,6 +27,7 @@
     this.#shares = shares;
     this.workspace = options.workspace;
     this.#isReturning = options.isReturning;
+    this.isDue = options.isDue ?? false;
   }
 
   /** Records the request's work; only the first call counts. */
@@ -37,7 +42,12 @@
   admit(): void {
     if (this.#isAdmitted) return;
     this.#isAdmitted = true;
-    this.#shares.record(this.workspace, this.#workMilliseconds ?? 0);
+    this.#shares.record(this.workspace, this.workMilliseconds);
+  }
+
+  /** Engine work of the request, in milliseconds; 0 until it is known. */
+  get workMilliseconds(): number {
+    return this.#workMilliseconds ?? 0;
   }
 
   /** Records that a prompt of this workspace takes the request's place. */
--- a/src/core/forwarding/admission/returning_callers_test.ts
+++ b/src/core/forwarding/admission/returning_callers_test.ts
@@ -55,4 +55,33 @@
     expect(callers.elapsedSinceFirstAttempt("0")).to.equal(0);
     expect(callers.elapsedSinceFirstAttempt("5000")).to.equal(10);
   });
+
+  describe("isDue", () => {
+    it("recognizes a caller at its retry time, at another entry as well", async () => {
+      const peer = new ReturningCallers(timer);
+      callers.record("a", 20, 300);
+      await timer.advance(100);
+      for (const report of callers.takeUnreported()) peer.recordPeer(report);
+      for (const each of [callers, peer]) {
+        expect(each.isDue("a")).to.equal(false);
+      }
+      await timer.advance(200);
+      for (const each of [callers, peer]) {
+        expect(each.isDue("a")).to.equal(true);
+      }
+    });
+
+    // Capacity is kept for callers that wait, not for those that ask again at
+    // once or come back when it has been used by others.
+    it("is false for callers that retry too early or too late", async () => {
+      callers.record("a", 0, 300);
+      callers.record("b", 0);
+      await timer.advance(280);
+      expect(callers.isDue("a")).to.equal(false);
+      await timer.advance(280);
+      expect(callers.isDue("a")).to.equal(false);
+      expect(callers.isDue("b")).to.equal(false);
+      expect(callers.isDue(undefined)).to.equal(false);
+    });
+  });
 });
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -85,6 +85,7 @@
   type AdmissionInput,
   type AdmissionKind,
   decideAdmission,
+  ON_TIME_TARGET_SHARE,
   REMAINING_TIME_SHARE,
 } from "./admission/engine_admission.ts";
 export {
@@ -99,6 +100,11 @@
   type PoolShareRows,
   PoolShares,
 } from "./admission/pool_shares.ts";
+export {
+  ReturnCalendar,
+  type ReturnCalendarOptions,
+  type ReturnSlot,
+} from "./admission/return_calendar.ts";
 export { RequestShare } from "./admission/request_share.ts";
 export { maxMinLevel } from "./admission/max_min_level.ts";
 export { LinkBacklog } from "./admission/link_backlog.ts";
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -94,6 +94,7 @@
     return new RequestShare(dependencies.shares.forPool(pool.name), {
       workspace: workspace.id,
       isReturning: this.waitedMilliseconds > 0,
+      isDue: dependencies.returningCallers.isDue(this.#lastPartId),
     });
   }
 
@@ -141,12 +142,19 @@
     return this.#digest;
   }
 
-  /** Records a refusal, since the caller may retry at any entry. */
-  noteRefusal(): void {
+  /**
+   * Records a refusal, since the caller may retry at any entry;
+   * `dueInMilliseconds` is the time until its reservation, if it has one.
+   */
+  noteRefusal(dueInMilliseconds?: number): void {
     const partId = this.#lastPartId;
     if (partId === undefined) return;
     const waited = this.waitedMilliseconds + this.elapsedMilliseconds;
-    this.dependencies.returningCallers.record(partId, waited);
+    this.dependencies.returningCallers.record(
+      partId,
+      waited,
+      dueInMilliseconds,
+    );
   }
 
   /** Time until the deadline, in milliseconds. */
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -181,7 +181,7 @@
     const availability = new EndpointAvailability(timer);
     const limits = new EndpointLimits();
     const loadReports = new EndpointLoadReports();
-    const shares = new PoolShares(timer);
+    const shares = new PoolShares(timer, random);
     const connections: EndpointStateHolder = {
       forget: ({ address }) => options.onEndpointRemoved(address),
     };
--- a/src/entry/forwarding/prompt_admission.ts
+++ b/src/entry/forwarding/prompt_admission.ts
@@ -1,15 +1,18 @@
 import {
   decideAdmission,
   type HeldPrompt,
+  ON_TIME_TARGET_SHARE,
   POLL_MILLISECONDS,
   type PrefillCandidates,
   type PrefillChoice,
   type Prompt,
   type RegisteredEndpoint,
   REMAINING_TIME_SHARE,
+  type ReturnSlot,
 } from "../../core/forwarding/mod.ts";
 import { REQUEST_HEAD_BYTES } from "./attempt.ts";
 import type { ForwardContext } from "./forward_context.ts";
+import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
 
 /** A long prompt is sent to the prefill engine and to the decode engine. */
 const SENDS_PER_PROMPT = 2;
@@ -32,6 +35,8 @@
  * target. A caller that is refused then can still be answered on time elsewhere.
  */
 const MAX_YIELD_TARGET_SHARE = 1 / 8;
+/** Share of a caller's remaining time up to which it honors a retry time. */
+const HONORED_RETRY_SHARE = 1 / 3;
 /** Shortest time that a prompt yields; every idle engine is seen by a poll. */
 const MIN_YIELD_MILLISECONDS = 2 * POLL_MILLISECONDS;
 
@@ -257,15 +262,47 @@
   },
 ): number {
   const { workAhead, engines } = options;
+  return dependencies.entries() * workAhead /
+    freeEngines(dependencies, engines);
+}
+
+/** Prefill engines that on-time work of all entries leaves free. */
+function freeEngines(
+  dependencies: ForwardingDependencies,
+  engines: readonly RegisteredEndpoint[],
+): number {
   const prefillEngines =
     engines.filter(({ role }) => role === "prefill").length;
-  const entries = dependencies.entries();
   const free = Math.max(
     MIN_FREE_SHARE * prefillEngines,
-    prefillEngines - entries * dependencies.onTimeWork.busyEngines,
+    prefillEngines -
+      dependencies.entries() * dependencies.onTimeWork.busyEngines,
   );
-  return entries * workAhead /
-    Math.max(MIN_FREE_SHARE, free);
+  return Math.max(MIN_FREE_SHARE, free);
+}
+
+/**
+ * When the caller of a refused prompt should retry; undefined where the pool
+ * has no fair shares. Callers honor retry times up to a third of their
+ * remaining time.
+ */
+export function nextReturn(context: ForwardContext): ReturnSlot | undefined {
+  const { dependencies, pool, rank, request, share } = context;
+  const { prompt } = request;
+  if (share === undefined || prompt === undefined) return undefined;
+  const onTimeMilliseconds =
+    ON_TIME_TARGET_SHARE * context.route.targetMilliseconds -
+    context.waitedMilliseconds - context.elapsedMilliseconds -
+    share.workMilliseconds -
+    dependencies.placement.handoverMilliseconds(prompt, pool);
+  const spareEngines = freeEngines(dependencies, context.endpoints()) /
+    dependencies.entries();
+  return dependencies.shares.calendarOf(pool.name)
+    .next(rank, share.workMilliseconds, {
+      spareEngines,
+      maxMilliseconds: HONORED_RETRY_SHARE * context.remainingMilliseconds,
+      onTimeMilliseconds,
+    });
 }
 
 /**
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -27,7 +27,11 @@
   ForwardingRefusal,
 } from "./network_interfaces.ts";
 import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
-import { type AdmissionFacts, recordInlineWork } from "./prompt_admission.ts";
+import {
+  type AdmissionFacts,
+  nextReturn,
+  recordInlineWork,
+} from "./prompt_admission.ts";
 import {
   type CapacityOptions,
   chooseWithPermit,
@@ -66,6 +70,14 @@
 /** Endpoints have crashed on requests with this digest. */
 const BLOCKED = "crashes_endpoints";
 
+/** Refusals whose retry time comes from the calendar of the pool. */
+const WAITS_FOR_ENGINES: ReadonlySet<string> = new Set([
+  "above_share",
+  "displaced",
+  "engines_full",
+  "more_urgent",
+]);
+
 type EndpointMatch = (endpoint: RegisteredEndpoint) => boolean;
 
 interface ServiceChoice {
@@ -620,10 +632,18 @@
     this.#settle();
     if (this.#relay.headSent) return this.#sink.abort();
     if (reason === KEY_REMOVED) return this.#respond({ status: 401, reason });
+    const slot = WAITS_FOR_ENGINES.has(reason)
+      ? nextReturn(this.#context)
+      : undefined;
     // A blocked caller is blocked at every entry, so the refusal is not
     // recorded.
-    if (reason !== BLOCKED) this.#context.noteRefusal();
-    const retryAfterMilliseconds = this.#retryAfterMilliseconds(reason);
+    if (reason !== BLOCKED) {
+      this.#context.noteRefusal(
+        slot?.isReserved === true ? slot.milliseconds : undefined,
+      );
+    }
+    const retryAfterMilliseconds = slot?.milliseconds ??
+      this.#retryAfterMilliseconds(reason);
     this.#respond({ status: 503, reason, retryAfterMilliseconds }, facts);
   }
 
--- a/src/entry/forwarding/work_notification.ts
+++ b/src/entry/forwarding/work_notification.ts
@@ -140,7 +140,8 @@
 
 function isRefusalReport(value: unknown): value is RefusalReport {
   return Array.isArray(value) && typeof value[0] === "string" &&
-    typeof value[1] === "number";
+    typeof value[1] === "number" &&
+    (value[2] === undefined || typeof value[2] === "number");
 }
 
 /** Checks that the value is a valid crash report. */
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -259,7 +259,7 @@
       permitQueue: new PermitQueue(),
       onTimeWork: new WorkRate(timer),
       held: new HeldPromptQueue(timer),
-      shares: new PoolShares(timer),
+      shares: new PoolShares(timer, random),
       entries: () => 1,
       link: new LinkBacklog(timer, options.linkMegabitsPerSecond),
       loopDelayMilliseconds: () => this.loopDelay,
