--- a/src/core/forwarding/admission/fair_shares.ts
+++ b/src/core/forwarding/admission/fair_shares.ts
@@ -31,10 +31,21 @@
   asked: number,
 ];
 
-/** Work of one workspace, in milliseconds at the landmark. */
-interface WorkspaceWork {
+/** Work of a workspace's request. */
+export interface RequestWork {
+  readonly milliseconds: number;
+  /** Priority of the request; 0 is the most urgent. */
+  readonly rank: number;
+}
+
+/** Work that was asked for and admitted, in milliseconds at the landmark. */
+interface WorkTotal {
   admitted: number;
   asked: number;
+}
+
+/** Work of one workspace, in milliseconds at the landmark. */
+interface WorkspaceWork extends WorkTotal {
   unreportedAdmitted: number;
   unreportedAsked: number;
 }
@@ -51,7 +62,9 @@
   readonly #timer: TimerService;
   readonly #work = new Map<WorkspaceId, WorkspaceWork>();
   /** Totals of all workspaces, also of those whose counters were dropped. */
-  readonly #total = { admitted: 0, asked: 0 };
+  readonly #total: WorkTotal = { admitted: 0, asked: 0 };
+  /** Work of this entry's own callers, by rank. */
+  readonly #ownByRank = new Map<number, WorkTotal>();
   #landmark: number;
   #level = Infinity;
   #levelAt = -Infinity;
@@ -62,21 +75,26 @@
   }
 
   /** Records work that the workspace asked for, whether it is admitted or not. */
-  recordAsked(workspace: WorkspaceId, milliseconds: number): void {
+  recordAsked(
+    workspace: WorkspaceId,
+    { milliseconds, rank }: RequestWork,
+  ): void {
     const amount = milliseconds * this.#scale();
     const work = this.#workOf(workspace);
     work.asked += amount;
     work.unreportedAsked += amount;
     this.#total.asked += amount;
+    this.#ownOf(rank).asked += amount;
   }
 
   /** Records admitted work of the workspace. */
-  record(workspace: WorkspaceId, milliseconds: number): void {
+  record(workspace: WorkspaceId, { milliseconds, rank }: RequestWork): void {
     const amount = milliseconds * this.#scale();
     const work = this.#workOf(workspace);
     work.admitted += amount;
     work.unreportedAdmitted += amount;
     this.#total.admitted += amount;
+    this.#ownOf(rank).admitted += amount;
   }
 
   /** Records work that a peer reported. */
@@ -113,12 +131,13 @@
   }
 
   /**
-   * True while capacity is scarce and the workspace has more than its max-min
-   * fair share of it.
+   * True while capacity is scarce for this rank and the workspace has more than
+   * its max-min fair share of it. Work of less urgent ranks does not make it
+   * scarce, since it is served later.
    */
-  isAboveShare(workspace: WorkspaceId): boolean {
-    return this.#admitted(workspace) >
-      (1 + SCARCITY_MARGIN) * this.#currentLevel();
+  isAboveShare(workspace: WorkspaceId, rank: number): boolean {
+    return this.#isScarceFor(rank) && this.#admitted(workspace) >
+        (1 + SCARCITY_MARGIN) * this.#currentLevel();
   }
 
   /** The workspaces with the most admitted work and their shares of it. */
@@ -151,10 +170,8 @@
     const now = this.#timer.now();
     if (now - this.#levelAt < LEVEL_VALIDITY_MILLISECONDS) return this.#level;
     this.#levelAt = now;
+    if (!isScarce(this.#total)) return this.#level = Infinity;
     const { admitted, asked } = this.#total;
-    if (asked <= (1 + SCARCITY_MARGIN) * admitted) {
-      return this.#level = Infinity;
-    }
     const rows = [...this.#work.values()].map((work) =>
       Math.max(work.asked, work.admitted)
     );
@@ -163,6 +180,25 @@
     return this.#level = maxMinLevel(rows, admitted - unknown);
   }
 
+  /** True if the work up to this rank exceeds all work that is admitted. */
+  #isScarceFor(rank: number): boolean {
+    const sum: WorkTotal = { admitted: 0, asked: 0 };
+    for (const [each, { admitted, asked }] of this.#ownByRank) {
+      sum.admitted += admitted;
+      if (each <= rank) sum.asked += asked;
+    }
+    return isScarce(sum);
+  }
+
+  #ownOf(rank: number): WorkTotal {
+    let total = this.#ownByRank.get(rank);
+    if (total === undefined) {
+      total = { admitted: 0, asked: 0 };
+      this.#ownByRank.set(rank, total);
+    }
+    return total;
+  }
+
   #workOf(workspace: WorkspaceId): WorkspaceWork {
     let work = this.#work.get(workspace);
     if (work !== undefined) return work;
@@ -195,8 +231,10 @@
     if (scale <= MAX_SCALE) return scale;
     this.#landmark += age;
     this.#levelAt = -Infinity;
-    this.#total.admitted /= scale;
-    this.#total.asked /= scale;
+    for (const total of [this.#total, ...this.#ownByRank.values()]) {
+      total.admitted /= scale;
+      total.asked /= scale;
+    }
     for (const [workspace, work] of this.#work) {
       work.admitted /= scale;
       work.asked /= scale;
@@ -210,6 +248,10 @@
   }
 }
 
+function isScarce({ admitted, asked }: WorkTotal): boolean {
+  return asked > (1 + SCARCITY_MARGIN) * admitted;
+}
+
 function roundToTenth(value: number): number {
   return Math.round(10 * value) / 10;
 }
--- a/src/core/forwarding/admission/fair_shares_test.ts
+++ b/src/core/forwarding/admission/fair_shares_test.ts
@@ -15,9 +15,14 @@
     shares = new FairShares(timer);
   });
 
-  function ask(workspace: WorkspaceId, asked: number, admitted: number): void {
-    shares.recordAsked(workspace, asked);
-    shares.record(workspace, admitted);
+  function ask(
+    workspace: WorkspaceId,
+    asked: number,
+    admitted: number,
+    rank = 2,
+  ): void {
+    shares.recordAsked(workspace, { milliseconds: asked, rank });
+    shares.record(workspace, { milliseconds: admitted, rank });
   }
 
   describe("isAboveShare", () => {
@@ -25,20 +30,29 @@
     it("is false for everyone while everything asked for is admitted", () => {
       ask(LARGE, 900, 900);
       ask(SMALL, 10, 10);
-      expect(shares.isAboveShare(LARGE)).to.equal(false);
+      expect(shares.isAboveShare(LARGE, 2)).to.equal(false);
     });
 
     it("is true only for the workspace that others wait for", () => {
       ask(LARGE, 3_000, 900);
       ask(SMALL, 200, 100);
-      expect(shares.isAboveShare(LARGE)).to.equal(true);
-      expect(shares.isAboveShare(SMALL)).to.equal(false);
+      expect(shares.isAboveShare(LARGE, 2)).to.equal(true);
+      expect(shares.isAboveShare(SMALL, 2)).to.equal(false);
       expect(shares.usedShare(LARGE)).to.equal(0.9);
     });
 
+    // The capacity covers all urgent prompts; only bulk prompts exceed it.
+    it("is false for a rank that less urgent work does not delay", () => {
+      ask(LARGE, 3_000, 900);
+      ask(SMALL, 200, 100);
+      ask(LARGE, 100, 90, 0);
+      expect(shares.isAboveShare(LARGE, 2)).to.equal(true);
+      expect(shares.isAboveShare(LARGE, 0)).to.equal(false);
+    });
+
     it("leaves a workspace alone the whole capacity", () => {
       ask(LARGE, 3_000, 900);
-      expect(shares.isAboveShare(LARGE)).to.equal(false);
+      expect(shares.isAboveShare(LARGE, 2)).to.equal(false);
     });
   });
 
--- a/src/core/forwarding/admission/held_prompt_queue_test.ts
+++ b/src/core/forwarding/admission/held_prompt_queue_test.ts
@@ -97,14 +97,16 @@
 
     beforeEach(() => {
       shares = new FairShares(timer);
-      shares.recordAsked(identifier("large"), 900);
-      shares.record(identifier("large"), 90);
-      shares.recordAsked(identifier("small"), 10);
+      const large = identifier<WorkspaceId>("large");
+      shares.recordAsked(large, { milliseconds: 900, rank: 0 });
+      shares.record(large, { milliseconds: 90, rank: 0 });
+      shares.recordAsked(identifier("small"), { milliseconds: 10, rank: 1 });
     });
 
-    function shareOf(workspace: string): RequestShare {
+    function shareOf(workspace: string, rank = 1): RequestShare {
       return new RequestShare(shares, {
         workspace: identifier<WorkspaceId>(workspace),
+        rank,
         isReturning: false,
       });
     }
@@ -114,7 +116,7 @@
     it("starts the workspace with the least work first, within a rank", async () => {
       enqueue("flood", { share: shareOf("large"), expiresAt: 500 });
       enqueue("single", { share: shareOf("small") });
-      enqueue("urgent flood", { share: shareOf("large"), rank: 0 });
+      enqueue("urgent flood", { share: shareOf("large", 0), rank: 0 });
       idleEngines = ["one", "two", "three"];
       await timer.advance(30);
       expect(started).to.deep.equal([
--- a/src/core/forwarding/admission/request_share.ts
+++ b/src/core/forwarding/admission/request_share.ts
@@ -1,8 +1,10 @@
 import type { WorkspaceId } from "../../identity/mod.ts";
-import type { FairShares } from "./fair_shares.ts";
+import type { FairShares, RequestWork } from "./fair_shares.ts";
 
 export interface RequestShareOptions {
   readonly workspace: WorkspaceId;
+  /** Priority of the request; 0 is the most urgent. */
+  readonly rank: number;
   /**
    * True if the caller was refused before; its work has been counted as asked
    * for by then.
@@ -18,6 +20,7 @@
   /** True if the caller retries at the time for which it has a reservation. */
   readonly isDue: boolean;
   readonly #shares: FairShares;
+  readonly #rank: number;
   readonly #isReturning: boolean;
   #workMilliseconds: number | undefined;
   #isAdmitted = false;
@@ -26,6 +29,7 @@
   constructor(shares: FairShares, options: RequestShareOptions) {
     this.#shares = shares;
     this.workspace = options.workspace;
+    this.#rank = options.rank;
     this.#isReturning = options.isReturning;
     this.isDue = options.isDue ?? false;
   }
@@ -35,14 +39,14 @@
     if (this.#workMilliseconds !== undefined) return;
     this.#workMilliseconds = workMilliseconds;
     if (this.#isReturning) return;
-    this.#shares.recordAsked(this.workspace, workMilliseconds);
+    this.#shares.recordAsked(this.workspace, this.#work);
   }
 
   /** Records that the request's work was sent; only the first call counts. */
   admit(): void {
     if (this.#isAdmitted) return;
     this.#isAdmitted = true;
-    this.#shares.record(this.workspace, this.workMilliseconds);
+    this.#shares.record(this.workspace, this.#work);
   }
 
   /** Engine work of the request, in milliseconds; 0 until it is known. */
@@ -50,6 +54,10 @@
     return this.#workMilliseconds ?? 0;
   }
 
+  get #work(): RequestWork {
+    return { milliseconds: this.workMilliseconds, rank: this.#rank };
+  }
+
   /** Records that a prompt of this workspace takes the request's place. */
   displace(by: WorkspaceId): void {
     this.#displacedBy = by;
@@ -62,7 +70,7 @@
 
   /** True while the workspace has more than its share of scarce capacity. */
   get isAboveShare(): boolean {
-    return this.#shares.isAboveShare(this.workspace);
+    return this.#shares.isAboveShare(this.workspace, this.#rank);
   }
 
   /** Share of the pool's recent work that the workspace got, 0 to 1. */
--- a/src/entry/forwarding/fair_shares_test.ts
+++ b/src/entry/forwarding/fair_shares_test.ts
@@ -46,9 +46,9 @@
     harness.dependencies.registry.upsert(makeEngine("decode", "decode"));
     // "large" has got nearly everything while "small" was refused.
     const shares = harness.dependencies.shares.forPool(ENGINES);
-    shares.recordAsked(LARGE, 3_000);
-    shares.record(LARGE, 900);
-    shares.recordAsked(identifier("small"), 500);
+    shares.recordAsked(LARGE, { milliseconds: 3_000, rank: 0 });
+    shares.record(LARGE, { milliseconds: 900, rank: 0 });
+    shares.recordAsked(identifier("small"), { milliseconds: 500, rank: 0 });
   });
 
   function reportLoad(workFactor: number | undefined): void {
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -93,6 +93,7 @@
     if (!hasShares) return undefined;
     return new RequestShare(dependencies.shares.forPool(pool.name), {
       workspace: workspace.id,
+      rank: this.rank,
       isReturning: this.waitedMilliseconds > 0,
       isDue: dependencies.returningCallers.isDue(this.#lastPartId),
     });
--- a/test/support/share_load.ts
+++ b/test/support/share_load.ts
@@ -44,7 +44,7 @@
 /** Kinds of prompts; each has its own engine time in milliseconds. */
 export const KINDS = {
   bulk: { rank: 2, milliseconds: 70 },
-  urgent: { rank: 0, milliseconds: 20 },
+  urgent: { rank: 0, milliseconds: 30 },
   huge: { rank: 2, milliseconds: 210 },
 } as const;
 export type Kind = keyof typeof KINDS;
