--- a/src/adapters/telemetry/forwarding_telemetry_test.ts
+++ b/src/adapters/telemetry/forwarding_telemetry_test.ts
@@ -7,6 +7,7 @@
   createForwardingObserver,
   registerPauseCounters,
   registerRetryGauges,
+  registerShareGauge,
 } from "./mod.ts";
 
 describe("createForwardingObserver", () => {
@@ -87,3 +88,23 @@
     ) expect(output).to.include(`filbertshore_${line}`);
   });
 });
+
+describe("registerShareGauge", () => {
+  // Workspaces that are no longer among the largest must leave the output, or
+  // its size grows with every workspace of the day.
+  it("exports only the workspaces that are the largest now", async () => {
+    const registry = new Registry();
+    let workspace = "first";
+    registerShareGauge(
+      registry,
+      () => [{ pool: "engines", workspace, share: 0.5 }],
+    );
+    await registry.metrics();
+    workspace = "second";
+    const output = await registry.metrics();
+    expect(output).to.include(
+      'filbertshore_workspace_share{pool="engines",workspace="second"} 0.5',
+    );
+    expect(output).to.not.include("first");
+  });
+});
--- a/src/adapters/telemetry/mod.ts
+++ b/src/adapters/telemetry/mod.ts
@@ -17,6 +17,7 @@
   registerPauseCounters,
   registerResponseBufferGauge,
   registerRetryGauges,
+  registerShareGauge,
   registerTakenOutEndpointsGauge,
   registerUsageFencingGauge,
 } from "./forwarding_telemetry.ts";
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -134,12 +134,28 @@
   type AdmissionInput,
   type AdmissionKind,
   decideAdmission,
+  ON_TIME_TARGET_SHARE,
   REMAINING_TIME_SHARE,
 } from "./admission/engine_admission.ts";
 export {
+  type HeldPlace,
   type HeldPrompt,
   HeldPromptQueue,
+  POLL_MILLISECONDS,
 } from "./admission/held_prompt_queue.ts";
+export { FairShares, type ShareRow } from "./admission/fair_shares.ts";
+export {
+  isPoolShareRows,
+  type PoolShareRows,
+  PoolShares,
+} from "./admission/pool_shares.ts";
+export {
+  ReturnCalendar,
+  type ReturnCalendarOptions,
+  type ReturnSlot,
+} from "./admission/return_calendar.ts";
+export { RequestShare } from "./admission/request_share.ts";
+export { maxMinLevel } from "./admission/max_min_level.ts";
 export { LinkBacklog } from "./admission/link_backlog.ts";
 export { RoleDemand } from "./roles/role_demand.ts";
 export type { StepCosts, StepSample } from "./roles/decode_step_costs.ts";
--- a/src/entry/forwarding/engine_planner.ts
+++ b/src/entry/forwarding/engine_planner.ts
@@ -18,7 +18,7 @@
   type Handover,
   type HandoverOutcome,
 } from "./handover.ts";
-import type { AdmissionFacts } from "./prompt_admission.ts";
+import { type AdmissionFacts, recordInlineWork } from "./prompt_admission.ts";
 import {
   type CapacityOptions,
   chooseWithPermit,
@@ -144,6 +144,9 @@
     if (choice === undefined) return undefined;
     const { milliseconds, tokens } = choice.work;
     if (kept === undefined) {
+      recordInlineWork(this.#context, prompt, {
+        prefillMilliseconds: milliseconds,
+      });
       this.#context.noteDemand({
         prefillMilliseconds: 0,
         inlineMilliseconds: milliseconds,
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -6,6 +6,7 @@
   type PromptDemand,
   type RegisteredEndpoint,
   RequestArrivals,
+  RequestShare,
   type Route,
   type Workspace,
 } from "../../core/forwarding/mod.ts";
@@ -48,6 +49,8 @@
   readonly waitedMilliseconds: number;
   /** Arrivals of this request at its pool, counted for the retry budget. */
   readonly arrivals: RequestArrivals;
+  /** Absent unless the pool has fair shares and the caller a workspace. */
+  readonly share: RequestShare | undefined;
   /** Number of sends to endpoints that run the request. */
   sends = 0;
   /** True once the caller has its response or has disconnected. */
@@ -82,6 +85,21 @@
       .elapsedSinceFirstAttempt(
         this.#lastPartId,
       );
+    this.share = this.#makeShare();
+  }
+
+  #makeShare(): RequestShare | undefined {
+    const { dependencies, pool, request, workspace } = this;
+    const hasShares = workspace !== undefined && pool.engine !== undefined &&
+      request.prompt !== undefined &&
+      dependencies.loadReports.hasWorkFactor(pool.name);
+    if (!hasShares) return undefined;
+    return new RequestShare(dependencies.shares.forPool(pool.name), {
+      workspace: workspace.id,
+      rank: this.rank,
+      isReturning: this.waitedMilliseconds > 0,
+      isDue: dependencies.returningCallers.isDue(this.#lastPartId),
+    });
   }
 
   /** Priority of the request; 0 is the most urgent. */
@@ -139,12 +157,19 @@
     return this.#digest;
   }
 
-  /** Records a refusal, since the caller may retry at any entry. */
-  noteRefusal(): void {
+  /**
+   * Records a refusal, since the caller may retry at any entry;
+   * `dueInMilliseconds` is the time until its reservation, if it has one.
+   */
+  noteRefusal(dueInMilliseconds?: number): void {
     const partId = this.#lastPartId;
     if (partId === undefined) return;
     const waited = this.waitedMilliseconds + this.elapsedMilliseconds;
-    this.dependencies.returningCallers.record(partId, waited);
+    this.dependencies.returningCallers.record(
+      partId,
+      waited,
+      dueInMilliseconds,
+    );
   }
 
   /** Time until the deadline, in milliseconds. */
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -22,6 +22,7 @@
   type PauseTotals,
   type PeerReadResult,
   PermitQueue,
+  PoolShares,
   PrefixDirectory,
   type ReportedLoss,
   ResponseBuffers,
@@ -214,6 +215,7 @@
       isLoadStale: () => this.peers.isLoadStale,
     });
     const roleWork = new RoleWork(timer);
+    const shares = new PoolShares(timer, random);
     const connections: EndpointStateHolder = {
       forget: ({ address }) => options.onEndpointRemoved(address),
     };
@@ -335,6 +337,7 @@
       limits,
       outcomes,
       roleWork,
+      shares,
       version: () => this.configuration?.version,
       onVersion: (version) => this.peerStateFallback.onPeerVersion(version),
     });
@@ -426,6 +429,7 @@
       permitQueue: new PermitQueue(),
       onTimeWork: new WorkRate(timer),
       held: new HeldPromptQueue(timer),
+      shares,
       entries: () => this.peers.fleetSize ?? 1,
       responseBuffers: new ResponseBuffers(options.responseBufferBytes ?? 0),
       link: new LinkBacklog(timer, options.linkMegabitsPerSecond),
@@ -501,6 +505,11 @@
     return this.#dependencies.crashes.blocked;
   }
 
+  /** The workspaces with the most recent work in each pool. */
+  largestShares(count: number): ReturnType<PoolShares["largest"]> {
+    return this.#dependencies.shares.largest(count);
+  }
+
   /** Number of endpoints with a request limit in force, as known here. */
   get limitedEndpoints(): number {
     return this.#dependencies.limits.size;
--- a/src/entry/forwarding/prompt_admission.ts
+++ b/src/entry/forwarding/prompt_admission.ts
@@ -2,14 +2,18 @@
   decideAdmission,
   type HeldPrompt,
   isPrefillEngine,
+  ON_TIME_TARGET_SHARE,
+  POLL_MILLISECONDS,
   type PrefillCandidates,
   type PrefillChoice,
   type Prompt,
   type RegisteredEndpoint,
   REMAINING_TIME_SHARE,
+  type ReturnSlot,
 } from "../../core/forwarding/mod.ts";
 import { REQUEST_HEAD_BYTES } from "./attempt.ts";
 import type { ForwardContext } from "./forward_context.ts";
+import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
 
 /** A long prompt is sent to the prefill engine and to the decode engine. */
 const SENDS_PER_PROMPT = 2;
@@ -22,11 +26,36 @@
  */
 const MIN_FREE_SHARE = 0.05;
 
-/** Why a prompt is not sent to any engine. */
-export type AdmissionRefusal = "engines_full" | "entry_full";
+/**
+ * Cost of an output token relative to an input token, as in the Virtual Token
+ * Counter.
+ */
+const OUTPUT_TOKEN_WEIGHT = 2;
+/**
+ * Longest time that a prompt yields to others, as a share of the route's
+ * target. A caller that is refused then can still be answered on time elsewhere.
+ */
+const MAX_YIELD_TARGET_SHARE = 1 / 8;
+/** Share of a caller's remaining time up to which it honors a retry time. */
+const HONORED_RETRY_SHARE = 1 / 3;
+/** Shortest time that a prompt yields; every idle engine is seen by a poll. */
+const MIN_YIELD_MILLISECONDS = 2 * POLL_MILLISECONDS;
+
+/**
+ * Why a prompt is not sent to any engine. `above_share`: others wait for the
+ * capacity, and their workspaces have less of it. `more_urgent`: prompts of a
+ * more urgent rank wait for it.
+ */
+export type AdmissionRefusal =
+  | "engines_full"
+  | "entry_full"
+  | "above_share"
+  | "more_urgent";
 
 /** Figures that led to the decision, for the log. */
-export type AdmissionFacts = Readonly<Record<string, number | undefined>>;
+export type AdmissionFacts = Readonly<
+  Record<string, number | string | undefined>
+>;
 
 /** Admission decision for a prompt. */
 export type PromptAdmission =
@@ -40,6 +69,8 @@
      */
     readonly kind: "held";
     readonly prompt: HeldPrompt<PrefillChoice>;
+    /** Why it is refused if no engine becomes nearly idle in time. */
+    readonly reason: AdmissionRefusal;
   }
   | {
     readonly kind: "refused";
@@ -65,10 +96,15 @@
   });
   const held = makeHeldPrompt(context, prompt, soonest);
   const onTimeMilliseconds = soonest?.predictedMilliseconds ?? Infinity;
+  context.share?.ask(shareWorkMilliseconds(context, prompt, {
+    prefillMilliseconds: soonest?.workMilliseconds ?? 0,
+  }));
+  const waitMilliseconds = (workAhead: number) =>
+    heldMilliseconds(context, { workAhead, engines: candidates.engines });
+  const predictedWait = waitMilliseconds(dependencies.held.workAhead(held));
   const estimate = {
     onTimeMilliseconds,
-    lateMilliseconds: onTimeMilliseconds +
-      heldMilliseconds(context, { held, engines: candidates.engines }),
+    lateMilliseconds: onTimeMilliseconds + predictedWait,
     handoverMilliseconds: dependencies.placement.handoverMilliseconds(
       prompt,
       pool,
@@ -80,14 +116,92 @@
   };
   const admission = decideAdmission(estimate);
   if (admission === "on_time" && soonest !== undefined) {
+    const reason = yieldReason(context);
+    if (reason !== undefined) {
+      return yieldToOthers(context, { held, reason, predictedWait });
+    }
     dependencies.onTimeWork.recordStarted(soonest.workMilliseconds);
     return { kind: "admitted", choice: soonest };
   }
-  if (admission === "late") return { kind: "held", prompt: held };
+  if (admission === "late") {
+    dependencies.held.displaceFor(held, waitMilliseconds);
+    return { kind: "held", prompt: held, reason: "engines_full" };
+  }
   return {
     kind: "refused",
     reason: admission === "entry_full" ? "entry_full" : "engines_full",
-    facts: roundFinite(estimate),
+    facts: { ...roundFinite(estimate), ...shareFacts(context) },
+  };
+}
+
+/** Why a prompt that could be on time leaves the capacity to others. */
+function yieldReason(
+  { dependencies, rank, share }: ForwardContext,
+): "above_share" | "more_urgent" | undefined {
+  if (share === undefined) return undefined;
+  if (share.isAboveShare) return "above_share";
+  const first = dependencies.held.first;
+  return first !== undefined && first.rank < rank ? "more_urgent" : undefined;
+}
+
+/**
+ * Holds a prompt for a nearly idle engine, so that the engines have room for
+ * those whose turn it is; refuses it if others wait for longer than it may.
+ */
+function yieldToOthers(
+  context: ForwardContext,
+  options: {
+    readonly held: HeldPrompt<PrefillChoice>;
+    readonly reason: AdmissionRefusal;
+    readonly predictedWait: number;
+  },
+): PromptAdmission {
+  const { held, predictedWait, reason } = options;
+  const { timer } = context.dependencies;
+  const allowedMilliseconds = Math.max(
+    MIN_YIELD_MILLISECONDS,
+    MAX_YIELD_TARGET_SHARE * context.route.targetMilliseconds -
+      context.elapsedMilliseconds,
+  );
+  if (predictedWait > allowedMilliseconds) {
+    const facts = { ...roundFinite({ predictedWait }), ...shareFacts(context) };
+    return { kind: "refused", reason, facts };
+  }
+  const expiresAt = timer.now() + allowedMilliseconds;
+  return { kind: "held", prompt: { ...held, expiresAt }, reason };
+}
+
+/** Records the work of a prompt that its decode engine prefills as well. */
+export function recordInlineWork(
+  context: ForwardContext,
+  prompt: Prompt,
+  options: { readonly prefillMilliseconds: number },
+): void {
+  context.share?.ask(shareWorkMilliseconds(context, prompt, options));
+  context.share?.admit();
+}
+
+/** Engine work by which the prompt counts for its workspace. */
+function shareWorkMilliseconds(
+  { dependencies, pool }: ForwardContext,
+  prompt: Prompt,
+  { prefillMilliseconds }: { readonly prefillMilliseconds: number },
+): number {
+  const { prefill } = dependencies.estimates.forPool(pool.name);
+  return prefillMilliseconds +
+    OUTPUT_TOKEN_WEIGHT * prompt.mostOutputTokens *
+      prefill.costs.millisecondsPerToken;
+}
+
+/** Whose turn it is, and the share of the request's workspace, for the log. */
+export function shareFacts(
+  { dependencies, share }: ForwardContext,
+): AdmissionFacts {
+  if (share === undefined) return {};
+  return {
+    turn: share.displacedBy ?? dependencies.held.first?.share?.workspace,
+    workspace: share.workspace,
+    workspacePercent: Math.round(100 * share.used),
   };
 }
 
@@ -140,6 +254,7 @@
   const workMilliseconds = soonest?.workMilliseconds ?? 0;
   return {
     rank: context.rank,
+    share: context.share,
     expiresAt: dependencies.timer.now() +
       REMAINING_TIME_SHARE * context.remainingToFirstByteMilliseconds -
       workMilliseconds,
@@ -148,7 +263,8 @@
       const candidates = await candidatesFor(context, prompt);
       return dependencies.placement.chooseNearlyIdlePrefill(prompt, candidates);
     },
-    isCancelled: () => context.settled,
+    isCancelled: () =>
+      context.settled || (context.share !== undefined && context.isKeyRemoved),
   };
 }
 
@@ -161,20 +277,52 @@
 function heldMilliseconds(
   { dependencies }: ForwardContext,
   options: {
-    readonly held: HeldPrompt<PrefillChoice>;
+    readonly workAhead: number;
     readonly engines: readonly RegisteredEndpoint[];
   },
 ): number {
-  const { held, engines } = options;
+  const { workAhead, engines } = options;
+  return dependencies.entries() * workAhead /
+    freeEngines(dependencies, engines);
+}
+
+/** Prefill engines that on-time work of all entries leaves free. */
+function freeEngines(
+  dependencies: ForwardingDependencies,
+  engines: readonly RegisteredEndpoint[],
+): number {
   const prefillEngines =
     engines.filter(({ role }) => role === "prefill").length;
-  const entries = dependencies.entries();
   const free = Math.max(
     MIN_FREE_SHARE * prefillEngines,
-    prefillEngines - entries * dependencies.onTimeWork.busyEngines,
+    prefillEngines -
+      dependencies.entries() * dependencies.onTimeWork.busyEngines,
   );
-  return entries * dependencies.held.workAhead(held) /
-    Math.max(MIN_FREE_SHARE, free);
+  return Math.max(MIN_FREE_SHARE, free);
+}
+
+/**
+ * When the caller of a refused prompt should retry; undefined where the pool
+ * has no fair shares. Callers honor retry times up to a third of their
+ * remaining time.
+ */
+export function nextReturn(context: ForwardContext): ReturnSlot | undefined {
+  const { dependencies, pool, rank, request, share } = context;
+  const { prompt } = request;
+  if (share === undefined || prompt === undefined) return undefined;
+  const onTimeMilliseconds =
+    ON_TIME_TARGET_SHARE * context.route.targetMilliseconds -
+    context.waitedMilliseconds - context.elapsedMilliseconds -
+    share.workMilliseconds -
+    dependencies.placement.handoverMilliseconds(prompt, pool);
+  const spareEngines = freeEngines(dependencies, context.endpoints()) /
+    dependencies.entries();
+  return dependencies.shares.calendarOf(pool.name)
+    .next(rank, share.workMilliseconds, {
+      spareEngines,
+      maxMilliseconds: HONORED_RETRY_SHARE * context.remainingMilliseconds,
+      onTimeMilliseconds,
+    });
 }
 
 /**
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -13,14 +13,14 @@
 import { type AttemptPlan, ForwardAttempt } from "./attempt.ts";
 import { ForwardContext, type ForwardTask } from "./forward_context.ts";
 import { EnginePlanner } from "./engine_planner.ts";
-import { Handover } from "./handover.ts";
+import { Handover, KEY_REMOVED } from "./handover.ts";
 import type {
   CallerSink,
   EndpointResponse,
   ForwardingRefusal,
 } from "./network_interfaces.ts";
 import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
-import type { AdmissionFacts } from "./prompt_admission.ts";
+import { type AdmissionFacts, nextReturn } from "./prompt_admission.ts";
 import {
   chooseWithPermit,
   type EndpointMatch,
@@ -50,8 +50,14 @@
 
 /** Endpoints have crashed on requests with this digest. */
 const BLOCKED = "crashes_endpoints";
-/** The caller's key was removed while its request was waiting. */
-const KEY_REMOVED = "key_removed";
+
+/** Refusals whose retry time comes from the calendar of the pool. */
+const WAITS_FOR_ENGINES: ReadonlySet<string> = new Set([
+  "above_share",
+  "displaced",
+  "engines_full",
+  "more_urgent",
+]);
 
 interface ServiceChoice {
   readonly endpoint: RegisteredEndpoint;
@@ -478,10 +484,18 @@
     this.#settle();
     if (this.#relay.headSent) return this.#sink.abort();
     if (reason === KEY_REMOVED) return this.#respond({ status: 401, reason });
+    const slot = WAITS_FOR_ENGINES.has(reason)
+      ? nextReturn(this.#context)
+      : undefined;
     // A blocked caller is blocked at every entry, so the refusal is not
     // recorded.
-    if (reason !== BLOCKED) this.#context.noteRefusal();
-    const retryAfterMilliseconds = this.#retryAfterMilliseconds(reason);
+    if (reason !== BLOCKED) {
+      this.#context.noteRefusal(
+        slot?.isReserved === true ? slot.milliseconds : undefined,
+      );
+    }
+    const retryAfterMilliseconds = slot?.milliseconds ??
+      this.#retryAfterMilliseconds(reason);
     this.#respond({ status: 503, reason, retryAfterMilliseconds }, facts);
   }
 
--- a/src/entry/forwarding/work_notification.ts
+++ b/src/entry/forwarding/work_notification.ts
@@ -4,12 +4,14 @@
   type EndpointRegistry,
   isLimitReport,
   isOutcomeRows,
+  isPoolShareRows,
   isReportedLoss,
   isRoleWorkReport,
   isVerdictRows,
   type LimitReport,
   type OutcomeRow,
   type PeerWork,
+  type PoolShareRows,
   type PrefillSpeedReport,
   type RefusalReport,
   type ReportedLoss,
@@ -63,6 +65,11 @@
    * full reports.
    */
   readonly poolWork?: readonly RoleWorkReport[];
+  /**
+   * Work of workspaces since their last rows; sent with full reports. If one is
+   * lost, the receiver's counters are too low until they have decayed.
+   */
+  readonly shares?: readonly PoolShareRows[];
 }
 
 /**
@@ -116,6 +123,7 @@
     prompts,
     refusals,
     sequence,
+    shares,
     speeds,
     verdicts,
     version,
@@ -129,11 +137,13 @@
     (Array.isArray(limits) && limits.every(isLimitReport));
   const hasPoolWork = poolWork === undefined ||
     (Array.isArray(poolWork) && poolWork.every(isRoleWorkReport));
+  const hasShares = shares === undefined ||
+    (Array.isArray(shares) && shares.every(isPoolShareRows));
   const isClock = clock === undefined || Number.isFinite(clock);
   const hasOutcomes = outcomes === undefined || isOutcomeRows(outcomes);
   const hasVerdicts = verdicts === undefined || isVerdictRows(verdicts);
   return isVersion && isClock && hasSpeeds && hasLosses && hasLimits &&
-    hasPoolWork && hasOutcomes && hasVerdicts &&
+    hasShares && hasPoolWork && hasOutcomes && hasVerdicts &&
     typeof entry === "string" &&
     typeof incarnation === "string" &&
     typeof sequence === "number" &&
@@ -154,7 +164,8 @@
 
 function isRefusalReport(value: unknown): value is RefusalReport {
   return Array.isArray(value) && typeof value[0] === "string" &&
-    typeof value[1] === "number";
+    typeof value[1] === "number" &&
+    (value[2] === undefined || typeof value[2] === "number");
 }
 
 /** Checks that the value is a valid crash report. */
