--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -299,6 +299,7 @@
       roleWork,
       loadReports,
       endpointClient: options.endpointClient,
+      isPlanner: () => this.peers.isRolePlanner,
       maxPauseMilliseconds: (pool) => this.#maxPauseMilliseconds(pool),
       speedOf: (engine) => slowness.speed(engine),
     });
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -48,6 +48,14 @@
 const MAX_FRESH_INTERVAL_MILLISECONDS = 30;
 /** How long changes of load are batched before owners are updated. */
 const OWNER_UPDATE_DELAY_MILLISECONDS = 1;
+/** Subject by which the entries that plan roles by observed work are ranked. */
+const ROLE_PLANNERS = "role-planners";
+/**
+ * Number of entries that learn the work of all entries and plan roles by it. A
+ * row for each peer would take 10 KB per second of an entry in a fleet of 300;
+ * with three planners one is left while two of them fail.
+ */
+const PLANNERS = 3;
 /** Notification that carries role orders to engines. */
 export const ROLES_METHOD = "entry.roles";
 /** Notification that carries changed registrations. */
@@ -163,6 +171,17 @@
     return [...this.#peers.keys()].map((name) => identifier<ProcessId>(name));
   }
 
+  /** True if this entry learns the work of all entries and plans by it. */
+  get isRolePlanner(): boolean {
+    return this.#rolePlanners.includes(
+      identifier<ProcessId>(this.#options.process),
+    );
+  }
+
+  get #rolePlanners(): readonly ProcessId[] {
+    return this.#options.owners.liveRanking(ROLE_PLANNERS).slice(0, PLANNERS);
+  }
+
   /** Sends a notification to all peers without waiting for the next report. */
   broadcast(method: string, params: unknown): void {
     if (this.#addresses.length === 0) return;
@@ -291,21 +310,42 @@
     if (isFull) this.#lastFullReportAt = now;
     const losses = isFull ? crashes.reports.recentLosses() : [];
     const poolWork = isFull ? roleWork.report() : [];
-    this.broadcast(WORK_METHOD, {
+    const report = {
       ...this.#baseNotification(isFull),
       version: this.#options.version(),
       work: withRuns(registry, load.report({ whole: isFull })),
       prompts: prefixes.takeUnreported().map(encodePrompt),
       refusals: returningCallers.takeUnreported(),
       ...(losses.length > 0 && { losses }),
-      ...(poolWork.length > 0 && { poolWork }),
       ...(limits.hasUnreported &&
         { limits: this.#encodeLimits(limits.takeUnreported()) }),
       ...(isFull && {
         speeds: estimates.report(),
         ...(this.#options.onClock && { clock: timer.wallClock() }),
       }),
-    });
+    };
+    if (poolWork.length === 0) return this.broadcast(WORK_METHOD, report);
+    this.#sendToPlanners(report, poolWork);
+  }
+
+  /** Sends a report to all peers; those that plan roles get the rows as well. */
+  #sendToPlanners(
+    report: WorkNotification,
+    poolWork: NonNullable<WorkNotification["poolWork"]>,
+  ): void {
+    const planners = new Set(
+      this.#rolePlanners.flatMap((name) => this.#peers.get(name) ?? []),
+    );
+    const others = this.#addresses.filter((each) => !planners.has(each));
+    const send = (
+      addresses: readonly string[],
+      params: WorkNotification,
+    ) => {
+      if (addresses.length === 0) return;
+      this.#options.sendToPeers(addresses, { method: WORK_METHOD, params });
+    };
+    send(others, report);
+    send([...planners], { ...report, poolWork });
   }
 
   /** An empty notification with the next sequence number. */
--- a/src/entry/forwarding/role_controller.ts
+++ b/src/entry/forwarding/role_controller.ts
@@ -286,6 +286,8 @@
         unconfirmed.add(pool.name);
       }
     }
+    // The first plan is still to come if no engine has answered.
+    if (unconfirmed.size > 0) this.#hasPlanned = false;
     return changes.filter(({ endpoint }) => !unconfirmed.has(endpoint.pool));
   }
 
--- a/src/entry/forwarding/work_notification.ts
+++ b/src/entry/forwarding/work_notification.ts
@@ -51,7 +51,7 @@
   readonly limits?: readonly LimitReport[];
   /**
    * What the sender's callers have asked of pools with work factors; sent with
-   * full reports.
+   * full reports to the entries that plan roles.
    */
   readonly poolWork?: readonly RoleWorkReport[];
 }
--- a/src/entry/forwarding/work_role_planner.ts
+++ b/src/entry/forwarding/work_role_planner.ts
@@ -44,6 +44,8 @@
   readonly roleWork: RoleWork;
   readonly loadReports: EndpointLoadReports;
   readonly endpointClient: Pick<EndpointClient, "checkHealth">;
+  /** True if this entry learns the work of all entries. */
+  readonly isPlanner: () => boolean;
   /** Longest pause that the pool's routes allow; undefined if none names one. */
   readonly maxPauseMilliseconds: (pool: ServiceName) => number | undefined;
   /** Speed of an engine relative to its pool; undefined if unknown. */
@@ -101,16 +103,18 @@
   }
 
   /**
-   * Role changes for the pool; none while its work is unknown, or while engines
-   * that were just lost may come back.
+   * Role changes for the pool; none at entries that don't know the work of all,
+   * while the work is unknown, or while engines that were just lost may come
+   * back.
    */
   plan(
     { name }: Pool,
     changing: ReadonlyMap<EndpointId, "prefill" | "decode">,
   ): EngineRoleChange[] {
     const { load, registry, roleWork, speedOf } = this.#options;
+    if (!this.#options.isPlanner() || !this.#isSettled()) return [];
     const work = roleWork.observed(name);
-    if (work === undefined || !this.#isSettled()) return [];
+    if (work === undefined) return [];
     const observed = {
       ...work,
       maxPauseMilliseconds: this.#options.maxPauseMilliseconds(name),
