Count prompts that are refused before an engine is chosen

Where all decode engines were overloaded, prompts were refused before their work was recorded, so that the plan saw the least work when capacity was shortest. They now count with the cached parts that any engine has.

The request to the health path now comes before the claim on role orders: a claim that is taken only to ask delays the first orders of a planner by the lease. Each entry that would give orders asks once.

--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -298,6 +298,14 @@
     this.dependencies.noteStarted(this.workspace.id, at);
   }
 
+  /** True if what the caller asks is still to be recorded. */
+  get isDemandUnknown(): boolean {
+    const { loadReports } = this.dependencies;
+    return !this.#hasNotedDemand && this.waitedMilliseconds === 0 &&
+      this.request.prompt !== undefined && this.pool.engine !== undefined &&
+      loadReports.hasWorkFactor(this.pool.name);
+  }
+
   /**
    * Records once what the caller asks of an engine pool with work factors. A
    * caller that returns after a refusal was counted then.
@@ -305,15 +313,10 @@
   noteDemand(
     work: Pick<PromptDemand, "prefillMilliseconds" | "inlineMilliseconds">,
   ): void {
-    const { loadReports, roleWork } = this.dependencies;
     const { prompt } = this.request;
-    const isCounted = this.#hasNotedDemand || this.waitedMilliseconds > 0;
-    const { name } = this.pool;
-    if (isCounted || prompt === undefined || !loadReports.hasWorkFactor(name)) {
-      return;
-    }
+    if (!this.isDemandUnknown || prompt === undefined) return;
     this.#hasNotedDemand = true;
-    roleWork.recordPrompt(name, {
+    this.dependencies.roleWork.recordPrompt(this.pool.name, {
       ...work,
       inputTokens: prompt.inputTokens,
       outputTokens: prompt.mostOutputTokens,
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -133,7 +133,10 @@
       if (this.#context.blockedMilliseconds > 0) return this.#refuse(BLOCKED);
       const plan = await this.#plan();
       if (this.#context.settled) return;
-      if (plan === undefined) return this.#refuse(this.#unavailableReason);
+      if (plan === undefined) {
+        this.#noteUnplacedDemand();
+        return this.#refuse(this.#unavailableReason);
+      }
       const next = await this.#send(plan);
       if (this.#context.settled || next === "delivered") return;
       if (next === "refuse") return this.#refuse("endpoints_full");
@@ -143,6 +146,28 @@
     }
   }
 
+  /** Records what a caller asks that is refused before an engine is chosen. */
+  #noteUnplacedDemand(): void {
+    const { dependencies, pool, request, route } = this.#context;
+    const { prompt } = request;
+    if (!this.#context.isDemandUnknown || prompt === undefined) return;
+    const { estimates, placement, prefixes, registry } = dependencies;
+    const keptTokens = registry.inPool(pool.name).map(({ id }) =>
+      prefixes.keptTokens(id, prompt.parts)
+    );
+    const milliseconds = estimates.forPool(pool.name).prefill
+      .predictWorkMilliseconds(prompt.inputTokens, Math.max(0, ...keptTokens));
+    const { targetMilliseconds } = route;
+    const isHandedOver = placement.needsHandover(prompt, {
+      pool,
+      targetMilliseconds,
+    });
+    this.#context.noteDemand({
+      prefillMilliseconds: isHandedOver ? milliseconds : 0,
+      inlineMilliseconds: isHandedOver ? 0 : milliseconds,
+    });
+  }
+
   async #plan(): Promise<AttemptPlan | undefined> {
     const { pool, request } = this.#context;
     const { prompt } = request;
--- a/src/entry/forwarding/role_controller.ts
+++ b/src/entry/forwarding/role_controller.ts
@@ -249,9 +249,10 @@
   }
 
   async #issueOrders(changes: readonly EngineRoleChange[]): Promise<void> {
-    if (!await this.#acquireClaim()) return;
+    const confirmed = await this.#confirmed(changes);
+    if (confirmed.length === 0 || !await this.#acquireClaim()) return;
     const { link, logger, self } = this.#options;
-    for (const change of await this.#confirmed(changes)) {
+    for (const change of confirmed) {
       const fencing = this.#claim.fencing;
       if (fencing === undefined) return;
       const outcome = await link.order(change, { holder: self, fencing });
@@ -271,7 +272,10 @@
     }
   }
 
-  /** Leaves out orders by slots to pools that turn out to report their work. */
+  /**
+   * Leaves out orders by slots to pools that turn out to report work factors.
+   * This takes no claim, which would delay the orders of another entry later.
+   */
   async #confirmed(
     changes: readonly EngineRoleChange[],
   ): Promise<readonly EngineRoleChange[]> {
--- a/src/entry/forwarding/work_role_planner.ts
+++ b/src/entry/forwarding/work_role_planner.ts
@@ -24,9 +24,8 @@
  */
 const RETURN_MILLISECONDS = 7_000;
 /**
- * Limits on the requests to health paths before the first plan of a pool. They
- * end within the validity of the claim on role orders, so that orders can
- * follow them.
+ * Limits on the requests to health paths before the first plan of a pool, one
+ * after another. Unreachable engines delay the first orders by a second.
  */
 const MAX_ASKED_ENGINES = 3;
 const ANSWER_TIMEOUT_MILLISECONDS = 300;
