Drop work from before the window of observed work

An entry that becomes a planner again after minutes has old totals of its peers. It is now spread over the whole time, and the part before the window is dropped.

--- a/src/core/forwarding/roles/role_work_test.ts
+++ b/src/core/forwarding/roles/role_work_test.ts
@@ -105,6 +105,16 @@
     expect(observed?.prefillEngines).to.be.closeTo(0.6, 0.05);
   });
 
+  // An entry that plans roles again after ten minutes has old totals of its
+  // peers. Within the window, all their work since then would be twenty times
+  // the present work.
+  it("drops work from before the window", async () => {
+    await ask(3);
+    await ask(120, { isLost: () => true });
+    const observed = await ask(3);
+    expect(observed?.prefillEngines).to.be.closeTo(0.6, 0.07);
+  });
+
   // With the mean, neither half of a burst would be served.
   it("keeps the high work of bursts that alternate", async () => {
     const isOwn = (at: number) => Math.floor(at / 2_800) % 2 === 0;
--- a/src/core/forwarding/roles/work_series.ts
+++ b/src/core/forwarding/roles/work_series.ts
@@ -23,7 +23,10 @@
     this.#length = length;
   }
 
-  /** Spreads work evenly over the time in which it was asked for. */
+  /**
+   * Spreads work evenly over the time in which it was asked for; the part
+   * before the window is dropped.
+   */
   add(
     work: readonly number[],
     { from, to }: { readonly from: number; readonly to: number },
@@ -31,7 +34,7 @@
     const last = bucketAt(to);
     const oldest = last - MAX_BUCKETS - INCOMPLETE_BUCKETS;
     const start = Math.max(from, oldest * BUCKET_MILLISECONDS);
-    const duration = to - start;
+    const duration = to - from;
     for (let bucket = bucketAt(start); bucket <= last; bucket++) {
       const bucketStart = bucket * BUCKET_MILLISECONDS;
       const overlap = Math.min(to, bucketStart + BUCKET_MILLISECONDS) -
