Count engines that were just lost as present in the plan by work

The plan waited until no engine had been lost for seven seconds. An engine that crashes every four seconds would have held it up for good. Lost engines now count with their roles for seven seconds, and orders go to the others.

--- a/src/entry/forwarding/roles_by_work_test.ts
+++ b/src/entry/forwarding/roles_by_work_test.ts
@@ -245,6 +245,22 @@
       .to.have.length(ENGINE_COUNT);
   });
 
+  // An engine crashes over and over. Orders that wait until no engine was lost
+  // lately would never be given.
+  it("follow the work while one engine crashes every four seconds", async () => {
+    deployment = new Deployment();
+    deployment.rate = () => 95;
+    const engine = makeEngine("engine-11", "decode");
+    for (let run = 2; run < 6; run++) {
+      const startedAt = numbered<ReplicaStartTime>(run);
+      deployment.upsert(engine, { startedAt });
+      await deployment.run(3_000);
+      deployment.upsert(engine, { startedAt, leaving: true });
+      await deployment.run(1_000);
+    }
+    expect(deployment.orders.length).to.be.at.least(3);
+  });
+
   it("stay as they are while the store is down", async () => {
     deployment = new Deployment();
     await deployment.run(4_000);
--- a/src/entry/forwarding/work_role_planner.ts
+++ b/src/entry/forwarding/work_role_planner.ts
@@ -62,7 +62,10 @@
   readonly #options: WorkRolePlannerOptions;
   readonly #planned = new Map<ServiceName, PlannedRoles>();
   /** Engines that were lost, and when. */
-  readonly #lost = new Map<EndpointId, number>();
+  readonly #lost = new Map<
+    EndpointId,
+    { readonly engine: RegisteredEndpoint; readonly at: number }
+  >();
   /** Pools that have shown whether they report work factors. */
   readonly #known = new Set<ServiceName>();
   readonly #unanswered = new Map<ServiceName, number>();
@@ -85,11 +88,14 @@
   }
 
   /** Handles an engine that was added, removed or changed. */
-  onEngineChange({ id }: RegisteredEndpoint, change: RegistryChange): void {
-    const now = this.#options.timer.now();
-    this.#changedAt = now;
-    if (change === "removed" || change === "leaving") this.#lost.set(id, now);
-    else this.#lost.delete(id);
+  onEngineChange(engine: RegisteredEndpoint, change: RegistryChange): void {
+    const at = this.#options.timer.now();
+    this.#changedAt = at;
+    const isLost = change === "removed" || change === "leaving";
+    if (!isLost) this.#lost.delete(engine.id);
+    else if (!this.#lost.has(engine.id)) {
+      this.#lost.set(engine.id, { engine, at });
+    }
   }
 
   /** Records the present load of the pool's decode engines. */
@@ -103,8 +109,7 @@
 
   /**
    * Role changes for the pool; none at entries that don't know the work of all,
-   * while the work is unknown, or while engines that were just lost may come
-   * back.
+   * or while the work is unknown. Engines that were just lost count as present.
    */
   plan(
     { name }: Pool,
@@ -119,25 +124,30 @@
       maxPauseMilliseconds: this.#options.maxPauseMilliseconds(name),
     };
     const engines = registry.inPool(name);
-    const prefillShare = planPrefillShare(
+    const roleOf = ({ id, role }: RegisteredEndpoint) =>
+      changing.get(id) ?? role;
+    const lost = this.#mayReturn(name);
+    const all = [...engines, ...lost];
+    const share = planPrefillShare(
       observed,
-      engines.map(({ id, role, slots }) => ({
-        role: changing.get(id) ?? role,
-        slots,
-        speed: speedOf(id),
+      all.map((engine) => ({
+        role: roleOf(engine),
+        slots: engine.slots,
+        speed: speedOf(engine.id),
       })),
     );
-    if (prefillShare === undefined) return [];
-    this.#notePlan({
-      ...observed,
-      pool: name,
-      plannedPrefillEngines: Math.round(prefillShare * engines.length),
-    });
+    if (share === undefined) return [];
+    const plannedPrefillEngines = Math.round(share * all.length);
+    this.#notePlan({ ...observed, pool: name, plannedPrefillEngines });
+    const lostPrefill = lost.filter((engine) => roleOf(engine) === "prefill");
+    const target = plannedPrefillEngines - lostPrefill.length;
+    // The engines of a role are all lost, and may come back.
+    if (lost.length > 0 && (target <= 0 || target >= engines.length)) return [];
     return planRoles({
       engines,
       openRequests: (endpoint) => load.total(endpoint).requests,
       changing,
-      prefillShare,
+      prefillShare: target / engines.length,
     });
   }
 
@@ -184,12 +194,17 @@
   }
 
   #isSettled(): boolean {
-    const now = this.#options.timer.now();
-    for (const [id, at] of this.#lost) {
-      if (now - at >= RETURN_MILLISECONDS) this.#lost.delete(id);
+    return this.#options.timer.now() - this.#changedAt >= SETTLE_MILLISECONDS;
+  }
+
+  /** Engines of the pool that were lost and may come back with their roles. */
+  #mayReturn(pool: ServiceName): RegisteredEndpoint[] {
+    const oldest = this.#options.timer.now() - RETURN_MILLISECONDS;
+    for (const [id, { at }] of this.#lost) {
+      if (at <= oldest) this.#lost.delete(id);
     }
-    return this.#lost.size === 0 &&
-      now - this.#changedAt >= SETTLE_MILLISECONDS;
+    return [...this.#lost.values()].map(({ engine }) => engine)
+      .filter((engine) => engine.pool === pool);
   }
 
   #notePlan(plan: PlannedRoles): void {
