--- a/src/entry/forwarding/work_notification.ts
+++ b/src/entry/forwarding/work_notification.ts
@@ -62,7 +62,7 @@
   readonly verdicts?: readonly VerdictRow[];
   /**
    * What the sender's callers have asked of pools with work factors; sent with
-   * full reports.
+   * full reports to the entries that plan roles.
    */
   readonly poolWork?: readonly RoleWorkReport[];
   /**
