Require more evidence of endpoints with much work

With a fixed threshold, endpoints with many attempts are taken out by chance more often. The threshold now grows with the logarithm of the rate of attempts, which keeps chance verdicts equally rare at all rates, and is lower at low rates.

--- a/src/core/forwarding/endpoints/outcome_judge.ts
+++ b/src/core/forwarding/endpoints/outcome_judge.ts
@@ -1,5 +1,6 @@
 import type { EndpointId, ProcessId } from "../../identity/mod.ts";
 import type { TimerService } from "../../time/mod.ts";
+import { AttemptRate } from "./attempt_rate.ts";
 import { type EvidenceSummary, FailureEvidence } from "./failure_evidence.ts";
 import type {
   FailuresElsewhere,
@@ -8,11 +9,14 @@
 } from "./outcome_reports.ts";
 
 /**
- * Evidence at which an endpoint is taken out, natural logarithm. At 4, replicas
- * of which one kind of request fails in 14 of 100 attempts are taken out by
- * chance twice as often; at 6, the verdict takes a fifth longer.
+ * Evidence at which an endpoint is taken out, natural logarithm: `MIN_EVIDENCE`
+ * up to the reference rate of attempts, and more above it. The chance that a
+ * healthy endpoint reaches it falls by the exponential of it, so endpoints are
+ * taken out by chance equally often at all rates, while a failing one is found
+ * sooner the more work it gets.
  */
-const VERDICT_EVIDENCE = 4.5;
+const MIN_EVIDENCE = 4;
+const REFERENCE_ATTEMPTS_PER_SECOND = 10;
 /**
  * Time after a readmission in which less evidence suffices: a replica that
  * fails 0.4 of its work completes most probes.
@@ -64,6 +68,7 @@
 
 interface JudgedEndpoint {
   evidence: FailureEvidence;
+  readonly rate: AttemptRate;
   suspicion: Suspicion | undefined;
   /** Number of successive verdicts. */
   verdicts: number;
@@ -113,6 +118,8 @@
     const report = { reporter, at: this.#options.timer.now() };
     let hasFailure = false;
     for (const each of counts) {
+      const attempts = each.completed + each.failed + each.lost;
+      judged.rate.record(attempts, report.at);
       if (judged.evidence.record(each, report)) hasFailure = true;
     }
     if (hasFailure) this.#judge(endpoint, judged);
@@ -218,8 +225,11 @@
       minLossReporters: minLossReporters(),
     });
     const isWatched = now - judged.readmittedAt < WATCH_MILLISECONDS;
-    const required = VERDICT_EVIDENCE * (isWatched ? WATCH_EVIDENCE_SHARE : 1);
-    if (summary.evidence < required) return;
+    const excessRate = judged.rate.perSecond(now) /
+      REFERENCE_ATTEMPTS_PER_SECOND;
+    const required = MIN_EVIDENCE + Math.max(0, Math.log(excessRate));
+    const share = isWatched ? WATCH_EVIDENCE_SHARE : 1;
+    if (summary.evidence < share * required) return;
     this.#takeOut(endpoint, judged, { change: "suspect", summary });
   }
 
@@ -277,6 +287,7 @@
     if (judged === undefined) {
       judged = {
         evidence: new FailureEvidence(),
+        rate: new AttemptRate(),
         suspicion: undefined,
         verdicts: 0,
         lastVerdictAt: -Infinity,
