Send fewer bytes for outcomes and verdicts

A completion tells the same whatever its kind, so its row is two numbers, and verdicts go out in a notification of their own without the fields of a work report.

--- a/src/core/forwarding/endpoints/failure_evidence.ts
+++ b/src/core/forwarding/endpoints/failure_evidence.ts
@@ -67,25 +67,23 @@
 
   /** Records a report; returns true if it contains a failure. */
   record(
-    counts: OutcomeCounts,
+    { completed, failures }: OutcomeCounts,
     report: { readonly reporter: ProcessId; readonly at: number },
   ): boolean {
-    const { completed, elsewhere, failed, kind, lost } = counts;
-    const { at, reporter } = report;
     const last = this.#failures.at(-1);
     if (last !== undefined) last.completionsAfter += completed;
-    if (elsewhere !== undefined) {
+    for (const { elsewhere, failed, kind, lost } of failures) {
       this.compare(kind, { ...report, elsewhere });
-    }
-    const reported = Math.min(MAX_FAILURES, failed + lost);
-    for (let count = 0; count < reported; count++) {
-      const isLoss = count >= failed;
-      this.#failures.push({ kind, isLoss, reporter, at, completionsAfter: 0 });
+      const reported = Math.min(MAX_FAILURES, failed + lost);
+      for (let count = 0; count < reported; count++) {
+        const isLoss = count >= failed;
+        this.#failures.push({ ...report, kind, isLoss, completionsAfter: 0 });
+      }
     }
     if (this.#failures.length > MAX_FAILURES) {
       this.#failures = this.#failures.slice(-MAX_FAILURES);
     }
-    return reported > 0;
+    return failures.length > 0;
   }
 
   /** Records what an entry has seen of a kind at the other endpoints. */
--- a/src/core/forwarding/endpoints/outcome_reports.ts
+++ b/src/core/forwarding/endpoints/outcome_reports.ts
@@ -19,14 +19,19 @@
   readonly failures: number;
 }
 
-/** Outcomes of one kind of request at an endpoint since the last report. */
-export interface OutcomeCounts {
+/** Failed attempts of one kind of request at an endpoint. */
+export interface KindFailures {
   readonly kind: RequestKind;
-  readonly completed: number;
   readonly failed: number;
   readonly lost: number;
-  /** Absent if no attempt has failed. */
-  readonly elsewhere?: FailuresElsewhere;
+  readonly elsewhere: FailuresElsewhere;
+}
+
+/** Outcomes at an endpoint since the last report. */
+export interface OutcomeCounts {
+  /** Attempts of all kinds; what a completion tells is the same for each. */
+  readonly completed: number;
+  readonly failures: readonly KindFailures[];
 }
 
 /** Number of kinds, which bounds the size of a row and the memory. */
@@ -64,18 +69,16 @@
   next: number;
 }
 
-type MutableCounts = {
-  -readonly [Name in "completed" | "failed" | "lost"]: OutcomeCounts[Name];
-};
+interface UnreportedOutcomes {
+  completed: number;
+  readonly failures: Map<RequestKind, { failed: number; lost: number }>;
+}
 
 /** Outcomes of this entry's attempts that it has to report to the owners. */
 export class OutcomeReports {
   readonly #timer: TimerService;
   readonly #isTakenOut: (endpoint: EndpointId) => boolean;
-  readonly #unreported = new Map<
-    EndpointId,
-    Map<RequestKind, MutableCounts>
-  >();
+  readonly #unreported = new Map<EndpointId, UnreportedOutcomes>();
   readonly #recent = new Map<RequestKind, RecentAttempts>();
 
   /** Endpoints that are taken out are left out of comparisons. */
@@ -101,10 +104,17 @@
       hasFailed: result !== "completed",
       at: this.#timer.now(),
     });
-    const byKind = this.#unreported.get(endpoint) ?? new Map();
-    this.#unreported.set(endpoint, byKind);
-    const counts = byKind.get(kind) ?? { completed: 0, failed: 0, lost: 0 };
-    byKind.set(kind, counts);
+    let unreported = this.#unreported.get(endpoint);
+    if (unreported === undefined) {
+      unreported = { completed: 0, failures: new Map() };
+      this.#unreported.set(endpoint, unreported);
+    }
+    if (result === "completed") {
+      unreported.completed += 1;
+      return;
+    }
+    const counts = unreported.failures.get(kind) ?? { failed: 0, lost: 0 };
+    unreported.failures.set(kind, counts);
     counts[result] += 1;
   }
 
@@ -117,17 +127,20 @@
     return this.#unreported.size > 0;
   }
 
-  /** Returns and clears the outcomes at the endpoint. */
-  take(endpoint: EndpointId): OutcomeCounts[] {
-    const byKind = this.#unreported.get(endpoint);
-    if (byKind === undefined) return [];
+  /** Returns and clears the outcomes at the endpoint, if there are any. */
+  take(endpoint: EndpointId): OutcomeCounts | undefined {
+    const unreported = this.#unreported.get(endpoint);
+    if (unreported === undefined) return undefined;
     this.#unreported.delete(endpoint);
-    return [...byKind].map(([kind, counts]) => ({
-      kind,
-      ...counts,
-      ...(counts.failed + counts.lost > 0 &&
-        { elsewhere: this.elsewhere(kind, endpoint) }),
-    }));
+    const { completed, failures } = unreported;
+    return {
+      completed,
+      failures: [...failures].map(([kind, counts]) => ({
+        kind,
+        ...counts,
+        elsewhere: this.elsewhere(kind, endpoint),
+      })),
+    };
   }
 
   /** Recent attempts of the kind at all endpoints that get work but this. */
--- a/src/core/forwarding/endpoints/outcome_rows.ts
+++ b/src/core/forwarding/endpoints/outcome_rows.ts
@@ -1,22 +1,22 @@
 /** Encoding of outcomes and verdicts in the notifications between entries. */
 import type { ReplicaStartTime } from "../../identity/mod.ts";
-import type { OutcomeCounts } from "./outcome_reports.ts";
+import type { KindFailures, OutcomeCounts } from "./outcome_reports.ts";
 
 /**
- * Outcomes of a kind of request at the endpoint in the given row of the open
- * work of the same notification. Values at the end that are 0 are left out.
+ * Outcomes at the endpoint in the given row of the open work of the same
+ * notification: the number of completed attempts, and for each kind of request
+ * with failures its number, the failed attempts, the lost ones, and the
+ * attempts and failures of the kind elsewhere.
  */
 export type OutcomeRow = readonly [
   workRow: number,
-  kind: number,
   completed: number,
-  failed?: number,
-  lost?: number,
-  attemptsElsewhere?: number,
-  failuresElsewhere?: number,
+  ...failures: number[],
 ];
-const MIN_ROW_VALUES = 3;
-const MAX_ROW_VALUES = 7;
+const MIN_ROW_VALUES = 2;
+const VALUES_PER_KIND = 5;
+/** Longest row that is accepted: 64 kinds. */
+const MAX_ROW_VALUES = MIN_ROW_VALUES + 64 * VALUES_PER_KIND;
 
 /** A verdict; clocks differ, so it has a duration instead of an expiry. */
 export type VerdictRow = readonly [
@@ -31,20 +31,28 @@
 
 export function encodeOutcomes(
   workRow: number,
-  { completed, elsewhere, failed, kind, lost }: OutcomeCounts,
+  { completed, failures }: OutcomeCounts,
 ): OutcomeRow {
-  const counts = [workRow, kind, completed] as const;
-  if (failed === 0 && lost === 0) return counts;
-  const { attempts, failures } = elsewhere ?? { attempts: 0, failures: 0 };
-  return [...counts, failed, lost, attempts, Math.round(10 * failures) / 10];
+  const values = failures.flatMap(({ elsewhere, failed, kind, lost }) => [
+    kind,
+    failed,
+    lost,
+    elsewhere.attempts,
+    Math.round(10 * elsewhere.failures) / 10,
+  ]);
+  return [workRow, completed, ...values];
 }
 
 export function decodeOutcomes(
-  [, kind, completed, failed = 0, lost = 0, attempts, failures = 0]: OutcomeRow,
+  [, completed, ...values]: OutcomeRow,
 ): OutcomeCounts {
-  const counts = { kind, completed, failed, lost };
-  if (attempts === undefined) return counts;
-  return { ...counts, elsewhere: { attempts, failures } };
+  const failures: KindFailures[] = [];
+  for (let at = 0; at < values.length; at += VALUES_PER_KIND) {
+    const [kind, failed, lost, attempts, elsewhereFailures] = values.slice(at);
+    const elsewhere = { attempts, failures: elsewhereFailures };
+    failures.push({ kind, failed, lost, elsewhere });
+  }
+  return { completed, failures };
 }
 
 /** Checks that the value is a list of rows with outcomes. */
@@ -53,6 +61,7 @@
     value.every((row) =>
       Array.isArray(row) && row.length >= MIN_ROW_VALUES &&
       row.length <= MAX_ROW_VALUES &&
+      (row.length - MIN_ROW_VALUES) % VALUES_PER_KIND === 0 &&
       row.every((each) => Number.isFinite(each) && each >= 0)
     );
 }
--- a/src/entry/forwarding/fleet_outcomes.ts
+++ b/src/entry/forwarding/fleet_outcomes.ts
@@ -7,7 +7,6 @@
   FleetVerdicts,
   kindOfRequest,
   type LoadOwners,
-  type OutcomeCounts,
   OutcomeJudge,
   OutcomeReports,
   type OutcomeRow,
@@ -157,10 +156,10 @@
   /** Takes the outcomes at the endpoints of these rows of open work. */
   takeRows(work: readonly WorkRowWithRun[]): OutcomeRow[] {
     if (!this.#reports.hasUnreported) return [];
-    return work.flatMap(([endpoint], index) =>
-      this.#reports.take(identifier(endpoint))
-        .map((counts) => encodeOutcomes(index, counts))
-    );
+    return work.flatMap(([endpoint], index) => {
+      const counts = this.#reports.take(identifier(endpoint));
+      return counts === undefined ? [] : [encodeOutcomes(index, counts)];
+    });
   }
 
   /** Collects a peer's outcomes at the endpoints that this entry owns. */
@@ -172,19 +171,14 @@
     },
   ): void {
     const { owners, registry, self } = this.#options;
-    const byWorkRow = new Map<number, OutcomeCounts[]>();
     for (const row of report.outcomes) {
-      const counts = byWorkRow.get(row[0]) ?? [];
-      byWorkRow.set(row[0], counts);
-      counts.push(decodeOutcomes(row));
-    }
-    for (const [index, counts] of byWorkRow) {
-      const [endpoint, , , , startedAt] = report.work[index] ?? [];
+      const [endpoint, , , , startedAt] = report.work[row[0]] ?? [];
       if (endpoint === undefined) continue;
       const id = identifier<EndpointId>(endpoint);
       const isOwned = owners.ownerOf(id) === self &&
         registry.isSameRun({ id, startedAt });
-      if (isOwned) this.#judge.collect(id, { counts, reporter });
+      if (!isOwned) continue;
+      this.#judge.collect(id, { counts: decodeOutcomes(row), reporter });
     }
   }
 
@@ -230,6 +224,7 @@
     const { owners, self } = this.#options;
     if (owners.ownerOf(endpoint) !== self) return;
     const counts = this.#reports.take(endpoint);
+    if (counts === undefined) return;
     this.#judge.collect(endpoint, { counts, reporter: self });
   }
 
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -58,6 +58,7 @@
   REGISTRATIONS_METHOD,
   ROLES_METHOD,
   type SendToPeers,
+  VERDICTS_METHOD,
 } from "./peer_exchange.ts";
 import {
   LOAD_ANSWER_METHOD,
@@ -486,6 +487,7 @@
   onNotification(method: string, params: unknown): void {
     if (method === WORK_METHOD) this.peers.onWork(params);
     if (method === CRASHES_METHOD) this.peers.onCrashes(params);
+    if (method === VERDICTS_METHOD) this.peers.onVerdicts(params);
     if (method === USAGE_METHOD || method === USAGE_REPORTS_METHOD) {
       this.#usageReporter?.onNotification(method, params);
     }
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -25,6 +25,7 @@
 import { decodePrompt, encodePrompt } from "./prompt_encoding.ts";
 import {
   isCrashReport,
+  isVerdictNotification,
   isWorkNotification,
   withRuns,
   WORK_METHOD,
@@ -55,6 +56,9 @@
 /** Notification that carries changed registrations. */
 export const REGISTRATIONS_METHOD = "entry.registrations";
 
+/** Notification that carries new verdicts on endpoints. */
+export const VERDICTS_METHOD = "entry.verdicts";
+
 /** How long losses are batched; the losses of one crash arrive together. */
 const CRASH_REPORT_DELAY_MILLISECONDS = 5;
 /** Notification that carries requests that were lost with endpoints. */
@@ -172,7 +176,15 @@
 
   /** Sends verdicts on endpoints to all peers. */
   broadcastVerdicts(verdicts: readonly VerdictRow[]): void {
-    this.broadcast(WORK_METHOD, { ...this.#baseNotification(false), verdicts });
+    this.broadcast(VERDICTS_METHOD, { entry: this.#options.process, verdicts });
+  }
+
+  /** Applies a peer's verdicts; ignores malformed ones. */
+  onVerdicts(params: unknown): void {
+    if (!isVerdictNotification(params)) return;
+    const sender = identifier<ProcessId>(params.entry);
+    this.#options.owners.recordMessage(sender);
+    this.#options.outcomes.applyVerdicts(sender, params.verdicts);
   }
 
   /** Sends a notification to one peer. */
--- a/src/entry/forwarding/work_notification.ts
+++ b/src/entry/forwarding/work_notification.ts
@@ -53,7 +53,10 @@
   readonly limits?: readonly LimitReport[];
   /** Outcomes since the last report at endpoints that the receiver owns. */
   readonly outcomes?: readonly OutcomeRow[];
-  /** Changes of the sender's verdicts, or all with a full report. */
+  /**
+   * The sender's verdicts in force; sent with the report after a change and
+   * with full reports.
+   */
   readonly verdicts?: readonly VerdictRow[];
 }
 
@@ -145,6 +148,21 @@
     typeof value[1] === "number";
 }
 
+/** Verdicts of an entry on endpoints that it owns. */
+export interface VerdictNotification {
+  readonly entry: string;
+  readonly verdicts: readonly VerdictRow[];
+}
+
+/** Checks that the value is a valid notification of verdicts. */
+export function isVerdictNotification(
+  value: unknown,
+): value is VerdictNotification {
+  if (typeof value !== "object" || value === null) return false;
+  const { entry, verdicts } = value as Record<string, unknown>;
+  return typeof entry === "string" && isVerdictRows(verdicts);
+}
+
 /** Checks that the value is a valid crash report. */
 export function isCrashReport(value: unknown): value is CrashReport {
   if (typeof value !== "object" || value === null) return false;
