--- a/src/entry/forwarding/fleet_outcomes_test.ts
+++ b/src/entry/forwarding/fleet_outcomes_test.ts
@@ -5,8 +5,11 @@
   type ReplicaFault,
 } from "../../../test/support/failing_replicas.ts";
 import {
+  ENGINES,
   makeConfiguration,
   makeEndpoint,
+  makeEngine,
+  makePrompt,
   makeRequest,
   makeRoute,
 } from "../../../test/support/forwarding_fixtures.ts";
@@ -166,6 +169,36 @@
     });
   });
 
+  // An engine breaks off streams; its response heads look good.
+  it("take out an engine that breaks off its streams", async () => {
+    const engines = Array.from(
+      { length: 6 },
+      (_, index) => makeEngine(`replica-${index}`, "decode"),
+    );
+    const fleet = new EntryFleet({
+      entries: 6,
+      zones: 1,
+      configuration: makeConfiguration({
+        routes: [makeRoute({
+          repeat: "stream",
+          mostAttempts: 1,
+          shares: [{ pool: ENGINES, weight: 1 }],
+        })],
+      }),
+      endpoints: engines,
+    });
+    const replicas = new FailingReplicas(fleet);
+    const prompt = makePrompt("urgent", { shared: 40, own: 60 });
+    const load = { perSecond: 90, paths: ["/x"], values: { prompt } };
+    await replicas.run({ milliseconds: 1_500, ...load });
+    replicas.faults.set("replica-2", { share: 0.6, kind: "cut" });
+    await replicas.run({ milliseconds: 1_500, ...load });
+    replicas.attempts.clear();
+    await replicas.run({ milliseconds: 3_000, ...load });
+    expect(replicas.attempts.get("replica-2") ?? 0).to.be.at.most(15);
+    expect(replicas.attempts.get("replica-1")).to.be.above(30);
+  }).timeout(60_000);
+
   // Many probes of a failing replica cost as much as no verdict.
   it("are probed by the owner alone, with one request at a time", async () => {
     const scenario = new Scenario();
--- a/test/support/failing_replicas.ts
+++ b/test/support/failing_replicas.ts
@@ -8,7 +8,10 @@
   type ReplicaStartTime,
   type RequestId,
 } from "../../src/core/identity/mod.ts";
-import type { RegisteredEndpoint } from "../../src/core/forwarding/mod.ts";
+import type {
+  ForwardedRequest,
+  RegisteredEndpoint,
+} from "../../src/core/forwarding/mod.ts";
 
 const WORK_MILLISECONDS = 50;
 const FAILURE_MILLISECONDS = 2;
@@ -16,8 +19,11 @@
 /** How a replica fails a share of its attempts. */
 export interface ReplicaFault {
   readonly share: number;
-  /** `lost`: breaks the connection. Default: responds with an error. */
-  readonly kind?: "error" | "lost";
+  /**
+   * `lost`: breaks the connection; `cut`: breaks off the response. Default:
+   * responds with an error.
+   */
+  readonly kind?: "error" | "lost" | "cut";
   /** Only attempts of this entry fail, as if its link were broken. */
   readonly entry?: number;
   /** Time until a failure; short by default, as failing is less work. */
@@ -54,12 +60,14 @@
 
   /** Sends requests at random times and entries; returns their sinks. */
   async run(
-    { milliseconds, perSecond, entries, paths = ["/a/x"] }: {
+    { milliseconds, perSecond, entries, paths = ["/a/x"], values }: {
       readonly milliseconds: number;
       readonly perSecond: number;
       /** Entries that get requests; all by default. */
       readonly entries?: readonly number[];
       readonly paths?: readonly string[];
+      /** Further values of the requests. */
+      readonly values?: Partial<ForwardedRequest>;
     },
   ): Promise<RecordingSink[]> {
     const sinks: RecordingSink[] = [];
@@ -72,6 +80,7 @@
         const request = makeRequest({
           id: identifier<RequestId>(`request-${this.#lastId}`),
           target: paths[Math.floor(paths.length * this.#random())],
+          ...values,
         });
         const entry = used[Math.floor(used.length * this.#random())];
         sinks.push(this.#fleet.submit(entry, request));
@@ -101,6 +110,9 @@
     }
     const { workFactor } = this;
     const load = { running: 1, waiting: 0, slots: 6, workFactor };
-    await attempt.respond("done", { status: fails ? 500 : 200, load });
+    const isCut = isFaulty && fault.kind === "cut";
+    await attempt.head({ status: fails && !isCut ? 500 : 200, load });
+    await attempt.chunk("id: 1\ndata: done\n\n");
+    await attempt.end(isCut ? "cut" : "whole");
   }
 }
