--- a/src/core/forwarding/endpoints/failure_evidence.ts
+++ b/src/core/forwarding/endpoints/failure_evidence.ts
@@ -26,7 +26,7 @@
 /** Maximum number of failures kept of an endpoint. */
 const MAX_FAILURES = 24;
 /** Maximum number of kinds and of entries whose comparisons are kept. */
-const MAX_COMPARISONS = 64;
+const MAX_COMPARISONS = 32;
 /** Age up to which failures and comparisons count, milliseconds. */
 const MAX_AGE_MILLISECONDS = 10_000;
 
