Count a long probe once

A stream that probes an endpoint readmits it after a second and runs on. Its end was taken for the result of a later probe of the same endpoint. The new test fails without the change.

--- a/src/entry/forwarding/fleet_outcomes.ts
+++ b/src/entry/forwarding/fleet_outcomes.ts
@@ -112,7 +112,7 @@
     endpoint: RegisteredEndpoint,
     request: { readonly route: string; readonly isPrefill: boolean },
   ): AttemptOutcome {
-    const isProbe = this.#judge.startProbe(endpoint.id);
+    let isProbe = this.#judge.startProbe(endpoint.id);
     let hasEnded = false;
     let patience: Subscription | undefined;
     const end = (result: AttemptResult | "inconclusive") => {
@@ -129,7 +129,10 @@
       if (!isProbe || hasEnded) return;
       patience = this.#options.timer.after(
         PROBE_STREAM_MILLISECONDS,
-        () => this.#endProbe(endpoint.id, "completed"),
+        () => {
+          isProbe = false;
+          this.#endProbe(endpoint.id, "completed");
+        },
       );
     };
     return { recordResponse, end };
--- a/src/entry/forwarding/fleet_outcomes_test.ts
+++ b/src/entry/forwarding/fleet_outcomes_test.ts
@@ -217,6 +217,39 @@
     expect(senders).to.deep.equal([scenario.ownerOf(7), scenario.ownerOf(7)]);
   }).timeout(60_000);
 
+  // A stream that was a probe runs on after the readmission. If its end counted
+  // for a later probe, a recovered engine would stay out.
+  it("count a long probe once, after it has run for a second", async () => {
+    const harness = new ForwardingHarness(makeConfiguration());
+    const { loadReports, outcomes, registry } = harness.dependencies;
+    const endpoint = makeEndpoint("a");
+    registry.upsert(endpoint);
+    const load = { running: 1, waiting: 0, slots: 6, workFactor: 1 };
+    loadReports.record(endpoint, { ...load, sentAt: 0, receivedAt: 0 });
+    const request = { route: "route", isPrefill: false };
+    const fail = () => {
+      for (let count = 0; count < 6; count++) {
+        outcomes.started(endpoint, request).end("failed");
+      }
+    };
+    const probe = () => {
+      outcomes.claimProbe([endpoint], { isRepeatable: true });
+      return outcomes.started(endpoint, request);
+    };
+    fail();
+    await harness.timer.advance(1_000);
+    const first = probe();
+    first.recordResponse();
+    await harness.timer.advance(1_000);
+    expect(outcomes.hasOwnVerdicts).to.equal(false);
+    fail();
+    await harness.timer.advance(2_000);
+    const second = probe();
+    first.end("failed");
+    second.end("completed");
+    expect(outcomes.hasOwnVerdicts).to.equal(false);
+  });
+
   it("readmit a replica that has recovered", async () => {
     const scenario = new Scenario();
     await scenario.run(1_500);
