--- a/src/entry/forwarding/fleet_outcomes_test.ts
+++ b/src/entry/forwarding/fleet_outcomes_test.ts
@@ -5,8 +5,11 @@
   type ReplicaFault,
 } from "../../../test/support/failing_replicas.ts";
 import {
+  ENGINES,
   makeConfiguration,
   makeEndpoint,
+  makeEngine,
+  makePrompt,
   makeRequest,
   makeRoute,
 } from "../../../test/support/forwarding_fixtures.ts";
@@ -166,6 +169,36 @@
     });
   });
 
+  // An engine breaks off streams; its response heads look good.
+  it("take out an engine that breaks off its streams", async () => {
+    const engines = Array.from(
+      { length: 6 },
+      (_, index) => makeEngine(`replica-${index}`, "decode"),
+    );
+    const fleet = new EntryFleet({
+      entries: 6,
+      zones: 1,
+      configuration: makeConfiguration({
+        routes: [makeRoute({
+          repeat: "stream",
+          mostAttempts: 1,
+          shares: [{ pool: ENGINES, weight: 1 }],
+        })],
+      }),
+      endpoints: engines,
+    });
+    const replicas = new FailingReplicas(fleet);
+    const prompt = makePrompt("urgent", { shared: 40, own: 60 });
+    const load = { perSecond: 90, paths: ["/x"], values: { prompt } };
+    await replicas.run({ milliseconds: 1_500, ...load });
+    replicas.faults.set("replica-2", { share: 0.6, kind: "cut" });
+    await replicas.run({ milliseconds: 1_500, ...load });
+    replicas.attempts.clear();
+    await replicas.run({ milliseconds: 3_000, ...load });
+    expect(replicas.attempts.get("replica-2") ?? 0).to.be.at.most(15);
+    expect(replicas.attempts.get("replica-1")).to.be.above(30);
+  }).timeout(60_000);
+
   // Many probes of a failing replica cost as much as no verdict.
   it("are probed by the owner alone, with one request at a time", async () => {
     const scenario = new Scenario();
@@ -184,6 +217,39 @@
     expect(senders).to.deep.equal([scenario.ownerOf(7), scenario.ownerOf(7)]);
   }).timeout(60_000);
 
+  // A stream that was a probe runs on after the readmission. If its end counted
+  // for a later probe, a recovered engine would stay out.
+  it("count a long probe once, after it has run for a second", async () => {
+    const harness = new ForwardingHarness(makeConfiguration());
+    const { loadReports, outcomes, registry } = harness.dependencies;
+    const endpoint = makeEndpoint("a");
+    registry.upsert(endpoint);
+    const load = { running: 1, waiting: 0, slots: 6, workFactor: 1 };
+    loadReports.record(endpoint, { ...load, sentAt: 0, receivedAt: 0 });
+    const request = { route: "route", isPrefill: false };
+    const fail = () => {
+      for (let count = 0; count < 6; count++) {
+        outcomes.started(endpoint, request).end("failed");
+      }
+    };
+    const probe = () => {
+      outcomes.claimProbe([endpoint], { isRepeatable: true });
+      return outcomes.started(endpoint, request);
+    };
+    fail();
+    await harness.timer.advance(1_000);
+    const first = probe();
+    first.recordResponse();
+    await harness.timer.advance(1_000);
+    expect(outcomes.hasOwnVerdicts).to.equal(false);
+    fail();
+    await harness.timer.advance(2_000);
+    const second = probe();
+    first.end("failed");
+    second.end("completed");
+    expect(outcomes.hasOwnVerdicts).to.equal(false);
+  });
+
   it("readmit a replica that has recovered", async () => {
     const scenario = new Scenario();
     await scenario.run(1_500);
@@ -288,17 +354,11 @@
     entry.registry.upsert(restarted);
     const verdictOn = (run: number) => ({
       entry: "entry-1",
-      incarnation: "1",
-      sequence: 1,
-      whole: false,
-      work: [],
-      prompts: [],
-      refusals: [],
       verdicts: [[restarted.id, 1_000, 0.5, run]],
     });
-    entry.onNotification("entry.work", verdictOn(1_000));
+    entry.onNotification("entry.verdicts", verdictOn(1_000));
     expect(entry.endpointsTakenOut).to.equal(0);
-    entry.onNotification("entry.work", verdictOn(2_000));
+    entry.onNotification("entry.verdicts", verdictOn(2_000));
     expect(entry.endpointsTakenOut).to.equal(1);
     entry.registry.upsert({
       ...restarted,
