Test fair shares with mixed ranks, bursts and failures

Prompts that yielded were refused up to 20 ms later than an eighth of their target, since the queue is polled; their time now ends one poll earlier.

--- a/src/entry/forwarding/prompt_admission.ts
+++ b/src/entry/forwarding/prompt_admission.ts
@@ -37,8 +37,8 @@
 const MAX_YIELD_TARGET_SHARE = 1 / 8;
 /** Share of a caller's remaining time up to which it honors a retry time. */
 const HONORED_RETRY_SHARE = 1 / 3;
-/** Shortest time that a prompt yields; every idle engine is seen by a poll. */
-const MIN_YIELD_MILLISECONDS = 2 * POLL_MILLISECONDS;
+/** Shortest time that a prompt yields: the next poll sees any idle engine. */
+const MIN_YIELD_MILLISECONDS = POLL_MILLISECONDS + 1;
 
 /**
  * Why a prompt is not sent to any engine. `above_share`: others wait for the
@@ -156,7 +156,7 @@
   const allowedMilliseconds = Math.max(
     MIN_YIELD_MILLISECONDS,
     MAX_YIELD_TARGET_SHARE * context.route.targetMilliseconds -
-      context.elapsedMilliseconds,
+      context.elapsedMilliseconds - POLL_MILLISECONDS,
   );
   if (predictedWait > allowedMilliseconds) {
     const facts = { ...roundFinite({ predictedWait }), ...shareFacts(context) };
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -40,6 +40,8 @@
   readonly entries: ForwardingEntry[];
   /** Indexes of entries that are partitioned from all others. */
   readonly partitioned = new Set<number>();
+  /** True if datagrams from one entry to another are lost. */
+  isCut: (from: number, to: number) => boolean = () => false;
   onSend: ((attempt: SentAttempt) => void) | undefined;
   /** Number of datagrams sent. */
   datagrams = 0;
@@ -132,6 +134,7 @@
   #deliver(from: number, to: number, method: string, params: unknown): void {
     this.datagrams += 1;
     const isLost = this.partitioned.has(from) || this.partitioned.has(to) ||
+      this.isCut(from, to) ||
       this.#random() < this.#lossRate;
     if (isLost) return;
     const text = JSON.stringify(params);
--- a/test/support/share_load.ts
+++ b/test/support/share_load.ts
@@ -28,6 +28,7 @@
 const WARM_UP_MILLISECONDS = 2_500;
 const SETTLE_MILLISECONDS = 3_000;
 const MAX_TRIES = 12;
+const YIELD_REASONS = new Set(["above_share", "more_urgent"]);
 
 /** Report of a peer that has learned the speed of the engines. */
 const KNOWN_SPEED = {
@@ -77,6 +78,8 @@
   refusals = 0;
   /** Refusals later than an eighth of the target after the arrival. */
   refusalsAfterWait = 0;
+  /** Of these, refusals of prompts that only yielded to others. */
+  yieldsTooLong = 0;
   longestGapMilliseconds = 0;
   lastServedAt = 0;
 
@@ -86,6 +89,7 @@
     this.late += other.late;
     this.refusals += other.refusals;
     this.refusalsAfterWait += other.refusalsAfterWait;
+    this.yieldsTooLong += other.yieldsTooLong;
     this.longestGapMilliseconds = Math.max(
       this.longestGapMilliseconds,
       other.longestGapMilliseconds,
@@ -164,7 +168,7 @@
           ),
       ),
     });
-    for (const entry of this.fleet.entries) entry.peers.onWork(KNOWN_SPEED);
+    this.#teachSpeed();
     const workFactor = isFair ? 1 : undefined;
     this.engines = new SimulatedEngines(this.fleet, {
       slots: 64,
@@ -173,6 +177,16 @@
     });
   }
 
+  /** Restarts every entry, which loses all counters. */
+  restartEntries(): void {
+    for (const index of this.fleet.entries.keys()) this.fleet.restart(index);
+    this.#teachSpeed();
+  }
+
+  #teachSpeed(): void {
+    for (const { peers } of this.fleet.entries) peers.onWork(KNOWN_SPEED);
+  }
+
   /** Runs the streams for this long; counts only arrivals after the warm-up. */
   async run(streams: readonly LoadStream[], seconds: number): Promise<void> {
     const { timer } = this.fleet;
@@ -264,10 +278,13 @@
       );
       outcomes.lastServedAt = now;
     };
-    const retry = (after: number) => {
+    const retry = (after: number, reason: string) => {
       outcomes.refusals += 1;
       const waited = timer.now() - sentAt;
-      if (waited > TARGET_MILLISECONDS / 8 + 1) outcomes.refusalsAfterWait += 1;
+      if (waited > TARGET_MILLISECONDS / 8 + 1) {
+        outcomes.refusalsAfterWait += 1;
+        if (YIELD_REASONS.has(reason)) outcomes.yieldsTooLong += 1;
+      }
       const left = remaining - waited;
       const wait = caller.isImpatient
         ? IMPATIENT_MILLISECONDS
@@ -277,14 +294,18 @@
       }
       timer.after(wait, () => this.#submit(caller));
     };
-    sink.refuse = ({ retryAfterMilliseconds }) => {
-      if (retryAfterMilliseconds !== undefined) retry(retryAfterMilliseconds);
+    sink.refuse = ({ reason, retryAfterMilliseconds }) => {
+      if (retryAfterMilliseconds === undefined) return;
+      retry(retryAfterMilliseconds, reason);
     };
   }
 }
 
 /** Streams of a power law with exponent 1.2 that together ask for the load. */
-export function powerLaw(workspaces: number, load: number): LoadStream[] {
+export function powerLaw(
+  workspaces: number,
+  load: number,
+): (LoadStream & { readonly load: number })[] {
   const weights = Array.from(
     { length: workspaces },
     (_, index) => (index + 1) ** -1.2,
