--- a/src/core/forwarding/admission/held_prompt_queue_test.ts
+++ b/src/core/forwarding/admission/held_prompt_queue_test.ts
@@ -103,11 +103,15 @@
       shares.recordAsked(identifier("small"), { milliseconds: 10, rank: 1 });
     });
 
-    function shareOf(workspace: string, rank = 1): RequestShare {
+    function shareOf(
+      workspace: string,
+      { rank = 1, isDue = false } = {},
+    ): RequestShare {
       return new RequestShare(shares, {
         workspace: identifier<WorkspaceId>(workspace),
         rank,
-        isReturning: false,
+        isReturning: isDue,
+        isDue,
       });
     }
 
@@ -116,7 +120,10 @@
     it("starts the workspace with the least work first, within a rank", async () => {
       enqueue("flood", { share: shareOf("large"), expiresAt: 500 });
       enqueue("single", { share: shareOf("small") });
-      enqueue("urgent flood", { share: shareOf("large", 0), rank: 0 });
+      enqueue("urgent flood", {
+        share: shareOf("large", { rank: 0 }),
+        rank: 0,
+      });
       idleEngines = ["one", "two", "three"];
       await timer.advance(30);
       expect(started).to.deep.equal([
@@ -126,6 +133,22 @@
       ]);
     });
 
+    // The retry time is a promise. A flood's callers keep theirs as well, which
+    // must not take the turn of a workspace below its share.
+    it("starts callers that keep their retry time first, within the share", async () => {
+      shares.record(identifier("small"), { milliseconds: 1, rank: 1 });
+      enqueue("due flood", { share: shareOf("large", { isDue: true }) });
+      enqueue("new", { share: shareOf("other") });
+      enqueue("due", { share: shareOf("small", { isDue: true }) });
+      idleEngines = ["one", "two", "three"];
+      await timer.advance(30);
+      expect(started).to.deep.equal([
+        "due at one",
+        "new at two",
+        "due flood at three",
+      ]);
+    });
+
     function displace(waitMilliseconds: (work: number) => number): void {
       queue.displaceFor({
         rank: 1,
--- a/src/entry/forwarding/fair_shares_test.ts
+++ b/src/entry/forwarding/fair_shares_test.ts
@@ -154,4 +154,22 @@
     expect(small.refusal).to.equal(undefined);
     expect(dependencies.held.count).to.equal(1);
   });
+
+  // Callers don't honor a retry time beyond a third of their remaining time.
+  it("give successive retry times that callers honor", async () => {
+    reportLoad(1);
+    occupy(900);
+    const callers: RecordingSink[] = [];
+    for (let index = 0; index < 8; index++) {
+      callers.push(await submit("small", `s${index}`));
+    }
+    const times = callers.map(({ refusal }) =>
+      refusal?.retryAfterMilliseconds ?? 0
+    );
+    for (const time of times) expect(time).to.be.within(20, 800 / 3);
+    expect(times[1]).to.be.greaterThan(times[0]);
+    expect(times[3]).to.be.greaterThan(times[1]);
+    const reports = harness.dependencies.returningCallers.takeUnreported();
+    expect(reports[0][2]).to.equal(Math.round(times[0]));
+  });
 });
