Find scarcity by rank from the whole fleet's work

Scarcity for a rank was found from this entry's own callers, whose retries reach other entries: an entry with few callers may have admitted more than was asked of it, and did not let large workspaces yield. It now follows from the fleet's totals and the ranks of this entry's callers.

--- a/src/core/forwarding/admission/fair_shares.ts
+++ b/src/core/forwarding/admission/fair_shares.ts
@@ -63,8 +63,8 @@
   readonly #work = new Map<WorkspaceId, WorkspaceWork>();
   /** Totals of all workspaces, also of those whose counters were dropped. */
   readonly #total: WorkTotal = { admitted: 0, asked: 0 };
-  /** Work of this entry's own callers, by rank. */
-  readonly #ownByRank = new Map<number, WorkTotal>();
+  /** Work that this entry's own callers asked for, by rank. */
+  readonly #ownAsked = new Map<number, number>();
   #landmark: number;
   #level = Infinity;
   #levelAt = -Infinity;
@@ -84,17 +84,16 @@
     work.asked += amount;
     work.unreportedAsked += amount;
     this.#total.asked += amount;
-    this.#ownOf(rank).asked += amount;
+    this.#ownAsked.set(rank, amount + (this.#ownAsked.get(rank) ?? 0));
   }
 
   /** Records admitted work of the workspace. */
-  record(workspace: WorkspaceId, { milliseconds, rank }: RequestWork): void {
+  record(workspace: WorkspaceId, milliseconds: number): void {
     const amount = milliseconds * this.#scale();
     const work = this.#workOf(workspace);
     work.admitted += amount;
     work.unreportedAdmitted += amount;
     this.#total.admitted += amount;
-    this.#ownOf(rank).admitted += amount;
   }
 
   /** Records work that a peer reported. */
@@ -180,23 +179,20 @@
     return this.#level = maxMinLevel(rows, admitted - unknown);
   }
 
-  /** True if the work up to this rank exceeds all work that is admitted. */
+  /**
+   * True if the work up to this rank exceeds all work that is admitted. The
+   * ranks of peers' work are assumed to be those of this entry's callers.
+   */
   #isScarceFor(rank: number): boolean {
-    const sum: WorkTotal = { admitted: 0, asked: 0 };
-    for (const [each, { admitted, asked }] of this.#ownByRank) {
-      sum.admitted += admitted;
-      if (each <= rank) sum.asked += asked;
-    }
-    return isScarce(sum);
-  }
-
-  #ownOf(rank: number): WorkTotal {
-    let total = this.#ownByRank.get(rank);
-    if (total === undefined) {
-      total = { admitted: 0, asked: 0 };
-      this.#ownByRank.set(rank, total);
+    let own = 0;
+    let upToRank = 0;
+    for (const [each, asked] of this.#ownAsked) {
+      own += asked;
+      if (each <= rank) upToRank += asked;
     }
-    return total;
+    const { admitted, asked } = this.#total;
+    const share = own > 0 ? upToRank / own : 1;
+    return isScarce({ admitted, asked: share * asked });
   }
 
   #workOf(workspace: WorkspaceId): WorkspaceWork {
@@ -231,9 +227,10 @@
     if (scale <= MAX_SCALE) return scale;
     this.#landmark += age;
     this.#levelAt = -Infinity;
-    for (const total of [this.#total, ...this.#ownByRank.values()]) {
-      total.admitted /= scale;
-      total.asked /= scale;
+    this.#total.admitted /= scale;
+    this.#total.asked /= scale;
+    for (const [rank, asked] of this.#ownAsked) {
+      this.#ownAsked.set(rank, asked / scale);
     }
     for (const [workspace, work] of this.#work) {
       work.admitted /= scale;
--- a/src/core/forwarding/admission/fair_shares_test.ts
+++ b/src/core/forwarding/admission/fair_shares_test.ts
@@ -22,7 +22,7 @@
     rank = 2,
   ): void {
     shares.recordAsked(workspace, { milliseconds: asked, rank });
-    shares.record(workspace, { milliseconds: admitted, rank });
+    shares.record(workspace, admitted);
   }
 
   describe("isAboveShare", () => {
--- a/src/core/forwarding/admission/held_prompt_queue_test.ts
+++ b/src/core/forwarding/admission/held_prompt_queue_test.ts
@@ -99,7 +99,7 @@
       shares = new FairShares(timer);
       const large = identifier<WorkspaceId>("large");
       shares.recordAsked(large, { milliseconds: 900, rank: 0 });
-      shares.record(large, { milliseconds: 90, rank: 0 });
+      shares.record(large, 90);
       shares.recordAsked(identifier("small"), { milliseconds: 10, rank: 1 });
     });
 
@@ -136,7 +136,7 @@
     // The retry time is a promise. A flood's callers keep theirs as well, which
     // must not take the turn of a workspace below its share.
     it("starts callers that keep their retry time first, within the share", async () => {
-      shares.record(identifier("small"), { milliseconds: 1, rank: 1 });
+      shares.record(identifier("small"), 1);
       enqueue("due flood", { share: shareOf("large", { isDue: true }) });
       enqueue("new", { share: shareOf("other") });
       enqueue("due", { share: shareOf("small", { isDue: true }) });
--- a/src/core/forwarding/admission/request_share.ts
+++ b/src/core/forwarding/admission/request_share.ts
@@ -1,5 +1,5 @@
 import type { WorkspaceId } from "../../identity/mod.ts";
-import type { FairShares, RequestWork } from "./fair_shares.ts";
+import type { FairShares } from "./fair_shares.ts";
 
 export interface RequestShareOptions {
   readonly workspace: WorkspaceId;
@@ -39,14 +39,17 @@
     if (this.#workMilliseconds !== undefined) return;
     this.#workMilliseconds = workMilliseconds;
     if (this.#isReturning) return;
-    this.#shares.recordAsked(this.workspace, this.#work);
+    this.#shares.recordAsked(this.workspace, {
+      milliseconds: workMilliseconds,
+      rank: this.#rank,
+    });
   }
 
   /** Records that the request's work was sent; only the first call counts. */
   admit(): void {
     if (this.#isAdmitted) return;
     this.#isAdmitted = true;
-    this.#shares.record(this.workspace, this.#work);
+    this.#shares.record(this.workspace, this.workMilliseconds);
   }
 
   /** Engine work of the request, in milliseconds; 0 until it is known. */
@@ -54,10 +57,6 @@
     return this.#workMilliseconds ?? 0;
   }
 
-  get #work(): RequestWork {
-    return { milliseconds: this.workMilliseconds, rank: this.#rank };
-  }
-
   /** Records that a prompt of this workspace takes the request's place. */
   displace(by: WorkspaceId): void {
     this.#displacedBy = by;
--- a/src/entry/forwarding/fair_shares_test.ts
+++ b/src/entry/forwarding/fair_shares_test.ts
@@ -47,7 +47,7 @@
     // "large" has got nearly everything while "small" was refused.
     const shares = harness.dependencies.shares.forPool(ENGINES);
     shares.recordAsked(LARGE, { milliseconds: 3_000, rank: 0 });
-    shares.record(LARGE, { milliseconds: 900, rank: 0 });
+    shares.record(LARGE, 900);
     shares.recordAsked(identifier("small"), { milliseconds: 500, rank: 0 });
   });
 
