--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -48,6 +48,8 @@
   readonly partitioned = new Set<number>();
   /** Entries of different groups do not reach each other. */
   groupOf: (index: number) => number = () => 0;
+  /** True if datagrams from one entry to another are lost. */
+  isCut: (from: number, to: number) => boolean = () => false;
   onSend: ((attempt: SentAttempt) => void) | undefined;
   /** Number of datagrams sent. */
   datagrams = 0;
@@ -143,6 +145,7 @@
     this.datagrams += 1;
     const isLost = this.partitioned.has(from) || this.partitioned.has(to) ||
       this.groupOf(from) !== this.groupOf(to) ||
+      this.isCut(from, to) ||
       this.#random() < this.#lossRate;
     if (isLost) return;
     const text = JSON.stringify(params);
