--- a/src/core/forwarding/estimates/decode_pace.ts
+++ b/src/core/forwarding/estimates/decode_pace.ts
@@ -116,11 +116,16 @@
    * Predicted pause of the engine's streams with additional work, in
    * milliseconds; undefined while the pool has too few samples.
    */
-  predictPause(engine: Engine, addition: OpenWork): number | undefined {
+  predictPause(
+    engine: Engine,
+    addition: OpenWork,
+    { open = this.#load.total(engine.id) }: {
+      /** Open work at the engine, if the caller has it already. */
+      readonly open?: OpenWork;
+    } = {},
+  ): number | undefined {
     const model = this.#pools.get(engine.pool)?.model;
-    const predicted = model?.predict(
-      addWork(this.#load.total(engine.id), addition),
-    );
+    const predicted = model?.predict(addWork(open, addition));
     if (predicted === undefined) return undefined;
     const pace = this.#engines.get(engine.id);
     if (pace === undefined) return predicted;
--- a/src/core/forwarding/placement/engine_placement.ts
+++ b/src/core/forwarding/placement/engine_placement.ts
@@ -11,7 +11,11 @@
   EngineSlowness,
 } from "../estimates/mod.ts";
 import { POLL_MILLISECONDS } from "../admission/held_prompt_queue.ts";
-import type { FleetLoad, PromptWork } from "../endpoints/fleet_load.ts";
+import type {
+  FleetLoad,
+  OpenWork,
+  PromptWork,
+} from "../endpoints/fleet_load.ts";
 import type { PrefixDirectory } from "../caches/prefix_directory.ts";
 import {
   bestSources,
@@ -350,12 +354,13 @@
       ) continue;
       const isOtherZone = cacheZone !== undefined &&
         endpoint.availabilityZone !== cacheZone;
-      const slots = load.total(endpoint.id).requests +
+      const open = load.total(endpoint.id);
+      const slots = open.requests +
         (isOtherZone ? CROSS_ZONE_HANDOVER_SLOTS : 0) +
         TIE_BREAK_JITTER_SLOTS * random();
       const pauseMilliseconds = maxPauseMilliseconds === undefined
         ? undefined
-        : this.#predictPause(endpoint, options);
+        : this.#predictPause(endpoint, { open, response: options });
       candidates.push({ endpoint, slots, pauseMilliseconds });
     }
     const best = bestCandidate(candidates);
@@ -378,14 +383,17 @@
   /** Predicted pause of the engine's streams with the response. */
   #predictPause(
     endpoint: RegisteredEndpoint,
-    options: DecodeWorkOptions,
+    { open, response }: {
+      readonly open: OpenWork;
+      readonly response: DecodeWorkOptions;
+    },
   ): number | undefined {
-    const { inputTokens, mostOutputTokens } = options.prompt;
+    const { inputTokens, mostOutputTokens } = response.prompt;
     return this.#options.pace.predictPause(endpoint, {
       requests: 1,
       tokens: inputTokens + mostOutputTokens,
-      prefillMilliseconds: this.#inlineMilliseconds(endpoint, options),
-    });
+      prefillMilliseconds: this.#inlineMilliseconds(endpoint, response),
+    }, { open });
   }
 
   /** Prefill work of the response at the decode engine; 0 after a handover. */
