--- a/src/adapters/telemetry/forwarding_telemetry.ts
+++ b/src/adapters/telemetry/forwarding_telemetry.ts
@@ -180,7 +180,7 @@
     { valueOf }: { readonly valueOf: (totals: PauseTotals) => number },
   ) =>
     new Counter({
-      name: `filbertshore_stream_${name}_total`,
+      name: `filbertshore_${name}_total`,
       help,
       labelNames: ["pool"],
       registers: [registry],
@@ -191,10 +191,14 @@
         }
       },
     });
-  register("pauses", "Measured pauses between the events of streams, by pool", {
-    valueOf: ({ count }) => count,
-  });
-  register("pause_seconds", "Sum of the measured pauses, by pool", {
+  register(
+    "stream_pauses",
+    "Measured pauses between the events of streams, by pool",
+    {
+      valueOf: ({ count }) => count,
+    },
+  );
+  register("stream_pause_seconds", "Sum of the measured pauses, by pool", {
     valueOf: ({ measuredMilliseconds }) => toSeconds(measuredMilliseconds),
   });
   register("predicted_pause_seconds", "Sum of their predictions, by pool", {
