Measure only complete events of a stream

A large event that arrives in several reads, and a body that is no stream, were recorded as events without a pause between them. Only reads that end with a complete event count now. Found by review; the test sends events in two parts.

--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -143,7 +143,7 @@
     this.#pauses = this.#dependencies.pace.openStream(this.endpoint);
     return measurePauses(response, {
       pauses: this.#pauses,
-      onEvent: () => this.#work.endPrefill(),
+      onBytes: () => this.#work.endPrefill(),
     });
   }
 
--- a/src/entry/forwarding/stream_pauses_test.ts
+++ b/src/entry/forwarding/stream_pauses_test.ts
@@ -104,6 +104,17 @@
       expect(predict()).to.be.closeTo(PAUSE_MILLISECONDS, 5);
     });
 
+    // The parts of a large event arrive one after the other, and would look like
+    // events that the link had delayed.
+    it("measures events that arrive in parts", async () => {
+      for (let count = 0; count < 20; count++) {
+        await harness.timer.advance(2 * PAUSE_MILLISECONDS);
+        await attempt.chunk(EVENT.slice(0, 4));
+        await attempt.chunk(EVENT.slice(4));
+      }
+      expect(predict()).to.be.above(1.5 * PAUSE_MILLISECONDS);
+    });
+
     // An engine whose last stream was aborted would seem silent for ever.
     for (const how of ["disconnects", "loses its engine"]) {
       it(`expects no more events if it ${how}`, async () => {
