--- a/src/entry/forwarding/endpoint_signals_test.ts
+++ b/src/entry/forwarding/endpoint_signals_test.ts
@@ -136,23 +136,39 @@
       );
     });
 
-    // A replica that fails quickly would look like the fastest one.
-    it("makes no replica attractive that fails", async () => {
-      const setup = new SignalScenario({ route: { repeat: "once" } });
+    /** Share of requests that get to replica a, of which one in four fails. */
+    async function shareOf(fail: (attempt: SentAttempt) => void) {
+      const setup = new SignalScenario({
+        route: { repeat: "once" },
+        valuesOf: () => ({ deadlineMilliseconds: 60 }),
+      });
       const report = { ...load, workFactor: 1 };
-      for (const id of REPLICAS) setup.heads.set(id, { load: report });
+      let count = 0;
       setup.harness.onSend = (attempt) => {
-        const isFailing = attempt.options.endpoint === "a";
-        const head = { load: report, status: isFailing ? 500 : 200 };
-        const milliseconds = isFailing ? 1 : 15;
+        const isFailing = attempt.options.endpoint === "a" && ++count % 4 === 0;
+        if (isFailing) return fail(attempt);
         setup.harness.timer.after(
-          milliseconds,
-          () => void attempt.respond("done", head),
+          15,
+          () => void attempt.respond("done", { load: report }),
         );
       };
-      const endpoints = await setup.run(4_000);
-      const failing = endpoints.filter((each) => each === "a").length;
-      expect(failing / endpoints.length).to.be.lessThan(0.4);
+      await setup.run(1_000);
+      const endpoints = await setup.run(6_000);
+      return endpoints.filter((each) => each === "a").length /
+        endpoints.length;
+    }
+
+    // Its failures would count as fast completions and attract requests.
+    it("makes no replica attractive that fails quickly", async () => {
+      const share = await shareOf((attempt) =>
+        void attempt.respond("", { status: 500, load })
+      );
+      expect(share).to.be.lessThan(0.45);
+    });
+
+    // Only its completions would count, and those are as fast as elsewhere.
+    it("makes a replica unattractive that leaves requests unanswered", async () => {
+      expect(await shareOf(() => {})).to.be.lessThan(0.1);
     });
   });
 
--- a/src/entry/forwarding/load_report_exchange.ts
+++ b/src/entry/forwarding/load_report_exchange.ts
@@ -50,7 +50,7 @@
 export class LoadReportExchange {
   readonly #options: LoadReportExchangeOptions;
   /** Time of the last report of each endpoint to its owner. */
-  readonly #reportedAt = new Map<string, number>();
+  readonly #reportedAt = new Map<EndpointId, number>();
 
   constructor(options: LoadReportExchangeOptions) {
     this.#options = options;
@@ -58,21 +58,24 @@
 
   /** Adds own reports that the owner has not received yet. */
   addToUpdate(rows: readonly WorkRowWithRun[]): readonly WorkRowWithRun[] {
-    const { entries, loadReports, timer } = this.#options;
+    const { loadReports, timer } = this.#options;
     return rows.map((row) => {
       const id = identifier<EndpointId>(row[0]);
       const report = loadReports.unreported(id);
-      const earliest = (this.#reportedAt.get(id) ?? -Infinity) +
-        REPORT_SPACING_MILLISECONDS * entries();
-      if (report === undefined || timer.now() < earliest) return row;
-      const extended = this.#extend(row, report);
-      if (extended === row) return row;
+      const extended = report === undefined ? row : this.#extend(row, report);
+      if (extended === row || !this.#isDue(id)) return row;
       this.#reportedAt.set(id, timer.now());
       loadReports.markReported(id);
       return extended;
     });
   }
 
+  #isDue(endpoint: EndpointId): boolean {
+    const { entries, timer } = this.#options;
+    const reportedAt = this.#reportedAt.get(endpoint) ?? -Infinity;
+    return timer.now() >= reportedAt + REPORT_SPACING_MILLISECONDS * entries();
+  }
+
   /** Adds the newest known reports to the rows of an owner's answer. */
   addToAnswer(rows: readonly WorkRowWithRun[]): readonly WorkRowWithRun[] {
     return rows.map((row) => {
