Average the weights of work factors over intervals with few samples

In the failure test with a zone whose two of eight replicas are slow, they got 0.154 of the requests in seconds 3 to 5, with an equal share of 0.25.

Cause: the weight by age was the running minimum over octaves of age, each with few samples at one entry. One octave whose samples happened to differ made all older reports useless, and every entry tried the slow replicas again.

Adjacent octaves that contradict the order by age are now averaged (isotonic regression).

--- a/src/core/forwarding/endpoints/work_factor_staleness.ts
+++ b/src/core/forwarding/endpoints/work_factor_staleness.ts
@@ -24,6 +24,13 @@
   samples: number;
 }
 
+/** Successive octaves with the same weight. */
+interface Block {
+  readonly products: number;
+  readonly squares: number;
+  readonly first: number;
+}
+
 /**
  * Learns how fast work factors of a pool become stale: the correlation of
  * successive logarithms of a replica's factor, by the time between them.
@@ -65,19 +72,46 @@
     return 2 ** (first < 0 ? OCTAVES - 1 : first);
   }
 
+  /**
+   * Fits weights that never increase with age: adjacent octaves that contradict
+   * this are averaged, as each has few samples.
+   */
   #updateWeights(): void {
-    let lowest = 1;
+    const blocks: Block[] = [];
     this.#octaves.forEach(({ products, samples, squares }, index) => {
-      const prior = samples === 0 ? 0 : PRIOR_SAMPLES * squares / samples;
       // Without samples, or while all factors are 1, age makes no difference.
-      if (squares > 0) {
-        lowest = Math.min(lowest, (products + prior) / (squares + prior));
+      if (squares === 0) return;
+      const prior = PRIOR_SAMPLES * squares / samples;
+      let block: Block = {
+        products: products + prior,
+        squares: squares + prior,
+        first: index,
+      };
+      for (
+        let last = blocks.at(-1);
+        last !== undefined && weightOf(last) < weightOf(block);
+        last = blocks.at(-1)
+      ) {
+        blocks.pop();
+        block = {
+          products: last.products + block.products,
+          squares: last.squares + block.squares,
+          first: last.first,
+        };
       }
-      this.#weights[index] = Math.max(0, lowest);
+      blocks.push(block);
     });
+    this.#weights.fill(1);
+    for (const block of blocks) {
+      this.#weights.fill(weightOf(block), block.first);
+    }
   }
 }
 
+function weightOf({ products, squares }: Block): number {
+  return Math.max(0, products / squares);
+}
+
 function octaveOf(milliseconds: number): number {
   const octave = Math.floor(Math.log2(Math.max(1, milliseconds)));
   return Math.min(OCTAVES - 1, octave);
