--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -5,20 +5,16 @@
   DecodePace,
   EndpointAvailability,
   EndpointLimits,
-  EndpointLoadReports,
   EndpointRegistry,
   type EngineEstimates,
   EnginePlacement,
   EngineSlowness,
-  ExpectedTimes,
-  FleetLoad,
   type ForwardAttemptOptions,
   type ForwardedRequest,
   type ForwardingConfiguration,
   HeldPromptQueue,
   LinkBacklog,
   LoadOwners,
-  OpenRequests,
   PermitQueue,
   PoolShares,
   PrefixDirectory,
@@ -27,8 +23,6 @@
   ReturningCallers,
   RoleWork,
   RouteTable,
-  SentRequests,
-  ServiceTimes,
   SharedRetryBudget,
   WorkRate,
 } from "../../src/core/forwarding/mod.ts";
@@ -41,6 +35,7 @@
 import { seededRandom } from "../../src/core/random/mod.ts";
 import { digestOf } from "../../src/adapters/forwarding/mod.ts";
 import { knownEstimates } from "./forwarding_fixtures.ts";
+import { makePlacementState } from "./placement_state.ts";
 import { ManualTimerService } from "../../src/core/time/mod.ts";
 import {
   type BodyEnd,
@@ -226,7 +221,8 @@
   ) {
     const { timer } = this;
     const random = seededRandom(11);
-    const load = new FleetLoad(timer);
+    const placementState = makePlacementState(timer);
+    const { load, loadReports } = placementState;
     const prefixes = new PrefixDirectory();
     const availability = new EndpointAvailability(timer);
     const { estimates = knownEstimates() } = options;
@@ -243,17 +239,13 @@
     const availabilityZone = identifier<AvailabilityZoneId>("zone-1");
     const registry = new EndpointRegistry({ timer });
     const limits = new EndpointLimits();
-    const loadReports = new EndpointLoadReports();
-    const sentRequests = new SentRequests(timer);
-    const serviceTimes = new ServiceTimes(timer);
     const self = identifier<ProcessId>("entry-0");
     const owners = new LoadOwners({ self, timer });
     this.dependencies = {
-      timer,
+      ...placementState,
       random,
       availabilityZone,
       registry,
-      load,
       prefixes,
       availability,
       placement: new EnginePlacement({
@@ -279,20 +271,6 @@
       returningCallers: new ReturningCallers(timer),
       crashes: new CrashTracker({ timer }),
       limits,
-      loadReports,
-      sentRequests,
-      serviceTimes,
-      expectedTimes: new ExpectedTimes({
-        timer,
-        loadReports,
-        openRequests: new OpenRequests({
-          timer,
-          load,
-          isLoadStale: () => false,
-        }),
-        sentRequests,
-        serviceTimes,
-      }),
       outcomes: new FleetOutcomes({
         self,
         timer,
