Ask another engine if one restarts while its health path is requested

The answer of a run that is over was dropped, but counted as one that shows no work factor, so that the pool would have been planned by its slots. 633 tests of the forwarding path, telemetry, the platform and boundaries pass.

--- a/src/entry/forwarding/work_role_planner.ts
+++ b/src/entry/forwarding/work_role_planner.ts
@@ -177,10 +177,10 @@
         endpointClient.checkHealth(engine, healthPath),
         { timer, milliseconds: ANSWER_TIMEOUT_MILLISECONDS },
       );
-      if (answer === undefined) continue;
+      if (answer === undefined || !registry.isSameRun(engine)) continue;
       const { load } = answer;
       const receivedAt = timer.now();
-      if (load !== undefined && registry.isSameRun(engine)) {
+      if (load !== undefined) {
         loadReports.record(engine, { ...load, sentAt, receivedAt });
       }
       logger.info({
