Let the pause model recover from a prediction of 0

A pause is limited to a multiple of its prediction, so after a fit that predicts 0 all later pauses would have counted as 0. Found by review; a test covers it. Two comments now state what was measured and what was not.

--- a/src/core/forwarding/estimates/decode_pace.ts
+++ b/src/core/forwarding/estimates/decode_pace.ts
@@ -31,8 +31,8 @@
 const HALF_LIFE_MILLISECONDS = 1_000;
 /**
  * Time between two delayed responses of an entry, in which the other entries
- * hear of the first. Sent at once, they all went to the first engine within its
- * bound.
+ * hear of the first. Sent at once, all would go to the first engine that is
+ * within its bound.
  */
 const RELEASE_INTERVAL_MILLISECONDS = 15;
 /**
--- a/src/core/forwarding/estimates/decode_pace_test.ts
+++ b/src/core/forwarding/estimates/decode_pace_test.ts
@@ -75,6 +75,18 @@
     expect(predict(more)).to.be.within(predict() as number, 80);
   });
 
+  // Limited to a multiple of a prediction of 0, all later pauses would count as
+  // 0 as well.
+  it("recovers from a prediction of 0", () => {
+    for (let count = 0; count < 32; count++) {
+      pace.record(ENGINE, { milliseconds: 0 });
+    }
+    for (let count = 0; count < 2_000; count++) {
+      pace.record(ENGINE, { milliseconds: 40 });
+    }
+    expect(predict()).to.be.closeTo(40, 5);
+  });
+
   // An engine that stalls for a second must not shift the model of all engines.
   it("limits the weight of a single long pause", () => {
     learn();
--- a/src/core/forwarding/estimates/pause_model.ts
+++ b/src/core/forwarding/estimates/pause_model.ts
@@ -53,13 +53,13 @@
   /** Records a pause in milliseconds and the open work at the engine then. */
   record(milliseconds: number, work: OpenWork): void {
     const predicted = this.predict(work);
-    const limited = Math.min(
-      milliseconds,
-      MAX_RATIO_TO_PREDICTION * (predicted ?? Infinity),
-    );
+    const hasPrediction = predicted !== undefined && predicted > 0;
+    const limited = hasPrediction
+      ? Math.min(milliseconds, MAX_RATIO_TO_PREDICTION * predicted)
+      : milliseconds;
     this.#samples += 1;
     const weight = Math.max(SAMPLE_WEIGHT, 1 / this.#samples);
-    if (predicted !== undefined && predicted > 0) {
+    if (hasPrediction) {
       const error = Math.abs(limited - predicted) / predicted;
       this.#relativeDeviation += weight * (error - this.#relativeDeviation);
     }
--- a/src/core/forwarding/placement/decode_candidate.ts
+++ b/src/core/forwarding/placement/decode_candidate.ts
@@ -1,9 +1,9 @@
 import type { RegisteredEndpoint } from "../configuration.ts";
 
 /**
- * Ratio of predicted pauses up to which engines count as equal. Without it, all
- * entries choose the same engine until they hear of each other's choice; from
- * 1.25 on, engines of different speeds get too much the same load.
+ * Ratio of predicted pauses up to which engines count as equal. Without it,
+ * errors of the predictions decide between equal engines, not their distance;
+ * with 1.25, the pauses at engines of different speeds were 10 % longer.
  */
 const MAX_EQUAL_PAUSE_RATIO = 1.1;
 
