Register the pause counters in the test of the operations page

The test lists the functions that register metrics and compares their names with the page; the counters of stream pauses were on the page but not in the list.

--- a/test/operations/operations_test.ts
+++ b/test/operations/operations_test.ts
@@ -9,6 +9,7 @@
   Metrics,
   registerBlockedRequestsGauge,
   registerLimitedEndpointsGauge,
+  registerPauseCounters,
   registerRetryGauges,
   registerUsageFencingGauge,
 } from "../../src/adapters/telemetry/mod.ts";
@@ -54,6 +55,7 @@
   registerUsageFencingGauge(metrics.registry, () => undefined);
   registerBlockedRequestsGauge(metrics.registry, () => 0);
   registerLimitedEndpointsGauge(metrics.registry, () => 0);
+  registerPauseCounters(metrics.registry, () => []);
   registerRetryGauges(metrics.registry, () => []);
   return (await metrics.render()).body;
 }
