Never refuse a prompt for its share while an engine is nearly idle

Held prompts are sent by a poll each 20 ms. A prompt that arrived after the engines had become idle and before the poll was refused because of the predicted wait for the prompts that were still held. It now waits for the poll. The new test fails without the change; 8 tests pass.

--- a/src/core/forwarding/placement/engine_placement.ts
+++ b/src/core/forwarding/placement/engine_placement.ts
@@ -188,6 +188,15 @@
     });
   }
 
+  /** True if one of the prefill engines is nearly idle. */
+  hasNearlyIdlePrefill(engines: readonly RegisteredEndpoint[]): boolean {
+    const { availability, load } = this.#options;
+    return availability.filterHealthy(engines.filter(isPrefillEngine)).some(
+      ({ id }) =>
+        load.total(id).prefillMilliseconds <= NEARLY_IDLE_BACKLOG_MILLISECONDS,
+    );
+  }
+
   #cheapestPrefill(
     prompt: Prompt,
     options: PrefillCandidates & {
--- a/src/entry/forwarding/fair_shares_test.ts
+++ b/src/entry/forwarding/fair_shares_test.ts
@@ -62,18 +62,22 @@
     });
   }
 
-  function occupy(milliseconds: number) {
-    return harness.dependencies.load.started(engine.id, {
+  function occupy(milliseconds: number, { id } = engine) {
+    return harness.dependencies.load.started(id, {
       milliseconds,
       tokens: 0,
     });
   }
 
-  function submit(workspace: string, subject = "s"): Promise<RecordingSink> {
+  function submit(
+    workspace: string,
+    subject = "s",
+    own = 3_000,
+  ): Promise<RecordingSink> {
     return harness.submit(makeRequest({
       deadlineMilliseconds: 800,
       credentials: { kind: "key", digest: identifier(workspace) },
-      prompt: makePrompt(`${workspace}-${subject}`),
+      prompt: makePrompt(`${workspace}-${subject}`, { own }),
     }));
   }
 
@@ -105,6 +109,21 @@
     expect(harness.sent).to.have.length(1);
   });
 
+  // The engines become idle between two polls of the queue, which still holds
+  // the first prompt when the second arrives.
+  it("refuse none of two prompts for two engines that have become idle", async () => {
+    reportLoad(1);
+    const second = makeEngine("second", "prefill");
+    harness.dependencies.registry.upsert(second);
+    const works = [engine, second].map((each) => occupy(100, each));
+    const one = await submit("large", "one", 12_000);
+    for (const work of works) work.end();
+    const other = await submit("large", "other", 12_000);
+    await harness.timer.advance(25);
+    expect([one.refusal, other.refusal]).to.deep.equal([undefined, undefined]);
+    expect(harness.sent).to.have.length(2);
+  });
+
   it("refuse after an eighth of the target, and say whose turn it is", async () => {
     reportLoad(1);
     occupy(100);
--- a/src/entry/forwarding/prompt_admission.ts
+++ b/src/entry/forwarding/prompt_admission.ts
@@ -113,7 +113,15 @@
   if (admission === "on_time" && soonest !== undefined) {
     const reason = yieldReason(context);
     if (reason !== undefined) {
-      return yieldToOthers(context, { held, reason, predictedWait });
+      // Prompts that arrived just before may not have been sent yet.
+      const isIdle = dependencies.placement.hasNearlyIdlePrefill(
+        candidates.engines,
+      );
+      return yieldToOthers(context, {
+        held,
+        reason,
+        predictedWait: isIdle ? 0 : predictedWait,
+      });
     }
     dependencies.onTimeWork.recordStarted(soonest.workMilliseconds);
     return { kind: "admitted", choice: soonest };
