Ask a replica's owner for its load where the known report is stale

An entry of such a fleet gets a response of each replica every ten seconds, so its reports are stale, and owners were asked only where all slots were expected to be busy.

--- a/src/core/forwarding/endpoints/load_reports.ts
+++ b/src/core/forwarding/endpoints/load_reports.ts
@@ -26,6 +26,8 @@
 /** The work factor that is expected of an endpoint at present. */
 export interface PredictedWorkFactor {
   readonly factor: number;
+  /** Weight of the report by its age, 0 to 1; 0 without a report. */
+  readonly weight: number;
   /** Time since the report was received; absent if there is none. */
   readonly ageMilliseconds?: number;
 }
@@ -98,11 +100,11 @@
     now: number,
   ): PredictedWorkFactor {
     const observation = this.#observations.get(id);
-    if (observation === undefined) return { factor: 1 };
+    if (observation === undefined) return { factor: 1, weight: 0 };
     const ageMilliseconds = Math.max(0, now - observation.receivedAt);
     const { workFactor = 1 } = observation;
     const weight = this.#staleness.get(pool)?.weight(ageMilliseconds) ?? 0;
-    return { factor: workFactor ** weight, ageMilliseconds };
+    return { factor: workFactor ** weight, weight, ageMilliseconds };
   }
 
   /**
--- a/src/core/forwarding/placement/expected_times.ts
+++ b/src/core/forwarding/placement/expected_times.ts
@@ -25,6 +25,8 @@
   readonly serviceMilliseconds: number;
   /** The work factor that is included in both times. */
   readonly workFactor: number;
+  /** Weight of the report by its age; 0 without a report. */
+  readonly reportWeight: number;
   /** Age of the replica's report in milliseconds; absent without a report. */
   readonly reportAgeMilliseconds?: number;
 }
@@ -42,7 +44,7 @@
 
   predict(endpoint: RegisteredEndpoint): ExpectedTime {
     const { loadReports, sentRequests, serviceTimes, timer } = this.#options;
-    const { ageMilliseconds, factor } = loadReports.predictWorkFactor(
+    const { ageMilliseconds, factor, weight } = loadReports.predictWorkFactor(
       endpoint,
       timer.now(),
     );
@@ -63,6 +65,7 @@
       workAhead,
       serviceMilliseconds,
       workFactor: factor,
+      reportWeight: weight,
       ...(ageMilliseconds !== undefined &&
         { reportAgeMilliseconds: ageMilliseconds }),
     };
--- a/src/core/forwarding/placement/service_placement.ts
+++ b/src/core/forwarding/placement/service_placement.ts
@@ -26,6 +26,11 @@
  * below it made no measurable difference.
  */
 const MAX_BUSY_SHARE = 0.7;
+/**
+ * Weight of the best replica's report below which fresh data is worth a query.
+ * An entry of a fleet of 300 gets a response of each replica every ten seconds.
+ */
+const MIN_REPORT_WEIGHT = 0.6;
 
 export interface ServicePlacementOptions {
   readonly load: FleetLoad;
@@ -52,7 +57,8 @@
 
 /**
  * Replicas to compare with fresh data about their load before the choice; none
- * if the pool is even or a free slot is likely without it.
+ * if the pool is even, or if the report of the best one is useful and a free
+ * slot is likely there.
  */
 export function replicasToRefresh(
   candidates: readonly RegisteredEndpoint[],
@@ -62,10 +68,13 @@
   const sample = sampleReplicas(candidates, options);
   const best = lowestCost(sample);
   if (best === undefined) return [];
-  const { workAhead } = options.expectedTimes.predict(best);
+  const { reportWeight, workAhead } = options.expectedTimes.predict(best);
   const isSlotLikely = (workAhead + 1) / Math.max(1, best.slots) <=
     MAX_BUSY_SHARE;
-  return isSlotLikely ? [] : sample.map(({ endpoint }) => endpoint);
+  const isReportUseful = reportWeight >= MIN_REPORT_WEIGHT;
+  return isSlotLikely && isReportUseful
+    ? []
+    : sample.map(({ endpoint }) => endpoint);
 }
 
 /** The replica with the lowest expected time of all candidates. */
--- a/src/core/forwarding/placement/service_placement_test.ts
+++ b/src/core/forwarding/placement/service_placement_test.ts
@@ -96,6 +96,12 @@
       expect(own).to.be.greaterThan(2 * Math.max(...others));
     });
 
+    // An entry of a large fleet rarely gets a response of each replica.
+    it("asks for fresh data where there is no report", () => {
+      for (const replica of REPLICAS) state.loadReports.forget(replica);
+      expect(replicasToRefresh(REPLICAS, options)).to.have.length.within(2, 3);
+    });
+
     // Each query costs as much as a request's head.
     it("asks for fresh data only if a request may have to wait", () => {
       expect(replicasToRefresh(REPLICAS, options)).to.deep.equal([]);
