Hold the time to a verdict against the stated half second at both rates

The load test allowed 700 ms at ten requests a second. The specification states half a second; the bound follows it.

--- a/src/entry/forwarding/fleet_outcomes_test.ts
+++ b/src/entry/forwarding/fleet_outcomes_test.ts
@@ -117,6 +117,9 @@
   }
 }
 
+/** All entries have to know of a failing replica within half a second. */
+const MAX_VERDICT_MILLISECONDS = 500;
+
 function median(values: readonly number[]): number {
   return [...values].sort((one, other) => one - other)[values.length >> 1];
 }
@@ -124,7 +127,7 @@
 describe("Endpoint outcomes of a fleet", () => {
   describe("under load", () => {
     // With one attempt allowed, each failure of the replica is a caller's.
-    for (const [rate, limit] of [[10, 700], [20, 500]]) {
+    for (const rate of [10, 20]) {
       it(`take out a failing replica at ${rate} requests a second`, async () => {
         const times: number[] = [];
         for (let replica = 0; replica < 9; replica++) {
@@ -133,7 +136,7 @@
           scenario.fail(replica);
           times.push(await scenario.timeToVerdict(replica));
         }
-        expect(median(times)).to.be.at.most(limit);
+        expect(median(times)).to.be.at.most(MAX_VERDICT_MILLISECONDS);
       }).timeout(60_000);
     }
 
