--- a/src/core/forwarding/endpoints/load_reports.ts
+++ b/src/core/forwarding/endpoints/load_reports.ts
@@ -120,7 +120,7 @@
    * True if the pool is served by its observed load: its endpoints report a
    * work factor, or capacity is scarce in the whole deployment.
    */
-  hasWorkFactor(pool: ServiceName): boolean {
+  isAdaptive(pool: ServiceName): boolean {
     return this.#isCapacityScarce || this.#staleness.has(pool);
   }
 
--- a/src/core/forwarding/endpoints/load_reports_test.ts
+++ b/src/core/forwarding/endpoints/load_reports_test.ts
@@ -24,15 +24,15 @@
   it("knows which pools report a work factor", () => {
     const reports = new EndpointLoadReports();
     reports.record(endpoint, { ...report, sentAt: 0, receivedAt: 1 });
-    expect(reports.hasWorkFactor(endpoint.pool)).to.equal(false);
+    expect(reports.isAdaptive(endpoint.pool)).to.equal(false);
     const withFactor = { ...report, workFactor: 2.5, sentAt: 1, receivedAt: 2 };
     reports.record(endpoint, withFactor);
-    expect(reports.hasWorkFactor(endpoint.pool)).to.equal(true);
+    expect(reports.isAdaptive(endpoint.pool)).to.equal(true);
   });
 
   it("serves every pool by its load where capacity is scarce", () => {
     const reports = new EndpointLoadReports({ isCapacityScarce: true });
-    expect(reports.hasWorkFactor(endpoint.pool)).to.equal(true);
+    expect(reports.isAdaptive(endpoint.pool)).to.equal(true);
   });
 
   // The report of the last request before a pause would otherwise keep out all
--- a/src/core/forwarding/placement/service_placement.ts
+++ b/src/core/forwarding/placement/service_placement.ts
@@ -89,7 +89,7 @@
   candidates: readonly RegisteredEndpoint[],
   { loadReports }: ServicePlacementOptions,
 ): boolean {
-  return candidates.length > 1 && loadReports.hasWorkFactor(candidates[0].pool);
+  return candidates.length > 1 && loadReports.isAdaptive(candidates[0].pool);
 }
 
 /**
--- a/src/entry/forwarding/fleet_outcomes.ts
+++ b/src/entry/forwarding/fleet_outcomes.ts
@@ -93,7 +93,7 @@
 
   /** True if outcomes of the pool's endpoints are judged by their owners. */
   isInUse({ pool }: Pick<RegisteredEndpoint, "pool">): boolean {
-    return this.#options.loadReports.hasWorkFactor(pool);
+    return this.#options.loadReports.isAdaptive(pool);
   }
 
   /** True if the endpoint has an owner that judges it and was heard recently. */
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -92,7 +92,7 @@
     const { dependencies, pool, request, workspace } = this;
     const hasShares = workspace !== undefined && pool.engine !== undefined &&
       request.prompt !== undefined &&
-      dependencies.loadReports.hasWorkFactor(pool.name);
+      dependencies.loadReports.isAdaptive(pool.name);
     if (!hasShares) return undefined;
     return new RequestShare(dependencies.shares.forPool(pool.name), {
       workspace: workspace.id,
@@ -125,7 +125,7 @@
   get pauseBound(): PauseBound | undefined {
     const { loadReports, routes } = this.dependencies;
     const isBounded = this.route.maxPauseMilliseconds !== undefined &&
-      loadReports.hasWorkFactor(this.pool.name);
+      loadReports.isAdaptive(this.pool.name);
     return isBounded ? routes()?.pauseBound(this.pool.name) : undefined;
   }
 
@@ -365,7 +365,7 @@
     const { loadReports } = this.dependencies;
     return !this.#hasNotedDemand && this.waitedMilliseconds === 0 &&
       this.request.prompt !== undefined && this.pool.engine !== undefined &&
-      loadReports.hasWorkFactor(this.pool.name);
+      loadReports.isAdaptive(this.pool.name);
   }
 
   /**
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -222,7 +222,7 @@
   /** Refreshes the load of some replicas if it matters; returns their ids. */
   async #refreshServiceLoad(): Promise<ReadonlySet<EndpointId>> {
     const { dependencies, pool } = this.#context;
-    const mayRefresh = dependencies.loadReports.hasWorkFactor(pool.name) &&
+    const mayRefresh = dependencies.loadReports.isAdaptive(pool.name) &&
       dependencies.isLoadStale();
     if (!mayRefresh) return new Set();
     const refreshed = replicasToRefresh(this.#serviceCandidates, dependencies)
@@ -238,7 +238,7 @@
     endpoint: RegisteredEndpoint,
   ): Pick<ServiceChoice, "expected"> {
     const { expectedTimes, loadReports } = this.#context.dependencies;
-    return loadReports.hasWorkFactor(endpoint.pool)
+    return loadReports.isAdaptive(endpoint.pool)
       ? { expected: expectedTimes.predict(endpoint) }
       : {};
   }
@@ -390,7 +390,7 @@
     const { load, loadReports, roleWork, timer } = dependencies;
     const asked = request.prompt?.mostOutputTokens ?? 0;
     const isObserved = this.#isEngineWork && route.repeat === "stream" &&
-      response.head.status === 200 && loadReports.hasWorkFactor(pool.name);
+      response.head.status === 200 && loadReports.isAdaptive(pool.name);
     if (!isObserved) return response;
     return observePace(response, {
       timer,
--- a/src/entry/forwarding/work_role_planner.ts
+++ b/src/entry/forwarding/work_role_planner.ts
@@ -84,7 +84,7 @@
   /** True if the pool's roles are planned by its work. */
   isResponsibleFor({ engine, name }: Pool): boolean {
     return engine !== undefined &&
-      this.#options.loadReports.hasWorkFactor(name);
+      this.#options.loadReports.isAdaptive(name);
   }
 
   /** Handles an engine that was added, removed or changed. */
@@ -164,7 +164,7 @@
       if (unanswered < MAX_UNANSWERED) return false;
     }
     this.#known.add(name);
-    return !loadReports.hasWorkFactor(name);
+    return !loadReports.isAdaptive(name);
   }
 
   /** Asks one engine after another; false if none answers. */
