Plan roles by slots unless the plan by observed work is asked for

The plan stays as the option observed_work; without it, an entry neither records nor reports the work that it is made from.

--- a/src/entry/forwarding/asked_work_test.ts
+++ b/src/entry/forwarding/asked_work_test.ts
@@ -43,7 +43,7 @@
   /** Submits a prompt; returns the totals of the pool without its name. */
   async function ask(prompt: Prompt): Promise<readonly unknown[]> {
     await harness.submit(makeRequest({ prompt }));
-    const [row = []] = harness.dependencies.roleWork.report();
+    const [row = []] = harness.dependencies.roleWork?.report() ?? [];
     return row.slice(1);
   }
 
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -362,15 +362,16 @@
 
   /** True if what the caller asks is still to be recorded. */
   get isDemandUnknown(): boolean {
-    const { loadReports } = this.dependencies;
-    return !this.#hasNotedDemand && this.waitedMilliseconds === 0 &&
+    const { loadReports, roleWork } = this.dependencies;
+    return roleWork !== undefined && !this.#hasNotedDemand &&
+      this.waitedMilliseconds === 0 &&
       this.request.prompt !== undefined && this.pool.engine !== undefined &&
       loadReports.isAdaptive(this.pool.name);
   }
 
   /**
-   * Records once what the caller asks of an engine pool with work factors. A
-   * caller that returns after a refusal was counted then.
+   * Records once what the caller asks of an adaptive engine pool. A caller that
+   * returns after a refusal was counted then.
    */
   noteDemand(
     work: Pick<PromptDemand, "prefillMilliseconds" | "inlineMilliseconds">,
@@ -378,7 +379,7 @@
     const { prompt } = this.request;
     if (!this.isDemandUnknown || prompt === undefined) return;
     this.#hasNotedDemand = true;
-    this.dependencies.roleWork.recordPrompt(this.pool.name, {
+    this.dependencies.roleWork?.recordPrompt(this.pool.name, {
       ...work,
       inputTokens: prompt.inputTokens,
       outputTokens: prompt.mostOutputTokens,
--- a/src/entry/forwarding/forwarding_dependencies.ts
+++ b/src/entry/forwarding/forwarding_dependencies.ts
@@ -69,8 +69,11 @@
   /** Service times of replicas that report their load. */
   readonly serviceTimes: ServiceTimes;
   readonly expectedTimes: ExpectedTimes;
-  /** What callers ask of pools with work factors. */
-  readonly roleWork: RoleWork;
+  /**
+   * What callers ask of adaptive pools; undefined if roles are not planned by
+   * it.
+   */
+  readonly roleWork: RoleWork | undefined;
   /** Permits for requests to endpoints with a limit. */
   readonly permits: RequestPermits;
   /** Requests of this entry that wait for a permit. */
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -124,6 +124,8 @@
   readonly roles?: {
     readonly link: RoleLink;
     readonly leaseMilliseconds: number;
+    /** How the roles of adaptive pools are planned; by default by slots. */
+    readonly plan?: "slots" | "observed_work";
   };
   /** Absent: usage of workspaces is not reported. */
   readonly usage?: Pick<
@@ -172,7 +174,7 @@
   readonly #options: ForwardingEntryOptions;
   readonly #dependencies: ForwardingDependencies;
   readonly #roleController: RoleController | undefined;
-  readonly #workRolePlanner: WorkRolePlanner;
+  readonly #workRolePlanner: WorkRolePlanner | undefined;
   readonly #usageReporter: UsageReporter | undefined;
   readonly #survey: PrefixCacheSurvey;
   readonly #loadQueries: LoadQueries;
@@ -215,7 +217,9 @@
       load,
       isLoadStale: () => this.peers.isLoadStale,
     });
-    const roleWork = new RoleWork(timer);
+    const roleWork = options.roles?.plan === "observed_work"
+      ? new RoleWork(timer)
+      : undefined;
     const shares = new PoolShares(timer, random);
     const connections: EndpointStateHolder = {
       forget: ({ address }) => options.onEndpointRemoved(address),
@@ -359,7 +363,7 @@
       onStoreReached: () => this.peerStateFallback.onStoreRead(),
       broadcast: (update) => this.peers.broadcast(REGISTRATIONS_METHOD, update),
     });
-    this.#workRolePlanner = new WorkRolePlanner({
+    this.#workRolePlanner = roleWork && new WorkRolePlanner({
       timer,
       registry: this.registry,
       load,
@@ -489,7 +493,7 @@
 
   /** Roles planned by observed work, by pool, as planned by this entry. */
   get plannedRoles(): Iterable<PlannedRoles> {
-    return this.#workRolePlanner.planned;
+    return this.#workRolePlanner?.planned ?? [];
   }
 
   /** Use of this entry's share of the retry budget, by pool. */
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -102,7 +102,8 @@
   readonly limits: EndpointLimits;
   readonly reportExchange: LoadReportExchange;
   readonly outcomes: FleetOutcomes;
-  readonly roleWork: RoleWork;
+  /** Absent: roles are not planned by observed work. */
+  readonly roleWork: RoleWork | undefined;
   readonly shares: PoolShares;
   readonly sendToPeers: SendToPeers;
   /** Version of the configuration in force here. */
@@ -185,7 +186,7 @@
     for (const name of this.#incarnations.keys()) {
       if (!peers.has(name)) this.#incarnations.delete(name);
     }
-    this.#options.roleWork.retainPeers(new Set(peers.keys()));
+    this.#options.roleWork?.retainPeers(new Set(peers.keys()));
     this.#fleetSize = peers.size + 1;
     const names = [...peers.keys()].map((name) => identifier<ProcessId>(name));
     this.#options.owners.setMembers(names);
@@ -275,7 +276,7 @@
     }
     outcomes.applyVerdicts(sender, params.verdicts ?? []);
     if (params.poolWork !== undefined) {
-      this.#options.roleWork.recordPeerReport(params, params.poolWork);
+      this.#options.roleWork?.recordPeerReport(params, params.poolWork);
     }
     for (const rows of params.shares ?? []) {
       this.#options.shares.recordPeer(rows);
@@ -365,7 +366,7 @@
     );
     const verdicts = outcomes.takeVerdicts({ isFull });
     const losses = isFull ? crashes.reports.recentLosses() : [];
-    const poolWork = isFull ? roleWork.report() : [];
+    const poolWork = isFull ? roleWork?.report() ?? [] : [];
     const shareRows = isFull ? shares.takeUnreported(this.#maxShareRows) : [];
     const report = {
       ...this.#baseNotification(isFull),
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -381,7 +381,7 @@
     return this.#afterBrokenResponse();
   }
 
-  /** Learns the engine's steps from the response, in pools with work factors. */
+  /** Learns the engine's steps from the response, in adaptive pools. */
   #observePace(
     response: EndpointResponse,
     { endpoint }: ForwardAttempt,
@@ -391,7 +391,7 @@
     const asked = request.prompt?.mostOutputTokens ?? 0;
     const isObserved = this.#isEngineWork && route.repeat === "stream" &&
       response.head.status === 200 && loadReports.isAdaptive(pool.name);
-    if (!isObserved) return response;
+    if (!isObserved || roleWork === undefined) return response;
     return observePace(response, {
       timer,
       openWork: () => load.total(endpoint.id),
--- a/src/entry/forwarding/role_controller.ts
+++ b/src/entry/forwarding/role_controller.ts
@@ -87,7 +87,7 @@
   readonly pools: () => Iterable<Pool>;
   /** Informs peers of engines that are about to change. */
   readonly broadcastOrders: (changes: RoleOrders) => void;
-  /** Plans pools with work factors; absent: all are planned by their slots. */
+  /** Plans adaptive pools; absent: all are planned by their slots. */
   readonly workPlanner?: WorkRolePlanner;
 }
 
--- a/src/entry/forwarding/roles_by_work_test.ts
+++ b/src/entry/forwarding/roles_by_work_test.ts
@@ -78,6 +78,7 @@
         return Promise.resolve(answersHealth ? { load } : undefined);
       },
       roles: {
+        plan: "observed_work",
         leaseMilliseconds: 3_000,
         link: {
           readClaim: () =>
--- a/src/entry/forwarding/work_notification.ts
+++ b/src/entry/forwarding/work_notification.ts
@@ -64,7 +64,7 @@
    */
   readonly verdicts?: readonly VerdictRow[];
   /**
-   * What the sender's callers have asked of pools with work factors; sent with
+   * What the sender's callers have asked of adaptive pools; sent with
    * full reports to the entries that plan roles.
    */
   readonly poolWork?: readonly RoleWorkReport[];
--- a/src/entry/forwarding/work_role_planner.ts
+++ b/src/entry/forwarding/work_role_planner.ts
@@ -57,7 +57,7 @@
   readonly plannedPrefillEngines: number;
 }
 
-/** Plans the roles of pools with work factors by their observed work. */
+/** Plans the roles of adaptive pools by their observed work. */
 export class WorkRolePlanner {
   readonly #options: WorkRolePlannerOptions;
   readonly #planned = new Map<ServiceName, PlannedRoles>();
