--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -1,10 +1,6 @@
-import {
-  chooseServiceReplica,
-  type ExpectedTime,
-  fastestReplica,
-  NO_PROMPT_WORK,
-  type RegisteredEndpoint,
-  replicasToRefresh,
+import type {
+  ExpectedTime,
+  RegisteredEndpoint,
 } from "../../core/forwarding/mod.ts";
 import type { EndpointId } from "../../core/identity/mod.ts";
 import type { Subscription } from "../../core/time/mod.ts";
@@ -21,13 +17,8 @@
 } from "./network_interfaces.ts";
 import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
 import { type AdmissionFacts, nextReturn } from "./prompt_admission.ts";
-import {
-  chooseWithPermit,
-  type EndpointMatch,
-  isOverloaded,
-  isWorthWaiting,
-  waitInQueue,
-} from "./wait_for_choice.ts";
+import { ServicePlanner } from "./service_planner.ts";
+import { type EndpointMatch, isOverloaded } from "./wait_for_choice.ts";
 
 /** Retry delay for a caller that is refused for lack of capacity. */
 export const RETRY_AFTER_MILLISECONDS = 250;
@@ -59,12 +50,6 @@
   "more_urgent",
 ]);
 
-interface ServiceChoice {
-  readonly endpoint: RegisteredEndpoint;
-  /** Present if the replica was chosen by its expected time. */
-  readonly expected?: ExpectedTime;
-}
-
 /** Next step after an attempt. */
 type NextStep =
   | "delivered"
@@ -80,6 +65,7 @@
   readonly #sink: CallerSink;
   readonly #handover: Handover;
   readonly #enginePlanner: EnginePlanner;
+  readonly #servicePlanner: ServicePlanner;
   readonly #relay: ResponseRelay;
   readonly #deadline: Subscription;
   #attempt: ForwardAttempt | undefined;
@@ -119,6 +105,10 @@
       lastEventId: () => this.#relay.lastEventId,
       onRefused: (reason, facts) => this.#refuse(reason, facts),
     });
+    this.#servicePlanner = new ServicePlanner(
+      this.#context,
+      () => this.#relay.lastEventId,
+    );
     this.#deadline = dependencies.timer.after(
       this.#context.allowedMilliseconds,
       () => this.#onDeadline(),
@@ -172,7 +162,7 @@
     const { pool, request } = this.#context;
     const { prompt } = request;
     const isEngineWork = pool.engine !== undefined && prompt !== undefined;
-    if (!isEngineWork) return await this.#planService();
+    if (!isEngineWork) return await this.#servicePlanner.plan();
     return await this.#enginePlanner.plan(prompt);
   }
 
@@ -181,76 +171,6 @@
     return pool.engine !== undefined && request.prompt !== undefined;
   }
 
-  async #planService(): Promise<AttemptPlan | undefined> {
-    const choice = await this.#chooseService() ?? await this.#waitForService();
-    if (choice === undefined) return undefined;
-    return {
-      ...choice,
-      work: NO_PROMPT_WORK,
-      options: {
-        deadlineMilliseconds: this.#context.remainingMilliseconds,
-        lastEventId: this.#relay.lastEventId,
-      },
-    };
-  }
-
-  async #chooseService(): Promise<ServiceChoice | undefined> {
-    const refreshed = await this.#refreshServiceLoad();
-    if (this.#context.settled) return undefined;
-    const { dependencies } = this.#context;
-    return await chooseWithPermit(this.#context, () => {
-      const probed = this.#context.claimProbe(this.#context.endpoints());
-      if (probed !== undefined) {
-        return { endpoint: probed, ...this.#expectedTimeAt(probed) };
-      }
-      const candidates = this.#serviceCandidates;
-      const withFreshLoad = candidates.filter(({ id }) => refreshed.has(id));
-      const endpoint = withFreshLoad.length > 0
-        ? fastestReplica(withFreshLoad, dependencies)
-        : chooseServiceReplica(candidates, dependencies);
-      return endpoint && { endpoint, ...this.#expectedTimeAt(endpoint) };
-    });
-  }
-
-  get #serviceCandidates(): readonly RegisteredEndpoint[] {
-    const { availability } = this.#context.dependencies;
-    return this.#context.preferUntried(
-      availability.filterHealthy(this.#context.endpoints()),
-    );
-  }
-
-  /** Refreshes the load of some replicas if it matters; returns their ids. */
-  async #refreshServiceLoad(): Promise<ReadonlySet<EndpointId>> {
-    const { dependencies, pool } = this.#context;
-    const mayRefresh = dependencies.loadReports.isAdaptive(pool.name) &&
-      dependencies.isLoadStale();
-    if (!mayRefresh) return new Set();
-    const refreshed = replicasToRefresh(this.#serviceCandidates, dependencies)
-      .map(({ id }) => id);
-    const isRefreshed = refreshed.length > 0 &&
-      dependencies.queryAllowance.take(refreshed.length);
-    if (!isRefreshed) return new Set();
-    await dependencies.refreshLoad(refreshed);
-    return new Set(refreshed);
-  }
-
-  #expectedTimeAt(
-    endpoint: RegisteredEndpoint,
-  ): Pick<ServiceChoice, "expected"> {
-    const { expectedTimes, loadReports } = this.#context.dependencies;
-    return loadReports.isAdaptive(endpoint.pool)
-      ? { expected: expectedTimes.predict(endpoint) }
-      : {};
-  }
-
-  /** Waits if every replica is overloaded and one becomes available in time. */
-  async #waitForService(): Promise<ServiceChoice | undefined> {
-    const mayBecomeReady = isOverloaded(this.#context) ||
-      this.#context.isLimited(() => true);
-    if (!mayBecomeReady || !isWorthWaiting(this.#context)) return undefined;
-    return await waitInQueue(this.#context, () => this.#chooseService());
-  }
-
   /** Why there is no endpoint to send the request to. */
   get #unavailableReason(): "request_limit" | "no_endpoint_reachable" {
     const isAtLimit = this.#requiredEndpoints.some((matches) =>
