--- a/src/adapters/telemetry/mod.ts
+++ b/src/adapters/telemetry/mod.ts
@@ -15,6 +15,7 @@
   registerBlockedRequestsGauge,
   registerLimitedEndpointsGauge,
   registerPauseCounters,
+  registerPlannedRolesGauges,
   registerResponseBufferGauge,
   registerRetryGauges,
   registerShareGauge,
--- a/test/operations/operations_test.ts
+++ b/test/operations/operations_test.ts
@@ -6,11 +6,16 @@
   createPermitCounter,
   createUnreadableRegistrationCounter,
   createUsageReportCounter,
+  createVerdictCounter,
   Metrics,
   registerBlockedRequestsGauge,
   registerLimitedEndpointsGauge,
   registerPauseCounters,
+  registerPlannedRolesGauges,
+  registerResponseBufferGauge,
   registerRetryGauges,
+  registerShareGauge,
+  registerTakenOutEndpointsGauge,
   registerUsageFencingGauge,
 } from "../../src/adapters/telemetry/mod.ts";
 import { SystemTimerService } from "../../src/adapters/time/mod.ts";
@@ -52,10 +57,15 @@
   createLoadQueryCounter(metrics.registry);
   createPermitCounter(metrics.registry);
   createUsageReportCounter(metrics.registry);
+  createVerdictCounter(metrics.registry);
   registerUsageFencingGauge(metrics.registry, () => undefined);
   registerBlockedRequestsGauge(metrics.registry, () => 0);
   registerLimitedEndpointsGauge(metrics.registry, () => 0);
   registerPauseCounters(metrics.registry, () => []);
+  registerPlannedRolesGauges(metrics.registry, () => []);
+  registerResponseBufferGauge(metrics.registry, () => 0);
+  registerShareGauge(metrics.registry, () => []);
+  registerTakenOutEndpointsGauge(metrics.registry, () => 0);
   registerRetryGauges(metrics.registry, () => []);
   return (await metrics.render()).body;
 }
