--- a/src/adapters/forwarding/caller_server_test.ts
+++ b/src/adapters/forwarding/caller_server_test.ts
@@ -71,6 +71,30 @@
     interval.unref();
   }
 
+  // The relay decides by this size how much more to read from the endpoint. A
+  // size of 0 would let one caller that stops reading fill the memory.
+  it("knows how much of a response its caller has not read", async () => {
+    const socket = connect(port, "127.0.0.1");
+    socket.pause();
+    socket.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    await untilForwarded(1);
+    const [{ sink }] = forwarded;
+    const closed = new Promise<void>((resolve) => sink.onClosed(resolve));
+    sink.head(200, []);
+    let accepted = true;
+    for (let count = 0; count < 200; count++) {
+      accepted = sink.write(Buffer.alloc(64 * 1024));
+    }
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    expect(accepted).to.equal(false);
+    expect(sink.bufferedBytes).to.be.greaterThan(1024 * 1024);
+    sink.finish();
+    sink.discardUnread();
+    await closed;
+    expect(sink.bufferedBytes).to.equal(0);
+    socket.destroy();
+  });
+
   it("forwards a chunked body as one buffer", async () => {
     void sendRaw(
       rawRequest("POST /a", ["Host: h", "Transfer-Encoding: chunked"]) +
