--- a/src/core/forwarding/roles/decode_step_costs.ts
+++ b/src/core/forwarding/roles/decode_step_costs.ts
@@ -1,3 +1,5 @@
+import { solveLinearSystem } from "../estimates/linear_system.ts";
+
 /** What one decode step of an engine takes, in milliseconds. */
 export interface StepCosts {
   /** An empty step. */
@@ -108,32 +110,19 @@
   }
 
   #solve(used: readonly number[]): number[] {
-    const rows = used.map((row) => {
-      const prior = PRIOR_COSTS[row];
-      return [
-        ...used.map((column) =>
-          this.#products[row][column] +
-          (row === column ? PRIOR_WEIGHT_STEPS / prior ** 2 : 0)
-        ),
-        this.#results[row] + PRIOR_WEIGHT_STEPS / prior,
-      ];
-    });
+    const matrix = used.map((row) =>
+      used.map((column) =>
+        this.#products[row][column] +
+        (row === column ? PRIOR_WEIGHT_STEPS / PRIOR_COSTS[row] ** 2 : 0)
+      )
+    );
+    const results = used.map((row) =>
+      this.#results[row] + PRIOR_WEIGHT_STEPS / PRIOR_COSTS[row]
+    );
     const costs = new Array<number>(FEATURES).fill(0);
-    eliminate(rows).forEach((cost, index) => costs[used[index]] = cost);
+    solveLinearSystem(matrix, results).forEach((cost, index) => {
+      costs[used[index]] = cost;
+    });
     return costs;
   }
 }
-
-/** Solves a linear system with positive pivots; rows end with the result. */
-function eliminate(rows: number[][]): number[] {
-  for (const [pivot, pivotRow] of rows.entries()) {
-    for (const [row, values] of rows.entries()) {
-      if (row === pivot) continue;
-      const factor = values[pivot] / pivotRow[pivot];
-      for (let column = pivot; column < values.length; column++) {
-        values[column] -= factor * pivotRow[column];
-      }
-    }
-  }
-  return rows.map((values, row) => values[rows.length] / values[row]);
-}
