Take the pause bound of a pool from the route table

The entry filtered all routes for each role plan, although RouteTable has the same minimum. Behavior is unchanged; the tests of roles by work and of the entry pass.

--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -372,7 +372,8 @@
       loadReports,
       endpointClient: options.endpointClient,
       isPlanner: () => this.peers.isRolePlanner,
-      maxPauseMilliseconds: (pool) => this.#maxPauseMilliseconds(pool),
+      maxPauseMilliseconds: (pool) =>
+        this.#routes?.pauseBound(pool)?.maxPauseMilliseconds,
       speedOf: (engine) => slowness.speed(engine),
     });
     this.#roleController = options.roles === undefined
@@ -483,14 +484,6 @@
       : this.entriesSharingLimits;
   }
 
-  /** Shortest of the pauses that the pool's routes allow. */
-  #maxPauseMilliseconds(pool: ServiceName): number | undefined {
-    const pauses = (this.configuration?.routes ?? [])
-      .filter(({ shares }) => shares.some((share) => share.pool === pool))
-      .flatMap(({ maxPauseMilliseconds }) => maxPauseMilliseconds ?? []);
-    return pauses.length === 0 ? undefined : Math.min(...pauses);
-  }
-
   /** Roles planned by observed work, by pool, as planned by this entry. */
   get plannedRoles(): Iterable<PlannedRoles> {
     return this.#workRolePlanner?.planned ?? [];
