--- a/src/core/forwarding/admission/held_prompt_queue.ts
+++ b/src/core/forwarding/admission/held_prompt_queue.ts
@@ -70,7 +70,7 @@
 
   /**
    * Drops the prompts of workspaces above their share that can't start in time
-   * once this prompt is held as well. Their callers need not wait in vain.
+   * once this prompt is held as well. Their callers need not wait for a refusal.
    */
   displaceFor(
     prompt: Omit<HeldPrompt<Choice>, "choose" | "isCancelled">,
--- a/src/core/forwarding/admission/return_calendar_test.ts
+++ b/src/core/forwarding/admission/return_calendar_test.ts
@@ -35,7 +35,7 @@
     expect(next(2).isReserved).to.equal(false);
   });
 
-  it("gives times anew once the capacity has become free", async () => {
+  it("assigns times again once the capacity has become free", async () => {
     for (let count = 0; count < 4; count++) next(2);
     await timer.advance(300);
     expect(next(2).milliseconds).to.equal(150);
--- a/src/core/forwarding/endpoints/outcome_reports.ts
+++ b/src/core/forwarding/endpoints/outcome_reports.ts
@@ -29,14 +29,14 @@
 
 /** Outcomes at an endpoint since the last report. */
 export interface OutcomeCounts {
-  /** Attempts of all kinds; what a completion tells is the same for each. */
+  /** Attempts of all kinds; a completion counts the same for each. */
   readonly completed: number;
   readonly failures: readonly KindFailures[];
 }
 
 /** Number of kinds, which bounds the size of a row and the memory. */
 const KIND_RANGE = 4_096;
-/** Maximum number of kinds that are told apart; others share one. */
+/** Maximum number of kinds with their own counts; others share one. */
 const MAX_KINDS = 64;
 const SHARED_KIND = 0;
 /**
--- a/src/core/forwarding/endpoints/outcome_reports_test.ts
+++ b/src/core/forwarding/endpoints/outcome_reports_test.ts
@@ -47,7 +47,7 @@
     expect(reports.hasUnreported).to.equal(false);
   });
 
-  it("tells kinds of requests apart, by pool, route and step", () => {
+  it("separates kinds of requests by pool, route and step", () => {
     const run = kindOfRequest(PORTAL, { route: "a", isPrefill: false });
     const others = [
       kindOfRequest(PORTAL, { route: "b", isPrefill: false }),
--- a/src/core/forwarding/placement/engine_placement_test.ts
+++ b/src/core/forwarding/placement/engine_placement_test.ts
@@ -200,7 +200,7 @@
       expect(chosen()?.endpoint.id).to.equal("one");
     });
 
-    it("tells which engines would exceed the bound", () => {
+    it("reports which engines would exceed the bound", () => {
       expect(chosen(200)).to.deep.include({ exceedsMaxPause: false });
       expect(chosen(15)).to.deep.include({ exceedsMaxPause: true });
     });
