Log and export how current an entry's configuration is

The line on a version in force now names its source (the store or the peer), how long a peer was known to have a newer one and the age of the last read; an entry logs when it falls behind a peer; a 404 names the newest known version and the age. Metrics: version in force, newest known version, age, time that the present read has been pending, configurations that could not be decoded.

No decision changes.

--- a/src/adapters/telemetry/forwarding_telemetry.ts
+++ b/src/adapters/telemetry/forwarding_telemetry.ts
@@ -61,6 +61,70 @@
   return () => counter.inc();
 }
 
+/** Returns a function that counts configurations that were rejected. */
+export function createRejectedConfigurationCounter(
+  registry: Registry,
+): () => void {
+  const counter = new Counter({
+    name: "filbertshore_rejected_configurations_total",
+    help: "Configurations that this entry could not decode",
+    registers: [registry],
+  });
+  return () => counter.inc();
+}
+
+/** How current an entry's configuration is. */
+export interface ConfigurationMetrics {
+  readonly version: number | undefined;
+  readonly newestVersion: number | undefined;
+  readonly ageMilliseconds: number | undefined;
+  readonly pendingMilliseconds: number;
+}
+
+/** Exports how current an entry's configuration is; -1 if it is unknown. */
+export function registerConfigurationGauges(
+  registry: Registry,
+  read: () => ConfigurationMetrics,
+): void {
+  const gauges: readonly [
+    string,
+    string,
+    (now: ConfigurationMetrics) => number,
+  ][] = [
+    [
+      "filbertshore_forwarding_configuration_version",
+      "Version of the configuration in force; -1 if there is none",
+      ({ version }) => version ?? -1,
+    ],
+    [
+      "filbertshore_newest_configuration_version",
+      "Newest version that this entry or a peer is known to have",
+      ({ newestVersion }) => newestVersion ?? -1,
+    ],
+    [
+      "filbertshore_configuration_age_seconds",
+      "Time since the store had no newer configuration; -1 if unknown",
+      ({ ageMilliseconds }) =>
+        ageMilliseconds === undefined ? -1 : toSeconds(ageMilliseconds),
+    ],
+    [
+      "filbertshore_configuration_read_pending_seconds",
+      "How long the present read of the configuration has been pending",
+      ({ pendingMilliseconds }) => toSeconds(pendingMilliseconds),
+    ],
+  ];
+  for (const [name, help, valueOf] of gauges) {
+    new Gauge({
+      name,
+      help,
+      registers: [registry],
+      collect() {
+        this.set(valueOf(read()));
+      },
+    });
+  }
+}
+
 /** Returns a function that counts load queries by outcome. */
 export function createLoadQueryCounter(
   registry: Registry,
--- a/src/adapters/telemetry/mod.ts
+++ b/src/adapters/telemetry/mod.ts
@@ -6,13 +6,16 @@
 } from "./logger.ts";
 export { Metrics, type MetricsOptions } from "./metrics.ts";
 export {
+  type ConfigurationMetrics,
   createForwardingObserver,
   createLoadQueryCounter,
   createPermitCounter,
+  createRejectedConfigurationCounter,
   createUnreadableRegistrationCounter,
   createUsageReportCounter,
   createVerdictCounter,
   registerBlockedRequestsGauge,
+  registerConfigurationGauges,
   registerLimitedEndpointsGauge,
   registerPauseCounters,
   registerPlannedRolesGauges,
--- a/src/core/forwarding/store/topic_reader.ts
+++ b/src/core/forwarding/store/topic_reader.ts
@@ -88,7 +88,8 @@
   #failures = 0;
   /** Number of the current read; the results of earlier reads are ignored. */
   #readNumber = 0;
-  #isReading = false;
+  /** Start of the read in progress. */
+  #readingSince: number | undefined;
   #stopped = false;
   #scheduledRead: Subscription | undefined;
 
@@ -105,10 +106,17 @@
     this.#abandonRead();
   }
 
+  /** How long the present read has been pending; 0 during a pause. */
+  get pendingMilliseconds(): number {
+    return this.#readingSince === undefined
+      ? 0
+      : this.#options.timer.now() - this.#readingSince;
+  }
+
   /** Abandons the pending read or pause. */
   #abandonRead(): void {
     this.#readNumber += 1;
-    this.#isReading = false;
+    this.#readingSince = undefined;
     this.#scheduledRead?.cancel();
   }
 
@@ -140,7 +148,7 @@
       this.#scheduleRead(this.#options.pauseMilliseconds());
       return "ahead";
     }
-    if (!this.#isReading) {
+    if (this.#readingSince === undefined) {
       this.#scheduledRead?.cancel();
       this.#scheduleRead(this.#options.pauseMilliseconds());
     }
@@ -151,12 +159,12 @@
     const { topic, waitMilliseconds } = this.#options;
     const position = this.#position;
     const readNumber = ++this.#readNumber;
-    this.#isReading = true;
+    this.#readingSince = this.#options.timer.now();
     const result = position === undefined
       ? await topic.newest()
       : await topic.since(position, waitMilliseconds());
     if (readNumber !== this.#readNumber) return;
-    this.#isReading = false;
+    this.#readingSince = undefined;
     if (result.isErr()) this.#handleFailure(result.error);
     else this.#applyRead(result.value, position);
   }
--- a/src/entry/forwarding/forward.ts
+++ b/src/entry/forwarding/forward.ts
@@ -29,12 +29,15 @@
     const { reason, status } = refusal;
     const version = routes?.configuration.version;
     const requestId = request.id;
+    const { ageMilliseconds, newestVersion } = dependencies.configurationStatus;
     dependencies.observe("refused", {
       requestId,
       route: "",
       status,
       reason,
       version,
+      newestVersion,
+      ageMilliseconds: ageMilliseconds && Math.round(ageMilliseconds),
     });
     sink.refuse(refusal);
   };
--- a/src/entry/forwarding/forwarding_dependencies.ts
+++ b/src/entry/forwarding/forwarding_dependencies.ts
@@ -36,6 +36,7 @@
 } from "../../core/identity/mod.ts";
 import type { Random } from "../../core/random/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
+import type { ConfigurationStatus } from "./configuration_status.ts";
 import type { FleetOutcomes } from "./fleet_outcomes.ts";
 import type { EndpointClient } from "./network_interfaces.ts";
 import type { ObserveForwarding } from "./observer.ts";
@@ -115,4 +116,5 @@
   readonly isChanging: (endpoint: EndpointId) => boolean;
   /** The routes in force; undefined until a configuration is known. */
   readonly routes: () => RouteTable | undefined;
+  readonly configurationStatus: ConfigurationStatus;
 }
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -44,9 +44,11 @@
   type ProcessId,
   type RequestDigest,
 } from "../../core/identity/mod.ts";
+import type { PeerAddress } from "../../core/links/mod.ts";
 import type { Logger } from "../../core/observation/mod.ts";
 import type { Random } from "../../core/random/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
+import { ConfigurationStatus } from "./configuration_status.ts";
 import { FleetOutcomes } from "./fleet_outcomes.ts";
 import { forward } from "./forward.ts";
 import type { CallerSink, EndpointClient } from "./network_interfaces.ts";
@@ -168,6 +170,7 @@
 export class ForwardingEntry {
   readonly registry: EndpointRegistry;
   readonly peers: PeerExchange;
+  readonly configurationStatus: ConfigurationStatus;
   readonly peerStateFallback: PeerStateFallback;
   readonly registrationSync: RegistrationSync;
   readonly #options: ForwardingEntryOptions;
@@ -186,6 +189,11 @@
     this.#options = options;
     const { timer, random } = options;
     this.#startedAt = timer.now();
+    this.configurationStatus = new ConfigurationStatus({
+      timer,
+      logger: options.logger,
+      version: () => this.configuration?.version,
+    });
     const load = new FleetLoad(timer);
     const prefixes = new PrefixDirectory();
     const estimates = new EngineEstimates();
@@ -343,7 +351,10 @@
       roleWork,
       shares,
       version: () => this.configuration?.version,
-      onVersion: (version) => this.peerStateFallback.onPeerVersion(version),
+      onVersion: (peer, version) => {
+        this.configurationStatus.onPeerVersion(peer, version);
+        this.peerStateFallback.onPeerVersion(version);
+      },
     });
     this.peerStateFallback = new PeerStateFallback({
       ...options.peerStateFallback,
@@ -352,8 +363,8 @@
       logger: options.logger,
       registry: this.registry,
       configuration: () => this.configuration,
-      applyConfiguration: (configuration) => {
-        this.applyConfiguration(configuration);
+      applyConfiguration: (configuration, peer) => {
+        this.applyConfiguration(configuration, { peer });
       },
     });
     this.registrationSync = new RegistrationSync({
@@ -451,6 +462,7 @@
       digestOf: options.digestOf,
       observe: options.observe,
       routes: () => this.#routes,
+      configurationStatus: this.configurationStatus,
       reportLeaving: (run) => this.registrationSync.reportLeaving(run),
       noteStarted: (workspace, at) =>
         this.#usageReporter?.noteStarted(workspace, at),
@@ -571,16 +583,25 @@
 
   /**
    * Puts a configuration in force. Versions that are not newer are ignored: a
-   * late read would otherwise revert what callers have already seen.
+   * late read would otherwise revert what callers have already seen. With a
+   * peer, the configuration was read from that peer instead of the store.
    */
-  applyConfiguration(configuration: ForwardingConfiguration): boolean {
+  applyConfiguration(
+    configuration: ForwardingConfiguration,
+    { peer }: { readonly peer?: PeerAddress } = {},
+  ): boolean {
     const known = this.configuration?.version ?? -Infinity;
     if (configuration.version <= known) return false;
+    const { ageMilliseconds, behindMilliseconds } = this.configurationStatus;
     this.#routes = new RouteTable(configuration);
+    this.configurationStatus.onApplied();
     this.#options.logger.info({
       version: configuration.version,
       replaces: Number.isFinite(known) ? known : null,
       routes: configuration.routes.length,
+      source: peer ?? "store",
+      behindMilliseconds: Math.round(behindMilliseconds),
+      ageMilliseconds: ageMilliseconds && Math.round(ageMilliseconds),
     }, "A configuration is in force");
     return true;
   }
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -109,7 +109,7 @@
   /** Version of the configuration in force here. */
   readonly version: () => number | undefined;
   /** Called with the configuration version of a peer. */
-  readonly onVersion: (version: number) => void;
+  readonly onVersion: (peer: ProcessId, version: number) => void;
   /** Called with a peer's wall clock; absent where clocks are not compared. */
   readonly onClock?: (peer: ProcessId, wallClock: number) => void;
   /** Called when an entry reports that is not in the list of the fleet yet. */
@@ -247,7 +247,9 @@
     if (params.clock !== undefined) {
       this.#options.onClock?.(sender, params.clock);
     }
-    if (params.version !== undefined) this.#options.onVersion(params.version);
+    if (params.version !== undefined) {
+      this.#options.onVersion(sender, params.version);
+    }
     const { estimates, load, outcomes, prefixes, registry } = this.#options;
     for (const speed of params.speeds ?? []) estimates.recordPeerReport(speed);
     load.applyPeerReport(params.entry, {
--- a/src/entry/forwarding/peer_state_fallback.ts
+++ b/src/entry/forwarding/peer_state_fallback.ts
@@ -52,7 +52,10 @@
   readonly logger: Logger;
   readonly registry: EndpointRegistry;
   readonly configuration: () => ForwardingConfiguration | undefined;
-  readonly applyConfiguration: (configuration: ForwardingConfiguration) => void;
+  readonly applyConfiguration: (
+    configuration: ForwardingConfiguration,
+    peer: PeerAddress,
+  ) => void;
   /** Addresses where peers respond; some may be outdated. */
   readonly peers: () => readonly PeerAddress[];
   readonly ask: (
@@ -173,7 +176,7 @@
     applyConfiguration({
       ...rest,
       pools: new Map(pools.map((pool) => [pool.name, pool])),
-    });
+    }, peer);
     if (isCurrent) return;
     // An outdated list is better than none, but worse than this entry's own.
     const mayReplaceEndpoints = value.age <= MAX_STATE_AGE_MILLISECONDS ||
--- a/test/operations/operations_test.ts
+++ b/test/operations/operations_test.ts
@@ -4,11 +4,13 @@
   createForwardingObserver,
   createLoadQueryCounter,
   createPermitCounter,
+  createRejectedConfigurationCounter,
   createUnreadableRegistrationCounter,
   createUsageReportCounter,
   createVerdictCounter,
   Metrics,
   registerBlockedRequestsGauge,
+  registerConfigurationGauges,
   registerLimitedEndpointsGauge,
   registerPauseCounters,
   registerPlannedRolesGauges,
@@ -54,6 +56,13 @@
     timer: new SystemTimerService(),
   });
   createUnreadableRegistrationCounter(metrics.registry);
+  createRejectedConfigurationCounter(metrics.registry);
+  registerConfigurationGauges(metrics.registry, () => ({
+    version: undefined,
+    newestVersion: undefined,
+    ageMilliseconds: undefined,
+    pendingMilliseconds: 0,
+  }));
   createLoadQueryCounter(metrics.registry);
   createPermitCounter(metrics.registry);
   createUsageReportCounter(metrics.registry);
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -40,6 +40,7 @@
 import {
   type BodyEnd,
   type CallerSink,
+  ConfigurationStatus,
   type EndpointClient,
   type EndpointResponse,
   type Exchange,
@@ -313,6 +314,11 @@
         this.decisions.push({ decision, ...facts });
       },
       routes: () => this.#routes,
+      configurationStatus: new ConfigurationStatus({
+        timer,
+        logger: NOOP_LOGGER,
+        version: () => this.#routes.configuration.version,
+      }),
       reportLeaving: (run) => registry.markLeaving(run) !== undefined,
       noteStarted: (workspace, at) => void this.started.push([workspace, at]),
       isChanging: () => false,
