Check the configuration beside a read that waits for it

Callers got 404 for a route that an acknowledged configuration had added. One cause: an entry learned of a version by one long poll only, and a poll on a connection that has gone silent ends with its timeout, up to 4 s later, plus a backoff. Nothing that other reads found out was used.

An entry now checks for a newer version without waiting if nothing has confirmed its version for 0.45 to 0.85 s, and tells its peers, so that one entry checks on behalf of all. A check that finds records replaces the waiting read. Reads without a wait that get no answer within 0.25 s are sent once more on a new connection. The waiting read may therefore wait longer, and a failing reader retries within 0.4 s (4 ms an entry in large fleets).

--- a/src/adapters/http_client/mod.ts
+++ b/src/adapters/http_client/mod.ts
@@ -3,6 +3,7 @@
 import { err, ok, type Result } from "../../core/errors/result.ts";
 import { type Failure, failure } from "../../core/errors/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
+import { hedgedCall } from "./hedged_call.ts";
 import {
   HTTP_CLOSED,
   HTTP_NO_ANSWER,
@@ -51,6 +52,14 @@
 export interface HttpCallOptions extends HttpRequestOptions {
   readonly timeoutMilliseconds: number;
   readonly mostResponseBytes: number;
+  /** Closes the connection of the call when it is aborted. */
+  readonly signal?: AbortSignal;
+}
+
+/** An idempotent request that is sent again if there is no response. */
+export interface HttpHedgedCallOptions extends HttpCallOptions {
+  /** Time without a response after which the request is sent again. */
+  readonly hedgeMilliseconds: number;
 }
 
 /** A request in progress. */
@@ -68,6 +77,9 @@
   readonly mostConnections?: number;
 }
 
+/** The first sending of a hedged request and one more. */
+const MAX_SENDS = 2;
+
 /** Client of the service at one base URL, with keep-alive connections. */
 export class HttpClient {
   readonly #baseUrl: URL;
@@ -129,6 +141,10 @@
       () =>
         exchange.abort(`no response within ${options.timeoutMilliseconds} ms`),
     );
+    const { signal } = options;
+    const onAbort = () => exchange.abort("the call was aborted");
+    if (signal?.aborted) onAbort();
+    else signal?.addEventListener("abort", onAbort);
     const response = await exchange.response;
     const result = response.isErr()
       ? err(response.error)
@@ -138,9 +154,43 @@
         encoding: options.encoding ?? "utf8",
       });
     timeout.cancel();
+    signal?.removeEventListener("abort", onAbort);
     return result;
   }
 
+  /**
+   * Sends a request and, if there is no response, once more on a new
+   * connection. If the new one is answered, the idle connections are closed:
+   * the same fault may have silenced them.
+   */
+  async callHedged(
+    path: string,
+    options: HttpHedgedCallOptions,
+  ): Promise<Result<HttpResponse, HttpFailure>> {
+    const { hedgeMilliseconds, timeoutMilliseconds } = options;
+    return await hedgedCall(async ({ index, signal }) => {
+      const isHedge = index > 0;
+      const result = await this.call(path, {
+        ...options,
+        signal,
+        useNewConnection: isHedge,
+        timeoutMilliseconds: timeoutMilliseconds - index * hedgeMilliseconds,
+      });
+      if (isHedge && result.isOk()) this.#closeIdleConnections();
+      return result;
+    }, {
+      timer: this.#timer,
+      delayMilliseconds: hedgeMilliseconds,
+      maxSends: MAX_SENDS,
+    });
+  }
+
+  #closeIdleConnections(): void {
+    for (const sockets of Object.values(this.#agent.freeSockets)) {
+      for (const socket of sockets ?? []) socket.destroy();
+    }
+  }
+
   /** Closes the keep-alive connections, including those in use. */
   close(): void {
     this.#agent.destroy();
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -122,8 +122,10 @@
   type PeerReadResult,
   type StoreFailure,
   TopicReader,
+  type TopicReadOptions,
   type TopicSpan,
 } from "./store/topic_reader.ts";
+export { FreshnessCheck } from "./store/freshness_check.ts";
 export type {
   DecodeChoice,
   InlinePrefillLimits,
--- a/src/core/forwarding/store/topic_reader.ts
+++ b/src/core/forwarding/store/topic_reader.ts
@@ -28,6 +28,13 @@
  */
 export type StoreFailure = Failure<"store_unavailable" | "store_expired">;
 
+export interface TopicReadOptions {
+  /** Time that the read waits at the store for a record; 0: not at all. */
+  readonly waitMilliseconds: number;
+  /** Aborted when the result of the read is no longer needed. */
+  readonly signal?: AbortSignal;
+}
+
 /** A topic of which only the newest record of each key is relevant. */
 export interface KeyedTopic {
   /** The newest record of every key. */
@@ -35,7 +42,7 @@
   /** Records from a position on; waits for a record for at most this time. */
   since(
     position: number,
-    waitMilliseconds: number,
+    options: TopicReadOptions,
   ): Promise<Result<KeyedRecords, StoreFailure>>;
 }
 
@@ -53,6 +60,11 @@
   readonly random: Random;
   /** Time that a read waits at the store for a record, milliseconds. */
   readonly waitMilliseconds: () => number;
+  /**
+   * Maximum backoff between reads while the store fails, milliseconds; by
+   * default 1.6 s.
+   */
+  readonly maxRetryMilliseconds?: () => number;
   /** Pause between two reads, milliseconds; called before each pause. */
   readonly pauseMilliseconds: () => number;
   /** Called with the newest record of every key; other keys were deleted. */
@@ -70,11 +82,7 @@
   readonly onReadSucceeded: (options: { readonly lost: boolean }) => void;
 }
 
-/**
- * Maximum backoff between reads while the store fails, well below the time in
- * which new configurations and leaving endpoints have to be known.
- */
-const MAX_RETRY_MILLISECONDS = 1_600;
+const DEFAULT_MAX_RETRY_MILLISECONDS = 1_600;
 const INITIAL_RETRY_MILLISECONDS = 100;
 
 /**
@@ -91,6 +99,7 @@
   /** Start of the read in progress. */
   #readingSince: number | undefined;
   #stopped = false;
+  #readInProgress: AbortController | undefined;
   #scheduledRead: Subscription | undefined;
 
   constructor(options: TopicReaderOptions) {
@@ -117,6 +126,7 @@
   #abandonRead(): void {
     this.#readNumber += 1;
     this.#readingSince = undefined;
+    this.#readInProgress?.abort();
     this.#scheduledRead?.cancel();
   }
 
@@ -130,6 +140,44 @@
     void this.#read();
   }
 
+  /**
+   * Reads without waiting, beside a read that waits and may hang on a dead
+   * connection. If it finds records, or the store had failed, the waiting read
+   * starts again on another connection. True if the store answered.
+   */
+  async check(): Promise<boolean> {
+    const position = this.#position;
+    if (this.#stopped) return false;
+    if (position === undefined) {
+      if (this.#readingSince === undefined) this.readNow();
+      return false;
+    }
+    const result = await this.#options.topic.since(position, {
+      waitMilliseconds: 0,
+    });
+    if (this.#stopped) return false;
+    if (result.isErr()) {
+      if (this.#position === position) this.#handleFailedCheck(result.error);
+      return false;
+    }
+    if (this.#position !== position) return true;
+    const read = result.value;
+    const restarts = read.next !== position || this.#failures > 0;
+    if (restarts) this.#abandonRead();
+    this.#acceptRead(read, position);
+    if (restarts) this.#scheduleRead(this.#options.pauseMilliseconds());
+    return true;
+  }
+
+  #handleFailedCheck(failure: StoreFailure): void {
+    if (failure.name === "store_expired") {
+      this.#position = undefined;
+      return this.readNow();
+    }
+    this.#failures += 1;
+    this.#options.onFailure(failure);
+  }
+
   /**
    * Applies the span that a peer has just read, and restarts the pause, even if
    * the span is empty: a quiet topic has no records for minutes, and each entry
@@ -160,32 +208,34 @@
     const position = this.#position;
     const readNumber = ++this.#readNumber;
     this.#readingSince = this.#options.timer.now();
+    const controller = new AbortController();
+    this.#readInProgress = controller;
     const result = position === undefined
       ? await topic.newest()
-      : await topic.since(position, waitMilliseconds());
+      : await topic.since(position, {
+        waitMilliseconds: waitMilliseconds(),
+        signal: controller.signal,
+      });
     if (readNumber !== this.#readNumber) return;
     this.#readingSince = undefined;
     if (result.isErr()) this.#handleFailure(result.error);
-    else this.#applyRead(result.value, position);
+    else {
+      this.#acceptRead(result.value, position);
+      this.#scheduleRead(this.#options.pauseMilliseconds());
+    }
   }
 
-  #applyRead(read: KeyedRecords, from: number | undefined): void {
-    const {
-      onReadSucceeded,
-      onRecords,
-      onSnapshot,
-      pauseMilliseconds,
-    } = this.#options;
+  #acceptRead(read: KeyedRecords, from: number | undefined): void {
+    const { onReadSucceeded, onRecords, onSnapshot } = this.#options;
     onReadSucceeded({ lost: this.#failures > 0 });
     this.#failures = 0;
     this.#position = read.next;
     if (from === undefined) onSnapshot(read.records);
     else onRecords(read.records, { from, to: read.next });
-    this.#scheduleRead(pauseMilliseconds());
   }
 
   #handleFailure(failure: StoreFailure): void {
-    const { onFailure, random } = this.#options;
+    const { maxRetryMilliseconds, onFailure, random } = this.#options;
     if (failure.name === "store_expired") {
       this.#position = undefined;
       return this.#scheduleRead(0);
@@ -197,7 +247,8 @@
         backoffMilliseconds(this.#failures, {
           random,
           initialMilliseconds: INITIAL_RETRY_MILLISECONDS,
-          maxMilliseconds: MAX_RETRY_MILLISECONDS,
+          maxMilliseconds: maxRetryMilliseconds?.() ??
+            DEFAULT_MAX_RETRY_MILLISECONDS,
         }),
     );
   }
--- a/src/core/forwarding/store/topic_reader_test.ts
+++ b/src/core/forwarding/store/topic_reader_test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { ok, type Result } from "neverthrow";
+import { err, ok, type Result } from "neverthrow";
 import { flushPromises } from "../../../../test/support/forwarding_harness.ts";
 import { ManualTimerService } from "../../time/mod.ts";
 import {
@@ -18,19 +18,31 @@
   let reads: {
     readonly from: number;
     readonly answer: (read: KeyedRecords) => void;
+    readonly fail: (name?: StoreFailure["name"]) => void;
   }[];
+  let abortedReads: number;
   let receivedKeys: string[];
 
   beforeEach(async () => {
     timer = new ManualTimerService();
     reads = [];
     receivedKeys = [];
-    const read = (from: number) =>
+    abortedReads = 0;
+    const read = (from: number, signal?: AbortSignal) =>
       new Promise<Result<KeyedRecords, StoreFailure>>((resolve) => {
-        reads.push({ from, answer: (records) => resolve(ok(records)) });
+        signal?.addEventListener("abort", () => abortedReads += 1);
+        reads.push({
+          from,
+          answer: (records) => resolve(ok(records)),
+          fail: (name = "store_unavailable") =>
+            resolve(err({ name, title: "", message: "", hint: "" })),
+        });
       });
     reader = new TopicReader({
-      topic: { newest: () => read(-1), since: (from) => read(from) },
+      topic: {
+        newest: () => read(-1),
+        since: (from, { signal }) => read(from, signal),
+      },
       timer,
       random: () => 0.5,
       waitMilliseconds: () => 0,
@@ -121,6 +133,63 @@
     expect(reads).to.deep.equal([]);
   });
 
+  describe("with a check beside a waiting read", () => {
+    beforeEach(() => timer.advance(PAUSE_MILLISECONDS));
+
+    // A waiting read hangs on a dead connection. Without the check its records
+    // arrive only once it has timed out.
+    it("applies the records that the waiting read does not return", async () => {
+      const checked = reader.check();
+      const [waitingRead, check] = reads.splice(0);
+      check.answer({ records: [record("new")], next: 11 });
+      expect(await checked).to.equal(true);
+      waitingRead.answer({ records: [record("late")], next: 11 });
+      await timer.advance(PAUSE_MILLISECONDS);
+      expect(receivedKeys).to.deep.equal(["new"]);
+      expect(reads.map(({ from }) => from)).to.deep.equal([11]);
+    });
+
+    it("keeps the waiting read if there is nothing new", async () => {
+      const checked = reader.check();
+      const [waitingRead, check] = reads.splice(0);
+      check.answer({ records: [], next: 10 });
+      expect(await checked).to.equal(true);
+      waitingRead.answer({ records: [record("new")], next: 11 });
+      await flushPromises();
+      expect(receivedKeys).to.deep.equal(["new"]);
+    });
+
+    it("ignores a check that the waiting read has overtaken", async () => {
+      const checked = reader.check();
+      const [waitingRead, check] = reads.splice(0);
+      waitingRead.answer({ records: [record("new")], next: 11 });
+      await flushPromises();
+      check.answer({ records: [record("new")], next: 11 });
+      expect(await checked).to.equal(true);
+      expect(receivedKeys).to.deep.equal(["new"]);
+    });
+
+    // The path of the waiting read may have died with the one of the check.
+    it("replaces the waiting read after a failed check", async () => {
+      const failed = reader.check();
+      reads.pop()?.fail();
+      expect(await failed).to.equal(false);
+      const checked = reader.check();
+      reads.pop()?.answer({ records: [], next: 10 });
+      expect(await checked).to.equal(true);
+      expect(abortedReads).to.equal(1);
+      await timer.advance(PAUSE_MILLISECONDS);
+      expect(reads.map(({ from }) => from)).to.deep.equal([10, 10]);
+    });
+
+    it("reads the newest records if the position has expired", async () => {
+      const checked = reader.check();
+      reads.pop()?.fail("store_expired");
+      expect(await checked).to.equal(false);
+      expect(reads.at(-1)?.from).to.equal(-1);
+    });
+  });
+
   // A connection dies during a waiting read. A second read is started, and the
   // result of the first one, if it ever arrives, is ignored.
   it("replaces a waiting read", async () => {
--- a/src/entry/forwarding/configuration_status.ts
+++ b/src/entry/forwarding/configuration_status.ts
@@ -44,7 +44,7 @@
   }
 
   /** Records that the store's newest version is in force here. */
-  onStoreRead(): void {
+  onConfirmed(): void {
     this.#confirmedAt = this.#options.timer.now();
   }
 
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -49,6 +49,10 @@
 import type { Random } from "../../core/random/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
 import { ConfigurationStatus } from "./configuration_status.ts";
+import {
+  CONFIGURATION_METHOD,
+  ConfigurationSync,
+} from "./configuration_sync.ts";
 import { FleetOutcomes } from "./fleet_outcomes.ts";
 import { forward } from "./forward.ts";
 import type { CallerSink, EndpointClient } from "./network_interfaces.ts";
@@ -143,6 +147,8 @@
   readonly onEndpointRemoved: (address: string) => void;
   /** Records that a peer has read this span of the registrations. */
   readonly recordPeerRead: (span: TopicSpan) => PeerReadResult;
+  /** Called when the configuration in force is known to be current. */
+  readonly onConfigurationConfirmed: () => void;
   /** Called with the outcome of each load query. */
   readonly onLoadQuery: (outcome: LoadQueryOutcome) => void;
   /** Called with the outcome of each request for a permit. */
@@ -171,6 +177,7 @@
   readonly registry: EndpointRegistry;
   readonly peers: PeerExchange;
   readonly configurationStatus: ConfigurationStatus;
+  readonly configurationSync: ConfigurationSync;
   readonly peerStateFallback: PeerStateFallback;
   readonly registrationSync: RegistrationSync;
   readonly #options: ForwardingEntryOptions;
@@ -352,10 +359,17 @@
       shares,
       version: () => this.configuration?.version,
       onVersion: (peer, version) => {
-        this.configurationStatus.onPeerVersion(peer, version);
+        this.configurationSync.onPeerVersion(peer, version);
         this.peerStateFallback.onPeerVersion(version);
       },
     });
+    this.configurationSync = new ConfigurationSync({
+      process: options.process,
+      status: this.configurationStatus,
+      version: () => this.configuration?.version,
+      broadcast: (method, params) => this.peers.broadcast(method, params),
+      onConfirmed: options.onConfigurationConfirmed,
+    });
     this.peerStateFallback = new PeerStateFallback({
       ...options.peerStateFallback,
       timer,
@@ -619,6 +633,9 @@
     if (method === WORK_METHOD) this.peers.onWork(params);
     if (method === CRASHES_METHOD) this.peers.onCrashes(params);
     if (method === VERDICTS_METHOD) this.peers.onVerdicts(params);
+    if (method === CONFIGURATION_METHOD) {
+      this.configurationSync.onNotification(params);
+    }
     if (method === USAGE_METHOD || method === USAGE_REPORTS_METHOD) {
       this.#usageReporter?.onNotification(method, params);
     }
--- a/src/entry/forwarding/forwarding_entry_test.ts
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -83,6 +83,7 @@
         },
         onEndpointRemoved,
         roles: { link: SILENT_ROLE_LINK, leaseMilliseconds: 3_000 },
+        onConfigurationConfirmed() {},
         recordPeerRead: ({ from, to }) => {
           if (position > to) return "older";
           return from === position ? "ahead" : "apart";
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -133,6 +133,7 @@
       },
       onEndpointRemoved() {},
       recordPeerRead: () => "apart",
+      onConfigurationConfirmed() {},
       onUnlistedPeer() {},
       persistBlocked() {},
       removeBlocked() {},
