Take a newer configuration from the peers that have it

Callers got 404 for a route that one entry served and others did not. Versions travelled with reports of work only; each newer version restarted the wait of 0.25 s before a peer was queried; one random peer was queried each 0.5 s, whether it had the version or not; and reads of the registrations, also a peer's, counted as the configuration's.

An entry now announces a version when it comes into force (suppressed once three peers have announced it). One that is behind checks the store and queries a peer that has the version after 0.1 s, plus up to 1 ms an entry, and goes on each 0.2 s until it has caught up; newer versions don't restart this. The configuration has a freshness of its own: a second without a confirmation, and peers are queried whatever the registrations say.

--- a/src/entry/forwarding/forward.ts
+++ b/src/entry/forwarding/forward.ts
@@ -8,6 +8,7 @@
   type Workspace,
 } from "../../core/forwarding/mod.ts";
 import { err, ok, type Result } from "neverthrow";
+import type { LogFields } from "../../core/observation/mod.ts";
 import {
   RequestForwarder,
   RETRY_AFTER_MILLISECONDS,
@@ -15,6 +16,9 @@
 import type { CallerSink, ForwardingRefusal } from "./network_interfaces.ts";
 import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
 
+/** Reason of a refusal where no route matches. */
+const NO_ROUTE = "no_route";
+
 /**
  * Forwards a request: finds its route, authenticates the caller and runs the
  * request, or refuses it immediately.
@@ -29,15 +33,13 @@
     const { reason, status } = refusal;
     const version = routes?.configuration.version;
     const requestId = request.id;
-    const { ageMilliseconds, newestVersion } = dependencies.configurationStatus;
     dependencies.observe("refused", {
       requestId,
       route: "",
       status,
       reason,
       version,
-      newestVersion,
-      ageMilliseconds: ageMilliseconds && Math.round(ageMilliseconds),
+      ...(reason === NO_ROUTE && currentness(dependencies)),
     });
     sink.refuse(refusal);
   };
@@ -49,7 +51,7 @@
     });
   }
   const route = routes.find(request.host, request.target);
-  if (route === undefined) return refuse({ status: 404, reason: "no_route" });
+  if (route === undefined) return refuse({ status: 404, reason: NO_ROUTE });
   const caller = identify(routes, { request, route });
   if (caller.isErr()) return refuse({ status: 401, reason: caller.error });
   const poolName = selectPool(route, dependencies.random);
@@ -61,6 +63,17 @@
   await new RequestForwarder(dependencies, { task, sink }).run();
 }
 
+/** Tells whether a route may be missing because this entry is behind. */
+function currentness(
+  { configurationStatus }: ForwardingDependencies,
+): LogFields {
+  const { ageMilliseconds, newestVersion } = configurationStatus;
+  return {
+    newestVersion,
+    ageMilliseconds: ageMilliseconds && Math.round(ageMilliseconds),
+  };
+}
+
 /** An authenticated caller's request, with the key removed from its headers. */
 interface IdentifiedRequest {
   readonly request: ForwardedRequest;
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -142,11 +142,16 @@
     | "windowMilliseconds"
   >;
   /** How to query peers while the store is unreachable. */
-  readonly peerStateFallback: Pick<PeerStateFallbackOptions, "ask" | "peers">;
+  readonly peerStateFallback: Pick<
+    PeerStateFallbackOptions,
+    "addressOf" | "ask" | "peers"
+  >;
   /** Called when the connections to an address are no longer needed. */
   readonly onEndpointRemoved: (address: string) => void;
   /** Records that a peer has read this span of the registrations. */
   readonly recordPeerRead: (span: TopicSpan) => PeerReadResult;
+  /** Checks whether the store has a newer configuration. */
+  readonly checkConfiguration: () => void;
   /** Called when the configuration in force is known to be current. */
   readonly onConfigurationConfirmed: () => void;
   /** Called with the outcome of each load query. */
@@ -358,17 +363,20 @@
       roleWork,
       shares,
       version: () => this.configuration?.version,
-      onVersion: (peer, version) => {
-        this.configurationSync.onPeerVersion(peer, version);
-        this.peerStateFallback.onPeerVersion(version);
-      },
+      onVersion: (peer, version) =>
+        this.configurationSync.onPeerVersion(peer, version),
     });
     this.configurationSync = new ConfigurationSync({
       process: options.process,
+      timer,
+      random,
       status: this.configurationStatus,
       version: () => this.configuration?.version,
+      entries: () => this.peers.fleetSize ?? 1,
       broadcast: (method, params) => this.peers.broadcast(method, params),
       onConfirmed: options.onConfigurationConfirmed,
+      checkStore: options.checkConfiguration,
+      fetchFrom: (peer) => this.peerStateFallback.fetchConfiguration(peer),
     });
     this.peerStateFallback = new PeerStateFallback({
       ...options.peerStateFallback,
@@ -377,6 +385,7 @@
       logger: options.logger,
       registry: this.registry,
       configuration: () => this.configuration,
+      configurationStatus: this.configurationStatus,
       applyConfiguration: (configuration, peer) => {
         this.applyConfiguration(configuration, { peer });
       },
@@ -593,6 +602,7 @@
     this.#usageReporter?.stop();
     this.peers.stop();
     this.peerStateFallback.stop();
+    this.configurationSync.stop();
   }
 
   /**
@@ -608,7 +618,7 @@
     if (configuration.version <= known) return false;
     const { ageMilliseconds, behindMilliseconds } = this.configurationStatus;
     this.#routes = new RouteTable(configuration);
-    this.configurationStatus.onApplied();
+    this.configurationSync.onApplied();
     this.#options.logger.info({
       version: configuration.version,
       replaces: Number.isFinite(known) ? known : null,
--- a/src/entry/forwarding/forwarding_entry_test.ts
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -76,6 +76,7 @@
         retry: { ratio: 0.2, windowMilliseconds: 10_000, minimum: 50 },
         peerStateFallback: {
           peers: () => [],
+          addressOf: () => undefined,
           ask: () =>
             Promise.resolve(
               err({ name: "link_lost", title: "", message: "", hint: "" }),
@@ -83,6 +84,7 @@
         },
         onEndpointRemoved,
         roles: { link: SILENT_ROLE_LINK, leaseMilliseconds: 3_000 },
+        checkConfiguration() {},
         onConfigurationConfirmed() {},
         recordPeerRead: ({ from, to }) => {
           if (position > to) return "older";
--- a/src/entry/forwarding/peer_state_fallback.ts
+++ b/src/entry/forwarding/peer_state_fallback.ts
@@ -10,10 +10,13 @@
   PeerAddress,
   StreamSnapshot,
 } from "../../core/links/mod.ts";
+import type { ProcessId } from "../../core/identity/mod.ts";
 import type { Logger } from "../../core/observation/mod.ts";
 import type { Random } from "../../core/random/mod.ts";
 import type { Subscription, TimerService } from "../../core/time/mod.ts";
 
+import type { ConfigurationStatus } from "./configuration_status.ts";
+
 /** Stream name under which peers request the forwarding state of an entry. */
 export const FORWARDING_STATE_STREAM = "forwarding";
 /**
@@ -22,11 +25,10 @@
  */
 const STORE_SILENCE_MILLISECONDS = 1_500;
 /**
- * How long to wait for this entry's own read after a peer reports a newer
- * configuration. All entries read a new version within milliseconds of each
- * other, and their reports cross.
+ * How long nothing may have confirmed the configuration before peers are
+ * queried: longer than the interval of the checks.
  */
-const OWN_READ_GRACE_MILLISECONDS = 250;
+const CONFIGURATION_SILENCE_MILLISECONDS = 1_000;
 /** Interval of queries to peers while the store fails. */
 const POLL_INTERVAL_MILLISECONDS = 500;
 /**
@@ -52,10 +54,13 @@
   readonly logger: Logger;
   readonly registry: EndpointRegistry;
   readonly configuration: () => ForwardingConfiguration | undefined;
+  readonly configurationStatus: ConfigurationStatus;
   readonly applyConfiguration: (
     configuration: ForwardingConfiguration,
     peer: PeerAddress,
   ) => void;
+  /** Address where a peer responds; undefined if it is not listed. */
+  readonly addressOf: (peer: ProcessId) => PeerAddress | undefined;
   /** Addresses where peers respond; some may be outdated. */
   readonly peers: () => readonly PeerAddress[];
   readonly ask: (
@@ -74,8 +79,6 @@
   #storeReadAt: number;
   #polling: Subscription | undefined;
   #isUsingPeer = false;
-  #newestPeerVersion = -Infinity;
-  #newestPeerVersionAt = 0;
 
   constructor(options: PeerStateFallbackOptions) {
     this.#options = options;
@@ -104,21 +107,23 @@
     );
   }
 
-  /**
-   * Records the configuration version of a peer. The connection on which this
-   * entry waits for the next version may have stalled silently.
-   */
-  onPeerVersion(version: number): void {
-    if (version <= this.#newestPeerVersion) return;
-    this.#newestPeerVersion = version;
-    this.#newestPeerVersionAt = this.#options.timer.now();
+  /** Takes a peer's configuration if it is newer than the one in force. */
+  async fetchConfiguration(peer: ProcessId): Promise<void> {
+    const { addressOf, ask, logger } = this.#options;
+    const address = addressOf(peer);
+    if (address === undefined) return;
+    const answer = await ask(address, FORWARDING_STATE_STREAM);
+    if (answer.isErr()) {
+      const reason = answer.error.message;
+      logger.warn({ peer, reason }, "Cannot read the configuration of a peer");
+      return;
+    }
+    this.#apply(answer.value.state, { peer: address, isCurrent: true });
   }
 
-  get #isBehind(): boolean {
-    const { configuration, timer } = this.#options;
-    const own = configuration()?.version ?? -Infinity;
-    return this.#newestPeerVersion > own &&
-      timer.now() - this.#newestPeerVersionAt >= OWN_READ_GRACE_MILLISECONDS;
+  get #isConfigurationStale(): boolean {
+    const age = this.#options.configurationStatus.ageMilliseconds ?? Infinity;
+    return age >= CONFIGURATION_SILENCE_MILLISECONDS;
   }
 
   /**
@@ -145,7 +150,7 @@
     const silentMilliseconds = timer.now() - this.#storeReadAt;
     const addresses = peers();
     const needsPeers = silentMilliseconds >= STORE_SILENCE_MILLISECONDS ||
-      this.#isBehind;
+      this.#isConfigurationStale;
     if (!needsPeers || addresses.length === 0) return;
     const peer = addresses[Math.floor(random() * addresses.length)];
     const answer = await ask(peer, FORWARDING_STATE_STREAM);
