Limit the time of a query to a peer that does not accept connections

Node's socket timeout starts once a socket is connected, so a query whose SYN got no answer was pending until the kernel gave up after two minutes, and each further query to that peer added one.

The limit now runs from the start of the query on the timer service, and its error names the bound.

--- a/src/adapters/peers/peer_client.ts
+++ b/src/adapters/peers/peer_client.ts
@@ -23,6 +23,8 @@
   WatchAnswer,
   WatchQuestion,
 } from "../../generated/messages.ts";
+import type { TimerService } from "../../core/time/mod.ts";
+import { SystemTimerService } from "../time/mod.ts";
 import { LINK_LOST, LINK_NOT_SENT } from "./errors.ts";
 import { FrameLineReader } from "./frame_line_reader.ts";
 import { ATTEMPT_PATH, PEER_METHODS, RPC_PATH } from "./protocol.ts";
@@ -52,6 +54,11 @@
     scheduling: "lifo",
   });
   readonly #clients = new Map<PeerAddress, JSONRPCClient<number>>();
+  readonly #timer: TimerService;
+
+  constructor(timer: TimerService = new SystemTimerService()) {
+    this.#timer = timer;
+  }
 
   report(side: PeerAddress): Promise<Result<SideReport, LinkFailure>> {
     return this.#call(side, { method: PEER_METHODS.report, parameters: {} });
@@ -140,6 +147,7 @@
           path: RPC_PATH,
           body: JSON.stringify(request),
           agent: this.#agent,
+          timer: this.#timer,
           timeoutMilliseconds,
         });
         client.receive(JSON.parse(text));
@@ -154,12 +162,13 @@
   readonly path: string;
   readonly body: string;
   readonly agent: http.Agent;
+  readonly timer: TimerService;
   readonly timeoutMilliseconds: number;
 }
 
 function openPost(
   address: PeerAddress,
-  options: Omit<PostOptions, "timeoutMilliseconds">,
+  options: Pick<PostOptions, "agent" | "body" | "path">,
 ): http.ClientRequest {
   const separator = address.lastIndexOf(":");
   return http.request({
@@ -177,11 +186,14 @@
 
 function post(address: PeerAddress, options: PostOptions): Promise<string> {
   return new Promise((resolve, reject) => {
+    const { timeoutMilliseconds, timer } = options;
     const request = openPost(address, options);
-    request.setTimeout(
-      options.timeoutMilliseconds,
-      () => request.destroy(new Error("no response within the timeout")),
-    );
+    // Node's own timeout starts only once the socket is connected.
+    const timeout = timer.after(timeoutMilliseconds, () => {
+      const reason = `no response within ${timeoutMilliseconds} ms`;
+      request.destroy(new Error(reason));
+    });
+    request.on("close", () => timeout.cancel());
     request.on("error", (error) => {
       reject(new LinkError(toLinkFailure(address, error)));
     });
