Do not count a check whose position has expired

Found while reading the change: a check whose answer arrived after the waiting read had found its position expired counted as successful, although its records were not applied. The entry then told its peers that an old version was current, which put off their own checks once.

Such a check now counts as failed and is repeated. The new test failed before.

--- a/src/core/forwarding/store/topic_reader.ts
+++ b/src/core/forwarding/store/topic_reader.ts
@@ -143,7 +143,8 @@
   /**
    * Reads without waiting, beside a read that waits and may hang on a dead
    * connection. If it finds records, or the store had failed, the waiting read
-   * starts again on another connection. True if the store answered.
+   * starts again on another connection. True if all records that the store had
+   * are applied.
    */
   async check(): Promise<boolean> {
     const position = this.#position;
@@ -160,7 +161,8 @@
       if (this.#position === position) this.#handleFailedCheck(result.error);
       return false;
     }
-    if (this.#position !== position) return true;
+    // The waiting read has moved on; it may have found that records are gone.
+    if (this.#position !== position) return this.#position !== undefined;
     const read = result.value;
     const restarts = read.next !== position || this.#failures > 0;
     if (restarts) this.#abandonRead();
--- a/src/core/forwarding/store/topic_reader_test.ts
+++ b/src/core/forwarding/store/topic_reader_test.ts
@@ -169,6 +169,18 @@
       expect(receivedKeys).to.deep.equal(["new"]);
     });
 
+    // The waiting read finds that records are gone. If the check counted, peers
+    // would be told that a state is current whose records are not read yet.
+    it("does not count a check while the newest records are read", async () => {
+      const checked = reader.check();
+      const [waitingRead, check] = reads.splice(0);
+      waitingRead.fail("store_expired");
+      await flushPromises();
+      check.answer({ records: [record("new")], next: 11 });
+      expect(await checked).to.equal(false);
+      expect(receivedKeys).to.deep.equal([]);
+    });
+
     // The path of the waiting read may have died with the one of the check.
     it("replaces the waiting read after a failed check", async () => {
       const failed = reader.check();
