--- a/src/core/forwarding/store/freshness_check.ts
+++ b/src/core/forwarding/store/freshness_check.ts
@@ -6,7 +6,7 @@
   readonly intervalMilliseconds: () => number;
   /** Pause after a failed check; called before each pause. */
   readonly retryMilliseconds: () => number;
-  /** Checks that the state is current; resolves to false if it can't tell. */
+  /** Checks that the state is current; resolves to false if that is unknown. */
   readonly check: () => Promise<boolean>;
 }
 
--- a/src/core/forwarding/store/topic_reader.ts
+++ b/src/core/forwarding/store/topic_reader.ts
@@ -141,7 +141,7 @@
   }
 
   /**
-   * Reads without waiting, beside a read that waits and may hang on a dead
+   * Reads without waiting while another read waits and may hang on a dead
    * connection. If it finds records, or the store had failed, the waiting read
    * starts again on another connection. True if all records that the store had
    * are applied.
--- a/src/core/forwarding/store/topic_reader_test.ts
+++ b/src/core/forwarding/store/topic_reader_test.ts
@@ -133,7 +133,7 @@
     expect(reads).to.deep.equal([]);
   });
 
-  describe("with a check beside a waiting read", () => {
+  describe("with a check during a waiting read", () => {
     beforeEach(() => timer.advance(PAUSE_MILLISECONDS));
 
     // A waiting read hangs on a dead connection. Without the check its records
@@ -170,7 +170,7 @@
     });
 
     // The waiting read finds that records are gone. If the check counted, peers
-    // would be told that a state is current whose records are not read yet.
+    // would take a state for current whose records are not read yet.
     it("does not count a check while the newest records are read", async () => {
       const checked = reader.check();
       const [waitingRead, check] = reads.splice(0);
--- a/src/entry/forwarding/peer_state_fallback_test.ts
+++ b/src/entry/forwarding/peer_state_fallback_test.ts
@@ -153,9 +153,7 @@
     expect(disconnected.asked).to.equal(0);
   });
 
-  // The endpoints are read on one connection and the configuration on another.
-  // If reads of the endpoints counted for both, a silent configuration would
-  // never be noticed.
+  // Reads of the endpoints must not hide that the configuration's are silent.
   it("queries peers if only the configuration is not confirmed", async () => {
     disconnected.configuration = makeConfiguration({ version: 8 });
     disconnected.status.onConfirmed();
