Do not send a caller to another entry when there is none

An entry whose event loop is late refuses prompts with entry_full and a short retry time, so that the caller reaches another entry.

The delay of the event loop no longer counts as a reason to leave the entry where there is no other one; it still counts in the predicted time. The test "is refused immediately if the entry's event loop is delayed" had one entry; it keeps its expectation with two, and a new test with one entry failed before (503).

--- a/src/core/forwarding/admission/engine_admission.ts
+++ b/src/core/forwarding/admission/engine_admission.ts
@@ -43,6 +43,11 @@
   readonly handoverMilliseconds: number;
   /** Queueing delay of the request and its response in this entry. */
   readonly entryMilliseconds: number;
+  /**
+   * Part of `entryMilliseconds` that a retry would meet again; 0 by default. If
+   * there is no other entry, a caller gains nothing by leaving this one.
+   */
+  readonly unavoidableMilliseconds?: number;
   /** Time since the caller's first attempt. */
   readonly elapsedMilliseconds: number;
   /** The route's target for the time to first byte. */
@@ -58,13 +63,15 @@
     entryMilliseconds,
     leftMilliseconds,
     targetMilliseconds,
+    unavoidableMilliseconds = 0,
   } = input;
   const firstByteMilliseconds = elapsedMilliseconds + entryMilliseconds +
     input.onTimeMilliseconds + input.handoverMilliseconds;
   if (
     firstByteMilliseconds <= ON_TIME_TARGET_SHARE * targetMilliseconds
   ) return "on_time";
-  if (entryMilliseconds > MAX_LATE_ENTRY_MILLISECONDS) return "entry_full";
+  const avoidableMilliseconds = entryMilliseconds - unavoidableMilliseconds;
+  if (avoidableMilliseconds > MAX_LATE_ENTRY_MILLISECONDS) return "entry_full";
   const lateMilliseconds = entryMilliseconds + input.lateMilliseconds +
     input.handoverMilliseconds;
   return lateMilliseconds <= REMAINING_TIME_SHARE * leftMilliseconds
--- a/src/core/forwarding/admission/engine_admission_test.ts
+++ b/src/core/forwarding/admission/engine_admission_test.ts
@@ -36,4 +36,9 @@
   it("refuses with entry_full where the entry is the bottleneck", () => {
     expect(decide({ entryMilliseconds: 200 })).to.equal("entry_full");
   });
+
+  it("does not refuse for a delay that a retry would meet again", () => {
+    expect(decide({ entryMilliseconds: 200, unavoidableMilliseconds: 150 }))
+      .to.equal("late");
+  });
 });
--- a/src/entry/forwarding/prompt_admission.ts
+++ b/src/entry/forwarding/prompt_admission.ts
@@ -110,6 +110,7 @@
       pool,
     ),
     entryMilliseconds: entryMilliseconds(context),
+    unavoidableMilliseconds: unavoidableMilliseconds(context),
     elapsedMilliseconds: waitedMilliseconds + context.elapsedMilliseconds,
     targetMilliseconds: route.targetMilliseconds,
     leftMilliseconds: context.remainingToFirstByteMilliseconds,
@@ -342,7 +343,16 @@
   const transferMilliseconds = (1 + dependencies.held.count) *
     dependencies.link.transmissionMilliseconds(bytes);
   return dependencies.link.waitMilliseconds + transferMilliseconds +
-    LOOP_TURNS_PER_PROMPT * dependencies.loopDelayMilliseconds();
+    loopMilliseconds(dependencies);
+}
+
+/** The part of the delay that is the same at every entry there is. */
+function unavoidableMilliseconds({ dependencies }: ForwardContext): number {
+  return dependencies.entries() > 1 ? 0 : loopMilliseconds(dependencies);
+}
+
+function loopMilliseconds(dependencies: ForwardingDependencies): number {
+  return LOOP_TURNS_PER_PROMPT * dependencies.loopDelayMilliseconds();
 }
 
 /** Rounds to whole numbers and omits infinite values. */
--- a/src/entry/forwarding/request_forwarder_test.ts
+++ b/src/entry/forwarding/request_forwarder_test.ts
@@ -669,10 +669,19 @@
 
     it("is refused immediately if the entry's event loop is delayed", async () => {
       const harness = fleet();
+      Object.assign(harness.dependencies, { entries: () => 2 });
       harness.loopDelay = 100;
       expect((await ask(harness)).refusal?.reason).to.equal("entry_full");
     });
 
+    it("is not sent to another entry by the only one", async () => {
+      const harness = fleet();
+      harness.loopDelay = 100;
+      const caller = await ask(harness);
+      expect(caller.refusal).to.equal(undefined);
+      expect(harness.sent).to.have.length(1);
+    });
+
     // A prompt of 55,000 tokens takes longer to prefill than its target allows,
     // even on idle engines. One of two dozen entries, whose share of the retry
     // budget is small, refused such prompts during its first seconds.
