Log how the body of each response ended

Needed to tell the hypotheses of the truncated stream apart: the lines "answered", "resumed" and "cut" now have the framing of the body (length, chunks, or the end of the connection) and, for a stream of events, whether it ended inside an event. No decision depends on them yet.

--- a/src/adapters/forwarding/endpoint_http_client.ts
+++ b/src/adapters/forwarding/endpoint_http_client.ts
@@ -5,6 +5,7 @@
 import type { ResponseHead } from "../../core/forwarding/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
 import type {
+  BodyFraming,
   EndpointResponse,
   Exchange,
   ExchangeFailure,
@@ -23,6 +24,8 @@
  */
 const CONNECT_TIMEOUT_MILLISECONDS = 400;
 
+const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
+
 /** An HTTP request to an endpoint. */
 export interface OutgoingRequest {
   readonly address: string;
@@ -159,11 +162,13 @@
   incoming: IncomingMessage,
 ): EndpointResponse {
   // On a keep-alive connection each response would add listeners to the socket.
-  const wasReset = isCloseDelimited(incoming)
+  const framing = framingOf(incoming);
+  const wasReset = framing === "connection"
     ? detectReset(incoming.socket)
     : () => false;
   return {
     head,
+    framing,
     read(onChunk, onEnd) {
       let ended = false;
       const end = (how: "whole" | "cut") => {
@@ -199,10 +204,17 @@
   return () => wasReset;
 }
 
-function isCloseDelimited(incoming: IncomingMessage): boolean {
-  const { headers } = incoming;
-  return headers["content-length"] === undefined &&
-    headers["transfer-encoding"] === undefined;
+function framingOf(
+  { headers, statusCode = 0 }: IncomingMessage,
+): BodyFraming {
+  const transferEncoding = headers["transfer-encoding"];
+  if (transferEncoding !== undefined) {
+    const isChunked = /(^|,)\s*chunked\s*$/i.test(transferEncoding);
+    return isChunked ? "chunks" : "connection";
+  }
+  const hasLength = headers["content-length"] !== undefined ||
+    STATUSES_WITHOUT_BODY.has(statusCode);
+  return hasLength ? "length" : "connection";
 }
 
 function hostOf(address: string): string {
--- /dev/null
+++ b/src/core/forwarding/event_stream_position.ts
@@ -0,0 +1,72 @@
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+const COLON = 0x3a;
+const BYTE_ORDER_MARK = [0xef, 0xbb, 0xbf];
+/** Last bytes of a stream that ends with an empty line, as a register. */
+const LINE_ENDS = {
+  lineFeeds: LINE_FEED << 8 | LINE_FEED,
+  carriageReturns: CARRIAGE_RETURN << 8 | CARRIAGE_RETURN,
+  pairAfterLineFeed: LINE_FEED << 16 | CARRIAGE_RETURN << 8 | LINE_FEED,
+  pairAfterCarriageReturn: CARRIAGE_RETURN << 16 | CARRIAGE_RETURN << 8 |
+    LINE_FEED,
+};
+const TWO_BYTES = 0xffff;
+const THREE_BYTES = 0xffffff;
+
+/** Position in a stream of server-sent events, after the bytes so far. */
+export class EventStreamPosition {
+  /** The last three bytes; the start counts as the end of an event. */
+  #lastBytes = LINE_ENDS.lineFeeds;
+  #markBytes = 0;
+  #isLineStart = true;
+  #hasFields = false;
+
+  /** False after bytes of an event that has not ended. */
+  get isBetweenEvents(): boolean {
+    const lastTwo = this.#lastBytes & TWO_BYTES;
+    return lastTwo === LINE_ENDS.lineFeeds ||
+      lastTwo === LINE_ENDS.carriageReturns ||
+      this.#lastBytes === LINE_ENDS.pairAfterLineFeed ||
+      this.#lastBytes === LINE_ENDS.pairAfterCarriageReturn;
+  }
+
+  /** True once a line was received that is neither empty nor a comment. */
+  get hasFields(): boolean {
+    return this.#hasFields;
+  }
+
+  push(chunk: Buffer): void {
+    const bytes = this.#withoutMark(chunk);
+    for (const byte of bytes.subarray(-3)) {
+      this.#lastBytes = (this.#lastBytes << 8 | byte) & THREE_BYTES;
+    }
+    if (!this.#hasFields) this.#findField(bytes);
+  }
+
+  /** Drops a byte order mark at the start of the stream. */
+  #withoutMark(chunk: Buffer): Buffer {
+    let start = 0;
+    while (
+      start < chunk.length && this.#markBytes < BYTE_ORDER_MARK.length
+    ) {
+      const isMark = chunk[start] === BYTE_ORDER_MARK[this.#markBytes];
+      if (!isMark) this.#markBytes = BYTE_ORDER_MARK.length;
+      else {
+        this.#markBytes += 1;
+        start += 1;
+      }
+    }
+    return chunk.subarray(start);
+  }
+
+  #findField(bytes: Buffer): void {
+    for (const byte of bytes) {
+      const isLineEnd = byte === LINE_FEED || byte === CARRIAGE_RETURN;
+      if (this.#isLineStart && !isLineEnd && byte !== COLON) {
+        this.#hasFields = true;
+        return;
+      }
+      this.#isLineStart = isLineEnd;
+    }
+  }
+}
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -47,6 +47,7 @@
 } from "./estimates/mod.ts";
 export { EventSequence } from "./event_sequence.ts";
 export { EventSplitter } from "./event_splitter.ts";
+export { EventStreamPosition } from "./event_stream_position.ts";
 export { LoadOwners } from "./endpoints/load_owners.ts";
 export {
   type EndpointLoadReport,
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -1,5 +1,6 @@
 import type { Result } from "neverthrow";
 import {
+  EventStreamPosition,
   type ExpectedTime,
   type ForwardAttemptOptions,
   type PromptWork,
@@ -11,8 +12,10 @@
   type WorkHandle,
 } from "../../core/forwarding/mod.ts";
 import type { ForwardContext } from "./forward_context.ts";
+import { declaresEventStream, followEvents } from "./event_stream.ts";
 import type {
   BodyEnd,
+  BodyFraming,
   EndpointResponse,
   ExchangeFailure,
 } from "./network_interfaces.ts";
@@ -28,6 +31,13 @@
 
 /** Approximate size of a request's head, in bytes. */
 export const REQUEST_HEAD_BYTES = 700;
+/** How the body of a response ends, for the log. */
+export interface BodyFacts {
+  readonly framing?: BodyFraming;
+  /** Present if the response is a stream of events. */
+  readonly insideEvent?: boolean;
+}
+
 /** Lowest status of a response that is not the result of the work. */
 const FIRST_ERROR_STATUS = 400;
 
@@ -62,6 +72,9 @@
   readonly #outcome: AttemptOutcome;
   /** Measures the response of a decode engine whose pauses are bounded. */
   #pauses: StreamPauses | undefined;
+  #framing: BodyFraming | undefined;
+  /** Present once a response has begun that is a stream of events. */
+  #position: EventStreamPosition | undefined;
   #closed = false;
   #hasHead = false;
 
@@ -92,10 +105,20 @@
     this.#abort = () => exchange.abort();
     this.answer = exchange.answer.then((result) => {
       this.#onHead(result);
-      return result.map((response) => this.#measurePauses(response));
+      return result.map((response) =>
+        this.#measurePauses(this.#followBody(response))
+      );
     });
   }
 
+  /** How the body has ended, or where it is now. */
+  get bodyFacts(): BodyFacts {
+    return {
+      framing: this.#framing,
+      ...(this.#position && { insideEvent: !this.#position.isBetweenEvents }),
+    };
+  }
+
   /** Records the outcome once the response body has ended. */
   onEnd(end: BodyEnd, status: number): void {
     if (this.#closed) return;
@@ -153,6 +176,13 @@
     if (result.isErr() || result.value.head.notExecuted) this.#close();
   }
 
+  #followBody(response: EndpointResponse): EndpointResponse {
+    this.#framing = response.framing;
+    if (!declaresEventStream(response.head)) return response;
+    this.#position = new EventStreamPosition();
+    return followEvents(response, this.#position);
+  }
+
   /**
    * Measures the pauses of a response that decodes. From its first event on,
    * its prefill does not delay the other streams of the engine any more.
--- a/src/entry/forwarding/measure_pauses.ts
+++ b/src/entry/forwarding/measure_pauses.ts
@@ -14,7 +14,7 @@
   },
 ): EndpointResponse {
   return {
-    head: response.head,
+    ...response,
     read: (onChunk, onEnd) =>
       response.read((chunk) => {
         onBytes();
--- a/src/entry/forwarding/network_interfaces.ts
+++ b/src/entry/forwarding/network_interfaces.ts
@@ -22,9 +22,16 @@
 /** How a response body ended. */
 export type BodyEnd = "whole" | "cut";
 
+/**
+ * How a response shows where its body ends. `connection`: the body ends with
+ * the connection, so that a truncated one may look complete.
+ */
+export type BodyFraming = "length" | "chunks" | "connection";
+
 /** An endpoint's response whose body is still being received. */
 export interface EndpointResponse {
   readonly head: ResponseHead;
+  readonly framing: BodyFraming;
   /** Streams the body in chunks; call once. */
   read(
     onChunk: (chunk: Buffer) => void,
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -364,12 +364,16 @@
     if (mayResume) {
       this.#context.report("resumed", {
         lastEventId: this.#relay.lastEventId ?? "",
+        ...this.#attempt?.bodyFacts,
       });
       return "again";
     }
     this.#settle();
     this.#sink.abort();
-    this.#context.report("cut", { reason: "endpoint_broke_off" });
+    this.#context.report("cut", {
+      reason: "endpoint_broke_off",
+      ...this.#attempt?.bodyFacts,
+    });
     return "delivered";
   }
 
@@ -390,6 +394,7 @@
       firstByteMilliseconds: Math.round((this.#firstByteAt ?? 0) - arrived),
       milliseconds: Math.round(elapsedMilliseconds),
       sends,
+      ...this.#attempt?.bodyFacts,
       ...(this.#service && {
         pool: this.#context.pool.name,
         attemptMilliseconds: Math.round(this.#service.milliseconds),
--- a/src/entry/forwarding/response_pace.ts
+++ b/src/entry/forwarding/response_pace.ts
@@ -64,7 +64,7 @@
     start();
   };
   return {
-    head: response.head,
+    ...response,
     read(onChunk, onEnd) {
       response.read((chunk) => {
         const events = countEvents(chunk);
--- a/src/entry/forwarding/response_pace_test.ts
+++ b/src/entry/forwarding/response_pace_test.ts
@@ -22,6 +22,7 @@
     wholeEvents = undefined;
     observed = observePace({
       head: { status: 200, headers: [], requestId: "1", notExecuted: false },
+      framing: "length",
       read: (chunk, end) => [onChunk, onEnd] = [chunk, end],
       pause() {},
       resume() {},
--- a/src/entry/forwarding/response_relay.ts
+++ b/src/entry/forwarding/response_relay.ts
@@ -6,6 +6,7 @@
   type ResponseHead,
 } from "../../core/forwarding/mod.ts";
 import type { ForwardAttempt } from "./attempt.ts";
+import { mediaTypeOf } from "./event_stream.ts";
 import type {
   BodyEnd,
   CallerSink,
@@ -170,15 +171,6 @@
   return status >= 200 && status < 300;
 }
 
-/** The media type without parameters; undefined if the head has none. */
-function mediaTypeOf({ headers }: ResponseHead): string | undefined {
-  const index = headers.findIndex((name, position) =>
-    position % 2 === 0 && name.toLowerCase() === "content-type"
-  );
-  if (index < 0) return undefined;
-  return headers[index + 1].split(";")[0].trim().toLowerCase();
-}
-
 function byteLength(buffers: readonly Buffer[]): number {
   return buffers.reduce((sum, { length }) => sum + length, 0);
 }
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -39,6 +39,7 @@
 import { ManualTimerService } from "../../src/core/time/mod.ts";
 import {
   type BodyEnd,
+  type BodyFraming,
   type CallerSink,
   ConfigurationStatus,
   type EndpointClient,
@@ -71,6 +72,7 @@
   #onEnd: (end: BodyEnd) => void = () => {};
   #settle: (answer: Result<EndpointResponse, ExchangeFailure>) => void;
   paused = false;
+  framing: BodyFraming = "length";
 
   constructor(
     request: ForwardedRequest,
@@ -93,6 +95,7 @@
     };
     this.#settle(ok({
       head,
+      framing: this.framing,
       read: (onChunk, onEnd) => {
         this.#onChunk = onChunk;
         this.#onEnd = onEnd;
