Treat a stream that ends inside an event as broken off

Callers got 200, a part of a stream and a regular end. The replica sent the stream with neither a length nor chunks and closed its connection inside an event; the entry took the end of the connection for the end of the message. The same followed from a last chunk, or a length, behind a truncated body.

Each attempt now follows the position of its stream. An end inside an event counts as cut, and so does the end of a connection before the first event, so that resumption, health, crash tracking, permits and pace all see the same end. A length is not passed on with a stream, since a body that has reached it looks complete whatever follows. An event larger than the buffer no longer ends where a part of it was passed on; ids are read per event, with lone CR and a byte order mark.

--- a/src/adapters/forwarding/endpoint_http_client.ts
+++ b/src/adapters/forwarding/endpoint_http_client.ts
@@ -153,16 +153,19 @@
       const errorValues = { address: outgoing.address, reason };
       return err(failure(EXCHANGE_FOREIGN, errorValues));
     }
-    return ok(createResponse(head, incoming));
+    const framing = framingOf(incoming, outgoing.method);
+    return ok(createResponse(head, { framing, incoming }));
   }
 }
 
 function createResponse(
   head: ResponseHead,
-  incoming: IncomingMessage,
+  { framing, incoming }: {
+    readonly framing: BodyFraming;
+    readonly incoming: IncomingMessage;
+  },
 ): EndpointResponse {
   // On a keep-alive connection each response would add listeners to the socket.
-  const framing = framingOf(incoming);
   const wasReset = framing === "connection"
     ? detectReset(incoming.socket)
     : () => false;
@@ -206,15 +209,16 @@
 
 function framingOf(
   { headers, statusCode = 0 }: IncomingMessage,
+  method: string,
 ): BodyFraming {
+  const hasNoBody = method === "HEAD" || STATUSES_WITHOUT_BODY.has(statusCode);
+  if (hasNoBody) return "length";
   const transferEncoding = headers["transfer-encoding"];
   if (transferEncoding !== undefined) {
     const isChunked = /(^|,)\s*chunked\s*$/i.test(transferEncoding);
     return isChunked ? "chunks" : "connection";
   }
-  const hasLength = headers["content-length"] !== undefined ||
-    STATUSES_WITHOUT_BODY.has(statusCode);
-  return hasLength ? "length" : "connection";
+  return headers["content-length"] === undefined ? "connection" : "length";
 }
 
 function hostOf(address: string): string {
--- a/src/core/forwarding/event_splitter.ts
+++ b/src/core/forwarding/event_splitter.ts
@@ -7,8 +7,16 @@
 const CARRIAGE_RETURN = 0x0d;
 /** Maximum size of an event that is buffered until it is complete, bytes. */
 const MAX_EVENT_BYTES = 1024 * 1024;
+/** Maximum size of a line that is kept when its event is passed on, bytes. */
+const MAX_KEPT_LINE_BYTES = 64 * 1024;
+/** Longest line end; the end of the line before shows an empty line. */
+const LINE_END_BYTES = 2;
+const LINE_ENDS = /\r\n|\n|\r/;
+const ID_FIELD = /^id(?:$|: ?(.*))/;
+/** The byte order mark, decoded as latin1. */
+const BYTE_ORDER_MARK = /^\u00ef\u00bb\u00bf/;
 
-/** Complete events and their ids, in order. */
+/** Events and the ids of those that have ended, in order. */
 export interface CompleteEvents {
   readonly bytes: Buffer;
   readonly eventIds: readonly string[];
@@ -17,10 +25,23 @@
 /** Buffers the bytes of an event until it is complete. */
 export class EventSplitter {
   #buffered: Buffer = Buffer.alloc(0);
+  /**
+   * Number of bytes at the start of the buffer that were passed on already, and
+   * are kept to detect an empty line or an id that began in them.
+   */
+  #passedBytes = 0;
+  #isInsideEvent = false;
+  /** Id of the event of which a part was passed on. */
+  #eventId: string | undefined;
 
   /** Bytes of the incomplete event. */
   get pending(): Buffer {
-    return this.#buffered;
+    return this.#buffered.subarray(this.#passedBytes);
+  }
+
+  /** True if a part of an incomplete event was passed on. */
+  get isInsideEvent(): boolean {
+    return this.#isInsideEvent;
   }
 
   /**
@@ -34,32 +55,79 @@
     const end = endOfLastEvent(bytes);
     if (end === 0) {
       this.#buffered = bytes;
-      if (bytes.length <= MAX_EVENT_BYTES) return undefined;
-      this.#buffered = Buffer.alloc(0);
-      return { bytes, eventIds: [] };
+      return this.pending.length <= MAX_EVENT_BYTES
+        ? undefined
+        : this.#passIncomplete();
     }
-    const complete = bytes.subarray(0, end);
+    const complete = bytes.subarray(this.#passedBytes, end);
+    const eventIds = this.#readIds(bytes.subarray(0, end));
     this.#buffered = bytes.subarray(end);
-    return { bytes: complete, eventIds: eventIdsIn(complete) };
+    this.#passedBytes = 0;
+    this.#isInsideEvent = false;
+    this.#eventId = undefined;
+    return { bytes: complete, eventIds };
+  }
+
+  #passIncomplete(): CompleteEvents {
+    const bytes = this.#buffered;
+    const passed = this.pending;
+    const lineStart = startOfLastLine(bytes);
+    const keptFrom = bytes.length - lineStart <= MAX_KEPT_LINE_BYTES
+      ? Math.max(0, lineStart - LINE_END_BYTES)
+      : bytes.length - LINE_END_BYTES;
+    const eventIds = this.#readIds(bytes.subarray(0, keptFrom));
+    this.#buffered = Buffer.from(bytes.subarray(keptFrom));
+    this.#passedBytes = this.#buffered.length;
+    this.#isInsideEvent = true;
+    return { bytes: passed, eventIds };
+  }
+
+  /** The last id of each event that ends in the bytes. */
+  #readIds(bytes: Buffer): string[] {
+    const lines = bytes.toString("latin1").replace(BYTE_ORDER_MARK, "")
+      .split(LINE_ENDS);
+    // What precedes the first line end was read with the part before it, and
+    // what follows the last one is not a line yet.
+    const first = this.#isInsideEvent ? 1 : 0;
+    const eventIds: string[] = [];
+    for (const line of lines.slice(first, -1)) {
+      if (line !== "") {
+        const id = ID_FIELD.exec(line);
+        if (id !== null) this.#eventId = id[1] ?? "";
+      } else if (this.#eventId !== undefined) {
+        eventIds.push(this.#eventId);
+        this.#eventId = undefined;
+      }
+    }
+    return eventIds;
   }
 }
 
 /** Offset after the last empty line; 0 if there is none. */
 function endOfLastEvent(bytes: Buffer): number {
   for (let index = bytes.length - 1; index > 0; index--) {
-    if (bytes[index] !== LINE_FEED) continue;
-    if (bytes[index - 1] === LINE_FEED) return index + 1;
-    const hasReturn = bytes[index - 1] === CARRIAGE_RETURN;
-    if (hasReturn && index > 1 && bytes[index - 2] === LINE_FEED) {
-      return index + 1;
-    }
+    if (endsEmptyLine(bytes, index)) return index + 1;
   }
   return 0;
 }
 
-function eventIdsIn(events: Buffer): string[] {
-  const matches = events.toString("latin1").matchAll(
-    /(?:^|\n)id: ?([^\r\n]*)/g,
+/** True if the byte is the last one of an empty line. */
+function endsEmptyLine(bytes: Buffer, index: number): boolean {
+  const byte = bytes[index];
+  if (byte !== LINE_FEED && byte !== CARRIAGE_RETURN) return false;
+  const before = bytes[index - 1];
+  if (before === byte) return true;
+  if (byte !== LINE_FEED || before !== CARRIAGE_RETURN || index < 2) {
+    return false;
+  }
+  const lineBefore = bytes[index - 2];
+  return lineBefore === LINE_FEED || lineBefore === CARRIAGE_RETURN;
+}
+
+function startOfLastLine(bytes: Buffer): number {
+  const lineEnd = Math.max(
+    bytes.lastIndexOf(LINE_FEED),
+    bytes.lastIndexOf(CARRIAGE_RETURN),
   );
-  return [...matches].map((match) => match[1]);
+  return lineEnd + 1;
 }
--- a/src/core/forwarding/event_splitter_test.ts
+++ b/src/core/forwarding/event_splitter_test.ts
@@ -48,4 +48,33 @@
     const passed = splitter.push(Buffer.alloc(2 * 1024 * 1024, "x"));
     expect(passed?.bytes.length).to.equal(2 * 1024 * 1024);
   });
+
+  // A run that goes on behind a part of an event would garble it, and one that
+  // goes on behind its predecessor would repeat it.
+  it("stays inside a large event until it ends, and knows its id then", () => {
+    for (const lineEnd of ["\n", "\r\n", "\r"]) {
+      const data = `data: ${"x".repeat(700_000)}`;
+      const event = ["id: 7", data, data, "id: 8", "", ""].join(lineEnd);
+      const bytes = Buffer.from(event);
+      const splitter = new EventSplitter();
+      let passed = "";
+      let eventIds: string[] = [];
+      for (let from = 0; from < bytes.length; from += 100_000) {
+        const part = splitter.push(bytes.subarray(from, from + 100_000));
+        passed += part?.bytes.toString() ?? "";
+        eventIds = [...eventIds, ...part?.eventIds ?? []];
+        const isPartial = passed !== "" && passed.length < event.length;
+        expect(splitter.isInsideEvent).to.equal(isPartial);
+      }
+      expect(passed === event).to.equal(true);
+      expect(eventIds).to.deep.equal(["8"]);
+    }
+  });
+
+  it("takes the last id of an event, behind other lines and a mark", () => {
+    const text = "\uFEFFid: 1\n\n: id: 2\nx-version: 3\nid:4\nid: 5\r\n\r\n" +
+      "data: id: 9\n\nid\n\n";
+    expect(new EventSplitter().push(Buffer.from(text))?.eventIds)
+      .to.deep.equal(["1", "5", ""]);
+  });
 });
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -12,7 +12,7 @@
   type WorkHandle,
 } from "../../core/forwarding/mod.ts";
 import type { ForwardContext } from "./forward_context.ts";
-import { declaresEventStream, followEvents } from "./event_stream.ts";
+import { isEventStream, verifyEvents } from "./event_stream.ts";
 import type {
   BodyEnd,
   BodyFraming,
@@ -106,7 +106,7 @@
     this.answer = exchange.answer.then((result) => {
       this.#onHead(result);
       return result.map((response) =>
-        this.#measurePauses(this.#followBody(response))
+        this.#measurePauses(this.#verifyBody(response))
       );
     });
   }
@@ -176,11 +176,14 @@
     if (result.isErr() || result.value.head.notExecuted) this.#close();
   }
 
-  #followBody(response: EndpointResponse): EndpointResponse {
+  #verifyBody(response: EndpointResponse): EndpointResponse {
     this.#framing = response.framing;
-    if (!declaresEventStream(response.head)) return response;
+    const { request, route } = this.#context;
+    if (request.method === "HEAD") return response;
+    const isStreamRoute = route.repeat === "stream";
+    if (!isEventStream(response, { isStreamRoute })) return response;
     this.#position = new EventStreamPosition();
-    return followEvents(response, this.#position);
+    return verifyEvents(response, this.#position);
   }
 
   /**
--- a/src/entry/forwarding/event_stream.ts
+++ b/src/entry/forwarding/event_stream.ts
@@ -2,7 +2,7 @@
   EventStreamPosition,
   ResponseHead,
 } from "../../core/forwarding/mod.ts";
-import type { EndpointResponse } from "./network_interfaces.ts";
+import type { BodyFraming, EndpointResponse } from "./network_interfaces.ts";
 
 const EVENT_STREAM = "text/event-stream";
 
@@ -15,22 +15,63 @@
   return headers[index + 1].split(";")[0].trim().toLowerCase();
 }
 
-/** True if the head declares a stream of server-sent events. */
-export function declaresEventStream(head: ResponseHead): boolean {
-  return mediaTypeOf(head) === EVENT_STREAM;
+export function isSuccess({ status }: ResponseHead): boolean {
+  return status >= 200 && status < 300;
 }
 
-/** Returns the response, with `position` kept up to date. */
-export function followEvents(
+/**
+ * True if the response is a stream of server-sent events. Without a media type,
+ * the response to a request for a stream is taken for one if nothing but its
+ * bytes shows where it ends.
+ */
+export function isEventStream(
+  { framing, head }: EndpointResponse,
+  { isStreamRoute }: { readonly isStreamRoute: boolean },
+): boolean {
+  if (!isSuccess(head)) return false;
+  const mediaType = mediaTypeOf(head);
+  if (mediaType !== undefined) return mediaType === EVENT_STREAM;
+  return isStreamRoute && framing === "connection";
+}
+
+/**
+ * Returns the response, with `position` kept up to date. An end that leaves the
+ * stream unfinished counts as cut, whatever the framing: callers discard an
+ * event without its empty line, and would miss it in a complete response. The
+ * length is not passed on: a truncated stream that has reached it, or one that
+ * another run has continued, would look complete.
+ */
+export function verifyEvents(
   response: EndpointResponse,
   position: EventStreamPosition,
 ): EndpointResponse {
   return {
     ...response,
+    head: withoutLength(response.head),
     read: (onChunk, onEnd) =>
       response.read((chunk) => {
         position.push(chunk);
         onChunk(chunk);
-      }, onEnd),
+      }, (end) => {
+        const isWhole = end === "whole" &&
+          isFinished(position, response.framing);
+        onEnd(isWhole ? "whole" : "cut");
+      }),
   };
 }
+
+function withoutLength(head: ResponseHead): ResponseHead {
+  const headers = head.headers.filter((_, position) => {
+    const name = head.headers[position - position % 2];
+    return name.toLowerCase() !== "content-length";
+  });
+  return { ...head, headers };
+}
+
+/** A connection that ends before the first event shows nothing. */
+function isFinished(
+  { hasFields, isBetweenEvents }: EventStreamPosition,
+  framing: BodyFraming,
+): boolean {
+  return isBetweenEvents && (framing !== "connection" || hasFields);
+}
--- a/src/entry/forwarding/response_relay.ts
+++ b/src/entry/forwarding/response_relay.ts
@@ -6,7 +6,7 @@
   type ResponseHead,
 } from "../../core/forwarding/mod.ts";
 import type { ForwardAttempt } from "./attempt.ts";
-import { mediaTypeOf } from "./event_stream.ts";
+import { isSuccess, mediaTypeOf } from "./event_stream.ts";
 import type {
   BodyEnd,
   CallerSink,
@@ -84,7 +84,8 @@
 
   /** False once the caller has received bytes that no other run can continue. */
   get isResumable(): boolean {
-    return this.#firstHead === undefined || isSuccess(this.#firstHead);
+    if (this.#firstHead === undefined) return true;
+    return isSuccess(this.#firstHead) && !this.#splitter.isInsideEvent;
   }
 
   /**
@@ -167,10 +168,6 @@
   }
 }
 
-function isSuccess({ status }: ResponseHead): boolean {
-  return status >= 200 && status < 300;
-}
-
 function byteLength(buffers: readonly Buffer[]): number {
   return buffers.reduce((sum, { length }) => sum + length, 0);
 }
