Reset the connection of a truncated response that ends with it

A caller of HTTP/1.0 gets neither a length nor chunks, so its response ends with the connection. A response that was broken off closed that connection in order: every truncated answer without a length was complete to such a caller, also after a reset of the replica. The same followed from an entry that ended with open responses, and from unread bytes that were dropped.

Such a response now ends with a reset.

--- a/src/adapters/forwarding/caller_response.ts
+++ b/src/adapters/forwarding/caller_response.ts
@@ -12,6 +12,8 @@
 export class CallerResponse implements CallerSink {
   readonly #response: ServerResponse;
   readonly #isStopping: () => boolean;
+  /** True if the response has a `Content-Length`. */
+  #hasLength = false;
   #isFinished = false;
   #isDisconnected = false;
 
@@ -29,6 +31,9 @@
 
   head(status: number, headers: readonly string[]): void {
     if (this.#isDisconnected || this.#isFinished) return;
+    this.#hasLength = headers.some((name, index) =>
+      index % 2 === 0 && name.toLowerCase() === "content-length"
+    );
     this.#response.sendDate = false;
     this.#response.writeHead(
       status,
@@ -55,9 +60,7 @@
   abort(): void {
     if (this.#isFinished) return;
     this.#isFinished = true;
-    // Without its last chunk or full length, the caller sees a truncated
-    // response.
-    this.#response.destroy();
+    this.breakOff();
   }
 
   onDrain(listener: () => void): void {
@@ -75,7 +78,20 @@
   }
 
   discardUnread(): void {
-    if (!this.#response.writableFinished) this.#response.destroy();
+    if (!this.#response.writableFinished) this.breakOff();
+  }
+
+  /**
+   * Closes the connection so that the response looks truncated. Without its
+   * last chunk or full length it does; a body that ends with its connection,
+   * as callers of HTTP/1.0 get it, needs a reset.
+   */
+  breakOff(): void {
+    const response = this.#response;
+    const endsWithConnection = response.headersSent &&
+      !response.chunkedEncoding && !this.#hasLength;
+    if (endsWithConnection) response.socket?.resetAndDestroy();
+    response.destroy();
   }
 
   refuse(refusal: ForwardingRefusal): void {
--- a/src/adapters/forwarding/caller_server.ts
+++ b/src/adapters/forwarding/caller_server.ts
@@ -56,6 +56,12 @@
   retryAfterMilliseconds: STOPPING_RETRY_AFTER_MILLISECONDS,
 };
 
+/** A request whose response has not ended. */
+interface OpenRequest {
+  readonly incoming: IncomingMessage;
+  readonly sink: CallerResponse;
+}
+
 /** Limits for requests of callers, taken from the current configuration. */
 export interface CallerServerLimits {
   readonly mostHeaderBytes: number;
@@ -93,7 +99,7 @@
   readonly #options: CallerServerOptions;
   readonly #server: Server;
   #bufferedBodyBytes = 0;
-  #openRequests = 0;
+  readonly #openRequests = new Set<OpenRequest>();
   #isStopping = false;
   /** True after the load balancer's grace period: new requests are refused. */
   #isClosing = false;
@@ -123,7 +129,7 @@
 
   /** Number of open requests. */
   get openRequests(): number {
-    return this.#openRequests;
+    return this.#openRequests.size;
   }
 
   listen(): Promise<void> {
@@ -159,7 +165,7 @@
           this.#server.close();
           this.#server.closeIdleConnections();
           this.#onDrained = resolve;
-          if (this.#openRequests === 0) resolve();
+          if (this.#openRequests.size === 0) resolve();
         },
       );
     });
@@ -168,16 +174,18 @@
   close(): void {
     this.#idleCloseTimer?.cancel();
     this.#server.close();
+    for (const { sink } of this.#openRequests) sink.breakOff();
     this.#server.closeAllConnections();
   }
 
   #receive(incoming: IncomingMessage, outgoing: ServerResponse): void {
-    this.#openRequests += 1;
     const chunks: Buffer[] = [];
     let bodyBytes = 0;
     let refused = false;
     const sink = new CallerResponse(outgoing, () => this.#isStopping);
-    outgoing.on("close", () => this.#onResponseClosed(bodyBytes));
+    const openRequest = { incoming, sink };
+    this.#openRequests.add(openRequest);
+    outgoing.on("close", () => this.#onResponseClosed(openRequest, bodyBytes));
     if (headerBytes(incoming) > this.#options.limits().mostHeaderBytes) {
       refused = true;
       sink.refuse({ status: 431, reason: "header_too_large" });
@@ -285,10 +293,10 @@
     return { status: 503, reason: "memory", retryAfterMilliseconds: 500 };
   }
 
-  #onResponseClosed(bodyBytes: number): void {
-    this.#openRequests -= 1;
+  #onResponseClosed(openRequest: OpenRequest, bodyBytes: number): void {
+    this.#openRequests.delete(openRequest);
     this.#bufferedBodyBytes -= bodyBytes;
-    if (this.#openRequests === 0) this.#onDrained?.();
+    if (this.#openRequests.size === 0) this.#onDrained?.();
   }
 }
 
