Complete the responses before invalid bytes on a connection

Bytes that are not a request were answered with 400 at once, in the middle of a response to a request before them on the connection. A caller of HTTP/1.0 got that text as the end of its body, one of HTTP/1.1 as an invalid chunk. The answer itself had no length and ended with the connection.

The responses to complete requests end first, then the connection is closed. The 400 has a length.

--- a/src/adapters/forwarding/caller_server.ts
+++ b/src/adapters/forwarding/caller_server.ts
@@ -56,6 +56,9 @@
   retryAfterMilliseconds: STOPPING_RETRY_AFTER_MILLISECONDS,
 };
 
+const BAD_REQUEST_RESPONSE =
+  "HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
 /** A request whose response has not ended. */
 interface OpenRequest {
   readonly incoming: IncomingMessage;
@@ -122,8 +125,7 @@
     }, (incoming, outgoing) => this.#receive(incoming, outgoing));
     this.#server.on("clientError", (cause, socket) => {
       options.onProtocolError(cause.message);
-      if (!socket.writable) return socket.destroy();
-      socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n");
+      this.#onInvalidBytes(socket as Socket);
     });
   }
 
@@ -178,6 +180,21 @@
     this.#server.closeAllConnections();
   }
 
+  /**
+   * Answers bytes that are not a request. Responses to requests before them on
+   * the connection are completed first: the caller would read the answer to
+   * the invalid bytes as a part of their bodies.
+   */
+  #onInvalidBytes(socket: Socket): void {
+    if (!socket.writable) return void socket.destroy();
+    const pending = [...this.#openRequests].filter(({ incoming }) =>
+      incoming.socket === socket && incoming.complete
+    );
+    const last = pending.at(-1);
+    if (last === undefined) return void socket.end(BAD_REQUEST_RESPONSE);
+    last.sink.onClosed(() => socket.destroySoon());
+  }
+
   #receive(incoming: IncomingMessage, outgoing: ServerResponse): void {
     const chunks: Buffer[] = [];
     let bodyBytes = 0;
