Refuse a request whose body could only end with its connection

A POST of HTTP/1.0 without a length was forwarded with an empty body, and its bytes were taken for the next request. It is refused with 411 and does not reach a replica.

--- a/src/adapters/forwarding/caller_server.ts
+++ b/src/adapters/forwarding/caller_server.ts
@@ -56,6 +56,14 @@
   retryAfterMilliseconds: STOPPING_RETRY_AFTER_MILLISECONDS,
 };
 
+/** Methods of requests that have no body unless their headers announce one. */
+const METHODS_WITHOUT_BODY: ReadonlySet<string> = new Set([
+  "GET",
+  "HEAD",
+  "DELETE",
+  "OPTIONS",
+]);
+
 const BAD_REQUEST_RESPONSE =
   "HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
@@ -206,6 +214,9 @@
     if (headerBytes(incoming) > this.#options.limits().mostHeaderBytes) {
       refused = true;
       sink.refuse({ status: 431, reason: "header_too_large" });
+    } else if (hasUnknownLength(incoming)) {
+      refused = true;
+      sink.refuse({ status: 411, reason: "length_required" });
     }
     incoming.on("data", (chunk: Buffer) => {
       bodyBytes += chunk.length;
@@ -317,6 +328,18 @@
   }
 }
 
+/**
+ * True if only the end of the connection could show where the body ends, as in
+ * requests of HTTP/1.0 without a length. Node takes their bodies for empty.
+ */
+function hasUnknownLength(
+  { headers, httpVersion, method }: IncomingMessage,
+): boolean {
+  return httpVersion === "1.0" && !METHODS_WITHOUT_BODY.has(method ?? "") &&
+    headers["content-length"] === undefined &&
+    headers["transfer-encoding"] === undefined;
+}
+
 /** Approximate size of the request line and headers as received. */
 function headerBytes(incoming: IncomingMessage): number {
   const { method, rawHeaders, url } = incoming;
