Do not block a request for endpoints that broke it off and live on

Each response that an endpoint broke off counted as a crash on its request, unless the endpoint answered the next request within a second. Three faulty endpoints that lived on got a sound request refused with 503 crashes_endpoints for ten minutes, at all entries.

A request that crashes endpoints is still blocked after the third crash.

Measured: the new test of a fleet (20 attempts of a stream, each broken off by four endpoints, 1.3 s apart) gets crashes_endpoints if losses count at once, and none now.

--- a/src/adapters/forwarding/endpoint_http_client.ts
+++ b/src/adapters/forwarding/endpoint_http_client.ts
@@ -1,5 +1,5 @@
 import { type IncomingMessage, request as openRequest } from "node:http";
-import type { Socket } from "node:net";
+import { connect, type Socket } from "node:net";
 import { err, ok, type Result } from "../../core/errors/result.ts";
 import { failure } from "../../core/errors/mod.ts";
 import type { ResponseHead } from "../../core/forwarding/mod.ts";
@@ -114,6 +114,24 @@
     };
   }
 
+  /** Opens a connection and closes it without a request. */
+  acceptsConnections(address: string): Promise<boolean> {
+    return new Promise((resolve) => {
+      const socket = connect(portOf(address), hostOf(address));
+      const settle = (isAccepted: boolean) => {
+        timeout.cancel();
+        socket.destroy();
+        resolve(isAccepted);
+      };
+      const timeout = this.#options.timer.after(
+        CONNECT_TIMEOUT_MILLISECONDS,
+        () => settle(false),
+      );
+      socket.on("connect", () => settle(true));
+      socket.on("error", () => settle(false));
+    });
+  }
+
   /**
    * Closes the idle connections to an address whose endpoint is no longer
    * registered. Connections in use stay open: an endpoint completes its running
--- a/src/adapters/forwarding/endpoint_http_client_test.ts
+++ b/src/adapters/forwarding/endpoint_http_client_test.ts
@@ -249,4 +249,12 @@
     await send();
     expect(replica.connections).to.equal(2);
   });
+
+  it("tells whether a process accepts connections, without a request", async () => {
+    await startReplica(() => {});
+    expect(await client.acceptsConnections(address)).to.equal(true);
+    expect(replica.requests).to.deep.equal([]);
+    replica.close();
+    expect(await client.acceptsConnections(address)).to.equal(false);
+  });
 });
--- a/src/core/forwarding/crashes/crash_tracker.ts
+++ b/src/core/forwarding/crashes/crash_tracker.ts
@@ -56,6 +56,8 @@
 interface Suspect {
   /** Losses by the run of the endpoint. */
   readonly losses: Map<string, ReportedLoss>;
+  /** Runs of losses that do not count for a block yet. */
+  readonly unconfirmed: Set<string>;
   lastLossAt: number;
   /** True if this entry has observed one of the losses. */
   isOwn: boolean;
@@ -105,12 +107,15 @@
   /**
    * Records that the connection to a run broke with the request on it.
    * `knownBefore` is the value of `crashCount` when the request was sent there.
+   * If the run may be alive, `isConfirmed` is false: the loss is not reported,
+   * and does not count for a block, until `confirmLosses`.
    */
   lost(
     run: EndpointRun,
-    { digest, knownBefore }: {
+    { digest, knownBefore, isConfirmed = true }: {
       readonly digest: RequestDigest;
       readonly knownBefore: number;
+      readonly isConfirmed?: boolean;
     },
   ): void {
     const loss: ReportedLoss = [
@@ -119,13 +124,25 @@
       run.startedAt ?? null,
       knownBefore + 1,
     ];
-    if (this.#record(loss, { isOwn: true })) this.reports.addOwn(loss);
+    if (!this.#record(loss, { isOwn: true, isConfirmed })) return;
+    if (isConfirmed) this.reports.addOwn(loss);
+  }
+
+  /** Counts and reports the losses of the run that were not retracted. */
+  confirmLosses(run: EndpointRun): void {
+    const key = keyOfRun(run);
+    for (const [digest, suspect] of this.#suspects) {
+      if (!suspect.unconfirmed.delete(key)) continue;
+      const loss = suspect.losses.get(key);
+      if (loss !== undefined) this.reports.addOwn(loss);
+      this.#noteIfBlocked(digest, suspect);
+    }
   }
 
   /** Number of successive crashes attributed to the request. */
   crashCount(digest: RequestDigest): number {
     const suspect = this.#suspects.get(digest);
-    return suspect === undefined ? 0 : crashCountOf(suspect);
+    return suspect === undefined ? 0 : countCrashes(suspect.losses.values());
   }
 
   /** Records a loss that a peer has observed. */
@@ -210,33 +227,42 @@
     return [...this.#suspects.values()]
       .filter((suspect) => this.#blockedMilliseconds(suspect) > 0)
       .slice(-MAX_BLOCKED_REPORTED)
-      .flatMap(({ losses }) => [...losses.values()]);
+      .flatMap(confirmedLosses);
   }
 
   /** Returns false if the loss was already known. */
-  #record(loss: ReportedLoss, { isOwn }: { readonly isOwn: boolean }): boolean {
+  #record(
+    loss: ReportedLoss,
+    { isOwn, isConfirmed = true }: {
+      readonly isOwn: boolean;
+      readonly isConfirmed?: boolean;
+    },
+  ): boolean {
     const digest = digestOfLoss(loss);
     const key = keyOfRun(runOfLoss(loss));
     const at = this.#options.timer.now();
     const known = this.#suspects.get(digest);
     if (known?.losses.has(key)) return false;
-    const suspect = known ??
-      { losses: new Map(), lastLossAt: at, isOwn, wasBlocked: false };
+    const suspect = known ?? newSuspect(at);
     suspect.isOwn ||= isOwn;
     suspect.losses.set(key, loss);
+    if (!isConfirmed) suspect.unconfirmed.add(key);
     suspect.lastLossAt = at;
     this.#suspects.delete(digest);
     this.#suspects.set(digest, suspect);
     this.#recordLostRun(key, { at, digest });
     this.#evict(at);
+    this.#noteIfBlocked(digest, suspect);
+    return true;
+  }
+
+  #noteIfBlocked(digest: RequestDigest, suspect: Suspect): void {
     const isBlockedNow = !suspect.wasBlocked &&
       this.#blockedMilliseconds(suspect) > 0;
-    if (isBlockedNow) {
-      suspect.wasBlocked = true;
-      const losses = [...suspect.losses.values()];
-      this.#options.onBlocked?.({ digest, losses }, { isOwn: suspect.isOwn });
-    }
-    return true;
+    if (!isBlockedNow) return;
+    suspect.wasBlocked = true;
+    const losses = confirmedLosses(suspect);
+    this.#options.onBlocked?.({ digest, losses }, { isOwn: suspect.isOwn });
   }
 
   #recordLostRun(
@@ -266,11 +292,13 @@
     const suspect = this.#suspects.get(digest);
     if (suspect === undefined) return;
     suspect.losses.delete(key);
+    suspect.unconfirmed.delete(key);
     if (suspect.losses.size === 0) this.#suspects.delete(digest);
   }
 
   #blockedMilliseconds(suspect: Suspect): number {
-    if (crashCountOf(suspect) < CRASHES_UNTIL_BLOCKED) return 0;
+    const crashes = countCrashes(confirmedLosses(suspect));
+    if (crashes < CRASHES_UNTIL_BLOCKED) return 0;
     if (this.#isExplained(suspect)) return 0;
     const until = suspect.lastLossAt + BLOCK_MILLISECONDS;
     return Math.max(0, until - this.#options.timer.now());
@@ -283,7 +311,7 @@
   #isExplained({ losses }: Suspect): boolean {
     for (const other of this.#suspects.values()) {
       const mayExplain = other.losses.size > losses.size &&
-        crashCountOf(other) >= CRASHES_UNTIL_BLOCKED;
+        countCrashes(confirmedLosses(other)) >= CRASHES_UNTIL_BLOCKED;
       if (!mayExplain) continue;
       const keys = [...losses.keys()];
       if (keys.every((key) => other.losses.has(key))) return true;
@@ -292,9 +320,29 @@
   }
 }
 
+function newSuspect(at: number): Suspect {
+  return {
+    losses: new Map(),
+    unconfirmed: new Set(),
+    lastLossAt: at,
+    isOwn: false,
+    wasBlocked: false,
+  };
+}
+
+function confirmedLosses({ losses, unconfirmed }: Suspect): ReportedLoss[] {
+  return [...losses].flatMap(([key, loss]) =>
+    unconfirmed.has(key) ? [] : [loss]
+  );
+}
+
 /** At most the number of known runs, whatever crash number a peer reports. */
-function crashCountOf({ losses }: Suspect): number {
+function countCrashes(losses: Iterable<ReportedLoss>): number {
   let last = 0;
-  for (const [, , , crash] of losses.values()) last = Math.max(last, crash);
-  return Math.min(last, losses.size);
+  let runs = 0;
+  for (const [, , , crash] of losses) {
+    last = Math.max(last, crash);
+    runs += 1;
+  }
+  return Math.min(last, runs);
 }
--- a/src/core/forwarding/crashes/crash_tracker_test.ts
+++ b/src/core/forwarding/crashes/crash_tracker_test.ts
@@ -56,6 +56,43 @@
     return tracker.blockedMilliseconds(digest) > 0;
   }
 
+  describe("confirmLosses", () => {
+    const run = makeEndpoint("a");
+
+    function loseUnconfirmed(...endpoints: string[]): void {
+      for (const endpoint of endpoints) {
+        tracker.lost(makeEndpoint(endpoint), {
+          digest: CRASHING,
+          knownBefore: tracker.crashCount(CRASHING),
+          isConfirmed: false,
+        });
+      }
+    }
+
+    it("counts and reports losses that were not retracted", () => {
+      loseUnconfirmed("a", "b", "c");
+      expect(isBlocked(CRASHING)).to.equal(false);
+      expect(tracker.reports.take()).to.equal(undefined);
+      for (const id of ["a", "b", "c"]) {
+        expect(ownBlocked).to.deep.equal([]);
+        tracker.confirmLosses(makeEndpoint(id));
+      }
+      expect(isBlocked(CRASHING)).to.equal(true);
+      expect(ownBlocked).to.deep.equal([CRASHING]);
+      expect(tracker.reports.take()?.losses).to.have.length(3);
+    });
+
+    it("neither counts nor reports losses of a run that has answered", () => {
+      loseUnconfirmed("a", "b", "c");
+      tracker.answered(run, timer.now());
+      for (const id of ["a", "b", "c"]) {
+        tracker.confirmLosses(makeEndpoint(id));
+      }
+      expect(isBlocked(CRASHING)).to.equal(false);
+      expect(tracker.reports.take()?.losses).to.have.length(2);
+    });
+  });
+
   describe("lost", () => {
     it("blocks a request after the third endpoint that crashes", () => {
       crash("a", CRASHING);
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -215,9 +215,14 @@
 
   /** Records that the endpoint broke the connection with the request open. */
   #recordLoss(): void {
-    const { crashes, timer } = this.#dependencies;
+    const { crashes, lostRunChecks, timer } = this.#dependencies;
     const { digest } = this.#context;
-    crashes.lost(this.endpoint, { digest, knownBefore: this.#knownCrashes });
+    crashes.lost(this.endpoint, {
+      digest,
+      knownBefore: this.#knownCrashes,
+      isConfirmed: false,
+    });
+    lostRunChecks.check(this.endpoint);
     this.#context.report("endpoint_lost", {
       digest,
       crashes: crashes.crashCount(digest),
--- a/src/entry/forwarding/crashing_requests_test.ts
+++ b/src/entry/forwarding/crashing_requests_test.ts
@@ -210,6 +210,39 @@
     });
   });
 
+  describe("compared with one that faulty endpoints break off", () => {
+    const MILLISECONDS_BETWEEN = 1_300;
+
+    /** Responses to one request whose endpoints break off all responses. */
+    async function responsesOf(
+      { acceptsConnections }: { readonly acceptsConnections: boolean },
+    ): Promise<RecordingSink[]> {
+      const { fleet } = new CrashScenario({
+        route: { repeat: "stream", resumable: true, mostAttempts: 3 },
+      });
+      fleet.acceptsConnections = () => acceptsConnections;
+      fleet.onSend = (attempt) => {
+        void attempt.head().then(() => attempt.chunk("id: 1\ndata: x\n\n"));
+        fleet.timer.after(10, () => void attempt.end("cut"));
+      };
+      const callers: RecordingSink[] = [];
+      for (let count = 0; count < 20; count++) {
+        const id = identifier<RequestId>(`sound-${count}`);
+        callers.push(fleet.submit(count % 5, makeRequest({ id })));
+        await fleet.timer.advance(MILLISECONDS_BETWEEN);
+      }
+      return callers;
+    }
+
+    it("is blocked, and that one is not while they accept connections", async () => {
+      const reasons = async (acceptsConnections: boolean) =>
+        (await responsesOf({ acceptsConnections }))
+          .map(({ refusal }) => refusal?.reason);
+      expect(await reasons(false)).to.include("crashes_endpoints");
+      expect(await reasons(true)).not.to.include("crashes_endpoints");
+    });
+  });
+
   describe("in a large fleet", () => {
     it("is known to all entries even if datagrams are lost", async () => {
       const scenario = new CrashScenario({ entries: 68, lossRate: 0.1 });
--- a/src/entry/forwarding/forwarding_dependencies.ts
+++ b/src/entry/forwarding/forwarding_dependencies.ts
@@ -38,6 +38,7 @@
 import type { TimerService } from "../../core/time/mod.ts";
 import type { ConfigurationStatus } from "./configuration_status.ts";
 import type { FleetOutcomes } from "./fleet_outcomes.ts";
+import type { LostRunChecks } from "./lost_run_checks.ts";
 import type { EndpointClient } from "./network_interfaces.ts";
 import type { ObserveForwarding } from "./observer.ts";
 import type { QueryAllowance } from "./query_allowance.ts";
@@ -61,6 +62,7 @@
   readonly retryBudget: SharedRetryBudget;
   /** Requests that endpoints have crashed on. */
   readonly crashes: CrashTracker;
+  readonly lostRunChecks: LostRunChecks;
   /** Request limits that endpoints have named. */
   readonly limits: EndpointLimits;
   /** Load that endpoints have reported in their responses. */
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -77,6 +77,7 @@
   type SendToPeers,
   VERDICTS_METHOD,
 } from "./peer_exchange.ts";
+import { LostRunChecks } from "./lost_run_checks.ts";
 import { LoadReportExchange } from "./load_report_exchange.ts";
 import {
   LOAD_ANSWER_METHOD,
@@ -453,6 +454,11 @@
       }),
       returningCallers,
       crashes,
+      lostRunChecks: new LostRunChecks({
+        ...options,
+        crashes,
+        registry: this.registry,
+      }),
       limits,
       loadReports,
       sentRequests,
--- a/src/entry/forwarding/forwarding_entry_test.ts
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -61,6 +61,7 @@
           parseCacheHandle: () => undefined,
           listCachedParts: () => Promise.resolve(undefined),
           checkHealth: () => Promise.resolve(undefined),
+          acceptsConnections: () => Promise.resolve(false),
           release() {},
         },
         digestOf,
--- a/src/entry/forwarding/network_interfaces.ts
+++ b/src/entry/forwarding/network_interfaces.ts
@@ -70,6 +70,8 @@
     endpoint: Pick<RegisteredEndpoint, "id" | "address">,
     path: string,
   ): Promise<EndpointHealthAnswer | undefined>;
+  /** True if a process listens at the address, whatever it answers. */
+  acceptsConnections(address: string): Promise<boolean>;
   /** Releases a cached prompt that will not be used. */
   release(address: string, handle: string): void;
 }
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -57,6 +57,8 @@
   datagrams = 0;
   readonly #options: EntryFleetOptions;
   readonly #random: Random = seededRandom(3);
+  /** Whether a process listens at the address of an endpoint. */
+  acceptsConnections: (address: string) => boolean = () => false;
   readonly #lossRate: number;
   #restarts = 0;
 
@@ -116,6 +118,8 @@
           body.length > 0 ? body.toString() : undefined,
         listCachedParts: () => Promise.resolve(undefined),
         checkHealth: checkHealth ?? (() => Promise.resolve(undefined)),
+        acceptsConnections: (address) =>
+          Promise.resolve(this.acceptsConnections(address)),
         release() {},
       },
       digestOf,
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -50,6 +50,7 @@
   forward,
   type ForwardingDependencies,
   type ForwardingRefusal,
+  LostRunChecks,
   QueryAllowance,
   RequestPermits,
 } from "../../src/entry/forwarding/mod.ts";
@@ -238,8 +239,10 @@
       parseCacheHandle: (body) => body.length > 0 ? body.toString() : undefined,
       listCachedParts: () => Promise.resolve(undefined),
       checkHealth: () => Promise.resolve(undefined),
+      acceptsConnections: () => Promise.resolve(false),
       release: (_, handle) => void this.released.push(handle),
     };
+    const crashes = new CrashTracker({ timer });
     const availabilityZone = identifier<AvailabilityZoneId>("zone-1");
     const registry = new EndpointRegistry({ timer });
     const limits = new EndpointLimits();
@@ -273,7 +276,13 @@
         entries: () => 1,
       }),
       returningCallers: new ReturningCallers(timer),
-      crashes: new CrashTracker({ timer }),
+      crashes,
+      lostRunChecks: new LostRunChecks({
+        timer,
+        registry,
+        crashes,
+        endpointClient,
+      }),
       limits,
       outcomes: new FleetOutcomes({
         self,
