Take an answer that ends with its connection only if it is complete

Answers of the store, of engines to orders and of the services of the platform were complete when their connection ended: cut JSON that still parses, such as a number, or a reset that directly follows the last bytes. An append whose answer did not parse counted as one at offset 0, which is a claim's fencing token and the end for the next condition.

A reset is detected as it is towards endpoints, by the same code.

--- a/src/adapters/endpoint/mod.ts
+++ b/src/adapters/endpoint/mod.ts
@@ -164,6 +164,8 @@
   ): Promise<Result<ServiceResponse, EndpointFailure>> {
     const work = attempt.work as ServiceWork;
     const response = await this.#client.call(work.path, {
+      // A plain service may answer anything, and end it with its connection.
+      showsItsEnd: () => true,
       method: work.method,
       headers: buildHeaders(attempt, work.contentType),
       body: work.body === "" ? undefined : work.body,
--- a/src/adapters/forwarding/endpoint_http_client.ts
+++ b/src/adapters/forwarding/endpoint_http_client.ts
@@ -1,5 +1,5 @@
 import { type IncomingMessage, request as openRequest } from "node:http";
-import { connect, type Socket } from "node:net";
+import { connect } from "node:net";
 import { err, ok, type Result } from "../../core/errors/result.ts";
 import { failure } from "../../core/errors/mod.ts";
 import type { ResponseHead } from "../../core/forwarding/mod.ts";
@@ -10,6 +10,7 @@
   Exchange,
   ExchangeFailure,
 } from "../../entry/forwarding/network_interfaces.ts";
+import { detectReset, framingOf } from "../http_client/mod.ts";
 import {
   EXCHANGE_FOREIGN,
   EXCHANGE_LOST,
@@ -24,8 +25,6 @@
  */
 const CONNECT_TIMEOUT_MILLISECONDS = 400;
 
-const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
-
 /** An HTTP request to an endpoint. */
 export interface OutgoingRequest {
   readonly address: string;
@@ -209,36 +208,6 @@
   };
 }
 
-/**
- * Detects a reset of the connection of a response without a length, which ends
- * with its connection. If a reset directly follows the last bytes, Node reports
- * a regular end, and a truncated response would appear to be complete. A socket
- * that was reset has no remote address any more; one that the peer closed still
- * has it. The address must not be read earlier because Node caches it.
- */
-function detectReset(socket: Socket): () => boolean {
-  let wasReset = false;
-  socket.once("error", () => wasReset = true);
-  socket.prependOnceListener("end", () => {
-    if (socket.remoteAddress === undefined) wasReset = true;
-  });
-  return () => wasReset;
-}
-
-function framingOf(
-  { headers, statusCode = 0 }: IncomingMessage,
-  method: string,
-): BodyFraming {
-  const hasNoBody = method === "HEAD" || STATUSES_WITHOUT_BODY.has(statusCode);
-  if (hasNoBody) return "length";
-  const transferEncoding = headers["transfer-encoding"];
-  if (transferEncoding !== undefined) {
-    const isChunked = /(^|,)\s*chunked\s*$/i.test(transferEncoding);
-    return isChunked ? "chunks" : "connection";
-  }
-  return headers["content-length"] === undefined ? "connection" : "length";
-}
-
 function hostOf(address: string): string {
   return address.slice(0, address.lastIndexOf(":"));
 }
--- /dev/null
+++ b/src/adapters/http_client/body_framing.ts
@@ -0,0 +1,36 @@
+import type { IncomingMessage } from "node:http";
+import type { Socket } from "node:net";
+import type { BodyFraming } from "../../entry/forwarding/network_interfaces.ts";
+
+const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
+const ENDS_CHUNKED = /(^|,)\s*chunked\s*$/i;
+
+/** How a response to a request of the method shows where its body ends. */
+export function framingOf(
+  { headers, statusCode = 0 }: IncomingMessage,
+  method: string,
+): BodyFraming {
+  const hasNoBody = method === "HEAD" || STATUSES_WITHOUT_BODY.has(statusCode);
+  if (hasNoBody) return "length";
+  const transferEncoding = headers["transfer-encoding"];
+  if (transferEncoding !== undefined) {
+    return ENDS_CHUNKED.test(transferEncoding) ? "chunks" : "connection";
+  }
+  return headers["content-length"] === undefined ? "connection" : "length";
+}
+
+/**
+ * Detects a reset of the connection of a response without a length, which ends
+ * with its connection. If a reset directly follows the last bytes, Node reports
+ * a regular end, and a truncated response would appear to be complete. A socket
+ * that was reset has no remote address any more; one that the peer closed still
+ * has it. The address must not be read earlier because Node caches it.
+ */
+export function detectReset(socket: Socket): () => boolean {
+  let wasReset = false;
+  socket.once("error", () => wasReset = true);
+  socket.prependOnceListener("end", () => {
+    if (socket.remoteAddress === undefined) wasReset = true;
+  });
+  return () => wasReset;
+}
--- a/src/adapters/http_client/mod.ts
+++ b/src/adapters/http_client/mod.ts
@@ -3,6 +3,7 @@
 import { err, ok, type Result } from "../../core/errors/result.ts";
 import { type Failure, failure } from "../../core/errors/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
+import { detectReset, framingOf } from "./body_framing.ts";
 import { hedgedCall } from "./hedged_call.ts";
 import {
   HTTP_CLOSED,
@@ -11,6 +12,8 @@
   HTTP_TOO_LARGE,
 } from "./errors.ts";
 
+export { detectReset, framingOf } from "./body_framing.ts";
+
 /**
  * `http_not_sent`: no byte was sent. With the other failures the call may have
  * taken effect.
@@ -52,6 +55,11 @@
 export interface HttpCallOptions extends HttpRequestOptions {
   readonly timeoutMilliseconds: number;
   readonly mostResponseBytes: number;
+  /**
+   * Whether a body that ends with its connection is complete by its content;
+   * by default `showsJsonEnd`. The connection may have ended before the body.
+   */
+  readonly showsItsEnd?: (body: string) => boolean;
   /** Closes the connection of the call when it is aborted. */
   readonly signal?: AbortSignal;
 }
@@ -152,6 +160,8 @@
         url: this.#url(path).href,
         maxBytes: options.mostResponseBytes,
         encoding: options.encoding ?? "utf8",
+        method: options.method,
+        showsItsEnd: options.showsItsEnd ?? showsJsonEnd,
       });
     timeout.cancel();
     signal?.removeEventListener("abort", onAbort);
@@ -219,9 +229,19 @@
 
 function readResponse(
   incoming: IncomingMessage,
-  options: { url: string; maxBytes: number; encoding: BufferEncoding },
+  options: {
+    readonly url: string;
+    readonly maxBytes: number;
+    readonly encoding: BufferEncoding;
+    readonly method: string;
+    readonly showsItsEnd: (body: string) => boolean;
+  },
 ): Promise<Result<HttpResponse, HttpFailure>> {
-  const { url, maxBytes, encoding } = options;
+  const { encoding, maxBytes, method, showsItsEnd, url } = options;
+  const endsWithConnection = framingOf(incoming, method) === "connection";
+  const wasReset = endsWithConnection
+    ? detectReset(incoming.socket)
+    : () => false;
   const chunks: Buffer[] = [];
   let bytesRead = 0;
   return new Promise((resolve) => {
@@ -235,11 +255,15 @@
       chunks.push(chunk);
     });
     incoming.on("end", () => {
+      const body = Buffer.concat(chunks).toString(encoding);
+      const isTruncated = wasReset() ||
+        (endsWithConnection && !showsItsEnd(body));
+      if (isTruncated) return onClosedEarly();
       resolve(ok({
         status: incoming.statusCode ?? 0,
         contentType: incoming.headers["content-type"] ??
           "application/octet-stream",
-        body: Buffer.concat(chunks).toString(encoding),
+        body,
         headers: incoming.headers,
         entityTag: incoming.headers.etag,
       }));
@@ -252,6 +276,14 @@
   });
 }
 
+/**
+ * True for a JSON object or list, which does not parse if it is truncated, and
+ * for an empty body. The start of a number is a number.
+ */
+export function showsJsonEnd(body: string): boolean {
+  return body === "" || /^\s*[[{]/.test(body) && parseJson(body) !== undefined;
+}
+
 /** Parses JSON; returns undefined if the text is not valid JSON. */
 export function parseJson(text: string): unknown {
   try {
