Send the length with responses of the product's own API

Completions, responses of services, problem details and lists were sent in chunks, or without any end but that of the connection to callers of HTTP/1.0, who could not tell a truncated one. They now have their length. Streams end with [DONE] as before.

--- a/src/adapters/callers/caller_api_server.ts
+++ b/src/adapters/callers/caller_api_server.ts
@@ -25,6 +25,7 @@
   parseCallerHeaders,
   parseChatCompletion,
 } from "./request_parser.ts";
+import { sendWhole } from "./whole_response.ts";
 
 /** Handle of a request submitted to the core. */
 export interface SubmittedRequest {
@@ -64,7 +65,7 @@
 const MAX_HEADER_BYTES = 16 * 1024;
 const CHAT_PATH = "/v1/chat/completions";
 const BAD_REQUEST_RESPONSE =
-  "HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n";
+  "HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
 /** HTTP API server for callers, behind the platform's load balancer. */
 export class CallerApiServer {
@@ -285,8 +286,8 @@
     sendJson(response, { status, body: { state: service.state } });
   },
   "/metrics": async ({ metrics }, response) => {
-    response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
-    response.end(await metrics());
+    const headers = { "content-type": "text/plain; version=0.0.4" };
+    sendWhole(response, { status: 200, headers, body: await metrics() });
   },
   "/v1/models": ({ service }, response) => {
     const data = service.models().map((id) => ({ id, object: "model" }));
@@ -298,8 +299,9 @@
   response: http.ServerResponse,
   reply: { status: number; body: unknown },
 ): void {
-  response.writeHead(reply.status, { "content-type": "application/json" });
-  response.end(JSON.stringify(reply.body));
+  const headers = { "content-type": "application/json" };
+  const body = JSON.stringify(reply.body);
+  sendWhole(response, { status: reply.status, headers, body });
 }
 
 function readBody(
--- a/src/adapters/callers/problem.ts
+++ b/src/adapters/callers/problem.ts
@@ -5,6 +5,7 @@
   RefusalReason,
   UnknownOutcome,
 } from "../../core/requests/mod.ts";
+import { sendWhole } from "./whole_response.ts";
 
 /** A problem detail (RFC 9457) as sent to callers. */
 export interface Problem {
@@ -79,8 +80,8 @@
     const seconds = Math.ceil(outcome.retryAfterMilliseconds / 1000);
     headers["retry-after"] = String(Math.max(1, seconds));
   }
-  response.writeHead(problem.status, headers);
-  response.end(JSON.stringify(problem));
+  const body = JSON.stringify(problem);
+  sendWhole(response, { status: problem.status, headers, body });
 }
 
 /** Creates the refusal of a malformed request. */
--- a/src/adapters/callers/response_sinks.ts
+++ b/src/adapters/callers/response_sinks.ts
@@ -2,6 +2,7 @@
 import type { AnswerSink, Outcome } from "../../core/requests/mod.ts";
 import { CoalescingWriter } from "../coalescing_writer/mod.ts";
 import { createProblem, sendProblem } from "./problem.ts";
+import { sendWhole } from "./whole_response.ts";
 
 /** Fields that every response to a chat completion repeats. */
 export interface CompletionMetadata {
@@ -112,8 +113,8 @@
       return;
     }
     const content = this.#tokens.join("");
-    this.#response.writeHead(200, { "content-type": "application/json" });
-    this.#response.end(JSON.stringify({
+    const headers = { "content-type": "application/json" };
+    const body = JSON.stringify({
       id: this.#metadata.id,
       object: "chat.completion",
       created: this.#metadata.created,
@@ -124,7 +125,8 @@
         message: { role: "assistant", content },
       }],
       usage: { completion_tokens: outcome.tokens },
-    }));
+    });
+    sendWhole(this.#response, { status: 200, headers, body });
   }
 }
 
@@ -154,7 +156,7 @@
     }
     const { status = 204, contentType = "text/plain", body = "" } =
       this.#reply ?? {};
-    this.#response.writeHead(status, { "content-type": contentType });
-    this.#response.end(body, "latin1");
+    const headers = { "content-type": contentType };
+    sendWhole(this.#response, { status, headers, body, encoding: "latin1" });
   }
 }
