--- a/src/core/forwarding/event_stream_position.ts
+++ b/src/core/forwarding/event_stream_position.ts
@@ -2,8 +2,8 @@
 const CARRIAGE_RETURN = 0x0d;
 const COLON = 0x3a;
 const BYTE_ORDER_MARK = [0xef, 0xbb, 0xbf];
-/** Last bytes of a stream that ends with an empty line, as a register. */
-const LINE_ENDS = {
+/** Last bytes up to the end of an empty line, the last one in the low byte. */
+const EMPTY_LINE_ENDS = {
   lineFeeds: LINE_FEED << 8 | LINE_FEED,
   carriageReturns: CARRIAGE_RETURN << 8 | CARRIAGE_RETURN,
   pairAfterLineFeed: LINE_FEED << 16 | CARRIAGE_RETURN << 8 | LINE_FEED,
@@ -16,7 +16,7 @@
 /** Position in a stream of server-sent events, after the bytes so far. */
 export class EventStreamPosition {
   /** The last three bytes; the start counts as the end of an event. */
-  #lastBytes = LINE_ENDS.lineFeeds;
+  #lastBytes = EMPTY_LINE_ENDS.lineFeeds;
   #markBytes = 0;
   #isLineStart = true;
   #hasFields = false;
@@ -24,10 +24,10 @@
   /** False after bytes of an event that has not ended. */
   get isBetweenEvents(): boolean {
     const lastTwo = this.#lastBytes & TWO_BYTES;
-    return lastTwo === LINE_ENDS.lineFeeds ||
-      lastTwo === LINE_ENDS.carriageReturns ||
-      this.#lastBytes === LINE_ENDS.pairAfterLineFeed ||
-      this.#lastBytes === LINE_ENDS.pairAfterCarriageReturn;
+    return lastTwo === EMPTY_LINE_ENDS.lineFeeds ||
+      lastTwo === EMPTY_LINE_ENDS.carriageReturns ||
+      this.#lastBytes === EMPTY_LINE_ENDS.pairAfterLineFeed ||
+      this.#lastBytes === EMPTY_LINE_ENDS.pairAfterCarriageReturn;
   }
 
   /** True once a line was received that is neither empty nor a comment. */
@@ -36,9 +36,11 @@
   }
 
   push(chunk: Buffer): void {
-    const bytes = this.#withoutMark(chunk);
-    for (const byte of bytes.subarray(-3)) {
-      this.#lastBytes = (this.#lastBytes << 8 | byte) & THREE_BYTES;
+    const isStart = this.#markBytes < BYTE_ORDER_MARK.length;
+    const bytes = isStart ? this.#withoutMark(chunk) : chunk;
+    const { length } = bytes;
+    for (let index = Math.max(0, length - 3); index < length; index++) {
+      this.#lastBytes = (this.#lastBytes << 8 | bytes[index]) & THREE_BYTES;
     }
     if (!this.#hasFields) this.#findField(bytes);
   }
