Drop the byte order mark of a run that continues a stream

In the middle of a stream it is a part of the first field's name, so that the caller would lose the id of that event. The new test failed before. A test of a pipeline with a broken-off answer passes with and without it.

--- a/src/entry/forwarding/request_forwarder_test.ts
+++ b/src/entry/forwarding/request_forwarder_test.ts
@@ -358,6 +358,15 @@
         });
       }
 
+      it("continues behind a byte order mark, which is not passed on", async () => {
+        const { caller, second } = await resumedStream();
+        await second.respond("\uFEFFid: 3\ndata: c\n\n", {
+          headers: EVENT_STREAM,
+        });
+        expect(caller.ended).to.equal("whole");
+        expect(caller.body).to.equal(`${received}id: 3\ndata: c\n\n`);
+      });
+
       it("is broken off after an incomplete event", async () => {
         const { harness, caller, second } = await resumedStream();
         await second.respond("id: 3\nda", { headers: EVENT_STREAM });
--- a/src/entry/forwarding/response_relay.ts
+++ b/src/entry/forwarding/response_relay.ts
@@ -19,6 +19,8 @@
  */
 const MAX_UNVERIFIED_BYTES = 64 * 1024;
 
+const BYTE_ORDER_MARK = Buffer.from([0xef, 0xbb, 0xbf]);
+
 /**
  * How a relayed response ended. `mismatch`: the response does not continue the
  * stream that the caller has received, and nothing of it was passed on.
@@ -149,7 +151,7 @@
     }
     const bytes = this.#unverified === undefined
       ? events.bytes
-      : Buffer.concat(this.#unverified);
+      : withoutMark(Buffer.concat(this.#unverified));
     this.#unverified = undefined;
     this.#sequence.record(events.eventIds);
     this.#write(bytes);
@@ -168,6 +170,13 @@
   }
 }
 
+/** A byte order mark is one at the start of a stream only. */
+function withoutMark(bytes: Buffer): Buffer {
+  const hasMark = bytes.subarray(0, BYTE_ORDER_MARK.length)
+    .equals(BYTE_ORDER_MARK);
+  return hasMark ? bytes.subarray(BYTE_ORDER_MARK.length) : bytes;
+}
+
 function byteLength(buffers: readonly Buffer[]): number {
   return buffers.reduce((sum, { length }) => sum + length, 0);
 }
