--- a/src/adapters/endpoint/mod.ts
+++ b/src/adapters/endpoint/mod.ts
@@ -165,7 +165,7 @@
     const work = attempt.work as ServiceWork;
     const response = await this.#client.call(work.path, {
       // A plain service may answer anything, and end it with its connection.
-      showsItsEnd: () => true,
+      isSelfDelimited: () => true,
       method: work.method,
       headers: buildHeaders(attempt, work.contentType),
       body: work.body === "" ? undefined : work.body,
--- a/src/adapters/http_client/mod.ts
+++ b/src/adapters/http_client/mod.ts
@@ -56,10 +56,11 @@
   readonly timeoutMilliseconds: number;
   readonly mostResponseBytes: number;
   /**
-   * Whether a body that ends with its connection is complete by its content;
-   * by default `showsJsonEnd`. The connection may have ended before the body.
+   * Whether a body that ends with its connection is complete, as its content
+   * shows; `isSelfDelimitedJson` by default. The connection may have ended
+   * before the body.
    */
-  readonly showsItsEnd?: (body: string) => boolean;
+  readonly isSelfDelimited?: (body: string) => boolean;
   /** Closes the connection of the call when it is aborted. */
   readonly signal?: AbortSignal;
 }
@@ -161,7 +162,7 @@
         maxBytes: options.mostResponseBytes,
         encoding: options.encoding ?? "utf8",
         method: options.method,
-        showsItsEnd: options.showsItsEnd ?? showsJsonEnd,
+        isSelfDelimited: options.isSelfDelimited ?? isSelfDelimitedJson,
       });
     timeout.cancel();
     signal?.removeEventListener("abort", onAbort);
@@ -234,10 +235,10 @@
     readonly maxBytes: number;
     readonly encoding: BufferEncoding;
     readonly method: string;
-    readonly showsItsEnd: (body: string) => boolean;
+    readonly isSelfDelimited: (body: string) => boolean;
   },
 ): Promise<Result<HttpResponse, HttpFailure>> {
-  const { encoding, maxBytes, method, showsItsEnd, url } = options;
+  const { encoding, maxBytes, method, isSelfDelimited, url } = options;
   const endsWithConnection = framingOf(incoming, method) === "connection";
   const wasReset = endsWithConnection
     ? detectReset(incoming.socket)
@@ -257,7 +258,7 @@
     incoming.on("end", () => {
       const body = Buffer.concat(chunks).toString(encoding);
       const isTruncated = wasReset() ||
-        (endsWithConnection && !showsItsEnd(body));
+        (endsWithConnection && !isSelfDelimited(body));
       if (isTruncated) return onClosedEarly();
       resolve(ok({
         status: incoming.statusCode ?? 0,
@@ -280,7 +281,7 @@
  * True for a JSON object or list, which does not parse if it is truncated, and
  * for an empty body. The start of a number is a number.
  */
-export function showsJsonEnd(body: string): boolean {
+export function isSelfDelimitedJson(body: string): boolean {
   return body === "" || /^\s*[[{]/.test(body) && parseJson(body) !== undefined;
 }
 
--- a/src/adapters/http_client/mod_test.ts
+++ b/src/adapters/http_client/mod_test.ts
@@ -4,7 +4,11 @@
   ScriptedReplica,
 } from "../../../test/support/scripted_replica.ts";
 import { SystemTimerService } from "../time/mod.ts";
-import { type HttpCallOptions, HttpClient, showsJsonEnd } from "./mod.ts";
+import {
+  type HttpCallOptions,
+  HttpClient,
+  isSelfDelimitedJson,
+} from "./mod.ts";
 
 const CALL: HttpCallOptions = {
   method: "GET",
@@ -18,7 +22,7 @@
     body: string,
     options: {
       readonly isReset?: boolean;
-      readonly showsItsEnd?: HttpCallOptions["showsItsEnd"];
+      readonly isSelfDelimited?: HttpCallOptions["isSelfDelimited"];
     } = {},
   ): Promise<string> {
     const service = new ScriptedReplica((socket) => {
@@ -30,8 +34,8 @@
     const client = new HttpClient(`http://${await service.listen()}`, {
       timer: new SystemTimerService(),
     });
-    const { showsItsEnd } = options;
-    const result = await client.call("/x", { ...CALL, showsItsEnd });
+    const { isSelfDelimited } = options;
+    const result = await client.call("/x", { ...CALL, isSelfDelimited });
     client.close();
     service.close();
     return result.isOk() ? result.value.body : result.error.name;
@@ -57,18 +61,18 @@
     });
 
     it("is judged as the calling code says", async () => {
-      expect(await callFor("case 7", { showsItsEnd: () => true }))
+      expect(await callFor("case 7", { isSelfDelimited: () => true }))
         .to.equal("case 7");
     });
   });
 });
 
-describe("showsJsonEnd", () => {
+describe("isSelfDelimitedJson", () => {
   it("is false for each truncated object", () => {
     const text = ' {"items":[{"key":"a"}],"end":127}';
     for (let length = 1; length < text.length; length++) {
-      expect(showsJsonEnd(text.slice(0, length))).to.equal(false);
+      expect(isSelfDelimitedJson(text.slice(0, length))).to.equal(false);
     }
-    expect(showsJsonEnd(text)).to.equal(true);
+    expect(isSelfDelimitedJson(text)).to.equal(true);
   });
 });
