--- a/src/adapters/forwarding/endpoint_http_client_test.ts
+++ b/src/adapters/forwarding/endpoint_http_client_test.ts
@@ -250,7 +250,7 @@
     expect(replica.connections).to.equal(2);
   });
 
-  it("tells whether a process accepts connections, without a request", async () => {
+  it("reports whether a process accepts connections, without a request", async () => {
     await startReplica(() => {});
     expect(await client.acceptsConnections(address)).to.equal(true);
     expect(replica.requests).to.deep.equal([]);
--- a/src/adapters/http_client/mod_test.ts
+++ b/src/adapters/http_client/mod_test.ts
@@ -48,7 +48,7 @@
       }
     });
 
-    // The start of an answer may parse, and stands for another value.
+    // The start of an answer may parse as another value.
     it("is not taken for complete if it may be the start of another", async () => {
       for (const body of ["12", '{"offset":12', '"a', "true", "nul", "[1"]) {
         expect(await callFor(body)).to.equal("http_closed");
