Restore the reason for the kept line, and group constants

Comments and order only: the reason why a line is kept when a large event is passed on had been dropped, and an interface stood between two constants.

--- a/src/core/forwarding/event_splitter.ts
+++ b/src/core/forwarding/event_splitter.ts
@@ -68,6 +68,10 @@
     return { bytes: complete, eventIds };
   }
 
+  /**
+   * Passes the buffer on. The last line is kept too: it may be an id, or the
+   * line before an empty one.
+   */
   #passIncomplete(): CompleteEvents {
     const bytes = this.#buffered;
     const passed = this.pending;
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -31,6 +31,9 @@
 
 /** Approximate size of a request's head, in bytes. */
 export const REQUEST_HEAD_BYTES = 700;
+/** Lowest status of a response that is not the result of the work. */
+const FIRST_ERROR_STATUS = 400;
+
 /** How the body of a response ends, for the log. */
 export interface BodyFacts {
   readonly framing?: BodyFraming;
@@ -38,9 +41,6 @@
   readonly insideEvent?: boolean;
 }
 
-/** Lowest status of a response that is not the result of the work. */
-const FIRST_ERROR_STATUS = 400;
-
 export interface AttemptPlan {
   readonly endpoint: RegisteredEndpoint;
   readonly options: Omit<ForwardAttemptOptions, "endpoint">;
