Log the software version of a replica and the stream that is taken up

The log could not tell a continuation that was placed like a new stream from a wrong registration: the version was validated and dropped, and Resumes was read nowhere. Lines of placed runs and prefills now name the version; those of continuations also the caller's attempt that began the stream and the position. The registry reports a changed version as an update.

--- a/src/adapters/forwarding/caller_server_test.ts
+++ b/src/adapters/forwarding/caller_server_test.ts
@@ -44,6 +44,7 @@
         body,
         deadlineMilliseconds: 1_000,
         lastEventId: undefined,
+        resumes: undefined,
         prompt: undefined,
       }),
       handle: (request, sink) => forwarded.push({ request, sink }),
--- a/src/core/forwarding/configuration.ts
+++ b/src/core/forwarding/configuration.ts
@@ -4,6 +4,7 @@
   EndpointId,
   ReplicaStartTime,
   ServiceName,
+  SoftwareVersion,
 } from "../identity/mod.ts";
 import type { WorkspaceKeys } from "./callers/key_directory.ts";
 
@@ -110,6 +111,8 @@
    */
   readonly startedAt?: ReplicaStartTime;
   readonly pool: ServiceName;
+  /** Replicas of several versions may serve a pool, in no order. */
+  readonly softwareVersion: SoftwareVersion;
   /** `host:port`; may be reused by another replica. */
   readonly address: string;
   readonly availabilityZone: AvailabilityZoneId;
--- a/src/core/forwarding/endpoints/endpoint_registry.ts
+++ b/src/core/forwarding/endpoints/endpoint_registry.ts
@@ -227,6 +227,7 @@
   if (order === "newer") return "restarted";
   if (next.leaving && !known.leaving) return "leaving";
   const isSame = known.address === next.address && known.role === next.role &&
-    known.slots === next.slots;
+    known.slots === next.slots &&
+    known.softwareVersion === next.softwareVersion;
   return isSame ? undefined : "updated";
 }
--- a/src/core/forwarding/requests.ts
+++ b/src/core/forwarding/requests.ts
@@ -37,6 +37,11 @@
   /** Time that the caller waits, milliseconds from the request's arrival. */
   readonly deadlineMilliseconds: number | undefined;
   readonly lastEventId: string | undefined;
+  /**
+   * Id of the caller's attempt that brought the first event of the stream that
+   * it takes up; undefined if the caller names none.
+   */
+  readonly resumes: RequestId | undefined;
   readonly prompt: Prompt | undefined;
 }
 
--- a/src/core/identity/mod.ts
+++ b/src/core/identity/mod.ts
@@ -31,6 +31,8 @@
 export type WorkClassName = Branded<string, "WorkClassName">;
 export type ModelName = Branded<string, "ModelName">;
 export type ServiceName = Branded<string, "ServiceName">;
+/** Version of the software of a replica, not of the weights of its model. */
+export type SoftwareVersion = Branded<string, "SoftwareVersion">;
 /** One request of a caller at one entry. */
 export type RequestId = Branded<string, "RequestId">;
 /**
--- a/src/entry/forwarding/handover.ts
+++ b/src/entry/forwarding/handover.ts
@@ -277,6 +277,7 @@
     this.#context.report("placed", {
       step: "prefill",
       endpoint: choice.endpoint.id,
+      softwareVersion: choice.endpoint.softwareVersion,
       late,
       waitedMilliseconds: Math.round(waitedMilliseconds),
       leftMilliseconds: Math.round(
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -39,6 +39,9 @@
  */
 const MAX_LIMIT_RETRY_AFTER_MILLISECONDS = 3_000;
 
+/** Longest text of a caller that is logged. */
+const MAX_LOGGED_LENGTH = 64;
+
 /** Endpoints have crashed on requests with this digest. */
 const BLOCKED = "crashes_endpoints";
 
@@ -200,6 +203,9 @@
     this.#context.report("placed", {
       step: "run",
       endpoint: endpoint.id,
+      softwareVersion: endpoint.softwareVersion,
+      resumes: this.#context.request.resumes?.slice(0, MAX_LOGGED_LENGTH),
+      lastEventId: plan.options.lastEventId,
       openRequests: dependencies.load.total(endpoint.id).requests,
       handover: plan.options.prefilledPrompt !== undefined,
       ...pauseFacts(plan),
--- a/src/entry/forwarding/request_forwarder_test.ts
+++ b/src/entry/forwarding/request_forwarder_test.ts
@@ -18,6 +18,7 @@
   identifier,
   numbered,
   type ReplicaStartTime,
+  type RequestId,
 } from "../../core/identity/mod.ts";
 
 function makeHarness(
@@ -123,6 +124,21 @@
       });
     });
 
+    it("logs the replica's software version and the stream that it takes up", async () => {
+      const harness = portal({ repeat: "stream", resumable: true });
+      const resumes = identifier<RequestId>("first-attempt");
+      await harness.submit(makeRequest({ resumes, lastEventId: "7" }));
+      const placed = harness.decisions.find((each) =>
+        each.decision === "placed"
+      );
+      expect(placed).to.deep.include({
+        endpoint: harness.sent[0].options.endpoint,
+        softwareVersion: "v1",
+        resumes,
+        lastEventId: "7",
+      });
+    });
+
     it("is not sent again if it may run only once", async () => {
       const harness = portal({ repeat: "once" });
       const caller = await harness.submit(makeRequest());
--- a/test/support/forwarding_fixtures.ts
+++ b/test/support/forwarding_fixtures.ts
@@ -6,6 +6,7 @@
   type ModelName,
   type RequestId,
   type ServiceName,
+  type SoftwareVersion,
 } from "../../src/core/identity/mod.ts";
 import {
   EngineEstimates,
@@ -80,6 +81,7 @@
   return {
     id: identifier<EndpointId>(id),
     pool: PORTAL,
+    softwareVersion: identifier<SoftwareVersion>("v1"),
     address: `${id}:1`,
     availabilityZone: identifier<AvailabilityZoneId>("zone-1"),
     slots: 6,
@@ -129,6 +131,7 @@
     body: Buffer.from("body"),
     deadlineMilliseconds: 1_000,
     lastEventId: undefined,
+    resumes: undefined,
     prompt: undefined,
     ...values,
   };
