Continue a stream only at the software version that began it

Callers saw streams with events of two versions: an entry chose a continuation among all replicas of the pool, without knowing which version wrote the beginning. The class: a continuation chosen without knowing who wrote what it continues, in a response and over a caller's tries.

Each resumable stream now has an origin, its pool and software version. It is recorded when the first replica responds, and sent to four other entries by consistent hashing of a digest of the attempt's id, without waiting for them. An entry that a caller comes back to with Resumes looks it up: in its own memory, at the entries that should know it, at all others within an allowance. Placement, waits, limits and Retry-After then consider replicas of that version only. An entry that starts is sent the recent streams that it should keep; one that stops hands its own on.

A stream that nobody knows goes on only if a single version can have begun it: the versions that serve a pool are listed in the store before their replicas begin streams, and removed once no stream of theirs can be taken up. Otherwise it is refused at once. Where a version has a single replica, new streams begin at others.

--- a/src/adapters/forwarding/request_digest.ts
+++ b/src/adapters/forwarding/request_digest.ts
@@ -1,8 +1,16 @@
 import { createHash } from "node:crypto";
 import type { ForwardedRequest } from "../../core/forwarding/mod.ts";
-import { identifier, type RequestDigest } from "../../core/identity/mod.ts";
+import {
+  identifier,
+  type RequestDigest,
+  type RequestId,
+  type StreamDigest,
+  type WorkspaceId,
+} from "../../core/identity/mod.ts";
 
 const DIGEST_BYTES = 12;
+/** Short, as the fleet keeps and sends one for each resumable stream. */
+const STREAM_DIGEST_BYTES = 9;
 
 /**
  * Returns the digest of everything that determines what an endpoint executes:
@@ -20,6 +28,17 @@
   return identifier<RequestDigest>(digest.toString("base64url"));
 }
 
+/** Returns the digest that identifies a stream by the attempt that began it. */
+export function streamDigestOf(
+  attempt: RequestId,
+  workspace: WorkspaceId | undefined,
+): StreamDigest {
+  const digest = createHash("sha256")
+    .update(JSON.stringify([workspace ?? null, attempt]))
+    .digest().subarray(0, STREAM_DIGEST_BYTES);
+  return identifier<StreamDigest>(digest.toString("base64url"));
+}
+
 /** Identifies the caller by its API key or else by its identity headers. */
 function credentialsOf(
   { credentials, identityHeaders }: ForwardedRequest,
--- a/src/adapters/telemetry/forwarding_telemetry.ts
+++ b/src/adapters/telemetry/forwarding_telemetry.ts
@@ -13,6 +13,7 @@
   PermitOutcome,
   PlannedRoles,
   ReportOutcome,
+  StreamLookupOutcome,
 } from "../../entry/forwarding/mod.ts";
 
 /**
@@ -151,6 +152,34 @@
   return (outcome) => permits.inc({ outcome });
 }
 
+/** Returns a function that counts searches for streams' origins by outcome. */
+export function createStreamLookupCounter(
+  registry: Registry,
+): (outcome: StreamLookupOutcome) => void {
+  const lookups = new Counter({
+    name: "filbertshore_stream_lookups_total",
+    help: "Searches for the version that began a stream, by outcome",
+    labelNames: ["outcome"],
+    registers: [registry],
+  });
+  return (outcome) => lookups.inc({ outcome });
+}
+
+/** Exports the number of streams whose origin this entry keeps. */
+export function registerKeptStreamsGauge(
+  registry: Registry,
+  keptStreams: () => number,
+): void {
+  new Gauge({
+    name: "filbertshore_kept_streams",
+    help: "Streams whose pool and software version this entry keeps",
+    registers: [registry],
+    collect() {
+      this.set(keptStreams());
+    },
+  });
+}
+
 /** Returns a function that counts usage reports by outcome. */
 export function createUsageReportCounter(
   registry: Registry,
--- a/src/core/forwarding/endpoints/load_owners.ts
+++ b/src/core/forwarding/endpoints/load_owners.ts
@@ -71,7 +71,7 @@
 
   /** The entry that aggregates the endpoint's open work; it may be this one. */
   ownerOf(endpoint: EndpointId): ProcessId {
-    return this.#ranking(endpoint).find((name) => this.#isLive(name)) ??
+    return this.#ranking(endpoint).find((name) => this.isLive(name)) ??
       this.#self;
   }
 
@@ -84,16 +84,17 @@
 
   /** The live entries including this one, the best owner first. */
   liveRanking(subject: string): readonly ProcessId[] {
-    return this.#ranking(subject).filter((name) => this.#isLive(name));
+    return this.#ranking(subject).filter((name) => this.isLive(name));
   }
 
   /** Number of live entries, including this one. */
   get liveCount(): number {
-    const live = [...this.#peers.keys()].filter((name) => this.#isLive(name));
+    const live = [...this.#peers.keys()].filter((name) => this.isLive(name));
     return 1 + live.length;
   }
 
-  #isLive(name: ProcessId): boolean {
+  /** True if the entry is this one or has been heard of lately. */
+  isLive(name: ProcessId): boolean {
     return this.wasHeardWithin(name, LIVENESS_TIMEOUT_MILLISECONDS);
   }
 
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -32,6 +32,18 @@
   type RetryPermit,
   SharedRetryBudget,
 } from "./admission/shared_retry_budget.ts";
+export {
+  type KnownOrigin,
+  STREAM_LIFETIME_MILLISECONDS,
+  type StreamOrigin,
+  StreamOrigins,
+  type StreamRecord,
+} from "./streams/stream_origins.ts";
+export { StreamKeepers } from "./streams/stream_keepers.ts";
+export {
+  ListedVersions,
+  type ServingVersion,
+} from "./streams/listed_versions.ts";
 export { type BlockedRequest, CrashTracker } from "./crashes/crash_tracker.ts";
 export type { CrashReport } from "./crashes/crash_reports.ts";
 export { isReportedLoss, type ReportedLoss } from "./crashes/reported_loss.ts";
--- a/src/core/identity/mod.ts
+++ b/src/core/identity/mod.ts
@@ -40,6 +40,8 @@
  * bytes share it.
  */
 export type RequestDigest = Branded<string, "RequestDigest">;
+/** Digest that identifies a caller's stream. */
+export type StreamDigest = Branded<string, "StreamDigest">;
 /** Digest of a caller's API key; the key itself is not stored. */
 export type KeyDigest = Branded<string, "KeyDigest">;
 /** Number of a wall-clock time window in which usage is counted. */
--- a/src/entry/forwarding/forward.ts
+++ b/src/entry/forwarding/forward.ts
@@ -15,6 +15,7 @@
 } from "./request_forwarder.ts";
 import type { CallerSink, ForwardingRefusal } from "./network_interfaces.ts";
 import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
+import { findOrigin, isContinuation } from "./stream_continuation.ts";
 
 /** Reason of a refusal where no route matches. */
 const NO_ROUTE = "no_route";
@@ -54,12 +55,26 @@
   if (route === undefined) return refuse({ status: 404, reason: NO_ROUTE });
   const caller = identify(routes, { request, route });
   if (caller.isErr()) return refuse({ status: 401, reason: caller.error });
-  const poolName = selectPool(route, dependencies.random);
+  const arrived = dependencies.timer.now();
+  const found = isContinuation(request, route)
+    ? await findOrigin(dependencies, {
+      request,
+      route,
+      workspace: caller.value.workspace,
+    })
+    : ok(undefined);
+  if (sink.isDisconnected) {
+    const facts = { requestId: request.id, route: route.name, sends: 0 };
+    return dependencies.observe("caller_gone", facts);
+  }
+  if (found.isErr()) return refuse({ status: 503, ...found.error });
+  const origin = found.value;
+  const poolName = origin?.pool ?? selectPool(route, dependencies.random);
   const pool = poolName === undefined
     ? undefined
     : routes.configuration.pools.get(poolName);
   if (pool === undefined) return refuse({ status: 503, reason: "no_pool" });
-  const task = { ...caller.value, route, pool };
+  const task = { ...caller.value, route, pool, arrived, origin };
   await new RequestForwarder(dependencies, { task, sink }).run();
 }
 
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -1,5 +1,6 @@
 import {
   type ForwardedRequest,
+  isPrefillEngine,
   type NextAttempt,
   type PauseBound,
   type Pool,
@@ -8,9 +9,15 @@
   RequestArrivals,
   RequestShare,
   type Route,
+  type StreamOrigin,
   type Workspace,
 } from "../../core/forwarding/mod.ts";
-import type { EndpointId, RequestDigest } from "../../core/identity/mod.ts";
+import type {
+  EndpointId,
+  RequestDigest,
+  SoftwareVersion,
+  StreamDigest,
+} from "../../core/identity/mod.ts";
 import type { ForwardingDecision } from "./observer.ts";
 import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
 import { LimitAdmission } from "./limit_admission.ts";
@@ -33,6 +40,10 @@
   readonly pool: Pool;
   /** Absent where the caller needs no key. */
   readonly workspace?: Workspace;
+  /** When the request arrived. */
+  readonly arrived: number;
+  /** What has begun the stream that the caller takes up, if it takes up one. */
+  readonly origin?: StreamOrigin;
 }
 
 /** State of one request, shared by the steps that forward it. */
@@ -55,6 +66,10 @@
   sends = 0;
   /** True once the caller has its response or has disconnected. */
   settled = false;
+  /** Which replicas may go on with the stream, once an event may exist. */
+  #origin: StreamOrigin | undefined;
+  /** Digest of this attempt, once a replica has responded. */
+  #stream: StreamDigest | undefined;
   readonly #rejectedBy = new Set<EndpointId>();
   readonly #admission: LimitAdmission;
   #digest: RequestDigest | undefined;
@@ -68,7 +83,8 @@
     this.route = route;
     this.pool = task.pool;
     this.workspace = task.workspace;
-    this.arrived = dependencies.timer.now();
+    this.#origin = task.origin;
+    this.arrived = task.arrived;
     this.arrivals = new RequestArrivals(
       dependencies.retryBudget,
       task.pool.name,
@@ -172,6 +188,46 @@
     );
   }
 
+  /** True if the response may be continued by another replica. */
+  get isResumable(): boolean {
+    return this.route.repeat === "stream" && this.route.resumable;
+  }
+
+  /**
+   * Records that the replica writes the response. From then on only replicas of
+   * its version may continue it, also for the caller's next attempts.
+   */
+  noteWriter(endpoint: RegisteredEndpoint): void {
+    if (!this.isResumable) return;
+    const { pool, softwareVersion } = endpoint;
+    this.#origin ??= { pool, softwareVersion };
+    if (this.request.id === "") return;
+    const { streams } = this.dependencies;
+    this.#stream = streams.digestOf(this.request.id, this.workspace?.id);
+    streams.announce(this.#stream, endpoint);
+  }
+
+  /** The software version that must write what follows; undefined: any. */
+  get requiredVersion(): SoftwareVersion | undefined {
+    return this.#origin?.softwareVersion;
+  }
+
+  /** True if no replica is left that may continue the stream. */
+  get isWriterGone(): boolean {
+    if (this.#origin === undefined) return false;
+    const { streams } = this.dependencies;
+    const isInDoubt = this.#stream !== undefined &&
+      streams.isAmbiguous(this.#stream);
+    return isInDoubt ||
+      !this.#inService().some((endpoint) => !isPrefillEngine(endpoint));
+  }
+
+  /** True if replicas that may continue the stream may come back soon. */
+  get mayWriterReturn(): boolean {
+    return this.#origin !== undefined &&
+      this.dependencies.versions.mayReturn(this.#origin);
+  }
+
   /** Time until the deadline, in milliseconds. */
   get remainingMilliseconds(): number {
     return this.arrived + this.allowedMilliseconds -
@@ -281,12 +337,21 @@
     return this.#admission.queue(endpoint, wait);
   }
 
-  #inService(): RegisteredEndpoint[] {
-    const { isChanging, registry } = this.dependencies;
+  #inService(): readonly RegisteredEndpoint[] {
+    const { isChanging, registry, versions } = this.dependencies;
     const isEnginePool = this.pool.engine !== undefined;
-    return registry.inPool(this.pool.name).filter(({ id, role }) =>
+    const inService = registry.inPool(this.pool.name).filter(({ id, role }) =>
       !isChanging(id) && (!isEnginePool || role !== undefined)
     );
+    const { requiredVersion } = this;
+    if (requiredVersion !== undefined) {
+      // A prefill writes no event; its cache belongs to a version of weights.
+      return inService.filter((endpoint) =>
+        isPrefillEngine(endpoint) ||
+        endpoint.softwareVersion === requiredVersion
+      );
+    }
+    return this.isResumable ? versions.preferLasting(inService) : inService;
   }
 
   /** Records that the endpoint rejected or lost this request. */
--- a/src/entry/forwarding/forwarding_dependencies.ts
+++ b/src/entry/forwarding/forwarding_dependencies.ts
@@ -43,6 +43,8 @@
 import type { ObserveForwarding } from "./observer.ts";
 import type { QueryAllowance } from "./query_allowance.ts";
 import type { RequestPermits } from "./request_permits.ts";
+import type { StreamOriginExchange } from "./stream_origin_exchange.ts";
+import type { VersionListing } from "./version_listing.ts";
 
 export interface ForwardingDependencies {
   readonly timer: TimerService;
@@ -105,6 +107,9 @@
   /** Event loop delay of this process, in milliseconds. */
   readonly loopDelayMilliseconds: () => number;
   readonly endpointClient: EndpointClient;
+  /** Origins of resumable streams, here and at other entries. */
+  readonly streams: StreamOriginExchange;
+  readonly versions: VersionListing;
   /** Digest by which a retried request is recognized. */
   readonly digestOf: (request: ForwardedRequest) => RequestDigest;
   readonly observe: ObserveForwarding;
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -16,6 +16,7 @@
   type ForwardingConfiguration,
   HeldPromptQueue,
   LinkBacklog,
+  ListedVersions,
   LoadOwners,
   OpenRequests,
   type OpenWork,
@@ -33,6 +34,8 @@
   SentRequests,
   ServiceTimes,
   SharedRetryBudget,
+  StreamKeepers,
+  StreamOrigins,
   type TopicSpan,
   type VerdictChange,
   WorkRate,
@@ -92,6 +95,16 @@
   RequestPermits,
 } from "./request_permits.ts";
 import { WORK_METHOD } from "./work_notification.ts";
+import {
+  type StreamLookupOutcome,
+  StreamOriginExchange,
+  type StreamOriginExchangeOptions,
+} from "./stream_origin_exchange.ts";
+import {
+  type VersionLink,
+  VersionListing,
+  VERSIONS_METHOD,
+} from "./version_listing.ts";
 
 export interface ForwardingEntryOptions {
   readonly process: string;
@@ -159,6 +172,12 @@
   readonly onLoadQuery: (outcome: LoadQueryOutcome) => void;
   /** Called with the outcome of each request for a permit. */
   readonly onPermit: (outcome: PermitOutcome) => void;
+  /** Digest by which the attempt that began a stream is known. */
+  readonly streamDigestOf: StreamOriginExchangeOptions["digestOf"];
+  /** Called with the outcome of each search for the origin of a stream. */
+  readonly onStreamLookup?: (outcome: StreamLookupOutcome) => void;
+  /** Absent: software versions are not listed in a store. */
+  readonly versions?: VersionLink;
   /** Called for each change of a verdict on an endpoint formed here. */
   readonly onVerdict?: (change: VerdictChange) => void;
   /** Persists a blocked request for entries that start while no other runs. */
@@ -194,6 +213,9 @@
   readonly #survey: PrefixCacheSurvey;
   readonly #loadQueries: LoadQueries;
   readonly #permits: RequestPermits;
+  readonly #keepers = new StreamKeepers();
+  readonly #streams: StreamOriginExchange;
+  readonly #versions: VersionListing;
   readonly #startedAt: number;
   #routes: RouteTable | undefined;
   #stopping = false;
@@ -282,6 +304,8 @@
         options.logger.info({ change, ...endpoint }, "An endpoint changed");
         this.#roleController?.onEngineChange(endpoint, change);
         if (change === "registered") this.#survey.onEngineSeen(endpoint);
+        this.#streams.onEndpointChange(endpoint);
+        this.#versions.onEndpointChange(endpoint);
       },
     });
     const outcomes = new FleetOutcomes({
@@ -334,6 +358,34 @@
       share: () => owners.liveCount / Math.max(owners.liveCount, this.#members),
       onOutcome: options.onPermit,
     });
+    this.#streams = new StreamOriginExchange({
+      self,
+      timer,
+      registry: this.registry,
+      origins: new StreamOrigins(timer),
+      keepers: this.#keepers,
+      owners,
+      allowance: new QueryAllowance({
+        timer,
+        entries: () => owners.liveCount,
+        endpoints: () => this.registry.size,
+      }),
+      send: (peer, notification) => this.peers.sendTo(peer, notification),
+      peers: () => this.peers.listedPeers,
+      onOutcome: (outcome) => options.onStreamLookup?.(outcome),
+      digestOf: options.streamDigestOf,
+    });
+    this.#versions = new VersionListing({
+      self,
+      timer,
+      logger: options.logger,
+      registry: this.registry,
+      listed: new ListedVersions(),
+      link: options.versions,
+      ranking: (subject) => owners.liveRanking(subject),
+      broadcast: (method, params) => this.peers.broadcast(method, params),
+      send: (peer, notification) => this.peers.sendTo(peer, notification),
+    });
     this.#usageReporter = options.usage && new UsageReporter({
       ...options.usage,
       self,
@@ -364,6 +416,11 @@
       roleWork,
       shares,
       version: () => this.configuration?.version,
+      onPeersChanged: (peers) => this.#keepers.setPeers(peers),
+      onPeerStart: (peer) => {
+        this.#versions.onPeerStart(peer);
+        this.#streams.onPeerStart(peer);
+      },
       onVersion: (peer, version) =>
         this.configurationSync.onPeerVersion(peer, version),
     });
@@ -488,6 +545,8 @@
         endpoints: () => this.registry.size,
       }),
       endpointClient: options.endpointClient,
+      streams: this.#streams,
+      versions: this.#versions,
       digestOf: options.digestOf,
       observe: options.observe,
       routes: () => this.#routes,
@@ -549,6 +608,11 @@
     return this.#dependencies.shares.largest(count);
   }
 
+  /** Number of streams whose origin is kept here. */
+  get keptStreams(): number {
+    return this.#streams.size;
+  }
+
   /** Number of endpoints with a request limit in force, as known here. */
   get limitedEndpoints(): number {
     return this.#dependencies.limits.size;
@@ -590,6 +654,7 @@
 
   start(): void {
     this.peers.start();
+    this.#versions.start();
     this.#roleController?.start();
     this.#usageReporter?.start();
     this.peerStateFallback.start();
@@ -601,11 +666,14 @@
    */
   stop(): void {
     this.#stopping = true;
+    this.#streams.handOn();
     this.#roleController?.stop();
   }
 
   close(): void {
     this.#usageReporter?.stop();
+    this.#versions.stop();
+    this.#streams.flush();
     this.peers.stop();
     this.peerStateFallback.stop();
     this.configurationSync.stop();
@@ -655,6 +723,8 @@
     if (method === USAGE_METHOD || method === USAGE_REPORTS_METHOD) {
       this.#usageReporter?.onNotification(method, params);
     }
+    if (method === VERSIONS_METHOD) this.#versions.onNotification(params);
+    this.#streams.onNotification(method, params);
     if (method === PERMIT_REQUEST_METHOD) this.#permits.onRequest(params);
     if (method === PERMIT_ANSWER_METHOD) this.#permits.onAnswer(params);
     if (method === LOAD_QUERY_METHOD) this.#loadQueries.onQuery(params);
--- a/src/entry/forwarding/forwarding_entry_test.ts
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { err } from "neverthrow";
-import { digestOf } from "../../adapters/forwarding/mod.ts";
+import { digestOf, streamDigestOf } from "../../adapters/forwarding/mod.ts";
 import {
   makeEndpoint,
   makeEngine,
@@ -65,6 +65,7 @@
           release() {},
         },
         digestOf,
+        streamDigestOf,
         sendToPeers: (_, { method, params }) => {
           for (const entry of entries) {
             if (entry === entries[index]) continue;
--- a/src/entry/forwarding/mod.ts
+++ b/src/entry/forwarding/mod.ts
@@ -16,6 +16,11 @@
   RequestPermits,
   type RequestPermitsOptions,
 } from "./request_permits.ts";
+export {
+  type StreamLookupOutcome,
+  StreamOriginExchange,
+} from "./stream_origin_exchange.ts";
+export { type VersionLink, VersionListing } from "./version_listing.ts";
 export type { RegistrationChange } from "./registration_sync.ts";
 export { QueryAllowance } from "./query_allowance.ts";
 export { PeerExchange } from "./peer_exchange.ts";
--- a/src/entry/forwarding/observer.ts
+++ b/src/entry/forwarding/observer.ts
@@ -8,6 +8,7 @@
   | "resent"
   | "not_resent"
   | "resumed"
+  | "continued"
   | "stream_mismatch"
   | "endpoint_lost"
   | "endpoint_leaving"
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -114,6 +114,10 @@
   readonly onClock?: (peer: ProcessId, wallClock: number) => void;
   /** Called when an entry reports that is not in the list of the fleet yet. */
   readonly onUnlistedPeer: () => void;
+  /** Called with the other entries in the list of the fleet. */
+  readonly onPeersChanged: (peers: readonly ProcessId[]) => void;
+  /** Called when a peer has started or restarted. */
+  readonly onPeerStart: (peer: ProcessId) => void;
 }
 
 /** Reports this entry's open work to its peers and applies their reports. */
@@ -190,6 +194,7 @@
     this.#fleetSize = peers.size + 1;
     const names = [...peers.keys()].map((name) => identifier<ProcessId>(name));
     this.#options.owners.setMembers(names);
+    this.#options.onPeersChanged(names);
   }
 
   /** Peers in the list of the fleet. */
@@ -303,6 +308,7 @@
 
   /** Sends a peer what it can't know yet. */
   #onPeerStart(peer: ProcessId): void {
+    this.#options.onPeerStart(peer);
     const losses = this.#options.crashes.blockedLosses();
     if (losses.length > 0) {
       const report: CrashReport = { losses, cleared: [] };
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -5,6 +5,7 @@
 import type { EndpointId } from "../../core/identity/mod.ts";
 import type { Subscription } from "../../core/time/mod.ts";
 import { observePace } from "./response_pace.ts";
+import { isSuccess } from "./event_stream.ts";
 import { ResponseRelay } from "./response_relay.ts";
 import { type AttemptPlan, ForwardAttempt } from "./attempt.ts";
 import { ForwardContext, type ForwardTask } from "./forward_context.ts";
@@ -45,6 +46,11 @@
 /** Endpoints have crashed on requests with this digest. */
 const BLOCKED = "crashes_endpoints";
 
+/** No replica of the software version that began the stream is left. */
+const VERSION_GONE = "stream_version_gone";
+/** Retry delay if replicas of that version may come back. */
+const VERSION_RETURN_MILLISECONDS = 1_000;
+
 /** Refusals whose retry time comes from the calendar of the pool. */
 const WAITS_FOR_ENGINES: ReadonlySet<string> = new Set([
   "above_share",
@@ -113,7 +119,7 @@
       () => this.#relay.lastEventId,
     );
     this.#deadline = dependencies.timer.after(
-      this.#context.allowedMilliseconds,
+      this.#context.remainingMilliseconds,
       () => this.#onDeadline(),
     );
     sink.onDisconnect(() => this.#onDisconnect());
@@ -124,6 +130,7 @@
     dependencies.retryBudget.recordRequest(pool.name);
     for (;;) {
       if (this.#context.blockedMilliseconds > 0) return this.#refuse(BLOCKED);
+      if (this.#context.isWriterGone) return this.#refuse(VERSION_GONE);
       const plan = await this.#plan();
       if (this.#context.settled) return;
       if (plan === undefined) {
@@ -175,7 +182,8 @@
   }
 
   /** Why there is no endpoint to send the request to. */
-  get #unavailableReason(): "request_limit" | "no_endpoint_reachable" {
+  get #unavailableReason(): string {
+    if (this.#context.isWriterGone) return VERSION_GONE;
     const isAtLimit = this.#requiredEndpoints.some((matches) =>
       this.#context.isLimited(matches) && isOverloaded(this.#context, matches)
     );
@@ -298,6 +306,7 @@
       return "again";
     }
     this.#firstByteAt ??= this.#context.dependencies.timer.now();
+    if (isSuccess(head)) this.#context.noteWriter(attempt.endpoint);
     const observed = this.#observePace(response, attempt);
     const end = await this.#relay.pipe(observed, attempt);
     if (this.#context.settled) return "delivered";
@@ -455,9 +464,16 @@
     this.#respond({ status: 503, reason, retryAfterMilliseconds }, facts);
   }
 
-  /** When a retry is useful, in milliseconds. */
-  #retryAfterMilliseconds(reason: string): number {
+  /** When a retry is useful, in milliseconds; undefined if it never is. */
+  #retryAfterMilliseconds(reason: string): number | undefined {
     const { random } = this.#context.dependencies;
+    if (reason === VERSION_GONE && !this.#context.mayWriterReturn) {
+      return undefined;
+    }
+    if (reason === VERSION_GONE) {
+      return VERSION_RETURN_MILLISECONDS +
+        RETRY_AFTER_SPREAD_MILLISECONDS * random();
+    }
     if (reason === "entry_full") {
       return OTHER_ENTRY_RETRY_AFTER_MILLISECONDS +
         OTHER_ENTRY_RETRY_SPREAD_MILLISECONDS * random();
--- /dev/null
+++ b/src/entry/forwarding/stream_continuation.ts
@@ -0,0 +1,91 @@
+import { err, ok, type Result } from "neverthrow";
+import type {
+  ForwardedRequest,
+  Route,
+  StreamOrigin,
+  Workspace,
+} from "../../core/forwarding/mod.ts";
+import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
+import type { StreamLookupOutcome } from "./stream_origin_exchange.ts";
+
+/**
+ * Retry delay where an entry that could not be reached may know the stream, or
+ * where this entry has just started.
+ */
+const UNANSWERED_RETRY_MILLISECONDS = 250;
+
+/** Why a stream can't be continued; nothing has run. */
+export interface ContinuationRefusal {
+  readonly reason:
+    | "stream_origin_unknown"
+    | "stream_origin_ambiguous"
+    | "stream_pool_changed";
+  /** Absent if a retry is of no use. */
+  readonly retryAfterMilliseconds?: number;
+}
+
+export interface ContinuationOptions {
+  readonly request: ForwardedRequest;
+  readonly route: Route;
+  readonly workspace: Workspace | undefined;
+}
+
+/**
+ * Finds which pool and software version wrote the beginning of the stream that
+ * the caller takes up. Without proof there is no origin: a version chosen by
+ * chance would write events that do not fit those the caller has.
+ */
+export async function findOrigin(
+  dependencies: ForwardingDependencies,
+  options: ContinuationOptions,
+): Promise<Result<StreamOrigin, ContinuationRefusal>> {
+  const { request, route, workspace } = options;
+  const { streams, timer } = dependencies;
+  const startedAt = timer.now();
+  const lookup = request.resumes === undefined ? undefined : await streams.find(
+    streams.digestOf(request.resumes, workspace?.id),
+  );
+  const outcome = lookup?.outcome ?? "unknown";
+  const found = lookup?.origin ?? soleOrigin(dependencies, route);
+  dependencies.observe("continued", {
+    requestId: request.id,
+    route: route.name,
+    outcome: found !== undefined && lookup?.origin === undefined
+      ? "sole_version"
+      : outcome,
+    ...(typeof found === "object" && found),
+    milliseconds: Math.round(timer.now() - startedAt),
+  });
+  if (found === undefined) return err(unknownOrigin(outcome));
+  if (found === "ambiguous") return err({ reason: "stream_origin_ambiguous" });
+  const isServed = route.shares.some(({ pool }) => pool === found.pool);
+  return isServed ? ok(found) : err({ reason: "stream_pool_changed" });
+}
+
+/** The origin of every stream of the route, if there can be only one. */
+function soleOrigin(
+  { versions }: ForwardingDependencies,
+  { shares }: Route,
+): StreamOrigin | undefined {
+  if (shares.length !== 1) return undefined;
+  const [{ pool }] = shares;
+  const softwareVersion = versions.soleVersion(pool);
+  return softwareVersion && { pool, softwareVersion };
+}
+
+function unknownOrigin(outcome: StreamLookupOutcome): ContinuationRefusal {
+  return {
+    reason: "stream_origin_unknown",
+    ...(outcome === "unanswered" &&
+      { retryAfterMilliseconds: UNANSWERED_RETRY_MILLISECONDS }),
+  };
+}
+
+/** True if the caller takes up a stream that an earlier attempt began. */
+export function isContinuation(
+  { lastEventId, resumes }: ForwardedRequest,
+  { repeat }: Route,
+): boolean {
+  return repeat === "stream" &&
+    (lastEventId !== undefined || resumes !== undefined);
+}
--- /dev/null
+++ b/src/entry/forwarding/stream_origin_exchange.ts
@@ -0,0 +1,325 @@
+import {
+  type EndpointRegistry,
+  type KnownOrigin,
+  type LoadOwners,
+  type RegisteredEndpoint,
+  type StreamKeepers,
+  type StreamOrigins,
+  type StreamRecord,
+} from "../../core/forwarding/mod.ts";
+import {
+  type EndpointId,
+  identifier,
+  type ProcessId,
+  type RequestId,
+  type StreamDigest,
+  type WorkspaceId,
+} from "../../core/identity/mod.ts";
+import type { Subscription, TimerService } from "../../core/time/mod.ts";
+import type { SendToPeer } from "./load_queries.ts";
+import type { QueryAllowance } from "./query_allowance.ts";
+import {
+  decodeOrigin,
+  decodeStreams,
+  encodeOrigin,
+  encodeStreams,
+  isStreamAnswer,
+  isStreamQuery,
+  STREAM_ANSWER_METHOD,
+  STREAM_QUERY_METHOD,
+  STREAMS_METHOD,
+} from "./stream_notification.ts";
+
+/** Number of other entries that keep the origin of a stream. */
+const KEEPERS = 4;
+/**
+ * Number of entries that are asked first. It exceeds the number of keepers, as
+ * the lists of the fleet may differ between the entry that chose the keepers
+ * and the one that asks them.
+ */
+const ASKED_FIRST = 8;
+/** How long origins are batched before they are sent to their keepers. */
+const BATCH_MILLISECONDS = 4;
+/** Timeout of a query to the entries that should know the stream. */
+const FIRST_TIMEOUT_MILLISECONDS = 60;
+/** Timeout of a query to all others, which only the lost or late ones need. */
+const LAST_TIMEOUT_MILLISECONDS = 120;
+/** Streams that are sent again when an entry starts or stops. */
+const HANDED_ON_MILLISECONDS = 30_000;
+/** Streams in one datagram. */
+const MAX_ROWS = 400;
+/**
+ * Time before a change of a replica's version is noticed in which its new run
+ * may already have written, under the same id.
+ */
+const LATE_REGISTRATION_MILLISECONDS = 5_000;
+
+/** How the origin of a stream was found, or that it was not. */
+export type StreamLookupOutcome =
+  | "known"
+  | "answered"
+  | "answered_late"
+  | "unknown"
+  | "unanswered";
+
+/** Result of a lookup; the origin is absent if no entry in reach knows it. */
+export interface StreamLookup {
+  readonly origin?: KnownOrigin;
+  readonly outcome: StreamLookupOutcome;
+}
+
+export interface StreamOriginExchangeOptions {
+  readonly self: ProcessId;
+  readonly timer: TimerService;
+  readonly registry: EndpointRegistry;
+  readonly origins: StreamOrigins;
+  readonly keepers: StreamKeepers;
+  readonly owners: LoadOwners;
+  readonly allowance: Pick<QueryAllowance, "take">;
+  readonly send: SendToPeer;
+  /** Entries in the list of the fleet, without this one. */
+  readonly peers: () => readonly ProcessId[];
+  readonly onOutcome: (outcome: StreamLookupOutcome) => void;
+  /** Digest of the attempt that began a stream. */
+  readonly digestOf: (
+    attempt: RequestId,
+    workspace: WorkspaceId | undefined,
+  ) => StreamDigest;
+}
+
+interface PendingQuery {
+  readonly waiting: Set<ProcessId>;
+  readonly settle: (origin: KnownOrigin | undefined) => void;
+}
+
+interface OwnStream extends StreamRecord {
+  readonly writer: EndpointId;
+  readonly recordedAt: number;
+}
+
+/**
+ * Keeps the origins of this entry's streams at other entries, and finds those
+ * of streams that began elsewhere. Origins are sent as soon as a replica has
+ * responded, without waiting for the keepers.
+ */
+export class StreamOriginExchange {
+  readonly #options: StreamOriginExchangeOptions;
+  readonly #pending = new Map<number, PendingQuery>();
+  /** Own streams of the last seconds, the oldest first. */
+  #ownStreams: OwnStream[] = [];
+  #unsent: StreamRecord[] = [];
+  #batch: Subscription | undefined;
+  #lastId = 0;
+
+  constructor(options: StreamOriginExchangeOptions) {
+    this.#options = options;
+  }
+
+  /** Number of streams that are kept here. */
+  get size(): number {
+    return this.#options.origins.size;
+  }
+
+  /**
+   * Identifies a stream by the attempt that brought its first event. Attempts of
+   * another workspace with the same id are other streams.
+   */
+  digestOf(attempt: RequestId, workspace?: WorkspaceId): StreamDigest {
+    return this.#options.digestOf(attempt, workspace);
+  }
+
+  /** Records that this replica writes the stream, here and at the keepers. */
+  announce(stream: StreamDigest, writer: RegisteredEndpoint): void {
+    const { registry, timer } = this.#options;
+    const { pool, softwareVersion } = writer;
+    const current = registry.get(writer.id) ?? writer;
+    const origin: KnownOrigin = current.softwareVersion === softwareVersion
+      ? { pool, softwareVersion }
+      : "ambiguous";
+    const recordedAt = timer.now();
+    const oldest = recordedAt - LATE_REGISTRATION_MILLISECONDS;
+    this.#ownStreams = this.#ownStreams.filter((each) =>
+      each.recordedAt >= oldest
+    );
+    this.#ownStreams.push({ stream, origin, writer: writer.id, recordedAt });
+    this.#distribute([{ stream, origin }]);
+  }
+
+  /**
+   * Marks streams whose writer may have been a run of another version than the
+   * registry showed, as the registration of a restarted replica is late.
+   */
+  onEndpointChange({ id, softwareVersion }: RegisteredEndpoint): void {
+    const oldest = this.#options.timer.now() - LATE_REGISTRATION_MILLISECONDS;
+    const inDoubt = this.#ownStreams.filter(({ origin, recordedAt, writer }) =>
+      writer === id && recordedAt >= oldest && origin !== "ambiguous" &&
+      origin.softwareVersion !== softwareVersion
+    );
+    this.#distribute(
+      inDoubt.map(({ stream }) => ({ stream, origin: "ambiguous" })),
+    );
+  }
+
+  /** Sends a peer that has started the recent streams that it should keep. */
+  onPeerStart(peer: ProcessId): void {
+    const records = this.#recent().filter(({ stream }) =>
+      this.#keepersOf(stream, peer).includes(peer)
+    );
+    this.#sendRecords(peer, records);
+  }
+
+  /** Sends the recent streams to the entries that keep them without this one. */
+  handOn(): void {
+    this.#unsent.push(...this.#recent());
+    this.flush();
+  }
+
+  /** Sends what is still batched. */
+  flush(): void {
+    this.#batch?.cancel();
+    this.#batch = undefined;
+    const byKeeper = new Map<ProcessId, StreamRecord[]>();
+    for (const record of this.#unsent.splice(0)) {
+      for (const keeper of this.#keepersOf(record.stream)) {
+        const records = byKeeper.get(keeper);
+        if (records !== undefined) records.push(record);
+        else byKeeper.set(keeper, [record]);
+      }
+    }
+    for (const [keeper, records] of byKeeper) {
+      this.#sendRecords(keeper, records);
+    }
+  }
+
+  /** True if runs of several versions may have written the stream. */
+  isAmbiguous(stream: StreamDigest): boolean {
+    return this.#options.origins.find(stream) === "ambiguous";
+  }
+
+  /** Finds the origin of a stream that a caller takes up. */
+  async find(stream: StreamDigest): Promise<StreamLookup> {
+    const lookup = await this.#find(stream);
+    this.#options.onOutcome(lookup.outcome);
+    return lookup;
+  }
+
+  /** Handles a notification from a peer. */
+  onNotification(method: string, params: unknown): void {
+    if (method === STREAMS_METHOD) {
+      const { origins } = this.#options;
+      for (const each of decodeStreams(params) ?? []) origins.record(each);
+    }
+    if (method === STREAM_QUERY_METHOD) this.#onQuery(params);
+    if (method === STREAM_ANSWER_METHOD) this.#onAnswer(params);
+  }
+
+  async #find(stream: StreamDigest): Promise<StreamLookup> {
+    const { allowance, keepers, origins, peers } = this.#options;
+    const known = origins.find(stream);
+    if (known !== undefined) return { origin: known, outcome: "known" };
+    const first = keepers.keepersOf(stream, { count: ASKED_FIRST });
+    const answer = await this.#query(first, {
+      stream,
+      timeoutMilliseconds: FIRST_TIMEOUT_MILLISECONDS,
+    });
+    if (answer.origin !== undefined) return { ...answer, outcome: "answered" };
+    const others = peers().filter((each) => !first.includes(each));
+    const mayAskOthers = others.length > 0 && allowance.take(others.length);
+    const last = mayAskOthers
+      ? await this.#query(others, {
+        stream,
+        timeoutMilliseconds: LAST_TIMEOUT_MILLISECONDS,
+      })
+      : { isComplete: others.length === 0 };
+    // An announcement may have arrived in the meantime.
+    const origin = last.origin ?? origins.find(stream);
+    if (origin !== undefined) return { origin, outcome: "answered_late" };
+    const isComplete = answer.isComplete && last.isComplete &&
+      peers().length > 0;
+    return { outcome: isComplete ? "unknown" : "unanswered" };
+  }
+
+  /** Settles with the first origin, or once all have answered or timed out. */
+  async #query(
+    asked: readonly ProcessId[],
+    { stream, timeoutMilliseconds }: {
+      readonly stream: StreamDigest;
+      readonly timeoutMilliseconds: number;
+    },
+  ): Promise<{ readonly origin?: KnownOrigin; readonly isComplete: boolean }> {
+    if (asked.length === 0) return { isComplete: true };
+    const { origins, self, send, timer } = this.#options;
+    this.#lastId += 1;
+    const id = this.#lastId;
+    const waiting = new Set(asked);
+    let timeout: Subscription | undefined;
+    const origin = await new Promise<KnownOrigin | undefined>((settle) => {
+      this.#pending.set(id, { waiting, settle });
+      timeout = timer.after(timeoutMilliseconds, () => settle(undefined));
+      const params = { entry: self, id, stream };
+      for (const peer of asked) {
+        send(peer, { method: STREAM_QUERY_METHOD, params });
+      }
+    });
+    timeout?.cancel();
+    this.#pending.delete(id);
+    if (origin !== undefined) origins.record({ stream, origin });
+    return { origin, isComplete: waiting.size === 0 };
+  }
+
+  #onQuery(params: unknown): void {
+    if (!isStreamQuery(params)) return;
+    const { origins, self, send } = this.#options;
+    const origin = origins.find(identifier<StreamDigest>(params.stream));
+    send(identifier<ProcessId>(params.entry), {
+      method: STREAM_ANSWER_METHOD,
+      params: {
+        entry: self,
+        id: params.id,
+        ...(origin !== undefined && { origin: encodeOrigin(origin) }),
+      },
+    });
+  }
+
+  #onAnswer(params: unknown): void {
+    if (!isStreamAnswer(params)) return;
+    const query = this.#pending.get(params.id);
+    const peer = identifier<ProcessId>(params.entry);
+    if (query?.waiting.delete(peer) !== true) return;
+    const origin = decodeOrigin(params.origin);
+    if (origin !== undefined) return query.settle(origin);
+    if (query.waiting.size === 0) query.settle(undefined);
+  }
+
+  #distribute(records: readonly StreamRecord[]): void {
+    if (records.length === 0) return;
+    const { origins, timer } = this.#options;
+    for (const each of records) origins.record(each);
+    this.#unsent.push(...records);
+    this.#batch ??= timer.after(BATCH_MILLISECONDS, () => this.flush());
+  }
+
+  #recent(): StreamRecord[] {
+    return this.#options.origins.recent(HANDED_ON_MILLISECONDS);
+  }
+
+  /** Keepers that have been heard of lately; `started` counts as one. */
+  #keepersOf(stream: StreamDigest, started?: ProcessId): ProcessId[] {
+    const { keepers, owners } = this.#options;
+    const live = keepers.keepersOf(stream, {
+      count: KEEPERS,
+      isUsable: (entry) => entry === started || owners.isLive(entry),
+    });
+    return live.length > 0 ? live : keepers.keepersOf(stream, {
+      count: KEEPERS,
+    });
+  }
+
+  #sendRecords(peer: ProcessId, records: readonly StreamRecord[]): void {
+    const { self, send } = this.#options;
+    for (let from = 0; from < records.length; from += MAX_ROWS) {
+      const part = records.slice(from, from + MAX_ROWS);
+      send(peer, { method: STREAMS_METHOD, params: encodeStreams(self, part) });
+    }
+  }
+}
--- /dev/null
+++ b/src/entry/forwarding/version_listing.ts
@@ -0,0 +1,290 @@
+import type { Result } from "neverthrow";
+import {
+  type EndpointRegistry,
+  isPrefillEngine,
+  type ListedVersions,
+  type RegisteredEndpoint,
+  type ServingVersion,
+  type StoreFailure,
+  STREAM_LIFETIME_MILLISECONDS,
+} from "../../core/forwarding/mod.ts";
+import {
+  identifier,
+  type ProcessId,
+  type ServiceName,
+  type SoftwareVersion,
+} from "../../core/identity/mod.ts";
+import type { Logger } from "../../core/observation/mod.ts";
+import type { Subscription, TimerService } from "../../core/time/mod.ts";
+
+/** Notification that carries changes of the list, or all of it. */
+export const VERSIONS_METHOD = "entry.versions";
+
+/** Delay after which the next entry lists a version that is still missing. */
+const NEXT_WRITER_MILLISECONDS = 300;
+/** Delay between attempts to read the list or to write to it. */
+const RETRY_MILLISECONDS = 500;
+/** Interval of the search for versions that serve no more. */
+const SWEEP_MILLISECONDS = 30_000;
+/** Time after the last replica of a version in which one may come back. */
+const RETURN_MILLISECONDS = 10_000;
+
+/** The list in the store. */
+export interface VersionLink {
+  readonly read: () => Promise<Result<readonly ServingVersion[], StoreFailure>>;
+  readonly add: (
+    version: ServingVersion,
+  ) => Promise<Result<void, StoreFailure>>;
+  readonly remove: (
+    version: ServingVersion,
+  ) => Promise<Result<void, StoreFailure>>;
+}
+
+export interface VersionListingOptions {
+  readonly self: ProcessId;
+  readonly timer: TimerService;
+  readonly logger: Logger;
+  readonly registry: EndpointRegistry;
+  readonly listed: ListedVersions;
+  /** Absent: versions are not listed, and none is known to be the only one. */
+  readonly link: VersionLink | undefined;
+  /** Live entries including this one; the first one writes. */
+  readonly ranking: (subject: string) => readonly ProcessId[];
+  readonly broadcast: (method: string, params: unknown) => void;
+  readonly send: (
+    peer: ProcessId,
+    notification: { readonly method: string; readonly params: unknown },
+  ) => void;
+}
+
+type VersionRow = readonly [pool: string, softwareVersion: string];
+
+interface VersionNotification {
+  readonly added: readonly VersionRow[];
+  readonly removed?: readonly VersionRow[];
+  /** True if `added` is the whole list. */
+  readonly isWhole?: boolean;
+}
+
+/**
+ * Lists the software versions that serve each pool in the store, so that an
+ * entry that has just started knows whether another one may have begun a
+ * stream. A version is listed before its replicas begin resumable streams, as
+ * long as replicas of listed versions can do it.
+ */
+export class VersionListing {
+  readonly #options: VersionListingOptions;
+  /** When a replica of each version was last registered, by key. */
+  readonly #seenAt = new Map<string, number>();
+  readonly #writing = new Set<string>();
+  #sweep: Subscription | undefined;
+  #isStopped = false;
+
+  constructor(options: VersionListingOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    if (this.#options.link === undefined) return;
+    void this.#read();
+    this.#sweep = this.#options.timer.every(
+      SWEEP_MILLISECONDS,
+      () => this.#removeGone(),
+    );
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+    this.#sweep?.cancel();
+  }
+
+  /**
+   * The version that has begun every stream of the pool that may be taken up;
+   * undefined if there may be several.
+   */
+  soleVersion(pool: ServiceName): SoftwareVersion | undefined {
+    const { listed, registry } = this.#options;
+    if (!listed.isComplete) return undefined;
+    const versions = new Set(listed.of(pool));
+    for (const { softwareVersion } of registry.inPool(pool)) {
+      versions.add(softwareVersion);
+    }
+    const [sole, ...others] = versions;
+    return others.length === 0 ? sole : undefined;
+  }
+
+  /** True if replicas of the version were registered a short time ago. */
+  mayReturn(version: ServingVersion): boolean {
+    const seenAt = this.#seenAt.get(keyOf(version)) ?? -Infinity;
+    return this.#options.timer.now() - seenAt < RETURN_MILLISECONDS;
+  }
+
+  /**
+   * Endpoints at which a resumable stream should begin: those of listed
+   * versions, and of versions that more than one endpoint has, so that others
+   * can continue the stream. Engines that only prefill write nothing.
+   */
+  preferLasting(
+    endpoints: readonly RegisteredEndpoint[],
+  ): readonly RegisteredEndpoint[] {
+    const writers = endpoints.filter((each) => !isPrefillEngine(each));
+    if (new Set(writers.map(versionOf)).size < 2) return endpoints;
+    const listed = writers.filter((each) => this.#isListed(each));
+    const usable = listed.length > 0 ? listed : writers;
+    const lasting = usable.filter((each) =>
+      usable.some((other) =>
+        other.id !== each.id && versionOf(other) === versionOf(each)
+      )
+    );
+    const chosen = new Set(lasting.length > 0 ? lasting : usable);
+    return endpoints.filter((each) =>
+      isPrefillEngine(each) || chosen.has(each)
+    );
+  }
+
+  /** Handles a new, changed or ended registration. */
+  onEndpointChange(endpoint: RegisteredEndpoint): void {
+    this.#seenAt.set(keyOf(endpoint), this.#options.timer.now());
+    if (!endpoint.leaving) this.#list(endpoint);
+  }
+
+  /** Sends the list to a peer that has started. */
+  onPeerStart(peer: ProcessId): void {
+    const { listed, send } = this.#options;
+    const params: VersionNotification = {
+      added: listed.all.map(encodeVersion),
+      isWhole: listed.isComplete,
+    };
+    send(peer, { method: VERSIONS_METHOD, params });
+  }
+
+  /** Applies a peer's changes of the list; ignores malformed ones. */
+  onNotification(params: unknown): void {
+    if (!isVersionNotification(params)) return;
+    const { listed } = this.#options;
+    const added = params.added.map(decodeVersion);
+    if (params.isWhole === true) listed.addAll(added);
+    else for (const each of added) listed.add(each);
+    for (const row of params.removed ?? []) listed.remove(decodeVersion(row));
+    this.#listRegistered();
+  }
+
+  #isListed(endpoint: RegisteredEndpoint): boolean {
+    return this.#options.link === undefined ||
+      this.#options.listed.has(endpoint);
+  }
+
+  async #read(): Promise<void> {
+    const { link, listed, logger, timer } = this.#options;
+    const read = await link?.read();
+    if (read === undefined || this.#isStopped) return;
+    if (read.isOk()) {
+      listed.addAll(read.value);
+      return this.#listRegistered();
+    }
+    const reason = read.error.message;
+    logger.warn({ reason }, "Cannot read the serving versions; retrying");
+    timer.after(RETRY_MILLISECONDS, () => void this.#read());
+  }
+
+  #listRegistered(): void {
+    for (const endpoint of this.#options.registry.all) {
+      if (!endpoint.leaving) this.#list(endpoint);
+    }
+  }
+
+  /** Has the version listed by the first entry, or by the next ones later. */
+  #list({ pool, softwareVersion }: ServingVersion): void {
+    const version: ServingVersion = { pool, softwareVersion };
+    const { link, listed, ranking, self, timer } = this.#options;
+    const key = keyOf(version);
+    const isPending = listed.has(version) || this.#writing.has(key);
+    if (link === undefined || isPending || this.#isStopped) return;
+    this.#writing.add(key);
+    const rank = Math.max(0, ranking(key).indexOf(self));
+    const delay = rank * NEXT_WRITER_MILLISECONDS;
+    if (delay === 0) return void this.#write(link, version);
+    timer.after(delay, () => void this.#write(link, version));
+  }
+
+  async #write(link: VersionLink, version: ServingVersion): Promise<void> {
+    const { broadcast, listed, logger, timer } = this.#options;
+    const key = keyOf(version);
+    const written = listed.has(version) || this.#isStopped
+      ? undefined
+      : await link.add(version);
+    this.#writing.delete(key);
+    if (written === undefined) return;
+    if (written.isOk()) {
+      listed.add(version);
+      logger.info({ ...version }, "Listed a software version");
+      const params: VersionNotification = { added: [encodeVersion(version)] };
+      return broadcast(VERSIONS_METHOD, params);
+    }
+    const reason = written.error.message;
+    logger.warn({ ...version, reason }, "Cannot list a version; retrying");
+    timer.after(RETRY_MILLISECONDS, () => this.#listRegistered());
+  }
+
+  /** Removes versions without replicas for longer than streams live. */
+  #removeGone(): void {
+    const { listed, ranking, registry, self, timer } = this.#options;
+    const now = timer.now();
+    for (const endpoint of registry.all) {
+      this.#seenAt.set(keyOf(endpoint), now);
+    }
+    for (const version of listed.all) {
+      const key = keyOf(version);
+      const seenAt = this.#seenAt.get(key) ?? now;
+      this.#seenAt.set(key, seenAt);
+      const isGone = now - seenAt > STREAM_LIFETIME_MILLISECONDS;
+      if (isGone && ranking(key)[0] === self) void this.#remove(version);
+    }
+  }
+
+  async #remove(version: ServingVersion): Promise<void> {
+    const { broadcast, link, listed, logger } = this.#options;
+    const removed = await link?.remove(version);
+    if (removed?.isOk() !== true) return;
+    listed.remove(version);
+    this.#seenAt.delete(keyOf(version));
+    logger.info({ ...version }, "Removed a software version from the list");
+    const params: VersionNotification = {
+      added: [],
+      removed: [encodeVersion(version)],
+    };
+    broadcast(VERSIONS_METHOD, params);
+  }
+}
+
+/** Key of a version in the store. */
+export function keyOf({ pool, softwareVersion }: ServingVersion): string {
+  return JSON.stringify([pool, softwareVersion]);
+}
+
+function versionOf({ softwareVersion }: RegisteredEndpoint): SoftwareVersion {
+  return softwareVersion;
+}
+
+function encodeVersion({ pool, softwareVersion }: ServingVersion): VersionRow {
+  return [pool, softwareVersion];
+}
+
+function decodeVersion([pool, softwareVersion]: VersionRow): ServingVersion {
+  return {
+    pool: identifier<ServiceName>(pool),
+    softwareVersion: identifier<SoftwareVersion>(softwareVersion),
+  };
+}
+
+function isVersionNotification(value: unknown): value is VersionNotification {
+  if (typeof value !== "object" || value === null) return false;
+  const { added, removed = [] } = value as Partial<VersionNotification>;
+  return [added, removed].every((rows) =>
+    Array.isArray(rows) &&
+    rows.every((row) =>
+      Array.isArray(row) && row.length === 2 &&
+      row.every((each) => typeof each === "string")
+    )
+  );
+}
--- a/src/entry/forwarding/wait_for_choice.ts
+++ b/src/entry/forwarding/wait_for_choice.ts
@@ -72,7 +72,7 @@
     await new Promise<void>((resolve) => {
       timer.after(POLL_INTERVAL_MILLISECONDS, resolve);
     });
-    if (context.settled) return undefined;
+    if (context.settled || context.isWriterGone) return undefined;
     context.resetPermitDenials();
     choice = await choose();
   }
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -1,5 +1,5 @@
 import { err } from "neverthrow";
-import { digestOf } from "../../src/adapters/forwarding/mod.ts";
+import { digestOf, streamDigestOf } from "../../src/adapters/forwarding/mod.ts";
 import {
   type ForwardingConfiguration,
   type RegisteredEndpoint,
@@ -123,6 +123,7 @@
         release() {},
       },
       digestOf,
+      streamDigestOf,
       sendToPeers: (addresses, { method, params }) => {
         for (const address of addresses) {
           const port = address.slice(address.lastIndexOf(":") + 1);
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -14,6 +14,7 @@
   type ForwardingConfiguration,
   HeldPromptQueue,
   LinkBacklog,
+  ListedVersions,
   LoadOwners,
   PermitQueue,
   PoolShares,
@@ -24,6 +25,8 @@
   RoleWork,
   RouteTable,
   SharedRetryBudget,
+  StreamKeepers,
+  StreamOrigins,
   WorkRate,
 } from "../../src/core/forwarding/mod.ts";
 import {
@@ -33,7 +36,7 @@
 } from "../../src/core/identity/mod.ts";
 import { NOOP_LOGGER } from "../../src/core/observation/mod.ts";
 import { seededRandom } from "../../src/core/random/mod.ts";
-import { digestOf } from "../../src/adapters/forwarding/mod.ts";
+import { digestOf, streamDigestOf } from "../../src/adapters/forwarding/mod.ts";
 import { knownEstimates } from "./forwarding_fixtures.ts";
 import { makePlacementState } from "./placement_state.ts";
 import { ManualTimerService } from "../../src/core/time/mod.ts";
@@ -53,6 +56,8 @@
   LostRunChecks,
   QueryAllowance,
   RequestPermits,
+  StreamOriginExchange,
+  VersionListing,
 } from "../../src/entry/forwarding/mod.ts";
 
 const EXCHANGE_FAILURE = defineError<{ name: ExchangeFailure["name"] }>()({
@@ -206,6 +211,8 @@
   readonly started: (readonly [workspace: string, at: number])[] = [];
   readonly decisions: Record<string, unknown>[] = [];
   readonly dependencies: ForwardingDependencies;
+  /** Whole from the start, so that a single version proves itself. */
+  readonly listedVersions = new ListedVersions();
   /** Event loop delay of the entry, milliseconds. */
   loopDelay = 0;
   /**
@@ -225,6 +232,7 @@
     } = {},
   ) {
     const { timer } = this;
+    this.listedVersions.addAll([]);
     const random = seededRandom(11);
     const placementState = makePlacementState(timer);
     const { load, loadReports } = placementState;
@@ -321,6 +329,30 @@
         endpoints: () => registry.size,
       }),
       endpointClient,
+      streams: new StreamOriginExchange({
+        self,
+        timer,
+        registry,
+        origins: new StreamOrigins(timer),
+        keepers: new StreamKeepers(),
+        owners,
+        allowance: { take: () => true },
+        send() {},
+        peers: () => [],
+        onOutcome() {},
+        digestOf: streamDigestOf,
+      }),
+      versions: new VersionListing({
+        self,
+        timer,
+        logger: NOOP_LOGGER,
+        registry,
+        listed: this.listedVersions,
+        link: undefined,
+        ranking: () => [self],
+        broadcast() {},
+        send() {},
+      }),
       digestOf,
       observe: (decision, facts) => {
         this.decisions.push({ decision, ...facts });
