Send the origin of a stream to its keepers at once

With a batch of 4 ms, one stream of 30 was unknown after its entry had crashed right behind the first event. The first origin of a batch is now sent at once; those that follow within 4 ms are batched.

--- a/src/entry/forwarding/stream_origin_exchange.ts
+++ b/src/entry/forwarding/stream_origin_exchange.ts
@@ -38,7 +38,7 @@
  * and the one that asks them.
  */
 const ASKED_FIRST = 8;
-/** How long origins are batched before they are sent to their keepers. */
+/** How long origins that follow another one are batched for their keepers. */
 const BATCH_MILLISECONDS = 4;
 /** Timeout of a query to the entries that should know the stream. */
 const FIRST_TIMEOUT_MILLISECONDS = 60;
@@ -296,7 +296,10 @@
     const { origins, timer } = this.#options;
     for (const each of records) origins.record(each);
     this.#unsent.push(...records);
-    this.#batch ??= timer.after(BATCH_MILLISECONDS, () => this.flush());
+    if (this.#batch !== undefined) return;
+    // The first one is sent at once: it outlives a crash from then on.
+    this.flush();
+    this.#batch = timer.after(BATCH_MILLISECONDS, () => this.flush());
   }
 
   #recent(): StreamRecord[] {
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -55,6 +55,8 @@
   onSend: ((attempt: SentAttempt) => void) | undefined;
   /** Number of datagrams sent. */
   datagrams = 0;
+  /** Bytes of the parameters of all notifications, by method. */
+  readonly bytesByMethod = new Map<string, number>();
   readonly #options: EntryFleetOptions;
   readonly #random: Random = seededRandom(3);
   /** Whether a process listens at the address of an endpoint. */
@@ -155,12 +157,14 @@
 
   #deliver(from: number, to: number, method: string, params: unknown): void {
     this.datagrams += 1;
+    const text = JSON.stringify(params);
+    const bytes = this.bytesByMethod.get(method) ?? 0;
+    this.bytesByMethod.set(method, bytes + text.length);
     const isLost = this.partitioned.has(from) || this.partitioned.has(to) ||
       this.groupOf(from) !== this.groupOf(to) ||
       this.isCut(from, to) ||
       this.#random() < this.#lossRate;
     if (isLost) return;
-    const text = JSON.stringify(params);
     const latency = MIN_LATENCY_MILLISECONDS +
       LATENCY_SPREAD_MILLISECONDS * this.#random();
     this.timer.after(latency, () => {
