List a software version by one entry only

Entries that started together each wrote the same version to the store: five writes instead of one. An entry now writes only once it has read the list, and waits for a random time up to 1 s while it does not know who is first.

Adds tests of continuations on virtual time, in fleets of 5 and of 300 entries that lose a tenth of their datagrams: no stream goes on at another version, and 29 of 30 or more go on.

--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -378,10 +378,12 @@
     this.#versions = new VersionListing({
       self,
       timer,
+      random,
       logger: options.logger,
       registry: this.registry,
       listed: new ListedVersions(),
       link: options.versions,
+      peers: () => this.peers.listedPeers,
       ranking: (subject) => owners.liveRanking(subject),
       broadcast: (method, params) => this.peers.broadcast(method, params),
       send: (peer, notification) => this.peers.sendTo(peer, notification),
--- /dev/null
+++ b/src/entry/forwarding/stream_continuation_test.ts
@@ -0,0 +1,348 @@
+import { expect } from "chai";
+import { err, ok } from "neverthrow";
+import {
+  ENGINES,
+  makeConfiguration,
+  makeRoute,
+  PORTAL,
+} from "../../../test/support/forwarding_fixtures.ts";
+import {
+  type BegunStream,
+  VersionedStreams,
+  type VersionedStreamsOptions,
+} from "../../../test/support/versioned_streams.ts";
+import type { ServingVersion } from "../../core/forwarding/mod.ts";
+import {
+  identifier,
+  numbered,
+  type ReplicaStartTime,
+  type RequestId,
+  type SoftwareVersion,
+} from "../../core/identity/mod.ts";
+import { STREAM_QUERY_METHOD, STREAMS_METHOD } from "./stream_notification.ts";
+import type { VersionLink } from "./version_listing.ts";
+
+const VERSIONS = ["v1", "v2", "v1", "v2", "v1", "v2"];
+const STREAMS = 30;
+const SETTLE_MILLISECONDS = 2_500;
+/** Size of the deployment for which the design is made. */
+const LARGE_FLEET = 300;
+
+describe("Streams that callers take up", function () {
+  this.timeout(60_000);
+  let streams: VersionedStreams;
+
+  afterEach(() => streams.close());
+
+  async function start(
+    options: Partial<VersionedStreamsOptions> = {},
+  ): Promise<void> {
+    streams = new VersionedStreams({
+      entries: 5,
+      versions: VERSIONS,
+      ...options,
+    });
+    await streams.fleet.timer.advance(SETTLE_MILLISECONDS);
+  }
+
+  async function beginAll(entry: (index: number) => number) {
+    const begun: BegunStream[] = [];
+    for (let index = 0; index < STREAMS; index++) {
+      begun.push(await streams.begin(entry(index)));
+    }
+    return begun;
+  }
+
+  /** Number of streams that went on; expects none at another version. */
+  async function countContinued(
+    begun: readonly BegunStream[],
+    entry: (index: number) => number,
+  ): Promise<number> {
+    let continued = 0;
+    for (const [index, each] of begun.entries()) {
+      const { attempt, caller } = await streams.takeUp(entry(index), each);
+      caller.disconnect();
+      if (attempt === undefined) continue;
+      expect(streams.versionAt(attempt)).to.equal(each.version);
+      continued += 1;
+    }
+    return continued;
+  }
+
+  for (const areEngines of [false, true]) {
+    it(`go on at their version at any entry, ${areEngines ? "engines" : "plain services"}`, async () => {
+      await start({ areEngines });
+      const begun = await beginAll((index) => index % 5);
+      expect(new Set(begun.map(({ version }) => version)).size).to.equal(2);
+      expect(await countContinued(begun, (index) => (index + 2) % 5))
+        .to.equal(STREAMS);
+    });
+  }
+
+  it("go on at their version in a fleet of 300 that loses datagrams", async () => {
+    await start({ entries: LARGE_FLEET, lossRate: 0.1 });
+    const begun = await beginAll((index) => 7 * index % LARGE_FLEET);
+    const continued = await countContinued(
+      begun,
+      (index) => (11 * index + 5) % LARGE_FLEET,
+    );
+    expect(continued).to.be.at.least(0.95 * STREAMS);
+    // Each stream may cost a second of an entry 1 KB of its control traffic.
+    const bytes = streams.fleet.bytesByMethod.get(STREAMS_METHOD) ?? 0;
+    expect(bytes / STREAMS).to.be.below(1_000);
+    const queried = streams.fleet.bytesByMethod.get(STREAM_QUERY_METHOD) ?? 0;
+    expect(queried / STREAMS).to.be.below(1_000);
+  });
+
+  it("go on after their entry and two others have crashed", async () => {
+    await start();
+    const begun = await beginAll(() => 0);
+    for (const index of [0, 1, 2]) streams.fleet.partitioned.add(index);
+    expect(await countContinued(begun, () => 3)).to.equal(STREAMS);
+  });
+
+  it("go on after all entries were restarted one after the other", async () => {
+    await start();
+    const begun = await beginAll((index) => index % 5);
+    for (let index = 0; index < 5; index++) {
+      streams.fleet.entries[index].stop();
+      await streams.fleet.timer.advance(100);
+      streams.fleet.restart(index);
+      await streams.fleet.timer.advance(SETTLE_MILLISECONDS);
+    }
+    expect(await countContinued(begun, (index) => index % 5))
+      .to.equal(STREAMS);
+  });
+
+  // The first attempt to take it up may have broken off as well.
+  it("go on a second time, whichever attempt their caller names", async () => {
+    await start();
+    const begun = await streams.begin(0);
+    const second = await streams.takeUp(1, begun);
+    await second.attempt?.head();
+    await streams.fleet.timer.advance(20);
+    const byFirst = await streams.takeUp(2, begun);
+    const bySecond = await streams.takeUp(3, { id: second.id });
+    for (const { attempt } of [second, byFirst, bySecond]) {
+      expect(attempt && streams.versionAt(attempt)).to.equal(begun.version);
+    }
+  });
+
+  it("go on twice at once", async () => {
+    await start();
+    const begun = await streams.begin(0);
+    const both = await Promise.all(
+      [1, 1].map((entry) => streams.takeUp(entry, begun)),
+    );
+    for (const { attempt } of both) {
+      expect(attempt && streams.versionAt(attempt)).to.equal(begun.version);
+    }
+  });
+
+  for (const status of [421, 503]) {
+    it(`go on at another replica of their version after ${status}`, async () => {
+      await start();
+      const begun = await streams.begin(0);
+      const { attempt } = await streams.takeUp(1, begun);
+      await attempt?.respondNotRun(status);
+      const next = streams.attempts.at(-1);
+      expect(next).to.not.equal(attempt);
+      expect(next && streams.versionAt(next)).to.equal(begun.version);
+    });
+  }
+
+  // A caller that has received no event begins a new stream.
+  it("may begin at any version if the first attempt brought no event", async () => {
+    await start();
+    const first = await streams.submit(0);
+    first.caller.disconnect();
+    const { caller } = await streams.submit(1);
+    expect(caller.refusal).to.equal(undefined);
+  });
+
+  describe("are refused at once", () => {
+    async function expectRefused(
+      taken: ReturnType<VersionedStreams["takeUp"]>,
+      reason: string,
+    ): Promise<number | undefined> {
+      const { attempt, caller } = await taken;
+      expect(attempt).to.equal(undefined);
+      expect(caller.refusal).to.deep.include({ status: 503, reason });
+      return caller.refusal?.retryAfterMilliseconds;
+    }
+
+    it("where no entry knows them, without a time to return", async () => {
+      await start();
+      const id = identifier<RequestId>("nobody");
+      const retry = await expectRefused(
+        streams.takeUp(1, { id }),
+        "stream_origin_unknown",
+      );
+      expect(retry).to.equal(undefined);
+    });
+
+    it("where the entries that may know them can't be reached, with one", async () => {
+      await start();
+      const begun = await streams.begin(0);
+      await streams.fleet.timer.advance(20);
+      streams.fleet.groupOf = (index) => index === 4 ? 1 : 0;
+      streams.fleet.restart(4);
+      await streams.fleet.timer.advance(SETTLE_MILLISECONDS);
+      const retry = await expectRefused(
+        streams.takeUp(4, begun),
+        "stream_origin_unknown",
+      );
+      expect(retry).to.be.within(1, 500);
+    });
+
+    it("where their caller names no attempt and versions differ", async () => {
+      await start();
+      const taken = streams.submit(0, { lastEventId: "1" });
+      await expectRefused(taken, "stream_origin_unknown");
+    });
+
+    it("where another version has replaced theirs", async () => {
+      await start();
+      const begun = await streams.begin(0);
+      for (const { registry } of streams.fleet.entries) {
+        for (const endpoint of streams.endpoints) {
+          if (endpoint.softwareVersion === begun.version) {
+            registry.remove(endpoint.id);
+          }
+        }
+      }
+      const retry = await expectRefused(
+        streams.takeUp(1, begun),
+        "stream_version_gone",
+      );
+      expect(retry).to.be.at.least(1_000);
+      await streams.fleet.timer.advance(20_000);
+      const later = streams.takeUp(1, begun);
+      expect(await expectRefused(later, "stream_version_gone"))
+        .to.equal(undefined);
+    });
+
+    it("where their route has moved to another pool", async () => {
+      await start();
+      const begun = await streams.begin(0);
+      const moved = makeConfiguration({
+        version: 2,
+        routes: [makeRoute({
+          repeat: "stream",
+          resumable: true,
+          shares: [{ pool: ENGINES, weight: 1 }],
+        })],
+      });
+      for (const entry of streams.fleet.entries) {
+        entry.applyConfiguration(moved);
+      }
+      await expectRefused(streams.takeUp(1, begun), "stream_pool_changed");
+    });
+
+    // The registration of the new run is late: the entry that sent the request
+    // took the replica for one of the former version.
+    it("where the replica may have been restarted at another version", async () => {
+      await start({ versions: ["v1", "v1"] });
+      const begun = await streams.begin(0);
+      for (const { registry } of streams.fleet.entries) {
+        for (const endpoint of streams.endpoints) {
+          registry.upsert({
+            ...endpoint,
+            softwareVersion: identifier<SoftwareVersion>("v2"),
+            startedAt: numbered<ReplicaStartTime>(1),
+          });
+        }
+      }
+      await streams.fleet.timer.advance(20);
+      await expectRefused(streams.takeUp(1, begun), "stream_origin_ambiguous");
+    });
+
+    // Two attempts with one id at two entries may begin at two versions.
+    it("where two versions began them under one id", async () => {
+      await start();
+      const values = { id: identifier<RequestId>("twice") };
+      const versions = new Set<string>();
+      for (let entry = 0; entry < 5; entry++) {
+        streams.attempts.length = 0;
+        versions.add((await streams.begin(entry, values)).version);
+      }
+      expect(versions.size).to.equal(2);
+      streams.attempts.length = 0;
+      const taken = streams.takeUp(1, values);
+      await expectRefused(taken, "stream_origin_ambiguous");
+    });
+  });
+
+  describe("whose version is listed in the store", () => {
+    function sharedLink(listed: ServingVersion[]): VersionLink {
+      return {
+        read: () => Promise.resolve(ok([...listed])),
+        add: (version) => {
+          listed.push(version);
+          return Promise.resolve(ok(undefined));
+        },
+        remove: () => Promise.resolve(ok(undefined)),
+      };
+    }
+
+    async function startListed(
+      listed: ServingVersion[],
+      link: Partial<VersionLink> = {},
+    ): Promise<void> {
+      const versions = { ...sharedLink(listed), ...link };
+      await start({
+        versions: ["v1", "v1", "v1"],
+        entryOptions: () => ({ versions }),
+      });
+    }
+
+    const unknown = { id: identifier<RequestId>("nobody") };
+
+    it("go on without a record if it is the only one", async () => {
+      await startListed([]);
+      const { attempt } = await streams.takeUp(1, unknown);
+      expect(attempt && streams.versionAt(attempt)).to.equal("v1");
+    });
+
+    it("are refused without a record if another one is listed", async () => {
+      const softwareVersion = identifier<SoftwareVersion>("v0");
+      await startListed([{ pool: PORTAL, softwareVersion }]);
+      const { caller } = await streams.takeUp(1, unknown);
+      expect(caller.refusal?.reason).to.equal("stream_origin_unknown");
+    });
+
+    it("are refused without a record while the list can't be read", async () => {
+      const failure = {
+        name: "store_unavailable" as const,
+        title: "",
+        message: "no response",
+        hint: "",
+      };
+      await startListed([], { read: () => Promise.resolve(err(failure)) });
+      const { caller } = await streams.takeUp(1, unknown);
+      expect(caller.refusal?.reason).to.equal("stream_origin_unknown");
+    });
+
+    it("is listed by one entry, and by another if that fails", async () => {
+      const listed: ServingVersion[] = [];
+      await startListed(listed);
+      expect(listed).to.deep.equal([{ pool: PORTAL, softwareVersion: "v1" }]);
+    });
+
+    it("leaves the list once no stream of it can be taken up", async () => {
+      const removed: ServingVersion[] = [];
+      const listed: ServingVersion[] = [];
+      await startListed(listed, {
+        remove: (version) => {
+          removed.push(version);
+          return Promise.resolve(ok(undefined));
+        },
+      });
+      for (const { registry } of streams.fleet.entries) {
+        for (const { id } of streams.endpoints) registry.remove(id);
+      }
+      await streams.fleet.timer.advance(400_000);
+      expect(removed).to.deep.equal([{ pool: PORTAL, softwareVersion: "v1" }]);
+    });
+  });
+});
--- a/src/entry/forwarding/version_listing.ts
+++ b/src/entry/forwarding/version_listing.ts
@@ -15,6 +15,7 @@
   type SoftwareVersion,
 } from "../../core/identity/mod.ts";
 import type { Logger } from "../../core/observation/mod.ts";
+import type { Random } from "../../core/random/mod.ts";
 import type { Subscription, TimerService } from "../../core/time/mod.ts";
 
 /** Notification that carries changes of the list, or all of it. */
@@ -22,6 +23,8 @@
 
 /** Delay after which the next entry lists a version that is still missing. */
 const NEXT_WRITER_MILLISECONDS = 300;
+/** Spread of the writes of entries that do not know who is first. */
+const UNRANKED_SPREAD_MILLISECONDS = 1_000;
 /** Delay between attempts to read the list or to write to it. */
 const RETRY_MILLISECONDS = 500;
 /** Interval of the search for versions that serve no more. */
@@ -43,6 +46,7 @@
 export interface VersionListingOptions {
   readonly self: ProcessId;
   readonly timer: TimerService;
+  readonly random: Random;
   readonly logger: Logger;
   readonly registry: EndpointRegistry;
   readonly listed: ListedVersions;
@@ -50,6 +54,8 @@
   readonly link: VersionLink | undefined;
   /** Live entries including this one; the first one writes. */
   readonly ranking: (subject: string) => readonly ProcessId[];
+  /** Entries in the list of the fleet, without this one. */
+  readonly peers: () => readonly ProcessId[];
   readonly broadcast: (method: string, params: unknown) => void;
   readonly send: (
     peer: ProcessId,
@@ -196,17 +202,27 @@
   /** Has the version listed by the first entry, or by the next ones later. */
   #list({ pool, softwareVersion }: ServingVersion): void {
     const version: ServingVersion = { pool, softwareVersion };
-    const { link, listed, ranking, self, timer } = this.#options;
+    const { link, listed, timer } = this.#options;
     const key = keyOf(version);
     const isPending = listed.has(version) || this.#writing.has(key);
-    if (link === undefined || isPending || this.#isStopped) return;
+    const mayWrite = listed.isComplete && !isPending && !this.#isStopped;
+    if (link === undefined || !mayWrite) return;
     this.#writing.add(key);
-    const rank = Math.max(0, ranking(key).indexOf(self));
-    const delay = rank * NEXT_WRITER_MILLISECONDS;
+    const delay = this.#writeDelay(key);
     if (delay === 0) return void this.#write(link, version);
     timer.after(delay, () => void this.#write(link, version));
   }
 
+  #writeDelay(key: string): number {
+    const { peers, random, ranking, self } = this.#options;
+    const live = ranking(key);
+    // Entries that start together have not heard of each other yet.
+    const isUnranked = live.length === 1 && peers().length > 0;
+    return isUnranked
+      ? random() * UNRANKED_SPREAD_MILLISECONDS
+      : Math.max(0, live.indexOf(self)) * NEXT_WRITER_MILLISECONDS;
+  }
+
   async #write(link: VersionLink, version: ServingVersion): Promise<void> {
     const { broadcast, listed, logger, timer } = this.#options;
     const key = keyOf(version);
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -345,10 +345,12 @@
       versions: new VersionListing({
         self,
         timer,
+        random,
         logger: NOOP_LOGGER,
         registry,
         listed: this.listedVersions,
         link: undefined,
+        peers: () => [],
         ranking: () => [self],
         broadcast() {},
         send() {},
