Keep an engine that decodes for each version whose streams go on

While a version is replaced, its last engines may all be prefill engines: of ten engines, six of which prefill, the last two of a version are so in a third of the cases. No stream of the version could go on then, although two of its replicas serve.

A version that had a decoder within 30 s and has two engines or more but no decoder left gets one at once, without waiting for the next plan, and role changes no longer take the last decoder of a version. A stream that is broken off while no replica of its version is left is cut with the reason stream_version_gone, without taking a retry from the budget. Retry-After is sent while replicas of the version are registered.

--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -191,6 +191,10 @@
   prefillShareBySlots,
   prefillShareForDemand,
 } from "./roles/role_plan.ts";
+export {
+  VersionDecoders,
+  type VersionDecodersOptions,
+} from "./roles/version_decoders.ts";
 export {
   EndpointLimits,
   type LimitChange,
--- a/src/core/forwarding/route_table.ts
+++ b/src/core/forwarding/route_table.ts
@@ -22,6 +22,8 @@
   /** Routes by host, the longest prefix first. */
   readonly #byHost = new Map<string, Route[]>();
   readonly #pauseBounds = new Map<ServiceName, PauseBound>();
+  /** Pools of the resumable streams. */
+  readonly #resumablePools = new Set<ServiceName>();
 
   constructor(configuration: ForwardingConfiguration) {
     this.configuration = configuration;
@@ -33,6 +35,8 @@
       if (routes === undefined) this.#byHost.set(host, [route]);
       else routes.push(route);
       this.#recordPause(route);
+      if (route.repeat !== "stream" || !route.resumable) continue;
+      for (const { pool } of route.shares) this.#resumablePools.add(pool);
     }
     for (const routes of this.#byHost.values()) {
       routes.sort((left, right) =>
@@ -57,6 +61,11 @@
     return this.#pauseBounds.get(pool);
   }
 
+  /** True if a route has streams of the pool that may be resumed. */
+  hasResumableStreams(pool: ServiceName): boolean {
+    return this.#resumablePools.has(pool);
+  }
+
   #recordPause({ maxPauseMilliseconds, rank, shares }: Route): void {
     if (maxPauseMilliseconds === undefined) return;
     for (const { pool } of shares) {
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -480,6 +480,8 @@
         load,
         logger: options.logger,
         pools: () => this.configuration?.pools.values() ?? [],
+        hasResumableStreams: (pool) =>
+          this.#routes?.hasResumableStreams(pool) ?? false,
         broadcastOrders: (orders) =>
           this.peers.broadcast(ROLES_METHOD, { orders }),
         workPlanner: this.#workRolePlanner,
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -374,8 +374,9 @@
   /** Handles a response that the endpoint broke off. */
   #afterBrokenResponse(): NextStep {
     const { repeat } = this.#context.route;
+    const { isWriterGone } = this.#context;
     const mayResume = repeat === "stream" && this.#relay.isResumable &&
-      this.#mayRunAgain() && this.#mayResend("cut");
+      !isWriterGone && this.#mayRunAgain() && this.#mayResend("cut");
     if (mayResume) {
       this.#context.report("resumed", {
         lastEventId: this.#relay.lastEventId ?? "",
@@ -386,7 +387,7 @@
     this.#settle();
     this.#sink.abort();
     this.#context.report("cut", {
-      reason: "endpoint_broke_off",
+      reason: isWriterGone ? VERSION_GONE : "endpoint_broke_off",
       ...this.#attempt?.bodyFacts,
     });
     return "delivered";
--- a/src/entry/forwarding/role_controller.ts
+++ b/src/entry/forwarding/role_controller.ts
@@ -13,6 +13,8 @@
   type RegistryChange,
   RoleDemand,
   type StoreFailure,
+  VersionDecoders,
+  type VersionDecodersOptions,
 } from "../../core/forwarding/mod.ts";
 import type { EndpointId, ServiceName } from "../../core/identity/mod.ts";
 import type { Logger } from "../../core/observation/mod.ts";
@@ -85,6 +87,8 @@
   readonly leaseMilliseconds: number;
   /** Pools of the configuration in force. */
   readonly pools: () => Iterable<Pool>;
+  /** True if callers may take up streams of the pool. */
+  readonly hasResumableStreams: (pool: ServiceName) => boolean;
   /** Informs peers of engines that are about to change. */
   readonly broadcastOrders: (changes: RoleOrders) => void;
   /** Plans adaptive pools; absent: all are planned by their slots. */
@@ -101,6 +105,7 @@
   readonly #changing = new Map<EndpointId, "prefill" | "decode">();
   readonly #changeDeadlines = new Map<EndpointId, number>();
   readonly #demands = new Map<ServiceName, RoleDemand>();
+  readonly #versionDecoders: VersionDecoders;
   #lastChangeAt = 0;
   #hasPlanned = false;
   #sampling: Subscription | undefined;
@@ -110,6 +115,7 @@
   constructor(options: RoleControllerOptions) {
     this.#options = options;
     this.#claim = new ExclusiveClaim(options);
+    this.#versionDecoders = new VersionDecoders(options.timer);
     this.#lastChangeAt = options.timer.now();
   }
 
@@ -171,7 +177,10 @@
       : mayFollowDemand
       ? this.#plannedDecodeChanges()
       : [];
-    const changes = [...changesBySlots, ...this.#plannedWorkChanges()];
+    const changes = this.#withVersionDecoders([
+      ...changesBySlots,
+      ...this.#plannedWorkChanges(),
+    ]);
     // Engines that already match the plan count as planned: from then on a role
     // change is the exception.
     if (isSettled && this.#options.registry.size > 0) this.#hasPlanned = true;
@@ -190,6 +199,40 @@
       .flatMap((pool) => workPlanner.plan(pool, this.#changing));
   }
 
+  /**
+   * Adjusts the changes so that the streams of each software version can go on;
+   * a version that has lost its decoders does not wait for the next plan.
+   */
+  #withVersionDecoders(
+    changes: readonly EngineRoleChange[],
+  ): EngineRoleChange[] {
+    const { hasResumableStreams, pools } = this.#options;
+    return [...pools()].flatMap(({ engine, name }) => {
+      const planned = changes.filter(({ endpoint }) => endpoint.pool === name);
+      if (engine === undefined || !hasResumableStreams(name)) return planned;
+      const options = this.#versionOptions(name);
+      const missing = this.#hasPlanned
+        ? this.#versionDecoders.plan(options)
+        : [];
+      const isMissing = ({ endpoint }: EngineRoleChange) =>
+        missing.some((each) => each.endpoint.id === endpoint.id);
+      return [
+        ...missing,
+        ...this.#versionDecoders.retain(planned, options)
+          .filter((each) => !isMissing(each)),
+      ];
+    });
+  }
+
+  #versionOptions(pool: ServiceName): VersionDecodersOptions {
+    const { load, registry } = this.#options;
+    return {
+      engines: registry.inPool(pool),
+      openRequests: (endpoint) => load.total(endpoint).requests,
+      changing: this.#changing,
+    };
+  }
+
   get #poolsBySlots(): Pool[] {
     const { pools, workPlanner } = this.#options;
     return [...pools()].filter((pool) => !workPlanner?.isResponsibleFor(pool));
--- a/src/entry/forwarding/role_controller_test.ts
+++ b/src/entry/forwarding/role_controller_test.ts
@@ -16,6 +16,7 @@
   identifier,
   numbered,
   type ReplicaStartTime,
+  type SoftwareVersion,
 } from "../../core/identity/mod.ts";
 import { NOOP_LOGGER } from "../../core/observation/mod.ts";
 import { seededRandom } from "../../core/random/mod.ts";
@@ -89,6 +90,7 @@
         logger: NOOP_LOGGER,
         leaseMilliseconds: 3_000,
         pools: () => [ENGINE_POOL],
+        hasResumableStreams: () => true,
         broadcastOrders: (orders) => {
           if (!isBroadcasting) return;
           for (const controller of controllers) controller.onPeerOrders(orders);
@@ -174,6 +176,24 @@
     expect(platform.orders).to.have.length(before);
   });
 
+  // The streams of the version could not go on, although engines of it serve.
+  it("orders an engine of a version without decoders to decode at once", async () => {
+    startControllers(1);
+    const [registry] = registries;
+    const softwareVersion = identifier<SoftwareVersion>("v2");
+    const newer = ["prefill", "prefill", "decode"] as const;
+    newer.forEach((role, index) =>
+      registry.upsert(makeEngine(`newer-${index}`, role, { softwareVersion }))
+    );
+    await advance(12_000);
+    platform.orders = [];
+    registry.remove(identifier<EndpointId>("newer-2"));
+    await advance(1_500);
+    const ordered = platform.orders.map(({ endpoint }) => endpoint);
+    expect(ordered.filter((id) => id.startsWith("newer")))
+      .to.deep.equal(["newer-0"]);
+  });
+
   describe("an engine that restarts during a role change", () => {
     const id = identifier<EndpointId>("engine-5");
 
--- a/src/entry/forwarding/version_listing.ts
+++ b/src/entry/forwarding/version_listing.ts
@@ -119,10 +119,13 @@
     return others.length === 0 ? sole : undefined;
   }
 
-  /** True if replicas of the version were registered a short time ago. */
+  /** True if replicas of the version are registered, or were lately. */
   mayReturn(version: ServingVersion): boolean {
-    const seenAt = this.#seenAt.get(keyOf(version)) ?? -Infinity;
-    return this.#options.timer.now() - seenAt < RETURN_MILLISECONDS;
+    const { registry, timer } = this.#options;
+    const key = keyOf(version);
+    const seenAt = this.#seenAt.get(key) ?? -Infinity;
+    return timer.now() - seenAt < RETURN_MILLISECONDS ||
+      registry.inPool(version.pool).some((each) => keyOf(each) === key);
   }
 
   /**
