Give an entry that starts without the store the list of its peers

An entry that started while the store was silent took configuration and endpoints from a peer but not the list of entries: it could tell nobody which version began its streams, ask nobody, and answer no query.

The state that peers hand out now has the list, which is used until the store has been read.

--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -158,7 +158,7 @@
   /** How to query peers while the store is unreachable. */
   readonly peerStateFallback: Pick<
     PeerStateFallbackOptions,
-    "addressOf" | "ask" | "peers"
+    "addressOf" | "adoptEntries" | "ask" | "listEntries" | "peers"
   >;
   /** Called when the connections to an address are no longer needed. */
   readonly onEndpointRemoved: (address: string) => void;
--- a/src/entry/forwarding/forwarding_entry_test.ts
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -78,6 +78,8 @@
         retry: { ratio: 0.2, windowMilliseconds: 10_000, minimum: 50 },
         peerStateFallback: {
           peers: () => [],
+          listEntries: () => [],
+          adoptEntries() {},
           addressOf: () => undefined,
           ask: () =>
             Promise.resolve(
--- a/src/entry/forwarding/mod.ts
+++ b/src/entry/forwarding/mod.ts
@@ -29,6 +29,7 @@
 export type { ReportOutcome, UsageLink } from "./usage_reporter.ts";
 export { readEntireBody } from "./read_body.ts";
 export {
+  type FleetMember,
   FORWARDING_STATE_STREAM,
   PeerStateFallback,
 } from "./peer_state_fallback.ts";
--- a/src/entry/forwarding/peer_state_fallback.ts
+++ b/src/entry/forwarding/peer_state_fallback.ts
@@ -46,8 +46,13 @@
     & Omit<ForwardingConfiguration, "pools">
     & { readonly pools: readonly Pool[] };
   readonly endpoints: readonly RegisteredEndpoint[];
+  /** Names and datagram addresses of the entries, the sender included. */
+  readonly entries?: readonly FleetMember[];
 }
 
+/** Name and datagram address of an entry. */
+export type FleetMember = readonly [name: string, address: string];
+
 export interface PeerStateFallbackOptions {
   readonly timer: TimerService;
   readonly random: Random;
@@ -59,6 +64,10 @@
     configuration: ForwardingConfiguration,
     peer: PeerAddress,
   ) => void;
+  /** The list of the fleet as known here, this entry included. */
+  readonly listEntries: () => readonly FleetMember[];
+  /** Takes a peer's list of the fleet until the store has been read. */
+  readonly adoptEntries: (entries: readonly FleetMember[]) => void;
   /** Address where a peer responds; undefined if it is not listed. */
   readonly addressOf: (peer: ProcessId) => PeerAddress | undefined;
   /** Addresses where peers respond; some may be outdated. */
@@ -141,6 +150,7 @@
         pools: [...configuration.pools.values()],
       },
       endpoints: [...this.#options.registry.all],
+      entries: this.#options.listEntries(),
     };
     return { upTo: configuration.version, state: { ...state } };
   }
@@ -183,6 +193,7 @@
       pools: new Map(pools.map((pool) => [pool.name, pool])),
     }, peer);
     if (isCurrent) return;
+    this.#options.adoptEntries(value.entries ?? []);
     // An outdated list is better than none, but worse than this entry's own.
     const mayReplaceEndpoints = value.age <= MAX_STATE_AGE_MILLISECONDS ||
       isFirst;
@@ -200,8 +211,16 @@
 
 function isForwardingState(value: unknown): value is ForwardingState {
   if (typeof value !== "object" || value === null) return false;
-  const { age, configuration, endpoints } = value as Partial<ForwardingState>;
+  const { age, configuration, endpoints, entries = [] } = value as Partial<
+    ForwardingState
+  >;
   return typeof age === "number" && Array.isArray(endpoints) &&
+    Array.isArray(entries) && entries.every(isFleetMember) &&
     typeof configuration?.version === "number" &&
     Array.isArray(configuration.routes) && Array.isArray(configuration.pools);
 }
+
+function isFleetMember(value: unknown): value is FleetMember {
+  return Array.isArray(value) && value.length === 2 &&
+    value.every((each) => typeof each === "string");
+}
--- a/src/entry/forwarding/peer_state_fallback_test.ts
+++ b/src/entry/forwarding/peer_state_fallback_test.ts
@@ -15,7 +15,7 @@
 import { NOOP_LOGGER } from "../../core/observation/mod.ts";
 import { ManualTimerService } from "../../core/time/mod.ts";
 import { ConfigurationStatus } from "./configuration_status.ts";
-import { PeerStateFallback } from "./peer_state_fallback.ts";
+import { type FleetMember, PeerStateFallback } from "./peer_state_fallback.ts";
 
 const PEER = identifier<ProcessId>("entry-1");
 
@@ -25,6 +25,7 @@
   readonly status: ConfigurationStatus;
   configuration: ForwardingConfiguration | undefined;
   asked: number;
+  entries: readonly FleetMember[];
 }
 
 describe("PeerStateFallback", () => {
@@ -47,6 +48,7 @@
       status,
       configuration,
       asked: 0,
+      entries: [],
       fallback: new PeerStateFallback({
         timer,
         random: () => 0,
@@ -58,6 +60,8 @@
         addressOf: (peer) =>
           peer === PEER ? identifier<PeerAddress>("peer:1") : undefined,
         peers: () => [identifier<PeerAddress>("peer:1")],
+        listEntries: () => [["entry-1", "10.0.0.1:7000"]],
+        adoptEntries: (entries) => node.entries = entries,
         ask: () => {
           node.asked += 1;
           const snapshot = answer();
@@ -103,6 +107,7 @@
     expect(disconnected.configuration?.pools.get(PORTAL)?.mostConnections)
       .to.equal(100);
     expect(disconnected.registry.inPool(PORTAL)).to.have.length(1);
+    expect(disconnected.entries).to.deep.equal([["entry-1", "10.0.0.1:7000"]]);
   });
 
   // The store rejects this entry, and an endpoint starts to leave. Without the
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -139,6 +139,8 @@
       retry: { ratio: 0.2, windowMilliseconds: 10_000, minimum: 200 },
       peerStateFallback: {
         peers: () => [],
+        listEntries: () => [],
+        adoptEntries() {},
         addressOf: () => undefined,
         ask: () => Promise.resolve(err(LINK_LOST)) as never,
       },
