Keep origins of streams at three entries in large fleets

Four keepers and the sender's name cost 318 bytes of parameters for each stream at any size of the fleet. Fleets of up to nine entries now keep each origin everywhere (240 bytes at five entries), larger ones at three (180 bytes). Six entries are asked first, then the others within an allowance.

A continuation that can't be proved while the list of versions is incomplete is refused with a time to return: the list is read within seconds.

--- a/src/entry/forwarding/stream_continuation.ts
+++ b/src/entry/forwarding/stream_continuation.ts
@@ -6,7 +6,6 @@
   Workspace,
 } from "../../core/forwarding/mod.ts";
 import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
-import type { StreamLookupOutcome } from "./stream_origin_exchange.ts";
 
 /**
  * Retry delay where an entry that could not be reached may know the stream, or
@@ -40,7 +39,7 @@
   options: ContinuationOptions,
 ): Promise<Result<StreamOrigin, ContinuationRefusal>> {
   const { request, route, workspace } = options;
-  const { streams, timer } = dependencies;
+  const { streams, timer, versions } = dependencies;
   const startedAt = timer.now();
   const lookup = request.resumes === undefined ? undefined : await streams.find(
     streams.digestOf(request.resumes, workspace?.id),
@@ -56,7 +55,10 @@
     ...(typeof found === "object" && found),
     milliseconds: Math.round(timer.now() - startedAt),
   });
-  if (found === undefined) return err(unknownOrigin(outcome));
+  if (found === undefined) {
+    const mayBeKnownSoon = outcome === "unanswered" || !versions.isComplete;
+    return err(unknownOrigin(mayBeKnownSoon));
+  }
   if (found === "ambiguous") return err({ reason: "stream_origin_ambiguous" });
   const isServed = route.shares.some(({ pool }) => pool === found.pool);
   return isServed ? ok(found) : err({ reason: "stream_pool_changed" });
@@ -73,10 +75,10 @@
   return softwareVersion && { pool, softwareVersion };
 }
 
-function unknownOrigin(outcome: StreamLookupOutcome): ContinuationRefusal {
+function unknownOrigin(mayBeKnownSoon: boolean): ContinuationRefusal {
   return {
     reason: "stream_origin_unknown",
-    ...(outcome === "unanswered" &&
+    ...(mayBeKnownSoon &&
       { retryAfterMilliseconds: UNANSWERED_RETRY_MILLISECONDS }),
   };
 }
--- a/src/entry/forwarding/stream_continuation_test.ts
+++ b/src/entry/forwarding/stream_continuation_test.ts
@@ -321,6 +321,7 @@
       await startListed([], { read: () => Promise.resolve(err(failure)) });
       const { caller } = await streams.takeUp(1, unknown);
       expect(caller.refusal?.reason).to.equal("stream_origin_unknown");
+      expect(caller.refusal?.retryAfterMilliseconds).to.be.within(1, 500);
     });
 
     it("is listed by one entry, and by another if that fails", async () => {
--- a/src/entry/forwarding/stream_notification.ts
+++ b/src/entry/forwarding/stream_notification.ts
@@ -18,7 +18,6 @@
 
 /** Origins of streams; the streams refer to origins by index. */
 export interface StreamNotification {
-  readonly entry: string;
   readonly origins: readonly OriginRow[];
   readonly streams: readonly (readonly [stream: string, origin: number])[];
 }
@@ -37,7 +36,6 @@
 }
 
 export function encodeStreams(
-  entry: string,
   records: readonly StreamRecord[],
 ): StreamNotification {
   const rows = new Map<string, OriginRow>();
@@ -47,7 +45,6 @@
   }
   const keys = [...rows.keys()];
   return {
-    entry,
     origins: [...rows.values()],
     streams: records.map(({ origin, stream }) => [
       stream,
--- a/src/entry/forwarding/stream_origin_exchange.ts
+++ b/src/entry/forwarding/stream_origin_exchange.ts
@@ -30,14 +30,19 @@
   STREAMS_METHOD,
 } from "./stream_notification.ts";
 
-/** Number of other entries that keep the origin of a stream. */
-const KEEPERS = 4;
+/**
+ * Number of other entries that keep the origin of a stream. In a large fleet,
+ * three of them are rarely all lost with one of three availability zones.
+ */
+const KEEPERS = 3;
+/** Fleets with up to this many other entries keep each origin everywhere. */
+const SMALL_FLEET_PEERS = 8;
 /**
  * Number of entries that are asked first. It exceeds the number of keepers, as
  * the lists of the fleet may differ between the entry that chose the keepers
  * and the one that asks them.
  */
-const ASKED_FIRST = 8;
+const ASKED_FIRST = 6;
 /** How long origins that follow another one are batched for their keepers. */
 const BATCH_MILLISECONDS = 4;
 /** Timeout of a query to the entries that should know the stream. */
@@ -217,7 +222,10 @@
     const { allowance, keepers, origins, peers } = this.#options;
     const known = origins.find(stream);
     if (known !== undefined) return { origin: known, outcome: "known" };
-    const first = keepers.keepersOf(stream, { count: ASKED_FIRST });
+    const isSmall = peers().length <= SMALL_FLEET_PEERS;
+    const first = isSmall
+      ? peers()
+      : keepers.keepersOf(stream, { count: ASKED_FIRST });
     const answer = await this.#query(first, {
       stream,
       timeoutMilliseconds: FIRST_TIMEOUT_MILLISECONDS,
@@ -307,8 +315,13 @@
   }
 
   /** Keepers that have been heard of lately; `started` counts as one. */
-  #keepersOf(stream: StreamDigest, started?: ProcessId): ProcessId[] {
-    const { keepers, owners } = this.#options;
+  #keepersOf(
+    stream: StreamDigest,
+    started?: ProcessId,
+  ): readonly ProcessId[] {
+    const { keepers, owners, peers } = this.#options;
+    const fleet = peers();
+    if (fleet.length <= SMALL_FLEET_PEERS) return fleet;
     const live = keepers.keepersOf(stream, {
       count: KEEPERS,
       isUsable: (entry) => entry === started || owners.isLive(entry),
@@ -319,10 +332,10 @@
   }
 
   #sendRecords(peer: ProcessId, records: readonly StreamRecord[]): void {
-    const { self, send } = this.#options;
+    const { send } = this.#options;
     for (let from = 0; from < records.length; from += MAX_ROWS) {
       const part = records.slice(from, from + MAX_ROWS);
-      send(peer, { method: STREAMS_METHOD, params: encodeStreams(self, part) });
+      send(peer, { method: STREAMS_METHOD, params: encodeStreams(part) });
     }
   }
 }
--- a/src/entry/forwarding/version_listing.ts
+++ b/src/entry/forwarding/version_listing.ts
@@ -104,6 +104,12 @@
     this.#sweep?.cancel();
   }
 
+  /** True once the whole list is known, or if there is none. */
+  get isComplete(): boolean {
+    const { link, listed } = this.#options;
+    return link === undefined || listed.isComplete;
+  }
+
   /**
    * The version that has begun every stream of the pool that may be taken up;
    * undefined if there may be several.
