Ignore an answer about a stream that was not asked for

Queries are numbered by process. A peer that was suspended while the asking entry was restarted answers a query of the former process, whose number the new one may use for another stream: the stream would go on at that one's version. The answer now names the stream. The added test passed an answer of another stream through before.

--- a/src/entry/forwarding/stream_continuation_test.ts
+++ b/src/entry/forwarding/stream_continuation_test.ts
@@ -19,7 +19,11 @@
   type RequestId,
   type SoftwareVersion,
 } from "../../core/identity/mod.ts";
-import { STREAM_QUERY_METHOD, STREAMS_METHOD } from "./stream_notification.ts";
+import {
+  STREAM_ANSWER_METHOD,
+  STREAM_QUERY_METHOD,
+  STREAMS_METHOD,
+} from "./stream_notification.ts";
 import type { VersionLink } from "./version_listing.ts";
 
 const VERSIONS = ["v1", "v2", "v1", "v2", "v1", "v2"];
@@ -195,6 +199,24 @@
       expect(retry).to.be.within(1, 500);
     });
 
+    // A peer was suspended while the entry that asked it was restarted.
+    it("where an answer to another query arrives late", async () => {
+      await start();
+      const late = {
+        id: 1,
+        stream: "another",
+        origin: [String(PORTAL), "v1"],
+      };
+      const taken = streams.takeUp(1, { id: identifier<RequestId>("nobody") });
+      for (const entry of ["entry-0", "entry-2", "entry-3", "entry-4"]) {
+        streams.fleet.entries[1].onNotification(STREAM_ANSWER_METHOD, {
+          ...late,
+          entry,
+        });
+      }
+      await expectRefused(taken, "stream_origin_unknown");
+    });
+
     it("where their caller names no attempt and versions differ", async () => {
       await start();
       const taken = streams.submit(0, { lastEventId: "1" });
--- a/src/entry/forwarding/stream_notification.ts
+++ b/src/entry/forwarding/stream_notification.ts
@@ -31,6 +31,7 @@
 export interface StreamAnswer {
   readonly entry: string;
   readonly id: number;
+  readonly stream: string;
   /** Absent if the peer does not know the stream. */
   readonly origin?: OriginRow;
 }
@@ -92,8 +93,7 @@
 }
 
 export function isStreamAnswer(value: unknown): value is StreamAnswer {
-  return isObject(value) && typeof value.entry === "string" &&
-    typeof value.id === "number";
+  return isStreamQuery(value);
 }
 
 function isObject(value: unknown): value is Record<string, unknown> {
--- a/src/entry/forwarding/stream_origin_exchange.ts
+++ b/src/entry/forwarding/stream_origin_exchange.ts
@@ -93,6 +93,7 @@
 }
 
 interface PendingQuery {
+  readonly stream: StreamDigest;
   readonly waiting: Set<ProcessId>;
   readonly settle: (origin: KnownOrigin | undefined) => void;
 }
@@ -262,7 +263,7 @@
     const waiting = new Set(asked);
     let timeout: Subscription | undefined;
     const origin = await new Promise<KnownOrigin | undefined>((settle) => {
-      this.#pending.set(id, { waiting, settle });
+      this.#pending.set(id, { stream, waiting, settle });
       timeout = timer.after(timeoutMilliseconds, () => settle(undefined));
       const params = { entry: self, id, stream };
       for (const peer of asked) {
@@ -284,6 +285,7 @@
       params: {
         entry: self,
         id: params.id,
+        stream: params.stream,
         ...(origin !== undefined && { origin: encodeOrigin(origin) }),
       },
     });
@@ -293,7 +295,9 @@
     if (!isStreamAnswer(params)) return;
     const query = this.#pending.get(params.id);
     const peer = identifier<ProcessId>(params.entry);
-    if (query?.waiting.delete(peer) !== true) return;
+    // A late answer to the former process may have the id of another query.
+    if (query === undefined || query.stream !== params.stream) return;
+    if (!query.waiting.delete(peer)) return;
     const origin = decodeOrigin(params.origin);
     if (origin !== undefined) return query.settle(origin);
     if (query.waiting.size === 0) query.settle(undefined);
