Count replicas by version once for each choice of a new stream

The choice compared each replica of a pool with all others, which takes the square of the pool's size for each request while two versions serve. A test shows that new streams begin at versions that more than one replica has.

--- a/src/entry/forwarding/stream_continuation_test.ts
+++ b/src/entry/forwarding/stream_continuation_test.ts
@@ -155,6 +155,14 @@
     });
   }
 
+  // If the only replica of a version leaves, its streams can't go on.
+  it("begin at versions that more than one replica has", async () => {
+    await start({ versions: ["v1", "v2", "v2", "v3", "v3"] });
+    const begun = await beginAll((index) => index % 5);
+    expect(new Set(begun.map(({ version }) => version)))
+      .to.deep.equal(new Set(["v2", "v3"]));
+  });
+
   // A caller that has received no event begins a new stream.
   it("may begin at any version if the first attempt brought no event", async () => {
     await start();
--- a/src/entry/forwarding/version_listing.ts
+++ b/src/entry/forwarding/version_listing.ts
@@ -143,14 +143,13 @@
     endpoints: readonly RegisteredEndpoint[],
   ): readonly RegisteredEndpoint[] {
     const writers = endpoints.filter((each) => !isPrefillEngine(each));
-    if (new Set(writers.map(versionOf)).size < 2) return endpoints;
+    if (countByVersion(writers).size < 2) return endpoints;
     const listed = writers.filter((each) => this.#isListed(each));
     const usable = listed.length > 0 ? listed : writers;
-    const lasting = usable.filter((each) =>
-      usable.some((other) =>
-        other.id !== each.id && versionOf(other) === versionOf(each)
-      )
-    );
+    const counts = countByVersion(usable);
+    const isLasting = ({ softwareVersion }: RegisteredEndpoint) =>
+      (counts.get(softwareVersion) ?? 0) > 1;
+    const lasting = usable.filter(isLasting);
     const chosen = new Set(lasting.length > 0 ? lasting : usable);
     return endpoints.filter((each) =>
       isPrefillEngine(each) || chosen.has(each)
@@ -287,8 +286,14 @@
   return JSON.stringify([pool, softwareVersion]);
 }
 
-function versionOf({ softwareVersion }: RegisteredEndpoint): SoftwareVersion {
-  return softwareVersion;
+function countByVersion(
+  endpoints: readonly RegisteredEndpoint[],
+): ReadonlyMap<SoftwareVersion, number> {
+  const counts = new Map<SoftwareVersion, number>();
+  for (const { softwareVersion } of endpoints) {
+    counts.set(softwareVersion, (counts.get(softwareVersion) ?? 0) + 1);
+  }
+  return counts;
 }
 
 function encodeVersion({ pool, softwareVersion }: ServingVersion): VersionRow {
