Readmit a recovered replica in spite of failures by chance

Callers waited for a replica that had recovered: a single failed probe of a kind that fails 14% everywhere doubled the time out, and in the 2 s after a readmission one failure of a reliable kind was a verdict.

Failed probes now count by how often their kind fails elsewhere, so that one of 14% is followed by another probe at once; after a readmission a verdict takes two failures, and three quarters of the usual evidence in place of 0.6 of it.

--- a/src/core/forwarding/endpoints/failure_evidence.ts
+++ b/src/core/forwarding/endpoints/failure_evidence.ts
@@ -158,15 +158,21 @@
         failures: sum.failures + failures,
       });
     }
-    return new Map([...this.kinds].map((kind) => {
-      const { attempts, failures } = sums.get(kind) ??
-        { attempts: 0, failures: 0 };
-      const usual = Math.max(
-        MIN_USUAL_RATE,
-        (failures + ASSUMED_FAILURES) / (attempts + ASSUMED_ATTEMPTS),
-      );
-      const failing = usual + FAILING_SHARE * (1 - usual);
-      return [kind, Math.log(failing / usual)];
-    }));
+    return new Map([...this.kinds].map((kind) => [
+      kind,
+      failureEvidence(sums.get(kind) ?? { attempts: 0, failures: 0 }),
+    ]));
   }
 }
+
+/** Evidence of one failure of a kind that fails so often elsewhere. */
+export function failureEvidence(
+  { attempts, failures }: FailuresElsewhere,
+): number {
+  const usual = Math.max(
+    MIN_USUAL_RATE,
+    (failures + ASSUMED_FAILURES) / (attempts + ASSUMED_ATTEMPTS),
+  );
+  const failing = usual + FAILING_SHARE * (1 - usual);
+  return Math.log(failing / usual);
+}
--- a/src/core/forwarding/endpoints/outcome_judge.ts
+++ b/src/core/forwarding/endpoints/outcome_judge.ts
@@ -1,7 +1,11 @@
 import type { EndpointId, ProcessId } from "../../identity/mod.ts";
 import type { TimerService } from "../../time/mod.ts";
 import { AttemptRate } from "./attempt_rate.ts";
-import { type EvidenceSummary, FailureEvidence } from "./failure_evidence.ts";
+import {
+  type EvidenceSummary,
+  FailureEvidence,
+  failureEvidence,
+} from "./failure_evidence.ts";
 import type {
   FailuresElsewhere,
   OutcomeCounts,
@@ -22,7 +26,14 @@
  * fails 0.4 of its work completes most probes.
  */
 const WATCH_MILLISECONDS = 2_000;
-const WATCH_EVIDENCE_SHARE = 0.6;
+const WATCH_EVIDENCE_SHARE = 0.75;
+/** Failures that it takes then; a healthy replica has one by chance. */
+const MIN_WATCHED_FAILURES = 2;
+/**
+ * Evidence of failed probes at which a verdict is repeated. A failure of a kind
+ * that often fails everywhere is followed by another probe.
+ */
+const MIN_PROBE_EVIDENCE = 1.5;
 /** Durations of verdicts, the same as those of an entry's own judgement. */
 const INITIAL_MILLISECONDS = 1_000;
 const MAX_MILLISECONDS = 8_000;
@@ -64,6 +75,8 @@
   /** Time at which a request was chosen as the probe. */
   claimedAt: number;
   isProbing: boolean;
+  /** Evidence of the failed probes since the verdict. */
+  probeEvidence: number;
 }
 
 interface JudgedEndpoint {
@@ -160,10 +173,16 @@
     return true;
   }
 
-  /** Ends the probe; without a result, another request may probe. */
+  /**
+   * Ends the probe, a request of this kind; without a result, another request
+   * may probe.
+   */
   endProbe(
     endpoint: EndpointId,
-    result: "completed" | "failed" | undefined,
+    { kind, result }: {
+      readonly kind: RequestKind;
+      readonly result: "completed" | "failed" | undefined;
+    },
   ): void {
     const judged = this.#endpoints.get(endpoint);
     const suspicion = judged?.suspicion;
@@ -172,6 +191,12 @@
     suspicion.isProbing = false;
     suspicion.claimedAt = -Infinity;
     if (result === "failed") {
+      const usual = this.#options.elsewhere(kind, endpoint);
+      suspicion.probeEvidence += failureEvidence(usual);
+      if (suspicion.probeEvidence < MIN_PROBE_EVIDENCE) {
+        suspicion.until = Math.max(suspicion.until, now);
+        return;
+      }
       this.#takeOut(endpoint, judged, {
         change: "repeated",
         summary: suspicion.summary,
@@ -224,7 +249,9 @@
     const excessRate = judged.rate.perSecond(now) /
       REFERENCE_ATTEMPTS_PER_SECOND;
     const required = MIN_EVIDENCE + Math.max(0, Math.log(excessRate));
-    const share = isWatched ? WATCH_EVIDENCE_SHARE : 1;
+    const share = isWatched && summary.failed >= MIN_WATCHED_FAILURES
+      ? WATCH_EVIDENCE_SHARE
+      : 1;
     if (summary.evidence < share * required) return;
     this.#takeOut(endpoint, judged, { change: "suspect", summary });
   }
@@ -249,6 +276,7 @@
       until: now + milliseconds,
       claimedAt: -Infinity,
       isProbing: false,
+      probeEvidence: 0,
     };
     judged.evidence = new FailureEvidence();
     this.#options.onChange({ change, endpoint, milliseconds, summary });
--- a/src/core/forwarding/endpoints/outcome_judge_test.ts
+++ b/src/core/forwarding/endpoints/outcome_judge_test.ts
@@ -11,6 +11,7 @@
   const endpoint = { id: identifier<EndpointId>("a") };
   const { id } = endpoint;
   const reliable = 1;
+  const oftenFailing = 9;
   let timer: ManualTimerService;
   let changes: string[];
   let minLossReporters: number;
@@ -24,7 +25,10 @@
       self: identifier<ProcessId>("owner"),
       timer,
       minLossReporters: () => minLossReporters,
-      elsewhere: () => ({ attempts: 30, failures: 0 }),
+      elsewhere: (kind) =>
+        kind === oftenFailing
+          ? { attempts: 300, failures: 42 }
+          : { attempts: 30, failures: 0 },
       onChange: ({ change, milliseconds }) =>
         changes.push(`${change} ${milliseconds}`),
     });
@@ -170,10 +174,11 @@
 
     async function probe(
       result: "completed" | "failed" | undefined,
+      kind = reliable,
     ): Promise<void> {
       while (claim() === undefined) await timer.advance(10);
       judge.startProbe(id);
-      judge.endProbe(id, result);
+      judge.endProbe(id, { kind, result });
     }
 
     it("readmits the endpoint", async () => {
@@ -192,6 +197,23 @@
       ]);
     });
 
+    // One failed probe of a kind that often fails says little.
+    it("is followed by another if a kind failed that fails everywhere", async () => {
+      await probe("failed", oftenFailing);
+      expect(changes).to.deep.equal(["suspect 1000"]);
+      expect(claim()).to.equal(endpoint);
+      judge.startProbe(id);
+      judge.endProbe(id, { kind: oftenFailing, result: "failed" });
+      expect(changes).to.deep.equal(["suspect 1000", "repeated 2000"]);
+    });
+
+    // A healthy replica fails some request within the time of the watch.
+    it("is not followed by a verdict on a single failure", async () => {
+      await probe("completed");
+      report({ failed: 1 });
+      expect(changes.at(-1)).to.equal("readmitted 0");
+    });
+
     it("is repeated if it was abandoned", async () => {
       await probe(undefined);
       expect(claim()).to.equal(endpoint);
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -103,6 +103,7 @@
   kindOfRequest,
   type OutcomeCounts,
   OutcomeReports,
+  type RequestKind,
 } from "./endpoints/outcome_reports.ts";
 export {
   decodeOutcomes,
--- a/src/entry/forwarding/fleet_outcomes.ts
+++ b/src/entry/forwarding/fleet_outcomes.ts
@@ -11,6 +11,7 @@
   OutcomeReports,
   type OutcomeRow,
   type RegisteredEndpoint,
+  type RequestKind,
   type VerdictChange,
   type VerdictEvent,
   type VerdictRow,
@@ -113,15 +114,15 @@
     request: { readonly route: string; readonly isPrefill: boolean },
   ): AttemptOutcome {
     let isProbe = this.#judge.startProbe(endpoint.id);
+    const kind = kindOfRequest(endpoint.pool, request);
     let hasEnded = false;
     let patience: Subscription | undefined;
     const end = (result: AttemptResult | "inconclusive") => {
       if (hasEnded) return;
       hasEnded = true;
       patience?.cancel();
-      if (isProbe) this.#endProbe(endpoint.id, result);
+      if (isProbe) this.#endProbe(endpoint.id, { kind, result });
       if (result === "inconclusive" || !this.isInUse(endpoint)) return;
-      const kind = kindOfRequest(endpoint.pool, request);
       this.#reports.record(endpoint.id, { kind, result });
       this.#collectOwn(endpoint.id);
     };
@@ -131,7 +132,7 @@
         PROBE_STREAM_MILLISECONDS,
         () => {
           isProbe = false;
-          this.#endProbe(endpoint.id, "completed");
+          this.#endProbe(endpoint.id, { kind, result: "completed" });
         },
       );
     };
@@ -214,12 +215,19 @@
     this.#judge.forget(endpoint);
   }
 
-  #endProbe(endpoint: EndpointId, result: AttemptResult | "inconclusive") {
-    if (result === "inconclusive") {
-      return this.#judge.endProbe(endpoint, undefined);
-    }
-    const hasCompleted = result === "completed";
-    this.#judge.endProbe(endpoint, hasCompleted ? "completed" : "failed");
+  #endProbe(
+    endpoint: EndpointId,
+    { kind, result }: {
+      readonly kind: RequestKind;
+      readonly result: AttemptResult | "inconclusive";
+    },
+  ): void {
+    const isCompleted = result === "completed";
+    const failedOrNone = result === "inconclusive" ? undefined : "failed";
+    this.#judge.endProbe(endpoint, {
+      kind,
+      result: isCompleted ? "completed" : failedOrNone,
+    });
   }
 
   /** Collects this entry's outcomes at an endpoint that it owns itself. */
--- a/src/entry/forwarding/fleet_outcomes_test.ts
+++ b/src/entry/forwarding/fleet_outcomes_test.ts
@@ -33,7 +33,8 @@
   readonly #perSecond: number;
 
   constructor(
-    { entries = 30, replicas = 40, rate = 15 }: {
+    { entries = 30, replicas = 40, rate = 15, seed }: {
+      readonly seed?: number;
       readonly entries?: number;
       readonly replicas?: number;
       /** Requests per second for each replica. */
@@ -45,6 +46,7 @@
     );
     this.fleet = new EntryFleet({
       entries,
+      seed,
       zones: 1,
       configuration: makeConfiguration({ routes }),
       endpoints: FailingReplicas.endpoints(replicas),
@@ -255,16 +257,20 @@
     expect(outcomes.hasOwnVerdicts).to.equal(false);
   });
 
-  it("readmit a replica that has recovered", async () => {
-    const scenario = new Scenario();
-    await scenario.run(1_500);
-    scenario.fail(7, { share: 1 });
-    await scenario.timeToVerdict(7);
-    scenario.replicas.faults.clear();
-    await scenario.run(1_500);
-    const [attempts] = await scenario.attemptsIn(1_000, [7]);
-    expect(attempts).to.be.at.least(5);
-  }).timeout(60_000);
+  // A chance failure of the probe, or of the first work after it, must not take
+  // it out again.
+  for (const seed of [3, 15, 26, 29, 45, 52, 58]) {
+    it(`readmit a replica that has recovered, seed ${seed}`, async () => {
+      const scenario = new Scenario({ seed });
+      await scenario.run(1_500);
+      scenario.fail(7, { share: 1 });
+      await scenario.timeToVerdict(7);
+      scenario.replicas.faults.clear();
+      await scenario.run(1_500);
+      const [attempts] = await scenario.attemptsIn(1_000, [7]);
+      expect(attempts).to.be.at.least(5);
+    }).timeout(60_000);
+  }
 
   describe("of a request that fails everywhere", () => {
     // A faulty caller must not take healthy replicas from all others.
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -22,6 +22,7 @@
 /** Latency of a datagram between two entries, one way. */
 const MIN_LATENCY_MILLISECONDS = 0.5;
 const LATENCY_SPREAD_MILLISECONDS = 1;
+const DEFAULT_SEED = 3;
 const LINK_LOST = { name: "link_lost", title: "", message: "", hint: "" };
 
 export interface EntryFleetOptions {
@@ -31,6 +32,8 @@
   readonly endpoints: readonly RegisteredEndpoint[];
   /** Share of datagrams that are lost, 0 to 1. */
   readonly lossRate?: number;
+  /** Seed of the latencies and losses of datagrams. */
+  readonly seed?: number;
   /** How entries give role orders; absent: engines keep their roles. */
   readonly roles?: ForwardingEntryOptions["roles"];
   /** Answers of engines' health paths; absent: none answers. */
@@ -58,7 +61,7 @@
   /** Bytes of the parameters of all notifications, by method. */
   readonly bytesByMethod = new Map<string, number>();
   readonly #options: EntryFleetOptions;
-  readonly #random: Random = seededRandom(3);
+  readonly #random: Random;
   /** Whether a process listens at the address of an endpoint. */
   acceptsConnections: (address: string) => boolean = () => false;
   readonly #lossRate: number;
@@ -66,6 +69,7 @@
 
   constructor(options: EntryFleetOptions) {
     this.#options = options;
+    this.#random = seededRandom(options.seed ?? DEFAULT_SEED);
     this.#lossRate = options.lossRate ?? 0;
     const indexes = Array.from({ length: options.entries }, (_, each) => each);
     this.entries = indexes.map((index) => this.#makeEntry(index, options));
