Move the choice of a stream's writers out of the request's state

No change of behaviour: what has begun a stream, who may continue it and whether they may come back stood among the many other parts of ForwardContext.

--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -1,6 +1,5 @@
 import {
   type ForwardedRequest,
-  isPrefillEngine,
   type NextAttempt,
   type PauseBound,
   type Pool,
@@ -12,15 +11,11 @@
   type StreamOrigin,
   type Workspace,
 } from "../../core/forwarding/mod.ts";
-import type {
-  EndpointId,
-  RequestDigest,
-  SoftwareVersion,
-  StreamDigest,
-} from "../../core/identity/mod.ts";
+import type { EndpointId, RequestDigest } from "../../core/identity/mod.ts";
 import type { ForwardingDecision } from "./observer.ts";
 import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
 import { LimitAdmission } from "./limit_admission.ts";
+import { StreamWriter } from "./stream_writer.ts";
 
 /**
  * Maximum number of sends of one request regardless of the retry budget, so
@@ -62,14 +57,12 @@
   readonly arrivals: RequestArrivals;
   /** Absent unless the pool has fair shares and the caller a workspace. */
   readonly share: RequestShare | undefined;
+  /** Which replicas may write the response. */
+  readonly writer: StreamWriter;
   /** Number of sends to endpoints that run the request. */
   sends = 0;
   /** True once the caller has its response or has disconnected. */
   settled = false;
-  /** Which replicas may go on with the stream, once an event may exist. */
-  #origin: StreamOrigin | undefined;
-  /** Digest of this attempt, once a replica has responded. */
-  #stream: StreamDigest | undefined;
   readonly #rejectedBy = new Set<EndpointId>();
   readonly #admission: LimitAdmission;
   #digest: RequestDigest | undefined;
@@ -83,7 +76,7 @@
     this.route = route;
     this.pool = task.pool;
     this.workspace = task.workspace;
-    this.#origin = task.origin;
+    this.writer = new StreamWriter(dependencies, task);
     this.arrived = task.arrived;
     this.arrivals = new RequestArrivals(
       dependencies.retryBudget,
@@ -188,44 +181,9 @@
     );
   }
 
-  /** True if the response may be continued by another replica. */
-  get isResumable(): boolean {
-    return this.route.repeat === "stream" && this.route.resumable;
-  }
-
-  /**
-   * Records that the replica writes the response. From then on only replicas of
-   * its version may continue it, also for the caller's next attempts.
-   */
-  noteWriter(endpoint: RegisteredEndpoint): void {
-    if (!this.isResumable) return;
-    const { pool, softwareVersion } = endpoint;
-    this.#origin ??= { pool, softwareVersion };
-    if (this.request.id === "") return;
-    const { streams } = this.dependencies;
-    this.#stream = streams.digestOf(this.request.id, this.workspace?.id);
-    streams.announce(this.#stream, endpoint);
-  }
-
-  /** The software version that must write what follows; undefined: any. */
-  get requiredVersion(): SoftwareVersion | undefined {
-    return this.#origin?.softwareVersion;
-  }
-
-  /** True if no replica is left that may continue the stream. */
+  /** True if a stream has begun that no endpoint in service may continue. */
   get isWriterGone(): boolean {
-    if (this.#origin === undefined) return false;
-    const { streams } = this.dependencies;
-    const isInDoubt = this.#stream !== undefined &&
-      streams.isAmbiguous(this.#stream);
-    return isInDoubt ||
-      !this.#inService().some((endpoint) => !isPrefillEngine(endpoint));
-  }
-
-  /** True if replicas that may continue the stream may come back soon. */
-  get mayWriterReturn(): boolean {
-    return this.#origin !== undefined &&
-      this.dependencies.versions.mayReturn(this.#origin);
+    return this.writer.hasBegun && this.writer.isGone(this.#inService());
   }
 
   /** Time until the deadline, in milliseconds. */
@@ -338,20 +296,12 @@
   }
 
   #inService(): readonly RegisteredEndpoint[] {
-    const { isChanging, registry, versions } = this.dependencies;
+    const { isChanging, registry } = this.dependencies;
     const isEnginePool = this.pool.engine !== undefined;
     const inService = registry.inPool(this.pool.name).filter(({ id, role }) =>
       !isChanging(id) && (!isEnginePool || role !== undefined)
     );
-    const { requiredVersion } = this;
-    if (requiredVersion !== undefined) {
-      // A prefill writes no event; its cache belongs to a version of weights.
-      return inService.filter((endpoint) =>
-        isPrefillEngine(endpoint) ||
-        endpoint.softwareVersion === requiredVersion
-      );
-    }
-    return this.isResumable ? versions.preferLasting(inService) : inService;
+    return this.writer.filter(inService);
   }
 
   /** Records that the endpoint rejected or lost this request. */
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -306,7 +306,7 @@
       return "again";
     }
     this.#firstByteAt ??= this.#context.dependencies.timer.now();
-    if (isSuccess(head)) this.#context.noteWriter(attempt.endpoint);
+    if (isSuccess(head)) this.#context.writer.record(attempt.endpoint);
     const observed = this.#observePace(response, attempt);
     const end = await this.#relay.pipe(observed, attempt);
     if (this.#context.settled) return "delivered";
@@ -468,7 +468,7 @@
   /** When a retry is useful, in milliseconds; undefined if it never is. */
   #retryAfterMilliseconds(reason: string): number | undefined {
     const { random } = this.#context.dependencies;
-    if (reason === VERSION_GONE && !this.#context.mayWriterReturn) {
+    if (reason === VERSION_GONE && !this.#context.writer.mayReturn) {
       return undefined;
     }
     if (reason === VERSION_GONE) {
