Count a version that served while the list could not be written

A version whose replicas came and went while the store could not be written was in no list: a stream that no entry knows could later be taken for one of the only listed version. An entry now keeps such a version until it is listed, and no version counts as the only one meanwhile. The added test fails before: the stream is continued.

--- a/src/entry/forwarding/stream_continuation_test.ts
+++ b/src/entry/forwarding/stream_continuation_test.ts
@@ -354,6 +354,37 @@
       expect(caller.refusal?.retryAfterMilliseconds).to.be.within(1, 500);
     });
 
+    // Its replicas have served while the store could not be written.
+    it("counts also while it can't be written to the list", async () => {
+      const failure = {
+        name: "store_unavailable" as const,
+        title: "",
+        message: "no response",
+        hint: "",
+      };
+      const listed: ServingVersion[] = [];
+      let isWritable = true;
+      await startListed(listed, {
+        add: (version) => {
+          if (!isWritable) return Promise.resolve(err(failure));
+          listed.push(version);
+          return Promise.resolve(ok(undefined));
+        },
+      });
+      isWritable = false;
+      const softwareVersion = identifier<SoftwareVersion>("v2");
+      const replica = { ...streams.endpoints[0], softwareVersion };
+      const [{ registry }] = streams.fleet.entries;
+      registry.upsert({ ...replica, id: identifier("newer") });
+      registry.remove(identifier("newer"));
+      const refused = await streams.takeUp(0, unknown);
+      expect(refused.caller.refusal?.reason).to.equal("stream_origin_unknown");
+      isWritable = true;
+      await streams.fleet.timer.advance(2_000);
+      expect(listed.map((each) => each.softwareVersion))
+        .to.deep.equal(["v1", "v2"]);
+    });
+
     it("is listed by one entry, and by another if that fails", async () => {
       const listed: ServingVersion[] = [];
       await startListed(listed);
--- a/src/entry/forwarding/version_listing.ts
+++ b/src/entry/forwarding/version_listing.ts
@@ -82,6 +82,8 @@
   readonly #options: VersionListingOptions;
   /** When a replica of each version was last registered, by key. */
   readonly #seenAt = new Map<string, number>();
+  /** Versions that have served and that the list lacks, by key. */
+  readonly #unlisted = new Map<string, ServingVersion>();
   readonly #writing = new Set<string>();
   #sweep: Subscription | undefined;
   #isStopped = false;
@@ -115,11 +117,11 @@
    * undefined if there may be several.
    */
   soleVersion(pool: ServiceName): SoftwareVersion | undefined {
-    const { listed, registry } = this.#options;
+    const { listed } = this.#options;
     if (!listed.isComplete) return undefined;
     const versions = new Set(listed.of(pool));
-    for (const { softwareVersion } of registry.inPool(pool)) {
-      versions.add(softwareVersion);
+    for (const unlisted of this.#unlisted.values()) {
+      if (unlisted.pool === pool) versions.add(unlisted.softwareVersion);
     }
     const [sole, ...others] = versions;
     return others.length === 0 ? sole : undefined;
@@ -159,7 +161,7 @@
   /** Handles a new, changed or ended registration. */
   onEndpointChange(endpoint: RegisteredEndpoint): void {
     this.#seenAt.set(keyOf(endpoint), this.#options.timer.now());
-    if (!endpoint.leaving) this.#list(endpoint);
+    if (!endpoint.leaving) this.#noteServing(endpoint);
   }
 
   /** Sends the list to a peer that has started. */
@@ -180,7 +182,7 @@
     if (params.isWhole === true) listed.addAll(added);
     else for (const each of added) listed.add(each);
     for (const row of params.removed ?? []) listed.remove(decodeVersion(row));
-    this.#listRegistered();
+    this.#noteRegistered();
   }
 
   #isListed(endpoint: RegisteredEndpoint): boolean {
@@ -194,26 +196,35 @@
     if (read === undefined || this.#isStopped) return;
     if (read.isOk()) {
       listed.addAll(read.value);
-      return this.#listRegistered();
+      return this.#noteRegistered();
     }
     const reason = read.error.message;
     logger.warn({ reason }, "Cannot read the serving versions; retrying");
     timer.after(RETRY_MILLISECONDS, () => void this.#read());
   }
 
-  #listRegistered(): void {
+  #noteRegistered(): void {
     for (const endpoint of this.#options.registry.all) {
-      if (!endpoint.leaving) this.#list(endpoint);
+      if (!endpoint.leaving) this.#noteServing(endpoint);
     }
+    for (const version of this.#unlisted.values()) this.#list(version);
   }
 
-  /** Has the version listed by the first entry, or by the next ones later. */
-  #list({ pool, softwareVersion }: ServingVersion): void {
+  #noteServing({ pool, softwareVersion }: ServingVersion): void {
     const version: ServingVersion = { pool, softwareVersion };
+    if (this.#options.link === undefined) return;
+    if (this.#options.listed.has(version)) return;
+    this.#unlisted.set(keyOf(version), version);
+    this.#list(version);
+  }
+
+  /** Has the version listed by the first entry, or by the next ones later. */
+  #list(version: ServingVersion): void {
     const { link, listed, timer } = this.#options;
     const key = keyOf(version);
-    const isPending = listed.has(version) || this.#writing.has(key);
-    const mayWrite = listed.isComplete && !isPending && !this.#isStopped;
+    if (listed.has(version)) this.#unlisted.delete(key);
+    const mayWrite = listed.isComplete && !listed.has(version) &&
+      !this.#writing.has(key) && !this.#isStopped;
     if (link === undefined || !mayWrite) return;
     this.#writing.add(key);
     const delay = this.#writeDelay(key);
@@ -238,6 +249,7 @@
       ? undefined
       : await link.add(version);
     this.#writing.delete(key);
+    if (listed.has(version) || written?.isOk()) this.#unlisted.delete(key);
     if (written === undefined) return;
     if (written.isOk()) {
       listed.add(version);
@@ -247,7 +259,7 @@
     }
     const reason = written.error.message;
     logger.warn({ ...version, reason }, "Cannot list a version; retrying");
-    timer.after(RETRY_MILLISECONDS, () => this.#listRegistered());
+    timer.after(RETRY_MILLISECONDS, () => this.#list(version));
   }
 
   /** Removes versions without replicas for longer than streams live. */
