--- a/test/operations/operations_test.ts
+++ b/test/operations/operations_test.ts
@@ -5,12 +5,14 @@
   createLoadQueryCounter,
   createPermitCounter,
   createRejectedConfigurationCounter,
+  createStreamLookupCounter,
   createUnreadableRegistrationCounter,
   createUsageReportCounter,
   createVerdictCounter,
   Metrics,
   registerBlockedRequestsGauge,
   registerConfigurationGauges,
+  registerKeptStreamsGauge,
   registerLimitedEndpointsGauge,
   registerPauseCounters,
   registerPlannedRolesGauges,
@@ -65,6 +67,8 @@
   }));
   createLoadQueryCounter(metrics.registry);
   createPermitCounter(metrics.registry);
+  createStreamLookupCounter(metrics.registry);
+  registerKeptStreamsGauge(metrics.registry, () => 0);
   createUsageReportCounter(metrics.registry);
   createVerdictCounter(metrics.registry);
   registerUsageFencingGauge(metrics.registry, () => undefined);
