--- a/test/support/forwarding_fixtures.ts
+++ b/test/support/forwarding_fixtures.ts
@@ -20,6 +20,8 @@
 
 export const ENGINES = identifier<ServiceName>("engines");
 export const PORTAL = identifier<ServiceName>("portal");
+/** Software version of all endpoints that name no other. */
+export const VERSION = identifier<SoftwareVersion>("v1");
 
 export function makeRoute(values: Partial<Route> = {}): Route {
   return {
@@ -81,7 +83,7 @@
   return {
     id: identifier<EndpointId>(id),
     pool: PORTAL,
-    softwareVersion: identifier<SoftwareVersion>("v1"),
+    softwareVersion: VERSION,
     address: `${id}:1`,
     availabilityZone: identifier<AvailabilityZoneId>("zone-1"),
     slots: 6,
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -37,7 +37,12 @@
 import { NOOP_LOGGER } from "../../src/core/observation/mod.ts";
 import { seededRandom } from "../../src/core/random/mod.ts";
 import { digestOf, streamDigestOf } from "../../src/adapters/forwarding/mod.ts";
-import { knownEstimates } from "./forwarding_fixtures.ts";
+import {
+  ENGINES,
+  knownEstimates,
+  PORTAL,
+  VERSION,
+} from "./forwarding_fixtures.ts";
 import { makePlacementState } from "./placement_state.ts";
 import { ManualTimerService } from "../../src/core/time/mod.ts";
 import {
@@ -211,7 +216,7 @@
   readonly started: (readonly [workspace: string, at: number])[] = [];
   readonly decisions: Record<string, unknown>[] = [];
   readonly dependencies: ForwardingDependencies;
-  /** Whole from the start, so that a single version proves itself. */
+  /** Whole from the start, with the version of the fixtures' endpoints. */
   readonly listedVersions = new ListedVersions();
   /** Event loop delay of the entry, milliseconds. */
   loopDelay = 0;
@@ -232,7 +237,9 @@
     } = {},
   ) {
     const { timer } = this;
-    this.listedVersions.addAll([]);
+    this.listedVersions.addAll(
+      [ENGINES, PORTAL].map((pool) => ({ pool, softwareVersion: VERSION })),
+    );
     const random = seededRandom(11);
     const placementState = makePlacementState(timer);
     const { load, loadReports } = placementState;
