Log the parts of prompts that were lost with an endpoint

Callers' requests with one part crash the engines that write on it, and the log names only a digest of the whole request, which is another one each time. No line tells a common part from a fault of the engines. The line of a lost request now lists the parts of its prompt.

--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -3,6 +3,7 @@
   EventStreamPosition,
   type ExpectedTime,
   type ForwardAttemptOptions,
+  type Prompt,
   type PromptWork,
   queueFactor,
   type RegisteredEndpoint,
@@ -34,6 +35,10 @@
 /** Lowest status of a response that is not the result of the work. */
 const FIRST_ERROR_STATUS = 400;
 
+/** Maximum number and length of the ids of parts that are logged. */
+const MAX_LOGGED_PARTS = 8;
+const MAX_LOGGED_PART_LENGTH = 64;
+
 /** How the body of a response ends, for the log. */
 export interface BodyFacts {
   readonly framing?: BodyFraming;
@@ -230,6 +235,7 @@
       startedAt: this.endpoint.startedAt,
       step: this.#plan.options.prefillOnly ? "prefill" : "run",
       milliseconds: Math.round(timer.now() - this.#sentAt),
+      ...partFacts(this.#context.request.prompt),
     });
   }
 
@@ -354,3 +360,11 @@
     this.#work.end();
   }
 }
+
+/** Parts of the prompt, for the log; requests of one failure may share one. */
+function partFacts(prompt: Prompt | undefined): Record<string, unknown> {
+  if (prompt === undefined) return {};
+  const parts = prompt.parts.slice(0, MAX_LOGGED_PARTS)
+    .map(({ id }) => id.slice(0, MAX_LOGGED_PART_LENGTH));
+  return { parts };
+}
