--- a/src/adapters/forwarding/mod.ts
+++ b/src/adapters/forwarding/mod.ts
@@ -9,4 +9,4 @@
   type OutgoingRequest,
 } from "./endpoint_http_client.ts";
 export { PeerNotificationSocket } from "./peer_notification_socket.ts";
-export { digestOf, streamDigestOf } from "./request_digest.ts";
+export { digestOf, partDigestOf, streamDigestOf } from "./request_digest.ts";
--- a/src/adapters/forwarding/request_digest.ts
+++ b/src/adapters/forwarding/request_digest.ts
@@ -2,8 +2,10 @@
 import type { ForwardedRequest } from "../../core/forwarding/mod.ts";
 import {
   identifier,
+  type PartDigest,
   type RequestDigest,
   type RequestId,
+  type ServiceName,
   type StreamDigest,
   type WorkspaceId,
 } from "../../core/identity/mod.ts";
@@ -11,6 +13,8 @@
 const DIGEST_BYTES = 12;
 /** Short, as the fleet keeps and sends one for each resumable stream. */
 const STREAM_DIGEST_BYTES = 9;
+/** Short, as a crash is reported with all parts that were in flight. */
+const PART_DIGEST_BYTES = 9;
 
 /**
  * Returns the digest of everything that determines what an endpoint executes:
@@ -39,6 +43,13 @@
   return identifier<StreamDigest>(digest.toString("base64url"));
 }
 
+/** Returns the digest of a part of prompts for the endpoints of a pool. */
+export function partDigestOf(pool: ServiceName, part: string): PartDigest {
+  const digest = createHash("sha256").update(JSON.stringify([pool, part]))
+    .digest().subarray(0, PART_DIGEST_BYTES);
+  return identifier<PartDigest>(digest.toString("base64url"));
+}
+
 /** Identifies the caller by its API key or else by its identity headers. */
 function credentialsOf(
   { credentials, identityHeaders }: ForwardedRequest,
--- a/src/adapters/telemetry/forwarding_telemetry.ts
+++ b/src/adapters/telemetry/forwarding_telemetry.ts
@@ -235,21 +235,32 @@
   });
 }
 
-/**
- * Exports the number of requests that are blocked because they crash endpoints.
- */
-export function registerBlockedRequestsGauge(
+/** Exports how much is refused or held back because it crashes endpoints. */
+export function registerCrashGauges(
   registry: Registry,
-  blocked: () => number,
+  { blocked, held }: {
+    readonly blocked: () => number;
+    readonly held: () => number;
+  },
 ): void {
   new Gauge({
     name: "filbertshore_blocked_requests",
-    help: "Requests that are refused because endpoints crash under them",
+    help:
+      "Requests and parts of prompts that are refused because endpoints crash on them",
     registers: [registry],
     collect() {
       this.set(blocked());
     },
   });
+  new Gauge({
+    name: "filbertshore_held_suspects",
+    help:
+      "Requests and parts of prompts that run once at a time because endpoints may crash on them",
+    registers: [registry],
+    collect() {
+      this.set(held());
+    },
+  });
 }
 
 /** Exports the number of endpoints that have named a request limit. */
--- a/src/core/forwarding/crashes/crash_reports.ts
+++ b/src/core/forwarding/crashes/crash_reports.ts
@@ -1,8 +1,12 @@
-import type { RequestDigest } from "../../identity/mod.ts";
+import type { SuspectDigest } from "../../identity/mod.ts";
 import type { TimerService } from "../../time/mod.ts";
-import { digestOfLoss, type ReportedLoss } from "./reported_loss.ts";
+import {
+  digestOfLoss,
+  type ReportedLoss,
+  type ReportedProof,
+} from "./reported_loss.ts";
 
-/** Maximum number of losses, and of cleared requests, in one report. */
+/** Maximum number of losses, and of proofs, in one report. */
 const MAX_PER_REPORT = 64;
 /** Maximum number of losses that are queued for the next reports. */
 const MAX_PENDING = 512;
@@ -11,19 +15,29 @@
  */
 const RESEND_MILLISECONDS = 3_000;
 
-/** A report to peers of lost and cleared requests, sent immediately. */
+/** A report to peers of losses and proofs, sent immediately. */
 export interface CrashReport {
   readonly losses: readonly ReportedLoss[];
-  /** Requests that an endpoint has completed. */
-  readonly cleared: readonly RequestDigest[];
+  /** Suspects that an endpoint has run without a crash. */
+  readonly cleared: readonly ReportedProof[];
 }
 
-/** Pending reports to peers of requests that were lost with endpoints. */
+interface DatedLoss {
+  readonly loss: ReportedLoss;
+  readonly at: number;
+}
+
+interface DatedProof {
+  readonly digest: SuspectDigest;
+  readonly beganAt: number;
+}
+
+/** Pending reports to peers of what was lost with endpoints. */
 export class CrashReports {
   readonly #timer: TimerService;
-  readonly #own: { readonly loss: ReportedLoss; readonly at: number }[] = [];
-  readonly #losses: ReportedLoss[] = [];
-  readonly #cleared: RequestDigest[] = [];
+  #own: DatedLoss[] = [];
+  readonly #losses: DatedLoss[] = [];
+  readonly #cleared: DatedProof[] = [];
   #onPending: () => void = () => {};
 
   constructor(timer: TimerService) {
@@ -35,48 +49,73 @@
     this.#onPending = listener;
   }
 
-  /** Adds the loss of a request of this entry with an endpoint. */
+  /** Adds a loss that this entry has observed with an endpoint. */
   addOwn(loss: ReportedLoss): void {
-    if (this.#own.length < MAX_PER_REPORT) {
-      this.#own.push({ loss, at: this.#timer.now() });
-    }
+    this.#addForResend({ loss, at: this.#timer.now() });
     this.add([loss]);
   }
 
   add(losses: Iterable<ReportedLoss>): void {
+    const at = this.#timer.now();
     for (const loss of losses) {
-      if (this.#losses.length < MAX_PENDING) this.#losses.push(loss);
+      if (this.#losses.length < MAX_PENDING) this.#losses.push({ loss, at });
     }
     this.#onPending();
   }
 
-  /** Adds a request that was completed here. */
-  addCleared(digest: RequestDigest): void {
+  /** Adds a suspect of which a run that began at this time has not crashed. */
+  addCleared(digest: SuspectDigest, beganAt: number): void {
     if (this.#cleared.length >= MAX_PENDING) return;
-    this.#cleared.push(digest);
+    this.#cleared.push({ digest, beganAt });
     this.#onPending();
   }
 
-  /** Stops the repeated reports of a request that was completed. */
-  discard(digest: RequestDigest): void {
-    const remaining = this.#own.filter(({ loss }) =>
-      digestOfLoss(loss) !== digest
+  /** Stops the repeated reports of losses that are disproved. */
+  discard(digest: SuspectDigest, before: number): void {
+    this.#own = this.#own.filter(({ at, loss }) =>
+      digestOfLoss(loss) !== digest || at > before
     );
-    this.#own.splice(0, this.#own.length, ...remaining);
   }
 
   /** Removes and returns the next report; undefined if nothing is pending. */
   take(): CrashReport | undefined {
+    const now = this.#timer.now();
     const losses = this.#losses.splice(0, MAX_PER_REPORT);
     const cleared = this.#cleared.splice(0, MAX_PER_REPORT);
     if (losses.length + cleared.length === 0) return undefined;
-    return { losses, cleared };
+    return {
+      losses: losses.map((each) => withAge(each, now)),
+      cleared: cleared.map(({ beganAt, digest }) =>
+        [digest, Math.round(now - beganAt)] as const
+      ),
+    };
   }
 
   /** Own losses of the last seconds, for peers that missed the first report. */
   recentLosses(): readonly ReportedLoss[] {
-    const since = this.#timer.now() - RESEND_MILLISECONDS;
-    while (this.#own.length > 0 && this.#own[0].at < since) this.#own.shift();
-    return this.#own.map(({ loss }) => loss);
+    const now = this.#timer.now();
+    this.#own = this.#own.filter(({ at }) => at >= now - RESEND_MILLISECONDS);
+    return this.#own.map((each) => withAge(each, now));
   }
+
+  /**
+   * Keeps the losses with the most crashes, of which few others are known to
+   * report.
+   */
+  #addForResend(dated: DatedLoss): void {
+    if (this.#own.length < MAX_PER_REPORT) return void this.#own.push(dated);
+    const crashes = this.#own.map(({ loss: [, , , crash] }) => crash);
+    const fewest = crashes.indexOf(Math.min(...crashes));
+    const [, , , crash] = dated.loss;
+    if (crash <= crashes[fewest]) return;
+    this.#own.splice(fewest, 1);
+    this.#own.push(dated);
+  }
+}
+
+/** The loss with the time since it, which has grown since it was recorded. */
+function withAge({ at, loss }: DatedLoss, now: number): ReportedLoss {
+  const [digest, endpoint, startedAt, crash, lasted = 0, ago = 0] = loss;
+  const age = ago + Math.round(now - at);
+  return [digest, endpoint, startedAt, crash, lasted, age];
 }
--- a/src/core/forwarding/crashes/crash_tracker.ts
+++ b/src/core/forwarding/crashes/crash_tracker.ts
@@ -1,25 +1,34 @@
-import type { RequestDigest } from "../../identity/mod.ts";
+import type { SuspectDigest } from "../../identity/mod.ts";
 import type { TimerService } from "../../time/mod.ts";
 import type { RegisteredEndpoint } from "../configuration.ts";
 import type { EndpointStateHolder } from "../endpoints/endpoint_registry.ts";
 import type { EndpointRun } from "../endpoints/endpoint_runs.ts";
 import { CrashReports } from "./crash_reports.ts";
+import {
+  CRASHES_UNTIL_BLOCKED,
+  type CulpritGroup,
+  type Culprits,
+  findCulprits,
+} from "./culprits.ts";
+import { RecentProofs } from "./recent_proofs.ts";
 import {
   digestOfLoss,
   keyOfRun,
   type ReportedLoss,
+  type ReportedProof,
   runOfLoss,
 } from "./reported_loss.ts";
+import { Suspect, type SuspectLoss } from "./suspect.ts";
 
-/** Number of successive crashes after which a request is blocked. */
-const CRASHES_UNTIL_BLOCKED = 3;
-/** Time that a request is blocked after its last crash. */
+/** Time that a culprit is blocked after its last crash. */
 const BLOCK_MILLISECONDS = 10 * 60_000;
 /**
- * Time that a suspect is kept after its last crash. After the block ends, the
- * request may run once more; a further crash blocks it again.
+ * Time that a suspect is kept after its last crash. After the block ends, it may
+ * run once more; a further crash blocks it again.
  */
 const RETENTION_MILLISECONDS = 2 * BLOCK_MILLISECONDS;
+/** Number of lost runs after which a suspect runs once at a time. */
+const LOST_RUNS_UNTIL_HELD = 2;
 /**
  * No process restarts faster than this, so an endpoint that answers sooner
  * after a loss has not crashed.
@@ -27,66 +36,87 @@
 const MIN_RESTART_MILLISECONDS = 1_000;
 /** Maximum number of suspects. */
 const MAX_SUSPECTS = 4_096;
-/**
- * Maximum number of blocked requests reported to an entry that has just
- * started.
- */
-const MAX_BLOCKED_REPORTED = 16;
+/** Maximum number of suspects reported to an entry that has just started. */
+const MAX_REPORTED_AT_START = 64;
 
-/** A request that is refused because endpoints crash when they run it. */
-export interface BlockedRequest {
-  readonly digest: RequestDigest;
+/** A request or a part that is refused because endpoints crash on it. */
+export interface BlockedSuspect {
+  readonly digest: SuspectDigest;
   readonly losses: readonly ReportedLoss[];
 }
 
+/** Whether a request may be sent. */
+export type CrashVerdict =
+  | { readonly kind: "free" }
+  /** It is blocked for this time. */
+  | { readonly kind: "blocked"; readonly milliseconds: number }
+  /** These suspects may run once at a time in the whole fleet. */
+  | { readonly kind: "held"; readonly digests: readonly SuspectDigest[] };
+
 export interface CrashTrackerOptions {
   readonly timer: TimerService;
   /**
-   * Called when a request becomes blocked; `isOwn` is true if this entry has
+   * Called when a suspect becomes blocked; `isOwn` is true if this entry has
    * observed one of the losses.
    */
   readonly onBlocked?: (
-    blocked: BlockedRequest,
+    blocked: BlockedSuspect,
     options: { readonly isOwn: boolean },
   ) => void;
-  /** Called when an endpoint has completed a request here that was blocked. */
-  readonly onCleared?: (digest: RequestDigest) => void;
+  /** Called when an endpoint has run a suspect here that was blocked. */
+  readonly onCleared?: (digest: SuspectDigest) => void;
+  /** Called for a recent run here of what others hold back as a suspect. */
+  readonly onRecentProof?: (digest: SuspectDigest, beganAt: number) => void;
 }
 
-interface Suspect {
-  /** Losses by the run of the endpoint. */
-  readonly losses: Map<string, ReportedLoss>;
-  /** Runs of losses that do not count for a block yet. */
-  readonly unconfirmed: Set<string>;
-  lastLossAt: number;
-  /** True if this entry has observed one of the losses. */
-  isOwn: boolean;
-  /** True once the request has been blocked. */
-  wasBlocked: boolean;
+export interface LossOptions {
+  readonly digest: SuspectDigest;
+  /** Value of `crashCount` when the request was sent there. */
+  readonly knownBefore: number;
+  /** Time from the first byte of the response, milliseconds. */
+  readonly lasted?: number;
+  /**
+   * False if the run may be alive: the loss is not reported, and does not count
+   * for a block, until `confirmLosses`.
+   */
+  readonly isConfirmed?: boolean;
 }
 
 interface LostRun {
   readonly lostAt: number;
-  readonly digests: Set<RequestDigest>;
+  readonly digests: Set<SuspectDigest>;
 }
 
+const FREE: CrashVerdict = { kind: "free" };
+const NO_CULPRITS: Culprits = { groups: [], explainedRuns: new Set() };
+
 /**
- * Tracks requests that endpoints of all entries have crashed on. A request is
- * identified by its digest, as each retry has a new id. A request that was in
- * flight when an endpoint crashed is a suspect until another endpoint completes
- * it.
+ * Tracks what endpoints of all entries have crashed on: whole requests, known by
+ * a digest as each retry has a new id, and parts of prompts, which requests
+ * share that are otherwise different. Whatever was in flight when an endpoint
+ * crashed is a suspect until a run of it that began later does not crash.
  */
 export class CrashTracker implements EndpointStateHolder {
   readonly #options: CrashTrackerOptions;
   /** Ordered by the time of the last loss, the oldest first. */
-  readonly #suspects = new Map<RequestDigest, Suspect>();
+  readonly #suspects = new Map<SuspectDigest, Suspect>();
+  /** Suspects with enough lost runs to be a culprit. */
+  readonly #candidates = new Set<Suspect>();
   /** Recently lost runs, which may turn out to be alive. */
   readonly #lostRuns = new Map<string, LostRun>();
+  /** Runs that have not crashed for a while. */
+  readonly #proofs: RecentProofs;
+  /** Runs that have disproved the losses before them. */
+  readonly #acquittals: RecentProofs;
+  readonly #listeners = new Set<() => void>();
+  #culprits: Culprits = NO_CULPRITS;
   /** Pending reports to peers. */
   readonly reports: CrashReports;
 
   constructor(options: CrashTrackerOptions) {
     this.#options = options;
+    this.#proofs = new RecentProofs(options.timer);
+    this.#acquittals = new RecentProofs(options.timer);
     this.reports = new CrashReports(options.timer);
   }
 
@@ -95,69 +125,77 @@
     return this.#suspects.size;
   }
 
-  /** Number of requests that are blocked now. */
+  /** Number of requests and parts that are blocked now. */
   get blocked(): number {
-    let count = 0;
-    for (const suspect of this.#suspects.values()) {
-      if (this.#blockedMilliseconds(suspect) > 0) count += 1;
-    }
-    return count;
+    return this.#blockedGroups()
+      .reduce((sum, { digests }) => sum + digests.size, 0);
   }
 
-  /**
-   * Records that the connection to a run broke with the request on it.
-   * `knownBefore` is the value of `crashCount` when the request was sent there.
-   * If the run may be alive, `isConfirmed` is false: the loss is not reported,
-   * and does not count for a block, until `confirmLosses`.
-   */
-  lost(
-    run: EndpointRun,
-    { digest, knownBefore, isConfirmed = true }: {
-      readonly digest: RequestDigest;
-      readonly knownBefore: number;
-      readonly isConfirmed?: boolean;
-    },
-  ): void {
-    const loss: ReportedLoss = [
-      digest,
-      run.id,
-      run.startedAt ?? null,
-      knownBefore + 1,
-    ];
-    if (!this.#record(loss, { isOwn: true, isConfirmed })) return;
-    if (isConfirmed) this.reports.addOwn(loss);
+  /** Number of suspects that may run once at a time now. */
+  get held(): number {
+    return [...this.#suspects.values()]
+      .filter((each) => this.#isHeld(each)).length;
+  }
+
+  /** Calls the listener after each change; returns how to stop that. */
+  onChange(listener: () => void): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  /** Records that the connection to a run broke with the request on it. */
+  lost(run: EndpointRun, options: LossOptions): void {
+    const { digest, isConfirmed = true, knownBefore, lasted = 0 } = options;
+    const lostAt = this.#options.timer.now();
+    const crash = knownBefore + 1;
+    const loss = { run, crash, lostAt, lasted, isConfirmed };
+    const suspect = this.#record(digest, loss);
+    if (suspect === undefined) return;
+    suspect.isOwn = true;
+    if (isConfirmed) this.reports.addOwn(suspect.encode(loss, lostAt));
+    this.#changed();
   }
 
   /** Counts and reports the losses of the run that were not retracted. */
   confirmLosses(run: EndpointRun): void {
     const key = keyOfRun(run);
-    for (const [digest, suspect] of this.#suspects) {
-      if (!suspect.unconfirmed.delete(key)) continue;
-      const loss = suspect.losses.get(key);
-      if (loss !== undefined) this.reports.addOwn(loss);
-      this.#noteIfBlocked(digest, suspect);
+    const now = this.#options.timer.now();
+    let isChanged = false;
+    for (const suspect of this.#suspects.values()) {
+      const loss = suspect.confirm(key);
+      if (loss === undefined) continue;
+      this.reports.addOwn(suspect.encode(loss, now));
+      isChanged = true;
     }
+    if (isChanged) this.#changed();
   }
 
-  /** Number of successive crashes attributed to the request. */
-  crashCount(digest: RequestDigest): number {
-    const suspect = this.#suspects.get(digest);
-    return suspect === undefined ? 0 : countCrashes(suspect.losses.values());
+  /** Number of successive crashes attributed to the request or part. */
+  crashCount(digest: SuspectDigest): number {
+    return this.#suspects.get(digest)?.crashes ?? 0;
   }
 
-  /** Records a loss that a peer has observed. */
-  recordPeerLoss(loss: ReportedLoss): void {
-    const suspect = this.#suspects.get(digestOfLoss(loss));
-    const wasBlocked = suspect !== undefined &&
-      this.#blockedMilliseconds(suspect) > 0;
-    const isNew = this.#record(loss, { isOwn: false });
-    // The peer has sent a request that is blocked here, so it does not know all
-    // losses.
-    if (isNew && wasBlocked) this.reports.add(suspect.losses.values());
+  /** Records losses that a peer has observed. */
+  recordPeerLosses(losses: readonly ReportedLoss[]): void {
+    const now = this.#options.timer.now();
+    let isChanged = false;
+    for (const reported of losses) {
+      const digest = digestOfLoss(reported);
+      const known = this.#suspects.get(digest);
+      const wasBlocked = known !== undefined && this.#isBlocked(digest);
+      const [, , , crash, lasted = 0, ago = 0] = reported;
+      const run = runOfLoss(reported);
+      const loss = { run, crash, lostAt: now - ago, lasted, isConfirmed: true };
+      if (this.#record(digest, loss) === undefined) continue;
+      isChanged = true;
+      // The peer has sent what is blocked here, so it does not know all losses.
+      if (wasBlocked) this.reports.add(known.report(now));
+    }
+    if (isChanged) this.#changed();
   }
 
   /**
-   * Restores the losses of a request that was blocked `ageMilliseconds` ago, as
+   * Restores the losses of a suspect that was blocked `ageMilliseconds` ago, as
    * stored by an entry that may no longer run. Returns false if the block is
    * over.
    */
@@ -166,7 +204,12 @@
     { ageMilliseconds }: { readonly ageMilliseconds: number },
   ): boolean {
     if (ageMilliseconds >= BLOCK_MILLISECONDS) return false;
-    for (const loss of losses) this.recordPeerLoss(loss);
+    const aged = losses.map((loss): ReportedLoss => {
+      const [digest, endpoint, startedAt, crash, lasted = 0, ago = 0] = loss;
+      const age = ago + Math.max(0, ageMilliseconds);
+      return [digest, endpoint, startedAt, crash, lasted, age];
+    });
+    this.recordPeerLosses(aged);
     return true;
   }
 
@@ -183,6 +226,7 @@
     const now = this.#options.timer.now();
     if (now - lostRun.lostAt > MIN_RESTART_MILLISECONDS) return;
     for (const digest of lostRun.digests) this.#retract(digest, key);
+    this.#changed();
   }
 
   /**
@@ -198,80 +242,196 @@
     this.#lostRuns.delete(keyOfRun(endpoint));
   }
 
-  /** Records that an endpoint has completed the request without a crash. */
-  recordCompletion(digest: RequestDigest): void {
-    const suspect = this.#suspects.get(digest);
-    if (suspect === undefined) return;
-    this.recordPeerCompletion(digest);
-    this.reports.addCleared(digest);
-    if (suspect.wasBlocked) this.#options.onCleared?.(digest);
+  /**
+   * Records that an endpoint has run a request to its end, and began to write
+   * the response at `beganAt`.
+   */
+  recordCompletion(
+    digests: readonly SuspectDigest[],
+    beganAt = this.#options.timer.now(),
+  ): void {
+    let isChanged = false;
+    for (const digest of digests) {
+      const suspect = this.#suspects.get(digest);
+      if (suspect === undefined) continue;
+      isChanged = this.#acquit(suspect, beganAt) || isChanged;
+      if (suspect.lostRuns === 0) this.#suspects.delete(digest);
+    }
+    if (isChanged) this.#changed();
   }
 
-  /** Records that a peer's endpoint has completed the request. */
-  recordPeerCompletion(digest: RequestDigest): void {
-    this.#suspects.delete(digest);
-    this.reports.discard(digest);
+  /** Records that a run which began at `beganAt` has not crashed for a while. */
+  recordProof(digests: readonly SuspectDigest[], beganAt: number): void {
+    for (const digest of digests) {
+      this.#proofs.record(digest, beganAt);
+      this.#offerProof(digest);
+    }
+  }
+
+  /** Records recent runs at a peer, which do not disprove a loss. */
+  recordPeerProofs(proofs: readonly ReportedProof[]): void {
+    const now = this.#options.timer.now();
+    for (const [digest, ago] of proofs) {
+      this.#proofs.record(digest as SuspectDigest, now - ago);
+    }
+    if (proofs.length > 0) this.#notify();
+  }
+
+  /** Time since the last run that did not crash; undefined if it is not recent. */
+  recentProofAge(digest: SuspectDigest): number | undefined {
+    if (!this.#proofs.isRecent(digest)) return undefined;
+    return this.#options.timer.now() - this.#proofs.beganAt(digest);
   }
 
   /**
-   * Remaining time of the block in milliseconds; 0 if the request is not
-   * blocked.
+   * Records that a response which began at `beganAt` is still written. A run
+   * that is written for longer than all lost ones has not crashed.
    */
-  blockedMilliseconds(digest: RequestDigest): number {
-    const suspect = this.#suspects.get(digest);
-    return suspect === undefined ? 0 : this.#blockedMilliseconds(suspect);
+  recordProgress(digests: readonly SuspectDigest[], beganAt: number): void {
+    const lasted = this.#options.timer.now() - beganAt;
+    let isChanged = false;
+    for (const digest of digests) {
+      const suspect = this.#suspects.get(digest);
+      if (suspect === undefined || lasted < suspect.survivalMilliseconds) {
+        continue;
+      }
+      isChanged = this.#acquit(suspect, beganAt) || isChanged;
+    }
+    if (isChanged) this.#changed();
   }
 
-  /** Losses of the blocked requests, for a peer that has just started. */
-  blockedLosses(): readonly ReportedLoss[] {
-    return [...this.#suspects.values()]
-      .filter((suspect) => this.#blockedMilliseconds(suspect) > 0)
-      .slice(-MAX_BLOCKED_REPORTED)
-      .flatMap(confirmedLosses);
-  }
-
-  /** Returns false if the loss was already known. */
-  #record(
-    loss: ReportedLoss,
-    { isOwn, isConfirmed = true }: {
-      readonly isOwn: boolean;
-      readonly isConfirmed?: boolean;
-    },
-  ): boolean {
-    const digest = digestOfLoss(loss);
-    const key = keyOfRun(runOfLoss(loss));
-    const at = this.#options.timer.now();
-    const known = this.#suspects.get(digest);
-    if (known?.losses.has(key)) return false;
-    const suspect = known ?? newSuspect(at);
-    suspect.isOwn ||= isOwn;
-    suspect.losses.set(key, loss);
-    if (!isConfirmed) suspect.unconfirmed.add(key);
-    suspect.lastLossAt = at;
+  /** Records runs at a peer that disprove the losses before them. */
+  recordPeerAcquittals(proofs: readonly ReportedProof[]): void {
+    const now = this.#options.timer.now();
+    for (const [digest, ago] of proofs) {
+      const suspect = this.#suspects.get(digest as SuspectDigest);
+      const beganAt = now - ago;
+      this.#proofs.record(digest as SuspectDigest, beganAt);
+      this.#acquittals.record(digest as SuspectDigest, beganAt);
+      this.reports.discard(digest as SuspectDigest, beganAt);
+      if (suspect === undefined) continue;
+      suspect.acquit(beganAt);
+      if (suspect.lostRuns === 0) this.#suspects.delete(suspect.digest);
+    }
+    if (proofs.length > 0) this.#changed();
+  }
+
+  /** Whether a request with these digests may be sent now. */
+  verdictOn(digests: readonly SuspectDigest[]): CrashVerdict {
+    if (this.#suspects.size === 0) return FREE;
+    const held = new Set<SuspectDigest>();
+    for (const group of this.#blockedGroups()) {
+      const contained = digests.filter((each) => group.digests.has(each));
+      if (contained.length === group.digests.size) {
+        return { kind: "blocked", milliseconds: this.#remaining(group) };
+      }
+      for (const digest of contained) held.add(digest);
+    }
+    for (const digest of digests) {
+      const suspect = this.#suspects.get(digest);
+      if (suspect !== undefined && this.#isHeld(suspect)) held.add(digest);
+    }
+    return held.size === 0 ? FREE : { kind: "held", digests: [...held].sort() };
+  }
+
+  /**
+   * Remaining time of the block of a request with these digests in
+   * milliseconds; 0 if it is not blocked.
+   */
+  blockedMilliseconds(digests: readonly SuspectDigest[]): number {
+    const verdict = this.verdictOn(digests);
+    return verdict.kind === "blocked" ? verdict.milliseconds : 0;
+  }
+
+  /** Losses of what is blocked or held, for a peer that has just started. */
+  seriousLosses(): readonly ReportedLoss[] {
+    const now = this.#options.timer.now();
+    const suspects = [...this.#suspects.values()].reverse();
+    const blocked = suspects.filter(({ digest }) => this.#isBlocked(digest));
+    const held = suspects.filter((each) =>
+      !blocked.includes(each) && this.#isHeld(each)
+    );
+    return [...blocked, ...held].slice(0, MAX_REPORTED_AT_START)
+      .flatMap((suspect) => suspect.report(now));
+  }
+
+  /** Losses of one suspect, for a peer that knows fewer of them. */
+  lossesOf(digest: SuspectDigest): readonly ReportedLoss[] {
+    return this.#suspects.get(digest)?.report(this.#options.timer.now()) ?? [];
+  }
+
+  /** Returns the suspect; undefined if the loss was known or is disproved. */
+  #record(digest: SuspectDigest, loss: SuspectLoss): Suspect | undefined {
+    if (this.#acquittals.beganAt(digest) >= loss.lostAt) return undefined;
+    const suspect = this.#suspects.get(digest) ?? new Suspect(digest);
+    if (!suspect.record(loss)) return undefined;
     this.#suspects.delete(digest);
     this.#suspects.set(digest, suspect);
-    this.#recordLostRun(key, { at, digest });
-    this.#evict(at);
-    this.#noteIfBlocked(digest, suspect);
+    if (suspect.lostRuns >= CRASHES_UNTIL_BLOCKED) {
+      this.#candidates.add(suspect);
+    }
+    this.#recordLostRun(loss, digest);
+    this.#evict(this.#options.timer.now());
+    this.#offerProof(digest);
+    return suspect;
+  }
+
+  /** Tells of a recent run here of what may be held back elsewhere. */
+  #offerProof(digest: SuspectDigest): void {
+    const suspect = this.#suspects.get(digest);
+    if (suspect === undefined || suspect.lostRuns < LOST_RUNS_UNTIL_HELD) {
+      return;
+    }
+    if (!this.#proofs.isRecent(digest)) return;
+    this.#options.onRecentProof?.(digest, this.#proofs.beganAt(digest));
+  }
+
+  #recordLostRun({ lostAt, run }: SuspectLoss, digest: SuspectDigest): void {
+    const key = keyOfRun(run);
+    const lostRun = this.#lostRuns.get(key) ?? { lostAt, digests: new Set() };
+    this.#lostRuns.set(key, lostRun);
+    lostRun.digests.add(digest);
+  }
+
+  #acquit(suspect: Suspect, beganAt: number): boolean {
+    if (!suspect.acquit(beganAt)) return false;
+    const { digest } = suspect;
+    this.#proofs.record(digest, beganAt);
+    this.#acquittals.record(digest, beganAt);
+    this.reports.discard(digest, beganAt);
+    this.reports.addCleared(digest, beganAt);
+    if (suspect.wasBlocked && suspect.lostRuns === 0) {
+      suspect.wasBlocked = false;
+      this.#options.onCleared?.(digest);
+    }
     return true;
   }
 
-  #noteIfBlocked(digest: RequestDigest, suspect: Suspect): void {
-    const isBlockedNow = !suspect.wasBlocked &&
-      this.#blockedMilliseconds(suspect) > 0;
-    if (!isBlockedNow) return;
-    suspect.wasBlocked = true;
-    const losses = confirmedLosses(suspect);
-    this.#options.onBlocked?.({ digest, losses }, { isOwn: suspect.isOwn });
+  /** Finds the culprits again, as losses or proofs have changed. */
+  #changed(): void {
+    for (const each of this.#candidates) {
+      const isKnown = this.#suspects.get(each.digest) === each;
+      if (!isKnown || each.lostRuns < CRASHES_UNTIL_BLOCKED) {
+        this.#candidates.delete(each);
+      }
+    }
+    this.#culprits = findCulprits(this.#candidates);
+    for (const { digests } of this.#blockedGroups()) {
+      for (const digest of digests) this.#noteBlocked(digest);
+    }
+    this.#notify();
   }
 
-  #recordLostRun(
-    key: string,
-    { at, digest }: { readonly at: number; readonly digest: RequestDigest },
-  ): void {
-    const run = this.#lostRuns.get(key) ?? { lostAt: at, digests: new Set() };
-    this.#lostRuns.set(key, run);
-    run.digests.add(digest);
+  #notify(): void {
+    for (const listener of this.#listeners) listener();
+  }
+
+  #noteBlocked(digest: SuspectDigest): void {
+    const suspect = this.#suspects.get(digest);
+    if (suspect === undefined || suspect.wasBlocked) return;
+    suspect.wasBlocked = true;
+    const losses = suspect.report(this.#options.timer.now());
+    this.#options.onBlocked?.({ digest, losses }, { isOwn: suspect.isOwn });
   }
 
   #evict(now: number): void {
@@ -283,66 +443,41 @@
       const isExpired = now - suspect.lastLossAt > RETENTION_MILLISECONDS;
       const isOverLimit = this.#suspects.size > MAX_SUSPECTS;
       if (!isExpired && !isOverLimit) return;
-      const isBlocked = this.#blockedMilliseconds(suspect) > 0;
-      if (isExpired || !isBlocked) this.#suspects.delete(digest);
+      if (isExpired || !this.#isBlocked(digest)) this.#suspects.delete(digest);
     }
   }
 
-  #retract(digest: RequestDigest, key: string): void {
+  #retract(digest: SuspectDigest, run: string): void {
     const suspect = this.#suspects.get(digest);
     if (suspect === undefined) return;
-    suspect.losses.delete(key);
-    suspect.unconfirmed.delete(key);
-    if (suspect.losses.size === 0) this.#suspects.delete(digest);
-  }
-
-  #blockedMilliseconds(suspect: Suspect): number {
-    const crashes = countCrashes(confirmedLosses(suspect));
-    if (crashes < CRASHES_UNTIL_BLOCKED) return 0;
-    if (this.#isExplained(suspect)) return 0;
-    const until = suspect.lastLossAt + BLOCK_MILLISECONDS;
-    return Math.max(0, until - this.#options.timer.now());
+    suspect.retract(run);
+    if (suspect.lostRuns === 0) this.#suspects.delete(digest);
   }
 
   /**
-   * Returns whether another crashing request was in flight on all these runs,
-   * and on more.
+   * True if the suspect has to show that it is no cause: it may have crashed
+   * several endpoints, or its block has ended.
    */
-  #isExplained({ losses }: Suspect): boolean {
-    for (const other of this.#suspects.values()) {
-      const mayExplain = other.losses.size > losses.size &&
-        countCrashes(confirmedLosses(other)) >= CRASHES_UNTIL_BLOCKED;
-      if (!mayExplain) continue;
-      const keys = [...losses.keys()];
-      if (keys.every((key) => other.losses.has(key))) return true;
+  #isHeld(suspect: Suspect): boolean {
+    if (suspect.wasBlocked && suspect.lostRuns > 0) {
+      return !this.#isBlocked(suspect.digest);
     }
-    return false;
+    const unexplained = [...suspect.runs]
+      .filter((run) => !this.#culprits.explainedRuns.has(run));
+    return unexplained.length >= LOST_RUNS_UNTIL_HELD &&
+      !this.#proofs.isRecent(suspect.digest);
   }
-}
 
-function newSuspect(at: number): Suspect {
-  return {
-    losses: new Map(),
-    unconfirmed: new Set(),
-    lastLossAt: at,
-    isOwn: false,
-    wasBlocked: false,
-  };
-}
+  #isBlocked(digest: SuspectDigest): boolean {
+    return this.#blockedGroups().some(({ digests }) => digests.has(digest));
+  }
 
-function confirmedLosses({ losses, unconfirmed }: Suspect): ReportedLoss[] {
-  return [...losses].flatMap(([key, loss]) =>
-    unconfirmed.has(key) ? [] : [loss]
-  );
-}
+  #blockedGroups(): CulpritGroup[] {
+    return this.#culprits.groups.filter((group) => this.#remaining(group) > 0);
+  }
 
-/** At most the number of known runs, whatever crash number a peer reports. */
-function countCrashes(losses: Iterable<ReportedLoss>): number {
-  let last = 0;
-  let runs = 0;
-  for (const [, , , crash] of losses) {
-    last = Math.max(last, crash);
-    runs += 1;
+  #remaining({ lastLossAt }: CulpritGroup): number {
+    const until = lastLossAt + BLOCK_MILLISECONDS;
+    return Math.max(0, until - this.#options.timer.now());
   }
-  return Math.min(last, runs);
 }
--- a/src/core/forwarding/crashes/crash_tracker_test.ts
+++ b/src/core/forwarding/crashes/crash_tracker_test.ts
@@ -53,7 +53,7 @@
   }
 
   function isBlocked(digest: RequestDigest): boolean {
-    return tracker.blockedMilliseconds(digest) > 0;
+    return tracker.blockedMilliseconds([digest]) > 0;
   }
 
   describe("confirmLosses", () => {
@@ -173,7 +173,7 @@
     it("is cleared when an endpoint has completed it", () => {
       crash("a", CRASHING, BYSTANDER);
       crash("b", CRASHING, BYSTANDER);
-      tracker.recordCompletion(BYSTANDER);
+      tracker.recordCompletion([BYSTANDER]);
       crash("c", CRASHING, BYSTANDER);
       expect(isBlocked(CRASHING)).to.equal(true);
       expect(isBlocked(BYSTANDER)).to.equal(false);
@@ -234,7 +234,7 @@
 
     it("ends permanently once the request has been completed", async () => {
       await timer.advance(11 * MINUTE_MILLISECONDS);
-      tracker.recordCompletion(CRASHING);
+      tracker.recordCompletion([CRASHING]);
       crash("d", CRASHING);
       expect(isBlocked(CRASHING)).to.equal(false);
     });
@@ -266,7 +266,7 @@
       crash("a", CRASHING);
       expect(calls).to.equal(1);
       expect(tracker.reports.take()).to.deep.equal({
-        losses: [[CRASHING, "a", null, 1]],
+        losses: [[CRASHING, "a", null, 1, 0, 0]],
         cleared: [],
       });
       expect(tracker.reports.take()).to.equal(undefined);
@@ -274,7 +274,7 @@
 
     it("repeat own losses for some seconds", async () => {
       crash("a", CRASHING);
-      tracker.recordPeerLoss([CRASHING, "b", null, 2]);
+      tracker.recordPeerLosses([[CRASHING, "b", null, 2]]);
       expect(tracker.reports.recentLosses()).to.have.length(1);
       await timer.advance(4_000);
       expect(tracker.reports.recentLosses()).to.deep.equal([]);
@@ -283,41 +283,43 @@
     it("contain a completed request, and no more of its losses", () => {
       crash("a", BYSTANDER);
       tracker.reports.take();
-      tracker.recordCompletion(BYSTANDER);
+      tracker.recordCompletion([BYSTANDER]);
       expect(tracker.reports.take()).to.deep.equal({
         losses: [],
-        cleared: [BYSTANDER],
+        cleared: [[BYSTANDER, 0]],
       });
       expect(tracker.reports.recentLosses()).to.deep.equal([]);
-      tracker.recordCompletion(BYSTANDER);
+      tracker.recordCompletion([BYSTANDER]);
       expect(tracker.reports.take()).to.equal(undefined);
     });
 
     it("end a block when a peer has completed the request", () => {
       for (const endpoint of ["a", "b", "c"]) crash(endpoint, BYSTANDER);
-      tracker.recordPeerCompletion(BYSTANDER);
+      tracker.recordPeerAcquittals([[BYSTANDER, 0]]);
       expect(isBlocked(BYSTANDER)).to.equal(false);
       expect(tracker.reports.recentLosses()).to.deep.equal([]);
     });
 
     it("add to the losses observed by this entry", () => {
       crash("a", CRASHING);
-      tracker.recordPeerLoss([CRASHING, "b", 5, 2]);
-      tracker.recordPeerLoss([CRASHING, "b", 5, 2]);
+      tracker.recordPeerLosses([[CRASHING, "b", 5, 2]]);
+      tracker.recordPeerLosses([[CRASHING, "b", 5, 2]]);
       expect(isBlocked(CRASHING)).to.equal(false);
-      tracker.recordPeerLoss([CRASHING, "c", null, 3]);
+      tracker.recordPeerLosses([[CRASHING, "c", null, 3]]);
       expect(isBlocked(CRASHING)).to.equal(true);
     });
 
     it("mark a block as own only where a loss was observed", () => {
-      const recordPeerLosses = (digest: RequestDigest) => {
-        tracker.recordPeerLoss([digest, "b", null, 2]);
-        tracker.recordPeerLoss([digest, "c", null, 3]);
-      };
       lose("a", CRASHING);
-      recordPeerLosses(CRASHING);
-      tracker.recordPeerLoss([BYSTANDER, "d", null, 1]);
-      recordPeerLosses(BYSTANDER);
+      tracker.recordPeerLosses([
+        [CRASHING, "b", null, 2],
+        [CRASHING, "c", null, 3],
+      ]);
+      tracker.recordPeerLosses([
+        [BYSTANDER, "d", null, 1],
+        [BYSTANDER, "e", null, 2],
+        [BYSTANDER, "f", null, 3],
+      ]);
       expect(blocked).to.deep.equal([CRASHING, BYSTANDER]);
       expect(ownBlocked).to.deep.equal([CRASHING]);
     });
@@ -325,15 +327,15 @@
     it("contain all losses of a blocked request that a peer still sends", () => {
       for (const endpoint of ["a", "b", "c"]) crash(endpoint, CRASHING);
       tracker.reports.take();
-      tracker.recordPeerLoss([CRASHING, "d", null, 1]);
+      tracker.recordPeerLosses([[CRASHING, "d", null, 1]]);
       expect(tracker.reports.take()?.losses).to.have.length(4);
     });
 
     it("contain the blocked requests for a peer that has just started", () => {
       crash("a", BYSTANDER);
-      expect(tracker.blockedLosses()).to.deep.equal([]);
+      expect(tracker.seriousLosses()).to.deep.equal([]);
       for (const endpoint of ["a", "b", "c"]) crash(endpoint, CRASHING);
-      expect(tracker.blockedLosses()).to.have.length(3);
+      expect(tracker.seriousLosses()).to.have.length(3);
     });
 
     it("fit a datagram after many losses", () => {
--- /dev/null
+++ b/src/core/forwarding/crashes/suspect.ts
@@ -0,0 +1,153 @@
+import type { SuspectDigest } from "../../identity/mod.ts";
+import type { EndpointRun } from "../endpoints/endpoint_runs.ts";
+import { keyOfRun, type ReportedLoss } from "./reported_loss.ts";
+
+/** Time beyond the longest lost run that shows that a run does not crash. */
+export const SURVIVAL_MARGIN_MILLISECONDS = 250;
+
+/** The loss of a suspect with one run of an endpoint. */
+export interface SuspectLoss {
+  readonly run: EndpointRun;
+  /** Successive number of the crash; simultaneous crashes share one. */
+  readonly crash: number;
+  /** When the run was lost, milliseconds. */
+  readonly lostAt: number;
+  /**
+   * Shortest time that the suspect had been written on there, milliseconds: the
+   * request that began last is the likely cause.
+   */
+  lasted: number;
+  /** False while the run may be alive. */
+  isConfirmed: boolean;
+}
+
+/**
+ * A request or a part of prompts that was in flight when endpoints crashed, with
+ * the losses that nothing has disproved since.
+ */
+export class Suspect {
+  readonly digest: SuspectDigest;
+  /** True if this entry has observed one of the losses. */
+  isOwn = false;
+  /** True once it has been blocked. */
+  wasBlocked = false;
+  lastLossAt = -Infinity;
+  readonly #losses = new Map<string, SuspectLoss>();
+  /** Longest run that was lost before a proof, milliseconds. */
+  #longestDisproved = 0;
+
+  constructor(digest: SuspectDigest) {
+    this.digest = digest;
+  }
+
+  /** Keys of the runs that were lost. */
+  get runs(): Iterable<string> {
+    return this.#losses.keys();
+  }
+
+  /** Number of runs that were lost. */
+  get lostRuns(): number {
+    return this.#losses.size;
+  }
+
+  /** Keys of the runs whose loss is confirmed. */
+  get confirmedRuns(): readonly string[] {
+    return [...this.#losses].flatMap(([key, { isConfirmed }]) =>
+      isConfirmed ? [key] : []
+    );
+  }
+
+  /** Number of successive crashes, including those not confirmed yet. */
+  get crashes(): number {
+    return countCrashes(this.#losses.values());
+  }
+
+  /** Number of successive crashes on these runs that are confirmed. */
+  confirmedCrashes(isCounted: (run: string) => boolean = () => true): number {
+    const counted = [...this.#losses].flatMap(([key, loss]) =>
+      loss.isConfirmed && isCounted(key) ? [loss] : []
+    );
+    return countCrashes(counted);
+  }
+
+  /**
+   * Time that a run has to be written for to show that it does not crash,
+   * milliseconds.
+   */
+  get survivalMilliseconds(): number {
+    return this.#longestLost + SURVIVAL_MARGIN_MILLISECONDS;
+  }
+
+  get #longestLost(): number {
+    const times = [...this.#losses.values()].map(({ lasted }) => lasted);
+    return Math.max(this.#longestDisproved, ...times);
+  }
+
+  has(run: string): boolean {
+    return this.#losses.has(run);
+  }
+
+  /** Returns false if the loss was already known. */
+  record(loss: SuspectLoss): boolean {
+    const key = keyOfRun(loss.run);
+    const known = this.#losses.get(key);
+    if (known !== undefined) known.lasted = Math.min(known.lasted, loss.lasted);
+    else {
+      this.#losses.set(key, loss);
+      this.lastLossAt = Math.max(this.lastLossAt, loss.lostAt);
+    }
+    return known === undefined;
+  }
+
+  /** Confirms the loss of the run; returns it if it was not confirmed before. */
+  confirm(run: string): SuspectLoss | undefined {
+    const loss = this.#losses.get(run);
+    if (loss === undefined || loss.isConfirmed) return undefined;
+    loss.isConfirmed = true;
+    return loss;
+  }
+
+  retract(run: string): void {
+    this.#losses.delete(run);
+  }
+
+  /**
+   * Drops the losses before this time; returns false if there are none. The time
+   * that a proof needs does not shrink: some runs may crash later than others.
+   */
+  acquit(before: number): boolean {
+    const size = this.#losses.size;
+    this.#longestDisproved = this.#longestLost;
+    for (const [key, { lostAt }] of this.#losses) {
+      if (lostAt <= before) this.#losses.delete(key);
+    }
+    return this.#losses.size < size;
+  }
+
+  /** The confirmed losses, as reported to peers. */
+  report(now: number): ReportedLoss[] {
+    return [...this.#losses.values()].flatMap((loss) =>
+      loss.isConfirmed ? [this.encode(loss, now)] : []
+    );
+  }
+
+  encode(
+    { crash, lasted, lostAt, run }: SuspectLoss,
+    now: number,
+  ): ReportedLoss {
+    const { id, startedAt = null } = run;
+    const ago = Math.round(now - lostAt);
+    return [this.digest, id, startedAt, crash, Math.round(lasted), ago];
+  }
+}
+
+/** At most the number of known runs, whatever crash number a peer reports. */
+function countCrashes(losses: Iterable<SuspectLoss>): number {
+  let last = 0;
+  let runs = 0;
+  for (const { crash } of losses) {
+    last = Math.max(last, crash);
+    runs += 1;
+  }
+  return Math.min(last, runs);
+}
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -44,9 +44,20 @@
   ListedVersions,
   type ServingVersion,
 } from "./streams/listed_versions.ts";
-export { type BlockedRequest, CrashTracker } from "./crashes/crash_tracker.ts";
+export {
+  type BlockedSuspect,
+  CrashTracker,
+  type CrashVerdict,
+} from "./crashes/crash_tracker.ts";
 export type { CrashReport } from "./crashes/crash_reports.ts";
-export { isReportedLoss, type ReportedLoss } from "./crashes/reported_loss.ts";
+export {
+  isReportedLoss,
+  isReportedProof,
+  type ReportedLoss,
+  type ReportedProof,
+} from "./crashes/reported_loss.ts";
+export { SURVIVAL_MARGIN_MILLISECONDS } from "./crashes/suspect.ts";
+export { TrialIssuer } from "./crashes/trial_issuer.ts";
 export {
   DecodePace,
   EngineEstimates,
--- a/src/core/identity/mod.ts
+++ b/src/core/identity/mod.ts
@@ -40,6 +40,10 @@
  * bytes share it.
  */
 export type RequestDigest = Branded<string, "RequestDigest">;
+/** Digest of one part of a prompt for the endpoints of a pool. */
+export type PartDigest = Branded<string, "PartDigest">;
+/** What endpoints may crash on: a whole request, or a part of its prompt. */
+export type SuspectDigest = RequestDigest | PartDigest;
 /** Digest that identifies a caller's stream. */
 export type StreamDigest = Branded<string, "StreamDigest">;
 /** Digest of a caller's API key; the key itself is not stored. */
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -10,8 +10,11 @@
   type ResponseHead,
   type SentRequestHandle,
   type StreamPauses,
+  SURVIVAL_MARGIN_MILLISECONDS,
   type WorkHandle,
 } from "../../core/forwarding/mod.ts";
+import type { SuspectDigest } from "../../core/identity/mod.ts";
+import type { Subscription } from "../../core/time/mod.ts";
 import type { ForwardContext } from "./forward_context.ts";
 import { isEventStream, verifyEvents } from "./event_stream.ts";
 import type {
@@ -69,8 +72,8 @@
   readonly #context: ForwardContext;
   readonly #plan: AttemptPlan;
   readonly #sentAt: number;
-  /** Crashes attributed to the request at the time it was sent. */
-  readonly #knownCrashes: number;
+  /** Crashes attributed to what the request holds when it was sent. */
+  readonly #knownCrashes: ReadonlyMap<SuspectDigest, number>;
   readonly #abort: () => void;
   readonly #work: WorkHandle;
   readonly #sentRequest: SentRequestHandle | undefined;
@@ -82,6 +85,11 @@
   #position: EventStreamPosition | undefined;
   #closed = false;
   #hasHead = false;
+  /** When the first byte of the body arrived. */
+  #beganAt: number | undefined;
+  /** When the progress of the response was last recorded. */
+  #progressAt = -Infinity;
+  #survival: Subscription | undefined;
 
   constructor(context: ForwardContext, plan: AttemptPlan) {
     const { dependencies, request } = context;
@@ -90,7 +98,7 @@
     this.#context = context;
     this.#plan = plan;
     this.#sentAt = dependencies.timer.now();
-    this.#knownCrashes = context.knownCrashes;
+    this.#knownCrashes = context.knownCrashes();
     this.endpoint = endpoint;
     this.#work = dependencies.load.started(endpoint.id, plan.work);
     this.#sentRequest = plan.expected &&
@@ -185,10 +193,51 @@
     this.#framing = response.framing;
     const { request, route } = this.#context;
     if (request.method === "HEAD") return response;
+    const observed = this.#observeProgress(response);
     const isStreamRoute = route.repeat === "stream";
-    if (!isEventStream(response, { isStreamRoute })) return response;
+    if (!isEventStream(response, { isStreamRoute })) return observed;
     this.#position = new EventStreamPosition();
-    return verifyEvents(response, this.#position);
+    return verifyEvents(observed, this.#position);
+  }
+
+  /** Records for how long an endpoint writes without a crash. */
+  #observeProgress(response: EndpointResponse): EndpointResponse {
+    if (this.#plan.options.prefillOnly) return response;
+    return {
+      ...response,
+      read: (onChunk, onEnd) =>
+        response.read((chunk) => {
+          this.#recordProgress();
+          onChunk(chunk);
+        }, onEnd),
+    };
+  }
+
+  #recordProgress(): void {
+    const { crashes, timer } = this.#dependencies;
+    const now = timer.now();
+    if (this.#beganAt === undefined) {
+      this.#beganAt = now;
+      this.#progressAt = now;
+      this.#survival = timer.after(
+        SURVIVAL_MARGIN_MILLISECONDS,
+        () => this.#recordProof(),
+      );
+    }
+    const isDue = now - this.#progressAt >= SURVIVAL_MARGIN_MILLISECONDS;
+    if (crashes.size === 0 || !isDue) return;
+    this.#progressAt = now;
+    crashes.recordProgress(this.#context.suspects, this.#beganAt);
+  }
+
+  /** Records that what the request holds has not crashed the endpoint. */
+  #recordProof(): void {
+    const { crashes } = this.#dependencies;
+    const { partDigests, suspects } = this.#context;
+    if (this.#beganAt === undefined) return;
+    // The digest of a whole request is costly, and needed for suspects only.
+    const digests = crashes.size === 0 ? partDigests : suspects;
+    crashes.recordProof(digests, this.#beganAt);
   }
 
   /**
@@ -221,20 +270,26 @@
   /** Records that the endpoint broke the connection with the request open. */
   #recordLoss(): void {
     const { crashes, lostRunChecks, timer } = this.#dependencies;
-    const { digest } = this.#context;
-    crashes.lost(this.endpoint, {
-      digest,
-      knownBefore: this.#knownCrashes,
-      isConfirmed: false,
-    });
+    const { digest, suspects } = this.#context;
+    const lasted = timer.now() - (this.#beganAt ?? timer.now());
+    for (const each of suspects) {
+      crashes.lost(this.endpoint, {
+        digest: each,
+        knownBefore: this.#knownCrashes.get(each) ?? 0,
+        lasted,
+        isConfirmed: false,
+      });
+    }
+    this.#context.hasLostRun = true;
     lostRunChecks.check(this.endpoint);
     this.#context.report("endpoint_lost", {
       digest,
-      crashes: crashes.crashCount(digest),
+      crashes: Math.max(...suspects.map((each) => crashes.crashCount(each))),
       endpoint: this.endpoint.id,
       startedAt: this.endpoint.startedAt,
       step: this.#plan.options.prefillOnly ? "prefill" : "run",
       milliseconds: Math.round(timer.now() - this.#sentAt),
+      writtenMilliseconds: Math.round(lasted),
       ...partFacts(this.#context.request.prompt),
     });
   }
@@ -244,9 +299,12 @@
    * the request of suspicion.
    */
   #recordCompletion(): void {
-    const { crashes } = this.#dependencies;
-    if (crashes.size === 0 || this.#plan.options.prefillOnly) return;
-    crashes.recordCompletion(this.#context.digest);
+    const { crashes, timer } = this.#dependencies;
+    if (this.#plan.options.prefillOnly) return;
+    this.#beganAt ??= timer.now();
+    this.#recordProof();
+    if (crashes.size === 0) return;
+    crashes.recordCompletion(this.#context.suspects, this.#beganAt);
   }
 
   #recordOutcome(result: Result<EndpointResponse, ExchangeFailure>): void {
@@ -355,6 +413,7 @@
     if (this.#isSameRun) {
       this.#dependencies.availability.ended(this.endpoint.id);
     }
+    this.#survival?.cancel();
     this.#pauses?.end({ whole: false });
     this.#sentRequest?.end();
     this.#work.end();
--- a/src/entry/forwarding/lost_run_checks.ts
+++ b/src/entry/forwarding/crashes/lost_run_checks.ts
@@ -2,10 +2,10 @@
   CrashTracker,
   EndpointRegistry,
   RegisteredEndpoint,
-} from "../../core/forwarding/mod.ts";
-import type { EndpointId } from "../../core/identity/mod.ts";
-import type { TimerService } from "../../core/time/mod.ts";
-import type { EndpointClient } from "./network_interfaces.ts";
+} from "../../../core/forwarding/mod.ts";
+import type { EndpointId } from "../../../core/identity/mod.ts";
+import type { TimerService } from "../../../core/time/mod.ts";
+import type { EndpointClient } from "../network_interfaces.ts";
 
 /**
  * Time until a check, in which a process that has crashed closes its listening
--- /dev/null
+++ b/src/entry/forwarding/crashes/trial_exchange.ts
@@ -0,0 +1,244 @@
+import {
+  type CrashTracker,
+  isReportedLoss,
+  isReportedProof,
+  type LoadOwners,
+  type ReportedLoss,
+  type ReportedProof,
+  type TrialIssuer,
+} from "../../../core/forwarding/mod.ts";
+import {
+  identifier,
+  type ProcessId,
+  type SuspectDigest,
+} from "../../../core/identity/mod.ts";
+import type { Subscription, TimerService } from "../../../core/time/mod.ts";
+import type { SendToPeer } from "../load_queries.ts";
+
+/** Notification that asks the owner of a suspect for its trial. */
+export const TRIAL_REQUEST_METHOD = "entry.trialRequest";
+/** Notification that answers such a request. */
+export const TRIAL_ANSWER_METHOD = "entry.trialAnswer";
+/** Notification that a trial has ended. */
+export const TRIAL_END_METHOD = "entry.trialEnd";
+
+/** Notification that tells the owner of suspects of recent runs of them. */
+export const TRIAL_PROOFS_METHOD = "entry.trialProofs";
+
+/** How long proofs are batched. */
+const PROOF_DELAY_MILLISECONDS = 2;
+/** Time between two proofs of a suspect from this entry. */
+const PROOF_INTERVAL_MILLISECONDS = 300;
+/** Maximum number of proofs in one datagram. */
+const MAX_PROOFS = 128;
+/** Timeout of a request for a trial. */
+const ANSWER_TIMEOUT_MILLISECONDS = 40;
+
+export interface TrialExchangeOptions {
+  readonly self: ProcessId;
+  readonly incarnation: string;
+  readonly timer: TimerService;
+  readonly issuer: TrialIssuer;
+  readonly crashes: CrashTracker;
+  readonly owners: Pick<LoadOwners, "liveRanking">;
+  readonly send: SendToPeer;
+}
+
+/** Fields that all notifications about a trial have. */
+interface TrialNotification {
+  readonly entry: string;
+  readonly holder: string;
+  readonly digest: string;
+}
+
+interface TrialRequest extends TrialNotification {
+  /** Crashes of the suspect that the sender knows. */
+  readonly crashes: number;
+}
+
+interface TrialAnswer extends TrialNotification {
+  readonly isGranted: boolean;
+  /** Present if the suspect needs no trial: time since its last run. */
+  readonly proofAge?: number;
+  /** Present if the owner knows more losses than the sender. */
+  readonly losses?: readonly ReportedLoss[];
+}
+
+interface TrialProofs {
+  readonly proofs: readonly ReportedProof[];
+}
+
+/**
+ * Asks the owner of a suspect, an entry that all of them can work out, for its
+ * trial, and grants those of the suspects that this entry owns.
+ */
+export class TrialExchange {
+  readonly #options: TrialExchangeOptions;
+  /** Requests without an answer, by holder. */
+  readonly #pending = new Map<string, (isGranted: boolean) => void>();
+  /** Suspects with a proof that their owners do not know, and when it began. */
+  readonly #unsentProofs = new Map<SuspectDigest, number>();
+  /** When a proof of a suspect was sent last. */
+  readonly #proofsSentAt = new Map<SuspectDigest, number>();
+  #proofBatch: Subscription | undefined;
+  #lastId = 0;
+
+  constructor(options: TrialExchangeOptions) {
+    this.#options = options;
+  }
+
+  /** Name under which one request holds trials. */
+  createHolder(): string {
+    this.#lastId += 1;
+    const { incarnation, self } = this.#options;
+    return `${self}#${incarnation}#${this.#lastId}`;
+  }
+
+  /** Resolves with true once the holder has the trial of the suspect. */
+  async request(digest: SuspectDigest, holder: string): Promise<boolean> {
+    const { crashes, issuer, self, send, timer } = this.#options;
+    const owner = this.#ownerOf(digest);
+    if (owner === self) return issuer.request(digest, holder);
+    const isGranted = await new Promise<boolean>((resolve) => {
+      this.#pending.set(holder, resolve);
+      timer.after(ANSWER_TIMEOUT_MILLISECONDS, () => resolve(false));
+      const params: TrialRequest = {
+        entry: self,
+        holder,
+        digest,
+        crashes: crashes.crashCount(digest),
+      };
+      send(owner, { method: TRIAL_REQUEST_METHOD, params });
+    });
+    this.#pending.delete(holder);
+    return isGranted;
+  }
+
+  /** Ends the trial, also where its owner has changed. */
+  end(digest: SuspectDigest, holder: string): void {
+    const { issuer, self, send } = this.#options;
+    issuer.end(digest, holder);
+    const owner = this.#ownerOf(digest);
+    if (owner === self) return;
+    const params: TrialNotification = { entry: self, holder, digest };
+    send(owner, { method: TRIAL_END_METHOD, params });
+  }
+
+  /** Tells the owner of a suspect of a run here that has not crashed. */
+  offerProof(digest: SuspectDigest, beganAt: number): void {
+    const { timer } = this.#options;
+    const sentAt = this.#proofsSentAt.get(digest) ?? -Infinity;
+    if (timer.now() - sentAt < PROOF_INTERVAL_MILLISECONDS) return;
+    this.#unsentProofs.set(digest, beganAt);
+    this.#proofBatch ??= timer.after(
+      PROOF_DELAY_MILLISECONDS,
+      () => this.#sendProofs(),
+    );
+  }
+
+  /** Handles the proofs of a peer. */
+  onProofs(params: unknown): void {
+    if (!isTrialProofs(params)) return;
+    this.#options.crashes.recordPeerProofs(params.proofs);
+  }
+
+  #sendProofs(): void {
+    this.#proofBatch = undefined;
+    const { self, send, timer } = this.#options;
+    const now = timer.now();
+    for (const [digest, sentAt] of this.#proofsSentAt) {
+      if (now - sentAt < PROOF_INTERVAL_MILLISECONDS) break;
+      this.#proofsSentAt.delete(digest);
+    }
+    const byOwner = new Map<ProcessId, ReportedProof[]>();
+    for (const [digest, beganAt] of this.#unsentProofs) {
+      this.#proofsSentAt.set(digest, now);
+      const owner = this.#ownerOf(digest);
+      const proofs = byOwner.get(owner) ?? [];
+      proofs.push([digest, Math.round(now - beganAt)]);
+      byOwner.set(owner, proofs);
+    }
+    this.#unsentProofs.clear();
+    for (const [owner, proofs] of byOwner) {
+      if (owner === self) continue;
+      const params: TrialProofs = { proofs: proofs.slice(0, MAX_PROOFS) };
+      send(owner, { method: TRIAL_PROOFS_METHOD, params });
+    }
+  }
+
+  /** Handles a peer's request for a trial. */
+  onRequest(params: unknown): void {
+    if (!isTrialRequest(params)) return;
+    const { crashes, issuer, self, send } = this.#options;
+    const { entry, holder } = params;
+    const digest = identifier<SuspectDigest>(params.digest);
+    const proofAge = crashes.recentProofAge(digest);
+    const isGranted = proofAge === undefined && issuer.request(digest, holder);
+    const knowsMore = crashes.crashCount(digest) > params.crashes;
+    const answer: TrialAnswer = {
+      entry: self,
+      holder,
+      digest,
+      isGranted,
+      ...(proofAge !== undefined && { proofAge: Math.round(proofAge) }),
+      ...(knowsMore && { losses: crashes.lossesOf(digest) }),
+    };
+    send(identifier<ProcessId>(entry), {
+      method: TRIAL_ANSWER_METHOD,
+      params: answer,
+    });
+  }
+
+  /** Handles the answer of a suspect's owner. */
+  onAnswer(params: unknown): void {
+    if (!isTrialAnswer(params)) return;
+    const { digest, holder, isGranted, losses, proofAge } = params;
+    if (proofAge !== undefined) {
+      this.#options.crashes.recordPeerProofs([[digest, proofAge]]);
+    }
+    if (losses !== undefined) this.#options.crashes.recordPeerLosses(losses);
+    const settle = this.#pending.get(holder);
+    if (settle !== undefined) return settle(isGranted);
+    // The answer is late, and nobody would end the trial.
+    if (isGranted) this.end(identifier<SuspectDigest>(digest), holder);
+  }
+
+  /** Handles the end of a trial that this entry has granted. */
+  onEnd(params: unknown): void {
+    if (!isTrialNotification(params)) return;
+    const digest = identifier<SuspectDigest>(params.digest);
+    this.#options.issuer.end(digest, params.holder);
+  }
+
+  #ownerOf(digest: SuspectDigest): ProcessId {
+    const { owners, self } = this.#options;
+    return owners.liveRanking(digest)[0] ?? self;
+  }
+}
+
+function isTrialNotification(value: unknown): value is TrialNotification {
+  if (typeof value !== "object" || value === null) return false;
+  const { digest, entry, holder } = value as Record<string, unknown>;
+  return typeof digest === "string" && typeof entry === "string" &&
+    typeof holder === "string";
+}
+
+function isTrialRequest(value: unknown): value is TrialRequest {
+  return isTrialNotification(value) &&
+    Number.isInteger((value as TrialRequest).crashes);
+}
+
+function isTrialAnswer(value: unknown): value is TrialAnswer {
+  if (!isTrialNotification(value)) return false;
+  const { isGranted, losses, proofAge } = value as TrialAnswer;
+  return typeof isGranted === "boolean" &&
+    (proofAge === undefined || Number.isFinite(proofAge)) &&
+    (losses === undefined ||
+      (Array.isArray(losses) && losses.every(isReportedLoss)));
+}
+
+function isTrialProofs(value: unknown): value is TrialProofs {
+  if (typeof value !== "object" || value === null) return false;
+  const { proofs } = value as Partial<TrialProofs>;
+  return Array.isArray(proofs) && proofs.every(isReportedProof);
+}
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -11,7 +11,13 @@
   type StreamOrigin,
   type Workspace,
 } from "../../core/forwarding/mod.ts";
-import type { EndpointId, RequestDigest } from "../../core/identity/mod.ts";
+import type {
+  EndpointId,
+  PartDigest,
+  RequestDigest,
+  SuspectDigest,
+} from "../../core/identity/mod.ts";
+import type { Admission, CrashPass } from "./crashes/mod.ts";
 import type { ForwardingDecision } from "./observer.ts";
 import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
 import { LimitAdmission } from "./limit_admission.ts";
@@ -28,6 +34,8 @@
  */
 const MIN_USEFUL_MILLISECONDS = 20;
 
+const NO_CRASHES: ReadonlyMap<SuspectDigest, number> = new Map();
+
 /** A request to forward, with its route and pool. */
 export interface ForwardTask {
   readonly request: ForwardedRequest;
@@ -63,9 +71,14 @@
   sends = 0;
   /** True once the caller has its response or has disconnected. */
   settled = false;
+  /** True once an endpoint may have crashed with the request. */
+  hasLostRun = false;
+  /** Trials of the request. */
+  readonly crashPass: CrashPass;
   readonly #rejectedBy = new Set<EndpointId>();
   readonly #admission: LimitAdmission;
   #digest: RequestDigest | undefined;
+  #partDigests: readonly PartDigest[] | undefined;
   #hasStarted = false;
   #hasNotedDemand = false;
 
@@ -77,6 +90,7 @@
     this.pool = task.pool;
     this.workspace = task.workspace;
     this.writer = new StreamWriter(dependencies, task);
+    this.crashPass = dependencies.crashGate.createPass();
     this.arrived = task.arrived;
     this.arrivals = new RequestArrivals(
       dependencies.retryBudget,
@@ -144,18 +158,53 @@
   }
 
   /**
-   * Time for which the request is blocked for crashing endpoints, in
-   * milliseconds.
+   * Time for which the request is blocked, as it or a part of its prompt crashes
+   * endpoints, in milliseconds.
    */
   get blockedMilliseconds(): number {
     const { crashes } = this.dependencies;
-    return crashes.size === 0 ? 0 : crashes.blockedMilliseconds(this.digest);
+    return crashes.size === 0 ? 0 : crashes.blockedMilliseconds(this.suspects);
+  }
+
+  /** Settles when the request may be sent, as far as crashes are concerned. */
+  async admit(): Promise<Admission> {
+    if (this.dependencies.crashes.size === 0) return "admitted";
+    return await this.crashPass.admit({
+      digests: this.suspects,
+      remainingMilliseconds: this.remainingToFirstByteMilliseconds,
+      isSettled: () => this.settled,
+    });
+  }
+
+  /** True if the request has to wait for a trial before it is sent. */
+  get needsTrial(): boolean {
+    const { crashes } = this.dependencies;
+    return crashes.size > 0 && this.crashPass.needsTrial(this.suspects);
   }
 
-  /** Number of successive crashes attributed to the request, as known here. */
-  get knownCrashes(): number {
+  /** Successive crashes attributed to what the request holds, as known here. */
+  knownCrashes(): ReadonlyMap<SuspectDigest, number> {
     const { crashes } = this.dependencies;
-    return crashes.size === 0 ? 0 : crashes.crashCount(this.digest);
+    if (crashes.size === 0) return NO_CRASHES;
+    return new Map(
+      this.suspects.map((digest) => [digest, crashes.crashCount(digest)]),
+    );
+  }
+
+  /** What endpoints may crash on: the request itself and its shared parts. */
+  get suspects(): readonly SuspectDigest[] {
+    return [this.digest, ...this.partDigests];
+  }
+
+  /**
+   * Digests of the parts of the prompt that other requests share. The last part
+   * is the request's own, which the digest of the request covers.
+   */
+  get partDigests(): readonly PartDigest[] {
+    const { partDigestOf } = this.dependencies;
+    this.#partDigests ??= this.request.prompt?.parts.slice(0, -1)
+      .map(({ id }) => partDigestOf(this.pool.name, id)) ?? [];
+    return this.#partDigests;
   }
 
   /**
--- a/src/entry/forwarding/forwarding_dependencies.ts
+++ b/src/entry/forwarding/forwarding_dependencies.ts
@@ -31,14 +31,16 @@
 import type {
   AvailabilityZoneId,
   EndpointId,
+  PartDigest,
   RequestDigest,
+  ServiceName,
   WorkspaceId,
 } from "../../core/identity/mod.ts";
 import type { Random } from "../../core/random/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
 import type { ConfigurationStatus } from "./configuration_status.ts";
 import type { FleetOutcomes } from "./fleet_outcomes.ts";
-import type { LostRunChecks } from "./lost_run_checks.ts";
+import type { CrashGate, LostRunChecks } from "./crashes/mod.ts";
 import type { EndpointClient } from "./network_interfaces.ts";
 import type { ObserveForwarding } from "./observer.ts";
 import type { QueryAllowance } from "./query_allowance.ts";
@@ -62,8 +64,10 @@
   /** Stream pauses of decode engines. */
   readonly pace: DecodePace;
   readonly retryBudget: SharedRetryBudget;
-  /** Requests that endpoints have crashed on. */
+  /** Requests and parts of prompts that endpoints have crashed on. */
   readonly crashes: CrashTracker;
+  /** Holds requests with what may have crashed several endpoints. */
+  readonly crashGate: CrashGate;
   readonly lostRunChecks: LostRunChecks;
   /** Request limits that endpoints have named. */
   readonly limits: EndpointLimits;
@@ -112,6 +116,8 @@
   readonly versions: VersionListing;
   /** Digest by which a retried request is recognized. */
   readonly digestOf: (request: ForwardedRequest) => RequestDigest;
+  /** Digest by which a part of prompts is recognized in a pool. */
+  readonly partDigestOf: (pool: ServiceName, part: string) => PartDigest;
   readonly observe: ObserveForwarding;
   /**
    * Records that a response announced that this run is leaving; true if new.
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -1,5 +1,5 @@
 import {
-  type BlockedRequest,
+  type BlockedSuspect,
   CrashTracker,
   DecodePace,
   EndpointAvailability,
@@ -37,6 +37,7 @@
   StreamKeepers,
   StreamOrigins,
   type TopicSpan,
+  TrialIssuer,
   type VerdictChange,
   WorkRate,
 } from "../../core/forwarding/mod.ts";
@@ -44,8 +45,11 @@
   type AvailabilityZoneId,
   type EndpointId,
   identifier,
+  type PartDigest,
   type ProcessId,
   type RequestDigest,
+  type ServiceName,
+  type SuspectDigest,
 } from "../../core/identity/mod.ts";
 import type { PeerAddress } from "../../core/links/mod.ts";
 import type { Logger } from "../../core/observation/mod.ts";
@@ -73,14 +77,23 @@
 import { UsageReporter, type UsageReporterOptions } from "./usage_reporter.ts";
 import { USAGE_METHOD, USAGE_REPORTS_METHOD } from "./usage_notification.ts";
 import {
-  CRASHES_METHOD,
   PeerExchange,
   REGISTRATIONS_METHOD,
   ROLES_METHOD,
   type SendToPeers,
   VERDICTS_METHOD,
 } from "./peer_exchange.ts";
-import { LostRunChecks } from "./lost_run_checks.ts";
+import {
+  CRASHES_METHOD,
+  CrashExchange,
+  CrashGate,
+  LostRunChecks,
+  TRIAL_ANSWER_METHOD,
+  TRIAL_END_METHOD,
+  TRIAL_PROOFS_METHOD,
+  TRIAL_REQUEST_METHOD,
+  TrialExchange,
+} from "./crashes/mod.ts";
 import { LoadReportExchange } from "./load_report_exchange.ts";
 import {
   LOAD_ANSWER_METHOD,
@@ -100,6 +113,11 @@
   StreamOriginExchange,
   type StreamOriginExchangeOptions,
 } from "./stream_origin_exchange.ts";
+import {
+  STREAM_ANSWER_METHOD,
+  STREAM_QUERY_METHOD,
+  STREAMS_METHOD,
+} from "./stream_notification.ts";
 import {
   type VersionLink,
   VersionListing,
@@ -115,6 +133,8 @@
   readonly endpointClient: EndpointClient;
   /** Digest by which a retried request is recognized. */
   readonly digestOf: (request: ForwardedRequest) => RequestDigest;
+  /** Digest by which a part of prompts is recognized in a pool. */
+  readonly partDigestOf: (pool: ServiceName, part: string) => PartDigest;
   readonly sendToPeers: SendToPeers;
   readonly observe: ObserveForwarding;
   readonly logger: Logger;
@@ -180,10 +200,10 @@
   readonly versions?: VersionLink;
   /** Called for each change of a verdict on an endpoint formed here. */
   readonly onVerdict?: (change: VerdictChange) => void;
-  /** Persists a blocked request for entries that start while no other runs. */
-  readonly persistBlocked: (blocked: BlockedRequest) => void;
-  /** Removes a persisted request that has completed since it was blocked. */
-  readonly removeBlocked: (digest: RequestDigest) => void;
+  /** Persists what is blocked for entries that start while no other runs. */
+  readonly persistBlocked: (blocked: BlockedSuspect) => void;
+  /** Removes what has run without a crash since it was persisted. */
+  readonly removeBlocked: (digest: SuspectDigest) => void;
   /** Called when an entry reports that is not in the list of the fleet yet. */
   readonly onUnlistedPeer: () => void;
 }
@@ -216,6 +236,9 @@
   readonly #keepers = new StreamKeepers();
   readonly #streams: StreamOriginExchange;
   readonly #versions: VersionListing;
+  readonly #crashes: CrashExchange;
+  /** What each notification from a peer is applied by. */
+  readonly #handlers: ReadonlyMap<string, (params: unknown) => void>;
   readonly #startedAt: number;
   #routes: RouteTable | undefined;
   #stopping = false;
@@ -242,11 +265,15 @@
         const endpoints = losses.map(([, endpoint]) => endpoint);
         options.logger.warn(
           { digest, endpoints },
-          "Blocked a request that crashes endpoints",
+          "Blocked a request or a part of prompts that crashes endpoints",
         );
         if (isOwn) options.persistBlocked(blocked);
       },
-      onCleared: (digest) => options.removeBlocked(digest),
+      onCleared: (digest) => {
+        options.logger.info({ digest }, "A block ended, as an endpoint ran it");
+        options.removeBlocked(digest);
+      },
+      onRecentProof: (digest, beganAt) => trials.offerProof(digest, beganAt),
     });
     const limits = new EndpointLimits();
     const loadReports = new EndpointLoadReports(options);
@@ -420,12 +447,29 @@
       version: () => this.configuration?.version,
       onPeersChanged: (peers) => this.#keepers.setPeers(peers),
       onPeerStart: (peer) => {
+        this.#crashes.onPeerStart(peer);
         this.#versions.onPeerStart(peer);
         this.#streams.onPeerStart(peer);
       },
       onVersion: (peer, version) =>
         this.configurationSync.onPeerVersion(peer, version),
     });
+    this.#crashes = new CrashExchange({
+      timer,
+      crashes,
+      broadcast: (method, params) => this.peers.broadcast(method, params),
+      send: (peer, notification) => this.peers.sendTo(peer, notification),
+    });
+    const trials = new TrialExchange({
+      self,
+      incarnation: options.incarnation,
+      timer,
+      issuer: new TrialIssuer(timer),
+      crashes,
+      owners,
+      send: (peer, notification) => this.peers.sendTo(peer, notification),
+    });
+    this.#handlers = this.#makeHandlers(trials);
     this.configurationSync = new ConfigurationSync({
       process: options.process,
       timer,
@@ -515,6 +559,7 @@
       }),
       returningCallers,
       crashes,
+      crashGate: new CrashGate({ timer, crashes, trials }),
       lostRunChecks: new LostRunChecks({
         ...options,
         crashes,
@@ -552,6 +597,7 @@
       streams: this.#streams,
       versions: this.#versions,
       digestOf: options.digestOf,
+      partDigestOf: options.partDigestOf,
       observe: options.observe,
       routes: () => this.#routes,
       configurationStatus: this.configurationStatus,
@@ -602,11 +648,16 @@
     return this.#dependencies.pace.totals();
   }
 
-  /** Number of requests that are blocked for crashing endpoints. */
-  get blockedRequests(): number {
+  /** Number of requests and parts that are blocked for crashing endpoints. */
+  get blockedSuspects(): number {
     return this.#dependencies.crashes.blocked;
   }
 
+  /** Number of requests and parts that may run once at a time. */
+  get heldSuspects(): number {
+    return this.#dependencies.crashes.held;
+  }
+
   /** The workspaces with the most recent work in each pool. */
   largestShares(count: number): ReturnType<PoolShares["largest"]> {
     return this.#dependencies.shares.largest(count);
@@ -678,6 +729,7 @@
     this.#usageReporter?.stop();
     this.#versions.stop();
     this.#streams.flush();
+    this.#crashes.stop();
     this.peers.stop();
     this.peerStateFallback.stop();
     this.configurationSync.stop();
@@ -708,7 +760,7 @@
     return true;
   }
 
-  /** Restores a persisted blocked request; false if its block has expired. */
+  /** Restores a persisted block; false if it has expired. */
   restoreBlocked(
     losses: readonly ReportedLoss[],
     options: { readonly ageMilliseconds: number },
@@ -718,36 +770,73 @@
 
   /** Handles a notification from a peer. */
   onNotification(method: string, params: unknown): void {
-    if (method === WORK_METHOD) this.peers.onWork(params);
-    if (method === CRASHES_METHOD) this.peers.onCrashes(params);
-    if (method === VERDICTS_METHOD) this.peers.onVerdicts(params);
-    if (method === CONFIGURATION_METHOD) {
-      this.configurationSync.onNotification(params);
-    }
-    if (method === USAGE_METHOD || method === USAGE_REPORTS_METHOD) {
-      this.#usageReporter?.onNotification(method, params);
-    }
-    if (method === VERSIONS_METHOD) this.#versions.onNotification(params);
-    this.#streams.onNotification(method, params);
-    if (method === PERMIT_REQUEST_METHOD) this.#permits.onRequest(params);
-    if (method === PERMIT_ANSWER_METHOD) this.#permits.onAnswer(params);
-    if (method === LOAD_QUERY_METHOD) this.#loadQueries.onQuery(params);
-    if (method === LOAD_ANSWER_METHOD) this.#loadQueries.onAnswer(params);
-    if (typeof params !== "object" || params === null) return;
-    const { orders, changes, span } = params as {
-      readonly orders?: unknown;
-      readonly changes?: unknown;
-      readonly span?: unknown;
-    };
-    if (method === ROLES_METHOD && Array.isArray(orders)) {
-      this.#roleController?.onPeerOrders(orders);
-    }
-    if (method === REGISTRATIONS_METHOD && Array.isArray(changes)) {
-      this.registrationSync.onPeerChanges(changes, span);
-    }
+    this.#handlers.get(method)?.(params);
+  }
+
+  /** Handlers of all notifications that entries send each other. */
+  #makeHandlers(
+    trials: TrialExchange,
+  ): ReadonlyMap<string, (params: unknown) => void> {
+    const { peers } = this;
+    const streamMethods = [
+      STREAMS_METHOD,
+      STREAM_QUERY_METHOD,
+      STREAM_ANSWER_METHOD,
+    ];
+    const usageMethods = [USAGE_METHOD, USAGE_REPORTS_METHOD];
+    return new Map<string, (params: unknown) => void>([
+      [WORK_METHOD, (params) => peers.onWork(params)],
+      [VERDICTS_METHOD, (params) => peers.onVerdicts(params)],
+      [CRASHES_METHOD, (params) => this.#crashes.onReport(params)],
+      [TRIAL_REQUEST_METHOD, (params) => trials.onRequest(params)],
+      [TRIAL_ANSWER_METHOD, (params) => trials.onAnswer(params)],
+      [TRIAL_END_METHOD, (params) => trials.onEnd(params)],
+      [TRIAL_PROOFS_METHOD, (params) => trials.onProofs(params)],
+      [
+        CONFIGURATION_METHOD,
+        (params) => this.configurationSync.onNotification(params),
+      ],
+      ...usageMethods.map((method) =>
+        [
+          method,
+          (params: unknown) =>
+            this.#usageReporter?.onNotification(method, params),
+        ] as const
+      ),
+      [VERSIONS_METHOD, (params) => this.#versions.onNotification(params)],
+      ...streamMethods.map((method) =>
+        [
+          method,
+          (params: unknown) => this.#streams.onNotification(method, params),
+        ] as const
+      ),
+      [PERMIT_REQUEST_METHOD, (params) => this.#permits.onRequest(params)],
+      [PERMIT_ANSWER_METHOD, (params) => this.#permits.onAnswer(params)],
+      [LOAD_QUERY_METHOD, (params) => this.#loadQueries.onQuery(params)],
+      [LOAD_ANSWER_METHOD, (params) => this.#loadQueries.onAnswer(params)],
+      [ROLES_METHOD, (params) => this.#onRoles(params)],
+      [REGISTRATIONS_METHOD, (params) => this.#onRegistrations(params)],
+    ]);
+  }
+
+  #onRoles(params: unknown): void {
+    const { orders } = fieldsOf(params);
+    if (Array.isArray(orders)) this.#roleController?.onPeerOrders(orders);
+  }
+
+  #onRegistrations(params: unknown): void {
+    const { changes, span } = fieldsOf(params);
+    if (!Array.isArray(changes)) return;
+    this.registrationSync.onPeerChanges(changes, span);
   }
 
   handle(request: ForwardedRequest, sink: CallerSink): void {
     void forward(this.#dependencies, { request, sink });
   }
 }
+
+/** Fields of a notification; none if it is malformed. */
+function fieldsOf(params: unknown): Readonly<Record<string, unknown>> {
+  if (typeof params !== "object" || params === null) return {};
+  return params as Record<string, unknown>;
+}
--- a/src/entry/forwarding/forwarding_entry_test.ts
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -1,6 +1,10 @@
 import { expect } from "chai";
 import { err } from "neverthrow";
-import { digestOf, streamDigestOf } from "../../adapters/forwarding/mod.ts";
+import {
+  digestOf,
+  partDigestOf,
+  streamDigestOf,
+} from "../../adapters/forwarding/mod.ts";
 import {
   makeEndpoint,
   makeEngine,
@@ -65,6 +69,7 @@
           release() {},
         },
         digestOf,
+        partDigestOf,
         streamDigestOf,
         sendToPeers: (_, { method, params }) => {
           for (const entry of entries) {
--- a/src/entry/forwarding/mod.ts
+++ b/src/entry/forwarding/mod.ts
@@ -9,7 +9,7 @@
   ForwardingEntry,
   type ForwardingEntryOptions,
 } from "./forwarding_entry.ts";
-export { LostRunChecks } from "./lost_run_checks.ts";
+export { CrashGate, LostRunChecks, TrialExchange } from "./crashes/mod.ts";
 export type { LoadQueryOutcome } from "./load_queries.ts";
 export {
   type PermitOutcome,
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -1,5 +1,4 @@
 import {
-  type CrashReport,
   type CrashTracker,
   decodeLimit,
   encodeLimit,
@@ -27,7 +26,6 @@
 import type { FleetOutcomes } from "./fleet_outcomes.ts";
 import { decodePrompt, encodePrompt } from "./prompt_encoding.ts";
 import {
-  isCrashReport,
   isVerdictNotification,
   isWorkNotification,
   withRuns,
@@ -77,11 +75,6 @@
 /** Notification that carries new verdicts on endpoints. */
 export const VERDICTS_METHOD = "entry.verdicts";
 
-/** How long losses are batched; the losses of one crash arrive together. */
-const CRASH_REPORT_DELAY_MILLISECONDS = 5;
-/** Notification that carries requests that were lost with endpoints. */
-export const CRASHES_METHOD = "entry.crashes";
-
 /** Sends a notification to peers. */
 export type SendToPeers = (
   addresses: readonly string[],
@@ -128,7 +121,6 @@
   /** Endpoints with load changes that their owners have not received yet. */
   readonly #changedEndpoints = new Set<EndpointId>();
   #ownerUpdate: Subscription | undefined;
-  #crashReport: Subscription | undefined;
   /** Incarnation of each peer that has reported. */
   readonly #incarnations = new Map<string, string>();
   #fleetSize: number | undefined;
@@ -139,7 +131,6 @@
   constructor(options: PeerExchangeOptions) {
     this.#options = options;
     options.load.onOwnChange((endpoint) => this.#onOwnChange(endpoint));
-    options.crashes.reports.onPending(() => this.#scheduleCrashReport());
   }
 
   /**
@@ -180,7 +171,6 @@
   stop(): void {
     this.#nextReport?.cancel();
     this.#ownerUpdate?.cancel();
-    this.#crashReport?.cancel();
   }
 
   /** Sets the fleet's list: addresses of the peers by name. */
@@ -273,8 +263,8 @@
     for (const refusal of params.refusals) {
       this.#options.returningCallers.recordPeer(refusal);
     }
-    for (const loss of params.losses ?? []) {
-      this.#options.crashes.recordPeerLoss(loss);
+    if (params.losses !== undefined) {
+      this.#options.crashes.recordPeerLosses(params.losses);
     }
     for (const limit of params.limits ?? []) this.#applyLimit(limit);
     if (params.outcomes !== undefined) {
@@ -291,14 +281,6 @@
     if (this.#isNewProcess(params)) this.#onPeerStart(sender);
   }
 
-  /** Applies a peer's report of requests that were lost with endpoints. */
-  onCrashes(params: unknown): void {
-    if (!isCrashReport(params)) return;
-    const { crashes } = this.#options;
-    for (const loss of params.losses) crashes.recordPeerLoss(loss);
-    for (const digest of params.cleared) crashes.recordPeerCompletion(digest);
-  }
-
   /** True for the first report of a peer that has started or restarted. */
   #isNewProcess({ entry, incarnation }: WorkNotification): boolean {
     if (this.#incarnations.get(entry) === incarnation) return false;
@@ -309,11 +291,6 @@
   /** Sends a peer what it can't know yet. */
   #onPeerStart(peer: ProcessId): void {
     this.#options.onPeerStart(peer);
-    const losses = this.#options.crashes.blockedLosses();
-    if (losses.length > 0) {
-      const report: CrashReport = { losses, cleared: [] };
-      this.sendTo(peer, { method: CRASHES_METHOD, params: report });
-    }
     const limits = this.#encodeLimits(this.#ownedLimits());
     if (limits.length === 0) return;
     const params = { ...this.#baseNotification(false), limits };
@@ -452,24 +429,6 @@
     };
   }
 
-  /**
-   * Reports crashes after a short delay. A retry may reach another entry within
-   * milliseconds; if that entry sends it on without knowing of the crash, the
-   * next crash is not counted as a further one.
-   */
-  #scheduleCrashReport(): void {
-    this.#crashReport ??= this.#options.timer.after(
-      CRASH_REPORT_DELAY_MILLISECONDS,
-      () => {
-        this.#crashReport = undefined;
-        const report = this.#options.crashes.reports.take();
-        if (report === undefined) return;
-        this.broadcast(CRASHES_METHOD, report);
-        this.#scheduleCrashReport();
-      },
-    );
-  }
-
   #onOwnChange(endpoint: EndpointId): void {
     if (!this.isLoadStale) return;
     this.#changedEndpoints.add(endpoint);
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -43,8 +43,14 @@
 /** Longest text of a caller that is logged. */
 const MAX_LOGGED_LENGTH = 64;
 
-/** Endpoints have crashed on requests with this digest. */
+/** Endpoints have crashed on the request or on a part of its prompt. */
 const BLOCKED = "crashes_endpoints";
+/** What the request holds may have crashed endpoints and is tried by another. */
+const SUSPECTED = "crash_suspected";
+/** Retry delay of a suspect, in which its trial ends. */
+const SUSPECTED_RETRY_AFTER_MILLISECONDS = 500;
+/** Time in which a crash is confirmed and becomes known to all entries. */
+const LOSS_KNOWN_MILLISECONDS = 100;
 
 /** No replica of the software version that began the stream is left. */
 const VERSION_GONE = "stream_version_gone";
@@ -129,7 +135,10 @@
     const { dependencies, pool } = this.#context;
     dependencies.retryBudget.recordRequest(pool.name);
     for (;;) {
-      if (this.#context.blockedMilliseconds > 0) return this.#refuse(BLOCKED);
+      const admission = await this.#context.admit();
+      if (this.#context.settled) return;
+      if (admission === "blocked") return this.#refuse(BLOCKED);
+      if (admission === "suspected") return this.#refuse(SUSPECTED);
       if (this.#context.isWriterGone) return this.#refuse(VERSION_GONE);
       const plan = await this.#plan();
       if (this.#context.settled) return;
@@ -246,6 +255,7 @@
   /** Why the request may no longer be sent; it may have waited meanwhile. */
   get #obstacle(): NextStep | undefined {
     if (this.#context.blockedMilliseconds > 0) return "blocked";
+    if (this.#context.needsTrial) return "again";
     if (this.#context.isKeyRemoved) return KEY_REMOVED;
     const hasPermit = this.#context.arrivals.reserve({ prefill: false });
     return hasPermit ? undefined : "refuse";
@@ -480,6 +490,10 @@
         OTHER_ENTRY_RETRY_SPREAD_MILLISECONDS * random();
     }
     if (reason === BLOCKED) return this.#context.blockedMilliseconds;
+    if (reason === SUSPECTED) {
+      return SUSPECTED_RETRY_AFTER_MILLISECONDS +
+        RETRY_AFTER_SPREAD_MILLISECONDS * random();
+    }
     const waits = this.#requiredEndpoints
       .map((matches) => this.#context.overloadMilliseconds(matches))
       .filter(Number.isFinite);
@@ -517,6 +531,8 @@
     this.#deadline.cancel();
     this.#handover.release();
     this.#context.arrivals.release();
+    const { crashPass, hasLostRun } = this.#context;
+    crashPass.release(hasLostRun ? LOSS_KNOWN_MILLISECONDS : 0);
   }
 }
 
--- a/src/entry/forwarding/work_notification.ts
+++ b/src/entry/forwarding/work_notification.ts
@@ -1,6 +1,5 @@
 /** Encoding of the work notifications between entries. */
 import {
-  type CrashReport,
   type EndpointRegistry,
   isLimitReport,
   isOutcomeRows,
@@ -185,12 +184,3 @@
   const { entry, verdicts } = value as Record<string, unknown>;
   return typeof entry === "string" && isVerdictRows(verdicts);
 }
-
-/** Checks that the value is a valid crash report. */
-export function isCrashReport(value: unknown): value is CrashReport {
-  if (typeof value !== "object" || value === null) return false;
-  const { cleared, losses } = value as Partial<CrashReport>;
-  return Array.isArray(losses) && losses.every(isReportedLoss) &&
-    Array.isArray(cleared) &&
-    cleared.every((digest) => typeof digest === "string");
-}
--- a/test/operations/operations_test.ts
+++ b/test/operations/operations_test.ts
@@ -10,8 +10,8 @@
   createUsageReportCounter,
   createVerdictCounter,
   Metrics,
-  registerBlockedRequestsGauge,
   registerConfigurationGauges,
+  registerCrashGauges,
   registerKeptStreamsGauge,
   registerLimitedEndpointsGauge,
   registerPauseCounters,
@@ -72,7 +72,7 @@
   createUsageReportCounter(metrics.registry);
   createVerdictCounter(metrics.registry);
   registerUsageFencingGauge(metrics.registry, () => undefined);
-  registerBlockedRequestsGauge(metrics.registry, () => 0);
+  registerCrashGauges(metrics.registry, { blocked: () => 0, held: () => 0 });
   registerLimitedEndpointsGauge(metrics.registry, () => 0);
   registerPauseCounters(metrics.registry, () => []);
   registerPlannedRolesGauges(metrics.registry, () => []);
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -1,5 +1,9 @@
 import { err } from "neverthrow";
-import { digestOf, streamDigestOf } from "../../src/adapters/forwarding/mod.ts";
+import {
+  digestOf,
+  partDigestOf,
+  streamDigestOf,
+} from "../../src/adapters/forwarding/mod.ts";
 import {
   type ForwardingConfiguration,
   type RegisteredEndpoint,
@@ -129,6 +133,7 @@
         release() {},
       },
       digestOf,
+      partDigestOf,
       streamDigestOf,
       sendToPeers: (addresses, { method, params }) => {
         for (const address of addresses) {
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -27,6 +27,7 @@
   SharedRetryBudget,
   StreamKeepers,
   StreamOrigins,
+  TrialIssuer,
   WorkRate,
 } from "../../src/core/forwarding/mod.ts";
 import {
@@ -36,7 +37,11 @@
 } from "../../src/core/identity/mod.ts";
 import { NOOP_LOGGER } from "../../src/core/observation/mod.ts";
 import { seededRandom } from "../../src/core/random/mod.ts";
-import { digestOf, streamDigestOf } from "../../src/adapters/forwarding/mod.ts";
+import {
+  digestOf,
+  partDigestOf,
+  streamDigestOf,
+} from "../../src/adapters/forwarding/mod.ts";
 import {
   ENGINES,
   knownEstimates,
@@ -50,6 +55,7 @@
   type BodyFraming,
   type CallerSink,
   ConfigurationStatus,
+  CrashGate,
   type EndpointClient,
   type EndpointResponse,
   type Exchange,
@@ -62,6 +68,7 @@
   QueryAllowance,
   RequestPermits,
   StreamOriginExchange,
+  TrialExchange,
   VersionListing,
 } from "../../src/entry/forwarding/mod.ts";
 
@@ -292,6 +299,19 @@
       }),
       returningCallers: new ReturningCallers(timer),
       crashes,
+      crashGate: new CrashGate({
+        timer,
+        crashes,
+        trials: new TrialExchange({
+          self,
+          incarnation: "1",
+          timer,
+          issuer: new TrialIssuer(timer),
+          crashes,
+          owners,
+          send() {},
+        }),
+      }),
       lostRunChecks: new LostRunChecks({
         timer,
         registry,
@@ -363,6 +383,7 @@
         send() {},
       }),
       digestOf,
+      partDigestOf,
       observe: (decision, facts) => {
         this.decisions.push({ decision, ...facts });
       },
