Do not blame the first part of prompts for crashes of others

Cause: it is in flight in every crash, so it is the heaviest suspect of all, and while several other parts crash the few engines that are left no run of it lives long enough to clear it.

First parts are now looked at last: a crash counts against one only if nothing else that was in it was in several. A first part is blocked for two, then five seconds behind its first crashes, and for ten minutes only from the fifth on: a false block ends with one trial. A request with several suspects leaves trials to requests with one for a while, since its crash would not show the cause. Without an endpoint a request does not wait for a trial but is refused at once.

--- a/src/core/forwarding/crashes/crash_reports.ts
+++ b/src/core/forwarding/crashes/crash_reports.ts
@@ -115,7 +115,9 @@
 
 /** The loss with the time since it, which has grown since it was recorded. */
 function withAge({ at, loss }: DatedLoss, now: number): ReportedLoss {
-  const [digest, endpoint, startedAt, crash, lasted = 0, ago = 0] = loss;
+  const [digest, endpoint, startedAt, crash, lasted = 0, ago = 0, isFirst] =
+    loss;
   const age = ago + Math.round(now - at);
-  return [digest, endpoint, startedAt, crash, lasted, age];
+  const aged = [digest, endpoint, startedAt, crash, lasted, age] as const;
+  return isFirst === undefined ? aged : [...aged, isFirst];
 }
--- a/src/core/forwarding/crashes/crash_tracker.ts
+++ b/src/core/forwarding/crashes/crash_tracker.ts
@@ -4,12 +4,7 @@
 import type { EndpointStateHolder } from "../endpoints/endpoint_registry.ts";
 import type { EndpointRun } from "../endpoints/endpoint_runs.ts";
 import { CrashReports } from "./crash_reports.ts";
-import {
-  CRASHES_UNTIL_BLOCKED,
-  type CulpritGroup,
-  type Culprits,
-  findCulprits,
-} from "./culprits.ts";
+import { type Culprits, findCulprits } from "./culprits.ts";
 import { RecentProofs } from "./recent_proofs.ts";
 import {
   digestOfLoss,
@@ -22,6 +17,15 @@
 
 /** Time that a culprit is blocked after its last crash. */
 const BLOCK_MILLISECONDS = 10 * 60_000;
+/**
+ * Time that the first part of prompts is blocked after its last crash, by the
+ * number of lost runs. It is in so many requests that a false block has to end
+ * soon; one trial then shows whether it is false.
+ */
+const FIRST_PART_BLOCKS: readonly (readonly [
+  lostRuns: number,
+  milliseconds: number,
+])[] = [[3, 2_000], [4, 5_000]];
 /**
  * Time that a suspect is kept after its last crash. After the block ends, it may
  * run once more; a further crash blocks it again.
@@ -29,6 +33,8 @@
 const RETENTION_MILLISECONDS = 2 * BLOCK_MILLISECONDS;
 /** Number of lost runs after which a suspect runs once at a time. */
 const LOST_RUNS_UNTIL_HELD = 2;
+/** Number of lost runs from which a suspect may be a culprit or explain one. */
+const LOST_RUNS_OF_REPEATER = 2;
 /**
  * No process restarts faster than this, so an endpoint that answers sooner
  * after a loss has not crashed.
@@ -51,12 +57,17 @@
   /** It is blocked for this time. */
   | { readonly kind: "blocked"; readonly milliseconds: number }
   /** These suspects may run once at a time in the whole fleet. */
-  | { readonly kind: "held"; readonly digests: readonly SuspectDigest[] };
+  | {
+    readonly kind: "held";
+    readonly digests: readonly SuspectDigest[];
+    /** True if a crash would not show which suspect is its cause. */
+    readonly isAmbiguous: boolean;
+  };
 
 export interface CrashTrackerOptions {
   readonly timer: TimerService;
   /**
-   * Called when a suspect becomes blocked; `isOwn` is true if this entry has
+   * Called when a block of a suspect begins; `isOwn` is true if this entry has
    * observed one of the losses.
    */
   readonly onBlocked?: (
@@ -71,6 +82,8 @@
 
 export interface LossOptions {
   readonly digest: SuspectDigest;
+  /** True for a part that stands first in the prompt. */
+  readonly isFirstPart?: boolean;
   /** Value of `crashCount` when the request was sent there. */
   readonly knownBefore: number;
   /** Time from the first byte of the response, milliseconds. */
@@ -88,7 +101,6 @@
 }
 
 const FREE: CrashVerdict = { kind: "free" };
-const NO_CULPRITS: Culprits = { groups: [], explainedRuns: new Set() };
 
 /**
  * Tracks what endpoints of all entries have crashed on: whole requests, known by
@@ -100,8 +112,8 @@
   readonly #options: CrashTrackerOptions;
   /** Ordered by the time of the last loss, the oldest first. */
   readonly #suspects = new Map<SuspectDigest, Suspect>();
-  /** Suspects with enough lost runs to be a culprit. */
-  readonly #candidates = new Set<Suspect>();
+  /** Suspects that several runs were lost with. */
+  readonly #repeaters = new Set<Suspect>();
   /** Recently lost runs, which may turn out to be alive. */
   readonly #lostRuns = new Map<string, LostRun>();
   /** Runs that have not crashed for a while. */
@@ -109,7 +121,7 @@
   /** Runs that have disproved the losses before them. */
   readonly #acquittals: RecentProofs;
   readonly #listeners = new Set<() => void>();
-  #culprits: Culprits = NO_CULPRITS;
+  #culprits: Culprits = findCulprits([]);
   /** Pending reports to peers. */
   readonly reports: CrashReports;
 
@@ -127,8 +139,7 @@
 
   /** Number of requests and parts that are blocked now. */
   get blocked(): number {
-    return this.#blockedGroups()
-      .reduce((sum, { digests }) => sum + digests.size, 0);
+    return this.#blockedSuspects().length;
   }
 
   /** Number of suspects that may run once at a time now. */
@@ -146,10 +157,11 @@
   /** Records that the connection to a run broke with the request on it. */
   lost(run: EndpointRun, options: LossOptions): void {
     const { digest, isConfirmed = true, knownBefore, lasted = 0 } = options;
+    const { isFirstPart = false } = options;
     const lostAt = this.#options.timer.now();
     const crash = knownBefore + 1;
     const loss = { run, crash, lostAt, lasted, isConfirmed };
-    const suspect = this.#record(digest, loss);
+    const suspect = this.#record(digest, { isFirstPart, loss });
     if (suspect === undefined) return;
     suspect.isOwn = true;
     if (isConfirmed) this.reports.addOwn(suspect.encode(loss, lostAt));
@@ -182,11 +194,13 @@
     for (const reported of losses) {
       const digest = digestOfLoss(reported);
       const known = this.#suspects.get(digest);
-      const wasBlocked = known !== undefined && this.#isBlocked(digest);
+      const wasBlocked = known !== undefined &&
+        this.#blockedMilliseconds(known) > 0;
       const [, , , crash, lasted = 0, ago = 0] = reported;
+      const isFirstPart = reported[6] ?? false;
       const run = runOfLoss(reported);
       const loss = { run, crash, lostAt: now - ago, lasted, isConfirmed: true };
-      if (this.#record(digest, loss) === undefined) continue;
+      if (this.#record(digest, { isFirstPart, loss }) === undefined) continue;
       isChanged = true;
       // The peer has sent what is blocked here, so it does not know all losses.
       if (wasBlocked) this.reports.add(known.report(now));
@@ -205,9 +219,10 @@
   ): boolean {
     if (ageMilliseconds >= BLOCK_MILLISECONDS) return false;
     const aged = losses.map((loss): ReportedLoss => {
-      const [digest, endpoint, startedAt, crash, lasted = 0, ago = 0] = loss;
+      const [digest, endpoint, startedAt, crash, lasted = 0, ago = 0, isFirst] =
+        loss;
       const age = ago + Math.max(0, ageMilliseconds);
-      return [digest, endpoint, startedAt, crash, lasted, age];
+      return [digest, endpoint, startedAt, crash, lasted, age, isFirst];
     });
     this.recordPeerLosses(aged);
     return true;
@@ -319,19 +334,19 @@
   /** Whether a request with these digests may be sent now. */
   verdictOn(digests: readonly SuspectDigest[]): CrashVerdict {
     if (this.#suspects.size === 0) return FREE;
-    const held = new Set<SuspectDigest>();
-    for (const group of this.#blockedGroups()) {
-      const contained = digests.filter((each) => group.digests.has(each));
-      if (contained.length === group.digests.size) {
-        return { kind: "blocked", milliseconds: this.#remaining(group) };
-      }
-      for (const digest of contained) held.add(digest);
-    }
-    for (const digest of digests) {
-      const suspect = this.#suspects.get(digest);
-      if (suspect !== undefined && this.#isHeld(suspect)) held.add(digest);
-    }
-    return held.size === 0 ? FREE : { kind: "held", digests: [...held].sort() };
+    const suspects = digests.flatMap((each) => this.#suspects.get(each) ?? []);
+    const milliseconds = Math.max(
+      0,
+      ...suspects.map((each) => this.#blockedMilliseconds(each)),
+    );
+    if (milliseconds > 0) return { kind: "blocked", milliseconds };
+    const held = suspects.filter((each) => this.#isHeld(each));
+    if (held.length === 0) return FREE;
+    return {
+      kind: "held",
+      digests: held.map(({ digest }) => digest).sort(),
+      isAmbiguous: suspects.filter((each) => each.lostRuns > 0).length > 1,
+    };
   }
 
   /**
@@ -347,7 +362,7 @@
   seriousLosses(): readonly ReportedLoss[] {
     const now = this.#options.timer.now();
     const suspects = [...this.#suspects.values()].reverse();
-    const blocked = suspects.filter(({ digest }) => this.#isBlocked(digest));
+    const blocked = this.#blockedSuspects();
     const held = suspects.filter((each) =>
       !blocked.includes(each) && this.#isHeld(each)
     );
@@ -361,15 +376,20 @@
   }
 
   /** Returns the suspect; undefined if the loss was known or is disproved. */
-  #record(digest: SuspectDigest, loss: SuspectLoss): Suspect | undefined {
+  #record(
+    digest: SuspectDigest,
+    { isFirstPart, loss }: {
+      readonly isFirstPart: boolean;
+      readonly loss: SuspectLoss;
+    },
+  ): Suspect | undefined {
     if (this.#acquittals.beganAt(digest) >= loss.lostAt) return undefined;
-    const suspect = this.#suspects.get(digest) ?? new Suspect(digest);
+    const suspect = this.#suspects.get(digest) ??
+      new Suspect(digest, { isFirstPart });
     if (!suspect.record(loss)) return undefined;
     this.#suspects.delete(digest);
     this.#suspects.set(digest, suspect);
-    if (suspect.lostRuns >= CRASHES_UNTIL_BLOCKED) {
-      this.#candidates.add(suspect);
-    }
+    if (suspect.lostRuns >= LOST_RUNS_OF_REPEATER) this.#repeaters.add(suspect);
     this.#recordLostRun(loss, digest);
     this.#evict(this.#options.timer.now());
     this.#offerProof(digest);
@@ -401,7 +421,7 @@
     this.reports.discard(digest, beganAt);
     this.reports.addCleared(digest, beganAt);
     if (suspect.wasBlocked && suspect.lostRuns === 0) {
-      suspect.wasBlocked = false;
+      suspect.blockedUntil = undefined;
       this.#options.onCleared?.(digest);
     }
     return true;
@@ -409,16 +429,14 @@
 
   /** Finds the culprits again, as losses or proofs have changed. */
   #changed(): void {
-    for (const each of this.#candidates) {
+    for (const each of this.#repeaters) {
       const isKnown = this.#suspects.get(each.digest) === each;
-      if (!isKnown || each.lostRuns < CRASHES_UNTIL_BLOCKED) {
-        this.#candidates.delete(each);
+      if (!isKnown || each.lostRuns < LOST_RUNS_OF_REPEATER) {
+        this.#repeaters.delete(each);
       }
     }
-    this.#culprits = findCulprits(this.#candidates);
-    for (const { digests } of this.#blockedGroups()) {
-      for (const digest of digests) this.#noteBlocked(digest);
-    }
+    this.#culprits = findCulprits(this.#repeaters);
+    for (const each of this.#blockedSuspects()) this.#noteBlocked(each);
     this.#notify();
   }
 
@@ -426,12 +444,13 @@
     for (const listener of this.#listeners) listener();
   }
 
-  #noteBlocked(digest: SuspectDigest): void {
-    const suspect = this.#suspects.get(digest);
-    if (suspect === undefined || suspect.wasBlocked) return;
-    suspect.wasBlocked = true;
-    const losses = suspect.report(this.#options.timer.now());
-    this.#options.onBlocked?.({ digest, losses }, { isOwn: suspect.isOwn });
+  #noteBlocked(suspect: Suspect): void {
+    const { blockedUntil = -Infinity, digest, isOwn } = suspect;
+    const now = this.#options.timer.now();
+    suspect.blockedUntil = now + this.#blockedMilliseconds(suspect);
+    if (blockedUntil > now) return;
+    const losses = suspect.report(now);
+    this.#options.onBlocked?.({ digest, losses }, { isOwn });
   }
 
   #evict(now: number): void {
@@ -443,7 +462,8 @@
       const isExpired = now - suspect.lastLossAt > RETENTION_MILLISECONDS;
       const isOverLimit = this.#suspects.size > MAX_SUSPECTS;
       if (!isExpired && !isOverLimit) return;
-      if (isExpired || !this.#isBlocked(digest)) this.#suspects.delete(digest);
+      const isBlocked = this.#blockedMilliseconds(suspect) > 0;
+      if (isExpired || !isBlocked) this.#suspects.delete(digest);
     }
   }
 
@@ -460,24 +480,29 @@
    */
   #isHeld(suspect: Suspect): boolean {
     if (suspect.wasBlocked && suspect.lostRuns > 0) {
-      return !this.#isBlocked(suspect.digest);
+      return this.#blockedMilliseconds(suspect) === 0;
     }
     const unexplained = [...suspect.runs]
-      .filter((run) => !this.#culprits.explainedRuns.has(run));
+      .filter((run) => !this.#culprits.explains(run, suspect));
     return unexplained.length >= LOST_RUNS_UNTIL_HELD &&
       !this.#proofs.isRecent(suspect.digest);
   }
 
-  #isBlocked(digest: SuspectDigest): boolean {
-    return this.#blockedGroups().some(({ digests }) => digests.has(digest));
-  }
-
-  #blockedGroups(): CulpritGroup[] {
-    return this.#culprits.groups.filter((group) => this.#remaining(group) > 0);
+  #blockedSuspects(): Suspect[] {
+    return [...this.#culprits.suspects].filter((each) =>
+      this.#blockedMilliseconds(each) > 0
+    );
   }
 
-  #remaining({ lastLossAt }: CulpritGroup): number {
-    const until = lastLossAt + BLOCK_MILLISECONDS;
+  #blockedMilliseconds(suspect: Suspect): number {
+    if (!this.#culprits.suspects.has(suspect)) return 0;
+    const until = suspect.lastLossAt + blockMilliseconds(suspect);
     return Math.max(0, until - this.#options.timer.now());
   }
 }
+
+function blockMilliseconds({ isFirstPart, lostRuns }: Suspect): number {
+  if (!isFirstPart) return BLOCK_MILLISECONDS;
+  const early = FIRST_PART_BLOCKS.find(([most]) => lostRuns <= most);
+  return early?.[1] ?? BLOCK_MILLISECONDS;
+}
--- a/src/core/forwarding/crashes/crash_tracker_test.ts
+++ b/src/core/forwarding/crashes/crash_tracker_test.ts
@@ -4,8 +4,10 @@
 import {
   identifier,
   numbered,
+  type PartDigest,
   type ReplicaStartTime,
   type RequestDigest,
+  type SuspectDigest,
 } from "../../identity/mod.ts";
 import { ManualTimerService } from "../../time/mod.ts";
 import { CrashTracker } from "./crash_tracker.ts";
@@ -52,7 +54,7 @@
     tracker.forget(makeEndpoint(endpoint));
   }
 
-  function isBlocked(digest: RequestDigest): boolean {
+  function isBlocked(digest: SuspectDigest): boolean {
     return tracker.blockedMilliseconds([digest]) > 0;
   }
 
@@ -180,6 +182,103 @@
     });
   });
 
+  describe("the first part of prompts", () => {
+    const FIRST = identifier<PartDigest>("first");
+
+    /** Crashes endpoints with the first part and another suspect in flight. */
+    function crashWithFirst(
+      endpoint: string,
+      ...others: SuspectDigest[]
+    ): void {
+      for (const digest of [FIRST, ...others]) {
+        const knownBefore = tracker.crashCount(digest);
+        tracker.lost(makeEndpoint(endpoint), {
+          digest,
+          knownBefore,
+          isFirstPart: digest === FIRST,
+        });
+      }
+      tracker.forget(makeEndpoint(endpoint));
+    }
+
+    // All requests share it, so it is in flight whenever an endpoint crashes.
+    it("is not blocked for crashes that several other parts account for", () => {
+      const [one, other] = ["one", "other"].map((each) =>
+        identifier<PartDigest>(each)
+      );
+      for (const endpoint of ["a", "b"]) crashWithFirst(endpoint, one);
+      for (const endpoint of ["c", "d"]) crashWithFirst(endpoint, other);
+      expect(tracker.crashCount(FIRST)).to.equal(4);
+      expect(isBlocked(FIRST)).to.equal(false);
+    });
+
+    it("is blocked for a short time until its fifth crash", async () => {
+      for (const endpoint of ["a", "b", "c"]) crashWithFirst(endpoint);
+      expect(tracker.blockedMilliseconds([FIRST])).to.equal(2_000);
+      await timer.advance(2_000);
+      expect(tracker.verdictOn([FIRST]).kind).to.equal("held");
+      crashWithFirst("d");
+      expect(tracker.blockedMilliseconds([FIRST])).to.equal(5_000);
+      await timer.advance(5_000);
+      crashWithFirst("e");
+      expect(tracker.blockedMilliseconds([FIRST]))
+        .to.equal(10 * MINUTE_MILLISECONDS);
+    });
+
+    it("is free once a run of it has lasted longer than the lost ones", async () => {
+      for (const endpoint of ["a", "b", "c"]) crashWithFirst(endpoint);
+      await timer.advance(2_000);
+      const beganAt = timer.now();
+      await timer.advance(200);
+      tracker.recordProgress([FIRST], beganAt);
+      expect(tracker.verdictOn([FIRST]).kind).to.equal("held");
+      await timer.advance(100);
+      tracker.recordProgress([FIRST], beganAt);
+      expect(tracker.verdictOn([FIRST]).kind).to.equal("free");
+    });
+  });
+
+  describe("a suspect that several endpoints were lost with", () => {
+    function loseAtOnce(): void {
+      for (const endpoint of ["a", "b"]) {
+        tracker.lost(makeEndpoint(endpoint), {
+          digest: BYSTANDER,
+          knownBefore: 0,
+        });
+      }
+    }
+
+    it("is held until a run that began later does not crash", async () => {
+      loseAtOnce();
+      expect(tracker.held).to.equal(1);
+      const before = timer.now() - 1;
+      await timer.advance(400);
+      tracker.recordCompletion([BYSTANDER], before);
+      expect(tracker.held).to.equal(1);
+      tracker.recordCompletion([BYSTANDER], timer.now() - 100);
+      expect(tracker.held).to.equal(0);
+    });
+
+    it("is not held if a run has not crashed a moment ago", async () => {
+      tracker.recordProof([BYSTANDER], timer.now());
+      await timer.advance(300);
+      loseAtOnce();
+      expect(tracker.held).to.equal(0);
+      await timer.advance(1_000);
+      expect(tracker.held).to.equal(1);
+    });
+
+    it("is not held for a loss that was disproved before it was reported", () => {
+      loseAtOnce();
+      tracker.recordCompletion([BYSTANDER]);
+      tracker.recordPeerLosses([
+        [BYSTANDER, "c", null, 1, 0, 700],
+        [BYSTANDER, "d", null, 1, 0, 700],
+      ]);
+      expect(tracker.held).to.equal(0);
+    });
+  });
+
   describe("answered", () => {
     it("retracts a loss at an endpoint that answers right after it", async () => {
       for (const endpoint of ["a", "b", "c"]) lose(endpoint, CRASHING);
--- a/src/core/forwarding/crashes/culprits.ts
+++ b/src/core/forwarding/crashes/culprits.ts
@@ -1,62 +1,51 @@
-import type { SuspectDigest } from "../../identity/mod.ts";
 import type { Suspect } from "./suspect.ts";
 
 /** Number of successive crashes after which a suspect is a culprit. */
-export const CRASHES_UNTIL_BLOCKED = 3;
-
-/**
- * Suspects that the same runs were lost with; one of them has crashed these
- * runs. A request with all of them is blocked, one with some of them shows
- * whether they are the cause.
- */
-export interface CulpritGroup {
-  readonly digests: ReadonlySet<SuspectDigest>;
-  readonly lastLossAt: number;
-}
+const CRASHES_UNTIL_BLOCKED = 3;
+/** Crashes from which a suspect accounts for those of a first part. */
+const CRASHES_OF_REPEATER = 2;
 
+/** What has crashed endpoints. */
 export interface Culprits {
-  readonly groups: readonly CulpritGroup[];
-  /** Runs whose loss the culprits account for. */
-  readonly explainedRuns: ReadonlySet<string>;
+  readonly suspects: ReadonlySet<Suspect>;
+  /** True if something else accounts for the loss of the run. */
+  readonly explains: (run: string, suspect: Suspect) => boolean;
 }
 
 /**
- * Finds the smallest plausible set of causes: the suspect that most runs were
- * lost with accounts for them, and what is left must be explained by others.
- * What only was in flight beside a culprit thus has no crash of its own.
+ * Finds the smallest plausible set of causes: the suspect with the most lost
+ * runs accounts for them, and what is left must be explained by others. What was
+ * only in flight beside a culprit thus has no crash of its own. The first parts
+ * of prompts come last: they are in flight in most crashes, whatever caused
+ * them, so a crash counts against one only if nothing else that was in it was in
+ * several.
  */
 export function findCulprits(suspects: Iterable<Suspect>): Culprits {
-  const candidates = [...suspects]
-    .filter((each) => each.confirmedCrashes() >= CRASHES_UNTIL_BLOCKED)
-    .map((suspect) => ({ suspect, runs: suspect.confirmedRuns }))
+  const repeaters = [...suspects]
+    .filter((each) => each.confirmedCrashes() >= CRASHES_OF_REPEATER)
     .sort((left, right) =>
-      right.runs.length - left.runs.length ||
-      (left.suspect.digest < right.suspect.digest ? -1 : 1)
+      Number(left.isFirstPart) - Number(right.isFirstPart) ||
+      right.lostRuns - left.lostRuns ||
+      (left.digest < right.digest ? -1 : 1)
     );
-  const explainedRuns = new Set<string>();
-  const groups: CulpritGroup[] = [];
-  const grouped = new Set<Suspect>();
-  for (const { runs, suspect } of candidates) {
-    if (grouped.has(suspect)) continue;
-    const crashes = suspect.confirmedCrashes((run) => !explainedRuns.has(run));
+  const runsOfOthers = new Set(
+    repeaters.filter(({ isFirstPart }) => !isFirstPart)
+      .flatMap(({ confirmedRuns }) => confirmedRuns),
+  );
+  const culprits = new Set<Suspect>();
+  const culpritOf = new Map<string, Suspect>();
+  const explains = (run: string, suspect: Suspect) => {
+    const culprit = culpritOf.get(run);
+    const isOtherCulprit = culprit !== undefined && culprit !== suspect;
+    return isOtherCulprit || (suspect.isFirstPart && runsOfOthers.has(run));
+  };
+  for (const suspect of repeaters) {
+    const crashes = suspect.confirmedCrashes((run) => !explains(run, suspect));
     if (crashes < CRASHES_UNTIL_BLOCKED) continue;
-    const tied = candidates.filter((other) => hasSameRuns(other.runs, runs))
-      .map((other) => other.suspect);
-    for (const each of tied) grouped.add(each);
-    for (const run of runs) explainedRuns.add(run);
-    groups.push({
-      digests: new Set(tied.map(({ digest }) => digest)),
-      lastLossAt: Math.max(...tied.map(({ lastLossAt }) => lastLossAt)),
-    });
+    culprits.add(suspect);
+    for (const run of suspect.confirmedRuns) {
+      if (!culpritOf.has(run)) culpritOf.set(run, suspect);
+    }
   }
-  return { groups, explainedRuns };
-}
-
-function hasSameRuns(
-  left: readonly string[],
-  right: readonly string[],
-): boolean {
-  if (left.length !== right.length) return false;
-  const known = new Set(right);
-  return left.every((run) => known.has(run));
+  return { suspects: culprits, explains };
 }
--- a/src/core/forwarding/crashes/reported_loss.ts
+++ b/src/core/forwarding/crashes/reported_loss.ts
@@ -13,7 +13,7 @@
  * none of the senders knew of the others. Endpoints that crash at the same time
  * are thus counted once. `lasted` is the time from the first byte of the
  * response to the loss, `ago` the time since the loss; both in milliseconds, and
- * 0 if absent.
+ * 0 if absent. `isFirstPart` is true for a part that stands first in prompts.
  */
 export type ReportedLoss = readonly [
   digest: string,
@@ -22,6 +22,7 @@
   crash: number,
   lasted?: number,
   ago?: number,
+  isFirstPart?: boolean,
 ];
 
 /** A suspect that an endpoint has run, and when that run began. */
@@ -30,11 +31,12 @@
 /** Returns whether a value received from a peer is a loss. */
 export function isReportedLoss(value: unknown): value is ReportedLoss {
   if (!Array.isArray(value)) return false;
-  const [digest, endpoint, startedAt, crash, lasted, ago] = value;
+  const [digest, endpoint, startedAt, crash, lasted, ago, isFirstPart] = value;
   return typeof digest === "string" && typeof endpoint === "string" &&
     (startedAt === null || Number.isFinite(startedAt)) &&
     Number.isInteger(crash) && isOptionalNumber(lasted) &&
-    isOptionalNumber(ago);
+    isOptionalNumber(ago) &&
+    (isFirstPart === undefined || typeof isFirstPart === "boolean");
 }
 
 /** Returns whether a value received from a peer is a proof. */
--- a/src/core/forwarding/crashes/suspect.ts
+++ b/src/core/forwarding/crashes/suspect.ts
@@ -27,17 +27,27 @@
  */
 export class Suspect {
   readonly digest: SuspectDigest;
+  /** True for a part that stands first in prompts; most requests share it. */
+  readonly isFirstPart: boolean;
   /** True if this entry has observed one of the losses. */
   isOwn = false;
-  /** True once it has been blocked. */
-  wasBlocked = false;
+  /** End of its last block, milliseconds; undefined if it was not blocked. */
+  blockedUntil: number | undefined;
   lastLossAt = -Infinity;
   readonly #losses = new Map<string, SuspectLoss>();
   /** Longest run that was lost before a proof, milliseconds. */
   #longestDisproved = 0;
 
-  constructor(digest: SuspectDigest) {
+  constructor(
+    digest: SuspectDigest,
+    { isFirstPart }: { readonly isFirstPart: boolean },
+  ) {
     this.digest = digest;
+    this.isFirstPart = isFirstPart;
+  }
+
+  get wasBlocked(): boolean {
+    return this.blockedUntil !== undefined;
   }
 
   /** Keys of the runs that were lost. */
@@ -137,7 +147,15 @@
   ): ReportedLoss {
     const { id, startedAt = null } = run;
     const ago = Math.round(now - lostAt);
-    return [this.digest, id, startedAt, crash, Math.round(lasted), ago];
+    const loss = [
+      this.digest,
+      id,
+      startedAt,
+      crash,
+      Math.round(lasted),
+      ago,
+    ] as const;
+    return this.isFirstPart ? [...loss, true] : loss;
   }
 }
 
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -272,9 +272,11 @@
     const { crashes, lostRunChecks, timer } = this.#dependencies;
     const { digest, suspects } = this.#context;
     const lasted = timer.now() - (this.#beganAt ?? timer.now());
+    const [firstPart] = this.#context.partDigests;
     for (const each of suspects) {
       crashes.lost(this.endpoint, {
         digest: each,
+        isFirstPart: each === firstPart,
         knownBefore: this.#knownCrashes.get(each) ?? 0,
         lasted,
         isConfirmed: false,
--- a/src/entry/forwarding/crashes/crash_gate.ts
+++ b/src/entry/forwarding/crashes/crash_gate.ts
@@ -8,6 +8,11 @@
  * told to the owner only.
  */
 const RETRY_MILLISECONDS = 40;
+/**
+ * Time for which a request with several suspects leaves trials to requests with
+ * one, whose crash shows the cause.
+ */
+const AMBIGUOUS_WAIT_MILLISECONDS = 300;
 /** Longest wait for a trial. A sound suspect is cleared in a part of it. */
 const MAX_WAIT_MILLISECONDS = 2_000;
 /** Share of the caller's time that its request may wait for a trial. */
@@ -89,7 +94,8 @@
     const { crashes, timer } = this.#options;
     if (crashes.size === 0) return "admitted";
     const { digests, isSettled, remainingMilliseconds } = options;
-    const until = timer.now() + Math.min(
+    const from = timer.now();
+    const until = from + Math.min(
       MAX_WAIT_MILLISECONDS,
       MAX_WAIT_SHARE * remainingMilliseconds,
     );
@@ -99,7 +105,9 @@
       if (verdict.kind === "free") return "admitted";
       const missing = verdict.digests.find((each) => !this.#held.has(each));
       if (missing === undefined) return "admitted";
-      if (await this.#take(missing)) continue;
+      const mayTake = !verdict.isAmbiguous ||
+        timer.now() >= from + AMBIGUOUS_WAIT_MILLISECONDS;
+      if (mayTake && await this.#take(missing)) continue;
       if (timer.now() >= until || !this.#shared.mayWait()) return "suspected";
       await this.#wait();
     }
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -169,6 +169,9 @@
   /** Settles when the request may be sent, as far as crashes are concerned. */
   async admit(): Promise<Admission> {
     if (this.dependencies.crashes.size === 0) return "admitted";
+    if (this.blockedMilliseconds > 0) return "blocked";
+    // A trial needs an endpoint; without one the request is refused for that.
+    if (this.endpoints().length === 0) return "admitted";
     return await this.crashPass.admit({
       digests: this.suspects,
       remainingMilliseconds: this.remainingToFirstByteMilliseconds,
