--- a/src/entry/forwarding/crashes/crashing_parts_test.ts
+++ b/src/entry/forwarding/crashes/crashing_parts_test.ts
@@ -220,6 +220,25 @@
     });
   });
 
+  // Both parts were in flight in the same crashes, so either may be blocked.
+  it("does not get a sound part blocked for good that came with it", async () => {
+    const scenario = new PartScenario();
+    await scenario.fleet.timer.advance(2_500);
+    for (let time = 0; time < 6; time++) {
+      scenario.ask([`head-${time % HEADS}`, "companion", BAD]);
+      await scenario.run({ milliseconds: 500 });
+    }
+    expect(scenario.crashes).to.equal(3);
+    const callers: RecordingSink[] = [];
+    for (let time = 0; time < 12; time++) {
+      scenario.ask([`head-${time % HEADS}`, `document-${time}`, BAD]);
+      callers.push(scenario.ask([`head-${time % HEADS}`, "companion"]));
+      await scenario.run({ milliseconds: 500 });
+    }
+    expect(scenario.crashes).to.be.at.most(MAX_CRASHES_ONE_BY_ONE);
+    expect(callers.at(-1)?.ended).to.equal("whole");
+  });
+
   // The caller of a sound document repeats a request that crashes engines with
   // its own part; the document has been in the same crashes.
   it("is not looked for in a part whose requests crash only as a whole", async () => {
