Count successive crashes for the block of a first part

Endpoints that end in groups were counted one by one, so that a first part, which is in flight on all of them, would have been blocked for ten minutes at its third crash in a row. Its block now grows with successive crashes.

--- a/src/core/forwarding/crashes/crash_tracker.ts
+++ b/src/core/forwarding/crashes/crash_tracker.ts
@@ -19,11 +19,11 @@
 const BLOCK_MILLISECONDS = 10 * 60_000;
 /**
  * Time that the first part of prompts is blocked after its last crash, by the
- * number of lost runs. It is in so many requests that a false block has to end
- * soon; one trial then shows whether it is false.
+ * number of successive crashes. It is in so many requests that a false block has
+ * to end soon; one trial then shows whether it is false.
  */
 const FIRST_PART_BLOCKS: readonly (readonly [
-  lostRuns: number,
+  crashes: number,
   milliseconds: number,
 ])[] = [[3, 2_000], [4, 5_000]];
 /**
@@ -501,8 +501,8 @@
   }
 }
 
-function blockMilliseconds({ isFirstPart, lostRuns }: Suspect): number {
+function blockMilliseconds({ crashes, isFirstPart }: Suspect): number {
   if (!isFirstPart) return BLOCK_MILLISECONDS;
-  const early = FIRST_PART_BLOCKS.find(([most]) => lostRuns <= most);
+  const early = FIRST_PART_BLOCKS.find(([most]) => crashes <= most);
   return early?.[1] ?? BLOCK_MILLISECONDS;
 }
