--- a/src/core/forwarding/crashes/crash_tracker.ts
+++ b/src/core/forwarding/crashes/crash_tracker.ts
@@ -4,6 +4,7 @@
 import type { EndpointStateHolder } from "../endpoints/endpoint_registry.ts";
 import type { EndpointRun } from "../endpoints/endpoint_runs.ts";
 import { CrashReports } from "./crash_reports.ts";
+import { blockMilliseconds, MAX_BLOCK_MILLISECONDS } from "./block_time.ts";
 import { type Culprits, findCulprits } from "./culprits.ts";
 import { RecentProofs } from "./recent_proofs.ts";
 import {
@@ -15,22 +16,11 @@
 } from "./reported_loss.ts";
 import { Suspect, type SuspectLoss } from "./suspect.ts";
 
-/** Time that a culprit is blocked after its last crash. */
-const BLOCK_MILLISECONDS = 10 * 60_000;
-/**
- * Time that the first part of prompts is blocked after its last crash, by the
- * number of successive crashes. It is in so many requests that a false block has
- * to end soon; one trial then shows whether it is false.
- */
-const FIRST_PART_BLOCKS: readonly (readonly [
-  crashes: number,
-  milliseconds: number,
-])[] = [[3, 2_000], [4, 5_000]];
 /**
  * Time that a suspect is kept after its last crash. After the block ends, it may
  * run once more; a further crash blocks it again.
  */
-const RETENTION_MILLISECONDS = 2 * BLOCK_MILLISECONDS;
+const RETENTION_MILLISECONDS = 2 * MAX_BLOCK_MILLISECONDS;
 /** Number of lost runs after which a suspect runs once at a time. */
 const LOST_RUNS_UNTIL_HELD = 2;
 /** Number of lost runs from which a suspect may be a culprit or explain one. */
@@ -217,7 +207,7 @@
     losses: readonly ReportedLoss[],
     { ageMilliseconds }: { readonly ageMilliseconds: number },
   ): boolean {
-    if (ageMilliseconds >= BLOCK_MILLISECONDS) return false;
+    if (ageMilliseconds >= MAX_BLOCK_MILLISECONDS) return false;
     const aged = losses.map((loss): ReportedLoss => {
       const [digest, endpoint, startedAt, crash, lasted = 0, ago = 0, isFirst] =
         loss;
@@ -500,9 +490,3 @@
     return Math.max(0, until - this.#options.timer.now());
   }
 }
-
-function blockMilliseconds({ crashes, isFirstPart }: Suspect): number {
-  if (!isFirstPart) return BLOCK_MILLISECONDS;
-  const early = FIRST_PART_BLOCKS.find(([most]) => crashes <= most);
-  return early?.[1] ?? BLOCK_MILLISECONDS;
-}
