End a trial that is granted after its caller has left

A caller that left while its entry asked for the trial of a suspect left that trial taken: the entry asked for it no more, so that its other callers with the same part were refused until another entry cleared it. Cause: the trials of a request are ended when it settles, and this one was granted afterwards. The new test failed before (the next request was not admitted).

--- a/src/entry/forwarding/crashes/crash_gate.ts
+++ b/src/entry/forwarding/crashes/crash_gate.ts
@@ -26,7 +26,7 @@
 export interface CrashGateOptions {
   readonly timer: TimerService;
   readonly crashes: CrashTracker;
-  readonly trials: TrialExchange;
+  readonly trials: Pick<TrialExchange, "createHolder" | "end" | "request">;
 }
 
 /** Lets requests pass that crash nothing, and suspects one after another. */
@@ -111,6 +111,8 @@
       if (timer.now() >= until || !this.#shared.mayWait()) return "suspected";
       await this.#wait();
     }
+    // A trial may have been granted after the release.
+    this.#endTrials();
     return "suspected";
   }
 
