Ask the owner of a suspect for proofs before a request waits for its trial

Cause: a request with several suspects leaves trials to others for a while, and only the request for a trial learned that these suspects run elsewhere without a crash. Such a request now asks for what the owner knows first, and a suspect with a recent run does not count as another possible cause.

--- a/src/core/forwarding/crashes/crash_tracker.ts
+++ b/src/core/forwarding/crashes/crash_tracker.ts
@@ -335,10 +335,15 @@
     return {
       kind: "held",
       digests: held.map(({ digest }) => digest).sort(),
-      isAmbiguous: suspects.filter((each) => each.lostRuns > 0).length > 1,
+      isAmbiguous: suspects.filter((each) => this.#mayBeCause(each)).length > 1,
     };
   }
 
+  /** False once losses are disproved, or while runs do not crash elsewhere. */
+  #mayBeCause({ digest, lostRuns }: Suspect): boolean {
+    return lostRuns > 0 && !this.#proofs.isRecent(digest);
+  }
+
   /**
    * Remaining time of the block of a request with these digests in
    * milliseconds; 0 if it is not blocked.
--- a/src/core/forwarding/crashes/crash_tracker_test.ts
+++ b/src/core/forwarding/crashes/crash_tracker_test.ts
@@ -268,6 +268,18 @@
       expect(tracker.held).to.equal(1);
     });
 
+    // What many requests hold would delay all of them.
+    it("is the only one of a request whose other parts do not crash", () => {
+      const shared = identifier<PartDigest>("shared");
+      loseAtOnce();
+      tracker.lost(makeEndpoint("a"), { digest: shared, knownBefore: 0 });
+      expect(tracker.verdictOn([BYSTANDER, shared]))
+        .to.include({ kind: "held", isAmbiguous: true });
+      tracker.recordProof([shared], timer.now());
+      expect(tracker.verdictOn([BYSTANDER, shared]))
+        .to.include({ kind: "held", isAmbiguous: false });
+    });
+
     it("is not held for a loss that was disproved before it was reported", () => {
       loseAtOnce();
       tracker.recordCompletion([BYSTANDER]);
--- a/src/entry/forwarding/crashes/crash_gate.ts
+++ b/src/entry/forwarding/crashes/crash_gate.ts
@@ -26,7 +26,10 @@
 export interface CrashGateOptions {
   readonly timer: TimerService;
   readonly crashes: CrashTracker;
-  readonly trials: Pick<TrialExchange, "createHolder" | "end" | "request">;
+  readonly trials: Pick<
+    TrialExchange,
+    "createHolder" | "end" | "inquire" | "request"
+  >;
 }
 
 /** Lets requests pass that crash nothing, and suspects one after another. */
@@ -91,7 +94,7 @@
 
   /** Settles when the request may be sent, or may not. */
   async admit(options: AdmitOptions): Promise<Admission> {
-    const { crashes, timer } = this.#options;
+    const { crashes, timer, trials } = this.#options;
     if (crashes.size === 0) return "admitted";
     const { digests, isSettled, remainingMilliseconds } = options;
     const from = timer.now();
@@ -107,7 +110,12 @@
       if (missing === undefined) return "admitted";
       const mayTake = !verdict.isAmbiguous ||
         timer.now() >= from + AMBIGUOUS_WAIT_MILLISECONDS;
-      if (mayTake && await this.#take(missing)) continue;
+      if (mayTake) {
+        if (await this.#take(missing)) continue;
+      } else {
+        await trials.inquire(missing, this.#holder);
+        if (!this.needsTrial(digests)) continue;
+      }
       if (timer.now() >= until || !this.#shared.mayWait()) return "suspected";
       await this.#wait();
     }
--- a/src/entry/forwarding/crashes/crash_gate_test.ts
+++ b/src/entry/forwarding/crashes/crash_gate_test.ts
@@ -33,6 +33,7 @@
               resolve(true);
             });
           }),
+        inquire: () => Promise.resolve(),
         end: (_, holder) => void holders.delete(holder),
       },
     });
--- a/src/entry/forwarding/crashes/trial_exchange.ts
+++ b/src/entry/forwarding/crashes/trial_exchange.ts
@@ -54,6 +54,8 @@
 interface TrialRequest extends TrialNotification {
   /** Crashes of the suspect that the sender knows. */
   readonly crashes: number;
+  /** True if the sender asks for proofs and losses only. */
+  readonly isInquiry?: boolean;
 }
 
 interface TrialAnswer extends TrialNotification {
@@ -94,11 +96,30 @@
     return `${self}#${incarnation}#${this.#lastId}`;
   }
 
-  /** Resolves with true once the holder has the trial of the suspect. */
+  /** Resolves with true if the holder has the trial of the suspect. */
   async request(digest: SuspectDigest, holder: string): Promise<boolean> {
-    const { crashes, issuer, self, send, timer } = this.#options;
+    const { issuer, self } = this.#options;
     const owner = this.#ownerOf(digest);
     if (owner === self) return issuer.request(digest, holder);
+    return await this.#ask(owner, { digest, holder });
+  }
+
+  /** Learns what the owner of the suspect knows, without asking for a trial. */
+  async inquire(digest: SuspectDigest, holder: string): Promise<void> {
+    const owner = this.#ownerOf(digest);
+    if (owner === this.#options.self) return;
+    await this.#ask(owner, { digest, holder, isInquiry: true });
+  }
+
+  async #ask(
+    owner: ProcessId,
+    { digest, holder, isInquiry }: {
+      readonly digest: SuspectDigest;
+      readonly holder: string;
+      readonly isInquiry?: boolean;
+    },
+  ): Promise<boolean> {
+    const { crashes, self, send, timer } = this.#options;
     const isGranted = await new Promise<boolean>((resolve) => {
       this.#pending.set(holder, resolve);
       timer.after(ANSWER_TIMEOUT_MILLISECONDS, () => resolve(false));
@@ -107,6 +128,7 @@
         holder,
         digest,
         crashes: crashes.crashCount(digest),
+        isInquiry,
       };
       send(owner, { method: TRIAL_REQUEST_METHOD, params });
     });
@@ -173,7 +195,8 @@
     const { entry, holder } = params;
     const digest = identifier<SuspectDigest>(params.digest);
     const proofAge = crashes.recentProofAge(digest);
-    const isGranted = proofAge === undefined && issuer.request(digest, holder);
+    const isGranted = proofAge === undefined && !params.isInquiry &&
+      issuer.request(digest, holder);
     const knowsMore = crashes.crashCount(digest) > params.crashes;
     const answer: TrialAnswer = {
       entry: self,
