Match the answer about a trial with its suspect

A request that holds several suspects asks for one trial after the other under one name. An answer that came after its timeout settled the request for the next suspect, so that a second request could run with that one. Pending requests are known by holder and suspect now.

--- a/src/entry/forwarding/crashes/trial_exchange.ts
+++ b/src/entry/forwarding/crashes/trial_exchange.ts
@@ -76,7 +76,7 @@
  */
 export class TrialExchange {
   readonly #options: TrialExchangeOptions;
-  /** Requests without an answer, by holder. */
+  /** Requests without an answer, by holder and suspect. */
   readonly #pending = new Map<string, (isGranted: boolean) => void>();
   /** Suspects with a proof that their owners do not know, and when it began. */
   readonly #unsentProofs = new Map<SuspectDigest, number>();
@@ -120,8 +120,9 @@
     },
   ): Promise<boolean> {
     const { crashes, self, send, timer } = this.#options;
+    const key = pendingKey(holder, digest);
     const isGranted = await new Promise<boolean>((resolve) => {
-      this.#pending.set(holder, resolve);
+      this.#pending.set(key, resolve);
       timer.after(ANSWER_TIMEOUT_MILLISECONDS, () => resolve(false));
       const params: TrialRequest = {
         entry: self,
@@ -132,7 +133,7 @@
       };
       send(owner, { method: TRIAL_REQUEST_METHOD, params });
     });
-    this.#pending.delete(holder);
+    this.#pending.delete(key);
     return isGranted;
   }
 
@@ -220,7 +221,7 @@
       this.#options.crashes.recordPeerProofs([[digest, proofAge]]);
     }
     if (losses !== undefined) this.#options.crashes.recordPeerLosses(losses);
-    const settle = this.#pending.get(holder);
+    const settle = this.#pending.get(pendingKey(holder, digest));
     if (settle !== undefined) return settle(isGranted);
     // The answer is late, and nobody would end the trial.
     if (isGranted) this.end(identifier<SuspectDigest>(digest), holder);
@@ -239,6 +240,11 @@
   }
 }
 
+/** A holder may ask for another suspect's trial before a late answer arrives. */
+function pendingKey(holder: string, digest: string): string {
+  return `${holder} ${digest}`;
+}
+
 function isTrialNotification(value: unknown): value is TrialNotification {
   if (typeof value !== "object" || value === null) return false;
   const { digest, entry, holder } = value as Record<string, unknown>;
