--- a/src/core/forwarding/crashes/crash_tracker.ts
+++ b/src/core/forwarding/crashes/crash_tracker.ts
@@ -477,7 +477,7 @@
     if (suspect.wasBlocked && suspect.lostRuns > 0) {
       return this.#blockedMilliseconds(suspect) === 0;
     }
-    const unexplained = [...suspect.runs]
+    const unexplained = suspect.confirmedRuns
       .filter((run) => !this.#culprits.explains(run, suspect));
     return unexplained.length >= LOST_RUNS_UNTIL_HELD &&
       !this.#proofs.isRecent(suspect.digest);
--- a/src/core/forwarding/crashes/crash_tracker_test.ts
+++ b/src/core/forwarding/crashes/crash_tracker_test.ts
@@ -259,6 +259,22 @@
       expect(tracker.held).to.equal(0);
     });
 
+    // Replicas that break off answers and live on would get it held.
+    it("is not held for losses that may be retracted", () => {
+      for (const endpoint of ["a", "b"]) {
+        tracker.lost(makeEndpoint(endpoint), {
+          digest: BYSTANDER,
+          knownBefore: 0,
+          isConfirmed: false,
+        });
+      }
+      expect(tracker.held).to.equal(0);
+      for (const endpoint of ["a", "b"]) {
+        tracker.confirmLosses(makeEndpoint(endpoint));
+      }
+      expect(tracker.held).to.equal(1);
+    });
+
     it("is not held if a run has not crashed a moment ago", async () => {
       tracker.recordProof([BYSTANDER], timer.now());
       await timer.advance(300);
--- a/src/core/forwarding/crashes/suspect.ts
+++ b/src/core/forwarding/crashes/suspect.ts
@@ -50,11 +50,6 @@
     return this.blockedUntil !== undefined;
   }
 
-  /** Keys of the runs that were lost. */
-  get runs(): Iterable<string> {
-    return this.#losses.keys();
-  }
-
   /** Number of runs that were lost. */
   get lostRuns(): number {
     return this.#losses.size;
