--- a/src/core/forwarding/crashes/suspect.ts
+++ b/src/core/forwarding/crashes/suspect.ts
@@ -88,10 +88,6 @@
     return Math.max(this.#longestDisproved, ...times);
   }
 
-  has(run: string): boolean {
-    return this.#losses.has(run);
-  }
-
   /** Returns false if the loss was already known. */
   record(loss: SuspectLoss): boolean {
     const key = keyOfRun(loss.run);
