--- a/review/support/entry_machine.ts
+++ b/review/support/entry_machine.ts
@@ -47,6 +47,7 @@
   constructor(options: EntryMachineOptions) {
     this.index = options.index;
     this.#options = options;
+    process.once("exit", () => this.#child?.kill("SIGKILL"));
   }
 
   get host(): string {
--- a/review/support/kept_channel_caller.ts
+++ b/review/support/kept_channel_caller.ts
@@ -18,6 +18,8 @@
   /** True if the answer arrived whole. */
   readonly isComplete: boolean;
   readonly reason: string | undefined;
+  /** True if the entry has announced that it closes the channel. */
+  readonly closesChannel: boolean;
 }
 
 export interface KeptChannelCallerOptions {
@@ -57,7 +59,7 @@
       const attempt = await this.#attempt();
       this.attempts.push(attempt);
       this.#requestsOnChannel += 1;
-      const isNewDue = attempt.status === undefined ||
+      const isNewDue = attempt.status === undefined || attempt.closesChannel ||
         this.#requestsOnChannel >= requestsPerChannel;
       if (isNewDue) this.#openNewChannel();
       await delay(pauseMilliseconds * (0.5 + Math.random()));
@@ -100,6 +102,7 @@
           body: text,
           isComplete,
           reason,
+          closesChannel: headerOf(response, "connection") === "close",
         };
         const { body: _body, sentAt: _sentAt, ...facts } = attempt;
         record.write("caller_receives", { ...facts, bytes: text.length });
--- a/review/support/record.ts
+++ b/review/support/record.ts
@@ -14,7 +14,10 @@
     this.#stream.write(`${JSON.stringify({ at, event, ...facts })}\n`);
   }
 
-  close(): Promise<void> {
+  /** Writes the verdict here and to standard output, and ends the record. */
+  close(verdict: Readonly<Record<string, unknown>>): Promise<void> {
+    this.write("verdict", verdict);
+    console.log(JSON.stringify(verdict));
     return new Promise((resolve) => this.#stream.end(resolve));
   }
 }
