--- a/src/adapters/forwarding/endpoint_http_client.ts
+++ b/src/adapters/forwarding/endpoint_http_client.ts
@@ -2,7 +2,11 @@
 import { connect } from "node:net";
 import { err, ok, type Result } from "../../core/errors/result.ts";
 import { failure } from "../../core/errors/mod.ts";
-import type { ResponseHead } from "../../core/forwarding/mod.ts";
+import {
+  type AnswerEvidence,
+  echoedIdOf,
+  type ResponseHead,
+} from "../../core/forwarding/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
 import type {
   BodyFraming,
@@ -62,6 +66,10 @@
     const { address, body } = outgoing;
     let connected = false;
     let reason: string | undefined;
+    let evidence: AnswerEvidence | undefined;
+    let interimAnswers = 0;
+    const { timer } = this.#options;
+    const sentAt = timer.now();
     const clientRequest = openRequest({
       host: hostOf(address),
       port: portOf(address),
@@ -71,7 +79,7 @@
       setHost: false,
       agent: this.#agentFor(address),
     });
-    const connectTimeout = this.#options.timer.after(
+    const connectTimeout = timer.after(
       CONNECT_TIMEOUT_MILLISECONDS,
       () => {
         if (connected) return;
@@ -89,8 +97,21 @@
     });
     const answer = new Promise<Result<EndpointResponse, ExchangeFailure>>(
       (resolve) => {
+        clientRequest.on("information", () => interimAnswers += 1);
         clientRequest.on("response", (incoming) => {
-          const accepted = this.#acceptResponse(incoming, outgoing);
+          const head = this.#options.decodeHead(
+            incoming.statusCode ?? 0,
+            incoming.rawHeaders,
+          );
+          evidence = {
+            status: head.status,
+            echoedId: echoedIdOf(head.requestIds, outgoing.requestId),
+            claimsNotRun: head.notExecuted,
+            connection: clientRequest.reusedSocket ? "reused" : "new",
+            interimAnswers,
+            milliseconds: Math.round(timer.now() - sentAt),
+          };
+          const accepted = this.#acceptResponse(head, { incoming, outgoing });
           if (accepted.isErr()) clientRequest.destroy();
           resolve(accepted);
         });
@@ -105,6 +126,9 @@
     clientRequest.end(body.length > 0 ? body : undefined);
     return {
       answer,
+      get evidence() {
+        return evidence;
+      },
       abort() {
         connectTimeout.cancel();
         reason = "aborted";
@@ -156,17 +180,17 @@
   }
 
   #acceptResponse(
-    incoming: IncomingMessage,
-    outgoing: OutgoingRequest,
+    head: ResponseHead,
+    { incoming, outgoing }: {
+      readonly incoming: IncomingMessage;
+      readonly outgoing: OutgoingRequest;
+    },
   ): Result<EndpointResponse, ExchangeFailure> {
-    const head = this.#options.decodeHead(
-      incoming.statusCode ?? 0,
-      incoming.rawHeaders,
-    );
-    const isForeign = head.requestId !== undefined &&
-      head.requestId !== outgoing.requestId;
+    const requestId = head.requestIds.at(-1);
+    const isForeign = requestId !== undefined &&
+      requestId !== outgoing.requestId;
     if (isForeign) {
-      const reason = `the response has request id "${head.requestId}"`;
+      const reason = `the response has request id "${requestId}"`;
       const errorValues = { address: outgoing.address, reason };
       return err(failure(EXCHANGE_FOREIGN, errorValues));
     }
--- a/src/adapters/forwarding/endpoint_http_client_test.ts
+++ b/src/adapters/forwarding/endpoint_http_client_test.ts
@@ -16,7 +16,7 @@
   return {
     status,
     headers,
-    requestId: index < 0 ? undefined : headers[index + 1],
+    requestIds: index < 0 ? [] : [headers[index + 1]],
     notExecuted: false,
   };
 }
--- a/src/adapters/telemetry/forwarding_telemetry.ts
+++ b/src/adapters/telemetry/forwarding_telemetry.ts
@@ -23,6 +23,11 @@
  * their count is logged.
  */
 const MAX_LINES_PER_SECOND = 400;
+/**
+ * Lines per second that tell why a request was sent again or refused. They have
+ * a limit of their own: others must not displace them.
+ */
+const MAX_EVIDENCE_LINES_PER_SECOND = 100;
 const MILLISECONDS_PER_SECOND = 1_000;
 const LATENCY_BUCKETS_SECONDS = [
   0.005,
@@ -460,7 +465,14 @@
     registers: [registry],
   });
   const observeReplica = createReplicaTimeObserver(registry);
-  const limiter = new LogRateLimiter(timer, logger);
+  const limiter = new LogRateLimiter(timer, {
+    logger,
+    linesPerSecond: MAX_LINES_PER_SECOND,
+  });
+  const evidenceLimiter = new LogRateLimiter(timer, {
+    logger,
+    linesPerSecond: MAX_EVIDENCE_LINES_PER_SECOND,
+  });
   return (decision, fields) => {
     decisions.inc({ decision, reason: String(fields.reason ?? "") });
     if (decision === "answered") {
@@ -469,7 +481,12 @@
       responseTime.observe({ route }, toSeconds(fields.milliseconds));
       observeReplica(fields);
     }
-    if (limiter.tryAcquire()) logger.info({ decision, ...fields }, "Request");
+    const isEvidence = decision === "attempt_rejected" ||
+      (decision === "refused" && Number(fields.sends) > 0);
+    const lineLimiter = isEvidence ? evidenceLimiter : limiter;
+    if (lineLimiter.tryAcquire()) {
+      logger.info({ decision, ...fields }, "Request");
+    }
   };
 }
 
@@ -521,20 +538,28 @@
 class LogRateLimiter {
   readonly #timer: TimerService;
   readonly #logger: Logger;
+  readonly #linesPerSecond: number;
   #currentSecond = 0;
   #writtenLines = 0;
   #droppedLines = 0;
 
-  constructor(timer: TimerService, logger: Logger) {
+  constructor(
+    timer: TimerService,
+    { linesPerSecond, logger }: {
+      readonly logger: Logger;
+      readonly linesPerSecond: number;
+    },
+  ) {
     this.#timer = timer;
     this.#logger = logger;
+    this.#linesPerSecond = linesPerSecond;
   }
 
   tryAcquire(): boolean {
     const second = Math.floor(this.#timer.now() / MILLISECONDS_PER_SECOND);
     if (second !== this.#currentSecond) this.#startSecond(second);
     this.#writtenLines += 1;
-    if (this.#writtenLines <= MAX_LINES_PER_SECOND) return true;
+    if (this.#writtenLines <= this.#linesPerSecond) return true;
     this.#droppedLines += 1;
     return false;
   }
@@ -542,7 +567,7 @@
   #startSecond(second: number): void {
     if (this.#droppedLines > 0) {
       this.#logger.warn(
-        { lines: this.#droppedLines },
+        { lines: this.#droppedLines, limit: this.#linesPerSecond },
         "Log lines were left out",
       );
     }
--- a/src/adapters/telemetry/forwarding_telemetry_test.ts
+++ b/src/adapters/telemetry/forwarding_telemetry_test.ts
@@ -44,6 +44,26 @@
       ]
     ) expect(output).to.include(`filbertshore_${line}`);
   });
+
+  // In the second in which a request ran twice, a busy entry dropped the lines
+  // that tell why it was sent again.
+  it("writes why a request was sent again although it drops other lines", () => {
+    const lines: string[] = [];
+    const observe = createForwardingObserver({
+      registry: new Registry(),
+      logger: {
+        ...NOOP_LOGGER,
+        info: (fields) => void lines.push(String(fields.decision)),
+      },
+      timer: new ManualTimerService(),
+    });
+    const request = { requestId: "1", route: "r", sends: 1 };
+    for (let count = 0; count < 1_000; count++) observe("placed", request);
+    const evidence = ["attempt_rejected", "refused"] as const;
+    for (const decision of evidence) observe(decision, request);
+    expect(lines.length).to.be.below(1_000);
+    expect(lines.slice(-2)).to.deep.equal(evidence);
+  });
 });
 
 describe("registerPlannedRolesGauges", () => {
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -1,6 +1,11 @@
 /** Decisions on requests whose bodies are forwarded unchanged. */
 export type * from "./configuration.ts";
 export type * from "./requests.ts";
+export {
+  type AnswerEvidence,
+  type EchoedId,
+  echoedIdOf,
+} from "./answers/answer_evidence.ts";
 export { type PauseBound, RouteTable, selectPool } from "./route_table.ts";
 export {
   authenticate,
--- a/src/core/forwarding/requests.ts
+++ b/src/core/forwarding/requests.ts
@@ -76,8 +76,8 @@
   readonly status: number;
   /** Alternating names and values, without hop-by-hop headers. */
   readonly headers: readonly string[];
-  /** Id of the request that it answers, if present. */
-  readonly requestId: string | undefined;
+  /** All request ids that it repeats; a sound answer has one. */
+  readonly requestIds: readonly string[];
   /** The endpoint guarantees that it did not run the request and never will. */
   readonly notExecuted: boolean;
   /** The endpoint announces that it is leaving. */
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -1,5 +1,6 @@
 import type { Result } from "neverthrow";
 import {
+  type AnswerEvidence,
   EventStreamPosition,
   type ExpectedTime,
   type ForwardAttemptOptions,
@@ -32,6 +33,8 @@
  * replica or to its former role.
  */
 const MISDIRECTED_STATUS = 421;
+/** Statuses that tell a caller that its request was not run. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 /** Approximate size of a request's head, in bytes. */
 export const REQUEST_HEAD_BYTES = 700;
@@ -117,6 +120,7 @@
     });
     this.#abort = () => exchange.abort();
     this.answer = exchange.answer.then((result) => {
+      this.#reportRejection(result, exchange.evidence);
       this.#onHead(result);
       return result.map((response) =>
         this.#measurePauses(this.#verifyBody(response))
@@ -189,6 +193,21 @@
     if (result.isErr() || result.value.head.notExecuted) this.#close();
   }
 
+  /** Reports what may make the entry send the request again or refuse it. */
+  #reportRejection(
+    result: Result<EndpointResponse, ExchangeFailure>,
+    evidence: AnswerEvidence | undefined,
+  ): void {
+    const reason = rejectionReason(result);
+    if (this.#closed || reason === undefined) return;
+    this.#context.report("attempt_rejected", {
+      reason,
+      endpoint: this.endpoint.id,
+      step: this.#plan.options.prefillOnly ? "prefill" : "run",
+      ...evidence,
+    });
+  }
+
   #verifyBody(response: EndpointResponse): EndpointResponse {
     this.#framing = response.framing;
     const { request, route } = this.#context;
@@ -422,6 +441,16 @@
   }
 }
 
+/** Undefined if the answer is none that rejects the request. */
+function rejectionReason(
+  result: Result<EndpointResponse, ExchangeFailure>,
+): string | undefined {
+  if (result.isErr()) return result.error.name;
+  const { notExecuted, status } = result.value.head;
+  if (notExecuted) return "not_run";
+  return NOT_RUN_STATUSES.has(status) ? "unproven" : undefined;
+}
+
 /** Parts of the prompt, for the log; requests of one failure may share one. */
 function partFacts(prompt: Prompt | undefined): Record<string, unknown> {
   if (prompt === undefined) return {};
--- a/src/entry/forwarding/forwarding_entry_test.ts
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -61,7 +61,11 @@
         timer,
         random: () => 0.5,
         endpointClient: {
-          send: () => ({ answer: new Promise(() => {}), abort() {} }),
+          send: () => ({
+            answer: new Promise(() => {}),
+            evidence: undefined,
+            abort() {},
+          }),
           parseCacheHandle: () => undefined,
           listCachedParts: () => Promise.resolve(undefined),
           checkHealth: () => Promise.resolve(undefined),
--- a/src/entry/forwarding/network_interfaces.ts
+++ b/src/entry/forwarding/network_interfaces.ts
@@ -2,6 +2,7 @@
 import type { Result } from "neverthrow";
 import type { Failure } from "../../core/errors/mod.ts";
 import type {
+  AnswerEvidence,
   EndpointLoadReport,
   ForwardAttemptOptions,
   ForwardedRequest,
@@ -44,6 +45,8 @@
 /** A request in progress at an endpoint. */
 export interface Exchange {
   readonly answer: Promise<Result<EndpointResponse, ExchangeFailure>>;
+  /** Facts on the head of the answer; undefined until one has arrived. */
+  readonly evidence: AnswerEvidence | undefined;
   /** Closes the connection; the endpoint cancels its work. */
   abort(): void;
 }
--- a/src/entry/forwarding/observer.ts
+++ b/src/entry/forwarding/observer.ts
@@ -10,6 +10,7 @@
   | "resumed"
   | "continued"
   | "stream_mismatch"
+  | "attempt_rejected"
   | "endpoint_lost"
   | "endpoint_leaving"
   | "endpoint_overloaded"
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -195,7 +195,11 @@
     const sentAttempt = attempt as unknown as SentAttempt;
     sentAttempt.entry = entry;
     this.onSend?.(sentAttempt);
-    return { answer, abort: () => sentAttempt.aborted = true };
+    return {
+      answer,
+      evidence: undefined,
+      abort: () => sentAttempt.aborted = true,
+    };
   }
 
   /** Submits a request to an entry and returns the sink of its caller. */
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -107,7 +107,7 @@
     const head: ResponseHead = {
       status: 200,
       headers: ["Seal", String(this.options.endpoint)],
-      requestId: this.request.id,
+      requestIds: [this.request.id],
       notExecuted: false,
       ...values,
     };
@@ -425,7 +425,11 @@
     const sentAttempt = attempt as unknown as SentAttempt;
     this.sent.push(sentAttempt);
     this.onSend?.(sentAttempt);
-    return { answer, abort: () => sentAttempt.aborted = true };
+    return {
+      answer,
+      evidence: undefined,
+      abort: () => sentAttempt.aborted = true,
+    };
   }
 }
 
