--- a/src/adapters/forwarding/endpoint_http_client.ts
+++ b/src/adapters/forwarding/endpoint_http_client.ts
@@ -39,6 +39,11 @@
   readonly body: Buffer;
   /** Request id; a response with another one is rejected. */
   readonly requestId: string;
+  /**
+   * True: uses a connection that carries this request only. What comes on it
+   * can't be a late answer to another one, or to an earlier send of this one.
+   */
+  readonly usesOwnConnection?: boolean;
 }
 
 /** Options of `EndpointHttpClient`. */
@@ -77,7 +82,9 @@
       path: outgoing.target,
       headers: [...outgoing.headers] as never,
       setHost: false,
-      agent: this.#agentFor(address),
+      agent: outgoing.usesOwnConnection === true
+        ? false
+        : this.#agentFor(address),
     });
     const connectTimeout = timer.after(
       CONNECT_TIMEOUT_MILLISECONDS,
@@ -88,6 +95,7 @@
       },
     );
     clientRequest.on("socket", (socket) => {
+      socket.setNoDelay(true);
       const onConnected = () => {
         connected = true;
         connectTimeout.cancel();
--- a/src/adapters/forwarding/endpoint_http_client_test.ts
+++ b/src/adapters/forwarding/endpoint_http_client_test.ts
@@ -37,7 +37,10 @@
     address = await replica.listen();
   }
 
-  async function send(requestId = "r"): Promise<Outcome> {
+  async function send(
+    requestId = "r",
+    { usesOwnConnection = false } = {},
+  ): Promise<Outcome> {
     const exchange = client.send({
       address,
       method: "POST",
@@ -45,6 +48,7 @@
       headers: ["Host", "h", "Content-Length", "4"],
       body: Buffer.from("body"),
       requestId,
+      usesOwnConnection,
     });
     const response = await exchange.answer;
     if (response.isErr()) return { failure: response.error.name };
@@ -170,6 +174,19 @@
     expect(await send()).to.deep.equal({ failure: "exchange_foreign" });
   });
 
+  // The second answer to a request waits on the connection, and has the right
+  // id when the request is sent again.
+  it("sends a repeated request on a connection without earlier answers", async () => {
+    await startReplica((socket) => socket.write(answerBytes("first")));
+    await send();
+    replica.script = (socket) => {
+      const isReused = replica.connections === 1;
+      socket.write(answerBytes(isReused ? "first, late" : "second"));
+    };
+    expect(await send("r", { usesOwnConnection: true }))
+      .to.deep.equal({ body: "second", end: "whole" });
+  });
+
   it("rejects bytes that are not an HTTP response", async () => {
     await startReplica((socket) => socket.write("what is this\r\n\r\n"));
     expect(await send()).to.deep.equal({ failure: "exchange_lost" });
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -117,6 +117,7 @@
       endpoint: endpoint.id,
       workspace: context.workspace?.id,
       address: endpoint.address,
+      isRepeated: context.recordSend(endpoint.address),
     });
     this.#abort = () => exchange.abort();
     this.answer = exchange.answer.then((result) => {
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -76,6 +76,8 @@
   /** Trials of the request. */
   readonly crashPass: CrashPass;
   readonly #rejectedBy = new Set<EndpointId>();
+  /** Addresses to which the request was sent, for a prefill or a run. */
+  readonly #sentTo = new Set<string>();
   readonly #admission: LimitAdmission;
   #digest: RequestDigest | undefined;
   #partDigests: readonly PartDigest[] | undefined;
@@ -356,6 +358,13 @@
     return this.writer.filter(inService);
   }
 
+  /** Records a send; true if the request was sent to the address before. */
+  recordSend(address: string): boolean {
+    const isRepeated = this.#sentTo.has(address);
+    this.#sentTo.add(address);
+    return isRepeated;
+  }
+
   /** Records that the endpoint rejected or lost this request. */
   noteRejection(endpoint: EndpointId): void {
     this.#rejectedBy.add(endpoint);
--- a/src/entry/forwarding/network_interfaces.ts
+++ b/src/entry/forwarding/network_interfaces.ts
@@ -51,12 +51,20 @@
   abort(): void;
 }
 
+/** Options of one send of a request. */
+export interface SendOptions extends ForwardAttemptOptions {
+  /** `host:port` of the endpoint. */
+  readonly address: string;
+  /**
+   * True if the request was sent to the address before. A late second answer to
+   * the first send would have the right request id.
+   */
+  readonly isRepeated: boolean;
+}
+
 /** Sends requests to endpoints. */
 export interface EndpointClient {
-  send(
-    request: ForwardedRequest,
-    options: ForwardAttemptOptions & { readonly address: string },
-  ): Exchange;
+  send(request: ForwardedRequest, options: SendOptions): Exchange;
   /** Parses the handle of a cached prompt from the response to a prefill. */
   parseCacheHandle(body: Buffer): string | undefined;
   /**
--- a/src/entry/forwarding/request_forwarder_test.ts
+++ b/src/entry/forwarding/request_forwarder_test.ts
@@ -68,6 +68,23 @@
       expect(caller.refusal?.status).to.equal(404);
     });
 
+    // A rejection that comes twice on one connection would be taken for the
+    // answer to the second send, which has the same id.
+    it("is marked as repeated where an endpoint gets it again", async () => {
+      const harness = makeHarness({ repeat: "once" });
+      for (const id of ["a", "b"]) {
+        harness.dependencies.registry.upsert(makeEndpoint(id));
+      }
+      await harness.submit(makeRequest());
+      for (const index of [0, 1, 2]) await harness.sent[index].respondNotRun();
+      const addresses = harness.sent.map(({ options }) => options.address);
+      expect(harness.sent.map(({ options }) => options.isRepeated))
+        .to.deep.equal(
+          addresses.map((each, index) => addresses.indexOf(each) < index),
+        );
+      expect(addresses.length).to.equal(4);
+    });
+
     // The replica crashes while it works on a booking and restarts under the
     // same id, and the connection breaks. It is unknown whether the booking was
     // made; sent again, or reported as "not run" and retried by the caller, it
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -9,7 +9,6 @@
   type EngineEstimates,
   EnginePlacement,
   EngineSlowness,
-  type ForwardAttemptOptions,
   type ForwardedRequest,
   type ForwardingConfiguration,
   HeldPromptQueue,
@@ -67,6 +66,7 @@
   LostRunChecks,
   QueryAllowance,
   RequestPermits,
+  type SendOptions,
   StreamOriginExchange,
   TrialExchange,
   VersionListing,
@@ -82,7 +82,7 @@
 /** One attempt that was sent to an endpoint; the test supplies the response. */
 export class SentAttempt {
   readonly request: ForwardedRequest;
-  readonly options: ForwardAttemptOptions & { readonly address: string };
+  readonly options: SendOptions;
   aborted = false;
   /** Index of the entry that sent it, where there are several. */
   entry = 0;
@@ -94,7 +94,7 @@
 
   constructor(
     request: ForwardedRequest,
-    options: ForwardAttemptOptions & { readonly address: string },
+    options: SendOptions,
     settle: (answer: Result<EndpointResponse, ExchangeFailure>) => void,
   ) {
     this.request = request;
@@ -414,7 +414,7 @@
 
   #send(
     request: ForwardedRequest,
-    options: ForwardAttemptOptions & { readonly address: string },
+    options: SendOptions,
   ): Exchange {
     let attempt: SentAttempt | undefined;
     const answer = new Promise<Result<EndpointResponse, ExchangeFailure>>(
