--- a/src/adapters/forwarding/endpoint_http_client.ts
+++ b/src/adapters/forwarding/endpoint_http_client.ts
@@ -37,7 +37,11 @@
   /** Alternating names and values. */
   readonly headers: readonly string[];
   readonly body: Buffer;
-  /** Request id; a response with another one is rejected. */
+  /**
+   * Request id; a response with another one is rejected. Nothing shows which
+   * request without an id a response belongs to, so such a request uses a
+   * connection of its own.
+   */
   readonly requestId: string;
   /**
    * True: uses a connection that carries this request only. What comes on it
@@ -68,7 +72,8 @@
   }
 
   send(outgoing: OutgoingRequest): Exchange {
-    const { address, body } = outgoing;
+    const { address, body, requestId, usesOwnConnection } = outgoing;
+    const isAlone = usesOwnConnection === true || requestId === "";
     let connected = false;
     let reason: string | undefined;
     let evidence: AnswerEvidence | undefined;
@@ -82,9 +87,7 @@
       path: outgoing.target,
       headers: [...outgoing.headers] as never,
       setHost: false,
-      agent: outgoing.usesOwnConnection === true
-        ? false
-        : this.#agentFor(address),
+      agent: isAlone ? false : this.#agentFor(address),
     });
     const connectTimeout = timer.after(
       CONNECT_TIMEOUT_MILLISECONDS,
--- a/src/adapters/forwarding/endpoint_http_client_test.ts
+++ b/src/adapters/forwarding/endpoint_http_client_test.ts
@@ -187,6 +187,19 @@
       .to.deep.equal({ body: "second", end: "whole" });
   });
 
+  // The answer to a call without an id comes twice. The second one has no id
+  // either, and would be passed on to the caller of the next request.
+  it("gets no late answer to a call without an id", async () => {
+    const list = answerBytes("list").replace(/X-Request-Id: r\r\n/, "");
+    await startReplica((socket) => socket.write(list));
+    expect(await send("")).to.deep.equal({ body: "list", end: "whole" });
+    replica.script = (socket) => {
+      const isReused = replica.connections === 1;
+      socket.write(isReused ? list : answerBytes("own"));
+    };
+    expect(await send()).to.deep.equal({ body: "own", end: "whole" });
+  });
+
   it("rejects bytes that are not an HTTP response", async () => {
     await startReplica((socket) => socket.write("what is this\r\n\r\n"));
     expect(await send()).to.deep.equal({ failure: "exchange_lost" });
