--- a/src/adapters/forwarding/endpoint_http_client.ts
+++ b/src/adapters/forwarding/endpoint_http_client.ts
@@ -4,8 +4,9 @@
 import { failure } from "../../core/errors/mod.ts";
 import {
   type AnswerEvidence,
+  type DecodedHead,
   echoedIdOf,
-  type ResponseHead,
+  judgeAnswer,
 } from "../../core/forwarding/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
 import type {
@@ -19,6 +20,7 @@
   EXCHANGE_FOREIGN,
   EXCHANGE_LOST,
   EXCHANGE_NOT_SENT,
+  EXCHANGE_UNPROVEN,
 } from "./errors.ts";
 import { KeepAliveAgent } from "./keep_alive_agent.ts";
 
@@ -59,7 +61,7 @@
   readonly decodeHead: (
     status: number,
     headers: readonly string[],
-  ) => ResponseHead;
+  ) => DecodedHead;
 }
 
 /** HTTP client for endpoints with keep-alive connections. */
@@ -116,13 +118,22 @@
           );
           evidence = {
             status: head.status,
-            echoedId: echoedIdOf(head.requestIds, outgoing.requestId),
-            claimsNotRun: head.notExecuted,
-            connection: clientRequest.reusedSocket ? "reused" : "new",
+            hasRequestId: requestId !== "",
+            echoedId: echoedIdOf(head.requestIds, requestId),
+            claimsNotRun: head.claimsNotRun,
+            connection: isAlone
+              ? "own"
+              : clientRequest.reusedSocket
+              ? "reused"
+              : "new",
             interimAnswers,
             milliseconds: Math.round(timer.now() - sentAt),
           };
-          const accepted = this.#acceptResponse(head, { incoming, outgoing });
+          const accepted = this.#acceptResponse(incoming, {
+            head,
+            evidence,
+            outgoing,
+          });
           if (accepted.isErr()) clientRequest.destroy();
           resolve(accepted);
         });
@@ -191,27 +202,33 @@
   }
 
   #acceptResponse(
-    head: ResponseHead,
-    { incoming, outgoing }: {
-      readonly incoming: IncomingMessage;
+    incoming: IncomingMessage,
+    { evidence, head, outgoing }: {
+      readonly head: DecodedHead;
+      readonly evidence: AnswerEvidence;
       readonly outgoing: OutgoingRequest;
     },
   ): Result<EndpointResponse, ExchangeFailure> {
-    const requestId = head.requestIds.at(-1);
-    const isForeign = requestId !== undefined &&
-      requestId !== outgoing.requestId;
-    if (isForeign) {
-      const reason = `the response has request id "${requestId}"`;
-      const errorValues = { address: outgoing.address, reason };
-      return err(failure(EXCHANGE_FOREIGN, errorValues));
+    const verdict = judgeAnswer(evidence);
+    if (verdict.kind === "doubtful") {
+      const { address } = outgoing;
+      const definition = DOUBTS[verdict.reason];
+      return err(failure(definition, { ...evidence, address }));
     }
     const framing = framingOf(incoming, outgoing.method);
-    return ok(createResponse(head, { framing, incoming }));
+    const notExecuted = verdict.kind === "not_run";
+    return ok(createResponse({ ...head, notExecuted }, { framing, incoming }));
   }
 }
 
+/** Errors of answers that prove nothing. */
+const DOUBTS = {
+  foreign: EXCHANGE_FOREIGN,
+  unproven: EXCHANGE_UNPROVEN,
+} as const;
+
 function createResponse(
-  head: ResponseHead,
+  head: EndpointResponse["head"],
   { framing, incoming }: {
     readonly framing: BodyFraming;
     readonly incoming: IncomingMessage;
--- a/src/adapters/forwarding/endpoint_http_client_test.ts
+++ b/src/adapters/forwarding/endpoint_http_client_test.ts
@@ -6,18 +6,18 @@
   type ReplicaScript,
   ScriptedReplica,
 } from "../../../test/support/scripted_replica.ts";
-import type { ResponseHead } from "../../core/forwarding/mod.ts";
+import type { DecodedHead } from "../../core/forwarding/mod.ts";
 import type { BodyEnd } from "../../entry/forwarding/network_interfaces.ts";
 import { SystemTimerService } from "../time/mod.ts";
 import { EndpointHttpClient } from "./mod.ts";
 
-function decodeHead(status: number, headers: readonly string[]): ResponseHead {
+function decodeHead(status: number, headers: readonly string[]): DecodedHead {
   const index = headers.findIndex((name) => /^x-request-id$/i.test(name));
   return {
     status,
     headers,
     requestIds: index < 0 ? [] : [headers[index + 1]],
-    notExecuted: false,
+    claimsNotRun: headers.includes("X-Not-Executed"),
   };
 }
 
--- a/src/adapters/forwarding/errors.ts
+++ b/src/adapters/forwarding/errors.ts
@@ -23,11 +23,31 @@
   hint: "The request may have run; only idempotent work is retried",
 });
 
-/** The response belongs to another request. */
-export const EXCHANGE_FOREIGN = defineError<ExchangeErrorValues>()({
+/** The head of an answer from which nothing follows. */
+interface DoubtfulAnswerValues {
+  readonly address: string;
+  readonly status: number;
+  readonly echoedId: string;
+  readonly claimsNotRun: boolean;
+}
+
+/** The response belongs to another request, or nothing shows whose it is. */
+export const EXCHANGE_FOREIGN = defineError<DoubtfulAnswerValues>()({
   name: "exchange_foreign",
   title: "Response belongs to another request",
-  message: ({ address, reason }) =>
-    `Endpoint "${address}" sent the response to another request: ${reason}`,
+  message: ({ address, echoedId, status }) =>
+    `Endpoint "${address}" sent a response with status ${status} that repeats ` +
+    `${echoedId} of the request ids in place of the request's`,
+  hint: "The connection is closed; the request may have run",
+});
+
+/** The status promises that the request did not run, and nothing proves it. */
+export const EXCHANGE_UNPROVEN = defineError<DoubtfulAnswerValues>()({
+  name: "exchange_unproven",
+  title: "Response promises what is not proven",
+  message: ({ address, claimsNotRun, status }) =>
+    `Endpoint "${address}" sent status ${status}, ${
+      claimsNotRun ? "which does not fit its claim" : "without the claim"
+    } that the request did not run`,
   hint: "The connection is closed; the request may have run",
 });
--- a/src/core/forwarding/answers/answer_evidence.ts
+++ b/src/core/forwarding/answers/answer_evidence.ts
@@ -4,11 +4,16 @@
 /** Facts on the head of an endpoint's answer, by which it is judged. */
 export interface AnswerEvidence {
   readonly status: number;
+  /** False for a request without an id, which no answer can repeat. */
+  readonly hasRequestId: boolean;
   readonly echoedId: EchoedId;
   /** The head says that the request was not run. */
   readonly claimsNotRun: boolean;
-  /** `reused`: the connection has carried other requests before. */
-  readonly connection: "new" | "reused";
+  /**
+   * `reused`: the connection has carried other requests before. `own`: it
+   * carries this request only.
+   */
+  readonly connection: "new" | "reused" | "own";
   /** Number of interim answers (1xx) before the head. */
   readonly interimAnswers: number;
   /** Time from the send to the head, milliseconds. */
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -6,6 +6,11 @@
   type EchoedId,
   echoedIdOf,
 } from "./answers/answer_evidence.ts";
+export {
+  type AnswerVerdict,
+  type DoubtReason,
+  judgeAnswer,
+} from "./answers/judge_answer.ts";
 export { type PauseBound, RouteTable, selectPool } from "./route_table.ts";
 export {
   authenticate,
--- a/src/core/forwarding/requests.ts
+++ b/src/core/forwarding/requests.ts
@@ -71,13 +71,19 @@
   readonly lastEventId?: string;
 }
 
-/** The decoded head of an endpoint's response. */
+/** A head as an endpoint sent it, before it is known what it proves. */
+export interface DecodedHead extends Omit<ResponseHead, "notExecuted"> {
+  /** All request ids that it repeats; a sound answer has one. */
+  readonly requestIds: readonly string[];
+  /** The head says that the request was not run. */
+  readonly claimsNotRun: boolean;
+}
+
+/** The head of an endpoint's response to the request. */
 export interface ResponseHead {
   readonly status: number;
   /** Alternating names and values, without hop-by-hop headers. */
   readonly headers: readonly string[];
-  /** All request ids that it repeats; a sound answer has one. */
-  readonly requestIds: readonly string[];
   /** The endpoint guarantees that it did not run the request and never will. */
   readonly notExecuted: boolean;
   /** The endpoint announces that it is leaving. */
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -33,8 +33,6 @@
  * replica or to its former role.
  */
 const MISDIRECTED_STATUS = 421;
-/** Statuses that tell a caller that its request was not run. */
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 /** Approximate size of a request's head, in bytes. */
 export const REQUEST_HEAD_BYTES = 700;
@@ -447,9 +445,7 @@
   result: Result<EndpointResponse, ExchangeFailure>,
 ): string | undefined {
   if (result.isErr()) return result.error.name;
-  const { notExecuted, status } = result.value.head;
-  if (notExecuted) return "not_run";
-  return NOT_RUN_STATUSES.has(status) ? "unproven" : undefined;
+  return result.value.head.notExecuted ? "not_run" : undefined;
 }
 
 /** Parts of the prompt, for the log; requests of one failure may share one. */
--- a/src/entry/forwarding/network_interfaces.ts
+++ b/src/entry/forwarding/network_interfaces.ts
@@ -14,10 +14,14 @@
 /**
  * `exchange_not_sent`: no byte was sent. `exchange_lost`: the request may be
  * running. `exchange_foreign`: the response belongs to another request or to
- * none.
+ * none. `exchange_unproven`: its status promises that the request did not run,
+ * and nothing proves it.
  */
 export type ExchangeFailure = Failure<
-  "exchange_not_sent" | "exchange_lost" | "exchange_foreign"
+  | "exchange_not_sent"
+  | "exchange_lost"
+  | "exchange_foreign"
+  | "exchange_unproven"
 >;
 
 /** How a response body ended. */
--- a/src/entry/forwarding/response_pace_test.ts
+++ b/src/entry/forwarding/response_pace_test.ts
@@ -21,7 +21,7 @@
     requests = 4;
     wholeEvents = undefined;
     observed = observePace({
-      head: { status: 200, headers: [], requestIds: ["1"], notExecuted: false },
+      head: { status: 200, headers: [], notExecuted: false },
       framing: "length",
       read: (chunk, end) => [onChunk, onEnd] = [chunk, end],
       pause() {},
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -107,7 +107,6 @@
     const head: ResponseHead = {
       status: 200,
       headers: ["Seal", String(this.options.endpoint)],
-      requestIds: [this.request.id],
       notExecuted: false,
       ...values,
     };
