--- a/src/adapters/forwarding/endpoint_http_client.ts
+++ b/src/adapters/forwarding/endpoint_http_client.ts
@@ -20,6 +20,7 @@
   EXCHANGE_FOREIGN,
   EXCHANGE_LOST,
   EXCHANGE_NOT_SENT,
+  EXCHANGE_SPOILED,
   EXCHANGE_UNPROVEN,
 } from "./errors.ts";
 import { KeepAliveAgent } from "./keep_alive_agent.ts";
@@ -50,6 +51,8 @@
    * can't be a late answer to another one, or to an earlier send of this one.
    */
   readonly usesOwnConnection?: boolean;
+  /** True if a success is passed on, which needs the endpoint's signature. */
+  readonly needsSignature?: boolean;
 }
 
 /** Options of `EndpointHttpClient`. */
@@ -121,6 +124,8 @@
             hasRequestId: requestId !== "",
             echoedId: echoedIdOf(head.requestIds, requestId),
             claimsNotRun: head.claimsNotRun,
+            signatures: outgoing.needsSignature ? head.signatures : undefined,
+            hasForeignEncoding: hasForeignEncoding(head, outgoing),
             connection: isAlone
               ? "own"
               : clientRequest.reusedSocket
@@ -225,8 +230,25 @@
 const DOUBTS = {
   foreign: EXCHANGE_FOREIGN,
   unproven: EXCHANGE_UNPROVEN,
+  spoiled: EXCHANGE_SPOILED,
 } as const;
 
+/** True if the body has an encoding that the request does not accept. */
+function hasForeignEncoding(
+  { contentEncodings }: DecodedHead,
+  { headers }: OutgoingRequest,
+): boolean {
+  if (contentEncodings.length === 0) return false;
+  const accepted = headers
+    .filter((_, index) =>
+      index % 2 === 1 && headers[index - 1].toLowerCase() === "accept-encoding"
+    )
+    .flatMap((text) => text.toLowerCase().split(","))
+    .map((text) => text.split(";")[0].trim());
+  return !accepted.includes("*") &&
+    contentEncodings.some((each) => !accepted.includes(each));
+}
+
 function createResponse(
   head: EndpointResponse["head"],
   { framing, incoming }: {
--- a/src/adapters/forwarding/endpoint_http_client_test.ts
+++ b/src/adapters/forwarding/endpoint_http_client_test.ts
@@ -18,6 +18,8 @@
     headers,
     requestIds: index < 0 ? [] : [headers[index + 1]],
     claimsNotRun: headers.includes("X-Not-Executed"),
+    signatures: 1,
+    contentEncodings: [],
   };
 }
 
--- a/src/adapters/forwarding/errors.ts
+++ b/src/adapters/forwarding/errors.ts
@@ -29,6 +29,8 @@
   readonly status: number;
   readonly echoedId: string;
   readonly claimsNotRun: boolean;
+  readonly signatures: number | undefined;
+  readonly hasForeignEncoding: boolean;
 }
 
 /** The response belongs to another request, or nothing shows whose it is. */
@@ -51,3 +53,13 @@
     } that the request did not run`,
   hint: "The connection is closed; the request may have run",
 });
+
+/** The head is none that a sound endpoint sends. */
+export const EXCHANGE_SPOILED = defineError<DoubtfulAnswerValues>()({
+  name: "exchange_spoiled",
+  title: "Response has an invalid head",
+  message: ({ address, hasForeignEncoding, signatures, status }) =>
+    `Endpoint "${address}" sent status ${status} with ${signatures ?? "no"} ` +
+    `signatures${hasForeignEncoding ? " and an encoding not asked for" : ""}`,
+  hint: "The connection is closed; the request may have run",
+});
--- a/src/core/forwarding/answers/answer_evidence.ts
+++ b/src/core/forwarding/answers/answer_evidence.ts
@@ -14,6 +14,13 @@
    * carries this request only.
    */
   readonly connection: "new" | "reused" | "own";
+  /**
+   * Number of the endpoint's signatures; undefined if a success needs none, as
+   * the answer is not passed on.
+   */
+  readonly signatures: number | undefined;
+  /** The body has an encoding that the caller did not ask for. */
+  readonly hasForeignEncoding: boolean;
   /** Number of interim answers (1xx) before the head. */
   readonly interimAnswers: number;
   /** Time from the send to the head, milliseconds. */
--- a/src/core/forwarding/answers/judge_answer.ts
+++ b/src/core/forwarding/answers/judge_answer.ts
@@ -16,8 +16,12 @@
 /** Status of a request that no endpoint runs, as it is malformed. */
 const BAD_REQUEST_STATUS = 400;
 
+const FIRST_FINAL_STATUS = 200;
+const LAST_STATUS = 599;
+const FIRST_ERROR_STATUS = 300;
+
 /** Why an answer proves nothing about its request. */
-export type DoubtReason = "foreign" | "unproven";
+export type DoubtReason = "foreign" | "unproven" | "spoiled";
 
 /**
  * `answer`: the endpoint's own answer; the request has run. `not_run`: the
@@ -35,10 +39,12 @@
  * connection that others use, such a head was made after the request arrived,
  * for this send of it. Without an id, only a connection that carries nothing
  * else shows that. A promise needs, besides, the header that makes it and a
- * status that fits, and nothing may precede it.
+ * status that fits, and nothing may precede it. A success needs the endpoint's
+ * signature, once.
  */
 export function judgeAnswer(evidence: AnswerEvidence): AnswerVerdict {
   if (!isOwn(evidence)) return doubtful("foreign");
+  if (isSpoiled(evidence)) return doubtful("spoiled");
   const { claimsNotRun, interimAnswers, status } = evidence;
   const mayPromise = PROMISING_STATUSES.has(status) ||
     status === BAD_REQUEST_STATUS;
@@ -57,6 +63,16 @@
   return !hasRequestId && echoedId === "none" && connection === "own";
 }
 
+/** True for a head that no sound endpoint sends. */
+function isSpoiled(
+  { hasForeignEncoding, signatures, status }: AnswerEvidence,
+): boolean {
+  const isFinal = status >= FIRST_FINAL_STATUS && status <= LAST_STATUS;
+  if (!isFinal || hasForeignEncoding) return true;
+  return status < FIRST_ERROR_STATUS && signatures !== undefined &&
+    signatures !== 1;
+}
+
 function doubtful(reason: DoubtReason): AnswerVerdict {
   return { kind: "doubtful", reason };
 }
--- a/src/core/forwarding/answers/judge_answer_test.ts
+++ b/src/core/forwarding/answers/judge_answer_test.ts
@@ -8,6 +8,8 @@
   hasRequestId: true,
   echoedId: "own",
   claimsNotRun: true,
+  signatures: 1,
+  hasForeignEncoding: false,
   connection: "reused",
   interimAnswers: 0,
   milliseconds: 3,
@@ -64,6 +66,33 @@
     }
   });
 
+  describe("does not pass on a head that no sound endpoint sends", () => {
+    const heads: Readonly<Record<string, Partial<AnswerEvidence>>> = {
+      "a status below all final ones": { status: 0 },
+      "a status above all final ones": { status: 600 },
+      "a switch of protocols": { status: 101 },
+      "a success without a signature": { status: 200, signatures: 0 },
+      "a success with two signatures": { status: 200, signatures: 2 },
+      "an encoding that nobody asked for": {
+        status: 200,
+        hasForeignEncoding: true,
+      },
+    };
+    for (const [what, values] of Object.entries(heads)) {
+      it(what, () => {
+        expect(judge({ claimsNotRun: false, ...values })).to.equal("spoiled");
+      });
+    }
+  });
+
+  it("passes on failures and prefills without a signature", () => {
+    const values = { claimsNotRun: false };
+    expect(judge({ ...values, status: 500, signatures: 0 }))
+      .to.equal("answer");
+    expect(judge({ ...values, status: 200, signatures: undefined }))
+      .to.equal("answer");
+  });
+
   describe("an answer to a request without an id", () => {
     const withoutId = { hasRequestId: false, echoedId: "none" } as const;
 
--- a/src/core/forwarding/requests.ts
+++ b/src/core/forwarding/requests.ts
@@ -77,6 +77,10 @@
   readonly requestIds: readonly string[];
   /** The head says that the request was not run. */
   readonly claimsNotRun: boolean;
+  /** Number of signatures by which the endpoint vouches for its answer. */
+  readonly signatures: number;
+  /** Encodings of the body, in lower case. */
+  readonly contentEncodings: readonly string[];
 }
 
 /** The head of an endpoint's response to the request. */
--- a/src/entry/forwarding/network_interfaces.ts
+++ b/src/entry/forwarding/network_interfaces.ts
@@ -15,13 +15,14 @@
  * `exchange_not_sent`: no byte was sent. `exchange_lost`: the request may be
  * running. `exchange_foreign`: the response belongs to another request or to
  * none. `exchange_unproven`: its status promises that the request did not run,
- * and nothing proves it.
+ * and nothing proves it. `exchange_spoiled`: no sound endpoint sends its head.
  */
 export type ExchangeFailure = Failure<
   | "exchange_not_sent"
   | "exchange_lost"
   | "exchange_foreign"
   | "exchange_unproven"
+  | "exchange_spoiled"
 >;
 
 /** How a response body ended. */
