--- /dev/null
+++ b/src/adapters/forwarding/endpoint_response.ts
@@ -0,0 +1,57 @@
+import type { IncomingMessage } from "node:http";
+import type {
+  BodyFraming,
+  EndpointResponse,
+} from "../../entry/forwarding/network_interfaces.ts";
+import { detectReset } from "../http_client/mod.ts";
+
+const FIRST_ERROR_STATUS = 400;
+/** Largest body of a failure. One without an end would fill the caller. */
+const MAX_FAILURE_BYTES = 1024 * 1024;
+/** Largest body of any other response. */
+const MAX_BODY_BYTES = 256 * 1024 * 1024;
+
+/** Makes the response of an endpoint of which the head has arrived. */
+export function createResponse(
+  head: EndpointResponse["head"],
+  { framing, incoming }: {
+    readonly framing: BodyFraming;
+    readonly incoming: IncomingMessage;
+  },
+): EndpointResponse {
+  // On a keep-alive connection each response would add listeners to the socket.
+  const wasReset = framing === "connection"
+    ? detectReset(incoming.socket)
+    : () => false;
+  const maxBytes = head.status >= FIRST_ERROR_STATUS
+    ? MAX_FAILURE_BYTES
+    : MAX_BODY_BYTES;
+  return {
+    head,
+    framing,
+    read(onChunk, onEnd) {
+      let bytes = 0;
+      let ended = false;
+      const end = (how: "whole" | "cut") => {
+        if (ended) return;
+        ended = true;
+        onEnd(how);
+      };
+      incoming.on("data", (chunk: Buffer) => {
+        if (ended) return;
+        bytes += chunk.length;
+        if (bytes <= maxBytes) return onChunk(chunk);
+        incoming.destroy();
+        end("cut");
+      });
+      incoming.on("end", () => {
+        end(incoming.complete && !wasReset() ? "whole" : "cut");
+      });
+      incoming.on("error", () => end("cut"));
+      incoming.on("close", () => end("cut"));
+    },
+    pause: () => void incoming.pause(),
+    resume: () => void incoming.resume(),
+    close: () => void incoming.destroy(),
+  };
+}
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -203,6 +203,7 @@
       reason,
       endpoint: this.endpoint.id,
       step: this.#plan.options.prefillOnly ? "prefill" : "run",
+      ...(result.isErr() && { problem: result.error.message }),
       ...evidence,
     });
   }
--- a/src/entry/forwarding/network_interfaces.ts
+++ b/src/entry/forwarding/network_interfaces.ts
@@ -45,6 +45,8 @@
   ): void;
   pause(): void;
   resume(): void;
+  /** Closes the connection, which may carry more that is not wanted. */
+  close(): void;
 }
 
 /** A request in progress at an endpoint. */
--- a/src/entry/forwarding/read_body.ts
+++ b/src/entry/forwarding/read_body.ts
@@ -1,5 +1,10 @@
+import type { TimerService } from "../../core/time/mod.ts";
 import type { EndpointResponse } from "./network_interfaces.ts";
 
+/** Bounds on a body that nobody reads, behind which its connection closes. */
+const MAX_DISCARDED_BYTES = 64 * 1024;
+const DISCARD_TIMEOUT_MILLISECONDS = 500;
+
 /**
  * Reads the whole body; undefined if it was truncated or exceeds `maxBytes`.
  */
@@ -12,10 +17,28 @@
   return new Promise((resolve) => {
     response.read((chunk) => {
       size += chunk.length;
-      if (size <= maxBytes) chunks.push(chunk);
-    }, (end) => {
-      const isUsable = end === "whole" && size <= maxBytes;
-      resolve(isUsable ? Buffer.concat(chunks) : undefined);
-    });
+      if (size <= maxBytes) return void chunks.push(chunk);
+      resolve(undefined);
+      response.close();
+    }, (end) => resolve(end === "whole" ? Buffer.concat(chunks) : undefined));
   });
 }
+
+/**
+ * Reads a body that is not used, so that its connection can be reused. A longer
+ * or slower one than the bounds ends the connection.
+ */
+export function discardBody(
+  response: EndpointResponse,
+  timer: TimerService,
+): void {
+  let size = 0;
+  const timeout = timer.after(
+    DISCARD_TIMEOUT_MILLISECONDS,
+    () => response.close(),
+  );
+  response.read((chunk) => {
+    size += chunk.length;
+    if (size > MAX_DISCARDED_BYTES) response.close();
+  }, () => timeout.cancel());
+}
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -6,6 +6,7 @@
 import type { Subscription } from "../../core/time/mod.ts";
 import { observePace } from "./response_pace.ts";
 import { isSuccess } from "./event_stream.ts";
+import { discardBody } from "./read_body.ts";
 import { ResponseRelay } from "./response_relay.ts";
 import { type AttemptPlan, ForwardAttempt } from "./attempt.ts";
 import { ForwardContext, type ForwardTask } from "./forward_context.ts";
@@ -240,7 +241,7 @@
       return this.#afterFailure(response.error.name, endpoint);
     }
     if (response.value.head.notExecuted) {
-      discard(response.value, attempt);
+      discardBody(response.value, dependencies.timer);
       return this.#afterNotRun(endpoint.id);
     }
     if (plan.options.prefilledPrompt !== undefined) {
@@ -312,7 +313,7 @@
       this.#mayResend(`status ${head.status}`);
     if (mayRetry) {
       this.#context.noteFailure(attempt.endpoint);
-      discard(response, attempt);
+      this.#discard(response, attempt);
       return "again";
     }
     this.#firstByteAt ??= this.#context.dependencies.timer.now();
@@ -353,12 +354,18 @@
     attempt: ForwardAttempt,
   ): NextStep {
     this.#reportMismatch(response);
-    if (response.head.status >= 500) discard(response, attempt);
+    if (response.head.status >= 500) this.#discard(response, attempt);
     else attempt.abort();
     this.#context.noteFailure(attempt.endpoint);
     return this.#afterBrokenResponse();
   }
 
+  /** The outcome of a failure does not wait for a body that nobody gets. */
+  #discard(response: EndpointResponse, attempt: ForwardAttempt): void {
+    attempt.onEnd("whole", response.head.status);
+    discardBody(response, this.#context.dependencies.timer);
+  }
+
   #reportMismatch({ head }: EndpointResponse): void {
     this.#context.report("stream_mismatch", {
       status: head.status,
@@ -547,14 +554,6 @@
   };
 }
 
-/**
- * Reads a response to its end without using it, so that the connection can be
- * reused.
- */
-function discard(response: EndpointResponse, attempt: ForwardAttempt): void {
-  response.read(() => {}, (end) => attempt.onEnd(end, response.head.status));
-}
-
 /** Facts about the choice of a replica by its expected time. */
 function placementFacts(expected: ExpectedTime): Record<string, unknown> {
   const { isLearned, milliseconds, reportAgeMilliseconds } = expected;
--- a/src/entry/forwarding/response_pace_test.ts
+++ b/src/entry/forwarding/response_pace_test.ts
@@ -26,6 +26,7 @@
       read: (chunk, end) => [onChunk, onEnd] = [chunk, end],
       pause() {},
       resume() {},
+      close() {},
     }, {
       timer,
       openWork: () => ({ requests, prefillMilliseconds: 0, tokens: 100 }),
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -119,6 +119,7 @@
       },
       pause: () => this.paused = true,
       resume: () => this.paused = false,
+      close: () => this.aborted = true,
     }));
     await flushPromises();
   }
