--- a/src/core/forwarding/event_sequence.ts
+++ b/src/core/forwarding/event_sequence.ts
@@ -1,4 +1,7 @@
 const DECIMAL_INTEGER = /^\d{1,15}$/;
+/** Ids that a header can carry unchanged, read as latin1. */
+const HEADER_VALUE =
+  /^(?:[\x21-\x7e\x80-\xff](?:[\t\x20-\x7e\x80-\xff]*[\x21-\x7e\x80-\xff])?)?$/;
 
 /**
  * The ids of the events of a stream that the caller has received. A further run
@@ -19,6 +22,12 @@
     return this.#lastEventId;
   }
 
+  /** False if no request can name where a further run goes on. */
+  get isNameable(): boolean {
+    return this.#lastEventId === undefined ||
+      HEADER_VALUE.test(this.#lastEventId);
+  }
+
   /** Records the ids of events that were passed on. */
   record(eventIds: readonly string[]): void {
     for (const eventId of eventIds) {
--- a/src/entry/forwarding/request_forwarder_test.ts
+++ b/src/entry/forwarding/request_forwarder_test.ts
@@ -314,6 +314,19 @@
       return harness;
     }
 
+    // Node throws on a header with a control character, and the stream could
+    // not be taken up anywhere else than behind that event.
+    it("is not resumed behind an event whose id no header can carry", async () => {
+      const harness = engines();
+      const caller = await harness.submit(makeRequest({ prompt }));
+      const [first] = harness.sent;
+      await first.head();
+      await first.chunk("id: 1\u0001\ndata: a\n\n");
+      await first.end("cut");
+      expect(harness.sent).to.have.length(1);
+      expect(caller.ended).to.equal("cut");
+    });
+
     // An engine crashes in the middle of its third event. The stream resumes at
     // another engine without a gap and without a partial event.
     it("resumes at another engine after the last whole event", async () => {
--- a/src/entry/forwarding/response_relay.ts
+++ b/src/entry/forwarding/response_relay.ts
@@ -87,7 +87,8 @@
   /** False once the caller has received bytes that no other run can continue. */
   get isResumable(): boolean {
     if (this.#firstHead === undefined) return true;
-    return isSuccess(this.#firstHead) && !this.#splitter.isInsideEvent;
+    return isSuccess(this.#firstHead) && !this.#splitter.isInsideEvent &&
+      this.#sequence.isNameable;
   }
 
   /**
