--- a/src/adapters/forwarding/caller_server.ts
+++ b/src/adapters/forwarding/caller_server.ts
@@ -232,14 +232,27 @@
     incoming.on("end", () => {
       if (refused || sink.isDisconnected) return;
       if (this.#isClosing) return sink.refuse(STOPPING_REFUSAL);
+      this.#decode(incoming, { sink, body: Buffer.concat(chunks) });
+    });
+  }
+
+  /** Decodes a request and passes it on; a throw ends this request only. */
+  #decode(
+    incoming: IncomingMessage,
+    { body, sink }: { readonly sink: CallerSink; readonly body: Buffer },
+  ): void {
+    try {
       const request = this.#options.decode({
         method: incoming.method ?? "GET",
         target: incoming.url ?? "/",
         headers: incoming.rawHeaders,
-        body: Buffer.concat(chunks),
+        body,
       });
       this.#dispatch(request, { incoming, sink });
-    });
+    } catch (cause) {
+      this.#options.onProtocolError(`a request has thrown: ${cause}`);
+      sink.refuse({ status: 502, reason: "internal_error" });
+    }
   }
 
   #sampleLoopDelay(): void {
--- a/src/adapters/telemetry/forwarding_telemetry.ts
+++ b/src/adapters/telemetry/forwarding_telemetry.ts
@@ -48,6 +48,9 @@
 /** Bounds of the ratio of measured to expected time, around 1. */
 const RATIO_BUCKETS = [0.25, 0.5, 0.7, 0.85, 1, 1.2, 1.5, 2, 4, 8];
 
+/** Decisions whose lines are written although others are left out. */
+const EVIDENCE: ReadonlySet<string> = new Set(["attempt_rejected", "faulted"]);
+
 /** Options of `createForwardingObserver`. */
 export interface ForwardingObserverOptions {
   readonly registry: Registry;
@@ -481,7 +484,7 @@
       responseTime.observe({ route }, toSeconds(fields.milliseconds));
       observeReplica(fields);
     }
-    const isEvidence = decision === "attempt_rejected" ||
+    const isEvidence = EVIDENCE.has(decision) ||
       (decision === "refused" && Number(fields.sends) > 0);
     const lineLimiter = isEvidence ? evidenceLimiter : limiter;
     if (lineLimiter.tryAcquire()) {
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -22,6 +22,7 @@
   BodyEnd,
   BodyFraming,
   EndpointResponse,
+  Exchange,
   ExchangeFailure,
 } from "./network_interfaces.ts";
 import type { AttemptOutcome } from "./fleet_outcomes.ts";
@@ -110,19 +111,13 @@
       isPrefill: plan.options.prefillOnly === true,
     });
     dependencies.link.recordSent(request.body.length + REQUEST_HEAD_BYTES);
-    const exchange = dependencies.endpointClient.send(request, {
-      ...plan.options,
-      endpoint: endpoint.id,
-      workspace: context.workspace?.id,
-      address: endpoint.address,
-      isRepeated: context.recordSend(endpoint.address),
-    });
+    const exchange = this.#send();
     this.#abort = () => exchange.abort();
     this.answer = exchange.answer.then((result) => {
       this.#reportRejection(result, exchange.evidence);
       this.#onHead(result);
       return result.map((response) =>
-        this.#measurePauses(this.#verifyBody(response))
+        this.#measurePauses(this.#verifyBody(this.#guardRead(response)))
       );
     });
   }
@@ -192,6 +187,32 @@
     if (result.isErr() || result.value.head.notExecuted) this.#close();
   }
 
+  /** Sends the request; a throw ends the attempt, too. */
+  #send(): Exchange {
+    const { endpoint, options } = this.#plan;
+    const { request, workspace } = this.#context;
+    try {
+      return this.#dependencies.endpointClient.send(request, {
+        ...options,
+        endpoint: endpoint.id,
+        workspace: workspace?.id,
+        address: endpoint.address,
+        isRepeated: this.#context.recordSend(endpoint.address),
+      });
+    } catch (cause) {
+      this.#close();
+      throw cause;
+    }
+  }
+
+  #guardRead(response: EndpointResponse): EndpointResponse {
+    const { guard } = this.#context;
+    return {
+      ...response,
+      read: (onChunk, onEnd) => response.read(guard(onChunk), guard(onEnd)),
+    };
+  }
+
   /** Reports what may make the entry send the request again or refuse it. */
   #reportRejection(
     result: Result<EndpointResponse, ExchangeFailure>,
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -36,6 +36,14 @@
 
 const NO_CRASHES: ReadonlyMap<SuspectDigest, number> = new Map();
 
+/**
+ * Returns a callback that ends its request if the given one throws. A throw in
+ * a callback of a socket or a timer would otherwise end the process.
+ */
+export type Guard = <Values extends unknown[]>(
+  callback: (...values: Values) => void,
+) => (...values: Values) => void;
+
 /** A request to forward, with its route and pool. */
 export interface ForwardTask {
   readonly request: ForwardedRequest;
@@ -73,6 +81,8 @@
   settled = false;
   /** True once an endpoint may have crashed with the request. */
   hasLostRun = false;
+  /** Ends the request if the callback throws, and nothing else. */
+  guard: Guard = (callback) => callback;
   /** Trials of the request. */
   readonly crashPass: CrashPass;
   readonly #rejectedBy = new Set<EndpointId>();
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -831,7 +831,17 @@
   }
 
   handle(request: ForwardedRequest, sink: CallerSink): void {
-    void forward(this.#dependencies, { request, sink });
+    forward(this.#dependencies, { request, sink }).catch((cause) => {
+      const { id } = request;
+      this.#options.logger.error(
+        {
+          requestId: id,
+          problem: cause instanceof Error ? cause.stack : cause,
+        },
+        "The handling of a request has thrown",
+      );
+      sink.refuse({ status: 502, reason: "internal_error" });
+    });
   }
 }
 
--- a/src/entry/forwarding/observer.ts
+++ b/src/entry/forwarding/observer.ts
@@ -16,6 +16,8 @@
   | "endpoint_overloaded"
   | "endpoint_limit_changed"
   | "refused"
+  /** The handling of the request has thrown. */
+  | "faulted"
   | "answered"
   | "cut"
   | "caller_gone";
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -66,6 +66,9 @@
   "more_urgent",
 ]);
 
+/** Reason of a request whose handling has thrown. */
+const FAULT = "internal_error";
+
 /** Next step after an attempt. */
 type NextStep =
   | "delivered"
@@ -104,6 +107,13 @@
     const { task, sink } = options;
     const { repeat, resumable } = task.route;
     this.#context = new ForwardContext(dependencies, task);
+    this.#context.guard = (callback) => (...values) => {
+      try {
+        callback(...values);
+      } catch (cause) {
+        this.#onFault(cause);
+      }
+    };
     this.#sink = sink;
     this.#handover = new Handover(
       this.#context,
@@ -127,12 +137,21 @@
     );
     this.#deadline = dependencies.timer.after(
       this.#context.remainingMilliseconds,
-      () => this.#onDeadline(),
+      this.#context.guard(() => this.#onDeadline()),
     );
-    sink.onDisconnect(() => this.#onDisconnect());
+    sink.onDisconnect(this.#context.guard(() => this.#onDisconnect()));
   }
 
+  /** Settles when the request has ended; never throws. */
   async run(): Promise<void> {
+    try {
+      await this.#forward();
+    } catch (cause) {
+      this.#onFault(cause);
+    }
+  }
+
+  async #forward(): Promise<void> {
     const { dependencies, pool } = this.#context;
     dependencies.retryBudget.recordRequest(pool.name);
     for (;;) {
@@ -460,6 +479,20 @@
     this.#context.report("caller_gone", { sends: this.#context.sends });
   }
 
+  /** Ends this request alone, whatever its handling has thrown. */
+  #onFault(cause: unknown): void {
+    this.#context.report("faulted", {
+      reason: FAULT,
+      endpoint: this.#attempt?.endpoint.id,
+      problem: cause instanceof Error ? cause.stack : String(cause),
+    });
+    if (this.#context.settled) return;
+    this.#settle();
+    this.#attempt?.abort();
+    if (this.#relay.headSent) return this.#sink.abort();
+    this.#respond({ status: 502, reason: FAULT });
+  }
+
   #refuse(reason: string, facts: AdmissionFacts = {}): void {
     // A lost run may still be in progress, so a refusal that claims that the
     // request did not run could be false.
--- a/src/entry/forwarding/request_forwarder_test.ts
+++ b/src/entry/forwarding/request_forwarder_test.ts
@@ -68,6 +68,55 @@
       expect(caller.refusal?.status).to.equal(404);
     });
 
+    // Node throws on a head or an id that it can't write, and a rejected promise
+    // that nothing handles ends the process with all its requests.
+    describe("whose handling throws", () => {
+      const faults: Readonly<
+        Record<string, (harness: ForwardingHarness) => void>
+      > = {
+        "before its send": (harness) => {
+          harness.onSend = () => {
+            throw new TypeError("Invalid character in header content");
+          };
+        },
+        "at the head of its answer": (harness) => {
+          harness.onSend = (attempt) => {
+            void attempt.respond("x", { headers: null as never });
+          };
+        },
+        "at the first bytes of its answer": (harness) => {
+          harness.onSend = (attempt) => {
+            const { link } = harness.dependencies;
+            link.recordSent = () => {
+              Reflect.deleteProperty(link, "recordSent");
+              throw new TypeError("Invalid chunk");
+            };
+            void attempt.respond("x");
+          };
+        },
+      };
+      for (const [when, inject] of Object.entries(faults)) {
+        it(`is answered 502 or broken off alone, ${when}`, async () => {
+          const harness = portal({ repeat: "once" });
+          const { load, registry } = harness.dependencies;
+          inject(harness);
+          const caller = await harness.submit(makeRequest());
+          await flushPromises();
+          harness.onSend = undefined;
+          const other = await harness.submit(makeRequest());
+          await harness.sent.at(-1)?.respond("fine");
+          expect(caller.ended ?? caller.status).to.be.oneOf(["cut", 502]);
+          expect(other.body).to.equal("fine");
+          const open = [...registry.all].map(({ id }) =>
+            load.total(id).requests
+          );
+          expect(open.every((count) => count === 0)).to.equal(true);
+          expect(harness.decisions.map(({ decision }) => decision))
+            .to.include("faulted");
+        });
+      }
+    });
+
     // A rejection that comes twice on one connection would be taken for the
     // answer to the second send, which has the same id.
     it("is marked as repeated where an endpoint gets it again", async () => {
