--- a/src/adapters/endpoint/mod.ts
+++ b/src/adapters/endpoint/mod.ts
@@ -109,6 +109,9 @@
       method: "POST",
       headers: buildHeaders(attempt, "application/json"),
       body: JSON.stringify(buildCompletionBody(attempt)),
+      // Nothing in an answer shows which request it belongs to, so it must not
+      // share a connection with a late answer to another one.
+      useNewConnection: true,
     });
     let paused = false;
     let cancelled = false;
@@ -169,7 +172,7 @@
       method: work.method,
       headers: buildHeaders(attempt, work.contentType),
       body: work.body === "" ? undefined : work.body,
-      useNewConnection: !work.idempotent,
+      useNewConnection: true,
       encoding: "latin1",
       timeoutMilliseconds: attempt.deadlineMilliseconds,
       mostResponseBytes: this.#mostResponseBytes,
--- a/src/adapters/endpoint/mod_test.ts
+++ b/src/adapters/endpoint/mod_test.ts
@@ -1,6 +1,10 @@
 import { expect } from "chai";
 import { expectedAnswer } from "../../../test/stand_ins/engine_answers.ts";
 import { ModelEngineStandIn } from "../../../test/stand_ins/model_engine.ts";
+import {
+  answerBytes,
+  ScriptedReplica,
+} from "../../../test/support/scripted_replica.ts";
 import { PlainServiceStandIn } from "../../../test/stand_ins/plain_service.ts";
 import type { AttemptRequest } from "../../generated/messages.ts";
 import { SystemTimerService } from "../time/mod.ts";
@@ -11,6 +15,29 @@
 describe("HttpEndpointLink", () => {
   const timer = new SystemTimerService();
 
+  // The answer to a status query comes twice. Nothing in the second one shows
+  // whose it is, and a caller of a service would get it.
+  it("gives no late answer to another call", async () => {
+    const late = answerBytes("late");
+    const endpoint = new ScriptedReplica((socket) => socket.write(late));
+    const address = await endpoint.listen();
+    const link = new HttpEndpointLink(`http://${address}`, { timer });
+    await link.observe();
+    endpoint.script = (socket) => {
+      const isReused = endpoint.connections === 1;
+      socket.write(isReused ? late : answerBytes("own"));
+    };
+    const attempt = serviceAttempt();
+    const work = {
+      ...attempt.work,
+      idempotent: true,
+    } as AttemptRequest["work"];
+    const answer = await link.call({ ...attempt, work });
+    link.close();
+    endpoint.close();
+    expect(answer._unsafeUnwrap().body).to.equal("own");
+  });
+
   describe("a model engine", () => {
     let engine: ModelEngineStandIn;
     let link: HttpEndpointLink;
