--- a/src/adapters/forwarding/endpoint_exchange.ts
+++ b/src/adapters/forwarding/endpoint_exchange.ts
@@ -29,7 +29,7 @@
  * lost SYN after a second, which exceeds most callers' deadlines; a healthy
  * network connects within a few milliseconds.
  */
-const CONNECT_TIMEOUT_MILLISECONDS = 400;
+export const CONNECT_TIMEOUT_MILLISECONDS = 400;
 /**
  * Time from the first byte of a head to its end. An endpoint that is silent
  * before is at work; one that sends a head in pieces is not.
--- a/src/adapters/forwarding/endpoint_http_client.ts
+++ b/src/adapters/forwarding/endpoint_http_client.ts
@@ -4,6 +4,7 @@
 import type { EndpointResponse } from "../../entry/forwarding/network_interfaces.ts";
 import { readEntireBody } from "../../entry/forwarding/read_body.ts";
 import {
+  CONNECT_TIMEOUT_MILLISECONDS,
   type DecodeHead,
   EndpointExchange,
   isAlone,
@@ -11,9 +12,6 @@
 } from "./endpoint_exchange.ts";
 import { KeepAliveAgent } from "./keep_alive_agent.ts";
 
-/** Time after which an endpoint counts as one that accepts no connections. */
-const CONNECT_TIMEOUT_MILLISECONDS = 400;
-
 /** Largest head of a response, bytes. */
 const MAX_HEAD_BYTES = 16 * 1024;
 
--- a/src/core/forwarding/answers/judge_answer.ts
+++ b/src/core/forwarding/answers/judge_answer.ts
@@ -18,7 +18,7 @@
 
 const FIRST_FINAL_STATUS = 200;
 const LAST_STATUS = 599;
-const FIRST_ERROR_STATUS = 300;
+const LAST_SUCCESS_STATUS = 299;
 
 /** Why an answer proves nothing about its request. */
 export type DoubtReason = "foreign" | "unproven" | "spoiled";
@@ -69,7 +69,7 @@
 ): boolean {
   const isFinal = status >= FIRST_FINAL_STATUS && status <= LAST_STATUS;
   if (!isFinal || hasForeignEncoding) return true;
-  return status < FIRST_ERROR_STATUS && signatures !== undefined &&
+  return status <= LAST_SUCCESS_STATUS && signatures !== undefined &&
     signatures !== 1;
 }
 
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -82,7 +82,7 @@
   /** True once an endpoint may have crashed with the request. */
   hasLostRun = false;
   /** Ends the request if the callback throws, and nothing else. */
-  guard: Guard = (callback) => callback;
+  readonly guard: Guard;
   /** Trials of the request. */
   readonly crashPass: CrashPass;
   readonly #rejectedBy = new Set<EndpointId>();
@@ -94,13 +94,17 @@
   #hasStarted = false;
   #hasNotedDemand = false;
 
-  constructor(dependencies: ForwardingDependencies, task: ForwardTask) {
+  constructor(
+    dependencies: ForwardingDependencies,
+    task: ForwardTask & { readonly guard: Guard },
+  ) {
     const { request, route } = task;
     this.dependencies = dependencies;
     this.request = request;
     this.route = route;
     this.pool = task.pool;
     this.workspace = task.workspace;
+    this.guard = task.guard;
     this.writer = new StreamWriter(dependencies, task);
     this.crashPass = dependencies.crashGate.createPass();
     this.arrived = task.arrived;
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -9,7 +9,11 @@
 import { discardBody } from "./read_body.ts";
 import { ResponseRelay } from "./response_relay.ts";
 import { type AttemptPlan, ForwardAttempt } from "./attempt.ts";
-import { ForwardContext, type ForwardTask } from "./forward_context.ts";
+import {
+  ForwardContext,
+  type ForwardTask,
+  type Guard,
+} from "./forward_context.ts";
 import { EnginePlanner } from "./engine_planner.ts";
 import { Handover, KEY_REMOVED } from "./handover.ts";
 import type {
@@ -106,14 +110,14 @@
   ) {
     const { task, sink } = options;
     const { repeat, resumable } = task.route;
-    this.#context = new ForwardContext(dependencies, task);
-    this.#context.guard = (callback) => (...values) => {
+    const guard: Guard = (callback) => (...values) => {
       try {
         callback(...values);
       } catch (cause) {
         this.#onFault(cause);
       }
     };
+    this.#context = new ForwardContext(dependencies, { ...task, guard });
     this.#sink = sink;
     this.#handover = new Handover(
       this.#context,
@@ -137,9 +141,9 @@
     );
     this.#deadline = dependencies.timer.after(
       this.#context.remainingMilliseconds,
-      this.#context.guard(() => this.#onDeadline()),
+      guard(() => this.#onDeadline()),
     );
-    sink.onDisconnect(this.#context.guard(() => this.#onDisconnect()));
+    sink.onDisconnect(guard(() => this.#onDisconnect()));
   }
 
   /** Settles when the request has ended; never throws. */
