--- a/src/adapters/forwarding/endpoint_exchange.ts
+++ b/src/adapters/forwarding/endpoint_exchange.ts
@@ -110,9 +110,9 @@
     );
     clientRequest.on("socket", (socket) => this.#onSocket(socket));
     clientRequest.on("information", () => this.#onInterimAnswer());
-    clientRequest.on("response", (incoming) => this.#onHead(incoming));
+    clientRequest.on("response", (incoming) => this.#onResponse(incoming));
     clientRequest.on("upgrade", (incoming, socket) => {
-      this.#onHead(incoming);
+      this.#onResponse(incoming);
       socket.destroy();
     });
     clientRequest.on("error", (cause) => this.#fail(cause.message));
@@ -169,8 +169,17 @@
     );
   }
 
-  #onHead(incoming: IncomingMessage): void {
-    this.#hasHead = true;
+  /** A throw ends this exchange, and not the process. */
+  #onResponse(incoming: IncomingMessage): void {
+    try {
+      this.#acceptHead(incoming);
+      this.#hasHead = true;
+    } catch (cause) {
+      this.#end(`the head can't be read: ${cause}`);
+    }
+  }
+
+  #acceptHead(incoming: IncomingMessage): void {
     this.#headTimeout?.cancel();
     const { decodeHead, outgoing } = this.#options;
     const head = decodeHead(incoming.statusCode ?? 0, incoming.rawHeaders);
--- a/src/adapters/forwarding/endpoint_http_client_test.ts
+++ b/src/adapters/forwarding/endpoint_http_client_test.ts
@@ -202,6 +202,19 @@
     expect(await send()).to.deep.equal({ body: "own", end: "whole" });
   });
 
+  // A throw in the listener of a socket ends the process.
+  it("loses the response alone whose head throws", async () => {
+    await startReplica((socket) => socket.write(answerBytes("x")));
+    client = new EndpointHttpClient({
+      timer: new SystemTimerService(),
+      mostConnections: () => 4,
+      decodeHead: () => {
+        throw new TypeError("Invalid header");
+      },
+    });
+    expect(await send()).to.deep.equal({ failure: "exchange_lost" });
+  });
+
   it("rejects bytes that are not an HTTP response", async () => {
     await startReplica((socket) => socket.write("what is this\r\n\r\n"));
     expect(await send()).to.deep.equal({ failure: "exchange_lost" });
