--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -254,6 +254,8 @@
   }
 
   #recordProgress(): void {
+    // What is read of a discarded body proves nothing.
+    if (this.#closed) return;
     const { crashes, timer } = this.#dependencies;
     const now = timer.now();
     if (this.#beganAt === undefined) {
--- a/src/entry/forwarding/request_forwarder_test.ts
+++ b/src/entry/forwarding/request_forwarder_test.ts
@@ -11,6 +11,7 @@
   makePrompt,
   makeRequest,
   makeRoute,
+  PORTAL,
 } from "../../../test/support/forwarding_fixtures.ts";
 import type { Route } from "../../core/forwarding/mod.ts";
 import {
@@ -68,6 +69,19 @@
       expect(caller.refusal?.status).to.equal(404);
     });
 
+    // A part that crashes engines would count as sound, as a body came behind
+    // the rejection of another request with it.
+    it("is no proof that an endpoint bears it where it is rejected", async () => {
+      const harness = portal({ repeat: "once" });
+      const { crashes, partDigestOf } = harness.dependencies;
+      await harness.submit(makeRequest({ prompt: makePrompt("river") }));
+      await harness.sent[0].head({ status: 503, notExecuted: true });
+      await harness.sent[0].chunk("full");
+      await harness.timer.advance(300);
+      expect(crashes.recentProofAge(partDigestOf(PORTAL, "all")))
+        .to.equal(undefined);
+    });
+
     // Node throws on a head or an id that it can't write, and a rejected promise
     // that nothing handles ends the process with all its requests.
     describe("whose handling throws", () => {
