--- a/src/adapters/forwarding/endpoint_http_client_test.ts
+++ b/src/adapters/forwarding/endpoint_http_client_test.ts
@@ -17,7 +17,7 @@
     status,
     headers,
     requestIds: index < 0 ? [] : [headers[index + 1]],
-    claimsNotRun: headers.includes("X-Not-Executed"),
+    claimsNotRun: false,
     signatures: 1,
     contentEncodings: [],
   };
