--- a/src/core/forwarding/answers/judge_answer.ts
+++ b/src/core/forwarding/answers/judge_answer.ts
@@ -1,8 +1,11 @@
 /** Decides what an endpoint's answer says about the request that was sent. */
 import type { AnswerEvidence } from "./answer_evidence.ts";
 
-/** Status of an endpoint that got a request for another one. */
-const MISDIRECTED_STATUS = 421;
+/**
+ * Status by which an endpoint rejects a request that was addressed to another
+ * replica or to its former role.
+ */
+export const MISDIRECTED_STATUS = 421;
 /**
  * Statuses that tell callers that their request has not run and never will. An
  * endpoint's own words are needed before one may be passed on.
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -10,6 +10,7 @@
   type AnswerVerdict,
   type DoubtReason,
   judgeAnswer,
+  MISDIRECTED_STATUS,
 } from "./answers/judge_answer.ts";
 export { type PauseBound, RouteTable, selectPool } from "./route_table.ts";
 export {
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -4,6 +4,7 @@
   EventStreamPosition,
   type ExpectedTime,
   type ForwardAttemptOptions,
+  MISDIRECTED_STATUS,
   type Prompt,
   type PromptWork,
   queueFactor,
@@ -29,12 +30,6 @@
 import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
 import { measurePauses } from "./measure_pauses.ts";
 
-/**
- * Status by which an endpoint rejects a request that was addressed to another
- * replica or to its former role.
- */
-const MISDIRECTED_STATUS = 421;
-
 /** Approximate size of a request's head, in bytes. */
 export const REQUEST_HEAD_BYTES = 700;
 /** Lowest status of a response that is not the result of the work. */
