--- a/src/core/forwarding/crashes/block_time.ts
+++ b/src/core/forwarding/crashes/block_time.ts
@@ -4,17 +4,17 @@
 export const MAX_BLOCK_MILLISECONDS = 10 * 60_000;
 /**
  * Time that the first part of prompts is blocked after its last crash, by the
- * number of successive crashes. It is in so many requests that a false block has
+ * number of runs that were lost. It is in so many requests that a false block has
  * to end soon; one trial then shows whether it is false.
  */
 const FIRST_PART_BLOCKS: readonly (readonly [
-  crashes: number,
+  lostRuns: number,
   milliseconds: number,
 ])[] = [[3, 2_000], [4, 5_000]];
 
 /** Time that a culprit is blocked after its last crash, in milliseconds. */
-export function blockMilliseconds({ crashes, isFirstPart }: Suspect): number {
+export function blockMilliseconds({ isFirstPart, lostRuns }: Suspect): number {
   if (!isFirstPart) return MAX_BLOCK_MILLISECONDS;
-  const early = FIRST_PART_BLOCKS.find(([most]) => crashes <= most);
+  const early = FIRST_PART_BLOCKS.find(([most]) => lostRuns <= most);
   return early?.[1] ?? MAX_BLOCK_MILLISECONDS;
 }
--- a/src/core/forwarding/crashes/crash_tracker_test.ts
+++ b/src/core/forwarding/crashes/crash_tracker_test.ts
@@ -212,6 +212,21 @@
       expect(isBlocked(FIRST)).to.equal(false);
     });
 
+    // Requests in flight at its third crash would leave it the short block.
+    it("is blocked for long after five lost runs, some at the same time", () => {
+      for (const endpoint of ["a", "b"]) crashWithFirst(endpoint);
+      const knownBefore = tracker.crashCount(FIRST);
+      for (const endpoint of ["c", "d", "e"]) {
+        tracker.lost(makeEndpoint(endpoint), {
+          digest: FIRST,
+          knownBefore,
+          isFirstPart: true,
+        });
+      }
+      expect(tracker.blockedMilliseconds([FIRST]))
+        .to.equal(10 * MINUTE_MILLISECONDS);
+    });
+
     it("is blocked for a short time until its fifth crash", async () => {
       for (const endpoint of ["a", "b", "c"]) crashWithFirst(endpoint);
       expect(tracker.blockedMilliseconds([FIRST])).to.equal(2_000);
