--- a/src/core/forwarding/crashes/crash_tracker.ts
+++ b/src/core/forwarding/crashes/crash_tracker.ts
@@ -111,7 +111,7 @@
   /** Runs that have disproved the losses before them. */
   readonly #acquittals: RecentProofs;
   readonly #listeners = new Set<() => void>();
-  #culprits: Culprits = findCulprits([]);
+  #culprits: Culprits = findCulprits([], () => false);
   /** Pending reports to peers. */
   readonly reports: CrashReports;
 
@@ -430,7 +430,10 @@
         this.#repeaters.delete(each);
       }
     }
-    this.#culprits = findCulprits(this.#repeaters);
+    this.#culprits = findCulprits(
+      this.#repeaters,
+      ({ digest }) => this.#proofs.isKnown(digest),
+    );
     for (const each of this.#blockedSuspects()) this.#noteBlocked(each);
     this.#notify();
   }
--- a/src/core/forwarding/crashes/crash_tracker_test.ts
+++ b/src/core/forwarding/crashes/crash_tracker_test.ts
@@ -212,6 +212,45 @@
       expect(isBlocked(FIRST)).to.equal(false);
     });
 
+    // Sound documents that were lost with it would be blocked in its place.
+    it("is blocked for crashes that no other part was in half of", () => {
+      const [one, other] = ["one", "other"].map((each) =>
+        identifier<PartDigest>(each)
+      );
+      for (const endpoint of ["a", "b"]) crashWithFirst(endpoint, one);
+      for (const endpoint of ["c", "d"]) crashWithFirst(endpoint, other);
+      crashWithFirst("e");
+      expect(isBlocked(FIRST)).to.equal(true);
+      crashWithFirst("f");
+      crashWithFirst("g", one);
+      expect([one, other].filter(isBlocked)).to.deep.equal([]);
+    });
+
+    // A sound document that was lost twice beside it would account for both.
+    it("is blocked at its third crash if the other parts have run before", () => {
+      const [one, other] = ["one", "other"].map((each) =>
+        identifier<PartDigest>(each)
+      );
+      tracker.recordProof([one, other], timer.now());
+      crashWithFirst("a", one);
+      crashWithFirst("b", one, other);
+      crashWithFirst("c", other);
+      expect(isBlocked(FIRST)).to.equal(true);
+      crashWithFirst("d", one);
+      expect([one, other].filter(isBlocked)).to.deep.equal([]);
+    });
+
+    // A document may crash endpoints although it was sound before.
+    it("is not blocked for a part that was in all of its crashes", () => {
+      const document = identifier<PartDigest>("document");
+      tracker.recordProof([document], timer.now());
+      for (const endpoint of ["a", "b", "c"]) {
+        crashWithFirst(endpoint, document);
+      }
+      expect(isBlocked(FIRST)).to.equal(false);
+      expect(isBlocked(document)).to.equal(true);
+    });
+
     // Requests in flight at its third crash would leave it the short block.
     it("is blocked for long after five lost runs, some at the same time", () => {
       for (const endpoint of ["a", "b"]) crashWithFirst(endpoint);
--- a/src/core/forwarding/crashes/culprits.ts
+++ b/src/core/forwarding/crashes/culprits.ts
@@ -4,6 +4,8 @@
 const CRASHES_UNTIL_BLOCKED = 3;
 /** Crashes from which a suspect accounts for those of a first part. */
 const CRASHES_OF_REPEATER = 2;
+/** Crashes from which a first part may outweigh suspects that are as new. */
+const CRASHES_OF_DOMINANT = 5;
 
 /** What has crashed endpoints. */
 export interface Culprits {
@@ -18,26 +20,37 @@
  * only in flight beside a culprit thus has no crash of its own. The first parts
  * of prompts come last: they are in flight in most crashes, whatever caused
  * them, so a crash counts against one only if nothing else that was in it was in
- * several.
+ * several. A first part comes first if it outweighs all that was lost beside it:
+ * what was in some of its crashes only, and has run without a crash before.
  */
-export function findCulprits(suspects: Iterable<Suspect>): Culprits {
-  const repeaters = [...suspects]
-    .filter((each) => each.confirmedCrashes() >= CRASHES_OF_REPEATER)
+export function findCulprits(
+  suspects: Iterable<Suspect>,
+  hasProof: (suspect: Suspect) => boolean,
+): Culprits {
+  const all = [...suspects]
+    .filter((each) => each.confirmedCrashes() >= CRASHES_OF_REPEATER);
+  const others = all.filter(({ isFirstPart }) => !isFirstPart);
+  const dominant = new Set(
+    all.filter((each) => isDominant(each, { others, hasProof })),
+  );
+  const comesLast = (suspect: Suspect) =>
+    suspect.isFirstPart && !dominant.has(suspect);
+  const repeaters = all
     .sort((left, right) =>
+      Number(dominant.has(right)) - Number(dominant.has(left)) ||
       Number(left.isFirstPart) - Number(right.isFirstPart) ||
       right.lostRuns - left.lostRuns ||
       (left.digest < right.digest ? -1 : 1)
     );
   const runsOfOthers = new Set(
-    repeaters.filter(({ isFirstPart }) => !isFirstPart)
-      .flatMap(({ confirmedRuns }) => confirmedRuns),
+    others.flatMap(({ confirmedRuns }) => confirmedRuns),
   );
   const culprits = new Set<Suspect>();
   const culpritOf = new Map<string, Suspect>();
   const explains = (run: string, suspect: Suspect) => {
     const culprit = culpritOf.get(run);
     const isOtherCulprit = culprit !== undefined && culprit !== suspect;
-    return isOtherCulprit || (suspect.isFirstPart && runsOfOthers.has(run));
+    return isOtherCulprit || (comesLast(suspect) && runsOfOthers.has(run));
   };
   for (const suspect of repeaters) {
     const crashes = suspect.confirmedCrashes((run) => !explains(run, suspect));
@@ -49,3 +62,22 @@
   }
   return { suspects: culprits, explains };
 }
+
+/** True for a first part that is a likelier cause than all others. */
+function isDominant(
+  suspect: Suspect,
+  { hasProof, others }: {
+    readonly others: readonly Suspect[];
+    readonly hasProof: (suspect: Suspect) => boolean;
+  },
+): boolean {
+  const crashes = suspect.confirmedCrashes();
+  if (!suspect.isFirstPart || crashes < CRASHES_UNTIL_BLOCKED) return false;
+  const runs = new Set(suspect.confirmedRuns);
+  const isNew = !hasProof(suspect);
+  return others.every((other) => {
+    const shared = other.confirmedCrashes((run) => runs.has(run));
+    if (isNew && hasProof(other)) return shared < crashes;
+    return crashes >= CRASHES_OF_DOMINANT && 2 * shared < crashes;
+  });
+}
