--- a/src/core/forwarding/crashes/crash_tracker.ts
+++ b/src/core/forwarding/crashes/crash_tracker.ts
@@ -432,7 +432,7 @@
     }
     this.#culprits = findCulprits(
       this.#repeaters,
-      ({ digest }) => this.#proofs.isKnown(digest),
+      (each) => this.#hasProof(each),
     );
     for (const each of this.#blockedSuspects()) this.#noteBlocked(each);
     this.#notify();
@@ -486,6 +486,11 @@
       !this.#proofs.isRecent(suspect.digest);
   }
 
+  /** True if a run is known that did not crash, also one before the losses. */
+  #hasProof({ digest }: Suspect): boolean {
+    return this.#proofs.isKnown(digest);
+  }
+
   #blockedSuspects(): Suspect[] {
     return [...this.#culprits.suspects].filter((each) =>
       this.#blockedMilliseconds(each) > 0
@@ -494,7 +499,8 @@
 
   #blockedMilliseconds(suspect: Suspect): number {
     if (!this.#culprits.suspects.has(suspect)) return 0;
-    const until = suspect.lastLossAt + blockMilliseconds(suspect);
+    const hasProof = this.#hasProof(suspect);
+    const until = suspect.lastLossAt + blockMilliseconds(suspect, { hasProof });
     return Math.max(0, until - this.#options.timer.now());
   }
 }
--- a/src/core/forwarding/crashes/culprits.ts
+++ b/src/core/forwarding/crashes/culprits.ts
@@ -4,8 +4,6 @@
 const CRASHES_UNTIL_BLOCKED = 3;
 /** Crashes from which a suspect accounts for those of a first part. */
 const CRASHES_OF_REPEATER = 2;
-/** Crashes from which a first part may outweigh suspects that are as new. */
-const CRASHES_OF_DOMINANT = 5;
 
 /** What has crashed endpoints. */
 export interface Culprits {
@@ -20,8 +18,8 @@
  * only in flight beside a culprit thus has no crash of its own. The first parts
  * of prompts come last: they are in flight in most crashes, whatever caused
  * them, so a crash counts against one only if nothing else that was in it was in
- * several. A first part comes first if it outweighs all that was lost beside it:
- * what was in some of its crashes only, and has run without a crash before.
+ * several. A first part comes first if no run of it is known that did not crash,
+ * and all that was lost with it has had one and was in some of its crashes only.
  */
 export function findCulprits(
   suspects: Iterable<Suspect>,
@@ -72,12 +70,12 @@
   },
 ): boolean {
   const crashes = suspect.confirmedCrashes();
-  if (!suspect.isFirstPart || crashes < CRASHES_UNTIL_BLOCKED) return false;
+  const isCandidate = suspect.isFirstPart && !hasProof(suspect) &&
+    crashes >= CRASHES_UNTIL_BLOCKED;
+  if (!isCandidate) return false;
   const runs = new Set(suspect.confirmedRuns);
-  const isNew = !hasProof(suspect);
   return others.every((other) => {
     const shared = other.confirmedCrashes((run) => runs.has(run));
-    if (isNew && hasProof(other)) return shared < crashes;
-    return crashes >= CRASHES_OF_DOMINANT && 2 * shared < crashes;
+    return shared === 0 || (hasProof(other) && shared < crashes);
   });
 }
