--- a/src/core/forwarding/crashes/block_time.ts
+++ b/src/core/forwarding/crashes/block_time.ts
@@ -4,25 +4,17 @@
 export const MAX_BLOCK_MILLISECONDS = 10 * 60_000;
 /**
  * Time that the first part of prompts is blocked after its last crash, by the
- * number of crashes. It is in so many requests that a false block has to end
- * soon; one trial then shows whether it is false.
+ * number of successive crashes. It is in so many requests that a false block has
+ * to end soon; one trial then shows whether it is false.
  */
 const FIRST_PART_BLOCKS: readonly (readonly [
   crashes: number,
   milliseconds: number,
 ])[] = [[3, 2_000], [4, 5_000]];
 
-/**
- * Time that a culprit is blocked after its last crash, in milliseconds. Runs of
- * a first part that were lost at once count as one crash, as endpoints may have
- * ended together, but each counts if no run of it is known that did not crash.
- */
-export function blockMilliseconds(
-  { crashes, isFirstPart, lostRuns }: Suspect,
-  { hasProof }: { readonly hasProof: boolean },
-): number {
+/** Time that a culprit is blocked after its last crash, in milliseconds. */
+export function blockMilliseconds({ crashes, isFirstPart }: Suspect): number {
   if (!isFirstPart) return MAX_BLOCK_MILLISECONDS;
-  const counted = hasProof ? crashes : lostRuns;
-  const early = FIRST_PART_BLOCKS.find(([most]) => counted <= most);
+  const early = FIRST_PART_BLOCKS.find(([most]) => crashes <= most);
   return early?.[1] ?? MAX_BLOCK_MILLISECONDS;
 }
--- a/src/core/forwarding/crashes/crash_tracker.ts
+++ b/src/core/forwarding/crashes/crash_tracker.ts
@@ -111,7 +111,7 @@
   /** Runs that have disproved the losses before them. */
   readonly #acquittals: RecentProofs;
   readonly #listeners = new Set<() => void>();
-  #culprits: Culprits = findCulprits([], () => false);
+  #culprits: Culprits = findCulprits([]);
   /** Pending reports to peers. */
   readonly reports: CrashReports;
 
@@ -430,10 +430,7 @@
         this.#repeaters.delete(each);
       }
     }
-    this.#culprits = findCulprits(
-      this.#repeaters,
-      (each) => this.#hasProof(each),
-    );
+    this.#culprits = findCulprits(this.#repeaters);
     for (const each of this.#blockedSuspects()) this.#noteBlocked(each);
     this.#notify();
   }
@@ -486,11 +483,6 @@
       !this.#proofs.isRecent(suspect.digest);
   }
 
-  /** True if a run is known that did not crash, also one before the losses. */
-  #hasProof({ digest }: Suspect): boolean {
-    return this.#proofs.isKnown(digest);
-  }
-
   #blockedSuspects(): Suspect[] {
     return [...this.#culprits.suspects].filter((each) =>
       this.#blockedMilliseconds(each) > 0
@@ -499,8 +491,7 @@
 
   #blockedMilliseconds(suspect: Suspect): number {
     if (!this.#culprits.suspects.has(suspect)) return 0;
-    const hasProof = this.#hasProof(suspect);
-    const until = suspect.lastLossAt + blockMilliseconds(suspect, { hasProof });
+    const until = suspect.lastLossAt + blockMilliseconds(suspect);
     return Math.max(0, until - this.#options.timer.now());
   }
 }
--- a/src/core/forwarding/crashes/culprits.ts
+++ b/src/core/forwarding/crashes/culprits.ts
@@ -18,37 +18,26 @@
  * only in flight beside a culprit thus has no crash of its own. The first parts
  * of prompts come last: they are in flight in most crashes, whatever caused
  * them, so a crash counts against one only if nothing else that was in it was in
- * several. A first part comes first if no run of it is known that did not crash,
- * and all that was lost with it has had one and was in some of its crashes only.
+ * several.
  */
-export function findCulprits(
-  suspects: Iterable<Suspect>,
-  hasProof: (suspect: Suspect) => boolean,
-): Culprits {
-  const all = [...suspects]
-    .filter((each) => each.confirmedCrashes() >= CRASHES_OF_REPEATER);
-  const others = all.filter(({ isFirstPart }) => !isFirstPart);
-  const dominant = new Set(
-    all.filter((each) => isDominant(each, { others, hasProof })),
-  );
-  const comesLast = (suspect: Suspect) =>
-    suspect.isFirstPart && !dominant.has(suspect);
-  const repeaters = all
+export function findCulprits(suspects: Iterable<Suspect>): Culprits {
+  const repeaters = [...suspects]
+    .filter((each) => each.confirmedCrashes() >= CRASHES_OF_REPEATER)
     .sort((left, right) =>
-      Number(dominant.has(right)) - Number(dominant.has(left)) ||
       Number(left.isFirstPart) - Number(right.isFirstPart) ||
       right.lostRuns - left.lostRuns ||
       (left.digest < right.digest ? -1 : 1)
     );
   const runsOfOthers = new Set(
-    others.flatMap(({ confirmedRuns }) => confirmedRuns),
+    repeaters.filter(({ isFirstPart }) => !isFirstPart)
+      .flatMap(({ confirmedRuns }) => confirmedRuns),
   );
   const culprits = new Set<Suspect>();
   const culpritOf = new Map<string, Suspect>();
   const explains = (run: string, suspect: Suspect) => {
     const culprit = culpritOf.get(run);
     const isOtherCulprit = culprit !== undefined && culprit !== suspect;
-    return isOtherCulprit || (comesLast(suspect) && runsOfOthers.has(run));
+    return isOtherCulprit || (suspect.isFirstPart && runsOfOthers.has(run));
   };
   for (const suspect of repeaters) {
     const crashes = suspect.confirmedCrashes((run) => !explains(run, suspect));
@@ -60,22 +49,3 @@
   }
   return { suspects: culprits, explains };
 }
-
-/** True for a first part that is a likelier cause than all others. */
-function isDominant(
-  suspect: Suspect,
-  { hasProof, others }: {
-    readonly others: readonly Suspect[];
-    readonly hasProof: (suspect: Suspect) => boolean;
-  },
-): boolean {
-  const crashes = suspect.confirmedCrashes();
-  const isCandidate = suspect.isFirstPart && !hasProof(suspect) &&
-    crashes >= CRASHES_UNTIL_BLOCKED;
-  if (!isCandidate) return false;
-  const runs = new Set(suspect.confirmedRuns);
-  return others.every((other) => {
-    const shared = other.confirmedCrashes((run) => runs.has(run));
-    return shared === 0 || (hasProof(other) && shared < crashes);
-  });
-}
--- a/src/core/forwarding/crashes/recent_proofs.ts
+++ b/src/core/forwarding/crashes/recent_proofs.ts
@@ -35,11 +35,6 @@
     return this.#beganAt.get(digest) ?? -Infinity;
   }
 
-  /** True if such a run is known, however long ago. */
-  isKnown(digest: SuspectDigest): boolean {
-    return this.#beganAt.has(digest);
-  }
-
   isRecent(digest: SuspectDigest): boolean {
     const oldest = this.#timer.now() - VALIDITY_MILLISECONDS;
     return this.beganAt(digest) >= oldest;
