--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -1,5 +1,10 @@
 /** Decisions on requests whose bodies are forwarded unchanged. */
 export type * from "./configuration.ts";
+export {
+  isEndpointId,
+  isHostAndPort,
+  isRegisteredEndpoint,
+} from "./endpoints/endpoint_checks.ts";
 export type * from "./requests.ts";
 export {
   type AnswerEvidence,
--- /dev/null
+++ b/src/core/validation/mod.ts
@@ -0,0 +1,18 @@
+/** Checks of values that come from outside the process, by their types. */
+export {
+  type Check,
+  type FieldChecks,
+  isBoolean,
+  isId,
+  isInteger,
+  isListOf,
+  isNullable,
+  isNumber,
+  isObject,
+  isObjectOf,
+  isOneOf,
+  isOptional,
+  isPositive,
+  isRow,
+  isText,
+} from "./checks.ts";
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -66,6 +66,10 @@
 import type { ObserveForwarding } from "./observer.ts";
 import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
 import { PrefixCacheSurvey } from "./prefix_cache_survey.ts";
+import {
+  isRegistrationNotification,
+  REGISTRATIONS_METHOD,
+} from "./notifications/registration_notification.ts";
 import { RegistrationSync } from "./registration_sync.ts";
 import {
   PeerStateFallback,
@@ -78,7 +82,6 @@
 import { USAGE_METHOD, USAGE_REPORTS_METHOD } from "./usage_notification.ts";
 import {
   PeerExchange,
-  REGISTRATIONS_METHOD,
   ROLES_METHOD,
   type SendToPeers,
   VERDICTS_METHOD,
@@ -825,9 +828,8 @@
   }
 
   #onRegistrations(params: unknown): void {
-    const { changes, span } = fieldsOf(params);
-    if (!Array.isArray(changes)) return;
-    this.registrationSync.onPeerChanges(changes, span);
+    if (!isRegistrationNotification(params)) return;
+    this.registrationSync.onPeerChanges(params);
   }
 
   handle(request: ForwardedRequest, sink: CallerSink): void {
--- a/src/entry/forwarding/mod.ts
+++ b/src/entry/forwarding/mod.ts
@@ -21,7 +21,7 @@
   StreamOriginExchange,
 } from "./stream_origin_exchange.ts";
 export { type VersionLink, VersionListing } from "./version_listing.ts";
-export type { RegistrationChange } from "./registration_sync.ts";
+export type { RegistrationChange } from "./notifications/registration_notification.ts";
 export { QueryAllowance } from "./query_allowance.ts";
 export { PeerExchange } from "./peer_exchange.ts";
 export type { OrderOutcome, RoleLink } from "./role_controller.ts";
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -69,8 +69,6 @@
 const PLANNERS = 3;
 /** Notification that carries role orders to engines. */
 export const ROLES_METHOD = "entry.roles";
-/** Notification that carries changed registrations. */
-export const REGISTRATIONS_METHOD = "entry.registrations";
 
 /** Notification that carries new verdicts on endpoints. */
 export const VERDICTS_METHOD = "entry.verdicts";
--- a/src/entry/forwarding/registration_sync.ts
+++ b/src/entry/forwarding/registration_sync.ts
@@ -2,18 +2,13 @@
   EndpointRegistry,
   EndpointRun,
   PeerReadResult,
-  RegisteredEndpoint,
   TopicSpan,
 } from "../../core/forwarding/mod.ts";
 import type { EndpointId } from "../../core/identity/mod.ts";
-
-/** Change of a registration; without an endpoint it was removed. */
-export interface RegistrationChange {
-  readonly id: EndpointId;
-  readonly endpoint?: RegisteredEndpoint;
-  /** True if the record under the key is not a valid registration. */
-  readonly unreadable?: boolean;
-}
+import type {
+  RegistrationChange,
+  RegistrationNotification,
+} from "./notifications/registration_notification.ts";
 
 export interface RegistrationSyncOptions {
   readonly registry: EndpointRegistry;
@@ -21,10 +16,7 @@
   readonly recordPeerRead: (span: TopicSpan) => PeerReadResult;
   /** Called when the store was reached, by this entry or by a peer for it. */
   readonly onStoreReached: () => void;
-  readonly broadcast: (update: {
-    readonly changes: readonly RegistrationChange[];
-    readonly span: TopicSpan | undefined;
-  }) => void;
+  readonly broadcast: (notification: RegistrationNotification) => void;
 }
 
 /** Applies registrations that this entry or a peer has read to the registry. */
@@ -64,10 +56,10 @@
   }
 
   /** Applies changes that a peer has read, with their span if it is known. */
-  onPeerChanges(changes: readonly RegistrationChange[], span: unknown): void {
-    const relation = isSpan(span)
-      ? this.#options.recordPeerRead(span)
-      : "apart";
+  onPeerChanges({ changes, span }: RegistrationNotification): void {
+    const relation = span === undefined
+      ? "apart"
+      : this.#options.recordPeerRead(span);
     // A delayed datagram may list an endpoint as removed that has registered
     // again since. This entry has already read past that record and would not
     // see it again.
@@ -103,9 +95,3 @@
     return isKnown;
   }
 }
-
-function isSpan(value: unknown): value is TopicSpan {
-  if (typeof value !== "object" || value === null) return false;
-  const { from, to } = value as Partial<TopicSpan>;
-  return typeof from === "number" && typeof to === "number";
-}
