--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -70,6 +70,10 @@
   isRegistrationNotification,
   REGISTRATIONS_METHOD,
 } from "./notifications/registration_notification.ts";
+import {
+  isRoleNotification,
+  ROLES_METHOD,
+} from "./notifications/role_notification.ts";
 import { RegistrationSync } from "./registration_sync.ts";
 import {
   PeerStateFallback,
@@ -82,7 +86,6 @@
 import { USAGE_METHOD, USAGE_REPORTS_METHOD } from "./usage_notification.ts";
 import {
   PeerExchange,
-  ROLES_METHOD,
   type SendToPeers,
   VERDICTS_METHOD,
 } from "./peer_exchange.ts";
@@ -607,8 +610,7 @@
       reportLeaving: (run) => this.registrationSync.reportLeaving(run),
       noteStarted: (workspace, at) =>
         this.#usageReporter?.noteStarted(workspace, at),
-      isChanging: (endpoint) =>
-        this.#roleController?.isChanging(endpoint) ?? false,
+      isChanging: (endpoint) => this.isChanging(endpoint),
     };
   }
 
@@ -681,6 +683,11 @@
     return this.#dependencies.outcomes.verdicts.isTakenOut(endpoint);
   }
 
+  /** True for an engine that was ordered to change its role. */
+  isChanging(endpoint: EndpointId): boolean {
+    return this.#roleController?.isChanging(endpoint) ?? false;
+  }
+
   /** Number of verdicts on endpoints that are in force here. */
   get endpointsTakenOut(): number {
     return this.#dependencies.outcomes.verdicts.size;
@@ -823,8 +830,7 @@
   }
 
   #onRoles(params: unknown): void {
-    const { orders } = fieldsOf(params);
-    if (Array.isArray(orders)) this.#roleController?.onPeerOrders(orders);
+    if (isRoleNotification(params)) this.#roleController?.onPeerOrders(params);
   }
 
   #onRegistrations(params: unknown): void {
@@ -846,9 +852,3 @@
     });
   }
 }
-
-/** Fields of a notification; none if it is malformed. */
-function fieldsOf(params: unknown): Readonly<Record<string, unknown>> {
-  if (typeof params !== "object" || params === null) return {};
-  return params as Record<string, unknown>;
-}
--- a/src/entry/forwarding/notifications/notifications_test.ts
+++ b/src/entry/forwarding/notifications/notifications_test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { ok } from "neverthrow";
 import { EntryFleet } from "../../../../test/support/entry_fleet.ts";
 import {
   makeConfiguration,
@@ -6,9 +7,15 @@
   makeEngine,
   PORTAL,
 } from "../../../../test/support/forwarding_fixtures.ts";
+import type { RoleLink } from "../mod.ts";
 
 const KNOWN = makeEndpoint("known");
 const ENGINE = makeEngine("engine", "decode");
+const ROLE_LINK: RoleLink = {
+  readClaim: () => Promise.resolve(ok({ claim: undefined, end: 0 })),
+  appendClaim: () => Promise.resolve(ok(0)),
+  order: () => Promise.resolve("accepted"),
+};
 
 describe("Notifications of peers", () => {
   let fleet: EntryFleet;
@@ -19,6 +26,7 @@
       zones: 1,
       configuration: makeConfiguration(),
       endpoints: [KNOWN, ENGINE],
+      roles: { link: ROLE_LINK, leaseMilliseconds: 3_000 },
       entryOptions: () => ({ recordPeerRead: () => "ahead" }),
     });
   });
@@ -70,4 +78,31 @@
       expect(entry.registry.inPool(PORTAL)).to.have.length(2);
     });
   });
+
+  describe("with role orders", () => {
+    // An order that is not a row throws where it is taken apart, which ended
+    // the process.
+    const invalid: readonly unknown[] = [
+      undefined,
+      [null],
+      [{}],
+      [["engine"]],
+      [["engine", "other"]],
+      [["engine", "prefill"], 1],
+    ];
+    for (const orders of invalid) {
+      it(`ignores ${JSON.stringify(orders)}`, () => {
+        const [entry] = fleet.entries;
+        entry.onNotification("entry.roles", { orders });
+        expect(entry.isChanging(ENGINE.id)).to.equal(false);
+      });
+    }
+
+    it("notes that the engine changes", () => {
+      const [entry] = fleet.entries;
+      const orders = [[ENGINE.id, "prefill", "later"]];
+      entry.onNotification("entry.roles", { orders, later: 1 });
+      expect(entry.isChanging(ENGINE.id)).to.equal(true);
+    });
+  });
 });
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -67,9 +67,6 @@
  * with three planners one is left while two of them fail.
  */
 const PLANNERS = 3;
-/** Notification that carries role orders to engines. */
-export const ROLES_METHOD = "entry.roles";
-
 /** Notification that carries new verdicts on endpoints. */
 export const VERDICTS_METHOD = "entry.verdicts";
 
--- a/src/entry/forwarding/role_controller.ts
+++ b/src/entry/forwarding/role_controller.ts
@@ -20,6 +20,10 @@
 import type { Logger } from "../../core/observation/mod.ts";
 import { type Random, withJitter } from "../../core/random/mod.ts";
 import type { Subscription, TimerService } from "../../core/time/mod.ts";
+import type {
+  RoleNotification,
+  RoleOrder,
+} from "./notifications/role_notification.ts";
 import type { WorkRolePlanner } from "./work_role_planner.ts";
 
 /** Interval of the role checks. */
@@ -53,12 +57,6 @@
  */
 export type OrderOutcome = "accepted" | "busy" | "refused" | "unknown";
 
-/** Engines that were ordered to change, with their new roles. */
-export type RoleOrders = readonly (readonly [
-  endpoint: EndpointId,
-  role: "prefill" | "decode",
-])[];
-
 /** The log of claims and the interface for orders to engines. */
 export interface RoleLink {
   /** The latest claim and the end offset of the log. */
@@ -90,7 +88,7 @@
   /** True if callers may take up streams of the pool. */
   readonly hasResumableStreams: (pool: ServiceName) => boolean;
   /** Informs peers of engines that are about to change. */
-  readonly broadcastOrders: (changes: RoleOrders) => void;
+  readonly broadcastOrders: (orders: readonly RoleOrder[]) => void;
   /** Plans adaptive pools; absent: all are planned by their slots. */
   readonly workPlanner?: WorkRolePlanner;
 }
@@ -139,7 +137,7 @@
   }
 
   /** Records a peer's orders: the engines accept no new work for a while. */
-  onPeerOrders(orders: RoleOrders): void {
+  onPeerOrders({ orders }: RoleNotification): void {
     for (const [endpoint, role] of orders) this.#noteOrder(endpoint, role);
   }
 
--- a/src/entry/forwarding/role_controller_test.ts
+++ b/src/entry/forwarding/role_controller_test.ts
@@ -93,7 +93,9 @@
         hasResumableStreams: () => true,
         broadcastOrders: (orders) => {
           if (!isBroadcasting) return;
-          for (const controller of controllers) controller.onPeerOrders(orders);
+          for (const controller of controllers) {
+            controller.onPeerOrders({ orders });
+          }
         },
       });
     });
