--- a/src/adapters/forwarding/peer_notification_socket.ts
+++ b/src/adapters/forwarding/peer_notification_socket.ts
@@ -1,4 +1,5 @@
 import { createSocket, type Socket } from "node:dgram";
+import { isObject, isText } from "../../core/validation/mod.ts";
 import { parseJson } from "../http_client/mod.ts";
 
 /** Maximum size of a datagram; a larger one would be fragmented. */
@@ -15,7 +16,14 @@
 export interface PeerNotificationSocketOptions {
   readonly host: string;
   readonly port: number;
-  readonly onNotification: (method: string, params: unknown) => void;
+  /** Called with each notification; `from` is its sender's `host:port`. */
+  readonly onNotification: (
+    method: string,
+    params: unknown,
+    options: { readonly from: string },
+  ) => void;
+  /** Called with the size of a datagram that is no notification. */
+  readonly onUnreadable: (bytes: number, from: string) => void;
   readonly onError: (reason: string) => void;
 }
 
@@ -32,7 +40,11 @@
     this.#options = options;
     this.#socket = createSocket("udp4");
     this.#socket.on("error", (cause) => options.onError(cause.message));
-    this.#socket.on("message", (message) => this.#receive(message));
+    this.#socket.on(
+      "message",
+      (message, { address, port }) =>
+        this.#receive(message, `${address}:${port}`),
+    );
   }
 
   listen(): void {
@@ -65,9 +77,15 @@
     this.#socket.close();
   }
 
-  #receive(bytes: Buffer): void {
-    const message = parseJson(bytes.toString()) as Notification | undefined;
-    if (typeof message?.method !== "string") return;
-    this.#options.onNotification(message.method, message.params);
+  #receive(bytes: Buffer, from: string): void {
+    const message = parseJson(bytes.toString());
+    if (!isNotification(message)) {
+      return this.#options.onUnreadable(bytes.length, from);
+    }
+    this.#options.onNotification(message.method, message.params, { from });
   }
 }
+
+function isNotification(value: unknown): value is Notification {
+  return isObject(value) && isText(value.method);
+}
--- a/src/adapters/telemetry/forwarding_telemetry.ts
+++ b/src/adapters/telemetry/forwarding_telemetry.ts
@@ -8,6 +8,7 @@
 import type { LogFields, Logger } from "../../core/observation/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
 import type {
+  DroppedNotification,
   LoadQueryOutcome,
   ObserveForwarding,
   PermitOutcome,
@@ -147,6 +148,20 @@
   return (outcome) => queries.inc({ outcome });
 }
 
+/** Returns a function that counts notifications of peers without effect. */
+export function createDroppedNotificationCounter(
+  registry: Registry,
+): (dropped: DroppedNotification) => void {
+  const counter = new Counter({
+    name: "filbertshore_dropped_notifications_total",
+    help: "Notifications of peers that had no effect, by method and reason",
+    labelNames: ["method", "reason", "sender"],
+    registers: [registry],
+  });
+  return ({ method = "unknown", reason, sender }) =>
+    counter.inc({ method, reason, sender });
+}
+
 /** Returns a function that counts permits for limited endpoints by outcome. */
 export function createPermitCounter(
   registry: Registry,
--- a/src/core/errors/mod.ts
+++ b/src/core/errors/mod.ts
@@ -36,3 +36,8 @@
     hint: definition.hint,
   };
 }
+
+/** Text of what was thrown, for a log line: with its stack if it has one. */
+export function stackOf(cause: unknown): string {
+  return cause instanceof Error ? cause.stack ?? cause.message : String(cause);
+}
--- a/src/core/forwarding/estimates/mod.ts
+++ b/src/core/forwarding/estimates/mod.ts
@@ -1,6 +1,7 @@
 /** Estimates of engines' speed, learned from their responses. */
 export {
   EngineEstimates,
+  isPrefillSpeedReport,
   type PoolEstimates,
   type PrefillSpeedReport,
 } from "./pool_estimates.ts";
--- a/src/core/forwarding/estimates/pool_estimates.ts
+++ b/src/core/forwarding/estimates/pool_estimates.ts
@@ -49,9 +49,8 @@
     });
   }
 
-  /** Records a peer's costs; a malformed report is ignored. */
-  recordPeerReport(report: unknown): void {
-    if (!isPrefillSpeedReport(report)) return;
+  /** Records a peer's costs. */
+  recordPeerReport(report: PrefillSpeedReport): void {
     const [
       pool,
       samples,
@@ -67,7 +66,10 @@
   }
 }
 
-function isPrefillSpeedReport(value: unknown): value is PrefillSpeedReport {
+/** Checks that the value is a report of a pool's speed. */
+export function isPrefillSpeedReport(
+  value: unknown,
+): value is PrefillSpeedReport {
   if (!Array.isArray(value) || value.length !== REPORT_LENGTH) return false;
   const [pool, ...numbers] = value;
   return typeof pool === "string" &&
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -78,6 +78,7 @@
   DecodePace,
   EngineEstimates,
   EngineSlowness,
+  isPrefillSpeedReport,
   type PauseTotals,
   type PrefillSpeedReport,
   ServiceTimes,
--- a/src/entry/forwarding/configuration_sync.ts
+++ b/src/entry/forwarding/configuration_sync.ts
@@ -2,9 +2,11 @@
 import type { Random } from "../../core/random/mod.ts";
 import type { Subscription, TimerService } from "../../core/time/mod.ts";
 import type { ConfigurationStatus } from "./configuration_status.ts";
-
-/** Notification of the configuration that is in force at an entry. */
-export const CONFIGURATION_METHOD = "entry.configuration";
+import {
+  CONFIGURATION_METHOD,
+  type ConfigurationNotification,
+} from "./notifications/configuration_notification.ts";
+import type { Broadcast } from "./notifications/notifications.ts";
 
 /**
  * How long to wait for this entry's own read after a peer reports a newer
@@ -24,13 +26,6 @@
 /** Announcements of a version after which further ones are suppressed. */
 const MAX_ANNOUNCEMENTS = 3;
 
-interface ConfigurationNotification {
-  readonly entry: string;
-  readonly version: number;
-  /** True if the sender has just read that the store has no newer version. */
-  readonly isCurrent: boolean;
-}
-
 export interface ConfigurationSyncOptions {
   readonly process: string;
   readonly timer: TimerService;
@@ -40,7 +35,7 @@
   readonly version: () => number | undefined;
   /** Number of entries in the fleet. */
   readonly entries: () => number;
-  readonly broadcast: (method: string, params: unknown) => void;
+  readonly broadcast: Broadcast;
   /** Called when the version in force here is known to be current. */
   readonly onConfirmed: () => void;
   /** Checks whether the store has a newer version. */
@@ -105,10 +100,10 @@
     );
   }
 
-  /** Applies a peer's notification; ignores malformed ones. */
-  onNotification(params: unknown): void {
-    if (!isConfigurationNotification(params)) return;
-    const { entry, isCurrent, version } = params;
+  /** Applies a peer's notification. */
+  onNotification(
+    { entry, isCurrent, version }: ConfigurationNotification,
+  ): void {
     if (version === this.#ownVersion) {
       this.#heardAnnouncements += 1;
       if (isCurrent) this.onStoreRead();
@@ -142,12 +137,8 @@
     const { broadcast, process, version } = this.#options;
     const ownVersion = version();
     if (ownVersion === undefined) return;
-    const notification: ConfigurationNotification = {
-      entry: process,
-      version: ownVersion,
-      isCurrent,
-    };
-    broadcast(CONFIGURATION_METHOD, notification);
+    const params = { entry: process, version: ownVersion, isCurrent };
+    broadcast({ method: CONFIGURATION_METHOD, params });
   }
 
   #stopCatchUp(): void {
@@ -171,14 +162,3 @@
     void fetchFrom(peer);
   }
 }
-
-function isConfigurationNotification(
-  value: unknown,
-): value is ConfigurationNotification {
-  if (typeof value !== "object" || value === null) return false;
-  const { entry, isCurrent, version } = value as Partial<
-    ConfigurationNotification
-  >;
-  return typeof entry === "string" && typeof version === "number" &&
-    typeof isCurrent === "boolean";
-}
--- a/src/entry/forwarding/configuration_sync_test.ts
+++ b/src/entry/forwarding/configuration_sync_test.ts
@@ -1,8 +1,10 @@
 import { expect } from "chai";
+import { deliverNotification } from "../../../test/support/deliver_notification.ts";
 import { NOOP_LOGGER } from "../../core/observation/mod.ts";
 import { ManualTimerService } from "../../core/time/mod.ts";
 import { ConfigurationStatus } from "./configuration_status.ts";
 import { ConfigurationSync } from "./configuration_sync.ts";
+import { CONFIGURATION_METHOD } from "./notifications/configuration_notification.ts";
 
 /** Time in which an entry has to query a peer that has a newer version. */
 const QUERY_DEADLINE_MILLISECONDS = 500;
@@ -37,7 +39,7 @@
       }),
       version: () => version,
       entries: () => 5,
-      broadcast: (_, params) => void announced.push(params),
+      broadcast: ({ params }) => void announced.push(params),
       onConfirmed: () => void (confirmations += 1),
       checkStore: () => void (storeChecks += 1),
       fetchFrom: (name) => {
@@ -57,7 +59,7 @@
   }
 
   const notice = (entry: string, isCurrent = false) => {
-    const params = { entry, version: versions.get(entry), isCurrent };
+    const params = { entry, version: versions.get(entry) ?? 0, isCurrent };
     sync.onNotification(params);
   };
 
@@ -177,7 +179,10 @@
 
   it("ignores malformed notifications", async () => {
     for (const params of [null, 9, {}, { entry: "b", version: "9" }]) {
-      sync.onNotification(params);
+      const isValid = deliverNotification(CONFIGURATION_METHOD, params, {
+        handler: (valid) => sync.onNotification(valid),
+      });
+      expect(isValid).to.equal(false);
     }
     await timer.advance(QUERY_DEADLINE_MILLISECONDS);
     expect(queried).to.deep.equal([]);
--- a/src/entry/forwarding/crashes/crash_exchange.ts
+++ b/src/entry/forwarding/crashes/crash_exchange.ts
@@ -1,15 +1,11 @@
-import {
-  type CrashReport,
-  type CrashTracker,
-  isReportedLoss,
-  isReportedProof,
+import type {
+  CrashReport,
+  CrashTracker,
 } from "../../../core/forwarding/mod.ts";
 import type { ProcessId } from "../../../core/identity/mod.ts";
 import type { Subscription, TimerService } from "../../../core/time/mod.ts";
-import type { SendToPeer } from "../load_queries.ts";
-
-/** Notification that carries what was lost with endpoints. */
-export const CRASHES_METHOD = "entry.crashes";
+import { CRASHES_METHOD } from "../notifications/crash_notification.ts";
+import type { Broadcast, SendToPeer } from "../notifications/notifications.ts";
 
 /** How long losses are batched; the losses of one crash arrive together. */
 const REPORT_DELAY_MILLISECONDS = 5;
@@ -19,7 +15,7 @@
 export interface CrashExchangeOptions {
   readonly timer: TimerService;
   readonly crashes: CrashTracker;
-  readonly broadcast: (method: string, params: unknown) => void;
+  readonly broadcast: Broadcast;
   readonly send: SendToPeer;
 }
 
@@ -37,12 +33,11 @@
     this.#report?.cancel();
   }
 
-  /** Applies a peer's report; ignores a malformed one. */
-  onReport(params: unknown): void {
-    if (!isCrashReport(params)) return;
+  /** Applies a peer's report. */
+  onReport({ cleared, losses }: CrashReport): void {
     const { crashes } = this.#options;
-    crashes.recordPeerLosses(params.losses);
-    crashes.recordPeerAcquittals(params.cleared);
+    crashes.recordPeerLosses(losses);
+    crashes.recordPeerAcquittals(cleared);
   }
 
   /** Sends a peer that has started the losses that it can't know. */
@@ -68,16 +63,8 @@
       this.#report = undefined;
       const report = crashes.reports.take();
       if (report === undefined) return;
-      broadcast(CRASHES_METHOD, report);
+      broadcast({ method: CRASHES_METHOD, params: report });
       this.#scheduleReport();
     });
   }
 }
-
-/** Checks that the value is a valid crash report. */
-function isCrashReport(value: unknown): value is CrashReport {
-  if (typeof value !== "object" || value === null) return false;
-  const { cleared, losses } = value as Partial<CrashReport>;
-  return Array.isArray(losses) && losses.every(isReportedLoss) &&
-    Array.isArray(cleared) && cleared.every(isReportedProof);
-}
--- a/src/entry/forwarding/crashes/trial_exchange.ts
+++ b/src/entry/forwarding/crashes/trial_exchange.ts
@@ -1,11 +1,8 @@
-import {
-  type CrashTracker,
-  isReportedLoss,
-  isReportedProof,
-  type LoadOwners,
-  type ReportedLoss,
-  type ReportedProof,
-  type TrialIssuer,
+import type {
+  CrashTracker,
+  LoadOwners,
+  ReportedProof,
+  TrialIssuer,
 } from "../../../core/forwarding/mod.ts";
 import {
   identifier,
@@ -13,17 +10,17 @@
   type SuspectDigest,
 } from "../../../core/identity/mod.ts";
 import type { Subscription, TimerService } from "../../../core/time/mod.ts";
-import type { SendToPeer } from "../load_queries.ts";
-
-/** Notification that asks the owner of a suspect for its trial. */
-export const TRIAL_REQUEST_METHOD = "entry.trialRequest";
-/** Notification that answers such a request. */
-export const TRIAL_ANSWER_METHOD = "entry.trialAnswer";
-/** Notification that a trial has ended. */
-export const TRIAL_END_METHOD = "entry.trialEnd";
-
-/** Notification that tells the owner of suspects of recent runs of them. */
-export const TRIAL_PROOFS_METHOD = "entry.trialProofs";
+import {
+  TRIAL_ANSWER_METHOD,
+  TRIAL_END_METHOD,
+  TRIAL_PROOFS_METHOD,
+  TRIAL_REQUEST_METHOD,
+  type TrialAnswer,
+  type TrialNotification,
+  type TrialProofs,
+  type TrialRequest,
+} from "../notifications/crash_notification.ts";
+import type { SendToPeer } from "../notifications/notifications.ts";
 
 /** How long proofs are batched. */
 const PROOF_DELAY_MILLISECONDS = 2;
@@ -44,32 +41,6 @@
   readonly send: SendToPeer;
 }
 
-/** Fields that all notifications about a trial have. */
-interface TrialNotification {
-  readonly entry: string;
-  readonly holder: string;
-  readonly digest: string;
-}
-
-interface TrialRequest extends TrialNotification {
-  /** Crashes of the suspect that the sender knows. */
-  readonly crashes: number;
-  /** True if the sender asks for proofs and losses only. */
-  readonly isInquiry?: boolean;
-}
-
-interface TrialAnswer extends TrialNotification {
-  readonly isGranted: boolean;
-  /** Present if the suspect needs no trial: time since its last run. */
-  readonly proofAge?: number;
-  /** Present if the owner knows more losses than the sender. */
-  readonly losses?: readonly ReportedLoss[];
-}
-
-interface TrialProofs {
-  readonly proofs: readonly ReportedProof[];
-}
-
 /**
  * Asks the owner of a suspect, an entry that all of them can work out, for its
  * trial, and grants those of the suspects that this entry owns.
@@ -160,9 +131,8 @@
   }
 
   /** Handles the proofs of a peer. */
-  onProofs(params: unknown): void {
-    if (!isTrialProofs(params)) return;
-    this.#options.crashes.recordPeerProofs(params.proofs);
+  onProofs({ proofs }: TrialProofs): void {
+    this.#options.crashes.recordPeerProofs(proofs);
   }
 
   #sendProofs(): void {
@@ -190,8 +160,7 @@
   }
 
   /** Handles a peer's request for a trial. */
-  onRequest(params: unknown): void {
-    if (!isTrialRequest(params)) return;
+  onRequest(params: TrialRequest): void {
     const { crashes, issuer, self, send } = this.#options;
     const { entry, holder } = params;
     const digest = identifier<SuspectDigest>(params.digest);
@@ -214,9 +183,9 @@
   }
 
   /** Handles the answer of a suspect's owner. */
-  onAnswer(params: unknown): void {
-    if (!isTrialAnswer(params)) return;
-    const { digest, holder, isGranted, losses, proofAge } = params;
+  onAnswer(
+    { digest, holder, isGranted, losses, proofAge }: TrialAnswer,
+  ): void {
     if (proofAge !== undefined) {
       this.#options.crashes.recordPeerProofs([[digest, proofAge]]);
     }
@@ -228,10 +197,8 @@
   }
 
   /** Handles the end of a trial that this entry has granted. */
-  onEnd(params: unknown): void {
-    if (!isTrialNotification(params)) return;
-    const digest = identifier<SuspectDigest>(params.digest);
-    this.#options.issuer.end(digest, params.holder);
+  onEnd({ digest, holder }: TrialNotification): void {
+    this.#options.issuer.end(identifier<SuspectDigest>(digest), holder);
   }
 
   #ownerOf(digest: SuspectDigest): ProcessId {
@@ -244,30 +211,3 @@
 function pendingKey(holder: string, digest: string): string {
   return `${holder} ${digest}`;
 }
-
-function isTrialNotification(value: unknown): value is TrialNotification {
-  if (typeof value !== "object" || value === null) return false;
-  const { digest, entry, holder } = value as Record<string, unknown>;
-  return typeof digest === "string" && typeof entry === "string" &&
-    typeof holder === "string";
-}
-
-function isTrialRequest(value: unknown): value is TrialRequest {
-  return isTrialNotification(value) &&
-    Number.isInteger((value as TrialRequest).crashes);
-}
-
-function isTrialAnswer(value: unknown): value is TrialAnswer {
-  if (!isTrialNotification(value)) return false;
-  const { isGranted, losses, proofAge } = value as TrialAnswer;
-  return typeof isGranted === "boolean" &&
-    (proofAge === undefined || Number.isFinite(proofAge)) &&
-    (losses === undefined ||
-      (Array.isArray(losses) && losses.every(isReportedLoss)));
-}
-
-function isTrialProofs(value: unknown): value is TrialProofs {
-  if (typeof value !== "object" || value === null) return false;
-  const { proofs } = value as Partial<TrialProofs>;
-  return Array.isArray(proofs) && proofs.every(isReportedProof);
-}
--- a/src/entry/forwarding/crashes/trial_exchange_test.ts
+++ b/src/entry/forwarding/crashes/trial_exchange_test.ts
@@ -11,8 +11,9 @@
   TRIAL_ANSWER_METHOD,
   TRIAL_END_METHOD,
   TRIAL_REQUEST_METHOD,
-  TrialExchange,
-} from "./trial_exchange.ts";
+} from "../notifications/crash_notification.ts";
+import type { Notification } from "../notifications/mod.ts";
+import { TrialExchange } from "./trial_exchange.ts";
 
 const PART = identifier<PartDigest>("part");
 const OTHER_PART = identifier<PartDigest>("other");
@@ -41,15 +42,18 @@
       issuer: new TrialIssuer(timer),
       crashes,
       owners: { liveRanking: () => [OWNER] },
-      send: (peer, { method, params }) => {
+      send: (peer, notification) => {
         const receiver = () => (peer === OWNER ? owner : asking).trials;
-        timer.after(latency, () => deliver(receiver(), method, params));
+        timer.after(latency, () => deliver(receiver(), notification));
       },
     });
     return { crashes, trials };
   }
 
-  function deliver(to: TrialExchange, method: string, params: unknown): void {
+  function deliver(
+    to: TrialExchange,
+    { method, params }: Notification,
+  ): void {
     if (method === TRIAL_REQUEST_METHOD) to.onRequest(params);
     if (method === TRIAL_ANSWER_METHOD) to.onAnswer(params);
     if (method === TRIAL_END_METHOD) to.onEnd(params);
--- a/src/entry/forwarding/fleet_outcomes.ts
+++ b/src/entry/forwarding/fleet_outcomes.ts
@@ -23,7 +23,7 @@
 } from "../../core/identity/mod.ts";
 import type { Logger } from "../../core/observation/mod.ts";
 import type { Subscription, TimerService } from "../../core/time/mod.ts";
-import type { WorkRowWithRun } from "./work_notification.ts";
+import type { WorkRowWithRun } from "./notifications/work_notification.ts";
 
 /**
  * Silence of an endpoint's owner after which this entry judges the endpoint by
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -1,5 +1,4 @@
 import {
-  type BlockedSuspect,
   CrashTracker,
   DecodePace,
   EndpointAvailability,
@@ -21,7 +20,6 @@
   OpenRequests,
   type OpenWork,
   type PauseTotals,
-  type PeerReadResult,
   PermitQueue,
   PoolShares,
   PrefixDirectory,
@@ -36,183 +34,49 @@
   SharedRetryBudget,
   StreamKeepers,
   StreamOrigins,
-  type TopicSpan,
   TrialIssuer,
-  type VerdictChange,
   WorkRate,
 } from "../../core/forwarding/mod.ts";
 import {
-  type AvailabilityZoneId,
   type EndpointId,
   identifier,
-  type PartDigest,
   type ProcessId,
-  type RequestDigest,
-  type ServiceName,
-  type SuspectDigest,
 } from "../../core/identity/mod.ts";
+import { stackOf } from "../../core/errors/mod.ts";
 import type { PeerAddress } from "../../core/links/mod.ts";
-import type { Logger } from "../../core/observation/mod.ts";
-import type { Random } from "../../core/random/mod.ts";
-import type { TimerService } from "../../core/time/mod.ts";
 import { ConfigurationStatus } from "./configuration_status.ts";
+import { ConfigurationSync } from "./configuration_sync.ts";
 import {
-  CONFIGURATION_METHOD,
-  ConfigurationSync,
-} from "./configuration_sync.ts";
-import { FleetOutcomes } from "./fleet_outcomes.ts";
-import { forward } from "./forward.ts";
-import type { CallerSink, EndpointClient } from "./network_interfaces.ts";
-import type { ObserveForwarding } from "./observer.ts";
-import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
-import { PrefixCacheSurvey } from "./prefix_cache_survey.ts";
-import {
-  isRegistrationNotification,
-  REGISTRATIONS_METHOD,
-} from "./notifications/registration_notification.ts";
-import {
-  isRoleNotification,
-  ROLES_METHOD,
-} from "./notifications/role_notification.ts";
-import { RegistrationSync } from "./registration_sync.ts";
-import {
-  PeerStateFallback,
-  type PeerStateFallbackOptions,
-} from "./peer_state_fallback.ts";
-import { QueryAllowance } from "./query_allowance.ts";
-import { RoleController, type RoleLink } from "./role_controller.ts";
-import { type PlannedRoles, WorkRolePlanner } from "./work_role_planner.ts";
-import { UsageReporter, type UsageReporterOptions } from "./usage_reporter.ts";
-import { USAGE_METHOD, USAGE_REPORTS_METHOD } from "./usage_notification.ts";
-import {
-  PeerExchange,
-  type SendToPeers,
-  VERDICTS_METHOD,
-} from "./peer_exchange.ts";
-import {
-  CRASHES_METHOD,
   CrashExchange,
   CrashGate,
   LostRunChecks,
-  TRIAL_ANSWER_METHOD,
-  TRIAL_END_METHOD,
-  TRIAL_PROOFS_METHOD,
-  TRIAL_REQUEST_METHOD,
   TrialExchange,
 } from "./crashes/mod.ts";
+import { FleetOutcomes } from "./fleet_outcomes.ts";
+import { forward } from "./forward.ts";
+import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
+import type { ForwardingEntryOptions } from "./forwarding_entry_options.ts";
+import { LoadQueries } from "./load_queries.ts";
 import { LoadReportExchange } from "./load_report_exchange.ts";
+import type { CallerSink } from "./network_interfaces.ts";
 import {
-  LOAD_ANSWER_METHOD,
-  LOAD_QUERY_METHOD,
-  LoadQueries,
-  type LoadQueryOutcome,
-} from "./load_queries.ts";
-import {
-  PERMIT_ANSWER_METHOD,
-  PERMIT_REQUEST_METHOD,
-  type PermitOutcome,
-  RequestPermits,
-} from "./request_permits.ts";
-import { WORK_METHOD } from "./work_notification.ts";
-import {
-  type StreamLookupOutcome,
-  StreamOriginExchange,
-  type StreamOriginExchangeOptions,
-} from "./stream_origin_exchange.ts";
-import {
-  STREAM_ANSWER_METHOD,
-  STREAM_QUERY_METHOD,
-  STREAMS_METHOD,
-} from "./stream_notification.ts";
-import {
-  type VersionLink,
-  VersionListing,
-  VERSIONS_METHOD,
-} from "./version_listing.ts";
-
-export interface ForwardingEntryOptions {
-  readonly process: string;
-  readonly incarnation: string;
-  readonly availabilityZone: AvailabilityZoneId;
-  readonly timer: TimerService;
-  readonly random: Random;
-  readonly endpointClient: EndpointClient;
-  /** Digest by which a retried request is recognized. */
-  readonly digestOf: (request: ForwardedRequest) => RequestDigest;
-  /** Digest by which a part of prompts is recognized in a pool. */
-  readonly partDigestOf: (pool: ServiceName, part: string) => PartDigest;
-  readonly sendToPeers: SendToPeers;
-  readonly observe: ObserveForwarding;
-  readonly logger: Logger;
-  /**
-   * True on the first start of the whole fleet, when engines hold no cached
-   * prompts.
-   */
-  readonly isFirstStart: boolean;
-  readonly retry: {
-    readonly ratio: number;
-    readonly windowMilliseconds: number;
-    readonly minimum: number;
-  };
-  /** Bandwidth of this machine's link; absent if unknown. */
-  readonly linkMegabitsPerSecond: number | undefined;
-  /**
-   * Memory for responses that callers read slowly, in bytes; if absent, such
-   * callers pause their endpoint.
-   */
-  readonly responseBufferBytes?: number;
-  /** True if callers of this deployment compete for scarce capacity. */
-  readonly isCapacityScarce?: boolean;
-  /** Event loop delay of this process, in milliseconds. */
-  readonly loopDelayMilliseconds: () => number;
-  /** Absent: engines keep their current roles. */
-  readonly roles?: {
-    readonly link: RoleLink;
-    readonly leaseMilliseconds: number;
-    /** How the roles of adaptive pools are planned; by default by slots. */
-    readonly plan?: "slots" | "observed_work";
-  };
-  /** Absent: usage of workspaces is not reported. */
-  readonly usage?: Pick<
-    UsageReporterOptions,
-    | "dueMilliseconds"
-    | "leaseMilliseconds"
-    | "link"
-    | "onOutcome"
-    | "windowMilliseconds"
-  >;
-  /** How to query peers while the store is unreachable. */
-  readonly peerStateFallback: Pick<
-    PeerStateFallbackOptions,
-    "addressOf" | "adoptEntries" | "ask" | "listEntries" | "peers"
-  >;
-  /** Called when the connections to an address are no longer needed. */
-  readonly onEndpointRemoved: (address: string) => void;
-  /** Records that a peer has read this span of the registrations. */
-  readonly recordPeerRead: (span: TopicSpan) => PeerReadResult;
-  /** Checks whether the store has a newer configuration. */
-  readonly checkConfiguration: () => void;
-  /** Called when the configuration in force is known to be current. */
-  readonly onConfigurationConfirmed: () => void;
-  /** Called with the outcome of each load query. */
-  readonly onLoadQuery: (outcome: LoadQueryOutcome) => void;
-  /** Called with the outcome of each request for a permit. */
-  readonly onPermit: (outcome: PermitOutcome) => void;
-  /** Digest by which the attempt that began a stream is known. */
-  readonly streamDigestOf: StreamOriginExchangeOptions["digestOf"];
-  /** Called with the outcome of each search for the origin of a stream. */
-  readonly onStreamLookup?: (outcome: StreamLookupOutcome) => void;
-  /** Absent: software versions are not listed in a store. */
-  readonly versions?: VersionLink;
-  /** Called for each change of a verdict on an endpoint formed here. */
-  readonly onVerdict?: (change: VerdictChange) => void;
-  /** Persists what is blocked for entries that start while no other runs. */
-  readonly persistBlocked: (blocked: BlockedSuspect) => void;
-  /** Removes what has run without a crash since it was persisted. */
-  readonly removeBlocked: (digest: SuspectDigest) => void;
-  /** Called when an entry reports that is not in the list of the fleet yet. */
-  readonly onUnlistedPeer: () => void;
-}
+  createNotificationHandlers,
+  NotificationReceiver,
+} from "./notifications/mod.ts";
+import { REGISTRATIONS_METHOD } from "./notifications/registration_notification.ts";
+import { ROLES_METHOD } from "./notifications/role_notification.ts";
+import { USAGE_METHOD } from "./notifications/usage_notification.ts";
+import { PeerExchange } from "./peer_exchange.ts";
+import { PeerStateFallback } from "./peer_state_fallback.ts";
+import { PrefixCacheSurvey } from "./prefix_cache_survey.ts";
+import { QueryAllowance } from "./query_allowance.ts";
+import { RegistrationSync } from "./registration_sync.ts";
+import { RequestPermits } from "./request_permits.ts";
+import { RoleController } from "./role_controller.ts";
+import { StreamOriginExchange } from "./stream_origin_exchange.ts";
+import { UsageReporter } from "./usage_reporter.ts";
+import { VersionListing } from "./version_listing.ts";
+import { type PlannedRoles, WorkRolePlanner } from "./work_role_planner.ts";
 
 /**
  * Minimum number of entries that are assumed to share the retry budget during
@@ -243,8 +107,7 @@
   readonly #streams: StreamOriginExchange;
   readonly #versions: VersionListing;
   readonly #crashes: CrashExchange;
-  /** What each notification from a peer is applied by. */
-  readonly #handlers: ReadonlyMap<string, (params: unknown) => void>;
+  readonly #receiver: NotificationReceiver;
   readonly #startedAt: number;
   #routes: RouteTable | undefined;
   #stopping = false;
@@ -418,7 +281,7 @@
       link: options.versions,
       peers: () => this.peers.listedPeers,
       ranking: (subject) => owners.liveRanking(subject),
-      broadcast: (method, params) => this.peers.broadcast(method, params),
+      broadcast: (notification) => this.peers.broadcast(notification),
       send: (peer, notification) => this.peers.sendTo(peer, notification),
     });
     this.#usageReporter = options.usage && new UsageReporter({
@@ -431,7 +294,7 @@
       ranking: () => owners.liveRanking(USAGE_METHOD),
       listedPeers: () => this.peers.listedPeers,
       send: (peer, notification) => this.peers.sendTo(peer, notification),
-      broadcast: (method, params) => this.peers.broadcast(method, params),
+      broadcast: (notification) => this.peers.broadcast(notification),
     });
     const clock = this.#usageReporter?.clock;
     this.peers = new PeerExchange({
@@ -463,7 +326,7 @@
     this.#crashes = new CrashExchange({
       timer,
       crashes,
-      broadcast: (method, params) => this.peers.broadcast(method, params),
+      broadcast: (notification) => this.peers.broadcast(notification),
       send: (peer, notification) => this.peers.sendTo(peer, notification),
     });
     const trials = new TrialExchange({
@@ -475,7 +338,6 @@
       owners,
       send: (peer, notification) => this.peers.sendTo(peer, notification),
     });
-    this.#handlers = this.#makeHandlers(trials);
     this.configurationSync = new ConfigurationSync({
       process: options.process,
       timer,
@@ -483,7 +345,7 @@
       status: this.configurationStatus,
       version: () => this.configuration?.version,
       entries: () => this.peers.fleetSize ?? 1,
-      broadcast: (method, params) => this.peers.broadcast(method, params),
+      broadcast: (notification) => this.peers.broadcast(notification),
       onConfirmed: options.onConfigurationConfirmed,
       checkStore: options.checkConfiguration,
       fetchFrom: (peer) => this.peerStateFallback.fetchConfiguration(peer),
@@ -504,7 +366,8 @@
       registry: this.registry,
       recordPeerRead: options.recordPeerRead,
       onStoreReached: () => this.peerStateFallback.onStoreRead(),
-      broadcast: (update) => this.peers.broadcast(REGISTRATIONS_METHOD, update),
+      broadcast: (params) =>
+        this.peers.broadcast({ method: REGISTRATIONS_METHOD, params }),
     });
     this.#workRolePlanner = roleWork && new WorkRolePlanner({
       timer,
@@ -533,9 +396,27 @@
         hasResumableStreams: (pool) =>
           this.#routes?.hasResumableStreams(pool) ?? false,
         broadcastOrders: (orders) =>
-          this.peers.broadcast(ROLES_METHOD, { orders }),
+          this.peers.broadcast({ method: ROLES_METHOD, params: { orders } }),
         workPlanner: this.#workRolePlanner,
       });
+    this.#receiver = new NotificationReceiver({
+      logger: options.logger,
+      peerAt: (address) => this.peers.peerAt(address),
+      onDropped: (dropped) => options.onDroppedNotification?.(dropped),
+      handlers: createNotificationHandlers({
+        configurationSync: this.configurationSync,
+        crashes: this.#crashes,
+        loadQueries: this.#loadQueries,
+        peers: this.peers,
+        permits: this.#permits,
+        registrationSync: this.registrationSync,
+        roleController: this.#roleController,
+        streams: this.#streams,
+        trials,
+        usageReporter: this.#usageReporter,
+        versions: this.#versions,
+      }),
+    });
     this.#dependencies = {
       timer,
       random,
@@ -778,64 +659,18 @@
     return this.#dependencies.crashes.restore(losses, options);
   }
 
-  /** Handles a notification from a peer. */
-  onNotification(method: string, params: unknown): void {
-    this.#handlers.get(method)?.(params);
-  }
-
-  /** Handlers of all notifications that entries send each other. */
-  #makeHandlers(
-    trials: TrialExchange,
-  ): ReadonlyMap<string, (params: unknown) => void> {
-    const { peers } = this;
-    const streamMethods = [
-      STREAMS_METHOD,
-      STREAM_QUERY_METHOD,
-      STREAM_ANSWER_METHOD,
-    ];
-    const usageMethods = [USAGE_METHOD, USAGE_REPORTS_METHOD];
-    return new Map<string, (params: unknown) => void>([
-      [WORK_METHOD, (params) => peers.onWork(params)],
-      [VERDICTS_METHOD, (params) => peers.onVerdicts(params)],
-      [CRASHES_METHOD, (params) => this.#crashes.onReport(params)],
-      [TRIAL_REQUEST_METHOD, (params) => trials.onRequest(params)],
-      [TRIAL_ANSWER_METHOD, (params) => trials.onAnswer(params)],
-      [TRIAL_END_METHOD, (params) => trials.onEnd(params)],
-      [TRIAL_PROOFS_METHOD, (params) => trials.onProofs(params)],
-      [
-        CONFIGURATION_METHOD,
-        (params) => this.configurationSync.onNotification(params),
-      ],
-      ...usageMethods.map((method) =>
-        [
-          method,
-          (params: unknown) =>
-            this.#usageReporter?.onNotification(method, params),
-        ] as const
-      ),
-      [VERSIONS_METHOD, (params) => this.#versions.onNotification(params)],
-      ...streamMethods.map((method) =>
-        [
-          method,
-          (params: unknown) => this.#streams.onNotification(method, params),
-        ] as const
-      ),
-      [PERMIT_REQUEST_METHOD, (params) => this.#permits.onRequest(params)],
-      [PERMIT_ANSWER_METHOD, (params) => this.#permits.onAnswer(params)],
-      [LOAD_QUERY_METHOD, (params) => this.#loadQueries.onQuery(params)],
-      [LOAD_ANSWER_METHOD, (params) => this.#loadQueries.onAnswer(params)],
-      [ROLES_METHOD, (params) => this.#onRoles(params)],
-      [REGISTRATIONS_METHOD, (params) => this.#onRegistrations(params)],
-    ]);
-  }
-
-  #onRoles(params: unknown): void {
-    if (isRoleNotification(params)) this.#roleController?.onPeerOrders(params);
+  /** Handles a notification from the peer at an address. */
+  onNotification(
+    method: string,
+    params: unknown,
+    { from }: { readonly from: string } = { from: "" },
+  ): void {
+    this.#receiver.receive(method, params, { from });
   }
 
-  #onRegistrations(params: unknown): void {
-    if (!isRegistrationNotification(params)) return;
-    this.registrationSync.onPeerChanges(params);
+  /** Handles a datagram that is no notification. */
+  onUnreadableDatagram(bytes: number, from: string): void {
+    this.#receiver.receiveUnreadable(bytes, from);
   }
 
   handle(request: ForwardedRequest, sink: CallerSink): void {
@@ -844,7 +679,7 @@
       this.#options.logger.error(
         {
           requestId: id,
-          problem: cause instanceof Error ? cause.stack : cause,
+          problem: stackOf(cause),
         },
         "The handling of a request has thrown",
       );
--- a/src/entry/forwarding/load_queries.ts
+++ b/src/entry/forwarding/load_queries.ts
@@ -13,16 +13,13 @@
 import type { Subscription, TimerService } from "../../core/time/mod.ts";
 import type { LoadReportExchange } from "./load_report_exchange.ts";
 import {
-  isWorkRows,
-  withRuns,
-  workOfSameRuns,
-  type WorkRowWithRun,
-} from "./work_notification.ts";
-
-/** Notification that queries an owner for the load of its endpoints. */
-export const LOAD_QUERY_METHOD = "entry.loadQuestion";
-/** Notification that answers a load query. */
-export const LOAD_ANSWER_METHOD = "entry.loadAnswer";
+  LOAD_ANSWER_METHOD,
+  LOAD_QUERY_METHOD,
+  type LoadAnswer,
+  type LoadQuery,
+} from "./notifications/load_notification.ts";
+import type { SendToPeer } from "./notifications/notifications.ts";
+import { withRuns, workOfSameRuns } from "./notifications/work_notification.ts";
 
 /**
  * Timeout of a query to an owner. An owner that is suspended or partitioned
@@ -30,17 +27,8 @@
  */
 const ANSWER_TIMEOUT_MILLISECONDS = 6;
 
-/** Sends a notification to one entry; lost datagrams are not retried. */
-export type SendToPeer = (
-  peer: ProcessId,
-  notification: { readonly method: string; readonly params: unknown },
-) => void;
-
-/**
- * Outcome of a query to one owner, or of a received message: `unreadable`
- * messages are ignored.
- */
-export type LoadQueryOutcome = "answered" | "unanswered" | "unreadable";
+/** Outcome of a query to one owner. */
+export type LoadQueryOutcome = "answered" | "unanswered";
 
 export interface LoadQueriesOptions {
   readonly self: ProcessId;
@@ -102,14 +90,13 @@
     }
   }
 
-  /** Answers a peer's query; ignores a malformed one. */
-  onQuery(params: unknown): void {
-    if (!isLoadQuery(params)) return this.#options.onOutcome("unreadable");
+  /** Answers a peer's query. */
+  onQuery({ endpoints, entry, id }: LoadQuery): void {
     const { load, owners, registry, reportExchange, self, send } =
       this.#options;
-    const asker = identifier<ProcessId>(params.entry);
+    const asker = identifier<ProcessId>(entry);
     owners.recordMessage(asker);
-    const work = params.endpoints.map((name) => {
+    const work = endpoints.map((name) => {
       const endpoint = identifier<EndpointId>(name);
       const others = addWork(load.own(endpoint), load.others(endpoint, asker));
       return encodeWork(endpoint, others);
@@ -118,27 +105,26 @@
       method: LOAD_ANSWER_METHOD,
       params: {
         entry: self,
-        id: params.id,
+        id,
         work: reportExchange.addToAnswer(withRuns(registry, work)),
       },
     });
   }
 
   /** Applies an owner's answer; ignores one that matches no pending query. */
-  onAnswer(params: unknown): void {
-    if (!isLoadAnswer(params)) return this.#options.onOutcome("unreadable");
-    const owner = identifier<ProcessId>(params.entry);
-    const query = this.#pending.get(params.id);
+  onAnswer({ entry, id, work }: LoadAnswer): void {
+    const owner = identifier<ProcessId>(entry);
+    const query = this.#pending.get(id);
     if (query?.waiting.delete(owner) !== true) return;
     const { load, owners, registry, reportExchange } = this.#options;
-    reportExchange.apply(params.work);
+    reportExchange.apply(work);
     owners.recordMessage(owner);
     owners.recordQuery(owner, { answered: true });
     this.#options.onOutcome("answered");
     for (
       const [endpoint, requests, prefillMilliseconds, tokens] of workOfSameRuns(
         registry,
-        params.work,
+        work,
       )
     ) {
       load.recordOwnerReport(identifier(endpoint), {
@@ -150,30 +136,3 @@
     if (query.waiting.size === 0) query.settle();
   }
 }
-
-interface LoadQuery {
-  readonly entry: string;
-  readonly id: number;
-  readonly endpoints: readonly string[];
-}
-
-function isLoadQuery(value: unknown): value is LoadQuery {
-  if (typeof value !== "object" || value === null) return false;
-  const { endpoints, entry, id } = value as Record<string, unknown>;
-  return typeof entry === "string" && typeof id === "number" &&
-    Array.isArray(endpoints) &&
-    endpoints.every((each) => typeof each === "string");
-}
-
-interface LoadAnswer {
-  readonly entry: string;
-  readonly id: number;
-  readonly work: readonly WorkRowWithRun[];
-}
-
-function isLoadAnswer(value: unknown): value is LoadAnswer {
-  if (typeof value !== "object" || value === null) return false;
-  const { entry, id, work } = value as Record<string, unknown>;
-  return typeof entry === "string" && typeof id === "number" &&
-    isWorkRows(work);
-}
--- a/src/entry/forwarding/load_queries_test.ts
+++ b/src/entry/forwarding/load_queries_test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { deliverNotification } from "../../../test/support/deliver_notification.ts";
 import { makeEngine } from "../../../test/support/forwarding_fixtures.ts";
 import {
   EndpointLoadReports,
@@ -15,12 +16,11 @@
 } from "../../core/identity/mod.ts";
 import { ManualTimerService } from "../../core/time/mod.ts";
 import { LoadReportExchange } from "./load_report_exchange.ts";
+import { LoadQueries, type LoadQueryOutcome } from "./load_queries.ts";
 import {
   LOAD_ANSWER_METHOD,
   LOAD_QUERY_METHOD,
-  LoadQueries,
-  type LoadQueryOutcome,
-} from "./load_queries.ts";
+} from "./notifications/load_notification.ts";
 
 const ENGINE = makeEngine("engine", "prefill", {
   startedAt: numbered<ReplicaStartTime>(5),
@@ -69,14 +69,24 @@
   let owner: Member;
   /** Modifies a message in transit; undefined drops it. */
   let intercept: (params: unknown) => unknown;
+  /** Whether the last query could be decoded. */
+  let isQueryValid: boolean | undefined;
 
   function send(peer: ProcessId, method: string, params: unknown): void {
     const sent = intercept(JSON.parse(JSON.stringify(params)));
     if (sent === undefined) return;
     timer.after(ONE_WAY_MILLISECONDS, () => {
       const { queries } = members.get(peer) as Member;
-      if (method === LOAD_QUERY_METHOD) queries.onQuery(sent);
-      if (method === LOAD_ANSWER_METHOD) queries.onAnswer(sent);
+      if (method === LOAD_QUERY_METHOD) {
+        isQueryValid = deliverNotification(method, sent, {
+          handler: (query) => queries.onQuery(query),
+        });
+      }
+      if (method === LOAD_ANSWER_METHOD) {
+        deliverNotification(method, sent, {
+          handler: (answer) => queries.onAnswer(answer),
+        });
+      }
     });
   }
 
@@ -184,7 +194,8 @@
         startWork(owner, 30);
         intercept = (params) => corrupt(params as Record<string, unknown>);
         expect(await ask()).to.equal(6);
-        expect(owner.outcomes).to.deep.equal(["unreadable"]);
+        expect(isQueryValid).to.equal(false);
+        expect(owner.outcomes).to.deep.equal([]);
         expect(asker.outcomes).to.deep.equal(["unanswered"]);
         expect(asker.load.total(ENGINE.id).requests).to.equal(0);
       });
--- a/src/entry/forwarding/load_report_exchange.ts
+++ b/src/entry/forwarding/load_report_exchange.ts
@@ -7,7 +7,8 @@
 } from "../../core/forwarding/mod.ts";
 import { type EndpointId, identifier } from "../../core/identity/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
-import type { WorkRowWithRun } from "./work_notification.ts";
+import type { LoadReportValues } from "./notifications/load_values.ts";
+import type { WorkRowWithRun } from "./notifications/work_notification.ts";
 
 /**
  * Mean interval at which an owner gets reports of one endpoint from the whole
@@ -17,19 +18,6 @@
 const REPORT_SPACING_MILLISECONDS = 100;
 const PERCENT = 100;
 
-/**
- * A load report in a row: running and waiting requests, slots, work factor in
- * percent, and the ages of its request and of its receipt in milliseconds.
- */
-export type LoadReportValues = readonly [
-  running: number,
-  waiting: number,
-  slots: number,
-  workFactorPercent: number,
-  sentAge: number,
-  receivedAge: number,
-];
-const VALUES = 6;
 /** Position of the report in a row, after the start of the endpoint's run. */
 const RUN_POSITION = 4;
 const REPORT_POSITION = 5;
@@ -84,12 +72,12 @@
     });
   }
 
-  /** Records the reports in rows of the same runs; ignores malformed ones. */
+  /** Records the reports in rows of the same runs. */
   apply(rows: readonly WorkRowWithRun[]): void {
     const { loadReports, registry, timer } = this.#options;
     for (const row of rows) {
-      const values: unknown = row[REPORT_POSITION];
-      if (!isLoadReportValues(values)) continue;
+      const values = row[REPORT_POSITION];
+      if (values === undefined) continue;
       const id = identifier<EndpointId>(row[0]);
       const endpoint = registry.get(id);
       const isSameRun = registry.isSameRun({
@@ -149,10 +137,3 @@
     receivedAt: now - receivedAge,
   };
 }
-
-function isLoadReportValues(value: unknown): value is LoadReportValues {
-  if (!Array.isArray(value) || value.length !== VALUES) return false;
-  const [, , slots, percent] = value;
-  return value.every((each) => Number.isFinite(each) && each >= 0) &&
-    slots > 0 && percent > 0;
-}
--- a/src/entry/forwarding/load_report_exchange_test.ts
+++ b/src/entry/forwarding/load_report_exchange_test.ts
@@ -10,7 +10,10 @@
 import { numbered, type ReplicaStartTime } from "../../core/identity/mod.ts";
 import { ManualTimerService } from "../../core/time/mod.ts";
 import { LoadReportExchange } from "./load_report_exchange.ts";
-import { isWorkRows, type WorkRowWithRun } from "./work_notification.ts";
+import {
+  isWorkRows,
+  type WorkRowWithRun,
+} from "./notifications/work_notification.ts";
 
 const RUN = numbered<ReplicaStartTime>(5);
 const NEXT_RUN = numbered<ReplicaStartTime>(6);
--- a/src/entry/forwarding/mod.ts
+++ b/src/entry/forwarding/mod.ts
@@ -5,10 +5,8 @@
 export { ConfigurationStatus } from "./configuration_status.ts";
 export { FleetOutcomes } from "./fleet_outcomes.ts";
 export { forward } from "./forward.ts";
-export {
-  ForwardingEntry,
-  type ForwardingEntryOptions,
-} from "./forwarding_entry.ts";
+export { ForwardingEntry } from "./forwarding_entry.ts";
+export type { ForwardingEntryOptions } from "./forwarding_entry_options.ts";
 export { CrashGate, LostRunChecks, TrialExchange } from "./crashes/mod.ts";
 export type { LoadQueryOutcome } from "./load_queries.ts";
 export {
@@ -21,7 +19,11 @@
   StreamOriginExchange,
 } from "./stream_origin_exchange.ts";
 export { type VersionLink, VersionListing } from "./version_listing.ts";
-export type { RegistrationChange } from "./notifications/registration_notification.ts";
+export type {
+  DroppedNotification,
+  Notification,
+  RegistrationChange,
+} from "./notifications/mod.ts";
 export { QueryAllowance } from "./query_allowance.ts";
 export { PeerExchange } from "./peer_exchange.ts";
 export type { OrderOutcome, RoleLink } from "./role_controller.ts";
--- a/src/entry/forwarding/notifications/notifications_test.ts
+++ b/src/entry/forwarding/notifications/notifications_test.ts
@@ -7,7 +7,21 @@
   makeEngine,
   PORTAL,
 } from "../../../../test/support/forwarding_fixtures.ts";
-import type { RoleLink } from "../mod.ts";
+import { NOOP_LOGGER } from "../../../core/observation/mod.ts";
+import { numbered, type ReplicaStartTime } from "../../../core/identity/mod.ts";
+import { seededRandom } from "../../../core/random/mod.ts";
+import {
+  changeValue,
+  encodeInvalid,
+  pick,
+} from "../../../../test/support/invalid_values.ts";
+import { makeNotifications } from "../../../../test/support/notification_samples.ts";
+import type { DroppedNotification, RoleLink } from "../mod.ts";
+import {
+  createNotificationHandlers,
+  type NotificationParts,
+  NotificationReceiver,
+} from "./mod.ts";
 
 const KNOWN = makeEndpoint("known");
 const ENGINE = makeEngine("engine", "decode");
@@ -19,15 +33,20 @@
 
 describe("Notifications of peers", () => {
   let fleet: EntryFleet;
+  let dropped: DroppedNotification[];
 
   beforeEach(() => {
+    dropped = [];
     fleet = new EntryFleet({
       entries: 2,
       zones: 1,
       configuration: makeConfiguration(),
       endpoints: [KNOWN, ENGINE],
       roles: { link: ROLE_LINK, leaseMilliseconds: 3_000 },
-      entryOptions: () => ({ recordPeerRead: () => "ahead" }),
+      entryOptions: () => ({
+        recordPeerRead: () => "ahead",
+        onDroppedNotification: (each) => void dropped.push(each),
+      }),
     });
   });
 
@@ -105,4 +124,74 @@
       expect(entry.isChanging(ENGINE.id)).to.equal(true);
     });
   });
+
+  describe("that have no effect", () => {
+    it("are counted with the peer that sent them", () => {
+      const [entry] = fleet.entries;
+      const send = (method: string, params: unknown, from: string) =>
+        entry.onNotification(method, params, { from });
+      send("entry.later", {}, "1");
+      send("constructor", {}, "1");
+      send("entry.roles", [], "1");
+      send("entry.roles", {}, "127.0.0.1:9");
+      entry.onUnreadableDatagram(7, "1");
+      expect(dropped).to.deep.equal([
+        { method: undefined, reason: "unknown_method", sender: "entry-1" },
+        { method: undefined, reason: "unknown_method", sender: "entry-1" },
+        { method: "entry.roles", reason: "invalid", sender: "entry-1" },
+        { method: "entry.roles", reason: "invalid", sender: "unlisted" },
+        { method: undefined, reason: "unreadable", sender: "entry-1" },
+      ]);
+    });
+
+    // A throw in the listener of the socket ends the process.
+    it("as their handler throws end alone, and are logged with a stack", () => {
+      const errors: unknown[] = [];
+      const receiver = new NotificationReceiver({
+        logger: { ...NOOP_LOGGER, error: (facts) => void errors.push(facts) },
+        peerAt: () => undefined,
+        onDropped: (each) => void dropped.push(each),
+        handlers: createNotificationHandlers(
+          {
+            roleController: {
+              onPeerOrders() {
+                throw new TypeError("Half applied");
+              },
+            },
+          } as unknown as NotificationParts,
+        ),
+      });
+      receiver.receive("entry.roles", { orders: [] }, { from: "1" });
+      expect(dropped).to.have.length(1);
+      expect(dropped[0].reason).to.equal("faulted");
+      expect(JSON.stringify(errors)).to.contain("Half applied")
+        .and.to.contain("onPeerOrders");
+    });
+  });
+
+  // Each seed has changed messages that no other test has.
+  for (const seed of [1, 2, 3]) {
+    it(`of seed ${seed}, changed at random, throw nowhere`, async () => {
+      const [entry] = fleet.entries;
+      const random = seededRandom(seed);
+      const startedAt = numbered<ReplicaStartTime>(1_000);
+      const endpoint = { ...ENGINE, startedAt };
+      entry.registry.upsert(endpoint);
+      for (let sequence = 1; sequence <= 1_000; sequence++) {
+        const samples = makeNotifications({
+          sender: random() < 0.8 ? "entry-1" : "unlisted",
+          endpoint,
+          sequence,
+        });
+        const [method, params] = pick(Object.entries(samples), random);
+        const changed = JSON.parse(encodeInvalid(changeValue(params, random)));
+        entry.onNotification(method, changed, { from: "1" });
+        if (sequence % 20 === 0) await fleet.timer.advance(20);
+      }
+      expect(dropped.some(({ reason }) => reason === "invalid"))
+        .to.equal(true);
+      expect(dropped.filter(({ reason }) => reason === "faulted"))
+        .to.deep.equal([]);
+    });
+  }
 });
--- a/src/entry/forwarding/prompt_encoding.ts
+++ b/src/entry/forwarding/notifications/prompt_encoding.ts
@@ -1,10 +1,11 @@
-import type { CachedPrompt, PromptPart } from "../../core/forwarding/mod.ts";
+import type { CachedPrompt, PromptPart } from "../../../core/forwarding/mod.ts";
 import {
   type EndpointId,
   identifier,
   numbered,
   type ReplicaStartTime,
-} from "../../core/identity/mod.ts";
+} from "../../../core/identity/mod.ts";
+import { isNumber, isText } from "../../../core/validation/mod.ts";
 
 /**
  * A prefilled prompt as sent to peers: the engine, its memory in tokens, the
@@ -27,26 +28,30 @@
   ];
 }
 
-/** Undefined if the value is not an encoded prompt. */
-export function decodePrompt(value: unknown): CachedPrompt | undefined {
-  if (!Array.isArray(value)) return undefined;
+/** Checks that the value is an encoded prompt. */
+export function isEncodedPrompt(value: unknown): value is EncodedPrompt {
+  if (!Array.isArray(value) || value.length < HEADER_VALUES) return false;
   const [engine, memoryTokens, startedAt, ...rest] = value;
-  const hasHeader = typeof engine === "string" &&
-    typeof memoryTokens === "number" && typeof startedAt === "number" &&
-    value.length >= HEADER_VALUES && rest.length % VALUES_PER_PART === 0;
-  if (!hasHeader) return undefined;
+  return isText(engine) && isNumber(memoryTokens) && isNumber(startedAt) &&
+    rest.length % VALUES_PER_PART === 0 &&
+    rest.every((each, index) =>
+      index % VALUES_PER_PART === 0 ? isText(each) : isNumber(each)
+    );
+}
+
+export function decodePrompt(prompt: EncodedPrompt): CachedPrompt {
+  const [engine, memoryTokens, startedAt, ...rest] = prompt;
   const parts: PromptPart[] = [];
   for (let index = 0; index < rest.length; index += VALUES_PER_PART) {
     const [id, tokens] = rest.slice(index, index + VALUES_PER_PART);
-    if (typeof id !== "string" || typeof tokens !== "number") return undefined;
-    parts.push({ id, tokens });
+    parts.push({ id: String(id), tokens: Number(tokens) });
   }
   return {
-    engine: identifier<EndpointId>(engine),
+    engine: identifier<EndpointId>(String(engine)),
     ...(startedAt !== UNKNOWN_START && {
-      engineStartedAt: numbered<ReplicaStartTime>(startedAt),
+      engineStartedAt: numbered<ReplicaStartTime>(Number(startedAt)),
     }),
-    memoryTokens,
+    memoryTokens: Number(memoryTokens),
     parts,
   };
 }
--- a/src/entry/forwarding/prompt_encoding_test.ts
+++ b/src/entry/forwarding/notifications/prompt_encoding_test.ts
@@ -1,6 +1,10 @@
 import { expect } from "chai";
-import { type EndpointId, identifier } from "../../core/identity/mod.ts";
-import { decodePrompt, encodePrompt } from "./prompt_encoding.ts";
+import { type EndpointId, identifier } from "../../../core/identity/mod.ts";
+import {
+  decodePrompt,
+  encodePrompt,
+  isEncodedPrompt,
+} from "./prompt_encoding.ts";
 
 describe("encoding of a prompt for peers", () => {
   const prompt = {
@@ -10,8 +14,9 @@
   };
 
   it("round-trips", () => {
-    expect(decodePrompt(JSON.parse(JSON.stringify(encodePrompt(prompt)))))
-      .to.deep.equal(prompt);
+    const received = JSON.parse(JSON.stringify(encodePrompt(prompt)));
+    expect(isEncodedPrompt(received)).to.equal(true);
+    expect(decodePrompt(received)).to.deep.equal(prompt);
   });
 
   it("round-trips a prompt without parts", () => {
@@ -31,7 +36,7 @@
     ]
   ) {
     it(`rejects ${JSON.stringify(value)}`, () => {
-      expect(decodePrompt(value)).to.equal(undefined);
+      expect(isEncodedPrompt(value)).to.equal(false);
     });
   }
 });
--- a/src/entry/forwarding/stream_notification.ts
+++ b/src/entry/forwarding/notifications/stream_notification.ts
@@ -1,10 +1,24 @@
-import type { KnownOrigin, StreamRecord } from "../../core/forwarding/mod.ts";
+import type {
+  KnownOrigin,
+  StreamRecord,
+} from "../../../core/forwarding/mod.ts";
 import {
   identifier,
   type ServiceName,
   type SoftwareVersion,
   type StreamDigest,
-} from "../../core/identity/mod.ts";
+} from "../../../core/identity/mod.ts";
+import {
+  type Check,
+  isInteger,
+  isListOf,
+  isNullable,
+  isNumber,
+  isObjectOf,
+  isOptional,
+  isRow,
+  isText,
+} from "../../../core/validation/mod.ts";
 
 /** Notification that carries origins of streams to their keepers. */
 export const STREAMS_METHOD = "entry.streams";
@@ -54,48 +68,52 @@
   };
 }
 
-/** Undefined if the notification is malformed. */
-export function decodeStreams(params: unknown): StreamRecord[] | undefined {
-  if (!isObject(params)) return undefined;
-  const { origins, streams } = params;
-  if (!Array.isArray(origins) || !Array.isArray(streams)) return undefined;
-  const records: StreamRecord[] = [];
-  for (const row of streams) {
-    if (!Array.isArray(row) || typeof row[0] !== "string") return undefined;
-    const origin = decodeOrigin(origins[row[1]]);
-    if (origin === undefined) return undefined;
-    records.push({ stream: identifier<StreamDigest>(row[0]), origin });
-  }
-  return records;
+export function decodeStreams(
+  { origins, streams }: StreamNotification,
+): StreamRecord[] {
+  return streams.map(([stream, origin]) => ({
+    stream: identifier<StreamDigest>(stream),
+    origin: decodeOrigin(origins[origin]),
+  }));
 }
 
 export function encodeOrigin(origin: KnownOrigin): OriginRow {
   return origin === "ambiguous" ? null : [origin.pool, origin.softwareVersion];
 }
 
-/** Undefined if the row is absent or malformed. */
-export function decodeOrigin(row: unknown): KnownOrigin | undefined {
+export function decodeOrigin(row: OriginRow): KnownOrigin {
   if (row === null) return "ambiguous";
-  if (!Array.isArray(row)) return undefined;
   const [pool, softwareVersion] = row;
-  if (typeof pool !== "string" || typeof softwareVersion !== "string") {
-    return undefined;
-  }
   return {
     pool: identifier<ServiceName>(pool),
     softwareVersion: identifier<SoftwareVersion>(softwareVersion),
   };
 }
 
-export function isStreamQuery(value: unknown): value is StreamQuery {
-  return isObject(value) && typeof value.entry === "string" &&
-    typeof value.id === "number" && typeof value.stream === "string";
-}
+const isOriginRow: Check<OriginRow> = isNullable(
+  isRow<NonNullable<OriginRow>>([isText, isText]),
+);
 
-export function isStreamAnswer(value: unknown): value is StreamAnswer {
-  return isStreamQuery(value);
-}
+const hasStreamFields = isObjectOf<StreamNotification>({
+  origins: isListOf(isOriginRow),
+  streams: isListOf(
+    isRow<StreamNotification["streams"][number]>([isText, isInteger]),
+  ),
+});
 
-function isObject(value: unknown): value is Record<string, unknown> {
-  return typeof value === "object" && value !== null;
+/** Checks also that the streams refer to origins that are there. */
+export function isStreamNotification(
+  value: unknown,
+): value is StreamNotification {
+  return hasStreamFields(value) &&
+    value.streams.every(([, origin]) => value.origins[origin] !== undefined);
 }
+
+const QUERY = { entry: isText, id: isNumber, stream: isText } as const;
+
+export const isStreamQuery = isObjectOf<StreamQuery>(QUERY);
+
+export const isStreamAnswer = isObjectOf<StreamAnswer>({
+  ...QUERY,
+  origin: isOptional(isOriginRow),
+});
--- a/src/entry/forwarding/work_notification.ts
+++ b/src/entry/forwarding/notifications/work_notification.ts
@@ -4,6 +4,7 @@
   isLimitReport,
   isOutcomeRows,
   isPoolShareRows,
+  isPrefillSpeedReport,
   isReportedLoss,
   isRoleWorkReport,
   isVerdictRows,
@@ -17,14 +18,24 @@
   type RoleWorkReport,
   type VerdictRow,
   type WorkReport,
-} from "../../core/forwarding/mod.ts";
+} from "../../../core/forwarding/mod.ts";
 import {
   type EndpointId,
   identifier,
   type ReplicaStartTime,
-} from "../../core/identity/mod.ts";
-import type { LoadReportValues } from "./load_report_exchange.ts";
-import type { EncodedPrompt } from "./prompt_encoding.ts";
+} from "../../../core/identity/mod.ts";
+import {
+  type Check,
+  isBoolean,
+  isListOf,
+  isNumber,
+  isObjectOf,
+  isOptional,
+  isRow,
+  isText,
+} from "../../../core/validation/mod.ts";
+import { isLoadReportValues, type LoadReportValues } from "./load_values.ts";
+import { type EncodedPrompt, isEncodedPrompt } from "./prompt_encoding.ts";
 
 /** Notification that carries an entry's open work. */
 export const WORK_METHOD = "entry.work";
@@ -84,7 +95,6 @@
   startedAt?: ReplicaStartTime,
   load?: LoadReportValues,
 ];
-const MIN_WORK_VALUES = 4;
 
 /** Adds the current run of each endpoint to its row. */
 export function withRuns(
@@ -111,76 +121,40 @@
     );
 }
 
-/** Checks that the value is a valid work notification. */
-export function isWorkNotification(value: unknown): value is WorkNotification {
-  if (typeof value !== "object" || value === null) return false;
-  const {
-    clock,
-    entry,
-    incarnation,
-    limits,
-    losses,
-    outcomes,
-    poolWork,
-    prompts,
-    refusals,
-    sequence,
-    shares,
-    speeds,
-    verdicts,
-    version,
-    work,
-  } = value as Record<string, unknown>;
-  const isVersion = version === undefined || typeof version === "number";
-  const hasSpeeds = speeds === undefined || Array.isArray(speeds);
-  const hasLosses = losses === undefined ||
-    (Array.isArray(losses) && losses.every(isReportedLoss));
-  const hasLimits = limits === undefined ||
-    (Array.isArray(limits) && limits.every(isLimitReport));
-  const hasPoolWork = poolWork === undefined ||
-    (Array.isArray(poolWork) && poolWork.every(isRoleWorkReport));
-  const hasShares = shares === undefined ||
-    (Array.isArray(shares) && shares.every(isPoolShareRows));
-  const isClock = clock === undefined || Number.isFinite(clock);
-  const hasOutcomes = outcomes === undefined || isOutcomeRows(outcomes);
-  const hasVerdicts = verdicts === undefined || isVerdictRows(verdicts);
-  return isVersion && isClock && hasSpeeds && hasLosses && hasLimits &&
-    hasShares && hasPoolWork && hasOutcomes && hasVerdicts &&
-    typeof entry === "string" &&
-    typeof incarnation === "string" &&
-    typeof sequence === "number" &&
-    Array.isArray(prompts) &&
-    Array.isArray(refusals) && refusals.every(isRefusalReport) &&
-    isWorkRows(work);
-}
-
 /** Checks that the value is a list of work rows. */
-export function isWorkRows(value: unknown): value is readonly WorkRowWithRun[] {
-  return Array.isArray(value) &&
-    value.every((each) =>
-      Array.isArray(each) && each.length >= MIN_WORK_VALUES &&
-      typeof each[0] === "string" &&
-      each.slice(1, MIN_WORK_VALUES).every(Number.isFinite)
-    );
-}
+export const isWorkRows: Check<readonly WorkRowWithRun[]> = isListOf(
+  isRow<WorkRowWithRun>([
+    isText,
+    isNumber,
+    isNumber,
+    isNumber,
+    isOptional(isNumber<ReplicaStartTime>),
+    isOptional(isLoadReportValues),
+  ]),
+);
 
-function isRefusalReport(value: unknown): value is RefusalReport {
-  return Array.isArray(value) && typeof value[0] === "string" &&
-    typeof value[1] === "number" &&
-    (value[2] === undefined || typeof value[2] === "number");
-}
-
-/** Verdicts of an entry on endpoints that it owns. */
-export interface VerdictNotification {
-  readonly entry: string;
-  readonly verdicts: readonly VerdictRow[];
-}
+const isRefusalReport = isRow<RefusalReport>([
+  isText,
+  isNumber,
+  isOptional(isNumber),
+]);
 
-/** Checks that the value is a valid notification of verdicts. */
-export function isVerdictNotification(
-  value: unknown,
-): value is VerdictNotification {
-  if (typeof value !== "object" || value === null) return false;
-  const { entry, verdicts } = value as Record<string, unknown>;
-  return typeof entry === "string" && isVerdictRows(verdicts);
-}
+/** Checks that the value is a valid work notification. */
+export const isWorkNotification = isObjectOf<WorkNotification>({
+  entry: isText,
+  incarnation: isText,
+  sequence: isNumber,
+  whole: isBoolean,
+  work: isWorkRows,
+  version: isOptional(isNumber),
+  prompts: isListOf(isEncodedPrompt),
+  speeds: isOptional(isListOf(isPrefillSpeedReport)),
+  refusals: isListOf(isRefusalReport),
+  clock: isOptional(isNumber),
+  losses: isOptional(isListOf(isReportedLoss)),
+  limits: isOptional(isListOf(isLimitReport)),
+  outcomes: isOptional(isOutcomeRows),
+  verdicts: isOptional(isVerdictRows),
+  poolWork: isOptional(isListOf(isRoleWorkReport)),
+  shares: isOptional(isListOf(isPoolShareRows)),
+});
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -24,15 +24,21 @@
 import type { Subscription, TimerService } from "../../core/time/mod.ts";
 import type { LoadReportExchange } from "./load_report_exchange.ts";
 import type { FleetOutcomes } from "./fleet_outcomes.ts";
-import { decodePrompt, encodePrompt } from "./prompt_encoding.ts";
+import type {
+  Notification,
+  SendToPeers,
+} from "./notifications/notifications.ts";
+import { decodePrompt, encodePrompt } from "./notifications/prompt_encoding.ts";
+import {
+  type VerdictNotification,
+  VERDICTS_METHOD,
+} from "./notifications/verdict_notification.ts";
 import {
-  isVerdictNotification,
-  isWorkNotification,
   withRuns,
   WORK_METHOD,
   type WorkNotification,
   workOfSameRuns,
-} from "./work_notification.ts";
+} from "./notifications/work_notification.ts";
 
 /**
  * Reporting interval for each peer. The interval grows with the fleet, which
@@ -67,15 +73,6 @@
  * with three planners one is left while two of them fail.
  */
 const PLANNERS = 3;
-/** Notification that carries new verdicts on endpoints. */
-export const VERDICTS_METHOD = "entry.verdicts";
-
-/** Sends a notification to peers. */
-export type SendToPeers = (
-  addresses: readonly string[],
-  notification: { readonly method: string; readonly params: unknown },
-) => void;
-
 export interface PeerExchangeOptions {
   readonly process: string;
   readonly incarnation: string;
@@ -199,37 +196,39 @@
   }
 
   /** Sends a notification to all peers without waiting for the next report. */
-  broadcast(method: string, params: unknown): void {
+  broadcast(notification: Notification): void {
     if (this.#addresses.length === 0) return;
-    this.#options.sendToPeers(this.#addresses, { method, params });
+    this.#options.sendToPeers(this.#addresses, notification);
   }
 
   /** Sends verdicts on endpoints to all peers. */
   broadcastVerdicts(verdicts: readonly VerdictRow[]): void {
-    this.broadcast(VERDICTS_METHOD, { entry: this.#options.process, verdicts });
+    const params = { entry: this.#options.process, verdicts };
+    this.broadcast({ method: VERDICTS_METHOD, params });
   }
 
-  /** Applies a peer's verdicts; ignores malformed ones. */
-  onVerdicts(params: unknown): void {
-    if (!isVerdictNotification(params)) return;
-    const sender = identifier<ProcessId>(params.entry);
+  /** Applies a peer's verdicts. */
+  onVerdicts({ entry, verdicts }: VerdictNotification): void {
+    const sender = identifier<ProcessId>(entry);
     this.#options.owners.recordMessage(sender);
-    this.#options.outcomes.applyVerdicts(sender, params.verdicts);
+    this.#options.outcomes.applyVerdicts(sender, verdicts);
   }
 
   /** Sends a notification to one peer. */
-  sendTo(
-    peer: ProcessId,
-    notification: { readonly method: string; readonly params: unknown },
-  ): void {
+  sendTo(peer: ProcessId, notification: Notification): void {
     const address = this.#peers.get(peer);
     if (address === undefined) return;
     this.#options.sendToPeers([address], notification);
   }
 
-  /** Applies a peer's report; ignores malformed ones. */
-  onWork(params: unknown): void {
-    if (!isWorkNotification(params)) return;
+  /** Name of the peer at an address; undefined if there is none. */
+  peerAt(address: string): string | undefined {
+    for (const [name, each] of this.#peers) if (each === address) return name;
+    return undefined;
+  }
+
+  /** Applies a peer's report. */
+  onWork(params: WorkNotification): void {
     if (params.entry === this.#options.process) return;
     if (!this.#peers.has(params.entry)) this.#options.onUnlistedPeer();
     const sender = identifier<ProcessId>(params.entry);
@@ -249,7 +248,7 @@
     this.#options.reportExchange.apply(params.work);
     for (const encoded of params.prompts) {
       const prompt = decodePrompt(encoded);
-      const isSameRun = prompt !== undefined && registry.isSameRun({
+      const isSameRun = registry.isSameRun({
         id: prompt.engine,
         startedAt: prompt.engineStartedAt,
       });
@@ -365,7 +364,9 @@
         ...(this.#options.onClock && { clock: timer.wallClock() }),
       }),
     };
-    if (poolWork.length === 0) return this.broadcast(WORK_METHOD, report);
+    if (poolWork.length === 0) {
+      return this.broadcast({ method: WORK_METHOD, params: report });
+    }
     this.#sendToPlanners(report, poolWork);
   }
 
--- a/src/entry/forwarding/request_permits.ts
+++ b/src/entry/forwarding/request_permits.ts
@@ -4,8 +4,6 @@
   type EndpointLimits,
   type EndpointRegistry,
   type EndpointRun,
-  isLimitReport,
-  type LimitReport,
   type LoadOwners,
   MIN_REQUESTS_PER_SECOND,
   type PermitAnswer,
@@ -18,12 +16,13 @@
   type ProcessId,
 } from "../../core/identity/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
-import type { SendToPeer } from "./load_queries.ts";
-
-/** Notification that requests permits for an endpoint from its issuer. */
-export const PERMIT_REQUEST_METHOD = "entry.permitRequest";
-/** Notification that answers such a request. */
-export const PERMIT_ANSWER_METHOD = "entry.permitAnswer";
+import type { SendToPeer } from "./notifications/notifications.ts";
+import {
+  PERMIT_ANSWER_METHOD,
+  PERMIT_REQUEST_METHOD,
+  type PermitAnswerMessage,
+  type PermitRequestMessage,
+} from "./notifications/permit_notification.ts";
 
 /**
  * Timeout of a request for permits. Permits in a later answer are lost, so it
@@ -174,9 +173,8 @@
     this.#issuer.forget(endpoint);
   }
 
-  /** Issues permits to a peer; ignores a malformed request. */
-  onRequest(params: unknown): void {
-    if (!isPermitRequest(params)) return;
+  /** Issues permits to a peer. */
+  onRequest(params: PermitRequestMessage): void {
     const { limits, owners, registry, self, send, timer } = this.#options;
     const entry = identifier<ProcessId>(params.entry);
     owners.recordMessage(entry);
@@ -196,9 +194,8 @@
     });
   }
 
-  /** Applies an issuer's answer; ignores one that is malformed or late. */
-  onAnswer(params: unknown): void {
-    if (!isPermitAnswer(params)) return;
+  /** Applies an issuer's answer; ignores a late one. */
+  onAnswer(params: PermitAnswerMessage): void {
     this.#options.owners.recordMessage(identifier(params.entry));
     this.#unanswered.get(params.id)?.(params);
   }
@@ -327,43 +324,3 @@
   for (const { rank } of pending) counts.set(rank, (counts.get(rank) ?? 0) + 1);
   return [...counts];
 }
-
-interface PermitRequestMessage {
-  readonly entry: string;
-  readonly id: number;
-  readonly limit: LimitReport;
-  readonly wanted: PermitDemand;
-  readonly waiting: PermitDemand;
-}
-
-function isPermitRequest(value: unknown): value is PermitRequestMessage {
-  if (typeof value !== "object" || value === null) return false;
-  const { entry, id, limit, wanted, waiting } = value as Record<
-    string,
-    unknown
-  >;
-  return typeof entry === "string" && typeof id === "number" &&
-    isLimitReport(limit) && isDemand(wanted) && wanted.length > 0 &&
-    isDemand(waiting);
-}
-
-function isDemand(value: unknown): value is PermitDemand {
-  return Array.isArray(value) &&
-    value.every((each) =>
-      Array.isArray(each) && each.length === 2 && each.every(Number.isFinite)
-    );
-}
-
-interface PermitAnswerMessage extends PermitAnswer {
-  readonly entry: string;
-  readonly id: number;
-}
-
-function isPermitAnswer(value: unknown): value is PermitAnswerMessage {
-  if (typeof value !== "object" || value === null) return false;
-  const { entry, expectedPerSecond, granted, id, retryMilliseconds } =
-    value as Record<string, unknown>;
-  return typeof entry === "string" && typeof id === "number" &&
-    Number.isInteger(granted) && Number.isFinite(retryMilliseconds) &&
-    typeof expectedPerSecond === "number" && expectedPerSecond > 0;
-}
--- a/src/entry/forwarding/request_permits_test.ts
+++ b/src/entry/forwarding/request_permits_test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { deliverNotification } from "../../../test/support/deliver_notification.ts";
 import { makeEndpoint } from "../../../test/support/forwarding_fixtures.ts";
 import { flushPromises } from "../../../test/support/forwarding_harness.ts";
 import {
@@ -17,9 +18,8 @@
 import {
   PERMIT_ANSWER_METHOD,
   PERMIT_REQUEST_METHOD,
-  type PermitOutcome,
-  RequestPermits,
-} from "./request_permits.ts";
+} from "./notifications/permit_notification.ts";
+import { type PermitOutcome, RequestPermits } from "./request_permits.ts";
 
 const SELF = identifier<ProcessId>("entry-0");
 const PEER = identifier<ProcessId>("entry-1");
@@ -65,9 +65,23 @@
     return endpoint;
   }
 
+  /** Delivers a request for permits; returns whether it is valid. */
+  request(params: unknown): boolean {
+    return deliverNotification(PERMIT_REQUEST_METHOD, params, {
+      handler: (request) => this.permits.onRequest(request),
+    });
+  }
+
+  /** Delivers an answer; returns whether it is valid. */
+  receive(params: unknown): boolean {
+    return deliverNotification(PERMIT_ANSWER_METHOD, params, {
+      handler: (answer) => this.permits.onAnswer(answer),
+    });
+  }
+
   /** Answers the last request to the peer. */
   async answer(granted: number, id = this.#lastRequestId): Promise<void> {
-    this.permits.onAnswer({
+    this.receive({
       entry: PEER,
       id,
       granted,
@@ -167,9 +181,9 @@
     it("are issued, and its limit is learned", async () => {
       const scenario = new PermitScenario();
       scenario.registry.upsert(makeEndpoint("a"));
-      scenario.permits.onRequest(request("a"));
+      expect(scenario.request(request("a"))).to.equal(true);
       await scenario.timer.advance(1_000);
-      scenario.permits.onRequest(request("a"));
+      expect(scenario.request(request("a"))).to.equal(true);
       const granted = scenario.sent.map(({ params }) =>
         (params as { readonly granted: number }).granted
       );
@@ -184,7 +198,7 @@
       const scenario = new PermitScenario();
       const startedAt = numbered<ReplicaStartTime>(7);
       scenario.registry.upsert(makeEndpoint("a", { startedAt }));
-      scenario.permits.onRequest(request("a"));
+      expect(scenario.request(request("a"))).to.equal(true);
       expect(scenario.sent).to.deep.equal([]);
       expect(scenario.limits.isEmpty).to.equal(true);
     });
@@ -203,7 +217,7 @@
         request("a", { limit: ["a", "ten", 0, 0] }),
         request("a", { limit: ["a", null, 0, 0] }),
       ];
-      for (const each of malformed) scenario.permits.onRequest(each);
+      for (const each of malformed) scenario.request(each);
       expect(scenario.sent).to.deep.equal([]);
     });
   });
@@ -214,7 +228,7 @@
     const permit = scenario.permits.acquire(endpoint, BULK);
     expect(scenario.sent[0].method).to.equal(PERMIT_REQUEST_METHOD);
     for (const each of [undefined, 3, {}, { entry: PEER, id: 1 }]) {
-      scenario.permits.onAnswer(each);
+      expect(scenario.receive(each)).to.equal(false);
     }
     await scenario.answer(1);
     expect(await permit).to.equal(true);
--- a/src/entry/forwarding/stream_continuation_test.ts
+++ b/src/entry/forwarding/stream_continuation_test.ts
@@ -23,7 +23,7 @@
   STREAM_ANSWER_METHOD,
   STREAM_QUERY_METHOD,
   STREAMS_METHOD,
-} from "./stream_notification.ts";
+} from "./notifications/stream_notification.ts";
 import type { VersionLink } from "./version_listing.ts";
 
 const VERSIONS = ["v1", "v2", "v1", "v2", "v1", "v2"];
--- a/src/entry/forwarding/stream_origin_exchange.ts
+++ b/src/entry/forwarding/stream_origin_exchange.ts
@@ -16,19 +16,20 @@
   type WorkspaceId,
 } from "../../core/identity/mod.ts";
 import type { Subscription, TimerService } from "../../core/time/mod.ts";
-import type { SendToPeer } from "./load_queries.ts";
+import type { SendToPeer } from "./notifications/notifications.ts";
 import type { QueryAllowance } from "./query_allowance.ts";
 import {
   decodeOrigin,
   decodeStreams,
   encodeOrigin,
   encodeStreams,
-  isStreamAnswer,
-  isStreamQuery,
   STREAM_ANSWER_METHOD,
   STREAM_QUERY_METHOD,
+  type StreamAnswer,
+  type StreamNotification,
+  type StreamQuery,
   STREAMS_METHOD,
-} from "./stream_notification.ts";
+} from "./notifications/stream_notification.ts";
 
 /**
  * Number of other entries that keep the origin of a stream. In a large fleet,
@@ -209,14 +210,38 @@
     return lookup;
   }
 
-  /** Handles a notification from a peer. */
-  onNotification(method: string, params: unknown): void {
-    if (method === STREAMS_METHOD) {
-      const { origins } = this.#options;
-      for (const each of decodeStreams(params) ?? []) origins.record(each);
+  /** Records the origins of a peer's streams. */
+  onStreams(params: StreamNotification): void {
+    const { origins } = this.#options;
+    for (const each of decodeStreams(params)) origins.record(each);
+  }
+
+  /** Answers a peer's query. */
+  onQuery(params: StreamQuery): void {
+    const { origins, self, send } = this.#options;
+    const origin = origins.find(identifier<StreamDigest>(params.stream));
+    send(identifier<ProcessId>(params.entry), {
+      method: STREAM_ANSWER_METHOD,
+      params: {
+        entry: self,
+        id: params.id,
+        stream: params.stream,
+        ...(origin !== undefined && { origin: encodeOrigin(origin) }),
+      },
+    });
+  }
+
+  /** Applies a peer's answer; ignores one that matches no pending query. */
+  onAnswer(params: StreamAnswer): void {
+    const query = this.#pending.get(params.id);
+    const peer = identifier<ProcessId>(params.entry);
+    // A late answer to the former process may have the id of another query.
+    if (query === undefined || query.stream !== params.stream) return;
+    if (!query.waiting.delete(peer)) return;
+    if (params.origin !== undefined) {
+      return query.settle(decodeOrigin(params.origin));
     }
-    if (method === STREAM_QUERY_METHOD) this.#onQuery(params);
-    if (method === STREAM_ANSWER_METHOD) this.#onAnswer(params);
+    if (query.waiting.size === 0) query.settle(undefined);
   }
 
   async #find(stream: StreamDigest): Promise<StreamLookup> {
@@ -276,33 +301,6 @@
     return { origin, isComplete: waiting.size === 0 };
   }
 
-  #onQuery(params: unknown): void {
-    if (!isStreamQuery(params)) return;
-    const { origins, self, send } = this.#options;
-    const origin = origins.find(identifier<StreamDigest>(params.stream));
-    send(identifier<ProcessId>(params.entry), {
-      method: STREAM_ANSWER_METHOD,
-      params: {
-        entry: self,
-        id: params.id,
-        stream: params.stream,
-        ...(origin !== undefined && { origin: encodeOrigin(origin) }),
-      },
-    });
-  }
-
-  #onAnswer(params: unknown): void {
-    if (!isStreamAnswer(params)) return;
-    const query = this.#pending.get(params.id);
-    const peer = identifier<ProcessId>(params.entry);
-    // A late answer to the former process may have the id of another query.
-    if (query === undefined || query.stream !== params.stream) return;
-    if (!query.waiting.delete(peer)) return;
-    const origin = decodeOrigin(params.origin);
-    if (origin !== undefined) return query.settle(origin);
-    if (query.waiting.size === 0) query.settle(undefined);
-  }
-
   #distribute(records: readonly StreamRecord[]): void {
     if (records.length === 0) return;
     const { origins, timer } = this.#options;
--- a/src/entry/forwarding/usage_reporter.ts
+++ b/src/entry/forwarding/usage_reporter.ts
@@ -20,14 +20,13 @@
 } from "../../core/identity/mod.ts";
 import type { Logger } from "../../core/observation/mod.ts";
 import type { Subscription, TimerService } from "../../core/time/mod.ts";
+import type { Broadcast, SendToPeer } from "./notifications/notifications.ts";
 import {
-  isReportsNotification,
-  isUsageNotification,
   type ReportsNotification,
   USAGE_METHOD,
   USAGE_REPORTS_METHOD,
   type UsageNotification,
-} from "./usage_notification.ts";
+} from "./notifications/usage_notification.ts";
 
 /**
  * Number of entries that hold the counts of the whole fleet, so that one may be
@@ -91,11 +90,8 @@
   readonly ranking: () => readonly ProcessId[];
   /** Entries in the list of the fleet, without this one. */
   readonly listedPeers: () => Iterable<ProcessId>;
-  readonly send: (
-    peer: ProcessId,
-    notification: { readonly method: string; readonly params: unknown },
-  ) => void;
-  readonly broadcast: (method: string, params: unknown) => void;
+  readonly send: SendToPeer;
+  readonly broadcast: Broadcast;
   readonly onOutcome?: (outcome: ReportOutcome | "given_up") => void;
 }
 
@@ -169,14 +165,19 @@
     this.#ledger.recordStart(workspace, this.clock.timeAt(at));
   }
 
-  /** Applies a peer's notification; drops malformed ones. */
-  onNotification(method: string, params: unknown): void {
-    if (method === USAGE_METHOD && isUsageNotification(params)) {
-      this.#onCounts(params);
-    }
-    if (method === USAGE_REPORTS_METHOD && isReportsNotification(params)) {
-      this.#onReports(params);
+  /** Records a peer's counts. */
+  onCounts(counts: UsageNotification): void {
+    this.#runIds.set(identifier(counts.entry), runIdOf(counts));
+    this.#ledger.mergePeerCounts(runIdOf(counts), counts);
+  }
+
+  /** Records what a peer has reported, and its claim. */
+  onReports({ acceptedThrough, claim, fixed }: ReportsNotification): void {
+    this.#claim.observe(claim);
+    for (const [window, counts] of fixed ?? []) {
+      this.#fixed.set(numbered(window), decodeCounts(counts));
     }
+    if (acceptedThrough !== undefined) this.#noteAccepted(acceptedThrough);
   }
 
   get #runId(): string {
@@ -194,21 +195,6 @@
     return (window + 1) * this.#options.windowMilliseconds;
   }
 
-  #onCounts(counts: UsageNotification): void {
-    this.#runIds.set(identifier(counts.entry), runIdOf(counts));
-    this.#ledger.mergePeerCounts(runIdOf(counts), counts);
-  }
-
-  #onReports(
-    { acceptedThrough, claim, fixed }: ReportsNotification,
-  ): void {
-    this.#claim.observe(claim);
-    for (const [window, counts] of fixed ?? []) {
-      this.#fixed.set(numbered(window), decodeCounts(counts));
-    }
-    if (acceptedThrough !== undefined) this.#noteAccepted(acceptedThrough);
-  }
-
   #dropOverdueReports(): void {
     for (const window of this.#fixed.keys()) {
       if (window < this.#oldestOpenWindow) this.#fixed.delete(window);
@@ -422,7 +408,7 @@
         ),
       }),
     };
-    this.#options.broadcast(USAGE_REPORTS_METHOD, params);
+    this.#options.broadcast({ method: USAGE_REPORTS_METHOD, params });
   }
 }
 
--- a/src/entry/forwarding/version_listing.ts
+++ b/src/entry/forwarding/version_listing.ts
@@ -8,18 +8,21 @@
   type StoreFailure,
   STREAM_LIFETIME_MILLISECONDS,
 } from "../../core/forwarding/mod.ts";
-import {
-  identifier,
-  type ProcessId,
-  type ServiceName,
-  type SoftwareVersion,
+import type {
+  ProcessId,
+  ServiceName,
+  SoftwareVersion,
 } from "../../core/identity/mod.ts";
 import type { Logger } from "../../core/observation/mod.ts";
 import type { Random } from "../../core/random/mod.ts";
 import type { Subscription, TimerService } from "../../core/time/mod.ts";
-
-/** Notification that carries changes of the list, or all of it. */
-export const VERSIONS_METHOD = "entry.versions";
+import type { Broadcast, SendToPeer } from "./notifications/notifications.ts";
+import {
+  decodeVersion,
+  encodeVersion,
+  type VersionNotification,
+  VERSIONS_METHOD,
+} from "./notifications/version_notification.ts";
 
 /** Delay after which the next entry lists a version that is still missing. */
 const NEXT_WRITER_MILLISECONDS = 300;
@@ -56,20 +59,8 @@
   readonly ranking: (subject: string) => readonly ProcessId[];
   /** Entries in the list of the fleet, without this one. */
   readonly peers: () => readonly ProcessId[];
-  readonly broadcast: (method: string, params: unknown) => void;
-  readonly send: (
-    peer: ProcessId,
-    notification: { readonly method: string; readonly params: unknown },
-  ) => void;
-}
-
-type VersionRow = readonly [pool: string, softwareVersion: string];
-
-interface VersionNotification {
-  readonly added: readonly VersionRow[];
-  readonly removed?: readonly VersionRow[];
-  /** True if `added` is the whole list. */
-  readonly isWhole?: boolean;
+  readonly broadcast: Broadcast;
+  readonly send: SendToPeer;
 }
 
 /**
@@ -174,9 +165,8 @@
     send(peer, { method: VERSIONS_METHOD, params });
   }
 
-  /** Applies a peer's changes of the list; ignores malformed ones. */
-  onNotification(params: unknown): void {
-    if (!isVersionNotification(params)) return;
+  /** Applies a peer's changes of the list. */
+  onNotification(params: VersionNotification): void {
     const { listed } = this.#options;
     const added = params.added.map(decodeVersion);
     if (params.isWhole === true) listed.addAll(added);
@@ -254,8 +244,8 @@
     if (written.isOk()) {
       listed.add(version);
       logger.info({ ...version }, "Listed a software version");
-      const params: VersionNotification = { added: [encodeVersion(version)] };
-      return broadcast(VERSIONS_METHOD, params);
+      const params = { added: [encodeVersion(version)] };
+      return broadcast({ method: VERSIONS_METHOD, params });
     }
     const reason = written.error.message;
     logger.warn({ ...version, reason }, "Cannot list a version; retrying");
@@ -285,11 +275,8 @@
     listed.remove(version);
     this.#seenAt.delete(keyOf(version));
     logger.info({ ...version }, "Removed a software version from the list");
-    const params: VersionNotification = {
-      added: [],
-      removed: [encodeVersion(version)],
-    };
-    broadcast(VERSIONS_METHOD, params);
+    const params = { added: [], removed: [encodeVersion(version)] };
+    broadcast({ method: VERSIONS_METHOD, params });
   }
 }
 
@@ -307,26 +294,3 @@
   }
   return counts;
 }
-
-function encodeVersion({ pool, softwareVersion }: ServingVersion): VersionRow {
-  return [pool, softwareVersion];
-}
-
-function decodeVersion([pool, softwareVersion]: VersionRow): ServingVersion {
-  return {
-    pool: identifier<ServiceName>(pool),
-    softwareVersion: identifier<SoftwareVersion>(softwareVersion),
-  };
-}
-
-function isVersionNotification(value: unknown): value is VersionNotification {
-  if (typeof value !== "object" || value === null) return false;
-  const { added, removed = [] } = value as Partial<VersionNotification>;
-  return [added, removed].every((rows) =>
-    Array.isArray(rows) &&
-    rows.every((row) =>
-      Array.isArray(row) && row.length === 2 &&
-      row.every((each) => typeof each === "string")
-    )
-  );
-}
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -162,6 +162,10 @@
       removeBlocked() {},
       onLoadQuery() {},
       onPermit() {},
+      // What an entry sends, its peers can decode and apply.
+      onDroppedNotification: (dropped) => {
+        throw new Error(`Dropped ${JSON.stringify(dropped)}`);
+      },
       ...entryOptions?.(index),
     });
   }
--- a/test/support/invalid_values.ts
+++ b/test/support/invalid_values.ts
@@ -110,9 +110,9 @@
 
 /** JSON in which an infinite number is written as one that is too large. */
 export function encodeInvalid(value: unknown): string {
-  const text = JSON.stringify(
+  const text: string | undefined = JSON.stringify(
     value,
     (_, each) => each === Infinity ? INFINITY_MARK : each,
   );
-  return text.replaceAll(`"${INFINITY_MARK}"`, "1e999");
+  return (text ?? "null").replaceAll(`"${INFINITY_MARK}"`, "1e999");
 }
--- a/test/support/notification_samples.ts
+++ b/test/support/notification_samples.ts
@@ -1,5 +1,11 @@
 /** One valid message of each notification between entries. */
-import type { RegisteredEndpoint } from "../../src/core/forwarding/mod.ts";
+import type {
+  LimitReport,
+  RegisteredEndpoint,
+  ReportedLoss,
+} from "../../src/core/forwarding/mod.ts";
+import { type EndpointId, identifier } from "../../src/core/identity/mod.ts";
+import type { NotificationParams } from "../../src/entry/forwarding/notifications/mod.ts";
 
 export interface NotificationSampleOptions {
   /** Name of the entry that sends the messages. */
@@ -12,10 +18,18 @@
 
 export function makeNotifications(
   { endpoint, sender, sequence }: NotificationSampleOptions,
-): Readonly<Record<string, unknown>> {
+): NotificationParams {
   const { id, pool, softwareVersion, startedAt } = endpoint;
-  const loss = ["digest", id, startedAt ?? null, 1, 20, 30, false];
-  const limit = [id, 20, 5, 3, startedAt];
+  const loss: ReportedLoss = [
+    "digest",
+    id,
+    startedAt ?? null,
+    1,
+    20,
+    30,
+    false,
+  ];
+  const limit: LimitReport = [id, 10_000, 5, 3, startedAt];
   const trial = {
     entry: sender,
     holder: `${sender}#1#${sequence}`,
@@ -46,7 +60,9 @@
       verdicts: [[id, 50, 0.5, startedAt]],
     },
     "entry.registrations": {
-      changes: [{ id, endpoint: registered }, { id: "gone" }],
+      changes: [{ id, endpoint: registered }, {
+        id: identifier<EndpointId>("gone"),
+      }],
       span: { from: sequence, to: sequence + 2 },
     },
     "entry.roles": { orders: [[id, "prefill"]] },
--- a/test/support/share_load.ts
+++ b/test/support/share_load.ts
@@ -15,6 +15,7 @@
   makeRoute,
 } from "./forwarding_fixtures.ts";
 import { SimulatedEngines } from "./simulated_engines.ts";
+import type { WorkNotification } from "../../src/entry/forwarding/notifications/work_notification.ts";
 
 const PREFILL_ENGINES = 20;
 const DECODE_ENGINES = 9;
@@ -31,7 +32,7 @@
 const YIELD_REASONS = new Set(["above_share", "more_urgent"]);
 
 /** Report of a peer that has learned the speed of the engines. */
-const KNOWN_SPEED = {
+const KNOWN_SPEED: WorkNotification = {
   entry: "former-entry",
   incarnation: "1",
   sequence: 1,
--- a/test/support/usage_fleet.ts
+++ b/test/support/usage_fleet.ts
@@ -1,4 +1,10 @@
 import { flushPromises } from "./forwarding_harness.ts";
+import type { Notification } from "../../src/entry/forwarding/mod.ts";
+import {
+  USAGE_METHOD,
+  USAGE_REPORTS_METHOD,
+} from "../../src/entry/forwarding/notifications/usage_notification.ts";
+import { deliverNotification } from "./deliver_notification.ts";
 import { UsagePlatform } from "./usage_platform.ts";
 import {
   identifier,
@@ -86,23 +92,32 @@
       listedPeers: () =>
         this.members.map(({ name }) => name)
           .filter((name) => name !== member.name),
-      send: (peer, { method, params }) =>
-        isCurrentRun() && this.#deliver(peer, method, params),
-      broadcast: (method, params) => {
+      send: (peer, notification) =>
+        isCurrentRun() && this.#deliver(peer, notification),
+      broadcast: (notification) => {
         if (!isCurrentRun()) return;
         for (const { name } of this.members) {
-          if (name !== member.name) this.#deliver(name, method, params);
+          if (name !== member.name) this.#deliver(name, notification);
         }
       },
     });
   }
 
-  #deliver(to: ProcessId, method: string, params: unknown): void {
+  #deliver(to: ProcessId, { method, params }: Notification): void {
     if (this.#random() < this.#lossRate) return;
     const copy = JSON.parse(JSON.stringify(params));
     this.timer.after(1 + this.#random(), () => {
       const member = this.members.find(({ name }) => name === to);
-      if (member?.isAlive) member.reporter.onNotification(method, copy);
+      if (!member?.isAlive) return;
+      const { reporter } = member;
+      const isValid = method === USAGE_METHOD
+        ? deliverNotification(method, copy, {
+          handler: (counts) => reporter.onCounts(counts),
+        })
+        : deliverNotification(USAGE_REPORTS_METHOD, copy, {
+          handler: (reports) => reporter.onReports(reports),
+        });
+      if (!isValid) throw new Error(`A reporter sent an invalid ${method}`);
     });
   }
 
