--- a/bench/entry_host.ts
+++ b/bench/entry_host.ts
@@ -3,6 +3,7 @@
   PEER_METHODS,
   PeerServer,
 } from "../src/adapters/peers/mod.ts";
+import { rethrow } from "../src/core/time/mod.ts";
 import { hashText, systemRandom } from "../src/adapters/random/mod.ts";
 import { identifier } from "../src/core/identity/mod.ts";
 import { EntryCore } from "../src/entry/mod.ts";
@@ -86,6 +87,7 @@
       host: "127.0.0.1",
       port: 0,
       mostBodyBytes: 1024 * 1024,
+      onFault: rethrow,
       methods: {
         [PEER_METHODS.watch]: (question: WatchQuestion) => core.watch(question),
       },
--- a/bench/side_host.ts
+++ b/bench/side_host.ts
@@ -1,4 +1,5 @@
 import { MemoryEngine } from "../examples/embedding/memory_engine.ts";
+import { rethrow } from "../src/core/time/mod.ts";
 import {
   HttpPeerClient,
   PEER_METHODS,
@@ -69,6 +70,7 @@
       host: "127.0.0.1",
       port: 0,
       mostBodyBytes: 1024 * 1024,
+      onFault: rethrow,
       runAttempt: (attempt, emit) => core.run(attempt, emit),
       methods: {
         [PEER_METHODS.report]: () => core.report(),
--- a/src/adapters/callers/caller_api_server.ts
+++ b/src/adapters/callers/caller_api_server.ts
@@ -3,7 +3,7 @@
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
 import type { Failure } from "../../core/errors/mod.ts";
-import { failure } from "../../core/errors/mod.ts";
+import { failure, stackOf } from "../../core/errors/mod.ts";
 import type { RequestId } from "../../core/identity/mod.ts";
 import { identifier } from "../../core/identity/mod.ts";
 import type { Logger } from "../../core/observation/mod.ts";
@@ -12,6 +12,7 @@
   CallerRequest,
   Refusal,
 } from "../../core/requests/mod.ts";
+import { runStep } from "../../core/time/mod.ts";
 import type { Work } from "../../generated/messages.ts";
 import {
   EventStreamSink,
@@ -78,7 +79,16 @@
       maxHeaderSize: MAX_HEADER_BYTES,
       headersTimeout: REQUEST_TIMEOUT_MILLISECONDS,
       requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
-    }, (request, response) => void this.#serve(request, response));
+    }, (request, response) => {
+      runStep(() => this.#serve(request, response), (cause) => {
+        const { logger } = this.#options;
+        logger.error(
+          { problem: stackOf(cause) },
+          "The handling of a caller's request has thrown",
+        );
+        response.destroy();
+      });
+    });
     this.#server.on("clientError", (error, socket) => {
       this.#onClientError(error, socket as Socket);
     });
--- a/src/adapters/endpoint/mod.ts
+++ b/src/adapters/endpoint/mod.ts
@@ -47,11 +47,13 @@
 export class HttpEndpointLink implements EndpointLink {
   readonly #url: string;
   readonly #client: HttpClient;
+  readonly #timer: TimerService;
   readonly #mostResponseBytes: number;
   readonly #controlTimeoutMilliseconds: number;
 
   constructor(url: string, options: HttpEndpointLinkOptions) {
     this.#url = url;
+    this.#timer = options.timer;
     this.#client = new HttpClient(url, { timer: options.timer });
     this.#mostResponseBytes = options.mostResponseBytes ??
       DEFAULT_MAX_RESPONSE_BYTES;
@@ -145,7 +147,8 @@
     });
     const setPaused = (value: boolean) => {
       paused = value;
-      void incoming.then((response) => {
+      this.#timer.run(async () => {
+        const response = await incoming;
         if (response.isErr()) return;
         if (paused) response.value.pause();
         else response.value.resume();
--- a/src/adapters/http_client/hedged_call.ts
+++ b/src/adapters/http_client/hedged_call.ts
@@ -39,7 +39,7 @@
       controllers.push(controller);
       pending += 1;
       if (controllers.length < maxSends) {
-        nextSend = timer.after(delayMilliseconds, () => void sendNext());
+        nextSend = timer.after(delayMilliseconds, () => sendNext());
       }
       const index = controllers.length - 1;
       const result = await send({ index, signal: controller.signal });
--- a/src/adapters/peers/peer_server.ts
+++ b/src/adapters/peers/peer_server.ts
@@ -13,6 +13,7 @@
   validateWatchQuestion,
 } from "../../generated/validators.js";
 import type { Validator } from "../../generated/validators.js";
+import { runStep } from "../../core/time/mod.ts";
 import { CoalescingWriter } from "../coalescing_writer/mod.ts";
 import { CANNOT_LISTEN } from "./errors.ts";
 import { ATTEMPT_PATH, PEER_METHODS, RPC_PATH } from "./protocol.ts";
@@ -40,6 +41,8 @@
     emit: (frame: AttemptFrame) => void,
   ) => RunningAttempt;
   readonly mostBodyBytes: number;
+  /** Called with what the handling of a request has thrown. */
+  readonly onFault: (cause: unknown) => void;
   /** Renders the metrics in the Prometheus text format. */
   readonly metrics?: () => Promise<string>;
 }
@@ -78,7 +81,10 @@
       this.#addMethod(name, method);
     }
     this.#server = http.createServer((request, response) => {
-      void this.#handleRequest(request, response);
+      runStep(() => this.#handleRequest(request, response), (cause) => {
+        options.onFault(cause);
+        response.destroy();
+      });
     });
     // A long poll may take minutes; the client has its own timeout.
     this.#server.requestTimeout = 0;
--- a/src/adapters/telemetry/mod.ts
+++ b/src/adapters/telemetry/mod.ts
@@ -4,6 +4,7 @@
   createLogger,
   type LoggerOptions,
 } from "./logger.ts";
+export { createFaultReporter } from "./fault_reporter.ts";
 export { Metrics, type MetricsOptions } from "./metrics.ts";
 export {
   type ConfigurationMetrics,
--- a/src/adapters/time/mod.ts
+++ b/src/adapters/time/mod.ts
@@ -1,6 +1,12 @@
 /** System time; tests use the manual timer service of the core. */
 import { monitorEventLoopDelay } from "node:perf_hooks";
-import type { Subscription, TimerService } from "../../core/time/mod.ts";
+import {
+  type OnThrow,
+  rethrow,
+  runStep,
+  type Subscription,
+  type TimerService,
+} from "../../core/time/mod.ts";
 
 /**
  * Maximum delay of Node's timers. A timer with a longer delay fires after one
@@ -14,6 +20,15 @@
  * maintenance must not prevent the process from exiting.
  */
 export class SystemTimerService implements TimerService {
+  readonly #onThrow: OnThrow;
+
+  /** Without an owner of what listeners throw, it ends the process. */
+  constructor(
+    { onThrow = rethrow }: { readonly onThrow?: OnThrow } = {},
+  ) {
+    this.#onThrow = onThrow;
+  }
+
   now(): number {
     return performance.now();
   }
@@ -22,14 +37,14 @@
     return Date.now();
   }
 
-  after(delayMilliseconds: number, listener: () => void): Subscription {
+  after(delayMilliseconds: number, listener: () => unknown): Subscription {
     const due = this.now() + Math.max(0, delayMilliseconds);
     let handle: NodeJS.Timeout;
     // Node truncates delays to whole milliseconds, as does its event loop, so a
     // timer can fire up to two milliseconds early; it is then rescheduled.
     const schedule = () => {
       const remaining = due - this.now();
-      if (remaining <= 0) return listener();
+      if (remaining <= 0) return this.run(listener);
       handle = setTimeout(
         schedule,
         Math.min(Math.ceil(remaining), MAX_DELAY_MILLISECONDS),
@@ -45,14 +60,18 @@
     return { cancel: () => clearTimeout(handle) };
   }
 
-  every(periodMilliseconds: number, listener: () => void): Subscription {
+  every(periodMilliseconds: number, listener: () => unknown): Subscription {
     const handle = setInterval(
-      listener,
+      () => this.run(listener),
       Math.min(periodMilliseconds, MAX_DELAY_MILLISECONDS),
     );
     handle.unref();
     return { cancel: () => clearInterval(handle) };
   }
+
+  run(listener: () => unknown): void {
+    runStep(listener, this.#onThrow);
+  }
 }
 
 /** Options of `monitorLoopDelay`. */
--- a/src/adapters/time/mod_test.ts
+++ b/src/adapters/time/mod_test.ts
@@ -37,6 +37,26 @@
     });
   });
 
+  describe("the owner of what listeners throw", () => {
+    // A throw in a timer ends the process, with all requests that it has open.
+    it("gets throws and rejections of timers, which go on", async () => {
+      const thrown: unknown[] = [];
+      const owned = new SystemTimerService({
+        onThrow: (cause) => void thrown.push(cause),
+      });
+      owned.after(1, () => {
+        throw "after";
+      });
+      owned.run(() => Promise.reject("run"));
+      const subscription = owned.every(2, () => Promise.reject("every"));
+      await new Promise<void>((resolve) => owned.after(30, resolve));
+      subscription.cancel();
+      expect(thrown).to.include("after").and.to.include("run");
+      expect(thrown.filter((each) => each === "every").length)
+        .to.be.greaterThan(1);
+    });
+  });
+
   describe("every", () => {
     it("fires until cancelled", async () => {
       let calls = 0;
--- a/src/cli/entry/run_entry.ts
+++ b/src/cli/entry/run_entry.ts
@@ -151,6 +151,7 @@
       host: peers.host,
       port: peers.port,
       mostBodyBytes: MAX_PEER_BODY_BYTES,
+      onFault: this.#context.reportFaults("peer_server"),
       metrics: () => this.#context.renderMetrics(),
       methods: {
         [PEER_METHODS.watch]: (question: WatchQuestion) =>
--- a/src/cli/side/run_side.ts
+++ b/src/cli/side/run_side.ts
@@ -99,6 +99,7 @@
       port,
       mostBodyBytes: MAX_ATTEMPT_BYTES,
       runAttempt: (attempt, emit) => this.#core.run(attempt, emit),
+      onFault: this.#context.reportFaults("peer_server"),
       metrics: () => this.#context.renderMetrics(),
       methods: {
         [PEER_METHODS.report]: () => this.#core.report(),
--- a/src/core/authority/claim_keeper.ts
+++ b/src/core/authority/claim_keeper.ts
@@ -154,7 +154,9 @@
     this.#observeHolder();
     if (this.#appending || this.#options.eligible?.() === false) return;
     if (this.held !== undefined) this.#renew();
-    else if (this.#hasTimedOut()) void this.#claimAfterRead();
+    else if (this.#hasTimedOut()) {
+      this.#options.timer.run(() => this.#claimAfterRead());
+    }
   }
 
   /**
@@ -267,7 +269,9 @@
     const period = claimSilenceMilliseconds / RENEWALS_PER_TIMEOUT;
     if (now - Math.max(this.#timeoutStart, this.#lastRenewal) < period) return;
     this.#lastRenewal = now;
-    void this.#appendRenewal(view.claim?.offset ?? -1);
+    this.#options.timer.run(() =>
+      this.#appendRenewal(view.claim?.offset ?? -1)
+    );
   }
 
   async #appendRenewal(claim: number): Promise<void> {
--- a/src/core/configuration/configuration_judge.ts
+++ b/src/core/configuration/configuration_judge.ts
@@ -1,4 +1,5 @@
 import type { Journal } from "../journal/mod.ts";
+import type { TimerService } from "../time/mod.ts";
 import { checkConfiguration } from "./check.ts";
 import type { ConfigurationProblem } from "./problem.ts";
 import type {
@@ -7,6 +8,7 @@
 } from "./configuration_fold.ts";
 
 export interface ConfigurationJudgeOptions {
+  readonly timer: TimerService;
   readonly journal: Journal;
   readonly fold: ConfigurationFold;
   /** Offset of the claim that this process holds on the stream, if it does. */
@@ -36,7 +38,9 @@
    * stream and periodically.
    */
   consider(): void {
-    if (!this.#isProcessing) void this.#processPending();
+    if (!this.#isProcessing) {
+      this.#options.timer.run(() => this.#processPending());
+    }
   }
 
   async #processPending(): Promise<void> {
--- a/src/core/forwarding/admission/held_prompt_queue.ts
+++ b/src/core/forwarding/admission/held_prompt_queue.ts
@@ -28,6 +28,7 @@
 
 interface WaitingPrompt<Choice> extends HeldPrompt<Choice> {
   readonly resolve: (choice: Choice | undefined) => void;
+  readonly reject: (cause: unknown) => void;
 }
 
 /**
@@ -106,16 +107,16 @@
    * Resolves with the chosen engine, or undefined once the prompt is dropped.
    */
   enqueue(prompt: HeldPrompt<Choice>): Promise<Choice | undefined> {
-    return new Promise((resolve) => {
-      this.#waiting.push({ ...prompt, resolve });
-      if (this.#nextPoll === undefined) void this.#poll();
+    return new Promise((resolve, reject) => {
+      this.#waiting.push({ ...prompt, resolve, reject });
+      if (this.#nextPoll === undefined) this.#timer.run(() => this.#poll());
     });
   }
 
   #pollAfter(milliseconds: number): void {
     this.#nextPoll ??= this.#timer.after(milliseconds, () => {
       this.#nextPoll = undefined;
-      void this.#poll();
+      this.#timer.run(() => this.#poll());
     });
   }
 
@@ -125,8 +126,17 @@
     const first = this.#first();
     if (first === undefined) return;
     this.#isPolling = true;
-    const choice = await first.choose();
-    this.#isPolling = false;
+    let choice: Choice | undefined;
+    try {
+      choice = await first.choose();
+    } catch (cause) {
+      // The throw belongs to the request of this prompt; the others go on.
+      this.#waiting = this.#waiting.filter((each) => each !== first);
+      first.reject(cause);
+      return this.#pollAfter(0);
+    } finally {
+      this.#isPolling = false;
+    }
     if (choice === undefined) return this.#pollAfter(POLL_MILLISECONDS);
     // A more urgent prompt may have been queued ahead of this one meanwhile.
     this.#waiting = this.#waiting.filter((each) => each !== first);
--- a/src/core/forwarding/admission/held_prompt_queue_test.ts
+++ b/src/core/forwarding/admission/held_prompt_queue_test.ts
@@ -64,6 +64,23 @@
     ]);
   });
 
+  // All other prompts would wait until their deadlines.
+  it("goes on with the next prompt if the choice for one throws", async () => {
+    const failed = queue.enqueue({
+      rank: 0,
+      expiresAt: 1_000,
+      share: undefined,
+      workMilliseconds: 50,
+      choose: () => Promise.reject(new Error("choosing")),
+      isCancelled: () => false,
+    }).catch((cause) => String(cause));
+    enqueue("letter");
+    idleEngines = ["one"];
+    await timer.advance(30);
+    expect(await failed).to.equal("Error: choosing");
+    expect(started).to.deep.equal(["letter at one"]);
+  });
+
   it("drops a prompt at its expiry", async () => {
     enqueue("letter", { expiresAt: 200 });
     await timer.advance(260);
--- a/src/core/forwarding/store/freshness_check.ts
+++ b/src/core/forwarding/store/freshness_check.ts
@@ -37,17 +37,21 @@
 
   /** Checks immediately unless a check is in progress. */
   checkNow(): void {
-    if (!this.#isChecking) void this.#run();
+    if (!this.#isChecking) this.#options.timer.run(() => this.#run());
   }
 
   async #run(): Promise<void> {
     if (this.#stopped) return;
     this.#scheduledCheck?.cancel();
     this.#isChecking = true;
-    const isCurrent = await this.#options.check();
-    this.#isChecking = false;
-    const { intervalMilliseconds, retryMilliseconds } = this.#options;
-    this.#schedule(isCurrent ? intervalMilliseconds() : retryMilliseconds());
+    let isCurrent = false;
+    try {
+      isCurrent = await this.#options.check();
+    } finally {
+      this.#isChecking = false;
+      const { intervalMilliseconds, retryMilliseconds } = this.#options;
+      this.#schedule(isCurrent ? intervalMilliseconds() : retryMilliseconds());
+    }
   }
 
   #schedule(milliseconds: number): void {
@@ -55,7 +59,7 @@
     if (this.#stopped) return;
     this.#scheduledCheck = this.#options.timer.after(
       milliseconds,
-      () => void this.#run(),
+      () => this.#run(),
     );
   }
 }
--- a/src/core/forwarding/store/freshness_check_test.ts
+++ b/src/core/forwarding/store/freshness_check_test.ts
@@ -10,17 +10,20 @@
   let check: FreshnessCheck;
   let checkedAt: number[];
   let isReachable: boolean;
+  let fault: Error | undefined;
 
   beforeEach(() => {
-    timer = new ManualTimerService();
+    timer = new ManualTimerService(undefined, { onThrow() {} });
     checkedAt = [];
     isReachable = true;
+    fault = undefined;
     check = new FreshnessCheck({
       timer,
       intervalMilliseconds: () => INTERVAL_MILLISECONDS,
       retryMilliseconds: () => RETRY_MILLISECONDS,
       check: () => {
         checkedAt.push(timer.now());
+        if (fault !== undefined) return Promise.reject(fault);
         return Promise.resolve(isReachable);
       },
     });
@@ -48,6 +51,13 @@
     expect(checkedAt).to.deep.equal([500, 700]);
   });
 
+  // A check that never runs again leaves an old configuration in force.
+  it("retries after a check that throws", async () => {
+    fault = new Error("checking");
+    await timer.advance(800);
+    expect(checkedAt).to.deep.equal([500, 700]);
+  });
+
   it("checks at once on request and not after stop", async () => {
     check.checkNow();
     expect(checkedAt).to.deep.equal([0]);
--- a/src/core/forwarding/store/topic_reader.ts
+++ b/src/core/forwarding/store/topic_reader.ts
@@ -107,7 +107,7 @@
   }
 
   start(): void {
-    void this.#read();
+    this.#options.timer.run(() => this.#read());
   }
 
   stop(): void {
@@ -137,7 +137,7 @@
   readNow(): void {
     if (this.#stopped) return;
     this.#abandonRead();
-    void this.#read();
+    this.#options.timer.run(() => this.#read());
   }
 
   /**
@@ -212,38 +212,58 @@
     this.#readingSince = this.#options.timer.now();
     const controller = new AbortController();
     this.#readInProgress = controller;
-    const result = position === undefined
-      ? await topic.newest()
-      : await topic.since(position, {
-        waitMilliseconds: waitMilliseconds(),
-        signal: controller.signal,
-      });
-    if (readNumber !== this.#readNumber) return;
-    this.#readingSince = undefined;
-    if (result.isErr()) this.#handleFailure(result.error);
-    else {
+    try {
+      const result = position === undefined
+        ? await topic.newest()
+        : await topic.since(position, {
+          waitMilliseconds: waitMilliseconds(),
+          signal: controller.signal,
+        });
+      if (readNumber !== this.#readNumber) return;
+      this.#readingSince = undefined;
+      if (result.isErr()) return this.#handleFailure(result.error);
       this.#acceptRead(result.value, position);
       this.#scheduleRead(this.#options.pauseMilliseconds());
+    } catch (cause) {
+      if (readNumber === this.#readNumber) this.#retryAfterThrow();
+      throw cause;
     }
   }
 
+  /** A reader that stops would leave its entry with the state of today. */
+  #retryAfterThrow(): void {
+    this.#readingSince = undefined;
+    this.#failures += 1;
+    this.#scheduleRetry();
+  }
+
   #acceptRead(read: KeyedRecords, from: number | undefined): void {
     const { onReadSucceeded, onRecords, onSnapshot } = this.#options;
     onReadSucceeded({ lost: this.#failures > 0 });
     this.#failures = 0;
     this.#position = read.next;
-    if (from === undefined) onSnapshot(read.records);
-    else onRecords(read.records, { from, to: read.next });
+    try {
+      if (from === undefined) onSnapshot(read.records);
+      else onRecords(read.records, { from, to: read.next });
+    } catch (cause) {
+      // Some records may not be applied; a snapshot has them all.
+      this.#position = undefined;
+      throw cause;
+    }
   }
 
   #handleFailure(failure: StoreFailure): void {
-    const { maxRetryMilliseconds, onFailure, random } = this.#options;
     if (failure.name === "store_expired") {
       this.#position = undefined;
       return this.#scheduleRead(0);
     }
     this.#failures += 1;
-    onFailure(failure);
+    this.#options.onFailure(failure);
+    this.#scheduleRetry();
+  }
+
+  #scheduleRetry(): void {
+    const { maxRetryMilliseconds, random } = this.#options;
     this.#scheduleRead(
       INITIAL_RETRY_MILLISECONDS +
         backoffMilliseconds(this.#failures, {
@@ -258,7 +278,7 @@
   #scheduleRead(milliseconds: number): void {
     this.#scheduledRead = this.#options.timer.after(
       milliseconds,
-      () => void this.#read(),
+      () => this.#read(),
     );
   }
 }
--- a/src/core/forwarding/store/topic_reader_test.ts
+++ b/src/core/forwarding/store/topic_reader_test.ts
@@ -22,9 +22,13 @@
   }[];
   let abortedReads: number;
   let receivedKeys: string[];
+  let thrown: unknown[];
 
   beforeEach(async () => {
-    timer = new ManualTimerService();
+    thrown = [];
+    timer = new ManualTimerService(undefined, {
+      onThrow: (cause) => void thrown.push(cause),
+    });
     reads = [];
     receivedKeys = [];
     abortedReads = 0;
@@ -48,8 +52,10 @@
       waitMilliseconds: () => 0,
       pauseMilliseconds: () => PAUSE_MILLISECONDS,
       onSnapshot() {},
-      onRecords: (records) =>
-        receivedKeys.push(...records.map(({ key }) => key)),
+      onRecords: (records) => {
+        if (records.some(({ key }) => key === "throws")) throw "applying";
+        receivedKeys.push(...records.map(({ key }) => key));
+      },
       onFailure() {},
       onReadSucceeded() {},
     });
@@ -125,6 +131,15 @@
     expect(reads.map(({ from }) => from)).to.deep.equal([14]);
   });
 
+  // A reader that stops for ever leaves its entry with endpoints that are gone.
+  it("reads a snapshot if records can't be applied", async () => {
+    await timer.advance(PAUSE_MILLISECONDS);
+    await answer({ records: [record("throws")], next: 11 });
+    expect(thrown).to.deep.equal(["applying"]);
+    await timer.advance(PAUSE_MILLISECONDS);
+    expect(reads.map(({ from }) => from)).to.deep.equal([-1]);
+  });
+
   it("does not read after stop, whatever peers report", async () => {
     reader.stop();
     expect(reader.applyPeerRead({ from: 10, to: 14 })).to.equal("apart");
--- a/src/core/journal/appender.ts
+++ b/src/core/journal/appender.ts
@@ -110,7 +110,7 @@
     return new Promise((resolve) => {
       const pending = this.#createPending(body, resolve);
       this.#queue.push(pending);
-      if (!this.#running) void this.#run();
+      if (!this.#running) this.#options.timer.run(() => this.#run());
     });
   }
 
--- a/src/core/journal/checkpoint_writer.ts
+++ b/src/core/journal/checkpoint_writer.ts
@@ -70,7 +70,7 @@
     if (this.#pendingWrite !== undefined || !this.#mayWrite()) return;
     this.#pendingWrite = this.#options.timer.after(
       this.#options.random() * MAX_WRITE_DELAY_MILLISECONDS,
-      () => void this.#write(),
+      () => this.#write(),
     );
   }
 
--- a/src/core/journal/journal.ts
+++ b/src/core/journal/journal.ts
@@ -107,7 +107,9 @@
    */
   start(): void {
     this.#isQueryingPeersAtStart = true;
-    void this.#peers.query().then(() => this.#isQueryingPeersAtStart = false);
+    this.#options.timer.run(() =>
+      this.#peers.query().then(() => this.#isQueryingPeersAtStart = false)
+    );
     this.#reader.start();
     if (this.#options.writesCheckpoints !== false) this.#checkpoints.start();
   }
--- a/src/core/journal/stream_reader.ts
+++ b/src/core/journal/stream_reader.ts
@@ -87,7 +87,7 @@
   start(): void {
     if (!this.#stopped) return;
     this.#stopped = false;
-    void this.#loop(++this.#generation);
+    this.#options.timer.run(() => this.#loop(++this.#generation));
   }
 
   stop(): void {
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -91,7 +91,7 @@
 
   start(): void {
     this.#stopped = false;
-    void this.#readAndSchedule();
+    this.#options.timer.run(() => this.#readAndSchedule());
   }
 
   stop(): void {
@@ -183,7 +183,7 @@
     const { random, readMilliseconds, timer } = this.#options;
     this.#nextRead = timer.after(
       withJitter(readMilliseconds, { random, share: JITTER_SHARE }),
-      () => void this.#readAndSchedule(),
+      () => this.#readAndSchedule(),
     );
   }
 
--- a/src/core/orders/order_executor.ts
+++ b/src/core/orders/order_executor.ts
@@ -171,7 +171,9 @@
   #startReconciling(): void {
     if (this.#busy || this.#stopped || this.#newestOrder === undefined) return;
     this.#busy = true;
-    void this.#reconcile().finally(() => this.#busy = false);
+    this.#options.timer.run(() =>
+      this.#reconcile().finally(() => this.#busy = false)
+    );
   }
 
   /** Runs until the newest order is confirmed. */
--- a/src/core/scheduling/pool_scheduler.ts
+++ b/src/core/scheduling/pool_scheduler.ts
@@ -268,13 +268,15 @@
     this.#waitingById.set(profile.requestId, admitted);
     const latestStart = profile.deadline - service;
     this.#predictor.recordAdmission(query, cost);
-    void this.#dispatch.add(() => this.#run(admitted), {
-      id: profile.requestId,
-      className: profile.className,
-      workspace: profile.workspace,
-      latestStart,
-      cost,
-    });
+    this.#options.timer.run(() =>
+      this.#dispatch.add(() => this.#run(admitted), {
+        id: profile.requestId,
+        className: profile.className,
+        workspace: profile.workspace,
+        latestStart,
+        cost,
+      })
+    );
     if (!admitted.settled) {
       this.#scheduleRecheck();
       admitted.latestStartTimer = this.#options.timer.after(
--- a/src/core/time/manual_timer_service.ts
+++ b/src/core/time/manual_timer_service.ts
@@ -1,9 +1,10 @@
+import { type OnThrow, rethrow, runStep } from "./run_step.ts";
 import type { Subscription, TimerService } from "./timer_service.ts";
 
 interface ScheduledTimer {
   readonly dueAt: number;
   readonly sequence: number;
-  readonly listener: () => void;
+  readonly listener: () => unknown;
   cancelled: boolean;
 }
 
@@ -14,16 +15,21 @@
  */
 export class ManualTimerService implements TimerService {
   readonly #wallClockStart: number;
+  readonly #onThrow: OnThrow;
   readonly #heap: ScheduledTimer[] = [];
   #now = 0;
   #nextSequence = 0;
 
   /**
    * `wallClockStart` is the wall clock at virtual time 0, in milliseconds since
-   * 1970.
+   * 1970. Without an owner of what listeners throw, `advance` throws it.
    */
-  constructor(wallClockStart = Date.UTC(2026, 0, 1)) {
+  constructor(
+    wallClockStart = Date.UTC(2026, 0, 1),
+    { onThrow = rethrow }: { readonly onThrow?: OnThrow } = {},
+  ) {
     this.#wallClockStart = wallClockStart;
+    this.#onThrow = onThrow;
   }
 
   now(): number {
@@ -34,7 +40,7 @@
     return this.#wallClockStart + this.#now;
   }
 
-  after(delayMilliseconds: number, listener: () => void): Subscription {
+  after(delayMilliseconds: number, listener: () => unknown): Subscription {
     const timer: ScheduledTimer = {
       dueAt: this.#now + Math.max(0, delayMilliseconds),
       sequence: this.#nextSequence++,
@@ -49,13 +55,13 @@
     };
   }
 
-  every(periodMilliseconds: number, listener: () => void): Subscription {
+  every(periodMilliseconds: number, listener: () => unknown): Subscription {
     let cancelled = false;
     let current: Subscription;
     const fire = () => {
       if (cancelled) return;
       current = this.after(periodMilliseconds, fire);
-      listener();
+      return listener();
     };
     current = this.after(periodMilliseconds, fire);
     return {
@@ -66,6 +72,10 @@
     };
   }
 
+  run(listener: () => unknown): void {
+    runStep(listener, this.#onThrow);
+  }
+
   /**
    * Advances the clock by `milliseconds` and fires all timers that fall due.
    * Promise callbacks that one timer triggers run before the next timer fires.
@@ -79,7 +89,7 @@
       this.#pop();
       if (timer.cancelled) continue;
       this.#now = Math.max(this.#now, timer.dueAt);
-      timer.listener();
+      runStep(timer.listener, this.#onThrow);
       await flushPromises();
     }
     this.#now = end;
--- a/src/core/time/timer_service.ts
+++ b/src/core/time/timer_service.ts
@@ -18,7 +18,12 @@
    */
   wallClock(): number;
   /** Calls the listener once after `delayMilliseconds`. */
-  after(delayMilliseconds: number, listener: () => void): Subscription;
+  after(delayMilliseconds: number, listener: () => unknown): Subscription;
   /** Calls the listener every `periodMilliseconds` until it is cancelled. */
-  every(periodMilliseconds: number, listener: () => void): Subscription;
+  every(periodMilliseconds: number, listener: () => unknown): Subscription;
+  /**
+   * Calls the listener now. As with the others, the service owns what it throws
+   * and the promise that it returns: a throw ends that call and nothing else.
+   */
+  run(listener: () => unknown): void;
 }
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -104,7 +104,9 @@
       request,
       (frame) => this.#onFrame(frame),
     );
-    void call.closed.then((result) => this.#onClosed(result));
+    context.timer.run(() =>
+      call.closed.then((result) => this.#onClosed(result))
+    );
     return call;
   }
 
--- a/src/entry/forwarding/configuration_sync.ts
+++ b/src/entry/forwarding/configuration_sync.ts
@@ -159,6 +159,6 @@
     const peer = peers[Math.floor(random() * peers.length)];
     // If the query fails, the next one goes to another peer that is known.
     if (peers.length > 1) this.#newerPeers.delete(peer);
-    void fetchFrom(peer);
+    timer.run(() => fetchFrom(peer));
   }
 }
--- a/src/entry/forwarding/crashes/lost_run_checks.ts
+++ b/src/entry/forwarding/crashes/lost_run_checks.ts
@@ -40,16 +40,20 @@
     this.#checked.add(endpoint.id);
     this.#options.timer.after(
       CHECK_DELAY_MILLISECONDS,
-      () => void this.#run(endpoint),
+      () => this.#run(endpoint),
     );
   }
 
   async #run(endpoint: RegisteredEndpoint): Promise<void> {
     const { crashes, endpointClient, registry, timer } = this.#options;
     const startedAt = timer.now();
-    const isAlive = registry.isSameRun(endpoint) &&
-      await endpointClient.acceptsConnections(endpoint.address);
-    this.#checked.delete(endpoint.id);
+    let isAlive = false;
+    try {
+      isAlive = registry.isSameRun(endpoint) &&
+        await endpointClient.acceptsConnections(endpoint.address);
+    } finally {
+      this.#checked.delete(endpoint.id);
+    }
     if (isAlive) crashes.answered(endpoint, startedAt);
     crashes.confirmLosses(endpoint);
   }
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -155,8 +155,8 @@
 
   start(): void {
     this.#nextReport = this.#options.timer.after(this.#interval, () => {
-      this.#reportWork();
       this.start();
+      this.#reportWork();
     });
   }
 
--- a/src/entry/forwarding/peer_state_fallback.ts
+++ b/src/entry/forwarding/peer_state_fallback.ts
@@ -97,7 +97,7 @@
   start(): void {
     this.#polling = this.#options.timer.every(
       POLL_INTERVAL_MILLISECONDS,
-      () => void this.#poll(),
+      () => this.#poll(),
     );
   }
 
--- a/src/entry/forwarding/prefix_cache_survey.ts
+++ b/src/entry/forwarding/prefix_cache_survey.ts
@@ -64,7 +64,7 @@
     this.#queried.add(engine.id);
     timer.after(
       QUERY_SPREAD_MILLISECONDS * random(),
-      () => void this.#query(engine),
+      () => this.#query(engine),
     );
   }
 
--- a/src/entry/forwarding/request_permits.ts
+++ b/src/entry/forwarding/request_permits.ts
@@ -71,6 +71,7 @@
 
 interface PendingPermit extends AcquireOptions {
   readonly resolve: (isGranted: boolean) => void;
+  readonly reject: (cause: unknown) => void;
 }
 
 /** Permits are denied to this rank and less urgent ones until a time. */
@@ -140,11 +141,13 @@
     if (!this.isLimited(id) || this.#takeUnused(id)) {
       return Promise.resolve(true);
     }
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       const pending = this.#pending.get(id) ?? [];
       this.#pending.set(id, pending);
-      pending.push({ ...options, resolve });
-      if (!this.#asking.has(id)) void this.#askWhilePending(endpoint);
+      pending.push({ ...options, resolve, reject });
+      if (!this.#asking.has(id)) {
+        this.#options.timer.run(() => this.#askWhilePending(endpoint));
+      }
     });
   }
 
@@ -203,11 +206,14 @@
   async #askWhilePending(endpoint: EndpointRun): Promise<void> {
     const { id } = endpoint;
     this.#asking.add(id);
-    while (this.#pending.has(id)) {
-      const pending = this.#takeAdmissible(id);
-      if (pending.length > 0) await this.#ask(endpoint, pending);
+    try {
+      while (this.#pending.has(id)) {
+        const pending = this.#takeAdmissible(id);
+        if (pending.length > 0) await this.#askOrReject(endpoint, pending);
+      }
+    } finally {
+      this.#asking.delete(id);
     }
-    this.#asking.delete(id);
   }
 
   /** Takes the pending permits, and denies those that are denied already. */
@@ -221,6 +227,18 @@
       .sort((one, other) => one.rank - other.rank);
   }
 
+  /** A throw belongs to the requests that wait for these permits. */
+  async #askOrReject(
+    endpoint: EndpointRun,
+    pending: readonly PendingPermit[],
+  ): Promise<void> {
+    try {
+      await this.#ask(endpoint, pending);
+    } catch (cause) {
+      for (const each of pending) each.reject(cause);
+    }
+  }
+
   async #ask(
     endpoint: EndpointRun,
     pending: readonly PendingPermit[],
--- a/src/entry/forwarding/role_controller.ts
+++ b/src/entry/forwarding/role_controller.ts
@@ -159,10 +159,18 @@
       random,
       share: CHECK_JITTER_SHARE,
     });
-    this.#nextCheck = timer.after(delay, () => void this.#check());
+    this.#nextCheck = timer.after(delay, () => this.#check());
   }
 
   async #check(): Promise<void> {
+    try {
+      await this.#planAndOrder();
+    } finally {
+      if (!this.#stopped) this.#scheduleCheck();
+    }
+  }
+
+  async #planAndOrder(): Promise<void> {
     this.#expireChanges();
     const settledFor = this.#options.timer.now() - this.#lastChangeAt;
     const isSettled = settledFor >=
@@ -183,7 +191,6 @@
     // change is the exception.
     if (isSettled && this.#options.registry.size > 0) this.#hasPlanned = true;
     if (changes.length > 0) await this.#issueOrders(changes);
-    if (!this.#stopped) this.#scheduleCheck();
   }
 
   #plannedChanges(): EngineRoleChange[] {
--- a/src/entry/forwarding/usage_reporter.ts
+++ b/src/entry/forwarding/usage_reporter.ts
@@ -149,7 +149,7 @@
     const { timer } = this.#options;
     this.#subscriptions.push(
       timer.every(COPY_INTERVAL_MILLISECONDS, () => this.#copyCounts()),
-      timer.every(CHECK_INTERVAL_MILLISECONDS, () => void this.#check()),
+      timer.every(CHECK_INTERVAL_MILLISECONDS, () => this.#check()),
     );
   }
 
@@ -241,8 +241,11 @@
     if (now < this.#retryAt) return;
     this.#retryAt = now + RETRY_INTERVAL_MILLISECONDS;
     this.#isReporting = true;
-    await this.#sendReports(due);
-    this.#isReporting = false;
+    try {
+      await this.#sendReports(due);
+    } finally {
+      this.#isReporting = false;
+    }
   }
 
   #giveUpOverdue(): void {
--- a/src/entry/forwarding/version_listing.ts
+++ b/src/entry/forwarding/version_listing.ts
@@ -85,7 +85,7 @@
 
   start(): void {
     if (this.#options.link === undefined) return;
-    void this.#read();
+    this.#options.timer.run(() => this.#read());
     this.#sweep = this.#options.timer.every(
       SWEEP_MILLISECONDS,
       () => this.#removeGone(),
@@ -190,7 +190,7 @@
     }
     const reason = read.error.message;
     logger.warn({ reason }, "Cannot read the serving versions; retrying");
-    timer.after(RETRY_MILLISECONDS, () => void this.#read());
+    timer.after(RETRY_MILLISECONDS, () => this.#read());
   }
 
   #noteRegistered(): void {
@@ -218,8 +218,10 @@
     if (link === undefined || !mayWrite) return;
     this.#writing.add(key);
     const delay = this.#writeDelay(key);
-    if (delay === 0) return void this.#write(link, version);
-    timer.after(delay, () => void this.#write(link, version));
+    if (delay === 0) {
+      return this.#options.timer.run(() => this.#write(link, version));
+    }
+    timer.after(delay, () => this.#write(link, version));
   }
 
   #writeDelay(key: string): number {
@@ -235,10 +237,13 @@
   async #write(link: VersionLink, version: ServingVersion): Promise<void> {
     const { broadcast, listed, logger, timer } = this.#options;
     const key = keyOf(version);
-    const written = listed.has(version) || this.#isStopped
-      ? undefined
-      : await link.add(version);
-    this.#writing.delete(key);
+    const isNeeded = !listed.has(version) && !this.#isStopped;
+    let written: Awaited<ReturnType<VersionLink["add"]>> | undefined;
+    try {
+      written = isNeeded ? await link.add(version) : undefined;
+    } finally {
+      this.#writing.delete(key);
+    }
     if (listed.has(version) || written?.isOk()) this.#unlisted.delete(key);
     if (written === undefined) return;
     if (written.isOk()) {
@@ -264,7 +269,9 @@
       const seenAt = this.#seenAt.get(key) ?? now;
       this.#seenAt.set(key, seenAt);
       const isGone = now - seenAt > STREAM_LIFETIME_MILLISECONDS;
-      if (isGone && ranking(key)[0] === self) void this.#remove(version);
+      if (isGone && ranking(key)[0] === self) {
+        this.#options.timer.run(() => this.#remove(version));
+      }
     }
   }
 
--- a/src/entry/planner.ts
+++ b/src/entry/planner.ts
@@ -85,7 +85,7 @@
   start(): void {
     this.#planTimer = this.#options.timer.every(
       this.#options.planMilliseconds,
-      () => void this.plan(),
+      () => this.plan(),
     );
   }
 
--- a/src/entry/region_log.ts
+++ b/src/entry/region_log.ts
@@ -107,6 +107,7 @@
     });
     this.ordersClaim = this.#createClaimKeeper("orders", { view: this.orders });
     this.#validator = new ConfigurationJudge({
+      timer: options.timer,
       journal: this.journals.configuration,
       fold: this.configuration,
       heldClaim: () => this.configurationClaim.held?.offset,
--- a/src/entry/request_run.ts
+++ b/src/entry/request_run.ts
@@ -98,7 +98,7 @@
 
   /** Starts serving the request. */
   start(): void {
-    void this.options.serve(this);
+    this.options.context.timer.run(() => this.options.serve(this));
   }
 
   /** The caller has disconnected. */
--- a/src/entry/side_directory.ts
+++ b/src/entry/side_directory.ts
@@ -174,7 +174,7 @@
   onMessageLost(endpoint: EndpointId): void {
     const side = this.#sides.get(endpoint);
     if (side !== undefined && !side.polling) {
-      void this.#poll(side, { suspectIfLost: true });
+      this.#options.timer.run(() => this.#poll(side, { suspectIfLost: true }));
     }
   }
 
@@ -193,7 +193,7 @@
     this.#sides.set(endpoint, side);
     this.#attached.delete(endpoint);
     // A new side is polled at once; it gets no work until it has reported.
-    void this.#poll(side);
+    this.#options.timer.run(() => this.#poll(side));
   }
 
   #tick(): void {
@@ -204,7 +204,9 @@
       this.#checkSilence(side);
       const isSilent = now - side.lastSeenAt >= reportMilliseconds;
       const needsReport = side.activeAttempts > 0 || side.report === undefined;
-      if (isSilent && needsReport && !side.polling) void this.#poll(side);
+      if (isSilent && needsReport && !side.polling) {
+        this.#options.timer.run(() => this.#poll(side));
+      }
     }
     this.#pollNextSides();
   }
@@ -236,7 +238,7 @@
     for (; this.#pollCredit >= 1; this.#pollCredit -= 1) {
       const side = this.#nextInCycle();
       if (side === undefined) return;
-      if (!side.polling) void this.#poll(side);
+      if (!side.polling) this.#options.timer.run(() => this.#poll(side));
     }
   }
 
--- a/src/side/attempt_executor.ts
+++ b/src/side/attempt_executor.ts
@@ -134,16 +134,12 @@
     const pending = new PendingAttempt();
     if (this.#isDuplicate(attempt)) return pending;
     const { timer, tracer } = this.#options;
-    void this.#admit({
-      attempt,
-      emit,
-      pending,
-      deadline: timer.now() + attempt.deadlineMilliseconds,
-      span: tracer.start("side.attempt", {
-        traceparent: attempt.traceparent,
-        facts: { attemptId: attempt.attemptId },
-      }),
+    const span = tracer.start("side.attempt", {
+      traceparent: attempt.traceparent,
+      facts: { attemptId: attempt.attemptId },
     });
+    const deadline = timer.now() + attempt.deadlineMilliseconds;
+    timer.run(() => this.#admit({ attempt, emit, pending, deadline, span }));
     return pending;
   }
 
@@ -176,7 +172,8 @@
   whenIdleWithin(milliseconds: number): Promise<void> {
     return new Promise((resolve) => {
       const timeout = this.#options.timer.after(milliseconds, resolve);
-      void this.whenIdle().then(() => {
+      this.#options.timer.run(async () => {
+        await this.whenIdle();
         timeout.cancel();
         resolve();
       });
--- a/src/side/generation_run.ts
+++ b/src/side/generation_run.ts
@@ -92,7 +92,9 @@
       attempt,
       (text) => this.#onToken(text),
     );
-    void this.#call.finished.then((result) => this.#onFinished(result));
+    this.#options.timer.run(() =>
+      this.#call.finished.then((result) => this.#onFinished(result))
+    );
   }
 
   /** Ends the attempt early and cancels it at the engine. */
--- a/src/side/service_run.ts
+++ b/src/side/service_run.ts
@@ -47,8 +47,8 @@
       timeLeft,
       () => this.#detach("deadline"),
     );
-    void options.endpoint.call(attempt).then((result) =>
-      this.#onResult(result)
+    options.timer.run(async () =>
+      this.#onResult(await options.endpoint.call(attempt))
     );
   }
 
--- a/src/side/side_core.ts
+++ b/src/side/side_core.ts
@@ -394,14 +394,14 @@
 
   #resumeAfterOrder(): void {
     this.#applyingOrder = false;
-    void this.#observe();
+    this.#options.timer.run(() => this.#observe());
   }
 
   #startObserving(): void {
-    void this.#observe();
+    this.#options.timer.run(() => this.#observe());
     this.#observationTimer = this.#options.timer.every(
       this.#options.times.reportMilliseconds,
-      () => void this.#observe(),
+      () => this.#observe(),
     );
   }
 
--- a/src/side/watch_loop.ts
+++ b/src/side/watch_loop.ts
@@ -46,7 +46,7 @@
   }
 
   start(): void {
-    void this.#poll();
+    this.#options.timer.run(() => this.#poll());
   }
 
   stop(): void {
@@ -68,7 +68,7 @@
       return this.#retryLater();
     }
     this.#options.onAnswer(answer.value);
-    void this.#poll();
+    this.#options.timer.run(() => this.#poll());
   }
 
   /**
@@ -90,6 +90,6 @@
       random,
       share: RETRY_JITTER_SHARE,
     });
-    this.#retryTimer = timer.after(delay, () => void this.#poll());
+    this.#retryTimer = timer.after(delay, () => this.#poll());
   }
 }
--- a/test/matrix/process_gate.ts
+++ b/test/matrix/process_gate.ts
@@ -46,13 +46,14 @@
 
   /** Wraps a timer service so that the gate controls its callbacks. */
   timer(base: TimerService): TimerService {
-    const after = (delay: number, listener: () => void) =>
+    const after = (delay: number, listener: () => unknown) =>
       base.after(delay, () => this.run(listener));
     return {
       now: () => base.now(),
       wallClock: () => base.wallClock(),
       after,
       every: (period, listener) => repeat(after, { period, listener }),
+      run: (listener) => this.run(listener),
     };
   }
 }
--- a/test/support/coordination.ts
+++ b/test/support/coordination.ts
@@ -97,6 +97,7 @@
     onGained: () => judge.consider(),
   });
   const judge = new ConfigurationJudge({
+    timer: options.timer,
     journal: testJournal.journal,
     fold,
     heldClaim: () => keeper.held?.offset,
