--- a/src/adapters/peers/peer_client.ts
+++ b/src/adapters/peers/peer_client.ts
@@ -1,6 +1,6 @@
 import * as http from "node:http";
 import { JSONRPCClient } from "json-rpc-2.0";
-import type { JSONRPCRequest } from "json-rpc-2.0";
+import type { JSONRPCRequest, JSONRPCResponse } from "json-rpc-2.0";
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
 import { failure } from "../../core/errors/mod.ts";
@@ -24,6 +24,7 @@
   WatchQuestion,
 } from "../../generated/messages.ts";
 import type { TimerService } from "../../core/time/mod.ts";
+import { isNumber, isObject, isObjectOf } from "../../core/validation/mod.ts";
 import { SystemTimerService } from "../time/mod.ts";
 import { LINK_LOST, LINK_NOT_SENT } from "./errors.ts";
 import { FrameLineReader } from "./frame_line_reader.ts";
@@ -36,6 +37,11 @@
  */
 const MAX_IDLE_CONNECTIONS = 32;
 
+const isStreamSnapshot = isObjectOf<StreamSnapshot>({
+  upTo: isNumber,
+  state: isObject,
+});
+
 /** Carries a link failure through the JSON-RPC client; caught in `#call`. */
 class LinkError extends Error {
   readonly link: LinkFailure;
@@ -95,14 +101,18 @@
     });
   }
 
-  snapshot(
+  async snapshot(
     entry: PeerAddress,
     stream: string,
   ): Promise<Result<StreamSnapshot, LinkFailure>> {
-    return this.#call(entry, {
+    const answer = await this.#call<unknown>(entry, {
       method: PEER_METHODS.snapshot,
       parameters: { stream },
     });
+    if (answer.isErr()) return err(answer.error);
+    if (isStreamSnapshot(answer.value)) return ok(answer.value);
+    const detail = "the answer is no snapshot";
+    return err(failure(LINK_LOST, { address: entry, detail }));
   }
 
   run(
@@ -150,7 +160,12 @@
           timer: this.#timer,
           timeoutMilliseconds,
         });
-        client.receive(JSON.parse(text));
+        const answer: unknown = JSON.parse(text);
+        // The client would wait for ever for the answer to another call.
+        if (!isObject(answer) || answer.id !== request.id) {
+          throw new Error("The answer is not one to this call");
+        }
+        client.receive(answer as unknown as JSONRPCResponse);
       },
     );
     this.#clients.set(address, client);
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -1,5 +1,11 @@
 /** Decisions on requests whose bodies are forwarded unchanged. */
 export type * from "./configuration.ts";
+export {
+  isCallerLimits,
+  isPool,
+  isRoute,
+  isWorkspaceKeys,
+} from "./configuration_checks.ts";
 export {
   isEndpointId,
   isHostAndPort,
--- a/src/entry/forwarding/mod.ts
+++ b/src/entry/forwarding/mod.ts
@@ -30,8 +30,8 @@
 export type { PlannedRoles } from "./work_role_planner.ts";
 export type { ReportOutcome, UsageLink } from "./usage_reporter.ts";
 export { readEntireBody } from "./read_body.ts";
+export type { FleetMember } from "./forwarding_state.ts";
 export {
-  type FleetMember,
   FORWARDING_STATE_STREAM,
   PeerStateFallback,
 } from "./peer_state_fallback.ts";
--- a/src/entry/forwarding/peer_state_fallback.ts
+++ b/src/entry/forwarding/peer_state_fallback.ts
@@ -2,8 +2,6 @@
 import type {
   EndpointRegistry,
   ForwardingConfiguration,
-  Pool,
-  RegisteredEndpoint,
 } from "../../core/forwarding/mod.ts";
 import type {
   LinkFailure,
@@ -16,6 +14,11 @@
 import type { Subscription, TimerService } from "../../core/time/mod.ts";
 
 import type { ConfigurationStatus } from "./configuration_status.ts";
+import {
+  type FleetMember,
+  type ForwardingState,
+  isForwardingState,
+} from "./forwarding_state.ts";
 
 /** Stream name under which peers request the forwarding state of an entry. */
 export const FORWARDING_STATE_STREAM = "forwarding";
@@ -38,21 +41,6 @@
  */
 const MAX_STATE_AGE_MILLISECONDS = 800;
 
-/** Forwarding state of an entry as sent to a peer. */
-interface ForwardingState {
-  /** Time since the store was last read, in milliseconds. */
-  readonly age: number;
-  readonly configuration:
-    & Omit<ForwardingConfiguration, "pools">
-    & { readonly pools: readonly Pool[] };
-  readonly endpoints: readonly RegisteredEndpoint[];
-  /** Names and datagram addresses of the entries, the sender included. */
-  readonly entries?: readonly FleetMember[];
-}
-
-/** Name and datagram address of an entry. */
-export type FleetMember = readonly [name: string, address: string];
-
 export interface PeerStateFallbackOptions {
   readonly timer: TimerService;
   readonly random: Random;
@@ -156,7 +144,7 @@
   }
 
   async #poll(): Promise<void> {
-    const { ask, peers, random, timer } = this.#options;
+    const { ask, logger, peers, random, timer } = this.#options;
     const silentMilliseconds = timer.now() - this.#storeReadAt;
     const addresses = peers();
     const needsPeers = silentMilliseconds >= STORE_SILENCE_MILLISECONDS ||
@@ -164,7 +152,11 @@
     if (!needsPeers || addresses.length === 0) return;
     const peer = addresses[Math.floor(random() * addresses.length)];
     const answer = await ask(peer, FORWARDING_STATE_STREAM);
-    if (answer.isErr()) return;
+    if (answer.isErr()) {
+      const reason = answer.error.message;
+      logger.debug({ peer, reason }, "Cannot read the state of a peer");
+      return;
+    }
     // The store may have responded during the query; its data is newer.
     const isCurrent = silentMilliseconds < STORE_SILENCE_MILLISECONDS ||
       timer.now() - this.#storeReadAt < silentMilliseconds;
@@ -178,8 +170,11 @@
     value: unknown,
     options: { readonly peer: PeerAddress; readonly isCurrent: boolean },
   ): void {
-    if (!isForwardingState(value)) return;
     const { isCurrent, peer } = options;
+    if (!isForwardingState(value)) {
+      this.#options.logger.warn({ peer }, "A peer has sent an invalid state");
+      return;
+    }
     const {
       configuration,
       logger,
@@ -208,19 +203,3 @@
     }, "The store is unavailable; reading the state from a peer");
   }
 }
-
-function isForwardingState(value: unknown): value is ForwardingState {
-  if (typeof value !== "object" || value === null) return false;
-  const { age, configuration, endpoints, entries = [] } = value as Partial<
-    ForwardingState
-  >;
-  return typeof age === "number" && Array.isArray(endpoints) &&
-    Array.isArray(entries) && entries.every(isFleetMember) &&
-    typeof configuration?.version === "number" &&
-    Array.isArray(configuration.routes) && Array.isArray(configuration.pools);
-}
-
-function isFleetMember(value: unknown): value is FleetMember {
-  return Array.isArray(value) && value.length === 2 &&
-    value.every((each) => typeof each === "string");
-}
--- a/src/entry/forwarding/peer_state_fallback_test.ts
+++ b/src/entry/forwarding/peer_state_fallback_test.ts
@@ -15,7 +15,8 @@
 import { NOOP_LOGGER } from "../../core/observation/mod.ts";
 import { ManualTimerService } from "../../core/time/mod.ts";
 import { ConfigurationStatus } from "./configuration_status.ts";
-import { type FleetMember, PeerStateFallback } from "./peer_state_fallback.ts";
+import type { FleetMember } from "./forwarding_state.ts";
+import { PeerStateFallback } from "./peer_state_fallback.ts";
 
 const PEER = identifier<ProcessId>("entry-1");
 
@@ -171,4 +172,51 @@
     expect(disconnected.configuration?.version).to.equal(9);
     expect(disconnected.registry.size).to.equal(0);
   });
+
+  describe("takes nothing of a peer's state", () => {
+    // Parts of it would be in force, and throw where requests use them.
+    const invalid: Readonly<
+      Record<string, (state: Record<string, unknown>) => unknown>
+    > = {
+      "without limits": (state) => withConfiguration(state, { limits: null }),
+      "with a route that is null": (state) =>
+        withConfiguration(state, { routes: [null] }),
+      "with a pool without a name": (state) =>
+        withConfiguration(state, { pools: [{}] }),
+      "with a workspace without keys": (state) =>
+        withConfiguration(state, { workspaces: [{ id: "a" }] }),
+      "with an endpoint that is null": (state) => ({
+        ...state,
+        endpoints: [null],
+      }),
+      "with an endpoint without an address": (state) => ({
+        ...state,
+        endpoints: [{ id: "a", pool: PORTAL }],
+      }),
+    };
+    for (const [name, change] of Object.entries(invalid)) {
+      it(name, async () => {
+        connected.fallback.onStoreRead();
+        const snapshot = connected.fallback.snapshot() as StreamSnapshot;
+        const state = change(snapshot.state);
+        const node = makeNode(() => ({ ...snapshot, state }) as StreamSnapshot);
+        node.fallback.start();
+        await timer.advance(600);
+        await flushPromises();
+        node.fallback.stop();
+        expect(node.asked).to.equal(1);
+        expect(node.configuration).to.equal(undefined);
+        expect(node.registry.size).to.equal(0);
+        expect(node.entries).to.deep.equal([]);
+      });
+    }
+  });
 });
+
+function withConfiguration(
+  state: Record<string, unknown>,
+  values: Readonly<Record<string, unknown>>,
+) {
+  const configuration = { ...state.configuration as object, ...values };
+  return { ...state, configuration };
+}
