--- /dev/null
+++ b/src/adapters/peers/peer_client_test.ts
@@ -0,0 +1,65 @@
+import { expect } from "chai";
+import {
+  readRequestBody,
+  StandInServer,
+} from "../../../test/stand_ins/stand_in_server.ts";
+import { identifier } from "../../core/identity/mod.ts";
+import type { PeerAddress } from "../../core/links/mod.ts";
+import { HttpPeerClient } from "./mod.ts";
+
+describe("HttpPeerClient", () => {
+  let answer: (id: unknown) => unknown;
+  let client: HttpPeerClient;
+  let server: StandInServer;
+  let address: PeerAddress;
+
+  beforeEach(async () => {
+    client = new HttpPeerClient();
+    server = new StandInServer(async (request, response) => {
+      const { id } = JSON.parse(await readRequestBody(request));
+      response.end(JSON.stringify(answer(id)));
+    });
+    address = identifier<PeerAddress>(`127.0.0.1:${await server.listen()}`);
+  });
+
+  afterEach(async () => {
+    client.close();
+    await server.close();
+  });
+
+  // Reading the state of such an answer throws in a timer, which ended the
+  // process; an answer to another call was waited for without an end.
+  const invalid: Readonly<Record<string, (id: unknown) => unknown>> = {
+    "null": () => null,
+    "a text": () => "state",
+    "an answer to another call": () => ({
+      jsonrpc: "2.0",
+      id: 99,
+      result: { upTo: 1, state: {} },
+    }),
+    "an answer without a state": (id) => ({
+      jsonrpc: "2.0",
+      id,
+      result: null,
+    }),
+    "a state that is a list": (id) => ({
+      jsonrpc: "2.0",
+      id,
+      result: { upTo: 1, state: [] },
+    }),
+  };
+  for (const [name, value] of Object.entries(invalid)) {
+    it(`fails on ${name}`, async () => {
+      answer = value;
+      const snapshot = await client.snapshot(address, "forwarding");
+      expect(snapshot.isErr() && snapshot.error.name).to.equal("link_lost");
+    });
+  }
+
+  it("returns a snapshot", async () => {
+    const result = { upTo: 1, state: { age: 1 } };
+    answer = (id) => ({ jsonrpc: "2.0", id, result });
+    const snapshot = await client.snapshot(address, "forwarding");
+    expect(snapshot._unsafeUnwrap()).to.deep.equal(result);
+  });
+});
