--- a/src/adapters/http_client/hedged_call.ts
+++ b/src/adapters/http_client/hedged_call.ts
@@ -25,7 +25,7 @@
   send: (options: HedgedSend) => Promise<Result<Value, Cause>>,
   { delayMilliseconds, maxSends, timer }: HedgeOptions,
 ): Promise<Result<Value, Cause>> {
-  return new Promise((resolve) => {
+  return new Promise((resolve, reject) => {
     const controllers: AbortController[] = [];
     let pending = 0;
     let nextSend: Subscription | undefined;
@@ -39,13 +39,15 @@
       controllers.push(controller);
       pending += 1;
       if (controllers.length < maxSends) {
-        nextSend = timer.after(delayMilliseconds, () => sendNext());
+        nextSend = timer.after(delayMilliseconds, begin);
       }
       const index = controllers.length - 1;
       const result = await send({ index, signal: controller.signal });
       pending -= 1;
       if (result.isOk() || pending === 0) finish(result);
     };
-    void sendNext();
+    // A throw belongs to the caller, which would wait for ever otherwise.
+    const begin = () => sendNext().catch(reject);
+    begin();
   });
 }
--- a/src/adapters/http_client/hedged_call_test.ts
+++ b/src/adapters/http_client/hedged_call_test.ts
@@ -26,6 +26,15 @@
     );
   });
 
+  // The caller would wait for the answer for ever.
+  it("rejects if a sending throws", async () => {
+    const failed = hedgedCall<string, Failure>(
+      () => Promise.reject(new Error("sending")),
+      { timer, delayMilliseconds: DELAY_MILLISECONDS, maxSends: 2 },
+    ).catch((cause) => String(cause));
+    expect(await failed).to.equal("Error: sending");
+  });
+
   it("sends once if the answer arrives within the delay", async () => {
     sends[0].settle(ok("first"));
     expect((await call)._unsafeUnwrap()).to.equal("first");
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,7 +1,8 @@
 import process from "node:process";
 import { hideBin } from "yargs/helpers";
 import yargs from "yargs";
-import { EXIT_CODE_INVALID_INPUT } from "./exit_codes.ts";
+import { stackOf } from "../core/errors/mod.ts";
+import { EXIT_CODE_FAILURE, EXIT_CODE_INVALID_INPUT } from "./exit_codes.ts";
 import { checkCommand } from "./check/command.ts";
 import { entryCommand } from "./entry/command.ts";
 import { publishCommand } from "./publish/command.ts";
@@ -30,4 +31,7 @@
   await parser.parseAsync();
 }
 
-void main();
+main().catch((cause) => {
+  process.stderr.write(`${stackOf(cause)}\n`);
+  process.exit(EXIT_CODE_FAILURE);
+});
