--- a/src/core/forwarding/estimates/pool_estimates.ts
+++ b/src/core/forwarding/estimates/pool_estimates.ts
@@ -1,3 +1,4 @@
+import type { TimerService } from "../../time/mod.ts";
 import type { ServiceName } from "../../identity/mod.ts";
 import { HandoverTime } from "./handover_time.ts";
 import { PrefillSpeed } from "./prefill_speed.ts";
@@ -21,12 +22,21 @@
 /** Estimates by pool. */
 export class EngineEstimates {
   readonly #pools = new Map<string, PoolEstimates>();
+  readonly #now: (() => number) | undefined;
+
+  /** Without a timer, costs from peers are used for ever. */
+  constructor(timer?: Pick<TimerService, "now">) {
+    this.#now = timer && (() => timer.now());
+  }
 
   /** The pool's estimates, created on first use. */
   forPool(pool: ServiceName): PoolEstimates {
     let estimates = this.#pools.get(pool);
     if (estimates === undefined) {
-      estimates = { prefill: new PrefillSpeed(), handover: new HandoverTime() };
+      estimates = {
+        prefill: new PrefillSpeed(this.#now),
+        handover: new HandoverTime(),
+      };
       this.#pools.set(pool, estimates);
     }
     return estimates;
--- a/src/core/forwarding/estimates/prefill_speed.ts
+++ b/src/core/forwarding/estimates/prefill_speed.ts
@@ -48,6 +48,11 @@
 const MIN_RELATIVE_ERROR = 0.05;
 /** Weight of the prior, in samples. */
 const PRIOR_WEIGHT_SAMPLES = 0.1;
+/**
+ * Time that costs from a peer are used for. Peers repeat them several times in
+ * it; wrong ones that nobody repeats must not keep prompts away for ever.
+ */
+const PEER_COSTS_VALIDITY_MILLISECONDS = 3_000;
 const MILLION = 1e6;
 
 /** Pairs of tokens that attend to each other during a prefill, in millions. */
@@ -63,6 +68,13 @@
   return Math.max(0, promptTokens - keptTokens);
 }
 
+/** Costs that a peer has reported, and how long they are used. */
+interface PeerCosts {
+  readonly costs: PrefillCosts;
+  readonly samples: number;
+  readonly until: number;
+}
+
 /**
  * Learns how fast the engines of a pool prefill. Engines differ widely, and
  * their registrations don't state a speed.
@@ -72,7 +84,13 @@
   #recordedSamples = 0;
   #costs = PRIOR_COSTS;
   /** Costs reported by peers, used while they rest on more samples. */
-  #peer: { readonly costs: PrefillCosts; readonly samples: number } | undefined;
+  #peer: PeerCosts | undefined;
+  readonly #now: () => number;
+
+  /** Without a clock, costs from peers are used for ever. */
+  constructor(now: () => number = () => 0) {
+    this.#now = now;
+  }
 
   /** Predicted time of a prefill on an idle engine, in milliseconds. */
   predictMilliseconds(promptTokens: number, keptTokens: number): number {
@@ -91,7 +109,7 @@
 
   /** Costs in use: own or reported, whichever rest on more samples. */
   get costs(): PrefillCosts {
-    const peer = this.#peer;
+    const peer = this.#validPeer;
     return peer !== undefined && peer.samples > this.#samples.length
       ? peer.costs
       : this.#costs;
@@ -109,8 +127,17 @@
 
   /** Records costs that a peer learned from this many samples. */
   recordPeerCosts(costs: PrefillCosts, samples: number): void {
-    if (samples < (this.#peer?.samples ?? 0)) return;
-    this.#peer = { costs, samples: Math.min(samples, MAX_SAMPLES) };
+    if (samples < (this.#validPeer?.samples ?? 0)) return;
+    this.#peer = {
+      costs,
+      samples: Math.min(samples, MAX_SAMPLES),
+      until: this.#now() + PEER_COSTS_VALIDITY_MILLISECONDS,
+    };
+  }
+
+  get #validPeer(): PeerCosts | undefined {
+    const peer = this.#peer;
+    return peer !== undefined && this.#now() <= peer.until ? peer : undefined;
   }
 
   /** Records a prefill on an engine that had no other work. */
--- a/src/core/forwarding/estimates/prefill_speed_test.ts
+++ b/src/core/forwarding/estimates/prefill_speed_test.ts
@@ -136,4 +136,20 @@
     }
     expect(speed.costs).to.not.equal(costs);
   });
+
+  // Costs that are too high keep all prompts away, so that no sample of this
+  // entry ever corrects them.
+  it("drops costs that no peer repeats", () => {
+    let now = 0;
+    const speed = new PrefillSpeed(() => now);
+    const expected = speed.predictMilliseconds(9_000, 0);
+    speed.recordPeerCosts({
+      callMilliseconds: 0,
+      millisecondsPerToken: 1e15,
+      millisecondsPerMillionAttentionPairs: 0,
+    }, 96);
+    expect(speed.predictMilliseconds(9_000, 0)).to.be.above(1e15);
+    now += 3_001;
+    expect(speed.predictMilliseconds(9_000, 0)).to.equal(expected);
+  });
 });
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -123,7 +123,7 @@
     });
     const load = new FleetLoad(timer);
     const prefixes = new PrefixDirectory();
-    const estimates = new EngineEstimates();
+    const estimates = new EngineEstimates(timer);
     const slowness = new EngineSlowness(timer);
     const pace = new DecodePace(timer, load);
     const returningCallers = new ReturningCallers(timer);
