--- a/src/entry/forwarding/forwarding_state.ts
+++ b/src/entry/forwarding/forwarding_state.ts
@@ -35,7 +35,7 @@
 
 /**
  * Checks the whole state: what is applied of it stays in force until the store
- * is back, and what part of it is wrong can't be told.
+ * is back, and which part of it is wrong can't be known.
  */
 export const isForwardingState = isObjectOf<ForwardingState>({
   age: isNumber,
--- a/src/entry/forwarding/notifications/crash_notification.ts
+++ b/src/entry/forwarding/notifications/crash_notification.ts
@@ -23,7 +23,7 @@
 export const TRIAL_ANSWER_METHOD = "entry.trialAnswer";
 /** Notification that a trial has ended. */
 export const TRIAL_END_METHOD = "entry.trialEnd";
-/** Notification that tells the owner of suspects of recent runs of them. */
+/** Notification that carries recent runs of suspects to their owner. */
 export const TRIAL_PROOFS_METHOD = "entry.trialProofs";
 
 /** Fields that all notifications about a trial have. */
--- a/src/entry/forwarding/notifications/registration_notification.ts
+++ b/src/entry/forwarding/notifications/registration_notification.ts
@@ -24,7 +24,7 @@
   readonly unreadable?: boolean;
 }
 
-/** Changes that an entry has read, or was told of by an endpoint. */
+/** Changes that an entry has read, or that an endpoint has announced. */
 export interface RegistrationNotification {
   readonly changes: readonly RegistrationChange[];
   /** The span that was read; absent if the changes were not read. */
--- a/test/support/invalid_values.ts
+++ b/test/support/invalid_values.ts
@@ -23,7 +23,7 @@
   '{"length":3}',
 ];
 const MAX_CHANGES = 3;
-/** Stands for an infinite number, for which JSON has no value. */
+/** Marks an infinite number, for which JSON has no value. */
 const INFINITY_MARK = "infinite number";
 
 /** Position of a value in the object or array that holds it. */
