--- a/src/core/forwarding/caches/prefix_directory.ts
+++ b/src/core/forwarding/caches/prefix_directory.ts
@@ -51,7 +51,10 @@
     }
     this.#parts.set(part.id, part.tokens);
     this.#tokens += part.tokens;
-    while (this.#tokens > maxTokens) this.#evictOldest();
+    // Nothing fits a limit below 0, which a configuration may name.
+    while (this.#tokens > maxTokens && this.#parts.size > 0) {
+      this.#evictOldest();
+    }
   }
 
   #evictOldest(): void {
--- a/src/core/forwarding/caches/prefix_directory_test.ts
+++ b/src/core/forwarding/caches/prefix_directory_test.ts
@@ -34,6 +34,12 @@
     expect(prefixes.keptTokens(engine, parts)).to.equal(0);
   });
 
+  // Evicting for ever freezes the entry, with all requests that it has open.
+  it("ends evicting where the engine's memory is below 0", () => {
+    record("river", -1e308);
+    expect(prefixes.keptTokens(engine, makePrompt("river").parts)).to.equal(0);
+  });
+
   // An engine's memory holds some tens of subjects. Without a bound the entry
   // would send prompts to engines that evicted their parts long ago.
   it("evicts the least recently used part", () => {
--- a/src/entry/forwarding/notifications/prompt_encoding.ts
+++ b/src/entry/forwarding/notifications/prompt_encoding.ts
@@ -32,10 +32,10 @@
 export function isEncodedPrompt(value: unknown): value is EncodedPrompt {
   if (!Array.isArray(value) || value.length < HEADER_VALUES) return false;
   const [engine, memoryTokens, startedAt, ...rest] = value;
-  return isText(engine) && isNumber(memoryTokens) && isNumber(startedAt) &&
+  return isText(engine) && isCount(memoryTokens) && isNumber(startedAt) &&
     rest.length % VALUES_PER_PART === 0 &&
     rest.every((each, index) =>
-      index % VALUES_PER_PART === 0 ? isText(each) : isNumber(each)
+      index % VALUES_PER_PART === 0 ? isText(each) : isCount(each)
     );
 }
 
@@ -55,3 +55,7 @@
     parts,
   };
 }
+
+function isCount(value: unknown): value is number {
+  return isNumber(value) && value >= 0;
+}
--- a/src/entry/forwarding/notifications/prompt_encoding_test.ts
+++ b/src/entry/forwarding/notifications/prompt_encoding_test.ts
@@ -33,6 +33,8 @@
       ["engine-1", "many"],
       ["engine-1", 9, "part"],
       ["engine-1", 9, 7, "part"],
+      ["engine-1", -9, 7, "part", 3],
+      ["engine-1", 9, 7, "part", -3],
     ]
   ) {
     it(`rejects ${JSON.stringify(value)}`, () => {
