--- a/src/adapters/telemetry/mod.ts
+++ b/src/adapters/telemetry/mod.ts
@@ -8,6 +8,7 @@
 export { Metrics, type MetricsOptions } from "./metrics.ts";
 export {
   type ConfigurationMetrics,
+  createDroppedNotificationCounter,
   createForwardingObserver,
   createLoadQueryCounter,
   createPermitCounter,
--- a/test/operations/operations_test.ts
+++ b/test/operations/operations_test.ts
@@ -1,6 +1,8 @@
 import { expect } from "chai";
 import { existsSync, readdirSync, readFileSync } from "node:fs";
 import {
+  createDroppedNotificationCounter,
+  createFaultReporter,
   createForwardingObserver,
   createLoadQueryCounter,
   createPermitCounter,
@@ -65,6 +67,8 @@
     ageMilliseconds: undefined,
     pendingMilliseconds: 0,
   }));
+  createDroppedNotificationCounter(metrics.registry);
+  createFaultReporter({ registry: metrics.registry, logger: NOOP_LOGGER });
   createLoadQueryCounter(metrics.registry);
   createPermitCounter(metrics.registry);
   createStreamLookupCounter(metrics.registry);
