--- a/src/core/forwarding/endpoints/load_owners.ts
+++ b/src/core/forwarding/endpoints/load_owners.ts
@@ -71,15 +71,12 @@
 
   /** The entry that aggregates the endpoint's open work; it may be this one. */
   ownerOf(endpoint: EndpointId): ProcessId {
-    return this.#ranking(endpoint).find((name) => this.isLive(name)) ??
-      this.#self;
+    return this.#ownerAt(endpoint, this.#timer.now());
   }
 
   /** True if the entry is this one or has sent a message within this time. */
   wasHeardWithin(name: ProcessId, milliseconds: number): boolean {
-    if (name === this.#self) return true;
-    const receivedAt = this.#peers.get(name)?.lastReceivedAt ?? -Infinity;
-    return receivedAt >= this.#timer.now() - milliseconds;
+    return this.#wasHeardSince(name, this.#timer.now() - milliseconds);
   }
 
   /** The live entries including this one, the best owner first. */
@@ -105,8 +102,9 @@
     endpoints: Iterable<EndpointId>,
   ): ReadonlyMap<ProcessId, readonly EndpointId[]> {
     const byOwner = new Map<ProcessId, EndpointId[]>();
+    const now = this.#timer.now();
     for (const endpoint of endpoints) {
-      const owner = this.ownerOf(endpoint);
+      const owner = this.#ownerAt(endpoint, now);
       if (owner === this.#self) continue;
       const known = byOwner.get(owner);
       if (known === undefined) byOwner.set(owner, [endpoint]);
@@ -133,6 +131,19 @@
     known.skippedUntil = this.#timer.now() + SKIP_MILLISECONDS;
   }
 
+  #ownerAt(endpoint: EndpointId, now: number): ProcessId {
+    const heardSince = now - LIVENESS_TIMEOUT_MILLISECONDS;
+    for (const name of this.#ranking(endpoint)) {
+      if (this.#wasHeardSince(name, heardSince)) return name;
+    }
+    return this.#self;
+  }
+
+  #wasHeardSince(name: ProcessId, time: number): boolean {
+    if (name === this.#self) return true;
+    return (this.#peers.get(name)?.lastReceivedAt ?? -Infinity) >= time;
+  }
+
   #ranking(subject: string): readonly ProcessId[] {
     let ranking = this.#rankings.get(subject);
     if (ranking === undefined) {
--- a/src/core/forwarding/estimates/pool_estimates.ts
+++ b/src/core/forwarding/estimates/pool_estimates.ts
@@ -59,6 +59,11 @@
     });
   }
 
+  /** Drops costs that no peer has repeated in time. */
+  dropExpiredCosts(): void {
+    for (const { prefill } of this.#pools.values()) prefill.dropExpiredCosts();
+  }
+
   /** Records a peer's costs. */
   recordPeerReport(report: PrefillSpeedReport): void {
     const [
--- a/src/core/forwarding/estimates/prefill_speed.ts
+++ b/src/core/forwarding/estimates/prefill_speed.ts
@@ -49,7 +49,7 @@
 /** Weight of the prior, in samples. */
 const PRIOR_WEIGHT_SAMPLES = 0.1;
 /**
- * Time that costs from a peer are used for. Peers repeat them several times in
+ * Time after which costs from a peer expire. Peers repeat them several times in
  * it; wrong ones that nobody repeats must not keep prompts away for ever.
  */
 const PEER_COSTS_VALIDITY_MILLISECONDS = 3_000;
@@ -68,7 +68,7 @@
   return Math.max(0, promptTokens - keptTokens);
 }
 
-/** Costs that a peer has reported, and how long they are used. */
+/** Costs that a peer has reported, and when they expire. */
 interface PeerCosts {
   readonly costs: PrefillCosts;
   readonly samples: number;
@@ -109,7 +109,7 @@
 
   /** Costs in use: own or reported, whichever rest on more samples. */
   get costs(): PrefillCosts {
-    const peer = this.#validPeer;
+    const peer = this.#peer;
     return peer !== undefined && peer.samples > this.#samples.length
       ? peer.costs
       : this.#costs;
@@ -127,7 +127,8 @@
 
   /** Records costs that a peer learned from this many samples. */
   recordPeerCosts(costs: PrefillCosts, samples: number): void {
-    if (samples < (this.#validPeer?.samples ?? 0)) return;
+    this.dropExpiredCosts();
+    if (samples < (this.#peer?.samples ?? 0)) return;
     this.#peer = {
       costs,
       samples: Math.min(samples, MAX_SAMPLES),
@@ -135,9 +136,14 @@
     };
   }
 
-  get #validPeer(): PeerCosts | undefined {
-    const peer = this.#peer;
-    return peer !== undefined && this.#now() <= peer.until ? peer : undefined;
+  /**
+   * Drops costs from a peer that no peer has repeated in time. Predictions use
+   * what is left without reading the clock, as each placement makes dozens of them.
+   */
+  dropExpiredCosts(): void {
+    if (this.#peer !== undefined && this.#now() > this.#peer.until) {
+      this.#peer = undefined;
+    }
   }
 
   /** Records a prefill on an engine that had no other work. */
@@ -201,9 +207,11 @@
     const weight = 1 /
       (milliseconds ** 2 * Math.max(MIN_RELATIVE_ERROR, error));
     for (let row = 0; row < factors.length; row++) {
-      right[row] += weight * factors[row] * milliseconds;
+      const weighted = weight * factors[row];
+      const sums = matrix[row];
+      right[row] += weighted * milliseconds;
       for (let column = 0; column < factors.length; column++) {
-        matrix[row][column] += weight * factors[row] * factors[column];
+        sums[column] += weighted * factors[column];
       }
     }
   }
@@ -239,5 +247,9 @@
 }
 
 function dotProduct(one: readonly number[], other: readonly number[]): number {
-  return one.reduce((sum, value, index) => sum + value * other[index], 0);
+  let sum = 0;
+  for (let index = 0; index < one.length; index++) {
+    sum += one[index] * other[index];
+  }
+  return sum;
 }
--- a/src/core/forwarding/estimates/prefill_speed_test.ts
+++ b/src/core/forwarding/estimates/prefill_speed_test.ts
@@ -150,6 +150,7 @@
     }, 96);
     expect(speed.predictMilliseconds(9_000, 0)).to.be.above(1e15);
     now += 3_001;
+    speed.dropExpiredCosts();
     expect(speed.predictMilliseconds(9_000, 0)).to.equal(expected);
   });
 });
--- a/src/entry/forwarding/peer_exchange.ts
+++ b/src/entry/forwarding/peer_exchange.ts
@@ -334,6 +334,7 @@
     const now = timer.now();
     const isFull =
       now - this.#lastFullReportAt >= FULL_REPORT_INTERVAL_MILLISECONDS;
+    if (isFull) estimates.dropExpiredCosts();
     const hasUnreported = load.hasUnreported ||
       returningCallers.hasUnreported || limits.hasUnreported ||
       outcomes.hasUnrepeatedVerdicts;
