--- a/src/adapters/forwarding/caller_server.ts
+++ b/src/adapters/forwarding/caller_server.ts
@@ -11,6 +11,7 @@
   CallerSink,
   ForwardingRefusal,
 } from "../../entry/forwarding/network_interfaces.ts";
+import { stopListening } from "../http_server/mod.ts";
 import { CallerResponse } from "./caller_response.ts";
 
 /** Upper bound of the header size; the configured limit is smaller. */
@@ -26,6 +27,11 @@
  * must not be closed while a request is being sent on it.
  */
 const IDLE_CLOSE_DELAY_MILLISECONDS = 2_500;
+/**
+ * How long a stopping entry that accepts no more connections waits for the
+ * first request on those that it has just accepted.
+ */
+const FIRST_REQUEST_MILLISECONDS = 250;
 
 /** `Retry-After` of requests that a stopping entry refuses. */
 const STOPPING_RETRY_AFTER_MILLISECONDS = 50;
@@ -116,8 +122,8 @@
   #isClosing = false;
   #idleCloseTimer: Subscription | undefined;
   #onDrained: (() => void) | undefined;
-  /** Connections that have carried a request before. */
-  readonly #usedConnections = new WeakSet<Socket>();
+  /** Connections that have not carried a whole request yet. */
+  readonly #newConnections = new Set<Socket>();
   #lastSampleAt = 0;
   #lastSampledDelay = 0;
   readonly #loopDelay = new LoopDelay();
@@ -131,6 +137,7 @@
       requestTimeout: 0,
       requireHostHeader: true,
     }, (incoming, outgoing) => this.#receive(incoming, outgoing));
+    this.#server.on("connection", (socket) => this.#onConnection(socket));
     this.#server.on("clientError", (cause, socket) => {
       options.onProtocolError(cause.message);
       this.#onInvalidBytes(socket as Socket);
@@ -162,7 +169,7 @@
 
   /**
    * Completes open requests and closes each connection after its response.
-   * Settles when no request is open.
+   * Settles when no request is open and no new connection may bring one.
    */
   stop(): Promise<void> {
     this.#isStopping = true;
@@ -172,15 +179,38 @@
         IDLE_CLOSE_DELAY_MILLISECONDS,
         () => {
           this.#isClosing = true;
-          this.#server.close();
-          this.#server.closeIdleConnections();
-          this.#onDrained = resolve;
-          if (this.#openRequests.size === 0) resolve();
+          this.#endListening(resolve);
         },
       );
     });
   }
 
+  /** Stops listening, and waits for what the last connections bring. */
+  #endListening(onDrained: () => void): void {
+    stopListening(this.#server, () => {
+      this.#onDrained = onDrained;
+      this.#resolveIfDrained();
+      this.#options.timer.after(FIRST_REQUEST_MILLISECONDS, () => {
+        this.#newConnections.clear();
+        this.#resolveIfDrained();
+      });
+    });
+  }
+
+  #onConnection(socket: Socket): void {
+    this.#newConnections.add(socket);
+    socket.once("close", () => {
+      this.#newConnections.delete(socket);
+      this.#resolveIfDrained();
+    });
+  }
+
+  #resolveIfDrained(): void {
+    const isDrained = this.#openRequests.size === 0 &&
+      this.#newConnections.size === 0;
+    if (isDrained) this.#onDrained?.();
+  }
+
   close(): void {
     this.#idleCloseTimer?.cancel();
     this.#server.close();
@@ -301,8 +331,7 @@
   ): void {
     const { incoming, sink } = context;
     const loopDelayMilliseconds = this.loopDelayMilliseconds;
-    const isFirst = !this.#usedConnections.has(incoming.socket);
-    this.#usedConnections.add(incoming.socket);
+    const isFirst = this.#newConnections.delete(incoming.socket);
     const isLate = loopDelayMilliseconds >= LOOP_DELAY_THRESHOLD_MILLISECONDS;
     if (!isLate && !isFirst) return this.#options.handle(request, sink);
     // The first callback still runs in the current event-loop iteration.
@@ -337,7 +366,7 @@
   #onResponseClosed(openRequest: OpenRequest, bodyBytes: number): void {
     this.#openRequests.delete(openRequest);
     this.#bufferedBodyBytes -= bodyBytes;
-    if (this.#openRequests.size === 0) this.#onDrained?.();
+    this.#resolveIfDrained();
   }
 }
 
--- a/src/adapters/forwarding/caller_server_test.ts
+++ b/src/adapters/forwarding/caller_server_test.ts
@@ -290,5 +290,36 @@
       expect(received).to.match(/Connection: close/i);
       expect(statusCodes(received)).to.deep.equal([200]);
     });
+
+    // Closing the listening socket resets the connections in its queue, so that
+    // their callers get no answer. A busy entry has several of them.
+    it("answers connections that wait to be accepted at its end", async () => {
+      const stopped = server.stop();
+      await new Promise((resolve) => setTimeout(resolve, 2_450));
+      const answers = Array.from(
+        { length: 5 },
+        () => sendRaw(rawRequest("GET /a", ["Host: h"]), { port }),
+      );
+      // The time of the end comes before the event loop accepts any.
+      blockEventLoop(100);
+      const statuses = (await Promise.all(answers)).map(statusCodes);
+      expect(statuses).to.deep.equal(Array(5).fill([503]));
+      await stopped;
+    }).timeout(6_000);
+
+    it("ends although a caller sends nothing on a new connection", async () => {
+      const stopped = server.stop();
+      await new Promise((resolve) => setTimeout(resolve, 2_450));
+      const socket = connect(port, "127.0.0.1");
+      const started = performance.now();
+      await stopped;
+      expect(performance.now() - started).to.be.below(1_000);
+      socket.destroy();
+    }).timeout(6_000);
   });
 });
+
+function blockEventLoop(milliseconds: number): void {
+  const end = performance.now() + milliseconds;
+  while (performance.now() < end);
+}
