--- a/src/adapters/callers/caller_api_server.ts
+++ b/src/adapters/callers/caller_api_server.ts
@@ -13,6 +13,7 @@
   Refusal,
 } from "../../core/requests/mod.ts";
 import { runStep } from "../../core/time/mod.ts";
+import { stopListening } from "../http_server/mod.ts";
 import type { Work } from "../../generated/messages.ts";
 import {
   EventStreamSink,
@@ -111,11 +112,14 @@
   }
 
   /**
-   * Accepts no new connections and closes idle ones; open requests continue.
+   * Accepts what already waits and no more connections, and closes idle ones;
+   * open requests continue.
    */
   stopListening(): void {
-    this.#server.close();
-    this.#server.closeIdleConnections();
+    stopListening(
+      this.#server,
+      () => this.#server.closeIdleConnections(),
+    );
   }
 
   /** Closes the server and all its connections. */
