--- a/src/core/forwarding/estimates/prefill_speed.ts
+++ b/src/core/forwarding/estimates/prefill_speed.ts
@@ -137,8 +137,8 @@
   }
 
   /**
-   * Drops costs from a peer that no peer has repeated in time. Predictions use
-   * what is left without reading the clock, as each placement makes dozens of them.
+   * Drops costs from a peer that no peer has repeated in time. Predictions don't
+   * read the clock, as each placement makes dozens of them.
    */
   dropExpiredCosts(): void {
     if (this.#peer !== undefined && this.#now() > this.#peer.until) {
--- a/src/core/validation/checks.ts
+++ b/src/core/validation/checks.ts
@@ -1,8 +1,4 @@
-/**
- * Returns whether a value that was received has a type. Entries check hundreds
- * of messages a second, so the checks of lists, rows and objects are loops
- * without callbacks.
- */
+/** Returns whether a value that was received has a type. */
 export type Check<Type> = (value: unknown) => value is Type;
 
 /** A check for each field of a type, so that none is forgotten. */
@@ -53,6 +49,11 @@
   return (value): value is Type | null => value === null || check(value);
 }
 
+/**
+ * Checks each value of a list. A loop, as in the checks of rows and objects: a
+ * callback for each value costs more than the check, at hundreds of messages a
+ * second.
+ */
 export function isListOf<Type>(check: Check<Type>): Check<readonly Type[]> {
   return (value): value is readonly Type[] => {
     if (!Array.isArray(value)) return false;
