--- a/src/entry/forwarding/notifications/load_values.ts
+++ b/src/entry/forwarding/notifications/load_values.ts
@@ -1,3 +1,5 @@
+import { isNumber, isRow } from "../../../core/validation/mod.ts";
+
 /**
  * A load report in a row: running and waiting requests, slots, work factor in
  * percent, and the ages of its request and of its receipt in milliseconds.
@@ -11,15 +13,18 @@
   receivedAge: number,
 ];
 
-const SLOTS = 2;
-const WORK_FACTOR = 3;
-const VALUES = 6;
+const isSixNumbers = isRow<LoadReportValues>([
+  isNumber,
+  isNumber,
+  isNumber,
+  isNumber,
+  isNumber,
+  isNumber,
+]);
 
 /** Checks that the value is a load report. */
 export function isLoadReportValues(value: unknown): value is LoadReportValues {
-  if (!Array.isArray(value)) return false;
-  for (let at = 0; at < VALUES; at += 1) {
-    if (!Number.isFinite(value[at]) || value[at] < 0) return false;
-  }
-  return value[SLOTS] > 0 && value[WORK_FACTOR] > 0;
+  if (!isSixNumbers(value)) return false;
+  const [, , slots, percent] = value;
+  return value.every((each) => each >= 0) && slots > 0 && percent > 0;
 }
--- a/src/entry/forwarding/notifications/work_notification.ts
+++ b/src/entry/forwarding/notifications/work_notification.ts
@@ -25,6 +25,7 @@
   type ReplicaStartTime,
 } from "../../../core/identity/mod.ts";
 import {
+  type Check,
   isBoolean,
   isListOf,
   isNumber,
@@ -120,30 +121,17 @@
     );
 }
 
-/** Positions in a row; its requests, prefill work and tokens are in between. */
-const ENDPOINT = 0;
-const STARTED_AT = 4;
-const LOAD = 5;
-
-/**
- * Checks that the value is a work row. Written out, as it runs for each row of
- * each peer's report.
- */
-function isWorkRow(value: unknown): value is WorkRowWithRun {
-  if (!Array.isArray(value) || typeof value[ENDPOINT] !== "string") {
-    return false;
-  }
-  for (let at = ENDPOINT + 1; at < STARTED_AT; at += 1) {
-    if (!Number.isFinite(value[at])) return false;
-  }
-  const startedAt = value[STARTED_AT];
-  const load = value[LOAD];
-  return (startedAt === undefined || Number.isFinite(startedAt)) &&
-    (load === undefined || isLoadReportValues(load));
-}
-
 /** Checks that the value is a list of work rows. */
-export const isWorkRows = isListOf(isWorkRow);
+export const isWorkRows: Check<readonly WorkRowWithRun[]> = isListOf(
+  isRow<WorkRowWithRun>([
+    isText,
+    isNumber,
+    isNumber,
+    isNumber,
+    isOptional(isNumber<ReplicaStartTime>),
+    isOptional(isLoadReportValues),
+  ]),
+);
 
 const isRefusalReport = isRow<RefusalReport>([
   isText,
