--- a/src/adapters/callers/caller_api_server.ts
+++ b/src/adapters/callers/caller_api_server.ts
@@ -116,10 +116,7 @@
    * open requests continue.
    */
   stopListening(): void {
-    stopListening(
-      this.#server,
-      () => this.#server.closeIdleConnections(),
-    );
+    stopListening(this.#server);
   }
 
   /** Closes the server and all its connections. */
