Log the first and last event passed on, and count how bodies end

The hypotheses on streams out of order could not be told apart: no line says which events a caller got from a response, and nothing counts by which framing bodies end.

Change: answered, resumed, cut and caller_gone have firstEventId and lastEventId; filbertshore_response_ends_total counts ends by framing, route and outcome. Lines of mismatches, cuts and resumed streams are rare and are written although others are left out.

Measured: tests of telemetry, the forwarder and the operations page pass.

--- a/src/adapters/telemetry/forwarding_telemetry.ts
+++ b/src/adapters/telemetry/forwarding_telemetry.ts
@@ -50,7 +50,16 @@
 const RATIO_BUCKETS = [0.25, 0.5, 0.7, 0.85, 1, 1.2, 1.5, 2, 4, 8];
 
 /** Decisions whose lines are written although others are left out. */
-const EVIDENCE: ReadonlySet<string> = new Set(["attempt_rejected", "faulted"]);
+const EVIDENCE: ReadonlySet<string> = new Set([
+  "attempt_rejected",
+  "cut",
+  "faulted",
+  "resumed",
+  "stream_mismatch",
+]);
+
+/** Decisions that end the body of an endpoint's response. */
+const BODY_ENDS: ReadonlySet<string> = new Set(["answered", "cut", "resumed"]);
 
 /** Options of `createForwardingObserver`. */
 export interface ForwardingObserverOptions {
@@ -482,6 +491,13 @@
     buckets: LATENCY_BUCKETS_SECONDS,
     registers: [registry],
   });
+  const bodyEnds = new Counter({
+    name: "filbertshore_response_ends_total",
+    help:
+      "Bodies of endpoints' responses that ended, by framing, route and outcome",
+    labelNames: ["framing", "route", "outcome"],
+    registers: [registry],
+  });
   const observeReplica = createReplicaTimeObserver(registry);
   const limiter = new LogRateLimiter(timer, {
     logger,
@@ -493,6 +509,14 @@
   });
   return (decision, fields) => {
     decisions.inc({ decision, reason: String(fields.reason ?? "") });
+    if (BODY_ENDS.has(decision)) {
+      const { framing, route } = fields;
+      bodyEnds.inc({
+        framing: typeof framing === "string" ? framing : "none",
+        route,
+        outcome: decision,
+      });
+    }
     if (decision === "answered") {
       const { route } = fields;
       firstByteTime.observe({ route }, toSeconds(fields.firstByteMilliseconds));
--- a/src/adapters/telemetry/forwarding_telemetry_test.ts
+++ b/src/adapters/telemetry/forwarding_telemetry_test.ts
@@ -45,6 +45,38 @@
     ) expect(output).to.include(`filbertshore_${line}`);
   });
 
+  // A body that ends with its connection may be a part; without a count nobody
+  // sees which endpoints send such bodies.
+  it("counts the ends of bodies by framing, route and outcome", async () => {
+    const registry = new Registry();
+    const observe = createForwardingObserver({
+      registry,
+      logger: NOOP_LOGGER,
+      timer: new ManualTimerService(),
+    });
+    const request = {
+      requestId: "1",
+      route: "r",
+      firstByteMilliseconds: 1,
+      milliseconds: 2,
+    };
+    observe("answered", { ...request, framing: "connection" });
+    observe("cut", { ...request, framing: "chunks" });
+    observe("cut", request);
+    const output = await registry.metrics();
+    for (
+      const labels of [
+        'framing="connection",route="r",outcome="answered"',
+        'framing="chunks",route="r",outcome="cut"',
+        'framing="none",route="r",outcome="cut"',
+      ]
+    ) {
+      expect(output).to.include(
+        `filbertshore_response_ends_total{${labels}} 1`,
+      );
+    }
+  });
+
   // In the second in which a request ran twice, a busy entry dropped the lines
   // that tell why it was sent again.
   it("writes why a request was sent again although it drops other lines", () => {
--- a/src/entry/forwarding/event_stream.ts
+++ b/src/entry/forwarding/event_stream.ts
@@ -4,7 +4,8 @@
 } from "../../core/forwarding/mod.ts";
 import type { BodyFraming, EndpointResponse } from "./network_interfaces.ts";
 
-const EVENT_STREAM = "text/event-stream";
+/** Media type of a stream of server-sent events. */
+export const EVENT_STREAM = "text/event-stream";
 
 /** The media type without parameters; undefined if the head has none. */
 export function mediaTypeOf({ headers }: ResponseHead): string | undefined {
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -7,8 +7,8 @@
 import { observePace } from "./response_pace.ts";
 import { isSuccess } from "./event_stream.ts";
 import { discardBody } from "./read_body.ts";
-import { ResponseRelay } from "./response_relay.ts";
-import { type AttemptPlan, ForwardAttempt } from "./attempt.ts";
+import { type PassedEvents, ResponseRelay } from "./response_relay.ts";
+import { type AttemptPlan, type BodyFacts, ForwardAttempt } from "./attempt.ts";
 import {
   ForwardContext,
   type ForwardTask,
@@ -420,7 +420,7 @@
     if (mayResume) {
       this.#context.report("resumed", {
         lastEventId: this.#relay.lastEventId ?? "",
-        ...this.#attempt?.bodyFacts,
+        ...this.#bodyFacts,
       });
       return "again";
     }
@@ -428,11 +428,16 @@
     this.#sink.abort();
     this.#context.report("cut", {
       reason: isWriterGone ? VERSION_GONE : "endpoint_broke_off",
-      ...this.#attempt?.bodyFacts,
+      ...this.#bodyFacts,
     });
     return "delivered";
   }
 
+  /** How the response has ended and what its caller has, for the log. */
+  get #bodyFacts(): BodyFacts & PassedEvents {
+    return { ...this.#relay.passedEvents, ...this.#attempt?.bodyFacts };
+  }
+
   #finish(status: number): NextStep {
     const { remainingMilliseconds } = this.#context;
     this.#settle();
@@ -450,7 +455,7 @@
       firstByteMilliseconds: Math.round((this.#firstByteAt ?? 0) - arrived),
       milliseconds: Math.round(elapsedMilliseconds),
       sends,
-      ...this.#attempt?.bodyFacts,
+      ...this.#bodyFacts,
       ...(this.#service && {
         pool: this.#context.pool.name,
         attemptMilliseconds: Math.round(this.#service.milliseconds),
@@ -468,7 +473,7 @@
     this.#attempt?.abort();
     if (this.#relay.headSent) {
       this.#sink.abort();
-      this.#context.report("cut", { reason: "deadline" });
+      this.#context.report("cut", { reason: "deadline", ...this.#bodyFacts });
       return;
     }
     const status = this.#mayBeRunning || this.#runs > 0 ? 504 : 503;
@@ -480,7 +485,10 @@
     this.#settle();
     if (this.#mayBeRunning) this.#noteServiceStarted();
     this.#attempt?.abort();
-    this.#context.report("caller_gone", { sends: this.#context.sends });
+    this.#context.report("caller_gone", {
+      sends: this.#context.sends,
+      ...this.#relay.passedEvents,
+    });
   }
 
   /** Ends this request alone, whatever its handling has thrown. */
@@ -553,7 +561,7 @@
     this.#settle();
     if (this.#relay.headSent) {
       this.#sink.abort();
-      this.#context.report("cut", { reason: "unknown" });
+      this.#context.report("cut", { reason: "unknown", ...this.#bodyFacts });
       return;
     }
     this.#respond({ status: 502, reason: "unknown" });
--- a/src/entry/forwarding/request_forwarder_test.ts
+++ b/src/entry/forwarding/request_forwarder_test.ts
@@ -415,6 +415,23 @@
       expect(caller.ended).to.equal("whole");
     });
 
+    it("logs the first and the last event that the caller got", async () => {
+      const facts = { firstEventId: "1", lastEventId: "2" };
+      for (const resumable of [true, false]) {
+        const harness = makeHarness({ ...route, resumable });
+        harness.dependencies.registry.upsert(makeEngine("a", "decode"));
+        await harness.submit(makeRequest({ prompt }));
+        await harness.sent[0].respond("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", {
+          headers: ["Content-Type", "text/event-stream"],
+        });
+        expect(harness.decisions.at(-1)).to.deep.include({
+          decision: "answered",
+          framing: "length",
+          ...facts,
+        });
+      }
+    });
+
     // The response of the second engine is not the rest of the stream. Passed
     // on, it would end the stream as complete, and the caller would take a part
     // for the whole response.
--- a/src/entry/forwarding/response_relay.ts
+++ b/src/entry/forwarding/response_relay.ts
@@ -1,12 +1,13 @@
 import {
   type BufferedResponse,
+  EventIds,
   EventSequence,
   EventSplitter,
   type ResponseBuffers,
   type ResponseHead,
 } from "../../core/forwarding/mod.ts";
 import type { ForwardAttempt } from "./attempt.ts";
-import { isSuccess, mediaTypeOf } from "./event_stream.ts";
+import { EVENT_STREAM, isSuccess, mediaTypeOf } from "./event_stream.ts";
 import type {
   BodyEnd,
   CallerSink,
@@ -27,6 +28,12 @@
  */
 export type RelayEnd = BodyEnd | "mismatch";
 
+/** Which events the caller has received from this response, for the log. */
+export interface PassedEvents {
+  readonly firstEventId?: string;
+  readonly lastEventId?: string;
+}
+
 export interface ResponseRelayOptions {
   readonly sink: CallerSink;
   /** True: only whole events are passed on, so that another run can resume. */
@@ -54,7 +61,10 @@
     pause: () => this.#current?.pause(),
   };
   #splitter = new EventSplitter();
+  /** Ids of the events that were passed on. */
+  readonly #eventIds = new EventIds();
   #firstHead: ResponseHead | undefined;
+  #isEventStream = false;
   /**
    * Events of a further run that has not shown where it continues; undefined
    * once it has, and in the first run.
@@ -84,6 +94,14 @@
     return this.#sequence.lastEventId;
   }
 
+  /** Empty unless the response is a stream of events with ids. */
+  get passedEvents(): PassedEvents {
+    const { first, last } = this.#eventIds;
+    return first === undefined
+      ? {}
+      : { firstEventId: first, lastEventId: last };
+  }
+
   /** False once the caller has received bytes that no other run can continue. */
   get isResumable(): boolean {
     if (this.#firstHead === undefined) return true;
@@ -110,6 +128,7 @@
     if (this.#firstHead === undefined) {
       this.#sink.head(head.status, head.headers);
       this.#firstHead = head;
+      this.#isEventStream = mediaTypeOf(head) === EVENT_STREAM;
     } else this.#unverified = [];
     this.#current = response;
     this.#splitter = new EventSplitter();
@@ -166,6 +185,7 @@
 
   #write(chunk: Buffer): void {
     this.#onBytes(chunk.length);
+    if (this.#isEventStream) this.#eventIds.push(chunk);
     if (this.#sink.write(chunk)) return;
     this.#buffers.update(this.#buffered, this.#sink.bufferedBytes);
   }
