Check that a taken-up stream goes on at the next event

Cause: ResponseRelay compared a further run within one response with what it had passed on, but took the first run of a response as it came. The position that the caller names was only sent on.

Change: the first run of a taken-up stream is held back, head included, until its first event is the next one. One that isn't is aborted, and the request goes to another replica within its attempts and the retry budget; otherwise the caller gets 502, with which it may take the stream up again. A run that ends in its framing without an event is whole: the caller has all of them.

--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -393,6 +393,7 @@
     this.#context.report("stream_mismatch", {
       status: head.status,
       lastEventId: this.#relay.lastEventId ?? "",
+      foundEventId: this.#relay.mismatchedEventId?.slice(0, MAX_LOGGED_LENGTH),
     });
   }
 
@@ -424,6 +425,7 @@
       });
       return "again";
     }
+    if (!this.#relay.headSent) return "unknown";
     this.#settle();
     this.#sink.abort();
     this.#context.report("cut", {
--- a/src/entry/forwarding/response_relay.ts
+++ b/src/entry/forwarding/response_relay.ts
@@ -3,6 +3,7 @@
   EventIds,
   EventSequence,
   EventSplitter,
+  EventStreamPosition,
   type ResponseBuffers,
   type ResponseHead,
 } from "../../core/forwarding/mod.ts";
@@ -15,8 +16,8 @@
 } from "./network_interfaces.ts";
 
 /**
- * Maximum size of the events that are held back while a further run has not
- * shown where it continues, bytes.
+ * Maximum size of the events that are held back while a run has not shown where
+ * it continues, bytes.
  */
 const MAX_UNVERIFIED_BYTES = 64 * 1024;
 
@@ -63,13 +64,18 @@
   #splitter = new EventSplitter();
   /** Ids of the events that were passed on. */
   readonly #eventIds = new EventIds();
+  /** The head that the caller has received. */
   #firstHead: ResponseHead | undefined;
   #isEventStream = false;
+  /** Head of the current run. */
+  #head: ResponseHead | undefined;
   /**
-   * Events of a further run that has not shown where it continues; undefined
-   * once it has, and in the first run.
+   * Events of a run that has not shown where it continues; undefined once it
+   * has, and in the first run of a stream that begins.
    */
   #unverified: Buffer[] | undefined;
+  /** Id of the event at which a run did not continue the stream. */
+  #mismatchedEventId: string | undefined;
   #current: EndpointResponse | undefined;
 
   constructor(options: ResponseRelayOptions) {
@@ -102,6 +108,10 @@
       : { firstEventId: first, lastEventId: last };
   }
 
+  get mismatchedEventId(): string | undefined {
+    return this.#mismatchedEventId;
+  }
+
   /** False once the caller has received bytes that no other run can continue. */
   get isResumable(): boolean {
     if (this.#firstHead === undefined) return true;
@@ -124,12 +134,9 @@
   /** Settles when the response body has ended. */
   pipe(response: EndpointResponse, attempt: ForwardAttempt): Promise<RelayEnd> {
     const { head } = response;
-    // A resumed run continues under the response head of the first run.
-    if (this.#firstHead === undefined) {
-      this.#sink.head(head.status, head.headers);
-      this.#firstHead = head;
-      this.#isEventStream = mediaTypeOf(head) === EVENT_STREAM;
-    } else this.#unverified = [];
+    this.#head = head;
+    this.#unverified = this.#continuesStream(head) ? [] : undefined;
+    if (this.#unverified === undefined) this.#sendHead();
     this.#current = response;
     this.#splitter = new EventSplitter();
     return new Promise((resolve) => {
@@ -144,7 +151,7 @@
         if (!isRejected && !this.#writeChunk(chunk)) reject();
       }, (end) => {
         if (isRejected) return;
-        if (end === "whole" && this.#unverified !== undefined) return reject();
+        if (end === "whole" && !this.#acceptEnd()) return reject();
         if (end === "whole") this.#flushPending();
         this.#current = undefined;
         attempt.onEnd(end, head.status);
@@ -153,6 +160,40 @@
     });
   }
 
+  /** True if the caller has received events of the stream before this run. */
+  #continuesStream(head: ResponseHead): boolean {
+    if (this.#firstHead !== undefined) return true;
+    const type = mediaTypeOf(head);
+    return this.#wholeEventsOnly && this.lastEventId !== undefined &&
+      isSuccess(head) && (type === undefined || type === EVENT_STREAM);
+  }
+
+  /** A further run continues under the response head of the first one. */
+  #sendHead(): void {
+    const head = this.#head;
+    if (this.#firstHead !== undefined || head === undefined) return;
+    this.#sink.head(head.status, head.headers);
+    this.#firstHead = head;
+    this.#isEventStream = mediaTypeOf(head) === EVENT_STREAM;
+  }
+
+  /**
+   * False if the end of the run does not end the stream. A run without events
+   * does, for a caller that has received them all.
+   */
+  #acceptEnd(): boolean {
+    if (this.#unverified === undefined) return true;
+    if (this.#firstHead !== undefined) return false;
+    const bytes = Buffer.concat(this.#unverified);
+    const position = new EventStreamPosition();
+    position.push(bytes);
+    if (position.hasFields) return false;
+    this.#unverified = undefined;
+    this.#sendHead();
+    if (bytes.length > 0) this.#write(bytes);
+    return true;
+  }
+
   /** False if the chunk does not continue the stream. */
   #writeChunk(chunk: Buffer): boolean {
     if (!this.#wholeEventsOnly) {
@@ -167,8 +208,12 @@
       if (first === undefined) {
         return byteLength(this.#unverified) <= MAX_UNVERIFIED_BYTES;
       }
-      if (!this.#sequence.isNext(first)) return false;
+      if (!this.#sequence.isNext(first)) {
+        this.#mismatchedEventId = first;
+        return false;
+      }
     }
+    this.#sendHead();
     const bytes = this.#unverified === undefined
       ? events.bytes
       : withoutMark(Buffer.concat(this.#unverified));
