Refuse events that repeat or go back within one run of a stream

Change: EventSequence checks every event that is passed on. The rest of a run that repeats an event or goes back is not passed on; the stream is resumed at another replica behind the last good event, or broken off. Gaps within one run stay allowed, as one event may hold several tokens.

--- a/src/core/forwarding/event_sequence.ts
+++ b/src/core/forwarding/event_sequence.ts
@@ -37,15 +37,36 @@
     }
   }
 
-  /** False if the event would repeat one, or leave one out. */
-  isNext(eventId: string): boolean {
-    if (this.#lastEventId === undefined) return true;
-    const step = stepBetween(this.#lastEventId, eventId);
-    if (step === undefined) return eventId !== this.#lastEventId;
-    return this.#isConsecutive ? step === 1 : step > 0;
+  /**
+   * The first id that does not follow the one before it; undefined if all do. A
+   * further run may not leave an event out. Ids within one run may have gaps,
+   * but not repeat or go back.
+   */
+  findMismatch(
+    eventIds: readonly string[],
+    { isFurtherRun }: { readonly isFurtherRun: boolean },
+  ): string | undefined {
+    let before = this.#lastEventId;
+    return eventIds.find((eventId, index) => {
+      const mayHaveGap = index > 0 || !isFurtherRun || !this.#isConsecutive;
+      const follows = before === undefined ||
+        isAfter(before, eventId, { mayHaveGap });
+      before = eventId;
+      return !follows;
+    });
   }
 }
 
+function isAfter(
+  before: string,
+  eventId: string,
+  { mayHaveGap }: { readonly mayHaveGap: boolean },
+): boolean {
+  const step = stepBetween(before, eventId);
+  if (step === undefined) return eventId !== before;
+  return mayHaveGap ? step > 0 : step === 1;
+}
+
 /** Difference of two ids; undefined if they are not both integers. */
 function stepBetween(
   before: string | undefined,
--- a/src/entry/forwarding/response_relay.ts
+++ b/src/entry/forwarding/response_relay.ts
@@ -202,23 +202,24 @@
     }
     const events = this.#splitter.push(chunk);
     if (events === undefined) return true;
+    const { eventIds } = events;
     if (this.#unverified !== undefined) {
       this.#unverified.push(events.bytes);
-      const [first] = events.eventIds;
-      if (first === undefined) {
+      if (eventIds.length === 0) {
         return byteLength(this.#unverified) <= MAX_UNVERIFIED_BYTES;
       }
-      if (!this.#sequence.isNext(first)) {
-        this.#mismatchedEventId = first;
-        return false;
-      }
     }
+    const isFurtherRun = this.#unverified !== undefined;
+    this.#mismatchedEventId = this.#sequence.findMismatch(eventIds, {
+      isFurtherRun,
+    });
+    if (this.#mismatchedEventId !== undefined) return false;
     this.#sendHead();
     const bytes = this.#unverified === undefined
       ? events.bytes
       : withoutMark(Buffer.concat(this.#unverified));
     this.#unverified = undefined;
-    this.#sequence.record(events.eventIds);
+    this.#sequence.record(eventIds);
     this.#write(bytes);
     return true;
   }
