Do not take the end of a killed endpoint's connection for that of a body

A body without a length or chunks was complete when its connection ended in order between two events, or anywhere in a plain answer. The operating system ends the connections of a killed process in order too, so callers got a part framed as complete (rules ORDER and MIXED).

Class: an end that proves nothing is taken for proof.

Change: 50 ms behind such an end the entry opens a connection to the endpoint, without a request. If none is accepted, or the endpoint has registered again as another run, the body counts as cut: a resumable stream goes on elsewhere, other responses are broken off. Bodies with a length or chunks are not touched, nor is a stream that ends inside an event. The end of a body without a length comes 50 ms later, and costs a connection.

--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -29,12 +29,19 @@
 import type { AttemptOutcome } from "./fleet_outcomes.ts";
 import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
 import { measurePauses } from "./measure_pauses.ts";
+import { verifyEnd } from "./verify_end.ts";
 
 /** Approximate size of a request's head, in bytes. */
 export const REQUEST_HEAD_BYTES = 700;
 /** Lowest status of a response that is not the result of the work. */
 const FIRST_ERROR_STATUS = 400;
 
+/**
+ * Time from the end of a body to the check of its endpoint. A process that ends
+ * closes its listening socket a moment after others.
+ */
+const END_CHECK_DELAY_MILLISECONDS = 50;
+
 /** Maximum number and length of the ids of parts that are logged. */
 const MAX_LOGGED_PARTS = 8;
 const MAX_LOGGED_PART_LENGTH = 64;
@@ -112,7 +119,9 @@
       this.#reportRejection(result, exchange.evidence);
       this.#onHead(result);
       return result.map((response) =>
-        this.#measurePauses(this.#verifyBody(this.#guardRead(response)))
+        this.#measurePauses(
+          this.#verifyEnd(this.#verifyBody(this.#guardRead(response))),
+        )
       );
     });
   }
@@ -235,6 +244,30 @@
     return verifyEvents(observed, this.#position);
   }
 
+  /** The handle in the response to a prefill shows whether it is whole. */
+  #verifyEnd(response: EndpointResponse): EndpointResponse {
+    if (this.#plan.options.prefillOnly) return response;
+    const { guard } = this.#context;
+    return verifyEnd(response, { guard, isRunning: () => this.#isRunning() });
+  }
+
+  /** True if the run that was sent the request still accepts connections. */
+  async #isRunning(): Promise<boolean> {
+    const { endpointClient, registry } = this.#dependencies;
+    const { address, id, startedAt } = this.endpoint;
+    const isListening = await endpointClient.keepsListening(
+      address,
+      Math.min(
+        END_CHECK_DELAY_MILLISECONDS,
+        Math.max(0, this.#context.remainingMilliseconds / 2),
+      ),
+    );
+    const registered = registry.get(id);
+    const hasRestarted = registered !== undefined &&
+      registered.startedAt !== startedAt;
+    return isListening && !hasRestarted;
+  }
+
   /** Records for how long an endpoint writes without a crash. */
   #observeProgress(response: EndpointResponse): EndpointResponse {
     if (this.#plan.options.prefillOnly) return response;
--- a/src/entry/forwarding/forwarding_entry_test.ts
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -70,6 +70,7 @@
           listCachedParts: () => Promise.resolve(undefined),
           checkHealth: () => Promise.resolve(undefined),
           acceptsConnections: () => Promise.resolve(false),
+          keepsListening: () => Promise.resolve(true),
           release() {},
         },
         digestOf,
--- a/src/entry/forwarding/network_interfaces.ts
+++ b/src/entry/forwarding/network_interfaces.ts
@@ -90,6 +90,14 @@
   ): Promise<EndpointHealthAnswer | undefined>;
   /** True if a process listens at the address, whatever it answers. */
   acceptsConnections(address: string): Promise<boolean>;
+  /**
+   * True if a process still listens at the address once this time has passed,
+   * milliseconds.
+   */
+  keepsListening(
+    address: string,
+    afterMilliseconds: number,
+  ): Promise<boolean>;
   /** Releases a cached prompt that will not be used. */
   release(address: string, handle: string): void;
 }
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -130,6 +130,8 @@
         checkHealth: checkHealth ?? (() => Promise.resolve(undefined)),
         acceptsConnections: (address) =>
           Promise.resolve(this.acceptsConnections(address)),
+        keepsListening: (address) =>
+          Promise.resolve(this.acceptsConnections(address)),
         release() {},
       },
       digestOf,
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -225,6 +225,8 @@
   readonly dependencies: ForwardingDependencies;
   /** Whole from the start, with the version of the fixtures' endpoints. */
   readonly listedVersions = new ListedVersions();
+  /** False if endpoints end with a body that ends with its connection. */
+  endpointsKeepListening = true;
   /** Event loop delay of the entry, milliseconds. */
   loopDelay = 0;
   /**
@@ -262,6 +264,7 @@
       listCachedParts: () => Promise.resolve(undefined),
       checkHealth: () => Promise.resolve(undefined),
       acceptsConnections: () => Promise.resolve(false),
+      keepsListening: () => Promise.resolve(this.endpointsKeepListening),
       release: (_, handle) => void this.released.push(handle),
     };
     const crashes = new CrashTracker({ timer });
