--- a/src/core/forwarding/requests.ts
+++ b/src/core/forwarding/requests.ts
@@ -36,12 +36,15 @@
   readonly body: Buffer;
   /** Time that the caller waits, milliseconds from the request's arrival. */
   readonly deadlineMilliseconds: number | undefined;
+  /** Id of the last event that the caller has of a stream it takes up. */
   readonly lastEventId: string | undefined;
   /**
    * Id of the caller's attempt that brought the first event of the stream that
    * it takes up; undefined if the caller names none.
    */
   readonly resumes: RequestId | undefined;
+  /** True if it names several positions, or several streams to take up. */
+  readonly hasAmbiguousPosition?: boolean;
   readonly prompt: Prompt | undefined;
 }
 
--- a/src/entry/forwarding/forward.ts
+++ b/src/entry/forwarding/forward.ts
@@ -17,6 +17,8 @@
 import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
 import { findOrigin, isContinuation } from "./stream_continuation.ts";
 
+/** Reason of a refusal of a request that names several positions. */
+const AMBIGUOUS_POSITION = "ambiguous_position";
 /** Reason of a refusal where no route matches. */
 const NO_ROUTE = "no_route";
 
@@ -53,6 +55,9 @@
   }
   const route = routes.find(request.host, request.target);
   if (route === undefined) return refuse({ status: 404, reason: NO_ROUTE });
+  if (request.hasAmbiguousPosition === true) {
+    return refuse({ status: 400, reason: AMBIGUOUS_POSITION });
+  }
   const caller = identify(routes, { request, route });
   if (caller.isErr()) return refuse({ status: 401, reason: caller.error });
   const arrived = dependencies.timer.now();
--- a/src/entry/forwarding/network_interfaces.ts
+++ b/src/entry/forwarding/network_interfaces.ts
@@ -134,7 +134,7 @@
 
 /** Reason why the system itself responds instead of an endpoint. */
 export interface ForwardingRefusal {
-  readonly status: 401 | 404 | 411 | 413 | 431 | 502 | 503 | 504;
+  readonly status: 400 | 401 | 404 | 411 | 413 | 431 | 502 | 503 | 504;
   readonly reason: string;
   /** When a retry is useful, in milliseconds; only with 503. */
   readonly retryAfterMilliseconds?: number;
