Bound the idle timeout that an endpoint announces

An endpoint that announces an idle timeout with some 310 digits or more (`Keep-Alive: timeout=999...`) ended each entry that it answered: the entry takes a throw without an owner for a fault, answers its open requests and ends.

Cause: the digits become Infinity, and socket.setTimeout throws for it. The throw comes from the agent's free listener, outside any request, so it has no owner.

Change: the timeout is at most the longest delay of Node's timers, which the timer service has as a constant.

Evidence: the test failed before with 2 throws, ERR_OUT_OF_RANGE, outside the requests; now both requests are answered and nothing is thrown.

--- a/src/adapters/forwarding/endpoint_http_client_test.ts
+++ b/src/adapters/forwarding/endpoint_http_client_test.ts
@@ -295,6 +295,27 @@
     expect(replica.connections).to.equal(2);
   });
 
+  // Node throws where a socket's timeout is infinite, outside the request.
+  it("survives an announced idle timeout with more digits than a number holds", async () => {
+    await startReplica((socket) => {
+      const headers = "Content-Length: 1\r\n" +
+        `Keep-Alive: timeout=${"9".repeat(400)}\r\n`;
+      socket.write(answerBytes("x", { headers }));
+    });
+    const thrown: Error[] = [];
+    const recordThrow = (error: Error) => thrown.push(error);
+    const listeners = process.listeners("uncaughtException");
+    process.removeAllListeners("uncaughtException");
+    process.on("uncaughtException", recordThrow);
+    const first = await send();
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    const second = await send();
+    process.off("uncaughtException", recordThrow);
+    for (const each of listeners) process.on("uncaughtException", each);
+    expect(thrown).to.deep.equal([]);
+    expect([first, second].map(({ body }) => body)).to.deep.equal(["x", "x"]);
+  });
+
   it("reports whether a process accepts connections, without a request", async () => {
     await startReplica(() => {});
     expect(await client.acceptsConnections(address)).to.equal(true);
--- a/src/adapters/forwarding/keep_alive_agent.ts
+++ b/src/adapters/forwarding/keep_alive_agent.ts
@@ -1,5 +1,6 @@
 import { Agent, type ClientRequest } from "node:http";
 import type { Socket } from "node:net";
+import { MAX_DELAY_MILLISECONDS } from "../time/mod.ts";
 
 /**
  * Fraction of the endpoint's idle timeout during which a connection is reused.
@@ -60,7 +61,10 @@
     const timeoutMatch = KEEP_ALIVE_TIMEOUT.exec(String(header ?? ""));
     const idleMilliseconds = timeoutMatch === null
       ? DEFAULT_IDLE_MILLISECONDS
-      : Number(timeoutMatch[1]) * 1_000 * IDLE_TIMEOUT_FRACTION;
+      : Math.min(
+        Number(timeoutMatch[1]) * 1_000 * IDLE_TIMEOUT_FRACTION,
+        MAX_DELAY_MILLISECONDS,
+      );
     if (idleMilliseconds <= 0 || socket.destroyed) return false;
     const destroy = () => socket.destroy();
     socket.setTimeout(idleMilliseconds, destroy);
--- a/src/adapters/time/mod.ts
+++ b/src/adapters/time/mod.ts
@@ -12,7 +12,7 @@
  * Maximum delay of Node's timers. A timer with a longer delay fires after one
  * millisecond, so a timeout of a month would expire immediately.
  */
-const MAX_DELAY_MILLISECONDS = 2 ** 31 - 1;
+export const MAX_DELAY_MILLISECONDS = 2 ** 31 - 1;
 
 /**
  * Timer service on the system clock and Node's timers. A one-shot timer keeps
