Ignore usage claims and news on windows that have not begun

Operators saw no usage reports any more, without a log line: after one foreign claim in the store with a window number too large, every later window counted as older than the newest reported one, was dropped and never sent. The same came from a peer's news that such a window was accepted. Neither is unlearned.

Cause: one record decides what is newest for all others.

Change: reports of a claim, and news of peers, count only for windows that have begun by the fleet's clock. No entry can have reported another.

--- a/src/entry/forwarding/usage_reporter.ts
+++ b/src/entry/forwarding/usage_reporter.ts
@@ -175,9 +175,12 @@
   onReports({ acceptedThrough, claim, fixed }: ReportsNotification): void {
     this.#claim.observe(claim);
     for (const [window, counts] of fixed ?? []) {
+      if (!this.#hasBegun(window)) continue;
       this.#fixed.set(numbered(window), decodeCounts(counts));
     }
-    if (acceptedThrough !== undefined) this.#noteAccepted(acceptedThrough);
+    if (acceptedThrough !== undefined && this.#hasBegun(acceptedThrough)) {
+      this.#noteAccepted(acceptedThrough);
+    }
   }
 
   get #runId(): string {
@@ -195,6 +198,15 @@
     return (window + 1) * this.#options.windowMilliseconds;
   }
 
+  /**
+   * False for a window that no entry can have reported, as it has not begun. It
+   * would count as the newest reported one, and no other be reported any more.
+   */
+  #hasBegun(window: number): boolean {
+    const { windowMilliseconds } = this.#options;
+    return window <= Math.floor(this.clock.now() / windowMilliseconds);
+  }
+
   #dropOverdueReports(): void {
     for (const window of this.#fixed.keys()) {
       if (window < this.#oldestOpenWindow) this.#fixed.delete(window);
@@ -387,11 +399,12 @@
 
   /** Reports of the latest claim, and those that the store has lost. */
   #mergeFixedReports(claimed: readonly UsageReport[]): UsageReport[] {
-    const known = new Set(claimed.map(({ window }) => window));
+    const plausible = claimed.filter(({ window }) => this.#hasBegun(window));
+    const known = new Set(plausible.map(({ window }) => window));
     const lost = [...this.#fixed]
       .filter(([window]) => !known.has(window))
       .map(([window, counts]) => ({ window, counts, accepted: false }));
-    return [...claimed, ...lost].sort((one, other) =>
+    return [...plausible, ...lost].sort((one, other) =>
       one.window - other.window
     );
   }
--- a/src/entry/forwarding/usage_reporter_test.ts
+++ b/src/entry/forwarding/usage_reporter_test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { numbered } from "../../core/identity/mod.ts";
 import {
   LEASE_MILLISECONDS,
   UsageFleet,
@@ -61,6 +62,36 @@
     expectConsistent(fleet);
   });
 
+  // A claim on a window far ahead would count as the newest one.
+  for (const accepted of [true, false]) {
+    for (const window of [1e9, Number.MAX_SAFE_INTEGER, 1e308]) {
+      it(`reports behind a foreign claim on window ${window}, accepted: ${accepted}`, async () => {
+        const fleet = new UsageFleet({ entries: 4 });
+        await fleet.serve(12_000);
+        fleet.platform.claims.push({
+          holder: "other",
+          offset: fleet.platform.claims.length,
+          reports: [{ window: numbered(window), counts: new Map(), accepted }],
+        });
+        await fleet.serve(40_000);
+        expectConsistent(fleet);
+        expect([...fleet.platform.reported.keys()]).not.to.include(window);
+      });
+    }
+  }
+
+  // A window is reported once it has ended, never before.
+  it("reports behind a peer's news that a window far ahead was accepted", async () => {
+    const fleet = new UsageFleet({ entries: 4 });
+    await fleet.serve(12_000);
+    const claim = { holder: "entry-3", offset: 0 };
+    for (const { reporter } of fleet.members) {
+      reporter.onReports({ claim, acceptedThrough: Number.MAX_SAFE_INTEGER });
+    }
+    await fleet.serve(40_000);
+    expectConsistent(fleet);
+  });
+
   for (const outcome of ["unknown", "limited"] as const) {
     it(`reports the oldest window first once ${outcome} calls succeed again`, async () => {
       const fleet = new UsageFleet({ entries: 4 });
