Reject configuration versions that are no safe integers

Behind one odd configuration in the store, with a version of 1e308, 1e400 or 2^53, entries took none of the later ones into force: each counts as older.

Cause: the version was checked to be a number only, and it decides what is newer than all others. It has to be a whole number that the next one differs from; the same check serves positions of the store and registrations, so it moves to the shared checks.

--- a/src/core/validation/checks.ts
+++ b/src/core/validation/checks.ts
@@ -34,6 +34,13 @@
   return Number.isSafeInteger(value);
 }
 
+/** Checks for a number of things, or a position. */
+export function isCount<Value extends number = number>(
+  value: unknown,
+): value is Value {
+  return isInteger(value) && value >= 0;
+}
+
 export function isOneOf<const Value extends string>(
   values: readonly Value[],
 ): Check<Value> {
--- a/src/core/validation/mod.ts
+++ b/src/core/validation/mod.ts
@@ -3,6 +3,7 @@
   type Check,
   type FieldChecks,
   isBoolean,
+  isCount,
   isId,
   isInteger,
   isListOf,
