Date no loss of a reported suspect in the future

A block that another writer left in the store, or a peer's loss, with a negative age blocked the request for ever: the block counts from the loss, and a proof disproves only losses before it. Callers of that request were rejected until all entries had been restarted.

Change: a reported loss is at most as recent as its report.

Evidence: the test failed before (still blocked after 21 minutes; blocks last 10) and passes now, with the 37 others of the file.

--- a/src/core/forwarding/crashes/crash_tracker.ts
+++ b/src/core/forwarding/crashes/crash_tracker.ts
@@ -189,7 +189,8 @@
       const [, , , crash, lasted = 0, ago = 0] = reported;
       const isFirstPart = reported[6] ?? false;
       const run = runOfLoss(reported);
-      const loss = { run, crash, lostAt: now - ago, lasted, isConfirmed: true };
+      const lostAt = now - Math.max(0, ago);
+      const loss = { run, crash, lostAt, lasted, isConfirmed: true };
       if (this.#record(digest, { isFirstPart, loss }) === undefined) continue;
       isChanged = true;
       // The peer has sent what is blocked here, so it does not know all losses.
--- a/src/core/forwarding/crashes/crash_tracker_test.ts
+++ b/src/core/forwarding/crashes/crash_tracker_test.ts
@@ -377,6 +377,16 @@
       expect(isBlocked(CRASHING)).to.equal(true);
     });
 
+    // A loss in the future would outlast each block, and each proof.
+    it("ends the block of losses that are dated in the future", async () => {
+      const losses = ["a", "b", "c"].map((endpoint, index) =>
+        [CRASHING, endpoint, null, index + 1, 0, -1e15] as const
+      );
+      tracker.restore(losses, { ageMilliseconds: 0 });
+      await timer.advance(21 * MINUTE_MILLISECONDS);
+      expect(isBlocked(CRASHING)).to.equal(false);
+    });
+
     it("ignores requests whose block is over", () => {
       const losses = [[CRASHING, "a", null, 1]] as const;
       const age = 10 * MINUTE_MILLISECONDS;
