Bound the overload that an endpoint announces at once

One Retry-After with a figure too large, such as 1e308 seconds, took an endpoint out for every entry that it had answered, until its process was restarted. The later figures of the endpoint can't shorten it, as the longest one holds.

Change: an announcement counts for a minute at most; an endpoint that is still overloaded then says so again, without running the request.

Evidence: 3 of 3 new cases failed on the code before.

--- a/src/core/forwarding/endpoints/endpoint_availability.ts
+++ b/src/core/forwarding/endpoints/endpoint_availability.ts
@@ -37,6 +37,11 @@
 const REJECTIONS_UNTIL_SKIPPED = 2;
 const INITIAL_SKIP_MILLISECONDS = 250;
 const MAX_SKIP_MILLISECONDS = 2_000;
+/**
+ * Longest overload that an endpoint can announce at once: a figure that is too
+ * large would take it out for good.
+ */
+const MAX_OVERLOAD_MILLISECONDS = 60_000;
 
 /** Neutral times, as attempts are not judged by their speed here. */
 const NEUTRAL_TIMES = { ratioToPredicted: 1, ratioToRated: 1 };
@@ -185,7 +190,8 @@
     const state = this.#stateOf(id);
     state.health.recordInconclusive();
     state.rejections = 0;
-    const until = this.#timer.now() + milliseconds;
+    const until = this.#timer.now() +
+      Math.min(milliseconds, MAX_OVERLOAD_MILLISECONDS);
     const before = this.#overloadedUntil.get(id) ?? -Infinity;
     this.#overloadedUntil.set(id, Math.max(before, until));
   }
--- a/src/core/forwarding/endpoints/endpoint_availability_test.ts
+++ b/src/core/forwarding/endpoints/endpoint_availability_test.ts
@@ -54,6 +54,15 @@
       expect(availability.remainingOverloadMilliseconds(a.id)).to.equal(0);
     });
 
+    // One answer would take the endpoint out until its process is restarted.
+    for (const milliseconds of [1e12, 1e308, Infinity]) {
+      it(`ends in time if ${milliseconds} ms were announced`, async () => {
+        availability.recordOverload(a.id, milliseconds);
+        await timer.advance(60_000);
+        expect(availability.remainingOverloadMilliseconds(a.id)).to.equal(0);
+      });
+    }
+
     it("applies to one endpoint only, and to one run of it", () => {
       availability.recordOverload(a.id, 3_000);
       expect(availability.remainingOverloadMilliseconds(b.id)).to.equal(0);
