Check the type of an engine's error before its text

An engine that ends a stream with an error whose message is nested some thousand deep ended the side that read it: the message was converted to a text, which throws a RangeError, in the listener of the stream's bytes.

The class is that of a registration's address and a route's type: a value from outside is converted before its type is known. A search for String and Number of such values finds no other one outside platform/.

Evidence: the test failed before with the RangeError and passes now.

--- a/src/adapters/endpoint/generation.ts
+++ b/src/adapters/endpoint/generation.ts
@@ -138,7 +138,9 @@
   }
   if (typeof value !== "object" || value === null) return undefined;
   if (value.error !== undefined) {
-    return { error: String(value.error?.message ?? "no reason given") };
+    const message = value.error?.message;
+    const isText = typeof message === "string";
+    return { error: isText ? message : "no reason given" };
   }
   const choice = value.choices?.[0];
   if (typeof choice !== "object" || choice === null) return undefined;
--- a/src/adapters/endpoint/generation_test.ts
+++ b/src/adapters/endpoint/generation_test.ts
@@ -52,6 +52,16 @@
     );
   });
 
+  // Converted to a text, a deeply nested message throws outside the request.
+  it("ends a stream behind an error whose message is no text", async () => {
+    const nested = "[".repeat(4_900) + "]".repeat(4_900);
+    for (const message of [nested, "null", "5", '{"a":1}']) {
+      const event = `data: {"error":{"message":${message}}}\n\n`;
+      const { end } = await read([Buffer.from(event)]);
+      expect(end._unsafeUnwrapErr().name).to.equal("endpoint_error");
+    }
+  });
+
   // An engine may be killed at any byte of its response. The response must not
   // count as complete, and the tokens before that byte are valid.
   it("treats no prefix of a stream as complete", async () => {
