Limit the depth of what a dropped notification's log line shows

One datagram at an entry's port for peers, with parameters nested some thousand deep, ended the entry: the notification was recognised as invalid, and the log line about it encoded the parameters, which throws a RangeError outside any handler. A peer of another version, or whatever reaches the port, can send it.

Cause: a value from outside is encoded as JSON again before its shape is known. Node's encoder calls itself for each level; its parser does not.

Change: log lines use a text of the value whose parts below 16 levels are left out.

--- a/src/entry/forwarding/notifications/notification_receiver.ts
+++ b/src/entry/forwarding/notifications/notification_receiver.ts
@@ -1,5 +1,6 @@
 import { stackOf } from "../../../core/errors/mod.ts";
 import type { Logger } from "../../../core/observation/mod.ts";
+import { jsonTextOf } from "../../../core/validation/mod.ts";
 import {
   NOTIFICATION_CHECKS,
   type NotificationMethod,
@@ -74,7 +75,7 @@
     }
     if (!NOTIFICATION_CHECKS[method](params)) {
       return this.#drop({ method, reason: "invalid", from }, {
-        params: JSON.stringify(params)?.slice(0, MAX_LOGGED_CHARACTERS),
+        params: jsonTextOf(params).slice(0, MAX_LOGGED_CHARACTERS),
       });
     }
     try {
