Reject a caller's body that is nested too deep

A caller whose messages were nested some thousand deep got no answer: the body passed its schema, and the text of its content was encoded as JSON again, which throws a RangeError; the connection ended without a response.

Change: a body with more than 64 levels is rejected with 400 at once.

--- a/src/adapters/callers/request_parser.ts
+++ b/src/adapters/callers/request_parser.ts
@@ -3,6 +3,7 @@
 import type { Result } from "neverthrow";
 import { identifier } from "../../core/identity/mod.ts";
 import type { CallerRequest, Refusal } from "../../core/requests/mod.ts";
+import { isNestedDeeper } from "../../core/validation/mod.ts";
 import type { ChatCompletionRequest } from "../../generated/callers.ts";
 import type { GenerationWork, ServiceWork } from "../../generated/messages.ts";
 import { validateChatCompletionRequest } from "../../generated/validators.js";
@@ -10,6 +11,8 @@
 
 /** Output token limit if the caller sets none. */
 const DEFAULT_MAX_OUTPUT_TOKENS = 1024;
+/** The body is encoded again for an engine, which throws if it is too deep. */
+const MAX_BODY_DEPTH = 64;
 const DEFAULT_WORKSPACE = "default";
 const WORKSPACE_HEADER = "x-workspace";
 const CLASS_HEADER = "x-work-class";
@@ -40,6 +43,11 @@
     );
     return err(invalidRequest(`The body does not fit: ${problems.join("; ")}`));
   }
+  if (isNestedDeeper(value, MAX_BODY_DEPTH)) {
+    return err(
+      invalidRequest(`The body is nested deeper than ${MAX_BODY_DEPTH} levels`),
+    );
+  }
   const chat = value as ChatCompletionRequest;
   return ok({
     work: {
--- a/src/core/validation/json_text.ts
+++ b/src/core/validation/json_text.ts
@@ -10,6 +10,13 @@
   return JSON.stringify(limitDepth(value, MAX_DEPTH)) ?? "undefined";
 }
 
+/** Whether parts of the value are nested in more than `depth` levels. */
+export function isNestedDeeper(value: unknown, depth: number): boolean {
+  if (typeof value !== "object" || value === null) return false;
+  if (depth === 0) return true;
+  return Object.values(value).some((each) => isNestedDeeper(each, depth - 1));
+}
+
 function limitDepth(value: unknown, depth: number): unknown {
   if (typeof value !== "object" || value === null) return value;
   if (depth === 0) return OMITTED;
--- a/src/core/validation/json_text_test.ts
+++ b/src/core/validation/json_text_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { ODD_TEXTS } from "../../../test/support/odd_values.ts";
-import { jsonTextOf } from "./mod.ts";
+import { isNestedDeeper, jsonTextOf } from "./mod.ts";
 
 describe("jsonTextOf", () => {
   it("encodes a value as JSON", () => {
@@ -17,3 +17,12 @@
     });
   }
 });
+
+describe("isNestedDeeper", () => {
+  it("counts the levels of lists and objects", () => {
+    expect(isNestedDeeper("text", 0)).to.equal(false);
+    expect(isNestedDeeper([], 0)).to.equal(true);
+    expect(isNestedDeeper([1, { a: 2 }], 2)).to.equal(false);
+    expect(isNestedDeeper([1, { a: [2] }], 2)).to.equal(true);
+  });
+});
--- a/src/core/validation/mod.ts
+++ b/src/core/validation/mod.ts
@@ -17,4 +17,4 @@
   isRow,
   isText,
 } from "./checks.ts";
-export { jsonTextOf } from "./json_text.ts";
+export { isNestedDeeper, jsonTextOf } from "./json_text.ts";
--- a/test/process/malformed_input_test.ts
+++ b/test/process/malformed_input_test.ts
@@ -8,6 +8,7 @@
   promptFor,
   streamChat,
 } from "../support/chat_caller.ts";
+import { ODD_TEXTS } from "../support/odd_values.ts";
 import { rawRequest, sendRaw, statusCodes } from "../support/raw_http.ts";
 import { SmallDeployment } from "../support/small_deployment.ts";
 
@@ -66,6 +67,13 @@
         '{"model":"none","messages":[{"role":"user","content":"x"}]}',
         404,
       ],
+      [
+        "a content that is nested too deep",
+        `{"model":"triage-llm","messages":[{"role":"user","content":${
+          ODD_TEXTS["nested lists"]
+        }}]}`,
+        400,
+      ],
       ["a body that is too large", `"${"x".repeat(2 * 1024 * 1024)}"`, 400],
     ] as const;
     for (const [what, body, status] of refused) {
