Limit the depth of the values that a configuration's problems show

A published configuration with a value nested some thousand deep threw a RangeError in each process that checked it, instead of a verdict: the found value was encoded as JSON.

Evidence: the test failed before with the RangeError in formatValue and passes now.

--- a/src/core/configuration/configuration_test.ts
+++ b/src/core/configuration/configuration_test.ts
@@ -5,6 +5,7 @@
   makeJudge,
   sampleConfiguration,
 } from "../../../test/support/coordination.ts";
+import { ODD_TEXTS } from "../../../test/support/odd_values.ts";
 import { FakeLog } from "../../../test/support/fake_log.ts";
 import type { RecordBody } from "../../generated/log_records.ts";
 import { numbered } from "../identity/mod.ts";
@@ -229,6 +230,15 @@
     });
   }
 
+  // The text of what was found would throw in each process that reads it.
+  it("reports values that are nested too deep", () => {
+    const [nested] = [ODD_TEXTS["nested lists"]].map((text) =>
+      JSON.parse(text)
+    );
+    const problems = checkConfiguration({ inventory: nested, rules: nested });
+    expect(problems).to.not.have.length(0);
+  });
+
   it("reports problems for content of any type", () => {
     for (const content of [undefined, null, 3, "text", [], {}]) {
       expect(checkConfiguration(content)).to.not.have.length(0);
--- a/src/core/configuration/problem.ts
+++ b/src/core/configuration/problem.ts
@@ -1,3 +1,5 @@
+import { jsonTextOf } from "../validation/mod.ts";
+
 /** A reason that a configuration can't be accepted. */
 export interface ConfigurationProblem {
   /** JSON pointer to the value, such as `/inventory/pools/0/endpoints/2/id`. */
@@ -40,5 +42,5 @@
 export function formatValue(value: unknown): string {
   if (value === undefined) return "nothing";
   if (typeof value === "string") return value;
-  return JSON.stringify(value);
+  return jsonTextOf(value);
 }
