Bound an announced overload at 10 s, and test odd figures

Three replicas that announce an overload with a figure too large left a quarter of the requests unserved for a minute. An endpoint is asked again after 10 s at most now, the time for which verdicts hold: one rejected request per entry.

--- a/src/core/forwarding/endpoints/endpoint_availability.ts
+++ b/src/core/forwarding/endpoints/endpoint_availability.ts
@@ -41,7 +41,7 @@
  * Longest overload that an endpoint can announce at once: a figure that is too
  * large would take it out for good.
  */
-const MAX_OVERLOAD_MILLISECONDS = 60_000;
+const MAX_OVERLOAD_MILLISECONDS = 10_000;
 
 /** Neutral times, as attempts are not judged by their speed here. */
 const NEUTRAL_TIMES = { ratioToPredicted: 1, ratioToRated: 1 };
--- a/src/core/forwarding/endpoints/endpoint_availability_test.ts
+++ b/src/core/forwarding/endpoints/endpoint_availability_test.ts
@@ -58,7 +58,7 @@
     for (const milliseconds of [1e12, 1e308, Infinity]) {
       it(`ends in time if ${milliseconds} ms were announced`, async () => {
         availability.recordOverload(a.id, milliseconds);
-        await timer.advance(60_000);
+        await timer.advance(10_000);
         expect(availability.remainingOverloadMilliseconds(a.id)).to.equal(0);
       });
     }
