Resume no stream behind a part of an event that was rejected

Cause: an event of more than 1 MiB is passed on before its end. If its id turns out to repeat an earlier one, the run is rejected, but the splitter has reset its state by then. The stream counts as resumable, and the next run's events follow the part that the caller has.

Change: the relay records whether what it has passed on ends within an event.

Measured: continued_streams_test.ts, 'is not continued behind a part of an event with a wrong id' failed before (the joined stream was complete) and passes now.

--- a/src/entry/forwarding/response_relay.ts
+++ b/src/entry/forwarding/response_relay.ts
@@ -62,6 +62,8 @@
     pause: () => this.#current?.pause(),
   };
   #splitter = new EventSplitter();
+  /** True if the caller has a part of an event without its end. */
+  #hasPartialEvent = false;
   /** Ids of the events that were passed on. */
   readonly #eventIds = new EventIds();
   /** The head that the caller has received. */
@@ -115,7 +117,7 @@
   /** False once the caller has received bytes that no other run can continue. */
   get isResumable(): boolean {
     if (this.#firstHead === undefined) return true;
-    return isSuccess(this.#firstHead) && !this.#splitter.isInsideEvent &&
+    return isSuccess(this.#firstHead) && !this.#hasPartialEvent &&
       this.#sequence.isNameable;
   }
 
@@ -220,6 +222,7 @@
       : withoutMark(Buffer.concat(this.#unverified));
     this.#unverified = undefined;
     this.#sequence.record(eventIds);
+    this.#hasPartialEvent = this.#splitter.isInsideEvent;
     this.#write(bytes);
     return true;
   }
