Resume no stream behind an event with an empty id

Cause: an empty id counted as a position. A request with an empty Last-Event-Id names none, so its run begins anew, and any first event was accepted behind the empty id.

Change: an empty id is no position of a further run. An empty position of the caller's request counts as absent.

Measured: continued_streams_test.ts, 'is not continued behind an empty id' failed before (events 1 and 2 were passed on again, complete) and passes now.

--- a/src/core/forwarding/event_sequence.ts
+++ b/src/core/forwarding/event_sequence.ts
@@ -1,7 +1,10 @@
 const DECIMAL_INTEGER = /^\d{1,15}$/;
-/** Ids that a header can carry unchanged, read as latin1. */
+/**
+ * Ids that a header can carry unchanged, read as latin1. An empty one names no
+ * position: the run that is asked for it begins anew.
+ */
 const HEADER_VALUE =
-  /^(?:[\x21-\x7e\x80-\xff](?:[\t\x20-\x7e\x80-\xff]*[\x21-\x7e\x80-\xff])?)?$/;
+  /^[\x21-\x7e\x80-\xff](?:[\t\x20-\x7e\x80-\xff]*[\x21-\x7e\x80-\xff])?$/;
 
 /**
  * The ids of the events of a stream that the caller has received. A further run
@@ -14,7 +17,7 @@
 
   /** `lastEventId`: id of the last event that the caller had before. */
   constructor(lastEventId?: string) {
-    this.#lastEventId = lastEventId;
+    this.#lastEventId = lastEventId === "" ? undefined : lastEventId;
   }
 
   /** Id of the last event that the caller has received. */
