Compare event ids of more than 15 digits as integers

Cause: longer ids, such as times in nanoseconds, were compared as opaque ones, which only have to differ. A run that began at an earlier event, or left some out, was passed on, and so were events that go back.

Change: decimal ids of up to 64 digits are compared as integers.

Measured: continued_streams_test.ts, 'does not repeat or skip events with ids of more than 15 digits' failed before and passes now.

--- a/src/core/forwarding/event_sequence.ts
+++ b/src/core/forwarding/event_sequence.ts
@@ -1,4 +1,11 @@
-const DECIMAL_INTEGER = /^\d{1,15}$/;
+const DECIMAL_INTEGER = /^\d+$/;
+/** Digits that a number holds exactly. */
+const MAX_NUMBER_DIGITS = 15;
+/**
+ * Longer ids are compared as opaque ones: the time to convert digits grows
+ * faster than their number.
+ */
+const MAX_ID_DIGITS = 64;
 /**
  * Ids that a header can carry unchanged, read as latin1. An empty one names no
  * position: the run that is asked for it begins anew.
@@ -75,7 +82,12 @@
   before: string | undefined,
   after: string,
 ): number | undefined {
-  const areIntegers = before !== undefined && DECIMAL_INTEGER.test(before) &&
+  if (before === undefined) return undefined;
+  const digits = Math.max(before.length, after.length);
+  const areIntegers = digits <= MAX_ID_DIGITS && DECIMAL_INTEGER.test(before) &&
     DECIMAL_INTEGER.test(after);
-  return areIntegers ? Number(after) - Number(before) : undefined;
+  if (!areIntegers) return undefined;
+  return digits <= MAX_NUMBER_DIGITS
+    ? Number(after) - Number(before)
+    : Number(BigInt(after) - BigInt(before));
 }
