Resume no stream behind an event without an id

Cause: only ids tell a further run where to go on, and events without one were not counted. A stream that was cut behind such an event was resumed behind the last id, and its caller had the event twice or missed the ones between.

Change: a stream whose last event with data has no id ends as cut. Comments and blocks without data, which callers discard, don't count.

Measured: continued_streams_test.ts, 'is not continued behind an event without an id' failed before (complete with the event twice) and passes now.

--- a/src/core/forwarding/event_sequence.ts
+++ b/src/core/forwarding/event_sequence.ts
@@ -1,3 +1,5 @@
+import type { CompleteEvents } from "./event_splitter.ts";
+
 const DECIMAL_INTEGER = /^\d+$/;
 /** Digits that a number holds exactly. */
 const MAX_NUMBER_DIGITS = 15;
@@ -21,6 +23,8 @@
   #lastEventId: string | undefined;
   /** False once two successive ids differed by more than one. */
   #isConsecutive = true;
+  /** False behind an event without an id, which no position tells apart. */
+  #isLastNamed = true;
 
   /** `lastEventId`: id of the last event that the caller had before. */
   constructor(lastEventId?: string) {
@@ -34,12 +38,16 @@
 
   /** False if no request can name where a further run goes on. */
   get isNameable(): boolean {
+    if (!this.#isLastNamed) return false;
     return this.#lastEventId === undefined ||
       HEADER_VALUE.test(this.#lastEventId);
   }
 
-  /** Records the ids of events that were passed on. */
-  record(eventIds: readonly string[]): void {
+  /** Records the events that were passed on. */
+  record(
+    { eventIds, lastHasId }: Pick<CompleteEvents, "eventIds" | "lastHasId">,
+  ): void {
+    this.#isLastNamed = lastHasId ?? this.#isLastNamed;
     for (const eventId of eventIds) {
       const step = stepBetween(this.#lastEventId, eventId);
       if (step !== undefined && step !== 1) this.#isConsecutive = false;
--- a/src/core/forwarding/event_splitter.ts
+++ b/src/core/forwarding/event_splitter.ts
@@ -13,6 +13,8 @@
 const LINE_END_BYTES = 2;
 const LINE_ENDS = /\r\n|\n|\r/;
 const ID_FIELD = /^id(?:$|: ?(.*))/;
+/** Without it, callers discard the event. */
+const DATA_FIELD = /^data(?:$|:)/;
 /** The byte order mark, decoded as latin1. */
 const BYTE_ORDER_MARK = /^\u00ef\u00bb\u00bf/;
 
@@ -20,8 +22,15 @@
 export interface CompleteEvents {
   readonly bytes: Buffer;
   readonly eventIds: readonly string[];
+  /**
+   * True if the last event that has ended has an id; undefined if none has
+   * ended.
+   */
+  readonly lastHasId: boolean | undefined;
 }
 
+type EventNames = Pick<CompleteEvents, "eventIds" | "lastHasId">;
+
 /** Buffers the bytes of an event until it is complete. */
 export class EventSplitter {
   #buffered: Buffer = Buffer.alloc(0);
@@ -33,6 +42,7 @@
   #isInsideEvent = false;
   /** Id of the event of which a part was passed on. */
   #eventId: string | undefined;
+  #hasData = false;
 
   /** Bytes of the incomplete event. */
   get pending(): Buffer {
@@ -60,12 +70,13 @@
         : this.#passIncomplete();
     }
     const complete = bytes.subarray(this.#passedBytes, end);
-    const eventIds = this.#readIds(bytes.subarray(0, end));
+    const names = this.#readIds(bytes.subarray(0, end));
     this.#buffered = bytes.subarray(end);
     this.#passedBytes = 0;
     this.#isInsideEvent = false;
     this.#eventId = undefined;
-    return { bytes: complete, eventIds };
+    this.#hasData = false;
+    return { bytes: complete, ...names };
   }
 
   /**
@@ -79,31 +90,37 @@
     const keptFrom = bytes.length - lineStart <= MAX_KEPT_LINE_BYTES
       ? Math.max(0, lineStart - LINE_END_BYTES)
       : bytes.length - LINE_END_BYTES;
-    const eventIds = this.#readIds(bytes.subarray(0, keptFrom));
+    const names = this.#readIds(bytes.subarray(0, keptFrom));
     this.#buffered = Buffer.from(bytes.subarray(keptFrom));
     this.#passedBytes = this.#buffered.length;
     this.#isInsideEvent = true;
-    return { bytes: passed, eventIds };
+    return { bytes: passed, ...names };
   }
 
   /** The last id of each event that ends in the bytes. */
-  #readIds(bytes: Buffer): string[] {
+  #readIds(bytes: Buffer): EventNames {
     const lines = bytes.toString("latin1").replace(BYTE_ORDER_MARK, "")
       .split(LINE_ENDS);
     // What precedes the first line end was read with the part before it, and
     // what follows the last one is not a line yet.
     const first = this.#isInsideEvent ? 1 : 0;
     const eventIds: string[] = [];
+    let lastHasId: boolean | undefined;
     for (const line of lines.slice(first, -1)) {
       if (line !== "") {
         const id = ID_FIELD.exec(line);
         if (id !== null) this.#eventId = id[1] ?? "";
-      } else if (this.#eventId !== undefined) {
-        eventIds.push(this.#eventId);
-        this.#eventId = undefined;
+        else if (DATA_FIELD.test(line)) this.#hasData = true;
+        continue;
       }
+      if (this.#eventId !== undefined) {
+        eventIds.push(this.#eventId);
+        lastHasId = true;
+      } else if (this.#hasData) lastHasId = false;
+      this.#eventId = undefined;
+      this.#hasData = false;
     }
-    return eventIds;
+    return { eventIds, lastHasId };
   }
 }
 
--- a/src/entry/forwarding/response_relay.ts
+++ b/src/entry/forwarding/response_relay.ts
@@ -221,7 +221,7 @@
       ? events.bytes
       : withoutMark(Buffer.concat(this.#unverified));
     this.#unverified = undefined;
-    this.#sequence.record(eventIds);
+    this.#sequence.record(events);
     this.#hasPartialEvent = this.#splitter.isInsideEvent;
     this.#write(bytes);
     return true;
