Accept no further run that begins with an empty id

Cause: ids that are not both integers only had to differ, and an empty id differs from any other. A run that began anew behind an event with an empty id was passed on as if it went on.

Change: the first id of a further run must not be empty.

Measured: continued_streams_test.ts, 'does not go on with an empty id' failed before (status 200) and passes now.

--- a/src/core/forwarding/event_sequence.ts
+++ b/src/core/forwarding/event_sequence.ts
@@ -57,8 +57,8 @@
 
   /**
    * The first id that does not follow the one before it; undefined if all do. A
-   * further run may not leave an event out. Ids within one run may have gaps,
-   * but not repeat or go back.
+   * further run may not leave an event out, nor begin with an empty id, which
+   * names no event. Ids within one run may have gaps, but not repeat or go back.
    */
   findMismatch(
     eventIds: readonly string[],
@@ -66,9 +66,11 @@
   ): string | undefined {
     let before = this.#lastEventId;
     return eventIds.find((eventId, index) => {
-      const mayHaveGap = index > 0 || !isFurtherRun || !this.#isConsecutive;
+      const isFirst = index === 0 && isFurtherRun;
+      const mayHaveGap = !isFirst || !this.#isConsecutive;
       const follows = before === undefined ||
-        isAfter(before, eventId, { mayHaveGap });
+        isAfter(before, eventId, { mayHaveGap }) &&
+          !(isFirst && eventId === "");
       before = eventId;
       return !follows;
     });
