--- a/src/core/forwarding/event_sequence.ts
+++ b/src/core/forwarding/event_sequence.ts
@@ -1,7 +1,19 @@
-const DECIMAL_INTEGER = /^\d{1,15}$/;
-/** Ids that a header can carry unchanged, read as latin1. */
+import type { CompleteEvents } from "./event_splitter.ts";
+
+const DECIMAL_INTEGER = /^\d+$/;
+/** Digits that a number holds exactly. */
+const MAX_NUMBER_DIGITS = 15;
+/**
+ * Longer ids are compared as opaque ones: the time to convert digits grows
+ * faster than their number.
+ */
+const MAX_ID_DIGITS = 64;
+/**
+ * Ids that a header can carry unchanged, read as latin1. An empty one names no
+ * position: the run that is asked for it begins anew.
+ */
 const HEADER_VALUE =
-  /^(?:[\x21-\x7e\x80-\xff](?:[\t\x20-\x7e\x80-\xff]*[\x21-\x7e\x80-\xff])?)?$/;
+  /^[\x21-\x7e\x80-\xff](?:[\t\x20-\x7e\x80-\xff]*[\x21-\x7e\x80-\xff])?$/;
 
 /**
  * The ids of the events of a stream that the caller has received. A further run
@@ -11,10 +23,12 @@
   #lastEventId: string | undefined;
   /** False once two successive ids differed by more than one. */
   #isConsecutive = true;
+  /** False behind an event without an id, which no position tells apart. */
+  #isLastNamed = true;
 
   /** `lastEventId`: id of the last event that the caller had before. */
   constructor(lastEventId?: string) {
-    this.#lastEventId = lastEventId;
+    this.#lastEventId = lastEventId === "" ? undefined : lastEventId;
   }
 
   /** Id of the last event that the caller has received. */
@@ -24,12 +38,16 @@
 
   /** False if no request can name where a further run goes on. */
   get isNameable(): boolean {
+    if (!this.#isLastNamed) return false;
     return this.#lastEventId === undefined ||
       HEADER_VALUE.test(this.#lastEventId);
   }
 
-  /** Records the ids of events that were passed on. */
-  record(eventIds: readonly string[]): void {
+  /** Records the events that were passed on. */
+  record(
+    { eventIds, lastHasId }: Pick<CompleteEvents, "eventIds" | "lastHasId">,
+  ): void {
+    this.#isLastNamed = lastHasId ?? this.#isLastNamed;
     for (const eventId of eventIds) {
       const step = stepBetween(this.#lastEventId, eventId);
       if (step !== undefined && step !== 1) this.#isConsecutive = false;
@@ -39,8 +57,8 @@
 
   /**
    * The first id that does not follow the one before it; undefined if all do. A
-   * further run may not leave an event out. Ids within one run may have gaps,
-   * but not repeat or go back.
+   * further run may not leave an event out, nor begin with an empty id, which
+   * names no event. Ids within one run may have gaps, but not repeat or go back.
    */
   findMismatch(
     eventIds: readonly string[],
@@ -48,9 +66,11 @@
   ): string | undefined {
     let before = this.#lastEventId;
     return eventIds.find((eventId, index) => {
-      const mayHaveGap = index > 0 || !isFurtherRun || !this.#isConsecutive;
+      const isFirst = index === 0 && isFurtherRun;
+      const mayHaveGap = !isFirst || !this.#isConsecutive;
       const follows = before === undefined ||
-        isAfter(before, eventId, { mayHaveGap });
+        isAfter(before, eventId, { mayHaveGap }) &&
+          !(isFirst && eventId === "");
       before = eventId;
       return !follows;
     });
@@ -72,7 +92,12 @@
   before: string | undefined,
   after: string,
 ): number | undefined {
-  const areIntegers = before !== undefined && DECIMAL_INTEGER.test(before) &&
+  if (before === undefined) return undefined;
+  const digits = Math.max(before.length, after.length);
+  const areIntegers = digits <= MAX_ID_DIGITS && DECIMAL_INTEGER.test(before) &&
     DECIMAL_INTEGER.test(after);
-  return areIntegers ? Number(after) - Number(before) : undefined;
+  if (!areIntegers) return undefined;
+  return digits <= MAX_NUMBER_DIGITS
+    ? Number(after) - Number(before)
+    : Number(BigInt(after) - BigInt(before));
 }
