Reject configuration versions from peers that are no counts

A peer's state with version 1e308, 2^53 or -1 came into force; behind the first two, no later version of the store or of a peer does. A notification with such a version makes the entry count as behind, check the store and query that peer each 200 ms until it ends.

Cause: bounds versions that are read from the store. The checks of what peers send still took any finite number.

Change: the state of a peer and the notifications entry.work and entry.configuration are checked with the same isCount.

--- a/src/entry/forwarding/configuration_sync_test.ts
+++ b/src/entry/forwarding/configuration_sync_test.ts
@@ -178,7 +178,12 @@
   });
 
   it("ignores malformed notifications", async () => {
-    for (const params of [null, 9, {}, { entry: "b", version: "9" }]) {
+    // An entry would query forever for a version that no store can hold.
+    const unreachable = [1e308, 2 ** 53, 9.5, -1].map((version) => (
+      { entry: "b", version, isCurrent: false }
+    ));
+    const malformed = [null, 9, {}, { entry: "b", version: "9" }];
+    for (const params of [...malformed, ...unreachable]) {
       const isValid = deliverNotification(CONFIGURATION_METHOD, params, {
         handler: (valid) => sync.onNotification(valid),
       });
--- a/src/entry/forwarding/forwarding_state.ts
+++ b/src/entry/forwarding/forwarding_state.ts
@@ -10,6 +10,7 @@
   type RegisteredEndpoint,
 } from "../../core/forwarding/mod.ts";
 import {
+  isCount,
   isListOf,
   isNumber,
   isObjectOf,
@@ -40,7 +41,7 @@
 export const isForwardingState = isObjectOf<ForwardingState>({
   age: isNumber,
   configuration: isObjectOf<ForwardingState["configuration"]>({
-    version: isNumber,
+    version: isCount,
     routes: isListOf(isRoute),
     pools: isListOf(isPool),
     limits: isCallerLimits,
--- a/src/entry/forwarding/notifications/configuration_notification.ts
+++ b/src/entry/forwarding/notifications/configuration_notification.ts
@@ -1,6 +1,6 @@
 import {
   isBoolean,
-  isNumber,
+  isCount,
   isObjectOf,
   isText,
 } from "../../../core/validation/mod.ts";
@@ -17,4 +17,4 @@
 
 export const isConfigurationNotification = isObjectOf<
   ConfigurationNotification
->({ entry: isText, version: isNumber, isCurrent: isBoolean });
+>({ entry: isText, version: isCount, isCurrent: isBoolean });
--- a/src/entry/forwarding/notifications/notifications_test.ts
+++ b/src/entry/forwarding/notifications/notifications_test.ts
@@ -98,6 +98,24 @@
     });
   });
 
+  // An entry would count as behind, and query its peers, until it ends.
+  for (const method of ["entry.work", "entry.configuration"] as const) {
+    for (const version of [1e308, 2 ** 53, 1.5, -1]) {
+      it(`leave the newest version unchanged with ${version} in ${method}`, () => {
+        const [entry] = fleet.entries;
+        const before = entry.configurationStatus.newestVersion;
+        const samples = makeNotifications({
+          sender: "entry-1",
+          endpoint: KNOWN,
+          sequence: 1,
+        });
+        const params = { ...samples[method], version };
+        entry.onNotification(method, params);
+        expect(entry.configurationStatus.newestVersion).to.equal(before);
+      });
+    }
+  }
+
   describe("with role orders", () => {
     // An order that is not a row throws where it is taken apart, which ended
     // the process.
--- a/src/entry/forwarding/notifications/work_notification.ts
+++ b/src/entry/forwarding/notifications/work_notification.ts
@@ -27,6 +27,7 @@
 import {
   type Check,
   isBoolean,
+  isCount,
   isListOf,
   isNumber,
   isObjectOf,
@@ -146,7 +147,7 @@
   sequence: isNumber,
   whole: isBoolean,
   work: isWorkRows,
-  version: isOptional(isNumber),
+  version: isOptional(isCount),
   prompts: isListOf(isEncodedPrompt),
   speeds: isOptional(isListOf(isPrefillSpeedReport)),
   refusals: isListOf(isRefusalReport),
--- a/src/entry/forwarding/peer_state_fallback_test.ts
+++ b/src/entry/forwarding/peer_state_fallback_test.ts
@@ -185,6 +185,13 @@
         withConfiguration(state, { pools: [{}] }),
       "with a workspace without keys": (state) =>
         withConfiguration(state, { workspaces: [{ id: "a" }] }),
+      // No later version would come into force behind one that is too large.
+      "with a version that is no safe integer": (state) =>
+        withConfiguration(state, { version: 1e308 }),
+      "with a version that has no successor": (state) =>
+        withConfiguration(state, { version: 2 ** 53 }),
+      "with a negative version": (state) =>
+        withConfiguration(state, { version: -1 }),
       "with an endpoint that is null": (state) => ({
         ...state,
         endpoints: [null],
