Hide no claim of the log behind one that the log does not hold

Behind a peer's news of a claim with a token that no record has, an entry took each claim of the log for older: it did not wait for the lease of a holder that had just claimed, so two entries could act at a time.

Cause: claims of peers and of the log were compared by their tokens alone, and a token that is too high was kept until the entry's next own claim.

Change: a read of the log passes its end too. A known claim behind that end was lost with a restore or never appended: its token is dropped, and its lease is still waited for.

--- a/src/core/forwarding/claims/exclusive_claim.ts
+++ b/src/core/forwarding/claims/exclusive_claim.ts
@@ -8,6 +8,8 @@
 const CLAIM_VALIDITY_MILLISECONDS = 1_500;
 /** Margin added to the lease before another holder's claim may be replaced. */
 const TAKEOVER_MARGIN_MILLISECONDS = 1_000;
+/** Holder of a claim that is known only by its token; its lease is waited for. */
+const UNKNOWN_HOLDER = "";
 
 /** The newest claim on a duty that only one holder at a time may perform. */
 export interface CurrentClaim {
@@ -16,6 +18,13 @@
   readonly offset: number;
 }
 
+/** The log of claims, as read from the store. */
+export interface ClaimLog {
+  readonly claim: CurrentClaim | undefined;
+  /** Offset after the last record. */
+  readonly end: number;
+}
+
 export interface ExclusiveClaimOptions {
   readonly timer: TimerService;
   /** Identifies this run of this process. */
@@ -41,7 +50,7 @@
     this.#options = options;
   }
 
-  /** Records a claim that was read from the store or reported by a peer. */
+  /** Records a claim that was read from the log or reported by a peer. */
   observe(claim: CurrentClaim): void {
     if (claim.offset <= (this.#current?.offset ?? -1)) return;
     this.#current = claim;
@@ -49,6 +58,24 @@
     if (claim.holder !== this.#options.self) this.#validUntil = -Infinity;
   }
 
+  /**
+   * Records the newest claim of the log and the log's end. A known claim that is
+   * not in the log was lost with a restore, or never appended: its token no
+   * longer hides those of the log, but its lease still has to expire.
+   */
+  observeLog({ claim, end }: ClaimLog): void {
+    const isLost = this.#current !== undefined && this.#current.offset >= end;
+    if (isLost) {
+      this.#current = { holder: UNKNOWN_HOLDER, offset: -1 };
+      this.#validUntil = -Infinity;
+    }
+    if (claim === undefined) return;
+    const isOwn = claim.holder === this.#options.self;
+    if (isLost && isOwn) {
+      this.#current = { ...claim, holder: UNKNOWN_HOLDER };
+    } else this.observe(claim);
+  }
+
   /**
    * Returns whether a claim may be appended without violating another holder's
    * lease.
@@ -79,7 +106,7 @@
     this.#validUntil = -Infinity;
     this.#lastSeenAt = this.#options.timer.now();
     if (this.#current?.holder === this.#options.self) {
-      this.#current = { holder: "", offset: this.#current.offset };
+      this.#current = { ...this.#current, holder: UNKNOWN_HOLDER };
     }
   }
 
--- a/src/core/forwarding/claims/exclusive_claim_test.ts
+++ b/src/core/forwarding/claims/exclusive_claim_test.ts
@@ -48,6 +48,30 @@
     expect(claim.canClaim()).to.equal(false);
   });
 
+  // A peer has reported a claim with a token that no record has. Behind it, every
+  // claim in the log would count as older, and its lease not be waited for.
+  it("waits for the lease in the log behind a claim that is not in it", async () => {
+    claim.observe({ holder: "peer", offset: Number.MAX_SAFE_INTEGER });
+    await timer.advance(6_000);
+    claim.observeLog({ claim: { holder: "other", offset: 4 }, end: 5 });
+    expect(claim.canClaim()).to.equal(false);
+    await timer.advance(5_500);
+    expect(claim.canClaim()).to.equal(true);
+    claim.recordAcquired(5, timer.now());
+    expect(claim.fencing).to.equal(5);
+  });
+
+  // A claim that a store without epochs has lost may still be in use.
+  for (const held of [undefined, { holder: "me", offset: 4 }]) {
+    it(`waits for the lease of a claim that the log has lost, ${held?.holder ?? "nobody"} before it`, async () => {
+      claim.observe({ holder: "other", offset: 9 });
+      claim.observeLog({ claim: held, end: 5 });
+      expect(claim.canClaim()).to.equal(false);
+      await timer.advance(5_500);
+      expect(claim.canClaim()).to.equal(true);
+    });
+  }
+
   // An engine reports that it has seen a higher token. Continuing with the old
   // one would repeat an order that is no longer authorized.
   it("invalidates the claim when an engine refuses its fencing token", () => {
--- a/src/entry/forwarding/role_controller.ts
+++ b/src/entry/forwarding/role_controller.ts
@@ -356,11 +356,10 @@
     const { link, logger, self, timer } = this.#options;
     const read = await link.readClaim();
     if (read.isErr()) return false;
-    const { claim, end } = read.value;
-    if (claim !== undefined) this.#claim.observe(claim);
+    this.#claim.observeLog(read.value);
     if (!this.#claim.canClaim()) return false;
     const sentAt = timer.now();
-    const appended = await link.appendClaim(self, end);
+    const appended = await link.appendClaim(self, read.value.end);
     // The claim may be in force although its response was lost; the next check
     // reads it.
     if (appended.isErr() || appended.value === undefined) return false;
--- a/src/entry/forwarding/usage_reporter.ts
+++ b/src/entry/forwarding/usage_reporter.ts
@@ -340,7 +340,7 @@
       return undefined;
     }
     const { claim, end } = read.value;
-    if (claim !== undefined) this.#claim.observe(claim);
+    this.#claim.observeLog(read.value);
     if (!this.#claim.canClaim()) return undefined;
     const reports = nextReports({
       ledger: this.#ledger,
--- a/src/entry/forwarding/usage_reporter_test.ts
+++ b/src/entry/forwarding/usage_reporter_test.ts
@@ -92,6 +92,16 @@
     expectConsistent(fleet);
   });
 
+  // Behind a token that no record has, every claim would count as older.
+  it("reports behind a peer's news of a claim far ahead of the log", async () => {
+    const fleet = new UsageFleet({ entries: 4 });
+    await fleet.serve(12_000);
+    const claim = { holder: "entry-3#1", offset: Number.MAX_SAFE_INTEGER };
+    for (const { reporter } of fleet.members) reporter.onReports({ claim });
+    await fleet.serve(40_000);
+    expectConsistent(fleet);
+  });
+
   for (const outcome of ["unknown", "limited"] as const) {
     it(`reports the oldest window first once ${outcome} calls succeed again`, async () => {
       const fleet = new UsageFleet({ entries: 4 });
