Use no claim that is older than a known one

While an own append was pending, a newer claim could be observed: a store that is restored loses the append, and another entry claims in the new epoch. The answer then made the older claim the current one, and the entry sent orders or reports under a token that had gone back from 9 to 7.

Cause: recordAcquired set the current claim without comparing tokens.

Change: it returns false behind a newer claim, and both callers treat the claim as not acquired.

Measured: 'returns no fencing token lower than that of a known claim' failed before (7 instead of none).

--- a/src/core/forwarding/claims/exclusive_claim.ts
+++ b/src/core/forwarding/claims/exclusive_claim.ts
@@ -91,12 +91,14 @@
 
   /**
    * Records an own claim that was appended; `sentAt` is the time before the
-   * append.
+   * append. False if a newer claim was observed meanwhile, which may be in use.
    */
-  recordAcquired(offset: number, sentAt: number): void {
+  recordAcquired(offset: number, sentAt: number): boolean {
+    if (offset < (this.#current?.offset ?? -1)) return false;
     this.#current = { holder: this.#options.self, offset };
     this.#lastSeenAt = this.#options.timer.now();
     this.#validUntil = sentAt + CLAIM_VALIDITY_MILLISECONDS;
+    return true;
   }
 
   /**
--- a/src/core/forwarding/claims/exclusive_claim_test.ts
+++ b/src/core/forwarding/claims/exclusive_claim_test.ts
@@ -48,6 +48,16 @@
     expect(claim.canClaim()).to.equal(false);
   });
 
+  // The store was restored while the append was pending, and another holder has
+  // claimed in its new epoch.
+  it("returns no fencing token lower than that of a known claim", () => {
+    claim.observe({ holder: "other", offset: 9 });
+    claim.recordAcquired(7, timer.now());
+    expect(claim.fencing).to.equal(undefined);
+    expect(claim.holder).to.equal("other");
+    expect(claim.canClaim()).to.equal(false);
+  });
+
   // A peer has reported a claim with a token that no record has. Behind it, every
   // claim in the log would count as older, and its lease not be waited for.
   it("waits for the lease in the log behind a claim that is not in it", async () => {
--- a/src/entry/forwarding/role_controller.ts
+++ b/src/entry/forwarding/role_controller.ts
@@ -363,7 +363,7 @@
     // The claim may be in force although its response was lost; the next check
     // reads it.
     if (appended.isErr() || appended.value === undefined) return false;
-    this.#claim.recordAcquired(appended.value, sentAt);
+    if (!this.#claim.recordAcquired(appended.value, sentAt)) return false;
     logger.info(
       { fencing: appended.value },
       "This entry now holds the claim on role orders",
--- a/src/entry/forwarding/usage_reporter.ts
+++ b/src/entry/forwarding/usage_reporter.ts
@@ -361,12 +361,13 @@
     // The claim may be in force although its response was lost; the next
     // attempt reads it.
     const offset = appended.unwrapOr(undefined);
-    if (offset === undefined) {
+    const isAcquired = offset !== undefined &&
+      this.#claim.recordAcquired(offset, sentAt);
+    if (!isAcquired) {
       const reason = appended.isErr() ? appended.error.message : "overtaken";
       logger.info({ reason }, "The claim on usage reports was not acquired");
       return undefined;
     }
-    this.#claim.recordAcquired(offset, sentAt);
     for (const { counts, window } of reports) this.#fixed.set(window, counts);
     this.#announceReports({ holder: this.#runId, offset }, reports);
     const windows = reports.map(({ window }) => window);
