Let no earlier registration of a run replace a later one

Behind a store that was restored from an older copy, or a peer that is behind, an engine that had become a decoder was a prefill engine again until its next registration, and a late record of a run that had ended brought it back.

Cause: registrations were ordered by the start of their run only. Their own number was checked and then dropped.

Change: the number is kept, also between entries. An earlier one of the same run shows that the run is registered or leaving, and no more. It is followed after 5 s without a later one, so that another writer's number that is too large hides nothing for longer, and always where the run has no start time.

--- a/src/core/forwarding/configuration.ts
+++ b/src/core/forwarding/configuration.ts
@@ -110,6 +110,8 @@
    * it.
    */
   readonly startedAt?: ReplicaStartTime;
+  /** Number of registrations that the run has written; absent if unknown. */
+  readonly sequence?: number;
   readonly pool: ServiceName;
   /** Replicas of several versions may serve a pool, in no order. */
   readonly softwareVersion: SoftwareVersion;
--- a/src/core/forwarding/endpoints/endpoint_checks.ts
+++ b/src/core/forwarding/endpoints/endpoint_checks.ts
@@ -1,5 +1,6 @@
 import {
   isBoolean,
+  isCount,
   isId,
   isNumber,
   isObjectOf,
@@ -30,6 +31,7 @@
 export const isRegisteredEndpoint = isObjectOf<RegisteredEndpoint>({
   id: isEndpointId,
   startedAt: isOptional(isNumber<ReplicaStartTime>),
+  sequence: isOptional(isCount),
   pool: isId,
   softwareVersion: isId,
   address: isHostAndPort,
--- a/src/core/forwarding/endpoints/endpoint_registry.ts
+++ b/src/core/forwarding/endpoints/endpoint_registry.ts
@@ -114,12 +114,15 @@
   /** Adds or updates an endpoint; returns whether anything changed. */
   upsert(endpoint: RegisteredEndpoint): boolean {
     const known = this.#endpoints.get(endpoint.id);
-    const order = this.#runs.observe(endpoint);
+    const order = this.#runs.observe(endpoint, this.#options.timer.now());
     if (order === "older") return false;
+    // An earlier registration shows that the run is registered, and no more.
+    const newest = order === "stale" ? known : endpoint;
+    if (newest === undefined) return false;
     const wasLapsed = this.#lapsed.delete(endpoint.id);
     const next = this.#runs.isLeaving(endpoint)
-      ? { ...endpoint, leaving: true }
-      : endpoint;
+      ? { ...newest, leaving: true }
+      : newest;
     const change = changeBetween(known, next, order);
     const isSamePlacement = known?.pool === next.pool &&
       known.availabilityZone === next.availabilityZone;
--- a/src/core/forwarding/endpoints/endpoint_registry_test.ts
+++ b/src/core/forwarding/endpoints/endpoint_registry_test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import {
   makeEndpoint,
+  makeEngine,
   PORTAL,
 } from "../../../../test/support/forwarding_fixtures.ts";
 import { numbered, type ReplicaStartTime } from "../../identity/mod.ts";
@@ -172,6 +173,77 @@
     });
   });
 
+  // A store that is restored from an older copy, or a peer that is behind, has
+  // an earlier registration of the same run.
+  describe("an earlier registration of the same run", () => {
+    const startedAt = numbered<ReplicaStartTime>(1_000);
+    const earlier = makeEngine("one", "prefill", { startedAt, sequence: 4 });
+    const later = makeEngine("one", "decode", { startedAt, sequence: 9 });
+
+    for (const via of ["a record", "a listing"]) {
+      const apply = (each: RegisteredEndpoint) =>
+        via === "a record"
+          ? registry.upsert(each)
+          : registry.replaceAll([each]);
+
+      it(`does not replace a later one as ${via}`, () => {
+        apply(later);
+        apply(earlier);
+        expect(registry.get(later.id)).to.deep.equal(later);
+        expect(changes).to.deep.equal(["registered"]);
+      });
+    }
+
+    it("does not bring it back once it is removed", () => {
+      registry.upsert(later);
+      registry.remove(later.id);
+      registry.upsert(earlier);
+      expect(registry.size).to.equal(0);
+    });
+
+    it("shows that a lapsed endpoint is back", async () => {
+      registry.upsert(later);
+      registry.storeFailed();
+      registry.replaceAll([]);
+      registry.upsert(earlier);
+      await timer.advance(5_000);
+      expect(registry.get(later.id)).to.deep.equal(later);
+    });
+
+    it("still marks the endpoint as leaving", () => {
+      registry.upsert(later);
+      registry.upsert({ ...earlier, leaving: true });
+      expect(registry.usable(later.id)).to.equal(undefined);
+    });
+
+    // Another writer's record with a number too large would hide the replica's
+    // own registrations until its process is restarted.
+    it("replaces a later one if nothing else comes for seconds", async () => {
+      registry.upsert({ ...later, sequence: Number.MAX_SAFE_INTEGER });
+      for (let sequence = 4; sequence < 20; sequence++) {
+        registry.upsert({ ...earlier, sequence });
+        await timer.advance(500);
+      }
+      expect(registry.get(later.id)?.role).to.equal("prefill");
+    });
+
+    it("of a run without a start time replaces a later one", () => {
+      registry.upsert({ ...later, startedAt: undefined });
+      registry.upsert({ ...earlier, startedAt: undefined });
+      expect(registry.get(later.id)?.role).to.equal("prefill");
+    });
+
+    it("is followed behind a restart with the same number", () => {
+      const restarted = {
+        ...earlier,
+        startedAt: numbered<ReplicaStartTime>(2e3),
+      };
+      registry.upsert(later);
+      registry.upsert(restarted);
+      expect(registry.get(later.id)).to.deep.equal(restarted);
+    });
+  });
+
   // Another writer overwrites the entry of a replica during a store outage. The
   // grace period for lapsed registrations would keep it in use for 1.8 s.
   it("removes the endpoint of an unreadable entry at once", () => {
