--- a/src/entry/forwarding/role_controller.ts
+++ b/src/entry/forwarding/role_controller.ts
@@ -356,15 +356,14 @@
     const { link, logger, self, timer } = this.#options;
     const read = await link.readClaim();
     if (read.isErr()) return false;
-    const { claim, end } = read.value;
-    if (claim !== undefined) this.#claim.observe(claim);
+    this.#claim.observeLog(read.value);
     if (!this.#claim.canClaim()) return false;
     const sentAt = timer.now();
-    const appended = await link.appendClaim(self, end);
+    const appended = await link.appendClaim(self, read.value.end);
     // The claim may be in force although its response was lost; the next check
     // reads it.
     if (appended.isErr() || appended.value === undefined) return false;
-    this.#claim.recordAcquired(appended.value, sentAt);
+    if (!this.#claim.recordAcquired(appended.value, sentAt)) return false;
     logger.info(
       { fencing: appended.value },
       "This entry now holds the claim on role orders",
