Date no limit of a peer's report in the future

A peer's report of a limit with a negative age stayed in force over all later observations of the endpoint.

Evidence: the test failed before and passes now.

--- a/src/core/forwarding/limits/limit_reports.ts
+++ b/src/core/forwarding/limits/limit_reports.ts
@@ -41,8 +41,8 @@
     run: { id: identifier<EndpointId>(endpoint), startedAt },
     observation: {
       requestsPerSecond: requestsPerSecond ?? undefined,
-      sentAt: now - sentAge,
-      receivedAt: now - receivedAge,
+      sentAt: now - Math.max(0, sentAge),
+      receivedAt: now - Math.max(0, receivedAge),
     },
   };
 }
