Date no proof of a peer in the future

A peer's acquittal with a negative age disproved each later crash of the same request, so that it was never blocked.

Evidence: the test failed before and passes now.

--- a/src/core/forwarding/crashes/crash_tracker.ts
+++ b/src/core/forwarding/crashes/crash_tracker.ts
@@ -278,7 +278,8 @@
   recordPeerProofs(proofs: readonly ReportedProof[]): void {
     const now = this.#options.timer.now();
     for (const [digest, ago] of proofs) {
-      this.#proofs.record(digest as SuspectDigest, now - ago);
+      const beganAt = now - Math.max(0, ago);
+      this.#proofs.record(digest as SuspectDigest, beganAt);
     }
     if (proofs.length > 0) this.#notify();
   }
@@ -311,7 +312,7 @@
     const now = this.#options.timer.now();
     for (const [digest, ago] of proofs) {
       const suspect = this.#suspects.get(digest as SuspectDigest);
-      const beganAt = now - ago;
+      const beganAt = now - Math.max(0, ago);
       this.#proofs.record(digest as SuspectDigest, beganAt);
       this.#acquittals.record(digest as SuspectDigest, beganAt);
       this.reports.discard(digest as SuspectDigest, beganAt);
--- a/src/core/forwarding/crashes/crash_tracker_test.ts
+++ b/src/core/forwarding/crashes/crash_tracker_test.ts
@@ -367,6 +367,14 @@
     });
   });
 
+  // A proof in the future would acquit the request of each later crash.
+  it("blocks a request behind a peer's proof that is dated in the future", async () => {
+    tracker.recordPeerAcquittals([[CRASHING, -1e15]]);
+    await timer.advance(20_000);
+    for (const endpoint of ["a", "b", "c"]) crash(endpoint, CRASHING);
+    expect(isBlocked(CRASHING)).to.equal(true);
+  });
+
   describe("restore", () => {
     it("blocks what was blocked less than ten minutes ago", () => {
       const losses = ["a", "b", "c"].map((endpoint, index) =>
