--- a/src/entry/forwarding/response_relay.ts
+++ b/src/entry/forwarding/response_relay.ts
@@ -69,6 +69,8 @@
   /** The head that the caller has received. */
   #firstHead: ResponseHead | undefined;
   #isEventStream = false;
+  /** True if the current run's body is one of events. */
+  #hasEvents = false;
   /** Head of the current run. */
   #head: ResponseHead | undefined;
   /**
@@ -117,7 +119,7 @@
   /** False once the caller has received bytes that no other run can continue. */
   get isResumable(): boolean {
     if (this.#firstHead === undefined) return true;
-    return isSuccess(this.#firstHead) && !this.#hasPartialEvent &&
+    return carriesEvents(this.#firstHead) && !this.#hasPartialEvent &&
       this.#sequence.isNameable;
   }
 
@@ -137,6 +139,7 @@
   pipe(response: EndpointResponse, attempt: ForwardAttempt): Promise<RelayEnd> {
     const { head } = response;
     this.#head = head;
+    this.#hasEvents = carriesEvents(head);
     this.#unverified = this.#continuesStream(head) ? [] : undefined;
     if (this.#unverified === undefined) this.#sendHead();
     this.#current = response;
@@ -165,9 +168,8 @@
   /** True if the caller has received events of the stream before this run. */
   #continuesStream(head: ResponseHead): boolean {
     if (this.#firstHead !== undefined) return true;
-    const type = mediaTypeOf(head);
     return this.#wholeEventsOnly && this.lastEventId !== undefined &&
-      isSuccess(head) && (type === undefined || type === EVENT_STREAM);
+      carriesEvents(head);
   }
 
   /** A further run continues under the response head of the first one. */
@@ -198,7 +200,7 @@
 
   /** False if the chunk does not continue the stream. */
   #writeChunk(chunk: Buffer): boolean {
-    if (!this.#wholeEventsOnly) {
+    if (!this.#wholeEventsOnly || !this.#hasEvents) {
       this.#write(chunk);
       return true;
     }
@@ -240,6 +242,15 @@
   }
 }
 
+/**
+ * False for bodies in which lines may look like those of an event. Without a
+ * media type, the answer to a request for a stream is taken for one.
+ */
+function carriesEvents(head: ResponseHead): boolean {
+  const type = mediaTypeOf(head);
+  return isSuccess(head) && (type === undefined || type === EVENT_STREAM);
+}
+
 /** A byte order mark is one at the start of a stream only. */
 function withoutMark(bytes: Buffer): Buffer {
   const hasMark = bytes.subarray(0, BYTE_ORDER_MARK.length)
