Take the end of a replica that leaves for the end of its body

A replica that drains closes its listening socket, as Node's servers do, and finishes its last answers then. Since such a body without a length counted as cut, and three of them blocked its request as one that crashes replicas. Found by the review.

Change: the end of the connection proves the body too if the replica is known to leave or is no longer registered. A killed process is registered and not leaving; one that is killed while it drains, between two events, is not told apart (docs/DECISIONS.md).

--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -251,7 +251,10 @@
     return verifyEnd(response, { guard, isRunning: () => this.#isRunning() });
   }
 
-  /** True if the run that was sent the request still accepts connections. */
+  /**
+   * True if the run that was sent the request still accepts connections, or is
+   * leaving: it may close its listening socket before its last answers.
+   */
   async #isRunning(): Promise<boolean> {
     const { endpointClient, registry } = this.#dependencies;
     const { address, id, startedAt } = this.endpoint;
@@ -263,9 +266,9 @@
       ),
     );
     const registered = registry.get(id);
-    const hasRestarted = registered !== undefined &&
-      registered.startedAt !== startedAt;
-    return isListening && !hasRestarted;
+    if (registered === undefined) return true;
+    const hasRestarted = registered.startedAt !== startedAt;
+    return (isListening || registered.leaving) && !hasRestarted;
   }
 
   /** Records for how long an endpoint writes without a crash. */
--- a/test/support/scripted_replica.ts
+++ b/test/support/scripted_replica.ts
@@ -28,6 +28,14 @@
     return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
   }
 
+  /** Takes no further connections; those that are open stay. */
+  stopListening(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#server.close();
+      setImmediate(resolve);
+    });
+  }
+
   close(): void {
     for (const socket of this.sockets) socket.destroy();
     this.#server.close();
