Keep the counts of the newest claim before late news of an older one

Behind a restored store, two claims may fix different counts of a window. News of the older claim that arrived late replaced the counts of the newer one, and the window was reported with 600 requests instead of 700.

Cause: the reports that a claim fixes were stored in the order in which news of them arrived, without regard to the claim's token.

Change: an older claim's counts are taken only for windows without any.

--- a/src/core/forwarding/claims/exclusive_claim.ts
+++ b/src/core/forwarding/claims/exclusive_claim.ts
@@ -50,12 +50,17 @@
     this.#options = options;
   }
 
-  /** Records a claim that was read from the log or reported by a peer. */
-  observe(claim: CurrentClaim): void {
-    if (claim.offset <= (this.#current?.offset ?? -1)) return;
+  /**
+   * Records a claim that was read from the log or reported by a peer. False if
+   * a newer one is known.
+   */
+  observe(claim: CurrentClaim): boolean {
+    const newest = this.#current?.offset ?? -1;
+    if (claim.offset <= newest) return claim.offset === newest;
     this.#current = claim;
     this.#lastSeenAt = this.#options.timer.now();
     if (claim.holder !== this.#options.self) this.#validUntil = -Infinity;
+    return true;
   }
 
   /**
--- a/src/entry/forwarding/usage_reporter.ts
+++ b/src/entry/forwarding/usage_reporter.ts
@@ -173,10 +173,13 @@
 
   /** Records what a peer has reported, and its claim. */
   onReports({ acceptedThrough, claim, fixed }: ReportsNotification): void {
-    this.#claim.observe(claim);
-    for (const [window, counts] of fixed ?? []) {
+    const isNewest = this.#claim.observe(claim);
+    for (const [each, counts] of fixed ?? []) {
+      const window = numbered<UsageWindow>(each);
       if (!this.#hasBegun(window)) continue;
-      this.#fixed.set(numbered(window), decodeCounts(counts));
+      // News of an older claim may arrive late; the newer counts stay.
+      if (!isNewest && this.#fixed.has(window)) continue;
+      this.#fixed.set(window, decodeCounts(counts));
     }
     if (acceptedThrough !== undefined && this.#hasBegun(acceptedThrough)) {
       this.#noteAccepted(acceptedThrough);
--- a/src/entry/forwarding/usage_reporter_test.ts
+++ b/src/entry/forwarding/usage_reporter_test.ts
@@ -102,6 +102,26 @@
     expectConsistent(fleet);
   });
 
+  // Behind a restored store, two claims may fix other counts of a window; those
+  // of the newer one may be reported already when news of the older one arrives.
+  it("reports what the newest claim has fixed, whatever arrives late", async () => {
+    const fleet = new UsageFleet({ entries: 4 });
+    await fleet.serve(12_000);
+    const window = Math.floor(fleet.timer.wallClock() / WINDOW_MILLISECONDS);
+    const claim = fleet.platform.claims.at(-1);
+    if (claim === undefined) throw new Error("There is no claim yet");
+    for (const { reporter } of fleet.members) {
+      for (const [age, count] of [[0, 700], [1, 600]]) {
+        reporter.onReports({
+          claim: { holder: claim.holder, offset: claim.offset - age },
+          fixed: [[window, [["large", count]]]],
+        });
+      }
+    }
+    await fleet.serve(12_000);
+    expect(fleet.platform.reported.get(window)).to.deep.equal({ large: 700 });
+  });
+
   for (const outcome of ["unknown", "limited"] as const) {
     it(`reports the oldest window first once ${outcome} calls succeed again`, async () => {
       const fleet = new UsageFleet({ entries: 4 });
