Cut a stream that can't be resumed where an event repeats

Cause: only streams of resumable routes were split into events, so events that repeat or go back were passed on unchecked on the other stream routes.

Change: the ids of such a stream are read as its bytes pass, without buffering; it ends as cut where an id repeats or goes back within the run. The position of the request is not checked, as such a replica may begin anew. Ids of more than 253 bytes and behind a byte order mark are not read.

--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -91,6 +91,7 @@
   type StreamPauses,
   WorkRate,
 } from "./estimates/mod.ts";
+export { EventIdReader } from "./event_id_reader.ts";
 export { EventIds } from "./event_ids.ts";
 export { EventSequence } from "./event_sequence.ts";
 export { EventSplitter } from "./event_splitter.ts";
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -126,6 +126,7 @@
     this.#relay = new ResponseRelay({
       sink,
       wholeEventsOnly: repeat === "stream" && resumable,
+      verifiesOrder: repeat === "stream",
       lastEventId: task.request.lastEventId,
       buffers: dependencies.responseBuffers,
       onBytes: (count) => dependencies.link.recordSent(count),
--- a/src/entry/forwarding/response_relay.ts
+++ b/src/entry/forwarding/response_relay.ts
@@ -1,5 +1,6 @@
 import {
   type BufferedResponse,
+  EventIdReader,
   EventIds,
   EventSequence,
   EventSplitter,
@@ -39,6 +40,8 @@
   readonly sink: CallerSink;
   /** True: only whole events are passed on, so that another run can resume. */
   readonly wholeEventsOnly: boolean;
+  /** True: a stream ends as cut where an event repeats or goes back. */
+  readonly verifiesOrder: boolean;
   /** Id of the last event that the caller received before this request. */
   readonly lastEventId: string | undefined;
   /** Memory for bytes that callers have not read yet. */
@@ -55,6 +58,10 @@
 export class ResponseRelay {
   readonly #sink: CallerSink;
   readonly #wholeEventsOnly: boolean;
+  readonly #verifiesOrder: boolean;
+  /** Ids of the events of a run that no other run continues. */
+  readonly #runIds = new EventIdReader();
+  readonly #runSequence = new EventSequence();
   readonly #onBytes: (count: number) => void;
   readonly #sequence: EventSequence;
   readonly #buffers: ResponseBuffers;
@@ -83,6 +90,7 @@
   constructor(options: ResponseRelayOptions) {
     this.#sink = options.sink;
     this.#wholeEventsOnly = options.wholeEventsOnly;
+    this.#verifiesOrder = options.verifiesOrder;
     this.#onBytes = options.onBytes;
     this.#sequence = new EventSequence(options.lastEventId);
     this.#buffers = options.buffers;
@@ -199,6 +207,7 @@
   /** False if the chunk does not continue the stream. */
   #writeChunk(chunk: Buffer): boolean {
     if (!this.#wholeEventsOnly) {
+      if (!this.#isInOrder(chunk)) return false;
       this.#write(chunk);
       return true;
     }
@@ -227,6 +236,18 @@
     return true;
   }
 
+  /** False if an event of the chunk does not follow the ones before it. */
+  #isInOrder(chunk: Buffer): boolean {
+    if (!this.#verifiesOrder || !this.#isEventStream) return true;
+    const eventIds = this.#runIds.push(chunk);
+    if (eventIds.length === 0) return true;
+    this.#mismatchedEventId = this.#runSequence.findMismatch(eventIds, {
+      isFurtherRun: false,
+    });
+    this.#runSequence.record({ eventIds, lastHasId: true });
+    return this.#mismatchedEventId === undefined;
+  }
+
   #flushPending(): void {
     const pending = this.#splitter.pending;
     if (pending.length > 0) this.#write(pending);
