Leave the deadline of a request that was sent after the event loop was late

Callers were broken off or refused at up to the last delay of the event loop before their deadline.

Cause: CallerServer took the delay of the last sample off the deadline of every request until the next sample, 50 ms later, also of one that was sent after the delay and had waited for nothing.

Change: the sampled delay is taken off the first request of a connection, which may have waited to be accepted, and off requests that are read in the turn of the sample. Others lose only a delay that lasts now. The further turn in which a disconnected caller is noticed stays as it is, and so does the route's time-out, off which nothing was or is taken.

--- a/src/adapters/forwarding/caller_server.ts
+++ b/src/adapters/forwarding/caller_server.ts
@@ -126,6 +126,8 @@
   readonly #newConnections = new Set<Socket>();
   #lastSampleAt = 0;
   #lastSampledDelay = 0;
+  /** True while input is read that may have come before the last sample. */
+  #readsEarlierInput = false;
   readonly #loopDelay = new LoopDelay();
 
   constructor(options: CallerServerOptions) {
@@ -292,6 +294,9 @@
       this.#lastSampledDelay = this.#currentDelay;
       this.#loopDelay.record(this.#lastSampledDelay);
       this.#lastSampleAt = timer.now();
+      this.#readsEarlierInput = true;
+      // Runs once the input that was pending has been read.
+      setImmediate(() => this.#readsEarlierInput = false);
     });
   }
 
@@ -332,6 +337,10 @@
     const { incoming, sink } = context;
     const loopDelayMilliseconds = this.loopDelayMilliseconds;
     const isFirst = this.#newConnections.delete(incoming.socket);
+    // The first request of a connection may have waited to be accepted.
+    const unreadMilliseconds = isFirst || this.#readsEarlierInput
+      ? loopDelayMilliseconds
+      : this.#currentDelay;
     const isLate = loopDelayMilliseconds >= LOOP_DELAY_THRESHOLD_MILLISECONDS;
     if (!isLate && !isFirst) return this.#options.handle(request, sink);
     // The first callback still runs in the current event-loop iteration.
@@ -347,7 +356,7 @@
           ...(isLate && deadlineMilliseconds !== undefined && {
             deadlineMilliseconds: Math.max(
               0,
-              deadlineMilliseconds - loopDelayMilliseconds,
+              deadlineMilliseconds - unreadMilliseconds,
             ),
           }),
         }, sink);
--- a/src/adapters/forwarding/caller_server_test.ts
+++ b/src/adapters/forwarding/caller_server_test.ts
@@ -197,6 +197,22 @@
       expect(forwarded).to.have.length(1);
       expect(forwarded[0].request.deadlineMilliseconds).to.be.within(400, 800);
     });
+
+    it("leaves the deadline of a request that was sent after the delay", async () => {
+      const socket = connect(port, "127.0.0.1");
+      socket.write(rawRequest("GET /a", ["Host: h"]));
+      await untilForwarded(1);
+      const { sink } = forwarded[0];
+      sink.head(200, ["Content-Length", "0"]);
+      sink.finish();
+      await new Promise((resolve) => setTimeout(resolve, 100));
+      blockLoop(400);
+      await new Promise((resolve) => setTimeout(resolve, 15));
+      socket.write(rawRequest("GET /b", ["Host: h"]));
+      await untilForwarded(2);
+      socket.destroy();
+      expect(forwarded[1].request.deadlineMilliseconds).to.equal(1_000);
+    });
   });
 
   // All callers of a zone connect to an entry that has just started, which
