Search the bytes of an incomplete event once

Cause: with each chunk of an event that has not ended, the splitter searched all bytes of the event for its end again. An event of 1 MB in chunks of 100 bytes blocked the entry for seconds.

Change: only the new bytes are searched.

Measured: event_splitter_test.ts, 'searches the bytes of a large event once' failed before and passes now.

--- a/src/core/forwarding/event_splitter.ts
+++ b/src/core/forwarding/event_splitter.ts
@@ -62,7 +62,7 @@
     const bytes = this.#buffered.length === 0
       ? chunk
       : Buffer.concat([this.#buffered, chunk]);
-    const end = endOfLastEvent(bytes);
+    const end = endOfLastEvent(bytes, this.#buffered.length);
     if (end === 0) {
       this.#buffered = bytes;
       return this.pending.length <= MAX_EVENT_BYTES
@@ -124,9 +124,12 @@
   }
 }
 
-/** Offset after the last empty line; 0 if there is none. */
-function endOfLastEvent(bytes: Buffer): number {
-  for (let index = bytes.length - 1; index > 0; index--) {
+/**
+ * Offset after the last empty line that ends at `from` or behind; 0 if there is
+ * none. The bytes of an incomplete event are not searched again with each chunk.
+ */
+function endOfLastEvent(bytes: Buffer, from: number): number {
+  for (let index = bytes.length - 1; index >= Math.max(1, from); index--) {
     if (endsEmptyLine(bytes, index)) return index + 1;
   }
   return 0;
--- a/src/core/forwarding/event_splitter_test.ts
+++ b/src/core/forwarding/event_splitter_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import fastCheck from "fast-check";
+import process from "node:process";
 import { EventSplitter } from "./mod.ts";
 
 function eventText(id: number, lineEnd: string): string {
@@ -77,4 +78,14 @@
     expect(new EventSplitter().push(Buffer.from(text))?.eventIds)
       .to.deep.equal(["1", "5", ""]);
   });
+
+  // Searched again with each chunk, a large event blocks the entry for seconds.
+  it("searches the bytes of a large event once", () => {
+    const chunk = Buffer.alloc(100, "x");
+    const splitter = new EventSplitter();
+    const before = process.cpuUsage();
+    for (let count = 0; count < 10_000; count++) splitter.push(chunk);
+    const { system, user } = process.cpuUsage(before);
+    expect((system + user) / 1e6).to.be.below(5);
+  }).timeout(40_000);
 });
