--- a/src/core/forwarding/event_sequence.ts
+++ b/src/core/forwarding/event_sequence.ts
@@ -10,7 +10,7 @@
 const MAX_ID_DIGITS = 64;
 /**
  * Ids that a header can carry unchanged, read as latin1. An empty one names no
- * position: the run that is asked for it begins anew.
+ * position: the run that is asked for it starts over.
  */
 const HEADER_VALUE =
   /^[\x21-\x7e\x80-\xff](?:[\t\x20-\x7e\x80-\xff]*[\x21-\x7e\x80-\xff])?$/;
@@ -23,7 +23,7 @@
   #lastEventId: string | undefined;
   /** False once two successive ids differed by more than one. */
   #isConsecutive = true;
-  /** False behind an event without an id, which no position tells apart. */
+  /** False behind an event without an id, which no position can name. */
   #isLastNamed = true;
 
   /** `lastEventId`: id of the last event that the caller had before. */
