Log on what the verdict over the end of a connection is based

Streams ended as complete too early, and their lines said only that the body ended with its connection: whether the entry had taken the end for whole because a process listened, because the replica was leaving or because it was not registered could not be told, nor that it had read the end 1.2 s late.

The lines answered, resumed and cut now have endEvidence and endDelayMilliseconds for such a body. Nothing else changes.

--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -46,9 +46,21 @@
 const MAX_LOGGED_PARTS = 8;
 const MAX_LOGGED_PART_LENGTH = 64;
 
+/** On what the verdict over an end that only the connection shows is based. */
+export type EndEvidence =
+  | "listening"
+  | "not_listening"
+  | "leaving"
+  | "not_registered"
+  | "registered_again";
+
 /** How the body of a response ends, for the log. */
 export interface BodyFacts {
   readonly framing?: BodyFraming;
+  /** Present once a body has ended with its connection, and without a reset. */
+  readonly endEvidence?: EndEvidence;
+  /** For how long that end may have waited to be read, milliseconds. */
+  readonly endDelayMilliseconds?: number;
   /** Present if the response is a stream of events. */
   readonly insideEvent?: boolean;
 }
@@ -85,6 +97,9 @@
   /** Measures the response of a decode engine whose pauses are bounded. */
   #pauses: StreamPauses | undefined;
   #framing: BodyFraming | undefined;
+  #end:
+    | Required<Pick<BodyFacts, "endEvidence" | "endDelayMilliseconds">>
+    | undefined;
   /** Present once a response has begun that is a stream of events. */
   #position: EventStreamPosition | undefined;
   #closed = false;
@@ -130,6 +145,7 @@
   get bodyFacts(): BodyFacts {
     return {
       framing: this.#framing,
+      ...this.#end,
       ...(this.#position && { insideEvent: !this.#position.isBetweenEvents }),
     };
   }
@@ -256,8 +272,9 @@
    * leaving: it may close its listening socket before its last answers.
    */
   async #isRunning(): Promise<boolean> {
-    const { endpointClient, registry } = this.#dependencies;
-    const { address, id, startedAt } = this.endpoint;
+    const { endpointClient, readDelayMilliseconds } = this.#dependencies;
+    const { address } = this.endpoint;
+    const endDelayMilliseconds = Math.round(readDelayMilliseconds());
     const isListening = await endpointClient.keepsListening(
       address,
       Math.min(
@@ -265,10 +282,19 @@
         Math.max(0, this.#context.remainingMilliseconds / 2),
       ),
     );
-    const registered = registry.get(id);
-    if (registered === undefined) return true;
-    const hasRestarted = registered.startedAt !== startedAt;
-    return (isListening || registered.leaving) && !hasRestarted;
+    const endEvidence = this.#judgeEnd({ isListening });
+    this.#end = { endEvidence, endDelayMilliseconds };
+    return endEvidence !== "registered_again" &&
+      endEvidence !== "not_listening";
+  }
+
+  #judgeEnd({ isListening }: { readonly isListening: boolean }): EndEvidence {
+    const { id, startedAt } = this.endpoint;
+    const registered = this.#dependencies.registry.get(id);
+    if (registered === undefined) return "not_registered";
+    if (registered.startedAt !== startedAt) return "registered_again";
+    if (isListening) return "listening";
+    return registered.leaving ? "leaving" : "not_listening";
   }
 
   /** Records for how long an endpoint writes without a crash. */
--- a/src/entry/forwarding/forwarding_dependencies.ts
+++ b/src/entry/forwarding/forwarding_dependencies.ts
@@ -110,6 +110,8 @@
   readonly link: LinkBacklog;
   /** Event loop delay of this process, in milliseconds. */
   readonly loopDelayMilliseconds: () => number;
+  /** For how long what is read now may have waited unread, in milliseconds. */
+  readonly readDelayMilliseconds: () => number;
   readonly endpointClient: EndpointClient;
   /** Origins of resumable streams, here and at other entries. */
   readonly streams: StreamOriginExchange;
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -473,6 +473,7 @@
       responseBuffers: new ResponseBuffers(options.responseBufferBytes ?? 0),
       link: new LinkBacklog(timer, options.linkMegabitsPerSecond),
       loopDelayMilliseconds: options.loopDelayMilliseconds,
+      readDelayMilliseconds: options.readDelayMilliseconds,
       refreshLoad: (endpoints) => this.#loadQueries.refresh(endpoints),
       isLoadStale: () => this.peers.isLoadStale,
       queryAllowance: new QueryAllowance({
--- a/src/entry/forwarding/forwarding_entry_options.ts
+++ b/src/entry/forwarding/forwarding_entry_options.ts
@@ -64,6 +64,8 @@
   readonly isCapacityScarce?: boolean;
   /** Event loop delay of this process, in milliseconds. */
   readonly loopDelayMilliseconds: () => number;
+  /** For how long what is read now may have waited unread, in milliseconds. */
+  readonly readDelayMilliseconds: () => number;
   /** Absent: engines keep their current roles. */
   readonly roles?: {
     readonly link: RoleLink;
--- a/src/entry/forwarding/forwarding_entry_test.ts
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -57,6 +57,7 @@
         incarnation: "1",
         linkMegabitsPerSecond: undefined,
         loopDelayMilliseconds: () => 0,
+        readDelayMilliseconds: () => 0,
         availabilityZone: identifier<AvailabilityZoneId>("zone-1"),
         timer,
         random: () => 0.5,
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -117,6 +117,7 @@
       incarnation: `${1 + this.#restarts}`,
       linkMegabitsPerSecond: undefined,
       loopDelayMilliseconds: () => 0,
+      readDelayMilliseconds: () => 0,
       availabilityZone: identifier<AvailabilityZoneId>(
         `zone-${index % zones}`,
       ),
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -351,6 +351,7 @@
       responseBuffers: new ResponseBuffers(options.bufferBytes ?? 0),
       link: new LinkBacklog(timer, options.linkMegabitsPerSecond),
       loopDelayMilliseconds: () => this.loopDelay,
+      readDelayMilliseconds: () => 0,
       isLoadStale: () => false,
       refreshLoad: () => Promise.resolve(),
       queryAllowance: new QueryAllowance({
