Count the pieces and bytes of each response body

A body in chunks of one byte costs a callback and a write a piece, and no metric or log line showed it: limits and logs knew bytes only. The lines answered, cut and resumed now have pieces and bytes, and exceeded with the value and the bound where the entry ended the body; two histograms and a counter export the same.

--- a/src/adapters/forwarding/endpoint_response.ts
+++ b/src/adapters/forwarding/endpoint_response.ts
@@ -2,6 +2,7 @@
 import type {
   BodyFraming,
   EndpointResponse,
+  ReceivedBody,
 } from "../../entry/forwarding/network_interfaces.ts";
 import { detectReset } from "../http_client/mod.ts";
 
@@ -11,6 +12,10 @@
 /** Largest body of any other response. */
 const MAX_BODY_BYTES = 256 * 1024 * 1024;
 
+type MutableReceivedBody = {
+  -readonly [Key in keyof ReceivedBody]: ReceivedBody[Key];
+};
+
 /** Makes the response of an endpoint of which the head has arrived. */
 export function createResponse(
   head: EndpointResponse["head"],
@@ -26,11 +31,12 @@
   const maxBytes = head.status >= FIRST_ERROR_STATUS
     ? MAX_FAILURE_BYTES
     : MAX_BODY_BYTES;
+  const received: MutableReceivedBody = { pieces: 0, bytes: 0 };
   return {
     head,
     framing,
+    received,
     read(onChunk, onEnd) {
-      let bytes = 0;
       let ended = false;
       const end = (how: "whole" | "cut") => {
         if (ended) return;
@@ -39,8 +45,10 @@
       };
       incoming.on("data", (chunk: Buffer) => {
         if (ended) return;
-        bytes += chunk.length;
-        if (bytes <= maxBytes) return onChunk(chunk);
+        received.pieces += 1;
+        received.bytes += chunk.length;
+        if (received.bytes <= maxBytes) return onChunk(chunk);
+        received.exceeded = `${received.bytes} bytes, at most ${maxBytes}`;
         incoming.destroy();
         end("cut");
       });
--- a/src/adapters/telemetry/forwarding_telemetry.ts
+++ b/src/adapters/telemetry/forwarding_telemetry.ts
@@ -49,6 +49,11 @@
 /** Bounds of the ratio of measured to expected time, around 1. */
 const RATIO_BUCKETS = [0.25, 0.5, 0.7, 0.85, 1, 1.2, 1.5, 2, 4, 8];
 
+/** Bounds of the number of pieces in which a body arrives. */
+const PIECE_BUCKETS = [1, 10, 100, 1_000, 4_096, 16_384, 65_536];
+/** Bounds of the size of a body. */
+const BODY_BYTES_BUCKETS = [1_024, 16_384, 262_144, 4_194_304, 67_108_864];
+
 /** Decisions whose lines are written although others are left out. */
 const EVIDENCE: ReadonlySet<string> = new Set([
   "attempt_rejected",
@@ -498,6 +503,7 @@
     labelNames: ["framing", "route", "outcome"],
     registers: [registry],
   });
+  const observeBody = createBodyObserver(registry);
   const observeReplica = createReplicaTimeObserver(registry);
   const limiter = new LogRateLimiter(timer, {
     logger,
@@ -516,6 +522,7 @@
         route,
         outcome: decision,
       });
+      observeBody(fields);
     }
     if (decision === "answered") {
       const { route } = fields;
@@ -532,6 +539,32 @@
   };
 }
 
+/** Returns a function that records in how many pieces and bytes bodies came. */
+function createBodyObserver(registry: Registry): (fields: LogFields) => void {
+  const pieceCounts = new Histogram({
+    name: "filbertshore_response_pieces",
+    help: "Pieces in which a response's body arrived",
+    buckets: PIECE_BUCKETS,
+    registers: [registry],
+  });
+  const byteCounts = new Histogram({
+    name: "filbertshore_response_body_bytes",
+    help: "Size of a response's body as it arrived",
+    buckets: BODY_BYTES_BUCKETS,
+    registers: [registry],
+  });
+  const exceeded = new Counter({
+    name: "filbertshore_response_bounds_exceeded_total",
+    help: "Responses whose body exceeded a bound of pieces or bytes",
+    registers: [registry],
+  });
+  return ({ bytes, exceeded: bound, pieces }) => {
+    if (typeof pieces === "number") pieceCounts.observe(pieces);
+    if (typeof bytes === "number") byteCounts.observe(bytes);
+    if (bound !== undefined) exceeded.inc();
+  };
+}
+
 /**
  * Returns a function that records how well the time at a replica was predicted,
  * for requests that were placed by it.
--- a/src/adapters/telemetry/forwarding_telemetry_test.ts
+++ b/src/adapters/telemetry/forwarding_telemetry_test.ts
@@ -77,6 +77,27 @@
     }
   });
 
+  it("counts the pieces and bytes of bodies, and those over a bound", async () => {
+    const registry = new Registry();
+    const observe = createForwardingObserver({
+      registry,
+      logger: NOOP_LOGGER,
+      timer: new ManualTimerService(),
+    });
+    const request = {
+      requestId: "1",
+      route: "r",
+      firstByteMilliseconds: 1,
+      milliseconds: 2,
+    };
+    observe("answered", { ...request, pieces: 3, bytes: 90 });
+    observe("cut", { ...request, pieces: 20, bytes: 20, exceeded: "20, at 9" });
+    const output = await registry.metrics();
+    expect(output).to.include("filbertshore_response_pieces_sum 23");
+    expect(output).to.include("filbertshore_response_body_bytes_sum 110");
+    expect(output).to.include("filbertshore_response_bounds_exceeded_total 1");
+  });
+
   // In the second in which a request ran twice, a busy entry dropped the lines
   // that tell why it was sent again.
   it("writes why a request was sent again although it drops other lines", () => {
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -25,6 +25,7 @@
   EndpointResponse,
   Exchange,
   ExchangeFailure,
+  ReceivedBody,
 } from "./network_interfaces.ts";
 import type { AttemptOutcome } from "./fleet_outcomes.ts";
 import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
@@ -51,6 +52,10 @@
   readonly framing?: BodyFraming;
   /** Present if the response is a stream of events. */
   readonly insideEvent?: boolean;
+  readonly pieces?: number;
+  readonly bytes?: number;
+  /** The bound that ended the body, with the value that exceeded it. */
+  readonly exceeded?: string;
 }
 
 export interface AttemptPlan {
@@ -85,6 +90,7 @@
   /** Measures the response of a decode engine whose pauses are bounded. */
   #pauses: StreamPauses | undefined;
   #framing: BodyFraming | undefined;
+  #received: ReceivedBody | undefined;
   /** Present once a response has begun that is a stream of events. */
   #position: EventStreamPosition | undefined;
   #closed = false;
@@ -130,6 +136,7 @@
   get bodyFacts(): BodyFacts {
     return {
       framing: this.#framing,
+      ...this.#received,
       ...(this.#position && { insideEvent: !this.#position.isBetweenEvents }),
     };
   }
@@ -235,6 +242,7 @@
 
   #verifyBody(response: EndpointResponse): EndpointResponse {
     this.#framing = response.framing;
+    this.#received = response.received;
     const { request, route } = this.#context;
     if (request.method === "HEAD") return response;
     const observed = this.#observeProgress(response);
--- a/src/entry/forwarding/network_interfaces.ts
+++ b/src/entry/forwarding/network_interfaces.ts
@@ -34,10 +34,21 @@
  */
 export type BodyFraming = "length" | "chunks" | "connection";
 
+/** What has arrived of a response body so far. */
+export interface ReceivedBody {
+  /** Parts in which the body was parsed; each costs time of its own. */
+  readonly pieces: number;
+  readonly bytes: number;
+  /** The bound that ended the body, with the value that exceeded it. */
+  readonly exceeded?: string;
+}
+
 /** An endpoint's response whose body is still being received. */
 export interface EndpointResponse {
   readonly head: ResponseHead;
   readonly framing: BodyFraming;
+  /** Kept up to date while the body is read. */
+  readonly received?: ReceivedBody;
   /** Streams the body in chunks; call once. */
   read(
     onChunk: (chunk: Buffer) => void,
