--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -25,6 +25,7 @@
   EndpointResponse,
   Exchange,
   ExchangeFailure,
+  ReceivedBody,
 } from "./network_interfaces.ts";
 import type { AttemptOutcome } from "./fleet_outcomes.ts";
 import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
@@ -63,6 +64,10 @@
   readonly endDelayMilliseconds?: number;
   /** Present if the response is a stream of events. */
   readonly insideEvent?: boolean;
+  readonly pieces?: number;
+  readonly bytes?: number;
+  /** The bound that ended the body, with the value that exceeded it. */
+  readonly exceeded?: string;
 }
 
 export interface AttemptPlan {
@@ -100,6 +105,7 @@
   #end:
     | Required<Pick<BodyFacts, "endEvidence" | "endDelayMilliseconds">>
     | undefined;
+  #received: ReceivedBody | undefined;
   /** Present once a response has begun that is a stream of events. */
   #position: EventStreamPosition | undefined;
   #closed = false;
@@ -146,6 +152,7 @@
     return {
       framing: this.#framing,
       ...this.#end,
+      ...this.#received,
       ...(this.#position && { insideEvent: !this.#position.isBetweenEvents }),
     };
   }
@@ -251,6 +258,7 @@
 
   #verifyBody(response: EndpointResponse): EndpointResponse {
     this.#framing = response.framing;
+    this.#received = response.received;
     const { request, route } = this.#context;
     if (request.method === "HEAD") return response;
     const observed = this.#observeProgress(response);
