Log late event loops, and save the record of a soak with its logs

A soak with a violation left only the entries' logs and the request in question. An entry that logged nothing for 1.78 s could have waited for its turn on the processor, for bytes, or for a replica, and the logs could not tell which; nor did they show when other requests reached replicas and which faults were in force.

Change: an entry logs a delay of its event loop of 500 ms or more once, when it ends.

--- a/scripts/soak_platform.ts
+++ b/scripts/soak_platform.ts
@@ -2,8 +2,8 @@
  * `npm run soak:platform -- [--seed N] [--seeds N] [--seconds N]`: runs callers
  * against entry processes on the platform's protocol under random faults.
  * Prints one line of JSON per seed; the exit code is 0 only if no seed violated
- * a guarantee. `--logs FOLDER` saves the entries' logs of seeds with
- * violations; `--regressions` runs the seeds that had violations in the past.
+ * a guarantee. `--logs FOLDER` saves the entries' logs, and the record of
+ * callers, replicas and faults, of seeds with violations; `--regressions` runs the seeds that had violations in the past.
  */
 import { mkdirSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
@@ -16,6 +16,9 @@
 } from "../platform/test/soak/soak.ts";
 import "./build_platform.ts";
 
+/** Length of a body in a saved record. */
+const MAX_BODY_LENGTH = 40;
+
 const { values } = parseArgs({
   options: {
     seed: { type: "string", default: "1" },
@@ -40,6 +43,15 @@
   }
   const violations = JSON.stringify(result.violations, undefined, 2);
   writeFileSync(join(folder, `${seed}-violations.json`), violations);
+  const evidence = JSON.stringify(result.evidence, shortenBody);
+  writeFileSync(join(folder, `${seed}-record.json`), evidence);
+}
+
+/** Bodies are mostly padding; their beginning names the stream. */
+function shortenBody(key: string, value: unknown): unknown {
+  return key === "body" && typeof value === "string"
+    ? value.slice(0, MAX_BODY_LENGTH)
+    : value;
 }
 
 interface Run {
--- a/src/adapters/forwarding/caller_server.ts
+++ b/src/adapters/forwarding/caller_server.ts
@@ -50,6 +50,11 @@
  * loop.
  */
 const LOOP_DELAY_THRESHOLD_MILLISECONDS = 100;
+/**
+ * Event-loop delay that is reported: it uses up a good part of what callers
+ * wait, and nothing else shows that the process did not run meanwhile.
+ */
+const REPORTED_DELAY_MILLISECONDS = 500;
 
 /**
  * Refuses requests on a connection that was still in use when the load
@@ -107,6 +112,8 @@
    * Called for bytes that are not a valid request; the connection is closed.
    */
   readonly onProtocolError: (reason: string) => void;
+  /** Called once for each long delay of the event loop, after its end. */
+  readonly onLoopDelay?: (milliseconds: number) => void;
 }
 
 /**
@@ -293,6 +300,9 @@
     timer.every(LOOP_SAMPLE_INTERVAL_MILLISECONDS, () => {
       this.#lastSampledDelay = this.#currentDelay;
       this.#loopDelay.record(this.#lastSampledDelay);
+      if (this.#lastSampledDelay >= REPORTED_DELAY_MILLISECONDS) {
+        this.#options.onLoopDelay?.(this.#lastSampledDelay);
+      }
       this.#lastSampleAt = timer.now();
       this.#readsEarlierInput = true;
       // Runs once the input that was pending has been read.
--- a/src/adapters/forwarding/caller_server_test.ts
+++ b/src/adapters/forwarding/caller_server_test.ts
@@ -24,9 +24,12 @@
   let server: CallerServer;
   let port: number;
   let forwarded: { request: ForwardedRequest; sink: CallerSink }[];
+  let loopDelays: number[];
 
   beforeEach(async () => {
     forwarded = [];
+    const reported: number[] = [];
+    loopDelays = reported;
     port = await findFreePort();
     server = new CallerServer({
       host: "127.0.0.1",
@@ -49,6 +52,7 @@
       }),
       handle: (request, sink) => forwarded.push({ request, sink }),
       onProtocolError: () => {},
+      onLoopDelay: (milliseconds) => reported.push(milliseconds),
     });
     await server.listen();
   });
@@ -185,6 +189,15 @@
       socket.destroy();
     }
 
+    // A log without a line for seconds does not show whether the process had
+    // nothing to do or did not run.
+    it("reports a long delay once", async () => {
+      blockLoop(700);
+      await new Promise((resolve) => setTimeout(resolve, 200));
+      expect(loopDelays).to.have.length(1);
+      expect(loopDelays[0]).to.be.within(550, 900);
+    });
+
     // The event loop was blocked for longer than the caller waited. Forwarding
     // the request would occupy an endpoint for a caller that has disconnected.
     it("forwards nothing for a caller that has disconnected meanwhile", async () => {
