Log each request that the end of a planned stop cuts

Callers of a stopping entry lost requests without an answer, and the log had only their number: not whether they were sent before the stop, when a cut can only be avoided by time, or late in the grace period, when they should have been refused. One line for each now names the request, its route and endpoint, when it arrived and was last sent (from the request to stop), and the grace period in force.

--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -49,6 +49,7 @@
   ResponseBuffers,
 } from "./admission/response_buffers.ts";
 export { LoopDelay } from "./admission/loop_delay.ts";
+export { PlannedStop } from "./admission/planned_stop.ts";
 export {
   type RetryBudgetUsage,
   type RetryPermit,
--- a/src/entry/forwarding/forwarding_dependencies.ts
+++ b/src/entry/forwarding/forwarding_dependencies.ts
@@ -16,6 +16,7 @@
   HeldPromptQueue,
   LinkBacklog,
   PermitQueue,
+  PlannedStop,
   PoolShares,
   PrefillChoice,
   PrefixDirectory,
@@ -36,6 +37,7 @@
   ServiceName,
   WorkspaceId,
 } from "../../core/identity/mod.ts";
+import type { LogFields } from "../../core/observation/mod.ts";
 import type { Random } from "../../core/random/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
 import type { ConfigurationStatus } from "./configuration_status.ts";
@@ -48,6 +50,12 @@
 import type { StreamOriginExchange } from "./stream_origin_exchange.ts";
 import type { VersionListing } from "./version_listing.ts";
 
+/** A request that has a route and whose response has not ended. */
+export interface OpenForward {
+  /** What the log names of a request that the end of a planned stop cuts. */
+  readonly stopFacts: LogFields;
+}
+
 export interface ForwardingDependencies {
   readonly timer: TimerService;
   readonly random: Random;
@@ -110,6 +118,10 @@
   readonly link: LinkBacklog;
   /** Event loop delay of this process, in milliseconds. */
   readonly loopDelayMilliseconds: () => number;
+  /** The planned stop of this entry. */
+  readonly plannedStop: PlannedStop;
+  /** Requests that have a route and whose responses have not ended. */
+  readonly openForwards: Set<OpenForward>;
   readonly endpointClient: EndpointClient;
   /** Origins of resumable streams, here and at other entries. */
   readonly streams: StreamOriginExchange;
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -54,7 +54,10 @@
 } from "./crashes/mod.ts";
 import { FleetOutcomes } from "./fleet_outcomes.ts";
 import { forward } from "./forward.ts";
-import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
+import type {
+  ForwardingDependencies,
+  OpenForward,
+} from "./forwarding_dependencies.ts";
 import type { ForwardingEntryOptions } from "./forwarding_entry_options.ts";
 import { LoadQueries } from "./load_queries.ts";
 import { LoadReportExchange } from "./load_report_exchange.ts";
@@ -108,6 +111,7 @@
   readonly #versions: VersionListing;
   readonly #crashes: CrashExchange;
   readonly #receiver: NotificationReceiver;
+  readonly #openForwards = new Set<OpenForward>();
   readonly #startedAt: number;
   #routes: RouteTable | undefined;
   #stopping = false;
@@ -480,6 +484,8 @@
         entries: () => owners.liveCount,
         endpoints: () => this.registry.size,
       }),
+      plannedStop: options.plannedStop,
+      openForwards: this.#openForwards,
       endpointClient: options.endpointClient,
       streams: this.#streams,
       versions: this.#versions,
@@ -616,7 +622,9 @@
     this.#roleController?.stop();
   }
 
+  /** Stops all exchanges with peers; open requests are about to be cut. */
   close(): void {
+    this.#logOpenForwards();
     this.#usageReporter?.stop();
     this.#versions.stop();
     this.#streams.flush();
@@ -626,6 +634,17 @@
     this.configurationSync.stop();
   }
 
+  #logOpenForwards(): void {
+    const { logger, plannedStop } = this.#options;
+    const { graceMilliseconds } = plannedStop;
+    for (const { stopFacts } of this.#openForwards) {
+      logger.warn(
+        { ...stopFacts, graceMilliseconds },
+        "A request is cut at the end of a planned stop",
+      );
+    }
+  }
+
   /**
    * Puts a configuration in force. Versions that are not newer are ignored: a
    * late read would otherwise revert what callers have already seen. With a
--- a/src/entry/forwarding/forwarding_entry_options.ts
+++ b/src/entry/forwarding/forwarding_entry_options.ts
@@ -2,6 +2,7 @@
   BlockedSuspect,
   ForwardedRequest,
   PeerReadResult,
+  PlannedStop,
   TopicSpan,
   VerdictChange,
 } from "../../core/forwarding/mod.ts";
@@ -64,6 +65,8 @@
   readonly isCapacityScarce?: boolean;
   /** Event loop delay of this process, in milliseconds. */
   readonly loopDelayMilliseconds: () => number;
+  /** The planned stop of this entry. */
+  readonly plannedStop: PlannedStop;
   /** Absent: engines keep their current roles. */
   readonly roles?: {
     readonly link: RoleLink;
--- a/src/entry/forwarding/forwarding_entry_test.ts
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -26,6 +26,7 @@
 } from "../../core/identity/mod.ts";
 import { NOOP_LOGGER } from "../../core/observation/mod.ts";
 import { ManualTimerService } from "../../core/time/mod.ts";
+import { makePlannedStop } from "../../../test/support/planned_stop.ts";
 import { ForwardingEntry, type RoleLink } from "./mod.ts";
 import { FleetOutcomes } from "./fleet_outcomes.ts";
 import { RoleController } from "./role_controller.ts";
@@ -57,6 +58,7 @@
         incarnation: "1",
         linkMegabitsPerSecond: undefined,
         loopDelayMilliseconds: () => 0,
+        plannedStop: makePlannedStop(timer),
         availabilityZone: identifier<AvailabilityZoneId>("zone-1"),
         timer,
         random: () => 0.5,
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -3,6 +3,7 @@
   RegisteredEndpoint,
 } from "../../core/forwarding/mod.ts";
 import type { EndpointId } from "../../core/identity/mod.ts";
+import type { LogFields } from "../../core/observation/mod.ts";
 import type { Subscription } from "../../core/time/mod.ts";
 import { observePace } from "./response_pace.ts";
 import { isSuccess } from "./event_stream.ts";
@@ -21,7 +22,10 @@
   EndpointResponse,
   ForwardingRefusal,
 } from "./network_interfaces.ts";
-import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
+import type {
+  ForwardingDependencies,
+  OpenForward,
+} from "./forwarding_dependencies.ts";
 import { type AdmissionFacts, nextReturn } from "./prompt_admission.ts";
 import { ServicePlanner } from "./service_planner.ts";
 import { type EndpointMatch, isOverloaded } from "./wait_for_choice.ts";
@@ -83,7 +87,7 @@
   | "unknown";
 
 /** Forwards one request, from its arrival to the end of its response. */
-export class RequestForwarder {
+export class RequestForwarder implements OpenForward {
   readonly #context: ForwardContext;
   readonly #sink: CallerSink;
   readonly #handover: Handover;
@@ -96,7 +100,7 @@
   #runs = 0;
   /** True while a send is outstanding that may be running. */
   #mayBeRunning = false;
-  /** Time of the last send. */
+  /** Time of the last send; 0 before the first one. */
   #sentAt = 0;
   #firstByteAt: number | undefined;
   /** Measured and expected time of the last attempt at a replica. */
@@ -145,6 +149,7 @@
       guard(() => this.#onDeadline()),
     );
     sink.onDisconnect(guard(() => this.#onDisconnect()));
+    dependencies.openForwards.add(this);
   }
 
   /** Settles when the request has ended; never throws. */
@@ -156,6 +161,25 @@
     }
   }
 
+  get stopFacts(): LogFields {
+    const { arrived, dependencies, request, route, sends } = this.#context;
+    const sinceStop = (moment: number) => {
+      const milliseconds = dependencies.plannedStop.sinceRequest(moment);
+      return milliseconds && Math.round(milliseconds);
+    };
+    return {
+      requestId: request.id,
+      route: route.name,
+      repeat: route.repeat,
+      sends,
+      endpoint: this.#attempt?.endpoint.id,
+      arrivedSinceStopMilliseconds: sinceStop(arrived),
+      sentSinceStopMilliseconds: sends > 0
+        ? sinceStop(this.#sentAt)
+        : undefined,
+    };
+  }
+
   async #forward(): Promise<void> {
     const { dependencies, pool } = this.#context;
     dependencies.retryBudget.recordRequest(pool.name);
@@ -584,6 +608,7 @@
   #settle(): void {
     this.#context.settled = true;
     this.#deadline.cancel();
+    this.#context.dependencies.openForwards.delete(this);
     this.#handover.release();
     this.#context.arrivals.release();
     const { crashPass, hasLostRun } = this.#context;
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -22,6 +22,7 @@
   type ForwardingEntryOptions,
 } from "../../src/entry/forwarding/mod.ts";
 import { RecordingSink, SentAttempt } from "./forwarding_harness.ts";
+import { makePlannedStop } from "./planned_stop.ts";
 
 /** Latency of a datagram between two entries, one way. */
 const MIN_LATENCY_MILLISECONDS = 0.5;
@@ -117,6 +118,7 @@
       incarnation: `${1 + this.#restarts}`,
       linkMegabitsPerSecond: undefined,
       loopDelayMilliseconds: () => 0,
+      plannedStop: makePlannedStop(this.timer),
       availabilityZone: identifier<AvailabilityZoneId>(
         `zone-${index % zones}`,
       ),
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -48,6 +48,7 @@
   VERSION,
 } from "./forwarding_fixtures.ts";
 import { makePlacementState } from "./placement_state.ts";
+import { makePlannedStop } from "./planned_stop.ts";
 import { ManualTimerService } from "../../src/core/time/mod.ts";
 import {
   type BodyEnd,
@@ -358,6 +359,8 @@
         entries: () => 1,
         endpoints: () => registry.size,
       }),
+      plannedStop: makePlannedStop(timer),
+      openForwards: new Set(),
       endpointClient,
       streams: new StreamOriginExchange({
         self,
