Decide in one place what a stopping entry still takes and sends

Callers of a stopping entry with a grace period of 3 s or less got no answer to requests that the entry had passed on, unsafe ones and streams among them, so that they could not tell whether these had run.

Cause: the listener closed 2.5 s after the signal and all was cut 0.5 s before the end of the grace period, both constants, while the grace period is a setting; and nothing compared what a request needs with the time left.

It is asked at admission, before each run and each prefill, and before a resend. What can't end is refused with 503 `stopping` and a Retry-After of 50 to 150 ms. The caller server asks the time itself rather than a flag that a timer sets, as input may be read before a timer that is due.

--- a/src/adapters/forwarding/caller_server.ts
+++ b/src/adapters/forwarding/caller_server.ts
@@ -5,7 +5,11 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import { type ForwardedRequest, LoopDelay } from "../../core/forwarding/mod.ts";
+import {
+  type ForwardedRequest,
+  LoopDelay,
+  type PlannedStop,
+} from "../../core/forwarding/mod.ts";
 import type { Subscription, TimerService } from "../../core/time/mod.ts";
 import type {
   CallerSink,
@@ -21,12 +25,6 @@
  * bodies would exceed the memory of a small VM.
  */
 const MAX_BUFFERED_BODY_BYTES = 48 * 1024 * 1024;
-/**
- * How long idle connections stay open after a stop is requested. The load
- * balancer needs up to two health checks to notice the stop, and a connection
- * must not be closed while a request is being sent on it.
- */
-const IDLE_CLOSE_DELAY_MILLISECONDS = 2_500;
 /**
  * How long a stopping entry that accepts no more connections waits for the
  * first request on those that it has just accepted.
@@ -100,6 +98,8 @@
   readonly host: string;
   readonly port: number;
   readonly timer: TimerService;
+  /** Decides how long a stopping server takes connections. */
+  readonly plannedStop: PlannedStop;
   readonly limits: () => CallerServerLimits;
   readonly decode: DecodeRequest;
   readonly handle: (request: ForwardedRequest, sink: CallerSink) => void;
@@ -118,8 +118,6 @@
   #bufferedBodyBytes = 0;
   readonly #openRequests = new Set<OpenRequest>();
   #isStopping = false;
-  /** True after the load balancer's grace period: new requests are refused. */
-  #isClosing = false;
   #idleCloseTimer: Subscription | undefined;
   #onDrained: (() => void) | undefined;
   /** Connections that have not carried a whole request yet. */
@@ -174,15 +172,13 @@
    * Settles when no request is open and no new connection may bring one.
    */
   stop(): Promise<void> {
+    this.#options.plannedStop.request();
     this.#isStopping = true;
     this.#server.keepAliveTimeout = KEEP_ALIVE_AFTER_STOP_MILLISECONDS;
     return new Promise((resolve) => {
       this.#idleCloseTimer = this.#options.timer.after(
-        IDLE_CLOSE_DELAY_MILLISECONDS,
-        () => {
-          this.#isClosing = true;
-          this.#endListening(resolve);
-        },
+        this.#options.plannedStop.listeningMilliseconds,
+        () => this.#endListening(resolve),
       );
     });
   }
@@ -263,7 +259,9 @@
     incoming.on("error", () => {});
     incoming.on("end", () => {
       if (refused || sink.isDisconnected) return;
-      if (this.#isClosing) return sink.refuse(STOPPING_REFUSAL);
+      if (!this.#options.plannedStop.takesRequests) {
+        return sink.refuse(STOPPING_REFUSAL);
+      }
       this.#decode(incoming, { sink, body: Buffer.concat(chunks) });
     });
   }
--- a/src/adapters/forwarding/caller_server_test.ts
+++ b/src/adapters/forwarding/caller_server_test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { Agent, request } from "node:http";
 import { connect } from "node:net";
+import { makePlannedStop } from "../../../test/support/planned_stop.ts";
 import { findFreePort } from "../../../test/support/free_port.ts";
 import {
   rawRequest,
@@ -28,10 +29,12 @@
   beforeEach(async () => {
     forwarded = [];
     port = await findFreePort();
+    const timer = new SystemTimerService();
     server = new CallerServer({
       host: "127.0.0.1",
       port,
-      timer: new SystemTimerService(),
+      timer,
+      plannedStop: makePlannedStop(timer),
       limits: () => LIMITS,
       decode: ({ method, target, headers, body }) => ({
         id: identifier("r"),
--- a/src/core/forwarding/admission/planned_stop.ts
+++ b/src/core/forwarding/admission/planned_stop.ts
@@ -1,4 +1,25 @@
 import type { TimerService } from "../../time/mod.ts";
+import { RouteTimes, type SendStep } from "../estimates/route_times.ts";
+
+/**
+ * Time between the end of a planned stop and the kill, as a share of the grace
+ * period and at most. Connections are closed in it, and the store is told.
+ */
+const MARGIN_SHARE = 1 / 6;
+const MAX_MARGIN_MILLISECONDS = 500;
+/**
+ * Longest time for which a stopping entry takes connections and requests. The
+ * load balancer needs up to two health checks of 1 s to notice the stop, and a
+ * connection must not be closed while a request is being sent on it.
+ */
+const MAX_LISTENING_MILLISECONDS = 2_500;
+/**
+ * Time before the end in which no connection is taken: those that were taken
+ * last may bring a request, which has to be refused.
+ */
+const LAST_CONNECTIONS_MILLISECONDS = 350;
+/** Time in which the end of a response reaches the caller. */
+const DELIVERY_MILLISECONDS = 50;
 
 /** Options of a `PlannedStop`. */
 export interface PlannedStopOptions {
@@ -7,13 +28,29 @@
   readonly graceMilliseconds: () => number;
 }
 
-/** The planned stop of an entry, from the request to stop to its end. */
+/** What a request needs that may be sent. */
+export interface RequestNeeds {
+  readonly route: string;
+  /** What is sent next. */
+  readonly step: SendStep;
+  /** Time after which the caller or the route ends the request. */
+  readonly boundMilliseconds: number;
+}
+
+/**
+ * The planned stop of an entry. It alone decides what the entry still takes and
+ * sends after it was asked to stop, from the grace period in force, the time
+ * since, the open requests and what the request needs.
+ */
 export class PlannedStop {
+  /** How long requests take, as observed by this entry. */
+  readonly routeTimes: RouteTimes;
   readonly #options: PlannedStopOptions;
   #requestedAt: number | undefined;
 
   constructor(options: PlannedStopOptions) {
     this.#options = options;
+    this.routeTimes = new RouteTimes(options.timer);
   }
 
   /** Starts the stop; later calls have no effect. */
@@ -34,4 +71,50 @@
     if (this.#requestedAt === undefined) return undefined;
     return moment - this.#requestedAt;
   }
+
+  /**
+   * Time until open requests are cut, in milliseconds; infinite if no stop was
+   * requested.
+   */
+  get remainingMilliseconds(): number {
+    return this.#durationMilliseconds - this.#elapsedMilliseconds;
+  }
+
+  /** Time until no more connections are taken, in milliseconds. */
+  get listeningMilliseconds(): number {
+    const duration = this.#durationMilliseconds;
+    const listening = Math.min(
+      MAX_LISTENING_MILLISECONDS,
+      Math.max(duration / 2, duration - LAST_CONNECTIONS_MILLISECONDS),
+    );
+    return listening - this.#elapsedMilliseconds;
+  }
+
+  /** False once no more connections are taken: new requests are refused. */
+  get takesRequests(): boolean {
+    return this.listeningMilliseconds > 0;
+  }
+
+  /**
+   * True if the request very likely ends in time: at its own bound at the
+   * latest, or within the time that requests of its route take. A request that
+   * would be cut is refused instead, as its caller may repeat it elsewhere.
+   */
+  maySend({ boundMilliseconds, route, step }: RequestNeeds): boolean {
+    if (this.#requestedAt === undefined) return true;
+    const expected = this.routeTimes.upperMilliseconds(route, step) ?? Infinity;
+    const needed = Math.min(boundMilliseconds, expected);
+    return needed + DELIVERY_MILLISECONDS <= this.remainingMilliseconds;
+  }
+
+  get #elapsedMilliseconds(): number {
+    const { timer } = this.#options;
+    return this.sinceRequest(timer.now()) ?? -Infinity;
+  }
+
+  /** Time from the request to stop to the end. */
+  get #durationMilliseconds(): number {
+    const grace = this.graceMilliseconds;
+    return grace - Math.min(MAX_MARGIN_MILLISECONDS, MARGIN_SHARE * grace);
+  }
 }
--- /dev/null
+++ b/src/core/forwarding/admission/planned_stop_test.ts
@@ -0,0 +1,112 @@
+import { expect } from "chai";
+import { makePlannedStop } from "../../../../test/support/planned_stop.ts";
+import { ManualTimerService } from "../../time/mod.ts";
+import type { PlannedStop } from "./planned_stop.ts";
+
+const ROUTE = "r1";
+const UNBOUNDED = 60_000;
+
+describe("PlannedStop", () => {
+  let timer: ManualTimerService;
+  let graceMilliseconds: number;
+  let stop: PlannedStop;
+
+  beforeEach(() => {
+    timer = new ManualTimerService();
+    graceMilliseconds = 8_000;
+    stop = makePlannedStop(timer, () => graceMilliseconds);
+  });
+
+  async function observe(milliseconds: number, count = 20): Promise<void> {
+    for (let index = 0; index < count; index++) {
+      const time = stop.routeTimes.start(ROUTE, "run");
+      await timer.advance(milliseconds);
+      time.end();
+    }
+  }
+
+  function maySend(boundMilliseconds = UNBOUNDED): boolean {
+    return stop.maySend({ route: ROUTE, step: "run", boundMilliseconds });
+  }
+
+  it("sends everything while no stop is requested", () => {
+    expect(maySend()).to.equal(true);
+    expect(stop.takesRequests).to.equal(true);
+  });
+
+  describe("the time of its end", () => {
+    // The load balancer needs up to two health checks of 1 s to notice a stop.
+    it("takes requests for 2.5 s with a grace period of 8 s", () => {
+      stop.request();
+      expect(stop.listeningMilliseconds).to.equal(2_500);
+      expect(stop.remainingMilliseconds).to.equal(7_500);
+    });
+
+    // With constants, requests were taken at 3 s until all were cut, and with a
+    // shorter grace period also behind that.
+    for (const grace of [500, 1_000, 2_000, 3_000]) {
+      it(`takes no request shortly before its end, with ${grace} ms`, () => {
+        graceMilliseconds = grace;
+        stop.request();
+        expect(stop.remainingMilliseconds).to.be.within(grace / 2, grace - 80);
+        expect(stop.listeningMilliseconds)
+          .to.be.within(1, stop.remainingMilliseconds - 200);
+      });
+    }
+  });
+
+  describe("a request that may be sent", () => {
+    // A request that would be cut at the end was passed on: its caller can't
+    // tell whether it has run, and must not repeat it if it is unsafe.
+    it("is not sent if requests of its route take longer than is left", async () => {
+      await observe(1_000);
+      stop.request();
+      await timer.advance(6_100);
+      expect(maySend()).to.equal(true);
+      await timer.advance(200);
+      expect(maySend()).to.equal(false);
+    });
+
+    it("is sent if its caller's deadline ends it in time", async () => {
+      await observe(5_000);
+      stop.request();
+      await timer.advance(6_500);
+      expect(maySend(900)).to.equal(true);
+      expect(maySend(1_000)).to.equal(false);
+    });
+
+    it("is not sent if nothing is known but its long deadline", () => {
+      stop.request();
+      expect(maySend()).to.equal(false);
+      expect(maySend(7_000)).to.equal(true);
+    });
+
+    // A replica that has become slow shows in what is open before it shows in
+    // what has ended.
+    it("is not sent if an open one has taken longer than is left", async () => {
+      await observe(100);
+      stop.routeTimes.start(ROUTE, "run");
+      await timer.advance(3_000);
+      stop.request();
+      await timer.advance(2_000);
+      expect(maySend()).to.equal(false);
+    });
+
+    it("needs a wider margin if few times are known", async () => {
+      await observe(2_000, 2);
+      stop.request();
+      await timer.advance(4_000);
+      expect(maySend()).to.equal(false);
+    });
+
+    it("does not count sends that were given up early", async () => {
+      const given = stop.routeTimes.start(ROUTE, "run");
+      await timer.advance(5_000);
+      given.cancel();
+      await observe(100);
+      stop.request();
+      await timer.advance(5_000);
+      expect(maySend()).to.equal(true);
+    });
+  });
+});
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -49,6 +49,7 @@
   ResponseBuffers,
 } from "./admission/response_buffers.ts";
 export { LoopDelay } from "./admission/loop_delay.ts";
+export type { RouteTimeHandle, SendStep } from "./estimates/route_times.ts";
 export { PlannedStop } from "./admission/planned_stop.ts";
 export {
   type RetryBudgetUsage,
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -8,6 +8,8 @@
   RequestArrivals,
   RequestShare,
   type Route,
+  type RouteTimeHandle,
+  type SendStep,
   type StreamOrigin,
   type Workspace,
 } from "../../core/forwarding/mod.ts";
@@ -89,6 +91,8 @@
   /** Addresses to which the request was sent, for a prefill or a run. */
   readonly #sentTo = new Set<string>();
   readonly #admission: LimitAdmission;
+  /** Sends whose time is being measured. */
+  readonly #times = new Map<SendStep, RouteTimeHandle>();
   #digest: RequestDigest | undefined;
   #partDigests: readonly PartDigest[] | undefined;
   #hasStarted = false;
@@ -276,6 +280,36 @@
     return this.dependencies.timer.now() - this.arrived;
   }
 
+  /** False if a stopping entry would cut the response to this send. */
+  maySend(step: SendStep): boolean {
+    return this.dependencies.plannedStop.maySend({
+      route: this.route.name,
+      step,
+      boundMilliseconds: this.remainingMilliseconds,
+    });
+  }
+
+  /**
+   * Starts to measure a send. A prefill is measured to the end of the response,
+   * whatever is sent after it.
+   */
+  startTime(step: SendStep): void {
+    if (step === "prefill" && this.#times.has(step)) return;
+    this.#times.get(step)?.cancel();
+    const { routeTimes } = this.dependencies.plannedStop;
+    this.#times.set(step, routeTimes.start(this.route.name, step));
+  }
+
+  /** Records how long the response took, or has taken until now. */
+  recordTimes(): void {
+    for (const time of this.#times.values()) time.end();
+  }
+
+  /** Ends the measurement; sends that have not been recorded don't count. */
+  cancelTimes(): void {
+    for (const time of this.#times.values()) time.cancel();
+  }
+
   /** Endpoints of the pool that accept new work. */
   endpoints(): RegisteredEndpoint[] {
     const { availability } = this.dependencies;
@@ -425,12 +459,13 @@
   }
 
   /**
-   * Checks the send limit, the remaining time and the shared retry budget
-   * before another send to the pool.
+   * Checks the send limit, the remaining time, a planned stop and the shared
+   * retry budget before another send to the pool.
    */
   mayResend(reason: string, next: NextAttempt): boolean {
     const allowed = this.sends < MAX_SENDS &&
       this.remainingMilliseconds >= MIN_USEFUL_MILLISECONDS &&
+      this.maySend(next.prefill ? "prefill" : "run") &&
       this.arrivals.reserve(next);
     const { counted, allowed: limit } = this.dependencies.retryBudget.usageOf(
       this.pool.name,
--- a/src/entry/forwarding/handover.ts
+++ b/src/entry/forwarding/handover.ts
@@ -49,7 +49,8 @@
       | "request_limit"
       | "crashes_endpoints"
       | "displaced"
-      | "key_removed";
+      | "key_removed"
+      | "stopping";
     /** Figures that led to the refusal, for the log. */
     readonly facts: AdmissionFacts;
   };
@@ -71,6 +72,15 @@
 /** The caller's key was removed while its request was waiting. */
 export const KEY_REMOVED = "key_removed";
 
+/** The entry is stopping, and the response would not end in time. */
+export const STOPPING = "stopping";
+
+const STOPPING_OUTCOME: HandoverOutcome = {
+  kind: "refused",
+  reason: STOPPING,
+  facts: {},
+};
+
 /** Endpoints crashed on the request while it was waiting. */
 const CRASHES_ENDPOINTS: HandoverOutcome = {
   kind: "refused",
@@ -141,6 +151,10 @@
         if (this.#context.endpoints().some(isPrefillEngine)) continue;
         return AT_REQUEST_LIMIT;
       }
+      if (!this.#context.maySend("prefill")) {
+        this.#context.releasePermit(choice.endpoint);
+        return STOPPING_OUTCOME;
+      }
       const outcome = await this.#sendPrefill(prompt, { choice, late });
       if (outcome.kind === "kept") return outcome;
       if (outcome.arrived) this.#failedPrefills += 1;
@@ -291,6 +305,7 @@
     this.#context.share?.admit();
     const sent = dependencies.timer.now();
     arrivals.prefillSent();
+    this.#context.startTime("prefill");
     const outcome = await prefillPrompt(this.#context, {
       prompt,
       choice,
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -16,7 +16,7 @@
   type Guard,
 } from "./forward_context.ts";
 import { EnginePlanner } from "./engine_planner.ts";
-import { Handover, KEY_REMOVED } from "./handover.ts";
+import { Handover, KEY_REMOVED, STOPPING } from "./handover.ts";
 import type {
   CallerSink,
   EndpointResponse,
@@ -66,6 +66,10 @@
 /** Retry delay if replicas of that version may come back. */
 const VERSION_RETURN_MILLISECONDS = 1_000;
 
+/** Retry delay of a caller that reaches another entry than the stopping one. */
+const STOPPING_RETRY_AFTER_MILLISECONDS = 50;
+const STOPPING_RETRY_SPREAD_MILLISECONDS = 100;
+
 /** Refusals whose retry time comes from the calendar of the pool. */
 const WAITS_FOR_ENGINES: ReadonlySet<string> = new Set([
   "above_share",
@@ -83,6 +87,7 @@
   | "again"
   | "refuse"
   | "blocked"
+  | "stopping"
   | "key_removed"
   | "unknown";
 
@@ -189,6 +194,7 @@
       if (admission === "blocked") return this.#refuse(BLOCKED);
       if (admission === "suspected") return this.#refuse(SUSPECTED);
       if (this.#context.isWriterGone) return this.#refuse(VERSION_GONE);
+      if (!this.#context.maySend("run")) return this.#refuse(STOPPING);
       const plan = await this.#plan();
       if (this.#context.settled) return;
       if (plan === undefined) {
@@ -197,8 +203,12 @@
       }
       const next = await this.#send(plan);
       if (this.#context.settled || next === "delivered") return;
-      if (next === "refuse") return this.#refuse("endpoints_full");
+      if (next === "refuse") {
+        const isStopping = !this.#context.maySend("run");
+        return this.#refuse(isStopping ? STOPPING : "endpoints_full");
+      }
       if (next === "blocked") return this.#refuse(BLOCKED);
+      if (next === STOPPING) return this.#refuse(STOPPING);
       if (next === KEY_REMOVED) return this.#refuse(KEY_REMOVED);
       if (next === "unknown") return this.#refuseAsUnknown();
     }
@@ -266,6 +276,7 @@
     this.#context.arrivals.recordSend();
     this.#context.sends += 1;
     this.#mayBeRunning = true;
+    this.#context.startTime("run");
     this.#context.report("placed", {
       step: "run",
       endpoint: endpoint.id,
@@ -306,6 +317,7 @@
     if (this.#context.blockedMilliseconds > 0) return "blocked";
     if (this.#context.needsTrial) return "again";
     if (this.#context.isKeyRemoved) return KEY_REMOVED;
+    if (!this.#context.maySend("run")) return STOPPING;
     const hasPermit = this.#context.arrivals.reserve({ prefill: false });
     return hasPermit ? undefined : "refuse";
   }
@@ -467,6 +479,7 @@
 
   #finish(status: number): NextStep {
     const { remainingMilliseconds } = this.#context;
+    this.#context.recordTimes();
     this.#settle();
     this.#sink.finish();
     if (this.#sink.bufferedBytes > 0) {
@@ -495,6 +508,7 @@
   /** The deadline of the caller or the route has passed. */
   #onDeadline(): void {
     if (this.#context.settled) return;
+    this.#context.recordTimes();
     this.#settle();
     if (this.#mayBeRunning) this.#noteServiceStarted();
     this.#attempt?.abort();
@@ -568,6 +582,10 @@
       return OTHER_ENTRY_RETRY_AFTER_MILLISECONDS +
         OTHER_ENTRY_RETRY_SPREAD_MILLISECONDS * random();
     }
+    if (reason === STOPPING) {
+      return STOPPING_RETRY_AFTER_MILLISECONDS +
+        STOPPING_RETRY_SPREAD_MILLISECONDS * random();
+    }
     if (reason === BLOCKED) return this.#context.blockedMilliseconds;
     if (reason === SUSPECTED) {
       return SUSPECTED_RETRY_AFTER_MILLISECONDS +
@@ -608,6 +626,7 @@
   #settle(): void {
     this.#context.settled = true;
     this.#deadline.cancel();
+    this.#context.cancelTimes();
     this.#context.dependencies.openForwards.delete(this);
     this.#handover.release();
     this.#context.arrivals.release();
