Refuse waiting requests of a stopping entry once they can't end in time

Cause: a request is looked at before it waits and before it is sent, but not while it waits, and at the end all open connections were broken off whatever was known of their requests.

A stopping entry now asks PlannedStop each 25 ms about every request that no endpoint runs, whatever it waits for (a replica, a permit, a prefill, a retry), and refuses at once those that could no longer end. At the end of the stop, what was never sent is refused with 503, what was sent and has no response yet gets 502 `unknown`, and only responses that have begun are broken off. Sends that were rejected or lost no longer count for the times of their route.

--- a/src/adapters/forwarding/caller_response.ts
+++ b/src/adapters/forwarding/caller_response.ts
@@ -25,6 +25,11 @@
     response.on("close", () => this.#isDisconnected = true);
   }
 
+  /** True once the headers of a response have been sent. */
+  get hasBegun(): boolean {
+    return this.#response.headersSent;
+  }
+
   get isDisconnected(): boolean {
     return this.#isDisconnected;
   }
--- a/src/adapters/forwarding/caller_server.ts
+++ b/src/adapters/forwarding/caller_server.ts
@@ -31,6 +31,9 @@
  */
 const FIRST_REQUEST_MILLISECONDS = 250;
 
+/** Longest time in which answers are written at the end of a stop. */
+const LAST_ANSWERS_MILLISECONDS = 50;
+
 /** `Retry-After` of requests that a stopping entry refuses. */
 const STOPPING_RETRY_AFTER_MILLISECONDS = 50;
 /**
@@ -209,6 +212,23 @@
     if (isDrained) this.#onDrained?.();
   }
 
+  /**
+   * Refuses requests that have not reached a handler or are still being read.
+   * Resolves once the callers of all requests have their answers, or after a
+   * short time.
+   */
+  endOpenRequests(): Promise<void> {
+    for (const { sink } of this.#openRequests) {
+      if (!sink.hasBegun) sink.refuse(STOPPING_REFUSAL);
+    }
+    return new Promise((resolve) => {
+      this.#onDrained = resolve;
+      this.#newConnections.clear();
+      this.#resolveIfDrained();
+      this.#options.timer.after(LAST_ANSWERS_MILLISECONDS, resolve);
+    });
+  }
+
   close(): void {
     this.#idleCloseTimer?.cancel();
     this.#server.close();
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -290,12 +290,11 @@
   }
 
   /**
-   * Starts to measure a send. A prefill is measured to the end of the response,
-   * whatever is sent after it.
+   * Starts to measure a send. A prefill is measured to the end of the response
+   * that its run yields.
    */
   startTime(step: SendStep): void {
-    if (step === "prefill" && this.#times.has(step)) return;
-    this.#times.get(step)?.cancel();
+    this.cancelTime(step);
     const { routeTimes } = this.dependencies.plannedStop;
     this.#times.set(step, routeTimes.start(this.route.name, step));
   }
@@ -305,6 +304,11 @@
     for (const time of this.#times.values()) time.end();
   }
 
+  /** Ends the measurement of a send that has yielded no response. */
+  cancelTime(step: SendStep): void {
+    this.#times.get(step)?.cancel();
+  }
+
   /** Ends the measurement; sends that have not been recorded don't count. */
   cancelTimes(): void {
     for (const time of this.#times.values()) time.cancel();
--- a/src/entry/forwarding/forwarding_dependencies.ts
+++ b/src/entry/forwarding/forwarding_dependencies.ts
@@ -52,8 +52,17 @@
 
 /** A request that has a route and whose response has not ended. */
 export interface OpenForward {
-  /** What the log names of a request that the end of a planned stop cuts. */
-  readonly stopFacts: LogFields;
+  /** Refuses the request if it is not sent yet and would be cut once it is. */
+  refuseIfTooLate(): void;
+  /**
+   * Ends the request at the end of a planned stop: as not run if that is known.
+   */
+  endAtStop(): void;
+  /**
+   * What the log names of a request that the end of a planned stop cuts;
+   * undefined for one that has not been sent.
+   */
+  readonly stopFacts: LogFields | undefined;
 }
 
 export interface ForwardingDependencies {
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -44,6 +44,7 @@
 } from "../../core/identity/mod.ts";
 import { stackOf } from "../../core/errors/mod.ts";
 import type { PeerAddress } from "../../core/links/mod.ts";
+import type { Subscription } from "../../core/time/mod.ts";
 import { ConfigurationStatus } from "./configuration_status.ts";
 import { ConfigurationSync } from "./configuration_sync.ts";
 import {
@@ -90,6 +91,9 @@
 /** Startup time after which entries that started together know each other. */
 const STARTUP_MILLISECONDS = 5_000;
 
+/** Interval at which a stopping entry refuses what waits for too long. */
+const STOP_CHECK_MILLISECONDS = 25;
+
 /** An entry that forwards requests to endpoints, which register themselves. */
 export class ForwardingEntry {
   readonly registry: EndpointRegistry;
@@ -115,6 +119,7 @@
   readonly #startedAt: number;
   #routes: RouteTable | undefined;
   #stopping = false;
+  #stopChecks: Subscription | undefined;
 
   constructor(options: ForwardingEntryOptions) {
     this.#options = options;
@@ -614,17 +619,38 @@
 
   /**
    * Reports the entry as not ready and stops role orders; open requests
-   * continue.
+   * continue as long as they may end in time.
    */
   stop(): void {
+    const { plannedStop, timer } = this.#options;
+    plannedStop.request();
     this.#stopping = true;
+    this.#stopChecks = timer.every(STOP_CHECK_MILLISECONDS, () => {
+      for (const open of [...this.#openForwards]) open.refuseIfTooLate();
+    });
     this.#streams.handOn();
     this.#roleController?.stop();
   }
 
-  /** Stops all exchanges with peers; open requests are about to be cut. */
+  /** Answers all open requests, as far as a response has not begun. */
+  endOpenRequests(): void {
+    this.#stopChecks?.cancel();
+    const { logger, plannedStop } = this.#options;
+    const { graceMilliseconds } = plannedStop;
+    for (const open of [...this.#openForwards]) {
+      const { stopFacts } = open;
+      if (stopFacts !== undefined) {
+        logger.warn(
+          { ...stopFacts, graceMilliseconds },
+          "A request is cut at the end of a planned stop",
+        );
+      }
+      open.endAtStop();
+    }
+  }
+
   close(): void {
-    this.#logOpenForwards();
+    this.#stopChecks?.cancel();
     this.#usageReporter?.stop();
     this.#versions.stop();
     this.#streams.flush();
@@ -634,17 +660,6 @@
     this.configurationSync.stop();
   }
 
-  #logOpenForwards(): void {
-    const { logger, plannedStop } = this.#options;
-    const { graceMilliseconds } = plannedStop;
-    for (const { stopFacts } of this.#openForwards) {
-      logger.warn(
-        { ...stopFacts, graceMilliseconds },
-        "A request is cut at the end of a planned stop",
-      );
-    }
-  }
-
   /**
    * Puts a configuration in force. Versions that are not newer are ignored: a
    * late read would otherwise revert what callers have already seen. With a
--- a/src/entry/forwarding/handover.ts
+++ b/src/entry/forwarding/handover.ts
@@ -321,7 +321,10 @@
       arrivals.prefillNotSent();
       this.#context.releasePermit(choice.endpoint);
     }
-    if (outcome.kind === "failed") return outcome;
+    if (outcome.kind === "failed") {
+      this.#context.cancelTime("prefill");
+      return outcome;
+    }
     this.#recordPrefillSpeed(prompt, choice, took);
     this.#kept = outcome.kept;
     this.#context.report("prompt_read", {
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -105,6 +105,8 @@
   #runs = 0;
   /** True while a send is outstanding that may be running. */
   #mayBeRunning = false;
+  /** True from a send to an endpoint that may run it to the end of its answer. */
+  #isSending = false;
   /** Time of the last send; 0 before the first one. */
   #sentAt = 0;
   #firstByteAt: number | undefined;
@@ -166,7 +168,8 @@
     }
   }
 
-  get stopFacts(): LogFields {
+  get stopFacts(): LogFields | undefined {
+    if (!this.#isSending && this.#runs === 0) return undefined;
     const { arrived, dependencies, request, route, sends } = this.#context;
     const sinceStop = (moment: number) => {
       const milliseconds = dependencies.plannedStop.sinceRequest(moment);
@@ -179,12 +182,28 @@
       sends,
       endpoint: this.#attempt?.endpoint.id,
       arrivedSinceStopMilliseconds: sinceStop(arrived),
-      sentSinceStopMilliseconds: sends > 0
-        ? sinceStop(this.#sentAt)
-        : undefined,
+      sentSinceStopMilliseconds: sinceStop(this.#sentAt),
     };
   }
 
+  refuseIfTooLate(): void {
+    const mayEnd = this.#isSending || this.#context.maySend("run");
+    if (!mayEnd) this.#endUnsent();
+  }
+
+  endAtStop(): void {
+    if (!this.#isSending) return this.#endUnsent();
+    this.#refuseAsUnknown();
+    this.#attempt?.abort();
+  }
+
+  /** Refuses a request that waits; ends the prefill that it may wait for. */
+  #endUnsent(): void {
+    if (this.#context.settled) return;
+    this.#refuse(STOPPING);
+    this.#attempt?.abort();
+  }
+
   async #forward(): Promise<void> {
     const { dependencies, pool } = this.#context;
     dependencies.retryBudget.recordRequest(pool.name);
@@ -201,7 +220,9 @@
         this.#noteUnplacedDemand();
         return this.#refuse(this.#unavailableReason);
       }
+      this.#isSending = true;
       const next = await this.#send(plan);
+      this.#isSending = false;
       if (this.#context.settled || next === "delivered") return;
       if (next === "refuse") {
         const isStopping = !this.#context.maySend("run");
@@ -296,10 +317,12 @@
     this.#service = plan.expected && { milliseconds, expected: plan.expected };
     if (this.#context.settled) return "delivered";
     if (response.isErr()) {
+      this.#context.cancelTime("run");
       this.#context.noteRejection(endpoint.id);
       return this.#afterFailure(response.error.name, endpoint);
     }
     if (response.value.head.notExecuted) {
+      this.#context.cancelTime("run");
       discardBody(response.value, dependencies.timer);
       return this.#afterNotRun(endpoint.id);
     }
