--- a/src/adapters/forwarding/caller_server.ts
+++ b/src/adapters/forwarding/caller_server.ts
@@ -5,7 +5,11 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import { type ForwardedRequest, LoopDelay } from "../../core/forwarding/mod.ts";
+import {
+  type ForwardedRequest,
+  LoopDelay,
+  type PlannedStop,
+} from "../../core/forwarding/mod.ts";
 import type { Subscription, TimerService } from "../../core/time/mod.ts";
 import type {
   CallerSink,
@@ -21,18 +25,15 @@
  * bodies would exceed the memory of a small VM.
  */
 const MAX_BUFFERED_BODY_BYTES = 48 * 1024 * 1024;
-/**
- * How long idle connections stay open after a stop is requested. The load
- * balancer needs up to two health checks to notice the stop, and a connection
- * must not be closed while a request is being sent on it.
- */
-const IDLE_CLOSE_DELAY_MILLISECONDS = 2_500;
 /**
  * How long a stopping entry that accepts no more connections waits for the
  * first request on those that it has just accepted.
  */
 const FIRST_REQUEST_MILLISECONDS = 250;
 
+/** Longest time in which answers are written at the end of a stop. */
+const LAST_ANSWERS_MILLISECONDS = 50;
+
 /** `Retry-After` of requests that a stopping entry refuses. */
 const STOPPING_RETRY_AFTER_MILLISECONDS = 50;
 /**
@@ -105,6 +106,8 @@
   readonly host: string;
   readonly port: number;
   readonly timer: TimerService;
+  /** Decides how long a stopping server takes connections. */
+  readonly plannedStop: PlannedStop;
   readonly limits: () => CallerServerLimits;
   readonly decode: DecodeRequest;
   readonly handle: (request: ForwardedRequest, sink: CallerSink) => void;
@@ -125,8 +128,6 @@
   #bufferedBodyBytes = 0;
   readonly #openRequests = new Set<OpenRequest>();
   #isStopping = false;
-  /** True after the load balancer's grace period: new requests are refused. */
-  #isClosing = false;
   #idleCloseTimer: Subscription | undefined;
   #onDrained: (() => void) | undefined;
   /** Connections that have not carried a whole request yet. */
@@ -181,15 +182,13 @@
    * Settles when no request is open and no new connection may bring one.
    */
   stop(): Promise<void> {
+    this.#options.plannedStop.request();
     this.#isStopping = true;
     this.#server.keepAliveTimeout = KEEP_ALIVE_AFTER_STOP_MILLISECONDS;
     return new Promise((resolve) => {
       this.#idleCloseTimer = this.#options.timer.after(
-        IDLE_CLOSE_DELAY_MILLISECONDS,
-        () => {
-          this.#isClosing = true;
-          this.#endListening(resolve);
-        },
+        this.#options.plannedStop.listeningMilliseconds,
+        () => this.#endListening(resolve),
       );
     });
   }
@@ -220,6 +219,23 @@
     if (isDrained) this.#onDrained?.();
   }
 
+  /**
+   * Refuses requests that have not reached a handler or are still being read.
+   * Resolves once the callers of all requests have their answers, or after a
+   * short time.
+   */
+  endOpenRequests(): Promise<void> {
+    for (const { sink } of this.#openRequests) {
+      if (!sink.hasBegun) sink.refuse(STOPPING_REFUSAL);
+    }
+    return new Promise((resolve) => {
+      this.#onDrained = resolve;
+      this.#newConnections.clear();
+      this.#resolveIfDrained();
+      this.#options.timer.after(LAST_ANSWERS_MILLISECONDS, resolve);
+    });
+  }
+
   close(): void {
     this.#idleCloseTimer?.cancel();
     this.#server.close();
@@ -270,7 +286,9 @@
     incoming.on("error", () => {});
     incoming.on("end", () => {
       if (refused || sink.isDisconnected) return;
-      if (this.#isClosing) return sink.refuse(STOPPING_REFUSAL);
+      if (!this.#options.plannedStop.takesRequests) {
+        return sink.refuse(STOPPING_REFUSAL);
+      }
       this.#decode(incoming, { sink, body: Buffer.concat(chunks) });
     });
   }
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -44,6 +44,7 @@
 } from "../../core/identity/mod.ts";
 import { stackOf } from "../../core/errors/mod.ts";
 import type { PeerAddress } from "../../core/links/mod.ts";
+import type { Subscription } from "../../core/time/mod.ts";
 import { ConfigurationStatus } from "./configuration_status.ts";
 import { ConfigurationSync } from "./configuration_sync.ts";
 import {
@@ -54,7 +55,10 @@
 } from "./crashes/mod.ts";
 import { FleetOutcomes } from "./fleet_outcomes.ts";
 import { forward } from "./forward.ts";
-import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
+import type {
+  ForwardingDependencies,
+  OpenForward,
+} from "./forwarding_dependencies.ts";
 import type { ForwardingEntryOptions } from "./forwarding_entry_options.ts";
 import { LoadQueries } from "./load_queries.ts";
 import { LoadReportExchange } from "./load_report_exchange.ts";
@@ -87,6 +91,9 @@
 /** Startup time after which entries that started together know each other. */
 const STARTUP_MILLISECONDS = 5_000;
 
+/** Interval at which a stopping entry refuses what waits for too long. */
+const STOP_CHECK_MILLISECONDS = 25;
+
 /** An entry that forwards requests to endpoints, which register themselves. */
 export class ForwardingEntry {
   readonly registry: EndpointRegistry;
@@ -108,9 +115,11 @@
   readonly #versions: VersionListing;
   readonly #crashes: CrashExchange;
   readonly #receiver: NotificationReceiver;
+  readonly #openForwards = new Set<OpenForward>();
   readonly #startedAt: number;
   #routes: RouteTable | undefined;
   #stopping = false;
+  #stopChecks: Subscription | undefined;
 
   constructor(options: ForwardingEntryOptions) {
     this.#options = options;
@@ -481,6 +490,8 @@
         entries: () => owners.liveCount,
         endpoints: () => this.registry.size,
       }),
+      plannedStop: options.plannedStop,
+      openForwards: this.#openForwards,
       endpointClient: options.endpointClient,
       streams: this.#streams,
       versions: this.#versions,
@@ -609,15 +620,38 @@
 
   /**
    * Reports the entry as not ready and stops role orders; open requests
-   * continue.
+   * continue as long as they may end in time.
    */
   stop(): void {
+    const { plannedStop, timer } = this.#options;
+    plannedStop.request();
     this.#stopping = true;
+    this.#stopChecks = timer.every(STOP_CHECK_MILLISECONDS, () => {
+      for (const open of [...this.#openForwards]) open.refuseIfTooLate();
+    });
     this.#streams.handOn();
     this.#roleController?.stop();
   }
 
+  /** Answers all open requests, as far as a response has not begun. */
+  endOpenRequests(): void {
+    this.#stopChecks?.cancel();
+    const { logger, plannedStop } = this.#options;
+    const { graceMilliseconds } = plannedStop;
+    for (const open of [...this.#openForwards]) {
+      const { stopFacts } = open;
+      if (stopFacts !== undefined) {
+        logger.warn(
+          { ...stopFacts, graceMilliseconds },
+          "A request is cut at the end of a planned stop",
+        );
+      }
+      open.endAtStop();
+    }
+  }
+
   close(): void {
+    this.#stopChecks?.cancel();
     this.#usageReporter?.stop();
     this.#versions.stop();
     this.#streams.flush();
--- a/src/entry/forwarding/forwarding_entry_options.ts
+++ b/src/entry/forwarding/forwarding_entry_options.ts
@@ -2,6 +2,7 @@
   BlockedSuspect,
   ForwardedRequest,
   PeerReadResult,
+  PlannedStop,
   TopicSpan,
   VerdictChange,
 } from "../../core/forwarding/mod.ts";
@@ -66,6 +67,8 @@
   readonly loopDelayMilliseconds: () => number;
   /** For how long what is read now may have waited unread, in milliseconds. */
   readonly readDelayMilliseconds: () => number;
+  /** The planned stop of this entry. */
+  readonly plannedStop: PlannedStop;
   /** Absent: engines keep their current roles. */
   readonly roles?: {
     readonly link: RoleLink;
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -3,6 +3,7 @@
   RegisteredEndpoint,
 } from "../../core/forwarding/mod.ts";
 import type { EndpointId } from "../../core/identity/mod.ts";
+import type { LogFields } from "../../core/observation/mod.ts";
 import type { Subscription } from "../../core/time/mod.ts";
 import { observePace } from "./response_pace.ts";
 import { isSuccess } from "./event_stream.ts";
@@ -15,13 +16,16 @@
   type Guard,
 } from "./forward_context.ts";
 import { EnginePlanner } from "./engine_planner.ts";
-import { Handover, KEY_REMOVED } from "./handover.ts";
+import { Handover, KEY_REMOVED, STOPPING } from "./handover.ts";
 import type {
   CallerSink,
   EndpointResponse,
   ForwardingRefusal,
 } from "./network_interfaces.ts";
-import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
+import type {
+  ForwardingDependencies,
+  OpenForward,
+} from "./forwarding_dependencies.ts";
 import { type AdmissionFacts, nextReturn } from "./prompt_admission.ts";
 import { ServicePlanner } from "./service_planner.ts";
 import { type EndpointMatch, isOverloaded } from "./wait_for_choice.ts";
@@ -62,6 +66,10 @@
 /** Retry delay if replicas of that version may come back. */
 const VERSION_RETURN_MILLISECONDS = 1_000;
 
+/** Retry delay of a caller that reaches another entry than the stopping one. */
+const STOPPING_RETRY_AFTER_MILLISECONDS = 50;
+const STOPPING_RETRY_SPREAD_MILLISECONDS = 100;
+
 /** Refusals whose retry time comes from the calendar of the pool. */
 const WAITS_FOR_ENGINES: ReadonlySet<string> = new Set([
   "above_share",
@@ -79,11 +87,12 @@
   | "again"
   | "refuse"
   | "blocked"
+  | "stopping"
   | "key_removed"
   | "unknown";
 
 /** Forwards one request, from its arrival to the end of its response. */
-export class RequestForwarder {
+export class RequestForwarder implements OpenForward {
   readonly #context: ForwardContext;
   readonly #sink: CallerSink;
   readonly #handover: Handover;
@@ -96,7 +105,9 @@
   #runs = 0;
   /** True while a send is outstanding that may be running. */
   #mayBeRunning = false;
-  /** Time of the last send. */
+  /** True from a send to an endpoint that may run it to the end of its answer. */
+  #isSending = false;
+  /** Time of the last send; 0 before the first one. */
   #sentAt = 0;
   #firstByteAt: number | undefined;
   /** Measured and expected time of the last attempt at a replica. */
@@ -145,6 +156,7 @@
       guard(() => this.#onDeadline()),
     );
     sink.onDisconnect(guard(() => this.#onDisconnect()));
+    dependencies.openForwards.add(this);
   }
 
   /** Settles when the request has ended; never throws. */
@@ -156,6 +168,42 @@
     }
   }
 
+  get stopFacts(): LogFields | undefined {
+    if (!this.#isSending && this.#runs === 0) return undefined;
+    const { arrived, dependencies, request, route, sends } = this.#context;
+    const sinceStop = (moment: number) => {
+      const milliseconds = dependencies.plannedStop.sinceRequest(moment);
+      return milliseconds && Math.round(milliseconds);
+    };
+    return {
+      requestId: request.id,
+      route: route.name,
+      repeat: route.repeat,
+      sends,
+      endpoint: this.#attempt?.endpoint.id,
+      arrivedSinceStopMilliseconds: sinceStop(arrived),
+      sentSinceStopMilliseconds: sinceStop(this.#sentAt),
+    };
+  }
+
+  refuseIfTooLate(): void {
+    const mayEnd = this.#isSending || this.#context.maySend("run");
+    if (!mayEnd) this.#endUnsent();
+  }
+
+  endAtStop(): void {
+    if (!this.#isSending) return this.#endUnsent();
+    this.#refuseAsUnknown();
+    this.#attempt?.abort();
+  }
+
+  /** Refuses a request that waits; ends the prefill that it may wait for. */
+  #endUnsent(): void {
+    if (this.#context.settled) return;
+    this.#refuse(STOPPING);
+    this.#attempt?.abort();
+  }
+
   async #forward(): Promise<void> {
     const { dependencies, pool } = this.#context;
     dependencies.retryBudget.recordRequest(pool.name);
@@ -165,16 +213,23 @@
       if (admission === "blocked") return this.#refuse(BLOCKED);
       if (admission === "suspected") return this.#refuse(SUSPECTED);
       if (this.#context.isWriterGone) return this.#refuse(VERSION_GONE);
+      if (!this.#context.maySend("run")) return this.#refuse(STOPPING);
       const plan = await this.#plan();
       if (this.#context.settled) return;
       if (plan === undefined) {
         this.#noteUnplacedDemand();
         return this.#refuse(this.#unavailableReason);
       }
+      this.#isSending = true;
       const next = await this.#send(plan);
+      this.#isSending = false;
       if (this.#context.settled || next === "delivered") return;
-      if (next === "refuse") return this.#refuse("endpoints_full");
+      if (next === "refuse") {
+        const isStopping = !this.#context.maySend("run");
+        return this.#refuse(isStopping ? STOPPING : "endpoints_full");
+      }
       if (next === "blocked") return this.#refuse(BLOCKED);
+      if (next === STOPPING) return this.#refuse(STOPPING);
       if (next === KEY_REMOVED) return this.#refuse(KEY_REMOVED);
       if (next === "unknown") return this.#refuseAsUnknown();
     }
@@ -242,6 +297,7 @@
     this.#context.arrivals.recordSend();
     this.#context.sends += 1;
     this.#mayBeRunning = true;
+    this.#context.startTime("run");
     this.#context.report("placed", {
       step: "run",
       endpoint: endpoint.id,
@@ -261,10 +317,12 @@
     this.#service = plan.expected && { milliseconds, expected: plan.expected };
     if (this.#context.settled) return "delivered";
     if (response.isErr()) {
+      this.#context.cancelTime("run");
       this.#context.noteRejection(endpoint.id);
       return this.#afterFailure(response.error.name, endpoint);
     }
     if (response.value.head.notExecuted) {
+      this.#context.cancelTime("run");
       discardBody(response.value, dependencies.timer);
       return this.#afterNotRun(endpoint.id);
     }
@@ -282,6 +340,7 @@
     if (this.#context.blockedMilliseconds > 0) return "blocked";
     if (this.#context.needsTrial) return "again";
     if (this.#context.isKeyRemoved) return KEY_REMOVED;
+    if (!this.#context.maySend("run")) return STOPPING;
     const hasPermit = this.#context.arrivals.reserve({ prefill: false });
     return hasPermit ? undefined : "refuse";
   }
@@ -443,6 +502,7 @@
 
   #finish(status: number): NextStep {
     const { remainingMilliseconds } = this.#context;
+    this.#context.recordTimes();
     this.#settle();
     this.#sink.finish();
     if (this.#sink.bufferedBytes > 0) {
@@ -471,6 +531,7 @@
   /** The deadline of the caller or the route has passed. */
   #onDeadline(): void {
     if (this.#context.settled) return;
+    this.#context.recordTimes();
     this.#settle();
     if (this.#mayBeRunning) this.#noteServiceStarted();
     this.#attempt?.abort();
@@ -544,6 +605,10 @@
       return OTHER_ENTRY_RETRY_AFTER_MILLISECONDS +
         OTHER_ENTRY_RETRY_SPREAD_MILLISECONDS * random();
     }
+    if (reason === STOPPING) {
+      return STOPPING_RETRY_AFTER_MILLISECONDS +
+        STOPPING_RETRY_SPREAD_MILLISECONDS * random();
+    }
     if (reason === BLOCKED) return this.#context.blockedMilliseconds;
     if (reason === SUSPECTED) {
       return SUSPECTED_RETRY_AFTER_MILLISECONDS +
@@ -584,6 +649,8 @@
   #settle(): void {
     this.#context.settled = true;
     this.#deadline.cancel();
+    this.#context.cancelTimes();
+    this.#context.dependencies.openForwards.delete(this);
     this.#handover.release();
     this.#context.arrivals.release();
     const { crashPass, hasLostRun } = this.#context;
