Count a route's timeout and targets from when a request may have been sent

Callers whose request waited for a late event loop were held longer than their route's timeout, by as long as it had waited, unless their own deadline came first. The wait was neither counted in the target, nor in the time for which the caller of a stream waits for its first event.

Cause: CallerServer took the time unread off the caller's deadline, and nothing told the forwarding path of it, so the timeout, the target and the patience counted from the dispatch. The further turn of the event loop, in which a disconnected caller is noticed, was not counted at all; it takes as long as all that is done in it.

Change: a request names the time for which it may have been unread, with that of the further turn, and `arrived` lies that much earlier. The caller's deadline is counted from there, too, and keeps its own value.

Two tests change, as the deadline is no longer reduced: "subtracts the delay" (400 to 800 of 1,000 ms left) and "leaves the deadline" (900 to 1,000 left).

--- a/src/adapters/forwarding/caller_server.ts
+++ b/src/adapters/forwarding/caller_server.ts
@@ -331,8 +331,8 @@
   /**
    * Passes a request to the handler. If the event loop is late or the
    * connection is new, it waits for one more event-loop iteration, in which a
-   * caller that has disconnected is detected. Time that the request spent
-   * unread is subtracted from its deadline.
+   * caller that has disconnected is detected. The request names the time that
+   * it may have spent unread, and that of the iteration.
    *
    * New connections matter when an entry has just started and all callers of
    * its zone connect to it. Node accepts one connection per event-loop
@@ -345,6 +345,7 @@
     context: { readonly incoming: IncomingMessage; readonly sink: CallerSink },
   ): void {
     const { incoming, sink } = context;
+    const readAt = this.#options.timer.now();
     const loopDelayMilliseconds = this.loopDelayMilliseconds;
     const isFirst = this.#newConnections.delete(incoming.socket);
     // The first request of a connection may have waited to be accepted.
@@ -360,15 +361,10 @@
         if (
           sink.isDisconnected || socket.destroyed || socket.readableEnded
         ) return;
-        const { deadlineMilliseconds } = request;
+        const sinceRead = this.#options.timer.now() - readAt;
         this.#options.handle({
           ...request,
-          ...(isLate && deadlineMilliseconds !== undefined && {
-            deadlineMilliseconds: Math.max(
-              0,
-              deadlineMilliseconds - unreadMilliseconds,
-            ),
-          }),
+          unreadMilliseconds: sinceRead + (isLate ? unreadMilliseconds : 0),
         }, sink);
       })
     );
--- a/src/adapters/forwarding/caller_server_test.ts
+++ b/src/adapters/forwarding/caller_server_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { Agent, request } from "node:http";
-import { connect } from "node:net";
+import { connect, type Socket } from "node:net";
 import { findFreePort } from "../../../test/support/free_port.ts";
 import {
   rawRequest,
@@ -9,6 +9,7 @@
 } from "../../../test/support/raw_http.ts";
 import type { ForwardedRequest } from "../../core/forwarding/mod.ts";
 import { identifier } from "../../core/identity/mod.ts";
+import { ManualTimerService, type TimerService } from "../../core/time/mod.ts";
 import type { CallerSink } from "../../entry/forwarding/network_interfaces.ts";
 import { SystemTimerService } from "../time/mod.ts";
 import { CallerServer } from "./mod.ts";
@@ -25,37 +26,45 @@
   let port: number;
   let forwarded: { request: ForwardedRequest; sink: CallerSink }[];
   let loopDelays: number[];
+  /** Called when a request has been read, before it is passed on. */
+  let onRead: () => void;
 
-  beforeEach(async () => {
+  beforeEach(() => open(new SystemTimerService()));
+
+  async function open(timer: TimerService): Promise<void> {
     forwarded = [];
     const reported: number[] = [];
     loopDelays = reported;
+    onRead = () => {};
     port = await findFreePort();
     server = new CallerServer({
       host: "127.0.0.1",
       port,
-      timer: new SystemTimerService(),
+      timer,
       limits: () => LIMITS,
-      decode: ({ method, target, headers, body }) => ({
-        id: identifier("r"),
-        method,
-        target,
-        host: "h",
-        headers,
-        identityHeaders: [],
-        credentials: { kind: "none" },
-        body,
-        deadlineMilliseconds: 1_000,
-        lastEventId: undefined,
-        resumes: undefined,
-        prompt: undefined,
-      }),
+      decode: ({ method, target, headers, body }) => {
+        onRead();
+        return {
+          id: identifier("r"),
+          method,
+          target,
+          host: "h",
+          headers,
+          identityHeaders: [],
+          credentials: { kind: "none" },
+          body,
+          deadlineMilliseconds: 1_000,
+          lastEventId: undefined,
+          resumes: undefined,
+          prompt: undefined,
+        };
+      },
       handle: (request, sink) => forwarded.push({ request, sink }),
       onProtocolError: () => {},
       onLoopDelay: (milliseconds) => reported.push(milliseconds),
     });
     await server.listen();
-  });
+  }
 
   afterEach(() => server.close());
 
@@ -189,42 +198,80 @@
       socket.destroy();
     }
 
-    // A log without a line for seconds does not show whether the process had
-    // nothing to do or did not run.
-    it("reports a long delay once", async () => {
-      blockLoop(700);
-      await new Promise((resolve) => setTimeout(resolve, 200));
-      expect(loopDelays).to.have.length(1);
-      expect(loopDelays[0]).to.be.within(550, 900);
-    });
-
     // The event loop was blocked for longer than the caller waited. Forwarding
     // the request would occupy an endpoint for a caller that has disconnected.
     it("forwards nothing for a caller that has disconnected meanwhile", async () => {
       await sendAndBlockLoop(true);
       expect(forwarded).to.have.length(0);
     });
+  });
 
-    it("subtracts the delay from the deadline of a waiting caller", async () => {
-      await sendAndBlockLoop(false);
-      expect(forwarded).to.have.length(1);
-      expect(forwarded[0].request.deadlineMilliseconds).to.be.within(400, 800);
-    });
+  describe("a late event loop, on a controlled clock", () => {
+    let timer: LateTimerService;
+    let socket: Socket;
 
-    it("leaves the deadline of a request that was sent after the delay", async () => {
-      const socket = connect(port, "127.0.0.1");
+    /** Opens a connection whose first request has been answered. */
+    beforeEach(async () => {
+      server.close();
+      timer = new LateTimerService();
+      await open(timer);
+      socket = connect(port, "127.0.0.1");
       socket.write(rawRequest("GET /a", ["Host: h"]));
       await untilForwarded(1);
       const { sink } = forwarded[0];
       sink.head(200, ["Content-Length", "0"]);
+      const answered = new Promise((resolve) => socket.once("data", resolve));
       sink.finish();
-      await new Promise((resolve) => setTimeout(resolve, 100));
-      blockLoop(400);
-      await new Promise((resolve) => setTimeout(resolve, 15));
-      socket.write(rawRequest("GET /b", ["Host: h"]));
+      await answered;
+    });
+
+    afterEach(() => socket.destroy());
+
+    /** Fires the timer that samples the delay, after the delay. */
+    async function delayLoop(milliseconds: number): Promise<void> {
+      timer.lateness += milliseconds;
+      await timer.advance(50);
+    }
+
+    async function untilRead(): Promise<ForwardedRequest> {
       await untilForwarded(2);
-      socket.destroy();
-      expect(forwarded[1].request.deadlineMilliseconds).to.be.within(900, 1e3);
+      return forwarded[1].request;
+    }
+
+    // A log without a line for seconds does not show whether the process had
+    // nothing to do or did not run.
+    it("reports a long delay once", async () => {
+      await delayLoop(700);
+      await timer.advance(200);
+      expect(loopDelays).to.deep.equal([700]);
+    });
+
+    // The delay was subtracted from the caller's deadline only, so that the
+    // route's timeout and its target counted from the end of the delay.
+    it("passes on for how long a request may have been unread", async () => {
+      socket.write(rawRequest("GET /b", ["Host: h"]));
+      await delayLoop(400);
+      const request = await untilRead();
+      expect(request.unreadMilliseconds).to.equal(400);
+      expect(request.deadlineMilliseconds).to.equal(1_000);
+    });
+
+    it("counts nothing for a request that was sent after the delay", async () => {
+      await delayLoop(400);
+      await loopTurns(2);
+      socket.write(rawRequest("GET /b", ["Host: h"]));
+      const request = await untilRead();
+      expect(request.unreadMilliseconds).to.equal(0);
+      expect(request.deadlineMilliseconds).to.equal(1_000);
+    });
+
+    // The further turn, in which a disconnected caller is detected, takes as
+    // long as all that is done in it.
+    it("counts the time between its read and its dispatch", async () => {
+      socket.write(rawRequest("GET /b", ["Host: h"]));
+      onRead = () => setImmediate(() => timer.lateness += 300);
+      await delayLoop(400);
+      expect((await untilRead()).unreadMilliseconds).to.equal(700);
     });
   });
 
@@ -348,6 +395,21 @@
   });
 });
 
+/** A manual clock that shows the time later than its timers fire. */
+class LateTimerService extends ManualTimerService {
+  lateness = 0;
+
+  override now(): number {
+    return super.now() + this.lateness;
+  }
+}
+
+async function loopTurns(count: number): Promise<void> {
+  for (let turn = 0; turn < count; turn++) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
 function blockEventLoop(milliseconds: number): void {
   const end = performance.now() + milliseconds;
   while (performance.now() < end);
--- a/src/core/forwarding/requests.ts
+++ b/src/core/forwarding/requests.ts
@@ -34,8 +34,13 @@
   readonly identityHeaders: readonly string[];
   readonly credentials: Credentials;
   readonly body: Buffer;
-  /** Time that the caller waits, milliseconds from the request's arrival. */
+  /** Time that the caller waits, milliseconds from when it sent the request. */
   readonly deadlineMilliseconds: number | undefined;
+  /**
+   * Longest time for which the request may have waited to be read; absent if it
+   * was read at once.
+   */
+  readonly unreadMilliseconds?: number;
   /** Id of the last event that the caller has of a stream it takes up. */
   readonly lastEventId: string | undefined;
   /**
--- a/src/entry/forwarding/forward.ts
+++ b/src/entry/forwarding/forward.ts
@@ -60,7 +60,9 @@
   }
   const caller = identify(routes, { request, route });
   if (caller.isErr()) return refuse({ status: 401, reason: caller.error });
-  const arrived = dependencies.timer.now();
+  // The caller's deadline, the route's timeout and its targets count from when
+  // the caller sent the request.
+  const arrived = dependencies.timer.now() - (request.unreadMilliseconds ?? 0);
   const found = isContinuation(request, route)
     ? await findOrigin(dependencies, {
       request,
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -51,7 +51,7 @@
   readonly pool: Pool;
   /** Absent where the caller needs no key. */
   readonly workspace?: Workspace;
-  /** When the request arrived. */
+  /** When the request arrived, unread or not. */
   readonly arrived: number;
   /** What has begun the stream that the caller takes up, if it takes up one. */
   readonly origin?: StreamOrigin;
--- a/src/entry/forwarding/request_forwarder_test.ts
+++ b/src/entry/forwarding/request_forwarder_test.ts
@@ -289,6 +289,18 @@
       expect(harness.sent[0].aborted).to.equal(true);
     });
 
+    // The timeout counted from when the event loop got to the request, so that
+    // callers waited longer than the operator allows by its delay.
+    it("is refused at the route's timeout, also if it waited unread", async () => {
+      const harness = portal({ repeat: "once", timeoutMilliseconds: 500 });
+      const caller = await harness.submit(
+        makeRequest({ deadlineMilliseconds: 5_000, unreadMilliseconds: 400 }),
+      );
+      expect(harness.sent[0].options.deadlineMilliseconds).to.equal(100);
+      await harness.timer.advance(100);
+      expect(caller.refusal?.status).to.equal(504);
+    });
+
     it("forwards the remaining time, not the caller's whole deadline", async () => {
       const harness = portal({ repeat: "idempotent" });
       await harness.submit(makeRequest({ deadlineMilliseconds: 900 }));
