Refuse a request whose caller gives up before its first byte, instead of sending it

A caller of another request that was read with its deadline nearly over got 504, and could not know whether it had run.

Cause: an entry checked the time left before it sent a request again, and where it waited for an endpoint, but not before a first send. What came out of a late event loop was sent with any rest of its deadline, also a stream whose caller gives up after two seconds without an event.

Change: before a plan and before each send, a request that no endpoint may have run is refused with 503 `overdue` and a retry time if less than 20 ms are left for a first byte, by the deadline, the route's timeout or the stream's patience. These 20 ms are the bound that further sends have.

The time unread is an upper bound: a stream that was sent late in a delay of two seconds is refused, too.

--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -271,6 +271,11 @@
     );
   }
 
+  /** True if the caller can't be sent a first byte any more. */
+  get isOverdue(): boolean {
+    return this.remainingToFirstByteMilliseconds < MIN_USEFUL_MILLISECONDS;
+  }
+
   /** Time since the request arrived, in milliseconds. */
   get elapsedMilliseconds(): number {
     return this.dependencies.timer.now() - this.arrived;
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -70,6 +70,9 @@
   "more_urgent",
 ]);
 
+/** The caller has given up, or does before it can get a first byte. */
+const OVERDUE = "overdue";
+
 /** Reason of a request whose handling has thrown. */
 const FAULT = "internal_error";
 
@@ -79,6 +82,7 @@
   | "again"
   | "refuse"
   | "blocked"
+  | "overdue"
   | "key_removed"
   | "unknown";
 
@@ -165,6 +169,7 @@
       if (admission === "blocked") return this.#refuse(BLOCKED);
       if (admission === "suspected") return this.#refuse(SUSPECTED);
       if (this.#context.isWriterGone) return this.#refuse(VERSION_GONE);
+      if (this.#isOverdue) return this.#refuse(OVERDUE);
       const plan = await this.#plan();
       if (this.#context.settled) return;
       if (plan === undefined) {
@@ -174,6 +179,7 @@
       const next = await this.#send(plan);
       if (this.#context.settled || next === "delivered") return;
       if (next === "refuse") return this.#refuse("endpoints_full");
+      if (next === "overdue") return this.#refuse(OVERDUE);
       if (next === "blocked") return this.#refuse(BLOCKED);
       if (next === KEY_REMOVED) return this.#refuse(KEY_REMOVED);
       if (next === "unknown") return this.#refuseAsUnknown();
@@ -277,8 +283,18 @@
     return await this.#deliver(response.value, attempt);
   }
 
+  /**
+   * True if no endpoint has run the request and its caller gives up before it
+   * can get a first byte. A send would be aborted, and the caller left with an
+   * unknown outcome or a broken-off stream instead of a refusal.
+   */
+  get #isOverdue(): boolean {
+    return this.#runs === 0 && this.#context.isOverdue;
+  }
+
   /** Why the request may no longer be sent; it may have waited meanwhile. */
   get #obstacle(): NextStep | undefined {
+    if (this.#isOverdue) return "overdue";
     if (this.#context.blockedMilliseconds > 0) return "blocked";
     if (this.#context.needsTrial) return "again";
     if (this.#context.isKeyRemoved) return KEY_REMOVED;
--- a/src/entry/forwarding/request_forwarder_test.ts
+++ b/src/entry/forwarding/request_forwarder_test.ts
@@ -301,6 +301,18 @@
       expect(caller.refusal?.status).to.equal(504);
     });
 
+    // It was sent all the same and aborted at once, so that its caller could not
+    // know whether it had run.
+    it("is refused as not run if it was read too late to be answered", async () => {
+      const harness = portal({ repeat: "once" });
+      const caller = await harness.submit(
+        makeRequest({ deadlineMilliseconds: 1_000, unreadMilliseconds: 990 }),
+      );
+      expect(harness.sent).to.have.length(0);
+      expect(caller.refusal?.status).to.equal(503);
+      expect(caller.refusal?.retryAfterMilliseconds).to.be.greaterThan(0);
+    });
+
     it("forwards the remaining time, not the caller's whole deadline", async () => {
       const harness = portal({ repeat: "idempotent" });
       await harness.submit(makeRequest({ deadlineMilliseconds: 900 }));
@@ -389,6 +401,20 @@
       return harness;
     }
 
+    // Callers give a stream up that has brought no event for its patience. It
+    // reached an engine with a rest of its deadline, in which it was broken off.
+    it("is refused as not run if its first event would come too late", async () => {
+      const harness = makeHarness({ ...route, patienceMilliseconds: 2_000 });
+      harness.dependencies.registry.upsert(makeEngine("a", "decode"));
+      const caller = await harness.submit(makeRequest({
+        prompt,
+        deadlineMilliseconds: 2_500,
+        unreadMilliseconds: 2_050,
+      }));
+      expect(harness.sent).to.have.length(0);
+      expect(caller.refusal?.status).to.equal(503);
+    });
+
     // Node throws on a header with a control character, and the stream could
     // not be taken up anywhere else than behind that event.
     it("is not resumed behind an event whose id no header can carry", async () => {
