--- a/scripts/soak_platform.ts
+++ b/scripts/soak_platform.ts
@@ -43,12 +43,16 @@
   }
   const violations = JSON.stringify(result.violations, undefined, 2);
   writeFileSync(join(folder, `${seed}-violations.json`), violations);
-  const evidence = JSON.stringify(result.evidence, shortenBody);
+  const evidence = JSON.stringify(result.evidence, toEvidence);
   writeFileSync(join(folder, `${seed}-record.json`), evidence);
 }
 
-/** Bodies are mostly padding; their beginning names the stream. */
-function shortenBody(key: string, value: unknown): unknown {
+/**
+ * Shortens bodies, which are mostly padding behind the name of the stream, and
+ * lists the entries of maps, which are written as empty otherwise.
+ */
+function toEvidence(key: string, value: unknown): unknown {
+  if (value instanceof Map) return [...value];
   return key === "body" && typeof value === "string"
     ? value.slice(0, MAX_BODY_LENGTH)
     : value;
