--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -53,7 +53,7 @@
   readonly pool: Pool;
   /** Absent where the caller needs no key. */
   readonly workspace?: Workspace;
-  /** When the request arrived. */
+  /** When the request arrived, unread or not. */
   readonly arrived: number;
   /** What has begun the stream that the caller takes up, if it takes up one. */
   readonly origin?: StreamOrigin;
@@ -275,6 +275,11 @@
     );
   }
 
+  /** True if the caller can't be sent a first byte any more. */
+  get isOverdue(): boolean {
+    return this.remainingToFirstByteMilliseconds < MIN_USEFUL_MILLISECONDS;
+  }
+
   /** Time since the request arrived, in milliseconds. */
   get elapsedMilliseconds(): number {
     return this.dependencies.timer.now() - this.arrived;
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -78,6 +78,9 @@
   "more_urgent",
 ]);
 
+/** The caller has given up, or does before it can get a first byte. */
+const OVERDUE = "overdue";
+
 /** Reason of a request whose handling has thrown. */
 const FAULT = "internal_error";
 
@@ -88,6 +91,7 @@
   | "refuse"
   | "blocked"
   | "stopping"
+  | "overdue"
   | "key_removed"
   | "unknown";
 
@@ -214,6 +218,7 @@
       if (admission === "suspected") return this.#refuse(SUSPECTED);
       if (this.#context.isWriterGone) return this.#refuse(VERSION_GONE);
       if (!this.#context.maySend("run")) return this.#refuse(STOPPING);
+      if (this.#isOverdue) return this.#refuse(OVERDUE);
       const plan = await this.#plan();
       if (this.#context.settled) return;
       if (plan === undefined) {
@@ -228,6 +233,7 @@
         const isStopping = !this.#context.maySend("run");
         return this.#refuse(isStopping ? STOPPING : "endpoints_full");
       }
+      if (next === "overdue") return this.#refuse(OVERDUE);
       if (next === "blocked") return this.#refuse(BLOCKED);
       if (next === STOPPING) return this.#refuse(STOPPING);
       if (next === KEY_REMOVED) return this.#refuse(KEY_REMOVED);
@@ -335,8 +341,18 @@
     return await this.#deliver(response.value, attempt);
   }
 
+  /**
+   * True if no endpoint has run the request and its caller gives up before it
+   * can get a first byte. A send would be aborted, and the caller left with an
+   * unknown outcome or a broken-off stream instead of a refusal.
+   */
+  get #isOverdue(): boolean {
+    return this.#runs === 0 && this.#context.isOverdue;
+  }
+
   /** Why the request may no longer be sent; it may have waited meanwhile. */
   get #obstacle(): NextStep | undefined {
+    if (this.#isOverdue) return "overdue";
     if (this.#context.blockedMilliseconds > 0) return "blocked";
     if (this.#context.needsTrial) return "again";
     if (this.#context.isKeyRemoved) return KEY_REMOVED;
