Take the end of a connection for whole only if its writer has outlived it

Streams whose body ends with its connection came as complete at event 21 or 39 of 40: their replica had been killed or had left, and the entry took the end for whole because the replica was not registered any more, or because another process listened at its address.

Cause: the check behind the end asked who listened then, and answered yes where nothing was known. An entry that was frozen asks so late that another process may have taken the address.

Change: a second connection is opened when such a body begins, in place of the one behind its end. It ends with the process that wrote the body, whatever an entry reads late and whoever listens then. Leaving and removal from the list count only where that connection shows nothing and nothing was read late.

The existing test, by which the answer of a replica that is no longer registered is complete, stays as it is: that replica answers behind its removal, which a killed one can't.

--- a/src/adapters/forwarding/endpoint_http_client.ts
+++ b/src/adapters/forwarding/endpoint_http_client.ts
@@ -10,6 +10,7 @@
   isAlone,
   type OutgoingRequest,
 } from "./endpoint_exchange.ts";
+import { SilentConnection } from "./endpoint_connection.ts";
 import { KeepAliveAgent } from "./keep_alive_agent.ts";
 
 /** Largest head of a response, bytes. */
@@ -103,6 +104,14 @@
     });
   }
 
+  /** Opens a connection that carries no request. */
+  connect(address: string): SilentConnection {
+    return new SilentConnection(
+      { host: hostOf(address), port: portOf(address) },
+      this.#options.timer,
+    );
+  }
+
   /**
    * Closes the idle connections to an address whose endpoint is no longer
    * registered. Connections in use stay open: an endpoint completes its running
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -30,36 +30,27 @@
 import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
 import { measurePauses } from "./measure_pauses.ts";
 import { verifyEnd } from "./verify_end.ts";
+import {
+  type EndEvidence,
+  type EndVerdict,
+  provesEnd,
+  WriterWatch,
+} from "./writer_watch.ts";
 
 /** Approximate size of a request's head, in bytes. */
 export const REQUEST_HEAD_BYTES = 700;
 /** Lowest status of a response that is not the result of the work. */
 const FIRST_ERROR_STATUS = 400;
 
-/**
- * Time from the end of a body to the check of its endpoint. A process that ends
- * closes its listening socket a moment after others.
- */
-const END_CHECK_DELAY_MILLISECONDS = 50;
-
 /** Maximum number and length of the ids of parts that are logged. */
 const MAX_LOGGED_PARTS = 8;
 const MAX_LOGGED_PART_LENGTH = 64;
 
-/** On what the verdict over an end that only the connection shows is based. */
-export type EndEvidence =
-  | "listening"
-  | "not_listening"
-  | "leaving"
-  | "not_registered"
-  | "registered_again";
-
 /** How the body of a response ends, for the log. */
 export interface BodyFacts {
   readonly framing?: BodyFraming;
   /** Present once a body has ended with its connection, and without a reset. */
   readonly endEvidence?: EndEvidence;
-  /** For how long that end may have waited to be read, milliseconds. */
   readonly endDelayMilliseconds?: number;
   /** Present if the response is a stream of events. */
   readonly insideEvent?: boolean;
@@ -97,9 +88,9 @@
   /** Measures the response of a decode engine whose pauses are bounded. */
   #pauses: StreamPauses | undefined;
   #framing: BodyFraming | undefined;
-  #end:
-    | Required<Pick<BodyFacts, "endEvidence" | "endDelayMilliseconds">>
-    | undefined;
+  /** Present while a body is received that ends with its connection. */
+  #watch: WriterWatch | undefined;
+  #end: EndVerdict | undefined;
   /** Present once a response has begun that is a stream of events. */
   #position: EventStreamPosition | undefined;
   #closed = false;
@@ -262,39 +253,27 @@
 
   /** The handle in the response to a prefill shows whether it is whole. */
   #verifyEnd(response: EndpointResponse): EndpointResponse {
-    if (this.#plan.options.prefillOnly) return response;
+    const { prefillOnly } = this.#plan.options;
+    const isVerified = !this.#closed && !prefillOnly &&
+      response.framing === "connection";
+    if (!isVerified) return response;
+    const watch = new WriterWatch({
+      dependencies: this.#dependencies,
+      endpoint: this.endpoint,
+    });
+    this.#watch = watch;
     const { guard } = this.#context;
-    return verifyEnd(response, { guard, isRunning: () => this.#isRunning() });
-  }
-
-  /**
-   * True if the run that was sent the request still accepts connections, or is
-   * leaving: it may close its listening socket before its last answers.
-   */
-  async #isRunning(): Promise<boolean> {
-    const { endpointClient, readDelayMilliseconds } = this.#dependencies;
-    const { address } = this.endpoint;
-    const endDelayMilliseconds = Math.round(readDelayMilliseconds());
-    const isListening = await endpointClient.keepsListening(
-      address,
-      Math.min(
-        END_CHECK_DELAY_MILLISECONDS,
-        Math.max(0, this.#context.remainingMilliseconds / 2),
-      ),
-    );
-    const endEvidence = this.#judgeEnd({ isListening });
-    this.#end = { endEvidence, endDelayMilliseconds };
-    return endEvidence !== "registered_again" &&
-      endEvidence !== "not_listening";
+    return verifyEnd(response, {
+      guard,
+      watch,
+      isWhole: () => this.#isWhole(watch),
+    });
   }
 
-  #judgeEnd({ isListening }: { readonly isListening: boolean }): EndEvidence {
-    const { id, startedAt } = this.endpoint;
-    const registered = this.#dependencies.registry.get(id);
-    if (registered === undefined) return "not_registered";
-    if (registered.startedAt !== startedAt) return "registered_again";
-    if (isListening) return "listening";
-    return registered.leaving ? "leaving" : "not_listening";
+  async #isWhole(watch: WriterWatch): Promise<boolean> {
+    const { remainingMilliseconds } = this.#context;
+    this.#end = await watch.judgeEnd(Math.max(0, remainingMilliseconds / 2));
+    return provesEnd(this.#end.endEvidence);
   }
 
   /** Records for how long an endpoint writes without a crash. */
@@ -510,6 +489,7 @@
 
   #close(): void {
     this.#closed = true;
+    this.#watch?.close();
     this.#outcome.end("inconclusive");
     if (this.#isSameRun) {
       this.#dependencies.availability.ended(this.endpoint.id);
--- a/src/entry/forwarding/forwarding_entry_test.ts
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -1,3 +1,4 @@
+import { makeConnection } from "../../../test/support/endpoint_connection.ts";
 import { expect } from "chai";
 import { err } from "neverthrow";
 import {
@@ -71,7 +72,8 @@
           listCachedParts: () => Promise.resolve(undefined),
           checkHealth: () => Promise.resolve(undefined),
           acceptsConnections: () => Promise.resolve(false),
-          keepsListening: () => Promise.resolve(true),
+          connect: () => makeConnection(true),
+          settle: () => Promise.resolve(),
           release() {},
         },
         digestOf,
--- a/src/entry/forwarding/network_interfaces.ts
+++ b/src/entry/forwarding/network_interfaces.ts
@@ -90,18 +90,36 @@
   ): Promise<EndpointHealthAnswer | undefined>;
   /** True if a process listens at the address, whatever it answers. */
   acceptsConnections(address: string): Promise<boolean>;
+  /** Opens a connection that carries no request; never throws. */
+  connect(address: string): EndpointConnection;
   /**
-   * True if a process still listens at the address once this time has passed,
-   * milliseconds.
+   * Settles once the connection is open or rejected, this time has passed,
+   * milliseconds, and what has arrived by then has been read.
    */
-  keepsListening(
-    address: string,
-    afterMilliseconds: number,
-  ): Promise<boolean>;
+  settle(connection: EndpointConnection, milliseconds: number): Promise<void>;
   /** Releases a cached prompt that will not be used. */
   release(address: string, handle: string): void;
 }
 
+/**
+ * State of a connection without a request. `rejected`: it was not accepted or
+ * was reset. `ended`: the endpoint has closed it.
+ */
+export type EndpointConnectionState =
+  | "opening"
+  | "open"
+  | "rejected"
+  | "ended";
+
+/** A connection to an endpoint that carries no request. */
+export interface EndpointConnection {
+  readonly state: EndpointConnectionState;
+  readonly opened: Promise<void>;
+  /** Time since its end was read; 0 before. */
+  readonly millisecondsSinceEnd: number;
+  close(): void;
+}
+
 /** Answer of a healthy endpoint to a request to its health path. */
 export interface EndpointHealthAnswer {
   /** Absent if the endpoint reports no load. */
--- a/src/entry/forwarding/verify_end.ts
+++ b/src/entry/forwarding/verify_end.ts
@@ -1,30 +1,41 @@
 import type { Guard } from "./forward_context.ts";
 import type { EndpointResponse } from "./network_interfaces.ts";
+import type { WriterWatch } from "./writer_watch.ts";
 
 export interface VerifyEndOptions {
+  readonly watch: Pick<WriterWatch, "close" | "onBytes" | "onPause">;
   /** True if the process that wrote the body has not ended with it. */
-  readonly isRunning: () => Promise<boolean>;
+  readonly isWhole: () => Promise<boolean>;
   readonly guard: Guard;
 }
 
 /**
- * Returns the response; a body that ends with its connection counts as cut if
- * its endpoint has ended too. The connections of a killed process end in order,
- * as they do behind a whole body.
+ * Returns a response whose body ends with its connection; it counts as cut
+ * unless it is proven that its endpoint has not ended with it. The connections
+ * of a killed process end in order, as they do behind a whole body.
  */
 export function verifyEnd(
   response: EndpointResponse,
-  { guard, isRunning }: VerifyEndOptions,
+  { guard, isWhole, watch }: VerifyEndOptions,
 ): EndpointResponse {
-  if (response.framing !== "connection") return response;
   return {
     ...response,
+    pause: () => {
+      watch.onPause();
+      response.pause();
+    },
     read: (onChunk, onEnd) =>
-      response.read(onChunk, (end) => {
-        if (end === "cut") return onEnd(end);
+      response.read((chunk) => {
+        watch.onBytes();
+        onChunk(chunk);
+      }, (end) => {
+        if (end === "cut") {
+          watch.close();
+          return onEnd(end);
+        }
         const settle = guard(onEnd);
-        isRunning().then(
-          (isWhole) => settle(isWhole ? "whole" : "cut"),
+        isWhole().then(
+          (whole) => settle(whole ? "whole" : "cut"),
           () => settle("cut"),
         );
       }),
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -1,3 +1,4 @@
+import { makeConnection } from "./endpoint_connection.ts";
 import { err } from "neverthrow";
 import {
   digestOf,
@@ -131,8 +132,8 @@
         checkHealth: checkHealth ?? (() => Promise.resolve(undefined)),
         acceptsConnections: (address) =>
           Promise.resolve(this.acceptsConnections(address)),
-        keepsListening: (address) =>
-          Promise.resolve(this.acceptsConnections(address)),
+        connect: (address) => makeConnection(this.acceptsConnections(address)),
+        settle: () => Promise.resolve(),
         release() {},
       },
       digestOf,
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -1,3 +1,4 @@
+import { makeConnection } from "./endpoint_connection.ts";
 import { err, ok, type Result } from "neverthrow";
 import { defineError, failure } from "../../src/core/errors/mod.ts";
 import {
@@ -264,7 +265,8 @@
       listCachedParts: () => Promise.resolve(undefined),
       checkHealth: () => Promise.resolve(undefined),
       acceptsConnections: () => Promise.resolve(false),
-      keepsListening: () => Promise.resolve(this.endpointsKeepListening),
+      connect: () => makeConnection(this.endpointsKeepListening),
+      settle: () => Promise.resolve(),
       release: (_, handle) => void this.released.push(handle),
     };
     const crashes = new CrashTracker({ timer });
