--- a/src/adapters/forwarding/caller_server_test.ts
+++ b/src/adapters/forwarding/caller_server_test.ts
@@ -38,7 +38,6 @@
     loopDelays = reported;
     onRead = () => {};
     port = await findFreePort();
-    const timer = new SystemTimerService();
     server = new CallerServer({
       host: "127.0.0.1",
       port,
