Bound the time and the pieces of an answer, not its bytes alone

What callers saw: a faulty replica answered with chunks of one byte or with comments without end, and requests to sound replicas of the same entry waited up to 2 s.

Cause: each chunk costs a parser callback, a buffer and a write to the caller, whatever its size. A read of 64 KiB with chunks of one byte takes 18 ms, and a read that fills its buffer is followed by the next one of the same connection. All bounds counted bytes.

Connections to endpoints, the store and the product's services now parse what they read in slices; a read that takes over 1 ms goes on in later turns, and all that wait share 4 ms of a turn. Pieces of one read become one write. A body with more than 4,096 pieces below 12 bytes at once and 4,096 a second is ended as cut, with the bound in its log line, and counts as a failure of its replica, but not as a crash. A discarded body has at most 64 pieces. A caller that doesn't read stops the connection to the endpoint, not only the parsed body, which would buffer thousands of pieces.

--- a/src/adapters/forwarding/endpoint_exchange.ts
+++ b/src/adapters/forwarding/endpoint_exchange.ts
@@ -195,7 +195,13 @@
     const notExecuted = verdict.kind === "not_run";
     const framing = framingOf(incoming, outgoing.method);
     this.#settle(
-      ok(createResponse({ ...head, notExecuted }, { framing, incoming })),
+      ok(
+        createResponse({ ...head, notExecuted }, {
+          framing,
+          incoming,
+          timer: this.#options.timer,
+        }),
+      ),
     );
   }
 
--- a/src/adapters/forwarding/endpoint_http_client.ts
+++ b/src/adapters/forwarding/endpoint_http_client.ts
@@ -3,6 +3,7 @@
 import type { TimerService } from "../../core/time/mod.ts";
 import type { EndpointResponse } from "../../entry/forwarding/network_interfaces.ts";
 import { readEntireBody } from "../../entry/forwarding/read_body.ts";
+import { PacedAgent } from "../http_client/mod.ts";
 import {
   CONNECT_TIMEOUT_MILLISECONDS,
   type DecodeHead,
@@ -54,7 +55,7 @@
       headers: [...outgoing.headers] as never,
       setHost: false,
       maxHeaderSize: MAX_HEAD_BYTES,
-      agent: isAlone(outgoing) ? false : this.#agentFor(address),
+      agent: isAlone(outgoing) ? new PacedAgent() : this.#agentFor(address),
     });
     return new EndpointExchange(clientRequest, { ...this.#options, outgoing });
   }
--- a/src/adapters/forwarding/endpoint_response.ts
+++ b/src/adapters/forwarding/endpoint_response.ts
@@ -1,10 +1,13 @@
 import type { IncomingMessage } from "node:http";
+import { SmallPieceBudget } from "../../core/forwarding/mod.ts";
+import type { TimerService } from "../../core/time/mod.ts";
 import type {
   BodyFraming,
   EndpointResponse,
   ReceivedBody,
 } from "../../entry/forwarding/network_interfaces.ts";
 import { detectReset } from "../http_client/mod.ts";
+import { PieceJoiner } from "./piece_joiner.ts";
 
 const FIRST_ERROR_STATUS = 400;
 /** Largest body of a failure. One without an end would fill the caller. */
@@ -19,9 +22,10 @@
 /** Makes the response of an endpoint of which the head has arrived. */
 export function createResponse(
   head: EndpointResponse["head"],
-  { framing, incoming }: {
+  { framing, incoming, timer }: {
     readonly framing: BodyFraming;
     readonly incoming: IncomingMessage;
+    readonly timer: TimerService;
   },
 ): EndpointResponse {
   // On a keep-alive connection each response would add listeners to the socket.
@@ -32,23 +36,32 @@
     ? MAX_FAILURE_BYTES
     : MAX_BODY_BYTES;
   const received: MutableReceivedBody = { pieces: 0, bytes: 0 };
+  const budget = new SmallPieceBudget(timer.now());
+  const record = ({ length }: Buffer) => {
+    received.pieces += 1;
+    received.bytes += length;
+    if (received.bytes > maxBytes) {
+      received.exceeded = `${received.bytes} bytes, at most ${maxBytes}`;
+    }
+    received.exceeded ??= budget.spend(length, () => timer.now());
+  };
   return {
     head,
     framing,
     received,
     read(onChunk, onEnd) {
       let ended = false;
+      const joiner = new PieceJoiner(onChunk);
       const end = (how: "whole" | "cut") => {
         if (ended) return;
         ended = true;
+        joiner.flush();
         onEnd(how);
       };
-      incoming.on("data", (chunk: Buffer) => {
+      incoming.on("data", (piece: Buffer) => {
         if (ended) return;
-        received.pieces += 1;
-        received.bytes += chunk.length;
-        if (received.bytes <= maxBytes) return onChunk(chunk);
-        received.exceeded = `${received.bytes} bytes, at most ${maxBytes}`;
+        record(piece);
+        if (received.exceeded === undefined) return joiner.push(piece);
         incoming.destroy();
         end("cut");
       });
@@ -58,8 +71,16 @@
       incoming.on("error", () => end("cut"));
       incoming.on("close", () => end("cut"));
     },
-    pause: () => void incoming.pause(),
-    resume: () => void incoming.resume(),
+    // The body alone would buffer thousands of small pieces before it stops
+    // its connection.
+    pause() {
+      incoming.pause();
+      if (!incoming.readableEnded) incoming.socket.pause();
+    },
+    resume() {
+      incoming.resume();
+      if (!incoming.readableEnded) incoming.socket.resume();
+    },
     close: () => void incoming.destroy(),
   };
 }
--- a/src/adapters/forwarding/keep_alive_agent.ts
+++ b/src/adapters/forwarding/keep_alive_agent.ts
@@ -1,5 +1,6 @@
 import { Agent, type ClientRequest } from "node:http";
 import type { Socket } from "node:net";
+import { hasUnparsedBytes, PacedAgent } from "../http_client/mod.ts";
 import { MAX_DELAY_MILLISECONDS } from "../time/mod.ts";
 
 /**
@@ -32,7 +33,7 @@
  * closed, so that the bytes cannot be taken for the response to the next
  * request.
  */
-export class KeepAliveAgent extends Agent {
+export class KeepAliveAgent extends PacedAgent {
   readonly #idleListeners = new WeakMap<Socket, () => void>();
 
   constructor(maxConnections: number) {
@@ -65,7 +66,8 @@
         Number(timeoutMatch[1]) * 1_000 * IDLE_TIMEOUT_FRACTION,
         MAX_DELAY_MILLISECONDS,
       );
-    if (idleMilliseconds <= 0 || socket.destroyed) return false;
+    const isReusable = !socket.destroyed && !hasUnparsedBytes(socket);
+    if (idleMilliseconds <= 0 || !isReusable) return false;
     const destroy = () => socket.destroy();
     socket.setTimeout(idleMilliseconds, destroy);
     socket.on("data", destroy);
--- a/src/adapters/http_client/mod.ts
+++ b/src/adapters/http_client/mod.ts
@@ -1,10 +1,11 @@
 /** HTTP client for the platform's services and for endpoints. */
-import { Agent, type IncomingMessage, request } from "node:http";
+import { type IncomingMessage, request } from "node:http";
 import { err, ok, type Result } from "../../core/errors/result.ts";
 import { type Failure, failure } from "../../core/errors/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
 import { detectReset, framingOf } from "./body_framing.ts";
 import { hedgedCall } from "./hedged_call.ts";
+import { PacedAgent } from "./paced_socket.ts";
 import {
   HTTP_CLOSED,
   HTTP_NO_ANSWER,
@@ -13,6 +14,7 @@
 } from "./errors.ts";
 
 export { detectReset, framingOf } from "./body_framing.ts";
+export { hasUnparsedBytes, PacedAgent } from "./paced_socket.ts";
 
 /**
  * `http_not_sent`: no byte was sent. With the other failures the call may have
@@ -93,12 +95,12 @@
 export class HttpClient {
   readonly #baseUrl: URL;
   readonly #timer: TimerService;
-  readonly #agent: Agent;
+  readonly #agent: PacedAgent;
 
   constructor(baseUrl: string, options: HttpClientOptions) {
     this.#baseUrl = new URL(baseUrl);
     this.#timer = options.timer;
-    this.#agent = new Agent({
+    this.#agent = new PacedAgent({
       keepAlive: true,
       noDelay: true,
       maxSockets: options.mostConnections ?? Infinity,
@@ -112,7 +114,7 @@
     let abortReason: string | undefined;
     const outgoing = request(url, {
       method: options.method,
-      agent: options.useNewConnection ? false : this.#agent,
+      agent: options.useNewConnection ? new PacedAgent() : this.#agent,
       headers: buildHeaders(options),
     });
     const response = new Promise<Result<IncomingMessage, HttpFailure>>(
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -23,6 +23,7 @@
   judgeAnswer,
   MISDIRECTED_STATUS,
 } from "./answers/judge_answer.ts";
+export { SmallPieceBudget } from "./answers/small_piece_budget.ts";
 export { type PauseBound, RouteTable, selectPool } from "./route_table.ts";
 export {
   authenticate,
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -146,8 +146,10 @@
     if (this.#closed) return;
     const { availability } = this.#dependencies;
     this.#pauses?.end({ whole: end === "whole" });
-    if (end === "cut") this.#recordLoss();
-    else if (status < 500) this.#recordCompletion();
+    // A body that the entry ended says nothing on its endpoint's process.
+    const isLost = end === "cut" && this.#received?.exceeded === undefined;
+    if (isLost) this.#recordLoss();
+    else if (end === "whole" && status < 500) this.#recordCompletion();
     if (this.#isSameRun) {
       if (end === "whole" && status < 500) {
         availability.recordSuccess(this.endpoint.id);
--- a/src/entry/forwarding/read_body.ts
+++ b/src/entry/forwarding/read_body.ts
@@ -3,6 +3,8 @@
 
 /** Bounds on a body that nobody reads, behind which its connection closes. */
 const MAX_DISCARDED_BYTES = 64 * 1024;
+/** A rejection has a short body; small pieces cost more than their bytes. */
+const MAX_DISCARDED_PIECES = 64;
 const DISCARD_TIMEOUT_MILLISECONDS = 500;
 
 /**
@@ -39,6 +41,9 @@
   );
   response.read((chunk) => {
     size += chunk.length;
-    if (size > MAX_DISCARDED_BYTES) response.close();
+    const pieces = response.received?.pieces ?? 0;
+    const isTooLong = size > MAX_DISCARDED_BYTES ||
+      pieces > MAX_DISCARDED_PIECES;
+    if (isTooLong) response.close();
   }, () => timeout.cancel());
 }
