Move the end of a planned stop with a grace period that changes

An entry whose grace period a SIGHUP shortened after the SIGTERM went on by the old one until it was killed: what was open then was cut without an answer, and the entry stayed on the list of the fleet.

Cause: the times at which the entry stops listening and cuts open requests were timers, set when the stop began. Both are now looked at each 25 ms against the grace period in force.

--- a/src/adapters/forwarding/caller_server.ts
+++ b/src/adapters/forwarding/caller_server.ts
@@ -10,7 +10,7 @@
   LoopDelay,
   type PlannedStop,
 } from "../../core/forwarding/mod.ts";
-import type { Subscription, TimerService } from "../../core/time/mod.ts";
+import type { TimerService } from "../../core/time/mod.ts";
 import type {
   CallerSink,
   ForwardingRefusal,
@@ -121,7 +121,7 @@
   #bufferedBodyBytes = 0;
   readonly #openRequests = new Set<OpenRequest>();
   #isStopping = false;
-  #idleCloseTimer: Subscription | undefined;
+  #isClosed = false;
   #onDrained: (() => void) | undefined;
   /** Connections that have not carried a whole request yet. */
   readonly #newConnections = new Set<Socket>();
@@ -174,16 +174,13 @@
    * Completes open requests and closes each connection after its response.
    * Settles when no request is open and no new connection may bring one.
    */
-  stop(): Promise<void> {
+  async stop(): Promise<void> {
     this.#options.plannedStop.request();
     this.#isStopping = true;
     this.#server.keepAliveTimeout = KEEP_ALIVE_AFTER_STOP_MILLISECONDS;
-    return new Promise((resolve) => {
-      this.#idleCloseTimer = this.#options.timer.after(
-        this.#options.plannedStop.listeningMilliseconds,
-        () => this.#endListening(resolve),
-      );
-    });
+    await this.#options.plannedStop.listeningEnd();
+    if (this.#isClosed) return;
+    await new Promise<void>((resolve) => this.#endListening(resolve));
   }
 
   /** Stops listening, and waits for what the last connections bring. */
@@ -230,7 +227,7 @@
   }
 
   close(): void {
-    this.#idleCloseTimer?.cancel();
+    this.#isClosed = true;
     this.#server.close();
     for (const { sink } of this.#openRequests) sink.breakOff();
     this.#server.closeAllConnections();
--- a/src/core/forwarding/admission/planned_stop.ts
+++ b/src/core/forwarding/admission/planned_stop.ts
@@ -21,6 +21,12 @@
 /** Time in which the end of a response reaches the caller. */
 const DELIVERY_MILLISECONDS = 50;
 
+/**
+ * Interval at which the times of a stop are looked at: the grace period may
+ * change after the stop was requested.
+ */
+const CHECK_INTERVAL_MILLISECONDS = 25;
+
 /** Options of a `PlannedStop`. */
 export interface PlannedStopOptions {
   readonly timer: TimerService;
@@ -80,6 +86,16 @@
     return this.#durationMilliseconds - this.#elapsedMilliseconds;
   }
 
+  /** Resolves at the end of the stop, when open requests are cut. */
+  async end(): Promise<void> {
+    await this.#until(() => this.remainingMilliseconds <= 0);
+  }
+
+  /** Resolves once no more connections are taken. */
+  async listeningEnd(): Promise<void> {
+    await this.#until(() => !this.takesRequests);
+  }
+
   /** Time until no more connections are taken, in milliseconds. */
   get listeningMilliseconds(): number {
     const duration = this.#durationMilliseconds;
@@ -107,6 +123,19 @@
     return needed + DELIVERY_MILLISECONDS <= this.remainingMilliseconds;
   }
 
+  #until(condition: () => boolean): Promise<void> {
+    return new Promise((resolve) => {
+      const checks = this.#options.timer.every(
+        CHECK_INTERVAL_MILLISECONDS,
+        () => {
+          if (!condition()) return;
+          checks.cancel();
+          resolve();
+        },
+      );
+    });
+  }
+
   get #elapsedMilliseconds(): number {
     const { timer } = this.#options;
     return this.sinceRequest(timer.now()) ?? -Infinity;
--- a/src/core/forwarding/admission/planned_stop_test.ts
+++ b/src/core/forwarding/admission/planned_stop_test.ts
@@ -55,6 +55,34 @@
     }
   });
 
+  describe("a grace period that changes behind the request to stop", () => {
+    // The times were set when the stop began, so that the entry went on until
+    // it was killed.
+    it("moves the end of the stop, and of taking connections", async () => {
+      stop.request();
+      let hasEnded = false;
+      let hasClosed = false;
+      void stop.end().then(() => hasEnded = true);
+      void stop.listeningEnd().then(() => hasClosed = true);
+      await timer.advance(1_400);
+      expect([hasClosed, hasEnded]).to.deep.equal([false, false]);
+      graceMilliseconds = 2_000;
+      await timer.advance(50);
+      expect([hasClosed, hasEnded]).to.deep.equal([true, false]);
+      await timer.advance(300);
+      expect([hasClosed, hasEnded]).to.deep.equal([true, true]);
+    });
+
+    it("refuses what can no longer end", async () => {
+      await observe(1_000);
+      stop.request();
+      await timer.advance(1_000);
+      expect(maySend()).to.equal(true);
+      graceMilliseconds = 2_000;
+      expect(maySend()).to.equal(false);
+    });
+  });
+
   describe("a request that may be sent", () => {
     // A request that would be cut at the end was passed on: its caller can't
     // tell whether it has run, and must not repeat it if it is unsafe.
