Count a planned stop from when its signal may have come

An entry whose event loop was late when it was stopped took the moment at which it handled the signal for the signal's own. It passed on requests until the kill came, and callers got no answer to them.

Cause: the kernel delivers a signal at once, Node.js handles it in the event loop.

--- a/src/adapters/forwarding/caller_server.ts
+++ b/src/adapters/forwarding/caller_server.ts
@@ -125,7 +125,7 @@
   #onDrained: (() => void) | undefined;
   /** Connections that have not carried a whole request yet. */
   readonly #newConnections = new Set<Socket>();
-  #lastSampleAt = 0;
+  #lastSampleAt: number;
   #lastSampledDelay = 0;
   /** True while input is read that may have come before the last sample. */
   #readsEarlierInput = false;
@@ -133,6 +133,7 @@
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
+    this.#lastSampleAt = options.timer.now();
     this.#server = createServer({
       keepAlive: true,
       noDelay: true,
--- a/src/core/forwarding/admission/planned_stop.ts
+++ b/src/core/forwarding/admission/planned_stop.ts
@@ -59,9 +59,12 @@
     this.routeTimes = new RouteTimes(options.timer);
   }
 
-  /** Starts the stop; later calls have no effect. */
-  request(): void {
-    this.#requestedAt ??= this.#options.timer.now();
+  /**
+   * Starts the stop; later calls have no effect. `lateMilliseconds`: time by
+   * which the signal may have come earlier, as of a late event loop.
+   */
+  request({ lateMilliseconds = 0 } = {}): void {
+    this.#requestedAt ??= this.#options.timer.now() - lateMilliseconds;
   }
 
   /** The grace period in force, in milliseconds. */
--- a/src/core/forwarding/admission/planned_stop_test.ts
+++ b/src/core/forwarding/admission/planned_stop_test.ts
@@ -83,6 +83,14 @@
     });
   });
 
+  // The kernel delivers the signal at once, and the kill comes by that time.
+  it("counts from the time at which the signal may have come", () => {
+    stop.request({ lateMilliseconds: 900 });
+    stop.request();
+    expect(stop.remainingMilliseconds).to.equal(6_600);
+    expect(stop.listeningMilliseconds).to.equal(1_600);
+  });
+
   describe("a request that may be sent", () => {
     // A request that would be cut at the end was passed on: its caller can't
     // tell whether it has run, and must not repeat it if it is unsafe.
