Refuse what waits for a slot of a stopping entry before it is too late

Requests that waited for a slot at the product's entry while it was stopped got one until the last moment and ended as unknown when the entry did; the others learned only then that they had not run.

Cause: a stopping entry admits nothing new, but what it has admitted before was sent whatever time was left of `shutdownSeconds`.

The entry now asks PlannedStop, with the times observed for the request's class, each 25 ms for the requests that wait for a slot, and once more when one gets its slot. Those that may have run are not touched: an interrupted stream is resumed as before, as it could not be refused as not run.

The entry was not run as a process under load until its end, nor was the side.

--- a/src/entry/entry_core.ts
+++ b/src/entry/entry_core.ts
@@ -1,3 +1,4 @@
+import { PlannedStop } from "../core/forwarding/mod.ts";
 import type {
   AvailabilityZoneId,
   EndpointId,
@@ -99,6 +100,9 @@
   readonly guards?: EntryGuardOverrides;
 }
 
+/** Interval at which a stopping entry refuses what waits for too long. */
+const STOP_CHECK_MILLISECONDS = 25;
+
 /**
  * Core of an entry: admits, queues and places callers' requests, reads the log,
  * and relays the configuration and orders in force to the sides. It owns no
@@ -108,6 +112,7 @@
   readonly #options: EntryOptions;
   readonly #logger: Logger;
   readonly #emitEvent: EmitEvent;
+  readonly #plannedStop: PlannedStop;
   readonly #peers: PeerDirectory;
   readonly #log: RegionLog;
   readonly #scheduler: Scheduler;
@@ -130,6 +135,10 @@
         incarnation: options.incarnation,
       },
     });
+    this.#plannedStop = new PlannedStop({
+      timer: options.timer,
+      graceMilliseconds: () => options.limits.shutdownSeconds * 1000,
+    });
     this.#peers = new PeerDirectory({
       ...options,
       ...options.times,
@@ -173,19 +182,27 @@
   /**
    * Graceful shutdown: refuses new requests and reports `draining` on the
    * health page at once, so that the load balancer stops sending traffic;
-   * releases the claims; waits for open requests up to the limit, then ends the
-   * remaining ones with a refusal or an unknown outcome.
+   * releases the claims; waits for open requests up to the limit and refuses
+   * those that wait once they could no longer end, then ends the remaining ones
+   * with a refusal or an unknown outcome.
    */
   async stop(): Promise<void> {
     this.#draining = true;
+    this.#plannedStop.request();
     this.#intake.close();
     this.#emitEvent("entry_draining", { cause: "stop" });
     this.#relay.close();
-    const limit = this.#options.limits.shutdownSeconds * 1000;
+    const { limits, timer } = this.#options;
+    const limit = limits.shutdownSeconds * 1000;
+    const checks = timer.every(
+      STOP_CHECK_MILLISECONDS,
+      () => this.#intake.abortLate("The entry is shutting down"),
+    );
     await Promise.all([
       this.#log.releaseClaims(),
       this.#intake.whenIdleWithin(limit),
     ]);
+    checks.cancel();
     this.#intake.abortAll("The entry is shutting down");
     this.halt();
   }
@@ -419,6 +436,7 @@
       directory: this.#directory,
       onceCoordinator: this.#createOnceCoordinator(),
       mostAttempts: limits.mostAttempts,
+      plannedStop: this.#plannedStop,
       tracer: tracer ?? NOOP_TRACER,
       emitEvent: this.#emitEvent,
     };
--- a/src/entry/request_intake.ts
+++ b/src/entry/request_intake.ts
@@ -106,6 +106,13 @@
     });
   }
 
+  /** Refuses the requests that wait and could no longer end before the stop. */
+  abortLate(detail: string): void {
+    for (const run of [...this.#openRuns]) {
+      if (run.isWaiting && !run.mayBeSent) run.abort(detail);
+    }
+  }
+
   /** Ends every open request with a refusal or an unknown outcome. */
   abortAll(detail: string): void {
     for (const run of [...this.#openRuns]) run.abort(detail);
--- a/src/entry/request_run.ts
+++ b/src/entry/request_run.ts
@@ -119,6 +119,25 @@
     });
   }
 
+  /** True while the request waits for a slot of an endpoint. */
+  get isWaiting(): boolean {
+    return this.#waiting !== undefined;
+  }
+
+  /**
+   * False if a stopping entry would end the request before its answer, and it
+   * can be refused as not run instead. An interrupted stream is resumed all the
+   * same.
+   */
+  get mayBeSent(): boolean {
+    const { context, profile } = this.options;
+    return this.#mayHaveRun || context.plannedStop.maySend({
+      route: profile.className,
+      step: "run",
+      boundMilliseconds: profile.deadline - context.timer.now(),
+    });
+  }
+
   /** The caller reads again; resumes the stream. */
   drained(): void {
     this.#attempt?.resume();
@@ -158,6 +177,10 @@
       placed.value.release(UNUSED_SLOT_SUMMARY);
       return err(noEndpoint("the request has already ended"));
     }
+    if (!this.mayBeSent) {
+      placed.value.release(UNUSED_SLOT_SUMMARY);
+      return err(STOPPING_REFUSAL);
+    }
     this.options.context.emitEvent("request_placed", {
       requestId: this.options.request.requestId,
       endpoint: placed.value.endpoint,
@@ -195,8 +218,15 @@
       placement,
       assembler: this.assembler,
     });
+    const { plannedStop } = this.options.context;
+    const time = plannedStop.routeTimes.start(
+      this.options.profile.className,
+      "run",
+    );
     const end = await this.#attempt.ended;
     this.#attempt = undefined;
+    if (end.kind === "complete") time.end();
+    else time.cancel();
     if (end.kind !== "complete") {
       this.#lastFailure = end.reason;
       this.#excluded.add(placement.endpoint);
@@ -374,6 +404,14 @@
   }
 }
 
+/** Refusal of a request that would be sent too late in a planned stop. */
+const STOPPING_REFUSAL: Refusal = {
+  kind: "not_run",
+  reason: "draining",
+  detail: "The entry is shutting down",
+  retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS,
+};
+
 /** Attempt summary for releasing an unused slot. */
 export const UNUSED_SLOT_SUMMARY: AttemptSummary = {
   result: "cancelled",
--- a/src/entry/run_context.ts
+++ b/src/entry/run_context.ts
@@ -1,3 +1,4 @@
+import type { PlannedStop } from "../core/forwarding/mod.ts";
 import type { SideLink } from "../core/links/mod.ts";
 import type { EmitEvent, Tracer } from "../core/observation/mod.ts";
 import type { OnceCoordinator } from "../core/once/mod.ts";
@@ -14,6 +15,8 @@
   readonly onceCoordinator: OnceCoordinator;
   /** Maximum attempts per request, including the first. */
   readonly mostAttempts: number;
+  /** Decides what is still sent after the entry was asked to stop. */
+  readonly plannedStop: PlannedStop;
   readonly tracer: Tracer;
   readonly emitEvent: EmitEvent;
 }
