Refuse the attempts that wait at a side when it is stopped

An attempt that waited for a slot of a stopping side was refused only when the slot came free, and its entry could not place it elsewhere meanwhile; behind a call that outlasts the stop it was not told at all before the side's last moment.

Cause: only attempts that arrive, or get their slot, were compared with the state of the side. It now refuses all waiting ones when it is asked to stop; none of them has begun.

attempt_executor_test.ts, "refuses the attempts that wait once it may run no more": of two waiting calls none is refused without the change while the first one runs, both are with it. The test of a side that is stopped as a process passes.

--- a/src/core/limits/endpoint_limiter.ts
+++ b/src/core/limits/endpoint_limiter.ts
@@ -314,6 +314,14 @@
     );
   }
 
+  /** Refuses all that wait for a slot. */
+  refuseWaiting(): void {
+    for (const waiter of this.#waiting.splice(0)) {
+      waiter.deadlineTimer?.cancel();
+      waiter.resolve(err(this.#saturatedRefusal()));
+    }
+  }
+
   #expire(waiter: Waiter): void {
     const index = this.#waiting.indexOf(waiter);
     if (index === -1) return;
--- a/src/side/attempt_executor.ts
+++ b/src/side/attempt_executor.ts
@@ -148,6 +148,11 @@
     return this.#options.guards?.isDuplicate?.(attemptId) ?? isDuplicate;
   }
 
+  /** Refuses the attempts that wait for a slot, as none will start any more. */
+  refuseWaiting(): void {
+    this.#limiter.refuseWaiting();
+  }
+
   /** Ends all running attempts so that their entries resume them elsewhere. */
   async migrateAll(): Promise<void> {
     const running = [...this.#running.values()];
@@ -195,7 +200,10 @@
     });
     this.#preemptForUrgent();
     const slot = await pendingSlot;
-    if (slot.isErr()) return this.#refuse(context, slot.error.name);
+    if (slot.isErr()) {
+      const reason = this.#closedReason(attempt) ?? slot.error.name;
+      return this.#refuse(context, reason);
+    }
     const isRefused = this.#start(context, slot.value);
     if (isRefused) slot.value.release();
   }
--- a/src/side/attempt_executor_test.ts
+++ b/src/side/attempt_executor_test.ts
@@ -148,6 +148,26 @@
     );
   }
 
+  // The side is stopped while a call runs and another one waits for its slot.
+  // The waiting call was told only when the slot came free, or not at all if
+  // the call before it lasted longer than the stop; its caller could not tell
+  // whether it had run.
+  it("refuses the attempts that wait once it may run no more", async () => {
+    await send(serviceCall("a"));
+    await send({ ...serviceCall("b", 8), once: undefined });
+    await send({ ...serviceCall("c", 9), once: undefined });
+    closedReason = "draining";
+    executor.refuseWaiting();
+    await timer.advance(0);
+    expect(finalFrames()).to.deep.equal([
+      "not_run draining",
+      "not_run draining",
+    ]);
+    endpoint.answer(ok(RESPONSE));
+    await timer.advance(0);
+    expect(endpoint.calls).to.equal(1);
+  });
+
   describe("a non-idempotent call", () => {
     // The network delivers the message twice. A side that ran both would use
     // the permit twice.
--- a/src/side/side_core.ts
+++ b/src/side/side_core.ts
@@ -172,13 +172,14 @@
   }
 
   /**
-   * Graceful shutdown: refuses new work at once, lets running work finish
+   * Graceful shutdown: refuses new and waiting work at once, lets running work finish
    * within the limit, and has the remaining work resumed elsewhere.
    * Non-idempotent calls are waited for until the end of the limit.
    */
   async stop(): Promise<void> {
     this.#leaving = true;
     this.#emitEvent("side_draining", { cause: "stop" });
+    this.#executor.refuseWaiting();
     await this.#executor.whenIdleWithin(
       this.#options.limits.shutdownSeconds * 1000,
     );
