--- a/src/core/forwarding/admission/planned_stop.ts
+++ b/src/core/forwarding/admission/planned_stop.ts
@@ -21,6 +21,12 @@
 /** Time in which the end of a response reaches the caller. */
 const DELIVERY_MILLISECONDS = 50;
 
+/**
+ * Interval at which the times of a stop are looked at: the grace period may
+ * change after the stop was requested.
+ */
+const CHECK_INTERVAL_MILLISECONDS = 25;
+
 /** Options of a `PlannedStop`. */
 export interface PlannedStopOptions {
   readonly timer: TimerService;
@@ -53,9 +59,12 @@
     this.routeTimes = new RouteTimes(options.timer);
   }
 
-  /** Starts the stop; later calls have no effect. */
-  request(): void {
-    this.#requestedAt ??= this.#options.timer.now();
+  /**
+   * Starts the stop; later calls have no effect. `lateMilliseconds`: time by
+   * which the signal may have come earlier, as of a late event loop.
+   */
+  request({ lateMilliseconds = 0 } = {}): void {
+    this.#requestedAt ??= this.#options.timer.now() - lateMilliseconds;
   }
 
   /** The grace period in force, in milliseconds. */
@@ -80,6 +89,16 @@
     return this.#durationMilliseconds - this.#elapsedMilliseconds;
   }
 
+  /** Resolves at the end of the stop, when open requests are cut. */
+  async end(): Promise<void> {
+    await this.#until(() => this.remainingMilliseconds <= 0);
+  }
+
+  /** Resolves once no more connections are taken. */
+  async listeningEnd(): Promise<void> {
+    await this.#until(() => !this.takesRequests);
+  }
+
   /** Time until no more connections are taken, in milliseconds. */
   get listeningMilliseconds(): number {
     const duration = this.#durationMilliseconds;
@@ -107,6 +126,19 @@
     return needed + DELIVERY_MILLISECONDS <= this.remainingMilliseconds;
   }
 
+  #until(condition: () => boolean): Promise<void> {
+    return new Promise((resolve) => {
+      const checks = this.#options.timer.every(
+        CHECK_INTERVAL_MILLISECONDS,
+        () => {
+          if (!condition()) return;
+          checks.cancel();
+          resolve();
+        },
+      );
+    });
+  }
+
   get #elapsedMilliseconds(): number {
     const { timer } = this.#options;
     return this.sinceRequest(timer.now()) ?? -Infinity;
