Add a run of streams under faults of entries and replicas

Streams were complete to their callers before their last event. No test kills, terminates, freezes and restarts entries and replicas, at the same time, under streams of each framing and callers of HTTP/1.0 and HTTP/1.1.

--- /dev/null
+++ b/scripts/stream_faults.ts
@@ -0,0 +1,50 @@
+/**
+ * `npm run stream-faults -- [--seed N] [--seeds N] [--seconds N]`: runs callers
+ * of streams while entries and replicas are killed, terminated, frozen and
+ * started again. Prints one line of JSON per seed; the exit code is 0 only if
+ * no stream was out of order. `--logs FOLDER` saves the entries' logs of seeds
+ * with violations.
+ */
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import process from "node:process";
+import { parseArgs } from "node:util";
+import { runStreamFaults } from "../platform/test/stream_faults/stream_faults.ts";
+import "./build_platform.ts";
+
+const { values } = parseArgs({
+  options: {
+    seed: { type: "string", default: "1" },
+    seeds: { type: "string", default: "1" },
+    seconds: { type: "string", default: "60" },
+    callers: { type: "string", default: "60" },
+    logs: { type: "string" },
+  },
+});
+
+let failedRuns = 0;
+const first = Number(values.seed);
+for (let seed = first; seed < first + Number(values.seeds); seed++) {
+  const { faults, log, violations, ...counts } = await runStreamFaults({
+    seed,
+    seconds: Number(values.seconds),
+    callers: Number(values.callers),
+  });
+  console.log(JSON.stringify({
+    seed,
+    ...counts,
+    faults: faults.length,
+    violations: violations.length,
+    problems: violations.map(({ problem, stream }) =>
+      `HTTP/${stream.version} ${stream.path}: ${problem}`
+    ),
+  }));
+  if (violations.length === 0) continue;
+  failedRuns += 1;
+  if (values.logs === undefined) continue;
+  mkdirSync(values.logs, { recursive: true });
+  const facts = JSON.stringify({ faults, violations }, undefined, 2);
+  writeFileSync(join(values.logs, `${seed}-violations.json`), facts);
+  writeFileSync(join(values.logs, `${seed}-entries.log`), log);
+}
+process.exit(failedRuns === 0 ? 0 : 1);
--- a/test/support/scripted_replica.ts
+++ b/test/support/scripted_replica.ts
@@ -21,10 +21,12 @@
     this.#script = script;
   }
 
-  async listen(): Promise<string> {
-    await new Promise<void>((resolve) =>
-      this.#server.listen(0, "127.0.0.1", resolve)
-    );
+  /** Listens on the port, or on a free one if it is 0. */
+  async listen(port = 0): Promise<string> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, "127.0.0.1", resolve);
+    });
     return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
   }
 
