--- a/test/support/scripted_replica.ts
+++ b/test/support/scripted_replica.ts
@@ -21,7 +21,7 @@
     this.#script = script;
   }
 
-  /** Listens at the port, or at a free one. */
+  /** Listens on the port, or on a free one if it is 0. */
   async listen(port = 0): Promise<string> {
     await new Promise<void>((resolve, reject) => {
       this.#server.once("error", reject);
