Hold answers without a length to callers of HTTP/1.0 until they are whole

Cause: they know no chunks, so an answer without a length ends with its connection, and the operating system of a killed process ends that in order.

The product's own entry is unchanged: its answers have a length and its streams end with [DONE].

--- a/src/adapters/forwarding/caller_response.ts
+++ b/src/adapters/forwarding/caller_response.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from "node:http";
+import type { HeldBodies, HeldBody } from "./held_bodies.ts";
 import type {
   CallerSink,
   ForwardingRefusal,
@@ -8,21 +9,52 @@
 /** HTTP authentication scheme of callers' API keys. */
 const AUTHENTICATION_SCHEME = "Bearer";
 
-/** The HTTP response to one caller's request. */
+/** Statuses of responses that have no body. */
+const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
+
+/** The endpoint has run the request, and its body can't be passed on. */
+const TOO_LARGE_REFUSAL: ForwardingRefusal = {
+  status: 502,
+  reason: "body_too_large_to_hold",
+};
+
+export interface CallerResponseOptions {
+  /** Whether to close the connection after the response. */
+  readonly isStopping: () => boolean;
+  /** Holds bodies whose length the caller has to know before them. */
+  readonly heldBodies: HeldBodies;
+}
+
+/** A response that is sent once its body is whole. */
+interface HeldResponse {
+  readonly status: number;
+  readonly headers: readonly string[];
+  readonly body: HeldBody;
+}
+
+/**
+ * The HTTP response to one caller's request. A caller of HTTP/1.0 knows no
+ * chunks, and the operating system of a killed entry ends its connection as
+ * behind a whole body, so a body without a length is held until it is whole.
+ */
 export class CallerResponse implements CallerSink {
   readonly #response: ServerResponse;
-  readonly #isStopping: () => boolean;
+  readonly #options: CallerResponseOptions;
+  readonly #disconnectListeners: (() => void)[] = [];
+  #held: HeldResponse | undefined;
   /** True if the response has a `Content-Length`. */
   #hasLength = false;
   #isFinished = false;
   #isDisconnected = false;
 
-  /** `isStopping`: whether to close the connection after the response. */
-  constructor(response: ServerResponse, isStopping: () => boolean) {
+  constructor(response: ServerResponse, options: CallerResponseOptions) {
     this.#response = response;
-    this.#isStopping = isStopping;
+    this.#options = options;
     response.on("error", () => {});
-    response.on("close", () => this.#isDisconnected = true);
+    response.on("close", () => {
+      this.#isDisconnected = true;
+      this.#held?.body.release();
+    });
   }
 
   get isDisconnected(): boolean {
@@ -34,12 +66,35 @@
     this.#hasLength = headers.some((name, index) =>
       index % 2 === 0 && name.toLowerCase() === "content-length"
     );
+    if (this.#needsLength(status)) {
+      const body = this.#options.heldBodies.open();
+      this.#held = { status, headers, body };
+      return;
+    }
+    this.#writeHead(status, headers);
+    this.#response.flushHeaders();
+  }
+
+  #writeHead(status: number, headers: readonly string[]): void {
     this.#response.sendDate = false;
     this.#response.writeHead(
       status,
       this.#withConnectionHeader(headers) as never,
     );
-    this.#response.flushHeaders();
+  }
+
+  #needsLength(status: number): boolean {
+    const { httpVersionMajor, httpVersionMinor, method } = this.#response.req;
+    const knowsChunks = httpVersionMajor > 1 || httpVersionMinor > 0;
+    return !knowsChunks && !this.#hasLength && method !== "HEAD" &&
+      !STATUSES_WITHOUT_BODY.has(status);
+  }
+
+  /** Answers in place of a body that is too large, and ends the work on it. */
+  #rejectHeld(): void {
+    this.#held?.body.release();
+    this.refuse(TOO_LARGE_REFUSAL);
+    for (const listener of this.#disconnectListeners) listener();
   }
 
   get bufferedBytes(): number {
@@ -48,13 +103,22 @@
 
   write(chunk: Buffer): boolean {
     if (this.#isDisconnected || this.#isFinished) return true;
+    if (this.#held !== undefined) {
+      if (!this.#held.body.push(chunk)) this.#rejectHeld();
+      return true;
+    }
     return this.#response.write(chunk);
   }
 
   finish(): void {
     if (this.#isFinished) return;
     this.#isFinished = true;
-    this.#response.end();
+    const held = this.#held;
+    if (held === undefined) return void this.#response.end();
+    const body = held.body.take();
+    const length = ["Content-Length", String(body.length)];
+    this.#writeHead(held.status, [...held.headers, ...length]);
+    this.#response.end(body);
   }
 
   abort(): void {
@@ -68,6 +132,7 @@
   }
 
   onDisconnect(listener: () => void): void {
+    this.#disconnectListeners.push(listener);
     this.#response.on("close", () => {
       if (!this.#isFinished) listener();
     });
@@ -83,8 +148,8 @@
 
   /**
    * Closes the connection so that the response looks truncated. Without its
-   * last chunk or full length it does; a body that ends with its connection,
-   * as callers of HTTP/1.0 get it, needs a reset.
+   * last chunk or full length it does; a body that ends with its connection
+   * needs a reset.
    */
   breakOff(): void {
     const response = this.#response;
@@ -119,7 +184,7 @@
   }
 
   #withConnectionHeader(headers: readonly string[]): string[] {
-    return this.#isStopping()
+    return this.#options.isStopping()
       ? [...headers, "Connection", "close"]
       : [...headers];
   }
--- a/src/adapters/forwarding/caller_server.ts
+++ b/src/adapters/forwarding/caller_server.ts
@@ -13,6 +13,7 @@
 } from "../../entry/forwarding/network_interfaces.ts";
 import { stopListening } from "../http_server/mod.ts";
 import { CallerResponse } from "./caller_response.ts";
+import { HeldBodies } from "./held_bodies.ts";
 
 /** Upper bound of the header size; the configured limit is smaller. */
 const MAX_HEADER_BYTES = 64 * 1024;
@@ -115,6 +116,7 @@
 export class CallerServer {
   readonly #options: CallerServerOptions;
   readonly #server: Server;
+  readonly #heldBodies = new HeldBodies();
   #bufferedBodyBytes = 0;
   readonly #openRequests = new Set<OpenRequest>();
   #isStopping = false;
@@ -239,7 +241,10 @@
     const chunks: Buffer[] = [];
     let bodyBytes = 0;
     let refused = false;
-    const sink = new CallerResponse(outgoing, () => this.#isStopping);
+    const sink = new CallerResponse(outgoing, {
+      isStopping: () => this.#isStopping,
+      heldBodies: this.#heldBodies,
+    });
     const openRequest = { incoming, sink };
     this.#openRequests.add(openRequest);
     outgoing.on("close", () => this.#onResponseClosed(openRequest, bodyBytes));
