Add the time of its turn to the time for which a request was unread

Requests that a late event loop had queued up were sent with more time than their callers had left, and cut or answered behind their deadline, by as long as the work of those read before them in the same turn took.

Cause: CallerServer took the longer one of the delay of the last sample and the time since it. A request that is read in the turn of a sample may have waited through both.

Change: it adds them for what is read in that turn. First requests of a connection that are read later count as before.

--- a/src/adapters/forwarding/caller_server.ts
+++ b/src/adapters/forwarding/caller_server.ts
@@ -348,10 +348,7 @@
     const readAt = this.#options.timer.now();
     const loopDelayMilliseconds = this.loopDelayMilliseconds;
     const isFirst = this.#newConnections.delete(incoming.socket);
-    // The first request of a connection may have waited to be accepted.
-    const unreadMilliseconds = isFirst || this.#readsEarlierInput
-      ? loopDelayMilliseconds
-      : this.#currentDelay;
+    const unreadMilliseconds = this.#unreadMilliseconds(isFirst);
     const isLate = loopDelayMilliseconds >= LOOP_DELAY_THRESHOLD_MILLISECONDS;
     if (!isLate && !isFirst) return this.#options.handle(request, sink);
     // The first callback still runs in the current event-loop iteration.
@@ -370,6 +367,18 @@
     );
   }
 
+  /** Longest time for which the request that has been read may have waited. */
+  #unreadMilliseconds(isFirst: boolean): number {
+    if (this.#readsEarlierInput) {
+      // It may have come before the last sample and waits for all that is read
+      // before it in the same turn.
+      const sinceSample = this.#options.timer.now() - this.#lastSampleAt;
+      return this.#lastSampledDelay + sinceSample;
+    }
+    // The first request of a connection may have waited to be accepted.
+    return isFirst ? this.loopDelayMilliseconds : this.#currentDelay;
+  }
+
   #bodyRefusal(bodyBytes: number): ForwardingRefusal | undefined {
     if (bodyBytes > this.#options.limits().mostBodyBytes) {
       return { status: 413, reason: "body_too_large" };
