End a caller's request body of small pieces without an end

What callers saw: beside 4 callers that send a request body in chunks of one byte without an end, 0 of 39 requests of others were served within 0.5 s (none at all), and the entry grew by 624 MB; beside 40, 0 of 32 and 586 MB. The connections stayed open.

Cause: a body was bounded by its bytes (4 MiB), while each of its chunks held a buffer of its own and cost a callback; behind the refusal the body was read on.

A request body now has the bound of small pieces that answers have. Over it the entry answers 413, closes the connection at once and logs the value and the bound; the pieces of one read are joined before they are kept.

--- a/src/adapters/forwarding/caller_server.ts
+++ b/src/adapters/forwarding/caller_server.ts
@@ -5,7 +5,11 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import { type ForwardedRequest, LoopDelay } from "../../core/forwarding/mod.ts";
+import {
+  type ForwardedRequest,
+  LoopDelay,
+  SmallPieceBudget,
+} from "../../core/forwarding/mod.ts";
 import type { Subscription, TimerService } from "../../core/time/mod.ts";
 import type {
   CallerSink,
@@ -13,6 +17,7 @@
 } from "../../entry/forwarding/network_interfaces.ts";
 import { stopListening } from "../http_server/mod.ts";
 import { CallerResponse } from "./caller_response.ts";
+import { PieceJoiner } from "./piece_joiner.ts";
 
 /** Upper bound of the header size; the configured limit is smaller. */
 const MAX_HEADER_BYTES = 64 * 1024;
@@ -250,12 +255,25 @@
       refused = true;
       sink.refuse({ status: 411, reason: "length_required" });
     }
+    const budget = new SmallPieceBudget(this.#options.timer.now());
+    let isEnded = false;
+    const joiner = new PieceJoiner((bytes) => void chunks.push(bytes));
     incoming.on("data", (chunk: Buffer) => {
+      if (isEnded) return;
       bodyBytes += chunk.length;
       this.#bufferedBodyBytes += chunk.length;
+      const exceeded = budget.spend(
+        chunk.length,
+        () => this.#options.timer.now(),
+      );
+      if (exceeded !== undefined) {
+        isEnded = refused = true;
+        chunks.length = 0;
+        return this.#endBody(openRequest, exceeded);
+      }
       if (refused) return;
       const refusal = this.#bodyRefusal(bodyBytes);
-      if (refusal === undefined) return void chunks.push(chunk);
+      if (refusal === undefined) return joiner.push(chunk);
       refused = true;
       chunks.length = 0;
       sink.refuse(refusal);
@@ -264,10 +282,19 @@
     incoming.on("end", () => {
       if (refused || sink.isDisconnected) return;
       if (this.#isClosing) return sink.refuse(STOPPING_REFUSAL);
+      joiner.flush();
       this.#decode(incoming, { sink, body: Buffer.concat(chunks) });
     });
   }
 
+  /** Refuses a body of too many pieces, and reads no more of it. */
+  #endBody({ incoming, sink }: OpenRequest, exceeded: string): void {
+    this.#options.onProtocolError(`a request body has ${exceeded}`);
+    sink.refuse({ status: 413, reason: "too_many_pieces" });
+    // Later, the same connection would be read up to 32 times before.
+    incoming.socket.destroy();
+  }
+
   /** Decodes a request and passes it on; a throw ends this request only. */
   #decode(
     incoming: IncomingMessage,
