Find a first part that crashes replicas by what is cleared beside it

Cause: ends whose requests were sent before the last end was known count as one, so that four to eight ends made the block of three (2 s, then 5 s), and each trial behind it ended a further replica. Any suspect with two crashes also took over the part's lost runs: it was neither held nor blocked for them.

Change: a first part stands out if no run has cleared it, while at least two of its losses are telling: something else that was lost with the run has been cleared of it since, by a run that had to last as long, or the run was a trial behind a block. It is then judged like any other part, and its lost runs decide on the length of its block. Only culprits keep a first part from being held, and an owner grants no trial of what it blocks.

--- a/src/core/forwarding/crashes/crash_tracker.ts
+++ b/src/core/forwarding/crashes/crash_tracker.ts
@@ -317,7 +317,7 @@
       this.#acquittals.record(digest as SuspectDigest, beganAt);
       this.reports.discard(digest as SuspectDigest, beganAt);
       if (suspect === undefined) continue;
-      suspect.acquit(beganAt);
+      this.#recordCleared(suspect, beganAt);
       if (suspect.lostRuns === 0) this.#suspects.delete(suspect.digest);
     }
     if (proofs.length > 0) this.#changed();
@@ -410,8 +410,19 @@
     lostRun.digests.add(digest);
   }
 
+  /** Drops the losses before `beganAt`; returns false if there are none. */
+  #recordCleared(suspect: Suspect, beganAt: number): boolean {
+    const runs = suspect.acquit(beganAt);
+    if (runs.length === 0) return false;
+    for (const other of this.#suspects.values()) {
+      if (other === suspect || !other.isFirstPart) continue;
+      other.recordOtherCleared(suspect, { beganAt, runs });
+    }
+    return true;
+  }
+
   #acquit(suspect: Suspect, beganAt: number): boolean {
-    if (!suspect.acquit(beganAt)) return false;
+    if (!this.#recordCleared(suspect, beganAt)) return false;
     const { digest } = suspect;
     this.#proofs.record(digest, beganAt);
     this.#acquittals.record(digest, beganAt);
@@ -444,6 +455,7 @@
   #noteBlocked(suspect: Suspect): void {
     const { blockedUntil = -Infinity, digest, isOwn } = suspect;
     const now = this.#options.timer.now();
+    suspect.blockedAt ??= now;
     suspect.blockedUntil = now + this.#blockedMilliseconds(suspect);
     if (blockedUntil > now) return;
     const losses = suspect.report(now);
--- a/src/core/forwarding/crashes/crash_tracker_test.ts
+++ b/src/core/forwarding/crashes/crash_tracker_test.ts
@@ -225,6 +225,129 @@
         .to.equal(10 * MINUTE_MILLISECONDS);
     });
 
+    describe("beside sound parts", () => {
+      const [document, otherDocument] = ["document", "other-document"].map(
+        (each) => identifier<PartDigest>(each),
+      );
+      const OTHER_FIRST = identifier<PartDigest>("other-first");
+
+      /** Loses a first part with endpoints, at the same time. */
+      function loseFirst(digest: PartDigest, ...endpoints: string[]): void {
+        const knownBefore = tracker.crashCount(digest);
+        for (const endpoint of endpoints) {
+          const options = { digest, knownBefore, isFirstPart: true };
+          tracker.lost(makeEndpoint(endpoint), options);
+        }
+      }
+
+      /** Clears the suspect by a run that begins now. */
+      async function clear(digest: PartDigest): Promise<void> {
+        await timer.advance(1);
+        tracker.recordCompletion([digest]);
+      }
+
+      // Documents that are asked for often were blocked in its place, and freed
+      // it again, so that it went on to crash endpoints.
+      it("is blocked if only the other first parts of its crashes are cleared", async () => {
+        crashWithFirst("a", document);
+        crashWithFirst("b", document, otherDocument);
+        crashWithFirst("c", document, otherDocument);
+        expect(isBlocked(document)).to.equal(true);
+        loseFirst(OTHER_FIRST, "a", "b");
+        await clear(OTHER_FIRST);
+        expect(isBlocked(document)).to.equal(true);
+        crashWithFirst("d", otherDocument);
+        expect(isBlocked(FIRST)).to.equal(true);
+        expect(isBlocked(document)).to.equal(false);
+        expect(isBlocked(otherDocument)).to.equal(false);
+      });
+
+      it("is not blocked if it is cleared like the others", async () => {
+        for (const endpoint of ["a", "b", "c"]) {
+          crashWithFirst(endpoint, document);
+        }
+        loseFirst(OTHER_FIRST, "a", "b");
+        await timer.advance(1);
+        tracker.recordCompletion([OTHER_FIRST, FIRST]);
+        crashWithFirst("d", document);
+        expect(isBlocked(document)).to.equal(true);
+        expect(isBlocked(FIRST)).to.equal(false);
+      });
+
+      // An entry that has just started knows no run of a sound part.
+      it("is not blocked as long as nothing is cleared", () => {
+        for (const endpoint of ["a", "b"]) crashWithFirst(endpoint, document);
+        for (const endpoint of ["c", "d", "e"]) {
+          crashWithFirst(endpoint, otherDocument);
+        }
+        loseFirst(OTHER_FIRST, "a", "b", "c", "d");
+        expect(isBlocked(FIRST)).to.equal(false);
+      });
+
+      // Five endpoints that crashed before the first loss was known gave the
+      // block of three, and each trial behind it crashed a further one.
+      it("has the block of all lost runs if only others are cleared", async () => {
+        loseFirst(FIRST, "a", "b", "c");
+        for (const endpoint of ["d", "e"]) crashWithFirst(endpoint);
+        expect(tracker.blockedMilliseconds([FIRST])).to.equal(2_000);
+        tracker = new CrashTracker({ timer });
+        loseFirst(FIRST, "a", "b", "c");
+        loseFirst(OTHER_FIRST, "a", "b");
+        await clear(OTHER_FIRST);
+        for (const endpoint of ["d", "e"]) crashWithFirst(endpoint);
+        expect(tracker.blockedMilliseconds([FIRST]))
+          .to.equal(10 * MINUTE_MILLISECONDS);
+      });
+
+      // A run that clears a document may be too short for what it holds besides.
+      it("is not compared with what a shorter run clears", async () => {
+        tracker.lost(makeEndpoint("a"), {
+          digest: FIRST,
+          isFirstPart: true,
+          knownBefore: 0,
+          lasted: 300,
+        });
+        for (const endpoint of ["b", "c"]) {
+          crashWithFirst(endpoint, document, otherDocument);
+        }
+        crashWithFirst("d", document);
+        await clear(otherDocument);
+        expect(isBlocked(document)).to.equal(true);
+        expect(isBlocked(FIRST)).to.equal(false);
+      });
+
+      // Trials run one at a time, so that each of them tells.
+      it("has the block of all lost runs with a trial that crashes", async () => {
+        loseFirst(FIRST, "a", "b");
+        loseFirst(OTHER_FIRST, "a");
+        await clear(OTHER_FIRST);
+        for (const endpoint of ["c", "d"]) crashWithFirst(endpoint);
+        expect(tracker.blockedMilliseconds([FIRST])).to.equal(2_000);
+        await timer.advance(2_000);
+        crashWithFirst("e");
+        expect(tracker.blockedMilliseconds([FIRST]))
+          .to.equal(10 * MINUTE_MILLISECONDS);
+      });
+
+      // What is blocked has no runs that could clear it.
+      it("keeps a short block if others are cleared by runs behind its start", async () => {
+        loseFirst(FIRST, "a", "b", "c");
+        for (const endpoint of ["d", "e"]) crashWithFirst(endpoint);
+        loseFirst(OTHER_FIRST, "a", "b", "c", "d", "e");
+        await clear(OTHER_FIRST);
+        expect(tracker.blockedMilliseconds([FIRST])).to.equal(1_999);
+      });
+
+      // It was sent on at any rate as long as a document was in the same crashes.
+      it("runs once at a time although others were in several of its crashes", () => {
+        for (const endpoint of ["a", "b"]) crashWithFirst(endpoint, document);
+        expect(tracker.verdictOn([FIRST])).to.deep.include({
+          kind: "held",
+          digests: [FIRST],
+        });
+      });
+    });
+
     it("is free once a run of it has lasted longer than the lost ones", async () => {
       for (const endpoint of ["a", "b", "c"]) crashWithFirst(endpoint);
       await timer.advance(2_000);
--- a/src/core/forwarding/crashes/culprits.ts
+++ b/src/core/forwarding/crashes/culprits.ts
@@ -8,7 +8,7 @@
 /** What has crashed endpoints. */
 export interface Culprits {
   readonly suspects: ReadonlySet<Suspect>;
-  /** True if something else accounts for the loss of the run. */
+  /** True if another culprit accounts for the loss of the run. */
   readonly explains: (run: string, suspect: Suspect) => boolean;
 }
 
@@ -18,14 +18,16 @@
  * only in flight beside a culprit thus has no crash of its own. The first parts
  * of prompts come last: they are in flight in most crashes, whatever caused
  * them, so a crash counts against one only if nothing else that was in it was in
- * several.
+ * several. A first part that stands out is judged like any other suspect: a few
+ * crashes have some sound document in common by chance.
  */
 export function findCulprits(suspects: Iterable<Suspect>): Culprits {
   const repeaters = [...suspects]
     .filter((each) => each.confirmedCrashes() >= CRASHES_OF_REPEATER)
     .sort((left, right) =>
-      Number(left.isFirstPart) - Number(right.isFirstPart) ||
+      Number(comesLast(left)) - Number(comesLast(right)) ||
       right.lostRuns - left.lostRuns ||
+      Number(left.isFirstPart) - Number(right.isFirstPart) ||
       (left.digest < right.digest ? -1 : 1)
     );
   const runsOfOthers = new Set(
@@ -36,11 +38,12 @@
   const culpritOf = new Map<string, Suspect>();
   const explains = (run: string, suspect: Suspect) => {
     const culprit = culpritOf.get(run);
-    const isOtherCulprit = culprit !== undefined && culprit !== suspect;
-    return isOtherCulprit || (suspect.isFirstPart && runsOfOthers.has(run));
+    return culprit !== undefined && culprit !== suspect;
   };
   for (const suspect of repeaters) {
-    const crashes = suspect.confirmedCrashes((run) => !explains(run, suspect));
+    const isCounted = (run: string) =>
+      !explains(run, suspect) && !(comesLast(suspect) && runsOfOthers.has(run));
+    const crashes = suspect.confirmedCrashes(isCounted);
     if (crashes < CRASHES_UNTIL_BLOCKED) continue;
     culprits.add(suspect);
     for (const run of suspect.confirmedRuns) {
@@ -49,3 +52,7 @@
   }
   return { suspects: culprits, explains };
 }
+
+function comesLast({ isFirstPart, standsOut }: Suspect): boolean {
+  return isFirstPart && !standsOut;
+}
--- a/src/core/forwarding/crashes/suspect.ts
+++ b/src/core/forwarding/crashes/suspect.ts
@@ -19,8 +19,16 @@
   lasted: number;
   /** False while the run may be alive. */
   isConfirmed: boolean;
+  /**
+   * True if something else that was lost with the run has been cleared of it
+   * since, while this suspect could run as well, or if the run was a trial.
+   */
+  isTelling?: boolean;
 }
 
+/** Number of telling losses with which a first part stands out. */
+const MIN_TELLING_LOSSES = 2;
+
 /**
  * A request or a part of prompts that was in flight when endpoints crashed, with
  * the losses that nothing has disproved since.
@@ -31,6 +39,8 @@
   readonly isFirstPart: boolean;
   /** True if this entry has observed one of the losses. */
   isOwn = false;
+  /** Start of its first block, milliseconds; undefined if it was not blocked. */
+  blockedAt: number | undefined;
   /** End of its last block, milliseconds; undefined if it was not blocked. */
   blockedUntil: number | undefined;
   lastLossAt = -Infinity;
@@ -55,6 +65,17 @@
     return this.#losses.size;
   }
 
+  /**
+   * True for a first part that no run has cleared of its losses, while others
+   * that were lost beside it have been cleared of them. A sound part that many
+   * requests share is cleared among the first.
+   */
+  get standsOut(): boolean {
+    const telling = [...this.#losses.values()]
+      .filter(({ isConfirmed, isTelling }) => isConfirmed && isTelling);
+    return this.isFirstPart && telling.length >= MIN_TELLING_LOSSES;
+  }
+
   /** Keys of the runs whose loss is confirmed. */
   get confirmedRuns(): readonly string[] {
     return [...this.#losses].flatMap(([key, { isConfirmed }]) =>
@@ -94,7 +115,8 @@
     const known = this.#losses.get(key);
     if (known !== undefined) known.lasted = Math.min(known.lasted, loss.lasted);
     else {
-      this.#losses.set(key, loss);
+      const isTelling = this.#isTrial(loss);
+      this.#losses.set(key, { ...loss, isTelling });
       this.lastLossAt = Math.max(this.lastLossAt, loss.lostAt);
     }
     return known === undefined;
@@ -113,16 +135,42 @@
   }
 
   /**
-   * Drops the losses before this time; returns false if there are none. The time
+   * Drops the losses before this time; returns the keys of their runs. The time
    * that a proof needs does not shrink: some runs may crash later than others.
    */
-  acquit(before: number): boolean {
-    const size = this.#losses.size;
+  acquit(before: number): readonly string[] {
     this.#longestDisproved = this.#longestLost;
-    for (const [key, { lostAt }] of this.#losses) {
-      if (lostAt <= before) this.#losses.delete(key);
+    const cleared = [...this.#losses].flatMap(([key, { lostAt }]) =>
+      lostAt <= before ? [key] : []
+    );
+    for (const key of cleared) this.#losses.delete(key);
+    return cleared;
+  }
+
+  /**
+   * Records that `other` has been cleared of the loss of these runs by a run that
+   * began at `beganAt`. Nothing follows from one that this suspect may share and
+   * is too short to clear it, nor, as what is blocked has no runs, from one that
+   * began while it was blocked.
+   */
+  recordOtherCleared(
+    other: Suspect,
+    { beganAt, runs }: {
+      readonly beganAt: number;
+      readonly runs: readonly string[];
+    },
+  ): void {
+    if (beganAt >= (this.blockedAt ?? Infinity)) return;
+    if (other.survivalMilliseconds < this.survivalMilliseconds) return;
+    for (const run of runs) {
+      const loss = this.#losses.get(run);
+      if (loss !== undefined) loss.isTelling = true;
     }
-    return this.#losses.size < size;
+  }
+
+  /** True if the run began behind a block: trials run one at a time. */
+  #isTrial({ lasted, lostAt }: SuspectLoss): boolean {
+    return lostAt - lasted >= (this.blockedUntil ?? Infinity);
   }
 
   /** The confirmed losses, as reported to peers. */
--- a/src/entry/forwarding/crashes/trial_exchange.ts
+++ b/src/entry/forwarding/crashes/trial_exchange.ts
@@ -165,8 +165,9 @@
     const { entry, holder } = params;
     const digest = identifier<SuspectDigest>(params.digest);
     const proofAge = crashes.recentProofAge(digest);
+    const isBlocked = crashes.blockedMilliseconds([digest]) > 0;
     const isGranted = proofAge === undefined && !params.isInquiry &&
-      issuer.request(digest, holder);
+      !isBlocked && issuer.request(digest, holder);
     const knowsMore = crashes.crashCount(digest) > params.crashes;
     const answer: TrialAnswer = {
       entry: self,
--- a/src/entry/forwarding/crashes/trial_exchange_test.ts
+++ b/src/entry/forwarding/crashes/trial_exchange_test.ts
@@ -105,4 +105,13 @@
     expect(await request(PART, "one")).to.equal(false);
     expect(asking.crashes.verdictOn([PART]).kind).to.equal("free");
   });
+
+  // An entry that has just started may know too little for the block.
+  it("is not granted for what the owner blocks", async () => {
+    for (const endpoint of ["a", "b", "c"]) {
+      const knownBefore = owner.crashes.crashCount(PART);
+      owner.crashes.lost(makeEndpoint(endpoint), { digest: PART, knownBefore });
+    }
+    expect(await request(PART, "one")).to.equal(false);
+  });
 });
