Read the connections of callers and peers in slices, too

Beside 40 callers that send request bodies in chunks of one byte, 21 of 40 requests of others were served within 0.5 s, the slowest after 1.4 s, at a load of 6, although the entry ends such a body after 4,096 pieces.

Cause: Node's server parses one read of 64 KiB of each connection whole, past the socket's stream, in about 18 ms with chunks of one byte.

Change: the slices of PacedSocket become a function for any socket, paceReads. The servers for callers and peers, also of the product's own entry, call it for each connection, with a listener that makes Node read through the stream.

--- a/src/adapters/callers/caller_api_server.ts
+++ b/src/adapters/callers/caller_api_server.ts
@@ -13,7 +13,7 @@
   Refusal,
 } from "../../core/requests/mod.ts";
 import { runStep } from "../../core/time/mod.ts";
-import { stopListening } from "../http_server/mod.ts";
+import { paceConnections, stopListening } from "../http_server/mod.ts";
 import type { Work } from "../../generated/messages.ts";
 import {
   EventStreamSink,
@@ -90,6 +90,7 @@
         response.destroy();
       });
     });
+    paceConnections(this.#server);
     this.#server.on("clientError", (error, socket) => {
       this.#onClientError(error, socket as Socket);
     });
--- a/src/adapters/forwarding/caller_server.ts
+++ b/src/adapters/forwarding/caller_server.ts
@@ -16,7 +16,7 @@
   CallerSink,
   ForwardingRefusal,
 } from "../../entry/forwarding/network_interfaces.ts";
-import { stopListening } from "../http_server/mod.ts";
+import { paceConnections, stopListening } from "../http_server/mod.ts";
 import { CallerResponse } from "./caller_response.ts";
 import { HeldBodies } from "./held_bodies.ts";
 import { PieceJoiner } from "./piece_joiner.ts";
@@ -152,6 +152,7 @@
       requestTimeout: 0,
       requireHostHeader: true,
     }, (incoming, outgoing) => this.#receive(incoming, outgoing));
+    paceConnections(this.#server);
     this.#server.on("connection", (socket) => this.#onConnection(socket));
     this.#server.on("clientError", (cause, socket) => {
       options.onProtocolError(cause.message);
@@ -316,7 +317,6 @@
   #endBody({ incoming, sink }: OpenRequest, exceeded: string): void {
     this.#options.onProtocolError(`a request body has ${exceeded}`);
     sink.refuse({ status: 413, reason: "too_many_pieces" });
-    // Later, the same connection would be read up to 32 times before.
     incoming.socket.destroy();
   }
 
--- a/src/adapters/forwarding/keep_alive_agent.ts
+++ b/src/adapters/forwarding/keep_alive_agent.ts
@@ -1,6 +1,7 @@
 import { Agent, type ClientRequest } from "node:http";
 import type { Socket } from "node:net";
-import { hasUnparsedBytes, PacedAgent } from "../http_client/mod.ts";
+import { PacedAgent } from "../http_client/mod.ts";
+import { hasUnparsedBytes } from "../paced_reads/mod.ts";
 import { MAX_DELAY_MILLISECONDS } from "../time/mod.ts";
 
 /**
--- a/src/adapters/http_client/mod.ts
+++ b/src/adapters/http_client/mod.ts
@@ -5,7 +5,7 @@
 import type { TimerService } from "../../core/time/mod.ts";
 import { detectReset, framingOf } from "./body_framing.ts";
 import { hedgedCall } from "./hedged_call.ts";
-import { PacedAgent } from "./paced_socket.ts";
+import { PacedAgent } from "./paced_agent.ts";
 import {
   HTTP_CLOSED,
   HTTP_NO_ANSWER,
@@ -14,7 +14,7 @@
 } from "./errors.ts";
 
 export { detectReset, framingOf } from "./body_framing.ts";
-export { hasUnparsedBytes, PacedAgent } from "./paced_socket.ts";
+export { PacedAgent } from "./paced_agent.ts";
 
 /**
  * `http_not_sent`: no byte was sent. With the other failures the call may have
--- a/src/adapters/http_client/paced_agent_test.ts
+++ b/src/adapters/http_client/paced_agent_test.ts
@@ -7,7 +7,7 @@
 const HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 const PIECES = 60_000;
 
-describe("PacedSocket", () => {
+describe("PacedAgent", () => {
   let server: Server;
 
   async function ask(
--- a/src/adapters/http_server/mod.ts
+++ b/src/adapters/http_server/mod.ts
@@ -1,2 +1,3 @@
 /** What HTTP servers for callers have in common. */
+export { paceConnections } from "./pace_connections.ts";
 export { stopListening } from "./stop_listening.ts";
--- a/src/adapters/paced_reads/read_pacer.ts
+++ b/src/adapters/paced_reads/read_pacer.ts
@@ -1,5 +1,4 @@
-import { Agent, type AgentOptions } from "node:http";
-import { Socket, type TcpNetConnectOpts } from "node:net";
+import type { Socket } from "node:net";
 
 /**
  * Bytes that are parsed at once. Chunks of one byte cost about 2 microseconds
@@ -16,11 +15,11 @@
  * loop. Many costly connections then share this time, and each takes its turn.
  */
 class ReadQueue {
-  readonly #waiting = new Set<PacedSocket>();
+  readonly #waiting = new Set<ReadPacer>();
   #isScheduled = false;
 
-  add(socket: PacedSocket): void {
-    this.#waiting.add(socket);
+  add(pacer: ReadPacer): void {
+    this.#waiting.add(pacer);
     if (this.#isScheduled) return;
     this.#isScheduled = true;
     setImmediate(() => this.#work());
@@ -30,10 +29,10 @@
     this.#isScheduled = false;
     const end = performance.now() + TURN_MILLISECONDS;
     const waiting = [...this.#waiting];
-    for (const socket of waiting) {
+    for (const pacer of waiting) {
       if (performance.now() >= end) break;
-      this.#waiting.delete(socket);
-      socket.continueRead();
+      this.#waiting.delete(pacer);
+      pacer.continueRead();
     }
     const [next] = this.#waiting;
     if (next !== undefined) this.add(next);
@@ -42,109 +41,97 @@
 
 const readQueue = new ReadQueue();
 
+const pacers = new WeakMap<Socket, ReadPacer>();
+
 /**
- * A connection whose bytes are parsed in slices: a read that takes long goes on
- * in later turns of the event loop, and nothing more is read meanwhile. Work of
- * one read is otherwise bounded by its bytes only, and a body of small chunks
- * keeps the event loop from all other connections.
+ * Parses what the connection reads in slices: a read that takes long goes on in
+ * later turns of the event loop, and nothing more is read meanwhile. Work of one
+ * read is otherwise bounded by its bytes only, and a body of small chunks keeps
+ * the event loop from all other connections.
  */
-export class PacedSocket extends Socket {
+export function paceReads(socket: Socket): void {
+  pacers.set(socket, new ReadPacer(socket));
+}
+
+/** True for a paced connection with bytes behind those parsed so far. */
+export function hasUnparsedBytes(socket: Socket): boolean {
+  return pacers.get(socket)?.hasUnparsedBytes ?? false;
+}
+
+/** Takes the place of the methods with which a socket is read. */
+class ReadPacer {
+  readonly #socket: Socket;
+  readonly #push: Socket["push"];
+  readonly #read: Socket["_read"];
   /** Bytes that were read and not yet parsed. */
   #rest: Buffer | undefined;
   /** True if the other side has ended behind the rest. */
   #isEnding = false;
 
-  /** True if bytes wait that were read behind those parsed so far. */
+  constructor(socket: Socket) {
+    this.#socket = socket;
+    this.#push = socket.push.bind(socket);
+    this.#read = socket._read.bind(socket);
+    const resume = socket.resume.bind(socket);
+    socket.push = (chunk, encoding) => this.#receive(chunk, encoding);
+    socket._read = (size) => {
+      // Reads nothing more while a read waits.
+      if (this.#rest === undefined) this.#read(size);
+    };
+    socket.resume = () => {
+      if (this.#rest !== undefined) readQueue.add(this);
+      return resume();
+    };
+  }
+
   get hasUnparsedBytes(): boolean {
     return this.#rest !== undefined;
   }
 
   /** Called by the socket's handle with what it has read; null at the end. */
-  override push(chunk: Buffer | null, encoding?: BufferEncoding): boolean {
+  #receive(chunk: Buffer | null, encoding?: BufferEncoding): boolean {
     if (this.#rest !== undefined) {
       if (chunk === null) this.#isEnding = true;
       else this.#rest = Buffer.concat([this.#rest, chunk]);
       return false;
     }
     if (chunk === null || chunk.length <= SLICE_BYTES) {
-      return super.push(chunk, encoding);
+      return this.#push(chunk, encoding);
     }
     return this.#pushSlices(chunk);
   }
 
-  /** Reads nothing more while a read waits. */
-  override _read(size: number): void {
-    if (this.#rest === undefined) super._read(size);
-  }
-
-  override resume(): this {
-    if (this.#rest !== undefined) readQueue.add(this);
-    return super.resume();
-  }
-
   /** Parses more of a read that waits. */
   continueRead(): void {
+    const socket = this.#socket;
     const rest = this.#rest;
-    if (this.destroyed) this.#rest = undefined;
+    if (socket.destroyed) this.#rest = undefined;
     // `resume` continues a read that is paused.
-    if (rest === undefined || this.destroyed || this.isPaused()) return;
+    if (rest === undefined || socket.destroyed || socket.isPaused()) return;
     this.#rest = undefined;
     this.#pushSlices(rest);
-    if (this.#rest !== undefined || this.destroyed) return;
-    if (!this.#isEnding) return super._read(0);
-    super.push(null);
-    this.read(0);
+    if (this.#rest !== undefined || socket.destroyed) return;
+    if (!this.#isEnding) return this.#read(0);
+    this.#push(null);
+    socket.read(0);
   }
 
   /** False if a part of the bytes waits. Cheap bytes go in growing slices. */
   #pushSlices(bytes: Buffer): boolean {
+    const socket = this.#socket;
     const end = performance.now() + SLICE_MILLISECONDS;
     let start = 0;
     for (let size = SLICE_BYTES; start < bytes.length; size *= 2) {
       const isLast = bytes.length - start <= size;
       const slice = bytes.subarray(start, start + size);
       start += slice.length;
-      const mayContinue = super.push(slice);
+      const mayContinue = this.#push(slice);
       if (isLast) return mayContinue;
-      if (this.destroyed) return false;
-      if (performance.now() >= end || this.isPaused()) break;
+      if (socket.destroyed) return false;
+      if (performance.now() >= end || socket.isPaused()) break;
     }
     this.#rest = bytes.subarray(start);
-    if (!this.isPaused()) readQueue.add(this);
+    if (!socket.isPaused()) readQueue.add(this);
     return false;
   }
 }
-
-/** Methods that Node's agent calls. */
-interface AgentHooks {
-  createConnection(options: TcpNetConnectOpts): Socket;
-  keepSocketAlive(socket: Socket): boolean;
-}
-const AGENT_PROTOTYPE = Agent.prototype as unknown as AgentHooks;
-
-/** An agent whose connections share the event loop with all others. */
-export class PacedAgent extends Agent {
-  constructor(options: AgentOptions = {}) {
-    super(options);
-    const hooks = this as unknown as AgentHooks;
-    hooks.createConnection = openPaced;
-    hooks.keepSocketAlive = (socket) =>
-      !hasUnparsedBytes(socket) &&
-      AGENT_PROTOTYPE.keepSocketAlive.call(this, socket);
-  }
-}
-
-/**
- * True for a connection with bytes behind the end of an answer. They would be
- * taken for the answer to the next request.
- */
-export function hasUnparsedBytes(socket: Socket): boolean {
-  return socket instanceof PacedSocket && socket.hasUnparsedBytes;
-}
-
-/** Opens a connection as `net.connect` does. */
-function openPaced(options: TcpNetConnectOpts): Socket {
-  const socket = new PacedSocket(options);
-  if (options.timeout !== undefined) socket.setTimeout(options.timeout);
-  return socket.connect(options);
-}
--- a/src/adapters/peers/peer_server.ts
+++ b/src/adapters/peers/peer_server.ts
@@ -15,6 +15,7 @@
 import type { Validator } from "../../generated/validators.js";
 import { runStep } from "../../core/time/mod.ts";
 import { CoalescingWriter } from "../coalescing_writer/mod.ts";
+import { paceConnections } from "../http_server/mod.ts";
 import { CANNOT_LISTEN } from "./errors.ts";
 import { ATTEMPT_PATH, PEER_METHODS, RPC_PATH } from "./protocol.ts";
 
@@ -86,6 +87,7 @@
         response.destroy();
       });
     });
+    paceConnections(this.#server);
     // A long poll may take minutes; the client has its own timeout.
     this.#server.requestTimeout = 0;
   }
