Do not reuse a connection whose read goes on behind an answer

Node takes its listener off a connection at the end of an answer. Where the answer ended with a slice of a read, the slices behind it were passed to nobody, and the connection was kept for the next request. The rest of the read now waits, so that the connection counts as one with bytes left.

--- a/src/adapters/http_client/paced_socket.ts
+++ b/src/adapters/http_client/paced_socket.ts
@@ -107,7 +107,9 @@
       const mayContinue = super.push(slice);
       if (isLast) return mayContinue;
       if (this.destroyed) return false;
-      if (performance.now() >= end || this.isPaused()) break;
+      // Node stops to listen at the end of an answer.
+      const isUnread = this.listenerCount("data") === 0;
+      if (isUnread || performance.now() >= end || this.isPaused()) break;
     }
     this.#rest = bytes.subarray(start);
     if (!this.isPaused()) readQueue.add(this);
--- a/src/adapters/http_client/paced_socket_test.ts
+++ b/src/adapters/http_client/paced_socket_test.ts
@@ -107,4 +107,23 @@
     expect(connections).to.equal(1);
     agent.destroy();
   });
+
+  // Node takes its listener off the connection with the end of the answer; what
+  // follows in later slices of the same read was dropped, and the connection
+  // reused for the next request.
+  it("does not reuse a connection with bytes from a slice behind the answer", async () => {
+    const agent = new PacedAgent({ keepAlive: true });
+    const head = "HTTP/1.1 200 OK\r\nContent-Length: 1900\r\n";
+    const padding = `X: ${"x".repeat(2_048 - 1_900 - head.length - 7)}\r\n\r\n`;
+    let connections = 0;
+    const incoming = await ask((socket) => {
+      const answer = head + padding + "a".repeat(1_900);
+      socket.write(answer + "HTTP/1.1 200 OK\r\n");
+    }, agent);
+    server.on("connection", () => connections += 1);
+    expect(await bodyOf(incoming)).to.equal("a".repeat(1_900));
+    await bodyOf(await askAgain(agent));
+    expect(connections).to.equal(1);
+    agent.destroy();
+  });
 });
