Try at once whether a process that closes a connection still listens

The operating system of a killed process sends on what the process has written, for long on a full link. The watch's connection then ended over 100 ms before the body, which counted as a process that closes idle connections, and a new process at the address proved the end of a cut body as whole until it had registered. A connection that ends is now replaced at once; one that is not taken shows that the process has ended.

--- a/src/adapters/forwarding/endpoint_connection.ts
+++ b/src/adapters/forwarding/endpoint_connection.ts
@@ -13,6 +13,7 @@
 export class SilentConnection implements EndpointConnection {
   /** Settles once the connection is open or rejected. */
   readonly opened: Promise<void>;
+  readonly closed: Promise<void>;
   readonly #socket: Socket;
   readonly #timer: TimerService;
   readonly #timeout: Subscription;
@@ -42,6 +43,9 @@
         resolve();
       });
     });
+    this.closed = new Promise((resolve) => {
+      this.#socket.once("close", () => resolve());
+    });
     this.#socket.on("error", () => this.#onEnd(this.#errorState));
     this.#socket.on("end", () => this.#onEnd("ended"));
     // Unread bytes would hide the end.
--- a/src/entry/forwarding/network_interfaces.ts
+++ b/src/entry/forwarding/network_interfaces.ts
@@ -126,6 +126,8 @@
 export interface EndpointConnection {
   readonly state: EndpointConnectionState;
   readonly opened: Promise<void>;
+  /** Settles once it was rejected, has ended or was closed. */
+  readonly closed: Promise<void>;
   /** Time since its end was read; 0 before. */
   readonly millisecondsSinceEnd: number;
   close(): void;
--- a/src/entry/forwarding/writer_watch.ts
+++ b/src/entry/forwarding/writer_watch.ts
@@ -17,12 +17,14 @@
  * a body ended, its process did and another one took its address.
  */
 const MAX_READ_DELAY_MILLISECONDS = 250;
+/** Connections that are opened within one body, to one that closes them all. */
+const MAX_CONNECTIONS = 16;
 
 /** Grounds on which an end that only the connection shows is whole. */
 const PROOFS = [
   /** A connection to the process from before the end is still open. */
   "connected",
-  /** The process took no earlier connection, and one behind the end. */
+  /** The process has ended or rejected a connection, and took one after it. */
   "listening",
   /** The process has said that it leaves, and may accept no connection. */
   "leaving",
@@ -66,22 +68,53 @@
 export class WriterWatch {
   readonly #options: WriterWatchOptions;
   #connection: EndpointConnection;
+  /** Present once a connection has ended: the last one that did. */
+  #ended: EndpointConnection | undefined;
+  #connections = 0;
+  /** True if the process took no connection while the body went on. */
+  #hasStoppedListening = false;
   /** True if the order of what was read is not that of what has happened. */
   #isOutOfOrder: boolean;
   readonly #beganLate: boolean;
   #hasOutlivedRegistration = false;
   #isClosed = false;
+  #isJudging = false;
 
   /** Call when the head of the response has been read. */
   constructor(options: WriterWatchOptions) {
-    const { dependencies, endpoint } = options;
     this.#options = options;
-    this.#connection = dependencies.endpointClient.connect(endpoint.address);
+    this.#connection = this.#connect();
     this.#beganLate = this.#isLate;
     this.#isOutOfOrder = this.#beganLate;
     this.onBytes();
   }
 
+  #connect(): EndpointConnection {
+    const { dependencies, endpoint } = this.#options;
+    const connection = dependencies.endpointClient.connect(endpoint.address);
+    this.#connections += 1;
+    connection.closed.then(() => this.#onConnectionClosed(connection));
+    return connection;
+  }
+
+  /**
+   * Tries at once whether a process that has closed a connection still listens.
+   * The operating system of a killed process may send the rest of a body for
+   * long after, and another process may listen at the end of it.
+   */
+  #onConnectionClosed(connection: EndpointConnection): void {
+    const isReplaced = connection !== this.#connection;
+    if (this.#isClosed || this.#isJudging || isReplaced) return;
+    if (connection.state !== "ended") {
+      this.#hasStoppedListening = this.#ended !== undefined;
+      return;
+    }
+    if (this.#connections >= MAX_CONNECTIONS) return;
+    if (this.#isLate) this.#isOutOfOrder = true;
+    this.#ended = connection;
+    this.#connection = this.#connect();
+  }
+
   /** Call for each part of the body. */
   onBytes(): void {
     const { dependencies, endpoint } = this.#options;
@@ -106,24 +139,28 @@
   async judgeEnd(maxMilliseconds: number): Promise<EndVerdict> {
     const { endpointClient, readDelayMilliseconds } =
       this.#options.dependencies;
+    this.#isJudging = true;
+    const hasEnded = this.#ended !== undefined &&
+      this.#ended.millisecondsSinceEnd <= SAME_END_MILLISECONDS;
     const endDelayMilliseconds = Math.round(readDelayMilliseconds());
     if (this.#isLate) this.#isOutOfOrder = true;
-    const reconnects = this.#showsNothing && !this.#isClosed;
-    if (reconnects) {
-      const { address } = this.#options.endpoint;
-      this.#connection = endpointClient.connect(address);
-    }
+    const reconnects = this.#showsNothing && !this.#hasStoppedListening &&
+      !this.#isClosed;
+    if (reconnects) this.#connection = this.#connect();
     await endpointClient.settle(
       this.#connection,
       Math.min(END_CHECK_DELAY_MILLISECONDS, maxMilliseconds),
     );
-    const endEvidence = this.#findEvidence({ reconnects });
+    const endEvidence = this.#findEvidence({ hasEnded, reconnects });
     this.close();
     return { endEvidence, endDelayMilliseconds };
   }
 
   #findEvidence(
-    { reconnects }: { readonly reconnects: boolean },
+    { hasEnded, reconnects }: {
+      readonly hasEnded: boolean;
+      readonly reconnects: boolean;
+    },
   ): EndEvidence {
     const { dependencies, endpoint } = this.#options;
     const registered = dependencies.registry.get(endpoint.id);
@@ -133,7 +170,9 @@
     if (isOther) return "registered_again";
     if (this.#beganLate) return "read_late";
     const { state } = this.#connection;
-    if (!reconnects && state === "open") return "connected";
+    if (hasEnded) return "connection_ended";
+    const isFirst = !reconnects && this.#ended === undefined;
+    if (isFirst && state === "open") return "connected";
     if (!reconnects && state === "ended") return "connection_ended";
     if (this.#isOutOfOrder) return "read_late";
     if (registered?.leaving) return "leaving";
--- a/test/support/endpoint_connection.ts
+++ b/test/support/endpoint_connection.ts
@@ -5,6 +5,7 @@
   return {
     state: isAccepted ? "open" : "rejected",
     opened: Promise.resolve(),
+    closed: isAccepted ? new Promise(() => {}) : Promise.resolve(),
     millisecondsSinceEnd: 0,
     close() {},
   };
