--- a/src/adapters/paced_reads/read_pacer.ts
+++ b/src/adapters/paced_reads/read_pacer.ts
@@ -128,7 +128,9 @@
       const mayContinue = this.#push(slice);
       if (isLast) return mayContinue;
       if (socket.destroyed) return false;
-      if (performance.now() >= end || socket.isPaused()) break;
+      // Node stops to listen at the end of an answer.
+      const isUnread = socket.listenerCount("data") === 0;
+      if (isUnread || performance.now() >= end || socket.isPaused()) break;
     }
     this.#rest = bytes.subarray(start);
     if (!socket.isPaused()) readQueue.add(this);
