End request bodies of small pieces in the product's own entry, too

A caller whose body came in chunks of one byte held a buffer for each of them in the entry, the side and between peers, up to the limit of bytes: some 4 million at a limit of 4 MiB.

Cause: the two servers read bodies by functions of their own, which count bytes only, as the platform's server did.

Change: both read by readRequestBody, which has the bound of small pieces and joins the pieces of one read. Peers close the connection of a body that they reject.

--- a/src/adapters/callers/caller_api_server.ts
+++ b/src/adapters/callers/caller_api_server.ts
@@ -13,7 +13,11 @@
   Refusal,
 } from "../../core/requests/mod.ts";
 import { runStep } from "../../core/time/mod.ts";
-import { paceConnections, stopListening } from "../http_server/mod.ts";
+import {
+  paceConnections,
+  readRequestBody,
+  stopListening,
+} from "../http_server/mod.ts";
 import type { Work } from "../../generated/messages.ts";
 import {
   EventStreamSink,
@@ -155,9 +159,10 @@
       await builtIn(this.#options, response);
       return;
     }
-    const body = await readBody(request, this.#options.mostBodyBytes);
+    const body = await readRequestBody(request, this.#options.mostBodyBytes);
     if (body.isErr()) {
-      this.#refuse(response, { refusal: body.error, request });
+      const refusal = invalidRequest(body.error);
+      this.#refuse(response, { refusal, request });
       return;
     }
     if (request.method === "POST" && path === CHAT_PATH) {
@@ -315,32 +320,3 @@
   const body = JSON.stringify(reply.body);
   sendWhole(response, { status: reply.status, headers, body });
 }
-
-function readBody(
-  request: http.IncomingMessage,
-  maxBytes: number,
-): Promise<Result<Buffer, Refusal>> {
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let length = 0;
-    request.on("data", (chunk: Buffer) => {
-      length += chunk.length;
-      if (length <= maxBytes) chunks.push(chunk);
-      else {
-        request.pause();
-        resolve(
-          err(invalidRequest(`The body is longer than ${maxBytes} bytes`)),
-        );
-      }
-    });
-    request.on("end", () => resolve(ok(Buffer.concat(chunks))));
-    request.on(
-      "error",
-      () => resolve(err(invalidRequest("The body was cut off"))),
-    );
-    request.on(
-      "close",
-      () => resolve(err(invalidRequest("The body was cut off"))),
-    );
-  });
-}
--- a/src/adapters/callers/caller_api_server_test.ts
+++ b/src/adapters/callers/caller_api_server_test.ts
@@ -16,7 +16,7 @@
     server = new CallerApiServer({
       host: "127.0.0.1",
       port: 0,
-      mostBodyBytes: 1_000,
+      mostBodyBytes: 4 * 1024 * 1024,
       service: {
         submit: () => {
           throw new Error("No request is expected");
@@ -44,4 +44,14 @@
     const statuses = (await Promise.all(answers)).map(statusCodes);
     expect(statuses).to.deep.equal(Array(5).fill([503]));
   });
+
+  // Each piece holds a buffer, so that a body within the limit of bytes filled
+  // the memory.
+  it("ends a body of small pieces before its limit of bytes", async () => {
+    const head = "POST /x HTTP/1.1\r\nHost: h\r\n" +
+      "Transfer-Encoding: chunked\r\n\r\n";
+    const answer = await sendRaw(head + "1\r\nx\r\n".repeat(20_000), { port });
+    expect(statusCodes(answer)).to.deep.equal([400]);
+    expect(answer).to.include("pieces below 12 bytes");
+  });
 });
--- a/src/adapters/forwarding/caller_server.ts
+++ b/src/adapters/forwarding/caller_server.ts
@@ -17,9 +17,9 @@
   ForwardingRefusal,
 } from "../../entry/forwarding/network_interfaces.ts";
 import { paceConnections, stopListening } from "../http_server/mod.ts";
+import { PieceJoiner } from "../paced_reads/mod.ts";
 import { CallerResponse } from "./caller_response.ts";
 import { HeldBodies } from "./held_bodies.ts";
-import { PieceJoiner } from "./piece_joiner.ts";
 
 /** Upper bound of the header size; the configured limit is smaller. */
 const MAX_HEADER_BYTES = 64 * 1024;
--- a/src/adapters/forwarding/endpoint_response.ts
+++ b/src/adapters/forwarding/endpoint_response.ts
@@ -7,7 +7,7 @@
   ReceivedBody,
 } from "../../entry/forwarding/network_interfaces.ts";
 import { detectReset } from "../http_client/mod.ts";
-import { PieceJoiner } from "./piece_joiner.ts";
+import { PieceJoiner } from "../paced_reads/mod.ts";
 
 const FIRST_ERROR_STATUS = 400;
 /** Largest body of a failure. One without an end would fill the caller. */
--- a/src/adapters/paced_reads/mod.ts
+++ b/src/adapters/paced_reads/mod.ts
@@ -1,2 +1,3 @@
 /** Reads of connections that share the event loop with all others. */
+export { PieceJoiner } from "./piece_joiner.ts";
 export { hasUnparsedBytes, paceReads } from "./read_pacer.ts";
--- a/src/adapters/peers/peer_server.ts
+++ b/src/adapters/peers/peer_server.ts
@@ -15,7 +15,7 @@
 import type { Validator } from "../../generated/validators.js";
 import { runStep } from "../../core/time/mod.ts";
 import { CoalescingWriter } from "../coalescing_writer/mod.ts";
-import { paceConnections } from "../http_server/mod.ts";
+import { paceConnections, readRequestBody } from "../http_server/mod.ts";
 import { CANNOT_LISTEN } from "./errors.ts";
 import { ATTEMPT_PATH, PEER_METHODS, RPC_PATH } from "./protocol.ts";
 
@@ -136,11 +136,13 @@
       response.end(await this.#options.metrics?.() ?? "");
       return;
     }
-    const body = await readBody(request, this.#options.mostBodyBytes);
-    if (body === undefined) {
-      response.writeHead(413).end();
+    const read = await readRequestBody(request, this.#options.mostBodyBytes);
+    if (read.isErr()) {
+      // The rest of the body is not read.
+      response.writeHead(413, { connection: "close" }).end();
       return;
     }
+    const body = read.value.toString("utf8");
     if (request.url === RPC_PATH) return this.#handleCall(body, response);
     if (request.url === ATTEMPT_PATH) return this.#runAttempt(body, response);
     response.writeHead(404).end();
@@ -228,22 +230,3 @@
     return undefined;
   }
 }
-
-/** Reads the body; undefined if it exceeds `maxBytes` or is incomplete. */
-function readBody(
-  request: http.IncomingMessage,
-  maxBytes: number,
-): Promise<string | undefined> {
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let bytesRead = 0;
-    request.on("data", (chunk: Buffer) => {
-      bytesRead += chunk.length;
-      if (bytesRead > maxBytes) resolve(undefined);
-      else chunks.push(chunk);
-    });
-    request.on("end", () => resolve(Buffer.concat(chunks).toString("utf8")));
-    request.on("error", () => resolve(undefined));
-    request.on("close", () => resolve(undefined));
-  });
-}
