Take the end of a body for whole beside the end of a further idle connection

Only the first one now shows that the process has ended with the body; behind it, a connection that is taken shows that it has not.

--- a/src/entry/forwarding/writer_watch.ts
+++ b/src/entry/forwarding/writer_watch.ts
@@ -104,7 +104,9 @@
    */
   #onConnectionClosed(connection: EndpointConnection): void {
     const isReplaced = connection !== this.#connection;
-    if (this.#isClosed || this.#isJudging || isReplaced) return;
+    if (this.#isClosed || isReplaced) return;
+    // The first connection that ends with the body shows an end of the process.
+    if (this.#isJudging && this.#ended === undefined) return;
     if (connection.state !== "ended") {
       this.#hasStoppedListening = this.#ended !== undefined;
       return;
@@ -140,17 +142,20 @@
     const { endpointClient, readDelayMilliseconds } =
       this.#options.dependencies;
     this.#isJudging = true;
-    const hasEnded = this.#ended !== undefined &&
+    // A process that has closed a connection before closes idle ones.
+    const hasEnded = this.#ended !== undefined && this.#connections === 2 &&
       this.#ended.millisecondsSinceEnd <= SAME_END_MILLISECONDS;
     const endDelayMilliseconds = Math.round(readDelayMilliseconds());
     if (this.#isLate) this.#isOutOfOrder = true;
     const reconnects = this.#showsNothing && !this.#hasStoppedListening &&
       !this.#isClosed;
     if (reconnects) this.#connection = this.#connect();
-    await endpointClient.settle(
-      this.#connection,
-      Math.min(END_CHECK_DELAY_MILLISECONDS, maxMilliseconds),
-    );
+    const checked = this.#connection;
+    const delay = Math.min(END_CHECK_DELAY_MILLISECONDS, maxMilliseconds);
+    await endpointClient.settle(checked, delay);
+    if (this.#connection !== checked) {
+      await endpointClient.settle(this.#connection, delay);
+    }
     const endEvidence = this.#findEvidence({ hasEnded, reconnects });
     this.close();
     return { endEvidence, endDelayMilliseconds };
