Go on with other connections if a listener of one throws

The reads that waited behind the one that threw were not continued until another read had to wait; an entry that ends because of the throw still serves them.

--- a/src/adapters/http_client/paced_socket.ts
+++ b/src/adapters/http_client/paced_socket.ts
@@ -28,15 +28,22 @@
 
   #work(): void {
     this.#isScheduled = false;
+    try {
+      this.#continueReads();
+    } finally {
+      // A listener that throws would otherwise leave the others waiting.
+      const [next] = this.#waiting;
+      if (next !== undefined) this.add(next);
+    }
+  }
+
+  #continueReads(): void {
     const end = performance.now() + TURN_MILLISECONDS;
-    const waiting = [...this.#waiting];
-    for (const socket of waiting) {
+    for (const socket of [...this.#waiting]) {
       if (performance.now() >= end) break;
       this.#waiting.delete(socket);
       socket.continueRead();
     }
-    const [next] = this.#waiting;
-    if (next !== undefined) this.add(next);
   }
 }
 
--- a/src/adapters/http_client/paced_socket_test.ts
+++ b/src/adapters/http_client/paced_socket_test.ts
@@ -126,4 +126,36 @@
     expect(connections).to.equal(1);
     agent.destroy();
   });
+
+  // The reads that waited behind the one that threw were never continued, and
+  // their streams stood still until another read had to wait.
+  it("goes on with other connections if a listener throws", async () => {
+    const listeners = process.listeners("uncaughtException");
+    process.removeAllListeners("uncaughtException");
+    let thrown = 0;
+    process.on("uncaughtException", () => thrown += 1);
+    try {
+      const agent = new PacedAgent();
+      const throwing = await ask(
+        (socket) => socket.end(HEAD + smallChunks()),
+        agent,
+      );
+      const other = await askAgain(agent);
+      let pieces = 0;
+      throwing.on("error", () => {});
+      throwing.on("data", () => {
+        pieces += 1;
+        if (pieces === PIECES / 2) throw new Error("a listener");
+      });
+      const body = await Promise.race([
+        bodyOf(other),
+        new Promise((resolve) => setTimeout(resolve, 2_000)),
+      ]);
+      expect(thrown).to.equal(1);
+      expect(body).to.equal(expected);
+    } finally {
+      process.removeAllListeners("uncaughtException");
+      for (const each of listeners) process.on("uncaughtException", each);
+    }
+  });
 });
