--- a/src/adapters/paced_reads/read_pacer.ts
+++ b/src/adapters/paced_reads/read_pacer.ts
@@ -27,15 +27,22 @@
 
   #work(): void {
     this.#isScheduled = false;
+    try {
+      this.#continueReads();
+    } finally {
+      // A listener that throws would otherwise leave the others waiting.
+      const [next] = this.#waiting;
+      if (next !== undefined) this.add(next);
+    }
+  }
+
+  #continueReads(): void {
     const end = performance.now() + TURN_MILLISECONDS;
-    const waiting = [...this.#waiting];
-    for (const pacer of waiting) {
+    for (const pacer of [...this.#waiting]) {
       if (performance.now() >= end) break;
       this.#waiting.delete(pacer);
       pacer.continueRead();
     }
-    const [next] = this.#waiting;
-    if (next !== undefined) this.add(next);
   }
 }
 
