Close a paced connection behind a listener that throws, and a planned stop behind its end

A listener that threw while a read went on left its connection open, unread and without the rest of that read.

A request that had been refused as not run at the end of a planned stop could still be sent, if a SIGHUP then made the grace period longer while its handling waited for an answer or a turn of the event loop. Found by review, and not seen in a run. planned_stop_test.ts, "if the grace period grows": PlannedStop had no end of its own before.

--- a/src/adapters/http_client/paced_agent_test.ts
+++ b/src/adapters/http_client/paced_agent_test.ts
@@ -143,6 +143,7 @@
       const other = await askAgain(agent);
       let pieces = 0;
       throwing.on("error", () => {});
+      const closed = new Promise((resolve) => throwing.on("close", resolve));
       throwing.on("data", () => {
         pieces += 1;
         if (pieces === PIECES / 2) throw new Error("a listener");
@@ -153,6 +154,7 @@
       ]);
       expect(thrown).to.equal(1);
       expect(body).to.equal(expected);
+      await closed;
     } finally {
       process.removeAllListeners("uncaughtException");
       for (const each of listeners) process.on("uncaughtException", each);
--- a/src/adapters/paced_reads/read_pacer.ts
+++ b/src/adapters/paced_reads/read_pacer.ts
@@ -116,7 +116,14 @@
     // `resume` continues a read that is paused.
     if (rest === undefined || socket.destroyed || socket.isPaused()) return;
     this.#rest = undefined;
-    this.#pushSlices(rest);
+    let isPushed = false;
+    try {
+      this.#pushSlices(rest);
+      isPushed = true;
+    } finally {
+      // Behind a listener that throws, the rest is lost and nothing is read.
+      if (!isPushed) socket.destroy();
+    }
     if (this.#rest !== undefined || socket.destroyed) return;
     if (!this.#isEnding) return this.#read(0);
     this.#push(null);
--- a/src/core/forwarding/admission/planned_stop.ts
+++ b/src/core/forwarding/admission/planned_stop.ts
@@ -53,6 +53,8 @@
   readonly routeTimes: RouteTimes;
   readonly #options: PlannedStopOptions;
   #requestedAt: number | undefined;
+  /** True once open requests have been cut or refused. */
+  #isClosed = false;
 
   constructor(options: PlannedStopOptions) {
     this.#options = options;
@@ -67,6 +69,11 @@
     this.#requestedAt ??= this.#options.timer.now() - lateMilliseconds;
   }
 
+  /** Nothing is taken or sent any more, whatever the grace period becomes. */
+  close(): void {
+    this.#isClosed = true;
+  }
+
   /** The grace period in force, in milliseconds. */
   get graceMilliseconds(): number {
     return this.#options.graceMilliseconds();
@@ -111,7 +118,7 @@
 
   /** False once no more connections are taken: new requests are refused. */
   get takesRequests(): boolean {
-    return this.listeningMilliseconds > 0;
+    return !this.#isClosed && this.listeningMilliseconds > 0;
   }
 
   /**
@@ -120,6 +127,7 @@
    * would be cut is refused instead, as its caller may repeat it elsewhere.
    */
   maySend({ boundMilliseconds, route, step }: RequestNeeds): boolean {
+    if (this.#isClosed) return false;
     if (this.#requestedAt === undefined) return true;
     const expected = this.routeTimes.upperMilliseconds(route, step) ?? Infinity;
     const needed = Math.min(boundMilliseconds, expected);
--- a/src/core/forwarding/admission/planned_stop_test.ts
+++ b/src/core/forwarding/admission/planned_stop_test.ts
@@ -83,6 +83,15 @@
     });
   });
 
+  // A request that was refused as not run at the end was sent behind it.
+  it("sends and takes nothing behind its end if the grace period grows", () => {
+    stop.request();
+    stop.close();
+    graceMilliseconds = 60_000;
+    expect(maySend(100)).to.equal(false);
+    expect(stop.takesRequests).to.equal(false);
+  });
+
   // The kernel delivers the signal at once, and the kill comes by that time.
   it("counts from the time at which the signal may have come", () => {
     stop.request({ lateMilliseconds: 900 });
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -637,6 +637,7 @@
   endOpenRequests(): void {
     this.#stopChecks?.cancel();
     const { logger, plannedStop } = this.#options;
+    plannedStop.close();
     const { graceMilliseconds } = plannedStop;
     for (const open of [...this.#openForwards]) {
       const { stopFacts } = open;
