Pass on a body that is too large to hold for a caller of HTTP/1.0

Cause: a body that was too large to hold until it is whole was refused.

Change: it is passed on as it comes, as before, and ends with its connection.

--- a/src/adapters/forwarding/caller_response.ts
+++ b/src/adapters/forwarding/caller_response.ts
@@ -12,12 +12,6 @@
 /** Statuses of responses that have no body. */
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 
-/** The endpoint has run the request, and its body can't be passed on. */
-const TOO_LARGE_REFUSAL: ForwardingRefusal = {
-  status: 502,
-  reason: "body_too_large_to_hold",
-};
-
 export interface CallerResponseOptions {
   /** Whether to close the connection after the response. */
   readonly isStopping: () => boolean;
@@ -35,12 +29,12 @@
 /**
  * The HTTP response to one caller's request. A caller of HTTP/1.0 knows no
  * chunks, and the operating system of a killed entry ends its connection as
- * behind a whole body, so a body without a length is held until it is whole.
+ * behind a whole body, so a body without a length is held until it is whole,
+ * within the memory for such bodies.
  */
 export class CallerResponse implements CallerSink {
   readonly #response: ServerResponse;
   readonly #options: CallerResponseOptions;
-  readonly #disconnectListeners: (() => void)[] = [];
   #held: HeldResponse | undefined;
   /** True if the response has a `Content-Length`. */
   #hasLength = false;
@@ -95,11 +89,17 @@
       !STATUSES_WITHOUT_BODY.has(status);
   }
 
-  /** Answers in place of a body that is too large, and ends the work on it. */
-  #rejectHeld(): void {
-    this.#held?.body.release();
-    this.refuse(TOO_LARGE_REFUSAL);
-    for (const listener of this.#disconnectListeners) listener();
+  /**
+   * Passes on a body that is too large to hold, and what follows as it comes:
+   * its end is that of the connection.
+   */
+  #passOnHeld(): void {
+    const held = this.#held;
+    if (held === undefined) return;
+    this.#held = undefined;
+    this.#writeHead(held.status, held.headers);
+    this.#response.write(held.body.take());
+    held.body.release();
   }
 
   get bufferedBytes(): number {
@@ -108,10 +108,8 @@
 
   write(chunk: Buffer): boolean {
     if (this.#isDisconnected || this.#isFinished) return true;
-    if (this.#held !== undefined) {
-      if (!this.#held.body.push(chunk)) this.#rejectHeld();
-      return true;
-    }
+    if (this.#held?.body.push(chunk)) return true;
+    this.#passOnHeld();
     return this.#response.write(chunk);
   }
 
@@ -137,7 +135,6 @@
   }
 
   onDisconnect(listener: () => void): void {
-    this.#disconnectListeners.push(listener);
     this.#response.on("close", () => {
       if (!this.#isFinished) listener();
     });
