Share the check of a silent connection and of responses without a body

acceptsConnections opened a connection by code of its own beside SilentConnection, and two files listed the statuses without a body. Comments of three tests are one line; losses that decide are called conclusive.

--- a/src/adapters/forwarding/caller_response.ts
+++ b/src/adapters/forwarding/caller_response.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from "node:http";
+import { hasNoBody } from "../http_client/mod.ts";
 import type { HeldBodies, HeldBody } from "./held_bodies.ts";
 import type {
   CallerSink,
@@ -9,9 +10,6 @@
 /** HTTP authentication scheme of callers' API keys. */
 const AUTHENTICATION_SCHEME = "Bearer";
 
-/** Statuses of responses that have no body. */
-const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
-
 export interface CallerResponseOptions {
   /** Whether to close the connection after the response. */
   readonly isStopping: () => boolean;
@@ -85,8 +83,8 @@
   #needsLength(status: number): boolean {
     const { httpVersionMajor, httpVersionMinor, method } = this.#response.req;
     const knowsChunks = httpVersionMajor > 1 || httpVersionMinor > 0;
-    return !knowsChunks && !this.#hasLength && method !== "HEAD" &&
-      !STATUSES_WITHOUT_BODY.has(status);
+    return !knowsChunks && !this.#hasLength &&
+      !hasNoBody(method ?? "GET", status);
   }
 
   /**
--- a/src/adapters/forwarding/caller_server_test.ts
+++ b/src/adapters/forwarding/caller_server_test.ts
@@ -258,9 +258,7 @@
       expect(request.deadlineMilliseconds).to.equal(1_000);
     });
 
-    // Requests that a delay has queued up are read in one turn of the event loop,
-    // the last of them behind the work of all others. What they had waited there
-    // was counted only where it was longer than the delay.
+    // The time of the turn was counted only where it was longer than the delay.
     it("adds the time of the turn in which a request is read", async () => {
       socket.write(rawRequest("GET /b", ["Host: h"]));
       onRead = () => timer.lateness += 120;
--- a/src/adapters/forwarding/endpoint_http_client.ts
+++ b/src/adapters/forwarding/endpoint_http_client.ts
@@ -1,11 +1,9 @@
 import { request as openRequest } from "node:http";
-import { connect } from "node:net";
 import type { TimerService } from "../../core/time/mod.ts";
 import type { EndpointResponse } from "../../entry/forwarding/network_interfaces.ts";
 import { readEntireBody } from "../../entry/forwarding/read_body.ts";
 import { PacedAgent } from "../http_client/mod.ts";
 import {
-  CONNECT_TIMEOUT_MILLISECONDS,
   type DecodeHead,
   EndpointExchange,
   isAlone,
@@ -88,21 +86,12 @@
   }
 
   /** Opens a connection and closes it without a request. */
-  acceptsConnections(address: string): Promise<boolean> {
-    return new Promise((resolve) => {
-      const socket = connect(portOf(address), hostOf(address));
-      const settle = (isAccepted: boolean) => {
-        timeout.cancel();
-        socket.destroy();
-        resolve(isAccepted);
-      };
-      const timeout = this.#options.timer.after(
-        CONNECT_TIMEOUT_MILLISECONDS,
-        () => settle(false),
-      );
-      socket.on("connect", () => settle(true));
-      socket.on("error", () => settle(false));
-    });
+  async acceptsConnections(address: string): Promise<boolean> {
+    const connection = this.connect(address);
+    await connection.opened;
+    const isAccepted = connection.state === "open";
+    connection.close();
+    return isAccepted;
   }
 
   /** Opens a connection that carries no request. */
--- a/src/adapters/http_client/body_framing.ts
+++ b/src/adapters/http_client/body_framing.ts
@@ -5,13 +5,17 @@
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 const ENDS_CHUNKED = /(^|,)\s*chunked\s*$/i;
 
+/** True for a response that has no body, whatever its headers say. */
+export function hasNoBody(method: string, status: number): boolean {
+  return method === "HEAD" || STATUSES_WITHOUT_BODY.has(status);
+}
+
 /** How a response to a request of the method shows where its body ends. */
 export function framingOf(
   { headers, statusCode = 0 }: IncomingMessage,
   method: string,
 ): BodyFraming {
-  const hasNoBody = method === "HEAD" || STATUSES_WITHOUT_BODY.has(statusCode);
-  if (hasNoBody) return "length";
+  if (hasNoBody(method, statusCode)) return "length";
   const transferEncoding = headers["transfer-encoding"];
   if (transferEncoding !== undefined) {
     return ENDS_CHUNKED.test(transferEncoding) ? "chunks" : "connection";
--- a/src/adapters/http_client/mod.ts
+++ b/src/adapters/http_client/mod.ts
@@ -13,7 +13,7 @@
   HTTP_TOO_LARGE,
 } from "./errors.ts";
 
-export { detectReset, framingOf } from "./body_framing.ts";
+export { detectReset, framingOf, hasNoBody } from "./body_framing.ts";
 export { PacedAgent } from "./paced_agent.ts";
 
 /**
--- a/src/adapters/http_client/paced_agent_test.ts
+++ b/src/adapters/http_client/paced_agent_test.ts
@@ -108,9 +108,7 @@
     agent.destroy();
   });
 
-  // Node takes its listener off the connection with the end of the answer; what
-  // follows in later slices of the same read was dropped, and the connection
-  // reused for the next request.
+  // Node stops to listen at the end of an answer, and dropped later slices.
   it("does not reuse a connection with bytes from a slice behind the answer", async () => {
     const agent = new PacedAgent({ keepAlive: true });
     const head = "HTTP/1.1 200 OK\r\nContent-Length: 1900\r\n";
--- a/src/core/forwarding/admission/planned_stop.ts
+++ b/src/core/forwarding/admission/planned_stop.ts
@@ -3,7 +3,7 @@
 
 /**
  * Time between the end of a planned stop and the kill, as a share of the grace
- * period and at most. Connections are closed in it, and the store is told.
+ * period and at most. Connections are closed in it, and the store is notified.
  */
 const MARGIN_SHARE = 1 / 6;
 const MAX_MARGIN_MILLISECONDS = 500;
--- a/src/core/forwarding/crashes/suspect.ts
+++ b/src/core/forwarding/crashes/suspect.ts
@@ -23,11 +23,11 @@
    * True if something else that was lost with the run has been cleared of it
    * since, while this suspect could run as well, or if the run was a trial.
    */
-  isTelling?: boolean;
+  isConclusive?: boolean;
 }
 
-/** Number of telling losses with which a first part stands out. */
-const MIN_TELLING_LOSSES = 2;
+/** Number of conclusive losses with which a first part stands out. */
+const MIN_CONCLUSIVE_LOSSES = 2;
 
 /**
  * A request or a part of prompts that was in flight when endpoints crashed, with
@@ -71,9 +71,9 @@
    * requests share is cleared among the first.
    */
   get standsOut(): boolean {
-    const telling = [...this.#losses.values()]
-      .filter(({ isConfirmed, isTelling }) => isConfirmed && isTelling);
-    return this.isFirstPart && telling.length >= MIN_TELLING_LOSSES;
+    const conclusive = [...this.#losses.values()]
+      .filter(({ isConfirmed, isConclusive }) => isConfirmed && isConclusive);
+    return this.isFirstPart && conclusive.length >= MIN_CONCLUSIVE_LOSSES;
   }
 
   /** Keys of the runs whose loss is confirmed. */
@@ -115,8 +115,8 @@
     const known = this.#losses.get(key);
     if (known !== undefined) known.lasted = Math.min(known.lasted, loss.lasted);
     else {
-      const isTelling = this.#isTrial(loss);
-      this.#losses.set(key, { ...loss, isTelling });
+      const isConclusive = this.#isTrial(loss);
+      this.#losses.set(key, { ...loss, isConclusive });
       this.lastLossAt = Math.max(this.lastLossAt, loss.lostAt);
     }
     return known === undefined;
@@ -164,7 +164,7 @@
     if (other.survivalMilliseconds < this.survivalMilliseconds) return;
     for (const run of runs) {
       const loss = this.#losses.get(run);
-      if (loss !== undefined) loss.isTelling = true;
+      if (loss !== undefined) loss.isConclusive = true;
     }
   }
 
--- a/src/side/attempt_executor_test.ts
+++ b/src/side/attempt_executor_test.ts
@@ -148,10 +148,7 @@
     );
   }
 
-  // The side is stopped while a call runs and another one waits for its slot.
-  // The waiting call was told only when the slot came free, or not at all if
-  // the call before it lasted longer than the stop; its caller could not tell
-  // whether it had run.
+  // A call that waited for a slot was refused only once the slot came free.
   it("refuses the attempts that wait once it may run no more", async () => {
     await send(serviceCall("a"));
     await send({ ...serviceCall("b", 8), once: undefined });
