--- a/scripts/stream_faults.ts
+++ b/scripts/stream_faults.ts
@@ -1,7 +1,8 @@
 /**
- * `npm run stream-faults -- [--seed N] [--seeds N] [--seconds N]`: runs callers
- * of streams while entries and replicas are killed, terminated, frozen and
- * started again. Prints one line of JSON per seed; the exit code is 0 only if
+ * `npm run stream-faults -- [--seed N] [--seeds N] [--seconds N]
+ * [--links KIND] [--framing KIND]`: runs callers of streams while entries and
+ * replicas are killed, terminated, frozen and started again, also behind links
+ * whose connections have different delays. Prints one line of JSON per seed; the exit code is 0 only if
  * no stream was out of order. `--logs FOLDER` saves the entries' logs of seeds
  * with violations.
  */
@@ -9,7 +10,11 @@
 import { join } from "node:path";
 import process from "node:process";
 import { parseArgs } from "node:util";
-import { runStreamFaults } from "../platform/test/stream_faults/stream_faults.ts";
+import { REPLICA_FRAMINGS } from "../platform/test/stream_faults/events.ts";
+import {
+  LINKS,
+  runStreamFaults,
+} from "../platform/test/stream_faults/stream_faults.ts";
 import "./build_platform.ts";
 
 const { values } = parseArgs({
@@ -18,10 +23,20 @@
     seeds: { type: "string", default: "1" },
     seconds: { type: "string", default: "60" },
     callers: { type: "string", default: "60" },
+    links: { type: "string" },
+    framing: { type: "string" },
     logs: { type: "string" },
   },
 });
 
+const links = LINKS.find((each) => each === values.links);
+const framing = REPLICA_FRAMINGS.find((each) => each === values.framing);
+const isUnknown = links === undefined && values.links !== undefined ||
+  framing === undefined && values.framing !== undefined;
+if (isUnknown) {
+  console.error(`--links: ${LINKS.join(", ")}; --framing: ${REPLICA_FRAMINGS}`);
+  process.exit(2);
+}
 let failedRuns = 0;
 const first = Number(values.seed);
 for (let seed = first; seed < first + Number(values.seeds); seed++) {
@@ -29,6 +44,8 @@
     seed,
     seconds: Number(values.seconds),
     callers: Number(values.callers),
+    links,
+    ...(framing !== undefined && { framings: [framing] }),
   });
   console.log(JSON.stringify({
     seed,
--- a/test/support/scripted_replica.ts
+++ b/test/support/scripted_replica.ts
@@ -1,6 +1,14 @@
 import { createServer, type Server, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
 
+/** Path at which a replica with an instance id answers for itself. */
+export const HEALTH_PATH = "/healthz";
+
+export interface ScriptedReplicaOptions {
+  /** Id of its process; without one it runs requests to the health path. */
+  readonly instanceId?: string;
+}
+
 /** Called with each complete request; writes the response to the socket. */
 export type ReplicaScript = (socket: Socket, request: string) => void;
 
@@ -9,11 +17,15 @@
   readonly requests: string[] = [];
   readonly sockets = new Set<Socket>();
   connections = 0;
+  /** True: it answers nothing any more, as a process that has ended. */
+  isSilent = false;
+  readonly #options: ScriptedReplicaOptions;
   readonly #server: Server;
   #script: ReplicaScript;
 
-  constructor(script: ReplicaScript) {
+  constructor(script: ReplicaScript, options: ScriptedReplicaOptions = {}) {
     this.#script = script;
+    this.#options = options;
     this.#server = createServer((socket) => this.#serve(socket));
   }
 
@@ -60,11 +72,37 @@
         if (received.length < requestLength) return;
         const request = received.slice(0, requestLength);
         received = received.slice(requestLength);
+        if (this.isSilent) return;
+        if (this.#answerForItself(socket, request)) continue;
         this.requests.push(request);
         this.#script(socket, request);
       }
     });
   }
+
+  /** True if the replica has answered the request without running it. */
+  #answerForItself(socket: Socket, request: string): boolean {
+    const { instanceId } = this.#options;
+    if (instanceId === undefined) return false;
+    const requestId = headerOf(request, "x-request-id");
+    const echo = requestId === undefined
+      ? ""
+      : `X-Request-Id: ${requestId}\r\n`;
+    const expected = headerOf(request, "x-expect-instance");
+    const isHealth = request.startsWith(`GET ${HEALTH_PATH} `);
+    const isOther = expected !== undefined && expected !== instanceId;
+    if (!isHealth && !isOther) return false;
+    const status = isOther ? "421 Misdirected Request" : "200 OK";
+    socket.write(
+      `HTTP/1.1 ${status}\r\n${echo}X-Instance-Id: ${instanceId}\r\n` +
+        "Content-Length: 0\r\n\r\n",
+    );
+    return true;
+  }
+}
+
+function headerOf(request: string, name: string): string | undefined {
+  return new RegExp(`^${name}: (\\S+)`, "im").exec(request)?.[1];
 }
 
 /** Formats a response with status 200 as text. */
