Prove the end of a body by an answer of its writer

Cause: an end that only the connection shows was proven by signals that had not come. The connections of a killed process end one after the other, and each end may be lost and sent again; so a second connection that was still open 50 ms behind the end of the body ("connected") proved nothing, nor did a connection that another process took ("listening"), an announcement that the replica leaves ("leaving"), or a registration that was gone before the last bytes were read ("outlived_registration"). All four are grounds no more.

Change: behind the end, the entry asks the writer at the service's health path, on a connection from before the end if there is one, and names the instance that it expects. Only an answer that bears the writer's id proves the end: a killed process gives none, and delay or loss only make it late. Connections on which a question was answered are kept, two for each endpoint, as a replica that leaves may accept no further ones; a question there needs an answer with its own request id. All else counts as cut. The line at the end of the response names the ground, the questions and the time that the verdict took.

--- a/src/adapters/forwarding/endpoint_exchange.ts
+++ b/src/adapters/forwarding/endpoint_exchange.ts
@@ -57,6 +57,8 @@
    * can't be a late answer to another one, or to an earlier send of this one.
    */
   readonly usesOwnConnection?: boolean;
+  /** True if the head alone is wanted, also one that proves nothing. */
+  readonly isQuestion?: boolean;
   /** True if a success is passed on, which needs the endpoint's signature. */
   readonly needsSignature?: boolean;
 }
@@ -90,6 +92,7 @@
   readonly #connectTimeout: Subscription;
   /** Present while a part of a head has arrived. */
   #headTimeout: Subscription | undefined;
+  #receivedHead: DecodedHead | undefined;
   #evidence: AnswerEvidence | undefined;
   #interimAnswers = 0;
   #isConnected = false;
@@ -126,6 +129,11 @@
     return this.#evidence;
   }
 
+  /** The head that has arrived, also if it proves nothing on the request. */
+  get receivedHead(): DecodedHead | undefined {
+    return this.#receivedHead;
+  }
+
   abort(): void {
     this.#end("aborted");
   }
@@ -183,10 +191,11 @@
     this.#headTimeout?.cancel();
     const { decodeHead, outgoing } = this.#options;
     const head = decodeHead(incoming.statusCode ?? 0, incoming.rawHeaders);
+    this.#receivedHead = head;
     const evidence = this.#describe(head);
     this.#evidence = evidence;
     const verdict = judgeAnswer(evidence);
-    if (verdict.kind === "doubtful") {
+    if (verdict.kind === "doubtful" && !outgoing.isQuestion) {
       const { address } = outgoing;
       const definition = DOUBTS[verdict.reason];
       this.#settle(err(failure(definition, { ...evidence, address })));
--- a/src/adapters/forwarding/endpoint_http_client.ts
+++ b/src/adapters/forwarding/endpoint_http_client.ts
@@ -1,7 +1,11 @@
 import { request as openRequest } from "node:http";
+import type { DecodedHead } from "../../core/forwarding/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
 import type { EndpointResponse } from "../../entry/forwarding/network_interfaces.ts";
-import { readEntireBody } from "../../entry/forwarding/read_body.ts";
+import {
+  discardBody,
+  readEntireBody,
+} from "../../entry/forwarding/read_body.ts";
 import { PacedAgent } from "../http_client/mod.ts";
 import {
   type DecodeHead,
@@ -9,7 +13,7 @@
   isAlone,
   type OutgoingRequest,
 } from "./endpoint_exchange.ts";
-import { SilentConnection } from "./endpoint_connection.ts";
+import { QuestionConnection } from "./endpoint_connection.ts";
 import { KeepAliveAgent } from "./keep_alive_agent.ts";
 
 /** Largest head of a response, bytes. */
@@ -29,6 +33,16 @@
   readonly timeoutMilliseconds: number;
 }
 
+/** A call of the entry itself. */
+export type OutgoingCall = Omit<OutgoingRequest, "requestId" | "body">;
+
+const CALL_WITHOUT_BODY = { requestId: "", body: Buffer.alloc(0) } as const;
+
+export interface AskOptions {
+  readonly connection: QuestionConnection;
+  readonly timeoutMilliseconds: number;
+}
+
 /** The whole answer to a call of the entry itself. */
 export interface CallAnswer {
   readonly head: EndpointResponse["head"];
@@ -45,6 +59,13 @@
   }
 
   send(outgoing: OutgoingRequest): EndpointExchange {
+    const agent = isAlone(outgoing)
+      ? new PacedAgent()
+      : this.#agentFor(outgoing.address);
+    return this.#open(outgoing, agent);
+  }
+
+  #open(outgoing: OutgoingRequest, agent: PacedAgent): EndpointExchange {
     const { address } = outgoing;
     const clientRequest = openRequest({
       host: hostOf(address),
@@ -54,7 +75,7 @@
       headers: [...outgoing.headers] as never,
       setHost: false,
       maxHeaderSize: MAX_HEAD_BYTES,
-      agent: isAlone(outgoing) ? new PacedAgent() : this.#agentFor(address),
+      agent,
     });
     return new EndpointExchange(clientRequest, { ...this.#options, outgoing });
   }
@@ -64,14 +85,10 @@
    * undefined if there was none.
    */
   async call(
-    outgoing: Omit<OutgoingRequest, "requestId" | "body">,
+    outgoing: OutgoingCall,
     { maxBytes, timeoutMilliseconds }: CallBounds,
   ): Promise<CallAnswer | undefined> {
-    const exchange = this.send({
-      ...outgoing,
-      requestId: "",
-      body: Buffer.alloc(0),
-    });
+    const exchange = this.send({ ...outgoing, ...CALL_WITHOUT_BODY });
     const timeout = this.#options.timer.after(
       timeoutMilliseconds,
       () => exchange.abort(),
@@ -85,6 +102,27 @@
     return { head: response.value.head, body };
   }
 
+  /**
+   * Sends a call on the connection, which carries one at a time, and returns
+   * the head of the answer, whatever that says of the call; undefined if there
+   * was none in time.
+   */
+  async ask(
+    outgoing: OutgoingCall,
+    { connection, timeoutMilliseconds }: AskOptions,
+  ): Promise<DecodedHead | undefined> {
+    const { timer } = this.#options;
+    const exchange = this.#open(
+      { ...outgoing, ...CALL_WITHOUT_BODY, isQuestion: true },
+      connection.agent,
+    );
+    const timeout = timer.after(timeoutMilliseconds, () => exchange.abort());
+    const response = await exchange.answer;
+    timeout.cancel();
+    if (response.isOk()) discardBody(response.value, timer);
+    return exchange.receivedHead;
+  }
+
   /** Opens a connection and closes it without a request. */
   async acceptsConnections(address: string): Promise<boolean> {
     const connection = this.connect(address);
@@ -94,9 +132,9 @@
     return isAccepted;
   }
 
-  /** Opens a connection that carries no request. */
-  connect(address: string): SilentConnection {
-    return new SilentConnection(
+  /** Opens a connection for a later call. */
+  connect(address: string): QuestionConnection {
+    return new QuestionConnection(
       { host: hostOf(address), port: portOf(address) },
       this.#options.timer,
     );
--- a/src/adapters/http_client/mod.ts
+++ b/src/adapters/http_client/mod.ts
@@ -14,7 +14,7 @@
 } from "./errors.ts";
 
 export { detectReset, framingOf, hasNoBody } from "./body_framing.ts";
-export { PacedAgent } from "./paced_agent.ts";
+export { openPaced, PacedAgent } from "./paced_agent.ts";
 
 /**
  * `http_not_sent`: no byte was sent. With the other failures the call may have
--- a/src/adapters/http_client/paced_agent.ts
+++ b/src/adapters/http_client/paced_agent.ts
@@ -22,8 +22,8 @@
   }
 }
 
-/** Opens a connection as `net.connect` does. */
-function openPaced(options: TcpNetConnectOpts): Socket {
+/** Opens a connection as `net.connect` does, to read it as the agent's are. */
+export function openPaced(options: TcpNetConnectOpts): Socket {
   const socket = new Socket(options);
   paceReads(socket);
   if (options.timeout !== undefined) socket.setTimeout(options.timeout);
--- a/src/core/forwarding/requests.ts
+++ b/src/core/forwarding/requests.ts
@@ -89,6 +89,8 @@
   readonly signatures: number;
   /** Encodings of the body, in lower case. */
   readonly contentEncodings: readonly string[];
+  /** The endpoint that names itself as the writer; absent if none does. */
+  readonly writer?: EndpointId;
 }
 
 /** The head of an endpoint's response to the request. */
--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -53,6 +53,8 @@
   /** Present once a body has ended with its connection, and without a reset. */
   readonly endEvidence?: EndEvidence;
   readonly endDelayMilliseconds?: number;
+  readonly endQuestions?: number;
+  readonly endVerdictMilliseconds?: number;
   /** Present if the response is a stream of events. */
   readonly insideEvent?: boolean;
   readonly pieces?: number;
@@ -270,6 +272,7 @@
     const watch = new WriterWatch({
       dependencies: this.#dependencies,
       endpoint: this.endpoint,
+      healthPath: this.#context.pool.healthPath,
     });
     this.#watch = watch;
     const { guard } = this.#context;
--- a/src/entry/forwarding/forwarding_dependencies.ts
+++ b/src/entry/forwarding/forwarding_dependencies.ts
@@ -49,6 +49,7 @@
 import type { RequestPermits } from "./request_permits.ts";
 import type { StreamOriginExchange } from "./stream_origin_exchange.ts";
 import type { VersionListing } from "./version_listing.ts";
+import type { WriterConnections } from "./writer_connections.ts";
 
 /** A request that has a route and whose response has not ended. */
 export interface OpenForward {
@@ -86,6 +87,7 @@
   /** Holds requests with what may have crashed several endpoints. */
   readonly crashGate: CrashGate;
   readonly lostRunChecks: LostRunChecks;
+  readonly writerConnections: WriterConnections;
   /** Request limits that endpoints have named. */
   readonly limits: EndpointLimits;
   /** Load that endpoints have reported in their responses. */
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -80,6 +80,7 @@
 import { StreamOriginExchange } from "./stream_origin_exchange.ts";
 import { UsageReporter } from "./usage_reporter.ts";
 import { VersionListing } from "./version_listing.ts";
+import { WriterConnections } from "./writer_connections.ts";
 import { type PlannedRoles, WorkRolePlanner } from "./work_role_planner.ts";
 
 /**
@@ -461,6 +462,7 @@
         crashes,
         registry: this.registry,
       }),
+      writerConnections: new WriterConnections(options.endpointClient),
       limits,
       loadReports,
       sentRequests,
--- a/src/entry/forwarding/forwarding_entry_test.ts
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -75,7 +75,6 @@
           checkHealth: () => Promise.resolve(undefined),
           acceptsConnections: () => Promise.resolve(false),
           connect: () => makeConnection(true),
-          settle: () => Promise.resolve(),
           release() {},
         },
         digestOf,
--- a/src/entry/forwarding/mod.ts
+++ b/src/entry/forwarding/mod.ts
@@ -24,6 +24,7 @@
   Notification,
   RegistrationChange,
 } from "./notifications/mod.ts";
+export { WriterConnections } from "./writer_connections.ts";
 export { QueryAllowance } from "./query_allowance.ts";
 export { PeerExchange } from "./peer_exchange.ts";
 export type { OrderOutcome, RoleLink } from "./role_controller.ts";
--- a/src/entry/forwarding/network_interfaces.ts
+++ b/src/entry/forwarding/network_interfaces.ts
@@ -10,6 +10,7 @@
   RegisteredEndpoint,
   ResponseHead,
 } from "../../core/forwarding/mod.ts";
+import type { EndpointId } from "../../core/identity/mod.ts";
 
 /**
  * `exchange_not_sent`: no byte was sent. `exchange_lost`: the request may be
@@ -101,20 +102,15 @@
   ): Promise<EndpointHealthAnswer | undefined>;
   /** True if a process listens at the address, whatever it answers. */
   acceptsConnections(address: string): Promise<boolean>;
-  /** Opens a connection that carries no request; never throws. */
+  /** Opens a connection for a question; never throws. */
   connect(address: string): EndpointConnection;
-  /**
-   * Settles once the connection is open or rejected, this time has passed,
-   * milliseconds, and what has arrived by then has been read.
-   */
-  settle(connection: EndpointConnection, milliseconds: number): Promise<void>;
   /** Releases a cached prompt that will not be used. */
   release(address: string, handle: string): void;
 }
 
 /**
- * State of a connection without a request. `rejected`: it was not accepted or
- * was reset. `ended`: the endpoint has closed it.
+ * State of a connection that an entry opens beside a response. `rejected`: it
+ * was not accepted. `ended`: it was accepted and has ended since.
  */
 export type EndpointConnectionState =
   | "opening"
@@ -122,14 +118,28 @@
   | "rejected"
   | "ended";
 
-/** A connection to an endpoint that carries no request. */
+/**
+ * Which process has answered a question. `expected`: the one that has the id.
+ * `other`: another one. `unnamed`: one that does not say which it is, such as
+ * one that rejects all requests. `none`: nobody, in the time allowed.
+ */
+export type AnsweringProcess = "expected" | "other" | "unnamed" | "none";
+
+export interface IdentifyOptions {
+  readonly healthPath: string;
+  readonly timeoutMilliseconds: number;
+}
+
+/** A connection to an endpoint that carries nothing but questions. */
 export interface EndpointConnection {
   readonly state: EndpointConnectionState;
+  /** Settles once the connection is open or rejected. */
   readonly opened: Promise<void>;
-  /** Settles once it was rejected, has ended or was closed. */
-  readonly closed: Promise<void>;
-  /** Time since its end was read; 0 before. */
-  readonly millisecondsSinceEnd: number;
+  /** Asks which process answers on the connection; one question at a time. */
+  identify(
+    endpoint: EndpointId,
+    options: IdentifyOptions,
+  ): Promise<AnsweringProcess>;
   close(): void;
 }
 
--- a/src/entry/forwarding/verify_end.ts
+++ b/src/entry/forwarding/verify_end.ts
@@ -3,16 +3,16 @@
 import type { WriterWatch } from "./writer_watch.ts";
 
 export interface VerifyEndOptions {
-  readonly watch: Pick<WriterWatch, "close" | "onBytes" | "onPause">;
-  /** True if the process that wrote the body has not ended with it. */
+  readonly watch: Pick<WriterWatch, "close">;
+  /** True if the process that wrote the body has outlived it. */
   readonly isWhole: () => Promise<boolean>;
   readonly guard: Guard;
 }
 
 /**
  * Returns a response whose body ends with its connection; it counts as cut
- * unless it is proven that its endpoint has not ended with it. The connections
- * of a killed process end in order, as they do behind a whole body.
+ * unless it is proven that its endpoint has outlived it. The connections of a
+ * killed process end in order, as they do behind a whole body.
  */
 export function verifyEnd(
   response: EndpointResponse,
@@ -20,15 +20,8 @@
 ): EndpointResponse {
   return {
     ...response,
-    pause: () => {
-      watch.onPause();
-      response.pause();
-    },
     read: (onChunk, onEnd) =>
-      response.read((chunk) => {
-        watch.onBytes();
-        onChunk(chunk);
-      }, (end) => {
+      response.read(onChunk, (end) => {
         if (end === "cut") {
           watch.close();
           return onEnd(end);
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -135,7 +135,6 @@
         acceptsConnections: (address) =>
           Promise.resolve(this.acceptsConnections(address)),
         connect: (address) => makeConnection(this.acceptsConnections(address)),
-        settle: () => Promise.resolve(),
         release() {},
       },
       digestOf,
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -72,6 +72,7 @@
   StreamOriginExchange,
   TrialExchange,
   VersionListing,
+  WriterConnections,
 } from "../../src/entry/forwarding/mod.ts";
 
 const EXCHANGE_FAILURE = defineError<{ name: ExchangeFailure["name"] }>()({
@@ -267,7 +268,6 @@
       checkHealth: () => Promise.resolve(undefined),
       acceptsConnections: () => Promise.resolve(false),
       connect: () => makeConnection(this.endpointsKeepListening),
-      settle: () => Promise.resolve(),
       release: (_, handle) => void this.released.push(handle),
     };
     const crashes = new CrashTracker({ timer });
@@ -324,6 +324,7 @@
         crashes,
         endpointClient,
       }),
+      writerConnections: new WriterConnections(endpointClient),
       limits,
       outcomes: new FleetOutcomes({
         self,
--- a/test/support/scripted_replica.ts
+++ b/test/support/scripted_replica.ts
@@ -19,6 +19,10 @@
   connections = 0;
   /** True: it answers nothing any more, as a process that has ended. */
   isSilent = false;
+  /** True: its last answer for itself comes again, as if it had been late. */
+  repeatsLastAnswer = false;
+  #rejections = 0;
+  #lastAnswer = "";
   readonly #options: ScriptedReplicaOptions;
   readonly #server: Server;
   #script: ReplicaScript;
@@ -72,6 +76,7 @@
         if (received.length < requestLength) return;
         const request = received.slice(0, requestLength);
         received = received.slice(requestLength);
+        if (this.repeatsLastAnswer) socket.write(this.#lastAnswer);
         if (this.isSilent) return;
         if (this.#answerForItself(socket, request)) continue;
         this.requests.push(request);
@@ -80,6 +85,11 @@
     });
   }
 
+  /** Rejects the next request to the health path, without its id. */
+  rejectOnce(): void {
+    this.#rejections += 1;
+  }
+
   /** True if the replica has answered the request without running it. */
   #answerForItself(socket: Socket, request: string): boolean {
     const { instanceId } = this.#options;
@@ -92,11 +102,19 @@
     const isHealth = request.startsWith(`GET ${HEALTH_PATH} `);
     const isOther = expected !== undefined && expected !== instanceId;
     if (!isHealth && !isOther) return false;
+    if (this.#rejections > 0) {
+      this.#rejections -= 1;
+      socket.write(
+        `HTTP/1.1 503 Service Unavailable\r\n${echo}X-Not-Executed: 1\r\n` +
+          "Content-Length: 0\r\n\r\n",
+      );
+      return true;
+    }
     const status = isOther ? "421 Misdirected Request" : "200 OK";
-    socket.write(
+    this.#lastAnswer =
       `HTTP/1.1 ${status}\r\n${echo}X-Instance-Id: ${instanceId}\r\n` +
-        "Content-Length: 0\r\n\r\n",
-    );
+      "Content-Length: 0\r\n\r\n";
+    socket.write(this.#lastAnswer);
     return true;
   }
 }
