Take no other process at an address for one that has crashed

Requests that crash replicas went on to crash them where the next process took the address within 50 ms: the check behind a lost run asked whether somebody accepts connections there, and counted any process as the old one, so that the loss was not confirmed.

The check asks the process for its id at the health path, for 50 ms at most. An answer of another process confirms the loss; without an answer, a connection that is accepted counts as before.

crashing_requests_test.ts, "is blocked where other processes accept connections at their addresses", fails with the check before (no crashes_endpoints in 20 requests) and passes; its other 12 tests pass. The test of a connection without a request uses connect, which acceptsConnections had wrapped.

--- a/src/adapters/forwarding/endpoint_http_client.ts
+++ b/src/adapters/forwarding/endpoint_http_client.ts
@@ -123,15 +123,6 @@
     return exchange.receivedHead;
   }
 
-  /** Opens a connection and closes it without a request. */
-  async acceptsConnections(address: string): Promise<boolean> {
-    const connection = this.connect(address);
-    await connection.opened;
-    const isAccepted = connection.state === "open";
-    connection.close();
-    return isAccepted;
-  }
-
   /** Opens a connection for a later call. */
   connect(address: string): QuestionConnection {
     return new QuestionConnection(
--- a/src/adapters/forwarding/endpoint_http_client_test.ts
+++ b/src/adapters/forwarding/endpoint_http_client_test.ts
@@ -318,9 +318,14 @@
 
   it("reports whether a process accepts connections, without a request", async () => {
     await startReplica(() => {});
-    expect(await client.acceptsConnections(address)).to.equal(true);
+    const accepted = client.connect(address);
+    await accepted.opened;
+    expect(accepted.state).to.equal("open");
     expect(replica.requests).to.deep.equal([]);
+    accepted.close();
     replica.close();
-    expect(await client.acceptsConnections(address)).to.equal(false);
+    const rejected = client.connect(address);
+    await rejected.opened;
+    expect(rejected.state).to.equal("rejected");
   });
 });
--- a/src/entry/forwarding/crashes/lost_run_checks.ts
+++ b/src/entry/forwarding/crashes/lost_run_checks.ts
@@ -3,7 +3,7 @@
   EndpointRegistry,
   RegisteredEndpoint,
 } from "../../../core/forwarding/mod.ts";
-import type { EndpointId } from "../../../core/identity/mod.ts";
+import type { EndpointId, ServiceName } from "../../../core/identity/mod.ts";
 import type { TimerService } from "../../../core/time/mod.ts";
 import type { EndpointClient } from "../network_interfaces.ts";
 
@@ -12,12 +12,16 @@
  * socket too.
  */
 const CHECK_DELAY_MILLISECONDS = 50;
+/** Time for the answer of a process that accepts connections. */
+const ANSWER_TIMEOUT_MILLISECONDS = 50;
 
 export interface LostRunChecksOptions {
   readonly timer: TimerService;
   readonly registry: EndpointRegistry;
   readonly crashes: CrashTracker;
-  readonly endpointClient: Pick<EndpointClient, "acceptsConnections">;
+  readonly endpointClient: Pick<EndpointClient, "connect">;
+  /** Path at which the endpoints of the pool answer for themselves. */
+  readonly healthPathOf: (pool: ServiceName) => string | undefined;
 }
 
 /**
@@ -45,16 +49,37 @@
   }
 
   async #run(endpoint: RegisteredEndpoint): Promise<void> {
-    const { crashes, endpointClient, registry, timer } = this.#options;
+    const { crashes, registry, timer } = this.#options;
     const startedAt = timer.now();
     let isAlive = false;
     try {
       isAlive = registry.isSameRun(endpoint) &&
-        await endpointClient.acceptsConnections(endpoint.address);
+        await this.#isListening(endpoint);
     } finally {
       this.#checked.delete(endpoint.id);
     }
     if (isAlive) crashes.answered(endpoint, startedAt);
     crashes.confirmLosses(endpoint);
   }
+
+  /** False also if another process listens at the address. */
+  async #isListening(
+    { address, id, pool }: RegisteredEndpoint,
+  ): Promise<boolean> {
+    const { endpointClient, healthPathOf } = this.#options;
+    const healthPath = healthPathOf(pool);
+    const connection = endpointClient.connect(address);
+    try {
+      await connection.opened;
+      if (connection.state !== "open") return false;
+      if (healthPath === undefined) return true;
+      const process = await connection.identify(id, {
+        healthPath,
+        timeoutMilliseconds: ANSWER_TIMEOUT_MILLISECONDS,
+      });
+      return process !== "other";
+    } finally {
+      connection.close();
+    }
+  }
 }
--- a/src/entry/forwarding/crashing_requests_test.ts
+++ b/src/entry/forwarding/crashing_requests_test.ts
@@ -3,19 +3,23 @@
   CrashingReplicas,
   type CrashingReplicasOptions,
 } from "../../../test/support/crashing_replicas.ts";
+import { HEALTH_PATH } from "../../../test/support/scripted_replica.ts";
 import { EntryFleet } from "../../../test/support/entry_fleet.ts";
 import type { RecordingSink } from "../../../test/support/forwarding_harness.ts";
 import {
+  ENGINE_POOL,
   ENGINES,
   makeConfiguration,
   makeEndpoint,
   makeEngine,
+  makePool,
   makePrompt,
   makeRequest,
   makeRoute,
   PORTAL,
 } from "../../../test/support/forwarding_fixtures.ts";
 import type { ForwardedRequest, Route } from "../../core/forwarding/mod.ts";
+import type { AnsweringProcess } from "./network_interfaces.ts";
 import { identifier, type RequestId } from "../../core/identity/mod.ts";
 
 /** Retries that may still reach endpoints after the third crash. */
@@ -57,6 +61,10 @@
           shares: [{ pool, weight: 1 }],
           ...options.route,
         })],
+        pools: new Map([
+          [PORTAL, makePool({ healthPath: HEALTH_PATH })],
+          [ENGINES, { ...ENGINE_POOL, healthPath: HEALTH_PATH }],
+        ]),
       }),
       endpoints: isPrompt ? engines() : portals(),
     });
@@ -215,12 +223,16 @@
 
     /** Responses to one request whose endpoints break off all responses. */
     async function responsesOf(
-      { acceptsConnections }: { readonly acceptsConnections: boolean },
+      { acceptsConnections, process = "expected" }: {
+        readonly acceptsConnections: boolean;
+        readonly process?: AnsweringProcess;
+      },
     ): Promise<RecordingSink[]> {
       const { fleet } = new CrashScenario({
         route: { repeat: "stream", resumable: true, mostAttempts: 3 },
       });
       fleet.acceptsConnections = () => acceptsConnections;
+      fleet.answeringProcess = process;
       fleet.onSend = (attempt) => {
         void attempt.head().then(() => attempt.chunk("id: 1\ndata: x\n\n"));
         fleet.timer.after(10, () => void attempt.end("cut"));
@@ -234,12 +246,20 @@
       return callers;
     }
 
+    const reasonsOf = async (options: Parameters<typeof responsesOf>[0]) =>
+      (await responsesOf(options)).map(({ refusal }) => refusal?.reason);
+
     it("is blocked, and that one is not while they accept connections", async () => {
-      const reasons = async (acceptsConnections: boolean) =>
-        (await responsesOf({ acceptsConnections }))
-          .map(({ refusal }) => refusal?.reason);
-      expect(await reasons(false)).to.include("crashes_endpoints");
-      expect(await reasons(true)).not.to.include("crashes_endpoints");
+      expect(await reasonsOf({ acceptsConnections: false }))
+        .to.include("crashes_endpoints");
+      expect(await reasonsOf({ acceptsConnections: true }))
+        .not.to.include("crashes_endpoints");
+    });
+
+    // The next process at the address was taken for the one that has crashed.
+    it("is blocked where other processes accept connections at their addresses", async () => {
+      const options = { acceptsConnections: true, process: "other" } as const;
+      expect(await reasonsOf(options)).to.include("crashes_endpoints");
     });
   });
 
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -461,6 +461,7 @@
         ...options,
         crashes,
         registry: this.registry,
+        healthPathOf: (pool) => this.configuration?.pools.get(pool)?.healthPath,
       }),
       writerConnections: new WriterConnections(options.endpointClient),
       limits,
--- a/src/entry/forwarding/forwarding_entry_test.ts
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -73,7 +73,6 @@
           parseCacheHandle: () => undefined,
           listCachedParts: () => Promise.resolve(undefined),
           checkHealth: () => Promise.resolve(undefined),
-          acceptsConnections: () => Promise.resolve(false),
           connect: () => makeConnection(true),
           release() {},
         },
--- a/src/entry/forwarding/network_interfaces.ts
+++ b/src/entry/forwarding/network_interfaces.ts
@@ -100,8 +100,6 @@
     endpoint: Pick<RegisteredEndpoint, "id" | "address">,
     path: string,
   ): Promise<EndpointHealthAnswer | undefined>;
-  /** True if a process listens at the address, whatever it answers. */
-  acceptsConnections(address: string): Promise<boolean>;
   /** Opens a connection for a question; never throws. */
   connect(address: string): EndpointConnection;
   /** Releases a cached prompt that will not be used. */
--- a/test/support/endpoint_connection.ts
+++ b/test/support/endpoint_connection.ts
@@ -1,11 +1,17 @@
-import type { EndpointConnection } from "../../src/entry/forwarding/network_interfaces.ts";
+import type {
+  AnsweringProcess,
+  EndpointConnection,
+} from "../../src/entry/forwarding/network_interfaces.ts";
 
 /** A connection to a process that answers, or one that was rejected. */
-export function makeConnection(isAccepted: boolean): EndpointConnection {
+export function makeConnection(
+  isAccepted: boolean,
+  process: AnsweringProcess = "expected",
+): EndpointConnection {
   return {
     state: isAccepted ? "open" : "rejected",
     opened: Promise.resolve(),
-    identify: () => Promise.resolve(isAccepted ? "expected" : "none"),
+    identify: () => Promise.resolve(isAccepted ? process : "none"),
     close() {},
   };
 }
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -17,6 +17,7 @@
 import { type Random, seededRandom } from "../../src/core/random/mod.ts";
 import { ManualTimerService } from "../../src/core/time/mod.ts";
 import {
+  type AnsweringProcess,
   type EndpointClient,
   type Exchange,
   ForwardingEntry,
@@ -70,6 +71,8 @@
   readonly #random: Random;
   /** Whether a process listens at the address of an endpoint. */
   acceptsConnections: (address: string) => boolean = () => false;
+  /** Which process answers on connections that are accepted. */
+  answeringProcess: AnsweringProcess = "expected";
   readonly #lossRate: number;
   #restarts = 0;
 
@@ -132,9 +135,11 @@
           body.length > 0 ? body.toString() : undefined,
         listCachedParts: () => Promise.resolve(undefined),
         checkHealth: checkHealth ?? (() => Promise.resolve(undefined)),
-        acceptsConnections: (address) =>
-          Promise.resolve(this.acceptsConnections(address)),
-        connect: (address) => makeConnection(this.acceptsConnections(address)),
+        connect: (address) =>
+          makeConnection(
+            this.acceptsConnections(address),
+            this.answeringProcess,
+          ),
         release() {},
       },
       digestOf,
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -266,7 +266,6 @@
       parseCacheHandle: (body) => body.length > 0 ? body.toString() : undefined,
       listCachedParts: () => Promise.resolve(undefined),
       checkHealth: () => Promise.resolve(undefined),
-      acceptsConnections: () => Promise.resolve(false),
       connect: () => makeConnection(this.endpointsKeepListening),
       release: (_, handle) => void this.released.push(handle),
     };
@@ -323,6 +322,7 @@
         registry,
         crashes,
         endpointClient,
+        healthPathOf: () => undefined,
       }),
       writerConnections: new WriterConnections(endpointClient),
       limits,
