Open no connection behind the close of a writer watch

A watch that was closed during a question, as when the caller leaves, opened another connection for the next question and left it open: it counts towards the endpoint's maximum until the endpoint closes it as idle.

writer_watch_test.ts fails before (two connections, the second open) and passes.

--- a/src/entry/forwarding/writer_watch.ts
+++ b/src/entry/forwarding/writer_watch.ts
@@ -100,6 +100,8 @@
       const pause = this.#pauseMilliseconds;
       if (timer.now() + pause >= until) break;
       if (pause > 0) await sleep(timer, pause);
+      // Nothing closes a connection that is opened behind the close.
+      if (this.#isClosed) break;
       this.#connection.close();
       this.#connection = dependencies.writerConnections.open(endpoint);
       isOpenedBefore = false;
