End questions that wait for a kept connection which closes

A kept connection whose last answer is not read to its end holds the next question back, as its agent opens no second one. When the connection then closed, the agent gave the question the closed connection, on which Node reports neither an error nor an end, and the abort at the timeout had no effect either: the verdict never came, and neither did the end of the caller's body.

A closed connection now fails the question, and the timeout settles it by itself. The two tests in replica_connection_test.ts hang before (2.5 s, with timeouts of 1 s and 0.1 s) and pass; end_evidence_test.ts and endpoint_http_client_test.ts pass.

--- a/src/adapters/forwarding/endpoint_connection.ts
+++ b/src/adapters/forwarding/endpoint_connection.ts
@@ -4,11 +4,19 @@
 import { openPaced, PacedAgent } from "../http_client/mod.ts";
 import { CONNECT_TIMEOUT_MILLISECONDS } from "./endpoint_exchange.ts";
 
+type OnConnection = (error: Error) => void;
+
 /** An agent of one connection, which is open already. */
 class SingleConnectionAgent extends PacedAgent {
   constructor(socket: Socket) {
     super({ keepAlive: true, maxSockets: 1 });
-    Object.assign(this, { createConnection: () => socket });
+    Object.assign(this, {
+      createConnection: (_options: unknown, callback: OnConnection) => {
+        if (!socket.destroyed) return socket;
+        // A request that waits for the connection would never end on it.
+        callback(new Error("the connection has closed"));
+      },
+    });
   }
 }
 
--- a/src/adapters/forwarding/endpoint_http_client.ts
+++ b/src/adapters/forwarding/endpoint_http_client.ts
@@ -116,10 +116,22 @@
       { ...outgoing, ...CALL_WITHOUT_BODY, isQuestion: true },
       connection.agent,
     );
-    const timeout = timer.after(timeoutMilliseconds, () => exchange.abort());
-    const response = await exchange.answer;
-    timeout.cancel();
-    if (response.isOk()) discardBody(response.value, timer);
+    const response = await new Promise<
+      Awaited<typeof exchange.answer> | undefined
+    >(
+      (resolve) => {
+        const timeout = timer.after(timeoutMilliseconds, () => {
+          exchange.abort();
+          // Node reports no end of a call that waits behind another answer.
+          resolve(undefined);
+        });
+        exchange.answer.then((answer) => {
+          timeout.cancel();
+          resolve(answer);
+        });
+      },
+    );
+    if (response?.isOk()) discardBody(response.value, timer);
     return exchange.receivedHead;
   }
 
