Do not take a broken peer connection for a message not sent

HttpPeerClient decided by the error's code alone: ECONNREFUSED and EHOSTUNREACH counted as link_not_sent. The system also reports these on an established connection, when a router rejects its packets. The side may then be at work on the message, but the entry counted the attempt as not run: a non-idempotent request without a key went on to another side, or was refused.

peer_client_test.ts: "may have sent the message if EHOSTUNREACH (ECONNREFUSED) follows the connect" fail before (link_not_sent) and pass. The test destroys the client's socket with the error; no router is involved.

--- a/src/adapters/peers/peer_client.ts
+++ b/src/adapters/peers/peer_client.ts
@@ -209,30 +209,49 @@
       request.destroy(new Error(reason));
     });
     request.on("close", () => timeout.cancel());
-    request.on("error", (error) => {
-      reject(new LinkError(toLinkFailure(address, error)));
-    });
+    const wasConnected = trackConnected(request);
+    const onError = (error: Error) => {
+      const isConnected = wasConnected();
+      reject(new LinkError(toLinkFailure(address, { error, isConnected })));
+    };
+    request.on("error", onError);
     request.on("response", (response) => {
       let text = "";
       response.setEncoding("utf8");
       response.on("data", (chunk: string) => text += chunk);
-      response.on("error", (error) => {
-        reject(new LinkError(toLinkFailure(address, error)));
-      });
+      response.on("error", onError);
       response.on("end", () => resolve(text));
     });
     request.end(options.body);
   });
 }
 
+/** Returns whether the request has had an established connection. */
+function trackConnected(request: http.ClientRequest): () => boolean {
+  let isConnected = false;
+  request.on("socket", (socket) => {
+    if (!socket.connecting) isConnected = true;
+    else socket.once("connect", () => isConnected = true);
+  });
+  return () => isConnected;
+}
+
 /**
- * A refused connection proves that nothing was sent. Any other error, such as a
- * reset, may occur after the peer has read the message.
+ * A connection that was refused before it was established proves that nothing
+ * was sent. Any other error may occur after the peer has read the message: the
+ * system reports an unreachable host on established connections too.
  */
-function toLinkFailure(address: PeerAddress, error: Error): LinkFailure {
+function toLinkFailure(
+  address: PeerAddress,
+  { error, isConnected }: {
+    readonly error: Error;
+    readonly isConnected: boolean;
+  },
+): LinkFailure {
   const code = (error as NodeJS.ErrnoException).code;
   const values = { address, detail: error.message };
-  return code === "ECONNREFUSED" || code === "EHOSTUNREACH"
+  const isRefused = code === "ECONNREFUSED" || code === "EHOSTUNREACH";
+  return !isConnected && isRefused
     ? failure(LINK_NOT_SENT, values)
     : failure(LINK_LOST, values);
 }
@@ -248,9 +267,13 @@
   const { side, onFrame, agent } = options;
   const body = JSON.stringify(attempt);
   const request = openPost(side, { path: ATTEMPT_PATH, body, agent });
+  const wasConnected = trackConnected(request);
   let response: http.IncomingMessage | undefined;
   const closed = new Promise<Result<void, LinkFailure>>((resolve) => {
-    const onError = (error: Error) => resolve(err(toLinkFailure(side, error)));
+    const onError = (error: Error) => {
+      const isConnected = wasConnected();
+      resolve(err(toLinkFailure(side, { error, isConnected })));
+    };
     request.on("error", onError);
     request.on("close", () => resolve(ok(undefined)));
     request.on("response", (incomingMessage) => {
--- a/src/adapters/peers/peer_client_test.ts
+++ b/src/adapters/peers/peer_client_test.ts
@@ -1,3 +1,5 @@
+import { subscribe, unsubscribe } from "node:diagnostics_channel";
+import type { Socket } from "node:net";
 import { expect } from "chai";
 import {
   readRequestBody,
@@ -5,6 +7,7 @@
 } from "../../../test/stand_ins/stand_in_server.ts";
 import { identifier } from "../../core/identity/mod.ts";
 import type { PeerAddress } from "../../core/links/mod.ts";
+import type { AttemptRequest } from "../../generated/messages.ts";
 import { HttpPeerClient } from "./mod.ts";
 
 describe("HttpPeerClient", () => {
@@ -62,4 +65,37 @@
     const snapshot = await client.snapshot(address, "forwarding");
     expect(snapshot._unsafeUnwrap()).to.deep.equal(result);
   });
+
+  describe("a connection that fails", () => {
+    const attempt = { attemptId: "a" } as unknown as AttemptRequest;
+
+    it("has sent nothing if it was refused", async () => {
+      await server.close();
+      const closed = await client.run(address, attempt, () => {}).closed;
+      expect(closed.isErr() && closed.error.name).to.equal("link_not_sent");
+    });
+
+    // The link breaks while the peer is at work, and the system reports the
+    // ICMP error of a router on the established connection. Taken for a message
+    // that was not sent, a non-idempotent request would run at a second side.
+    for (const code of ["EHOSTUNREACH", "ECONNREFUSED"]) {
+      it(`may have sent the message if ${code} follows the connect`, async () => {
+        const sockets: Socket[] = [];
+        const onSocket = (message: unknown) =>
+          sockets.push((message as { readonly socket: Socket }).socket);
+        subscribe("net.client.socket", onSocket);
+        const received: unknown[] = [];
+        answer = (id) => {
+          received.push(id);
+          const error = Object.assign(new Error(`read ${code}`), { code });
+          for (const socket of sockets) socket.destroy(error);
+          return null;
+        };
+        const closed = await client.run(address, attempt, () => {}).closed;
+        unsubscribe("net.client.socket", onSocket);
+        expect(received).to.have.length(1);
+        expect(closed.isErr() && closed.error.name).to.equal("link_lost");
+      });
+    }
+  });
 });
