Share the retry budget while the list of the fleet is unknown

An entry that had not read the list of the fleet, and had none from a peer, counted as the only one as soon as its startup was over, and used the whole minimum of the retry budget. For the request limits of endpoints the same entry assumed eight already.

Both now assume eight entries until there is a list.

forwarding_entry_test.ts: "assumes that others share its limits until it has the list" fails before (1 instead of 8) and passes.

--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -85,10 +85,11 @@
 
 /**
  * Minimum number of entries that are assumed to share the retry budget during
- * startup. After a restart of the whole fleet each entry first sees only itself
- * in the list and would use the whole minimum budget.
+ * startup and while the list of the fleet is unknown. After a restart of the
+ * whole fleet each entry first sees only itself in the list and would use the
+ * whole minimum budget.
  */
-const ASSUMED_STARTUP_ENTRIES = 8;
+const MIN_ASSUMED_ENTRIES = 8;
 /** Startup time after which entries that started together know each other. */
 const STARTUP_MILLISECONDS = 5_000;
 
@@ -261,7 +262,9 @@
       registry: this.registry,
       owners,
       send: (peer, notification) => this.peers.sendTo(peer, notification),
-      share: () => owners.liveCount / Math.max(owners.liveCount, this.#members),
+      share: () =>
+        owners.liveCount /
+        Math.max(owners.liveCount, this.entriesSharingLimits),
       onOutcome: options.onPermit,
     });
     this.#streams = new StreamOriginExchange({
@@ -515,25 +518,20 @@
     return this.#routes?.configuration;
   }
 
-  /** Number of entries that share the fleet-wide limits. */
+  /**
+   * Number of entries that share the fleet-wide limits. While the list of the
+   * fleet is unknown, peers that can't be reached may exist: without the
+   * assumption, each of them would use the whole minimum of the retry budget.
+   */
   get entriesSharingLimits(): number {
-    const known = this.peers.fleetSize ?? 1;
+    const known = this.peers.fleetSize;
+    if (known === undefined) return MIN_ASSUMED_ENTRIES;
     const age = this.#options.timer.now() - this.#startedAt;
     return age < STARTUP_MILLISECONDS
-      ? Math.max(known, ASSUMED_STARTUP_ENTRIES)
+      ? Math.max(known, MIN_ASSUMED_ENTRIES)
       : known;
   }
 
-  /**
-   * Number of entries among which endpoints' request limits are divided. While
-   * the list of the fleet is unknown, peers that can't be reached may exist.
-   */
-  get #members(): number {
-    return this.peers.fleetSize === undefined
-      ? ASSUMED_STARTUP_ENTRIES
-      : this.entriesSharingLimits;
-  }
-
   /** Roles planned by observed work, by pool, as planned by this entry. */
   get plannedRoles(): Iterable<PlannedRoles> {
     return this.#workRolePlanner?.planned ?? [];
--- a/src/entry/forwarding/forwarding_entry_test.ts
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -49,6 +49,7 @@
     position = 0,
     timer = new ManualTimerService(),
     onEndpointRemoved = () => {},
+    hasList = true,
   } = {},
 ): ForwardingEntry[] {
   const entries: ForwardingEntry[] = Array.from(
@@ -114,7 +115,7 @@
         onPermit() {},
       }),
   );
-  for (const entry of entries) {
+  for (const entry of hasList ? entries : []) {
     entry.peers.setPeers(new Map([["other", "peer:1"]]));
   }
   return entries;
@@ -234,6 +235,18 @@
     expect(entry.entriesSharingLimits).to.equal(1);
   });
 
+  // The list of the fleet can't be read and no peer has sent one, while the
+  // configuration is known. Eight such entries took themselves for alone after
+  // the startup, and each used the whole minimum of the retry budget.
+  it("assumes that others share its limits until it has the list", async () => {
+    const timer = new ManualTimerService();
+    const [entry] = makeEntries(1, { timer, hasList: false });
+    await timer.advance(60_000);
+    expect(entry.entriesSharingLimits).to.equal(8);
+    entry.peers.setPeers(new Map([["peer", "127.0.0.1:1"]]));
+    expect(entry.entriesSharingLimits).to.equal(2);
+  });
+
   // An engine with caches, open prompts and recorded failures crashes and
   // restarts under the same id. State kept from the previous run sends callers
   // to caches that are gone or excludes a healthy engine.
