Test which requests count as not sent around the connect timeout

A process that is busy past the connect timeout while the system completes the connection, and a long body of which the replica has read a part before a reset or an abort. In each case the failure says whether the replica has read bytes.

--- a/src/adapters/forwarding/endpoint_http_client_test.ts
+++ b/src/adapters/forwarding/endpoint_http_client_test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { type AddressInfo, createServer } from "node:net";
+import { type AddressInfo, createServer, type Socket } from "node:net";
 import process from "node:process";
 import {
   answerBytes,
@@ -227,6 +227,87 @@
     expect(await send()).to.deep.equal({ failure: "exchange_not_sent" });
   });
 
+  describe("a request that counts as not sent", () => {
+    /** Sends a body of this size to a server that counts the bytes it reads. */
+    async function countBytes(
+      { bodyBytes, pause, onBytes = () => {} }: {
+        readonly bodyBytes: number;
+        readonly pause: () => Promise<void>;
+        readonly onBytes?: (socket: Socket) => void;
+      },
+    ): Promise<{ readonly received: number; readonly result: string }> {
+      let received = 0;
+      const server = createServer((socket) => {
+        socket.on("data", (chunk) => {
+          received += chunk.length;
+          onBytes(socket);
+        });
+        socket.on("error", () => {});
+      });
+      await new Promise<void>((resolve) =>
+        server.listen(0, "127.0.0.1", resolve)
+      );
+      const exchange = client.send({
+        address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+        method: "POST",
+        target: "/x",
+        headers: ["Host", "h", "Content-Length", String(bodyBytes)],
+        body: Buffer.alloc(bodyBytes, "x"),
+        requestId: "r",
+      });
+      await pause();
+      const abort = setTimeout(() => exchange.abort(), 100);
+      const answer = await exchange.answer;
+      clearTimeout(abort);
+      await new Promise((resolve) => setTimeout(resolve, 50));
+      server.close();
+      const result = answer.isErr() ? answer.error.name : "answered";
+      return { received, result };
+    }
+
+    // The process is busy past the connect timeout while the system completes
+    // the connection. If bytes were written after the timeout, a request that
+    // has run would be sent to another replica or refused.
+    const pauses: Readonly<Record<string, () => Promise<void>>> = {
+      "in the same turn": () => Promise.resolve(),
+      "after a microtask": () => new Promise(queueMicrotask),
+      "after a tick": () => new Promise((resolve) => process.nextTick(resolve)),
+      "before the next poll": () =>
+        new Promise((resolve) => setTimeout(resolve, 0)),
+      "after the next poll": () =>
+        new Promise((resolve) => setImmediate(resolve)),
+    };
+    for (const [name, wait] of Object.entries(pauses)) {
+      it(`is one of which no byte was read, if the process is busy ${name}`, async () => {
+        const pause = async () => {
+          await wait();
+          const end = performance.now() + 450;
+          while (performance.now() < end);
+        };
+        const { received, result } = await countBytes({ bodyBytes: 4, pause });
+        const expected = received > 0 ? "exchange_lost" : "exchange_not_sent";
+        expect(result).to.equal(expected);
+      });
+    }
+
+    // The write of a long body does not end, or fails. The replica has read a
+    // part of the request all the same, and may act on it.
+    for (const isReset of [true, false]) {
+      it(`is none of which a part was read before a ${isReset ? "reset" : "timeout"}`, async () => {
+        const { received, result } = await countBytes({
+          bodyBytes: 20_000_000,
+          pause: () => Promise.resolve(),
+          onBytes: (socket) => {
+            if (isReset) socket.resetAndDestroy();
+            else socket.pause();
+          },
+        });
+        expect(received).to.be.within(1, 19_999_999);
+        expect(result).to.equal("exchange_lost");
+      });
+    }
+  });
+
   // A replica refuses a long request before reading it and keeps the
   // connection. If the rest of the body were not sent, the replica would read
   // the next request as that rest.
