Combine all answers about a stream's origin

A query settled with the first origin that arrived. Another entry may know that the stream is ambiguous, where the news to the first one was lost or late, and the stream went on at a version that may not have begun it.

--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -58,6 +58,7 @@
   SharedRetryBudget,
 } from "./admission/shared_retry_budget.ts";
 export {
+  combineOrigins,
   type KnownOrigin,
   STREAM_LIFETIME_MILLISECONDS,
   type StreamOrigin,
--- a/src/core/forwarding/streams/stream_origins.ts
+++ b/src/core/forwarding/streams/stream_origins.ts
@@ -54,11 +54,10 @@
 
   /** Records an origin; a different one makes the stream ambiguous. */
   record({ origin, stream }: StreamRecord): void {
-    const known = this.find(stream);
-    const isSame = known === undefined || isSameOrigin(known, origin);
+    const combined = combineOrigins(this.find(stream), origin);
     this.#kept.delete(stream);
     this.#kept.set(stream, {
-      origin: isSame ? this.#share(origin) : "ambiguous",
+      origin: this.#share(combined),
       recordedAt: this.#timer.now(),
     });
     this.#dropOldest();
@@ -103,6 +102,16 @@
   }
 }
 
+/** What two sources say together; "ambiguous" if they differ. */
+export function combineOrigins(
+  known: KnownOrigin | undefined,
+  origin: KnownOrigin,
+): KnownOrigin {
+  return known === undefined || isSameOrigin(known, origin)
+    ? origin
+    : "ambiguous";
+}
+
 function isSameOrigin(left: KnownOrigin, right: KnownOrigin): boolean {
   if (left === "ambiguous" || right === "ambiguous") return left === right;
   return left.pool === right.pool &&
--- a/src/entry/forwarding/stream_continuation_test.ts
+++ b/src/entry/forwarding/stream_continuation_test.ts
@@ -143,6 +143,19 @@
     }
   });
 
+  // One answer is enough to go on, but not at once: the others may differ.
+  it("go on within 60 ms while an entry that keeps them does not answer", async () => {
+    await start();
+    streams.fleet.isCut = (from, to) => from === 0 && to === 1;
+    const begun = await streams.begin(0);
+    await streams.fleet.timer.advance(20);
+    streams.fleet.partitioned.add(0);
+    const startedAt = streams.fleet.timer.now();
+    const { attempt } = await streams.takeUp(1, begun);
+    expect(attempt && streams.versionAt(attempt)).to.equal(begun.version);
+    expect(streams.fleet.timer.now() - startedAt).to.be.at.most(70);
+  });
+
   for (const status of [421, 503]) {
     it(`go on at another replica of their version after ${status}`, async () => {
       await start();
@@ -287,6 +300,36 @@
       await expectRefused(streams.takeUp(1, begun), "stream_origin_ambiguous");
     });
 
+    /** Registers the replica that wrote the stream as one of version 2. */
+    function restartWriter(entries: readonly number[]): void {
+      const writer = streams.endpoints.find(({ id }) =>
+        id === streams.attempts[0].options.endpoint
+      );
+      if (writer === undefined) throw new Error("Nothing was written");
+      for (const entry of entries) {
+        streams.fleet.entries[entry].registry.upsert({
+          ...writer,
+          softwareVersion: identifier<SoftwareVersion>("v2"),
+          startedAt: numbered<ReplicaStartTime>(1),
+        });
+      }
+    }
+
+    // The first entry to answer may lack what the others know.
+    it("where only the entries that answer later know of another version", async () => {
+      await start({ versions: ["v1", "v1", "v1"] });
+      streams.fleet.isCut = (from, to) => from === 0 && to === 1;
+      const begun = await streams.begin(0);
+      await streams.fleet.timer.advance(20);
+      // Entry 2 keeps the stream, and misses that its version is in doubt.
+      streams.fleet.isCut = (from, to) => from === 0 && to <= 2;
+      restartWriter([0]);
+      await streams.fleet.timer.advance(20);
+      streams.fleet.isCut = () => false;
+      streams.fleet.extraLatency = (from) => from === 2 ? 0 : 20;
+      await expectRefused(streams.takeUp(1, begun), "stream_origin_ambiguous");
+    });
+
     // Two attempts with one id at two entries may begin at two versions.
     it("where two versions began them under one id", async () => {
       await start();
--- a/src/entry/forwarding/stream_origin_exchange.ts
+++ b/src/entry/forwarding/stream_origin_exchange.ts
@@ -1,4 +1,5 @@
 import {
+  combineOrigins,
   type EndpointRegistry,
   type KnownOrigin,
   type LoadOwners,
@@ -96,7 +97,9 @@
 interface PendingQuery {
   readonly stream: StreamDigest;
   readonly waiting: Set<ProcessId>;
-  readonly settle: (origin: KnownOrigin | undefined) => void;
+  /** What the answers so far say together. */
+  found: KnownOrigin | undefined;
+  readonly settle: () => void;
 }
 
 interface OwnStream extends StreamRecord {
@@ -239,9 +242,10 @@
     if (query === undefined || query.stream !== params.stream) return;
     if (!query.waiting.delete(peer)) return;
     if (params.origin !== undefined) {
-      return query.settle(decodeOrigin(params.origin));
+      query.found = combineOrigins(query.found, decodeOrigin(params.origin));
     }
-    if (query.waiting.size === 0) query.settle(undefined);
+    const isSettled = query.found === "ambiguous" || query.waiting.size === 0;
+    if (isSettled) query.settle();
   }
 
   async #find(stream: StreamDigest): Promise<StreamLookup> {
@@ -273,7 +277,11 @@
     return { outcome: isComplete ? "unknown" : "unanswered" };
   }
 
-  /** Settles with the first origin, or once all have answered or timed out. */
+  /**
+   * Settles once all have answered or the time is up. An entry that knows one
+   * origin does not prove that no other entry knows another one, as a datagram
+   * to it may be lost or late; only "ambiguous" settles the query at once.
+   */
   async #query(
     asked: readonly ProcessId[],
     { stream, timeoutMilliseconds }: {
@@ -287,15 +295,16 @@
     const id = this.#lastId;
     const waiting = new Set(asked);
     let timeout: Subscription | undefined;
-    const origin = await new Promise<KnownOrigin | undefined>((settle) => {
-      this.#pending.set(id, { stream, waiting, settle });
-      timeout = timer.after(timeoutMilliseconds, () => settle(undefined));
+    await new Promise<void>((settle) => {
+      this.#pending.set(id, { stream, waiting, found: undefined, settle });
+      timeout = timer.after(timeoutMilliseconds, settle);
       const params = { entry: self, id, stream };
       for (const peer of asked) {
         send(peer, { method: STREAM_QUERY_METHOD, params });
       }
     });
     timeout?.cancel();
+    const origin = this.#pending.get(id)?.found;
     this.#pending.delete(id);
     if (origin !== undefined) origins.record({ stream, origin });
     return { origin, isComplete: waiting.size === 0 };
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -62,6 +62,8 @@
   groupOf: (index: number) => number = () => 0;
   /** True if datagrams from one entry to another are lost. */
   isCut: (from: number, to: number) => boolean = () => false;
+  /** Latency of a link in addition to that of all links, milliseconds. */
+  extraLatency: (from: number, to: number) => number = () => 0;
   onSend: ((attempt: SentAttempt) => void) | undefined;
   /** Number of datagrams sent. */
   datagrams = 0;
@@ -191,7 +193,8 @@
       this.#random() < this.#lossRate;
     if (isLost) return;
     const latency = MIN_LATENCY_MILLISECONDS +
-      LATENCY_SPREAD_MILLISECONDS * this.#random();
+      LATENCY_SPREAD_MILLISECONDS * this.#random() +
+      this.extraLatency(from, to);
     this.timer.after(latency, () => {
       this.entries[to].onNotification(method, JSON.parse(text));
     });
