Count announcements that arrive during a search for a stream's origin

An announcement of another version that arrived while entries were asked was recorded, but the search returned the answer alone, so the stream went on at a version that may not have begun it.

--- a/src/entry/forwarding/stream_continuation_test.ts
+++ b/src/entry/forwarding/stream_continuation_test.ts
@@ -11,6 +11,7 @@
   VersionedStreams,
   type VersionedStreamsOptions,
 } from "../../../test/support/versioned_streams.ts";
+import { streamDigestOf } from "../../adapters/forwarding/mod.ts";
 import type { ServingVersion } from "../../core/forwarding/mod.ts";
 import {
   identifier,
@@ -330,6 +331,25 @@
       await expectRefused(streams.takeUp(1, begun), "stream_origin_ambiguous");
     });
 
+    // An announcement that arrives during the search is evidence as well.
+    it("where another version is announced while entries are asked", async () => {
+      await start({ versions: ["v1", "v1", "v1"] });
+      streams.fleet.isCut = (from, to) => from === 0 && to === 1;
+      const begun = await streams.begin(0);
+      await streams.fleet.timer.advance(20);
+      streams.fleet.isCut = () => false;
+      streams.fleet.extraLatency = (from) => from === 1 ? 0 : 25;
+      const taken = streams.takeUp(1, begun);
+      streams.fleet.entries[1].onNotification(STREAMS_METHOD, {
+        origins: [[String(PORTAL), "v2"]],
+        streams: [[
+          streamDigestOf(begun.id, undefined),
+          0,
+        ]],
+      });
+      await expectRefused(taken, "stream_origin_ambiguous");
+    });
+
     // Two attempts with one id at two entries may begin at two versions.
     it("where two versions began them under one id", async () => {
       await start();
--- a/src/entry/forwarding/stream_origin_exchange.ts
+++ b/src/entry/forwarding/stream_origin_exchange.ts
@@ -270,7 +270,7 @@
       })
       : { isComplete: others.length === 0 };
     // An announcement may have arrived in the meantime.
-    const origin = last.origin ?? origins.find(stream);
+    const origin = origins.find(stream);
     if (origin !== undefined) return { origin, outcome: "answered_late" };
     const isComplete = answer.isComplete && last.isComplete &&
       peers().length > 0;
@@ -304,10 +304,11 @@
       }
     });
     timeout?.cancel();
-    const origin = this.#pending.get(id)?.found;
+    const found = this.#pending.get(id)?.found;
     this.#pending.delete(id);
-    if (origin !== undefined) origins.record({ stream, origin });
-    return { origin, isComplete: waiting.size === 0 };
+    if (found !== undefined) origins.record({ stream, origin: found });
+    // An announcement that has arrived in the meantime counts with the answers.
+    return { origin: origins.find(stream), isComplete: waiting.size === 0 };
   }
 
   #distribute(records: readonly StreamRecord[]): void {
