Let each keeper of a stream notice that its writer's version changed

Only the entry that began a stream marked it as ambiguous when the registration of its replica turned out to be late. If that news was lost, or the entry was killed before, the others kept the former version, and the stream went on at it. Announcements now name the run of the writer, and each entry compares it with its own registry. An entry that reads an earlier run's end late must not doubt the stream, so only later runs count.

--- a/src/core/forwarding/streams/stream_origins.ts
+++ b/src/core/forwarding/streams/stream_origins.ts
@@ -4,6 +4,7 @@
   StreamDigest,
 } from "../../identity/mod.ts";
 import type { TimerService } from "../../time/mod.ts";
+import type { EndpointRun } from "../endpoints/endpoint_runs.ts";
 
 /**
  * Time for which the origin of a stream is kept: longer than a stream and all
@@ -26,6 +27,8 @@
 export interface StreamRecord {
   readonly stream: StreamDigest;
   readonly origin: KnownOrigin;
+  /** Registered run that has just begun to write; absent from later copies. */
+  readonly writer?: EndpointRun;
 }
 
 interface KeptOrigin {
--- a/src/entry/forwarding/notifications/stream_notification.ts
+++ b/src/entry/forwarding/notifications/stream_notification.ts
@@ -3,7 +3,10 @@
   StreamRecord,
 } from "../../../core/forwarding/mod.ts";
 import {
+  type EndpointId,
   identifier,
+  numbered,
+  type ReplicaStartTime,
   type ServiceName,
   type SoftwareVersion,
   type StreamDigest,
@@ -30,10 +33,18 @@
 /** Pool and software version; null if several versions may have written. */
 type OriginRow = readonly [pool: string, softwareVersion: string] | null;
 
+/** The run that writes is absent if its start is not known. */
+type StreamRow = readonly [
+  stream: string,
+  origin: number,
+  writer?: string,
+  writerStartedAt?: number,
+];
+
 /** Origins of streams; the streams refer to origins by index. */
 export interface StreamNotification {
   readonly origins: readonly OriginRow[];
-  readonly streams: readonly (readonly [stream: string, origin: number])[];
+  readonly streams: readonly StreamRow[];
 }
 
 export interface StreamQuery {
@@ -61,9 +72,12 @@
   const keys = [...rows.keys()];
   return {
     origins: [...rows.values()],
-    streams: records.map(({ origin, stream }) => [
+    streams: records.map(({ origin, stream, writer }) => [
       stream,
       keys.indexOf(JSON.stringify(encodeOrigin(origin))),
+      ...(writer?.startedAt === undefined
+        ? [] as const
+        : [writer.id, writer.startedAt] as const),
     ]),
   };
 }
@@ -71,9 +85,15 @@
 export function decodeStreams(
   { origins, streams }: StreamNotification,
 ): StreamRecord[] {
-  return streams.map(([stream, origin]) => ({
+  return streams.map(([stream, origin, writer, startedAt]) => ({
     stream: identifier<StreamDigest>(stream),
     origin: decodeOrigin(origins[origin]),
+    ...(writer !== undefined && startedAt !== undefined && {
+      writer: {
+        id: identifier<EndpointId>(writer),
+        startedAt: numbered<ReplicaStartTime>(startedAt),
+      },
+    }),
   }));
 }
 
@@ -97,7 +117,12 @@
 const hasStreamFields = isObjectOf<StreamNotification>({
   origins: isListOf(isOriginRow),
   streams: isListOf(
-    isRow<StreamNotification["streams"][number]>([isText, isInteger]),
+    isRow<StreamRow>([
+      isText,
+      isInteger,
+      isOptional(isText),
+      isOptional(isNumber),
+    ]),
   ),
 });
 
--- a/src/entry/forwarding/stream_continuation_test.ts
+++ b/src/entry/forwarding/stream_continuation_test.ts
@@ -157,6 +157,26 @@
     expect(streams.fleet.timer.now() - startedAt).to.be.at.most(70);
   });
 
+  // An entry that reads the end of the former run after the stream has begun at
+  // the next run must not take the former one for the writer.
+  it("go on at an entry that reads their replica's new registration late", async () => {
+    await start({ versions: ["v1", "v1"] });
+    const next = streams.endpoints.map((endpoint) => ({
+      ...endpoint,
+      softwareVersion: identifier<SoftwareVersion>("v2"),
+      startedAt: numbered<ReplicaStartTime>(1),
+    }));
+    const [first, late] = streams.fleet.entries;
+    for (const endpoint of next) first.registry.upsert(endpoint);
+    const begun = await streams.begin(0);
+    await streams.fleet.timer.advance(20);
+    for (const { id } of next) late.registry.remove(id);
+    for (const endpoint of next) late.registry.upsert(endpoint);
+    const { attempt, caller } = await streams.takeUp(1, begun);
+    expect(caller.refusal).to.equal(undefined);
+    expect(attempt).to.not.equal(undefined);
+  });
+
   for (const status of [421, 503]) {
     it(`go on at another replica of their version after ${status}`, async () => {
       await start();
@@ -350,6 +370,29 @@
       await expectRefused(taken, "stream_origin_ambiguous");
     });
 
+    // The news of the writer's new version is lost on the way to this entry,
+    // which has the registration itself.
+    it("where the doubt of the stream's entry does not arrive", async () => {
+      await start({ versions: ["v1", "v1", "v1"] });
+      const begun = await streams.begin(0);
+      await streams.fleet.timer.advance(20);
+      streams.fleet.isCut = (from, to) => from === 0 && to === 1;
+      restartWriter([0, 1, 2, 3, 4]);
+      await streams.fleet.timer.advance(20);
+      await expectRefused(streams.takeUp(1, begun), "stream_origin_ambiguous");
+    });
+
+    // The stream's entry ends before it learns of the writer's new version.
+    it("where the stream's entry was killed before the writer's new version was seen", async () => {
+      await start({ versions: ["v1", "v1", "v1"] });
+      const begun = await streams.begin(0);
+      await streams.fleet.timer.advance(20);
+      streams.fleet.partitioned.add(0);
+      restartWriter([1, 2, 3, 4]);
+      await streams.fleet.timer.advance(20);
+      await expectRefused(streams.takeUp(1, begun), "stream_origin_ambiguous");
+    });
+
     // Two attempts with one id at two entries may begin at two versions.
     it("where two versions began them under one id", async () => {
       await start();
--- a/src/entry/forwarding/stream_origin_exchange.ts
+++ b/src/entry/forwarding/stream_origin_exchange.ts
@@ -1,6 +1,7 @@
 import {
   combineOrigins,
   type EndpointRegistry,
+  type EndpointRun,
   type KnownOrigin,
   type LoadOwners,
   type RegisteredEndpoint,
@@ -9,7 +10,6 @@
   type StreamRecord,
 } from "../../core/forwarding/mod.ts";
 import {
-  type EndpointId,
   identifier,
   type ProcessId,
   type RequestId,
@@ -102,8 +102,9 @@
   readonly settle: () => void;
 }
 
-interface OwnStream extends StreamRecord {
-  readonly writer: EndpointId;
+interface RecentStream extends StreamRecord {
+  readonly writer: EndpointRun;
+  readonly isOwn: boolean;
   readonly recordedAt: number;
 }
 
@@ -115,8 +116,8 @@
 export class StreamOriginExchange {
   readonly #options: StreamOriginExchangeOptions;
   readonly #pending = new Map<number, PendingQuery>();
-  /** Own streams of the last seconds, the oldest first. */
-  #ownStreams: OwnStream[] = [];
+  /** Streams of the last seconds whose writer is known, the oldest first. */
+  readonly #recentStreams: RecentStream[] = [];
   #unsent: StreamRecord[] = [];
   #batch: Subscription | undefined;
   #lastId = 0;
@@ -146,27 +147,29 @@
     const origin: KnownOrigin = current.softwareVersion === softwareVersion
       ? { pool, softwareVersion }
       : "ambiguous";
-    const recordedAt = timer.now();
-    const oldest = recordedAt - LATE_REGISTRATION_MILLISECONDS;
-    this.#ownStreams = this.#ownStreams.filter((each) =>
-      each.recordedAt >= oldest
-    );
-    this.#ownStreams.push({ stream, origin, writer: writer.id, recordedAt });
-    this.#distribute([{ stream, origin }]);
+    const { id, startedAt } = writer;
+    const record = { stream, origin, writer: { id, startedAt } };
+    this.#noteRecent({ ...record, isOwn: true, recordedAt: timer.now() });
+    this.#distribute([record]);
   }
 
   /**
    * Marks streams whose writer may have been a run of another version than the
-   * registry showed, as the registration of a restarted replica is late.
+   * registry showed, as the registration of a restarted replica is late. Each
+   * keeper does so by itself: the news from the stream's entry may be lost.
    */
-  onEndpointChange({ id, softwareVersion }: RegisteredEndpoint): void {
+  onEndpointChange(endpoint: RegisteredEndpoint): void {
     const oldest = this.#options.timer.now() - LATE_REGISTRATION_MILLISECONDS;
-    const inDoubt = this.#ownStreams.filter(({ origin, recordedAt, writer }) =>
-      writer === id && recordedAt >= oldest && origin !== "ambiguous" &&
-      origin.softwareVersion !== softwareVersion
+    const inDoubt = this.#recentStreams.filter((each) =>
+      each.recordedAt >= oldest && mayBeWrittenBy(endpoint, each)
     );
+    for (const { isOwn, stream } of inDoubt) {
+      if (!isOwn) this.#options.origins.record(ambiguous(stream));
+    }
     this.#distribute(
-      inDoubt.map(({ stream }) => ({ stream, origin: "ambiguous" })),
+      inDoubt.filter(({ isOwn }) => isOwn).map(({ stream }) =>
+        ambiguous(stream)
+      ),
     );
   }
 
@@ -215,8 +218,19 @@
 
   /** Records the origins of a peer's streams. */
   onStreams(params: StreamNotification): void {
-    const { origins } = this.#options;
-    for (const each of decodeStreams(params)) origins.record(each);
+    const { origins, registry, timer } = this.#options;
+    for (const record of decodeStreams(params)) {
+      origins.record(record);
+      const { stream, writer } = record;
+      if (writer === undefined) continue;
+      const recordedAt = timer.now();
+      const recent = { ...record, writer, isOwn: false, recordedAt };
+      this.#noteRecent(recent);
+      const current = registry.get(writer.id);
+      if (current !== undefined && mayBeWrittenBy(current, recent)) {
+        origins.record(ambiguous(stream));
+      }
+    }
   }
 
   /** Answers a peer's query. */
@@ -311,6 +325,14 @@
     return { origin: origins.find(stream), isComplete: waiting.size === 0 };
   }
 
+  #noteRecent(recent: RecentStream): void {
+    const oldest = recent.recordedAt - LATE_REGISTRATION_MILLISECONDS;
+    const kept = this.#recentStreams;
+    const firstKept = kept.findIndex((each) => each.recordedAt >= oldest);
+    kept.splice(0, firstKept === -1 ? kept.length : firstKept);
+    kept.push(recent);
+  }
+
   #distribute(records: readonly StreamRecord[]): void {
     if (records.length === 0) return;
     const { origins, timer } = this.#options;
@@ -351,3 +373,20 @@
     }
   }
 }
+
+function ambiguous(stream: StreamDigest): StreamRecord {
+  return { stream, origin: "ambiguous" };
+}
+
+/** True if this run of another version may have written the stream instead. */
+function mayBeWrittenBy(
+  { id, softwareVersion, startedAt }: RegisteredEndpoint,
+  { isOwn, origin, writer }: RecentStream,
+): boolean {
+  const isOtherVersion = writer.id === id && origin !== "ambiguous" &&
+    origin.softwareVersion !== softwareVersion;
+  // The stream's entry may have read a newer registration than this one has.
+  const isLater = startedAt !== undefined && writer.startedAt !== undefined &&
+    startedAt > writer.startedAt;
+  return isOtherVersion && (isOwn || isLater);
+}
--- a/test/support/versioned_streams.ts
+++ b/test/support/versioned_streams.ts
@@ -1,5 +1,7 @@
 import {
   identifier,
+  numbered,
+  type ReplicaStartTime,
   type RequestId,
   type SoftwareVersion,
 } from "../../src/core/identity/mod.ts";
@@ -57,10 +59,11 @@
     this.#areEngines = areEngines;
     this.endpoints = versions.map((version, index) => {
       const softwareVersion = identifier<SoftwareVersion>(version);
+      const startedAt = numbered<ReplicaStartTime>(0);
       const id = `replica-${index}`;
       return areEngines
-        ? makeEngine(id, "decode", { softwareVersion })
-        : makeEndpoint(id, { softwareVersion });
+        ? makeEngine(id, "decode", { softwareVersion, startedAt })
+        : makeEndpoint(id, { softwareVersion, startedAt });
     });
     this.fleet = new EntryFleet({
       zones: 3,
