--- a/src/core/forwarding/streams/stream_origins.ts
+++ b/src/core/forwarding/streams/stream_origins.ts
@@ -4,6 +4,7 @@
   StreamDigest,
 } from "../../identity/mod.ts";
 import type { TimerService } from "../../time/mod.ts";
+import type { EndpointRun } from "../endpoints/endpoint_runs.ts";
 
 /**
  * Time for which the origin of a stream is kept: longer than a stream and all
@@ -26,6 +27,8 @@
 export interface StreamRecord {
   readonly stream: StreamDigest;
   readonly origin: KnownOrigin;
+  /** Registered run that has just begun to write; absent from later copies. */
+  readonly writer?: EndpointRun;
 }
 
 interface KeptOrigin {
@@ -54,11 +57,10 @@
 
   /** Records an origin; a different one makes the stream ambiguous. */
   record({ origin, stream }: StreamRecord): void {
-    const known = this.find(stream);
-    const isSame = known === undefined || isSameOrigin(known, origin);
+    const combined = combineOrigins(this.find(stream), origin);
     this.#kept.delete(stream);
     this.#kept.set(stream, {
-      origin: isSame ? this.#share(origin) : "ambiguous",
+      origin: this.#share(combined),
       recordedAt: this.#timer.now(),
     });
     this.#dropOldest();
@@ -103,6 +105,16 @@
   }
 }
 
+/** What two sources say together; "ambiguous" if they differ. */
+export function combineOrigins(
+  known: KnownOrigin | undefined,
+  origin: KnownOrigin,
+): KnownOrigin {
+  return known === undefined || isSameOrigin(known, origin)
+    ? origin
+    : "ambiguous";
+}
+
 function isSameOrigin(left: KnownOrigin, right: KnownOrigin): boolean {
   if (left === "ambiguous" || right === "ambiguous") return left === right;
   return left.pool === right.pool &&
--- a/src/entry/forwarding/stream_continuation_test.ts
+++ b/src/entry/forwarding/stream_continuation_test.ts
@@ -11,6 +11,7 @@
   VersionedStreams,
   type VersionedStreamsOptions,
 } from "../../../test/support/versioned_streams.ts";
+import { streamDigestOf } from "../../adapters/forwarding/mod.ts";
 import type { ServingVersion } from "../../core/forwarding/mod.ts";
 import {
   identifier,
@@ -143,6 +144,39 @@
     }
   });
 
+  // One answer is enough to go on, but not at once: the others may differ.
+  it("go on within 60 ms while an entry that keeps them does not answer", async () => {
+    await start();
+    streams.fleet.isCut = (from, to) => from === 0 && to === 1;
+    const begun = await streams.begin(0);
+    await streams.fleet.timer.advance(20);
+    streams.fleet.partitioned.add(0);
+    const startedAt = streams.fleet.timer.now();
+    const { attempt } = await streams.takeUp(1, begun);
+    expect(attempt && streams.versionAt(attempt)).to.equal(begun.version);
+    expect(streams.fleet.timer.now() - startedAt).to.be.at.most(70);
+  });
+
+  // An entry that reads the end of the former run after the stream has begun at
+  // the next run must not take the former one for the writer.
+  it("go on at an entry that reads their replica's new registration late", async () => {
+    await start({ versions: ["v1", "v1"] });
+    const next = streams.endpoints.map((endpoint) => ({
+      ...endpoint,
+      softwareVersion: identifier<SoftwareVersion>("v2"),
+      startedAt: numbered<ReplicaStartTime>(1),
+    }));
+    const [first, late] = streams.fleet.entries;
+    for (const endpoint of next) first.registry.upsert(endpoint);
+    const begun = await streams.begin(0);
+    await streams.fleet.timer.advance(20);
+    for (const { id } of next) late.registry.remove(id);
+    for (const endpoint of next) late.registry.upsert(endpoint);
+    const { attempt, caller } = await streams.takeUp(1, begun);
+    expect(caller.refusal).to.equal(undefined);
+    expect(attempt).to.not.equal(undefined);
+  });
+
   for (const status of [421, 503]) {
     it(`go on at another replica of their version after ${status}`, async () => {
       await start();
@@ -287,6 +321,78 @@
       await expectRefused(streams.takeUp(1, begun), "stream_origin_ambiguous");
     });
 
+    /** Registers the replica that wrote the stream as one of version 2. */
+    function restartWriter(entries: readonly number[]): void {
+      const writer = streams.endpoints.find(({ id }) =>
+        id === streams.attempts[0].options.endpoint
+      );
+      if (writer === undefined) throw new Error("Nothing was written");
+      for (const entry of entries) {
+        streams.fleet.entries[entry].registry.upsert({
+          ...writer,
+          softwareVersion: identifier<SoftwareVersion>("v2"),
+          startedAt: numbered<ReplicaStartTime>(1),
+        });
+      }
+    }
+
+    // The first entry to answer may lack what the others know.
+    it("where only the entries that answer later know of another version", async () => {
+      await start({ versions: ["v1", "v1", "v1"] });
+      streams.fleet.isCut = (from, to) => from === 0 && to === 1;
+      const begun = await streams.begin(0);
+      await streams.fleet.timer.advance(20);
+      // Entry 2 keeps the stream, and misses that its version is in doubt.
+      streams.fleet.isCut = (from, to) => from === 0 && to <= 2;
+      restartWriter([0]);
+      await streams.fleet.timer.advance(20);
+      streams.fleet.isCut = () => false;
+      streams.fleet.extraLatency = (from) => from === 2 ? 0 : 20;
+      await expectRefused(streams.takeUp(1, begun), "stream_origin_ambiguous");
+    });
+
+    // An announcement that arrives during the search is evidence as well.
+    it("where another version is announced while entries are asked", async () => {
+      await start({ versions: ["v1", "v1", "v1"] });
+      streams.fleet.isCut = (from, to) => from === 0 && to === 1;
+      const begun = await streams.begin(0);
+      await streams.fleet.timer.advance(20);
+      streams.fleet.isCut = () => false;
+      streams.fleet.extraLatency = (from) => from === 1 ? 0 : 25;
+      const taken = streams.takeUp(1, begun);
+      streams.fleet.entries[1].onNotification(STREAMS_METHOD, {
+        origins: [[String(PORTAL), "v2"]],
+        streams: [[
+          streamDigestOf(begun.id, undefined),
+          0,
+        ]],
+      });
+      await expectRefused(taken, "stream_origin_ambiguous");
+    });
+
+    // The news of the writer's new version is lost on the way to this entry,
+    // which has the registration itself.
+    it("where the doubt of the stream's entry does not arrive", async () => {
+      await start({ versions: ["v1", "v1", "v1"] });
+      const begun = await streams.begin(0);
+      await streams.fleet.timer.advance(20);
+      streams.fleet.isCut = (from, to) => from === 0 && to === 1;
+      restartWriter([0, 1, 2, 3, 4]);
+      await streams.fleet.timer.advance(20);
+      await expectRefused(streams.takeUp(1, begun), "stream_origin_ambiguous");
+    });
+
+    // The stream's entry ends before it learns of the writer's new version.
+    it("where the stream's entry was killed before the writer's new version was seen", async () => {
+      await start({ versions: ["v1", "v1", "v1"] });
+      const begun = await streams.begin(0);
+      await streams.fleet.timer.advance(20);
+      streams.fleet.partitioned.add(0);
+      restartWriter([1, 2, 3, 4]);
+      await streams.fleet.timer.advance(20);
+      await expectRefused(streams.takeUp(1, begun), "stream_origin_ambiguous");
+    });
+
     // Two attempts with one id at two entries may begin at two versions.
     it("where two versions began them under one id", async () => {
       await start();
--- a/src/entry/forwarding/stream_origin_exchange.ts
+++ b/src/entry/forwarding/stream_origin_exchange.ts
@@ -1,5 +1,7 @@
 import {
+  combineOrigins,
   type EndpointRegistry,
+  type EndpointRun,
   type KnownOrigin,
   type LoadOwners,
   type RegisteredEndpoint,
@@ -8,7 +10,6 @@
   type StreamRecord,
 } from "../../core/forwarding/mod.ts";
 import {
-  type EndpointId,
   identifier,
   type ProcessId,
   type RequestId,
@@ -96,11 +97,14 @@
 interface PendingQuery {
   readonly stream: StreamDigest;
   readonly waiting: Set<ProcessId>;
-  readonly settle: (origin: KnownOrigin | undefined) => void;
+  /** What the answers so far say together. */
+  found: KnownOrigin | undefined;
+  readonly settle: () => void;
 }
 
-interface OwnStream extends StreamRecord {
-  readonly writer: EndpointId;
+interface RecentStream extends StreamRecord {
+  readonly writer: EndpointRun;
+  readonly isOwn: boolean;
   readonly recordedAt: number;
 }
 
@@ -112,8 +116,8 @@
 export class StreamOriginExchange {
   readonly #options: StreamOriginExchangeOptions;
   readonly #pending = new Map<number, PendingQuery>();
-  /** Own streams of the last seconds, the oldest first. */
-  #ownStreams: OwnStream[] = [];
+  /** Streams of the last seconds whose writer is known, the oldest first. */
+  readonly #recentStreams: RecentStream[] = [];
   #unsent: StreamRecord[] = [];
   #batch: Subscription | undefined;
   #lastId = 0;
@@ -143,27 +147,29 @@
     const origin: KnownOrigin = current.softwareVersion === softwareVersion
       ? { pool, softwareVersion }
       : "ambiguous";
-    const recordedAt = timer.now();
-    const oldest = recordedAt - LATE_REGISTRATION_MILLISECONDS;
-    this.#ownStreams = this.#ownStreams.filter((each) =>
-      each.recordedAt >= oldest
-    );
-    this.#ownStreams.push({ stream, origin, writer: writer.id, recordedAt });
-    this.#distribute([{ stream, origin }]);
+    const { id, startedAt } = writer;
+    const record = { stream, origin, writer: { id, startedAt } };
+    this.#noteRecent({ ...record, isOwn: true, recordedAt: timer.now() });
+    this.#distribute([record]);
   }
 
   /**
    * Marks streams whose writer may have been a run of another version than the
-   * registry showed, as the registration of a restarted replica is late.
+   * registry showed, as the registration of a restarted replica is late. Each
+   * keeper does so by itself: the news from the stream's entry may be lost.
    */
-  onEndpointChange({ id, softwareVersion }: RegisteredEndpoint): void {
+  onEndpointChange(endpoint: RegisteredEndpoint): void {
     const oldest = this.#options.timer.now() - LATE_REGISTRATION_MILLISECONDS;
-    const inDoubt = this.#ownStreams.filter(({ origin, recordedAt, writer }) =>
-      writer === id && recordedAt >= oldest && origin !== "ambiguous" &&
-      origin.softwareVersion !== softwareVersion
+    const inDoubt = this.#recentStreams.filter((each) =>
+      each.recordedAt >= oldest && mayBeWrittenBy(endpoint, each)
     );
+    for (const { isOwn, stream } of inDoubt) {
+      if (!isOwn) this.#options.origins.record(ambiguous(stream));
+    }
     this.#distribute(
-      inDoubt.map(({ stream }) => ({ stream, origin: "ambiguous" })),
+      inDoubt.filter(({ isOwn }) => isOwn).map(({ stream }) =>
+        ambiguous(stream)
+      ),
     );
   }
 
@@ -212,8 +218,19 @@
 
   /** Records the origins of a peer's streams. */
   onStreams(params: StreamNotification): void {
-    const { origins } = this.#options;
-    for (const each of decodeStreams(params)) origins.record(each);
+    const { origins, registry, timer } = this.#options;
+    for (const record of decodeStreams(params)) {
+      origins.record(record);
+      const { stream, writer } = record;
+      if (writer === undefined) continue;
+      const recordedAt = timer.now();
+      const recent = { ...record, writer, isOwn: false, recordedAt };
+      this.#noteRecent(recent);
+      const current = registry.get(writer.id);
+      if (current !== undefined && mayBeWrittenBy(current, recent)) {
+        origins.record(ambiguous(stream));
+      }
+    }
   }
 
   /** Answers a peer's query. */
@@ -239,9 +256,10 @@
     if (query === undefined || query.stream !== params.stream) return;
     if (!query.waiting.delete(peer)) return;
     if (params.origin !== undefined) {
-      return query.settle(decodeOrigin(params.origin));
+      query.found = combineOrigins(query.found, decodeOrigin(params.origin));
     }
-    if (query.waiting.size === 0) query.settle(undefined);
+    const isSettled = query.found === "ambiguous" || query.waiting.size === 0;
+    if (isSettled) query.settle();
   }
 
   async #find(stream: StreamDigest): Promise<StreamLookup> {
@@ -266,14 +284,18 @@
       })
       : { isComplete: others.length === 0 };
     // An announcement may have arrived in the meantime.
-    const origin = last.origin ?? origins.find(stream);
+    const origin = origins.find(stream);
     if (origin !== undefined) return { origin, outcome: "answered_late" };
     const isComplete = answer.isComplete && last.isComplete &&
       peers().length > 0;
     return { outcome: isComplete ? "unknown" : "unanswered" };
   }
 
-  /** Settles with the first origin, or once all have answered or timed out. */
+  /**
+   * Settles once all have answered or the time is up. An entry that knows one
+   * origin does not prove that no other entry knows another one, as a datagram
+   * to it may be lost or late; only "ambiguous" settles the query at once.
+   */
   async #query(
     asked: readonly ProcessId[],
     { stream, timeoutMilliseconds }: {
@@ -287,18 +309,28 @@
     const id = this.#lastId;
     const waiting = new Set(asked);
     let timeout: Subscription | undefined;
-    const origin = await new Promise<KnownOrigin | undefined>((settle) => {
-      this.#pending.set(id, { stream, waiting, settle });
-      timeout = timer.after(timeoutMilliseconds, () => settle(undefined));
+    await new Promise<void>((settle) => {
+      this.#pending.set(id, { stream, waiting, found: undefined, settle });
+      timeout = timer.after(timeoutMilliseconds, settle);
       const params = { entry: self, id, stream };
       for (const peer of asked) {
         send(peer, { method: STREAM_QUERY_METHOD, params });
       }
     });
     timeout?.cancel();
+    const found = this.#pending.get(id)?.found;
     this.#pending.delete(id);
-    if (origin !== undefined) origins.record({ stream, origin });
-    return { origin, isComplete: waiting.size === 0 };
+    if (found !== undefined) origins.record({ stream, origin: found });
+    // An announcement that has arrived in the meantime counts with the answers.
+    return { origin: origins.find(stream), isComplete: waiting.size === 0 };
+  }
+
+  #noteRecent(recent: RecentStream): void {
+    const oldest = recent.recordedAt - LATE_REGISTRATION_MILLISECONDS;
+    const kept = this.#recentStreams;
+    const firstKept = kept.findIndex((each) => each.recordedAt >= oldest);
+    kept.splice(0, firstKept === -1 ? kept.length : firstKept);
+    kept.push(recent);
   }
 
   #distribute(records: readonly StreamRecord[]): void {
@@ -341,3 +373,20 @@
     }
   }
 }
+
+function ambiguous(stream: StreamDigest): StreamRecord {
+  return { stream, origin: "ambiguous" };
+}
+
+/** True if this run of another version may have written the stream instead. */
+function mayBeWrittenBy(
+  { id, softwareVersion, startedAt }: RegisteredEndpoint,
+  { isOwn, origin, writer }: RecentStream,
+): boolean {
+  const isOtherVersion = writer.id === id && origin !== "ambiguous" &&
+    origin.softwareVersion !== softwareVersion;
+  // The stream's entry may have read a newer registration than this one has.
+  const isLater = startedAt !== undefined && writer.startedAt !== undefined &&
+    startedAt > writer.startedAt;
+  return isOtherVersion && (isOwn || isLater);
+}
