Wait for the lease of a role claim that a restore may have lost

A log without a claim was taken for no claim. After a restore of the store, an entry that had never read the lost claim claimed at once, while the holder's orders were just on their way: two holders took turns within the lease. A claim that was known and lost was waited for already.

An entry now makes no claim, and uses none, for the takeover delay after it has learned of a restore. An entry that starts after the restore does not learn of it and does not wait.

The test's log of claims has got epochs for it.

--- a/src/core/forwarding/claims/exclusive_claim.ts
+++ b/src/core/forwarding/claims/exclusive_claim.ts
@@ -45,6 +45,8 @@
   #current: CurrentClaim | undefined;
   #lastSeenAt = -Infinity;
   #validUntil = -Infinity;
+  /** End of the lease of a claim that a restore may have lost. */
+  #restoreLeaseUntil = -Infinity;
 
   constructor(options: ExclusiveClaimOptions) {
     this.#options = options;
@@ -81,17 +83,30 @@
     } else this.observe(claim);
   }
 
+  /**
+   * Records that the store was restored from an older copy. The log may lack a
+   * claim that is in use and that this entry has never read.
+   */
+  noteRestored(): void {
+    this.#validUntil = -Infinity;
+    this.#restoreLeaseUntil = this.#options.timer.now() + this.#takeoverDelay;
+  }
+
   /**
    * Returns whether a claim may be appended without violating another holder's
    * lease.
    */
   canClaim(): boolean {
-    const { leaseMilliseconds, self, timer } = this.#options;
+    const { self, timer } = this.#options;
+    if (timer.now() < this.#restoreLeaseUntil) return false;
     const current = this.#current;
     if (current === undefined || current.holder === self) return true;
-    const takeoverDelay = leaseMilliseconds + CLAIM_VALIDITY_MILLISECONDS +
+    return timer.now() - this.#lastSeenAt >= this.#takeoverDelay;
+  }
+
+  get #takeoverDelay(): number {
+    return this.#options.leaseMilliseconds + CLAIM_VALIDITY_MILLISECONDS +
       TAKEOVER_MARGIN_MILLISECONDS;
-    return timer.now() - this.#lastSeenAt >= takeoverDelay;
   }
 
   /**
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -532,6 +532,12 @@
       : known;
   }
 
+  /** Handles that the store was restored from an older copy. */
+  onStoreRestored(): void {
+    this.registry.storeFailed();
+    this.#roleController?.onStoreRestored();
+  }
+
   /** Roles planned by observed work, by pool, as planned by this entry. */
   get plannedRoles(): Iterable<PlannedRoles> {
     return this.#workRolePlanner?.planned ?? [];
--- a/src/entry/forwarding/role_controller.ts
+++ b/src/entry/forwarding/role_controller.ts
@@ -136,6 +136,11 @@
     return this.#changing.has(endpoint);
   }
 
+  /** Handles that the store was restored, which may have lost a claim. */
+  onStoreRestored(): void {
+    this.#claim.noteRestored();
+  }
+
   /** Records a peer's orders: the engines accept no new work for a while. */
   onPeerOrders({ orders }: RoleNotification): void {
     for (const [endpoint, role] of orders) this.#noteOrder(endpoint, role);
--- a/src/entry/forwarding/role_controller_test.ts
+++ b/src/entry/forwarding/role_controller_test.ts
@@ -33,6 +33,9 @@
 /** The log of claims and the engines, shared by all controllers. */
 class Platform {
   claims: CurrentClaim[] = [];
+  /** Offset of the first record; each restore starts a higher epoch. */
+  #firstOffset = 0;
+  onOrder = () => {};
   orders: { holder: string; fencing: number; endpoint: string; at: number }[] =
     [];
   answer: OrderOutcome = "accepted";
@@ -47,10 +50,10 @@
   readonly link = {
     readClaim: () =>
       Promise.resolve(
-        ok({ claim: this.claims.at(-1), end: this.claims.length }),
+        ok({ claim: this.claims.at(-1), end: this.#end }),
       ),
     appendClaim: (holder: string, at: number) => {
-      if (at !== this.claims.length) return Promise.resolve(ok(undefined));
+      if (at !== this.#end) return Promise.resolve(ok(undefined));
       this.claims.push({ holder, offset: at });
       return Promise.resolve(this.losesAnswers ? err(UNAVAILABLE) : ok(at));
     },
@@ -60,9 +63,20 @@
     ) => {
       const endpoint = String(change.endpoint.id);
       this.orders.push({ ...options, endpoint, at: this.#timer.now() });
+      this.onOrder();
       return Promise.resolve(this.answer);
     },
   };
+
+  /** Restores a copy of the log from before the first claim. */
+  restore(): void {
+    this.#firstOffset += 1_000;
+    this.claims = [];
+  }
+
+  get #end(): number {
+    return this.#firstOffset + this.claims.length;
+  }
 }
 
 describe("RoleController", () => {
@@ -145,6 +159,26 @@
     }
   });
 
+  // The holder gives an order, and the store is restored to a copy without its
+  // claim. The others have not read the claim; taken for no claim, its absence
+  // let one of them order the same engines within the lease.
+  it("waits for the lease of a claim that a restore may have lost", async () => {
+    startControllers(3, false);
+    platform.onOrder = () => {
+      platform.onOrder = () => {};
+      platform.restore();
+      for (const controller of controllers) controller.onStoreRestored();
+    };
+    await advance(40_000);
+    const { orders } = platform;
+    const other = orders.find(({ holder }) => holder !== orders[0].holder);
+    expect(other).not.to.equal(undefined);
+    const last = orders.findLast(({ at, holder }) =>
+      holder === orders[0].holder && at < other!.at
+    );
+    expect(other!.at - last!.at).to.be.greaterThan(3_000);
+  });
+
   // The claim took effect but its response was lost. An order with a guessed
   // fencing token could use that of another holder; the next check reads the
   // claim.
