Send peers the records of endpoints that were learned of elsewhere

An entry reads the registrations for all and sends what has changed in the span; its peers count the span as read. A record that changed nothing at the sender was left out: also where the sender had the state from a peer's notification, an endpoint's own announcement or a peer's whole state, and a receiver did not, because that datagram was lost to it or it had just started.

Entries remember of which endpoints they have learned elsewhere, and send their next records in any case.

Two tests of forwarding_entry_test.ts, "sends a departure that it had heard of before it read it" and "sends an endpoint that it had from a peer's state", fail without it and pass; the 36 tests of it and of peer_state_fallback_test.ts pass. That it is the cause of the one start at which an entry refused all requests for 10 s is only suspected: it fits what was seen, and was not reproduced there.

--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -374,6 +374,8 @@
       applyConfiguration: (configuration, peer) => {
         this.applyConfiguration(configuration, { peer });
       },
+      adoptEndpoints: (endpoints) =>
+        this.registrationSync.adoptPeerState(endpoints),
     });
     this.registrationSync = new RegistrationSync({
       registry: this.registry,
--- a/src/entry/forwarding/forwarding_entry_test.ts
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -222,6 +222,25 @@
       );
       expect(second.registry.get(id)?.slots).to.equal(endpoint.slots);
     });
+
+    // What an entry has learned of an endpoint by other ways than its reads is
+    // no change when it reads the record. Left out, the record is lost to a
+    // peer that counts the span as read, until the endpoint changes again.
+    it("sends a departure that it had heard of before it read it", () => {
+      const [first, second] = makeEntries(2, { position: 10 });
+      for (const entry of [first, second]) entry.registry.upsert(endpoint);
+      const departure = { id, endpoint: { ...endpoint, leaving: true } };
+      first.registrationSync.onPeerChanges({ changes: [departure] });
+      first.registrationSync.applyRead([departure], span);
+      expect(second.registry.inPool(PORTAL)).to.deep.equal([]);
+    });
+
+    it("sends an endpoint that it had from a peer's state", () => {
+      const [first, second] = makeEntries(2, { position: 10 });
+      first.registrationSync.adoptPeerState([endpoint]);
+      first.registrationSync.applyRead([{ id, endpoint }], span);
+      expect(second.registry.get(id)).to.deep.equal(endpoint);
+    });
   });
 
   // All entries are killed at once and restart under load. Each reads the list
--- a/src/entry/forwarding/peer_state_fallback.ts
+++ b/src/entry/forwarding/peer_state_fallback.ts
@@ -2,6 +2,7 @@
 import type {
   EndpointRegistry,
   ForwardingConfiguration,
+  RegisteredEndpoint,
 } from "../../core/forwarding/mod.ts";
 import type {
   LinkFailure,
@@ -54,6 +55,8 @@
   ) => void;
   /** The list of the fleet as known here, this entry included. */
   readonly listEntries: () => readonly FleetMember[];
+  /** Replaces the endpoints of this entry by a peer's. */
+  readonly adoptEndpoints: (endpoints: readonly RegisteredEndpoint[]) => void;
   /** Takes a peer's list of the fleet until the store has been read. */
   readonly adoptEntries: (entries: readonly FleetMember[]) => void;
   /** Address where a peer responds; undefined if it is not listed. */
@@ -178,7 +181,7 @@
     const {
       configuration,
       logger,
-      registry,
+      adoptEndpoints,
       applyConfiguration,
     } = this.#options;
     const { pools, ...rest } = value.configuration;
@@ -192,7 +195,7 @@
     // An outdated list is better than none, but worse than this entry's own.
     const mayReplaceEndpoints = value.age <= MAX_STATE_AGE_MILLISECONDS ||
       isFirst;
-    if (mayReplaceEndpoints) registry.replaceAll(value.endpoints);
+    if (mayReplaceEndpoints) adoptEndpoints(value.endpoints);
     if (this.#isUsingPeer) return;
     this.#isUsingPeer = true;
     logger.info({
--- a/src/entry/forwarding/peer_state_fallback_test.ts
+++ b/src/entry/forwarding/peer_state_fallback_test.ts
@@ -63,6 +63,7 @@
         peers: () => [identifier<PeerAddress>("peer:1")],
         listEntries: () => [["entry-1", "10.0.0.1:7000"]],
         adoptEntries: (entries) => node.entries = entries,
+        adoptEndpoints: (endpoints) => registry.replaceAll(endpoints),
         ask: () => {
           node.asked += 1;
           const snapshot = answer();
--- a/src/entry/forwarding/registration_sync.ts
+++ b/src/entry/forwarding/registration_sync.ts
@@ -2,6 +2,7 @@
   EndpointRegistry,
   EndpointRun,
   PeerReadResult,
+  RegisteredEndpoint,
   TopicSpan,
 } from "../../core/forwarding/mod.ts";
 import type { EndpointId } from "../../core/identity/mod.ts";
@@ -10,6 +11,9 @@
   RegistrationNotification,
 } from "./notifications/registration_notification.ts";
 
+/** Endpoints that are remembered; the oldest are dropped first. */
+const MAX_LEARNED_ELSEWHERE = 10_000;
+
 export interface RegistrationSyncOptions {
   readonly registry: EndpointRegistry;
   /** Records that a peer has read this span of the registrations. */
@@ -22,6 +26,12 @@
 /** Applies registrations that this entry or a peer has read to the registry. */
 export class RegistrationSync {
   readonly #options: RegistrationSyncOptions;
+  /**
+   * Endpoints whose state here may be ahead of the records that this entry has
+   * read. Their next records may change nothing here, and still be unknown to
+   * peers that count the span as read.
+   */
+  readonly #learnedElsewhere = new Set<EndpointId>();
 
   constructor(options: RegistrationSyncOptions) {
     this.#options = options;
@@ -34,7 +44,8 @@
   applyRead(changes: readonly RegistrationChange[], span?: TopicSpan): void {
     const changed = new Map<EndpointId, RegistrationChange>();
     for (const change of changes) {
-      const hasChanged = this.#apply(change);
+      const isLearned = this.#learnedElsewhere.delete(change.id);
+      const hasChanged = this.#apply(change) || isLearned;
       // The last state of a changed key is sent even if it equals the first
       // one: a peer may have read up to a point in between.
       if (hasChanged || changed.has(change.id)) changed.set(change.id, change);
@@ -50,11 +61,19 @@
   reportLeaving(run: EndpointRun): boolean {
     const endpoint = this.#options.registry.markLeaving(run);
     if (endpoint === undefined) return false;
+    this.#noteLearned(endpoint.id);
     const changes = [{ id: endpoint.id, endpoint }];
     this.#options.broadcast({ changes, span: undefined });
     return true;
   }
 
+  /** Replaces all endpoints by those of a peer, while the store is silent. */
+  adoptPeerState(endpoints: readonly RegisteredEndpoint[]): void {
+    const { registry } = this.#options;
+    for (const { id } of [...registry.all, ...endpoints]) this.#noteLearned(id);
+    registry.replaceAll(endpoints);
+  }
+
   /** Applies changes that a peer has read, with their span if it is known. */
   onPeerChanges({ changes, span }: RegistrationNotification): void {
     const relation = span === undefined
@@ -81,10 +100,20 @@
     for (const change of changes) {
       const { endpoint, id } = change;
       if (this.#options.registry.get(id) === undefined) continue;
-      if (endpoint === undefined || endpoint.leaving) this.#apply(change);
+      if (endpoint !== undefined && !endpoint.leaving) continue;
+      this.#noteLearned(id);
+      this.#apply(change);
     }
   }
 
+  #noteLearned(id: EndpointId): void {
+    this.#learnedElsewhere.delete(id);
+    this.#learnedElsewhere.add(id);
+    if (this.#learnedElsewhere.size <= MAX_LEARNED_ELSEWHERE) return;
+    const [oldest] = this.#learnedElsewhere;
+    this.#learnedElsewhere.delete(oldest);
+  }
+
   /** True if the registry changed. */
   #apply({ endpoint, id, unreadable = false }: RegistrationChange): boolean {
     const { registry } = this.#options;
