--- a/src/entry/forwarding/writer_connections.ts
+++ b/src/entry/forwarding/writer_connections.ts
@@ -21,11 +21,6 @@
     this.#client = client;
   }
 
-  /** Number of idle connections. */
-  get size(): number {
-    return [...this.#idle.values()].flat().length;
-  }
-
   /** Takes an idle connection, or opens one. */
   take(endpoint: RegisteredEndpoint): EndpointConnection {
     const open = this.#openOf(endpoint.id);
