--- a/src/adapters/forwarding/endpoint_http_client.ts
+++ b/src/adapters/forwarding/endpoint_http_client.ts
@@ -1,6 +1,6 @@
 import { request as openRequest } from "node:http";
 import type { DecodedHead } from "../../core/forwarding/mod.ts";
-import type { TimerService } from "../../core/time/mod.ts";
+import { type TimerService, withTimeout } from "../../core/time/mod.ts";
 import type { EndpointResponse } from "../../entry/forwarding/network_interfaces.ts";
 import {
   discardBody,
@@ -116,22 +116,13 @@
       { ...outgoing, ...CALL_WITHOUT_BODY, isQuestion: true },
       connection.agent,
     );
-    const response = await new Promise<
-      Awaited<typeof exchange.answer> | undefined
-    >(
-      (resolve) => {
-        const timeout = timer.after(timeoutMilliseconds, () => {
-          exchange.abort();
-          // Node reports no end of a call that waits behind another answer.
-          resolve(undefined);
-        });
-        exchange.answer.then((answer) => {
-          timeout.cancel();
-          resolve(answer);
-        });
-      },
-    );
-    if (response?.isOk()) discardBody(response.value, timer);
+    const response = await withTimeout(exchange.answer, {
+      timer,
+      milliseconds: timeoutMilliseconds,
+    });
+    // Node reports no end of a call that waits behind another answer.
+    if (response === undefined) exchange.abort();
+    else if (response.isOk()) discardBody(response.value, timer);
     return exchange.receivedHead;
   }
 
