Share the check of an established connection

The peer client had written again what HttpClient does to know whether a request has had a connection. Behaviour is unchanged; the tests of the peer client, the HTTP client and the store client pass.

--- a/src/adapters/http_client/mod.ts
+++ b/src/adapters/http_client/mod.ts
@@ -6,6 +6,7 @@
 import { detectReset, framingOf } from "./body_framing.ts";
 import { hedgedCall } from "./hedged_call.ts";
 import { PacedAgent } from "./paced_agent.ts";
+import { trackConnected } from "./track_connected.ts";
 import {
   HTTP_CLOSED,
   HTTP_NO_ANSWER,
@@ -15,6 +16,7 @@
 
 export { detectReset, framingOf, hasNoBody } from "./body_framing.ts";
 export { openPaced, PacedAgent } from "./paced_agent.ts";
+export { trackConnected } from "./track_connected.ts";
 
 /**
  * `http_not_sent`: no byte was sent. With the other failures the call may have
@@ -110,22 +112,18 @@
   /** Sends a request; the calling code reads the response body. */
   open(path: string, options: HttpRequestOptions): HttpExchange {
     const url = this.#url(path);
-    let connected = false;
     let abortReason: string | undefined;
     const outgoing = request(url, {
       method: options.method,
       agent: options.useNewConnection ? new PacedAgent() : this.#agent,
       headers: buildHeaders(options),
     });
+    const wasConnected = trackConnected(outgoing);
     const response = new Promise<Result<IncomingMessage, HttpFailure>>(
       (resolve) => {
-        outgoing.on("socket", (socket) => {
-          if (!socket.connecting) connected = true;
-          else socket.once("connect", () => connected = true);
-        });
         outgoing.on("response", (incoming) => resolve(ok(incoming)));
         outgoing.on("error", (cause) => {
-          const definition = connected ? HTTP_NO_ANSWER : HTTP_NOT_SENT;
+          const definition = wasConnected() ? HTTP_NO_ANSWER : HTTP_NOT_SENT;
           const reason = abortReason ?? errorReason(cause);
           resolve(err(failure(definition, { url: url.href, reason })));
         });
--- a/src/adapters/peers/peer_client.ts
+++ b/src/adapters/peers/peer_client.ts
@@ -25,6 +25,7 @@
 } from "../../generated/messages.ts";
 import type { TimerService } from "../../core/time/mod.ts";
 import { isNumber, isObject, isObjectOf } from "../../core/validation/mod.ts";
+import { trackConnected } from "../http_client/mod.ts";
 import { SystemTimerService } from "../time/mod.ts";
 import { LINK_LOST, LINK_NOT_SENT } from "./errors.ts";
 import { FrameLineReader } from "./frame_line_reader.ts";
@@ -226,16 +227,6 @@
   });
 }
 
-/** Returns whether the request has had an established connection. */
-function trackConnected(request: http.ClientRequest): () => boolean {
-  let isConnected = false;
-  request.on("socket", (socket) => {
-    if (!socket.connecting) isConnected = true;
-    else socket.once("connect", () => isConnected = true);
-  });
-  return () => isConnected;
-}
-
 /**
  * A connection that was refused before it was established proves that nothing
  * was sent. Any other error may occur after the peer has read the message: the
