--- a/src/adapters/forwarding/endpoint_http_client_test.ts
+++ b/src/adapters/forwarding/endpoint_http_client_test.ts
@@ -265,9 +265,7 @@
       return { received, result };
     }
 
-    // The process is busy past the connect timeout while the system completes
-    // the connection. If bytes were written after the timeout, a request that
-    // has run would be sent to another replica or refused.
+    // Bytes written after the connect timeout would run a request twice.
     const pauses: Readonly<Record<string, () => Promise<void>>> = {
       "in the same turn": () => Promise.resolve(),
       "after a microtask": () => new Promise(queueMicrotask),
@@ -290,8 +288,7 @@
       });
     }
 
-    // The write of a long body does not end, or fails. The replica has read a
-    // part of the request all the same, and may act on it.
+    // A replica may act on the part of a request that it has read.
     for (const isReset of [true, false]) {
       it(`is none of which a part was read before a ${isReset ? "reset" : "timeout"}`, async () => {
         const { received, result } = await countBytes({
--- a/src/adapters/peers/peer_client_test.ts
+++ b/src/adapters/peers/peer_client_test.ts
@@ -75,9 +75,7 @@
       expect(closed.isErr() && closed.error.name).to.equal("link_not_sent");
     });
 
-    // The link breaks while the peer is at work, and the system reports the
-    // ICMP error of a router on the established connection. Taken for a message
-    // that was not sent, a non-idempotent request would run at a second side.
+    // Taken for not sent, a non-idempotent request would run at a second side.
     for (const code of ["EHOSTUNREACH", "ECONNREFUSED"]) {
       it(`may have sent the message if ${code} follows the connect`, async () => {
         const sockets: Socket[] = [];
--- a/src/entry/forwarding/forwarding_entry_test.ts
+++ b/src/entry/forwarding/forwarding_entry_test.ts
@@ -223,9 +223,7 @@
       expect(second.registry.get(id)?.slots).to.equal(endpoint.slots);
     });
 
-    // What an entry has learned of an endpoint by other ways than its reads is
-    // no change when it reads the record. Left out, the record is lost to a
-    // peer that counts the span as read, until the endpoint changes again.
+    // A record that is left out is lost to a peer that counts it as read.
     it("sends a departure that it had heard of before it read it", () => {
       const [first, second] = makeEntries(2, { position: 10 });
       for (const entry of [first, second]) entry.registry.upsert(endpoint);
@@ -254,9 +252,7 @@
     expect(entry.entriesSharingLimits).to.equal(1);
   });
 
-  // The list of the fleet can't be read and no peer has sent one, while the
-  // configuration is known. Eight such entries took themselves for alone after
-  // the startup, and each used the whole minimum of the retry budget.
+  // Each entry without a list would use the whole minimum of the retry budget.
   it("assumes that others share its limits until it has the list", async () => {
     const timer = new ManualTimerService();
     const [entry] = makeEntries(1, { timer, hasList: false });
--- a/src/entry/forwarding/network_interfaces.ts
+++ b/src/entry/forwarding/network_interfaces.ts
@@ -107,7 +107,7 @@
 }
 
 /**
- * State of a connection that an entry opens beside a response. `rejected`: it
+ * State of a connection that an entry opens next to a response. `rejected`: it
  * was not accepted. `ended`: it was accepted and has ended since.
  */
 export type EndpointConnectionState =
--- a/src/entry/forwarding/role_controller_test.ts
+++ b/src/entry/forwarding/role_controller_test.ts
@@ -159,9 +159,7 @@
     }
   });
 
-  // The holder gives an order, and the store is restored to a copy without its
-  // claim. The others have not read the claim; taken for no claim, its absence
-  // let one of them order the same engines within the lease.
+  // Two holders would order the same engines within one lease.
   it("waits for the lease of a claim that a restore may have lost", async () => {
     startControllers(3, false);
     platform.onOrder = () => {
--- a/src/entry/forwarding/writer_watch.ts
+++ b/src/entry/forwarding/writer_watch.ts
@@ -109,7 +109,7 @@
     return "not_answered";
   }
 
-  /** Undefined if the answer, or its absence, tells nothing of the process. */
+  /** Undefined if the answer, or its absence, shows nothing of the process. */
   async #ask(
     healthPath: string,
     until: number,
