Count streams without a length or chunks as whole never

Callers got a complete stream of which events were missing, where a replica that lives on ended a body without a length or chunks early.

Cause: the proof of such an end was that its writer answers a question behind it. That shows that the process lives, and nothing of the body.

Change: one place, BodyEndJudge, decides over the end of a body and logs the ground. A stream of events that only its connection ends is not proven: a resumable one goes on at another replica behind its last event, and is whole if that run says so by its framing; others are broken off. Only plain bodies ask their writer any more. The line at the end of a response has endGround, endedAfterMilliseconds and allowedMilliseconds.

--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -1,7 +1,6 @@
 import type { Result } from "neverthrow";
 import {
   type AnswerEvidence,
-  EventStreamPosition,
   type ExpectedTime,
   type ForwardAttemptOptions,
   MISDIRECTED_STATUS,
@@ -17,11 +16,10 @@
 } from "../../core/forwarding/mod.ts";
 import type { SuspectDigest } from "../../core/identity/mod.ts";
 import type { Subscription } from "../../core/time/mod.ts";
+import { BodyEndJudge, type EndFacts } from "./body_end.ts";
 import type { ForwardContext } from "./forward_context.ts";
-import { isEventStream, verifyEvents } from "./event_stream.ts";
 import type {
   BodyEnd,
-  BodyFraming,
   EndpointResponse,
   Exchange,
   ExchangeFailure,
@@ -30,13 +28,7 @@
 import type { AttemptOutcome } from "./fleet_outcomes.ts";
 import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
 import { measurePauses } from "./measure_pauses.ts";
-import { verifyEnd } from "./verify_end.ts";
-import {
-  type EndEvidence,
-  type EndVerdict,
-  provesEnd,
-  WriterWatch,
-} from "./writer_watch.ts";
+import { WriterWatch } from "./writer_watch.ts";
 
 /** Approximate size of a request's head, in bytes. */
 export const REQUEST_HEAD_BYTES = 700;
@@ -47,21 +39,8 @@
 const MAX_LOGGED_PARTS = 8;
 const MAX_LOGGED_PART_LENGTH = 64;
 
-/** How the body of a response ends, for the log. */
-export interface BodyFacts {
-  readonly framing?: BodyFraming;
-  /** Present once a body has ended with its connection, and without a reset. */
-  readonly endEvidence?: EndEvidence;
-  readonly endDelayMilliseconds?: number;
-  readonly endQuestions?: number;
-  readonly endVerdictMilliseconds?: number;
-  /** Present if the response is a stream of events. */
-  readonly insideEvent?: boolean;
-  readonly pieces?: number;
-  readonly bytes?: number;
-  /** The bound that ended the body, with the value that exceeded it. */
-  readonly exceeded?: string;
-}
+/** What has arrived of a response body and how it ends, for the log. */
+export type BodyFacts = Partial<EndFacts & ReceivedBody>;
 
 export interface AttemptPlan {
   readonly endpoint: RegisteredEndpoint;
@@ -94,13 +73,9 @@
   readonly #outcome: AttemptOutcome;
   /** Measures the response of a decode engine whose pauses are bounded. */
   #pauses: StreamPauses | undefined;
-  #framing: BodyFraming | undefined;
-  /** Present while a body is received that ends with its connection. */
-  #watch: WriterWatch | undefined;
-  #end: EndVerdict | undefined;
+  /** Present once the body of a run is received. */
+  #end: BodyEndJudge | undefined;
   #received: ReceivedBody | undefined;
-  /** Present once a response has begun that is a stream of events. */
-  #position: EventStreamPosition | undefined;
   #closed = false;
   #hasHead = false;
   /** When the first byte of the body arrived. */
@@ -133,21 +108,14 @@
       this.#reportRejection(result, exchange.evidence);
       this.#onHead(result);
       return result.map((response) =>
-        this.#measurePauses(
-          this.#verifyEnd(this.#verifyBody(this.#guardRead(response))),
-        )
+        this.#measurePauses(this.#judgeEnd(this.#guardRead(response)))
       );
     });
   }
 
   /** How the body has ended, or where it is now. */
   get bodyFacts(): BodyFacts {
-    return {
-      framing: this.#framing,
-      ...this.#end,
-      ...this.#received,
-      ...(this.#position && { insideEvent: !this.#position.isBetweenEvents }),
-    };
+    return { ...this.#end?.facts, ...this.#received };
   }
 
   /** Records the outcome once the response body has ended. */
@@ -156,7 +124,7 @@
     const { availability } = this.#dependencies;
     this.#pauses?.end({ whole: end === "whole" });
     // A body that the entry ended says nothing on its endpoint's process.
-    const isLost = end === "cut" && this.#received?.exceeded === undefined;
+    const isLost = end !== "whole" && this.#received?.exceeded === undefined;
     if (isLost) this.#recordLoss();
     else if (end === "whole" && status < 500) this.#recordCompletion();
     if (this.#isSameRun) {
@@ -164,7 +132,7 @@
         availability.recordSuccess(this.endpoint.id);
       } else availability.failed(this.endpoint.id);
       const hasCompleted = end === "whole" && status < 500;
-      const lostOrFailed = end === "cut" ? "lost" : "failed";
+      const lostOrFailed = end === "whole" ? "failed" : "lost";
       this.#outcome.end(hasCompleted ? "completed" : lostOrFailed);
     }
     this.#close();
@@ -251,47 +219,39 @@
     });
   }
 
-  #verifyBody(response: EndpointResponse): EndpointResponse {
-    this.#framing = response.framing;
+  /** The handle in the response to a prefill shows whether it is whole. */
+  #judgeEnd(response: EndpointResponse): EndpointResponse {
     this.#received = response.received;
-    const { request, route } = this.#context;
-    if (request.method === "HEAD") return response;
-    const observed = this.#observeProgress(response);
-    const isStreamRoute = route.repeat === "stream";
-    if (!isEventStream(response, { isStreamRoute })) return observed;
-    this.#position = new EventStreamPosition();
-    return verifyEvents(observed, this.#position);
+    const { options: { deadlineMilliseconds, prefillOnly } } = this.#plan;
+    const context = this.#context;
+    const isJudged = !this.#closed && !prefillOnly &&
+      context.request.method !== "HEAD";
+    if (!isJudged) return response;
+    const judge = new BodyEndJudge({
+      response: this.#observeProgress(response),
+      isStreamRoute: context.route.repeat === "stream",
+      timer: this.#dependencies.timer,
+      sentAt: this.#sentAt,
+      allowedMilliseconds: deadlineMilliseconds,
+      openWatch: () => this.#openWatch(),
+      questionMilliseconds: () =>
+        Math.max(0, context.remainingMilliseconds / 2),
+      guard: context.guard,
+    });
+    this.#end = judge;
+    return judge.response;
   }
 
-  /** The handle in the response to a prefill shows whether it is whole. */
-  #verifyEnd(response: EndpointResponse): EndpointResponse {
-    const { prefillOnly } = this.#plan.options;
-    const isVerified = !this.#closed && !prefillOnly &&
-      response.framing === "connection";
-    if (!isVerified) return response;
-    const watch = new WriterWatch({
+  #openWatch(): WriterWatch {
+    return new WriterWatch({
       dependencies: this.#dependencies,
       endpoint: this.endpoint,
       healthPath: this.#context.pool.healthPath,
     });
-    this.#watch = watch;
-    const { guard } = this.#context;
-    return verifyEnd(response, {
-      guard,
-      watch,
-      isWhole: () => this.#isWhole(watch),
-    });
-  }
-
-  async #isWhole(watch: WriterWatch): Promise<boolean> {
-    const { remainingMilliseconds } = this.#context;
-    this.#end = await watch.judgeEnd(Math.max(0, remainingMilliseconds / 2));
-    return provesEnd(this.#end.endEvidence);
   }
 
   /** Records for how long an endpoint writes without a crash. */
   #observeProgress(response: EndpointResponse): EndpointResponse {
-    if (this.#plan.options.prefillOnly) return response;
     return {
       ...response,
       read: (onChunk, onEnd) =>
@@ -502,7 +462,7 @@
 
   #close(): void {
     this.#closed = true;
-    this.#watch?.close();
+    this.#end?.close();
     this.#outcome.end("inconclusive");
     if (this.#isSameRun) {
       this.#dependencies.availability.ended(this.endpoint.id);
--- a/src/entry/forwarding/event_stream.ts
+++ b/src/entry/forwarding/event_stream.ts
@@ -1,8 +1,5 @@
-import type {
-  EventStreamPosition,
-  ResponseHead,
-} from "../../core/forwarding/mod.ts";
-import type { BodyFraming, EndpointResponse } from "./network_interfaces.ts";
+import type { ResponseHead } from "../../core/forwarding/mod.ts";
+import type { EndpointResponse } from "./network_interfaces.ts";
 
 /** Media type of a stream of server-sent events. */
 export const EVENT_STREAM = "text/event-stream";
@@ -35,44 +32,11 @@
   return isStreamRoute && framing === "connection";
 }
 
-/**
- * Returns the response, with `position` kept up to date. An end that leaves the
- * stream unfinished counts as cut, whatever the framing: callers discard an
- * event without its empty line, and would miss it in a complete response. The
- * length is not passed on: a truncated stream that has reached it, or one that
- * another run has continued, would look complete.
- */
-export function verifyEvents(
-  response: EndpointResponse,
-  position: EventStreamPosition,
-): EndpointResponse {
-  return {
-    ...response,
-    head: withoutLength(response.head),
-    read: (onChunk, onEnd) =>
-      response.read((chunk) => {
-        position.push(chunk);
-        onChunk(chunk);
-      }, (end) => {
-        const isWhole = end === "whole" &&
-          isFinished(position, response.framing);
-        onEnd(isWhole ? "whole" : "cut");
-      }),
-  };
-}
-
-function withoutLength(head: ResponseHead): ResponseHead {
+/** The head without the length of its body. */
+export function withoutLength(head: ResponseHead): ResponseHead {
   const headers = head.headers.filter((_, position) => {
     const name = head.headers[position - position % 2];
     return name.toLowerCase() !== "content-length";
   });
   return { ...head, headers };
 }
-
-/** A connection that ends before the first event shows nothing. */
-function isFinished(
-  { hasFields, isBetweenEvents }: EventStreamPosition,
-  framing: BodyFraming,
-): boolean {
-  return isBetweenEvents && (framing !== "connection" || hasFields);
-}
--- a/src/entry/forwarding/network_interfaces.ts
+++ b/src/entry/forwarding/network_interfaces.ts
@@ -26,8 +26,11 @@
   | "exchange_spoiled"
 >;
 
-/** How a response body ended. */
-export type BodyEnd = "whole" | "cut";
+/**
+ * How a response body ended. `unproven`: its endpoint has ended it in order, and
+ * nothing shows that it is whole.
+ */
+export type BodyEnd = "whole" | "unproven" | "cut";
 
 /**
  * How a response shows where its body ends. `connection`: the body ends with
--- a/src/entry/forwarding/response_relay.ts
+++ b/src/entry/forwarding/response_relay.ts
@@ -87,6 +87,8 @@
   #unverified: Buffer[] | undefined;
   /** Id of the event at which a run did not continue the stream. */
   #mismatchedEventId: string | undefined;
+  /** How the body of the last run ended. */
+  #lastEnd: BodyEnd | undefined;
   #current: EndpointResponse | undefined;
 
   constructor(options: ResponseRelayOptions) {
@@ -166,6 +168,7 @@
         if (isRejected) return;
         if (end === "whole" && !this.#acceptEnd()) return reject();
         if (end === "whole") this.#flushPending();
+        this.#lastEnd = end;
         this.#current = undefined;
         attempt.onEnd(end, head.status);
         resolve(end);
@@ -191,11 +194,14 @@
 
   /**
    * False if the end of the run does not end the stream. A run without events
-   * does, for a caller that has received them all.
+   * does, for a caller that has received them all: one that takes the stream up,
+   * or one whose last run has ended in order.
    */
   #acceptEnd(): boolean {
     if (this.#unverified === undefined) return true;
-    if (this.#firstHead !== undefined) return false;
+    if (this.#firstHead !== undefined && this.#lastEnd !== "unproven") {
+      return false;
+    }
     const bytes = Buffer.concat(this.#unverified);
     const position = new EventStreamPosition();
     position.push(bytes);
