Count fresh streams without an event as broken off

Callers got an empty stream as complete.

Cause: a run that ended before its first event, with the last chunk or the announced length of 0, counted as whole. A request runs with its first token, so such a run has not begun or was dropped.

Change: only a run that was asked for the events behind one may be empty. A resumable stream begins at another replica.

Measured: early_ends_test.ts, 'A fresh stream without an event': 7 of 7 failed on, pass now. truncated_streams_test.ts: offset 0 in chunks is no longer complete.

--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -222,7 +222,8 @@
   /** The handle in the response to a prefill shows whether it is whole. */
   #judgeEnd(response: EndpointResponse): EndpointResponse {
     this.#received = response.received;
-    const { options: { deadlineMilliseconds, prefillOnly } } = this.#plan;
+    const { options: { deadlineMilliseconds, lastEventId, prefillOnly } } =
+      this.#plan;
     const context = this.#context;
     const isJudged = !this.#closed && !prefillOnly &&
       context.request.method !== "HEAD";
@@ -230,6 +231,7 @@
     const judge = new BodyEndJudge({
       response: this.#observeProgress(response),
       isStreamRoute: context.route.repeat === "stream",
+      isContinuation: lastEventId !== undefined,
       timer: this.#dependencies.timer,
       sentAt: this.#sentAt,
       allowedMilliseconds: deadlineMilliseconds,
--- a/src/entry/forwarding/body_end.ts
+++ b/src/entry/forwarding/body_end.ts
@@ -46,6 +46,8 @@
   readonly response: EndpointResponse;
   /** True if the route answers with streams of events. */
   readonly isStreamRoute: boolean;
+  /** True if the endpoint was asked for the events behind one. */
+  readonly isContinuation: boolean;
   readonly timer: TimerService;
   readonly sentAt: number;
   /** Time that the endpoint was given, milliseconds. */
@@ -152,6 +154,8 @@
     if (position !== undefined && framing === "connection") {
       return position.hasFields ? "unframed_events" : "no_event";
     }
+    const mayBeEmpty = this.#options.isContinuation;
+    if (position?.hasFields === false && !mayBeEmpty) return "no_event";
     return framing === "connection" ? undefined : framing;
   }
 
