Take no end of a body for proof when its endpoint's time is up

Callers got a complete stream of which events were missing, near the end of the time that they or the route allow.

Cause: an endpoint stops at the X-Deadline-Ms that it received, and may end its body in order, with the last chunk. The entry gives it what is left, rounded down, and cuts by its own timer at the same instant; which of the two was read first was chance, and on a fast link mostly the endpoint's end.

Change: an end without an announced length that is read within 10 ms of the time given, counted from the send, or later, proves nothing. The deadline of the request, due by then, ends the response. Failures are passed on. The ground is logged as time_limit.

--- a/src/entry/forwarding/body_end.ts
+++ b/src/entry/forwarding/body_end.ts
@@ -1,6 +1,6 @@
 import { EventStreamPosition } from "../../core/forwarding/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
-import { isEventStream, withoutLength } from "./event_stream.ts";
+import { isEventStream, isSuccess, withoutLength } from "./event_stream.ts";
 import type { Guard } from "./forward_context.ts";
 import type {
   BodyEnd,
@@ -13,6 +13,12 @@
   type WriterWatch,
 } from "./writer_watch.ts";
 
+/**
+ * An endpoint that stops at the time that it was given may do so this much
+ * early: its timers may round down, and its clock may run faster.
+ */
+const EARLY_STOP_MILLISECONDS = 10;
+
 /** On what the verdict over the end of a body is based. */
 export type EndGround =
   /** Whole: all bytes of the announced length have arrived. */
@@ -27,6 +33,8 @@
   | "no_event"
   /** Nothing but the end of the connection shows that no event follows. */
   | "unframed_events"
+  /** The endpoint's time was up, at which it may stop in order. */
+  | "time_limit"
   /** Nothing shows that the writer of a body without framing has outlived it. */
   | "writer_unproven";
 
@@ -67,6 +75,7 @@
   broken_off: "cut",
   inside_event: "cut",
   no_event: "cut",
+  time_limit: "cut",
   writer_unproven: "cut",
 };
 
@@ -151,6 +160,7 @@
     if (position !== undefined && !position.isBetweenEvents) {
       return "inside_event";
     }
+    if (this.#isAtTimeLimit) return "time_limit";
     if (position !== undefined && framing === "connection") {
       return position.hasFields ? "unframed_events" : "no_event";
     }
@@ -159,6 +169,16 @@
     return framing === "connection" ? undefined : framing;
   }
 
+  /** A length can't be reached by a body that is not whole. */
+  get #isAtTimeLimit(): boolean {
+    const { allowedMilliseconds, response, sentAt, timer } = this.#options;
+    if (response.framing === "length" || !isSuccess(response.head)) {
+      return false;
+    }
+    return timer.now() - sentAt >=
+      Math.floor(allowedMilliseconds) - EARLY_STOP_MILLISECONDS;
+  }
+
   async #judgeWriter(): Promise<EndGround> {
     this.#verdict = await this.#watch?.judgeEnd(
       this.#options.questionMilliseconds(),
@@ -171,6 +191,8 @@
   #settle(ground: EndGround, settle: (end: BodyEnd) => void): void {
     this.#ground = ground;
     this.close();
+    // The deadline of the request is due, and ends the response.
+    if (ground === "time_limit") return;
     settle(ENDS[ground]);
   }
 }
