Break off streams in which an event of a numbering version is missing

Callers got a complete stream whose first events, or one in the middle, were missing.

Cause: a fresh run could begin at any id and leave ids out, as nothing says by how much ids increase.

Change: an entry learns from whole streams which versions number their events from 1 on. Of these, an id that does not follow by one is a lost event: a resumable stream goes on at another replica, others are broken off. Versions whose ids count something else are not checked.

--- a/src/core/forwarding/event_sequence.ts
+++ b/src/core/forwarding/event_sequence.ts
@@ -8,6 +8,8 @@
  * faster than their number.
  */
 const MAX_ID_DIGITS = 64;
+/** What the first id of numbered events follows. */
+const BEFORE_FIRST = "0";
 /**
  * Ids that a header can carry unchanged, read as latin1. An empty one names no
  * position: the run that is asked for it starts over.
@@ -25,10 +27,20 @@
   #isConsecutive = true;
   /** False behind an event without an id, which no position can name. */
   #isLastNamed = true;
+  /** False once an id did not follow the one before it, or 0, by one. */
+  #isNumbered = true;
+  readonly #begins: boolean;
 
   /** `lastEventId`: id of the last event that the caller had before. */
   constructor(lastEventId?: string) {
     this.#lastEventId = lastEventId === "" ? undefined : lastEventId;
+    this.#begins = this.#lastEventId === undefined;
+  }
+
+  /** True if the events were numbered from 1 on, and there was one. */
+  get isNumbered(): boolean {
+    return this.#begins && this.#isNumbered &&
+      this.#lastEventId !== undefined;
   }
 
   /** Id of the last event that the caller has received. */
@@ -51,6 +63,9 @@
     for (const eventId of eventIds) {
       const step = stepBetween(this.#lastEventId, eventId);
       if (step !== undefined && step !== 1) this.#isConsecutive = false;
+      if (stepBetween(this.#lastEventId ?? BEFORE_FIRST, eventId) !== 1) {
+        this.#isNumbered = false;
+      }
       this.#lastEventId = eventId;
     }
   }
@@ -58,16 +73,20 @@
   /**
    * The first id that does not follow the one before it; undefined if all do. A
    * further run may not leave an event out, nor begin with an empty id, which
-   * names no event. Ids within one run may have gaps, but not repeat or go back.
+   * names no event. Ids within one run may have gaps, but not repeat or go back,
+   * unless the events of the writer are numbered.
    */
   findMismatch(
     eventIds: readonly string[],
-    { isFurtherRun }: { readonly isFurtherRun: boolean },
+    { isFurtherRun, isNumbered }: {
+      readonly isFurtherRun: boolean;
+      readonly isNumbered: boolean;
+    },
   ): string | undefined {
-    let before = this.#lastEventId;
+    let before = this.#lastEventId ?? (isNumbered ? BEFORE_FIRST : undefined);
     return eventIds.find((eventId, index) => {
       const isFirst = index === 0 && isFurtherRun;
-      const mayHaveGap = !isFirst || !this.#isConsecutive;
+      const mayHaveGap = !isNumbered && (!isFirst || !this.#isConsecutive);
       const follows = before === undefined ||
         isAfter(before, eventId, { mayHaveGap }) &&
           !(isFirst && eventId === "");
--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -65,6 +65,7 @@
   StreamOrigins,
   type StreamRecord,
 } from "./streams/stream_origins.ts";
+export { EventNumbering } from "./streams/event_numbering.ts";
 export { StreamKeepers } from "./streams/stream_keepers.ts";
 export {
   ListedVersions,
--- a/src/entry/forwarding/forwarding_dependencies.ts
+++ b/src/entry/forwarding/forwarding_dependencies.ts
@@ -10,6 +10,7 @@
   EngineEstimates,
   EnginePlacement,
   EngineSlowness,
+  EventNumbering,
   ExpectedTimes,
   FleetLoad,
   ForwardedRequest,
@@ -88,6 +89,8 @@
   readonly crashGate: CrashGate;
   readonly lostRunChecks: LostRunChecks;
   readonly writerConnections: WriterConnections;
+  /** Which versions number the events of their streams. */
+  readonly eventNumbering: EventNumbering;
   /** Request limits that endpoints have named. */
   readonly limits: EndpointLimits;
   /** Load that endpoints have reported in their responses. */
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -144,6 +144,7 @@
       verifiesOrder: repeat === "stream",
       lastEventId: task.request.lastEventId,
       buffers: dependencies.responseBuffers,
+      numbering: dependencies.eventNumbering,
       onBytes: (count) => dependencies.link.recordSent(count),
     });
     this.#enginePlanner = new EnginePlanner(this.#context, {
--- a/src/entry/forwarding/response_relay.ts
+++ b/src/entry/forwarding/response_relay.ts
@@ -2,9 +2,11 @@
   type BufferedResponse,
   EventIdReader,
   EventIds,
+  type EventNumbering,
   EventSequence,
   EventSplitter,
   EventStreamPosition,
+  type RegisteredEndpoint,
   type ResponseBuffers,
   type ResponseHead,
 } from "../../core/forwarding/mod.ts";
@@ -46,6 +48,8 @@
   readonly lastEventId: string | undefined;
   /** Memory for bytes that callers have not read yet. */
   readonly buffers: ResponseBuffers;
+  /** Tells which versions number the events of a stream. */
+  readonly numbering: EventNumbering;
   /** Called with the number of bytes written to the caller. */
   readonly onBytes: (count: number) => void;
 }
@@ -62,6 +66,11 @@
   /** Ids of the events of a run that no other run continues. */
   readonly #runIds = new EventIdReader();
   readonly #runSequence = new EventSequence();
+  readonly #numbering: EventNumbering;
+  /** True if the current run's events are numbered. */
+  #isNumbered = false;
+  /** True if the caller has events of the stream from before this request. */
+  readonly #isTakenUp: boolean;
   readonly #onBytes: (count: number) => void;
   readonly #sequence: EventSequence;
   readonly #buffers: ResponseBuffers;
@@ -95,6 +104,8 @@
     this.#sink = options.sink;
     this.#wholeEventsOnly = options.wholeEventsOnly;
     this.#verifiesOrder = options.verifiesOrder;
+    this.#numbering = options.numbering;
+    this.#isTakenUp = options.lastEventId !== undefined;
     this.#onBytes = options.onBytes;
     this.#sequence = new EventSequence(options.lastEventId);
     this.#buffers = options.buffers;
@@ -150,6 +161,8 @@
     const { head } = response;
     this.#head = head;
     this.#hasEvents = carriesEvents(head);
+    this.#isNumbered = this.#checksNumbers &&
+      this.#numbering.isNumbered(attempt.endpoint);
     this.#unverified = this.#continuesStream(head) ? [] : undefined;
     if (this.#unverified === undefined) this.#sendHead();
     this.#current = response;
@@ -158,6 +171,7 @@
       let isRejected = false;
       const reject = () => {
         isRejected = true;
+        this.#recordNumbering(attempt.endpoint);
         this.#current = undefined;
         attempt.abort();
         resolve("mismatch");
@@ -169,6 +183,7 @@
         if (end === "whole" && !this.#acceptEnd()) return reject();
         if (end === "whole") this.#flushPending();
         this.#lastEnd = end;
+        if (end === "whole") this.#recordNumbering(attempt.endpoint);
         this.#current = undefined;
         attempt.onEnd(end, head.status);
         resolve(end);
@@ -176,6 +191,28 @@
     });
   }
 
+  /** False where the request may name a position that is not checked. */
+  get #checksNumbers(): boolean {
+    return this.#verifiesOrder &&
+      (this.#wholeEventsOnly || !this.#isTakenUp);
+  }
+
+  /** Learns from a stream whose end, or whose lost event, was just read. */
+  #recordNumbering(endpoint: RegisteredEndpoint): void {
+    const isFresh = this.#checksNumbers && !this.#isTakenUp &&
+      this.#hasEvents;
+    if (!isFresh) return;
+    const isRejected = this.#mismatchedEventId !== undefined;
+    const sequence = this.#wholeEventsOnly ? this.#sequence : this.#runSequence;
+    // Without numbers, a mismatch shows a fault and not how ids count.
+    const isConclusive = isRejected
+      ? this.#isNumbered
+      : sequence.lastEventId !== undefined;
+    if (!isConclusive) return;
+    const isNumbered = !isRejected && sequence.isNumbered;
+    this.#numbering.record(endpoint, { isNumbered });
+  }
+
   /** True if the caller has received events of the stream before this run. */
   #continuesStream(head: ResponseHead): boolean {
     if (this.#firstHead !== undefined) return true;
@@ -231,6 +268,7 @@
     const isFurtherRun = this.#unverified !== undefined;
     this.#mismatchedEventId = this.#sequence.findMismatch(eventIds, {
       isFurtherRun,
+      isNumbered: this.#isNumbered,
     });
     if (this.#mismatchedEventId !== undefined) return false;
     this.#sendHead();
@@ -253,6 +291,7 @@
     if (eventIds.length === 0) return true;
     this.#mismatchedEventId = this.#runSequence.findMismatch(eventIds, {
       isFurtherRun: false,
+      isNumbered: this.#isNumbered,
     });
     this.#runSequence.record({ eventIds, lastHasId: true });
     return this.#mismatchedEventId === undefined;
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -10,6 +10,7 @@
   type EngineEstimates,
   EnginePlacement,
   EngineSlowness,
+  EventNumbering,
   type ForwardedRequest,
   type ForwardingConfiguration,
   HeldPromptQueue,
@@ -325,6 +326,7 @@
         healthPathOf: () => undefined,
       }),
       writerConnections: new WriterConnections(endpointClient),
+      eventNumbering: new EventNumbering(),
       limits,
       outcomes: new FleetOutcomes({
         self,
