Stream faults: replicas that stop in order, and early ends

The run had no replica that ends a stream in order at the time that it was given, and none that lives on and ends one early without framing.

--- a/scripts/stream_faults.ts
+++ b/scripts/stream_faults.ts
@@ -2,7 +2,9 @@
  * `npm run stream-faults -- [--seed N] [--seeds N] [--seconds N]
  * [--links KIND] [--framing KIND]`: runs callers of streams while entries and
  * replicas are killed, terminated, frozen and started again, also behind links
- * whose connections have different delays. Prints one line of JSON per seed; the exit code is 0 only if
+ * whose connections have different delays. Replicas stop in order when their
+ * time is up, and some end streams early that nothing frames. Prints one line of
+ * JSON per seed; the exit code is 0 only if
  * no stream was out of order. `--logs FOLDER` saves the entries' logs of seeds
  * with violations.
  */
