--- a/src/entry/forwarding/attempt.ts
+++ b/src/entry/forwarding/attempt.ts
@@ -20,6 +20,7 @@
 import type { ForwardContext } from "./forward_context.ts";
 import type {
   BodyEnd,
+  BodyFraming,
   EndpointResponse,
   Exchange,
   ExchangeFailure,
@@ -40,7 +41,9 @@
 const MAX_LOGGED_PART_LENGTH = 64;
 
 /** What has arrived of a response body and how it ends, for the log. */
-export type BodyFacts = Partial<EndFacts & ReceivedBody>;
+export type BodyFacts = Partial<
+  EndFacts & ReceivedBody & { readonly framing: BodyFraming }
+>;
 
 export interface AttemptPlan {
   readonly endpoint: RegisteredEndpoint;
@@ -73,6 +76,7 @@
   readonly #outcome: AttemptOutcome;
   /** Measures the response of a decode engine whose pauses are bounded. */
   #pauses: StreamPauses | undefined;
+  #framing: BodyFraming | undefined;
   /** Present once the body of a run is received. */
   #end: BodyEndJudge | undefined;
   #received: ReceivedBody | undefined;
@@ -115,7 +119,11 @@
 
   /** How the body has ended, or where it is now. */
   get bodyFacts(): BodyFacts {
-    return { ...this.#end?.facts, ...this.#received };
+    return {
+      framing: this.#framing,
+      ...this.#end?.facts,
+      ...this.#received,
+    };
   }
 
   /** Records the outcome once the response body has ended. */
@@ -221,6 +229,7 @@
 
   /** The handle in the response to a prefill shows whether it is whole. */
   #judgeEnd(response: EndpointResponse): EndpointResponse {
+    this.#framing = response.framing;
     this.#received = response.received;
     const { options: { deadlineMilliseconds, lastEventId, prefillOnly } } =
       this.#plan;
--- a/src/entry/forwarding/body_end.ts
+++ b/src/entry/forwarding/body_end.ts
@@ -2,11 +2,7 @@
 import type { TimerService } from "../../core/time/mod.ts";
 import { isEventStream, isSuccess, withoutLength } from "./event_stream.ts";
 import type { Guard } from "./forward_context.ts";
-import type {
-  BodyEnd,
-  BodyFraming,
-  EndpointResponse,
-} from "./network_interfaces.ts";
+import type { BodyEnd, EndpointResponse } from "./network_interfaces.ts";
 import {
   type EndVerdict,
   provesEnd,
@@ -40,7 +36,6 @@
 
 /** The verdict over the end of a body, for the log. */
 export interface EndFacts extends Partial<EndVerdict> {
-  readonly framing: BodyFraming;
   readonly endGround?: EndGround;
   /** Time from the send to the end, milliseconds. */
   readonly endedAfterMilliseconds?: number;
@@ -122,9 +117,8 @@
   }
 
   get facts(): EndFacts {
-    const { allowedMilliseconds, response } = this.#options;
+    const { allowedMilliseconds } = this.#options;
     return {
-      framing: response.framing,
       endGround: this.#ground,
       endedAfterMilliseconds: this.#endedAfter,
       allowedMilliseconds: Math.floor(allowedMilliseconds),
