Judge untyped answers to stream requests as streams

An empty or truncated answer without a media type counted as whole if it had chunks or a length, although its caller had asked for a stream.

--- a/src/entry/forwarding/event_stream.ts
+++ b/src/entry/forwarding/event_stream.ts
@@ -17,19 +17,21 @@
   return status >= 200 && status < 300;
 }
 
+/** Statuses of a success that has no body, and so no events. */
+const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 205]);
+
 /**
  * True if the response is a stream of server-sent events. Without a media type,
- * the response to a request for a stream is taken for one if nothing but its
- * bytes shows where it ends.
+ * the answer to a request for a stream is taken for one.
  */
 export function isEventStream(
-  { framing, head }: EndpointResponse,
+  { head }: EndpointResponse,
   { isStreamRoute }: { readonly isStreamRoute: boolean },
 ): boolean {
   if (!isSuccess(head)) return false;
   const mediaType = mediaTypeOf(head);
   if (mediaType !== undefined) return mediaType === EVENT_STREAM;
-  return isStreamRoute && framing === "connection";
+  return isStreamRoute && !STATUSES_WITHOUT_BODY.has(head.status);
 }
 
 /** The head without the length of its body. */
