Learn how ids count from first runs only

A further run that ignored its position counted as a stream that leaves out ids. Two of these in 34 streams ended the check for lost events.

--- a/src/entry/forwarding/response_relay.ts
+++ b/src/entry/forwarding/response_relay.ts
@@ -69,6 +69,8 @@
   readonly #numbering: EventNumbering;
   /** True if the current run's events are numbered. */
   #isNumbered = false;
+  /** True if the current run is the first one of its stream. */
+  #beginsStream = false;
   /** True if the caller has events of the stream from before this request. */
   readonly #isTakenUp: boolean;
   readonly #onBytes: (count: number) => void;
@@ -161,6 +163,7 @@
     const { head } = response;
     this.#head = head;
     this.#hasEvents = carriesEvents(head);
+    this.#beginsStream = !this.#isTakenUp && this.#firstHead === undefined;
     this.#isNumbered = this.#checksNumbers &&
       this.#numbering.isNumbered(attempt.endpoint);
     this.#unverified = this.#continuesStream(head) ? [] : undefined;
@@ -197,9 +200,13 @@
       (this.#wholeEventsOnly || !this.#isTakenUp);
   }
 
-  /** Learns from a stream whose end, or whose lost event, was just read. */
+  /**
+   * Learns from a stream whose end, or whose lost event, was just read. A run
+   * that continues a stream may have ignored its position, and shows nothing of
+   * how its version counts.
+   */
   #recordNumbering(endpoint: RegisteredEndpoint): void {
-    const isFresh = this.#checksNumbers && !this.#isTakenUp &&
+    const isFresh = this.#checksNumbers && this.#beginsStream &&
       this.#hasEvents;
     if (!isFresh) return;
     const isRejected = this.#mismatchedEventId !== undefined;
