--- a/src/core/forwarding/streams/event_numbering_test.ts
+++ b/src/core/forwarding/streams/event_numbering_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import {
+  type EndpointId,
   identifier,
   type ServiceName,
   type SoftwareVersion,
@@ -13,13 +14,14 @@
 
 function recordAll(
   numbering: EventNumbering,
-  { numbered = 0, other = 0 },
+  { numbered = 0, other = 0, name = "a" },
 ): void {
+  const endpoint = { ...VERSION, id: identifier<EndpointId>(name) };
   for (let stream = 0; stream < numbered; stream++) {
-    numbering.record(VERSION, { isNumbered: true });
+    numbering.record(endpoint, { isNumbered: true });
   }
   for (let stream = 0; stream < other; stream++) {
-    numbering.record(VERSION, { isNumbered: false });
+    numbering.record(endpoint, { isNumbered: false });
   }
 }
 
@@ -35,7 +37,35 @@
       .to.equal(false);
   });
 
-  // A faulty endpoint must not end the check for all others.
+  // A faulty endpoint must not end the check for all others and itself.
+  for (const endpoints of [3, 6]) {
+    it(`knows a version of which one endpoint in ${endpoints} is faulty`, () => {
+      const numbering = new EventNumbering();
+      for (let sound = 1; sound < endpoints; sound++) {
+        recordAll(numbering, { numbered: 100, name: `sound-${sound}` });
+      }
+      recordAll(numbering, { numbered: 50, other: 50, name: "faulty" });
+      expect(numbering.isNumbered(VERSION)).to.equal(true);
+    });
+  }
+
+  // Sound streams would be broken off at endpoints that were left out as faulty.
+  for (const endpoints of [1, 2, 3, 6, 64]) {
+    for (const streams of [4, 10, 100]) {
+      it(`does not know a version that leaves out ids in one stream in five: ${endpoints} endpoints, ${streams} streams each`, () => {
+        const numbering = new EventNumbering();
+        for (let stream = 0; stream < endpoints * streams; stream++) {
+          const isOther = stream % 5 === 4;
+          recordAll(numbering, {
+            [isOther ? "other" : "numbered"]: 1,
+            name: `endpoint-${Math.floor(stream / streams)}`,
+          });
+        }
+        expect(numbering.isNumbered(VERSION)).to.equal(false);
+      });
+    }
+  }
+
   it("allows one other stream in 32", () => {
     const numbering = new EventNumbering();
     recordAll(numbering, { numbered: 62, other: 2 });
@@ -51,4 +81,12 @@
     recordAll(numbering, { other: 40 });
     expect(numbering.isNumbered(VERSION)).to.equal(false);
   });
+
+  it("is soon corrected where all endpoints of a version begin to", () => {
+    const numbering = new EventNumbering();
+    const names = ["a", "b", "c", "d", "e", "f"];
+    for (const name of names) recordAll(numbering, { numbered: 1_000, name });
+    for (const name of names) recordAll(numbering, { other: 7, name });
+    expect(numbering.isNumbered(VERSION)).to.equal(false);
+  });
 });
