--- a/src/core/forwarding/event_stream_position.ts
+++ b/src/core/forwarding/event_stream_position.ts
@@ -1,6 +1,8 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
-const COLON = 0x3a;
+/** Fields of which an event has at least one. */
+const EVENT_FIELDS: ReadonlySet<string> = new Set(["data", "id"]);
+const MAX_FIELD_LENGTH = 4;
 const BYTE_ORDER_MARK = [0xef, 0xbb, 0xbf];
 /** Last bytes up to the end of an empty line, the last one in the low byte. */
 const EMPTY_LINE_ENDS = {
@@ -18,7 +20,8 @@
   /** The last three bytes; the start counts as the end of an event. */
   #lastBytes = EMPTY_LINE_ENDS.lineFeeds;
   #markBytes = 0;
-  #isLineStart = true;
+  /** The first bytes of the line, as far as they may name a field. */
+  #lineStart = "";
   #hasFields = false;
 
   /** False after bytes of an event that has not ended. */
@@ -30,7 +33,10 @@
       this.#lastBytes === EMPTY_LINE_ENDS.pairAfterCarriageReturn;
   }
 
-  /** True once a line was received that is neither empty nor a comment. */
+  /**
+   * True once the data or the id of an event was received. A stream may begin
+   * with other fields, such as its retry time, that are no event.
+   */
   get hasFields(): boolean {
     return this.#hasFields;
   }
@@ -64,11 +70,12 @@
   #findField(bytes: Buffer): void {
     for (const byte of bytes) {
       const isLineEnd = byte === LINE_FEED || byte === CARRIAGE_RETURN;
-      if (this.#isLineStart && !isLineEnd && byte !== COLON) {
-        this.#hasFields = true;
-        return;
+      if (isLineEnd) this.#lineStart = "";
+      else if (this.#lineStart.length < MAX_FIELD_LENGTH) {
+        this.#lineStart += String.fromCharCode(byte);
+        this.#hasFields = EVENT_FIELDS.has(this.#lineStart);
+        if (this.#hasFields) return;
       }
-      this.#isLineStart = isLineEnd;
     }
   }
 }
--- a/src/core/forwarding/event_stream_position_test.ts
+++ b/src/core/forwarding/event_stream_position_test.ts
@@ -56,6 +56,14 @@
     expect(positionAfter("\n: ping\n\ndata").hasFields).to.equal(true);
   });
 
+  // A stream that ended behind its retry time counted as one with events.
+  it("finds no event in fields that belong to the stream", () => {
+    for (const text of ["retry: 1000\n\n", "event: x\n\n", "x-id: 1\n\n"]) {
+      expect(positionAfter(text).hasFields, text).to.equal(false);
+      expect(positionAfter(`${text}id: 1\n`).hasFields, text).to.equal(true);
+    }
+  });
+
   it("counts a byte order mark alone as no event", () => {
     expect(positionAfter("\uFEFF").isBetweenEvents).to.equal(true);
     expect(positionAfter("\uFEFFd").isBetweenEvents).to.equal(false);
