--- a/src/entry/forwarding/event_stream.ts
+++ b/src/entry/forwarding/event_stream.ts
@@ -17,8 +17,8 @@
   return status >= 200 && status < 300;
 }
 
-/** Statuses of a success that has no body, and so no events. */
-const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 205]);
+/** Status of a success that has no body, and so no events. */
+const NO_CONTENT_STATUS = 204;
 
 /**
  * True if the response is a stream of server-sent events. Without a media type,
@@ -31,7 +31,7 @@
   if (!isSuccess(head)) return false;
   const mediaType = mediaTypeOf(head);
   if (mediaType !== undefined) return mediaType === EVENT_STREAM;
-  return isStreamRoute && !STATUSES_WITHOUT_BODY.has(head.status);
+  return isStreamRoute && head.status !== NO_CONTENT_STATUS;
 }
 
 /** The head without the length of its body. */
--- a/src/entry/forwarding/response_relay.ts
+++ b/src/entry/forwarding/response_relay.ts
@@ -291,9 +291,7 @@
 
   /** False if an event of the chunk does not follow the ones before it. */
   #isInOrder(chunk: Buffer): boolean {
-    const isChecked = this.#verifiesOrder && this.#isEventStream &&
-      this.#hasEvents;
-    if (!isChecked) return true;
+    if (!this.#verifiesOrder || !this.#hasEvents) return true;
     const eventIds = this.#runIds.push(chunk);
     if (eventIds.length === 0) return true;
     this.#mismatchedEventId = this.#runSequence.findMismatch(eventIds, {
