--- a/src/entry/forwarding/response_relay.ts
+++ b/src/entry/forwarding/response_relay.ts
@@ -175,6 +175,8 @@
       const reject = () => {
         isRejected = true;
         this.#recordNumbering(attempt.endpoint);
+        // What it has shown may be a later event of the stream.
+        this.#lastEnd = "cut";
         this.#current = undefined;
         attempt.abort();
         resolve("mismatch");
