--- a/src/core/forwarding/event_sequence.ts
+++ b/src/core/forwarding/event_sequence.ts
@@ -10,6 +10,7 @@
 const MAX_ID_DIGITS = 64;
 /** What the first id of numbered events follows. */
 const BEFORE_FIRST = "0";
+const FIRST = "1";
 /**
  * Ids that a header can carry unchanged, read as latin1. An empty one names no
  * position: the run that is asked for it starts over.
@@ -37,10 +38,15 @@
     this.#begins = this.#lastEventId === undefined;
   }
 
-  /** True if the events were numbered from 1 on, and there was one. */
-  get isNumbered(): boolean {
-    return this.#begins && this.#isNumbered &&
-      this.#lastEventId !== undefined;
+  /**
+   * True if the events were numbered from 1 on; undefined if that can't be told,
+   * as one alone does not show by how much ids increase.
+   */
+  get isNumbered(): boolean | undefined {
+    if (!this.#begins || this.#lastEventId === undefined) return undefined;
+    return this.#isNumbered && this.#lastEventId === FIRST
+      ? undefined
+      : this.#isNumbered;
   }
 
   /** Id of the last event that the caller has received. */
--- a/src/entry/forwarding/response_relay.ts
+++ b/src/entry/forwarding/response_relay.ts
@@ -69,6 +69,8 @@
   readonly #numbering: EventNumbering;
   /** True if the current run's events are numbered. */
   #isNumbered = false;
+  /** True if the current run is the first one of its stream. */
+  #beginsStream = false;
   /** True if the caller has events of the stream from before this request. */
   readonly #isTakenUp: boolean;
   readonly #onBytes: (count: number) => void;
@@ -161,6 +163,7 @@
     const { head } = response;
     this.#head = head;
     this.#hasEvents = carriesEvents(head);
+    this.#beginsStream = !this.#isTakenUp && this.#firstHead === undefined;
     this.#isNumbered = this.#checksNumbers &&
       this.#numbering.isNumbered(attempt.endpoint);
     this.#unverified = this.#continuesStream(head) ? [] : undefined;
@@ -172,6 +175,8 @@
       const reject = () => {
         isRejected = true;
         this.#recordNumbering(attempt.endpoint);
+        // What it has shown may be a later event of the stream.
+        this.#lastEnd = "cut";
         this.#current = undefined;
         attempt.abort();
         resolve("mismatch");
@@ -197,19 +202,21 @@
       (this.#wholeEventsOnly || !this.#isTakenUp);
   }
 
-  /** Learns from a stream whose end, or whose lost event, was just read. */
+  /**
+   * Learns from a stream whose end, or whose lost event, was just read. A run
+   * that continues a stream may have ignored its position, and shows nothing of
+   * how its version counts.
+   */
   #recordNumbering(endpoint: RegisteredEndpoint): void {
-    const isFresh = this.#checksNumbers && !this.#isTakenUp &&
+    const isFresh = this.#checksNumbers && this.#beginsStream &&
       this.#hasEvents;
     if (!isFresh) return;
-    const isRejected = this.#mismatchedEventId !== undefined;
     const sequence = this.#wholeEventsOnly ? this.#sequence : this.#runSequence;
+    const isRejected = this.#mismatchedEventId !== undefined;
     // Without numbers, a mismatch shows a fault and not how ids count.
-    const isConclusive = isRejected
-      ? this.#isNumbered
-      : sequence.lastEventId !== undefined;
-    if (!isConclusive) return;
-    const isNumbered = !isRejected && sequence.isNumbered;
+    if (isRejected && !this.#isNumbered) return;
+    const isNumbered = isRejected ? false : sequence.isNumbered;
+    if (isNumbered === undefined) return;
     this.#numbering.record(endpoint, { isNumbered });
   }
 
@@ -284,9 +291,7 @@
 
   /** False if an event of the chunk does not follow the ones before it. */
   #isInOrder(chunk: Buffer): boolean {
-    const isChecked = this.#verifiesOrder && this.#isEventStream &&
-      this.#hasEvents;
-    if (!isChecked) return true;
+    if (!this.#verifiesOrder || !this.#hasEvents) return true;
     const eventIds = this.#runIds.push(chunk);
     if (eventIds.length === 0) return true;
     this.#mismatchedEventId = this.#runSequence.findMismatch(eventIds, {
