Confirm no loss that came while its endpoint was being asked

A check of an endpoint that broke off a request confirmed all losses of the run that were left, also those that came after its question. If another response had retracted the loss that the check was for, the answer of the living endpoint did not retract the later one, and it was reported to all entries as a crash. Sound parts of prompts could be blocked by such losses, the sooner the later the event loops are.

Such a loss gets a check of its own now. A run that does not listen any more has all its losses confirmed, as before.

Measured: lost_run_checks_test.ts (new), "confirms no loss of a living run that came during a check", failed before and passes; 76 tests of src/core/forwarding/crashes and src/entry/forwarding/crashes pass.

--- a/src/core/forwarding/crashes/crash_tracker.ts
+++ b/src/core/forwarding/crashes/crash_tracker.ts
@@ -158,13 +158,19 @@
     this.#changed();
   }
 
-  /** Counts and reports the losses of the run that were not retracted. */
-  confirmLosses(run: EndpointRun): void {
+  /**
+   * Counts and reports the losses of the run until `lostUntil` that were not
+   * retracted.
+   */
+  confirmLosses(
+    run: EndpointRun,
+    { lostUntil = Infinity }: { readonly lostUntil?: number } = {},
+  ): void {
     const key = keyOfRun(run);
     const now = this.#options.timer.now();
     let isChanged = false;
     for (const suspect of this.#suspects.values()) {
-      const loss = suspect.confirm(key);
+      const loss = suspect.confirm(key, lostUntil);
       if (loss === undefined) continue;
       this.reports.addOwn(suspect.encode(loss, now));
       isChanged = true;
--- a/src/core/forwarding/crashes/suspect.ts
+++ b/src/core/forwarding/crashes/suspect.ts
@@ -122,10 +122,14 @@
     return known === undefined;
   }
 
-  /** Confirms the loss of the run; returns it if it was not confirmed before. */
-  confirm(run: string): SuspectLoss | undefined {
+  /**
+   * Confirms the loss of the run if it came by `lostUntil`; returns it if it was
+   * not confirmed before.
+   */
+  confirm(run: string, lostUntil: number): SuspectLoss | undefined {
     const loss = this.#losses.get(run);
     if (loss === undefined || loss.isConfirmed) return undefined;
+    if (loss.lostAt > lostUntil) return undefined;
     loss.isConfirmed = true;
     return loss;
   }
--- a/src/entry/forwarding/crashes/lost_run_checks.ts
+++ b/src/entry/forwarding/crashes/lost_run_checks.ts
@@ -24,6 +24,13 @@
   readonly healthPathOf: (pool: ServiceName) => string | undefined;
 }
 
+interface RunCheck {
+  /** True once the endpoint is asked, false while the check is due. */
+  readonly isAsking: boolean;
+  /** The endpoint as of a loss that came while it was asked. */
+  lostMeanwhile?: RegisteredEndpoint;
+}
+
 /**
  * Checks whether the run of an endpoint that broke off a request has crashed. A
  * faulty run that breaks off responses and lives on would otherwise get sound
@@ -31,8 +38,8 @@
  */
 export class LostRunChecks {
   readonly #options: LostRunChecksOptions;
-  /** Endpoints with a check in progress, by id. */
-  readonly #checked = new Set<EndpointId>();
+  /** The checks of endpoints, by id. */
+  readonly #checks = new Map<EndpointId, RunCheck>();
 
   constructor(options: LostRunChecksOptions) {
     this.#options = options;
@@ -40,8 +47,10 @@
 
   /** Confirms or retracts the losses of the run that are not confirmed. */
   check(endpoint: RegisteredEndpoint): void {
-    if (this.#checked.has(endpoint.id)) return;
-    this.#checked.add(endpoint.id);
+    const check = this.#checks.get(endpoint.id);
+    if (check?.isAsking) check.lostMeanwhile = endpoint;
+    if (check !== undefined) return;
+    this.#checks.set(endpoint.id, { isAsking: false });
     this.#options.timer.after(
       CHECK_DELAY_MILLISECONDS,
       () => this.#run(endpoint),
@@ -51,15 +60,21 @@
   async #run(endpoint: RegisteredEndpoint): Promise<void> {
     const { crashes, registry, timer } = this.#options;
     const startedAt = timer.now();
+    const check: RunCheck = { isAsking: true };
+    this.#checks.set(endpoint.id, check);
     let isAlive = false;
     try {
       isAlive = registry.isSameRun(endpoint) &&
         await this.#isListening(endpoint);
     } finally {
-      this.#checked.delete(endpoint.id);
+      this.#checks.delete(endpoint.id);
     }
     if (isAlive) crashes.answered(endpoint, startedAt);
-    crashes.confirmLosses(endpoint);
+    // The answer of a living run neither retracts nor confirms a loss that came
+    // after the question.
+    const lostUntil = isAlive ? startedAt : Infinity;
+    crashes.confirmLosses(endpoint, { lostUntil });
+    if (check.lostMeanwhile !== undefined) this.check(check.lostMeanwhile);
   }
 
   /** False also if another process listens at the address. */
