Take a connection that was accepted and reset for no closed listener

Where the event loop is late, an accepted connection that was reset fails with ECONNRESET and without a "connect" event. It counted as rejected, so the check of a living endpoint behind resets confirmed its losses as crashes, which an entry on time did not do. Such a connection has the state "ended" now. A connection that nothing accepts fails with ECONNREFUSED or a timeout, as before.

--- a/src/adapters/forwarding/endpoint_connection.ts
+++ b/src/adapters/forwarding/endpoint_connection.ts
@@ -4,6 +4,12 @@
 import { openPaced, PacedAgent } from "../http_client/mod.ts";
 import { CONNECT_TIMEOUT_MILLISECONDS } from "./endpoint_exchange.ts";
 
+/**
+ * Error of a connection that was accepted and reset, also where both came before
+ * the event loop saw either. One that is not accepted fails with another.
+ */
+const RESET_CODE = "ECONNRESET";
+
 type OnConnection = (error: Error) => void;
 
 /** An agent of one connection, which is open already. */
@@ -49,7 +55,10 @@
         resolve();
       });
     });
-    this.#socket.on("error", () => this.#onEnd());
+    this.#socket.on("error", ({ code }: NodeJS.ErrnoException) => {
+      if (code === RESET_CODE) this.#state = "ended";
+      this.#onEnd();
+    });
     this.#socket.on("end", () => this.#onEnd());
     // Unread bytes would hide the end, and answer no question.
     this.#socket.resume();
--- a/src/entry/forwarding/crashes/lost_run_checks.ts
+++ b/src/entry/forwarding/crashes/lost_run_checks.ts
@@ -86,7 +86,9 @@
     const connection = endpointClient.connect(address);
     try {
       await connection.opened;
-      if (connection.state !== "open") return false;
+      if (connection.state === "rejected") return false;
+      // It was accepted, and reset before the event loop saw it open.
+      if (connection.state === "ended") return true;
       if (healthPath === undefined) return true;
       const process = await connection.identify(id, {
         healthPath,
--- a/src/entry/forwarding/crashes/lost_run_checks_test.ts
+++ b/src/entry/forwarding/crashes/lost_run_checks_test.ts
@@ -24,12 +24,15 @@
   /** Whether the endpoint accepts the next connections. */
   let isListening: boolean;
   let connections: number;
+  /** Whether connections are reset once they have been accepted. */
+  let isResetting: boolean;
 
   beforeEach(() => {
     timer = new ManualTimerService();
     crashes = new CrashTracker({ timer });
     isListening = true;
     connections = 0;
+    isResetting = false;
     const registry = new EndpointRegistry({ timer });
     registry.upsert(endpoint);
     checks = new LostRunChecks({
@@ -45,6 +48,7 @@
     connections += 1;
     return {
       ...makeConnection(isListening),
+      ...(isResetting && { state: "ended" }),
       opened: new Promise((resolve) =>
         timer.after(OPENING_MILLISECONDS, resolve)
       ),
@@ -85,6 +89,15 @@
     expect(crashes.size).to.equal(0);
   });
 
+  // Whether the event loop sees such a connection open depends on how late it is.
+  it("retracts the losses of a run whose connections are reset", async () => {
+    isResetting = true;
+    lose(PART);
+    await timer.advance(CHECK_MILLISECONDS + OPENING_MILLISECONDS);
+    expect(reportedDigests()).to.deep.equal([]);
+    expect(crashes.size).to.equal(0);
+  });
+
   // A replica that lives and breaks off responses would otherwise have sound
   // parts blocked in the whole fleet: each loss that came while a check was
   // answered was reported to the peers as a crash.
