--- a/scripts/stream_faults.ts
+++ b/scripts/stream_faults.ts
@@ -1,12 +1,14 @@
 /**
  * `npm run stream-faults -- [--seed N] [--seeds N] [--seconds N]
- * [--links KIND] [--framing KIND]`: runs callers of streams while entries and
- * replicas are killed, terminated, frozen and started again, also behind links
- * whose connections have different delays. Replicas stop in order when their
- * time is up, and some end streams early that nothing frames. Prints one line of
- * JSON per seed; the exit code is 0 only if
- * no stream was out of order. `--logs FOLDER` saves the entries' logs of seeds
- * with violations.
+ * [--links KIND] [--framing KIND] [--stops-in-order]`: runs callers of streams
+ * while entries and replicas are killed, terminated, frozen and started again,
+ * also behind links whose connections have different delays. Replicas stop in
+ * order when their time is up, and some end streams early that nothing frames.
+ * `--stops-in-order` makes replicas that are terminated end their open streams
+ * in order, with the last chunk; entries take such streams for whole, so runs
+ * with it fail. Prints one line of JSON per seed; the exit code is 0 only if no
+ * stream was out of order. `--logs FOLDER` saves the entries' logs of seeds with
+ * violations.
  */
 import { mkdirSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
@@ -28,6 +30,7 @@
     links: { type: "string" },
     framing: { type: "string" },
     logs: { type: "string" },
+    "stops-in-order": { type: "boolean", default: false },
   },
 });
 
@@ -47,6 +50,7 @@
     seconds: Number(values.seconds),
     callers: Number(values.callers),
     links,
+    stopsInOrder: values["stops-in-order"],
     ...(framing !== undefined && { framings: [framing] }),
   });
   console.log(JSON.stringify({
