--- a/src/entry/forwarding/crashes/lost_run_checks_test.ts
+++ b/src/entry/forwarding/crashes/lost_run_checks_test.ts
@@ -98,9 +98,7 @@
     expect(crashes.size).to.equal(0);
   });
 
-  // A replica that lives and breaks off responses would otherwise have sound
-  // parts blocked in the whole fleet: each loss that came while a check was
-  // answered was reported to the peers as a crash.
+  // Such a loss was reported to peers as a crash, and blocked sound parts.
   it("confirms no loss of a living run that came during a check", async () => {
     await loseDuringCheck();
     await timer.advance(10 * CHECK_MILLISECONDS);
--- a/src/entry/forwarding/response_relay.ts
+++ b/src/entry/forwarding/response_relay.ts
@@ -48,7 +48,7 @@
   readonly lastEventId: string | undefined;
   /** Memory for bytes that callers have not read yet. */
   readonly buffers: ResponseBuffers;
-  /** Tells which versions number the events of a stream. */
+  /** Which versions number the events of their streams. */
   readonly numbering: EventNumbering;
   /** Called with the number of bytes written to the caller. */
   readonly onBytes: (count: number) => void;
