Take versions for ones that number their events until they show otherwise

Callers of an entry that had just started, or of a version that had, got streams with events missing as complete: a version counted as one that numbers its events only behind 32 sound streams, and a faulty replica was left out only behind eight of its own.

The prior is now the safe side. A version counts otherwise once more than one in 32 of its streams left out ids at more than half of its endpoints, so that a faulty minority teaches nothing. Ids may begin at 0 or 1.

Tests replaced: those of streams whose ids leave some out or begin anywhere now let the entry know such a version first, as its first 32 streams are broken off; their checks are unchanged. Streams of one event still teach nothing; what follows them is checked now.

--- a/src/core/forwarding/event_sequence.ts
+++ b/src/core/forwarding/event_sequence.ts
@@ -8,9 +8,8 @@
  * faster than their number.
  */
 const MAX_ID_DIGITS = 64;
-/** What the first id of numbered events follows. */
-const BEFORE_FIRST = "0";
-const FIRST = "1";
+/** Ids with which numbered events may begin. */
+const MAX_FIRST_ID = 1;
 /**
  * Ids that a header can carry unchanged, read as latin1. An empty one names no
  * position: the run that is asked for it starts over.
@@ -28,7 +27,7 @@
   #isConsecutive = true;
   /** False behind an event without an id, which no position can name. */
   #isLastNamed = true;
-  /** False once an id did not follow the one before it, or 0, by one. */
+  /** False once an id was not the next one, nor one with which ids begin. */
   #isNumbered = true;
   readonly #begins: boolean;
 
@@ -39,12 +38,12 @@
   }
 
   /**
-   * True if the events were numbered from 1 on; undefined if that can't be told,
-   * as one alone does not show by how much ids increase.
+   * True if the events were numbered from their first one on; undefined if that
+   * can't be told, as one alone does not show by how much ids increase.
    */
   get isNumbered(): boolean | undefined {
     if (!this.#begins || this.#lastEventId === undefined) return undefined;
-    return this.#isNumbered && this.#lastEventId === FIRST
+    return this.#isNumbered && mayBegin(this.#lastEventId)
       ? undefined
       : this.#isNumbered;
   }
@@ -69,9 +68,10 @@
     for (const eventId of eventIds) {
       const step = stepBetween(this.#lastEventId, eventId);
       if (step !== undefined && step !== 1) this.#isConsecutive = false;
-      if (stepBetween(this.#lastEventId ?? BEFORE_FIRST, eventId) !== 1) {
-        this.#isNumbered = false;
-      }
+      const isNext = this.#lastEventId === undefined
+        ? mayBegin(eventId)
+        : step === 1;
+      if (!isNext) this.#isNumbered = false;
       this.#lastEventId = eventId;
     }
   }
@@ -89,12 +89,13 @@
       readonly isNumbered: boolean;
     },
   ): string | undefined {
-    let before = this.#lastEventId ?? (isNumbered ? BEFORE_FIRST : undefined);
+    let before = this.#lastEventId;
     return eventIds.find((eventId, index) => {
       const isFirst = index === 0 && isFurtherRun;
       const mayHaveGap = !isNumbered && (!isFirst || !this.#isConsecutive);
-      const follows = before === undefined ||
-        isAfter(before, eventId, { mayHaveGap }) &&
+      const follows = before === undefined
+        ? !isNumbered || mayBegin(eventId)
+        : isAfter(before, eventId, { mayHaveGap }) &&
           !(isFirst && eventId === "");
       before = eventId;
       return !follows;
@@ -112,6 +113,12 @@
   return mayHaveGap ? step > 0 : step === 1;
 }
 
+/** True for the first ids of numbered events, and for ids without an order. */
+function mayBegin(eventId: string): boolean {
+  const value = stepBetween("0", eventId);
+  return value === undefined || value <= MAX_FIRST_ID;
+}
+
 /** Difference of two ids; undefined if they are not both integers. */
 function stepBetween(
   before: string | undefined,
--- a/src/core/forwarding/streams/event_numbering.ts
+++ b/src/core/forwarding/streams/event_numbering.ts
@@ -2,19 +2,16 @@
 import type { RegisteredEndpoint } from "../configuration.ts";
 import type { ServingVersion } from "./listed_versions.ts";
 
-/** Streams after which a version is known to number its events. */
+/**
+ * Streams after which a version may be known to leave out ids. With fewer, a
+ * faulty endpoint may have written most of them.
+ */
 const MIN_STREAMS = 32;
 /**
  * Largest share of streams with other ids. Above it the ids count something
  * else, such as tokens.
  */
 const MAX_OTHER_SHARE = 1 / 32;
-/**
- * Streams after which an endpoint may be left out as a faulty one. With fewer, a
- * version that leaves out ids now and then would be taken for a sound one with
- * faulty endpoints.
- */
-const MIN_STREAMS_OF_FAULTY = 8;
 /** Maximum number of versions that are known, of all pools. */
 const MAX_VERSIONS = 256;
 /** Maximum number of endpoints that are known of one version. */
@@ -37,9 +34,10 @@
 
 /**
  * Which software versions number the events of a stream from 1 on, without
- * gaps, as far as their whole streams have shown. An event that such a version
- * leaves out is lost; of others, ids only tell the order. One endpoint in four,
- * of three or more, may leave out events without an effect on its version.
+ * gaps. An event that such a version leaves out is lost; of others, ids only
+ * tell the order. A version is taken for one that numbers its events until more
+ * than half of its endpoints have shown otherwise: a fault of fewer shows nothing
+ * of how the version counts.
  */
 export class EventNumbering {
   /** By pool and version; the one that was first seen longest ago first. */
@@ -47,11 +45,9 @@
 
   /** True if an id that leaves out another one shows that an event is lost. */
   isNumbered(version: ServingVersion): boolean {
-    const counts = this.#counts.get(keyOf(version));
-    if (counts === undefined) return false;
-    const { numbered, other } = sumOf(withoutFaulty([...counts.values()]));
-    return numbered >= MIN_STREAMS &&
-      other <= MAX_OTHER_SHARE * (numbered + other);
+    const counts = [...this.#counts.get(keyOf(version))?.values() ?? []];
+    if (streamsOf(sumOf(counts)) < MIN_STREAMS) return true;
+    return otherShareOf(sumOf(soundHalf(counts))) <= MAX_OTHER_SHARE;
   }
 
   /** Records a stream of events that an endpoint has begun. */
@@ -74,16 +70,10 @@
   }
 }
 
-/** Leaves out the endpoints with the largest shares of other ids. */
-function withoutFaulty(all: readonly Counts[]): readonly Counts[] {
-  const known = all.filter((each) => streamsOf(each) >= MIN_STREAMS_OF_FAULTY);
-  const maxFaulty = Math.floor((known.length + 1) / 4);
-  const faulty = new Set(
-    known.filter((each) => otherShareOf(each) > MAX_OTHER_SHARE)
-      .sort((a, b) => otherShareOf(b) - otherShareOf(a))
-      .slice(0, maxFaulty),
-  );
-  return all.filter((each) => !faulty.has(each));
+/** The half of the endpoints with the smallest shares of other ids. */
+function soundHalf(all: readonly Counts[]): readonly Counts[] {
+  return all.toSorted((a, b) => otherShareOf(a) - otherShareOf(b))
+    .slice(0, Math.ceil(all.length / 2));
 }
 
 function sumOf(all: readonly Counts[]): Counts {
--- a/src/core/forwarding/streams/event_numbering_test.ts
+++ b/src/core/forwarding/streams/event_numbering_test.ts
@@ -26,20 +26,37 @@
 }
 
 describe("EventNumbering", () => {
-  it("knows a version after 32 numbered streams, and no other one", () => {
+  // An entry that has just started would pass on streams with lost events.
+  it("takes a version for a numbering one until 32 streams are known", () => {
     const numbering = new EventNumbering();
-    recordAll(numbering, { numbered: 31 });
-    expect(numbering.isNumbered(VERSION)).to.equal(false);
-    recordAll(numbering, { numbered: 1 });
     expect(numbering.isNumbered(VERSION)).to.equal(true);
+    recordAll(numbering, { other: 31 });
+    expect(numbering.isNumbered(VERSION)).to.equal(true);
+    recordAll(numbering, { other: 1 });
+    expect(numbering.isNumbered(VERSION)).to.equal(false);
     const softwareVersion = identifier<SoftwareVersion>("v2");
     expect(numbering.isNumbered({ ...VERSION, softwareVersion }))
-      .to.equal(false);
+      .to.equal(true);
   });
 
-  // A faulty endpoint must not end the check for all others and itself.
-  for (const endpoints of [3, 6]) {
-    it(`knows a version of which one endpoint in ${endpoints} is faulty`, () => {
+  // Faulty endpoints must not end the check for all others and themselves.
+  for (const [faulty, endpoints] of [[1, 2], [1, 3], [1, 6], [3, 6]]) {
+    for (const streams of [1, 7, 100]) {
+      it(`takes a version for a numbering one of which ${faulty} in ${endpoints} endpoints are faulty: ${streams} streams of each of these`, () => {
+        const numbering = new EventNumbering();
+        for (let sound = faulty; sound < endpoints; sound++) {
+          recordAll(numbering, { numbered: 100, name: `sound-${sound}` });
+        }
+        for (let index = 0; index < faulty; index++) {
+          recordAll(numbering, { other: streams, name: `faulty-${index}` });
+        }
+        expect(numbering.isNumbered(VERSION)).to.equal(true);
+      });
+    }
+  }
+
+  for (const endpoints of [2, 3, 6]) {
+    it(`takes a version for a numbering one of which one endpoint in ${endpoints} leaves out ids in every second stream`, () => {
       const numbering = new EventNumbering();
       for (let sound = 1; sound < endpoints; sound++) {
         recordAll(numbering, { numbered: 100, name: `sound-${sound}` });
@@ -52,16 +69,17 @@
   // Sound streams would be broken off at endpoints that were left out as faulty.
   for (const endpoints of [1, 2, 3, 6, 64]) {
     for (const streams of [4, 10, 100]) {
-      it(`does not know a version that leaves out ids in one stream in five: ${endpoints} endpoints, ${streams} streams each`, () => {
+      const total = endpoints * streams;
+      it(`knows a version that leaves out ids in one stream in five from 32 streams on: ${endpoints} endpoints, ${streams} streams each`, () => {
         const numbering = new EventNumbering();
-        for (let stream = 0; stream < endpoints * streams; stream++) {
+        for (let stream = 0; stream < total; stream++) {
           const isOther = stream % 5 === 4;
           recordAll(numbering, {
             [isOther ? "other" : "numbered"]: 1,
             name: `endpoint-${Math.floor(stream / streams)}`,
           });
         }
-        expect(numbering.isNumbered(VERSION)).to.equal(false);
+        expect(numbering.isNumbered(VERSION)).to.equal(total < 32);
       });
     }
   }
--- a/src/entry/forwarding/request_forwarder_test.ts
+++ b/src/entry/forwarding/request_forwarder_test.ts
@@ -13,6 +13,7 @@
   makeRoute,
   PORTAL,
 } from "../../../test/support/forwarding_fixtures.ts";
+import { learnOtherNumbering } from "../../../test/support/other_numbering.ts";
 import type { Route } from "../../core/forwarding/mod.ts";
 import {
   type EndpointId,
@@ -555,6 +556,7 @@
 
       it("continues if the first run had ids with gaps", async () => {
         const harness = engines();
+        learnOtherNumbering(harness.dependencies);
         const caller = await harness.submit(makeRequest({ prompt }));
         const [first] = harness.sent;
         await first.head();
