Count a faulty endpoint that restarts once in what a version has shown

Callers got streams with events missing as complete once a replica that loses events had restarted: each of its runs counted as one more endpoint of its version that leaves out ids, until these were more than half of all.

Endpoints are counted by their address, which a replica keeps when it restarts. The test failed before.

--- a/src/core/forwarding/streams/event_numbering.ts
+++ b/src/core/forwarding/streams/event_numbering.ts
@@ -1,4 +1,3 @@
-import type { EndpointId } from "../../identity/mod.ts";
 import type { RegisteredEndpoint } from "../configuration.ts";
 import type { ServingVersion } from "./listed_versions.ts";
 
@@ -14,8 +13,8 @@
 const MAX_OTHER_SHARE = 1 / 32;
 /** Maximum number of versions that are known, of all pools. */
 const MAX_VERSIONS = 256;
-/** Maximum number of endpoints that are known of one version. */
-const MAX_ENDPOINTS = 64;
+/** Maximum number of addresses that are known of one version. */
+const MAX_ADDRESSES = 64;
 /**
  * Number of streams of an endpoint after which older ones weigh less. With more,
  * a fleet is slow to unlearn, and breaks off sound streams meanwhile.
@@ -24,7 +23,7 @@
 
 type NumberingEndpoint = Pick<
   RegisteredEndpoint,
-  "id" | "pool" | "softwareVersion"
+  "address" | "pool" | "softwareVersion"
 >;
 
 interface Counts {
@@ -40,8 +39,11 @@
  * of how the version counts.
  */
 export class EventNumbering {
-  /** By pool and version; the one that was first seen longest ago first. */
-  readonly #counts = new Map<string, Map<EndpointId, Counts>>();
+  /**
+   * By pool and version, and by address: a faulty endpoint that restarts must not
+   * count as many. The one that was first seen longest ago first.
+   */
+  readonly #counts = new Map<string, Map<string, Counts>>();
 
   /** True if an id that leaves out another one shows that an event is lost. */
   isNumbered(version: ServingVersion): boolean {
@@ -56,12 +58,12 @@
     { isNumbered }: { readonly isNumbered: boolean },
   ): void {
     const versionCounts = entryOf(this.#counts, keyOf(endpoint), {
-      create: () => new Map<EndpointId, Counts>(),
+      create: () => new Map<string, Counts>(),
       maxEntries: MAX_VERSIONS,
     });
-    const counts = entryOf(versionCounts, endpoint.id, {
+    const counts = entryOf(versionCounts, endpoint.address, {
       create: () => ({ numbered: 0, other: 0 }),
-      maxEntries: MAX_ENDPOINTS,
+      maxEntries: MAX_ADDRESSES,
     });
     counts[isNumbered ? "numbered" : "other"] += 1;
     if (counts.numbered + counts.other < MAX_STREAMS) return;
--- a/src/core/forwarding/streams/event_numbering_test.ts
+++ b/src/core/forwarding/streams/event_numbering_test.ts
@@ -16,7 +16,7 @@
   numbering: EventNumbering,
   { numbered = 0, other = 0, name = "a" },
 ): void {
-  const endpoint = { ...VERSION, id: identifier<EndpointId>(name) };
+  const endpoint = { ...VERSION, address: `${name}:1` };
   for (let stream = 0; stream < numbered; stream++) {
     numbering.record(endpoint, { isNumbered: true });
   }
@@ -66,6 +66,23 @@
     });
   }
 
+  // Each restart of a faulty endpoint would count as one more that is faulty.
+  it("takes a version for a numbering one of which a faulty endpoint restarts under other ids", () => {
+    const numbering = new EventNumbering();
+    recordAll(numbering, { numbered: 100, name: "sound" });
+    for (let restart = 0; restart < 8; restart++) {
+      const endpoint = {
+        ...VERSION,
+        id: identifier<EndpointId>(`faulty-${restart}`),
+        address: "faulty:1",
+      };
+      for (let stream = 0; stream < 10; stream++) {
+        numbering.record(endpoint, { isNumbered: false });
+      }
+    }
+    expect(numbering.isNumbered(VERSION)).to.equal(true);
+  });
+
   // Sound streams would be broken off at endpoints that were left out as faulty.
   for (const endpoints of [1, 2, 3, 6, 64]) {
     for (const streams of [4, 10, 100]) {
