--- a/src/entry/forwarding/response_relay.ts
+++ b/src/entry/forwarding/response_relay.ts
@@ -188,7 +188,7 @@
         if (end === "whole" && !this.#acceptEnd()) return reject();
         if (end === "whole") this.#flushPending();
         this.#lastEnd = end;
-        if (end === "whole") this.#recordNumbering(attempt.endpoint);
+        this.#recordNumbering(attempt.endpoint);
         this.#current = undefined;
         attempt.onEnd(end, head.status);
         resolve(end);
@@ -203,8 +203,8 @@
   }
 
   /**
-   * Learns from a stream whose end, or whose lost event, was just read. A run
-   * that continues a stream may have ignored its position, and shows nothing of
+   * Learns from a run whose end, or whose lost event, was just read. A run that
+   * continues a stream may have ignored its position, and shows nothing of
    * how its version counts.
    */
   #recordNumbering(endpoint: RegisteredEndpoint): void {
