--- a/scripts/stream_faults.ts
+++ b/scripts/stream_faults.ts
@@ -3,7 +3,8 @@
  * [--links KIND] [--framing KIND] [--stops-in-order]`: runs callers of streams
  * while entries and replicas are killed, terminated, frozen and started again,
  * also behind links whose connections have different delays. Replicas stop in
- * order when their time is up, and some end streams early that nothing frames.
+ * order when their time is up, some end streams early that nothing frames, and
+ * some lose events.
  * `--stops-in-order` makes replicas that are terminated end their open streams
  * in order, with the last chunk; entries take such streams for whole, so runs
  * with it fail. Prints one line of JSON per seed; the exit code is 0 only if no
