Don't end a taken-up stream by an empty run behind one that was cut

A caller that took up a stream at event 2 got an empty response as complete, although the first run of this response had shown event 4, or a part of event 3, before it was dropped or broke off: the run after it had no event, and an empty run ended each taken-up stream of which the caller had received nothing yet.

The four new cases of taken_up_streams_test.ts failed before this change (200 and complete). A run that was cut may have shown a later event, or have had one to write, so an empty run behind it proves nothing. The rule is now the one of streams that have begun in this response. Given up: a taken-up stream of which the caller has all events is answered with 502 if its first run broke behind the head and the second one is empty.

--- a/src/entry/forwarding/response_relay.ts
+++ b/src/entry/forwarding/response_relay.ts
@@ -239,13 +239,12 @@
   /**
    * False if the end of the run does not end the stream. A run without events
    * does, for a caller that has received them all: one that takes the stream up,
-   * or one whose last run has ended in order.
+   * or one whose last run has ended in order. A run before it that was cut may
+   * have shown a later event, or have had one to write.
    */
   #acceptEnd(): boolean {
     if (this.#unverified === undefined) return true;
-    if (this.#firstHead !== undefined && this.#lastEnd !== "unproven") {
-      return false;
-    }
+    if (this.#lastEnd === "cut") return false;
     const bytes = Buffer.concat(this.#unverified);
     const position = new EventStreamPosition();
     position.push(bytes);
