Learn nothing of how ids count from events that repeat or go back

Behind 32 streams in which an event came twice, or ids went back, callers got a stream with an event missing as complete: each such stream was broken off and counted as one whose version leaves out ids, so that the version was no longer checked for lost events.

A mismatch now counts only if the ids would be in order in a stream that leaves out ids: else it is a fault in either way of counting and shows nothing of them.

--- a/src/entry/forwarding/response_relay.ts
+++ b/src/entry/forwarding/response_relay.ts
@@ -98,6 +98,8 @@
   #unverified: Buffer[] | undefined;
   /** Id of the event at which a run did not continue the stream. */
   #mismatchedEventId: string | undefined;
+  /** True if that event would follow in a stream whose ids leave out others. */
+  #hasGapOnly = false;
   /** How the body of the last run ended. */
   #lastEnd: BodyEnd | undefined;
   #current: EndpointResponse | undefined;
@@ -213,8 +215,8 @@
     if (!isFresh) return;
     const sequence = this.#wholeEventsOnly ? this.#sequence : this.#runSequence;
     const isRejected = this.#mismatchedEventId !== undefined;
-    // Without numbers, a mismatch shows a fault and not how ids count.
-    if (isRejected && !this.#isNumbered) return;
+    // Ids that repeat or go back show a fault and not how ids count.
+    if (isRejected && !this.#hasGapOnly) return;
     const isNumbered = isRejected ? false : sequence.isNumbered;
     if (isNumbered === undefined) return;
     this.#numbering.record(endpoint, { isNumbered });
@@ -272,11 +274,7 @@
       }
     }
     const isFurtherRun = this.#unverified !== undefined;
-    this.#mismatchedEventId = this.#sequence.findMismatch(eventIds, {
-      isFurtherRun,
-      isNumbered: this.#isNumbered,
-    });
-    if (this.#mismatchedEventId !== undefined) return false;
+    if (!this.#follows(eventIds, this.#sequence, isFurtherRun)) return false;
     this.#sendHead();
     const bytes = this.#unverified === undefined
       ? events.bytes
@@ -293,11 +291,21 @@
     if (!this.#verifiesOrder || !this.#hasEvents) return true;
     const eventIds = this.#runIds.push(chunk);
     if (eventIds.length === 0) return true;
-    this.#mismatchedEventId = this.#runSequence.findMismatch(eventIds, {
-      isFurtherRun: false,
-      isNumbered: this.#isNumbered,
-    });
+    const follows = this.#follows(eventIds, this.#runSequence, false);
     this.#runSequence.record({ eventIds, lastHasId: true });
+    return follows;
+  }
+
+  #follows(
+    eventIds: readonly string[],
+    sequence: EventSequence,
+    isFurtherRun: boolean,
+  ): boolean {
+    const find = (isNumbered: boolean) =>
+      sequence.findMismatch(eventIds, { isFurtherRun, isNumbered });
+    this.#mismatchedEventId = find(this.#isNumbered);
+    this.#hasGapOnly = this.#mismatchedEventId !== undefined &&
+      find(false) === undefined;
     return this.#mismatchedEventId === undefined;
   }
 
