Learn how ids count from streams that don't end whole, too

In a pool whose sound streams are broken off or have no framing, callers got streams with an event missing as complete from the 33rd faulty one on: a sound stream taught that its version numbers its events only if it ended whole, while a lost event taught the opposite at once. One faulty replica of four was then the only one that was known of its version.

The three new cases of lost_events_test.ts failed before this change, at stream 33. The ids that were read show how they increase, however the body ends.

--- a/src/entry/forwarding/response_relay.ts
+++ b/src/entry/forwarding/response_relay.ts
@@ -190,7 +190,7 @@
         if (end === "whole" && !this.#acceptEnd()) return reject();
         if (end === "whole") this.#flushPending();
         this.#lastEnd = end;
-        if (end === "whole") this.#recordNumbering(attempt.endpoint);
+        this.#recordNumbering(attempt.endpoint);
         this.#current = undefined;
         attempt.onEnd(end, head.status);
         resolve(end);
@@ -205,9 +205,11 @@
   }
 
   /**
-   * Learns from a stream whose end, or whose lost event, was just read. A run
-   * that continues a stream may have ignored its position, and shows nothing of
-   * how its version counts.
+   * Learns from a stream whose end, or whose lost event, was just read. One that
+   * is not whole counts too: otherwise those of a pool that breaks off its sound
+   * streams would be the ones with lost events only. A run that continues a
+   * stream may have ignored its position, and shows nothing of how its version
+   * counts.
    */
   #recordNumbering(endpoint: RegisteredEndpoint): void {
     const isFresh = this.#checksNumbers && this.#beginsStream &&
