Learn nothing of how ids count from ids without an order

Behind 32 streams with ids such as a, b, c, callers of another route of the same version got a stream with an event missing as complete: ids that are not numbers counted as ones that leave out others.

The two new cases of lost_events_test.ts failed before this change. Such ids are never checked for gaps, so that a version needs no leave to have them.

--- a/src/core/forwarding/event_sequence.ts
+++ b/src/core/forwarding/event_sequence.ts
@@ -27,7 +27,10 @@
   #isConsecutive = true;
   /** False behind an event without an id, which no position can name. */
   #isLastNamed = true;
-  /** False once an id was not the next one, nor one with which ids begin. */
+  /**
+   * False once an id was not the next one, nor one with which ids begin. Ids
+   * without an order show nothing.
+   */
   #isNumbered = true;
   readonly #begins: boolean;
 
@@ -70,7 +73,7 @@
       if (step !== undefined && step !== 1) this.#isConsecutive = false;
       const isNext = this.#lastEventId === undefined
         ? mayBegin(eventId)
-        : step === 1;
+        : step === undefined || step === 1;
       if (!isNext) this.#isNumbered = false;
       this.#lastEventId = eventId;
     }
