Read the id behind a byte order mark where a stream can't be resumed

Callers of streams that can't be resumed and begin with a byte order mark got the first event twice as complete, and since versions are taken for ones that number their events, sound ones were broken off: the id behind the mark was not read, so that event 2 counted as the first one.

The reader now drops the mark as the position in the stream does, with the same filter.

--- a/src/core/forwarding/event_id_reader.ts
+++ b/src/core/forwarding/event_id_reader.ts
@@ -1,3 +1,5 @@
+import { ByteOrderMarkFilter } from "./byte_order_mark.ts";
+
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const SPACE = 0x20;
@@ -5,11 +7,9 @@
 /** Longest id that is read, bytes; a longer one counts as none. */
 const MAX_ID_BYTES = 256;
 
-/**
- * Reads the ids of the events of a stream without buffering its events. An id
- * behind a byte order mark is not read.
- */
+/** Reads the ids of the events of a stream without buffering its events. */
 export class EventIdReader {
+  readonly #mark = new ByteOrderMarkFilter();
   readonly #line = Buffer.alloc(FIELD.length + MAX_ID_BYTES);
   #lineLength = 0;
   #wasCarriageReturn = false;
@@ -17,7 +17,8 @@
   #eventId: string | undefined;
 
   /** Returns the ids of the events that have ended with the chunk. */
-  push(chunk: Buffer): readonly string[] {
+  push(bytes: Buffer): readonly string[] {
+    const chunk = this.#mark.push(bytes);
     const eventIds: string[] = [];
     const { length } = chunk;
     let index = 0;
--- a/src/core/forwarding/event_stream_position.ts
+++ b/src/core/forwarding/event_stream_position.ts
@@ -1,9 +1,10 @@
+import { ByteOrderMarkFilter } from "./byte_order_mark.ts";
+
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 /** Fields of which an event has at least one. */
 const EVENT_FIELDS: ReadonlySet<string> = new Set(["data", "id"]);
 const MAX_FIELD_LENGTH = 4;
-const BYTE_ORDER_MARK = [0xef, 0xbb, 0xbf];
 /** Last bytes up to the end of an empty line, the last one in the low byte. */
 const EMPTY_LINE_ENDS = {
   lineFeeds: LINE_FEED << 8 | LINE_FEED,
@@ -19,7 +20,7 @@
 export class EventStreamPosition {
   /** The last three bytes; the start counts as the end of an event. */
   #lastBytes = EMPTY_LINE_ENDS.lineFeeds;
-  #markBytes = 0;
+  readonly #mark = new ByteOrderMarkFilter();
   /** The first bytes of the line, as far as they may name a field. */
   #lineStart = "";
   #hasFields = false;
@@ -42,8 +43,7 @@
   }
 
   push(chunk: Buffer): void {
-    const isStart = this.#markBytes < BYTE_ORDER_MARK.length;
-    const bytes = isStart ? this.#withoutMark(chunk) : chunk;
+    const bytes = this.#mark.push(chunk);
     const { length } = bytes;
     for (let index = Math.max(0, length - 3); index < length; index++) {
       this.#lastBytes = (this.#lastBytes << 8 | bytes[index]) & THREE_BYTES;
@@ -51,22 +51,6 @@
     if (!this.#hasFields) this.#findField(bytes);
   }
 
-  /** Drops a byte order mark at the start of the stream. */
-  #withoutMark(chunk: Buffer): Buffer {
-    let start = 0;
-    while (
-      start < chunk.length && this.#markBytes < BYTE_ORDER_MARK.length
-    ) {
-      const isMark = chunk[start] === BYTE_ORDER_MARK[this.#markBytes];
-      if (!isMark) this.#markBytes = BYTE_ORDER_MARK.length;
-      else {
-        this.#markBytes += 1;
-        start += 1;
-      }
-    }
-    return chunk.subarray(start);
-  }
-
   #findField(bytes: Buffer): void {
     for (const byte of bytes) {
       const isLineEnd = byte === LINE_FEED || byte === CARRIAGE_RETURN;
