Don't pass on the length of an untyped answer that another run may continue

A caller of a resumable route got an answer of 84 bytes under a Content-Length of 63: the first run, without a media type, broke off, and the second one went on with an event more. A caller that reads by the length has a complete stream without that event, and takes its bytes for another answer. Only the length of a typed stream was dropped.

The length is now dropped in the one place that decides on a further run, for each response that one may continue, so that the end of the chunks is the only end.

--- a/src/entry/forwarding/response_relay.ts
+++ b/src/entry/forwarding/response_relay.ts
@@ -11,7 +11,12 @@
   type ResponseHead,
 } from "../../core/forwarding/mod.ts";
 import type { ForwardAttempt } from "./attempt.ts";
-import { EVENT_STREAM, isSuccess, mediaTypeOf } from "./event_stream.ts";
+import {
+  EVENT_STREAM,
+  isSuccess,
+  mediaTypeOf,
+  withoutLength,
+} from "./event_stream.ts";
 import type {
   BodyEnd,
   CallerSink,
@@ -231,11 +236,16 @@
       carriesEvents(head);
   }
 
-  /** A further run continues under the response head of the first one. */
+  /**
+   * A further run continues under the response head of the first one, whose
+   * length would not be that of both.
+   */
   #sendHead(): void {
     const head = this.#head;
     if (this.#firstHead !== undefined || head === undefined) return;
-    this.#sink.head(head.status, head.headers);
+    const mayGoOn = this.#wholeEventsOnly && this.#hasEvents;
+    const { headers } = mayGoOn ? withoutLength(head) : head;
+    this.#sink.head(head.status, headers);
     this.#firstHead = head;
     this.#isEventStream = mediaTypeOf(head) === EVENT_STREAM;
   }
