Take only the fields data and id for those of an event

Callers got a stream without any event as complete if it had a field whose name begins with data or id, such as 'identity: x': the name was compared up to its first bytes only.

The name now has to end at a colon or at the end of its line.

--- a/src/core/forwarding/event_stream_position.ts
+++ b/src/core/forwarding/event_stream_position.ts
@@ -2,9 +2,11 @@
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+const COLON = 0x3a;
 /** Fields of which an event has at least one. */
 const EVENT_FIELDS: ReadonlySet<string> = new Set(["data", "id"]);
-const MAX_FIELD_LENGTH = 4;
+/** Length of the longest one, and a byte that shows a longer name. */
+const MAX_NAME_BYTES = 5;
 /** Last bytes up to the end of an empty line, the last one in the low byte. */
 const EMPTY_LINE_ENDS = {
   lineFeeds: LINE_FEED << 8 | LINE_FEED,
@@ -39,7 +41,7 @@
    * with other fields, such as its retry time, that are no event.
    */
   get hasFields(): boolean {
-    return this.#hasFields;
+    return this.#hasFields || EVENT_FIELDS.has(this.#lineStart);
   }
 
   push(chunk: Buffer): void {
@@ -54,12 +56,14 @@
   #findField(bytes: Buffer): void {
     for (const byte of bytes) {
       const isLineEnd = byte === LINE_FEED || byte === CARRIAGE_RETURN;
-      if (isLineEnd) this.#lineStart = "";
-      else if (this.#lineStart.length < MAX_FIELD_LENGTH) {
-        this.#lineStart += String.fromCharCode(byte);
+      if (isLineEnd || byte === COLON) {
         this.#hasFields = EVENT_FIELDS.has(this.#lineStart);
         if (this.#hasFields) return;
       }
+      if (isLineEnd) this.#lineStart = "";
+      else if (this.#lineStart.length < MAX_NAME_BYTES) {
+        this.#lineStart += String.fromCharCode(byte);
+      }
     }
   }
 }
--- a/src/core/forwarding/event_stream_position_test.ts
+++ b/src/core/forwarding/event_stream_position_test.ts
@@ -58,7 +58,18 @@
 
   // A stream that ended behind its retry time counted as one with events.
   it("finds no event in fields that belong to the stream", () => {
-    for (const text of ["retry: 1000\n\n", "event: x\n\n", "x-id: 1\n\n"]) {
+    for (
+      const field of [
+        "retry: 1000",
+        "event: x",
+        "x-id: 1",
+        "idle: 1",
+        "database: 1",
+        ":id: 1",
+        "x:id: 1",
+      ]
+    ) {
+      const text = `${field}\n\n`;
       expect(positionAfter(text).hasFields, text).to.equal(false);
       expect(positionAfter(`${text}id: 1\n`).hasFields, text).to.equal(true);
     }
