Look for gaps where a position is named on a route that can't be resumed

A caller that named Last-Event-Id on a route whose streams can't be resumed, as one does whose route has just stopped being resumable, got a stream with an event missing as complete: its position is not checked there, and neither were the gaps behind the first event.

The new case of taken_up_streams_test.ts failed before this change. Where such a run begins is still open, as the replica may go on or begin anew; what follows its first event is now checked as in all streams.

--- a/src/core/forwarding/event_sequence.ts
+++ b/src/core/forwarding/event_sequence.ts
@@ -33,9 +33,14 @@
    */
   #isNumbered = true;
   readonly #begins: boolean;
+  readonly #beginsAnywhere: boolean;
 
-  /** `lastEventId`: id of the last event that the caller had before. */
-  constructor(lastEventId?: string) {
+  /**
+   * `lastEventId`: id of the last event that the caller had before.
+   * `beginsAnywhere`: the first event may be any one of the stream.
+   */
+  constructor(lastEventId?: string, { beginsAnywhere = false } = {}) {
+    this.#beginsAnywhere = beginsAnywhere;
     this.#lastEventId = lastEventId === "" ? undefined : lastEventId;
     this.#begins = this.#lastEventId === undefined;
   }
@@ -97,7 +102,7 @@
       const isFirst = index === 0 && isFurtherRun;
       const mayHaveGap = !isNumbered && (!isFirst || !this.#isConsecutive);
       const follows = before === undefined
-        ? !isNumbered || mayBegin(eventId)
+        ? !isNumbered || this.#beginsAnywhere || mayBegin(eventId)
         : isAfter(before, eventId, { mayHaveGap }) &&
           !(isFirst && eventId === "");
       before = eventId;
--- a/src/entry/forwarding/response_relay.ts
+++ b/src/entry/forwarding/response_relay.ts
@@ -70,7 +70,7 @@
   readonly #verifiesOrder: boolean;
   /** Ids of the events of a run that no other run continues. */
   readonly #runIds = new EventIdReader();
-  readonly #runSequence = new EventSequence();
+  readonly #runSequence: EventSequence;
   readonly #numbering: EventNumbering;
   /** True if the current run's events are numbered. */
   #isNumbered = false;
@@ -115,6 +115,10 @@
     this.#verifiesOrder = options.verifiesOrder;
     this.#numbering = options.numbering;
     this.#isTakenUp = options.lastEventId !== undefined;
+    // Whether a replica goes on where no stream can be resumed is its own choice.
+    this.#runSequence = new EventSequence(undefined, {
+      beginsAnywhere: this.#isTakenUp,
+    });
     this.#onBytes = options.onBytes;
     this.#sequence = new EventSequence(options.lastEventId);
     this.#buffers = options.buffers;
@@ -171,7 +175,7 @@
     this.#head = head;
     this.#hasEvents = carriesEvents(head);
     this.#beginsStream = !this.#isTakenUp && this.#firstHead === undefined;
-    this.#isNumbered = this.#checksNumbers &&
+    this.#isNumbered = this.#verifiesOrder &&
       this.#numbering.isNumbered(attempt.endpoint);
     this.#unverified = this.#continuesStream(head) ? [] : undefined;
     if (this.#unverified === undefined) this.#sendHead();
@@ -203,12 +207,6 @@
     });
   }
 
-  /** False where the request may name a position that is not checked. */
-  get #checksNumbers(): boolean {
-    return this.#verifiesOrder &&
-      (this.#wholeEventsOnly || !this.#isTakenUp);
-  }
-
   /**
    * Learns from a stream whose end, or whose lost event, was just read. One that
    * is not whole counts too: otherwise those of a pool that breaks off its sound
@@ -217,7 +215,7 @@
    * counts.
    */
   #recordNumbering(endpoint: RegisteredEndpoint): void {
-    const isFresh = this.#checksNumbers && this.#beginsStream &&
+    const isFresh = this.#verifiesOrder && this.#beginsStream &&
       this.#hasEvents;
     if (!isFresh) return;
     const sequence = this.#wholeEventsOnly ? this.#sequence : this.#runSequence;
