Pass on the requests of a connection one after the other

A caller that sent its next request while a stream was open on the same connection lost it if the stream was cut: the request had run at a replica, also where it may run at most once, and the connection ended without an answer to it. The cut itself looked cut; the next answer was never read as its rest.

Node hands over pipelined requests at once and holds their responses back, so the entry passed them on together, and the end of the connection took all later answers with it. Responses that wait for an earlier one don't close with the connection either: the request stayed open, its caller was never taken for gone, a stop waited for it, and its body counted as buffered for good.

A request now waits until the responses before it have ended, and runs only if the connection is still open then. Its deadline and its route's time limit go on from when it was read.

--- a/src/adapters/forwarding/caller_server.ts
+++ b/src/adapters/forwarding/caller_server.ts
@@ -86,6 +86,10 @@
 interface OpenRequest {
   readonly incoming: IncomingMessage;
   readonly sink: CallerResponse;
+  /** Size of the body as far as it has been read. */
+  bodyBytes: number;
+  /** Present while the whole request waits for those before it. */
+  start?: () => void;
 }
 
 /** Limits for requests of callers, taken from the current configuration. */
@@ -124,6 +128,8 @@
 
 /**
  * HTTP server that buffers callers' requests and passes them on when complete.
+ * The requests of a connection are passed on one after the other: if a response
+ * is broken off, the answers to requests behind it would be lost.
  */
 export class CallerServer {
   readonly #options: CallerServerOptions;
@@ -131,6 +137,8 @@
   readonly #heldBodies = new HeldBodies();
   #bufferedBodyBytes = 0;
   readonly #openRequests = new Set<OpenRequest>();
+  /** Open requests of each connection, in the order of their responses. */
+  readonly #pipelines = new Map<Socket, OpenRequest[]>();
   #isStopping = false;
   #isClosed = false;
   #onDrained: (() => void) | undefined;
@@ -209,9 +217,14 @@
   }
 
   #onConnection(socket: Socket): void {
+    const pipeline: OpenRequest[] = [];
     this.#newConnections.add(socket);
+    this.#pipelines.set(socket, pipeline);
     socket.once("close", () => {
       this.#newConnections.delete(socket);
+      this.#pipelines.delete(socket);
+      // Responses that wait for earlier ones don't close with the connection.
+      for (const each of pipeline) this.#onResponseClosed(each);
       this.#resolveIfDrained();
     });
   }
@@ -228,7 +241,9 @@
    * short time.
    */
   endOpenRequests(): Promise<void> {
-    for (const { sink } of this.#openRequests) {
+    for (const openRequest of this.#openRequests) {
+      openRequest.start = undefined;
+      const { sink } = openRequest;
       if (!sink.hasBegun) sink.refuse(STOPPING_REFUSAL);
     }
     return new Promise((resolve) => {
@@ -263,15 +278,18 @@
 
   #receive(incoming: IncomingMessage, outgoing: ServerResponse): void {
     const chunks: Buffer[] = [];
-    let bodyBytes = 0;
     let refused = false;
     const sink = new CallerResponse(outgoing, {
       isStopping: () => this.#isStopping,
       heldBodies: this.#heldBodies,
     });
-    const openRequest = { incoming, sink };
+    const openRequest: OpenRequest = { incoming, sink, bodyBytes: 0 };
     this.#openRequests.add(openRequest);
-    outgoing.on("close", () => this.#onResponseClosed(openRequest, bodyBytes));
+    this.#pipelines.get(incoming.socket)?.push(openRequest);
+    outgoing.on("close", () => {
+      this.#onResponseClosed(openRequest);
+      this.#startNext(incoming.socket);
+    });
     if (headerBytes(incoming) > this.#options.limits().mostHeaderBytes) {
       refused = true;
       sink.refuse({ status: 431, reason: "header_too_large" });
@@ -284,7 +302,7 @@
     const joiner = new PieceJoiner((bytes) => void chunks.push(bytes));
     incoming.on("data", (chunk: Buffer) => {
       if (isEnded) return;
-      bodyBytes += chunk.length;
+      openRequest.bodyBytes += chunk.length;
       this.#bufferedBodyBytes += chunk.length;
       const exceeded = budget.spend(
         chunk.length,
@@ -296,7 +314,7 @@
         return this.#endBody(openRequest, exceeded);
       }
       if (refused) return;
-      const refusal = this.#bodyRefusal(bodyBytes);
+      const refusal = this.#bodyRefusal(openRequest.bodyBytes);
       if (refusal === undefined) return joiner.push(chunk);
       refused = true;
       chunks.length = 0;
@@ -305,14 +323,30 @@
     incoming.on("error", () => {});
     incoming.on("end", () => {
       if (refused || sink.isDisconnected) return;
-      if (!this.#options.plannedStop.takesRequests) {
-        return sink.refuse(STOPPING_REFUSAL);
-      }
       joiner.flush();
-      this.#decode(incoming, { sink, body: Buffer.concat(chunks) });
+      const readAt = this.#options.timer.now();
+      openRequest.start = () => {
+        if (!this.#options.plannedStop.takesRequests) {
+          return sink.refuse(STOPPING_REFUSAL);
+        }
+        const waitedMilliseconds = this.#options.timer.now() - readAt;
+        const body = Buffer.concat(chunks);
+        this.#decode(incoming, { sink, body, waitedMilliseconds });
+      };
+      this.#startNext(incoming.socket);
     });
   }
 
+  /** Passes on the first open request of a connection if it waits. */
+  #startNext(socket: Socket): void {
+    const next = this.#pipelines.get(socket)?.at(0);
+    // A connection that ends behind the last response carries no further one.
+    if (next?.start === undefined || !socket.writable) return;
+    const { start } = next;
+    next.start = undefined;
+    start();
+  }
+
   /** Refuses a body of too many pieces, and reads no more of it. */
   #endBody({ incoming, sink }: OpenRequest, exceeded: string): void {
     this.#options.onProtocolError(`a request body has ${exceeded}`);
@@ -323,7 +357,11 @@
   /** Decodes a request and passes it on; a throw ends this request only. */
   #decode(
     incoming: IncomingMessage,
-    { body, sink }: { readonly sink: CallerSink; readonly body: Buffer },
+    { body, sink, waitedMilliseconds }: {
+      readonly sink: CallerSink;
+      readonly body: Buffer;
+      readonly waitedMilliseconds: number;
+    },
   ): void {
     try {
       const request = this.#options.decode({
@@ -332,7 +370,7 @@
         headers: incoming.rawHeaders,
         body,
       });
-      this.#dispatch(request, { incoming, sink });
+      this.#dispatch(request, { incoming, sink, waitedMilliseconds });
     } catch (cause) {
       this.#options.onProtocolError(`a request has thrown: ${cause}`);
       sink.refuse({ status: 502, reason: "internal_error" });
@@ -387,15 +425,27 @@
    */
   #dispatch(
     request: ForwardedRequest,
-    context: { readonly incoming: IncomingMessage; readonly sink: CallerSink },
+    context: {
+      readonly incoming: IncomingMessage;
+      readonly sink: CallerSink;
+      /** Time for which it waited for the requests before it. */
+      readonly waitedMilliseconds: number;
+    },
   ): void {
-    const { incoming, sink } = context;
+    const { incoming, sink, waitedMilliseconds } = context;
     const readAt = this.#options.timer.now();
     const loopDelayMilliseconds = this.loopDelayMilliseconds;
     const isFirst = this.#newConnections.delete(incoming.socket);
     const unreadMilliseconds = this.#unreadMilliseconds(isFirst);
     const isLate = loopDelayMilliseconds >= LOOP_DELAY_THRESHOLD_MILLISECONDS;
-    if (!isLate && !isFirst) return this.#options.handle(request, sink);
+    if (!isLate && !isFirst) {
+      return this.#options.handle(
+        waitedMilliseconds > 0
+          ? { ...request, unreadMilliseconds: waitedMilliseconds }
+          : request,
+        sink,
+      );
+    }
     // The first callback still runs in the current event-loop iteration.
     setImmediate(() =>
       setImmediate(() => {
@@ -404,9 +454,13 @@
           sink.isDisconnected || socket.destroyed || socket.readableEnded
         ) return;
         const sinceRead = this.#options.timer.now() - readAt;
+        const before = Math.max(
+          waitedMilliseconds,
+          isLate ? unreadMilliseconds : 0,
+        );
         this.#options.handle({
           ...request,
-          unreadMilliseconds: sinceRead + (isLate ? unreadMilliseconds : 0),
+          unreadMilliseconds: sinceRead + before,
         }, sink);
       })
     );
@@ -432,9 +486,11 @@
     return { status: 503, reason: "memory", retryAfterMilliseconds: 500 };
   }
 
-  #onResponseClosed(openRequest: OpenRequest, bodyBytes: number): void {
-    this.#openRequests.delete(openRequest);
-    this.#bufferedBodyBytes -= bodyBytes;
+  #onResponseClosed(openRequest: OpenRequest): void {
+    if (!this.#openRequests.delete(openRequest)) return;
+    const pipeline = this.#pipelines.get(openRequest.incoming.socket);
+    pipeline?.splice(pipeline.indexOf(openRequest), 1);
+    this.#bufferedBodyBytes -= openRequest.bodyBytes;
     this.#resolveIfDrained();
   }
 }
--- a/src/adapters/forwarding/caller_server_test.ts
+++ b/src/adapters/forwarding/caller_server_test.ts
@@ -266,6 +266,22 @@
       expect((await untilRead()).unreadMilliseconds).to.equal(520);
     });
 
+    // Its deadline would count from the end of the answer before it.
+    it("counts the wait for the answer to a request before it", async () => {
+      socket.write(
+        ["/b", "/c"].map((path) => rawRequest(`GET ${path}`, ["Host: h"]))
+          .join(""),
+      );
+      await untilForwarded(2);
+      await timer.advance(300);
+      expect(forwarded).to.have.length(2);
+      const { sink } = forwarded[1];
+      sink.head(200, ["Content-Length", "0"]);
+      sink.finish();
+      await untilForwarded(3);
+      expect(forwarded[2].request.unreadMilliseconds).to.equal(300);
+    });
+
     it("counts nothing for a request that was sent after the delay", async () => {
       await delayLoop(400);
       await loopTurns(2);
