Don't count a check of the store that ended before the topic's end

An entry told its peers that its configuration was current, so that none of them asked the store, although the answer to its check had left out records that the same answer said were there. Callers got what an older version allows until the next read. An answer whose body ends with its connection looks whole behind each record, and one page is bounded in size.

The answer names the topic's end, which was not read.

--- a/src/core/forwarding/store/topic_reader.ts
+++ b/src/core/forwarding/store/topic_reader.ts
@@ -21,6 +21,8 @@
 export interface KeyedRecords {
   readonly records: readonly KeyedRecord[];
   readonly next: number;
+  /** True if the topic had further records; absent means false. */
+  readonly hasMore?: boolean;
 }
 
 /**
@@ -168,7 +170,7 @@
     if (restarts) this.#abandonRead();
     this.#acceptRead(read, position);
     if (restarts) this.#scheduleRead(this.#options.pauseMilliseconds());
-    return true;
+    return read.hasMore !== true;
   }
 
   #handleFailedCheck(failure: StoreFailure): void {
--- a/src/core/forwarding/store/topic_reader_test.ts
+++ b/src/core/forwarding/store/topic_reader_test.ts
@@ -174,6 +174,19 @@
       expect(receivedKeys).to.deep.equal(["new"]);
     });
 
+    // An answer that ended early counted, so that the entry told its peers that
+    // a state was current whose records it had not read.
+    it("does not count a check that has not reached the end", async () => {
+      const checked = reader.check();
+      reads.pop()?.answer({
+        records: [record("new")],
+        next: 11,
+        hasMore: true,
+      });
+      expect(await checked).to.equal(false);
+      expect(receivedKeys).to.deep.equal(["new"]);
+    });
+
     it("ignores a check that the waiting read has overtaken", async () => {
       const checked = reader.check();
       const [waitingRead, check] = reads.splice(0);
