Cancel requests that wait for an earlier answer when their caller leaves

A caller of the product's own API that sent several requests on a connection and left had only the first one cancelled; the others ran to their end for nobody. A response that waits for an earlier one does not close with its connection, and a request is cancelled when its response closes.

The close of the connection now cancels all its open requests, also one that is submitted only behind it. The test failed before: 1 of 2 was cancelled.

--- a/src/adapters/callers/caller_api_server.ts
+++ b/src/adapters/callers/caller_api_server.ts
@@ -73,10 +73,22 @@
 const BAD_REQUEST_RESPONSE =
   "HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
+/** A request whose response has not ended. */
+interface OpenRequest {
+  readonly response: http.ServerResponse;
+  /** Present once it has been submitted. */
+  handle?: SubmittedRequest;
+}
+
 /** HTTP API server for callers, behind the platform's load balancer. */
 export class CallerApiServer {
   readonly #options: CallerApiServerOptions;
   readonly #server: http.Server;
+  /** Open requests of each connection, in the order of their responses. */
+  readonly #open = new WeakMap<
+    Socket,
+    Map<http.IncomingMessage, OpenRequest>
+  >();
 
   constructor(options: CallerApiServerOptions) {
     this.#options = options;
@@ -85,7 +97,7 @@
       headersTimeout: REQUEST_TIMEOUT_MILLISECONDS,
       requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
     }, (request, response) => {
-      runStep(() => this.#serve(request, response), (cause) => {
+      runStep(() => this.#onRequest(request, response), (cause) => {
         const { logger } = this.#options;
         logger.error(
           { problem: stackOf(cause) },
@@ -95,6 +107,7 @@
       });
     });
     paceConnections(this.#server);
+    this.#server.on("connection", (socket) => this.#onConnection(socket));
     this.#server.on("clientError", (error, socket) => {
       this.#onClientError(error, socket as Socket);
     });
@@ -130,6 +143,31 @@
     this.#server.closeAllConnections();
   }
 
+  #onConnection(socket: Socket): void {
+    const open = new Map<http.IncomingMessage, OpenRequest>();
+    this.#open.set(socket, open);
+    socket.once("close", () => {
+      // Responses that wait for earlier ones don't close with the connection.
+      for (const request of open.keys()) this.#onClosed(request);
+    });
+  }
+
+  #onRequest(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    this.#open.get(request.socket)?.set(request, { response });
+    response.on("close", () => this.#onClosed(request));
+    return this.#serve(request, response);
+  }
+
+  #onClosed(request: http.IncomingMessage): void {
+    const open = this.#open.get(request.socket);
+    const closed = open?.get(request);
+    open?.delete(request);
+    if (closed?.response.writableFinished === false) closed.handle?.cancel();
+  }
+
   /**
    * Handles bytes that Node's parser rejects, for example conflicting length
    * headers. The connection is closed after the 400 response, which prevents
@@ -257,9 +295,9 @@
       work: submission.work,
     }, submission.sink);
     submission.response.on("drain", () => handle.drained());
-    submission.response.on("close", () => {
-      if (!submission.response.writableFinished) handle.cancel();
-    });
+    const openRequest = this.#open.get(request.socket)?.get(request);
+    if (openRequest === undefined) handle.cancel();
+    else openRequest.handle = handle;
   }
 
   #refuse(
--- a/src/adapters/callers/caller_api_server_test.ts
+++ b/src/adapters/callers/caller_api_server_test.ts
@@ -6,30 +6,33 @@
 } from "../../../test/support/raw_http.ts";
 import { identifier } from "../../core/identity/mod.ts";
 import { NOOP_LOGGER } from "../../core/observation/mod.ts";
-import { CallerApiServer } from "./mod.ts";
+import type { AnswerSink } from "../../core/requests/mod.ts";
+import { CallerApiServer, type CallerApiServerOptions } from "./mod.ts";
 
 describe("CallerApiServer", () => {
   let server: CallerApiServer;
   let port: number;
 
-  beforeEach(async () => {
-    server = new CallerApiServer({
-      host: "127.0.0.1",
-      port: 0,
-      mostBodyBytes: 4 * 1024 * 1024,
-      service: {
-        submit: () => {
-          throw new Error("No request is expected");
-        },
-        models: () => [],
-        routeIsIdempotent: () => undefined,
-        state: "draining",
+  const options: CallerApiServerOptions = {
+    host: "127.0.0.1",
+    port: 0,
+    mostBodyBytes: 4 * 1024 * 1024,
+    service: {
+      submit: () => {
+        throw new Error("No request is expected");
       },
-      logger: NOOP_LOGGER,
-      newRequestId: () => identifier("request"),
-      wallClockSeconds: () => 0,
-      metrics: () => Promise.resolve(""),
-    });
+      models: () => [],
+      routeIsIdempotent: () => undefined,
+      state: "draining",
+    },
+    logger: NOOP_LOGGER,
+    newRequestId: () => identifier("request"),
+    wallClockSeconds: () => 0,
+    metrics: () => Promise.resolve(""),
+  };
+
+  beforeEach(async () => {
+    server = new CallerApiServer(options);
     port = (await server.listen())._unsafeUnwrap();
   });
 
@@ -54,4 +57,51 @@
     expect(statusCodes(answer)).to.deep.equal([400]);
     expect(answer).to.include("pieces below 12 bytes");
   });
+
+  describe("with several requests on a connection", () => {
+    let cancelled: number;
+    let sinks: AnswerSink[];
+
+    beforeEach(async () => {
+      server.close();
+      cancelled = 0;
+      sinks = [];
+      server = new CallerApiServer({
+        ...options,
+        service: {
+          ...options.service,
+          state: "serving",
+          submit: (_, sink) => {
+            sinks.push(sink);
+            return { cancel: () => void (cancelled += 1), drained() {} };
+          },
+        },
+      });
+      port = (await server.listen())._unsafeUnwrap();
+    });
+
+    async function sendTwo(): Promise<string> {
+      const body = JSON.stringify({
+        model: "m",
+        messages: [{ role: "user", content: "x" }],
+      });
+      const request = rawRequest("POST /v1/chat/completions", [
+        "Host: h",
+        "Content-Type: application/json",
+        `Content-Length: ${body.length}`,
+      ], body);
+      return await sendRaw(request.repeat(2), {
+        port,
+        waitMilliseconds: 150,
+      });
+    }
+
+    // Its response does not close with the connection.
+    it("cancels those that wait for an earlier answer when the caller leaves", async () => {
+      await sendTwo();
+      await new Promise((resolve) => setTimeout(resolve, 50));
+      expect(sinks.length).to.be.greaterThan(0);
+      expect(cancelled).to.equal(sinks.length);
+    });
+  });
 });
