Answer invalid bytes on the product's API behind the requests before them

A caller whose connection had an open request, and brought bytes that are not a request behind it, read 400 as the answer to that request, which had been submitted and went on. The answer to the invalid bytes was written at once, although responses are due in the order of their requests.

Open responses are completed first, and the connection closes behind them, as the entry of the platform does. The test failed before: 400 came first.

--- a/src/adapters/callers/caller_api_server.ts
+++ b/src/adapters/callers/caller_api_server.ts
@@ -171,7 +171,8 @@
   /**
    * Handles bytes that Node's parser rejects, for example conflicting length
    * headers. The connection is closed after the 400 response, which prevents
-   * request smuggling.
+   * request smuggling. Responses to requests before them are completed instead:
+   * their caller would read the 400 as one of them.
    */
   #onClientError(error: Error, socket: Socket): void {
     const fields = { error: error.message, from: socket.remoteAddress };
@@ -183,8 +184,12 @@
         "Caller sent an invalid HTTP request",
       );
     }
-    if (socket.writable) socket.end(BAD_REQUEST_RESPONSE);
-    else socket.destroy();
+    if (!socket.writable) return void socket.destroy();
+    const pending = [...this.#open.get(socket) ?? []]
+      .filter(([request]) => request.complete).at(-1);
+    if (pending === undefined) return void socket.end(BAD_REQUEST_RESPONSE);
+    const [, { response }] = pending;
+    response.on("close", () => socket.destroySoon());
   }
 
   async #serve(
--- a/src/adapters/callers/caller_api_server_test.ts
+++ b/src/adapters/callers/caller_api_server_test.ts
@@ -80,7 +80,7 @@
       port = (await server.listen())._unsafeUnwrap();
     });
 
-    async function sendTwo(): Promise<string> {
+    async function sendTwo(behind = ""): Promise<string> {
       const body = JSON.stringify({
         model: "m",
         messages: [{ role: "user", content: "x" }],
@@ -90,7 +90,7 @@
         "Content-Type: application/json",
         `Content-Length: ${body.length}`,
       ], body);
-      return await sendRaw(request.repeat(2), {
+      return await sendRaw(request.repeat(2) + behind, {
         port,
         waitMilliseconds: 150,
       });
@@ -103,5 +103,10 @@
       expect(sinks.length).to.be.greaterThan(0);
       expect(cancelled).to.equal(sinks.length);
     });
+
+    // The caller would read it as the answer to its first request.
+    it("does not answer bytes that are not a request before those", async () => {
+      expect(await sendTwo("what is this\r\n\r\n")).to.equal("");
+    });
   });
 });
