Count no body bytes that follow the answer to their request

Callers whose bodies were within all limits got 503 with the reason memory for good, once others had sent 48 MiB behind refusals of bodies that were too large. What is read behind an answer was counted as buffered, and is taken off when the response closes only, which was before.

Bytes count while their request is open. The test failed before: 503 behind three bodies of 17 MiB.

--- a/src/adapters/forwarding/caller_server.ts
+++ b/src/adapters/forwarding/caller_server.ts
@@ -302,8 +302,10 @@
     const joiner = new PieceJoiner((bytes) => void chunks.push(bytes));
     incoming.on("data", (chunk: Buffer) => {
       if (isEnded) return;
-      openRequest.bodyBytes += chunk.length;
-      this.#bufferedBodyBytes += chunk.length;
+      if (this.#openRequests.has(openRequest)) {
+        openRequest.bodyBytes += chunk.length;
+        this.#bufferedBodyBytes += chunk.length;
+      }
       const exceeded = budget.spend(
         chunk.length,
         () => this.#options.timer.now(),
--- a/src/adapters/forwarding/caller_server_test.ts
+++ b/src/adapters/forwarding/caller_server_test.ts
@@ -208,6 +208,29 @@
     });
   });
 
+  // What followed a refusal stayed counted, until all bodies were refused.
+  it("counts bodies of refused requests until they have ended only", async () => {
+    const size = 17 * 1024 * 1024;
+    const body = Buffer.alloc(size, "x").toString("latin1");
+    const large = rawRequest("POST /a", [
+      "Host: h",
+      `Content-Length: ${size}`,
+    ], body);
+    for (let count = 0; count < 3; count++) {
+      const refused = await sendRaw(large, {
+        port,
+        waitMilliseconds: 300,
+      });
+      expect(statusCodes(refused)).to.deep.equal([413]);
+    }
+    const small = ["Host: h", "Content-Length: 1"];
+    await sendRaw(rawRequest("POST /a", small, "x"), {
+      port,
+      waitMilliseconds: 200,
+    });
+    expect(forwarded).to.have.length(1);
+  });
+
   describe("a late event loop, on a controlled clock", () => {
     let timer: LateTimerService;
     let socket: Socket;
