--- a/src/adapters/forwarding/caller_server_test.ts
+++ b/src/adapters/forwarding/caller_server_test.ts
@@ -406,6 +406,23 @@
       expect(forwarded).to.have.length(1);
     });
 
+    // A request that was refused as not run would run behind the refusal.
+    it("refuses a request that waits for an earlier answer at its end", async () => {
+      const received = sendRaw(
+        rawRequest("GET /a", ["Host: h"]).repeat(2),
+        { port, waitMilliseconds: 300 },
+      );
+      await untilForwarded(1);
+      const { sink } = forwarded[0];
+      sink.head(200, ["Content-Length", "2"]);
+      void server.endOpenRequests();
+      sink.write(Buffer.from("ok"));
+      sink.finish();
+      expect(statusCodes(await received)).to.deep.equal([200]);
+      expect(await received).to.match(/okHTTP\/1\.1 503 /);
+      expect(forwarded).to.have.length(1);
+    });
+
     it("handles requests that still arrive and announces the close", async () => {
       void server.stop();
       respondToAll();
