--- a/src/adapters/forwarding/caller_server_test.ts
+++ b/src/adapters/forwarding/caller_server_test.ts
@@ -208,6 +208,29 @@
     });
   });
 
+  // What followed a refusal stayed counted, until all bodies were refused.
+  it("counts bodies of refused requests until they have ended only", async () => {
+    const size = 17 * 1024 * 1024;
+    const body = Buffer.alloc(size, "x").toString("latin1");
+    const large = rawRequest("POST /a", [
+      "Host: h",
+      `Content-Length: ${size}`,
+    ], body);
+    for (let count = 0; count < 3; count++) {
+      const refused = await sendRaw(large, {
+        port,
+        waitMilliseconds: 300,
+      });
+      expect(statusCodes(refused)).to.deep.equal([413]);
+    }
+    const small = ["Host: h", "Content-Length: 1"];
+    await sendRaw(rawRequest("POST /a", small, "x"), {
+      port,
+      waitMilliseconds: 200,
+    });
+    expect(forwarded).to.have.length(1);
+  });
+
   describe("a late event loop, on a controlled clock", () => {
     let timer: LateTimerService;
     let socket: Socket;
@@ -266,6 +289,22 @@
       expect((await untilRead()).unreadMilliseconds).to.equal(520);
     });
 
+    // Its deadline would count from the end of the answer before it.
+    it("counts the wait for the answer to a request before it", async () => {
+      socket.write(
+        ["/b", "/c"].map((path) => rawRequest(`GET ${path}`, ["Host: h"]))
+          .join(""),
+      );
+      await untilForwarded(2);
+      await timer.advance(300);
+      expect(forwarded).to.have.length(2);
+      const { sink } = forwarded[1];
+      sink.head(200, ["Content-Length", "0"]);
+      sink.finish();
+      await untilForwarded(3);
+      expect(forwarded[2].request.unreadMilliseconds).to.equal(300);
+    });
+
     it("counts nothing for a request that was sent after the delay", async () => {
       await delayLoop(400);
       await loopTurns(2);
@@ -367,6 +406,23 @@
       expect(forwarded).to.have.length(1);
     });
 
+    // A request that was refused as not run would run behind the refusal.
+    it("refuses a request that waits for an earlier answer at its end", async () => {
+      const received = sendRaw(
+        rawRequest("GET /a", ["Host: h"]).repeat(2),
+        { port, waitMilliseconds: 300 },
+      );
+      await untilForwarded(1);
+      const { sink } = forwarded[0];
+      sink.head(200, ["Content-Length", "2"]);
+      void server.endOpenRequests();
+      sink.write(Buffer.from("ok"));
+      sink.finish();
+      expect(statusCodes(await received)).to.deep.equal([200]);
+      expect(await received).to.match(/okHTTP\/1\.1 503 /);
+      expect(forwarded).to.have.length(1);
+    });
+
     it("handles requests that still arrive and announces the close", async () => {
       void server.stop();
       respondToAll();
