Exit before the kill while the store is silent

With a grace period of 2 s and a store that answers nothing, an entry in a planned stop was killed at the end of its grace period. It waited for the deletion of its record, which takes up to its time-out of 1 s, while 0.33 to 0.5 s are left between the end of the stop and the kill.

The wait ends with half of that time left now. The deletion is sent at the same moment as before, so that a store that answers still gets it.

--- a/src/core/forwarding/admission/planned_stop.ts
+++ b/src/core/forwarding/admission/planned_stop.ts
@@ -101,6 +101,16 @@
     await this.#until(() => this.remainingMilliseconds <= 0);
   }
 
+  /**
+   * Resolves when the process has to exit, whatever it still waits for: half of
+   * the margin before the kill is left for a late event loop.
+   */
+  async exitDeadline(): Promise<void> {
+    await this.#until(() =>
+      this.remainingMilliseconds <= -this.#marginMilliseconds / 2
+    );
+  }
+
   /** Resolves once no more connections are taken. */
   async listeningEnd(): Promise<void> {
     await this.#until(() => !this.takesRequests);
@@ -154,7 +164,14 @@
 
   /** Time from the request to stop to the end. */
   get #durationMilliseconds(): number {
-    const grace = this.graceMilliseconds;
-    return grace - Math.min(MAX_MARGIN_MILLISECONDS, MARGIN_SHARE * grace);
+    return this.graceMilliseconds - this.#marginMilliseconds;
+  }
+
+  /** Time between the end of the stop and the kill. */
+  get #marginMilliseconds(): number {
+    return Math.min(
+      MAX_MARGIN_MILLISECONDS,
+      MARGIN_SHARE * this.graceMilliseconds,
+    );
   }
 }
--- a/src/core/forwarding/admission/planned_stop_test.ts
+++ b/src/core/forwarding/admission/planned_stop_test.ts
@@ -55,6 +55,23 @@
     }
   });
 
+  describe("the time to exit", () => {
+    // An entry that still waited for the store then was killed.
+    for (const grace of [500, 2_000, 8_000]) {
+      it(`comes between its end and the kill, with ${grace} ms`, async () => {
+        graceMilliseconds = grace;
+        stop.request();
+        let isDue = false;
+        void stop.exitDeadline().then(() => isDue = true);
+        const untilEnd = stop.remainingMilliseconds;
+        await timer.advance(untilEnd);
+        expect(isDue).to.equal(false);
+        await timer.advance(grace - untilEnd - 1);
+        expect(isDue).to.equal(true);
+      });
+    }
+  });
+
   describe("a grace period that changes behind the request to stop", () => {
     // The times were set when the stop began, so that the entry went on until
     // it was killed.
