--- a/src/core/forwarding/event_sequence.ts
+++ b/src/core/forwarding/event_sequence.ts
@@ -27,12 +27,20 @@
   #isConsecutive = true;
   /** False behind an event without an id, which no position can name. */
   #isLastNamed = true;
-  /** False once an id was not the next one, nor one with which ids begin. */
+  /**
+   * False once an id was not the next one, nor one with which ids begin. Ids
+   * without an order show nothing.
+   */
   #isNumbered = true;
   readonly #begins: boolean;
+  readonly #beginsAnywhere: boolean;
 
-  /** `lastEventId`: id of the last event that the caller had before. */
-  constructor(lastEventId?: string) {
+  /**
+   * `lastEventId`: id of the last event that the caller had before.
+   * `beginsAnywhere`: the first event may be any one of the stream.
+   */
+  constructor(lastEventId?: string, { beginsAnywhere = false } = {}) {
+    this.#beginsAnywhere = beginsAnywhere;
     this.#lastEventId = lastEventId === "" ? undefined : lastEventId;
     this.#begins = this.#lastEventId === undefined;
   }
@@ -70,7 +78,7 @@
       if (step !== undefined && step !== 1) this.#isConsecutive = false;
       const isNext = this.#lastEventId === undefined
         ? mayBegin(eventId)
-        : step === 1;
+        : step === undefined || step === 1;
       if (!isNext) this.#isNumbered = false;
       this.#lastEventId = eventId;
     }
@@ -94,7 +102,7 @@
       const isFirst = index === 0 && isFurtherRun;
       const mayHaveGap = !isNumbered && (!isFirst || !this.#isConsecutive);
       const follows = before === undefined
-        ? !isNumbered || mayBegin(eventId)
+        ? !isNumbered || this.#beginsAnywhere || mayBegin(eventId)
         : isAfter(before, eventId, { mayHaveGap }) &&
           !(isFirst && eventId === "");
       before = eventId;
--- a/src/entry/forwarding/response_relay.ts
+++ b/src/entry/forwarding/response_relay.ts
@@ -11,7 +11,12 @@
   type ResponseHead,
 } from "../../core/forwarding/mod.ts";
 import type { ForwardAttempt } from "./attempt.ts";
-import { EVENT_STREAM, isSuccess, mediaTypeOf } from "./event_stream.ts";
+import {
+  EVENT_STREAM,
+  isSuccess,
+  mediaTypeOf,
+  withoutLength,
+} from "./event_stream.ts";
 import type {
   BodyEnd,
   CallerSink,
@@ -65,7 +70,7 @@
   readonly #verifiesOrder: boolean;
   /** Ids of the events of a run that no other run continues. */
   readonly #runIds = new EventIdReader();
-  readonly #runSequence = new EventSequence();
+  readonly #runSequence: EventSequence;
   readonly #numbering: EventNumbering;
   /** True if the current run's events are numbered. */
   #isNumbered = false;
@@ -98,6 +103,8 @@
   #unverified: Buffer[] | undefined;
   /** Id of the event at which a run did not continue the stream. */
   #mismatchedEventId: string | undefined;
+  /** True if that event would follow in a stream whose ids leave out others. */
+  #hasGapOnly = false;
   /** How the body of the last run ended. */
   #lastEnd: BodyEnd | undefined;
   #current: EndpointResponse | undefined;
@@ -108,6 +115,10 @@
     this.#verifiesOrder = options.verifiesOrder;
     this.#numbering = options.numbering;
     this.#isTakenUp = options.lastEventId !== undefined;
+    // Whether a replica goes on where no stream can be resumed is its own choice.
+    this.#runSequence = new EventSequence(undefined, {
+      beginsAnywhere: this.#isTakenUp,
+    });
     this.#onBytes = options.onBytes;
     this.#sequence = new EventSequence(options.lastEventId);
     this.#buffers = options.buffers;
@@ -164,7 +175,7 @@
     this.#head = head;
     this.#hasEvents = carriesEvents(head);
     this.#beginsStream = !this.#isTakenUp && this.#firstHead === undefined;
-    this.#isNumbered = this.#checksNumbers &&
+    this.#isNumbered = this.#verifiesOrder &&
       this.#numbering.isNumbered(attempt.endpoint);
     this.#unverified = this.#continuesStream(head) ? [] : undefined;
     if (this.#unverified === undefined) this.#sendHead();
@@ -196,25 +207,21 @@
     });
   }
 
-  /** False where the request may name a position that is not checked. */
-  get #checksNumbers(): boolean {
-    return this.#verifiesOrder &&
-      (this.#wholeEventsOnly || !this.#isTakenUp);
-  }
-
   /**
-   * Learns from a run whose end, or whose lost event, was just read. A run that
-   * continues a stream may have ignored its position, and shows nothing of
-   * how its version counts.
+   * Learns from a stream whose end, or whose lost event, was just read. One that
+   * is not whole counts too: otherwise those of a pool that breaks off its sound
+   * streams would be the ones with lost events only. A run that continues a
+   * stream may have ignored its position, and shows nothing of how its version
+   * counts.
    */
   #recordNumbering(endpoint: RegisteredEndpoint): void {
-    const isFresh = this.#checksNumbers && this.#beginsStream &&
+    const isFresh = this.#verifiesOrder && this.#beginsStream &&
       this.#hasEvents;
     if (!isFresh) return;
     const sequence = this.#wholeEventsOnly ? this.#sequence : this.#runSequence;
     const isRejected = this.#mismatchedEventId !== undefined;
-    // Without numbers, a mismatch shows a fault and not how ids count.
-    if (isRejected && !this.#isNumbered) return;
+    // Ids that repeat or go back show a fault and not how ids count.
+    if (isRejected && !this.#hasGapOnly) return;
     const isNumbered = isRejected ? false : sequence.isNumbered;
     if (isNumbered === undefined) return;
     this.#numbering.record(endpoint, { isNumbered });
@@ -227,11 +234,16 @@
       carriesEvents(head);
   }
 
-  /** A further run continues under the response head of the first one. */
+  /**
+   * A further run continues under the response head of the first one, whose
+   * length would not be that of both.
+   */
   #sendHead(): void {
     const head = this.#head;
     if (this.#firstHead !== undefined || head === undefined) return;
-    this.#sink.head(head.status, head.headers);
+    const mayGoOn = this.#wholeEventsOnly && this.#hasEvents;
+    const { headers } = mayGoOn ? withoutLength(head) : head;
+    this.#sink.head(head.status, headers);
     this.#firstHead = head;
     this.#isEventStream = mediaTypeOf(head) === EVENT_STREAM;
   }
@@ -239,13 +251,12 @@
   /**
    * False if the end of the run does not end the stream. A run without events
    * does, for a caller that has received them all: one that takes the stream up,
-   * or one whose last run has ended in order.
+   * or one whose last run has ended in order. A run before it that was cut may
+   * have shown a later event, or have had one to write.
    */
   #acceptEnd(): boolean {
     if (this.#unverified === undefined) return true;
-    if (this.#firstHead !== undefined && this.#lastEnd !== "unproven") {
-      return false;
-    }
+    if (this.#lastEnd === "cut") return false;
     const bytes = Buffer.concat(this.#unverified);
     const position = new EventStreamPosition();
     position.push(bytes);
@@ -273,11 +284,7 @@
       }
     }
     const isFurtherRun = this.#unverified !== undefined;
-    this.#mismatchedEventId = this.#sequence.findMismatch(eventIds, {
-      isFurtherRun,
-      isNumbered: this.#isNumbered,
-    });
-    if (this.#mismatchedEventId !== undefined) return false;
+    if (!this.#follows(eventIds, this.#sequence, isFurtherRun)) return false;
     this.#sendHead();
     const bytes = this.#unverified === undefined
       ? events.bytes
@@ -294,11 +301,21 @@
     if (!this.#verifiesOrder || !this.#hasEvents) return true;
     const eventIds = this.#runIds.push(chunk);
     if (eventIds.length === 0) return true;
-    this.#mismatchedEventId = this.#runSequence.findMismatch(eventIds, {
-      isFurtherRun: false,
-      isNumbered: this.#isNumbered,
-    });
+    const follows = this.#follows(eventIds, this.#runSequence, false);
     this.#runSequence.record({ eventIds, lastHasId: true });
+    return follows;
+  }
+
+  #follows(
+    eventIds: readonly string[],
+    sequence: EventSequence,
+    isFurtherRun: boolean,
+  ): boolean {
+    const find = (isNumbered: boolean) =>
+      sequence.findMismatch(eventIds, { isFurtherRun, isNumbered });
+    this.#mismatchedEventId = find(this.#isNumbered);
+    this.#hasGapOnly = this.#mismatchedEventId !== undefined &&
+      find(false) === undefined;
     return this.#mismatchedEventId === undefined;
   }
 
