--- a/src/core/forwarding/streams/event_numbering.ts
+++ b/src/core/forwarding/streams/event_numbering.ts
@@ -32,9 +32,9 @@
 }
 
 /**
- * Which software versions number the events of a stream from 1 on, without
+ * Which software versions number the events of a stream from 0 or 1 on, without
  * gaps. An event that such a version leaves out is lost; of others, ids only
- * tell the order. A version is taken for one that numbers its events until more
+ * show the order. A version is taken for one that numbers its events until more
  * than half of its endpoints have shown otherwise: a fault of fewer shows nothing
  * of how the version counts.
  */
