Log what the search for a stream's origin rests on

A continued stream's line had the outcome alone: whether the list of versions that decided it was current, and which entries were out of reach, could not be told.

--- a/src/entry/forwarding/stream_continuation.ts
+++ b/src/entry/forwarding/stream_continuation.ts
@@ -53,6 +53,8 @@
       ? "sole_version"
       : outcome,
     ...(typeof found === "object" && found),
+    ...(lookup && { asked: lookup.asked, answered: lookup.answered }),
+    listAgeMilliseconds: Math.round(versions.ageMilliseconds),
     milliseconds: Math.round(timer.now() - startedAt),
   });
   if (found === undefined) {
--- a/src/entry/forwarding/stream_origin_exchange.ts
+++ b/src/entry/forwarding/stream_origin_exchange.ts
@@ -73,8 +73,20 @@
 export interface StreamLookup {
   readonly origin?: KnownOrigin;
   readonly outcome: StreamLookupOutcome;
+  /** Number of entries that were asked, and of those that answered in time. */
+  readonly asked: number;
+  readonly answered: number;
 }
 
+/** What the entries that were asked have answered together. */
+interface QueryResult {
+  readonly origin?: KnownOrigin;
+  readonly asked: number;
+  readonly answered: number;
+}
+
+const NOBODY_ASKED: QueryResult = { asked: 0, answered: 0 };
+
 export interface StreamOriginExchangeOptions {
   readonly self: ProcessId;
   readonly timer: TimerService;
@@ -265,7 +277,9 @@
   async #find(stream: StreamDigest): Promise<StreamLookup> {
     const { allowance, keepers, origins, peers } = this.#options;
     const known = origins.find(stream);
-    if (known !== undefined) return { origin: known, outcome: "known" };
+    if (known !== undefined) {
+      return { origin: known, outcome: "known", ...NOBODY_ASKED };
+    }
     const isSmall = peers().length <= SMALL_FLEET_PEERS;
     const first = isSmall
       ? peers()
@@ -282,13 +296,17 @@
         stream,
         timeoutMilliseconds: LAST_TIMEOUT_MILLISECONDS,
       })
-      : { isComplete: others.length === 0 };
+      : NOBODY_ASKED;
+    const asked = answer.asked + last.asked;
+    const answered = answer.answered + last.answered;
     // An announcement may have arrived in the meantime.
     const origin = origins.find(stream);
-    if (origin !== undefined) return { origin, outcome: "answered_late" };
-    const isComplete = answer.isComplete && last.isComplete &&
-      peers().length > 0;
-    return { outcome: isComplete ? "unknown" : "unanswered" };
+    if (origin !== undefined) {
+      return { origin, outcome: "answered_late", asked, answered };
+    }
+    const isComplete = answered > 0 &&
+      answered === first.length + others.length;
+    return { outcome: isComplete ? "unknown" : "unanswered", asked, answered };
   }
 
   /**
@@ -302,8 +320,8 @@
       readonly stream: StreamDigest;
       readonly timeoutMilliseconds: number;
     },
-  ): Promise<{ readonly origin?: KnownOrigin; readonly isComplete: boolean }> {
-    if (asked.length === 0) return { isComplete: true };
+  ): Promise<QueryResult> {
+    if (asked.length === 0) return NOBODY_ASKED;
     const { origins, self, send, timer } = this.#options;
     this.#lastId += 1;
     const id = this.#lastId;
@@ -322,7 +340,11 @@
     this.#pending.delete(id);
     if (found !== undefined) origins.record({ stream, origin: found });
     // An announcement that has arrived in the meantime counts with the answers.
-    return { origin: origins.find(stream), isComplete: waiting.size === 0 };
+    return {
+      origin: origins.find(stream),
+      asked: asked.length,
+      answered: asked.length - waiting.size,
+    };
   }
 
   #noteRecent(recent: RecentStream): void {
--- a/src/entry/forwarding/version_listing.ts
+++ b/src/entry/forwarding/version_listing.ts
@@ -76,6 +76,8 @@
   /** Versions that have served and that the list lacks, by key. */
   readonly #unlisted = new Map<string, ServingVersion>();
   readonly #writing = new Set<string>();
+  /** When the last successful read of the whole list began. */
+  #readAt = -Infinity;
   #sweep: Subscription | undefined;
   #isStopped = false;
 
@@ -103,6 +105,11 @@
     return link === undefined || listed.isComplete;
   }
 
+  /** Age of the list as it was last read from the store, in milliseconds. */
+  get ageMilliseconds(): number {
+    return this.#options.timer.now() - this.#readAt;
+  }
+
   /**
    * The version that has begun every stream of the pool that may be taken up;
    * undefined if there may be several.
@@ -182,9 +189,11 @@
 
   async #read(): Promise<void> {
     const { link, listed, logger, timer } = this.#options;
+    const startedAt = timer.now();
     const read = await link?.read();
     if (read === undefined || this.#isStopped) return;
     if (read.isOk()) {
+      this.#readAt = startedAt;
       listed.addAll(read.value);
       return this.#noteRegistered();
     }
