Read the list of versions again before it proves a stream's version

Callers got events of two software versions in one stream: it began at a version that had just joined, was taken up at an entry that was cut off from its peers and from the store, and went on at the only version that this entry knew.

Cause: a stream that no entry in reach knows goes on if one version alone is listed. The list was read once, at the start, and kept by peers' datagrams and by registrations. An entry that hears of neither took its old list for proof.

A version is listed before its replicas begin streams, so only a read that begins after the caller has come back can prove that no other one did. SharedRead makes one read for all that wait; without an answer within 250 ms the caller is refused with a time to return. The continued line has the ground.

--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -170,6 +170,7 @@
   replicasToRefresh,
 } from "./placement/service_placement.ts";
 export { decodePosition, encodePosition } from "./store/log_position.ts";
+export { SharedRead, type SharedReadOptions } from "./store/shared_read.ts";
 export {
   type KeyedRecord,
   type KeyedRecords,
--- a/src/entry/forwarding/stream_continuation.ts
+++ b/src/entry/forwarding/stream_continuation.ts
@@ -6,6 +6,7 @@
   Workspace,
 } from "../../core/forwarding/mod.ts";
 import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
+import type { VersionProof } from "./version_listing.ts";
 
 /**
  * Retry delay where an entry that could not be reached may know the stream, or
@@ -44,21 +45,28 @@
   const lookup = request.resumes === undefined ? undefined : await streams.find(
     streams.digestOf(request.resumes, workspace?.id),
   );
-  const outcome = lookup?.outcome ?? "unknown";
-  const found = lookup?.origin ?? soleOrigin(dependencies, route);
+  const proof = lookup?.origin === undefined
+    ? await findSoleOrigin(dependencies, route)
+    : undefined;
+  const found = lookup?.origin ?? proof?.origin;
+  const outcome = proof?.origin === undefined
+    ? lookup?.outcome ?? "unknown"
+    : "sole_version";
   dependencies.observe("continued", {
     requestId: request.id,
     route: route.name,
-    outcome: found !== undefined && lookup?.origin === undefined
-      ? "sole_version"
-      : outcome,
+    outcome,
     ...(typeof found === "object" && found),
     ...(lookup && { asked: lookup.asked, answered: lookup.answered }),
-    listAgeMilliseconds: Math.round(versions.ageMilliseconds),
+    ...(proof && {
+      versionList: proof.ground,
+      listAgeMilliseconds: Math.round(versions.ageMilliseconds),
+    }),
     milliseconds: Math.round(timer.now() - startedAt),
   });
   if (found === undefined) {
-    const mayBeKnownSoon = outcome === "unanswered" || !versions.isComplete;
+    const mayBeKnownSoon = outcome === "unanswered" ||
+      proof?.ground === "list_not_read";
     return err(unknownOrigin(mayBeKnownSoon));
   }
   if (found === "ambiguous") return err({ reason: "stream_origin_ambiguous" });
@@ -66,15 +74,25 @@
   return isServed ? ok(found) : err({ reason: "stream_pool_changed" });
 }
 
-/** The origin of every stream of the route, if there can be only one. */
-function soleOrigin(
+/** What the list of versions says of all streams of a route. */
+interface ListProof {
+  readonly ground:
+    | "sole_version"
+    | "several_pools"
+    | Exclude<VersionProof, object>;
+  readonly origin?: StreamOrigin;
+}
+
+/** Finds the origin of every stream of the route, if there can be only one. */
+async function findSoleOrigin(
   { versions }: ForwardingDependencies,
   { shares }: Route,
-): StreamOrigin | undefined {
-  if (shares.length !== 1) return undefined;
+): Promise<ListProof> {
+  if (shares.length !== 1) return { ground: "several_pools" };
   const [{ pool }] = shares;
-  const softwareVersion = versions.soleVersion(pool);
-  return softwareVersion && { pool, softwareVersion };
+  const proof = await versions.confirmSoleVersion(pool);
+  if (typeof proof === "string") return { ground: proof };
+  return { ground: "sole_version", origin: { pool, ...proof } };
 }
 
 function unknownOrigin(mayBeKnownSoon: boolean): ContinuationRefusal {
--- a/src/entry/forwarding/version_listing.ts
+++ b/src/entry/forwarding/version_listing.ts
@@ -5,6 +5,7 @@
   type ListedVersions,
   type RegisteredEndpoint,
   type ServingVersion,
+  SharedRead,
   type StoreFailure,
   STREAM_LIFETIME_MILLISECONDS,
 } from "../../core/forwarding/mod.ts";
@@ -15,7 +16,11 @@
 } from "../../core/identity/mod.ts";
 import type { Logger } from "../../core/observation/mod.ts";
 import type { Random } from "../../core/random/mod.ts";
-import type { Subscription, TimerService } from "../../core/time/mod.ts";
+import {
+  type Subscription,
+  type TimerService,
+  withTimeout,
+} from "../../core/time/mod.ts";
 import type { Broadcast, SendToPeer } from "./notifications/notifications.ts";
 import {
   decodeVersion,
@@ -30,6 +35,10 @@
 const UNRANKED_SPREAD_MILLISECONDS = 1_000;
 /** Delay between attempts to read the list or to write to it. */
 const RETRY_MILLISECONDS = 500;
+/** Time for which a caller waits for the list to be read again. */
+const CONFIRMATION_MILLISECONDS = 250;
+/** Bounds the reads for callers whose streams no entry knows. */
+const MIN_READ_INTERVAL_MILLISECONDS = 100;
 /** Interval of the search for versions that serve no more. */
 const SWEEP_MILLISECONDS = 30_000;
 /** Time after the last replica of a version in which one may come back. */
@@ -46,6 +55,16 @@
   ) => Promise<Result<void, StoreFailure>>;
 }
 
+/**
+ * The version that has begun every stream of a pool, or why that can't be told:
+ * there is no list, or it could not be read in time, or names several.
+ */
+export type VersionProof =
+  | { readonly softwareVersion: SoftwareVersion }
+  | "no_list"
+  | "list_not_read"
+  | "several_versions";
+
 export interface VersionListingOptions {
   readonly self: ProcessId;
   readonly timer: TimerService;
@@ -81,13 +100,21 @@
   #sweep: Subscription | undefined;
   #isStopped = false;
 
+  readonly #confirmation: SharedRead;
+
   constructor(options: VersionListingOptions) {
     this.#options = options;
+    this.#confirmation = new SharedRead({
+      timer: options.timer,
+      read: () => this.#read(),
+      minIntervalMilliseconds: MIN_READ_INTERVAL_MILLISECONDS,
+      timeoutMilliseconds: CONFIRMATION_MILLISECONDS,
+    });
   }
 
   start(): void {
     if (this.#options.link === undefined) return;
-    this.#options.timer.run(() => this.#read());
+    this.#options.timer.run(() => this.#readFirst());
     this.#sweep = this.#options.timer.every(
       SWEEP_MILLISECONDS,
       () => this.#removeGone(),
@@ -99,30 +126,28 @@
     this.#sweep?.cancel();
   }
 
-  /** True once the whole list is known, or if there is none. */
-  get isComplete(): boolean {
-    const { link, listed } = this.#options;
-    return link === undefined || listed.isComplete;
-  }
-
   /** Age of the list as it was last read from the store, in milliseconds. */
   get ageMilliseconds(): number {
     return this.#options.timer.now() - this.#readAt;
   }
 
   /**
-   * The version that has begun every stream of the pool that may be taken up;
-   * undefined if there may be several.
+   * Finds the version that has begun every stream of the pool that could be
+   * taken up when this was called. The list is read again for that: another
+   * version may have joined while this entry could not hear of it.
    */
-  soleVersion(pool: ServiceName): SoftwareVersion | undefined {
-    const { listed } = this.#options;
-    if (!listed.isComplete) return undefined;
-    const versions = new Set(listed.of(pool));
-    for (const unlisted of this.#unlisted.values()) {
-      if (unlisted.pool === pool) versions.add(unlisted.softwareVersion);
-    }
-    const [sole, ...others] = versions;
-    return others.length === 0 ? sole : undefined;
+  async confirmSoleVersion(pool: ServiceName): Promise<VersionProof> {
+    if (this.#options.link === undefined) return "no_list";
+    if (this.#versionsOf(pool).size > 1) return "several_versions";
+    const isRead = await withTimeout(this.#confirmation.read(), {
+      timer: this.#options.timer,
+      milliseconds: CONFIRMATION_MILLISECONDS,
+    });
+    if (isRead !== true) return "list_not_read";
+    const [softwareVersion, ...others] = this.#versionsOf(pool);
+    return softwareVersion === undefined || others.length > 0
+      ? "several_versions"
+      : { softwareVersion };
   }
 
   /** True if replicas of the version are registered, or were lately. */
@@ -187,19 +212,36 @@
       this.#options.listed.has(endpoint);
   }
 
-  async #read(): Promise<void> {
+  async #readFirst(): Promise<void> {
+    const { timer } = this.#options;
+    if (await this.#read() || this.#isStopped) return;
+    timer.after(RETRY_MILLISECONDS, () => this.#readFirst());
+  }
+
+  /** Reads the whole list; true if that succeeded. */
+  async #read(): Promise<boolean> {
     const { link, listed, logger, timer } = this.#options;
     const startedAt = timer.now();
     const read = await link?.read();
-    if (read === undefined || this.#isStopped) return;
-    if (read.isOk()) {
-      this.#readAt = startedAt;
-      listed.addAll(read.value);
-      return this.#noteRegistered();
+    if (read === undefined || this.#isStopped) return false;
+    if (read.isErr()) {
+      const reason = read.error.message;
+      logger.warn({ reason }, "Cannot read the list of serving versions");
+      return false;
+    }
+    this.#readAt = Math.max(this.#readAt, startedAt);
+    listed.addAll(read.value);
+    this.#noteRegistered();
+    return true;
+  }
+
+  /** Versions that may have begun streams of the pool, as far as known here. */
+  #versionsOf(pool: ServiceName): ReadonlySet<SoftwareVersion> {
+    const versions = new Set(this.#options.listed.of(pool));
+    for (const unlisted of this.#unlisted.values()) {
+      if (unlisted.pool === pool) versions.add(unlisted.softwareVersion);
     }
-    const reason = read.error.message;
-    logger.warn({ reason }, "Cannot read the serving versions; retrying");
-    timer.after(RETRY_MILLISECONDS, () => this.#read());
+    return versions;
   }
 
   #noteRegistered(): void {
