Begin resumable streams at listed versions only

A stream could begin at a version that the list lacks: where the replicas of the listed ones were lost while the list could not be written, or where the pool had one version only. An entry that reads the list then finds another version alone, and goes on with the stream there.

Such a stream is refused now (stream_version_unlisted, with a time to return). So that this costs nothing where the store can be reached, an entry that has no listed version to begin at writes the list itself, without the delay that leaves it to others, and the request waits for that.

'do not begin at a version that can't be listed' fails on: the request is sent to a replica of the unlisted version. Behind the change the 8 tests of listed versions pass.

The harness of the forwarding tests had a list without a link to read it by; it has one now. 245 tests of six files that use it pass.

--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -24,7 +24,12 @@
   MISDIRECTED_STATUS,
 } from "./answers/judge_answer.ts";
 export { SmallPieceBudget } from "./answers/small_piece_budget.ts";
-export { type PauseBound, RouteTable, selectPool } from "./route_table.ts";
+export {
+  isResumable,
+  type PauseBound,
+  RouteTable,
+  selectPool,
+} from "./route_table.ts";
 export {
   authenticate,
   type AuthenticationFailure,
--- a/src/core/forwarding/route_table.ts
+++ b/src/core/forwarding/route_table.ts
@@ -99,3 +99,8 @@
   }
   return route.shares.at(-1)?.pool;
 }
+
+/** True if another endpoint may go on with a stream of the route. */
+export function isResumable({ repeat, resumable }: Route): boolean {
+  return repeat === "stream" && resumable;
+}
--- a/src/entry/forwarding/forward.ts
+++ b/src/entry/forwarding/forward.ts
@@ -2,13 +2,17 @@
   authenticate,
   type AuthenticationFailure,
   type ForwardedRequest,
+  isResumable,
+  type Pool,
   type Route,
   type RouteTable,
   selectPool,
+  type StreamOrigin,
   type Workspace,
 } from "../../core/forwarding/mod.ts";
 import { err, ok, type Result } from "neverthrow";
 import type { LogFields } from "../../core/observation/mod.ts";
+import type { Random } from "../../core/random/mod.ts";
 import {
   RequestForwarder,
   RETRY_AFTER_MILLISECONDS,
@@ -70,21 +74,38 @@
       workspace: caller.value.workspace,
     })
     : ok(undefined);
+  const origin = found.unwrapOr(undefined);
+  const pool = found.isOk()
+    ? choosePool(routes, { route, origin, random: dependencies.random })
+    : undefined;
+  const { versions } = dependencies;
+  const mayBegin = origin === undefined && isResumable(route);
+  if (pool !== undefined && mayBegin && versions.hasUnlisted) {
+    await versions.listFirst(pool.name);
+  }
   if (sink.isDisconnected) {
     const facts = { requestId: request.id, route: route.name, sends: 0 };
     return dependencies.observe("caller_gone", facts);
   }
   if (found.isErr()) return refuse({ status: 503, ...found.error });
-  const origin = found.value;
-  const poolName = origin?.pool ?? selectPool(route, dependencies.random);
-  const pool = poolName === undefined
-    ? undefined
-    : routes.configuration.pools.get(poolName);
   if (pool === undefined) return refuse({ status: 503, reason: "no_pool" });
   const task = { ...caller.value, route, pool, arrived, origin };
   await new RequestForwarder(dependencies, { task, sink }).run();
 }
 
+/** The pool that began the stream, or one of the route's by their weights. */
+function choosePool(
+  { configuration }: RouteTable,
+  { origin, random, route }: {
+    readonly origin?: StreamOrigin;
+    readonly random: Random;
+    readonly route: Route;
+  },
+): Pool | undefined {
+  const name = origin?.pool ?? selectPool(route, random);
+  return name === undefined ? undefined : configuration.pools.get(name);
+}
+
 /** Tells whether a route may be missing because this entry is behind. */
 function currentness(
   { configurationStatus }: ForwardingDependencies,
--- a/src/entry/forwarding/forward_context.ts
+++ b/src/entry/forwarding/forward_context.ts
@@ -1,5 +1,6 @@
 import {
   type ForwardedRequest,
+  isResumable,
   type NextAttempt,
   type PauseBound,
   type Pool,
@@ -258,6 +259,13 @@
     return this.writer.hasBegun && this.writer.isGone(this.#inService());
   }
 
+  /** True if endpoints are in service, and all of versions not listed yet. */
+  get isVersionUnlisted(): boolean {
+    const { versions } = this.dependencies;
+    return versions.hasUnlisted &&
+      this.writer.isUnlisted(this.#allInService());
+  }
+
   /** Time until the deadline, in milliseconds. */
   get remainingMilliseconds(): number {
     return this.arrived + this.allowedMilliseconds -
@@ -406,13 +414,17 @@
     return this.#admission.queue(endpoint, wait);
   }
 
+  /** Endpoints in service that may write the response, or prefill for it. */
   #inService(): readonly RegisteredEndpoint[] {
+    return this.writer.filter(this.#allInService());
+  }
+
+  #allInService(): RegisteredEndpoint[] {
     const { isChanging, registry } = this.dependencies;
     const isEnginePool = this.pool.engine !== undefined;
-    const inService = registry.inPool(this.pool.name).filter(({ id, role }) =>
+    return registry.inPool(this.pool.name).filter(({ id, role }) =>
       !isChanging(id) && (!isEnginePool || role !== undefined)
     );
-    return this.writer.filter(inService);
   }
 
   /** Records a send; true if the request was sent to the address before. */
@@ -443,9 +455,9 @@
   ): RegisteredEndpoint | undefined {
     const { availability, outcomes } = this.dependencies;
     if (!outcomes.hasOwnVerdicts) return undefined;
-    const { mostAttempts, repeat, resumable } = this.route;
+    const { mostAttempts, repeat } = this.route;
     const isRepeatable = mostAttempts > 1 &&
-      (repeat === "idempotent" || (repeat === "stream" && resumable));
+      (repeat === "idempotent" || isResumable(this.route));
     const reachable = this.withoutRejecting(endpoints).filter((each) =>
       availability.filterHealthy([each]).length > 0
     );
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -1,6 +1,7 @@
-import type {
-  ExpectedTime,
-  RegisteredEndpoint,
+import {
+  type ExpectedTime,
+  isResumable,
+  type RegisteredEndpoint,
 } from "../../core/forwarding/mod.ts";
 import type { EndpointId } from "../../core/identity/mod.ts";
 import type { LogFields } from "../../core/observation/mod.ts";
@@ -63,6 +64,8 @@
 
 /** No replica of the software version that began the stream is left. */
 const VERSION_GONE = "stream_version_gone";
+/** No version that may begin the stream is listed in the store yet. */
+const VERSION_UNLISTED = "stream_version_unlisted";
 /** Retry delay if replicas of that version may come back. */
 const VERSION_RETURN_MILLISECONDS = 1_000;
 
@@ -124,7 +127,7 @@
     options: { readonly task: ForwardTask; readonly sink: CallerSink },
   ) {
     const { task, sink } = options;
-    const { repeat, resumable } = task.route;
+    const { repeat } = task.route;
     const guard: Guard = (callback) => (...values) => {
       try {
         callback(...values);
@@ -140,7 +143,7 @@
     );
     this.#relay = new ResponseRelay({
       sink,
-      wholeEventsOnly: repeat === "stream" && resumable,
+      wholeEventsOnly: isResumable(task.route),
       verifiesOrder: repeat === "stream",
       lastEventId: task.request.lastEventId,
       buffers: dependencies.responseBuffers,
@@ -218,6 +221,9 @@
       if (admission === "blocked") return this.#refuse(BLOCKED);
       if (admission === "suspected") return this.#refuse(SUSPECTED);
       if (this.#context.isWriterGone) return this.#refuse(VERSION_GONE);
+      if (this.#context.isVersionUnlisted) {
+        return this.#refuse(VERSION_UNLISTED);
+      }
       if (!this.#context.maySend("run")) return this.#refuse(STOPPING);
       if (this.#isOverdue) return this.#refuse(OVERDUE);
       const plan = await this.#plan();
@@ -393,10 +399,9 @@
 
   /** True if another run is harmless and the route allows one. */
   #mayRunAgain(): boolean {
-    const { mostAttempts, repeat, resumable } = this.#context.route;
-    const isRepeatable = repeat === "idempotent" ||
-      (repeat === "stream" && resumable);
-    return isRepeatable && this.#runs < mostAttempts;
+    const { route } = this.#context;
+    const isRepeatable = route.repeat === "idempotent" || isResumable(route);
+    return isRepeatable && this.#runs < route.mostAttempts;
   }
 
   async #deliver(
--- a/src/entry/forwarding/stream_continuation_test.ts
+++ b/src/entry/forwarding/stream_continuation_test.ts
@@ -30,6 +30,12 @@
 const VERSIONS = ["v1", "v2", "v1", "v2", "v1", "v2"];
 const STREAMS = 30;
 const SETTLE_MILLISECONDS = 2_500;
+const STORE_FAILURE = {
+  name: "store_unavailable" as const,
+  title: "",
+  message: "no response",
+  hint: "",
+};
 /** Size of the deployment for which the design is made. */
 const LARGE_FLEET = 300;
 
@@ -448,13 +454,9 @@
     });
 
     it("are refused without a record while the list can't be read", async () => {
-      const failure = {
-        name: "store_unavailable" as const,
-        title: "",
-        message: "no response",
-        hint: "",
-      };
-      await startListed([], { read: () => Promise.resolve(err(failure)) });
+      await startListed([], {
+        read: () => Promise.resolve(err(STORE_FAILURE)),
+      });
       const { caller } = await streams.takeUp(1, unknown);
       expect(caller.refusal?.reason).to.equal("stream_origin_unknown");
       expect(caller.refusal?.retryAfterMilliseconds).to.be.within(1, 500);
@@ -462,21 +464,9 @@
 
     // Its replicas have served while the store could not be written.
     it("counts also while it can't be written to the list", async () => {
-      const failure = {
-        name: "store_unavailable" as const,
-        title: "",
-        message: "no response",
-        hint: "",
-      };
       const listed: ServingVersion[] = [];
       let isWritable = true;
-      await startListed(listed, {
-        add: (version) => {
-          if (!isWritable) return Promise.resolve(err(failure));
-          listed.push(version);
-          return Promise.resolve(ok(undefined));
-        },
-      });
+      await startListed(listed, linkThat(() => isWritable, listed));
       isWritable = false;
       const softwareVersion = identifier<SoftwareVersion>("v2");
       const replica = { ...streams.endpoints[0], softwareVersion };
@@ -491,6 +481,64 @@
         .to.deep.equal(["v1", "v2"]);
     });
 
+    /** A link whose writes fail while `canWrite` says so. */
+    function linkThat(
+      canWrite: () => boolean,
+      listed: ServingVersion[],
+    ): Pick<VersionLink, "add"> {
+      return {
+        add: (version) => {
+          if (!canWrite()) return Promise.resolve(err(STORE_FAILURE));
+          listed.push(version);
+          return Promise.resolve(ok(undefined));
+        },
+      };
+    }
+
+    /** Registers replicas of v2 in the place of those of v1, everywhere. */
+    function replaceReplicas(): void {
+      for (const { registry } of streams.fleet.entries) {
+        for (const endpoint of streams.endpoints) {
+          registry.upsert({
+            ...endpoint,
+            id: identifier(`newer-${endpoint.id}`),
+            softwareVersion: identifier<SoftwareVersion>("v2"),
+          });
+          registry.remove(endpoint.id);
+        }
+      }
+    }
+
+    // Another entry would read a list without the version, and go on with the
+    // stream at the listed one.
+    it("do not begin at a version that can't be listed", async () => {
+      const listed: ServingVersion[] = [];
+      let isWritable = true;
+      await startListed(listed, linkThat(() => isWritable, listed));
+      isWritable = false;
+      replaceReplicas();
+      const refused = await streams.submit(0);
+      expect(refused.attempt).to.equal(undefined);
+      expect(refused.caller.refusal?.reason)
+        .to.equal("stream_version_unlisted");
+      expect(refused.caller.refusal?.retryAfterMilliseconds)
+        .to.be.within(1, 500);
+      isWritable = true;
+      await streams.fleet.timer.advance(1_000);
+      expect((await streams.submit(0)).attempt).not.to.equal(undefined);
+    });
+
+    it("begin at once at a version that their entry lists for them", async () => {
+      const listed: ServingVersion[] = [];
+      await startListed(listed);
+      replaceReplicas();
+      const begun = await Promise.all(
+        streams.fleet.entries.map((_, index) => streams.submit(index)),
+      );
+      expect(begun.map(({ caller }) => caller.refusal))
+        .to.deep.equal(begun.map(() => undefined));
+    });
+
     it("is listed by one entry, and by another if that fails", async () => {
       const listed: ServingVersion[] = [];
       await startListed(listed);
--- a/src/entry/forwarding/stream_writer.ts
+++ b/src/entry/forwarding/stream_writer.ts
@@ -1,6 +1,7 @@
 import {
   type ForwardedRequest,
   isPrefillEngine,
+  isResumable,
   type RegisteredEndpoint,
   type Route,
   type StreamOrigin,
@@ -59,7 +60,9 @@
     const origin = this.#origin;
     if (origin === undefined) {
       const { versions } = this.#dependencies;
-      return this.#isResumable ? versions.preferLasting(endpoints) : endpoints;
+      return this.#isResumable
+        ? versions.filterBeginners(endpoints)
+        : endpoints;
     }
     // A prefill writes no event; its cache belongs to a version of weights.
     return endpoints.filter((endpoint) =>
@@ -73,6 +76,13 @@
     return this.#origin !== undefined;
   }
 
+  /** True if a new stream has to wait until a version is listed. */
+  isUnlisted(endpoints: readonly RegisteredEndpoint[]): boolean {
+    const mayBegin = this.#isResumable && !this.hasBegun;
+    return mayBegin && !endpoints.every(isPrefillEngine) &&
+      this.filter(endpoints).every(isPrefillEngine);
+  }
+
   /** True if none of the filtered endpoints may continue the begun stream. */
   isGone(filtered: readonly RegisteredEndpoint[]): boolean {
     const isInDoubt = this.#stream !== undefined &&
@@ -87,7 +97,6 @@
   }
 
   get #isResumable(): boolean {
-    const { repeat, resumable } = this.#options.route;
-    return repeat === "stream" && resumable;
+    return isResumable(this.#options.route);
   }
 }
--- a/src/entry/forwarding/version_listing.ts
+++ b/src/entry/forwarding/version_listing.ts
@@ -85,8 +85,7 @@
 /**
  * Lists the software versions that serve each pool in the store, so that an
  * entry that has just started knows whether another one may have begun a
- * stream. A version is listed before its replicas begin resumable streams, as
- * long as replicas of listed versions can do it.
+ * stream. A version is listed before its replicas begin resumable streams.
  */
 export class VersionListing {
   readonly #options: VersionListingOptions;
@@ -94,7 +93,10 @@
   readonly #seenAt = new Map<string, number>();
   /** Versions that have served and that the list lacks, by key. */
   readonly #unlisted = new Map<string, ServingVersion>();
-  readonly #writing = new Set<string>();
+  /** Versions that this entry is to list after a delay, by key. */
+  readonly #scheduled = new Set<string>();
+  /** Writes to the list that are under way, by key. */
+  readonly #writes = new Map<string, Promise<void>>();
   /** When the last successful read of the whole list began. */
   #readAt = -Infinity;
   #sweep: Subscription | undefined;
@@ -126,6 +128,11 @@
     this.#sweep?.cancel();
   }
 
+  /** True if a version has served that is not listed yet. */
+  get hasUnlisted(): boolean {
+    return this.#unlisted.size > 0;
+  }
+
   /** Age of the list as it was last read from the store, in milliseconds. */
   get ageMilliseconds(): number {
     return this.#options.timer.now() - this.#readAt;
@@ -160,27 +167,49 @@
   }
 
   /**
-   * Endpoints at which a resumable stream should begin: those of listed
-   * versions, and of versions that more than one endpoint has, so that others
-   * can continue the stream. Engines that only prefill write nothing.
+   * Endpoints at which a resumable stream may begin: those of listed versions,
+   * as the list would not prove that another version has begun none. Of these,
+   * the ones whose version more than one endpoint has come first, so that
+   * others can continue the stream. Engines that only prefill write nothing.
    */
-  preferLasting(
+  filterBeginners(
     endpoints: readonly RegisteredEndpoint[],
   ): readonly RegisteredEndpoint[] {
     const writers = endpoints.filter((each) => !isPrefillEngine(each));
-    if (countByVersion(writers).size < 2) return endpoints;
     const listed = writers.filter((each) => this.#isListed(each));
-    const usable = listed.length > 0 ? listed : writers;
-    const counts = countByVersion(usable);
+    const counts = countByVersion(listed);
+    if (listed.length === writers.length && counts.size < 2) return endpoints;
     const isLasting = ({ softwareVersion }: RegisteredEndpoint) =>
       (counts.get(softwareVersion) ?? 0) > 1;
-    const lasting = usable.filter(isLasting);
-    const chosen = new Set(lasting.length > 0 ? lasting : usable);
+    const lasting = listed.filter(isLasting);
+    const chosen = new Set(lasting.length > 0 ? lasting : listed);
     return endpoints.filter((each) =>
       isPrefillEngine(each) || chosen.has(each)
     );
   }
 
+  /**
+   * Lists the versions of a pool that has no listed one yet, without the delay
+   * that leaves it to other entries. Settles when that is done, or has failed.
+   */
+  async listFirst(pool: ServiceName): Promise<void> {
+    const { link, listed, registry, timer } = this.#options;
+    const unlisted = [...this.#unlisted.values()].filter((each) =>
+      each.pool === pool
+    );
+    const mayWrite = link !== undefined && listed.isComplete &&
+      unlisted.length > 0 &&
+      !registry.inPool(pool).some((each) =>
+        !isPrefillEngine(each) && listed.has(each)
+      );
+    if (!mayWrite) return;
+    const writes = unlisted.map((each) => this.#write(link, each));
+    await withTimeout(Promise.all(writes), {
+      timer,
+      milliseconds: CONFIRMATION_MILLISECONDS,
+    });
+  }
+
   /** Handles a new, changed or ended registration. */
   onEndpointChange(endpoint: RegisteredEndpoint): void {
     this.#seenAt.set(keyOf(endpoint), this.#options.timer.now());
@@ -265,14 +294,15 @@
     const key = keyOf(version);
     if (listed.has(version)) this.#unlisted.delete(key);
     const mayWrite = listed.isComplete && !listed.has(version) &&
-      !this.#writing.has(key) && !this.#isStopped;
+      !this.#scheduled.has(key) && !this.#writes.has(key) && !this.#isStopped;
     if (link === undefined || !mayWrite) return;
-    this.#writing.add(key);
     const delay = this.#writeDelay(key);
-    if (delay === 0) {
-      return this.#options.timer.run(() => this.#write(link, version));
-    }
-    timer.after(delay, () => this.#write(link, version));
+    if (delay === 0) return timer.run(() => this.#write(link, version));
+    this.#scheduled.add(key);
+    timer.after(delay, () => {
+      this.#scheduled.delete(key);
+      return this.#write(link, version);
+    });
   }
 
   #writeDelay(key: string): number {
@@ -285,18 +315,25 @@
       : Math.max(0, live.indexOf(self)) * NEXT_WRITER_MILLISECONDS;
   }
 
+  /** Lists the version, or waits for the write that does. */
   async #write(link: VersionLink, version: ServingVersion): Promise<void> {
-    const { broadcast, listed, logger, timer } = this.#options;
     const key = keyOf(version);
-    const isNeeded = !listed.has(version) && !this.#isStopped;
-    let written: Awaited<ReturnType<VersionLink["add"]>> | undefined;
+    const write = this.#writes.get(key) ?? this.#add(link, version);
+    this.#writes.set(key, write);
     try {
-      written = isNeeded ? await link.add(version) : undefined;
+      await write;
     } finally {
-      this.#writing.delete(key);
+      this.#writes.delete(key);
     }
-    if (listed.has(version) || written?.isOk()) this.#unlisted.delete(key);
-    if (written === undefined) return;
+  }
+
+  async #add(link: VersionLink, version: ServingVersion): Promise<void> {
+    const { broadcast, listed, logger, timer } = this.#options;
+    const key = keyOf(version);
+    if (listed.has(version)) this.#unlisted.delete(key);
+    if (listed.has(version) || this.#isStopped) return;
+    const written = await link.add(version);
+    if (listed.has(version) || written.isOk()) this.#unlisted.delete(key);
     if (written.isOk()) {
       listed.add(version);
       logger.info({ ...version }, "Listed a software version");
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -388,7 +388,11 @@
         logger: NOOP_LOGGER,
         registry,
         listed: this.listedVersions,
-        link: undefined,
+        link: {
+          read: () => Promise.resolve(ok(this.listedVersions.all)),
+          add: () => Promise.resolve(ok(undefined)),
+          remove: () => Promise.resolve(ok(undefined)),
+        },
         peers: () => [],
         ranking: () => [self],
         broadcast() {},
