--- a/src/entry/forwarding/version_listing.ts
+++ b/src/entry/forwarding/version_listing.ts
@@ -316,15 +316,14 @@
   }
 
   /** Lists the version, or waits for the write that does. */
-  async #write(link: VersionLink, version: ServingVersion): Promise<void> {
+  #write(link: VersionLink, version: ServingVersion): Promise<void> {
     const key = keyOf(version);
-    const write = this.#writes.get(key) ?? this.#add(link, version);
+    const current = this.#writes.get(key);
+    if (current !== undefined) return current;
+    const write = this.#add(link, version)
+      .finally(() => this.#writes.delete(key));
     this.#writes.set(key, write);
-    try {
-      await write;
-    } finally {
-      this.#writes.delete(key);
-    }
+    return write;
   }
 
   async #add(link: VersionLink, version: ServingVersion): Promise<void> {
