Read the list of versions again without waiting for a slow read

Those that asked behind the beginning of a read waited for its end and for the next one, longer than the 300 ms that they may wait.

Reads now begin 50 ms apart at least, also while others are under way. 'does not wait for the end of a slow read before the next one' fails on the parent.

--- a/src/core/forwarding/store/shared_read.ts
+++ b/src/core/forwarding/store/shared_read.ts
@@ -13,11 +13,10 @@
 /**
  * Reads on behalf of all that wait at the same time. What was read before a
  * caller asked proves nothing about that moment, so each caller shares the next
- * read to begin, not the one under way.
+ * read to begin, not those under way.
  */
 export class SharedRead {
   readonly #options: SharedReadOptions;
-  #current: Promise<unknown> = Promise.resolve();
   /** A read that has not begun yet. */
   #next: Promise<boolean> | undefined;
   #startedAt = -Infinity;
@@ -35,16 +34,15 @@
   async #readNext(): Promise<boolean> {
     const { minIntervalMilliseconds, read, timer, timeoutMilliseconds } =
       this.#options;
-    await this.#current;
     const pause = this.#startedAt + minIntervalMilliseconds - timer.now();
-    if (pause > 0) await sleep(timer, pause);
+    // Waits in any case, as `read` sets the next one when this has returned.
+    await (pause > 0 ? sleep(timer, pause) : Promise.resolve());
     this.#startedAt = timer.now();
     this.#next = undefined;
-    const current = withTimeout(read(), {
+    const isRead = await withTimeout(read(), {
       timer,
       milliseconds: timeoutMilliseconds,
     });
-    this.#current = current;
-    return await current ?? false;
+    return isRead ?? false;
   }
 }
--- a/src/core/forwarding/store/shared_read_test.ts
+++ b/src/core/forwarding/store/shared_read_test.ts
@@ -61,6 +61,22 @@
       .to.be.at.least(MIN_INTERVAL_MILLISECONDS);
   });
 
+  // Callers that ask behind the beginning of a slow read would wait for two.
+  it("does not wait for the end of a slow read before the next one", async () => {
+    read = async () => {
+      await sleep(timer, 3 * MIN_INTERVAL_MILLISECONDS);
+      return true;
+    };
+    const first = ask();
+    await timer.advance(1);
+    const startedAt = timer.now();
+    const second = ask();
+    await timer.advance(5 * MIN_INTERVAL_MILLISECONDS);
+    await first;
+    expect((await second).at - startedAt)
+      .to.be.at.most(4 * MIN_INTERVAL_MILLISECONDS);
+  });
+
   it("fails a read without an answer, and reads again", async () => {
     read = () => new Promise(() => {});
     const first = ask();
--- a/src/entry/forwarding/version_listing.ts
+++ b/src/entry/forwarding/version_listing.ts
@@ -36,9 +36,9 @@
 /** Delay between attempts to read the list or to write to it. */
 const RETRY_MILLISECONDS = 500;
 /** Time for which a caller waits for the list to be read again. */
-const CONFIRMATION_MILLISECONDS = 250;
+const CONFIRMATION_MILLISECONDS = 300;
 /** Bounds the reads for callers whose streams no entry knows. */
-const MIN_READ_INTERVAL_MILLISECONDS = 100;
+const MIN_READ_INTERVAL_MILLISECONDS = 50;
 /** Interval of the search for versions that serve no more. */
 const SWEEP_MILLISECONDS = 30_000;
 /** Time after the last replica of a version in which one may come back. */
