Remove listed versions only after registrations were read without a gap

Callers could get events of two software versions in one stream: an entry that was cut off or frozen while a version came back removed that version from the list in the store. An entry that read the list then found another version alone, and went on with the streams of the removed one there.

Cause: a version was removed 300 s after this entry had last seen a replica of it. An entry that does not read the registrations sees none.

PeerStateFallback keeps since when the registrations have been read without a gap of more than 5 s. During a gap nothing is removed, and after it the 300 s begin again: streams that began in the gap can't be taken up any more by then. It does not matter how old the first answer after a freeze is.

Both tests of 'stays in the list while an entry that missed its replicas' fail on: the version is removed as soon as the store can be reached. In the tests of listed versions the entries in reach now read the registrations, as the follower of the store has them do.

--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -293,6 +293,7 @@
       registry: this.registry,
       listed: new ListedVersions(),
       link: options.versions,
+      registrationsFollowedSince: () => this.peerStateFallback.followedSince,
       peers: () => this.peers.listedPeers,
       ranking: (subject) => owners.liveRanking(subject),
       broadcast: (notification) => this.peers.broadcast(notification),
--- a/src/entry/forwarding/peer_state_fallback.ts
+++ b/src/entry/forwarding/peer_state_fallback.ts
@@ -33,6 +33,11 @@
  * queried: longer than the interval of the checks.
  */
 const CONFIGURATION_SILENCE_MILLISECONDS = 1_000;
+/**
+ * Longest time between two reads of the registrations without a gap. It is
+ * longer than a read that times out and its retry.
+ */
+const READ_GAP_MILLISECONDS = 5_000;
 /** Interval of queries to peers while the store fails. */
 const POLL_INTERVAL_MILLISECONDS = 500;
 /**
@@ -77,6 +82,8 @@
 export class PeerStateFallback {
   readonly #options: PeerStateFallbackOptions;
   #storeReadAt: number;
+  /** When the reads of the registrations that have had no gap began. */
+  #followedSince = Infinity;
   #polling: Subscription | undefined;
   #isUsingPeer = false;
 
@@ -98,7 +105,9 @@
 
   /** Records that the store has returned the current registrations. */
   onStoreRead(): void {
-    this.#storeReadAt = this.#options.timer.now();
+    const now = this.#options.timer.now();
+    this.#followedSince = Math.min(this.followedSince, now);
+    this.#storeReadAt = now;
     if (!this.#isUsingPeer) return;
     this.#isUsingPeer = false;
     this.#options.logger.info(
@@ -107,6 +116,16 @@
     );
   }
 
+  /**
+   * Time since which this entry has read the registrations without a gap;
+   * Infinity during a gap. What it has not seen before, or during a gap in
+   * which it was cut off or frozen, may have been registered nevertheless.
+   */
+  get followedSince(): number {
+    const age = this.#options.timer.now() - this.#storeReadAt;
+    return age > READ_GAP_MILLISECONDS ? Infinity : this.#followedSince;
+  }
+
   /** Takes a peer's configuration if it is newer than the one in force. */
   async fetchConfiguration(peer: ProcessId): Promise<void> {
     const { addressOf, ask, logger } = this.#options;
--- a/src/entry/forwarding/stream_continuation_test.ts
+++ b/src/entry/forwarding/stream_continuation_test.ts
@@ -36,6 +36,8 @@
   message: "no response",
   hint: "",
 };
+/** Interval of the reads of the registrations. */
+const REGISTRATION_READ_MILLISECONDS = 500;
 /** Size of the deployment for which the design is made. */
 const LARGE_FLEET = 300;
 
@@ -436,6 +438,15 @@
         versions: ["v1", "v1", "v1"],
         entryOptions: () => ({ versions }),
       });
+      streams.fleet.timer.every(REGISTRATION_READ_MILLISECONDS, readAll);
+    }
+
+    /** Has all entries in reach read the registrations. */
+    function readAll(): void {
+      const { entries, partitioned } = streams.fleet;
+      for (const [index, entry] of entries.entries()) {
+        if (!partitioned.has(index)) entry.peerStateFallback.onStoreRead();
+      }
     }
 
     const unknown = { id: identifier<RequestId>("nobody") };
@@ -560,5 +571,67 @@
       await streams.fleet.timer.advance(400_000);
       expect(removed).to.deep.equal([{ pool: PORTAL, softwareVersion: "v1" }]);
     });
+
+    describe("stays in the list while an entry that missed its replicas", () => {
+      const removed: ServingVersion[] = [];
+      /** Whether entry 0, which the others don't reach, reaches the store. */
+      let isStoreReachable: boolean;
+
+      beforeEach(async () => {
+        removed.length = 0;
+        isStoreReachable = false;
+        await startListed([], {
+          remove: (version) => {
+            if (!isStoreReachable) return Promise.resolve(err(STORE_FAILURE));
+            removed.push(version);
+            return Promise.resolve(ok(undefined));
+          },
+        });
+        setRegistered(false);
+        await streams.fleet.timer.advance(1_000);
+        // The version leaves, and returns where entry 0 doesn't see it.
+        streams.fleet.partitioned.add(0);
+        await streams.fleet.timer.advance(60_000);
+        setRegistered(true);
+        await streams.fleet.timer.advance(300_000);
+      });
+
+      /** Registers or removes all replicas at the entries in reach. */
+      function setRegistered(isRegistered: boolean): void {
+        for (const [index, { registry }] of streams.fleet.entries.entries()) {
+          if (streams.fleet.partitioned.has(index)) continue;
+          for (const endpoint of streams.endpoints) {
+            if (isRegistered) registry.upsert(endpoint);
+            else registry.remove(endpoint.id);
+          }
+        }
+      }
+
+      // Streams of the version live. An entry that reads the list without it
+      // goes on with them at another version.
+      it("reaches the store and has not read the registrations", async () => {
+        isStoreReachable = true;
+        await streams.fleet.timer.advance(60_000);
+        expect(removed).to.deep.equal([]);
+      });
+
+      // The replicas are gone when it reads, and their last streams live.
+      it("has read the registrations after they left", async () => {
+        setRegistered(false);
+        isStoreReachable = true;
+        const [{ peerStateFallback }] = streams.fleet.entries;
+        streams.fleet.timer.every(
+          REGISTRATION_READ_MILLISECONDS,
+          () => peerStateFallback.onStoreRead(),
+        );
+        await streams.fleet.timer.advance(250_000);
+        expect(removed).to.deep.equal([]);
+        await streams.fleet.timer.advance(120_000);
+        expect(removed).to.deep.include({
+          pool: PORTAL,
+          softwareVersion: "v1",
+        });
+      });
+    });
   });
 });
--- a/src/entry/forwarding/version_listing.ts
+++ b/src/entry/forwarding/version_listing.ts
@@ -74,6 +74,11 @@
   readonly listed: ListedVersions;
   /** Absent: versions are not listed, and none is known to be the only one. */
   readonly link: VersionLink | undefined;
+  /**
+   * Time since which this entry has read the registrations without a gap;
+   * Infinity during a gap.
+   */
+  readonly registrationsFollowedSince: () => number;
   /** Live entries including this one; the first one writes. */
   readonly ranking: (subject: string) => readonly ProcessId[];
   /** Entries in the list of the fleet, without this one. */
@@ -344,10 +349,15 @@
     timer.after(RETRY_MILLISECONDS, () => this.#list(version));
   }
 
-  /** Removes versions without replicas for longer than streams live. */
+  /**
+   * Removes versions without replicas for longer than streams live. An entry
+   * that was cut off or frozen does not know which replicas were registered
+   * meanwhile, so a version may have had some until the gap's end.
+   */
   #removeGone(): void {
     const { listed, ranking, registry, self, timer } = this.#options;
     const now = timer.now();
+    const followedSince = this.#options.registrationsFollowedSince();
     for (const endpoint of registry.all) {
       this.#seenAt.set(keyOf(endpoint), now);
     }
@@ -355,7 +365,8 @@
       const key = keyOf(version);
       const seenAt = this.#seenAt.get(key) ?? now;
       this.#seenAt.set(key, seenAt);
-      const isGone = now - seenAt > STREAM_LIFETIME_MILLISECONDS;
+      const isGone =
+        now - Math.max(seenAt, followedSince) > STREAM_LIFETIME_MILLISECONDS;
       if (isGone && ranking(key)[0] === self) {
         this.#options.timer.run(() => this.#remove(version));
       }
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -394,6 +394,7 @@
           remove: () => Promise.resolve(ok(undefined)),
         },
         peers: () => [],
+        registrationsFollowedSince: () => 0,
         ranking: () => [self],
         broadcast() {},
         send() {},
