List versions again after a restore of the store

Callers could get events of two software versions in one stream after the store was restored from an older copy: it lacked versions that it had accepted. An entry that started later, or had not heard of them, found another version alone in the list and went on with their streams there.

Cause: an entry took its own list for that of the store and wrote no version twice. A read behind the restore counted as proof though versions were missing.

Each entry that notices the restore now reads the list and has what it lacks written again, also versions without replicas. Until then these count as unlisted, so no stream begins at them. For 20 s, in which all entries that reach the store notice the restore, the list proves no sole version (list_restored) and the caller is refused with a time to return.

--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -540,6 +540,7 @@
   /** Handles that the store was restored from an older copy. */
   onStoreRestored(): void {
     this.registry.storeFailed();
+    this.#versions.onStoreRestored();
     this.#roleController?.onStoreRestored();
   }
 
--- a/src/entry/forwarding/stream_continuation.ts
+++ b/src/entry/forwarding/stream_continuation.ts
@@ -66,7 +66,7 @@
   });
   if (found === undefined) {
     const mayBeKnownSoon = outcome === "unanswered" ||
-      proof?.ground === "list_not_read";
+      proof?.ground === "list_not_read" || proof?.ground === "list_restored";
     return err(unknownOrigin(mayBeKnownSoon));
   }
   if (found === "ambiguous") return err({ reason: "stream_origin_ambiguous" });
--- a/src/entry/forwarding/stream_continuation_test.ts
+++ b/src/entry/forwarding/stream_continuation_test.ts
@@ -14,6 +14,7 @@
 import { streamDigestOf } from "../../adapters/forwarding/mod.ts";
 import type { ServingVersion } from "../../core/forwarding/mod.ts";
 import {
+  type EndpointId,
   identifier,
   numbered,
   type ReplicaStartTime,
@@ -572,6 +573,81 @@
       expect(removed).to.deep.equal([{ pool: PORTAL, softwareVersion: "v1" }]);
     });
 
+    // The store is restored from a copy that lacks versions it had accepted.
+    describe("where the store was restored from an older copy", () => {
+      let listed: ServingVersion[];
+      let isReadable: boolean;
+
+      beforeEach(async () => {
+        listed = [];
+        isReadable = true;
+        await startListed(listed, {
+          read: () =>
+            Promise.resolve(isReadable ? ok([...listed]) : err(STORE_FAILURE)),
+        });
+      });
+
+      // An entry that has just started reads the list, finds another version
+      // alone, and goes on with the streams of the lost one there.
+      it("is listed again, also without replicas", async () => {
+        replaceReplicas();
+        await streams.fleet.timer.advance(2_000);
+        listed.shift();
+        for (const entry of streams.fleet.entries) entry.onStoreRestored();
+        await streams.fleet.timer.advance(2_000);
+        expect(listed.map((each) => each.softwareVersion))
+          .to.deep.equal(["v2", "v1"]);
+      });
+
+      it("is listed again once the list can be read", async () => {
+        listed.length = 0;
+        isReadable = false;
+        for (const entry of streams.fleet.entries) entry.onStoreRestored();
+        await streams.fleet.timer.advance(5_000);
+        isReadable = true;
+        await streams.fleet.timer.advance(2_000);
+        expect(listed.map((each) => each.softwareVersion))
+          .to.deep.equal(["v1"]);
+      });
+
+      // Another entry has listed a version that this one has not heard of, and
+      // has not listed it again yet.
+      it("does not count as the only one before all have listed theirs", async () => {
+        const [first, ...others] = streams.fleet.entries;
+        const [v1] = listed;
+        streams.fleet.partitioned.add(0);
+        const softwareVersion = identifier<SoftwareVersion>("v2");
+        const newer = {
+          ...streams.endpoints[0],
+          id: identifier<EndpointId>("newer"),
+          softwareVersion,
+        };
+        for (const { registry } of others) registry.upsert(newer);
+        await streams.fleet.timer.advance(2_000);
+        expect(listed).to.have.length(2);
+        listed.splice(0, 2, v1);
+        first.onStoreRestored();
+        const early = await streams.takeUp(0, unknown);
+        expect(early.attempt).to.equal(undefined);
+        expect(early.caller.refusal?.reason).to.equal("stream_origin_unknown");
+        expect(early.caller.refusal?.retryAfterMilliseconds)
+          .to.be.within(1, 500);
+        await streams.fleet.timer.advance(12_000);
+        for (const each of others) each.onStoreRestored();
+        await streams.fleet.timer.advance(10_000);
+        const late = await streams.takeUp(0, unknown);
+        expect(late.attempt).to.equal(undefined);
+        expect(late.caller.refusal?.reason).to.equal("stream_origin_unknown");
+      });
+
+      it("counts as the only one again soon", async () => {
+        for (const entry of streams.fleet.entries) entry.onStoreRestored();
+        await streams.fleet.timer.advance(25_000);
+        const { attempt } = await streams.takeUp(0, unknown);
+        expect(attempt && streams.versionAt(attempt)).to.equal("v1");
+      });
+    });
+
     describe("stays in the list while an entry that missed its replicas", () => {
       const removed: ServingVersion[] = [];
       /** Whether entry 0, which the others don't reach, reaches the store. */
--- a/src/entry/forwarding/version_listing.ts
+++ b/src/entry/forwarding/version_listing.ts
@@ -44,6 +44,13 @@
 /** Time after the last replica of a version in which one may come back. */
 const RETURN_MILLISECONDS = 10_000;
 
+/**
+ * Time in which all entries that reach the store notice that it was restored,
+ * and list the versions again that it lacks. Each reads the list of the fleet
+ * every 12 s.
+ */
+const RESTORE_MILLISECONDS = 20_000;
+
 /** The list in the store. */
 export interface VersionLink {
   readonly read: () => Promise<Result<readonly ServingVersion[], StoreFailure>>;
@@ -57,12 +64,14 @@
 
 /**
  * The version that has begun every stream of a pool, or why that can't be told:
- * there is no list, or it could not be read in time, or names several.
+ * there is no list, or it could not be read in time, or may lack versions as the
+ * store was restored from an older copy, or names several.
  */
 export type VersionProof =
   | { readonly softwareVersion: SoftwareVersion }
   | "no_list"
   | "list_not_read"
+  | "list_restored"
   | "several_versions";
 
 export interface VersionListingOptions {
@@ -96,7 +105,7 @@
   readonly #options: VersionListingOptions;
   /** When a replica of each version was last registered, by key. */
   readonly #seenAt = new Map<string, number>();
-  /** Versions that have served and that the list lacks, by key. */
+  /** Versions that may have begun streams and that the list lacks, by key. */
   readonly #unlisted = new Map<string, ServingVersion>();
   /** Versions that this entry is to list after a delay, by key. */
   readonly #scheduled = new Set<string>();
@@ -104,6 +113,10 @@
   readonly #writes = new Map<string, Promise<void>>();
   /** When the last successful read of the whole list began. */
   #readAt = -Infinity;
+  /** When this entry noticed that the store was restored from a copy. */
+  #restoredAt = -Infinity;
+  /** True while versions that a restored store lacks are looked for. */
+  #isComparing = false;
   #sweep: Subscription | undefined;
   #isStopped = false;
 
@@ -133,7 +146,7 @@
     this.#sweep?.cancel();
   }
 
-  /** True if a version has served that is not listed yet. */
+  /** True if a version that may have begun streams is not listed. */
   get hasUnlisted(): boolean {
     return this.#unlisted.size > 0;
   }
@@ -157,11 +170,32 @@
     });
     if (isRead !== true) return "list_not_read";
     const [softwareVersion, ...others] = this.#versionsOf(pool);
-    return softwareVersion === undefined || others.length > 0
-      ? "several_versions"
+    if (softwareVersion === undefined || others.length > 0) {
+      return "several_versions";
+    }
+    // This read may have been the first to show that the store was restored.
+    const restoredFor = this.#options.timer.now() - this.#restoredAt;
+    return restoredFor < RESTORE_MILLISECONDS
+      ? "list_restored"
       : { softwareVersion };
   }
 
+  /**
+   * Handles that the store was restored from an older copy, which may lack
+   * versions that it had accepted. They are listed again, also those without
+   * replicas: their streams may be taken up.
+   */
+  onStoreRestored(): void {
+    const { link, random, timer } = this.#options;
+    if (link === undefined || this.#isStopped) return;
+    this.#restoredAt = timer.now();
+    if (this.#isComparing) return;
+    this.#isComparing = true;
+    // The entries of a fleet notice it at the same time.
+    const delay = random() * RETRY_MILLISECONDS;
+    timer.after(delay, () => this.#listMissing(link));
+  }
+
   /** True if replicas of the version are registered, or were lately. */
   mayReturn(version: ServingVersion): boolean {
     const { registry, timer } = this.#options;
@@ -269,6 +303,30 @@
     return true;
   }
 
+  /** Lists the versions again that a restored store lacks. */
+  async #listMissing(link: VersionLink): Promise<void> {
+    const { listed, logger, timer } = this.#options;
+    const restoredAt = this.#restoredAt;
+    const read = await link.read();
+    if (this.#isStopped) return;
+    if (read.isErr() || this.#restoredAt !== restoredAt) {
+      const reason = read.isErr() ? read.error.message : "restored again";
+      logger.warn({ reason }, "Cannot compare the list of a restored store");
+      timer.after(RETRY_MILLISECONDS, () => this.#listMissing(link));
+      return;
+    }
+    this.#isComparing = false;
+    const present = new Set(read.value.map(keyOf));
+    for (const version of listed.all) {
+      const key = keyOf(version);
+      if (present.has(key)) continue;
+      logger.warn({ ...version }, "A restored store lacks a listed version");
+      listed.remove(version);
+      this.#unlisted.set(key, version);
+      this.#list(version);
+    }
+  }
+
   /** Versions that may have begun streams of the pool, as far as known here. */
   #versionsOf(pool: ServiceName): ReadonlySet<SoftwareVersion> {
     const versions = new Set(this.#options.listed.of(pool));
