--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -293,6 +293,7 @@
       registry: this.registry,
       listed: new ListedVersions(),
       link: options.versions,
+      registrationsFollowedSince: () => this.peerStateFallback.followedSince,
       peers: () => this.peers.listedPeers,
       ranking: (subject) => owners.liveRanking(subject),
       broadcast: (notification) => this.peers.broadcast(notification),
@@ -539,6 +540,7 @@
   /** Handles that the store was restored from an older copy. */
   onStoreRestored(): void {
     this.registry.storeFailed();
+    this.#versions.onStoreRestored();
     this.#roleController?.onStoreRestored();
   }
 
--- a/src/entry/forwarding/stream_continuation_test.ts
+++ b/src/entry/forwarding/stream_continuation_test.ts
@@ -14,6 +14,7 @@
 import { streamDigestOf } from "../../adapters/forwarding/mod.ts";
 import type { ServingVersion } from "../../core/forwarding/mod.ts";
 import {
+  type EndpointId,
   identifier,
   numbered,
   type ReplicaStartTime,
@@ -36,6 +37,8 @@
   message: "no response",
   hint: "",
 };
+/** Interval of the reads of the registrations. */
+const REGISTRATION_READ_MILLISECONDS = 500;
 /** Size of the deployment for which the design is made. */
 const LARGE_FLEET = 300;
 
@@ -436,6 +439,15 @@
         versions: ["v1", "v1", "v1"],
         entryOptions: () => ({ versions }),
       });
+      streams.fleet.timer.every(REGISTRATION_READ_MILLISECONDS, readAll);
+    }
+
+    /** Has all entries in reach read the registrations. */
+    function readAll(): void {
+      const { entries, partitioned } = streams.fleet;
+      for (const [index, entry] of entries.entries()) {
+        if (!partitioned.has(index)) entry.peerStateFallback.onStoreRead();
+      }
     }
 
     const unknown = { id: identifier<RequestId>("nobody") };
@@ -560,5 +572,142 @@
       await streams.fleet.timer.advance(400_000);
       expect(removed).to.deep.equal([{ pool: PORTAL, softwareVersion: "v1" }]);
     });
+
+    // The store is restored from a copy that lacks versions it had accepted.
+    describe("where the store was restored from an older copy", () => {
+      let listed: ServingVersion[];
+      let isReadable: boolean;
+
+      beforeEach(async () => {
+        listed = [];
+        isReadable = true;
+        await startListed(listed, {
+          read: () =>
+            Promise.resolve(isReadable ? ok([...listed]) : err(STORE_FAILURE)),
+        });
+      });
+
+      // An entry that has just started reads the list, finds another version
+      // alone, and goes on with the streams of the lost one there.
+      it("is listed again, also without replicas", async () => {
+        replaceReplicas();
+        await streams.fleet.timer.advance(2_000);
+        listed.shift();
+        for (const entry of streams.fleet.entries) entry.onStoreRestored();
+        await streams.fleet.timer.advance(2_000);
+        expect(listed.map((each) => each.softwareVersion))
+          .to.deep.equal(["v2", "v1"]);
+      });
+
+      it("is listed again once the list can be read", async () => {
+        listed.length = 0;
+        isReadable = false;
+        for (const entry of streams.fleet.entries) entry.onStoreRestored();
+        await streams.fleet.timer.advance(5_000);
+        isReadable = true;
+        await streams.fleet.timer.advance(2_000);
+        expect(listed.map((each) => each.softwareVersion))
+          .to.deep.equal(["v1"]);
+      });
+
+      // Another entry has listed a version that this one has not heard of, and
+      // has not listed it again yet.
+      it("does not count as the only one before all have listed theirs", async () => {
+        const [first, ...others] = streams.fleet.entries;
+        const [v1] = listed;
+        streams.fleet.partitioned.add(0);
+        const softwareVersion = identifier<SoftwareVersion>("v2");
+        const newer = {
+          ...streams.endpoints[0],
+          id: identifier<EndpointId>("newer"),
+          softwareVersion,
+        };
+        for (const { registry } of others) registry.upsert(newer);
+        await streams.fleet.timer.advance(2_000);
+        expect(listed).to.have.length(2);
+        listed.splice(0, 2, v1);
+        first.onStoreRestored();
+        const early = await streams.takeUp(0, unknown);
+        expect(early.attempt).to.equal(undefined);
+        expect(early.caller.refusal?.reason).to.equal("stream_origin_unknown");
+        expect(early.caller.refusal?.retryAfterMilliseconds)
+          .to.be.within(1, 500);
+        await streams.fleet.timer.advance(12_000);
+        for (const each of others) each.onStoreRestored();
+        await streams.fleet.timer.advance(10_000);
+        const late = await streams.takeUp(0, unknown);
+        expect(late.attempt).to.equal(undefined);
+        expect(late.caller.refusal?.reason).to.equal("stream_origin_unknown");
+      });
+
+      it("counts as the only one again soon", async () => {
+        for (const entry of streams.fleet.entries) entry.onStoreRestored();
+        await streams.fleet.timer.advance(25_000);
+        const { attempt } = await streams.takeUp(0, unknown);
+        expect(attempt && streams.versionAt(attempt)).to.equal("v1");
+      });
+    });
+
+    describe("stays in the list while an entry that missed its replicas", () => {
+      const removed: ServingVersion[] = [];
+      /** Whether entry 0, which the others don't reach, reaches the store. */
+      let isStoreReachable: boolean;
+
+      beforeEach(async () => {
+        removed.length = 0;
+        isStoreReachable = false;
+        await startListed([], {
+          remove: (version) => {
+            if (!isStoreReachable) return Promise.resolve(err(STORE_FAILURE));
+            removed.push(version);
+            return Promise.resolve(ok(undefined));
+          },
+        });
+        setRegistered(false);
+        await streams.fleet.timer.advance(1_000);
+        // The version leaves, and returns where entry 0 doesn't see it.
+        streams.fleet.partitioned.add(0);
+        await streams.fleet.timer.advance(60_000);
+        setRegistered(true);
+        await streams.fleet.timer.advance(300_000);
+      });
+
+      /** Registers or removes all replicas at the entries in reach. */
+      function setRegistered(isRegistered: boolean): void {
+        for (const [index, { registry }] of streams.fleet.entries.entries()) {
+          if (streams.fleet.partitioned.has(index)) continue;
+          for (const endpoint of streams.endpoints) {
+            if (isRegistered) registry.upsert(endpoint);
+            else registry.remove(endpoint.id);
+          }
+        }
+      }
+
+      // Streams of the version live. An entry that reads the list without it
+      // goes on with them at another version.
+      it("reaches the store and has not read the registrations", async () => {
+        isStoreReachable = true;
+        await streams.fleet.timer.advance(60_000);
+        expect(removed).to.deep.equal([]);
+      });
+
+      // The replicas are gone when it reads, and their last streams live.
+      it("has read the registrations after they left", async () => {
+        setRegistered(false);
+        isStoreReachable = true;
+        const [{ peerStateFallback }] = streams.fleet.entries;
+        streams.fleet.timer.every(
+          REGISTRATION_READ_MILLISECONDS,
+          () => peerStateFallback.onStoreRead(),
+        );
+        await streams.fleet.timer.advance(250_000);
+        expect(removed).to.deep.equal([]);
+        await streams.fleet.timer.advance(120_000);
+        expect(removed).to.deep.include({
+          pool: PORTAL,
+          softwareVersion: "v1",
+        });
+      });
+    });
   });
 });
