List a version again that comes back while it is removed

What callers could see: events of two versions in one stream. A version without replicas for 300 s is removed from the list. If one came back while the store worked on the removal, the entry still took the version for listed: streams began at it, it was never written again, and an entry that read the list found one other version and went on with the streams at that one. The same held for good if the store executed the removal and its answer got lost.

Cause: the version counted as listed until a successful answer, and the registrations were not looked at again behind it.

All entries are told before the removal and behind it that the version is not listed, also if it failed, and the registered replicas are listed behind it. While the removal is under way no other write of the version begins here. A removal that failed without effect is tried again once the list is read.

--- a/src/entry/forwarding/version_listing.ts
+++ b/src/entry/forwarding/version_listing.ts
@@ -109,7 +109,7 @@
   readonly #unlisted = new Map<string, ServingVersion>();
   /** Versions that this entry is to list after a delay, by key. */
   readonly #scheduled = new Set<string>();
-  /** Writes to the list that are under way, by key. */
+  /** Writes to the list and removals that are under way, by key. */
   readonly #writes = new Map<string, Promise<void>>();
   /** When the last successful read of the whole list began. */
   #readAt = -Infinity;
@@ -431,13 +431,40 @@
     }
   }
 
+  /** Removes the version, unless it is being listed. */
   async #remove(version: ServingVersion): Promise<void> {
-    const { broadcast, link, listed, logger } = this.#options;
-    const removed = await link?.remove(version);
-    if (removed?.isOk() !== true) return;
-    listed.remove(version);
+    const key = keyOf(version);
+    if (this.#writes.has(key)) return;
+    const removal = this.#removeFromStore(version)
+      .finally(() => this.#writes.delete(key));
+    this.#writes.set(key, removal);
+    await removal;
+    this.#noteRegistered();
+  }
+
+  /**
+   * The version counts as not listed before the store removes it, and also if
+   * that fails: a removal without an answer may have been executed, and streams
+   * of a version that comes back meanwhile must wait until it is listed again.
+   */
+  async #removeFromStore(version: ServingVersion): Promise<void> {
+    const { link, logger } = this.#options;
+    if (link === undefined) return;
+    this.#withdraw(version);
+    const removed = await link.remove(version);
+    this.#withdraw(version);
+    if (removed.isErr()) {
+      const reason = removed.error.message;
+      return logger.warn({ ...version, reason }, "Cannot remove a version");
+    }
     this.#seenAt.delete(keyOf(version));
     logger.info({ ...version }, "Removed a software version from the list");
+  }
+
+  /** Has no entry take the version for a listed one. */
+  #withdraw(version: ServingVersion): void {
+    const { broadcast, listed } = this.#options;
+    listed.remove(version);
     const params = { added: [], removed: [encodeVersion(version)] };
     broadcast({ method: VERSIONS_METHOD, params });
   }
