Do not prove a stream's version by a pool that its route got since

What callers could see: events of two versions in one stream. It began while its route had another pool; behind a change of the configuration it was taken up without naming an attempt, and went on at the only version of the new pool.

Cause: the list of versions proves something of a pool. Whether the stream began in that pool was taken from the routes in force.

An entry keeps the routes that it replaced within the lifetime of a stream, if the change concerns pools, and asks them for the pools of the request. Open: an entry that started behind the change does not know the former routes.

--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -71,6 +71,7 @@
   type StreamRecord,
 } from "./streams/stream_origins.ts";
 export { EventNumbering } from "./streams/event_numbering.ts";
+export { FormerRoutes } from "./streams/former_routes.ts";
 export { StreamKeepers } from "./streams/stream_keepers.ts";
 export {
   ListedVersions,
--- a/src/entry/forwarding/forwarding_dependencies.ts
+++ b/src/entry/forwarding/forwarding_dependencies.ts
@@ -13,6 +13,7 @@
   EventNumbering,
   ExpectedTimes,
   FleetLoad,
+  FormerRoutes,
   ForwardedRequest,
   HeldPromptQueue,
   LinkBacklog,
@@ -157,5 +158,7 @@
   readonly isChanging: (endpoint: EndpointId) => boolean;
   /** The routes in force; undefined until a configuration is known. */
   readonly routes: () => RouteTable | undefined;
+  /** Routes by which streams may have begun that can still be taken up. */
+  readonly formerRoutes: FormerRoutes;
   readonly configurationStatus: ConfigurationStatus;
 }
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -12,6 +12,7 @@
   EventNumbering,
   ExpectedTimes,
   FleetLoad,
+  FormerRoutes,
   type ForwardedRequest,
   type ForwardingConfiguration,
   HeldPromptQueue,
@@ -116,6 +117,7 @@
   readonly #keepers = new StreamKeepers();
   readonly #streams: StreamOriginExchange;
   readonly #versions: VersionListing;
+  readonly #formerRoutes: FormerRoutes;
   readonly #crashes: CrashExchange;
   readonly #receiver: NotificationReceiver;
   readonly #openForwards = new Set<OpenForward>();
@@ -285,6 +287,7 @@
       onOutcome: (outcome) => options.onStreamLookup?.(outcome),
       digestOf: options.streamDigestOf,
     });
+    this.#formerRoutes = new FormerRoutes(timer);
     this.#versions = new VersionListing({
       self,
       timer,
@@ -510,6 +513,7 @@
       partDigestOf: options.partDigestOf,
       observe: options.observe,
       routes: () => this.#routes,
+      formerRoutes: this.#formerRoutes,
       configurationStatus: this.configurationStatus,
       reportLeaving: (run) => this.registrationSync.reportLeaving(run),
       noteStarted: (workspace, at) =>
@@ -687,7 +691,11 @@
     const known = this.configuration?.version ?? -Infinity;
     if (configuration.version <= known) return false;
     const { ageMilliseconds, behindMilliseconds } = this.configurationStatus;
-    this.#routes = new RouteTable(configuration);
+    const routes = new RouteTable(configuration);
+    if (this.#routes !== undefined) {
+      this.#formerRoutes.record(this.#routes, routes);
+    }
+    this.#routes = routes;
     this.configurationSync.onApplied();
     this.#options.logger.info({
       version: configuration.version,
--- a/src/entry/forwarding/stream_continuation.ts
+++ b/src/entry/forwarding/stream_continuation.ts
@@ -46,7 +46,7 @@
     streams.digestOf(request.resumes, workspace?.id),
   );
   const proof = lookup?.origin === undefined
-    ? await findSoleOrigin(dependencies, route)
+    ? await findSoleOrigin(dependencies, options)
     : undefined;
   const found = lookup?.origin ?? proof?.origin;
   const outcome = proof?.origin === undefined
@@ -85,11 +85,16 @@
 
 /** Finds the origin of every stream of the route, if there can be only one. */
 async function findSoleOrigin(
-  { versions }: ForwardingDependencies,
-  { shares }: Route,
+  { formerRoutes, versions }: ForwardingDependencies,
+  { request: { host, target }, route }: ContinuationOptions,
 ): Promise<ListProof> {
-  if (shares.length !== 1) return { ground: "several_pools" };
-  const [{ pool }] = shares;
+  const [pool, ...others] = new Set([
+    ...route.shares.map((share) => share.pool),
+    ...formerRoutes.poolsOf(host, target),
+  ]);
+  if (pool === undefined || others.length > 0) {
+    return { ground: "several_pools" };
+  }
   const proof = await versions.confirmSoleVersion(pool);
   if (typeof proof === "string") return { ground: proof };
   return { ground: "sole_version", origin: { pool, ...proof } };
--- a/src/entry/forwarding/stream_continuation_test.ts
+++ b/src/entry/forwarding/stream_continuation_test.ts
@@ -3,6 +3,8 @@
 import {
   ENGINES,
   makeConfiguration,
+  makeEndpoint,
+  makePool,
   makeRoute,
   PORTAL,
 } from "../../../test/support/forwarding_fixtures.ts";
@@ -12,13 +14,17 @@
   type VersionedStreamsOptions,
 } from "../../../test/support/versioned_streams.ts";
 import { streamDigestOf } from "../../adapters/forwarding/mod.ts";
-import type { ServingVersion } from "../../core/forwarding/mod.ts";
+import {
+  type ServingVersion,
+  STREAM_LIFETIME_MILLISECONDS,
+} from "../../core/forwarding/mod.ts";
 import {
   type EndpointId,
   identifier,
   numbered,
   type ReplicaStartTime,
   type RequestId,
+  type ServiceName,
   type SoftwareVersion,
 } from "../../core/identity/mod.ts";
 import {
@@ -474,6 +480,70 @@
       expect(caller.refusal?.retryAfterMilliseconds).to.be.within(1, 500);
     });
 
+    describe("in a pool that their route has not had for long", () => {
+      const other = identifier<ServiceName>("other");
+
+      /** A configuration whose route has the pool. */
+      function routedTo(pool: ServiceName, version: number) {
+        return makeConfiguration({
+          version,
+          pools: new Map([
+            [PORTAL, makePool()],
+            [other, makePool({ name: other })],
+          ]),
+          routes: [makeRoute({
+            repeat: "stream",
+            resumable: true,
+            timeoutMilliseconds: 10_000,
+            shares: [{ pool, weight: 1 }],
+          })],
+        });
+      }
+
+      async function startRouted(): Promise<void> {
+        const versions = sharedLink([]);
+        await start({
+          versions: ["v1", "v1"],
+          configuration: routedTo(other, 1),
+          entryOptions: () => ({ versions }),
+        });
+        const replica = makeEndpoint("other-replica", {
+          pool: other,
+          softwareVersion: identifier<SoftwareVersion>("v2"),
+        });
+        for (const { registry } of streams.fleet.entries) {
+          registry.upsert(replica);
+        }
+        await streams.fleet.timer.advance(SETTLE_MILLISECONDS);
+      }
+
+      function routeToPortal(): void {
+        for (const entry of streams.fleet.entries) {
+          entry.applyConfiguration(routedTo(PORTAL, 2));
+        }
+      }
+
+      // The new pool has one version, which did not begin the stream.
+      it("are refused without a record", async () => {
+        await startRouted();
+        await streams.begin(0);
+        routeToPortal();
+        const { attempt, caller } = await streams.submit(1, {
+          lastEventId: "1",
+        });
+        expect(attempt).to.equal(undefined);
+        expect(caller.refusal?.reason).to.equal("stream_origin_unknown");
+      });
+
+      it("go on once no stream from before can be taken up", async () => {
+        await startRouted();
+        routeToPortal();
+        await streams.fleet.timer.advance(STREAM_LIFETIME_MILLISECONDS);
+        const { attempt } = await streams.takeUp(1, unknown);
+        expect(attempt && streams.versionAt(attempt)).to.equal("v1");
+      });
+    });
+
     // Its replicas have served while the store could not be written.
     it("counts also while it can't be written to the list", async () => {
       const listed: ServingVersion[] = [];
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -11,6 +11,7 @@
   EnginePlacement,
   EngineSlowness,
   EventNumbering,
+  FormerRoutes,
   type ForwardedRequest,
   type ForwardingConfiguration,
   HeldPromptQueue,
@@ -405,6 +406,7 @@
         this.decisions.push({ decision, ...facts });
       },
       routes: () => this.#routes,
+      formerRoutes: new FormerRoutes(timer),
       configurationStatus: new ConfigurationStatus({
         timer,
         logger: NOOP_LOGGER,
