--- a/src/entry/forwarding/version_listing_test.ts
+++ b/src/entry/forwarding/version_listing_test.ts
@@ -79,6 +79,7 @@
           return answersRemovals ? ok(undefined) : err(STORE_FAILURE);
         },
       },
+      registrationsFollowedSince: () => 0,
       ranking: () => [SELF],
       peers: () => [],
       broadcast() {},
