List a version again that comes back after its removal may have been missed

Streams began at a version that the list in the store lacked, so an entry that read the list could go on with them at another version.

Cause: an entry that had not received the datagram by which another one tells that it has removed a version took it for listed without a limit. When the version came back, the entry began streams at it and did not list it.

A version that comes back more than 150 s after this entry has seen its last replica, half of the time after which it is removed, counts as unlisted, and is listed again before a stream begins at it.

'is listed again if it comes back where its removal was missed' loses all datagrams for 500 ms at the removal. It fails on: a stream begins at v1 while the list has v2 only.

--- a/src/entry/forwarding/stream_continuation_test.ts
+++ b/src/entry/forwarding/stream_continuation_test.ts
@@ -29,6 +29,7 @@
 import type { VersionLink } from "./version_listing.ts";
 
 const VERSIONS = ["v1", "v2", "v1", "v2", "v1", "v2"];
+const V1 = identifier<SoftwareVersion>("v1");
 const STREAMS = 30;
 const SETTLE_MILLISECONDS = 2_500;
 const STORE_FAILURE = {
@@ -39,6 +40,8 @@
 };
 /** Interval of the reads of the registrations. */
 const REGISTRATION_READ_MILLISECONDS = 500;
+/** Time in which datagrams are lost. */
+const LOSS_MILLISECONDS = 500;
 /** Size of the deployment for which the design is made. */
 const LARGE_FLEET = 300;
 
@@ -432,12 +435,15 @@
 
     async function startListed(
       listed: ServingVersion[],
-      link: Partial<VersionLink> = {},
+      link: Partial<VersionLink> | ((entry: number) => Partial<VersionLink>) =
+        {},
     ): Promise<void> {
-      const versions = { ...sharedLink(listed), ...link };
+      const linkOf = typeof link === "function" ? link : () => link;
       await start({
         versions: ["v1", "v1", "v1"],
-        entryOptions: () => ({ versions }),
+        entryOptions: (entry) => ({
+          versions: { ...sharedLink(listed), ...linkOf(entry) },
+        }),
       });
       streams.fleet.timer.every(REGISTRATION_READ_MILLISECONDS, readAll);
     }
@@ -648,6 +654,54 @@
       });
     });
 
+    // An entry has missed the datagram by which another one told that it has
+    // removed the version, and takes it for listed when it comes back.
+    it("is listed again if it comes back where its removal was missed", async () => {
+      const listed: ServingVersion[] = [];
+      let removedBy: number | undefined;
+      let removedAt = -Infinity;
+      await startListed(listed, (entry) => ({
+        remove: ({ softwareVersion }) => {
+          const index = listed.findIndex((each) =>
+            each.softwareVersion === softwareVersion
+          );
+          listed.splice(index, 1);
+          removedBy = entry;
+          removedAt = streams.fleet.timer.now();
+          return Promise.resolve(ok(undefined));
+        },
+      }));
+      const versions = () => listed.map((each) => each.softwareVersion);
+      replaceReplicas();
+      await streams.fleet.timer.advance(2_000);
+      expect(versions()).to.deep.equal(["v1", "v2"]);
+      streams.fleet.isCut = () =>
+        streams.fleet.timer.now() - removedAt < LOSS_MILLISECONDS;
+      await streams.fleet.timer.advance(400_000);
+      expect(versions()).to.deep.equal(["v2"]);
+      // Only entries that missed the removal are left.
+      const { entries, timer } = streams.fleet;
+      const missed = entries.flatMap((_, index) =>
+        index === removedBy ? [] : [index]
+      );
+      for (const index of missed) {
+        for (const endpoint of streams.endpoints) {
+          entries[index].registry.upsert(endpoint);
+        }
+      }
+      for (const index of missed) {
+        for (let count = 0; count < STREAMS; count++) {
+          const { attempt } = await streams.submit(index);
+          if (attempt === undefined) continue;
+          const { endpoint } = attempt.options;
+          const isBack = streams.endpoints.some(({ id }) => id === endpoint);
+          if (isBack) expect(versions()).to.include(V1);
+        }
+      }
+      await timer.advance(2_000);
+      expect(versions()).to.deep.equal(["v2", "v1"]);
+    });
+
     describe("stays in the list while an entry that missed its replicas", () => {
       const removed: ServingVersion[] = [];
       /** Whether entry 0, which the others don't reach, reaches the store. */
--- a/src/entry/forwarding/version_listing.ts
+++ b/src/entry/forwarding/version_listing.ts
@@ -41,6 +41,13 @@
 const MIN_READ_INTERVAL_MILLISECONDS = 100;
 /** Interval of the search for versions that serve no more. */
 const SWEEP_MILLISECONDS = 30_000;
+/**
+ * Time without replicas after which a version that comes back is listed again.
+ * Another entry may have removed it, and the news of that be lost. It is well
+ * below the time after which versions are removed, as entries see the last
+ * replica at different times.
+ */
+const RELIST_MILLISECONDS = STREAM_LIFETIME_MILLISECONDS / 2;
 /** Time after the last replica of a version in which one may come back. */
 const RETURN_MILLISECONDS = 10_000;
 
@@ -251,8 +258,13 @@
 
   /** Handles a new, changed or ended registration. */
   onEndpointChange(endpoint: RegisteredEndpoint): void {
-    this.#seenAt.set(keyOf(endpoint), this.#options.timer.now());
-    if (!endpoint.leaving) this.#noteServing(endpoint);
+    const key = keyOf(endpoint);
+    const now = this.#options.timer.now();
+    const absentFor = now - (this.#seenAt.get(key) ?? this.#readAt);
+    this.#seenAt.set(key, now);
+    const isBack = absentFor > RELIST_MILLISECONDS;
+    if (isBack) this.#options.listed.remove(endpoint);
+    if (isBack || !endpoint.leaving) this.#noteServing(endpoint);
   }
 
   /** Sends the list to a peer that has started. */
