Take versions for listed that a peer names to an entry that starts

An entry that starts while the store is silent learns the list from a peer, and then the registrations. Since each version that it had not seen for half the lifetime of a stream counted as unlisted when it appeared, measured from a read of the list that there had never been: no resumable stream began there until the store was back.

The time now counts from when the whole list was learned, from the store or from a peer. The new test of version_listing_test.ts fails on the parent.

--- a/src/entry/forwarding/version_listing.ts
+++ b/src/entry/forwarding/version_listing.ts
@@ -120,6 +120,8 @@
   readonly #writes = new Map<string, Promise<void>>();
   /** When the last successful read of the whole list began. */
   #readAt = -Infinity;
+  /** When the whole list was last learned, from the store or from a peer. */
+  #knownSince = -Infinity;
   /** When this entry noticed that the store was restored from a copy. */
   #restoredAt = -Infinity;
   /** True while versions that a restored store lacks are looked for. */
@@ -260,7 +262,7 @@
   onEndpointChange(endpoint: RegisteredEndpoint): void {
     const key = keyOf(endpoint);
     const now = this.#options.timer.now();
-    const absentFor = now - (this.#seenAt.get(key) ?? this.#readAt);
+    const absentFor = now - (this.#seenAt.get(key) ?? this.#knownSince);
     this.#seenAt.set(key, now);
     const isBack = absentFor > RELIST_MILLISECONDS;
     if (isBack) this.#options.listed.remove(endpoint);
@@ -281,8 +283,10 @@
   onNotification(params: VersionNotification): void {
     const { listed } = this.#options;
     const added = params.added.map(decodeVersion);
-    if (params.isWhole === true) listed.addAll(added);
-    else for (const each of added) listed.add(each);
+    if (params.isWhole === true) {
+      listed.addAll(added);
+      this.#knownSince = this.#options.timer.now();
+    } else for (const each of added) listed.add(each);
     for (const row of params.removed ?? []) listed.remove(decodeVersion(row));
     this.#noteRegistered();
   }
@@ -310,6 +314,7 @@
       return false;
     }
     this.#readAt = Math.max(this.#readAt, startedAt);
+    this.#knownSince = Math.max(this.#knownSince, startedAt);
     listed.addAll(read.value);
     this.#noteRegistered();
     return true;
--- a/src/entry/forwarding/version_listing_test.ts
+++ b/src/entry/forwarding/version_listing_test.ts
@@ -18,6 +18,7 @@
 } from "../../core/identity/mod.ts";
 import { NOOP_LOGGER } from "../../core/observation/mod.ts";
 import { ManualTimerService, sleep } from "../../core/time/mod.ts";
+import { encodeVersion } from "./notifications/version_notification.ts";
 import { keyOf, VersionListing } from "./version_listing.ts";
 
 const SELF = identifier<ProcessId>("entry-0");
@@ -42,6 +43,7 @@
   let removals: number;
   /** False: removals are executed, and their answers get lost. */
   let answersRemovals: boolean;
+  let canRead: boolean;
 
   const replica = makeEndpoint("replica-0", {
     softwareVersion: identifier<SoftwareVersion>("v1"),
@@ -55,6 +57,15 @@
     stored = new Map();
     removals = 0;
     answersRemovals = true;
+    canRead = true;
+    start();
+    for (const each of [replica, newer]) registry.upsert(each);
+    await timer.advance(STEP_MILLISECONDS);
+    expect(storedVersions()).to.deep.equal(["v1", "v2"]);
+  });
+
+  /** Starts an entry that knows no replica yet. */
+  function start(): void {
     registry = new EndpointRegistry({
       timer,
       onChange: (_, endpoint) => listing.onEndpointChange(endpoint),
@@ -67,7 +78,10 @@
       registry,
       listed: new ListedVersions(),
       link: {
-        read: () => Promise.resolve(ok([...stored.values()])),
+        read: () =>
+          Promise.resolve(
+            canRead ? ok([...stored.values()]) : err(STORE_FAILURE),
+          ),
         add: (version) => {
           stored.set(keyOf(version), version);
           return Promise.resolve(ok(undefined));
@@ -86,10 +100,7 @@
       send() {},
     });
     listing.start();
-    for (const each of [replica, newer]) registry.upsert(each);
-    await timer.advance(STEP_MILLISECONDS);
-    expect(storedVersions()).to.deep.equal(["v1", "v2"]);
-  });
+  }
 
   afterEach(() => listing.stop());
 
@@ -145,4 +156,16 @@
     await timer.advance(SWEEP_MILLISECONDS);
     expect(storedVersions()).to.deep.equal(["v1", "v2"]);
   });
+
+  // An entry that starts while the store is silent would begin no stream.
+  it("takes versions for listed that a peer names before their replicas are known", async () => {
+    listing.stop();
+    canRead = false;
+    start();
+    const added = [...stored.values()].map(encodeVersion);
+    listing.onNotification({ added, isWhole: true });
+    await timer.advance(STEP_MILLISECONDS);
+    registry.upsert(newer);
+    expect(mayBegin(newer)).to.equal(true);
+  });
 });
