Refuse continuations at an entry that is cut off

Callers saw events of v1 and v1.1 in one stream. Four of eight replicas were replaced under their ids and addresses by v1.1 while one entry was cut off from its peers and the store. That entry knew that v1 had begun the stream, and placed the continuation by the registration from before the replacement; X-Expect-Instance names the id only.

An entry with listed peers that has had neither the store nor any peer in reach for 1.6 s now refuses continuations with 503 stream_replicas_unconfirmed and Retry-After, and begins no further run within a response. What a peer reads, reports or answers counts as contact, so a store that is silent for all refuses none. An entry without listed peers is as before. `continued` lines tell the age of the registrations.

Not covered: a replacement within 1.6 s of the cut, two entries that are cut off together, and streams that such an entry begins itself and that are taken up after its return.

--- a/src/core/forwarding/endpoints/load_owners.ts
+++ b/src/core/forwarding/endpoints/load_owners.ts
@@ -79,6 +79,13 @@
     return this.#wasHeardSince(name, this.#timer.now() - milliseconds);
   }
 
+  /** True if another entry has sent a message within this time. */
+  hasHeardOther(milliseconds: number): boolean {
+    return [...this.#peers.keys()].some((name) =>
+      this.wasHeardWithin(name, milliseconds)
+    );
+  }
+
   /** The live entries including this one, the best owner first. */
   liveRanking(subject: string): readonly ProcessId[] {
     return this.#ranking(subject).filter((name) => this.isLive(name));
--- a/src/entry/forwarding/forwarding_dependencies.ts
+++ b/src/entry/forwarding/forwarding_dependencies.ts
@@ -42,6 +42,7 @@
 import type { Random } from "../../core/random/mod.ts";
 import type { TimerService } from "../../core/time/mod.ts";
 import type { ConfigurationStatus } from "./configuration_status.ts";
+import type { FleetContact } from "./fleet_contact.ts";
 import type { FleetOutcomes } from "./fleet_outcomes.ts";
 import type { CrashGate, LostRunChecks } from "./crashes/mod.ts";
 import type { EndpointClient } from "./network_interfaces.ts";
@@ -142,6 +143,8 @@
   /** Origins of resumable streams, here and at other entries. */
   readonly streams: StreamOriginExchange;
   readonly versions: VersionListing;
+  /** Whether registrations are known to be those of the present processes. */
+  readonly contact: FleetContact;
   /** Digest by which a retried request is recognized. */
   readonly digestOf: (request: ForwardedRequest) => RequestDigest;
   /** Digest by which a part of prompts is recognized in a pool. */
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -54,6 +54,7 @@
   LostRunChecks,
   TrialExchange,
 } from "./crashes/mod.ts";
+import { FleetContact } from "./fleet_contact.ts";
 import { FleetOutcomes } from "./fleet_outcomes.ts";
 import { forward } from "./forward.ts";
 import type {
@@ -162,6 +163,11 @@
     const serviceTimes = new ServiceTimes(timer);
     const self = identifier<ProcessId>(options.process);
     const owners = new LoadOwners({ self, timer });
+    const contact = new FleetContact({
+      timer,
+      peerCount: () => this.peers.listedPeers.length,
+      hasHeardPeer: (milliseconds) => owners.hasHeardOther(milliseconds),
+    });
     const openRequests = new OpenRequests({
       timer,
       load,
@@ -283,6 +289,7 @@
       send: (peer, notification) => this.peers.sendTo(peer, notification),
       peers: () => this.peers.listedPeers,
       onOutcome: (outcome) => options.onStreamLookup?.(outcome),
+      onAnswered: () => contact.recordPeerAnswer(),
       digestOf: options.streamDigestOf,
     });
     this.#versions = new VersionListing({
@@ -370,6 +377,7 @@
       random,
       logger: options.logger,
       registry: this.registry,
+      contact,
       configuration: () => this.configuration,
       configurationStatus: this.configurationStatus,
       applyConfiguration: (configuration, peer) => {
@@ -505,6 +513,7 @@
       endpointClient: options.endpointClient,
       streams: this.#streams,
       versions: this.#versions,
+      contact,
       digestOf: options.digestOf,
       partDigestOf: options.partDigestOf,
       observe: options.observe,
--- a/src/entry/forwarding/mod.ts
+++ b/src/entry/forwarding/mod.ts
@@ -3,6 +3,7 @@
 export type { ForwardingDecision, ObserveForwarding } from "./observer.ts";
 export type { ForwardingDependencies } from "./forwarding_dependencies.ts";
 export { ConfigurationStatus } from "./configuration_status.ts";
+export { FleetContact } from "./fleet_contact.ts";
 export { FleetOutcomes } from "./fleet_outcomes.ts";
 export { forward } from "./forward.ts";
 export { ForwardingEntry } from "./forwarding_entry.ts";
--- a/src/entry/forwarding/peer_state_fallback.ts
+++ b/src/entry/forwarding/peer_state_fallback.ts
@@ -15,6 +15,7 @@
 import type { Subscription, TimerService } from "../../core/time/mod.ts";
 
 import type { ConfigurationStatus } from "./configuration_status.ts";
+import type { FleetContact } from "./fleet_contact.ts";
 import {
   type FleetMember,
   type ForwardingState,
@@ -47,6 +48,10 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly registry: EndpointRegistry;
+  readonly contact: Pick<
+    FleetContact,
+    "recordPeerAnswer" | "recordRegistrations"
+  >;
   readonly configuration: () => ForwardingConfiguration | undefined;
   readonly configurationStatus: ConfigurationStatus;
   readonly applyConfiguration: (
@@ -99,6 +104,7 @@
   /** Records that the store has returned the current registrations. */
   onStoreRead(): void {
     this.#storeReadAt = this.#options.timer.now();
+    this.#options.contact.recordRegistrations(0);
     if (!this.#isUsingPeer) return;
     this.#isUsingPeer = false;
     this.#options.logger.info(
@@ -180,10 +186,12 @@
     }
     const {
       configuration,
+      contact,
       logger,
       adoptEndpoints,
       applyConfiguration,
     } = this.#options;
+    contact.recordPeerAnswer();
     const { pools, ...rest } = value.configuration;
     const isFirst = configuration() === undefined;
     applyConfiguration({
@@ -195,7 +203,10 @@
     // An outdated list is better than none, but worse than this entry's own.
     const mayReplaceEndpoints = value.age <= MAX_STATE_AGE_MILLISECONDS ||
       isFirst;
-    if (mayReplaceEndpoints) adoptEndpoints(value.endpoints);
+    if (mayReplaceEndpoints) {
+      adoptEndpoints(value.endpoints);
+      contact.recordRegistrations(value.age);
+    }
     if (this.#isUsingPeer) return;
     this.#isUsingPeer = true;
     logger.info({
--- a/src/entry/forwarding/peer_state_fallback_test.ts
+++ b/src/entry/forwarding/peer_state_fallback_test.ts
@@ -15,6 +15,7 @@
 import { NOOP_LOGGER } from "../../core/observation/mod.ts";
 import { ManualTimerService } from "../../core/time/mod.ts";
 import { ConfigurationStatus } from "./configuration_status.ts";
+import { FleetContact } from "./fleet_contact.ts";
 import type { FleetMember } from "./forwarding_state.ts";
 import { PeerStateFallback } from "./peer_state_fallback.ts";
 
@@ -55,6 +56,11 @@
         random: () => 0,
         logger: NOOP_LOGGER,
         registry,
+        contact: new FleetContact({
+          timer,
+          peerCount: () => 1,
+          hasHeardPeer: () => false,
+        }),
         configuration: () => node.configuration,
         configurationStatus: status,
         applyConfiguration: (next) => node.configuration = next,
--- a/src/entry/forwarding/request_forwarder.ts
+++ b/src/entry/forwarding/request_forwarder.ts
@@ -64,6 +64,11 @@
 
 /** No replica of the software version that began the stream is left. */
 const VERSION_GONE = "stream_version_gone";
+/**
+ * Neither the store nor a peer is in reach: the replicas may be other processes
+ * than those that are registered here.
+ */
+const REPLICAS_UNCONFIRMED = "stream_replicas_unconfirmed";
 /** No version that may begin the stream is listed in the store yet. */
 const VERSION_UNLISTED = "stream_version_unlisted";
 /** Retry delay if replicas of that version may come back. */
@@ -96,6 +101,7 @@
   | "stopping"
   | "overdue"
   | "key_removed"
+  | "stream_replicas_unconfirmed"
   | "unknown";
 
 /** Forwards one request, from its arrival to the end of its response. */
@@ -221,6 +227,9 @@
       if (admission === "blocked") return this.#refuse(BLOCKED);
       if (admission === "suspected") return this.#refuse(SUSPECTED);
       if (this.#context.isWriterGone) return this.#refuse(VERSION_GONE);
+      if (this.#context.writer.isUnconfirmed) {
+        return this.#refuse(REPLICAS_UNCONFIRMED);
+      }
       if (this.#context.isVersionUnlisted) {
         return this.#refuse(VERSION_UNLISTED);
       }
@@ -244,6 +253,7 @@
       if (next === "blocked") return this.#refuse(BLOCKED);
       if (next === STOPPING) return this.#refuse(STOPPING);
       if (next === KEY_REMOVED) return this.#refuse(KEY_REMOVED);
+      if (next === REPLICAS_UNCONFIRMED) return this.#refuse(next);
       if (next === "unknown") return this.#refuseAsUnknown();
     }
   }
@@ -364,6 +374,7 @@
     if (this.#context.needsTrial) return "again";
     if (this.#context.isKeyRemoved) return KEY_REMOVED;
     if (!this.#context.maySend("run")) return STOPPING;
+    if (this.#context.writer.isUnconfirmed) return REPLICAS_UNCONFIRMED;
     const hasPermit = this.#context.arrivals.reserve({ prefill: false });
     return hasPermit ? undefined : "refuse";
   }
@@ -497,9 +508,9 @@
   /** Handles a response that the endpoint broke off. */
   #afterBrokenResponse(): NextStep {
     const { repeat } = this.#context.route;
-    const { isWriterGone } = this.#context;
+    const obstacle = this.#continuationObstacle;
     const mayResume = repeat === "stream" && this.#relay.isResumable &&
-      !isWriterGone && this.#mayRunAgain() && this.#mayResend("cut");
+      obstacle === undefined && this.#mayRunAgain() && this.#mayResend("cut");
     if (mayResume) {
       this.#context.report("resumed", {
         lastEventId: this.#relay.lastEventId ?? "",
@@ -511,12 +522,20 @@
     this.#settle();
     this.#sink.abort();
     this.#context.report("cut", {
-      reason: isWriterGone ? VERSION_GONE : "endpoint_broke_off",
+      reason: obstacle ?? "endpoint_broke_off",
       ...this.#bodyFacts,
     });
     return "delivered";
   }
 
+  /** Why no replica may continue the stream that has begun, if so. */
+  get #continuationObstacle(): string | undefined {
+    if (this.#context.isWriterGone) return VERSION_GONE;
+    return this.#context.writer.isUnconfirmed
+      ? REPLICAS_UNCONFIRMED
+      : undefined;
+  }
+
   /** How the response has ended and what its caller has, for the log. */
   get #bodyFacts(): BodyFacts & PassedEvents {
     return { ...this.#relay.passedEvents, ...this.#attempt?.bodyFacts };
--- a/src/entry/forwarding/stream_continuation.ts
+++ b/src/entry/forwarding/stream_continuation.ts
@@ -40,7 +40,7 @@
   options: ContinuationOptions,
 ): Promise<Result<StreamOrigin, ContinuationRefusal>> {
   const { request, route, workspace } = options;
-  const { streams, timer, versions } = dependencies;
+  const { contact, streams, timer, versions } = dependencies;
   const startedAt = timer.now();
   const lookup = request.resumes === undefined ? undefined : await streams.find(
     streams.digestOf(request.resumes, workspace?.id),
@@ -62,6 +62,9 @@
       versionList: proof.ground,
       listAgeMilliseconds: Math.round(versions.ageMilliseconds),
     }),
+    registrationAgeMilliseconds: Math.round(
+      contact.registrationAgeMilliseconds,
+    ),
     milliseconds: Math.round(timer.now() - startedAt),
   });
   if (found === undefined) {
--- a/src/entry/forwarding/stream_origin_exchange.ts
+++ b/src/entry/forwarding/stream_origin_exchange.ts
@@ -99,6 +99,8 @@
   /** Entries in the list of the fleet, without this one. */
   readonly peers: () => readonly ProcessId[];
   readonly onOutcome: (outcome: StreamLookupOutcome) => void;
+  /** Called when a peer has answered a query in time. */
+  readonly onAnswered?: () => void;
   /** Digest of the attempt that began a stream. */
   readonly digestOf: (
     attempt: RequestId,
@@ -267,6 +269,7 @@
     // A late answer to the former process may have the id of another query.
     if (query === undefined || query.stream !== params.stream) return;
     if (!query.waiting.delete(peer)) return;
+    this.#options.onAnswered?.();
     if (params.origin !== undefined) {
       query.found = combineOrigins(query.found, decodeOrigin(params.origin));
     }
--- a/src/entry/forwarding/stream_writer.ts
+++ b/src/entry/forwarding/stream_writer.ts
@@ -76,6 +76,14 @@
     return this.#origin !== undefined;
   }
 
+  /**
+   * True if the stream that has begun may not be continued, as the replicas may
+   * have been replaced by others under their ids since they were last known.
+   */
+  get isUnconfirmed(): boolean {
+    return this.hasBegun && this.#dependencies.contact.isLost;
+  }
+
   /** True if a new stream has to wait until a version is listed. */
   isUnlisted(endpoints: readonly RegisteredEndpoint[]): boolean {
     const mayBegin = this.#isResumable && !this.hasBegun;
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -62,6 +62,7 @@
   type EndpointResponse,
   type Exchange,
   type ExchangeFailure,
+  FleetContact,
   FleetOutcomes,
   forward,
   type ForwardingDependencies,
@@ -381,6 +382,11 @@
         onOutcome() {},
         digestOf: streamDigestOf,
       }),
+      contact: new FleetContact({
+        timer,
+        peerCount: () => 0,
+        hasHeardPeer: () => false,
+      }),
       versions: new VersionListing({
         self,
         timer,
--- a/test/support/scripted_replica.ts
+++ b/test/support/scripted_replica.ts
@@ -32,7 +32,12 @@
       this.#server.once("error", reject);
       this.#server.listen(port, "127.0.0.1", resolve);
     });
-    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+    return `127.0.0.1:${this.port}`;
+  }
+
+  /** Port of a replica that listens. */
+  get port(): number {
+    return (this.#server.address() as AddressInfo).port;
   }
 
   /** Takes no further connections; those that are open stay. */
