--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -63,6 +63,7 @@
   type EndpointResponse,
   type Exchange,
   type ExchangeFailure,
+  FleetContact,
   FleetOutcomes,
   forward,
   type ForwardingDependencies,
@@ -382,6 +383,11 @@
         onOutcome() {},
         digestOf: streamDigestOf,
       }),
+      contact: new FleetContact({
+        timer,
+        peerCount: () => 0,
+        hasHeardPeer: () => false,
+      }),
       versions: new VersionListing({
         self,
         timer,
