Reject invalid statuses of services behind the product's own links

What callers saw: a plain service in trouble answered with a status that is none, such as 000. The link of its endpoint took it for the response, so that the side recorded the work as answered and sent the response on to the entry of the caller.

Cause: HttpEndpointLink.call passed on every status. The check of answers from 2xx to 5xx is in the forwarding path only (judgeAnswer).

Why it works: any status outside of 200 to 599 is an invalid response of the endpoint, which says that the work may have run, as a body that is too large does.

--- a/src/adapters/endpoint/mod.ts
+++ b/src/adapters/endpoint/mod.ts
@@ -34,6 +34,9 @@
 /** A healthy engine responds to status queries and orders immediately. */
 const DEFAULT_CONTROL_TIMEOUT_MILLISECONDS = 2_000;
 const MAX_CONTROL_RESPONSE_BYTES = 256 * 1024;
+/** Bounds of the statuses of final responses; callers can't use others. */
+const FIRST_FINAL_STATUS = 200;
+const LAST_STATUS = 599;
 
 /** Options of an `HttpEndpointLink`. */
 export interface HttpEndpointLinkOptions {
@@ -180,7 +183,13 @@
       timeoutMilliseconds: attempt.deadlineMilliseconds,
       mostResponseBytes: this.#mostResponseBytes,
     });
-    return response.mapErr((error) => this.#toEndpointFailure(error));
+    if (response.isErr()) return err(this.#toEndpointFailure(response.error));
+    const { status } = response.value;
+    if (status < FIRST_FINAL_STATUS || status > LAST_STATUS) {
+      const reason = `status ${status}`;
+      return err(failure(ENDPOINT_GARBAGE, { url: this.#url, reason }));
+    }
+    return ok(response.value);
   }
 
   async observe(): Promise<Result<EngineObservation, EndpointFailure>> {
--- a/src/adapters/endpoint/mod_test.ts
+++ b/src/adapters/endpoint/mod_test.ts
@@ -38,6 +38,23 @@
     expect(answer._unsafeUnwrap().body).to.equal("own");
   });
 
+  for (const status of ["000", "099", "101", "600", "999"]) {
+    // Callers of a service would get the status, or an entry would fail to
+    // write it.
+    it(`takes status ${status} of a service for an invalid response`, async () => {
+      const bytes = answerBytes("text").replace("200 OK", `${status} OK`);
+      const endpoint = new ScriptedReplica((socket) => socket.end(bytes));
+      const address = await endpoint.listen();
+      const link = new HttpEndpointLink(`http://${address}`, { timer });
+      const answer = await link.call(serviceAttempt());
+      link.close();
+      endpoint.close();
+      expect(endpoint.requests).to.have.length(1);
+      expect(answer.isErr(), JSON.stringify(answer)).to.equal(true);
+      expect(answer._unsafeUnwrapErr().name).to.equal("endpoint_garbage");
+    });
+  }
+
   describe("a model engine", () => {
     let engine: ModelEngineStandIn;
     let link: HttpEndpointLink;
