--- a/src/adapters/endpoint/mod_test.ts
+++ b/src/adapters/endpoint/mod_test.ts
@@ -38,6 +38,23 @@
     expect(answer._unsafeUnwrap().body).to.equal("own");
   });
 
+  // A service that ends its side of the connection in order can't have read
+  // what is still being written, so the part is no response to it.
+  it("takes the end of a part of a response for a cut while the call is written", async () => {
+    const part = answerBytes("part", { headers: "" });
+    const endpoint = new ScriptedReplica((socket) => socket.end(part));
+    endpoint.answersAtHead = true;
+    const address = await endpoint.listen();
+    const link = new HttpEndpointLink(`http://${address}`, { timer });
+    const attempt = serviceAttempt();
+    Object.assign(attempt.work, { body: "u".repeat(10_000_000) });
+    const answer = await link.call(attempt);
+    link.close();
+    endpoint.close();
+    expect(answer.isErr(), JSON.stringify(answer)).to.equal(true);
+    expect(answer._unsafeUnwrapErr().name).to.equal("endpoint_closed");
+  });
+
   for (const status of ["000", "099", "101", "600", "999"]) {
     // Callers of a service would get the status, or an entry would fail to
     // write it.
