Let new streams wait for the list at an entry that has just started

What callers saw: 503 stream_version_unlisted at once for each new resumable stream at an entry that had not read the list yet, with 0.25 to 0.5 s to return, also if the version was listed.

Cause: the wait for a pool without a listed version ended at once while the list was not known.

stream_continuation_test.ts, "begin at an entry that has just started while the store is slow", fails on.

The wait begins with a read of the list, within the same bound of 250 ms.

--- a/src/entry/forwarding/stream_continuation_test.ts
+++ b/src/entry/forwarding/stream_continuation_test.ts
@@ -27,6 +27,7 @@
   type ServiceName,
   type SoftwareVersion,
 } from "../../core/identity/mod.ts";
+import { sleep } from "../../core/time/mod.ts";
 import {
   STREAM_ANSWER_METHOD,
   STREAM_QUERY_METHOD,
@@ -627,6 +628,25 @@
         .to.deep.equal(begun.map(() => undefined));
     });
 
+    // Its entry knows no listed version until it has read the list.
+    it("begin at an entry that has just started while the store is slow", async () => {
+      const listed: ServingVersion[] = [];
+      let readMilliseconds = 0;
+      await startListed(listed, {
+        read: async () => {
+          if (readMilliseconds > 0) {
+            await sleep(streams.fleet.timer, readMilliseconds);
+          }
+          return ok([...listed]);
+        },
+      });
+      readMilliseconds = 200;
+      streams.fleet.restart(0);
+      const { attempt, caller } = await streams.submit(0);
+      expect(caller.refusal).to.equal(undefined);
+      expect(attempt).not.to.equal(undefined);
+    });
+
     it("is listed by one entry, and by another if that fails", async () => {
       const listed: ServingVersion[] = [];
       await startListed(listed);
--- a/src/entry/forwarding/version_listing.ts
+++ b/src/entry/forwarding/version_listing.ts
@@ -238,10 +238,17 @@
 
   /**
    * Lists the versions of a pool that has no listed one yet, without the delay
-   * that leaves it to other entries. Settles when that is done, or has failed.
+   * that leaves it to other entries; an entry that has just started reads the
+   * list before. Settles when that is done, or has failed.
    */
   async listFirst(pool: ServiceName): Promise<void> {
     const { link, listed, registry, timer } = this.#options;
+    if (!listed.isComplete) {
+      await withTimeout(this.#confirmation.read(), {
+        timer,
+        milliseconds: CONFIRMATION_MILLISECONDS,
+      });
+    }
     const unlisted = [...this.#unlisted.values()].filter((each) =>
       each.pool === pool
     );
