Repeat removals from the list of versions that have failed

One entry now reads the list every 30 s and removes what is gone from what it has read, if it has followed the registrations meanwhile.

--- a/src/entry/forwarding/stream_continuation_test.ts
+++ b/src/entry/forwarding/stream_continuation_test.ts
@@ -653,6 +653,26 @@
       expect(listed).to.deep.equal([{ pool: PORTAL, softwareVersion: "v1" }]);
     });
 
+    // A version that stays listed keeps the others from being the only one.
+    it("leaves the list also if its removal fails at first", async () => {
+      let stored: ServingVersion[] = [];
+      let failures = 0;
+      await startListed(stored, {
+        read: () => Promise.resolve(ok([...stored])),
+        remove: () => {
+          failures += 1;
+          if (failures < 3) return Promise.resolve(err(STORE_FAILURE));
+          stored = [];
+          return Promise.resolve(ok(undefined));
+        },
+      });
+      for (const { registry } of streams.fleet.entries) {
+        for (const { id } of streams.endpoints) registry.remove(id);
+      }
+      await streams.fleet.timer.advance(450_000);
+      expect(stored).to.deep.equal([]);
+    });
+
     it("leaves the list once no stream of it can be taken up", async () => {
       const removed: ServingVersion[] = [];
       const listed: ServingVersion[] = [];
--- a/src/entry/forwarding/version_listing.ts
+++ b/src/entry/forwarding/version_listing.ts
@@ -39,7 +39,7 @@
 const CONFIRMATION_MILLISECONDS = 300;
 /** Bounds the reads for callers whose streams no entry knows. */
 const MIN_READ_INTERVAL_MILLISECONDS = 50;
-/** Interval of the search for versions that serve no more. */
+/** Interval of comparisons of the list with the versions that serve. */
 const SWEEP_MILLISECONDS = 30_000;
 /**
  * Time without replicas after which a version that comes back is listed again.
@@ -146,7 +146,7 @@
     this.#options.timer.run(() => this.#readFirst());
     this.#sweep = this.#options.timer.every(
       SWEEP_MILLISECONDS,
-      () => this.#removeGone(),
+      () => this.#compare(),
     );
   }
 
@@ -431,27 +431,37 @@
     timer.after(RETRY_MILLISECONDS, () => this.#list(version));
   }
 
+  /**
+   * Compares the list with what serves. One entry reads it, and removes versions
+   * that are gone, also those that the others no longer know, as a removal may
+   * have failed.
+   */
+  async #compare(): Promise<void> {
+    const { ranking, registry, self, timer } = this.#options;
+    for (const endpoint of registry.all) {
+      this.#seenAt.set(keyOf(endpoint), timer.now());
+    }
+    if (ranking(VERSIONS_METHOD)[0] !== self) return;
+    await this.#confirmation.read();
+    if (!this.#isStopped) this.#removeGone();
+  }
+
   /**
    * Removes versions without replicas for longer than streams live. An entry
    * that was cut off or frozen does not know which replicas were registered
    * meanwhile, so a version may have had some until the gap's end.
    */
   #removeGone(): void {
-    const { listed, ranking, registry, self, timer } = this.#options;
+    const { listed, registrationsFollowedSince, timer } = this.#options;
     const now = timer.now();
-    const followedSince = this.#options.registrationsFollowedSince();
-    for (const endpoint of registry.all) {
-      this.#seenAt.set(keyOf(endpoint), now);
-    }
+    const followedSince = registrationsFollowedSince();
     for (const version of listed.all) {
       const key = keyOf(version);
       const seenAt = this.#seenAt.get(key) ?? now;
       this.#seenAt.set(key, seenAt);
       const isGone =
         now - Math.max(seenAt, followedSince) > STREAM_LIFETIME_MILLISECONDS;
-      if (isGone && ranking(key)[0] === self) {
-        this.#options.timer.run(() => this.#remove(version));
-      }
+      if (isGone) timer.run(() => this.#remove(version));
     }
   }
 
