Run stream faults with two versions and entries out of step

`npm run stream-faults` had one version and no entry out of step, so it could not find streams with events of two versions.

--- a/scripts/stream_faults.ts
+++ b/scripts/stream_faults.ts
@@ -1,15 +1,17 @@
 /**
  * `npm run stream-faults -- [--seed N] [--seeds N] [--seconds N]
- * [--links KIND] [--framing KIND] [--stops-in-order]`: runs callers of streams
- * while entries and replicas are killed, terminated, frozen and started again,
- * also behind links whose connections have different delays. Replicas stop in
- * order when their time is up, some end streams early that nothing frames, and
- * some lose events.
+ * [--links KIND] [--framing KIND] [--stops-in-order] [--versions]`: runs callers
+ * of streams while entries and replicas are killed, terminated, frozen and
+ * started again, also behind links whose connections have different delays.
+ * Replicas stop in order when their time is up, some end streams early that
+ * nothing frames, and some lose events.
  * `--stops-in-order` makes replicas that are terminated end their open streams
  * in order, with the last chunk; entries take such streams for whole, so runs
- * with it fail. Prints one line of JSON per seed; the exit code is 0 only if no
- * stream was out of order. `--logs FOLDER` saves the entries' logs of seeds with
- * violations.
+ * with it fail. `--versions` makes a second software version join and leave and
+ * cuts entries off from their peers and the store, with callers that keep their
+ * connections; all of them speak HTTP/1.1. Prints one line of JSON per seed; the
+ * exit code is 0 only if no stream was out of order or had events of two
+ * versions. `--logs FOLDER` saves the entries' logs of seeds with violations.
  */
 import { mkdirSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
@@ -31,6 +33,7 @@
     links: { type: "string" },
     framing: { type: "string" },
     logs: { type: "string" },
+    versions: { type: "boolean", default: false },
     "stops-in-order": { type: "boolean", default: false },
   },
 });
@@ -51,6 +54,7 @@
     seconds: Number(values.seconds),
     callers: Number(values.callers),
     links,
+    hasVersions: values.versions,
     stopsInOrder: values["stops-in-order"],
     ...(framing !== undefined && { framings: [framing] }),
   });
