--- a/src/core/forwarding/route_table.ts
+++ b/src/core/forwarding/route_table.ts
@@ -35,7 +35,7 @@
       if (routes === undefined) this.#byHost.set(host, [route]);
       else routes.push(route);
       this.#recordPause(route);
-      if (route.repeat !== "stream" || !route.resumable) continue;
+      if (!isResumable(route)) continue;
       for (const { pool } of route.shares) this.#resumablePools.add(pool);
     }
     for (const routes of this.#byHost.values()) {
--- a/src/entry/forwarding/version_listing.ts
+++ b/src/entry/forwarding/version_listing.ts
@@ -50,7 +50,6 @@
 const RELIST_MILLISECONDS = STREAM_LIFETIME_MILLISECONDS / 2;
 /** Time after the last replica of a version in which one may come back. */
 const RETURN_MILLISECONDS = 10_000;
-
 /**
  * Time in which all entries that reach the store notice that it was restored,
  * and list the versions again that it lacks. Each reads the list of the fleet
@@ -125,10 +124,10 @@
   /** When this entry noticed that the store was restored from a copy. */
   #restoredAt = -Infinity;
   /** True while versions that a restored store lacks are looked for. */
-  #isComparing = false;
+  #isRestoring = false;
   #sweep: Subscription | undefined;
   #isStopped = false;
-
+  /** Reads of the list for callers whose streams no entry knows. */
   readonly #confirmation: SharedRead;
 
   constructor(options: VersionListingOptions) {
@@ -198,8 +197,8 @@
     const { link, random, timer } = this.#options;
     if (link === undefined || this.#isStopped) return;
     this.#restoredAt = timer.now();
-    if (this.#isComparing) return;
-    this.#isComparing = true;
+    if (this.#isRestoring) return;
+    this.#isRestoring = true;
     // The entries of a fleet notice it at the same time.
     const delay = random() * RETRY_MILLISECONDS;
     timer.after(delay, () => this.#listMissing(link));
@@ -339,7 +338,7 @@
       timer.after(RETRY_MILLISECONDS, () => this.#listMissing(link));
       return;
     }
-    this.#isComparing = false;
+    this.#isRestoring = false;
     const present = new Set(read.value.map(keyOf));
     for (const version of listed.all) {
       const key = keyOf(version);
