--- a/src/entry/forwarding/stream_continuation_test.ts
+++ b/src/entry/forwarding/stream_continuation_test.ts
@@ -764,7 +764,7 @@
       });
     });
 
-    // An entry has missed the datagram by which another one told that it has
+    // An entry has missed the datagram by which another one announces that it has
     // removed the version, and takes it for listed when it comes back.
     it("is listed again if it comes back where its removal was missed", async () => {
       const listed: ServingVersion[] = [];
--- a/src/entry/forwarding/version_listing.ts
+++ b/src/entry/forwarding/version_listing.ts
@@ -69,7 +69,7 @@
 }
 
 /**
- * The version that has begun every stream of a pool, or why that can't be told:
+ * The version that has begun every stream of a pool, or why it is not known:
  * there is no list, or it could not be read in time, or may lack versions as the
  * store was restored from an older copy, or names several.
  */
