--- a/review/support-2/deployment.ts
+++ b/review/support-2/deployment.ts
@@ -40,21 +40,25 @@
   readonly store = new StoreStandIn();
   readonly entries = new Entries();
   readonly #replicas = new Map<string, RegisteredReplica>();
-  readonly #gone: ScriptedReplica[] = [];
   #heartbeats: NodeJS.Timeout | undefined;
   #version = 0;
 
   /** Starts a replica and registers it. */
   async addReplica(
     id: string,
-    { script, service, slots = 8 }: {
+    { linkTo, script, service, slots = 8 }: {
       readonly service: string;
       readonly script: ReplicaScript;
       readonly slots?: number;
+      /** Opens a link to the replica; resolves with the port of the link. */
+      readonly linkTo?: (replica: ScriptedReplica) => Promise<number>;
     },
   ): Promise<ScriptedReplica> {
     const replica = new IdentifiedReplica(script, id);
-    const address = await replica.listen();
+    const direct = await replica.listen();
+    const address = linkTo === undefined
+      ? direct
+      : `127.0.0.1:${await linkTo(replica)}`;
     const fields = {
       service,
       address,
@@ -70,14 +74,6 @@
     return replica;
   }
 
-  /** Deletes the registration of a replica, which goes on serving. */
-  removeRegistration(id: string): void {
-    const registered = this.#replicas.get(id);
-    this.#replicas.delete(id);
-    if (registered !== undefined) this.#gone.push(registered.replica);
-    this.store.put(REGISTRATION_TOPIC, id, undefined);
-  }
-
   /** Writes a configuration, which is acknowledged when this returns. */
   configure(routes: readonly RouteFields[]): void {
     const services = [
@@ -129,7 +125,6 @@
     clearInterval(this.#heartbeats);
     await this.entries.close();
     for (const { replica } of this.#replicas.values()) replica.close();
-    for (const replica of this.#gone) replica.close();
     await this.store.close();
   }
 
