--- a/review/support-2/deployment.ts
+++ b/review/support-2/deployment.ts
@@ -32,8 +32,18 @@
 export type RouteFields = Readonly<Record<string, unknown>>;
 
 interface RegisteredReplica {
-  readonly replica: ScriptedReplica;
+  readonly replica?: ScriptedReplica;
   readonly fields: Record<string, unknown>;
+  /** True: it does not reach the store. */
+  isCutOff?: boolean;
+}
+
+export interface Registration {
+  readonly service: string;
+  readonly address: string;
+  readonly slots: number;
+  /** Unix milliseconds of the start of the replica's run. */
+  readonly born?: number;
 }
 
 export class Deployment {
@@ -59,21 +69,24 @@
     const address = linkTo === undefined
       ? direct
       : `127.0.0.1:${await linkTo(replica)}`;
-    const fields = {
-      service,
-      address,
-      zone: "z0",
-      version: "v1",
-      slots,
-      state: "ready",
-      cold_remaining_ms: 0,
-      sequence: 0,
-    };
+    const fields = fieldsOf({ service, address, slots });
     this.#replicas.set(id, { replica, fields });
     this.#beat(id);
     return replica;
   }
 
+  /** Registers a run of a replica that the caller has started. */
+  register(id: string, registration: Registration): void {
+    this.#replicas.set(id, { fields: fieldsOf(registration) });
+    this.#beat(id);
+  }
+
+  /** The replica does not reach the store until it registers again. */
+  cutOff(id: string): void {
+    const registered = this.#replicas.get(id);
+    if (registered !== undefined) registered.isCutOff = true;
+  }
+
   /** Writes a configuration, which is acknowledged when this returns. */
   configure(routes: readonly RouteFields[]): void {
     const services = [
@@ -124,14 +137,25 @@
   async close(): Promise<void> {
     clearInterval(this.#heartbeats);
     await this.entries.close();
-    for (const { replica } of this.#replicas.values()) replica.close();
+    for (const { replica } of this.#replicas.values()) replica?.close();
     await this.store.close();
   }
 
   #beat(id: string): void {
-    const fields = this.#replicas.get(id)?.fields;
-    if (fields === undefined) return;
+    const { fields, isCutOff } = this.#replicas.get(id) ?? {};
+    if (fields === undefined || isCutOff) return;
     fields.sequence = Number(fields.sequence) + 1;
     this.store.put(REGISTRATION_TOPIC, id, fields);
   }
 }
+
+function fieldsOf(registration: Registration): Record<string, unknown> {
+  return {
+    ...registration,
+    zone: "z0",
+    version: "v1",
+    state: "ready",
+    cold_remaining_ms: 0,
+    sequence: 0,
+  };
+}
