--- a/review/5/run.ts
+++ b/review/5/run.ts
@@ -78,7 +78,7 @@
     (_, index) => {
       const entry = index % ENTRIES;
       const address = deployment.entries.callerAddress(entry);
-      return { entry, channel: new KeptChannelCaller(address) };
+      return { entry, channel: new KeptChannelCaller(address, record) };
     },
   );
   onEnd(() => callers.forEach(({ channel }) => channel.close()));
@@ -90,11 +90,6 @@
         body: "crew",
         deadlineMilliseconds: DEADLINE_MILLISECONDS,
       });
-      const end = answer.isComplete ? "whole" : "cut";
-      record.note(
-        `entry ${entry} to ${answer.requestId}: ${answer.status ?? "none"}, ` +
-          `${end}, "${answer.body}"`,
-      );
       return { ...answer, entry };
     }));
   for (let round = 0; round < ROUNDS_BEFORE; round++) {
@@ -103,7 +98,7 @@
     record.note(`round ${round}: ${lost.length} answers are not whole`);
   }
   await delay(SILENCE_MILLISECONDS);
-  if (hasTrouble) { for (const link of links) link.silenceOpenConnections(); }
+  for (const link of hasTrouble ? links : []) link.silenceOpenConnections();
   record.note(hasTrouble ? "the open channels go silent" : "nothing happens");
   await delay(STABLE_WINDOW_MILLISECONDS + MARGIN_MILLISECONDS);
   const last = await playRound();
--- a/review/support-2/kept_channel.ts
+++ b/review/support-2/kept_channel.ts
@@ -2,6 +2,7 @@
 import { Agent, type IncomingMessage, request } from "node:http";
 import { randomBytes } from "node:crypto";
 import { HOST } from "./deployment.ts";
+import type { RunRecord } from "./record.ts";
 
 const REQUEST_ID_BYTES = 8;
 
@@ -31,10 +32,15 @@
 
 export class KeptChannelCaller {
   readonly #address: { readonly host: string; readonly port: number };
+  readonly #record: RunRecord;
   readonly #agent = new Agent({ keepAlive: true, maxSockets: 1 });
 
-  constructor(address: { readonly host: string; readonly port: number }) {
+  constructor(
+    address: { readonly host: string; readonly port: number },
+    record: RunRecord,
+  ) {
     this.#address = address;
+    this.#record = record;
   }
 
   /** Sends a request; resolves when its answer or its channel has ended. */
@@ -43,6 +49,9 @@
   ): Promise<CallerAnswer> {
     const requestId = randomBytes(REQUEST_ID_BYTES).toString("hex");
     const sentAt = performance.now();
+    this.#record.note(
+      `${requestId} is sent to ${this.#address.host}: ${method} ${path}`,
+    );
     return new Promise((resolve) => {
       const outgoing = request({
         ...this.#address,
@@ -61,17 +70,24 @@
       });
       let incoming: IncomingMessage | undefined;
       let text = "";
-      const settle = () =>
+      const settle = () => {
+        const status = incoming?.statusCode;
+        const isComplete = incoming?.complete ?? false;
+        this.#record.note(
+          `${requestId} gets ${status ?? "no answer"}, ` +
+            `${isComplete ? "complete" : "cut"}, ${JSON.stringify(text)}`,
+        );
         resolve({
           requestId,
           path,
-          status: incoming?.statusCode,
+          status,
           body: text,
-          isComplete: incoming?.complete ?? false,
+          isComplete,
           isOnKeptChannel: outgoing.reusedSocket,
           sentAt,
           endedAt: performance.now(),
         });
+      };
       outgoing.on("response", (response) => {
         incoming = response;
         response.on("data", (chunk) => text += chunk);
--- a/review/support-2/moved_route.ts
+++ b/review/support-2/moved_route.ts
@@ -60,11 +60,9 @@
     { length: ENTRIES * options.callersPerEntry },
     async (_, index) => {
       const address = deployment.entries.callerAddress(index % ENTRIES);
-      const caller = new KeptChannelCaller(address);
+      const caller = new KeptChannelCaller(address, record);
       while (!isOver) {
-        const answer = await caller.send(request);
-        answers.push(answer);
-        record.note(describe(answer));
+        answers.push(await caller.send(request));
         await delay(options.pauseMilliseconds);
       }
       caller.close();
@@ -107,11 +105,3 @@
     });
   }
 }
-
-function describe(
-  { body, isComplete, requestId, status }: CallerAnswer,
-): string {
-  const end = isComplete ? "whole" : "cut";
-  return `answer to ${requestId}: ${status ?? "none"}, ${end}, ` +
-    `${body.length} bytes`;
-}
