Ends of bodies are asked for on a new connection where a kept one is silent

What callers saw: a whole answer without a length ended as cut after half of the time that was left, wherever the entry's idle connection to the replica had gone silent without a reset. An unsafe request that had run had no answer. Cause: `WriterWatch` asked on one connection only, with all the time for questions, and opened another one only when that one ended. Connections for questions are kept, two for each replica, so a silence lost two answers a replica at each entry. Change: behind 100 ms of silence, or a quarter of the time for questions, the question is asked on a new connection too, at most on three at a time; the first answer of the writer settles it, on whichever connection it comes. The kept one is not given up meanwhile: a replica that leaves accepts no new ones and answers on those it has. A new connection that is rejected is no verdict while an older question is open. Where a new one was answered first, the endpoint's idle ones are closed. Why it works: the verdict needs an answer of the writer, and no longer one on a particular connection.

--- a/src/entry/forwarding/writer_connections.ts
+++ b/src/entry/forwarding/writer_connections.ts
@@ -48,6 +48,12 @@
     this.#store(id, [...open, connection]);
   }
 
+  /** Closes the idle connections to an endpoint. */
+  closeIdle({ id }: RegisteredEndpoint): void {
+    for (const connection of this.#idle.get(id) ?? []) connection.close();
+    this.#idle.delete(id);
+  }
+
   #openOf(id: EndpointId): EndpointConnection[] {
     return (this.#idle.get(id) ?? []).filter(({ state }) => state === "open");
   }
--- a/src/entry/forwarding/writer_watch.ts
+++ b/src/entry/forwarding/writer_watch.ts
@@ -1,12 +1,21 @@
 import type { RegisteredEndpoint } from "../../core/forwarding/mod.ts";
-import { sleep } from "../../core/time/mod.ts";
+import { sleep, withTimeout } from "../../core/time/mod.ts";
 import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
 import type { EndpointConnection } from "./network_interfaces.ts";
 
 /** Time for all questions about one end. */
 const MAX_QUESTION_MILLISECONDS = 5_000;
-/** Pause before the third question; it doubles with each further one. */
+/** Pause before the third connection; it doubles with each further one. */
 const FIRST_PAUSE_MILLISECONDS = 25;
+/**
+ * Silence after which the question is asked on another connection, too: a
+ * connection may be silent while its endpoint answers on others.
+ */
+const MAX_SILENCE_MILLISECONDS = 100;
+/** The same, as a fraction of the time for all questions. */
+const MAX_SILENCE_FRACTION = 1 / 4;
+/** A busy endpoint answers late, so a question may not add to its work often. */
+const MAX_OPEN_QUESTIONS = 3;
 
 /** On what the verdict over an end that only the connection shows is based. */
 export type EndEvidence =
@@ -43,6 +52,11 @@
   readonly endVerdictMilliseconds: number;
 }
 
+interface Answer {
+  readonly connection: EndpointConnection;
+  readonly evidence?: EndEvidence;
+}
+
 /**
  * Finds out whether the process that wrote a body which ends with its
  * connection has outlived it. The operating system ends the connections of a
@@ -53,7 +67,15 @@
  */
 export class WriterWatch {
   readonly #options: WriterWatchOptions;
-  #connection: EndpointConnection;
+  /** The connection that was opened before the end. */
+  readonly #first: EndpointConnection;
+  /** The questions that are not answered yet, by their connections. */
+  readonly #open = new Map<EndpointConnection, Promise<Answer>>();
+  /** True once the first connection is one for later questions. */
+  #isFirstKept = false;
+  /** Connections on which the question was to be asked. */
+  #connections = 0;
+  /** Questions that were sent. */
   #questions = 0;
   #isClosed = false;
 
@@ -61,13 +83,14 @@
   constructor(options: WriterWatchOptions) {
     this.#options = options;
     const { dependencies, endpoint } = options;
-    this.#connection = dependencies.writerConnections.take(endpoint);
+    this.#first = dependencies.writerConnections.take(endpoint);
   }
 
   close(): void {
     if (this.#isClosed) return;
     this.#isClosed = true;
-    this.#connection.close();
+    if (!this.#isFirstKept) this.#first.close();
+    for (const connection of this.#open.keys()) connection.close();
   }
 
   /** Judges the end of the body that was just read. */
@@ -78,7 +101,7 @@
     const endEvidence = await this.#findEvidence(
       begunAt + Math.min(maxMilliseconds, MAX_QUESTION_MILLISECONDS),
     );
-    this.#release(endEvidence);
+    this.close();
     return {
       endEvidence,
       endDelayMilliseconds,
@@ -91,41 +114,84 @@
     const { dependencies, endpoint, healthPath } = this.#options;
     const { timer } = dependencies;
     if (healthPath === undefined) return "not_asked";
-    let isOpenedBefore = true;
-    while (!this.#isClosed) {
-      const evidence = await this.#ask(healthPath, until);
-      if (evidence !== undefined) return evidence;
-      const isRejected = this.#connection.state === "rejected";
-      if (isRejected && !isOpenedBefore) return "not_listening";
-      const pause = this.#pauseMilliseconds;
-      if (timer.now() + pause >= until) break;
-      if (pause > 0) await sleep(timer, pause);
-      // Nothing closes a connection that is opened behind the close.
+    const maxSilence = Math.min(
+      MAX_SILENCE_MILLISECONDS,
+      (until - timer.now()) * MAX_SILENCE_FRACTION,
+    );
+    const ask = (connection: EndpointConnection): void => {
+      const answer = this.#ask(connection, { healthPath, until });
+      this.#open.set(connection, answer);
+      this.#connections += 1;
+    };
+    ask(this.#first);
+    let nextAt = timer.now() + maxSilence;
+    while (!this.#isClosed && timer.now() < until) {
+      const answer = await this.#nextAnswer(Math.min(nextAt, until));
       if (this.#isClosed) break;
-      this.#connection.close();
-      this.#connection = dependencies.writerConnections.open(endpoint);
-      isOpenedBefore = false;
+      if (answer?.evidence !== undefined) {
+        return this.#settle(answer.evidence, answer.connection);
+      }
+      if (answer !== undefined) {
+        if (this.#isNotListening(answer)) return "not_listening";
+        nextAt = timer.now() + this.#pauseMilliseconds;
+        if (this.#open.size === 0 && nextAt >= until) break;
+      } else if (timer.now() >= nextAt) {
+        ask(dependencies.writerConnections.open(endpoint));
+        nextAt = this.#open.size < MAX_OPEN_QUESTIONS
+          ? timer.now() + maxSilence * this.#open.size
+          : Infinity;
+      }
     }
     return "not_answered";
   }
 
-  /** Undefined if the answer, or its absence, shows nothing of the process. */
+  /** True if a new connection was rejected, and no other one is open. */
+  #isNotListening({ connection }: Answer): boolean {
+    const { state } = connection;
+    connection.close();
+    return state === "rejected" && connection !== this.#first &&
+      this.#open.size === 0;
+  }
+
+  /** The next answer; undefined if there is none until the time. */
+  async #nextAnswer(until: number): Promise<Answer | undefined> {
+    const { timer } = this.#options.dependencies;
+    const milliseconds = until - timer.now();
+    if (milliseconds <= 0) return undefined;
+    if (this.#open.size === 0) {
+      await sleep(timer, milliseconds);
+      return undefined;
+    }
+    const answer = await withTimeout(Promise.race(this.#open.values()), {
+      timer,
+      milliseconds,
+    });
+    if (answer !== undefined) this.#open.delete(answer.connection);
+    return answer;
+  }
+
+  /** The answer has no evidence if it, or its absence, shows nothing. */
   async #ask(
-    healthPath: string,
-    until: number,
-  ): Promise<EndEvidence | undefined> {
+    connection: EndpointConnection,
+    { healthPath, until }: {
+      readonly healthPath: string;
+      readonly until: number;
+    },
+  ): Promise<Answer> {
     const { dependencies: { timer }, endpoint } = this.#options;
-    const connection = this.#connection;
     await connection.opened;
-    if (connection.state !== "open" || this.#isClosed) return undefined;
+    if (connection.state !== "open" || this.#isClosed) return { connection };
     this.#questions += 1;
     const process = await connection.identify(endpoint.id, {
       healthPath,
       timeoutMilliseconds: Math.max(0, until - timer.now()),
     });
-    if (process === "other") return "answered_by_other";
-    if (process !== "expected") return undefined;
-    return this.#isRegisteredAgain ? "registered_again" : "answered";
+    if (process === "other") {
+      return { connection, evidence: "answered_by_other" };
+    }
+    if (process !== "expected") return { connection };
+    const evidence = this.#isRegisteredAgain ? "registered_again" : "answered";
+    return { connection, evidence };
   }
 
   /** True if the id may name another run than the writer. */
@@ -139,16 +205,28 @@
 
   /** The connection from before the end may have been closed as idle. */
   get #pauseMilliseconds(): number {
-    return this.#questions < 2
+    return this.#connections < 2
       ? 0
-      : FIRST_PAUSE_MILLISECONDS * 2 ** (this.#questions - 2);
+      : FIRST_PAUSE_MILLISECONDS * 2 ** (this.#connections - 2);
   }
 
-  #release(evidence: EndEvidence): void {
+  /** Keeps the connection on which the writer has answered. */
+  #settle(
+    evidence: EndEvidence,
+    connection: EndpointConnection,
+  ): EndEvidence {
     const { dependencies, endpoint } = this.#options;
-    if (evidence !== "answered" || this.#isClosed) return this.close();
-    this.#isClosed = true;
-    dependencies.writerConnections.release(endpoint, this.#connection);
+    if (evidence !== "answered") {
+      connection.close();
+      return evidence;
+    }
+    // What has silenced the connection may have silenced the idle ones.
+    if (this.#open.has(this.#first)) {
+      dependencies.writerConnections.closeIdle(endpoint);
+    }
+    this.#isFirstKept = connection === this.#first;
+    dependencies.writerConnections.release(endpoint, connection);
+    return evidence;
   }
 }
 
