Idle connections are reused for 2 s only, whatever endpoints announce

What callers saw: behind connections to replicas that had gone silent without a reset, requests waited on a dead connection until their deadline and got 504, though their replicas were sound. Safe requests with a second attempt got none either. Cause: an idle connection to an endpoint was reused for half of what the endpoint announces, 15 s for 30, those to peers and to the store and the usage service for as long as they lived. Nothing but time shows that an idle connection is silent. Change: an idle connection is reused for 2 s behind its last answer, which was the default for endpoints that announce nothing. So each that is reused has answered within these 2 s, and none is dead 3 s behind a silence. Connections for questions on ends stay: an endpoint that leaves may accept no others, and a silent one of them costs 100 ms.

--- a/src/adapters/forwarding/endpoint_http_client_test.ts
+++ b/src/adapters/forwarding/endpoint_http_client_test.ts
@@ -373,6 +373,43 @@
     expect(replica.connections).to.equal(2);
   });
 
+  // Nothing but time shows that an idle connection has gone silent, and a request
+  // on it has no answer until its deadline, which may not be sent again.
+  for (const announced of [undefined, 30, 600]) {
+    it(`has an answer though the idle connections have gone silent: ${announced} s announced`, async () => {
+      const silent = new Set<Socket>();
+      await startReplica((socket) => {
+        const headers = announced === undefined
+          ? ""
+          : `Keep-Alive: timeout=${announced}\r\n`;
+        if (silent.has(socket)) return;
+        socket.write(
+          answerBytes("x", { headers: `Content-Length: 1\r\n${headers}` }),
+        );
+      });
+      await Promise.all([send(), send(), send()]);
+      for (const socket of replica.sockets) silent.add(socket);
+      await new Promise((resolve) => setTimeout(resolve, 2_200));
+      const outcomes = await Promise.race([
+        Promise.all([send(), send(), send()]),
+        new Promise<Outcome[]>((resolve) => setTimeout(resolve, 500, [])),
+      ]);
+      expect(outcomes.map(({ body }) => body)).to.deep.equal(["x", "x", "x"]);
+    });
+  }
+
+  // Each request would need a new connection, which endpoints accept few of.
+  it("reuses a connection that was idle for a second", async () => {
+    await startReplica((socket) => {
+      const headers = "Content-Length: 1\r\nKeep-Alive: timeout=30\r\n";
+      socket.write(answerBytes("x", { headers }));
+    });
+    await send();
+    await new Promise((resolve) => setTimeout(resolve, 1_000));
+    await send();
+    expect(replica.connections).to.equal(1);
+  });
+
   // Node throws where a socket's timeout is infinite, outside the request.
   it("survives an announced idle timeout with more digits than a number holds", async () => {
     await startReplica((socket) => {
--- a/src/adapters/forwarding/keep_alive_agent.ts
+++ b/src/adapters/forwarding/keep_alive_agent.ts
@@ -1,8 +1,7 @@
 import { Agent, type ClientRequest } from "node:http";
 import type { Socket } from "node:net";
-import { PacedAgent } from "../http_client/mod.ts";
+import { MAX_IDLE_MILLISECONDS, PacedAgent } from "../http_client/mod.ts";
 import { hasUnparsedBytes } from "../paced_reads/mod.ts";
-import { MAX_DELAY_MILLISECONDS } from "../time/mod.ts";
 
 /**
  * Fraction of the endpoint's idle timeout during which a connection is reused.
@@ -10,8 +9,6 @@
  * being sent, and whether the request ran would be unknown.
  */
 const IDLE_TIMEOUT_FRACTION = 0.5;
-/** Used if the endpoint announces no timeout; shorter than common timeouts. */
-const DEFAULT_IDLE_MILLISECONDS = 2_000;
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/;
 
 /** Methods that Node's agent calls when a socket becomes idle or is reused. */
@@ -29,10 +26,10 @@
 }
 
 /**
- * Keep-alive connections to endpoints, reused in LIFO order. A connection that
- * receives bytes while idle, for example because an endpoint responds twice, is
- * closed, so that the bytes cannot be taken for the response to the next
- * request.
+ * Keep-alive connections to endpoints, reused in LIFO order for a short time,
+ * whatever longer one the endpoint announces. A connection that receives bytes
+ * while idle, for example because an endpoint responds twice, is closed, so that
+ * the bytes cannot be taken for the response to the next request.
  */
 export class KeepAliveAgent extends PacedAgent {
   readonly #idleListeners = new WeakMap<Socket, () => void>();
@@ -61,12 +58,11 @@
   #retainSocket(socket: IdleSocket): boolean {
     const header = socket._httpMessage?.res?.headers["keep-alive"];
     const timeoutMatch = KEEP_ALIVE_TIMEOUT.exec(String(header ?? ""));
-    const idleMilliseconds = timeoutMatch === null
-      ? DEFAULT_IDLE_MILLISECONDS
-      : Math.min(
-        Number(timeoutMatch[1]) * 1_000 * IDLE_TIMEOUT_FRACTION,
-        MAX_DELAY_MILLISECONDS,
-      );
+    const announcedSeconds = Number(timeoutMatch?.[1] ?? Infinity);
+    const idleMilliseconds = Math.min(
+      announcedSeconds * 1_000 * IDLE_TIMEOUT_FRACTION,
+      MAX_IDLE_MILLISECONDS,
+    );
     const isReusable = !socket.destroyed && !hasUnparsedBytes(socket);
     if (idleMilliseconds <= 0 || !isReusable) return false;
     const destroy = () => socket.destroy();
--- a/src/adapters/http_client/mod.ts
+++ b/src/adapters/http_client/mod.ts
@@ -5,6 +5,7 @@
 import type { TimerService } from "../../core/time/mod.ts";
 import { detectBrokenEnd, framingOf } from "./body_framing.ts";
 import { hedgedCall } from "./hedged_call.ts";
+import { limitIdleTime } from "./idle_limit.ts";
 import { PacedAgent } from "./paced_agent.ts";
 import { trackConnected } from "./track_connected.ts";
 import {
@@ -15,6 +16,7 @@
 } from "./errors.ts";
 
 export { detectBrokenEnd, framingOf, hasNoBody } from "./body_framing.ts";
+export { limitIdleTime, MAX_IDLE_MILLISECONDS } from "./idle_limit.ts";
 export { openPaced, PacedAgent } from "./paced_agent.ts";
 export { trackConnected } from "./track_connected.ts";
 
@@ -102,11 +104,13 @@
   constructor(baseUrl: string, options: HttpClientOptions) {
     this.#baseUrl = new URL(baseUrl);
     this.#timer = options.timer;
-    this.#agent = new PacedAgent({
-      keepAlive: true,
-      noDelay: true,
-      maxSockets: options.mostConnections ?? Infinity,
-    });
+    this.#agent = limitIdleTime(
+      new PacedAgent({
+        keepAlive: true,
+        noDelay: true,
+        maxSockets: options.mostConnections ?? Infinity,
+      }),
+    );
   }
 
   /** Sends a request; the calling code reads the response body. */
--- a/src/adapters/http_client/mod_test.ts
+++ b/src/adapters/http_client/mod_test.ts
@@ -1,3 +1,4 @@
+import type { Socket } from "node:net";
 import { expect } from "chai";
 import {
   answerBytes,
@@ -41,6 +42,28 @@
     return result.isOk() ? result.value.body : result.error.name;
   }
 
+  // Nothing but time shows that an idle connection has gone silent. A call that
+  // may not be repeated would be lost on it.
+  it("has an answer though the idle connections have gone silent", async () => {
+    const silent = new Set<Socket>();
+    const service = new ScriptedReplica((socket) => {
+      if (silent.has(socket)) return;
+      socket.write(answerBytes("{}", { headers: "Content-Length: 2\r\n" }));
+    });
+    const client = new HttpClient(`http://${await service.listen()}`, {
+      timer: new SystemTimerService(),
+    });
+    await client.call("/x", CALL);
+    await client.call("/x", CALL);
+    expect(service.connections).to.equal(1);
+    for (const socket of service.sockets) silent.add(socket);
+    await new Promise((resolve) => setTimeout(resolve, 2_200));
+    const result = await client.call("/x", { ...CALL, method: "POST" });
+    client.close();
+    service.close();
+    expect(result.isOk() && result.value.body).to.equal("{}");
+  });
+
   describe("a body that ends with its connection", () => {
     it("is accepted if its content shows that it is complete", async () => {
       for (const body of ['{"offset":127}', "[1, 2]", ""]) {
--- a/src/adapters/peers/peer_client.ts
+++ b/src/adapters/peers/peer_client.ts
@@ -25,7 +25,7 @@
 } from "../../generated/messages.ts";
 import type { TimerService } from "../../core/time/mod.ts";
 import { isNumber, isObject, isObjectOf } from "../../core/validation/mod.ts";
-import { trackConnected } from "../http_client/mod.ts";
+import { limitIdleTime, trackConnected } from "../http_client/mod.ts";
 import { SystemTimerService } from "../time/mod.ts";
 import { LINK_LOST, LINK_NOT_SENT } from "./errors.ts";
 import { FrameLineReader } from "./frame_line_reader.ts";
@@ -55,11 +55,13 @@
 
 /** Calls sides and entries over keep-alive HTTP connections. */
 export class HttpPeerClient implements SideLink, EntryLink {
-  readonly #agent = new http.Agent({
-    keepAlive: true,
-    maxFreeSockets: MAX_IDLE_CONNECTIONS,
-    scheduling: "lifo",
-  });
+  readonly #agent = limitIdleTime(
+    new http.Agent({
+      keepAlive: true,
+      maxFreeSockets: MAX_IDLE_CONNECTIONS,
+      scheduling: "lifo",
+    }),
+  );
   readonly #clients = new Map<PeerAddress, JSONRPCClient<number>>();
   readonly #timer: TimerService;
 
--- a/src/adapters/peers/peer_client_test.ts
+++ b/src/adapters/peers/peer_client_test.ts
@@ -15,10 +15,16 @@
   let client: HttpPeerClient;
   let server: StandInServer;
   let address: PeerAddress;
+  const sockets = new Set<Socket>();
+  /** Connections on which nothing is answered any more. */
+  const silent = new WeakSet<Socket>();
 
   beforeEach(async () => {
     client = new HttpPeerClient();
+    sockets.clear();
     server = new StandInServer(async (request, response) => {
+      sockets.add(request.socket);
+      if (silent.has(request.socket)) return;
       const { id } = JSON.parse(await readRequestBody(request));
       response.end(JSON.stringify(answer(id)));
     });
@@ -66,6 +72,18 @@
     expect(snapshot._unsafeUnwrap()).to.deep.equal(result);
   });
 
+  // Nothing but time shows that an idle connection has gone silent. An attempt
+  // that may not be repeated would be lost on it.
+  it("has an answer though the idle connections have gone silent", async () => {
+    const result = { upTo: 1, state: {} };
+    answer = (id) => ({ jsonrpc: "2.0", id, result });
+    await client.snapshot(address, "forwarding");
+    for (const socket of sockets) silent.add(socket);
+    await new Promise((resolve) => setTimeout(resolve, 2_200));
+    const snapshot = await client.snapshot(address, "forwarding");
+    expect(snapshot.isOk() && snapshot.value).to.deep.equal(result);
+  });
+
   describe("a connection that fails", () => {
     const attempt = { attemptId: "a" } as unknown as AttemptRequest;
 
