--- a/src/core/forwarding/mod.ts
+++ b/src/core/forwarding/mod.ts
@@ -70,7 +70,7 @@
   StreamOrigins,
   type StreamRecord,
 } from "./streams/stream_origins.ts";
-export { EventNumbering } from "./streams/event_numbering.ts";
+export { EventNumbering, PROOF_STREAMS } from "./streams/event_numbering.ts";
 export { FormerRoutes } from "./streams/former_routes.ts";
 export { StreamKeepers } from "./streams/stream_keepers.ts";
 export {
