All headers within the limit of their size are read

Cause: Node reads 1,000 headers of a message and drops what is behind them without an error. Change: no limit of the number at servers for callers, at requests to endpoints, and at calls of the store and other services; the limit of the size bounds them. Peers' calls use no headers. Trailers are not passed on.

--- a/src/adapters/callers/caller_api_server.ts
+++ b/src/adapters/callers/caller_api_server.ts
@@ -106,6 +106,8 @@
         response.destroy();
       });
     });
+    // Node drops headers beyond a number without an error; their size is bounded.
+    this.#server.maxHeadersCount = 0;
     paceConnections(this.#server);
     this.#server.on("connection", (socket) => this.#onConnection(socket));
     this.#server.on("clientError", (error, socket) => {
--- a/src/adapters/forwarding/caller_server.ts
+++ b/src/adapters/forwarding/caller_server.ts
@@ -160,6 +160,8 @@
       requestTimeout: 0,
       requireHostHeader: true,
     }, (incoming, outgoing) => this.#receive(incoming, outgoing));
+    // Node drops headers beyond a number without an error; their size is bounded.
+    this.#server.maxHeadersCount = 0;
     paceConnections(this.#server);
     this.#server.on("connection", (socket) => this.#onConnection(socket));
     this.#server.on("clientError", (cause, socket) => {
--- a/src/adapters/forwarding/endpoint_http_client.ts
+++ b/src/adapters/forwarding/endpoint_http_client.ts
@@ -77,6 +77,8 @@
       maxHeaderSize: MAX_HEAD_BYTES,
       agent,
     });
+    // Node drops headers beyond a number without an error; their size is bounded.
+    clientRequest.maxHeadersCount = 0;
     return new EndpointExchange(clientRequest, { ...this.#options, outgoing });
   }
 
--- a/src/adapters/http_client/mod.ts
+++ b/src/adapters/http_client/mod.ts
@@ -122,6 +122,8 @@
       agent: options.useNewConnection ? new PacedAgent() : this.#agent,
       headers: buildHeaders(options),
     });
+    // Node drops headers beyond a number without an error; their size is bounded.
+    outgoing.maxHeadersCount = 0;
     const wasConnected = trackConnected(outgoing);
     const response = new Promise<Result<IncomingMessage, HttpFailure>>(
       (resolve) => {
