Answers of a later run under the writer's id prove no end

Cause: `WriterWatch` took an answer under the writer's id on a connection that was opened behind the end for one of the writer. Only the registration tells two runs of an id apart, and that of the later one is read up to a heartbeat later. Change: where a start time is registered, an answer counts only on a connection that leads to the writer: open when the body begins, or within 100 ms of that. Where the endpoint closes it as idle within the body, it is replaced at once; a question that is rejected on it is asked again on it; beside one that was idle for more than 2 s a second one is opened, as the first may be silent. So whole answers of a silent connection or of a full endpoint still have their proof. `MAX_IDLE_MILLISECONDS` moves to core/links, as both adapters and the entry use it.

--- a/src/adapters/forwarding/endpoint_connection.ts
+++ b/src/adapters/forwarding/endpoint_connection.ts
@@ -30,6 +30,8 @@
 export class QuestionConnection {
   /** Settles once the connection is open or rejected. */
   readonly opened: Promise<void>;
+  /** Settles once the connection has ended or was rejected. */
+  readonly ended: Promise<void>;
   readonly agent: PacedAgent;
   readonly #socket: Socket;
   readonly #timeout: Subscription;
@@ -59,6 +61,9 @@
       if (code === RESET_CODE) this.#state = "ended";
       this.#onEnd();
     });
+    this.ended = new Promise((resolve) => {
+      this.#socket.once("end", resolve).once("close", () => resolve());
+    });
     this.#socket.on("end", () => this.#onEnd());
     // Unread bytes would hide the end, and answer no question.
     this.#socket.resume();
--- a/src/adapters/forwarding/keep_alive_agent.ts
+++ b/src/adapters/forwarding/keep_alive_agent.ts
@@ -1,6 +1,7 @@
 import { Agent, type ClientRequest } from "node:http";
 import type { Socket } from "node:net";
-import { MAX_IDLE_MILLISECONDS, PacedAgent } from "../http_client/mod.ts";
+import { MAX_IDLE_MILLISECONDS } from "../../core/links/mod.ts";
+import { PacedAgent } from "../http_client/mod.ts";
 import { hasUnparsedBytes } from "../paced_reads/mod.ts";
 
 /**
--- a/src/adapters/http_client/idle_limit.ts
+++ b/src/adapters/http_client/idle_limit.ts
@@ -1,12 +1,6 @@
 import type { Agent } from "node:http";
 import type { Socket } from "node:net";
-
-/**
- * Time after its last answer in which a connection is reused. One that has gone
- * silent without a reset looks like an idle one, and a request that is sent on
- * it gets no answer.
- */
-export const MAX_IDLE_MILLISECONDS = 2_000;
+import { MAX_IDLE_MILLISECONDS } from "../../core/links/mod.ts";
 
 /** The method that Node's agent calls when a socket becomes idle. */
 interface AgentHooks {
--- a/src/adapters/http_client/mod.ts
+++ b/src/adapters/http_client/mod.ts
@@ -16,7 +16,7 @@
 } from "./errors.ts";
 
 export { detectBrokenEnd, framingOf, hasNoBody } from "./body_framing.ts";
-export { limitIdleTime, MAX_IDLE_MILLISECONDS } from "./idle_limit.ts";
+export { limitIdleTime } from "./idle_limit.ts";
 export { openPaced, PacedAgent } from "./paced_agent.ts";
 export { trackConnected } from "./track_connected.ts";
 
--- a/src/core/links/mod.ts
+++ b/src/core/links/mod.ts
@@ -25,6 +25,13 @@
  */
 export type PeerAddress = Branded<string, "PeerAddress">;
 
+/**
+ * Time after its last answer in which a connection is reused. One that has gone
+ * silent without a reset looks like an idle one, and what is sent on it gets no
+ * answer.
+ */
+export const MAX_IDLE_MILLISECONDS = 2_000;
+
 /**
  * `link_not_sent`: the message did not and will not reach the other process.
  * `link_lost`: the message may have arrived or may still arrive.
--- a/src/entry/forwarding/forwarding_entry.ts
+++ b/src/entry/forwarding/forwarding_entry.ts
@@ -481,7 +481,7 @@
         registry: this.registry,
         healthPathOf: (pool) => this.configuration?.pools.get(pool)?.healthPath,
       }),
-      writerConnections: new WriterConnections(options.endpointClient),
+      writerConnections: new WriterConnections(options.endpointClient, timer),
       eventNumbering: new EventNumbering(),
       limits,
       loadReports,
--- a/src/entry/forwarding/network_interfaces.ts
+++ b/src/entry/forwarding/network_interfaces.ts
@@ -121,10 +121,17 @@
 
 /**
  * Which process has answered a question. `expected`: the one that has the id.
- * `other`: another one. `unnamed`: one that does not say which it is, such as
- * one that rejects all requests. `none`: nobody, in the time allowed.
+ * `other`: another one. `rejecting`: one that answers this question without
+ * saying which it is, such as one that rejects all requests. `unnamed`: the same,
+ * or the answer may belong to an earlier question. `none`: nobody, in the time
+ * allowed.
  */
-export type AnsweringProcess = "expected" | "other" | "unnamed" | "none";
+export type AnsweringProcess =
+  | "expected"
+  | "other"
+  | "rejecting"
+  | "unnamed"
+  | "none";
 
 export interface IdentifyOptions {
   readonly healthPath: string;
@@ -136,6 +143,8 @@
   readonly state: EndpointConnectionState;
   /** Settles once the connection is open or rejected. */
   readonly opened: Promise<void>;
+  /** Settles once the connection has ended or was rejected. */
+  readonly ended: Promise<void>;
   /** Asks which process answers on the connection; one question at a time. */
   identify(
     endpoint: EndpointId,
--- a/src/entry/forwarding/writer_connections.ts
+++ b/src/entry/forwarding/writer_connections.ts
@@ -1,5 +1,7 @@
 import type { RegisteredEndpoint } from "../../core/forwarding/mod.ts";
 import type { EndpointId } from "../../core/identity/mod.ts";
+import { MAX_IDLE_MILLISECONDS } from "../../core/links/mod.ts";
+import type { TimerService } from "../../core/time/mod.ts";
 import type {
   EndpointClient,
   EndpointConnection,
@@ -8,6 +10,18 @@
 /** Idle connections to one endpoint, which count towards its maximum. */
 const MAX_IDLE_CONNECTIONS = 2;
 
+interface IdleConnection {
+  readonly connection: EndpointConnection;
+  readonly idleSince: number;
+}
+
+/** A connection for a question. */
+export interface WriterConnection {
+  readonly connection: EndpointConnection;
+  /** True if it was idle for so long that it may have gone silent. */
+  readonly mayBeSilent: boolean;
+}
+
 /**
  * Connections to endpoints for questions behind the ends of their bodies. Those
  * on which a question was answered are kept: an endpoint that leaves may accept
@@ -15,18 +29,27 @@
  */
 export class WriterConnections {
   readonly #client: Pick<EndpointClient, "connect">;
-  readonly #idle = new Map<EndpointId, EndpointConnection[]>();
+  readonly #timer: TimerService;
+  readonly #idle = new Map<EndpointId, IdleConnection[]>();
 
-  constructor(client: Pick<EndpointClient, "connect">) {
+  constructor(client: Pick<EndpointClient, "connect">, timer: TimerService) {
     this.#client = client;
+    this.#timer = timer;
   }
 
   /** Takes an idle connection, or opens one. */
-  take(endpoint: RegisteredEndpoint): EndpointConnection {
+  take(endpoint: RegisteredEndpoint): WriterConnection {
     const open = this.#openOf(endpoint.id);
-    const connection = open.pop();
+    const idle = open.pop();
     this.#store(endpoint.id, open);
-    return connection ?? this.open(endpoint);
+    if (idle === undefined) {
+      return { connection: this.open(endpoint), mayBeSilent: false };
+    }
+    const idleMilliseconds = this.#timer.now() - idle.idleSince;
+    return {
+      connection: idle.connection,
+      mayBeSilent: idleMilliseconds > MAX_IDLE_MILLISECONDS,
+    };
   }
 
   open({ address }: RegisteredEndpoint): EndpointConnection {
@@ -45,20 +68,22 @@
     const isKept = connection.state === "open" &&
       open.length < MAX_IDLE_CONNECTIONS;
     if (!isKept) return connection.close();
-    this.#store(id, [...open, connection]);
+    const idleSince = this.#timer.now();
+    this.#store(id, [...open, { connection, idleSince }]);
   }
 
   /** Closes the idle connections to an endpoint. */
   closeIdle({ id }: RegisteredEndpoint): void {
-    for (const connection of this.#idle.get(id) ?? []) connection.close();
+    for (const { connection } of this.#idle.get(id) ?? []) connection.close();
     this.#idle.delete(id);
   }
 
-  #openOf(id: EndpointId): EndpointConnection[] {
-    return (this.#idle.get(id) ?? []).filter(({ state }) => state === "open");
+  #openOf(id: EndpointId): IdleConnection[] {
+    return (this.#idle.get(id) ?? [])
+      .filter(({ connection }) => connection.state === "open");
   }
 
-  #store(id: EndpointId, connections: EndpointConnection[]): void {
+  #store(id: EndpointId, connections: IdleConnection[]): void {
     if (connections.length === 0) this.#idle.delete(id);
     else this.#idle.set(id, connections);
   }
--- a/src/entry/forwarding/writer_watch.ts
+++ b/src/entry/forwarding/writer_watch.ts
@@ -14,6 +14,12 @@
 const MAX_SILENCE_MILLISECONDS = 100;
 /** The same, as a fraction of the time for all questions. */
 const MAX_SILENCE_FRACTION = 1 / 4;
+/**
+ * Time in which a connection that is opened when the body begins leads to its
+ * writer. Behind a longer one, as at the end of a network partition, a later run
+ * may have accepted it.
+ */
+const MAX_OPENING_MILLISECONDS = 100;
 /** A busy endpoint answers late, so a question may not add to its work often. */
 const MAX_OPEN_QUESTIONS = 3;
 
@@ -29,6 +35,11 @@
   | "not_listening"
   /** The service has no health path, so there is no question to ask. */
   | "not_asked"
+  /**
+   * A process with the id has answered, which may be a later run: runs of the
+   * endpoint share an id, and the connection is not known to lead to the writer.
+   */
+  | "answered_by_unknown_run"
   /** Another run has registered under the id, or it is at another address. */
   | "registered_again";
 
@@ -55,6 +66,8 @@
 interface Answer {
   readonly connection: EndpointConnection;
   readonly evidence?: EndEvidence;
+  /** True if the writer has rejected the question, and may be asked again. */
+  readonly isRejected?: boolean;
 }
 
 /**
@@ -69,6 +82,10 @@
   readonly #options: WriterWatchOptions;
   /** The connection that was opened before the end. */
   readonly #first: EndpointConnection;
+  /** The connection for the question behind the next one that is open. */
+  #next: EndpointConnection | undefined;
+  /** The connections that lead to the writer, and to no later run. */
+  readonly #toWriter = new Set<EndpointConnection>();
   /** The questions that are not answered yet, by their connections. */
   readonly #open = new Map<EndpointConnection, Promise<Answer>>();
   /** True once the first connection is one for later questions. */
@@ -77,19 +94,60 @@
   #connections = 0;
   /** Questions that were sent. */
   #questions = 0;
+  /** True once the end of the body has been read. */
+  #isBodyOver = false;
   #isClosed = false;
 
   /** Call when the head of the response has been read. */
   constructor(options: WriterWatchOptions) {
     this.#options = options;
-    const { dependencies, endpoint } = options;
-    this.#first = dependencies.writerConnections.take(endpoint);
+    const { dependencies: { writerConnections }, endpoint } = options;
+    const { connection, mayBeSilent } = writerConnections.take(endpoint);
+    this.#first = connection;
+    this.#noteOpening(connection);
+    if (!this.#sharesId) return;
+    if (mayBeSilent) this.#noteOpening(this.#openNext());
+    connection.ended.then(() => this.#replaceFirst());
+  }
+
+  #noteOpening(connection: EndpointConnection): void {
+    this.#onOpened(connection, () => this.#toWriter.add(connection));
+  }
+
+  /** Calls the listener if the connection is open or opens in time. */
+  #onOpened(connection: EndpointConnection, listener: () => void): void {
+    if (connection.state === "open") return listener();
+    const { timer } = this.#options.dependencies;
+    const begunAt = timer.now();
+    connection.opened.then(() => {
+      if (timer.now() - begunAt <= MAX_OPENING_MILLISECONDS) listener();
+    });
+  }
+
+  /** Replaces a connection that the endpoint has closed as idle. */
+  #replaceFirst(): void {
+    const isReplaced = this.#next !== undefined;
+    if (isReplaced || this.#isBodyOver || this.#isClosed) return;
+    if (this.#first.state !== "ended") return;
+    const next = this.#openNext();
+    // The first one may have ended with its process, and a later run listens:
+    // the end of the body is due by then.
+    this.#onOpened(next, () => {
+      if (!this.#isBodyOver) this.#toWriter.add(next);
+    });
+  }
+
+  #openNext(): EndpointConnection {
+    const { dependencies, endpoint } = this.#options;
+    this.#next = dependencies.writerConnections.open(endpoint);
+    return this.#next;
   }
 
   close(): void {
     if (this.#isClosed) return;
     this.#isClosed = true;
     if (!this.#isFirstKept) this.#first.close();
+    this.#next?.close();
     for (const connection of this.#open.keys()) connection.close();
   }
 
@@ -97,6 +155,7 @@
   async judgeEnd(maxMilliseconds: number): Promise<EndVerdict> {
     const { readDelayMilliseconds, timer } = this.#options.dependencies;
     const begunAt = timer.now();
+    this.#isBodyOver = true;
     const endDelayMilliseconds = Math.round(readDelayMilliseconds());
     const endEvidence = await this.#findEvidence(
       begunAt + Math.min(maxMilliseconds, MAX_QUESTION_MILLISECONDS),
@@ -111,8 +170,7 @@
   }
 
   async #findEvidence(until: number): Promise<EndEvidence> {
-    const { dependencies, endpoint, healthPath } = this.#options;
-    const { timer } = dependencies;
+    const { dependencies: { timer }, healthPath } = this.#options;
     if (healthPath === undefined) return "not_asked";
     const maxSilence = Math.min(
       MAX_SILENCE_MILLISECONDS,
@@ -132,11 +190,12 @@
         return this.#settle(answer.evidence, answer.connection);
       }
       if (answer !== undefined) {
+        if (answer.isRejected) this.#next ??= answer.connection;
         if (this.#isNotListening(answer)) return "not_listening";
         nextAt = timer.now() + this.#pauseMilliseconds;
         if (this.#open.size === 0 && nextAt >= until) break;
       } else if (timer.now() >= nextAt) {
-        ask(dependencies.writerConnections.open(endpoint));
+        ask(this.#takeNext());
         nextAt = this.#open.size < MAX_OPEN_QUESTIONS
           ? timer.now() + maxSilence * this.#open.size
           : Infinity;
@@ -145,10 +204,19 @@
     return "not_answered";
   }
 
+  #takeNext(): EndpointConnection {
+    const next = this.#next;
+    this.#next = undefined;
+    const { dependencies, endpoint } = this.#options;
+    return next?.state === "open" || next?.state === "opening"
+      ? next
+      : dependencies.writerConnections.open(endpoint);
+  }
+
   /** True if a new connection was rejected, and no other one is open. */
   #isNotListening({ connection }: Answer): boolean {
     const { state } = connection;
-    connection.close();
+    if (connection !== this.#next) connection.close();
     return state === "rejected" && connection !== this.#first &&
       this.#open.size === 0;
   }
@@ -189,9 +257,29 @@
     if (process === "other") {
       return { connection, evidence: "answered_by_other" };
     }
+    if (process === "rejecting") {
+      return { connection, isRejected: this.#mayBeAskedAgain(connection) };
+    }
     if (process !== "expected") return { connection };
-    const evidence = this.#isRegisteredAgain ? "registered_again" : "answered";
-    return { connection, evidence };
+    return { connection, evidence: this.#evidenceOf(connection) };
+  }
+
+  /** Another connection might lead to a later run. */
+  #mayBeAskedAgain(connection: EndpointConnection): boolean {
+    return this.#sharesId && this.#toWriter.has(connection) &&
+      connection.state === "open";
+  }
+
+  /** What an answer under the writer's id shows. */
+  #evidenceOf(connection: EndpointConnection): EndEvidence {
+    if (this.#isRegisteredAgain) return "registered_again";
+    const isOfWriter = !this.#sharesId || this.#toWriter.has(connection);
+    return isOfWriter ? "answered" : "answered_by_unknown_run";
+  }
+
+  /** True if a run that starts later may have the writer's id. */
+  get #sharesId(): boolean {
+    return this.#options.endpoint.startedAt !== undefined;
   }
 
   /** True if the id may name another run than the writer. */
--- a/src/entry/forwarding/writer_watch_test.ts
+++ b/src/entry/forwarding/writer_watch_test.ts
@@ -1,4 +1,7 @@
 import { expect } from "chai";
+import type { RegisteredEndpoint } from "../../core/forwarding/mod.ts";
+import { numbered, type ReplicaStartTime } from "../../core/identity/mod.ts";
+import { sleep, type TimerService } from "../../core/time/mod.ts";
 import { SystemTimerService } from "../../adapters/time/mod.ts";
 import { makeEndpoint } from "../../../test/support/forwarding_fixtures.ts";
 import type { ForwardingDependencies } from "./forwarding_dependencies.ts";
@@ -13,27 +16,55 @@
 const MAX_MILLISECONDS = 1_000;
 const ENDPOINT = makeEndpoint("writer");
 
-/** What a connection does with a question: answers it, or not. */
-type Behaviour = "answers" | "rejects" | "silent" | { readonly after: number };
+/**
+ * What a connection does with a question: answers it, or not. `rejects`: it is
+ * not accepted itself.
+ */
+type Behaviour =
+  | "answers"
+  | "rejects"
+  | "silent"
+  | "answers later"
+  | { readonly after: number };
 
 const timer = new SystemTimerService();
 
 class ScriptedConnection implements EndpointConnection {
-  readonly state: EndpointConnectionState;
-  readonly opened = Promise.resolve();
+  state: EndpointConnectionState;
+  opened = Promise.resolve();
+  readonly ended: Promise<void>;
   isClosed = false;
   questions = 0;
   behaviour: Behaviour;
   #settle: (process: AnsweringProcess) => void = () => {};
+  #end = () => {};
 
   constructor(behaviour: Behaviour) {
+    this.ended = new Promise((resolve) => this.#end = resolve);
     this.behaviour = behaviour;
     this.state = behaviour === "rejects" ? "rejected" : "open";
   }
 
+  openAfter(milliseconds: number): void {
+    this.state = "opening";
+    this.opened = sleep(timer, milliseconds).then(() => {
+      this.state = "open";
+    });
+  }
+
+  async end(): Promise<void> {
+    this.state = "ended";
+    this.#end();
+    await new Promise(setImmediate);
+  }
+
   identify(): Promise<AnsweringProcess> {
     this.questions += 1;
     const { behaviour } = this;
+    if (behaviour === "answers later") {
+      this.behaviour = "answers";
+      return Promise.resolve("rejecting");
+    }
     if (behaviour === "answers") return Promise.resolve("expected");
     return new Promise((resolve) => {
       this.#settle = resolve;
@@ -52,23 +83,31 @@
 /** Connections that behave in this order, the last one for all further. */
 class ScriptedEndpoint {
   readonly connections: ScriptedConnection[] = [];
-  readonly writerConnections = new WriterConnections({
-    connect: () => this.#connect(),
-  });
+  /** For how much longer than in real time connections have been idle. */
+  idleMilliseconds = 0;
+  readonly writerConnections = new WriterConnections(
+    { connect: () => this.#connect() },
+    { now: () => timer.now() + this.idleMilliseconds } as TimerService,
+  );
   readonly #behaviours: Behaviour[];
+  #openedAfter: number | undefined;
 
   constructor(...behaviours: readonly Behaviour[]) {
     this.#behaviours = [...behaviours];
   }
 
-  watch(): WriterWatch {
+  /** Further connections open that much later. */
+  opensAfter(milliseconds: number): void {
+    this.#openedAfter = milliseconds;
+  }
+
+  watch(endpoint: RegisteredEndpoint = ENDPOINT): WriterWatch {
     const dependencies = {
       readDelayMilliseconds: () => 0,
-      registry: { get: () => ENDPOINT },
+      registry: { get: () => endpoint },
       timer,
       writerConnections: this.writerConnections,
     } as unknown as ForwardingDependencies;
-    const endpoint = ENDPOINT;
     return new WriterWatch({ dependencies, endpoint, healthPath: "/healthz" });
   }
 
@@ -82,6 +121,9 @@
     const [behaviour] = this.#behaviours;
     if (this.#behaviours.length > 1) this.#behaviours.shift();
     const connection = new ScriptedConnection(behaviour);
+    if (this.#openedAfter !== undefined) {
+      connection.openAfter(this.#openedAfter);
+    }
     this.connections.push(connection);
     return connection;
   }
@@ -145,6 +187,88 @@
     expect(verdict.endEvidence).to.equal("answered");
   });
 
+  // A run that has started behind the end answers for the one it has replaced,
+  // until its registration is read, and a part of a body was taken for whole.
+  describe("if the runs of the endpoint share its id", () => {
+    const startedAt = numbered<ReplicaStartTime>(1_700_000_000_000);
+    const restarting = { ...ENDPOINT, startedAt };
+
+    it("takes no answer on a connection that was opened behind the end", async () => {
+      const endpoint = new ScriptedEndpoint("answers");
+      const watch = endpoint.watch(restarting);
+      const verdict = watch.judgeEnd(MAX_MILLISECONDS);
+      endpoint.connections[0].state = "ended";
+      expect((await verdict).endEvidence).to.equal("answered_by_unknown_run");
+    });
+
+    it("takes no answer on one that was opened shortly before", async () => {
+      const endpoint = new ScriptedEndpoint("answers");
+      const watch = endpoint.watch(restarting);
+      endpoint.opensAfter(20);
+      await endpoint.connections[0].end();
+      const verdict = await watch.judgeEnd(MAX_MILLISECONDS);
+      expect(verdict.endEvidence).to.equal("answered_by_unknown_run");
+      expect(endpoint.connections).to.have.length(2);
+    });
+
+    // An endpoint closes idle connections while it writes a long answer.
+    it("takes an answer on one that was opened within the body", async () => {
+      const endpoint = new ScriptedEndpoint("answers");
+      const watch = endpoint.watch(restarting);
+      await endpoint.connections[0].end();
+      const verdict = await watch.judgeEnd(MAX_MILLISECONDS);
+      expect(verdict.endEvidence).to.equal("answered");
+      expect(endpoint.connections).to.have.length(2);
+    });
+
+    it("asks again where the first question is rejected", async () => {
+      const endpoint = new ScriptedEndpoint("answers later");
+      const watch = endpoint.watch(restarting);
+      const verdict = await watch.judgeEnd(MAX_MILLISECONDS);
+      expect(verdict.endEvidence).to.equal("answered");
+      expect(endpoint.connections).to.have.length(1);
+    });
+
+    it("takes no answer on one whose opening took longer than 100 ms", async () => {
+      const endpoint = new ScriptedEndpoint("answers");
+      endpoint.opensAfter(150);
+      const watch = endpoint.watch(restarting);
+      const verdict = await watch.judgeEnd(MAX_MILLISECONDS);
+      expect(verdict.endEvidence).to.equal("answered_by_unknown_run");
+    });
+
+    it("takes an answer on the connection from before the end", async () => {
+      const endpoint = new ScriptedEndpoint("answers");
+      for (let body = 0; body < 2; body++) {
+        const watch = endpoint.watch(restarting);
+        const verdict = await watch.judgeEnd(MAX_MILLISECONDS);
+        expect(verdict.endEvidence).to.equal("answered");
+      }
+      expect(endpoint.connections).to.have.length(1);
+    });
+
+    // A whole answer was cut though its endpoint answered on new connections.
+    it("has the answer of a second one if the first has gone silent while idle", async () => {
+      const endpoint = new ScriptedEndpoint("answers");
+      await endpoint.keep(1);
+      endpoint.connections[0].behaviour = "silent";
+      endpoint.idleMilliseconds = 3_000;
+      const verdict = await endpoint.watch(restarting)
+        .judgeEnd(MAX_MILLISECONDS);
+      expect(verdict.endEvidence).to.equal("answered");
+      expect(verdict.endVerdictMilliseconds).to.be.lessThan(200);
+    });
+
+    it("closes the second one if the first answers", async () => {
+      const endpoint = new ScriptedEndpoint("answers");
+      await endpoint.keep(1);
+      endpoint.idleMilliseconds = 3_000;
+      await endpoint.watch(restarting).judgeEnd(MAX_MILLISECONDS);
+      expect(endpoint.connections.map(({ isClosed }) => isClosed))
+        .to.deep.equal([false, true]);
+    });
+  });
+
   // Questions wait for the slots of a busy endpoint and delay its requests.
   it("asks on at most three connections at a time, and closes them", async () => {
     const endpoint = new ScriptedEndpoint("silent");
--- a/test/support/forwarding_harness.ts
+++ b/test/support/forwarding_harness.ts
@@ -327,7 +327,7 @@
         endpointClient,
         healthPathOf: () => undefined,
       }),
-      writerConnections: new WriterConnections(endpointClient),
+      writerConnections: new WriterConnections(endpointClient, timer),
       eventNumbering: new EventNumbering(),
       limits,
       outcomes: new FleetOutcomes({
