WriterWatch: a name and a comment that say what is meant

Cause: read as a newcomer, `noteOpening` did not say what is noted, and the text on `unnamed` was circular. Change: names and text only.

--- a/src/entry/forwarding/network_interfaces.ts
+++ b/src/entry/forwarding/network_interfaces.ts
@@ -122,9 +122,8 @@
 /**
  * Which process has answered a question. `expected`: the one that has the id.
  * `other`: another one. `rejecting`: one that answers this question without
- * saying which it is, such as one that rejects all requests. `unnamed`: the same,
- * or the answer may belong to an earlier question. `none`: nobody, in the time
- * allowed.
+ * saying which it is, such as one that rejects all requests. `unnamed`: one whose
+ * answer may belong to an earlier question. `none`: nobody, in the time allowed.
  */
 export type AnsweringProcess =
   | "expected"
--- a/src/entry/forwarding/writer_watch.ts
+++ b/src/entry/forwarding/writer_watch.ts
@@ -104,13 +104,13 @@
     const { dependencies: { writerConnections }, endpoint } = options;
     const { connection, mayBeSilent } = writerConnections.take(endpoint);
     this.#first = connection;
-    this.#noteOpening(connection);
+    this.#expectWriterOn(connection);
     if (!this.#sharesId) return;
-    if (mayBeSilent) this.#noteOpening(this.#openNext());
+    if (mayBeSilent) this.#expectWriterOn(this.#openNext());
     connection.ended.then(() => this.#replaceFirst());
   }
 
-  #noteOpening(connection: EndpointConnection): void {
+  #expectWriterOn(connection: EndpointConnection): void {
     this.#onOpened(connection, () => this.#toWriter.add(connection));
   }
 
