A replacement that opens beside the end of a body leads to no writer

Cause: behind a cut, the end of the question's connection was read before that of the body. The connection that replaced it was accepted by the later run before the entry read the body's end, which had arrived with the first one, so its answer counted. Change: a replacement counts if it was open for 10 ms when the end arrived, less the time for which the end may have waited to be read.

--- a/src/adapters/forwarding/endpoint_connection.ts
+++ b/src/adapters/forwarding/endpoint_connection.ts
@@ -34,13 +34,16 @@
   readonly ended: Promise<void>;
   readonly agent: PacedAgent;
   readonly #socket: Socket;
+  readonly #timer: TimerService;
   readonly #timeout: Subscription;
+  #openedAt: number | undefined;
   #state: EndpointConnectionState = "opening";
 
   constructor(
     { host, port }: { readonly host: string; readonly port: number },
     timer: TimerService,
   ) {
+    this.#timer = timer;
     this.#socket = openPaced({ host, port });
     this.#timeout = timer.after(
       CONNECT_TIMEOUT_MILLISECONDS,
@@ -50,6 +53,7 @@
       this.#socket.once("connect", () => {
         this.#timeout.cancel();
         this.#state = "open";
+        this.#openedAt = timer.now();
         resolve();
       });
       this.#socket.once("close", () => {
@@ -74,6 +78,11 @@
     return this.#state;
   }
 
+  get openMilliseconds(): number {
+    const now = this.#timer.now();
+    return now - (this.#openedAt ?? now);
+  }
+
   close(): void {
     this.#timeout.cancel();
     this.#socket.destroy();
--- a/src/entry/forwarding/network_interfaces.ts
+++ b/src/entry/forwarding/network_interfaces.ts
@@ -142,6 +142,8 @@
   readonly state: EndpointConnectionState;
   /** Settles once the connection is open or rejected. */
   readonly opened: Promise<void>;
+  /** Time since the connection opened; 0 before. */
+  readonly openMilliseconds: number;
   /** Settles once the connection has ended or was rejected. */
   readonly ended: Promise<void>;
   /** Asks which process answers on the connection; one question at a time. */
--- a/src/entry/forwarding/writer_watch.ts
+++ b/src/entry/forwarding/writer_watch.ts
@@ -20,6 +20,11 @@
  * may have accepted it.
  */
 const MAX_OPENING_MILLISECONDS = 100;
+/**
+ * Time from the opening of a connection that replaces an ended one to the end of
+ * the body. With less, both ends may be those of a killed process.
+ */
+const MIN_REPLACED_MILLISECONDS = 10;
 /** A busy endpoint answers late, so a question may not add to its work often. */
 const MAX_OPEN_QUESTIONS = 3;
 
@@ -84,6 +89,8 @@
   readonly #first: EndpointConnection;
   /** The connection for the question behind the next one that is open. */
   #next: EndpointConnection | undefined;
+  /** A connection that has opened in place of the first one. */
+  #replacement: EndpointConnection | undefined;
   /** The connections that lead to the writer, and to no later run. */
   readonly #toWriter = new Set<EndpointConnection>();
   /** The questions that are not answered yet, by their connections. */
@@ -130,11 +137,20 @@
     if (isReplaced || this.#isBodyOver || this.#isClosed) return;
     if (this.#first.state !== "ended") return;
     const next = this.#openNext();
-    // The first one may have ended with its process, and a later run listens:
-    // the end of the body is due by then.
-    this.#onOpened(next, () => {
-      if (!this.#isBodyOver) this.#toWriter.add(next);
-    });
+    this.#onOpened(next, () => this.#replacement = next);
+  }
+
+  /**
+   * The ends of a killed process arrive together, and a later run may answer on
+   * the replacement. A body that goes on behind it has a writer that lives.
+   */
+  #judgeReplacement(endDelayMilliseconds: number): void {
+    const replacement = this.#replacement;
+    if (replacement === undefined) return;
+    const openMilliseconds = replacement.openMilliseconds -
+      endDelayMilliseconds;
+    if (openMilliseconds < MIN_REPLACED_MILLISECONDS) return;
+    this.#toWriter.add(replacement);
   }
 
   #openNext(): EndpointConnection {
@@ -157,6 +173,7 @@
     const begunAt = timer.now();
     this.#isBodyOver = true;
     const endDelayMilliseconds = Math.round(readDelayMilliseconds());
+    this.#judgeReplacement(endDelayMilliseconds);
     const endEvidence = await this.#findEvidence(
       begunAt + Math.min(maxMilliseconds, MAX_QUESTION_MILLISECONDS),
     );
--- a/src/entry/forwarding/writer_watch_test.ts
+++ b/src/entry/forwarding/writer_watch_test.ts
@@ -33,6 +33,7 @@
   state: EndpointConnectionState;
   opened = Promise.resolve();
   readonly ended: Promise<void>;
+  openMilliseconds = 0;
   isClosed = false;
   questions = 0;
   behaviour: Behaviour;
@@ -83,6 +84,8 @@
 /** Connections that behave in this order, the last one for all further. */
 class ScriptedEndpoint {
   readonly connections: ScriptedConnection[] = [];
+  /** For how long an end may have waited to be read. */
+  readDelayMilliseconds = 0;
   /** For how much longer than in real time connections have been idle. */
   idleMilliseconds = 0;
   readonly writerConnections = new WriterConnections(
@@ -103,7 +106,7 @@
 
   watch(endpoint: RegisteredEndpoint = ENDPOINT): WriterWatch {
     const dependencies = {
-      readDelayMilliseconds: () => 0,
+      readDelayMilliseconds: () => this.readDelayMilliseconds,
       registry: { get: () => endpoint },
       timer,
       writerConnections: this.writerConnections,
@@ -201,14 +204,27 @@
       expect((await verdict).endEvidence).to.equal("answered_by_unknown_run");
     });
 
-    it("takes no answer on one that was opened shortly before", async () => {
+    // Both ends of a killed process arrive at the end of a network partition.
+    for (const openedAfter of [0, 20]) {
+      it(`takes no answer on one opened shortly before, in ${openedAfter} ms`, async () => {
+        const endpoint = new ScriptedEndpoint("answers");
+        const watch = endpoint.watch(restarting);
+        endpoint.opensAfter(openedAfter);
+        await endpoint.connections[0].end();
+        const verdict = await watch.judgeEnd(MAX_MILLISECONDS);
+        expect(verdict.endEvidence).to.equal("answered_by_unknown_run");
+        expect(endpoint.connections).to.have.length(2);
+      });
+    }
+
+    it("takes no answer on one opened before an end that was read late", async () => {
       const endpoint = new ScriptedEndpoint("answers");
+      endpoint.readDelayMilliseconds = 50;
       const watch = endpoint.watch(restarting);
-      endpoint.opensAfter(20);
       await endpoint.connections[0].end();
+      endpoint.connections[1].openMilliseconds = 30;
       const verdict = await watch.judgeEnd(MAX_MILLISECONDS);
       expect(verdict.endEvidence).to.equal("answered_by_unknown_run");
-      expect(endpoint.connections).to.have.length(2);
     });
 
     // An endpoint closes idle connections while it writes a long answer.
@@ -216,6 +232,7 @@
       const endpoint = new ScriptedEndpoint("answers");
       const watch = endpoint.watch(restarting);
       await endpoint.connections[0].end();
+      endpoint.connections[1].openMilliseconds = 30;
       const verdict = await watch.judgeEnd(MAX_MILLISECONDS);
       expect(verdict.endEvidence).to.equal("answered");
       expect(endpoint.connections).to.have.length(2);
--- a/test/support/endpoint_connection.ts
+++ b/test/support/endpoint_connection.ts
@@ -11,6 +11,7 @@
   return {
     state: isAccepted ? "open" : "rejected",
     opened: Promise.resolve(),
+    openMilliseconds: 0,
     ended: new Promise(() => {}),
     identify: () => Promise.resolve(isAccepted ? process : "none"),
     close() {},
