The writer's answer is awaited behind one of an unknown run

What callers saw: nothing yet; found by reading. Where replicas register start times, the question is asked on a further connection behind 100 ms of silence. If its answer came before that of a busy writer on its own connection, the body counted as cut. Cause: `answered_by_unknown_run` ended the questions like all other evidence. Change: while a question is open on a connection that leads to the writer, such an answer is kept for the end of the time, and no further connection is opened. Result: of the two new tests, the one of a busy writer failed before; 40 tests of the watch and of end_evidence_test.ts pass.

--- a/src/entry/forwarding/writer_watch.ts
+++ b/src/entry/forwarding/writer_watch.ts
@@ -75,6 +75,10 @@
   readonly isRejected?: boolean;
 }
 
+type UnknownRunAnswer = Answer & {
+  readonly evidence: "answered_by_unknown_run";
+};
+
 /**
  * Finds out whether the process that wrote a body which ends with its
  * connection has outlived it. The operating system ends the connections of a
@@ -199,14 +203,18 @@
       this.#connections += 1;
     };
     ask(this.#first);
+    let fallback: EndEvidence = "not_answered";
     let nextAt = timer.now() + maxSilence;
     while (!this.#isClosed && timer.now() < until) {
       const answer = await this.#nextAnswer(Math.min(nextAt, until));
       if (this.#isClosed) break;
-      if (answer?.evidence !== undefined) {
+      if (this.#isSurpassable(answer)) {
+        answer.connection.close();
+        fallback = answer.evidence;
+        nextAt = Infinity;
+      } else if (answer?.evidence !== undefined) {
         return this.#settle(answer.evidence, answer.connection);
-      }
-      if (answer !== undefined) {
+      } else if (answer !== undefined) {
         if (answer.isRejected) this.#next ??= answer.connection;
         if (this.#isNotListening(answer)) return "not_listening";
         nextAt = timer.now() + this.#pauseMilliseconds;
@@ -218,7 +226,13 @@
           : Infinity;
       }
     }
-    return "not_answered";
+    return fallback;
+  }
+
+  /** True if the writer may still answer for itself on another connection. */
+  #isSurpassable(answer: Answer | undefined): answer is UnknownRunAnswer {
+    return answer?.evidence === "answered_by_unknown_run" &&
+      [...this.#open.keys()].some((each) => this.#toWriter.has(each));
   }
 
   #takeNext(): EndpointConnection {
--- a/src/entry/forwarding/writer_watch_test.ts
+++ b/src/entry/forwarding/writer_watch_test.ts
@@ -238,6 +238,26 @@
       expect(endpoint.connections).to.have.length(2);
     });
 
+    // The first question waits for a slot, and one on a new connection does not.
+    it("waits for the writer's answer behind one of an unknown run", async () => {
+      const endpoint = new ScriptedEndpoint({ after: 300 }, "answers");
+      const watch = endpoint.watch(restarting);
+      const verdict = await watch.judgeEnd(MAX_MILLISECONDS);
+      expect(verdict.endEvidence).to.equal("answered");
+      expect(endpoint.connections.map(({ isClosed }) => isClosed))
+        .to.deep.equal([false, true]);
+    });
+
+    it("names the unknown run if the writer does not answer in time", async () => {
+      const endpoint = new ScriptedEndpoint("silent", "answers");
+      const watch = endpoint.watch(restarting);
+      const verdict = await watch.judgeEnd(MAX_MILLISECONDS);
+      expect(verdict).to.include({
+        endEvidence: "answered_by_unknown_run",
+        endQuestions: 2,
+      });
+    });
+
     it("asks again where the first question is rejected", async () => {
       const endpoint = new ScriptedEndpoint("answers later");
       const watch = endpoint.watch(restarting);
